--- /dev/null
+++ b/packages/bundle/mod.ts
@@ -0,0 +1,26 @@
+/**
+ * The operators' bundle: its schema, canonical form, digest and signatures.
+ *
+ * @module
+ */
+export { BundleError, SignatureError } from "./errors.ts";
+export type { BundleFault } from "./errors.ts";
+export { homeRegions, parseBundle, ServiceKind } from "./schema.ts";
+export type {
+  Bundle,
+  BundleDataCentre,
+  BundleRoute,
+  BundleService,
+  BundleTenant,
+  RequestField,
+} from "./schema.ts";
+export {
+  bundleDigest,
+  canonicalBytes,
+  createOperatorKey,
+  parseSignedBundle,
+  signBundle,
+  validSigners,
+  verifyBundle,
+} from "./signature.ts";
+export type { SignedBundle, SigningAuthority } from "./signature.ts";
--- /dev/null
+++ b/packages/bundle/schema.ts
@@ -0,0 +1,273 @@
+import { z } from "zod";
+import { BundleError } from "./errors.ts";
+import type { BundleFault } from "./errors.ts";
+
+const name = z.string().regex(
+  /^[a-z0-9][a-z0-9-]{0,62}$/,
+  "must be 1 to 63 lower-case letters, digits or hyphens",
+);
+
+const deadlineMilliseconds = z.number().int().min(10).max(60_000);
+
+/** How the targets of a service share its work. */
+export const ServiceKind = {
+  /** Each key has one owner among the targets. */
+  keyed: "keyed",
+  /** Any target can serve any request. */
+  shared: "shared",
+} as const;
+export type ServiceKind = typeof ServiceKind[keyof typeof ServiceKind];
+
+/** Where a value of a request is found. */
+const requestField = z.union([
+  z.strictObject({ header: z.string().regex(/^[a-z0-9-]+$/) }),
+  z.strictObject({ pathSegment: z.number().int().min(0).max(15) }),
+  z.strictObject({ value: name }),
+]);
+
+const operator = z.strictObject({
+  name,
+  /** Raw ed25519 public key, base64. */
+  publicKey: z.string().regex(/^[A-Za-z0-9+/]{43}=$/, "must be a public key"),
+});
+
+const dataCentre = z.strictObject({
+  name,
+  region: name,
+  /** @default true */
+  inService: z.boolean().default(true),
+});
+
+const service = z.strictObject({
+  name,
+  kind: z.enum(ServiceKind),
+  /** Regions that may serve and store the service; all regions when absent. */
+  homeRegions: z.array(name).min(1).optional(),
+  /** Whether its targets refuse a request with an old fence epoch. @default true */
+  checksFences: z.boolean().default(true),
+  /** Hash ranges the key space starts with. @default 64 */
+  initialRanges: z.number().int().min(1).max(4096).default(64),
+  /** Longest time a request may take, unless its route says less. @default 1000 */
+  deadlineMilliseconds: deadlineMilliseconds.default(1000),
+});
+
+const tenant = z.strictObject({
+  name,
+  /** Regions that may serve and store the tenant; all regions when absent. */
+  homeRegions: z.array(name).min(1).optional(),
+  /** Share of a service's capacity against the other tenants. @default 1 */
+  weight: z.number().min(0.01).max(100).default(1),
+});
+
+const route = z.strictObject({
+  /** Requests whose path starts with this take the route; the longest prefix wins. */
+  pathPrefix: z.string().startsWith("/"),
+  service: name,
+  tenant: requestField,
+  /** Required for keyed services. */
+  key: requestField.optional(),
+  /** Priority class, label of the latency histograms. @default "normal" */
+  class: z.enum(["urgent", "normal", "bulk"]).default("normal"),
+  /** @default ["GET", "HEAD"] */
+  idempotentMethods: z.array(z.string().regex(/^[A-Z]+$/)).default([
+    "GET",
+    "HEAD",
+  ]),
+  /** Regions that may serve and store the route; all regions when absent. */
+  homeRegions: z.array(name).min(1).optional(),
+  deadlineMilliseconds: deadlineMilliseconds.optional(),
+  /** @default 1048576 */
+  maximumBodyBytes: z.number().int().min(0).max(1 << 30).default(1 << 20),
+  /** What an entry VM outside the home regions does. @default "forward" */
+  outsideHome: z.enum(["forward", "redirect"]).default("forward"),
+});
+
+const bundle = z.strictObject({
+  /** Rises with every roll. */
+  version: z.number().int().min(1).max(Number.MAX_SAFE_INTEGER),
+  operators: z.array(operator).min(1).max(64),
+  /** Signatures that the next bundle needs. @default 1 */
+  requiredSignatures: z.number().int().min(1).default(1),
+  dataCentres: z.array(dataCentre).min(1).max(64),
+  services: z.array(service).max(256),
+  tenants: z.array(tenant).max(4096),
+  routes: z.array(route).max(1024),
+});
+
+/** A checked bundle with its defaults filled in. */
+export type Bundle = z.output<typeof bundle>;
+/** A service of a bundle. */
+export type BundleService = Bundle["services"][number];
+/** A route of a bundle. */
+export type BundleRoute = Bundle["routes"][number];
+/** A tenant of a bundle. */
+export type BundleTenant = Bundle["tenants"][number];
+/** A data centre of a bundle. */
+export type BundleDataCentre = Bundle["dataCentres"][number];
+/** Where a route finds the tenant or key of a request. */
+export type RequestField = z.output<typeof requestField>;
+
+/**
+ * Checks a bundle document and fills in its defaults.
+ *
+ * @throws {BundleError} with every fault that was found.
+ */
+export function parseBundle(document: unknown): Bundle {
+  const result = bundle.safeParse(document);
+  if (!result.success) {
+    throw new BundleError(
+      result.error.issues.map((issue) => ({
+        path: formatPath(issue.path),
+        message: issue.message,
+      })),
+    );
+  }
+  const faults = findFaults(result.data);
+  if (faults.length > 0) throw new BundleError(faults);
+  return result.data;
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  return path.reduce<string>(
+    (text, part) =>
+      typeof part === "number"
+        ? `${text}[${part}]`
+        : text === ""
+        ? String(part)
+        : `${text}.${String(part)}`,
+    "",
+  );
+}
+
+function findFaults(candidate: Bundle): BundleFault[] {
+  const regions = new Set(candidate.dataCentres.map((each) => each.region));
+  return [
+    ...duplicateFaults("operators", candidate.operators),
+    ...duplicateFaults("dataCentres", candidate.dataCentres),
+    ...duplicateFaults("services", candidate.services),
+    ...duplicateFaults("tenants", candidate.tenants),
+    ...signatureFaults(candidate),
+    ...regionFaults("services", candidate.services, regions),
+    ...regionFaults("tenants", candidate.tenants, regions),
+    ...regionFaults("routes", candidate.routes, regions),
+    ...routeFaults(candidate),
+    ...homeFaults(candidate, regions),
+  ];
+}
+
+function duplicateFaults(
+  list: string,
+  entries: readonly { readonly name: string }[],
+): BundleFault[] {
+  const seen = new Set<string>();
+  return entries.flatMap((entry, index) => {
+    const duplicate = seen.has(entry.name);
+    seen.add(entry.name);
+    return duplicate
+      ? [{
+        path: `${list}[${index}].name`,
+        message: `"${entry.name}" is named twice`,
+      }]
+      : [];
+  });
+}
+
+function signatureFaults(candidate: Bundle): BundleFault[] {
+  if (candidate.requiredSignatures <= candidate.operators.length) return [];
+  return [{
+    path: "requiredSignatures",
+    message:
+      `${candidate.requiredSignatures} signatures cannot be given by ${candidate.operators.length} operators; lower it or name more operators`,
+  }];
+}
+
+function regionFaults(
+  list: string,
+  entries: readonly { readonly homeRegions?: readonly string[] | undefined }[],
+  regions: ReadonlySet<string>,
+): BundleFault[] {
+  return entries.flatMap((entry, index) =>
+    (entry.homeRegions ?? []).flatMap((region, position) =>
+      regions.has(region) ? [] : [{
+        path: `${list}[${index}].homeRegions[${position}]`,
+        message: `no data centre lies in region "${region}"; the regions are ${
+          [...regions].sort().join(", ")
+        }`,
+      }]
+    )
+  );
+}
+
+function routeFaults(candidate: Bundle): BundleFault[] {
+  const services = new Map(candidate.services.map((each) => [each.name, each]));
+  const prefixes = new Set<string>();
+  return candidate.routes.flatMap((route, index) => {
+    const faults: BundleFault[] = [];
+    const target = services.get(route.service);
+    if (!target) {
+      faults.push({
+        path: `routes[${index}].service`,
+        message: `service "${route.service}" is not among the services`,
+      });
+    } else if (target.kind === ServiceKind.keyed && !route.key) {
+      faults.push({
+        path: `routes[${index}].key`,
+        message:
+          `service "${route.service}" is keyed: say where the key is found`,
+      });
+    }
+    if (prefixes.has(route.pathPrefix)) {
+      faults.push({
+        path: `routes[${index}].pathPrefix`,
+        message: `"${route.pathPrefix}" already has a route`,
+      });
+    }
+    prefixes.add(route.pathPrefix);
+    return faults;
+  });
+}
+
+function homeFaults(
+  candidate: Bundle,
+  regions: ReadonlySet<string>,
+): BundleFault[] {
+  return candidate.services.flatMap((service, index) =>
+    [undefined, ...candidate.tenants].flatMap((tenant) => {
+      const home = homeRegions(candidate, {
+        service: service.name,
+        tenant: tenant?.name,
+      });
+      if (home.length > 0 || regions.size === 0) return [];
+      return [{
+        path: `services[${index}].homeRegions`,
+        message: tenant
+          ? `service "${service.name}" and tenant "${tenant.name}" share no home region`
+          : `service "${service.name}" and its routes share no home region`,
+      }];
+    })
+  );
+}
+
+/**
+ * The regions that may serve and store the requests of a tenant for a service:
+ * those that the service, its routes and the tenant all allow, sorted.
+ */
+export function homeRegions(
+  source: Bundle,
+  subject: { readonly service: string; readonly tenant?: string | undefined },
+): readonly string[] {
+  const service = source.services.find((each) => each.name === subject.service);
+  const tenant = source.tenants.find((each) => each.name === subject.tenant);
+  const limits = [
+    service?.homeRegions,
+    tenant?.homeRegions,
+    ...source.routes.filter((each) => each.service === subject.service).map((
+      each,
+    ) => each.homeRegions),
+  ];
+  const all = [...new Set(source.dataCentres.map((each) => each.region))]
+    .sort();
+  return all.filter((region) =>
+    limits.every((limit) => !limit || limit.includes(region))
+  );
+}
--- /dev/null
+++ b/packages/consensus/draft.ts
@@ -0,0 +1,76 @@
+import { lastIndex } from "./log.ts";
+import type {
+  ConsensusEffect,
+  ConsensusMessage,
+  ConsensusState,
+  LogEntry,
+} from "./types.ts";
+
+type Mutable<T> = { -readonly [K in keyof T]: T[K] };
+
+type WithoutHead<M> = M extends ConsensusMessage ? Omit<M, "from" | "term">
+  : never;
+
+/** A message whose sender and term are filled in by the draft. */
+export type OutgoingMessage = WithoutHead<ConsensusMessage>;
+
+/** A state under change within one step, and the effects gathered so far. */
+export class Draft {
+  readonly state: Mutable<ConsensusState>;
+  readonly effects: ConsensusEffect[] = [];
+  readonly now: number;
+
+  constructor(state: ConsensusState, now: number) {
+    this.state = { ...state };
+    this.now = now;
+  }
+
+  /** Sends a message in the current term. */
+  send(message: OutgoingMessage): void {
+    this.sendInTerm(message, this.state.term);
+  }
+
+  /** Sends a message in another term than the current one. */
+  sendInTerm(message: OutgoingMessage, term: number): void {
+    this.effects.push({
+      kind: "send",
+      message: { ...message, from: this.state.self, term } as ConsensusMessage,
+    });
+  }
+
+  /** Stores the term and the vote. */
+  persistHardState(): void {
+    this.#persist([]);
+  }
+
+  /** Replaces the log from the first entry's index on. */
+  persistEntries(entries: readonly LogEntry[]): void {
+    const first = entries[0];
+    if (!first) return;
+    const kept = first.index - this.state.snapshot.index - 1;
+    this.state.entries = [...this.state.entries.slice(0, kept), ...entries];
+    this.state.syncedIndex = Math.min(this.state.syncedIndex, first.index - 1);
+    this.#persist(entries);
+  }
+
+  /** Moves the commit index forward and hands over what it covers. */
+  commitTo(index: number): void {
+    const target = Math.min(index, lastIndex(this.state));
+    if (target <= this.state.commitIndex) return;
+    const offset = this.state.snapshot.index;
+    const entries = this.state.entries.slice(
+      this.state.commitIndex - offset,
+      target - offset,
+    );
+    this.state.commitIndex = target;
+    this.effects.push({ kind: "commit", entries });
+  }
+
+  #persist(entries: readonly LogEntry[]): void {
+    this.effects.push({
+      kind: "persist",
+      hardState: { term: this.state.term, votedFor: this.state.votedFor },
+      entries,
+    });
+  }
+}
--- /dev/null
+++ b/packages/consensus/election.ts
@@ -0,0 +1,184 @@
+import type { Draft } from "./draft.ts";
+import { becomeLeader } from "./leader.ts";
+import { configurationOf, lastIndex, lastTerm } from "./log.ts";
+import { Role } from "./types.ts";
+import type {
+  ConsensusState,
+  PreVoteRequest,
+  PreVoteResponse,
+  ReplicaId,
+  VoteRequest,
+  VoteResponse,
+} from "./types.ts";
+
+/** Sets the time of the next election attempt. */
+export function scheduleElection(draft: Draft): void {
+  const { electionMilliseconds } = draft.state.options;
+  const spread = electionSpread(draft.state.self, draft.state.term);
+  draft.state.electionDueAt = draft.now + electionMilliseconds * (1 + spread);
+}
+
+/** Becomes a follower, in a newer term if there is one. */
+export function becomeFollower(
+  draft: Draft,
+  term: number,
+  leader: ReplicaId | null,
+): void {
+  const wasLeader = draft.state.role === Role.leader;
+  if (term > draft.state.term) {
+    draft.state.term = term;
+    draft.state.votedFor = null;
+    draft.persistHardState();
+  }
+  draft.state.role = Role.follower;
+  draft.state.leader = leader;
+  draft.state.transferTo = null;
+  scheduleElection(draft);
+  if (wasLeader) {
+    draft.effects.push({ kind: "roleChanged", role: Role.follower });
+  }
+}
+
+/** Asks the other voters whether an election could be won. */
+export function startPreVote(draft: Draft): void {
+  if (!isVoter(draft.state)) return scheduleElection(draft);
+  draft.state.role = Role.preCandidate;
+  draft.state.leader = null;
+  draft.state.votes = new Set([draft.state.self]);
+  scheduleElection(draft);
+  for (const to of otherVoters(draft.state)) {
+    draft.sendInTerm({
+      kind: "preVoteRequest",
+      to,
+      lastIndex: lastIndex(draft.state),
+      lastTerm: lastTerm(draft.state),
+    }, draft.state.term + 1);
+  }
+  if (hasMajority(draft.state)) startElection(draft, { transfer: false });
+}
+
+/** Raises the term and asks for votes. */
+export function startElection(
+  draft: Draft,
+  options: { readonly transfer: boolean },
+): void {
+  if (!isVoter(draft.state)) return;
+  draft.state.role = Role.candidate;
+  draft.state.leader = null;
+  draft.state.term += 1;
+  draft.state.votedFor = draft.state.self;
+  draft.state.votes = new Set([draft.state.self]);
+  scheduleElection(draft);
+  draft.persistHardState();
+  for (const to of otherVoters(draft.state)) {
+    draft.send({
+      kind: "voteRequest",
+      to,
+      lastIndex: lastIndex(draft.state),
+      lastTerm: lastTerm(draft.state),
+      transfer: options.transfer,
+    });
+  }
+  if (hasMajority(draft.state)) becomeLeader(draft);
+}
+
+/** Answers a pre-vote; the term is not raised. */
+export function receivePreVoteRequest(
+  draft: Draft,
+  message: PreVoteRequest,
+): void {
+  const granted = message.term > draft.state.term &&
+    !hearsLeader(draft) && isUpToDate(draft.state, message);
+  draft.sendInTerm(
+    { kind: "preVoteResponse", to: message.from, granted },
+    granted ? message.term : draft.state.term,
+  );
+}
+
+/** Counts a pre-vote. */
+export function receivePreVoteResponse(
+  draft: Draft,
+  message: PreVoteResponse,
+): void {
+  if (draft.state.role !== Role.preCandidate) return;
+  if (!message.granted) {
+    if (message.term > draft.state.term) {
+      becomeFollower(draft, message.term, null);
+    }
+    return;
+  }
+  if (message.term !== draft.state.term + 1) return;
+  draft.state.votes = new Set([...draft.state.votes, message.from]);
+  if (hasMajority(draft.state)) startElection(draft, { transfer: false });
+}
+
+/** Grants or refuses a vote. */
+export function receiveVoteRequest(draft: Draft, message: VoteRequest): void {
+  if (!message.transfer && hearsLeader(draft)) return;
+  if (message.term > draft.state.term) {
+    becomeFollower(draft, message.term, null);
+  }
+  const granted = message.term === draft.state.term &&
+    (draft.state.votedFor === null || draft.state.votedFor === message.from) &&
+    isUpToDate(draft.state, message);
+  if (granted && draft.state.votedFor === null) {
+    draft.state.votedFor = message.from;
+    draft.persistHardState();
+  }
+  if (granted) scheduleElection(draft);
+  draft.send({ kind: "voteResponse", to: message.from, granted });
+}
+
+/** Counts a vote. */
+export function receiveVoteResponse(draft: Draft, message: VoteResponse): void {
+  if (
+    draft.state.role !== Role.candidate || message.term !== draft.state.term ||
+    !message.granted
+  ) return;
+  draft.state.votes = new Set([...draft.state.votes, message.from]);
+  if (hasMajority(draft.state)) becomeLeader(draft);
+}
+
+/** Whether this replica votes in the configuration in force. */
+export function isVoter(state: ConsensusState): boolean {
+  return configurationOf(state).voters.includes(state.self);
+}
+
+function otherVoters(state: ConsensusState): readonly ReplicaId[] {
+  return configurationOf(state).voters.filter((each) => each !== state.self);
+}
+
+function hasMajority(state: ConsensusState): boolean {
+  const { voters } = configurationOf(state);
+  const granted = voters.filter((each) => state.votes.has(each)).length;
+  return granted * 2 > voters.length;
+}
+
+// A replica that hears a leader refuses votes, so that no second leader can be
+// elected while the first one's quorum contact is younger than the timeout.
+function hearsLeader(draft: Draft): boolean {
+  const { state, now } = draft;
+  if (state.role === Role.leader) return true;
+  return state.leader !== null &&
+    now - state.leaderHeardAt < state.options.electionMilliseconds;
+}
+
+function isUpToDate(
+  state: ConsensusState,
+  candidate: { readonly lastIndex: number; readonly lastTerm: number },
+): boolean {
+  const ownTerm = lastTerm(state);
+  if (candidate.lastTerm !== ownTerm) return candidate.lastTerm > ownTerm;
+  return candidate.lastIndex >= lastIndex(state);
+}
+
+// Spreads elections over one timeout by a hash, so that runs can be repeated.
+function electionSpread(self: ReplicaId, term: number): number {
+  let hash = 2166136261;
+  for (const character of `${self}:${term}`) {
+    hash = Math.imul(hash ^ character.charCodeAt(0), 16777619);
+  }
+  hash ^= hash >>> 15;
+  hash = Math.imul(hash, 2246822519);
+  return ((hash ^ (hash >>> 13)) >>> 0) / 2 ** 32;
+}
--- /dev/null
+++ b/packages/consensus/log.ts
@@ -0,0 +1,40 @@
+import type { Configuration, ConsensusState, LogEntry } from "./types.ts";
+
+type Log = Pick<ConsensusState, "snapshot" | "entries">;
+
+/** Index of the last entry. */
+export function lastIndex(log: Log): number {
+  return log.snapshot.index + log.entries.length;
+}
+
+/** Term of the last entry. */
+export function lastTerm(log: Log): number {
+  return log.entries.at(-1)?.term ?? log.snapshot.term;
+}
+
+/** Term of the entry at `index`, or null when the log does not hold it. */
+export function termAt(log: Log, index: number): number | null {
+  if (index === log.snapshot.index) return log.snapshot.term;
+  return log.entries[index - log.snapshot.index - 1]?.term ?? null;
+}
+
+/** The entries from `first` up to and including `last`. */
+export function entriesBetween(
+  log: Log,
+  first: number,
+  last: number,
+): readonly LogEntry[] {
+  const offset = log.snapshot.index + 1;
+  return log.entries.slice(Math.max(0, first - offset), last - offset + 1);
+}
+
+/** The configuration in force: the latest in the log, committed or not. */
+export function configurationOf(log: Log): Configuration {
+  return latestConfigurationEntry(log)?.configuration ??
+    log.snapshot.configuration;
+}
+
+/** The latest configuration entry after the snapshot. */
+export function latestConfigurationEntry(log: Log): LogEntry | undefined {
+  return log.entries.findLast((entry) => entry.configuration !== undefined);
+}
--- /dev/null
+++ b/packages/consensus/machine.ts
@@ -0,0 +1,170 @@
+import { Draft } from "./draft.ts";
+import {
+  becomeFollower,
+  receivePreVoteRequest,
+  receivePreVoteResponse,
+  receiveVoteRequest,
+  receiveVoteResponse,
+  startElection,
+  startPreVote,
+} from "./election.ts";
+import { receiveAppendRequest, receiveSnapshotRequest } from "./follower.ts";
+import {
+  propose,
+  proposeConfiguration,
+  quorumContactAt,
+  receiveAppendResponse,
+  receiveSynced,
+  replicate,
+  transferLeadership,
+} from "./leader.ts";
+import { lastIndex } from "./log.ts";
+import { resolveConsensusOptions, Role } from "./types.ts";
+import type {
+  Configuration,
+  ConsensusEffect,
+  ConsensusEvent,
+  ConsensusMessage,
+  ConsensusOptions,
+  ConsensusState,
+  HardState,
+  LogEntry,
+  ReplicaId,
+  Snapshot,
+} from "./types.ts";
+
+/** What a replica starts from: what its data folder holds. */
+export interface StoredReplica {
+  readonly self: ReplicaId;
+  readonly hardState: HardState;
+  readonly snapshot: Snapshot;
+  readonly entries: readonly LogEntry[];
+}
+
+/** The snapshot that a log with the given first configuration starts from. */
+export function emptySnapshot(configuration: Configuration): Snapshot {
+  return { index: 0, term: 0, configuration, data: new Uint8Array() };
+}
+
+/** The state of a replica that has just started. */
+export function createConsensusState(
+  stored: StoredReplica,
+  start: { readonly now: number; readonly options?: ConsensusOptions },
+): ConsensusState {
+  const options = resolveConsensusOptions(start.options);
+  return {
+    self: stored.self,
+    options,
+    term: stored.hardState.term,
+    votedFor: stored.hardState.votedFor,
+    role: Role.follower,
+    leader: null,
+    snapshot: stored.snapshot,
+    entries: stored.entries,
+    commitIndex: stored.snapshot.index,
+    syncedIndex: lastIndex(stored),
+    votes: new Set(),
+    progress: new Map(),
+    electionDueAt: start.now + options.electionMilliseconds,
+    heartbeatDueAt: start.now,
+    leaderHeardAt: -Infinity,
+    leadingSince: -Infinity,
+    transferTo: null,
+    transferUntil: 0,
+  };
+}
+
+/** Moves a replica on by one event. */
+export function stepConsensus(
+  state: ConsensusState,
+  event: ConsensusEvent,
+  now: number,
+): {
+  readonly state: ConsensusState;
+  readonly effects: readonly ConsensusEffect[];
+} {
+  const draft = new Draft(state, now);
+  applyEvent(draft, event);
+  return { state: draft.state, effects: draft.effects };
+}
+
+function applyEvent(draft: Draft, event: ConsensusEvent): void {
+  switch (event.kind) {
+    case "tick":
+      return tick(draft);
+    case "received":
+      return receive(draft, event.message);
+    case "synced":
+      return receiveSynced(draft, event);
+    case "propose":
+      propose(draft, event);
+      return replicateIfLeading(draft);
+    case "proposeConfiguration":
+      proposeConfiguration(draft, event.configuration);
+      return replicateIfLeading(draft);
+    case "compacted":
+      return compact(draft, event.snapshot);
+    case "transferLeadership":
+      return transferLeadership(draft);
+  }
+}
+
+function replicateIfLeading(draft: Draft): void {
+  if (draft.state.role === Role.leader) replicate(draft, { heartbeat: false });
+}
+
+function tick(draft: Draft): void {
+  if (draft.state.role === Role.leader) return tickLeader(draft);
+  if (draft.now >= draft.state.electionDueAt) startPreVote(draft);
+}
+
+function tickLeader(draft: Draft): void {
+  const { state, now } = draft;
+  if (
+    now - quorumContactAt(state, now) > state.options.electionMilliseconds
+  ) {
+    return becomeFollower(draft, state.term, null);
+  }
+  if (state.transferTo !== null && now > state.transferUntil) {
+    state.transferTo = null;
+  }
+  if (now < state.heartbeatDueAt) return;
+  state.heartbeatDueAt = now + state.options.heartbeatMilliseconds;
+  replicate(draft, { heartbeat: true });
+}
+
+function receive(draft: Draft, message: ConsensusMessage): void {
+  switch (message.kind) {
+    case "preVoteRequest":
+      return receivePreVoteRequest(draft, message);
+    case "preVoteResponse":
+      return receivePreVoteResponse(draft, message);
+    case "voteRequest":
+      return receiveVoteRequest(draft, message);
+    case "appendRequest":
+      return receiveAppendRequest(draft, message);
+    case "snapshotRequest":
+      return receiveSnapshotRequest(draft, message);
+  }
+  if (message.term > draft.state.term) {
+    return becomeFollower(draft, message.term, null);
+  }
+  if (message.term < draft.state.term) return;
+  switch (message.kind) {
+    case "voteResponse":
+      return receiveVoteResponse(draft, message);
+    case "appendResponse":
+      return receiveAppendResponse(draft, message);
+    case "timeoutNow":
+      return startElection(draft, { transfer: true });
+  }
+}
+
+function compact(draft: Draft, snapshot: Snapshot): void {
+  const { state } = draft;
+  if (
+    snapshot.index <= state.snapshot.index || snapshot.index > state.commitIndex
+  ) return;
+  state.entries = state.entries.slice(snapshot.index - state.snapshot.index);
+  state.snapshot = snapshot;
+}
--- /dev/null
+++ b/packages/consensus/mod.ts
@@ -0,0 +1,31 @@
+/**
+ * A replicated log: leader election with pre-vote, quorum-checked leadership,
+ * snapshots, learners and one-at-a-time changes of the replica set. It decides
+ * only; sockets and files belong to its caller.
+ *
+ * @module
+ */
+export {
+  createConsensusState,
+  emptySnapshot,
+  stepConsensus,
+} from "./machine.ts";
+export type { StoredReplica } from "./machine.ts";
+export { isVoter } from "./election.ts";
+export { isConfigurationSettled, quorumContactAt } from "./leader.ts";
+export { configurationOf, lastIndex, lastTerm, termAt } from "./log.ts";
+export { EntryKind, resolveConsensusOptions, Role } from "./types.ts";
+export type {
+  Configuration,
+  ConsensusEffect,
+  ConsensusEvent,
+  ConsensusMessage,
+  ConsensusOptions,
+  ConsensusState,
+  HardState,
+  LogEntry,
+  Progress,
+  ReplicaId,
+  ResolvedConsensusOptions,
+  Snapshot,
+} from "./types.ts";
--- /dev/null
+++ b/packages/experiments/whole_path_test.ts
@@ -0,0 +1,80 @@
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { Deployment } from "./deployment.ts";
+import { hsinchu } from "./hsinchu.ts";
+
+describe("a deployment of nine VMs", () => {
+  let deployment: Deployment;
+
+  beforeAll(async () => {
+    deployment = await Deployment.start(hsinchu);
+    await deployment.roll();
+    for (const [index, { name }] of hsinchu.dataCentres.entries()) {
+      await deployment.addTarget({
+        name: `fixture-${index + 1}`,
+        service: "fixture-stock",
+        dataCentre: name,
+      });
+    }
+    await deployment.until((status) =>
+      status.targets.length === 6 &&
+      status.groups.every((group) => group.withoutOwner === 0)
+    );
+  });
+
+  afterAll(() => deployment.stop());
+
+  const reserve = (vm: string, key: string) =>
+    deployment.caller.send({
+      vm: deployment.callersAddress(vm),
+      method: "POST",
+      path: `/fixtures/${key}`,
+      tenant: "toolroom",
+      key,
+    });
+
+  describe("with all targets up", () => {
+    it("serves one key by one target through every VM", async () => {
+      const answers = [];
+      for (const vm of deployment.vmNames) {
+        answers.push(await reserve(vm, "clamp-7"));
+      }
+      expect(answers.map((each) => each.outcome)).toEqual(
+        answers.map(() => "answered"),
+      );
+      expect(new Set(answers.map((each) => each.target)).size).toBe(1);
+    });
+  });
+
+  describe("after the owner of a key is lost", () => {
+    it("serves the key by another target under a higher epoch", async () => {
+      const before = await reserve("vm-1", "clamp-7");
+      deployment.targets.get(before.target)!.kill();
+      await deployment.until((status) =>
+        status.targets.every((each) => each.target !== before.target)
+      );
+      const after = await reserve("vm-5", "clamp-7");
+      expect(after.outcome).toBe("answered");
+      expect(after.target).not.toBe(before.target);
+      expect(after.epoch).toBeGreaterThan(before.epoch);
+    });
+  });
+
+  describe("after a control VM restarts", () => {
+    it("still knows the bundle and the epochs", async () => {
+      const before = await reserve("vm-1", "clamp-9");
+      const { leader, bundle } = await deployment.status();
+      await deployment.crashVm(leader);
+      await deployment.startVm(leader);
+      const status = await deployment.until((each) =>
+        each.vms.filter((vm) => !vm.lapsed).length === 9
+      );
+      expect(status.bundle?.digest).toBe(bundle?.digest);
+      const after = await reserve(leader, "clamp-9");
+      expect(after).toMatchObject({
+        outcome: "answered",
+        target: before.target,
+        epoch: before.epoch,
+      });
+    });
+  });
+});
--- /dev/null
+++ b/packages/fakes/fake_target.ts
@@ -0,0 +1,305 @@
+import { randomUUID } from "node:crypto";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { request as sendRequest } from "undici";
+import type { History } from "./history.ts";
+
+const announceMilliseconds = 300;
+const announceTimeoutMilliseconds = 1000;
+
+/** Options of a {@link FakeTarget}. */
+export interface FakeTargetOptions {
+  readonly name: string;
+  readonly service: string;
+  readonly dataCentre: string;
+  /** IP:PORT on which it serves. */
+  readonly address: string;
+  /** Targets' listeners of VMs, tried in turn. */
+  readonly announceTo: readonly string[];
+  readonly secret: string;
+  readonly history: History;
+  /** @default 6 */
+  readonly slots?: number;
+  /** @default 110 */
+  readonly connections?: number;
+  /** @default 1 */
+  readonly coldSlots?: number;
+  /** @default true */
+  readonly checksFences?: boolean;
+  /** @default "serving" */
+  readonly condition?: FakeCondition;
+  /** Time that a request takes. @default 2 */
+  readonly serviceMilliseconds?: number;
+}
+
+/** Conditions that a fake target can announce. */
+export type FakeCondition = "cold" | "serving" | "draining" | "leaving";
+
+interface HeldGrant {
+  readonly group: string;
+  readonly start: number;
+  readonly end: number;
+  readonly epoch: number;
+}
+
+/**
+ * A stand-in for a server that owns keys: it announces itself, takes fenced
+ * grants, carries requests out and records what it did.
+ */
+export class FakeTarget {
+  readonly #options: Required<FakeTargetOptions>;
+  readonly #server: Server;
+  #boot = randomUUID();
+  #grants: readonly HeldGrant[] = [];
+  #leaseUntil = -Infinity;
+  #timer: NodeJS.Timeout | undefined;
+  #inProgress = 0;
+  #nextListener = 0;
+  #frozen: Promise<void> | undefined;
+  #thaw: () => void = () => {};
+
+  /** What the target says of itself. */
+  condition: FakeCondition;
+  /** Time that a request takes, in milliseconds. */
+  serviceMilliseconds: number;
+
+  constructor(options: FakeTargetOptions) {
+    this.#options = {
+      slots: 6,
+      connections: 110,
+      coldSlots: 1,
+      checksFences: true,
+      condition: "serving",
+      serviceMilliseconds: 2,
+      ...options,
+    };
+    this.condition = this.#options.condition;
+    this.serviceMilliseconds = this.#options.serviceMilliseconds;
+    this.#server = createServer(
+      { keepAliveTimeout: 30_000 },
+      (request, response) => {
+        void this.#serve(request, response);
+      },
+    );
+  }
+
+  /** Name of the target. */
+  get name(): string {
+    return this.#options.name;
+  }
+
+  /** Identity of the current incarnation. */
+  get boot(): string {
+    return this.#boot;
+  }
+
+  /** The grants that it holds under a valid lease. */
+  get grants(): readonly HeldGrant[] {
+    return performance.now() < this.#leaseUntil ? this.#grants : [];
+  }
+
+  /** Opens the listener and announces itself from now on. */
+  async start(): Promise<void> {
+    const [host, port] = this.#options.address.split(":");
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ host, port: Number(port), backlog: 1024 }, resolve);
+    });
+    void this.#announce();
+    this.#timer = setInterval(
+      () => void this.#announce(),
+      announceMilliseconds,
+    );
+  }
+
+  /** Ends the process at once, as a crash would. */
+  kill(): void {
+    clearInterval(this.#timer);
+    this.#lapse();
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Starts the process anew after {@link kill}, with a new boot identity. */
+  async restart(): Promise<void> {
+    this.#boot = randomUUID();
+    this.#inProgress = 0;
+    await this.start();
+  }
+
+  /** Stops everything, as a paused process would, until {@link thaw}. */
+  freeze(): void {
+    this.#frozen ??= new Promise((resolve) => (this.#thaw = resolve));
+  }
+
+  /** Goes on as if nothing had happened. */
+  thaw(): void {
+    this.#frozen = undefined;
+    this.#thaw();
+  }
+
+  /** Announces itself now, such as after a change of condition. */
+  async announceNow(): Promise<void> {
+    await this.#announce();
+  }
+
+  async #announce(): Promise<void> {
+    if (this.#frozen) return;
+    const options = this.#options;
+    const sentAt = performance.now();
+    const listener = options.announceTo[
+      this.#nextListener % options.announceTo.length
+    ];
+    try {
+      const { statusCode, body } = await sendRequest(
+        `http://${listener}/announce`,
+        {
+          method: "POST",
+          headers: { authorization: `Bearer ${options.secret}` },
+          body: JSON.stringify({
+            target: options.name,
+            boot: this.#boot,
+            service: options.service,
+            dataCentre: options.dataCentre,
+            address: `http://${options.address}`,
+            slots: options.slots,
+            connections: options.connections,
+            coldSlots: options.coldSlots,
+            checksFences: options.checksFences,
+            condition: this.condition,
+          }),
+          signal: AbortSignal.timeout(announceTimeoutMilliseconds),
+        },
+      );
+      const reply = await body.json() as { leaseMilliseconds?: number };
+      await this.#frozen;
+      if (statusCode === 200 && reply.leaseMilliseconds) {
+        this.#renew(sentAt + reply.leaseMilliseconds);
+      }
+      if (statusCode === 503) this.#nextListener += 1;
+    } catch {
+      this.#nextListener += 1;
+    }
+  }
+
+  // Grants do not outlive the lease that they were given under.
+  #renew(until: number): void {
+    if (performance.now() >= this.#leaseUntil) this.#lapse();
+    this.#leaseUntil = Math.max(this.#leaseUntil, until);
+  }
+
+  #lapse(): void {
+    if (this.#grants.length === 0) return;
+    this.#grants = [];
+    this.#options.history.record({
+      kind: "lapsed",
+      target: this.name,
+      boot: this.#boot,
+    });
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    await this.#frozen;
+    if (request.method === "PUT" && request.url === "/kingcupglade/grants") {
+      return this.#takeGrants(Buffer.concat(chunks), response);
+    }
+    await this.#carryOut(request, response);
+  }
+
+  #takeGrants(body: Buffer, response: ServerResponse): void {
+    const message = JSON.parse(body.toString()) as {
+      boot: string;
+      grants: HeldGrant[];
+    };
+    if (message.boot !== this.#boot) {
+      response.writeHead(409).end();
+      return;
+    }
+    this.#grants = message.grants;
+    this.#options.history.record({
+      kind: "granted",
+      target: this.name,
+      boot: this.#boot,
+      grants: message.grants,
+    });
+    response.writeHead(204).end();
+  }
+
+  async #carryOut(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { history, checksFences, slots, coldSlots } = this.#options;
+    const id = String(request.headers["x-request"] ?? "");
+    const group = String(request.headers["kingcupglade-group"] ?? "");
+    const position = Number(request.headers["kingcupglade-position"] ?? -1);
+    const epoch = Number(request.headers["kingcupglade-epoch"] ?? 0);
+    if (
+      group !== "" && checksFences && !this.#owns({ group, position, epoch })
+    ) {
+      return this.#refuse(response, { id, reason: "fenced" });
+    }
+    const limit = this.condition === "cold" ? coldSlots : slots;
+    this.#inProgress += 1;
+    history.record({
+      kind: "started",
+      target: this.name,
+      boot: this.#boot,
+      request: id,
+      group,
+      position,
+      epoch,
+      inProgress: this.#inProgress,
+      limit,
+    });
+    await new Promise((resolve) =>
+      setTimeout(resolve, this.serviceMilliseconds)
+    );
+    await this.#frozen;
+    history.record({
+      kind: "effect",
+      target: this.name,
+      request: id,
+      idempotent: request.method === "GET",
+    });
+    this.#inProgress -= 1;
+    history.record({ kind: "ended", target: this.name, request: id });
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(JSON.stringify({ request: id, target: this.name, epoch }));
+  }
+
+  #owns(
+    subject: {
+      readonly group: string;
+      readonly position: number;
+      readonly epoch: number;
+    },
+  ): boolean {
+    const { group, position, epoch } = subject;
+    return this.grants.some((grant) =>
+      grant.group === group && grant.start <= position &&
+      position < grant.end && grant.epoch === epoch
+    );
+  }
+
+  #refuse(
+    response: ServerResponse,
+    refusal: { readonly id: string; readonly reason: string },
+  ): void {
+    this.#options.history.record({
+      kind: "refused",
+      target: this.name,
+      request: refusal.id,
+      reason: refusal.reason,
+    });
+    response.writeHead(409, {
+      "kingcupglade-outcome": "not-run",
+      "kingcupglade-reason": refusal.reason,
+    }).end();
+  }
+}
--- /dev/null
+++ b/packages/fakes/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Stand-ins for targets and callers, and the history that they record. Private:
+ * used by tests, the demo and the experiments.
+ *
+ * @module
+ */
+export { FakeCaller } from "./fake_caller.ts";
+export type { CallerAnswer, CallerRequest } from "./fake_caller.ts";
+export { FakeTarget } from "./fake_target.ts";
+export type { FakeCondition, FakeTargetOptions } from "./fake_target.ts";
+export { History } from "./history.ts";
+export type { HistoryEvent, TimedEvent } from "./history.ts";
--- /dev/null
+++ b/packages/kingcupglade/command_line.ts
@@ -0,0 +1,78 @@
+import { ExitCode, UsageError } from "./commands/command.ts";
+import type { Command } from "./commands/command.ts";
+
+/** Every command, imported when it is used. */
+const commands: ReadonlyMap<string, () => Promise<Command>> = new Map(
+  Object.entries({
+    "serve": async () => (await import("./commands/serve.ts")).serveCommand,
+    "settings check": async () =>
+      (await import("./commands/settings.ts")).settingsCheckCommand,
+    "key create": async () =>
+      (await import("./commands/key.ts")).keyCreateCommand,
+    "bundle check": async () =>
+      (await import("./commands/bundle.ts")).bundleCheckCommand,
+    "bundle sign": async () =>
+      (await import("./commands/bundle.ts")).bundleSignCommand,
+    "bundle roll": async () =>
+      (await import("./commands/bundle.ts")).bundleRollCommand,
+    "bundle show": async () =>
+      (await import("./commands/bundle.ts")).bundleShowCommand,
+    "status": async () => (await import("./commands/bundle.ts")).statusCommand,
+    "demo": async () => (await import("./commands/demo.ts")).demoCommand,
+  }),
+);
+
+const usage = `Usage: kingcupglade COMMAND [OPTIONS]
+
+Commands:
+${[...commands.keys()].map((name) => `  ${name}`).join("\n")}
+
+kingcupglade COMMAND --help explains a command.
+Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
+`;
+
+/** Carries out a command line and returns the exit code. */
+export async function runCommandLine(
+  commandArguments: readonly string[],
+): Promise<ExitCode> {
+  try {
+    return await dispatch(commandArguments);
+  } catch (failure) {
+    process.stderr.write(`kingcupglade: ${(failure as Error).message}\n`);
+    return isUsageFailure(failure) ? ExitCode.usage : ExitCode.failed;
+  }
+}
+
+async function dispatch(
+  commandArguments: readonly string[],
+): Promise<ExitCode> {
+  const found = findCommand(commandArguments);
+  if (!found) {
+    const asked = commandArguments[0] === "--help";
+    (asked ? process.stdout : process.stderr).write(usage);
+    return asked ? ExitCode.done : ExitCode.usage;
+  }
+  const command = await found.load();
+  if (found.rest.includes("--help")) {
+    process.stdout.write(command.help);
+    return ExitCode.done;
+  }
+  return await command.run(found.rest);
+}
+
+function findCommand(commandArguments: readonly string[]) {
+  for (const words of [2, 1]) {
+    const load = commands.get(commandArguments.slice(0, words).join(" "));
+    if (load) return { load, rest: commandArguments.slice(words) };
+  }
+  return undefined;
+}
+
+// util.parseArgs marks what it refuses by codes of this form.
+function isUsageFailure(failure: unknown): boolean {
+  if (failure instanceof UsageError) return true;
+  const code = failure instanceof Error && "code" in failure
+    ? String(failure.code)
+    : "";
+  return code.startsWith("ERR_PARSE_ARGS");
+}
--- /dev/null
+++ b/packages/kingcupglade/commands/key.ts
@@ -0,0 +1,38 @@
+import { open } from "node:fs/promises";
+import { parseArgs } from "node:util";
+import { createOperatorKey } from "@kingcupglade/bundle";
+import { ExitCode, UsageError } from "./command.ts";
+import type { Command } from "./command.ts";
+
+const privateFileMode = 0o600;
+
+/** `key create`: makes an operator's key pair. */
+export const keyCreateCommand: Command = {
+  help: `Usage: kingcupglade key create --out FILE
+
+Makes an ed25519 key pair. The private key goes to FILE, which must not exist;
+the public key is printed, for the settings and the bundle.
+
+Example:
+  kingcupglade key create --out mei.pem
+`,
+  async run(commandArguments) {
+    const { values } = parseArgs({
+      args: [...commandArguments],
+      options: { out: { type: "string" } },
+    });
+    if (values.out === undefined) {
+      throw new UsageError("key create needs --out FILE");
+    }
+    const { privateKey, publicKey } = createOperatorKey();
+    const file = await open(values.out, "wx", privateFileMode);
+    try {
+      await file.writeFile(privateKey);
+      await file.sync();
+    } finally {
+      await file.close();
+    }
+    process.stdout.write(`${publicKey}\n`);
+    return ExitCode.done;
+  },
+};
--- /dev/null
+++ b/packages/kingcupglade/control/grant_sender.ts
@@ -0,0 +1,49 @@
+import type { Grant } from "@kingcupglade/ownership";
+import { Agent, request } from "undici";
+
+const grantTimeoutMilliseconds = 400;
+
+/** The grants that a target is to hold from now on. */
+export interface GrantPush {
+  readonly target: string;
+  readonly boot: string;
+  readonly address: string;
+  readonly grants: readonly Grant[];
+}
+
+/** Tells targets over HTTP which ranges they hold. */
+export class GrantSender {
+  readonly #secret: string;
+  readonly #agent = new Agent({ connections: 1, pipelining: 1 });
+
+  constructor(options: { readonly secret: string }) {
+    this.#secret = options.secret;
+  }
+
+  /** Sends the whole set of grants; true when the target confirmed it. */
+  async push(push: GrantPush): Promise<boolean> {
+    try {
+      const answer = await request(`${push.address}/kingcupglade/grants`, {
+        method: "PUT",
+        dispatcher: this.#agent,
+        headers: {
+          authorization: `Bearer ${this.#secret}`,
+          "content-type": "application/json",
+        },
+        body: JSON.stringify({ boot: push.boot, grants: push.grants }),
+        headersTimeout: grantTimeoutMilliseconds,
+        bodyTimeout: grantTimeoutMilliseconds,
+        signal: AbortSignal.timeout(grantTimeoutMilliseconds),
+      });
+      await answer.body.dump();
+      return answer.statusCode === 204;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
--- /dev/null
+++ b/packages/kingcupglade/control/routing_task.ts
@@ -0,0 +1,170 @@
+import { RoutingTable } from "@kingcupglade/ownership";
+import type { TableDelta } from "@kingcupglade/ownership";
+import { decodeValue } from "@kingcupglade/protocol";
+import type { RenewResponse } from "@kingcupglade/protocol";
+import type { Clock } from "@kingcupglade/tasks";
+import { describeFailure } from "@kingcupglade/telemetry";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import type { ControlClient } from "./control_client.ts";
+
+const holdMilliseconds = 250;
+const renewTimeoutMilliseconds = 700;
+const retryPauseMilliseconds = 50;
+const settlingPauseMilliseconds = 5;
+
+/** What a VM says of itself when it renews. */
+export interface VmDescription {
+  readonly name: string;
+  readonly boot: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly peerAddress: string;
+  readonly replica: string | null;
+}
+
+/** Options of a {@link RoutingTask}. */
+export interface RoutingTaskOptions {
+  readonly vm: VmDescription;
+  readonly control: ControlClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/**
+ * Requests in progress, asked for the oldest table version that one of them
+ * still depends on.
+ */
+export interface QuiescenceSource {
+  /** Versions up to this one are finished with, given the table in use. */
+  quiescentVersion(table: RoutingTable): number;
+}
+
+/** Keeps a VM's routing table and its lease on it. */
+export class RoutingTask {
+  readonly #options: RoutingTaskOptions;
+  readonly #waiters = new Set<() => void>();
+  #table = RoutingTable.empty;
+  #leaseUntil = -Infinity;
+  #leaseWasValid = false;
+  #quiescence: QuiescenceSource | undefined;
+  #leaving = false;
+  #stopped = false;
+  readonly #finished: Promise<void>;
+
+  constructor(options: RoutingTaskOptions) {
+    this.#options = options;
+    this.#finished = this.#run();
+  }
+
+  /** The table in use. */
+  get table(): RoutingTable {
+    return this.#table;
+  }
+
+  /** Whether this VM may route by its table now. */
+  get hasLease(): boolean {
+    return this.#options.clock.now() < this.#leaseUntil;
+  }
+
+  /** Milliseconds until the lease lapses; negative when it has. */
+  get leaseRemainingMilliseconds(): number {
+    return this.#leaseUntil - this.#options.clock.now();
+  }
+
+  /** Names the source that knows the requests in progress. */
+  watchRequests(source: QuiescenceSource): void {
+    this.#quiescence = source;
+  }
+
+  /** Waits for the next table, or until `timeoutMilliseconds` have passed. */
+  nextTable(timeoutMilliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        clearTimeout(timer);
+        this.#waiters.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, Math.max(0, timeoutMilliseconds));
+      this.#waiters.add(wake);
+    });
+  }
+
+  /** Tells control that this VM is about to stop. */
+  leave(): void {
+    this.#leaving = true;
+  }
+
+  /** Stops renewing. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    await this.#finished;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      try {
+        await this.#renew();
+      } catch (failure) {
+        this.#noteLapse();
+        this.#options.logger.debug("renewal-failed", {
+          reason: describeFailure(failure),
+        });
+        await pause(retryPauseMilliseconds);
+      }
+    }
+  }
+
+  async #renew(): Promise<void> {
+    const { vm, control, clock } = this.#options;
+    const quiescentVersion = this.#quiescentVersion();
+    const settling = quiescentVersion < this.#table.version;
+    if (settling) await pause(settlingPauseMilliseconds);
+    const sentAt = clock.now();
+    const answer = await control.callOnce((service) =>
+      service.renew({
+        vm: vm.name,
+        boot: vm.boot,
+        dataCentre: vm.dataCentre,
+        region: vm.region,
+        peerAddress: vm.peerAddress,
+        replica: vm.replica ?? "",
+        appliedVersion: this.#table.version,
+        quiescentVersion: this.#quiescentVersion(),
+        leaving: this.#leaving,
+        holdMilliseconds: settling ? 0 : holdMilliseconds,
+      }, { timeoutMs: renewTimeoutMilliseconds })
+    );
+    this.#accept(answer, sentAt);
+  }
+
+  #quiescentVersion(): number {
+    return this.#quiescence?.quiescentVersion(this.#table) ??
+      this.#table.version;
+  }
+
+  #accept(answer: RenewResponse, sentAt: number): void {
+    if (answer.delta.length > 0) {
+      const next = this.#table.apply(decodeValue<TableDelta>(answer.delta));
+      this.#table = next ?? RoutingTable.empty;
+      this.#options.metrics.tableVersion.set(this.#table.version);
+    }
+    this.#leaseUntil = Math.max(
+      this.#leaseUntil,
+      sentAt + answer.leaseMilliseconds,
+    );
+    this.#leaseWasValid = true;
+    for (const wake of this.#waiters) wake();
+  }
+
+  #noteLapse(): void {
+    if (!this.#leaseWasValid || this.hasLease) return;
+    this.#leaseWasValid = false;
+    this.#options.metrics.leaseLapses.inc();
+    this.#options.logger.warn("routing-lease-lapsed");
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/packages/kingcupglade/gateway/requests_in_progress.ts
@@ -0,0 +1,39 @@
+import { findRange, RangePhase } from "@kingcupglade/ownership";
+import type { RoutingTable } from "@kingcupglade/ownership";
+import type { QuiescenceSource } from "../control/routing_task.ts";
+
+/** The range that a request in progress was sent for. */
+export interface RangeUse {
+  readonly group: string;
+  readonly position: number;
+  readonly epoch: number;
+}
+
+/** The keyed requests that this VM has sent and that have not ended. */
+export class RequestsInProgress implements QuiescenceSource {
+  readonly #uses = new Set<RangeUse>();
+
+  /** How many there are. */
+  get size(): number {
+    return this.#uses.size;
+  }
+
+  /** Notes a request; the function returned notes its end. */
+  begin(use: RangeUse): () => void {
+    this.#uses.add(use);
+    return () => this.#uses.delete(use);
+  }
+
+  /** The table version before which no request depends on a stopped range. */
+  quiescentVersion(table: RoutingTable): number {
+    let version = table.version;
+    for (const use of this.#uses) {
+      const ranges = table.groups.get(use.group)?.ranges;
+      const range = ranges?.[findRange(ranges, use.position)];
+      const current = range?.phase === RangePhase.serving &&
+        range.epoch === use.epoch;
+      if (!current) version = Math.min(version, (range?.changedAt ?? 1) - 1);
+    }
+    return version;
+  }
+}
--- /dev/null
+++ b/packages/kingcupglade/listeners/http_listener.ts
@@ -0,0 +1,86 @@
+import { createServer } from "node:http";
+import type { RequestListener, Server } from "node:http";
+
+/** A listener that cannot be opened. */
+export class ListenError extends Error {
+  override readonly name = "ListenError";
+}
+
+/** Limits of a listener. */
+export interface HttpListenerOptions {
+  /** Setting that holds the address, for errors. */
+  readonly setting: string;
+  /** IP:PORT. */
+  readonly address: string;
+  readonly handler: RequestListener;
+  /** @default 16384 */
+  readonly maximumHeaderBytes?: number;
+  /** @default 4096 */
+  readonly maximumConnections?: number;
+  /** Time for a client to send its headers. @default 10000 */
+  readonly headersTimeoutMilliseconds?: number;
+}
+
+/** An HTTP server whose planned stop cuts no request. */
+export class HttpListener {
+  readonly #server: Server;
+
+  protected constructor(server: Server) {
+    this.#server = server;
+  }
+
+  /**
+   * Opens a listener.
+   *
+   * @throws {ListenError} when the address cannot be used.
+   */
+  static async open(options: HttpListenerOptions): Promise<HttpListener> {
+    const server = createServer({
+      maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
+      headersTimeout: options.headersTimeoutMilliseconds ?? 10_000,
+      requestTimeout: 60_000,
+      keepAliveTimeout: 30_000,
+    }, options.handler);
+    server.maxConnections = options.maximumConnections ?? 4096;
+    const { host, port } = splitAddress(options.address);
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", (cause) =>
+        reject(
+          new ListenError(
+            `${options.setting}: cannot listen on ${options.address}: ${cause.message}; free the port or change the setting`,
+            { cause },
+          ),
+        ));
+      server.listen({ host, port, backlog: 1024 }, resolve);
+    });
+    return new HttpListener(server);
+  }
+
+  /** Takes no new connections and returns when every request has ended. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    this.#server.closeIdleConnections();
+    const sweep = setInterval(() => this.#server.closeIdleConnections(), 50);
+    await closed;
+    clearInterval(sweep);
+  }
+
+  /** Cuts every connection. */
+  destroy(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+/** Splits IP:PORT. */
+export function splitAddress(
+  address: string,
+): { readonly host: string; readonly port: number } {
+  const colon = address.lastIndexOf(":");
+  return {
+    host: address.slice(0, colon).replace(/^\[|\]$/g, ""),
+    port: Number(address.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -0,0 +1,120 @@
+import { Code, ConnectError } from "@connectrpc/connect";
+import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { parseSignedBundle } from "@kingcupglade/bundle";
+import type { ConsensusMessage } from "@kingcupglade/consensus";
+import type { Announcement } from "@kingcupglade/membership";
+import {
+  Control,
+  decodeValue,
+  encodeValue,
+  Replication,
+} from "@kingcupglade/protocol";
+import type { ControlTask } from "../control/control_task.ts";
+import { NotLeaderError } from "../control/errors.ts";
+import { presentsSecret } from "../settings/secrets.ts";
+import { HttpListener } from "./http_listener.ts";
+
+const noBytes = new Uint8Array();
+
+/** Opens the listener for the other VMs. */
+export function openPeersListener(options: {
+  readonly address: string;
+  readonly secret: string;
+  /** Undefined on a VM without a data folder. */
+  readonly control: ControlTask | undefined;
+}): Promise<HttpListener> {
+  const { address, secret, control } = options;
+  return HttpListener.open({
+    setting: "listen.peers",
+    address,
+    handler: connectNodeAdapter({
+      routes: (router) => addRoutes(router, control),
+      interceptors: [requireSecret(secret)],
+    }),
+  });
+}
+
+function requireSecret(secret: string): Interceptor {
+  return (next) => (request) => {
+    if (!presentsSecret(request.header.get("authorization"), secret)) {
+      throw new ConnectError("the VM secret is missing", Code.Unauthenticated);
+    }
+    return next(request);
+  };
+}
+
+function addRoutes(
+  router: ConnectRouter,
+  control: ControlTask | undefined,
+): void {
+  router.service(Replication, {
+    deliver: (request) => {
+      control?.receive(
+        request.messages.map((each) => decodeValue<ConsensusMessage>(each)),
+      );
+      return {};
+    },
+    hello: () => control?.hello ?? { replica: "", member: false },
+    found: async (request) => ({
+      accepted: (await control?.found(request.voters)) ?? false,
+    }),
+  });
+  router.service(Control, {
+    renew: (request) =>
+      redirecting(control, async (task) => {
+        const { appliedVersion, quiescentVersion } = request;
+        const answer = await task.renew({
+          vm: {
+            name: request.vm,
+            boot: request.boot,
+            dataCentre: request.dataCentre,
+            region: request.region,
+            peerAddress: request.peerAddress,
+            replica: request.replica || null,
+            leaving: request.leaving,
+          },
+          appliedVersion,
+          quiescentVersion,
+        }, request.holdMilliseconds);
+        return {
+          leaseMilliseconds: answer.leaseMilliseconds,
+          tableVersion: answer.tableVersion,
+          delta: answer.delta ? encodeValue(answer.delta) : noBytes,
+        };
+      }),
+    announce: (request) =>
+      redirecting(control, async (task) => {
+        const replies = await task.announce(
+          request.announcements.map((each) => decodeValue<Announcement>(each)),
+        );
+        return { replies: replies.map((each) => encodeValue(each)) };
+      }),
+    roll: (request) =>
+      redirecting(control, async (task) => ({
+        outcome: encodeValue(
+          await task.roll(parseSignedBundle(decodeValue(request.signedBundle))),
+        ),
+      })),
+    status: () =>
+      redirecting(
+        control,
+        (task) => Promise.resolve({ status: encodeValue(task.status()) }),
+      ),
+  });
+}
+
+async function redirecting<Answer>(
+  control: ControlTask | undefined,
+  serve: (task: ControlTask) => Promise<Answer>,
+): Promise<Answer | { readonly redirect: { readonly leader: string } }> {
+  if (!control) return { redirect: { leader: "" } };
+  try {
+    return await serve(control);
+  } catch (cause) {
+    if (cause instanceof NotLeaderError) {
+      return { redirect: { leader: control.leaderVm } };
+    }
+    throw cause;
+  }
+}
--- /dev/null
+++ b/packages/kingcupglade/listeners/targets.ts
@@ -0,0 +1,65 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { AnnouncementError, parseAnnouncement } from "@kingcupglade/membership";
+import { presentsSecret } from "../settings/secrets.ts";
+import type { AnnouncementBatcher } from "./announcement_batcher.ts";
+import { BodyTooLargeError, readBody, sendJson } from "./body.ts";
+import { HttpListener } from "./http_listener.ts";
+
+const maximumAnnouncementBytes = 4096;
+
+/** Opens the listener on which targets announce themselves. */
+export function openTargetsListener(options: {
+  readonly address: string;
+  readonly secret: string;
+  readonly batcher: AnnouncementBatcher;
+}): Promise<HttpListener> {
+  const { address, secret, batcher } = options;
+  return HttpListener.open({
+    setting: "listen.targets",
+    address,
+    handler: (request, response) => {
+      void serveAnnouncement(request, { response, secret, batcher });
+    },
+  });
+}
+
+async function serveAnnouncement(
+  request: IncomingMessage,
+  context: {
+    readonly response: ServerResponse;
+    readonly secret: string;
+    readonly batcher: AnnouncementBatcher;
+  },
+): Promise<void> {
+  const { response, secret, batcher } = context;
+  if (!presentsSecret(request.headers.authorization, secret)) {
+    return sendJson(response, 401, { error: "the target secret is missing" });
+  }
+  if (request.method !== "POST" || request.url !== "/announce") {
+    return sendJson(response, 404, { error: "use POST /announce" });
+  }
+  try {
+    const body = await readBody(request, maximumAnnouncementBytes);
+    const announcement = parseAnnouncement(parseJson(body));
+    const reply = await batcher.announce(announcement);
+    sendJson(response, reply.accepted ? 200 : 409, reply);
+  } catch (failure) {
+    sendJson(response, statusOf(failure), {
+      error: (failure as Error).message,
+    });
+  }
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch (cause) {
+    throw new AnnouncementError("the announcement is not JSON", { cause });
+  }
+}
+
+function statusOf(failure: unknown): number {
+  if (failure instanceof AnnouncementError) return 400;
+  if (failure instanceof BodyTooLargeError) return 413;
+  return 503;
+}
--- /dev/null
+++ b/packages/kingcupglade/main.ts
@@ -0,0 +1,3 @@
+import { runCommandLine } from "./command_line.ts";
+
+runCommandLine(process.argv.slice(2)).then((code) => process.exit(code));
--- /dev/null
+++ b/packages/kingcupglade/settings/schema.ts
@@ -0,0 +1,75 @@
+import { z } from "zod";
+
+const name = z.string().regex(
+  /^[a-z0-9][a-z0-9-]{0,62}$/,
+  "must be 1 to 63 lower-case letters, digits or hyphens",
+);
+
+const socketAddress = z.string().regex(
+  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
+  "must be IP:PORT",
+);
+
+const publicKey = z.string().regex(
+  /^[A-Za-z0-9+/]{43}=$/,
+  "must be a public key made by `kingcupglade key create`",
+);
+
+function integer(minimum: number, maximum: number) {
+  return z.coerce.number().int().min(minimum).max(maximum);
+}
+
+const nameList = z.string().transform((text) =>
+  text.split(",").map((part) => part.trim()).filter((part) => part !== "")
+).pipe(z.array(name).min(1));
+
+/** The settings file of a VM: sections, keys, defaults, units and bounds. */
+export const settingsSchema = z.strictObject({
+  vm: z.strictObject({
+    /** Name of this VM. */
+    name,
+    /** Data centre that it stands in. */
+    dataCentre: name,
+    /** Region of the data centre. */
+    region: name,
+    /** Folder for the state that must survive; a VM without one keeps none. */
+    dataFolder: z.string().min(1).optional(),
+  }),
+  listen: z.strictObject({
+    /** Listener for callers. */
+    callers: socketAddress,
+    /** Listener for targets' announcements. */
+    targets: socketAddress,
+    /** Listener for the other VMs. */
+    peers: socketAddress,
+    /** Listener for operators, metrics and health checks. */
+    operators: socketAddress,
+  }),
+  control: z.strictObject({
+    /** VMs that form the first replica set, separated by commas. */
+    voters: nameList,
+    /** Signatures that the first bundle needs. @default 1 */
+    requiredSignatures: integer(1, 64).default(1),
+    /** Lease of a VM's routing table, in milliseconds. @default 1500 */
+    routingLeaseMilliseconds: integer(200, 10_000).default(1500),
+    /** Lease of a target's grants, in milliseconds. @default 1500 */
+    targetLeaseMilliseconds: integer(200, 10_000).default(1500),
+  }),
+  /** Peer listener of every VM, this one included. */
+  peers: z.record(name, socketAddress),
+  /** Public keys of the operators who sign the first bundle. */
+  operators: z.record(name, publicKey),
+  security: z.strictObject({
+    /** File with the secret that VMs present to each other. */
+    vmSecretFile: z.string().min(1),
+    /** File with the secret that targets present. */
+    targetSecretFile: z.string().min(1),
+  }),
+  log: z.strictObject({
+    /** @default "info" */
+    level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
+  }).prefault({}),
+});
+
+/** The settings of a VM with every default filled in. */
+export type ResolvedSettings = z.output<typeof settingsSchema>;
--- /dev/null
+++ b/packages/kingcupglade/vm.ts
@@ -0,0 +1,197 @@
+import { randomUUID } from "node:crypto";
+import { createKeyHasher } from "@kingcupglade/ownership";
+import { LocalCapacityGate } from "@kingcupglade/routing";
+import { MonotonicClock } from "@kingcupglade/tasks";
+import {
+  createLogger,
+  createMetrics,
+  describeFailure,
+} from "@kingcupglade/telemetry";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import { ControlClient } from "./control/control_client.ts";
+import { ControlTask } from "./control/control_task.ts";
+import { PeerDirectory } from "./control/peers.ts";
+import { RoutingTask } from "./control/routing_task.ts";
+import { ExchangeClient } from "./gateway/exchange.ts";
+import { Gateway } from "./gateway/gateway.ts";
+import { AnnouncementBatcher } from "./listeners/announcement_batcher.ts";
+import { HttpListener } from "./listeners/http_listener.ts";
+import { openOperatorsListener } from "./listeners/operators.ts";
+import { openPeersListener } from "./listeners/peers.ts";
+import { openTargetsListener } from "./listeners/targets.ts";
+import { readSecrets } from "./settings/secrets.ts";
+import type { ResolvedSettings } from "./settings/schema.ts";
+
+const connectionsPerTarget = 12;
+const leaveMilliseconds = 300;
+
+/** Options of {@link Vm.start}. */
+export interface VmOptions {
+  readonly settings: ResolvedSettings;
+  /** Called when the VM cannot go on. */
+  readonly onFailure: (failure: unknown) => void;
+}
+
+interface VmParts {
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly peers: PeerDirectory;
+  readonly control: ControlTask | undefined;
+  readonly routing: RoutingTask;
+  readonly exchanges: ExchangeClient;
+  readonly listeners: readonly HttpListener[];
+  readonly callers: HttpListener;
+  readonly markStopping: () => void;
+}
+
+/** One VM: a gateway, and a control replica where it has a data folder. */
+export class Vm {
+  readonly #parts: VmParts;
+
+  protected constructor(parts: VmParts) {
+    this.#parts = parts;
+  }
+
+  /** Starts a VM; every listener is open when it returns. */
+  static async start(options: VmOptions): Promise<Vm> {
+    const { settings } = options;
+    const secrets = await readSecrets(settings);
+    const { vm, listen } = settings;
+    const logger = createLogger({
+      fields: { vm: vm.name, dataCentre: vm.dataCentre },
+      level: settings.log.level,
+    });
+    const metrics = createMetrics();
+    const clock = new MonotonicClock();
+    const peers = new PeerDirectory({
+      addresses: settings.peers,
+      secret: secrets.vm,
+    });
+    const control = vm.dataFolder === undefined
+      ? undefined
+      : await ControlTask.start({
+        settings,
+        folder: vm.dataFolder,
+        peers,
+        targetSecret: secrets.target,
+        clock,
+        logger,
+        metrics,
+        onFailure: options.onFailure,
+      });
+    const client = () =>
+      new ControlClient({ peers, candidates: candidatesOf(settings), clock });
+    const peersListener = await openPeersListener({
+      address: listen.peers,
+      secret: secrets.vm,
+      control,
+    });
+    const routing = new RoutingTask({
+      vm: {
+        name: vm.name,
+        boot: randomUUID(),
+        dataCentre: vm.dataCentre,
+        region: vm.region,
+        peerAddress: listen.peers,
+        replica: control?.replicaId ?? null,
+      },
+      control: client(),
+      clock,
+      logger,
+      metrics,
+    });
+    const exchanges = new ExchangeClient({ connectionsPerTarget });
+    const gateway = new Gateway({
+      routing,
+      exchanges,
+      capacity: new LocalCapacityGate(),
+      hasher: await createKeyHasher(),
+      clock,
+      logger,
+      metrics,
+      region: vm.region,
+    });
+    let stopping = false;
+    const callers = await HttpListener.open({
+      setting: "listen.callers",
+      address: listen.callers,
+      handler: (request, response) => {
+        if (stopping) response.setHeader("connection", "close");
+        void gateway.serve(request, response);
+      },
+    });
+    const targets = await openTargetsListener({
+      address: listen.targets,
+      secret: secrets.target,
+      batcher: new AnnouncementBatcher({ control: client(), vm: vm.name }),
+    });
+    const operators = await openOperatorsListener({
+      address: listen.operators,
+      control: client(),
+      routing,
+      metrics,
+      isReady: () =>
+        !stopping && routing.hasLease &&
+        routing.table.isInService(vm.dataCentre),
+    });
+    logger.info("vm-started");
+    return new Vm({
+      logger,
+      metrics,
+      peers,
+      control,
+      routing,
+      exchanges,
+      callers,
+      listeners: [targets, operators, peersListener],
+      markStopping: () => (stopping = true),
+    });
+  }
+
+  /** Whether this VM routes by a table under a valid lease. */
+  get hasLease(): boolean {
+    return this.#parts.routing.hasLease;
+  }
+
+  /** Finishes every request, hands over what this VM leads, and stops. */
+  async stop(): Promise<void> {
+    const parts = this.#parts;
+    parts.markStopping();
+    parts.logger.info("vm-stopping");
+    parts.routing.leave();
+    await new Promise((resolve) => setTimeout(resolve, leaveMilliseconds));
+    await parts.callers.close();
+    await parts.routing.stop();
+    await parts.control?.stop().catch((failure) =>
+      parts.logger.warn("control-stop-failed", {
+        reason: describeFailure(failure),
+      })
+    );
+    for (const listener of parts.listeners) listener.destroy();
+    parts.peers.close();
+    await parts.exchanges.close();
+    parts.logger.info("vm-stopped");
+  }
+
+  /** Ends everything at once, as a crash would; for tests. */
+  async crash(): Promise<void> {
+    const parts = this.#parts;
+    parts.callers.destroy();
+    for (const listener of parts.listeners) listener.destroy();
+    parts.peers.close();
+    await Promise.allSettled([
+      parts.exchanges.close(),
+      parts.routing.stop(),
+      parts.control?.stop(),
+    ]);
+  }
+}
+
+/** VMs that may lead control: the first voters, then all the others. */
+function candidatesOf(settings: ResolvedSettings): readonly string[] {
+  const { voters } = settings.control;
+  const others = Object.keys(settings.peers).filter((each) =>
+    !voters.includes(each)
+  );
+  return [...voters, ...others];
+}
--- /dev/null
+++ b/packages/membership/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Who takes part: announcements of targets, and leases of targets and VMs.
+ *
+ * @module
+ */
+export {
+  AnnouncementError,
+  parseAnnouncement,
+  TargetCondition,
+} from "./announcement.ts";
+export type { Announcement, AnnouncementReply } from "./announcement.ts";
+export { LeaseTable } from "./lease_table.ts";
+export type { Lease, LeaseOptions } from "./lease_table.ts";
--- /dev/null
+++ b/packages/ownership/mod.ts
@@ -0,0 +1,49 @@
+/**
+ * Ownership of hash ranges: the replicated table, its changes and deltas, the
+ * planner, and the coordinator that moves ranges between owners.
+ *
+ * @module
+ */
+export { applyCommand } from "./apply.ts";
+export type { AppliedCommand } from "./apply.ts";
+export type {
+  CommandOutcome,
+  ControlCommand,
+  RangeChange,
+  RollOutcome,
+} from "./commands.ts";
+export { coordinate, grantsByTarget, settledVersion } from "./coordinator.ts";
+export type {
+  CoordinatorOptions,
+  CoordinatorPlan,
+  LeaderView,
+  TargetView,
+  VmView,
+} from "./coordinator.ts";
+export { bundleOfDelta, deltaSince } from "./delta.ts";
+export type { TableDelta } from "./delta.ts";
+export { isDataCentreInService, isFitOwner } from "./fitness.ts";
+export { grantsSignature } from "./grants.ts";
+export type { Grant } from "./grants.ts";
+export {
+  emptyControlState,
+  groupId,
+  RangePhase,
+  roleId,
+  RoleKind,
+} from "./model.ts";
+export type {
+  BundleRecord,
+  ControlState,
+  PlacementGroup,
+  RangeRecord,
+  RoleAssignment,
+  TargetRecord,
+  VmRecord,
+} from "./model.ts";
+export { chooseOwner, OwnerLoads } from "./planner.ts";
+export { createKeyHasher, positionSpace } from "./position.ts";
+export type { KeyHasher, KeyIdentity } from "./position.ts";
+export { findRange } from "./ranges.ts";
+export { RoutingTable } from "./routing_table.ts";
+export { decodeControlState, encodeControlState } from "./snapshot.ts";
--- /dev/null
+++ b/packages/ownership/model.ts
@@ -0,0 +1,140 @@
+import type { Bundle, SignedBundle } from "@kingcupglade/bundle";
+import type { Announcement, TargetCondition } from "@kingcupglade/membership";
+
+/** Where a range stands between two owners. */
+export const RangePhase = {
+  /** Requests go to the owner. */
+  serving: "serving",
+  /** Requests wait; the owner finishes and is released. */
+  stopping: "stopping",
+  /** Nobody owns it. */
+  vacant: "vacant",
+} as const;
+export type RangePhase = typeof RangePhase[keyof typeof RangePhase];
+
+/** A part of the hash space with one owner. */
+export interface RangeRecord {
+  /** First position. */
+  readonly start: number;
+  /** Position after the last. */
+  readonly end: number;
+  /** The target that owns the range, or null. */
+  readonly owner: string | null;
+  /** Incarnation of the owner that the range was granted to. */
+  readonly ownerBoot: string | null;
+  /** Fence: the table version at which the range was granted. */
+  readonly epoch: number;
+  readonly phase: RangePhase;
+  /** Table version of the last change. */
+  readonly changedAt: number;
+}
+
+/** The ranges of a keyed service for the tenants of one set of home regions. */
+export interface PlacementGroup {
+  readonly id: string;
+  readonly service: string;
+  readonly homeRegions: readonly string[];
+  /** Covers the hash space in order, without gaps. */
+  readonly ranges: readonly RangeRecord[];
+  readonly changedAt: number;
+}
+
+/** A target known to control. */
+export interface TargetRecord extends Omit<Announcement, "condition" | "load"> {
+  readonly region: string;
+  readonly condition: TargetCondition;
+  readonly changedAt: number;
+}
+
+/** A VM known to control. */
+export interface VmRecord {
+  readonly name: string;
+  readonly boot: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  /** IP and port at which other VMs reach it. */
+  readonly peerAddress: string;
+  /** Replica of its data folder, or null when it has none. */
+  readonly replica: string | null;
+  readonly leaving: boolean;
+  readonly changedAt: number;
+}
+
+/** Duties that control gives to VMs. */
+export const RoleKind = {
+  /** Keeps the at-most-once ledger of a shard. */
+  ledger: "ledger",
+  /** Hands out the credits of a region's targets. */
+  credit: "credit",
+} as const;
+export type RoleKind = typeof RoleKind[keyof typeof RoleKind];
+
+/** A duty held by one VM and backed by another of the same region. */
+export interface RoleAssignment {
+  readonly kind: RoleKind;
+  readonly region: string;
+  readonly shard: number;
+  /** Fence: the table version at which it was assigned. */
+  readonly epoch: number;
+  readonly holder: string | null;
+  readonly standby: string | null;
+  readonly changedAt: number;
+}
+
+/** The bundle in force. */
+export interface BundleRecord {
+  readonly version: number;
+  readonly digest: string;
+  readonly signed: SignedBundle;
+  readonly bundle: Bundle;
+  readonly changedAt: number;
+}
+
+/** A thing that left the table. */
+export interface Removal {
+  readonly kind: "target" | "vm" | "group";
+  readonly id: string;
+  readonly at: number;
+}
+
+/** The replicated state: everything that must survive. */
+export interface ControlState {
+  /** Log index of the last command applied. */
+  readonly version: number;
+  readonly bundle: BundleRecord | null;
+  readonly vms: ReadonlyMap<string, VmRecord>;
+  readonly targets: ReadonlyMap<string, TargetRecord>;
+  readonly groups: ReadonlyMap<string, PlacementGroup>;
+  readonly roles: ReadonlyMap<string, RoleAssignment>;
+  /** The latest removals, oldest first. */
+  readonly removals: readonly Removal[];
+  /** Deltas can start at this version or later. */
+  readonly deltaFloor: number;
+}
+
+/** The state before the first command. */
+export const emptyControlState: ControlState = {
+  version: 0,
+  bundle: null,
+  vms: new Map(),
+  targets: new Map(),
+  groups: new Map(),
+  roles: new Map(),
+  removals: [],
+  deltaFloor: 0,
+};
+
+/** Names the placement group of a service and a set of home regions. */
+export function groupId(
+  service: string,
+  homeRegions: readonly string[],
+): string {
+  return `${service}@${homeRegions.join("+")}`;
+}
+
+/** Names a duty. */
+export function roleId(
+  role: Pick<RoleAssignment, "kind" | "region" | "shard">,
+): string {
+  return `${role.kind}/${role.region}/${role.shard}`;
+}
--- /dev/null
+++ b/packages/ownership/routing_table.ts
@@ -0,0 +1,176 @@
+import { homeRegions } from "@kingcupglade/bundle";
+import { bundleOfDelta } from "./delta.ts";
+import type { TableDelta } from "./delta.ts";
+import { groupId } from "./model.ts";
+import type {
+  BundleRecord,
+  PlacementGroup,
+  RangeRecord,
+  RoleAssignment,
+  TargetRecord,
+  VmRecord,
+} from "./model.ts";
+import { roleId } from "./model.ts";
+import { findRange } from "./ranges.ts";
+
+/** A gateway's copy of the table. Each delta gives a new copy. */
+export class RoutingTable {
+  readonly version: number;
+  readonly bundle: BundleRecord | null;
+  readonly targets: ReadonlyMap<string, TargetRecord>;
+  readonly vms: ReadonlyMap<string, VmRecord>;
+  readonly groups: ReadonlyMap<string, PlacementGroup>;
+  readonly roles: ReadonlyMap<string, RoleAssignment>;
+  readonly #targetsByService: ReadonlyMap<string, readonly TargetRecord[]>;
+  readonly #homes = new Map<string, readonly string[]>();
+
+  /** The table before the first delta. */
+  static readonly empty: RoutingTable = new RoutingTable({
+    version: 0,
+    bundle: null,
+    targets: new Map(),
+    vms: new Map(),
+    groups: new Map(),
+    roles: new Map(),
+  });
+
+  protected constructor(
+    content: Pick<
+      RoutingTable,
+      "version" | "bundle" | "targets" | "vms" | "groups" | "roles"
+    >,
+  ) {
+    this.version = content.version;
+    this.bundle = content.bundle;
+    this.targets = content.targets;
+    this.vms = content.vms;
+    this.groups = content.groups;
+    this.roles = content.roles;
+    this.#targetsByService = groupByService(content.targets);
+  }
+
+  /** The table after a delta; null when the delta starts at another version. */
+  apply(delta: TableDelta): RoutingTable | null {
+    if (delta.from !== 0 && delta.from !== this.version) return null;
+    const base = delta.from === 0 ? RoutingTable.empty : this;
+    const groups = withoutKeys(base.groups, delta.removed.groups);
+    for (const changed of delta.groups) {
+      groups.set(changed.id, overlayGroup(groups.get(changed.id), changed));
+    }
+    return new RoutingTable({
+      version: delta.version,
+      bundle: bundleOfDelta(delta) ?? base.bundle,
+      targets: merged(base.targets, {
+        removed: delta.removed.targets,
+        changed: delta.targets.map((each) => [each.target, each] as const),
+      }),
+      vms: merged(base.vms, {
+        removed: delta.removed.vms,
+        changed: delta.vms.map((each) => [each.name, each] as const),
+      }),
+      groups,
+      roles: merged(base.roles, {
+        removed: [],
+        changed: delta.roles.map((each) => [roleId(each), each] as const),
+      }),
+    });
+  }
+
+  /** The regions that may serve and store a tenant's requests for a service. */
+  homeRegionsOf(service: string, tenant: string): readonly string[] {
+    const id = `${service}\0${tenant}`;
+    const known = this.#homes.get(id);
+    if (known) return known;
+    const home = this.bundle
+      ? homeRegions(this.bundle.bundle, { service, tenant })
+      : [];
+    this.#homes.set(id, home);
+    return home;
+  }
+
+  /** The range of a position, in the group of a service and tenant. */
+  rangeOf(
+    subject: { readonly service: string; readonly tenant: string },
+    position: number,
+  ): { readonly group: PlacementGroup; readonly range: RangeRecord } | null {
+    const home = this.homeRegionsOf(subject.service, subject.tenant);
+    const group = this.groups.get(groupId(subject.service, home));
+    const range = group?.ranges[findRange(group.ranges, position)];
+    return group && range ? { group, range } : null;
+  }
+
+  /** The targets of a service, in any condition. */
+  targetsOf(service: string): readonly TargetRecord[] {
+    return this.#targetsByService.get(service) ?? [];
+  }
+
+  /** Whether a data centre is in service. */
+  isInService(dataCentre: string): boolean {
+    return this.bundle?.bundle.dataCentres.some((each) =>
+      each.name === dataCentre && each.inService
+    ) ?? false;
+  }
+}
+
+function groupByService(
+  targets: ReadonlyMap<string, TargetRecord>,
+): ReadonlyMap<string, readonly TargetRecord[]> {
+  const groups = new Map<string, TargetRecord[]>();
+  for (const target of targets.values()) {
+    const list = groups.get(target.service) ?? [];
+    list.push(target);
+    groups.set(target.service, list);
+  }
+  return groups;
+}
+
+function withoutKeys<Value>(
+  map: ReadonlyMap<string, Value>,
+  removed: readonly string[],
+): Map<string, Value> {
+  const copy = new Map(map);
+  for (const key of removed) copy.delete(key);
+  return copy;
+}
+
+// A thing removed and registered again within one delta is in both lists.
+function merged<Value>(
+  map: ReadonlyMap<string, Value>,
+  change: {
+    readonly removed: readonly string[];
+    readonly changed: readonly (readonly [string, Value])[];
+  },
+): ReadonlyMap<string, Value> {
+  if (change.removed.length === 0 && change.changed.length === 0) return map;
+  const copy = withoutKeys(map, change.removed);
+  for (const [key, value] of change.changed) copy.set(key, value);
+  return copy;
+}
+
+function overlayGroup(
+  before: PlacementGroup | undefined,
+  changed: TableDelta["groups"][number],
+): PlacementGroup {
+  const ranges = before
+    ? overlayRanges(before.ranges, changed.ranges)
+    : changed.ranges;
+  return { ...changed, ranges, changedAt: 0 };
+}
+
+/** Replaces every range that a changed one overlaps. */
+function overlayRanges(
+  before: readonly RangeRecord[],
+  changed: readonly RangeRecord[],
+): readonly RangeRecord[] {
+  const kept: RangeRecord[] = [];
+  let next = 0;
+  for (const range of before) {
+    while (next < changed.length && changed[next]!.end <= range.start) {
+      next += 1;
+    }
+    const overlaps = next < changed.length &&
+      changed[next]!.start < range.end;
+    if (!overlaps) kept.push(range);
+  }
+  return [...kept, ...changed].sort((left, right) => left.start - right.start);
+}
--- /dev/null
+++ b/packages/routing/capacity.ts
@@ -0,0 +1,58 @@
+import type { TargetRecord } from "@kingcupglade/ownership";
+import { notRun, Reason } from "./outcome.ts";
+import type { Refusal } from "./outcome.ts";
+
+/** What a request asks of a target's capacity. */
+export interface CapacityRequest {
+  readonly target: TargetRecord;
+  readonly tenant: string;
+  readonly class: string;
+  /** Monotonic time after which waiting is pointless. */
+  readonly deadlineAt: number;
+}
+
+/** How an exchange with a target went, for the limits to learn from. */
+export interface ExchangeReport {
+  readonly result: "answered" | "shed" | "fenced" | "failed" | "cancelled";
+  readonly milliseconds: number;
+}
+
+/** The right to have one request in progress at a target. */
+export interface Permit {
+  readonly kind: "permit";
+  /** Must be called exactly once, when the exchange has ended. */
+  release(report: ExchangeReport): void;
+}
+
+/** Decides when a request may go to a target. */
+export abstract class CapacityGate {
+  /** Waits for a permit until the deadline, or refuses. */
+  abstract acquire(request: CapacityRequest): Promise<Permit | Refusal>;
+}
+
+/** A fixed limit for each target, known to this VM alone. */
+export class LocalCapacityGate extends CapacityGate {
+  readonly #inProgress = new Map<string, number>();
+
+  override acquire(request: CapacityRequest): Promise<Permit | Refusal> {
+    const { target } = request;
+    const limit = target.condition === "cold" ? target.coldSlots : target.slots;
+    const used = this.#inProgress.get(target.target) ?? 0;
+    if (used >= limit) {
+      return Promise.resolve(
+        notRun(Reason.overload, { retryAfterSeconds: 1 }),
+      );
+    }
+    this.#inProgress.set(target.target, used + 1);
+    return Promise.resolve({
+      kind: "permit",
+      release: () => this.#release(target.target),
+    });
+  }
+
+  #release(target: string): void {
+    const used = this.#inProgress.get(target) ?? 0;
+    if (used <= 1) this.#inProgress.delete(target);
+    else this.#inProgress.set(target, used - 1);
+  }
+}
--- /dev/null
+++ b/packages/routing/match.ts
@@ -0,0 +1,74 @@
+import type { Bundle, BundleRoute, RequestField } from "@kingcupglade/bundle";
+import { ServiceKind } from "@kingcupglade/bundle";
+import { notRun, Reason } from "./outcome.ts";
+import type { Refusal } from "./outcome.ts";
+
+/** The parts of a request that routing looks at. */
+export interface RequestHead {
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  /** A header's value; undefined when absent or given more than once. */
+  readonly header: (name: string) => string | undefined;
+}
+
+/** Where a request belongs. */
+export interface MatchedRequest {
+  readonly kind: "matched";
+  readonly route: BundleRoute;
+  readonly service: string;
+  readonly tenant: string;
+  /** Present for keyed services. */
+  readonly key: string | undefined;
+  readonly idempotent: boolean;
+  readonly deadlineMilliseconds: number;
+}
+
+/** Finds the route, tenant and key of a request. */
+export function matchRequest(
+  bundle: Bundle,
+  head: RequestHead,
+): MatchedRequest | Refusal {
+  const route = findRoute(bundle.routes, head.path);
+  if (!route) return notRun(Reason.noRoute, { status: 404 });
+  const service = bundle.services.find((each) => each.name === route.service);
+  const tenant = readField(route.tenant, head);
+  const key = route.key && readField(route.key, head);
+  if (!service || !tenant) return notRun(Reason.badRequest, { status: 400 });
+  if (!bundle.tenants.some((each) => each.name === tenant)) {
+    return notRun(Reason.badRequest, { status: 400 });
+  }
+  if (service.kind === ServiceKind.keyed && !key) {
+    return notRun(Reason.badRequest, { status: 400 });
+  }
+  return {
+    kind: "matched",
+    route,
+    service: service.name,
+    tenant,
+    key: service.kind === ServiceKind.keyed ? key : undefined,
+    idempotent: route.idempotentMethods.includes(head.method),
+    deadlineMilliseconds: route.deadlineMilliseconds ??
+      service.deadlineMilliseconds,
+  };
+}
+
+function findRoute(
+  routes: readonly BundleRoute[],
+  path: string,
+): BundleRoute | undefined {
+  let best: BundleRoute | undefined;
+  for (const route of routes) {
+    const longer = !best || route.pathPrefix.length > best.pathPrefix.length;
+    if (longer && path.startsWith(route.pathPrefix)) best = route;
+  }
+  return best;
+}
+
+function readField(field: RequestField, head: RequestHead): string | undefined {
+  if ("value" in field) return field.value;
+  if ("header" in field) return head.header(field.header);
+  const query = head.path.indexOf("?");
+  const path = query < 0 ? head.path : head.path.slice(0, query);
+  return path.split("/")[field.pathSegment + 1] || undefined;
+}
--- /dev/null
+++ b/packages/tasks/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Tasks that own their state: a mailbox read as a `most` stream, a pure step
+ * function, and a clock that tests can replace.
+ *
+ * @module
+ */
+export { Clock, ManualClock, MonotonicClock } from "./clock.ts";
+export { Mailbox } from "./mailbox.ts";
+export { MachineTask } from "./machine_task.ts";
+export type {
+  MachineTaskOptions,
+  StepFunction,
+  Transition,
+} from "./machine_task.ts";
--- /dev/null
+++ b/packages/telemetry/logger.ts
@@ -0,0 +1,63 @@
+import winston from "winston";
+
+/** Names of log events; one event makes one line. */
+export type LogEvent = string;
+
+/** Fields of a log line besides its event, time and level. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | null>
+>;
+
+/** Writes one JSON line per event. */
+export interface Logger {
+  debug(event: LogEvent, fields?: LogFields): void;
+  info(event: LogEvent, fields?: LogFields): void;
+  warn(event: LogEvent, fields?: LogFields): void;
+  error(event: LogEvent, fields?: LogFields): void;
+}
+
+/** Options of {@link createLogger}. */
+export interface LoggerOptions {
+  /** Fields of every line, such as the VM and its data centre. */
+  readonly fields: LogFields;
+  /** @default "info" */
+  readonly level?: "debug" | "info" | "warn" | "error" | "silent";
+}
+
+/** Creates a logger that writes to standard error. */
+export function createLogger(options: LoggerOptions): Logger {
+  const level = options.level ?? "info";
+  const logger = winston.createLogger({
+    level: level === "silent" ? "error" : level,
+    silent: level === "silent",
+    format: winston.format.combine(
+      winston.format.timestamp(),
+      winston.format.json(),
+    ),
+    transports: [
+      new winston.transports.Console({
+        stderrLevels: ["error", "warn", "info", "debug"],
+      }),
+    ],
+  });
+  const write = (name: string) => (event: LogEvent, fields: LogFields = {}) => {
+    logger.log({
+      level: name,
+      message: event,
+      event,
+      ...options.fields,
+      ...fields,
+    });
+  };
+  return {
+    debug: write("debug"),
+    info: write("info"),
+    warn: write("warn"),
+    error: write("error"),
+  };
+}
+
+/** A short text for a failure of any type, for the field `reason`. */
+export function describeFailure(failure: unknown): string {
+  return failure instanceof Error ? failure.message : String(failure);
+}
--- /dev/null
+++ b/packages/telemetry/metrics.ts
@@ -0,0 +1,93 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** The metrics of one VM. */
+export interface Metrics {
+  readonly registry: Registry;
+  /** Requests ended, by service, tenant, class and outcome. */
+  readonly requests: Counter<"service" | "tenant" | "class" | "outcome">;
+  /** Refusals, by reason. */
+  readonly refusals: Counter<"reason">;
+  /** Requests sent again because they certainly did not run. */
+  readonly retries: Counter<"reason">;
+  /** Time from arrival to the end of the answer, in seconds. */
+  readonly latency: Histogram<"service" | "tenant" | "class">;
+  /** Table version that the VM routes by. */
+  readonly tableVersion: Gauge;
+  /** Times that the routing lease lapsed. */
+  readonly leaseLapses: Counter;
+  /** Range changes committed while this VM led, by kind. */
+  readonly rangeChanges: Counter<"kind">;
+  /** 1 while this VM leads control. */
+  readonly leading: Gauge;
+}
+
+const latencyBucketsSeconds = [
+  0.001,
+  0.002,
+  0.005,
+  0.01,
+  0.017,
+  0.025,
+  0.05,
+  0.1,
+  0.25,
+  0.5,
+  1,
+  2.5,
+  5,
+];
+
+/** Creates the metrics of one VM in a registry of their own. */
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    requests: new Counter({
+      name: "kingcupglade_requests_total",
+      help: "Requests ended",
+      labelNames: ["service", "tenant", "class", "outcome"],
+      registers,
+    }),
+    refusals: new Counter({
+      name: "kingcupglade_refusals_total",
+      help: "Requests refused",
+      labelNames: ["reason"],
+      registers,
+    }),
+    retries: new Counter({
+      name: "kingcupglade_retries_total",
+      help: "Requests sent again because they did not run",
+      labelNames: ["reason"],
+      registers,
+    }),
+    latency: new Histogram({
+      name: "kingcupglade_request_seconds",
+      help: "Time from arrival to the end of the answer",
+      labelNames: ["service", "tenant", "class"],
+      buckets: latencyBucketsSeconds,
+      registers,
+    }),
+    tableVersion: new Gauge({
+      name: "kingcupglade_table_version",
+      help: "Table version that this VM routes by",
+      registers,
+    }),
+    leaseLapses: new Counter({
+      name: "kingcupglade_lease_lapses_total",
+      help: "Times that the routing lease lapsed",
+      registers,
+    }),
+    rangeChanges: new Counter({
+      name: "kingcupglade_range_changes_total",
+      help: "Range changes committed while this VM led control",
+      labelNames: ["kind"],
+      registers,
+    }),
+    leading: new Gauge({
+      name: "kingcupglade_control_leading",
+      help: "1 while this VM leads control",
+      registers,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/telemetry/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Logs as JSON lines and metrics for Prometheus.
+ *
+ * @module
+ */
+export { createLogger, describeFailure } from "./logger.ts";
+export type { LogEvent, LogFields, Logger, LoggerOptions } from "./logger.ts";
+export { createMetrics } from "./metrics.ts";
+export type { Metrics } from "./metrics.ts";
--- /dev/null
+++ b/tools/binary.mjs
@@ -0,0 +1,26 @@
+// Puts the bundled program into a copy of the Node.js executable.
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, writeFileSync } from "node:fs";
+import { inject } from "postject";
+import { readFileSync } from "node:fs";
+
+const blob = "dist/kingcupglade.blob";
+const binary = "dist/kingcupglade";
+
+writeFileSync(
+  "dist/sea.json",
+  JSON.stringify({
+    main: "dist/kingcupglade.cjs",
+    output: blob,
+    disableExperimentalSEAWarning: true,
+  }),
+);
+execFileSync(process.execPath, [
+  "--experimental-sea-config",
+  "dist/sea.json",
+], { stdio: ["ignore", "ignore", "inherit"] });
+copyFileSync(process.execPath, binary);
+chmodSync(binary, 0o755);
+await inject(binary, "NODE_SEA_BLOB", readFileSync(blob), {
+  sentinelFuse: "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2",
+});
