Part the gateway, give VMs roles and add the experiment command

Cause: parts that grow side by side need their own files and a common way to measure.

Change: owner and target choice in files of their own; clients of any service by VM name; roles (ledger and credit shards) assigned to VMs of a region with a standby; `experiment NAME`, with figures, targets and baselines.

Conclusion: the faces are set; rebalancing is the planner's next work.

--- a/packages/experiments/mod.ts
+++ b/packages/experiments/mod.ts
@@ -8,3 +8,12 @@
 export type { DataCentreDescription, DeploymentOptions } from "./deployment.ts";
 export { hsinchu } from "./hsinchu.ts";
 export { runDemo } from "./demo.ts";
+export { meetsTarget } from "./experiment.ts";
+export type {
+  Experiment,
+  ExperimentContext,
+  ExperimentResult,
+  Figure,
+} from "./experiment.ts";
+export { experiments } from "./registry.ts";
+export { formatFigures, meetsTargets } from "./report.ts";
--- /dev/null
+++ b/packages/experiments/registry.ts
@@ -0,0 +1,8 @@
+import type { Experiment } from "./experiment.ts";
+
+/** Every experiment, imported when it is run. */
+export const experiments: ReadonlyMap<string, () => Promise<Experiment>> =
+  new Map(Object.entries({
+    "lost-owner": async () =>
+      (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
+  }));
--- a/packages/kingcupglade/command_line.ts
+++ b/packages/kingcupglade/command_line.ts
@@ -18,6 +18,8 @@
     "bundle show": async () =>
       (await import("./commands/bundle.ts")).bundleShowCommand,
     "status": async () => (await import("./commands/bundle.ts")).statusCommand,
+    "experiment": async () =>
+      (await import("./commands/experiment.ts")).experimentCommand,
     "demo": async () => (await import("./commands/demo.ts")).demoCommand,
   }),
 );
--- a/packages/kingcupglade/control/bootstrap.ts
+++ b/packages/kingcupglade/control/bootstrap.ts
@@ -1,4 +1,5 @@
 import { emptySnapshot } from "@kingcupglade/consensus";
+import { Replication } from "@kingcupglade/protocol";
 import type { ReplicaStorage } from "@kingcupglade/storage";
 import type { PeerDirectory } from "./peers.ts";
 import { replicaIdOf } from "./replica_id.ts";
@@ -24,9 +25,9 @@
   const { self, selfVm, voters, peers } = options;
   try {
     const hellos = await Promise.all(voters.map(async (vm): Promise<Hello> => {
-      const peer = peers.get(vm);
+      const peer = peers.client(vm, Replication);
       if (vm === selfVm || !peer) return self;
-      return await peer.replication.hello({}, {
+      return await peer.hello({}, {
         timeoutMs: helloTimeoutMilliseconds,
       });
     }));
--- a/packages/kingcupglade/control/control_client.ts
+++ b/packages/kingcupglade/control/control_client.ts
@@ -1,6 +1,8 @@
+import type { Client } from "@connectrpc/connect";
+import { Control } from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
 import { ControlUnavailableError } from "./errors.ts";
-import type { Peer, PeerDirectory } from "./peers.ts";
+import type { PeerDirectory } from "./peers.ts";
 
 const retryPauseMilliseconds = 50;
 
@@ -39,16 +41,16 @@
    * @throws {ControlUnavailableError} when that VM did not answer as leader.
    */
   async callOnce<Answer extends Redirectable>(
-    call: (control: Peer["control"]) => Promise<Answer>,
+    call: (service: Client<typeof Control>) => Promise<Answer>,
   ): Promise<Answer> {
     const vm = this.#leader ?? this.#nextCandidate();
-    const peer = this.#peers.get(vm);
-    if (!peer) {
+    const service = this.#peers.client(vm, Control);
+    if (!service) {
       this.#leader = undefined;
       throw new ControlUnavailableError(`no peer address for VM "${vm}"`);
     }
     try {
-      const answer = await call(peer.control);
+      const answer = await call(service);
       if (!answer.redirect) {
         this.#leader = vm;
         return answer;
@@ -69,7 +71,7 @@
    * @throws {ControlUnavailableError} when no leader answered in time.
    */
   async call<Answer extends Redirectable>(
-    call: (control: Peer["control"]) => Promise<Answer>,
+    call: (service: Client<typeof Control>) => Promise<Answer>,
     timeoutMilliseconds: number,
   ): Promise<Answer> {
     const until = this.#clock.now() + timeoutMilliseconds;
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -9,6 +9,7 @@
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
 import { deltaSince } from "@kingcupglade/ownership";
 import type { RollOutcome, TableDelta } from "@kingcupglade/ownership";
+import { Replication } from "@kingcupglade/protocol";
 import { ReplicaStorage } from "@kingcupglade/storage";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -334,7 +335,7 @@
       voterVms.map(async (vm) =>
         vm === settings.vm.name
           ? await this.found(voters)
-          : await peers.get(vm)!.replication.found({ voters: [...voters] })
+          : await peers.client(vm, Replication)!.found({ voters: [...voters] })
       ),
     );
   }
--- a/packages/kingcupglade/control/peers.ts
+++ b/packages/kingcupglade/control/peers.ts
@@ -1,21 +1,16 @@
 import { Agent } from "node:http";
+import type { DescService } from "@bufbuild/protobuf";
 import { createClient } from "@connectrpc/connect";
-import type { Client, Interceptor } from "@connectrpc/connect";
+import type { Client, Interceptor, Transport } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
-import { Control, Replication } from "@kingcupglade/protocol";
-
-/** The services of one other VM. */
-export interface Peer {
-  readonly control: Client<typeof Control>;
-  readonly replication: Client<typeof Replication>;
-}
 
 /** Connections to the other VMs, by name. */
 export class PeerDirectory {
   readonly #addresses: Readonly<Record<string, string>>;
   readonly #agent = new Agent({ keepAlive: true });
   readonly #authorize: Interceptor;
-  readonly #peers = new Map<string, Peer>();
+  readonly #transports = new Map<string, Transport>();
+  readonly #clients = new Map<string, Client<DescService>>();
 
   constructor(options: {
     /** Peer listener of each VM, as IP:PORT. */
@@ -29,9 +24,27 @@
     };
   }
 
-  /** The services of a VM, or undefined when the settings do not name it. */
-  get(vm: string): Peer | undefined {
-    const known = this.#peers.get(vm);
+  /** A service of a VM, or undefined when the settings do not name the VM. */
+  client<Service extends DescService>(
+    vm: string,
+    service: Service,
+  ): Client<Service> | undefined {
+    const id = `${vm}/${service.typeName}`;
+    const transport = this.#transport(vm);
+    if (!transport) return undefined;
+    const known = this.#clients.get(id) as Client<Service> | undefined;
+    const client = known ?? createClient(service, transport);
+    if (!known) this.#clients.set(id, client as Client<DescService>);
+    return client;
+  }
+
+  /** Closes every connection. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #transport(vm: string): Transport | undefined {
+    const known = this.#transports.get(vm);
     const address = this.#addresses[vm];
     if (known || address === undefined) return known;
     const transport = createConnectTransport({
@@ -41,16 +54,7 @@
       nodeOptions: { agent: this.#agent },
       interceptors: [this.#authorize],
     });
-    const peer: Peer = {
-      control: createClient(Control, transport),
-      replication: createClient(Replication, transport),
-    };
-    this.#peers.set(vm, peer);
-    return peer;
-  }
-
-  /** Closes every connection. */
-  close(): void {
-    this.#agent.destroy();
+    this.#transports.set(vm, transport);
+    return transport;
   }
 }
--- a/packages/kingcupglade/control/replica_sender.ts
+++ b/packages/kingcupglade/control/replica_sender.ts
@@ -1,5 +1,5 @@
 import type { ConsensusMessage } from "@kingcupglade/consensus";
-import { encodeValue } from "@kingcupglade/protocol";
+import { encodeValue, Replication } from "@kingcupglade/protocol";
 import type { PeerDirectory } from "./peers.ts";
 import { vmOfReplica } from "./replica_id.ts";
 
@@ -29,13 +29,13 @@
   }
 
   async #drain(vm: string, queue: Uint8Array[]): Promise<void> {
-    const peer = this.#peers.get(vm);
-    if (!peer || this.#busy.has(vm)) return;
+    const replication = this.#peers.client(vm, Replication);
+    if (!replication || this.#busy.has(vm)) return;
     this.#busy.add(vm);
     while (queue.length > 0) {
       const messages = queue.splice(0) as Uint8Array<ArrayBuffer>[];
       try {
-        await peer.replication.deliver(
+        await replication.deliver(
           { from: this.#self, messages },
           { timeoutMs: deliverTimeoutMilliseconds },
         );
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { RangePhase } from "@kingcupglade/ownership";
-import type { KeyHasher, TargetRecord } from "@kingcupglade/ownership";
+import type { KeyHasher } from "@kingcupglade/ownership";
 import {
   Header,
   matchRequest,
@@ -21,7 +20,10 @@
 import type { RoutingTask } from "../control/routing_task.ts";
 import { BodyTooLargeError, readBody } from "../listeners/body.ts";
 import type { ExchangeClient, ExchangeResult } from "./exchange.ts";
+import type { Destination } from "./destination.ts";
+import { OwnerChooser } from "./owner_chooser.ts";
 import { RequestsInProgress } from "./requests_in_progress.ts";
+import { TargetChooser } from "./target_chooser.ts";
 
 const retryPauseMilliseconds = 10;
 
@@ -47,22 +49,19 @@
   readonly deadlineAt: number;
 }
 
-/** Where an attempt goes, and what marks it. */
-interface Destination {
-  readonly target: TargetRecord;
-  readonly headers: Readonly<Record<string, string>>;
-  readonly begin: () => () => void;
-  readonly isCurrent: () => boolean;
-}
-
 /** Serves callers: finds the owner of a request and passes the answer back. */
 export class Gateway {
   readonly #options: GatewayOptions;
-  readonly #inProgress = new RequestsInProgress();
+  readonly #owners: OwnerChooser;
+  readonly #targets: TargetChooser;
 
   constructor(options: GatewayOptions) {
+    const { routing, hasher } = options;
+    const inProgress = new RequestsInProgress();
     this.#options = options;
-    options.routing.watchRequests(this.#inProgress);
+    this.#owners = new OwnerChooser({ routing, hasher, inProgress });
+    this.#targets = new TargetChooser({ routing });
+    routing.watchRequests(inProgress);
   }
 
   /** Serves one request of a caller. */
@@ -197,52 +196,8 @@
   #choose(matched: MatchedRequest): Destination | Refusal {
     if (!this.#options.routing.hasLease) return notRun(Reason.noLease);
     return matched.key === undefined
-      ? this.#chooseAny(matched)
-      : this.#chooseOwner(matched, matched.key);
-  }
-
-  #chooseOwner(matched: MatchedRequest, key: string): Destination | Refusal {
-    const { routing, hasher } = this.#options;
-    const { table } = routing;
-    const { service, tenant } = matched;
-    const position = hasher.position({ service, tenant, key });
-    const found = table.rangeOf(matched, position);
-    const owner = found?.range.owner && table.targets.get(found.range.owner);
-    if (!found || !owner || found.range.phase !== RangePhase.serving) {
-      return notRun(Reason.noOwner, { retryAfterSeconds: 1 });
-    }
-    const { epoch } = found.range;
-    return {
-      target: owner,
-      headers: {
-        [Header.epoch]: String(epoch),
-        [Header.position]: String(position),
-        [Header.group]: found.group.id,
-      },
-      begin: () =>
-        this.#inProgress.begin({ group: found.group.id, position, epoch }),
-      isCurrent: () => {
-        const current = routing.table.rangeOf(matched, position)?.range;
-        return current?.phase === RangePhase.serving && current.epoch === epoch;
-      },
-    };
-  }
-
-  #chooseAny(matched: MatchedRequest): Destination | Refusal {
-    const { table } = this.#options.routing;
-    const home = table.homeRegionsOf(matched.service, matched.tenant);
-    const fit = table.targetsOf(matched.service).filter((target) =>
-      (target.condition === "serving" || target.condition === "cold") &&
-      home.includes(target.region) && table.isInService(target.dataCentre)
-    );
-    const target = fit[Math.floor(Math.random() * fit.length)];
-    if (!target) return notRun(Reason.noTarget, { retryAfterSeconds: 1 });
-    return {
-      target,
-      headers: {},
-      begin: () => () => {},
-      isCurrent: () => true,
-    };
+      ? this.#targets.choose(matched)
+      : this.#owners.choose(matched, matched.key);
   }
 
   async #waitForTable(deadlineAt: number): Promise<void> {
--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -23,13 +23,18 @@
   readonly secret: string;
   /** Undefined on a VM without a data folder. */
   readonly control: ControlTask | undefined;
+  /** Adds the services of other tasks of this VM. */
+  readonly services?: readonly ((router: ConnectRouter) => void)[];
 }): Promise<HttpListener> {
-  const { address, secret, control } = options;
+  const { address, secret, control, services = [] } = options;
   return HttpListener.open({
     setting: "listen.peers",
     address,
     handler: connectNodeAdapter({
-      routes: (router) => addRoutes(router, control),
+      routes: (router) => {
+        addRoutes(router, control);
+        for (const addService of services) addService(router);
+      },
       interceptors: [requireSecret(secret)],
     }),
   });
--- a/packages/ownership/coordinator.ts
+++ b/packages/ownership/coordinator.ts
@@ -6,6 +6,7 @@
 import { RangePhase } from "./model.ts";
 import type { ControlState, PlacementGroup, RangeRecord } from "./model.ts";
 import { chooseOwner, OwnerLoads } from "./planner.ts";
+import { planRoles } from "./role_planner.ts";
 
 /** What the leader knows of a VM beyond the replicated state. */
 export interface VmView {
@@ -70,6 +71,7 @@
     commands: [
       ...lapsedVmCommands(state, view),
       ...lapsedTargetCommands(state, view),
+      ...roleCommands(state),
       ...(changes.length > 0
         ? [{ kind: "changeRanges" as const, changes }]
         : []),
@@ -96,6 +98,11 @@
     .map((vm) => ({ kind: "removeVm", name: vm.name, boot: vm.boot }));
 }
 
+function roleCommands(state: ControlState): readonly ControlCommand[] {
+  const roles = planRoles(state);
+  return roles.length > 0 ? [{ kind: "assignRoles", roles }] : [];
+}
+
 function lapsedTargetCommands(
   state: ControlState,
   view: LeaderView,
--- a/packages/ownership/mod.ts
+++ b/packages/ownership/mod.ts
@@ -47,3 +47,5 @@
 export { findRange } from "./ranges.ts";
 export { RoutingTable } from "./routing_table.ts";
 export { decodeControlState, encodeControlState } from "./snapshot.ts";
+export { planRoles, roleShards } from "./role_planner.ts";
+export type { PlannedRole } from "./role_planner.ts";
--- /dev/null
+++ b/packages/ownership/role_planner.ts
@@ -0,0 +1,59 @@
+import { roleId, RoleKind } from "./model.ts";
+import type { ControlState, RoleAssignment, VmRecord } from "./model.ts";
+
+/** Shards of each kind of role in a region. */
+export const roleShards: Readonly<Record<RoleKind, number>> = {
+  ledger: 8,
+  credit: 4,
+};
+
+/** A role as it should be held from now on. */
+export type PlannedRole = Omit<RoleAssignment, "epoch" | "changedAt">;
+
+/**
+ * The roles whose holder or standby must change: a VM of the region that is
+ * registered and not leaving holds, and another one stands by. A standby takes
+ * over from a lost holder.
+ */
+export function planRoles(state: ControlState): readonly PlannedRole[] {
+  const regions = new Map<string, VmRecord[]>();
+  for (const vm of state.vms.values()) {
+    const list = regions.get(vm.region) ?? [];
+    regions.set(vm.region, list);
+    if (!vm.leaving) list.push(vm);
+  }
+  return [...regions].sort().flatMap(([region, vms]) =>
+    planRegion(state, region, vms.map((vm) => vm.name).sort())
+  );
+}
+
+function planRegion(
+  state: ControlState,
+  region: string,
+  vms: readonly string[],
+): readonly PlannedRole[] {
+  return Object.values(RoleKind).flatMap((kind) =>
+    Array.from({ length: roleShards[kind] }, (_, shard) => shard).flatMap(
+      (shard) => {
+        const current = state.roles.get(roleId({ kind, region, shard }));
+        const next = planHolders(current, { vms, shard });
+        const same = current !== undefined &&
+          current.holder === next.holder && current.standby === next.standby;
+        return same ? [] : [{ kind, region, shard, ...next }];
+      },
+    )
+  );
+}
+
+function planHolders(
+  current: RoleAssignment | undefined,
+  choice: { readonly vms: readonly string[]; readonly shard: number },
+): Pick<RoleAssignment, "holder" | "standby"> {
+  const { vms, shard } = choice;
+  const isFit = (vm: string | null | undefined): vm is string =>
+    vm !== null && vm !== undefined && vms.includes(vm);
+  const rotated = vms.map((_, index) => vms[(index + shard) % vms.length]!);
+  const kept = [current?.holder, current?.standby].filter(isFit);
+  const [holder = null, standby = null] = [...new Set([...kept, ...rotated])];
+  return { holder, standby };
+}
