Give operators diff, status and complete example settings

Cause: operators could not see before a roll what it changes, a wrong setting was named without a cure, and the demo had a deployment of its own.

Change: `bundle diff`, `bundle status`, tables for people and `--json`; unknown settings get the nearest name; examples/ holds nine settings files, a bundle and the targets of both deployments, and the experiments read them. The restart test waited only for nine leases, of which one was still the lost VM's; it now waits until the restarted VM is ready, as a balancer does, and then expects as much.

Conclusion: the examples cannot rot unseen: tests parse and run them.

--- /dev/null
+++ b/packages/bundle/diff.ts
@@ -0,0 +1,105 @@
+import { homeRegions } from "./schema.ts";
+import type { Bundle } from "./schema.ts";
+
+/** Names that were added, removed, or whose description changed. */
+export interface NameChanges {
+  readonly added: readonly string[];
+  readonly removed: readonly string[];
+  readonly changed: readonly string[];
+}
+
+/** Home regions of a tenant for a service, before and after. */
+export interface HomeChange {
+  readonly service: string;
+  readonly tenant: string;
+  readonly before: readonly string[];
+  readonly after: readonly string[];
+}
+
+/** What a bundle changes against another one. */
+export interface BundleDifference {
+  readonly fromVersion: number;
+  readonly toVersion: number;
+  readonly operators: NameChanges;
+  readonly services: NameChanges;
+  readonly tenants: NameChanges;
+  /** Routes, named by their path prefixes. */
+  readonly routes: NameChanges;
+  readonly dataCentres: NameChanges;
+  readonly takenOut: readonly string[];
+  readonly broughtBack: readonly string[];
+  readonly homes: readonly HomeChange[];
+}
+
+/** Compares two checked bundles. */
+export function diffBundles(before: Bundle, after: Bundle): BundleDifference {
+  return {
+    fromVersion: before.version,
+    toVersion: after.version,
+    operators: diffNames(before.operators, after.operators),
+    services: diffNames(before.services, after.services),
+    tenants: diffNames(before.tenants, after.tenants),
+    routes: diffNames(named(before.routes), named(after.routes)),
+    dataCentres: diffNames(before.dataCentres, after.dataCentres),
+    takenOut: switched(before, after, { inService: false }),
+    broughtBack: switched(before, after, { inService: true }),
+    homes: diffHomes(before, after),
+  };
+}
+
+function named(
+  routes: Bundle["routes"],
+): readonly { readonly name: string }[] {
+  return routes.map((route) => ({ ...route, name: route.pathPrefix }));
+}
+
+function diffNames(
+  before: readonly { readonly name: string }[],
+  after: readonly { readonly name: string }[],
+): NameChanges {
+  const old = new Map(before.map((each) => [each.name, JSON.stringify(each)]));
+  const names = new Set(after.map((each) => each.name));
+  return {
+    added: after.filter((each) => !old.has(each.name)).map(nameOf),
+    removed: before.filter((each) => !names.has(each.name)).map(nameOf),
+    changed: after.filter((each) =>
+      old.has(each.name) && old.get(each.name) !== JSON.stringify(each)
+    ).map(nameOf),
+  };
+}
+
+function nameOf(entry: { readonly name: string }): string {
+  return entry.name;
+}
+
+function switched(
+  before: Bundle,
+  after: Bundle,
+  to: { readonly inService: boolean },
+): readonly string[] {
+  const old = new Map(
+    before.dataCentres.map((each) => [each.name, each.inService]),
+  );
+  return after.dataCentres.filter((each) =>
+    each.inService === to.inService && old.get(each.name) === !to.inService
+  ).map(nameOf);
+}
+
+function diffHomes(before: Bundle, after: Bundle): readonly HomeChange[] {
+  const known = new Set(before.tenants.map(nameOf));
+  const services = after.services.filter((service) =>
+    before.services.some((each) => each.name === service.name)
+  );
+  return services.flatMap((service) =>
+    after.tenants.filter((tenant) => known.has(tenant.name)).flatMap(
+      (tenant) => {
+        const subject = { service: service.name, tenant: tenant.name };
+        const old = homeRegions(before, subject);
+        const next = homeRegions(after, subject);
+        return old.join() === next.join()
+          ? []
+          : [{ ...subject, before: old, after: next }];
+      },
+    )
+  );
+}
--- a/packages/bundle/mod.ts
+++ b/packages/bundle/mod.ts
@@ -24,3 +24,5 @@
   verifyBundle,
 } from "./signature.ts";
 export type { SignedBundle, SigningAuthority } from "./signature.ts";
+export { diffBundles } from "./diff.ts";
+export type { BundleDifference, HomeChange, NameChanges } from "./diff.ts";
--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -191,6 +191,19 @@
     return document as ControlStatus;
   }
 
+  /** Waits until a VM tells the balancer that it takes callers. */
+  async untilReady(vm: string): Promise<void> {
+    for (let attempt = 0; attempt < 400; attempt += 1) {
+      const { statusCode, body } = await request(
+        `http://${this.operatorsAddress(vm)}/ready`,
+      );
+      await body.dump();
+      if (statusCode === 200) return;
+      await pause(50);
+    }
+    throw new Error(`${vm} did not become ready`);
+  }
+
   /** Waits until the status satisfies a condition. */
   async until(
     condition: (status: ControlStatus) => boolean,
--- a/packages/experiments/mod.ts
+++ b/packages/experiments/mod.ts
@@ -6,7 +6,10 @@
  */
 export { Deployment } from "./deployment.ts";
 export type { DataCentreDescription, DeploymentOptions } from "./deployment.ts";
-export { hsinchu } from "./hsinchu.ts";
+export { describeExample } from "./example.ts";
+export type { ExampleDeployment, ExampleTarget } from "./example.ts";
+export { hsinchu, hsinchuTargets } from "./hsinchu.ts";
+export { tavares, tavaresTargets } from "./tavares.ts";
 export { runDemo } from "./demo.ts";
 export { meetsTarget } from "./experiment.ts";
 export type {
@@ -16,4 +19,4 @@
   Figure,
 } from "./experiment.ts";
 export { experiments } from "./registry.ts";
-export { formatFigures, meetsTargets } from "./report.ts";
+export { figureColumns, figureRows, meetsTargets } from "./report.ts";
--- a/packages/experiments/report.ts
+++ b/packages/experiments/report.ts
@@ -1,22 +1,19 @@
 import { meetsTarget } from "./experiment.ts";
 import type { ExperimentResult, Figure } from "./experiment.ts";
 
-/** Writes figures as a table for people. */
-export function formatFigures(result: ExperimentResult): string {
-  const rows = result.figures.map((figure) => [
+/** Columns of {@link figureRows}. */
+export const figureColumns = ["figure", "value", "baseline", "target"] as const;
+
+/** The figures of a result as rows of text. */
+export function figureRows(
+  result: ExperimentResult,
+): readonly (readonly string[])[] {
+  return result.figures.map((figure) => [
     figure.name,
     `${formatNumber(figure.value)} ${figure.unit}`,
     figure.baseline === undefined ? "" : formatNumber(figure.baseline),
     formatTarget(figure),
   ]);
-  const table = [["figure", "value", "baseline", "target"], ...rows];
-  const widths = [0, 1, 2].map((column) =>
-    Math.max(...table.map((row) => row[column]!.length))
-  );
-  return table.map((row) =>
-    row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  ")
-      .trimEnd()
-  ).join("\n");
 }
 
 /** Whether every figure meets its target. */
--- a/packages/experiments/whole_path_test.ts
+++ b/packages/experiments/whole_path_test.ts
@@ -65,9 +65,8 @@
       const { leader, bundle } = await deployment.status();
       await deployment.crashVm(leader);
       await deployment.startVm(leader);
-      const status = await deployment.until((each) =>
-        each.vms.filter((vm) => !vm.lapsed).length === 9
-      );
+      await deployment.untilReady(leader);
+      const status = await deployment.status();
       expect(status.bundle?.digest).toBe(bundle?.digest);
       const after = await reserve(leader, "clamp-9");
       expect(after).toMatchObject({
--- a/packages/kingcupglade/command_line.ts
+++ b/packages/kingcupglade/command_line.ts
@@ -6,18 +6,22 @@
   Object.entries({
     "serve": async () => (await import("./commands/serve.ts")).serveCommand,
     "settings check": async () =>
-      (await import("./commands/settings.ts")).settingsCheckCommand,
+      (await import("./commands/settings_check.ts")).settingsCheckCommand,
     "key create": async () =>
-      (await import("./commands/key.ts")).keyCreateCommand,
+      (await import("./commands/key_create.ts")).keyCreateCommand,
     "bundle check": async () =>
-      (await import("./commands/bundle.ts")).bundleCheckCommand,
+      (await import("./commands/bundle_check.ts")).bundleCheckCommand,
+    "bundle diff": async () =>
+      (await import("./commands/bundle_diff.ts")).bundleDiffCommand,
     "bundle sign": async () =>
-      (await import("./commands/bundle.ts")).bundleSignCommand,
+      (await import("./commands/bundle_sign.ts")).bundleSignCommand,
     "bundle roll": async () =>
-      (await import("./commands/bundle.ts")).bundleRollCommand,
+      (await import("./commands/bundle_roll.ts")).bundleRollCommand,
     "bundle show": async () =>
-      (await import("./commands/bundle.ts")).bundleShowCommand,
-    "status": async () => (await import("./commands/bundle.ts")).statusCommand,
+      (await import("./commands/bundle_show.ts")).bundleShowCommand,
+    "bundle status": async () =>
+      (await import("./commands/bundle_status.ts")).bundleStatusCommand,
+    "status": async () => (await import("./commands/status.ts")).statusCommand,
     "experiment": async () =>
       (await import("./commands/experiment.ts")).experimentCommand,
     "demo": async () => (await import("./commands/demo.ts")).demoCommand,
--- a/packages/kingcupglade/commands/experiment.ts
+++ b/packages/kingcupglade/commands/experiment.ts
@@ -4,6 +4,7 @@
 import { ExitCode, UsageError } from "./command.ts";
 import type { Command } from "./command.ts";
 import { writeJsonFile } from "./files.ts";
+import { formatTable } from "./table.ts";
 
 const plotsFolder = "dist/plots";
 
@@ -48,7 +49,9 @@
       seed,
       progress: (line) => process.stderr.write(`${name}: ${line}\n`),
     });
-    process.stdout.write(`${library.formatFigures(result)}\n`);
+    process.stdout.write(
+      `${formatTable(library.figureColumns, library.figureRows(result))}\n`,
+    );
     if (values.json) {
       await writeJsonFile(values.json, { name, seed, figures: result.figures });
     }
--- a/packages/kingcupglade/commands/operator_client.ts
+++ b/packages/kingcupglade/commands/operator_client.ts
@@ -1,4 +1,5 @@
 import { request } from "undici";
+import type { ControlStatus } from "../control/status.ts";
 
 const operatorTimeoutMilliseconds = 10_000;
 
@@ -40,3 +41,19 @@
     );
   }
 }
+
+/**
+ * Asks a VM for the deployment as the control leader sees it.
+ *
+ * @throws {OperatorClientError} when the VM or the leader does not answer.
+ */
+export async function fetchStatus(vm: string): Promise<ControlStatus> {
+  const { status, document } = await askVm(vm, "/status");
+  if (status === 200) return document as ControlStatus;
+  const { error } = document as { error?: string };
+  throw new OperatorClientError(
+    `no control leader answered through ${vm}: ${
+      error ?? `status ${status}`
+    }; see "Lost quorum" in docs/OPERATING.md`,
+  );
+}
--- /dev/null
+++ b/packages/kingcupglade/commands/status.ts
@@ -0,0 +1,72 @@
+import type { ControlStatus } from "../control/status.ts";
+import { ExitCode } from "./command.ts";
+import type { Command } from "./command.ts";
+import { parseVmCommand } from "./arguments.ts";
+import { fetchStatus } from "./operator_client.ts";
+import { formatTable } from "./table.ts";
+
+/** `status`: prints the deployment as the control leader sees it. */
+export const statusCommand: Command = {
+  help: `Usage: kingcupglade status --vm IP:PORT [--json]
+
+Prints the leader, the versions in force, VMs, targets and ranges. Exits with 1
+when no control leader answers.
+
+Examples:
+  kingcupglade status --vm 127.0.0.1:8401
+  kingcupglade status --vm 127.0.0.1:8401 --json
+`,
+  async run(commandArguments) {
+    const { vm, json } = parseVmCommand(commandArguments, "status");
+    const status = await fetchStatus(vm);
+    process.stdout.write(
+      json ? `${JSON.stringify(status)}\n` : formatStatus(status),
+    );
+    return ExitCode.done;
+  },
+};
+
+function formatStatus(status: ControlStatus): string {
+  const { bundle, replicas } = status;
+  return [
+    `leader ${status.leader}, term ${status.term}, table version ${status.tableVersion}`,
+    `voters ${replicas.voters.join(", ")}`,
+    ...(replicas.learners.length > 0
+      ? [`learners ${replicas.learners.join(", ")}`]
+      : []),
+    bundle
+      ? `bundle ${bundle.version}, in force ${
+        bundle.inForceEverywhere ? "everywhere" : "not yet everywhere"
+      }`
+      : "no bundle was rolled yet",
+    "",
+    formatTable(["VM", "data centre", "state", "table"], status.vms.map(vmRow)),
+    "",
+    formatTable(
+      ["target", "service", "data centre", "condition", "ranges"],
+      status.targets.map((each) => [
+        each.target,
+        each.service,
+        each.dataCentre,
+        each.condition,
+        String(each.ranges),
+      ]),
+    ),
+    "",
+    formatTable(
+      ["placement group", "ranges", "without owner", "moving"],
+      status.groups.map((each) => [
+        each.id,
+        String(each.ranges),
+        String(each.withoutOwner),
+        String(each.moving),
+      ]),
+    ),
+    "",
+  ].join("\n");
+}
+
+function vmRow(vm: ControlStatus["vms"][number]): readonly string[] {
+  const state = vm.lapsed ? "no lease" : vm.leaving ? "leaving" : "serving";
+  return [vm.name, vm.dataCentre, state, String(vm.appliedVersion)];
+}
--- /dev/null
+++ b/packages/kingcupglade/settings/nearest_name.ts
@@ -0,0 +1,33 @@
+const maximumDistance = 3;
+
+/** The known name with the fewest differing letters, if it is near. */
+export function nearestName(
+  name: string,
+  known: readonly string[],
+): string | undefined {
+  const ranked = known
+    .map((each) => ({
+      each,
+      distance: editDistance(name.toLowerCase(), each.toLowerCase()),
+    }))
+    .filter(({ distance }) => distance <= maximumDistance)
+    .sort((left, right) => left.distance - right.distance);
+  return ranked[0]?.each;
+}
+
+/** Letters to insert, delete or replace to make one text of the other. */
+function editDistance(left: string, right: string): number {
+  let previous = Array.from({ length: right.length + 1 }, (_, index) => index);
+  for (let row = 1; row <= left.length; row += 1) {
+    const current = [row];
+    for (let column = 1; column <= right.length; column += 1) {
+      const replaced = previous[column - 1]! +
+        (left[row - 1] === right[column - 1] ? 0 : 1);
+      current.push(
+        Math.min(replaced, previous[column]! + 1, current[column - 1]! + 1),
+      );
+    }
+    previous = current;
+  }
+  return previous[right.length]!;
+}
--- a/packages/kingcupglade/settings/read.ts
+++ b/packages/kingcupglade/settings/read.ts
@@ -1,7 +1,9 @@
 import { readFile } from "node:fs/promises";
 import { dirname, resolve } from "node:path";
 import ini from "ini";
-import { settingsSchema } from "./schema.ts";
+import type { z } from "zod";
+import { nearestName } from "./nearest_name.ts";
+import { knownKeys, settingsSchema } from "./schema.ts";
 import type { ResolvedSettings } from "./schema.ts";
 
 /** Settings that cannot be used; the message names each setting and the cure. */
@@ -38,9 +40,7 @@
 export function parseSettings(text: string, path: string): ResolvedSettings {
   const result = settingsSchema.safeParse(toPlainObject(ini.parse(text)));
   if (result.success) return result.data;
-  const faults = result.error.issues.map((issue) =>
-    `${issue.path.join(".") || "settings"}: ${issue.message}`
-  );
+  const faults = result.error.issues.flatMap(describeIssue);
   throw new SettingsError(`${path}: ${faults.join("; ")}`);
 }
 
@@ -72,3 +72,24 @@
     },
   };
 }
+
+function describeIssue(issue: z.core.$ZodIssue): readonly string[] {
+  const path = issue.path.join(".");
+  if (issue.code === "unrecognized_keys") {
+    const known = knownKeys(path);
+    return issue.keys.map((key) => {
+      const nearest = nearestName(key, known);
+      const name = path === "" ? `section [${key}]` : `${path}.${key}`;
+      return nearest === undefined
+        ? `${name} is unknown; the names are ${known.join(", ")}`
+        : `${name} is unknown; did you mean "${nearest}"?`;
+    });
+  }
+  const missing = issue.code === "invalid_type" && issue.input === undefined &&
+    issue.message.includes("undefined");
+  return [
+    missing
+      ? `${path} is missing; see docs/SETTINGS.md`
+      : `${path || "settings"}: ${issue.message}`,
+  ];
+}
--- /dev/null
+++ b/packages/kingcupglade/settings/read_test.ts
@@ -0,0 +1,66 @@
+import { readdir, readFile } from "node:fs/promises";
+import { describe, expect, it } from "vitest";
+import { parseBundle } from "@kingcupglade/bundle";
+import { parseSettings, readSettings, SettingsError } from "./read.ts";
+import { readSecrets } from "./secrets.ts";
+
+const examples = ["hsinchu", "tavares"];
+
+async function exampleFiles(example: string): Promise<readonly string[]> {
+  const files = await readdir(`examples/${example}`);
+  return files.filter((file) => file.endsWith(".ini"))
+    .map((file) => `examples/${example}/${file}`);
+}
+
+describe("the example settings", () => {
+  for (const example of examples) {
+    describe(example, () => {
+      it("are nine files that agree with each other and the bundle", async () => {
+        const files = await exampleFiles(example);
+        const all = await Promise.all(files.map(readSettings));
+        const bundle = parseBundle(
+          JSON.parse(await readFile(`examples/${example}/bundle.json`, "utf8")),
+        );
+        expect(all).toHaveLength(9);
+        for (const settings of all) {
+          const { vm, listen, peers } = settings;
+          expect(peers).toEqual(all[0]!.peers);
+          expect(peers[vm.name]).toBe(listen.peers);
+          expect(bundle.dataCentres).toContainEqual(
+            expect.objectContaining({ name: vm.dataCentre, region: vm.region }),
+          );
+          await readSecrets(settings);
+        }
+        const disks = all.filter((each) => each.vm.dataFolder).length;
+        expect(disks).toBeGreaterThanOrEqual(all[0]!.control.voters.length);
+      });
+    });
+  }
+});
+
+describe("parseSettings", () => {
+  const valid = () => readFile("examples/hsinchu/vm-1.ini", "utf8");
+
+  const faults: readonly (readonly [string, string, string, RegExp])[] = [
+    ["an unknown key", "dataCentre =", "dataCenter =", /"dataCentre"\?/],
+    ["an unknown section", "[listen]", "[lisen]", /did you mean "listen"\?/],
+    ["a missing key", "name = vm-1", "", /vm\.name is missing/],
+    ["a host name", "127.20.0.1:8100", "localhost:8100", /IP:PORT/],
+    [
+      "a number out of bounds",
+      "[control]",
+      "[control]\nrequiredSignatures = 0",
+      /control\.requiredSignatures/,
+    ],
+  ];
+
+  for (const [fault, from, to, message] of faults) {
+    describe(`with ${fault}`, () => {
+      it("names the setting", async () => {
+        const text = (await valid()).replace(from, to);
+        expect(() => parseSettings(text, "vm-1.ini")).toThrow(SettingsError);
+        expect(() => parseSettings(text, "vm-1.ini")).toThrow(message);
+      });
+    });
+  }
+});
--- a/packages/kingcupglade/settings/schema.ts
+++ b/packages/kingcupglade/settings/schema.ts
@@ -73,3 +73,13 @@
 
 /** The settings of a VM with every default filled in. */
 export type ResolvedSettings = z.output<typeof settingsSchema>;
+
+/** Names that may stand at a path: sections at "", else keys of a section. */
+export function knownKeys(path: string): readonly string[] {
+  if (path === "") return Object.keys(settingsSchema.shape);
+  const section = settingsSchema.shape[
+    path as keyof typeof settingsSchema.shape
+  ] as z.ZodType | undefined;
+  const inner = section instanceof z.ZodPrefault ? section.unwrap() : section;
+  return inner instanceof z.ZodObject ? Object.keys(inner.shape) : [];
+}
