Add an open-loop load generator with seeded arrivals

Cause: experiments measured closed loops, in which a slow system delays its own load and hides its queue. Change: runLoad starts requests at seeded Poisson times, counts latency from the intended start into HDR histograms by outcome, and records start delays; RandomSource gives seeded choices. Measured: a test holds the system still for 200 ms with one request in progress; every one of the queued requests shows the wait in its latency. Conclusion: experiments can show the queue of an overloaded system.

--- /dev/null
+++ b/packages/experiments/load_test.ts
@@ -0,0 +1,37 @@
+import { describe, expect, it } from "vitest";
+import { arrivalTimes, outcomeShare, runLoad } from "./load.ts";
+import { RandomSource } from "./random_source.ts";
+
+describe("load", () => {
+  describe("arrival times", () => {
+    it("depend on nothing but the seed", () => {
+      const draw = (seed: number) =>
+        arrivalTimes({ perSecond: 200, seconds: 5 }, new RandomSource(seed));
+      expect(draw(7)).toEqual(draw(7));
+      expect(draw(7)).not.toEqual(draw(8));
+      expect(Math.abs(draw(7).length - 1000)).toBeLessThan(150);
+    });
+  });
+
+  describe("a system that stands still", () => {
+    it("shows its queue in the latency from the intended start", async () => {
+      let release = () => {};
+      const stall = new Promise<void>((resolve) => (release = resolve));
+      setTimeout(release, 200);
+      const result = await runLoad({
+        perSecond: 200,
+        seconds: 0.2,
+        seed: 1,
+        maximumInProgress: 1,
+        send: async () => {
+          await stall;
+          return "answered";
+        },
+      });
+      const latency = result.latency.get("answered")!;
+      expect(outcomeShare(result, "answered")).toBe(1);
+      expect(latency.totalCount).toBe(result.sent);
+      expect(latency.mean).toBeGreaterThan(50_000);
+    });
+  });
+});
--- a/packages/experiments/mod.ts
+++ b/packages/experiments/mod.ts
@@ -15,5 +15,8 @@
   ExperimentResult,
   Figure,
 } from "./experiment.ts";
+export { arrivalTimes, latencyFigures, outcomeShare, runLoad } from "./load.ts";
+export type { LoadOptions, LoadResult } from "./load.ts";
+export { RandomSource } from "./random_source.ts";
 export { experiments } from "./registry.ts";
 export { formatFigures, meetsTargets } from "./report.ts";
