--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -67,15 +67,34 @@
 
   /** Writes the settings files and starts every VM. */
   static async start(options: DeploymentOptions): Promise<Deployment> {
+    const deployment = await Deployment.prepare(options);
+    await deployment.startAll();
+    return deployment;
+  }
+
+  /** Writes the settings files without starting a VM. */
+  static async prepare(options: DeploymentOptions): Promise<Deployment> {
     const folder = await mkdtemp(join(tmpdir(), "kingcupglade-"));
     const deployment = new Deployment(options, folder);
     await deployment.#writeSettings();
-    await Promise.all(
-      Object.keys(options.vms).map((name) => deployment.startVm(name)),
-    );
     return deployment;
   }
 
+  /** Starts every VM. */
+  async startAll(): Promise<void> {
+    await Promise.all(this.vmNames.map((name) => this.startVm(name)));
+  }
+
+  /** Folder of the settings files and the data folders. */
+  get folder(): string {
+    return this.#folder;
+  }
+
+  /** The secret that VMs and targets present. */
+  get secret(): string {
+    return this.#secret;
+  }
+
   /** Names of the VMs. */
   get vmNames(): readonly string[] {
     return [...this.#vms.keys()];
--- a/packages/kingcupglade/commands/operator_client.ts
+++ b/packages/kingcupglade/commands/operator_client.ts
@@ -25,7 +25,7 @@
   options: { readonly document?: unknown } = {},
 ): Promise<OperatorAnswer> {
   try {
-    const { statusCode, body } = await request(`http://${vm}${path}`, {
+    const { statusCode, body } = await request(`${originOf(vm)}${path}`, {
       method: options.document === undefined ? "GET" : "POST",
       body: options.document === undefined
         ? null
@@ -57,3 +57,8 @@
     }; see "Lost quorum" in docs/OPERATING.md`,
   );
 }
+
+/** IP:PORT speaks plain HTTP; `https://IP:PORT` speaks TLS. */
+function originOf(vm: string): string {
+  return vm.startsWith("https://") ? vm : `http://${vm}`;
+}
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -37,6 +37,8 @@
   readonly storage: ReplicaStorage;
   readonly peers: PeerDirectory;
   readonly targetSecret: string;
+  /** Authority of targets that speak TLS, PEM. */
+  readonly authority: Buffer | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -68,7 +70,10 @@
   constructor(options: ControlTaskOptions) {
     this.#options = options;
     this.#storage = options.storage;
-    this.#grants = new GrantSender({ secret: options.targetSecret });
+    this.#grants = new GrantSender({
+      secret: options.targetSecret,
+      authority: options.authority,
+    });
     this.#sender = new ReplicaSender(
       options.peers,
       replicaIdOf(options.storage.identity),
--- a/packages/kingcupglade/control/grant_sender.ts
+++ b/packages/kingcupglade/control/grant_sender.ts
@@ -14,10 +14,20 @@
 /** Tells targets over HTTP which ranges they hold. */
 export class GrantSender {
   readonly #secret: string;
-  readonly #agent = new Agent({ connections: 1, pipelining: 1 });
+  readonly #agent: Agent;
 
-  constructor(options: { readonly secret: string }) {
-    this.#secret = options.secret;
+  constructor(options: {
+    readonly secret: string;
+    /** Authority of targets that speak TLS, PEM. */
+    readonly authority: Buffer | undefined;
+  }) {
+    const { secret, authority } = options;
+    this.#secret = secret;
+    this.#agent = new Agent({
+      connections: 1,
+      pipelining: 1,
+      connect: { ca: authority },
+    });
   }
 
   /** Sends the whole set of grants; true when the target confirmed it. */
--- a/packages/kingcupglade/control/peers.ts
+++ b/packages/kingcupglade/control/peers.ts
@@ -1,13 +1,16 @@
 import { Agent } from "node:http";
+import { Agent as TlsAgent } from "node:https";
 import type { DescService } from "@bufbuild/protobuf";
 import { createClient } from "@connectrpc/connect";
 import type { Client, Interceptor, Transport } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
+import type { ResolvedTls } from "../settings/tls.ts";
 
 /** Connections to the other VMs, by name. */
 export class PeerDirectory {
   readonly #addresses: Readonly<Record<string, string>>;
-  readonly #agent = new Agent({ keepAlive: true });
+  readonly #agent: Agent;
+  readonly #scheme: "http" | "https";
   readonly #authorize: Interceptor;
   readonly #transports = new Map<string, Transport>();
   readonly #clients = new Map<string, Client<DescService>>();
@@ -16,8 +19,21 @@
     /** Peer listener of each VM, as IP:PORT. */
     readonly addresses: Readonly<Record<string, string>>;
     readonly secret: string;
+    /** @default plain HTTP */
+    readonly tls?: ResolvedTls;
   }) {
+    const { tls } = options;
+    const material = tls?.listeners.has("peers") ? tls.material : undefined;
     this.#addresses = options.addresses;
+    this.#scheme = material ? "https" : "http";
+    this.#agent = material
+      ? new TlsAgent({
+        keepAlive: true,
+        cert: material.certificate,
+        key: material.key,
+        ca: material.authority,
+      })
+      : new Agent({ keepAlive: true });
     this.#authorize = (next) => (request) => {
       request.header.set("authorization", `Bearer ${options.secret}`);
       return next(request);
@@ -49,7 +65,7 @@
     if (known || address === undefined) return known;
     const transport = createConnectTransport({
       httpVersion: "1.1",
-      baseUrl: `http://${address}`,
+      baseUrl: `${this.#scheme}://${address}`,
       useBinaryFormat: true,
       nodeOptions: { agent: this.#agent },
       interceptors: [this.#authorize],
--- a/packages/kingcupglade/gateway/exchange.ts
+++ b/packages/kingcupglade/gateway/exchange.ts
@@ -56,11 +56,15 @@
 export class ExchangeClient {
   readonly #agent: Agent;
 
-  constructor(options: { readonly connectionsPerTarget: number }) {
+  constructor(options: {
+    readonly connectionsPerTarget: number;
+    /** Authority of targets that speak TLS, PEM. */
+    readonly authority?: Buffer | undefined;
+  }) {
     this.#agent = new Agent({
       connections: options.connectionsPerTarget,
       pipelining: 1,
-      connect: { timeout: 500 },
+      connect: { timeout: 500, ca: options.authority },
     });
   }
 
--- a/packages/kingcupglade/listeners/http_listener.ts
+++ b/packages/kingcupglade/listeners/http_listener.ts
@@ -1,5 +1,7 @@
 import { createServer } from "node:http";
-import type { RequestListener, Server } from "node:http";
+import type { RequestListener, Server, ServerOptions } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { ListenerName, ResolvedTls } from "../settings/tls.ts";
 
 /** A listener that cannot be opened. */
 export class ListenError extends Error {
@@ -8,8 +10,10 @@
 
 /** Limits of a listener. */
 export interface HttpListenerOptions {
-  /** Setting that holds the address, for errors. */
-  readonly setting: string;
+  /** Name of the listener in the settings. */
+  readonly name: ListenerName;
+  /** @default plain HTTP */
+  readonly tls?: ResolvedTls;
   /** IP:PORT. */
   readonly address: string;
   readonly handler: RequestListener;
@@ -35,19 +39,14 @@
    * @throws {ListenError} when the address cannot be used.
    */
   static async open(options: HttpListenerOptions): Promise<HttpListener> {
-    const server = createServer({
-      maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
-      headersTimeout: options.headersTimeoutMilliseconds ?? 10_000,
-      requestTimeout: 60_000,
-      keepAliveTimeout: 30_000,
-    }, options.handler);
+    const server = createListenerServer(options);
     server.maxConnections = options.maximumConnections ?? 4096;
     const { host, port } = splitAddress(options.address);
     await new Promise<void>((resolve, reject) => {
       server.once("error", (cause) =>
         reject(
           new ListenError(
-            `${options.setting}: cannot listen on ${options.address}: ${cause.message}; free the port or change the setting`,
+            `listen.${options.name}: cannot listen on ${options.address}: ${cause.message}; free the port or change the setting`,
             { cause },
           ),
         ));
@@ -74,6 +73,27 @@
   }
 }
 
+function createListenerServer(options: HttpListenerOptions): Server {
+  const { name, tls, handler } = options;
+  const serverOptions: ServerOptions = {
+    maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
+    headersTimeout: options.headersTimeoutMilliseconds ?? 10_000,
+    requestTimeout: 60_000,
+    keepAliveTimeout: 30_000,
+  };
+  const material = tls?.listeners.has(name) ? tls.material : undefined;
+  if (!material) return createServer(serverOptions, handler);
+  return createTlsServer({
+    ...serverOptions,
+    cert: material.certificate,
+    key: material.key,
+    ca: material.authority,
+    // VMs present a certificate of their own besides the shared secret.
+    requestCert: name === "peers",
+    rejectUnauthorized: name === "peers",
+  }, handler);
+}
+
 /** Splits IP:PORT. */
 export function splitAddress(
   address: string,
--- a/packages/kingcupglade/listeners/operators.ts
+++ b/packages/kingcupglade/listeners/operators.ts
@@ -8,6 +8,7 @@
 import type { RoutingTask } from "../control/routing_task.ts";
 import type { ControlStatus } from "../control/status.ts";
 import { BodyTooLargeError, readBody, sendJson } from "./body.ts";
+import type { ResolvedTls } from "../settings/tls.ts";
 import { HttpListener } from "./http_listener.ts";
 
 const maximumBundleBytes = 4 * 1024 * 1024;
@@ -16,6 +17,7 @@
 /** What the operators' listener needs of its VM. */
 export interface OperatorsListenerOptions {
   readonly address: string;
+  readonly tls: ResolvedTls;
   readonly control: ControlClient;
   readonly routing: RoutingTask;
   readonly metrics: Metrics;
@@ -28,7 +30,8 @@
   options: OperatorsListenerOptions,
 ): Promise<HttpListener> {
   return HttpListener.open({
-    setting: "listen.operators",
+    name: "operators",
+    tls: options.tls,
     address: options.address,
     handler: (request, response) => {
       serve(request, response, options).catch((failure) =>
--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -13,6 +13,7 @@
 import type { ControlTask } from "../control/control_task.ts";
 import { NotLeaderError } from "../control/errors.ts";
 import { presentsSecret } from "../settings/secrets.ts";
+import type { ResolvedTls } from "../settings/tls.ts";
 import { HttpListener } from "./http_listener.ts";
 
 const noBytes = new Uint8Array();
@@ -20,6 +21,7 @@
 /** Opens the listener for the other VMs. */
 export function openPeersListener(options: {
   readonly address: string;
+  readonly tls: ResolvedTls;
   readonly secret: string;
   /** Undefined on a VM without a data folder. */
   readonly control: ControlTask | undefined;
@@ -28,7 +30,8 @@
 }): Promise<HttpListener> {
   const { address, secret, control, services = [] } = options;
   return HttpListener.open({
-    setting: "listen.peers",
+    name: "peers",
+    tls: options.tls,
     address,
     handler: connectNodeAdapter({
       routes: (router) => {
--- a/packages/kingcupglade/listeners/targets.ts
+++ b/packages/kingcupglade/listeners/targets.ts
@@ -3,6 +3,7 @@
 import { presentsSecret } from "../settings/secrets.ts";
 import type { AnnouncementBatcher } from "./announcement_batcher.ts";
 import { BodyTooLargeError, readBody, sendJson } from "./body.ts";
+import type { ResolvedTls } from "../settings/tls.ts";
 import { HttpListener } from "./http_listener.ts";
 
 const maximumAnnouncementBytes = 4096;
@@ -10,12 +11,14 @@
 /** Opens the listener on which targets announce themselves. */
 export function openTargetsListener(options: {
   readonly address: string;
+  readonly tls: ResolvedTls;
   readonly secret: string;
   readonly batcher: AnnouncementBatcher;
 }): Promise<HttpListener> {
   const { address, secret, batcher } = options;
   return HttpListener.open({
-    setting: "listen.targets",
+    name: "targets",
+    tls: options.tls,
     address,
     handler: (request, response) => {
       void serveAnnouncement(request, { response, secret, batcher });
--- a/packages/kingcupglade/settings/read.ts
+++ b/packages/kingcupglade/settings/read.ts
@@ -57,14 +57,20 @@
   settings: ResolvedSettings,
   folder: string,
 ): ResolvedSettings {
-  const { vm, security } = settings;
+  const { vm, security, tls } = settings;
+  const absolute = (path: string | undefined) =>
+    path === undefined ? undefined : resolve(folder, path);
   return {
     ...settings,
     vm: {
       ...vm,
-      ...(vm.dataFolder === undefined
-        ? {}
-        : { dataFolder: resolve(folder, vm.dataFolder) }),
+      dataFolder: absolute(vm.dataFolder),
+    },
+    tls: {
+      ...tls,
+      certificateFile: absolute(tls.certificateFile),
+      keyFile: absolute(tls.keyFile),
+      authorityFile: absolute(tls.authorityFile),
     },
     security: {
       vmSecretFile: resolve(folder, security.vmSecretFile),
--- a/packages/kingcupglade/settings/schema.ts
+++ b/packages/kingcupglade/settings/schema.ts
@@ -23,6 +23,12 @@
   text.split(",").map((part) => part.trim()).filter((part) => part !== "")
 ).pipe(z.array(name).min(1));
 
+const listenerName = z.enum(["callers", "targets", "peers", "operators"]);
+
+const listenerList = z.string().transform((text) =>
+  text.split(",").map((part) => part.trim()).filter((part) => part !== "")
+).pipe(z.array(listenerName));
+
 /** The settings file of a VM: sections, keys, defaults, units and bounds. */
 export const settingsSchema = z.strictObject({
   vm: z.strictObject({
@@ -65,6 +71,16 @@
     /** File with the secret that targets present. */
     targetSecretFile: z.string().min(1),
   }),
+  tls: z.strictObject({
+    /** Listeners that speak TLS, separated by commas. @default none */
+    listeners: listenerList.default([]),
+    /** Certificate chain of this VM, PEM; it names the VM's IPs. */
+    certificateFile: z.string().min(1).optional(),
+    /** Private key of the certificate, PEM. */
+    keyFile: z.string().min(1).optional(),
+    /** Authority that signs the certificates of VMs and targets, PEM. */
+    authorityFile: z.string().min(1).optional(),
+  }).prefault({}),
   log: z.strictObject({
     /** @default "info" */
     level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -20,6 +20,7 @@
 import { openPeersListener } from "./listeners/peers.ts";
 import { openTargetsListener } from "./listeners/targets.ts";
 import { readSecrets } from "./settings/secrets.ts";
+import { readTls } from "./settings/tls.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
 
 const connectionsPerTarget = 12;
@@ -56,6 +57,7 @@
   static async start(options: VmOptions): Promise<Vm> {
     const { settings } = options;
     const secrets = await readSecrets(settings);
+    const tls = await readTls(settings);
     const { vm, listen } = settings;
     const logger = createLogger({
       fields: { vm: vm.name, dataCentre: vm.dataCentre },
@@ -66,6 +68,7 @@
     const peers = new PeerDirectory({
       addresses: settings.peers,
       secret: secrets.vm,
+      tls,
     });
     const control = vm.dataFolder === undefined
       ? undefined
@@ -74,6 +77,7 @@
         folder: vm.dataFolder,
         peers,
         targetSecret: secrets.target,
+        authority: tls.material?.authority,
         clock,
         logger,
         metrics,
@@ -83,6 +87,7 @@
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
     const peersListener = await openPeersListener({
       address: listen.peers,
+      tls,
       secret: secrets.vm,
       control,
     });
@@ -100,7 +105,10 @@
       logger,
       metrics,
     });
-    const exchanges = new ExchangeClient({ connectionsPerTarget });
+    const exchanges = new ExchangeClient({
+      connectionsPerTarget,
+      authority: tls.material?.authority,
+    });
     const gateway = new Gateway({
       routing,
       exchanges,
@@ -113,7 +121,8 @@
     });
     let stopping = false;
     const callers = await HttpListener.open({
-      setting: "listen.callers",
+      name: "callers",
+      tls,
       address: listen.callers,
       handler: (request, response) => {
         if (stopping) response.setHeader("connection", "close");
@@ -122,11 +131,13 @@
     });
     const targets = await openTargetsListener({
       address: listen.targets,
+      tls,
       secret: secrets.target,
       batcher: new AnnouncementBatcher({ control: client(), vm: vm.name }),
     });
     const operators = await openOperatorsListener({
       address: listen.operators,
+      tls,
       control: client(),
       routing,
       metrics,
