--- a/packages/bundle/diff.ts
+++ b/packages/bundle/diff.ts
@@ -1,4 +1,4 @@
-import { homeRegions } from "./schema.ts";
+import { homeRegions } from "./homes.ts";
 import type { Bundle } from "./schema.ts";
 
 /** Names that were added, removed, or whose description changed. */
--- a/packages/bundle/mod.ts
+++ b/packages/bundle/mod.ts
@@ -5,7 +5,10 @@
  */
 export { BundleError, SignatureError } from "./errors.ts";
 export type { BundleFault } from "./errors.ts";
-export { homeRegions, parseBundle, ServiceKind } from "./schema.ts";
+export { diffDocuments, patchDocument } from "./patch.ts";
+export type { DocumentPatch } from "./patch.ts";
+export { homeRegions } from "./homes.ts";
+export { parseBundle, ServiceKind } from "./schema.ts";
 export type {
   Bundle,
   BundleDataCentre,
--- a/packages/bundle/schema.ts
+++ b/packages/bundle/schema.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { BundleError } from "./errors.ts";
 import type { BundleFault } from "./errors.ts";
+import { homeRegions } from "./homes.ts";
 
 const name = z.string().regex(
   /^[a-z0-9][a-z0-9-]{0,62}$/,
@@ -247,27 +248,3 @@
     })
   );
 }
-
-/**
- * The regions that may serve and store the requests of a tenant for a service:
- * those that the service, its routes and the tenant all allow, sorted.
- */
-export function homeRegions(
-  source: Bundle,
-  subject: { readonly service: string; readonly tenant?: string | undefined },
-): readonly string[] {
-  const service = source.services.find((each) => each.name === subject.service);
-  const tenant = source.tenants.find((each) => each.name === subject.tenant);
-  const limits = [
-    service?.homeRegions,
-    tenant?.homeRegions,
-    ...source.routes.filter((each) => each.service === subject.service).map((
-      each,
-    ) => each.homeRegions),
-  ];
-  const all = [...new Set(source.dataCentres.map((each) => each.region))]
-    .sort();
-  return all.filter((region) =>
-    limits.every((limit) => !limit || limit.includes(region))
-  );
-}
--- a/packages/bundle/signature.ts
+++ b/packages/bundle/signature.ts
@@ -52,9 +52,14 @@
   };
 }
 
+/** A document in RFC 8785 canonical JSON. */
+export function canonicalText(document: unknown): string {
+  return canonicalize(document) ?? "null";
+}
+
 /** The bytes that are signed: the document in RFC 8785 canonical JSON. */
 export function canonicalBytes(document: unknown): Uint8Array {
-  return new TextEncoder().encode(canonicalize(document) ?? "null");
+  return new TextEncoder().encode(canonicalText(document));
 }
 
 /** SHA-256 of the canonical document, in hexadecimal. */
--- /dev/null
+++ b/packages/experiments/planning_world.ts
@@ -0,0 +1,164 @@
+import { bundleDigest } from "@kingcupglade/bundle";
+import {
+  applyCommand,
+  coordinate,
+  emptyControlState,
+  findRange,
+  positionSpace,
+  RangeIndex,
+} from "@kingcupglade/ownership";
+import type {
+  ControlCommand,
+  ControlState,
+  Grant,
+  LoadView,
+  PlacementGroup,
+} from "@kingcupglade/ownership";
+
+/** Options of a {@link PlanningWorld}. */
+export interface PlanningWorldOptions {
+  readonly targets: number;
+  readonly initialRanges: number;
+  /** @default 3 */
+  readonly regions?: number;
+}
+
+const roundMilliseconds = 50;
+
+/**
+ * The replicated state and a leader's view of it in virtual time: every command
+ * is committed at once and every target confirms its grants at once.
+ */
+export class PlanningWorld {
+  state: ControlState = emptyControlState;
+  now = 0;
+  loads: LoadView = new Map();
+  /** Share of the hash space that has changed its owner. */
+  movedShare = 0;
+  /** Time that each plan took, in milliseconds. */
+  readonly planMilliseconds: number[] = [];
+  readonly lapsed = new Set<string>();
+  readonly #held = new Map<string, readonly Grant[]>();
+  readonly #index = new RangeIndex();
+  readonly #regions: number;
+
+  constructor(options: PlanningWorldOptions) {
+    this.#regions = options.regions ?? 3;
+    const document = planningBundle(options.initialRanges, this.#regions);
+    this.apply({ kind: "rollBundle", signed: { document, signatures: [] } });
+    for (let index = 0; index < options.targets; index += 1) {
+      this.addTarget(index);
+    }
+  }
+
+  /** The only group. */
+  get group(): PlacementGroup {
+    return this.state.groups.values().next().value!;
+  }
+
+  /** Commits a command. */
+  apply(command: ControlCommand): void {
+    this.state =
+      applyCommand(this.state, command, this.state.version + 1).state;
+  }
+
+  /** Registers a target, or registers it again in another condition. */
+  addTarget(
+    index: number,
+    condition: "cold" | "serving" | "leaving" = "serving",
+  ) {
+    const region = index % this.#regions;
+    this.apply({
+      kind: "putTarget",
+      target: {
+        target: targetName(index),
+        boot: "first",
+        service: "stock",
+        dataCentre: `centre-${region}`,
+        region: `region-${region}`,
+        address: "http://127.0.0.1:1",
+        slots: 6,
+        connections: 110,
+        coldSlots: 1,
+        checksFences: true,
+        condition,
+      },
+    });
+  }
+
+  /** Runs one round of coordination. */
+  round(balance = false): void {
+    this.now += roundMilliseconds;
+    const startedAt = performance.now();
+    const plan = coordinate(this.state, {
+      vm: () => ({
+        lapsed: false,
+        lapsesAt: Infinity,
+        appliedVersion: this.state.version,
+        quiescentVersion: this.state.version,
+      }),
+      target: (name) => ({
+        lapsed: this.lapsed.has(name),
+        held: this.#held.get(name) ?? null,
+      }),
+      now: this.now,
+      loads: this.loads,
+    }, { index: this.#index, balance });
+    this.planMilliseconds.push(performance.now() - startedAt);
+    for (const push of plan.pushes) this.#held.set(push.target, push.grants);
+    for (const command of plan.commands) {
+      this.#countMoves(command);
+      this.apply(command);
+    }
+  }
+
+  /** Runs rounds until nothing is under way, at most `maximum`. */
+  settle(maximum = 400): number {
+    // The first of two quiet rounds may have had grants confirmed.
+    let quiet = 0;
+    for (let round = 1; round <= maximum; round += 1) {
+      const before = this.state.version;
+      this.round();
+      quiet = this.state.version === before ? quiet + 1 : 0;
+      if (quiet === 2) return round;
+    }
+    return maximum;
+  }
+
+  // A range granted to another owner than the one it is taken from has moved.
+  #countMoves(command: ControlCommand): void {
+    if (command.kind !== "changeRanges") return;
+    const { ranges } = this.group;
+    for (const change of command.changes) {
+      if (change.kind !== "grant") continue;
+      const range = ranges[findRange(ranges, change.start)]!;
+      if (range.owner === change.owner) continue;
+      this.movedShare += (range.end - range.start) / positionSpace;
+    }
+  }
+}
+
+/** Name of a target of a {@link PlanningWorld}. */
+export function targetName(index: number): string {
+  return `stock-${String(index).padStart(4, "0")}`;
+}
+
+function planningBundle(initialRanges: number, regions: number) {
+  const document = {
+    version: 1,
+    operators: [{
+      name: "operator",
+      publicKey: Buffer.from(bundleDigest("operator"), "hex").toString(
+        "base64",
+      ),
+    }],
+    dataCentres: Array.from({ length: regions }, (_, index) => ({
+      name: `centre-${index}`,
+      region: `region-${index}`,
+    })),
+    services: [{ name: "stock", kind: "keyed", initialRanges }],
+    tenants: [{ name: "toolroom" }],
+    routes: [],
+  };
+  return document;
+}
--- /dev/null
+++ b/packages/experiments/suite/planner.ts
@@ -0,0 +1,244 @@
+import {
+  findRange,
+  LoadEstimates,
+  positionSpace,
+  RequestCounter,
+} from "@kingcupglade/ownership";
+import { RandomSource } from "../random_source.ts";
+import type { Experiment, ExperimentResult, Figure } from "../experiment.ts";
+import { linePlot } from "../plot.ts";
+import { PlanningWorld, targetName } from "../planning_world.ts";
+
+const sizes = [
+  { targets: 12, initialRanges: 96, requestsPerSecond: 20_000 },
+  { targets: 120, initialRanges: 960, requestsPerSecond: 100_000 },
+  { targets: 930, initialRanges: 4096, requestsPerSecond: 400_000 },
+] as const;
+
+const hotKeys = 84;
+const hotKeysShare = 0.3;
+const largestHotKeyOfMean = 0.5;
+/** Time in which the first placing is evened out. */
+const evenSeconds = 60;
+const secondsPerShift = 60;
+const shifts = 3;
+const roundsPerSecond = 20;
+const imbalanceTarget = 1.3;
+/** Time after a shift in which the hot keys may still be moving. */
+const settlingSeconds = 30;
+
+/** Measures the planner in virtual time. */
+export const plannerExperiment: Experiment = {
+  summary: "imbalance, churn and plan time at 12, 120 and 930 targets",
+  async run({ seed, progress }): Promise<ExperimentResult> {
+    const figures: Figure[] = [];
+    const series = [];
+    for (const size of sizes) {
+      const trial = new PlannerTrial(size, seed);
+      figures.push(...trial.membership(), ...trial.shiftingHotKeys());
+      series.push({
+        name: `${size.targets} targets`,
+        points: trial.points,
+      });
+      progress(`${size.targets} targets done`);
+      await Promise.resolve();
+    }
+    return {
+      figures,
+      plots: {
+        "planner-imbalance-churn.svg": linePlot({
+          title: "Imbalance against churn while 84 hot keys shift every minute",
+          x: "share of the hash space moved",
+          y: "largest load over mean",
+          series,
+        }),
+      },
+    };
+  },
+};
+
+class PlannerTrial {
+  readonly points: { readonly x: number; readonly y: number }[] = [];
+  readonly #size: typeof sizes[number];
+  readonly #random: () => number;
+  readonly #world: PlanningWorld;
+
+  constructor(size: typeof sizes[number], seed: number) {
+    const source = new RandomSource(seed);
+    this.#size = size;
+    this.#random = () => source.number();
+    this.#world = new PlanningWorld(size);
+    this.#world.settle();
+    this.#run(evenSeconds);
+  }
+
+  /** Churn when one target joins and one leaves. */
+  membership(): readonly Figure[] {
+    const { targets } = this.#size;
+    const world = this.#world;
+    world.addTarget(targets);
+    world.movedShare = 0;
+    this.#run(30);
+    const joined = world.movedShare;
+    world.addTarget(targets, "leaving");
+    world.movedShare = 0;
+    this.#run(30);
+    const least = 1 / (targets + 1);
+    return [
+      {
+        name: `share moved when one joins ${targets} targets`,
+        value: joined,
+        unit: "of keys",
+        baseline: rehashedShare(targets),
+        target: { atMost: 1.5 * least },
+      },
+      {
+        name: `share moved when one of ${targets + 1} targets leaves`,
+        value: world.movedShare,
+        unit: "of keys",
+        baseline: rehashedShare(targets),
+        target: { atMost: 2 * least },
+      },
+      {
+        name: `least possible for one of ${targets + 1} targets`,
+        value: least,
+        unit: "of keys",
+      },
+    ];
+  }
+
+  /** Imbalance and churn while hot keys shift every minute. */
+  shiftingHotKeys(): readonly Figure[] {
+    const { targets } = this.#size;
+    const world = this.#world;
+    const estimates = new LoadEstimates(world.now);
+    const still = world.group.ranges;
+    const settled: number[] = [];
+    const untouched: number[] = [];
+    world.movedShare = 0;
+    world.planMilliseconds.length = 0;
+    for (let shift = 0; shift < shifts; shift += 1) {
+      const hot = this.#drawHotKeys();
+      for (let second = 0; second < secondsPerShift; second += 1) {
+        estimates.note(this.#countRequests(hot));
+        world.loads = estimates.view(world.now);
+        this.#runSecond();
+        const imbalance = imbalanceOf(world.group.ranges, hot, targets);
+        if (second >= settlingSeconds) settled.push(imbalance);
+        this.points.push({ x: world.movedShare, y: imbalance });
+      }
+      untouched.push(imbalanceOf(still, hot, targets));
+    }
+    return this.#hotFigures({ settled, untouched });
+  }
+
+  #hotFigures(measured: {
+    readonly settled: readonly number[];
+    readonly untouched: readonly number[];
+  }): readonly Figure[] {
+    const { targets } = this.#size;
+    const { planMilliseconds, group, movedShare } = this.#world;
+    const times = planMilliseconds.toSorted((left, right) => left - right);
+    const at = `at ${targets} targets`;
+    return [
+      {
+        name: `imbalance ${at}, from ${settlingSeconds} s after a shift`,
+        value: Math.max(...measured.settled),
+        unit: "max/mean",
+        baseline: Math.max(...measured.untouched),
+        target: { atMost: imbalanceTarget },
+      },
+      {
+        name: `share moved per shift of ${hotKeys} hot keys ${at}`,
+        value: movedShare / shifts,
+        unit: "of keys",
+        baseline: 1 - 1 / targets,
+      },
+      {
+        name: `ranges ${at}`,
+        value: group.ranges.length,
+        unit: "ranges",
+      },
+      {
+        name: `mean plan time ${at}`,
+        value: times.reduce((sum, each) => sum + each, 0) / times.length,
+        unit: "ms",
+        target: { atMost: 5 },
+      },
+      {
+        name: `longest plan time ${at}`,
+        value: times.at(-1)!,
+        unit: "ms",
+      },
+    ];
+  }
+
+  #run(seconds: number): void {
+    for (let second = 0; second < seconds; second += 1) this.#runSecond();
+  }
+
+  #runSecond(): void {
+    this.#world.round(true);
+    for (let round = 1; round < roundsPerSecond; round += 1) {
+      this.#world.round();
+    }
+  }
+
+  #drawHotKeys(): ReadonlyMap<number, number> {
+    const share = Math.min(
+      hotKeysShare / hotKeys,
+      largestHotKeyOfMean / this.#size.targets,
+    );
+    return new Map(
+      Array.from({ length: hotKeys }, () => [
+        Math.floor(this.#random() * positionSpace),
+        share,
+      ]),
+    );
+  }
+
+  #countRequests(hot: ReadonlyMap<number, number>) {
+    const counter = new RequestCounter();
+    const positions = [...hot.keys()];
+    const hotShare = [...hot.values()].reduce((sum, each) => sum + each, 0);
+    const { requestsPerSecond } = this.#size;
+    for (let request = 0; request < requestsPerSecond; request += 1) {
+      const isHot = this.#random() < hotShare;
+      counter.add(
+        this.#world.group.id,
+        isHot
+          ? positions[Math.floor(this.#random() * positions.length)]!
+          : Math.floor(this.#random() * positionSpace),
+      );
+    }
+    return counter.take();
+  }
+}
+
+/** Share of the keys that changes its owner when keys are placed by modulo. */
+function rehashedShare(targets: number): number {
+  return targets / (targets + 1);
+}
+
+function imbalanceOf(
+  ranges: readonly {
+    readonly start: number;
+    readonly end: number;
+    readonly owner: string | null;
+  }[],
+  hot: ReadonlyMap<number, number>,
+  targets: number,
+): number {
+  const even = 1 - [...hot.values()].reduce((sum, each) => sum + each, 0);
+  const loads = new Map<string, number>();
+  const add = (owner: string | null, load: number) =>
+    loads.set(owner ?? "", (loads.get(owner ?? "") ?? 0) + load);
+  for (const { start, end, owner } of ranges) {
+    add(owner, (end - start) / positionSpace * even);
+  }
+  for (const [position, share] of hot) {
+    add(ranges[findRange(ranges, position)]!.owner, share);
+  }
+  loads.delete(targetName(targets));
+  return Math.max(...loads.values()) * targets;
+}
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -51,6 +51,7 @@
   readonly #server: Server;
   #boot = randomUUID();
   #grants: readonly HeldGrant[] = [];
+  #taken = { version: 0, sequence: 0 };
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
@@ -123,6 +124,7 @@
   /** Starts the process anew after {@link kill}, with a new boot identity. */
   async restart(): Promise<void> {
     this.#boot = randomUUID();
+    this.#taken = { version: 0, sequence: 0 };
     this.#inProgress = 0;
     await this.start();
   }
@@ -214,12 +216,18 @@
   #takeGrants(body: Buffer, response: ServerResponse): void {
     const message = JSON.parse(body.toString()) as {
       boot: string;
+      version: number;
+      sequence: number;
       grants: HeldGrant[];
     };
-    if (message.boot !== this.#boot) {
+    const { version, sequence } = message;
+    const isOld = version < this.#taken.version ||
+      (version === this.#taken.version && sequence < this.#taken.sequence);
+    if (message.boot !== this.#boot || isOld) {
       response.writeHead(409).end();
       return;
     }
+    this.#taken = { version, sequence };
     this.#grants = message.grants;
     this.#options.history.record({
       kind: "granted",
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -7,8 +7,7 @@
 import { configurationOf } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
-import { deltaSince } from "@kingcupglade/ownership";
-import type { RollOutcome, TableDelta } from "@kingcupglade/ownership";
+import type { RollOutcome } from "@kingcupglade/ownership";
 import { Replication } from "@kingcupglade/protocol";
 import { ReplicaStorage } from "@kingcupglade/storage";
 import type { Clock } from "@kingcupglade/tasks";
@@ -17,6 +16,7 @@
 import type { ResolvedSettings } from "../settings/schema.ts";
 import { gatherFounders, namesReplica, storeFounders } from "./bootstrap.ts";
 import type { Hello } from "./bootstrap.ts";
+import { DeltaCache } from "./delta_cache.ts";
 import { ControlUnavailableError, NotLeaderError } from "./errors.ts";
 import { GrantSender } from "./grant_sender.ts";
 import { LeaderSession } from "./leader_session.ts";
@@ -30,6 +30,7 @@
 
 const coordinationMilliseconds = 50;
 const foundingMilliseconds = 200;
+const noBytes = new Uint8Array();
 
 /** Options of a {@link ControlTask}. */
 export interface ControlTaskOptions {
@@ -50,8 +51,8 @@
 export interface RenewalAnswer {
   readonly leaseMilliseconds: number;
   readonly tableVersion: number;
-  /** Null when nothing changed. */
-  readonly delta: TableDelta | null;
+  /** Encoded table delta; empty when nothing changed. */
+  readonly delta: Uint8Array<ArrayBuffer>;
 }
 
 /** Runs the control replica of a VM with a data folder. */
@@ -62,6 +63,7 @@
   readonly #sender: ReplicaSender;
   readonly #timer: NodeJS.Timeout;
   readonly #waiters = new Set<() => void>();
+  readonly #deltas = new DeltaCache();
   #replica: ReplicaTask | undefined;
   #session: LeaderSession | undefined;
   #member: boolean;
@@ -140,20 +142,23 @@
     holdMilliseconds: number,
   ): Promise<RenewalAnswer> {
     await this.#leading().renewVm(renewal);
-    void this.#session?.coordinate();
+    this.#session?.coordinate();
     const { replica } = this.#required();
     if (replica.control.version <= renewal.appliedVersion) {
       await this.#nextChange(holdMilliseconds);
     }
-    await this.#leading().renewVm(renewal);
-    const { version } = replica.control;
+    const session = this.#leading();
+    const { load: _counted, ...unchanged } = renewal;
+    const leaseMilliseconds = await session.renewVm(unchanged);
+    const { control } = replica;
+    const isNews = control.version > renewal.appliedVersion;
+    if (isNews) session.noteSent(renewal.vm.name, control.version);
     return {
-      leaseMilliseconds:
-        this.#options.settings.control.routingLeaseMilliseconds,
-      tableVersion: version,
-      delta: version > renewal.appliedVersion
-        ? deltaSince(replica.control, renewal.appliedVersion)
-        : null,
+      leaseMilliseconds,
+      tableVersion: control.version,
+      delta: isNews
+        ? this.#deltas.since(control, renewal.appliedVersion)
+        : noBytes,
     };
   }
 
@@ -283,6 +288,7 @@
 
   #changed(): void {
     this.#updateSession();
+    this.#session?.coordinate();
     for (const wake of this.#waiters) wake();
     this.#waiters.clear();
   }
@@ -300,6 +306,7 @@
         grants: this.#grants,
         clock,
         logger,
+        metrics,
         ...settings.control,
       })
       : undefined;
@@ -308,7 +315,7 @@
   #tick(): void {
     if (!this.#replica) return this.#tryFounding();
     this.#updateSession();
-    void this.#session?.coordinate();
+    this.#session?.coordinate();
   }
 
   #tryFounding(): void {
--- /dev/null
+++ b/packages/kingcupglade/control/delta_cache.ts
@@ -0,0 +1,25 @@
+import { deltaSince } from "@kingcupglade/ownership";
+import type { ControlState } from "@kingcupglade/ownership";
+import { encodeValue } from "@kingcupglade/protocol";
+
+/**
+ * Encoded table deltas of the current state: most VMs route by the same
+ * version and are sent the same bytes.
+ */
+export class DeltaCache {
+  #state: ControlState | undefined;
+  readonly #deltas = new Map<number, Uint8Array<ArrayBuffer>>();
+
+  /** The encoded changes since a version. */
+  since(state: ControlState, from: number): Uint8Array<ArrayBuffer> {
+    if (this.#state !== state) {
+      this.#state = state;
+      this.#deltas.clear();
+    }
+    const known = this.#deltas.get(from);
+    if (known) return known;
+    const delta = encodeValue(deltaSince(state, from));
+    this.#deltas.set(from, delta);
+    return delta;
+  }
+}
--- a/packages/kingcupglade/control/grant_sender.ts
+++ b/packages/kingcupglade/control/grant_sender.ts
@@ -9,6 +9,10 @@
   readonly boot: string;
   readonly address: string;
   readonly grants: readonly Grant[];
+  /** Table version that the grants follow from. */
+  readonly version: number;
+  /** Orders the pushes of one version. */
+  readonly sequence: number;
 }
 
 /** Tells targets over HTTP which ranges they hold. */
@@ -40,7 +44,12 @@
           authorization: `Bearer ${this.#secret}`,
           "content-type": "application/json",
         },
-        body: JSON.stringify({ boot: push.boot, grants: push.grants }),
+        body: JSON.stringify({
+          boot: push.boot,
+          version: push.version,
+          sequence: push.sequence,
+          grants: push.grants,
+        }),
         headersTimeout: grantTimeoutMilliseconds,
         bodyTimeout: grantTimeoutMilliseconds,
         signal: AbortSignal.timeout(grantTimeoutMilliseconds),
--- a/packages/kingcupglade/control/leader_session.ts
+++ b/packages/kingcupglade/control/leader_session.ts
@@ -1,25 +1,34 @@
-import { LeaseTable } from "@kingcupglade/membership";
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
-import { coordinate } from "@kingcupglade/ownership";
+import { coordinate, LoadEstimates, RangeIndex } from "@kingcupglade/ownership";
 import type {
   ControlCommand,
   ControlState,
   CoordinatorPlan,
-  Grant,
+  GroupLoadReport,
   LeaderView,
+  LoadView,
   VmRecord,
 } from "@kingcupglade/ownership";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
-import type { Logger } from "@kingcupglade/telemetry";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { GrantSender } from "./grant_sender.ts";
 import type { ReplicaTask } from "./replica_task.ts";
+import { TargetBook } from "./target_book.ts";
+import { VmBook } from "./vm_book.ts";
+
+/** Time between two rounds of coordination at least. */
+const coordinationPauseMilliseconds = 5;
+/** Time between two plans that even out the load. */
+const balanceMilliseconds = 1000;
 
 /** What a VM says when it renews its routing lease. */
 export interface VmRenewal {
   readonly vm: Omit<VmRecord, "changedAt">;
   readonly appliedVersion: number;
   readonly quiescentVersion: number;
+  /** Requests counted since its last report. */
+  readonly load?: readonly GroupLoadReport[];
 }
 
 /** Options of a {@link LeaderSession}. */
@@ -28,84 +37,84 @@
   readonly grants: GrantSender;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly routingLeaseMilliseconds: number;
   readonly targetLeaseMilliseconds: number;
 }
 
-interface KnownVm {
-  readonly boot: string;
-  readonly appliedVersion: number;
-  readonly quiescentVersion: number;
-}
-
-interface KnownTarget {
-  readonly boot: string;
-  readonly held: readonly Grant[] | null;
-  readonly pushing: boolean;
-}
-
 /**
  * What a control replica knows and does while it leads: the leases that it has
  * given, the grants that targets confirmed, and the next steps of every range.
  */
 export class LeaderSession {
   readonly #options: LeaderSessionOptions;
-  readonly #vmLeases: LeaseTable;
-  readonly #targetLeases: LeaseTable;
-  readonly #vms = new Map<string, KnownVm>();
-  readonly #targets = new Map<string, KnownTarget>();
-  #coordinating = false;
+  readonly #vms: VmBook;
+  readonly #targets: TargetBook;
+  readonly #estimates: LoadEstimates;
+  readonly #index = new RangeIndex();
+  /** VMs whose removal is proposed and not yet known to be committed. */
+  readonly #removals = new Map<string, Promise<unknown>>();
+  #loads: LoadView = new Map();
+  #balancedAt: number;
+  #coordinatedAt = -Infinity;
+  #timer: NodeJS.Timeout | undefined;
+  #running = false;
+  #requested = false;
+  #pushSequence = 0;
   #ended = false;
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
     const since = options.clock.now();
-    this.#vmLeases = new LeaseTable({
-      leaseMilliseconds: options.routingLeaseMilliseconds,
-    }, since);
-    this.#targetLeases = new LeaseTable({
-      leaseMilliseconds: options.targetLeaseMilliseconds,
-    }, since);
+    this.#vms = new VmBook(options.routingLeaseMilliseconds, since);
+    this.#targets = new TargetBook(options.targetLeaseMilliseconds, since);
+    this.#estimates = new LoadEstimates(since);
+    this.#balancedAt = since;
   }
 
   /** Ends the session; nothing is proposed or pushed any more. */
   end(): void {
     this.#ended = true;
+    clearTimeout(this.#timer);
   }
 
-  /** Renews a VM's routing lease, registering the VM first when it is new. */
-  async renewVm(renewal: VmRenewal): Promise<void> {
-    const { vm, appliedVersion, quiescentVersion } = renewal;
+  /**
+   * Renews a VM's routing lease, registering the VM first when it is new.
+   * Returns the lease in milliseconds; 0 when the VM gets none because it does
+   * not apply what it is sent.
+   */
+  async renewVm(renewal: VmRenewal): Promise<number> {
+    const { vm, load } = renewal;
+    // The lease counts from here on, so that no removal is planned meanwhile.
+    const renewed = this.#vms.renew(renewal, this.#now);
+    if (load) this.#estimates.note(load);
+    if (!renewed) return 0;
+    await this.#removals.get(vm.name);
     const known = this.#state.vms.get(vm.name);
     if (!known || known.boot !== vm.boot || known.leaving !== vm.leaving) {
       await this.#propose({ kind: "putVm", vm });
     }
-    this.#vmLeases.renew(vm.name, vm.boot, this.#now);
-    this.#vms.set(vm.name, {
-      boot: vm.boot,
-      appliedVersion,
-      quiescentVersion,
-    });
+    return this.#options.routingLeaseMilliseconds;
+  }
+
+  /** Notes that a VM is sent the table of a version. */
+  noteSent(vm: string, version: number): void {
+    this.#vms.noteSent(vm, version, this.#now);
   }
 
   /** Renews a target's lease, registering the target first when it changed. */
   async renewTarget(announcement: Announcement): Promise<AnnouncementReply> {
     const refusal = this.#refuseAnnouncement(announcement);
-    if (refusal !== null) {
-      return { accepted: false, reason: refusal, leaseMilliseconds: 0 };
-    }
+    if (refusal !== null) return refused(refusal);
     const { load: _load, ...described } = announcement;
     const known = this.#state.targets.get(announcement.target);
     const target = { ...described, region: this.#regionOf(announcement) };
-    if (!known || !describesSame(known, target)) {
-      await this.#propose({ kind: "putTarget", target });
+    const changes = !known || !describesSame(known, target);
+    if (changes && !this.#targets.allowsChange(target.target, this.#now)) {
+      return refused("the target changes its description too often");
     }
-    this.#noteBoot(announcement);
-    this.#targetLeases.renew(
-      announcement.target,
-      announcement.boot,
-      this.#now,
-    );
+    this.#targets.renew(announcement, this.#now);
+    if (changes) await this.#propose({ kind: "putTarget", target });
     return {
       accepted: true,
       reason: "",
@@ -113,41 +122,56 @@
     };
   }
 
-  /** Plans and proposes the next steps, unless the last ones are under way. */
-  async coordinate(): Promise<void> {
-    if (this.#coordinating || this.#ended) return;
-    this.#coordinating = true;
+  /** Plans and proposes the next steps soon; calls close together share one. */
+  coordinate(): void {
+    this.#requested = true;
+    if (this.#timer || this.#running || this.#ended) return;
+    const pause = this.#coordinatedAt + coordinationPauseMilliseconds -
+      this.#now;
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      void this.#coordinate();
+    }, Math.max(0, pause));
+  }
+
+  async #coordinate(): Promise<void> {
+    if (this.#ended) return;
+    this.#running = true;
+    this.#requested = false;
+    this.#coordinatedAt = this.#now;
     try {
-      const plan = coordinate(this.#state, this.#view);
+      const plan = coordinate(this.#state, this.view, {
+        index: this.#index,
+        balance: this.#isBalanceDue(),
+      });
       for (const push of plan.pushes) void this.#push(push);
-      await Promise.all(plan.commands.map((each) => this.#propose(each)));
+      await Promise.all(plan.commands.map((each) => this.#carryOut(each)));
     } catch (failure) {
       this.#options.logger.warn("coordination-interrupted", {
         reason: describeFailure(failure),
       });
     } finally {
-      this.#coordinating = false;
+      this.#running = false;
+      if (this.#requested) this.coordinate();
     }
   }
 
-  /** What the session knows beyond the replicated state. */
-  get view(): LeaderView {
-    return this.#view;
+  #isBalanceDue(): boolean {
+    if (this.#now < this.#balancedAt + balanceMilliseconds) return false;
+    this.#balancedAt = this.#now;
+    this.#loads = this.#estimates.view(this.#now);
+    return true;
   }
 
-  get #view(): LeaderView {
+  /** What the session knows beyond the replicated state. */
+  get view(): LeaderView {
     const now = this.#now;
     return {
-      vm: (name) => ({
-        lapsed: this.#vmLeases.hasLapsed(name, now),
-        lapsesAt: this.#vmLeases.lapsesAt(name),
-        appliedVersion: this.#vms.get(name)?.appliedVersion ?? 0,
-        quiescentVersion: this.#vms.get(name)?.quiescentVersion ?? 0,
-      }),
-      target: (id) => ({
-        lapsed: this.#targetLeases.hasLapsed(id, now),
-        held: this.#targets.get(id)?.held ?? null,
-      }),
+      vm: (name) => this.#vms.view(name, now),
+      target: (id) => this.#targets.view(id, now),
+      now,
+      vmLostAt: this.#vms.lostAt,
+      loads: this.#loads,
     };
   }
 
@@ -163,6 +187,32 @@
     return this.#options.replica.propose(command);
   }
 
+  async #carryOut(command: ControlCommand): Promise<void> {
+    if (command.kind === "removeVm") return await this.#removeVm(command);
+    if (command.kind === "removeTarget") this.#targets.forget(command.target);
+    if (command.kind === "changeRanges") {
+      for (const { kind } of command.changes) {
+        this.#options.metrics.rangeChanges.inc({ kind });
+      }
+    }
+    await this.#propose(command);
+  }
+
+  // A VM that returns meanwhile waits, so that it is registered after its
+  // removal and not removed while it holds a lease.
+  async #removeVm(
+    command: Extract<ControlCommand, { readonly kind: "removeVm" }>,
+  ): Promise<void> {
+    this.#vms.noteRemoval(command.name);
+    const removal = this.#propose(command);
+    this.#removals.set(command.name, removal);
+    try {
+      await removal;
+    } finally {
+      this.#removals.delete(command.name);
+    }
+  }
+
   #refuseAnnouncement(announcement: Announcement): string | null {
     const bundle = this.#state.bundle?.bundle;
     if (!bundle) return "no bundle is in force yet";
@@ -173,7 +223,11 @@
     if (!bundle.dataCentres.some((each) => each.name === dataCentre)) {
       return `the bundle in force names no data centre "${dataCentre}"`;
     }
-    return null;
+    return this.#targets.refusal(
+      announcement,
+      this.#state.targets,
+      this.#now,
+    );
   }
 
   #regionOf(announcement: Announcement): string {
@@ -182,37 +236,28 @@
     )?.region ?? "";
   }
 
-  // A new incarnation, or one whose lease lapsed, holds nothing.
-  #noteBoot(announcement: Announcement): void {
-    const { target, boot } = announcement;
-    const known = this.#targets.get(target);
-    const lapsed = this.#targetLeases.hasLapsed(target, this.#now);
-    if (known?.boot === boot && !lapsed) return;
-    const held = lapsed ? [] : null;
-    this.#targets.set(target, { boot, held, pushing: false });
-  }
-
   async #push(push: CoordinatorPlan["pushes"][number]): Promise<void> {
-    const known = this.#targets.get(push.target);
-    if (!known || known.boot !== push.boot || known.pushing) return;
-    this.#targets.set(push.target, { ...known, pushing: true });
-    const confirmed = await this.#options.grants.push(push);
-    const current = this.#targets.get(push.target);
-    if (!current || current.boot !== push.boot) return;
-    this.#targets.set(push.target, {
-      ...current,
-      held: confirmed ? push.grants : current.held,
-      pushing: false,
+    if (!this.#targets.beginPush(push)) return;
+    this.#pushSequence += 1;
+    const confirmed = await this.#options.grants.push({
+      ...push,
+      version: this.#state.version,
+      sequence: this.#pushSequence,
     });
+    this.#targets.endPush(push, { confirmed, now: this.#now });
     if (!confirmed) {
       this.#options.logger.warn("grants-not-confirmed", {
         target: push.target,
       });
     }
-    void this.coordinate();
+    this.coordinate();
   }
 }
 
+function refused(reason: string): AnnouncementReply {
+  return { accepted: false, reason, leaseMilliseconds: 0 };
+}
+
 function describesSame(
   known: object,
   described: Readonly<Record<string, unknown>>,
--- a/packages/kingcupglade/control/routing_task.ts
+++ b/packages/kingcupglade/control/routing_task.ts
@@ -1,6 +1,6 @@
-import { RoutingTable } from "@kingcupglade/ownership";
+import { RequestCounter, RoutingTable } from "@kingcupglade/ownership";
 import type { TableDelta } from "@kingcupglade/ownership";
-import { decodeValue } from "@kingcupglade/protocol";
+import { decodeValue, encodeValue } from "@kingcupglade/protocol";
 import type { RenewResponse } from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -11,6 +11,11 @@
 const renewTimeoutMilliseconds = 700;
 const retryPauseMilliseconds = 50;
 const settlingPauseMilliseconds = 5;
+const reportMilliseconds = 1000;
+/** Time in which control takes the duties of a leaving VM away. */
+const leaveTimeoutMilliseconds = 1500;
+const farewellTimeoutMilliseconds = 300;
+const noBytes = new Uint8Array();
 
 /** What a VM says of itself when it renews. */
 export interface VmDescription {
@@ -47,6 +52,8 @@
   #table = RoutingTable.empty;
   #leaseUntil = -Infinity;
   #leaseWasValid = false;
+  readonly #counter = new RequestCounter();
+  #reportedAt = -Infinity;
   #quiescence: QuiescenceSource | undefined;
   #leaving = false;
   #stopped = false;
@@ -90,15 +97,51 @@
     });
   }
 
-  /** Tells control that this VM is about to stop. */
-  leave(): void {
+  /** Counts a keyed request for the load reports. */
+  noteRequest(group: string, position: number): void {
+    this.#counter.add(group, position);
+  }
+
+  /**
+   * Tells control that this VM is about to stop, and waits until it holds no
+   * duties any more, for a bounded time.
+   */
+  async leave(): Promise<void> {
     this.#leaving = true;
+    const until = this.#options.clock.now() + leaveTimeoutMilliseconds;
+    while (this.#holdsRoles && this.#options.clock.now() < until) {
+      await this.nextTable(until - this.#options.clock.now());
+    }
   }
 
-  /** Stops renewing. */
+  /** Stops renewing; the requests of this VM must have ended. */
   async stop(): Promise<void> {
     this.#stopped = true;
     await this.#finished;
+    if (this.#leaving && this.hasLease) await this.#sayFarewell();
+  }
+
+  get #holdsRoles(): boolean {
+    const { name } = this.#options.vm;
+    return [...this.#table.roles.values()].some((role) =>
+      role.holder === name || role.standby === name
+    );
+  }
+
+  // Moves of ranges do not wait for the lease of a VM that has finished.
+  async #sayFarewell(): Promise<void> {
+    try {
+      await this.#send({
+        quiescentVersion: Number.MAX_SAFE_INTEGER,
+        holdMilliseconds: 0,
+        timeoutMilliseconds: farewellTimeoutMilliseconds,
+      });
+    } catch (failure) {
+      this.#options.logger.debug("farewell-failed", {
+        reason: describeFailure(failure),
+      });
+    }
+    this.#leaseUntil = -Infinity;
   }
 
   async #run(): Promise<void> {
@@ -116,12 +159,26 @@
   }
 
   async #renew(): Promise<void> {
-    const { vm, control, clock } = this.#options;
-    const quiescentVersion = this.#quiescentVersion();
-    const settling = quiescentVersion < this.#table.version;
+    const settling = this.#quiescentVersion() < this.#table.version;
     if (settling) await pause(settlingPauseMilliseconds);
-    const sentAt = clock.now();
-    const answer = await control.callOnce((service) =>
+    const sentAt = this.#options.clock.now();
+    const answer = await this.#send({
+      quiescentVersion: this.#quiescentVersion(),
+      holdMilliseconds: settling ? 0 : holdMilliseconds,
+      timeoutMilliseconds: renewTimeoutMilliseconds,
+    });
+    this.#accept(answer, sentAt);
+  }
+
+  #send(renewal: {
+    readonly quiescentVersion: number;
+    readonly holdMilliseconds: number;
+    readonly timeoutMilliseconds: number;
+  }): Promise<RenewResponse> {
+    const { vm, control } = this.#options;
+    const observations = this.#takeReport();
+    const { quiescentVersion } = renewal;
+    return control.callOnce((service) =>
       service.renew({
         vm: vm.name,
         boot: vm.boot,
@@ -130,12 +187,20 @@
         peerAddress: vm.peerAddress,
         replica: vm.replica ?? "",
         appliedVersion: this.#table.version,
-        quiescentVersion: this.#quiescentVersion(),
+        quiescentVersion,
         leaving: this.#leaving,
-        holdMilliseconds: settling ? 0 : holdMilliseconds,
-      }, { timeoutMs: renewTimeoutMilliseconds })
+        holdMilliseconds: renewal.holdMilliseconds,
+        observations,
+      }, { timeoutMs: renewal.timeoutMilliseconds })
     );
-    this.#accept(answer, sentAt);
+  }
+
+  #takeReport(): Uint8Array<ArrayBuffer> {
+    const now = this.#options.clock.now();
+    if (now < this.#reportedAt + reportMilliseconds) return noBytes;
+    this.#reportedAt = now;
+    const reports = this.#counter.take();
+    return reports.length > 0 ? encodeValue(reports) : noBytes;
   }
 
   #quiescentVersion(): number {
@@ -146,6 +211,7 @@
   #accept(answer: RenewResponse, sentAt: number): void {
     if (answer.delta.length > 0) {
       const next = this.#table.apply(decodeValue<TableDelta>(answer.delta));
+      // An empty table asks for the whole one and routes nothing meanwhile.
       this.#table = next ?? RoutingTable.empty;
       this.#options.metrics.tableVersion.set(this.#table.version);
     }
--- /dev/null
+++ b/packages/kingcupglade/control/target_book.ts
@@ -0,0 +1,150 @@
+import { LeaseTable, RateLimiter } from "@kingcupglade/membership";
+import type { Announcement } from "@kingcupglade/membership";
+import type { Grant, TargetRecord, TargetView } from "@kingcupglade/ownership";
+
+/** Targets that control keeps at most. */
+const maximumTargets = 4096;
+/** Time for which a target may leave its grants unconfirmed. */
+const confirmMilliseconds = 1000;
+/** Time after which a target that did not confirm is tried again. */
+const readmissionMilliseconds = 5000;
+/** Changes of its description that a target may make at once, and a second. */
+const changesPerTarget = { burst: 8, perSecond: 2 } as const;
+
+interface KnownTarget {
+  readonly boot: string;
+  readonly held: readonly Grant[] | null;
+  readonly pushing: boolean;
+  /** Since when its pushes have failed; null when the last one was confirmed. */
+  readonly failingSince: number | null;
+}
+
+/** What the leader knows of the targets' leases and confirmed grants. */
+export class TargetBook {
+  readonly #leases: LeaseTable;
+  readonly #known = new Map<string, KnownTarget>();
+  readonly #changes = new RateLimiter(changesPerTarget);
+
+  constructor(leaseMilliseconds: number, since: number) {
+    this.#leases = new LeaseTable({ leaseMilliseconds }, since);
+  }
+
+  /**
+   * Why a target gets no lease now, or null. `targets` are those that are
+   * known to control.
+   */
+  refusal(
+    announcement: Announcement,
+    targets: ReadonlyMap<string, TargetRecord>,
+    now: number,
+  ): string | null {
+    const record = targets.get(announcement.target);
+    if (!record) {
+      return targets.size < maximumTargets
+        ? null
+        : `${maximumTargets} targets are known already`;
+    }
+    return record.boot === announcement.boot
+      ? this.#sameBootRefusal(announcement, record, now)
+      : this.#newBootRefusal(announcement, record, now);
+  }
+
+  /** Whether a target may change its description now. */
+  allowsChange(target: string, now: number): boolean {
+    return this.#changes.allows(target, now);
+  }
+
+  /** Renews a lease. */
+  renew(announcement: Announcement, now: number): void {
+    const { target, boot } = announcement;
+    const known = this.#known.get(target);
+    // What a new incarnation or a returned one holds is known once it confirms.
+    if (known?.boot !== boot || this.#leases.hasLapsed(target, now)) {
+      const failingSince = known?.boot === boot ? known.failingSince : null;
+      this.#known.set(target, {
+        boot,
+        held: null,
+        pushing: false,
+        failingSince,
+      });
+    }
+    this.#leases.renew(target, boot, now);
+  }
+
+  /** Forgets a target that control has removed. */
+  forget(target: string): void {
+    this.#known.delete(target);
+    this.#changes.forget(target);
+  }
+
+  /** The target's lease and grants as the planner sees them. */
+  view(target: string, now: number): TargetView {
+    return {
+      lapsed: this.#leases.hasLapsed(target, now),
+      lapsesAt: this.#leases.lapsesAt(target),
+      held: this.#known.get(target)?.held ?? null,
+    };
+  }
+
+  /** Begins to tell a target its grants; false when it may not be told now. */
+  beginPush(push: { readonly target: string; readonly boot: string }): boolean {
+    const known = this.#known.get(push.target);
+    if (!known || known.boot !== push.boot || known.pushing) return false;
+    this.#known.set(push.target, { ...known, pushing: true });
+    return true;
+  }
+
+  /** Notes what came of a push. */
+  endPush(
+    push: {
+      readonly target: string;
+      readonly boot: string;
+      readonly grants: readonly Grant[];
+    },
+    result: { readonly confirmed: boolean; readonly now: number },
+  ): void {
+    const known = this.#known.get(push.target);
+    if (!known || known.boot !== push.boot) return;
+    const { confirmed, now } = result;
+    this.#known.set(push.target, {
+      ...known,
+      held: confirmed ? push.grants : known.held,
+      pushing: false,
+      failingSince: confirmed ? null : known.failingSince ?? now,
+    });
+  }
+
+  #sameBootRefusal(
+    announcement: Announcement,
+    record: TargetRecord,
+    now: number,
+  ): string | null {
+    const { target, service, address } = announcement;
+    if (record.service !== service) {
+      return `target "${target}" announced service "${record.service}" before; restart it to change its service`;
+    }
+    const known = this.#known.get(target);
+    if (!known || known.failingSince === null) return null;
+    const failing = now - known.failingSince;
+    if (failing > readmissionMilliseconds) {
+      this.#known.set(target, { ...known, failingSince: null });
+      return null;
+    }
+    return failing > confirmMilliseconds
+      ? `no grants can be delivered to ${address}; see that the control VMs reach it there`
+      : null;
+  }
+
+  // A process at the same address has replaced the one before it; one at
+  // another address may stand beside it until the lease has lapsed.
+  #newBootRefusal(
+    announcement: Announcement,
+    record: TargetRecord,
+    now: number,
+  ): string | null {
+    const { target, address } = announcement;
+    return record.address === address || this.#leases.hasLapsed(target, now)
+      ? null
+      : `target "${target}" holds a lease at ${record.address}; wait until it lapses, or choose another name`;
+  }
+}
--- a/packages/kingcupglade/gateway/owner_chooser.ts
+++ b/packages/kingcupglade/gateway/owner_chooser.ts
@@ -26,6 +26,7 @@
   choose(matched: MatchedRequest, key: string): Destination | Refusal {
     const { table } = this.#routing;
     const { service, tenant } = matched;
+    const subject = { service, tenant };
     const position = this.#hasher.position({ service, tenant, key });
     const found = table.rangeOf(matched, position);
     const owner = found?.range.owner && table.targets.get(found.range.owner);
@@ -41,7 +42,10 @@
         [Header.position]: String(position),
         [Header.group]: group,
       },
-      begin: () => this.#inProgress.begin({ group, position, epoch }),
+      begin: () => {
+        this.#routing.noteRequest(group, position);
+        return this.#inProgress.begin({ ...subject, group, position, epoch });
+      },
       isCurrent: () => {
         const range = this.#routing.table.rangeOf(matched, position)?.range;
         return range?.phase === RangePhase.serving && range.epoch === epoch;
--- a/packages/kingcupglade/gateway/requests_in_progress.ts
+++ b/packages/kingcupglade/gateway/requests_in_progress.ts
@@ -4,6 +4,8 @@
 
 /** The range that a request in progress was sent for. */
 export interface RangeUse {
+  readonly service: string;
+  readonly tenant: string;
   readonly group: string;
   readonly position: number;
   readonly epoch: number;
@@ -32,6 +34,8 @@
       const range = ranges?.[findRange(ranges, use.position)];
       const current = range?.phase === RangePhase.serving &&
         range.epoch === use.epoch;
+      const rehoming = table.rehomingOf(use);
+      if (rehoming) version = Math.min(version, rehoming.at - 1);
       if (!current) version = Math.min(version, (range?.changedAt ?? 1) - 1);
     }
     return version;
--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -4,6 +4,7 @@
 import { parseSignedBundle } from "@kingcupglade/bundle";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import type { Announcement } from "@kingcupglade/membership";
+import type { GroupLoadReport } from "@kingcupglade/ownership";
 import {
   Control,
   decodeValue,
@@ -16,8 +17,6 @@
 import type { ResolvedTls } from "../settings/tls.ts";
 import { HttpListener } from "./http_listener.ts";
 
-const noBytes = new Uint8Array();
-
 /** Opens the listener for the other VMs. */
 export function openPeersListener(options: {
   readonly address: string;
@@ -84,11 +83,14 @@
           },
           appliedVersion,
           quiescentVersion,
+          load: request.observations.length > 0
+            ? decodeValue<readonly GroupLoadReport[]>(request.observations)
+            : [],
         }, request.holdMilliseconds);
         return {
           leaseMilliseconds: answer.leaseMilliseconds,
           tableVersion: answer.tableVersion,
-          delta: answer.delta ? encodeValue(answer.delta) : noBytes,
+          delta: answer.delta,
         };
       }),
     announce: (request) =>
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -169,8 +169,10 @@
     const parts = this.#parts;
     parts.markStopping();
     parts.logger.info("vm-stopping");
-    parts.routing.leave();
-    await new Promise((resolve) => setTimeout(resolve, leaveMilliseconds));
+    await Promise.all([
+      parts.routing.leave(),
+      new Promise((resolve) => setTimeout(resolve, leaveMilliseconds)),
+    ]);
     await parts.callers.close();
     await parts.routing.stop();
     await parts.control?.stop().catch((failure) =>
--- a/packages/membership/mod.ts
+++ b/packages/membership/mod.ts
@@ -11,3 +11,5 @@
 export type { Announcement, AnnouncementReply } from "./announcement.ts";
 export { LeaseTable } from "./lease_table.ts";
 export type { Lease, LeaseOptions } from "./lease_table.ts";
+export { RateLimiter } from "./rate_limiter.ts";
+export type { RateLimit } from "./rate_limiter.ts";
--- /dev/null
+++ b/packages/membership/rate_limiter.ts
@@ -0,0 +1,50 @@
+/** How often something may happen. */
+export interface RateLimit {
+  /** Times at once. */
+  readonly burst: number;
+  readonly perSecond: number;
+}
+
+interface Allowance {
+  left: number;
+  at: number;
+}
+
+const maximumSubjects = 16_384;
+
+/** Bounds how often each of many subjects may do something. */
+export class RateLimiter {
+  readonly #limit: RateLimit;
+  readonly #allowances = new Map<string, Allowance>();
+
+  constructor(limit: RateLimit) {
+    this.#limit = limit;
+  }
+
+  /** Takes one from a subject's allowance; false when it is used up. */
+  allows(subject: string, now: number): boolean {
+    const { burst, perSecond } = this.#limit;
+    const allowance = this.#allowances.get(subject) ?? { left: burst, at: now };
+    const earned = (now - allowance.at) / 1000 * perSecond;
+    allowance.left = Math.min(burst, allowance.left + earned);
+    allowance.at = now;
+    this.#remember(subject, allowance);
+    if (allowance.left < 1) return false;
+    allowance.left -= 1;
+    return true;
+  }
+
+  /** Forgets a subject. */
+  forget(subject: string): void {
+    this.#allowances.delete(subject);
+  }
+
+  // The subject seen longest ago is forgotten first.
+  #remember(subject: string, allowance: Allowance): void {
+    this.#allowances.delete(subject);
+    this.#allowances.set(subject, allowance);
+    if (this.#allowances.size <= maximumSubjects) return;
+    const oldest = this.#allowances.keys().next().value;
+    if (oldest !== undefined) this.#allowances.delete(oldest);
+  }
+}
--- a/packages/ownership/apply.ts
+++ b/packages/ownership/apply.ts
@@ -8,6 +8,7 @@
   verifyBundle,
 } from "@kingcupglade/bundle";
 import type { Bundle, SignedBundle } from "@kingcupglade/bundle";
+import { nextSteps } from "./bundle_steps.ts";
 import type {
   CommandOutcome,
   ControlCommand,
@@ -15,6 +16,7 @@
 } from "./commands.ts";
 import { applyRangeChanges, initialRanges } from "./ranges.ts";
 import { groupId, roleId } from "./model.ts";
+import { planRehoming } from "./rehoming.ts";
 import type {
   ControlState,
   PlacementGroup,
@@ -84,6 +86,11 @@
         ...state,
         groups: applyRangeChanges(state.groups, command.changes, version),
       });
+    case "endRehoming":
+      return applied({
+        ...state,
+        rehomings: state.rehomings.filter((each) => each.at > command.until),
+      });
     case "assignRoles":
       return applied(assignRoles(state, command.roles));
   }
@@ -184,9 +191,14 @@
       signed,
       bundle,
       changedAt: state.version,
+      steps: nextSteps(current, signed, state.version),
     };
+    const rehomings = [
+      ...state.rehomings,
+      ...planRehoming(current?.bundle, bundle, state.version),
+    ];
     return rolled(
-      syncGroups({ ...state, bundle: record }, bundle),
+      syncGroups({ ...state, bundle: record, rehomings }, bundle),
       acceptedRoll(record),
     );
   } catch (cause) {
--- /dev/null
+++ b/packages/ownership/balance.ts
@@ -0,0 +1,245 @@
+import { TargetCondition } from "@kingcupglade/membership";
+import type { RangeChange } from "./commands.ts";
+import { cutRange, isWorthCutting, maximumRanges } from "./cuts.ts";
+import type { LoadView } from "./load.ts";
+import type { ControlState, PlacementGroup, RangeRecord } from "./model.ts";
+import { RangePhase } from "./model.ts";
+import type { GroupIndex } from "./range_index.ts";
+import { ownerKey } from "./range_index.ts";
+import { levelOf, rangeLoad } from "./receivers.ts";
+import type { Receiver, Receivers } from "./receivers.ts";
+
+/** Bounds of the moves that even out the load. */
+export interface BalanceOptions {
+  /** Ranges under way at once, in all. @default 1 for 8 targets, at least 4 */
+  readonly maximumMoving?: number;
+  /** Ranges under way to one serving target; a cold one gets one. @default 4 */
+  readonly maximumIncoming?: number;
+  /** Load above the mean that is left alone. @default 0.1 */
+  readonly tolerance?: number;
+}
+
+/** What the balance is planned from. */
+export interface BalanceInput {
+  readonly state: ControlState;
+  readonly indexes: ReadonlyMap<string, GroupIndex>;
+  /** With the loads of all serving ranges and of those on their way. */
+  readonly receivers: Receivers;
+  readonly loads: LoadView | undefined;
+  /** Ranges that are under way already. */
+  readonly moving: number;
+}
+
+/** A range with its group and load. */
+interface LoadedRange {
+  readonly group: PlacementGroup;
+  readonly range: RangeRecord;
+  readonly load: number;
+}
+
+const defaultMaximumIncoming = 4;
+const defaultTolerance = 0.1;
+const targetsPerMove = 8;
+const minimumMoving = 4;
+/** A move must take at least this share of what its donor has too much. */
+const minimumGainShare = 0.1;
+/** A target with less than this share of the mean is given ranges. */
+const underloadShare = 0.75;
+const maximumCutsPerService = 96;
+
+/**
+ * The moves and cuts that even out the load of each service's targets: always
+ * from the target with the most load for its weight, until it is near the mean
+ * or the bounds are reached. The same input gives the same plan.
+ */
+export function planBalance(
+  input: BalanceInput,
+  options: BalanceOptions = {},
+): readonly RangeChange[] {
+  const services = new Set<string>();
+  for (const group of input.state.groups.values()) services.add(group.service);
+  return [...services].sort().flatMap((service) =>
+    new ServiceBalance(service, input, options).plan()
+  );
+}
+
+class ServiceBalance {
+  readonly #input: BalanceInput;
+  readonly #tolerance: number;
+  readonly #maximumIncoming: number;
+  readonly #groups: readonly PlacementGroup[];
+  readonly #donors: Receiver[];
+  readonly #mean: number;
+  readonly #changes: RangeChange[] = [];
+  readonly #moved = new Set<RangeRecord>();
+  #moves: number;
+  #cuts = maximumCutsPerService;
+
+  constructor(
+    service: string,
+    input: BalanceInput,
+    options: BalanceOptions,
+  ) {
+    this.#input = input;
+    this.#tolerance = options.tolerance ?? defaultTolerance;
+    this.#maximumIncoming = options.maximumIncoming ?? defaultMaximumIncoming;
+    this.#groups = [...input.state.groups.values()].filter((each) =>
+      each.service === service
+    );
+    this.#donors = [
+      ...new Set(
+        this.#groups.flatMap((group) => input.receivers.fitFor(group)),
+      ),
+    ];
+    const weight = sum(this.#donors.map((each) => each.weight));
+    this.#mean = sum(this.#donors.map((each) => each.load)) /
+      Math.max(1, weight);
+    this.#moves = (options.maximumMoving ??
+      Math.max(
+        minimumMoving,
+        Math.ceil(this.#donors.length / targetsPerMove),
+      )) - input.moving;
+  }
+
+  plan(): readonly RangeChange[] {
+    const donors = this.#donors.filter((each) => this.#hasTooMuch(each))
+      .sort((left, right) => levelOf(right) - levelOf(left));
+    for (const donor of donors) this.#relieve(donor);
+    const empty = this.#donors.filter((each) => this.#hasTooLittle(each))
+      .sort((left, right) => levelOf(left) - levelOf(right));
+    for (const receiver of empty) this.#fill(receiver);
+    return this.#changes;
+  }
+
+  #hasTooLittle(receiver: Receiver): boolean {
+    return levelOf(receiver) < this.#mean * underloadShare;
+  }
+
+  /** Moves ranges to a target that has little, from those with the most. */
+  #fill(receiver: Receiver): void {
+    const donors = this.#donors.filter((each) =>
+      levelOf(each) > this.#mean * (1 - this.#tolerance)
+    ).sort((left, right) => levelOf(right) - levelOf(left));
+    for (const donor of donors.slice(0, this.#maximumIncoming)) {
+      if (this.#moves <= 0 || !this.#takesMore(receiver)) return;
+      if (!this.#hasTooLittle(receiver)) return;
+      const loaded = this.#servingRanges(donor).find(({ group, range, load }) =>
+        !this.#moved.has(range) &&
+        this.#input.receivers.fitFor(group).includes(receiver) &&
+        (receiver.load + load) / receiver.weight <
+          (donor.load - load) / donor.weight
+      );
+      if (loaded) this.#move(donor, { loaded, receiver });
+    }
+  }
+
+  #hasTooMuch(donor: Receiver): boolean {
+    return levelOf(donor) > this.#mean * (1 + this.#tolerance);
+  }
+
+  #relieve(donor: Receiver): void {
+    const ranges = this.#servingRanges(donor);
+    const cut = new Set<RangeRecord>();
+    while (this.#hasTooMuch(donor) && this.#moves > 0) {
+      const move = this.#bestMove(donor, ranges);
+      if (!move) break;
+      this.#move(donor, move);
+      ranges.splice(ranges.indexOf(move.loaded), 1);
+    }
+    const excess = donor.load - this.#mean * donor.weight;
+    for (const { group, range, load } of ranges) {
+      const isTooLarge = load > excess / 2 &&
+        levelOf(donor) > this.#mean * (1 + this.#tolerance);
+      if (!isTooLarge || cut.has(range) || this.#cuts <= 0) break;
+      cut.add(range);
+      this.#cut(group, range, excess);
+    }
+  }
+
+  /** The serving ranges of a donor, those with the most load first. */
+  #servingRanges(donor: Receiver): LoadedRange[] {
+    const { indexes, loads } = this.#input;
+    const key = ownerKey(donor.target.target, donor.target.boot);
+    return this.#groups.flatMap((group) =>
+      (indexes.get(group.id)?.owners.get(key)?.ranges ?? [])
+        .filter((range) => range.phase === RangePhase.serving)
+        .map((range) => ({
+          group,
+          range,
+          load: rangeLoad(loads, { ...range, group: group.id }),
+        }))
+    ).sort((left, right) =>
+      right.load - left.load || left.range.start - right.range.start
+    );
+  }
+
+  /** The largest range whose move leaves its receiver below its donor. */
+  #bestMove(
+    donor: Receiver,
+    ranges: readonly LoadedRange[],
+  ): { readonly loaded: LoadedRange; readonly receiver: Receiver } | null {
+    const excess = donor.load - this.#mean * donor.weight;
+    for (const loaded of ranges) {
+      const { load, group } = loaded;
+      if (load < excess * minimumGainShare) return null;
+      const receiver = this.#input.receivers.least(
+        group,
+        load,
+        (each) => each !== donor && this.#takesMore(each),
+      );
+      if (!receiver) continue;
+      const after = (receiver.load + load) / receiver.weight;
+      const evens = after < (donor.load - load) / donor.weight ||
+        after < this.#mean * (1 + this.#tolerance / 2);
+      if (evens) return { loaded, receiver };
+    }
+    return null;
+  }
+
+  #takesMore(receiver: Receiver): boolean {
+    const limit = receiver.target.condition === TargetCondition.cold
+      ? 1
+      : this.#maximumIncoming;
+    return receiver.incoming < limit;
+  }
+
+  #move(
+    donor: Receiver,
+    move: { readonly loaded: LoadedRange; readonly receiver: Receiver },
+  ): void {
+    const { loaded: { group, range, load }, receiver } = move;
+    donor.load -= load;
+    receiver.load += load;
+    receiver.incoming += 1;
+    this.#moved.add(range);
+    this.#moves -= 1;
+    this.#changes.push({
+      kind: "stop",
+      group: group.id,
+      start: range.start,
+      epoch: range.epoch,
+    });
+  }
+
+  #cut(group: PlacementGroup, range: RangeRecord, excess: number): void {
+    const { state, loads } = this.#input;
+    const room = maximumRanges(state, group) - group.ranges.length;
+    if (!isWorthCutting({ state, group, loads }, range)) return;
+    const cuts = cutRange(range, loads?.get(group.id), excess / 2);
+    if (cuts.length === 0 || cuts.length > Math.min(room, this.#cuts)) return;
+    this.#cuts -= cuts.length;
+    for (const cut of cuts) {
+      this.#changes.push({
+        kind: "split",
+        group: group.id,
+        start: cut.start,
+        epoch: range.epoch,
+        at: cut.at,
+      });
+    }
+  }
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, each) => total + each, 0);
+}
--- /dev/null
+++ b/packages/ownership/bundle_life_test.ts
@@ -0,0 +1,165 @@
+import { createOperatorKey, signBundle } from "@kingcupglade/bundle";
+import type { SignedBundle } from "@kingcupglade/bundle";
+import { describe, expect, it } from "vitest";
+import { applyCommand } from "./apply.ts";
+import type { RollOutcome } from "./commands.ts";
+import { coordinate } from "./coordinator.ts";
+import { deltaSince } from "./delta.ts";
+import type { LeaderView } from "./leader_view.ts";
+import { emptyControlState } from "./model.ts";
+import type { ControlState } from "./model.ts";
+import { RoutingTable } from "./routing_table.ts";
+import { decodeControlState, encodeControlState } from "./snapshot.ts";
+
+const key = createOperatorKey();
+const regions = ["north", "south"];
+
+function signed(version: number, changes: object = {}): SignedBundle {
+  const document = {
+    version,
+    operators: [{ name: "operator", publicKey: key.publicKey }],
+    dataCentres: regions.map((region) => ({ name: `${region}-a`, region })),
+    services: [{ name: "stock", kind: "keyed", initialRanges: 2 }],
+    tenants: [{ name: "toolroom" }, { name: "engineers" }],
+    routes: [],
+    ...changes,
+  };
+  return signBundle({ document, signatures: [] }, {
+    operator: "operator",
+    privateKey: key.privateKey,
+  });
+}
+
+function roll(state: ControlState, bundle: SignedBundle) {
+  const applied = applyCommand(
+    state,
+    { kind: "rollBundle", signed: bundle },
+    state.version + 1,
+  );
+  if (applied.outcome.kind !== "rolled") throw new Error("not rolled");
+  return { state: applied.state, outcome: applied.outcome.roll };
+}
+
+function viewWith(quiescentVersion: number, now = 1e6): LeaderView {
+  return {
+    vm: () => ({
+      lapsed: false,
+      lapsesAt: Infinity,
+      appliedVersion: quiescentVersion,
+      quiescentVersion,
+    }),
+    target: () => ({ lapsed: false, held: null }),
+    now,
+    vmLostAt: 0,
+  };
+}
+
+describe("the bundle's life", () => {
+  const first = roll(emptyControlState, signed(5)).state;
+  const second = signed(6, { tenants: [{ name: "toolroom" }] });
+
+  it("answers a resend as the first time, also after a snapshot", () => {
+    const rolled = roll(first, second);
+    const restored = decodeControlState(encodeControlState(rolled.state));
+    expect(roll(restored, second).outcome).toEqual(rolled.outcome);
+  });
+
+  it.each([
+    ["the same version with other content", 6],
+    ["a lower version", 5],
+  ])("answers %s with what is in force", (_, version) => {
+    const { state, outcome } = roll(first, second);
+    const accepted = outcome as RollOutcome & { readonly kind: "accepted" };
+    const other = roll(state, signed(version, { tenants: [] }));
+    expect(other.outcome).toEqual({
+      kind: "conflict",
+      version: 6,
+      digest: accepted.digest,
+    });
+    expect(other.state.bundle).toEqual(state.bundle);
+  });
+
+  it("refuses what the operators in force did not sign", () => {
+    const { document } = signed(6);
+    expect(roll(first, { document, signatures: [] }).outcome.kind)
+      .toBe("refused");
+  });
+
+  it("is the same on VMs that follow by patches, from any version", () => {
+    let state = first;
+    const tables = [RoutingTable.empty.apply(deltaSince(state, 0))!];
+    for (let version = 6; version < 30; version += 1) {
+      state = roll(
+        state,
+        signed(version, { tenants: [{ name: `tenant-${version % 5}` }] }),
+      ).state;
+      tables.push(tables.at(-1)!.apply(deltaSince(state, state.version - 1))!);
+    }
+    for (const table of tables) {
+      const caughtUp = table.apply(deltaSince(state, table.version))!;
+      expect(caughtUp.bundle?.digest).toBe(state.bundle?.digest);
+      expect(caughtUp.bundle?.bundle).toEqual(state.bundle?.bundle);
+    }
+  });
+
+  it("is taken whole by a VM that holds another document", () => {
+    const next = roll(first, second).state;
+    const elsewhere = roll(
+      emptyControlState,
+      signed(5, { routes: [], tenants: [] }),
+    );
+    const table = RoutingTable.empty.apply(deltaSince(elsewhere.state, 0))!;
+    expect(table.apply(deltaSince(next, table.version))).toBeNull();
+  });
+});
+
+describe("a tenant whose home regions change", () => {
+  const before = roll(emptyControlState, signed(1)).state;
+  const { state: during } = roll(
+    before,
+    signed(2, {
+      tenants: [{ name: "toolroom", homeRegions: ["north"] }, {
+        name: "engineers",
+      }],
+    }),
+  );
+  const commandsAt = (view: LeaderView) =>
+    coordinate({ ...during, vms: vmsOf(during) }, view).commands.filter((
+      each,
+    ) => each.kind === "endRehoming");
+
+  it("waits, while the others are served", () => {
+    const table = RoutingTable.empty.apply(deltaSince(during, 0))!;
+    const rangeOf = (tenant: string) =>
+      table.rangeOf({ service: "stock", tenant }, 1);
+    expect(rangeOf("toolroom")).toBeNull();
+    expect(rangeOf("engineers")?.group.id).toBe("stock@north+south");
+  });
+
+  it("is served again once no VM routes by the bundle before", () => {
+    expect(commandsAt(viewWith(during.version - 1))).toEqual([]);
+    const [command] = commandsAt(viewWith(during.version));
+    const after = applyCommand(during, command!, during.version + 1).state;
+    const table = RoutingTable.empty.apply(deltaSince(after, 0))!;
+    expect(table.rangeOf({ service: "stock", tenant: "toolroom" }, 1)?.group.id)
+      .toBe("stock@north");
+  });
+
+  it("waits out the longest deadline after a VM was lost", () => {
+    expect(commandsAt({ ...viewWith(during.version, 999), vmLostAt: 0 }))
+      .toEqual([]);
+  });
+});
+
+function vmsOf(state: ControlState): ControlState["vms"] {
+  return new Map([["vm-1", {
+    name: "vm-1",
+    boot: "first",
+    dataCentre: "north-a",
+    region: "north",
+    peerAddress: "127.0.0.1:1",
+    replica: null,
+    leaving: false,
+    changedAt: state.version,
+  }]]);
+}
--- /dev/null
+++ b/packages/ownership/bundle_steps.ts
@@ -0,0 +1,98 @@
+import {
+  bundleDigest,
+  diffDocuments,
+  parseBundle,
+  patchDocument,
+} from "@kingcupglade/bundle";
+import type { DocumentPatch, SignedBundle } from "@kingcupglade/bundle";
+import type { BundleRecord, BundleStep } from "./model.ts";
+
+const maximumSteps = 16;
+/** Steps are kept while they are shorter than this share of the document. */
+const maximumStepsShare = 0.5;
+
+/** A bundle as it is sent: whole, or as patches of one that the receiver has. */
+export interface SentBundle {
+  readonly version: number;
+  readonly digest: string;
+  readonly changedAt: number;
+  readonly signatures: SignedBundle["signatures"];
+  /** The whole document; absent when patches are sent. */
+  readonly document?: unknown;
+  /** Digest of the document that the first patch applies to. */
+  readonly from?: string;
+  readonly patches?: readonly DocumentPatch[];
+}
+
+/** The steps of a bundle that follows another one. */
+export function nextSteps(
+  before: BundleRecord | null,
+  signed: SignedBundle,
+  at: number,
+): readonly BundleStep[] {
+  if (!before) return [];
+  const patch = diffDocuments(before.signed.document, signed.document);
+  const steps = [
+    ...before.steps ?? [],
+    { from: before.digest, fromAt: before.changedAt, at, patch },
+  ].slice(-maximumSteps);
+  const limit = sizeOf(signed.document) * maximumStepsShare;
+  let size = 0;
+  const kept = steps.toReversed().findIndex((each) =>
+    (size += sizeOf(each.patch)) > limit
+  );
+  return kept === -1 ? steps : steps.slice(steps.length - kept);
+}
+
+/** The bundle for a receiver whose table is of version `since`; 0 has none. */
+export function sendBundle(record: BundleRecord, since: number): SentBundle {
+  const { version, digest, changedAt, signed } = record;
+  const described = {
+    version,
+    digest,
+    changedAt,
+    signatures: signed.signatures,
+  };
+  const steps = record.steps ?? [];
+  const first = steps.findIndex((each) => each.at > since);
+  const isKnown = since > 0 && first !== -1 && since >= steps[first]!.fromAt;
+  if (!isKnown) return { ...described, document: signed.document };
+  const sent = steps.slice(first);
+  return {
+    ...described,
+    from: sent[0]!.from,
+    patches: sent.map((each) => each.patch),
+  };
+}
+
+/**
+ * The bundle that was sent; null when it does not follow from the one that the
+ * receiver has.
+ */
+export function receiveBundle(
+  sent: SentBundle,
+  known: BundleRecord | null,
+): BundleRecord | null {
+  const { version, digest, changedAt, signatures } = sent;
+  const document = documentOf(sent, known);
+  if (document === undefined) return null;
+  return {
+    version,
+    digest,
+    changedAt,
+    signed: { document, signatures },
+    bundle: parseBundle(document),
+  };
+}
+
+function documentOf(sent: SentBundle, known: BundleRecord | null): unknown {
+  if (!sent.patches) return sent.document;
+  if (known?.digest === sent.digest) return known.signed.document;
+  if (!known || known.digest !== sent.from) return undefined;
+  const document = sent.patches.reduce(patchDocument, known.signed.document);
+  return bundleDigest(document) === sent.digest ? document : undefined;
+}
+
+function sizeOf(value: unknown): number {
+  return JSON.stringify(value).length;
+}
--- a/packages/ownership/commands.ts
+++ b/packages/ownership/commands.ts
@@ -51,6 +51,8 @@
     readonly kind: "changeRanges";
     readonly changes: readonly RangeChange[];
   }
+  /** Tenants that a roll up to this version moved are served again. */
+  | { readonly kind: "endRehoming"; readonly until: number }
   | {
     readonly kind: "assignRoles";
     readonly roles: readonly Omit<RoleAssignment, "epoch" | "changedAt">[];
--- a/packages/ownership/coordinator.ts
+++ b/packages/ownership/coordinator.ts
@@ -1,43 +1,24 @@
+import { ServiceKind } from "@kingcupglade/bundle";
 import { TargetCondition } from "@kingcupglade/membership";
-import type { ControlCommand, RangeChange } from "./commands.ts";
-import { mustLeaveOwner } from "./fitness.ts";
+import type { ControlCommand } from "./commands.ts";
 import { grantsSignature } from "./grants.ts";
 import type { Grant } from "./grants.ts";
-import { RangePhase } from "./model.ts";
-import type { ControlState, PlacementGroup, RangeRecord } from "./model.ts";
-import { chooseOwner, OwnerLoads } from "./planner.ts";
+import type { LeaderView } from "./leader_view.ts";
+import type { ControlState } from "./model.ts";
+import { planRanges } from "./planner.ts";
+import type { PlannerOptions } from "./planner.ts";
+import { ownerKey, RangeIndex } from "./range_index.ts";
+import type { GroupIndex, OwnedRanges } from "./range_index.ts";
+import { settledVersion } from "./release.ts";
 import { planRoles } from "./role_planner.ts";
-
-/** What the leader knows of a VM beyond the replicated state. */
-export interface VmView {
-  /** Whether the VM may still act on a routing lease. */
-  readonly lapsed: boolean;
-  /** When the lease lapses, on the leader's clock. */
-  readonly lapsesAt: number;
-  /** Table version that the VM routes by; 0 when it has not said. */
-  readonly appliedVersion: number;
-  /** No request begun under an older version is still in progress there. */
-  readonly quiescentVersion: number;
-}
-
-/** What the leader knows of a target beyond the replicated state. */
-export interface TargetView {
-  /** Whether the target can no longer act on its grants. */
-  readonly lapsed: boolean;
-  /** The grants that the target confirmed last; null when not known. */
-  readonly held: readonly Grant[] | null;
-}
-
-/** The leader's knowledge that is not replicated. */
-export interface LeaderView {
-  readonly vm: (name: string) => VmView;
-  readonly target: (id: string) => TargetView;
-}
+import { settledRehomings } from "./rehoming.ts";
 
 /** Bounds of one round of coordination. */
-export interface CoordinatorOptions {
+export interface CoordinatorOptions extends PlannerOptions {
   /** Range changes in one command at most. @default 512 */
   readonly maximumChanges?: number;
+  /** Kept from one round to the next, so that only changes are walked. */
+  readonly index?: RangeIndex;
 }
 
 /** What a round of coordination wants done. */
@@ -63,30 +44,32 @@
   view: LeaderView,
   options: CoordinatorOptions = {},
 ): CoordinatorPlan {
-  const changes = planRanges(state, view).slice(
-    0,
-    options.maximumChanges ?? defaultMaximumChanges,
-  );
+  const indexes = (options.index ?? new RangeIndex()).update(state.groups);
+  const settled = settledVersion(state, view);
+  const changes = planRanges({ state, view, indexes, settled }, options)
+    .slice(0, options.maximumChanges ?? defaultMaximumChanges);
+  const rehomed = settledRehomings(state, view, settled);
   return {
     commands: [
       ...lapsedVmCommands(state, view),
-      ...lapsedTargetCommands(state, view),
+      ...lapsedTargetCommands({ state, view, indexes }),
       ...roleCommands(state),
+      ...(rehomed === null
+        ? []
+        : [{ kind: "endRehoming" as const, until: rehomed }]),
       ...(changes.length > 0
         ? [{ kind: "changeRanges" as const, changes }]
         : []),
     ],
-    pushes: planPushes(state, view),
+    pushes: planPushes({ state, view, indexes }, settled),
   };
 }
 
-/** The version before which no VM has a request in progress. */
-export function settledVersion(state: ControlState, view: LeaderView): number {
-  let settled = state.version;
-  for (const name of state.vms.keys()) {
-    settled = Math.min(settled, view.vm(name).quiescentVersion);
-  }
-  return settled;
+/** What is known of a round, with the index of its ranges. */
+interface IndexedState {
+  readonly state: ControlState;
+  readonly view: LeaderView;
+  readonly indexes: ReadonlyMap<string, GroupIndex>;
 }
 
 function lapsedVmCommands(
@@ -103,10 +86,8 @@
   return roles.length > 0 ? [{ kind: "assignRoles", roles }] : [];
 }
 
-function lapsedTargetCommands(
-  state: ControlState,
-  view: LeaderView,
-): readonly ControlCommand[] {
+function lapsedTargetCommands(source: IndexedState): readonly ControlCommand[] {
+  const { state, view, indexes } = source;
   return [...state.targets.values()].flatMap((target): ControlCommand[] => {
     if (!view.target(target.target).lapsed) return [];
     const { boot } = target;
@@ -118,129 +99,78 @@
         condition: TargetCondition.lost,
       }];
     }
-    return ownsRanges(state, target.target)
+    return ownsRanges(indexes, target.target)
       ? []
       : [{ kind: "removeTarget", target: target.target, boot }];
   });
 }
 
-function ownsRanges(state: ControlState, target: string): boolean {
-  for (const group of state.groups.values()) {
-    if (group.ranges.some((range) => range.owner === target)) return true;
+function ownsRanges(
+  indexes: ReadonlyMap<string, GroupIndex>,
+  target: string,
+): boolean {
+  for (const { owners } of indexes.values()) {
+    for (const { owner } of owners.values()) if (owner === target) return true;
   }
   return false;
 }
 
-function planRanges(
-  state: ControlState,
-  view: LeaderView,
-): readonly RangeChange[] {
-  const settled = settledVersion(state, view);
-  const loads = new OwnerLoads(state.groups.values());
-  const changes: RangeChange[] = [];
-  for (const group of state.groups.values()) {
-    for (const range of group.ranges) {
-      const change = planRange({ state, view, group, range, settled, loads });
-      if (change) changes.push(change);
-    }
-  }
-  return changes;
-}
-
-function planRange(context: {
-  readonly state: ControlState;
-  readonly view: LeaderView;
-  readonly group: PlacementGroup;
-  readonly range: RangeRecord;
-  readonly settled: number;
-  readonly loads: OwnerLoads;
-}): RangeChange | null {
-  const { state, view, group, range, settled, loads } = context;
-  const reference = { group: group.id, start: range.start, epoch: range.epoch };
-  if (mustLeaveOwner(state, group, range)) {
-    return { kind: "stop", ...reference };
-  }
-  if (range.phase === RangePhase.serving) return null;
-  if (!isReleased({ view, group, range, settled })) return null;
-  const owner = chooseOwner(state, group, loads);
-  if (!owner) {
-    return range.phase === RangePhase.stopping
-      ? { kind: "vacate", ...reference }
-      : null;
-  }
-  loads.add(owner.target, range);
-  return {
-    kind: "grant",
-    ...reference,
-    owner: owner.target,
-    ownerBoot: owner.boot,
-  };
-}
-
-/** Whether nobody can serve the range or send work for it any more. */
-function isReleased(context: {
-  readonly view: LeaderView;
-  readonly group: PlacementGroup;
-  readonly range: RangeRecord;
-  readonly settled: number;
-}): boolean {
-  const { view, group, range, settled } = context;
-  if (range.owner === null) return true;
-  if (settled < range.changedAt) return false;
-  const owner = view.target(range.owner);
-  return owner.lapsed ||
-    (owner.held !== null &&
-      !owner.held.some((grant) =>
-        grant.group === group.id && grant.start < range.end &&
-        grant.end > range.start
-      ));
-}
-
 /** The grants that a target should hold, by target. */
 export function grantsByTarget(
   state: ControlState,
   settled: number,
 ): ReadonlyMap<string, readonly Grant[]> {
-  const grants = new Map<string, Grant[]>();
-  for (const group of state.groups.values()) {
-    for (const range of group.ranges) {
-      const owner = range.owner === null
-        ? undefined
-        : state.targets.get(range.owner);
-      if (!owner || owner.boot !== range.ownerBoot) continue;
-      const finished = range.phase === RangePhase.stopping &&
-        settled >= range.changedAt;
-      if (finished) continue;
-      const list = grants.get(owner.target) ?? [];
-      list.push({
-        group: group.id,
-        start: range.start,
-        end: range.end,
-        epoch: range.epoch,
-      });
-      grants.set(owner.target, list);
-    }
+  const indexes = new RangeIndex().update(state.groups);
+  return new Map(
+    [...state.targets.values()].flatMap((target) => {
+      const owned = ownedBy(indexes, target);
+      const grants = owned.flatMap((each) => each.grants(settled));
+      return grants.length > 0 ? [[target.target, grants] as const] : [];
+    }),
+  );
+}
+
+function ownedBy(
+  indexes: ReadonlyMap<string, GroupIndex>,
+  target: { readonly target: string; readonly boot: string },
+): readonly OwnedRanges[] {
+  const key = ownerKey(target.target, target.boot);
+  const owned: OwnedRanges[] = [];
+  for (const { owners } of indexes.values()) {
+    const ranges = owners.get(key);
+    if (ranges) owned.push(ranges);
   }
-  return grants;
+  return owned;
 }
 
 function planPushes(
-  state: ControlState,
-  view: LeaderView,
+  source: IndexedState,
+  settled: number,
 ): CoordinatorPlan["pushes"] {
-  const wanted = grantsByTarget(state, settledVersion(state, view));
+  const { state, view, indexes } = source;
   return [...state.targets.values()].flatMap((target) => {
     const { lapsed, held } = view.target(target.target);
-    const grants = wanted.get(target.target) ?? [];
     if (lapsed || target.condition === TargetCondition.lost) return [];
-    if (held !== null && grantsSignature(held) === grantsSignature(grants)) {
+    const owned = ownedBy(indexes, target);
+    if (
+      held === null && owned.length === 0 && !isKeyed(state, target.service)
+    ) {
       return [];
     }
+    const wanted = owned.map((each) => each.signature(settled))
+      .filter((each) => each !== "").join(",");
+    if (held !== null && grantsSignature(held) === wanted) return [];
     return [{
       target: target.target,
       boot: target.boot,
       address: target.address,
-      grants,
+      grants: owned.flatMap((each) => each.grants(settled)),
     }];
   });
 }
+
+function isKeyed(state: ControlState, service: string): boolean {
+  return state.bundle?.bundle.services.some((each) =>
+    each.name === service && each.kind === ServiceKind.keyed
+  ) ?? false;
+}
--- a/packages/ownership/delta.ts
+++ b/packages/ownership/delta.ts
@@ -1,9 +1,9 @@
-import { parseBundle } from "@kingcupglade/bundle";
-import type { SignedBundle } from "@kingcupglade/bundle";
+import { sendBundle } from "./bundle_steps.ts";
+import type { SentBundle } from "./bundle_steps.ts";
 import type {
-  BundleRecord,
   ControlState,
   RangeRecord,
+  Rehoming,
   RoleAssignment,
   TargetRecord,
   VmRecord,
@@ -14,12 +14,7 @@
   /** Version that the receiver must have; 0 replaces whatever it has. */
   readonly from: number;
   readonly version: number;
-  readonly bundle: {
-    readonly version: number;
-    readonly digest: string;
-    readonly signed: SignedBundle;
-    readonly changedAt: number;
-  } | null;
+  readonly bundle: SentBundle | null;
   readonly targets: readonly TargetRecord[];
   readonly vms: readonly VmRecord[];
   readonly groups: readonly {
@@ -29,6 +24,8 @@
     readonly ranges: readonly RangeRecord[];
   }[];
   readonly roles: readonly RoleAssignment[];
+  /** All of them, whenever they began. */
+  readonly rehomings: readonly Rehoming[];
   readonly removed: {
     readonly targets: readonly string[];
     readonly vms: readonly string[];
@@ -50,7 +47,7 @@
     from: since,
     version: state.version,
     bundle: state.bundle && isNew(state.bundle)
-      ? withoutParsedBundle(state.bundle)
+      ? sendBundle(state.bundle, since)
       : null,
     targets: [...state.targets.values()].filter(isNew),
     vms: [...state.vms.values()].filter(isNew),
@@ -61,6 +58,7 @@
       ranges: group.ranges.filter(isNew),
     })),
     roles: [...state.roles.values()].filter(isNew),
+    rehomings: state.rehomings,
     removed: {
       targets: removedOf("target"),
       vms: removedOf("vm"),
@@ -68,14 +66,3 @@
     },
   };
 }
-
-function withoutParsedBundle(record: BundleRecord): TableDelta["bundle"] {
-  const { version, digest, signed, changedAt } = record;
-  return { version, digest, signed, changedAt };
-}
-
-/** The bundle record of a delta, with its document checked. */
-export function bundleOfDelta(delta: TableDelta): BundleRecord | null {
-  return delta.bundle &&
-    { ...delta.bundle, bundle: parseBundle(delta.bundle.signed.document) };
-}
--- a/packages/ownership/fitness.ts
+++ b/packages/ownership/fitness.ts
@@ -1,11 +1,5 @@
 import { TargetCondition } from "@kingcupglade/membership";
-import { RangePhase } from "./model.ts";
-import type {
-  ControlState,
-  PlacementGroup,
-  RangeRecord,
-  TargetRecord,
-} from "./model.ts";
+import type { ControlState, PlacementGroup, TargetRecord } from "./model.ts";
 
 /** Whether operators have the data centre in service. */
 export function isDataCentreInService(
@@ -29,15 +23,3 @@
     group.homeRegions.includes(target.region) &&
     isDataCentreInService(state, target.dataCentre);
 }
-
-/** Whether a serving range must leave its owner. */
-export function mustLeaveOwner(
-  state: Pick<ControlState, "bundle" | "targets">,
-  group: PlacementGroup,
-  range: RangeRecord,
-): boolean {
-  if (range.phase !== RangePhase.serving || range.owner === null) return false;
-  const owner = state.targets.get(range.owner);
-  return !owner || owner.boot !== range.ownerBoot ||
-    !isFitOwner(state, group, owner);
-}
--- a/packages/ownership/grants.ts
+++ b/packages/ownership/grants.ts
@@ -7,8 +7,18 @@
   readonly epoch: number;
 }
 
+const signatures = new WeakMap<readonly Grant[], string>();
+
 /** Identifies a set of grants, so that a target is told only of changes. */
 export function grantsSignature(grants: readonly Grant[]): string {
+  const known = signatures.get(grants);
+  if (known !== undefined) return known;
+  const signature = formatGrants(grants);
+  signatures.set(grants, signature);
+  return signature;
+}
+
+function formatGrants(grants: readonly Grant[]): string {
   return grants.map((grant) =>
     `${grant.group}:${grant.start}:${grant.end}:${grant.epoch}`
   ).join(",");
--- a/packages/ownership/mod.ts
+++ b/packages/ownership/mod.ts
@@ -12,15 +12,22 @@
   RangeChange,
   RollOutcome,
 } from "./commands.ts";
-export { coordinate, grantsByTarget, settledVersion } from "./coordinator.ts";
+export { coordinate, grantsByTarget } from "./coordinator.ts";
+export type { CoordinatorOptions, CoordinatorPlan } from "./coordinator.ts";
+export type { LeaderView, TargetView, VmView } from "./leader_view.ts";
+export { LoadEstimates } from "./load.ts";
 export type {
-  CoordinatorOptions,
-  CoordinatorPlan,
-  LeaderView,
-  TargetView,
-  VmView,
-} from "./coordinator.ts";
-export { bundleOfDelta, deltaSince } from "./delta.ts";
+  GroupLoad,
+  GroupLoadReport,
+  HotPosition,
+  LoadView,
+} from "./load.ts";
+export { RangeIndex } from "./range_index.ts";
+export { settledVersion } from "./release.ts";
+export { RequestCounter } from "./request_counter.ts";
+export { receiveBundle, sendBundle } from "./bundle_steps.ts";
+export type { SentBundle } from "./bundle_steps.ts";
+export { deltaSince } from "./delta.ts";
 export type { TableDelta } from "./delta.ts";
 export { isDataCentreInService, isFitOwner } from "./fitness.ts";
 export { grantsSignature } from "./grants.ts";
@@ -37,11 +44,11 @@
   ControlState,
   PlacementGroup,
   RangeRecord,
+  Rehoming,
   RoleAssignment,
   TargetRecord,
   VmRecord,
 } from "./model.ts";
-export { chooseOwner, OwnerLoads } from "./planner.ts";
 export { createKeyHasher, positionSpace } from "./position.ts";
 export type { KeyHasher, KeyIdentity } from "./position.ts";
 export { findRange } from "./ranges.ts";
--- a/packages/ownership/model.ts
+++ b/packages/ownership/model.ts
@@ -1,4 +1,4 @@
-import type { Bundle, SignedBundle } from "@kingcupglade/bundle";
+import type { Bundle, DocumentPatch, SignedBundle } from "@kingcupglade/bundle";
 import type { Announcement, TargetCondition } from "@kingcupglade/membership";
 
 /** Where a range stands between two owners. */
@@ -81,6 +81,17 @@
   readonly changedAt: number;
 }
 
+/** What a roll changed in the document of the bundle before. */
+export interface BundleStep {
+  /** Digest of the document that the patch applies to. */
+  readonly from: string;
+  /** Table version at which that document came into force. */
+  readonly fromAt: number;
+  /** Table version of the roll. */
+  readonly at: number;
+  readonly patch: DocumentPatch;
+}
+
 /** The bundle in force. */
 export interface BundleRecord {
   readonly version: number;
@@ -88,6 +99,8 @@
   readonly signed: SignedBundle;
   readonly bundle: Bundle;
   readonly changedAt: number;
+  /** The latest rolls, oldest first; each patch applies after the one before. */
+  readonly steps?: readonly BundleStep[];
 }
 
 /** A thing that left the table. */
@@ -97,6 +110,15 @@
   readonly at: number;
 }
 
+/** Tenants whose keys move from one placement group to another. */
+export interface Rehoming {
+  readonly service: string;
+  /** All of them when null. */
+  readonly tenants: readonly string[] | null;
+  /** Table version of the roll that moved them. */
+  readonly at: number;
+}
+
 /** The replicated state: everything that must survive. */
 export interface ControlState {
   /** Log index of the last command applied. */
@@ -106,6 +128,8 @@
   readonly targets: ReadonlyMap<string, TargetRecord>;
   readonly groups: ReadonlyMap<string, PlacementGroup>;
   readonly roles: ReadonlyMap<string, RoleAssignment>;
+  /** Their requests wait until no VM routes them to the group before. */
+  readonly rehomings: readonly Rehoming[];
   /** The latest removals, oldest first. */
   readonly removals: readonly Removal[];
   /** Deltas can start at this version or later. */
@@ -120,6 +144,7 @@
   targets: new Map(),
   groups: new Map(),
   roles: new Map(),
+  rehomings: [],
   removals: [],
   deltaFloor: 0,
 };
--- a/packages/ownership/planner.ts
+++ b/packages/ownership/planner.ts
@@ -1,62 +1,239 @@
+import { TargetCondition } from "@kingcupglade/membership";
+import { planBalance } from "./balance.ts";
+import type { BalanceOptions } from "./balance.ts";
+import type { RangeChange } from "./commands.ts";
+import {
+  coldFragments,
+  initialRangeCount,
+  isColdFragment,
+  planMerges,
+} from "./cuts.ts";
 import { isFitOwner } from "./fitness.ts";
+import type { LeaderView } from "./leader_view.ts";
+import type { LoadView } from "./load.ts";
 import { RangePhase } from "./model.ts";
-import type {
-  ControlState,
-  PlacementGroup,
-  RangeRecord,
-  TargetRecord,
-} from "./model.ts";
-
-/** Share of the hash space that each target owns or is about to own. */
-export class OwnerLoads {
-  readonly #shares = new Map<string, number>();
-
-  constructor(groups: Iterable<PlacementGroup>) {
-    for (const group of groups) {
-      for (const range of group.ranges) {
-        if (range.owner !== null && range.phase === RangePhase.serving) {
-          this.add(range.owner, range);
+import type { ControlState, PlacementGroup, RangeRecord } from "./model.ts";
+import type { GroupIndex, OwnedRanges } from "./range_index.ts";
+import { findRange } from "./ranges.ts";
+import { rangeLoad, Receivers } from "./receivers.ts";
+import type { Receiver } from "./receivers.ts";
+import { ReleaseCheck } from "./release.ts";
+
+/** What the steps of the ranges are planned from. */
+export interface PlannerInput {
+  readonly state: ControlState;
+  readonly view: LeaderView;
+  readonly indexes: ReadonlyMap<string, GroupIndex>;
+  readonly settled: number;
+}
+
+/** Options of {@link planRanges}. */
+export interface PlannerOptions extends BalanceOptions {
+  /** Whether to even out the load and to join cold ranges. @default false */
+  readonly balance?: boolean;
+}
+
+/** Ranges that leave working owners at once at least. */
+const minimumLeaving = 16;
+/** Of the ranges that leave working owners, one in this many moves at once. */
+const leavingParts = 3;
+const maximumFragmentsReturned = 16;
+
+interface PlacedRange {
+  readonly group: PlacementGroup;
+  readonly range: RangeRecord;
+  readonly load: number;
+}
+
+/**
+ * The next steps of every range: first the grants of those that are released,
+ * then the stops of those whose owner is lost or must leave, and last the moves
+ * that even out the load. The work is proportional to the owners and to the
+ * ranges under way, not to all ranges.
+ */
+export function planRanges(
+  input: PlannerInput,
+  options: PlannerOptions = {},
+): readonly RangeChange[] {
+  return new RangePlan(input).plan(options);
+}
+
+class RangePlan {
+  readonly #input: PlannerInput;
+  readonly #loads: LoadView | undefined;
+  #receivers: Receivers | undefined;
+  #moving = 0;
+
+  constructor(input: PlannerInput) {
+    this.#input = input;
+    this.#loads = input.view.loads;
+  }
+
+  plan(options: PlannerOptions): readonly RangeChange[] {
+    const grants = this.#grants();
+    const stops = this.#stops();
+    if (!options.balance) return [...grants, ...stops];
+    const moves = stops.length > 0 ? [] : this.#balance(options);
+    return [...grants, ...stops, ...moves];
+  }
+
+  #grants(): readonly RangeChange[] {
+    const { state, view, indexes, settled } = this.#input;
+    const release = new ReleaseCheck(state, view, settled);
+    return this.#unserved(indexes).flatMap((placed): RangeChange[] => {
+      const { group, range, load } = placed;
+      this.#moving += 1;
+      const receiver = this.#receiverOf(placed);
+      if (receiver) {
+        receiver.load += load;
+        receiver.incoming += 1;
+      }
+      if (!release.isReleased(group, range)) return [];
+      const reference = referenceTo(group, range);
+      if (!receiver) {
+        return range.phase === RangePhase.stopping
+          ? [{ kind: "vacate", ...reference }]
+          : [];
+      }
+      const { target, boot } = receiver.target;
+      return [{ kind: "grant", ...reference, owner: target, ownerBoot: boot }];
+    });
+  }
+
+  /** Ranges that are stopping or vacant, those with the most load first. */
+  #unserved(indexes: ReadonlyMap<string, GroupIndex>): readonly PlacedRange[] {
+    const unserved: PlacedRange[] = [];
+    for (const { group, owners, vacant } of indexes.values()) {
+      const add = (range: RangeRecord) =>
+        unserved.push({ group, range, load: this.#loadOf(group, range) });
+      vacant.forEach(add);
+      for (const { stopping } of owners.values()) stopping.forEach(add);
+    }
+    return unserved.sort(byLoad);
+  }
+
+  #receiverOf({ group, range, load }: PlacedRange): Receiver | null {
+    const receivers = this.#knownReceivers();
+    const initial = initialRangeCount(this.#input.state, group);
+    if (isColdFragment(group, range, { loads: this.#loads, initial })) {
+      const neighbour = neighbourOwners(group, range)
+        .map((owner) => receivers.get(owner))
+        .find((each) => each && receivers.fitFor(group).includes(each));
+      if (neighbour) return neighbour;
+    }
+    return receivers.least(group, load);
+  }
+
+  #stops(): readonly RangeChange[] {
+    const { indexes } = this.#input;
+    const lost: PlacedRange[] = [];
+    const leaving: PlacedRange[] = [];
+    for (const { group, owners } of indexes.values()) {
+      for (const owned of owners.values()) {
+        const fate = this.#fateOf(group, owned);
+        if (fate === "stays") continue;
+        const list = fate === "lost" ? lost : leaving;
+        for (const range of owned.ranges) {
+          if (range.phase !== RangePhase.serving) continue;
+          list.push({ group, range, load: this.#loadOf(group, range) });
         }
       }
     }
+    const paced = Math.max(
+      minimumLeaving,
+      Math.ceil(leaving.length / leavingParts),
+    );
+    return [
+      ...lost.sort(byLoad),
+      ...leaving.sort(byLoad).slice(0, Math.max(0, paced - this.#moving)),
+    ].map(({ group, range }) => ({
+      kind: "stop",
+      ...referenceTo(group, range),
+    }));
   }
 
-  /** Counts a range to a target. */
-  add(target: string, range: Pick<RangeRecord, "start" | "end">): void {
-    this.#shares.set(target, this.of(target) + (range.end - range.start));
+  #fateOf(
+    group: PlacementGroup,
+    owned: OwnedRanges,
+  ): "stays" | "leaves" | "lost" {
+    const { state, view } = this.#input;
+    const target = state.targets.get(owned.owner);
+    if (
+      !target || target.boot !== owned.boot ||
+      target.condition === TargetCondition.lost
+    ) return "lost";
+    if (isFitOwner(state, group, target)) return "stays";
+    return view.target(owned.owner).lapsed ? "lost" : "leaves";
   }
 
-  /** Takes a range from a target. */
-  subtract(target: string, range: Pick<RangeRecord, "start" | "end">): void {
-    this.#shares.set(target, this.of(target) - (range.end - range.start));
+  #balance(options: PlannerOptions): readonly RangeChange[] {
+    const { state, indexes } = this.#input;
+    const moves = planBalance({
+      state,
+      indexes,
+      receivers: this.#knownReceivers(),
+      loads: this.#loads,
+      moving: this.#moving,
+    }, options);
+    if (moves.length > 0) return moves;
+    return [...state.groups.values()].flatMap((group) => [
+      ...planMerges(state, group, this.#loads),
+      ...coldFragments(state, group, this.#loads)
+        .slice(0, maximumFragmentsReturned)
+        .map((range) => ({
+          kind: "stop" as const,
+          ...referenceTo(group, range),
+        })),
+    ]);
   }
 
-  /** The width of the target's ranges. */
-  of(target: string): number {
-    return this.#shares.get(target) ?? 0;
+  /** The receivers with the load of all serving ranges. */
+  #knownReceivers(): Receivers {
+    if (this.#receivers) return this.#receivers;
+    const { state, view, indexes } = this.#input;
+    const receivers = new Receivers(state, (name) => {
+      const { lapsed, held } = view.target(name);
+      return lapsed || held === null;
+    });
+    for (const { group, owners } of indexes.values()) {
+      for (const owned of owners.values()) {
+        const receiver = receivers.get(owned.owner);
+        if (receiver?.target.boot !== owned.boot) continue;
+        receiver!.load += owned.servingLoad(
+          this.#loads,
+          (range) => this.#loadOf(group, range),
+        );
+      }
+    }
+    this.#receivers = receivers;
+    return receivers;
   }
+
+  #loadOf(group: PlacementGroup, range: RangeRecord): number {
+    const { start, end } = range;
+    return rangeLoad(this.#loads, { group: group.id, start, end });
+  }
+}
+
+function referenceTo(group: PlacementGroup, range: RangeRecord) {
+  return { group: group.id, start: range.start, epoch: range.epoch };
 }
 
-/** The fit target with the least load for its slots, or null. */
-export function chooseOwner(
-  state: ControlState,
+function neighbourOwners(
   group: PlacementGroup,
-  loads: OwnerLoads,
-): TargetRecord | null {
-  let best: TargetRecord | null = null;
-  for (const target of state.targets.values()) {
-    if (!isFitOwner(state, group, target)) continue;
-    if (best === null || isLessLoaded(target, best, loads)) best = target;
-  }
-  return best;
-}
-
-function isLessLoaded(
-  left: TargetRecord,
-  right: TargetRecord,
-  loads: OwnerLoads,
-): boolean {
-  const difference = loads.of(left.target) / left.slots -
-    loads.of(right.target) / right.slots;
-  return difference < 0 || (difference === 0 && left.target < right.target);
+  range: RangeRecord,
+): readonly string[] {
+  const index = findRange(group.ranges, range.start);
+  return [group.ranges[index - 1], group.ranges[index + 1]].flatMap((each) =>
+    each?.owner && each.phase === RangePhase.serving ? [each.owner] : []
+  );
+}
+
+function byLoad(left: PlacedRange, right: PlacedRange): number {
+  return right.load - left.load || compareText(left.group.id, right.group.id) ||
+    left.range.start - right.range.start;
+}
+
+function compareText(left: string, right: string): number {
+  return left === right ? 0 : left < right ? -1 : 1;
 }
--- /dev/null
+++ b/packages/ownership/planner_test.ts
@@ -0,0 +1,180 @@
+import { parseBundle } from "@kingcupglade/bundle";
+import { describe, expect, it } from "vitest";
+import { PlanningWorld, targetName } from "../experiments/planning_world.ts";
+import { coordinate } from "./coordinator.ts";
+import type { LeaderView } from "./leader_view.ts";
+import { RangePhase } from "./model.ts";
+import { positionSpace } from "./position.ts";
+import { FrequentPositions } from "./request_counter.ts";
+
+function rangesByOwner(world: PlanningWorld): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const { owner } of world.group.ranges) {
+    counts.set(owner ?? "", (counts.get(owner ?? "") ?? 0) + 1);
+  }
+  return counts;
+}
+
+function balance(world: PlanningWorld, seconds: number): void {
+  for (let second = 0; second < seconds; second += 1) {
+    world.round(true);
+    world.settle();
+  }
+}
+
+describe("the planner", () => {
+  describe("with equal targets", () => {
+    it("gives each the same number of ranges and then rests", () => {
+      const world = new PlanningWorld({ targets: 12, initialRanges: 96 });
+      world.settle();
+      balance(world, 5);
+      expect(new Set(rangesByOwner(world).values())).toEqual(new Set([8]));
+      const { version } = world.state;
+      balance(world, 5);
+      expect(world.state.version).toBe(version);
+    });
+
+    it("gives a target that joins ranges, and moves no more than those", () => {
+      const world = new PlanningWorld({ targets: 12, initialRanges: 96 });
+      world.settle();
+      world.movedShare = 0;
+      world.addTarget(12);
+      balance(world, 20);
+      expect(rangesByOwner(world).get(targetName(12))).toBeGreaterThanOrEqual(
+        5,
+      );
+      expect(world.movedShare).toBeLessThanOrEqual(1.5 / 13);
+    });
+  });
+
+  describe("with a cold target", () => {
+    it("gives it the share that its cold slots bear", () => {
+      const world = new PlanningWorld({ targets: 3, initialRanges: 65 });
+      world.addTarget(0, "cold");
+      world.settle();
+      balance(world, 10);
+      expect(rangesByOwner(world).get(targetName(0))).toBeLessThanOrEqual(6);
+    });
+  });
+
+  describe("with a leaving target", () => {
+    it("empties it within two seconds of rounds", () => {
+      const world = new PlanningWorld({ targets: 12, initialRanges: 960 });
+      world.settle();
+      world.addTarget(3, "leaving");
+      for (let round = 0; round < 40; round += 1) world.round();
+      expect(rangesByOwner(world).has(targetName(3))).toBe(false);
+    });
+  });
+
+  describe("with a hot key", () => {
+    const position = Math.floor(positionSpace / 3);
+    const hotLoad = (rate: number) =>
+      new Map([[
+        "stock@region-0+region-1+region-2",
+        {
+          total: 1000 + rate,
+          between: (start: number, end: number) =>
+            (end - start) / positionSpace * 1000 +
+            (start <= position && position < end ? rate : 0),
+          hot: [{ position, rate }],
+        },
+      ]]);
+
+    it("sets it apart, and joins it again when it is cold", () => {
+      const world = new PlanningWorld({ targets: 12, initialRanges: 24 });
+      world.settle();
+      world.loads = hotLoad(300);
+      balance(world, 10);
+      expect(world.group.ranges).toContainEqual(
+        expect.objectContaining({ start: position, end: position + 1 }),
+      );
+      world.loads = hotLoad(0);
+      balance(world, 30);
+      const narrow = world.group.ranges.filter((each) =>
+        each.end - each.start < positionSpace / 1000
+      );
+      expect(narrow).toEqual([]);
+    });
+
+    it("finds hot positions in a long stream with bounded memory", () => {
+      const frequent = new FrequentPositions(64);
+      for (let request = 0; request < 20_000; request += 1) {
+        frequent.add(request % 10 === 0 ? 7 : 1000 + request);
+      }
+      const [hottest] = frequent.above(100);
+      expect(hottest?.position).toBe(7);
+      expect(hottest?.count).toBeGreaterThan(1500);
+    });
+  });
+
+  it("answers the same inputs with the same plan", () => {
+    const plans = [0, 1].map(() => {
+      const world = new PlanningWorld({ targets: 30, initialRanges: 200 });
+      world.settle();
+      world.addTarget(4, "leaving");
+      world.round(true);
+      return world.state.groups;
+    });
+    expect(plans[0]).toEqual(plans[1]);
+  });
+});
+
+describe("the release of a range", () => {
+  function stoppedWorld(checksFences: boolean) {
+    const world = new PlanningWorld({ targets: 2, initialRanges: 4 });
+    world.settle();
+    const document = structuredClone(
+      world.state.bundle!.signed.document,
+    ) as { services: { checksFences: boolean }[] };
+    document.services[0]!.checksFences = checksFences;
+    const state = {
+      ...world.state,
+      bundle: { ...world.state.bundle!, bundle: parseBundle(document) },
+    };
+    const ranges = world.group.ranges.map((each) => ({
+      ...each,
+      phase: each.owner === targetName(0) ? RangePhase.stopping : each.phase,
+    }));
+    const group = { ...world.group, ranges };
+    return { ...state, groups: new Map([[group.id, group]]) };
+  }
+  const viewOf = (changes: {
+    readonly now: number;
+    readonly vmLostAt?: number;
+    readonly held?: readonly never[] | null;
+  }): LeaderView => ({
+    vm: () => ({
+      lapsed: false,
+      lapsesAt: 0,
+      appliedVersion: Infinity,
+      quiescentVersion: Infinity,
+    }),
+    target: (name) => ({
+      lapsed: name === targetName(0) && changes.held === undefined,
+      lapsesAt: 1000,
+      held: name === targetName(0) ? changes.held ?? null : [],
+    }),
+    ...changes,
+  });
+  const grantsOf = (view: LeaderView, checksFences: boolean) =>
+    coordinate(stoppedWorld(checksFences), view).commands.flatMap((each) =>
+      each.kind === "changeRanges"
+        ? each.changes.filter(({ kind }) => kind === "grant")
+        : []
+    ).length;
+
+  it("waits for a restarted owner to confirm what it holds", () => {
+    expect(grantsOf(viewOf({ now: 5000, held: null }), true)).toBe(0);
+    expect(grantsOf(viewOf({ now: 5000, held: [] }), true)).toBe(2);
+  });
+
+  it("waits out the longest deadline where fences are not checked", () => {
+    expect(grantsOf(viewOf({ now: 1001 }), true)).toBe(2);
+    expect(grantsOf(viewOf({ now: 1999 }), false)).toBe(0);
+    expect(grantsOf(viewOf({ now: 2000 }), false)).toBe(2);
+    const lost = { now: 5000, vmLostAt: 4500, held: [] };
+    expect(grantsOf(viewOf(lost), true)).toBe(2);
+    expect(grantsOf(viewOf(lost), false)).toBe(0);
+  });
+});
--- /dev/null
+++ b/packages/ownership/range_index.ts
@@ -0,0 +1,150 @@
+import { grantsSignature } from "./grants.ts";
+import type { Grant } from "./grants.ts";
+import { RangePhase } from "./model.ts";
+import type { PlacementGroup, RangeRecord } from "./model.ts";
+
+/** The ranges that one incarnation of a target owns in one group. */
+export class OwnedRanges {
+  readonly owner: string;
+  readonly boot: string;
+  /** In order of position. */
+  readonly ranges: readonly RangeRecord[];
+  readonly stopping: readonly RangeRecord[];
+  readonly #group: string;
+  #grants: readonly Grant[] | undefined;
+  #signature: string | undefined;
+  #load:
+    | { readonly source: object | undefined; readonly sum: number }
+    | undefined;
+
+  constructor(group: string, ranges: readonly RangeRecord[]) {
+    this.#group = group;
+    this.ranges = ranges;
+    this.owner = ranges[0]!.owner!;
+    this.boot = ranges[0]!.ownerBoot!;
+    this.stopping = ranges.filter((each) => each.phase === RangePhase.stopping);
+  }
+
+  /**
+   * The grants that the owner should hold when every request begun before
+   * `settled` has ended.
+   */
+  grants(settled: number): readonly Grant[] {
+    if (this.stopping.some((each) => settled >= each.changedAt)) {
+      return this.ranges.filter((each) =>
+        each.phase !== RangePhase.stopping || settled < each.changedAt
+      ).map((each) => grantOf(this.#group, each));
+    }
+    this.#grants ??= this.ranges.map((each) => grantOf(this.#group, each));
+    return this.#grants;
+  }
+
+  /** Sum of the loads of the serving ranges; kept while `source` is the same. */
+  servingLoad(
+    source: object | undefined,
+    loadOf: (range: RangeRecord) => number,
+  ): number {
+    if (this.#load && this.#load.source === source) return this.#load.sum;
+    const sum = this.ranges
+      .filter((each) => each.phase === RangePhase.serving)
+      .reduce((total, each) => total + loadOf(each), 0);
+    this.#load = { source, sum };
+    return sum;
+  }
+
+  /** Identifies {@link grants}. */
+  signature(settled: number): string {
+    const grants = this.grants(settled);
+    if (grants !== this.#grants) return grantsSignature(grants);
+    this.#signature ??= grantsSignature(grants);
+    return this.#signature;
+  }
+}
+
+/** The ranges of a group by owner and phase. */
+export interface GroupIndex {
+  readonly group: PlacementGroup;
+  /** By {@link ownerKey}. */
+  readonly owners: ReadonlyMap<string, OwnedRanges>;
+  readonly vacant: readonly RangeRecord[];
+}
+
+/** Names an incarnation of an owner. */
+export function ownerKey(owner: string, boot: string): string {
+  return `${owner}\0${boot}`;
+}
+
+/**
+ * Indexes of the groups, kept from one round to the next: a group that did not
+ * change is not walked again, and an owner whose ranges did not change keeps
+ * its computed grants.
+ */
+export class RangeIndex {
+  readonly #groups = new Map<string, GroupIndex>();
+
+  /** The indexes of the current groups. */
+  update(
+    groups: ReadonlyMap<string, PlacementGroup>,
+  ): ReadonlyMap<string, GroupIndex> {
+    for (const id of this.#groups.keys()) {
+      if (!groups.has(id)) this.#groups.delete(id);
+    }
+    for (const group of groups.values()) {
+      const known = this.#groups.get(group.id);
+      if (known?.group === group) continue;
+      this.#groups.set(group.id, indexGroup(group, known));
+    }
+    return this.#groups;
+  }
+}
+
+function indexGroup(
+  group: PlacementGroup,
+  before: GroupIndex | undefined,
+): GroupIndex {
+  const lists = new Map<string, Map<string, RangeRecord[]>>();
+  const vacant: RangeRecord[] = [];
+  for (const range of group.ranges) {
+    if (range.owner === null) vacant.push(range);
+    else listOf(lists, range).push(range);
+  }
+  const owners = new Map<string, OwnedRanges>();
+  for (const boots of lists.values()) {
+    for (const ranges of boots.values()) {
+      const { owner, ownerBoot } = ranges[0]!;
+      const key = ownerKey(owner!, ownerBoot!);
+      const known = before?.owners.get(key);
+      owners.set(
+        key,
+        known && haveSameElements(known.ranges, ranges)
+          ? known
+          : new OwnedRanges(group.id, ranges),
+      );
+    }
+  }
+  return { group, owners, vacant };
+}
+
+// Two levels, so that no key has to be built for each of many ranges.
+function listOf(
+  lists: Map<string, Map<string, RangeRecord[]>>,
+  range: RangeRecord,
+): RangeRecord[] {
+  let boots = lists.get(range.owner!);
+  if (!boots) lists.set(range.owner!, boots = new Map());
+  let list = boots.get(range.ownerBoot!);
+  if (!list) boots.set(range.ownerBoot!, list = []);
+  return list;
+}
+
+function haveSameElements(
+  left: readonly RangeRecord[],
+  right: readonly RangeRecord[],
+): boolean {
+  return left.length === right.length &&
+    left.every((each, index) => each === right[index]);
+}
+
+function grantOf(group: string, range: RangeRecord): Grant {
+  return { group, start: range.start, end: range.end, epoch: range.epoch };
+}
--- a/packages/ownership/ranges.ts
+++ b/packages/ownership/ranges.ts
@@ -132,7 +132,9 @@
   };
 }
 
+// Stopping ranges are not joined: one may be released before the other.
 function canMerge(left: RangeRecord, right: RangeRecord): boolean {
-  return left.phase === right.phase && left.owner === right.owner &&
+  return left.phase !== RangePhase.stopping && left.phase === right.phase &&
+    left.owner === right.owner &&
     left.ownerBoot === right.ownerBoot;
 }
--- a/packages/ownership/routing_table.ts
+++ b/packages/ownership/routing_table.ts
@@ -1,17 +1,19 @@
 import { homeRegions } from "@kingcupglade/bundle";
-import { bundleOfDelta } from "./delta.ts";
+import { receiveBundle } from "./bundle_steps.ts";
 import type { TableDelta } from "./delta.ts";
 import { groupId } from "./model.ts";
 import type {
   BundleRecord,
   PlacementGroup,
   RangeRecord,
+  Rehoming,
   RoleAssignment,
   TargetRecord,
   VmRecord,
 } from "./model.ts";
 import { roleId } from "./model.ts";
 import { findRange } from "./ranges.ts";
+import { findRehoming } from "./rehoming.ts";
 
 /** A gateway's copy of the table. Each delta gives a new copy. */
 export class RoutingTable {
@@ -21,6 +23,7 @@
   readonly vms: ReadonlyMap<string, VmRecord>;
   readonly groups: ReadonlyMap<string, PlacementGroup>;
   readonly roles: ReadonlyMap<string, RoleAssignment>;
+  readonly rehomings: readonly Rehoming[];
   readonly #targetsByService: ReadonlyMap<string, readonly TargetRecord[]>;
   readonly #homes = new Map<string, readonly string[]>();
 
@@ -32,12 +35,19 @@
     vms: new Map(),
     groups: new Map(),
     roles: new Map(),
+    rehomings: [],
   });
 
   protected constructor(
     content: Pick<
       RoutingTable,
-      "version" | "bundle" | "targets" | "vms" | "groups" | "roles"
+      | "version"
+      | "bundle"
+      | "targets"
+      | "vms"
+      | "groups"
+      | "roles"
+      | "rehomings"
     >,
   ) {
     this.version = content.version;
@@ -46,20 +56,28 @@
     this.vms = content.vms;
     this.groups = content.groups;
     this.roles = content.roles;
+    this.rehomings = content.rehomings;
     this.#targetsByService = groupByService(content.targets);
   }
 
-  /** The table after a delta; null when the delta starts at another version. */
+  /**
+   * The table after a delta; null when the delta starts at another version or
+   * its bundle does not follow from this one's.
+   */
   apply(delta: TableDelta): RoutingTable | null {
     if (delta.from !== 0 && delta.from !== this.version) return null;
     const base = delta.from === 0 ? RoutingTable.empty : this;
+    const bundle = delta.bundle
+      ? receiveBundle(delta.bundle, base.bundle)
+      : base.bundle;
+    if (delta.bundle && !bundle) return null;
     const groups = withoutKeys(base.groups, delta.removed.groups);
     for (const changed of delta.groups) {
       groups.set(changed.id, overlayGroup(groups.get(changed.id), changed));
     }
     return new RoutingTable({
       version: delta.version,
-      bundle: bundleOfDelta(delta) ?? base.bundle,
+      bundle,
       targets: merged(base.targets, {
         removed: delta.removed.targets,
         changed: delta.targets.map((each) => [each.target, each] as const),
@@ -73,6 +91,7 @@
         removed: [],
         changed: delta.roles.map((each) => [roleId(each), each] as const),
       }),
+      rehomings: delta.rehomings,
     });
   }
 
@@ -88,17 +107,28 @@
     return home;
   }
 
-  /** The range of a position, in the group of a service and tenant. */
+  /**
+   * The range of a position, in the group of a service and tenant; null while
+   * the tenant moves from one group to another.
+   */
   rangeOf(
     subject: { readonly service: string; readonly tenant: string },
     position: number,
   ): { readonly group: PlacementGroup; readonly range: RangeRecord } | null {
+    if (this.rehomingOf(subject)) return null;
     const home = this.homeRegionsOf(subject.service, subject.tenant);
     const group = this.groups.get(groupId(subject.service, home));
     const range = group?.ranges[findRange(group.ranges, position)];
     return group && range ? { group, range } : null;
   }
 
+  /** The move of a tenant between placement groups, while it lasts. */
+  rehomingOf(
+    subject: { readonly service: string; readonly tenant: string },
+  ): Rehoming | undefined {
+    return findRehoming(this.rehomings, subject);
+  }
+
   /** The targets of a service, in any condition. */
   targetsOf(service: string): readonly TargetRecord[] {
     return this.#targetsByService.get(service) ?? [];
--- a/packages/ownership/snapshot.ts
+++ b/packages/ownership/snapshot.ts
@@ -35,6 +35,7 @@
   const stored = decode(bytes) as StoredControlState;
   return {
     ...stored,
+    rehomings: stored.rehomings ?? [],
     bundle: stored.bundle && {
       ...stored.bundle,
       bundle: parseBundle(stored.bundle.signed.document),
