Share a target's slots among the VMs as leased credits

Cause: every gateway kept a limit of its own, so nine gateways could put 54 requests on a target with 6 slots, and nine on one that bears 1 while cold.

A report names what a VM holds, wants and got answered; the holder counts the larger of held and granted until the lease and the longest request have passed. A new holder grants no more than each VM says it holds until all VMs reported. Shed answers, failures and a new boot cut the budget to coldSlots for all by a recall; answers let it grow. Requests without a credit wait in queues that are fair by class and tenant, and are refused early when the expected wait exceeds their deadline.

--- /dev/null
+++ b/packages/kingcupglade/credits/credit_directory.ts
@@ -0,0 +1,40 @@
+import { roleId, RoleKind, roleShards } from "@kingcupglade/ownership";
+import type {
+  RoleAssignment,
+  RoutingTable,
+  TargetRecord,
+} from "@kingcupglade/ownership";
+
+const fnvOffset = 0x811c9dc5;
+const fnvPrime = 0x01000193;
+
+/** Names a start of a VM. */
+export function vmIdentity(
+  vm: { readonly name: string; readonly boot: string },
+): string {
+  return `${vm.name}/${vm.boot}`;
+}
+
+/** The role that hands out a target's credits, or undefined without VMs. */
+export function creditRoleOf(
+  table: RoutingTable,
+  target: Pick<TargetRecord, "target" | "region">,
+): RoleAssignment | undefined {
+  const hash = hashName(target.target);
+  const shard = hash % roleShards.credit;
+  const id = { kind: RoleKind.credit, shard };
+  const own = table.roles.get(roleId({ ...id, region: target.region }));
+  if (own?.holder) return own;
+  const regions = [...table.roles.values()].filter((role) =>
+    role.kind === RoleKind.credit && role.shard === shard && role.holder
+  );
+  return regions[hash % Math.max(1, regions.length)];
+}
+
+function hashName(name: string): number {
+  let hash = fnvOffset;
+  for (let index = 0; index < name.length; index += 1) {
+    hash = Math.imul(hash ^ name.charCodeAt(index), fnvPrime) >>> 0;
+  }
+  return hash;
+}
--- /dev/null
+++ b/packages/kingcupglade/credits/credits.ts
@@ -0,0 +1,70 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { Credit } from "@kingcupglade/protocol";
+import { CreditGate } from "@kingcupglade/routing";
+import type { TargetObservations } from "@kingcupglade/routing";
+import type { Clock } from "@kingcupglade/tasks";
+import type { PeerDirectory } from "../control/peers.ts";
+import type { RoutingTask } from "../control/routing_task.ts";
+import { CreditClientTask } from "./credit_client_task.ts";
+import { CreditHolderTask } from "./credit_holder_task.ts";
+
+/** Options of {@link Credits}. */
+export interface CreditsOptions {
+  readonly vm: string;
+  readonly boot: string;
+  readonly routing: RoutingTask;
+  readonly peers: PeerDirectory;
+  readonly clock: Clock;
+  readonly observations: TargetObservations;
+  readonly routingLeaseMilliseconds: number;
+}
+
+/** The shared limits of a VM: its gate, its reports and the shards it holds. */
+export class Credits {
+  readonly gate: CreditGate;
+  readonly #holder: CreditHolderTask;
+  readonly #client: CreditClientTask;
+
+  constructor(options: CreditsOptions) {
+    const { routing, clock, observations } = options;
+    this.gate = new CreditGate({
+      clock,
+      observations,
+      tenantWeight: (tenant) => tenantWeight(routing, tenant),
+      sharingVms: () => routing.table.vms.size,
+      onNeed: () => this.#client.schedule(),
+      onPossiblyCold: () => this.#client.schedule(),
+    });
+    this.#holder = new CreditHolderTask({
+      ...options,
+      recallHere: (targets, recall) => this.#client.recall(targets, recall),
+    });
+    this.#client = new CreditClientTask({
+      ...options,
+      gate: this.gate,
+      exchangeHere: (request) => this.#holder.exchange(request),
+    });
+  }
+
+  /** Serves the other VMs. */
+  readonly addService = (router: ConnectRouter): void => {
+    router.service(Credit, {
+      exchange: (request) => this.#holder.exchange(request),
+      recall: (request) => {
+        this.#client.recall(request.targets, request);
+        return {};
+      },
+    });
+  };
+
+  /** Stops asking for credits and handing them out. */
+  stop(): void {
+    this.#client.stop();
+    this.#holder.stop();
+  }
+}
+
+function tenantWeight(routing: RoutingTask, tenant: string): number {
+  const tenants = routing.table.bundle?.bundle.tenants;
+  return tenants?.find((each) => each.name === tenant)?.weight ?? 1;
+}
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { createKeyHasher } from "@kingcupglade/ownership";
-import { LocalCapacityGate } from "@kingcupglade/routing";
+import { TargetObservations } from "@kingcupglade/routing";
+import type { CapacityGate } from "@kingcupglade/routing";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import {
   createLogger,
@@ -12,6 +13,7 @@
 import { ControlTask } from "./control/control_task.ts";
 import { PeerDirectory } from "./control/peers.ts";
 import { RoutingTask } from "./control/routing_task.ts";
+import { Credits } from "./credits/credits.ts";
 import { ExchangeClient } from "./gateway/exchange.ts";
 import { Gateway } from "./gateway/gateway.ts";
 import { AnnouncementBatcher } from "./listeners/announcement_batcher.ts";
@@ -31,6 +33,8 @@
   readonly settings: ResolvedSettings;
   /** Called when the VM cannot go on. */
   readonly onFailure: (failure: unknown) => void;
+  /** Limits of targets, for measurements. @default credits shared by the VMs */
+  readonly capacity?: CapacityGate;
 }
 
 interface VmParts {
@@ -40,6 +44,7 @@
   readonly control: ControlTask | undefined;
   readonly routing: RoutingTask;
   readonly exchanges: ExchangeClient;
+  readonly credits: Credits;
   readonly listeners: readonly HttpListener[];
   readonly callers: HttpListener;
   readonly markStopping: () => void;
@@ -85,16 +90,11 @@
       });
     const client = () =>
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
-    const peersListener = await openPeersListener({
-      address: listen.peers,
-      tls,
-      secret: secrets.vm,
-      control,
-    });
+    const boot = randomUUID();
     const routing = new RoutingTask({
       vm: {
         name: vm.name,
-        boot: randomUUID(),
+        boot,
         dataCentre: vm.dataCentre,
         region: vm.region,
         peerAddress: listen.peers,
@@ -105,6 +105,23 @@
       logger,
       metrics,
     });
+    const observations = new TargetObservations();
+    const credits = new Credits({
+      vm: vm.name,
+      boot,
+      routing,
+      peers,
+      clock,
+      observations,
+      routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
+    });
+    const peersListener = await openPeersListener({
+      address: listen.peers,
+      tls,
+      secret: secrets.vm,
+      control,
+      services: [credits.addService],
+    });
     const exchanges = new ExchangeClient({
       connectionsPerTarget,
       authority: tls.material?.authority,
@@ -112,7 +129,7 @@
     const gateway = new Gateway({
       routing,
       exchanges,
-      capacity: new LocalCapacityGate(),
+      capacity: options.capacity ?? credits.gate,
       hasher: await createKeyHasher(),
       clock,
       logger,
@@ -153,6 +170,7 @@
       control,
       routing,
       exchanges,
+      credits,
       callers,
       listeners: [targets, operators, peersListener],
       markStopping: () => (stopping = true),
@@ -172,6 +190,7 @@
     parts.routing.leave();
     await new Promise((resolve) => setTimeout(resolve, leaveMilliseconds));
     await parts.callers.close();
+    parts.credits.stop();
     await parts.routing.stop();
     await parts.control?.stop().catch((failure) =>
       parts.logger.warn("control-stop-failed", {
@@ -188,6 +207,7 @@
   async crash(): Promise<void> {
     const parts = this.#parts;
     parts.callers.destroy();
+    parts.credits.stop();
     for (const listener of parts.listeners) listener.destroy();
     parts.peers.close();
     await Promise.allSettled([
--- a/packages/routing/capacity.ts
+++ b/packages/routing/capacity.ts
@@ -28,17 +28,31 @@
 export abstract class CapacityGate {
   /** Waits for a permit until the deadline, or refuses. */
   abstract acquire(request: CapacityRequest): Promise<Permit | Refusal>;
+
+  /** Requests that may begin at a target now. */
+  abstract available(target: TargetRecord): number;
+
+  /** Requests of this VM that the target has or that wait for it. */
+  abstract load(target: TargetRecord): number;
 }
 
 /** A fixed limit for each target, known to this VM alone. */
 export class LocalCapacityGate extends CapacityGate {
   readonly #inProgress = new Map<string, number>();
 
+  override available(target: TargetRecord): number {
+    const limit = target.condition === "cold" ? target.coldSlots : target.slots;
+    return limit - this.load(target);
+  }
+
+  override load(target: TargetRecord): number {
+    return this.#inProgress.get(target.target) ?? 0;
+  }
+
   override acquire(request: CapacityRequest): Promise<Permit | Refusal> {
     const { target } = request;
-    const limit = target.condition === "cold" ? target.coldSlots : target.slots;
-    const used = this.#inProgress.get(target.target) ?? 0;
-    if (used >= limit) {
+    const used = this.load(target);
+    if (this.available(target) <= 0) {
       return Promise.resolve(
         notRun(Reason.overload, { retryAfterSeconds: 1 }),
       );
--- /dev/null
+++ b/packages/routing/credit_account.ts
@@ -0,0 +1,179 @@
+import type { TargetRecord } from "@kingcupglade/ownership";
+
+const peakMilliseconds = 1000;
+
+/** What a VM holds and uses of one target. */
+export class CreditAccount {
+  readonly target: string;
+  #boot: string;
+  #credits = 0;
+  #validUntil = -Infinity;
+  #inProgress = 0;
+  #queued = 0;
+  #answered = 0;
+  #coldBoot = "";
+  #peak = 0;
+  #peakAt = -Infinity;
+  #asked = 0;
+  #isVoid = false;
+  #reportedAt = -Infinity;
+  #mustReport = false;
+  /** What the holder counts for this VM. */
+  #reserved = 0;
+
+  constructor(target: Pick<TargetRecord, "target" | "boot">) {
+    this.target = target.target;
+    this.#boot = target.boot;
+  }
+
+  /** Requests in progress. */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
+  /** Credits that have not lapsed. */
+  credits(now: number): number {
+    return now < this.#validUntil ? this.#credits : 0;
+  }
+
+  /** Whether the VM wants or holds anything. */
+  isIdle(now: number): boolean {
+    return this.#inProgress === 0 && this.credits(now) === 0 &&
+      this.wanted(now) === 0 && !this.#mustReport;
+  }
+
+  /** Whether the holder should hear of it now. */
+  isDue(
+    now: number,
+    times: {
+      /** Pause between reports of changed wishes. */
+      readonly pauseMilliseconds: number;
+      /** Pause between reports that only renew the lease. */
+      readonly renewMilliseconds: number;
+    },
+  ): boolean {
+    const used = Math.max(this.credits(now), this.#inProgress);
+    if (this.#mustReport || this.needsMore || used < this.#reserved) {
+      return true;
+    }
+    const silence = now - this.#reportedAt;
+    if (this.wanted(now) !== this.#asked) {
+      return silence >= times.pauseMilliseconds;
+    }
+    return silence >= times.renewMilliseconds && !this.isIdle(now);
+  }
+
+  /** Credits that it could use: what it used of late, and what waits. */
+  wanted(now: number): number {
+    const used = this.#inProgress + this.#queued;
+    return now - this.#peakAt < peakMilliseconds
+      ? Math.max(used, this.#peak)
+      : used;
+  }
+
+  /** Whether waiting requests need more than was asked for. */
+  get needsMore(): boolean {
+    return this.#queued > 0 && this.#inProgress + this.#queued > this.#asked;
+  }
+
+  /** Drops the credits of an earlier start of the target. */
+  meet(target: Pick<TargetRecord, "boot">): void {
+    if (target.boot === this.#boot) return;
+    this.#boot = target.boot;
+    this.#withhold();
+  }
+
+  /** Notes a request that begins. */
+  begin(now: number): void {
+    this.#inProgress += 1;
+    this.#notePeak(now);
+  }
+
+  /** Notes a request that ended. */
+  end(outcome: { readonly answered: boolean }): void {
+    this.#inProgress -= 1;
+    if (outcome.answered) this.#answered += 1;
+  }
+
+  /** Notes how many requests wait. */
+  queue(length: number, now: number): void {
+    this.#queued = length;
+    this.#notePeak(now);
+  }
+
+  /** Notes a sign that the target turned cold: nothing more until an answer. */
+  notePossiblyCold(): void {
+    this.#coldBoot = this.#boot;
+    this.#withhold();
+  }
+
+  /** Gives up what is not used, as the holder asks. */
+  recall(options: { readonly cold: boolean }): void {
+    this.#peakAt = -Infinity;
+    this.#credits = options.cold
+      ? 0
+      : Math.min(this.#credits, this.#inProgress + this.#queued);
+    if (options.cold) this.#withhold();
+    this.#mustReport = true;
+  }
+
+  /** What the holder is told; answers to earlier reports count no longer. */
+  report(now: number): {
+    readonly target: string;
+    readonly held: number;
+    readonly credits: number;
+    readonly wanted: number;
+    readonly answered: number;
+    readonly coldBoot: string;
+  } {
+    const wanted = this.wanted(now);
+    const credits = Math.min(this.credits(now), wanted);
+    this.#credits = credits;
+    this.#asked = wanted;
+    this.#isVoid = false;
+    this.#mustReport = false;
+    this.#reportedAt = now;
+    const report = {
+      target: this.target,
+      held: Math.max(credits, this.#inProgress),
+      credits,
+      wanted,
+      answered: this.#answered,
+      coldBoot: this.#coldBoot,
+    };
+    this.#answered = 0;
+    this.#coldBoot = "";
+    this.#reserved = report.held;
+    return report;
+  }
+
+  /** Takes over the holder's answer to the last report. */
+  grant(credits: number, validUntil: number): void {
+    this.#credits = this.#isVoid ? 0 : credits;
+    this.#reserved = Math.max(this.#reserved, credits);
+    this.#validUntil = validUntil;
+  }
+
+  /** Notes that the last report was not answered. */
+  reportFailed(report: {
+    readonly answered: number;
+    readonly coldBoot: string;
+  }): void {
+    this.#asked = 0;
+    this.#answered += report.answered;
+    this.#coldBoot ||= report.coldBoot;
+  }
+
+  #withhold(): void {
+    this.#credits = 0;
+    this.#isVoid = true;
+    this.#mustReport = true;
+  }
+
+  #notePeak(now: number): void {
+    const used = this.#inProgress + this.#queued;
+    if (used < this.#peak && now - this.#peakAt < peakMilliseconds) return;
+    this.#peak = used;
+    this.#peakAt = now;
+  }
+}
--- /dev/null
+++ b/packages/routing/credit_gate.ts
@@ -0,0 +1,202 @@
+import type { TargetRecord } from "@kingcupglade/ownership";
+import type { Clock } from "@kingcupglade/tasks";
+import { CapacityGate } from "./capacity.ts";
+import type { CapacityRequest, ExchangeReport, Permit } from "./capacity.ts";
+import { CreditAccount } from "./credit_account.ts";
+import { FairQueue } from "./fair_queue.ts";
+import { notRun, Reason } from "./outcome.ts";
+import type { Refusal } from "./outcome.ts";
+import type { TargetObservations } from "./target_observations.ts";
+
+const maximumQueueLength = 256;
+
+/** Options of a {@link CreditGate}. */
+export interface CreditGateOptions {
+  readonly clock: Clock;
+  readonly observations: TargetObservations;
+  /** Weight of a tenant against the others. */
+  readonly tenantWeight: (tenant: string) => number;
+  /** VMs that share the connections of a target. */
+  readonly sharingVms: () => number;
+  /** Called when requests wait for credits that were not asked for yet. */
+  readonly onNeed: (target: string) => void;
+  /** Called at a sign that a target turned cold. */
+  readonly onPossiblyCold: (target: string) => void;
+}
+
+interface Waiter {
+  readonly admit: () => void;
+}
+
+interface TargetGate {
+  readonly account: CreditAccount;
+  readonly queue: FairQueue<Waiter>;
+  target: TargetRecord;
+}
+
+/** Admits requests to targets within this VM's credits, by fair queues. */
+export class CreditGate extends CapacityGate {
+  readonly #options: CreditGateOptions;
+  readonly #gates = new Map<string, TargetGate>();
+
+  constructor(options: CreditGateOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Accounts of the targets that this VM has had to do with. */
+  *accounts(): Iterable<CreditAccount> {
+    for (const gate of this.#gates.values()) yield gate.account;
+  }
+
+  override available(target: TargetRecord): number {
+    const gate = this.#gates.get(target.target);
+    return gate ? this.#limit(gate) - gate.account.inProgress : 0;
+  }
+
+  override load(target: TargetRecord): number {
+    const gate = this.#gates.get(target.target);
+    return gate ? gate.account.inProgress + gate.queue.size : 0;
+  }
+
+  override acquire(request: CapacityRequest): Promise<Permit | Refusal> {
+    const gate = this.#gateOf(request.target);
+    const now = this.#options.clock.now();
+    if (gate.queue.size === 0 && this.#mayAdmit(gate)) {
+      return Promise.resolve(this.#admit(gate, now));
+    }
+    const wait = this.#estimatedWait(gate);
+    if (
+      gate.queue.size >= maximumQueueLength || now + wait >= request.deadlineAt
+    ) {
+      return Promise.resolve(refuse(wait));
+    }
+    return this.#enqueue(gate, request);
+  }
+
+  /** Takes over a holder's answer and admits what it allows. */
+  grant(
+    target: string,
+    grant: { readonly credits: number; readonly validUntil: number },
+  ): void {
+    const gate = this.#gates.get(target);
+    if (!gate) return;
+    gate.account.grant(grant.credits, grant.validUntil);
+    this.#admitWaiting(gate);
+  }
+
+  /** Takes over the targets of a new table. */
+  meet(targets: ReadonlyMap<string, TargetRecord>): void {
+    const now = this.#options.clock.now();
+    for (const [name, gate] of this.#gates) {
+      const target = targets.get(name);
+      if (target) {
+        gate.target = target;
+        gate.account.meet(target);
+      } else if (gate.queue.size === 0 && gate.account.isIdle(now)) {
+        this.#gates.delete(name);
+      }
+    }
+  }
+
+  #gateOf(target: TargetRecord): TargetGate {
+    const known = this.#gates.get(target.target);
+    if (known) return known;
+    const gate = {
+      account: new CreditAccount(target),
+      queue: new FairQueue<Waiter>(),
+      target,
+    };
+    this.#gates.set(target.target, gate);
+    return gate;
+  }
+
+  #enqueue(
+    gate: TargetGate,
+    request: CapacityRequest,
+  ): Promise<Permit | Refusal> {
+    const { clock, tenantWeight } = this.#options;
+    return new Promise((resolve) => {
+      const expire = () => {
+        remove();
+        gate.account.queue(gate.queue.size, clock.now());
+        resolve(refuse(this.#estimatedWait(gate)));
+      };
+      const timer = setTimeout(
+        expire,
+        Math.max(0, request.deadlineAt - clock.now()),
+      );
+      const admit = () => {
+        clearTimeout(timer);
+        resolve(this.#admit(gate, clock.now()));
+      };
+      const remove = gate.queue.add({ admit }, {
+        class: request.class,
+        tenant: request.tenant,
+        weight: tenantWeight(request.tenant),
+      });
+      this.#noteQueue(gate);
+    });
+  }
+
+  #noteQueue(gate: TargetGate): void {
+    gate.account.queue(gate.queue.size, this.#options.clock.now());
+    if (gate.account.needsMore) this.#options.onNeed(gate.account.target);
+  }
+
+  #admit(gate: TargetGate, now: number): Permit {
+    gate.account.begin(now);
+    return {
+      kind: "permit",
+      release: (report) => this.#release(gate, report),
+    };
+  }
+
+  #release(gate: TargetGate, report: ExchangeReport): void {
+    const { account } = gate;
+    const { clock, observations, onPossiblyCold } = this.#options;
+    account.end({ answered: report.result === "answered" });
+    observations.note(account.target, report, clock.now());
+    if (report.result === "shed" || report.result === "failed") {
+      account.notePossiblyCold();
+      onPossiblyCold(account.target);
+    }
+    this.#admitWaiting(gate);
+  }
+
+  #admitWaiting(gate: TargetGate): void {
+    if (gate.queue.size === 0) return;
+    while (this.#mayAdmit(gate)) {
+      const next = gate.queue.take();
+      if (!next) break;
+      next.admit();
+    }
+    this.#noteQueue(gate);
+  }
+
+  #mayAdmit(gate: TargetGate): boolean {
+    return gate.account.inProgress < this.#limit(gate);
+  }
+
+  #limit(gate: TargetGate): number {
+    const connections = Math.floor(
+      gate.target.connections / Math.max(1, this.#options.sharingVms()),
+    );
+    return Math.min(
+      gate.account.credits(this.#options.clock.now()),
+      Math.max(1, connections),
+    );
+  }
+
+  #estimatedWait(gate: TargetGate): number {
+    const { milliseconds = 0 } =
+      this.#options.observations.of(gate.account.target) ?? {};
+    const ahead = gate.queue.size + gate.account.inProgress;
+    return milliseconds * ahead / Math.max(1, this.#limit(gate));
+  }
+}
+
+function refuse(waitMilliseconds: number): Refusal {
+  const seconds = Math.ceil(waitMilliseconds / 1000);
+  return notRun(Reason.overload, { retryAfterSeconds: Math.max(1, seconds) });
+}
--- /dev/null
+++ b/packages/routing/credit_gate_test.ts
@@ -0,0 +1,111 @@
+import { ManualClock } from "@kingcupglade/tasks";
+import { describe, expect, it } from "vitest";
+import { CreditGate } from "./credit_gate.ts";
+import type { CapacityRequest, Permit } from "./capacity.ts";
+import { TargetObservations } from "./target_observations.ts";
+
+const target = {
+  target: "order-1",
+  boot: "b",
+  service: "order-desk",
+  dataCentre: "recife-a",
+  region: "recife",
+  address: "http://127.0.0.1:1",
+  slots: 4,
+  connections: 110,
+  coldSlots: 1,
+  checksFences: true,
+  condition: "serving",
+  changedAt: 1,
+} as const;
+
+function openGate() {
+  const clock = new ManualClock();
+  const observations = new TargetObservations();
+  const gate = new CreditGate({
+    clock,
+    observations,
+    tenantWeight: (tenant) => tenant === "vets" ? 2 : 1,
+    sharingVms: () => 9,
+    onNeed: () => {},
+    onPossiblyCold: () => {},
+  });
+  const ask = (options: Partial<CapacityRequest> = {}) =>
+    gate.acquire({
+      target,
+      tenant: "keepers",
+      class: "normal",
+      deadlineAt: clock.now() + 1000,
+      ...options,
+    });
+  return { gate, clock, observations, ask };
+}
+
+const answered = { result: "answered", milliseconds: 10 } as const;
+
+describe("a gate with credits", () => {
+  describe("while all its credits are in use", () => {
+    it("admits by class and by tenant weight, and starves nobody", async () => {
+      const { gate, ask } = openGate();
+      const order: string[] = [];
+      const wait = async (name: string, options: Partial<CapacityRequest>) => {
+        const permit = await ask(options);
+        order.push(name);
+        (permit as Permit).release(answered);
+      };
+      const waits = Array.from({ length: 12 }, () => [
+        wait("bulk", { class: "bulk" }),
+        wait("keepers", {}),
+        wait("vets", { tenant: "vets" }),
+        wait("urgent", { class: "urgent" }),
+      ]).flat();
+      gate.grant("order-1", { credits: 1, validUntil: Infinity });
+      await Promise.all(waits);
+      const early = order.slice(0, 13);
+      const count = (name: string) =>
+        early.filter((each) => each === name).length;
+      expect(count("urgent")).toBeGreaterThan(count("vets"));
+      expect(count("vets")).toBeGreaterThan(count("keepers"));
+      expect(count("bulk")).toBe(1);
+    });
+
+    it("refuses at once what would wait past its deadline", async () => {
+      const { gate, observations, ask } = openGate();
+      observations.note("order-1", { ...answered, milliseconds: 400 }, 0);
+      void ask();
+      gate.grant("order-1", { credits: 1, validUntil: Infinity });
+      void ask();
+      void ask();
+      expect(await ask()).toMatchObject({
+        outcome: "not-run",
+        reason: "overload",
+        retryAfterSeconds: 2,
+      });
+    });
+  });
+
+  describe("after its credits lapsed", () => {
+    it("admits nothing until it is granted more", async () => {
+      const { gate, clock, ask } = openGate();
+      void ask();
+      gate.grant("order-1", { credits: 2, validUntil: 100 });
+      expect(gate.available(target)).toBe(1);
+      clock.advance(100);
+      expect(gate.available(target)).toBeLessThanOrEqual(0);
+      const waiting = ask();
+      gate.grant("order-1", { credits: 2, validUntil: 200 });
+      expect(await waiting).toMatchObject({ kind: "permit" });
+    });
+  });
+
+  describe("after a target shed a request", () => {
+    it("sends it nothing more before the holder has answered", async () => {
+      const { gate, ask } = openGate();
+      const waiting = ask();
+      gate.grant("order-1", { credits: 4, validUntil: 1000 });
+      const permit = await waiting as Permit;
+      permit.release({ result: "shed", milliseconds: 1 });
+      expect(gate.available(target)).toBe(0);
+    });
+  });
+});
--- /dev/null
+++ b/packages/routing/credit_role.ts
@@ -0,0 +1,176 @@
+import {
+  askForCredits,
+  describeCreditTarget,
+  dropLapsed,
+  endHolding,
+  openCreditBook,
+  outstanding,
+  recallsOf,
+} from "./credit_book.ts";
+import type { CreditAsk, CreditBook, CreditTarget } from "./credit_book.ts";
+
+/** Times that holders and VMs count with. */
+export interface CreditTimes {
+  /** Credits last this long from the moment that the VM asked for them. */
+  readonly leaseMilliseconds: number;
+  /**
+   * Longest time that a request sent under a credit can go on, and no less
+   * than the routing lease: an earlier holder may grant for that long.
+   */
+  readonly requestMilliseconds: number;
+}
+
+/** A report of a VM on the targets of one shard. */
+export interface CreditReport {
+  /** The VM and its start, so that a restarted VM is another one. */
+  readonly vm: string;
+  readonly sequence: number;
+  readonly targets: readonly (Omit<CreditAsk, "vm"> & {
+    readonly target: string;
+  })[];
+}
+
+/** A target and the VMs that should report on it now. */
+export interface CreditRecall {
+  readonly target: string;
+  readonly vms: readonly string[];
+  /** More is outstanding than the target bears. */
+  readonly overLimit: boolean;
+}
+
+/**
+ * The decisions of a credit holder for one shard at one epoch, without clock
+ * or sockets. A new holder grants a VM no more than the VM says it holds until
+ * every VM has reported or all credits of the earlier holder have lapsed.
+ */
+export class CreditRole {
+  readonly #startedAt: number;
+  readonly #books = new Map<string, CreditBook>();
+  readonly #sequences = new Map<string, number>();
+  /** Targets that an earlier holder cannot have served. */
+  readonly #newTargets = new Set<string>();
+  #times: CreditTimes;
+  #vms: ReadonlySet<string> = new Set();
+  #settled = false;
+
+  constructor(times: CreditTimes, now: number) {
+    this.#times = times;
+    this.#startedAt = now;
+  }
+
+  /** The books by target. */
+  get books(): ReadonlyMap<string, CreditBook> {
+    return this.#books;
+  }
+
+  /** Takes over the targets of the shard and the VMs of the routing table. */
+  describe(
+    table: {
+      readonly targets: readonly CreditTarget[];
+      readonly vms: ReadonlySet<string>;
+      readonly times: CreditTimes;
+    },
+    now: number,
+  ): void {
+    const first = this.#vms.size === 0;
+    this.#describeTargets(table.targets, { first, now });
+    for (const vm of this.#vms) {
+      if (!table.vms.has(vm)) this.#end(vm, now);
+    }
+    this.#vms = table.vms;
+    this.#times = table.times;
+  }
+
+  /** Credits for each target of a report; null when it must be ignored. */
+  report(report: CreditReport, now: number): readonly number[] | null {
+    const last = this.#sequences.get(report.vm) ?? 0;
+    if (!this.#vms.has(report.vm) || report.sequence <= last) return null;
+    this.#sequences.set(report.vm, report.sequence);
+    const { leaseMilliseconds, requestMilliseconds } = this.#times;
+    const lapsesAt = now + leaseMilliseconds + requestMilliseconds;
+    return report.targets.map((ask) => {
+      const book = this.#books.get(ask.target);
+      if (!book) return 0;
+      const answer = askForCredits(book, { ...ask, vm: report.vm }, {
+        now,
+        lapsesAt,
+        mayGrow: this.#mayGrow(ask.target, now),
+      });
+      this.#books.set(ask.target, answer.book);
+      return answer.credits;
+    });
+  }
+
+  /** The VMs that should report at once, for the targets named or for all. */
+  recalls(
+    now: number,
+    targets: Iterable<string> = this.#books.keys(),
+  ): readonly CreditRecall[] {
+    const recalls: CreditRecall[] = [];
+    for (const target of targets) {
+      const book = this.#books.get(target);
+      if (!book || book.holdings.size === 0) continue;
+      if (!this.#mayGrow(target, now)) continue;
+      const recall = recallsOf(book, now);
+      this.#books.set(target, recall.book);
+      const overLimit = outstanding(recall.book) > book.limit;
+      if (recall.vms.length > 0) {
+        recalls.push({ target, vms: recall.vms, overLimit });
+      }
+    }
+    return recalls;
+  }
+
+  // A target may come back while VMs hold credits of its earlier start.
+  #describeTargets(
+    targets: readonly CreditTarget[],
+    context: { readonly first: boolean; readonly now: number },
+  ): void {
+    const { first, now } = context;
+    const named = new Set(targets.map((each) => each.target));
+    for (const [target, book] of this.#books) {
+      const unused = dropLapsed(book, now).holdings.size === 0;
+      if (named.has(target) || !unused) continue;
+      this.#books.delete(target);
+      this.#newTargets.delete(target);
+    }
+    for (const target of targets) {
+      const book = this.#books.get(target.target);
+      if (!book && !first) this.#newTargets.add(target.target);
+      this.#books.set(
+        target.target,
+        book
+          ? describeCreditTarget(book, target)
+          : openCreditBook(target, { started: !first }),
+      );
+    }
+  }
+
+  #end(vm: string, now: number): void {
+    const lapsesAt = now + this.#times.requestMilliseconds;
+    this.#sequences.delete(vm);
+    for (const [target, book] of this.#books) {
+      this.#books.set(target, endHolding(book, vm, lapsesAt));
+    }
+  }
+
+  #mayGrow(target: string, now: number): boolean {
+    return this.#isSettled(now) ||
+      (this.#newTargets.has(target) && this.#everyVmReported());
+  }
+
+  #isSettled(now: number): boolean {
+    if (this.#settled) return true;
+    const { leaseMilliseconds, requestMilliseconds } = this.#times;
+    const waited = now - this.#startedAt;
+    const longest = leaseMilliseconds + 2 * requestMilliseconds;
+    this.#settled = waited >= longest ||
+      (waited >= requestMilliseconds && this.#everyVmReported());
+    return this.#settled;
+  }
+
+  #everyVmReported(): boolean {
+    return this.#vms.size > 0 &&
+      [...this.#vms].every((vm) => this.#sequences.has(vm));
+  }
+}
--- /dev/null
+++ b/packages/routing/credits_test.ts
@@ -0,0 +1,180 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { CreditAccount } from "./credit_account.ts";
+import { CreditRole } from "./credit_role.ts";
+
+const target = { target: "t", boot: "b", slots: 3, coldSlots: 1, cold: false };
+const times = { leaseMilliseconds: 400, requestMilliseconds: 150 };
+const vmNames = ["v1", "v2", "v3", "v4"];
+
+/** Requests of one VM at the target; each ends by its deadline at the latest. */
+class SimulatedVm {
+  readonly account = new CreditAccount(target);
+  readonly running: number[] = [];
+  holder = 0;
+
+  tryBegin(now: number): void {
+    if (this.account.inProgress >= this.account.credits(now)) return;
+    this.account.begin(now);
+    this.running.push(now + times.requestMilliseconds);
+  }
+
+  end(count: number): void {
+    for (const _ of this.running.splice(0, count)) {
+      this.account.end({ answered: true });
+    }
+  }
+}
+
+/** Holders, VMs and the messages between them, in virtual time. */
+class Simulation {
+  now = 0;
+  #sequence = 0;
+  readonly #holders: { role: CreditRole; until: number }[] = [];
+  readonly vms = new Map(vmNames.map((name) => [name, new SimulatedVm()]));
+  readonly messages: (() => void)[] = [];
+
+  constructor() {
+    this.changeHolder();
+  }
+
+  get inProgress(): number {
+    return [...this.vms.values()].reduce(
+      (sum, vm) => sum + vm.running.length,
+      0,
+    );
+  }
+
+  /** The earlier holder goes on for as long as its routing lease allows. */
+  changeHolder(): void {
+    const last = this.#holders.at(-1);
+    if (last) last.until = this.now + times.requestMilliseconds;
+    const role = new CreditRole(times, this.now);
+    const vms = new Set(this.vms.keys());
+    role.describe({ targets: [target], vms, times }, this.now);
+    this.#holders.push({ role, until: Infinity });
+  }
+
+  advance(milliseconds: number): void {
+    this.now += milliseconds;
+    for (const vm of this.vms.values()) {
+      vm.end(vm.running.filter((until) => until <= this.now).length);
+    }
+  }
+
+  /** A VM reports; request, answer or both may be late or lost. */
+  ask(name: string, fate: number): void {
+    const vm = this.vms.get(name)!;
+    const sentAt = this.now;
+    const sequence = ++this.#sequence;
+    const report = vm.account.report(this.now);
+    const { role, until } = this.#holders[vm.holder]!;
+    const deliver = () => {
+      if (this.now >= until && until !== Infinity) return undefined;
+      return role.report({ vm: name, sequence, targets: [report] }, this.now);
+    };
+    if (fate === 0) this.messages.push(deliver);
+    const answer = fate === 0 ? undefined : deliver();
+    if (fate > 1 && answer) {
+      vm.account.grant(answer[0]!, sentAt + times.leaseMilliseconds);
+    } else vm.account.reportFailed(report);
+  }
+
+  followNewHolder(name: string): void {
+    this.vms.get(name)!.holder = this.#holders.length - 1;
+  }
+
+  recall(): void {
+    const { role } = this.#holders.at(-1)!;
+    for (const recall of role.recalls(this.now)) {
+      for (const name of recall.vms) {
+        this.vms.get(name)!.account.recall({ cold: recall.overLimit });
+      }
+    }
+  }
+}
+
+type Action = readonly [kind: number, vm: number, detail: number];
+
+function act(simulation: Simulation, [kind, index, detail]: Action): void {
+  const name = vmNames[index]!;
+  const vm = simulation.vms.get(name)!;
+  if (kind <= 2) vm.tryBegin(simulation.now);
+  else if (kind === 3) vm.end(1);
+  else if (kind <= 6) {
+    vm.account.queue(detail % 3, simulation.now);
+    simulation.ask(name, detail);
+  } else if (kind === 7) simulation.advance(detail * 10);
+  else if (kind === 8) simulation.recall();
+  else if (kind === 9) simulation.followNewHolder(name);
+  else if (kind === 10) simulation.messages.shift()?.();
+  else if (detail > 7) simulation.changeHolder();
+  else if (detail > 6) simulation.advance(100);
+  else if (detail > 5) simulation.advance(500);
+}
+
+describe("credits of one target", () => {
+  const action = fc.tuple(
+    fc.integer({ min: 0, max: 11 }),
+    fc.integer({ min: 0, max: 3 }),
+    fc.integer({ min: 0, max: 8 }),
+  );
+
+  it("never let more run than its slots, whatever is lost or late", () => {
+    fc.assert(
+      fc.property(
+        fc.array(action, { minLength: 300, maxLength: 300 }),
+        (actions) => {
+          const simulation = new Simulation();
+          for (const each of actions) {
+            act(simulation, each);
+            expect(simulation.inProgress).toBeLessThanOrEqual(target.slots);
+          }
+        },
+      ),
+      { seed: 5, numRuns: 1500 },
+    );
+  });
+
+  describe("when every VM wants all of them", () => {
+    it("reach every VM in turn", () => {
+      const simulation = new Simulation();
+      for (const name of vmNames) simulation.ask(name, 2);
+      simulation.advance(200);
+      const served = new Set<string>();
+      for (let round = 0; round < 60; round += 1) {
+        for (const [name, vm] of simulation.vms) {
+          vm.account.queue(3, simulation.now);
+          simulation.ask(name, 2);
+          vm.tryBegin(simulation.now);
+          if (vm.running.length > 0) served.add(name);
+        }
+        simulation.advance(20);
+        simulation.recall();
+        for (const vm of simulation.vms.values()) vm.end(3);
+      }
+      expect([...served].sort()).toEqual(vmNames);
+    });
+  });
+
+  describe("after one VM saw signs of coldness", () => {
+    it("shrink to what the target bears cold and grow with answers", () => {
+      const simulation = new Simulation();
+      for (const name of vmNames) simulation.ask(name, 2);
+      simulation.advance(200);
+      const vm = simulation.vms.get("v1")!;
+      vm.account.queue(3, simulation.now);
+      simulation.ask("v1", 2);
+      expect(vm.account.credits(simulation.now)).toBe(3);
+      vm.account.notePossiblyCold();
+      simulation.ask("v1", 2);
+      expect(vm.account.credits(simulation.now)).toBe(1);
+      for (let answered = 0; answered < 64; answered += 1) {
+        vm.tryBegin(simulation.now);
+        vm.end(1);
+        simulation.ask("v1", 2);
+      }
+      expect(vm.account.credits(simulation.now)).toBe(3);
+    });
+  });
+});
