--- a/packages/bundle/schema.ts
+++ b/packages/bundle/schema.ts
@@ -82,7 +82,8 @@
   outsideHome: z.enum(["forward", "redirect"]).default("forward"),
 });
 
-const bundle = z.strictObject({
+/** The schema of a bundle document. */
+export const bundleSchema = z.strictObject({
   /** Rises with every roll. */
   version: z.number().int().min(1).max(Number.MAX_SAFE_INTEGER),
   operators: z.array(operator).min(1).max(64),
@@ -95,7 +96,7 @@
 });
 
 /** A checked bundle with its defaults filled in. */
-export type Bundle = z.output<typeof bundle>;
+export type Bundle = z.output<typeof bundleSchema>;
 /** A service of a bundle. */
 export type BundleService = Bundle["services"][number];
 /** A route of a bundle. */
@@ -113,7 +114,7 @@
  * @throws {BundleError} with every fault that was found.
  */
 export function parseBundle(document: unknown): Bundle {
-  const result = bundle.safeParse(document);
+  const result = bundleSchema.safeParse(document);
   if (!result.success) {
     throw new BundleError(
       result.error.issues.map((issue) => ({
--- a/packages/fakes/mod.ts
+++ b/packages/fakes/mod.ts
@@ -10,3 +10,4 @@
 export type { FakeCondition, FakeTargetOptions } from "./fake_target.ts";
 export { History } from "./history.ts";
 export type { HistoryEvent, TimedEvent } from "./history.ts";
+export { readReferenceTable } from "./reference_table.ts";
--- /dev/null
+++ b/packages/fakes/reference_table.ts
@@ -0,0 +1,15 @@
+import { readFile } from "node:fs/promises";
+
+/** Keys of the table under a heading of a page, with the last column. */
+export async function readReferenceTable(
+  page: string,
+  heading: string,
+): Promise<ReadonlyMap<string, string>> {
+  const text = await readFile(page, "utf8");
+  const body = text.split(`\n## ${heading}\n`)[1]?.split("\n## ")[0] ?? "";
+  const rows = body.split("\n").filter((line) => line.startsWith("| `"));
+  return new Map(rows.map((line) => {
+    const cells = line.split("|").map((cell) => cell.trim());
+    return [cells[1]!.replaceAll("`", ""), cells.at(-2)!];
+  }));
+}
