Check the right to send at the first byte, and believe only whole answers

Cause: lease, epoch and deadline were checked before a request was queued for a connection, a request given up in that queue was told as unknown, an answer without framing passed as whole, a refusal with two outcomes was believed, and every body was held in memory.

Change: the check is made in undici's onRequestStart, the last hook before the write; a request that ended before it was not sent. The head decides what an answer is: unframed answers and those that echo another exchange are given up as unknown. After the head an idle bound replaces the deadline. A caller may shorten its deadline; two idempotency keys are refused. A range stays in use until the deadline of a request that was given up.

Conclusion: not-run now follows from what was written, not from error codes.

--- /dev/null
+++ b/packages/kingcupglade/gateway/attempts.ts
@@ -0,0 +1,260 @@
+import type { IncomingHttpHeaders } from "node:http";
+import {
+  Header,
+  notRun,
+  Reason,
+  RetryBudget,
+  unknownOutcome,
+} from "@kingcupglade/routing";
+import type {
+  CapacityGate,
+  ExchangeReport,
+  MatchedRequest,
+  Refusal,
+} from "@kingcupglade/routing";
+import type { Clock } from "@kingcupglade/tasks";
+import type { Metrics } from "@kingcupglade/telemetry";
+import type { RoutingTask } from "../control/routing_task.ts";
+import type { RequestBody } from "../listeners/body.ts";
+import type { AnswerSink } from "./answer_sink.ts";
+import type { Destination } from "./destination.ts";
+import type { ExchangeClient } from "./exchange.ts";
+import { UnknownCause } from "./exchange_types.ts";
+import type { ExchangeResult } from "./exchange_types.ts";
+import { WaitingRoom } from "./waiting_room.ts";
+
+const firstPauseMilliseconds = 5;
+const longestPauseMilliseconds = 80;
+
+/** A caller's request, ready to be sent. */
+export interface CallerRequest {
+  readonly matched: MatchedRequest;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: RequestBody;
+  readonly sink: AnswerSink;
+  /** Monotonic time by which the answer must have begun. */
+  readonly deadlineAt: number;
+}
+
+/** Options of {@link Attempts}. */
+export interface AttemptsOptions {
+  readonly routing: RoutingTask;
+  readonly exchanges: ExchangeClient;
+  readonly capacity: CapacityGate;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  /** Where a request goes by the table in use. */
+  readonly choose: (matched: MatchedRequest) => Destination | Refusal;
+  /** Names the range or service that a request waits for. */
+  readonly subjectOf: (matched: MatchedRequest) => string;
+}
+
+/** Sends a request until it was answered, may have run, or is out of time. */
+export class Attempts {
+  readonly #options: AttemptsOptions;
+  readonly #room: WaitingRoom;
+  readonly #budget = new RetryBudget();
+
+  constructor(options: AttemptsOptions) {
+    this.#options = options;
+    this.#room = new WaitingRoom({ routing: options.routing });
+  }
+
+  /** Returns null when the sink got an answer, whole or visibly broken off. */
+  async run(caller: CallerRequest): Promise<Refusal | null> {
+    const { clock, metrics } = this.#options;
+    let pauseMilliseconds = firstPauseMilliseconds;
+    let last = notRun(Reason.deadline);
+    this.#budget.earn();
+    while (clock.now() < caller.deadlineAt && !caller.sink.isClosed) {
+      const destination = this.#choose(caller.matched);
+      if ("kind" in destination) {
+        last = destination;
+        if (await this.#waitForTable(caller)) continue;
+        return notRun(Reason.overload, { retryAfterSeconds: 1 });
+      }
+      const result = await this.#exchange(caller, destination);
+      const next = nextStep(result, caller);
+      if (next.kind === "end") return next.refusal;
+      last = next.refusal;
+      if (!caller.body.canBeSent || !this.#budget.take()) return last;
+      metrics.retries.inc({ reason: last.reason });
+      await pause(pauseMilliseconds);
+      pauseMilliseconds = Math.min(
+        2 * pauseMilliseconds,
+        longestPauseMilliseconds,
+      );
+    }
+    return last;
+  }
+
+  #choose(matched: MatchedRequest): Destination | Refusal {
+    return this.#options.routing.hasLease
+      ? this.#options.choose(matched)
+      : notRun(Reason.noLease, { retryAfterSeconds: 1 });
+  }
+
+  async #exchange(
+    caller: CallerRequest,
+    destination: Destination,
+  ): Promise<ExchangeResult | Refusal> {
+    const { capacity, clock } = this.#options;
+    const { matched, deadlineAt } = caller;
+    const permit = await capacity.acquire({
+      target: destination.target,
+      tenant: matched.tenant,
+      class: matched.route.class,
+      deadlineAt,
+    });
+    if (permit.kind === "refusal") return permit;
+    const startedAt = clock.now();
+    const end = destination.begin();
+    const result = await this.#send(caller, destination);
+    this.#endUse(result, { end, deadlineAt });
+    permit.release(reportOf(result, clock.now() - startedAt));
+    return result;
+  }
+
+  #send(
+    caller: CallerRequest,
+    destination: Destination,
+  ): Promise<ExchangeResult> {
+    const { exchanges, clock, routing } = this.#options;
+    const { body, deadlineAt, method, path, headers, sink } = caller;
+    const timeoutMilliseconds = Math.max(1, deadlineAt - clock.now());
+    return exchanges.run({
+      address: destination.target.address,
+      method,
+      path,
+      headers,
+      body: body.open(),
+      bodyLength: body.streamedLength,
+      added: {
+        ...destination.headers,
+        [Header.deadline]: String(Math.ceil(timeoutMilliseconds)),
+      },
+      timeoutMilliseconds,
+      maySend: () =>
+        routing.hasLease && clock.now() < deadlineAt &&
+        destination.isCurrent() && !sink.isClosed,
+    }, sink);
+  }
+
+  // A target may still carry out a request that was given up, until its
+  // deadline: its range is not released before.
+  #endUse(
+    result: ExchangeResult,
+    use: { readonly end: () => void; readonly deadlineAt: number },
+  ): void {
+    const remaining = use.deadlineAt - this.#options.clock.now();
+    const isOpen = result.kind === "unknown" || result.kind === "truncated";
+    if (!isOpen || remaining <= 0) return use.end();
+    setTimeout(use.end, remaining).unref();
+  }
+
+  #waitForTable(caller: CallerRequest): Promise<boolean> {
+    return this.#room.wait(
+      this.#options.subjectOf(caller.matched),
+      Math.max(1, caller.deadlineAt - this.#options.clock.now()),
+    );
+  }
+}
+
+type NextStep =
+  | { readonly kind: "end"; readonly refusal: Refusal | null }
+  | { readonly kind: "retry"; readonly refusal: Refusal };
+
+/** What to do after an exchange: only what certainly did not run is retried. */
+function nextStep(
+  result: ExchangeResult | Refusal,
+  caller: CallerRequest,
+): NextStep {
+  switch (result.kind) {
+    case "answered":
+    case "truncated":
+      return { kind: "end", refusal: null };
+    case "refusal":
+      return { kind: "retry", refusal: result };
+    case "notSent":
+      return {
+        kind: "retry",
+        refusal: notRun(Reason.unreachable, { retryAfterSeconds: 1 }),
+      };
+    case "notRun":
+      return { kind: "retry", refusal: refusalOfTarget(result) };
+    case "unknown":
+      return {
+        kind: mayRunTwice(result, caller) ? "retry" : "end",
+        refusal: unknownOutcome(unknownReason(result)),
+      };
+  }
+}
+
+function mayRunTwice(
+  result: ExchangeResult & { readonly kind: "unknown" },
+  caller: CallerRequest,
+): boolean {
+  return caller.matched.idempotent &&
+    result.cause === UnknownCause.connectionLost;
+}
+
+/** The refusal that a caller gets when a receiver said "not run". */
+export function refusalOfTarget(
+  result: ExchangeResult & { readonly kind: "notRun" },
+): Refusal {
+  const known = knownReasons.get(result.reason);
+  return notRun(known ?? Reason.shed, {
+    status: known === undefined || result.status === 409 ? 503 : result.status,
+    retryAfterSeconds: result.retryAfterSeconds ?? 1,
+  });
+}
+
+/** The reason that a caller is told when it is not known what happened. */
+export function unknownReason(
+  result: ExchangeResult & { readonly kind: "unknown" },
+): Reason {
+  const given = result.reason && knownReasons.get(result.reason);
+  return given || unknownReasons[result.cause];
+}
+
+const knownReasons: ReadonlyMap<string, Reason> = new Map(
+  Object.values(Reason).map((each) => [each, each]),
+);
+
+const unknownReasons: Readonly<Record<UnknownCause, Reason>> = {
+  deadline: Reason.deadline,
+  connectionLost: Reason.connectionLost,
+  cancelled: Reason.cancelled,
+  badAnswer: Reason.badAnswer,
+};
+
+function reportOf(
+  result: ExchangeResult,
+  milliseconds: number,
+): ExchangeReport {
+  switch (result.kind) {
+    case "answered":
+      return { result: "answered", milliseconds };
+    case "notRun":
+      return {
+        result: result.reason === Reason.fenced ? "fenced" : "shed",
+        milliseconds,
+      };
+    case "unknown":
+      return {
+        result: result.cause === UnknownCause.cancelled
+          ? "cancelled"
+          : "failed",
+        milliseconds,
+      };
+    case "notSent":
+    case "truncated":
+      return { result: "failed", milliseconds };
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/packages/kingcupglade/gateway/exchange_handler.ts
@@ -0,0 +1,159 @@
+import type { IncomingHttpHeaders } from "node:http";
+import { Header, Outcome } from "@kingcupglade/routing";
+import type { Dispatcher } from "undici";
+import type { AnswerSink } from "./answer_sink.ts";
+import { answerHeaders, onlyValue } from "./exchange_headers.ts";
+import { UnknownCause } from "./exchange_types.ts";
+import type { ExchangeRequest, ExchangeResult } from "./exchange_types.ts";
+
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** What an {@link ExchangeHandler} works on. */
+export interface ExchangeHandlerOptions {
+  readonly request: ExchangeRequest;
+  /** Names the exchange to the target, which may echo it. */
+  readonly id: string;
+  readonly sink: AnswerSink;
+  readonly resolve: (result: ExchangeResult) => void;
+}
+
+/** Follows one exchange and decides how it ended. */
+export class ExchangeHandler implements Dispatcher.DispatchHandler {
+  readonly #request: ExchangeRequest;
+  readonly #id: string;
+  readonly #sink: AnswerSink;
+  readonly #resolve: (result: ExchangeResult) => void;
+  readonly #timer: NodeJS.Timeout;
+  readonly #unwatch: () => void;
+  #controller: Dispatcher.DispatchController | undefined;
+  #mayHaveLeft = false;
+  #status = 0;
+  #refusal: ExchangeResult | undefined;
+  #cause: UnknownCause = UnknownCause.connectionLost;
+  #ended = false;
+
+  constructor(options: ExchangeHandlerOptions) {
+    this.#request = options.request;
+    this.#id = options.id;
+    this.#sink = options.sink;
+    this.#resolve = options.resolve;
+    this.#unwatch = this.#sink.onClose(() =>
+      this.#abort(UnknownCause.cancelled)
+    );
+    this.#timer = setTimeout(
+      () => this.#abort(UnknownCause.deadline),
+      options.request.timeoutMilliseconds,
+    );
+  }
+
+  /** Ends an exchange that the client would not take. */
+  rejectBeforeSending(): void {
+    this.#end({ kind: "notSent" });
+  }
+
+  /** The last step before the first byte is written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    // A second start would send the request twice.
+    if (this.#ended || this.#mayHaveLeft || !this.#request.maySend()) {
+      return controller.abort(new Error("the request may not be sent"));
+    }
+    this.#controller = controller;
+    this.#mayHaveLeft = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < 200) return;
+    if (!this.#isTrustworthy(status, headers)) {
+      return this.#abort(UnknownCause.badAnswer);
+    }
+    this.#status = status;
+    this.#refusal = refusalOf(status, headers);
+    if (this.#refusal) return;
+    this.#sink.begin(status, {
+      ...answerHeaders(headers),
+      [Header.outcome]: Outcome.answered,
+    });
+    this.#timer.refresh();
+    this.#sink.onDrain(() => controller.resume());
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.#refusal) return;
+    this.#timer.refresh();
+    if (!this.#sink.write(chunk)) controller.pause();
+  }
+
+  onResponseEnd(): void {
+    if (this.#refusal) return this.#end(this.#refusal);
+    this.#sink.end();
+    this.#end({ kind: "answered", status: this.#status });
+  }
+
+  onResponseError(): void {
+    if (this.#refusal) return this.#end(this.#refusal);
+    if (!this.#mayHaveLeft) return this.#end({ kind: "notSent" });
+    const begun = this.#sink.hasBegun;
+    if (begun) this.#sink.fail();
+    this.#end(
+      begun
+        ? { kind: "truncated" }
+        : { kind: "unknown", cause: this.#cause, reason: undefined },
+    );
+  }
+
+  // Only a framed answer can be told from a truncated one, and only an answer
+  // that names no other exchange can be the answer to this one.
+  #isTrustworthy(status: number, headers: IncomingHttpHeaders): boolean {
+    const framed = this.#request.method === "HEAD" ||
+      bodilessStatuses.has(status) ||
+      headers["content-length"] !== undefined ||
+      headers["transfer-encoding"] !== undefined;
+    const echo = headers[Header.exchange];
+    return framed && (echo === undefined || echo === this.#id);
+  }
+
+  #abort(cause: UnknownCause): void {
+    if (this.#ended) return;
+    if (!this.#mayHaveLeft) return this.#end({ kind: "notSent" });
+    this.#cause = cause;
+    this.#controller?.abort(new Error(`the exchange was ended: ${cause}`));
+  }
+
+  #end(result: ExchangeResult): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    clearTimeout(this.#timer);
+    this.#unwatch();
+    this.#resolve(result);
+  }
+}
+
+/** What the head of an answer refuses, if it is a refusal. */
+function refusalOf(
+  status: number,
+  headers: IncomingHttpHeaders,
+): ExchangeResult | undefined {
+  if (status < 400) return undefined;
+  const outcome = onlyValue(headers, Header.outcome);
+  const reason = onlyValue(headers, Header.reason) ?? "";
+  if (outcome === Outcome.notRun) {
+    const seconds = Number(onlyValue(headers, "retry-after"));
+    return {
+      kind: "notRun",
+      reason,
+      status,
+      retryAfterSeconds: seconds > 0 ? seconds : undefined,
+    };
+  }
+  if (outcome === Outcome.unknown) {
+    return { kind: "unknown", cause: UnknownCause.connectionLost, reason };
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/kingcupglade/gateway/exchange_test.ts
@@ -0,0 +1,268 @@
+import { createServer, request as sendRequest } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
+import { connect, createServer as createSocketServer } from "node:net";
+import type { AddressInfo, Server as SocketServer, Socket } from "node:net";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { RequestBody } from "../listeners/body.ts";
+import { ResponseSink } from "./answer_sink.ts";
+import { ExchangeClient } from "./exchange.ts";
+import type { ExchangeRequest, ExchangeResult } from "./exchange_types.ts";
+
+interface Told {
+  readonly result: ExchangeResult;
+  readonly whole: boolean;
+  readonly body: string;
+}
+
+type Behaviour = (socket: Socket, head: string) => void;
+
+const ok = (body: string) =>
+  `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+
+describe("an exchange", () => {
+  let client: ExchangeClient;
+  let target: SocketServer;
+  let gateway: Server;
+  let results: ExchangeResult[];
+  let heads: string[];
+  let behaviour: Behaviour;
+  let options: Partial<ExchangeRequest>;
+  const sockets = new Set<Socket>();
+
+  const portOf = (server: Server | SocketServer) =>
+    (server.address() as AddressInfo).port;
+
+  beforeEach(async () => {
+    client = new ExchangeClient({ connectionsPerTarget: 1 });
+    results = [];
+    heads = [];
+    options = {};
+    target = createSocketServer((socket) => {
+      sockets.add(socket);
+      socket.on("error", () => {});
+      socket.on("data", (data) => {
+        heads.push(data.toString());
+        behaviour(socket, data.toString());
+      });
+    });
+    gateway = createServer(async (request, response) => {
+      const body = await RequestBody.receive(request, {
+        maximumBytes: 1 << 24,
+        bufferedBytes: 1024,
+      });
+      const result = await client.run({
+        address: `http://127.0.0.1:${portOf(target)}`,
+        method: request.method!,
+        path: request.url!,
+        headers: request.headers,
+        body: body.open(),
+        bodyLength: body.streamedLength,
+        added: {},
+        timeoutMilliseconds: 300,
+        maySend: () => true,
+        ...options,
+      }, new ResponseSink(response));
+      results.push(result);
+      if (!response.headersSent) response.writeHead(599).end();
+    });
+    for (const server of [target, gateway]) {
+      await new Promise<void>((resolve) =>
+        server.listen(0, "127.0.0.1", resolve)
+      );
+    }
+  });
+
+  afterEach(async () => {
+    await client.close();
+    for (const socket of sockets) socket.destroy();
+    sockets.clear();
+    gateway.closeAllConnections();
+    gateway.close();
+    target.close();
+  });
+
+  async function ask(path = "/", method = "POST"): Promise<Told> {
+    const count = results.length;
+    const told = await new Promise<Omit<Told, "result">>((resolve, reject) => {
+      const sent = sendRequest({
+        host: "127.0.0.1",
+        port: portOf(gateway),
+        path,
+        method,
+        agent: false,
+      }, (answer: IncomingMessage) => {
+        let body = "";
+        answer.on("data", (chunk) => (body += String(chunk)));
+        answer.on("end", () => resolve({ whole: answer.complete, body }));
+        answer.on("error", () => resolve({ whole: false, body }));
+      });
+      sent.on("error", reject);
+      sent.end();
+    });
+    await expect.poll(() => results.length).toBeGreaterThan(count);
+    return { ...told, result: results[count]! };
+  }
+
+  describe("with a truncated answer", () => {
+    it.each([
+      ["a declared length", "content-length: 10\r\n\r\nhalf"],
+      ["chunks", "transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n"],
+    ])("never passes it as whole: %s", async (_, rest) => {
+      behaviour = (socket) => socket.end(`HTTP/1.1 200 OK\r\n${rest}`);
+      const told = await ask();
+      expect(told).toMatchObject({
+        whole: false,
+        body: "half",
+        result: { kind: "truncated" },
+      });
+    });
+
+    it("breaks off an answer that stops flowing", async () => {
+      behaviour = (socket) =>
+        socket.write("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf");
+      expect(await ask()).toMatchObject({ whole: false });
+      expect(results).toEqual([{ kind: "truncated" }]);
+    });
+  });
+
+  describe("with an answer that cannot be trusted", () => {
+    it.each([
+      ["without framing", "HTTP/1.1 200 OK\r\n\r\nall?", "badAnswer"],
+      [
+        "to another exchange",
+        "HTTP/1.1 200 OK\r\nkingcupglade-exchange: other\r\ncontent-length: 2\r\n\r\nhi",
+        "badAnswer",
+      ],
+      [
+        "with two lengths",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nhi",
+        "connectionLost",
+      ],
+      [
+        "with half a refusal",
+        "HTTP/1.1 409 Conflict\r\nkingcupglade-outcome: not-run\r\n",
+        "connectionLost",
+      ],
+    ])("is unknown: %s", async (_, answer, cause) => {
+      behaviour = (socket) => socket.end(answer);
+      expect((await ask()).result).toMatchObject({ kind: "unknown", cause });
+    });
+
+    it("does not believe a refusal that says two things", async () => {
+      behaviour = (socket) =>
+        socket.end(
+          "HTTP/1.1 409 Conflict\r\nkingcupglade-outcome: not-run\r\n" +
+            "kingcupglade-outcome: answered\r\ncontent-length: 0\r\n\r\n",
+        );
+      expect((await ask()).result.kind).toBe("answered");
+    });
+  });
+
+  describe("with more than the answer", () => {
+    it.each([
+      ["a second answer at once", ok("one") + ok("two"), 0],
+      ["a second answer later", ok("two"), 20],
+      ["a longer body than declared", `${ok("one")}surplus`, 0],
+    ])("gives the next caller only its own: %s", async (_, extra, delay) => {
+      behaviour = (socket, head) => {
+        if (head.startsWith("POST /second")) return socket.write(ok("second"));
+        if (delay === 0) return socket.write(extra);
+        socket.write(ok("one"));
+        setTimeout(() => socket.write(extra), delay);
+      };
+      expect(await ask("/first")).toMatchObject({ whole: true, body: "one" });
+      await new Promise((resolve) => setTimeout(resolve, 2 * Number(delay)));
+      expect(await ask("/second")).toMatchObject({
+        whole: true,
+        body: "second",
+      });
+    });
+
+    it("skips informational answers", async () => {
+      behaviour = (socket) =>
+        socket.write(`HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n${ok("one")}`);
+      expect(await ask()).toMatchObject({ whole: true, body: "one" });
+    });
+  });
+
+  describe("without a body in the answer", () => {
+    it.each([
+      ["HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n"],
+      ["POST", "HTTP/1.1 204 No Content\r\n\r\n"],
+      ["GET", "HTTP/1.1 304 Not Modified\r\n\r\n"],
+    ])("is whole: %s", async (method, answer) => {
+      behaviour = (socket) => socket.write(answer);
+      expect(await ask("/", method)).toMatchObject({
+        whole: true,
+        result: { kind: "answered" },
+      });
+    });
+  });
+
+  describe("that is not answered in time", () => {
+    it("is unknown, and closes its connection so that no late answer is taken", async () => {
+      const closed: Promise<void>[] = [];
+      behaviour = (socket, head) => {
+        if (head.startsWith("POST /second")) return socket.write(ok("second"));
+        closed.push(
+          new Promise((resolve) => socket.once("close", () => resolve())),
+        );
+        setTimeout(() => socket.write(ok("late")), 350);
+      };
+      expect((await ask("/first")).result).toMatchObject({
+        kind: "unknown",
+        cause: "deadline",
+      });
+      await Promise.all(closed);
+      expect(await ask("/second")).toMatchObject({ body: "second" });
+    });
+
+    it("was not sent when it still waited for a connection", async () => {
+      behaviour = () => {};
+      await Promise.all([ask("/first"), ask("/second")]);
+      expect(results.map((each) => each.kind).sort()).toEqual([
+        "notSent",
+        "unknown",
+      ]);
+      expect(heads).toHaveLength(1);
+    });
+  });
+
+  describe("whose permission ends before the first byte", () => {
+    it("is not sent", async () => {
+      behaviour = (socket) => socket.write(ok("one"));
+      let checks = 0;
+      options = { maySend: () => (checks += 1) === 1 };
+      expect((await ask()).result).toEqual({ kind: "notSent" });
+      expect(heads).toEqual([]);
+    });
+  });
+
+  describe("with a large body", () => {
+    it("streams it at the pace of the target", async () => {
+      const length = 8 << 20;
+      let received = 0;
+      behaviour = (socket) => {
+        received += heads.pop()!.length;
+        if (received >= length) return socket.write(ok("stored"));
+        socket.pause();
+        setTimeout(() => socket.resume(), 1);
+      };
+      options = { timeoutMilliseconds: 20_000 };
+      const answer = await new Promise<string>((resolve) => {
+        const socket = connect(portOf(gateway), "127.0.0.1", () => {
+          socket.write(
+            `POST / HTTP/1.1\r\nhost: x\r\ncontent-length: ${length}\r\n\r\n`,
+          );
+          socket.write(Buffer.alloc(length));
+        });
+        socket.on("data", (data) => {
+          socket.destroy();
+          resolve(data.toString());
+        });
+      });
+      expect(answer).toContain("stored");
+      expect(results).toEqual([{ kind: "answered", status: 200 }]);
+    });
+  });
+});
--- a/packages/kingcupglade/gateway/owner_chooser.ts
+++ b/packages/kingcupglade/gateway/owner_chooser.ts
@@ -48,4 +48,13 @@
       },
     };
   }
+
+  /** Names the range that a request waits for. */
+  subjectOf(matched: MatchedRequest): string {
+    const { service, tenant, key } = matched;
+    if (key === undefined) return service;
+    const position = this.#hasher.position({ service, tenant, key });
+    const found = this.#routing.table.rangeOf(matched, position);
+    return found ? `${found.group.id}/${found.range.start}` : service;
+  }
 }
--- a/packages/kingcupglade/listeners/body.ts
+++ b/packages/kingcupglade/listeners/body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { Readable } from "node:stream";
 
 /** A body larger than its limit. */
 export class BodyTooLargeError extends Error {
@@ -16,18 +17,81 @@
 ): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let length = 0;
-  for await (const chunk of request) {
-    length += (chunk as Buffer).length;
-    if (length > maximumBytes) {
-      throw new BodyTooLargeError(
-        `the body is larger than ${maximumBytes} bytes`,
-      );
-    }
-    chunks.push(chunk as Buffer);
+  for await (const chunk of boundedChunks(request, maximumBytes)) {
+    length += chunk.length;
+    chunks.push(chunk);
   }
   return Buffer.concat(chunks, length);
 }
 
+/** Options of {@link RequestBody.receive}. */
+export interface RequestBodyOptions {
+  readonly maximumBytes: number;
+  /** Bodies up to this size are held in memory, and can be sent again. */
+  readonly bufferedBytes: number;
+}
+
+/** The body of a caller's request, held in memory or streamed. */
+export class RequestBody {
+  /** Length of a streamed body, when its framing tells it. */
+  readonly streamedLength: number | undefined;
+  readonly #whole: Buffer | undefined;
+  readonly #source: AsyncIterable<Buffer> | undefined;
+  #taken = false;
+
+  protected constructor(
+    content: {
+      readonly whole?: Buffer;
+      readonly source?: AsyncIterable<Buffer>;
+      readonly length?: number | undefined;
+    },
+  ) {
+    this.#whole = content.whole;
+    this.#source = content.source;
+    this.streamedLength = content.length;
+  }
+
+  /**
+   * Receives a body: a small one whole, a large one as it is asked for.
+   *
+   * @throws {BodyTooLargeError} when its length is known to exceed the limit.
+   */
+  static async receive(
+    request: IncomingMessage,
+    options: RequestBodyOptions,
+  ): Promise<RequestBody> {
+    const { maximumBytes, bufferedBytes } = options;
+    const length = declaredLength(request);
+    if (length !== undefined && length > maximumBytes) {
+      throw tooLarge(maximumBytes);
+    }
+    if (length !== undefined && length <= bufferedBytes) {
+      return new RequestBody({ whole: await readBody(request, maximumBytes) });
+    }
+    const chunks = boundedChunks(request, maximumBytes);
+    const { first, ended } = await readAhead(chunks, bufferedBytes);
+    if (ended) return new RequestBody({ whole: Buffer.concat(first) });
+    return new RequestBody({ source: continued(first, chunks), length });
+  }
+
+  /** The whole body, when it is held in memory. */
+  get whole(): Buffer | undefined {
+    return this.#whole;
+  }
+
+  /** Whether the body can be sent, for the first time or again. */
+  get canBeSent(): boolean {
+    return this.#whole !== undefined || !this.#taken;
+  }
+
+  /** The body for one attempt. */
+  open(): Buffer | Readable | null {
+    if (this.#whole) return this.#whole.length > 0 ? this.#whole : null;
+    this.#taken = true;
+    return Readable.from(this.#source!, { objectMode: false });
+  }
+}
+
 /** Answers with a JSON document. */
 export function sendJson(
   response: ServerResponse,
@@ -41,3 +105,49 @@
   });
   response.end(body);
 }
+
+function declaredLength(request: IncomingMessage): number | undefined {
+  const length = request.headers["content-length"];
+  if (length !== undefined) return Number(length);
+  return request.headers["transfer-encoding"] === undefined ? 0 : undefined;
+}
+
+// Leaves the request undestroyed, so that it can still be answered.
+async function* boundedChunks(
+  request: IncomingMessage,
+  maximumBytes: number,
+): AsyncGenerator<Buffer> {
+  let length = 0;
+  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
+    length += (chunk as Buffer).length;
+    if (length > maximumBytes) throw tooLarge(maximumBytes);
+    yield chunk as Buffer;
+  }
+}
+
+async function readAhead(
+  chunks: AsyncGenerator<Buffer>,
+  bytes: number,
+): Promise<{ readonly first: readonly Buffer[]; readonly ended: boolean }> {
+  const first: Buffer[] = [];
+  let length = 0;
+  while (length <= bytes) {
+    const next = await chunks.next();
+    if (next.done) return { first, ended: true };
+    first.push(next.value);
+    length += next.value.length;
+  }
+  return { first, ended: false };
+}
+
+async function* continued(
+  first: readonly Buffer[],
+  rest: AsyncIterable<Buffer>,
+): AsyncGenerator<Buffer> {
+  yield* first;
+  yield* rest;
+}
+
+function tooLarge(maximumBytes: number): BodyTooLargeError {
+  return new BodyTooLargeError(`the body is larger than ${maximumBytes} bytes`);
+}
--- a/packages/routing/match.ts
+++ b/packages/routing/match.ts
@@ -1,6 +1,6 @@
 import type { Bundle, BundleRoute, RequestField } from "@kingcupglade/bundle";
 import { ServiceKind } from "@kingcupglade/bundle";
-import { notRun, Reason } from "./outcome.ts";
+import { Header, notRun, Reason } from "./outcome.ts";
 import type { Refusal } from "./outcome.ts";
 
 /** The parts of a request that routing looks at. */
@@ -10,6 +10,8 @@
   readonly path: string;
   /** A header's value; undefined when absent or given more than once. */
   readonly header: (name: string) => string | undefined;
+  /** Whether a header is given more than once. */
+  readonly isRepeated: (name: string) => boolean;
 }
 
 /** Where a request belongs. */
@@ -21,9 +23,13 @@
   /** Present for keyed services. */
   readonly key: string | undefined;
   readonly idempotent: boolean;
+  /** Under which the request runs at most once; never of an idempotent one. */
+  readonly idempotencyKey: string | undefined;
   readonly deadlineMilliseconds: number;
 }
 
+const maximumIdempotencyKeyLength = 256;
+
 /** Finds the route, tenant and key of a request. */
 export function matchRequest(
   bundle: Bundle,
@@ -41,15 +47,24 @@
   if (service.kind === ServiceKind.keyed && !key) {
     return notRun(Reason.badRequest, { status: 400 });
   }
+  const idempotent = route.idempotentMethods.includes(head.method);
+  const idempotencyKey = readIdempotencyKey(head);
+  const deadlineMilliseconds = readDeadline(
+    head,
+    route.deadlineMilliseconds ?? service.deadlineMilliseconds,
+  );
+  if (idempotencyKey === null || deadlineMilliseconds === null) {
+    return notRun(Reason.badRequest, { status: 400 });
+  }
   return {
     kind: "matched",
     route,
     service: service.name,
     tenant,
     key: service.kind === ServiceKind.keyed ? key : undefined,
-    idempotent: route.idempotentMethods.includes(head.method),
-    deadlineMilliseconds: route.deadlineMilliseconds ??
-      service.deadlineMilliseconds,
+    idempotent,
+    idempotencyKey: idempotent ? undefined : idempotencyKey,
+    deadlineMilliseconds,
   };
 }
 
@@ -72,3 +87,22 @@
   const path = query < 0 ? head.path : head.path.slice(0, query);
   return path.split("/")[field.pathSegment + 1] || undefined;
 }
+
+/** The idempotency key; null when it cannot be used. */
+function readIdempotencyKey(head: RequestHead): string | undefined | null {
+  if (head.isRepeated(Header.idempotencyKey)) return null;
+  const key = head.header(Header.idempotencyKey);
+  if (key === undefined) return undefined;
+  return key.length > 0 && key.length <= maximumIdempotencyKeyLength
+    ? key
+    : null;
+}
+
+/** The deadline, which a caller may shorten; null when it asks for no number. */
+function readDeadline(head: RequestHead, longest: number): number | null {
+  if (head.isRepeated(Header.deadline)) return null;
+  const text = head.header(Header.deadline);
+  if (text === undefined) return longest;
+  if (!/^[1-9][0-9]{0,8}$/.test(text)) return null;
+  return Math.min(longest, Number(text));
+}
--- a/packages/routing/outcome.ts
+++ b/packages/routing/outcome.ts
@@ -26,6 +26,18 @@
   connectionLost: "connection-lost",
   conflict: "conflict",
   stopping: "stopping",
+  /** The caller's connection closed before the answer. */
+  cancelled: "cancelled",
+  /** The target's answer could not be trusted to be whole. */
+  badAnswer: "bad-answer",
+  /** The ledger that remembers idempotency keys cannot be reached now. */
+  noLedger: "no-ledger",
+  /** Both copies of the ledger were lost; it may have forgotten the key. */
+  ledgerLost: "ledger-lost",
+  /** The first request with the idempotency key has not ended. */
+  inProgress: "in-progress",
+  /** The first answer was too large to be kept for later requests. */
+  answerNotKept: "answer-not-kept",
 } as const;
 export type Reason = typeof Reason[keyof typeof Reason];
 
@@ -39,7 +51,11 @@
   position: "kingcupglade-position",
   /** Placement group of the key, to the target. */
   group: "kingcupglade-group",
-  /** Milliseconds that are left, to the target. */
+  /** Names the exchange; a target that echoes it proves which answer is which. */
+  exchange: "kingcupglade-exchange",
+  /** Marks a request that another VM passed on. */
+  forwarded: "kingcupglade-forwarded",
+  /** Milliseconds that are left, to the target; from a caller, a shorter deadline. */
   deadline: "kingcupglade-deadline-milliseconds",
   idempotencyKey: "idempotency-key",
 } as const;
--- /dev/null
+++ b/packages/routing/retry_budget.ts
@@ -0,0 +1,32 @@
+/** Options of a {@link RetryBudget}. */
+export interface RetryBudgetOptions {
+  /** Retries that each request earns. @default 0.2 */
+  readonly share?: number;
+  /** Retries that can be saved up. @default 100 */
+  readonly maximum?: number;
+}
+
+/** Bounds retries to a share of the requests, so that they add no avalanche. */
+export class RetryBudget {
+  readonly #share: number;
+  readonly #maximum: number;
+  #saved: number;
+
+  constructor(options: RetryBudgetOptions = {}) {
+    this.#share = options.share ?? 0.2;
+    this.#maximum = options.maximum ?? 100;
+    this.#saved = this.#maximum;
+  }
+
+  /** Notes a request. */
+  earn(): void {
+    this.#saved = Math.min(this.#maximum, this.#saved + this.#share);
+  }
+
+  /** Takes one retry; false when none is left. */
+  take(): boolean {
+    if (this.#saved < 1) return false;
+    this.#saved -= 1;
+    return true;
+  }
+}
