--- a/packages/kingcupglade/gateway/exchange.ts
+++ b/packages/kingcupglade/gateway/exchange.ts
@@ -16,12 +16,16 @@
   readonly #prefix = randomBytes(6).toString("base64url");
   #next = 0;
 
-  constructor(options: { readonly connectionsPerTarget: number }) {
+  constructor(options: {
+    readonly connectionsPerTarget: number;
+    /** Authority of targets that speak TLS, PEM. */
+    readonly authority?: Buffer | undefined;
+  }) {
     this.#agent = new Agent({
       connections: options.connectionsPerTarget,
       pipelining: 1,
       maxHeaderSize: maximumAnswerHeaderBytes,
-      connect: { timeout: connectTimeoutMilliseconds },
+      connect: { timeout: connectTimeoutMilliseconds, ca: options.authority },
     });
   }
 
