Check histories against the eleven promises

Cause: nothing read the histories that the fakes record. Change: packages/checker has one function for each promise; each returns the events that break it. The history records leases, conditions, accepted announcements, rolls and their answers, tables seen, planned stops, faults and stalls. The fake target checks its fence again at the moment of the effect, as a server that takes fenced grants must; a killed target has no later effect and takes no late lease. Conclusion: histories of the daemon can be judged without timed asserts.

--- /dev/null
+++ b/packages/checker/ownership_spans.ts
@@ -0,0 +1,75 @@
+import type { TimedEvent } from "@kingcupglade/fakes";
+import type { EventOf } from "./events.ts";
+
+/** A time during which one incarnation of a target owned a range. */
+export interface OwnershipSpan {
+  readonly group: string;
+  readonly start: number;
+  readonly end: number;
+  readonly epoch: number;
+  readonly target: string;
+  readonly boot: string;
+  readonly from: number;
+  /** When it ended; Infinity when the history ends before that. */
+  readonly until: number;
+  readonly granted: EventOf<"granted">;
+}
+
+interface Holder {
+  granted: EventOf<"granted"> | undefined;
+  from: number;
+  leaseUntil: number;
+}
+
+/** Works out who owned what and when, by the targets' own clocks. */
+export function ownershipSpans(
+  events: readonly TimedEvent[],
+): readonly OwnershipSpan[] {
+  const spans: OwnershipSpan[] = [];
+  const holders = new Map<string, Holder>();
+  for (const event of events) {
+    if (
+      event.kind !== "granted" && event.kind !== "leased" &&
+      event.kind !== "lapsed"
+    ) continue;
+    const id = `${event.target}\0${event.boot}`;
+    const holder = holders.get(id) ??
+      { granted: undefined, from: 0, leaseUntil: -Infinity };
+    holders.set(id, holder);
+    if (event.kind === "leased") renewHolder(holder, event, spans);
+    else {
+      closeHolder(holder, event.at, spans);
+      holder.granted = event.kind === "granted" ? event : undefined;
+      holder.from = event.at;
+    }
+  }
+  for (const holder of holders.values()) closeHolder(holder, Infinity, spans);
+  return spans;
+}
+
+// A lease that lapsed ended the ownership; a later one does not revive it.
+function renewHolder(
+  holder: Holder,
+  event: EventOf<"leased">,
+  spans: OwnershipSpan[],
+): void {
+  if (event.at >= holder.leaseUntil) {
+    closeHolder(holder, event.at, spans);
+    holder.granted = undefined;
+  }
+  holder.leaseUntil = Math.max(holder.leaseUntil, event.until);
+}
+
+function closeHolder(
+  holder: Holder,
+  at: number,
+  spans: OwnershipSpan[],
+): void {
+  const { granted, from } = holder;
+  const until = Math.min(at, holder.leaseUntil);
+  if (!granted || until <= from) return;
+  for (const grant of granted.grants) {
+    const { target, boot } = granted;
+    spans.push({ ...grant, target, boot, from, until, granted });
+  }
+}
--- /dev/null
+++ b/packages/checker/promises/data_centre_out.ts
@@ -0,0 +1,51 @@
+import type { TimedEvent } from "@kingcupglade/fakes";
+import { graceEnd } from "../events.ts";
+import type { EventOf } from "../events.ts";
+import { PromiseName } from "../violation.ts";
+import type { PromiseCheck, Violation } from "../violation.ts";
+
+/** After the grace time nothing starts in a data centre that was taken out. */
+export const checkDataCentreOut: PromiseCheck = (events, options) => {
+  const rolls = new Map<string, EventOf<"rolling">>();
+  const outSince = new Map<string, EventOf<"rolled">>();
+  const violations: Violation[] = [];
+  for (const event of events) {
+    if (event.kind === "rolling") {
+      rolls.set(event.digest, event);
+      for (const each of event.dataCentres) {
+        if (each.inService) outSince.delete(each.name);
+      }
+    } else if (event.kind === "rolled" && event.outcome === "accepted") {
+      noteOut(outSince, rolls.get(event.digest), event);
+    } else if (event.kind === "started") {
+      const out = outSince.get(event.dataCentre);
+      if (
+        out && event.at > graceEnd(events, out.at, options.graceMilliseconds)
+      ) {
+        violations.push(describe(out, event));
+      }
+    }
+  }
+  return violations;
+};
+
+function noteOut(
+  outSince: Map<string, EventOf<"rolled">>,
+  roll: EventOf<"rolling"> | undefined,
+  rolled: EventOf<"rolled">,
+): void {
+  for (const { name, inService } of roll?.dataCentres ?? []) {
+    if (!inService && !outSince.has(name)) outSince.set(name, rolled);
+  }
+}
+
+function describe(out: TimedEvent, started: EventOf<"started">): Violation {
+  return {
+    promise: PromiseName.dataCentreOut,
+    message:
+      `${started.target} began ${started.request} in ${started.dataCentre}, ${
+        (started.at - out.at).toFixed(0)
+      } ms after that was taken out`,
+    events: [out, started],
+  };
+}
--- /dev/null
+++ b/packages/checker/promises/home_regions.ts
@@ -0,0 +1,68 @@
+import type { TimedEvent } from "@kingcupglade/fakes";
+import { eventsOf } from "../events.ts";
+import type { EventOf } from "../events.ts";
+import { PromiseName } from "../violation.ts";
+import type { PromiseCheck, Violation } from "../violation.ts";
+
+/**
+ * Requests start only in regions that some bundle rolled so far makes their
+ * home, and no process elsewhere keeps parts of them.
+ */
+export const checkHomeRegions: PromiseCheck = (events) => {
+  const asked = new Map(
+    eventsOf(events, "asked").map((each) => [each.request, each]),
+  );
+  const rolls: EventOf<"rolling">[] = [];
+  const services = new Map(
+    eventsOf(events, "started").map((each) => [each.request, each.service]),
+  );
+  return events.flatMap((event): readonly Violation[] => {
+    if (event.kind === "rolling") rolls.push(event);
+    if (event.kind !== "started" && event.kind !== "hop") return [];
+    if (event.kind === "hop" && !event.keeps) return [];
+    const request = asked.get(event.request);
+    const service = services.get(event.request);
+    if (!request || service === undefined) return [];
+    const home = homeOf(rolls, { service, tenant: request.tenant });
+    const region = event.kind === "hop"
+      ? event.region
+      : regionOf(rolls, event.dataCentre);
+    if (home === null || (region !== undefined && home.has(region))) return [];
+    return [describe(request, event, [...home])];
+  });
+};
+
+function homeOf(
+  rolls: readonly EventOf<"rolling">[],
+  subject: { readonly service: string; readonly tenant: string },
+): ReadonlySet<string> | null {
+  const regions = rolls.flatMap((roll) => roll.homes).filter((home) =>
+    home.service === subject.service && home.tenant === subject.tenant
+  ).flatMap((home) => home.regions);
+  return regions.length === 0 ? null : new Set(regions);
+}
+
+function regionOf(
+  rolls: readonly EventOf<"rolling">[],
+  dataCentre: string,
+): string | undefined {
+  return rolls.flatMap((roll) => roll.dataCentres).find((each) =>
+    each.name === dataCentre
+  )?.region;
+}
+
+function describe(
+  request: TimedEvent,
+  event: EventOf<"started"> | EventOf<"hop">,
+  home: readonly string[],
+): Violation {
+  const place = event.kind === "hop" ? event.vm : event.target;
+  const action = event.kind === "hop" ? "kept" : "ran";
+  return {
+    promise: PromiseName.homeRegions,
+    message: `${place} ${action} ${event.request}, whose home is ${
+      home.join(", ")
+    }`,
+    events: [request, event],
+  };
+}
--- /dev/null
+++ b/packages/checker/promises/leaving_target.ts
@@ -0,0 +1,30 @@
+import { graceEnd } from "../events.ts";
+import type { EventOf } from "../events.ts";
+import { PromiseName } from "../violation.ts";
+import type { PromiseCheck } from "../violation.ts";
+
+/** After the grace time nothing starts at a target that announced its leaving. */
+export const checkLeavingTarget: PromiseCheck = (events, options) => {
+  const leaving = new Map<string, EventOf<"announced">>();
+  return events.flatMap((event) => {
+    if (event.kind === "announced") {
+      if (event.condition !== "leaving") leaving.delete(event.target);
+      else if (leaving.get(event.target)?.boot !== event.boot) {
+        leaving.set(event.target, event);
+      }
+    }
+    if (event.kind !== "started") return [];
+    const announced = leaving.get(event.target);
+    if (announced?.boot !== event.boot) return [];
+    const end = graceEnd(events, announced.at, options.graceMilliseconds);
+    return event.at > end
+      ? [{
+        promise: PromiseName.leavingTarget,
+        message: `${event.target} began ${event.request} ${
+          (event.at - announced.at).toFixed(0)
+        } ms after its leaving was accepted`,
+        events: [announced, event],
+      }]
+      : [];
+  });
+};
--- /dev/null
+++ b/packages/checker/promises/single_owner.ts
@@ -0,0 +1,81 @@
+import type { TimedEvent } from "@kingcupglade/fakes";
+import { eventsOf, groupBy } from "../events.ts";
+import type { EventOf } from "../events.ts";
+import { ownershipSpans } from "../ownership_spans.ts";
+import type { OwnershipSpan } from "../ownership_spans.ts";
+import { PromiseName } from "../violation.ts";
+import type { PromiseCheck, Violation } from "../violation.ts";
+
+const promise = PromiseName.singleOwner;
+
+/** No two targets own a position at one time, and only owners run requests. */
+export const checkSingleOwner: PromiseCheck = (events) => [
+  ...overlappingOwners(ownershipSpans(events)),
+  ...overlappingRequests(events),
+];
+
+function overlappingOwners(
+  spans: readonly OwnershipSpan[],
+): readonly Violation[] {
+  return [...groupBy(spans, (span) => span.group).values()].flatMap((group) => {
+    const sorted = [...group].sort((left, right) => left.from - right.from);
+    let open: OwnershipSpan[] = [];
+    return sorted.flatMap((span) => {
+      open = open.filter((each) => each.until > span.from);
+      const other = open.find((each) => conflict(each, span));
+      open.push(span);
+      return other ? [describeOverlap(other, span)] : [];
+    });
+  });
+}
+
+function conflict(left: OwnershipSpan, right: OwnershipSpan): boolean {
+  const sameHolder = left.target === right.target && left.boot === right.boot;
+  return !sameHolder && left.start < right.end && right.start < left.end;
+}
+
+function describeOverlap(
+  left: OwnershipSpan,
+  right: OwnershipSpan,
+): Violation {
+  return {
+    promise,
+    message:
+      `${left.target} and ${right.target} both own positions of ${right.group} ` +
+      `from ${right.from.toFixed(1)} to ${
+        Math.min(left.until, right.until).toFixed(1)
+      } ms`,
+    events: [left.granted, right.granted],
+  };
+}
+
+/** Effects on one position under different epochs must not go back. */
+function overlappingRequests(
+  events: readonly TimedEvent[],
+): readonly Violation[] {
+  const starts = new Map(
+    eventsOf(events, "started").map((each) => [startId(each), each]),
+  );
+  const latest = new Map<string, EventOf<"started">>();
+  return eventsOf(events, "effect").flatMap((effect) => {
+    const started = starts.get(startId(effect));
+    if (!started || started.group === "") return [];
+    const key = `${started.group}\0${started.position}`;
+    const before = latest.get(key);
+    if (!before || before.epoch <= started.epoch) latest.set(key, started);
+    return before && before.epoch > started.epoch
+      ? [{
+        promise,
+        message:
+          `${started.request} took effect under epoch ${started.epoch} after epoch ${before.epoch} had taken effect`,
+        events: [before, started, effect],
+      }]
+      : [];
+  });
+}
+
+function startId(
+  event: { readonly target: string; readonly request: string },
+): string {
+  return `${event.target}\0${event.request}`;
+}
--- a/packages/fakes/fake_caller.ts
+++ b/packages/fakes/fake_caller.ts
@@ -46,6 +46,7 @@
       key: request.key,
       vm: request.vm,
       idempotent: request.method === "GET",
+      idempotencyKey: request.idempotencyKey ?? "",
     });
     const startedAt = performance.now();
     const told = await this.#exchange(id, request);
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -49,7 +49,7 @@
 export class FakeTarget {
   readonly #options: Required<FakeTargetOptions>;
   readonly #server: Server;
-  #boot = randomUUID();
+  #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
@@ -58,8 +58,7 @@
   #frozen: Promise<void> | undefined;
   #thaw: () => void = () => {};
 
-  /** What the target says of itself. */
-  condition: FakeCondition;
+  #condition: FakeCondition;
   /** Time that a request takes, in milliseconds. */
   serviceMilliseconds: number;
 
@@ -73,12 +72,13 @@
       serviceMilliseconds: 2,
       ...options,
     };
-    this.condition = this.#options.condition;
+    this.#condition = this.#options.condition;
     this.serviceMilliseconds = this.#options.serviceMilliseconds;
     this.#server = createServer(
       { keepAliveTimeout: 30_000 },
       (request, response) => {
-        void this.#serve(request, response);
+        // A request whose sender has gone is not carried out.
+        this.#serve(request, response).catch(() => response.destroy());
       },
     );
   }
@@ -88,6 +88,21 @@
     return this.#options.name;
   }
 
+  /** What the target says of itself. */
+  get condition(): FakeCondition {
+    return this.#condition;
+  }
+
+  set condition(condition: FakeCondition) {
+    this.#condition = condition;
+    this.#recordCondition("condition", condition);
+  }
+
+  /** Requests that it is carrying out. */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
   /** Identity of the current incarnation. */
   get boot(): string {
     return this.#boot;
@@ -105,6 +120,7 @@
       this.#server.once("error", reject);
       this.#server.listen({ host, port: Number(port), backlog: 1024 }, resolve);
     });
+    this.#recordCondition("condition", this.#condition);
     void this.#announce();
     this.#timer = setInterval(
       () => void this.#announce(),
@@ -116,6 +132,8 @@
   kill(): void {
     clearInterval(this.#timer);
     this.#lapse();
+    this.#boot = "";
+    this.#leaseUntil = -Infinity;
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -146,7 +164,9 @@
   async #announce(): Promise<void> {
     if (this.#frozen) return;
     const options = this.#options;
+    const boot = this.#boot;
     const sentAt = performance.now();
+    const condition = this.#condition;
     const listener = options.announceTo[
       this.#nextListener % options.announceTo.length
     ];
@@ -158,7 +178,7 @@
           headers: { authorization: `Bearer ${options.secret}` },
           body: JSON.stringify({
             target: options.name,
-            boot: this.#boot,
+            boot,
             service: options.service,
             dataCentre: options.dataCentre,
             address: `http://${options.address}`,
@@ -166,15 +186,17 @@
             connections: options.connections,
             coldSlots: options.coldSlots,
             checksFences: options.checksFences,
-            condition: this.condition,
+            condition,
           }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
       const reply = await body.json() as { leaseMilliseconds?: number };
       await this.#frozen;
+      if (boot !== this.#boot) return;
       if (statusCode === 200 && reply.leaseMilliseconds) {
         this.#renew(sentAt + reply.leaseMilliseconds);
+        this.#recordCondition("announced", condition);
       }
       if (statusCode === 503) this.#nextListener += 1;
     } catch {
@@ -186,6 +208,21 @@
   #renew(until: number): void {
     if (performance.now() >= this.#leaseUntil) this.#lapse();
     this.#leaseUntil = Math.max(this.#leaseUntil, until);
+    this.#options.history.record({
+      kind: "leased",
+      target: this.name,
+      boot: this.#boot,
+      until: this.#leaseUntil,
+    });
+  }
+
+  #recordCondition(kind: "condition" | "announced", condition: string): void {
+    this.#options.history.record({
+      kind,
+      target: this.name,
+      boot: this.#boot,
+      condition,
+    });
   }
 
   #lapse(): void {
@@ -244,6 +281,7 @@
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
+    const boot = this.#boot;
     const limit = this.condition === "cold" ? coldSlots : slots;
     this.#inProgress += 1;
     history.record({
@@ -256,18 +294,28 @@
       epoch,
       inProgress: this.#inProgress,
       limit,
+      service: this.#options.service,
+      dataCentre: this.#options.dataCentre,
+      condition: this.#condition,
     });
     await new Promise((resolve) =>
       setTimeout(resolve, this.serviceMilliseconds)
     );
     await this.#frozen;
+    if (boot !== this.#boot) return;
+    this.#inProgress -= 1;
+    if (
+      group !== "" && checksFences && !this.#owns({ group, position, epoch })
+    ) {
+      history.record({ kind: "ended", target: this.name, request: id });
+      return this.#refuse(response, { id, reason: "fenced" });
+    }
     history.record({
       kind: "effect",
       target: this.name,
       request: id,
       idempotent: request.method === "GET",
     });
-    this.#inProgress -= 1;
     history.record({ kind: "ended", target: this.name, request: id });
     response.writeHead(200, { "content-type": "application/json" });
     response.end(JSON.stringify({ request: id, target: this.name, epoch }));
--- a/packages/fakes/history.ts
+++ b/packages/fakes/history.ts
@@ -1,5 +1,94 @@
+/** A data centre as a bundle describes it. */
+export interface RecordedDataCentre {
+  readonly name: string;
+  readonly region: string;
+  readonly inService: boolean;
+}
+
+/** Regions that may serve and store a tenant's requests for a service. */
+export interface RecordedHome {
+  readonly service: string;
+  readonly tenant: string;
+  readonly regions: readonly string[];
+}
+
 /** One thing that happened during a run, with its monotonic time. */
 export type HistoryEvent =
+  /** A target may act on its grants until a monotonic time. */
+  | {
+    readonly kind: "leased";
+    readonly target: string;
+    readonly boot: string;
+    readonly until: number;
+  }
+  /** A target's process began, or its condition changed. */
+  | {
+    readonly kind: "condition";
+    readonly target: string;
+    readonly boot: string;
+    readonly condition: string;
+  }
+  /** A target's announcement of its condition was accepted. */
+  | {
+    readonly kind: "announced";
+    readonly target: string;
+    readonly boot: string;
+    readonly condition: string;
+  }
+  /** An operator sent a bundle. */
+  | {
+    readonly kind: "rolling";
+    readonly version: number;
+    readonly digest: string;
+    readonly dataCentres: readonly RecordedDataCentre[];
+    readonly homes: readonly RecordedHome[];
+  }
+  /** An operator was answered; the version and digest are those in force. */
+  | {
+    readonly kind: "rolled";
+    readonly outcome: "accepted" | "conflict" | "refused" | "unanswered";
+    /** When the operator sent the bundle. */
+    readonly sentAt: number;
+    readonly version: number;
+    readonly digest: string;
+  }
+  /** The bundle that a VM routed by, seen from within its process. */
+  | {
+    readonly kind: "tableSeen";
+    readonly vm: string;
+    readonly hasLease: boolean;
+    readonly version: number;
+    readonly digest: string;
+  }
+  /** A request reached a process of the system, which may keep parts of it. */
+  | {
+    readonly kind: "hop";
+    readonly request: string;
+    readonly vm: string;
+    readonly region: string;
+    readonly keeps: boolean;
+  }
+  /** A planned stop began. */
+  | {
+    readonly kind: "stopping";
+    readonly subject: "vm" | "target";
+    readonly name: string;
+  }
+  /** A planned stop ended. */
+  | {
+    readonly kind: "stopped";
+    readonly subject: "vm" | "target";
+    readonly name: string;
+  }
+  /** A fault was caused: a crash, a freeze or the end of one. */
+  | {
+    readonly kind: "fault";
+    readonly subject: "vm" | "target";
+    readonly name: string;
+    readonly fault: "crash" | "freeze" | "thaw" | "restart";
+  }
+  /** The whole run stood still, such as on a busy machine. */
+  | { readonly kind: "stalled"; readonly milliseconds: number }
   /** A target took over its whole set of grants. */
   | {
     readonly kind: "granted";
@@ -25,6 +114,9 @@
     readonly epoch: number;
     readonly inProgress: number;
     readonly limit: number;
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly condition: string;
   }
   /** A request took effect at a target. */
   | {
@@ -54,6 +146,8 @@
     readonly key: string;
     readonly vm: string;
     readonly idempotent: boolean;
+    /** Shared by the resends of one request; empty when it has none. */
+    readonly idempotencyKey: string;
   }
   /** A caller got its answer, or none. */
   | {
@@ -79,6 +173,11 @@
     this.#events.push({ ...event, at: performance.now() });
   }
 
+  /** Notes an event of a run in virtual time. */
+  recordAt(at: number, event: HistoryEvent): void {
+    this.#events.push({ ...event, at });
+  }
+
   /** The events so far, oldest first. */
   get events(): readonly TimedEvent[] {
     return this.#events;
