--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -19,3 +19,5 @@
 export { FairQueue } from "./fair_queue.ts";
 export { TargetObservations } from "./target_observations.ts";
 export type { TargetObservation } from "./target_observations.ts";
+export { RetryBudget } from "./retry_budget.ts";
+export type { RetryBudgetOptions } from "./retry_budget.ts";
