Let a new credit holder start without waiting where nothing was lost

Cause: the role's epoch rises when only its standby changes, which made the holder start anew, and each start froze the credits for 1.5 s; the first request of a fresh deployment was refused in one of three whole-path runs.

Change: reports are fenced by the registration of the holder's VM, which changes exactly when the holder may have been replaced. The wait for requests of lost VMs counts from the last loss seen; without one a new holder settles with the reports of all VMs. A VM tells the balancer that it is ready only when every holder has settled since its start, and the whole-path test waits for that instead of asking VMs that have no table yet.

--- a/packages/experiments/whole_path_test.ts
+++ b/packages/experiments/whole_path_test.ts
@@ -19,6 +19,9 @@
       status.targets.length === 6 &&
       status.groups.every((group) => group.withoutOwner === 0)
     );
+    await Promise.all(
+      deployment.vmNames.map((vm) => deployment.untilReady(vm)),
+    );
   });
 
   afterAll(() => deployment.stop());
--- a/packages/kingcupglade/credits/credit_holder_task.ts
+++ b/packages/kingcupglade/credits/credit_holder_task.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
-import { creditRoleOf, vmIdentity } from "./credit_directory.ts";
+import { creditRoleOf, holderEpoch, vmIdentity } from "./credit_directory.ts";
 
 /** Credits last this long from the moment that they are asked for. */
 export const creditLeaseMilliseconds = 4000;
@@ -41,6 +41,9 @@
   readonly #roles = new Map<string, HeldRole>();
   readonly #timer: NodeJS.Timeout;
   #table: RoutingTable | undefined;
+  #vms: ReadonlySet<string> = new Set();
+  /** When requests of a VM that is gone may last have been sent. */
+  #lastLossAt = -Infinity;
 
   constructor(options: CreditHolderTaskOptions) {
     this.#options = options;
@@ -66,11 +69,12 @@
       const credits = isHeld
         ? held.role.report({ vm, sequence, targets: ask.targets }, now)
         : null;
-      if (!credits) return { accepted: false, credits: [] };
+      if (!credits) return { accepted: false, settled: false, credits: [] };
       recalls.push(
         ...held!.role.recalls(now, ask.targets.map((each) => each.target)),
       );
-      return { accepted: true, credits: [...credits] };
+      const settled = held!.role.isSettled(now);
+      return { accepted: true, settled, credits: [...credits] };
     });
     this.#recall(recalls);
     return create(ExchangeResponseSchema, {
@@ -96,9 +100,10 @@
   /** Takes over the table in use. */
   #refresh(): void {
     const { table } = this.#options.routing;
-    if (table === this.#table) return;
-    this.#table = table;
+    if (table === this.#table || table.version === 0) return;
     const now = this.#options.clock.now();
+    this.#noteLosses(table, now);
+    this.#table = table;
     const held = [...table.roles.values()].filter((role) =>
       role.kind === RoleKind.credit && role.holder === this.#options.vm
     );
@@ -109,6 +114,14 @@
     for (const role of held) this.#refreshRole(table, { role, now });
   }
 
+  // What happened before the first table is not known.
+  #noteLosses(table: RoutingTable, now: number): void {
+    const vms = new Set([...table.vms.values()].map(vmIdentity));
+    const lost = [...this.#vms].some((vm) => !vms.has(vm));
+    if (lost || !this.#table) this.#lastLossAt = now;
+    this.#vms = vms;
+  }
+
   #refreshRole(
     table: RoutingTable,
     context: { readonly role: RoleAssignment; readonly now: number },
@@ -123,13 +136,18 @@
         this.#options.routingLeaseMilliseconds,
       ),
     };
-    const current = known?.epoch === role.epoch
-      ? known
-      : { epoch: role.epoch, role: new CreditRole(times, now) };
+    const epoch = holderEpoch(table, role);
+    const current = known?.epoch === epoch ? known : {
+      epoch,
+      role: new CreditRole(times, {
+        startedAt: now,
+        lastLossAt: this.#lastLossAt,
+      }),
+    };
     this.#roles.set(id, current);
     current.role.describe({
       targets: targetsOf(table, id),
-      vms: new Set([...table.vms.values()].map(vmIdentity)),
+      vms: this.#vms,
       times,
     }, now);
   }
--- a/packages/kingcupglade/credits/credits.ts
+++ b/packages/kingcupglade/credits/credits.ts
@@ -57,6 +57,11 @@
     });
   };
 
+  /** Whether this VM could get credits of every shard since it started. */
+  get isReady(): boolean {
+    return this.#client.isReady;
+  }
+
   /** Stops asking for credits and handing them out. */
   stop(): void {
     this.#client.stop();
--- a/packages/routing/credit_role.ts
+++ b/packages/routing/credit_role.ts
@@ -45,6 +45,7 @@
  */
 export class CreditRole {
   readonly #startedAt: number;
+  #lastLossAt: number;
   readonly #books = new Map<string, CreditBook>();
   readonly #sequences = new Map<string, number>();
   /** Targets that an earlier holder cannot have served. */
@@ -53,9 +54,17 @@
   #vms: ReadonlySet<string> = new Set();
   #settled = false;
 
-  constructor(times: CreditTimes, now: number) {
+  constructor(
+    times: CreditTimes,
+    options: {
+      readonly startedAt: number;
+      /** When requests of a VM that is gone may last have been sent. */
+      readonly lastLossAt: number;
+    },
+  ) {
     this.#times = times;
-    this.#startedAt = now;
+    this.#startedAt = options.startedAt;
+    this.#lastLossAt = options.lastLossAt;
   }
 
   /** The books by target. */
@@ -75,7 +84,9 @@
     const first = this.#vms.size === 0;
     this.#describeTargets(table.targets, { first, now });
     for (const vm of this.#vms) {
-      if (!table.vms.has(vm)) this.#end(vm, now);
+      if (table.vms.has(vm)) continue;
+      this.#lastLossAt = now;
+      this.#end(vm, now);
     }
     this.#vms = table.vms;
     this.#times = table.times;
@@ -155,17 +166,18 @@
   }
 
   #mayGrow(target: string, now: number): boolean {
-    return this.#isSettled(now) ||
+    return this.isSettled(now) ||
       (this.#newTargets.has(target) && this.#everyVmReported());
   }
 
-  #isSettled(now: number): boolean {
+  /** Whether nothing that an earlier holder granted can still be in use. */
+  isSettled(now: number): boolean {
     if (this.#settled) return true;
     const { leaseMilliseconds, requestMilliseconds } = this.#times;
-    const waited = now - this.#startedAt;
     const longest = leaseMilliseconds + 2 * requestMilliseconds;
-    this.#settled = waited >= longest ||
-      (waited >= requestMilliseconds && this.#everyVmReported());
+    this.#settled = now - this.#startedAt >= longest ||
+      (now - this.#lastLossAt >= requestMilliseconds &&
+        this.#everyVmReported());
     return this.#settled;
   }
 
--- a/packages/routing/credits_test.ts
+++ b/packages/routing/credits_test.ts
@@ -49,7 +49,10 @@
   changeHolder(): void {
     const last = this.#holders.at(-1);
     if (last) last.until = this.now + times.requestMilliseconds;
-    const role = new CreditRole(times, this.now);
+    const role = new CreditRole(times, {
+      startedAt: this.now,
+      lastLossAt: this.now - (this.#holders.length % 2) * 200,
+    });
     const vms = new Set(this.vms.keys());
     role.describe({ targets: [target], vms, times }, this.now);
     this.#holders.push({ role, until: Infinity });
