Run claimed requests at most once on a replicated ledger

Cause: a caller that resent a non-idempotent request under one Idempotency-Key had it run again.

Change: packages/ledger decides on claims (open, done, unknown) for a holder and its standby, fenced by the epoch of the ledger roles. The claim is on both copies before the request leaves, the outcome before it is answered. A standby that takes over calls open claims unknown; a holder that cannot continue the copy before it tells ledger-lost until the retention has passed. Roles now name the incarnations of holder and standby and the epoch before, so that a restarted VM is not taken for one that still remembers. Entry VMs pass claimed requests straight to the holder, and requests from outside their home regions to a VM inside, over the VM listener; a route may redirect instead.

Conclusion: safety needs no clock, only epochs; the lease bounds staleness.

--- a/packages/kingcupglade/control/routing_task.ts
+++ b/packages/kingcupglade/control/routing_task.ts
@@ -19,6 +19,7 @@
   readonly dataCentre: string;
   readonly region: string;
   readonly peerAddress: string;
+  readonly callersAddress: string;
   readonly replica: string | null;
 }
 
@@ -128,6 +129,7 @@
         dataCentre: vm.dataCentre,
         region: vm.region,
         peerAddress: vm.peerAddress,
+        callersAddress: vm.callersAddress,
         replica: vm.replica ?? "",
         appliedVersion: this.#table.version,
         quiescentVersion: this.#quiescentVersion(),
--- a/packages/kingcupglade/gateway/answer_sink.ts
+++ b/packages/kingcupglade/gateway/answer_sink.ts
@@ -7,6 +7,8 @@
   abstract get hasBegun(): boolean;
   /** Whether nobody wants the answer any more. */
   abstract get isClosed(): boolean;
+  /** Bytes of the body that were taken. */
+  abstract get bytes(): number;
   abstract begin(status: number, headers: HeaderValues): void;
   /** Takes a part of the body; false asks for a pause until it is drained. */
   abstract write(chunk: Buffer): boolean;
@@ -23,6 +25,7 @@
 /** Passes an answer to a caller. */
 export class ResponseSink extends AnswerSink {
   readonly #response: ServerResponse;
+  #bytes = 0;
 
   constructor(response: ServerResponse) {
     super();
@@ -37,11 +40,16 @@
     return this.#response.destroyed;
   }
 
+  override get bytes(): number {
+    return this.#bytes;
+  }
+
   override begin(status: number, headers: HeaderValues): void {
     this.#response.writeHead(status, headers);
   }
 
   override write(chunk: Buffer): boolean {
+    this.#bytes += chunk.length;
     return this.#response.write(chunk);
   }
 
@@ -99,6 +107,10 @@
     return this.#length > this.#maximumBytes;
   }
 
+  override get bytes(): number {
+    return this.#length;
+  }
+
   override begin(status: number, headers: HeaderValues): void {
     this.#head = { status, headers };
   }
--- a/packages/kingcupglade/gateway/attempts.ts
+++ b/packages/kingcupglade/gateway/attempts.ts
@@ -45,6 +45,8 @@
   readonly capacity: CapacityGate;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  /** Region of this VM. */
+  readonly region: string;
   /** Where a request goes by the table in use. */
   readonly choose: (matched: MatchedRequest) => Destination | Refusal;
   /** Names the range or service that a request waits for. */
@@ -113,6 +115,7 @@
     const end = destination.begin();
     const result = await this.#send(caller, destination);
     this.#endUse(result, { end, deadlineAt });
+    this.#countBytes(caller, destination);
     permit.release(reportOf(result, clock.now() - startedAt));
     return result;
   }
@@ -142,6 +145,15 @@
     }, sink);
   }
 
+  #countBytes(caller: CallerRequest, destination: Destination): void {
+    const { metrics, region } = this.#options;
+    if (destination.target.region === region) return;
+    metrics.regionBytes.inc(
+      { tenant: caller.matched.tenant },
+      caller.body.length + caller.sink.bytes,
+    );
+  }
+
   // A target may still carry out a request that was given up, until its
   // deadline: its range is not released before.
   #endUse(
@@ -204,10 +216,13 @@
 export function refusalOfTarget(
   result: ExchangeResult & { readonly kind: "notRun" },
 ): Refusal {
-  const known = knownReasons.get(result.reason);
-  return notRun(known ?? Reason.shed, {
-    status: known === undefined || result.status === 409 ? 503 : result.status,
-    retryAfterSeconds: result.retryAfterSeconds ?? 1,
+  const reason = knownReasons.get(result.reason) ?? Reason.shed;
+  return notRun(reason, {
+    // A fence is the system's own matter: its caller is told to come again.
+    status: reason === Reason.fenced ? 503 : result.status,
+    ...(result.retryAfterSeconds === undefined
+      ? {}
+      : { retryAfterSeconds: result.retryAfterSeconds }),
   });
 }
 
--- a/packages/kingcupglade/gateway/exchange.ts
+++ b/packages/kingcupglade/gateway/exchange.ts
@@ -18,14 +18,22 @@
 
   constructor(options: {
     readonly connectionsPerTarget: number;
-    /** Authority of targets that speak TLS, PEM. */
+    /** Authority of receivers that speak TLS, PEM. */
     readonly authority?: Buffer | undefined;
+    /** Shown to receivers that ask for one, PEM. */
+    readonly certificate?: Buffer | undefined;
+    readonly key?: Buffer | undefined;
   }) {
     this.#agent = new Agent({
       connections: options.connectionsPerTarget,
       pipelining: 1,
       maxHeaderSize: maximumAnswerHeaderBytes,
-      connect: { timeout: connectTimeoutMilliseconds, ca: options.authority },
+      connect: {
+        timeout: connectTimeoutMilliseconds,
+        ca: options.authority,
+        cert: options.certificate,
+        key: options.key,
+      },
     });
   }
 
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { KeyHasher } from "@kingcupglade/ownership";
+import { claimOf } from "@kingcupglade/ledger";
+import type { Claim, StoredAnswer } from "@kingcupglade/ledger";
+import type { KeyHasher, RoleAssignment } from "@kingcupglade/ownership";
 import {
   Header,
   matchRequest,
@@ -11,38 +13,64 @@
   CapacityGate,
   MatchedRequest,
   Refusal,
+  RequestHead,
 } from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { RoutingTask } from "../control/routing_task.ts";
+import { ClaimedRequests } from "../ledger/claimed_requests.ts";
+import type { LedgerTask } from "../ledger/ledger_task.ts";
 import { BodyTooLargeError, RequestBody } from "../listeners/body.ts";
+import type { RequestBodyOptions } from "../listeners/body.ts";
 import { ResponseSink } from "./answer_sink.ts";
 import { Attempts } from "./attempts.ts";
+import type { CallerRequest } from "./attempts.ts";
 import type { ExchangeClient } from "./exchange.ts";
+import { forwardedPathPrefix } from "./forwarder.ts";
+import type { Forwarder } from "./forwarder.ts";
+import { HomeVms } from "./home_vms.ts";
 import { OwnerChooser } from "./owner_chooser.ts";
 import { RequestsInProgress } from "./requests_in_progress.ts";
 import { TargetChooser } from "./target_chooser.ts";
 
 const bufferedBodyBytes = 65_536;
+const maximumClaimedBodyBytes = 1 << 20;
+const finishedPollMilliseconds = 20;
 
 /** Options of a {@link Gateway}. */
 export interface GatewayOptions {
   readonly routing: RoutingTask;
   readonly exchanges: ExchangeClient;
   readonly capacity: CapacityGate;
+  readonly ledger: LedgerTask;
+  readonly forwarder: Forwarder;
   readonly hasher: KeyHasher;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Region of this VM. */
   readonly region: string;
+  /** Scheme of the callers' listeners. */
+  readonly redirectScheme: "http" | "https";
+}
+
+interface ServedRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Path as the caller sent it. */
+  readonly path: string;
+  /** Whether another VM passed it on; it is not passed on again. */
+  readonly isForwarded: boolean;
 }
 
 /** Serves callers: finds the owner of a request and passes the answer back. */
 export class Gateway {
   readonly #options: GatewayOptions;
   readonly #attempts: Attempts;
+  readonly #claimed: ClaimedRequests;
+  readonly #homes: HomeVms;
+  readonly #active = new Set<ServedRequest>();
 
   constructor(options: GatewayOptions) {
     const { routing, hasher } = options;
@@ -58,16 +86,43 @@
           : owners.choose(matched, matched.key),
       subjectOf: (matched) => owners.subjectOf(matched),
     });
+    this.#claimed = new ClaimedRequests({
+      ...options,
+      attempts: this.#attempts,
+    });
+    this.#homes = new HomeVms(options);
     routing.watchRequests(inProgress);
   }
 
   /** Serves one request of a caller. */
-  async serve(
+  serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = request.url ?? "/";
+    return this.#serve({ request, response, path, isForwarded: false });
+  }
+
+  /** Serves one request that another VM passed on. */
+  serveForwarded(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const path = (request.url ?? "").slice(forwardedPathPrefix.length);
+    return this.#serve({ request, response, path, isForwarded: true });
+  }
+
+  /** Resolves when no request is being served. */
+  async finished(): Promise<void> {
+    while (this.#active.size + this.#claimed.size > 0) {
+      await new Promise((resolve) =>
+        setTimeout(resolve, finishedPollMilliseconds)
+      );
+    }
+  }
+
+  async #serve(served: ServedRequest): Promise<void> {
+    const { response } = served;
+    this.#active.add(served);
     try {
-      const refusal = await this.#serve(request, response);
+      const refusal = await this.#answer(served);
       if (refusal) this.#refuse(response, refusal);
     } catch (failure) {
       if (response.destroyed) return;
@@ -75,34 +130,124 @@
         reason: describeFailure(failure),
       });
       response.destroy();
+    } finally {
+      this.#active.delete(served);
     }
   }
 
-  async #serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<Refusal | null> {
+  async #answer(served: ServedRequest): Promise<Refusal | null> {
     const { routing, clock } = this.#options;
+    const { request, response, path } = served;
     const startedAt = clock.now();
     const bundle = routing.table.bundle?.bundle;
-    if (!bundle || !routing.hasLease) return notRun(Reason.noLease);
-    const matched = matchRequest(bundle, requestHead(request));
+    if (!bundle || !routing.hasLease) {
+      return notRun(Reason.noLease, { retryAfterSeconds: 1 });
+    }
+    const matched = matchRequest(bundle, requestHead(served));
     if (matched.kind === "refusal") return matched;
-    const body = await receiveBody(request, matched);
+    if (this.#redirects(served, matched)) return null;
+    const body = await receiveBody(request, {
+      maximumBytes: matched.route.maximumBodyBytes,
+      bufferedBytes: this.#bufferedBytes(matched, served),
+    });
     if ("kind" in body) return body;
-    const refusal = await this.#attempts.run({
+    const refusal = await this.#route({
       matched,
       method: request.method ?? "GET",
-      path: request.url ?? "/",
+      path,
       headers: request.headers,
       body,
       sink: new ResponseSink(response),
       deadlineAt: startedAt + matched.deadlineMilliseconds,
-    });
-    this.#observe(matched, { refusal, startedAt });
+    }, served);
+    if (!served.isForwarded) this.#observe(matched, { refusal, startedAt });
     return refusal;
   }
 
+  /** Sends a request to its target, or to the VM that must send it. */
+  #route(
+    caller: CallerRequest,
+    served: ServedRequest,
+  ): Promise<Refusal | null> {
+    const claim = this.#claimOf(caller.matched);
+    if (claim) return this.#routeClaimed(caller, { claim, served });
+    if (this.#homes.isHome(caller.matched)) return this.#attempts.run(caller);
+    if (served.isForwarded) return Promise.resolve(notRun(Reason.noHome));
+    return this.#options.forwarder.run(caller, {
+      reason: "home",
+      choose: () => this.#homes.choose(caller.matched),
+      mayRepeat: caller.matched.idempotent,
+    });
+  }
+
+  async #routeClaimed(
+    caller: CallerRequest,
+    context: { readonly claim: Claim; readonly served: ServedRequest },
+  ): Promise<Refusal | null> {
+    const { ledger, forwarder, routing } = this.#options;
+    const { claim, served } = context;
+    const role = this.#roleOf(claim, caller.matched);
+    if (role && ledger.isHolder(role)) {
+      const result = await this.#claimed.run({ claim, role, caller });
+      if (result.kind === "refusal") return result;
+      sendStoredAnswer(served.response, result.answer);
+      return null;
+    }
+    if (served.isForwarded) {
+      return notRun(Reason.noLedger, { retryAfterSeconds: 1 });
+    }
+    return forwarder.run(caller, {
+      reason: "ledger",
+      choose: () => {
+        const holder = this.#roleOf(claim, caller.matched)?.holder;
+        return (holder && routing.table.vms.get(holder)) || null;
+      },
+      mayRepeat: true,
+    });
+  }
+
+  #claimOf({ service, tenant, idempotencyKey }: MatchedRequest): Claim | null {
+    return idempotencyKey === undefined
+      ? null
+      : claimOf({ service, tenant, idempotencyKey });
+  }
+
+  #roleOf(claim: Claim, matched: MatchedRequest): RoleAssignment | null {
+    const { routing, ledger } = this.#options;
+    const { service, tenant } = matched;
+    return ledger.roleOf(claim, routing.table.homeRegionsOf(service, tenant));
+  }
+
+  // The holder of a claim compares whole bodies, so it must have them whole.
+  #bufferedBytes(matched: MatchedRequest, served: ServedRequest): number {
+    const claim = this.#claimOf(matched);
+    if (!claim) return bufferedBodyBytes;
+    const role = this.#roleOf(claim, matched);
+    const isHolder = served.isForwarded ||
+      (role !== null && this.#options.ledger.isHolder(role));
+    return isHolder ? maximumClaimedBodyBytes : bufferedBodyBytes;
+  }
+
+  /** Sends a caller to its home region, where the route asks for that. */
+  #redirects(served: ServedRequest, matched: MatchedRequest): boolean {
+    const { response, isForwarded, path } = served;
+    if (
+      isForwarded || matched.route.outsideHome !== "redirect" ||
+      this.#homes.isHome(matched)
+    ) return false;
+    const vm = this.#homes.choose(matched);
+    if (!vm) return false;
+    response.writeHead(307, {
+      location: `${this.#options.redirectScheme}://${vm.callersAddress}${path}`,
+      "content-length": 0,
+      [Header.outcome]: Outcome.notRun,
+      [Header.reason]: Reason.outsideHome,
+      ...(served.request.complete ? {} : { connection: "close" }),
+    });
+    response.end();
+    return true;
+  }
+
   #observe(
     matched: MatchedRequest,
     end: { readonly refusal: Refusal | null; readonly startedAt: number },
@@ -141,11 +286,11 @@
   }
 }
 
-function requestHead(request: IncomingMessage) {
+function requestHead({ request, path }: ServedRequest): RequestHead {
   const values = (name: string) => request.headersDistinct[name] ?? [];
   return {
     method: request.method ?? "GET",
-    path: request.url ?? "/",
+    path,
     header: (name: string) =>
       values(name).length === 1 ? values(name)[0] : undefined,
     isRepeated: (name: string) => values(name).length > 1,
@@ -154,13 +299,10 @@
 
 async function receiveBody(
   request: IncomingMessage,
-  matched: MatchedRequest,
+  options: RequestBodyOptions,
 ): Promise<RequestBody | Refusal> {
   try {
-    return await RequestBody.receive(request, {
-      maximumBytes: matched.route.maximumBodyBytes,
-      bufferedBytes: bufferedBodyBytes,
-    });
+    return await RequestBody.receive(request, options);
   } catch (failure) {
     if (failure instanceof BodyTooLargeError) {
       return notRun(Reason.bodyTooLarge, { status: 413 });
@@ -168,3 +310,12 @@
     throw failure;
   }
 }
+
+function sendStoredAnswer(
+  response: ServerResponse,
+  answer: StoredAnswer,
+): void {
+  if (response.destroyed) return;
+  response.writeHead(answer.status, answer.headers);
+  response.end(answer.body);
+}
--- /dev/null
+++ b/packages/kingcupglade/gateway/home_vms.ts
@@ -0,0 +1,41 @@
+import type { VmRecord } from "@kingcupglade/ownership";
+import type { MatchedRequest } from "@kingcupglade/routing";
+import type { RoutingTask } from "../control/routing_task.ts";
+
+/** Options of {@link HomeVms}. */
+export interface HomeVmsOptions {
+  readonly routing: RoutingTask;
+  /** Region of this VM. */
+  readonly region: string;
+}
+
+/** Knows which VMs lie in the home regions of a request. */
+export class HomeVms {
+  readonly #options: HomeVmsOptions;
+  #next = 0;
+
+  constructor(options: HomeVmsOptions) {
+    this.#options = options;
+  }
+
+  /** Whether this VM may serve a request itself. */
+  isHome(matched: MatchedRequest): boolean {
+    return this.#homeOf(matched).includes(this.#options.region);
+  }
+
+  /** A VM that may serve it, each in turn; null when there is none. */
+  choose(matched: MatchedRequest): VmRecord | null {
+    const { table } = this.#options.routing;
+    const home = this.#homeOf(matched);
+    const fit = [...table.vms.values()].filter((vm) =>
+      home.includes(vm.region) && !vm.leaving &&
+      table.isInService(vm.dataCentre)
+    );
+    this.#next += 1;
+    return fit[this.#next % fit.length] ?? null;
+  }
+
+  #homeOf({ service, tenant }: MatchedRequest): readonly string[] {
+    return this.#options.routing.table.homeRegionsOf(service, tenant);
+  }
+}
--- /dev/null
+++ b/packages/kingcupglade/ledger/ledger_task.ts
@@ -0,0 +1,277 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { LedgerShard, regionOfClaim } from "@kingcupglade/ledger";
+import type {
+  Claim,
+  ClaimRecord,
+  LedgerBatch,
+  LedgerUpdate,
+  ShardRole,
+} from "@kingcupglade/ledger";
+import { roleId, RoleKind, roleShards } from "@kingcupglade/ownership";
+import type { RoleAssignment, RoutingTable } from "@kingcupglade/ownership";
+import { decodeValue, encodeValue, Ledger } from "@kingcupglade/protocol";
+import type { Clock } from "@kingcupglade/tasks";
+import { describeFailure } from "@kingcupglade/telemetry";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import type { PeerDirectory } from "../control/peers.ts";
+import type { RoutingTask } from "../control/routing_task.ts";
+import { ShardReplicator } from "./shard_replicator.ts";
+
+/** Time for which the outcome of an idempotency key is kept. */
+export const defaultRetentionMilliseconds = 300_000;
+
+const replicateTimeoutMilliseconds = 400;
+const settleTimeoutMilliseconds = 1000;
+const synchronisedPollMilliseconds = 20;
+const watchMilliseconds = 1000;
+
+/** Options of a {@link LedgerTask}. */
+export interface LedgerTaskOptions {
+  readonly vm: { readonly name: string; readonly boot: string };
+  readonly routing: RoutingTask;
+  readonly peers: PeerDirectory;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** @default defaultRetentionMilliseconds */
+  readonly retentionMilliseconds?: number;
+}
+
+/** A shard that this VM holds. */
+export interface HeldShard {
+  readonly shard: LedgerShard;
+  readonly replicator: ShardReplicator;
+}
+
+interface LocalShard {
+  readonly shard: LedgerShard;
+  replicator: ShardReplicator | undefined;
+}
+
+/** Keeps this VM's copies of ledger shards, as control assigns them. */
+export class LedgerTask {
+  readonly #options: LedgerTaskOptions;
+  readonly #shards = new Map<string, LocalShard>();
+  #table: RoutingTable | undefined;
+  #stopped = false;
+
+  constructor(options: LedgerTaskOptions) {
+    this.#options = options;
+    void this.#watch();
+  }
+
+  /** The assignment of the shard that keeps a claim; null when there is none. */
+  roleOf(claim: Claim, homeRegions: readonly string[]): RoleAssignment | null {
+    const region = regionOfClaim(claim, homeRegions);
+    if (region === undefined) return null;
+    const id = roleId({
+      kind: RoleKind.ledger,
+      region,
+      shard: claim.hash % roleShards.ledger,
+    });
+    return this.#options.routing.table.roles.get(id) ?? null;
+  }
+
+  /** Whether this VM is the holder of an assignment. */
+  isHolder(role: RoleAssignment): boolean {
+    const { name, boot } = this.#options.vm;
+    return role.holder === name && role.holderBoot === boot;
+  }
+
+  /** The shard, when this VM may decide on its claims now. */
+  held(role: RoleAssignment): HeldShard | null {
+    return this.#options.routing.hasLease ? this.copy(role) : null;
+  }
+
+  /** The shard, when this VM holds it by its table, with or without a lease. */
+  copy(role: RoleAssignment): HeldShard | null {
+    this.#refresh();
+    const local = this.#shards.get(roleId(role));
+    const replicator = local?.replicator;
+    return local && replicator ? { shard: local.shard, replicator } : null;
+  }
+
+  /** Tells the present holder how a request ended that this VM ran before. */
+  async settleElsewhere(
+    role: RoleAssignment,
+    claim: Claim,
+    record: ClaimRecord,
+  ): Promise<void> {
+    const { routing, peers, logger } = this.#options;
+    const current = routing.table.roles.get(roleId(role));
+    if (!current || this.isHolder(current)) return;
+    const { holder, region, shard } = current;
+    try {
+      await peers.client(holder ?? "", Ledger)?.settle({
+        region,
+        shard,
+        claim: claim.id,
+        record: encodeValue(record),
+      }, { timeoutMs: settleTimeoutMilliseconds });
+    } catch (failure) {
+      logger.debug("settling-failed", { reason: describeFailure(failure) });
+    }
+  }
+
+  /** Waits until every shard held here has its whole copy on a standby. */
+  async synchronised(timeoutMilliseconds: number): Promise<void> {
+    const until = this.#now + timeoutMilliseconds;
+    while (this.#now < until && !this.#isSynchronised) {
+      await this.#options.routing.nextTable(synchronisedPollMilliseconds);
+    }
+  }
+
+  /** Adds the service that other VMs call. */
+  addService(router: ConnectRouter): void {
+    router.service(Ledger, {
+      replicate: ({ region, shard, batch }) => ({
+        accepted: this.#receive(
+          roleId({ kind: RoleKind.ledger, region, shard }),
+          decodeValue(batch),
+        ),
+      }),
+      settle: ({ region, shard, claim, record }) => ({
+        accepted: this.#settleLate(
+          roleId({ kind: RoleKind.ledger, region, shard }),
+          claim,
+          decodeValue(record),
+        ),
+      }),
+    });
+  }
+
+  /** Stops; copies held here end. */
+  stop(): void {
+    this.#stopped = true;
+    for (const { replicator } of this.#shards.values()) replicator?.stop();
+  }
+
+  async #watch(): Promise<void> {
+    while (!this.#stopped) {
+      this.#refresh();
+      this.#observe();
+      await this.#options.routing.nextTable(watchMilliseconds);
+    }
+  }
+
+  /** Takes over the assignments of the table in use. */
+  #refresh(): void {
+    const { table } = this.#options.routing;
+    if (table === this.#table || this.#stopped) return;
+    this.#table = table;
+    for (const [id, role] of table.roles) {
+      if (role.kind === RoleKind.ledger) this.#assign(id, role);
+    }
+  }
+
+  #assign(id: string, role: RoleAssignment): void {
+    const part = this.#partOf(role);
+    if (part === "none" && !this.#shards.has(id)) return;
+    const local = this.#local(id);
+    const { epoch, previousEpoch } = role;
+    if (epoch <= local.shard.role.epoch) return;
+    local.replicator?.stop();
+    local.replicator = undefined;
+    local.shard.assign({ part, epoch, previousEpoch }, this.#now);
+    if (part === "holder") {
+      local.replicator = this.#createReplicator(local.shard, role);
+    }
+  }
+
+  #partOf(role: RoleAssignment): ShardRole["part"] {
+    const { name, boot } = this.#options.vm;
+    if (this.isHolder(role)) return "holder";
+    return role.standby === name && role.standbyBoot === boot
+      ? "standby"
+      : "none";
+  }
+
+  #createReplicator(
+    shard: LedgerShard,
+    role: RoleAssignment,
+  ): ShardReplicator {
+    const { peers, clock, metrics } = this.#options;
+    const { standby, region } = role;
+    const send = async (batch: LedgerBatch) => {
+      const client = peers.client(standby!, Ledger);
+      if (!client) return false;
+      metrics.ledgerBatches.inc();
+      const answer = await client.replicate({
+        region,
+        shard: role.shard,
+        batch: encodeValue(batch),
+      }, { timeoutMs: replicateTimeoutMilliseconds });
+      return answer.accepted;
+    };
+    return new ShardReplicator({
+      shard,
+      clock,
+      send: standby === null ? null : send,
+    });
+  }
+
+  #receive(id: string, batch: LedgerBatch): boolean {
+    this.#refresh();
+    const local = this.#local(id);
+    const answer = local.shard.receive(batch, this.#now);
+    if (answer.kind === "accepted" && local.replicator) {
+      local.replicator.stop();
+      local.replicator = undefined;
+    }
+    return answer.kind === "accepted";
+  }
+
+  #settleLate(
+    id: string,
+    claim: string,
+    record: ClaimRecord,
+  ): boolean {
+    this.#refresh();
+    const local = this.#shards.get(id);
+    if (!local?.replicator || record.state === "open") return false;
+    const update: LedgerUpdate | null = local.shard.settleLate(
+      claim,
+      record,
+      this.#now,
+    );
+    if (update) void local.replicator.record(update);
+    return update !== null;
+  }
+
+  #local(id: string): LocalShard {
+    const known = this.#shards.get(id);
+    if (known) return known;
+    const { retentionMilliseconds = defaultRetentionMilliseconds } =
+      this.#options;
+    const local = {
+      shard: new LedgerShard({ retentionMilliseconds }),
+      replicator: undefined,
+    };
+    this.#shards.set(id, local);
+    return local;
+  }
+
+  #observe(): void {
+    const { metrics } = this.#options;
+    let records = 0;
+    let bytes = 0;
+    for (const { shard } of this.#shards.values()) {
+      shard.expire(this.#now);
+      records += shard.size;
+      bytes += shard.bytes;
+    }
+    metrics.ledgerRecords.set(records);
+    metrics.ledgerBytes.set(bytes);
+  }
+
+  get #isSynchronised(): boolean {
+    this.#refresh();
+    return [...this.#shards.values()].every((each) =>
+      each.shard.role.part !== "holder" || each.replicator?.isSynchronised
+    );
+  }
+
+  get #now(): number {
+    return this.#options.clock.now();
+  }
+}
--- a/packages/kingcupglade/listeners/body.ts
+++ b/packages/kingcupglade/listeners/body.ts
@@ -79,6 +79,11 @@
     return this.#whole;
   }
 
+  /** Length of the body; 0 when its framing does not tell it. */
+  get length(): number {
+    return this.#whole?.length ?? this.streamedLength ?? 0;
+  }
+
   /** Whether the body can be sent, for the first time or again. */
   get canBeSent(): boolean {
     return this.#whole !== undefined || !this.#taken;
--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -1,3 +1,8 @@
+import type {
+  IncomingMessage,
+  RequestListener,
+  ServerResponse,
+} from "node:http";
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
@@ -10,12 +15,15 @@
   encodeValue,
   Replication,
 } from "@kingcupglade/protocol";
+import { Header } from "@kingcupglade/routing";
+import { forwardedPathPrefix } from "../gateway/forwarder.ts";
 import type { ControlTask } from "../control/control_task.ts";
 import { NotLeaderError } from "../control/errors.ts";
 import { presentsSecret } from "../settings/secrets.ts";
 import type { ResolvedTls } from "../settings/tls.ts";
 import { HttpListener } from "./http_listener.ts";
 
+const defaultHeaderBytes = 16_384;
 const noBytes = new Uint8Array();
 
 /** Opens the listener for the other VMs. */
@@ -27,6 +35,8 @@
   readonly control: ControlTask | undefined;
   /** Adds the services of other tasks of this VM. */
   readonly services?: readonly ((router: ConnectRouter) => void)[];
+  /** Serves the requests of callers that other VMs pass on. */
+  readonly forwarded: RequestListener;
 }): Promise<HttpListener> {
   const { address, secret, control, services = [] } = options;
   return HttpListener.open({
@@ -39,10 +49,34 @@
         for (const addService of services) addService(router);
       },
       interceptors: [requireSecret(secret)],
+      fallback: forwardedOnly(options),
     }),
+    maximumHeaderBytes: 2 * defaultHeaderBytes,
   });
 }
 
+type FallbackHandler = NonNullable<
+  Parameters<typeof connectNodeAdapter>[0]["fallback"]
+>;
+
+/** Passes requests of callers to the gateway, when another VM sent them. */
+function forwardedOnly(options: {
+  readonly secret: string;
+  readonly forwarded: RequestListener;
+}): FallbackHandler {
+  return (given, answer) => {
+    const request = given as IncomingMessage;
+    const response = answer as ServerResponse;
+    const presented = request.headers[Header.vmSecret];
+    const isForwarded = request.url?.startsWith(`${forwardedPathPrefix}/`);
+    if (!isForwarded || !presentsSecret(String(presented), options.secret)) {
+      response.writeHead(404).end();
+      return;
+    }
+    options.forwarded(request, response);
+  };
+}
+
 function requireSecret(secret: string): Interceptor {
   return (next) => (request) => {
     if (!presentsSecret(request.header.get("authorization"), secret)) {
@@ -79,6 +113,7 @@
             dataCentre: request.dataCentre,
             region: request.region,
             peerAddress: request.peerAddress,
+            callersAddress: request.callersAddress,
             replica: request.replica || null,
             leaving: request.leaving,
           },
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -13,7 +13,9 @@
 import { PeerDirectory } from "./control/peers.ts";
 import { RoutingTask } from "./control/routing_task.ts";
 import { ExchangeClient } from "./gateway/exchange.ts";
+import { Forwarder } from "./gateway/forwarder.ts";
 import { Gateway } from "./gateway/gateway.ts";
+import { LedgerTask } from "./ledger/ledger_task.ts";
 import { AnnouncementBatcher } from "./listeners/announcement_batcher.ts";
 import { HttpListener } from "./listeners/http_listener.ts";
 import { openOperatorsListener } from "./listeners/operators.ts";
@@ -25,6 +27,7 @@
 
 const connectionsPerTarget = 12;
 const leaveMilliseconds = 300;
+const handOverMilliseconds = 3000;
 
 /** Options of {@link Vm.start}. */
 export interface VmOptions {
@@ -40,6 +43,9 @@
   readonly control: ControlTask | undefined;
   readonly routing: RoutingTask;
   readonly exchanges: ExchangeClient;
+  readonly ledger: LedgerTask;
+  readonly forwarder: Forwarder;
+  readonly gateway: Gateway;
   readonly listeners: readonly HttpListener[];
   readonly callers: HttpListener;
   readonly markStopping: () => void;
@@ -85,19 +91,15 @@
       });
     const client = () =>
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
-    const peersListener = await openPeersListener({
-      address: listen.peers,
-      tls,
-      secret: secrets.vm,
-      control,
-    });
+    const boot = randomUUID();
     const routing = new RoutingTask({
       vm: {
         name: vm.name,
-        boot: randomUUID(),
+        boot,
         dataCentre: vm.dataCentre,
         region: vm.region,
         peerAddress: listen.peers,
+        callersAddress: listen.callers,
         replica: control?.replicaId ?? null,
       },
       control: client(),
@@ -109,7 +111,26 @@
       connectionsPerTarget,
       authority: tls.material?.authority,
     });
+    const ledger = new LedgerTask({
+      vm: { name: vm.name, boot },
+      routing,
+      peers,
+      clock,
+      logger,
+      metrics,
+    });
+    const forwarder = new Forwarder({
+      routing,
+      secret: secrets.vm,
+      tls,
+      clock,
+      metrics,
+      region: vm.region,
+    });
     const gateway = new Gateway({
+      ledger,
+      forwarder,
+      redirectScheme: tls.listeners.has("callers") ? "https" : "http",
       routing,
       exchanges,
       capacity: new LocalCapacityGate(),
@@ -119,6 +140,16 @@
       metrics,
       region: vm.region,
     });
+    const peersListener = await openPeersListener({
+      address: listen.peers,
+      tls,
+      secret: secrets.vm,
+      control,
+      services: [(router) => ledger.addService(router)],
+      forwarded: (request, response) => {
+        void gateway.serveForwarded(request, response);
+      },
+    });
     let stopping = false;
     const callers = await HttpListener.open({
       name: "callers",
@@ -153,6 +184,9 @@
       control,
       routing,
       exchanges,
+      ledger,
+      forwarder,
+      gateway,
       callers,
       listeners: [targets, operators, peersListener],
       markStopping: () => (stopping = true),
@@ -169,9 +203,12 @@
     const parts = this.#parts;
     parts.markStopping();
     parts.logger.info("vm-stopping");
+    await parts.ledger.synchronised(handOverMilliseconds);
     parts.routing.leave();
     await new Promise((resolve) => setTimeout(resolve, leaveMilliseconds));
     await parts.callers.close();
+    await parts.gateway.finished();
+    parts.ledger.stop();
     await parts.routing.stop();
     await parts.control?.stop().catch((failure) =>
       parts.logger.warn("control-stop-failed", {
@@ -181,6 +218,7 @@
     for (const listener of parts.listeners) listener.destroy();
     parts.peers.close();
     await parts.exchanges.close();
+    await parts.forwarder.close();
     parts.logger.info("vm-stopped");
   }
 
@@ -190,8 +228,10 @@
     parts.callers.destroy();
     for (const listener of parts.listeners) listener.destroy();
     parts.peers.close();
+    parts.ledger.stop();
     await Promise.allSettled([
       parts.exchanges.close(),
+      parts.forwarder.close(),
       parts.routing.stop(),
       parts.control?.stop(),
     ]);
--- /dev/null
+++ b/packages/ledger/claim.ts
@@ -0,0 +1,77 @@
+import { createHash } from "node:crypto";
+
+const claimIdBytes = 18;
+const contentDigestBytes = 18;
+
+/** What names a claim. */
+export interface ClaimSubject {
+  readonly service: string;
+  readonly tenant: string;
+  readonly idempotencyKey: string;
+}
+
+/** A request that may run once, named without the text of its key. */
+export interface Claim {
+  /** Digest of service, tenant and idempotency key. */
+  readonly id: string;
+  /** Spreads claims over regions and shards. */
+  readonly hash: number;
+}
+
+/** Names the claim of an idempotency key. */
+export function claimOf(subject: ClaimSubject): Claim {
+  const { service, tenant, idempotencyKey } = subject;
+  const digest = createHash("sha256")
+    .update(`${service}\0${tenant}\0${idempotencyKey}`).digest();
+  return {
+    id: digest.subarray(0, claimIdBytes).toString("base64url"),
+    hash: digest.readUInt32BE(claimIdBytes),
+  };
+}
+
+/** Digest of what a request asks for; differs when its content differs. */
+export function contentDigest(content: {
+  readonly method: string;
+  readonly path: string;
+  readonly body: Uint8Array;
+}): string {
+  return createHash("sha256").update(`${content.method}\0${content.path}\0`)
+    .update(content.body).digest().subarray(0, contentDigestBytes)
+    .toString("base64url");
+}
+
+/**
+ * The region that keeps a claim, of the home regions that may keep it. It
+ * depends on nothing that moves, so that a later request finds the claim; a
+ * region that is added or removed changes the place of its own claims only.
+ */
+export function regionOfClaim(
+  claim: Claim,
+  homeRegions: readonly string[],
+): string | undefined {
+  let best: string | undefined;
+  let bestWeight = -1;
+  for (const region of homeRegions) {
+    const weight = mixed(claim.hash ^ textHash(region));
+    if (weight > bestWeight) {
+      best = region;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+function textHash(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+  }
+  return hash >>> 0;
+}
+
+function mixed(value: number): number {
+  let hash = value >>> 0;
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/ledger/mod.ts
@@ -0,0 +1,21 @@
+/**
+ * At most once by idempotency key: claims, their outcomes, and the copies of
+ * both that a holder and a standby keep. Decisions only.
+ *
+ * @module
+ */
+export { claimOf, contentDigest, regionOfClaim } from "./claim.ts";
+export type { Claim, ClaimSubject } from "./claim.ts";
+export type {
+  ClaimRecord,
+  LedgerBatch,
+  LedgerUpdate,
+  StoredAnswer,
+} from "./record.ts";
+export { holderLostReason, LedgerShard } from "./shard.ts";
+export type {
+  BatchAnswer,
+  ClaimDecision,
+  LedgerShardOptions,
+  ShardRole,
+} from "./shard.ts";
--- /dev/null
+++ b/packages/ledger/record_store.ts
@@ -0,0 +1,79 @@
+import { recordBytes } from "./record.ts";
+import type { ClaimRecord } from "./record.ts";
+
+interface KeptRecord {
+  readonly record: ClaimRecord;
+  /** Monotonic time until which it is kept; an open one is kept longer. */
+  readonly expiresAt: number;
+}
+
+/** Limits of a {@link RecordStore}. */
+export interface RecordStoreOptions {
+  /** @default 50000 */
+  readonly maximumRecords?: number;
+  /** @default 16777216 */
+  readonly maximumBytes?: number;
+}
+
+/** Records by claim, in the order in which they expire. */
+export class RecordStore {
+  readonly #maximumRecords: number;
+  readonly #maximumBytes: number;
+  readonly #kept = new Map<string, KeptRecord>();
+  #bytes = 0;
+
+  constructor(options: RecordStoreOptions) {
+    this.#maximumRecords = options.maximumRecords ?? 50_000;
+    this.#maximumBytes = options.maximumBytes ?? 1 << 24;
+  }
+
+  get size(): number {
+    return this.#kept.size;
+  }
+
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  /** Whether a new claim must be refused. */
+  get isFull(): boolean {
+    return this.size >= this.#maximumRecords ||
+      this.#bytes >= this.#maximumBytes;
+  }
+
+  get(id: string): ClaimRecord | undefined {
+    return this.#kept.get(id)?.record;
+  }
+
+  /** Every record, the first to expire first. */
+  entries(): readonly (KeptRecord & { readonly id: string })[] {
+    return [...this.#kept].map(([id, kept]) => ({ id, ...kept }));
+  }
+
+  put(id: string, kept: KeptRecord): void {
+    this.delete(id);
+    this.#kept.set(id, kept);
+    this.#bytes += recordBytes(kept.record);
+  }
+
+  delete(id: string): void {
+    const known = this.#kept.get(id);
+    if (!known) return;
+    this.#kept.delete(id);
+    this.#bytes -= recordBytes(known.record);
+  }
+
+  clear(): void {
+    this.#kept.clear();
+    this.#bytes = 0;
+  }
+
+  /** Forgets what was kept long enough; open claims stay. */
+  expire(now: number): void {
+    for (const [id, { record, expiresAt }] of this.#kept) {
+      if (record.state === "open") continue;
+      if (expiresAt > now) return;
+      this.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/ledger/shard.ts
@@ -0,0 +1,242 @@
+import { RecordStore } from "./record_store.ts";
+import type { ClaimRecord, LedgerBatch, LedgerUpdate } from "./record.ts";
+
+/** A VM's part in a shard, as control assigned it. */
+export interface ShardRole {
+  readonly part: "holder" | "standby" | "none";
+  /** Fence of the assignment. */
+  readonly epoch: number;
+  /** Fence of the assignment before it; 0 when this is the first. */
+  readonly previousEpoch: number;
+}
+
+/** What a holder must do about a claim. */
+export type ClaimDecision =
+  /** Record the update on the standby, then run the request. */
+  | { readonly kind: "run"; readonly update: LedgerUpdate }
+  /** This holder is running it. */
+  | { readonly kind: "running" }
+  /** It ended before. */
+  | {
+    readonly kind: "ended";
+    readonly record: Exclude<ClaimRecord, { readonly state: "open" }>;
+  }
+  /** The key was used for another request. */
+  | { readonly kind: "conflict" }
+  /** Both copies were lost; the claim may have been among them. */
+  | { readonly kind: "lost"; readonly forMilliseconds: number }
+  | { readonly kind: "full" }
+  | { readonly kind: "notHolder" };
+
+/** What a standby says to a batch. */
+export type BatchAnswer =
+  | { readonly kind: "accepted" }
+  /** The holder's epoch is over. */
+  | { readonly kind: "fenced"; readonly epoch: number }
+  /** A batch before this one is missing. */
+  | { readonly kind: "gap" };
+
+/** Options of a {@link LedgerShard}. */
+export interface LedgerShardOptions {
+  /** Time for which an outcome is kept. */
+  readonly retentionMilliseconds: number;
+  /** @default 50000 */
+  readonly maximumRecords?: number;
+  /** @default 16777216 */
+  readonly maximumBytes?: number;
+}
+
+/** Reason of a claim whose holder was lost before its outcome was recorded. */
+export const holderLostReason = "connection-lost";
+
+/**
+ * One VM's copy of a ledger shard: which requests were claimed, and how they
+ * ended. It decides; it sends nothing and has no clock.
+ */
+export class LedgerShard {
+  readonly #options: LedgerShardOptions;
+  readonly #records: RecordStore;
+  #role: ShardRole = { part: "none", epoch: 0, previousEpoch: 0 };
+  #isWhole = false;
+  #lastSequence = -1;
+  #blockedUntil = -Infinity;
+  #generation = 0;
+
+  constructor(options: LedgerShardOptions) {
+    this.#options = options;
+    this.#records = new RecordStore(options);
+  }
+
+  /** The part that this copy plays. */
+  get role(): ShardRole {
+    return this.#role;
+  }
+
+  /** Whether the copy misses nothing that was recorded in its epoch. */
+  get isWhole(): boolean {
+    return this.#isWhole;
+  }
+
+  /** Changes whenever the copy starts empty. */
+  get generation(): number {
+    return this.#generation;
+  }
+
+  /** Records that are kept. */
+  get size(): number {
+    return this.#records.size;
+  }
+
+  /** Estimated memory of the records. */
+  get bytes(): number {
+    return this.#records.bytes;
+  }
+
+  /** Takes over a new assignment; older ones are ignored. */
+  assign(role: ShardRole, now: number): void {
+    const before = this.#role;
+    if (role.epoch <= before.epoch) return;
+    const continues = this.#isWhole && before.epoch === role.previousEpoch &&
+      role.previousEpoch > 0;
+    this.#role = role;
+    if (role.part !== "holder") return this.#startEmpty();
+    if (continues) {
+      if (before.part === "standby") this.#takeOver(now);
+      return;
+    }
+    this.#startEmpty();
+    this.#isWhole = true;
+    // Only the first holder ever knows that nothing was claimed before it.
+    this.#blockedUntil = role.previousEpoch === 0
+      ? -Infinity
+      : now + this.#options.retentionMilliseconds;
+  }
+
+  /** Decides on a request that arrived under a claim. */
+  claim(id: string, content: string, now: number): ClaimDecision {
+    if (this.#role.part !== "holder") return { kind: "notHolder" };
+    this.#records.expire(now);
+    const known = this.#records.get(id);
+    if (known) {
+      if (known.content !== content) return { kind: "conflict" };
+      return known.state === "open"
+        ? { kind: "running" }
+        : { kind: "ended", record: known };
+    }
+    if (now < this.#blockedUntil) {
+      return { kind: "lost", forMilliseconds: this.#blockedUntil - now };
+    }
+    if (this.#records.isFull) return { kind: "full" };
+    return {
+      kind: "run",
+      update: this.#put(id, { state: "open", content }, now),
+    };
+  }
+
+  /** Records how a claimed request ended. */
+  settle(
+    id: string,
+    record: Exclude<ClaimRecord, { readonly state: "open" }>,
+    now: number,
+  ): LedgerUpdate {
+    return this.#put(id, record, now);
+  }
+
+  /** Forgets a claim whose request certainly did not run. */
+  release(id: string): LedgerUpdate {
+    this.#records.delete(id);
+    return { kind: "remove", claim: id };
+  }
+
+  /**
+   * Takes the outcome of a request from the holder of an earlier epoch, which
+   * ran it to its end after it was replaced.
+   */
+  settleLate(
+    id: string,
+    record: Exclude<ClaimRecord, { readonly state: "open" }>,
+    now: number,
+  ): LedgerUpdate | null {
+    const known = this.#records.get(id);
+    const isMissing = this.#role.part === "holder" &&
+      known?.state === "unknown" && known.content === record.content;
+    return isMissing ? this.#put(id, record, now) : null;
+  }
+
+  /** Takes a batch of the holder. */
+  receive(batch: LedgerBatch, now: number): BatchAnswer {
+    const { epoch, part } = this.#role;
+    if (batch.epoch < epoch || (batch.epoch === epoch && part === "holder")) {
+      return { kind: "fenced", epoch };
+    }
+    if (batch.epoch > epoch) {
+      this.#role = { part: "standby", epoch: batch.epoch, previousEpoch: 0 };
+      this.#startEmpty();
+    }
+    if (batch.sequence <= this.#lastSequence) return { kind: "accepted" };
+    if (batch.sequence !== this.#lastSequence + 1) return { kind: "gap" };
+    this.#lastSequence = batch.sequence;
+    if (batch.first) this.#records.clear();
+    for (const update of batch.updates) this.#applyUpdate(update, now);
+    this.#records.expire(now);
+    if (batch.last) this.#isWhole = true;
+    this.#blockedUntil = now + batch.blockedMilliseconds;
+    return { kind: "accepted" };
+  }
+
+  /** Everything that a new standby needs. */
+  snapshot(now: number): readonly LedgerUpdate[] {
+    this.#records.expire(now);
+    return this.#records.entries().map(({ id, record, expiresAt }) => ({
+      kind: "put",
+      claim: id,
+      record,
+      remainingMilliseconds: expiresAt - now,
+    }));
+  }
+
+  /** Forgets what was kept long enough. */
+  expire(now: number): void {
+    this.#records.expire(now);
+  }
+
+  /** Time for which the shard may have forgotten claims. */
+  blockedMilliseconds(now: number): number {
+    return Math.max(0, this.#blockedUntil - now);
+  }
+
+  #startEmpty(): void {
+    this.#generation += 1;
+    this.#records.clear();
+    this.#isWhole = false;
+    this.#lastSequence = -1;
+    this.#blockedUntil = -Infinity;
+  }
+
+  // The lost holder may have sent any open claim, and may still do so.
+  #takeOver(now: number): void {
+    for (const { id, record } of this.#records.entries()) {
+      if (record.state !== "open") continue;
+      const { content } = record;
+      this.#put(
+        id,
+        { state: "unknown", content, reason: holderLostReason },
+        now,
+      );
+    }
+  }
+
+  #put(id: string, record: ClaimRecord, now: number): LedgerUpdate {
+    const remainingMilliseconds = this.#options.retentionMilliseconds;
+    this.#records.put(id, { record, expiresAt: now + remainingMilliseconds });
+    return { kind: "put", claim: id, record, remainingMilliseconds };
+  }
+
+  #applyUpdate(update: LedgerUpdate, now: number): void {
+    if (update.kind === "remove") return this.#records.delete(update.claim);
+    this.#records.put(update.claim, {
+      record: update.record,
+      expiresAt: now + update.remainingMilliseconds,
+    });
+  }
+}
--- a/packages/ownership/apply.ts
+++ b/packages/ownership/apply.ts
@@ -15,12 +15,8 @@
 } from "./commands.ts";
 import { applyRangeChanges, initialRanges } from "./ranges.ts";
 import { groupId, roleId } from "./model.ts";
-import type {
-  ControlState,
-  PlacementGroup,
-  Removal,
-  RoleAssignment,
-} from "./model.ts";
+import type { PlannedRole } from "./role_planner.ts";
+import type { ControlState, PlacementGroup, Removal } from "./model.ts";
 
 const maximumRemovals = 4096;
 
@@ -140,12 +136,14 @@
 
 function assignRoles(
   state: ControlState,
-  roles: readonly Omit<RoleAssignment, "epoch" | "changedAt">[],
+  roles: readonly PlannedRole[],
 ): ControlState {
   const next = new Map(state.roles);
   for (const role of roles) {
-    next.set(roleId(role), {
+    const id = roleId(role);
+    next.set(id, {
       ...role,
+      previousEpoch: next.get(id)?.epoch ?? 0,
       epoch: state.version,
       changedAt: state.version,
     });
--- a/packages/ownership/commands.ts
+++ b/packages/ownership/commands.ts
@@ -1,6 +1,7 @@
 import type { SignedBundle } from "@kingcupglade/bundle";
 import type { TargetCondition } from "@kingcupglade/membership";
-import type { RoleAssignment, TargetRecord, VmRecord } from "./model.ts";
+import type { TargetRecord, VmRecord } from "./model.ts";
+import type { PlannedRole } from "./role_planner.ts";
 
 /** Names a range in the state that the sender saw. */
 interface RangeReference {
@@ -53,7 +54,7 @@
   }
   | {
     readonly kind: "assignRoles";
-    readonly roles: readonly Omit<RoleAssignment, "epoch" | "changedAt">[];
+    readonly roles: readonly PlannedRole[];
   };
 
 /** What came of a roll. */
--- a/packages/ownership/model.ts
+++ b/packages/ownership/model.ts
@@ -54,6 +54,8 @@
   readonly region: string;
   /** IP and port at which other VMs reach it. */
   readonly peerAddress: string;
+  /** IP and port at which callers reach it. */
+  readonly callersAddress: string;
   /** Replica of its data folder, or null when it has none. */
   readonly replica: string | null;
   readonly leaving: boolean;
@@ -76,8 +78,13 @@
   readonly shard: number;
   /** Fence: the table version at which it was assigned. */
   readonly epoch: number;
+  /** Epoch of the assignment before it; 0 when this is the first. */
+  readonly previousEpoch: number;
   readonly holder: string | null;
+  /** Incarnation of the holder; another one has lost what it kept. */
+  readonly holderBoot: string | null;
   readonly standby: string | null;
+  readonly standbyBoot: string | null;
   readonly changedAt: number;
 }
 
--- a/packages/ownership/role_planner.ts
+++ b/packages/ownership/role_planner.ts
@@ -8,7 +8,10 @@
 };
 
 /** A role as it should be held from now on. */
-export type PlannedRole = Omit<RoleAssignment, "epoch" | "changedAt">;
+export type PlannedRole = Omit<
+  RoleAssignment,
+  "epoch" | "previousEpoch" | "changedAt"
+>;
 
 /**
  * The roles whose holder or standby must change: a VM of the region that is
@@ -23,14 +26,14 @@
     if (!vm.leaving) list.push(vm);
   }
   return [...regions].sort().flatMap(([region, vms]) =>
-    planRegion(state, region, vms.map((vm) => vm.name).sort())
+    planRegion(state, region, vms.sort(byName))
   );
 }
 
 function planRegion(
   state: ControlState,
   region: string,
-  vms: readonly string[],
+  vms: readonly VmRecord[],
 ): readonly PlannedRole[] {
   return Object.values(RoleKind).flatMap((kind) =>
     Array.from({ length: roleShards[kind] }, (_, shard) => shard).flatMap(
@@ -38,7 +41,9 @@
         const current = state.roles.get(roleId({ kind, region, shard }));
         const next = planHolders(current, { vms, shard });
         const same = current !== undefined &&
-          current.holder === next.holder && current.standby === next.standby;
+          current.holder === next.holder && current.standby === next.standby &&
+          current.holderBoot === next.holderBoot &&
+          current.standbyBoot === next.standbyBoot;
         return same ? [] : [{ kind, region, shard, ...next }];
       },
     )
@@ -47,13 +52,25 @@
 
 function planHolders(
   current: RoleAssignment | undefined,
-  choice: { readonly vms: readonly string[]; readonly shard: number },
-): Pick<RoleAssignment, "holder" | "standby"> {
+  choice: { readonly vms: readonly VmRecord[]; readonly shard: number },
+): Pick<RoleAssignment, "holder" | "holderBoot" | "standby" | "standbyBoot"> {
   const { vms, shard } = choice;
-  const isFit = (vm: string | null | undefined): vm is string =>
-    vm !== null && vm !== undefined && vms.includes(vm);
+  const keeping = (name?: string | null, boot?: string | null) =>
+    vms.filter((vm) => vm.name === name && vm.boot === boot);
   const rotated = vms.map((_, index) => vms[(index + shard) % vms.length]!);
-  const kept = [current?.holder, current?.standby].filter(isFit);
-  const [holder = null, standby = null] = [...new Set([...kept, ...rotated])];
-  return { holder, standby };
+  const [holder = null, standby = null] = new Set([
+    ...keeping(current?.holder, current?.holderBoot),
+    ...keeping(current?.standby, current?.standbyBoot),
+    ...rotated,
+  ]);
+  return {
+    holder: holder?.name ?? null,
+    holderBoot: holder?.boot ?? null,
+    standby: standby?.name ?? null,
+    standbyBoot: standby?.boot ?? null,
+  };
+}
+
+function byName(left: VmRecord, right: VmRecord): number {
+  return left.name < right.name ? -1 : 1;
 }
--- a/packages/protocol/mod.ts
+++ b/packages/protocol/mod.ts
@@ -5,4 +5,5 @@
  * @module
  */
 export * from "./generated/control_pb.ts";
+export * from "./generated/ledger_pb.ts";
 export { decodeValue, encodeValue, WireError } from "./codec.ts";
--- a/packages/routing/outcome.ts
+++ b/packages/routing/outcome.ts
@@ -18,6 +18,8 @@
   noOwner: "no-owner",
   noTarget: "no-target",
   noHome: "no-home",
+  /** The caller is sent to the home region of its request. */
+  outsideHome: "outside-home",
   overload: "overload",
   deadline: "deadline",
   unreachable: "unreachable",
@@ -53,8 +55,8 @@
   group: "kingcupglade-group",
   /** Names the exchange; a target that echoes it proves which answer is which. */
   exchange: "kingcupglade-exchange",
-  /** Marks a request that another VM passed on. */
-  forwarded: "kingcupglade-forwarded",
+  /** Authenticates the VM that passed a request on. */
+  vmSecret: "kingcupglade-vm-secret",
   /** Milliseconds that are left, to the target; from a caller, a shorter deadline. */
   deadline: "kingcupglade-deadline-milliseconds",
   idempotencyKey: "idempotency-key",
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -11,6 +11,16 @@
   readonly retries: Counter<"reason">;
   /** Time from arrival to the end of the answer, in seconds. */
   readonly latency: Histogram<"service" | "tenant" | "class">;
+  /** Bytes of requests and answers over links between regions. */
+  readonly regionBytes: Counter<"tenant">;
+  /** Requests passed on to another VM, by reason. */
+  readonly forwarded: Counter<"reason">;
+  /** Batches of ledger changes sent to standbys. */
+  readonly ledgerBatches: Counter;
+  /** Idempotency keys whose requests are remembered here. */
+  readonly ledgerRecords: Gauge;
+  /** Estimated memory of the ledger, in bytes. */
+  readonly ledgerBytes: Gauge;
   /** Table version that the VM routes by. */
   readonly tableVersion: Gauge;
   /** Times that the routing lease lapsed. */
@@ -68,6 +78,33 @@
       buckets: latencyBucketsSeconds,
       registers,
     }),
+    regionBytes: new Counter({
+      name: "kingcupglade_region_link_bytes_total",
+      help: "Bytes of requests and answers over links between regions",
+      labelNames: ["tenant"],
+      registers,
+    }),
+    forwarded: new Counter({
+      name: "kingcupglade_forwarded_total",
+      help: "Requests passed on to another VM",
+      labelNames: ["reason"],
+      registers,
+    }),
+    ledgerBatches: new Counter({
+      name: "kingcupglade_ledger_batches_total",
+      help: "Batches of ledger changes sent to standbys",
+      registers,
+    }),
+    ledgerRecords: new Gauge({
+      name: "kingcupglade_ledger_records",
+      help: "Idempotency keys whose requests are remembered here",
+      registers,
+    }),
+    ledgerBytes: new Gauge({
+      name: "kingcupglade_ledger_bytes",
+      help: "Estimated memory of the ledger",
+      registers,
+    }),
     tableVersion: new Gauge({
       name: "kingcupglade_table_version",
       help: "Table version that this VM routes by",
