Make the replicated log sound under restarts, transfers and slow links

Cause: reading the machine against what leases need showed faults. A voter that restarted forgot that it had just answered a leader and helped to elect a second one while the first still held its quorum. A leader that had asked its successor to stand went on renewing leases, and after a failed transfer led on although the request could still arrive. The leader sent entries only after its own sync. A command posted while another was handled overtook the effects of the first. A proposal cut off by a lost lead was reported as not placed.

Change: refuse votes for a timeout after a start; holdsQuorum() is false during a transfer and within a tenth of the timeout; a leader whose transfer expired steps down. Entries leave before the leader's own sync, answers and votes after it; commits are applied at once. A rolled-back disk is noticed by the leader and counted no more. New voters must be caught-up learners.

log is cut one checkpoint behind. UnknownOutcomeError tells a command that may yet be committed from one that was certainly not. planVoters() decides the next change of the replica set. A commit no longer triggers a message of its own to each follower.

--- a/packages/consensus/draft.ts
+++ b/packages/consensus/draft.ts
@@ -1,4 +1,4 @@
-import { lastIndex } from "./log.ts";
+import { configurationOf, lastIndex } from "./log.ts";
 import type {
   ConsensusEffect,
   ConsensusMessage,
@@ -35,9 +35,26 @@
     this.effects.push({
       kind: "send",
       message: { ...message, from: this.state.self, term } as ConsensusMessage,
+      awaitsSync: this.#awaitsSync(message.kind),
     });
   }
 
+  // A leader's term was synced before its votes came, so that its entries may
+  // leave ahead of its own sync; a single voter needs no other's vote.
+  #awaitsSync(kind: ConsensusMessage["kind"]): boolean {
+    switch (kind) {
+      case "appendRequest":
+      case "snapshotRequest":
+        return configurationOf(this.state).voters.length < 2;
+      case "preVoteRequest":
+      case "preVoteResponse":
+      case "timeoutNow":
+        return false;
+      default:
+        return true;
+    }
+  }
+
   /** Stores the term and the vote. */
   persistHardState(): void {
     this.#persist([]);
--- a/packages/consensus/election.ts
+++ b/packages/consensus/election.ts
@@ -28,6 +28,7 @@
   if (term > draft.state.term) {
     draft.state.term = term;
     draft.state.votedFor = null;
+    draft.state.incoming = null;
     draft.persistHardState();
   }
   draft.state.role = Role.follower;
@@ -158,8 +159,7 @@
 // elected while the first one's quorum contact is younger than the timeout.
 function hearsLeader(draft: Draft): boolean {
   const { state, now } = draft;
-  if (state.role === Role.leader) return true;
-  return state.leader !== null &&
+  return state.role === Role.leader ||
     now - state.leaderHeardAt < state.options.electionMilliseconds;
 }
 
--- /dev/null
+++ b/packages/consensus/fake_replica.ts
@@ -0,0 +1,257 @@
+import { isVoter } from "./election.ts";
+import type { FakeNetwork } from "./fake_network.ts";
+import { lastIndex } from "./log.ts";
+import {
+  createConsensusState,
+  emptySnapshot,
+  stepConsensus,
+} from "./machine.ts";
+import { Role } from "./types.ts";
+import type {
+  ConsensusEffect,
+  ConsensusEvent,
+  ConsensusState,
+  HardState,
+  LogEntry,
+  ReplicaId,
+  Snapshot,
+} from "./types.ts";
+
+const tickMilliseconds = 25;
+const entriesPerSnapshot = 40;
+
+interface Disk {
+  hardState: HardState;
+  snapshot: Snapshot;
+  entries: readonly LogEntry[];
+}
+
+/** A replica with a disk that keeps what was synced before a crash. */
+export class FakeReplica {
+  readonly vm: string;
+  readonly region: string;
+  readonly #network: FakeNetwork;
+  readonly #inbox: ConsensusEvent[] = [];
+  readonly #placed = new Map<number, number>();
+  #incarnation = 0;
+  #disk: Disk;
+  #state: ConsensusState;
+  #running = true;
+  #pausedUntil = 0;
+  #waiting: ConsensusEffect[] = [];
+  #syncing: readonly ConsensusEffect[] = [];
+  #syncedAt = 0;
+  #tickAt = 0;
+  /** Longest time of one sync. */
+  syncMilliseconds = 10;
+
+  constructor(options: {
+    readonly vm: string;
+    readonly region: string;
+    readonly snapshot: Snapshot;
+    readonly network: FakeNetwork;
+  }) {
+    this.vm = options.vm;
+    this.region = options.region;
+    this.#network = options.network;
+    this.#disk = {
+      hardState: { term: 0, votedFor: null },
+      snapshot: options.snapshot,
+      entries: [],
+    };
+    this.#state = this.#load();
+  }
+
+  get id(): ReplicaId {
+    return `${this.vm}.${this.#incarnation}`;
+  }
+
+  get state(): ConsensusState {
+    return this.#state;
+  }
+
+  get isRunning(): boolean {
+    return this.#running;
+  }
+
+  get isPaused(): boolean {
+    return this.#network.now < this.#pausedUntil;
+  }
+
+  get isVoter(): boolean {
+    return this.#running && isVoter(this.#state);
+  }
+
+  /** What the disk holds for good. */
+  copyDisk(): Disk {
+    return { ...this.#disk };
+  }
+
+  /** Stops at once; what was not synced is lost. */
+  crash(): void {
+    this.#running = false;
+    this.#inbox.length = 0;
+    this.#waiting = [];
+    this.#syncing = [];
+    this.#placed.clear();
+  }
+
+  /** Starts from the disk. */
+  restart(): void {
+    this.#state = this.#load();
+    this.#running = true;
+  }
+
+  /** Starts from an empty disk, under another identity. */
+  restartWiped(): void {
+    this.#incarnation += 1;
+    this.#disk = {
+      hardState: { term: 0, votedFor: null },
+      snapshot: emptySnapshot({ voters: [], learners: [] }),
+      entries: [],
+    };
+    this.restart();
+  }
+
+  /** Starts from an older copy of its disk. */
+  restartFrom(disk: Disk): void {
+    this.#disk = disk;
+    this.restart();
+  }
+
+  /** Does nothing for a while; events wait. */
+  pause(milliseconds: number): void {
+    this.#pausedUntil = this.#network.now + milliseconds;
+  }
+
+  post(event: ConsensusEvent): void {
+    if (this.#running) this.#inbox.push(event);
+  }
+
+  /** Does what is due. */
+  advance(): void {
+    const { now } = this.#network;
+    if (!this.#running || now < this.#pausedUntil) return;
+    if (now >= this.#tickAt) {
+      this.#tickAt = now + tickMilliseconds;
+      this.#inbox.push({ kind: "tick" });
+    }
+    for (const event of this.#inbox.splice(0)) this.#step(event);
+    this.#sync();
+  }
+
+  #load(): ConsensusState {
+    return createConsensusState(
+      { self: this.id, ...this.#disk },
+      { now: this.#network.now, options: { maximumBatchBytes: 64 } },
+    );
+  }
+
+  #step(event: ConsensusEvent): void {
+    const { state, effects } = stepConsensus(
+      this.#state,
+      event,
+      this.#network.now,
+    );
+    this.#state = state;
+    for (const effect of effects) this.#perform(effect);
+  }
+
+  #perform(effect: ConsensusEffect): void {
+    switch (effect.kind) {
+      case "persist":
+      case "persistSnapshot":
+        this.#waiting.push(effect);
+        return;
+      case "send":
+        if (effect.awaitsSync) this.#waiting.push(effect);
+        else this.#network.send(effect.message);
+        return;
+      case "proposed":
+        if (effect.index !== null) this.#placed.set(effect.index, effect.term);
+        return;
+      case "commit":
+        return this.#commit(effect.entries);
+      case "restore":
+        return this.#checkSnapshot(effect.snapshot);
+      case "roleChanged":
+        if (effect.role === Role.leader) {
+          this.#network.noteLeader(this.id, this.#state.term);
+        }
+    }
+  }
+
+  #commit(entries: readonly LogEntry[]): void {
+    for (const entry of entries) {
+      this.#network.noteCommitted(entry);
+      if (this.#placed.get(entry.index) === entry.term) {
+        this.#network.acknowledged += 1;
+      }
+      this.#placed.delete(entry.index);
+    }
+    const { commitIndex, snapshot } = this.#state;
+    if (commitIndex - snapshot.index >= entriesPerSnapshot) this.#compact();
+  }
+
+  #compact(): void {
+    const { commitIndex, snapshot, entries } = this.#state;
+    const kept = entries.slice(0, commitIndex - snapshot.index);
+    const last = kept.at(-1)!;
+    const configuration = kept.findLast((each) => each.configuration)
+      ?.configuration ?? snapshot.configuration;
+    const data = new Uint8Array(200).fill(commitIndex % 251);
+    const compacted = {
+      index: commitIndex,
+      term: last.term,
+      configuration,
+      data,
+    };
+    this.#inbox.push({ kind: "compacted", snapshot: compacted });
+    this.#waiting.push({ kind: "persistSnapshot", snapshot: compacted });
+  }
+
+  #checkSnapshot({ index, data }: Snapshot): void {
+    const whole = data.length === 200 &&
+      data.every((each) => each === index % 251);
+    if (!whole && index > 0) throw new Error(`snapshot ${index} is not whole`);
+  }
+
+  #sync(): void {
+    const { now } = this.#network;
+    if (this.#syncing.length === 0 && this.#waiting.length > 0) {
+      this.#syncing = this.#waiting;
+      this.#waiting = [];
+      this.#syncedAt = now + this.#network.below(this.syncMilliseconds);
+    }
+    if (this.#syncing.length === 0 || now < this.#syncedAt) return;
+    const done = this.#syncing;
+    this.#syncing = [];
+    for (const effect of done) this.#finish(effect);
+  }
+
+  #finish(effect: ConsensusEffect): void {
+    if (effect.kind === "send") return this.#network.send(effect.message);
+    if (effect.kind === "persistSnapshot") return this.#storeSnapshot();
+    if (effect.kind !== "persist") return;
+    this.#disk.hardState = effect.hardState ?? this.#disk.hardState;
+    const offset = this.#disk.snapshot.index + 1;
+    for (const entry of effect.entries) {
+      if (entry.index < offset) continue;
+      const kept = this.#disk.entries.slice(0, entry.index - offset);
+      this.#disk.entries = [...kept, entry];
+    }
+    const last = effect.entries.at(-1);
+    if (!last) return;
+    this.#inbox.push({ kind: "synced", index: last.index, term: last.term });
+  }
+
+  #storeSnapshot(): void {
+    const { snapshot, entries, term, votedFor } = this.#state;
+    this.#disk = { hardState: { term, votedFor }, snapshot, entries };
+    this.#inbox.push({
+      kind: "synced",
+      index: lastIndex(this.#state),
+      term: entries.at(-1)?.term ?? snapshot.term,
+    });
+  }
+}
--- a/packages/consensus/follower.ts
+++ b/packages/consensus/follower.ts
@@ -1,7 +1,12 @@
 import type { Draft } from "./draft.ts";
 import { becomeFollower, scheduleElection } from "./election.ts";
 import { lastIndex, termAt } from "./log.ts";
-import type { AppendRequest, SnapshotRequest } from "./types.ts";
+import type {
+  AppendRequest,
+  IncomingSnapshot,
+  Snapshot,
+  SnapshotRequest,
+} from "./types.ts";
 
 /** Stores the leader's entries and answers once they are synced. */
 export function receiveAppendRequest(
@@ -39,7 +44,7 @@
   draft.commitTo(Math.min(message.commitIndex, matched));
 }
 
-/** Replaces the log by a snapshot and answers once it is stored. */
+/** Gathers a snapshot; replaces the log by it when it is whole. */
 export function receiveSnapshotRequest(
   draft: Draft,
   message: SnapshotRequest,
@@ -47,24 +52,66 @@
   if (message.term < draft.state.term) return refuseOldTerm(draft, message);
   followLeader(draft, message);
   const { state } = draft;
-  const { snapshot } = message;
-  if (snapshot.index > state.commitIndex) {
-    const keepsTail = termAt(state, snapshot.index) === snapshot.term;
-    state.entries = keepsTail
-      ? state.entries.slice(snapshot.index - state.snapshot.index)
-      : [];
-    state.snapshot = snapshot;
-    state.commitIndex = snapshot.index;
-    state.syncedIndex = Math.max(
-      snapshot.index,
-      keepsTail ? state.syncedIndex : 0,
-    );
-    draft.effects.push({ kind: "persistSnapshot", snapshot });
-    draft.effects.push({ kind: "restore", snapshot });
+  if (message.snapshot.index > state.commitIndex) {
+    const incoming = gatherSnapshot(state.incoming, message);
+    state.incoming = incoming;
+    if (incoming.received < message.totalBytes) {
+      return draft.send({
+        kind: "snapshotResponse",
+        to: message.from,
+        snapshotIndex: incoming.index,
+        received: incoming.received,
+        sentAt: message.sentAt,
+      });
+    }
+    const data = concatenate(incoming);
+    state.incoming = null;
+    installSnapshot(draft, { ...message.snapshot, data });
   }
   respond(draft, message, { accepted: true, index: state.commitIndex });
 }
 
+function gatherSnapshot(
+  known: IncomingSnapshot | null,
+  message: SnapshotRequest,
+): IncomingSnapshot {
+  const { index, term, data } = message.snapshot;
+  const continues = known?.index === index && known.term === term;
+  const incoming = continues ? known : { index, term, parts: [], received: 0 };
+  if (message.offset !== incoming.received) return incoming;
+  return {
+    ...incoming,
+    parts: [...incoming.parts, data],
+    received: incoming.received + data.length,
+  };
+}
+
+function concatenate({ parts, received }: IncomingSnapshot): Uint8Array {
+  const whole = new Uint8Array(received);
+  let offset = 0;
+  for (const part of parts) {
+    whole.set(part, offset);
+    offset += part.length;
+  }
+  return whole;
+}
+
+function installSnapshot(draft: Draft, snapshot: Snapshot): void {
+  const { state } = draft;
+  const keepsTail = termAt(state, snapshot.index) === snapshot.term;
+  state.entries = keepsTail
+    ? state.entries.slice(snapshot.index - state.snapshot.index)
+    : [];
+  state.snapshot = snapshot;
+  state.commitIndex = snapshot.index;
+  state.syncedIndex = Math.max(
+    snapshot.index,
+    keepsTail ? state.syncedIndex : 0,
+  );
+  draft.effects.push({ kind: "persistSnapshot", snapshot });
+  draft.effects.push({ kind: "restore", snapshot });
+}
+
 function followLeader(
   draft: Draft,
   message: AppendRequest | SnapshotRequest,
--- a/packages/consensus/leader.ts
+++ b/packages/consensus/leader.ts
@@ -2,19 +2,23 @@
 import { becomeFollower } from "./election.ts";
 import {
   configurationOf,
-  entriesBetween,
   lastIndex,
   latestConfigurationEntry,
   termAt,
 } from "./log.ts";
+import {
+  noteAppendResponse,
+  noteSnapshotResponse,
+  replicate,
+} from "./replication.ts";
 import { EntryKind, Role } from "./types.ts";
 import type {
   AppendResponse,
   Configuration,
   ConsensusState,
   LogEntry,
-  Progress,
   ReplicaId,
+  SnapshotResponse,
 } from "./types.ts";
 
 /** Takes the lead: replicates an empty entry of the new term. */
@@ -54,7 +58,8 @@
 
 /**
  * Appends a change of the replica set. It is dropped unless the previous one
- * is committed, this term has committed an entry, and one voter changes.
+ * is committed, this term has committed an entry, one voter changes at most,
+ * and a new voter has caught up as a learner.
  */
 export function proposeConfiguration(
   draft: Draft,
@@ -64,6 +69,10 @@
   if (state.role !== Role.leader || !isConfigurationSettled(state)) return;
   const current = configurationOf(state);
   if (changedVoters(current, configuration) > 1) return;
+  const added = configuration.voters.filter((each) =>
+    !current.voters.includes(each)
+  );
+  if (!added.every((each) => isCaughtUp(state, each, draft.now))) return;
   appendEntry(draft, {
     kind: EntryKind.configuration,
     payload: new Uint8Array(),
@@ -78,6 +87,20 @@
     (pending === undefined || pending.index <= state.commitIndex);
 }
 
+/** Whether a replica answers and holds all but the latest entries. */
+export function isCaughtUp(
+  state: ConsensusState,
+  replica: ReplicaId,
+  now: number,
+): boolean {
+  if (replica === state.self) return true;
+  const progress = state.progress.get(replica);
+  if (!progress || progress.hasForgotten) return false;
+  return now - progress.answeredAt < state.options.electionMilliseconds &&
+    progress.match + state.options.maximumBatchEntries >= lastIndex(state) &&
+    progress.match >= state.snapshot.index;
+}
+
 function changedVoters(before: Configuration, after: Configuration): number {
   const removed = before.voters.filter((each) => !after.voters.includes(each));
   const added = after.voters.filter((each) => !before.voters.includes(each));
@@ -93,120 +116,32 @@
   return index;
 }
 
-/** Sends each replica what it lacks; with `heartbeat`, to all of them. */
-export function replicate(
-  draft: Draft,
-  options: { readonly heartbeat: boolean },
-): void {
-  const { state, now } = draft;
-  const progress = new Map(state.progress);
-  for (const to of otherReplicas(state)) {
-    const known = progress.get(to) ?? newProgress(state, now);
-    const due = options.heartbeat || isSendDue(state, known, now);
-    progress.set(to, due ? sendTo(draft, to, known) : known);
-  }
-  state.progress = progress;
-}
-
-function otherReplicas(state: ConsensusState): readonly ReplicaId[] {
-  const { voters, learners } = configurationOf(state);
-  return [...voters, ...learners].filter((each) => each !== state.self);
-}
-
-function newProgress(state: ConsensusState, now: number): Progress {
-  return {
-    match: 0,
-    next: lastIndex(state),
-    answeredAt: now,
-    waitingSince: null,
-  };
-}
-
-function isSendDue(
-  state: ConsensusState,
-  known: Progress,
-  now: number,
-): boolean {
-  if (known.next > lastIndex(state)) return false;
-  return known.waitingSince === null ||
-    now - known.waitingSince >= state.options.resendMilliseconds;
-}
-
-function sendTo(draft: Draft, to: ReplicaId, known: Progress): Progress {
-  const { state, now } = draft;
-  const waits = known.waitingSince !== null &&
-    now - known.waitingSince < state.options.resendMilliseconds;
-  const previousIndex = known.next - 1;
-  const previousTerm = termAt(state, previousIndex);
-  if (previousTerm === null && waits) {
-    return sendProbe(draft, to, known);
-  }
-  if (previousTerm === null) {
-    draft.send({
-      kind: "snapshotRequest",
-      to,
-      snapshot: state.snapshot,
-      sentAt: now,
-    });
-    return { ...known, waitingSince: now };
-  }
-  const last = waits ? previousIndex : Math.min(
-    lastIndex(state),
-    previousIndex + state.options.maximumBatchEntries,
-  );
-  const entries = entriesBetween(state, known.next, last);
-  draft.send({
-    kind: "appendRequest",
-    to,
-    previousIndex,
-    previousTerm,
-    entries,
-    commitIndex: state.commitIndex,
-    sentAt: now,
-  });
-  return entries.length > 0 ? { ...known, waitingSince: now } : known;
-}
-
-// A heartbeat to a replica that is still receiving a snapshot.
-function sendProbe(draft: Draft, to: ReplicaId, known: Progress): Progress {
-  const { snapshot } = draft.state;
-  draft.send({
-    kind: "appendRequest",
-    to,
-    previousIndex: snapshot.index,
-    previousTerm: snapshot.term,
-    entries: [],
-    commitIndex: 0,
-    sentAt: draft.now,
-  });
-  return known;
-}
-
 /** Takes in what a replica has stored. */
 export function receiveAppendResponse(
   draft: Draft,
   message: AppendResponse,
 ): void {
-  const { state } = draft;
-  const known = state.progress.get(message.from);
-  if (state.role !== Role.leader || !known) return;
-  const match = message.accepted
-    ? Math.max(known.match, message.index)
-    : known.match;
-  const next = message.accepted
-    ? match + 1
-    : Math.max(match, Math.min(known.next - 1, message.index)) + 1;
-  state.progress = new Map(state.progress).set(message.from, {
-    match,
-    next,
-    answeredAt: Math.max(known.answeredAt, message.sentAt),
-    waitingSince: null,
-  });
+  noteAppendResponse(draft.state, message);
+  if (draft.state.role !== Role.leader) return;
   advanceCommit(draft);
-  replicate(draft, { heartbeat: false });
+  replicateIfLeading(draft);
   continueTransfer(draft);
 }
 
+/** Takes in how much of the snapshot a replica has, and sends it more. */
+export function receiveSnapshotResponse(
+  draft: Draft,
+  message: SnapshotResponse,
+): void {
+  noteSnapshotResponse(draft.state, message);
+  replicateIfLeading(draft);
+}
+
+/** Sends what was appended, if this replica still leads. */
+export function replicateIfLeading(draft: Draft): void {
+  if (draft.state.role === Role.leader) replicate(draft, { heartbeat: false });
+}
+
 /** Takes in that the leader's own log is synced. */
 export function receiveSynced(
   draft: Draft,
@@ -228,14 +163,12 @@
   ).sort((left, right) => right - left);
   const candidate = stored[Math.floor(stored.length / 2)] ?? 0;
   if (termAt(state, candidate) !== state.term) return;
-  const before = state.commitIndex;
+
   draft.commitTo(candidate);
-  if (state.commitIndex === before) return;
   // A leader that is no longer a voter serves until its removal is committed.
   if (!voters.includes(state.self) && isConfigurationSettled(state)) {
-    becomeFollower(draft, state.term, null);
-  } else {
     replicate(draft, { heartbeat: true });
+    becomeFollower(draft, state.term, null);
   }
 }
 
@@ -257,6 +190,19 @@
   return contacts[Math.floor(voters.length / 2)] ?? -Infinity;
 }
 
+// Bounds the share by which the clocks of two VMs may run apart.
+const quorumContactShare = 0.9;
+
+/**
+ * Whether no other replica can lead yet: a majority was heard so lately that
+ * it still refuses votes, and no successor was told to stand for election.
+ */
+export function holdsQuorum(state: ConsensusState, now: number): boolean {
+  const bound = state.options.electionMilliseconds * quorumContactShare;
+  return state.transferTo === null &&
+    now - quorumContactAt(state, now) < bound;
+}
+
 /** Starts to hand the lead to the voter that has stored most. */
 export function transferLeadership(draft: Draft): void {
   const { state, now } = draft;
@@ -265,7 +211,7 @@
     .filter((each) => each !== state.self)
     .map((each) => ({ each, progress: state.progress.get(each) }))
     .filter(({ progress }) =>
-      progress !== undefined &&
+      progress !== undefined && !progress.hasForgotten &&
       now - progress.answeredAt < state.options.electionMilliseconds
     )
     .sort((left, right) => right.progress!.match - left.progress!.match)[0];
--- a/packages/consensus/machine.ts
+++ b/packages/consensus/machine.ts
@@ -14,11 +14,13 @@
   proposeConfiguration,
   quorumContactAt,
   receiveAppendResponse,
+  receiveSnapshotResponse,
   receiveSynced,
-  replicate,
+  replicateIfLeading,
   transferLeadership,
 } from "./leader.ts";
 import { lastIndex } from "./log.ts";
+import { replicate } from "./replication.ts";
 import { resolveConsensusOptions, Role } from "./types.ts";
 import type {
   Configuration,
@@ -67,10 +69,12 @@
     progress: new Map(),
     electionDueAt: start.now + options.electionMilliseconds,
     heartbeatDueAt: start.now,
-    leaderHeardAt: -Infinity,
+    // It may have answered a leader just before it stopped.
+    leaderHeardAt: stored.hardState.term > 0 ? start.now : -Infinity,
     leadingSince: -Infinity,
     transferTo: null,
     transferUntil: 0,
+    incoming: null,
   };
 }
 
@@ -109,10 +113,6 @@
   }
 }
 
-function replicateIfLeading(draft: Draft): void {
-  if (draft.state.role === Role.leader) replicate(draft, { heartbeat: false });
-}
-
 function tick(draft: Draft): void {
   if (draft.state.role === Role.leader) return tickLeader(draft);
   if (draft.now >= draft.state.electionDueAt) startPreVote(draft);
@@ -125,8 +125,9 @@
   ) {
     return becomeFollower(draft, state.term, null);
   }
+  // The successor may still win the election that it was asked to hold.
   if (state.transferTo !== null && now > state.transferUntil) {
-    state.transferTo = null;
+    return becomeFollower(draft, state.term, null);
   }
   if (now < state.heartbeatDueAt) return;
   state.heartbeatDueAt = now + state.options.heartbeatMilliseconds;
@@ -155,6 +156,8 @@
       return receiveVoteResponse(draft, message);
     case "appendResponse":
       return receiveAppendResponse(draft, message);
+    case "snapshotResponse":
+      return receiveSnapshotResponse(draft, message);
     case "timeoutNow":
       return startElection(draft, { transfer: true });
   }
--- a/packages/consensus/mod.ts
+++ b/packages/consensus/mod.ts
@@ -12,7 +12,14 @@
 } from "./machine.ts";
 export type { StoredReplica } from "./machine.ts";
 export { isVoter } from "./election.ts";
-export { isConfigurationSettled, quorumContactAt } from "./leader.ts";
+export {
+  holdsQuorum,
+  isCaughtUp,
+  isConfigurationSettled,
+  quorumContactAt,
+} from "./leader.ts";
+export { planVoters } from "./repair.ts";
+export type { ReplicaStanding, VoterPlanOptions } from "./repair.ts";
 export { configurationOf, lastIndex, lastTerm, termAt } from "./log.ts";
 export { EntryKind, resolveConsensusOptions, Role } from "./types.ts";
 export type {
@@ -23,6 +30,7 @@
   ConsensusOptions,
   ConsensusState,
   HardState,
+  IncomingSnapshot,
   LogEntry,
   Progress,
   ReplicaId,
--- a/packages/consensus/types.ts
+++ b/packages/consensus/types.ts
@@ -97,10 +97,23 @@
   readonly sentAt: number;
 }
 
-/** Replaces the log of a replica that is too far behind. */
+/** Carries a part of the snapshot for a replica that is too far behind. */
 export interface SnapshotRequest extends MessageHead {
   readonly kind: "snapshotRequest";
+  /** The snapshot; its data are the bytes from `offset` on. */
   readonly snapshot: Snapshot;
+  readonly offset: number;
+  /** Bytes of the whole snapshot. */
+  readonly totalBytes: number;
+  readonly sentAt: number;
+}
+
+/** Answers a {@link SnapshotRequest} that did not complete the snapshot. */
+export interface SnapshotResponse extends MessageHead {
+  readonly kind: "snapshotResponse";
+  readonly snapshotIndex: number;
+  /** Bytes that the replica has from the start of the snapshot. */
+  readonly received: number;
   readonly sentAt: number;
 }
 
@@ -118,6 +131,7 @@
   | AppendRequest
   | AppendResponse
   | SnapshotRequest
+  | SnapshotResponse
   | TimeoutNow;
 
 /** What happens to a replica. */
@@ -140,8 +154,9 @@
   | { readonly kind: "transferLeadership" };
 
 /**
- * What a replica must do, in order: a `send` may leave only when every
- * `persist` before it has been synced.
+ * What a replica must do. A `send` that awaits the sync may leave only when
+ * every `persist` and `persistSnapshot` before it has been synced; everything
+ * else is done at once.
  */
 export type ConsensusEffect =
   | {
@@ -151,7 +166,11 @@
     readonly entries: readonly LogEntry[];
   }
   | { readonly kind: "persistSnapshot"; readonly snapshot: Snapshot }
-  | { readonly kind: "send"; readonly message: ConsensusMessage }
+  | {
+    readonly kind: "send";
+    readonly message: ConsensusMessage;
+    readonly awaitsSync: boolean;
+  }
   | { readonly kind: "commit"; readonly entries: readonly LogEntry[] }
   | { readonly kind: "restore"; readonly snapshot: Snapshot }
   | {
@@ -182,6 +201,18 @@
   readonly answeredAt: number;
   /** When entries or a snapshot were last sent and not yet answered, or null. */
   readonly waitingSince: number | null;
+  /** The snapshot being sent and the bytes of it known to be there. */
+  readonly sending: { readonly index: number; readonly received: number };
+  /** It lacks entries that it had acknowledged: its disk was rolled back. */
+  readonly hasForgotten: boolean;
+}
+
+/** A snapshot that a replica has received in part. */
+export interface IncomingSnapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly parts: readonly Uint8Array[];
+  readonly received: number;
 }
 
 /** Timing of elections and heartbeats. */
@@ -192,6 +223,8 @@
   readonly electionMilliseconds?: number;
   /** Entries in one message at most. @default 256 */
   readonly maximumBatchEntries?: number;
+  /** Bytes of entries or snapshot in one message. @default 262144 */
+  readonly maximumBatchBytes?: number;
   /** Time after which unanswered entries are sent again. @default 400 */
   readonly resendMilliseconds?: number;
 }
@@ -207,6 +240,7 @@
     heartbeatMilliseconds: options.heartbeatMilliseconds ?? 100,
     electionMilliseconds: options.electionMilliseconds ?? 600,
     maximumBatchEntries: options.maximumBatchEntries ?? 256,
+    maximumBatchBytes: options.maximumBatchBytes ?? 256 * 1024,
     resendMilliseconds: options.resendMilliseconds ?? 400,
   };
 }
@@ -236,4 +270,5 @@
   /** The voter that is to take over, while a transfer is under way. */
   readonly transferTo: ReplicaId | null;
   readonly transferUntil: number;
+  readonly incoming: IncomingSnapshot | null;
 }
--- /dev/null
+++ b/packages/kingcupglade/control/persist_queue.ts
@@ -0,0 +1,98 @@
+import type {
+  ConsensusEffect,
+  ConsensusMessage,
+  ConsensusState,
+  LogEntry,
+} from "@kingcupglade/consensus";
+import type { ReplicaStorage } from "@kingcupglade/storage";
+
+type Persist = Extract<ConsensusEffect, { readonly kind: "persist" }>;
+
+/** What must reach the disk, or must wait until it has. */
+export type StorageEffect = Extract<
+  ConsensusEffect,
+  { readonly kind: "persist" | "persistSnapshot" | "send" }
+>;
+
+/** Options of a {@link PersistQueue}. */
+export interface PersistQueueOptions {
+  readonly storage: ReplicaStorage;
+  /** The consensus state after the last event. */
+  readonly state: () => ConsensusState;
+  readonly send: (message: ConsensusMessage) => void;
+  /** Called when the log is synced up to an entry. */
+  readonly onSynced: (entry: LogEntry) => void;
+  /** Called once, when the data folder can no longer be written. */
+  readonly onFailure: (failure: unknown) => void;
+}
+
+/**
+ * Writes what consensus wants stored, with one sync for everything that was
+ * queued during the sync before, and sends what had to wait for it.
+ */
+export class PersistQueue {
+  readonly #options: PersistQueueOptions;
+  readonly #waiting: StorageEffect[] = [];
+  #draining: Promise<void> | undefined;
+  #stopped = false;
+
+  constructor(options: PersistQueueOptions) {
+    this.#options = options;
+  }
+
+  /** Adds an effect. */
+  add(effect: StorageEffect): void {
+    if (this.#stopped) return;
+    this.#waiting.push(effect);
+    this.#draining ??= this.#drain()
+      .catch((failure) => {
+        this.#stopped = true;
+        this.#options.onFailure(failure);
+      })
+      .finally(() => (this.#draining = undefined));
+  }
+
+  /** Stops after the write under way; what waits is dropped. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    await this.#draining;
+  }
+
+  async #drain(): Promise<void> {
+    await Promise.resolve();
+    while (this.#waiting.length > 0 && !this.#stopped) {
+      const batch = this.#waiting.splice(0);
+      await this.#store(batch);
+      if (this.#stopped) return;
+      for (const effect of batch) {
+        if (effect.kind === "send") this.#options.send(effect.message);
+      }
+    }
+  }
+
+  async #store(batch: readonly StorageEffect[]): Promise<void> {
+    const { storage, onSynced } = this.#options;
+    const persists = batch.filter((each): each is Persist =>
+      each.kind === "persist"
+    );
+    const last = persists.findLast((each) => each.entries.length > 0)
+      ?.entries.at(-1);
+    if (batch.some((each) => each.kind === "persistSnapshot")) {
+      await this.#storeState();
+    } else if (persists.length > 0) {
+      await storage.append(
+        persists.map(({ hardState, entries }) => ({ hardState, entries })),
+      );
+    }
+    if (last) onSynced(last);
+  }
+
+  // The state is at least as new as everything in the batch.
+  async #storeState(): Promise<void> {
+    const { snapshot, entries, term, votedFor } = this.#options.state();
+    await this.#options.storage.saveSnapshot(snapshot, {
+      hardState: { term, votedFor },
+      entries,
+    });
+  }
+}
--- a/packages/kingcupglade/control/replica_task.ts
+++ b/packages/kingcupglade/control/replica_task.ts
@@ -1,9 +1,10 @@
 import {
+  configurationOf,
   createConsensusState,
   emptySnapshot,
   EntryKind,
+  holdsQuorum,
   isVoter,
-  quorumContactAt,
   Role,
   stepConsensus,
   termAt,
@@ -31,11 +32,13 @@
 import type { ReplicaStorage } from "@kingcupglade/storage";
 import { MachineTask } from "@kingcupglade/tasks";
 import type { Clock } from "@kingcupglade/tasks";
-import { NotLeaderError } from "./errors.ts";
+import { NotLeaderError, UnknownOutcomeError } from "./errors.ts";
+import { PersistQueue } from "./persist_queue.ts";
 import { replicaIdOf } from "./replica_id.ts";
 
 const tickMilliseconds = 25;
-const entriesPerSnapshot = 1000;
+const entriesPerCheckpoint = 500;
+const bytesPerCheckpoint = 8 * 1024 * 1024;
 
 /** Options of a {@link ReplicaTask}. */
 export interface ReplicaTaskOptions {
@@ -47,6 +50,13 @@
   readonly onFailure: (failure: unknown) => void;
 }
 
+interface Checkpoint {
+  readonly control: ControlState;
+  /** Entries applied since, and their bytes. */
+  readonly entries: number;
+  readonly bytes: number;
+}
+
 interface WaitingProposal {
   readonly resolve: (outcome: CommandOutcome) => void;
   readonly reject: (failure: Error) => void;
@@ -62,13 +72,13 @@
     ConsensusEffect
   >;
   readonly #timer: NodeJS.Timeout;
-  readonly #queue: ConsensusEffect[] = [];
+  readonly #disk: PersistQueue;
   readonly #unplaced = new Map<number, WaitingProposal>();
   readonly #placed = new Map<number, WaitingProposal & { term: number }>();
   #control: ControlState;
+  #checkpoint: Checkpoint;
   #nextProposal = 1;
-  #draining: Promise<void> | undefined;
-  #stopped = false;
+  #ended = false;
 
   constructor(options: ReplicaTaskOptions) {
     const { storage, clock } = options;
@@ -76,7 +86,16 @@
     this.id = replicaIdOf(storage.identity);
     const snapshot = storage.stored.snapshot ??
       emptySnapshot({ voters: [], learners: [] });
-    this.#control = decodeControlState(snapshot.data);
+    this.#control = restoreControl(snapshot);
+    this.#checkpoint = checkpointAt(this.#control);
+    this.#disk = new PersistQueue({
+      storage,
+      state: () => this.#machine.state,
+      send: options.send,
+      onSynced: ({ index, term }) =>
+        this.#machine.post({ kind: "synced", index, term }),
+      onFailure: (failure) => this.#fail(failure),
+    });
     this.#machine = new MachineTask({
       initial: createConsensusState({
         self: this.id,
@@ -86,8 +105,8 @@
       }, { now: clock.now() }),
       step: stepConsensus,
       clock,
-      perform: (effect) => this.#enqueue(effect),
-      onFailure: options.onFailure,
+      perform: (effect) => this.#perform(effect),
+      onFailure: (failure) => this.#fail(failure),
     });
     this.#timer = setInterval(
       () => this.#machine.post({ kind: "tick" }),
@@ -116,14 +135,12 @@
   }
 
   /**
-   * Whether this replica leads, has heard its quorum within the election
-   * timeout, and has applied everything that was acknowledged before it led.
+   * Whether this replica leads, has heard its quorum so lately that no other
+   * can lead yet, and has applied everything acknowledged before it led.
    */
   get isReadyLeader(): boolean {
     const state = this.#machine.state;
-    const now = this.#options.clock.now();
-    return state.role === Role.leader &&
-      now - quorumContactAt(state, now) < state.options.electionMilliseconds &&
+    return !this.#ended && holdsQuorum(state, this.#options.clock.now()) &&
       termAt(state, this.#control.version) === state.term;
   }
 
@@ -137,10 +154,12 @@
   /**
    * Commits a command and applies it here.
    *
-   * @throws {NotLeaderError} when this replica does not lead, or stopped
-   * leading before it knew whether the command was committed.
+   * @throws {UnknownOutcomeError} when this replica stopped leading before it
+   * knew whether the command was committed.
+   * @throws {NotLeaderError} when the command was certainly not committed.
    */
   propose(command: ControlCommand): Promise<CommandOutcome> {
+    if (this.#ended) return Promise.reject(new NotLeaderError());
     const proposal = this.#nextProposal++;
     return new Promise((resolve, reject) => {
       this.#unplaced.set(proposal, { resolve, reject });
@@ -164,81 +183,39 @@
 
   /** Stops the task and closes the data folder. */
   async stop(): Promise<void> {
-    this.#stopped = true;
-    clearInterval(this.#timer);
-    this.#machine.stop();
-    await this.#draining;
-    this.#rejectWaiting();
+    this.#end();
+    await this.#disk.stop();
     await this.#options.storage.close();
   }
 
-  #enqueue(effect: ConsensusEffect): void {
-    this.#queue.push(effect);
-    this.#draining ??= this.#drain()
-      .catch((failure) => this.#fail(failure))
-      .finally(() => (this.#draining = undefined));
-  }
-
-  #fail(failure: unknown): void {
-    this.#stopped = true;
+  #end(): void {
+    this.#ended = true;
     clearInterval(this.#timer);
     this.#machine.stop();
     this.#rejectWaiting();
-    this.#options.onFailure(failure);
-  }
-
-  // Everything queued while one sync was under way shares the next one.
-  async #drain(): Promise<void> {
-    await Promise.resolve();
-    while (this.#queue.length > 0 && !this.#stopped) {
-      const batch = this.#queue.splice(0);
-      await this.#persist(batch);
-      for (const effect of batch) this.#perform(effect);
-    }
-  }
-
-  async #persist(batch: readonly ConsensusEffect[]): Promise<void> {
-    const { storage } = this.#options;
-    let records: { hardState: never; entries: readonly LogEntry[] }[] = [];
-    for (const effect of batch) {
-      if (effect.kind === "persist") records.push(effect as never);
-      if (effect.kind === "persistSnapshot") {
-        records = [];
-        await this.#saveSnapshot(effect.snapshot);
-      }
-    }
-    if (records.length === 0) return;
-    await storage.append(
-      records.map(({ hardState, entries }) => ({ hardState, entries })),
-    );
-    const last = records.at(-1)?.entries.at(-1);
-    if (last) {
-      this.#machine.post({
-        kind: "synced",
-        index: last.index,
-        term: last.term,
-      });
-    }
   }
 
-  async #saveSnapshot(snapshot: Snapshot): Promise<void> {
-    const { term, votedFor, entries } = this.#machine.state;
-    await this.#options.storage.saveSnapshot(snapshot, {
-      hardState: { term, votedFor },
-      entries: entries.filter((entry) => entry.index > snapshot.index),
-    });
+  #fail(failure: unknown): void {
+    this.#end();
+    this.#options.onFailure(failure);
   }
 
   #perform(effect: ConsensusEffect): void {
     switch (effect.kind) {
+      case "persist":
+      case "persistSnapshot":
+        return this.#disk.add(effect);
       case "send":
-        return this.#options.send(effect.message);
+        return effect.awaitsSync
+          ? this.#disk.add(effect)
+          : this.#options.send(effect.message);
       case "proposed":
         return this.#place(effect);
       case "commit":
         return this.#apply(effect.entries);
       case "restore":
-        this.#control = decodeControlState(effect.snapshot.data);
+        this.#control = restoreControl(effect.snapshot);
+        this.#checkpoint = checkpointAt(this.#control);
         return this.#options.onChange();
       case "roleChanged":
         if (effect.role !== Role.leader) this.#rejectWaiting();
@@ -270,6 +247,12 @@
   }
 
   #applyEntry(entry: LogEntry): CommandOutcome | null {
+    const { control, entries, bytes } = this.#checkpoint;
+    this.#checkpoint = {
+      control,
+      entries: entries + 1,
+      bytes: bytes + entry.payload.length,
+    };
     if (entry.kind !== EntryKind.command) {
       this.#control = { ...this.#control, version: entry.index };
       return null;
@@ -284,29 +267,48 @@
     return outcome;
   }
 
+  // The log is cut at the checkpoint before the latest one, so that a replica
+  // slightly behind still gets entries in place of the whole state.
   #compactIfLarge(): void {
+    const { entries, bytes, control } = this.#checkpoint;
+    if (entries < entriesPerCheckpoint && bytes < bytesPerCheckpoint) return;
+    this.#checkpoint = checkpointAt(this.#control);
+    this.#compact(control);
+  }
+
+  #compact(control: ControlState): void {
     const { snapshot, entries } = this.#machine.state;
-    const index = this.#control.version;
-    if (index - snapshot.index < entriesPerSnapshot) return;
-    const entry = entries[index - snapshot.index - 1];
-    if (!entry) return;
-    const configuration = entries.slice(0, index - snapshot.index)
-      .findLast((each) => each.configuration)?.configuration ??
-      snapshot.configuration;
+    const covered = entries.slice(0, control.version - snapshot.index);
+    const last = covered.at(-1);
+    if (!last) return;
     const compacted: Snapshot = {
-      index,
-      term: entry.term,
-      configuration,
-      data: encodeControlState(this.#control),
+      index: last.index,
+      term: last.term,
+      configuration: configurationOf({ snapshot, entries: covered }),
+      data: encodeControlState(control),
     };
     this.#machine.post({ kind: "compacted", snapshot: compacted });
-    this.#enqueue({ kind: "persistSnapshot", snapshot: compacted });
+    this.#disk.add({ kind: "persistSnapshot", snapshot: compacted });
   }
 
+  // What was placed in the log may yet be committed under another leader.
   #rejectWaiting(): void {
-    const waiting = [...this.#unplaced.values(), ...this.#placed.values()];
+    for (const each of this.#unplaced.values()) {
+      each.reject(new NotLeaderError());
+    }
+    for (const each of this.#placed.values()) {
+      each.reject(new UnknownOutcomeError());
+    }
     this.#unplaced.clear();
     this.#placed.clear();
-    for (const each of waiting) each.reject(new NotLeaderError());
   }
 }
+
+function checkpointAt(control: ControlState): Checkpoint {
+  return { control, entries: 0, bytes: 0 };
+}
+
+// The first snapshot of a replica set holds no state.
+function restoreControl({ data, index }: Snapshot): ControlState {
+  return { ...decodeControlState(data), version: index };
+}
--- a/packages/tasks/mailbox.ts
+++ b/packages/tasks/mailbox.ts
@@ -7,13 +7,14 @@
   #sink: Sink<Message> | undefined;
   #scheduler: Scheduler | undefined;
   #closed = false;
+  #delivering = false;
 
   /** The messages in the order they were posted. May be observed once. */
   readonly stream: Stream<Message> = new Stream<Message>({
     run: (sink: Sink<Message>, scheduler: Scheduler) => {
       this.#sink = sink;
       this.#scheduler = scheduler;
-      for (const message of this.#waiting.splice(0)) this.#deliver(message);
+      this.#deliver();
       if (this.#closed) sink.end(scheduler.now());
       return { dispose: () => (this.#sink = undefined) };
     },
@@ -22,8 +23,8 @@
   /** Adds a message; messages posted after `close` are dropped. */
   post(message: Message): void {
     if (this.#closed) return;
-    if (this.#sink) this.#deliver(message);
-    else this.#waiting.push(message);
+    this.#waiting.push(message);
+    this.#deliver();
   }
 
   /** Ends the stream. */
@@ -31,11 +32,21 @@
     if (this.#closed) return;
     this.#closed = true;
     if (this.#sink && this.#scheduler) {
+      this.#waiting.length = 0;
       this.#sink.end(this.#scheduler.now());
     }
   }
 
-  #deliver(message: Message): void {
-    this.#sink!.event(this.#scheduler!.now(), message);
+  // A message posted while another is being handled waits for its turn.
+  #deliver(): void {
+    if (this.#delivering) return;
+    this.#delivering = true;
+    try {
+      while (this.#sink && this.#waiting.length > 0) {
+        this.#sink.event(this.#scheduler!.now(), this.#waiting.shift()!);
+      }
+    } finally {
+      this.#delivering = false;
+    }
   }
 }
