--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -67,15 +67,34 @@
 
   /** Writes the settings files and starts every VM. */
   static async start(options: DeploymentOptions): Promise<Deployment> {
+    const deployment = await Deployment.prepare(options);
+    await deployment.startAll();
+    return deployment;
+  }
+
+  /** Writes the settings files without starting a VM. */
+  static async prepare(options: DeploymentOptions): Promise<Deployment> {
     const folder = await mkdtemp(join(tmpdir(), "kingcupglade-"));
     const deployment = new Deployment(options, folder);
     await deployment.#writeSettings();
-    await Promise.all(
-      Object.keys(options.vms).map((name) => deployment.startVm(name)),
-    );
     return deployment;
   }
 
+  /** Starts every VM. */
+  async startAll(): Promise<void> {
+    await Promise.all(this.vmNames.map((name) => this.startVm(name)));
+  }
+
+  /** Folder of the settings files and the data folders. */
+  get folder(): string {
+    return this.#folder;
+  }
+
+  /** The secret that VMs and targets present. */
+  get secret(): string {
+    return this.#secret;
+  }
+
   /** Names of the VMs. */
   get vmNames(): readonly string[] {
     return [...this.#vms.keys()];
@@ -191,6 +210,19 @@
     return document as ControlStatus;
   }
 
+  /** Waits until a VM tells the balancer that it takes callers. */
+  async untilReady(vm: string): Promise<void> {
+    for (let attempt = 0; attempt < 400; attempt += 1) {
+      const { statusCode, body } = await request(
+        `http://${this.operatorsAddress(vm)}/ready`,
+      );
+      await body.dump();
+      if (statusCode === 200) return;
+      await pause(50);
+    }
+    throw new Error(`${vm} did not become ready`);
+  }
+
   /** Waits until the status satisfies a condition. */
   async until(
     condition: (status: ControlStatus) => boolean,
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { createKeyHasher } from "@kingcupglade/ownership";
-import { LocalCapacityGate } from "@kingcupglade/routing";
+import { TargetObservations } from "@kingcupglade/routing";
+import type { CapacityGate } from "@kingcupglade/routing";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import {
   createLogger,
@@ -12,6 +13,7 @@
 import { ControlTask } from "./control/control_task.ts";
 import { PeerDirectory } from "./control/peers.ts";
 import { RoutingTask } from "./control/routing_task.ts";
+import { Credits } from "./credits/credits.ts";
 import { ExchangeClient } from "./gateway/exchange.ts";
 import { Gateway } from "./gateway/gateway.ts";
 import { AnnouncementBatcher } from "./listeners/announcement_batcher.ts";
@@ -20,6 +22,7 @@
 import { openPeersListener } from "./listeners/peers.ts";
 import { openTargetsListener } from "./listeners/targets.ts";
 import { readSecrets } from "./settings/secrets.ts";
+import { readTls } from "./settings/tls.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
 
 const connectionsPerTarget = 12;
@@ -30,6 +33,8 @@
   readonly settings: ResolvedSettings;
   /** Called when the VM cannot go on. */
   readonly onFailure: (failure: unknown) => void;
+  /** Limits of targets, for measurements. @default credits shared by the VMs */
+  readonly capacity?: CapacityGate;
 }
 
 interface VmParts {
@@ -39,6 +44,7 @@
   readonly control: ControlTask | undefined;
   readonly routing: RoutingTask;
   readonly exchanges: ExchangeClient;
+  readonly credits: Credits;
   readonly listeners: readonly HttpListener[];
   readonly callers: HttpListener;
   readonly markStopping: () => void;
@@ -56,6 +62,7 @@
   static async start(options: VmOptions): Promise<Vm> {
     const { settings } = options;
     const secrets = await readSecrets(settings);
+    const tls = await readTls(settings);
     const { vm, listen } = settings;
     const logger = createLogger({
       fields: { vm: vm.name, dataCentre: vm.dataCentre },
@@ -66,6 +73,7 @@
     const peers = new PeerDirectory({
       addresses: settings.peers,
       secret: secrets.vm,
+      tls,
     });
     const control = vm.dataFolder === undefined
       ? undefined
@@ -74,6 +82,7 @@
         folder: vm.dataFolder,
         peers,
         targetSecret: secrets.target,
+        authority: tls.material?.authority,
         clock,
         logger,
         metrics,
@@ -81,15 +90,11 @@
       });
     const client = () =>
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
-    const peersListener = await openPeersListener({
-      address: listen.peers,
-      secret: secrets.vm,
-      control,
-    });
+    const boot = randomUUID();
     const routing = new RoutingTask({
       vm: {
         name: vm.name,
-        boot: randomUUID(),
+        boot,
         dataCentre: vm.dataCentre,
         region: vm.region,
         peerAddress: listen.peers,
@@ -100,11 +105,31 @@
       logger,
       metrics,
     });
-    const exchanges = new ExchangeClient({ connectionsPerTarget });
+    const observations = new TargetObservations();
+    const credits = new Credits({
+      vm: vm.name,
+      boot,
+      routing,
+      peers,
+      clock,
+      observations,
+      routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
+    });
+    const peersListener = await openPeersListener({
+      address: listen.peers,
+      tls,
+      secret: secrets.vm,
+      control,
+      services: [credits.addService],
+    });
+    const exchanges = new ExchangeClient({
+      connectionsPerTarget,
+      authority: tls.material?.authority,
+    });
     const gateway = new Gateway({
       routing,
       exchanges,
-      capacity: new LocalCapacityGate(),
+      capacity: options.capacity ?? credits.gate,
       hasher: await createKeyHasher(),
       clock,
       logger,
@@ -113,7 +138,8 @@
     });
     let stopping = false;
     const callers = await HttpListener.open({
-      setting: "listen.callers",
+      name: "callers",
+      tls,
       address: listen.callers,
       handler: (request, response) => {
         if (stopping) response.setHeader("connection", "close");
@@ -122,11 +148,13 @@
     });
     const targets = await openTargetsListener({
       address: listen.targets,
+      tls,
       secret: secrets.target,
       batcher: new AnnouncementBatcher({ control: client(), vm: vm.name }),
     });
     const operators = await openOperatorsListener({
       address: listen.operators,
+      tls,
       control: client(),
       routing,
       metrics,
@@ -142,6 +170,7 @@
       control,
       routing,
       exchanges,
+      credits,
       callers,
       listeners: [targets, operators, peersListener],
       markStopping: () => (stopping = true),
@@ -161,6 +190,7 @@
     parts.routing.leave();
     await new Promise((resolve) => setTimeout(resolve, leaveMilliseconds));
     await parts.callers.close();
+    parts.credits.stop();
     await parts.routing.stop();
     await parts.control?.stop().catch((failure) =>
       parts.logger.warn("control-stop-failed", {
@@ -177,6 +207,7 @@
   async crash(): Promise<void> {
     const parts = this.#parts;
     parts.callers.destroy();
+    parts.credits.stop();
     for (const listener of parts.listeners) listener.destroy();
     parts.peers.close();
     await Promise.allSettled([
