Run nine VMs under seeded faults and check the history

Cause: the promises were checked by single tests of one fault each. Change: runHistory drives eight callers and four lanes of disturbances that a seed chooses (targets killed, frozen, leaving or cold; VMs crashed or stopped as planned; bundles rolled, raced and sent again; a data centre out and back), and gives the history to every check. Grace times leave out the time in which the process stood still.

--- a/packages/checker/mod.ts
+++ b/packages/checker/mod.ts
@@ -10,6 +10,7 @@
 export { ownershipSpans } from "./ownership_spans.ts";
 export type { OwnershipSpan } from "./ownership_spans.ts";
 export {
+  firstViolations,
   formatViolations,
   PromiseName,
   resolveCheckOptions,
--- a/packages/checker/promises/planned_stop.ts
+++ b/packages/checker/promises/planned_stop.ts
@@ -41,7 +41,7 @@
   );
   return eventsOf(events, "asked").flatMap((asked) => {
     const answer = told.get(asked.request);
-    const inProgress = asked.vm === stop.name && asked.at < stop.at &&
+    const inProgress = asked.vm === stop.address && asked.at < stop.at &&
       answer !== undefined && answer.at > stop.at;
     return inProgress && (answer.status === 0 || !answer.whole)
       ? [{
--- a/packages/checker/violation.ts
+++ b/packages/checker/violation.ts
@@ -54,6 +54,15 @@
   options: ResolvedCheckOptions,
 ) => readonly Violation[];
 
+/** The first violation of each promise. */
+export function firstViolations(
+  violations: readonly Violation[],
+): readonly Violation[] {
+  return Object.values(PromiseName).flatMap((promise) =>
+    violations.find((each) => each.promise === promise) ?? []
+  );
+}
+
 /** Writes violations for people: the promise, what broke it, the events. */
 export function formatViolations(violations: readonly Violation[]): string {
   return violations.map((violation) =>
--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -95,6 +95,11 @@
     return this.#secret;
   }
 
+  /** Bundle without version, operators and data centres. */
+  get content(): Readonly<Record<string, unknown>> {
+    return this.#options.content;
+  }
+
   /** Names of the VMs. */
   get vmNames(): readonly string[] {
     return [...this.#vms.keys()];
@@ -120,20 +125,49 @@
     const running = this.#required(name);
     const settings = await readSettings(running.settingsFile);
     running.vm = await Vm.start({ settings, onFailure: () => {} });
+    this.history.record({
+      kind: "fault",
+      subject: "vm",
+      name,
+      fault: "restart",
+    });
   }
 
   /** Stops a VM as planned. */
   async stopVm(name: string): Promise<void> {
     const running = this.#required(name);
+    this.history.record({
+      kind: "stopping",
+      subject: "vm",
+      name,
+      address: this.callersAddress(name),
+    });
     await running.vm?.stop();
     running.vm = undefined;
+    this.history.record({ kind: "stopped", subject: "vm", name });
   }
 
   /** Ends a VM at once. */
   async crashVm(name: string): Promise<void> {
     const running = this.#required(name);
-    await running.vm?.crash();
+    const { vm } = running;
     running.vm = undefined;
+    this.history.record({ kind: "fault", subject: "vm", name, fault: "crash" });
+    await vm?.crash();
+  }
+
+  /** Records the bundle that each running VM routes by. */
+  observe(): void {
+    for (const [name, { vm }] of this.#vms) {
+      if (!vm) continue;
+      this.history.record({
+        kind: "tableSeen",
+        vm: name,
+        hasLease: vm.hasLease,
+        version: vm.bundle?.version ?? 0,
+        digest: vm.bundle?.digest ?? "",
+      });
+    }
   }
 
   /** Starts a fake target. */
--- /dev/null
+++ b/packages/experiments/disturbances.ts
@@ -0,0 +1,181 @@
+import type { FakeTarget } from "@kingcupglade/fakes";
+import type { BundleRoller } from "./bundle_roller.ts";
+import type { DataCentreDescription, Deployment } from "./deployment.ts";
+import type { RandomSource } from "./random_source.ts";
+
+const leaveTimeoutMilliseconds = 6000;
+
+/** What a {@link Disturbance} acts on. */
+export interface DisturbanceContext {
+  readonly deployment: Deployment;
+  readonly roller: BundleRoller;
+  readonly dataCentres: readonly DataCentreDescription[];
+  /** Choices of one lane; lanes do not share their choices. */
+  readonly random: RandomSource;
+  /** Targets that the lane may disturb. */
+  readonly targets: readonly string[];
+  /** VMs that callers and operators should not use now. */
+  readonly unready: Set<string>;
+}
+
+/** Something that happens to a deployment and is undone when it resolves. */
+export abstract class Disturbance {
+  /** Name in reports. */
+  abstract readonly name: string;
+  /** Causes it, waits a while and undoes it. */
+  abstract run(context: DisturbanceContext): Promise<void>;
+}
+
+class KillTarget extends Disturbance {
+  override readonly name = "target killed";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const target = pickTarget(context);
+    target.kill();
+    await pause(context.random.integer(200, 3000));
+    await target.restart();
+  }
+}
+
+class FreezeTarget extends Disturbance {
+  override readonly name = "target frozen";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const target = pickTarget(context);
+    target.freeze();
+    await pause(context.random.integer(100, 3500));
+    target.thaw();
+  }
+}
+
+class TurnCold extends Disturbance {
+  override readonly name = "target cold";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const target = pickTarget(context);
+    target.condition = "cold";
+    await pause(context.random.integer(500, 2500));
+    target.condition = "serving";
+  }
+}
+
+class LeaveTarget extends Disturbance {
+  override readonly name = "target left";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { deployment } = context;
+    const target = pickTarget(context);
+    target.condition = "leaving";
+    const left = await deployment.until(
+      (status) =>
+        status.targets.some((each) =>
+          each.target === target.name && each.condition === "leaving" &&
+          each.ranges === 0
+        ),
+      leaveTimeoutMilliseconds,
+    ).then(() => true, () => false);
+    if (left) await target.stop();
+    else target.kill();
+    target.condition = "serving";
+    await target.restart();
+  }
+}
+
+class CrashVm extends Disturbance {
+  override readonly name = "VM crashed";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { deployment, random } = context;
+    const vm = random.pick(deployment.vmNames);
+    await deployment.crashVm(vm);
+    await pause(random.integer(200, 2500));
+    await deployment.startVm(vm);
+  }
+}
+
+class StopVm extends Disturbance {
+  override readonly name = "VM stopped as planned";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { deployment, random, unready } = context;
+    const vm = random.pick(deployment.vmNames);
+    unready.add(vm);
+    await deployment.stopVm(vm);
+    await pause(random.integer(200, 1000));
+    await deployment.startVm(vm);
+    unready.delete(vm);
+  }
+}
+
+class RollBundle extends Disturbance {
+  override readonly name = "bundle rolled";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    await context.roller.roll(shuffledVms(context));
+  }
+}
+
+class RaceBundles extends Disturbance {
+  override readonly name = "bundles raced";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const [left, right] = shuffledVms(context);
+    await context.roller.race(left!, right!);
+  }
+}
+
+class ResendBundle extends Disturbance {
+  override readonly name = "bundle sent again";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { roller, random } = context;
+    await roller.resend(shuffledVms(context)[0]!, random.integer(0, 2));
+  }
+}
+
+class TakeDataCentreOut extends Disturbance {
+  override readonly name = "data centre out and back";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { roller, random, dataCentres } = context;
+    const dataCentre = random.pick(dataCentres).name;
+    await roller.setInService(
+      { dataCentre, inService: false },
+      shuffledVms(context),
+    );
+    await pause(random.integer(3000, 7000));
+    await roller.setInService(
+      { dataCentre, inService: true },
+      shuffledVms(context),
+    );
+  }
+}
+
+/** Disturbances that go on side by side; those within a lane take turns. */
+export const disturbanceLanes = {
+  targets: [new KillTarget(), new FreezeTarget(), new LeaveTarget()],
+  coldTargets: [new TurnCold()],
+  vms: [new CrashVm(), new StopVm()],
+  bundles: [
+    new RollBundle(),
+    new RaceBundles(),
+    new ResendBundle(),
+    new TakeDataCentreOut(),
+  ],
+} as const satisfies Readonly<Record<string, readonly Disturbance[]>>;
+
+function pickTarget(context: DisturbanceContext): FakeTarget {
+  return context.deployment.targets.get(context.random.pick(context.targets))!;
+}
+
+function shuffledVms(context: DisturbanceContext): readonly string[] {
+  const { deployment, random } = context;
+  return deployment.vmNames
+    .map((name) => ({ name, order: random.number() }))
+    .sort((left, right) => left.order - right.order)
+    .map((each) => each.name);
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/packages/experiments/history_run.ts
@@ -0,0 +1,185 @@
+import { checkHistory } from "@kingcupglade/checker";
+import type { Violation } from "@kingcupglade/checker";
+import type { TimedEvent } from "@kingcupglade/fakes";
+import { BundleRoller } from "./bundle_roller.ts";
+import { Deployment } from "./deployment.ts";
+import { disturbanceLanes } from "./disturbances.ts";
+import type { Disturbance, DisturbanceContext } from "./disturbances.ts";
+import { hsinchu } from "./hsinchu.ts";
+import { RandomSource } from "./random_source.ts";
+import { runCaller } from "./random_caller.ts";
+
+const observeMilliseconds = 25;
+const stallMilliseconds = 100;
+const callers = 8;
+
+/** Options of {@link runHistory}. */
+export interface HistoryRunOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  /** Lanes of disturbances. @default every one of them */
+  readonly lanes?: readonly (keyof typeof disturbanceLanes)[];
+  /** Whether callers send again under an Idempotency-Key. @default true */
+  readonly resends?: boolean;
+}
+
+/** What came of a run. */
+export interface HistoryRun {
+  readonly events: readonly TimedEvent[];
+  readonly violations: readonly Violation[];
+  /** Number of disturbances by name. */
+  readonly disturbances: ReadonlyMap<string, number>;
+  /** Number of requests by what their callers were told. */
+  readonly outcomes: ReadonlyMap<string, number>;
+  /** Whether every range had an owner again after the last disturbance. */
+  readonly recovered: boolean;
+}
+
+/**
+ * Runs nine VMs under callers and disturbances that a seed chooses, and checks
+ * the history of it.
+ */
+export async function runHistory(
+  options: HistoryRunOptions,
+): Promise<HistoryRun> {
+  const deployment = await Deployment.start(hsinchu);
+  const observer = observe(deployment);
+  try {
+    const roller = new BundleRoller(deployment, hsinchu.dataCentres);
+    await roller.roll(deployment.vmNames);
+    await addTargets(deployment);
+    const unready = new Set<string>();
+    const disturbances = new Map<string, number>();
+    const until = performance.now() + options.seconds * 1000;
+    await Promise.all([
+      ...runLanes({
+        options,
+        deployment,
+        roller,
+        unready,
+        disturbances,
+        until,
+      }),
+      ...Array.from({ length: callers }, (_, index) =>
+        runCaller({
+          deployment,
+          random: new RandomSource(options.seed * 1000 + index),
+          unready,
+          until,
+          resends: options.resends ?? true,
+        })),
+    ]);
+    const recovered = await isServing(deployment);
+    const { events } = deployment.history;
+    return {
+      events,
+      violations: checkHistory(events),
+      disturbances,
+      outcomes: countOutcomes(events),
+      recovered,
+    };
+  } finally {
+    clearInterval(observer);
+    await deployment.stop();
+  }
+}
+
+function runLanes(run: {
+  readonly options: HistoryRunOptions;
+  readonly deployment: Deployment;
+  readonly roller: BundleRoller;
+  readonly unready: Set<string>;
+  readonly disturbances: Map<string, number>;
+  readonly until: number;
+}): readonly Promise<void>[] {
+  const { options, deployment, roller, unready } = run;
+  const names = [...deployment.targets.keys()];
+  const lanes = options.lanes ??
+    (Object.keys(disturbanceLanes) as (keyof typeof disturbanceLanes)[]);
+  return lanes.map((lane, index) =>
+    runLane(disturbanceLanes[lane], {
+      ...run,
+      context: {
+        deployment,
+        roller,
+        unready,
+        dataCentres: hsinchu.dataCentres,
+        random: new RandomSource(options.seed * 100 + index),
+        targets: names.filter((_, position) =>
+          position % lanes.length === index
+        ),
+      },
+    })
+  );
+}
+
+async function runLane(
+  lane: readonly Disturbance[],
+  run: {
+    readonly context: DisturbanceContext;
+    readonly disturbances: Map<string, number>;
+    readonly until: number;
+  },
+): Promise<void> {
+  const { context, disturbances, until } = run;
+  while (performance.now() < until) {
+    const disturbance = context.random.pick(lane);
+    await disturbance.run(context);
+    const count = disturbances.get(disturbance.name) ?? 0;
+    disturbances.set(disturbance.name, count + 1);
+    await pause(context.random.integer(50, 600));
+  }
+}
+
+async function addTargets(deployment: Deployment): Promise<void> {
+  for (const service of ["fixture-stock", "jig-catalogue"]) {
+    for (const [index, { name }] of hsinchu.dataCentres.entries()) {
+      await deployment.addTarget({
+        name: `${service}-${index + 1}`,
+        service,
+        dataCentre: name,
+        serviceMilliseconds: 5,
+      });
+    }
+  }
+  await isServing(deployment);
+}
+
+function isServing(deployment: Deployment): Promise<boolean> {
+  return deployment.until((status) =>
+    status.targets.length === deployment.targets.size &&
+    status.groups.every((group) =>
+      group.withoutOwner === 0 && group.moving === 0
+    )
+  ).then(() => true, () => false);
+}
+
+/** Records the bundles in use and the times at which this process stood still. */
+function observe(deployment: Deployment): NodeJS.Timeout {
+  let last = performance.now();
+  return setInterval(() => {
+    const now = performance.now();
+    const milliseconds = now - last - observeMilliseconds;
+    last = now;
+    if (milliseconds > stallMilliseconds) {
+      deployment.history.record({ kind: "stalled", milliseconds });
+    }
+    deployment.observe();
+  }, observeMilliseconds);
+}
+
+function countOutcomes(
+  events: readonly TimedEvent[],
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const event of events) {
+    if (event.kind !== "told") continue;
+    const outcome = event.outcome || "no answer";
+    counts.set(outcome, (counts.get(outcome) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/packages/experiments/random_caller.ts
@@ -0,0 +1,66 @@
+import type { CallerRequest } from "@kingcupglade/fakes";
+import type { Deployment } from "./deployment.ts";
+import type { RandomSource } from "./random_source.ts";
+
+const keys = 24;
+const tenants = ["toolroom", "engineers", "taichung-plant"];
+const maximumSends = 3;
+
+/** What a random caller needs. */
+export interface RandomCallerOptions {
+  readonly deployment: Deployment;
+  readonly random: RandomSource;
+  /** VMs that the platform's balancer does not choose now. */
+  readonly unready: ReadonlySet<string>;
+  readonly until: number;
+  /** Whether it sends again under an Idempotency-Key. */
+  readonly resends: boolean;
+}
+
+/** Looks up and reserves, one request after the other, until the time is up. */
+export async function runCaller(options: RandomCallerOptions): Promise<void> {
+  let next = 1;
+  const name = options.random.integer(0, 1 << 30);
+  while (performance.now() < options.until) {
+    const request = drawRequest(options.random);
+    const isKept = options.resends && request.method === "POST" &&
+      options.random.number() < 0.5;
+    await sendUntilKnown(options, {
+      ...request,
+      ...(isKept ? { idempotencyKey: `operation-${name}-${next++}` } : {}),
+    });
+    await pause(options.random.exponential(10));
+  }
+}
+
+async function sendUntilKnown(
+  options: RandomCallerOptions,
+  request: Omit<CallerRequest, "vm">,
+): Promise<void> {
+  const { deployment, random, unready } = options;
+  const sends = request.idempotencyKey === undefined ? 1 : maximumSends;
+  for (let attempt = 0; attempt < sends; attempt += 1) {
+    const ready = deployment.vmNames.filter((vm) => !unready.has(vm));
+    const { outcome } = await deployment.caller.send({
+      ...request,
+      vm: deployment.callersAddress(random.pick(ready)),
+    });
+    // A caller that lost the answer, or fears so, sends again.
+    if (outcome === "answered" && random.number() < 0.8) return;
+  }
+}
+
+function drawRequest(random: RandomSource): Omit<CallerRequest, "vm"> {
+  const tenant = random.pick(tenants);
+  const key = `clamp-${random.integer(1, keys)}`;
+  const draw = random.number();
+  if (draw < 0.3) {
+    return { method: "GET", path: `/drawings/${key}`, tenant, key };
+  }
+  const method = draw < 0.5 ? "GET" : "POST";
+  return { method, path: `/fixtures/${key}`, tenant, key };
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -3,6 +3,8 @@
 /** Every experiment, imported when it is run. */
 export const experiments: ReadonlyMap<string, () => Promise<Experiment>> =
   new Map(Object.entries({
+    "history": async () =>
+      (await import("./suite/history.ts")).historyExperiment,
     "lost-owner": async () =>
       (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
   }));
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -6,6 +6,7 @@
 
 const announceMilliseconds = 300;
 const announceTimeoutMilliseconds = 1000;
+const idleCheckMilliseconds = 5;
 
 /** Options of a {@link FakeTarget}. */
 export interface FakeTargetOptions {
@@ -130,6 +131,11 @@
 
   /** Ends the process at once, as a crash would. */
   kill(): void {
+    this.#recordFault("crash");
+    this.#end();
+  }
+
+  #end(): void {
     clearInterval(this.#timer);
     this.#lapse();
     this.#boot = "";
@@ -147,15 +153,35 @@
 
   /** Stops everything, as a paused process would, until {@link thaw}. */
   freeze(): void {
+    this.#recordFault("freeze");
     this.#frozen ??= new Promise((resolve) => (this.#thaw = resolve));
   }
 
   /** Goes on as if nothing had happened. */
   thaw(): void {
+    this.#recordFault("thaw");
     this.#frozen = undefined;
     this.#thaw();
   }
 
+  /** Waits until nothing is in progress, then ends the process as planned. */
+  async stop(): Promise<void> {
+    const { history } = this.#options;
+    history.record({
+      kind: "stopping",
+      subject: "target",
+      name: this.name,
+      address: "",
+    });
+    while (this.#inProgress > 0) {
+      await new Promise((resolve) =>
+        setTimeout(resolve, idleCheckMilliseconds)
+      );
+    }
+    history.record({ kind: "stopped", subject: "target", name: this.name });
+    this.#end();
+  }
+
   /** Announces itself now, such as after a change of condition. */
   async announceNow(): Promise<void> {
     await this.#announce();
@@ -225,6 +251,15 @@
     });
   }
 
+  #recordFault(fault: "crash" | "freeze" | "thaw"): void {
+    this.#options.history.record({
+      kind: "fault",
+      subject: "target",
+      name: this.name,
+      fault,
+    });
+  }
+
   #lapse(): void {
     if (this.#grants.length === 0) return;
     this.#grants = [];
--- a/packages/fakes/history.ts
+++ b/packages/fakes/history.ts
@@ -73,6 +73,8 @@
     readonly kind: "stopping";
     readonly subject: "vm" | "target";
     readonly name: string;
+    /** Where a VM serves callers, as they name it; empty for targets. */
+    readonly address: string;
   }
   /** A planned stop ended. */
   | {
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -164,6 +164,11 @@
     return this.#parts.routing.hasLease;
   }
 
+  /** Version and digest of the bundle that this VM routes by. */
+  get bundle(): { readonly version: number; readonly digest: string } | null {
+    return this.#parts.routing.table.bundle;
+  }
+
   /** Finishes every request, hands over what this VM leads, and stops. */
   async stop(): Promise<void> {
     const parts = this.#parts;
