--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { createKeyHasher } from "@kingcupglade/ownership";
-import { LocalCapacityGate } from "@kingcupglade/routing";
+import { TargetObservations } from "@kingcupglade/routing";
+import type { CapacityGate } from "@kingcupglade/routing";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import {
   createLogger,
@@ -12,6 +13,7 @@
 import { ControlTask } from "./control/control_task.ts";
 import { PeerDirectory } from "./control/peers.ts";
 import { RoutingTask } from "./control/routing_task.ts";
+import { Credits } from "./credits/credits.ts";
 import { ExchangeClient } from "./gateway/exchange.ts";
 import { Forwarder } from "./gateway/forwarder.ts";
 import { Gateway } from "./gateway/gateway.ts";
@@ -34,6 +36,8 @@
   readonly settings: ResolvedSettings;
   /** Called when the VM cannot go on. */
   readonly onFailure: (failure: unknown) => void;
+  /** Limits of targets, for measurements. @default credits shared by the VMs */
+  readonly capacity?: CapacityGate;
 }
 
 interface VmParts {
@@ -46,6 +50,7 @@
   readonly ledger: LedgerTask;
   readonly forwarder: Forwarder;
   readonly gateway: Gateway;
+  readonly credits: Credits;
   readonly listeners: readonly HttpListener[];
   readonly callers: HttpListener;
   readonly markStopping: () => void;
@@ -107,6 +112,16 @@
       logger,
       metrics,
     });
+    const observations = new TargetObservations();
+    const credits = new Credits({
+      vm: vm.name,
+      boot,
+      routing,
+      peers,
+      clock,
+      observations,
+      routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
+    });
     const exchanges = new ExchangeClient({
       connectionsPerTarget,
       authority: tls.material?.authority,
@@ -133,7 +148,7 @@
       redirectScheme: tls.listeners.has("callers") ? "https" : "http",
       routing,
       exchanges,
-      capacity: new LocalCapacityGate(),
+      capacity: options.capacity ?? credits.gate,
       hasher: await createKeyHasher(),
       clock,
       logger,
@@ -145,7 +160,7 @@
       tls,
       secret: secrets.vm,
       control,
-      services: [(router) => ledger.addService(router)],
+      services: [credits.addService, (router) => ledger.addService(router)],
       forwarded: (request, response) => {
         void gateway.serveForwarded(request, response);
       },
@@ -187,6 +202,7 @@
       ledger,
       forwarder,
       gateway,
+      credits,
       callers,
       listeners: [targets, operators, peersListener],
       markStopping: () => (stopping = true),
@@ -198,6 +214,11 @@
     return this.#parts.routing.hasLease;
   }
 
+  /** Version and digest of the bundle that this VM routes by. */
+  get bundle(): { readonly version: number; readonly digest: string } | null {
+    return this.#parts.routing.table.bundle;
+  }
+
   /** Finishes every request, hands over what this VM leads, and stops. */
   async stop(): Promise<void> {
     const parts = this.#parts;
@@ -209,6 +230,7 @@
     await parts.callers.close();
     await parts.gateway.finished();
     parts.ledger.stop();
+    parts.credits.stop();
     await parts.routing.stop();
     await parts.control?.stop().catch((failure) =>
       parts.logger.warn("control-stop-failed", {
@@ -226,6 +248,7 @@
   async crash(): Promise<void> {
     const parts = this.#parts;
     parts.callers.destroy();
+    parts.credits.stop();
     for (const listener of parts.listeners) listener.destroy();
     parts.peers.close();
     parts.ledger.stop();
--- a/packages/protocol/mod.ts
+++ b/packages/protocol/mod.ts
@@ -6,4 +6,5 @@
  */
 export * from "./generated/control_pb.ts";
 export * from "./generated/ledger_pb.ts";
+export * from "./generated/credit_pb.ts";
 export { decodeValue, encodeValue, WireError } from "./codec.ts";
