Refuse damaged data folders by name and survive a crash at every step

Cause: a data folder whose log was missing opened as if nothing had been promised, so that a replica could vote twice. The folder entry of the first log was never synced. The records of one batch were framed one by one, so that a crash that wrote the second page before the first looked like a corrupt middle.

Change: the first log is made and synced before the identity, and a missing log is refused by name; logs of other generations and incomplete files are removed; a new generation starts empty; a batch is one record; a gap in the log is refused. The few operations on files are behind the Files class, with FakeFiles as a disk that fails or loses its power on demand.

--- a/packages/storage/errors.ts
+++ b/packages/storage/errors.ts
@@ -21,3 +21,14 @@
 export class IdentityError extends StorageError {
   override readonly name = "IdentityError";
 }
+
+/** A log file that the data folder must hold but does not. */
+export class MissingLogError extends StorageError {
+  override readonly name = "MissingLogError";
+
+  constructor(readonly file: string) {
+    super(
+      `${file} is missing, and with it votes and entries that were promised; move the data folder away and start the VM as a spare`,
+    );
+  }
+}
--- a/packages/storage/files.ts
+++ b/packages/storage/files.ts
@@ -1,40 +1,110 @@
-import { open, readFile, rename } from "node:fs/promises";
+import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
+import type { FileHandle } from "node:fs/promises";
 import { dirname } from "node:path";
 
-/** The file's bytes, or null when it does not exist. */
-export async function readIfPresent(path: string): Promise<Buffer | null> {
-  try {
-    return await readFile(path);
-  } catch (cause) {
-    if (isMissing(cause)) return null;
-    throw cause;
+/** A file that is written at its end only. */
+export abstract class AppendFile {
+  abstract append(bytes: Uint8Array): Promise<void>;
+  /** Makes everything appended so far last. */
+  abstract sync(): Promise<void>;
+  abstract close(): Promise<void>;
+}
+
+/** The few operations that a data folder needs of a file system. */
+export abstract class Files {
+  /** The file's bytes, or null when it does not exist. */
+  abstract read(path: string): Promise<Buffer | null>;
+  abstract list(folder: string): Promise<readonly string[]>;
+  /** Creates a folder and those above it, and makes them last. */
+  abstract createFolder(path: string): Promise<void>;
+  /** Opens a file, creating it when missing, and cuts it to `bytes`. */
+  abstract openAt(path: string, bytes: number): Promise<AppendFile>;
+  abstract rename(from: string, to: string): Promise<void>;
+  abstract remove(path: string): Promise<void>;
+  /** Makes creations, renames and removals in a folder last. */
+  abstract syncFolder(path: string): Promise<void>;
+
+  /** Replaces a file so that after a crash it is either whole and old or whole and new. */
+  async replace(path: string, content: Uint8Array): Promise<void> {
+    const temporary = `${path}${temporarySuffix}`;
+    const file = await this.openAt(temporary, 0);
+    try {
+      await file.append(content);
+      await file.sync();
+    } finally {
+      await file.close();
+    }
+    await this.rename(temporary, path);
+    await this.syncFolder(dirname(path));
   }
 }
 
-/** Replaces a file so that after a crash it is either whole and old or whole and new. */
-export async function replaceFile(
-  path: string,
-  content: Uint8Array,
-): Promise<void> {
-  const temporary = `${path}.new`;
-  const file = await open(temporary, "w");
-  try {
-    await file.writeFile(content);
-    await file.sync();
-  } finally {
-    await file.close();
-  }
-  await rename(temporary, path);
-  await syncFolder(dirname(path));
+/** Ends the name of a file that is not complete yet. */
+export const temporarySuffix = ".new";
+
+/** The operating system's files. */
+export class SystemFiles extends Files {
+  override async read(path: string): Promise<Buffer | null> {
+    try {
+      return await readFile(path);
+    } catch (cause) {
+      if (isMissing(cause)) return null;
+      throw cause;
+    }
+  }
+
+  override async list(folder: string): Promise<readonly string[]> {
+    return await readdir(folder);
+  }
+
+  override async createFolder(path: string): Promise<void> {
+    const created = await mkdir(path, { recursive: true });
+    if (created !== undefined) await this.syncFolder(dirname(created));
+  }
+
+  override async openAt(path: string, bytes: number): Promise<AppendFile> {
+    const file = await open(path, "a");
+    const { size } = await file.stat();
+    if (size > bytes) await file.truncate(bytes);
+    return new SystemAppendFile(file);
+  }
+
+  override async rename(from: string, to: string): Promise<void> {
+    await rename(from, to);
+  }
+
+  override async remove(path: string): Promise<void> {
+    await rm(path, { force: true });
+  }
+
+  override async syncFolder(path: string): Promise<void> {
+    const folder = await open(path, "r");
+    try {
+      await folder.sync();
+    } finally {
+      await folder.close();
+    }
+  }
 }
 
-/** Makes creations, renames and removals in a folder last. */
-export async function syncFolder(path: string): Promise<void> {
-  const folder = await open(path, "r");
-  try {
-    await folder.sync();
-  } finally {
-    await folder.close();
+class SystemAppendFile extends AppendFile {
+  readonly #file: FileHandle;
+
+  constructor(file: FileHandle) {
+    super();
+    this.#file = file;
+  }
+
+  override async append(bytes: Uint8Array): Promise<void> {
+    await this.#file.appendFile(bytes);
+  }
+
+  override async sync(): Promise<void> {
+    await this.#file.datasync();
+  }
+
+  override async close(): Promise<void> {
+    await this.#file.close();
   }
 }
 
--- /dev/null
+++ b/packages/storage/identity.ts
@@ -0,0 +1,94 @@
+import { randomBytes } from "node:crypto";
+import { join } from "node:path";
+import { IdentityError } from "./errors.ts";
+import type { Files } from "./files.ts";
+
+const formatVersion = 1;
+
+/** Who a data folder belongs to. */
+export interface FolderIdentity {
+  readonly format: number;
+  readonly vm: string;
+  /** Drawn when the folder was created; a wiped folder gets another one. */
+  readonly incarnation: string;
+}
+
+/** Identifies a folder as that of a VM. */
+export interface IdentityOptions {
+  readonly folder: string;
+  readonly vm: string;
+  readonly files: Files;
+}
+
+/**
+ * Reads whose folder it is; null when it has never been used.
+ *
+ * @throws {IdentityError} when it is another VM's, or cannot be told.
+ */
+export async function readIdentity(
+  options: IdentityOptions,
+): Promise<FolderIdentity | null> {
+  const { folder, files } = options;
+  const bytes = await files.read(identityPath(folder));
+  if (bytes) return checkIdentity(bytes, options);
+  for (const file of await files.list(folder)) {
+    const isUsed = file === "snapshot" || (file.endsWith(".log") &&
+      (await files.read(join(folder, file)))!.length > 0);
+    if (!isUsed) continue;
+    throw new IdentityError(
+      `data folder ${folder} holds a log but no identity.json; restore the file or move the folder away`,
+    );
+  }
+  return null;
+}
+
+/** Gives an unused folder to a VM, under a new incarnation. */
+export async function createIdentity(
+  options: IdentityOptions,
+): Promise<FolderIdentity> {
+  const { folder, vm, files } = options;
+  const identity: FolderIdentity = {
+    format: formatVersion,
+    vm,
+    incarnation: randomBytes(6).toString("hex"),
+  };
+  await files.replace(
+    identityPath(folder),
+    Buffer.from(JSON.stringify(identity)),
+  );
+  return identity;
+}
+
+function checkIdentity(
+  bytes: Buffer,
+  expected: IdentityOptions,
+): FolderIdentity {
+  const { folder, vm } = expected;
+  const identity = parseIdentity(bytes, folder);
+  if (identity.format !== formatVersion) {
+    throw new IdentityError(
+      `data folder ${folder} has format ${identity.format}; this program reads format ${formatVersion}`,
+    );
+  }
+  if (identity.vm !== vm) {
+    throw new IdentityError(
+      `data folder ${folder} belongs to VM "${identity.vm}", not "${vm}"; give each VM its own folder`,
+    );
+  }
+  return identity;
+}
+
+function parseIdentity(bytes: Buffer, folder: string): FolderIdentity {
+  try {
+    return JSON.parse(bytes.toString()) as FolderIdentity;
+  } catch (cause) {
+    throw new IdentityError(
+      `${folder}/identity.json cannot be read; move the data folder away and start the VM as a spare`,
+      { cause },
+    );
+  }
+}
+
+function identityPath(folder: string): string {
+  return join(folder, "identity.json");
+}
--- a/packages/storage/log_file.ts
+++ b/packages/storage/log_file.ts
@@ -1,8 +1,6 @@
-import { open } from "node:fs/promises";
-import type { FileHandle } from "node:fs/promises";
 import { basename } from "node:path";
-import { CorruptLogError } from "./errors.ts";
-import { readIfPresent } from "./files.ts";
+import { CorruptLogError, MissingLogError } from "./errors.ts";
+import type { AppendFile, Files } from "./files.ts";
 import {
   frameRecord,
   hasRecordAfter,
@@ -10,32 +8,39 @@
   recordHeaderBytes,
 } from "./record.ts";
 
-/** An append-only file of checksummed records. */
+/** An append-only file of checksummed records, each synced before the next. */
 export class LogFile {
-  readonly #file: FileHandle;
+  readonly #file: AppendFile;
   #size: number;
 
-  protected constructor(file: FileHandle, size: number) {
+  protected constructor(file: AppendFile, size: number) {
     this.#file = file;
     this.#size = size;
   }
 
+  /** Starts an empty log, in place of what the path may hold. */
+  static async create(path: string, files: Files): Promise<LogFile> {
+    const file = await files.openAt(path, 0);
+    await file.sync();
+    return new LogFile(file, 0);
+  }
+
   /**
-   * Opens a log, creating it when it is missing. An incomplete last record,
-   * which was never acknowledged, is cut off.
+   * Opens a log. An incomplete last record, which was never acknowledged, is
+   * cut off.
    *
+   * @throws {MissingLogError} when there is no such file.
    * @throws {CorruptLogError} when a record before the last one is damaged.
    */
   static async open(
     path: string,
+    files: Files,
   ): Promise<{ readonly log: LogFile; readonly records: readonly Buffer[] }> {
-    const bytes = (await readIfPresent(path)) ?? Buffer.alloc(0);
+    const bytes = await files.read(path);
+    if (!bytes) throw new MissingLogError(basename(path));
     const { records, end } = readRecords(bytes, basename(path));
-    const file = await open(path, "a");
-    if (end < bytes.length) {
-      await file.truncate(end);
-      await file.sync();
-    }
+    const file = await files.openAt(path, end);
+    if (end < bytes.length) await file.sync();
     return { log: new LogFile(file, end), records };
   }
 
@@ -44,11 +49,11 @@
     return this.#size;
   }
 
-  /** Writes records and returns when they are synced. */
-  async append(payloads: readonly Uint8Array[]): Promise<void> {
-    const bytes = Buffer.concat(payloads.map(frameRecord));
-    await this.#file.appendFile(bytes);
-    await this.#file.datasync();
+  /** Writes one record and returns when it is synced. */
+  async append(payload: Uint8Array): Promise<void> {
+    const bytes = frameRecord(payload);
+    await this.#file.append(bytes);
+    await this.#file.sync();
     this.#size += bytes.length;
   }
 
--- a/packages/storage/mod.ts
+++ b/packages/storage/mod.ts
@@ -3,7 +3,14 @@
  *
  * @module
  */
-export { CorruptLogError, IdentityError, StorageError } from "./errors.ts";
+export {
+  CorruptLogError,
+  IdentityError,
+  MissingLogError,
+  StorageError,
+} from "./errors.ts";
+export { AppendFile, Files, SystemFiles } from "./files.ts";
+export type { FolderIdentity } from "./identity.ts";
 export { LogFile } from "./log_file.ts";
 export { ReplicaStorage } from "./replica_storage.ts";
-export type { FolderIdentity, StoredState } from "./replica_storage.ts";
+export type { StoredState } from "./replica_storage.ts";
--- a/packages/storage/replica_storage.ts
+++ b/packages/storage/replica_storage.ts
@@ -1,23 +1,14 @@
-import { randomBytes } from "node:crypto";
-import { mkdir, readdir, rm } from "node:fs/promises";
 import { join } from "node:path";
 import { decode, encode } from "@msgpack/msgpack";
 import type { HardState, LogEntry, Snapshot } from "@kingcupglade/consensus";
-import { IdentityError, StorageError } from "./errors.ts";
-import { readIfPresent, replaceFile, syncFolder } from "./files.ts";
+import { StorageError } from "./errors.ts";
+import { SystemFiles, temporarySuffix } from "./files.ts";
+import type { Files } from "./files.ts";
+import { createIdentity, readIdentity } from "./identity.ts";
+import type { FolderIdentity, IdentityOptions } from "./identity.ts";
 import { LogFile } from "./log_file.ts";
 import { frameRecord, readRecord } from "./record.ts";
 
-const formatVersion = 1;
-
-/** Who a data folder belongs to. */
-export interface FolderIdentity {
-  readonly format: number;
-  readonly vm: string;
-  /** Drawn when the folder was created; a wiped folder gets another one. */
-  readonly incarnation: string;
-}
-
 /** What a data folder held when it was opened. */
 export interface StoredState {
   readonly hardState: HardState;
@@ -36,17 +27,20 @@
   readonly identity: FolderIdentity;
   readonly stored: StoredState;
   readonly #folder: string;
+  readonly #files: Files;
   #log: LogFile;
   #generation: number;
 
   protected constructor(options: {
     readonly folder: string;
+    readonly files: Files;
     readonly identity: FolderIdentity;
     readonly stored: StoredState;
     readonly log: LogFile;
     readonly generation: number;
   }) {
     this.#folder = options.folder;
+    this.#files = options.files;
     this.identity = options.identity;
     this.stored = options.stored;
     this.#log = options.log;
@@ -60,16 +54,29 @@
    */
   static async open(
     folder: string,
-    options: { readonly vm: string },
+    options: { readonly vm: string; readonly files?: Files },
   ): Promise<ReplicaStorage> {
+    const { vm, files = new SystemFiles() } = options;
     try {
-      await mkdir(folder, { recursive: true });
-      const identity = await openIdentity(folder, options.vm);
-      const generation = await latestGeneration(folder);
-      const snapshot = await readSnapshot(folder);
-      const { log, records } = await LogFile.open(logPath(folder, generation));
-      const stored = replay(snapshot, records.map(decodeRecord));
-      return new ReplicaStorage({ folder, identity, stored, log, generation });
+      await files.createFolder(folder);
+      const identity = await readIdentity({ folder, vm, files }) ??
+        await createFolder({ folder, vm, files });
+      const frame = await files.read(snapshotPath(folder));
+      const { snapshot, generation } = frame
+        ? decodeSnapshotFile(frame, folder)
+        : { snapshot: null, generation: 0 };
+      const path = logPath(folder, generation);
+      const { log, records } = await LogFile.open(path, files);
+      await removeLeftovers(folder, { log: path, files });
+      const stored = replay(snapshot, records.flatMap(decodeRecords), path);
+      return new ReplicaStorage({
+        folder,
+        files,
+        identity,
+        stored,
+        log,
+        generation,
+      });
     } catch (cause) {
       if (cause instanceof StorageError) throw cause;
       throw new StorageError(
@@ -87,7 +94,7 @@
   /** Stores hard states and entries with a single sync. */
   async append(records: readonly LogRecord[]): Promise<void> {
     try {
-      await this.#log.append(records.map((record) => encode(record)));
+      await this.#log.append(encode(records));
     } catch (cause) {
       throw new StorageError(
         `the log cannot be written: ${
@@ -104,16 +111,17 @@
     rest: LogRecord,
   ): Promise<void> {
     try {
+      const files = this.#files;
       const next = this.#generation + 1;
-      const { log } = await LogFile.open(logPath(this.#folder, next));
-      await log.append([encode(rest)]);
-      await syncFolder(this.#folder);
-      await replaceFile(
+      const log = await LogFile.create(logPath(this.#folder, next), files);
+      await log.append(encode([rest]));
+      await files.syncFolder(this.#folder);
+      await files.replace(
         snapshotPath(this.#folder),
         frameRecord(encode({ snapshot, generation: next })),
       );
       await this.#log.close();
-      await rm(logPath(this.#folder, this.#generation), { force: true });
+      await files.remove(logPath(this.#folder, this.#generation));
       this.#log = log;
       this.#generation = next;
     } catch (cause) {
@@ -132,67 +140,13 @@
   }
 }
 
-async function openIdentity(
-  folder: string,
-  vm: string,
+// A folder with an identity must have a log, so the log comes first.
+async function createFolder(
+  options: IdentityOptions,
 ): Promise<FolderIdentity> {
-  const path = join(folder, "identity.json");
-  const bytes = await readIfPresent(path);
-  if (bytes) return checkIdentity(bytes, { folder, vm });
-  const files = await readdir(folder);
-  if (files.some((file) => file.endsWith(".log") || file === "snapshot")) {
-    throw new IdentityError(
-      `data folder ${folder} holds a log but no identity.json; restore the file or move the folder away`,
-    );
-  }
-  const identity: FolderIdentity = {
-    format: formatVersion,
-    vm,
-    incarnation: randomBytes(6).toString("hex"),
-  };
-  await replaceFile(path, Buffer.from(JSON.stringify(identity)));
-  return identity;
-}
-
-function checkIdentity(
-  bytes: Buffer,
-  expected: { readonly folder: string; readonly vm: string },
-): FolderIdentity {
-  const { folder, vm } = expected;
-  const identity = parseIdentity(bytes, folder);
-  if (identity.format !== formatVersion) {
-    throw new IdentityError(
-      `data folder ${folder} has format ${identity.format}; this program reads format ${formatVersion}`,
-    );
-  }
-  if (identity.vm !== vm) {
-    throw new IdentityError(
-      `data folder ${folder} belongs to VM "${identity.vm}", not "${vm}"; give each VM its own folder`,
-    );
-  }
-  return identity;
-}
-
-function parseIdentity(bytes: Buffer, folder: string): FolderIdentity {
-  try {
-    return JSON.parse(bytes.toString()) as FolderIdentity;
-  } catch (cause) {
-    throw new IdentityError(
-      `${folder}/identity.json cannot be read; move the data folder away and start the VM as a spare`,
-      { cause },
-    );
-  }
-}
-
-async function latestGeneration(folder: string): Promise<number> {
-  const frame = await readIfPresent(snapshotPath(folder));
-  if (!frame) return 0;
-  return decodeSnapshotFile(frame, folder).generation;
-}
-
-async function readSnapshot(folder: string): Promise<Snapshot | null> {
-  const frame = await readIfPresent(snapshotPath(folder));
-  return frame ? decodeSnapshotFile(frame, folder).snapshot : null;
+  const log = await LogFile.create(logPath(options.folder, 0), options.files);
+  await log.close();
+  return await createIdentity(options);
 }
 
 function decodeSnapshotFile(
@@ -208,13 +162,26 @@
   return decode(payload) as { snapshot: Snapshot; generation: number };
 }
 
-function decodeRecord(payload: Buffer): LogRecord {
-  return decode(payload) as LogRecord;
+// A crash can leave logs of other generations and incomplete files.
+async function removeLeftovers(
+  folder: string,
+  kept: { readonly log: string; readonly files: Files },
+): Promise<void> {
+  for (const file of await kept.files.list(folder)) {
+    const isLeftover = file.endsWith(temporarySuffix) ||
+      (file.endsWith(".log") && join(folder, file) !== kept.log);
+    if (isLeftover) await kept.files.remove(join(folder, file));
+  }
+}
+
+function decodeRecords(payload: Buffer): readonly LogRecord[] {
+  return decode(payload) as readonly LogRecord[];
 }
 
 function replay(
   snapshot: Snapshot | null,
   records: readonly LogRecord[],
+  file: string,
 ): StoredState {
   let hardState: HardState = { term: 0, votedFor: null };
   const entries: LogEntry[] = [];
@@ -223,6 +190,13 @@
     hardState = record.hardState ?? hardState;
     for (const entry of record.entries) {
       if (entry.index < offset) continue;
+      if (entry.index > offset + entries.length) {
+        throw new StorageError(
+          `${file} lacks entry ${
+            offset + entries.length
+          }; move the data folder away and start the VM as a spare`,
+        );
+      }
       entries.length = entry.index - offset;
       entries.push(entry);
     }
--- /dev/null
+++ b/packages/storage/replica_storage_test.ts
@@ -0,0 +1,195 @@
+import { describe, expect, it } from "vitest";
+import type { LogEntry, Snapshot } from "@kingcupglade/consensus";
+import {
+  CorruptLogError,
+  IdentityError,
+  MissingLogError,
+  StorageError,
+} from "./errors.ts";
+import { FakeFiles } from "./fake_files.ts";
+import { ReplicaStorage } from "./replica_storage.ts";
+
+const folder = "/data";
+const vm = "vm-1";
+const configuration = { voters: ["vm-1.a"], learners: [] };
+
+function entry(index: number, term = 1): LogEntry {
+  return { index, term, kind: "command", payload: new Uint8Array(40) };
+}
+
+function snapshotAt(index: number): Snapshot {
+  return { index, term: 1, configuration, data: new Uint8Array(8) };
+}
+
+function openIn(files: FakeFiles): Promise<ReplicaStorage> {
+  return ReplicaStorage.open(folder, { vm, files });
+}
+
+async function append(storage: ReplicaStorage, ...entries: LogEntry[]) {
+  const hardState = { term: entries[0]!.term, votedFor: "vm-1.a" };
+  await storage.append([{ hardState, entries }]);
+}
+
+async function filled(): Promise<
+  { readonly files: FakeFiles; readonly storage: ReplicaStorage }
+> {
+  const files = new FakeFiles();
+  const storage = await openIn(files);
+  await append(storage, entry(1), entry(2));
+  await append(storage, entry(3));
+  return { files, storage };
+}
+
+function describeStored({ stored }: ReplicaStorage) {
+  const { snapshot, entries, hardState } = stored;
+  const indexes = entries.map((each) => `${each.index}@${each.term}`);
+  return `${snapshot?.index ?? "none"} ${indexes} ${hardState.term}`;
+}
+
+const survivals = [
+  { keepsUnsynced: true },
+  { keepsUnsynced: false },
+  { keepsUnsynced: false, tornBytes: 7 },
+];
+
+/** Cuts the power after every operation of an action, and reads what is left. */
+async function cutEverywhere(
+  prepare: () => Promise<
+    { readonly files: FakeFiles; readonly storage: ReplicaStorage }
+  >,
+  action: (storage: ReplicaStorage) => Promise<void>,
+): Promise<readonly string[]> {
+  const outcomes: string[] = [];
+  for (let operations = 0;; operations += 1) {
+    const { files, storage } = await prepare();
+    files.failAfter(operations);
+    const done = await action(storage).then(() => true, (failure) => {
+      expect(failure).toBeInstanceOf(StorageError);
+      return false;
+    });
+    for (const survival of survivals) {
+      const left = files.crash(survival);
+      outcomes.push(describeStored(await openIn(left)));
+      expect(left.names.filter((each) => each.endsWith(".log"))).toHaveLength(
+        1,
+      );
+      expect(left.names.some((each) => each.endsWith(".new"))).toBe(false);
+    }
+    if (done) return outcomes;
+  }
+}
+
+describe("ReplicaStorage", () => {
+  describe("after a power cut", () => {
+    it("opens a folder whose creation was cut anywhere", async () => {
+      for (let operations = 0; operations < 12; operations += 1) {
+        const files = new FakeFiles();
+        files.failAfter(operations);
+        await openIn(files).catch(() => {});
+        for (const survival of survivals) {
+          const storage = await openIn(files.crash(survival));
+          expect(describeStored(storage)).toBe("none  0");
+        }
+      }
+    });
+
+    it("keeps a batch of entries whole or not at all", async () => {
+      const outcomes = await cutEverywhere(
+        filled,
+        (storage) => append(storage, entry(3, 2), entry(4, 2)),
+      );
+      expect(new Set(outcomes)).toEqual(
+        new Set(["none 1@1,2@1,3@1 1", "none 1@1,2@1,3@2,4@2 2"]),
+      );
+      expect(outcomes.slice(-3).every((each) => each.endsWith("4@2 2")))
+        .toBe(true);
+    });
+
+    it("keeps the old or the new snapshot with its own log", async () => {
+      const rest = {
+        hardState: { term: 2, votedFor: null },
+        entries: [entry(3, 2)],
+      };
+      const outcomes = await cutEverywhere(
+        filled,
+        (storage) => storage.saveSnapshot(snapshotAt(2), rest),
+      );
+      expect(new Set(outcomes)).toEqual(
+        new Set(["none 1@1,2@1,3@1 1", "2 3@2 2"]),
+      );
+      expect(outcomes.slice(-3)).toEqual(["2 3@2 2", "2 3@2 2", "2 3@2 2"]);
+    });
+
+    it("takes nothing from the log of a snapshot that was cut", async () => {
+      const { files, storage } = await filled();
+      const empty = { hardState: { term: 3, votedFor: null }, entries: [] };
+      files.failAfter(4);
+      await expect(storage.saveSnapshot(snapshotAt(2), {
+        ...empty,
+        entries: [entry(3)],
+      })).rejects.toThrow(StorageError);
+      const survivor = files.crash({ keepsUnsynced: true });
+      expect(survivor.names).toContain("1.log");
+      await (await openIn(survivor)).saveSnapshot(snapshotAt(2), empty);
+      expect(describeStored(await openIn(survivor))).toBe("2  3");
+    });
+  });
+
+  describe("with damaged files", () => {
+    const damages = [
+      { file: "0.log", offset: 20, failure: CorruptLogError, names: "0.log" },
+      { file: "1.log", offset: 20, failure: CorruptLogError, names: "1.log" },
+      {
+        file: "snapshot",
+        offset: 20,
+        failure: StorageError,
+        names: "snapshot",
+      },
+      {
+        file: "identity.json",
+        offset: 0,
+        failure: IdentityError,
+        names: "identity.json",
+      },
+    ];
+
+    it.each(damages)("refuses $file by name", async (damage) => {
+      const { files, storage } = await filled();
+      if (damage.file !== "0.log") {
+        const rest = { hardState: null, entries: [entry(3)] };
+        await storage.saveSnapshot(snapshotAt(2), rest);
+        await append(storage, entry(4));
+      }
+      const bytes = (await files.read(damage.file))!;
+      bytes[damage.offset]! ^= 0xff;
+      files.overwrite(damage.file, bytes);
+      const opened = openIn(files);
+      await expect(opened).rejects.toThrow(damage.failure);
+      await expect(opened).rejects.toThrow(damage.names);
+    });
+
+    it("refuses a folder without the log that its snapshot names", async () => {
+      const { files, storage } = await filled();
+      await storage.saveSnapshot(snapshotAt(2), {
+        hardState: { term: 1, votedFor: "vm-1.a" },
+        entries: [],
+      });
+      await files.remove("1.log");
+      await expect(openIn(files)).rejects.toThrow(MissingLogError);
+    });
+  });
+
+  describe("with the wrong folder", () => {
+    it("gives a wiped folder another incarnation", async () => {
+      const first = await openIn(new FakeFiles());
+      const second = await openIn(new FakeFiles());
+      expect(second.identity.incarnation).not.toBe(first.identity.incarnation);
+    });
+
+    it("refuses the folder of another VM", async () => {
+      const { files } = await filled();
+      await expect(ReplicaStorage.open(folder, { vm: "vm-2", files }))
+        .rejects.toThrow('belongs to VM "vm-1"');
+    });
+  });
+});
