Hand out credits after a VM loss without waiting for its requests

Change: one VM holds at most half of a target's slots while several run. A new holder counts that much for each VM lost within the last request deadline of the service, and hands out the rest as soon as all VMs in the table have reported, one round trip. Only a holder whose VM has watched the table for less than the longest deadline still waits.

--- a/packages/kingcupglade/credits/credit_holder_task.ts
+++ b/packages/kingcupglade/credits/credit_holder_task.ts
@@ -42,8 +42,8 @@
   readonly #timer: NodeJS.Timeout;
   #table: RoutingTable | undefined;
   #vms: ReadonlySet<string> = new Set();
-  /** When requests of a VM that is gone may last have been sent. */
-  #lastLossAt = -Infinity;
+  #watchedSince = Infinity;
+  #losses: readonly number[] = [];
 
   constructor(options: CreditHolderTaskOptions) {
     this.#options = options;
@@ -117,8 +117,13 @@
   // What happened before the first table is not known.
   #noteLosses(table: RoutingTable, now: number): void {
     const vms = new Set([...table.vms.values()].map(vmIdentity));
-    const lost = [...this.#vms].some((vm) => !vms.has(vm));
-    if (lost || !this.#table) this.#lastLossAt = now;
+    const lost = [...this.#vms].filter((vm) => !vms.has(vm));
+    const since = now - longestRequest(table, this.#options);
+    this.#losses = [
+      ...this.#losses.filter((lostAt) => lostAt > since),
+      ...lost.map(() => now),
+    ];
+    this.#watchedSince = Math.min(this.#watchedSince, now);
     this.#vms = vms;
   }
 
@@ -131,17 +136,15 @@
     const known = this.#roles.get(id);
     const times = {
       leaseMilliseconds: creditLeaseMilliseconds,
-      requestMilliseconds: Math.max(
-        longestDeadline(table),
-        this.#options.routingLeaseMilliseconds,
-      ),
+      requestMilliseconds: longestRequest(table, this.#options),
     };
     const epoch = holderEpoch(table, role);
     const current = known?.epoch === epoch ? known : {
       epoch,
       role: new CreditRole(times, {
         startedAt: now,
-        lastLossAt: this.#lastLossAt,
+        watchedSince: this.#watchedSince,
+        losses: this.#losses,
       }),
     };
     this.#roles.set(id, current);
@@ -190,14 +193,27 @@
     slots: target.slots,
     coldSlots: target.coldSlots,
     cold: target.condition === "cold",
+    requestMilliseconds: longestDeadline(table, target.service),
   }));
 }
 
-function longestDeadline(table: RoutingTable): number {
+function longestRequest(
+  table: RoutingTable,
+  options: Pick<CreditHolderTaskOptions, "routingLeaseMilliseconds">,
+): number {
+  const services = table.bundle?.bundle.services ?? [];
+  return Math.max(
+    options.routingLeaseMilliseconds,
+    ...services.map((each) => longestDeadline(table, each.name)),
+  );
+}
+
+function longestDeadline(table: RoutingTable, service: string): number {
   const bundle = table.bundle?.bundle;
+  const described = bundle?.services.find((each) => each.name === service);
+  const routes = bundle?.routes.filter((each) => each.service === service);
   return Math.max(
-    0,
-    ...(bundle?.services ?? []).map((each) => each.deadlineMilliseconds),
-    ...(bundle?.routes ?? []).map((each) => each.deadlineMilliseconds ?? 0),
+    described?.deadlineMilliseconds ?? 0,
+    ...(routes ?? []).map((each) => each.deadlineMilliseconds ?? 0),
   );
 }
--- a/packages/routing/credit_book.ts
+++ b/packages/routing/credit_book.ts
@@ -6,6 +6,8 @@
   readonly coldSlots: number;
   /** Whether the target announces that it is cold. */
   readonly cold: boolean;
+  /** Longest time that a request to it can go on. */
+  readonly requestMilliseconds: number;
 }
 
 /** Credits of one VM for one target. */
@@ -102,13 +104,15 @@
     readonly lapsesAt: number;
     /** False while credits of an earlier holder may be outstanding. */
     readonly mayGrow: boolean;
+    /** Most that one VM may hold. */
+    readonly mostPerVm: number;
   },
 ): CreditAnswer {
-  const { now, lapsesAt, mayGrow } = context;
+  const { now, lapsesAt, mayGrow, mostPerVm } = context;
   const learned = learn(dropLapsed(book, now), ask);
   const before = learned.holdings.get(ask.vm);
   const holdings = new Map(learned.holdings);
-  const wanted = Math.min(ask.wanted, learned.target.slots);
+  const wanted = Math.min(ask.wanted, learned.target.slots, mostPerVm);
   holdings.set(ask.vm, {
     amount: ask.held,
     wanted,
@@ -149,6 +153,33 @@
   return { ...book, holdings };
 }
 
+/** Counts what a lost VM may have been granted by an earlier holder. */
+export function reserveForLostVm(
+  book: CreditBook,
+  lost: { readonly id: string; readonly lostAt: number },
+): CreditBook {
+  const holdings = new Map(book.holdings);
+  holdings.set(lost.id, {
+    amount: mostCreditsPerVm(book.target, { vms: 2 }),
+    wanted: 0,
+    lapsesAt: lost.lostAt + book.target.requestMilliseconds,
+    servedAt: -Infinity,
+    recalledAt: Infinity,
+  });
+  return { ...book, holdings };
+}
+
+/**
+ * Most credits of one VM. The rest of a target's slots can be handed out at
+ * once when a VM is lost together with the holder's knowledge of its credits.
+ */
+export function mostCreditsPerVm(
+  target: Pick<CreditTarget, "slots">,
+  options: { readonly vms: number },
+): number {
+  return options.vms > 1 ? Math.ceil(target.slots / 2) : target.slots;
+}
+
 /**
  * VMs that should report now: to get credits that are free, or to give up
  * those that they do not use while others wait.
--- a/packages/routing/credit_role.ts
+++ b/packages/routing/credit_role.ts
@@ -3,9 +3,11 @@
   describeCreditTarget,
   dropLapsed,
   endHolding,
+  mostCreditsPerVm,
   openCreditBook,
   outstanding,
   recallsOf,
+  reserveForLostVm,
 } from "./credit_book.ts";
 import type { CreditAsk, CreditBook, CreditTarget } from "./credit_book.ts";
 
@@ -45,7 +47,8 @@
  */
 export class CreditRole {
   readonly #startedAt: number;
-  #lastLossAt: number;
+  readonly #watchedSince: number;
+  readonly #losses: number[];
   readonly #books = new Map<string, CreditBook>();
   readonly #sequences = new Map<string, number>();
   /** Targets that an earlier holder cannot have served. */
@@ -58,13 +61,16 @@
     times: CreditTimes,
     options: {
       readonly startedAt: number;
-      /** When requests of a VM that is gone may last have been sent. */
-      readonly lastLossAt: number;
+      /** Since when the holder knows of each VM that was lost. */
+      readonly watchedSince: number;
+      /** When VMs were lost that an earlier holder may have granted credits. */
+      readonly losses: readonly number[];
     },
   ) {
     this.#times = times;
     this.#startedAt = options.startedAt;
-    this.#lastLossAt = options.lastLossAt;
+    this.#watchedSince = options.watchedSince;
+    this.#losses = [...options.losses];
   }
 
   /** The books by target. */
@@ -82,12 +88,10 @@
     now: number,
   ): void {
     const first = this.#vms.size === 0;
-    this.#describeTargets(table.targets, { first, now });
     for (const vm of this.#vms) {
-      if (table.vms.has(vm)) continue;
-      this.#lastLossAt = now;
-      this.#end(vm, now);
+      if (!table.vms.has(vm)) this.#end(vm, now);
     }
+    this.#describeTargets(table.targets, { first, now });
     this.#vms = table.vms;
     this.#times = table.times;
   }
@@ -106,6 +110,7 @@
         now,
         lapsesAt,
         mayGrow: this.#mayGrow(ask.target, now),
+        mostPerVm: mostCreditsPerVm(book.target, { vms: this.#vms.size }),
       });
       this.#books.set(ask.target, answer.book);
       return answer.credits;
@@ -152,16 +157,35 @@
         target.target,
         book
           ? describeCreditTarget(book, target)
-          : openCreditBook(target, { started: !first }),
+          : this.#open(target, { started: !first }),
       );
     }
   }
 
+  #open(
+    target: CreditTarget,
+    options: { readonly started: boolean },
+  ): CreditBook {
+    const book = openCreditBook(target, options);
+    if (options.started) return book;
+    return this.#losses.reduce(
+      (reserved, lostAt, index) =>
+        reserveForLostVm(reserved, { id: `lost-${index}`, lostAt }),
+      book,
+    );
+  }
+
+  // What a VM holds is not known before it has reported.
   #end(vm: string, now: number): void {
+    const hasReported = this.#sequences.delete(vm);
     const lapsesAt = now + this.#times.requestMilliseconds;
-    this.#sequences.delete(vm);
     for (const [target, book] of this.#books) {
-      this.#books.set(target, endHolding(book, vm, lapsesAt));
+      this.#books.set(
+        target,
+        hasReported || this.#settled
+          ? endHolding(book, vm, lapsesAt)
+          : reserveForLostVm(book, { id: vm, lostAt: now }),
+      );
     }
   }
 
@@ -176,7 +200,7 @@
     const { leaseMilliseconds, requestMilliseconds } = this.#times;
     const longest = leaseMilliseconds + 2 * requestMilliseconds;
     this.#settled = now - this.#startedAt >= longest ||
-      (now - this.#lastLossAt >= requestMilliseconds &&
+      (now - this.#watchedSince >= requestMilliseconds &&
         this.#everyVmReported());
     return this.#settled;
   }
