--- /dev/null
+++ b/packages/experiments/caller_pool.ts
@@ -0,0 +1,166 @@
+import type { CallerAnswer } from "@kingcupglade/fakes";
+import type { Balancer } from "./balancer.ts";
+import type { Deployment } from "./deployment.ts";
+import { RandomSource } from "./random_source.ts";
+
+const resendPauseMilliseconds = 25;
+
+/** Options of a {@link CallerPool}. */
+export interface CallerPoolOptions {
+  readonly deployment: Deployment;
+  readonly balancer: Balancer;
+  readonly seed: number;
+  /** Callers that each send one request after the other. */
+  readonly callers: number;
+  readonly tenants: readonly string[];
+  /** Path before the key. */
+  readonly pathPrefix: string;
+  readonly keys: readonly string[];
+  /** Time after which a caller gives a request up. @default 8000 */
+  readonly patienceMilliseconds?: number;
+  /** Pause between two requests of a caller. @default 5 */
+  readonly pauseMilliseconds?: number;
+}
+
+/** What the callers saw so far. */
+export interface CallerTotals {
+  /** Requests, resends not counted. */
+  readonly requests: number;
+  readonly answered: number;
+  /** Answers that said that nothing ran, resends counted. */
+  readonly notRun: number;
+  /** Answers that said that it may have run, resends counted. */
+  readonly unknown: number;
+  /** Connections that ended without an answer. */
+  readonly cut: number;
+  /** Requests without an answer when the caller's patience ended. */
+  readonly givenUp: number;
+  /** Longest time from the first attempt of a request to its answer. */
+  readonly longestMilliseconds: number;
+}
+
+/**
+ * Callers that look up and reserve keys without end, and resend under the same
+ * Idempotency-Key until they are answered.
+ */
+export class CallerPool {
+  readonly #options: Required<CallerPoolOptions>;
+  readonly #running: Promise<void>;
+  #stopped = false;
+  #totals: CallerTotals = {
+    requests: 0,
+    answered: 0,
+    notRun: 0,
+    unknown: 0,
+    cut: 0,
+    givenUp: 0,
+    longestMilliseconds: 0,
+  };
+
+  constructor(options: CallerPoolOptions) {
+    this.#options = {
+      patienceMilliseconds: 8000,
+      pauseMilliseconds: 5,
+      ...options,
+    };
+    this.#running = Promise.all(
+      Array.from({ length: options.callers }, (_, index) => this.#call(index)),
+    ).then(() => undefined);
+  }
+
+  /** What the callers saw so far. */
+  get totals(): CallerTotals {
+    return this.#totals;
+  }
+
+  /** Starts a new measurement of the longest time. */
+  resetLongest(): void {
+    this.#totals = { ...this.#totals, longestMilliseconds: 0 };
+  }
+
+  /** Lets every caller finish its request. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    await this.#running;
+  }
+
+  async #call(caller: number): Promise<void> {
+    const { seed, pauseMilliseconds } = this.#options;
+    const random = new RandomSource(seed * 1000 + caller);
+    for (let count = 0; !this.#stopped; count += 1) {
+      await this.#request(random, `caller-${caller}-${count}`);
+      await pause(pauseMilliseconds);
+    }
+  }
+
+  async #request(random: RandomSource, id: string): Promise<void> {
+    const { tenants, keys, patienceMilliseconds } = this.#options;
+    const startedAt = performance.now();
+    const key = random.pick(keys);
+    const content = { key, tenant: random.pick(tenants), id };
+    const method = random.pick(["GET", "POST"]);
+    this.#add({ requests: 1 });
+    while (performance.now() - startedAt < patienceMilliseconds) {
+      const answer = await this.#send(random, { ...content, method });
+      if (this.#count(answer)) {
+        return this.#noteTime(performance.now() - startedAt);
+      }
+      await pause(resendPauseMilliseconds);
+    }
+    this.#add({ givenUp: 1 });
+    this.#noteTime(performance.now() - startedAt);
+  }
+
+  #send(
+    random: RandomSource,
+    content: {
+      readonly key: string;
+      readonly tenant: string;
+      readonly id: string;
+      readonly method: string;
+    },
+  ): Promise<CallerAnswer> {
+    const { deployment, balancer, pathPrefix } = this.#options;
+    const { key, tenant, id, method } = content;
+    return deployment.caller.send({
+      vm: balancer.pick(random),
+      method,
+      path: `${pathPrefix}${key}`,
+      tenant,
+      key,
+      ...(method === "POST" ? { idempotencyKey: id } : {}),
+    });
+  }
+
+  /** Counts an answer; true when the request needs no resend. */
+  #count(answer: CallerAnswer): boolean {
+    if (answer.outcome === "answered") {
+      this.#add({ answered: 1 });
+      return true;
+    }
+    if (answer.outcome === "not-run") this.#add({ notRun: 1 });
+    else if (answer.outcome === "unknown") this.#add({ unknown: 1 });
+    else this.#add({ cut: 1 });
+    return false;
+  }
+
+  #add(counts: Partial<CallerTotals>): void {
+    const totals: Record<string, number> = { ...this.#totals };
+    for (const [name, count] of Object.entries(counts)) {
+      totals[name] = totals[name]! + count;
+    }
+    this.#totals = totals as unknown as CallerTotals;
+  }
+
+  #noteTime(milliseconds: number): void {
+    const { longestMilliseconds } = this.#totals;
+    this.#totals = {
+      ...this.#totals,
+      longestMilliseconds: Math.max(longestMilliseconds, milliseconds),
+    };
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
