--- /dev/null
+++ b/tools/capacity.mjs
@@ -0,0 +1,103 @@
+// Recomputes the tables of docs/CAPACITY.md from the measured slopes.
+// `--check` fails when the page differs from what the slopes give.
+import { readdirSync, readFileSync, writeFileSync } from "node:fs";
+
+const page = "docs/CAPACITY.md";
+const folder = "docs/measurements";
+const start = "<!-- computed: start -->";
+const end = "<!-- computed: end -->";
+
+const slopes = new Map();
+for (
+  const file of readdirSync(folder).filter((each) => each.endsWith(".json"))
+) {
+  const { slopes: list } = JSON.parse(
+    readFileSync(`${folder}/${file}`, "utf8"),
+  );
+  for (const slope of list) slopes.set(slope.name, { ...slope, file });
+}
+const { sizes, rows } = JSON.parse(
+  readFileSync("docs/capacity_model.json", "utf8"),
+);
+
+const text = readFileSync(page, "utf8");
+const [before, rest] = text.split(start);
+const after = rest?.split(end)[1];
+if (after === undefined) {
+  throw new Error(`${page} lacks its marks "${start}" and "${end}"`);
+}
+const computed = `${start}\n\n${computeTables().join("\n\n")}\n\n${end}`;
+if (process.argv.includes("--check")) {
+  if (squeeze(`${before}${computed}${after}`) !== squeeze(text)) {
+    console.error(`${page} is out of date; run node tools/capacity.mjs`);
+    process.exit(1);
+  }
+} else writeFileSync(page, `${before}${computed}${after}`);
+
+function computeTables() {
+  const roles = [...new Set(rows.map((row) => row.role))];
+  return roles.map((role) =>
+    [
+      `### ${role}`,
+      "",
+      "| resource | worked out | bound | mechanism |",
+      "| --- | --- | --- | --- |",
+      ...rows.filter((row) => row.role === role).map(formatRow),
+    ].join("\n")
+  );
+}
+
+function formatRow(row) {
+  const terms = row.terms.map(resolveTerm);
+  const total = terms.reduce((sum, term) => sum + term.value, 0);
+  const formula = terms.map((term) =>
+    `${format(term.count)} ${term.per} × ${format(term.slope)}`
+  ).join(" + ");
+  const scale = row.scale ?? 1;
+  const missed = row.bound !== undefined && total * scale > row.bound;
+  const bound = row.bound === undefined
+    ? ""
+    : `${row.bound} ${row.unit}${missed ? ", **missed**" : ""}`;
+  return `| ${row.resource} | ${formula} = **${
+    format(total * scale)
+  } ${row.unit}** | ${bound} | ${row.mechanism} |`;
+}
+
+function resolveTerm(term) {
+  const slope = slopes.get(term.slope);
+  if (!slope) throw new Error(`no measured slope is named "${term.slope}"`);
+  const count = typeof term.count === "string"
+    ? evaluate(term.count)
+    : term.count;
+  return {
+    value: slope.value * count,
+    slope: slope.value,
+    count,
+    per: term.per,
+  };
+}
+
+/** Evaluates products and quotients of sizes and numbers, such as "keys/nodes". */
+function evaluate(expression) {
+  const [first, ...others] = expression.split(/(?=[*/])/);
+  return others.reduce((value, part) => {
+    const operand = operandOf(part.slice(1));
+    return part[0] === "*" ? value * operand : value / operand;
+  }, operandOf(first));
+}
+
+function operandOf(word) {
+  const value = sizes[word.trim()] ?? Number(word);
+  if (!Number.isFinite(value)) throw new Error(`no size is named "${word}"`);
+  return value;
+}
+
+function format(value) {
+  if (value >= 1000) return Math.round(value).toLocaleString("en");
+  return String(Number(value.toPrecision(3)));
+}
+
+function squeeze(markdown) {
+  return markdown.replace(/[ \t]+/g, " ").replace(/-{3,}/g, "---")
+    .replace(/\s+\n/g, "\n");
+}
