--- /dev/null
+++ b/packages/experiments/planned_stop_test.ts
@@ -0,0 +1,65 @@
+import { eventsOf } from "@kingcupglade/checker";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { Balancer } from "./balancer.ts";
+import { CallerPool } from "./caller_pool.ts";
+import { Deployment } from "./deployment.ts";
+import { hsinchu, hsinchuTargets } from "./hsinchu.ts";
+
+describe("a planned stop among nine VMs", () => {
+  let deployment: Deployment;
+  let balancer: Balancer;
+  let pool: CallerPool;
+
+  beforeAll(async () => {
+    deployment = await Deployment.start(hsinchu);
+    balancer = new Balancer(deployment);
+    await deployment.roll();
+    const keyed = hsinchuTargets.filter((each) =>
+      each.service === "fixture-stock"
+    );
+    await Promise.all(keyed.map((target) => deployment.addTarget(target)));
+    await deployment.until(({ targets, groups }) =>
+      targets.length === keyed.length &&
+      groups.every((group) => group.withoutOwner === 0)
+    );
+    pool = new CallerPool({
+      deployment,
+      balancer,
+      seed: 3,
+      callers: 8,
+      tenants: ["toolroom"],
+      pathPrefix: "/fixtures/",
+      keys: ["clamp-1", "clamp-2", "clamp-3", "clamp-4"],
+    });
+  });
+
+  afterAll(async () => {
+    await pool.stop();
+    await balancer.stop();
+    await deployment.stop();
+  });
+
+  const stopAndStart = async (vm: string) => {
+    await deployment.stopVm(vm);
+    await deployment.startVm(vm);
+    await deployment.untilReady(vm);
+  };
+
+  describe("of the control leader", () => {
+    it("cuts no request and hands over the lead", async () => {
+      const { leader } = await deployment.status();
+      await stopAndStart(leader);
+      expect(pool.totals.cut).toBe(0);
+      expect((await deployment.status("vm-9")).leader).not.toBe(leader);
+    });
+  });
+
+  describe("of a VM without a disk", () => {
+    it("cuts no request", async () => {
+      await stopAndStart("vm-8");
+      expect(pool.totals.cut).toBe(0);
+      const told = eventsOf(deployment.history.events, "told");
+      expect(told.filter((each) => each.status === 0)).toEqual([]);
+    });
+  });
+});
