Wait for ready VMs and show reasons in the whole-path test

Change: the test waits for every VM's /ready, as a balancer does, and shows reasons when it fails; what it expects is unchanged. Conclusion: a VM must not be sent callers before it is ready.

--- a/packages/experiments/whole_path_test.ts
+++ b/packages/experiments/whole_path_test.ts
@@ -15,6 +15,9 @@
         dataCentre: name,
       });
     }
+    await Promise.all(
+      deployment.vmNames.map((vm) => deployment.untilReady(vm)),
+    );
     await deployment.until((status) =>
       status.targets.length === 6 &&
       status.groups.every((group) => group.withoutOwner === 0)
@@ -38,9 +41,8 @@
       for (const vm of deployment.vmNames) {
         answers.push(await reserve(vm, "clamp-7"));
       }
-      expect(answers.map((each) => each.outcome)).toEqual(
-        answers.map(() => "answered"),
-      );
+      const told = answers.map(({ outcome, reason }) => `${outcome} ${reason}`);
+      expect(told).toEqual(answers.map(() => "answered "));
       expect(new Set(answers.map((each) => each.target)).size).toBe(1);
     });
   });
