--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -6,6 +6,7 @@
 
 const announceMilliseconds = 300;
 const announceTimeoutMilliseconds = 1000;
+const idleCheckMilliseconds = 5;
 
 /** Options of a {@link FakeTarget}. */
 export interface FakeTargetOptions {
@@ -49,7 +50,7 @@
 export class FakeTarget {
   readonly #options: Required<FakeTargetOptions>;
   readonly #server: Server;
-  #boot = randomUUID();
+  #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
   #taken = { version: 0, sequence: 0 };
   #leaseUntil = -Infinity;
@@ -59,8 +60,7 @@
   #frozen: Promise<void> | undefined;
   #thaw: () => void = () => {};
 
-  /** What the target says of itself. */
-  condition: FakeCondition;
+  #condition: FakeCondition;
   /** Time that a request takes, in milliseconds. */
   serviceMilliseconds: number;
 
@@ -74,12 +74,13 @@
       serviceMilliseconds: 2,
       ...options,
     };
-    this.condition = this.#options.condition;
+    this.#condition = this.#options.condition;
     this.serviceMilliseconds = this.#options.serviceMilliseconds;
     this.#server = createServer(
       { keepAliveTimeout: 30_000 },
       (request, response) => {
-        void this.#serve(request, response);
+        // A request whose sender has gone is not carried out.
+        this.#serve(request, response).catch(() => response.destroy());
       },
     );
   }
@@ -89,6 +90,21 @@
     return this.#options.name;
   }
 
+  /** What the target says of itself. */
+  get condition(): FakeCondition {
+    return this.#condition;
+  }
+
+  set condition(condition: FakeCondition) {
+    this.#condition = condition;
+    this.#recordCondition("condition", condition);
+  }
+
+  /** Requests that it is carrying out. */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
   /** Identity of the current incarnation. */
   get boot(): string {
     return this.#boot;
@@ -106,6 +122,7 @@
       this.#server.once("error", reject);
       this.#server.listen({ host, port: Number(port), backlog: 1024 }, resolve);
     });
+    this.#recordCondition("condition", this.#condition);
     void this.#announce();
     this.#timer = setInterval(
       () => void this.#announce(),
@@ -115,8 +132,15 @@
 
   /** Ends the process at once, as a crash would. */
   kill(): void {
+    this.#recordFault("crash");
+    this.#end();
+  }
+
+  #end(): void {
     clearInterval(this.#timer);
     this.#lapse();
+    this.#boot = "";
+    this.#leaseUntil = -Infinity;
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -131,15 +155,35 @@
 
   /** Stops everything, as a paused process would, until {@link thaw}. */
   freeze(): void {
+    this.#recordFault("freeze");
     this.#frozen ??= new Promise((resolve) => (this.#thaw = resolve));
   }
 
   /** Goes on as if nothing had happened. */
   thaw(): void {
+    this.#recordFault("thaw");
     this.#frozen = undefined;
     this.#thaw();
   }
 
+  /** Waits until nothing is in progress, then ends the process as planned. */
+  async stop(): Promise<void> {
+    const { history } = this.#options;
+    history.record({
+      kind: "stopping",
+      subject: "target",
+      name: this.name,
+      address: "",
+    });
+    while (this.#inProgress > 0) {
+      await new Promise((resolve) =>
+        setTimeout(resolve, idleCheckMilliseconds)
+      );
+    }
+    history.record({ kind: "stopped", subject: "target", name: this.name });
+    this.#end();
+  }
+
   /** Announces itself now, such as after a change of condition. */
   async announceNow(): Promise<void> {
     await this.#announce();
@@ -148,7 +192,9 @@
   async #announce(): Promise<void> {
     if (this.#frozen) return;
     const options = this.#options;
+    const boot = this.#boot;
     const sentAt = performance.now();
+    const condition = this.#condition;
     const listener = options.announceTo[
       this.#nextListener % options.announceTo.length
     ];
@@ -160,7 +206,7 @@
           headers: { authorization: `Bearer ${options.secret}` },
           body: JSON.stringify({
             target: options.name,
-            boot: this.#boot,
+            boot,
             service: options.service,
             dataCentre: options.dataCentre,
             address: `http://${options.address}`,
@@ -168,15 +214,17 @@
             connections: options.connections,
             coldSlots: options.coldSlots,
             checksFences: options.checksFences,
-            condition: this.condition,
+            condition,
           }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
       const reply = await body.json() as { leaseMilliseconds?: number };
       await this.#frozen;
+      if (boot !== this.#boot) return;
       if (statusCode === 200 && reply.leaseMilliseconds) {
         this.#renew(sentAt + reply.leaseMilliseconds);
+        this.#recordCondition("announced", condition);
       }
       if (statusCode === 503) this.#nextListener += 1;
     } catch {
@@ -188,6 +236,30 @@
   #renew(until: number): void {
     if (performance.now() >= this.#leaseUntil) this.#lapse();
     this.#leaseUntil = Math.max(this.#leaseUntil, until);
+    this.#options.history.record({
+      kind: "leased",
+      target: this.name,
+      boot: this.#boot,
+      until: this.#leaseUntil,
+    });
+  }
+
+  #recordCondition(kind: "condition" | "announced", condition: string): void {
+    this.#options.history.record({
+      kind,
+      target: this.name,
+      boot: this.#boot,
+      condition,
+    });
+  }
+
+  #recordFault(fault: "crash" | "freeze" | "thaw"): void {
+    this.#options.history.record({
+      kind: "fault",
+      subject: "target",
+      name: this.name,
+      fault,
+    });
   }
 
   #lapse(): void {
@@ -252,6 +324,7 @@
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
+    const boot = this.#boot;
     const limit = this.condition === "cold" ? coldSlots : slots;
     this.#inProgress += 1;
     history.record({
@@ -264,18 +337,28 @@
       epoch,
       inProgress: this.#inProgress,
       limit,
+      service: this.#options.service,
+      dataCentre: this.#options.dataCentre,
+      condition: this.#condition,
     });
     await new Promise((resolve) =>
       setTimeout(resolve, this.serviceMilliseconds)
     );
     await this.#frozen;
+    if (boot !== this.#boot) return;
+    this.#inProgress -= 1;
+    if (
+      group !== "" && checksFences && !this.#owns({ group, position, epoch })
+    ) {
+      history.record({ kind: "ended", target: this.name, request: id });
+      return this.#refuse(response, { id, reason: "fenced" });
+    }
     history.record({
       kind: "effect",
       target: this.name,
       request: id,
       idempotent: request.method === "GET",
     });
-    this.#inProgress -= 1;
     history.record({ kind: "ended", target: this.name, request: id });
     response.writeHead(200, { "content-type": "application/json" });
     response.end(JSON.stringify({ request: id, target: this.name, epoch }));
--- a/packages/kingcupglade/control/routing_task.ts
+++ b/packages/kingcupglade/control/routing_task.ts
@@ -24,6 +24,7 @@
   readonly dataCentre: string;
   readonly region: string;
   readonly peerAddress: string;
+  readonly callersAddress: string;
   readonly replica: string | null;
 }
 
@@ -185,6 +186,7 @@
         dataCentre: vm.dataCentre,
         region: vm.region,
         peerAddress: vm.peerAddress,
+        callersAddress: vm.callersAddress,
         replica: vm.replica ?? "",
         appliedVersion: this.#table.version,
         quiescentVersion,
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -1,208 +1,268 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { KeyHasher } from "@kingcupglade/ownership";
+import { claimOf } from "@kingcupglade/ledger";
+import type { Claim, StoredAnswer } from "@kingcupglade/ledger";
+import type { KeyHasher, RoleAssignment } from "@kingcupglade/ownership";
 import {
   Header,
   matchRequest,
   notRun,
   Outcome,
   Reason,
-  unknownOutcome,
 } from "@kingcupglade/routing";
 import type {
   CapacityGate,
-  ExchangeReport,
   MatchedRequest,
   Refusal,
+  RequestHead,
 } from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { RoutingTask } from "../control/routing_task.ts";
-import { BodyTooLargeError, readBody } from "../listeners/body.ts";
-import type { ExchangeClient, ExchangeResult } from "./exchange.ts";
-import type { Destination } from "./destination.ts";
+import { ClaimedRequests } from "../ledger/claimed_requests.ts";
+import type { LedgerTask } from "../ledger/ledger_task.ts";
+import { BodyTooLargeError, RequestBody } from "../listeners/body.ts";
+import type { RequestBodyOptions } from "../listeners/body.ts";
+import { ResponseSink } from "./answer_sink.ts";
+import { Attempts } from "./attempts.ts";
+import type { CallerRequest } from "./attempts.ts";
+import type { ExchangeClient } from "./exchange.ts";
+import { forwardedPathPrefix } from "./forwarder.ts";
+import type { Forwarder } from "./forwarder.ts";
+import { HomeVms } from "./home_vms.ts";
 import { OwnerChooser } from "./owner_chooser.ts";
 import { RequestsInProgress } from "./requests_in_progress.ts";
 import { TargetChooser } from "./target_chooser.ts";
 
-const retryPauseMilliseconds = 10;
+const bufferedBodyBytes = 65_536;
+const maximumClaimedBodyBytes = 1 << 20;
+const finishedPollMilliseconds = 20;
 
 /** Options of a {@link Gateway}. */
 export interface GatewayOptions {
   readonly routing: RoutingTask;
   readonly exchanges: ExchangeClient;
   readonly capacity: CapacityGate;
+  readonly ledger: LedgerTask;
+  readonly forwarder: Forwarder;
   readonly hasher: KeyHasher;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Region of this VM. */
   readonly region: string;
+  /** Scheme of the callers' listeners. */
+  readonly redirectScheme: "http" | "https";
 }
 
-interface CallerRequest {
-  readonly matched: MatchedRequest;
+interface ServedRequest {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
-  readonly body: Buffer;
-  /** Monotonic time by which the answer must have begun. */
-  readonly deadlineAt: number;
+  /** Path as the caller sent it. */
+  readonly path: string;
+  /** Whether another VM passed it on; it is not passed on again. */
+  readonly isForwarded: boolean;
 }
 
 /** Serves callers: finds the owner of a request and passes the answer back. */
 export class Gateway {
   readonly #options: GatewayOptions;
-  readonly #owners: OwnerChooser;
-  readonly #targets: TargetChooser;
+  readonly #attempts: Attempts;
+  readonly #claimed: ClaimedRequests;
+  readonly #homes: HomeVms;
+  readonly #active = new Set<ServedRequest>();
 
   constructor(options: GatewayOptions) {
     const { routing, hasher } = options;
     const inProgress = new RequestsInProgress();
+    const owners = new OwnerChooser({ routing, hasher, inProgress });
+    const targets = new TargetChooser({ routing });
     this.#options = options;
-    this.#owners = new OwnerChooser({ routing, hasher, inProgress });
-    this.#targets = new TargetChooser({ routing });
+    this.#attempts = new Attempts({
+      ...options,
+      choose: (matched) =>
+        matched.key === undefined
+          ? targets.choose(matched)
+          : owners.choose(matched, matched.key),
+      subjectOf: (matched) => owners.subjectOf(matched),
+    });
+    this.#claimed = new ClaimedRequests({
+      ...options,
+      attempts: this.#attempts,
+    });
+    this.#homes = new HomeVms(options);
     routing.watchRequests(inProgress);
   }
 
   /** Serves one request of a caller. */
-  async serve(
+  serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = request.url ?? "/";
+    return this.#serve({ request, response, path, isForwarded: false });
+  }
+
+  /** Serves one request that another VM passed on. */
+  serveForwarded(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const path = (request.url ?? "").slice(forwardedPathPrefix.length);
+    return this.#serve({ request, response, path, isForwarded: true });
+  }
+
+  /** Resolves when no request is being served. */
+  async finished(): Promise<void> {
+    while (this.#active.size + this.#claimed.size > 0) {
+      await new Promise((resolve) =>
+        setTimeout(resolve, finishedPollMilliseconds)
+      );
+    }
+  }
+
+  async #serve(served: ServedRequest): Promise<void> {
+    const { response } = served;
+    this.#active.add(served);
     try {
-      const refusal = await this.#serve(request, response);
+      const refusal = await this.#answer(served);
       if (refusal) this.#refuse(response, refusal);
     } catch (failure) {
+      if (response.destroyed) return;
       this.#options.logger.error("request-failed", {
         reason: describeFailure(failure),
       });
       response.destroy();
+    } finally {
+      this.#active.delete(served);
     }
   }
 
-  async #serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<Refusal | null> {
-    const { routing, clock, metrics } = this.#options;
+  async #answer(served: ServedRequest): Promise<Refusal | null> {
+    const { routing, clock } = this.#options;
+    const { request, response, path } = served;
     const startedAt = clock.now();
     const bundle = routing.table.bundle?.bundle;
-    if (!bundle || !routing.hasLease) return notRun(Reason.noLease);
-    const matched = matchRequest(bundle, {
-      method: request.method ?? "GET",
-      path: request.url ?? "/",
-      header: (name) => singleHeader(request, name),
-    });
+    if (!bundle || !routing.hasLease) {
+      return notRun(Reason.noLease, { retryAfterSeconds: 1 });
+    }
+    const matched = matchRequest(bundle, requestHead(served));
     if (matched.kind === "refusal") return matched;
-    const body = await this.#readBody(request, matched);
-    if (!Buffer.isBuffer(body)) return body;
-    const deadlineAt = startedAt + matched.deadlineMilliseconds;
-    const refusal = await this.#attempt({
+    if (this.#redirects(served, matched)) return null;
+    const body = await receiveBody(request, {
+      maximumBytes: matched.route.maximumBodyBytes,
+      bufferedBytes: this.#bufferedBytes(matched, served),
+    });
+    if ("kind" in body) return body;
+    const refusal = await this.#route({
       matched,
-      request,
-      response,
+      method: request.method ?? "GET",
+      path,
+      headers: request.headers,
       body,
-      deadlineAt,
-    });
-    const labels = {
-      service: matched.service,
-      tenant: matched.tenant,
-      class: matched.route.class,
-    };
-    metrics.latency.observe(labels, (clock.now() - startedAt) / 1000);
-    metrics.requests.inc({
-      ...labels,
-      outcome: refusal?.outcome ?? Outcome.answered,
-    });
+      sink: new ResponseSink(response),
+      deadlineAt: startedAt + matched.deadlineMilliseconds,
+    }, served);
+    if (!served.isForwarded) this.#observe(matched, { refusal, startedAt });
     return refusal;
   }
 
-  async #readBody(
-    request: IncomingMessage,
-    matched: MatchedRequest,
-  ): Promise<Buffer | Refusal> {
-    try {
-      return await readBody(request, matched.route.maximumBodyBytes);
-    } catch (failure) {
-      if (failure instanceof BodyTooLargeError) {
-        return notRun(Reason.bodyTooLarge, { status: 413 });
-      }
-      throw failure;
-    }
+  /** Sends a request to its target, or to the VM that must send it. */
+  #route(
+    caller: CallerRequest,
+    served: ServedRequest,
+  ): Promise<Refusal | null> {
+    const claim = this.#claimOf(caller.matched);
+    if (claim) return this.#routeClaimed(caller, { claim, served });
+    if (this.#homes.isHome(caller.matched)) return this.#attempts.run(caller);
+    if (served.isForwarded) return Promise.resolve(notRun(Reason.noHome));
+    return this.#options.forwarder.run(caller, {
+      reason: "home",
+      choose: () => this.#homes.choose(caller.matched),
+      mayRepeat: caller.matched.idempotent,
+    });
   }
 
-  /** Tries until the request was answered, may have run, or is out of time. */
-  async #attempt(caller: CallerRequest): Promise<Refusal | null> {
-    const { clock, metrics } = this.#options;
-    let lastRefusal = notRun(Reason.noOwner);
-    while (clock.now() < caller.deadlineAt) {
-      if (caller.response.destroyed) return null;
-      const destination = this.#choose(caller.matched);
-      if ("kind" in destination) {
-        lastRefusal = destination;
-        await this.#waitForTable(caller.deadlineAt);
-        continue;
-      }
-      const result = await this.#exchange(caller, destination);
-      if (result.kind === "refusal") lastRefusal = result;
-      else if (result.kind === "unknown") {
-        return unknownOutcome(
-          result.timedOut ? Reason.deadline : Reason.connectionLost,
-        );
-      } else if (result.kind !== "notRun" && result.kind !== "notSent") {
-        return null;
-      } else lastRefusal = notRun(Reason.unreachable);
-      metrics.retries.inc({ reason: lastRefusal.reason });
-      await pause(retryPauseMilliseconds);
+  async #routeClaimed(
+    caller: CallerRequest,
+    context: { readonly claim: Claim; readonly served: ServedRequest },
+  ): Promise<Refusal | null> {
+    const { ledger, forwarder, routing } = this.#options;
+    const { claim, served } = context;
+    const role = this.#roleOf(claim, caller.matched);
+    if (role && ledger.isHolder(role)) {
+      const result = await this.#claimed.run({ claim, role, caller });
+      if (result.kind === "refusal") return result;
+      sendStoredAnswer(served.response, result.answer);
+      return null;
+    }
+    if (served.isForwarded) {
+      return notRun(Reason.noLedger, { retryAfterSeconds: 1 });
     }
-    return lastRefusal;
+    return forwarder.run(caller, {
+      reason: "ledger",
+      choose: () => {
+        const holder = this.#roleOf(claim, caller.matched)?.holder;
+        return (holder && routing.table.vms.get(holder)) || null;
+      },
+      mayRepeat: true,
+    });
   }
 
-  async #exchange(
-    caller: CallerRequest,
-    destination: Destination,
-  ): Promise<ExchangeResult | Refusal> {
-    const { capacity, exchanges, clock, routing } = this.#options;
-    const { matched, request, response, body, deadlineAt } = caller;
-    const permit = await capacity.acquire({
-      target: destination.target,
-      tenant: matched.tenant,
-      class: matched.route.class,
-      deadlineAt,
-    });
-    if (permit.kind === "refusal") return permit;
-    const startedAt = clock.now();
-    const end = destination.begin();
-    const timeoutMilliseconds = Math.max(1, deadlineAt - startedAt);
-    const result = await exchanges.run({
-      address: destination.target.address,
-      method: request.method ?? "GET",
-      path: request.url ?? "/",
-      headers: request.headers,
-      body,
-      added: {
-        ...destination.headers,
-        [Header.deadline]: String(Math.floor(timeoutMilliseconds)),
-      },
-      timeoutMilliseconds,
-      maySend: () =>
-        routing.hasLease && clock.now() < deadlineAt && destination.isCurrent(),
-    }, response);
-    end();
-    permit.release(reportOf(result, clock.now() - startedAt));
-    return result;
+  #claimOf({ service, tenant, idempotencyKey }: MatchedRequest): Claim | null {
+    return idempotencyKey === undefined
+      ? null
+      : claimOf({ service, tenant, idempotencyKey });
   }
 
-  #choose(matched: MatchedRequest): Destination | Refusal {
-    if (!this.#options.routing.hasLease) return notRun(Reason.noLease);
-    return matched.key === undefined
-      ? this.#targets.choose(matched)
-      : this.#owners.choose(matched, matched.key);
+  #roleOf(claim: Claim, matched: MatchedRequest): RoleAssignment | null {
+    const { routing, ledger } = this.#options;
+    const { service, tenant } = matched;
+    return ledger.roleOf(claim, routing.table.homeRegionsOf(service, tenant));
   }
 
-  async #waitForTable(deadlineAt: number): Promise<void> {
-    const { routing, clock } = this.#options;
-    await routing.nextTable(Math.min(100, deadlineAt - clock.now()));
+  // The holder of a claim compares whole bodies, so it must have them whole.
+  #bufferedBytes(matched: MatchedRequest, served: ServedRequest): number {
+    const claim = this.#claimOf(matched);
+    if (!claim) return bufferedBodyBytes;
+    const role = this.#roleOf(claim, matched);
+    const isHolder = served.isForwarded ||
+      (role !== null && this.#options.ledger.isHolder(role));
+    return isHolder ? maximumClaimedBodyBytes : bufferedBodyBytes;
+  }
+
+  /** Sends a caller to its home region, where the route asks for that. */
+  #redirects(served: ServedRequest, matched: MatchedRequest): boolean {
+    const { response, isForwarded, path } = served;
+    if (
+      isForwarded || matched.route.outsideHome !== "redirect" ||
+      this.#homes.isHome(matched)
+    ) return false;
+    const vm = this.#homes.choose(matched);
+    if (!vm) return false;
+    response.writeHead(307, {
+      location: `${this.#options.redirectScheme}://${vm.callersAddress}${path}`,
+      "content-length": 0,
+      [Header.outcome]: Outcome.notRun,
+      [Header.reason]: Reason.outsideHome,
+      ...(served.request.complete ? {} : { connection: "close" }),
+    });
+    response.end();
+    return true;
+  }
+
+  #observe(
+    matched: MatchedRequest,
+    end: { readonly refusal: Refusal | null; readonly startedAt: number },
+  ): void {
+    const { clock, metrics } = this.#options;
+    const labels = {
+      service: matched.service,
+      tenant: matched.tenant,
+      class: matched.route.class,
+    };
+    metrics.latency.observe(labels, (clock.now() - end.startedAt) / 1000);
+    metrics.requests.inc({
+      ...labels,
+      outcome: end.refusal?.outcome ?? Outcome.answered,
+    });
   }
 
   #refuse(response: ServerResponse, refusal: Refusal): void {
@@ -211,6 +271,8 @@
     const body = `${
       JSON.stringify({ outcome: refusal.outcome, reason: refusal.reason })
     }\n`;
+    // What is left of an unread body must not be taken for another request.
+    if (!response.req.complete) response.setHeader("connection", "close");
     response.writeHead(refusal.status, {
       "content-type": "application/json",
       "content-length": Buffer.byteLength(body),
@@ -224,30 +286,36 @@
   }
 }
 
-function singleHeader(
-  request: IncomingMessage,
-  name: string,
-): string | undefined {
-  const values = request.headersDistinct[name];
-  return values?.length === 1 ? values[0] : undefined;
+function requestHead({ request, path }: ServedRequest): RequestHead {
+  const values = (name: string) => request.headersDistinct[name] ?? [];
+  return {
+    method: request.method ?? "GET",
+    path,
+    header: (name: string) =>
+      values(name).length === 1 ? values(name)[0] : undefined,
+    isRepeated: (name: string) => values(name).length > 1,
+  };
 }
 
-function reportOf(
-  result: ExchangeResult,
-  milliseconds: number,
-): ExchangeReport {
-  switch (result.kind) {
-    case "answered":
-      return { result: "answered", milliseconds };
-    case "notRun":
-      return { result: "shed", milliseconds };
-    case "notSent":
-    case "unknown":
-    case "truncated":
-      return { result: "failed", milliseconds };
+async function receiveBody(
+  request: IncomingMessage,
+  options: RequestBodyOptions,
+): Promise<RequestBody | Refusal> {
+  try {
+    return await RequestBody.receive(request, options);
+  } catch (failure) {
+    if (failure instanceof BodyTooLargeError) {
+      return notRun(Reason.bodyTooLarge, { status: 413 });
+    }
+    throw failure;
   }
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+function sendStoredAnswer(
+  response: ServerResponse,
+  answer: StoredAnswer,
+): void {
+  if (response.destroyed) return;
+  response.writeHead(answer.status, answer.headers);
+  response.end(answer.body);
 }
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { createKeyHasher } from "@kingcupglade/ownership";
-import { LocalCapacityGate } from "@kingcupglade/routing";
+import { TargetObservations } from "@kingcupglade/routing";
+import type { CapacityGate } from "@kingcupglade/routing";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import {
   createLogger,
@@ -12,8 +13,11 @@
 import { ControlTask } from "./control/control_task.ts";
 import { PeerDirectory } from "./control/peers.ts";
 import { RoutingTask } from "./control/routing_task.ts";
+import { Credits } from "./credits/credits.ts";
 import { ExchangeClient } from "./gateway/exchange.ts";
+import { Forwarder } from "./gateway/forwarder.ts";
 import { Gateway } from "./gateway/gateway.ts";
+import { LedgerTask } from "./ledger/ledger_task.ts";
 import { AnnouncementBatcher } from "./listeners/announcement_batcher.ts";
 import { HttpListener } from "./listeners/http_listener.ts";
 import { openOperatorsListener } from "./listeners/operators.ts";
@@ -25,12 +29,15 @@
 
 const connectionsPerTarget = 12;
 const leaveMilliseconds = 300;
+const handOverMilliseconds = 3000;
 
 /** Options of {@link Vm.start}. */
 export interface VmOptions {
   readonly settings: ResolvedSettings;
   /** Called when the VM cannot go on. */
   readonly onFailure: (failure: unknown) => void;
+  /** Limits of targets, for measurements. @default credits shared by the VMs */
+  readonly capacity?: CapacityGate;
 }
 
 interface VmParts {
@@ -40,6 +47,10 @@
   readonly control: ControlTask | undefined;
   readonly routing: RoutingTask;
   readonly exchanges: ExchangeClient;
+  readonly ledger: LedgerTask;
+  readonly forwarder: Forwarder;
+  readonly gateway: Gateway;
+  readonly credits: Credits;
   readonly listeners: readonly HttpListener[];
   readonly callers: HttpListener;
   readonly markStopping: () => void;
@@ -85,19 +96,15 @@
       });
     const client = () =>
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
-    const peersListener = await openPeersListener({
-      address: listen.peers,
-      tls,
-      secret: secrets.vm,
-      control,
-    });
+    const boot = randomUUID();
     const routing = new RoutingTask({
       vm: {
         name: vm.name,
-        boot: randomUUID(),
+        boot,
         dataCentre: vm.dataCentre,
         region: vm.region,
         peerAddress: listen.peers,
+        callersAddress: listen.callers,
         replica: control?.replicaId ?? null,
       },
       control: client(),
@@ -105,20 +112,59 @@
       logger,
       metrics,
     });
+    const observations = new TargetObservations();
+    const credits = new Credits({
+      vm: vm.name,
+      boot,
+      routing,
+      peers,
+      clock,
+      observations,
+      routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
+    });
     const exchanges = new ExchangeClient({
       connectionsPerTarget,
       authority: tls.material?.authority,
     });
+    const ledger = new LedgerTask({
+      vm: { name: vm.name, boot },
+      routing,
+      peers,
+      clock,
+      logger,
+      metrics,
+    });
+    const forwarder = new Forwarder({
+      routing,
+      secret: secrets.vm,
+      tls,
+      clock,
+      metrics,
+      region: vm.region,
+    });
     const gateway = new Gateway({
+      ledger,
+      forwarder,
+      redirectScheme: tls.listeners.has("callers") ? "https" : "http",
       routing,
       exchanges,
-      capacity: new LocalCapacityGate(),
+      capacity: options.capacity ?? credits.gate,
       hasher: await createKeyHasher(),
       clock,
       logger,
       metrics,
       region: vm.region,
     });
+    const peersListener = await openPeersListener({
+      address: listen.peers,
+      tls,
+      secret: secrets.vm,
+      control,
+      services: [credits.addService, (router) => ledger.addService(router)],
+      forwarded: (request, response) => {
+        void gateway.serveForwarded(request, response);
+      },
+    });
     let stopping = false;
     const callers = await HttpListener.open({
       name: "callers",
@@ -142,7 +188,7 @@
       routing,
       metrics,
       isReady: () =>
-        !stopping && routing.hasLease &&
+        !stopping && routing.hasLease && credits.isReady &&
         routing.table.isInService(vm.dataCentre),
     });
     logger.info("vm-started");
@@ -153,6 +199,10 @@
       control,
       routing,
       exchanges,
+      ledger,
+      forwarder,
+      gateway,
+      credits,
       callers,
       listeners: [targets, operators, peersListener],
       markStopping: () => (stopping = true),
@@ -164,16 +214,25 @@
     return this.#parts.routing.hasLease;
   }
 
+  /** Version and digest of the bundle that this VM routes by. */
+  get bundle(): { readonly version: number; readonly digest: string } | null {
+    return this.#parts.routing.table.bundle;
+  }
+
   /** Finishes every request, hands over what this VM leads, and stops. */
   async stop(): Promise<void> {
     const parts = this.#parts;
     parts.markStopping();
     parts.logger.info("vm-stopping");
+    await parts.ledger.synchronised(handOverMilliseconds);
     await Promise.all([
       parts.routing.leave(),
       new Promise((resolve) => setTimeout(resolve, leaveMilliseconds)),
     ]);
     await parts.callers.close();
+    await parts.gateway.finished();
+    parts.ledger.stop();
+    parts.credits.stop();
     await parts.routing.stop();
     await parts.control?.stop().catch((failure) =>
       parts.logger.warn("control-stop-failed", {
@@ -183,6 +242,7 @@
     for (const listener of parts.listeners) listener.destroy();
     parts.peers.close();
     await parts.exchanges.close();
+    await parts.forwarder.close();
     parts.logger.info("vm-stopped");
   }
 
@@ -190,10 +250,13 @@
   async crash(): Promise<void> {
     const parts = this.#parts;
     parts.callers.destroy();
+    parts.credits.stop();
     for (const listener of parts.listeners) listener.destroy();
     parts.peers.close();
+    parts.ledger.stop();
     await Promise.allSettled([
       parts.exchanges.close(),
+      parts.forwarder.close(),
       parts.routing.stop(),
       parts.control?.stop(),
     ]);
--- a/packages/ownership/bundle_life_test.ts
+++ b/packages/ownership/bundle_life_test.ts
@@ -158,6 +158,7 @@
     dataCentre: "north-a",
     region: "north",
     peerAddress: "127.0.0.1:1",
+    callersAddress: "127.0.0.1:2",
     replica: null,
     leaving: false,
     changedAt: state.version,
