--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -105,6 +105,11 @@
     return [...this.#vms.keys()];
   }
 
+  /** Names of the VMs that run now. */
+  get runningVms(): readonly string[] {
+    return [...this.#vms].filter(([, each]) => each.vm).map(([name]) => name);
+  }
+
   /** The targets by name. */
   get targets(): ReadonlyMap<string, FakeTarget> {
     return this.#targets;
--- a/packages/experiments/planning_world.ts
+++ b/packages/experiments/planning_world.ts
@@ -21,6 +21,8 @@
   readonly initialRanges: number;
   /** @default 3 */
   readonly regions?: number;
+  /** @default 1 */
+  readonly tenants?: number;
 }
 
 const roundMilliseconds = 50;
@@ -44,7 +46,11 @@
 
   constructor(options: PlanningWorldOptions) {
     this.#regions = options.regions ?? 3;
-    const document = planningBundle(options.initialRanges, this.#regions);
+    const document = planningBundle({
+      initialRanges: options.initialRanges,
+      regions: this.#regions,
+      tenants: options.tenants ?? 1,
+    });
     this.apply({ kind: "rollBundle", signed: { document, signatures: [] } });
     for (let index = 0; index < options.targets; index += 1) {
       this.addTarget(index);
@@ -143,8 +149,12 @@
   return `stock-${String(index).padStart(4, "0")}`;
 }
 
-function planningBundle(initialRanges: number, regions: number) {
-  const document = {
+function planningBundle(size: {
+  readonly initialRanges: number;
+  readonly regions: number;
+  readonly tenants: number;
+}) {
+  return {
     version: 1,
     operators: [{
       name: "operator",
@@ -152,13 +162,19 @@
         "base64",
       ),
     }],
-    dataCentres: Array.from({ length: regions }, (_, index) => ({
+    dataCentres: Array.from({ length: size.regions }, (_, index) => ({
       name: `centre-${index}`,
       region: `region-${index}`,
     })),
-    services: [{ name: "stock", kind: "keyed", initialRanges }],
-    tenants: [{ name: "toolroom" }],
+    services: [{
+      name: "stock",
+      kind: "keyed",
+      initialRanges: size.initialRanges,
+    }],
+    tenants: Array.from(
+      { length: size.tenants },
+      (_, index) => ({ name: `tenant-${index}` }),
+    ),
     routes: [],
   };
-  return document;
 }
--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -7,6 +7,9 @@
       (await import("./suite/planner.ts")).plannerExperiment,
     "history": async () =>
       (await import("./suite/history.ts")).historyExperiment,
+    "rolls": async () => (await import("./suite/rolls.ts")).rollsExperiment,
+    "table-size": async () =>
+      (await import("./suite/table_size.ts")).tableSizeExperiment,
     "lost-owner": async () =>
       (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
   }));
--- a/packages/experiments/suite/lost_owner.ts
+++ b/packages/experiments/suite/lost_owner.ts
@@ -1,68 +1,205 @@
 import { Deployment } from "../deployment.ts";
-import type { Experiment } from "../experiment.ts";
+import type { Experiment, ExperimentResult, Figure } from "../experiment.ts";
 import { hsinchu } from "../hsinchu.ts";
+import { RandomSource } from "../random_source.ts";
 
 const targetMilliseconds = 4000;
-const keys = 20;
+const keysPerCase = 40;
+const settleMilliseconds = 1500;
+const trialsPerCase = 3;
 
-/** Kills the owner of some keys and measures until each is served again. */
+/** A way in which the owner of a key is lost. */
+interface LossCase {
+  readonly name: string;
+  readonly lose: (deployment: Deployment, owner: string) => Promise<void>;
+  /** Makes the deployment whole again. */
+  readonly repair: (deployment: Deployment, owner: string) => Promise<void>;
+}
+
+const revive = async (deployment: Deployment, owner: string) =>
+  await deployment.targets.get(owner)!.restart();
+
+const lossCases: readonly LossCase[] = [
+  {
+    name: "killed",
+    lose: (deployment, owner) =>
+      Promise.resolve(deployment.targets.get(owner)!.kill()),
+    repair: revive,
+  },
+  {
+    name: "frozen",
+    lose: (deployment, owner) =>
+      Promise.resolve(deployment.targets.get(owner)!.freeze()),
+    repair: (deployment, owner) =>
+      Promise.resolve(deployment.targets.get(owner)!.thaw()),
+  },
+  {
+    name: "killed together with the control leader",
+    lose: async (deployment, owner) => {
+      const { leader } = await deployment.status();
+      deployment.targets.get(owner)!.kill();
+      await deployment.crashVm(leader);
+    },
+    repair: async (deployment, owner) => {
+      await revive(deployment, owner);
+      for (const vm of deployment.vmNames) {
+        if (!deployment.runningVms.includes(vm)) await deployment.startVm(vm);
+      }
+    },
+  },
+  {
+    name: "cut off",
+    lose: (deployment, owner) =>
+      Promise.resolve(deployment.targets.get(owner)!.cutOff()),
+    repair: () => Promise.resolve(),
+  },
+];
+
+/** Loses the owner of some keys and measures until each is served again. */
 export const lostOwnerExperiment: Experiment = {
-  summary: "time until the keys of a killed owner are served again",
-  async run({ progress }) {
+  summary: "time until the keys of a lost owner are served again",
+  async run({ seed, progress }): Promise<ExperimentResult> {
+    const random = new RandomSource(seed);
     const deployment = await Deployment.start(hsinchu);
     try {
       await deployment.roll();
       await addFixtureTargets(deployment);
-      progress("every range has an owner");
-      const send = (key: string) =>
-        deployment.caller.send({
-          vm: deployment.callersAddress("vm-2"),
-          method: "POST",
-          path: `/fixtures/${key}`,
-          tenant: "toolroom",
-          key,
-        });
-      const names = Array.from(
-        { length: keys },
-        (_, index) => `clamp-${index}`,
-      );
-      const before = await Promise.all(names.map(send));
-      const lost = before[0]!.target;
-      const affected = names.filter((_, index) =>
-        before[index]!.target === lost
-      );
-      deployment.targets.get(lost)!.kill();
-      const lostAt = performance.now();
-      progress(`${lost} killed, ${affected.length} keys affected`);
-      const times = await Promise.all(affected.map(async (key) => {
-        while ((await send(key)).outcome !== "answered") {
-          if (performance.now() - lostAt > 2 * targetMilliseconds) break;
+      const figures: Figure[] = [];
+      const leaving = await measure(deployment, random, leavingCase);
+      for (const lossCase of lossCases) {
+        const times: LossTimes[] = [];
+        for (let trial = 0; trial < trialsPerCase; trial += 1) {
+          times.push(await measure(deployment, random, lossCase));
+          progress(`${lossCase.name}: ${format(times.at(-1)!)}`);
         }
-        return performance.now() - lostAt;
-      }));
-      return {
-        figures: [{
-          name: "longest time unserved",
-          value: Math.max(...times),
-          unit: "ms",
-          target: { atMost: targetMilliseconds },
-        }],
-      };
+        figures.push(...figuresOf(lossCase.name, times, leaving));
+      }
+      return { figures };
     } finally {
       await deployment.stop();
     }
   },
 };
 
+/** The baseline: an owner that announces that it leaves. */
+const leavingCase: LossCase = {
+  name: "leaving",
+  lose: async (deployment, owner) => {
+    deployment.targets.get(owner)!.condition = "leaving";
+    await deployment.targets.get(owner)!.announceNow();
+  },
+  repair: async (deployment, owner) => {
+    deployment.targets.get(owner)!.condition = "serving";
+    await deployment.targets.get(owner)!.announceNow();
+  },
+};
+
+interface LossTimes {
+  /** Until the new owner of the key that waited longest held its grant. */
+  readonly granted: number;
+  /** Until every key was answered. */
+  readonly served: number;
+}
+
+async function measure(
+  deployment: Deployment,
+  random: RandomSource,
+  lossCase: LossCase,
+): Promise<LossTimes> {
+  const names = Array.from(
+    { length: keysPerCase },
+    () => `clamp-${random.integer(1, 1e6)}`,
+  );
+  const before = await Promise.all(
+    names.map((key) => send(deployment, random, key)),
+  );
+  const owner = before.find((each) => each.target !== "")!.target;
+  const affected = names.filter((_, index) => before[index]!.target === owner);
+  const lostAt = performance.now();
+  await lossCase.lose(deployment, owner);
+  const served = await Promise.all(affected.map(async (key) => {
+    let answer = await send(deployment, random, key);
+    while (answer.outcome !== "answered" || answer.target === owner) {
+      if (performance.now() - lostAt > 3 * targetMilliseconds) break;
+      await pause(5);
+      answer = await send(deployment, random, key);
+    }
+    return { answer, after: performance.now() - lostAt };
+  }));
+  const last = served.reduce((latest, each) =>
+    each.after > latest.after ? each : latest
+  );
+  const granted = deployment.history.events.find((event) =>
+    event.kind === "granted" && event.target === last.answer.target &&
+    event.at > lostAt &&
+    event.grants.some((grant) => grant.epoch === last.answer.epoch)
+  );
+  await lossCase.repair(deployment, owner);
+  await deployment.until((status) =>
+    status.groups.every((each) => each.withoutOwner + each.moving === 0)
+  );
+  await pause(settleMilliseconds);
+  return {
+    granted: (granted?.at ?? Infinity) - lostAt,
+    served: last.after,
+  };
+}
+
+function send(deployment: Deployment, random: RandomSource, key: string) {
+  return deployment.caller.send({
+    vm: deployment.callersAddress(random.pick(deployment.runningVms)),
+    method: "GET",
+    path: `/fixtures/${key}`,
+    tenant: "toolroom",
+    key,
+  });
+}
+
+function figuresOf(
+  name: string,
+  times: readonly LossTimes[],
+  leaving: LossTimes,
+): readonly Figure[] {
+  return [
+    {
+      name: `${name}: longest time unserved`,
+      value: Math.max(...times.map((each) => each.served)),
+      unit: "ms",
+      baseline: leaving.served,
+      target: { atMost: targetMilliseconds },
+    },
+    {
+      name: `${name}: longest time until the new grant was held`,
+      value: Math.max(...times.map((each) => each.granted)),
+      unit: "ms",
+      baseline: leaving.granted,
+    },
+  ];
+}
+
 async function addFixtureTargets(deployment: Deployment): Promise<void> {
   for (const [index, { name }] of hsinchu.dataCentres.entries()) {
-    await deployment.addTarget({
-      name: `fixture-${index + 1}`,
-      service: "fixture-stock",
-      dataCentre: name,
-    });
+    for (const half of [0, 1]) {
+      await deployment.addTarget({
+        name: `fixture-${2 * index + half + 1}`,
+        service: "fixture-stock",
+        dataCentre: name,
+      });
+    }
   }
   await deployment.until((status) =>
     status.groups.every((group) => group.withoutOwner === 0)
   );
+  for (const vm of deployment.vmNames) await deployment.untilReady(vm);
+  await pause(settleMilliseconds);
+}
+
+function format(times: LossTimes): string {
+  return `granted after ${Math.round(times.granted)} ms, served after ${
+    Math.round(times.served)
+  } ms`;
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- /dev/null
+++ b/packages/experiments/suite/table_size.ts
@@ -0,0 +1,183 @@
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import {
+  applyCommand,
+  deltaSince,
+  positionSpace,
+  RequestCounter,
+  RoutingTable,
+} from "@kingcupglade/ownership";
+import type { ControlState, TableDelta } from "@kingcupglade/ownership";
+import { decodeValue, encodeValue } from "@kingcupglade/protocol";
+import type { Experiment, Figure } from "../experiment.ts";
+import { PlanningWorld, targetName } from "../planning_world.ts";
+import { RandomSource } from "../random_source.ts";
+
+const sizes = [
+  { targets: 12, ranges: 768, vms: 9, tenants: 64 },
+  { targets: 120, ranges: 2048, vms: 30, tenants: 512 },
+  { targets: 930, ranges: 4096, vms: 90, tenants: 4096 },
+] as const;
+
+const copies = 8;
+const repetitions = 200;
+const rollsPerDay = 3200;
+const secondsPerDay = 86_400;
+const requestsPerReport = 10_000;
+
+type Size = typeof sizes[number];
+
+/** Measures the table's memory and the bytes of its deltas. */
+export const tableSizeExperiment: Experiment = {
+  summary: "memory of the table and bytes of its deltas at three sizes",
+  run({ seed, progress }) {
+    const figures = sizes.flatMap((size) => {
+      progress(`${size.targets} targets`);
+      return measure(size, seed);
+    });
+    return Promise.resolve({ figures });
+  },
+};
+
+function measure(size: Size, seed: number): readonly Figure[] {
+  const at =
+    ` at ${size.targets} targets, ${size.ranges} ranges, ${size.vms} VMs, ${size.tenants} tenants`;
+  const state = buildState(size);
+  const whole = encodeValue(deltaSince(state, 0));
+  return [
+    bytes(`whole table${at}`, whole.length),
+    bytes(`memory of a VM's table${at}`, memoryOf(whole)),
+    bytes(`delta of one stopped range${at}`, rangeDelta(state), whole.length),
+    ...rollFigures(state, at),
+    microseconds(`CPU to make and encode a delta of one range${at}`, () => {
+      encodeValue(deltaSince(state, state.version - 1));
+    }),
+    bytes(`load report of one VM a second${at}`, reportBytes(seed)),
+  ];
+}
+
+function buildState(size: Size): ControlState {
+  const world = new PlanningWorld({
+    targets: size.targets,
+    initialRanges: size.ranges,
+    tenants: size.tenants,
+  });
+  world.settle();
+  for (let index = 0; index < size.vms; index += 1) {
+    world.apply({
+      kind: "putVm",
+      vm: {
+        name: `vm-${index}`,
+        boot: `00000000-0000-4000-8000-${String(index).padStart(12, "0")}`,
+        dataCentre: `centre-${index % 3}`,
+        region: `region-${index % 3}`,
+        peerAddress: `10.0.0.${index}:8300`,
+        callersAddress: `10.0.0.${index}:8100`,
+        replica: null,
+        leaving: false,
+      },
+    });
+  }
+  world.settle();
+  world.addTarget(0, "leaving");
+  return world.state;
+}
+
+function rangeDelta(state: ControlState): number {
+  const [group] = state.groups.values();
+  const range = group!.ranges.find((each) => each.owner === targetName(1))!;
+  const { state: after } = applyCommand(state, {
+    kind: "changeRanges",
+    changes: [{
+      kind: "stop",
+      group: group!.id,
+      start: range.start,
+      epoch: range.epoch,
+    }],
+  }, state.version + 1);
+  return encodeValue(deltaSince(after, state.version)).length;
+}
+
+function rollFigures(state: ControlState, at: string): readonly Figure[] {
+  const document = structuredClone(
+    state.bundle!.signed.document,
+  ) as { version: number; tenants: { name: string; weight?: number }[] };
+  document.version += 1;
+  document.tenants[0]!.weight = 2;
+  const signed = { document, signatures: state.bundle!.signed.signatures };
+  // The signature is left out: it adds the same bytes to both.
+  const { state: after } = applyCommand(
+    { ...state, bundle: { ...state.bundle!, bundle: unsigned(state) } },
+    { kind: "rollBundle", signed },
+    state.version + 1,
+  );
+  const delta = encodeValue(deltaSince(after, state.version));
+  const whole = encodeValue({ ...after.bundle!.signed }).length;
+  const table = RoutingTable.empty.apply(deltaSince(state, 0))!;
+  return [
+    bytes(`delta of a roll that changes one tenant${at}`, delta.length, whole),
+    {
+      name: `bytes a second for ${rollsPerDay} rolls a day${at}`,
+      value: delta.length * rollsPerDay / secondsPerDay,
+      unit: "B/s",
+      baseline: whole * rollsPerDay / secondsPerDay,
+    },
+    microseconds(`CPU of a VM to apply a roll${at}`, () => {
+      table.apply(decodeValue<TableDelta>(delta));
+    }, 20),
+  ];
+}
+
+// The stand-in operators cannot sign, so that none need to.
+function unsigned(state: ControlState) {
+  return { ...state.bundle!.bundle, requiredSignatures: 0 };
+}
+
+function memoryOf(whole: Uint8Array): number {
+  const before = usedBytes();
+  const tables = Array.from(
+    { length: copies },
+    () => RoutingTable.empty.apply(decodeValue<TableDelta>(whole))!,
+  );
+  const used = (usedBytes() - before) / copies;
+  return tables.length === copies ? used : 0;
+}
+
+function usedBytes(): number {
+  setFlagsFromString("--expose-gc");
+  const collect = runInNewContext("gc") as () => void;
+  collect();
+  return process.memoryUsage().heapUsed;
+}
+
+function reportBytes(seed: number): number {
+  const random = new RandomSource(seed);
+  const counter = new RequestCounter();
+  for (let request = 0; request < requestsPerReport; request += 1) {
+    counter.add("stock", random.integer(0, positionSpace - 1));
+  }
+  return encodeValue(counter.take()).length;
+}
+
+function bytes(name: string, value: number, baseline?: number): Figure {
+  return {
+    name,
+    value,
+    unit: "B",
+    ...(baseline === undefined ? {} : { baseline }),
+  };
+}
+
+function microseconds(
+  name: string,
+  work: () => void,
+  times = repetitions,
+): Figure {
+  const startedAt = performance.now();
+  for (let index = 0; index < times; index += 1) work();
+  return {
+    name,
+    value: (performance.now() - startedAt) / times * 1000,
+    unit: "us",
+  };
+}
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { request as sendRequest } from "undici";
+import type { GrantMessage, HeldGrant } from "./grant_message.ts";
 import type { History } from "./history.ts";
 
 const announceMilliseconds = 300;
@@ -36,13 +37,6 @@
 /** Conditions that a fake target can announce. */
 export type FakeCondition = "cold" | "serving" | "draining" | "leaving";
 
-interface HeldGrant {
-  readonly group: string;
-  readonly start: number;
-  readonly end: number;
-  readonly epoch: number;
-}
-
 /**
  * A stand-in for a server that owns keys: it announces itself, takes fenced
  * grants, carries requests out and records what it did.
@@ -166,6 +160,13 @@
     this.#thaw();
   }
 
+  /** Goes on, but reaches nobody and is reached by nobody. */
+  cutOff(): void {
+    clearInterval(this.#timer);
+    this.#server.on("connection", (socket) => socket.destroy())
+      .closeAllConnections();
+  }
+
   /** Waits until nothing is in progress, then ends the process as planned. */
   async stop(): Promise<void> {
     const { history } = this.#options;
@@ -286,18 +287,12 @@
   }
 
   #takeGrants(body: Buffer, response: ServerResponse): void {
-    const message = JSON.parse(body.toString()) as {
-      boot: string;
-      version: number;
-      sequence: number;
-      grants: HeldGrant[];
-    };
+    const message = JSON.parse(body.toString()) as GrantMessage;
     const { version, sequence } = message;
-    const isOld = version < this.#taken.version ||
-      (version === this.#taken.version && sequence < this.#taken.sequence);
-    if (message.boot !== this.#boot || isOld) {
-      response.writeHead(409).end();
-      return;
+    const order = version - this.#taken.version ||
+      sequence - this.#taken.sequence;
+    if (message.boot !== this.#boot || order < 0) {
+      return void response.writeHead(409).end();
     }
     this.#taken = { version, sequence };
     this.#grants = message.grants;
--- a/packages/kingcupglade/listeners/announcement_batcher.ts
+++ b/packages/kingcupglade/listeners/announcement_batcher.ts
@@ -1,11 +1,17 @@
+import { RateLimiter } from "@kingcupglade/membership";
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
 import { decodeValue, encodeValue } from "@kingcupglade/protocol";
+import type { Clock } from "@kingcupglade/tasks";
 import type { ControlClient } from "../control/control_client.ts";
 
 const batchMilliseconds = 20;
 const announceTimeoutMilliseconds = 1000;
 /** Announcements waiting for one batch at most. */
 const maximumBatch = 1024;
+/** Announcements passed on of one target, and of all together. */
+const limitPerTarget = { burst: 10, perSecond: 5 } as const;
+const limitInAll = { burst: 2048, perSecond: 4096 } as const;
+const allTargets = "";
 
 interface WaitingAnnouncement {
   readonly announcement: Announcement;
@@ -18,39 +24,63 @@
   override readonly name = "AnnouncementOverloadError";
 }
 
+/** A target announces itself more often than the VM passes on. */
+export class AnnouncementRateError extends Error {
+  override readonly name = "AnnouncementRateError";
+}
+
 /** Passes targets' announcements to the control leader in batches. */
 export class AnnouncementBatcher {
   readonly #control: ControlClient;
   readonly #vm: string;
+  readonly #perTarget = new RateLimiter(limitPerTarget);
+  readonly #inAll = new RateLimiter(limitInAll);
+  readonly #clock: Clock;
   #waiting: WaitingAnnouncement[] = [];
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: {
     readonly control: ControlClient;
     readonly vm: string;
+    readonly clock: Clock;
   }) {
     this.#control = options.control;
     this.#vm = options.vm;
+    this.#clock = options.clock;
   }
 
   /**
    * Passes an announcement on and returns the leader's reply.
    *
+   * @throws {AnnouncementRateError} when the target announces too often.
    * @throws {AnnouncementOverloadError} when too many are waiting.
    * @throws {ControlUnavailableError} when no leader answered in time.
    */
   announce(announcement: Announcement): Promise<AnnouncementReply> {
-    if (this.#waiting.length >= maximumBatch) {
-      return Promise.reject(
-        new AnnouncementOverloadError("too many announcements are waiting"),
-      );
-    }
+    const refusal = this.#refusal(announcement);
+    if (refusal) return Promise.reject(refusal);
     return new Promise((resolve, reject) => {
       this.#waiting.push({ announcement, resolve, reject });
       this.#timer ??= setTimeout(() => void this.#send(), batchMilliseconds);
     });
   }
 
+  #refusal(announcement: Announcement): Error | null {
+    const now = this.#clock.now();
+    const { target } = announcement;
+    if (!this.#perTarget.allows(target, now)) {
+      return new AnnouncementRateError(
+        `target "${target}" announces itself more than ${limitPerTarget.perSecond} times a second; announce less often`,
+      );
+    }
+    return this.#waiting.length < maximumBatch &&
+        this.#inAll.allows(allTargets, now)
+      ? null
+      : new AnnouncementOverloadError(
+        "too many announcements are waiting; announce to another VM",
+      );
+  }
+
   async #send(): Promise<void> {
     this.#timer = undefined;
     const batch = this.#waiting;
--- a/packages/kingcupglade/listeners/targets.ts
+++ b/packages/kingcupglade/listeners/targets.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AnnouncementError, parseAnnouncement } from "@kingcupglade/membership";
 import { presentsSecret } from "../settings/secrets.ts";
+import { AnnouncementRateError } from "./announcement_batcher.ts";
 import type { AnnouncementBatcher } from "./announcement_batcher.ts";
 import { BodyTooLargeError, readBody, sendJson } from "./body.ts";
 import type { ResolvedTls } from "../settings/tls.ts";
@@ -64,5 +65,6 @@
 function statusOf(failure: unknown): number {
   if (failure instanceof AnnouncementError) return 400;
   if (failure instanceof BodyTooLargeError) return 413;
+  if (failure instanceof AnnouncementRateError) return 429;
   return 503;
 }
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -179,7 +179,11 @@
       address: listen.targets,
       tls,
       secret: secrets.target,
-      batcher: new AnnouncementBatcher({ control: client(), vm: vm.name }),
+      batcher: new AnnouncementBatcher({
+        control: client(),
+        vm: vm.name,
+        clock,
+      }),
     });
     const operators = await openOperatorsListener({
       address: listen.operators,
