--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -225,8 +225,10 @@
     parts.markStopping();
     parts.logger.info("vm-stopping");
     await parts.ledger.synchronised(handOverMilliseconds);
-    parts.routing.leave();
-    await new Promise((resolve) => setTimeout(resolve, leaveMilliseconds));
+    await Promise.all([
+      parts.routing.leave(),
+      new Promise((resolve) => setTimeout(resolve, leaveMilliseconds)),
+    ]);
     await parts.callers.close();
     await parts.gateway.finished();
     parts.ledger.stop();
