Replace lost voters from spares and go on as a gateway without a disk

Cause: a lost voter stayed lost; a VM named as a first voter whose folder had been wiped waited for ever; a set that was formed only in part never became whole; a disk that failed ended the whole VM, and a damaged folder kept it from starting. Work that was queued in the moment between the end of one write and the next never reached the disk until something else was queued: a single voter hung there.

Change: ReplicaHost brings the replica of a folder into a set and ends it alone when the folder fails, with one log line and the metric kingcupglade_replica_running. While it leads, a replica plans with VoterRepair and planVoters(): a voter silent for repairMilliseconds (5 s; restartMilliseconds, 30 s, for a VM that said that it leaves) is replaced by way of a learner, over as many regions and data centres as can be. A hello tells the first replica set, so that a late first voter joins it and a wiped one serves as a spare. The queue to the disk marks its end without a gap.

The test of the log of 1,408 changes hung before the queue was mended.

--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -35,6 +35,8 @@
   readonly withDisk?: readonly string[];
   /** Bundle without version, operators and data centres. */
   readonly content: Readonly<Record<string, unknown>>;
+  /** Further settings of the control section. */
+  readonly control?: Readonly<Record<string, number>>;
   /** @default "silent" */
   readonly logLevel?: string;
 }
@@ -325,6 +327,9 @@
       `operators = ${address}:${port.operators}`,
       "[control]",
       `voters = ${voters.join(", ")}`,
+      ...Object.entries(this.#options.control ?? {}).map(([key, value]) =>
+        `${key} = ${value}`
+      ),
       "[peers]",
       ...[...this.#vms].map(([vm, each]) =>
         `${vm} = ${each.address}:${port.peers}`
--- /dev/null
+++ b/packages/experiments/repair_test.ts
@@ -0,0 +1,65 @@
+import { rm } from "node:fs/promises";
+import { join } from "node:path";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import type { ControlStatus } from "kingcupglade";
+import { Deployment } from "./deployment.ts";
+import { hsinchu } from "./hsinchu.ts";
+
+function voterVms(status: ControlStatus): readonly string[] {
+  return status.replicas.voters.map((each) => each.split(".")[0]!).toSorted();
+}
+
+describe("a replica set that loses voters", () => {
+  let deployment: Deployment;
+
+  beforeAll(async () => {
+    deployment = await Deployment.start({
+      ...hsinchu,
+      control: { repairMilliseconds: 1000, restartMilliseconds: 3_600_000 },
+    });
+    await deployment.roll();
+    await deployment.until((status) =>
+      status.vms.filter((each) => !each.lapsed).length === 9
+    );
+  });
+
+  afterAll(() => deployment.stop());
+
+  const untilVoters = (...vms: readonly string[]) =>
+    deployment.until((status) =>
+      voterVms(status).join() === vms.join() &&
+      status.replicas.learners.length === 0
+    );
+
+  it("keeps a voter whose VM restarts as planned", async () => {
+    const { leader } = await deployment.status();
+    await deployment.stopVm(leader);
+    await new Promise((resolve) => setTimeout(resolve, 3000));
+    const status = await deployment.until(() => true);
+    expect(voterVms(status)).toEqual(["vm-1", "vm-4", "vm-7"]);
+    await deployment.startVm(leader);
+    await deployment.until((each) =>
+      each.vms.filter((vm) => !vm.lapsed).length === 9
+    );
+  });
+
+  it("replaces a lost voter and bears the loss of the next", async () => {
+    await deployment.crashVm("vm-4");
+    await untilVoters("vm-1", "vm-5", "vm-7");
+    const version = await deployment.roll();
+    await deployment.crashVm("vm-1");
+    const status = await untilVoters("vm-2", "vm-5", "vm-7");
+    expect(status.bundle?.version).toBe(version);
+  });
+
+  it("takes a VM with a wiped disk back as a spare, then as a voter", async () => {
+    await rm(join(deployment.folder, "vm-4"), { recursive: true });
+    await deployment.startVm("vm-4");
+    await deployment.until((status) =>
+      status.vms.some((vm) => vm.name === "vm-4" && !vm.lapsed)
+    );
+    await deployment.crashVm("vm-5");
+    const status = await untilVoters("vm-2", "vm-4", "vm-7");
+    expect(status.bundle?.version).toBe(2);
+  });
+});
--- a/packages/kingcupglade/control/bootstrap.ts
+++ b/packages/kingcupglade/control/bootstrap.ts
@@ -9,31 +9,82 @@
 /** What a VM tells of its data folder. */
 export interface Hello {
   readonly replica: string;
+  /** Whether its replica runs, as a voter or as a spare. */
   readonly member: boolean;
+  /** The first replica set, while the log still starts with it. */
+  readonly founders: readonly string[];
 }
 
-/**
- * Asks every first voter for its replica. Answers with their replicas only if
- * all of them answered and none belongs to a replica set yet.
- */
-export async function gatherFounders(options: {
+/** What a VM named as a first voter does with an unused data folder. */
+export const FoundingStep = {
+  /** Not all first voters answered yet. */
+  wait: "wait",
+  /** Form the first replica set. */
+  found: "found",
+  /** Join a first replica set that was formed only in part. */
+  join: "join",
+  /** A replica set runs without this folder, which was wiped. */
+  serveAsSpare: "serveAsSpare",
+} as const;
+export type FoundingStep = typeof FoundingStep[keyof typeof FoundingStep];
+
+/** A step and the replicas of the first set, where there are any. */
+export interface FoundingDecision {
+  readonly step: FoundingStep;
+  readonly replicas: readonly string[];
+}
+
+/** Asks every first voter for its replica and decides what to do. */
+export async function decideFounding(options: {
   readonly self: Hello;
   readonly selfVm: string;
   readonly voters: readonly string[];
   readonly peers: PeerDirectory;
-}): Promise<readonly string[] | null> {
+}): Promise<FoundingDecision> {
   const { self, selfVm, voters, peers } = options;
+  const hellos = await Promise.all(
+    voters.map((vm) => vm === selfVm ? self : askHello(vm, peers)),
+  );
+  return chooseFoundingStep(hellos, {
+    self: self.replica,
+    mayFound: voters[0] === selfVm,
+  });
+}
+
+/**
+ * Chooses the step from the answers of all first voters; null stands for one
+ * that did not answer. Only the first of them founds, so that no two replica
+ * sets can form.
+ */
+export function chooseFoundingStep(
+  hellos: readonly (Hello | null)[],
+  options: { readonly self: string; readonly mayFound: boolean },
+): FoundingDecision {
+  const members = hellos.filter((hello) => hello?.member);
+  const naming = members.find((hello) =>
+    hello!.founders.includes(options.self)
+  );
+  if (naming) {
+    return { step: FoundingStep.join, replicas: naming.founders };
+  }
+  if (members.length > 0) {
+    return { step: FoundingStep.serveAsSpare, replicas: [] };
+  }
+  const replicas = hellos.map((hello) => hello?.replica ?? "");
+  const isComplete = replicas.every((replica) => replica !== "");
+  return isComplete && options.mayFound
+    ? { step: FoundingStep.found, replicas }
+    : { step: FoundingStep.wait, replicas: [] };
+}
+
+async function askHello(
+  vm: string,
+  peers: PeerDirectory,
+): Promise<Hello | null> {
   try {
-    const hellos = await Promise.all(voters.map(async (vm): Promise<Hello> => {
-      const peer = peers.client(vm, Replication);
-      if (vm === selfVm || !peer) return self;
-      return await peer.hello({}, {
-        timeoutMs: helloTimeoutMilliseconds,
-      });
-    }));
-    return hellos.some((hello) => hello.member || hello.replica === "")
-      ? null
-      : hellos.map((hello) => hello.replica);
+    return await peers.client(vm, Replication)?.hello({}, {
+      timeoutMs: helloTimeoutMilliseconds,
+    }) ?? null;
   } catch {
     return null;
   }
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -9,32 +9,33 @@
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
 import { deltaSince } from "@kingcupglade/ownership";
 import type { RollOutcome, TableDelta } from "@kingcupglade/ownership";
-import { Replication } from "@kingcupglade/protocol";
-import { ReplicaStorage } from "@kingcupglade/storage";
+import type { Files } from "@kingcupglade/storage";
 import type { Clock } from "@kingcupglade/tasks";
-import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { ResolvedSettings } from "../settings/schema.ts";
-import { gatherFounders, namesReplica, storeFounders } from "./bootstrap.ts";
 import type { Hello } from "./bootstrap.ts";
 import { ControlUnavailableError, NotLeaderError } from "./errors.ts";
 import { GrantSender } from "./grant_sender.ts";
 import { LeaderSession } from "./leader_session.ts";
 import type { VmRenewal } from "./leader_session.ts";
 import type { PeerDirectory } from "./peers.ts";
-import { replicaIdOf, vmOfReplica } from "./replica_id.ts";
-import { ReplicaSender } from "./replica_sender.ts";
-import { ReplicaTask } from "./replica_task.ts";
+import { ReplicaHost } from "./replica_host.ts";
+import { vmOfReplica } from "./replica_id.ts";
+import type { ReplicaTask } from "./replica_task.ts";
 import { describeControl } from "./status.ts";
 import type { ControlStatus } from "./status.ts";
+import { VoterRepair } from "./voter_repair.ts";
 
 const coordinationMilliseconds = 50;
-const foundingMilliseconds = 200;
+const repairPlanMilliseconds = 250;
 
 /** Options of a {@link ControlTask}. */
 export interface ControlTaskOptions {
   readonly settings: ResolvedSettings;
-  readonly storage: ReplicaStorage;
+  /** The data folder. */
+  readonly folder: string;
+  /** @default the system's files */
+  readonly files?: Files;
   readonly peers: PeerDirectory;
   readonly targetSecret: string;
   /** Authority of targets that speak TLS, PEM. */
@@ -42,8 +43,6 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Called when the data folder can no longer be written. */
-  readonly onFailure: (failure: unknown) => void;
 }
 
 /** A renewal's answer: the lease and what changed. */
@@ -57,49 +56,48 @@
 /** Runs the control replica of a VM with a data folder. */
 export class ControlTask {
   readonly #options: ControlTaskOptions;
-  readonly #storage: ReplicaStorage;
   readonly #grants: GrantSender;
-  readonly #sender: ReplicaSender;
   readonly #timer: NodeJS.Timeout;
   readonly #waiters = new Set<() => void>();
-  #replica: ReplicaTask | undefined;
+  #host: ReplicaHost | undefined;
   #session: LeaderSession | undefined;
-  #member: boolean;
-  #founding = false;
+  #repair: VoterRepair | undefined;
+  #repairDueAt = 0;
 
-  constructor(options: ControlTaskOptions) {
+  protected constructor(options: ControlTaskOptions) {
     this.#options = options;
-    this.#storage = options.storage;
     this.#grants = new GrantSender({
       secret: options.targetSecret,
       authority: options.authority,
     });
-    this.#sender = new ReplicaSender(
-      options.peers,
-      replicaIdOf(options.storage.identity),
-    );
-    this.#member = options.storage.stored.snapshot !== null;
-    if (this.#member || !this.#isFounder) this.#startReplica();
     this.#timer = setInterval(() => this.#tick(), coordinationMilliseconds);
   }
 
   /**
-   * Opens the data folder of a VM and starts its replica.
+   * Opens the data folder of a VM and starts its replica. Answers with
+   * undefined when the folder is damaged; the VM then goes on without one.
    *
-   * @throws {StorageError} when the folder cannot be used.
+   * @throws {IdentityError} when the folder belongs to another VM.
    */
   static async start(
-    options: Omit<ControlTaskOptions, "storage"> & { readonly folder: string },
-  ): Promise<ControlTask> {
-    const storage = await ReplicaStorage.open(options.folder, {
-      vm: options.settings.vm.name,
+    options: ControlTaskOptions,
+  ): Promise<ControlTask | undefined> {
+    const task = new ControlTask(options);
+    task.#host = await ReplicaHost.open({
+      ...options,
+      onChange: () => task.#changed(),
+    }).catch(async (failure) => {
+      await task.stop();
+      throw failure;
     });
-    return new ControlTask({ ...options, storage });
+    if (task.#host) return task;
+    await task.stop();
+    return undefined;
   }
 
   /** The replica in this VM's data folder. */
   get replicaId(): string {
-    return replicaIdOf(this.#storage.identity);
+    return this.#host?.id ?? "";
   }
 
   /** The VM that leads, as far as this one knows; empty when unknown. */
@@ -110,23 +108,17 @@
 
   /** What this VM tells of its data folder while the first set is formed. */
   get hello(): Hello {
-    return { replica: this.replicaId, member: this.#member };
+    return this.#host?.hello ?? { replica: "", member: false, founders: [] };
   }
 
-  /** Joins the first replica set, if this folder is empty and named in it. */
+  /** Joins the first replica set, if this folder is unused and named in it. */
   async found(voters: readonly string[]): Promise<boolean> {
-    if (this.#member) return false;
-    if (!namesReplica(voters, this.#storage)) return false;
-    this.#member = true;
-    await storeFounders(this.#storage, voters);
-    const storage = await this.#reopenStorage();
-    this.#startReplica(storage);
-    return true;
+    return (await this.#host?.found(voters)) ?? false;
   }
 
   /** Takes in messages of another replica. */
   receive(messages: readonly ConsensusMessage[]): void {
-    for (const message of messages) this.#replica?.receive(message);
+    this.#host?.receive(messages);
   }
 
   /**
@@ -213,8 +205,7 @@
     if (this.#replica?.isReadyLeader) await this.#handOver(this.#replica);
     this.#session?.end();
     for (const wake of this.#waiters) wake();
-    if (this.#replica) await this.#replica.stop();
-    else await this.#storage.close();
+    await this.#host?.stop();
     await this.#grants.close();
   }
 
@@ -227,9 +218,8 @@
     }
   }
 
-  get #isFounder(): boolean {
-    const { control, vm } = this.#options.settings;
-    return control.voters.includes(vm.name);
+  get #replica(): ReplicaTask | undefined {
+    return this.#host?.replica;
   }
 
   #required(): { readonly replica: ReplicaTask } {
@@ -264,23 +254,6 @@
     }
   }
 
-  async #reopenStorage(): Promise<ReplicaStorage> {
-    await this.#storage.close();
-    return await ReplicaStorage.open(this.#options.settings.vm.dataFolder!, {
-      vm: this.#options.settings.vm.name,
-    });
-  }
-
-  #startReplica(storage: ReplicaStorage = this.#storage): void {
-    this.#replica = new ReplicaTask({
-      storage,
-      clock: this.#options.clock,
-      send: (message) => this.#sender.send(message),
-      onChange: () => this.#changed(),
-      onFailure: this.#options.onFailure,
-    });
-  }
-
   #changed(): void {
     this.#updateSession();
     for (const wake of this.#waiters) wake();
@@ -294,6 +267,12 @@
     metrics.leading.set(leads ? 1 : 0);
     logger.info(leads ? "control-lead-taken" : "control-lead-lost");
     this.#session?.end();
+    this.#repair = leads
+      ? new VoterRepair({
+        ...settings.control,
+        voters: settings.control.voters.length,
+      })
+      : undefined;
     this.#session = leads
       ? new LeaderSession({
         replica: this.#replica!,
@@ -306,43 +285,28 @@
   }
 
   #tick(): void {
-    if (!this.#replica) return this.#tryFounding();
     this.#updateSession();
     void this.#session?.coordinate();
+    this.#repairVoters();
   }
 
-  #tryFounding(): void {
-    if (this.#founding) return;
-    this.#founding = true;
-    void this.#found()
-      .catch((failure) =>
-        this.#options.logger.warn("founding-failed", {
-          reason: describeFailure(failure),
-        })
-      )
-      .finally(() =>
-        setTimeout(() => (this.#founding = false), foundingMilliseconds)
-      );
-  }
-
-  // Only the first of the listed VMs proposes, so that two sets cannot form.
-  async #found(): Promise<void> {
-    const { settings, peers } = this.#options;
-    const voterVms = settings.control.voters;
-    const voters = await gatherFounders({
-      self: this.hello,
-      selfVm: settings.vm.name,
-      voters: voterVms,
-      peers,
+  #repairVoters(): void {
+    const now = this.#options.clock.now();
+    if (!this.#session || !this.#repair || now < this.#repairDueAt) return;
+    this.#repairDueAt = now + repairPlanMilliseconds;
+    const { replica } = this.#required();
+    const { view } = this.#session;
+    const next = this.#repair.plan({
+      consensus: replica.consensus,
+      vms: [...replica.control.vms.values()],
+      hasLapsed: (vm) => view.vm(vm).lapsed,
+    }, now);
+    if (!next) return;
+    this.#options.logger.info("replica-set-change", {
+      voters: next.voters.join(", "),
+      learners: next.learners.join(", "),
     });
-    if (voters === null || voterVms[0] !== settings.vm.name) return;
-    await Promise.all(
-      voterVms.map(async (vm) =>
-        vm === settings.vm.name
-          ? await this.found(voters)
-          : await peers.client(vm, Replication)!.found({ voters: [...voters] })
-      ),
-    );
+    replica.proposeConfiguration(next);
   }
 
   #nextChange(holdMilliseconds: number): Promise<void> {
--- a/packages/kingcupglade/control/persist_queue.ts
+++ b/packages/kingcupglade/control/persist_queue.ts
@@ -33,7 +33,8 @@
 export class PersistQueue {
   readonly #options: PersistQueueOptions;
   readonly #waiting: StorageEffect[] = [];
-  #draining: Promise<void> | undefined;
+  #isDraining = false;
+  #drained: Promise<void> = Promise.resolve();
   #stopped = false;
 
   constructor(options: PersistQueueOptions) {
@@ -44,18 +45,18 @@
   add(effect: StorageEffect): void {
     if (this.#stopped) return;
     this.#waiting.push(effect);
-    this.#draining ??= this.#drain()
-      .catch((failure) => {
-        this.#stopped = true;
-        this.#options.onFailure(failure);
-      })
-      .finally(() => (this.#draining = undefined));
+    if (this.#isDraining) return;
+    this.#isDraining = true;
+    this.#drained = this.#drain().catch((failure) => {
+      this.#stopped = true;
+      this.#options.onFailure(failure);
+    });
   }
 
   /** Stops after the write under way; what waits is dropped. */
   async stop(): Promise<void> {
     this.#stopped = true;
-    await this.#draining;
+    await this.#drained;
   }
 
   async #drain(): Promise<void> {
@@ -68,6 +69,7 @@
         if (effect.kind === "send") this.#options.send(effect.message);
       }
     }
+    this.#isDraining = false;
   }
 
   async #store(batch: readonly StorageEffect[]): Promise<void> {
--- /dev/null
+++ b/packages/kingcupglade/control/replica_host.ts
@@ -0,0 +1,216 @@
+import type { ConsensusMessage } from "@kingcupglade/consensus";
+import { Replication } from "@kingcupglade/protocol";
+import { IdentityError, ReplicaStorage } from "@kingcupglade/storage";
+import type { Files } from "@kingcupglade/storage";
+import type { Clock } from "@kingcupglade/tasks";
+import { describeFailure } from "@kingcupglade/telemetry";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import type { ResolvedSettings } from "../settings/schema.ts";
+import {
+  decideFounding,
+  FoundingStep,
+  namesReplica,
+  storeFounders,
+} from "./bootstrap.ts";
+import type { Hello } from "./bootstrap.ts";
+import type { PeerDirectory } from "./peers.ts";
+import { replicaIdOf } from "./replica_id.ts";
+import { ReplicaSender } from "./replica_sender.ts";
+import { ReplicaTask } from "./replica_task.ts";
+
+const foundingMilliseconds = 200;
+
+/** Options of a {@link ReplicaHost}. */
+export interface ReplicaHostOptions {
+  readonly settings: ResolvedSettings;
+  readonly folder: string;
+  readonly storage: ReplicaStorage;
+  readonly peers: PeerDirectory;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** @default the system's files */
+  readonly files?: Files | undefined;
+  /** Called after every applied command, change of role, start and end. */
+  readonly onChange: () => void;
+}
+
+/**
+ * Brings the replica of a data folder into a replica set and keeps it running
+ * until the folder fails; the VM goes on without it.
+ */
+export class ReplicaHost {
+  readonly id: string;
+  readonly #options: ReplicaHostOptions;
+  readonly #sender: ReplicaSender;
+  readonly #timer: NodeJS.Timeout;
+  #storage: ReplicaStorage | undefined;
+  #replica: ReplicaTask | undefined;
+  #founding = false;
+
+  protected constructor(options: ReplicaHostOptions) {
+    const { storage, peers } = options;
+    this.#options = options;
+    this.id = replicaIdOf(storage.identity);
+    this.#sender = new ReplicaSender(peers, this.id);
+    this.#storage = storage;
+    if (isMember(storage) || !this.#isFounder) this.#start(storage);
+    this.#timer = setInterval(() => this.#tryFounding(), foundingMilliseconds);
+  }
+
+  /**
+   * Opens the data folder. Answers with undefined, and says why in the log,
+   * when it is damaged or cannot be written.
+   *
+   * @throws {IdentityError} when the folder belongs to another VM.
+   */
+  static async open(
+    options: Omit<ReplicaHostOptions, "storage">,
+  ): Promise<ReplicaHost | undefined> {
+    const { folder, settings, files, logger } = options;
+    try {
+      const storage = await ReplicaStorage.open(folder, {
+        vm: settings.vm.name,
+        ...(files && { files }),
+      });
+      return new ReplicaHost({ ...options, storage });
+    } catch (cause) {
+      if (cause instanceof IdentityError) throw cause;
+      logger.error("replica-refused", { reason: describeFailure(cause) });
+      return undefined;
+    }
+  }
+
+  /** The running replica. */
+  get replica(): ReplicaTask | undefined {
+    return this.#replica;
+  }
+
+  /** What this VM tells of its data folder while the first set is formed. */
+  get hello(): Hello {
+    const { snapshot } = this.#replica?.consensus ?? {};
+    return {
+      replica: this.id,
+      member: this.#replica !== undefined || this.#storage === undefined,
+      founders: snapshot?.index === 0 ? snapshot.configuration.voters : [],
+    };
+  }
+
+  /** Joins the first replica set, if this folder is unused and named in it. */
+  async found(voters: readonly string[]): Promise<boolean> {
+    const storage = this.#storage;
+    if (this.#replica || !storage || !namesReplica(voters, storage)) {
+      return false;
+    }
+    this.#storage = undefined;
+    try {
+      await storeFounders(storage, voters);
+      await storage.close();
+      this.#start(await this.#reopen());
+      return true;
+    } catch (failure) {
+      this.#fail(failure);
+      return false;
+    }
+  }
+
+  /** Takes in messages of another replica. */
+  receive(messages: readonly ConsensusMessage[]): void {
+    for (const message of messages) this.#replica?.receive(message);
+  }
+
+  /** Stops the replica and closes the data folder. */
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    if (this.#replica) await this.#replica.stop();
+    else await this.#storage?.close();
+  }
+
+  get #isFounder(): boolean {
+    const { control, vm } = this.#options.settings;
+    return control.voters.includes(vm.name);
+  }
+
+  #reopen(): Promise<ReplicaStorage> {
+    const { folder, settings, files } = this.#options;
+    return ReplicaStorage.open(folder, {
+      vm: settings.vm.name,
+      ...(files && { files }),
+    });
+  }
+
+  #start(storage: ReplicaStorage): void {
+    const { clock, metrics, onChange } = this.#options;
+    this.#storage = storage;
+    this.#replica = new ReplicaTask({
+      storage,
+      clock,
+      send: (message) => this.#sender.send(message),
+      onChange,
+      onFailure: (failure) => this.#fail(failure),
+    });
+    metrics.replicaRunning.set(1);
+  }
+
+  #fail(failure: unknown): void {
+    const { logger, metrics, onChange } = this.#options;
+    const replica = this.#replica;
+    this.#replica = undefined;
+    this.#storage = undefined;
+    metrics.replicaRunning.set(0);
+    logger.error("replica-stopped", { reason: describeFailure(failure) });
+    void replica?.stop().catch(() => {});
+    onChange();
+  }
+
+  #tryFounding(): void {
+    if (this.#replica || !this.#storage || this.#founding) return;
+    this.#founding = true;
+    void this.#found()
+      .catch((failure) =>
+        this.#options.logger.warn("founding-failed", {
+          reason: describeFailure(failure),
+        })
+      )
+      .finally(() => (this.#founding = false));
+  }
+
+  async #found(): Promise<void> {
+    const { settings, peers } = this.#options;
+    const { voters } = settings.control;
+    const selfVm = settings.vm.name;
+    const decision = await decideFounding({
+      self: this.hello,
+      selfVm,
+      voters,
+      peers,
+    });
+    switch (decision.step) {
+      case FoundingStep.wait:
+        return;
+      case FoundingStep.join:
+        await this.found(decision.replicas);
+        return;
+      case FoundingStep.serveAsSpare:
+        if (!this.#replica && this.#storage) this.#start(this.#storage);
+        return;
+      case FoundingStep.found:
+        await Promise.all(
+          voters.map(async (vm) =>
+            vm === selfVm
+              ? await this.found(decision.replicas)
+              : await peers.client(vm, Replication)!.found({
+                voters: [...decision.replicas],
+              })
+          ),
+        );
+    }
+  }
+}
+
+// A folder that holds anything has been promised to a replica set, or serves
+// as a spare.
+function isMember({ stored }: ReplicaStorage): boolean {
+  return stored.snapshot !== null || stored.entries.length > 0 ||
+    stored.hardState.term > 0;
+}
--- /dev/null
+++ b/packages/kingcupglade/control/replica_host_test.ts
@@ -0,0 +1,136 @@
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { FakeFiles } from "@kingcupglade/storage/fake_files.ts";
+import { MonotonicClock } from "@kingcupglade/tasks";
+import { createMetrics } from "@kingcupglade/telemetry";
+import type { ResolvedSettings } from "../settings/schema.ts";
+import { chooseFoundingStep } from "./bootstrap.ts";
+import { NotLeaderError, UnknownOutcomeError } from "./errors.ts";
+import { PeerDirectory } from "./peers.ts";
+import { ReplicaHost } from "./replica_host.ts";
+
+const settings = {
+  vm: { name: "vm-1", dataCentre: "north-1", region: "north" },
+  control: { voters: ["vm-1"] },
+} as unknown as ResolvedSettings;
+
+const command = { kind: "removeVm", name: "vm-9", boot: "boot" } as const;
+
+function createLogger() {
+  const log = { debug: vi.fn(), info: vi.fn(), warn: vi.fn(), error: vi.fn() };
+  return log;
+}
+
+describe("ReplicaHost", () => {
+  const hosts: ReplicaHost[] = [];
+
+  afterEach(async () => {
+    for (const host of hosts.splice(0)) await host.stop().catch(() => {});
+  });
+
+  async function open(files: FakeFiles, logger = createLogger()) {
+    const host = await ReplicaHost.open({
+      settings,
+      folder: "/data",
+      files,
+      peers: new PeerDirectory({ addresses: {}, secret: "secret" }),
+      clock: new MonotonicClock(),
+      logger,
+      metrics: createMetrics(),
+      onChange: () => {},
+    });
+    if (host) hosts.push(host);
+    return host;
+  }
+
+  async function lead(files: FakeFiles, logger = createLogger()) {
+    const host = (await open(files, logger))!;
+    await vi.waitUntil(() => host.replica?.isReadyLeader, { timeout: 10_000 });
+    return { host, replica: host.replica! };
+  }
+
+  describe("with a disk that becomes full", () => {
+    it("ends the replica, says so once and keeps the data", async () => {
+      const files = new FakeFiles();
+      const logger = createLogger();
+      const { host, replica } = await lead(files, logger);
+      await replica.propose(command);
+      const { version } = replica.control;
+      files.failAfter(0);
+      await expect(replica.propose(command)).rejects.toThrow(
+        UnknownOutcomeError,
+      );
+      await expect(replica.propose(command)).rejects.toThrow(NotLeaderError);
+      expect(host.replica).toBeUndefined();
+      expect(logger.error).toHaveBeenCalledTimes(1);
+      expect(logger.error.mock.calls[0]![1].reason).toContain("free the disk");
+      const restarted = await lead(files.crash({ keepsUnsynced: false }));
+      expect(restarted.replica.control.version).toBeGreaterThan(version);
+    });
+  });
+
+  describe("with a damaged folder", () => {
+    it("names the file and starts without a replica", async () => {
+      const files = new FakeFiles();
+      const { replica } = await lead(files);
+      await replica.propose(command);
+      const snapshot = (await files.read("snapshot"))!;
+      snapshot[20]! ^= 0xff;
+      files.overwrite("snapshot", snapshot);
+      const logger = createLogger();
+      const left = files.crash({ keepsUnsynced: false });
+      expect(await open(left, logger)).toBeUndefined();
+      expect(logger.error.mock.calls[0]![1].reason).toContain("snapshot");
+    });
+  });
+
+  describe("with a log of more than a thousand changes", () => {
+    it("cuts the log and restarts from the snapshot", async () => {
+      const files = new FakeFiles();
+      const { replica } = await lead(files);
+      for (let round = 0; round < 22; round += 1) {
+        await Promise.all(
+          Array.from({ length: 64 }, () => replica.propose(command)),
+        );
+      }
+      const { entries, snapshot } = replica.consensus;
+      expect(snapshot.index).toBeGreaterThan(400);
+      expect(entries.length).toBeLessThan(1100);
+      expect(files.names.filter((each) => each.endsWith(".log")).length)
+        .toBeLessThan(3);
+      const restarted = await lead(files.crash({ keepsUnsynced: false }));
+      expect(restarted.replica.control.version)
+        .toBeGreaterThan(replica.control.version);
+    });
+  });
+});
+
+describe("chooseFoundingStep", () => {
+  const unused = (replica: string) => ({
+    replica,
+    member: false,
+    founders: [],
+  });
+  const founders = ["vm-1.a", "vm-2.b", "vm-3.c"];
+  const member = { replica: "vm-2.b", member: true, founders };
+
+  it("founds only on the first VM, when all folders are unused", () => {
+    const hellos = founders.map(unused);
+    const step = (mayFound: boolean, answers = hellos.slice()) =>
+      chooseFoundingStep(answers, { self: "vm-1.a", mayFound }).step;
+    expect(step(true)).toBe("found");
+    expect(step(false)).toBe("wait");
+    const silent = chooseFoundingStep([hellos[0]!, null, hellos[2]!], {
+      self: "vm-1.a",
+      mayFound: true,
+    });
+    expect(silent.step).toBe("wait");
+  });
+
+  it("joins a set that names its folder, and serves others as a spare", () => {
+    const hellos = [unused("vm-1.a"), member, null];
+    const decide = (self: string) =>
+      chooseFoundingStep(hellos, { self, mayFound: true });
+    expect(decide("vm-1.a")).toEqual({ step: "join", replicas: founders });
+    expect(decide("vm-1.wiped").step).toBe("serveAsSpare");
+  });
+});
--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -63,7 +63,11 @@
       );
       return {};
     },
-    hello: () => control?.hello ?? { replica: "", member: false },
+    hello: () => {
+      const { replica = "", member = false, founders = [] } = control?.hello ??
+        {};
+      return { replica, member, founders: [...founders] };
+    },
     found: async (request) => ({
       accepted: (await control?.found(request.voters)) ?? false,
     }),
--- a/packages/kingcupglade/settings/schema.ts
+++ b/packages/kingcupglade/settings/schema.ts
@@ -60,6 +60,10 @@
     routingLeaseMilliseconds: integer(200, 10_000).default(1500),
     /** Lease of a target's grants, in milliseconds. @default 1500 */
     targetLeaseMilliseconds: integer(200, 10_000).default(1500),
+    /** Silence after which a voter is replaced by a spare. @default 5000 */
+    repairMilliseconds: integer(1000, 3_600_000).default(5000),
+    /** The same for a voter whose VM stops as planned. @default 30000 */
+    restartMilliseconds: integer(1000, 3_600_000).default(30_000),
   }),
   /** Peer listener of every VM, this one included. */
   peers: z.record(name, socketAddress),
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -86,7 +86,6 @@
         clock,
         logger,
         metrics,
-        onFailure: options.onFailure,
       });
     const client = () =>
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -19,6 +19,8 @@
   readonly rangeChanges: Counter<"kind">;
   /** 1 while this VM leads control. */
   readonly leading: Gauge;
+  /** 1 while the replica in this VM's data folder runs. */
+  readonly replicaRunning: Gauge;
 }
 
 const latencyBucketsSeconds = [
@@ -84,6 +86,11 @@
       labelNames: ["kind"],
       registers,
     }),
+    replicaRunning: new Gauge({
+      name: "kingcupglade_replica_running",
+      help: "1 while the replica in this VM's data folder runs",
+      registers,
+    }),
     leading: new Gauge({
       name: "kingcupglade_control_leading",
       help: "1 while this VM leads control",
