--- a/packages/kingcupglade/credits/credit_directory.ts
+++ b/packages/kingcupglade/credits/credit_directory.ts
@@ -31,6 +31,18 @@
   return regions[hash % Math.max(1, regions.length)];
 }
 
+/**
+ * Fence of a role's holder. A holder that lost the role was out of the table
+ * or leaving in between, so its record has changed; a new standby, which
+ * changes the epoch of the role, leaves the credits as they are.
+ */
+export function holderEpoch(
+  table: RoutingTable,
+  role: Pick<RoleAssignment, "holder">,
+): number {
+  return table.vms.get(role.holder ?? "")?.changedAt ?? 0;
+}
+
 function hashName(name: string): number {
   let hash = fnvOffset;
   for (let index = 0; index < name.length; index += 1) {
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -15,7 +15,9 @@
 import { RoutingTask } from "./control/routing_task.ts";
 import { Credits } from "./credits/credits.ts";
 import { ExchangeClient } from "./gateway/exchange.ts";
+import { Forwarder } from "./gateway/forwarder.ts";
 import { Gateway } from "./gateway/gateway.ts";
+import { LedgerTask } from "./ledger/ledger_task.ts";
 import { AnnouncementBatcher } from "./listeners/announcement_batcher.ts";
 import { HttpListener } from "./listeners/http_listener.ts";
 import { openOperatorsListener } from "./listeners/operators.ts";
@@ -27,6 +29,7 @@
 
 const connectionsPerTarget = 12;
 const leaveMilliseconds = 300;
+const handOverMilliseconds = 3000;
 
 /** Options of {@link Vm.start}. */
 export interface VmOptions {
@@ -44,6 +47,9 @@
   readonly control: ControlTask | undefined;
   readonly routing: RoutingTask;
   readonly exchanges: ExchangeClient;
+  readonly ledger: LedgerTask;
+  readonly forwarder: Forwarder;
+  readonly gateway: Gateway;
   readonly credits: Credits;
   readonly listeners: readonly HttpListener[];
   readonly callers: HttpListener;
@@ -97,6 +103,7 @@
         dataCentre: vm.dataCentre,
         region: vm.region,
         peerAddress: listen.peers,
+        callersAddress: listen.callers,
         replica: control?.replicaId ?? null,
       },
       control: client(),
@@ -114,18 +121,30 @@
       observations,
       routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
     });
-    const peersListener = await openPeersListener({
-      address: listen.peers,
-      tls,
-      secret: secrets.vm,
-      control,
-      services: [credits.addService],
-    });
     const exchanges = new ExchangeClient({
       connectionsPerTarget,
       authority: tls.material?.authority,
     });
+    const ledger = new LedgerTask({
+      vm: { name: vm.name, boot },
+      routing,
+      peers,
+      clock,
+      logger,
+      metrics,
+    });
+    const forwarder = new Forwarder({
+      routing,
+      secret: secrets.vm,
+      tls,
+      clock,
+      metrics,
+      region: vm.region,
+    });
     const gateway = new Gateway({
+      ledger,
+      forwarder,
+      redirectScheme: tls.listeners.has("callers") ? "https" : "http",
       routing,
       exchanges,
       capacity: options.capacity ?? credits.gate,
@@ -135,6 +154,16 @@
       metrics,
       region: vm.region,
     });
+    const peersListener = await openPeersListener({
+      address: listen.peers,
+      tls,
+      secret: secrets.vm,
+      control,
+      services: [credits.addService, (router) => ledger.addService(router)],
+      forwarded: (request, response) => {
+        void gateway.serveForwarded(request, response);
+      },
+    });
     let stopping = false;
     const callers = await HttpListener.open({
       name: "callers",
@@ -158,7 +187,7 @@
       routing,
       metrics,
       isReady: () =>
-        !stopping && routing.hasLease &&
+        !stopping && routing.hasLease && credits.isReady &&
         routing.table.isInService(vm.dataCentre),
     });
     logger.info("vm-started");
@@ -169,6 +198,9 @@
       control,
       routing,
       exchanges,
+      ledger,
+      forwarder,
+      gateway,
       credits,
       callers,
       listeners: [targets, operators, peersListener],
@@ -191,9 +223,12 @@
     const parts = this.#parts;
     parts.markStopping();
     parts.logger.info("vm-stopping");
+    await parts.ledger.synchronised(handOverMilliseconds);
     parts.routing.leave();
     await new Promise((resolve) => setTimeout(resolve, leaveMilliseconds));
     await parts.callers.close();
+    await parts.gateway.finished();
+    parts.ledger.stop();
     parts.credits.stop();
     await parts.routing.stop();
     await parts.control?.stop().catch((failure) =>
@@ -204,6 +239,7 @@
     for (const listener of parts.listeners) listener.destroy();
     parts.peers.close();
     await parts.exchanges.close();
+    await parts.forwarder.close();
     parts.logger.info("vm-stopped");
   }
 
@@ -214,8 +250,10 @@
     parts.credits.stop();
     for (const listener of parts.listeners) listener.destroy();
     parts.peers.close();
+    parts.ledger.stop();
     await Promise.allSettled([
       parts.exchanges.close(),
+      parts.forwarder.close(),
       parts.routing.stop(),
       parts.control?.stop(),
     ]);
