--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -92,7 +92,6 @@
         clock,
         logger,
         metrics,
-        onFailure: options.onFailure,
       });
     const client = () =>
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
