Call a request unknown when its ledger was not asked

Cause: a resend that was refused before its claim was looked up was told not-run although the first sending may have run; the history check counts that as a false not-run.

Change: with an idempotency key, not-run is said only by a holder whose standby has acknowledged that the key was new. Everything earlier (no lease, no ledger, unreachable holder) is unknown with Retry-After, which costs the caller one more resend under the same key.

Conclusion: not-run holds for the key, not only for the sending.

--- /dev/null
+++ b/packages/experiments/home_regions_test.ts
@@ -0,0 +1,114 @@
+import { Agent, request } from "undici";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { Deployment } from "./deployment.ts";
+import { hsinchu } from "./hsinchu.ts";
+
+const content = {
+  ...hsinchu.content,
+  tenants: [
+    { name: "toolroom" },
+    { name: "plant", homeRegions: ["taichung"] },
+  ],
+  routes: [
+    {
+      pathPrefix: "/fixtures/",
+      service: "fixture-stock",
+      tenant: { header: "x-tenant" },
+      key: { pathSegment: 1 },
+    },
+    {
+      pathPrefix: "/redirected/",
+      service: "fixture-stock",
+      tenant: { header: "x-tenant" },
+      key: { pathSegment: 1 },
+      outsideHome: "redirect",
+    },
+  ],
+};
+
+describe("a tenant with a home region", () => {
+  let deployment: Deployment;
+  const agent = new Agent();
+
+  beforeAll(async () => {
+    deployment = await Deployment.start({ ...hsinchu, content });
+    await deployment.roll();
+    for (const [index, { name }] of hsinchu.dataCentres.entries()) {
+      await deployment.addTarget({
+        name: `${name}-${index + 1}`,
+        service: "fixture-stock",
+        dataCentre: name,
+      });
+    }
+    await deployment.until((status) =>
+      status.vms.length === 9 &&
+      status.groups.every((group) => group.withoutOwner === 0)
+    );
+  });
+
+  afterAll(async () => {
+    await agent.destroy();
+    await deployment.stop();
+  });
+
+  const reserve = (vm: string, idempotencyKey?: string) =>
+    deployment.caller.send({
+      vm: deployment.callersAddress(vm),
+      method: "POST",
+      path: "/fixtures/clamp-1",
+      tenant: "plant",
+      key: "clamp-1",
+      ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
+    });
+
+  it.each([undefined, "order-1"])(
+    "is served there through every VM, with idempotency key %s",
+    async (idempotencyKey) => {
+      for (const vm of deployment.vmNames) {
+        await expect.poll(() => reserve(vm, idempotencyKey), {
+          timeout: 10_000,
+        }).toMatchObject({
+          outcome: "answered",
+          target: expect.stringMatching(/^taichung-/),
+        });
+      }
+    },
+  );
+
+  it("is redirected to a VM there, where the route asks for that", async () => {
+    const ask = (vm: string) =>
+      request(`http://${deployment.callersAddress(vm)}/redirected/clamp-1`, {
+        method: "POST",
+        headers: { "x-tenant": "plant" },
+        dispatcher: agent,
+      });
+    const { statusCode, headers, body } = await ask("vm-1");
+    await body.dump();
+    const home = ["vm-4", "vm-5", "vm-6"].map((vm) =>
+      `http://${deployment.callersAddress(vm)}/redirected/clamp-1`
+    );
+    expect(statusCode).toBe(307);
+    expect(home).toContain(headers["location"]);
+    const there = await ask("vm-4");
+    await there.body.dump();
+    expect(there.statusCode).toBe(200);
+  });
+
+  it("counts the bytes that cross a region for it", async () => {
+    const answer = await request(
+      `http://${deployment.operatorsAddress("vm-1")}/metrics`,
+      { dispatcher: agent },
+    );
+    expect(await answer.body.text()).toMatch(
+      /kingcupglade_region_link_bytes_total\{tenant="plant"\} [1-9]/,
+    );
+  });
+
+  it("is refused when no VM is left there", async () => {
+    for (const vm of ["vm-4", "vm-5", "vm-6"]) await deployment.crashVm(vm);
+    await expect.poll(() => reserve("vm-1"), { timeout: 10_000 })
+      .toMatchObject({ outcome: "not-run", reason: "no-home" });
+    await expect.poll(() => reserve("vm-1", "order-2"), { timeout: 10_000 })
+      .toMatchObject({ outcome: "unknown", reason: "no-ledger" });
+  });
+});
--- a/packages/kingcupglade/gateway/forwarder.ts
+++ b/packages/kingcupglade/gateway/forwarder.ts
@@ -1,8 +1,7 @@
 import type { VmRecord } from "@kingcupglade/ownership";
 import {
   Header,
-  notRun,
-  Outcome,
+  ledgerNotAsked,
   Reason,
   unknownOutcome,
 } from "@kingcupglade/routing";
@@ -48,6 +47,8 @@
   readonly reason: "ledger" | "home";
   /** The VM to pass to now; null when there is none. */
   readonly choose: () => VmRecord | null;
+  /** The refusal of a request that was not passed on. */
+  readonly refuse: (reason: Reason) => Refusal;
   /** Whether the receivers run the request at most once however often it comes. */
   readonly mayRepeat: boolean;
 }
@@ -76,9 +77,8 @@
   ): Promise<Refusal | null> {
     const { clock, metrics, routing } = this.#options;
     let unknown: Refusal | null = null;
-    let last = notRun(
+    let last = plan.refuse(
       plan.reason === "ledger" ? Reason.noLedger : Reason.noHome,
-      { retryAfterSeconds: 1 },
     );
     metrics.forwarded.inc({ reason: plan.reason });
     while (clock.now() < caller.deadlineAt && !caller.sink.isClosed) {
@@ -87,9 +87,9 @@
       if (result?.kind === "answered" || result?.kind === "truncated") {
         return null;
       }
-      if (result) last = refusalOf(result);
+      if (result) last = refusalOf(result, plan);
       // A later "not run" says nothing of an attempt that may have run.
-      if (last.outcome === Outcome.unknown) unknown = last;
+      if (result?.kind === "unknown" && !isPassing(last)) unknown = last;
       if (result && !mayRetry(result, { last, plan })) break;
       if (!caller.body.canBeSent) break;
       await routing.nextTable(
@@ -141,22 +141,29 @@
   { readonly kind: "answered" | "truncated" }
 >;
 
-function refusalOf(result: Unanswered): Refusal {
+function refusalOf(result: Unanswered, plan: ForwardPlan): Refusal {
   switch (result.kind) {
     case "notSent":
-      return notRun(Reason.unreachable, { retryAfterSeconds: 1 });
+      return plan.refuse(Reason.unreachable);
     case "notRun":
       return refusalOfTarget(result);
     case "unknown":
-      return unknownOutcome(unknownReason(result));
+      return result.reason === Reason.noLedger
+        ? ledgerNotAsked(Reason.noLedger)
+        : unknownOutcome(unknownReason(result));
   }
 }
 
+function isPassing(refusal: Refusal): boolean {
+  return passingReasons.has(refusal.reason);
+}
+
 function mayRetry(
   result: Unanswered,
   context: { readonly last: Refusal; readonly plan: ForwardPlan },
 ): boolean {
-  if (result.kind !== "unknown") return passingReasons.has(context.last.reason);
-  return context.plan.mayRepeat && result.reason === undefined &&
+  if (isPassing(context.last)) return true;
+  return result.kind === "unknown" && context.plan.mayRepeat &&
+    result.reason === undefined &&
     result.cause === UnknownCause.connectionLost;
 }
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import type { KeyHasher, RoleAssignment } from "@kingcupglade/ownership";
 import {
   Header,
+  ledgerNotAsked,
   matchRequest,
   notRun,
   Outcome,
@@ -141,7 +142,7 @@
     const startedAt = clock.now();
     const bundle = routing.table.bundle?.bundle;
     if (!bundle || !routing.hasLease) {
-      return notRun(Reason.noLease, { retryAfterSeconds: 1 });
+      return refusalWithoutTable(request);
     }
     const matched = matchRequest(bundle, requestHead(served));
     if (matched.kind === "refusal") return matched;
@@ -175,6 +176,7 @@
     if (served.isForwarded) return Promise.resolve(notRun(Reason.noHome));
     return this.#options.forwarder.run(caller, {
       reason: "home",
+      refuse: (reason) => notRun(reason, { retryAfterSeconds: 1 }),
       choose: () => this.#homes.choose(caller.matched),
       mayRepeat: caller.matched.idempotent,
     });
@@ -194,10 +196,11 @@
       return null;
     }
     if (served.isForwarded) {
-      return notRun(Reason.noLedger, { retryAfterSeconds: 1 });
+      return ledgerNotAsked(Reason.noLedger);
     }
     return forwarder.run(caller, {
       reason: "ledger",
+      refuse: ledgerNotAsked,
       choose: () => {
         const holder = this.#roleOf(claim, caller.matched)?.holder;
         return (holder && routing.table.vms.get(holder)) || null;
@@ -297,6 +300,12 @@
   };
 }
 
+function refusalWithoutTable(request: IncomingMessage): Refusal {
+  return request.headers[Header.idempotencyKey] === undefined
+    ? notRun(Reason.noLease, { retryAfterSeconds: 1 })
+    : ledgerNotAsked(Reason.noLease);
+}
+
 async function receiveBody(
   request: IncomingMessage,
   options: RequestBodyOptions,
--- a/packages/kingcupglade/ledger/claimed_requests.ts
+++ b/packages/kingcupglade/ledger/claimed_requests.ts
@@ -6,7 +6,13 @@
   StoredAnswer,
 } from "@kingcupglade/ledger";
 import type { RoleAssignment } from "@kingcupglade/ownership";
-import { notRun, Outcome, Reason, unknownOutcome } from "@kingcupglade/routing";
+import {
+  ledgerNotAsked,
+  notRun,
+  Outcome,
+  Reason,
+  unknownOutcome,
+} from "@kingcupglade/routing";
 import type { Refusal } from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
 import { CollectingSink } from "../gateway/answer_sink.ts";
@@ -67,16 +73,16 @@
     const body = caller.body.whole;
     if (!body) return notRun(Reason.bodyTooLarge, { status: 413 });
     const held = await this.#acquire(role, caller.deadlineAt);
-    if (!held) return notRun(Reason.noLedger, { retryAfterSeconds: 1 });
+    if (!held) return ledgerNotAsked(Reason.noLedger);
     const content = contentDigest({ ...caller, body });
     const decision = held.shard.claim(claim.id, content, this.#now);
     switch (decision.kind) {
       case "conflict":
         return notRun(Reason.conflict, { status: 409 });
       case "full":
-        return notRun(Reason.overload, { retryAfterSeconds: 5 });
+        return ledgerNotAsked(Reason.overload);
       case "notHolder":
-        return notRun(Reason.noLedger, { retryAfterSeconds: 1 });
+        return ledgerNotAsked(Reason.noLedger);
       case "lost":
         return {
           ...unknownOutcome(Reason.ledgerLost),
@@ -145,7 +151,7 @@
     );
     if (!recorded || !this.#mayRun(request, open)) {
       this.#release(request, open);
-      return notRun(Reason.noLedger, { retryAfterSeconds: 1 });
+      return ledgerNotAsked(Reason.noLedger);
     }
     const sink = new CollectingSink({ maximumBytes: maximumAnswerBytes });
     const refusal = await this.#options.attempts.run({ ...caller, sink });
--- a/packages/routing/outcome.ts
+++ b/packages/routing/outcome.ts
@@ -88,6 +88,14 @@
   };
 }
 
+/**
+ * A refusal of a request with an idempotency key before the ledger was asked:
+ * nothing was sent, but an earlier request under the key may have run.
+ */
+export function ledgerNotAsked(reason: Reason): Refusal {
+  return { ...unknownOutcome(reason), status: 503, retryAfterSeconds: 1 };
+}
+
 /** A refusal of a request that may have run. */
 export function unknownOutcome(reason: Reason): Refusal {
   return { kind: "refusal", status: 504, outcome: Outcome.unknown, reason };
