--- /dev/null
+++ b/packages/experiments/at_most_once_run.ts
@@ -0,0 +1,234 @@
+import type { TimedEvent } from "@kingcupglade/fakes";
+import { BundleRoller } from "./bundle_roller.ts";
+import { Deployment } from "./deployment.ts";
+import { disturbanceLanes } from "./disturbances.ts";
+import type { Disturbance } from "./disturbances.ts";
+import { hsinchu } from "./hsinchu.ts";
+import { RandomSource } from "./random_source.ts";
+
+const keys = 200;
+const maximumSends = 6;
+const resendPauseMilliseconds = 150;
+const duplicateShare = 0.1;
+const meanPauseMilliseconds = 250;
+const settlingMilliseconds = 4000;
+
+/** Options of {@link runAtMostOnce}. */
+export interface AtMostOnceOptions {
+  readonly seed: number;
+  readonly requests: number;
+  /** @default 64 */
+  readonly callers?: number;
+  /** Whether the sendings of one request share an Idempotency-Key. */
+  readonly withLedger: boolean;
+}
+
+/** What came of a run. */
+export interface AtMostOnceRun {
+  readonly requests: number;
+  readonly sendings: number;
+  readonly runTwice: number;
+  /** Answered, but without an effect at any target. */
+  readonly lost: number;
+  /** Told not-run by a sending, though it or one before it had its effect. */
+  readonly falseNotRun: number;
+  /** Whose last answer was unknown, or none. */
+  readonly unknown: number;
+  /** Those by the reason that was given last. */
+  readonly unknownReasons: Readonly<Record<string, number>>;
+  readonly disturbances: number;
+}
+
+interface Sending {
+  readonly request: string;
+  readonly outcome: string;
+  readonly reason: string;
+}
+
+/**
+ * Sends reservations from several VMs while VMs and targets are lost, frozen
+ * and leave, and resends each until its outcome is known.
+ */
+export async function runAtMostOnce(
+  options: AtMostOnceOptions,
+): Promise<AtMostOnceRun> {
+  const deployment = await Deployment.start(hsinchu);
+  try {
+    const roller = new BundleRoller(deployment, hsinchu.dataCentres);
+    await roller.roll(deployment.vmNames);
+    await addTargets(deployment);
+    const unready = new Set<string>();
+    let finished = false;
+    const lanes = [disturbanceLanes.targets, disturbanceLanes.vms].map(
+      (lane, index) =>
+        disturb(lane, {
+          deployment,
+          roller,
+          unready,
+          random: new RandomSource(options.seed * 100 + index),
+          isFinished: () => finished,
+        }),
+    );
+    const operations = await sendAll(options, { deployment, unready });
+    finished = true;
+    const counts = await Promise.all(lanes);
+    await pause(settlingMilliseconds);
+    return {
+      ...judge(operations, { options, events: deployment.history.events }),
+      disturbances: counts.reduce((sum, each) => sum + each, 0),
+    };
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function addTargets(deployment: Deployment): Promise<void> {
+  for (let index = 0; index < 12; index += 1) {
+    await deployment.addTarget({
+      name: `fixture-${index + 1}`,
+      service: "fixture-stock",
+      dataCentre: hsinchu.dataCentres[index % 6]!.name,
+      serviceMilliseconds: 3,
+    });
+  }
+  await deployment.until((status) =>
+    status.targets.length === 12 &&
+    status.groups.every((group) => group.withoutOwner === 0)
+  );
+}
+
+async function disturb(
+  lane: readonly Disturbance[],
+  run: {
+    readonly deployment: Deployment;
+    readonly roller: BundleRoller;
+    readonly unready: Set<string>;
+    readonly random: RandomSource;
+    readonly isFinished: () => boolean;
+  },
+): Promise<number> {
+  let count = 0;
+  while (!run.isFinished()) {
+    await run.random.pick(lane).run({
+      ...run,
+      dataCentres: hsinchu.dataCentres,
+      targets: [...run.deployment.targets.keys()],
+    });
+    count += 1;
+    await pause(run.random.integer(50, 500));
+  }
+  return count;
+}
+
+async function sendAll(
+  options: AtMostOnceOptions,
+  run: {
+    readonly deployment: Deployment;
+    readonly unready: ReadonlySet<string>;
+  },
+): Promise<readonly (readonly Sending[])[]> {
+  const operations: Promise<readonly Sending[]>[] = [];
+  let next = 0;
+  const caller = async (index: number) => {
+    const random = new RandomSource(options.seed * 1000 + index);
+    while (next < options.requests) {
+      const operation = next++;
+      const sent = sendUntilKnown(operation, { ...run, random, options });
+      operations.push(sent);
+      await sent;
+      await pause(random.exponential(meanPauseMilliseconds));
+    }
+  };
+  const { callers = 64 } = options;
+  await Promise.all(Array.from({ length: callers }, (_, each) => caller(each)));
+  return await Promise.all(operations);
+}
+
+async function sendUntilKnown(
+  operation: number,
+  context: {
+    readonly deployment: Deployment;
+    readonly unready: ReadonlySet<string>;
+    readonly random: RandomSource;
+    readonly options: AtMostOnceOptions;
+  },
+): Promise<readonly Sending[]> {
+  const { deployment, unready, random, options } = context;
+  const key = `clamp-${random.integer(1, keys)}`;
+  const sent: Sending[] = [];
+  const send = async () => {
+    const ready = deployment.vmNames.filter((vm) => !unready.has(vm));
+    sent.push(
+      await deployment.caller.send({
+        vm: deployment.callersAddress(random.pick(ready)),
+        method: "POST",
+        path: `/fixtures/${key}`,
+        tenant: "toolroom",
+        key,
+        ...(options.withLedger
+          ? { idempotencyKey: `reservation-${operation}` }
+          : {}),
+      }),
+    );
+  };
+  for (let attempt = 0; attempt < maximumSends; attempt += 1) {
+    const isDuplicated = options.withLedger && random.number() < duplicateShare;
+    await Promise.all(isDuplicated ? [send(), send()] : [send()]);
+    if (sent.some((each) => each.outcome === "answered")) break;
+    await pause(resendPauseMilliseconds * random.integer(1, 3));
+  }
+  return sent;
+}
+
+function judge(
+  operations: readonly (readonly Sending[])[],
+  run: {
+    readonly options: AtMostOnceOptions;
+    readonly events: readonly TimedEvent[];
+  },
+): Omit<AtMostOnceRun, "disturbances"> {
+  const { options, events } = run;
+  const effects = new Map<string, number>();
+  for (const event of events) {
+    if (event.kind !== "effect") continue;
+    effects.set(event.request, (effects.get(event.request) ?? 0) + 1);
+  }
+  const effectsOf = (sent: readonly Sending[]) =>
+    sent.reduce((sum, each) => sum + (effects.get(each.request) ?? 0), 0);
+  const isAnswered = (sent: readonly Sending[]) =>
+    sent.some((each) => each.outcome === "answered");
+  const unknown = operations.filter((sent) =>
+    !isAnswered(sent) && sent.at(-1)?.outcome !== "not-run"
+  );
+  return {
+    requests: operations.length,
+    sendings: operations.reduce((sum, sent) => sum + sent.length, 0),
+    runTwice: operations.filter((sent) => effectsOf(sent) > 1).length,
+    lost: operations.filter((sent) => isAnswered(sent) && effectsOf(sent) === 0)
+      .length,
+    falseNotRun:
+      operations.filter((sent) =>
+        sent.some((each, index) =>
+          each.outcome === "not-run" &&
+          effectsOf(options.withLedger ? sent.slice(0, index + 1) : [each]) > 0
+        )
+      ).length,
+    unknown: unknown.length,
+    unknownReasons: countReasons(unknown),
+  };
+}
+
+function countReasons(
+  operations: readonly (readonly Sending[])[],
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const sent of operations) {
+    const reason = sent.at(-1)!.reason;
+    counts[reason] = (counts[reason] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- a/packages/experiments/at_most_once_test.ts
+++ b/packages/experiments/at_most_once_test.ts
@@ -1,5 +1,6 @@
 import { claimOf, regionOfClaim } from "@kingcupglade/ledger";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { runAtMostOnce } from "./at_most_once_run.ts";
 import { Deployment } from "./deployment.ts";
 import { hsinchu } from "./hsinchu.ts";
 
@@ -146,3 +147,16 @@
     expect(effectsOf(sent)).toBe(1);
   });
 });
+
+describe("reservations that are resent while VMs and targets fail", () => {
+  it("run at most once, are not lost, and are truly not run", async () => {
+    const run = await runAtMostOnce({
+      seed: 5,
+      requests: 400,
+      callers: 16,
+      withLedger: true,
+    });
+    expect(run).toMatchObject({ runTwice: 0, lost: 0, falseNotRun: 0 });
+    expect(run.disturbances).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/packages/experiments/suite/ledger_cost.ts
@@ -0,0 +1,169 @@
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { claimOf, contentDigest, LedgerShard } from "@kingcupglade/ledger";
+import { request } from "undici";
+import { Deployment } from "../deployment.ts";
+import type { Experiment, Figure } from "../experiment.ts";
+import { hsinchu } from "../hsinchu.ts";
+
+const recordCounts = [10_000, 30_000, 90_000];
+const requestCounts = [500, 1500, 4500];
+const concurrency = 16;
+const microsecondsPerMillisecond = 1000;
+
+/** Measures what a claim costs in memory, processor time and messages. */
+export const ledgerCostExperiment: Experiment = {
+  summary: "memory, processor time and messages of a claimed request",
+  async run({ progress }) {
+    const memory = recordCounts.map(memoryFigure);
+    progress("memory measured");
+    return { figures: [...memory, ...await requestFigures(progress)] };
+  },
+};
+
+function memoryFigure(records: number): Figure {
+  const collectGarbage = garbageCollector();
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  const shard = new LedgerShard({
+    retentionMilliseconds: 1,
+    maximumRecords: records,
+    maximumBytes: Infinity,
+  });
+  shard.assign({ part: "holder", epoch: 1, previousEpoch: 0 }, 0);
+  for (let index = 0; index < records; index += 1) {
+    const { id } = claimOf({
+      service: "fixture-stock",
+      tenant: "toolroom",
+      idempotencyKey: `reservation-${index}`,
+    });
+    const content = contentDigest({
+      method: "POST",
+      path: `/fixtures/clamp-${index}`,
+      body: Buffer.alloc(64),
+    });
+    shard.claim(id, content, 0);
+    shard.settle(id, {
+      state: "done",
+      content,
+      answer: {
+        status: 200,
+        headers: {
+          "content-type": "application/json",
+          "kingcupglade-outcome": "answered",
+        },
+        body: new Uint8Array(64),
+      },
+    }, 0);
+  }
+  collectGarbage();
+  const used = process.memoryUsage();
+  return {
+    name: `memory of a claim, ${records} claims`,
+    value: (used.heapUsed - before) / shard.size,
+    unit: "bytes",
+  };
+}
+
+async function requestFigures(
+  progress: (line: string) => void,
+): Promise<readonly Figure[]> {
+  const deployment = await Deployment.start(hsinchu);
+  try {
+    await deployment.roll();
+    for (let index = 0; index < 12; index += 1) {
+      await deployment.addTarget({
+        name: `fixture-${index + 1}`,
+        service: "fixture-stock",
+        dataCentre: hsinchu.dataCentres[index % 6]!.name,
+      });
+    }
+    await deployment.until((status) =>
+      status.vms.length === 9 &&
+      status.groups.every((group) => group.withoutOwner === 0)
+    );
+    await measureRequests(deployment, { count: 500, keyed: true });
+    const figures: Figure[] = [];
+    for (const count of requestCounts) {
+      const plain = await measureRequests(deployment, { count, keyed: false });
+      const claimed = await measureRequests(deployment, { count, keyed: true });
+      progress(`${count} requests measured`);
+      figures.push(
+        {
+          name: `processor time of all VMs, targets and callers, ${count}`,
+          value: claimed.microseconds,
+          baseline: plain.microseconds,
+          unit: "µs per request",
+        },
+        {
+          name: `ledger batches, ${count}`,
+          value: claimed.batches,
+          baseline: plain.batches,
+          unit: "per request",
+        },
+        {
+          name: `mean latency, ${count}`,
+          value: claimed.milliseconds,
+          baseline: plain.milliseconds,
+          unit: "ms",
+        },
+      );
+    }
+    return figures;
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function measureRequests(
+  deployment: Deployment,
+  load: { readonly count: number; readonly keyed: boolean },
+) {
+  const batchesBefore = await countBatches(deployment);
+  const cpuBefore = process.cpuUsage();
+  let milliseconds = 0;
+  let next = 0;
+  const run = load.keyed ? `run-${performance.now()}` : "";
+  const caller = async () => {
+    while (next < load.count) {
+      const index = next++;
+      const answer = await deployment.caller.send({
+        vm: deployment.callersAddress(deployment.vmNames[index % 9]!),
+        method: "POST",
+        path: `/fixtures/clamp-${index % 200}`,
+        tenant: "toolroom",
+        key: `clamp-${index % 200}`,
+        ...(load.keyed ? { idempotencyKey: `${run}-${index}` } : {}),
+      });
+      milliseconds += answer.milliseconds;
+    }
+  };
+  await Promise.all(Array.from({ length: concurrency }, caller));
+  const cpu = process.cpuUsage(cpuBefore);
+  return {
+    microseconds: (cpu.user + cpu.system) / load.count,
+    batches: (await countBatches(deployment) - batchesBefore) / load.count,
+    milliseconds: Math.round(
+      milliseconds / load.count * microsecondsPerMillisecond,
+    ) / microsecondsPerMillisecond,
+  };
+}
+
+async function countBatches(deployment: Deployment): Promise<number> {
+  let total = 0;
+  for (const vm of deployment.vmNames) {
+    const answer = await request(
+      `http://${deployment.operatorsAddress(vm)}/metrics`,
+    );
+    const text = await answer.body.text();
+    total += Number(
+      /^kingcupglade_ledger_batches_total (\d+)/m.exec(text)?.[1] ?? 0,
+    );
+  }
+  return total;
+}
+
+function garbageCollector(): () => void {
+  setFlagsFromString("--expose-gc");
+  return runInNewContext("gc") as () => void;
+}
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -325,6 +325,9 @@
   answer: StoredAnswer,
 ): void {
   if (response.destroyed) return;
-  response.writeHead(answer.status, answer.headers);
+  response.writeHead(answer.status, {
+    ...answer.headers,
+    ...(answer.body.length > 0 ? { "content-length": answer.body.length } : {}),
+  });
   response.end(answer.body);
 }
