--- a/packages/kingcupglade/credits/credit_client_task.ts
+++ b/packages/kingcupglade/credits/credit_client_task.ts
@@ -7,7 +7,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
-import { creditRoleOf } from "./credit_directory.ts";
+import { creditRoleOf, holderEpoch } from "./credit_directory.ts";
 import { creditLeaseMilliseconds } from "./credit_holder_task.ts";
 
 const tickMilliseconds = 50;
@@ -32,7 +32,7 @@
 type Report = ReturnType<CreditAccount["report"]>;
 
 interface RoleReport {
-  readonly role: RoleAssignment;
+  readonly epoch: number;
   readonly accounts: CreditAccount[];
 }
 
@@ -50,12 +50,18 @@
   #table: RoutingTable | undefined;
   #sequence = 0;
   #scheduled = false;
+  #isReady = false;
 
   constructor(options: CreditClientTaskOptions) {
     this.#options = options;
     this.#timer = setInterval(() => this.#run(), tickMilliseconds);
   }
 
+  /** Whether every holder has been able to grant since this VM started. */
+  get isReady(): boolean {
+    return this.#isReady;
+  }
+
   /** Reports soon, together with what else becomes due in this turn. */
   schedule(): void {
     if (this.#scheduled) return;
@@ -89,6 +95,7 @@
       this.#table = routing.table;
       gate.meet(routing.table.targets);
     }
+    this.#isReady ||= this.#areAllGreeted(routing.table);
     for (const [holder, reports] of this.#dueReports(routing.table)) {
       if (!this.#busy.has(holder)) void this.#exchange(holder, reports);
     }
@@ -102,15 +109,13 @@
     const reportOf = (role: RoleAssignment) => {
       const roles = holders.get(role.holder!) ?? new Map<string, RoleReport>();
       holders.set(role.holder!, roles);
-      const report = roles.get(roleId(role)) ?? { role, accounts: [] };
+      const epoch = holderEpoch(table, role);
+      const report = roles.get(roleId(role)) ?? { epoch, accounts: [] };
       roles.set(roleId(role), report);
       return report;
     };
-    for (const role of table.roles.values()) {
-      const greeted = this.#greeted.get(roleId(role)) === role.epoch;
-      if (role.kind === RoleKind.credit && role.holder && !greeted) {
-        reportOf(role);
-      }
+    for (const role of creditRoles(table)) {
+      if (!this.#isGreeted(table, role)) reportOf(role);
     }
     const now = this.#options.clock.now();
     for (const account of this.#options.gate.accounts()) {
@@ -123,6 +128,16 @@
     return holders;
   }
 
+  #isGreeted(table: RoutingTable, role: RoleAssignment): boolean {
+    return this.#greeted.get(roleId(role)) === holderEpoch(table, role);
+  }
+
+  #areAllGreeted(table: RoutingTable): boolean {
+    const roles = creditRoles(table);
+    return roles.length > 0 &&
+      roles.every((role) => this.#isGreeted(table, role));
+  }
+
   async #exchange(
     holder: string,
     roles: ReadonlyMap<string, RoleReport>,
@@ -139,16 +154,16 @@
       sequence: ++this.#sequence,
       roles: [...roles].map(([role, report], index) => ({
         role,
-        epoch: report.role.epoch,
+        epoch: report.epoch,
         targets: [...sent[index]!.reports],
       })),
     });
     this.#busy.add(holder);
     const answer = await this.#ask(holder, request);
     this.#busy.delete(holder);
-    [...roles].forEach(([id, { role }], index) => {
+    [...roles].forEach(([id, { epoch }], index) => {
       const granted = answer?.roles[index];
-      if (granted?.accepted) this.#greeted.set(id, role.epoch);
+      if (granted?.settled) this.#greeted.set(id, epoch);
       this.#take(sent[index]!, {
         credits: granted?.accepted ? granted.credits : undefined,
         validUntil: sentAt + (answer?.leaseMilliseconds ?? 0),
@@ -189,3 +204,9 @@
     });
   }
 }
+
+function creditRoles(table: RoutingTable): readonly RoleAssignment[] {
+  return [...table.roles.values()].filter((role) =>
+    role.kind === RoleKind.credit && role.holder
+  );
+}
--- a/packages/kingcupglade/credits/credit_holder_task.ts
+++ b/packages/kingcupglade/credits/credit_holder_task.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
-import { creditRoleOf, vmIdentity } from "./credit_directory.ts";
+import { creditRoleOf, holderEpoch, vmIdentity } from "./credit_directory.ts";
 
 /** Credits last this long from the moment that they are asked for. */
 export const creditLeaseMilliseconds = 4000;
@@ -41,6 +41,9 @@
   readonly #roles = new Map<string, HeldRole>();
   readonly #timer: NodeJS.Timeout;
   #table: RoutingTable | undefined;
+  #vms: ReadonlySet<string> = new Set();
+  #watchedSince = Infinity;
+  #losses: readonly number[] = [];
 
   constructor(options: CreditHolderTaskOptions) {
     this.#options = options;
@@ -66,11 +69,12 @@
       const credits = isHeld
         ? held.role.report({ vm, sequence, targets: ask.targets }, now)
         : null;
-      if (!credits) return { accepted: false, credits: [] };
+      if (!credits) return { accepted: false, settled: false, credits: [] };
       recalls.push(
         ...held!.role.recalls(now, ask.targets.map((each) => each.target)),
       );
-      return { accepted: true, credits: [...credits] };
+      const settled = held!.role.isSettled(now);
+      return { accepted: true, settled, credits: [...credits] };
     });
     this.#recall(recalls);
     return create(ExchangeResponseSchema, {
@@ -96,9 +100,10 @@
   /** Takes over the table in use. */
   #refresh(): void {
     const { table } = this.#options.routing;
-    if (table === this.#table) return;
-    this.#table = table;
+    if (table === this.#table || table.version === 0) return;
     const now = this.#options.clock.now();
+    this.#noteLosses(table, now);
+    this.#table = table;
     const held = [...table.roles.values()].filter((role) =>
       role.kind === RoleKind.credit && role.holder === this.#options.vm
     );
@@ -109,6 +114,19 @@
     for (const role of held) this.#refreshRole(table, { role, now });
   }
 
+  // What happened before the first table is not known.
+  #noteLosses(table: RoutingTable, now: number): void {
+    const vms = new Set([...table.vms.values()].map(vmIdentity));
+    const lost = [...this.#vms].filter((vm) => !vms.has(vm));
+    const since = now - longestRequest(table, this.#options);
+    this.#losses = [
+      ...this.#losses.filter((lostAt) => lostAt > since),
+      ...lost.map(() => now),
+    ];
+    this.#watchedSince = Math.min(this.#watchedSince, now);
+    this.#vms = vms;
+  }
+
   #refreshRole(
     table: RoutingTable,
     context: { readonly role: RoleAssignment; readonly now: number },
@@ -118,18 +136,21 @@
     const known = this.#roles.get(id);
     const times = {
       leaseMilliseconds: creditLeaseMilliseconds,
-      requestMilliseconds: Math.max(
-        longestDeadline(table),
-        this.#options.routingLeaseMilliseconds,
-      ),
+      requestMilliseconds: longestRequest(table, this.#options),
+    };
+    const epoch = holderEpoch(table, role);
+    const current = known?.epoch === epoch ? known : {
+      epoch,
+      role: new CreditRole(times, {
+        startedAt: now,
+        watchedSince: this.#watchedSince,
+        losses: this.#losses,
+      }),
     };
-    const current = known?.epoch === role.epoch
-      ? known
-      : { epoch: role.epoch, role: new CreditRole(times, now) };
     this.#roles.set(id, current);
     current.role.describe({
       targets: targetsOf(table, id),
-      vms: new Set([...table.vms.values()].map(vmIdentity)),
+      vms: this.#vms,
       times,
     }, now);
   }
@@ -172,14 +193,27 @@
     slots: target.slots,
     coldSlots: target.coldSlots,
     cold: target.condition === "cold",
+    requestMilliseconds: longestDeadline(table, target.service),
   }));
 }
 
-function longestDeadline(table: RoutingTable): number {
+function longestRequest(
+  table: RoutingTable,
+  options: Pick<CreditHolderTaskOptions, "routingLeaseMilliseconds">,
+): number {
+  const services = table.bundle?.bundle.services ?? [];
+  return Math.max(
+    options.routingLeaseMilliseconds,
+    ...services.map((each) => longestDeadline(table, each.name)),
+  );
+}
+
+function longestDeadline(table: RoutingTable, service: string): number {
   const bundle = table.bundle?.bundle;
+  const described = bundle?.services.find((each) => each.name === service);
+  const routes = bundle?.routes.filter((each) => each.service === service);
   return Math.max(
-    0,
-    ...(bundle?.services ?? []).map((each) => each.deadlineMilliseconds),
-    ...(bundle?.routes ?? []).map((each) => each.deadlineMilliseconds ?? 0),
+    described?.deadlineMilliseconds ?? 0,
+    ...(routes ?? []).map((each) => each.deadlineMilliseconds ?? 0),
   );
 }
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -188,7 +188,7 @@
       routing,
       metrics,
       isReady: () =>
-        !stopping && routing.hasLease &&
+        !stopping && routing.hasLease && credits.isReady &&
         routing.table.isInService(vm.dataCentre),
     });
     logger.info("vm-started");
--- a/packages/routing/credit_role.ts
+++ b/packages/routing/credit_role.ts
@@ -3,9 +3,11 @@
   describeCreditTarget,
   dropLapsed,
   endHolding,
+  mostCreditsPerVm,
   openCreditBook,
   outstanding,
   recallsOf,
+  reserveForLostVm,
 } from "./credit_book.ts";
 import type { CreditAsk, CreditBook, CreditTarget } from "./credit_book.ts";
 
@@ -45,6 +47,8 @@
  */
 export class CreditRole {
   readonly #startedAt: number;
+  readonly #watchedSince: number;
+  readonly #losses: number[];
   readonly #books = new Map<string, CreditBook>();
   readonly #sequences = new Map<string, number>();
   /** Targets that an earlier holder cannot have served. */
@@ -53,9 +57,20 @@
   #vms: ReadonlySet<string> = new Set();
   #settled = false;
 
-  constructor(times: CreditTimes, now: number) {
+  constructor(
+    times: CreditTimes,
+    options: {
+      readonly startedAt: number;
+      /** Since when the holder knows of each VM that was lost. */
+      readonly watchedSince: number;
+      /** When VMs were lost that an earlier holder may have granted credits. */
+      readonly losses: readonly number[];
+    },
+  ) {
     this.#times = times;
-    this.#startedAt = now;
+    this.#startedAt = options.startedAt;
+    this.#watchedSince = options.watchedSince;
+    this.#losses = [...options.losses];
   }
 
   /** The books by target. */
@@ -73,10 +88,10 @@
     now: number,
   ): void {
     const first = this.#vms.size === 0;
-    this.#describeTargets(table.targets, { first, now });
     for (const vm of this.#vms) {
       if (!table.vms.has(vm)) this.#end(vm, now);
     }
+    this.#describeTargets(table.targets, { first, now });
     this.#vms = table.vms;
     this.#times = table.times;
   }
@@ -95,6 +110,7 @@
         now,
         lapsesAt,
         mayGrow: this.#mayGrow(ask.target, now),
+        mostPerVm: mostCreditsPerVm(book.target, { vms: this.#vms.size }),
       });
       this.#books.set(ask.target, answer.book);
       return answer.credits;
@@ -141,31 +157,51 @@
         target.target,
         book
           ? describeCreditTarget(book, target)
-          : openCreditBook(target, { started: !first }),
+          : this.#open(target, { started: !first }),
       );
     }
   }
 
+  #open(
+    target: CreditTarget,
+    options: { readonly started: boolean },
+  ): CreditBook {
+    const book = openCreditBook(target, options);
+    if (options.started) return book;
+    return this.#losses.reduce(
+      (reserved, lostAt, index) =>
+        reserveForLostVm(reserved, { id: `lost-${index}`, lostAt }),
+      book,
+    );
+  }
+
+  // What a VM holds is not known before it has reported.
   #end(vm: string, now: number): void {
+    const hasReported = this.#sequences.delete(vm);
     const lapsesAt = now + this.#times.requestMilliseconds;
-    this.#sequences.delete(vm);
     for (const [target, book] of this.#books) {
-      this.#books.set(target, endHolding(book, vm, lapsesAt));
+      this.#books.set(
+        target,
+        hasReported || this.#settled
+          ? endHolding(book, vm, lapsesAt)
+          : reserveForLostVm(book, { id: vm, lostAt: now }),
+      );
     }
   }
 
   #mayGrow(target: string, now: number): boolean {
-    return this.#isSettled(now) ||
+    return this.isSettled(now) ||
       (this.#newTargets.has(target) && this.#everyVmReported());
   }
 
-  #isSettled(now: number): boolean {
+  /** Whether nothing that an earlier holder granted can still be in use. */
+  isSettled(now: number): boolean {
     if (this.#settled) return true;
     const { leaseMilliseconds, requestMilliseconds } = this.#times;
-    const waited = now - this.#startedAt;
     const longest = leaseMilliseconds + 2 * requestMilliseconds;
-    this.#settled = waited >= longest ||
-      (waited >= requestMilliseconds && this.#everyVmReported());
+    this.#settled = now - this.#startedAt >= longest ||
+      (now - this.#watchedSince >= requestMilliseconds &&
+        this.#everyVmReported());
     return this.#settled;
   }
 
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -16,8 +16,6 @@
   unknownOutcome,
 } from "./outcome.ts";
 export type { Refusal } from "./outcome.ts";
-export { RetryBudget } from "./retry_budget.ts";
-export type { RetryBudgetOptions } from "./retry_budget.ts";
 export { CreditGate } from "./credit_gate.ts";
 export type { CreditGateOptions } from "./credit_gate.ts";
 export { CreditAccount } from "./credit_account.ts";
@@ -28,3 +26,5 @@
 export { FairQueue } from "./fair_queue.ts";
 export { TargetObservations } from "./target_observations.ts";
 export type { TargetObservation } from "./target_observations.ts";
+export { RetryBudget } from "./retry_budget.ts";
+export type { RetryBudgetOptions } from "./retry_budget.ts";
