--- a/packages/checker/mod.ts
+++ b/packages/checker/mod.ts
@@ -7,6 +7,12 @@
 export { checkHistory, promiseChecks } from "./check_history.ts";
 export { eventsOf } from "./events.ts";
 export type { EventOf } from "./events.ts";
+export { explore, formatExploration } from "./explore.ts";
+export type {
+  ExplorationBounds,
+  ExplorationModel,
+  ExplorationResult,
+} from "./explore.ts";
 export { ownershipSpans } from "./ownership_spans.ts";
 export type { OwnershipSpan } from "./ownership_spans.ts";
 export {
