--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -28,7 +28,9 @@
 import type { ResolvedSettings } from "./settings/schema.ts";
 
 const connectionsPerTarget = 12;
-const leaveMilliseconds = 300;
+/** Callers' listener closes when no request came for this long. */
+const quietMilliseconds = 300;
+const mostLeaveMilliseconds = 15_000;
 const handOverMilliseconds = 3000;
 
 /** Options of {@link Vm.start}. */
@@ -53,6 +55,7 @@
   readonly credits: Credits;
   readonly listeners: readonly HttpListener[];
   readonly callers: HttpListener;
+  readonly leaveMilliseconds: number;
   readonly markStopping: () => void;
 }
 
@@ -92,7 +95,6 @@
         clock,
         logger,
         metrics,
-        onFailure: options.onFailure,
       });
     const client = () =>
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
@@ -171,7 +173,6 @@
       tls,
       address: listen.callers,
       handler: (request, response) => {
-        if (stopping) response.setHeader("connection", "close");
         void gateway.serve(request, response);
       },
     });
@@ -208,6 +209,7 @@
       gateway,
       credits,
       callers,
+      leaveMilliseconds: listen.leaveMilliseconds,
       listeners: [targets, operators, peersListener],
       markStopping: () => (stopping = true),
     });
@@ -231,9 +233,12 @@
     await parts.ledger.synchronised(handOverMilliseconds);
     await Promise.all([
       parts.routing.leave(),
-      new Promise((resolve) => setTimeout(resolve, leaveMilliseconds)),
+      parts.callers.drain({
+        leastMilliseconds: parts.leaveMilliseconds,
+        quietMilliseconds,
+        mostMilliseconds: mostLeaveMilliseconds,
+      }),
     ]);
-    await parts.callers.close();
     await parts.gateway.finished();
     parts.ledger.stop();
     parts.credits.stop();
