Close two ways to a double owner and hand the lead over before stopping

A lost owner's open requests held its ranges back for their whole deadline (2.5 s at Hsinchu: served after 4.0 s). A leader that stopped did not wait for its successor. A donor far above the mean moved three ranges a second.

Change: what a target holds is unknown from the start of a push until its own number is confirmed; announcements may say which push they act on; open requests to a lapsed owner that checks fences hold for 1 s at most; the hand-over waits for the successor and asks again; the least gain of a move is counted against the average range; ranges without load move eight times as fast; status tells which VMs have the bundle in force; experiment control-cost. The test of the whole path waits until VMs are ready and no range moves.

--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -18,6 +18,9 @@
   service: 8500,
 } as const;
 
+const quietMilliseconds = 2000;
+const maximumQuietAttempts = 20;
+
 /** A data centre of a deployment. */
 export interface DataCentreDescription {
   readonly name: string;
@@ -264,6 +267,18 @@
     throw new Error(`${vm} did not become ready`);
   }
 
+  /** Waits until no range, VM or target has changed for two seconds. */
+  async untilQuiet(): Promise<ControlStatus> {
+    let last = await this.status();
+    for (let attempt = 0; attempt < maximumQuietAttempts; attempt += 1) {
+      await pause(quietMilliseconds);
+      const status = await this.status();
+      if (status.tableVersion === last.tableVersion) return status;
+      last = status;
+    }
+    throw new Error(`the table still changes: ${JSON.stringify(last)}`);
+  }
+
   /** Waits until the status satisfies a condition. */
   async until(
     condition: (status: ControlStatus) => boolean,
--- a/packages/experiments/planning_world.ts
+++ b/packages/experiments/planning_world.ts
@@ -92,6 +92,24 @@
     });
   }
 
+  /** Registers a VM. */
+  addVm(index: number): void {
+    const region = index % this.#regions;
+    this.apply({
+      kind: "putVm",
+      vm: {
+        name: `vm-${index}`,
+        boot: `00000000-0000-4000-8000-${String(index).padStart(12, "0")}`,
+        dataCentre: `centre-${region}`,
+        region: `region-${region}`,
+        peerAddress: `10.0.0.${index}:8300`,
+        callersAddress: `10.0.0.${index}:8100`,
+        replica: null,
+        leaving: false,
+      },
+    });
+  }
+
   /** Runs one round of coordination. */
   round(balance = false): void {
     this.now += roundMilliseconds;
--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -10,6 +10,8 @@
     "history": async () =>
       (await import("./suite/history.ts")).historyExperiment,
     "rolls": async () => (await import("./suite/rolls.ts")).rollsExperiment,
+    "control-cost": async () =>
+      (await import("./suite/control_cost.ts")).controlCostExperiment,
     "table-size": async () =>
       (await import("./suite/table_size.ts")).tableSizeExperiment,
     "ledger-cost": async () =>
--- a/packages/experiments/whole_path_test.ts
+++ b/packages/experiments/whole_path_test.ts
@@ -66,6 +66,7 @@
 
   describe("after a control VM restarts", () => {
     it("still knows the bundle and the epochs", async () => {
+      await deployment.untilQuiet();
       const before = await reserve("vm-1", "clamp-9");
       const { leader, bundle } = await deployment.status();
       await deployment.crashVm(leader);
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { request as sendRequest } from "undici";
+import { noGrants } from "./grant_message.ts";
 import type { GrantMessage, HeldGrant } from "./grant_message.ts";
 import type { History } from "./history.ts";
 
@@ -46,7 +47,8 @@
   readonly #server: Server;
   #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
-  #taken = { version: 0, sequence: 0 };
+  #taken = noGrants;
+  #holds = noGrants;
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
@@ -142,7 +144,8 @@
   /** Starts the process anew after {@link kill}, with a new boot identity. */
   async restart(): Promise<void> {
     this.#boot = randomUUID();
-    this.#taken = { version: 0, sequence: 0 };
+    this.#taken = noGrants;
+    this.#holds = noGrants;
     this.#inProgress = 0;
     await this.start();
   }
@@ -216,6 +219,7 @@
             coldSlots: options.coldSlots,
             checksFences: options.checksFences,
             condition,
+            holds: sentAt < this.#leaseUntil ? this.#holds : noGrants,
           }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
@@ -264,6 +268,7 @@
   }
 
   #lapse(): void {
+    this.#holds = noGrants;
     if (this.#grants.length === 0) return;
     this.#grants = [];
     this.#options.history.record({
@@ -294,7 +299,7 @@
     if (message.boot !== this.#boot || order < 0) {
       return void response.writeHead(409).end();
     }
-    this.#taken = { version, sequence };
+    this.#taken = this.#holds = { version, sequence };
     this.#grants = message.grants;
     this.#options.history.record({
       kind: "granted",
--- a/packages/fakes/grant_message.ts
+++ b/packages/fakes/grant_message.ts
@@ -13,3 +13,9 @@
   readonly sequence: number;
   readonly grants: readonly HeldGrant[];
 }
+
+/** The number of no push. */
+export const noGrants: Pick<GrantMessage, "version" | "sequence"> = {
+  version: 0,
+  sequence: 0,
+};
--- a/packages/kingcupglade/commands/status.ts
+++ b/packages/kingcupglade/commands/status.ts
@@ -67,6 +67,12 @@
 }
 
 function vmRow(vm: ControlStatus["vms"][number]): readonly string[] {
-  const state = vm.lapsed ? "no lease" : vm.leaving ? "leaving" : "serving";
+  const state = vmState(vm);
   return [vm.name, vm.dataCentre, state, String(vm.appliedVersion)];
 }
+
+function vmState(vm: ControlStatus["vms"][number]): string {
+  if (vm.lapsed) return "no lease";
+  if (vm.appliedVersion === 0) return "not heard";
+  return vm.leaving ? "leaving" : "serving";
+}
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -4,7 +4,7 @@
   verifyBundle,
 } from "@kingcupglade/bundle";
 import type { SignedBundle, SigningAuthority } from "@kingcupglade/bundle";
-import { configurationOf } from "@kingcupglade/consensus";
+import { configurationOf, Role } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
 import type { RollOutcome } from "@kingcupglade/ownership";
@@ -215,10 +215,11 @@
   }
 
   async #handOver(replica: ReplicaTask): Promise<void> {
-    const attempts = 20;
-    replica.transferLeadership();
+    const attempts = 30;
     for (let attempt = 0; attempt < attempts; attempt += 1) {
-      if (!replica.isReadyLeader) return;
+      if (replica.consensus.role !== Role.leader) return;
+      // A successor that did not answer in time is given up; ask again then.
+      if (replica.consensus.transferTo === null) replica.transferLeadership();
       await new Promise((resolve) => setTimeout(resolve, 50));
     }
   }
--- a/packages/kingcupglade/control/leader_session.ts
+++ b/packages/kingcupglade/control/leader_session.ts
@@ -106,7 +106,7 @@
   async renewTarget(announcement: Announcement): Promise<AnnouncementReply> {
     const refusal = this.#refuseAnnouncement(announcement);
     if (refusal !== null) return refused(refusal);
-    const { load: _load, ...described } = announcement;
+    const { load: _load, holds: _holds, ...described } = announcement;
     const known = this.#state.targets.get(announcement.target);
     const target = { ...described, region: this.#regionOf(announcement) };
     const changes = !known || !describesSame(known, target);
@@ -237,14 +237,15 @@
   }
 
   async #push(push: CoordinatorPlan["pushes"][number]): Promise<void> {
-    if (!this.#targets.beginPush(push)) return;
     this.#pushSequence += 1;
-    const confirmed = await this.#options.grants.push({
+    const numbered = {
       ...push,
       version: this.#state.version,
       sequence: this.#pushSequence,
-    });
-    this.#targets.endPush(push, { confirmed, now: this.#now });
+    };
+    if (!this.#targets.beginPush(numbered, this.#now)) return;
+    const confirmed = await this.#options.grants.push(numbered);
+    this.#targets.endPush(numbered, { confirmed, now: this.#now });
     if (!confirmed) {
       this.#options.logger.warn("grants-not-confirmed", {
         target: push.target,
--- a/packages/kingcupglade/control/routing_task.ts
+++ b/packages/kingcupglade/control/routing_task.ts
@@ -1,6 +1,12 @@
+import { create, toBinary } from "@bufbuild/protobuf";
 import { RequestCounter, RoutingTable } from "@kingcupglade/ownership";
 import type { TableDelta } from "@kingcupglade/ownership";
-import { decodeValue, encodeValue } from "@kingcupglade/protocol";
+import {
+  decodeValue,
+  encodeValue,
+  RenewRequestSchema,
+  RenewResponseSchema,
+} from "@kingcupglade/protocol";
 import type { RenewResponse } from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -171,30 +177,36 @@
     this.#accept(answer, sentAt);
   }
 
-  #send(renewal: {
+  async #send(renewal: {
     readonly quiescentVersion: number;
     readonly holdMilliseconds: number;
     readonly timeoutMilliseconds: number;
   }): Promise<RenewResponse> {
-    const { vm, control } = this.#options;
-    const observations = this.#takeReport();
-    const { quiescentVersion } = renewal;
-    return control.callOnce((service) =>
-      service.renew({
-        vm: vm.name,
-        boot: vm.boot,
-        dataCentre: vm.dataCentre,
-        region: vm.region,
-        peerAddress: vm.peerAddress,
-        callersAddress: vm.callersAddress,
-        replica: vm.replica ?? "",
-        appliedVersion: this.#table.version,
-        quiescentVersion,
-        leaving: this.#leaving,
-        holdMilliseconds: renewal.holdMilliseconds,
-        observations,
-      }, { timeoutMs: renewal.timeoutMilliseconds })
+    const { vm, control, metrics } = this.#options;
+    const message = create(RenewRequestSchema, {
+      vm: vm.name,
+      boot: vm.boot,
+      dataCentre: vm.dataCentre,
+      region: vm.region,
+      peerAddress: vm.peerAddress,
+      callersAddress: vm.callersAddress,
+      replica: vm.replica ?? "",
+      appliedVersion: this.#table.version,
+      quiescentVersion: renewal.quiescentVersion,
+      leaving: this.#leaving,
+      holdMilliseconds: renewal.holdMilliseconds,
+      observations: this.#takeReport(),
+    });
+    const answer = await control.callOnce((service) =>
+      service.renew(message, { timeoutMs: renewal.timeoutMilliseconds })
+    );
+    metrics.controlMessages.inc({ kind: "renew" });
+    metrics.controlBytes.inc(
+      { kind: "renew" },
+      toBinary(RenewRequestSchema, message).length +
+        toBinary(RenewResponseSchema, answer).length,
     );
+    return answer;
   }
 
   #takeReport(): Uint8Array<ArrayBuffer> {
--- a/packages/kingcupglade/control/status.ts
+++ b/packages/kingcupglade/control/status.ts
@@ -21,7 +21,10 @@
     readonly dataCentre: string;
     readonly lapsed: boolean;
     readonly leaving: boolean;
+    /** 0 until it has renewed its lease with this leader. */
     readonly appliedVersion: number;
+    /** Whether it routes by the bundle in force, or can route no more. */
+    readonly inForce: boolean;
   }[];
   readonly targets: readonly {
     readonly target: string;
@@ -54,6 +57,8 @@
     leaving: vm.leaving,
     lapsed: view.vm(vm.name).lapsed,
     appliedVersion: view.vm(vm.name).appliedVersion,
+    inForce: view.vm(vm.name).lapsed ||
+      view.vm(vm.name).appliedVersion >= (state.bundle?.changedAt ?? 0),
   }));
   return {
     leader: source.leader,
@@ -64,9 +69,7 @@
       version: state.bundle.version,
       digest: state.bundle.digest,
       tableVersion: state.bundle.changedAt,
-      inForceEverywhere: vms.every((vm) =>
-        vm.lapsed || vm.appliedVersion >= state.bundle!.changedAt
-      ),
+      inForceEverywhere: vms.every((vm) => vm.inForce),
     },
     vms,
     targets: [...state.targets.values()].map((target) => ({
--- a/packages/kingcupglade/control/target_book.ts
+++ b/packages/kingcupglade/control/target_book.ts
@@ -11,12 +11,35 @@
 /** Changes of its description that a target may make at once, and a second. */
 const changesPerTarget = { burst: 8, perSecond: 2 } as const;
 
+/** Pause before a push that failed is repeated. */
+const retryMilliseconds = 100;
+
+/** Orders the pushes to a target over all leaders. */
+export interface PushNumber {
+  /** Table version that the grants follow from. */
+  readonly version: number;
+  /** Orders the pushes of one version. */
+  readonly sequence: number;
+}
+
+/** A push of grants to a target. */
+export interface NumberedPush extends PushNumber {
+  readonly target: string;
+  readonly boot: string;
+  readonly grants: readonly Grant[];
+}
+
 interface KnownTarget {
   readonly boot: string;
-  readonly held: readonly Grant[] | null;
-  readonly pushing: boolean;
+  /** The push that the target confirmed last; null when none holds for sure. */
+  readonly confirmed: NumberedPush | null;
+  /** Whether it has confirmed any push under this lease. */
+  readonly takesGrants: boolean;
+  /** The push under way; only its own confirmation counts. */
+  readonly pushing: PushNumber | null;
   /** Since when its pushes have failed; null when the last one was confirmed. */
   readonly failingSince: number | null;
+  readonly retryAt: number;
 }
 
 /** What the leader knows of the targets' leases and confirmed grants. */
@@ -54,7 +77,7 @@
     return this.#changes.allows(target, now);
   }
 
-  /** Renews a lease. */
+  /** Renews a lease, and takes in which grants the target says it holds. */
   renew(announcement: Announcement, now: number): void {
     const { target, boot } = announcement;
     const known = this.#known.get(target);
@@ -63,10 +86,14 @@
       const failingSince = known?.boot === boot ? known.failingSince : null;
       this.#known.set(target, {
         boot,
-        held: null,
-        pushing: false,
+        confirmed: null,
+        takesGrants: false,
+        pushing: null,
         failingSince,
+        retryAt: -Infinity,
       });
+    } else if (contradicts(announcement, known.confirmed)) {
+      this.#known.set(target, { ...known, confirmed: null });
     }
     this.#leases.renew(target, boot, now);
   }
@@ -82,35 +109,43 @@
     return {
       lapsed: this.#leases.hasLapsed(target, now),
       lapsesAt: this.#leases.lapsesAt(target),
-      held: this.#known.get(target)?.held ?? null,
+      held: this.#known.get(target)?.confirmed?.grants ?? null,
+      takesGrants: this.#known.get(target)?.takesGrants ?? false,
     };
   }
 
-  /** Begins to tell a target its grants; false when it may not be told now. */
-  beginPush(push: { readonly target: string; readonly boot: string }): boolean {
+  /**
+   * Begins to tell a target its grants; false when it may not be told now. From
+   * here on the target may hold what it had or what it is told.
+   */
+  beginPush(push: NumberedPush, now: number): boolean {
     const known = this.#known.get(push.target);
     if (!known || known.boot !== push.boot || known.pushing) return false;
-    this.#known.set(push.target, { ...known, pushing: true });
+    if (now < known.retryAt) return false;
+    const { version, sequence } = push;
+    this.#known.set(push.target, {
+      ...known,
+      confirmed: null,
+      pushing: { version, sequence },
+    });
     return true;
   }
 
   /** Notes what came of a push. */
   endPush(
-    push: {
-      readonly target: string;
-      readonly boot: string;
-      readonly grants: readonly Grant[];
-    },
+    push: NumberedPush,
     result: { readonly confirmed: boolean; readonly now: number },
   ): void {
     const known = this.#known.get(push.target);
-    if (!known || known.boot !== push.boot) return;
+    if (!known?.pushing || !isSamePush(known.pushing, push)) return;
     const { confirmed, now } = result;
     this.#known.set(push.target, {
       ...known,
-      held: confirmed ? push.grants : known.held,
-      pushing: false,
+      confirmed: confirmed ? push : null,
+      takesGrants: known.takesGrants || confirmed,
+      pushing: null,
       failingSince: confirmed ? null : known.failingSince ?? now,
+      retryAt: confirmed ? -Infinity : now + retryMilliseconds,
     });
   }
 
@@ -148,3 +183,17 @@
       : `target "${target}" holds a lease at ${record.address}; wait until it lapses, or choose another name`;
   }
 }
+
+/** Whether a target says that it does not hold what it confirmed. */
+function contradicts(
+  announcement: Announcement,
+  confirmed: NumberedPush | null,
+): boolean {
+  const { holds } = announcement;
+  return holds !== undefined && confirmed !== null &&
+    !isSamePush(holds, confirmed);
+}
+
+function isSamePush(left: PushNumber, right: PushNumber): boolean {
+  return left.version === right.version && left.sequence === right.sequence;
+}
--- a/packages/kingcupglade/listeners/announcement_batcher.ts
+++ b/packages/kingcupglade/listeners/announcement_batcher.ts
@@ -1,7 +1,14 @@
+import { create, toBinary } from "@bufbuild/protobuf";
 import { RateLimiter } from "@kingcupglade/membership";
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
-import { decodeValue, encodeValue } from "@kingcupglade/protocol";
+import {
+  AnnounceRequestSchema,
+  AnnounceResponseSchema,
+  decodeValue,
+  encodeValue,
+} from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
+import type { Metrics } from "@kingcupglade/telemetry";
 import type { ControlClient } from "../control/control_client.ts";
 
 const batchMilliseconds = 20;
@@ -36,6 +43,7 @@
   readonly #perTarget = new RateLimiter(limitPerTarget);
   readonly #inAll = new RateLimiter(limitInAll);
   readonly #clock: Clock;
+  readonly #metrics: Metrics;
   #waiting: WaitingAnnouncement[] = [];
   #timer: NodeJS.Timeout | undefined;
 
@@ -43,10 +51,12 @@
     readonly control: ControlClient;
     readonly vm: string;
     readonly clock: Clock;
+    readonly metrics: Metrics;
   }) {
     this.#control = options.control;
     this.#vm = options.vm;
     this.#clock = options.clock;
+    this.#metrics = options.metrics;
   }
 
   /**
@@ -85,15 +95,22 @@
     this.#timer = undefined;
     const batch = this.#waiting;
     this.#waiting = [];
+    const message = create(AnnounceRequestSchema, {
+      vm: this.#vm,
+      announcements: batch.map((each) => encodeValue(each.announcement)),
+    });
     try {
       const answer = await this.#control.call(
         (service) =>
-          service.announce({
-            vm: this.#vm,
-            announcements: batch.map((each) => encodeValue(each.announcement)),
-          }, { timeoutMs: announceTimeoutMilliseconds }),
+          service.announce(message, { timeoutMs: announceTimeoutMilliseconds }),
         announceTimeoutMilliseconds,
       );
+      this.#metrics.controlMessages.inc({ kind: "announce" });
+      this.#metrics.controlBytes.inc(
+        { kind: "announce" },
+        toBinary(AnnounceRequestSchema, message).length +
+          toBinary(AnnounceResponseSchema, answer).length,
+      );
       batch.forEach((each, index) =>
         each.resolve(decodeValue<AnnouncementReply>(answer.replies[index]!))
       );
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -184,6 +184,7 @@
         control: client(),
         vm: vm.name,
         clock,
+        metrics,
       }),
     });
     const operators = await openOperatorsListener({
--- a/packages/ownership/balance.ts
+++ b/packages/ownership/balance.ts
@@ -11,7 +11,7 @@
 
 /** Bounds of the moves that even out the load. */
 export interface BalanceOptions {
-  /** Ranges under way at once, in all. @default 1 for 8 targets, at least 4 */
+  /** Ranges under way at once, in all, while there is load. @default 1 for 8 targets, at least 4 */
   readonly maximumMoving?: number;
   /** Ranges under way to one serving target; a cold one gets one. @default 4 */
   readonly maximumIncoming?: number;
@@ -41,7 +41,12 @@
 const defaultTolerance = 0.1;
 const targetsPerMove = 8;
 const minimumMoving = 4;
-/** A move must take at least this share of what its donor has too much. */
+/** Ranges that nobody asks for move this many times as fast. */
+const idleFactor = 8;
+/**
+ * A move must take at least this share of what its donor has too much, or of
+ * the load of its average range.
+ */
 const minimumGainShare = 0.1;
 /** A target with less than this share of the mean is given ranges. */
 const underloadShare = 0.75;
@@ -82,10 +87,13 @@
   ) {
     this.#input = input;
     this.#tolerance = options.tolerance ?? defaultTolerance;
-    this.#maximumIncoming = options.maximumIncoming ?? defaultMaximumIncoming;
     this.#groups = [...input.state.groups.values()].filter((each) =>
       each.service === service
     );
+    const isIdle = this.#groups.every((each) => !input.loads?.has(each.id));
+    const factor = isIdle ? idleFactor : 1;
+    this.#maximumIncoming = factor *
+      (options.maximumIncoming ?? defaultMaximumIncoming);
     this.#donors = [
       ...new Set(
         this.#groups.flatMap((group) => input.receivers.fitFor(group)),
@@ -94,11 +102,9 @@
     const weight = sum(this.#donors.map((each) => each.weight));
     this.#mean = sum(this.#donors.map((each) => each.load)) /
       Math.max(1, weight);
-    this.#moves = (options.maximumMoving ??
-      Math.max(
-        minimumMoving,
-        Math.ceil(this.#donors.length / targetsPerMove),
-      )) - input.moving;
+    const maximumMoving = options.maximumMoving ??
+      Math.max(minimumMoving, Math.ceil(this.#donors.length / targetsPerMove));
+    this.#moves = factor * maximumMoving - input.moving;
   }
 
   plan(): readonly RangeChange[] {
@@ -179,9 +185,11 @@
     ranges: readonly LoadedRange[],
   ): { readonly loaded: LoadedRange; readonly receiver: Receiver } | null {
     const excess = donor.load - this.#mean * donor.weight;
+    const minimumGain = minimumGainShare *
+      Math.min(excess, donor.load / ranges.length);
     for (const loaded of ranges) {
       const { load, group } = loaded;
-      if (load < excess * minimumGainShare) return null;
+      if (load < minimumGain) return null;
       const receiver = this.#input.receivers.least(
         group,
         load,
--- a/packages/ownership/leader_view.ts
+++ b/packages/ownership/leader_view.ts
@@ -17,8 +17,13 @@
 export interface TargetView {
   /** Whether the target can no longer act on its grants. */
   readonly lapsed: boolean;
-  /** The grants that the target confirmed last; null when not known. */
+  /**
+   * The grants that the target holds at most; null while that is not known,
+   * such as while a push of grants is under way.
+   */
   readonly held: readonly Grant[] | null;
+  /** Whether it has confirmed a push under this lease. @default held is known */
+  readonly takesGrants?: boolean;
   /** When the lease lapses or lapsed. @default long ago */
   readonly lapsesAt?: number;
 }
--- a/packages/ownership/planner.ts
+++ b/packages/ownership/planner.ts
@@ -192,8 +192,8 @@
     if (this.#receivers) return this.#receivers;
     const { state, view, indexes } = this.#input;
     const receivers = new Receivers(state, (name) => {
-      const { lapsed, held } = view.target(name);
-      return lapsed || held === null;
+      const { lapsed, held, takesGrants } = view.target(name);
+      return lapsed || !(takesGrants ?? held !== null);
     });
     for (const { group, owners } of indexes.values()) {
       for (const owned of owners.values()) {
--- a/packages/ownership/release.ts
+++ b/packages/ownership/release.ts
@@ -8,6 +8,21 @@
   TargetRecord,
 } from "./model.ts";
 
+/**
+ * Time after the lapse of an owner's lease for which its open requests hold
+ * back the next owner, when it checks fences.
+ */
+const finishMilliseconds = 1000;
+
+/** The version that every VM routes by, or a later one. */
+function appliedVersion(state: ControlState, view: LeaderView): number {
+  let applied = state.version;
+  for (const name of state.vms.keys()) {
+    applied = Math.min(applied, view.vm(name).appliedVersion);
+  }
+  return applied;
+}
+
 /** The version before which no VM has a request in progress. */
 export function settledVersion(state: ControlState, view: LeaderView): number {
   let settled = state.version;
@@ -37,12 +52,14 @@
   readonly #state: ControlState;
   readonly #view: LeaderView;
   readonly #settled: number;
+  readonly #applied: number;
   readonly #clearGroups = new Map<string, boolean>();
 
   constructor(state: ControlState, view: LeaderView, settled: number) {
     this.#state = state;
     this.#view = view;
     this.#settled = settled;
+    this.#applied = appliedVersion(state, view);
   }
 
   /** Whether nobody can serve the range or send work for it any more. */
@@ -50,12 +67,17 @@
     if (range.owner === null) {
       return range.epoch > 0 || this.#isClear(group);
     }
-    if (this.#settled < range.changedAt) return false;
     const now = this.#view.now ?? 0;
     const record = this.#state.targets.get(range.owner);
     const guard = this.#guardMilliseconds(group, record);
-    if (now < (this.#view.vmLostAt ?? -Infinity) + guard) return false;
     const owner = this.#view.target(range.owner);
+    // What a lost owner has begun may be open for as long as its deadline; its
+    // fence and the end of its lease hold it off by then.
+    const isFenced = guard === 0 && owner.lapsed &&
+      now >= (owner.lapsesAt ?? Infinity) + finishMilliseconds;
+    const finished = isFenced ? this.#applied : this.#settled;
+    if (finished < range.changedAt) return false;
+    if (now < (this.#view.vmLostAt ?? -Infinity) + guard) return false;
     if (owner.lapsed) return now >= (owner.lapsesAt ?? -Infinity) + guard;
     return excludes(owner.held, group, range);
   }
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -25,6 +25,10 @@
   readonly tableVersion: Gauge;
   /** Times that the routing lease lapsed. */
   readonly leaseLapses: Counter;
+  /** Messages of this VM to the control leader, by kind. */
+  readonly controlMessages: Counter<"kind">;
+  /** Bytes of those messages and their answers, headers not counted. */
+  readonly controlBytes: Counter<"kind">;
   /** Range changes committed while this VM led, by kind. */
   readonly rangeChanges: Counter<"kind">;
   /** 1 while this VM leads control. */
@@ -117,6 +121,18 @@
       help: "Times that the routing lease lapsed",
       registers,
     }),
+    controlMessages: new Counter({
+      name: "kingcupglade_control_messages_total",
+      help: "Messages to the control leader",
+      labelNames: ["kind"],
+      registers,
+    }),
+    controlBytes: new Counter({
+      name: "kingcupglade_control_bytes_total",
+      help: "Bytes of messages to the control leader and of their answers",
+      labelNames: ["kind"],
+      registers,
+    }),
     rangeChanges: new Counter({
       name: "kingcupglade_range_changes_total",
       help: "Range changes committed while this VM led control",
