Send each entry once, and measure commits, recovery and lost leaders

Cause: the answer to an earlier message marked the entries sent since as answered, so that they were sent again, and the answers to those did the same: the duplicates kept themselves alive.

Change: only an answer to the latest entries, or to a message after them, allows more to be sent. The experiments commit, recovery, control-loss and log-slopes run groups of replicas with real folders and sockets. A crashed VM no longer hands over the lead.

--- a/packages/consensus/fake_network.ts
+++ b/packages/consensus/fake_network.ts
@@ -45,6 +45,8 @@
   lossPercent = 0;
   /** Whether clients propose commands. */
   proposes = true;
+  /** Entries that were put on links, those sent again included. */
+  entriesSent = 0;
   /** Commands that were acknowledged to their proposer. */
   acknowledged = 0;
 
@@ -134,6 +136,9 @@
 
   /** Puts a message on its link; links deliver in order. */
   send(message: ConsensusMessage): void {
+    if (message.kind === "appendRequest") {
+      this.entriesSent += message.entries.length;
+    }
     if (this.below(100) < this.lossPercent) return;
     const link = this.#inFlight.findLast((each) =>
       each.message.from === message.from && each.message.to === message.to
--- a/packages/consensus/network_test.ts
+++ b/packages/consensus/network_test.ts
@@ -100,6 +100,20 @@
     });
   });
 
+  describe("without a fault", () => {
+    it("send each entry once to each follower", () => {
+      const network = new FakeNetwork({ seed: 1 });
+      network.run(2000);
+      const sent = network.entriesSent;
+      const acknowledged = network.acknowledged;
+      network.run(10_000);
+      const followers = 2;
+      expect(network.entriesSent - sent).toBeLessThan(
+        (network.acknowledged - acknowledged) * followers * 1.02,
+      );
+    });
+  });
+
   describe("after the loss of a voter's disk", () => {
     it("repair themselves and bear a second loss at once", () => {
       for (let seed = 1; seed <= 20; seed += 1) {
--- a/packages/consensus/replication.ts
+++ b/packages/consensus/replication.ts
@@ -40,16 +40,16 @@
   if (state.role !== Role.leader || !known) return;
   const hasForgotten = known.hasForgotten || lacksAcknowledged(known, message);
   const match = matchAfter(known, message, hasForgotten);
-  const next = message.accepted
-    ? Math.max(match, message.index) + 1
-    : Math.max(match, Math.min(known.next - 1, message.index)) + 1;
+  const answers = answersLatest(known, message.sentAt);
   state.progress = new Map(state.progress).set(message.from, {
     ...known,
     match,
-    next,
     hasForgotten,
+    next: answers
+      ? nextAfter(known, message, match)
+      : Math.max(known.next, match + 1),
     answeredAt: Math.max(known.answeredAt, message.sentAt),
-    waitingSince: null,
+    waitingSince: answers ? null : known.waitingSince,
   });
 }
 
@@ -72,6 +72,21 @@
   });
 }
 
+// The answer to an earlier message says nothing of what was sent since.
+function answersLatest(known: Progress, sentAt: number): boolean {
+  return known.waitingSince === null || sentAt >= known.waitingSince;
+}
+
+function nextAfter(
+  known: Progress,
+  message: AppendResponse,
+  match: number,
+): number {
+  return message.accepted
+    ? Math.max(match, message.index) + 1
+    : Math.max(match, Math.min(known.next - 1, message.index)) + 1;
+}
+
 // Links deliver in order, so that a refusal of a later message than the one
 // acknowledged last shows a loss, not a crossing.
 function lacksAcknowledged(known: Progress, message: AppendResponse): boolean {
--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -3,6 +3,13 @@
 /** Every experiment, imported when it is run. */
 export const experiments: ReadonlyMap<string, () => Promise<Experiment>> =
   new Map(Object.entries({
+    "commit": async () => (await import("./suite/commit.ts")).commitExperiment,
+    "control-loss": async () =>
+      (await import("./suite/control_loss.ts")).controlLossExperiment,
+    "log-slopes": async () =>
+      (await import("./suite/log_slopes.ts")).logSlopesExperiment,
+    "recovery": async () =>
+      (await import("./suite/recovery.ts")).recoveryExperiment,
     "history": async () =>
       (await import("./suite/history.ts")).historyExperiment,
     "lost-owner": async () =>
--- /dev/null
+++ b/packages/experiments/suite/commit.ts
@@ -0,0 +1,162 @@
+import { open } from "node:fs/promises";
+import { join } from "node:path";
+import { createOperatorKey, signBundle } from "@kingcupglade/bundle";
+import type { SignedBundle } from "@kingcupglade/bundle";
+import type { ControlCommand } from "@kingcupglade/ownership";
+import type { ReplicaTask } from "kingcupglade";
+import type { Experiment, Figure } from "../experiment.ts";
+import { hsinchu } from "../hsinchu.ts";
+import { ReplicaGroup } from "../replica_group.ts";
+
+const runMilliseconds = 2000;
+const concurrencies = [1, 8, 64];
+const voters = 3;
+
+interface CommitRun {
+  readonly perSecond: number;
+  readonly median: number;
+  readonly p99: number;
+  /** Processor time of one replica per commit, in microseconds. */
+  readonly processorMicroseconds: number;
+}
+
+/** Commits at three concurrencies, against the disk's own syncs. */
+export const commitExperiment: Experiment = {
+  summary: "commit latency and rolls a second against the disk's sync rate",
+  async run({ progress }) {
+    const group = await ReplicaGroup.start(voters);
+    try {
+      const figures: Figure[] = [];
+      const leader = await group.untilLeader();
+      for (const concurrency of concurrencies) {
+        const disk = await measureSyncs(group.folder);
+        const run = await commitFor(leader, concurrency, announce);
+        progress(
+          `${concurrency} at once: ${run.perSecond.toFixed(0)} a second`,
+        );
+        figures.push(...describeRun(`${concurrency} at once`, run, disk));
+      }
+      const disk = await measureSyncs(group.folder);
+      const rolls = await commitFor(leader, 8, createRoller());
+      figures.push(...describeRun("rolls, 8 at once", rolls, disk));
+      return { figures };
+    } finally {
+      await group.stop();
+    }
+  },
+};
+
+function describeRun(
+  name: string,
+  run: CommitRun,
+  disk: { readonly perSecond: number; readonly median: number },
+): readonly Figure[] {
+  return [
+    {
+      name: `commits, ${name}`,
+      value: run.perSecond,
+      unit: "1/s",
+      baseline: disk.perSecond,
+    },
+    {
+      name: `median commit, ${name}`,
+      value: run.median,
+      unit: "ms",
+      baseline: disk.median,
+    },
+    { name: `99th percentile, ${name}`, value: run.p99, unit: "ms" },
+    {
+      name: `processor time per commit and replica, ${name}`,
+      value: run.processorMicroseconds,
+      unit: "us",
+    },
+  ];
+}
+
+/** Proposes commands at a fixed concurrency for the time of a run. */
+export async function commitFor(
+  leader: ReplicaTask,
+  concurrency: number,
+  nextCommand: () => ControlCommand,
+): Promise<CommitRun> {
+  const times: number[] = [];
+  const processor = process.cpuUsage();
+  const start = performance.now();
+  const work = async () => {
+    while (performance.now() - start < runMilliseconds) {
+      const at = performance.now();
+      await leader.propose(nextCommand());
+      times.push(performance.now() - at);
+    }
+  };
+  await Promise.all(Array.from({ length: concurrency }, work));
+  const elapsed = performance.now() - start;
+  const { user, system } = process.cpuUsage(processor);
+  return {
+    perSecond: times.length / elapsed * 1000,
+    median: percentile(times, 0.5),
+    p99: percentile(times, 0.99),
+    processorMicroseconds: (user + system) / times.length / voters,
+  };
+}
+
+/** Appends and syncs as many records of one size as the disk takes. */
+async function measureSyncs(
+  folder: string,
+): Promise<{ readonly perSecond: number; readonly median: number }> {
+  const file = await open(join(folder, "sync-rate"), "w");
+  const record = new Uint8Array(300);
+  const times: number[] = [];
+  const start = performance.now();
+  while (performance.now() - start < runMilliseconds / 2) {
+    const at = performance.now();
+    await file.appendFile(record);
+    await file.datasync();
+    times.push(performance.now() - at);
+  }
+  const elapsed = performance.now() - start;
+  await file.close();
+  return {
+    perSecond: times.length / elapsed * 1000,
+    median: percentile(times, 0.5),
+  };
+}
+
+function percentile(values: readonly number[], share: number): number {
+  const sorted = values.toSorted((left, right) => left - right);
+  return sorted[
+    Math.min(sorted.length - 1, Math.floor(sorted.length * share))
+  ]!;
+}
+
+let announcements = 0;
+
+/** A change of one of 930 targets. */
+export function announce(): ControlCommand {
+  announcements += 1;
+  return {
+    kind: "setTargetCondition",
+    target: `target-${announcements % 930}`,
+    boot: "00000000-0000-0000-0000-000000000000",
+    condition: "serving",
+  };
+}
+
+function createRoller(): () => ControlCommand {
+  const operator = createOperatorKey();
+  let version = 0;
+  return () => {
+    version += 1;
+    const document = {
+      version,
+      operators: [{ name: "operator", publicKey: operator.publicKey }],
+      dataCentres: hsinchu.dataCentres,
+      ...hsinchu.content,
+    };
+    const signed: SignedBundle = signBundle({ document, signatures: [] }, {
+      operator: "operator",
+      privateKey: operator.privateKey,
+    });
+    return { kind: "rollBundle", signed };
+  };
+}
--- /dev/null
+++ b/packages/experiments/suite/control_loss.ts
@@ -0,0 +1,125 @@
+import { NotLeaderError, UnknownOutcomeError } from "kingcupglade";
+import { Deployment } from "../deployment.ts";
+import type { Experiment, Figure } from "../experiment.ts";
+import { hsinchu } from "../hsinchu.ts";
+import { MemberFault, ReplicaGroup } from "../replica_group.ts";
+import { announce } from "./commit.ts";
+
+const rounds = 8;
+const targetMilliseconds = 2500;
+
+/** Kills, freezes and cuts off the control leader. */
+export const controlLossExperiment: Experiment = {
+  summary: "time until the next control leader takes commands",
+  async run({ progress }) {
+    const figures: Figure[] = [];
+    for (const fault of ["killed", "frozen", "cut off"] as const) {
+      const times = await measureGroup(fault);
+      progress(`${fault}: ${times.map((each) => each.toFixed(0)).join(" ")}`);
+      figures.push(...describeTimes(`leader ${fault}, three voters`, times));
+    }
+    const times = await measureDeployment();
+    progress(`nine VMs: ${times.map((each) => each.toFixed(0)).join(" ")}`);
+    figures.push(...describeTimes("leader killed, nine VMs, rolls", times));
+    return { figures };
+  },
+};
+
+function describeTimes(
+  name: string,
+  times: readonly number[],
+): readonly Figure[] {
+  const sorted = times.toSorted((left, right) => left - right);
+  return [
+    {
+      name: `median, ${name}`,
+      value: sorted[Math.floor(sorted.length / 2)]!,
+      unit: "ms",
+    },
+    {
+      name: `longest, ${name}`,
+      value: sorted.at(-1)!,
+      unit: "ms",
+      target: { atMost: targetMilliseconds },
+    },
+  ];
+}
+
+async function measureGroup(
+  fault: "killed" | "frozen" | "cut off",
+): Promise<readonly number[]> {
+  const group = await ReplicaGroup.start(3);
+  const times: number[] = [];
+  try {
+    for (let round = 0; round < rounds; round += 1) {
+      await group.untilLeader();
+      const lost = group.leader()!;
+      const start = performance.now();
+      if (fault === "killed") void group.crash(lost);
+      if (fault === "frozen") group.setFault(lost, MemberFault.frozen);
+      if (fault === "cut off") group.setFault(lost, MemberFault.cutOff);
+      await commitElsewhere(group, lost);
+      times.push(performance.now() - start);
+      if (fault === "killed") await group.restart(lost);
+      group.setFault(lost, MemberFault.none);
+      await new Promise((resolve) => setTimeout(resolve, 1500));
+    }
+    return times;
+  } finally {
+    await group.stop();
+  }
+}
+
+async function commitElsewhere(
+  group: ReplicaGroup,
+  lost: number,
+): Promise<void> {
+  for (;;) {
+    const leader = await group.untilLeader(lost);
+    try {
+      await leader.propose(announce());
+      return;
+    } catch (failure) {
+      const retries = failure instanceof NotLeaderError ||
+        failure instanceof UnknownOutcomeError;
+      if (!retries) throw failure;
+    }
+  }
+}
+
+async function measureDeployment(): Promise<readonly number[]> {
+  const deployment = await Deployment.start(hsinchu);
+  const times: number[] = [];
+  try {
+    await deployment.roll();
+    for (let round = 0; round < rounds / 2; round += 1) {
+      const { leader } = await deployment.until((status) =>
+        status.vms.filter((each) => !each.lapsed).length === 9
+      );
+      const start = performance.now();
+      void deployment.crashVm(leader);
+      await rollThroughOther(deployment, leader);
+      times.push(performance.now() - start);
+      await new Promise((resolve) => setTimeout(resolve, 500));
+      await deployment.startVm(leader);
+    }
+    return times;
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function rollThroughOther(
+  deployment: Deployment,
+  lost: string,
+): Promise<void> {
+  const other = deployment.vmNames.find((each) => each !== lost)!;
+  const { bundle } = await deployment.status(other).catch(() => ({
+    bundle: null,
+  }));
+  const version = (bundle?.version ?? 0) + 1000;
+  const signed = deployment.signBundle(version);
+  while (await deployment.sendBundle(signed, other) !== 200) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+}
--- /dev/null
+++ b/packages/experiments/suite/recovery.ts
@@ -0,0 +1,119 @@
+import { mkdtemp, readdir, rm, stat } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { EntryKind } from "@kingcupglade/consensus";
+import type { LogEntry } from "@kingcupglade/consensus";
+import { encodeValue } from "@kingcupglade/protocol";
+import { ReplicaStorage } from "@kingcupglade/storage";
+import type { Experiment, Figure } from "../experiment.ts";
+import { ReplicaGroup } from "../replica_group.ts";
+import { announce } from "./commit.ts";
+
+const sizes = [100, 1000, 10_000];
+const entriesPerWrite = 50;
+
+/** Restarts a replica behind logs of three sizes. */
+export const recoveryExperiment: Experiment = {
+  summary: "time to recover logs of 100, 1,000 and 10,000 changes",
+  async run({ progress }) {
+    const figures: Figure[] = [];
+    for (const changes of sizes) {
+      progress(`${changes} changes`);
+      const uncut = await measureUncutLog(changes);
+      figures.push(...await measureRestart(changes, uncut.openMilliseconds));
+      figures.push({
+        name: `uncut log, ${changes} changes`,
+        value: uncut.bytes / changes,
+        unit: "bytes per change",
+      });
+    }
+    return { figures };
+  },
+};
+
+/** Opens a log that was never cut: the baseline. */
+async function measureUncutLog(
+  changes: number,
+): Promise<{ readonly openMilliseconds: number; readonly bytes: number }> {
+  const folder = await mkdtemp(join(tmpdir(), "kingcupglade-recovery-"));
+  try {
+    const storage = await ReplicaStorage.open(folder, { vm: "vm-1" });
+    for (let first = 1; first <= changes; first += entriesPerWrite) {
+      const entries = Array.from(
+        { length: entriesPerWrite },
+        (_, at): LogEntry => ({
+          index: first + at,
+          term: 1,
+          kind: EntryKind.command,
+          payload: encodeValue(announce()),
+        }),
+      );
+      const hardState = { term: 1, votedFor: "vm-1.incarnation" };
+      await storage.append([{ hardState, entries }]);
+    }
+    const bytes = storage.logBytes;
+    await storage.close();
+    const openMilliseconds = await measureOpen(folder, "vm-1");
+    return { openMilliseconds, bytes };
+  } finally {
+    await rm(folder, { recursive: true, force: true });
+  }
+}
+
+async function measureRestart(
+  changes: number,
+  uncutMilliseconds: number,
+): Promise<readonly Figure[]> {
+  const group = await ReplicaGroup.start(1);
+  try {
+    const leader = await group.untilLeader();
+    for (let done = 0; done < changes; done += entriesPerWrite) {
+      await Promise.all(
+        Array.from(
+          { length: entriesPerWrite },
+          () => leader.propose(announce()),
+        ),
+      );
+    }
+    await group.crash(0);
+    const folder = join(group.folder, "vm-1");
+    const bytes = await folderBytes(folder);
+    const openMilliseconds = await measureOpen(folder, "vm-1");
+    const start = performance.now();
+    await group.restart(0);
+    await group.untilLeader();
+    return [
+      {
+        name: `folder opened, ${changes} changes`,
+        value: openMilliseconds,
+        unit: "ms",
+        baseline: uncutMilliseconds,
+      },
+      {
+        name: `takes commands, ${changes} changes`,
+        value: performance.now() - start,
+        unit: "ms",
+        target: { atMost: 4000 },
+      },
+      { name: `folder, ${changes} changes`, value: bytes, unit: "bytes" },
+    ];
+  } finally {
+    await group.stop();
+  }
+}
+
+async function measureOpen(folder: string, vm: string): Promise<number> {
+  const start = performance.now();
+  const storage = await ReplicaStorage.open(folder, { vm });
+  const elapsed = performance.now() - start;
+  await storage.close();
+  return elapsed;
+}
+
+async function folderBytes(folder: string): Promise<number> {
+  const files = await readdir(folder);
+  const sizes = await Promise.all(
+    files.map(async (file) => (await stat(join(folder, file))).size),
+  );
+  return sizes.reduce((sum, each) => sum + each, 0);
+}
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -201,8 +201,13 @@
 
   /** Hands over the lead, stops the replica and closes the data folder. */
   async stop(): Promise<void> {
-    clearInterval(this.#timer);
     if (this.#replica?.isReadyLeader) await this.#handOver(this.#replica);
+    await this.crash();
+  }
+
+  /** Stops at once, without handing over the lead; for tests. */
+  async crash(): Promise<void> {
+    clearInterval(this.#timer);
     this.#session?.end();
     for (const wake of this.#waiters) wake();
     await this.#host?.stop();
--- a/packages/kingcupglade/mod.ts
+++ b/packages/kingcupglade/mod.ts
@@ -9,4 +9,8 @@
 export type { ResolvedSettings } from "./settings/schema.ts";
 export { Vm } from "./vm.ts";
 export type { VmOptions } from "./vm.ts";
+export { PeerDirectory } from "./control/peers.ts";
+export { ReplicaHost } from "./control/replica_host.ts";
+export { NotLeaderError, UnknownOutcomeError } from "./control/errors.ts";
+export type { ReplicaTask } from "./control/replica_task.ts";
 export type { ControlStatus } from "./control/status.ts";
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -255,7 +255,7 @@
       parts.exchanges.close(),
       parts.forwarder.close(),
       parts.routing.stop(),
-      parts.control?.stop(),
+      parts.control?.crash(),
     ]);
   }
 }
