Choose shared targets by own latency and hedge late idempotent requests

Cause: a shared service drew a target at random, whatever its distance, speed or room, and waited for a slow one until the deadline.

Change: targets with room come first, nearest data centre, then region, then the rest; of two drawn the one with the shorter expected time by this VM's own average and load is taken. Targets three times slower than the median, or that failed three times, are set aside, never more than 0.3 of them, and probed every 5 s. Without room near targets are asked for credits before far ones. An idempotent request that is later than 95 of 100 goes to a second target within a budget of 0.04 a request; the first head wins and the other exchange is cancelled with its connection. A target that left, turned or changed since the request began to wait gets nothing. The random source is seeded (pure-rand).

--- a/packages/kingcupglade/credits/credit_holder_task.ts
+++ b/packages/kingcupglade/credits/credit_holder_task.ts
@@ -143,7 +143,8 @@
       epoch,
       role: new CreditRole(times, {
         startedAt: now,
-        watchedSince: this.#watchedSince,
+        // Nothing was granted before the first holder.
+        watchedSince: role.previousEpoch === 0 ? -Infinity : this.#watchedSince,
         losses: this.#losses,
       }),
     };
--- a/packages/kingcupglade/gateway/attempts.ts
+++ b/packages/kingcupglade/gateway/attempts.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { TargetRecord } from "@kingcupglade/ownership";
 import {
   Header,
   notRun,
@@ -9,6 +10,7 @@
 import type {
   CapacityGate,
   ExchangeReport,
+  HedgePolicy,
   MatchedRequest,
   Refusal,
 } from "@kingcupglade/routing";
@@ -21,6 +23,7 @@
 import type { ExchangeClient } from "./exchange.ts";
 import { UnknownCause } from "./exchange_types.ts";
 import type { ExchangeResult } from "./exchange_types.ts";
+import { HedgedExchange } from "./hedged_exchange.ts";
 import { WaitingRoom } from "./waiting_room.ts";
 
 const firstPauseMilliseconds = 5;
@@ -49,6 +52,13 @@
   readonly region: string;
   /** Where a request goes by the table in use. */
   readonly choose: (matched: MatchedRequest) => Destination | Refusal;
+  /** Another target that can take the request at once, if any may. */
+  readonly chooseOther: (
+    matched: MatchedRequest,
+    first: TargetRecord,
+  ) => Destination | undefined;
+  /** When a late request is sent to a second target. */
+  readonly hedges: HedgePolicy;
   /** Names the range or service that a request waits for. */
   readonly subjectOf: (matched: MatchedRequest) => string;
 }
@@ -57,11 +67,20 @@
 export class Attempts {
   readonly #options: AttemptsOptions;
   readonly #room: WaitingRoom;
+  readonly #hedged: HedgedExchange;
   readonly #budget = new RetryBudget();
 
   constructor(options: AttemptsOptions) {
     this.#options = options;
     this.#room = new WaitingRoom({ routing: options.routing });
+    this.#hedged = new HedgedExchange({
+      clock: options.clock,
+      policy: options.hedges,
+      exchange: (caller, destination) => this.#exchange(caller, destination),
+      chooseOther: (caller, first) =>
+        options.chooseOther(caller.matched, first.target),
+      onHedge: () => options.metrics.hedges.inc(),
+    });
   }
 
   /** Returns null when the sink got an answer, whole or visibly broken off. */
@@ -77,7 +96,9 @@
         if (await this.#waitForTable(caller)) continue;
         return notRun(Reason.overload, { retryAfterSeconds: 1 });
       }
-      const result = await this.#exchange(caller, destination);
+      const result = HedgedExchange.suits(caller)
+        ? await this.#hedged.run(caller, destination)
+        : await this.#exchange(caller, destination);
       const next = nextStep(result, caller);
       if (next.kind === "end") return next.refusal;
       last = next.refusal;
@@ -116,7 +137,12 @@
     const result = await this.#send(caller, destination);
     this.#endUse(result, { end, deadlineAt });
     this.#countBytes(caller, destination);
-    permit.release(reportOf(result, clock.now() - startedAt));
+    const milliseconds = clock.now() - startedAt;
+    permit.release(
+      result.kind === "notSent" && !this.#maySend(caller, destination)
+        ? { result: "cancelled", milliseconds }
+        : reportOf(result, milliseconds),
+    );
     return result;
   }
 
@@ -124,7 +150,7 @@
     caller: CallerRequest,
     destination: Destination,
   ): Promise<ExchangeResult> {
-    const { exchanges, clock, routing } = this.#options;
+    const { exchanges, clock } = this.#options;
     const { body, deadlineAt, method, path, headers, sink } = caller;
     const timeoutMilliseconds = Math.max(1, deadlineAt - clock.now());
     return exchanges.run({
@@ -139,12 +165,16 @@
         [Header.deadline]: String(Math.ceil(timeoutMilliseconds)),
       },
       timeoutMilliseconds,
-      maySend: () =>
-        routing.hasLease && clock.now() < deadlineAt &&
-        destination.isCurrent() && !sink.isClosed,
+      maySend: () => this.#maySend(caller, destination),
     }, sink);
   }
 
+  #maySend(caller: CallerRequest, destination: Destination): boolean {
+    const { routing, clock } = this.#options;
+    return routing.hasLease && clock.now() < caller.deadlineAt &&
+      destination.isCurrent() && !caller.sink.isClosed;
+  }
+
   #countBytes(caller: CallerRequest, destination: Destination): void {
     const { metrics, region } = this.#options;
     if (destination.target.region === region) return;
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import type { KeyHasher, RoleAssignment } from "@kingcupglade/ownership";
 import {
   Header,
+  HedgePolicy,
   matchRequest,
   notRun,
   Outcome,
@@ -14,6 +15,7 @@
   MatchedRequest,
   Refusal,
   RequestHead,
+  TargetObservations,
 } from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -33,6 +35,7 @@
 import { OwnerChooser } from "./owner_chooser.ts";
 import { RequestsInProgress } from "./requests_in_progress.ts";
 import { TargetChooser } from "./target_chooser.ts";
+import type { TargetChoice } from "./target_chooser.ts";
 
 const bufferedBodyBytes = 65_536;
 const maximumClaimedBodyBytes = 1 << 20;
@@ -43,12 +46,20 @@
   readonly routing: RoutingTask;
   readonly exchanges: ExchangeClient;
   readonly capacity: CapacityGate;
+  readonly observations: TargetObservations;
+  /** Choice among targets that can all serve a request, for measurements. */
+  readonly choice?: TargetChoice | undefined;
+  /** A number of at least 0 and less than 1. */
+  readonly random: () => number;
+  /** Hedges that each request earns. @default 0.04 */
+  readonly hedgeShare?: number | undefined;
   readonly ledger: LedgerTask;
   readonly forwarder: Forwarder;
   readonly hasher: KeyHasher;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly dataCentre: string;
   /** Region of this VM. */
   readonly region: string;
   /** Scheme of the callers' listeners. */
@@ -76,7 +87,9 @@
     const { routing, hasher } = options;
     const inProgress = new RequestsInProgress();
     const owners = new OwnerChooser({ routing, hasher, inProgress });
-    const targets = new TargetChooser({ routing });
+    const targets = new TargetChooser({
+      ...options,
+    });
     this.#options = options;
     this.#attempts = new Attempts({
       ...options,
@@ -84,6 +97,8 @@
         matched.key === undefined
           ? targets.choose(matched)
           : owners.choose(matched, matched.key),
+      chooseOther: (matched, first) => targets.chooseOther(matched, first),
+      hedges: new HedgePolicy({ share: options.hedgeShare }),
       subjectOf: (matched) => owners.subjectOf(matched),
     });
     this.#claimed = new ClaimedRequests({
--- /dev/null
+++ b/packages/kingcupglade/gateway/hedged_exchange.ts
@@ -0,0 +1,87 @@
+import type { HedgePolicy, Refusal } from "@kingcupglade/routing";
+import type { Clock } from "@kingcupglade/tasks";
+import { AnswerRace } from "./answer_race.ts";
+import type { CallerRequest } from "./attempts.ts";
+import type { Destination } from "./destination.ts";
+import type { ExchangeResult } from "./exchange_types.ts";
+
+type Result = ExchangeResult | Refusal;
+
+/** Options of a {@link HedgedExchange}. */
+export interface HedgedExchangeOptions {
+  readonly clock: Clock;
+  readonly policy: HedgePolicy;
+  /** Carries out one exchange. */
+  readonly exchange: (
+    caller: CallerRequest,
+    destination: Destination,
+  ) => Promise<Result>;
+  /** Another target that can take the request at once. */
+  readonly chooseOther: (
+    caller: CallerRequest,
+    first: Destination,
+  ) => Destination | undefined;
+  /** Called when a request is sent to a second target. */
+  readonly onHedge: () => void;
+}
+
+/** Sends a request to a second target when the first one is late. */
+export class HedgedExchange {
+  readonly #options: HedgedExchangeOptions;
+
+  constructor(options: HedgedExchangeOptions) {
+    this.#options = options;
+  }
+
+  /** Whether a request may run at two targets. */
+  static suits(caller: CallerRequest): boolean {
+    return caller.matched.idempotent && caller.matched.key === undefined &&
+      caller.body.whole !== undefined;
+  }
+
+  /** The result of the exchange that answered, or of the last one that ended. */
+  run(caller: CallerRequest, first: Destination): Promise<Result> {
+    const { clock, policy } = this.#options;
+    const { service } = caller.matched;
+    const startedAt = clock.now();
+    const delayMilliseconds = policy.begin(service);
+    const race = new AnswerRace(caller.sink);
+    return new Promise((resolve, reject) => {
+      let open = 0;
+      const start = (destination: Destination) => {
+        open += 1;
+        this.#options.exchange({ ...caller, sink: race.leg() }, destination)
+          .then((result) => {
+            open -= 1;
+            const isFinal = result.kind === "answered" ||
+              result.kind === "truncated";
+            if (!isFinal && open > 0) return;
+            clearTimeout(timer);
+            policy.note(service, clock.now() - startedAt);
+            resolve(result);
+          }, reject);
+      };
+      const timer = delayMilliseconds === undefined ? undefined : setTimeout(
+        () => this.#hedge(race, { caller, first, start }),
+        delayMilliseconds,
+      );
+      start(first);
+    });
+  }
+
+  #hedge(
+    race: AnswerRace,
+    request: {
+      readonly caller: CallerRequest;
+      readonly first: Destination;
+      readonly start: (destination: Destination) => void;
+    },
+  ): void {
+    const { policy, chooseOther, onHedge } = this.#options;
+    if (race.isDecided || race.sink.isClosed) return;
+    const other = chooseOther(request.caller, request.first);
+    if (!other || !policy.take()) return;
+    onHedge();
+    request.start(other);
+  }
+}
--- a/packages/kingcupglade/gateway/target_chooser.ts
+++ b/packages/kingcupglade/gateway/target_chooser.ts
@@ -1,31 +1,102 @@
-import { notRun, Reason } from "@kingcupglade/routing";
-import type { MatchedRequest, Refusal } from "@kingcupglade/routing";
+import type { TargetRecord } from "@kingcupglade/ownership";
+import { chooseTarget, notRun, Reason } from "@kingcupglade/routing";
+import type {
+  Candidate,
+  CapacityGate,
+  MatchedRequest,
+  Refusal,
+  TargetObservations,
+} from "@kingcupglade/routing";
+import type { Clock } from "@kingcupglade/tasks";
 import type { RoutingTask } from "../control/routing_task.ts";
 import type { Destination } from "./destination.ts";
 
+/** Chooses one of the candidates; undefined when there are none. */
+export type TargetChoice = (
+  candidates: readonly Candidate[],
+) => Candidate | undefined;
+
+/** Options of a {@link TargetChooser}. */
+export interface TargetChooserOptions {
+  readonly routing: RoutingTask;
+  readonly capacity: CapacityGate;
+  readonly observations: TargetObservations;
+  readonly clock: Clock;
+  readonly dataCentre: string;
+  readonly region: string;
+  /** A number of at least 0 and less than 1. */
+  readonly random: () => number;
+  /** @default near targets with room first, then the faster of two */
+  readonly choice?: TargetChoice | undefined;
+}
+
 /** Chooses among the targets of a service that any of them can serve. */
 export class TargetChooser {
-  readonly #routing: RoutingTask;
+  readonly #options: TargetChooserOptions;
+  readonly #choice: TargetChoice;
 
-  constructor(options: { readonly routing: RoutingTask }) {
-    this.#routing = options.routing;
+  constructor(options: TargetChooserOptions) {
+    const { clock } = options;
+    this.#options = options;
+    this.#choice = options.choice ??
+      ((candidates) =>
+        chooseTarget(candidates, { ...options, now: clock.now() }));
   }
 
   /** A target that is fit for the request, or why there is none now. */
   choose(matched: MatchedRequest): Destination | Refusal {
-    const { table } = this.#routing;
+    const chosen = this.#choice(this.#candidates(matched));
+    return chosen
+      ? this.#destination(chosen.target)
+      : notRun(Reason.noTarget, { retryAfterSeconds: 1 });
+  }
+
+  /** Another target that can take the request at once, if there is one. */
+  chooseOther(
+    matched: MatchedRequest,
+    first: TargetRecord,
+  ): Destination | undefined {
+    const chosen = this.#choice(
+      this.#candidates(matched).filter((each) =>
+        each.available > 0 && each.target.target !== first.target
+      ),
+    );
+    return chosen && this.#destination(chosen.target);
+  }
+
+  #candidates(matched: MatchedRequest): readonly Candidate[] {
+    const { routing, capacity, observations } = this.#options;
+    const { table } = routing;
     const home = table.homeRegionsOf(matched.service, matched.tenant);
-    const fit = table.targetsOf(matched.service).filter((target) =>
-      (target.condition === "serving" || target.condition === "cold") &&
-      home.includes(target.region) && table.isInService(target.dataCentre)
+    return table.targetsOf(matched.service).flatMap((target) =>
+      this.#isFit(target) && home.includes(target.region)
+        ? [{
+          target,
+          observation: observations.of(target.target),
+          available: capacity.available(target),
+          load: capacity.load(target),
+          queued: capacity.queued(target),
+        }]
+        : []
     );
-    const target = fit[Math.floor(Math.random() * fit.length)];
-    if (!target) return notRun(Reason.noTarget, { retryAfterSeconds: 1 });
+  }
+
+  #isFit(target: TargetRecord): boolean {
+    return (target.condition === "serving" || target.condition === "cold") &&
+      this.#options.routing.table.isInService(target.dataCentre);
+  }
+
+  #destination(target: TargetRecord): Destination {
+    const { routing } = this.#options;
     return {
       target,
       headers: {},
       begin: () => () => {},
-      isCurrent: () => true,
+      // The target may have left since the request began to wait for it.
+      isCurrent: () => {
+        const current = routing.table.targets.get(target.target);
+        return current?.boot === target.boot && this.#isFit(current);
+      },
     };
   }
 }
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from "node:crypto";
+import { randomInt, randomUUID } from "node:crypto";
 import { createKeyHasher } from "@kingcupglade/ownership";
 import { TargetObservations } from "@kingcupglade/routing";
 import type { CapacityGate } from "@kingcupglade/routing";
@@ -9,6 +9,8 @@
   describeFailure,
 } from "@kingcupglade/telemetry";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { ControlClient } from "./control/control_client.ts";
 import { ControlTask } from "./control/control_task.ts";
 import { PeerDirectory } from "./control/peers.ts";
@@ -17,6 +19,7 @@
 import { ExchangeClient } from "./gateway/exchange.ts";
 import { Forwarder } from "./gateway/forwarder.ts";
 import { Gateway } from "./gateway/gateway.ts";
+import type { TargetChoice } from "./gateway/target_chooser.ts";
 import { LedgerTask } from "./ledger/ledger_task.ts";
 import { AnnouncementBatcher } from "./listeners/announcement_batcher.ts";
 import { HttpListener } from "./listeners/http_listener.ts";
@@ -36,8 +39,17 @@
   readonly settings: ResolvedSettings;
   /** Called when the VM cannot go on. */
   readonly onFailure: (failure: unknown) => void;
-  /** Limits of targets, for measurements. @default credits shared by the VMs */
-  readonly capacity?: CapacityGate;
+  /** Decisions replaced for measurements. */
+  readonly policy?: {
+    /** @default credits shared by the VMs */
+    readonly capacity?: CapacityGate;
+    /** @default near targets with room first, then the faster of two */
+    readonly choice?: TargetChoice;
+    /** Hedges that each request earns. @default 0.04 */
+    readonly hedgeShare?: number;
+    /** Seed of the choices among targets. @default drawn at each start */
+    readonly seed?: number;
+  };
 }
 
 interface VmParts {
@@ -148,7 +160,12 @@
       redirectScheme: tls.listeners.has("callers") ? "https" : "http",
       routing,
       exchanges,
-      capacity: options.capacity ?? credits.gate,
+      capacity: options.policy?.capacity ?? credits.gate,
+      choice: options.policy?.choice,
+      random: randomSource(options.policy?.seed ?? randomInt(2 ** 31)),
+      hedgeShare: options.policy?.hedgeShare,
+      observations,
+      dataCentre: vm.dataCentre,
       hasher: await createKeyHasher(),
       clock,
       logger,
@@ -261,6 +278,11 @@
   }
 }
 
+function randomSource(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
 /** VMs that may lead control: the first voters, then all the others. */
 function candidatesOf(settings: ResolvedSettings): readonly string[] {
   const { voters } = settings.control;
--- a/packages/routing/capacity.ts
+++ b/packages/routing/capacity.ts
@@ -34,6 +34,9 @@
 
   /** Requests of this VM that the target has or that wait for it. */
   abstract load(target: TargetRecord): number;
+
+  /** Requests of this VM that wait for a target. */
+  abstract queued(target: TargetRecord): number;
 }
 
 /** A fixed limit for each target, known to this VM alone. */
@@ -49,6 +52,10 @@
     return this.#inProgress.get(target.target) ?? 0;
   }
 
+  override queued(): number {
+    return 0;
+  }
+
   override acquire(request: CapacityRequest): Promise<Permit | Refusal> {
     const { target } = request;
     const used = this.load(target);
--- a/packages/routing/credit_gate.ts
+++ b/packages/routing/credit_gate.ts
@@ -59,6 +59,10 @@
     return gate ? gate.account.inProgress + gate.queue.size : 0;
   }
 
+  override queued(target: TargetRecord): number {
+    return this.#gates.get(target.target)?.queue.size ?? 0;
+  }
+
   override acquire(request: CapacityRequest): Promise<Permit | Refusal> {
     const gate = this.#gateOf(request.target);
     const now = this.#options.clock.now();
--- a/packages/routing/target_choice.ts
+++ b/packages/routing/target_choice.ts
@@ -9,6 +9,8 @@
   readonly available: number;
   /** Requests of this VM that it has or that wait for it. */
   readonly load: number;
+  /** Requests of this VM that wait for it. */
+  readonly queued: number;
 }
 
 /** What a choice depends on besides the candidates. */
@@ -25,7 +27,8 @@
 const fewestSamples = 5;
 const failuresOfOutlier = 3;
 const largestOutlierShare = 0.3;
-const probePauseMilliseconds = 1000;
+const probePauseMilliseconds = 5000;
+const probeShare = 0.05;
 
 /**
  * Chooses a target: outliers aside, the nearest targets that have room come
@@ -35,30 +38,47 @@
   candidates: readonly Candidate[],
   context: ChoiceContext,
 ): Candidate | undefined {
-  const fit = withoutOutliers(candidates, context);
-  const free = fit.filter((each) => each.available > 0);
-  const tier = free.length > 0 ? nearest(free, context) : fit;
-  return betterOfTwo(tier, context);
+  const { fit, probe } = partOutliers(candidates, context);
+  if (probe && context.random() < probeShare) return probe;
+  return betterOfTwo(firstTier(fit, context), context);
 }
 
-/** The candidates that are no outliers, and at most a share are. */
-export function withoutOutliers(
+// Targets without room are asked for credits near before far, and each of them
+// is given one request to wait before any gets a second.
+function firstTier(
   candidates: readonly Candidate[],
-  context: Pick<ChoiceContext, "now">,
+  context: ChoiceContext,
 ): readonly Candidate[] {
+  const free = candidates.filter((each) => each.available > 0);
+  if (free.length > 0) return nearest(free, context);
+  const unqueued = candidates.filter((each) => each.queued === 0);
+  return unqueued.length > 0 ? nearest(unqueued, context) : candidates;
+}
+
+/**
+ * Sets outliers aside, at most a share of the targets. One that was not tried
+ * for a while may be probed, to see whether it has recovered.
+ */
+export function partOutliers(
+  candidates: readonly Candidate[],
+  context: Pick<ChoiceContext, "now">,
+): {
+  readonly fit: readonly Candidate[];
+  readonly probe: Candidate | undefined;
+} {
   const typical = medianMilliseconds(candidates);
-  const outliers = candidates
-    .filter((each) => isOutlier(each, typical))
-    .sort((left, right) => slowness(right) - slowness(left))
-    .slice(0, Math.floor(candidates.length * largestOutlierShare));
-  // One request now and then shows whether an outlier has recovered.
-  const ejected = new Set(outliers.filter((each) =>
-    each.load > 0 ||
-    context.now - (each.observation?.at ?? 0) < probePauseMilliseconds
-  ));
-  return ejected.size === 0
-    ? candidates
-    : candidates.filter((each) => !ejected.has(each));
+  const outliers = new Set(
+    candidates
+      .filter((each) => isOutlier(each, typical))
+      .sort((left, right) => slowness(right) - slowness(left))
+      .slice(0, Math.floor(candidates.length * largestOutlierShare)),
+  );
+  if (outliers.size === 0) return { fit: candidates, probe: undefined };
+  const probe = [...outliers].find((each) =>
+    each.load === 0 &&
+    context.now - (each.observation?.at ?? 0) >= probePauseMilliseconds
+  );
+  return { fit: candidates.filter((each) => !outliers.has(each)), probe };
 }
 
 function isOutlier(
--- a/packages/routing/target_observations.ts
+++ b/packages/routing/target_observations.ts
@@ -1,6 +1,8 @@
 import type { ExchangeReport } from "./capacity.ts";
 
 const recentWeight = 0.1;
+const earlyWeight = 0.3;
+const fewSamples = 5;
 const failureMilliseconds = 1000;
 
 /** What this VM has seen of one target. */
@@ -60,6 +62,8 @@
     if (report.result === "cancelled" && sample <= before.milliseconds) {
       return before.milliseconds;
     }
-    return before.milliseconds + (sample - before.milliseconds) * recentWeight;
+    const difference = sample - before.milliseconds;
+    const weight = before.samples < fewSamples ? earlyWeight : recentWeight;
+    return before.milliseconds + difference * weight;
   }
 }
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -9,6 +9,8 @@
   readonly refusals: Counter<"reason">;
   /** Requests sent again because they certainly did not run. */
   readonly retries: Counter<"reason">;
+  /** Late requests sent to a second target. */
+  readonly hedges: Counter;
   /** Time from arrival to the end of the answer, in seconds. */
   readonly latency: Histogram<"service" | "tenant" | "class">;
   /** Bytes of requests and answers over links between regions. */
@@ -71,6 +73,11 @@
       labelNames: ["reason"],
       registers,
     }),
+    hedges: new Counter({
+      name: "kingcupglade_hedges_total",
+      help: "Late idempotent requests sent to a second target",
+      registers,
+    }),
     latency: new Histogram({
       name: "kingcupglade_request_seconds",
       help: "Time from arrival to the end of the answer",
