--- a/packages/experiments/planned_stop_test.ts
+++ b/packages/experiments/planned_stop_test.ts
@@ -12,7 +12,6 @@
 
   beforeAll(async () => {
     deployment = await Deployment.start(hsinchu);
-    balancer = new Balancer(deployment);
     await deployment.roll();
     const keyed = hsinchuTargets.filter((each) =>
       each.service === "fixture-stock"
@@ -22,6 +21,10 @@
       targets.length === keyed.length &&
       groups.every((group) => group.withoutOwner === 0)
     );
+    await Promise.all(
+      deployment.vmNames.map((vm) => deployment.untilReady(vm)),
+    );
+    balancer = new Balancer(deployment);
     pool = new CallerPool({
       deployment,
       balancer,
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -92,7 +92,6 @@
         clock,
         logger,
         metrics,
-        onFailure: options.onFailure,
       });
     const client = () =>
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
@@ -225,8 +224,10 @@
     parts.markStopping();
     parts.logger.info("vm-stopping");
     await parts.ledger.synchronised(handOverMilliseconds);
-    parts.routing.leave();
-    await new Promise((resolve) => setTimeout(resolve, leaveMilliseconds));
+    await Promise.all([
+      parts.routing.leave(),
+      new Promise((resolve) => setTimeout(resolve, leaveMilliseconds)),
+    ]);
     await parts.callers.close();
     await parts.gateway.finished();
     parts.ledger.stop();
