--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -10,8 +10,14 @@
       (await import("./suite/log_slopes.ts")).logSlopesExperiment,
     "recovery": async () =>
       (await import("./suite/recovery.ts")).recoveryExperiment,
+    "planner": async () =>
+      (await import("./suite/planner.ts")).plannerExperiment,
+    "at-most-once": async () =>
+      (await import("./suite/at_most_once.ts")).atMostOnceExperiment,
     "history": async () =>
       (await import("./suite/history.ts")).historyExperiment,
+    "ledger-cost": async () =>
+      (await import("./suite/ledger_cost.ts")).ledgerCostExperiment,
     "lost-owner": async () =>
       (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
   }));
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -7,13 +7,13 @@
 import { configurationOf } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
-import { deltaSince } from "@kingcupglade/ownership";
-import type { RollOutcome, TableDelta } from "@kingcupglade/ownership";
+import type { RollOutcome } from "@kingcupglade/ownership";
 import type { Files } from "@kingcupglade/storage";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { ResolvedSettings } from "../settings/schema.ts";
 import type { Hello } from "./bootstrap.ts";
+import { DeltaCache } from "./delta_cache.ts";
 import { ControlUnavailableError, NotLeaderError } from "./errors.ts";
 import { GrantSender } from "./grant_sender.ts";
 import { LeaderSession } from "./leader_session.ts";
@@ -28,6 +28,7 @@
 
 const coordinationMilliseconds = 50;
 const repairPlanMilliseconds = 250;
+const noBytes = new Uint8Array();
 
 /** Options of a {@link ControlTask}. */
 export interface ControlTaskOptions {
@@ -49,8 +50,8 @@
 export interface RenewalAnswer {
   readonly leaseMilliseconds: number;
   readonly tableVersion: number;
-  /** Null when nothing changed. */
-  readonly delta: TableDelta | null;
+  /** Encoded table delta; empty when nothing changed. */
+  readonly delta: Uint8Array<ArrayBuffer>;
 }
 
 /** Runs the control replica of a VM with a data folder. */
@@ -59,6 +60,7 @@
   readonly #grants: GrantSender;
   readonly #timer: NodeJS.Timeout;
   readonly #waiters = new Set<() => void>();
+  readonly #deltas = new DeltaCache();
   #host: ReplicaHost | undefined;
   #session: LeaderSession | undefined;
   #repair: VoterRepair | undefined;
@@ -132,20 +134,23 @@
     holdMilliseconds: number,
   ): Promise<RenewalAnswer> {
     await this.#leading().renewVm(renewal);
-    void this.#session?.coordinate();
+    this.#session?.coordinate();
     const { replica } = this.#required();
     if (replica.control.version <= renewal.appliedVersion) {
       await this.#nextChange(holdMilliseconds);
     }
-    await this.#leading().renewVm(renewal);
-    const { version } = replica.control;
+    const session = this.#leading();
+    const { load: _counted, ...unchanged } = renewal;
+    const leaseMilliseconds = await session.renewVm(unchanged);
+    const { control } = replica;
+    const isNews = control.version > renewal.appliedVersion;
+    if (isNews) session.noteSent(renewal.vm.name, control.version);
     return {
-      leaseMilliseconds:
-        this.#options.settings.control.routingLeaseMilliseconds,
-      tableVersion: version,
-      delta: version > renewal.appliedVersion
-        ? deltaSince(replica.control, renewal.appliedVersion)
-        : null,
+      leaseMilliseconds,
+      tableVersion: control.version,
+      delta: isNews
+        ? this.#deltas.since(control, renewal.appliedVersion)
+        : noBytes,
     };
   }
 
@@ -261,6 +266,7 @@
 
   #changed(): void {
     this.#updateSession();
+    this.#session?.coordinate();
     for (const wake of this.#waiters) wake();
     this.#waiters.clear();
   }
@@ -284,6 +290,7 @@
         grants: this.#grants,
         clock,
         logger,
+        metrics,
         ...settings.control,
       })
       : undefined;
@@ -291,7 +298,7 @@
 
   #tick(): void {
     this.#updateSession();
-    void this.#session?.coordinate();
+    this.#session?.coordinate();
     this.#repairVoters();
   }
 
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -4,6 +4,8 @@
 import type { KeyHasher, RoleAssignment } from "@kingcupglade/ownership";
 import {
   Header,
+  HedgePolicy,
+  ledgerNotAsked,
   matchRequest,
   notRun,
   Outcome,
@@ -14,6 +16,7 @@
   MatchedRequest,
   Refusal,
   RequestHead,
+  TargetObservations,
 } from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -33,6 +36,7 @@
 import { OwnerChooser } from "./owner_chooser.ts";
 import { RequestsInProgress } from "./requests_in_progress.ts";
 import { TargetChooser } from "./target_chooser.ts";
+import type { TargetChoice } from "./target_chooser.ts";
 
 const bufferedBodyBytes = 65_536;
 const maximumClaimedBodyBytes = 1 << 20;
@@ -43,12 +47,20 @@
   readonly routing: RoutingTask;
   readonly exchanges: ExchangeClient;
   readonly capacity: CapacityGate;
+  readonly observations: TargetObservations;
+  /** Choice among targets that can all serve a request, for measurements. */
+  readonly choice?: TargetChoice | undefined;
+  /** A number of at least 0 and less than 1. */
+  readonly random: () => number;
+  /** Hedges that each request earns. @default 0.04 */
+  readonly hedgeShare?: number | undefined;
   readonly ledger: LedgerTask;
   readonly forwarder: Forwarder;
   readonly hasher: KeyHasher;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly dataCentre: string;
   /** Region of this VM. */
   readonly region: string;
   /** Scheme of the callers' listeners. */
@@ -76,7 +88,9 @@
     const { routing, hasher } = options;
     const inProgress = new RequestsInProgress();
     const owners = new OwnerChooser({ routing, hasher, inProgress });
-    const targets = new TargetChooser({ routing });
+    const targets = new TargetChooser({
+      ...options,
+    });
     this.#options = options;
     this.#attempts = new Attempts({
       ...options,
@@ -84,6 +98,8 @@
         matched.key === undefined
           ? targets.choose(matched)
           : owners.choose(matched, matched.key),
+      chooseOther: (matched, first) => targets.chooseOther(matched, first),
+      hedges: new HedgePolicy({ share: options.hedgeShare }),
       subjectOf: (matched) => owners.subjectOf(matched),
     });
     this.#claimed = new ClaimedRequests({
@@ -141,7 +157,7 @@
     const startedAt = clock.now();
     const bundle = routing.table.bundle?.bundle;
     if (!bundle || !routing.hasLease) {
-      return notRun(Reason.noLease, { retryAfterSeconds: 1 });
+      return refusalWithoutTable(request);
     }
     const matched = matchRequest(bundle, requestHead(served));
     if (matched.kind === "refusal") return matched;
@@ -175,6 +191,7 @@
     if (served.isForwarded) return Promise.resolve(notRun(Reason.noHome));
     return this.#options.forwarder.run(caller, {
       reason: "home",
+      refuse: (reason) => notRun(reason, { retryAfterSeconds: 1 }),
       choose: () => this.#homes.choose(caller.matched),
       mayRepeat: caller.matched.idempotent,
     });
@@ -194,10 +211,11 @@
       return null;
     }
     if (served.isForwarded) {
-      return notRun(Reason.noLedger, { retryAfterSeconds: 1 });
+      return ledgerNotAsked(Reason.noLedger);
     }
     return forwarder.run(caller, {
       reason: "ledger",
+      refuse: ledgerNotAsked,
       choose: () => {
         const holder = this.#roleOf(claim, caller.matched)?.holder;
         return (holder && routing.table.vms.get(holder)) || null;
@@ -297,6 +315,12 @@
   };
 }
 
+function refusalWithoutTable(request: IncomingMessage): Refusal {
+  return request.headers[Header.idempotencyKey] === undefined
+    ? notRun(Reason.noLease, { retryAfterSeconds: 1 })
+    : ledgerNotAsked(Reason.noLease);
+}
+
 async function receiveBody(
   request: IncomingMessage,
   options: RequestBodyOptions,
@@ -316,6 +340,9 @@
   answer: StoredAnswer,
 ): void {
   if (response.destroyed) return;
-  response.writeHead(answer.status, answer.headers);
+  response.writeHead(answer.status, {
+    ...answer.headers,
+    ...(answer.body.length > 0 ? { "content-length": answer.body.length } : {}),
+  });
   response.end(answer.body);
 }
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -7,7 +7,14 @@
 export type { CapacityRequest, ExchangeReport, Permit } from "./capacity.ts";
 export { matchRequest } from "./match.ts";
 export type { MatchedRequest, RequestHead } from "./match.ts";
-export { Header, notRun, Outcome, Reason, unknownOutcome } from "./outcome.ts";
+export {
+  Header,
+  ledgerNotAsked,
+  notRun,
+  Outcome,
+  Reason,
+  unknownOutcome,
+} from "./outcome.ts";
 export type { Refusal } from "./outcome.ts";
 export { CreditGate } from "./credit_gate.ts";
 export type { CreditGateOptions } from "./credit_gate.ts";
@@ -17,7 +24,10 @@
 export { CreditRole } from "./credit_role.ts";
 export type { CreditRecall, CreditReport, CreditTimes } from "./credit_role.ts";
 export { FairQueue } from "./fair_queue.ts";
+export { chooseTarget, partOutliers } from "./target_choice.ts";
+export type { Candidate, ChoiceContext } from "./target_choice.ts";
 export { TargetObservations } from "./target_observations.ts";
 export type { TargetObservation } from "./target_observations.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export type { RetryBudgetOptions } from "./retry_budget.ts";
+export { HedgePolicy } from "./hedge_policy.ts";
