Answer replication calls with the answers, and ask for votes again sooner

Cause: every consensus message took a call of its own, so that a heartbeat cost two calls; idle followers cost 12.6 KB/s each, more than the 10 KB/s that a node may spend on control. After a refused pre-vote or split votes a replica waited a whole election timeout: 1.8 to 1.9 s without a leader in one of 24 losses. A learner that was dropped because its voter came back was held to be unfit for a minute, so that the next repair chose a spare of another region.

Change: a delivery is answered with what the receiver has to say within 25 ms; heartbeats every 150 ms in place of 100; half the wait after a try that failed; only silence makes a learner unfit.

--- a/packages/consensus/election.ts
+++ b/packages/consensus/election.ts
@@ -18,6 +18,13 @@
   draft.state.electionDueAt = draft.now + electionMilliseconds * (1 + spread);
 }
 
+// A voter that refused a pre-vote may have heard the lost leader a little
+// later, and two candidates may have split the votes: ask again soon.
+function scheduleRetry(draft: Draft): void {
+  scheduleElection(draft);
+  draft.state.electionDueAt -= (draft.state.electionDueAt - draft.now) / 2;
+}
+
 /** Becomes a follower, in a newer term if there is one. */
 export function becomeFollower(
   draft: Draft,
@@ -46,7 +53,7 @@
   draft.state.role = Role.preCandidate;
   draft.state.leader = null;
   draft.state.votes = new Set([draft.state.self]);
-  scheduleElection(draft);
+  scheduleRetry(draft);
   for (const to of otherVoters(draft.state)) {
     draft.sendInTerm({
       kind: "preVoteRequest",
@@ -69,7 +76,7 @@
   draft.state.term += 1;
   draft.state.votedFor = draft.state.self;
   draft.state.votes = new Set([draft.state.self]);
-  scheduleElection(draft);
+  scheduleRetry(draft);
   draft.persistHardState();
   for (const to of otherVoters(draft.state)) {
     draft.send({
--- a/packages/consensus/types.ts
+++ b/packages/consensus/types.ts
@@ -217,7 +217,7 @@
 
 /** Timing of elections and heartbeats. */
 export interface ConsensusOptions {
-  /** @default 100 */
+  /** @default 150 */
   readonly heartbeatMilliseconds?: number;
   /** Shortest silence after which a replica stands for election. @default 600 */
   readonly electionMilliseconds?: number;
@@ -237,7 +237,7 @@
   options: ConsensusOptions = {},
 ): ResolvedConsensusOptions {
   return {
-    heartbeatMilliseconds: options.heartbeatMilliseconds ?? 100,
+    heartbeatMilliseconds: options.heartbeatMilliseconds ?? 150,
     electionMilliseconds: options.electionMilliseconds ?? 600,
     maximumBatchEntries: options.maximumBatchEntries ?? 256,
     maximumBatchBytes: options.maximumBatchBytes ?? 256 * 1024,
--- a/packages/experiments/replica_group.ts
+++ b/packages/experiments/replica_group.ts
@@ -184,10 +184,12 @@
             const source = this.#members.find((each) => each.vm === sender);
             if (source) await this.#passFaults(source);
             member.messages += messages.length;
-            member.host?.receive(
+            const answers = await member.host?.receive(
+              from,
               messages.map((each) => decodeValue<ConsensusMessage>(each)),
-            );
-            return {};
+            ) ?? [];
+            member.messages += answers.length;
+            return { messages: answers };
           },
           hello: () => {
             const hello = member.host?.hello;
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -118,9 +118,12 @@
     return (await this.#host?.found(voters)) ?? false;
   }
 
-  /** Takes in messages of another replica. */
-  receive(messages: readonly ConsensusMessage[]): void {
-    this.#host?.receive(messages);
+  /** Takes in messages of another replica; returns the answers, encoded. */
+  async receive(
+    from: string,
+    messages: readonly ConsensusMessage[],
+  ): Promise<Uint8Array<ArrayBuffer>[]> {
+    return (await this.#host?.receive(from, messages)) ?? [];
   }
 
   /**
--- a/packages/kingcupglade/control/persist_queue.ts
+++ b/packages/kingcupglade/control/persist_queue.ts
@@ -53,6 +53,17 @@
     });
   }
 
+  /** Waits until everything queued so far is done, or the time is up. */
+  async untilIdle(timeoutMilliseconds: number): Promise<void> {
+    if (!this.#isDraining) return;
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<void>((resolve) => {
+      timer = setTimeout(resolve, timeoutMilliseconds);
+    });
+    await Promise.race([this.#drained, timeout]);
+    clearTimeout(timer);
+  }
+
   /** Stops after the write under way; what waits is dropped. */
   async stop(): Promise<void> {
     this.#stopped = true;
--- a/packages/kingcupglade/control/replica_host.ts
+++ b/packages/kingcupglade/control/replica_host.ts
@@ -14,11 +14,13 @@
 } from "./bootstrap.ts";
 import type { Hello } from "./bootstrap.ts";
 import type { PeerDirectory } from "./peers.ts";
-import { replicaIdOf } from "./replica_id.ts";
+import { replicaIdOf, vmOfReplica } from "./replica_id.ts";
 import { ReplicaSender } from "./replica_sender.ts";
 import { ReplicaTask } from "./replica_task.ts";
 
 const foundingMilliseconds = 200;
+// Longer syncs are answered by a call of their own, so that heartbeats pass.
+const answerMilliseconds = 25;
 
 /** Options of a {@link ReplicaHost}. */
 export interface ReplicaHostOptions {
@@ -52,7 +54,11 @@
     const { storage, peers } = options;
     this.#options = options;
     this.id = replicaIdOf(storage.identity);
-    this.#sender = new ReplicaSender(peers, this.id);
+    this.#sender = new ReplicaSender({
+      peers,
+      self: this.id,
+      onAnswer: (messages) => this.#receive(messages),
+    });
     this.#storage = storage;
     if (isMember(storage) || !this.#isFounder) this.#start(storage);
     this.#timer = setInterval(() => this.#tryFounding(), foundingMilliseconds);
@@ -114,8 +120,18 @@
     }
   }
 
-  /** Takes in messages of another replica. */
-  receive(messages: readonly ConsensusMessage[]): void {
+  /** Takes in messages of another replica; returns the answers, encoded. */
+  receive(
+    from: string,
+    messages: readonly ConsensusMessage[],
+  ): Promise<Uint8Array<ArrayBuffer>[]> {
+    return this.#sender.answer(vmOfReplica(from), async () => {
+      this.#receive(messages);
+      await this.#replica?.untilSynced(answerMilliseconds);
+    });
+  }
+
+  #receive(messages: readonly ConsensusMessage[]): void {
     for (const message of messages) this.#replica?.receive(message);
   }
 
--- a/packages/kingcupglade/control/replica_sender.ts
+++ b/packages/kingcupglade/control/replica_sender.ts
@@ -1,44 +1,83 @@
 import type { ConsensusMessage } from "@kingcupglade/consensus";
-import { encodeValue, Replication } from "@kingcupglade/protocol";
+import { decodeValue, encodeValue, Replication } from "@kingcupglade/protocol";
 import type { PeerDirectory } from "./peers.ts";
 import { vmOfReplica } from "./replica_id.ts";
 
 const deliverTimeoutMilliseconds = 1000;
 const maximumWaitingMessages = 256;
 
+/** Options of a {@link ReplicaSender}. */
+export interface ReplicaSenderOptions {
+  readonly peers: PeerDirectory;
+  /** The replica that sends. */
+  readonly self: string;
+  /** Takes in what a receiver answered at once. */
+  readonly onAnswer: (messages: readonly ConsensusMessage[]) => void;
+}
+
 /** Delivers consensus messages in order, one batch at a time per receiver. */
 export class ReplicaSender {
-  readonly #peers: PeerDirectory;
-  readonly #self: string;
-  readonly #queues = new Map<string, Uint8Array[]>();
+  readonly #options: ReplicaSenderOptions;
+  readonly #queues = new Map<string, Uint8Array<ArrayBuffer>[]>();
   readonly #busy = new Set<string>();
+  readonly #answering = new Set<string>();
 
-  constructor(peers: PeerDirectory, self: string) {
-    this.#peers = peers;
-    this.#self = self;
+  constructor(options: ReplicaSenderOptions) {
+    this.#options = options;
   }
 
   /** Queues a message; old ones are dropped when the receiver is unreachable. */
   send(message: ConsensusMessage): void {
     const vm = vmOfReplica(message.to);
-    const queue = this.#queues.get(vm) ?? [];
-    this.#queues.set(vm, queue);
+    const queue = this.#queue(vm);
     queue.push(encodeValue(message));
     if (queue.length > maximumWaitingMessages) queue.shift();
-    void this.#drain(vm, queue);
+    void this.#drain(vm);
+  }
+
+  /**
+   * Handles messages of a VM and returns what is then to be sent to it, so
+   * that the answers need no call of their own.
+   */
+  async answer(
+    vm: string,
+    handle: () => Promise<void>,
+  ): Promise<Uint8Array<ArrayBuffer>[]> {
+    if (this.#answering.has(vm)) {
+      await handle();
+      return [];
+    }
+    this.#answering.add(vm);
+    try {
+      await handle();
+      return this.#queue(vm).splice(0);
+    } finally {
+      this.#answering.delete(vm);
+      void this.#drain(vm);
+    }
+  }
+
+  #queue(vm: string): Uint8Array<ArrayBuffer>[] {
+    const known = this.#queues.get(vm);
+    if (known) return known;
+    const queue: Uint8Array<ArrayBuffer>[] = [];
+    this.#queues.set(vm, queue);
+    return queue;
   }
 
-  async #drain(vm: string, queue: Uint8Array[]): Promise<void> {
-    const replication = this.#peers.client(vm, Replication);
+  async #drain(vm: string): Promise<void> {
+    const { peers, self, onAnswer } = this.#options;
+    const replication = peers.client(vm, Replication);
+    const queue = this.#queue(vm);
     if (!replication || this.#busy.has(vm)) return;
     this.#busy.add(vm);
-    while (queue.length > 0) {
-      const messages = queue.splice(0) as Uint8Array<ArrayBuffer>[];
+    while (queue.length > 0 && !this.#answering.has(vm)) {
       try {
-        await replication.deliver(
-          { from: this.#self, messages },
+        const { messages } = await replication.deliver(
+          { from: self, messages: queue.splice(0) },
           { timeoutMs: deliverTimeoutMilliseconds },
         );
+        onAnswer(messages.map((each) => decodeValue<ConsensusMessage>(each)));
       } catch {
         // The consensus machine sends again what was not answered.
       }
--- a/packages/kingcupglade/control/replica_task.ts
+++ b/packages/kingcupglade/control/replica_task.ts
@@ -171,6 +171,11 @@
     });
   }
 
+  /** Waits until nothing waits for the disk, or the time is up. */
+  untilSynced(timeoutMilliseconds: number): Promise<void> {
+    return this.#disk.untilIdle(timeoutMilliseconds);
+  }
+
   /** Asks for a change of the replica set. */
   proposeConfiguration(configuration: Configuration): void {
     this.#machine.post({ kind: "proposeConfiguration", configuration });
--- a/packages/kingcupglade/control/voter_repair.ts
+++ b/packages/kingcupglade/control/voter_repair.ts
@@ -60,7 +60,7 @@
       voters: this.#voters,
       standings: this.#standings(view, now),
     });
-    if (next) this.#noteDropped(configuration, next, now);
+    if (next) this.#noteSilentLearners(configuration, { next, view, now });
     return next;
   }
 
@@ -76,16 +76,20 @@
     }
   }
 
-  // A learner that was dropped before it voted is not tried again at once.
-  #noteDropped(
+  // A learner that was dropped for its silence is not tried again at once.
+  #noteSilentLearners(
     before: Configuration,
-    next: Configuration,
-    now: number,
+    planned: {
+      readonly next: Configuration;
+      readonly view: RepairView;
+      readonly now: number;
+    },
   ): void {
+    const { next, view, now } = planned;
     for (const learner of before.learners) {
-      if (next.voters.includes(learner) || next.learners.includes(learner)) {
-        continue;
-      }
+      const stays = next.voters.includes(learner) ||
+        next.learners.includes(learner);
+      if (stays || !this.#isLost(learner, view, now)) continue;
       this.#unfitUntil.set(learner, now + unfitMilliseconds);
     }
   }
--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -91,12 +91,12 @@
   control: ControlTask | undefined,
 ): void {
   router.service(Replication, {
-    deliver: (request) => {
-      control?.receive(
-        request.messages.map((each) => decodeValue<ConsensusMessage>(each)),
-      );
-      return {};
-    },
+    deliver: async ({ from, messages }) => ({
+      messages: await control?.receive(
+        from,
+        messages.map((each) => decodeValue<ConsensusMessage>(each)),
+      ) ?? [],
+    }),
     hello: () => {
       const { replica = "", member = false, founders = [] } = control?.hello ??
         {};
