--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -9,6 +9,7 @@
 import { parseSignedBundle } from "@kingcupglade/bundle";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import type { Announcement } from "@kingcupglade/membership";
+import type { GroupLoadReport } from "@kingcupglade/ownership";
 import {
   Control,
   decodeValue,
@@ -24,7 +25,6 @@
 import { HttpListener } from "./http_listener.ts";
 
 const defaultHeaderBytes = 16_384;
-const noBytes = new Uint8Array();
 
 /** Opens the listener for the other VMs. */
 export function openPeersListener(options: {
@@ -97,7 +97,11 @@
       );
       return {};
     },
-    hello: () => control?.hello ?? { replica: "", member: false },
+    hello: () => {
+      const { replica = "", member = false, founders = [] } = control?.hello ??
+        {};
+      return { replica, member, founders: [...founders] };
+    },
     found: async (request) => ({
       accepted: (await control?.found(request.voters)) ?? false,
     }),
@@ -119,11 +123,14 @@
           },
           appliedVersion,
           quiescentVersion,
+          load: request.observations.length > 0
+            ? decodeValue<readonly GroupLoadReport[]>(request.observations)
+            : [],
         }, request.holdMilliseconds);
         return {
           leaseMilliseconds: answer.leaseMilliseconds,
           tableVersion: answer.tableVersion,
-          delta: answer.delta ? encodeValue(answer.delta) : noBytes,
+          delta: answer.delta,
         };
       }),
     announce: (request) =>
--- a/packages/kingcupglade/settings/schema.ts
+++ b/packages/kingcupglade/settings/schema.ts
@@ -50,6 +50,11 @@
     peers: socketAddress,
     /** Listener for operators, metrics and health checks. */
     operators: socketAddress,
+    /**
+     * Time after a stop signal in which the balancer must notice that the VM
+     * is not ready, in milliseconds. @default 1000
+     */
+    leaveMilliseconds: integer(0, 60_000).default(1000),
   }),
   control: z.strictObject({
     /** VMs that form the first replica set, separated by commas. */
@@ -60,6 +65,10 @@
     routingLeaseMilliseconds: integer(200, 10_000).default(1500),
     /** Lease of a target's grants, in milliseconds. @default 1500 */
     targetLeaseMilliseconds: integer(200, 10_000).default(1500),
+    /** Silence after which a voter is replaced by a spare. @default 5000 */
+    repairMilliseconds: integer(1000, 3_600_000).default(5000),
+    /** The same for a voter whose VM stops as planned. @default 30000 */
+    restartMilliseconds: integer(1000, 3_600_000).default(30_000),
   }),
   /** Peer listener of every VM, this one included. */
   peers: z.record(name, socketAddress),
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -9,6 +9,8 @@
   readonly refusals: Counter<"reason">;
   /** Requests sent again because they certainly did not run. */
   readonly retries: Counter<"reason">;
+  /** Late requests sent to a second target. */
+  readonly hedges: Counter;
   /** Time from arrival to the end of the answer, in seconds. */
   readonly latency: Histogram<"service" | "tenant" | "class">;
   /** Bytes of requests and answers over links between regions. */
@@ -29,6 +31,8 @@
   readonly rangeChanges: Counter<"kind">;
   /** 1 while this VM leads control. */
   readonly leading: Gauge;
+  /** 1 while the replica in this VM's data folder runs. */
+  readonly replicaRunning: Gauge;
 }
 
 const latencyBucketsSeconds = [
@@ -71,6 +75,11 @@
       labelNames: ["reason"],
       registers,
     }),
+    hedges: new Counter({
+      name: "kingcupglade_hedges_total",
+      help: "Late idempotent requests sent to a second target",
+      registers,
+    }),
     latency: new Histogram({
       name: "kingcupglade_request_seconds",
       help: "Time from arrival to the end of the answer",
@@ -121,6 +130,11 @@
       labelNames: ["kind"],
       registers,
     }),
+    replicaRunning: new Gauge({
+      name: "kingcupglade_replica_running",
+      help: "1 while the replica in this VM's data folder runs",
+      registers,
+    }),
     leading: new Gauge({
       name: "kingcupglade_control_leading",
       help: "1 while this VM leads control",
