--- a/packages/kingcupglade/credits/credit_holder_task.ts
+++ b/packages/kingcupglade/credits/credit_holder_task.ts
@@ -144,7 +144,9 @@
       role: new CreditRole(times, {
         startedAt: now,
         // Nothing was granted before the first holder.
-        watchedSince: role.previousEpoch === 0 ? -Infinity : this.#watchedSince,
+        watchedSince: role.epoch === role.foundedAt
+          ? -Infinity
+          : this.#watchedSince,
         losses: this.#losses,
       }),
     };
