--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -31,6 +31,8 @@
   readonly condition?: FakeCondition;
   /** Time that a request takes. @default 2 */
   readonly serviceMilliseconds?: number;
+  /** Network delay there and back, by the sender's IP. @default none */
+  readonly delayMilliseconds?: (sender: string) => number;
 }
 
 /** Conditions that a fake target can announce. */
@@ -52,9 +54,11 @@
   readonly #server: Server;
   #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
+  #taken = { version: 0, sequence: 0 };
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
+  #coldAnswersLeft = 0;
   #nextListener = 0;
   #frozen: Promise<void> | undefined;
   #thaw: () => void = () => {};
@@ -71,6 +75,7 @@
       checksFences: true,
       condition: "serving",
       serviceMilliseconds: 2,
+      delayMilliseconds: () => 0,
       ...options,
     };
     this.#condition = this.#options.condition;
@@ -99,6 +104,14 @@
     this.#recordCondition("condition", condition);
   }
 
+  /**
+   * Turns cold without saying so: it sheds what exceeds its cold slots until it
+   * has carried out `answers` requests.
+   */
+  turnCold(options: { readonly answers: number }): void {
+    this.#coldAnswersLeft = options.answers;
+  }
+
   /** Requests that it is carrying out. */
   get inProgress(): number {
     return this.#inProgress;
@@ -147,6 +160,7 @@
   /** Starts the process anew after {@link kill}, with a new boot identity. */
   async restart(): Promise<void> {
     this.#boot = randomUUID();
+    this.#taken = { version: 0, sequence: 0 };
     this.#inProgress = 0;
     await this.start();
   }
@@ -280,18 +294,27 @@
     if (request.method === "PUT" && request.url === "/kingcupglade/grants") {
       return this.#takeGrants(Buffer.concat(chunks), response);
     }
+    const sender = request.socket.remoteAddress ?? "";
+    const delay = this.#options.delayMilliseconds(sender);
+    if (delay > 0) await new Promise((resolve) => setTimeout(resolve, delay));
     await this.#carryOut(request, response);
   }
 
   #takeGrants(body: Buffer, response: ServerResponse): void {
     const message = JSON.parse(body.toString()) as {
       boot: string;
+      version: number;
+      sequence: number;
       grants: HeldGrant[];
     };
-    if (message.boot !== this.#boot) {
+    const { version, sequence } = message;
+    const isOld = version < this.#taken.version ||
+      (version === this.#taken.version && sequence < this.#taken.sequence);
+    if (message.boot !== this.#boot || isOld) {
       response.writeHead(409).end();
       return;
     }
+    this.#taken = { version, sequence };
     this.#grants = message.grants;
     this.#options.history.record({
       kind: "granted",
@@ -316,6 +339,9 @@
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
+    if (this.#coldAnswersLeft > 0 && this.#inProgress >= coldSlots) {
+      return this.#refuse(response, { id, reason: "shed" });
+    }
     const boot = this.#boot;
     const limit = this.condition === "cold" ? coldSlots : slots;
     this.#inProgress += 1;
@@ -339,6 +365,7 @@
     await this.#frozen;
     if (boot !== this.#boot) return;
     this.#inProgress -= 1;
+    this.#coldAnswersLeft = Math.max(0, this.#coldAnswersLeft - 1);
     if (
       group !== "" && checksFences && !this.#owns({ group, position, epoch })
     ) {
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import {
   Header,
   HedgePolicy,
+  ledgerNotAsked,
   matchRequest,
   notRun,
   Outcome,
@@ -156,7 +157,7 @@
     const startedAt = clock.now();
     const bundle = routing.table.bundle?.bundle;
     if (!bundle || !routing.hasLease) {
-      return notRun(Reason.noLease, { retryAfterSeconds: 1 });
+      return refusalWithoutTable(request);
     }
     const matched = matchRequest(bundle, requestHead(served));
     if (matched.kind === "refusal") return matched;
@@ -190,6 +191,7 @@
     if (served.isForwarded) return Promise.resolve(notRun(Reason.noHome));
     return this.#options.forwarder.run(caller, {
       reason: "home",
+      refuse: (reason) => notRun(reason, { retryAfterSeconds: 1 }),
       choose: () => this.#homes.choose(caller.matched),
       mayRepeat: caller.matched.idempotent,
     });
@@ -209,10 +211,11 @@
       return null;
     }
     if (served.isForwarded) {
-      return notRun(Reason.noLedger, { retryAfterSeconds: 1 });
+      return ledgerNotAsked(Reason.noLedger);
     }
     return forwarder.run(caller, {
       reason: "ledger",
+      refuse: ledgerNotAsked,
       choose: () => {
         const holder = this.#roleOf(claim, caller.matched)?.holder;
         return (holder && routing.table.vms.get(holder)) || null;
@@ -312,6 +315,12 @@
   };
 }
 
+function refusalWithoutTable(request: IncomingMessage): Refusal {
+  return request.headers[Header.idempotencyKey] === undefined
+    ? notRun(Reason.noLease, { retryAfterSeconds: 1 })
+    : ledgerNotAsked(Reason.noLease);
+}
+
 async function receiveBody(
   request: IncomingMessage,
   options: RequestBodyOptions,
@@ -331,6 +340,9 @@
   answer: StoredAnswer,
 ): void {
   if (response.destroyed) return;
-  response.writeHead(answer.status, answer.headers);
+  response.writeHead(answer.status, {
+    ...answer.headers,
+    ...(answer.body.length > 0 ? { "content-length": answer.body.length } : {}),
+  });
   response.end(answer.body);
 }
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -30,8 +30,10 @@
 import { readTls } from "./settings/tls.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
 
-const connectionsPerTarget = 12;
-const leaveMilliseconds = 300;
+const connectionsPerTarget = 110;
+/** Callers' listener closes when no request came for this long. */
+const quietMilliseconds = 300;
+const mostLeaveMilliseconds = 15_000;
 const handOverMilliseconds = 3000;
 
 /** Options of {@link Vm.start}. */
@@ -47,6 +49,8 @@
     readonly choice?: TargetChoice;
     /** Hedges that each request earns. @default 0.04 */
     readonly hedgeShare?: number;
+    /** Address that connections to targets come from. */
+    readonly localAddress?: string;
     /** Seed of the choices among targets. @default drawn at each start */
     readonly seed?: number;
   };
@@ -65,6 +69,7 @@
   readonly credits: Credits;
   readonly listeners: readonly HttpListener[];
   readonly callers: HttpListener;
+  readonly leaveMilliseconds: number;
   readonly markStopping: () => void;
 }
 
@@ -104,7 +109,6 @@
         clock,
         logger,
         metrics,
-        onFailure: options.onFailure,
       });
     const client = () =>
       new ControlClient({ peers, candidates: candidatesOf(settings), clock });
@@ -135,6 +139,7 @@
       routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
     });
     const exchanges = new ExchangeClient({
+      localAddress: options.policy?.localAddress,
       connectionsPerTarget,
       authority: tls.material?.authority,
     });
@@ -188,7 +193,6 @@
       tls,
       address: listen.callers,
       handler: (request, response) => {
-        if (stopping) response.setHeader("connection", "close");
         void gateway.serve(request, response);
       },
     });
@@ -221,6 +225,7 @@
       gateway,
       credits,
       callers,
+      leaveMilliseconds: listen.leaveMilliseconds,
       listeners: [targets, operators, peersListener],
       markStopping: () => (stopping = true),
     });
@@ -242,9 +247,14 @@
     parts.markStopping();
     parts.logger.info("vm-stopping");
     await parts.ledger.synchronised(handOverMilliseconds);
-    parts.routing.leave();
-    await new Promise((resolve) => setTimeout(resolve, leaveMilliseconds));
-    await parts.callers.close();
+    await Promise.all([
+      parts.routing.leave(),
+      parts.callers.drain({
+        leastMilliseconds: parts.leaveMilliseconds,
+        quietMilliseconds,
+        mostMilliseconds: mostLeaveMilliseconds,
+      }),
+    ]);
     await parts.gateway.finished();
     parts.ledger.stop();
     parts.credits.stop();
