--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -10,6 +10,10 @@
       (await import("./suite/log_slopes.ts")).logSlopesExperiment,
     "recovery": async () =>
       (await import("./suite/recovery.ts")).recoveryExperiment,
+    "throughput": async () =>
+      (await import("./suite/throughput.ts")).throughputExperiment,
+    "slow-targets": async () =>
+      (await import("./suite/slow_targets.ts")).slowTargetsExperiment,
     "planner": async () =>
       (await import("./suite/planner.ts")).plannerExperiment,
     "at-most-once": async () =>
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -32,6 +32,8 @@
   readonly condition?: FakeCondition;
   /** Time that a request takes. @default 2 */
   readonly serviceMilliseconds?: number;
+  /** Network delay there and back, by the sender's IP. @default none */
+  readonly delayMilliseconds?: (sender: string) => number;
 }
 
 /** Conditions that a fake target can announce. */
@@ -50,6 +52,7 @@
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
+  #coldAnswersLeft = 0;
   #nextListener = 0;
   #frozen: Promise<void> | undefined;
   #thaw: () => void = () => {};
@@ -66,6 +69,7 @@
       checksFences: true,
       condition: "serving",
       serviceMilliseconds: 2,
+      delayMilliseconds: () => 0,
       ...options,
     };
     this.#condition = this.#options.condition;
@@ -94,6 +98,14 @@
     this.#recordCondition("condition", condition);
   }
 
+  /**
+   * Turns cold without saying so: it sheds what exceeds its cold slots until it
+   * has carried out `answers` requests.
+   */
+  turnCold(options: { readonly answers: number }): void {
+    this.#coldAnswersLeft = options.answers;
+  }
+
   /** Requests that it is carrying out. */
   get inProgress(): number {
     return this.#inProgress;
@@ -283,6 +295,9 @@
     if (request.method === "PUT" && request.url === "/kingcupglade/grants") {
       return this.#takeGrants(Buffer.concat(chunks), response);
     }
+    const sender = request.socket.remoteAddress ?? "";
+    const delay = this.#options.delayMilliseconds(sender);
+    if (delay > 0) await new Promise((resolve) => setTimeout(resolve, delay));
     await this.#carryOut(request, response);
   }
 
@@ -319,6 +334,9 @@
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
+    if (this.#coldAnswersLeft > 0 && this.#inProgress >= coldSlots) {
+      return this.#refuse(response, { id, reason: "shed" });
+    }
     const boot = this.#boot;
     const limit = this.condition === "cold" ? coldSlots : slots;
     this.#inProgress += 1;
@@ -342,6 +360,7 @@
     await this.#frozen;
     if (boot !== this.#boot) return;
     this.#inProgress -= 1;
+    this.#coldAnswersLeft = Math.max(0, this.#coldAnswersLeft - 1);
     if (
       group !== "" && checksFences && !this.#owns({ group, position, epoch })
     ) {
