--- a/packages/kingcupglade/control/leader_session.ts
+++ b/packages/kingcupglade/control/leader_session.ts
@@ -237,14 +237,14 @@
   }
 
   async #push(push: CoordinatorPlan["pushes"][number]): Promise<void> {
-    if (!this.#targets.beginPush(push)) return;
-    this.#pushSequence += 1;
+    const numbered = { ...push, sequence: this.#pushSequence + 1 };
+    if (!this.#targets.beginPush(numbered)) return;
+    this.#pushSequence = numbered.sequence;
     const confirmed = await this.#options.grants.push({
-      ...push,
+      ...numbered,
       version: this.#state.version,
-      sequence: this.#pushSequence,
     });
-    this.#targets.endPush(push, { confirmed, now: this.#now });
+    this.#targets.endPush(numbered, { confirmed, now: this.#now });
     if (!confirmed) {
       this.#options.logger.warn("grants-not-confirmed", {
         target: push.target,
--- a/packages/kingcupglade/control/target_book.ts
+++ b/packages/kingcupglade/control/target_book.ts
@@ -13,12 +13,22 @@
 
 interface KnownTarget {
   readonly boot: string;
+  /** Not known from the start of a push until the target confirms it. */
   readonly held: readonly Grant[] | null;
-  readonly pushing: boolean;
+  /** Sequence of the push under way, or null. */
+  readonly pushing: number | null;
   /** Since when its pushes have failed; null when the last one was confirmed. */
   readonly failingSince: number | null;
 }
 
+/** A push of grants to one incarnation of a target. */
+interface NumberedPush {
+  readonly target: string;
+  readonly boot: string;
+  /** Higher than that of every push before it. */
+  readonly sequence: number;
+}
+
 /** What the leader knows of the targets' leases and confirmed grants. */
 export class TargetBook {
   readonly #leases: LeaseTable;
@@ -64,7 +74,7 @@
       this.#known.set(target, {
         boot,
         held: null,
-        pushing: false,
+        pushing: null,
         failingSince,
       });
     }
@@ -87,29 +97,33 @@
   }
 
   /** Begins to tell a target its grants; false when it may not be told now. */
-  beginPush(push: { readonly target: string; readonly boot: string }): boolean {
+  beginPush(push: NumberedPush): boolean {
     const known = this.#known.get(push.target);
-    if (!known || known.boot !== push.boot || known.pushing) return false;
-    this.#known.set(push.target, { ...known, pushing: true });
+    if (!known || known.boot !== push.boot || known.pushing !== null) {
+      return false;
+    }
+    // The target may act on the grants long before its answer arrives, and
+    // also when the answer is lost.
+    this.#known.set(push.target, {
+      ...known,
+      held: null,
+      pushing: push.sequence,
+    });
     return true;
   }
 
   /** Notes what came of a push. */
   endPush(
-    push: {
-      readonly target: string;
-      readonly boot: string;
-      readonly grants: readonly Grant[];
-    },
+    push: NumberedPush & { readonly grants: readonly Grant[] },
     result: { readonly confirmed: boolean; readonly now: number },
   ): void {
     const known = this.#known.get(push.target);
-    if (!known || known.boot !== push.boot) return;
+    if (known?.boot !== push.boot || known.pushing !== push.sequence) return;
     const { confirmed, now } = result;
     this.#known.set(push.target, {
       ...known,
-      held: confirmed ? push.grants : known.held,
-      pushing: false,
+      held: confirmed ? push.grants : null,
+      pushing: null,
       failingSince: confirmed ? null : known.failingSince ?? now,
     });
   }
--- /dev/null
+++ b/packages/kingcupglade/control/target_book_test.ts
@@ -0,0 +1,59 @@
+import { parseAnnouncement } from "@kingcupglade/membership";
+import { describe, expect, it } from "vitest";
+import { TargetBook } from "./target_book.ts";
+
+const grant = { group: "fixture-stock@hsinchu", start: 0, end: 10, epoch: 4 };
+const push = (sequence: number, grants: readonly typeof grant[]) => ({
+  target: "a",
+  boot: "boot-1",
+  grants,
+  sequence,
+});
+
+describe("the leader's book of targets", () => {
+  const createBook = () => {
+    const book = new TargetBook(1500, 0);
+    const announcement = parseAnnouncement({
+      target: "a",
+      boot: "boot-1",
+      service: "fixture-stock",
+      dataCentre: "hsinchu-a",
+      address: "http://127.0.0.1:8500",
+      slots: 6,
+      connections: 110,
+      condition: "serving",
+    });
+    const announce = (now: number) => book.renew(announcement, now);
+    announce(0);
+    book.beginPush(push(1, []));
+    book.endPush(push(1, []), { confirmed: true, now: 1 });
+    return { book, announce };
+  };
+
+  describe("while a target is being told its grants", () => {
+    it("does not say what the target holds", () => {
+      const { book } = createBook();
+      expect(book.view("a", 1).held).toEqual([]);
+      book.beginPush(push(2, [grant]));
+      expect(book.view("a", 2).held).toBeNull();
+    });
+
+    it("does not say it either when the answer was lost", () => {
+      const { book } = createBook();
+      book.beginPush(push(2, [grant]));
+      book.endPush(push(2, [grant]), { confirmed: false, now: 400 });
+      expect(book.view("a", 401).held).toBeNull();
+    });
+
+    it("counts only the answer to the latest push", () => {
+      const { book, announce } = createBook();
+      book.beginPush(push(2, []));
+      announce(2000);
+      book.beginPush(push(3, [grant]));
+      book.endPush(push(2, []), { confirmed: true, now: 2001 });
+      expect(book.view("a", 2002).held).toBeNull();
+      book.endPush(push(3, [grant]), { confirmed: true, now: 2003 });
+      expect(book.view("a", 2004).held).toEqual([grant]);
+    });
+  });
+});
