--- a/packages/kingcupglade/control/books_test.ts
+++ b/packages/kingcupglade/control/books_test.ts
@@ -31,7 +31,12 @@
   it("knows nothing of the grants of a target that froze and returned", () => {
     const book = new TargetBook(term, 0);
     book.renew(announcement, 0);
-    const push = { target: "fixture-1", boot: "first", grants: [] };
+    const push = {
+      target: "fixture-1",
+      boot: "first",
+      grants: [],
+      sequence: 1,
+    };
     book.beginPush(push);
     book.endPush(push, { confirmed: true, now: 1 });
     expect(book.view("fixture-1", 2).held).toEqual([]);
@@ -52,7 +57,12 @@
   it("takes the lease from a target that does not confirm its grants", () => {
     const book = new TargetBook(term, 0);
     book.renew(announcement, 0);
-    const push = { target: "fixture-1", boot: "first", grants: [] };
+    const push = {
+      target: "fixture-1",
+      boot: "first",
+      grants: [],
+      sequence: 1,
+    };
     book.beginPush(push);
     book.endPush(push, { confirmed: false, now: 100 });
     expect(book.refusal(announcement, targets, 900)).toBeNull();
