--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -10,12 +10,19 @@
       (await import("./suite/log_slopes.ts")).logSlopesExperiment,
     "recovery": async () =>
       (await import("./suite/recovery.ts")).recoveryExperiment,
+    "throughput": async () =>
+      (await import("./suite/throughput.ts")).throughputExperiment,
+    "slow-targets": async () =>
+      (await import("./suite/slow_targets.ts")).slowTargetsExperiment,
     "planner": async () =>
       (await import("./suite/planner.ts")).plannerExperiment,
     "at-most-once": async () =>
       (await import("./suite/at_most_once.ts")).atMostOnceExperiment,
     "history": async () =>
       (await import("./suite/history.ts")).historyExperiment,
+    "rolls": async () => (await import("./suite/rolls.ts")).rollsExperiment,
+    "table-size": async () =>
+      (await import("./suite/table_size.ts")).tableSizeExperiment,
     "ledger-cost": async () =>
       (await import("./suite/ledger_cost.ts")).ledgerCostExperiment,
     "lost-owner": async () =>
--- /dev/null
+++ b/packages/experiments/suite/slow_targets.ts
@@ -0,0 +1,105 @@
+import type { Candidate } from "@kingcupglade/routing";
+import type { VmOptions } from "kingcupglade";
+import type { Experiment, Figure } from "../experiment.ts";
+import { outcomeShare } from "../load.ts";
+import type { LoadResult } from "../load.ts";
+import { startSharedService } from "../shared_service_run.ts";
+
+const serviceMilliseconds = 20;
+const slowFactor = 10;
+const slowTargets = ["order-3", "order-8"];
+const load = { perSecond: 400, seconds: 10 } as const;
+const microsecondsPerMillisecond = 1000;
+
+interface PolicyRun {
+  readonly fast: LoadResult;
+  readonly slow: LoadResult;
+  /** Hedges for each request while targets were slow. */
+  readonly hedgeShare: number;
+}
+
+/** Compares the choice of targets while two of sixteen are ten times slower. */
+export const slowTargetsExperiment: Experiment = {
+  summary: "p99 while 2 of 16 targets are 10 times slower",
+  async run({ seed, progress }) {
+    const ours = await measure({
+      seed,
+      policy: (vm) => ({ seed: seed + vm.length }),
+    });
+    progress("own policy measured");
+    const roundRobin = await measure({
+      seed,
+      policy: () => ({ choice: createRoundRobin(), hedgeShare: 0 }),
+    });
+    progress("round robin measured");
+    const leastInFlight = await measure({
+      seed,
+      policy: () => ({ choice: leastLoaded, hedgeShare: 0 }),
+    });
+    const ratio = p99(ours.slow) / p99(ours.fast);
+    return {
+      figures: [
+        figure("p99 without slow targets", p99(ours.fast), "ms"),
+        figure("p99 with slow targets", p99(ours.slow), "ms"),
+        {
+          ...figure("p99 with over without slow targets", ratio, "times"),
+          baseline: p99(roundRobin.slow) / p99(roundRobin.fast),
+          target: { atMost: 1.5 },
+        },
+        {
+          ...figure("hedges for each request", ours.hedgeShare, ""),
+          target: { atMost: 0.05 },
+        },
+        figure("answered", outcomeShare(ours.slow, "answered"), "of 1"),
+        figure("p99 round robin, no slow", p99(roundRobin.fast), "ms"),
+        figure("p99 round robin, slow", p99(roundRobin.slow), "ms"),
+        figure("p99 least in flight, no slow", p99(leastInFlight.fast), "ms"),
+        figure("p99 least in flight, slow", p99(leastInFlight.slow), "ms"),
+      ],
+    };
+  },
+};
+
+async function measure(options: {
+  readonly seed: number;
+  readonly policy: (vm: string) => VmOptions["policy"];
+}): Promise<PolicyRun> {
+  const { seed, policy } = options;
+  const service = await startSharedService({ serviceMilliseconds, policy });
+  try {
+    const fast = await service.load({ ...load, seed });
+    for (const name of slowTargets) {
+      service.deployment.targets.get(name)!.serviceMilliseconds =
+        serviceMilliseconds * slowFactor;
+    }
+    const hedgesBefore = await service.metric("kingcupglade_hedges_total");
+    const slow = await service.load({ ...load, seed: seed + 1 });
+    const hedges = await service.metric("kingcupglade_hedges_total");
+    return { fast, slow, hedgeShare: (hedges - hedgesBefore) / slow.sent };
+  } finally {
+    await service.stop();
+  }
+}
+
+function createRoundRobin() {
+  let next = 0;
+  return (candidates: readonly Candidate[]) =>
+    candidates[next++ % Math.max(1, candidates.length)];
+}
+
+function leastLoaded(candidates: readonly Candidate[]): Candidate | undefined {
+  return candidates.reduce<Candidate | undefined>(
+    (least, each) => !least || each.load < least.load ? each : least,
+    undefined,
+  );
+}
+
+function p99(result: LoadResult): number {
+  const histogram = result.latency.get("answered");
+  return (histogram?.getValueAtPercentile(99) ?? Infinity) /
+    microsecondsPerMillisecond;
+}
+
+function figure(name: string, value: number, unit: string): Figure {
+  return { name, value, unit };
+}
