Put the two copies of a role into different data centres

Cause: holder and standby of a ledger shard could lie in one data centre, which is lost as a whole once or twice a year; the shard then tells ledger-lost for 300 s.

Change: the planner prefers a standby in another data centre of the region and moves a standby there when one comes back; the holder stays. Experiment lost-ledger measures how long claims are refused after a VM that kept them is lost.

--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -11,6 +11,8 @@
       (await import("./suite/history.ts")).historyExperiment,
     "ledger-cost": async () =>
       (await import("./suite/ledger_cost.ts")).ledgerCostExperiment,
+    "lost-ledger": async () =>
+      (await import("./suite/lost_ledger.ts")).lostLedgerExperiment,
     "lost-owner": async () =>
       (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
   }));
--- /dev/null
+++ b/packages/experiments/suite/lost_ledger.ts
@@ -0,0 +1,84 @@
+import { claimOf, regionOfClaim } from "@kingcupglade/ledger";
+import { Deployment } from "../deployment.ts";
+import type { Experiment } from "../experiment.ts";
+import { hsinchu } from "../hsinchu.ts";
+
+const targetMilliseconds = 4000;
+const claims = 48;
+const lostVm = "vm-2";
+const lostRegion = "hsinchu";
+const entryVm = "vm-5";
+
+/** Crashes a VM that keeps claims and measures until they are taken again. */
+export const lostLedgerExperiment: Experiment = {
+  summary:
+    "time until claims are taken again after a VM that kept them is lost",
+  async run({ seed, progress }) {
+    const deployment = await Deployment.start(hsinchu);
+    try {
+      await deployment.roll();
+      for (const [index, { name }] of hsinchu.dataCentres.entries()) {
+        await deployment.addTarget({
+          name: `fixture-${index + 1}`,
+          service: "fixture-stock",
+          dataCentre: name,
+        });
+      }
+      await deployment.until((status) =>
+        status.vms.length === 9 &&
+        status.groups.every((group) => group.withoutOwner === 0)
+      );
+      const send = async (keyed: boolean, index: number) => {
+        const answer = await deployment.caller.send({
+          vm: deployment.callersAddress(entryVm),
+          method: "POST",
+          path: `/fixtures/clamp-${index}`,
+          tenant: "toolroom",
+          key: `clamp-${index}`,
+          ...(keyed ? { idempotencyKey: keysOfLost(seed)[index]! } : {}),
+        });
+        return answer.outcome === "answered";
+      };
+      while (!await send(false, 0));
+      await deployment.crashVm(lostVm);
+      progress(`${lostVm} crashed`);
+      const lostAt = performance.now();
+      const times = (keyed: boolean) =>
+        Promise.all(Array.from({ length: claims }, async (_, index) => {
+          while (!await send(keyed, index)) {
+            if (performance.now() - lostAt > 2 * targetMilliseconds) break;
+          }
+          return performance.now() - lostAt;
+        }));
+      const [claimed, plain] = await Promise.all([times(true), times(false)]);
+      return {
+        figures: [{
+          name: "longest time until a claim was taken",
+          value: Math.max(...claimed),
+          baseline: Math.max(...plain),
+          unit: "ms",
+          target: { atMost: targetMilliseconds },
+        }],
+      };
+    } finally {
+      await deployment.stop();
+    }
+  },
+};
+
+/** Idempotency keys that the region of the lost VM keeps. */
+function keysOfLost(seed: number): readonly string[] {
+  const regions = [...new Set(hsinchu.dataCentres.map((each) => each.region))]
+    .sort();
+  const keys: string[] = [];
+  for (let index = 0; keys.length < claims; index += 1) {
+    const idempotencyKey = `reservation-${seed}-${index}`;
+    const claim = claimOf({
+      service: "fixture-stock",
+      tenant: "toolroom",
+      idempotencyKey,
+    });
+    if (regionOfClaim(claim, regions) === lostRegion) keys.push(idempotencyKey);
+  }
+  return keys;
+}
--- a/packages/ownership/role_planner.ts
+++ b/packages/ownership/role_planner.ts
@@ -21,8 +21,8 @@
 
 /**
  * The roles whose holder or standby must change: a VM of the region that is
- * registered and not leaving holds, and another one stands by. A standby takes
- * over from a lost holder.
+ * registered and not leaving holds, and another one stands by, in another data
+ * centre if there is one. A standby takes over from a lost holder.
  */
 export function planRoles(state: ControlState): readonly PlannedRole[] {
   // Roles serve a bundle; before it, only some of the VMs may have registered.
@@ -66,11 +66,14 @@
   const keeping = (name?: string | null, boot?: string | null) =>
     vms.filter((vm) => vm.name === name && vm.boot === boot);
   const rotated = vms.map((_, index) => vms[(index + shard) % vms.length]!);
-  const [holder = null, standby = null] = new Set([
+  const [holder = null, ...others] = new Set([
     ...keeping(current?.holder, current?.holderBoot),
     ...keeping(current?.standby, current?.standbyBoot),
     ...rotated,
   ]);
+  // One data centre can be lost as a whole, and both copies with it.
+  const standby = others.find((vm) => vm.dataCentre !== holder?.dataCentre) ??
+    others[0] ?? null;
   return {
     holder: holder?.name ?? null,
     holderBoot: holder?.boot ?? null,
