Keep a request unknown when a later attempt did not run

Cause: an idempotent request whose first attempt may have run was told not-run when its retry, or its hedge, was refused.

Change: an attempt that may have run makes the request unknown unless a later one is answered, in the retry loop and between two hedged targets.

Measured: both cases fail without the change and pass with it; 24 gateway tests.

--- a/packages/kingcupglade/gateway/attempts.ts
+++ b/packages/kingcupglade/gateway/attempts.ts
@@ -3,6 +3,7 @@
 import {
   Header,
   notRun,
+  Outcome,
   Reason,
   RetryBudget,
   unknownOutcome,
@@ -88,13 +89,15 @@
     const { clock, metrics } = this.#options;
     let pauseMilliseconds = firstPauseMilliseconds;
     let last = notRun(Reason.deadline);
+    // A later "not run" says nothing of an attempt that may have run.
+    let unknown: Refusal | null = null;
     this.#budget.earn();
     while (clock.now() < caller.deadlineAt && !caller.sink.isClosed) {
       const destination = this.#choose(caller.matched);
       if ("kind" in destination) {
         last = destination;
         if (await this.#waitForTable(caller)) continue;
-        return notRun(Reason.overload, { retryAfterSeconds: 1 });
+        return unknown ?? notRun(Reason.overload, { retryAfterSeconds: 1 });
       }
       const result = HedgedExchange.suits(caller)
         ? await this.#hedged.run(caller, destination)
@@ -102,7 +105,8 @@
       const next = nextStep(result, caller);
       if (next.kind === "end") return next.refusal;
       last = next.refusal;
-      if (!caller.body.canBeSent || !this.#budget.take()) return last;
+      if (last.outcome === Outcome.unknown) unknown = last;
+      if (!caller.body.canBeSent || !this.#budget.take()) break;
       metrics.retries.inc({ reason: last.reason });
       await pause(pauseMilliseconds);
       pauseMilliseconds = Math.min(
@@ -110,7 +114,7 @@
         longestPauseMilliseconds,
       );
     }
-    return last;
+    return unknown ?? last;
   }
 
   #choose(matched: MatchedRequest): Destination | Refusal {
--- /dev/null
+++ b/packages/kingcupglade/gateway/attempts_test.ts
@@ -0,0 +1,142 @@
+import { parseBundle } from "@kingcupglade/bundle";
+import { LocalCapacityGate, Reason } from "@kingcupglade/routing";
+import { MonotonicClock } from "@kingcupglade/tasks";
+import { createMetrics } from "@kingcupglade/telemetry";
+import { describe, expect, it } from "vitest";
+import type { RequestBody } from "../listeners/body.ts";
+import { CollectingSink } from "./answer_sink.ts";
+import { Attempts } from "./attempts.ts";
+import type { AttemptsOptions, CallerRequest } from "./attempts.ts";
+import type { Destination } from "./destination.ts";
+import type { ExchangeResult } from "./exchange_types.ts";
+import { HedgedExchange } from "./hedged_exchange.ts";
+import type { HedgedExchangeOptions } from "./hedged_exchange.ts";
+
+const lost: ExchangeResult = {
+  kind: "unknown",
+  cause: "connectionLost",
+  reason: undefined,
+};
+const shed: ExchangeResult = {
+  kind: "notRun",
+  reason: "shed",
+  status: 503,
+  retryAfterSeconds: undefined,
+};
+const answered: ExchangeResult = { kind: "answered", status: 200 };
+
+const { routes } = parseBundle({
+  version: 1,
+  operators: [{ name: "a", publicKey: `${"A".repeat(43)}=` }],
+  dataCentres: [{ name: "x", region: "x" }],
+  services: [{ name: "stock", kind: "keyed" }],
+  tenants: [{ name: "toolroom" }],
+  routes: [{
+    pathPrefix: "/",
+    service: "stock",
+    tenant: { value: "toolroom" },
+    key: { pathSegment: 0 },
+  }],
+});
+
+const destination = {
+  target: { target: "stock-1", slots: 6, coldSlots: 1, region: "x" },
+  headers: {},
+  begin: () => () => {},
+  isCurrent: () => true,
+} as unknown as Destination;
+
+function callerOf(idempotent: boolean): CallerRequest {
+  return {
+    matched: {
+      kind: "matched",
+      route: routes[0]!,
+      service: "stock",
+      tenant: "toolroom",
+      key: idempotent ? "clamp" : "order",
+      idempotent,
+      idempotencyKey: undefined,
+      deadlineMilliseconds: 200,
+    },
+    method: idempotent ? "GET" : "POST",
+    path: "/clamp",
+    headers: {},
+    body: {
+      canBeSent: true,
+      length: 0,
+      open: () => null,
+    } as unknown as RequestBody,
+    sink: new CollectingSink({ maximumBytes: 1 }),
+    deadlineAt: performance.now() + 200,
+  };
+}
+
+async function run(
+  idempotent: boolean,
+  results: readonly ExchangeResult[],
+) {
+  let attempts = 0;
+  const options = {
+    routing: {
+      hasLease: true,
+      nextTable: () => new Promise((resolve) => setTimeout(resolve, 5)),
+    },
+    exchanges: {
+      run: () =>
+        Promise.resolve(results[Math.min(attempts++, results.length - 1)]),
+    },
+    capacity: new LocalCapacityGate(),
+    clock: new MonotonicClock(),
+    metrics: createMetrics(),
+    region: "x",
+    choose: () => destination,
+    subjectOf: () => "stock",
+  } as unknown as AttemptsOptions;
+  const refusal = await new Attempts(options).run(callerOf(idempotent));
+  return { refusal, attempts };
+}
+
+describe("attempts", () => {
+  it("repeat what certainly did not run", async () => {
+    const { refusal, attempts } = await run(false, [shed, shed, answered]);
+    expect(refusal).toBeNull();
+    expect(attempts).toBe(3);
+  });
+
+  it("never repeat a request that may have run, unless it is idempotent", async () => {
+    expect(await run(false, [lost, answered])).toMatchObject({
+      refusal: { outcome: "unknown", reason: Reason.connectionLost },
+      attempts: 1,
+    });
+    expect(await run(true, [lost, answered])).toEqual({
+      refusal: null,
+      attempts: 2,
+    });
+  });
+
+  it("stay unknown when a later one did not run", async () => {
+    expect((await run(true, [lost, shed])).refusal).toMatchObject({
+      outcome: "unknown",
+    });
+  });
+});
+
+describe("a hedged exchange", () => {
+  it("is unknown when one of two may have run and the other did not", async () => {
+    const results = [lost, shed];
+    const endings: (() => void)[] = [];
+    const hedged = new HedgedExchange({
+      clock: new MonotonicClock(),
+      policy: { begin: () => 0, take: () => true, note: () => {} },
+      exchange: () =>
+        new Promise((resolve) => {
+          const result = results[endings.length]!;
+          endings.push(() => resolve(result));
+          if (endings.length === 2) { for (const end of endings) end(); }
+        }),
+      chooseOther: () => destination,
+      onHedge: () => {},
+    } as unknown as HedgedExchangeOptions);
+    expect(await hedged.run(callerOf(true), destination)).toEqual(lost);
+  });
+});
--- a/packages/kingcupglade/gateway/hedged_exchange.ts
+++ b/packages/kingcupglade/gateway/hedged_exchange.ts
@@ -48,17 +48,20 @@
     const race = new AnswerRace(caller.sink);
     return new Promise((resolve, reject) => {
       let open = 0;
+      let unknown: Result | undefined;
       const start = (destination: Destination) => {
         open += 1;
         this.#options.exchange({ ...caller, sink: race.leg() }, destination)
           .then((result) => {
             open -= 1;
+            if (result.kind === "unknown") unknown = result;
             const isFinal = result.kind === "answered" ||
               result.kind === "truncated";
             if (!isFinal && open > 0) return;
             clearTimeout(timer);
             policy.note(service, clock.now() - startedAt);
-            resolve(result);
+            // One that may have run is not undone by one that did not.
+            resolve(isFinal ? result : unknown ?? result);
           }, reject);
       };
       const timer = delayMilliseconds === undefined ? undefined : setTimeout(
