--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -7,7 +7,7 @@
 import { FakeCaller, FakeTarget, History } from "@kingcupglade/fakes";
 import type { FakeTargetOptions } from "@kingcupglade/fakes";
 import { readSettings, Vm } from "kingcupglade";
-import type { ControlStatus } from "kingcupglade";
+import type { ControlStatus, VmOptions } from "kingcupglade";
 import { request } from "undici";
 
 const port = {
@@ -39,6 +39,8 @@
   readonly control?: Readonly<Record<string, number>>;
   /** @default "silent" */
   readonly logLevel?: string;
+  /** Decisions of a VM replaced for a measurement. */
+  readonly policy?: (vm: string) => VmOptions["policy"];
 }
 
 interface RunningVm {
@@ -107,11 +109,23 @@
     return [...this.#vms.keys()];
   }
 
+  /** Names of the VMs that run now. */
+  get runningVms(): readonly string[] {
+    return [...this.#vms].filter(([, each]) => each.vm).map(([name]) => name);
+  }
+
   /** The targets by name. */
   get targets(): ReadonlyMap<string, FakeTarget> {
     return this.#targets;
   }
 
+  /** Data centre of the VM that has an IP. */
+  dataCentreOf(ip: string): DataCentreDescription | undefined {
+    const vm = [...this.#vms].find(([, each]) => each.address === ip)?.[0];
+    const name = vm && this.#options.vms[vm];
+    return this.#options.dataCentres.find((each) => each.name === name);
+  }
+
   /** Callers' listener of a VM. */
   callersAddress(vm: string): string {
     return `${this.#required(vm).address}:${port.callers}`;
@@ -126,7 +140,14 @@
   async startVm(name: string): Promise<void> {
     const running = this.#required(name);
     const settings = await readSettings(running.settingsFile);
-    running.vm = await Vm.start({ settings, onFailure: () => {} });
+    running.vm = await Vm.start({
+      settings,
+      onFailure: () => {},
+      policy: {
+        localAddress: running.address,
+        ...this.#options.policy?.(name),
+      },
+    });
     this.history.record({
       kind: "fault",
       subject: "vm",
--- /dev/null
+++ b/packages/experiments/shared_service_run.ts
@@ -0,0 +1,131 @@
+import type { VmOptions } from "kingcupglade";
+import { Agent, request } from "undici";
+import { Deployment } from "./deployment.ts";
+import type { ExampleTarget } from "./example.ts";
+import { runLoad } from "./load.ts";
+import type { LoadResult } from "./load.ts";
+import { tavares, tavaresTargets } from "./tavares.ts";
+
+const regionRoundTripMilliseconds = 16;
+const dataCentreRoundTripMilliseconds = 1;
+const warmUpSeconds = 3;
+
+/** Options of {@link startSharedService}. */
+export interface SharedServiceOptions {
+  /** Decisions of the VMs replaced for a measurement. */
+  readonly policy?: (vm: string) => VmOptions["policy"];
+  /** Time that a target takes for a request. */
+  readonly serviceMilliseconds: number;
+}
+
+/** Tavares with its order desk under load. */
+export interface SharedService {
+  readonly deployment: Deployment;
+  load(options: {
+    readonly perSecond: number;
+    readonly seconds: number;
+    readonly seed: number;
+  }): Promise<LoadResult>;
+  /** Sum of a metric over all VMs. */
+  metric(name: string): Promise<number>;
+  stop(): Promise<void>;
+}
+
+/** Starts the nine VMs of Tavares and the targets of its order desk. */
+export async function startSharedService(
+  options: SharedServiceOptions,
+): Promise<SharedService> {
+  const deployment = await Deployment.start({
+    ...tavares,
+    ...(options.policy ? { policy: options.policy } : {}),
+  });
+  await deployment.roll();
+  const targets = tavaresTargets.filter((each) =>
+    each.service === "order-desk"
+  );
+  await Promise.all(targets.map((target) =>
+    deployment.addTarget({
+      ...target,
+      serviceMilliseconds: options.serviceMilliseconds,
+      delayMilliseconds: (sender) => delayOf(deployment, { target, sender }),
+    })
+  ));
+  await deployment.until((status) => status.targets.length === targets.length);
+  await Promise.all(
+    deployment.vmNames.map((vm) => deployment.untilReady(vm)),
+  );
+  const agent = new Agent({ connections: 128 });
+  const service: SharedService = {
+    deployment,
+    load: (load) =>
+      runLoad({
+        ...load,
+        send: (index, random) =>
+          sendOrder(deployment, {
+            agent,
+            index,
+            vm: random.pick(deployment.vmNames),
+          }),
+      }),
+    metric: (name) => sumMetric(deployment, name),
+    stop: async () => {
+      await agent.destroy();
+      await deployment.stop();
+    },
+  };
+  await service.load({ perSecond: 200, seconds: warmUpSeconds, seed: 1 });
+  return service;
+}
+
+function delayOf(
+  deployment: Deployment,
+  link: { readonly target: ExampleTarget; readonly sender: string },
+): number {
+  const from = deployment.dataCentreOf(link.sender);
+  const to = tavares.dataCentres.find((each) =>
+    each.name === link.target.dataCentre
+  );
+  if (!from || !to || from.name === to.name) return 0;
+  return from.region === to.region
+    ? dataCentreRoundTripMilliseconds
+    : regionRoundTripMilliseconds;
+}
+
+async function sendOrder(
+  deployment: Deployment,
+  order: {
+    readonly agent: Agent;
+    readonly index: number;
+    readonly vm: string;
+  },
+): Promise<string> {
+  const { statusCode, headers, body } = await request(
+    `http://${deployment.callersAddress(order.vm)}/orders/${order.index}`,
+    {
+      dispatcher: order.agent,
+      headers: { "x-tenant": "kennels", "x-request": String(order.index) },
+    },
+  );
+  await body.dump();
+  return statusCode === 200
+    ? "answered"
+    : String(headers["kingcupglade-reason"] ?? statusCode);
+}
+
+async function sumMetric(
+  deployment: Deployment,
+  name: string,
+): Promise<number> {
+  const values = await Promise.all(deployment.vmNames.map(async (vm) => {
+    const { body } = await request(
+      `http://${deployment.operatorsAddress(vm)}/metrics`,
+    );
+    const text = await body.text();
+    return text.split("\n")
+      .filter((line) =>
+        line.startsWith(`${name} `) || line.startsWith(`${name}{`)
+      )
+      .reduce((sum, line) => sum + Number(line.split(" ").at(-1)), 0);
+  }));
+  return values.reduce((sum, value) => sum + value, 0);
+}
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { request as sendRequest } from "undici";
+import type { GrantMessage, HeldGrant } from "./grant_message.ts";
 import type { History } from "./history.ts";
 
 const announceMilliseconds = 300;
@@ -31,18 +32,13 @@
   readonly condition?: FakeCondition;
   /** Time that a request takes. @default 2 */
   readonly serviceMilliseconds?: number;
+  /** Network delay there and back, by the sender's IP. @default none */
+  readonly delayMilliseconds?: (sender: string) => number;
 }
 
 /** Conditions that a fake target can announce. */
 export type FakeCondition = "cold" | "serving" | "draining" | "leaving";
 
-interface HeldGrant {
-  readonly group: string;
-  readonly start: number;
-  readonly end: number;
-  readonly epoch: number;
-}
-
 /**
  * A stand-in for a server that owns keys: it announces itself, takes fenced
  * grants, carries requests out and records what it did.
@@ -56,6 +52,7 @@
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
+  #coldAnswersLeft = 0;
   #nextListener = 0;
   #frozen: Promise<void> | undefined;
   #thaw: () => void = () => {};
@@ -72,6 +69,7 @@
       checksFences: true,
       condition: "serving",
       serviceMilliseconds: 2,
+      delayMilliseconds: () => 0,
       ...options,
     };
     this.#condition = this.#options.condition;
@@ -100,6 +98,14 @@
     this.#recordCondition("condition", condition);
   }
 
+  /**
+   * Turns cold without saying so: it sheds what exceeds its cold slots until it
+   * has carried out `answers` requests.
+   */
+  turnCold(options: { readonly answers: number }): void {
+    this.#coldAnswersLeft = options.answers;
+  }
+
   /** Requests that it is carrying out. */
   get inProgress(): number {
     return this.#inProgress;
@@ -166,6 +172,13 @@
     this.#thaw();
   }
 
+  /** Goes on, but reaches nobody and is reached by nobody. */
+  cutOff(): void {
+    clearInterval(this.#timer);
+    this.#server.on("connection", (socket) => socket.destroy())
+      .closeAllConnections();
+  }
+
   /** Waits until nothing is in progress, then ends the process as planned. */
   async stop(): Promise<void> {
     const { history } = this.#options;
@@ -282,22 +295,19 @@
     if (request.method === "PUT" && request.url === "/kingcupglade/grants") {
       return this.#takeGrants(Buffer.concat(chunks), response);
     }
+    const sender = request.socket.remoteAddress ?? "";
+    const delay = this.#options.delayMilliseconds(sender);
+    if (delay > 0) await new Promise((resolve) => setTimeout(resolve, delay));
     await this.#carryOut(request, response);
   }
 
   #takeGrants(body: Buffer, response: ServerResponse): void {
-    const message = JSON.parse(body.toString()) as {
-      boot: string;
-      version: number;
-      sequence: number;
-      grants: HeldGrant[];
-    };
+    const message = JSON.parse(body.toString()) as GrantMessage;
     const { version, sequence } = message;
-    const isOld = version < this.#taken.version ||
-      (version === this.#taken.version && sequence < this.#taken.sequence);
-    if (message.boot !== this.#boot || isOld) {
-      response.writeHead(409).end();
-      return;
+    const order = version - this.#taken.version ||
+      sequence - this.#taken.sequence;
+    if (message.boot !== this.#boot || order < 0) {
+      return void response.writeHead(409).end();
     }
     this.#taken = { version, sequence };
     this.#grants = message.grants;
@@ -324,6 +334,9 @@
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
+    if (this.#coldAnswersLeft > 0 && this.#inProgress >= coldSlots) {
+      return this.#refuse(response, { id, reason: "shed" });
+    }
     const boot = this.#boot;
     const limit = this.condition === "cold" ? coldSlots : slots;
     this.#inProgress += 1;
@@ -347,6 +360,7 @@
     await this.#frozen;
     if (boot !== this.#boot) return;
     this.#inProgress -= 1;
+    this.#coldAnswersLeft = Math.max(0, this.#coldAnswersLeft - 1);
     if (
       group !== "" && checksFences && !this.#owns({ group, position, epoch })
     ) {
