--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -305,16 +305,26 @@
 }
 
 function requestHead({ request, path }: ServedRequest): RequestHead {
-  const values = (name: string) => request.headersDistinct[name] ?? [];
+  const { headers, rawHeaders } = request;
   return {
     method: request.method ?? "GET",
     path,
     header: (name: string) =>
-      values(name).length === 1 ? values(name)[0] : undefined,
-    isRepeated: (name: string) => values(name).length > 1,
+      countOf(rawHeaders, name) === 1 ? String(headers[name]) : undefined,
+    isRepeated: (name: string) => countOf(rawHeaders, name) > 1,
   };
 }
 
+/** How often a header was sent, of names and values in turn. */
+function countOf(rawHeaders: readonly string[], name: string): number {
+  let count = 0;
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const sent = rawHeaders[index]!;
+    if (sent.length === name.length && sent.toLowerCase() === name) count += 1;
+  }
+  return count;
+}
+
 function refusalWithoutTable(request: IncomingMessage): Refusal {
   return request.headers[Header.idempotencyKey] === undefined
     ? notRun(Reason.noLease, { retryAfterSeconds: 1 })
--- a/packages/kingcupglade/listeners/body.ts
+++ b/packages/kingcupglade/listeners/body.ts
@@ -24,6 +24,8 @@
   return Buffer.concat(chunks, length);
 }
 
+const noBytes = Buffer.alloc(0);
+
 /** Options of {@link RequestBody.receive}. */
 export interface RequestBodyOptions {
   readonly maximumBytes: number;
@@ -65,6 +67,10 @@
     if (length !== undefined && length > maximumBytes) {
       throw tooLarge(maximumBytes);
     }
+    if (length === 0) {
+      request.resume();
+      return new RequestBody({ whole: noBytes });
+    }
     if (length !== undefined && length <= bufferedBytes) {
       return new RequestBody({ whole: await readBody(request, maximumBytes) });
     }
