--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -200,7 +200,11 @@
       address: listen.targets,
       tls,
       secret: secrets.target,
-      batcher: new AnnouncementBatcher({ control: client(), vm: vm.name }),
+      batcher: new AnnouncementBatcher({
+        control: client(),
+        vm: vm.name,
+        clock,
+      }),
     });
     const operators = await openOperatorsListener({
       address: listen.operators,
@@ -283,7 +287,7 @@
       parts.exchanges.close(),
       parts.forwarder.close(),
       parts.routing.stop(),
-      parts.control?.stop(),
+      parts.control?.crash(),
     ]);
   }
 }
