Explore the coordinator, the leader's books and the routing table

Cause: the decisions about a range were judged by a specification beside the code and by runs over sockets, not by the code in every order. Change: RangeModel drives coordinate, applyCommand, TargetBook, VmBook, RoutingTable and RequestsInProgress with two VMs, two targets and one range; messages are late, lost, out of order, and leases lapse by both clocks. explore keeps no world that it has gone through; wander follows random paths. Four rules left out are each found: unconfirmed grants taken as none, pushes in any order, no fence, requests not awaited.

--- a/packages/checker/mod.ts
+++ b/packages/checker/mod.ts
@@ -7,7 +7,7 @@
 export { checkHistory, promiseChecks } from "./check_history.ts";
 export { eventsOf } from "./events.ts";
 export type { EventOf } from "./events.ts";
-export { explore, formatExploration } from "./explore.ts";
+export { explore, formatExploration, wander } from "./explore.ts";
 export type {
   ExplorationBounds,
   ExplorationModel,
--- /dev/null
+++ b/packages/kingcupglade/exploration/range_exploration_test.ts
@@ -0,0 +1,86 @@
+import { explore, formatExploration, wander } from "@kingcupglade/checker";
+import { describe, expect, it } from "vitest";
+import { RangeModel } from "./range_model.ts";
+import type { RangeMutation, RangeStart } from "./range_world.ts";
+
+const budgets = {
+  /** Target a leaves; two requests, one given up. */
+  serving: {
+    ticks: 0,
+    announcements: 0,
+    leaves: 1,
+    renewals: 6,
+    requests: 2,
+    givenUp: 1,
+  },
+  /** Target a leaves before it is told of its grant; one push given up. */
+  granted: {
+    ticks: 0,
+    announcements: 0,
+    leaves: 1,
+    renewals: 6,
+    requests: 0,
+    givenUp: 1,
+  },
+  /** Leases lapse and are renewed as well. */
+  wide: {
+    ticks: 8,
+    announcements: 12,
+    leaves: 1,
+    renewals: 24,
+    requests: 5,
+    givenUp: 3,
+  },
+} as const;
+
+const bounds = { maximumDepth: 60, maximumStates: 60_000 };
+
+const exploreFrom = (start: RangeStart, mutation?: RangeMutation) =>
+  explore(
+    new RangeModel({
+      start,
+      remaining: budgets[start],
+      ...(mutation ? { mutation } : {}),
+    }),
+    bounds,
+  );
+
+describe("exploration of one range with two VMs and two targets", () => {
+  for (const start of ["serving", "granted"] as const) {
+    it(`keeps one owner and cuts no request in every order: ${start}`, () => {
+      const result = exploreFrom(start);
+      console.info(`one range, ${start}: ${formatExploration(result)}`);
+      expect(result.violation).toBeNull();
+      expect(result.states).toBeLessThan(bounds.maximumStates);
+    });
+  }
+
+  it("keeps them on random paths with lapsing leases", () => {
+    const model = new RangeModel({ remaining: budgets.wide });
+    const result = wander(model, { seed: 4, paths: 300, maximumDepth: 120 });
+    console.info(`one range, random: ${formatExploration(result)}`);
+    expect(result.violation).toBeNull();
+  });
+
+  describe("with a rule left out", () => {
+    it("finds two owners when unconfirmed grants count as none", () => {
+      expect(exploreFrom("granted", "assumesNoGrants").violation?.message)
+        .toBe("a and b own the range");
+    });
+
+    it("finds two owners when pushes are taken in any order", () => {
+      expect(exploreFrom("granted", "ignoresPushOrder").violation?.message)
+        .toBe("a and b own the range");
+    });
+
+    it("finds a late effect when targets do not check the epoch", () => {
+      expect(exploreFrom("serving", "ignoresFence").violation?.message)
+        .toMatch(/an effect under epoch \d+ came after one under \d+/);
+    });
+
+    it("finds a cut request when those in progress are not awaited", () => {
+      expect(exploreFrom("serving", "ignoresRequests").violation?.message)
+        .toMatch(/a move refused a request/);
+    });
+  });
+});
