--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -30,7 +30,7 @@
 import { readTls } from "./settings/tls.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
 
-const connectionsPerTarget = 12;
+const connectionsPerTarget = 110;
 /** Callers' listener closes when no request came for this long. */
 const quietMilliseconds = 300;
 const mostLeaveMilliseconds = 15_000;
@@ -49,6 +49,8 @@
     readonly choice?: TargetChoice;
     /** Hedges that each request earns. @default 0.04 */
     readonly hedgeShare?: number;
+    /** Address that connections to targets come from. */
+    readonly localAddress?: string;
     /** Seed of the choices among targets. @default drawn at each start */
     readonly seed?: number;
   };
@@ -137,6 +139,7 @@
       routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
     });
     const exchanges = new ExchangeClient({
+      localAddress: options.policy?.localAddress,
       connectionsPerTarget,
       authority: tls.material?.authority,
     });
@@ -197,7 +200,11 @@
       address: listen.targets,
       tls,
       secret: secrets.target,
-      batcher: new AnnouncementBatcher({ control: client(), vm: vm.name }),
+      batcher: new AnnouncementBatcher({
+        control: client(),
+        vm: vm.name,
+        clock,
+      }),
     });
     const operators = await openOperatorsListener({
       address: listen.operators,
@@ -280,7 +287,7 @@
       parts.exchanges.close(),
       parts.forwarder.close(),
       parts.routing.stop(),
-      parts.control?.stop(),
+      parts.control?.crash(),
     ]);
   }
 }
