Tell a target its grants again after it dropped them, and check effects

Change: a target says in its announcement which push it acts on (actsOn), zeros after a lapse; the leader forgets what it took as held when the two differ, so that the grants are sent again. The checker takes an effect at a fence-checking target outside of the time of its ownership as a second owner; the fake target checks its grants and its lease at the moment of the effect. Checker: four more planted faults are named. Conclusion: a frozen target serves again once it announces itself.

--- a/packages/checker/check_history_test.ts
+++ b/packages/checker/check_history_test.ts
@@ -55,6 +55,7 @@
   service: "fixture-stock",
   dataCentre: "hsinchu-a",
   condition: "serving",
+  checksFences: true,
   ...changes,
 }];
 const effect = (at: number, request: string, target = "a"): At => [
@@ -149,7 +150,7 @@
 /** For each promise, events that a faulty system would add to the run. */
 const plantedFaults: Readonly<Record<PromiseName, readonly At[]>> = {
   [PromiseName.singleOwner]: [granted(33, "a", 5)],
-  [PromiseName.assignmentSurvives]: [granted(34, "b", 5)],
+  [PromiseName.assignmentSurvives]: [granted(34, "b", 5, 9)],
   [PromiseName.coldTarget]: [
     started(11.5, "r5", { condition: "cold", inProgress: 2 }),
     ended(11.6, "r5"),
@@ -185,6 +186,28 @@
   [PromiseName.bundleInForce]: [tableSeen(5000, 1)],
 };
 
+/** Other ways to break the promises that speak of more than one thing. */
+const furtherFaults: readonly (readonly [PromiseName, ...At[]])[] = [
+  [
+    PromiseName.singleOwner,
+    started(35, "r6"),
+    effect(36, "r6"),
+    ended(37, "r6"),
+  ],
+  [PromiseName.bundleInForce, rolled(100, 1, 90)],
+  [
+    PromiseName.bundleInForce,
+    [60, {
+      kind: "tableSeen",
+      vm: "vm-2",
+      hasLease: true,
+      version: 2,
+      digest: "other",
+    }],
+  ],
+  [PromiseName.plannedStop, started(39, "r6", { target: "a" })],
+];
+
 function run(...events: readonly At[]): readonly TimedEvent[] {
   return [...events].sort(([left], [right]) => left - right).map((
     [at, event],
@@ -197,7 +220,10 @@
   });
 
   describe("names the one promise that a planted fault breaks", () => {
-    for (const [promise, fault] of Object.entries(plantedFaults)) {
+    const faults = Object.entries(plantedFaults).map(([promise, fault]) =>
+      [promise, ...fault] as const
+    );
+    for (const [promise, ...fault] of [...faults, ...furtherFaults]) {
       it(promise, () => {
         const violations = checkHistory(run(...cleanRun, ...fault));
         expect([...new Set(violations.map((each) => each.promise))])
--- a/packages/checker/promises/single_owner.ts
+++ b/packages/checker/promises/single_owner.ts
@@ -11,6 +11,7 @@
 /** No two targets own a position at one time, and only owners run requests. */
 export const checkSingleOwner: PromiseCheck = (events) => [
   ...overlappingOwners(ownershipSpans(events)),
+  ...effectsOfOthers(events),
   ...overlappingRequests(events),
 ];
 
@@ -49,6 +50,35 @@
   };
 }
 
+/** A target that checks fences has effects only while it owns the position. */
+function effectsOfOthers(
+  events: readonly TimedEvent[],
+): readonly Violation[] {
+  const starts = new Map(
+    eventsOf(events, "started").map((each) => [startId(each), each]),
+  );
+  const spans = groupBy(
+    ownershipSpans(events),
+    (span) => `${span.target}\0${span.boot}`,
+  );
+  return eventsOf(events, "effect").flatMap((effect) => {
+    const started = starts.get(startId(effect));
+    if (!started || started.group === "" || !started.checksFences) return [];
+    const own = spans.get(`${started.target}\0${started.boot}`) ?? [];
+    const owned = own.some((span) =>
+      span.group === started.group && span.epoch === started.epoch &&
+      span.start <= started.position && started.position < span.end &&
+      span.from <= effect.at && effect.at <= span.until
+    );
+    return owned ? [] : [{
+      promise,
+      message:
+        `${started.request} took effect at ${started.target}, which did not own its position then`,
+      events: [started, effect],
+    }];
+  });
+}
+
 /** Effects on one position under different epochs must not go back. */
 function overlappingRequests(
   events: readonly TimedEvent[],
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -36,6 +36,8 @@
   readonly delayMilliseconds?: (sender: string) => number;
 }
 
+const noPush = { version: 0, sequence: 0 };
+
 /** Conditions that a fake target can announce. */
 export type FakeCondition = "cold" | "serving" | "draining" | "leaving";
 
@@ -48,7 +50,8 @@
   readonly #server: Server;
   #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
-  #taken = { version: 0, sequence: 0 };
+  #taken = noPush;
+  #actsOn = noPush;
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
@@ -118,7 +121,11 @@
 
   /** The grants that it holds under a valid lease. */
   get grants(): readonly HeldGrant[] {
-    return performance.now() < this.#leaseUntil ? this.#grants : [];
+    return this.#grantsAt(performance.now());
+  }
+
+  #grantsAt(now: number): readonly HeldGrant[] {
+    return now < this.#leaseUntil ? this.#grants : [];
   }
 
   /** Opens the listener and announces itself from now on. */
@@ -154,7 +161,7 @@
   /** Starts the process anew after {@link kill}, with a new boot identity. */
   async restart(): Promise<void> {
     this.#boot = randomUUID();
-    this.#taken = { version: 0, sequence: 0 };
+    this.#taken = noPush;
     this.#inProgress = 0;
     await this.start();
   }
@@ -228,6 +235,7 @@
             coldSlots: options.coldSlots,
             checksFences: options.checksFences,
             condition,
+            actsOn: this.grants === this.#grants ? this.#actsOn : noPush,
           }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
@@ -276,6 +284,7 @@
   }
 
   #lapse(): void {
+    this.#actsOn = noPush;
     if (this.#grants.length === 0) return;
     this.#grants = [];
     this.#options.history.record({
@@ -310,6 +319,7 @@
       return void response.writeHead(409).end();
     }
     this.#taken = { version, sequence };
+    this.#actsOn = this.#taken;
     this.#grants = message.grants;
     this.#options.history.record({
       kind: "granted",
@@ -329,8 +339,9 @@
     const group = String(request.headers["kingcupglade-group"] ?? "");
     const position = Number(request.headers["kingcupglade-position"] ?? -1);
     const epoch = Number(request.headers["kingcupglade-epoch"] ?? 0);
+    const subject = { group, position, epoch };
     if (
-      group !== "" && checksFences && !this.#owns({ group, position, epoch })
+      group !== "" && checksFences && !this.#owns(subject, performance.now())
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
@@ -353,6 +364,7 @@
       service: this.#options.service,
       dataCentre: this.#options.dataCentre,
       condition: this.#condition,
+      checksFences,
     });
     await new Promise((resolve) =>
       setTimeout(resolve, this.serviceMilliseconds)
@@ -361,13 +373,14 @@
     if (boot !== this.#boot) return;
     this.#inProgress -= 1;
     this.#coldAnswersLeft = Math.max(0, this.#coldAnswersLeft - 1);
+    const effectAt = performance.now();
     if (
-      group !== "" && checksFences && !this.#owns({ group, position, epoch })
+      group !== "" && checksFences && !this.#owns(subject, effectAt)
     ) {
       history.record({ kind: "ended", target: this.name, request: id });
       return this.#refuse(response, { id, reason: "fenced" });
     }
-    history.record({
+    history.recordAt(effectAt, {
       kind: "effect",
       target: this.name,
       request: id,
@@ -384,9 +397,10 @@
       readonly position: number;
       readonly epoch: number;
     },
+    now: number,
   ): boolean {
     const { group, position, epoch } = subject;
-    return this.grants.some((grant) =>
+    return this.#grantsAt(now).some((grant) =>
       grant.group === group && grant.start <= position &&
       position < grant.end && grant.epoch === epoch
     );
--- a/packages/fakes/history.ts
+++ b/packages/fakes/history.ts
@@ -119,6 +119,8 @@
     readonly service: string;
     readonly dataCentre: string;
     readonly condition: string;
+    /** Whether the target refuses requests under epochs that it does not hold. */
+    readonly checksFences: boolean;
   }
   /** A request took effect at a target. */
   | {
--- a/packages/kingcupglade/control/leader_session.ts
+++ b/packages/kingcupglade/control/leader_session.ts
@@ -106,7 +106,7 @@
   async renewTarget(announcement: Announcement): Promise<AnnouncementReply> {
     const refusal = this.#refuseAnnouncement(announcement);
     if (refusal !== null) return refused(refusal);
-    const { load: _load, ...described } = announcement;
+    const { load: _load, actsOn: _actsOn, ...described } = announcement;
     const known = this.#state.targets.get(announcement.target);
     const target = { ...described, region: this.#regionOf(announcement) };
     const changes = !known || !describesSame(known, target);
@@ -237,13 +237,14 @@
   }
 
   async #push(push: CoordinatorPlan["pushes"][number]): Promise<void> {
-    const numbered = { ...push, sequence: this.#pushSequence + 1 };
+    const numbered = {
+      ...push,
+      version: this.#state.version,
+      sequence: this.#pushSequence + 1,
+    };
     if (!this.#targets.beginPush(numbered)) return;
     this.#pushSequence = numbered.sequence;
-    const confirmed = await this.#options.grants.push({
-      ...numbered,
-      version: this.#state.version,
-    });
+    const confirmed = await this.#options.grants.push(numbered);
     this.#targets.endPush(numbered, { confirmed, now: this.#now });
     if (!confirmed) {
       this.#options.logger.warn("grants-not-confirmed", {
--- a/packages/kingcupglade/control/target_book.ts
+++ b/packages/kingcupglade/control/target_book.ts
@@ -15,18 +15,26 @@
   readonly boot: string;
   /** Not known from the start of a push until the target confirms it. */
   readonly held: readonly Grant[] | null;
-  /** Sequence of the push under way, or null. */
-  readonly pushing: number | null;
+  /** The push under way, or null. */
+  readonly pushing: PushOrder | null;
+  /** The push that it confirmed last; null when `held` is not known. */
+  readonly confirmed: PushOrder | null;
   /** Since when its pushes have failed; null when the last one was confirmed. */
   readonly failingSince: number | null;
 }
 
+/** Where a push stands among all pushes to a target. */
+interface PushOrder {
+  /** Table version that the grants follow from. */
+  readonly version: number;
+  /** Orders the pushes of one leader. */
+  readonly sequence: number;
+}
+
 /** A push of grants to one incarnation of a target. */
-interface NumberedPush {
+interface NumberedPush extends PushOrder {
   readonly target: string;
   readonly boot: string;
-  /** Higher than that of every push before it. */
-  readonly sequence: number;
 }
 
 /** What the leader knows of the targets' leases and confirmed grants. */
@@ -75,8 +83,11 @@
         boot,
         held: null,
         pushing: null,
+        confirmed: null,
         failingSince,
       });
+    } else if (hasDropped(known, announcement)) {
+      this.#known.set(target, { ...known, held: null, confirmed: null });
     }
     this.#leases.renew(target, boot, now);
   }
@@ -107,7 +118,8 @@
     this.#known.set(push.target, {
       ...known,
       held: null,
-      pushing: push.sequence,
+      pushing: { version: push.version, sequence: push.sequence },
+      confirmed: null,
     });
     return true;
   }
@@ -118,12 +130,13 @@
     result: { readonly confirmed: boolean; readonly now: number },
   ): void {
     const known = this.#known.get(push.target);
-    if (known?.boot !== push.boot || known.pushing !== push.sequence) return;
+    if (known?.boot !== push.boot || !isSamePush(known.pushing, push)) return;
     const { confirmed, now } = result;
     this.#known.set(push.target, {
       ...known,
       held: confirmed ? push.grants : null,
       pushing: null,
+      confirmed: confirmed ? known.pushing : null,
       failingSince: confirmed ? null : known.failingSince ?? now,
     });
   }
@@ -162,3 +175,14 @@
       : `target "${target}" holds a lease at ${record.address}; wait until it lapses, or choose another name`;
   }
 }
+
+// A target may have dropped its grants when its lease lapsed by its own clock.
+function hasDropped(known: KnownTarget, announcement: Announcement): boolean {
+  const { actsOn } = announcement;
+  return actsOn !== undefined && known.confirmed !== null &&
+    !isSamePush(known.confirmed, actsOn);
+}
+
+function isSamePush(left: PushOrder | null, right: PushOrder): boolean {
+  return left?.version === right.version && left.sequence === right.sequence;
+}
--- a/packages/kingcupglade/control/target_book_test.ts
+++ b/packages/kingcupglade/control/target_book_test.ts
@@ -7,6 +7,7 @@
   target: "a",
   boot: "boot-1",
   grants,
+  version: 1,
   sequence,
 });
 
--- a/packages/kingcupglade/exploration/range_exploration_test.ts
+++ b/packages/kingcupglade/exploration/range_exploration_test.ts
@@ -62,6 +62,18 @@
     expect(result.violation).toBeNull();
   });
 
+  it("serves the range again after every short path", () => {
+    const model = new RangeModel({ remaining: budgets.wide });
+    const result = wander(model, {
+      seed: 5,
+      paths: 1500,
+      maximumDepth: 12,
+      checkEnd: (world) => model.unserved(model.settle(world)),
+    });
+    console.info(`one range, recovery: ${formatExploration(result)}`);
+    expect(result.violation).toBeNull();
+  });
+
   describe("with a rule left out", () => {
     it("finds two owners when unconfirmed grants count as none", () => {
       expect(exploreFrom("granted", "assumesNoGrants").violation?.message)
--- a/packages/kingcupglade/exploration/range_model.ts
+++ b/packages/kingcupglade/exploration/range_model.ts
@@ -14,6 +14,7 @@
 import { VmBook } from "../control/vm_book.ts";
 import {
   abandon,
+  announceTo,
   beginPush,
   commit,
   excuse,
@@ -296,7 +297,7 @@
   }
 
   #announce(world: RangeWorld, target: string): RangeWorld {
-    const renewed = noteBook(world, { kind: "renewTarget", target });
+    const renewed = announceTo(world, target);
     const registered = world.control.targets.has(target) &&
         world.control.targets.get(target)!.condition !== "lost"
       ? renewed
@@ -306,7 +307,7 @@
 
   #leave(world: RangeWorld, target: string): RangeWorld {
     return commit(
-      noteBook(world, { kind: "renewTarget", target }),
+      announceTo(world, target),
       putTarget(target, "leaving"),
     );
   }
@@ -323,6 +324,7 @@
         ? push.grants
         : [],
       taken: { version: push.version, sequence },
+      actsOn: { version: push.version, sequence },
     });
   }
 
--- a/packages/kingcupglade/exploration/range_moves.ts
+++ b/packages/kingcupglade/exploration/range_moves.ts
@@ -41,6 +41,16 @@
   return { ...world, books: [...world.books, event] };
 }
 
+/** Tells the leader's book what a target says of itself. */
+export function announceTo(world: RangeWorld, target: string): RangeWorld {
+  const { leaseUntil, actsOn } = world.targets.get(target)!;
+  return noteBook(world, {
+    kind: "renewTarget",
+    target,
+    actsOn: world.now < leaseUntil ? actsOn : { version: 0, sequence: 0 },
+  });
+}
+
 /** Tells fresh books what the leader's were told. */
 export function replay(
   books: { readonly targets: TargetBook; readonly vms: VmBook },
@@ -49,7 +59,10 @@
   const { targets, vms } = books;
   switch (event.kind) {
     case "renewTarget":
-      return targets.renew(announcementOf(event.target, "serving"), event.at);
+      return targets.renew({
+        ...announcementOf(event.target, "serving"),
+        actsOn: event.actsOn,
+      }, event.at);
     case "forgetTarget":
       return targets.forget(event.target);
     case "beginPush":
@@ -85,7 +98,12 @@
     refused: false,
   };
   return {
-    ...noteBook(world, { kind: "beginPush", target, sequence }),
+    ...noteBook(world, {
+      kind: "beginPush",
+      target,
+      version: sent.version,
+      sequence,
+    }),
     sequence,
     pushes: [...world.pushes, sent],
   };
@@ -116,10 +134,11 @@
   confirmed: boolean,
 ): RangeWorld {
   if (push.givenUp) return world;
-  const { target, sequence, grants } = push;
+  const { target, version, sequence, grants } = push;
   return noteBook(world, {
     kind: "endPush",
     target,
+    version,
     sequence,
     grants,
     confirmed,
@@ -128,11 +147,14 @@
 
 /** The reply to a target's announcement arrives. */
 export function takeReply(world: RangeWorld, target: string): RangeWorld {
-  const { leaseUntil, grants, replySentAt } = world.targets.get(target)!;
+  const { leaseUntil, grants, actsOn, replySentAt } = world.targets.get(
+    target,
+  )!;
   const lapsed = world.now >= leaseUntil;
   const next = withTarget(world, target, {
     leaseUntil: Math.max(leaseUntil, replySentAt! + leaseMilliseconds),
     grants: lapsed ? [] : grants,
+    actsOn: lapsed ? { version: 0, sequence: 0 } : actsOn,
     replySentAt: null,
   });
   return lapsed ? excuse(next, (each) => each.target === target) : next;
--- a/packages/kingcupglade/exploration/range_start.ts
+++ b/packages/kingcupglade/exploration/range_start.ts
@@ -44,6 +44,7 @@
     leaseUntil: -Infinity,
     grants: [],
     taken: { version: 0, sequence: 0 },
+    actsOn: { version: 0, sequence: 0 },
     replySentAt: null,
   }])),
   pushes: [],
--- a/packages/kingcupglade/exploration/range_world.ts
+++ b/packages/kingcupglade/exploration/range_world.ts
@@ -37,16 +37,22 @@
 export type BookEvent =
   & { readonly at: number }
   & (
-    | { readonly kind: "renewTarget"; readonly target: string }
+    | {
+      readonly kind: "renewTarget";
+      readonly target: string;
+      readonly actsOn: WorldTarget["actsOn"];
+    }
     | { readonly kind: "forgetTarget"; readonly target: string }
     | {
       readonly kind: "beginPush";
       readonly target: string;
+      readonly version: number;
       readonly sequence: number;
     }
     | {
       readonly kind: "endPush";
       readonly target: string;
+      readonly version: number;
       readonly sequence: number;
       readonly grants: readonly Grant[];
       readonly confirmed: boolean;
@@ -97,6 +103,8 @@
   readonly leaseUntil: number;
   readonly grants: readonly Grant[];
   readonly taken: { readonly version: number; readonly sequence: number };
+  /** The push that it acts on; zeros when its lease lapsed since. */
+  readonly actsOn: { readonly version: number; readonly sequence: number };
   /** When the announcement was sent whose reply travels, or null. */
   readonly replySentAt: number | null;
 }
--- a/packages/membership/announcement.ts
+++ b/packages/membership/announcement.ts
@@ -38,6 +38,14 @@
   /** Whether it refuses requests with an old fence epoch. @default true */
   checksFences: z.boolean().default(true),
   condition: z.enum(["cold", "serving", "draining", "leaving"]),
+  /**
+   * Which push of grants it acts on, as that push named itself; zeros when it
+   * acts on none. Control cannot tell when it is absent.
+   */
+  actsOn: z.strictObject({
+    version: z.number().int().min(0),
+    sequence: z.number().int().min(0),
+  }).optional(),
   /** Its own view of its load, 0 to 1; a hint. */
   load: z.number().min(0).max(1).optional(),
 });
--- a/packages/ownership/model.ts
+++ b/packages/ownership/model.ts
@@ -40,7 +40,8 @@
 }
 
 /** A target known to control. */
-export interface TargetRecord extends Omit<Announcement, "condition" | "load"> {
+export interface TargetRecord
+  extends Omit<Announcement, "condition" | "load" | "actsOn"> {
   readonly region: string;
   readonly condition: TargetCondition;
   readonly changedAt: number;
