--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -3,44 +3,17 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { request as sendRequest } from "undici";
 import type { GrantMessage, HeldGrant } from "./grant_message.ts";
-import type { History } from "./history.ts";
+import type {
+  FakeCondition,
+  FakeTargetOptions,
+} from "./fake_target_options.ts";
 
 const announceMilliseconds = 300;
 const announceTimeoutMilliseconds = 1000;
 const idleCheckMilliseconds = 5;
 
-/** Options of a {@link FakeTarget}. */
-export interface FakeTargetOptions {
-  readonly name: string;
-  readonly service: string;
-  readonly dataCentre: string;
-  /** IP:PORT on which it serves. */
-  readonly address: string;
-  /** Targets' listeners of VMs, tried in turn. */
-  readonly announceTo: readonly string[];
-  readonly secret: string;
-  readonly history: History;
-  /** @default 6 */
-  readonly slots?: number;
-  /** @default 110 */
-  readonly connections?: number;
-  /** @default 1 */
-  readonly coldSlots?: number;
-  /** @default true */
-  readonly checksFences?: boolean;
-  /** @default "serving" */
-  readonly condition?: FakeCondition;
-  /** Time that a request takes. @default 2 */
-  readonly serviceMilliseconds?: number;
-  /** Network delay there and back, by the sender's IP. @default none */
-  readonly delayMilliseconds?: (sender: string) => number;
-}
-
 const noPush = { version: 0, sequence: 0 };
 
-/** Conditions that a fake target can announce. */
-export type FakeCondition = "cold" | "serving" | "draining" | "leaving";
-
 /**
  * A stand-in for a server that owns keys: it announces itself, takes fenced
  * grants, carries requests out and records what it did.
--- a/packages/kingcupglade/exploration/range_model.ts
+++ b/packages/kingcupglade/exploration/range_model.ts
@@ -37,6 +37,7 @@
 import {
   emptyWorld,
   position,
+  settlingRounds,
   startCommands,
   startRounds,
   subject,
@@ -53,8 +54,6 @@
   WorldVm,
 } from "./range_world.ts";
 
-const settlingRounds = 8;
-
 /**
  * One range between two targets, in every order of messages, losses and
  * pauses. The decisions are those of the coordinator, of the leader's books,
@@ -342,9 +341,7 @@
     const delta = deltaSince(registered.control, vm.table.version);
     const lapsed = world.now >= vm.leaseUntil;
     const next = withVm(registered, name, {
-      table: vm.table.version === registered.control.version
-        ? vm.table
-        : vm.table.apply(delta) ?? RoutingTable.empty,
+      table: vm.table.apply(delta) ?? RoutingTable.empty,
       leaseUntil: Math.max(vm.leaseUntil, world.now + leaseMilliseconds),
     });
     return lapsed ? excuse(next, (each) => each.vm === name) : next;
--- a/packages/kingcupglade/exploration/range_start.ts
+++ b/packages/kingcupglade/exploration/range_start.ts
@@ -14,6 +14,9 @@
 /** Rounds of coordination until both VMs know the owner. */
 export const startRounds = 3;
 
+/** Rounds without losses after which the range must be served. */
+export const settlingRounds = 8;
+
 /** Puts a bundle with one keyed service and one range in force. */
 export const startCommands: readonly ControlCommand[] = [{
   kind: "rollBundle",
