--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -3,6 +3,17 @@
 /** Every experiment, imported when it is run. */
 export const experiments: ReadonlyMap<string, () => Promise<Experiment>> =
   new Map(Object.entries({
+    "commit": async () => (await import("./suite/commit.ts")).commitExperiment,
+    "control-loss": async () =>
+      (await import("./suite/control_loss.ts")).controlLossExperiment,
+    "log-slopes": async () =>
+      (await import("./suite/log_slopes.ts")).logSlopesExperiment,
+    "recovery": async () =>
+      (await import("./suite/recovery.ts")).recoveryExperiment,
+    "throughput": async () =>
+      (await import("./suite/throughput.ts")).throughputExperiment,
+    "slow-targets": async () =>
+      (await import("./suite/slow_targets.ts")).slowTargetsExperiment,
     "planner": async () =>
       (await import("./suite/planner.ts")).plannerExperiment,
     "at-most-once": async () =>
@@ -16,6 +27,8 @@
       (await import("./suite/table_size.ts")).tableSizeExperiment,
     "ledger-cost": async () =>
       (await import("./suite/ledger_cost.ts")).ledgerCostExperiment,
+    "lost-ledger": async () =>
+      (await import("./suite/lost_ledger.ts")).lostLedgerExperiment,
     "lost-owner": async () =>
       (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
   }));
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -2,41 +2,17 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { request as sendRequest } from "undici";
-import { noGrants } from "./grant_message.ts";
 import type { GrantMessage, HeldGrant } from "./grant_message.ts";
-import type { History } from "./history.ts";
+import type {
+  FakeCondition,
+  FakeTargetOptions,
+} from "./fake_target_options.ts";
 
 const announceMilliseconds = 300;
 const announceTimeoutMilliseconds = 1000;
 const idleCheckMilliseconds = 5;
 
-/** Options of a {@link FakeTarget}. */
-export interface FakeTargetOptions {
-  readonly name: string;
-  readonly service: string;
-  readonly dataCentre: string;
-  /** IP:PORT on which it serves. */
-  readonly address: string;
-  /** Targets' listeners of VMs, tried in turn. */
-  readonly announceTo: readonly string[];
-  readonly secret: string;
-  readonly history: History;
-  /** @default 6 */
-  readonly slots?: number;
-  /** @default 110 */
-  readonly connections?: number;
-  /** @default 1 */
-  readonly coldSlots?: number;
-  /** @default true */
-  readonly checksFences?: boolean;
-  /** @default "serving" */
-  readonly condition?: FakeCondition;
-  /** Time that a request takes. @default 2 */
-  readonly serviceMilliseconds?: number;
-}
-
-/** Conditions that a fake target can announce. */
-export type FakeCondition = "cold" | "serving" | "draining" | "leaving";
+const noPush = { version: 0, sequence: 0 };
 
 /**
  * A stand-in for a server that owns keys: it announces itself, takes fenced
@@ -47,11 +23,12 @@
   readonly #server: Server;
   #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
-  #taken = noGrants;
-  #holds = noGrants;
+  #taken = noPush;
+  #actsOn = noPush;
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
+  #coldAnswersLeft = 0;
   #nextListener = 0;
   #frozen: Promise<void> | undefined;
   #thaw: () => void = () => {};
@@ -68,6 +45,7 @@
       checksFences: true,
       condition: "serving",
       serviceMilliseconds: 2,
+      delayMilliseconds: () => 0,
       ...options,
     };
     this.#condition = this.#options.condition;
@@ -96,6 +74,14 @@
     this.#recordCondition("condition", condition);
   }
 
+  /**
+   * Turns cold without saying so: it sheds what exceeds its cold slots until it
+   * has carried out `answers` requests.
+   */
+  turnCold(options: { readonly answers: number }): void {
+    this.#coldAnswersLeft = options.answers;
+  }
+
   /** Requests that it is carrying out. */
   get inProgress(): number {
     return this.#inProgress;
@@ -108,7 +94,11 @@
 
   /** The grants that it holds under a valid lease. */
   get grants(): readonly HeldGrant[] {
-    return performance.now() < this.#leaseUntil ? this.#grants : [];
+    return this.#grantsAt(performance.now());
+  }
+
+  #grantsAt(now: number): readonly HeldGrant[] {
+    return now < this.#leaseUntil ? this.#grants : [];
   }
 
   /** Opens the listener and announces itself from now on. */
@@ -144,8 +134,7 @@
   /** Starts the process anew after {@link kill}, with a new boot identity. */
   async restart(): Promise<void> {
     this.#boot = randomUUID();
-    this.#taken = noGrants;
-    this.#holds = noGrants;
+    this.#taken = noPush;
     this.#inProgress = 0;
     await this.start();
   }
@@ -219,7 +208,7 @@
             coldSlots: options.coldSlots,
             checksFences: options.checksFences,
             condition,
-            holds: sentAt < this.#leaseUntil ? this.#holds : noGrants,
+            actsOn: this.grants === this.#grants ? this.#actsOn : noPush,
           }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
@@ -268,7 +257,7 @@
   }
 
   #lapse(): void {
-    this.#holds = noGrants;
+    this.#actsOn = noPush;
     if (this.#grants.length === 0) return;
     this.#grants = [];
     this.#options.history.record({
@@ -288,6 +277,9 @@
     if (request.method === "PUT" && request.url === "/kingcupglade/grants") {
       return this.#takeGrants(Buffer.concat(chunks), response);
     }
+    const sender = request.socket.remoteAddress ?? "";
+    const delay = this.#options.delayMilliseconds(sender);
+    if (delay > 0) await new Promise((resolve) => setTimeout(resolve, delay));
     await this.#carryOut(request, response);
   }
 
@@ -299,7 +291,8 @@
     if (message.boot !== this.#boot || order < 0) {
       return void response.writeHead(409).end();
     }
-    this.#taken = this.#holds = { version, sequence };
+    this.#taken = { version, sequence };
+    this.#actsOn = this.#taken;
     this.#grants = message.grants;
     this.#options.history.record({
       kind: "granted",
@@ -319,11 +312,15 @@
     const group = String(request.headers["kingcupglade-group"] ?? "");
     const position = Number(request.headers["kingcupglade-position"] ?? -1);
     const epoch = Number(request.headers["kingcupglade-epoch"] ?? 0);
+    const subject = { group, position, epoch };
     if (
-      group !== "" && checksFences && !this.#owns({ group, position, epoch })
+      group !== "" && checksFences && !this.#owns(subject, performance.now())
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
+    if (this.#coldAnswersLeft > 0 && this.#inProgress >= coldSlots) {
+      return this.#refuse(response, { id, reason: "shed" });
+    }
     const boot = this.#boot;
     const limit = this.condition === "cold" ? coldSlots : slots;
     this.#inProgress += 1;
@@ -340,6 +337,7 @@
       service: this.#options.service,
       dataCentre: this.#options.dataCentre,
       condition: this.#condition,
+      checksFences,
     });
     await new Promise((resolve) =>
       setTimeout(resolve, this.serviceMilliseconds)
@@ -347,13 +345,15 @@
     await this.#frozen;
     if (boot !== this.#boot) return;
     this.#inProgress -= 1;
+    this.#coldAnswersLeft = Math.max(0, this.#coldAnswersLeft - 1);
+    const effectAt = performance.now();
     if (
-      group !== "" && checksFences && !this.#owns({ group, position, epoch })
+      group !== "" && checksFences && !this.#owns(subject, effectAt)
     ) {
       history.record({ kind: "ended", target: this.name, request: id });
       return this.#refuse(response, { id, reason: "fenced" });
     }
-    history.record({
+    history.recordAt(effectAt, {
       kind: "effect",
       target: this.name,
       request: id,
@@ -370,9 +370,10 @@
       readonly position: number;
       readonly epoch: number;
     },
+    now: number,
   ): boolean {
     const { group, position, epoch } = subject;
-    return this.grants.some((grant) =>
+    return this.#grantsAt(now).some((grant) =>
       grant.group === group && grant.start <= position &&
       position < grant.end && grant.epoch === epoch
     );
--- a/packages/fakes/grant_message.ts
+++ b/packages/fakes/grant_message.ts
@@ -13,9 +13,3 @@
   readonly sequence: number;
   readonly grants: readonly HeldGrant[];
 }
-
-/** The number of no push. */
-export const noGrants: Pick<GrantMessage, "version" | "sequence"> = {
-  version: 0,
-  sequence: 0,
-};
--- a/packages/kingcupglade/control/books_test.ts
+++ b/packages/kingcupglade/control/books_test.ts
@@ -39,7 +39,7 @@
   it("knows nothing of the grants of a target that froze and returned", () => {
     const book = new TargetBook(term, 0);
     book.renew(announcement, 0);
-    book.beginPush(push, 0);
+    book.beginPush(push);
     book.endPush(push, { confirmed: true, now: 1 });
     expect(book.view("fixture-1", 2).held).toEqual([]);
     book.renew(announcement, 4 * term);
@@ -59,7 +59,7 @@
   it("takes the lease from a target that does not confirm its grants", () => {
     const book = new TargetBook(term, 0);
     book.renew(announcement, 0);
-    book.beginPush(push, 0);
+    book.beginPush(push);
     book.endPush(push, { confirmed: false, now: 100 });
     expect(book.refusal(announcement, targets, 900)).toBeNull();
     expect(book.refusal(announcement, targets, 1200)).toContain("no grants");
@@ -69,10 +69,10 @@
   it("does not know what a target holds while a push is open or has failed", () => {
     const book = new TargetBook(term, 0);
     book.renew(announcement, 0);
-    book.beginPush(push, 0);
+    book.beginPush(push);
     book.endPush(push, { confirmed: true, now: 1 });
     const later = { ...push, sequence: 2 };
-    book.beginPush(later, 2);
+    book.beginPush(later);
     expect(book.view("fixture-1", 2).held).toBeNull();
     book.endPush(push, { confirmed: true, now: 3 });
     expect(book.view("fixture-1", 3).held).toBeNull();
@@ -81,17 +81,18 @@
       held: null,
       takesGrants: true,
     });
-    expect(book.beginPush({ ...push, sequence: 3 }, 5)).toBe(false);
+    expect(book.mayPush("fixture-1", 5)).toBe(false);
+    expect(book.mayPush("fixture-1", 104)).toBe(true);
   });
 
   it("forgets grants that the target says it does not hold", () => {
     const book = new TargetBook(term, 0);
     book.renew(announcement, 0);
-    book.beginPush(push, 0);
+    book.beginPush(push);
     book.endPush(push, { confirmed: true, now: 1 });
-    book.renew({ ...announcement, holds: { version: 7, sequence: 1 } }, 2);
+    book.renew({ ...announcement, actsOn: { version: 7, sequence: 1 } }, 2);
     expect(book.view("fixture-1", 2).held).toEqual([]);
-    book.renew({ ...announcement, holds: { version: 0, sequence: 0 } }, 3);
+    book.renew({ ...announcement, actsOn: { version: 0, sequence: 0 } }, 3);
     expect(book.view("fixture-1", 3).held).toBeNull();
   });
 
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -118,9 +118,12 @@
     return (await this.#host?.found(voters)) ?? false;
   }
 
-  /** Takes in messages of another replica. */
-  receive(messages: readonly ConsensusMessage[]): void {
-    this.#host?.receive(messages);
+  /** Takes in messages of another replica; returns the answers, encoded. */
+  async receive(
+    from: string,
+    messages: readonly ConsensusMessage[],
+  ): Promise<Uint8Array<ArrayBuffer>[]> {
+    return (await this.#host?.receive(from, messages)) ?? [];
   }
 
   /**
@@ -206,8 +209,13 @@
 
   /** Hands over the lead, stops the replica and closes the data folder. */
   async stop(): Promise<void> {
-    clearInterval(this.#timer);
     if (this.#replica?.isReadyLeader) await this.#handOver(this.#replica);
+    await this.crash();
+  }
+
+  /** Stops at once, without handing over the lead; for tests. */
+  async crash(): Promise<void> {
+    clearInterval(this.#timer);
     this.#session?.end();
     for (const wake of this.#waiters) wake();
     await this.#host?.stop();
--- a/packages/kingcupglade/control/leader_session.ts
+++ b/packages/kingcupglade/control/leader_session.ts
@@ -106,7 +106,7 @@
   async renewTarget(announcement: Announcement): Promise<AnnouncementReply> {
     const refusal = this.#refuseAnnouncement(announcement);
     if (refusal !== null) return refused(refusal);
-    const { load: _load, holds: _holds, ...described } = announcement;
+    const { load: _load, actsOn: _actsOn, ...described } = announcement;
     const known = this.#state.targets.get(announcement.target);
     const target = { ...described, region: this.#regionOf(announcement) };
     const changes = !known || !describesSame(known, target);
@@ -237,13 +237,14 @@
   }
 
   async #push(push: CoordinatorPlan["pushes"][number]): Promise<void> {
-    this.#pushSequence += 1;
     const numbered = {
       ...push,
       version: this.#state.version,
-      sequence: this.#pushSequence,
+      sequence: this.#pushSequence + 1,
     };
-    if (!this.#targets.beginPush(numbered, this.#now)) return;
+    if (!this.#targets.mayPush(push.target, this.#now)) return;
+    if (!this.#targets.beginPush(numbered)) return;
+    this.#pushSequence = numbered.sequence;
     const confirmed = await this.#options.grants.push(numbered);
     this.#targets.endPush(numbered, { confirmed, now: this.#now });
     if (!confirmed) {
--- a/packages/kingcupglade/control/target_book.ts
+++ b/packages/kingcupglade/control/target_book.ts
@@ -77,7 +77,7 @@
     return this.#changes.allows(target, now);
   }
 
-  /** Renews a lease, and takes in which grants the target says it holds. */
+  /** Renews a lease, and takes in which grants the target says it acts on. */
   renew(announcement: Announcement, now: number): void {
     const { target, boot } = announcement;
     const known = this.#known.get(target);
@@ -114,14 +114,18 @@
     };
   }
 
+  /** Whether the pause after a failed push is over. */
+  mayPush(target: string, now: number): boolean {
+    return now >= (this.#known.get(target)?.retryAt ?? -Infinity);
+  }
+
   /**
    * Begins to tell a target its grants; false when it may not be told now. From
    * here on the target may hold what it had or what it is told.
    */
-  beginPush(push: NumberedPush, now: number): boolean {
+  beginPush(push: Omit<NumberedPush, "grants">): boolean {
     const known = this.#known.get(push.target);
     if (!known || known.boot !== push.boot || known.pushing) return false;
-    if (now < known.retryAt) return false;
     const { version, sequence } = push;
     this.#known.set(push.target, {
       ...known,
@@ -189,9 +193,9 @@
   announcement: Announcement,
   confirmed: NumberedPush | null,
 ): boolean {
-  const { holds } = announcement;
-  return holds !== undefined && confirmed !== null &&
-    !isSamePush(holds, confirmed);
+  const { actsOn } = announcement;
+  return actsOn !== undefined && confirmed !== null &&
+    !isSamePush(actsOn, confirmed);
 }
 
 function isSamePush(left: PushNumber, right: PushNumber): boolean {
--- a/packages/kingcupglade/credits/credit_holder_task.ts
+++ b/packages/kingcupglade/credits/credit_holder_task.ts
@@ -143,7 +143,10 @@
       epoch,
       role: new CreditRole(times, {
         startedAt: now,
-        watchedSince: this.#watchedSince,
+        // Nothing was granted before the first holder.
+        watchedSince: role.epoch === role.foundedAt
+          ? -Infinity
+          : this.#watchedSince,
         losses: this.#losses,
       }),
     };
--- a/packages/kingcupglade/gateway/attempts.ts
+++ b/packages/kingcupglade/gateway/attempts.ts
@@ -1,7 +1,9 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { TargetRecord } from "@kingcupglade/ownership";
 import {
   Header,
   notRun,
+  Outcome,
   Reason,
   RetryBudget,
   unknownOutcome,
@@ -9,7 +11,9 @@
 import type {
   CapacityGate,
   ExchangeReport,
+  HedgePolicy,
   MatchedRequest,
+  Moved,
   Refusal,
 } from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
@@ -21,6 +25,7 @@
 import type { ExchangeClient } from "./exchange.ts";
 import { UnknownCause } from "./exchange_types.ts";
 import type { ExchangeResult } from "./exchange_types.ts";
+import { HedgedExchange } from "./hedged_exchange.ts";
 import { WaitingRoom } from "./waiting_room.ts";
 
 const firstPauseMilliseconds = 5;
@@ -49,6 +54,13 @@
   readonly region: string;
   /** Where a request goes by the table in use. */
   readonly choose: (matched: MatchedRequest) => Destination | Refusal;
+  /** Another target that can take the request at once, if any may. */
+  readonly chooseOther: (
+    matched: MatchedRequest,
+    first: TargetRecord,
+  ) => Destination | undefined;
+  /** When a late request is sent to a second target. */
+  readonly hedges: HedgePolicy;
   /** Names the range or service that a request waits for. */
   readonly subjectOf: (matched: MatchedRequest) => string;
 }
@@ -57,11 +69,20 @@
 export class Attempts {
   readonly #options: AttemptsOptions;
   readonly #room: WaitingRoom;
+  readonly #hedged: HedgedExchange;
   readonly #budget = new RetryBudget();
 
   constructor(options: AttemptsOptions) {
     this.#options = options;
     this.#room = new WaitingRoom({ routing: options.routing });
+    this.#hedged = new HedgedExchange({
+      clock: options.clock,
+      policy: options.hedges,
+      exchange: (caller, destination) => this.#exchange(caller, destination),
+      chooseOther: (caller, first) =>
+        options.chooseOther(caller.matched, first.target),
+      onHedge: () => options.metrics.hedges.inc(),
+    });
   }
 
   /** Returns null when the sink got an answer, whole or visibly broken off. */
@@ -69,19 +90,25 @@
     const { clock, metrics } = this.#options;
     let pauseMilliseconds = firstPauseMilliseconds;
     let last = notRun(Reason.deadline);
+    // A later "not run" says nothing of an attempt that may have run.
+    let unknown: Refusal | null = null;
     this.#budget.earn();
     while (clock.now() < caller.deadlineAt && !caller.sink.isClosed) {
       const destination = this.#choose(caller.matched);
       if ("kind" in destination) {
         last = destination;
         if (await this.#waitForTable(caller)) continue;
-        return notRun(Reason.overload, { retryAfterSeconds: 1 });
+        return unknown ?? notRun(Reason.overload, { retryAfterSeconds: 1 });
       }
-      const result = await this.#exchange(caller, destination);
+      const result = HedgedExchange.suits(caller)
+        ? await this.#hedged.run(caller, destination)
+        : await this.#exchange(caller, destination);
+      if (result.kind === "moved") continue;
       const next = nextStep(result, caller);
       if (next.kind === "end") return next.refusal;
       last = next.refusal;
-      if (!caller.body.canBeSent || !this.#budget.take()) return last;
+      if (last.outcome === Outcome.unknown) unknown = last;
+      if (!caller.body.canBeSent || !this.#budget.take()) break;
       metrics.retries.inc({ reason: last.reason });
       await pause(pauseMilliseconds);
       pauseMilliseconds = Math.min(
@@ -89,7 +116,7 @@
         longestPauseMilliseconds,
       );
     }
-    return last;
+    return unknown ?? last;
   }
 
   #choose(matched: MatchedRequest): Destination | Refusal {
@@ -101,7 +128,7 @@
   async #exchange(
     caller: CallerRequest,
     destination: Destination,
-  ): Promise<ExchangeResult | Refusal> {
+  ): Promise<ExchangeResult | Refusal | Moved> {
     const { capacity, clock } = this.#options;
     const { matched, deadlineAt } = caller;
     const permit = await capacity.acquire({
@@ -109,14 +136,20 @@
       tenant: matched.tenant,
       class: matched.route.class,
       deadlineAt,
+      isCurrent: destination.isCurrent,
     });
-    if (permit.kind === "refusal") return permit;
+    if (permit.kind !== "permit") return permit;
     const startedAt = clock.now();
     const end = destination.begin();
     const result = await this.#send(caller, destination);
     this.#endUse(result, { end, deadlineAt });
     this.#countBytes(caller, destination);
-    permit.release(reportOf(result, clock.now() - startedAt));
+    const milliseconds = clock.now() - startedAt;
+    permit.release(
+      result.kind === "notSent" && !this.#maySend(caller, destination)
+        ? { result: "cancelled", milliseconds }
+        : reportOf(result, milliseconds),
+    );
     return result;
   }
 
@@ -124,7 +157,7 @@
     caller: CallerRequest,
     destination: Destination,
   ): Promise<ExchangeResult> {
-    const { exchanges, clock, routing } = this.#options;
+    const { exchanges, clock } = this.#options;
     const { body, deadlineAt, method, path, headers, sink } = caller;
     const timeoutMilliseconds = Math.max(1, deadlineAt - clock.now());
     return exchanges.run({
@@ -132,19 +165,23 @@
       method,
       path,
       headers,
-      body: body.open(),
+      openBody: () => body.open(),
       bodyLength: body.streamedLength,
       added: {
         ...destination.headers,
         [Header.deadline]: String(Math.ceil(timeoutMilliseconds)),
       },
       timeoutMilliseconds,
-      maySend: () =>
-        routing.hasLease && clock.now() < deadlineAt &&
-        destination.isCurrent() && !sink.isClosed,
+      maySend: () => this.#maySend(caller, destination),
     }, sink);
   }
 
+  #maySend(caller: CallerRequest, destination: Destination): boolean {
+    const { routing, clock } = this.#options;
+    return routing.hasLease && clock.now() < caller.deadlineAt &&
+      destination.isCurrent() && !caller.sink.isClosed;
+  }
+
   #countBytes(caller: CallerRequest, destination: Destination): void {
     const { metrics, region } = this.#options;
     if (destination.target.region === region) return;
--- a/packages/kingcupglade/gateway/exchange.ts
+++ b/packages/kingcupglade/gateway/exchange.ts
@@ -23,6 +23,8 @@
     /** Shown to receivers that ask for one, PEM. */
     readonly certificate?: Buffer | undefined;
     readonly key?: Buffer | undefined;
+    /** Address that connections come from. @default chosen by the platform */
+    readonly localAddress?: string | undefined;
   }) {
     this.#agent = new Agent({
       connections: options.connectionsPerTarget,
@@ -33,6 +35,9 @@
         ca: options.authority,
         cert: options.certificate,
         key: options.key,
+        ...(options.localAddress === undefined
+          ? {}
+          : { localAddress: options.localAddress }),
       },
     });
   }
@@ -73,7 +78,7 @@
         ? {}
         : { "content-length": String(request.bodyLength) }),
     },
-    body: request.body,
+    body: request.openBody(),
     headersTimeout: 0,
     bodyTimeout: 0,
   };
--- a/packages/ownership/model.ts
+++ b/packages/ownership/model.ts
@@ -41,7 +41,7 @@
 
 /** A target known to control. */
 export interface TargetRecord
-  extends Omit<Announcement, "condition" | "load" | "holds"> {
+  extends Omit<Announcement, "condition" | "load" | "actsOn"> {
   readonly region: string;
   readonly condition: TargetCondition;
   readonly changedAt: number;
@@ -79,13 +79,17 @@
   readonly shard: number;
   /** Fence: the table version at which it was assigned. */
   readonly epoch: number;
-  /** Epoch of the assignment before it; 0 when this is the first. */
-  readonly previousEpoch: number;
+  /** Epoch of the first assignment of the duty. */
+  readonly foundedAt: number;
   readonly holder: string | null;
   /** Incarnation of the holder; another one has lost what it kept. */
   readonly holderBoot: string | null;
+  /** Epoch since which the holder has held or stood by without a break. */
+  readonly holderSince: number;
   readonly standby: string | null;
   readonly standbyBoot: string | null;
+  /** Epoch since which the standby has stood by without a break. */
+  readonly standbySince: number;
   readonly changedAt: number;
 }
 
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -4,7 +4,12 @@
  * @module
  */
 export { CapacityGate, LocalCapacityGate } from "./capacity.ts";
-export type { CapacityRequest, ExchangeReport, Permit } from "./capacity.ts";
+export type {
+  CapacityRequest,
+  ExchangeReport,
+  Moved,
+  Permit,
+} from "./capacity.ts";
 export { matchRequest } from "./match.ts";
 export type { MatchedRequest, RequestHead } from "./match.ts";
 export {
@@ -24,7 +29,10 @@
 export { CreditRole } from "./credit_role.ts";
 export type { CreditRecall, CreditReport, CreditTimes } from "./credit_role.ts";
 export { FairQueue } from "./fair_queue.ts";
+export { chooseTarget, partOutliers } from "./target_choice.ts";
+export type { Candidate, ChoiceContext } from "./target_choice.ts";
 export { TargetObservations } from "./target_observations.ts";
 export type { TargetObservation } from "./target_observations.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export type { RetryBudgetOptions } from "./retry_budget.ts";
+export { HedgePolicy } from "./hedge_policy.ts";
