--- a/packages/kingcupglade/exploration/range_moves.ts
+++ b/packages/kingcupglade/exploration/range_moves.ts
@@ -103,6 +103,7 @@
       target,
       version: sent.version,
       sequence,
+      grants,
     }),
     sequence,
     pushes: [...world.pushes, sent],
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -204,6 +204,7 @@
         control: client(),
         vm: vm.name,
         clock,
+        metrics,
       }),
     });
     const operators = await openOperatorsListener({
