--- /dev/null
+++ b/packages/experiments/misbehaving_target.ts
@@ -0,0 +1,108 @@
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import type { RandomSource } from "./random_source.ts";
+
+/** What a target does wrong with one answer. */
+export const Misbehaviour = {
+  none: "none",
+  truncatedLength: "truncatedLength",
+  truncatedChunks: "truncatedChunks",
+  unframed: "unframed",
+  longer: "longer",
+  twice: "twice",
+  late: "late",
+  twiceLater: "twiceLater",
+} as const;
+export type Misbehaviour = typeof Misbehaviour[keyof typeof Misbehaviour];
+
+/** Options of a {@link MisbehavingTarget}. */
+export interface MisbehavingTargetOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly random: RandomSource;
+  /** Share of the answers that are wrong. */
+  readonly share: number;
+  /** Whether answers name the exchange that they belong to. */
+  readonly echoes: boolean;
+  /** Delay of a late answer. */
+  readonly lateMilliseconds: number;
+}
+
+const faults = Object.values(Misbehaviour).filter((each) => each !== "none");
+const secondAnswerMilliseconds = 3;
+
+/** A target on a raw socket that answers GET requests, often wrongly. */
+export class MisbehavingTarget {
+  readonly #options: MisbehavingTargetOptions;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(options: MisbehavingTargetOptions) {
+    this.#options = options;
+    this.#server = createServer((socket) => this.#serve(socket));
+  }
+
+  /** Opens the listener. */
+  async start(): Promise<void> {
+    const { host, port } = this.#options;
+    await new Promise<void>((resolve) =>
+      this.#server.listen({ host, port }, resolve)
+    );
+  }
+
+  /** Cuts every connection. */
+  stop(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #serve(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.on("close", () => this.#sockets.delete(socket));
+    socket.on("error", () => {});
+    socket.on("data", (data) => this.#answer(socket, data.toString()));
+  }
+
+  #answer(socket: Socket, head: string): void {
+    const { random, share, lateMilliseconds } = this.#options;
+    const fault = random.number() < share ? random.pick(faults) : "none";
+    const whole = this.#wholeAnswer(head);
+    const half = whole.slice(0, -6);
+    switch (fault) {
+      case "none":
+        return void socket.write(whole);
+      case "truncatedLength":
+        return void socket.end(half);
+      case "truncatedChunks":
+        return void socket.end(
+          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        );
+      case "unframed":
+        return void socket.end("HTTP/1.1 200 OK\r\n\r\nhalf");
+      case "longer":
+        return void socket.write(`${whole}surplus`);
+      case "twice":
+        return void socket.write(whole + whole);
+      case "late":
+        return void setTimeout(() => socket.write(whole), lateMilliseconds);
+      case "twiceLater":
+        socket.write(whole);
+        setTimeout(() => socket.write(whole), secondAnswerMilliseconds);
+    }
+  }
+
+  #wholeAnswer(head: string): string {
+    const id = /^GET \S*\/(\S+) /.exec(head)?.[1] ?? "";
+    const exchange = /^kingcupglade-exchange: (.*)\r$/m.exec(head)?.[1];
+    const body = `<${id}>`;
+    return [
+      "HTTP/1.1 200 OK",
+      `content-length: ${body.length}`,
+      ...(this.#options.echoes && exchange !== undefined
+        ? [`kingcupglade-exchange: ${exchange}`]
+        : []),
+      "",
+      body,
+    ].join("\r\n");
+  }
+}
--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -29,4 +29,6 @@
       (await import("./suite/lost_ledger.ts")).lostLedgerExperiment,
     "lost-owner": async () =>
       (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
+    "whole-answers": async () =>
+      (await import("./suite/whole_answers.ts")).wholeAnswersExperiment,
   }));
