--- a/packages/kingcupglade/gateway/attempts.ts
+++ b/packages/kingcupglade/gateway/attempts.ts
@@ -13,6 +13,7 @@
   ExchangeReport,
   HedgePolicy,
   MatchedRequest,
+  Moved,
   Refusal,
 } from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
@@ -102,6 +103,7 @@
       const result = HedgedExchange.suits(caller)
         ? await this.#hedged.run(caller, destination)
         : await this.#exchange(caller, destination);
+      if (result.kind === "moved") continue;
       const next = nextStep(result, caller);
       if (next.kind === "end") return next.refusal;
       last = next.refusal;
@@ -126,7 +128,7 @@
   async #exchange(
     caller: CallerRequest,
     destination: Destination,
-  ): Promise<ExchangeResult | Refusal> {
+  ): Promise<ExchangeResult | Refusal | Moved> {
     const { capacity, clock } = this.#options;
     const { matched, deadlineAt } = caller;
     const permit = await capacity.acquire({
@@ -134,12 +136,13 @@
       tenant: matched.tenant,
       class: matched.route.class,
       deadlineAt,
+      isCurrent: destination.isCurrent,
     });
-    if (permit.kind === "refusal") return permit;
+    if (permit.kind !== "permit") return permit;
     const startedAt = clock.now();
     const end = destination.begin();
     const result = await this.#send(caller, destination);
-    this.#endUse(result, { end, deadlineAt });
+    this.#endUse(result, { end, deadlineAt, destination });
     this.#countBytes(caller, destination);
     const milliseconds = clock.now() - startedAt;
     permit.release(
@@ -188,15 +191,21 @@
     );
   }
 
-  // A target may still carry out a request that was given up, until its
-  // deadline: its range is not released before.
+  // A target that checks no fences may still carry out a request that was
+  // given up, until its deadline: its range is not released before.
   #endUse(
     result: ExchangeResult,
-    use: { readonly end: () => void; readonly deadlineAt: number },
+    use: {
+      readonly end: () => void;
+      readonly deadlineAt: number;
+      readonly destination: Destination;
+    },
   ): void {
     const remaining = use.deadlineAt - this.#options.clock.now();
     const isOpen = result.kind === "unknown" || result.kind === "truncated";
-    if (!isOpen || remaining <= 0) return use.end();
+    if (!isOpen || remaining <= 0 || use.destination.target.checksFences) {
+      return use.end();
+    }
     setTimeout(use.end, remaining).unref();
   }
 
