Share one call to a standby among the shards of a holder

Change: one channel for each standby VM with one call in flight; the shards with changes meanwhile share the next one. Batches are bounded at 256 KiB so that the copy of large answers does not outlast the call's time.

--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -271,6 +271,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const exchange = request.headers["kingcupglade-exchange"];
+    if (exchange) response.setHeader("kingcupglade-exchange", exchange);
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     await this.#frozen;
@@ -360,10 +362,7 @@
       idempotent: request.method === "GET",
     });
     history.record({ kind: "ended", target: this.name, request: id });
-    response.writeHead(200, {
-      "content-type": "application/json",
-      ...echoOf(response.req),
-    });
+    response.writeHead(200, { "content-type": "application/json" });
     response.end(JSON.stringify({ request: id, target: this.name, epoch }));
   }
 
@@ -395,15 +394,6 @@
     response.writeHead(409, {
       "kingcupglade-outcome": "not-run",
       "kingcupglade-reason": refusal.reason,
-      ...echoOf(response.req),
     }).end();
   }
 }
-
-/** Names the exchange in its answer, so that the connection can be reused. */
-function echoOf(request: IncomingMessage): Readonly<Record<string, string>> {
-  const exchange = request.headers["kingcupglade-exchange"];
-  return typeof exchange === "string"
-    ? { "kingcupglade-exchange": exchange }
-    : {};
-}
--- a/packages/kingcupglade/ledger/ledger_task.ts
+++ b/packages/kingcupglade/ledger/ledger_task.ts
@@ -16,6 +16,7 @@
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
 import { ShardReplicator } from "./shard_replicator.ts";
+import { StandbyChannel } from "./standby_channel.ts";
 
 /** Time for which the outcome of an idempotency key is kept. */
 export const defaultRetentionMilliseconds = 300_000;
@@ -52,6 +53,7 @@
 export class LedgerTask {
   readonly #options: LedgerTaskOptions;
   readonly #shards = new Map<string, LocalShard>();
+  readonly #channels = new Map<string, StandbyChannel>();
   #table: RoutingTable | undefined;
   #stopped = false;
 
@@ -124,10 +126,12 @@
   /** Adds the service that other VMs call. */
   addService(router: ConnectRouter): void {
     router.service(Ledger, {
-      replicate: ({ region, shard, batch }) => ({
-        accepted: this.#receive(
-          roleId({ kind: RoleKind.ledger, region, shard }),
-          decodeValue(batch),
+      replicate: ({ batches }) => ({
+        accepted: batches.map(({ region, shard, batch }) =>
+          this.#receive(
+            roleId({ kind: RoleKind.ledger, region, shard }),
+            decodeValue(batch),
+          )
         ),
       }),
       settle: ({ region, shard, claim, record }) => ({
@@ -191,24 +195,37 @@
     shard: LedgerShard,
     role: RoleAssignment,
   ): ShardReplicator {
-    const { peers, clock, metrics } = this.#options;
-    const { standby, region } = role;
-    const send = async (batch: LedgerBatch) => {
-      const client = peers.client(standby!, Ledger);
-      if (!client) return false;
-      metrics.ledgerBatches.inc();
-      const answer = await client.replicate({
-        region,
-        shard: role.shard,
-        batch: encodeValue(batch),
-      }, { timeoutMs: replicateTimeoutMilliseconds });
-      return answer.accepted;
-    };
+    const { region, standby } = role;
+    const channel = standby === null ? null : this.#channel(standby);
     return new ShardReplicator({
       shard,
-      clock,
-      send: standby === null ? null : send,
+      clock: this.#options.clock,
+      send: channel && ((batch) =>
+        channel.send({
+          region,
+          shard: role.shard,
+          batch: encodeValue(batch),
+        })),
+    });
+  }
+
+  #channel(standby: string): StandbyChannel {
+    const known = this.#channels.get(standby);
+    if (known) return known;
+    const { peers, metrics } = this.#options;
+    const channel = new StandbyChannel({
+      send: async (messages) => {
+        const client = peers.client(standby, Ledger);
+        if (!client) return [];
+        metrics.ledgerBatches.inc();
+        const answer = await client.replicate({ batches: [...messages] }, {
+          timeoutMs: replicateTimeoutMilliseconds,
+        });
+        return answer.accepted;
+      },
     });
+    this.#channels.set(standby, channel);
+    return channel;
   }
 
   #receive(id: string, batch: LedgerBatch): boolean {
--- a/packages/kingcupglade/ledger/shard_replicator.ts
+++ b/packages/kingcupglade/ledger/shard_replicator.ts
@@ -1,3 +1,4 @@
+import { recordBytes } from "@kingcupglade/ledger";
 import type {
   LedgerBatch,
   LedgerShard,
@@ -6,6 +7,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 
 const updatesPerBatch = 256;
+const batchBytes = 262_144;
 const maximumWaitingUpdates = 10_000;
 const retryPauseMilliseconds = 20;
 
@@ -111,7 +113,7 @@
 
   async #sendNext(): Promise<void> {
     const { shard, send, clock } = this.#options;
-    const sent = this.#waiting.slice(0, updatesPerBatch);
+    const sent = nextUpdates(this.#waiting);
     const batch: LedgerBatch = {
       epoch: this.#epoch,
       sequence: this.#sequence,
@@ -128,6 +130,20 @@
   }
 }
 
+/** The updates of one batch, bounded in number and size. */
+function nextUpdates(
+  waiting: readonly WaitingUpdate[],
+): readonly WaitingUpdate[] {
+  let bytes = 0;
+  let count = 0;
+  for (const { update } of waiting.slice(0, updatesPerBatch)) {
+    if (bytes >= batchBytes) break;
+    bytes += update.kind === "put" ? recordBytes(update.record) : 0;
+    count += 1;
+  }
+  return waiting.slice(0, count);
+}
+
 function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- /dev/null
+++ b/packages/kingcupglade/ledger/standby_channel.ts
@@ -0,0 +1,53 @@
+/** The next changes of one shard, encoded. */
+export interface ShardMessage {
+  readonly region: string;
+  readonly shard: number;
+  readonly batch: Uint8Array<ArrayBuffer>;
+}
+
+/** Sends messages in one call and resolves with which were accepted. */
+export type SendMessages = (
+  messages: readonly ShardMessage[],
+) => Promise<readonly boolean[]>;
+
+interface WaitingMessage {
+  readonly message: ShardMessage;
+  readonly settle: (accepted: boolean) => void;
+}
+
+/**
+ * The way to one standby VM. One call is in flight at a time; the shards that
+ * have changes meanwhile share the next.
+ */
+export class StandbyChannel {
+  readonly #send: SendMessages;
+  #waiting: WaitingMessage[] = [];
+  #running = false;
+
+  constructor(options: { readonly send: SendMessages }) {
+    this.#send = options.send;
+  }
+
+  /** Resolves with whether the standby accepted the message. */
+  send(message: ShardMessage): Promise<boolean> {
+    return new Promise((settle) => {
+      this.#waiting.push({ message, settle });
+      void this.#run();
+    });
+  }
+
+  async #run(): Promise<void> {
+    if (this.#running) return;
+    this.#running = true;
+    // Lets the shards that change in one turn share a call.
+    await Promise.resolve();
+    while (this.#waiting.length > 0) {
+      const sent = this.#waiting;
+      this.#waiting = [];
+      const accepted = await this.#send(sent.map((each) => each.message))
+        .catch(() => []);
+      sent.forEach((each, index) => each.settle(accepted[index] ?? false));
+    }
+    this.#running = false;
+  }
+}
--- a/packages/ledger/mod.ts
+++ b/packages/ledger/mod.ts
@@ -6,6 +6,7 @@
  */
 export { claimOf, contentDigest, regionOfClaim } from "./claim.ts";
 export type { Claim, ClaimSubject } from "./claim.ts";
+export { recordBytes } from "./record.ts";
 export type {
   ClaimRecord,
   LedgerBatch,
