--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -271,6 +271,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const exchange = request.headers["kingcupglade-exchange"];
+    if (exchange) response.setHeader("kingcupglade-exchange", exchange);
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     await this.#frozen;
--- a/packages/kingcupglade/gateway/attempts.ts
+++ b/packages/kingcupglade/gateway/attempts.ts
@@ -142,7 +142,7 @@
     const startedAt = clock.now();
     const end = destination.begin();
     const result = await this.#send(caller, destination);
-    this.#endUse(result, { end, deadlineAt });
+    this.#endUse(result, { end, deadlineAt, destination });
     this.#countBytes(caller, destination);
     const milliseconds = clock.now() - startedAt;
     permit.release(
@@ -191,15 +191,21 @@
     );
   }
 
-  // A target may still carry out a request that was given up, until its
-  // deadline: its range is not released before.
+  // A target that checks no fences may still carry out a request that was
+  // given up, until its deadline: its range is not released before.
   #endUse(
     result: ExchangeResult,
-    use: { readonly end: () => void; readonly deadlineAt: number },
+    use: {
+      readonly end: () => void;
+      readonly deadlineAt: number;
+      readonly destination: Destination;
+    },
   ): void {
     const remaining = use.deadlineAt - this.#options.clock.now();
     const isOpen = result.kind === "unknown" || result.kind === "truncated";
-    if (!isOpen || remaining <= 0) return use.end();
+    if (!isOpen || remaining <= 0 || use.destination.target.checksFences) {
+      return use.end();
+    }
     setTimeout(use.end, remaining).unref();
   }
 
--- a/packages/kingcupglade/gateway/forwarder.ts
+++ b/packages/kingcupglade/gateway/forwarder.ts
@@ -21,6 +21,7 @@
 
 const connectionsPerVm = 64;
 const retryMilliseconds = 25;
+const returnMilliseconds = 30;
 
 /** Refusals after which another VM, or the same one later, may serve. */
 const passingReasons: ReadonlySet<Reason> = new Set([
@@ -120,7 +121,7 @@
       bodyLength: body.streamedLength,
       added: {
         [Header.vmSecret]: `Bearer ${secret}`,
-        [Header.deadline]: String(Math.ceil(timeoutMilliseconds)),
+        [Header.deadline]: String(deadlineOfNext(timeoutMilliseconds)),
       },
       timeoutMilliseconds,
       maySend: () =>
@@ -136,6 +137,12 @@
   }
 }
 
+// The next VM ends first, so that what it knows of the outcome still arrives.
+function deadlineOfNext(milliseconds: number): number {
+  const margin = Math.min(returnMilliseconds, milliseconds / 4);
+  return Math.max(1, Math.floor(milliseconds - margin));
+}
+
 type Unanswered = Exclude<
   ExchangeResult,
   { readonly kind: "answered" | "truncated" }
