Take back idle credits with one message and count cancelled requests

Cause: a VM without a credit made the holder recall every VM, each of which sent a report of its own: 640 exchanges and 560 recalls a second for 430 requests. The new credits experiment also found 47 of 2,700 requests begun above a target's slots: a cancelled hedge gave its credit back while the target still worked on it.

Change: the holder asks as many VMs as credits are missing, and one more, the one that reported longest ago first; their answer carries what they give up, and the report that waits is answered then. A VM that gave up credits lets no answer under way raise them again. A cancelled request keeps its credit for 50 ms, the time a target needs to notice; fake targets can accept cancellation.

The property delays answers past recalls now and fails when such an answer raises credits.

--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -12,6 +12,8 @@
       (await import("./suite/recovery.ts")).recoveryExperiment,
     "throughput": async () =>
       (await import("./suite/throughput.ts")).throughputExperiment,
+    "credits": async () =>
+      (await import("./suite/credits.ts")).creditsExperiment,
     "slow-targets": async () =>
       (await import("./suite/slow_targets.ts")).slowTargetsExperiment,
     "planner": async () =>
--- a/packages/experiments/shared_service_run.ts
+++ b/packages/experiments/shared_service_run.ts
@@ -47,6 +47,7 @@
     deployment.addTarget({
       ...target,
       serviceMilliseconds: options.serviceMilliseconds,
+      acceptsCancellation: true,
       delayMilliseconds: (sender) => delayOf(deployment, { target, sender }),
     })
   ));
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -3,42 +3,15 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { request as sendRequest } from "undici";
 import type { GrantMessage, HeldGrant } from "./grant_message.ts";
-import type { History } from "./history.ts";
+import type {
+  FakeCondition,
+  FakeTargetOptions,
+} from "./fake_target_options.ts";
 
 const announceMilliseconds = 300;
 const announceTimeoutMilliseconds = 1000;
 const idleCheckMilliseconds = 5;
 
-/** Options of a {@link FakeTarget}. */
-export interface FakeTargetOptions {
-  readonly name: string;
-  readonly service: string;
-  readonly dataCentre: string;
-  /** IP:PORT on which it serves. */
-  readonly address: string;
-  /** Targets' listeners of VMs, tried in turn. */
-  readonly announceTo: readonly string[];
-  readonly secret: string;
-  readonly history: History;
-  /** @default 6 */
-  readonly slots?: number;
-  /** @default 110 */
-  readonly connections?: number;
-  /** @default 1 */
-  readonly coldSlots?: number;
-  /** @default true */
-  readonly checksFences?: boolean;
-  /** @default "serving" */
-  readonly condition?: FakeCondition;
-  /** Time that a request takes. @default 2 */
-  readonly serviceMilliseconds?: number;
-  /** Network delay there and back, by the sender's IP. @default none */
-  readonly delayMilliseconds?: (sender: string) => number;
-}
-
-/** Conditions that a fake target can announce. */
-export type FakeCondition = "cold" | "serving" | "draining" | "leaving";
-
 /**
  * A stand-in for a server that owns keys: it announces itself, takes fenced
  * grants, carries requests out and records what it did.
@@ -69,6 +42,7 @@
       checksFences: true,
       condition: "serving",
       serviceMilliseconds: 2,
+      acceptsCancellation: false,
       delayMilliseconds: () => 0,
       ...options,
     };
@@ -354,13 +328,14 @@
       dataCentre: this.#options.dataCentre,
       condition: this.#condition,
     });
-    await new Promise((resolve) =>
-      setTimeout(resolve, this.serviceMilliseconds)
-    );
+    const isCancelled = await this.#work(response);
     await this.#frozen;
     if (boot !== this.#boot) return;
     this.#inProgress -= 1;
     this.#coldAnswersLeft = Math.max(0, this.#coldAnswersLeft - 1);
+    if (isCancelled) {
+      return history.record({ kind: "ended", target: this.name, request: id });
+    }
     if (
       group !== "" && checksFences && !this.#owns({ group, position, epoch })
     ) {
@@ -378,6 +353,21 @@
     response.end(JSON.stringify({ request: id, target: this.name, epoch }));
   }
 
+  /** Takes the time of a request; true when it was cancelled before. */
+  #work(response: ServerResponse): Promise<boolean> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(
+        () => resolve(false),
+        this.serviceMilliseconds,
+      );
+      if (!this.#options.acceptsCancellation) return;
+      response.once("close", () => {
+        clearTimeout(timer);
+        resolve(true);
+      });
+    });
+  }
+
   #owns(
     subject: {
       readonly group: string;
--- a/packages/fakes/mod.ts
+++ b/packages/fakes/mod.ts
@@ -7,7 +7,10 @@
 export { FakeCaller } from "./fake_caller.ts";
 export type { CallerAnswer, CallerRequest } from "./fake_caller.ts";
 export { FakeTarget } from "./fake_target.ts";
-export type { FakeCondition, FakeTargetOptions } from "./fake_target.ts";
+export type {
+  FakeCondition,
+  FakeTargetOptions,
+} from "./fake_target_options.ts";
 export { History } from "./history.ts";
 export type { HistoryEvent, TimedEvent } from "./history.ts";
 export { readReferenceTable } from "./reference_table.ts";
--- a/packages/kingcupglade/credits/credit_client_task.ts
+++ b/packages/kingcupglade/credits/credit_client_task.ts
@@ -2,9 +2,18 @@
 import { roleId, RoleKind } from "@kingcupglade/ownership";
 import type { RoleAssignment, RoutingTable } from "@kingcupglade/ownership";
 import { Credit, ExchangeRequestSchema } from "@kingcupglade/protocol";
-import type { ExchangeRequest, ExchangeResponse } from "@kingcupglade/protocol";
-import type { CreditAccount, CreditGate } from "@kingcupglade/routing";
+import type {
+  ExchangeRequest,
+  ExchangeResponse,
+  RecallRequest,
+} from "@kingcupglade/protocol";
+import type {
+  CreditAccount,
+  CreditAccountReport,
+  CreditGate,
+} from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
+import type { Metrics } from "@kingcupglade/telemetry";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
 import { creditRoleOf, holderEpoch } from "./credit_directory.ts";
@@ -24,12 +33,15 @@
   readonly gate: CreditGate;
   readonly routing: RoutingTask;
   readonly peers: PeerDirectory;
+  readonly metrics: Pick<Metrics, "creditMessages">;
   readonly clock: Clock;
   /** Answers reports on the shards that this VM holds itself. */
-  readonly exchangeHere: (request: ExchangeRequest) => ExchangeResponse;
+  readonly exchangeHere: (
+    request: ExchangeRequest,
+  ) => Promise<ExchangeResponse>;
 }
 
-type Report = ReturnType<CreditAccount["report"]>;
+type Report = CreditAccountReport;
 
 interface RoleReport {
   readonly epoch: number;
@@ -72,16 +84,22 @@
     });
   }
 
-  /** Gives up what is not used of some targets and reports at once. */
-  recall(
-    targets: readonly string[],
-    options: { readonly cold: boolean },
-  ): void {
-    const named = new Set(targets);
-    for (const account of this.#options.gate.accounts()) {
-      if (named.has(account.target)) account.recall(options);
+  /** Gives up what is not used of some targets, and reports it. */
+  recall(request: RecallRequest): ExchangeRequest {
+    const { vm, boot, clock, gate } = this.#options;
+    const now = clock.now();
+    const named = new Set(request.targets);
+    const reports: Report[] = [];
+    for (const account of gate.accounts()) {
+      if (named.has(account.target)) reports.push(account.recall(now, request));
     }
     this.schedule();
+    return create(ExchangeRequestSchema, {
+      vm,
+      boot,
+      sequence: ++this.#sequence,
+      roles: [{ role: request.role, epoch: request.epoch, targets: reports }],
+    });
   }
 
   /** Stops reporting; the credits lapse. */
@@ -178,6 +196,7 @@
   ): Promise<ExchangeResponse | undefined> {
     const { vm, peers, exchangeHere } = this.#options;
     if (holder === vm) return exchangeHere(request);
+    this.#options.metrics.creditMessages.inc({ kind: "exchange" });
     try {
       return await peers.client(holder, Credit)?.exchange(request, {
         timeoutMs: exchangeTimeoutMilliseconds,
--- a/packages/kingcupglade/credits/credit_directory.ts
+++ b/packages/kingcupglade/credits/credit_directory.ts
@@ -10,9 +10,11 @@
 
 /** Names a start of a VM. */
 export function vmIdentity(
-  vm: { readonly name: string; readonly boot: string },
+  start:
+    & { readonly boot: string }
+    & ({ readonly name: string } | { readonly vm: string }),
 ): string {
-  return `${vm.name}/${vm.boot}`;
+  return `${"vm" in start ? start.vm : start.name}/${start.boot}`;
 }
 
 /** The role that hands out a target's credits, or undefined without VMs. */
--- a/packages/kingcupglade/credits/credit_holder_task.ts
+++ b/packages/kingcupglade/credits/credit_holder_task.ts
@@ -1,11 +1,27 @@
 import { create } from "@bufbuild/protobuf";
+import type { MessageInitShape } from "@bufbuild/protobuf";
 import { roleId, RoleKind } from "@kingcupglade/ownership";
 import type { RoleAssignment, RoutingTable } from "@kingcupglade/ownership";
-import { Credit, ExchangeResponseSchema } from "@kingcupglade/protocol";
-import type { ExchangeRequest, ExchangeResponse } from "@kingcupglade/protocol";
+import {
+  Credit,
+  ExchangeResponseSchema,
+  RecallRequestSchema,
+} from "@kingcupglade/protocol";
+import type {
+  ExchangeRequest,
+  ExchangeResponse,
+  RecallRequest,
+  RoleAsk,
+  RoleGrantSchema,
+} from "@kingcupglade/protocol";
 import { CreditRole } from "@kingcupglade/routing";
-import type { CreditRecall, CreditTarget } from "@kingcupglade/routing";
+import type {
+  CreditRecall,
+  CreditReport,
+  CreditTarget,
+} from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
+import type { Metrics } from "@kingcupglade/telemetry";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
 import { creditRoleOf, holderEpoch, vmIdentity } from "./credit_directory.ts";
@@ -14,20 +30,18 @@
 export const creditLeaseMilliseconds = 4000;
 
 const sweepMilliseconds = 50;
-const recallTimeoutMilliseconds = 500;
+const recallTimeoutMilliseconds = 50;
 
 /** Options of a {@link CreditHolderTask}. */
 export interface CreditHolderTaskOptions {
   readonly vm: string;
   readonly routing: RoutingTask;
   readonly peers: PeerDirectory;
+  readonly metrics: Pick<Metrics, "creditMessages">;
   readonly clock: Clock;
   readonly routingLeaseMilliseconds: number;
   /** Carries a recall out on this VM. */
-  readonly recallHere: (
-    targets: readonly string[],
-    options: { readonly cold: boolean },
-  ) => void;
+  readonly recallHere: (recall: RecallRequest) => ExchangeRequest;
 }
 
 interface HeldRole {
@@ -55,34 +69,51 @@
     return this.#roles;
   }
 
-  /** Answers a report of a VM. */
-  exchange(request: ExchangeRequest): ExchangeResponse {
+  /** Answers a report of a VM, after other VMs gave up what it needs. */
+  async exchange(request: ExchangeRequest): Promise<ExchangeResponse> {
     this.#refresh();
-    const now = this.#options.clock.now();
-    const recalls: CreditRecall[] = [];
-    const vm = vmIdentity({ name: request.vm, boot: request.boot });
-    const roles = request.roles.map((ask) => {
-      const held = this.#roles.get(ask.role);
-      const isHeld = held?.epoch === ask.epoch &&
-        this.#options.routing.hasLease;
-      const { sequence } = request;
-      const credits = isHeld
-        ? held.role.report({ vm, sequence, targets: ask.targets }, now)
-        : null;
-      if (!credits) return { accepted: false, settled: false, credits: [] };
-      recalls.push(
-        ...held!.role.recalls(now, ask.targets.map((each) => each.target)),
-      );
-      const settled = held!.role.isSettled(now);
-      return { accepted: true, settled, credits: [...credits] };
-    });
-    this.#recall(recalls);
+    const vm = vmIdentity(request);
     return create(ExchangeResponseSchema, {
       leaseMilliseconds: creditLeaseMilliseconds,
-      roles,
+      roles: await Promise.all(
+        request.roles.map((ask) =>
+          this.#answer(ask, { vm, sequence: request.sequence })
+        ),
+      ),
     });
   }
 
+  async #answer(
+    ask: RoleAsk,
+    sender: Pick<CreditReport, "vm" | "sequence">,
+  ): Promise<MessageInitShape<typeof RoleGrantSchema>> {
+    const { clock, routing } = this.#options;
+    const held = this.#roles.get(ask.role);
+    const report: CreditReport = { ...sender, targets: ask.targets };
+    const credits = held?.epoch === ask.epoch && routing.hasLease
+      ? held.role.report(report, clock.now())
+      : null;
+    if (!held || !credits) return { accepted: false };
+    const recalls = held.role.recalls(
+      clock.now(),
+      ask.targets.map((each) => each.target),
+    );
+    const isShort = credits.some((each, index) =>
+      each < ask.targets[index]!.wanted
+    );
+    const gaveUp = this.#recall(ask.role, held, recalls);
+    const more = isShort && recalls.length > 0
+      ? await gaveUp.then(() =>
+        routing.hasLease ? held.role.reconsider(report, clock.now()) : null
+      )
+      : null;
+    return {
+      accepted: true,
+      settled: held.role.isSettled(clock.now()),
+      credits: [...more ?? credits],
+    };
+  }
+
   /** Stops handing out credits. */
   stop(): void {
     clearInterval(this.#timer);
@@ -92,9 +123,9 @@
   #sweep(): void {
     this.#refresh();
     const now = this.#options.clock.now();
-    this.#recall(
-      [...this.#roles.values()].flatMap(({ role }) => role.recalls(now)),
-    );
+    for (const [id, held] of this.#roles) {
+      void this.#recall(id, held, held.role.recalls(now));
+    }
   }
 
   /** Takes over the table in use. */
@@ -158,31 +189,51 @@
     }, now);
   }
 
-  #recall(recalls: readonly CreditRecall[]): void {
-    for (const cold of [false, true]) {
-      const byVm = new Map<string, string[]>();
-      for (const recall of recalls) {
-        if (recall.overLimit !== cold) continue;
-        for (const identity of recall.vms) {
-          const vm = identity.slice(0, identity.indexOf("/"));
-          byVm.set(vm, [...byVm.get(vm) ?? [], recall.target]);
-        }
+  /** Asks VMs to give credits up, and takes in what they did give up. */
+  async #recall(
+    id: string,
+    held: HeldRole,
+    recalls: readonly CreditRecall[],
+  ): Promise<void> {
+    const byVm = new Map<string, { targets: string[]; cold: boolean }>();
+    for (const { vms, target, overLimit } of recalls) {
+      for (const vm of vms) {
+        const recall = byVm.get(vm) ?? { targets: [], cold: false };
+        byVm.set(vm, recall);
+        recall.targets.push(target);
+        recall.cold ||= overLimit;
       }
-      for (const [vm, targets] of byVm) this.#send(vm, { targets, cold });
     }
+    await Promise.all([...byVm].map(async ([identity, recall]) => {
+      const report = await this.#send(
+        identity.slice(0, identity.indexOf("/")),
+        create(RecallRequestSchema, { ...recall, role: id, epoch: held.epoch }),
+      );
+      const given = report?.roles[0];
+      if (!report || !given || vmIdentity(report) !== identity) return;
+      held.role.giveUp(
+        { vm: identity, sequence: report.sequence, targets: given.targets },
+        this.#options.clock.now(),
+      );
+    }));
   }
 
-  #send(
+  // A recall that is lost is sent again by a later sweep.
+  async #send(
     vm: string,
-    recall: { readonly targets: string[]; readonly cold: boolean },
-  ): void {
-    if (vm === this.#options.vm) {
-      return this.#options.recallHere(recall.targets, recall);
+    recall: RecallRequest,
+  ): Promise<ExchangeRequest | undefined> {
+    const { peers, recallHere } = this.#options;
+    if (vm === this.#options.vm) return recallHere(recall);
+    this.#options.metrics.creditMessages.inc({ kind: "recall" });
+    try {
+      const answer = await peers.client(vm, Credit)?.recall(recall, {
+        timeoutMs: recallTimeoutMilliseconds,
+      });
+      return answer?.report;
+    } catch {
+      return undefined;
     }
-    // A recall that is lost is sent again by a later sweep.
-    this.#options.peers.client(vm, Credit)
-      ?.recall(recall, { timeoutMs: recallTimeoutMilliseconds })
-      .catch(() => {});
   }
 }
 
--- a/packages/kingcupglade/credits/credits.ts
+++ b/packages/kingcupglade/credits/credits.ts
@@ -3,6 +3,7 @@
 import { CreditGate } from "@kingcupglade/routing";
 import type { TargetObservations } from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
+import type { Metrics } from "@kingcupglade/telemetry";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
 import { CreditClientTask } from "./credit_client_task.ts";
@@ -16,6 +17,7 @@
   readonly peers: PeerDirectory;
   readonly clock: Clock;
   readonly observations: TargetObservations;
+  readonly metrics: Pick<Metrics, "creditMessages">;
   readonly routingLeaseMilliseconds: number;
 }
 
@@ -37,7 +39,7 @@
     });
     this.#holder = new CreditHolderTask({
       ...options,
-      recallHere: (targets, recall) => this.#client.recall(targets, recall),
+      recallHere: (recall) => this.#client.recall(recall),
     });
     this.#client = new CreditClientTask({
       ...options,
@@ -50,10 +52,7 @@
   readonly addService = (router: ConnectRouter): void => {
     router.service(Credit, {
       exchange: (request) => this.#holder.exchange(request),
-      recall: (request) => {
-        this.#client.recall(request.targets, request);
-        return {};
-      },
+      recall: (request) => ({ report: this.#client.recall(request) }),
     });
   };
 
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -135,6 +135,7 @@
       routing,
       peers,
       clock,
+      metrics,
       observations,
       routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
     });
--- a/packages/routing/capacity.ts
+++ b/packages/routing/capacity.ts
@@ -51,10 +51,19 @@
 /** A fixed limit for each target, known to this VM alone. */
 export class LocalCapacityGate extends CapacityGate {
   readonly #inProgress = new Map<string, number>();
+  readonly #share: number;
+
+  constructor(options: {
+    /** Part of a target's slots that this VM uses. @default 1 */
+    readonly share?: number;
+  } = {}) {
+    super();
+    this.#share = options.share ?? 1;
+  }
 
   override available(target: TargetRecord): number {
     const limit = target.condition === "cold" ? target.coldSlots : target.slots;
-    return limit - this.load(target);
+    return Math.max(1, Math.floor(limit * this.#share)) - this.load(target);
   }
 
   override load(target: TargetRecord): number {
--- a/packages/routing/credit_account.ts
+++ b/packages/routing/credit_account.ts
@@ -2,6 +2,16 @@
 
 const peakMilliseconds = 1000;
 
+/** What a VM tells the holder of one target's credits. */
+export interface CreditAccountReport {
+  readonly target: string;
+  readonly held: number;
+  readonly credits: number;
+  readonly wanted: number;
+  readonly answered: number;
+  readonly coldBoot: string;
+}
+
 /** What a VM holds and uses of one target. */
 export class CreditAccount {
   readonly target: string;
@@ -107,25 +117,28 @@
     this.#withhold();
   }
 
-  /** Gives up what is not used, as the holder asks. */
-  recall(options: { readonly cold: boolean }): void {
+  /**
+   * Gives up what is not used and reports, as the holder asks. An answer to an
+   * earlier report that is still under way raises the credits no more.
+   */
+  recall(
+    now: number,
+    options: { readonly cold: boolean },
+  ): CreditAccountReport {
     this.#peakAt = -Infinity;
     this.#credits = options.cold
       ? 0
       : Math.min(this.#credits, this.#inProgress + this.#queued);
-    if (options.cold) this.#withhold();
-    this.#mustReport = true;
+    const coldBoot = this.#coldBoot;
+    const report = this.report(now);
+    this.#coldBoot = coldBoot;
+    this.#isVoid = true;
+    this.#mustReport = options.cold || coldBoot !== "";
+    return { ...report, coldBoot: "" };
   }
 
   /** What the holder is told; answers to earlier reports count no longer. */
-  report(now: number): {
-    readonly target: string;
-    readonly held: number;
-    readonly credits: number;
-    readonly wanted: number;
-    readonly answered: number;
-    readonly coldBoot: string;
-  } {
+  report(now: number): CreditAccountReport {
     const wanted = this.wanted(now);
     const credits = Math.min(this.credits(now), wanted);
     this.#credits = credits;
@@ -149,7 +162,7 @@
 
   /** Takes over the holder's answer to the last report. */
   grant(credits: number, validUntil: number): void {
-    this.#credits = this.#isVoid ? 0 : credits;
+    this.#credits = this.#isVoid ? Math.min(this.#credits, credits) : credits;
     this.#reserved = Math.max(this.#reserved, credits);
     this.#validUntil = validUntil;
   }
--- a/packages/routing/credit_book.ts
+++ b/packages/routing/credit_book.ts
@@ -19,6 +19,8 @@
   readonly lapsesAt: number;
   /** When its wish was last met after it held nothing; orders the turns. */
   readonly servedAt: number;
+  /** When it last reported. */
+  readonly reportedAt: number;
   /** When it was last asked to report. */
   readonly recalledAt: number;
 }
@@ -118,6 +120,7 @@
     wanted,
     lapsesAt,
     servedAt: before?.servedAt ?? -Infinity,
+    reportedAt: now,
     recalledAt: -Infinity,
   });
   const asked = { ...learned, holdings };
@@ -164,6 +167,7 @@
     wanted: 0,
     lapsesAt: lost.lostAt + book.target.requestMilliseconds,
     servedAt: -Infinity,
+    reportedAt: -Infinity,
     recalledAt: Infinity,
   });
   return { ...book, holdings };
@@ -190,25 +194,40 @@
 ): { readonly book: CreditBook; readonly vms: readonly string[] } {
   const current = dropLapsed(book, now);
   const room = current.limit - outstanding(current);
-  const waiting = [...current.holdings.values()].some((holding) =>
-    holding.wanted > holding.amount
-  );
-  if (!waiting && room >= 0) return { book: current, vms: [] };
-  const shares = fairShares(current, now);
+  let missing = -room;
+  for (const { wanted, amount } of current.holdings.values()) {
+    missing += Math.max(0, wanted - amount);
+  }
+  if (missing <= 0) return { book: current, vms: [] };
+  const vms = room > 0
+    ? waitingVms(current, now)
+    : idleFirst(current, now).slice(0, missing + 1);
   const holdings = new Map(current.holdings);
-  const vms: string[] = [];
-  for (const [vm, holding] of current.holdings) {
-    const share = shares.get(vm) ?? 0;
-    const concerned = room > 0 ? share > holding.amount : holding.amount > 0;
-    if (!concerned || now - holding.recalledAt < recallAgainMilliseconds) {
-      continue;
-    }
-    holdings.set(vm, { ...holding, recalledAt: now });
-    vms.push(vm);
+  for (const vm of vms) {
+    holdings.set(vm, { ...holdings.get(vm)!, recalledAt: now });
   }
   return { book: { ...current, holdings }, vms };
 }
 
+function waitingVms(book: CreditBook, now: number): readonly string[] {
+  const shares = fairShares(book, now);
+  return [...book.holdings].filter(([vm, holding]) =>
+    (shares.get(vm) ?? 0) > holding.amount && mayRecall(holding, now)
+  ).map(([vm]) => vm);
+}
+
+/** VMs with credits, the one that reported longest ago first. */
+function idleFirst(book: CreditBook, now: number): readonly string[] {
+  return [...book.holdings]
+    .filter(([, holding]) => holding.amount > 0 && mayRecall(holding, now))
+    .sort((left, right) => left[1].reportedAt - right[1].reportedAt)
+    .map(([vm]) => vm);
+}
+
+function mayRecall(holding: Holding, now: number): boolean {
+  return now - holding.recalledAt >= recallAgainMilliseconds;
+}
+
 /** Credits that VMs may be using. */
 export function outstanding(book: CreditBook): number {
   let total = 0;
--- a/packages/routing/credit_gate.ts
+++ b/packages/routing/credit_gate.ts
@@ -14,6 +14,7 @@
 import type { TargetObservations } from "./target_observations.ts";
 
 const maximumQueueLength = 256;
+const cancellationMilliseconds = 50;
 
 /** Options of a {@link CreditGate}. */
 export interface CreditGateOptions {
@@ -182,13 +183,19 @@
   #release(gate: TargetGate, report: ExchangeReport): void {
     const { account } = gate;
     const { clock, observations, onPossiblyCold } = this.#options;
-    account.end({ answered: report.result === "answered" });
+    const end = () => {
+      account.end({ answered: report.result === "answered" });
+      this.#admitWaiting(gate);
+    };
     observations.note(account.target, report, clock.now());
     if (report.result === "shed" || report.result === "failed") {
       account.notePossiblyCold();
       onPossiblyCold(account.target);
     }
-    this.#admitWaiting(gate);
+    // The target works on a cancelled request until it has noticed.
+    if (report.result === "cancelled" && report.milliseconds > 0) {
+      setTimeout(end, cancellationMilliseconds).unref();
+    } else end();
   }
 
   #admitWaiting(gate: TargetGate): void {
--- a/packages/routing/credit_role.ts
+++ b/packages/routing/credit_role.ts
@@ -117,6 +117,30 @@
     });
   }
 
+  /** Takes in what a VM gave up when it was asked to; nothing is granted. */
+  giveUp(report: CreditReport, now: number): void {
+    const targets = report.targets.map((each) => ({
+      ...each,
+      wanted: Math.min(each.wanted, each.held),
+    }));
+    this.report({ ...report, targets }, now);
+  }
+
+  /**
+   * Answers a report anew after others gave up credits; null when the VM has
+   * reported since.
+   */
+  reconsider(report: CreditReport, now: number): readonly number[] | null {
+    if (this.#sequences.get(report.vm) !== report.sequence) return null;
+    this.#sequences.set(report.vm, report.sequence - 1);
+    const targets = report.targets.map((each) => ({
+      ...each,
+      answered: 0,
+      coldBoot: "",
+    }));
+    return this.report({ ...report, targets }, now);
+  }
+
   /** The VMs that should report at once, for the targets named or for all. */
   recalls(
     now: number,
--- a/packages/routing/credits_test.ts
+++ b/packages/routing/credits_test.ts
@@ -19,6 +19,7 @@
   readonly account = new CreditAccount(target);
   readonly running: number[] = [];
   holder = 0;
+  isAsking = false;
 
   tryBegin(now: number): void {
     if (this.account.inProgress >= this.account.credits(now)) return;
@@ -92,22 +93,54 @@
   /** A VM reports; request, answer or both may be late or lost. */
   ask(name: string, fate: number): void {
     const vm = this.vms.get(name)!;
+    if (vm.isAsking) return;
     const sentAt = this.now;
     const sequence = ++this.#sequence;
-    const report = vm.account.report(this.now);
+    const own = vm.account.report(this.now);
+    const report = { vm: name, sequence, targets: [own] };
     const { role, until } = this.#holders[vm.holder]!;
-    const deliver = () => {
-      if (this.now >= until && until !== Infinity) return undefined;
-      return role.report({ vm: name, sequence, targets: [report] }, this.now);
+    const deliver = () =>
+      this.now < until ? role.report(report, this.now) : undefined;
+    const take = (answer: readonly number[] | null | undefined) => {
+      vm.isAsking = false;
+      if (!answer) return vm.account.reportFailed(own);
+      vm.account.grant(answer[0]!, sentAt + times.leaseMilliseconds);
     };
     if (fate === 0) this.messages.push(deliver);
     const answer = fate === 0 ? undefined : deliver();
-    if (fate > 1 && answer) {
-      vm.account.grant(answer[0]!, sentAt + times.leaseMilliseconds);
-    } else vm.account.reportFailed(report);
+    if (fate <= 1) take(undefined);
+    else if (fate <= 4) take(answer);
+    else {
+      vm.isAsking = true;
+      this.messages.push(() =>
+        take(
+          this.now < until
+            ? role.reconsider(report, this.now) ?? answer
+            : answer,
+        )
+      );
+    }
+  }
+
+  #recallOne(
+    role: CreditRole,
+    recall: { readonly name: string; readonly cold: boolean },
+  ): void {
+    const vm = this.vms.get(recall.name);
+    if (!vm) return;
+    const report = vm.account.recall(this.now, recall);
+    const sequence = ++this.#sequence;
+    const deliver = () =>
+      role.giveUp(
+        { vm: recall.name, sequence, targets: [report] },
+        this.now,
+      );
+    if (this.now % 3 === 0) this.messages.push(deliver);
+    else deliver();
   }
 
   followNewHolder(name: string): void {
+    if (this.vms.get(name)!.isAsking) return;
     this.vms.get(name)!.holder = this.#holders.length - 1;
   }
 
@@ -115,7 +148,7 @@
     const { role } = this.#holders.at(-1)!;
     for (const recall of role.recalls(this.now)) {
       for (const name of recall.vms) {
-        this.vms.get(name)?.account.recall({ cold: recall.overLimit });
+        this.#recallOne(role, { name, cold: recall.overLimit });
       }
     }
   }
--- a/packages/routing/mod.ts
+++ b/packages/routing/mod.ts
@@ -24,6 +24,7 @@
 export { CreditGate } from "./credit_gate.ts";
 export type { CreditGateOptions } from "./credit_gate.ts";
 export { CreditAccount } from "./credit_account.ts";
+export type { CreditAccountReport } from "./credit_account.ts";
 export { outstanding } from "./credit_book.ts";
 export type { CreditTarget } from "./credit_book.ts";
 export { CreditRole } from "./credit_role.ts";
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -11,6 +11,8 @@
   readonly retries: Counter<"reason">;
   /** Late requests sent to a second target. */
   readonly hedges: Counter;
+  /** Messages about credits that this VM sent, by kind. */
+  readonly creditMessages: Counter<"kind">;
   /** Time from arrival to the end of the answer, in seconds. */
   readonly latency: Histogram<"service" | "tenant" | "class">;
   /** Bytes of requests and answers over links between regions. */
@@ -80,6 +82,12 @@
       help: "Late idempotent requests sent to a second target",
       registers,
     }),
+    creditMessages: new Counter({
+      name: "kingcupglade_credit_messages_total",
+      help: "Messages about credits sent to other VMs",
+      labelNames: ["kind"],
+      registers,
+    }),
     latency: new Histogram({
       name: "kingcupglade_request_seconds",
       help: "Time from arrival to the end of the answer",
