--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -12,6 +12,8 @@
 const announceTimeoutMilliseconds = 1000;
 const idleCheckMilliseconds = 5;
 
+const noPush = { version: 0, sequence: 0 };
+
 /**
  * A stand-in for a server that owns keys: it announces itself, takes fenced
  * grants, carries requests out and records what it did.
@@ -21,7 +23,8 @@
   readonly #server: Server;
   #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
-  #taken = { version: 0, sequence: 0 };
+  #taken = noPush;
+  #actsOn = noPush;
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
@@ -92,7 +95,11 @@
 
   /** The grants that it holds under a valid lease. */
   get grants(): readonly HeldGrant[] {
-    return performance.now() < this.#leaseUntil ? this.#grants : [];
+    return this.#grantsAt(performance.now());
+  }
+
+  #grantsAt(now: number): readonly HeldGrant[] {
+    return now < this.#leaseUntil ? this.#grants : [];
   }
 
   /** Opens the listener and announces itself from now on. */
@@ -128,7 +135,7 @@
   /** Starts the process anew after {@link kill}, with a new boot identity. */
   async restart(): Promise<void> {
     this.#boot = randomUUID();
-    this.#taken = { version: 0, sequence: 0 };
+    this.#taken = noPush;
     this.#inProgress = 0;
     await this.start();
   }
@@ -202,6 +209,7 @@
             coldSlots: options.coldSlots,
             checksFences: options.checksFences,
             condition,
+            actsOn: this.grants === this.#grants ? this.#actsOn : noPush,
           }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
@@ -250,6 +258,7 @@
   }
 
   #lapse(): void {
+    this.#actsOn = noPush;
     if (this.#grants.length === 0) return;
     this.#grants = [];
     this.#options.history.record({
@@ -284,6 +293,7 @@
       return void response.writeHead(409).end();
     }
     this.#taken = { version, sequence };
+    this.#actsOn = this.#taken;
     this.#grants = message.grants;
     this.#options.history.record({
       kind: "granted",
@@ -303,8 +313,9 @@
     const group = String(request.headers["kingcupglade-group"] ?? "");
     const position = Number(request.headers["kingcupglade-position"] ?? -1);
     const epoch = Number(request.headers["kingcupglade-epoch"] ?? 0);
+    const subject = { group, position, epoch };
     if (
-      group !== "" && checksFences && !this.#owns({ group, position, epoch })
+      group !== "" && checksFences && !this.#owns(subject, performance.now())
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
@@ -327,6 +338,7 @@
       service: this.#options.service,
       dataCentre: this.#options.dataCentre,
       condition: this.#condition,
+      checksFences,
     });
     const isCancelled = await this.#work(response);
     await this.#frozen;
@@ -336,13 +348,14 @@
     if (isCancelled) {
       return history.record({ kind: "ended", target: this.name, request: id });
     }
+    const effectAt = performance.now();
     if (
-      group !== "" && checksFences && !this.#owns({ group, position, epoch })
+      group !== "" && checksFences && !this.#owns(subject, effectAt)
     ) {
       history.record({ kind: "ended", target: this.name, request: id });
       return this.#refuse(response, { id, reason: "fenced" });
     }
-    history.record({
+    history.recordAt(effectAt, {
       kind: "effect",
       target: this.name,
       request: id,
@@ -374,9 +387,10 @@
       readonly position: number;
       readonly epoch: number;
     },
+    now: number,
   ): boolean {
     const { group, position, epoch } = subject;
-    return this.grants.some((grant) =>
+    return this.#grantsAt(now).some((grant) =>
       grant.group === group && grant.start <= position &&
       position < grant.end && grant.epoch === epoch
     );
