Measure a data centre that leaves and returns under load

Cause: the figures for service during a data centre move were missing.

Parts of the fake target move to files of their own.

--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -14,6 +14,8 @@
       (await import("./suite/throughput.ts")).throughputExperiment,
     "credits": async () =>
       (await import("./suite/credits.ts")).creditsExperiment,
+    "data-centre": async () =>
+      (await import("./suite/data_centre.ts")).dataCentreExperiment,
     "slow-targets": async () =>
       (await import("./suite/slow_targets.ts")).slowTargetsExperiment,
     "planner": async () =>
--- /dev/null
+++ b/packages/fakes/announcement_of.ts
@@ -0,0 +1,23 @@
+import type {
+  FakeCondition,
+  FakeTargetOptions,
+} from "./fake_target_options.ts";
+
+/** What a fake target sends when it announces itself. */
+export function announcementOf(
+  options: Required<FakeTargetOptions>,
+  state: { readonly boot: string; readonly condition: FakeCondition },
+): string {
+  return JSON.stringify({
+    target: options.name,
+    boot: state.boot,
+    service: options.service,
+    dataCentre: options.dataCentre,
+    address: `http://${options.address}`,
+    slots: options.slots,
+    connections: options.connections,
+    coldSlots: options.coldSlots,
+    checksFences: options.checksFences,
+    condition: state.condition,
+  });
+}
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -2,6 +2,8 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { request as sendRequest } from "undici";
+import { announcementOf } from "./announcement_of.ts";
+import { work } from "./work.ts";
 import type { GrantMessage, HeldGrant } from "./grant_message.ts";
 import type {
   FakeCondition,
@@ -65,6 +67,11 @@
     return this.#options.name;
   }
 
+  /** Data centre that it stands in. */
+  get dataCentre(): string {
+    return this.#options.dataCentre;
+  }
+
   /** What the target says of itself. */
   get condition(): FakeCondition {
     return this.#condition;
@@ -198,19 +205,7 @@
         {
           method: "POST",
           headers: { authorization: `Bearer ${options.secret}` },
-          body: JSON.stringify({
-            target: options.name,
-            boot,
-            service: options.service,
-            dataCentre: options.dataCentre,
-            address: `http://${options.address}`,
-            slots: options.slots,
-            connections: options.connections,
-            coldSlots: options.coldSlots,
-            checksFences: options.checksFences,
-            condition,
-            actsOn: this.grants === this.#grants ? this.#actsOn : noPush,
-          }),
+          body: announcementOf(options, { boot, condition }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
@@ -308,7 +303,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { history, checksFences, slots, coldSlots } = this.#options;
+    const { history, checksFences, slots, coldSlots, acceptsCancellation } =
+      this.#options;
     const id = String(request.headers["x-request"] ?? "");
     const group = String(request.headers["kingcupglade-group"] ?? "");
     const position = Number(request.headers["kingcupglade-position"] ?? -1);
@@ -340,7 +336,10 @@
       condition: this.#condition,
       checksFences,
     });
-    const isCancelled = await this.#work(response);
+    const isCancelled = await work(this.serviceMilliseconds, {
+      // A target that takes no cancellation goes on without its sender.
+      cancelledBy: acceptsCancellation ? response : undefined,
+    });
     await this.#frozen;
     if (boot !== this.#boot) return;
     this.#inProgress -= 1;
@@ -366,21 +365,6 @@
     response.end(JSON.stringify({ request: id, target: this.name, epoch }));
   }
 
-  /** Takes the time of a request; true when it was cancelled before. */
-  #work(response: ServerResponse): Promise<boolean> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(
-        () => resolve(false),
-        this.serviceMilliseconds,
-      );
-      if (!this.#options.acceptsCancellation) return;
-      response.once("close", () => {
-        clearTimeout(timer);
-        resolve(true);
-      });
-    });
-  }
-
   #owns(
     subject: {
       readonly group: string;
