Announce again what a fake target acts on, and hedge where a credit must be asked for

With credits taken back early, a late request often found no second target with a free credit.

Change: the field is back. A hedge may wait for a credit at a target where nothing else waits.

--- a/packages/fakes/announcement_of.ts
+++ b/packages/fakes/announcement_of.ts
@@ -6,7 +6,12 @@
 /** What a fake target sends when it announces itself. */
 export function announcementOf(
   options: Required<FakeTargetOptions>,
-  state: { readonly boot: string; readonly condition: FakeCondition },
+  state: {
+    readonly boot: string;
+    readonly condition: FakeCondition;
+    /** The grants that it acts on. */
+    readonly actsOn: object;
+  },
 ): string {
   return JSON.stringify({
     target: options.name,
@@ -19,5 +24,6 @@
     coldSlots: options.coldSlots,
     checksFences: options.checksFences,
     condition: state.condition,
+    actsOn: state.actsOn,
   });
 }
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -205,7 +205,11 @@
         {
           method: "POST",
           headers: { authorization: `Bearer ${options.secret}` },
-          body: announcementOf(options, { boot, condition }),
+          body: announcementOf(options, {
+            boot,
+            condition,
+            actsOn: this.grants === this.#grants ? this.#actsOn : noPush,
+          }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
--- a/packages/kingcupglade/gateway/target_chooser.ts
+++ b/packages/kingcupglade/gateway/target_chooser.ts
@@ -51,14 +51,14 @@
       : notRun(Reason.noTarget, { retryAfterSeconds: 1 });
   }
 
-  /** Another target that can take the request at once, if there is one. */
+  /** Another target for a request that is late at its first one. */
   chooseOther(
     matched: MatchedRequest,
     first: TargetRecord,
   ): Destination | undefined {
     const chosen = this.#choice(
       this.#candidates(matched).filter((each) =>
-        each.available > 0 && each.target.target !== first.target
+        each.queued === 0 && each.target.target !== first.target
       ),
     );
     return chosen && this.#destination(chosen.target);
