--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -2,6 +2,8 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { request as sendRequest } from "undici";
+import { announcementOf } from "./announcement_of.ts";
+import { work } from "./work.ts";
 import { noGrants } from "./grant_message.ts";
 import type { GrantMessage, HeldGrant } from "./grant_message.ts";
 import type {
@@ -44,6 +46,7 @@
       checksFences: true,
       condition: "serving",
       serviceMilliseconds: 2,
+      acceptsCancellation: false,
       delayMilliseconds: () => 0,
       ...options,
     };
@@ -63,6 +66,11 @@
     return this.#options.name;
   }
 
+  /** Data centre that it stands in. */
+  get dataCentre(): string {
+    return this.#options.dataCentre;
+  }
+
   /** What the target says of itself. */
   get condition(): FakeCondition {
     return this.#condition;
@@ -197,16 +205,8 @@
         {
           method: "POST",
           headers: { authorization: `Bearer ${options.secret}` },
-          body: JSON.stringify({
-            target: options.name,
+          body: announcementOf(options, {
             boot,
-            service: options.service,
-            dataCentre: options.dataCentre,
-            address: `http://${options.address}`,
-            slots: options.slots,
-            connections: options.connections,
-            coldSlots: options.coldSlots,
-            checksFences: options.checksFences,
             condition,
             actsOn: sentAt < this.#leaseUntil ? this.#actsOn : noGrants,
           }),
@@ -308,7 +308,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { history, checksFences, slots, coldSlots } = this.#options;
+    const { history, checksFences, slots, coldSlots, acceptsCancellation } =
+      this.#options;
     const id = String(request.headers["x-request"] ?? "");
     const group = String(request.headers["kingcupglade-group"] ?? "");
     const position = Number(request.headers["kingcupglade-position"] ?? -1);
@@ -340,13 +341,17 @@
       condition: this.#condition,
       checksFences,
     });
-    await new Promise((resolve) =>
-      setTimeout(resolve, this.serviceMilliseconds)
-    );
+    const isCancelled = await work(this.serviceMilliseconds, {
+      // A target that takes no cancellation goes on without its sender.
+      cancelledBy: acceptsCancellation ? response : undefined,
+    });
     await this.#frozen;
     if (boot !== this.#boot) return;
     this.#inProgress -= 1;
     this.#coldAnswersLeft = Math.max(0, this.#coldAnswersLeft - 1);
+    if (isCancelled) {
+      return history.record({ kind: "ended", target: this.name, request: id });
+    }
     const effectAt = performance.now();
     if (
       group !== "" && checksFences && !this.#owns(subject, effectAt)
--- a/packages/fakes/fake_target_options.ts
+++ b/packages/fakes/fake_target_options.ts
@@ -23,6 +23,8 @@
   readonly condition?: FakeCondition;
   /** Time that a request takes. @default 2 */
   readonly serviceMilliseconds?: number;
+  /** Whether it stops working when the sender goes. @default false */
+  readonly acceptsCancellation?: boolean;
   /** Network delay there and back, by the sender's IP. @default none */
   readonly delayMilliseconds?: (sender: string) => number;
 }
