--- a/packages/consensus/election.ts
+++ b/packages/consensus/election.ts
@@ -21,8 +21,9 @@
 // A voter that refused a pre-vote may have heard the lost leader a little
 // later, and two candidates may have split the votes: ask again soon.
 function scheduleRetry(draft: Draft): void {
-  scheduleElection(draft);
-  draft.state.electionDueAt -= (draft.state.electionDueAt - draft.now) / 2;
+  const { self, term, options } = draft.state;
+  const share = 0.2 + 0.8 * electionSpread(self, term);
+  draft.state.electionDueAt = draft.now + options.electionMilliseconds * share;
 }
 
 /** Becomes a follower, in a newer term if there is one. */
--- a/packages/experiments/repair_test.ts
+++ b/packages/experiments/repair_test.ts
@@ -52,6 +52,24 @@
     expect(status.bundle?.version).toBe(version);
   });
 
+  it("goes on when a lost quorum comes back, with nothing reverted", async () => {
+    const before = await untilVoters("vm-2", "vm-5", "vm-7");
+    await Promise.all(["vm-2", "vm-7"].map((vm) => deployment.crashVm(vm)));
+    await new Promise((resolve) => setTimeout(resolve, 2500));
+    await expect(deployment.status("vm-3")).rejects.toThrow();
+    const ready = await fetch(
+      `http://${deployment.operatorsAddress("vm-3")}/ready`,
+    );
+    expect(ready.status).toBe(503);
+    await Promise.all(["vm-2", "vm-7"].map((vm) => deployment.startVm(vm)));
+    const after = await untilVoters("vm-2", "vm-5", "vm-7");
+    expect(after.bundle).toMatchObject({
+      version: before.bundle!.version,
+      digest: before.bundle!.digest,
+    });
+    expect(after.term).toBeGreaterThan(before.term);
+  });
+
   it("takes a VM with a wiped disk back as a spare, then as a voter", async () => {
     await rm(join(deployment.folder, "vm-4"), { recursive: true });
     await deployment.startVm("vm-4");
