--- a/packages/kingcupglade/control/books_test.ts
+++ b/packages/kingcupglade/control/books_test.ts
@@ -35,6 +35,7 @@
       target: "fixture-1",
       boot: "first",
       grants: [],
+      version: 1,
       sequence: 1,
     };
     book.beginPush(push);
@@ -61,6 +62,7 @@
       target: "fixture-1",
       boot: "first",
       grants: [],
+      version: 1,
       sequence: 1,
     };
     book.beginPush(push);
--- a/packages/kingcupglade/gateway/attempts.ts
+++ b/packages/kingcupglade/gateway/attempts.ts
@@ -3,6 +3,7 @@
 import {
   Header,
   notRun,
+  Outcome,
   Reason,
   RetryBudget,
   unknownOutcome,
@@ -12,6 +13,7 @@
   ExchangeReport,
   HedgePolicy,
   MatchedRequest,
+  Moved,
   Refusal,
 } from "@kingcupglade/routing";
 import type { Clock } from "@kingcupglade/tasks";
@@ -88,21 +90,25 @@
     const { clock, metrics } = this.#options;
     let pauseMilliseconds = firstPauseMilliseconds;
     let last = notRun(Reason.deadline);
+    // A later "not run" says nothing of an attempt that may have run.
+    let unknown: Refusal | null = null;
     this.#budget.earn();
     while (clock.now() < caller.deadlineAt && !caller.sink.isClosed) {
       const destination = this.#choose(caller.matched);
       if ("kind" in destination) {
         last = destination;
         if (await this.#waitForTable(caller)) continue;
-        return notRun(Reason.overload, { retryAfterSeconds: 1 });
+        return unknown ?? notRun(Reason.overload, { retryAfterSeconds: 1 });
       }
       const result = HedgedExchange.suits(caller)
         ? await this.#hedged.run(caller, destination)
         : await this.#exchange(caller, destination);
+      if (result.kind === "moved") continue;
       const next = nextStep(result, caller);
       if (next.kind === "end") return next.refusal;
       last = next.refusal;
-      if (!caller.body.canBeSent || !this.#budget.take()) return last;
+      if (last.outcome === Outcome.unknown) unknown = last;
+      if (!caller.body.canBeSent || !this.#budget.take()) break;
       metrics.retries.inc({ reason: last.reason });
       await pause(pauseMilliseconds);
       pauseMilliseconds = Math.min(
@@ -110,7 +116,7 @@
         longestPauseMilliseconds,
       );
     }
-    return last;
+    return unknown ?? last;
   }
 
   #choose(matched: MatchedRequest): Destination | Refusal {
@@ -122,7 +128,7 @@
   async #exchange(
     caller: CallerRequest,
     destination: Destination,
-  ): Promise<ExchangeResult | Refusal> {
+  ): Promise<ExchangeResult | Refusal | Moved> {
     const { capacity, clock } = this.#options;
     const { matched, deadlineAt } = caller;
     const permit = await capacity.acquire({
@@ -130,8 +136,9 @@
       tenant: matched.tenant,
       class: matched.route.class,
       deadlineAt,
+      isCurrent: destination.isCurrent,
     });
-    if (permit.kind === "refusal") return permit;
+    if (permit.kind !== "permit") return permit;
     const startedAt = clock.now();
     const end = destination.begin();
     const result = await this.#send(caller, destination);
