Wait for the successor in a planned stop

Cause: a replica that hands over the lead stopped counting as a ready leader at once, and the stop took that for the end of the transfer: the replica was gone before its request had left.

Change: ReplicaTask.handOver() waits until another term has begun.

--- a/packages/experiments/suite/control_loss.ts
+++ b/packages/experiments/suite/control_loss.ts
@@ -21,6 +21,11 @@
     const times = await measureDeployment();
     progress(`nine VMs: ${times.map((each) => each.toFixed(0)).join(" ")}`);
     figures.push(...describeTimes("leader killed, nine VMs, rolls", times));
+    const gaps = await measurePlannedStops();
+    progress(`stopped: ${gaps.map((each) => each.toFixed(0)).join(" ")}`);
+    figures.push(
+      ...describeTimes("between rolls, leader stopped as planned", gaps),
+    );
     return { figures };
   },
 };
@@ -109,6 +114,37 @@
   }
 }
 
+/** The longest pause between accepted rolls while the leader's VM stops. */
+async function measurePlannedStops(): Promise<readonly number[]> {
+  const deployment = await Deployment.start(hsinchu);
+  const gaps: number[] = [];
+  try {
+    const version = await deployment.roll();
+    const signed = deployment.signBundle(version);
+    for (let round = 0; round < rounds / 2; round += 1) {
+      const { leader } = await deployment.until((status) =>
+        status.vms.filter((each) => !each.lapsed).length === 9
+      );
+      const other = deployment.vmNames.find((each) => each !== leader)!;
+      let gap = 0;
+      let acceptedAt = performance.now();
+      const until = acceptedAt + 2500;
+      const stopped = deployment.stopVm(leader);
+      while (performance.now() < until) {
+        if (await deployment.sendBundle(signed, other) !== 200) continue;
+        gap = Math.max(gap, performance.now() - acceptedAt);
+        acceptedAt = performance.now();
+      }
+      gaps.push(Math.max(gap, performance.now() - acceptedAt));
+      await stopped;
+      await deployment.startVm(leader);
+    }
+    return gaps;
+  } finally {
+    await deployment.stop();
+  }
+}
+
 async function rollThroughOther(
   deployment: Deployment,
   lost: string,
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -28,6 +28,7 @@
 
 const coordinationMilliseconds = 50;
 const repairPlanMilliseconds = 250;
+const handOverMilliseconds = 1000;
 const noBytes = new Uint8Array();
 
 /** Options of a {@link ControlTask}. */
@@ -209,7 +210,7 @@
 
   /** Hands over the lead, stops the replica and closes the data folder. */
   async stop(): Promise<void> {
-    if (this.#replica?.isReadyLeader) await this.#handOver(this.#replica);
+    await this.#replica?.handOver(handOverMilliseconds);
     await this.crash();
   }
 
@@ -222,15 +223,6 @@
     await this.#grants.close();
   }
 
-  async #handOver(replica: ReplicaTask): Promise<void> {
-    const attempts = 20;
-    replica.transferLeadership();
-    for (let attempt = 0; attempt < attempts; attempt += 1) {
-      if (!replica.isReadyLeader) return;
-      await new Promise((resolve) => setTimeout(resolve, 50));
-    }
-  }
-
   get #replica(): ReplicaTask | undefined {
     return this.#host?.replica;
   }
--- a/packages/kingcupglade/control/replica_task.ts
+++ b/packages/kingcupglade/control/replica_task.ts
@@ -37,6 +37,7 @@
 import { replicaIdOf } from "./replica_id.ts";
 
 const tickMilliseconds = 25;
+const handOverPollMilliseconds = 10;
 const entriesPerCheckpoint = 500;
 const bytesPerCheckpoint = 8 * 1024 * 1024;
 
@@ -129,7 +130,7 @@
     return this.#machine.state.leader;
   }
 
-  /** The replicas that vote and copy. */
+  /** Whether this replica votes. */
   get isVoter(): boolean {
     return isVoter(this.#machine.state);
   }
@@ -181,9 +182,22 @@
     this.#machine.post({ kind: "proposeConfiguration", configuration });
   }
 
-  /** Hands the lead to another voter, if this replica leads. */
-  transferLeadership(): void {
+  /**
+   * Hands the lead to another voter, if this replica leads. Answers with
+   * whether another one was elected within the time.
+   */
+  async handOver(timeoutMilliseconds: number): Promise<boolean> {
+    const { clock } = this.#options;
+    const { role, term } = this.#machine.state;
+    if (role !== Role.leader) return false;
     this.#machine.post({ kind: "transferLeadership" });
+    const until = clock.now() + timeoutMilliseconds;
+    while (this.#machine.state.term === term && clock.now() < until) {
+      await new Promise((resolve) =>
+        setTimeout(resolve, handOverPollMilliseconds)
+      );
+    }
+    return this.#machine.state.term > term;
   }
 
   /** Stops the task and closes the data folder. */
