--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -4,7 +4,7 @@
   verifyBundle,
 } from "@kingcupglade/bundle";
 import type { SignedBundle, SigningAuthority } from "@kingcupglade/bundle";
-import { configurationOf, Role } from "@kingcupglade/consensus";
+import { configurationOf } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
 import type { RollOutcome } from "@kingcupglade/ownership";
@@ -28,6 +28,7 @@
 
 const coordinationMilliseconds = 50;
 const repairPlanMilliseconds = 250;
+const handOverMilliseconds = 1000;
 const noBytes = new Uint8Array();
 
 /** Options of a {@link ControlTask}. */
@@ -209,7 +210,7 @@
 
   /** Hands over the lead, stops the replica and closes the data folder. */
   async stop(): Promise<void> {
-    if (this.#replica?.isReadyLeader) await this.#handOver(this.#replica);
+    await this.#replica?.handOver(handOverMilliseconds);
     await this.crash();
   }
 
@@ -222,16 +223,6 @@
     await this.#grants.close();
   }
 
-  async #handOver(replica: ReplicaTask): Promise<void> {
-    const attempts = 30;
-    for (let attempt = 0; attempt < attempts; attempt += 1) {
-      if (replica.consensus.role !== Role.leader) return;
-      // A successor that did not answer in time is given up; ask again then.
-      if (replica.consensus.transferTo === null) replica.transferLeadership();
-      await new Promise((resolve) => setTimeout(resolve, 50));
-    }
-  }
-
   get #replica(): ReplicaTask | undefined {
     return this.#host?.replica;
   }
