Check the shape of messages between the VMs

Cause: a decoded message of another VM was taken for what its type says; a faulty one would have thrown inside the replica's machine and stopped the VM. Change: parseConsensusMessage checks replicas' messages by a schema, and the control leader checks announcements again; both are refused as invalid. Conclusion: table deltas, load reports and ledger records are still taken as they are; they come from the leader or a ledger peer of the same release.

--- a/packages/consensus/mod.ts
+++ b/packages/consensus/mod.ts
@@ -11,6 +11,7 @@
   stepConsensus,
 } from "./machine.ts";
 export type { StoredReplica } from "./machine.ts";
+export { MessageError, parseConsensusMessage } from "./message_schema.ts";
 export { isVoter } from "./election.ts";
 export {
   holdsQuorum,
--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -7,7 +7,9 @@
 import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { parseSignedBundle } from "@kingcupglade/bundle";
+import { MessageError, parseConsensusMessage } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
+import { AnnouncementError, parseAnnouncement } from "@kingcupglade/membership";
 import type { Announcement } from "@kingcupglade/membership";
 import type { GroupLoadReport } from "@kingcupglade/ownership";
 import {
@@ -15,6 +17,7 @@
   decodeValue,
   encodeValue,
   Replication,
+  WireError,
 } from "@kingcupglade/protocol";
 import { Header } from "@kingcupglade/routing";
 import { forwardedPathPrefix } from "../gateway/forwarder.ts";
@@ -92,9 +95,7 @@
 ): void {
   router.service(Replication, {
     deliver: (request) => {
-      control?.receive(
-        request.messages.map((each) => decodeValue<ConsensusMessage>(each)),
-      );
+      control?.receive(request.messages.map(decodeConsensusMessage));
       return {};
     },
     hello: () => {
@@ -136,7 +137,7 @@
     announce: (request) =>
       redirecting(control, async (task) => {
         const replies = await task.announce(
-          request.announcements.map((each) => decodeValue<Announcement>(each)),
+          request.announcements.map(decodeAnnouncement),
         );
         return { replies: replies.map((each) => encodeValue(each)) };
       }),
@@ -168,3 +169,29 @@
     throw cause;
   }
 }
+
+function decodeConsensusMessage(bytes: Uint8Array): ConsensusMessage {
+  return refusingFaults(() => parseConsensusMessage(decodeValue(bytes)));
+}
+
+function decodeAnnouncement(bytes: Uint8Array): Announcement {
+  return refusingFaults(() => parseAnnouncement(decodeValue(bytes)));
+}
+
+/** Answers faulty messages as such, so that their sender is named in its log. */
+function refusingFaults<Value>(decode: () => Value): Value {
+  try {
+    return decode();
+  } catch (cause) {
+    const isKnown = cause instanceof WireError ||
+      cause instanceof MessageError || cause instanceof AnnouncementError;
+    if (!isKnown) throw cause;
+    throw new ConnectError(
+      cause.message,
+      Code.InvalidArgument,
+      undefined,
+      undefined,
+      cause,
+    );
+  }
+}
