--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -94,10 +94,12 @@
   control: ControlTask | undefined,
 ): void {
   router.service(Replication, {
-    deliver: (request) => {
-      control?.receive(request.messages.map(decodeConsensusMessage));
-      return {};
-    },
+    deliver: async ({ from, messages }) => ({
+      messages: await control?.receive(
+        from,
+        messages.map(decodeConsensusMessage),
+      ) ?? [],
+    }),
     hello: () => {
       const { replica = "", member = false, founders = [] } = control?.hello ??
         {};
