Explore the ledger's shard with three VMs and one claim

Change: LedgerModel drives LedgerShard, planRoles and applyCommand through crashes, lost leases, returns, late and refused batches, with one request that is sent again; the request leaves when the standby has its claim. Conclusion: the shard holds its promise within these bounds; how a holder sends its batches is modelled, not run.

--- /dev/null
+++ b/packages/kingcupglade/exploration/ledger_exploration_test.ts
@@ -0,0 +1,55 @@
+import { explore, formatExploration, wander } from "@kingcupglade/checker";
+import { describe, expect, it } from "vitest";
+import { LedgerModel } from "./ledger_model.ts";
+import type { LedgerMutation } from "./ledger_world.ts";
+
+const budgets = {
+  /** One crash and one loss of a lease. */
+  single: { asks: 2, crashes: 1, removals: 1, resends: 0 },
+  /** The holder and the standby lose their leases. */
+  double: { asks: 2, crashes: 0, removals: 2, resends: 0 },
+  wide: { asks: 6, crashes: 3, removals: 5, resends: 4 },
+} as const;
+
+const bounds = { maximumDepth: 60, maximumStates: 60_000 };
+
+const exploreWith = (
+  budget: keyof typeof budgets,
+  mutation?: LedgerMutation,
+) =>
+  explore(
+    new LedgerModel({
+      remaining: budgets[budget],
+      ...(mutation ? { mutation } : {}),
+    }),
+    bounds,
+  );
+
+describe("exploration of one claim with three VMs", () => {
+  for (const budget of ["single", "double"] as const) {
+    it(`runs the request at most once in every order: ${budget} loss`, () => {
+      const result = exploreWith(budget);
+      console.info(`one claim, ${budget}: ${formatExploration(result)}`);
+      expect(result.violation).toBeNull();
+    });
+  }
+
+  it("runs it at most once on random paths with many losses", () => {
+    const model = new LedgerModel({ remaining: budgets.wide });
+    const result = wander(model, { seed: 8, paths: 400, maximumDepth: 80 });
+    console.info(`one claim, random: ${formatExploration(result)}`);
+    expect(result.violation).toBeNull();
+  });
+
+  describe("with a rule left out", () => {
+    it("finds a second run when the standby is not awaited", () => {
+      expect(exploreWith("single", "runsBeforeStandby").violation?.message)
+        .toBe("the request took effect 2 times");
+    });
+
+    it("finds a second run when the loss of both copies is forgotten", () => {
+      expect(exploreWith("double", "forgetsLoss").violation?.message)
+        .toBe("the request took effect 2 times");
+    });
+  });
+});
--- a/packages/kingcupglade/exploration/range_moves.ts
+++ b/packages/kingcupglade/exploration/range_moves.ts
@@ -234,10 +234,10 @@
 }
 
 /** Registers a VM. */
-export function putVm(name: string): ControlCommand {
+export function putVm(name: string, vmBoot: string = boot): ControlCommand {
   const vm: Omit<VmRecord, "changedAt"> = {
     name,
-    boot,
+    boot: vmBoot,
     ...place,
     peerAddress: "127.0.0.1:1",
     callersAddress: "127.0.0.1:2",
