--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -12,6 +12,10 @@
       (await import("./suite/recovery.ts")).recoveryExperiment,
     "throughput": async () =>
       (await import("./suite/throughput.ts")).throughputExperiment,
+    "credits": async () =>
+      (await import("./suite/credits.ts")).creditsExperiment,
+    "data-centre": async () =>
+      (await import("./suite/data_centre.ts")).dataCentreExperiment,
     "slow-targets": async () =>
       (await import("./suite/slow_targets.ts")).slowTargetsExperiment,
     "planner": async () =>
@@ -31,4 +35,6 @@
       (await import("./suite/lost_ledger.ts")).lostLedgerExperiment,
     "lost-owner": async () =>
       (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
+    "whole-answers": async () =>
+      (await import("./suite/whole_answers.ts")).wholeAnswersExperiment,
   }));
--- /dev/null
+++ b/packages/fakes/announcement_of.ts
@@ -0,0 +1,29 @@
+import type {
+  FakeCondition,
+  FakeTargetOptions,
+} from "./fake_target_options.ts";
+
+/** What a fake target sends when it announces itself. */
+export function announcementOf(
+  options: Required<FakeTargetOptions>,
+  state: {
+    readonly boot: string;
+    readonly condition: FakeCondition;
+    /** The grants that it acts on. */
+    readonly actsOn: object;
+  },
+): string {
+  return JSON.stringify({
+    target: options.name,
+    boot: state.boot,
+    service: options.service,
+    dataCentre: options.dataCentre,
+    address: `http://${options.address}`,
+    slots: options.slots,
+    connections: options.connections,
+    coldSlots: options.coldSlots,
+    checksFences: options.checksFences,
+    condition: state.condition,
+    actsOn: state.actsOn,
+  });
+}
--- a/packages/fakes/grant_message.ts
+++ b/packages/fakes/grant_message.ts
@@ -13,3 +13,18 @@
   readonly sequence: number;
   readonly grants: readonly HeldGrant[];
 }
+
+/** The number of no push. */
+export const noGrants: Pick<GrantMessage, "version" | "sequence"> = {
+  version: 0,
+  sequence: 0,
+};
+
+/** Whether a push was sent before another one. */
+export function isOlder(
+  push: Pick<GrantMessage, "version" | "sequence">,
+  than: Pick<GrantMessage, "version" | "sequence">,
+): boolean {
+  return push.version < than.version ||
+    (push.version === than.version && push.sequence < than.sequence);
+}
--- a/packages/kingcupglade/control/leader_session.ts
+++ b/packages/kingcupglade/control/leader_session.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
 import { coordinate, LoadEstimates, RangeIndex } from "@kingcupglade/ownership";
 import type {
@@ -21,6 +22,8 @@
 const coordinationPauseMilliseconds = 5;
 /** Time between two plans that even out the load. */
 const balanceMilliseconds = 1000;
+/** Pause before a push that failed is repeated. */
+const retryMilliseconds = 100;
 
 /** What a VM says when it renews its routing lease. */
 export interface VmRenewal {
@@ -237,15 +240,15 @@
   }
 
   async #push(push: CoordinatorPlan["pushes"][number]): Promise<void> {
+    this.#pushSequence += 1;
     const numbered = {
       ...push,
       version: this.#state.version,
-      sequence: this.#pushSequence + 1,
+      sequence: this.#pushSequence,
     };
-    if (!this.#targets.mayPush(push.target, this.#now)) return;
     if (!this.#targets.beginPush(numbered)) return;
-    this.#pushSequence = numbered.sequence;
     const confirmed = await this.#options.grants.push(numbered);
+    if (!confirmed) await pause(retryMilliseconds);
     this.#targets.endPush(numbered, { confirmed, now: this.#now });
     if (!confirmed) {
       this.#options.logger.warn("grants-not-confirmed", {
--- a/packages/kingcupglade/exploration/range_world.ts
+++ b/packages/kingcupglade/exploration/range_world.ts
@@ -48,6 +48,7 @@
       readonly target: string;
       readonly version: number;
       readonly sequence: number;
+      readonly grants: readonly Grant[];
     }
     | {
       readonly kind: "endPush";
--- a/packages/kingcupglade/gateway/exchange_handler.ts
+++ b/packages/kingcupglade/gateway/exchange_handler.ts
@@ -14,6 +14,10 @@
   /** Names the exchange to the target, which may echo it. */
   readonly id: string;
   readonly sink: AnswerSink;
+  /** Whether an answer counts only when it names the exchange. */
+  readonly mustEcho: boolean;
+  /** Called with whether an answer named its exchange. */
+  readonly noteEcho: (echoes: boolean) => void;
   readonly resolve: (result: ExchangeResult) => void;
 }
 
@@ -22,6 +26,8 @@
   readonly #request: ExchangeRequest;
   readonly #id: string;
   readonly #sink: AnswerSink;
+  readonly #mustEcho: boolean;
+  readonly #noteEcho: (echoes: boolean) => void;
   readonly #resolve: (result: ExchangeResult) => void;
   readonly #timer: NodeJS.Timeout;
   readonly #unwatch: () => void;
@@ -36,6 +42,8 @@
     this.#request = options.request;
     this.#id = options.id;
     this.#sink = options.sink;
+    this.#mustEcho = options.mustEcho;
+    this.#noteEcho = options.noteEcho;
     this.#resolve = options.resolve;
     this.#unwatch = this.#sink.onClose(() =>
       this.#abort(UnknownCause.cancelled)
@@ -116,7 +124,9 @@
       headers["content-length"] !== undefined ||
       headers["transfer-encoding"] !== undefined;
     const echo = headers[Header.exchange];
-    return framed && (echo === undefined || echo === this.#id);
+    this.#noteEcho(echo === this.#id);
+    return framed &&
+      (echo === this.#id || (echo === undefined && !this.#mustEcho));
   }
 
   #abort(cause: UnknownCause): void {
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -135,6 +135,7 @@
       routing,
       peers,
       clock,
+      metrics,
       observations,
       routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
     });
@@ -182,7 +183,7 @@
       tls,
       secret: secrets.vm,
       control,
-      services: [credits.addService, (router) => ledger.addService(router)],
+      services: [credits.addService, (registry) => ledger.addService(registry)],
       forwarded: (request, response) => {
         void gateway.serveForwarded(request, response);
       },
