Plant the fault of assumed grants where the planner looks

Measured: 10 tests of exploration and references pass; the planted fault gives two owners again. The suite on the loaded machine (load 16) failed in tests of nine VMs that pass alone; they are run again when it is quiet.

Conclusion: the check can fail again.

--- a/packages/kingcupglade/exploration/range_model.ts
+++ b/packages/kingcupglade/exploration/range_model.ts
@@ -256,7 +256,7 @@
       target: (name) => {
         const view = targets.view(name, now);
         return this.#mutation === "assumesNoGrants"
-          ? { ...view, held: view.held ?? [] }
+          ? { ...view, held: view.held ?? [], takesGrants: true }
           : view;
       },
     };
