--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -196,6 +196,7 @@
     const boot = this.#boot;
     const sentAt = performance.now();
     const condition = this.#condition;
+    const actsOn = this.grants === this.#grants ? this.#actsOn : noPush;
     const listener = options.announceTo[
       this.#nextListener % options.announceTo.length
     ];
@@ -205,11 +206,7 @@
         {
           method: "POST",
           headers: { authorization: `Bearer ${options.secret}` },
-          body: announcementOf(options, {
-            boot,
-            condition,
-            actsOn: this.grants === this.#grants ? this.#actsOn : noPush,
-          }),
+          body: announcementOf(options, { boot, condition, actsOn }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
