--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -4,6 +4,7 @@
 import { request as sendRequest } from "undici";
 import { announcementOf } from "./announcement_of.ts";
 import { work } from "./work.ts";
+import { noGrants } from "./grant_message.ts";
 import type { GrantMessage, HeldGrant } from "./grant_message.ts";
 import type {
   FakeCondition,
@@ -14,8 +15,6 @@
 const announceTimeoutMilliseconds = 1000;
 const idleCheckMilliseconds = 5;
 
-const noPush = { version: 0, sequence: 0 };
-
 /**
  * A stand-in for a server that owns keys: it announces itself, takes fenced
  * grants, carries requests out and records what it did.
@@ -25,8 +24,8 @@
   readonly #server: Server;
   #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
-  #taken = noPush;
-  #actsOn = noPush;
+  #taken = noGrants;
+  #actsOn = noGrants;
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
@@ -142,7 +141,8 @@
   /** Starts the process anew after {@link kill}, with a new boot identity. */
   async restart(): Promise<void> {
     this.#boot = randomUUID();
-    this.#taken = noPush;
+    this.#taken = noGrants;
+    this.#actsOn = noGrants;
     this.#inProgress = 0;
     await this.start();
   }
@@ -196,7 +196,6 @@
     const boot = this.#boot;
     const sentAt = performance.now();
     const condition = this.#condition;
-    const actsOn = this.grants === this.#grants ? this.#actsOn : noPush;
     const listener = options.announceTo[
       this.#nextListener % options.announceTo.length
     ];
@@ -206,7 +205,11 @@
         {
           method: "POST",
           headers: { authorization: `Bearer ${options.secret}` },
-          body: announcementOf(options, { boot, condition, actsOn }),
+          body: announcementOf(options, {
+            boot,
+            condition,
+            actsOn: sentAt < this.#leaseUntil ? this.#actsOn : noGrants,
+          }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
@@ -254,7 +257,7 @@
   }
 
   #lapse(): void {
-    this.#actsOn = noPush;
+    this.#actsOn = noGrants;
     if (this.#grants.length === 0) return;
     this.#grants = [];
     this.#options.history.record({
@@ -268,6 +271,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const exchange = request.headers["kingcupglade-exchange"];
+    if (exchange) response.setHeader("kingcupglade-exchange", exchange);
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     await this.#frozen;
@@ -288,8 +293,7 @@
     if (message.boot !== this.#boot || order < 0) {
       return void response.writeHead(409).end();
     }
-    this.#taken = { version, sequence };
-    this.#actsOn = this.#taken;
+    this.#taken = this.#actsOn = { version, sequence };
     this.#grants = message.grants;
     this.#options.history.record({
       kind: "granted",
--- a/packages/kingcupglade/credits/credits.ts
+++ b/packages/kingcupglade/credits/credits.ts
@@ -1,4 +1,3 @@
-import type { ConnectRouter } from "@connectrpc/connect";
 import { Credit } from "@kingcupglade/protocol";
 import { CreditGate } from "@kingcupglade/routing";
 import type { TargetObservations } from "@kingcupglade/routing";
@@ -6,6 +5,7 @@
 import type { Metrics } from "@kingcupglade/telemetry";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
+import type { ServiceRegistry } from "../listeners/lean_services.ts";
 import { CreditClientTask } from "./credit_client_task.ts";
 import { CreditHolderTask } from "./credit_holder_task.ts";
 
@@ -49,8 +49,8 @@
   }
 
   /** Serves the other VMs. */
-  readonly addService = (router: ConnectRouter): void => {
-    router.service(Credit, {
+  readonly addService = (registry: ServiceRegistry): void => {
+    registry.service(Credit, {
       exchange: (request) => this.#holder.exchange(request),
       recall: (request) => ({ report: this.#client.recall(request) }),
     });
--- a/packages/kingcupglade/gateway/exchange.ts
+++ b/packages/kingcupglade/gateway/exchange.ts
@@ -13,6 +13,8 @@
 /** Sends requests to targets and passes their answers on. */
 export class ExchangeClient {
   readonly #agent: Agent;
+  /** Receivers whose last answer named its exchange. */
+  readonly #echoing = new Set<string>();
   readonly #prefix = randomBytes(6).toString("base64url");
   #next = 0;
 
@@ -46,16 +48,37 @@
   run(request: ExchangeRequest, sink: AnswerSink): Promise<ExchangeResult> {
     if (!request.maySend()) return Promise.resolve({ kind: "notSent" });
     const id = `${this.#prefix}.${(this.#next++).toString(36)}`;
+    const isReused = this.#echoing.has(request.address);
     return new Promise((resolve) => {
-      const handler = new ExchangeHandler({ request, id, sink, resolve });
+      const handler = new ExchangeHandler({
+        request,
+        id,
+        sink,
+        resolve,
+        mustEcho: isReused,
+        noteEcho: (echoes) => this.#noteEcho(request.address, echoes),
+      });
       try {
-        this.#agent.dispatch(dispatchOptions(request, id), handler);
+        this.#agent.dispatch(
+          {
+            ...dispatchOptions(request, id),
+            ...(isReused ? {} : { reset: true }),
+          },
+          handler,
+        );
       } catch {
         handler.rejectBeforeSending();
       }
     });
   }
 
+  // A second answer that comes late cannot be told from the next one unless
+  // answers name their exchange; without that a connection serves one only.
+  #noteEcho(address: string, echoes: boolean): void {
+    if (echoes) this.#echoing.add(address);
+    else this.#echoing.delete(address);
+  }
+
   /** Closes every connection. */
   async close(): Promise<void> {
     await this.#agent.destroy();
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -122,6 +122,8 @@
     response: ServerResponse,
   ): Promise<void> {
     const path = (request.url ?? "").slice(forwardedPathPrefix.length);
+    const exchange = request.headers[Header.exchange];
+    if (exchange !== undefined) response.setHeader(Header.exchange, exchange);
     return this.#serve({ request, response, path, isForwarded: true });
   }
 
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -183,7 +183,7 @@
       tls,
       secret: secrets.vm,
       control,
-      services: [credits.addService, (router) => ledger.addService(router)],
+      services: [credits.addService, (registry) => ledger.addService(registry)],
       forwarded: (request, response) => {
         void gateway.serveForwarded(request, response);
       },
@@ -205,6 +205,7 @@
         control: client(),
         vm: vm.name,
         clock,
+        metrics,
       }),
     });
     const operators = await openOperatorsListener({
