--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -196,6 +196,7 @@
     const boot = this.#boot;
     const sentAt = performance.now();
     const condition = this.#condition;
+    const actsOn = sentAt < this.#leaseUntil ? this.#actsOn : noGrants;
     const listener = options.announceTo[
       this.#nextListener % options.announceTo.length
     ];
@@ -205,11 +206,7 @@
         {
           method: "POST",
           headers: { authorization: `Bearer ${options.secret}` },
-          body: announcementOf(options, {
-            boot,
-            condition,
-            actsOn: sentAt < this.#leaseUntil ? this.#actsOn : noGrants,
-          }),
+          body: announcementOf(options, { boot, condition, actsOn }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
@@ -342,7 +339,6 @@
       checksFences,
     });
     const isCancelled = await work(this.serviceMilliseconds, {
-      // A target that takes no cancellation goes on without its sender.
       cancelledBy: acceptsCancellation ? response : undefined,
     });
     await this.#frozen;
