Refuse grants that outlived the lease they were sent under

Change: the answer to an announcement names the first push that counts (grantsFrom: table version and next sequence); a target whose lease had lapsed refuses older ones. Measured: the shortest known path is a test, red without the rule ('a and b own the range') and green with it. Conclusion: a delayed push cannot revive what a lapse has ended.

--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -1,8 +1,15 @@
 import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
 import { request as sendRequest } from "undici";
-import type { GrantMessage, HeldGrant } from "./grant_message.ts";
+import { isBefore, noPush } from "./grant_message.ts";
+import type {
+  AnnouncementAnswer,
+  GrantMessage,
+  HeldGrant,
+  PushOrder,
+} from "./grant_message.ts";
 import type {
   FakeCondition,
   FakeTargetOptions,
@@ -12,8 +19,6 @@
 const announceTimeoutMilliseconds = 1000;
 const idleCheckMilliseconds = 5;
 
-const noPush = { version: 0, sequence: 0 };
-
 /**
  * A stand-in for a server that owns keys: it announces itself, takes fenced
  * grants, carries requests out and records what it did.
@@ -23,8 +28,8 @@
   readonly #server: Server;
   #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
-  #taken = noPush;
-  #actsOn = noPush;
+  #taken: PushOrder = noPush;
+  #actsOn: PushOrder = noPush;
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
@@ -169,9 +174,7 @@
       address: "",
     });
     while (this.#inProgress > 0) {
-      await new Promise((resolve) =>
-        setTimeout(resolve, idleCheckMilliseconds)
-      );
+      await pause(idleCheckMilliseconds);
     }
     history.record({ kind: "stopped", subject: "target", name: this.name });
     this.#end();
@@ -213,11 +216,11 @@
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
-      const reply = await body.json() as { leaseMilliseconds?: number };
+      const reply = await body.json() as AnnouncementAnswer;
       await this.#frozen;
       if (boot !== this.#boot) return;
       if (statusCode === 200 && reply.leaseMilliseconds) {
-        this.#renew(sentAt + reply.leaseMilliseconds);
+        this.#renew(sentAt + reply.leaseMilliseconds, reply.grantsFrom);
         this.#recordCondition("announced", condition);
       }
       if (statusCode === 503) this.#nextListener += 1;
@@ -227,8 +230,12 @@
   }
 
   // Grants do not outlive the lease that they were given under.
-  #renew(until: number): void {
-    if (performance.now() >= this.#leaseUntil) this.#lapse();
+  #renew(until: number, grantsFrom: PushOrder = noPush): void {
+    if (performance.now() >= this.#leaseUntil) {
+      this.#lapse();
+      // A push that outlived the lease may give what is another's by now.
+      if (isBefore(this.#taken, grantsFrom)) this.#taken = grantsFrom;
+    }
     this.#leaseUntil = Math.max(this.#leaseUntil, until);
     this.#options.history.record({
       kind: "leased",
@@ -279,16 +286,14 @@
     }
     const sender = request.socket.remoteAddress ?? "";
     const delay = this.#options.delayMilliseconds(sender);
-    if (delay > 0) await new Promise((resolve) => setTimeout(resolve, delay));
+    if (delay > 0) await pause(delay);
     await this.#carryOut(request, response);
   }
 
   #takeGrants(body: Buffer, response: ServerResponse): void {
     const message = JSON.parse(body.toString()) as GrantMessage;
     const { version, sequence } = message;
-    const order = version - this.#taken.version ||
-      sequence - this.#taken.sequence;
-    if (message.boot !== this.#boot || order < 0) {
+    if (message.boot !== this.#boot || isBefore(message, this.#taken)) {
       return void response.writeHead(409).end();
     }
     this.#taken = { version, sequence };
@@ -339,9 +344,7 @@
       condition: this.#condition,
       checksFences,
     });
-    await new Promise((resolve) =>
-      setTimeout(resolve, this.serviceMilliseconds)
-    );
+    await pause(this.serviceMilliseconds);
     await this.#frozen;
     if (boot !== this.#boot) return;
     this.#inProgress -= 1;
--- a/packages/fakes/grant_message.ts
+++ b/packages/fakes/grant_message.ts
@@ -13,3 +13,25 @@
   readonly sequence: number;
   readonly grants: readonly HeldGrant[];
 }
+
+/** Where a push of grants stands among all pushes to a target. */
+export interface PushOrder {
+  readonly version: number;
+  readonly sequence: number;
+}
+
+/** The order of no push. */
+export const noPush: PushOrder = { version: 0, sequence: 0 };
+
+/** Whether a push was sent before another. */
+export function isBefore(left: PushOrder, right: PushOrder): boolean {
+  return left.version < right.version ||
+    (left.version === right.version && left.sequence < right.sequence);
+}
+
+/** What a target is told in answer to its announcement. */
+export interface AnnouncementAnswer {
+  readonly leaseMilliseconds?: number;
+  /** The first push that counts under a lease that begins now. */
+  readonly grantsFrom?: PushOrder;
+}
--- a/packages/kingcupglade/control/leader_session.ts
+++ b/packages/kingcupglade/control/leader_session.ts
@@ -114,11 +114,16 @@
       return refused("the target changes its description too often");
     }
     this.#targets.renew(announcement, this.#now);
+    const grantsFrom = {
+      version: this.#state.version,
+      sequence: this.#pushSequence + 1,
+    };
     if (changes) await this.#propose({ kind: "putTarget", target });
     return {
       accepted: true,
       reason: "",
       leaseMilliseconds: this.#options.targetLeaseMilliseconds,
+      grantsFrom,
     };
   }
 
@@ -256,7 +261,8 @@
 }
 
 function refused(reason: string): AnnouncementReply {
-  return { accepted: false, reason, leaseMilliseconds: 0 };
+  const grantsFrom = { version: 0, sequence: 0 };
+  return { accepted: false, reason, leaseMilliseconds: 0, grantsFrom };
 }
 
 function describesSame(
--- a/packages/kingcupglade/exploration/range_exploration_test.ts
+++ b/packages/kingcupglade/exploration/range_exploration_test.ts
@@ -1,7 +1,12 @@
 import { explore, formatExploration, wander } from "@kingcupglade/checker";
 import { describe, expect, it } from "vitest";
 import { RangeModel } from "./range_model.ts";
-import type { RangeMutation, RangeStart } from "./range_world.ts";
+import type {
+  RangeAction,
+  RangeMutation,
+  RangeStart,
+  RangeWorld,
+} from "./range_world.ts";
 
 const budgets = {
   /** Target a leaves; two requests, one given up. */
@@ -62,6 +67,46 @@
     expect(result.violation).toBeNull();
   });
 
+  it("takes no push that outlived the lease it was sent under", () => {
+    const model = new RangeModel({ start: "granted", remaining: budgets.wide });
+    const late = model.initial.sequence + 1;
+    const apply = (world: RangeWorld, ...actions: readonly RangeAction[]) =>
+      actions.reduce((before, each) => model.apply(before, each), world);
+    let world = apply(
+      model.initial,
+      { kind: "coordinate" },
+      { kind: "failPush", sequence: late },
+      { kind: "tick", milliseconds: 800 },
+      { kind: "tick", milliseconds: 800 },
+      { kind: "announce", target: "b" },
+      { kind: "takeReply", target: "b" },
+    );
+    for (let round = 0; round < 6; round += 1) {
+      world = apply(
+        world,
+        { kind: "renew", vm: "vm-1" },
+        { kind: "renew", vm: "vm-2" },
+        { kind: "coordinate" },
+      );
+      for (const { sequence } of world.pushes) {
+        if (sequence === late) continue;
+        world = apply(
+          world,
+          { kind: "takePush", sequence },
+          { kind: "takeAnswer", sequence },
+        );
+      }
+    }
+    expect(world.targets.get("b")!.grants).toHaveLength(1);
+    world = apply(
+      world,
+      { kind: "announce", target: "a" },
+      { kind: "takeReply", target: "a" },
+      { kind: "takePush", sequence: late },
+    );
+    expect(model.check(world)).toBeNull();
+  });
+
   it("serves the range again after every short path", () => {
     const model = new RangeModel({ remaining: budgets.wide });
     const result = wander(model, {
--- a/packages/kingcupglade/exploration/range_model.ts
+++ b/packages/kingcupglade/exploration/range_model.ts
@@ -19,6 +19,7 @@
   commit,
   excuse,
   failPush,
+  isBefore,
   noteBook,
   ownsEpoch,
   ownsNow,
@@ -27,6 +28,7 @@
   quiescentVersion,
   rangeOf,
   replay,
+  replyNow,
   spend,
   takeAnswer,
   takeReply,
@@ -87,9 +89,9 @@
       }
     }
     for (const target of targetNames) {
-      const { replySentAt } = targets.get(target)!;
-      if (replySentAt !== null) actions.push({ kind: "takeReply", target });
-      else if (remaining.announcements > 0) {
+      if (targets.get(target)!.reply !== null) {
+        actions.push({ kind: "takeReply", target });
+      } else if (remaining.announcements > 0) {
         actions.push({ kind: "announce", target });
       }
     }
@@ -157,7 +159,7 @@
     for (let round = 0; round < settlingRounds; round += 1) {
       for (const { id } of next.requests) next = this.#arrive(next, id);
       for (const name of targetNames) {
-        if (next.targets.get(name)!.replySentAt === null) {
+        if (next.targets.get(name)!.reply === null) {
           next = this.#announce(next, name);
         }
         next = takeReply(next, name);
@@ -301,7 +303,7 @@
         world.control.targets.get(target)!.condition !== "lost"
       ? renewed
       : commit(renewed, putTarget(target, "serving"));
-    return withTarget(registered, target, { replySentAt: world.now });
+    return withTarget(registered, target, { reply: replyNow(world) });
   }
 
   #leave(world: RangeWorld, target: string): RangeWorld {
@@ -314,9 +316,8 @@
   #takePush(world: RangeWorld, sequence: number): RangeWorld {
     const push = world.pushes.find((each) => each.sequence === sequence)!;
     const { taken } = world.targets.get(push.target)!;
-    const isOld = push.version < taken.version ||
-      (push.version === taken.version && push.sequence < taken.sequence);
-    const refused = isOld && this.#mutation !== "ignoresPushOrder";
+    const refused = isBefore(push, taken) &&
+      this.#mutation !== "ignoresPushOrder";
     const answered = withPush(world, sequence, { taken: true, refused });
     return refused ? answered : withTarget(answered, push.target, {
       grants: world.now < world.targets.get(push.target)!.leaseUntil
--- a/packages/kingcupglade/exploration/range_moves.ts
+++ b/packages/kingcupglade/exploration/range_moves.ts
@@ -51,6 +51,13 @@
   });
 }
 
+/** What the leader answers to an announcement now. */
+export function replyNow(world: RangeWorld): WorldTarget["reply"] {
+  const { version } = world.control;
+  const grantsFrom = { version, sequence: world.sequence + 1 };
+  return { sentAt: world.now, grantsFrom };
+}
+
 /** Tells fresh books what the leader's were told. */
 export function replay(
   books: { readonly targets: TargetBook; readonly vms: VmBook },
@@ -147,19 +154,30 @@
 
 /** The reply to a target's announcement arrives. */
 export function takeReply(world: RangeWorld, target: string): RangeWorld {
-  const { leaseUntil, grants, actsOn, replySentAt } = world.targets.get(
+  const { leaseUntil, grants, actsOn, taken, reply } = world.targets.get(
     target,
   )!;
+  const { sentAt, grantsFrom } = reply!;
   const lapsed = world.now >= leaseUntil;
   const next = withTarget(world, target, {
-    leaseUntil: Math.max(leaseUntil, replySentAt! + leaseMilliseconds),
+    leaseUntil: Math.max(leaseUntil, sentAt + leaseMilliseconds),
     grants: lapsed ? [] : grants,
     actsOn: lapsed ? { version: 0, sequence: 0 } : actsOn,
-    replySentAt: null,
+    taken: lapsed && isBefore(taken, grantsFrom) ? grantsFrom : taken,
+    reply: null,
   });
   return lapsed ? excuse(next, (each) => each.target === target) : next;
 }
 
+/** Whether a push was sent before another. */
+export function isBefore(
+  left: WorldTarget["taken"],
+  right: WorldTarget["taken"],
+): boolean {
+  return left.version < right.version ||
+    (left.version === right.version && left.sequence < right.sequence);
+}
+
 /** A VM stops waiting for a request. */
 export function abandon(world: RangeWorld, id: number): RangeWorld {
   const request = world.requests.find((each) => each.id === id)!;
--- a/packages/kingcupglade/exploration/range_start.ts
+++ b/packages/kingcupglade/exploration/range_start.ts
@@ -48,7 +48,7 @@
     grants: [],
     taken: { version: 0, sequence: 0 },
     actsOn: { version: 0, sequence: 0 },
-    replySentAt: null,
+    reply: null,
   }])),
   pushes: [],
   requests: [],
--- a/packages/kingcupglade/exploration/range_world.ts
+++ b/packages/kingcupglade/exploration/range_world.ts
@@ -105,8 +105,15 @@
   readonly taken: { readonly version: number; readonly sequence: number };
   /** The push that it acts on; zeros when its lease lapsed since. */
   readonly actsOn: { readonly version: number; readonly sequence: number };
-  /** When the announcement was sent whose reply travels, or null. */
-  readonly replySentAt: number | null;
+  /** The reply to its announcement that travels, or null. */
+  readonly reply: {
+    /** When the announcement was sent. */
+    readonly sentAt: number;
+    readonly grantsFrom: {
+      readonly version: number;
+      readonly sequence: number;
+    };
+  } | null;
 }
 
 /** Everything that differs between two points of an exploration. */
--- a/packages/membership/announcement.ts
+++ b/packages/membership/announcement.ts
@@ -65,6 +65,11 @@
   readonly reason: string;
   /** Counted by the target from the moment it sent the announcement. */
   readonly leaseMilliseconds: number;
+  /**
+   * The first push of grants that counts under a lease that begins with this
+   * reply; one that was sent before may give what is another's by now.
+   */
+  readonly grantsFrom: { readonly version: number; readonly sequence: number };
 }
 
 /**
