--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -12,6 +12,10 @@
       (await import("./suite/recovery.ts")).recoveryExperiment,
     "throughput": async () =>
       (await import("./suite/throughput.ts")).throughputExperiment,
+    "credits": async () =>
+      (await import("./suite/credits.ts")).creditsExperiment,
+    "data-centre": async () =>
+      (await import("./suite/data_centre.ts")).dataCentreExperiment,
     "slow-targets": async () =>
       (await import("./suite/slow_targets.ts")).slowTargetsExperiment,
     "planner": async () =>
@@ -21,6 +25,8 @@
     "history": async () =>
       (await import("./suite/history.ts")).historyExperiment,
     "rolls": async () => (await import("./suite/rolls.ts")).rollsExperiment,
+    "control-cost": async () =>
+      (await import("./suite/control_cost.ts")).controlCostExperiment,
     "table-size": async () =>
       (await import("./suite/table_size.ts")).tableSizeExperiment,
     "ledger-cost": async () =>
@@ -29,4 +35,6 @@
       (await import("./suite/lost_ledger.ts")).lostLedgerExperiment,
     "lost-owner": async () =>
       (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
+    "whole-answers": async () =>
+      (await import("./suite/whole_answers.ts")).wholeAnswersExperiment,
   }));
--- a/packages/experiments/suite/throughput.ts
+++ b/packages/experiments/suite/throughput.ts
@@ -140,6 +140,8 @@
 function listenAsTarget(): Promise<Server> {
   const server = createServer((incoming, response) => {
     incoming.resume();
+    const exchange = incoming.headers["kingcupglade-exchange"];
+    if (exchange) response.setHeader("kingcupglade-exchange", exchange);
     response.writeHead(200, { "content-length": answer.length });
     response.end(answer);
   });
--- a/packages/fakes/grant_message.ts
+++ b/packages/fakes/grant_message.ts
@@ -21,7 +21,7 @@
 }
 
 /** The order of no push. */
-export const noPush: PushOrder = { version: 0, sequence: 0 };
+export const noGrants: PushOrder = { version: 0, sequence: 0 };
 
 /** Whether a push was sent before another. */
 export function isBefore(left: PushOrder, right: PushOrder): boolean {
@@ -35,3 +35,19 @@
   /** The first push that counts under a lease that begins now. */
   readonly grantsFrom?: PushOrder;
 }
+
+/** Whether grants cover a position under exactly the epoch of a request. */
+export function grantsCover(
+  grants: readonly HeldGrant[],
+  subject: {
+    readonly group: string;
+    readonly position: number;
+    readonly epoch: number;
+  },
+): boolean {
+  const { group, position, epoch } = subject;
+  return grants.some((grant) =>
+    grant.group === group && grant.start <= position &&
+    position < grant.end && grant.epoch === epoch
+  );
+}
--- a/packages/kingcupglade/control/target_book.ts
+++ b/packages/kingcupglade/control/target_book.ts
@@ -11,30 +11,31 @@
 /** Changes of its description that a target may make at once, and a second. */
 const changesPerTarget = { burst: 8, perSecond: 2 } as const;
 
-interface KnownTarget {
-  readonly boot: string;
-  /** Not known from the start of a push until the target confirms it. */
-  readonly held: readonly Grant[] | null;
-  /** The push under way, or null. */
-  readonly pushing: PushOrder | null;
-  /** The push that it confirmed last; null when `held` is not known. */
-  readonly confirmed: PushOrder | null;
-  /** Since when its pushes have failed; null when the last one was confirmed. */
-  readonly failingSince: number | null;
-}
-
-/** Where a push stands among all pushes to a target. */
-interface PushOrder {
+/** Orders the pushes to a target over all leaders. */
+export interface PushNumber {
   /** Table version that the grants follow from. */
   readonly version: number;
-  /** Orders the pushes of one leader. */
+  /** Orders the pushes of one version. */
   readonly sequence: number;
 }
 
-/** A push of grants to one incarnation of a target. */
-interface NumberedPush extends PushOrder {
+/** A push of grants to a target. */
+export interface NumberedPush extends PushNumber {
   readonly target: string;
   readonly boot: string;
+  readonly grants: readonly Grant[];
+}
+
+interface KnownTarget {
+  readonly boot: string;
+  /** The push that the target confirmed last; null when none holds for sure. */
+  readonly confirmed: NumberedPush | null;
+  /** Whether it has confirmed any push under this lease. */
+  readonly takesGrants: boolean;
+  /** The push under way; only its own confirmation counts. */
+  readonly pushing: PushNumber | null;
+  /** Since when its pushes have failed; null when the last one was confirmed. */
+  readonly failingSince: number | null;
 }
 
 /** What the leader knows of the targets' leases and confirmed grants. */
@@ -72,7 +73,7 @@
     return this.#changes.allows(target, now);
   }
 
-  /** Renews a lease. */
+  /** Renews a lease, and takes in which grants the target says it holds. */
   renew(announcement: Announcement, now: number): void {
     const { target, boot } = announcement;
     const known = this.#known.get(target);
@@ -81,13 +82,13 @@
       const failingSince = known?.boot === boot ? known.failingSince : null;
       this.#known.set(target, {
         boot,
-        held: null,
-        pushing: null,
         confirmed: null,
+        takesGrants: false,
+        pushing: null,
         failingSince,
       });
-    } else if (hasDropped(known, announcement)) {
-      this.#known.set(target, { ...known, held: null, confirmed: null });
+    } else if (contradicts(announcement, known.confirmed)) {
+      this.#known.set(target, { ...known, confirmed: null });
     }
     this.#leases.renew(target, boot, now);
   }
@@ -103,40 +104,40 @@
     return {
       lapsed: this.#leases.hasLapsed(target, now),
       lapsesAt: this.#leases.lapsesAt(target),
-      held: this.#known.get(target)?.held ?? null,
+      held: this.#known.get(target)?.confirmed?.grants ?? null,
+      takesGrants: this.#known.get(target)?.takesGrants ?? false,
     };
   }
 
-  /** Begins to tell a target its grants; false when it may not be told now. */
+  /**
+   * Begins to tell a target its grants; false when it may not be told now. From
+   * here on the target may hold what it had or what it is told.
+   */
   beginPush(push: NumberedPush): boolean {
     const known = this.#known.get(push.target);
-    if (!known || known.boot !== push.boot || known.pushing !== null) {
-      return false;
-    }
-    // The target may act on the grants long before its answer arrives, and
-    // also when the answer is lost.
+    if (!known || known.boot !== push.boot || known.pushing) return false;
+    const { version, sequence } = push;
     this.#known.set(push.target, {
       ...known,
-      held: null,
-      pushing: { version: push.version, sequence: push.sequence },
       confirmed: null,
+      pushing: { version, sequence },
     });
     return true;
   }
 
   /** Notes what came of a push. */
   endPush(
-    push: NumberedPush & { readonly grants: readonly Grant[] },
+    push: NumberedPush,
     result: { readonly confirmed: boolean; readonly now: number },
   ): void {
     const known = this.#known.get(push.target);
-    if (known?.boot !== push.boot || !isSamePush(known.pushing, push)) return;
+    if (!known?.pushing || !isSamePush(known.pushing, push)) return;
     const { confirmed, now } = result;
     this.#known.set(push.target, {
       ...known,
-      held: confirmed ? push.grants : null,
+      confirmed: confirmed ? push : null,
+      takesGrants: known.takesGrants || confirmed,
       pushing: null,
-      confirmed: confirmed ? known.pushing : null,
       failingSince: confirmed ? null : known.failingSince ?? now,
     });
   }
@@ -176,13 +177,16 @@
   }
 }
 
-// A target may have dropped its grants when its lease lapsed by its own clock.
-function hasDropped(known: KnownTarget, announcement: Announcement): boolean {
+/** Whether a target says that it does not hold what it confirmed. */
+function contradicts(
+  announcement: Announcement,
+  confirmed: NumberedPush | null,
+): boolean {
   const { actsOn } = announcement;
-  return actsOn !== undefined && known.confirmed !== null &&
-    !isSamePush(known.confirmed, actsOn);
+  return actsOn !== undefined && confirmed !== null &&
+    !isSamePush(actsOn, confirmed);
 }
 
-function isSamePush(left: PushOrder | null, right: PushOrder): boolean {
-  return left?.version === right.version && left.sequence === right.sequence;
+function isSamePush(left: PushNumber, right: PushNumber): boolean {
+  return left.version === right.version && left.sequence === right.sequence;
 }
--- a/packages/kingcupglade/exploration/range_model.ts
+++ b/packages/kingcupglade/exploration/range_model.ts
@@ -63,7 +63,7 @@
  */
 export class RangeModel implements ExplorationModel<RangeWorld, RangeAction> {
   readonly initial: RangeWorld;
-  readonly #mutation: RangeMutation | null;
+  #mutation: RangeMutation | null = null;
 
   constructor(
     options: {
@@ -73,11 +73,12 @@
       readonly mutation?: RangeMutation;
     },
   ) {
-    this.#mutation = options.mutation ?? null;
     this.initial = {
       ...this.#start(options.start ?? "serving"),
       remaining: options.remaining,
     };
+    // The way to the start follows every rule.
+    this.#mutation = options.mutation ?? null;
   }
 
   actions(world: RangeWorld): readonly RangeAction[] {
--- a/packages/kingcupglade/exploration/range_moves.ts
+++ b/packages/kingcupglade/exploration/range_moves.ts
@@ -110,6 +110,7 @@
       target,
       version: sent.version,
       sequence,
+      grants,
     }),
     sequence,
     pushes: [...world.pushes, sent],
--- a/packages/kingcupglade/gateway/exchange_test.ts
+++ b/packages/kingcupglade/gateway/exchange_test.ts
@@ -178,6 +178,38 @@
       });
     });
 
+    it.each([
+      ["that echoes", true],
+      ["that does not echo", false],
+    ])(
+      "never crosses when it comes after the next request: a target %s",
+      async (_, echoes) => {
+        let first: Socket | undefined;
+        const answer = (head: string, body: string) => {
+          const id = /kingcupglade-exchange: (.*)\r/.exec(head)![1];
+          const echo = echoes ? `kingcupglade-exchange: ${id}\r\n` : "";
+          return ok(body).replace("content", `${echo}content`);
+        };
+        let firstHead = "";
+        behaviour = (socket, head) => {
+          if (head.startsWith("POST /warm-up")) {
+            return socket.write(answer(head, "warm"));
+          }
+          if (head.startsWith("POST /first")) {
+            [first, firstHead] = [socket, head];
+            return socket.write(answer(head, "first"));
+          }
+          first?.write(answer(firstHead, "again"));
+          setTimeout(() => socket.write(answer(head, "second")), 10);
+        };
+        await ask("/warm-up");
+        expect(await ask("/first")).toMatchObject({ body: "first" });
+        const second = await ask("/second");
+        expect(["second", ""]).toContain(second.body);
+        expect(second.result.kind).toBe(echoes ? "unknown" : "answered");
+      },
+    );
+
     it("skips informational answers", async () => {
       behaviour = (socket) =>
         socket.write(`HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n${ok("one")}`);
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -135,6 +135,7 @@
       routing,
       peers,
       clock,
+      metrics,
       observations,
       routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
     });
@@ -204,6 +205,7 @@
         control: client(),
         vm: vm.name,
         clock,
+        metrics,
       }),
     });
     const operators = await openOperatorsListener({
--- a/packages/membership/announcement.ts
+++ b/packages/membership/announcement.ts
@@ -38,10 +38,7 @@
   /** Whether it refuses requests with an old fence epoch. @default true */
   checksFences: z.boolean().default(true),
   condition: z.enum(["cold", "serving", "draining", "leaving"]),
-  /**
-   * Which push of grants it acts on, as that push named itself; zeros when it
-   * acts on none. Control cannot tell when it is absent.
-   */
+  /** The push of grants that it acts on; zeros when it holds none. */
   actsOn: z.strictObject({
     version: z.number().int().min(0),
     sequence: z.number().int().min(0),
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -11,6 +11,8 @@
   readonly retries: Counter<"reason">;
   /** Late requests sent to a second target. */
   readonly hedges: Counter;
+  /** Messages about credits that this VM sent, by kind. */
+  readonly creditMessages: Counter<"kind">;
   /** Time from arrival to the end of the answer, in seconds. */
   readonly latency: Histogram<"service" | "tenant" | "class">;
   /** Bytes of requests and answers over links between regions. */
@@ -27,6 +29,10 @@
   readonly tableVersion: Gauge;
   /** Times that the routing lease lapsed. */
   readonly leaseLapses: Counter;
+  /** Messages of this VM to the control leader, by kind. */
+  readonly controlMessages: Counter<"kind">;
+  /** Bytes of those messages and their answers, headers not counted. */
+  readonly controlBytes: Counter<"kind">;
   /** Range changes committed while this VM led, by kind. */
   readonly rangeChanges: Counter<"kind">;
   /** 1 while this VM leads control. */
@@ -80,6 +86,12 @@
       help: "Late idempotent requests sent to a second target",
       registers,
     }),
+    creditMessages: new Counter({
+      name: "kingcupglade_credit_messages_total",
+      help: "Messages about credits sent to other VMs",
+      labelNames: ["kind"],
+      registers,
+    }),
     latency: new Histogram({
       name: "kingcupglade_request_seconds",
       help: "Time from arrival to the end of the answer",
@@ -124,6 +136,18 @@
       help: "Times that the routing lease lapsed",
       registers,
     }),
+    controlMessages: new Counter({
+      name: "kingcupglade_control_messages_total",
+      help: "Messages to the control leader",
+      labelNames: ["kind"],
+      registers,
+    }),
+    controlBytes: new Counter({
+      name: "kingcupglade_control_bytes_total",
+      help: "Bytes of messages to the control leader and of their answers",
+      labelNames: ["kind"],
+      registers,
+    }),
     rangeChanges: new Counter({
       name: "kingcupglade_range_changes_total",
       help: "Range changes committed while this VM led control",
