--- a/packages/kingcupglade/exploration/range_model.ts
+++ b/packages/kingcupglade/exploration/range_model.ts
@@ -77,8 +77,7 @@
       ...this.#start(options.start ?? "serving"),
       remaining: options.remaining,
     };
-    // The way to the start follows every rule.
-    this.#mutation = options.mutation ?? null;
+    this.#mutation = options.mutation ?? null; // The start follows every rule.
   }
 
   actions(world: RangeWorld): readonly RangeAction[] {
@@ -379,14 +378,14 @@
 
   #arrive(world: RangeWorld, id: number): RangeWorld {
     const request = world.requests.find((each) => each.id === id)!;
-    const { target, epoch, awaited, excused } = request;
+    const { target, epoch } = request;
     const runs = this.#mutation === "ignoresFence" ||
       ownsEpoch(world, target, epoch);
     const holdsLease = world.now < world.targets.get(target)!.leaseUntil;
-    const wasCut = !runs && awaited && !excused && holdsLease;
+    const mayBeRefused = !request.awaited || request.excused || !holdsLease;
     const fault = runs && epoch < world.highestEffect
       ? `an effect under epoch ${epoch} came after one under ${world.highestEffect}`
-      : wasCut
+      : !runs && !mayBeRefused
       ? `a move refused a request under epoch ${epoch}`
       : world.fault;
     return {
