--- a/packages/kingcupglade/exploration/range_model.ts
+++ b/packages/kingcupglade/exploration/range_model.ts
@@ -258,7 +258,7 @@
       target: (name) => {
         const view = targets.view(name, now);
         return this.#mutation === "assumesNoGrants"
-          ? { ...view, held: view.held ?? [] }
+          ? { ...view, held: view.held ?? [], takesGrants: true }
           : view;
       },
     };
