--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -4,9 +4,14 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { request as sendRequest } from "undici";
 import { announcementOf } from "./announcement_of.ts";
+import { grantsCover, isBefore, noGrants } from "./grant_message.ts";
+import type {
+  AnnouncementAnswer,
+  GrantMessage,
+  HeldGrant,
+  PushOrder,
+} from "./grant_message.ts";
 import { work } from "./work.ts";
-import { isOlder, noGrants } from "./grant_message.ts";
-import type { GrantMessage, HeldGrant } from "./grant_message.ts";
 import type {
   FakeCondition,
   FakeTargetOptions,
@@ -25,8 +30,8 @@
   readonly #server: Server;
   #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
-  #taken = noGrants;
-  #actsOn = noGrants;
+  #taken: PushOrder = noGrants;
+  #actsOn: PushOrder = noGrants;
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
@@ -195,6 +200,7 @@
     const boot = this.#boot;
     const sentAt = performance.now();
     const condition = this.#condition;
+    const actsOn = sentAt < this.#leaseUntil ? this.#actsOn : noGrants;
     const listener = options.announceTo[
       this.#nextListener % options.announceTo.length
     ];
@@ -204,19 +210,15 @@
         {
           method: "POST",
           headers: { authorization: `Bearer ${options.secret}` },
-          body: announcementOf(options, {
-            boot,
-            condition,
-            actsOn: sentAt < this.#leaseUntil ? this.#actsOn : noGrants,
-          }),
+          body: announcementOf(options, { boot, condition, actsOn }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
-      const reply = await body.json() as { leaseMilliseconds?: number };
+      const reply = await body.json() as AnnouncementAnswer;
       await this.#frozen;
       if (boot !== this.#boot) return;
       if (statusCode === 200 && reply.leaseMilliseconds) {
-        this.#renew(sentAt + reply.leaseMilliseconds);
+        this.#renew(sentAt + reply.leaseMilliseconds, reply.grantsFrom);
         this.#recordCondition("announced", condition);
       }
       if (statusCode === 503) this.#nextListener += 1;
@@ -226,8 +228,12 @@
   }
 
   // Grants do not outlive the lease that they were given under.
-  #renew(until: number): void {
-    if (performance.now() >= this.#leaseUntil) this.#lapse();
+  #renew(until: number, grantsFrom: PushOrder = noGrants): void {
+    if (performance.now() >= this.#leaseUntil) {
+      this.#lapse();
+      // A push that outlived the lease may give what is another's by now.
+      if (isBefore(this.#taken, grantsFrom)) this.#taken = grantsFrom;
+    }
     this.#leaseUntil = Math.max(this.#leaseUntil, until);
     this.#options.history.record({
       kind: "leased",
@@ -287,7 +293,7 @@
   #takeGrants(body: Buffer, response: ServerResponse): void {
     const message = JSON.parse(body.toString()) as GrantMessage;
     const { version, sequence } = message;
-    if (message.boot !== this.#boot || isOlder(message, this.#taken)) {
+    if (message.boot !== this.#boot || isBefore(message, this.#taken)) {
       return void response.writeHead(409).end();
     }
     this.#taken = this.#actsOn = { version, sequence };
@@ -313,7 +319,7 @@
     const epoch = Number(request.headers["kingcupglade-epoch"] ?? 0);
     const subject = { group, position, epoch };
     if (
-      group !== "" && checksFences && !this.#owns(subject, performance.now())
+      group !== "" && checksFences && !grantsCover(this.grants, subject)
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
@@ -339,7 +345,6 @@
       checksFences,
     });
     const isCancelled = await work(this.serviceMilliseconds, {
-      // A target that takes no cancellation goes on without its sender.
       cancelledBy: acceptsCancellation ? response : undefined,
     });
     await this.#frozen;
@@ -351,7 +356,8 @@
     }
     const effectAt = performance.now();
     if (
-      group !== "" && checksFences && !this.#owns(subject, effectAt)
+      group !== "" && checksFences &&
+      !grantsCover(this.#grantsAt(effectAt), subject)
     ) {
       history.record({ kind: "ended", target: this.name, request: id });
       return this.#refuse(response, { id, reason: "fenced" });
@@ -367,21 +373,6 @@
     response.end(JSON.stringify({ request: id, target: this.name, epoch }));
   }
 
-  #owns(
-    subject: {
-      readonly group: string;
-      readonly position: number;
-      readonly epoch: number;
-    },
-    now: number,
-  ): boolean {
-    const { group, position, epoch } = subject;
-    return this.#grantsAt(now).some((grant) =>
-      grant.group === group && grant.start <= position &&
-      position < grant.end && grant.epoch === epoch
-    );
-  }
-
   #refuse(
     response: ServerResponse,
     refusal: { readonly id: string; readonly reason: string },
--- a/packages/kingcupglade/control/target_book.ts
+++ b/packages/kingcupglade/control/target_book.ts
@@ -11,6 +11,9 @@
 /** Changes of its description that a target may make at once, and a second. */
 const changesPerTarget = { burst: 8, perSecond: 2 } as const;
 
+/** Pause before a push that failed is repeated. */
+const retryMilliseconds = 100;
+
 /** Orders the pushes to a target over all leaders. */
 export interface PushNumber {
   /** Table version that the grants follow from. */
@@ -36,6 +39,7 @@
   readonly pushing: PushNumber | null;
   /** Since when its pushes have failed; null when the last one was confirmed. */
   readonly failingSince: number | null;
+  readonly retryAt: number;
 }
 
 /** What the leader knows of the targets' leases and confirmed grants. */
@@ -73,7 +77,7 @@
     return this.#changes.allows(target, now);
   }
 
-  /** Renews a lease, and takes in which grants the target says it holds. */
+  /** Renews a lease, and takes in which grants the target says it acts on. */
   renew(announcement: Announcement, now: number): void {
     const { target, boot } = announcement;
     const known = this.#known.get(target);
@@ -86,6 +90,7 @@
         takesGrants: false,
         pushing: null,
         failingSince,
+        retryAt: -Infinity,
       });
     } else if (contradicts(announcement, known.confirmed)) {
       this.#known.set(target, { ...known, confirmed: null });
@@ -109,11 +114,16 @@
     };
   }
 
+  /** Whether the pause after a failed push is over. */
+  mayPush(target: string, now: number): boolean {
+    return now >= (this.#known.get(target)?.retryAt ?? -Infinity);
+  }
+
   /**
    * Begins to tell a target its grants; false when it may not be told now. From
    * here on the target may hold what it had or what it is told.
    */
-  beginPush(push: NumberedPush): boolean {
+  beginPush(push: Omit<NumberedPush, "grants">): boolean {
     const known = this.#known.get(push.target);
     if (!known || known.boot !== push.boot || known.pushing) return false;
     const { version, sequence } = push;
@@ -139,6 +149,7 @@
       takesGrants: known.takesGrants || confirmed,
       pushing: null,
       failingSince: confirmed ? null : known.failingSince ?? now,
+      retryAt: confirmed ? -Infinity : now + retryMilliseconds,
     });
   }
 
