--- a/packages/kingcupglade/ledger/ledger_task.ts
+++ b/packages/kingcupglade/ledger/ledger_task.ts
@@ -1,4 +1,3 @@
-import type { ConnectRouter } from "@connectrpc/connect";
 import { LedgerShard, regionOfClaim } from "@kingcupglade/ledger";
 import type {
   Claim,
@@ -15,6 +14,7 @@
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
+import type { ServiceRegistry } from "../listeners/lean_services.ts";
 import { ShardReplicator } from "./shard_replicator.ts";
 import { StandbyChannel } from "./standby_channel.ts";
 
@@ -124,8 +124,8 @@
   }
 
   /** Adds the service that other VMs call. */
-  addService(router: ConnectRouter): void {
-    router.service(Ledger, {
+  addService(registry: ServiceRegistry): void {
+    registry.service(Ledger, {
       replicate: ({ batches }) => ({
         accepted: batches.map(({ region, shard, batch }) =>
           this.#receive(
