--- a/packages/kingcupglade/control/leader_session.ts
+++ b/packages/kingcupglade/control/leader_session.ts
@@ -1,4 +1,3 @@
-import { setTimeout as pause } from "node:timers/promises";
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
 import { coordinate, LoadEstimates, RangeIndex } from "@kingcupglade/ownership";
 import type {
@@ -22,8 +21,6 @@
 const coordinationPauseMilliseconds = 5;
 /** Time between two plans that even out the load. */
 const balanceMilliseconds = 1000;
-/** Pause before a push that failed is repeated. */
-const retryMilliseconds = 100;
 
 /** What a VM says when it renews its routing lease. */
 export interface VmRenewal {
@@ -117,11 +114,16 @@
       return refused("the target changes its description too often");
     }
     this.#targets.renew(announcement, this.#now);
+    const grantsFrom = {
+      version: this.#state.version,
+      sequence: this.#pushSequence + 1,
+    };
     if (changes) await this.#propose({ kind: "putTarget", target });
     return {
       accepted: true,
       reason: "",
       leaseMilliseconds: this.#options.targetLeaseMilliseconds,
+      grantsFrom,
     };
   }
 
@@ -240,15 +242,15 @@
   }
 
   async #push(push: CoordinatorPlan["pushes"][number]): Promise<void> {
-    this.#pushSequence += 1;
     const numbered = {
       ...push,
       version: this.#state.version,
-      sequence: this.#pushSequence,
+      sequence: this.#pushSequence + 1,
     };
+    if (!this.#targets.mayPush(push.target, this.#now)) return;
     if (!this.#targets.beginPush(numbered)) return;
+    this.#pushSequence = numbered.sequence;
     const confirmed = await this.#options.grants.push(numbered);
-    if (!confirmed) await pause(retryMilliseconds);
     this.#targets.endPush(numbered, { confirmed, now: this.#now });
     if (!confirmed) {
       this.#options.logger.warn("grants-not-confirmed", {
@@ -260,7 +262,8 @@
 }
 
 function refused(reason: string): AnnouncementReply {
-  return { accepted: false, reason, leaseMilliseconds: 0 };
+  const grantsFrom = { version: 0, sequence: 0 };
+  return { accepted: false, reason, leaseMilliseconds: 0, grantsFrom };
 }
 
 function describesSame(
--- a/packages/membership/announcement.ts
+++ b/packages/membership/announcement.ts
@@ -38,7 +38,10 @@
   /** Whether it refuses requests with an old fence epoch. @default true */
   checksFences: z.boolean().default(true),
   condition: z.enum(["cold", "serving", "draining", "leaving"]),
-  /** The push of grants that it acts on; zeros when it holds none. */
+  /**
+   * Which push of grants it acts on, as that push named itself; zeros when it
+   * acts on none. Control cannot tell when it is absent.
+   */
   actsOn: z.strictObject({
     version: z.number().int().min(0),
     sequence: z.number().int().min(0),
@@ -62,6 +65,11 @@
   readonly reason: string;
   /** Counted by the target from the moment it sent the announcement. */
   readonly leaseMilliseconds: number;
+  /**
+   * The first push of grants that counts under a lease that begins with this
+   * reply; one that was sent before may give what is another's by now.
+   */
+  readonly grantsFrom: { readonly version: number; readonly sequence: number };
 }
 
 /**
