--- /dev/null
+++ b/packages/kingcupglade/vm/foundation.ts
@@ -0,0 +1,70 @@
+import { randomUUID } from "node:crypto";
+import { MonotonicClock } from "@kingcupglade/tasks";
+import type { Clock } from "@kingcupglade/tasks";
+import { createLogger, createMetrics } from "@kingcupglade/telemetry";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import { ControlClient } from "../control/control_client.ts";
+import { PeerDirectory } from "../control/peers.ts";
+import type { ResolvedSettings } from "../settings/schema.ts";
+import { readSecrets } from "../settings/secrets.ts";
+import type { Secrets } from "../settings/secrets.ts";
+import { readTls } from "../settings/tls.ts";
+import type { ResolvedTls } from "../settings/tls.ts";
+
+/** What every task and listener of a VM is built on. */
+export interface VmFoundation {
+  readonly settings: ResolvedSettings;
+  readonly secrets: Secrets;
+  readonly tls: ResolvedTls;
+  /** Drawn anew at each start of the process. */
+  readonly boot: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly peers: PeerDirectory;
+  /** Creates a client of the control leader. */
+  readonly createControlClient: () => ControlClient;
+}
+
+/**
+ * Reads secrets and certificates and creates what the tasks share.
+ *
+ * @throws {SettingsError} when a file that the settings name cannot be used.
+ */
+export async function layFoundation(
+  settings: ResolvedSettings,
+): Promise<VmFoundation> {
+  const { vm, log } = settings;
+  const secrets = await readSecrets(settings);
+  const tls = await readTls(settings);
+  const clock = new MonotonicClock();
+  const peers = new PeerDirectory({
+    addresses: settings.peers,
+    secret: secrets.vm,
+    tls,
+  });
+  return {
+    settings,
+    secrets,
+    tls,
+    boot: randomUUID(),
+    clock,
+    logger: createLogger({
+      fields: { vm: vm.name, dataCentre: vm.dataCentre },
+      level: log.level,
+    }),
+    metrics: createMetrics(),
+    peers,
+    createControlClient: () =>
+      new ControlClient({ peers, candidates: candidatesOf(settings), clock }),
+  };
+}
+
+/** VMs that may lead control: the first voters, then all the others. */
+function candidatesOf(settings: ResolvedSettings): readonly string[] {
+  const { voters } = settings.control;
+  const others = Object.keys(settings.peers).filter((each) =>
+    !voters.includes(each)
+  );
+  return [...voters, ...others];
+}
--- /dev/null
+++ b/packages/kingcupglade/vm/tasks.ts
@@ -0,0 +1,139 @@
+import { randomInt } from "node:crypto";
+import { createKeyHasher } from "@kingcupglade/ownership";
+import { TargetObservations } from "@kingcupglade/routing";
+import type { CapacityGate } from "@kingcupglade/routing";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { ControlTask } from "../control/control_task.ts";
+import { RoutingTask } from "../control/routing_task.ts";
+import { Credits } from "../credits/credits.ts";
+import { ExchangeClient } from "../gateway/exchange.ts";
+import { Forwarder } from "../gateway/forwarder.ts";
+import { Gateway } from "../gateway/gateway.ts";
+import type { TargetChoice } from "../gateway/target_chooser.ts";
+import { LedgerTask } from "../ledger/ledger_task.ts";
+import type { VmFoundation } from "./foundation.ts";
+
+const connectionsPerTarget = 110;
+
+/** Decisions of a VM that measurements replace. */
+export interface VmPolicy {
+  /** @default credits shared by the VMs */
+  readonly capacity?: CapacityGate;
+  /** @default near targets with room first, then the faster of two */
+  readonly choice?: TargetChoice;
+  /** Hedges that each request earns. @default 0.04 */
+  readonly hedgeShare?: number;
+  /** Address that connections to targets come from. */
+  readonly localAddress?: string;
+  /** Seed of the choices among targets. @default drawn at each start */
+  readonly seed?: number;
+}
+
+/** The tasks of one VM. */
+export interface VmTasks {
+  /** Undefined on a VM without a data folder. */
+  readonly control: ControlTask | undefined;
+  readonly routing: RoutingTask;
+  readonly credits: Credits;
+  readonly ledger: LedgerTask;
+  readonly exchanges: ExchangeClient;
+  readonly forwarder: Forwarder;
+  readonly gateway: Gateway;
+}
+
+/**
+ * Starts the tasks of a VM.
+ *
+ * @throws {StorageError} when the data folder belongs to another VM.
+ */
+export async function startTasks(
+  foundation: VmFoundation,
+  policy: VmPolicy,
+): Promise<VmTasks> {
+  const { settings, secrets, tls, boot } = foundation;
+  const { vm } = settings;
+  const control = await startControl(foundation);
+  const routing = startRouting(foundation, control);
+  const observations = new TargetObservations();
+  const credits = new Credits({
+    ...foundation,
+    vm: vm.name,
+    routing,
+    observations,
+    routingLeaseMilliseconds: settings.control.routingLeaseMilliseconds,
+  });
+  const exchanges = new ExchangeClient({
+    localAddress: policy.localAddress,
+    connectionsPerTarget,
+    authority: tls.material?.authority,
+  });
+  const ledger = new LedgerTask({
+    ...foundation,
+    vm: { name: vm.name, boot },
+    routing,
+  });
+  const forwarder = new Forwarder({
+    ...foundation,
+    routing,
+    secret: secrets.vm,
+    region: vm.region,
+  });
+  const gateway = new Gateway({
+    ...foundation,
+    ledger,
+    forwarder,
+    routing,
+    exchanges,
+    observations,
+    capacity: policy.capacity ?? credits.gate,
+    choice: policy.choice,
+    hedgeShare: policy.hedgeShare,
+    random: randomSource(policy.seed ?? randomInt(2 ** 31)),
+    hasher: await createKeyHasher(),
+    dataCentre: vm.dataCentre,
+    region: vm.region,
+    redirectScheme: tls.listeners.has("callers") ? "https" : "http",
+  });
+  return { control, routing, credits, ledger, exchanges, forwarder, gateway };
+}
+
+async function startControl(
+  foundation: VmFoundation,
+): Promise<ControlTask | undefined> {
+  const { settings, secrets, tls } = foundation;
+  const folder = settings.vm.dataFolder;
+  if (folder === undefined) return undefined;
+  return await ControlTask.start({
+    ...foundation,
+    folder,
+    targetSecret: secrets.target,
+    authority: tls.material?.authority,
+  });
+}
+
+function startRouting(
+  foundation: VmFoundation,
+  control: ControlTask | undefined,
+): RoutingTask {
+  const { settings, boot, createControlClient } = foundation;
+  const { vm, listen } = settings;
+  return new RoutingTask({
+    ...foundation,
+    vm: {
+      name: vm.name,
+      boot,
+      dataCentre: vm.dataCentre,
+      region: vm.region,
+      peerAddress: listen.peers,
+      callersAddress: listen.callers,
+      replica: control?.replicaId ?? null,
+    },
+    control: createControlClient(),
+  });
+}
+
+function randomSource(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
