--- a/packages/experiments/whole_path_test.ts
+++ b/packages/experiments/whole_path_test.ts
@@ -18,6 +18,7 @@
     await Promise.all(
       deployment.vmNames.map((vm) => deployment.untilReady(vm)),
     );
+    await deployment.untilQuiet();
     await deployment.until((status) =>
       status.targets.length === 6 &&
       status.groups.every((group) => group.withoutOwner === 0)
@@ -25,6 +26,7 @@
     await Promise.all(
       deployment.vmNames.map((vm) => deployment.untilReady(vm)),
     );
+    await deployment.untilQuiet();
   });
 
   afterAll(() => deployment.stop());
@@ -66,7 +68,6 @@
 
   describe("after a control VM restarts", () => {
     it("still knows the bundle and the epochs", async () => {
-      await deployment.untilQuiet();
       const before = await reserve("vm-1", "clamp-9");
       const { leader, bundle } = await deployment.status();
       await deployment.crashVm(leader);
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -1,11 +1,17 @@
 import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
 import { request as sendRequest } from "undici";
 import { announcementOf } from "./announcement_of.ts";
+import { grantsCover, isBefore, noGrants } from "./grant_message.ts";
+import type {
+  AnnouncementAnswer,
+  GrantMessage,
+  HeldGrant,
+  PushOrder,
+} from "./grant_message.ts";
 import { work } from "./work.ts";
-import { noGrants } from "./grant_message.ts";
-import type { GrantMessage, HeldGrant } from "./grant_message.ts";
 import type {
   FakeCondition,
   FakeTargetOptions,
@@ -24,8 +30,8 @@
   readonly #server: Server;
   #boot: string = randomUUID();
   #grants: readonly HeldGrant[] = [];
-  #taken = noGrants;
-  #actsOn = noGrants;
+  #taken: PushOrder = noGrants;
+  #actsOn: PushOrder = noGrants;
   #leaseUntil = -Infinity;
   #timer: NodeJS.Timeout | undefined;
   #inProgress = 0;
@@ -177,9 +183,7 @@
       address: "",
     });
     while (this.#inProgress > 0) {
-      await new Promise((resolve) =>
-        setTimeout(resolve, idleCheckMilliseconds)
-      );
+      await pause(idleCheckMilliseconds);
     }
     history.record({ kind: "stopped", subject: "target", name: this.name });
     this.#end();
@@ -196,6 +200,7 @@
     const boot = this.#boot;
     const sentAt = performance.now();
     const condition = this.#condition;
+    const actsOn = sentAt < this.#leaseUntil ? this.#actsOn : noGrants;
     const listener = options.announceTo[
       this.#nextListener % options.announceTo.length
     ];
@@ -205,19 +210,15 @@
         {
           method: "POST",
           headers: { authorization: `Bearer ${options.secret}` },
-          body: announcementOf(options, {
-            boot,
-            condition,
-            actsOn: sentAt < this.#leaseUntil ? this.#actsOn : noGrants,
-          }),
+          body: announcementOf(options, { boot, condition, actsOn }),
           signal: AbortSignal.timeout(announceTimeoutMilliseconds),
         },
       );
-      const reply = await body.json() as { leaseMilliseconds?: number };
+      const reply = await body.json() as AnnouncementAnswer;
       await this.#frozen;
       if (boot !== this.#boot) return;
       if (statusCode === 200 && reply.leaseMilliseconds) {
-        this.#renew(sentAt + reply.leaseMilliseconds);
+        this.#renew(sentAt + reply.leaseMilliseconds, reply.grantsFrom);
         this.#recordCondition("announced", condition);
       }
       if (statusCode === 503) this.#nextListener += 1;
@@ -227,8 +228,12 @@
   }
 
   // Grants do not outlive the lease that they were given under.
-  #renew(until: number): void {
-    if (performance.now() >= this.#leaseUntil) this.#lapse();
+  #renew(until: number, grantsFrom: PushOrder = noGrants): void {
+    if (performance.now() >= this.#leaseUntil) {
+      this.#lapse();
+      // A push that outlived the lease may give what is another's by now.
+      if (isBefore(this.#taken, grantsFrom)) this.#taken = grantsFrom;
+    }
     this.#leaseUntil = Math.max(this.#leaseUntil, until);
     this.#options.history.record({
       kind: "leased",
@@ -281,16 +286,14 @@
     }
     const sender = request.socket.remoteAddress ?? "";
     const delay = this.#options.delayMilliseconds(sender);
-    if (delay > 0) await new Promise((resolve) => setTimeout(resolve, delay));
+    if (delay > 0) await pause(delay);
     await this.#carryOut(request, response);
   }
 
   #takeGrants(body: Buffer, response: ServerResponse): void {
     const message = JSON.parse(body.toString()) as GrantMessage;
     const { version, sequence } = message;
-    const order = version - this.#taken.version ||
-      sequence - this.#taken.sequence;
-    if (message.boot !== this.#boot || order < 0) {
+    if (message.boot !== this.#boot || isBefore(message, this.#taken)) {
       return void response.writeHead(409).end();
     }
     this.#taken = this.#actsOn = { version, sequence };
@@ -316,7 +319,7 @@
     const epoch = Number(request.headers["kingcupglade-epoch"] ?? 0);
     const subject = { group, position, epoch };
     if (
-      group !== "" && checksFences && !this.#owns(subject, performance.now())
+      group !== "" && checksFences && !grantsCover(this.grants, subject)
     ) {
       return this.#refuse(response, { id, reason: "fenced" });
     }
@@ -342,7 +345,6 @@
       checksFences,
     });
     const isCancelled = await work(this.serviceMilliseconds, {
-      // A target that takes no cancellation goes on without its sender.
       cancelledBy: acceptsCancellation ? response : undefined,
     });
     await this.#frozen;
@@ -354,7 +356,8 @@
     }
     const effectAt = performance.now();
     if (
-      group !== "" && checksFences && !this.#owns(subject, effectAt)
+      group !== "" && checksFences &&
+      !grantsCover(this.#grantsAt(effectAt), subject)
     ) {
       history.record({ kind: "ended", target: this.name, request: id });
       return this.#refuse(response, { id, reason: "fenced" });
@@ -370,21 +373,6 @@
     response.end(JSON.stringify({ request: id, target: this.name, epoch }));
   }
 
-  #owns(
-    subject: {
-      readonly group: string;
-      readonly position: number;
-      readonly epoch: number;
-    },
-    now: number,
-  ): boolean {
-    const { group, position, epoch } = subject;
-    return this.#grantsAt(now).some((grant) =>
-      grant.group === group && grant.start <= position &&
-      position < grant.end && grant.epoch === epoch
-    );
-  }
-
   #refuse(
     response: ServerResponse,
     refusal: { readonly id: string; readonly reason: string },
--- a/packages/fakes/grant_message.ts
+++ b/packages/fakes/grant_message.ts
@@ -14,8 +14,40 @@
   readonly grants: readonly HeldGrant[];
 }
 
-/** The number of no push. */
-export const noGrants: Pick<GrantMessage, "version" | "sequence"> = {
-  version: 0,
-  sequence: 0,
-};
+/** Where a push of grants stands among all pushes to a target. */
+export interface PushOrder {
+  readonly version: number;
+  readonly sequence: number;
+}
+
+/** The order of no push. */
+export const noGrants: PushOrder = { version: 0, sequence: 0 };
+
+/** Whether a push was sent before another. */
+export function isBefore(left: PushOrder, right: PushOrder): boolean {
+  return left.version < right.version ||
+    (left.version === right.version && left.sequence < right.sequence);
+}
+
+/** What a target is told in answer to its announcement. */
+export interface AnnouncementAnswer {
+  readonly leaseMilliseconds?: number;
+  /** The first push that counts under a lease that begins now. */
+  readonly grantsFrom?: PushOrder;
+}
+
+/** Whether grants cover a position under exactly the epoch of a request. */
+export function grantsCover(
+  grants: readonly HeldGrant[],
+  subject: {
+    readonly group: string;
+    readonly position: number;
+    readonly epoch: number;
+  },
+): boolean {
+  const { group, position, epoch } = subject;
+  return grants.some((grant) =>
+    grant.group === group && grant.start <= position &&
+    position < grant.end && grant.epoch === epoch
+  );
+}
