Show why the status is not answered when a test waits in vain

Cause: a failing wait printed {} for an error. Change: its message. Conclusion: needed to find why a planned stop sometimes leaves no leader.

--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -308,7 +308,7 @@
         if (condition(status)) return status;
         last = status;
       } catch (failure) {
-        last = failure;
+        last = (failure as Error).message;
       }
       await pause(50);
     }
