Name the founders while the first replica set is being stored

A founder that was storing the first set told others that it belonged to one, without naming it; a founder that asked in that moment took its own folder for a wiped one and served as a spare with an empty configuration. The leader counted it as a voter, so all went well until the leader stopped: then nobody stood for election.

Excluded: load (seen at 3 of 10 cores), lost messages, the hand-over itself (the two others had the whole log and the vote of term 1).

Change: the answer names the founders from the moment that they are being stored.

--- a/packages/kingcupglade/control/replica_host.ts
+++ b/packages/kingcupglade/control/replica_host.ts
@@ -49,6 +49,8 @@
   #storage: ReplicaStorage | undefined;
   #replica: ReplicaTask | undefined;
   #founding = false;
+  /** The first replica set while it is being stored. */
+  #storing: readonly string[] = [];
 
   protected constructor(options: ReplicaHostOptions) {
     const { storage, peers } = options;
@@ -98,7 +100,9 @@
     return {
       replica: this.id,
       member: this.#replica !== undefined || this.#storage === undefined,
-      founders: snapshot?.index === 0 ? snapshot.configuration.voters : [],
+      founders: snapshot?.index === 0
+        ? snapshot.configuration.voters
+        : this.#storing,
     };
   }
 
@@ -109,6 +113,8 @@
       return false;
     }
     this.#storage = undefined;
+    // A founder that asks meanwhile must join, not serve as a spare.
+    this.#storing = voters;
     try {
       await storeFounders(storage, voters);
       await storage.close();
@@ -117,6 +123,8 @@
     } catch (failure) {
       this.#fail(failure);
       return false;
+    } finally {
+      this.#storing = [];
     }
   }
 
--- a/packages/kingcupglade/control/replica_host_test.ts
+++ b/packages/kingcupglade/control/replica_host_test.ts
@@ -68,6 +68,17 @@
     });
   });
 
+  describe("while it stores the first replica set", () => {
+    it("names the founders to one that asks", async () => {
+      const host = (await open(new FakeFiles()))!;
+      const founders = [host.id, "vm-2.b"];
+      const founding = host.found(founders);
+      expect(host.hello).toEqual({ replica: host.id, member: true, founders });
+      expect(await founding).toBe(true);
+      expect(host.hello.founders).toEqual(founders);
+    });
+  });
+
   describe("with a damaged folder", () => {
     it("names the file and starts without a replica", async () => {
       const files = new FakeFiles();
