--- a/packages/experiments/at_most_once_run.ts
+++ b/packages/experiments/at_most_once_run.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import type { TimedEvent } from "@kingcupglade/fakes";
 import { BundleRoller } from "./bundle_roller.ts";
 import { Deployment } from "./deployment.ts";
@@ -228,7 +229,3 @@
   }
   return counts;
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/experiments/caller_pool.ts
+++ b/packages/experiments/caller_pool.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import type { CallerAnswer } from "@kingcupglade/fakes";
 import type { Balancer } from "./balancer.ts";
 import type { Deployment } from "./deployment.ts";
@@ -160,7 +161,3 @@
     };
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/experiments/demo.ts
+++ b/packages/experiments/demo.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import { checkHistory, formatViolations } from "@kingcupglade/checker";
 import type { TimedEvent } from "@kingcupglade/fakes";
 import { Balancer } from "./balancer.ts";
@@ -195,7 +196,3 @@
   }
   return [...effects.values()].filter((count) => count > 1).length;
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -2,6 +2,7 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import { createOperatorKey, signBundle } from "@kingcupglade/bundle";
 import type { SignedBundle } from "@kingcupglade/bundle";
 import { FakeCaller, FakeTarget, History } from "@kingcupglade/fakes";
@@ -393,7 +394,3 @@
     return running;
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/experiments/disturbances.ts
+++ b/packages/experiments/disturbances.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import type { FakeTarget } from "@kingcupglade/fakes";
 import type { BundleRoller } from "./bundle_roller.ts";
 import type { DataCentreDescription, Deployment } from "./deployment.ts";
@@ -175,7 +176,3 @@
     .sort((left, right) => left.order - right.order)
     .map((each) => each.name);
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/experiments/history_run.ts
+++ b/packages/experiments/history_run.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import { checkHistory } from "@kingcupglade/checker";
 import type { Violation } from "@kingcupglade/checker";
 import type { TimedEvent } from "@kingcupglade/fakes";
@@ -179,7 +180,3 @@
   }
   return counts;
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/experiments/random_caller.ts
+++ b/packages/experiments/random_caller.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import type { CallerRequest } from "@kingcupglade/fakes";
 import type { Deployment } from "./deployment.ts";
 import type { RandomSource } from "./random_source.ts";
@@ -60,7 +61,3 @@
   const method = draw < 0.5 ? "GET" : "POST";
   return { method, path: `/fixtures/${key}`, tenant, key };
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -33,6 +33,8 @@
       (await import("./suite/ledger_cost.ts")).ledgerCostExperiment,
     "lost-ledger": async () =>
       (await import("./suite/lost_ledger.ts")).lostLedgerExperiment,
+    "peer-calls": async () =>
+      (await import("./suite/peer_calls.ts")).peerCallsExperiment,
     "lost-owner": async () =>
       (await import("./suite/lost_owner.ts")).lostOwnerExperiment,
     "whole-answers": async () =>
--- a/packages/experiments/suite/lost_owner.ts
+++ b/packages/experiments/suite/lost_owner.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import type { CallerAnswer } from "@kingcupglade/fakes";
 import { Deployment } from "../deployment.ts";
 import type { Experiment, ExperimentResult, Figure } from "../experiment.ts";
@@ -218,7 +219,3 @@
     Math.round(times.served)
   } ms`;
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- /dev/null
+++ b/packages/experiments/suite/peer_calls.ts
@@ -0,0 +1,116 @@
+import { createServer } from "node:http";
+import type { RequestListener, Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { create } from "@bufbuild/protobuf";
+import { createClient } from "@connectrpc/connect";
+import type { Client } from "@connectrpc/connect";
+import {
+  connectNodeAdapter,
+  createConnectTransport,
+} from "@connectrpc/connect-node";
+import { Credit, ExchangeRequestSchema } from "@kingcupglade/protocol";
+import { createLeanClient, LeanServices } from "kingcupglade";
+import { Pool } from "undici";
+import type { Experiment } from "../experiment.ts";
+
+const secret = "the-secret-of-the-peer-calls";
+const warmUpCalls = 1000;
+const calls = 8000;
+const callsAtOnce = 8;
+const callTimeoutMilliseconds = 500;
+
+const implementation = {
+  exchange: () => ({ leaseMilliseconds: 4000, roles: [] }),
+};
+
+/** Measures a call between VMs by the lean pair and by Connect's own. */
+export const peerCallsExperiment: Experiment = {
+  summary: "processor time of a call between VMs, lean against Connect",
+  async run({ progress }) {
+    const lean = await measureLean();
+    progress(`lean pair: ${lean.toFixed(0)} us`);
+    const connect = await measureConnect();
+    progress(`Connect: ${connect.toFixed(0)} us`);
+    return {
+      figures: [
+        {
+          name: "processor time of a lean call, both ends",
+          value: lean,
+          unit: "us",
+          baseline: connect,
+        },
+        {
+          name: "share of a call of Connect",
+          value: lean / connect,
+          unit: "",
+          target: { atMost: 0.5 },
+        },
+      ],
+    };
+  },
+};
+
+async function measureLean(): Promise<number> {
+  const services = new LeanServices({ secret });
+  services.service(Credit, implementation);
+  return await withServer(
+    (request, response) => void services.handle(request, response),
+    async (origin) => {
+      const pool = new Pool(origin, { connections: callsAtOnce });
+      const time = await measureCalls(
+        createLeanClient(Credit, { pool, secret }),
+      );
+      await pool.destroy();
+      return time;
+    },
+  );
+}
+
+async function measureConnect(): Promise<number> {
+  const adapter = connectNodeAdapter({
+    routes: (router) => {
+      router.service(Credit, implementation);
+    },
+  });
+  return await withServer(adapter, (origin) =>
+    measureCalls(
+      createClient(
+        Credit,
+        createConnectTransport({
+          httpVersion: "1.1",
+          baseUrl: origin,
+          useBinaryFormat: true,
+        }),
+      ),
+    ));
+}
+
+async function withServer(
+  handler: RequestListener,
+  measure: (origin: string) => Promise<number>,
+): Promise<number> {
+  const server: Server = createServer(handler);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  try {
+    const { port } = server.address() as AddressInfo;
+    return await measure(`http://127.0.0.1:${port}`);
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+}
+
+/** Microseconds of processor time for each call, both ends in this process. */
+async function measureCalls(client: Client<typeof Credit>): Promise<number> {
+  const message = create(ExchangeRequestSchema, { vm: "vm-1", boot: "a" });
+  const call = () =>
+    client.exchange(message, { timeoutMs: callTimeoutMilliseconds });
+  for (let count = 0; count < warmUpCalls; count += 1) await call();
+  let remaining = calls;
+  const before = process.cpuUsage();
+  await Promise.all(Array.from({ length: callsAtOnce }, async () => {
+    while (remaining-- > 0) await call();
+  }));
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / calls;
+}
--- a/packages/experiments/suite/rolls.ts
+++ b/packages/experiments/suite/rolls.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import { bundleDigest } from "@kingcupglade/bundle";
 import type { SignedBundle } from "@kingcupglade/bundle";
 import { request } from "undici";
@@ -210,7 +211,3 @@
     Math.min(sorted.length - 1, Math.floor(sorted.length * share))
   ]!;
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/kingcupglade/control/routing_task.ts
+++ b/packages/kingcupglade/control/routing_task.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import { create, toBinary } from "@bufbuild/protobuf";
 import { RequestCounter, RoutingTable } from "@kingcupglade/ownership";
 import type { TableDelta } from "@kingcupglade/ownership";
@@ -244,7 +245,3 @@
     this.#options.logger.warn("routing-lease-lapsed");
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/kingcupglade/gateway/attempts.ts
+++ b/packages/kingcupglade/gateway/attempts.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
 import type { TargetRecord } from "@kingcupglade/ownership";
 import {
   Header,
@@ -312,7 +313,3 @@
       return { result: "failed", milliseconds };
   }
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/kingcupglade/ledger/shard_replicator.ts
+++ b/packages/kingcupglade/ledger/shard_replicator.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import { recordBytes } from "@kingcupglade/ledger";
 import type {
   LedgerBatch,
@@ -143,7 +144,3 @@
   }
   return waiting.slice(0, count);
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/kingcupglade/listeners/http_listener.ts
+++ b/packages/kingcupglade/listeners/http_listener.ts
@@ -1,6 +1,7 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server, ServerOptions } from "node:http";
 import { createServer as createTlsServer } from "node:https";
+import { setTimeout as pause } from "node:timers/promises";
 import type { ListenerName, ResolvedTls } from "../settings/tls.ts";
 
 const sweepMilliseconds = 50;
@@ -136,7 +137,3 @@
     port: Number(address.slice(colon + 1)),
   };
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/kingcupglade/mod.ts
+++ b/packages/kingcupglade/mod.ts
@@ -16,3 +16,7 @@
 export type { ControlStatus } from "./control/status.ts";
 export { ResponseSink } from "./gateway/answer_sink.ts";
 export { ExchangeClient } from "./gateway/exchange.ts";
+export { createLeanClient, PeerCallError } from "./control/lean_client.ts";
+export type { LeanClientOptions } from "./control/lean_client.ts";
+export { LeanServices } from "./listeners/lean_services.ts";
+export type { ServiceRegistry } from "./listeners/lean_services.ts";
