--- a/packages/kingcupglade/control/lean_client.ts
+++ b/packages/kingcupglade/control/lean_client.ts
@@ -19,7 +19,7 @@
 /**
  * Calls the unary methods of a service in the form of the Connect protocol,
  * straight through `undici`. A call of Connect's own client and server costs
- * seven times the processor time, too much for calls made per request.
+ * more than four times the processor time, too much for calls per request.
  */
 export function createLeanClient<Service extends DescService>(
   service: Service,
