Start the stall of the load test with its first request

Cause: the test let a stalled system go 200 ms after a timer that started before the load did; on a machine at a load of 10 it saw a mean of 47.1 ms where it asks for more than 50. Change: the timer starts with the first request, so the least mean follows from the arrivals alone, however late the machine is; the bound is unchanged. Conclusion: the verdict no longer hangs on how fast the load starts.

--- a/packages/experiments/load_test.ts
+++ b/packages/experiments/load_test.ts
@@ -17,13 +17,14 @@
     it("shows its queue in the latency from the intended start", async () => {
       let release = () => {};
       const stall = new Promise<void>((resolve) => (release = resolve));
-      setTimeout(release, 200);
+      let timer: NodeJS.Timeout | undefined;
       const result = await runLoad({
         perSecond: 200,
         seconds: 0.2,
         seed: 1,
         maximumInProgress: 1,
         send: async () => {
+          timer ??= setTimeout(release, 200);
           await stall;
           return "answered";
         },
