Bound the time for which a leaving owner is sent new work

Cause: ranges of leaving targets and of data centres taken out stop a third at a time, and the next third waits until the first was granted anew. An open request holds that back for its whole deadline, so the rest stayed in service without any bound. Excluded: gateways that do not apply the table (they lose their lease) and lost owners (stopped at once).

The pace stays as it was for 1.5 s; a new leader stops what is left at once.

Conclusion: notice, pace and stop now add up to less than 3 s however long requests stay open.

--- a/packages/experiments/planning_world.ts
+++ b/packages/experiments/planning_world.ts
@@ -4,6 +4,7 @@
   coordinate,
   emptyControlState,
   findRange,
+  LeavingOwners,
   positionSpace,
   RangeIndex,
 } from "@kingcupglade/ownership";
@@ -40,6 +41,9 @@
   /** Time that each plan took, in milliseconds. */
   readonly planMilliseconds: number[] = [];
   readonly lapsed = new Set<string>();
+  /** Version since which every VM has a request in progress, if any has. */
+  openSince: number | null = null;
+  #leaving = new LeavingOwners();
   readonly #held = new Map<string, readonly Grant[]>();
   readonly #index = new RangeIndex();
   readonly #regions: number;
@@ -119,7 +123,7 @@
         lapsed: false,
         lapsesAt: Infinity,
         appliedVersion: this.state.version,
-        quiescentVersion: this.state.version,
+        quiescentVersion: this.openSince ?? this.state.version,
       }),
       target: (name) => ({
         lapsed: this.lapsed.has(name),
@@ -127,7 +131,7 @@
       }),
       now: this.now,
       loads: this.loads,
-    }, { index: this.#index, balance });
+    }, { index: this.#index, leaving: this.#leaving, balance });
     this.planMilliseconds.push(performance.now() - startedAt);
     for (const push of plan.pushes) this.#held.set(push.target, push.grants);
     for (const command of plan.commands) {
@@ -136,6 +140,11 @@
     }
   }
 
+  /** Lets another leader plan, which has seen no round before. */
+  replaceLeader(): void {
+    this.#leaving = new LeavingOwners();
+  }
+
   /** Runs rounds until nothing is under way, at most `maximum`. */
   settle(maximum = 400): number {
     // The first of two quiet rounds may have had grants confirmed.
--- a/packages/kingcupglade/control/leader_session.ts
+++ b/packages/kingcupglade/control/leader_session.ts
@@ -1,5 +1,10 @@
 import type { Announcement, AnnouncementReply } from "@kingcupglade/membership";
-import { coordinate, LoadEstimates, RangeIndex } from "@kingcupglade/ownership";
+import {
+  coordinate,
+  LeavingOwners,
+  LoadEstimates,
+  RangeIndex,
+} from "@kingcupglade/ownership";
 import type {
   ControlCommand,
   ControlState,
@@ -52,6 +57,7 @@
   readonly #targets: TargetBook;
   readonly #estimates: LoadEstimates;
   readonly #index = new RangeIndex();
+  readonly #leaving = new LeavingOwners();
   /** VMs whose removal is proposed and not yet known to be committed. */
   readonly #removals = new Map<string, Promise<unknown>>();
   #loads: LoadView = new Map();
@@ -147,6 +153,7 @@
     try {
       const plan = coordinate(this.#state, this.view, {
         index: this.#index,
+        leaving: this.#leaving,
         balance: this.#isBalanceDue(),
       });
       for (const push of plan.pushes) void this.#push(push);
--- /dev/null
+++ b/packages/ownership/leaving_owners.ts
@@ -0,0 +1,30 @@
+/** Time for which an owner that must leave may still be sent new work. */
+const longestLeavingMilliseconds = 1500;
+
+/**
+ * Since when working owners have had to leave, as one leader saw it. Ranges
+ * leave at a pace that receivers bear, but only for a bounded time: open
+ * requests of the first ranges would otherwise hold back the stop of the rest
+ * for as long as their deadlines.
+ */
+export class LeavingOwners {
+  #since: ReadonlyMap<string, number> | undefined;
+
+  /**
+   * Takes in the owners that must leave now and returns those whose time is
+   * up. A new leader does not know how long the first ones have been leaving,
+   * so it takes their time as up.
+   */
+  update(owners: readonly string[], now: number): ReadonlySet<string> {
+    const known = this.#since;
+    const since = new Map(
+      owners.map((each) => [each, known ? known.get(each) ?? now : -Infinity]),
+    );
+    this.#since = since;
+    return new Set(
+      owners.filter((each) =>
+        now - since.get(each)! >= longestLeavingMilliseconds
+      ),
+    );
+  }
+}
--- a/packages/ownership/mod.ts
+++ b/packages/ownership/mod.ts
@@ -15,6 +15,7 @@
 export { coordinate, grantsByTarget } from "./coordinator.ts";
 export type { CoordinatorOptions, CoordinatorPlan } from "./coordinator.ts";
 export type { LeaderView, TargetView, VmView } from "./leader_view.ts";
+export { LeavingOwners } from "./leaving_owners.ts";
 export { LoadEstimates } from "./load.ts";
 export type {
   GroupLoad,
--- a/packages/ownership/planner.ts
+++ b/packages/ownership/planner.ts
@@ -10,6 +10,7 @@
 } from "./cuts.ts";
 import { isFitOwner } from "./fitness.ts";
 import type { LeaderView } from "./leader_view.ts";
+import type { LeavingOwners } from "./leaving_owners.ts";
 import type { LoadView } from "./load.ts";
 import { RangePhase } from "./model.ts";
 import type { ControlState, PlacementGroup, RangeRecord } from "./model.ts";
@@ -31,6 +32,11 @@
 export interface PlannerOptions extends BalanceOptions {
   /** Whether to even out the load and to join cold ranges. @default false */
   readonly balance?: boolean;
+  /**
+   * Kept from one round to the next, to bound the time of leaving.
+   * @default the time is not bounded
+   */
+  readonly leaving?: LeavingOwners;
 }
 
 /** Ranges that leave working owners at once at least. */
@@ -45,6 +51,13 @@
   readonly load: number;
 }
 
+interface Departures {
+  /** Ranges that are stopped in this round. */
+  readonly atOnce: PlacedRange[];
+  /** Ranges that are stopped at a pace that receivers bear. */
+  readonly paced: PlacedRange[];
+}
+
 /**
  * The next steps of every range: first the grants of those that are released,
  * then the stops of those whose owner is lost or must leave, and last the moves
@@ -71,7 +84,7 @@
 
   plan(options: PlannerOptions): readonly RangeChange[] {
     const grants = this.#grants();
-    const stops = this.#stops();
+    const stops = this.#stops(options.leaving);
     if (!options.balance) return [...grants, ...stops];
     const moves = stops.length > 0 ? [] : this.#balance(options);
     return [...grants, ...stops, ...moves];
@@ -124,34 +137,45 @@
     return receivers.least(group, load);
   }
 
-  #stops(): readonly RangeChange[] {
-    const { indexes } = this.#input;
-    const lost: PlacedRange[] = [];
-    const leaving: PlacedRange[] = [];
-    for (const { group, owners } of indexes.values()) {
-      for (const owned of owners.values()) {
-        const fate = this.#fateOf(group, owned);
-        if (fate === "stays") continue;
-        const list = fate === "lost" ? lost : leaving;
-        for (const range of owned.ranges) {
-          if (range.phase !== RangePhase.serving) continue;
-          list.push({ group, range, load: this.#loadOf(group, range) });
-        }
-      }
-    }
-    const paced = Math.max(
+  #stops(leaving: LeavingOwners | undefined): readonly RangeChange[] {
+    const { atOnce, paced } = this.#departures(leaving);
+    const pace = Math.max(
       minimumLeaving,
-      Math.ceil(leaving.length / leavingParts),
+      Math.ceil(paced.length / leavingParts),
     );
     return [
-      ...lost.sort(byLoad),
-      ...leaving.sort(byLoad).slice(0, Math.max(0, paced - this.#moving)),
+      ...atOnce.sort(byLoad),
+      ...paced.sort(byLoad).slice(0, Math.max(0, pace - this.#moving)),
     ].map(({ group, range }) => ({
       kind: "stop",
       ...referenceTo(group, range),
     }));
   }
 
+  /** Serving ranges of owners that are lost or must leave. */
+  #departures(leaving: LeavingOwners | undefined): Departures {
+    const atOnce: PlacedRange[] = [];
+    const working = new Map<string, readonly PlacedRange[]>();
+    for (const { group, owners } of this.#input.indexes.values()) {
+      for (const owned of owners.values()) {
+        const fate = this.#fateOf(group, owned);
+        if (fate === "stays") continue;
+        const ranges = owned.ranges
+          .filter(({ phase }) => phase === RangePhase.serving)
+          .map((range) => ({ group, range, load: this.#loadOf(group, range) }));
+        if (fate === "lost") atOnce.push(...ranges);
+        else working.set(`${group.id} ${owned.owner} ${owned.boot}`, ranges);
+      }
+    }
+    const now = this.#input.view.now ?? 0;
+    const overdue = leaving?.update([...working.keys()], now);
+    const paced: PlacedRange[] = [];
+    for (const [owner, ranges] of working) {
+      (overdue?.has(owner) ? atOnce : paced).push(...ranges);
+    }
+    return { atOnce, paced };
+  }
+
   #fateOf(
     group: PlacementGroup,
     owned: OwnedRanges,
--- a/packages/ownership/planner_test.ts
+++ b/packages/ownership/planner_test.ts
@@ -74,6 +74,37 @@
       for (let round = 0; round < 40; round += 1) world.round();
       expect(rangesByOwner(world).has(targetName(3))).toBe(false);
     });
+
+    describe("whose first ranges wait for open requests", () => {
+      const servedBy = (world: PlanningWorld, target: string) =>
+        world.group.ranges.filter(({ owner, phase }) =>
+          owner === target && phase === RangePhase.serving
+        ).length;
+      const leavingWorld = () => {
+        const world = new PlanningWorld({ targets: 12, initialRanges: 960 });
+        world.addVm(0);
+        world.settle();
+        world.openSince = world.state.version;
+        world.addTarget(3, "leaving");
+        return world;
+      };
+
+      it("stops the rest within two seconds all the same", () => {
+        const world = leavingWorld();
+        world.round();
+        expect(servedBy(world, targetName(3))).toBeGreaterThan(0);
+        for (let round = 0; round < 40; round += 1) world.round();
+        expect(servedBy(world, targetName(3))).toBe(0);
+      });
+
+      it("stops the rest at once under a new leader", () => {
+        const world = leavingWorld();
+        world.round();
+        world.replaceLeader();
+        world.round();
+        expect(servedBy(world, targetName(3))).toBe(0);
+      });
+    });
   });
 
   describe("with a hot key", () => {
