--- a/spec/voters.qnt
+++ b/spec/voters.qnt
@@ -202,6 +202,33 @@
     }
   }
 
+  // Steers a search towards two rivals that lead in turn by the vote of a third:
+  // each has an entry of its own term that nobody copied.
+  action initWithRivals = all {
+    replicas' = names.mapBy(r =>
+      if (r == "a") { log: [{ term: 1, id: 1, voters: Set() }], term: 1, running: true }
+      else if (r == "b") { log: [{ term: 2, id: 2, voters: Set() }], term: 2, running: true }
+      else if (r == "c") { log: [], term: 2, running: true }
+      else { log: [], term: 0, running: true }),
+    lost' = Set(),
+    leader' = "b",
+    term' = 2,
+    nextId' = 3,
+    acknowledged' = Set(),
+    repairs' = 0,
+    elected' = Set({ leader: "a", term: 1 }, { leader: "b", term: 2 }),
+  }
+
+  action stepOfRivals = {
+    nondet r = oneOf(founders)
+    nondet count = oneOf(1.to(2))
+    any {
+      elect(r, Set("c")),
+      replicate("c", count),
+      acknowledge,
+    }
+  }
+
   // The log of a leader holds everything that was acknowledged before.
   val acknowledgedSurvives = leader == "" or not(leads) or
     acknowledged.subseteq(entriesOf(replicas.get(leader).log, replicas.get(leader).log.length()))
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,8 +3,8 @@
 export default defineConfig({
   test: {
     include: ["packages/**/*_test.ts"],
-    testTimeout: 60_000,
-    hookTimeout: 60_000,
+    testTimeout: 240_000,
+    hookTimeout: 240_000,
     maxWorkers: 4,
   },
 });
