Name the fault and the cure where commands and checks did not

Going through the commands as a stranger showed errors that named neither: a key file that exists gave EEXIST, an unknown command printed the usage and did not say what was wrong, a refused or conflicting roll and a VM without a bundle said so on standard output only, an unknown key of the bundle came under the path of its parent, and a full disk left an empty key file behind that made the next try fail.

settings check passed a VM that is not in [peers], a voter that no VM knows, a voter without a data folder, a port over 65535, an address that is none, and TLS files that cannot be read; serve then failed later or never formed a quorum. They are refused by name now. Two addresses for the VM's own peers' listener are refused too, since the other VMs use the one in [peers].

bundle diff failed before the first roll, which the run book asks for; it now compares with an empty bundle. It left out a change of the signatures that the next bundle needs, and the ranges of placement groups that a change of home regions removes and creates. status shows each VM's role.

Excluded: naming the faults behind a faulty schema in the same run (the checks across parts need a well-formed document).

--- a/packages/bundle/diff.ts
+++ b/packages/bundle/diff.ts
@@ -21,6 +21,11 @@
   readonly fromVersion: number;
   readonly toVersion: number;
   readonly operators: NameChanges;
+  /** Signatures that the bundle after each of the two needs. */
+  readonly requiredSignatures: {
+    readonly before: number;
+    readonly after: number;
+  };
   readonly services: NameChanges;
   readonly tenants: NameChanges;
   /** Routes, named by their path prefixes. */
@@ -31,12 +36,27 @@
   readonly homes: readonly HomeChange[];
 }
 
+/** Stands for the bundle in force before the first roll. */
+export const emptyBundle: Bundle = {
+  version: 0,
+  operators: [],
+  requiredSignatures: 1,
+  dataCentres: [],
+  services: [],
+  tenants: [],
+  routes: [],
+};
+
 /** Compares two checked bundles. */
 export function diffBundles(before: Bundle, after: Bundle): BundleDifference {
   return {
     fromVersion: before.version,
     toVersion: after.version,
     operators: diffNames(before.operators, after.operators),
+    requiredSignatures: {
+      before: before.requiredSignatures,
+      after: after.requiredSignatures,
+    },
     services: diffNames(before.services, after.services),
     tenants: diffNames(before.tenants, after.tenants),
     routes: diffNames(named(before.routes), named(after.routes)),
--- a/packages/bundle/diff_test.ts
+++ b/packages/bundle/diff_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { diffBundles, parseBundle } from "./mod.ts";
+import { diffBundles, emptyBundle, parseBundle } from "./mod.ts";
 
 describe("diffBundles", () => {
   const document = {
@@ -33,11 +33,29 @@
     });
   });
 
+  describe("of the first bundle", () => {
+    it("names everything as added", () => {
+      const difference = diffBundles(emptyBundle, before);
+      expect(difference.fromVersion).toBe(0);
+      expect(difference.operators.added).toEqual(["mei"]);
+      expect(difference.services.added).toEqual(["fixture-stock"]);
+      expect(difference.dataCentres.added).toEqual([
+        "hsinchu-a",
+        "taichung-a",
+      ]);
+    });
+  });
+
   describe("of a bundle with changes", () => {
     it("names data centres, homes and services", () => {
       const after = parseBundle({
         ...document,
         version: 2,
+        operators: [...document.operators, {
+          name: "an",
+          publicKey: `${"B".repeat(43)}=`,
+        }],
+        requiredSignatures: 2,
         dataCentres: [document.dataCentres[0], {
           ...document.dataCentres[1],
           inService: false,
@@ -50,6 +68,7 @@
       });
       const difference = diffBundles(before, after);
       expect(difference.takenOut).toEqual(["taichung-a"]);
+      expect(difference.requiredSignatures).toEqual({ before: 1, after: 2 });
       expect(difference.services.added).toEqual(["jig-catalogue"]);
       expect(difference.homes).toContainEqual({
         service: "fixture-stock",
--- a/packages/bundle/mod.ts
+++ b/packages/bundle/mod.ts
@@ -8,6 +8,7 @@
 export { diffDocuments, patchDocument } from "./patch.ts";
 export type { DocumentPatch } from "./patch.ts";
 export { homeRegions } from "./homes.ts";
+export { nearestName } from "./nearest_name.ts";
 export { parseBundle, ServiceKind } from "./schema.ts";
 export type {
   Bundle,
@@ -27,5 +28,5 @@
   verifyBundle,
 } from "./signature.ts";
 export type { SignedBundle, SigningAuthority } from "./signature.ts";
-export { diffBundles } from "./diff.ts";
+export { diffBundles, emptyBundle } from "./diff.ts";
 export type { BundleDifference, HomeChange, NameChanges } from "./diff.ts";
--- a/packages/bundle/schema.ts
+++ b/packages/bundle/schema.ts
@@ -2,6 +2,7 @@
 import { BundleError } from "./errors.ts";
 import type { BundleFault } from "./errors.ts";
 import { homeRegions } from "./homes.ts";
+import { describeIssue } from "./schema_faults.ts";
 
 const name = z.string().regex(
   /^[a-z0-9][a-z0-9-]{0,62}$/,
@@ -24,7 +25,7 @@
   z.strictObject({ header: z.string().regex(/^[a-z0-9-]+$/) }),
   z.strictObject({ pathSegment: z.number().int().min(0).max(15) }),
   z.strictObject({ value: name }),
-]);
+], 'must be one of {"header": NAME}, {"pathSegment": NUMBER}, {"value": NAME}');
 
 const operator = z.strictObject({
   name,
@@ -118,10 +119,9 @@
   const result = bundleSchema.safeParse(document);
   if (!result.success) {
     throw new BundleError(
-      result.error.issues.map((issue) => ({
-        path: formatPath(issue.path),
-        message: issue.message,
-      })),
+      result.error.issues.flatMap((issue) =>
+        describeIssue(bundleSchema, issue)
+      ),
     );
   }
   const faults = findFaults(result.data);
@@ -129,18 +129,6 @@
   return result.data;
 }
 
-function formatPath(path: readonly PropertyKey[]): string {
-  return path.reduce<string>(
-    (text, part) =>
-      typeof part === "number"
-        ? `${text}[${part}]`
-        : text === ""
-        ? String(part)
-        : `${text}.${String(part)}`,
-    "",
-  );
-}
-
 function findFaults(candidate: Bundle): BundleFault[] {
   const regions = new Set(candidate.dataCentres.map((each) => each.region));
   return [
--- a/packages/kingcupglade/command_line.ts
+++ b/packages/kingcupglade/command_line.ts
@@ -1,3 +1,4 @@
+import { nearestName } from "@kingcupglade/bundle";
 import { ExitCode, UsageError } from "./commands/command.ts";
 import type { Command } from "./commands/command.ts";
 
@@ -54,12 +55,14 @@
 ): Promise<ExitCode> {
   const found = findCommand(commandArguments);
   if (!found) {
-    const asked = commandArguments[0] === "--help";
-    (asked ? process.stdout : process.stderr).write(usage);
-    return asked ? ExitCode.done : ExitCode.usage;
+    if (!asksForHelp(commandArguments)) {
+      throw new UsageError(describeUnknown(commandArguments));
+    }
+    process.stdout.write(usage);
+    return ExitCode.done;
   }
   const command = await found.load();
-  if (found.rest.includes("--help")) {
+  if (asksForHelp(found.rest)) {
     process.stdout.write(command.help);
     return ExitCode.done;
   }
@@ -74,6 +77,26 @@
   return undefined;
 }
 
+function asksForHelp(words: readonly string[]): boolean {
+  return words.includes("--help") || words.includes("-h");
+}
+
+function describeUnknown(commandArguments: readonly string[]): string {
+  const names = [...commands.keys()];
+  const nearest = [2, 1].map((words) =>
+    nearestName(commandArguments.slice(0, words).join(" "), names)
+  ).find((name) => name !== undefined);
+  return `${
+    commandArguments.length === 0
+      ? "no command is given"
+      : `"${commandArguments.slice(0, 2).join(" ")}" is no command`
+  }; ${
+    nearest === undefined
+      ? `the commands are ${names.join(", ")}`
+      : `did you mean "${nearest}"?`
+  } See kingcupglade --help`;
+}
+
 // util.parseArgs marks what it refuses by codes of this form.
 function isUsageFailure(failure: unknown): boolean {
   if (failure instanceof UsageError) return true;
--- a/packages/kingcupglade/commands/bundle_diff.ts
+++ b/packages/kingcupglade/commands/bundle_diff.ts
@@ -1,21 +1,47 @@
 import { parseArgs } from "node:util";
-import { diffBundles, parseBundle } from "@kingcupglade/bundle";
-import type { BundleDifference, NameChanges } from "@kingcupglade/bundle";
+import {
+  diffBundles,
+  emptyBundle,
+  homeRegions,
+  parseBundle,
+  ServiceKind,
+} from "@kingcupglade/bundle";
+import type {
+  Bundle,
+  BundleDifference,
+  NameChanges,
+} from "@kingcupglade/bundle";
+import { groupId } from "@kingcupglade/ownership";
 import type { ControlStatus } from "../control/status.ts";
 import { ExitCode, UsageError } from "./command.ts";
 import type { Command } from "./command.ts";
 import { readBundleFile } from "./files.ts";
-import { askVm, fetchStatus, OperatorClientError } from "./operator_client.ts";
+import { askVm, fetchStatus } from "./operator_client.ts";
+
+/** Placement groups, with their numbers of ranges. */
+export type GroupRanges = Readonly<Record<string, number>>;
+
+/** What a roll would do to the ranges. */
+export interface RangeChanges {
+  /** Ranges whose owner stands in a data centre or service that goes. */
+  readonly rangesToMove: number;
+  /** Placement groups that no tenant needs any more. */
+  readonly groupsRemoved: GroupRanges;
+  /** Placement groups that the roll creates. */
+  readonly groupsAdded: GroupRanges;
+}
 
 /** `bundle diff`: tells what a roll would change. */
 export const bundleDiffCommand: Command = {
   help: `Usage: kingcupglade bundle diff FILE --vm IP:PORT [--json]
 
 Compares a bundle with the one in force: services, tenants, routes, home
-regions, data centres, and how many ranges would change their owner.
+regions, data centres, and how many ranges would change their owner. Before the
+first roll, everything is named as added.
 
-Example:
+Examples:
   kingcupglade bundle diff bundle.json --vm 127.0.0.1:8401
+  kingcupglade bundle diff signed.json --vm 127.0.0.1:8401 --json
 `,
   async run(commandArguments) {
     const { values, positionals } = parseArgs({
@@ -27,33 +53,64 @@
       },
     });
     const [path] = positionals;
-    if (!path || !values.vm) {
+    if (!path || positionals.length > 1 || !values.vm) {
       throw new UsageError("bundle diff needs FILE and --vm IP:PORT");
     }
     const after = parseBundle((await readBundleFile(path)).document);
-    const answer = await askVm(values.vm, "/bundle");
-    if (answer.status !== 200) {
-      throw new OperatorClientError(
-        "no bundle is in force yet, so there is nothing to compare with",
-      );
-    }
-    const { signed } = answer.document as { signed: { document: unknown } };
-    const difference = diffBundles(parseBundle(signed.document), after);
-    const rangesToMove = countRangesToMove(
-      difference,
-      await fetchStatus(values.vm),
-    );
+    const status = await fetchStatus(values.vm);
+    const difference = diffBundles(await fetchBundle(values.vm), after);
+    const ranges = {
+      rangesToMove: countRangesToMove(difference, status),
+      ...compareGroups(after, status),
+    };
     process.stdout.write(
       values.json
-        ? `${JSON.stringify({ ...difference, rangesToMove })}\n`
-        : formatDifference(difference, rangesToMove),
+        ? `${JSON.stringify({ ...difference, ...ranges })}\n`
+        : formatDifference(difference, ranges),
     );
     return ExitCode.done;
   },
 };
 
-/** Ranges whose owner stands in a data centre or service that goes. */
-export function countRangesToMove(
+async function fetchBundle(vm: string): Promise<Bundle> {
+  const { status, document } = await askVm(vm, "/bundle");
+  if (status !== 200) return emptyBundle;
+  const { signed } = document as { signed: { document: unknown } };
+  return parseBundle(signed.document);
+}
+
+/** Placement groups that a bundle removes and creates. */
+export function compareGroups(
+  after: Bundle,
+  status: ControlStatus,
+): Omit<RangeChanges, "rangesToMove"> {
+  const needed = neededGroups(after);
+  const present = new Map(status.groups.map((each) => [each.id, each.ranges]));
+  return {
+    groupsRemoved: Object.fromEntries(
+      [...present].filter(([id]) => !needed.has(id)),
+    ),
+    groupsAdded: Object.fromEntries(
+      [...needed].filter(([id]) => !present.has(id)),
+    ),
+  };
+}
+
+function neededGroups(bundle: Bundle): ReadonlyMap<string, number> {
+  const keyed = bundle.services.filter((each) =>
+    each.kind === ServiceKind.keyed
+  );
+  return new Map(
+    keyed.flatMap(({ name, initialRanges }) =>
+      bundle.tenants.map((tenant): [string, number] => {
+        const subject = { service: name, tenant: tenant.name };
+        return [groupId(name, homeRegions(bundle, subject)), initialRanges];
+      })
+    ),
+  );
+}
+
+function countRangesToMove(
   difference: BundleDifference,
   status: ControlStatus,
 ): number {
@@ -71,11 +128,12 @@
 
 function formatDifference(
   difference: BundleDifference,
-  rangesToMove: number,
+  ranges: RangeChanges,
 ): string {
   const lines = [
     `version ${difference.fromVersion} -> ${difference.toVersion}`,
     ...formatNames("operator", difference.operators),
+    ...formatSignatures(difference.requiredSignatures),
     ...formatNames("service", difference.services),
     ...formatNames("tenant", difference.tenants),
     ...formatNames("route", difference.routes),
@@ -87,11 +145,30 @@
         home.before.join(", ")
       } -> ${home.after.join(", ")}`
     ),
-    `${rangesToMove} ranges change their owner`,
+    ...formatGroups("removed", ranges.groupsRemoved),
+    ...formatGroups("added", ranges.groupsAdded),
+    `${ranges.rangesToMove} ranges leave data centres or services that go`,
   ];
   return `${lines.join("\n")}\n`;
 }
 
+function formatSignatures(
+  { before, after }: BundleDifference["requiredSignatures"],
+): readonly string[] {
+  return before === after
+    ? []
+    : [`signatures of the next bundle: ${before} -> ${after}`];
+}
+
+function formatGroups(
+  change: string,
+  groups: GroupRanges,
+): readonly string[] {
+  return Object.entries(groups).map(([id, ranges]) =>
+    `placement group ${id} ${change}, with ${ranges} ranges`
+  );
+}
+
 function formatNames(kind: string, changes: NameChanges): readonly string[] {
   return [
     ...changes.added.map((name) => `${kind} ${name} added`),
--- a/packages/kingcupglade/commands/bundle_roll.ts
+++ b/packages/kingcupglade/commands/bundle_roll.ts
@@ -8,12 +8,22 @@
 const waitMilliseconds = 10_000;
 const pollMilliseconds = 100;
 
+/** A bundle that was not put into force. */
+export class RollError extends Error {
+  override readonly name = "RollError";
+}
+
+interface ListenerError {
+  readonly error: string;
+}
+
 /** `bundle roll`: puts a signed bundle into force. */
 export const bundleRollCommand: Command = {
   help: `Usage: kingcupglade bundle roll SIGNED --vm IP:PORT [--wait]
 
-Sends a signed bundle to the operators' listener of any VM. With --wait,
-returns when every VM routes by it.
+Sends a signed bundle to the operators' listener of any VM and prints the answer
+as JSON. With --wait, returns when every VM routes by it. Exits with 1 when the
+bundle is refused or in conflict, or is not in force everywhere in time.
 
 Example:
   kingcupglade bundle roll signed.json --vm 127.0.0.1:8401 --wait
@@ -31,9 +41,9 @@
     const document = await readBundleFile(path);
     const answer = await askVm(values.vm, "/bundle", { document });
     process.stdout.write(`${JSON.stringify(answer.document)}\n`);
-    const outcome = answer.document as RollOutcome;
-    if (answer.status !== 200 || outcome.kind !== "accepted") {
-      return ExitCode.failed;
+    const outcome = answer.document as RollOutcome | ListenerError;
+    if ("error" in outcome || outcome.kind !== "accepted") {
+      throw new RollError(describeRefusal(outcome));
     }
     return values.wait
       ? await waitUntilInForce(values.vm, outcome.version)
@@ -41,6 +51,17 @@
   },
 };
 
+function describeRefusal(
+  outcome: Exclude<RollOutcome, { readonly kind: "accepted" }> | ListenerError,
+): string {
+  if ("error" in outcome) {
+    return `the VM could not roll the bundle: ${outcome.error}; the same file may be sent again`;
+  }
+  return outcome.kind === "refused"
+    ? `the bundle is refused: ${outcome.reason}`
+    : `the bundle is in conflict: version ${outcome.version} with digest ${outcome.digest} is in force; see bundle diff, and sign a higher version`;
+}
+
 async function waitUntilInForce(
   vm: string,
   version: number,
--- a/packages/kingcupglade/commands/bundle_show.ts
+++ b/packages/kingcupglade/commands/bundle_show.ts
@@ -1,7 +1,7 @@
 import { ExitCode } from "./command.ts";
 import type { Command } from "./command.ts";
 import { parseVmCommand } from "./arguments.ts";
-import { askVm } from "./operator_client.ts";
+import { askVm, OperatorClientError } from "./operator_client.ts";
 
 /** `bundle show`: prints the bundle in force at a VM. */
 export const bundleShowCommand: Command = {
@@ -15,7 +15,12 @@
   async run(commandArguments) {
     const { vm } = parseVmCommand(commandArguments, "bundle show");
     const { status, document } = await askVm(vm, "/bundle");
+    if (status !== 200) {
+      throw new OperatorClientError(
+        `${vm} routes by no bundle; roll one with kingcupglade bundle roll`,
+      );
+    }
     process.stdout.write(`${JSON.stringify(document, null, 2)}\n`);
-    return status === 200 ? ExitCode.done : ExitCode.failed;
+    return ExitCode.done;
   },
 };
--- a/packages/kingcupglade/commands/demo.ts
+++ b/packages/kingcupglade/commands/demo.ts
@@ -1,3 +1,4 @@
+import { parseArgs } from "node:util";
 import { ExitCode } from "./command.ts";
 import type { Command } from "./command.ts";
 
@@ -11,7 +12,8 @@
 Example:
   kingcupglade demo
 `,
-  async run() {
+  async run(commandArguments) {
+    parseArgs({ args: [...commandArguments], options: {} });
     const { runDemo } = await import("@kingcupglade/experiments");
     return (await runDemo((line) => process.stdout.write(`${line}\n`)))
       ? ExitCode.done
--- a/packages/kingcupglade/commands/files.ts
+++ b/packages/kingcupglade/commands/files.ts
@@ -1,7 +1,9 @@
-import { readFile, writeFile } from "node:fs/promises";
+import { open, readFile, rm, writeFile } from "node:fs/promises";
 import { parseSignedBundle } from "@kingcupglade/bundle";
 import type { SignedBundle } from "@kingcupglade/bundle";
 
+const privateFileMode = 0o600;
+
 /** A file named on the command line that cannot be used. */
 export class FileError extends Error {
   override readonly name = "FileError";
@@ -44,10 +46,52 @@
   return isSigned ? parseSignedBundle(document) : { document, signatures: [] };
 }
 
-/** Writes a JSON file. */
+/**
+ * Writes a JSON file.
+ *
+ * @throws {FileError} when it cannot be written.
+ */
 export async function writeJsonFile(
   path: string,
   document: unknown,
 ): Promise<void> {
-  await writeFile(path, `${JSON.stringify(document, null, 2)}\n`);
+  try {
+    await writeFile(path, `${JSON.stringify(document, null, 2)}\n`);
+  } catch (cause) {
+    throw unwritable(path, cause);
+  }
+}
+
+/**
+ * Writes a file that must not exist yet and that only its owner may read. What
+ * was written in part is removed.
+ *
+ * @throws {FileError} when it exists or cannot be written.
+ */
+export async function writePrivateFile(
+  path: string,
+  text: string,
+): Promise<void> {
+  const file = await open(path, "wx", privateFileMode).catch((cause) => {
+    throw unwritable(path, cause);
+  });
+  try {
+    await file.writeFile(text);
+    await file.sync();
+  } catch (cause) {
+    await rm(path, { force: true });
+    throw unwritable(path, cause);
+  } finally {
+    await file.close();
+  }
+}
+
+function unwritable(path: string, cause: unknown): FileError {
+  const { code, message } = cause as NodeJS.ErrnoException;
+  return new FileError(
+    code === "EEXIST"
+      ? `${path} exists already; choose another name`
+      : `${path} cannot be written: ${message}; choose another place`,
+    { cause },
+  );
 }
--- a/packages/kingcupglade/commands/key_create.ts
+++ b/packages/kingcupglade/commands/key_create.ts
@@ -1,10 +1,8 @@
-import { open } from "node:fs/promises";
 import { parseArgs } from "node:util";
 import { createOperatorKey } from "@kingcupglade/bundle";
 import { ExitCode, UsageError } from "./command.ts";
 import type { Command } from "./command.ts";
-
-const privateFileMode = 0o600;
+import { writePrivateFile } from "./files.ts";
 
 /** `key create`: makes an operator's key pair. */
 export const keyCreateCommand: Command = {
@@ -25,13 +23,7 @@
       throw new UsageError("key create needs --out FILE");
     }
     const { privateKey, publicKey } = createOperatorKey();
-    const file = await open(values.out, "wx", privateFileMode);
-    try {
-      await file.writeFile(privateKey);
-      await file.sync();
-    } finally {
-      await file.close();
-    }
+    await writePrivateFile(values.out, privateKey);
     process.stdout.write(`${publicKey}\n`);
     return ExitCode.done;
   },
--- a/packages/kingcupglade/commands/settings_check.ts
+++ b/packages/kingcupglade/commands/settings_check.ts
@@ -1,5 +1,6 @@
 import { readSecrets } from "../settings/secrets.ts";
 import { readSettings } from "../settings/read.ts";
+import { readTls } from "../settings/tls.ts";
 import { parseFileCommand } from "./arguments.ts";
 import { ExitCode } from "./command.ts";
 import type { Command } from "./command.ts";
@@ -8,8 +9,8 @@
 export const settingsCheckCommand: Command = {
   help: `Usage: kingcupglade settings check FILE [--json]
 
-Checks a settings file and the secrets that it names, and prints the settings
-with every default filled in.
+Checks a settings file, with the secrets and certificates that it names, and
+prints the settings as JSON with every default filled in.
 
 Example:
   kingcupglade settings check vm-1.ini
@@ -18,6 +19,7 @@
     const { path } = parseFileCommand(commandArguments, "settings check");
     const settings = await readSettings(path);
     await readSecrets(settings);
+    await readTls(settings);
     process.stdout.write(`${JSON.stringify(settings, null, 2)}\n`);
     return ExitCode.done;
   },
--- a/packages/kingcupglade/commands/status.ts
+++ b/packages/kingcupglade/commands/status.ts
@@ -9,8 +9,9 @@
 export const statusCommand: Command = {
   help: `Usage: kingcupglade status --vm IP:PORT [--json]
 
-Prints the leader, the versions in force, VMs, targets and ranges. Exits with 1
-when no control leader answers.
+Prints the leader, the versions in force, the VMs with their roles, the targets
+with their conditions, and the ranges without an owner. Exits with 1 when no
+control leader answers.
 
 Examples:
   kingcupglade status --vm 127.0.0.1:8401
@@ -40,7 +41,10 @@
       }`
       : "no bundle was rolled yet",
     "",
-    formatTable(["VM", "data centre", "state", "table"], status.vms.map(vmRow)),
+    formatTable(
+      ["VM", "data centre", "role", "state", "table"],
+      status.vms.map((vm) => vmRow(vm, status)),
+    ),
     "",
     formatTable(
       ["target", "service", "data centre", "condition", "ranges"],
@@ -66,9 +70,27 @@
   ].join("\n");
 }
 
-function vmRow(vm: ControlStatus["vms"][number]): readonly string[] {
-  const state = vmState(vm);
-  return [vm.name, vm.dataCentre, state, String(vm.appliedVersion)];
+function vmRow(
+  vm: ControlStatus["vms"][number],
+  status: ControlStatus,
+): readonly string[] {
+  return [
+    vm.name,
+    vm.dataCentre,
+    vmRole(vm.name, status),
+    vmState(vm),
+    String(vm.appliedVersion),
+  ];
+}
+
+function vmRole(name: string, status: ControlStatus): string {
+  const { voters, learners } = status.replicas;
+  // A replica is named VM.incarnation.
+  const isAmong = (replicas: readonly string[]) =>
+    replicas.some((replica) => replica.startsWith(`${name}.`));
+  if (name === status.leader) return "leader";
+  if (isAmong(voters)) return "voter";
+  return isAmong(learners) ? "learner" : "gateway";
 }
 
 function vmState(vm: ControlStatus["vms"][number]): string {
--- a/packages/kingcupglade/settings/read.ts
+++ b/packages/kingcupglade/settings/read.ts
@@ -1,8 +1,8 @@
 import { readFile } from "node:fs/promises";
 import { dirname, resolve } from "node:path";
+import { nearestName } from "@kingcupglade/bundle";
 import ini from "ini";
 import type { z } from "zod";
-import { nearestName } from "./nearest_name.ts";
 import { knownKeys, settingsSchema } from "./schema.ts";
 import type { ResolvedSettings } from "./schema.ts";
 
@@ -39,11 +39,42 @@
  */
 export function parseSettings(text: string, path: string): ResolvedSettings {
   const result = settingsSchema.safeParse(toPlainObject(ini.parse(text)));
-  if (result.success) return result.data;
-  const faults = result.error.issues.flatMap(describeIssue);
+  const faults = result.success
+    ? disagreements(result.data)
+    : result.error.issues.flatMap(describeIssue);
+  if (result.success && faults.length === 0) return result.data;
   throw new SettingsError(`${path}: ${faults.join("; ")}`);
 }
 
+/** Settings that are well formed each, but do not fit together. */
+function disagreements(settings: ResolvedSettings): readonly string[] {
+  const { vm, listen, control, peers } = settings;
+  const strangers = control.voters.filter((voter) => !(voter in peers));
+  const faults: readonly (readonly [boolean, string])[] = [
+    [
+      !(vm.name in peers),
+      `vm.name: "${vm.name}" is not in [peers]; add it there on every VM`,
+    ],
+    [
+      vm.name in peers && peers[vm.name] !== listen.peers,
+      `listen.peers: ${listen.peers} differs from peers.${vm.name}, ${
+        peers[vm.name]
+      }; make them equal`,
+    ],
+    [
+      strangers.length > 0,
+      `control.voters: ${
+        strangers.join(", ")
+      } not in [peers]; name VMs of [peers]`,
+    ],
+    [
+      control.voters.includes(vm.name) && vm.dataFolder === undefined,
+      `vm.dataFolder is missing; "${vm.name}" is among control.voters and must keep the log`,
+    ],
+  ];
+  return faults.filter(([isFault]) => isFault).map(([, text]) => text);
+}
+
 function toPlainObject(parsed: Record<string, unknown>): unknown {
   return Object.fromEntries(
     Object.entries(parsed).map(([section, values]) => [
--- a/packages/kingcupglade/settings/read_test.ts
+++ b/packages/kingcupglade/settings/read_test.ts
@@ -52,6 +52,32 @@
       "[control]\nrequiredSignatures = 0",
       /control\.requiredSignatures/,
     ],
+    [
+      "no such address",
+      "127.20.0.1:8100",
+      "999.1.1.1:8100",
+      /callers.*IP:PORT/,
+    ],
+    ["no such port", "127.20.0.1:8100", "127.20.0.1:99999", /callers.*IP:PORT/],
+    ["a VM that no VM knows", "name = vm-1", "name = vm-x", /"vm-x" is not in/],
+    [
+      "an unknown voter",
+      "voters = vm-1",
+      "voters = vm-x",
+      /voters: vm-x not in/,
+    ],
+    [
+      "a voter without a disk",
+      "dataFolder = data/vm-1",
+      "",
+      /vm\.dataFolder is missing/,
+    ],
+    [
+      "another address for VMs",
+      "peers = 127.20.0.1:8300",
+      "peers = 127.20.0.1:8301",
+      /127\.20\.0\.1:8301 differs from peers\.vm-1/,
+    ],
   ];
 
   for (const [fault, from, to, message] of faults) {
--- a/packages/kingcupglade/settings/schema.ts
+++ b/packages/kingcupglade/settings/schema.ts
@@ -1,3 +1,4 @@
+import { isIPv4, isIPv6 } from "node:net";
 import { z } from "zod";
 
 const name = z.string().regex(
@@ -5,11 +6,20 @@
   "must be 1 to 63 lower-case letters, digits or hyphens",
 );
 
-const socketAddress = z.string().regex(
-  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
-  "must be IP:PORT",
+const highestPort = 65_535;
+
+const socketAddress = z.string().refine(
+  isSocketAddress,
+  "must be IP:PORT, such as 127.0.0.1:8100 or [::1]:8100",
 );
 
+function isSocketAddress(text: string): boolean {
+  const [, host = "", port = ""] = /^(.+):(\d{1,5})$/.exec(text) ?? [];
+  const isPort = Number(port) >= 1 && Number(port) <= highestPort;
+  const isBracketed = host.startsWith("[") && host.endsWith("]");
+  return isPort && (isBracketed ? isIPv6(host.slice(1, -1)) : isIPv4(host));
+}
+
 const publicKey = z.string().regex(
   /^[A-Za-z0-9+/]{43}=$/,
   "must be a public key made by `kingcupglade key create`",
