Open the operators' listener before the data folder

A second process with the same settings opened the data folder of the first one, and could cut a log that was being written as a torn tail, before the address in use stopped it. The operators' listener opens first now; the test shows that such a process makes no data folder (it did before). While the log is read, /health answers 200 and /ready 503.

A stop signal that came while the VM started ended it with 143, as no handler was set before the start had ended; it now stops as planned and exits with 0. A second signal exits at once with 1; that had no test. Every command's help is tested to have an example.

Excluded: a lock file, which a crash leaves behind.

--- a/packages/kingcupglade/commands/serve.ts
+++ b/packages/kingcupglade/commands/serve.ts
@@ -9,7 +9,7 @@
   help: `Usage: kingcupglade serve --settings FILE
 
 Runs one VM until SIGTERM or SIGINT. The first signal lets every request end
-and hands over what this VM leads; a second one exits at once.
+and hands over what this VM leads; a second one exits at once, with 1.
 
 Example:
   kingcupglade serve --settings vm-1.ini
@@ -23,24 +23,26 @@
       throw new UsageError("serve needs --settings FILE");
     }
     const settings = await readSettings(values.settings);
+    const stopped = stopSignal();
     let fail: (failure: unknown) => void = () => {};
     const failure = new Promise<never>((_, reject) => (fail = reject));
     const vm = await Vm.start({ settings, onFailure: (cause) => fail(cause) });
-    await Promise.race([failure, stopSignal()]);
-    process.once("SIGTERM", exitAtOnce);
-    process.once("SIGINT", exitAtOnce);
+    await Promise.race([failure, stopped]);
     await vm.stop();
     return ExitCode.done;
   },
 };
 
+/** Resolves at the first signal; the second one ends the process. */
 function stopSignal(): Promise<void> {
   return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
+    let signals = 0;
+    const receive = () => {
+      signals += 1;
+      if (signals > 1) process.exit(ExitCode.failed);
+      resolve();
+    };
+    process.on("SIGTERM", receive);
+    process.on("SIGINT", receive);
   });
 }
-
-function exitAtOnce(): void {
-  process.exit(ExitCode.failed);
-}
--- a/packages/kingcupglade/commands/serve_test.ts
+++ b/packages/kingcupglade/commands/serve_test.ts
@@ -2,7 +2,7 @@
 import type { ChildProcess } from "node:child_process";
 import { randomInt } from "node:crypto";
 import { once } from "node:events";
-import { chmod, mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
+import { access, chmod, mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -15,9 +15,25 @@
 const address = `${network}.1`;
 const secret = "a-secret-of-the-serve-test";
 
+const commandNames = [
+  "serve",
+  "settings check",
+  "key create",
+  "bundle check",
+  "bundle diff",
+  "bundle sign",
+  "bundle roll",
+  "bundle show",
+  "bundle status",
+  "status",
+  "experiment",
+  "demo",
+];
+
 describe("the program", () => {
   let folder: string;
   let program: string;
+  let publicKey: string;
 
   beforeAll(async () => {
     folder = await mkdtemp(join(tmpdir(), "kingcupglade-serve-"));
@@ -32,10 +48,11 @@
     });
     await writeFile(join(folder, "secret"), secret);
     const key = await run("key", "create", "--out", join(folder, "key.pem"));
-    await writeFile(join(folder, "vm.ini"), settingsText(key.output.trim()));
+    publicKey = key.output.trim();
+    await writeFile(join(folder, "vm.ini"), settingsText(publicKey));
     await writeFile(
       join(folder, "bundle.json"),
-      JSON.stringify(bundleDocument(key.output.trim())),
+      JSON.stringify(bundleDocument(publicKey)),
     );
   });
 
@@ -58,16 +75,15 @@
 
   async function startServing(): Promise<ChildProcess> {
     const child = start("serve", "--settings", join(folder, "vm.ini"));
-    let log = "";
-    await new Promise<void>((resolve) =>
-      child.stderr!.on("data", (chunk) => {
-        log += chunk;
-        if (log.includes("control-lead-taken")) resolve();
-      })
-    );
+    await untilLogged(child, "control-lead-taken");
     return child;
   }
 
+  async function untilHealthy(): Promise<void> {
+    const ask = () => fetch(`http://${address}:8400/health`).catch(() => null);
+    while (!(await ask())?.ok);
+  }
+
   const vm = ["--vm", `${address}:8400`];
 
   describe("told to stop while a request is in progress", () => {
@@ -108,11 +124,43 @@
       const again = await startServing();
       const status = await run("bundle", "roll", signed, ...vm);
       expect(JSON.parse(status.output)).toMatchObject({ kind: "accepted" });
+      const document = bundleDocument(publicKey, { weight: 2 });
+      await writeFile(join(folder, "other.json"), JSON.stringify(document));
+      await run(
+        ...["bundle", "sign", join(folder, "other.json"), "--out", signed],
+        ...["--key", join(folder, "key.pem"), "--operator", "mei"],
+      );
+      const conflict = await run("bundle", "roll", signed, ...vm);
+      expect(conflict.code).toBe(1);
+      expect(JSON.parse(conflict.output)).toMatchObject({ kind: "conflict" });
+      expect(conflict.error).toMatch(/version 1 .* in force; .*higher version/);
       again.kill("SIGTERM");
       expect(await once(again, "close")).toEqual([0, null]);
     });
   });
 
+  describe("told to stop twice", () => {
+    it("exits at once with 1", async () => {
+      const child = await startServing();
+      const stopping = once(child, "close");
+      child.kill("SIGTERM");
+      await untilLogged(child, "vm-stopping");
+      child.kill("SIGTERM");
+      expect(await stopping).toEqual([1, null]);
+    });
+  });
+
+  describe("told to stop while it starts", () => {
+    it("exits with 0", async () => {
+      const child = start("serve", "--settings", join(folder, "vm.ini"));
+      const stopped = once(child, "close");
+      // The listener for operators opens first, long before the last one.
+      await untilHealthy();
+      child.kill("SIGTERM");
+      expect(await stopped).toEqual([0, null]);
+    });
+  });
+
   describe("started with something wrong", () => {
     const serveWith = async (
       name: string,
@@ -141,6 +189,20 @@
       holder.close();
     });
 
+    it("leaves the data folder alone that another process has", async () => {
+      const holder = createServer().listen(8400, `${network}.7`);
+      await once(holder, "listening");
+      const error = await serveWith(
+        "twice.ini",
+        (text) =>
+          text.replaceAll(address, `${network}.7`)
+            .replace("data/vm-1", "data/twice"),
+      );
+      expect(error).toMatch(/listen\.operators.*\.7:8400.*free the port/);
+      await expect(access(join(folder, "data/twice"))).rejects.toThrow();
+      holder.close();
+    });
+
     it("names a data folder of another VM", async () => {
       await mkdir(join(folder, "other"));
       await writeFile(
@@ -169,10 +231,31 @@
     });
   });
 
+  describe("asked for help", () => {
+    for (const name of commandNames) {
+      it(`explains ${name} with an example`, async () => {
+        const { code, output, error } = await run(...name.split(" "), "--help");
+        expect({ code, error }).toEqual({ code: 0, error: "" });
+        expect(output).toMatch(/^Usage: kingcupglade /);
+        expect(output).toMatch(
+          new RegExp(`Examples?:\n  kingcupglade ${name}`),
+        );
+      });
+    }
+
+    it("names every command", async () => {
+      const { code, output } = await run("--help");
+      expect(code).toBe(0);
+      expect(output.match(/^ {2}[a-z ]+$/gm)?.map((line) => line.trim()))
+        .toEqual(commandNames);
+    });
+  });
+
   describe("given a wrong command line", () => {
     it("exits with 2 and names the cure", async () => {
       const unknown = await run("bundel", "check");
       expect(unknown.code).toBe(2);
+      expect(unknown.error).toMatch(/"bundel check".*mean "bundle check"\?/);
       const missing = await run("bundle", "roll");
       expect(missing).toMatchObject({ code: 2 });
       expect(missing.error).toMatch(/--vm IP:PORT/);
@@ -186,14 +269,33 @@
 
     it("refuses to overwrite a key", async () => {
       await chmod(join(folder, "key.pem"), 0o600);
-      const { code } = await run(
+      const { code, error } = await run(
         ...["key", "create", "--out", join(folder, "key.pem")],
       );
       expect(code).toBe(1);
+      expect(error).toMatch(/key\.pem exists already; choose another name/);
+    });
+
+    it("names a file that cannot be written", async () => {
+      const { code, error } = await run(
+        ...["key", "create", "--out", join(folder, "missing", "key.pem")],
+      );
+      expect(code).toBe(1);
+      expect(error).toMatch(/missing\/key\.pem cannot be written/);
     });
   });
 });
 
+async function untilLogged(child: ChildProcess, event: string): Promise<void> {
+  let log = "";
+  await new Promise<void>((resolve) =>
+    child.stderr!.on("data", (chunk) => {
+      log += chunk;
+      if (log.includes(event)) resolve();
+    })
+  );
+}
+
 function settingsText(publicKey: string): string {
   return `[vm]
 name = vm-1
@@ -217,7 +319,10 @@
 `;
 }
 
-function bundleDocument(publicKey: string) {
+function bundleDocument(
+  publicKey: string,
+  { weight } = { weight: 1 },
+) {
   return {
     version: 1,
     operators: [{ name: "mei", publicKey }],
@@ -227,7 +332,7 @@
       kind: "keyed",
       deadlineMilliseconds: 3000,
     }],
-    tenants: [{ name: "toolroom" }],
+    tenants: [{ name: "toolroom", weight }],
     routes: [{
       pathPrefix: "/fixtures/",
       service: "fixture-stock",
--- a/packages/kingcupglade/listeners/operators.ts
+++ b/packages/kingcupglade/listeners/operators.ts
@@ -1,11 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { BundleError, parseSignedBundle } from "@kingcupglade/bundle";
-import type { RollOutcome } from "@kingcupglade/ownership";
+import type { BundleRecord, RollOutcome } from "@kingcupglade/ownership";
 import { decodeValue, encodeValue } from "@kingcupglade/protocol";
 import type { Metrics } from "@kingcupglade/telemetry";
 import type { ControlClient } from "../control/control_client.ts";
 import { ControlUnavailableError } from "../control/errors.ts";
-import type { RoutingTask } from "../control/routing_task.ts";
 import type { ControlStatus } from "../control/status.ts";
 import { BodyTooLargeError, readBody, sendJson } from "./body.ts";
 import type { ResolvedTls } from "../settings/tls.ts";
@@ -19,7 +18,8 @@
   readonly address: string;
   readonly tls: ResolvedTls;
   readonly control: ControlClient;
-  readonly routing: RoutingTask;
+  /** The bundle that this VM routes by. */
+  readonly bundle: () => BundleRecord | null;
   readonly metrics: Metrics;
   /** Whether the balancer may send callers here. */
   readonly isReady: () => boolean;
@@ -79,7 +79,7 @@
   response: ServerResponse,
   options: OperatorsListenerOptions,
 ): void {
-  const { bundle } = options.routing.table;
+  const bundle = options.bundle();
   if (!bundle) {
     return sendJson(response, 404, { error: "no bundle is in force here" });
   }
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -1,4 +1,6 @@
 import { describeFailure } from "@kingcupglade/telemetry";
+import type { HttpListener } from "./listeners/http_listener.ts";
+import { openOperatorsListener } from "./listeners/operators.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
 import { layFoundation } from "./vm/foundation.ts";
 import type { VmFoundation } from "./vm/foundation.ts";
@@ -25,12 +27,17 @@
 export class Vm {
   readonly #foundation: VmFoundation;
   readonly #tasks: VmTasks;
-  #listeners: VmListeners | undefined;
+  readonly #listeners: VmListeners & { readonly operators: HttpListener };
   #stopping = false;
 
-  protected constructor(foundation: VmFoundation, tasks: VmTasks) {
+  protected constructor(
+    foundation: VmFoundation,
+    tasks: VmTasks,
+    listeners: VmListeners & { readonly operators: HttpListener },
+  ) {
     this.#foundation = foundation;
     this.#tasks = tasks;
+    this.#listeners = listeners;
   }
 
   /**
@@ -41,11 +48,24 @@
    */
   static async start(options: VmOptions): Promise<Vm> {
     const foundation = await layFoundation(options.settings);
-    const tasks = await startTasks(foundation, options.policy ?? {});
-    const vm = new Vm(foundation, tasks);
-    vm.#listeners = await openListeners(foundation, tasks, {
-      isReady: () => vm.#isReady,
+    let vm: Vm | undefined;
+    // A second process with the same settings must fail before it opens the
+    // data folder.
+    const operators = await openOperatorsListener({
+      ...foundation,
+      address: foundation.settings.listen.operators,
+      control: foundation.createControlClient(),
+      bundle: () => vm ? vm.#tasks.routing.table.bundle : null,
+      isReady: () => vm !== undefined && vm.#isReady,
     });
+    try {
+      const tasks = await startTasks(foundation, options.policy ?? {});
+      const listeners = await openListeners(foundation, tasks);
+      vm = new Vm(foundation, tasks, { ...listeners, operators });
+    } catch (failure) {
+      operators.destroy();
+      throw failure;
+    }
     foundation.logger.info("vm-started");
     return vm;
   }
@@ -69,7 +89,7 @@
     await ledger.synchronised(handOverMilliseconds);
     await Promise.all([
       routing.leave(),
-      this.#listeners?.callers.drain({
+      this.#listeners.callers.drain({
         leastMilliseconds: settings.listen.leaveMilliseconds,
         quietMilliseconds,
         mostMilliseconds: mostLeaveMilliseconds,
@@ -119,7 +139,7 @@
   }
 
   #closeConnections(): void {
-    for (const listener of Object.values(this.#listeners ?? {})) {
+    for (const listener of Object.values(this.#listeners)) {
       listener.destroy();
     }
     this.#foundation.peers.close();
--- a/packages/kingcupglade/vm/listeners.ts
+++ b/packages/kingcupglade/vm/listeners.ts
@@ -1,32 +1,29 @@
 import { AnnouncementBatcher } from "../listeners/announcement_batcher.ts";
 import { HttpListener } from "../listeners/http_listener.ts";
-import { openOperatorsListener } from "../listeners/operators.ts";
 import { openPeersListener } from "../listeners/peers.ts";
 import { openTargetsListener } from "../listeners/targets.ts";
 import type { VmFoundation } from "./foundation.ts";
 import type { VmTasks } from "./tasks.ts";
 
-/** The listeners of one VM. */
+/** The listeners that are opened when the tasks of a VM run. */
 export interface VmListeners {
   readonly callers: HttpListener;
   readonly targets: HttpListener;
   readonly peers: HttpListener;
-  readonly operators: HttpListener;
 }
 
 /**
- * Opens the listeners of a VM, the one for callers after the one for VMs.
+ * Opens the listeners for VMs, callers and targets, in this order.
  *
  * @throws {ListenError} when an address cannot be used.
  */
 export async function openListeners(
   foundation: VmFoundation,
   tasks: VmTasks,
-  options: { readonly isReady: () => boolean },
 ): Promise<VmListeners> {
   const { settings, secrets, createControlClient } = foundation;
   const { vm, listen } = settings;
-  const { control, credits, ledger, gateway, routing } = tasks;
+  const { control, credits, ledger, gateway } = tasks;
   const peers = await openPeersListener({
     ...foundation,
     address: listen.peers,
@@ -55,12 +52,5 @@
       vm: vm.name,
     }),
   });
-  const operators = await openOperatorsListener({
-    ...foundation,
-    address: listen.operators,
-    control: createControlClient(),
-    routing,
-    isReady: options.isReady,
-  });
-  return { callers, targets, peers, operators };
+  return { callers, targets, peers };
 }
