Measure the gateway and the bare proxy in turn within each round

The added p99 compared four seconds of one path with the next four of the other, each with connections that it had yet to open, and the medians of the rates came from rounds that always began with the bare proxy: what else ran on the machine fell on one side only. Rounds are now short, their order alternates, the connections stay open, both proxies have 110 connections to the target, and medians are taken of the comparisons within a round. The bounds stay. Processor time and memory allocated for a request are new; they depend less on the load of the machine.

--- /dev/null
+++ b/packages/experiments/speed_bench.ts
@@ -0,0 +1,180 @@
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import { Agent, request } from "undici";
+import { BareProxy } from "./bare_proxy.ts";
+import { Deployment } from "./deployment.ts";
+import { runLoad } from "./load.ts";
+import type { LoadResult } from "./load.ts";
+import { tavares } from "./tavares.ts";
+
+const connections = 64;
+const connectionsPerTarget = 110;
+const answer = Buffer.from(JSON.stringify({ whole: true }));
+const announceMilliseconds = 300;
+const port = { targets: 8200, target: 9100, proxy: 9101 } as const;
+const host = "127.0.0.1";
+const announcement = {
+  target: "order-1",
+  boot: "boot-1",
+  service: "order-desk",
+  dataCentre: "recife-a",
+  address: `http://${host}:${port.target}`,
+  slots: connections,
+  connections: connectionsPerTarget,
+  coldSlots: connections,
+  condition: "serving",
+} as const;
+
+/** The way that a request takes to the target. */
+export const Path = {
+  direct: "direct",
+  bare: "bare",
+  own: "own",
+} as const;
+export type Path = typeof Path[keyof typeof Path];
+
+/** What a path answered while every connection was kept busy. */
+export interface Saturation {
+  readonly perSecond: number;
+  /** Processor time of the process for each request. */
+  readonly processorMicroseconds: number;
+}
+
+/**
+ * A target, a bare proxy and a gateway before it, and callers whose connections
+ * stay open from one measurement to the next. All in this process.
+ */
+export class SpeedBench {
+  readonly #urls: Readonly<Record<Path, string>>;
+  readonly #agents: Readonly<Record<Path, Agent>> = {
+    direct: new Agent({ connections }),
+    bare: new Agent({ connections }),
+    own: new Agent({ connections }),
+  };
+  readonly #stop: () => Promise<void>;
+
+  protected constructor(options: {
+    readonly urls: Readonly<Record<Path, string>>;
+    readonly stop: () => Promise<void>;
+  }) {
+    this.#urls = options.urls;
+    this.#stop = options.stop;
+  }
+
+  /** Starts the target and both proxies. */
+  static async start(): Promise<SpeedBench> {
+    const target = await listenAsTarget();
+    const proxy = new BareProxy({
+      target: `http://${host}:${port.target}`,
+      connections: connectionsPerTarget,
+    });
+    await proxy.listen(host, port.proxy);
+    const gateway = await startGateway();
+    return new SpeedBench({
+      urls: {
+        direct: `http://${host}:${port.target}/orders/1`,
+        bare: `http://${host}:${port.proxy}/orders/1`,
+        own: `http://${gateway.address}/orders/1`,
+      },
+      stop: async () => {
+        await gateway.stop();
+        await proxy.close();
+        target.close();
+        target.closeAllConnections();
+      },
+    });
+  }
+
+  /** Keeps every connection of a path busy. */
+  async saturate(path: Path, seconds: number): Promise<Saturation> {
+    const startedAt = performance.now();
+    const until = startedAt + seconds * 1000;
+    const usedBefore = process.cpuUsage();
+    let answered = 0;
+    await Promise.all(Array.from({ length: connections }, async () => {
+      while (performance.now() < until) {
+        if (await this.#send(path) === "answered") answered += 1;
+      }
+    }));
+    const used = process.cpuUsage(usedBefore);
+    return {
+      perSecond: answered / ((performance.now() - startedAt) / 1000),
+      processorMicroseconds: (used.user + used.system) / answered,
+    };
+  }
+
+  /** Sends requests over a path at times that do not depend on the answers. */
+  async pace(
+    path: Path,
+    options: {
+      readonly perSecond: number;
+      readonly seconds: number;
+      readonly seed: number;
+    },
+  ): Promise<LoadResult> {
+    return await runLoad({ ...options, send: () => this.#send(path) });
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    await Promise.all(
+      Object.values(this.#agents).map((each) => each.destroy()),
+    );
+    await this.#stop();
+  }
+
+  async #send(path: Path): Promise<string> {
+    const { statusCode, body } = await request(this.#urls[path], {
+      dispatcher: this.#agents[path],
+      headers: { "x-tenant": "kennels", "x-request": "1" },
+    });
+    await body.dump();
+    return statusCode === 200 ? "answered" : String(statusCode);
+  }
+}
+
+async function startGateway(): Promise<
+  { readonly address: string; readonly stop: () => Promise<void> }
+> {
+  const deployment = await Deployment.start({
+    ...tavares,
+    vms: { "vm-1": "recife-a" },
+    voters: ["vm-1"],
+    withDisk: ["vm-1"],
+  });
+  await deployment.roll();
+  const address = deployment.callersAddress("vm-1");
+  const vmHost = address.split(":")[0]!;
+  const announce = () =>
+    request(`http://${vmHost}:${port.targets}/announce`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${deployment.secret}` },
+      body: JSON.stringify(announcement),
+    }).then(({ body }) => body.dump(), () => {});
+  await announce();
+  const timer = setInterval(() => void announce(), announceMilliseconds);
+  await deployment.untilReady("vm-1");
+  const stop = () => {
+    clearInterval(timer);
+    return deployment.stop();
+  };
+  return { address, stop };
+}
+
+function listenAsTarget(): Promise<Server> {
+  const server = createServer((incoming, response) => {
+    incoming.resume();
+    const exchange = incoming.headers["kingcupglade-exchange"];
+    response.writeHead(200, {
+      "content-length": answer.length,
+      ...(exchange === undefined ? {} : { "kingcupglade-exchange": exchange }),
+    });
+    response.end(answer);
+  });
+  return new Promise((resolve) =>
+    server.listen(
+      { host, port: port.target, backlog: 1024 },
+      () => resolve(server),
+    )
+  );
+}
--- a/packages/experiments/suite/throughput.ts
+++ b/packages/experiments/suite/throughput.ts
@@ -1,193 +1,215 @@
-import { createServer } from "node:http";
-import type { Server } from "node:http";
-import { Agent, request } from "undici";
-import { BareProxy } from "../bare_proxy.ts";
-import { Deployment } from "../deployment.ts";
-import type { Experiment } from "../experiment.ts";
-import { runLoad } from "../load.ts";
+import { GCProfiler } from "node:v8";
+import type { Experiment, Figure } from "../experiment.ts";
 import type { LoadResult } from "../load.ts";
-import { tavares } from "../tavares.ts";
+import { Path, SpeedBench } from "../speed_bench.ts";
+import type { Saturation } from "../speed_bench.ts";
 
-const connections = 64;
-const seconds = 4;
-const rounds = 3;
+const warmUpSeconds = 1;
+const warmUpRounds = 3;
+const saturationSeconds = 1;
+const saturationRounds = 11;
+const pacedSeconds = 2;
+const pacedRounds = 9;
 const microsecondsPerMillisecond = 1000;
-const answer = Buffer.from(JSON.stringify({ whole: true }));
-const announceMilliseconds = 300;
-const microsecondsPerSecond = 1_000_000;
-const port = { targets: 8200, target: 9100, proxy: 9101 } as const;
-const host = "127.0.0.1";
-const announcement = {
-  target: "order-1",
-  boot: "boot-1",
-  service: "order-desk",
-  dataCentre: "recife-a",
-  address: `http://${host}:${port.target}`,
-  slots: connections,
-  connections: 110,
-  coldSlots: connections,
-  condition: "serving",
-} as const;
+const bytesPerKilobyte = 1000;
 
-/** Compares a gateway with the least proxy that its libraries allow. */
+interface Saturations {
+  readonly direct: Saturation;
+  readonly bare: Saturation;
+  readonly own: Saturation;
+}
+
+interface PacedRound {
+  readonly bare: LoadResult;
+  readonly own: LoadResult;
+}
+
+/**
+ * Compares a gateway with the least proxy that its libraries allow. Short
+ * measurements of each follow on one another in alternating order, and medians
+ * are taken of the comparisons within a round, so that other load on the
+ * machine falls on both.
+ */
 export const throughputExperiment: Experiment = {
   summary: "one gateway against a bare http and undici proxy",
   async run({ seed, progress }) {
-    const target = await listenAsTarget();
-    const proxy = new BareProxy({
-      target: `http://${host}:${port.target}`,
-      connections,
-    });
-    await proxy.listen(host, port.proxy);
-    const { deployment, stop } = await startGateway();
-    const direct = `http://${host}:${port.target}/orders/1`;
-    const bare = `http://${host}:${port.proxy}/orders/1`;
-    const own = `http://${deployment.callersAddress("vm-1")}/orders/1`;
+    const bench = await SpeedBench.start();
     try {
-      await Promise.all([saturate(bare, 1), saturate(own, 2)]);
-      const directRate = await saturate(direct, seconds);
-      const rates = { bare: [] as number[], own: [] as number[] };
-      for (let round = 0; round < rounds; round += 1) {
-        rates.bare.push(await saturate(bare, seconds));
-        rates.own.push(await saturate(own, seconds));
-        progress(`round ${round + 1} of ${rounds}`);
+      for (let round = 0; round < warmUpRounds; round += 1) {
+        await saturateAll(bench, { round, seconds: warmUpSeconds });
+      }
+      const saturated: Saturations[] = [];
+      for (let round = 0; round < saturationRounds; round += 1) {
+        saturated.push(
+          await saturateAll(bench, { round, seconds: saturationSeconds }),
+        );
+        progress(`round ${round + 1} of ${saturationRounds}`);
+      }
+      const perSecond = median(saturated.map(({ own }) => own.perSecond)) / 2;
+      const paced: PacedRound[] = [];
+      for (let round = 0; round < pacedRounds; round += 1) {
+        paced.push(await paceBoth(bench, { round, perSecond, seed }));
+        progress(`round ${round + 1} of ${pacedRounds} at half load`);
       }
-      const half = median(rates.own) / 2;
-      const heapBefore = heapMegabytes();
-      const bareHalf = await paced(bare, { perSecond: half, seed });
-      const ownHalf = await paced(own, { perSecond: half, seed });
-      const heapAfter = heapMegabytes();
       return {
         figures: [
-          {
-            name: "throughput over the bare proxy",
-            value: median(rates.own) / median(rates.bare),
-            unit: "",
-            target: { atLeast: 0.7 },
-          },
-          {
-            name: "throughput",
-            value: median(rates.own),
-            unit: "requests/s",
-            baseline: median(rates.bare),
-          },
-          {
-            name: "time of the gateway for each request",
-            value: microsecondsBetween(directRate, median(rates.own)),
-            unit: "us",
-            baseline: microsecondsBetween(directRate, median(rates.bare)),
-          },
-          {
-            name: "throughput straight at the target",
-            value: directRate,
-            unit: "requests/s",
-          },
-          {
-            name: "added p50 at half load",
-            value: percentile(ownHalf, 50) - percentile(bareHalf, 50),
-            unit: "ms",
-            target: { atMost: 0.3 },
-          },
-          {
-            name: "added p99 at half load",
-            value: percentile(ownHalf, 99) - percentile(bareHalf, 99),
-            unit: "ms",
-            target: { atMost: 2 },
-          },
-          {
-            name: "heap growth",
-            value: heapAfter - heapBefore,
-            unit: "MB",
-          },
+          ...saturationFigures(saturated),
+          ...pacedFigures(paced),
+          ...await allocationFigures(bench),
         ],
       };
     } finally {
-      await stop();
-      await proxy.close();
-      target.close();
-      target.closeAllConnections();
+      await bench.stop();
     }
   },
 };
 
-async function startGateway(): Promise<
-  { readonly deployment: Deployment; readonly stop: () => Promise<void> }
-> {
-  const deployment = await Deployment.start({
-    ...tavares,
-    vms: { "vm-1": "recife-a" },
-    voters: ["vm-1"],
-    withDisk: ["vm-1"],
-  });
-  await deployment.roll();
-  const vmHost = deployment.callersAddress("vm-1").split(":")[0]!;
-  const announce = () =>
-    request(`http://${vmHost}:${port.targets}/announce`, {
-      method: "POST",
-      headers: { authorization: `Bearer ${deployment.secret}` },
-      body: JSON.stringify(announcement),
-    }).then(({ body }) => body.dump(), () => {});
-  await announce();
-  const timer = setInterval(() => void announce(), announceMilliseconds);
-  await deployment.untilReady("vm-1");
-  const stop = () => {
-    clearInterval(timer);
-    return deployment.stop();
-  };
-  return { deployment, stop };
+async function saturateAll(
+  bench: SpeedBench,
+  options: { readonly round: number; readonly seconds: number },
+): Promise<Saturations> {
+  const measured: Partial<Record<Path, Saturation>> = {};
+  for (const path of inTurn([Path.direct, Path.bare, Path.own], options)) {
+    measured[path] = await bench.saturate(path, options.seconds);
+  }
+  return measured as Record<Path, Saturation>;
 }
 
-function listenAsTarget(): Promise<Server> {
-  const server = createServer((incoming, response) => {
-    incoming.resume();
-    const exchange = incoming.headers["kingcupglade-exchange"];
-    if (exchange) response.setHeader("kingcupglade-exchange", exchange);
-    response.writeHead(200, { "content-length": answer.length });
-    response.end(answer);
-  });
-  return new Promise((resolve) =>
-    server.listen(
-      { host, port: port.target, backlog: 1024 },
-      () => resolve(server),
-    )
-  );
+async function paceBoth(
+  bench: SpeedBench,
+  options: {
+    readonly round: number;
+    readonly perSecond: number;
+    readonly seed: number;
+  },
+): Promise<PacedRound> {
+  const measured: Partial<Record<Path, LoadResult>> = {};
+  for (const path of inTurn([Path.bare, Path.own], options)) {
+    measured[path] = await bench.pace(path, {
+      perSecond: options.perSecond,
+      seconds: pacedSeconds,
+      seed: options.seed + options.round,
+    });
+  }
+  return measured as Record<Path, LoadResult>;
 }
 
-/** Requests answered each second while every connection is kept busy. */
-async function saturate(url: string, duration: number): Promise<number> {
-  const agent = new Agent({ connections });
-  const until = performance.now() + duration * 1000;
-  let answered = 0;
-  await Promise.all(Array.from({ length: connections }, async () => {
-    while (performance.now() < until) {
-      if (await send(url, agent) === "answered") answered += 1;
-    }
-  }));
-  await agent.destroy();
-  return answered / duration;
+function inTurn<Item>(
+  items: readonly Item[],
+  { round }: { readonly round: number },
+): readonly Item[] {
+  return round % 2 === 0 ? items : [...items].reverse();
+}
+
+function saturationFigures(
+  rounds: readonly Saturations[],
+): readonly Figure[] {
+  const medianOf = (value: (round: Saturations) => number) =>
+    median(rounds.map(value));
+  return [
+    {
+      name: "throughput over the bare proxy",
+      value: medianOf(({ own, bare }) => own.perSecond / bare.perSecond),
+      unit: "",
+      target: { atLeast: 0.7 },
+    },
+    {
+      name: "throughput",
+      value: medianOf(({ own }) => own.perSecond),
+      unit: "requests/s",
+      baseline: medianOf(({ bare }) => bare.perSecond),
+    },
+    {
+      name: "throughput straight at the target",
+      value: medianOf(({ direct }) => direct.perSecond),
+      unit: "requests/s",
+    },
+    {
+      name: "processor time of the process for each request",
+      value: medianOf(({ own }) => own.processorMicroseconds),
+      unit: "us",
+      baseline: medianOf(({ bare }) => bare.processorMicroseconds),
+    },
+    {
+      name: "of it, of the proxy alone",
+      value: medianOf(({ own, direct }) =>
+        own.processorMicroseconds - direct.processorMicroseconds
+      ),
+      unit: "us",
+      baseline: medianOf(({ bare, direct }) =>
+        bare.processorMicroseconds - direct.processorMicroseconds
+      ),
+    },
+  ];
+}
+
+function pacedFigures(rounds: readonly PacedRound[]): readonly Figure[] {
+  const added = (percent: number) =>
+    median(
+      rounds.map(({ own, bare }) =>
+        percentile(own, percent) - percentile(bare, percent)
+      ),
+    );
+  const of = (path: "own" | "bare", percent: number) =>
+    median(rounds.map((round) => percentile(round[path], percent)));
+  return [
+    {
+      name: "added p50 at half load",
+      value: added(50),
+      unit: "ms",
+      target: { atMost: 0.3 },
+    },
+    {
+      name: "added p99 at half load",
+      value: added(99),
+      unit: "ms",
+      target: { atMost: 2 },
+    },
+    {
+      name: "p50 at half load",
+      value: of("own", 50),
+      unit: "ms",
+      baseline: of("bare", 50),
+    },
+    {
+      name: "p99 at half load",
+      value: of("own", 99),
+      unit: "ms",
+      baseline: of("bare", 99),
+    },
+  ];
 }
 
-async function paced(
-  url: string,
-  options: { readonly perSecond: number; readonly seed: number },
-): Promise<LoadResult> {
-  const agent = new Agent({ connections });
-  const result = await runLoad({
-    ...options,
-    seconds,
-    send: () => send(url, agent),
-  });
-  await agent.destroy();
-  return result;
+async function allocationFigures(
+  bench: SpeedBench,
+): Promise<readonly Figure[]> {
+  const direct = await allocatedBy(bench, Path.direct);
+  const bare = await allocatedBy(bench, Path.bare);
+  const own = await allocatedBy(bench, Path.own);
+  return [{
+    name: "memory allocated by the proxy for each request",
+    value: own - direct,
+    unit: "kB",
+    baseline: bare - direct,
+  }];
 }
 
-async function send(url: string, agent: Agent): Promise<string> {
-  const { statusCode, body } = await request(url, {
-    dispatcher: agent,
-    headers: { "x-tenant": "kennels", "x-request": "1" },
-  });
-  await body.dump();
-  return statusCode === 200 ? "answered" : String(statusCode);
+/** Kilobytes of the heap that the process allocates for each request. */
+async function allocatedBy(bench: SpeedBench, path: Path): Promise<number> {
+  const profiler = new GCProfiler();
+  profiler.start();
+  const { perSecond } = await bench.saturate(path, saturationSeconds);
+  const { statistics } = profiler.stop();
+  const uses = statistics.map(({ beforeGC, afterGC }) => ({
+    before: beforeGC.heapStatistics.usedHeapSize,
+    after: afterGC.heapStatistics.usedHeapSize,
+  }));
+  let bytes = 0;
+  for (let index = 1; index < uses.length; index += 1) {
+    bytes += uses[index]!.before - uses[index - 1]!.after;
+  }
+  const share = uses.length / (uses.length - 1);
+  return bytes * share / (perSecond * saturationSeconds) / bytesPerKilobyte;
 }
 
 function percentile(result: LoadResult, percent: number): number {
@@ -196,16 +218,7 @@
     microsecondsPerMillisecond;
 }
 
-/** Time that a proxy adds to a request in one process that is kept busy. */
-function microsecondsBetween(directRate: number, rate: number): number {
-  return microsecondsPerSecond * (1 / rate - 1 / directRate);
-}
-
 function median(values: readonly number[]): number {
   const sorted = [...values].sort((left, right) => left - right);
   return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
-
-function heapMegabytes(): number {
-  return process.memoryUsage().heapUsed / (1 << 20);
-}
