Pass headers on as lists, and watch a caller's connection once

Each exchange built five objects of headers (two filtered copies, two merged ones, one of the options), put a listener for 'drain' on every answer and added and removed one for 'close' twice. Headers now go as a list of names and values, which http and undici take as they are; 'drain' is awaited only after a write that asked for a pause; one listener on the response serves every exchange of a race.

--- a/packages/kingcupglade/gateway/answer_race.ts
+++ b/packages/kingcupglade/gateway/answer_race.ts
@@ -1,5 +1,5 @@
 import { AnswerSink } from "./answer_sink.ts";
-import type { HeaderValues } from "./exchange_headers.ts";
+import type { HeaderList } from "./exchange_headers.ts";
 
 /** Lets several exchanges compete for one receiver; the first head wins. */
 export class AnswerRace {
@@ -9,6 +9,7 @@
 
   constructor(sink: AnswerSink) {
     this.sink = sink;
+    sink.onClose(() => this.#closeAll());
   }
 
   /** Whether an exchange has begun to answer. */
@@ -32,14 +33,18 @@
   claim(leg: RaceLeg): void {
     this.#winner = leg;
     for (const each of this.#legs) {
-      if (each !== leg) each.lose();
+      if (each !== leg) each.close();
     }
   }
+
+  #closeAll(): void {
+    for (const leg of this.#legs) leg.close();
+  }
 }
 
 class RaceLeg extends AnswerSink {
   readonly #race: AnswerRace;
-  readonly #closeListeners = new Set<() => void>();
+  #closeListener: (() => void) | undefined;
   #hasBegun = false;
   #bytes = 0;
 
@@ -61,11 +66,11 @@
   }
 
   /** Tells the exchange that nobody wants its answer any more. */
-  lose(): void {
-    for (const listener of [...this.#closeListeners]) listener();
+  close(): void {
+    this.#closeListener?.();
   }
 
-  override begin(status: number, headers: HeaderValues): void {
+  override begin(status: number, headers: HeaderList): void {
     if (this.#race.isLostBy(this)) return;
     this.#race.claim(this);
     this.#hasBegun = true;
@@ -91,11 +96,7 @@
   }
 
   override onClose(listener: () => void): () => void {
-    this.#closeListeners.add(listener);
-    const unwatch = this.#race.sink.onClose(listener);
-    return () => {
-      this.#closeListeners.delete(listener);
-      unwatch();
-    };
+    this.#closeListener = listener;
+    return () => (this.#closeListener = undefined);
   }
 }
--- a/packages/kingcupglade/gateway/answer_sink.ts
+++ b/packages/kingcupglade/gateway/answer_sink.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
-import type { HeaderValues } from "./exchange_headers.ts";
+import { headersByName } from "./exchange_headers.ts";
+import type { HeaderList, HeaderValues } from "./exchange_headers.ts";
 
 /** Takes the answer of a target as it arrives. */
 export abstract class AnswerSink {
@@ -9,16 +10,19 @@
   abstract get isClosed(): boolean;
   /** Bytes of the body that were taken. */
   abstract get bytes(): number;
-  abstract begin(status: number, headers: HeaderValues): void;
+  abstract begin(status: number, headers: HeaderList): void;
   /** Takes a part of the body; false asks for a pause until it is drained. */
   abstract write(chunk: Buffer): boolean;
   /** The answer is whole. */
   abstract end(): void;
   /** The answer broke off. */
   abstract fail(): void;
-  /** Calls back when more can be taken. */
+  /** Calls back once when more can be taken, after a write returned false. */
   abstract onDrain(listener: () => void): void;
-  /** Calls back when the receiver goes; the function returned stops that. */
+  /**
+   * Calls back when the receiver goes, in place of an earlier listener; the
+   * function returned stops that.
+   */
   abstract onClose(listener: () => void): () => void;
 }
 
@@ -26,6 +30,8 @@
 export class ResponseSink extends AnswerSink {
   readonly #response: ServerResponse;
   #bytes = 0;
+  #isWatched = false;
+  #closeListener: (() => void) | undefined;
 
   constructor(response: ServerResponse) {
     super();
@@ -44,8 +50,8 @@
     return this.#bytes;
   }
 
-  override begin(status: number, headers: HeaderValues): void {
-    this.#response.writeHead(status, headers);
+  override begin(status: number, headers: HeaderList): void {
+    this.#response.writeHead(status, headers as string[]);
   }
 
   override write(chunk: Buffer): boolean {
@@ -63,12 +69,20 @@
   }
 
   override onDrain(listener: () => void): void {
-    this.#response.on("drain", listener);
+    this.#response.once("drain", listener);
   }
 
   override onClose(listener: () => void): () => void {
-    this.#response.once("close", listener);
-    return () => this.#response.off("close", listener);
+    if (!this.#isWatched) this.#response.on("close", () => this.#notify());
+    this.#isWatched = true;
+    this.#closeListener = listener;
+    return () => {
+      if (this.#closeListener === listener) this.#closeListener = undefined;
+    };
+  }
+
+  #notify(): void {
+    this.#closeListener?.();
   }
 }
 
@@ -111,8 +125,8 @@
     return this.#length;
   }
 
-  override begin(status: number, headers: HeaderValues): void {
-    this.#head = { status, headers };
+  override begin(status: number, headers: HeaderList): void {
+    this.#head = { status, headers: headersByName(headers) };
   }
 
   override write(chunk: Buffer): boolean {
--- a/packages/kingcupglade/gateway/exchange.ts
+++ b/packages/kingcupglade/gateway/exchange.ts
@@ -60,10 +60,7 @@
       });
       try {
         this.#agent.dispatch(
-          {
-            ...dispatchOptions(request, id),
-            ...(isReused ? {} : { reset: true }),
-          },
+          dispatchOptions(request, { id, isReused }),
           handler,
         );
       } catch {
@@ -87,22 +84,28 @@
 
 function dispatchOptions(
   request: ExchangeRequest,
-  id: string,
+  options: { readonly id: string; readonly isReused: boolean },
 ): Dispatcher.DispatchOptions {
-  return {
+  const dispatched: Dispatcher.DispatchOptions = {
     origin: request.address,
     method: request.method as Dispatcher.HttpMethod,
     path: request.path,
-    headers: {
-      ...forwardedHeaders(request.headers),
-      ...request.added,
-      [Header.exchange]: id,
-      ...(request.bodyLength === undefined
-        ? {}
-        : { "content-length": String(request.bodyLength) }),
-    },
+    headers: sentHeaders(request, options.id),
     body: request.openBody(),
     headersTimeout: 0,
     bodyTimeout: 0,
   };
+  if (!options.isReused) dispatched.reset = true;
+  return dispatched;
+}
+
+function sentHeaders(request: ExchangeRequest, id: string): string[] {
+  const headers = forwardedHeaders(request.headers);
+  const { added } = request;
+  for (const name in added) headers.push(name, added[name]!);
+  headers.push(Header.exchange, id);
+  if (request.bodyLength !== undefined) {
+    headers.push("content-length", String(request.bodyLength));
+  }
+  return headers;
 }
--- a/packages/kingcupglade/gateway/exchange_handler.ts
+++ b/packages/kingcupglade/gateway/exchange_handler.ts
@@ -70,7 +70,7 @@
   }
 
   onResponseStart(
-    controller: Dispatcher.DispatchController,
+    _controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
@@ -81,12 +81,10 @@
     this.#status = status;
     this.#refusal = refusalOf(status, headers);
     if (this.#refusal) return;
-    this.#sink.begin(status, {
-      ...answerHeaders(headers),
-      [Header.outcome]: Outcome.answered,
-    });
+    const passed = answerHeaders(headers);
+    passed.push(Header.outcome, Outcome.answered);
+    this.#sink.begin(status, passed);
     this.#timer.refresh();
-    this.#sink.onDrain(() => controller.resume());
   }
 
   onResponseData(
@@ -95,7 +93,9 @@
   ): void {
     if (this.#refusal) return;
     this.#timer.refresh();
-    if (!this.#sink.write(chunk)) controller.pause();
+    if (this.#sink.write(chunk)) return;
+    controller.pause();
+    this.#sink.onDrain(() => controller.resume());
   }
 
   onResponseEnd(): void {
--- a/packages/kingcupglade/gateway/exchange_headers.ts
+++ b/packages/kingcupglade/gateway/exchange_headers.ts
@@ -3,6 +3,9 @@
 /** Headers by lower-case name. */
 export type HeaderValues = Readonly<Record<string, string | string[]>>;
 
+/** Names in lower case and values in turn, as `http` and `undici` take them. */
+export type HeaderList = readonly string[];
+
 const hopByHopHeaders: ReadonlySet<string> = new Set([
   "connection",
   "expect",
@@ -21,25 +24,37 @@
 const ownPrefix = "kingcupglade-";
 
 /** The headers of a caller's request that a target gets. */
-export function forwardedHeaders(headers: IncomingHttpHeaders): HeaderValues {
+export function forwardedHeaders(headers: IncomingHttpHeaders): string[] {
   const named = connectionHeaders(headers);
-  return filterHeaders(
-    headers,
-    (name) =>
-      !hopByHopHeaders.has(name) && !named.has(name) &&
-      !name.startsWith(ownPrefix),
-  );
+  const kept: string[] = [];
+  for (const name in headers) {
+    if (hopByHopHeaders.has(name) || isPrivate(name, named)) continue;
+    append(kept, name, headers[name]);
+  }
+  return kept;
 }
 
 /** The headers of a target's answer that a caller gets. */
-export function answerHeaders(headers: IncomingHttpHeaders): HeaderValues {
+export function answerHeaders(headers: IncomingHttpHeaders): string[] {
   const named = connectionHeaders(headers);
-  return filterHeaders(
-    headers,
-    (name) =>
-      (name === "content-length" || !hopByHopHeaders.has(name)) &&
-      !named.has(name) && !name.startsWith(ownPrefix),
-  );
+  const kept: string[] = [];
+  for (const name in headers) {
+    const passes = name === "content-length" || !hopByHopHeaders.has(name);
+    if (passes && !isPrivate(name, named)) append(kept, name, headers[name]);
+  }
+  return kept;
+}
+
+/** Headers by name; a repeated one has a list of values. */
+export function headersByName(list: HeaderList): HeaderValues {
+  const headers: Record<string, string | string[]> = {};
+  for (let index = 0; index < list.length; index += 2) {
+    const name = list[index]!;
+    const value = list[index + 1]!;
+    const before = headers[name];
+    headers[name] = before === undefined ? value : [before, value].flat();
+  }
+  return headers;
 }
 
 /** A header's value; undefined when it is absent or given more than once. */
@@ -51,20 +66,22 @@
   return typeof value === "string" ? value : undefined;
 }
 
-function filterHeaders(
-  headers: IncomingHttpHeaders,
-  keeps: (name: string) => boolean,
-): HeaderValues {
-  const kept: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && keeps(name)) kept[name] = value;
-  }
-  return kept;
+function append(
+  list: string[],
+  name: string,
+  value: string | string[] | undefined,
+): void {
+  if (typeof value === "string") list.push(name, value);
+  else for (const each of value ?? []) list.push(name, each);
+}
+
+function isPrivate(name: string, named: ReadonlySet<string>): boolean {
+  return named.has(name) || name.startsWith(ownPrefix);
 }
 
 function connectionHeaders(headers: IncomingHttpHeaders): ReadonlySet<string> {
   const { connection } = headers;
-  if (connection === undefined) return noHeaders;
+  if (connection === undefined || connection === "keep-alive") return noHeaders;
   return new Set(
     String(connection).toLowerCase().split(",").map((each) => each.trim()),
   );
