Measure what guarded commands bring over read, check and write

Cause: the design took the form of the paper's compound operations without a figure, so that its benefit was a claim of the paper alone.

The baseline is a stand-in whose conflicts never enter the log, which favours it.

--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -4,6 +4,8 @@
 export const experiments: ReadonlyMap<string, () => Promise<Experiment>> =
   new Map(Object.entries({
     "commit": async () => (await import("./suite/commit.ts")).commitExperiment,
+    "guarded-changes": async () =>
+      (await import("./suite/guarded_changes.ts")).guardedChangesExperiment,
     "control-loss": async () =>
       (await import("./suite/control_loss.ts")).controlLossExperiment,
     "log-slopes": async () =>
--- /dev/null
+++ b/packages/experiments/suite/guarded_changes.ts
@@ -0,0 +1,166 @@
+import { setTimeout as pause } from "node:timers/promises";
+import type { ReplicaTask } from "kingcupglade";
+import type { Experiment, Figure } from "../experiment.ts";
+import { ReplicaGroup } from "../replica_group.ts";
+import { announce } from "./commit.ts";
+
+const voters = 3;
+const runMilliseconds = 2000;
+const writerCounts = [1, 4, 16];
+/** One way between two data centres of a region. */
+const linkMilliseconds = 1;
+const pauseAfterConflictMilliseconds = 1;
+
+/** Changes one shared record of the log from another VM. */
+abstract class Writer {
+  /** Calls that crossed the link, there and back. */
+  calls = 0;
+  readonly milliseconds: number[] = [];
+  protected readonly leader: ReplicaTask;
+
+  constructor(leader: ReplicaTask) {
+    this.leader = leader;
+  }
+
+  /** Carries out one change, however many calls it takes. */
+  abstract change(): Promise<void>;
+
+  /** Carries out changes, one after the other, until a time. */
+  async runUntil(until: number): Promise<void> {
+    while (performance.now() < until) {
+      const startedAt = performance.now();
+      await this.change();
+      this.milliseconds.push(performance.now() - startedAt);
+    }
+  }
+
+  protected async call<Answer>(
+    work: () => Answer | Promise<Answer>,
+  ): Promise<Answer> {
+    this.calls += 1;
+    await pause(linkMilliseconds);
+    const answer = await work();
+    await pause(linkMilliseconds);
+    return answer;
+  }
+}
+
+/** Sends the change with its own guard, which is checked when it is applied. */
+class GuardedWriter extends Writer {
+  override async change(): Promise<void> {
+    await this.call(() => this.leader.propose(announce()));
+  }
+}
+
+/** The record's version as the leader orders its changes. */
+interface SharedRecord {
+  version: number;
+}
+
+/** Reads the record and writes it back unless it has changed meanwhile. */
+class ReadingWriter extends Writer {
+  readonly #record: SharedRecord;
+
+  constructor(leader: ReplicaTask, record: SharedRecord) {
+    super(leader);
+    this.#record = record;
+  }
+
+  override async change(): Promise<void> {
+    for (;;) {
+      const read = await this.call(() => this.#record.version);
+      if (await this.call(() => this.#writeOver(read))) return;
+      await pause(pauseAfterConflictMilliseconds);
+    }
+  }
+
+  // A conflict is found before it enters the log, which favours this way.
+  async #writeOver(read: number): Promise<boolean> {
+    if (this.#record.version !== read) return false;
+    this.#record.version += 1;
+    await this.leader.propose(announce());
+    return true;
+  }
+}
+
+/** Changes that carry their guards, against reading, checking and writing. */
+export const guardedChangesExperiment: Experiment = {
+  summary: "commands that carry their guards, against read, check and write",
+  async run({ progress }) {
+    const group = await ReplicaGroup.start(voters);
+    try {
+      const leader = await group.untilLeader();
+      const figures: Figure[] = [];
+      for (const count of writerCounts) {
+        const record = { version: 0 };
+        const guarded = await runWriters(
+          Array.from({ length: count }, () => new GuardedWriter(leader)),
+        );
+        const reading = await runWriters(
+          Array.from(
+            { length: count },
+            () => new ReadingWriter(leader, record),
+          ),
+        );
+        progress(
+          `${count} writers: ${guarded.perSecond.toFixed(0)} and ${
+            reading.perSecond.toFixed(0)
+          } changes a second`,
+        );
+        figures.push(...describeRuns(count, { guarded, reading }));
+      }
+      return { figures };
+    } finally {
+      await group.stop();
+    }
+  },
+};
+
+interface WritersRun {
+  readonly perSecond: number;
+  readonly callsPerChange: number;
+  readonly medianMilliseconds: number;
+}
+
+async function runWriters(writers: readonly Writer[]): Promise<WritersRun> {
+  const startedAt = performance.now();
+  const until = startedAt + runMilliseconds;
+  await Promise.all(writers.map((each) => each.runUntil(until)));
+  const seconds = (performance.now() - startedAt) / 1000;
+  const times = writers.flatMap((each) => each.milliseconds)
+    .sort((left, right) => left - right);
+  const changes = times.length;
+  const calls = writers.reduce((sum, each) => sum + each.calls, 0);
+  return {
+    perSecond: changes / seconds,
+    callsPerChange: calls / changes,
+    medianMilliseconds: times[Math.floor(changes / 2)]!,
+  };
+}
+
+function describeRuns(
+  count: number,
+  runs: { readonly guarded: WritersRun; readonly reading: WritersRun },
+): readonly Figure[] {
+  const { guarded, reading } = runs;
+  return [
+    {
+      name: `changes, ${count} writers`,
+      value: guarded.perSecond,
+      unit: "1/s",
+      baseline: reading.perSecond,
+    },
+    {
+      name: `calls for each change, ${count} writers`,
+      value: guarded.callsPerChange,
+      unit: "",
+      baseline: reading.callsPerChange,
+    },
+    {
+      name: `median, ${count} writers`,
+      value: guarded.medianMilliseconds,
+      unit: "ms",
+      baseline: reading.medianMilliseconds,
+    },
+  ];
+}
