Cut the ways between VMs and hold VMs in the runs whose history is checked

The runs lacked network cuts and paused VMs. TCP links between the VMs, and from callers and targets to them, hold what is sent on a way that is cut and deliver it late when it is healed: one VM, one way, a data centre, a region. A paused VM is one whose ways in and out are held together with its clock; its timers run on. VMs take a clock, a logger and the addresses of the others from their policy for that. Links are opened only where a deployment asks for them, so the other experiments and tests are as before.

Disturbances that meet at one VM take turns, so that it is not started twice.

--- a/packages/experiments/at_most_once_run.ts
+++ b/packages/experiments/at_most_once_run.ts
@@ -3,7 +3,7 @@
 import { BundleRoller } from "./bundle_roller.ts";
 import { Deployment } from "./deployment.ts";
 import { disturbanceLanes } from "./disturbances.ts";
-import type { Disturbance } from "./disturbances.ts";
+import type { Disturbance } from "./disturbance.ts";
 import { hsinchu } from "./hsinchu.ts";
 import { RandomSource } from "./random_source.ts";
 
--- a/packages/experiments/bundle_roller.ts
+++ b/packages/experiments/bundle_roller.ts
@@ -2,7 +2,8 @@
 import type { SignedBundle } from "@kingcupglade/bundle";
 import type { HistoryEvent } from "@kingcupglade/fakes";
 import { request } from "undici";
-import type { DataCentreDescription, Deployment } from "./deployment.ts";
+import type { Deployment } from "./deployment.ts";
+import type { DataCentreDescription } from "./deployment_options.ts";
 
 const rollTimeoutMilliseconds = 5000;
 
--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -7,54 +7,23 @@
 import type { SignedBundle } from "@kingcupglade/bundle";
 import { FakeCaller, FakeTarget, History } from "@kingcupglade/fakes";
 import type { FakeTargetOptions } from "@kingcupglade/fakes";
-import { readSettings, Vm } from "kingcupglade";
 import type { ControlStatus, VmOptions } from "kingcupglade";
-import { request } from "undici";
-
-const port = {
-  callers: 8100,
-  targets: 8200,
-  peers: 8300,
-  operators: 8400,
-  service: 8500,
-} as const;
-
+import { DeploymentLinks } from "./deployment_links.ts";
+import type {
+  DataCentreDescription,
+  DeploymentOptions,
+} from "./deployment_options.ts";
+import { listenersAt, settingsText } from "./deployment_settings.ts";
+import type { Listeners } from "./deployment_settings.ts";
+import { VmProcess } from "./vm_process.ts";
+import { isReady, postBundle, readStatus } from "./operator_requests.ts";
+
+const servicePort = 8500;
 const quietMilliseconds = 2000;
 const maximumQuietAttempts = 20;
 /** A busy machine may make the VMs elect a leader several times. */
 const reachMilliseconds = 120_000;
 
-/** A data centre of a deployment. */
-export interface DataCentreDescription {
-  readonly name: string;
-  readonly region: string;
-}
-
-/** Options of {@link Deployment.start}. */
-export interface DeploymentOptions {
-  readonly dataCentres: readonly DataCentreDescription[];
-  /** Data centre of each VM, by VM name. */
-  readonly vms: Readonly<Record<string, string>>;
-  /** VMs that form the first replica set. */
-  readonly voters: readonly string[];
-  /** VMs with a data folder. @default the voters */
-  readonly withDisk?: readonly string[];
-  /** Bundle without version, operators and data centres. */
-  readonly content: Readonly<Record<string, unknown>>;
-  /** Further settings of the control section. */
-  readonly control?: Readonly<Record<string, number>>;
-  /** @default "silent" */
-  readonly logLevel?: string;
-  /** Decisions of a VM replaced for a measurement. */
-  readonly policy?: (vm: string) => VmOptions["policy"];
-}
-
-interface RunningVm {
-  readonly settingsFile: string;
-  readonly address: string;
-  vm: Vm | undefined;
-}
-
 /** VMs and fake targets on loopback, in this process. */
 export class Deployment {
   readonly history = new History();
@@ -64,8 +33,9 @@
   readonly #network: string;
   readonly #secret = randomBytes(24).toString("hex");
   readonly #operator = createOperatorKey();
-  readonly #vms = new Map<string, RunningVm>();
+  readonly #vms = new Map<string, VmProcess>();
   readonly #targets = new Map<string, FakeTarget>();
+  #links: DeploymentLinks | undefined;
   #bundleVersion = 0;
   #nextTargetHost = 1;
 
@@ -125,70 +95,81 @@
     return this.#targets;
   }
 
+  /** Ways that can be cut; they are there when the options ask for them. */
+  get links(): DeploymentLinks {
+    if (!this.#links) {
+      throw new Error("the deployment was started without links");
+    }
+    return this.#links;
+  }
+
+  /** VMs in the data centres that a condition chooses. */
+  vmsWhere(
+    condition: (dataCentre: DataCentreDescription) => boolean,
+  ): readonly string[] {
+    const chosen = this.#options.dataCentres.filter(condition);
+    return this.vmNames.filter((vm) =>
+      chosen.some((each) => each.name === this.#options.vms[vm])
+    );
+  }
+
   /** Data centre of the VM that has an IP. */
   dataCentreOf(ip: string): DataCentreDescription | undefined {
-    const vm = [...this.#vms].find(([, each]) => each.address === ip)?.[0];
+    const vm = [...this.#vms].find(([, each]) => each.ip === ip)?.[0];
     const name = vm && this.#options.vms[vm];
     return this.#options.dataCentres.find((each) => each.name === name);
   }
 
   /** Callers' listener of a VM. */
   callersAddress(vm: string): string {
-    return `${this.#required(vm).address}:${port.callers}`;
+    return this.#links?.callersAddress(vm) ?? this.#listeners(vm).callers;
   }
 
   /** Operators' listener of a VM. */
   operatorsAddress(vm: string): string {
-    return `${this.#required(vm).address}:${port.operators}`;
-  }
-
-  /** Starts a VM, or starts it anew. */
-  async startVm(name: string): Promise<void> {
-    const running = this.#required(name);
-    const settings = await readSettings(running.settingsFile);
-    running.vm = await Vm.start({
-      settings,
-      onFailure: () => {},
-      policy: {
-        localAddress: running.address,
-        ...this.#options.policy?.(name),
-      },
-    });
-    this.history.record({
-      kind: "fault",
-      subject: "vm",
-      name,
-      fault: "restart",
-    });
+    return this.#listeners(vm).operators;
+  }
+
+  /** Starts a VM, or starts it anew; a VM that runs goes on. */
+  startVm(name: string): Promise<void> {
+    return this.#required(name).start(() => ({
+      ...this.#linkedPolicy(name),
+      ...this.#options.policy?.(name),
+    }));
+  }
+
+  #linkedPolicy(name: string): VmOptions["policy"] {
+    const links = this.#links;
+    return links && {
+      clock: links.startClock(name),
+      peerAddress: (to) => links.peerAddress(name, to),
+    };
   }
 
   /** Stops a VM as planned. */
-  async stopVm(name: string): Promise<void> {
-    const running = this.#required(name);
-    this.history.record({
-      kind: "stopping",
-      subject: "vm",
-      name,
-      address: this.callersAddress(name),
-    });
-    await running.vm?.stop();
-    running.vm = undefined;
-    this.history.record({ kind: "stopped", subject: "vm", name });
+  stopVm(name: string): Promise<void> {
+    return this.#required(name).stop(this.callersAddress(name));
   }
 
   /** Ends a VM at once. */
-  async crashVm(name: string): Promise<void> {
-    const running = this.#required(name);
-    const { vm } = running;
-    running.vm = undefined;
-    this.history.record({ kind: "fault", subject: "vm", name, fault: "crash" });
-    await vm?.crash();
+  crashVm(name: string): Promise<void> {
+    return this.#required(name).crash();
+  }
+
+  /** Holds a VM as a pause of its process would; returns what releases it. */
+  holdVm(name: string): () => void {
+    this.#required(name).recordFault("freeze");
+    const release = this.links.hold(name);
+    return () => {
+      release();
+      this.#required(name).recordFault("thaw");
+    };
   }
 
   /** Records the bundle that each running VM routes by. */
   observe(): void {
     for (const [name, { vm }] of this.#vms) {
-      if (!vm) continue;
+      if (!vm || this.#links?.isHeld(name)) continue;
       this.history.record({
         kind: "tableSeen",
         vm: name,
@@ -208,11 +189,12 @@
     const host = this.#nextTargetHost++;
     const target = new FakeTarget({
       address: `${this.#network}.${100 + (host % 150)}:${
-        port.service + Math.floor(host / 150)
+        servicePort + Math.floor(host / 150)
       }`,
-      announceTo: [...this.#vms.values()].map((vm) =>
-        `${vm.address}:${port.targets}`
+      announceTo: this.vmNames.map((vm) =>
+        this.#links?.targetsAddress(vm) ?? this.#listeners(vm).targets
       ),
+      whenReached: (ip) => this.#links?.whenReached(ip),
       secret: this.#secret,
       history: this.history,
       ...options,
@@ -254,33 +236,20 @@
   }
 
   /** Sends a signed bundle to a VM; returns the answer's status. */
-  async sendBundle(signed: SignedBundle, vm: string): Promise<number> {
-    const answer = await request(`http://${this.operatorsAddress(vm)}/bundle`, {
-      method: "POST",
-      body: JSON.stringify(signed),
-    });
-    await answer.body.dump();
-    return answer.statusCode;
+  sendBundle(signed: SignedBundle, vm: string): Promise<number> {
+    return postBundle(this.operatorsAddress(vm), signed);
   }
 
   /** The deployment as the control leader sees it. */
-  async status(vm = this.#firstRunning()): Promise<ControlStatus> {
-    const { statusCode, body } = await request(
-      `http://${this.operatorsAddress(vm)}/status`,
-    );
-    const document = await body.json();
-    if (statusCode !== 200) throw new Error(JSON.stringify(document));
-    return document as ControlStatus;
+  status(vm = this.#firstRunning()): Promise<ControlStatus> {
+    return readStatus(this.operatorsAddress(vm));
   }
 
   /** Waits until a VM tells the balancer that it takes callers. */
   async untilReady(vm: string): Promise<void> {
-    for (let attempt = 0; attempt < 400; attempt += 1) {
-      const { statusCode, body } = await request(
-        `http://${this.operatorsAddress(vm)}/ready`,
-      );
-      await body.dump();
-      if (statusCode === 200) return;
+    const until = performance.now() + reachMilliseconds;
+    while (performance.now() < until) {
+      if (await isReady(this.operatorsAddress(vm))) return;
       await pause(50);
     }
     throw new Error(`${vm} did not become ready`);
@@ -325,63 +294,69 @@
     for (const target of this.#targets.values()) target.kill();
     await Promise.all(this.vmNames.map((name) => this.crashVm(name)));
     await this.caller.close();
+    this.#links?.close();
     await rm(this.#folder, { recursive: true, force: true });
   }
 
   async #writeSettings(): Promise<void> {
     const { vms } = this.#options;
     const names = Object.keys(vms);
-    names.forEach((name, index) =>
-      this.#vms.set(name, {
+    names.forEach((name, index) => {
+      const process = new VmProcess({
+        name,
+        ip: `${this.#network}.${index + 1}`,
         settingsFile: join(this.#folder, `${name}.ini`),
-        address: `${this.#network}.${index + 1}`,
-        vm: undefined,
-      })
-    );
+        history: this.history,
+      });
+      this.#vms.set(name, process);
+    });
+    if (this.#options.withLinks) this.#links = await this.#openLinks();
     await writeFile(join(this.#folder, "vm.secret"), this.#secret);
     await writeFile(join(this.#folder, "target.secret"), this.#secret);
     await Promise.all(names.map(async (name) =>
       await writeFile(
         this.#required(name).settingsFile,
-        this.#settingsText(name),
+        settingsText({
+          ...this.#options,
+          name,
+          operator: this.#operator.publicKey,
+          listeners: this.#listeners(name),
+          peers: Object.fromEntries(
+            names.map((to) => [to, this.#peerAddress(name, to)]),
+          ),
+        }),
       )
     ));
   }
 
-  #settingsText(name: string): string {
-    const { vms, dataCentres, voters, withDisk } = this.#options;
-    const { address } = this.#required(name);
-    const dataCentre = dataCentres.find((each) => each.name === vms[name])!;
-    const disk = (withDisk ?? voters).includes(name);
-    return [
-      "[vm]",
-      `name = ${name}`,
-      `dataCentre = ${dataCentre.name}`,
-      `region = ${dataCentre.region}`,
-      ...(disk ? [`dataFolder = ${name}`] : []),
-      "[listen]",
-      `callers = ${address}:${port.callers}`,
-      `targets = ${address}:${port.targets}`,
-      `peers = ${address}:${port.peers}`,
-      `operators = ${address}:${port.operators}`,
-      "[control]",
-      `voters = ${voters.join(", ")}`,
-      ...Object.entries(this.#options.control ?? {}).map(([key, value]) =>
-        `${key} = ${value}`
-      ),
-      "[peers]",
-      ...[...this.#vms].map(([vm, each]) =>
-        `${vm} = ${each.address}:${port.peers}`
-      ),
-      "[operators]",
-      `operator = ${this.#operator.publicKey}`,
-      "[security]",
-      "vmSecretFile = vm.secret",
-      "targetSecretFile = target.secret",
-      "[log]",
-      `level = ${this.#options.logLevel ?? "silent"}`,
-      "",
-    ].join("\n");
+  #openLinks(): Promise<DeploymentLinks> {
+    return DeploymentLinks.open({
+      vms: this.vmNames.map((name) => ({
+        name,
+        ip: this.#required(name).ip,
+        ...this.#listeners(name),
+      })),
+      onForwarded: (request, vm) => this.#noteHop(request, vm),
+    });
+  }
+
+  #listeners(vm: string): Listeners {
+    return listenersAt(this.#required(vm).ip);
+  }
+
+  #peerAddress(from: string, to: string): string {
+    return this.#links?.peerAddress(from, to) ?? this.#listeners(to).peers;
+  }
+
+  /** Notes that a VM holds a request that another passed on to it. */
+  #noteHop(request: string, vm: string): void {
+    const region = this.#regionOf(vm);
+    this.history.record({ kind: "hop", request, vm, region, keeps: true });
+  }
+
+  #regionOf(vm: string): string {
+    const { dataCentres, vms } = this.#options;
+    return dataCentres.find((each) => each.name === vms[vm])!.region;
   }
 
   #firstRunning(): string {
@@ -390,7 +365,7 @@
     return running[0];
   }
 
-  #required(vm: string): RunningVm {
+  #required(vm: string): VmProcess {
     const running = this.#vms.get(vm);
     if (!running) throw new Error(`there is no VM "${vm}"`);
     return running;
--- /dev/null
+++ b/packages/experiments/deployment_links.ts
@@ -0,0 +1,166 @@
+import { HeldClock } from "./held_clock.ts";
+import { Link } from "./link.ts";
+import { Network } from "./network.ts";
+
+const port = { callers: 8110, targets: 8210, peers: 8600 } as const;
+const callers = "callers";
+const targets = "targets";
+const forwardedRequest =
+  / \/forward\/\S* HTTP\/1\.1\r\n(?:[^\r\n]+\r\n)*?x-request: ([^\r\n]+)/gi;
+
+/** A VM of a deployment as the links to it need it. */
+export interface LinkedVm {
+  readonly name: string;
+  readonly ip: string;
+  /** Its listeners, as IP:PORT. */
+  readonly callers: string;
+  readonly targets: string;
+  readonly peers: string;
+}
+
+/** Options of {@link DeploymentLinks.open}. */
+export interface DeploymentLinksOptions {
+  readonly vms: readonly LinkedVm[];
+  /** Called when a VM passes a request of a caller on to another. */
+  readonly onForwarded: (request: string, vm: string) => void;
+}
+
+/**
+ * The ways between the VMs of a deployment, from callers and targets to them,
+ * and the clocks of the VMs. Ways can be cut, and a VM can be held as a pause of
+ * its process would hold it.
+ */
+export class DeploymentLinks {
+  readonly #vms: readonly LinkedVm[];
+  readonly #network = new Network();
+  readonly #clocks = new Map<string, HeldClock>();
+  #links: readonly Link[] = [];
+
+  protected constructor(vms: readonly LinkedVm[]) {
+    this.#vms = vms;
+  }
+
+  /** Opens a link for each pair of VMs, and for callers and targets. */
+  static async open(options: DeploymentLinksOptions): Promise<DeploymentLinks> {
+    const links = new DeploymentLinks(options.vms);
+    links.#links = await Promise.all(
+      options.vms.flatMap((vm) => links.#openTo(vm, options)),
+    );
+    return links;
+  }
+
+  /** Where a VM reaches the peer listener of another. */
+  peerAddress(from: string, to: string): string {
+    const index = this.#vms.findIndex((each) => each.name === to);
+    const vm = this.#vm(to);
+    return from === to
+      ? vm.peers
+      : `${this.#vm(from).ip}:${port.peers + index}`;
+  }
+
+  /** Where callers reach a VM. */
+  callersAddress(vm: string): string {
+    return `${this.#vm(vm).ip}:${port.callers}`;
+  }
+
+  /** Where targets reach a VM. */
+  targetsAddress(vm: string): string {
+    return `${this.#vm(vm).ip}:${port.targets}`;
+  }
+
+  /** A clock for a VM that starts. */
+  startClock(vm: string): HeldClock {
+    const clock = new HeldClock();
+    this.#clocks.set(vm, clock);
+    return clock;
+  }
+
+  /** Whether a VM is held. */
+  isHeld(vm: string): boolean {
+    return this.#clocks.get(vm)?.isHeld ?? false;
+  }
+
+  /** Cuts the ways from some VMs to others; returns what heals them. */
+  cut(from: readonly string[], to: readonly string[]): () => void {
+    const heals = from.flatMap((source) =>
+      to.filter((each) => each !== source).map((each) =>
+        this.#network.cut(source, each)
+      )
+    );
+    return () => heals.forEach((heal) => heal());
+  }
+
+  /** Holds what a VM sends and gets, and its clock; returns what releases it. */
+  hold(vm: string): () => void {
+    const clock = this.#clocks.get(vm)!;
+    const others = [...this.#vms.map((each) => each.name), callers, targets];
+    const heals = [this.cut([vm], others), this.cut(others, [vm])];
+    clock.hold();
+    return () => {
+      clock.release();
+      heals.forEach((heal) => heal());
+    };
+  }
+
+  /** Resolves when what the VM with an IP sent to a target arrives there. */
+  whenReached(ip: string): Promise<void> | undefined {
+    const vm = this.#vms.find((each) => each.ip === ip);
+    return vm && this.#network.whenOpen(vm.name, targets);
+  }
+
+  /** Closes every link. */
+  close(): void {
+    for (const link of this.#links) link.close();
+  }
+
+  #openTo(
+    vm: LinkedVm,
+    options: DeploymentLinksOptions,
+  ): readonly Promise<Link>[] {
+    const network = this.#network;
+    const to = vm.name;
+    const others = this.#vms.filter((each) => each !== vm);
+    return [
+      ...others.map(({ name: from }) =>
+        Link.open({
+          network,
+          from,
+          to,
+          listenAt: this.peerAddress(from, to),
+          address: vm.peers,
+          onBytes: (bytes) => noteForwarded(bytes, to, options),
+        })
+      ),
+      Link.open({
+        network,
+        from: callers,
+        to,
+        listenAt: this.callersAddress(to),
+        address: vm.callers,
+      }),
+      Link.open({
+        network,
+        from: targets,
+        to,
+        listenAt: this.targetsAddress(to),
+        address: vm.targets,
+      }),
+    ];
+  }
+
+  #vm(name: string): LinkedVm {
+    return this.#vms.find((each) => each.name === name)!;
+  }
+}
+
+function noteForwarded(
+  bytes: Buffer,
+  vm: string,
+  options: DeploymentLinksOptions,
+): void {
+  for (
+    const [, request] of bytes.toString("latin1").matchAll(forwardedRequest)
+  ) {
+    options.onForwarded(request!, vm);
+  }
+}
--- /dev/null
+++ b/packages/experiments/deployment_options.ts
@@ -0,0 +1,28 @@
+import type { VmOptions } from "kingcupglade";
+
+/** A data centre of a deployment. */
+export interface DataCentreDescription {
+  readonly name: string;
+  readonly region: string;
+}
+
+/** Options of {@link Deployment.start}. */
+export interface DeploymentOptions {
+  readonly dataCentres: readonly DataCentreDescription[];
+  /** Data centre of each VM, by VM name. */
+  readonly vms: Readonly<Record<string, string>>;
+  /** VMs that form the first replica set. */
+  readonly voters: readonly string[];
+  /** VMs with a data folder. @default the voters */
+  readonly withDisk?: readonly string[];
+  /** Bundle without version, operators and data centres. */
+  readonly content: Readonly<Record<string, unknown>>;
+  /** Further settings of the control section. */
+  readonly control?: Readonly<Record<string, number>>;
+  /** @default "silent" */
+  readonly logLevel?: string;
+  /** Whether the ways between processes can be cut and VMs held. @default false */
+  readonly withLinks?: boolean;
+  /** Decisions of a VM replaced for a measurement. */
+  readonly policy?: (vm: string) => VmOptions["policy"];
+}
--- /dev/null
+++ b/packages/experiments/deployment_settings.ts
@@ -0,0 +1,81 @@
+import type { DataCentreDescription } from "./deployment_options.ts";
+
+const port = {
+  callers: 8100,
+  targets: 8200,
+  peers: 8300,
+  operators: 8400,
+} as const;
+
+/** Listeners of a VM, as IP:PORT. */
+export interface Listeners {
+  readonly callers: string;
+  readonly targets: string;
+  readonly peers: string;
+  readonly operators: string;
+}
+
+/** The listeners of the VM that has an IP. */
+export function listenersAt(ip: string): Listeners {
+  return {
+    callers: `${ip}:${port.callers}`,
+    targets: `${ip}:${port.targets}`,
+    peers: `${ip}:${port.peers}`,
+    operators: `${ip}:${port.operators}`,
+  };
+}
+
+/** What the settings file of a VM is written from. */
+export interface SettingsSource {
+  readonly name: string;
+  readonly dataCentres: readonly DataCentreDescription[];
+  /** Data centre of each VM, by VM name. */
+  readonly vms: Readonly<Record<string, string>>;
+  readonly voters: readonly string[];
+  /** @default the voters */
+  readonly withDisk?: readonly string[];
+  /** Further settings of the control section. */
+  readonly control?: Readonly<Record<string, number>>;
+  /** @default "silent" */
+  readonly logLevel?: string;
+  readonly listeners: Listeners;
+  /** Where this VM reaches the others, by VM name. */
+  readonly peers: Readonly<Record<string, string>>;
+  /** Public key of the operator. */
+  readonly operator: string;
+}
+
+/** Text of the settings file of a VM. */
+export function settingsText(source: SettingsSource): string {
+  const { name, vms, dataCentres, voters, withDisk } = source;
+  const dataCentre = dataCentres.find((each) => each.name === vms[name])!;
+  const disk = (withDisk ?? voters).includes(name);
+  return [
+    "[vm]",
+    `name = ${name}`,
+    `dataCentre = ${dataCentre.name}`,
+    `region = ${dataCentre.region}`,
+    ...(disk ? [`dataFolder = ${name}`] : []),
+    "[listen]",
+    ...lines(source.listeners),
+    "[control]",
+    `voters = ${voters.join(", ")}`,
+    ...lines(source.control ?? {}),
+    "[peers]",
+    ...lines(source.peers),
+    "[operators]",
+    `operator = ${source.operator}`,
+    "[security]",
+    "vmSecretFile = vm.secret",
+    "targetSecretFile = target.secret",
+    "[log]",
+    `level = ${source.logLevel ?? "silent"}`,
+    "",
+  ].join("\n");
+}
+
+function lines(
+  values: Readonly<Record<string, string | number>> | Listeners,
+): readonly string[] {
+  return Object.entries(values).map(([key, value]) => `${key} = ${value}`);
+}
--- a/packages/experiments/disturbances.ts
+++ b/packages/experiments/disturbances.ts
@@ -1,32 +1,22 @@
 import { setTimeout as pause } from "node:timers/promises";
 import type { FakeTarget } from "@kingcupglade/fakes";
-import type { BundleRoller } from "./bundle_roller.ts";
-import type { DataCentreDescription, Deployment } from "./deployment.ts";
-import type { RandomSource } from "./random_source.ts";
+import { Disturbance } from "./disturbance.ts";
+import type { DisturbanceContext } from "./disturbance.ts";
+import {
+  CutControlLeader,
+  CutDataCentre,
+  CutOneWay,
+  CutRegion,
+  CutVm,
+  PauseVm,
+} from "./network_disturbances.ts";
+import {
+  LoseVoterAfterRepair,
+  RestartFarBehind,
+} from "./voter_disturbances.ts";
 
 const leaveTimeoutMilliseconds = 6000;
 
-/** What a {@link Disturbance} acts on. */
-export interface DisturbanceContext {
-  readonly deployment: Deployment;
-  readonly roller: BundleRoller;
-  readonly dataCentres: readonly DataCentreDescription[];
-  /** Choices of one lane; lanes do not share their choices. */
-  readonly random: RandomSource;
-  /** Targets that the lane may disturb. */
-  readonly targets: readonly string[];
-  /** VMs that callers and operators should not use now. */
-  readonly unready: Set<string>;
-}
-
-/** Something that happens to a deployment and is undone when it resolves. */
-export abstract class Disturbance {
-  /** Name in reports. */
-  abstract readonly name: string;
-  /** Causes it, waits a while and undoes it. */
-  abstract run(context: DisturbanceContext): Promise<void>;
-}
-
 class KillTarget extends Disturbance {
   override readonly name = "target killed";
 
@@ -163,6 +153,26 @@
     new ResendBundle(),
     new TakeDataCentreOut(),
   ],
+  network: [
+    new CutVm(),
+    new CutOneWay(),
+    new CutDataCentre(),
+    new CutRegion(),
+  ],
+  pauses: [new PauseVm()],
+} as const satisfies Readonly<Record<string, readonly Disturbance[]>>;
+
+/** Faults that must be borne alone and in pairs. */
+export const faultLanes = {
+  partitioned: disturbanceLanes.network,
+  paused: disturbanceLanes.pauses,
+  lost: [new CrashVm()],
+  frozenTarget: [new FreezeTarget()],
+  coldTarget: disturbanceLanes.coldTargets,
+  leaderCutForLong: [new CutControlLeader()],
+  operatorsRace: [new RaceBundles(), new ResendBundle()],
+  lostAfterRepair: [new LoseVoterAfterRepair()],
+  restartedFarBehind: [new RestartFarBehind()],
 } as const satisfies Readonly<Record<string, readonly Disturbance[]>>;
 
 function pickTarget(context: DisturbanceContext): FakeTarget {
--- a/packages/experiments/example.ts
+++ b/packages/experiments/example.ts
@@ -1,5 +1,5 @@
 import type { FakeTargetOptions } from "@kingcupglade/fakes";
-import type { DeploymentOptions } from "./deployment.ts";
+import type { DeploymentOptions } from "./deployment_options.ts";
 
 /** A target of an example, as its file describes it. */
 export type ExampleTarget =
--- a/packages/experiments/history_run.ts
+++ b/packages/experiments/history_run.ts
@@ -5,7 +5,7 @@
 import { BundleRoller } from "./bundle_roller.ts";
 import { Deployment } from "./deployment.ts";
 import { disturbanceLanes } from "./disturbances.ts";
-import type { Disturbance, DisturbanceContext } from "./disturbances.ts";
+import type { Disturbance, DisturbanceContext } from "./disturbance.ts";
 import { hsinchu } from "./hsinchu.ts";
 import { RandomSource } from "./random_source.ts";
 import { runCaller } from "./random_caller.ts";
@@ -18,8 +18,10 @@
 export interface HistoryRunOptions {
   readonly seed: number;
   readonly seconds: number;
-  /** Lanes of disturbances. @default every one of them */
-  readonly lanes?: readonly (keyof typeof disturbanceLanes)[];
+  /** Lanes of disturbances, by name. @default {@link disturbanceLanes} */
+  readonly lanes?: Readonly<Record<string, readonly Disturbance[]>>;
+  /** Further settings of the control section. */
+  readonly control?: Readonly<Record<string, number>>;
   /** Whether callers send again under an Idempotency-Key. @default true */
   readonly resends?: boolean;
 }
@@ -43,7 +45,11 @@
 export async function runHistory(
   options: HistoryRunOptions,
 ): Promise<HistoryRun> {
-  const deployment = await Deployment.start(hsinchu);
+  const deployment = await Deployment.start({
+    ...hsinchu,
+    control: { ...options.control },
+    withLinks: true,
+  });
   const observer = observe(deployment);
   try {
     const roller = new BundleRoller(deployment, hsinchu.dataCentres);
@@ -95,10 +101,9 @@
 }): readonly Promise<void>[] {
   const { options, deployment, roller, unready } = run;
   const names = [...deployment.targets.keys()];
-  const lanes = options.lanes ??
-    (Object.keys(disturbanceLanes) as (keyof typeof disturbanceLanes)[]);
+  const lanes = Object.values(options.lanes ?? disturbanceLanes);
   return lanes.map((lane, index) =>
-    runLane(disturbanceLanes[lane], {
+    runLane(lane, {
       ...run,
       context: {
         deployment,
--- /dev/null
+++ b/packages/experiments/link.ts
@@ -0,0 +1,113 @@
+import { connect, createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import { Transform } from "node:stream";
+import type { TransformCallback } from "node:stream";
+import type { Network } from "./network.ts";
+
+/** Options of {@link Link.open}. */
+export interface LinkOptions {
+  readonly network: Network;
+  /** The process that connects, and the one that it reaches. */
+  readonly from: string;
+  readonly to: string;
+  /** Where the first one connects, as IP:PORT. */
+  readonly listenAt: string;
+  /** Where the second one listens, as IP:PORT. */
+  readonly address: string;
+  /** Called with what travels from the first one to the second. */
+  readonly onBytes?: (bytes: Buffer) => void;
+}
+
+/**
+ * Carries TCP connections between two processes. While a way is cut, what is
+ * sent on it is held, as a network that loses packets and sends them again
+ * would; it arrives late when the way is healed.
+ */
+export class Link {
+  readonly #options: LinkOptions;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  protected constructor(options: LinkOptions) {
+    this.#options = options;
+    this.#server = createServer(
+      { allowHalfOpen: true },
+      (socket) => this.#carry(socket),
+    );
+  }
+
+  /** Opens the listener. */
+  static async open(options: LinkOptions): Promise<Link> {
+    const link = new Link(options);
+    const [host, port] = options.listenAt.split(":");
+    await new Promise<void>((resolve, reject) => {
+      link.#server.once("error", reject);
+      link.#server.listen(
+        { host, port: Number(port), backlog: 1024 },
+        resolve,
+      );
+    });
+    return link;
+  }
+
+  /** Closes the listener and every connection. */
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #carry(near: Socket): void {
+    const { network, from, to, address, onBytes } = this.#options;
+    const [host, port] = address.split(":");
+    const far = connect({ host, port: Number(port), allowHalfOpen: true });
+    for (const socket of [near, far]) {
+      socket.setNoDelay(true);
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    }
+    if (onBytes) near.on("data", onBytes);
+    carryOneWay(near, far, () => network.whenOpen(from, to));
+    carryOneWay(far, near, () => network.whenOpen(to, from));
+  }
+}
+
+type WhenOpen = () => Promise<void> | undefined;
+
+function carryOneWay(source: Socket, sink: Socket, whenOpen: WhenOpen): void {
+  source.pipe(new HeldBytes(whenOpen)).pipe(sink);
+  // The end of a connection travels on the same way as its bytes.
+  source.once("close", (hadError) => {
+    if (hadError) void afterOpening(whenOpen, () => sink.destroy());
+  });
+  source.on("error", () => {});
+}
+
+async function afterOpening(
+  whenOpen: WhenOpen,
+  act: () => void,
+): Promise<void> {
+  for (let open = whenOpen(); open; open = whenOpen()) await open;
+  act();
+}
+
+class HeldBytes extends Transform {
+  readonly #whenOpen: WhenOpen;
+
+  constructor(whenOpen: WhenOpen) {
+    super();
+    this.#whenOpen = whenOpen;
+  }
+
+  override _transform(
+    chunk: Buffer,
+    _encoding: BufferEncoding,
+    done: TransformCallback,
+  ): void {
+    if (!this.#whenOpen()) return done(null, chunk);
+    void afterOpening(this.#whenOpen, () => done(null, chunk));
+  }
+
+  override _flush(done: TransformCallback): void {
+    void afterOpening(this.#whenOpen, () => done());
+  }
+}
--- a/packages/experiments/mod.ts
+++ b/packages/experiments/mod.ts
@@ -5,7 +5,10 @@
  * @module
  */
 export { Deployment } from "./deployment.ts";
-export type { DataCentreDescription, DeploymentOptions } from "./deployment.ts";
+export type {
+  DataCentreDescription,
+  DeploymentOptions,
+} from "./deployment_options.ts";
 export { describeExample } from "./example.ts";
 export type { ExampleDeployment, ExampleTarget } from "./example.ts";
 export { hsinchu, hsinchuTargets } from "./hsinchu.ts";
--- /dev/null
+++ b/packages/experiments/network_disturbances.ts
@@ -0,0 +1,99 @@
+import { setTimeout as pause } from "node:timers/promises";
+import { Disturbance } from "./disturbance.ts";
+import type { DisturbanceContext } from "./disturbance.ts";
+
+const leastCutMilliseconds = 300;
+const mostCutMilliseconds = 4000;
+const longCutMilliseconds = 6000;
+const leastPauseMilliseconds = 50;
+const mostPauseMilliseconds = 3000;
+
+/** One VM and all others do not reach each other. */
+export class CutVm extends Disturbance {
+  override readonly name = "VM cut off";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const vm = context.random.pick(context.deployment.vmNames);
+    await cutForAWhile(context, [vm]);
+  }
+}
+
+/** What a VM sends, or what is sent to it, does not arrive. */
+export class CutOneWay extends Disturbance {
+  override readonly name = "VM cut off one way";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { deployment, random } = context;
+    const vm = random.pick(deployment.vmNames);
+    const heal = random.number() < 0.5
+      ? deployment.links.cut([vm], deployment.vmNames)
+      : deployment.links.cut(deployment.vmNames, [vm]);
+    await pause(random.integer(leastCutMilliseconds, mostCutMilliseconds));
+    heal();
+  }
+}
+
+/** The VMs of a data centre and all others do not reach each other. */
+export class CutDataCentre extends Disturbance {
+  override readonly name = "data centre cut off";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { name } = context.random.pick(context.dataCentres);
+    const vms = context.deployment.vmsWhere((each) => each.name === name);
+    await cutForAWhile(context, vms);
+  }
+}
+
+/** The VMs of a region and all others do not reach each other. */
+export class CutRegion extends Disturbance {
+  override readonly name = "region cut off";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { region } = context.random.pick(context.dataCentres);
+    const vms = context.deployment.vmsWhere((each) => each.region === region);
+    await cutForAWhile(context, vms);
+  }
+}
+
+/** The VM that leads control is cut off for longer than every lease. */
+export class CutControlLeader extends Disturbance {
+  override readonly name = "control leader cut off for long";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { leader } = await context.deployment.until((status) =>
+      status.leader !== ""
+    );
+    await cutForAWhile(context, [leader], longCutMilliseconds);
+  }
+}
+
+/** A VM stands still and goes on as if nothing had happened. */
+export class PauseVm extends Disturbance {
+  override readonly name = "VM paused";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { deployment, random } = context;
+    const vm = random.pick(deployment.runningVms);
+    const release = deployment.holdVm(vm);
+    await pause(random.integer(leastPauseMilliseconds, mostPauseMilliseconds));
+    release();
+  }
+}
+
+async function cutForAWhile(
+  context: DisturbanceContext,
+  vms: readonly string[],
+  milliseconds = context.random.integer(
+    leastCutMilliseconds,
+    mostCutMilliseconds,
+  ),
+): Promise<void> {
+  const { deployment } = context;
+  const others = deployment.vmNames.filter((each) => !vms.includes(each));
+  const heals = [
+    deployment.links.cut(vms, others),
+    deployment.links.cut(others, vms),
+  ];
+  await pause(milliseconds);
+  for (const heal of heals) heal();
+}
--- /dev/null
+++ b/packages/experiments/operator_requests.ts
@@ -0,0 +1,31 @@
+import type { SignedBundle } from "@kingcupglade/bundle";
+import type { ControlStatus } from "kingcupglade";
+import { request } from "undici";
+
+/** Sends a signed bundle to an operators' listener; returns the answer's status. */
+export async function postBundle(
+  address: string,
+  signed: SignedBundle,
+): Promise<number> {
+  const { statusCode, body } = await request(`http://${address}/bundle`, {
+    method: "POST",
+    body: JSON.stringify(signed),
+  });
+  await body.dump();
+  return statusCode;
+}
+
+/** The deployment as the control leader sees it, asked through a VM. */
+export async function readStatus(address: string): Promise<ControlStatus> {
+  const { statusCode, body } = await request(`http://${address}/status`);
+  const document = await body.json();
+  if (statusCode !== 200) throw new Error(JSON.stringify(document));
+  return document as ControlStatus;
+}
+
+/** Whether a VM tells the balancer that it takes callers. */
+export async function isReady(address: string): Promise<boolean> {
+  const { statusCode, body } = await request(`http://${address}/ready`);
+  await body.dump();
+  return statusCode === 200;
+}
--- /dev/null
+++ b/packages/experiments/vm_process.ts
@@ -0,0 +1,87 @@
+import type { History, HistoryEvent } from "@kingcupglade/fakes";
+import { readSettings, Vm } from "kingcupglade";
+import type { VmOptions } from "kingcupglade";
+
+/** Options of a {@link VmProcess}. */
+export interface VmProcessOptions {
+  readonly name: string;
+  /** IP of its listeners. */
+  readonly ip: string;
+  readonly settingsFile: string;
+  readonly history: History;
+}
+
+/** One VM of a deployment, which starts, stops and crashes in this process. */
+export class VmProcess {
+  readonly #options: VmProcessOptions;
+  #vm: Vm | undefined;
+  #turn: Promise<void> = Promise.resolve();
+
+  constructor(options: VmProcessOptions) {
+    this.#options = options;
+  }
+
+  /** IP of its listeners. */
+  get ip(): string {
+    return this.#options.ip;
+  }
+
+  /** File of its settings. */
+  get settingsFile(): string {
+    return this.#options.settingsFile;
+  }
+
+  /** The VM while it runs. */
+  get vm(): Vm | undefined {
+    return this.#vm;
+  }
+
+  /** Starts it, or starts it anew; one that runs goes on. */
+  start(policy: () => VmOptions["policy"]): Promise<void> {
+    return this.#inTurn(async () => {
+      if (this.#vm) return;
+      this.#vm = await Vm.start({
+        settings: await readSettings(this.settingsFile),
+        onFailure: () => {},
+        policy: { localAddress: this.ip, ...policy() },
+      });
+      this.recordFault("restart");
+    });
+  }
+
+  /** Stops it as planned; callers name it by `address`. */
+  stop(address: string): Promise<void> {
+    return this.#inTurn(async () => {
+      const { history, name } = this.#options;
+      history.record({ kind: "stopping", subject: "vm", name, address });
+      await this.#vm?.stop();
+      this.#vm = undefined;
+      history.record({ kind: "stopped", subject: "vm", name });
+    });
+  }
+
+  /** Ends it at once. */
+  crash(): Promise<void> {
+    return this.#inTurn(async () => {
+      const vm = this.#vm;
+      this.#vm = undefined;
+      this.recordFault("crash");
+      await vm?.crash();
+    });
+  }
+
+  /** Records a fault of it. */
+  recordFault(
+    fault: Extract<HistoryEvent, { readonly kind: "fault" }>["fault"],
+  ): void {
+    const { history, name } = this.#options;
+    history.record({ kind: "fault", subject: "vm", name, fault });
+  }
+
+  // Disturbances that meet at one VM must not start it twice.
+  #inTurn(act: () => Promise<void>): Promise<void> {
+    const ended = this.#turn.then(act);
+    this.#turn = ended.catch(() => {});
+    return ended;
+  }
+}
--- /dev/null
+++ b/packages/experiments/voter_disturbances.ts
@@ -0,0 +1,63 @@
+import { Disturbance } from "./disturbance.ts";
+import type { DisturbanceContext } from "./disturbance.ts";
+import type { Deployment } from "./deployment.ts";
+
+const repairTimeoutMilliseconds = 15_000;
+const missedRolls = 200;
+const missedRollsMilliseconds = 15_000;
+
+/** A voter is lost, and the next one right after the first was replaced. */
+export class LoseVoterAfterRepair extends Disturbance {
+  override readonly name = "voter lost right after a repair";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { deployment, random } = context;
+    const before = await votersOf(deployment);
+    const first = random.pick(before);
+    await deployment.crashVm(first);
+    const after = await deployment.until(
+      (status) =>
+        status.replicas.voters.every((each) => vmOf(each) !== first) &&
+        status.replicas.learners.length === 0,
+      repairTimeoutMilliseconds,
+    ).catch(() => null);
+    const left = (after?.replicas.voters ?? []).map(vmOf).filter((vm) =>
+      deployment.runningVms.includes(vm)
+    );
+    const second = left.length > 0 ? random.pick(left) : undefined;
+    if (second) await deployment.crashVm(second);
+    await deployment.startVm(first);
+    if (second) await deployment.startVm(second);
+  }
+}
+
+/** A voter restarts after hundreds of changes that it missed. */
+export class RestartFarBehind extends Disturbance {
+  override readonly name = "voter restarted far behind";
+
+  override async run(context: DisturbanceContext): Promise<void> {
+    const { deployment, random, roller } = context;
+    const vm = random.pick(await votersOf(deployment));
+    await deployment.crashVm(vm);
+    const until = performance.now() + missedRollsMilliseconds;
+    const others = deployment.runningVms;
+    for (let roll = 0; roll < missedRolls; roll += 1) {
+      if (performance.now() > until) break;
+      await roller.roll(others);
+    }
+    await deployment.startVm(vm);
+  }
+}
+
+async function votersOf(deployment: Deployment): Promise<readonly string[]> {
+  const { replicas } = await deployment.until((status) =>
+    status.replicas.voters.length > 0
+  );
+  return replicas.voters.map(vmOf).filter((vm) =>
+    deployment.runningVms.includes(vm)
+  );
+}
+
+function vmOf(replica: string): string {
+  return replica.split(".")[0]!;
+}
--- a/packages/fakes/fake_target.ts
+++ b/packages/fakes/fake_target.ts
@@ -54,6 +54,7 @@
       serviceMilliseconds: 2,
       acceptsCancellation: false,
       delayMilliseconds: () => 0,
+      whenReached: () => undefined,
       ...options,
     };
     this.#condition = this.#options.condition;
@@ -280,11 +281,12 @@
     if (exchange) response.setHeader("kingcupglade-exchange", exchange);
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
+    const sender = request.socket.remoteAddress ?? "";
+    await this.#options.whenReached(sender);
     await this.#frozen;
     if (request.method === "PUT" && request.url === "/kingcupglade/grants") {
       return this.#takeGrants(Buffer.concat(chunks), response);
     }
-    const sender = request.socket.remoteAddress ?? "";
     const delay = this.#options.delayMilliseconds(sender);
     if (delay > 0) await pause(delay);
     await this.#carryOut(request, response);
--- a/packages/fakes/fake_target_options.ts
+++ b/packages/fakes/fake_target_options.ts
@@ -27,6 +27,11 @@
   readonly acceptsCancellation?: boolean;
   /** Network delay there and back, by the sender's IP. @default none */
   readonly delayMilliseconds?: (sender: string) => number;
+  /**
+   * Resolves when what the sender with an IP sent arrives; undefined when it
+   * has. @default it arrives at once
+   */
+  readonly whenReached?: (sender: string) => Promise<void> | undefined;
 }
 
 /** Conditions that a fake target can announce. */
--- a/packages/kingcupglade/gateway/forwarder.ts
+++ b/packages/kingcupglade/gateway/forwarder.ts
@@ -41,6 +41,8 @@
   readonly metrics: Metrics;
   /** Region of this VM. */
   readonly region: string;
+  /** Address of another VM. @default what it tells of itself */
+  readonly peerAddress?: ((vm: string) => string) | undefined;
 }
 
 /** Where a request is passed on to. */
@@ -110,10 +112,11 @@
     vm: VmRecord,
   ): Promise<ExchangeResult> {
     const { clock, secret, routing, metrics, region } = this.#options;
+    const address = this.#options.peerAddress?.(vm.name) ?? vm.peerAddress;
     const { body, deadlineAt, method, path, headers, sink } = caller;
     const timeoutMilliseconds = Math.max(1, deadlineAt - clock.now());
     const result = await this.#exchanges.run({
-      address: `${this.#scheme}://${vm.peerAddress}`,
+      address: `${this.#scheme}://${address}`,
       method,
       path: `${forwardedPathPrefix}${path}`,
       headers,
--- a/packages/kingcupglade/ledger/ledger_task.ts
+++ b/packages/kingcupglade/ledger/ledger_task.ts
@@ -115,6 +115,11 @@
     }
   }
 
+  /** Claims of every copy on this VM, whatever its part. */
+  get keptClaims(): readonly string[] {
+    return [...this.#shards.values()].flatMap(({ shard }) => shard.claims);
+  }
+
   /** Waits until every shard held here has its whole copy on a standby. */
   async synchronised(timeoutMilliseconds: number): Promise<void> {
     const until = this.#now + timeoutMilliseconds;
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -40,8 +40,9 @@
    * @throws {ListenError} when an address cannot be used.
    */
   static async start(options: VmOptions): Promise<Vm> {
-    const foundation = await layFoundation(options.settings);
-    const tasks = await startTasks(foundation, options.policy ?? {});
+    const policy = options.policy ?? {};
+    const foundation = await layFoundation(options.settings, policy);
+    const tasks = await startTasks(foundation, policy);
     const vm = new Vm(foundation, tasks);
     vm.#listeners = await openListeners(foundation, tasks, {
       isReady: () => vm.#isReady,
@@ -60,6 +61,11 @@
     return this.#tasks.routing.table.bundle;
   }
 
+  /** Claims of idempotency keys that this VM keeps a record of. */
+  get keptClaims(): readonly string[] {
+    return this.#tasks.ledger.keptClaims;
+  }
+
   /** Finishes every request, hands over what this VM leads, and stops. */
   async stop(): Promise<void> {
     const { logger, settings } = this.#foundation;
--- a/packages/kingcupglade/vm/foundation.ts
+++ b/packages/kingcupglade/vm/foundation.ts
@@ -10,6 +10,7 @@
 import type { Secrets } from "../settings/secrets.ts";
 import { readTls } from "../settings/tls.ts";
 import type { ResolvedTls } from "../settings/tls.ts";
+import type { VmPolicy } from "./tasks.ts";
 
 /** What every task and listener of a VM is built on. */
 export interface VmFoundation {
@@ -33,11 +34,12 @@
  */
 export async function layFoundation(
   settings: ResolvedSettings,
+  policy: Pick<VmPolicy, "clock" | "logger"> = {},
 ): Promise<VmFoundation> {
   const { vm, log } = settings;
   const secrets = await readSecrets(settings);
   const tls = await readTls(settings);
-  const clock = new MonotonicClock();
+  const clock = policy.clock ?? new MonotonicClock();
   const peers = new PeerDirectory({
     addresses: settings.peers,
     secret: secrets.vm,
@@ -49,7 +51,7 @@
     tls,
     boot: randomUUID(),
     clock,
-    logger: createLogger({
+    logger: policy.logger ?? createLogger({
       fields: { vm: vm.name, dataCentre: vm.dataCentre },
       level: log.level,
     }),
--- a/packages/kingcupglade/vm/tasks.ts
+++ b/packages/kingcupglade/vm/tasks.ts
@@ -2,6 +2,8 @@
 import { createKeyHasher } from "@kingcupglade/ownership";
 import { TargetObservations } from "@kingcupglade/routing";
 import type { CapacityGate } from "@kingcupglade/routing";
+import type { Clock } from "@kingcupglade/tasks";
+import type { Logger } from "@kingcupglade/telemetry";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { ControlTask } from "../control/control_task.ts";
@@ -26,6 +28,12 @@
   readonly hedgeShare?: number;
   /** Address that connections to targets come from. */
   readonly localAddress?: string;
+  /** Address by which a VM passes requests on to another. @default what that one tells of itself */
+  readonly peerAddress?: (vm: string) => string;
+  /** @default the monotonic clock of the process */
+  readonly clock?: Clock;
+  /** @default JSON lines on standard error */
+  readonly logger?: Logger;
   /** Seed of the choices among targets. @default drawn at each start */
   readonly seed?: number;
 }
@@ -78,6 +86,7 @@
     routing,
     secret: secrets.vm,
     region: vm.region,
+    peerAddress: policy.peerAddress,
   });
   const gateway = new Gateway({
     ...foundation,
--- a/packages/ledger/shard.ts
+++ b/packages/ledger/shard.ts
@@ -92,6 +92,11 @@
     return this.#records.size;
   }
 
+  /** Claims that have a record. */
+  get claims(): readonly string[] {
+    return this.#records.entries().map((each) => each.id);
+  }
+
   /** Estimated memory of the records. */
   get bytes(): number {
     return this.#records.bytes;
