Check what VMs keep of requests with a home, and run every two faults together

The checker looked at what a VM keeps only where a hop was recorded, and no VM recorded one. A deployment with links now records requests that one VM passes on to another, claims that a VM has a copy of, and log lines that name a tenant. A hop whose service no target tells is held against the home of all services of its tenant; it was left out before.

In home_regions_test a VM that is made to pass requests on to a VM outside of their home is named by the checker; without it nothing is kept but in the home.

--- a/packages/checker/check_history_test.ts
+++ b/packages/checker/check_history_test.ts
@@ -108,6 +108,21 @@
   version,
   digest: `digest-${version}`,
 }];
+const hop = (at: number, region: string, keeps = true): At => [at, {
+  kind: "hop",
+  request: "r1",
+  service: "",
+  vm: `vm of ${region}`,
+  region,
+  keeps,
+}];
+const logged = (at: number, region: string): At => [at, {
+  kind: "logged",
+  vm: `vm of ${region}`,
+  region,
+  tenant: "toolroom",
+  line: "request-failed",
+}];
 const stop = (at: number, name: string, subject: "vm" | "target"): At => [
   at,
   { kind: "stopping", subject, name, address: name },
@@ -122,6 +137,9 @@
   leased(7, "a", 6000),
   granted(8, "a", 5),
   asked(10, "r1", "once"),
+  hop(10.1, "kaohsiung", false),
+  hop(10.2, "taichung"),
+  logged(10.3, "hsinchu"),
   started(11, "r1", { condition: "cold" }),
   effect(12, "r1"),
   ended(13, "r1"),
@@ -194,6 +212,8 @@
     effect(36, "r6"),
     ended(37, "r6"),
   ],
+  [PromiseName.homeRegions, hop(10.5, "kaohsiung")],
+  [PromiseName.homeRegions, logged(10.5, "kaohsiung")],
   [PromiseName.bundleInForce, rolled(100, 1, 90)],
   [
     PromiseName.bundleInForce,
--- a/packages/checker/promises/home_regions.ts
+++ b/packages/checker/promises/home_regions.ts
@@ -6,7 +6,8 @@
 
 /**
  * Requests start only in regions that some bundle rolled so far makes their
- * home, and no process elsewhere keeps parts of them.
+ * home, and no process elsewhere keeps parts of them or names their tenant in
+ * its log.
  */
 export const checkHomeRegions: PromiseCheck = (events) => {
   const asked = new Map(
@@ -18,11 +19,12 @@
   );
   return events.flatMap((event): readonly Violation[] => {
     if (event.kind === "rolling") rolls.push(event);
+    if (event.kind === "logged") return checkLogged(rolls, event);
     if (event.kind !== "started" && event.kind !== "hop") return [];
     if (event.kind === "hop" && !event.keeps) return [];
     const request = asked.get(event.request);
-    const service = services.get(event.request);
-    if (!request || service === undefined) return [];
+    const service = event.service || services.get(event.request);
+    if (!request) return [];
     const home = homeOf(rolls, { service, tenant: request.tenant });
     const region = event.kind === "hop"
       ? event.region
@@ -32,12 +34,26 @@
   });
 };
 
+function checkLogged(
+  rolls: readonly EventOf<"rolling">[],
+  event: EventOf<"logged">,
+): readonly Violation[] {
+  const home = homeOf(rolls, { service: undefined, tenant: event.tenant });
+  return home === null || home.has(event.region) ? [] : [{
+    promise: PromiseName.homeRegions,
+    message: `${event.vm} logged a line that names ${event.tenant}`,
+    events: [event],
+  }];
+}
+
+/** Home of a tenant; that of all its services when the service is not known. */
 function homeOf(
   rolls: readonly EventOf<"rolling">[],
-  subject: { readonly service: string; readonly tenant: string },
+  subject: { readonly service: string | undefined; readonly tenant: string },
 ): ReadonlySet<string> | null {
   const regions = rolls.flatMap((roll) => roll.homes).filter((home) =>
-    home.service === subject.service && home.tenant === subject.tenant
+    home.tenant === subject.tenant &&
+    (subject.service === undefined || home.service === subject.service)
   ).flatMap((home) => home.regions);
   return regions.length === 0 ? null : new Set(regions);
 }
--- a/packages/experiments/deployment.ts
+++ b/packages/experiments/deployment.ts
@@ -15,6 +15,7 @@
 } from "./deployment_options.ts";
 import { listenersAt, settingsText } from "./deployment_settings.ts";
 import type { Listeners } from "./deployment_settings.ts";
+import { KeptParts } from "./kept_parts.ts";
 import { VmProcess } from "./vm_process.ts";
 import { isReady, postBundle, readStatus } from "./operator_requests.ts";
 
@@ -35,6 +36,7 @@
   readonly #operator = createOperatorKey();
   readonly #vms = new Map<string, VmProcess>();
   readonly #targets = new Map<string, FakeTarget>();
+  readonly #kept: KeptParts;
   #links: DeploymentLinks | undefined;
   #bundleVersion = 0;
   #nextTargetHost = 1;
@@ -42,6 +44,12 @@
   protected constructor(options: DeploymentOptions, folder: string) {
     this.#options = options;
     this.#folder = folder;
+    this.#kept = new KeptParts({
+      history: this.history,
+      services: namesOf(options.content["services"]),
+      tenants: namesOf(options.content["tenants"]),
+      regionOf: (vm) => this.#regionOf(vm),
+    });
     this.#network = `127.${randomInt(1, 255)}.${randomInt(0, 255)}`;
   }
 
@@ -122,12 +130,12 @@
 
   /** Callers' listener of a VM. */
   callersAddress(vm: string): string {
-    return this.#links?.callersAddress(vm) ?? this.#listeners(vm).callers;
+    return this.#links?.callersAddress(vm) ?? this.listenersOf(vm).callers;
   }
 
   /** Operators' listener of a VM. */
   operatorsAddress(vm: string): string {
-    return this.#listeners(vm).operators;
+    return this.listenersOf(vm).operators;
   }
 
   /** Starts a VM, or starts it anew; a VM that runs goes on. */
@@ -142,6 +150,7 @@
     const links = this.#links;
     return links && {
       clock: links.startClock(name),
+      logger: this.#kept.logger(name),
       peerAddress: (to) => links.peerAddress(name, to),
     };
   }
@@ -180,6 +189,13 @@
     }
   }
 
+  /** Records the claims that each running VM keeps. */
+  observeClaims(): void {
+    for (const [name, { vm }] of this.#vms) {
+      if (vm) this.#kept.noteClaims(name, vm.keptClaims);
+    }
+  }
+
   /** Starts a fake target. */
   async addTarget(
     options:
@@ -192,7 +208,7 @@
         servicePort + Math.floor(host / 150)
       }`,
       announceTo: this.vmNames.map((vm) =>
-        this.#links?.targetsAddress(vm) ?? this.#listeners(vm).targets
+        this.#links?.targetsAddress(vm) ?? this.listenersOf(vm).targets
       ),
       whenReached: (ip) => this.#links?.whenReached(ip),
       secret: this.#secret,
@@ -320,7 +336,7 @@
           ...this.#options,
           name,
           operator: this.#operator.publicKey,
-          listeners: this.#listeners(name),
+          listeners: this.listenersOf(name),
           peers: Object.fromEntries(
             names.map((to) => [to, this.#peerAddress(name, to)]),
           ),
@@ -334,24 +350,19 @@
       vms: this.vmNames.map((name) => ({
         name,
         ip: this.#required(name).ip,
-        ...this.#listeners(name),
+        ...this.listenersOf(name),
       })),
-      onForwarded: (request, vm) => this.#noteHop(request, vm),
+      onForwarded: (request, vm) => this.#kept.notePassedOn(request, vm),
     });
   }
 
-  #listeners(vm: string): Listeners {
+  /** The listeners of a VM, with no link before them. */
+  listenersOf(vm: string): Listeners {
     return listenersAt(this.#required(vm).ip);
   }
 
   #peerAddress(from: string, to: string): string {
-    return this.#links?.peerAddress(from, to) ?? this.#listeners(to).peers;
-  }
-
-  /** Notes that a VM holds a request that another passed on to it. */
-  #noteHop(request: string, vm: string): void {
-    const region = this.#regionOf(vm);
-    this.history.record({ kind: "hop", request, vm, region, keeps: true });
+    return this.#links?.peerAddress(from, to) ?? this.listenersOf(to).peers;
   }
 
   #regionOf(vm: string): string {
@@ -371,3 +382,8 @@
     return running;
   }
 }
+
+function namesOf(described: unknown): readonly string[] {
+  const each = (described ?? []) as readonly { readonly name: string }[];
+  return each.map(({ name }) => name);
+}
--- a/packages/experiments/history_run.ts
+++ b/packages/experiments/history_run.ts
@@ -11,6 +11,7 @@
 import { runCaller } from "./random_caller.ts";
 
 const observeMilliseconds = 25;
+const observeClaimsMilliseconds = 500;
 const stallMilliseconds = 100;
 const callers = 8;
 
@@ -133,7 +134,7 @@
     await disturbance.run(context);
     const count = disturbances.get(disturbance.name) ?? 0;
     disturbances.set(disturbance.name, count + 1);
-    await pause(context.random.integer(50, 600));
+    await pause(context.random.integer(50, disturbance.mostRestMilliseconds));
   }
 }
 
@@ -163,6 +164,7 @@
 /** Records the bundles in use and the times at which this process stood still. */
 function observe(deployment: Deployment): NodeJS.Timeout {
   let last = performance.now();
+  let claimsDueAt = last;
   return setInterval(() => {
     const now = performance.now();
     const milliseconds = now - last - observeMilliseconds;
@@ -171,6 +173,9 @@
       deployment.history.record({ kind: "stalled", milliseconds });
     }
     deployment.observe();
+    if (now < claimsDueAt) return;
+    claimsDueAt = now + observeClaimsMilliseconds;
+    deployment.observeClaims();
   }, observeMilliseconds);
 }
 
--- a/packages/experiments/home_regions_test.ts
+++ b/packages/experiments/home_regions_test.ts
@@ -1,5 +1,12 @@
+import {
+  checkHistory,
+  eventsOf,
+  formatViolations,
+  PromiseName,
+} from "@kingcupglade/checker";
 import { Agent, request } from "undici";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { BundleRoller } from "./bundle_roller.ts";
 import { Deployment } from "./deployment.ts";
 import { hsinchu } from "./hsinchu.ts";
 
@@ -29,10 +36,29 @@
 describe("a tenant with a home region", () => {
   let deployment: Deployment;
   const agent = new Agent();
+  /** A VM that passes requests on to a VM outside of their home, when asked to. */
+  const misled = "vm-2";
+  let misleads = false;
+
+  const misleadingAddress = (to: string) =>
+    deployment.links.peerAddress(misled, misleads ? "vm-7" : to);
+
+  const violations = () => {
+    deployment.observeClaims();
+    return checkHistory(deployment.history.events).filter((each) =>
+      each.promise === PromiseName.homeRegions
+    );
+  };
 
   beforeAll(async () => {
-    deployment = await Deployment.start({ ...hsinchu, content });
-    await deployment.roll();
+    deployment = await Deployment.start({
+      ...hsinchu,
+      content,
+      withLinks: true,
+      policy: (vm) => vm === misled ? { peerAddress: misleadingAddress } : {},
+    });
+    await new BundleRoller(deployment, hsinchu.dataCentres)
+      .roll(deployment.vmNames);
     for (const [index, { name }] of hsinchu.dataCentres.entries()) {
       await deployment.addTarget({
         name: `${name}-${index + 1}`,
@@ -85,7 +111,7 @@
     const { statusCode, headers, body } = await ask("vm-1");
     await body.dump();
     const home = ["vm-4", "vm-5", "vm-6"].map((vm) =>
-      `http://${deployment.callersAddress(vm)}/redirected/clamp-1`
+      `http://${deployment.listenersOf(vm).callers}/redirected/clamp-1`
     );
     expect(statusCode).toBe(307);
     expect(home).toContain(headers["location"]);
@@ -104,6 +130,26 @@
     );
   });
 
+  it("leaves nothing elsewhere", () => {
+    expect(formatViolations(violations())).toBe("");
+    const kept = eventsOf(deployment.history.events, "hop");
+    expect(new Set(kept.map((each) => each.region))).toEqual(
+      new Set(["taichung"]),
+    );
+    expect(kept.map((each) => each.service)).toContain("fixture-stock");
+    expect(kept.map((each) => each.service)).toContain("");
+  });
+
+  it("is found by the checker when it is passed on elsewhere", async () => {
+    misleads = true;
+    const { request } = await reserve(misled);
+    misleads = false;
+    const messages = violations().map((each) => each.message);
+    expect(new Set(messages)).toEqual(
+      new Set([`vm-7 kept ${request}, whose home is taichung`]),
+    );
+  });
+
   it("is refused when no VM is left there", async () => {
     for (const vm of ["vm-4", "vm-5", "vm-6"]) await deployment.crashVm(vm);
     await expect.poll(() => reserve("vm-1"), { timeout: 10_000 })
--- a/packages/experiments/network_disturbances.ts
+++ b/packages/experiments/network_disturbances.ts
@@ -8,8 +8,13 @@
 const leastPauseMilliseconds = 50;
 const mostPauseMilliseconds = 3000;
 
+/** Something that happens to the network or the processes of VMs. */
+abstract class NetworkDisturbance extends Disturbance {
+  override readonly mostRestMilliseconds = 5000;
+}
+
 /** One VM and all others do not reach each other. */
-export class CutVm extends Disturbance {
+export class CutVm extends NetworkDisturbance {
   override readonly name = "VM cut off";
 
   override async run(context: DisturbanceContext): Promise<void> {
@@ -19,7 +24,7 @@
 }
 
 /** What a VM sends, or what is sent to it, does not arrive. */
-export class CutOneWay extends Disturbance {
+export class CutOneWay extends NetworkDisturbance {
   override readonly name = "VM cut off one way";
 
   override async run(context: DisturbanceContext): Promise<void> {
@@ -34,7 +39,7 @@
 }
 
 /** The VMs of a data centre and all others do not reach each other. */
-export class CutDataCentre extends Disturbance {
+export class CutDataCentre extends NetworkDisturbance {
   override readonly name = "data centre cut off";
 
   override async run(context: DisturbanceContext): Promise<void> {
@@ -45,7 +50,7 @@
 }
 
 /** The VMs of a region and all others do not reach each other. */
-export class CutRegion extends Disturbance {
+export class CutRegion extends NetworkDisturbance {
   override readonly name = "region cut off";
 
   override async run(context: DisturbanceContext): Promise<void> {
@@ -56,7 +61,7 @@
 }
 
 /** The VM that leads control is cut off for longer than every lease. */
-export class CutControlLeader extends Disturbance {
+export class CutControlLeader extends NetworkDisturbance {
   override readonly name = "control leader cut off for long";
 
   override async run(context: DisturbanceContext): Promise<void> {
@@ -68,7 +73,7 @@
 }
 
 /** A VM stands still and goes on as if nothing had happened. */
-export class PauseVm extends Disturbance {
+export class PauseVm extends NetworkDisturbance {
   override readonly name = "VM paused";
 
   override async run(context: DisturbanceContext): Promise<void> {
--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -24,6 +24,8 @@
       (await import("./suite/at_most_once.ts")).atMostOnceExperiment,
     "history": async () =>
       (await import("./suite/history.ts")).historyExperiment,
+    "fault-pairs": async () =>
+      (await import("./suite/fault_pairs.ts")).faultPairsExperiment,
     "rolls": async () => (await import("./suite/rolls.ts")).rollsExperiment,
     "control-cost": async () =>
       (await import("./suite/control_cost.ts")).controlCostExperiment,
--- /dev/null
+++ b/packages/experiments/suite/fault_pairs.ts
@@ -0,0 +1,84 @@
+import {
+  firstViolations,
+  formatViolations,
+  PromiseName,
+} from "@kingcupglade/checker";
+import type { Experiment, Figure } from "../experiment.ts";
+import { faultLanes } from "../disturbances.ts";
+import { runHistory } from "../history_run.ts";
+import type { HistoryRun } from "../history_run.ts";
+
+const secondsPerPair = 5;
+const repairMilliseconds = 1000;
+
+type Fault = keyof typeof faultLanes;
+type Pair = readonly [Fault, Fault];
+
+/** Runs the daemon under each fault alone and under each two at a time. */
+export const faultPairsExperiment: Experiment = {
+  summary: "violations of each promise under each two faults at a time",
+  async run({ seed, progress }) {
+    const runs: HistoryRun[] = [];
+    for (const [index, [left, right]] of pairs().entries()) {
+      const run = await runHistory({
+        seed: seed + index,
+        seconds: secondsPerPair,
+        lanes: { [left]: faultLanes[left], [right]: faultLanes[right] },
+        control: { repairMilliseconds },
+      });
+      runs.push(run);
+      progress(describe(run, { seed: seed + index, pair: [left, right] }));
+      if (run.violations.length === 0) continue;
+      progress(formatViolations(firstViolations(run.violations)));
+    }
+    return { figures: figuresOf(runs) };
+  },
+};
+
+function pairs(): readonly Pair[] {
+  const faults = Object.keys(faultLanes) as Fault[];
+  return faults.flatMap((left, index) =>
+    faults.slice(index).map((right): Pair => [left, right])
+  );
+}
+
+function describe(
+  run: HistoryRun,
+  { seed, pair }: { readonly seed: number; readonly pair: Pair },
+): string {
+  const [left, right] = pair;
+  const caused = [...run.disturbances].map(([name, count]) =>
+    `${count} ${name}`
+  );
+  const answered = run.outcomes.get("answered") ?? 0;
+  return [
+    `seed ${seed}: ${left === right ? `${left} alone` : `${left}, ${right}`}`,
+    caused.join(", "),
+    `${run.events.length} events, ${answered} answered`,
+    `${run.violations.length} violations`,
+    run.recovered ? "served in the end" : "not served in the end",
+  ].join("; ");
+}
+
+function figuresOf(runs: readonly HistoryRun[]): readonly Figure[] {
+  const violations = runs.flatMap((run) => run.violations);
+  return [
+    ...Object.values(PromiseName).map((promise): Figure => ({
+      name: promise,
+      value: violations.filter((each) => each.promise === promise).length,
+      unit: "violations",
+      target: { atMost: 0 },
+    })),
+    {
+      name: "runs that served every range in the end",
+      value: runs.filter((run) => run.recovered).length,
+      unit: "runs",
+      target: { atLeast: runs.length },
+    },
+    {
+      name: "events checked",
+      value: runs.reduce((sum, run) => sum + run.events.length, 0),
+      unit: "events",
+    },
+  ];
+}
--- a/packages/fakes/history.ts
+++ b/packages/fakes/history.ts
@@ -64,10 +64,20 @@
   | {
     readonly kind: "hop";
     readonly request: string;
+    /** Empty when only the target that runs it tells. */
+    readonly service: string;
     readonly vm: string;
     readonly region: string;
     readonly keeps: boolean;
   }
+  /** A VM wrote a log line that names a tenant. */
+  | {
+    readonly kind: "logged";
+    readonly vm: string;
+    readonly region: string;
+    readonly tenant: string;
+    readonly line: string;
+  }
   /** A planned stop began. */
   | {
     readonly kind: "stopping";
