--- a/packages/experiments/history_run_test.ts
+++ b/packages/experiments/history_run_test.ts
@@ -1,21 +1,39 @@
-import { firstViolations, formatViolations } from "@kingcupglade/checker";
-import { beforeAll, describe, expect, it } from "vitest";
+import {
+  eventsOf,
+  firstViolations,
+  formatViolations,
+} from "@kingcupglade/checker";
+import { describe, expect, it } from "vitest";
+import { faultLanes } from "./disturbances.ts";
 import { runHistory } from "./history_run.ts";
 import type { HistoryRun } from "./history_run.ts";
 
-describe("nine VMs under callers and faults", () => {
-  let run: HistoryRun;
+function expectKept(run: HistoryRun): void {
+  expect(run.outcomes.get("answered")).toBeGreaterThan(0);
+  expect(formatViolations(firstViolations(run.violations))).toBe("");
+  expect(run.recovered).toBe(true);
+}
 
-  beforeAll(async () => {
-    run = await runHistory({ seed: 1, seconds: 8 });
+describe("nine VMs under callers", () => {
+  it("keep every promise under all faults and serve every range in the end", async () => {
+    expectKept(await runHistory({ seed: 1, seconds: 8 }));
   });
 
-  it("keep every promise", () => {
-    expect(run.outcomes.get("answered")).toBeGreaterThan(0);
-    expect(formatViolations(firstViolations(run.violations))).toBe("");
-  });
-
-  it("serve every range in the end", () => {
-    expect(run.recovered).toBe(true);
+  it("keep every promise while their leader is cut off and operators race", async () => {
+    const { leaderCutForLong, operatorsRace } = faultLanes;
+    const run = await runHistory({
+      seed: 2,
+      seconds: 3,
+      lanes: { leaderCutForLong, operatorsRace },
+    });
+    expectKept(run);
+    const withoutLease = eventsOf(run.events, "tableSeen").filter((each) =>
+      each.version > 0 && !each.hasLease
+    );
+    expect(withoutLease.length).toBeGreaterThan(0);
+    const accepted = eventsOf(run.events, "rolled").filter((each) =>
+      each.outcome === "accepted"
+    );
+    expect(accepted.length).toBeGreaterThan(1);
   });
 });
