--- a/packages/experiments/network_disturbances.ts
+++ b/packages/experiments/network_disturbances.ts
@@ -4,7 +4,7 @@
 
 const leastCutMilliseconds = 300;
 const mostCutMilliseconds = 4000;
-const longCutMilliseconds = 6000;
+const longCutMilliseconds = 9000;
 const leastPauseMilliseconds = 50;
 const mostPauseMilliseconds = 3000;
 
