--- a/packages/kingcupglade/commands/bundle_roll.ts
+++ b/packages/kingcupglade/commands/bundle_roll.ts
@@ -1,10 +1,17 @@
+import { setTimeout as pause } from "node:timers/promises";
 import { parseArgs } from "node:util";
+import type { SignedBundle } from "@kingcupglade/bundle";
 import type { RollOutcome } from "@kingcupglade/ownership";
 import { ExitCode, UsageError } from "./command.ts";
 import type { Command } from "./command.ts";
 import { readBundleFile } from "./files.ts";
 import { askVm, fetchStatus } from "./operator_client.ts";
+import type { OperatorAnswer } from "./operator_client.ts";
 
+/** Status of a VM that found no leader. */
+const unavailable = 503;
+/** Time for VMs that were just started to elect a leader. */
+const leaderMilliseconds = 20_000;
 const waitMilliseconds = 10_000;
 const pollMilliseconds = 100;
 
@@ -22,7 +29,8 @@
   help: `Usage: kingcupglade bundle roll SIGNED --vm IP:PORT [--wait]
 
 Sends a signed bundle to the operators' listener of any VM and prints the answer
-as JSON. With --wait, returns when every VM routes by it. Exits with 1 when the
+as JSON. With --wait, sends it again until a leader answers, and returns when
+every VM routes by it. Exits with 1 when the
 bundle is refused or in conflict, or is not in force everywhere in time.
 
 Example:
@@ -39,7 +47,9 @@
       throw new UsageError("bundle roll needs SIGNED and --vm IP:PORT");
     }
     const document = await readBundleFile(path);
-    const answer = await askVm(values.vm, "/bundle", { document });
+    const answer = values.wait
+      ? await askUntilAnswered(values.vm, document)
+      : await askVm(values.vm, "/bundle", { document });
     process.stdout.write(`${JSON.stringify(answer.document)}\n`);
     const outcome = answer.document as RollOutcome | ListenerError;
     if ("error" in outcome || outcome.kind !== "accepted") {
@@ -51,6 +61,21 @@
   },
 };
 
+/** Rolls until a leader answers; the same bundle may be sent again. */
+async function askUntilAnswered(
+  vm: string,
+  document: SignedBundle,
+): Promise<OperatorAnswer> {
+  const until = performance.now() + leaderMilliseconds;
+  const ask = () => askVm(vm, "/bundle", { document });
+  while (performance.now() < until) {
+    const answer = await ask().catch(() => null);
+    if (answer && answer.status !== unavailable) return answer;
+    await pause(pollMilliseconds);
+  }
+  return await ask();
+}
+
 function describeRefusal(
   outcome: Exclude<RollOutcome, { readonly kind: "accepted" }> | ListenerError,
 ): string {
@@ -72,7 +97,7 @@
     if (bundle?.inForceEverywhere && bundle.version >= version) {
       return ExitCode.done;
     }
-    await new Promise((resolve) => setTimeout(resolve, pollMilliseconds));
+    await pause(pollMilliseconds);
   }
   process.stderr.write(
     `the bundle is accepted, but not every VM confirmed it within ${waitMilliseconds} ms; see kingcupglade status\n`,
