Name commands, exit codes and alarms in the run book, and check the pages' names

The new test of names found: a metric that does not exist (kingcupglade_leading on the control log's page), and two metrics explained twice on the events page, which the test there could not see since it reads rows into a map. The reason stopping is in the code but no VM gives it; it is left out of the callers' page by name.

--- a/packages/kingcupglade/command_line.ts
+++ b/packages/kingcupglade/command_line.ts
@@ -29,10 +29,13 @@
   }),
 );
 
+/** Names of every command, as they are typed. */
+export const commandNames: readonly string[] = [...commands.keys()];
+
 const usage = `Usage: kingcupglade COMMAND [OPTIONS]
 
 Commands:
-${[...commands.keys()].map((name) => `  ${name}`).join("\n")}
+${commandNames.map((name) => `  ${name}`).join("\n")}
 
 kingcupglade COMMAND --help explains a command.
 Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
@@ -69,7 +72,8 @@
   return await command.run(found.rest);
 }
 
-function findCommand(commandArguments: readonly string[]) {
+/** Finds the command that a command line begins with. */
+export function findCommand(commandArguments: readonly string[]) {
   for (const words of [2, 1]) {
     const load = commands.get(commandArguments.slice(0, words).join(" "));
     if (load) return { load, rest: commandArguments.slice(words) };
@@ -82,9 +86,8 @@
 }
 
 function describeUnknown(commandArguments: readonly string[]): string {
-  const names = [...commands.keys()];
   const nearest = [2, 1].map((words) =>
-    nearestName(commandArguments.slice(0, words).join(" "), names)
+    nearestName(commandArguments.slice(0, words).join(" "), commandNames)
   ).find((name) => name !== undefined);
   return `${
     commandArguments.length === 0
@@ -92,7 +95,7 @@
       : `"${commandArguments.slice(0, 2).join(" ")}" is no command`
   }; ${
     nearest === undefined
-      ? `the commands are ${names.join(", ")}`
+      ? `the commands are ${commandNames.join(", ")}`
       : `did you mean "${nearest}"?`
   } See kingcupglade --help`;
 }
--- /dev/null
+++ b/packages/kingcupglade/pages_test.ts
@@ -0,0 +1,127 @@
+import { readdir, readFile } from "node:fs/promises";
+import { readReferenceTable } from "@kingcupglade/fakes";
+import { Outcome, Reason } from "@kingcupglade/routing";
+import { createMetrics } from "@kingcupglade/telemetry";
+import { describe, expect, it } from "vitest";
+import { commandNames, findCommand } from "./command_line.ts";
+import { knownKeys } from "./settings/schema.ts";
+
+/** The caller is gone, or no VM gives the reason. */
+const untoldReasons: readonly Reason[] = [Reason.cancelled, Reason.stopping];
+
+async function readPages(
+  folder: string,
+): Promise<ReadonlyMap<string, string>> {
+  const files = await readdir(folder, { recursive: true });
+  const pages = files.filter((file) => file.endsWith(".md"))
+    .map((file) => `${folder}/${file}`);
+  return new Map(
+    await Promise.all(
+      pages.map(async (page): Promise<[string, string]> => [
+        page,
+        await readFile(page, "utf8"),
+      ]),
+    ),
+  );
+}
+
+function namesIn(
+  pages: ReadonlyMap<string, string>,
+  pattern: RegExp,
+): readonly string[] {
+  return [...pages].flatMap(([page, text]) =>
+    [...text.matchAll(pattern)].map((match) => `${page}: ${match[1]}`)
+  );
+}
+
+/** What the pages name and the code does not have. */
+function strangers(
+  named: readonly string[],
+  known: readonly string[],
+): readonly string[] {
+  return named.filter((each) => !known.includes(each.split(": ")[1]!));
+}
+
+describe("the pages", () => {
+  it("name no metric that does not exist", async () => {
+    const metrics = createMetrics().registry.getMetricsAsArray()
+      .map((each) => each.name);
+    const pages = await readPages("docs");
+    const named = namesIn(pages, /\b(kingcupglade_[a-z_]+)/g);
+    expect(named).not.toEqual([]);
+    expect(strangers(named, metrics)).toEqual([]);
+  });
+
+  it("name no event, outcome or reason that does not exist", async () => {
+    const events = await readReferenceTable(
+      "docs/operating/events.md",
+      "Log events",
+    );
+    const known: readonly string[] = [
+      ...events.keys(),
+      ...Object.values(Outcome),
+      ...Object.values(Reason),
+      ...["idempotency-key", "retry-after"],
+    ];
+    const pages = new Map([
+      ...await readPages("docs/operating"),
+      ["docs/OPERATING.md", await readFile("docs/OPERATING.md", "utf8")],
+    ]);
+    const named = namesIn(pages, /`([a-z]+(?:-[a-z]+)+)`/g);
+    expect(named).not.toEqual([]);
+    expect(strangers(named, known)).toEqual([]);
+  });
+
+  it("name no setting that does not exist", async () => {
+    const sections = knownKeys("").filter((each) => each !== "peers");
+    const known = sections.flatMap((section) =>
+      knownKeys(section).map((key) => `${section}.${key}`)
+    );
+    const pattern = new RegExp(
+      `\`((?:${sections.join("|")})\\.[a-zA-Z]+)\``,
+      "g",
+    );
+    const named = namesIn(await readPages("docs"), pattern);
+    expect(named).not.toEqual([]);
+    expect(strangers(named, known)).toEqual([]);
+  });
+
+  it("name commands and options that exist", async () => {
+    const pages = new Map([
+      ...await readPages("docs"),
+      ["README.md", await readFile("README.md", "utf8")],
+    ]);
+    const lines = namesIn(pages, /^ *kingcupglade ([a-z].*)$/gm);
+    expect(lines).not.toEqual([]);
+    for (const line of lines) {
+      const words = line.split(": ").slice(1).join(": ").split(" ");
+      const command = await findCommand(words)?.load();
+      expect(command, line).toBeDefined();
+      for (const option of line.match(/ --[a-z]+/g) ?? []) {
+        expect(command!.help, line).toContain(option.trim());
+      }
+    }
+  });
+
+  it("explain every command and exit code to operators", async () => {
+    const rows = await readReferenceTable("docs/OPERATING.md", "Commands");
+    expect([...rows.keys()]).toEqual(commandNames);
+    const codes = await readReferenceTable("docs/OPERATING.md", "Exit codes");
+    expect([...codes.keys()]).toEqual(["0", "1", "2"]);
+  });
+
+  it("explain every reason to callers", async () => {
+    const rows = await readReferenceTable("docs/CALLERS.md", "Answers");
+    const told = Object.values(Reason).filter((each) =>
+      !untoldReasons.includes(each)
+    );
+    expect([...rows.keys()]).toEqual(expect.arrayContaining(told));
+  });
+
+  it("explain no event or metric twice", async () => {
+    const text = await readFile("docs/operating/events.md", "utf8");
+    const rows = [...text.matchAll(/^\| `([a-z_-]+)`/gm)].map((row) => row[1]);
+    expect(rows).not.toEqual([]);
+    expect(rows.filter((row, at) => rows.indexOf(row) !== at)).toEqual([]);
+  });
+});
