Measure the memory of connections and requests, and the heap over minutes

gateway-memory: 300, 900 and 2,700 idle connections, 100, 300 and 900 requests in progress; both ends of the connections count, and a pair of bare sockets is measured beside them.

steady-load: the tail at rising rates, then the heap over minutes of a steady rate.

--- a/packages/experiments/load.ts
+++ b/packages/experiments/load.ts
@@ -71,17 +71,22 @@
   const recorder = new LoadRecorder();
   const running = new Set<Promise<void>>();
   const maximumInProgress = options.maximumInProgress ?? 4096;
+  let noteEnd = () => {};
+  const nextEnd = () => new Promise<void>((resolve) => (noteEnd = resolve));
   const startedAt = performance.now();
   for (const [index, time] of times.entries()) {
     const intendedAt = startedAt + time;
     if (options.startsOnTime) await turnUntil(intendedAt);
     else await pauseUntil(intendedAt);
-    while (running.size >= maximumInProgress) await Promise.race(running);
+    while (running.size >= maximumInProgress) await nextEnd();
     recorder.started(intendedAt);
     const request = options.send(index, random).then(
       (outcome) => recorder.ended(intendedAt, outcome),
       () => recorder.ended(intendedAt, "failed"),
-    ).finally(() => running.delete(request));
+    ).finally(() => {
+      running.delete(request);
+      noteEnd();
+    });
     running.add(request);
   }
   await Promise.all(running);
--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -14,6 +14,10 @@
       (await import("./suite/recovery.ts")).recoveryExperiment,
     "throughput": async () =>
       (await import("./suite/throughput.ts")).throughputExperiment,
+    "steady-load": async () =>
+      (await import("./suite/steady_load.ts")).steadyLoadExperiment,
+    "gateway-memory": async () =>
+      (await import("./suite/gateway_memory.ts")).gatewayMemoryExperiment,
     "credits": async () =>
       (await import("./suite/credits.ts")).creditsExperiment,
     "data-centre": async () =>
--- /dev/null
+++ b/packages/experiments/suite/gateway_memory.ts
@@ -0,0 +1,272 @@
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { LocalCapacityGate } from "@kingcupglade/routing";
+import { request } from "undici";
+import { Deployment } from "../deployment.ts";
+import type { Experiment, Figure } from "../experiment.ts";
+import { tavares } from "../tavares.ts";
+
+const host = "127.0.0.1";
+const port = { targets: 8200, target: 9110, plain: 9111 } as const;
+const targetCount = 10;
+const slots = 110;
+const connectionCounts = [300, 900, 2700];
+const requestCounts = [100, 300, 900];
+const warmUpRequests = 3000;
+const announceMilliseconds = 300;
+const settleMilliseconds = 400;
+const holdMilliseconds = 1500;
+const pollMilliseconds = 10;
+const bytesPerKilobyte = 1000;
+const requestHead = [
+  "POST /orders/1 HTTP/1.1",
+  "host: vm",
+  "x-tenant: kennels",
+  "content-length: 0",
+  "\r\n",
+].join("\r\n");
+
+interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+interface Sample {
+  readonly count: number;
+  readonly bytes: number;
+}
+
+/**
+ * Measures what a gateway keeps for a caller's connection and for a request in
+ * progress. Callers and targets are bare sockets in the same process; the cost
+ * of a pair of these, with nothing behind it, is measured beside it.
+ */
+export const gatewayMemoryExperiment: Experiment = {
+  summary: "memory of a caller's connection and of a request in progress",
+  async run({ progress }) {
+    const targets = await HoldingTargets.listen();
+    const plain = createServer((socket) => socket.resume());
+    plain.listen(port.plain, host);
+    const { gateway, stop } = await startGateway();
+    try {
+      await warmUp(gateway);
+      progress("warmed up");
+      const measured: Figure[] = [];
+      for (const count of connectionCounts) {
+        measured.push(connectionFigure({
+          own: await sampleConnections(gateway, count),
+          plain: await sampleConnections({ host, port: port.plain }, count),
+        }));
+      }
+      progress("connections measured");
+      for (const count of requestCounts) {
+        measured.push(
+          requestFigure(await sampleRequests(gateway, { targets, count })),
+        );
+      }
+      return { figures: measured };
+    } finally {
+      await stop();
+      plain.close();
+      targets.close();
+    }
+  },
+};
+
+function connectionFigure(
+  samples: { readonly own: Sample; readonly plain: Sample },
+): Figure {
+  const { own, plain } = samples;
+  return {
+    name: `memory of each of ${own.count} idle connections`,
+    value: own.bytes / own.count / bytesPerKilobyte,
+    unit: "kB",
+    baseline: plain.bytes / plain.count / bytesPerKilobyte,
+  };
+}
+
+function requestFigure({ count, bytes }: Sample): Figure {
+  return {
+    name: `memory of each of ${count} requests in progress`,
+    value: bytes / count / bytesPerKilobyte,
+    unit: "kB",
+  };
+}
+
+async function sampleConnections(
+  address: Address,
+  count: number,
+): Promise<Sample> {
+  const before = await usedBytes();
+  const sockets = await openSockets(address, count);
+  const bytes = await usedBytes() - before;
+  await closeSockets(sockets);
+  return { count, bytes };
+}
+
+/** The connections of the callers are open before, and are not counted. */
+async function sampleRequests(
+  gateway: Address,
+  options: { readonly targets: HoldingTargets; readonly count: number },
+): Promise<Sample> {
+  const { targets, count } = options;
+  const sockets = await openSockets(gateway, count);
+  const before = await usedBytes();
+  targets.hold();
+  for (const socket of sockets) socket.write(requestHead);
+  const until = performance.now() + holdMilliseconds;
+  while (targets.held < count && performance.now() < until) {
+    await pause(pollMilliseconds);
+  }
+  const bytes = await usedBytes({ settles: false }) - before;
+  const held = targets.held;
+  targets.release();
+  await pause(settleMilliseconds);
+  await closeSockets(sockets);
+  return { count: held, bytes };
+}
+
+async function openSockets(
+  address: Address,
+  count: number,
+): Promise<readonly Socket[]> {
+  return await Promise.all(Array.from({ length: count }, async () => {
+    const socket = connect(address);
+    socket.resume();
+    socket.on("error", () => {});
+    await once(socket, "connect");
+    return socket;
+  }));
+}
+
+async function closeSockets(sockets: readonly Socket[]): Promise<void> {
+  for (const socket of sockets) socket.destroy();
+  await pause(settleMilliseconds);
+}
+
+async function warmUp(gateway: Address): Promise<void> {
+  for (let sent = 0; sent < warmUpRequests; sent += 1) {
+    const { statusCode, body } = await request(
+      `http://${gateway.host}:${gateway.port}/orders/1`,
+      { method: "POST", headers: { "x-tenant": "kennels" } },
+    );
+    await body.dump();
+    if (statusCode !== 200) throw new Error(`answered ${statusCode}`);
+  }
+}
+
+async function startGateway(): Promise<
+  { readonly gateway: Address; readonly stop: () => Promise<void> }
+> {
+  const deployment = await Deployment.start({
+    ...tavares,
+    vms: { "vm-1": "recife-a" },
+    voters: ["vm-1"],
+    withDisk: ["vm-1"],
+    // Credits follow demand over seconds; here every slot is to be had at once.
+    policy: () => ({ capacity: new LocalCapacityGate() }),
+  });
+  await deployment.roll();
+  const [vmHost, vmPort] = deployment.callersAddress("vm-1").split(":");
+  const gateway = { host: vmHost!, port: Number(vmPort) };
+  const announceAll = () =>
+    Promise.all(Array.from({ length: targetCount }, async (_, index) => {
+      const { body } = await request(
+        `http://${gateway.host}:${port.targets}/announce`,
+        {
+          method: "POST",
+          headers: { authorization: `Bearer ${deployment.secret}` },
+          body: JSON.stringify(announcementOf(index)),
+        },
+      );
+      await body.dump();
+    })).then(() => {}, () => {});
+  await announceAll();
+  const timer = setInterval(() => void announceAll(), announceMilliseconds);
+  await deployment.untilReady("vm-1");
+  const stop = () => {
+    clearInterval(timer);
+    return deployment.stop();
+  };
+  return { gateway, stop };
+}
+
+function announcementOf(index: number) {
+  return {
+    target: `order-${index}`,
+    boot: "boot-1",
+    service: "order-desk",
+    dataCentre: "recife-a",
+    address: `http://127.0.1.${index + 1}:${port.target}`,
+    slots,
+    connections: slots,
+    coldSlots: slots,
+    condition: "serving",
+  };
+}
+
+/** Targets on bare sockets that answer at once, or when they are told to. */
+class HoldingTargets {
+  readonly #server = createServer((socket) => this.#serve(socket));
+  readonly #sockets = new Set<Socket>();
+  #waiting: (() => void)[] = [];
+  #holds = false;
+
+  static async listen(): Promise<HoldingTargets> {
+    const targets = new HoldingTargets();
+    targets.#server.listen(port.target, "0.0.0.0");
+    await once(targets.#server, "listening");
+    return targets;
+  }
+
+  /** Requests that wait for their answers. */
+  get held(): number {
+    return this.#waiting.length;
+  }
+
+  hold(): void {
+    this.#holds = true;
+  }
+
+  release(): void {
+    this.#holds = false;
+    for (const answer of this.#waiting) answer();
+    this.#waiting = [];
+  }
+
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #serve(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("close", () => this.#sockets.delete(socket));
+    socket.on("data", (data) => {
+      const exchange = /kingcupglade-exchange: (\S+)/.exec(data.toString())![1];
+      const answer = () =>
+        socket.write(
+          `HTTP/1.1 200 OK\r\nkingcupglade-exchange: ${exchange}\r\ncontent-length: 0\r\n\r\n`,
+        );
+      if (this.#holds) this.#waiting.push(answer);
+      else answer();
+    });
+  }
+}
+
+async function usedBytes(
+  options: { readonly settles?: boolean } = {},
+): Promise<number> {
+  if (options.settles ?? true) await pause(settleMilliseconds);
+  setFlagsFromString("--expose-gc");
+  const collectGarbage = runInNewContext("gc") as () => void;
+  collectGarbage();
+  collectGarbage();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
--- /dev/null
+++ b/packages/experiments/suite/steady_load.ts
@@ -0,0 +1,129 @@
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import type { Experiment, Figure } from "../experiment.ts";
+import { outcomeShare } from "../load.ts";
+import type { LoadResult } from "../load.ts";
+import { Path, SpeedBench } from "../speed_bench.ts";
+
+const warmUpSeconds = 3;
+const steadyPerSecond = 800;
+const steadyRounds = 9;
+const roundSeconds = 20;
+const steps = [1000, 2000, 4000, 8000];
+const stepSeconds = 3;
+const microsecondsPerMillisecond = 1000;
+const secondsPerMinute = 60;
+const bytesPerMegabyte = 1 << 20;
+
+/** Watches the heap under a steady rate, and the tail at rising rates. */
+export const steadyLoadExperiment: Experiment = {
+  summary: "heap of a gateway over minutes, and its tail at rising rates",
+  async run({ seed, progress }) {
+    const bench = await SpeedBench.start();
+    try {
+      await bench.saturate(Path.bare, warmUpSeconds);
+      await bench.saturate(Path.own, warmUpSeconds);
+      const rising = [];
+      for (const perSecond of steps) {
+        const options = { perSecond, seconds: stepSeconds, seed };
+        const bare = await bench.pace(Path.bare, options);
+        rising.push(...stepFigures({
+          perSecond,
+          bare,
+          own: await bench.pace(Path.own, options),
+        }));
+        progress(`${perSecond} requests/s: measured`);
+      }
+      const collectGarbage = garbageCollector();
+      const heaps = [usedMegabytes(collectGarbage)];
+      for (let round = 0; round < steadyRounds; round += 1) {
+        await bench.pace(Path.own, {
+          perSecond: steadyPerSecond,
+          seconds: roundSeconds,
+          seed: seed + round,
+        });
+        heaps.push(usedMegabytes(collectGarbage));
+        progress(`round ${round + 1} of ${steadyRounds}: ${heaps.at(-1)} MB`);
+      }
+      return { figures: [...rising, ...heapFigures(heaps)] };
+    } finally {
+      await bench.stop();
+    }
+  },
+};
+
+function stepFigures(step: {
+  readonly perSecond: number;
+  readonly bare: LoadResult;
+  readonly own: LoadResult;
+}): readonly Figure[] {
+  const { perSecond, bare, own } = step;
+  return [
+    {
+      name: `p99 at ${perSecond} requests/s`,
+      value: percentile99(own),
+      unit: "ms",
+      baseline: percentile99(bare),
+    },
+    {
+      name: `answered at ${perSecond} requests/s`,
+      value: outcomeShare(own, "answered"),
+      unit: "",
+      baseline: outcomeShare(bare, "answered"),
+    },
+    {
+      name: `sent of ${perSecond} requests/s`,
+      value: own.sent / own.seconds,
+      unit: "requests/s",
+      baseline: bare.sent / bare.seconds,
+    },
+  ];
+}
+
+function heapFigures(heaps: readonly number[]): readonly Figure[] {
+  const minutes = steadyRounds * roundSeconds / secondsPerMinute;
+  return [
+    {
+      name: `heap before ${steadyPerSecond} requests/s`,
+      value: heaps[0]!,
+      unit: "MB",
+    },
+    {
+      name: `heap after ${minutes} minutes`,
+      value: heaps.at(-1)!,
+      unit: "MB",
+    },
+    {
+      name: "growth of the heap, by least squares",
+      value: slope(heaps) * (secondsPerMinute / roundSeconds),
+      unit: "MB/minute",
+    },
+  ];
+}
+
+/** Growth from one value to the next. */
+function slope(values: readonly number[]): number {
+  const middle = (values.length - 1) / 2;
+  let [products, squares] = [0, 0];
+  for (const [index, value] of values.entries()) {
+    products += (index - middle) * value;
+    squares += (index - middle) ** 2;
+  }
+  return products / squares;
+}
+
+function percentile99(result: LoadResult): number {
+  const histogram = result.latency.get("answered");
+  return (histogram?.getValueAtPercentile(99) ?? Infinity) /
+    microsecondsPerMillisecond;
+}
+
+function usedMegabytes(collectGarbage: () => void): number {
+  collectGarbage();
+  return Number((process.memoryUsage().heapUsed / bytesPerMegabyte).toFixed(3));
+}
+
+function garbageCollector(): () => void {
+  setFlagsFromString("--expose-gc");
+  return runInNewContext("gc") as () => void;
+}
