--- a/packages/experiments/load_test.ts
+++ b/packages/experiments/load_test.ts
@@ -13,6 +13,27 @@
     });
   });
 
+  describe("requests that start on time", () => {
+    it("are those of the arrival times, none before its own", async () => {
+      const options = { perSecond: 400, seconds: 0.1 };
+      const times = arrivalTimes(options, new RandomSource(3));
+      const startedAt = performance.now();
+      const early: number[] = [];
+      const result = await runLoad({
+        ...options,
+        seed: 3,
+        startsOnTime: true,
+        send: (index) => {
+          const at = performance.now() - startedAt;
+          if (at < times[index]!) early.push(index);
+          return Promise.resolve("answered");
+        },
+      });
+      expect(result.sent).toBe(times.length);
+      expect(early).toEqual([]);
+    });
+  });
+
   describe("a system that stands still", () => {
     it("shows its queue in the latency from the intended start", async () => {
       let release = () => {};
--- /dev/null
+++ b/packages/kingcupglade/gateway/exchange_headers_test.ts
@@ -0,0 +1,49 @@
+import { describe, expect, it } from "vitest";
+import {
+  answerHeaders,
+  forwardedHeaders,
+  headersByName,
+} from "./exchange_headers.ts";
+
+describe("headers", () => {
+  describe("of a caller's request", () => {
+    it("reach the target without those of the connection", () => {
+      expect(forwardedHeaders({
+        "host": "vm",
+        "connection": "keep-alive, X-Hop",
+        "x-hop": "1",
+        "kingcupglade-epoch": "9",
+        "content-length": "3",
+        "x-tenant": "toolroom",
+      })).toEqual(["x-tenant", "toolroom"]);
+    });
+  });
+
+  describe("of a target's answer", () => {
+    const headers = {
+      "connection": "keep-alive",
+      "keep-alive": "timeout=5",
+      "content-length": "3",
+      "set-cookie": ["a=1", "b=2"],
+      "kingcupglade-exchange": "x.1",
+    };
+
+    it("keep their length and each value of a repeated one", () => {
+      expect(answerHeaders(headers)).toEqual([
+        "content-length",
+        "3",
+        "set-cookie",
+        "a=1",
+        "set-cookie",
+        "b=2",
+      ]);
+    });
+
+    it("are the same by name", () => {
+      expect(headersByName(answerHeaders(headers))).toEqual({
+        "content-length": "3",
+        "set-cookie": ["a=1", "b=2"],
+      });
+    });
+  });
+});
