Send a small answer that arrives whole at once in one write

A head and its body were two entries of one vectored write. When both arrive in one turn of the event loop, as small answers do, they now leave as one string.

--- a/packages/kingcupglade/gateway/answer_sink.ts
+++ b/packages/kingcupglade/gateway/answer_sink.ts
@@ -2,6 +2,9 @@
 import { headersByName } from "./exchange_headers.ts";
 import type { HeaderList, HeaderValues } from "./exchange_headers.ts";
 
+/** Answers up to this size can leave in one write. */
+const maximumJoinedBytes = 4096;
+
 /** Takes the answer of a target as it arrives. */
 export abstract class AnswerSink {
   /** Whether the head was taken. */
@@ -26,9 +29,16 @@
   abstract onClose(listener: () => void): () => void;
 }
 
-/** Passes an answer to a caller. */
+/**
+ * Passes an answer to a caller. A small one that arrives whole at once leaves
+ * in one write; what is not whole when the event loop goes on leaves as it is.
+ */
 export class ResponseSink extends AnswerSink {
   readonly #response: ServerResponse;
+  /** A head that waits for the rest of what arrived with it. */
+  #head: { readonly status: number; readonly headers: HeaderList } | undefined;
+  #chunk: Buffer | undefined;
+  #hasBegun = false;
   #bytes = 0;
   #isWatched = false;
   #closeListener: (() => void) | undefined;
@@ -39,7 +49,7 @@
   }
 
   override get hasBegun(): boolean {
-    return this.#response.headersSent;
+    return this.#hasBegun;
   }
 
   override get isClosed(): boolean {
@@ -51,20 +61,46 @@
   }
 
   override begin(status: number, headers: HeaderList): void {
-    this.#response.writeHead(status, headers as string[]);
+    this.#hasBegun = true;
+    this.#head = { status, headers };
+    if (isSmall(headers)) process.nextTick(releaseHead, this);
+    else this.releaseHead();
   }
 
   override write(chunk: Buffer): boolean {
     this.#bytes += chunk.length;
+    if (this.#head && !this.#chunk) {
+      this.#chunk = chunk;
+      return true;
+    }
+    this.releaseHead();
     return this.#response.write(chunk);
   }
 
   override end(): void {
-    this.#response.end();
+    const [head, chunk] = [this.#head, this.#chunk];
+    if (!head || !chunk) {
+      this.releaseHead();
+      return void this.#response.end();
+    }
+    this.#head = undefined;
+    this.#response.writeHead(head.status, head.headers as string[]);
+    // A head and a body of one encoding are joined to one string.
+    this.#response.end(chunk.toString("latin1"), "latin1");
+  }
+
+  /** Sends what has arrived so far. */
+  releaseHead(): void {
+    const head = this.#head;
+    if (!head) return;
+    this.#head = undefined;
+    this.#response.writeHead(head.status, head.headers as string[]);
+    if (this.#chunk) this.#response.write(this.#chunk);
   }
 
   // Closing the connection is the only way to tell that a body is not whole.
   override fail(): void {
+    this.releaseHead();
     this.#response.destroy();
   }
 
@@ -86,6 +122,15 @@
   }
 }
 
+function releaseHead(sink: ResponseSink): void {
+  sink.releaseHead();
+}
+
+function isSmall(headers: HeaderList): boolean {
+  const index = headers.indexOf("content-length");
+  return index >= 0 && Number(headers[index + 1]) <= maximumJoinedBytes;
+}
+
 /** A whole answer. */
 export interface CollectedAnswer {
   readonly status: number;
