--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -47,7 +47,8 @@
    * @throws {ListenError} when an address cannot be used.
    */
   static async start(options: VmOptions): Promise<Vm> {
-    const foundation = await layFoundation(options.settings);
+    const policy = options.policy ?? {};
+    const foundation = await layFoundation(options.settings, policy);
     let vm: Vm | undefined;
     // A second process with the same settings must fail before it opens the
     // data folder.
@@ -59,7 +60,7 @@
       isReady: () => vm !== undefined && vm.#isReady,
     });
     try {
-      const tasks = await startTasks(foundation, options.policy ?? {});
+      const tasks = await startTasks(foundation, policy);
       const listeners = await openListeners(foundation, tasks);
       vm = new Vm(foundation, tasks, { ...listeners, operators });
     } catch (failure) {
@@ -80,6 +81,11 @@
     return this.#tasks.routing.table.bundle;
   }
 
+  /** Claims of idempotency keys that this VM keeps a record of. */
+  get keptClaims(): readonly string[] {
+    return this.#tasks.ledger.keptClaims;
+  }
+
   /** Finishes every request, hands over what this VM leads, and stops. */
   async stop(): Promise<void> {
     const { logger, settings } = this.#foundation;
