--- a/packages/experiments/lost_majority_test.ts
+++ b/packages/experiments/lost_majority_test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { afterAll, beforeAll, describe, expect, it, vi } from "vitest";
 import { Deployment } from "./deployment.ts";
+import { addFixtureTargets } from "./fixture_targets.ts";
 import { hsinchu } from "./hsinchu.ts";
 
 describe("a replica set that loses most of its disks", () => {
@@ -13,13 +14,7 @@
   beforeAll(async () => {
     deployment = await Deployment.start(hsinchu);
     await deployment.roll();
-    for (const [index, { name }] of hsinchu.dataCentres.entries()) {
-      await deployment.addTarget({
-        name: `fixture-${index + 1}`,
-        service: "fixture-stock",
-        dataCentre: name,
-      });
-    }
+    await addFixtureTargets(deployment);
     await untilServed();
   });
 
--- a/packages/experiments/suite/lost_owner.ts
+++ b/packages/experiments/suite/lost_owner.ts
@@ -2,6 +2,7 @@
 import type { CallerAnswer } from "@kingcupglade/fakes";
 import { Deployment } from "../deployment.ts";
 import type { Experiment, ExperimentResult, Figure } from "../experiment.ts";
+import { addFixtureTargets } from "../fixture_targets.ts";
 import { hsinchu } from "../hsinchu.ts";
 import { RandomSource } from "../random_source.ts";
 
@@ -67,7 +68,7 @@
     const deployment = await Deployment.start(hsinchu);
     try {
       await deployment.roll();
-      await addFixtureTargets(deployment);
+      await startTargets(deployment);
       const figures: Figure[] = [];
       const leaving = await measure(deployment, random, leavingCase);
       for (const lossCase of lossCases) {
@@ -197,16 +198,8 @@
   ];
 }
 
-async function addFixtureTargets(deployment: Deployment): Promise<void> {
-  for (const [index, { name }] of hsinchu.dataCentres.entries()) {
-    for (const half of [0, 1]) {
-      await deployment.addTarget({
-        name: `fixture-${2 * index + half + 1}`,
-        service: "fixture-stock",
-        dataCentre: name,
-      });
-    }
-  }
+async function startTargets(deployment: Deployment): Promise<void> {
+  await addFixtureTargets(deployment, { perDataCentre: 2 });
   await deployment.until((status) =>
     status.groups.every((group) => group.withoutOwner === 0)
   );
--- a/packages/experiments/suite/rolls.ts
+++ b/packages/experiments/suite/rolls.ts
@@ -4,6 +4,7 @@
 import { request } from "undici";
 import { Deployment } from "../deployment.ts";
 import type { Experiment, ExperimentResult, Figure } from "../experiment.ts";
+import { addFixtureTargets } from "../fixture_targets.ts";
 import { hsinchu } from "../hsinchu.ts";
 import { RandomSource } from "../random_source.ts";
 
@@ -61,13 +62,7 @@
   async prepare(): Promise<void> {
     const deployment = this.#deployment;
     await deployment.roll();
-    for (const [index, { name }] of hsinchu.dataCentres.entries()) {
-      await deployment.addTarget({
-        name: `fixture-${index + 1}`,
-        service: "fixture-stock",
-        dataCentre: name,
-      });
-    }
+    await addFixtureTargets(deployment);
     await deployment.until((status) =>
       status.groups.every((group) => group.withoutOwner === 0)
     );
