--- a/packages/consensus/follower.ts
+++ b/packages/consensus/follower.ts
@@ -1,9 +1,8 @@
-import type { Draft } from "./draft.ts";
+import type { Draft, OutgoingMessage } from "./draft.ts";
 import { becomeFollower, scheduleElection } from "./election.ts";
 import { lastIndex, termAt } from "./log.ts";
 import type {
   AppendRequest,
-  AppendResponse,
   IncomingSnapshot,
   Snapshot,
   SnapshotRequest,
@@ -41,15 +40,7 @@
     state.snapshot.index,
     previousIndex + message.entries.length,
   );
-  const answer = {
-    kind: "appendResponse",
-    to: message.from,
-    accepted: true,
-    index: matched,
-    sentAt: message.sentAt,
-  } as const;
-  if (first) draft.send(answer);
-  else sendWithContact(draft, answer);
+  respond(draft, message, { accepted: true, index: matched });
   draft.commitTo(Math.min(message.commitIndex, matched));
 }
 
@@ -65,7 +56,7 @@
     const incoming = gatherSnapshot(state.incoming, message);
     state.incoming = incoming;
     if (incoming.received < message.totalBytes) {
-      return draft.send({
+      return answer(draft, {
         kind: "snapshotResponse",
         to: message.from,
         snapshotIndex: incoming.index,
@@ -124,13 +115,16 @@
 // The disk may be behind with what came before. To be followed takes no sync:
 // a replica that restarts with a stored term votes for nobody for as long as
 // one that has just heard its leader.
-function sendWithContact(
+function answer(
   draft: Draft,
-  answer: Omit<AppendResponse, "from" | "term">,
+  message: OutgoingMessage & { readonly sentAt: number },
 ): void {
-  const { to, sentAt } = answer;
-  if (!draft.state.hasStoredTerm) return draft.send(answer);
-  draft.sendWithContact(answer, { kind: "contactResponse", to, sentAt });
+  const storesNow = draft.effects.some((each) =>
+    each.kind === "persist" || each.kind === "persistSnapshot"
+  );
+  if (storesNow || !draft.state.hasStoredTerm) return draft.send(message);
+  const { to, sentAt } = message;
+  draft.sendWithContact(message, { kind: "contactResponse", to, sentAt });
 }
 
 function followLeader(
@@ -155,12 +149,12 @@
 function respond(
   draft: Draft,
   message: AppendRequest | SnapshotRequest,
-  answer: { readonly accepted: boolean; readonly index: number },
+  result: { readonly accepted: boolean; readonly index: number },
 ): void {
-  draft.send({
+  answer(draft, {
     kind: "appendResponse",
     to: message.from,
-    ...answer,
+    ...result,
     sentAt: message.sentAt,
   });
 }
--- a/packages/consensus/network_test.ts
+++ b/packages/consensus/network_test.ts
@@ -128,6 +128,27 @@
       }
     });
 
+    it("keep their leader while a voter that it needs catches up", () => {
+      for (let seed = 1; seed <= 10; seed += 1) {
+        const network = new FakeNetwork({ seed, spares: 0 });
+        network.run(2000);
+        const leader = network.leader!;
+        const { term } = leader.state;
+        const [late, lost] = network.replicas.filter((each) => each !== leader);
+        late!.crash();
+        network.run(5000);
+        late!.syncMilliseconds = 1200;
+        late!.restart();
+        network.run(300);
+        lost!.crash();
+        const isLate = () => late!.state.commitIndex < leader.state.commitIndex;
+        network.runUntil(() => !isLate(), 20_000);
+        network.run(1000);
+        expect(leader.state.role).toBe("leader");
+        expect(leader.state.term).toBe(term);
+      }
+    });
+
     it("have no second leader when a voter restarts before its sync", () => {
       for (let seed = 1; seed <= 40; seed += 1) {
         const network = new FakeNetwork({ seed, spares: 0 });
