Plot the tail under slow targets, and put round numbers on the axes

The tail while targets are slow was given as one percentile per policy; the curve shows where each policy's tail begins.

--- a/packages/experiments/plot.ts
+++ b/packages/experiments/plot.ts
@@ -18,7 +18,9 @@
 const height = 420;
 const margin = { left: 70, right: 150, top: 40, bottom: 50 } as const;
 const colours = ["#1b6ca8", "#c0392b", "#27843b", "#8e44ad", "#b9770e"];
-const ticks = 5;
+/** Steps between the ticks of an axis at most. */
+const maximumSteps = 6;
+const roundSteps = [1, 2, 5, 10] as const;
 /** Points drawn for each line at most. */
 const maximumPoints = 400;
 
@@ -72,29 +74,40 @@
   values: readonly number[],
   space: { readonly from: number; readonly to: number },
 ): Scale {
-  const low = values.reduce((least, each) => Math.min(least, each), Infinity);
-  const high = values.reduce((most, each) => Math.max(most, each), -Infinity);
-  const span = high > low ? high - low : 1;
+  const least = values.reduce((low, each) => Math.min(low, each), Infinity);
+  const most = values.reduce((high, each) => Math.max(high, each), -Infinity);
+  const step = roundStep(most > least ? most - least : 1);
+  const low = Math.floor(least / step) * step;
+  const steps = Math.max(1, Math.ceil((most - low) / step));
+  const span = steps * step;
   return {
     at: (value) =>
       Math.round(
         (space.from + (value - low) / span * (space.to - space.from)) * 10,
       ) / 10,
     ticks: Array.from(
-      { length: ticks + 1 },
-      (_, index) => low + span * index / ticks,
+      { length: steps + 1 },
+      (_, index) => low + step * index,
     ),
   };
 }
 
+/** The smallest of 1, 2, 5, 10, 20, ... that cuts a span into few steps. */
+function roundStep(span: number): number {
+  const power = 10 ** Math.floor(Math.log10(span / maximumSteps));
+  const factor = roundSteps.find((each) =>
+    span / (each * power) <= maximumSteps
+  );
+  return (factor ?? 10) * power;
+}
+
 function drawSeries(
   series: PlotSeries,
   context: { readonly x: Scale; readonly y: Scale; readonly index: number },
 ): readonly string[] {
   const { x, y, index } = context;
   const colour = colours[index % colours.length]!;
-  const every = Math.max(1, Math.ceil(series.points.length / maximumPoints));
-  const path = series.points.filter((_, point) => point % every === 0)
+  const path = thinOut(series.points)
     .map((each) => `${x.at(each.x)},${y.at(each.y)}`).join(" ");
   const legend = width - margin.right + 12;
   const top = margin.top + 16 + index * 18;
@@ -107,6 +120,17 @@
   ];
 }
 
+/** Keeps the highest point of each group, so that no peak is lost. */
+function thinOut(points: PlotSeries["points"]): PlotSeries["points"] {
+  const every = Math.max(1, Math.ceil(points.length / maximumPoints));
+  return Array.from(
+    { length: Math.ceil(points.length / every) },
+    (_, group) =>
+      points.slice(group * every, (group + 1) * every)
+        .reduce((highest, each) => each.y > highest.y ? each : highest),
+  );
+}
+
 function text(
   content: string,
   ...[x, y, anchor]: readonly [number, number, "start" | "middle" | "end"]
--- a/packages/experiments/suite/slow_targets.ts
+++ b/packages/experiments/suite/slow_targets.ts
@@ -3,6 +3,8 @@
 import type { Experiment, Figure } from "../experiment.ts";
 import { outcomeShare } from "../load.ts";
 import type { LoadResult } from "../load.ts";
+import { linePlot } from "../plot.ts";
+import type { PlotSeries } from "../plot.ts";
 import { startSharedService } from "../shared_service_run.ts";
 
 const serviceMilliseconds = 20;
@@ -10,6 +12,10 @@
 const slowTargets = ["order-3", "order-8"];
 const load = { perSecond: 400, seconds: 10 } as const;
 const microsecondsPerMillisecond = 1000;
+/** Percentiles that the plot shows. */
+const tailFrom = 50;
+const tailTo = 99.9;
+const tailPoints = 100;
 
 interface PolicyRun {
   readonly fast: LoadResult;
@@ -56,6 +62,19 @@
         figure("p99 least in flight, no slow", p99(leastInFlight.fast), "ms"),
         figure("p99 least in flight, slow", p99(leastInFlight.slow), "ms"),
       ],
+      plots: {
+        "slow-targets.svg": linePlot({
+          title: "Latency while 2 of 16 targets are 10 times slower",
+          x: "percentile",
+          y: "ms",
+          series: [
+            tailOf("own policy", ours.slow),
+            tailOf("round robin", roundRobin.slow),
+            tailOf("least in flight", leastInFlight.slow),
+            tailOf("own, none slow", ours.fast),
+          ],
+        }),
+      },
     };
   },
 };
@@ -94,9 +113,21 @@
   );
 }
 
+function tailOf(name: string, result: LoadResult): PlotSeries {
+  const points = Array.from({ length: tailPoints + 1 }, (_, index) => {
+    const x = tailFrom + (tailTo - tailFrom) * index / tailPoints;
+    return { x, y: percentile(result, x) };
+  });
+  return { name, points };
+}
+
 function p99(result: LoadResult): number {
+  return percentile(result, 99);
+}
+
+function percentile(result: LoadResult, at: number): number {
   const histogram = result.latency.get("answered");
-  return (histogram?.getValueAtPercentile(99) ?? Infinity) /
+  return (histogram?.getValueAtPercentile(at) ?? Infinity) /
     microsecondsPerMillisecond;
 }
 
