--- a/packages/experiments/registry.ts
+++ b/packages/experiments/registry.ts
@@ -14,6 +14,10 @@
       (await import("./suite/recovery.ts")).recoveryExperiment,
     "throughput": async () =>
       (await import("./suite/throughput.ts")).throughputExperiment,
+    "steady-load": async () =>
+      (await import("./suite/steady_load.ts")).steadyLoadExperiment,
+    "gateway-memory": async () =>
+      (await import("./suite/gateway_memory.ts")).gatewayMemoryExperiment,
     "credits": async () =>
       (await import("./suite/credits.ts")).creditsExperiment,
     "data-centre": async () =>
@@ -26,6 +30,8 @@
       (await import("./suite/at_most_once.ts")).atMostOnceExperiment,
     "history": async () =>
       (await import("./suite/history.ts")).historyExperiment,
+    "fault-pairs": async () =>
+      (await import("./suite/fault_pairs.ts")).faultPairsExperiment,
     "rolls": async () => (await import("./suite/rolls.ts")).rollsExperiment,
     "control-cost": async () =>
       (await import("./suite/control_cost.ts")).controlCostExperiment,
--- /dev/null
+++ b/packages/telemetry/request_series.ts
@@ -0,0 +1,96 @@
+import { Counter, Histogram } from "prom-client";
+import type { Registry } from "prom-client";
+
+type SeriesLabel = "service" | "tenant" | "class";
+
+/** Labels of the requests that are counted together. */
+export type SeriesLabels = Readonly<Record<SeriesLabel, string>>;
+
+type OutcomeCounter = Counter<SeriesLabel | "outcome">;
+
+/** Counts and times of the requests of one service, tenant and class. */
+export class RequestSeries {
+  readonly #labels: SeriesLabels;
+  readonly #counter: OutcomeCounter;
+  readonly #outcomes = new Map<string, Counter.Internal>();
+  readonly #times: Histogram.Internal<SeriesLabel>;
+
+  constructor(labels: SeriesLabels, source: {
+    readonly counter: OutcomeCounter;
+    readonly histogram: Histogram<SeriesLabel>;
+  }) {
+    this.#labels = labels;
+    this.#counter = source.counter;
+    this.#times = source.histogram.labels(labels);
+  }
+
+  /** Notes a request that ended. */
+  note(outcome: string, seconds: number): void {
+    this.#times.observe(seconds);
+    this.#outcomeOf(outcome).inc();
+  }
+
+  #outcomeOf(outcome: string): Counter.Internal {
+    const known = this.#outcomes.get(outcome);
+    if (known) return known;
+    const counted = this.#counter.labels({ ...this.#labels, outcome });
+    this.#outcomes.set(outcome, counted);
+    return counted;
+  }
+}
+
+/** Options of {@link RequestMetrics}. */
+export interface RequestMetricsOptions {
+  readonly registry: Registry;
+  /** Upper bounds of the histogram's buckets, ascending. */
+  readonly boundsSeconds: readonly number[];
+}
+
+/** Requests by outcome and their times, with each series looked up once. */
+export class RequestMetrics {
+  readonly #histogram: Histogram<SeriesLabel>;
+  readonly #counter: OutcomeCounter;
+  readonly #series = new Map<string, Map<string, Map<string, RequestSeries>>>();
+
+  constructor(options: RequestMetricsOptions) {
+    const registers = [options.registry];
+    this.#histogram = new Histogram({
+      name: "kingcupglade_request_seconds",
+      help: "Time from arrival to the end of the answer",
+      labelNames: ["service", "tenant", "class"],
+      buckets: [...options.boundsSeconds],
+      registers,
+    });
+    this.#counter = new Counter({
+      name: "kingcupglade_requests_total",
+      help: "Requests ended",
+      labelNames: ["service", "tenant", "class", "outcome"],
+      registers,
+    });
+  }
+
+  /** The series of a service, tenant and class. */
+  of(labels: SeriesLabels): RequestSeries {
+    const byTenant = innerMap(this.#series, labels.service);
+    const byClass = innerMap(byTenant, labels.tenant);
+    const known = byClass.get(labels.class);
+    if (known) return known;
+    const series = new RequestSeries(labels, {
+      counter: this.#counter,
+      histogram: this.#histogram,
+    });
+    byClass.set(labels.class, series);
+    return series;
+  }
+}
+
+function innerMap<Value>(
+  map: Map<string, Map<string, Value>>,
+  key: string,
+): Map<string, Value> {
+  const known = map.get(key);
+  if (known) return known;
+  const created = new Map<string, Value>();
+  map.set(key, created);
+  return created;
+}
