Point the message of a lost leader at the page that has the steps

It named a heading that docs/OPERATING.md does not have. A test now checks the headings that commands name and the links between the pages; it failed on this message before.

--- a/packages/kingcupglade/commands/operator_client.ts
+++ b/packages/kingcupglade/commands/operator_client.ts
@@ -54,7 +54,7 @@
   throw new OperatorClientError(
     `no control leader answered through ${vm}: ${
       error ?? `status ${status}`
-    }; see "Lost quorum" in docs/OPERATING.md`,
+    }; see "Lost quorum" in docs/operating/control_log.md`,
   );
 }
 
--- a/packages/kingcupglade/pages_test.ts
+++ b/packages/kingcupglade/pages_test.ts
@@ -1,4 +1,6 @@
+import { existsSync } from "node:fs";
 import { readdir, readFile } from "node:fs/promises";
+import { dirname, join } from "node:path";
 import { readReferenceTable } from "@kingcupglade/fakes";
 import { Outcome, Reason } from "@kingcupglade/routing";
 import { createMetrics } from "@kingcupglade/telemetry";
@@ -9,6 +11,9 @@
 /** The caller is gone, or no VM gives the reason. */
 const untoldReasons: readonly Reason[] = [Reason.cancelled, Reason.stopping];
 
+/** A message that names a heading of a page. */
+const pointer = /see "([^"]+)" in (docs\/[\w/]+\.md)/g;
+
 async function readPages(
   folder: string,
 ): Promise<ReadonlyMap<string, string>> {
@@ -103,6 +108,28 @@
     }
   });
 
+  it("have what links and messages point to", async () => {
+    const folders = await Promise.all(["docs", "packages"].map(readPages));
+    const pages = new Map([
+      ...folders.flatMap((each) => [...each]),
+      ["README.md", await readFile("README.md", "utf8")],
+    ]);
+    const links = [...pages].flatMap(([page, text]) =>
+      [...text.matchAll(/\]\(([^):#]+)(?:#[^)]*)?\)/g)].map((match) =>
+        join(dirname(page), match[1]!)
+      )
+    );
+    expect(links).not.toEqual([]);
+    expect(links.filter((each) => !existsSync(each))).toEqual([]);
+    const commands = "packages/kingcupglade/commands";
+    for (const file of await readdir(commands)) {
+      const text = await readFile(join(commands, file), "utf8");
+      for (const [, heading, page] of text.matchAll(pointer)) {
+        expect(pages.get(page!), file).toContain(`\n## ${heading}\n`);
+      }
+    }
+  });
+
   it("explain every command and exit code to operators", async () => {
     const rows = await readReferenceTable("docs/OPERATING.md", "Commands");
     expect([...rows.keys()]).toEqual(commandNames);
