Close a connection whose request body was left unread

A refusal of the listeners for operators and targets left the rest of the body on the connection. The next request on it hung for 30 s and failed: seen when a bundle over 4 MiB was refused and the next roll used the same connection (the new test of the operators' door made the test after it fail with ECONNRESET after 31 s). Such a connection is closed now, as the gateway does it. Requests without a body keep their connection.

--- a/packages/kingcupglade/listeners/body.ts
+++ b/packages/kingcupglade/listeners/body.ts
@@ -110,6 +110,11 @@
   document: unknown,
 ): void {
   const body = Buffer.from(`${JSON.stringify(document)}\n`);
+  const { req: request } = response;
+  // What is left of an unread body must not be taken for another request.
+  if (hasBody(request) && !request.complete) {
+    response.setHeader("connection", "close");
+  }
   response.writeHead(status, {
     "content-type": "application/json",
     "content-length": body.length,
--- a/packages/kingcupglade/listeners/doors_test.ts
+++ b/packages/kingcupglade/listeners/doors_test.ts
@@ -68,9 +68,35 @@
       await expect(replication.deliver({})).rejects.toMatchObject(refused);
       await expect(replication.found({})).rejects.toMatchObject(refused);
     });
+
+    it("refuses a forwarded request without the secret", async () => {
+      const answer = await request(
+        `http://${host()}:8300/forward/fixtures/clamp`,
+        { headers: { "x-tenant": "toolroom" } },
+      );
+      expect(answer.statusCode).toBe(404);
+      expect(answer.headers["kingcupglade-outcome"]).toBeUndefined();
+    });
   });
 
   describe("for operators", () => {
+    const send = (body: string) =>
+      request(`http://${host()}:8400/bundle`, { method: "POST", body });
+
+    it("refuses a bundle without a signature", async () => {
+      const { document } = deployment.signBundle(2);
+      const unsigned = JSON.stringify({ document, signatures: [] });
+      expect((await send(unsigned)).statusCode).toBe(422);
+      expect((await send(JSON.stringify(document))).statusCode).toBe(400);
+      expect((await deployment.status()).bundle?.version).toBe(1);
+    });
+
+    it("refuses a bundle that is too large, and closes the connection", async () => {
+      const answer = await send(" ".repeat(5 * 1024 * 1024));
+      expect(answer.statusCode).toBe(413);
+      expect(answer.headers.connection).toBe("close");
+    });
+
     it("refuses a bundle that no known operator signed", async () => {
       const { document } = deployment.signBundle(2);
       const stranger = createOperatorKey();
@@ -151,6 +177,20 @@
       answer = await get("vm-2", "/status");
     }
     expect(JSON.parse(answer.body)).toMatchObject({ leader: "vm-1" });
+    for (const port of [8100, 8200, 8400]) {
+      const plain = request(`http://${hosts[0]}:${port}/`);
+      await expect(plain, `port ${port}`).rejects.toThrow();
+    }
+    const caller = await request(`https://${hosts[0]}:8100/none`, {
+      dispatcher,
+    });
+    expect(caller.headers["kingcupglade-reason"]).toBe("no-lease");
+    const target = await request(`https://${hosts[0]}:8200/announce`, {
+      dispatcher,
+      method: "POST",
+      body: "{}",
+    });
+    expect(target.statusCode).toBe(401);
     const bare = new Agent({ connect: { ca: pem.cert } });
     const peers = request(`https://${hosts[0]}:8300/`, { dispatcher: bare });
     await expect(peers).rejects.toThrow();
