--- a/packages/kingcupglade/listeners/doors_test.ts
+++ b/packages/kingcupglade/listeners/doors_test.ts
@@ -97,6 +97,12 @@
       expect(answer.headers.connection).toBe("close");
     });
 
+    it("keeps the connection of a request without a body", async () => {
+      const answer = await request(`http://${host()}:8400/health`);
+      expect(answer.statusCode).toBe(200);
+      expect(answer.headers.connection).toBe("keep-alive");
+    });
+
     it("refuses a bundle that no known operator signed", async () => {
       const { document } = deployment.signBundle(2);
       const stranger = createOperatorKey();
