Mix the seed of each stream of random choices in the history runs

The first choice of a lane was the same whatever the seed: of 100 neighbouring seeds, 100 began with the last of four choices, because the generator's first numbers hardly depend on a small seed.

--- a/packages/experiments/random_source.ts
+++ b/packages/experiments/random_source.ts
@@ -11,6 +11,16 @@
     this.#generator = xoroshiro128plus(seed);
   }
 
+  /**
+   * One of several streams of a seed. The first numbers of neighbouring seeds
+   * are alike without the mixing.
+   */
+  static ofStream(seed: number, stream: number): RandomSource {
+    let mixed = Math.imul(seed, 0x9e3779b1) ^ Math.imul(stream + 1, 0x85ebca6b);
+    mixed = Math.imul(mixed ^ (mixed >>> 16), 0xc2b2ae35);
+    return new RandomSource((mixed ^ (mixed >>> 13)) >>> 0);
+  }
+
   /** A number of at least 0 and less than 1. */
   number(): number {
     return uniformFloat64(this.#generator);
