--- a/packages/experiments/disturbances.ts
+++ b/packages/experiments/disturbances.ts
@@ -98,7 +98,8 @@
   }
 }
 
-class RollBundle extends Disturbance {
+/** An operator rolls the next version until a VM answers. */
+export class RollBundle extends Disturbance {
   override readonly name = "bundle rolled";
 
   override async run(context: DisturbanceContext): Promise<void> {
--- a/packages/experiments/history_run_test.ts
+++ b/packages/experiments/history_run_test.ts
@@ -4,7 +4,7 @@
   formatViolations,
 } from "@kingcupglade/checker";
 import { describe, expect, it } from "vitest";
-import { faultLanes } from "./disturbances.ts";
+import { faultLanes, RollBundle } from "./disturbances.ts";
 import { runHistory } from "./history_run.ts";
 import type { HistoryRun } from "./history_run.ts";
 
@@ -19,12 +19,13 @@
     expectKept(await runHistory({ seed: 1, seconds: 8 }));
   });
 
-  it("keep every promise while their leader is cut off and operators race", async () => {
+  it("keep every promise while their leader is cut off and operators roll and race", async () => {
     const { leaderCutForLong, operatorsRace } = faultLanes;
+    const rolls = [new RollBundle()];
     const run = await runHistory({
       seed: 2,
       seconds: 3,
-      lanes: { leaderCutForLong, operatorsRace },
+      lanes: { leaderCutForLong, operatorsRace, rolls },
     });
     expectKept(run);
     const withoutLease = eventsOf(run.events, "tableSeen").filter((each) =>
