--- a/packages/experiments/suite/history.ts
+++ b/packages/experiments/suite/history.ts
@@ -26,6 +26,7 @@
           seed + index
         }: ${run.events.length} events, ${run.violations.length} violations`,
       );
+      if (run.violations.length === 0) continue;
       progress(formatViolations(firstViolations(run.violations)));
     }
     return { figures: [...violationFigures(runs), ...coverageFigures(runs)] };
