Answer a wish for credits as soon as credits are free

Cause: a VM that was granted nothing counted its wish as told and did not ask again before its renewal, 1.33 s later. Being asked to report withdrew the wish at the holder but not at the VM. A report that waited for others to give up was answered once, whether they had or not.

Now the holder keeps such a report open until credits are free, for 1 s at most; reports are ordered for each VM and target, so that other targets do not wait with it; after being asked a VM tells its wish again, and gives up half of what is idle. Calls are given up late, since that costs their connection, and a VM rests after a call for three times its duration.

Excluded: link latency and demand above the slots (0.2 to 0.6 of them).

Tried and left out: giving a credit back as soon as it falls idle after a recall.

--- a/packages/kingcupglade/credits/credit_client_task.ts
+++ b/packages/kingcupglade/credits/credit_client_task.ts
@@ -20,7 +20,9 @@
 import { creditLeaseMilliseconds } from "./credit_holder_task.ts";
 
 const tickMilliseconds = 50;
-const exchangeTimeoutMilliseconds = 500;
+const exchangeTimeoutMilliseconds = 2000;
+/** Open messages to a holder; calls to a VM share few connections. */
+const maximumOpenMessages = 3;
 const dueTimes = {
   pauseMilliseconds: 500,
   renewMilliseconds: creditLeaseMilliseconds / 3,
@@ -48,6 +50,17 @@
   readonly accounts: CreditAccount[];
 }
 
+/** A message to a holder, on the shards that it holds. */
+interface Message {
+  readonly holder: string;
+  readonly roles: Map<string, RoleReport>;
+}
+
+interface DueAccount {
+  readonly account: CreditAccount;
+  readonly role: RoleAssignment;
+}
+
 interface SentReport {
   readonly accounts: readonly CreditAccount[];
   readonly reports: readonly Report[];
@@ -57,7 +70,12 @@
 export class CreditClientTask {
   readonly #options: CreditClientTaskOptions;
   readonly #timer: NodeJS.Timeout;
-  readonly #busy = new Set<string>();
+  /** Holders that were greeted and have not answered. */
+  readonly #greeting = new Set<string>();
+  /** Messages that each holder has not answered. */
+  readonly #open = new Map<string, number>();
+  /** Holder that has not answered the last report of an account. */
+  readonly #asked = new Map<CreditAccount, { readonly holder: string }>();
   readonly #greeted = new Map<string, number>();
   #table: RoutingTable | undefined;
   #sequence = 0;
@@ -114,36 +132,72 @@
       gate.meet(routing.table.targets);
     }
     this.#isReady ||= this.#areAllGreeted(routing.table);
-    for (const [holder, reports] of this.#dueReports(routing.table)) {
-      if (!this.#busy.has(holder)) void this.#exchange(holder, reports);
+    for (const message of this.#dueMessages(routing.table)) {
+      void this.#exchange(message);
     }
   }
 
-  /** What each holder must hear: due accounts, and that this VM is there. */
-  #dueReports(
-    table: RoutingTable,
-  ): ReadonlyMap<string, ReadonlyMap<string, RoleReport>> {
-    const holders = new Map<string, Map<string, RoleReport>>();
-    const reportOf = (role: RoleAssignment) => {
-      const roles = holders.get(role.holder!) ?? new Map<string, RoleReport>();
-      holders.set(role.holder!, roles);
-      const epoch = holderEpoch(table, role);
-      const report = roles.get(roleId(role)) ?? { epoch, accounts: [] };
-      roles.set(roleId(role), report);
-      return report;
+  /**
+   * What the holders must hear: that this VM is there, and due accounts. Those
+   * that need more have a message of their own, since its answer may take
+   * longer.
+   */
+  #dueMessages(table: RoutingTable): readonly Message[] {
+    const messages = new Map<string, Message>();
+    const messageTo = (role: RoleAssignment, kind: "needs" | "other") => {
+      const id = `${role.holder}/${kind}`;
+      const message = messages.get(id) ??
+        { holder: role.holder!, roles: new Map() };
+      messages.set(id, message);
+      return message;
     };
     for (const role of creditRoles(table)) {
-      if (!this.#isGreeted(table, role)) reportOf(role);
+      if (!this.#isGreeted(table, role) && !this.#greeting.has(role.holder!)) {
+        roleReport(messageTo(role, "other"), { table, role });
+      }
+    }
+    for (const { account, role } of this.#dueAccounts(table)) {
+      const message = messageTo(role, account.needsMore ? "needs" : "other");
+      roleReport(message, { table, role }).accounts.push(account);
     }
+    return [...messages.values()];
+  }
+
+  #dueAccounts(table: RoutingTable): readonly DueAccount[] {
     const now = this.#options.clock.now();
-    for (const account of this.#options.gate.accounts()) {
+    const accounts = [...this.#options.gate.accounts()].flatMap((account) => {
       const target = table.targets.get(account.target);
       const role = target && creditRoleOf(table, target);
-      if (role?.holder && account.isDue(now, dueTimes)) {
-        reportOf(role).accounts.push(account);
-      }
-    }
-    return holders;
+      return role?.holder ? [{ account, role }] : [];
+    });
+    const due = accounts.filter((each) =>
+      each.account.isDue(now, dueTimes) && this.#mayReport(each, table)
+    );
+    const crowded = new Set(
+      due.filter(({ account, role }) =>
+        account.needsMore && this.#openMessages(role) >= maximumOpenMessages
+      ).map(({ role }) => role.holder),
+    );
+    if (crowded.size === 0) return due;
+    // One message in place of the open ones, which are then answered at once.
+    const open = accounts.filter(({ account, role }) =>
+      crowded.has(role.holder) && this.#asked.has(account)
+    );
+    return [...new Map([...open, ...due].map((each) => [each.account, each]))
+      .values()];
+  }
+
+  /** Messages that a holder has not answered. */
+  #openMessages({ holder }: RoleAssignment): number {
+    return this.#open.get(holder ?? "") ?? 0;
+  }
+
+  /** Whether no report is on its way that this one would only repeat. */
+  #mayReport({ account, role }: DueAccount, table: RoutingTable): boolean {
+    const asked = this.#asked.get(account);
+    return asked === undefined ||
+      account.isUrgent(this.#options.clock.now()) ||
+      asked.holder !== holderId(table, role);
   }
 
   #isGreeted(table: RoutingTable, role: RoleAssignment): boolean {
@@ -156,10 +210,7 @@
       roles.every((role) => this.#isGreeted(table, role));
   }
 
-  async #exchange(
-    holder: string,
-    roles: ReadonlyMap<string, RoleReport>,
-  ): Promise<void> {
+  async #exchange({ holder, roles }: Message): Promise<void> {
     const { vm, boot, clock } = this.#options;
     const sentAt = clock.now();
     const sent = [...roles.values()].map(({ accounts }): SentReport => ({
@@ -176,9 +227,14 @@
         targets: [...sent[index]!.reports],
       })),
     });
-    this.#busy.add(holder);
+    const noted = this.#noteAsked({ holder, roles });
     const answer = await this.#ask(holder, request);
-    this.#busy.delete(holder);
+    noted.end();
+    (globalThis as any).note?.(
+      "credit:" + (answer ? answer.roles.every((e) => e.accepted) : "lost") +
+        (holder === vm ? ":here" : ""),
+      clock.now() - sentAt,
+    );
     [...roles].forEach(([id, { epoch }], index) => {
       const granted = answer?.roles[index];
       if (granted?.settled) this.#greeted.set(id, epoch);
@@ -190,6 +246,31 @@
     if (answer?.roles.every((each) => each.accepted)) this.schedule();
   }
 
+  /** Notes which accounts and holders wait for an answer, until it ends. */
+  #noteAsked({ holder, roles }: Message): { readonly end: () => void } {
+    const greets = [...roles.values()].some((each) =>
+      each.accounts.length === 0
+    );
+    if (greets) this.#greeting.add(holder);
+    this.#open.set(holder, (this.#open.get(holder) ?? 0) + 1);
+    const asked = [...roles.values()].flatMap(({ accounts, epoch }) =>
+      accounts.map((account) => ({
+        account,
+        message: { holder: `${holder}/${epoch}` },
+      }))
+    );
+    for (const each of asked) this.#asked.set(each.account, each.message);
+    return {
+      end: () => {
+        if (greets) this.#greeting.delete(holder);
+        this.#open.set(holder, this.#open.get(holder)! - 1);
+        for (const { account, message } of asked) {
+          if (this.#asked.get(account) === message) this.#asked.delete(account);
+        }
+      },
+    };
+  }
+
   async #ask(
     holder: string,
     request: ExchangeRequest,
@@ -214,16 +295,32 @@
     },
   ): void {
     sent.accounts.forEach((account, index) => {
+      const report = sent.reports[index]!;
       const credits = answer.credits?.[index];
-      if (credits === undefined) account.reportFailed(sent.reports[index]!);
+      if (credits === undefined) account.reportFailed(report);
       else {
         const { validUntil } = answer;
-        this.#options.gate.grant(account.target, { credits, validUntil });
+        this.#options.gate.grant(report, { credits, validUntil });
       }
     });
   }
 }
 
+function roleReport(
+  message: Message,
+  to: { readonly table: RoutingTable; readonly role: RoleAssignment },
+): RoleReport {
+  const id = roleId(to.role);
+  const report = message.roles.get(id) ??
+    { epoch: holderEpoch(to.table, to.role), accounts: [] };
+  message.roles.set(id, report);
+  return report;
+}
+
+function holderId(table: RoutingTable, role: RoleAssignment): string {
+  return `${role.holder}/${holderEpoch(table, role)}`;
+}
+
 function creditRoles(table: RoutingTable): readonly RoleAssignment[] {
   return [...table.roles.values()].filter((role) =>
     role.kind === RoleKind.credit && role.holder
--- a/packages/kingcupglade/credits/credit_holder_task.ts
+++ b/packages/kingcupglade/credits/credit_holder_task.ts
@@ -25,12 +25,19 @@
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
 import { creditRoleOf, holderEpoch, vmIdentity } from "./credit_directory.ts";
+import { isUnmet, UnmetReports } from "./unmet_reports.ts";
 
 /** Credits last this long from the moment that they are asked for. */
 export const creditLeaseMilliseconds = 4000;
 
 const sweepMilliseconds = 50;
-const recallTimeoutMilliseconds = 50;
+/** A call that is given up costs its connection, so this is generous. */
+const recallTimeoutMilliseconds = 1000;
+/**
+ * Rest after a recall, as a multiple of the time that it took. Credits that
+ * travel more often than that spend their time on the way.
+ */
+const restPerCall = 3;
 
 /** Options of a {@link CreditHolderTask}. */
 export interface CreditHolderTaskOptions {
@@ -47,6 +54,9 @@
 interface HeldRole {
   readonly epoch: number;
   readonly role: CreditRole;
+  readonly unmet: UnmetReports;
+  /** Until when VMs are not asked for credits again. */
+  readonly restUntil: Map<string, number>;
 }
 
 /** Hands out the credits of the shards that this VM holds. */
@@ -94,23 +104,20 @@
       ? held.role.report(report, clock.now())
       : null;
     if (!held || !credits) return { accepted: false };
-    const recalls = held.role.recalls(
-      clock.now(),
-      ask.targets.map((each) => each.target),
+    const targets = ask.targets.map((each) => each.target);
+    held.unmet.wake(targets);
+    void this.#recall(
+      ask.role,
+      held,
+      held.role.recalls(clock.now(), targets),
     );
-    const isShort = credits.some((each, index) =>
-      each < ask.targets[index]!.wanted
-    );
-    const gaveUp = this.#recall(ask.role, held, recalls);
-    const more = isShort && recalls.length > 0
-      ? await gaveUp.then(() =>
-        routing.hasLease ? held.role.reconsider(report, clock.now()) : null
-      )
-      : null;
+    const answer = isUnmet(report, credits)
+      ? await held.unmet.wait(report, credits)
+      : credits;
     return {
       accepted: true,
       settled: held.role.isSettled(clock.now()),
-      credits: [...more ?? credits],
+      credits: [...answer],
     };
   }
 
@@ -124,6 +131,7 @@
     this.#refresh();
     const now = this.#options.clock.now();
     for (const [id, held] of this.#roles) {
+      held.unmet.sweep();
       void this.#recall(id, held, held.role.recalls(now));
     }
   }
@@ -170,7 +178,7 @@
       requestMilliseconds: longestRequest(table, this.#options),
     };
     const epoch = holderEpoch(table, role);
-    const current = known?.epoch === epoch ? known : {
+    const current = known?.epoch === epoch ? known : this.#open({
       epoch,
       role: new CreditRole(times, {
         startedAt: now,
@@ -180,7 +188,7 @@
           : this.#watchedSince,
         losses: this.#losses,
       }),
-    };
+    });
     this.#roles.set(id, current);
     current.role.describe({
       targets: targetsOf(table, id),
@@ -189,15 +197,27 @@
     }, now);
   }
 
+  #open(held: Pick<HeldRole, "epoch" | "role">): HeldRole {
+    const { clock, routing } = this.#options;
+    const unmet = new UnmetReports({
+      clock,
+      reconsider: (report) =>
+        routing.hasLease ? held.role.reconsider(report, clock.now()) : null,
+    });
+    return { ...held, unmet, restUntil: new Map() };
+  }
+
   /** Asks VMs to give credits up, and takes in what they did give up. */
   async #recall(
     id: string,
     held: HeldRole,
     recalls: readonly CreditRecall[],
   ): Promise<void> {
+    const sentAt = this.#options.clock.now();
     const byVm = new Map<string, { targets: string[]; cold: boolean }>();
     for (const { vms, target, overLimit } of recalls) {
       for (const vm of vms) {
+        if (!overLimit && sentAt < (held.restUntil.get(vm) ?? 0)) continue;
         const recall = byVm.get(vm) ?? { targets: [], cold: false };
         byVm.set(vm, recall);
         recall.targets.push(target);
@@ -205,16 +225,20 @@
       }
     }
     await Promise.all([...byVm].map(async ([identity, recall]) => {
+      held.restUntil.set(identity, Infinity);
       const report = await this.#send(
         identity.slice(0, identity.indexOf("/")),
         create(RecallRequestSchema, { ...recall, role: id, epoch: held.epoch }),
       );
+      const now = this.#options.clock.now();
+      held.restUntil.set(identity, now + restPerCall * (now - sentAt));
       const given = report?.roles[0];
       if (!report || !given || vmIdentity(report) !== identity) return;
       held.role.giveUp(
         { vm: identity, sequence: report.sequence, targets: given.targets },
         this.#options.clock.now(),
       );
+      held.unmet.wake(recall.targets);
     }));
   }
 
--- /dev/null
+++ b/packages/kingcupglade/credits/credits_test.ts
@@ -0,0 +1,265 @@
+import type { DescService } from "@bufbuild/protobuf";
+import { roleId, RoleKind, roleShards } from "@kingcupglade/ownership";
+import type {
+  RoleAssignment,
+  RoutingTable,
+  TargetRecord,
+  VmRecord,
+} from "@kingcupglade/ownership";
+import { TargetObservations } from "@kingcupglade/routing";
+import type { CapacityGate } from "@kingcupglade/routing";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { PeerDirectory } from "../control/peers.ts";
+import type { RoutingTask } from "../control/routing_task.ts";
+import { Credits } from "./credits.ts";
+
+const deadlineMilliseconds = 2500;
+const thinkMilliseconds = 3;
+const clock = { now: () => Date.now() };
+
+type Handlers = Readonly<Record<string, (request: unknown) => unknown>>;
+
+/** VMs that share targets, and the calls between them, in virtual time. */
+class CreditNetwork {
+  readonly credits = new Map<string, Credits>();
+  readonly targets: readonly TargetRecord[];
+  readonly #services = new Map<string, Handlers>();
+  readonly #table: RoutingTable;
+
+  constructor(options: {
+    readonly vms: number;
+    readonly targets: number;
+    readonly slots: number;
+    /** Time that a call takes each way. */
+    readonly latencyMilliseconds: number;
+  }) {
+    const names = Array.from({ length: options.vms }, (_, i) => `vm-${i + 1}`);
+    this.targets = Array.from(
+      { length: options.targets },
+      (_, index) => targetRecord(`target-${index + 1}`, options.slots),
+    );
+    this.#table = this.#createTable(names);
+    for (const name of names) this.#start(name, options.latencyMilliseconds);
+  }
+
+  stop(): void {
+    for (const credits of this.credits.values()) credits.stop();
+  }
+
+  #createTable(names: readonly string[]): RoutingTable {
+    const roles = Array.from({ length: roleShards.credit }, (_, shard) => ({
+      kind: RoleKind.credit,
+      region: "recife",
+      shard,
+      epoch: 1,
+      foundedAt: 1,
+      holder: names[shard % names.length]!,
+    } as RoleAssignment));
+    return {
+      version: 1,
+      bundle: {
+        bundle: {
+          services: [{ name: "order-desk", deadlineMilliseconds }],
+          routes: [],
+          tenants: [],
+        },
+      },
+      targets: new Map(this.targets.map((each) => [each.target, each])),
+      vms: new Map(
+        names.map((
+          name,
+        ) => [name, { name, boot: "b", changedAt: 1 } as VmRecord]),
+      ),
+      roles: new Map(roles.map((role) => [roleId(role), role])),
+    } as unknown as RoutingTable;
+  }
+
+  #start(vm: string, latencyMilliseconds: number): void {
+    const table = this.#table;
+    const credits = new Credits({
+      vm,
+      boot: "b",
+      clock,
+      observations: new TargetObservations(),
+      routingLeaseMilliseconds: 2000,
+      metrics: { creditMessages: { inc: () => {} } } as never,
+      routing: {
+        table,
+        hasLease: true,
+      } as unknown as RoutingTask,
+      peers: {
+        client: (name: string) => this.#client(name, latencyMilliseconds),
+      } as unknown as PeerDirectory,
+    });
+    credits.addService({
+      service: (_: DescService, handlers: Handlers) =>
+        this.#services.set(vm, handlers),
+    } as never);
+    this.credits.set(vm, credits);
+  }
+
+  #client(vm: string, latencyMilliseconds: number): unknown {
+    const call = (name: string) => async (request: unknown) => {
+      await passed(latencyMilliseconds);
+      const answer = await this.#services.get(vm)![name]!(request);
+      await passed(latencyMilliseconds);
+      return answer;
+    };
+    return { exchange: call("exchange"), recall: call("recall") };
+  }
+}
+
+function targetRecord(target: string, slots: number): TargetRecord {
+  return {
+    target,
+    boot: "b",
+    service: "order-desk",
+    region: "recife",
+    dataCentre: "recife-a",
+    condition: "serving",
+    slots,
+    coldSlots: 1,
+    connections: 110,
+    changedAt: 1,
+  } as TargetRecord;
+}
+
+function passed(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** Callers that each send one request after the other, to drawn targets. */
+class ClosedLoop {
+  readonly waits: number[] = [];
+  readonly inProgress = new Map<string, number>();
+  mostInProgress = 0;
+  readonly #network: CreditNetwork;
+  readonly #random = new LinearSequence();
+  #stopped = false;
+
+  constructor(network: CreditNetwork, options: {
+    readonly callers: number;
+    readonly serviceMilliseconds: number;
+  }) {
+    this.#network = network;
+    for (let caller = 0; caller < options.callers; caller += 1) {
+      void this.#call(options.serviceMilliseconds);
+    }
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #call(serviceMilliseconds: number): Promise<void> {
+    const gates = [...this.#network.credits.values()];
+    const { targets } = this.#network;
+    while (!this.#stopped) {
+      const { gate } = gates[this.#random.below(gates.length)]!;
+      const target = targets[this.#random.below(targets.length)]!;
+      await this.#send(gate, { target, serviceMilliseconds });
+      await passed(thinkMilliseconds);
+    }
+  }
+
+  async #send(gate: CapacityGate, options: {
+    readonly target: TargetRecord;
+    readonly serviceMilliseconds: number;
+  }): Promise<void> {
+    const { target, serviceMilliseconds } = options;
+    const startedAt = clock.now();
+    const permit = await gate.acquire({
+      target,
+      tenant: "kennels",
+      class: "normal",
+      deadlineAt: startedAt + deadlineMilliseconds,
+    });
+    this.waits.push(
+      permit.kind === "permit" ? clock.now() - startedAt : Infinity,
+    );
+    if (permit.kind !== "permit") return;
+    this.#count(target, 1);
+    await passed(serviceMilliseconds);
+    this.#count(target, -1);
+    permit.release({ result: "answered", milliseconds: serviceMilliseconds });
+  }
+
+  #count({ target }: TargetRecord, change: number): void {
+    const count = (this.inProgress.get(target) ?? 0) + change;
+    this.inProgress.set(target, count);
+    this.mostInProgress = Math.max(this.mostInProgress, count);
+  }
+}
+
+/** The minimal standard generator of Park and Miller. */
+class LinearSequence {
+  #state = 7;
+
+  below(bound: number): number {
+    this.#state = (this.#state * 48_271) % 2_147_483_647;
+    return this.#state % bound;
+  }
+}
+
+describe("credits of several VMs", () => {
+  let network: CreditNetwork;
+  let load: ClosedLoop;
+
+  beforeEach(() => void vi.useFakeTimers());
+
+  afterEach(async () => {
+    load.stop();
+    await vi.advanceTimersByTimeAsync(deadlineMilliseconds);
+    network.stop();
+    vi.useRealTimers();
+  });
+
+  const run = async (options: {
+    readonly vms: number;
+    readonly targets: number;
+    readonly slots: number;
+    readonly callers: number;
+    readonly serviceMilliseconds: number;
+    readonly milliseconds: number;
+  }) => {
+    network = new CreditNetwork({ ...options, latencyMilliseconds: 1 });
+    load = new ClosedLoop(network, options);
+    await vi.advanceTimersByTimeAsync(options.milliseconds);
+  };
+
+  describe("before every VM has reported", () => {
+    it("reach the requests that wait for them soon after", async () => {
+      await run({
+        vms: 3,
+        targets: 4,
+        slots: 6,
+        callers: 8,
+        serviceMilliseconds: 5,
+        milliseconds: 2000,
+      });
+      expect(load.waits.length).toBeGreaterThan(100);
+      // The tick in which VMs greet, and the one in which holders notice.
+      expect(Math.max(...load.waits)).toBeLessThanOrEqual(250);
+    });
+  });
+
+  describe("while VMs use what others wait for", () => {
+    it("are handed on as they fall idle, and never above the slots", async () => {
+      const slots = 4;
+      const serviceMilliseconds = 80;
+      await run({
+        vms: 9,
+        targets: 8,
+        slots,
+        callers: 20,
+        serviceMilliseconds,
+        milliseconds: 3000,
+      });
+      expect(load.waits.length).toBeGreaterThan(100);
+      // The work that 20 callers can have put before a request.
+      expect(Math.max(...load.waits))
+        .toBeLessThanOrEqual(Math.ceil(20 / slots) * serviceMilliseconds);
+      expect(load.mostInProgress).toBe(slots);
+    });
+  });
+});
--- a/packages/routing/credit_account.ts
+++ b/packages/routing/credit_account.ts
@@ -25,7 +25,7 @@
   #peak = 0;
   #peakAt = -Infinity;
   #asked = 0;
-  #isVoid = false;
+  #latest: CreditAccountReport | undefined;
   #reportedAt = -Infinity;
   #mustReport = false;
   /** What the holder counts for this VM. */
@@ -62,10 +62,7 @@
       readonly renewMilliseconds: number;
     },
   ): boolean {
-    const used = Math.max(this.credits(now), this.#inProgress);
-    if (this.#mustReport || this.needsMore || used < this.#reserved) {
-      return true;
-    }
+    if (this.needsMore || this.isUrgent(now)) return true;
     const silence = now - this.#reportedAt;
     if (this.wanted(now) !== this.#asked) {
       return silence >= times.pauseMilliseconds;
@@ -81,6 +78,16 @@
       : used;
   }
 
+  /** Whether the holder counts more for this VM than the VM keeps. */
+  mustReturn(now: number): boolean {
+    return this.#reserved > Math.max(this.credits(now), this.#inProgress);
+  }
+
+  /** Whether it must report although an earlier report is not answered. */
+  isUrgent(now: number): boolean {
+    return this.#mustReport || this.mustReturn(now);
+  }
+
   /** Whether waiting requests need more than was asked for. */
   get needsMore(): boolean {
     return this.#queued > 0 && this.#inProgress + this.#queued > this.#asked;
@@ -118,21 +125,24 @@
   }
 
   /**
-   * Gives up what is not used and reports, as the holder asks. An answer to an
-   * earlier report that is still under way raises the credits no more.
+   * Gives up what is not used and reports, as the holder asks. Answers to
+   * earlier reports count no longer.
    */
   recall(
     now: number,
     options: { readonly cold: boolean },
   ): CreditAccountReport {
-    this.#peakAt = -Infinity;
-    this.#credits = options.cold
-      ? 0
-      : Math.min(this.#credits, this.#inProgress + this.#queued);
+    const used = this.#inProgress + this.#queued;
+    const idle = Math.max(0, this.credits(now) - used);
+    const kept = used + Math.floor(idle / 2);
+    this.#peak = Math.min(this.#peak, kept);
+    this.#credits = options.cold ? 0 : Math.min(this.#credits, kept);
     const coldBoot = this.#coldBoot;
     const report = this.report(now);
+    this.#latest = undefined;
     this.#coldBoot = coldBoot;
-    this.#isVoid = true;
+    // The holder takes the wish for more as withdrawn; it must be told again.
+    this.#asked = Math.min(report.wanted, report.held);
     this.#mustReport = options.cold || coldBoot !== "";
     return { ...report, coldBoot: "" };
   }
@@ -143,7 +153,6 @@
     const credits = Math.min(this.credits(now), wanted);
     this.#credits = credits;
     this.#asked = wanted;
-    this.#isVoid = false;
     this.#mustReport = false;
     this.#reportedAt = now;
     const report = {
@@ -157,29 +166,33 @@
     this.#answered = 0;
     this.#coldBoot = "";
     this.#reserved = report.held;
+    this.#latest = report;
     return report;
   }
 
-  /** Takes over the holder's answer to the last report. */
-  grant(credits: number, validUntil: number): void {
-    this.#credits = this.#isVoid ? Math.min(this.#credits, credits) : credits;
+  /** Takes over the holder's answer to a report, unless it is out of date. */
+  grant(
+    report: CreditAccountReport,
+    answer: { readonly credits: number; readonly validUntil: number },
+  ): void {
+    if (report !== this.#latest) return;
+    const { credits, validUntil } = answer;
+    this.#credits = credits;
+    this.#asked = Math.min(this.#asked, Math.max(credits, report.held));
     this.#reserved = Math.max(this.#reserved, credits);
     this.#validUntil = validUntil;
   }
 
-  /** Notes that the last report was not answered. */
-  reportFailed(report: {
-    readonly answered: number;
-    readonly coldBoot: string;
-  }): void {
-    this.#asked = 0;
+  /** Notes that a report was not answered. */
+  reportFailed(report: CreditAccountReport): void {
+    if (report === this.#latest) this.#asked = 0;
     this.#answered += report.answered;
     this.#coldBoot ||= report.coldBoot;
   }
 
   #withhold(): void {
     this.#credits = 0;
-    this.#isVoid = true;
+    this.#latest = undefined;
     this.#mustReport = true;
   }
 
--- a/packages/routing/credit_book.ts
+++ b/packages/routing/credit_book.ts
@@ -61,7 +61,7 @@
 const answersPerCreditAfterShedding = 16;
 const maximumAnswersPerCredit = 256;
 const turnMilliseconds = 50;
-const recallAgainMilliseconds = 100;
+const recallAgainMilliseconds = 25;
 
 /** Opens a book; a target that just started begins at what it bears cold. */
 export function openCreditBook(
@@ -216,11 +216,17 @@
   ).map(([vm]) => vm);
 }
 
-/** VMs with credits, the one that reported longest ago first. */
+/**
+ * VMs with credits: those that want no more before the others, and the one that
+ * reported longest ago first.
+ */
 function idleFirst(book: CreditBook, now: number): readonly string[] {
+  const wantsMore = ({ wanted, amount }: Holding) => Number(wanted > amount);
   return [...book.holdings]
     .filter(([, holding]) => holding.amount > 0 && mayRecall(holding, now))
-    .sort((left, right) => left[1].reportedAt - right[1].reportedAt)
+    .sort(([, left], [, right]) =>
+      wantsMore(left) - wantsMore(right) || left.reportedAt - right.reportedAt
+    )
     .map(([vm]) => vm);
 }
 
--- a/packages/routing/credit_gate.ts
+++ b/packages/routing/credit_gate.ts
@@ -8,6 +8,7 @@
   Permit,
 } from "./capacity.ts";
 import { CreditAccount } from "./credit_account.ts";
+import type { CreditAccountReport } from "./credit_account.ts";
 import { FairQueue } from "./fair_queue.ts";
 import { notRun, Reason } from "./outcome.ts";
 import type { Refusal } from "./outcome.ts";
@@ -24,7 +25,7 @@
   readonly tenantWeight: (tenant: string) => number;
   /** VMs that share the connections of a target. */
   readonly sharingVms: () => number;
-  /** Called when requests wait for credits that were not asked for yet. */
+  /** Called when the holder of a target's credits should hear of this VM. */
   readonly onNeed: (target: string) => void;
   /** Called at a sign that a target turned cold. */
   readonly onPossiblyCold: (target: string) => void;
@@ -89,14 +90,14 @@
     return this.#enqueue(gate, request);
   }
 
-  /** Takes over a holder's answer and admits what it allows. */
+  /** Takes over a holder's answer to a report and admits what it allows. */
   grant(
-    target: string,
-    grant: { readonly credits: number; readonly validUntil: number },
+    report: CreditAccountReport,
+    answer: { readonly credits: number; readonly validUntil: number },
   ): void {
-    const gate = this.#gates.get(target);
+    const gate = this.#gates.get(report.target);
     if (!gate) return;
-    gate.account.grant(grant.credits, grant.validUntil);
+    gate.account.grant(report, answer);
     this.#admitWaiting(gate);
   }
 
@@ -186,6 +187,9 @@
     const end = () => {
       account.end({ answered: report.result === "answered" });
       this.#admitWaiting(gate);
+      if (account.mustReturn(clock.now())) {
+        this.#options.onNeed(account.target);
+      }
     };
     observations.note(account.target, report, clock.now());
     if (report.result === "shed" || report.result === "failed") {
--- a/packages/routing/credit_gate_test.ts
+++ b/packages/routing/credit_gate_test.ts
@@ -38,7 +38,11 @@
       deadlineAt: clock.now() + 1000,
       ...options,
     });
-  return { gate, clock, observations, ask };
+  const grant = (credits: number, validUntil: number) => {
+    const [account] = gate.accounts();
+    gate.grant(account!.report(clock.now()), { credits, validUntil });
+  };
+  return { gate, clock, observations, ask, grant };
 }
 
 const answered = { result: "answered", milliseconds: 10 } as const;
@@ -46,7 +50,7 @@
 describe("a gate with credits", () => {
   describe("while all its credits are in use", () => {
     it("admits by class and by tenant weight, and starves nobody", async () => {
-      const { gate, ask } = openGate();
+      const { ask, grant } = openGate();
       const order: string[] = [];
       const wait = async (name: string, options: Partial<CapacityRequest>) => {
         const permit = await ask(options);
@@ -59,7 +63,7 @@
         wait("vets", { tenant: "vets" }),
         wait("urgent", { class: "urgent" }),
       ]).flat();
-      gate.grant("order-1", { credits: 1, validUntil: Infinity });
+      grant(1, Infinity);
       await Promise.all(waits);
       const early = order.slice(0, 13);
       const count = (name: string) =>
@@ -70,10 +74,10 @@
     });
 
     it("refuses at once what would wait past its deadline", async () => {
-      const { gate, observations, ask } = openGate();
+      const { observations, ask, grant } = openGate();
       observations.note("order-1", { ...answered, milliseconds: 400 }, 0);
       void ask();
-      gate.grant("order-1", { credits: 1, validUntil: Infinity });
+      grant(1, Infinity);
       void ask();
       void ask();
       expect(await ask()).toMatchObject({
@@ -86,14 +90,14 @@
 
   describe("after its credits lapsed", () => {
     it("admits nothing until it is granted more", async () => {
-      const { gate, clock, ask } = openGate();
+      const { gate, clock, ask, grant } = openGate();
       void ask();
-      gate.grant("order-1", { credits: 2, validUntil: 100 });
+      grant(2, 100);
       expect(gate.available(target)).toBe(1);
       clock.advance(100);
       expect(gate.available(target)).toBeLessThanOrEqual(0);
       const waiting = ask();
-      gate.grant("order-1", { credits: 2, validUntil: 200 });
+      grant(2, 200);
       expect(await waiting).toMatchObject({ kind: "permit" });
     });
   });
@@ -114,9 +118,9 @@
 
   describe("after a target shed a request", () => {
     it("sends it nothing more before the holder has answered", async () => {
-      const { gate, ask } = openGate();
+      const { gate, ask, grant } = openGate();
       const waiting = ask();
-      gate.grant("order-1", { credits: 4, validUntil: 1000 });
+      grant(4, 1000);
       const permit = await waiting as Permit;
       permit.release({ result: "shed", milliseconds: 1 });
       expect(gate.available(target)).toBe(0);
--- a/packages/routing/credit_role.ts
+++ b/packages/routing/credit_role.ts
@@ -50,7 +50,8 @@
   readonly #watchedSince: number;
   readonly #losses: number[];
   readonly #books = new Map<string, CreditBook>();
-  readonly #sequences = new Map<string, number>();
+  /** Number of the last report of each VM on each target. */
+  readonly #sequences = new Map<string, Map<string, number>>();
   /** Targets that an earlier holder cannot have served. */
   readonly #newTargets = new Set<string>();
   #times: CreditTimes;
@@ -96,25 +97,33 @@
     this.#times = table.times;
   }
 
-  /** Credits for each target of a report; null when it must be ignored. */
+  /**
+   * Credits for each target of a report; null when the VM is not in the table.
+   * What is said of a target is ignored after a later report on it.
+   */
   report(report: CreditReport, now: number): readonly number[] | null {
-    const last = this.#sequences.get(report.vm) ?? 0;
-    if (!this.#vms.has(report.vm) || report.sequence <= last) return null;
-    this.#sequences.set(report.vm, report.sequence);
-    const { leaseMilliseconds, requestMilliseconds } = this.#times;
-    const lapsesAt = now + leaseMilliseconds + requestMilliseconds;
+    if (!this.#vms.has(report.vm)) return null;
+    const sequences = this.#sequences.get(report.vm) ?? new Map();
+    this.#sequences.set(report.vm, sequences);
     return report.targets.map((ask) => {
-      const book = this.#books.get(ask.target);
-      if (!book) return 0;
-      const answer = askForCredits(book, { ...ask, vm: report.vm }, {
-        now,
-        lapsesAt,
-        mayGrow: this.#mayGrow(ask.target, now),
-        mostPerVm: mostCreditsPerVm(book.target, { vms: this.#vms.size }),
-      });
-      this.#books.set(ask.target, answer.book);
-      return answer.credits;
+      if (report.sequence <= (sequences.get(ask.target) ?? 0)) return 0;
+      sequences.set(ask.target, report.sequence);
+      return this.#answer({ ...ask, vm: report.vm }, now);
+    });
+  }
+
+  #answer(ask: CreditAsk & { readonly target: string }, now: number): number {
+    const book = this.#books.get(ask.target);
+    if (!book) return 0;
+    const { leaseMilliseconds, requestMilliseconds } = this.#times;
+    const answer = askForCredits(book, ask, {
+      now,
+      lapsesAt: now + leaseMilliseconds + requestMilliseconds,
+      mayGrow: this.#mayGrow(ask.target, now),
+      mostPerVm: mostCreditsPerVm(book.target, { vms: this.#vms.size }),
     });
+    this.#books.set(ask.target, answer.book);
+    return answer.credits;
   }
 
   /** Takes in what a VM gave up when it was asked to; nothing is granted. */
@@ -128,17 +137,21 @@
 
   /**
    * Answers a report anew after others gave up credits; null when the VM has
-   * reported since.
+   * reported on one of its targets since.
    */
   reconsider(report: CreditReport, now: number): readonly number[] | null {
-    if (this.#sequences.get(report.vm) !== report.sequence) return null;
-    this.#sequences.set(report.vm, report.sequence - 1);
-    const targets = report.targets.map((each) => ({
-      ...each,
-      answered: 0,
-      coldBoot: "",
-    }));
-    return this.report({ ...report, targets }, now);
+    const sequences = this.#sequences.get(report.vm);
+    const isLatest = sequences !== undefined &&
+      report.targets.every(({ target }) =>
+        sequences.get(target) === report.sequence
+      );
+    if (!isLatest) return null;
+    return report.targets.map((each) =>
+      this.#answer(
+        { ...each, vm: report.vm, answered: 0, coldBoot: "" },
+        now,
+      )
+    );
   }
 
   /** The VMs that should report at once, for the targets named or for all. */
--- a/packages/routing/credits_test.ts
+++ b/packages/routing/credits_test.ts
@@ -104,7 +104,10 @@
     const take = (answer: readonly number[] | null | undefined) => {
       vm.isAsking = false;
       if (!answer) return vm.account.reportFailed(own);
-      vm.account.grant(answer[0]!, sentAt + times.leaseMilliseconds);
+      vm.account.grant(own, {
+        credits: answer[0]!,
+        validUntil: sentAt + times.leaseMilliseconds,
+      });
     };
     if (fate === 0) this.messages.push(deliver);
     const answer = fate === 0 ? undefined : deliver();
