--- a/packages/experiments/history_run.ts
+++ b/packages/experiments/history_run.ts
@@ -5,12 +5,13 @@
 import { BundleRoller } from "./bundle_roller.ts";
 import { Deployment } from "./deployment.ts";
 import { disturbanceLanes } from "./disturbances.ts";
-import type { Disturbance, DisturbanceContext } from "./disturbances.ts";
+import type { Disturbance, DisturbanceContext } from "./disturbance.ts";
 import { hsinchu } from "./hsinchu.ts";
 import { RandomSource } from "./random_source.ts";
 import { runCaller } from "./random_caller.ts";
 
 const observeMilliseconds = 25;
+const observeClaimsMilliseconds = 500;
 const stallMilliseconds = 100;
 const callers = 8;
 
@@ -18,8 +19,10 @@
 export interface HistoryRunOptions {
   readonly seed: number;
   readonly seconds: number;
-  /** Lanes of disturbances. @default every one of them */
-  readonly lanes?: readonly (keyof typeof disturbanceLanes)[];
+  /** Lanes of disturbances, by name. @default {@link disturbanceLanes} */
+  readonly lanes?: Readonly<Record<string, readonly Disturbance[]>>;
+  /** Further settings of the control section. */
+  readonly control?: Readonly<Record<string, number>>;
   /** Whether callers send again under an Idempotency-Key. @default true */
   readonly resends?: boolean;
 }
@@ -43,7 +46,11 @@
 export async function runHistory(
   options: HistoryRunOptions,
 ): Promise<HistoryRun> {
-  const deployment = await Deployment.start(hsinchu);
+  const deployment = await Deployment.start({
+    ...hsinchu,
+    control: { ...options.control },
+    withLinks: true,
+  });
   const observer = observe(deployment);
   try {
     const roller = new BundleRoller(deployment, hsinchu.dataCentres);
@@ -95,10 +102,9 @@
 }): readonly Promise<void>[] {
   const { options, deployment, roller, unready } = run;
   const names = [...deployment.targets.keys()];
-  const lanes = options.lanes ??
-    (Object.keys(disturbanceLanes) as (keyof typeof disturbanceLanes)[]);
+  const lanes = Object.values(options.lanes ?? disturbanceLanes);
   return lanes.map((lane, index) =>
-    runLane(disturbanceLanes[lane], {
+    runLane(lane, {
       ...run,
       context: {
         deployment,
@@ -128,7 +134,7 @@
     await disturbance.run(context);
     const count = disturbances.get(disturbance.name) ?? 0;
     disturbances.set(disturbance.name, count + 1);
-    await pause(context.random.integer(50, 600));
+    await pause(context.random.integer(50, disturbance.mostRestMilliseconds));
   }
 }
 
@@ -158,6 +164,7 @@
 /** Records the bundles in use and the times at which this process stood still. */
 function observe(deployment: Deployment): NodeJS.Timeout {
   let last = performance.now();
+  let claimsDueAt = last;
   return setInterval(() => {
     const now = performance.now();
     const milliseconds = now - last - observeMilliseconds;
@@ -166,6 +173,9 @@
       deployment.history.record({ kind: "stalled", milliseconds });
     }
     deployment.observe();
+    if (now < claimsDueAt) return;
+    claimsDueAt = now + observeClaimsMilliseconds;
+    deployment.observeClaims();
   }, observeMilliseconds);
 }
 
--- a/packages/kingcupglade/command_line.ts
+++ b/packages/kingcupglade/command_line.ts
@@ -1,3 +1,4 @@
+import { nearestName } from "@kingcupglade/bundle";
 import { ExitCode, UsageError } from "./commands/command.ts";
 import type { Command } from "./commands/command.ts";
 
@@ -28,10 +29,13 @@
   }),
 );
 
+/** Names of every command, as they are typed. */
+export const commandNames: readonly string[] = [...commands.keys()];
+
 const usage = `Usage: kingcupglade COMMAND [OPTIONS]
 
 Commands:
-${[...commands.keys()].map((name) => `  ${name}`).join("\n")}
+${commandNames.map((name) => `  ${name}`).join("\n")}
 
 kingcupglade COMMAND --help explains a command.
 Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
@@ -54,19 +58,22 @@
 ): Promise<ExitCode> {
   const found = findCommand(commandArguments);
   if (!found) {
-    const asked = commandArguments[0] === "--help";
-    (asked ? process.stdout : process.stderr).write(usage);
-    return asked ? ExitCode.done : ExitCode.usage;
+    if (!asksForHelp(commandArguments)) {
+      throw new UsageError(describeUnknown(commandArguments));
+    }
+    process.stdout.write(usage);
+    return ExitCode.done;
   }
   const command = await found.load();
-  if (found.rest.includes("--help")) {
+  if (asksForHelp(found.rest)) {
     process.stdout.write(command.help);
     return ExitCode.done;
   }
   return await command.run(found.rest);
 }
 
-function findCommand(commandArguments: readonly string[]) {
+/** Finds the command that a command line begins with. */
+export function findCommand(commandArguments: readonly string[]) {
   for (const words of [2, 1]) {
     const load = commands.get(commandArguments.slice(0, words).join(" "));
     if (load) return { load, rest: commandArguments.slice(words) };
@@ -74,6 +81,25 @@
   return undefined;
 }
 
+function asksForHelp(words: readonly string[]): boolean {
+  return words.includes("--help") || words.includes("-h");
+}
+
+function describeUnknown(commandArguments: readonly string[]): string {
+  const nearest = [2, 1].map((words) =>
+    nearestName(commandArguments.slice(0, words).join(" "), commandNames)
+  ).find((name) => name !== undefined);
+  return `${
+    commandArguments.length === 0
+      ? "no command is given"
+      : `"${commandArguments.slice(0, 2).join(" ")}" is no command`
+  }; ${
+    nearest === undefined
+      ? `the commands are ${commandNames.join(", ")}`
+      : `did you mean "${nearest}"?`
+  } See kingcupglade --help`;
+}
+
 // util.parseArgs marks what it refuses by codes of this form.
 function isUsageFailure(failure: unknown): boolean {
   if (failure instanceof UsageError) return true;
--- a/packages/kingcupglade/commands/bundle_roll.ts
+++ b/packages/kingcupglade/commands/bundle_roll.ts
@@ -1,19 +1,37 @@
+import { setTimeout as pause } from "node:timers/promises";
 import { parseArgs } from "node:util";
+import type { SignedBundle } from "@kingcupglade/bundle";
 import type { RollOutcome } from "@kingcupglade/ownership";
 import { ExitCode, UsageError } from "./command.ts";
 import type { Command } from "./command.ts";
 import { readBundleFile } from "./files.ts";
 import { askVm, fetchStatus } from "./operator_client.ts";
+import type { OperatorAnswer } from "./operator_client.ts";
 
+/** Status of a VM that found no leader. */
+const unavailable = 503;
+/** Time for VMs that were just started to elect a leader. */
+const leaderMilliseconds = 20_000;
 const waitMilliseconds = 10_000;
 const pollMilliseconds = 100;
 
+/** A bundle that was not put into force. */
+export class RollError extends Error {
+  override readonly name = "RollError";
+}
+
+interface ListenerError {
+  readonly error: string;
+}
+
 /** `bundle roll`: puts a signed bundle into force. */
 export const bundleRollCommand: Command = {
   help: `Usage: kingcupglade bundle roll SIGNED --vm IP:PORT [--wait]
 
-Sends a signed bundle to the operators' listener of any VM. With --wait,
-returns when every VM routes by it.
+Sends a signed bundle to the operators' listener of any VM and prints the answer
+as JSON. With --wait, sends it again until a leader answers, and returns when
+every VM routes by it. Exits with 1 when the
+bundle is refused or in conflict, or is not in force everywhere in time.
 
 Example:
   kingcupglade bundle roll signed.json --vm 127.0.0.1:8401 --wait
@@ -29,11 +47,13 @@
       throw new UsageError("bundle roll needs SIGNED and --vm IP:PORT");
     }
     const document = await readBundleFile(path);
-    const answer = await askVm(values.vm, "/bundle", { document });
+    const answer = values.wait
+      ? await askUntilAnswered(values.vm, document)
+      : await askVm(values.vm, "/bundle", { document });
     process.stdout.write(`${JSON.stringify(answer.document)}\n`);
-    const outcome = answer.document as RollOutcome;
-    if (answer.status !== 200 || outcome.kind !== "accepted") {
-      return ExitCode.failed;
+    const outcome = answer.document as RollOutcome | ListenerError;
+    if ("error" in outcome || outcome.kind !== "accepted") {
+      throw new RollError(describeRefusal(outcome));
     }
     return values.wait
       ? await waitUntilInForce(values.vm, outcome.version)
@@ -41,6 +61,32 @@
   },
 };
 
+/** Rolls until a leader answers; the same bundle may be sent again. */
+async function askUntilAnswered(
+  vm: string,
+  document: SignedBundle,
+): Promise<OperatorAnswer> {
+  const until = performance.now() + leaderMilliseconds;
+  const ask = () => askVm(vm, "/bundle", { document });
+  while (performance.now() < until) {
+    const answer = await ask().catch(() => null);
+    if (answer && answer.status !== unavailable) return answer;
+    await pause(pollMilliseconds);
+  }
+  return await ask();
+}
+
+function describeRefusal(
+  outcome: Exclude<RollOutcome, { readonly kind: "accepted" }> | ListenerError,
+): string {
+  if ("error" in outcome) {
+    return `the VM could not roll the bundle: ${outcome.error}; the same file may be sent again`;
+  }
+  return outcome.kind === "refused"
+    ? `the bundle is refused: ${outcome.reason}`
+    : `the bundle is in conflict: version ${outcome.version} with digest ${outcome.digest} is in force; see bundle diff, and sign a higher version`;
+}
+
 async function waitUntilInForce(
   vm: string,
   version: number,
@@ -51,7 +97,7 @@
     if (bundle?.inForceEverywhere && bundle.version >= version) {
       return ExitCode.done;
     }
-    await new Promise((resolve) => setTimeout(resolve, pollMilliseconds));
+    await pause(pollMilliseconds);
   }
   process.stderr.write(
     `the bundle is accepted, but not every VM confirmed it within ${waitMilliseconds} ms; see kingcupglade status\n`,
