--- a/packages/kingcupglade/credits/credit_client_task.ts
+++ b/packages/kingcupglade/credits/credit_client_task.ts
@@ -230,11 +230,6 @@
     const noted = this.#noteAsked({ holder, roles });
     const answer = await this.#ask(holder, request);
     noted.end();
-    (globalThis as any).note?.(
-      "credit:" + (answer ? answer.roles.every((e) => e.accepted) : "lost") +
-        (holder === vm ? ":here" : ""),
-      clock.now() - sentAt,
-    );
     [...roles].forEach(([id, { epoch }], index) => {
       const granted = answer?.roles[index];
       if (granted?.settled) this.#greeted.set(id, epoch);
