--- /dev/null
+++ b/packages/experiments/history_figures.ts
@@ -0,0 +1,29 @@
+import { PromiseName } from "@kingcupglade/checker";
+import type { Figure } from "./experiment.ts";
+import type { HistoryRun } from "./history_run.ts";
+
+/** Violations of each promise, and how much the runs covered. */
+export function historyFigures(
+  runs: readonly HistoryRun[],
+): readonly Figure[] {
+  const violations = runs.flatMap((run) => run.violations);
+  return [
+    ...Object.values(PromiseName).map((promise): Figure => ({
+      name: promise,
+      value: violations.filter((each) => each.promise === promise).length,
+      unit: "violations",
+      target: { atMost: 0 },
+    })),
+    {
+      name: "runs that served every range in the end",
+      value: runs.filter((run) => run.recovered).length,
+      unit: "runs",
+      target: { atLeast: runs.length },
+    },
+    {
+      name: "events checked",
+      value: runs.reduce((sum, run) => sum + run.events.length, 0),
+      unit: "events",
+    },
+  ];
+}
--- a/packages/experiments/speed_bench.ts
+++ b/packages/experiments/speed_bench.ts
@@ -2,16 +2,15 @@
 import type { Server } from "node:http";
 import { Agent, request } from "undici";
 import { BareProxy } from "./bare_proxy.ts";
-import { Deployment } from "./deployment.ts";
 import { runLoad } from "./load.ts";
 import type { LoadResult } from "./load.ts";
-import { tavares } from "./tavares.ts";
+import { startSingleGateway } from "./single_gateway.ts";
 
 const connections = 64;
 const connectionsPerTarget = 110;
 const answer = Buffer.from(JSON.stringify({ whole: true }));
 const announceMilliseconds = 300;
-const port = { targets: 8200, target: 9100, proxy: 9101 } as const;
+const port = { target: 9100, proxy: 9101 } as const;
 const host = "127.0.0.1";
 const announcement = {
   target: "order-1",
@@ -69,12 +68,15 @@
       connections: connectionsPerTarget,
     });
     await proxy.listen(host, port.proxy);
-    const gateway = await startGateway();
+    const gateway = await startSingleGateway({
+      announcements: [announcement],
+      announceMilliseconds,
+    });
     return new SpeedBench({
       urls: {
         direct: `http://${host}:${port.target}/orders/1`,
         bare: `http://${host}:${port.proxy}/orders/1`,
-        own: `http://${gateway.address}/orders/1`,
+        own: `http://${gateway.host}:${gateway.port}/orders/1`,
       },
       stop: async () => {
         await gateway.stop();
@@ -137,34 +139,6 @@
   }
 }
 
-async function startGateway(): Promise<
-  { readonly address: string; readonly stop: () => Promise<void> }
-> {
-  const deployment = await Deployment.start({
-    ...tavares,
-    vms: { "vm-1": "recife-a" },
-    voters: ["vm-1"],
-    withDisk: ["vm-1"],
-  });
-  await deployment.roll();
-  const address = deployment.callersAddress("vm-1");
-  const vmHost = address.split(":")[0]!;
-  const announce = () =>
-    request(`http://${vmHost}:${port.targets}/announce`, {
-      method: "POST",
-      headers: { authorization: `Bearer ${deployment.secret}` },
-      body: JSON.stringify(announcement),
-    }).then(({ body }) => body.dump(), () => {});
-  await announce();
-  const timer = setInterval(() => void announce(), announceMilliseconds);
-  await deployment.untilReady("vm-1");
-  const stop = () => {
-    clearInterval(timer);
-    return deployment.stop();
-  };
-  return { address, stop };
-}
-
 function listenAsTarget(): Promise<Server> {
   const server = createServer((incoming, response) => {
     incoming.resume();
--- a/packages/experiments/suite/fault_pairs.ts
+++ b/packages/experiments/suite/fault_pairs.ts
@@ -1,10 +1,7 @@
-import {
-  firstViolations,
-  formatViolations,
-  PromiseName,
-} from "@kingcupglade/checker";
-import type { Experiment, Figure } from "../experiment.ts";
+import { firstViolations, formatViolations } from "@kingcupglade/checker";
+import type { Experiment } from "../experiment.ts";
 import { faultLanes } from "../disturbances.ts";
+import { historyFigures } from "../history_figures.ts";
 import { runHistory } from "../history_run.ts";
 import type { HistoryRun } from "../history_run.ts";
 
@@ -31,7 +28,7 @@
       if (run.violations.length === 0) continue;
       progress(formatViolations(firstViolations(run.violations)));
     }
-    return { figures: figuresOf(runs) };
+    return { figures: historyFigures(runs) };
   },
 };
 
@@ -59,26 +56,3 @@
     run.recovered ? "served in the end" : "not served in the end",
   ].join("; ");
 }
-
-function figuresOf(runs: readonly HistoryRun[]): readonly Figure[] {
-  const violations = runs.flatMap((run) => run.violations);
-  return [
-    ...Object.values(PromiseName).map((promise): Figure => ({
-      name: promise,
-      value: violations.filter((each) => each.promise === promise).length,
-      unit: "violations",
-      target: { atMost: 0 },
-    })),
-    {
-      name: "runs that served every range in the end",
-      value: runs.filter((run) => run.recovered).length,
-      unit: "runs",
-      target: { atLeast: runs.length },
-    },
-    {
-      name: "events checked",
-      value: runs.reduce((sum, run) => sum + run.events.length, 0),
-      unit: "events",
-    },
-  ];
-}
--- a/packages/experiments/suite/gateway_memory.ts
+++ b/packages/experiments/suite/gateway_memory.ts
@@ -6,9 +6,9 @@
 import { runInNewContext } from "node:vm";
 import { LocalCapacityGate } from "@kingcupglade/routing";
 import { request } from "undici";
-import { Deployment } from "../deployment.ts";
 import type { Experiment, Figure } from "../experiment.ts";
-import { tavares } from "../tavares.ts";
+import { startSingleGateway } from "../single_gateway.ts";
+import type { PlainAnnouncement } from "../single_gateway.ts";
 
 const host = "127.0.0.1";
 const port = { targets: 8200, target: 9110, plain: 9111 } as const;
@@ -51,7 +51,15 @@
     const targets = await HoldingTargets.listen();
     const plain = createServer((socket) => socket.resume());
     plain.listen(port.plain, host);
-    const { gateway, stop } = await startGateway();
+    const gateway = await startSingleGateway({
+      announcements: Array.from(
+        { length: targetCount },
+        (_, index) => announcementOf(index),
+      ),
+      announceMilliseconds,
+      // Credits follow demand over seconds; here every slot is to be had at once.
+      policy: { capacity: new LocalCapacityGate() },
+    });
     try {
       await warmUp(gateway);
       progress("warmed up");
@@ -70,7 +78,7 @@
       }
       return { figures: measured };
     } finally {
-      await stop();
+      await gateway.stop();
       plain.close();
       targets.close();
     }
@@ -159,43 +167,7 @@
   }
 }
 
-async function startGateway(): Promise<
-  { readonly gateway: Address; readonly stop: () => Promise<void> }
-> {
-  const deployment = await Deployment.start({
-    ...tavares,
-    vms: { "vm-1": "recife-a" },
-    voters: ["vm-1"],
-    withDisk: ["vm-1"],
-    // Credits follow demand over seconds; here every slot is to be had at once.
-    policy: () => ({ capacity: new LocalCapacityGate() }),
-  });
-  await deployment.roll();
-  const [vmHost, vmPort] = deployment.callersAddress("vm-1").split(":");
-  const gateway = { host: vmHost!, port: Number(vmPort) };
-  const announceAll = () =>
-    Promise.all(Array.from({ length: targetCount }, async (_, index) => {
-      const { body } = await request(
-        `http://${gateway.host}:${port.targets}/announce`,
-        {
-          method: "POST",
-          headers: { authorization: `Bearer ${deployment.secret}` },
-          body: JSON.stringify(announcementOf(index)),
-        },
-      );
-      await body.dump();
-    })).then(() => {}, () => {});
-  await announceAll();
-  const timer = setInterval(() => void announceAll(), announceMilliseconds);
-  await deployment.untilReady("vm-1");
-  const stop = () => {
-    clearInterval(timer);
-    return deployment.stop();
-  };
-  return { gateway, stop };
-}
-
-function announcementOf(index: number) {
+function announcementOf(index: number): PlainAnnouncement {
   return {
     target: `order-${index}`,
     boot: "boot-1",
--- a/packages/experiments/suite/history.ts
+++ b/packages/experiments/suite/history.ts
@@ -1,9 +1,6 @@
-import {
-  firstViolations,
-  formatViolations,
-  PromiseName,
-} from "@kingcupglade/checker";
+import { firstViolations, formatViolations } from "@kingcupglade/checker";
 import type { Experiment, Figure } from "../experiment.ts";
+import { historyFigures } from "../history_figures.ts";
 import { runHistory } from "../history_run.ts";
 import type { HistoryRun } from "../history_run.ts";
 
@@ -29,33 +26,12 @@
       if (run.violations.length === 0) continue;
       progress(formatViolations(firstViolations(run.violations)));
     }
-    return { figures: [...violationFigures(runs), ...coverageFigures(runs)] };
+    return { figures: [...historyFigures(runs), ...countFigures(runs)] };
   },
 };
 
-function violationFigures(runs: readonly HistoryRun[]): readonly Figure[] {
-  const violations = runs.flatMap((run) => run.violations);
-  return Object.values(PromiseName).map((promise) => ({
-    name: promise,
-    value: violations.filter((each) => each.promise === promise).length,
-    unit: "violations",
-    target: { atMost: 0 },
-  }));
-}
-
-function coverageFigures(runs: readonly HistoryRun[]): readonly Figure[] {
+function countFigures(runs: readonly HistoryRun[]): readonly Figure[] {
   return [
-    {
-      name: "runs that served every range in the end",
-      value: runs.filter((run) => run.recovered).length,
-      unit: "runs",
-      target: { atLeast: runs.length },
-    },
-    {
-      name: "events checked",
-      value: runs.reduce((sum, run) => sum + run.events.length, 0),
-      unit: "events",
-    },
     ...sumCounts(runs.map((run) => run.outcomes), "requests told "),
     ...sumCounts(runs.map((run) => run.disturbances), ""),
   ];
--- a/packages/kingcupglade/gateway/forwarder.ts
+++ b/packages/kingcupglade/gateway/forwarder.ts
@@ -28,7 +28,6 @@
   Reason.noLedger,
   Reason.noHome,
   Reason.noLease,
-  Reason.stopping,
   Reason.unreachable,
 ]);
 
--- a/packages/kingcupglade/gateway/target_chooser.ts
+++ b/packages/kingcupglade/gateway/target_chooser.ts
@@ -36,11 +36,13 @@
   readonly #choice: TargetChoice;
 
   constructor(options: TargetChooserOptions) {
-    const { clock } = options;
+    const { clock, dataCentre, region, random } = options;
     this.#options = options;
     this.#choice = options.choice ??
-      ((candidates) =>
-        chooseTarget(candidates, { ...options, now: clock.now() }));
+      ((candidates) => {
+        const now = clock.now();
+        return chooseTarget(candidates, { dataCentre, region, random, now });
+      });
   }
 
   /** A target that is fit for the request, or why there is none now. */
--- a/packages/kingcupglade/pages_test.ts
+++ b/packages/kingcupglade/pages_test.ts
@@ -8,8 +8,8 @@
 import { commandNames, findCommand } from "./command_line.ts";
 import { knownKeys } from "./settings/schema.ts";
 
-/** The caller is gone, or no VM gives the reason. */
-const untoldReasons: readonly Reason[] = [Reason.cancelled, Reason.stopping];
+/** The caller is gone. */
+const untoldReasons: readonly Reason[] = [Reason.cancelled];
 
 /** A message that names a heading of a page. */
 const pointer = /see "([^"]+)" in (docs\/[\w/]+\.md)/g;
--- a/packages/routing/outcome.ts
+++ b/packages/routing/outcome.ts
@@ -27,7 +27,6 @@
   shed: "shed",
   connectionLost: "connection-lost",
   conflict: "conflict",
-  stopping: "stopping",
   /** The caller's connection closed before the answer. */
   cancelled: "cancelled",
   /** The target's answer could not be trusted to be whole. */
--- a/packages/routing/target_choice.ts
+++ b/packages/routing/target_choice.ts
@@ -66,14 +66,15 @@
   readonly fit: readonly Candidate[];
   readonly probe: Candidate | undefined;
 } {
+  const all = { fit: candidates, probe: undefined };
+  const most = Math.floor(candidates.length * largestOutlierShare);
+  if (most === 0) return all;
   const typical = medianMilliseconds(candidates);
+  const slow = candidates.filter((each) => isOutlier(each, typical));
+  if (slow.length === 0) return all;
   const outliers = new Set(
-    candidates
-      .filter((each) => isOutlier(each, typical))
-      .sort((left, right) => slowness(right) - slowness(left))
-      .slice(0, Math.floor(candidates.length * largestOutlierShare)),
+    slow.sort((left, right) => slowness(right) - slowness(left)).slice(0, most),
   );
-  if (outliers.size === 0) return { fit: candidates, probe: undefined };
   const probe = [...outliers].find((each) =>
     each.load === 0 &&
     context.now - (each.observation?.at ?? 0) >= probePauseMilliseconds
