--- a/packages/consensus/machine.ts
+++ b/packages/consensus/machine.ts
@@ -122,6 +122,8 @@
       return compact(draft, event.snapshot);
     case "transferLeadership":
       return transferLeadership(draft);
+    case "confirmLeadership":
+      return sendHeartbeats(draft);
   }
 }
 
@@ -142,6 +144,12 @@
     return becomeFollower(draft, state.term, null);
   }
   if (now < state.heartbeatDueAt) return;
+  sendHeartbeats(draft);
+}
+
+function sendHeartbeats(draft: Draft): void {
+  const { state, now } = draft;
+  if (state.role !== Role.leader) return;
   state.heartbeatDueAt = now + state.options.heartbeatMilliseconds;
   replicate(draft, { heartbeat: true });
 }
--- a/packages/consensus/types.ts
+++ b/packages/consensus/types.ts
@@ -161,7 +161,9 @@
   }
   /** The state machine's state after `index` is safely stored. */
   | { readonly kind: "compacted"; readonly snapshot: Snapshot }
-  | { readonly kind: "transferLeadership" };
+  | { readonly kind: "transferLeadership" }
+  /** A heartbeat is wanted now, to learn whether the quorum still follows. */
+  | { readonly kind: "confirmLeadership" };
 
 /**
  * What a replica must do. A `send` that awaits the sync may leave only when
--- /dev/null
+++ b/packages/dispatch/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Decisions of a gateway under load, without sockets: which target, who waits,
+ * who is refused, and what may be sent again.
+ *
+ * @module
+ */
+export { chooseTarget, Distance } from "./choose_target.ts";
+export type { Choice, ChoiceOptions, TargetOption } from "./choose_target.ts";
+export { ColdRate } from "./cold_rate.ts";
+export { PartChoice } from "./part_choice.ts";
+export type { WeightedPart } from "./part_choice.ts";
+export { RetryBudget } from "./retry_budget.ts";
+export type { RetryBudgetOptions } from "./retry_budget.ts";
+export { ExchangeEnd, TargetRecord } from "./target_record.ts";
+export type { LoadReport } from "./target_record.ts";
+export { WaitingLine } from "./waiting_line.ts";
+export type { WaitingRequest } from "./waiting_line.ts";
--- /dev/null
+++ b/packages/dispatch/waiting_line.ts
@@ -0,0 +1,105 @@
+/** A request that waits for room at a service. */
+export interface WaitingRequest {
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Requests of one lane can go to the same targets. */
+  readonly lane: string;
+  /** When its caller first asked, as far as it is known. */
+  readonly arrivedAt: number;
+  /** After this an answer is worth less. */
+  readonly objectiveAt: number;
+  /** After this nobody wants an answer. */
+  readonly deadlineAt: number;
+  /** Tries to start it; false when there is no room for it. */
+  readonly tryStart: () => boolean;
+  /** Ends it without having started. */
+  readonly refuse: () => void;
+}
+
+/** One start in this many goes to the least urgent, so that none starves. */
+const leastUrgentTurn = 6;
+
+/**
+ * Requests that wait for room, the more urgent first. Among equals those that
+ * can still be answered within their objective go before those that are late.
+ */
+export class WaitingLine {
+  readonly #waiting: WaitingRequest[] = [];
+  #starts = 0;
+
+  get length(): number {
+    return this.#waiting.length;
+  }
+
+  /** Requests that would be started before one of this priority. */
+  ahead(priority: number): number {
+    return this.#waiting.filter((each) => each.priority <= priority).length;
+  }
+
+  add(request: WaitingRequest): void {
+    this.#waiting.push(request);
+  }
+
+  remove(request: WaitingRequest): void {
+    const index = this.#waiting.indexOf(request);
+    if (index >= 0) this.#waiting.splice(index, 1);
+  }
+
+  /** Starts what there is room for and refuses what can no longer be done. */
+  advance(now: number, durationMilliseconds: number): void {
+    this.#refuseHopeless(now, durationMilliseconds);
+    const blocked = new Set<string>();
+    while (this.#waiting.length > 0) {
+      const next = this.#next(now, durationMilliseconds, blocked);
+      if (!next) return;
+      if (!next.tryStart()) {
+        blocked.add(blockOf(next));
+        continue;
+      }
+      this.#starts += 1;
+      this.remove(next);
+    }
+  }
+
+  #refuseHopeless(now: number, durationMilliseconds: number): void {
+    for (const request of [...this.#waiting]) {
+      const endAt = now + durationMilliseconds * leastShareOfDuration;
+      if (endAt <= request.deadlineAt) continue;
+      this.remove(request);
+      request.refuse();
+    }
+  }
+
+  #next(
+    now: number,
+    durationMilliseconds: number,
+    blocked: ReadonlySet<string>,
+  ): WaitingRequest | undefined {
+    const isLeastTurn = (this.#starts + 1) % leastUrgentTurn === 0;
+    let best: WaitingRequest | undefined;
+    for (const each of this.#waiting) {
+      if (blocked.has(blockOf(each))) continue;
+      if (!best || goesBefore(each, best)) best = each;
+    }
+    return best;
+
+    function goesBefore(left: WaitingRequest, right: WaitingRequest): boolean {
+      if (left.priority !== right.priority) {
+        return isLeastTurn
+          ? left.priority > right.priority
+          : left.priority < right.priority;
+      }
+      const leftIsLate = now + durationMilliseconds > left.objectiveAt;
+      const rightIsLate = now + durationMilliseconds > right.objectiveAt;
+      if (leftIsLate !== rightIsLate) return rightIsLate;
+      return left.arrivedAt < right.arrivedAt;
+    }
+  }
+}
+
+function blockOf({ priority, lane }: WaitingRequest): string {
+  return `${priority}/${lane}`;
+}
+
+/** Below this share of the usual duration hardly any answer comes in time. */
+const leastShareOfDuration = 0.5;
--- /dev/null
+++ b/packages/fleet/fleet_machine.ts
@@ -0,0 +1,175 @@
+import { applyChange } from "@kingcupglade/items";
+import { decodeValue, encodeValue } from "@kingcupglade/protocol";
+import { ReplicatedMachine } from "@kingcupglade/replica";
+import { lastPosition } from "./types.ts";
+import type {
+  FleetCommand,
+  FleetOutcome,
+  FleetState,
+  KeyRange,
+  RangeGrant,
+} from "./types.ts";
+
+/** Departures kept, so that a late heartbeat cannot bring a target back. */
+const mostDepartures = 4096;
+
+/** The state before the first command. */
+export const emptyFleet: FleetState = {
+  items: new Map(),
+  evacuations: new Map(),
+  ranges: new Map(),
+  departures: new Map(),
+};
+
+interface Applied {
+  readonly state: FleetState;
+  readonly outcome: FleetOutcome;
+}
+
+/** Configuration by item and key ownership as a replicated state machine. */
+export class FleetMachine
+  extends ReplicatedMachine<FleetState, FleetCommand, FleetOutcome> {
+  override restore(data: Uint8Array): FleetState {
+    if (data.length === 0) return emptyFleet;
+    const stored = decodeValue<
+      {
+        readonly [Key in keyof FleetState]:
+          readonly (readonly [never, never])[];
+      }
+    >(data);
+    return {
+      items: new Map(stored.items),
+      evacuations: new Map(stored.evacuations),
+      ranges: new Map(stored.ranges),
+      departures: new Map(stored.departures),
+    };
+  }
+
+  override encode(state: FleetState): Uint8Array {
+    return encodeValue({
+      items: [...state.items],
+      evacuations: [...state.evacuations],
+      ranges: [...state.ranges],
+      departures: [...state.departures],
+    });
+  }
+
+  override skip(state: FleetState): FleetState {
+    return state;
+  }
+
+  override apply(
+    state: FleetState,
+    command: FleetCommand,
+    index: number,
+  ): Applied {
+    switch (command.kind) {
+      case "changeItems":
+        return changeItems(state, command.change, index);
+      case "evacuate":
+        return applied({
+          ...state,
+          evacuations: new Map(state.evacuations).set(command.dataCentre, {
+            isOut: command.isOut,
+            changedAt: index,
+          }),
+        });
+      case "depart":
+        return depart(state, command, index);
+      case "createRanges":
+        return createRanges(state, command);
+      case "grantRanges":
+        return grantRanges(state, command, index);
+    }
+  }
+}
+
+function applied(state: FleetState): Applied {
+  return { state, outcome: { kind: "applied" } };
+}
+
+function changeItems(
+  state: FleetState,
+  change: Extract<FleetCommand, { kind: "changeItems" }>["change"],
+  index: number,
+): Applied {
+  const result = applyChange(state.items, change, index);
+  if (result.kind === "refused") return { state, outcome: result };
+  return applied({ ...state, items: result.items });
+}
+
+function depart(
+  state: FleetState,
+  command: Extract<FleetCommand, { kind: "depart" }>,
+  index: number,
+): Applied {
+  const { target, bornAt, departure } = command;
+  const known = state.departures.get(target);
+  if (known && known.bornAt > bornAt) return applied(state);
+  const departures = new Map(state.departures);
+  // The newest departures stand last.
+  departures.delete(target);
+  departures.set(target, { kind: departure, bornAt, changedAt: index });
+  for (const oldest of departures.keys()) {
+    if (departures.size <= mostDepartures) break;
+    departures.delete(oldest);
+  }
+  return applied({ ...state, departures });
+}
+
+function createRanges(
+  state: FleetState,
+  command: Extract<FleetCommand, { kind: "createRanges" }>,
+): Applied {
+  const { service, ranges: count } = command;
+  if (state.ranges.has(service)) return applied(state);
+  const positions = lastPosition + 1;
+  const created = Array.from({ length: count }, (_, at): KeyRange => ({
+    from: Math.floor(at * positions / count),
+    to: Math.floor((at + 1) * positions / count) - 1,
+    owner: null,
+    fence: 0,
+    handover: "",
+  }));
+  return applied({
+    ...state,
+    ranges: new Map(state.ranges).set(service, created),
+  });
+}
+
+function grantRanges(
+  state: FleetState,
+  command: Extract<FleetCommand, { kind: "grantRanges" }>,
+  index: number,
+): Applied {
+  const { service, grants } = command;
+  const ranges = state.ranges.get(service);
+  const byStart = new Map(grants.map((grant) => [grant.from, grant]));
+  const isStale = !ranges ||
+    grants.some((grant) =>
+      !ranges.some((range) =>
+        range.from === grant.from && range.fence === grant.expectedFence
+      )
+    );
+  if (isStale) {
+    const faults = [`the ranges of "${service}" have changed meanwhile`];
+    return { state, outcome: { kind: "refused", faults } };
+  }
+  const granted = ranges.map((range) =>
+    grantedRange(range, byStart.get(range.from), index)
+  );
+  return applied({
+    ...state,
+    ranges: new Map(state.ranges).set(service, granted),
+  });
+}
+
+function grantedRange(
+  range: KeyRange,
+  grant: RangeGrant | undefined,
+  index: number,
+): KeyRange {
+  if (!grant) return range;
+  const { owner, handover } = grant;
+  return { ...range, owner, handover, fence: index };
+}
--- /dev/null
+++ b/packages/fleet/mod.ts
@@ -0,0 +1,31 @@
+/**
+ * What control of a fleet decides: items, evacuations, targets that announce
+ * themselves, and who owns the ranges of keyed services. Without sockets.
+ *
+ * @module
+ */
+export type {
+  Announcement,
+  AnnouncementAnswer,
+  FreedRow,
+  GrantRow,
+  HeldRow,
+} from "./announcement.ts";
+export { emptyFleet, FleetMachine } from "./fleet_machine.ts";
+export { isSameLife, RangeKeeper } from "./range_keeper.ts";
+export type { RangeCandidate, RangeKeeperOptions } from "./range_keeper.ts";
+export { isCovered, Revisions, TargetRegistry } from "./target_registry.ts";
+export type { RegisteredTarget } from "./target_registry.ts";
+export { DepartureKind, lastPosition } from "./types.ts";
+export type {
+  Departure,
+  Evacuation,
+  FleetCommand,
+  FleetOutcome,
+  FleetState,
+  KeyRange,
+  KeyRanges,
+  RangeGrant,
+  TargetLife,
+} from "./types.ts";
+export type { RangeView, TargetView, ViewDelta, ViewPosition } from "./view.ts";
--- /dev/null
+++ b/packages/fleet/range_keeper.ts
@@ -0,0 +1,248 @@
+import type { Announcement, GrantRow } from "./announcement.ts";
+import type { KeyRange, KeyRanges, RangeGrant, TargetLife } from "./types.ts";
+
+/** Options of a {@link RangeKeeper}. */
+export interface RangeKeeperOptions {
+  /** Hold that a grant gives, counted by the target from its heartbeat. */
+  readonly holdMilliseconds: number;
+  /** When this replica took the lead; holds given before may last from then. */
+  readonly startedAt: number;
+}
+
+/** Targets' clocks may run slow by 2 %; the rest bounds timer delay. */
+const clockShare = 1.03;
+/** Delay of timers on a target that counts its hold. */
+const timerMilliseconds = 100;
+
+/** What a leader knows of a range beside what stands in the log. */
+interface RangeLease {
+  readonly fence: number;
+  /** No hold that was given lasts beyond this. */
+  heldUntil: number;
+  /** The owner was told of the range under this fence. */
+  isTaken: boolean;
+  /** The owner is to give it up. */
+  isMoving: boolean;
+  /** It moves for balance; else because its owner cannot keep it. */
+  isBalancing: boolean;
+  /** What the owner handed over; undefined while it may still hold it. */
+  handover: string | undefined;
+}
+
+/** A target that may own ranges. */
+export interface RangeCandidate {
+  readonly life: TargetLife;
+  readonly weight: number;
+  /** Whether it may get ranges that it does not own. */
+  readonly accepts: boolean;
+}
+
+/** Ranges that move at one time from owners that could keep them. */
+const mostBalancingMoves = 2;
+
+/**
+ * Decides who owns the ranges of one keyed service, and never lets a range go
+ * to another target while the one before may hold it.
+ */
+export class RangeKeeper {
+  readonly #options: RangeKeeperOptions;
+  readonly #leases = new Map<number, RangeLease>();
+
+  constructor(options: RangeKeeperOptions) {
+    this.#options = options;
+  }
+
+  /** Whether gateways should hold requests for a range back. */
+  isMoving(range: KeyRange): boolean {
+    const lease = this.#lease(range);
+    return range.owner === null || lease.isMoving || !lease.isTaken;
+  }
+
+  /** Takes in what a target holds and gave up. */
+  note(ranges: KeyRanges, announcement: Announcement): void {
+    const { life } = announcement;
+    for (const range of ranges) {
+      if (range.owner?.target !== life.target) continue;
+      const lease = this.#lease(range);
+      if (range.owner.bornAt < life.bornAt) {
+        // The life that held it has ended.
+        lease.heldUntil = -Infinity;
+        continue;
+      }
+      if (!lease.isMoving || lease.handover !== undefined) continue;
+      if (announcement.holds.some((row) => overlaps(row, range))) continue;
+      lease.handover = announcement.freed.find((row) =>
+        row.from <= range.from && row.to >= range.to
+      )?.handover ?? "";
+    }
+  }
+
+  /** Everything that a target is to hold; holds count from this call on. */
+  grant(ranges: KeyRanges, life: TargetLife, now: number): GrantRow[] {
+    const rows: GrantRow[] = [];
+    for (const range of ranges) {
+      if (!isSameLife(range.owner, life)) continue;
+      const lease = this.#lease(range);
+      if (lease.isMoving) continue;
+      lease.heldUntil = this.#holdEnd(now);
+      lease.isTaken = true;
+      const { from, to, fence, handover } = range;
+      rows.push({ from, to, fence, handover });
+    }
+    return rows;
+  }
+
+  /** Takes in that a target has ended, so that it holds nothing any more. */
+  noteEnd(ranges: KeyRanges, life: TargetLife): void {
+    for (const range of ranges) {
+      if (isSameLife(range.owner, life)) {
+        this.#lease(range).heldUntil = -Infinity;
+      }
+    }
+  }
+
+  /**
+   * Marks ranges that have to leave their owners and answers with the grants
+   * that can be committed now.
+   */
+  plan(
+    ranges: KeyRanges,
+    candidates: readonly RangeCandidate[],
+    now: number,
+  ): readonly RangeGrant[] {
+    if (candidates.length === 0) return [];
+    const shares = new OwnerShares(ranges, candidates);
+    const grants: RangeGrant[] = [];
+    let moving = 0;
+    for (const range of ranges) {
+      const lease = this.#lease(range);
+      const stays = range.owner !== null && shares.isCandidate(range.owner);
+      if (!stays && range.owner !== null) lease.isMoving = true;
+      // The owner came back before it gave the range up.
+      if (stays && !lease.isBalancing && lease.handover === undefined) {
+        lease.isMoving = false;
+      }
+      if (lease.isMoving) moving += 1;
+      if (!this.#isFree(range, lease, now)) continue;
+      const owner = shares.takeLightest();
+      grants.push({
+        from: range.from,
+        expectedFence: range.fence,
+        owner,
+        handover: lease.handover ?? "",
+      });
+    }
+    if (moving < mostBalancingMoves && grants.length === 0) {
+      this.#startBalancing(ranges, shares);
+    }
+    return grants;
+  }
+
+  #startBalancing(ranges: KeyRanges, shares: OwnerShares): void {
+    const heaviest = shares.overloaded();
+    if (!heaviest) return;
+    const range = ranges.find((each) =>
+      isSameLife(each.owner, heaviest) && !this.#lease(each).isMoving
+    );
+    if (!range) return;
+    const lease = this.#lease(range);
+    lease.isMoving = true;
+    lease.isBalancing = true;
+  }
+
+  #isFree(range: KeyRange, lease: RangeLease, now: number): boolean {
+    if (range.owner === null) return true;
+    if (!lease.isMoving) return false;
+    return lease.handover !== undefined || now > lease.heldUntil;
+  }
+
+  #lease(range: KeyRange): RangeLease {
+    const known = this.#leases.get(range.from);
+    if (known?.fence === range.fence) return known;
+    const lease: RangeLease = {
+      fence: range.fence,
+      // A leader before this one may have told the owner already.
+      heldUntil: known ? -Infinity : this.#holdEnd(this.#options.startedAt),
+      isTaken: !known,
+      isMoving: false,
+      isBalancing: false,
+      handover: undefined,
+    };
+    this.#leases.set(range.from, lease);
+    return lease;
+  }
+
+  #holdEnd(now: number): number {
+    return now + this.#options.holdMilliseconds * clockShare +
+      timerMilliseconds;
+  }
+}
+
+interface OwnerShare extends RangeCandidate {
+  count: number;
+}
+
+/** Counts the ranges of each candidate. */
+class OwnerShares {
+  readonly #owners = new Map<string, OwnerShare>();
+  readonly #receivers: readonly OwnerShare[];
+
+  constructor(ranges: KeyRanges, candidates: readonly RangeCandidate[]) {
+    for (const candidate of candidates) {
+      this.#owners.set(candidate.life.target, { ...candidate, count: 0 });
+    }
+    for (const { owner } of ranges) {
+      if (owner && this.isCandidate(owner)) {
+        this.#owners.get(owner.target)!.count += 1;
+      }
+    }
+    const owners = [...this.#owners.values()];
+    const accepting = owners.filter(({ accepts }) => accepts);
+    this.#receivers = accepting.length > 0 ? accepting : owners;
+  }
+
+  isCandidate(life: TargetLife): boolean {
+    return isSameLife(this.#owners.get(life.target)?.life ?? null, life);
+  }
+
+  /** Gives one more range to the candidate that has least for its weight. */
+  takeLightest(): TargetLife {
+    const owner = this.#lightest();
+    owner.count += 1;
+    return owner.life;
+  }
+
+  /** The candidate with most, if handing one range on brings it nearer. */
+  overloaded(): TargetLife | undefined {
+    const heaviest = [...this.#owners.values()].reduce((most, each) =>
+      each.count / each.weight > most.count / most.weight ? each : most
+    );
+    const lightest = this.#lightest();
+    const isBetter = (lightest.count + 1) / lightest.weight <
+      heaviest.count / heaviest.weight;
+    return isBetter ? heaviest.life : undefined;
+  }
+
+  #lightest(): OwnerShare {
+    return this.#receivers.reduce((least, each) =>
+      (each.count + 1) / each.weight < (least.count + 1) / least.weight
+        ? each
+        : least
+    );
+  }
+}
+
+function overlaps(
+  left: { readonly from: number; readonly to: number },
+  right: { readonly from: number; readonly to: number },
+): boolean {
+  return left.from <= right.to && right.from <= left.to;
+}
+
+/** Whether two lives are one. */
+export function isSameLife(
+  left: TargetLife | null,
+  right: TargetLife,
+): boolean {
+  return left?.target === right.target && left.bornAt === right.bornAt;
+}
--- /dev/null
+++ b/packages/fleet_control/control_replica.ts
@@ -0,0 +1,122 @@
+import { emptySnapshot } from "@kingcupglade/consensus";
+import type {
+  ConsensusMessage,
+  ConsensusOptions,
+} from "@kingcupglade/consensus";
+import { FleetMachine } from "@kingcupglade/fleet";
+import { Replica, replicaIdOf } from "@kingcupglade/replica";
+import { ReplicaStorage } from "@kingcupglade/storage";
+import type { Files } from "@kingcupglade/storage";
+import type { Clock } from "@kingcupglade/tasks";
+import type { FleetReplica } from "./leader_session.ts";
+
+/**
+ * Regions are 8 ms apart and a stopped process is back within a second: a
+ * silence of three heartbeats is a loss.
+ */
+const consensusTimes: ConsensusOptions = {
+  heartbeatMilliseconds: 150,
+  electionMilliseconds: 700,
+  resendMilliseconds: 300,
+};
+
+/** Options of {@link ControlReplica.open}. */
+export interface ControlReplicaOptions {
+  readonly folder: string;
+  /** IP:PORT at which the other control VMs reach this one. */
+  readonly peerAddress: string;
+  readonly clock: Clock;
+  readonly send: (message: ConsensusMessage) => void;
+  readonly onChange: () => void;
+  readonly onFailure: (failure: unknown) => void;
+  /** @default the system's files */
+  readonly files?: Files;
+}
+
+/** The replica of a data folder, once it has been founded or serves as a spare. */
+export class ControlReplica {
+  readonly id: string;
+  readonly #options: ControlReplicaOptions;
+  #storage: ReplicaStorage;
+  #replica: FleetReplica | undefined;
+  #founders: readonly string[] = [];
+
+  protected constructor(
+    options: ControlReplicaOptions,
+    storage: ReplicaStorage,
+  ) {
+    this.#options = options;
+    this.#storage = storage;
+    this.id = replicaIdOf(storage.identity);
+    if (isUsed(storage)) this.start();
+  }
+
+  /**
+   * Opens the data folder; the replica starts if it has been used.
+   *
+   * @throws {StorageError} when the folder cannot be used.
+   */
+  static async open(options: ControlReplicaOptions): Promise<ControlReplica> {
+    const storage = await ReplicaStorage.open(options.folder, {
+      vm: options.peerAddress,
+      ...(options.files && { files: options.files }),
+    });
+    return new ControlReplica(options, storage);
+  }
+
+  /** The running replica. */
+  get running(): FleetReplica | undefined {
+    return this.#replica;
+  }
+
+  /** The first replica set, while the log still starts with it. */
+  get founders(): readonly string[] {
+    const { snapshot } = this.#replica?.consensus ?? {};
+    return snapshot?.index === 0
+      ? snapshot.configuration.voters
+      : this.#founders;
+  }
+
+  /** Starts the replica of a folder that has been used, or as a spare. */
+  start(): void {
+    if (this.#replica) return;
+    this.#replica = new Replica({
+      machine: new FleetMachine(),
+      storage: this.#storage,
+      clock: this.#options.clock,
+      send: this.#options.send,
+      onChange: this.#options.onChange,
+      onFailure: this.#options.onFailure,
+      consensus: consensusTimes,
+    });
+  }
+
+  /** Stores the first replica set and starts. */
+  async found(founders: readonly string[]): Promise<void> {
+    if (this.#replica || this.#founders.length > 0) return;
+    this.#founders = founders;
+    await this.#storage.saveSnapshot(
+      emptySnapshot({ voters: founders, learners: [] }),
+      { hardState: { term: 0, votedFor: null }, entries: [] },
+    );
+    await this.#storage.close();
+    const { folder, peerAddress, files } = this.#options;
+    this.#storage = await ReplicaStorage.open(folder, {
+      vm: peerAddress,
+      ...(files && { files }),
+    });
+    this.start();
+  }
+
+  /** Stops the replica and closes the data folder. */
+  async stop(): Promise<void> {
+    if (this.#replica) await this.#replica.stop();
+    else await this.#storage.close();
+  }
+}
+
+// A folder that holds anything has been promised to a replica set.
+function isUsed({ stored }: ReplicaStorage): boolean {
+  return stored.snapshot !== null || stored.entries.length > 0 ||
+    stored.hardState.term > 0;
+}
--- /dev/null
+++ b/packages/fleet_control/gateway_book.ts
@@ -0,0 +1,74 @@
+import type { RegisteredTarget } from "@kingcupglade/fleet";
+import type { Watch } from "./watch.ts";
+
+/** A gateway that has not asked for this long is not counted. */
+const presentMilliseconds = 2000;
+/** Gateways that share the little work that a cold target bears. */
+const gatewaysPerColdTarget = 3;
+
+interface HeardGateway {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly heardAt: number;
+}
+
+/** The gateways in touch with a leader, and who may send to cold targets. */
+export class GatewayBook {
+  readonly #gateways = new Map<string, HeardGateway>();
+  /** Kept while the target is cold, so that no other gateway joins them. */
+  readonly #coldGateways = new Map<string, readonly string[]>();
+  readonly #regionOf: (dataCentre: string) => string;
+
+  constructor(options: {
+    readonly regionOf: (dataCentre: string) => string;
+  }) {
+    this.#regionOf = options.regionOf;
+  }
+
+  note(watch: Watch, now: number): void {
+    const { gateway: name, dataCentre, region } = watch;
+    this.#gateways.set(name, { name, dataCentre, region, heardAt: now });
+  }
+
+  /** Names of those in touch. */
+  present(now: number): readonly string[] {
+    return this.#present(now).map(({ name }) => name);
+  }
+
+  /** Gateways that may send to a target while it is cold. */
+  coldGateways(target: RegisteredTarget, now: number): readonly string[] {
+    const id = `${target.life.target}/${target.life.bornAt}`;
+    const known = this.#coldGateways.get(id);
+    if (known) return known;
+    const region = this.#regionOf(target.dataCentre);
+    const chosen = this.#present(now).map((gateway) => ({
+      name: gateway.name,
+      distance: gateway.dataCentre === target.dataCentre
+        ? 0
+        : gateway.region === region
+        ? 1
+        : 2,
+      order: orderOf(`${gateway.name}/${id}`),
+    })).sort((left, right) =>
+      left.distance - right.distance || left.order - right.order
+    ).slice(0, gatewaysPerColdTarget).map(({ name }) => name);
+    if (chosen.length > 0) this.#coldGateways.set(id, chosen);
+    return chosen;
+  }
+
+  #present(now: number): readonly HeardGateway[] {
+    return [...this.#gateways.values()].filter(({ heardAt }) =>
+      now - heardAt < presentMilliseconds
+    );
+  }
+}
+
+// Spreads cold targets over gateways, the same way on every leader.
+function orderOf(text: string): number {
+  let hash = 2166136261;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 16777619);
+  }
+  return hash >>> 0;
+}
--- /dev/null
+++ b/packages/fleet_control/plan_members.ts
@@ -0,0 +1,72 @@
+import {
+  configurationOf,
+  isCaughtUp,
+  isConfigurationSettled,
+  planVoters,
+} from "@kingcupglade/consensus";
+import type {
+  Configuration,
+  ConsensusState,
+  ReplicaStanding,
+} from "@kingcupglade/consensus";
+import { vmOfReplica } from "@kingcupglade/replica";
+import type { HeardGreeting } from "./members.ts";
+
+/** A spare that did not greet for this long is not taken in. */
+const availableMilliseconds = 1200;
+/**
+ * Silence after which a voter is replaced where a spare stands by. A successor
+ * must vote within the time in which the one before still counts as lost.
+ */
+const lostMilliseconds = 1500;
+
+/** The next change of the replica set, or null when it is as it should be. */
+export function planMembers(options: {
+  readonly consensus: ConsensusState;
+  readonly greetings: readonly HeardGreeting[];
+  readonly voters: number;
+  readonly now: number;
+}): Configuration | null {
+  const { consensus, greetings, voters, now } = options;
+  if (!isConfigurationSettled(consensus)) return null;
+  const configuration = configurationOf(consensus);
+  const members = [...configuration.voters, ...configuration.learners];
+  const byAddress = new Map(
+    greetings.map((each) => [each.greeting.peerAddress, each]),
+  );
+  const known = new Set([
+    ...members,
+    ...greetings.map(({ greeting }) => greeting.replica),
+  ]);
+  const standings = [...known].map((replica): ReplicaStanding => {
+    const heard = byAddress.get(vmOfReplica(replica));
+    const isCurrent = heard?.greeting.replica === replica;
+    const isMember = members.includes(replica);
+    return {
+      replica,
+      region: heard?.greeting.region ?? "",
+      dataCentre: heard?.greeting.dataCentre ?? "",
+      available: isCurrent && now - heard.heardAt < availableMilliseconds,
+      // A folder that was created anew at this address has forgotten its votes.
+      lost: (heard !== undefined && !isCurrent) ||
+        (isMember && isSilent(consensus, replica, now)),
+      caughtUp: isCaughtUp(consensus, replica, now),
+    };
+  });
+  return planVoters({ configuration, self: consensus.self, voters, standings });
+}
+
+function isSilent(
+  consensus: ConsensusState,
+  replica: string,
+  now: number,
+): boolean {
+  if (replica === consensus.self) return false;
+  const progress = consensus.progress.get(replica);
+  if (progress?.hasForgotten) return true;
+  const answeredAt = Math.max(
+    progress?.answeredAt ?? -Infinity,
+    consensus.leadingSince,
+  );
+  return now - answeredAt > lostMilliseconds;
+}
--- /dev/null
+++ b/packages/fleet_control/replica_links.ts
@@ -0,0 +1,66 @@
+import {
+  packMessage,
+  parseConsensusMessage,
+  unpackMessage,
+} from "@kingcupglade/consensus";
+import type { ConsensusMessage } from "@kingcupglade/consensus";
+import { decodeValue, encodeValue, Replication } from "@kingcupglade/protocol";
+import { vmOfReplica } from "@kingcupglade/replica";
+import type { PeerCalls } from "./peer_calls.ts";
+
+/** A message that was not delivered by then is sent anew by consensus. */
+const deliverTimeoutMilliseconds = 400;
+const maximumWaitingMessages = 256;
+
+/** Delivers consensus messages in order, one batch at a time per receiver. */
+export class ReplicaLinks {
+  readonly #calls: PeerCalls;
+  readonly #self: string;
+  readonly #queues = new Map<string, Uint8Array<ArrayBuffer>[]>();
+  readonly #busy = new Set<string>();
+
+  constructor(options: { readonly calls: PeerCalls; readonly self: string }) {
+    this.#calls = options.calls;
+    this.#self = options.self;
+  }
+
+  /** Queues a message; old ones are dropped when the receiver is unreachable. */
+  send(message: ConsensusMessage): void {
+    const address = vmOfReplica(message.to);
+    const queue = this.#queues.get(address) ?? [];
+    this.#queues.set(address, queue);
+    queue.push(encodeValue(packMessage(message)));
+    if (queue.length > maximumWaitingMessages) queue.shift();
+    void this.#drain(address, queue);
+  }
+
+  async #drain(
+    address: string,
+    queue: Uint8Array<ArrayBuffer>[],
+  ): Promise<void> {
+    if (this.#busy.has(address)) return;
+    this.#busy.add(address);
+    const replication = this.#calls.client(address, Replication);
+    await Promise.resolve();
+    while (queue.length > 0) {
+      try {
+        await replication.deliver(
+          { from: this.#self, messages: queue.splice(0) },
+          { timeoutMs: deliverTimeoutMilliseconds },
+        );
+      } catch {
+        // The consensus machine sends again what was not answered.
+      }
+    }
+    this.#busy.delete(address);
+  }
+}
+
+/** Reads a delivered batch. */
+export function readMessages(
+  messages: readonly Uint8Array[],
+): readonly ConsensusMessage[] {
+  return messages.map((each) =>
+    parseConsensusMessage(unpackMessage(decodeValue(each)))
+  );
+}
--- /dev/null
+++ b/packages/fleet_control/watch.ts
@@ -0,0 +1,16 @@
+import type { ViewDelta, ViewPosition } from "@kingcupglade/fleet";
+
+/** A gateway's question for news. */
+export interface Watch {
+  /** Name of the gateway's VM. */
+  readonly gateway: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  readonly position: ViewPosition;
+}
+
+/** What a gateway is answered. */
+export type WatchAnswer =
+  | { readonly kind: "news"; readonly delta: ViewDelta }
+  /** Another VM leads; its peer address, when it is known. */
+  | { readonly kind: "elsewhere"; readonly leader: string | null };
--- /dev/null
+++ b/packages/fleet_gateway/answer.ts
@@ -0,0 +1,100 @@
+import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import type { AnswerHead, AnswerStream } from "./exchange.ts";
+
+/** Headers that concern one connection only, or the length sent anew. */
+const ownHeaders: ReadonlySet<string> = new Set([
+  "connection",
+  "content-length",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Why a request is answered by the gateway itself. */
+export interface OwnAnswer {
+  readonly status: number;
+  readonly reason: string;
+  /** When the caller should come back. */
+  readonly retryAfterMilliseconds?: number;
+}
+
+/** Answers a caller. */
+export class CallerAnswer implements AnswerStream {
+  readonly #response: ServerResponse;
+
+  constructor(response: ServerResponse) {
+    this.#response = response;
+  }
+
+  /** Whether the caller has gone or has its answer. */
+  get isClosed(): boolean {
+    return this.#response.destroyed || this.#response.writableEnded;
+  }
+
+  /** Passes on a whole answer of a target. */
+  pass(head: AnswerHead, body: Buffer): void {
+    if (this.isClosed) return;
+    const headers = passedHeaders(head.headers);
+    headers.push("content-length", String(body.length));
+    this.#response.writeHead(head.status, headers);
+    this.#response.end(body);
+  }
+
+  /** Answers in the gateway's own name. */
+  own(answer: OwnAnswer): void {
+    if (this.isClosed || this.#response.headersSent) return;
+    const body = Buffer.from(`${JSON.stringify({ reason: answer.reason })}\n`);
+    const { req: request } = this.#response;
+    // What is left of an unread body must not be taken for another request.
+    if (!request.complete) this.#response.setHeader("connection", "close");
+    if (answer.retryAfterMilliseconds !== undefined) {
+      this.#response.setHeader(
+        "retry-after",
+        (answer.retryAfterMilliseconds / 1000).toFixed(3),
+      );
+    }
+    this.#response.writeHead(answer.status, {
+      "content-type": "application/json",
+      "content-length": body.length,
+    });
+    this.#response.end(body);
+  }
+
+  begin(head: AnswerHead, first: readonly Buffer[]): void {
+    const headers = passedHeaders(head.headers);
+    const length = head.headers["content-length"];
+    if (length !== undefined) headers.push("content-length", length);
+    this.#response.writeHead(head.status, headers);
+    for (const chunk of first) this.#response.write(chunk);
+  }
+
+  write(chunk: Buffer): boolean {
+    return this.#response.write(chunk);
+  }
+
+  onDrain(listener: () => void): void {
+    this.#response.once("drain", listener);
+  }
+
+  end(): void {
+    this.#response.end();
+  }
+
+  // Closing the connection is the only way to tell that a body is not whole.
+  fail(): void {
+    this.#response.destroy();
+  }
+}
+
+function passedHeaders(headers: IncomingHttpHeaders): string[] {
+  const passed: string[] = [];
+  for (const [name, value] of Object.entries(headers)) {
+    if (ownHeaders.has(name) || value === undefined) continue;
+    for (const each of [value].flat()) passed.push(name, each);
+  }
+  return passed;
+}
--- /dev/null
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -0,0 +1,227 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { peerAddressOf, PeerCalls } from "@kingcupglade/fleet_control";
+import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
+import type { Clock } from "@kingcupglade/tasks";
+import type { Logger } from "@kingcupglade/telemetry";
+import {
+  BodyTooLargeError,
+  HttpListener,
+  RequestBody,
+} from "@kingcupglade/transport";
+import { CallerAnswer } from "./answer.ts";
+import type { CallerWire } from "./caller_wire.ts";
+import { RequestRun } from "./request_run.ts";
+import { TableKeeper } from "./table_keeper.ts";
+import { TargetConnections } from "./target_connections.ts";
+import { TargetDesk } from "./target_desk.ts";
+
+/** Bodies up to this size can be sent again. */
+const bufferedBytes = 128 * 1024;
+const defaultBodyBytes = 64 * 1024 * 1024;
+/** Used when a caller and its route set no bound. */
+const defaultDeadlineMilliseconds = 60_000;
+/** A caller that finds no configuration is told to come back after this long. */
+const startingRetryMilliseconds = 300;
+/** The balancer takes a VM out after two misses, a second apart. */
+const leaveMilliseconds = 2200;
+/** Callers' listener closes when no request came for this long. */
+const quietMilliseconds = 300;
+/** Share of the time for a stop after which no new request is waited for. */
+const drainShare = 0.75;
+/** Connections that are idle longer than callers may leave them are closed. */
+const idleMarginMilliseconds = 1500;
+const housekeepingMilliseconds = 1000;
+
+/** Options of {@link GatewayVm.start}. */
+export interface GatewayVmOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  /** Where callers reach this VM, as IP:PORT. */
+  readonly callersAddress: string;
+  /** Where the balancer asks whether this VM is ready, as IP:PORT. */
+  readonly readinessAddress: string;
+  /** Where the other VMs reach this one; its port is theirs too. */
+  readonly peerAddress: string;
+  /** Control addresses by which control is found. */
+  readonly seeds: readonly string[];
+  /** Region of each data centre. */
+  readonly regions: Readonly<Record<string, string>>;
+  /** Time from a stop signal until the process is ended. */
+  readonly graceMilliseconds: number;
+  readonly retryBudget: RetryBudgetOptions;
+  readonly secret: string;
+  readonly wire: CallerWire;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Between 0 and 1. */
+  readonly random: () => number;
+}
+
+/** A VM that takes callers' requests to the targets that may serve them. */
+export class GatewayVm {
+  readonly #options: GatewayVmOptions;
+  readonly #calls: PeerCalls;
+  readonly #keeper: TableKeeper;
+  readonly #connections: TargetConnections;
+  readonly #desk: TargetDesk;
+  readonly #timer: NodeJS.Timeout;
+  #callers!: HttpListener;
+  #readiness!: HttpListener;
+  #isStopping = false;
+
+  protected constructor(options: GatewayVmOptions) {
+    const { name, dataCentre, region, clock, logger, secret } = options;
+    this.#options = options;
+    this.#calls = new PeerCalls({ secret });
+    this.#connections = new TargetConnections(clock);
+    this.#keeper = new TableKeeper({
+      gateway: { gateway: name, dataCentre, region },
+      seeds: options.seeds.map((seed) =>
+        peerAddressOf(seed, options.peerAddress)
+      ),
+      calls: this.#calls,
+      clock,
+      logger,
+      onChange: () => this.#desk.noteTable(),
+    });
+    this.#desk = new TargetDesk({ ...options, keeper: this.#keeper });
+    this.#timer = setInterval(() => this.#tidy(), housekeepingMilliseconds);
+  }
+
+  /**
+   * Opens the listeners.
+   *
+   * @throws {ListenError} when an address cannot be used.
+   */
+  static async start(options: GatewayVmOptions): Promise<GatewayVm> {
+    const vm = new GatewayVm(options);
+    vm.#callers = await HttpListener.open({
+      name: "callers",
+      address: options.callersAddress,
+      handler: (request, response) => void vm.#handle(request, response),
+    });
+    vm.#readiness = await HttpListener.open({
+      name: "readiness",
+      address: options.readinessAddress,
+      handler: (_request, response) => {
+        response.writeHead(vm.isReady ? 200 : 503, { "content-length": 0 });
+        response.end();
+      },
+    });
+    options.logger.info("gateway-started", { address: options.callersAddress });
+    return vm;
+  }
+
+  /** Whether the balancer should send callers here. */
+  get isReady(): boolean {
+    return !this.#isStopping && this.#keeper.table.isKnown;
+  }
+
+  /** Serves on until callers have gone elsewhere, and ends every request. */
+  async stop(): Promise<void> {
+    const { logger, graceMilliseconds } = this.#options;
+    this.#isStopping = true;
+    logger.info("gateway-stopping");
+    await this.#callers.drain({
+      leastMilliseconds: leaveMilliseconds,
+      quietMilliseconds,
+      mostMilliseconds: graceMilliseconds * drainShare,
+    });
+    this.#keeper.stop();
+    clearInterval(this.#timer);
+    this.#readiness.destroy();
+    this.#connections.close();
+    this.#calls.close();
+    logger.info("gateway-stopped");
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { clock, wire, logger } = this.#options;
+    const arrivedAt = clock.now();
+    const answer = new CallerAnswer(response);
+    const { table } = this.#keeper;
+    if (!table.isKnown) {
+      return answer.own({
+        status: 503,
+        reason: "this VM knows no configuration yet",
+        retryAfterMilliseconds: startingRetryMilliseconds,
+      });
+    }
+    const head = wire.readCaller(request.headers);
+    const route = table.route(hostOf(request), request.url ?? "/");
+    if (!route) {
+      logger.info("request-without-route", {
+        request: head.requestId,
+        index: table.position.index,
+      });
+      return answer.own({ status: 404, reason: "no route matches" });
+    }
+    const body = await this.#receive(request, answer);
+    if (!body || answer.isClosed) return;
+    const run = new RequestRun({
+      tools: {
+        ...this.#options,
+        desk: this.#desk,
+        connections: this.#connections,
+        gateways: () => table.gateways.length,
+      },
+      routed: {
+        request,
+        head,
+        route,
+        service: this.#desk.parts.next(route.parts),
+        body,
+        arrivedAt,
+        deadlineAt: arrivedAt + Math.min(
+          route.timeoutMilliseconds,
+          head.deadlineMilliseconds ?? defaultDeadlineMilliseconds,
+        ),
+      },
+      answer,
+    });
+    response.once("close", () => run.abandon());
+    run.start();
+  }
+
+  async #receive(
+    request: IncomingMessage,
+    answer: CallerAnswer,
+  ): Promise<RequestBody | undefined> {
+    try {
+      return await RequestBody.receive(request, {
+        maximumBytes: this.#keeper.table.limits?.maximumBodyBytes ??
+          defaultBodyBytes,
+        bufferedBytes,
+      });
+    } catch (failure) {
+      if (failure instanceof BodyTooLargeError) {
+        answer.own({ status: 413, reason: failure.message });
+      }
+      // A caller that broke off its body waits for nothing.
+      return undefined;
+    }
+  }
+
+  #tidy(): void {
+    const { table } = this.#keeper;
+    const { limits } = table;
+    if (limits) {
+      this.#callers.limit({
+        headersTimeoutMilliseconds: limits.headerTimeoutMilliseconds,
+        idleTimeoutMilliseconds: limits.idleTimeoutMilliseconds +
+          idleMarginMilliseconds,
+      });
+    }
+    this.#connections.keepOnly(
+      new Set([...table.targets].map(({ address }) => address)),
+    );
+  }
+}
+
+function hostOf(request: IncomingMessage): string {
+  return (request.headers.host ?? "").replace(/:\d+$/, "");
+}
--- /dev/null
+++ b/packages/fleet_gateway/request_run.ts
@@ -0,0 +1,352 @@
+import type { IncomingMessage } from "node:http";
+import { ExchangeEnd } from "@kingcupglade/dispatch";
+import type { TargetRecord, WaitingRequest } from "@kingcupglade/dispatch";
+import type { TargetView } from "@kingcupglade/fleet";
+import { RequestKind } from "@kingcupglade/items";
+import type { Route } from "@kingcupglade/items";
+import type { Clock } from "@kingcupglade/tasks";
+import type { Logger } from "@kingcupglade/telemetry";
+import type { RequestBody } from "@kingcupglade/transport";
+import type { CallerAnswer } from "./answer.ts";
+import type { CallerHead, CallerWire } from "./caller_wire.ts";
+import { Exchange } from "./exchange.ts";
+import type { AnswerHead, ExchangeResult } from "./exchange.ts";
+import type { ServiceDesk } from "./service_desk.ts";
+import type { TargetConnections } from "./target_connections.ts";
+import type { TargetDesk } from "./target_desk.ts";
+
+/** What every run needs of its gateway. */
+export interface RunTools {
+  readonly desk: TargetDesk;
+  readonly connections: TargetConnections;
+  readonly wire: CallerWire;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: () => number;
+  /** Gateways that share the retry budget. */
+  readonly gateways: () => number;
+}
+
+/** A request whose route is known and whose body can be sent. */
+export interface RoutedRequest {
+  readonly request: IncomingMessage;
+  readonly head: CallerHead;
+  readonly route: Route;
+  readonly service: string;
+  readonly body: RequestBody;
+  readonly arrivedAt: number;
+  /** When the caller, or its route, wants no answer any more. */
+  readonly deadlineAt: number;
+}
+
+/** A caller waits for a refusal no longer than this share of what it has left. */
+const retryAfterShare = 1 / 3;
+const leastRetryAfterMilliseconds = 100;
+/** Targets that took no connection are passed over at most so often. */
+const mostUnsent = 4;
+/** An answer must be on its way this long before nobody wants it any more. */
+const answerMarginMilliseconds = 15;
+
+const hopByHopHeaders: ReadonlySet<string> = new Set([
+  "connection",
+  "content-length",
+  "expect",
+  "keep-alive",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Takes one request to a target that answers it, or ends it truthfully. */
+export class RequestRun {
+  readonly #tools: RunTools;
+  readonly #routed: RoutedRequest;
+  readonly #answer: CallerAnswer;
+  readonly #service: ServiceDesk;
+  readonly #tried = new Set<string>();
+  #arrivals = 0;
+  #unsent = 0;
+  /** Whether it may have run somewhere. */
+  #mayHaveRun = false;
+  /** A target's failure, passed on if nothing better comes. */
+  #failure: { readonly head: AnswerHead; readonly body: Buffer } | undefined;
+  #exchange: Exchange | undefined;
+  #waiting: WaitingRequest | undefined;
+  #isOver = false;
+
+  constructor(options: {
+    readonly tools: RunTools;
+    readonly routed: RoutedRequest;
+    readonly answer: CallerAnswer;
+  }) {
+    this.#tools = options.tools;
+    this.#routed = options.routed;
+    this.#answer = options.answer;
+    this.#service = options.tools.desk.service(options.routed.service);
+    this.#service.budget.noteRequest(options.tools.clock.now());
+  }
+
+  /** Begins; the caller is answered when the run is over. */
+  start(): void {
+    this.#seek();
+  }
+
+  /** Ends the run, as its caller has gone. */
+  abandon(): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    if (this.#waiting) this.#service.leave(this.#waiting);
+    this.#exchange?.abandon();
+  }
+
+  // Those that wait already go first, unless they wait for other targets.
+  #seek(): void {
+    if (this.#service.waiting === 0 && this.#tryStart()) return;
+    if (this.#isOver) return;
+    const { clock } = this.#tools;
+    const { route, arrivedAt, deadlineAt } = this.#routed;
+    const wait = this.#service.expectedWait(route.priority);
+    const least = this.#service.usualMilliseconds / 2;
+    if (clock.now() + wait + least > deadlineAt) {
+      return this.#refuse("no room in time", wait);
+    }
+    this.#waiting = {
+      priority: route.priority,
+      lane: this.#lane,
+      arrivedAt,
+      objectiveAt: arrivedAt + route.objectiveMilliseconds,
+      deadlineAt,
+      tryStart: () => this.#tryStart(),
+      refuse: () => this.#refuse("no room in time", 0),
+    };
+    this.#service.wait(this.#waiting);
+    this.#service.advance();
+  }
+
+  get #lane(): string {
+    const { position } = this.#routed.head;
+    return position === undefined ? this.#routed.route.name : String(position);
+  }
+
+  #tryStart(): boolean {
+    const { route, service, head } = this.#routed;
+    const found = this.#tools.desk.find({
+      route,
+      service,
+      position: head.position,
+      tried: this.#tried,
+    });
+    if (found.kind === "wait") return false;
+    this.#waiting = undefined;
+    if (found.kind === "none") {
+      this.#refuse(found.reason, 0);
+      return true;
+    }
+    void this.#send(found.target, found.record);
+    return true;
+  }
+
+  async #send(target: TargetView, record: TargetRecord): Promise<void> {
+    const { clock, connections, wire } = this.#tools;
+    const { request, head, route, body, deadlineAt } = this.#routed;
+    const beganAt = clock.now();
+    const left = deadlineAt - beganAt;
+    const connection = connections.take(
+      target.address,
+      route.requests === RequestKind.once,
+    );
+    this.#tried.add(target.name);
+    record.begin();
+    this.#service.noteBegin();
+    this.#exchange = new Exchange({
+      connection,
+      wire,
+      stream: this.#answer,
+      request: {
+        method: request.method ?? "GET",
+        path: request.url ?? "/",
+        headers: sentHeaders(
+          request.headers,
+          wire.targetHeaders({
+            target: target.name,
+            deadlineMilliseconds: Math.max(1, Math.floor(left)),
+          }),
+          body,
+        ),
+        body: body.open(),
+        requestId: head.requestId,
+        timeoutMilliseconds: Math.max(1, left - answerMarginMilliseconds),
+      },
+    });
+    const result = await this.#exchange.result;
+    this.#exchange = undefined;
+    const now = clock.now();
+    const end = this.#isOver ? ExchangeEnd.abandoned : endOf(result);
+    const durationMilliseconds = now - beganAt;
+    record.end(end, { now, durationMilliseconds });
+    if (result.kind === "answered") {
+      connections.giveBack(target.address, connection);
+      if (result.head.load) record.report(result.head.load, now);
+    } else connections.end(connection);
+    this.#service.noteEnd(
+      end === ExchangeEnd.answered ? durationMilliseconds : null,
+    );
+    if (!this.#isOver) this.#take(result, target);
+  }
+
+  #take(result: ExchangeResult, target: TargetView): void {
+    switch (result.kind) {
+      case "answered":
+        return this.#takeAnswer(result, target);
+      case "notSent":
+        this.#log("target-unreachable", target, result.reason);
+        this.#unsent += 1;
+        if (this.#unsent >= mostUnsent) {
+          return this.#refuse("no target takes a connection", 0);
+        }
+        return this.#again();
+      case "unknown":
+        this.#arrivals += 1;
+        this.#mayHaveRun = true;
+        this.#log("outcome-unknown", target, result.reason);
+        if (result.isTimeout) return this.#end(504, "the time is up");
+        if (this.#mayRepeat) return this.#again();
+        return this.#end(502, "the target's answer was lost");
+    }
+  }
+
+  #takeAnswer(
+    result: Extract<ExchangeResult, { kind: "answered" }>,
+    target: TargetView,
+  ): void {
+    const { head, body } = result;
+    this.#arrivals += 1;
+    if (head.didNotRun) {
+      this.#log("target-refused", target, String(head.status));
+      if (this.#mayTryElsewhere) return this.#again();
+      return this.#refuse("the target had no room", 0);
+    }
+    this.#mayHaveRun = true;
+    if (body === null) return this.#finish();
+    if (head.status >= 500 && !this.#failure) {
+      this.#failure = { head, body };
+      this.#log("target-failed", target, String(head.status));
+      if (this.#mayRepeat) return this.#again();
+    }
+    this.#finish();
+    this.#answer.pass(head, body);
+  }
+
+  /** Whether it may run once more. */
+  get #mayRepeat(): boolean {
+    return this.#routed.route.requests === RequestKind.idempotent &&
+      this.#mayTryElsewhere;
+  }
+
+  /** Whether one more arrival is within what the route and all gateways allow. */
+  get #mayTryElsewhere(): boolean {
+    const { clock, gateways } = this.#tools;
+    const { route, body, deadlineAt } = this.#routed;
+    const now = clock.now();
+    return this.#arrivals < route.maximumTargets && body.canBeSent &&
+      deadlineAt - now > this.#service.usualMilliseconds &&
+      this.#service.budget.take(now, gateways());
+  }
+
+  #again(): void {
+    // A keyed request has no other target than the owner.
+    if (this.#routed.head.position !== undefined) this.#tried.clear();
+    this.#seek();
+  }
+
+  #refuse(reason: string, waitMilliseconds: number): void {
+    if (this.#isOver) return;
+    if (this.#failure) {
+      this.#finish();
+      return this.#answer.pass(this.#failure.head, this.#failure.body);
+    }
+    if (this.#mayHaveRun) return this.#end(502, reason);
+    const { clock, random } = this.#tools;
+    const left = Math.max(0, this.#routed.deadlineAt - clock.now());
+    const wait = Math.max(leastRetryAfterMilliseconds, waitMilliseconds);
+    this.#end(
+      503,
+      reason,
+      Math.min(left * retryAfterShare, wait * (0.75 + random() / 2)),
+    );
+  }
+
+  #end(status: number, reason: string, retryAfterMilliseconds?: number): void {
+    this.#finish();
+    const { clock, logger } = this.#tools;
+    const { head, route, service, arrivedAt } = this.#routed;
+    logger.info("request-not-served", {
+      request: head.requestId,
+      route: route.name,
+      service,
+      status,
+      reason,
+      arrivals: this.#arrivals,
+      waiting: this.#service.waiting,
+      ageMilliseconds: Math.round(clock.now() - arrivedAt),
+      retryAfterMilliseconds: retryAfterMilliseconds === undefined
+        ? null
+        : Math.round(retryAfterMilliseconds),
+    });
+    this.#answer.own({
+      status,
+      reason,
+      ...(retryAfterMilliseconds !== undefined && { retryAfterMilliseconds }),
+    });
+  }
+
+  #finish(): void {
+    this.#isOver = true;
+    if (this.#waiting) this.#service.leave(this.#waiting);
+  }
+
+  #log(event: string, target: TargetView, reason: string): void {
+    const { head, service } = this.#routed;
+    this.#tools.logger.info(event, {
+      request: head.requestId,
+      service,
+      target: target.name,
+      reason,
+    });
+  }
+}
+
+function endOf(result: ExchangeResult): ExchangeEnd {
+  if (result.kind !== "answered") return ExchangeEnd.broken;
+  if (result.head.didNotRun) return ExchangeEnd.rejected;
+  return result.head.status >= 500 ? ExchangeEnd.failed : ExchangeEnd.answered;
+}
+
+function sentHeaders(
+  headers: IncomingMessage["headers"],
+  added: Readonly<Record<string, string>>,
+  body: RequestBody,
+): string[] {
+  const named = connectionHeaders(headers.connection);
+  const sent: string[] = [];
+  for (const [name, value] of Object.entries(headers)) {
+    if (hopByHopHeaders.has(name) || named.has(name) || name in added) continue;
+    for (const each of [value ?? []].flat()) sent.push(name, each);
+  }
+  for (const [name, value] of Object.entries(added)) sent.push(name, value);
+  if (body.whole === undefined && body.streamedLength !== undefined) {
+    sent.push("content-length", String(body.streamedLength));
+  }
+  return sent;
+}
+
+function connectionHeaders(
+  connection: string | undefined,
+): ReadonlySet<string> {
+  return new Set(
+    (connection ?? "").toLowerCase().split(",").map((each) => each.trim()),
+  );
+}
--- /dev/null
+++ b/packages/fleet_gateway/service_desk.ts
@@ -0,0 +1,83 @@
+import { RetryBudget, WaitingLine } from "@kingcupglade/dispatch";
+import type {
+  RetryBudgetOptions,
+  WaitingRequest,
+} from "@kingcupglade/dispatch";
+
+/** Weight of the newest duration in a service's usual one. */
+const durationWeight = 0.05;
+/** Taken for usual until answers have come. */
+const firstDurationMilliseconds = 250;
+/** Waiting requests are looked at again after this long without news. */
+const reviewMilliseconds = 20;
+
+/** Where requests of one service wait, and what its answers have shown. */
+export class ServiceDesk {
+  readonly budget: RetryBudget;
+  readonly #line = new WaitingLine();
+  readonly #now: () => number;
+  #usual = firstDurationMilliseconds;
+  #inFlight = 0;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: {
+    readonly now: () => number;
+    readonly budget: RetryBudgetOptions;
+  }) {
+    this.#now = options.now;
+    this.budget = new RetryBudget(options.budget);
+  }
+
+  /** Usual duration of an answer, in milliseconds. */
+  get usualMilliseconds(): number {
+    return this.#usual;
+  }
+
+  /** Requests that wait. */
+  get waiting(): number {
+    return this.#line.length;
+  }
+
+  noteBegin(): void {
+    this.#inFlight += 1;
+  }
+
+  /** Takes in that a request has ended, with its duration if it was answered. */
+  noteEnd(durationMilliseconds: number | null): void {
+    this.#inFlight -= 1;
+    if (durationMilliseconds !== null) {
+      this.#usual += (durationMilliseconds - this.#usual) * durationWeight;
+    }
+    this.advance();
+  }
+
+  /** Time until a request of this priority is thought to start. */
+  expectedWait(priority: number): number {
+    const side = Math.max(1, this.#inFlight);
+    return this.#line.ahead(priority) * this.#usual / side;
+  }
+
+  wait(request: WaitingRequest): void {
+    this.#line.add(request);
+    this.#review();
+  }
+
+  leave(request: WaitingRequest): void {
+    this.#line.remove(request);
+  }
+
+  /** Starts and refuses what is due. */
+  advance(): void {
+    if (this.#line.length === 0) return;
+    this.#line.advance(this.#now(), this.#usual);
+    this.#review();
+  }
+
+  #review(): void {
+    if (this.#timer || this.#line.length === 0) return;
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      this.advance();
+    }, reviewMilliseconds);
+  }
+}
--- /dev/null
+++ b/packages/fleet_gateway/target_connections.ts
@@ -0,0 +1,134 @@
+import { Client } from "undici";
+import type { Clock } from "@kingcupglade/tasks";
+
+/** A target that does not take a connection by then is tried no longer. */
+const connectTimeoutMilliseconds = 700;
+/** Used when the target does not tell how long it keeps idle connections. */
+const keepAliveMilliseconds = 9000;
+/** Idle connections are given up this long before the target closes them. */
+const keepAliveMarginMilliseconds = 600;
+/**
+ * A request that may run once only goes on a connection idle for less, as a
+ * target that closes it at that moment leaves open whether the request ran.
+ */
+const freshMilliseconds = 2500;
+
+/** One connection to a target. */
+export interface TargetConnection {
+  readonly client: Client;
+  /** Whether it has answered before. */
+  isUsed: boolean;
+  idleSince: number;
+}
+
+/** The connections of a gateway to one address, each for one request at a time. */
+class AddressConnections {
+  readonly #address: string;
+  readonly #idle: TargetConnection[] = [];
+  count = 0;
+
+  constructor(address: string) {
+    this.#address = address;
+  }
+
+  /** The connection used last, or a new one. */
+  take(now: number, mustBeFresh: boolean): TargetConnection {
+    for (;;) {
+      const idle = this.#idle.pop();
+      if (!idle) return this.#open();
+      if (idle.client.destroyed || idle.client.closed) continue;
+      if (mustBeFresh && now - idle.idleSince > freshMilliseconds) {
+        this.#idle.push(idle);
+        return this.#open();
+      }
+      return idle;
+    }
+  }
+
+  giveBack(connection: TargetConnection, now: number): void {
+    connection.isUsed = true;
+    connection.idleSince = now;
+    this.#idle.push(connection);
+  }
+
+  forget(connection: TargetConnection): void {
+    const index = this.#idle.indexOf(connection);
+    if (index >= 0) this.#idle.splice(index, 1);
+    this.count -= 1;
+  }
+
+  close(): void {
+    for (const { client } of this.#idle.splice(0)) void client.destroy();
+  }
+
+  #open(): TargetConnection {
+    const client = new Client(`http://${this.#address}`, {
+      pipelining: 1,
+      connect: { timeout: connectTimeoutMilliseconds },
+      keepAliveTimeout: keepAliveMilliseconds,
+      keepAliveMaxTimeout: 60_000,
+      keepAliveTimeoutThreshold: keepAliveMarginMilliseconds,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    const connection: TargetConnection = {
+      client,
+      isUsed: false,
+      idleSince: -Infinity,
+    };
+    this.count += 1;
+    // One connection a client: what is lost is not opened anew behind our back.
+    client.on("disconnect", () => {
+      this.forget(connection);
+      void client.destroy();
+    });
+    return connection;
+  }
+}
+
+/** The connections of a gateway to all targets. */
+export class TargetConnections {
+  readonly #addresses = new Map<string, AddressConnections>();
+  readonly #clock: Clock;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** A connection to IP:PORT that carries no request. */
+  take(address: string, mustBeFresh: boolean): TargetConnection {
+    return this.#of(address).take(this.#clock.now(), mustBeFresh);
+  }
+
+  /** Takes a connection back whose request was answered whole. */
+  giveBack(address: string, connection: TargetConnection): void {
+    if (connection.client.destroyed || connection.client.closed) return;
+    this.#of(address).giveBack(connection, this.#clock.now());
+  }
+
+  /** Ends a connection on which something else could still arrive. */
+  end(connection: TargetConnection): void {
+    void connection.client.destroy();
+  }
+
+  /** Closes what leads to addresses that no target has. */
+  keepOnly(addresses: ReadonlySet<string>): void {
+    for (const [address, connections] of this.#addresses) {
+      if (addresses.has(address)) continue;
+      connections.close();
+      this.#addresses.delete(address);
+    }
+  }
+
+  close(): void {
+    for (const connections of this.#addresses.values()) connections.close();
+  }
+
+  #of(address: string): AddressConnections {
+    const known = this.#addresses.get(address);
+    if (known) return known;
+    const connections = new AddressConnections(address);
+    this.#addresses.set(address, connections);
+    return connections;
+  }
+}
--- /dev/null
+++ b/packages/fleet_gateway/target_desk.ts
@@ -0,0 +1,195 @@
+import {
+  chooseTarget,
+  ColdRate,
+  Distance,
+  PartChoice,
+  TargetRecord,
+} from "@kingcupglade/dispatch";
+import type { RetryBudgetOptions, TargetOption } from "@kingcupglade/dispatch";
+import type { TargetView } from "@kingcupglade/fleet";
+import type { Route } from "@kingcupglade/items";
+import type { Clock } from "@kingcupglade/tasks";
+import { ServiceDesk } from "./service_desk.ts";
+import type { TableKeeper } from "./table_keeper.ts";
+
+/**
+ * A gateway that has not heard the leader for this long leaves cold targets to
+ * others: a new leader waits longer before it names gateways for them.
+ */
+const coldLeaseMilliseconds = 1500;
+
+/** Options of a {@link TargetDesk}. */
+export interface TargetDeskOptions {
+  readonly keeper: TableKeeper;
+  readonly clock: Clock;
+  readonly random: () => number;
+  /** Name of the gateway's VM. */
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  /** Region of each data centre. */
+  readonly regions: Readonly<Record<string, string>>;
+  readonly retryBudget: RetryBudgetOptions;
+}
+
+/** What a request asks of the choice. */
+export interface TargetWish {
+  readonly route: Route;
+  readonly service: string;
+  readonly position: number | undefined;
+  readonly tried: ReadonlySet<string>;
+}
+
+/** What became of a wish. */
+export type TargetFound =
+  | {
+    readonly kind: "found";
+    readonly target: TargetView;
+    readonly record: TargetRecord;
+  }
+  /** Room or an owner may come. */
+  | { readonly kind: "wait" }
+  | { readonly kind: "none"; readonly reason: string };
+
+/** Finds targets for requests by the table and by what this gateway has seen. */
+export class TargetDesk {
+  readonly parts = new PartChoice();
+  readonly #options: TargetDeskOptions;
+  readonly #services = new Map<string, ServiceDesk>();
+  readonly #records = new Map<string, TargetRecord>();
+  readonly #coldRates = new Map<string, ColdRate>();
+
+  constructor(options: TargetDeskOptions) {
+    this.#options = options;
+  }
+
+  service(name: string): ServiceDesk {
+    const known = this.#services.get(name);
+    if (known) return known;
+    const { clock, retryBudget } = this.#options;
+    const desk = new ServiceDesk({
+      now: () => clock.now(),
+      budget: retryBudget,
+    });
+    this.#services.set(name, desk);
+    return desk;
+  }
+
+  /** Starts what news has made possible, and forgets targets that are gone. */
+  noteTable(): void {
+    const { table } = this.#options.keeper;
+    for (const name of this.#records.keys()) {
+      if (table.target(name)) continue;
+      this.#records.delete(name);
+      this.#coldRates.delete(name);
+    }
+    for (const service of this.#services.values()) service.advance();
+  }
+
+  /** Finds a target that can take a request now. */
+  find(wish: TargetWish): TargetFound {
+    const { table } = this.#options.keeper;
+    const service = table.service(wish.service);
+    if (!service) return { kind: "none", reason: "the service is unknown" };
+    return service.isKeyed ? this.#findOwner(wish) : this.#findAny(wish);
+  }
+
+  #findOwner({ route, service, position }: TargetWish): TargetFound {
+    const { table } = this.#options.keeper;
+    if (position === undefined) {
+      return { kind: "none", reason: "the request has no position" };
+    }
+    const range = table.range(service, position);
+    if (!range || range.isMoving) return { kind: "wait" };
+    const target = table.target(range.owner);
+    if (!target || !table.mayServe(target)) return { kind: "wait" };
+    if (!this.#isHome(route, target)) {
+      return { kind: "none", reason: "the owner is outside the home regions" };
+    }
+    const record = this.#record(target.name);
+    const now = this.#options.clock.now();
+    return record.load(now) < target.slots + ownerWaitingRoom
+      ? { kind: "found", target, record }
+      : { kind: "wait" };
+  }
+
+  #findAny(wish: TargetWish): TargetFound {
+    const { keeper, clock, random } = this.#options;
+    const now = clock.now();
+    const targets = keeper.table.targetsOf(wish.service).filter((target) =>
+      this.#isHome(wish.route, target)
+    );
+    if (targets.length === 0) return { kind: "wait" };
+    const options = targets.filter((target) => this.#bearsNow(target, now))
+      .map((target) => this.#option(target));
+    if (options.length === 0) return { kind: "wait" };
+    const choice = chooseTarget(options, {
+      now,
+      random,
+      usualMilliseconds: this.service(wish.service).usualMilliseconds,
+      tried: wish.tried,
+    });
+    if (choice.kind === "none") {
+      return { kind: "none", reason: "every target was tried" };
+    }
+    if (choice.kind === "full") return { kind: "wait" };
+    const target = keeper.table.target(choice.target.name)!;
+    if (target.isCold) this.#takeCold(target, now);
+    return { kind: "found", target, record: choice.target.record };
+  }
+
+  #option(target: TargetView): TargetOption {
+    return {
+      name: target.name,
+      slots: target.slots,
+      distance: this.#distance(target.dataCentre),
+      record: this.#record(target.name),
+    };
+  }
+
+  #bearsNow(target: TargetView, now: number): boolean {
+    if (!target.isCold) return true;
+    const { keeper, name } = this.#options;
+    return keeper.age(now) < coldLeaseMilliseconds &&
+      target.coldGateways.includes(name) &&
+      this.#coldRate(target.name).isDue(now);
+  }
+
+  #takeCold(target: TargetView, now: number): void {
+    const service = this.#options.keeper.table.service(target.service)!;
+    this.#coldRate(target.name).take(now, {
+      perSecond: service.coldPerSecond,
+      gateways: target.coldGateways.length,
+    });
+  }
+
+  #coldRate(target: string): ColdRate {
+    const known = this.#coldRates.get(target);
+    if (known) return known;
+    const rate = new ColdRate();
+    this.#coldRates.set(target, rate);
+    return rate;
+  }
+
+  #record(target: string): TargetRecord {
+    const known = this.#records.get(target);
+    if (known) return known;
+    const record = new TargetRecord();
+    this.#records.set(target, record);
+    return record;
+  }
+
+  #isHome({ homeRegions }: Route, { dataCentre }: TargetView): boolean {
+    return homeRegions.length === 0 ||
+      homeRegions.includes(this.#options.regions[dataCentre] ?? "");
+  }
+
+  #distance(dataCentre: string): Distance {
+    const { regions, region } = this.#options;
+    if (dataCentre === this.#options.dataCentre) return Distance.dataCentre;
+    return regions[dataCentre] === region ? Distance.region : Distance.far;
+  }
+}
+
+/** Work that an owner may have beside its slots; nobody else can do it. */
+const ownerWaitingRoom = 4;
--- a/packages/kingcupglade/commands/serve.ts
+++ b/packages/kingcupglade/commands/serve.ts
@@ -1,5 +1,6 @@
 import { parseArgs } from "node:util";
-import { readSettings } from "../settings/read.ts";
+import { startFleetVm } from "../fleet_vm.ts";
+import { readFleetSettings, readSettings } from "../settings/read.ts";
 import { Vm } from "../vm.ts";
 import { ExitCode, UsageError } from "./command.ts";
 import type { Command } from "./command.ts";
@@ -22,11 +23,16 @@
     if (values.settings === undefined) {
       throw new UsageError("serve needs --settings FILE");
     }
-    const settings = await readSettings(values.settings);
+    const fleetSettings = await readFleetSettings(values.settings);
     const stopped = stopSignal();
     let fail: (failure: unknown) => void = () => {};
     const failure = new Promise<never>((_, reject) => (fail = reject));
-    const vm = await Vm.start({ settings, onFailure: (cause) => fail(cause) });
+    const vm = fleetSettings
+      ? await startFleetVm(fleetSettings, (cause) => fail(cause))
+      : await Vm.start({
+        settings: await readSettings(values.settings),
+        onFailure: (cause) => fail(cause),
+      });
     await Promise.race([failure, stopped]);
     await vm.stop();
     return ExitCode.done;
--- a/packages/kingcupglade/control/bootstrap.ts
+++ b/packages/kingcupglade/control/bootstrap.ts
@@ -2,7 +2,7 @@
 import { Replication } from "@kingcupglade/protocol";
 import type { ReplicaStorage } from "@kingcupglade/storage";
 import type { PeerDirectory } from "./peers.ts";
-import { replicaIdOf } from "./replica_id.ts";
+import { replicaIdOf } from "@kingcupglade/replica";
 
 const helloTimeoutMilliseconds = 500;
 
--- a/packages/kingcupglade/control/control_task.ts
+++ b/packages/kingcupglade/control/control_task.ts
@@ -20,7 +20,7 @@
 import type { VmRenewal } from "./leader_session.ts";
 import type { PeerDirectory } from "./peers.ts";
 import { ReplicaHost } from "./replica_host.ts";
-import { vmOfReplica } from "./replica_id.ts";
+import { vmOfReplica } from "@kingcupglade/replica";
 import type { ReplicaTask } from "./replica_task.ts";
 import { describeControl } from "./status.ts";
 import type { ControlStatus } from "./status.ts";
--- a/packages/kingcupglade/control/peers.ts
+++ b/packages/kingcupglade/control/peers.ts
@@ -7,7 +7,7 @@
 import { Control, Credit, Ledger, Replication } from "@kingcupglade/protocol";
 import { Pool } from "undici";
 import type { ResolvedTls } from "../settings/tls.ts";
-import { createLeanClient } from "./lean_client.ts";
+import { createLeanClient } from "@kingcupglade/transport";
 
 /** Connections to one VM for calls that are made per request or heartbeat. */
 const leanConnections = 16;
--- a/packages/kingcupglade/control/replica_host.ts
+++ b/packages/kingcupglade/control/replica_host.ts
@@ -14,7 +14,7 @@
 } from "./bootstrap.ts";
 import type { Hello } from "./bootstrap.ts";
 import type { PeerDirectory } from "./peers.ts";
-import { replicaIdOf, vmOfReplica } from "./replica_id.ts";
+import { replicaIdOf, vmOfReplica } from "@kingcupglade/replica";
 import { ReplicaSender } from "./replica_sender.ts";
 import { ReplicaTask } from "./replica_task.ts";
 
--- a/packages/kingcupglade/control/replica_sender.ts
+++ b/packages/kingcupglade/control/replica_sender.ts
@@ -6,7 +6,7 @@
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import { decodeValue, encodeValue, Replication } from "@kingcupglade/protocol";
 import type { PeerDirectory } from "./peers.ts";
-import { vmOfReplica } from "./replica_id.ts";
+import { vmOfReplica } from "@kingcupglade/replica";
 
 const deliverTimeoutMilliseconds = 1000;
 const maximumWaitingMessages = 256;
--- a/packages/kingcupglade/control/voter_repair.ts
+++ b/packages/kingcupglade/control/voter_repair.ts
@@ -11,7 +11,7 @@
   ReplicaStanding,
 } from "@kingcupglade/consensus";
 import type { VmRecord } from "@kingcupglade/ownership";
-import { vmOfReplica } from "./replica_id.ts";
+import { vmOfReplica } from "@kingcupglade/replica";
 
 const unfitMilliseconds = 60_000;
 
--- a/packages/kingcupglade/credits/credits.ts
+++ b/packages/kingcupglade/credits/credits.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from "@kingcupglade/telemetry";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
-import type { ServiceRegistry } from "../listeners/lean_services.ts";
+import type { ServiceRegistry } from "@kingcupglade/transport";
 import { CreditClientTask } from "./credit_client_task.ts";
 import { CreditHolderTask } from "./credit_holder_task.ts";
 
--- /dev/null
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -0,0 +1,107 @@
+import { randomInt } from "node:crypto";
+import { ControlVm } from "@kingcupglade/fleet_control";
+import { GatewayVm } from "@kingcupglade/fleet_gateway";
+import {
+  PlatformCallerWire,
+  PlatformControlWire,
+} from "@kingcupglade/platform";
+import { MonotonicClock } from "@kingcupglade/tasks";
+import { createLogger } from "@kingcupglade/telemetry";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { FleetRole } from "./settings/fleet_schema.ts";
+import type {
+  ResolvedControlSettings,
+  ResolvedFleetSettings,
+  ResolvedGatewaySettings,
+} from "./settings/fleet_schema.ts";
+import { readSecret } from "./settings/secrets.ts";
+
+const millisecondsPerSecond = 1000;
+
+/** What VMs present to each other where no secret is set. */
+const unguarded = "unguarded";
+
+/** What a running VM of a fleet can be told. */
+export interface FleetVm {
+  /** Ends every request in progress and stops. */
+  stop(): Promise<void>;
+}
+
+/** Starts a VM of a fleet in the role that its settings name. */
+export async function startFleetVm(
+  settings: ResolvedFleetSettings,
+  onFailure: (failure: unknown) => void,
+): Promise<FleetVm> {
+  return isGateway(settings)
+    ? await startGateway(settings)
+    : await startControl(settings, onFailure);
+}
+
+function isGateway(
+  settings: ResolvedFleetSettings,
+): settings is ResolvedGatewaySettings {
+  return settings.vm.role === FleetRole.gateway;
+}
+
+async function startGateway(
+  settings: ResolvedGatewaySettings,
+): Promise<FleetVm> {
+  const { listen, retries, stop } = settings;
+  return await GatewayVm.start({
+    ...await commonOptions(settings),
+    callersAddress: listen.callers,
+    readinessAddress: listen.readiness,
+    graceMilliseconds: stop.graceSeconds * millisecondsPerSecond,
+    retryBudget: {
+      ratio: retries.ratio,
+      windowMilliseconds: retries.windowSeconds * millisecondsPerSecond,
+      slack: retries.slack,
+    },
+    wire: new PlatformCallerWire(),
+    random: randomSource(),
+  });
+}
+
+async function startControl(
+  settings: ResolvedControlSettings,
+  onFailure: (failure: unknown) => void,
+): Promise<FleetVm> {
+  const { vm, listen, control } = settings;
+  return await ControlVm.start({
+    ...await commonOptions(settings),
+    folder: vm.dataFolder,
+    controlAddress: listen.control,
+    mayFound: control.mayFound,
+    toleratedLosses: control.toleratedLosses,
+    heartbeatMilliseconds: control.heartbeatSeconds * millisecondsPerSecond,
+    wire: new PlatformControlWire(),
+    onFailure,
+  });
+}
+
+async function commonOptions(settings: ResolvedFleetSettings) {
+  const { vm, listen, control, regions, security, log } = settings;
+  return {
+    name: vm.name,
+    dataCentre: vm.dataCentre,
+    region: vm.region,
+    peerAddress: listen.peers,
+    seeds: control.seeds,
+    regions,
+    secret: security.vmSecretFile === undefined
+      ? unguarded
+      : await readSecret("security.vmSecretFile", security.vmSecretFile),
+    clock: new MonotonicClock(),
+    logger: createLogger({
+      fields: { vm: vm.name, dataCentre: vm.dataCentre },
+      level: log.level,
+      destination: "stdout",
+    }),
+  };
+}
+
+function randomSource(): () => number {
+  const generator = xoroshiro128plus(randomInt(2 ** 31));
+  return () => uniformFloat64(generator);
+}
--- a/packages/kingcupglade/gateway/attempts_test.ts
+++ b/packages/kingcupglade/gateway/attempts_test.ts
@@ -3,7 +3,7 @@
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { createMetrics } from "@kingcupglade/telemetry";
 import { describe, expect, it } from "vitest";
-import type { RequestBody } from "../listeners/body.ts";
+import type { RequestBody } from "@kingcupglade/transport";
 import { CollectingSink } from "./answer_sink.ts";
 import { Attempts } from "./attempts.ts";
 import type { AttemptsOptions, CallerRequest } from "./attempts.ts";
--- a/packages/kingcupglade/gateway/exchange_test.ts
+++ b/packages/kingcupglade/gateway/exchange_test.ts
@@ -3,7 +3,7 @@
 import { connect, createServer as createSocketServer } from "node:net";
 import type { AddressInfo, Server as SocketServer, Socket } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { RequestBody } from "../listeners/body.ts";
+import { RequestBody } from "@kingcupglade/transport";
 import { ResponseSink } from "./answer_sink.ts";
 import { ExchangeClient } from "./exchange.ts";
 import type { ExchangeRequest, ExchangeResult } from "./exchange_types.ts";
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -24,8 +24,12 @@
 import type { RoutingTask } from "../control/routing_task.ts";
 import { ClaimedRequests } from "../ledger/claimed_requests.ts";
 import type { LedgerTask } from "../ledger/ledger_task.ts";
-import { BodyTooLargeError, hasBody, RequestBody } from "../listeners/body.ts";
-import type { RequestBodyOptions } from "../listeners/body.ts";
+import {
+  BodyTooLargeError,
+  hasBody,
+  RequestBody,
+} from "@kingcupglade/transport";
+import type { RequestBodyOptions } from "@kingcupglade/transport";
 import { ResponseSink } from "./answer_sink.ts";
 import { Attempts } from "./attempts.ts";
 import type { CallerRequest } from "./attempts.ts";
--- a/packages/kingcupglade/ledger/ledger_task.ts
+++ b/packages/kingcupglade/ledger/ledger_task.ts
@@ -14,7 +14,7 @@
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { PeerDirectory } from "../control/peers.ts";
 import type { RoutingTask } from "../control/routing_task.ts";
-import type { ServiceRegistry } from "../listeners/lean_services.ts";
+import type { ServiceRegistry } from "@kingcupglade/transport";
 import { ShardReplicator } from "./shard_replicator.ts";
 import { StandbyChannel } from "./standby_channel.ts";
 
--- a/packages/kingcupglade/listeners/operators.ts
+++ b/packages/kingcupglade/listeners/operators.ts
@@ -6,9 +6,9 @@
 import type { ControlClient } from "../control/control_client.ts";
 import { ControlUnavailableError } from "../control/errors.ts";
 import type { ControlStatus } from "../control/status.ts";
-import { BodyTooLargeError, readBody, sendJson } from "./body.ts";
+import { BodyTooLargeError, readBody, sendJson } from "@kingcupglade/transport";
 import type { ResolvedTls } from "../settings/tls.ts";
-import { HttpListener } from "./http_listener.ts";
+import { HttpListener } from "@kingcupglade/transport";
 
 const maximumBundleBytes = 4 * 1024 * 1024;
 const controlTimeoutMilliseconds = 4000;
--- a/packages/kingcupglade/listeners/peers.ts
+++ b/packages/kingcupglade/listeners/peers.ts
@@ -30,11 +30,10 @@
 } from "../control/announcement_texts.ts";
 import type { ControlTask } from "../control/control_task.ts";
 import { NotLeaderError } from "../control/errors.ts";
-import { presentsSecret } from "../settings/secrets.ts";
 import type { ResolvedTls } from "../settings/tls.ts";
-import { HttpListener } from "./http_listener.ts";
-import { LeanServices } from "./lean_services.ts";
-import type { ServiceRegistry } from "./lean_services.ts";
+import { HttpListener } from "@kingcupglade/transport";
+import { LeanServices, presentsSecret } from "@kingcupglade/transport";
+import type { ServiceRegistry } from "@kingcupglade/transport";
 
 const defaultHeaderBytes = 16_384;
 
--- a/packages/kingcupglade/listeners/targets.ts
+++ b/packages/kingcupglade/listeners/targets.ts
@@ -1,11 +1,16 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { AnnouncementError, parseAnnouncement } from "@kingcupglade/membership";
-import { presentsSecret } from "../settings/secrets.ts";
+
 import { AnnouncementRateError } from "./announcement_batcher.ts";
 import type { AnnouncementBatcher } from "./announcement_batcher.ts";
-import { BodyTooLargeError, readBody, sendJson } from "./body.ts";
+import {
+  BodyTooLargeError,
+  presentsSecret,
+  readBody,
+  sendJson,
+} from "@kingcupglade/transport";
 import type { ResolvedTls } from "../settings/tls.ts";
-import { HttpListener } from "./http_listener.ts";
+import { HttpListener } from "@kingcupglade/transport";
 
 const maximumAnnouncementBytes = 4096;
 
--- a/packages/kingcupglade/pages_test.ts
+++ b/packages/kingcupglade/pages_test.ts
@@ -6,7 +6,7 @@
 import { createMetrics } from "@kingcupglade/telemetry";
 import { describe, expect, it } from "vitest";
 import { commandNames, findCommand } from "./command_line.ts";
-import { knownKeys } from "./settings/schema.ts";
+import { knownKeys, settingsSchema } from "./settings/schema.ts";
 
 /** The caller is gone. */
 const untoldReasons: readonly Reason[] = [Reason.cancelled];
@@ -78,9 +78,11 @@
   });
 
   it("name no setting that does not exist", async () => {
-    const sections = knownKeys("").filter((each) => each !== "peers");
+    const sections = knownKeys(settingsSchema, "").filter((each) =>
+      each !== "peers"
+    );
     const known = sections.flatMap((section) =>
-      knownKeys(section).map((key) => `${section}.${key}`)
+      knownKeys(settingsSchema, section).map((key) => `${section}.${key}`)
     );
     const pattern = new RegExp(
       `\`((?:${sections.join("|")})\\.[a-zA-Z]+)\``,
--- a/packages/kingcupglade/settings/read.ts
+++ b/packages/kingcupglade/settings/read.ts
@@ -3,6 +3,8 @@
 import { nearestName } from "@kingcupglade/bundle";
 import ini from "ini";
 import type { z } from "zod";
+import { FleetRole, fleetSchemas } from "./fleet_schema.ts";
+import type { ResolvedFleetSettings } from "./fleet_schema.ts";
 import { knownKeys, settingsSchema } from "./schema.ts";
 import type { ResolvedSettings } from "./schema.ts";
 
@@ -32,6 +34,51 @@
   }
 }
 
+/**
+ * Reads the settings file of a VM of a fleet; undefined when it names no role,
+ * and so is that of a VM which does everything.
+ *
+ * @throws {SettingsError} when it cannot be read or a setting is wrong.
+ */
+export async function readFleetSettings(
+  path: string,
+): Promise<ResolvedFleetSettings | undefined> {
+  return parseFleetSettings(await readText(path), path);
+}
+
+/**
+ * Checks the text of a settings file of a fleet.
+ *
+ * @throws {SettingsError} naming every fault.
+ */
+export function parseFleetSettings(
+  text: string,
+  path: string,
+): ResolvedFleetSettings | undefined {
+  const document = toPlainObject(ini.parse(text)) as {
+    readonly vm?: { readonly role?: string };
+  };
+  const role = document.vm?.role;
+  if (role === undefined) return undefined;
+  if (!isFleetRole(role)) {
+    throw new SettingsError(
+      `${path}: vm.role: "${role}" is unknown; the roles are ${
+        Object.values(FleetRole).join(", ")
+      }`,
+    );
+  }
+  const result = fleetSchemas[role].safeParse(document);
+  if (result.success) return result.data;
+  const faults = result.error.issues.flatMap((issue) =>
+    describeIssue(issue, fleetSchemas[role])
+  );
+  throw new SettingsError(`${path}: ${faults.join("; ")}`);
+}
+
+function isFleetRole(role: string): role is FleetRole {
+  return role in fleetSchemas;
+}
+
 /**
  * Checks the text of a settings file.
  *
@@ -41,7 +88,9 @@
   const result = settingsSchema.safeParse(toPlainObject(ini.parse(text)));
   const faults = result.success
     ? disagreements(result.data)
-    : result.error.issues.flatMap(describeIssue);
+    : result.error.issues.flatMap((issue) =>
+      describeIssue(issue, settingsSchema)
+    );
   if (result.success && faults.length === 0) return result.data;
   throw new SettingsError(`${path}: ${faults.join("; ")}`);
 }
@@ -110,10 +159,13 @@
   };
 }
 
-function describeIssue(issue: z.core.$ZodIssue): readonly string[] {
+function describeIssue(
+  issue: z.core.$ZodIssue,
+  schema: z.ZodObject,
+): readonly string[] {
   const path = issue.path.join(".");
   if (issue.code === "unrecognized_keys") {
-    const known = knownKeys(path);
+    const known = knownKeys(schema, path);
     return issue.keys.map((key) => {
       const nearest = nearestName(key, known);
       const name = path === "" ? `section [${key}]` : `${path}.${key}`;
--- a/packages/kingcupglade/settings/schema.ts
+++ b/packages/kingcupglade/settings/schema.ts
@@ -1,43 +1,20 @@
-import { isIPv4, isIPv6 } from "node:net";
 import { z } from "zod";
-
-const name = z.string().regex(
-  /^[a-z0-9][a-z0-9-]{0,62}$/,
-  "must be 1 to 63 lower-case letters, digits or hyphens",
-);
-
-const highestPort = 65_535;
-
-const socketAddress = z.string().refine(
-  isSocketAddress,
-  "must be IP:PORT, such as 127.0.0.1:8100 or [::1]:8100",
-);
-
-function isSocketAddress(text: string): boolean {
-  const [, host = "", port = ""] = /^(.+):(\d{1,5})$/.exec(text) ?? [];
-  const isPort = Number(port) >= 1 && Number(port) <= highestPort;
-  const isBracketed = host.startsWith("[") && host.endsWith("]");
-  return isPort && (isBracketed ? isIPv6(host.slice(1, -1)) : isIPv4(host));
-}
+import { integer, name, socketAddress, splitList } from "./fields.ts";
 
 const publicKey = z.string().regex(
   /^[A-Za-z0-9+/]{43}=$/,
   "must be a public key made by `kingcupglade key create`",
 );
 
-function integer(minimum: number, maximum: number) {
-  return z.coerce.number().int().min(minimum).max(maximum);
-}
-
-const nameList = z.string().transform((text) =>
-  text.split(",").map((part) => part.trim()).filter((part) => part !== "")
-).pipe(z.array(name).min(1));
+const nameList = z.string().transform((text) => [...splitList(text)]).pipe(
+  z.array(name).min(1),
+);
 
 const listenerName = z.enum(["callers", "targets", "peers", "operators"]);
 
-const listenerList = z.string().transform((text) =>
-  text.split(",").map((part) => part.trim()).filter((part) => part !== "")
-).pipe(z.array(listenerName));
+const listenerList = z.string().transform((text) => [...splitList(text)]).pipe(
+  z.array(listenerName),
+);
 
 /** The settings file of a VM: sections, keys, defaults, units and bounds. */
 export const settingsSchema = z.strictObject({
@@ -110,11 +87,12 @@
 export type ResolvedSettings = z.output<typeof settingsSchema>;
 
 /** Names that may stand at a path: sections at "", else keys of a section. */
-export function knownKeys(path: string): readonly string[] {
-  if (path === "") return Object.keys(settingsSchema.shape);
-  const section = settingsSchema.shape[
-    path as keyof typeof settingsSchema.shape
-  ] as z.ZodType | undefined;
+export function knownKeys(
+  schema: z.ZodObject,
+  path: string,
+): readonly string[] {
+  if (path === "") return Object.keys(schema.shape);
+  const section = schema.shape[path] as z.ZodType | undefined;
   const inner = section instanceof z.ZodPrefault ? section.unwrap() : section;
   return inner instanceof z.ZodObject ? Object.keys(inner.shape) : [];
 }
--- a/packages/kingcupglade/settings/secrets.ts
+++ b/packages/kingcupglade/settings/secrets.ts
@@ -1,4 +1,3 @@
-import { timingSafeEqual } from "node:crypto";
 import { readFile } from "node:fs/promises";
 import { SettingsError } from "./read.ts";
 import type { ResolvedSettings } from "./schema.ts";
@@ -31,7 +30,15 @@
   };
 }
 
-async function readSecret(setting: string, path: string): Promise<string> {
+/**
+ * Reads one secret file.
+ *
+ * @throws {SettingsError} when it is missing or too short.
+ */
+export async function readSecret(
+  setting: string,
+  path: string,
+): Promise<string> {
   let text: string;
   try {
     text = (await readFile(path, "utf8")).trim();
@@ -48,13 +55,3 @@
   }
   return text;
 }
-
-/** Whether an Authorization header carries the secret. */
-export function presentsSecret(
-  authorization: string | null | undefined,
-  secret: string,
-): boolean {
-  const expected = Buffer.from(`Bearer ${secret}`);
-  const given = Buffer.from(authorization ?? "");
-  return given.length === expected.length && timingSafeEqual(given, expected);
-}
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -1,5 +1,5 @@
 import { describeFailure } from "@kingcupglade/telemetry";
-import type { HttpListener } from "./listeners/http_listener.ts";
+import type { HttpListener } from "@kingcupglade/transport";
 import { openOperatorsListener } from "./listeners/operators.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
 import { layFoundation } from "./vm/foundation.ts";
--- a/packages/kingcupglade/vm/listeners.ts
+++ b/packages/kingcupglade/vm/listeners.ts
@@ -1,5 +1,5 @@
 import { AnnouncementBatcher } from "../listeners/announcement_batcher.ts";
-import { HttpListener } from "../listeners/http_listener.ts";
+import { HttpListener } from "@kingcupglade/transport";
 import { openPeersListener } from "../listeners/peers.ts";
 import { openTargetsListener } from "../listeners/targets.ts";
 import type { VmFoundation } from "./foundation.ts";
--- a/packages/protocol/mod.ts
+++ b/packages/protocol/mod.ts
@@ -7,4 +7,5 @@
 export * from "./generated/control_pb.ts";
 export * from "./generated/ledger_pb.ts";
 export * from "./generated/credit_pb.ts";
+export * from "./generated/fleet_pb.ts";
 export { decodeValue, encodeValue, WireError } from "./codec.ts";
--- /dev/null
+++ b/packages/replica/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * A replica of a state machine: consensus, the data folder and the copy of the
+ * state, run as one task.
+ *
+ * @module
+ */
+export { NotLeaderError, UnknownOutcomeError } from "./errors.ts";
+export { Replica } from "./replica.ts";
+export type { ReplicaOptions } from "./replica.ts";
+export { ReplicatedMachine } from "./replicated_machine.ts";
+export { replicaIdOf, vmOfReplica } from "./replica_id.ts";
--- /dev/null
+++ b/packages/replica/replica.ts
@@ -0,0 +1,409 @@
+import {
+  configurationOf,
+  createConsensusState,
+  emptySnapshot,
+  EntryKind,
+  holdsQuorum,
+  isVoter,
+  nextTickAt,
+  quorumContactAt,
+  Role,
+  stepConsensus,
+  termAt,
+} from "@kingcupglade/consensus";
+import type {
+  Configuration,
+  ConsensusEffect,
+  ConsensusEvent,
+  ConsensusMessage,
+  ConsensusOptions,
+  ConsensusState,
+  LogEntry,
+  Snapshot,
+} from "@kingcupglade/consensus";
+import { decodeValue, encodeValue } from "@kingcupglade/protocol";
+import type { ReplicaStorage } from "@kingcupglade/storage";
+import { MachineTask } from "@kingcupglade/tasks";
+import type { Clock } from "@kingcupglade/tasks";
+import { NotLeaderError, UnknownOutcomeError } from "./errors.ts";
+import { PersistQueue } from "./persist_queue.ts";
+import { replicaIdOf } from "./replica_id.ts";
+import type { ReplicatedMachine } from "./replicated_machine.ts";
+
+const shortestPauseMilliseconds = 1;
+const handOverPollMilliseconds = 10;
+const entriesPerCheckpoint = 500;
+const bytesPerCheckpoint = 8 * 1024 * 1024;
+
+/** Options of a {@link Replica}. */
+export interface ReplicaOptions<State, Command, Outcome> {
+  readonly machine: ReplicatedMachine<State, Command, Outcome>;
+  readonly storage: ReplicaStorage;
+  readonly clock: Clock;
+  readonly send: (message: ConsensusMessage) => void;
+  /** Called after every applied command and change of role. */
+  readonly onChange: () => void;
+  readonly onFailure: (failure: unknown) => void;
+  /** @default those of consensus */
+  readonly consensus?: ConsensusOptions;
+}
+
+interface Checkpoint<State> {
+  readonly state: State;
+  /** The last entry that the state covers. */
+  readonly index: number;
+  /** Entries applied since, and their bytes. */
+  readonly entries: number;
+  readonly bytes: number;
+}
+
+interface WaitingProposal<Outcome> {
+  readonly resolve: (outcome: Outcome) => void;
+  readonly reject: (failure: Error) => void;
+}
+
+interface ContactWaiter {
+  readonly since: number;
+  readonly resolve: (isConfirmed: boolean) => void;
+}
+
+/** Runs one replica: its log, its data folder and its copy of the state. */
+export class Replica<State, Command, Outcome> {
+  readonly id: string;
+  readonly #options: ReplicaOptions<State, Command, Outcome>;
+  readonly #consensus: MachineTask<
+    ConsensusState,
+    ConsensusEvent,
+    ConsensusEffect
+  >;
+  #timer: NodeJS.Timeout | undefined;
+  #tickAt = Infinity;
+  readonly #disk: PersistQueue;
+  readonly #unplaced = new Map<number, WaitingProposal<Outcome>>();
+  readonly #placed = new Map<
+    number,
+    WaitingProposal<Outcome> & { term: number }
+  >();
+  #state: State;
+  #index: number;
+  #checkpoint: Checkpoint<State>;
+  readonly #contactWaiters = new Set<ContactWaiter>();
+  #nextProposal = 1;
+  #ended = false;
+
+  constructor(options: ReplicaOptions<State, Command, Outcome>) {
+    const { storage, clock } = options;
+    this.#options = options;
+    this.id = replicaIdOf(storage.identity);
+    const snapshot = storage.stored.snapshot ??
+      emptySnapshot({ voters: [], learners: [] });
+    this.#index = snapshot.index;
+    this.#state = options.machine.restore(snapshot.data, snapshot.index);
+    this.#checkpoint = this.#checkpointHere();
+    this.#disk = new PersistQueue({
+      storage,
+      state: () => this.#consensus.state,
+      send: options.send,
+      onSynced: ({ index, term }) =>
+        this.#post({ kind: "synced", index, term }),
+      onFailure: (failure) => this.#fail(failure),
+    });
+    this.#consensus = new MachineTask({
+      initial: createConsensusState({
+        self: this.id,
+        hardState: storage.stored.hardState,
+        snapshot,
+        entries: storage.stored.entries,
+      }, {
+        now: clock.now(),
+        ...(options.consensus && { options: options.consensus }),
+      }),
+      step: stepConsensus,
+      clock,
+      perform: (effect) => this.#perform(effect),
+      onFailure: (failure) => this.#fail(failure),
+    });
+    this.#scheduleTick();
+  }
+
+  /** The replicated state as far as it is applied here. */
+  get state(): State {
+    return this.#state;
+  }
+
+  /** The last applied log entry. */
+  get appliedIndex(): number {
+    return this.#index;
+  }
+
+  /** The consensus state after the last event. */
+  get consensus(): ConsensusState {
+    return this.#consensus.state;
+  }
+
+  /** The replica that leads, as far as this one knows. */
+  get leader(): string | null {
+    return this.#consensus.state.leader;
+  }
+
+  /** Whether this replica votes. */
+  get isVoter(): boolean {
+    return isVoter(this.#consensus.state);
+  }
+
+  /**
+   * Whether this replica leads, has heard its quorum so lately that no other
+   * can lead yet, and has applied everything acknowledged before it led.
+   */
+  get isReadyLeader(): boolean {
+    const state = this.#consensus.state;
+    return !this.#ended && holdsQuorum(state, this.#options.clock.now()) &&
+      termAt(state, this.#index) === state.term;
+  }
+
+  /** Takes in a message of another replica. */
+  receive(message: ConsensusMessage): void {
+    if (message.to !== this.id) return;
+    this.#post({ kind: "received", message });
+    if (this.#contactWaiters.size > 0) this.#noteContact();
+  }
+
+  /**
+   * Commits a command and applies it here.
+   *
+   * @throws {UnknownOutcomeError} when this replica stopped leading before it
+   * knew whether the command was committed.
+   * @throws {NotLeaderError} when the command was certainly not committed.
+   */
+  propose(command: Command): Promise<Outcome> {
+    if (this.#ended) return Promise.reject(new NotLeaderError());
+    const proposal = this.#nextProposal++;
+    return new Promise((resolve, reject) => {
+      this.#unplaced.set(proposal, { resolve, reject });
+      this.#post({
+        kind: "propose",
+        payload: encodeValue(command),
+        proposal,
+      });
+    });
+  }
+
+  /**
+   * Resolves with true once a majority answered a message that left after this
+   * call, so that no other replica had led by then; with false when that was
+   * not seen within the time.
+   */
+  confirmLeadership(timeoutMilliseconds: number): Promise<boolean> {
+    const since = this.#options.clock.now();
+    return new Promise((resolve) => {
+      const waiter: ContactWaiter = { since, resolve: finish };
+      const timer = setTimeout(() => finish(false), timeoutMilliseconds);
+      const waiters = this.#contactWaiters;
+      function finish(isConfirmed: boolean): void {
+        clearTimeout(timer);
+        waiters.delete(waiter);
+        resolve(isConfirmed);
+      }
+      waiters.add(waiter);
+      this.#post({ kind: "confirmLeadership" });
+      this.#noteContact();
+    });
+  }
+
+  /** Waits until nothing waits for the disk, or the time is up. */
+  untilSynced(timeoutMilliseconds: number): Promise<void> {
+    return this.#disk.untilIdle(timeoutMilliseconds);
+  }
+
+  /** Asks for a change of the replica set. */
+  proposeConfiguration(configuration: Configuration): void {
+    this.#post({ kind: "proposeConfiguration", configuration });
+  }
+
+  /**
+   * Hands the lead to another voter, if this replica leads. Answers with
+   * whether another one was elected within the time.
+   */
+  async handOver(timeoutMilliseconds: number): Promise<boolean> {
+    const { clock } = this.#options;
+    const { role, term } = this.#consensus.state;
+    if (role !== Role.leader) return false;
+    this.#post({ kind: "transferLeadership" });
+    const until = clock.now() + timeoutMilliseconds;
+    while (this.#consensus.state.term === term && clock.now() < until) {
+      await new Promise((resolve) =>
+        setTimeout(resolve, handOverPollMilliseconds)
+      );
+    }
+    return this.#consensus.state.term > term;
+  }
+
+  /** Stops the task and closes the data folder. */
+  async stop(): Promise<void> {
+    this.#end();
+    await this.#disk.stop();
+    await this.#options.storage.close();
+  }
+
+  #end(): void {
+    this.#ended = true;
+    clearTimeout(this.#timer);
+    this.#consensus.stop();
+    this.#rejectWaiting();
+  }
+
+  #fail(failure: unknown): void {
+    this.#end();
+    this.#options.onFailure(failure);
+  }
+
+  #post(event: ConsensusEvent): void {
+    this.#consensus.post(event);
+    this.#scheduleTick();
+  }
+
+  // A timer that is too early stays: most events only put the tick off.
+  #scheduleTick(): void {
+    const now = this.#options.clock.now();
+    const tickAt = nextTickAt(this.#consensus.state, now);
+    if (this.#ended || tickAt >= this.#tickAt) return;
+    this.#tickAt = tickAt;
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(
+      () => this.#tick(),
+      Math.max(shortestPauseMilliseconds, tickAt - now),
+    );
+  }
+
+  #tick(): void {
+    this.#tickAt = Infinity;
+    this.#post({ kind: "tick" });
+  }
+
+  #perform(effect: ConsensusEffect): void {
+    switch (effect.kind) {
+      case "persist":
+      case "persistSnapshot":
+        return this.#disk.add(effect);
+      case "send":
+        return this.#send(effect);
+      case "proposed":
+        return this.#place(effect);
+      case "commit":
+        return this.#apply(effect.entries);
+      case "restore":
+        this.#restore(effect.snapshot);
+        return this.#options.onChange();
+      case "roleChanged":
+        if (effect.role !== Role.leader) this.#rejectWaiting();
+        return this.#options.onChange();
+    }
+  }
+
+  #send(effect: Extract<ConsensusEffect, { readonly kind: "send" }>): void {
+    const { send } = this.#options;
+    if (!effect.awaitsSync) return send(effect.message);
+    if (effect.meanwhile && this.#disk.isBusy) send(effect.meanwhile);
+    this.#disk.add(effect);
+  }
+
+  #place(
+    effect: Extract<ConsensusEffect, { readonly kind: "proposed" }>,
+  ): void {
+    const waiting = this.#unplaced.get(effect.proposal);
+    this.#unplaced.delete(effect.proposal);
+    if (!waiting) return;
+    if (effect.index === null) return waiting.reject(new NotLeaderError());
+    this.#placed.set(effect.index, { ...waiting, term: effect.term });
+  }
+
+  #apply(entries: readonly LogEntry[]): void {
+    for (const entry of entries) {
+      const outcome = this.#applyEntry(entry);
+      const waiting = this.#placed.get(entry.index);
+      this.#placed.delete(entry.index);
+      if (!waiting) continue;
+      if (waiting.term === entry.term && outcome) waiting.resolve(outcome);
+      else waiting.reject(new NotLeaderError());
+    }
+    this.#options.onChange();
+    this.#compactIfLarge();
+  }
+
+  #applyEntry(entry: LogEntry): Outcome | null {
+    const { machine } = this.#options;
+    const { state, index, entries, bytes } = this.#checkpoint;
+    this.#checkpoint = {
+      state,
+      index,
+      entries: entries + 1,
+      bytes: bytes + entry.payload.length,
+    };
+    this.#index = entry.index;
+    if (entry.kind !== EntryKind.command) {
+      this.#state = machine.skip(this.#state, entry.index);
+      return null;
+    }
+    const command = decodeValue<Command>(entry.payload);
+    const applied = machine.apply(this.#state, command, entry.index);
+    this.#state = applied.state;
+    return applied.outcome;
+  }
+
+  #restore({ data, index }: Snapshot): void {
+    this.#index = index;
+    this.#state = this.#options.machine.restore(data, index);
+    this.#checkpoint = this.#checkpointHere();
+  }
+
+  #checkpointHere(): Checkpoint<State> {
+    return { state: this.#state, index: this.#index, entries: 0, bytes: 0 };
+  }
+
+  // The log is cut at the checkpoint before the latest one, so that a replica
+  // slightly behind still gets entries in place of the whole state.
+  #compactIfLarge(): void {
+    const checkpoint = this.#checkpoint;
+    if (
+      checkpoint.entries < entriesPerCheckpoint &&
+      checkpoint.bytes < bytesPerCheckpoint
+    ) return;
+    this.#checkpoint = this.#checkpointHere();
+    this.#compact(checkpoint);
+  }
+
+  #compact(checkpoint: Checkpoint<State>): void {
+    const { snapshot, entries } = this.#consensus.state;
+    const covered = entries.slice(0, checkpoint.index - snapshot.index);
+    const last = covered.at(-1);
+    if (!last) return;
+    const compacted: Snapshot = {
+      index: last.index,
+      term: last.term,
+      configuration: configurationOf({ snapshot, entries: covered }),
+      data: this.#options.machine.encode(checkpoint.state),
+    };
+    this.#post({ kind: "compacted", snapshot: compacted });
+    this.#disk.add({ kind: "persistSnapshot", snapshot: compacted });
+  }
+
+  #noteContact(): void {
+    const state = this.#consensus.state;
+    const contactAt = quorumContactAt(state, this.#options.clock.now());
+    for (const { since, resolve } of this.#contactWaiters) {
+      if (contactAt >= since) resolve(true);
+    }
+  }
+
+  // What was placed in the log may yet be committed under another leader.
+  #rejectWaiting(): void {
+    for (const each of this.#unplaced.values()) {
+      each.reject(new NotLeaderError());
+    }
+    for (const each of this.#placed.values()) {
+      each.reject(new UnknownOutcomeError());
+    }
+    this.#unplaced.clear();
+    this.#placed.clear();
+  }
+}
--- a/packages/kingcupglade/control/replica_id.ts
+++ b/packages/replica/replica_id.ts
@@ -7,5 +7,5 @@
 
 /** The VM that a replica runs on. */
 export function vmOfReplica(replica: string): string {
-  return replica.slice(0, replica.indexOf("."));
+  return replica.slice(0, replica.lastIndexOf("."));
 }
--- a/packages/telemetry/logger.ts
+++ b/packages/telemetry/logger.ts
@@ -22,9 +22,11 @@
   readonly fields: LogFields;
   /** @default "info" */
   readonly level?: "debug" | "info" | "warn" | "error" | "silent";
+  /** @default "stderr" */
+  readonly destination?: "stdout" | "stderr";
 }
 
-/** Creates a logger that writes to standard error. */
+/** Creates a logger. */
 export function createLogger(options: LoggerOptions): Logger {
   const level = options.level ?? "info";
   const logger = winston.createLogger({
@@ -36,7 +38,9 @@
     ),
     transports: [
       new winston.transports.Console({
-        stderrLevels: ["error", "warn", "info", "debug"],
+        stderrLevels: options.destination === "stdout"
+          ? []
+          : ["error", "warn", "info", "debug"],
       }),
     ],
   });
--- a/packages/kingcupglade/listeners/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -2,7 +2,6 @@
 import type { RequestListener, Server, ServerOptions } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import { setTimeout as pause } from "node:timers/promises";
-import type { ListenerName, ResolvedTls } from "../settings/tls.ts";
 
 const sweepMilliseconds = 50;
 
@@ -11,12 +10,22 @@
   override readonly name = "ListenError";
 }
 
+/** Certificates of the listeners that speak TLS. */
+export interface ListenerTls {
+  readonly listeners: ReadonlySet<string>;
+  readonly material: {
+    readonly certificate: Buffer;
+    readonly key: Buffer;
+    readonly authority: Buffer;
+  } | undefined;
+}
+
 /** Limits of a listener. */
 export interface HttpListenerOptions {
   /** Name of the listener in the settings. */
-  readonly name: ListenerName;
+  readonly name: string;
   /** @default plain HTTP */
-  readonly tls?: ResolvedTls;
+  readonly tls?: ListenerTls;
   /** IP:PORT. */
   readonly address: string;
   readonly handler: RequestListener;
@@ -85,6 +94,15 @@
     await this.close();
   }
 
+  /** Bounds the time for a header, and between two requests of a connection. */
+  limit(times: {
+    readonly headersTimeoutMilliseconds: number;
+    readonly idleTimeoutMilliseconds: number;
+  }): void {
+    this.#server.headersTimeout = times.headersTimeoutMilliseconds;
+    this.#server.keepAliveTimeout = times.idleTimeoutMilliseconds;
+  }
+
   /** Takes no new connections and returns when every request has ended. */
   async close(): Promise<void> {
     const closed = new Promise<void>((resolve) =>
--- a/packages/kingcupglade/listeners/lean_services.ts
+++ b/packages/transport/lean_services.ts
@@ -4,8 +4,8 @@
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { ServiceImpl } from "@connectrpc/connect";
 import { describeFailure } from "@kingcupglade/telemetry";
-import { methodPath } from "../control/lean_client.ts";
-import { presentsSecret } from "../settings/secrets.ts";
+import { methodPath } from "./lean_client.ts";
+import { presentsSecret } from "./secret.ts";
 import { BodyTooLargeError, readBody, sendJson } from "./body.ts";
 
 const maximumMessageBytes = 64 * 1024 * 1024;
--- a/packages/kingcupglade/listeners/lean_services_test.ts
+++ b/packages/transport/lean_services_test.ts
@@ -6,7 +6,7 @@
 import { Replication } from "@kingcupglade/protocol";
 import { Pool, request } from "undici";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
-import { createLeanClient, PeerCallError } from "../control/lean_client.ts";
+import { createLeanClient, PeerCallError } from "./lean_client.ts";
 import { LeanServices } from "./lean_services.ts";
 
 const secret = "a-secret-of-the-lean-services-test";
--- a/tools/binary.mjs
+++ b/tools/binary.mjs
@@ -1,23 +1,26 @@
-// Puts the bundled program into a copy of the Node.js executable.
+// Puts the bundled program into a copy of the Node.js executable, in the folder
+// given, or dist/.
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, writeFileSync } from "node:fs";
 import { inject } from "postject";
 import { readFileSync } from "node:fs";
 
-const blob = "dist/kingcupglade.blob";
-const binary = "dist/kingcupglade";
+const folder = process.argv[2] ?? "dist";
+const blob = `${folder}/kingcupglade.blob`;
+const binary = `${folder}/kingcupglade`;
+const configuration = `${folder}/sea.json`;
 
 writeFileSync(
-  "dist/sea.json",
+  configuration,
   JSON.stringify({
-    main: "dist/kingcupglade.cjs",
+    main: `${folder}/kingcupglade.cjs`,
     output: blob,
     disableExperimentalSEAWarning: true,
   }),
 );
 execFileSync(process.execPath, [
   "--experimental-sea-config",
-  "dist/sea.json",
+  configuration,
 ], { stdio: ["ignore", "ignore", "inherit"] });
 copyFileSync(process.execPath, binary);
 chmodSync(binary, 0o755);
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,9 +1,12 @@
-// Bundles the command line and everything it imports into one CommonJS file.
+// Bundles the command line and everything it imports into one CommonJS file,
+// in the folder given, or dist/.
 import { build } from "esbuild";
 
+const folder = process.argv[2] ?? "dist";
+
 await build({
   entryPoints: ["packages/kingcupglade/main.ts"],
-  outfile: "dist/kingcupglade.cjs",
+  outfile: `${folder}/kingcupglade.cjs`,
   bundle: true,
   platform: "node",
   target: "node20",
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   test: {
-    include: ["packages/**/*_test.ts"],
+    include: ["packages/**/*_test.ts", "platform/**/*_test.ts"],
     testTimeout: 240_000,
     hookTimeout: 240_000,
     maxWorkers: 4,
