Take no reset answer without a length for a whole one

The request's trace shows 200, body short. Excluded: our own framing (answers with a length that break off already counted as unknown). Change: connections note a reset; the exchange then has no whole answer. The test exchange_test.ts failed before. Also measured next: fewer messages between regions (answers to consensus in the same call, greetings to the leader only), own region first while it answers in time, ranges moved and cut by demand.

--- a/packages/dispatch/choose_target.ts
+++ b/packages/dispatch/choose_target.ts
@@ -21,6 +21,10 @@
   readonly now: number;
   /** Mean duration of the service's answers. */
   readonly usualMilliseconds: number;
+  /** Time left in which an answer is worth most. */
+  readonly objectiveMilliseconds: number;
+  /** Gateways that send to the targets. */
+  readonly gateways: number;
   /** Between 0 and 1. */
   readonly random: () => number;
   /** Names that the request must not go to again. */
@@ -34,7 +38,7 @@
 const crossingMilliseconds: Readonly<Record<Distance, number>> = {
   dataCentre: 0,
   region: 12,
-  far: 60,
+  far: 150,
 };
 /** Work that a target may have beside its slots, so that no slot waits for us. */
 const waitingRoom = 1;
@@ -42,6 +46,8 @@
 const noiseShare = 0.25;
 /** A request that fails has to be done again, and another caller waited. */
 const failureCost = 4;
+/** Most answers come within this many times the mean duration. */
+const tailShare = 1.7;
 
 /** What became of a choice. */
 export type Choice =
@@ -51,7 +57,10 @@
   /** No target can be used at all. */
   | { readonly kind: "none" };
 
-/** Chooses the target that is thought to answer first, crossing included. */
+/**
+ * Chooses the target that is thought to answer first, crossing included. Other
+ * regions are looked at only when none here would answer within the objective.
+ */
 export function chooseTarget(
   targets: readonly TargetOption[],
   options: ChoiceOptions,
@@ -62,33 +71,79 @@
   const sound = untried.filter(({ record }) => !record.isAside(now));
   // With most of them aside, the fault is more likely on this side.
   const usable = sound.length * 2 >= untried.length ? sound : untried;
-  let best: TargetOption | undefined;
-  let bestCost = Infinity;
-  for (const target of usable) {
-    if (!hasRoom(target, now)) continue;
-    const cost = costOf(target, options);
-    if (cost < bestCost) {
-      best = target;
-      bestCost = cost;
-    }
+  const near = cheapest(
+    usable.filter(({ distance }) => distance !== Distance.far),
+    options,
+  );
+  if (near && near.duration * tailShare < options.objectiveMilliseconds) {
+    return { kind: "chosen", target: near.target };
   }
-  return best ? { kind: "chosen", target: best } : { kind: "full" };
+  const any = cheapest(usable, options);
+  return any ? { kind: "chosen", target: any.target } : { kind: "full" };
 }
 
-function hasRoom({ record, slots }: TargetOption, now: number): boolean {
-  return record.load(now) < slots + waitingRoom;
+/** What decides whether a target can take one more request. */
+export interface RoomOptions {
+  readonly now: number;
+  /** Slots, and the work that may wait there. */
+  readonly slots: number;
+  /** Gateways that send to the target. */
+  readonly gateways: number;
+  readonly usualMilliseconds: number;
 }
 
-function costOf(target: TargetOption, options: ChoiceOptions): number {
-  const { now, usualMilliseconds, random } = options;
-  const { record, slots, distance } = target;
+/**
+ * Whether a target can take one more request of this gateway: its own share of
+ * the slots always, more while the latest report leaves room.
+ */
+export function hasRoomFor(
+  record: TargetRecord,
+  options: RoomOptions,
+): boolean {
+  const { now, slots, gateways, usualMilliseconds } = options;
+  const share = Math.max(1, Math.floor(slots / gateways));
+  return record.inFlight < share ||
+    record.load(usualMilliseconds, now) + 1 <= slots;
+}
+
+function cheapest(
+  targets: readonly TargetOption[],
+  options: ChoiceOptions,
+): { readonly target: TargetOption; readonly duration: number } | undefined {
+  let best: { target: TargetOption; duration: number } | undefined;
+  let bestCost = Infinity;
+  for (const target of targets) {
+    const slots = target.slots + waitingRoom;
+    if (!hasRoomFor(target.record, { ...options, slots })) continue;
+    const duration = expectedDuration(target, options);
+    const cost = costOf(target, duration, options);
+    if (cost >= bestCost) continue;
+    best = { target, duration };
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** Time until an answer is thought to be there, queue included. */
+function expectedDuration(
+  { record, slots }: TargetOption,
+  { now, usualMilliseconds }: ChoiceOptions,
+): number {
   const duration = record.duration(usualMilliseconds, now) *
     record.slowdown(now);
-  const load = record.load(now);
-  const queued = Math.max(0, load + 1 - slots) / slots;
-  const busy = load / slots;
+  const load = record.load(usualMilliseconds, now);
+  return duration * (1 + Math.max(0, load + 1 - slots) / slots);
+}
+
+function costOf(
+  { record, slots, distance }: TargetOption,
+  duration: number,
+  options: ChoiceOptions,
+): number {
+  const { now, usualMilliseconds, random } = options;
+  const busy = record.load(usualMilliseconds, now) / slots;
   const failures = 1 + record.failureShare(now) * failureCost;
   const noise = 1 + random() * noiseShare;
-  return duration * (1 + busy * 0.3 + queued) * failures * noise +
+  return duration * (1 + busy * 0.3) * failures * noise +
     crossingMilliseconds[distance];
 }
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -4,8 +4,13 @@
  *
  * @module
  */
-export { chooseTarget, Distance } from "./choose_target.ts";
-export type { Choice, ChoiceOptions, TargetOption } from "./choose_target.ts";
+export { chooseTarget, Distance, hasRoomFor } from "./choose_target.ts";
+export type {
+  Choice,
+  ChoiceOptions,
+  RoomOptions,
+  TargetOption,
+} from "./choose_target.ts";
 export { ColdRate } from "./cold_rate.ts";
 export { PartChoice } from "./part_choice.ts";
 export type { WeightedPart } from "./part_choice.ts";
--- a/packages/dispatch/target_record.ts
+++ b/packages/dispatch/target_record.ts
@@ -25,8 +25,8 @@
 const durationWeight = 0.3;
 /** Weight of the newest outcome in the share of failures. */
 const failureWeight = 0.25;
-/** A report says little of other gateways' work after this long. */
-const reportMilliseconds = 700;
+/** A report says little of other gateways' work after so many usual durations. */
+const reportDurations = 3;
 /** The slowdown changes many times a second. */
 const slowdownMilliseconds = 400;
 /** After this long without news a target is taken as good as the others. */
@@ -84,10 +84,10 @@
   }
 
   /** Requests thought to be there, those of other gateways included. */
-  load(now: number): number {
-    const age = now - this.#reportAt;
-    const others = age > reportMilliseconds ? 0 : this.#othersAtReport *
-      (1 - age / reportMilliseconds);
+  load(usualMilliseconds: number, now: number): number {
+    const share = (now - this.#reportAt) /
+      (usualMilliseconds * reportDurations);
+    const others = share < 1 ? this.#othersAtReport * (1 - share) : 0;
     return this.inFlight + others;
   }
 
--- a/packages/fleet/fleet_machine.ts
+++ b/packages/fleet/fleet_machine.ts
@@ -80,6 +80,8 @@
         return createRanges(state, command);
       case "grantRanges":
         return grantRanges(state, command, index);
+      case "splitRange":
+        return splitRange(state, command);
     }
   }
 }
@@ -164,6 +166,23 @@
   });
 }
 
+// Both parts keep owner and fence.
+function splitRange(
+  state: FleetState,
+  command: Extract<FleetCommand, { kind: "splitRange" }>,
+): Applied {
+  const { service, from, at } = command;
+  const ranges = (state.ranges.get(service) ?? []).flatMap((range) =>
+    range.from === from && at > from && at <= range.to
+      ? [{ ...range, to: at - 1 }, { ...range, from: at }]
+      : [range]
+  );
+  return applied({
+    ...state,
+    ranges: new Map(state.ranges).set(service, ranges),
+  });
+}
+
 function grantedRange(
   range: KeyRange,
   grant: RangeGrant | undefined,
--- a/packages/fleet/range_keeper.ts
+++ b/packages/fleet/range_keeper.ts
@@ -37,6 +37,19 @@
   readonly accepts: boolean;
 }
 
+/** What a plan is made by. */
+export interface RangePlanView {
+  readonly candidates: readonly RangeCandidate[];
+  readonly now: number;
+  /** Recent requests for a range. */
+  readonly demand: (range: KeyRange) => number;
+}
+
+/** What a range counts beside its demand, so that idle ones are spread too. */
+const idleDemand = 0.3;
+/** A move must lower the heavier owner's load by this share of the mean load. */
+const leastGain = 0.25;
+
 /** Ranges that move at one time from owners that could keep them. */
 const mostBalancingMoves = 2;
 
@@ -107,11 +120,11 @@
    */
   plan(
     ranges: KeyRanges,
-    candidates: readonly RangeCandidate[],
-    now: number,
-  ): readonly RangeGrant[] {
-    if (candidates.length === 0) return [];
-    const shares = new OwnerShares(ranges, candidates);
+    view: RangePlanView,
+  ): { readonly grants: readonly RangeGrant[] } {
+    const { candidates, now } = view;
+    if (candidates.length === 0) return { grants: [] };
+    const shares = new OwnerShares(ranges, view);
     const grants: RangeGrant[] = [];
     let moving = 0;
     for (const range of ranges) {
@@ -124,7 +137,7 @@
       }
       if (lease.isMoving) moving += 1;
       if (!this.#isFree(range, lease, now)) continue;
-      const owner = shares.takeLightest();
+      const owner = shares.takeLightest(range);
       grants.push({
         from: range.from,
         expectedFence: range.fence,
@@ -135,14 +148,12 @@
     if (moving < mostBalancingMoves && grants.length === 0) {
       this.#startBalancing(ranges, shares);
     }
-    return grants;
+    return { grants };
   }
 
   #startBalancing(ranges: KeyRanges, shares: OwnerShares): void {
-    const heaviest = shares.overloaded();
-    if (!heaviest) return;
-    const range = ranges.find((each) =>
-      isSameLife(each.owner, heaviest) && !this.#lease(each).isMoving
+    const range = shares.bestMove(
+      ranges.filter((each) => !this.#lease(each).isMoving),
     );
     if (!range) return;
     const lease = this.#lease(range);
@@ -157,7 +168,7 @@
   }
 
   #lease(range: KeyRange): RangeLease {
-    const known = this.#leases.get(range.from);
+    const known = this.#leases.get(range.from) ?? this.#cutFrom(range);
     if (known?.fence === range.fence) return known;
     const lease: RangeLease = {
       fence: range.fence,
@@ -172,6 +183,19 @@
     return lease;
   }
 
+  // A range that was cut off another is held just as that one is.
+  #cutFrom(range: KeyRange): RangeLease | undefined {
+    let parent = -1;
+    for (const from of this.#leases.keys()) {
+      if (from < range.from && from > parent) parent = from;
+    }
+    const lease = this.#leases.get(parent);
+    if (lease?.fence !== range.fence) return undefined;
+    const own = { ...lease };
+    this.#leases.set(range.from, own);
+    return own;
+  }
+
   #holdEnd(now: number): number {
     return now + this.#options.holdMilliseconds * clockShare +
       timerMilliseconds;
@@ -179,22 +203,24 @@
 }
 
 interface OwnerShare extends RangeCandidate {
-  count: number;
+  /** Demand for its ranges. */
+  demand: number;
 }
 
-/** Counts the ranges of each candidate. */
+/** Shares the demand for ranges among the candidates. */
 class OwnerShares {
   readonly #owners = new Map<string, OwnerShare>();
   readonly #receivers: readonly OwnerShare[];
+  readonly #demand: (range: KeyRange) => number;
 
-  constructor(ranges: KeyRanges, candidates: readonly RangeCandidate[]) {
-    for (const candidate of candidates) {
-      this.#owners.set(candidate.life.target, { ...candidate, count: 0 });
+  constructor(ranges: KeyRanges, view: RangePlanView) {
+    this.#demand = (range) => view.demand(range) + idleDemand;
+    for (const candidate of view.candidates) {
+      this.#owners.set(candidate.life.target, { ...candidate, demand: 0 });
     }
-    for (const { owner } of ranges) {
-      if (owner && this.isCandidate(owner)) {
-        this.#owners.get(owner.target)!.count += 1;
-      }
+    for (const range of ranges) {
+      const owner = this.#ownerOf(range);
+      if (owner) owner.demand += this.#demand(range);
     }
     const owners = [...this.#owners.values()];
     const accepting = owners.filter(({ accepts }) => accepts);
@@ -205,33 +231,55 @@
     return isSameLife(this.#owners.get(life.target)?.life ?? null, life);
   }
 
-  /** Gives one more range to the candidate that has least for its weight. */
-  takeLightest(): TargetLife {
+  /** Gives a range to the candidate that has least for its weight. */
+  takeLightest(range: KeyRange): TargetLife {
     const owner = this.#lightest();
-    owner.count += 1;
+    owner.demand += this.#demand(range);
     return owner.life;
   }
 
-  /** The candidate with most, if handing one range on brings it nearer. */
-  overloaded(): TargetLife | undefined {
-    const heaviest = [...this.#owners.values()].reduce((most, each) =>
-      each.count / each.weight > most.count / most.weight ? each : most
+  /** The range whose move to the lightest owner helps the heaviest one most. */
+  bestMove(ranges: KeyRanges): KeyRange | undefined {
+    const owners = [...this.#owners.values()];
+    const mean = owners.reduce((sum, each) => sum + loadOf(each), 0) /
+      owners.length;
+    const heaviest = owners.reduce((most, each) =>
+      loadOf(each) > loadOf(most) ? each : most
     );
     const lightest = this.#lightest();
-    const isBetter = (lightest.count + 1) / lightest.weight <
-      heaviest.count / heaviest.weight;
-    return isBetter ? heaviest.life : undefined;
+    let best: KeyRange | undefined;
+    let bestPeak = loadOf(heaviest) - mean * leastGain;
+    for (const range of ranges) {
+      if (this.#ownerOf(range) !== heaviest) continue;
+      const demand = this.#demand(range);
+      const peak = Math.max(
+        (heaviest.demand - demand) / heaviest.weight,
+        (lightest.demand + demand) / lightest.weight,
+      );
+      if (peak >= bestPeak) continue;
+      best = range;
+      bestPeak = peak;
+    }
+    return best;
+  }
+
+  #ownerOf({ owner }: KeyRange): OwnerShare | undefined {
+    return owner && this.isCandidate(owner)
+      ? this.#owners.get(owner.target)
+      : undefined;
   }
 
   #lightest(): OwnerShare {
     return this.#receivers.reduce((least, each) =>
-      (each.count + 1) / each.weight < (least.count + 1) / least.weight
-        ? each
-        : least
+      loadOf(each) < loadOf(least) ? each : least
     );
   }
 }
 
+function loadOf({ demand, weight }: OwnerShare): number {
+  return demand / weight;
+}
+
 function overlaps(
   left: { readonly from: number; readonly to: number },
   right: { readonly from: number; readonly to: number },
--- /dev/null
+++ b/packages/fleet/range_keeper_test.ts
@@ -0,0 +1,140 @@
+import { describe, expect, it } from "vitest";
+import type { Announcement } from "./announcement.ts";
+import { RangeKeeper } from "./range_keeper.ts";
+import type { KeyRange, TargetLife } from "./types.ts";
+
+const first: TargetLife = { target: "first", bornAt: 1 };
+const second: TargetLife = { target: "second", bornAt: 2 };
+
+function range(owner: TargetLife | null, fence: number): KeyRange {
+  return { from: 0, to: 99, owner, fence, handover: "" };
+}
+
+function beat(life: TargetLife, more: Partial<Announcement>): Announcement {
+  return {
+    life,
+    service: "stock",
+    address: "10.0.0.1:80",
+    dataCentre: "hsinchu-a",
+    slots: 6,
+    isDraining: false,
+    coldMilliseconds: 0,
+    sequence: 1,
+    holds: [],
+    freed: [],
+    ...more,
+  };
+}
+
+function candidates(...lives: readonly TargetLife[]) {
+  return lives.map((life) => ({ life, weight: 6, accepts: true }));
+}
+
+function plan(
+  keeper: RangeKeeper,
+  ranges: readonly KeyRange[],
+  view: { readonly lives: readonly TargetLife[]; readonly now: number },
+) {
+  return keeper.plan(ranges, {
+    candidates: candidates(...view.lives),
+    now: view.now,
+    demand: () => 1,
+  }).grants;
+}
+
+describe("RangeKeeper", () => {
+  const options = { holdMilliseconds: 3000, startedAt: 0 };
+
+  it("grants a range that nobody had at once", () => {
+    const keeper = new RangeKeeper(options);
+    expect(plan(keeper, [range(null, 0)], { lives: [first], now: 1 }))
+      .toEqual([{ from: 0, expectedFence: 0, owner: first, handover: "" }]);
+  });
+
+  it("waits out a hold that a leader before may have given", () => {
+    const keeper = new RangeKeeper(options);
+    const ranges = [range(first, 5)];
+    expect(plan(keeper, ranges, { lives: [second], now: 3000 })).toEqual([]);
+    expect(plan(keeper, ranges, { lives: [second], now: 3060 })).toEqual([]);
+    expect(plan(keeper, ranges, { lives: [second], now: 3200 })).toHaveLength(
+      1,
+    );
+  });
+
+  it("waits out the latest renewal of a lost owner", () => {
+    const keeper = new RangeKeeper(options);
+    const ranges = [range(first, 5)];
+    expect(keeper.grant(ranges, first, 10_000)).toHaveLength(1);
+    expect(plan(keeper, ranges, { lives: [second], now: 13_000 })).toEqual([]);
+    expect(plan(keeper, ranges, { lives: [second], now: 13_200 }))
+      .toHaveLength(1);
+  });
+
+  it("passes a freed range on with its handover, and not while it is held", () => {
+    const keeper = new RangeKeeper(options);
+    const ranges = [range(first, 5)];
+    keeper.grant(ranges, first, 100);
+    plan(keeper, ranges, { lives: [second], now: 200 });
+    expect(keeper.isMoving(ranges[0]!)).toBe(true);
+    expect(keeper.grant(ranges, first, 300)).toEqual([]);
+    keeper.note(
+      ranges,
+      beat(first, { holds: [{ from: 0, to: 99, fence: 5 }] }),
+    );
+    expect(plan(keeper, ranges, { lives: [second], now: 400 })).toEqual([]);
+    keeper.note(
+      ranges,
+      beat(first, { freed: [{ from: 0, to: 99, handover: "abc" }] }),
+    );
+    expect(plan(keeper, ranges, { lives: [second], now: 500 }))
+      .toEqual([{
+        from: 0,
+        expectedFence: 5,
+        owner: second,
+        handover: "abc",
+      }]);
+  });
+
+  it("takes a range back at once from a life that has ended", () => {
+    const keeper = new RangeKeeper(options);
+    const ranges = [range(first, 5)];
+    keeper.grant(ranges, first, 100);
+    const reborn: TargetLife = { target: "first", bornAt: 9 };
+    keeper.note(ranges, beat(reborn, {}));
+    expect(plan(keeper, ranges, { lives: [reborn], now: 200 }))
+      .toEqual([{ from: 0, expectedFence: 5, owner: reborn, handover: "" }]);
+  });
+
+  it("holds both parts of a cut range as it held the whole", () => {
+    const keeper = new RangeKeeper(options);
+    keeper.grant([range(first, 5)], first, 10_000);
+    const parts: readonly KeyRange[] = [
+      { ...range(first, 5), to: 49 },
+      { ...range(first, 5), from: 50 },
+    ];
+    expect(plan(keeper, parts, { lives: [second], now: 13_000 })).toEqual([]);
+  });
+
+  it("keeps the range of an owner that comes back before it gave it up", () => {
+    const keeper = new RangeKeeper(options);
+    const ranges = [range(first, 5)];
+    keeper.grant(ranges, first, 100);
+    plan(keeper, ranges, { lives: [second], now: 200 });
+    plan(keeper, ranges, { lives: [first, second], now: 300 });
+    expect(keeper.isMoving(ranges[0]!)).toBe(false);
+  });
+
+  it("moves the range that evens two owners out, and not back again", () => {
+    const keeper = new RangeKeeper({ ...options, startedAt: -10_000 });
+    const ranges = [0, 1, 2, 3].map((at): KeyRange => ({
+      from: at * 10,
+      to: at * 10 + 9,
+      owner: first,
+      fence: 5,
+      handover: "",
+    }));
+    plan(keeper, ranges, { lives: [first, second], now: 100 });
+    const moving = ranges.filter((each) => keeper.isMoving(each));
+    expect(moving).toHaveLength(1);
+  });
+});
--- a/packages/fleet/types.ts
+++ b/packages/fleet/types.ts
@@ -90,6 +90,14 @@
     readonly kind: "grantRanges";
     readonly service: string;
     readonly grants: readonly RangeGrant[];
+  }
+  | {
+    readonly kind: "splitRange";
+    readonly service: string;
+    /** Start of the range that is cut. */
+    readonly from: number;
+    /** Start of its second part. */
+    readonly at: number;
   };
 
 /** What the sender of a command is told. */
--- a/packages/fleet/view.ts
+++ b/packages/fleet/view.ts
@@ -51,8 +51,8 @@
   readonly areTargetsComplete: boolean;
   readonly removedTargets: readonly string[];
   readonly ranges: readonly RangeView[];
-  /** Names of the gateways in touch with the leader. */
-  readonly gateways: readonly string[];
-  /** Control addresses of the control VMs in touch with the leader. */
-  readonly control: readonly string[];
+  /** Count of the gateways in touch with the leader. */
+  readonly gateways: number;
+  /** Peer addresses of the control VMs, or null when they are as before. */
+  readonly control: readonly string[] | null;
 }
--- a/packages/fleet_control/control_replica.ts
+++ b/packages/fleet_control/control_replica.ts
@@ -15,8 +15,8 @@
  * silence of three heartbeats is a loss.
  */
 const consensusTimes: ConsensusOptions = {
-  heartbeatMilliseconds: 150,
-  electionMilliseconds: 700,
+  heartbeatMilliseconds: 250,
+  electionMilliseconds: 900,
   resendMilliseconds: 300,
 };
 
--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import { configurationOf } from "@kingcupglade/consensus";
+import type { ConsensusMessage } from "@kingcupglade/consensus";
 import type { FleetOutcome } from "@kingcupglade/fleet";
 import {
   decodeValue,
@@ -31,12 +32,17 @@
 import type { Watch, WatchAnswer } from "./watch.ts";
 
 const decisionMilliseconds = 50;
+/** While no leader is known, everybody is greeted this often. */
 const greetMilliseconds = 300;
+/** A known leader is greeted this often. */
+const greetLeaderMilliseconds = 1000;
+/** Longer syncs are answered by a call of their own, so that heartbeats pass. */
+const answerMilliseconds = 25;
 const greetTimeoutMilliseconds = 500;
 /** Targets and operators give up after a second. */
 const relayTimeoutMilliseconds = 900;
 /** Longest time that a gateway's question is held without news. */
-const watchHoldMilliseconds = 500;
+const watchHoldMilliseconds = 900;
 /**
  * Time in which the voters that make an acknowledgement durable are gathered;
  * after it a smaller fleet is taken for whole.
@@ -83,6 +89,7 @@
   #links: ReplicaLinks | undefined;
   #session: LeaderSession | undefined;
   #founding = false;
+  #greetedAt = -Infinity;
   #leader: string | null = null;
 
   protected constructor(options: ControlVmOptions) {
@@ -111,7 +118,11 @@
         options.onFailure(failure);
       },
     });
-    vm.#links = new ReplicaLinks({ calls: vm.#calls, self: vm.#replica.id });
+    vm.#links = new ReplicaLinks({
+      calls: vm.#calls,
+      self: vm.#replica.id,
+      onAnswer: (messages) => vm.#receive(messages),
+    });
     await vm.#listen();
     vm.#timers.push(
       setInterval(() => vm.#decide(), decisionMilliseconds),
@@ -145,12 +156,12 @@
     const { controlAddress, peerAddress, secret } = this.#options;
     const services = new LeanServices({ secret });
     services.service(Replication, {
-      deliver: ({ messages }) => {
-        for (const message of readMessages(messages)) {
-          this.#replica.running?.receive(message);
-        }
-        return Promise.resolve({ messages: [] });
-      },
+      deliver: async ({ from, messages }) => ({
+        messages: await this.#links!.answer(from, () => {
+          this.#receive(readMessages(messages));
+          return this.#replica.running?.untilSynced(answerMilliseconds);
+        }),
+      }),
     });
     services.service(Fleet, {
       greet: ({ greeting }) => {
@@ -187,6 +198,10 @@
     );
   }
 
+  #receive(messages: readonly ConsensusMessage[]): void {
+    for (const message of messages) this.#replica.running?.receive(message);
+  }
+
   async #handleOutside(
     request: IncomingMessage,
     response: ServerResponse,
@@ -462,8 +477,16 @@
     return seeds.map((seed) => peerAddressOf(seed, peerAddress));
   }
 
+  // A leader learns of the others by their greetings, and tells them of all.
   async #greetAll(): Promise<void> {
     const { clock, peerAddress } = this.#options;
+    const leader = this.#leaderAddress;
+    if (leader === peerAddress) return;
+    if (leader !== null) {
+      if (clock.now() - this.#greetedAt < greetLeaderMilliseconds) return;
+      this.#greetedAt = clock.now();
+      return await this.#greet(leader);
+    }
     const addresses = new Set([
       ...this.#seedPeers,
       ...this.#members.addresses(clock.now()),
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -1,6 +1,7 @@
 import {
   DepartureKind,
   isCovered,
+  KeyDemand,
   RangeKeeper,
   Revisions,
   TargetRegistry,
@@ -36,9 +37,9 @@
 /** Time to learn whether the quorum still follows; a target waits a second. */
 const confirmMilliseconds = 700;
 /** Gateways may act on what an earlier leader said of cold targets so long. */
-const coldLeaseMilliseconds = 2000;
+const coldLeaseMilliseconds = 2500;
 /** Ranges made for each target of a keyed service; more spread hot ones better. */
-const rangesPerTarget = 16;
+const rangesPerTarget = 8;
 const mostRanges = 1024;
 /**
  * Hold that a grant gives: short, so that a lost owner's ranges are served
@@ -67,10 +68,15 @@
   readonly #registry = new TargetRegistry(this.#revisions);
   readonly #gateways: GatewayBook;
   readonly #keepers = new Map<string, RangeKeeper>();
+  readonly #demand = new Map<string, KeyDemand>();
   /** What gateways were told of each range, and when it last changed. */
   readonly #rangeFlags = new Map<
     string,
-    { readonly isMoving: boolean; readonly revision: number }
+    {
+      readonly isMoving: boolean;
+      readonly to: number;
+      readonly revision: number;
+    }
   >();
   readonly #startedAt: number;
   readonly #proposing = new Set<string>();
@@ -79,6 +85,8 @@
   #toldIndex = 0;
   #isWakeDue = false;
   #coldCount = 0;
+  #control: readonly string[] = [];
+  #controlRevision = 0;
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
@@ -155,7 +163,11 @@
 
   /** Takes in that a gateway asks, and waits until there is news for it. */
   async watch(watch: Watch, holdMilliseconds: number): Promise<ViewDelta> {
-    this.#gateways.note(watch, this.#options.clock.now());
+    const now = this.#options.clock.now();
+    this.#gateways.note(watch, now);
+    for (const { service, bucket, count } of watch.demand) {
+      this.#demandOf(service).note(bucket, count, now);
+    }
     if (!this.#hasNews(watch.position)) await this.#news(holdMilliseconds);
     return this.#delta(watch.position);
   }
@@ -167,6 +179,7 @@
     this.#registry.forgetSilent(now);
     for (const service of this.#keyedServices()) this.#planRanges(service, now);
     this.#noteColdTargets(now);
+    this.#noteControl();
     this.#noteRangeFlags();
     this.noteChange();
   }
@@ -303,9 +316,19 @@
         ranges: count,
       });
     }
-    const grants = this.#keeper(service).plan(ranges, candidates, now);
-    if (grants.length > 0) {
-      this.#propose(service, { kind: "grantRanges", service, grants });
+    const demand = this.#demandOf(service);
+    const plan = this.#keeper(service).plan(ranges, {
+      candidates,
+      now,
+      demand: (range) => demand.of(range, now),
+    });
+    if (plan.grants.length > 0) {
+      const { grants } = plan;
+      return this.#propose(service, { kind: "grantRanges", service, grants });
+    }
+    const split = demand.split(ranges, now);
+    if (split) {
+      this.#propose(service, { kind: "splitRange", service, ...split });
     }
   }
 
@@ -342,6 +365,14 @@
     }));
   }
 
+  #demandOf(service: string): KeyDemand {
+    const known = this.#demand.get(service);
+    if (known) return known;
+    const demand = new KeyDemand();
+    this.#demand.set(service, demand);
+    return demand;
+  }
+
   #keeper(service: string): RangeKeeper {
     const known = this.#keepers.get(service);
     if (known) return known;
@@ -353,6 +384,13 @@
     return keeper;
   }
 
+  #noteControl(): void {
+    const control = [...this.#options.controlAddresses()].sort();
+    if (control.join() === this.#control.join()) return;
+    this.#control = control;
+    this.#controlRevision = this.#revisions.next();
+  }
+
   // Gateways that are named late must be told.
   #noteColdTargets(now: number): void {
     if (now - this.#startedAt < coldLeaseMilliseconds) return;
@@ -371,9 +409,10 @@
       for (const range of ranges) {
         const id = `${service}/${range.from}`;
         const isMoving = keeper.isMoving(range);
-        if (this.#rangeFlags.get(id)?.isMoving === isMoving) continue;
+        const known = this.#rangeFlags.get(id);
+        if (known?.isMoving === isMoving && known.to === range.to) continue;
         const revision = this.#revisions.next();
-        this.#rangeFlags.set(id, { isMoving, revision });
+        this.#rangeFlags.set(id, { isMoving, to: range.to, revision });
       }
     }
   }
@@ -398,7 +437,7 @@
   }
 
   #delta(position: ViewPosition): ViewDelta {
-    const { replica, clock, controlAddresses } = this.#options;
+    const { replica, clock } = this.#options;
     const { state, appliedIndex } = replica;
     const now = clock.now();
     const isKnown = position.term === this.term;
@@ -432,8 +471,8 @@
           this.#rangeRevision(service, range) > since
         ).map((range) => this.#rangeView(service, range))
       ),
-      gateways: this.#gateways.present(now),
-      control: controlAddresses(),
+      gateways: this.#gateways.present(now).length,
+      control: this.#controlRevision > since ? this.#control : null,
     };
   }
 
--- a/packages/fleet_control/plan_members.ts
+++ b/packages/fleet_control/plan_members.ts
@@ -13,7 +13,7 @@
 import type { HeardGreeting } from "./members.ts";
 
 /** A spare that did not greet for this long is not taken in. */
-const availableMilliseconds = 1200;
+const availableMilliseconds = 2500;
 /**
  * Silence after which a voter is replaced where a spare stands by. A successor
  * must vote within the time in which the one before still counts as lost.
--- a/packages/fleet_control/replica_links.ts
+++ b/packages/fleet_control/replica_links.ts
@@ -16,24 +16,61 @@
 export class ReplicaLinks {
   readonly #calls: PeerCalls;
   readonly #self: string;
+  readonly #onAnswer: (messages: readonly ConsensusMessage[]) => void;
   readonly #queues = new Map<string, Uint8Array<ArrayBuffer>[]>();
   readonly #busy = new Set<string>();
+  readonly #answering = new Set<string>();
 
-  constructor(options: { readonly calls: PeerCalls; readonly self: string }) {
+  constructor(options: {
+    readonly calls: PeerCalls;
+    readonly self: string;
+    /** Takes in what a receiver answered at once. */
+    readonly onAnswer: (messages: readonly ConsensusMessage[]) => void;
+  }) {
     this.#calls = options.calls;
     this.#self = options.self;
+    this.#onAnswer = options.onAnswer;
   }
 
   /** Queues a message; old ones are dropped when the receiver is unreachable. */
   send(message: ConsensusMessage): void {
     const address = vmOfReplica(message.to);
-    const queue = this.#queues.get(address) ?? [];
-    this.#queues.set(address, queue);
+    const queue = this.#queue(address);
     queue.push(encodeValue(packMessage(message)));
     if (queue.length > maximumWaitingMessages) queue.shift();
     void this.#drain(address, queue);
   }
 
+  /**
+   * Handles messages of a replica and returns what is then to be sent to it,
+   * so that the answers need no call of their own.
+   */
+  async answer(
+    replica: string,
+    handle: () => Promise<void> | undefined,
+  ): Promise<Uint8Array<ArrayBuffer>[]> {
+    const address = vmOfReplica(replica);
+    if (this.#answering.has(address)) {
+      await handle();
+      return [];
+    }
+    this.#answering.add(address);
+    const queue = this.#queue(address);
+    try {
+      await handle();
+      return queue.splice(0);
+    } finally {
+      this.#answering.delete(address);
+      void this.#drain(address, queue);
+    }
+  }
+
+  #queue(address: string): Uint8Array<ArrayBuffer>[] {
+    const queue = this.#queues.get(address) ?? [];
+    this.#queues.set(address, queue);
+    return queue;
+  }
+
   async #drain(
     address: string,
     queue: Uint8Array<ArrayBuffer>[],
@@ -42,12 +79,13 @@
     this.#busy.add(address);
     const replication = this.#calls.client(address, Replication);
     await Promise.resolve();
-    while (queue.length > 0) {
+    while (queue.length > 0 && !this.#answering.has(address)) {
       try {
-        await replication.deliver(
+        const { messages } = await replication.deliver(
           { from: this.#self, messages: queue.splice(0) },
           { timeoutMs: deliverTimeoutMilliseconds },
         );
+        this.#onAnswer(readMessages(messages));
       } catch {
         // The consensus machine sends again what was not answered.
       }
--- a/packages/fleet_control/watch.ts
+++ b/packages/fleet_control/watch.ts
@@ -1,4 +1,4 @@
-import type { ViewDelta, ViewPosition } from "@kingcupglade/fleet";
+import type { DemandRow, ViewDelta, ViewPosition } from "@kingcupglade/fleet";
 
 /** A gateway's question for news. */
 export interface Watch {
@@ -7,6 +7,8 @@
   readonly dataCentre: string;
   readonly region: string;
   readonly position: ViewPosition;
+  /** Keyed requests since the question before. */
+  readonly demand: readonly DemandRow[];
 }
 
 /** What a gateway is answered. */
--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -140,6 +140,10 @@
     if (this.#hasEnded) return;
     const head = this.#head;
     if (!head) return this.#giveUp("the answer has no head", false);
+    // An answer without a length ends with its connection, if that ends well.
+    if (this.#connection.wasReset) {
+      return this.#giveUp("the connection was reset", false);
+    }
     if (this.#isStreaming) this.#stream.end();
     this.#end({
       kind: "answered",
--- /dev/null
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -0,0 +1,135 @@
+import { createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
+import { MonotonicClock } from "@kingcupglade/tasks";
+import { afterEach, describe, expect, it } from "vitest";
+import { CallerWire } from "./caller_wire.ts";
+import type { CallerHead, TargetHead } from "./caller_wire.ts";
+import { Exchange } from "./exchange.ts";
+import type { AnswerStream, ExchangeResult } from "./exchange.ts";
+import { TargetConnections } from "./target_connections.ts";
+
+class PlainWire extends CallerWire {
+  override readCaller(): CallerHead {
+    return {
+      requestId: "",
+      deadlineMilliseconds: undefined,
+      position: undefined,
+    };
+  }
+
+  override readTarget(
+    _status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): TargetHead {
+    return {
+      requestId: String(headers["request"] ?? ""),
+      didNotRun: headers["not-run"] !== undefined,
+      isSigned: true,
+      load: undefined,
+    };
+  }
+
+  override targetHeaders(): Record<string, string> {
+    return {};
+  }
+}
+
+const noStream: AnswerStream = {
+  begin: () => {},
+  write: () => true,
+  onDrain: () => {},
+  end: () => {},
+  fail: () => {},
+};
+
+describe("Exchange", () => {
+  const connections = new TargetConnections(new MonotonicClock());
+  let server: Server | undefined;
+
+  afterEach(() => {
+    connections.close();
+    server?.close();
+  });
+
+  async function exchange(
+    answer: (socket: Socket) => void,
+    timeoutMilliseconds = 1000,
+  ): Promise<ExchangeResult> {
+    server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => answer(socket));
+    });
+    await new Promise<void>((resolve) =>
+      server!.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    return await new Exchange({
+      connection: connections.take(`127.0.0.1:${port}`, false),
+      wire: new PlainWire(),
+      stream: noStream,
+      request: {
+        method: "GET",
+        path: "/",
+        headers: [],
+        body: null,
+        requestId: "r1",
+        timeoutMilliseconds,
+      },
+    }).result;
+  }
+
+  it("takes an answer that ends with its connection", async () => {
+    const result = await exchange((socket) =>
+      socket.end("HTTP/1.1 200 OK\r\nrequest: r1\r\n\r\nwhole")
+    );
+    expect(result.kind).toBe("answered");
+  });
+
+  it("takes no such answer for whole when the connection was reset", async () => {
+    const result = await exchange(async (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\nrequest: r1\r\n\r\npart");
+      await pause(50);
+      socket.resetAndDestroy();
+    });
+    expect(result.kind).toBe("unknown");
+  });
+
+  it("takes no answer that is shorter than it says", async () => {
+    const result = await exchange((socket) =>
+      socket.end(
+        "HTTP/1.1 200 OK\r\nrequest: r1\r\ncontent-length: 9\r\n\r\npart",
+      )
+    );
+    expect(result.kind).toBe("unknown");
+  });
+
+  it("takes no answer to another request", async () => {
+    const result = await exchange((socket) =>
+      socket.end("HTTP/1.1 200 OK\r\nrequest: r0\r\ncontent-length: 0\r\n\r\n")
+    );
+    expect(result.kind).toBe("unknown");
+  });
+
+  it("takes a request for unsent when nothing listens", async () => {
+    const result = await new Exchange({
+      connection: connections.take("127.0.0.1:9", false),
+      wire: new PlainWire(),
+      stream: noStream,
+      request: {
+        method: "GET",
+        path: "/",
+        headers: [],
+        body: null,
+        requestId: "r1",
+        timeoutMilliseconds: 1000,
+      },
+    }).result;
+    expect(result.kind).toBe("notSent");
+  });
+
+  it("ends with an unknown outcome when its time is up", async () => {
+    const result = await exchange(() => {}, 100);
+    expect(result).toMatchObject({ kind: "unknown", isTimeout: true });
+  });
+});
--- a/packages/fleet_gateway/gateway_table.ts
+++ b/packages/fleet_gateway/gateway_table.ts
@@ -24,7 +24,7 @@
   #dataCentresOut: ReadonlySet<string> = new Set();
   #routes = new RouteIndex([]);
   #control: readonly string[] = [];
-  #gateways: readonly string[] = [];
+  #gateways = 1;
 
   get position(): ViewPosition {
     return this.#position;
@@ -40,8 +40,8 @@
     return this.#control;
   }
 
-  /** Gateways that share what is shared by all. */
-  get gateways(): readonly string[] {
+  /** Count of the gateways that share what all may use. */
+  get gateways(): number {
     return this.#gateways;
   }
 
@@ -104,8 +104,8 @@
     this.#dataCentresOut = new Set(delta.dataCentresOut);
     this.#takeTargets(delta);
     for (const range of delta.ranges) this.#takeRange(range);
-    this.#control = delta.control;
-    this.#gateways = delta.gateways;
+    this.#control = delta.control ?? this.#control;
+    this.#gateways = Math.max(1, delta.gateways);
   }
 
   #takeItem(item: HeldItem): void {
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -80,6 +80,7 @@
       seeds: options.seeds.map((seed) =>
         peerAddressOf(seed, options.peerAddress)
       ),
+      takeDemand: () => this.#desk.takeDemand(),
       calls: this.#calls,
       clock,
       logger,
@@ -167,7 +168,7 @@
         ...this.#options,
         desk: this.#desk,
         connections: this.#connections,
-        gateways: () => table.gateways.length,
+        gateways: () => table.gateways,
       },
       routed: {
         request,
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import { ExchangeEnd } from "@kingcupglade/dispatch";
 import type { TargetRecord, WaitingRequest } from "@kingcupglade/dispatch";
+import { bucketOf } from "@kingcupglade/fleet";
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
 import type { Route } from "@kingcupglade/items";
@@ -91,6 +92,10 @@
 
   /** Begins; the caller is answered when the run is over. */
   start(): void {
+    const { service, head } = this.#routed;
+    if (head.position !== undefined) {
+      this.#tools.desk.noteDemand(service, head.position);
+    }
     this.#seek();
   }
 
@@ -117,7 +122,7 @@
       priority: route.priority,
       lane: this.#lane,
       arrivedAt,
-      objectiveAt: arrivedAt + route.objectiveMilliseconds,
+      objectiveAt: this.#objectiveAt,
       deadlineAt,
       tryStart: () => this.#tryStart(),
       refuse: () => this.#refuse("no room in time", 0),
@@ -126,9 +131,16 @@
     this.#service.advance();
   }
 
+  get #objectiveAt(): number {
+    const { arrivedAt, route } = this.#routed;
+    return arrivedAt + route.objectiveMilliseconds;
+  }
+
   get #lane(): string {
-    const { position } = this.#routed.head;
-    return position === undefined ? this.#routed.route.name : String(position);
+    const { head, route } = this.#routed;
+    return head.position === undefined
+      ? route.name
+      : String(bucketOf(head.position));
   }
 
   #tryStart(): boolean {
@@ -138,6 +150,7 @@
       service,
       position: head.position,
       tried: this.#tried,
+      objectiveAt: this.#objectiveAt,
     });
     if (found.kind === "wait") return false;
     this.#waiting = undefined;
--- a/packages/fleet_gateway/table_keeper.ts
+++ b/packages/fleet_gateway/table_keeper.ts
@@ -1,4 +1,5 @@
 import { setTimeout as pause } from "node:timers/promises";
+import type { DemandRow } from "@kingcupglade/fleet";
 import type {
   PeerCalls,
   Watch,
@@ -10,14 +11,16 @@
 import type { Logger } from "@kingcupglade/telemetry";
 import { GatewayTable } from "./gateway_table.ts";
 
-/** Twice the time that control holds a question without news. */
-const watchTimeoutMilliseconds = 1000;
+/** More than the time that control holds a question without news. */
+const watchTimeoutMilliseconds = 1500;
 /** Pause before another control VM is asked; none hears more than 20 a second. */
 const retryMilliseconds = 50;
 
 /** Options of a {@link TableKeeper}. */
 export interface TableKeeperOptions {
-  readonly gateway: Omit<Watch, "position">;
+  readonly gateway: Omit<Watch, "position" | "demand">;
+  /** Takes the keyed requests that were counted since the last call. */
+  readonly takeDemand: () => readonly DemandRow[];
   /** Peer addresses at which control is looked for first. */
   readonly seeds: readonly string[];
   readonly calls: PeerCalls;
@@ -68,8 +71,12 @@
 
   /** Asks one control VM; whether it led and answered. */
   async #ask(address: string): Promise<boolean> {
-    const { calls, clock, gateway } = this.#options;
-    const watch: Watch = { ...gateway, position: this.table.position };
+    const { calls, clock, gateway, takeDemand } = this.#options;
+    const watch: Watch = {
+      ...gateway,
+      position: this.table.position,
+      demand: takeDemand(),
+    };
     const askedAt = clock.now();
     try {
       const { answer } = await calls.client(address, Fleet).watch(
--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -1,4 +1,4 @@
-import { Client } from "undici";
+import { buildConnector, Client } from "undici";
 import type { Clock } from "@kingcupglade/tasks";
 
 /** A target that does not take a connection by then is tried no longer. */
@@ -13,11 +13,15 @@
  */
 const freshMilliseconds = 2500;
 
+const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+
 /** One connection to a target. */
 export interface TargetConnection {
   readonly client: Client;
   /** Whether it has answered before. */
   isUsed: boolean;
+  /** Whether the target reset it; undici takes that for the end of an answer. */
+  wasReset: boolean;
   idleSince: number;
 }
 
@@ -64,7 +68,12 @@
   #open(): TargetConnection {
     const client = new Client(`http://${this.#address}`, {
       pipelining: 1,
-      connect: { timeout: connectTimeoutMilliseconds },
+      connect: (options, callback) =>
+        connect(options, (...result: Parameters<typeof callback>) => {
+          const [, socket] = result;
+          socket?.once("error", () => (connection.wasReset = true));
+          callback(...result);
+        }),
       keepAliveTimeout: keepAliveMilliseconds,
       keepAliveMaxTimeout: 60_000,
       keepAliveTimeoutThreshold: keepAliveMarginMilliseconds,
@@ -74,6 +83,7 @@
     const connection: TargetConnection = {
       client,
       isUsed: false,
+      wasReset: false,
       idleSince: -Infinity,
     };
     this.count += 1;
--- a/packages/fleet_gateway/target_desk.ts
+++ b/packages/fleet_gateway/target_desk.ts
@@ -2,11 +2,13 @@
   chooseTarget,
   ColdRate,
   Distance,
+  hasRoomFor,
   PartChoice,
   TargetRecord,
 } from "@kingcupglade/dispatch";
 import type { RetryBudgetOptions, TargetOption } from "@kingcupglade/dispatch";
-import type { TargetView } from "@kingcupglade/fleet";
+import { bucketOf } from "@kingcupglade/fleet";
+import type { DemandRow, TargetView } from "@kingcupglade/fleet";
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
 import { ServiceDesk } from "./service_desk.ts";
@@ -16,7 +18,7 @@
  * A gateway that has not heard the leader for this long leaves cold targets to
  * others: a new leader waits longer before it names gateways for them.
  */
-const coldLeaseMilliseconds = 1500;
+const coldLeaseMilliseconds = 2000;
 
 /** Options of a {@link TargetDesk}. */
 export interface TargetDeskOptions {
@@ -38,6 +40,8 @@
   readonly service: string;
   readonly position: number | undefined;
   readonly tried: ReadonlySet<string>;
+  /** After this an answer is worth less. */
+  readonly objectiveAt: number;
 }
 
 /** What became of a wish. */
@@ -58,6 +62,8 @@
   readonly #services = new Map<string, ServiceDesk>();
   readonly #records = new Map<string, TargetRecord>();
   readonly #coldRates = new Map<string, ColdRate>();
+  /** Keyed requests that control was not told of, by service and bucket. */
+  readonly #demand = new Map<string, Map<number, number>>();
 
   constructor(options: TargetDeskOptions) {
     this.#options = options;
@@ -75,6 +81,23 @@
     return desk;
   }
 
+  /** Counts a request for a position. */
+  noteDemand(service: string, position: number): void {
+    const buckets = this.#demand.get(service) ?? new Map<number, number>();
+    this.#demand.set(service, buckets);
+    const bucket = bucketOf(position);
+    buckets.set(bucket, (buckets.get(bucket) ?? 0) + 1);
+  }
+
+  /** Takes what was counted since the last call. */
+  takeDemand(): readonly DemandRow[] {
+    const rows = [...this.#demand].flatMap(([service, buckets]) =>
+      [...buckets].map(([bucket, count]) => ({ service, bucket, count }))
+    );
+    this.#demand.clear();
+    return rows;
+  }
+
   /** Starts what news has made possible, and forgets targets that are gone. */
   noteTable(): void {
     const { table } = this.#options.keeper;
@@ -108,9 +131,13 @@
     }
     const record = this.#record(target.name);
     const now = this.#options.clock.now();
-    return record.load(now) < target.slots + ownerWaitingRoom
-      ? { kind: "found", target, record }
-      : { kind: "wait" };
+    const hasRoom = hasRoomFor(record, {
+      now,
+      slots: target.slots + ownerWaitingRoom,
+      gateways: table.gateways,
+      usualMilliseconds: this.service(service).usualMilliseconds,
+    });
+    return hasRoom ? { kind: "found", target, record } : { kind: "wait" };
   }
 
   #findAny(wish: TargetWish): TargetFound {
@@ -127,6 +154,8 @@
       now,
       random,
       usualMilliseconds: this.service(wish.service).usualMilliseconds,
+      objectiveMilliseconds: wish.objectiveAt - now,
+      gateways: keeper.table.gateways,
       tried: wish.tried,
     });
     if (choice.kind === "none") {
--- /dev/null
+++ b/packages/items/apply_change_test.ts
@@ -0,0 +1,114 @@
+import { describe, expect, it } from "vitest";
+import { applyChange } from "./apply_change.ts";
+import { ItemKind, RequestKind } from "./types.ts";
+import type { HeldItems, ItemChange, Route, Service } from "./types.ts";
+
+const route: Route = {
+  kind: ItemKind.route,
+  name: "lookup",
+  host: "jigs.example",
+  pathPrefix: "/drawings/",
+  requests: RequestKind.idempotent,
+  timeoutMilliseconds: 1500,
+  objectiveMilliseconds: 600,
+  priority: 2,
+  parts: [{ service: "catalogue", weight: 1 }],
+  maximumTargets: 2,
+  homeRegions: [],
+};
+
+const service: Service = {
+  kind: ItemKind.service,
+  name: "catalogue",
+  maximumConnections: 110,
+  coldMilliseconds: 3000,
+  coldPerSecond: 5,
+  isKeyed: false,
+};
+
+const founding: ItemChange = {
+  items: [
+    { version: 7, content: service, source: "service 7" },
+    { version: 7, content: route, source: "route 7" },
+  ],
+  removals: [],
+};
+
+function taken(held: HeldItems, change: ItemChange, index = 9): HeldItems {
+  const result = applyChange(held, change, index);
+  if (result.kind === "refused") throw new Error(result.faults.join("; "));
+  return result.items;
+}
+
+describe("applyChange", () => {
+  const held = taken(new Map(), founding, 1);
+
+  describe("versions", () => {
+    it("lets the highest version stand, in whatever order they come", () => {
+      const newer: ItemChange = {
+        items: [{ version: 9, content: route, source: "route 9" }],
+        removals: [],
+      };
+      const after = taken(taken(held, newer, 2), founding, 3);
+      expect(after.get("route/lookup")?.source).toBe("route 9");
+      expect(after.get("route/lookup")?.changedAt).toBe(2);
+    });
+
+    it("keeps what was sent first under a version", () => {
+      const other: ItemChange = {
+        items: [{ version: 7, content: route, source: "another 7" }],
+        removals: [],
+      };
+      expect(taken(held, other).get("route/lookup")?.source).toBe("route 7");
+    });
+
+    it("keeps a removal against an older item that comes late", () => {
+      const removal: ItemChange = {
+        items: [],
+        removals: [{ kind: ItemKind.route, name: "lookup", version: 8 }],
+      };
+      const after = taken(taken(held, removal, 2), founding, 3);
+      expect(after.get("route/lookup")?.content).toBeNull();
+    });
+
+    it("acknowledges an old item whose service is gone meanwhile", () => {
+      const withoutRoute = taken(held, {
+        items: [],
+        removals: [
+          { kind: ItemKind.route, name: "lookup", version: 8 },
+          { kind: ItemKind.service, name: "catalogue", version: 8 },
+        ],
+      });
+      expect(applyChange(withoutRoute, founding, 3).kind).toBe("taken");
+    });
+  });
+
+  describe("invalid calls", () => {
+    const cases: readonly (readonly [string, Partial<Route>])[] = [
+      ["unknown service", { parts: [{ service: "nobody", weight: 1 }] }],
+      ["no weight", { parts: [{ service: "catalogue", weight: 0 }] }],
+      ["empty host", { host: "" }],
+      ["objective a minute above", { objectiveMilliseconds: 61_500 }],
+    ];
+    for (const [name, fault] of cases) {
+      it(`takes nothing of a call with ${name}`, () => {
+        const result = applyChange(held, {
+          items: [
+            { version: 8, content: service, source: "service 8" },
+            { version: 8, content: { ...route, ...fault }, source: "route 8" },
+          ],
+          removals: [],
+        }, 2);
+        expect(result.kind).toBe("refused");
+      });
+    }
+
+    it("refuses to drop a service that a route names", () => {
+      const result = applyChange(held, {
+        items: [],
+        removals: [{ kind: ItemKind.service, name: "catalogue", version: 8 }],
+      }, 2);
+      expect(result.kind).toBe("refused");
+    });
+  });
+});
--- /dev/null
+++ b/packages/items/route_index_test.ts
@@ -0,0 +1,54 @@
+import { describe, expect, it } from "vitest";
+import { RouteIndex } from "./route_index.ts";
+import { ItemKind, RequestKind } from "./types.ts";
+import type { HeldItem } from "./types.ts";
+
+function held(name: string, pathPrefix: string, changedAt = 1): HeldItem {
+  return {
+    kind: ItemKind.route,
+    name,
+    version: 1,
+    source: "",
+    changedAt,
+    content: {
+      kind: ItemKind.route,
+      name,
+      host: "Jigs.example",
+      pathPrefix,
+      requests: RequestKind.idempotent,
+      timeoutMilliseconds: 1000,
+      objectiveMilliseconds: 500,
+      priority: 1,
+      parts: [{ service: "catalogue", weight: 1 }],
+      maximumTargets: 2,
+      homeRegions: [],
+    },
+  };
+}
+
+describe("RouteIndex", () => {
+  const index = new RouteIndex([
+    held("all", "/"),
+    held("drawings", "/drawings/"),
+    held("clamps", "/drawings/clamps/"),
+    held("older", "/stock/", 1),
+    held("newer", "/stock/", 2),
+  ]);
+
+  it("takes the longest prefix that ends at a slash", () => {
+    expect(index.match("jigs.example", "/drawings/clamps/7")?.name)
+      .toBe("clamps");
+    expect(index.match("jigs.example", "/drawings/clampsite")?.name)
+      .toBe("drawings");
+    expect(index.match("jigs.example", "/other?at=/drawings/")?.name)
+      .toBe("all");
+  });
+
+  it("takes the item changed last of two at one place", () => {
+    expect(index.match("jigs.example", "/stock/1")?.name).toBe("newer");
+  });
+
+  it("knows no other host", () => {
+    expect(index.match("feeds.example", "/drawings/")).toBeUndefined();
+  });
+});
