--- /dev/null
+++ b/packages/dispatch/choose_target_test.ts
@@ -0,0 +1,86 @@
+import { describe, expect, it } from "vitest";
+import { chooseTarget, Distance } from "./choose_target.ts";
+import type { TargetOption } from "./choose_target.ts";
+import { ExchangeEnd, TargetRecord } from "./target_record.ts";
+
+const slots = 6;
+
+function option(name: string, distance: Distance): TargetOption {
+  return { name, slots, distance, record: new TargetRecord() };
+}
+
+function choose(targets: readonly TargetOption[], now = 1000) {
+  return chooseTarget(targets, {
+    now,
+    usualMilliseconds: 220,
+    objectiveMilliseconds: 600,
+    gateways: 9,
+    random: () => 0.5,
+    tried: new Set(),
+  });
+}
+
+function answer(
+  { record }: TargetOption,
+  durationMilliseconds: number,
+  end: ExchangeEnd = ExchangeEnd.answered,
+): void {
+  record.begin();
+  record.end(end, { now: 1000, durationMilliseconds });
+}
+
+describe("chooseTarget", () => {
+  it("stays in the region while it answers in time", () => {
+    const near = option("near", Distance.region);
+    const far = option("far", Distance.far);
+    answer(near, 300);
+    answer(far, 50);
+    expect(choose([far, near])).toMatchObject({ target: { name: "near" } });
+  });
+
+  it("crosses when nobody here would answer in time", () => {
+    const near = option("near", Distance.region);
+    const far = option("far", Distance.far);
+    for (let count = 0; count < 9; count += 1) answer(near, 2000);
+    expect(choose([far, near])).toMatchObject({ target: { name: "far" } });
+  });
+
+  it("leaves a grey target whose requests fail", () => {
+    const grey = option("grey", Distance.region);
+    const sound = option("sound", Distance.region);
+    for (let count = 0; count < 4; count += 1) {
+      answer(grey, 5, ExchangeEnd.failed);
+      answer(sound, 260);
+    }
+    expect(choose([grey, sound])).toMatchObject({ target: { name: "sound" } });
+  });
+
+  it("sets a silent target aside and tries it again later", () => {
+    const silent = option("silent", Distance.dataCentre);
+    const sound = option("sound", Distance.region);
+    answer(silent, 0, ExchangeEnd.broken);
+    expect(choose([silent, sound])).toMatchObject({
+      target: { name: "sound" },
+    });
+    expect(choose([silent, sound], 20_000))
+      .toMatchObject({ target: { name: "silent" } });
+  });
+
+  it("uses targets that are aside when most of them are", () => {
+    const targets = ["a", "b", "c"].map((name) =>
+      option(name, Distance.region)
+    );
+    for (const target of targets) answer(target, 0, ExchangeEnd.broken);
+    expect(choose(targets).kind).toBe("chosen");
+  });
+
+  it("lets requests wait when every slot is taken", () => {
+    const target = option("only", Distance.region);
+    target.record.report(
+      { running: 6, waiting: 2, slots, slowdown: 1 },
+      1000,
+    );
+    target.record.begin();
+    expect(choose([target]).kind).toBe("full");
+  });
+});
--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -88,12 +88,14 @@
   #replica!: ControlReplica;
   #links: ReplicaLinks | undefined;
   #session: LeaderSession | undefined;
+  #seeds: readonly string[];
   #founding = false;
   #greetedAt = -Infinity;
   #leader: string | null = null;
 
   protected constructor(options: ControlVmOptions) {
     this.#options = options;
+    this.#seeds = options.seeds;
     this.#calls = new PeerCalls({ secret: options.secret });
     this.#members = new Members(options.peerAddress);
   }
@@ -136,6 +138,11 @@
     return vm;
   }
 
+  /** Takes over other seeds. */
+  useSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
+
   /** Hands the lead over, ends the calls in progress and stops. */
   async stop(): Promise<void> {
     this.#options.logger.info("control-stopping");
@@ -473,8 +480,8 @@
 
   /** Peer addresses of the seeds: their IPs, with this VM's peer port. */
   get #seedPeers(): readonly string[] {
-    const { seeds, peerAddress } = this.#options;
-    return seeds.map((seed) => peerAddressOf(seed, peerAddress));
+    const { peerAddress } = this.#options;
+    return this.#seeds.map((seed) => peerAddressOf(seed, peerAddress));
   }
 
   // A leader learns of the others by their greetings, and tells them of all.
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -110,6 +110,7 @@
         response.end();
       },
     });
+    vm.#keeper.start();
     options.logger.info("gateway-started", { address: options.callersAddress });
     return vm;
   }
@@ -119,6 +120,14 @@
     return !this.#isStopping && this.#keeper.table.isKnown;
   }
 
+  /** Takes over other seeds. */
+  useSeeds(seeds: readonly string[]): void {
+    const { peerAddress } = this.#options;
+    this.#keeper.useSeeds(
+      seeds.map((seed) => peerAddressOf(seed, peerAddress)),
+    );
+  }
+
   /** Serves on until callers have gone elsewhere, and ends every request. */
   async stop(): Promise<void> {
     const { logger, graceMilliseconds } = this.#options;
--- a/packages/fleet_gateway/table_keeper.ts
+++ b/packages/fleet_gateway/table_keeper.ts
@@ -34,6 +34,7 @@
 export class TableKeeper {
   readonly table = new GatewayTable();
   readonly #options: TableKeeperOptions;
+  #seeds: readonly string[];
   #heardAt = -Infinity;
   #leader: string | null = null;
   #turn = 0;
@@ -42,6 +43,11 @@
 
   constructor(options: TableKeeperOptions) {
     this.#options = options;
+    this.#seeds = options.seeds;
+  }
+
+  /** Begins to ask control, until it is stopped. */
+  start(): void {
     void this.#run();
   }
 
@@ -50,6 +56,11 @@
     return now - this.#heardAt;
   }
 
+  /** Takes over other peer addresses at which control is looked for. */
+  useSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
+
   stop(): void {
     this.#isStopped = true;
   }
@@ -64,8 +75,7 @@
 
   #nextAddress(): string {
     if (this.#leader !== null) return this.#leader;
-    const { seeds } = this.#options;
-    const known = [...new Set([...this.table.control, ...seeds])];
+    const known = [...new Set([...this.table.control, ...this.#seeds])];
     return known[this.#turn++ % known.length]!;
   }
 
--- a/packages/kingcupglade/commands/serve.ts
+++ b/packages/kingcupglade/commands/serve.ts
@@ -1,7 +1,9 @@
 import { parseArgs } from "node:util";
 import { startFleetVm } from "../fleet_vm.ts";
+import type { FleetVm } from "../fleet_vm.ts";
 import { readFleetSettings, readSettings } from "../settings/read.ts";
 import { Vm } from "../vm.ts";
+import type { ResolvedFleetSettings } from "../settings/fleet_schema.ts";
 import { ExitCode, UsageError } from "./command.ts";
 import type { Command } from "./command.ts";
 
@@ -23,14 +25,18 @@
     if (values.settings === undefined) {
       throw new UsageError("serve needs --settings FILE");
     }
-    const fleetSettings = await readFleetSettings(values.settings);
+    const path = values.settings;
+    const fleetSettings = await readFleetSettings(path);
     const stopped = stopSignal();
     let fail: (failure: unknown) => void = () => {};
     const failure = new Promise<never>((_, reject) => (fail = reject));
     const vm = fleetSettings
-      ? await startFleetVm(fleetSettings, (cause) => fail(cause))
+      ? await startFleet(fleetSettings, {
+        path,
+        onFailure: (cause) => fail(cause),
+      })
       : await Vm.start({
-        settings: await readSettings(values.settings),
+        settings: await readSettings(path),
         onFailure: (cause) => fail(cause),
       });
     await Promise.race([failure, stopped]);
@@ -39,6 +45,30 @@
   },
 };
 
+/** Starts a VM of a fleet and has it reread its settings at SIGHUP. */
+async function startFleet(
+  settings: ResolvedFleetSettings,
+  options: {
+    readonly path: string;
+    readonly onFailure: (failure: unknown) => void;
+  },
+): Promise<FleetVm> {
+  const starting = startFleetVm(settings, options.onFailure);
+  // Without a listener the signal would end the process.
+  process.on("SIGHUP", () => void reload(starting, options.path));
+  return await starting;
+}
+
+async function reload(starting: Promise<FleetVm>, path: string): Promise<void> {
+  const vm = await starting;
+  try {
+    const settings = await readFleetSettings(path);
+    if (settings) vm.reload(settings);
+  } catch (failure) {
+    vm.noteReloadFailure(failure);
+  }
+}
+
 /** Resolves at the first signal; the second one ends the process. */
 function stopSignal(): Promise<void> {
   return new Promise((resolve) => {
--- /dev/null
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -0,0 +1,396 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { request as send } from "node:http";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
+import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
+import { startFleetVm } from "./fleet_vm.ts";
+import type { FleetVm } from "./fleet_vm.ts";
+import { parseFleetSettings } from "./settings/read.ts";
+
+const controlAddress = "127.30.0.1:7300";
+const gatewayAddress = "127.30.0.2:7301";
+
+const configuration = {
+  upsert: {
+    services: [
+      { name: "catalogue", maxConnections: 10, version: 1 },
+      { name: "stock", maxConnections: 10, sharded: true, version: 1 },
+    ],
+    routes: [
+      routeOf("lookup", "safe", "catalogue"),
+      routeOf("reserve", "unsafe", "catalogue"),
+      routeOf("stock", "safe", "stock"),
+      { ...routeOf("home", "safe", "catalogue"), allowedRegions: ["north"] },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1000,
+      headerTimeoutS: 3,
+      idleTimeoutS: 15,
+      version: 1,
+    },
+  },
+};
+
+function routeOf(name: string, routeType: string, service: string) {
+  return {
+    name,
+    host: "jigs.example",
+    pathPrefix: `/${name}/`,
+    routeType,
+    timeoutS: 1,
+    targetLatencyS: 0.5,
+    priority: 1,
+    service,
+    maxAttempts: 2,
+    version: 1,
+  };
+}
+
+function settingsText(role: string, address: string, more: string): string {
+  const [ip] = address.split(":");
+  return `[vm]
+name = ${role}-1
+role = ${role}
+dataCentre = a
+region = north
+${more}
+peers = ${ip}:7390
+[control]
+seeds = ${controlAddress}
+mayFound = true
+toleratedLosses = 0
+heartbeatSeconds = 0.2
+[regions]
+a = north
+b = south
+[log]
+level = silent
+`;
+}
+
+async function startRole(
+  role: string,
+  address: string,
+  more: string,
+): Promise<FleetVm> {
+  const text = settingsText(role, address, more);
+  return await startFleetVm(parseFleetSettings(text, `${role}.ini`)!, () => {});
+}
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+type HeldRow = readonly [number, number, number, string];
+
+/** A target that announces itself and answers as it is told. */
+class AnnouncedTarget {
+  readonly requests: string[] = [];
+  handler: Handler = (_request, response) => response.end("whole");
+  readonly #name: string;
+  readonly #service: string;
+  readonly #dataCentre: string;
+  readonly #server: Server;
+  #address = "";
+  #sequence = 0;
+  #holds: readonly HeldRow[] = [];
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(name: string, service: string, dataCentre: string) {
+    this.#name = name;
+    this.#service = service;
+    this.#dataCentre = dataCentre;
+    this.#server = createServer((request, response) => {
+      const id = String(request.headers["x-request-id"]);
+      this.requests.push(id);
+      response.setHeader("x-request-id", id);
+      response.setHeader("x-response-signature", name);
+      this.handler(request, response);
+    });
+  }
+
+  async start(ip: string): Promise<void> {
+    this.#address = `${ip}:7400`;
+    await new Promise<void>((resolve) =>
+      this.#server.listen(7400, ip, resolve)
+    );
+    this.#timer = setInterval(() => void this.beat("ready"), 100);
+  }
+
+  async beat(state: string): Promise<void> {
+    const { body } = await call("PUT", `/v1/instances/${this.#name}`, {
+      service: this.#service,
+      address: this.#address,
+      zone: this.#dataCentre,
+      slots: 4,
+      state,
+      coldRemainingS: 0,
+      sequence: this.#sequence++,
+      born: 1000,
+      holds: this.#holds.map(([from, to, fence]) => [from, to, fence]),
+    });
+    this.#holds = (body as { holds?: readonly HeldRow[] }).holds ?? [];
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+interface Answer {
+  readonly status: number;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: unknown;
+}
+
+function exchange(options: {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+}): Promise<Answer> {
+  const [host, port] = options.address.split(":");
+  return new Promise((resolve, reject) => {
+    const request = send({ ...options, host, port }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk) => chunks.push(chunk));
+      response.on("error", reject);
+      response.on("end", () => {
+        const { statusCode = 0, headers } = response;
+        const body = Buffer.concat(chunks).toString();
+        resolve({ status: statusCode, headers, body });
+      });
+    });
+    request.on("error", reject);
+    request.end(options.body);
+  });
+}
+
+async function call(
+  method: string,
+  path: string,
+  body?: unknown,
+): Promise<Answer> {
+  const answer = await exchange({
+    address: controlAddress,
+    method,
+    path,
+    ...(body !== undefined && { body: JSON.stringify(body) }),
+  });
+  return { ...answer, body: JSON.parse(String(answer.body)) };
+}
+
+let nextId = 1;
+
+function ask(
+  path: string,
+  more: {
+    readonly method?: string;
+    readonly headers?: Record<string, string>;
+    readonly body?: string;
+  } = {},
+): Promise<Answer> {
+  return exchange({
+    address: gatewayAddress,
+    method: more.method ?? "GET",
+    path,
+    headers: {
+      host: "jigs.example",
+      "x-request-id": `r${nextId++}`,
+      "x-deadline-ms": "900",
+      ...more.headers,
+    },
+    ...(more.body !== undefined && { body: more.body }),
+  });
+}
+
+describe("a fleet of one control VM and one gateway", () => {
+  let folder: string;
+  let control: FleetVm;
+  let gateway: FleetVm;
+  const near = new AnnouncedTarget("near", "catalogue", "a");
+  const far = new AnnouncedTarget("far", "catalogue", "b");
+  const stock = new AnnouncedTarget("stock", "stock", "a");
+  const targets = [near, far, stock];
+
+  beforeAll(async () => {
+    folder = await mkdtemp(join(tmpdir(), "fleet-"));
+    control = await startRole(
+      "control",
+      controlAddress,
+      `dataFolder = ${folder}\n[listen]\ncontrol = ${controlAddress}`,
+    );
+    gateway = await startRole(
+      "gateway",
+      gatewayAddress,
+      `[listen]\ncallers = ${gatewayAddress}\nreadiness = 127.30.0.2:7302`,
+    );
+    expect((await ask("/lookup/1")).status).toBe(503);
+    await until(async () =>
+      (await call("PATCH", "/v1/config", configuration)).status === 200
+    );
+    await near.start("127.30.0.3");
+    await far.start("127.30.0.4");
+    await stock.start("127.30.0.5");
+    await until(async () => (await ask("/lookup/1")).status === 200);
+    await until(async () =>
+      (await ask("/stock/1", { headers: { "x-shard-key": "7" } })).status ===
+        200
+    );
+  });
+
+  afterAll(async () => {
+    for (const target of targets) target.stop();
+    await gateway.stop();
+    await control.stop();
+    await rm(folder, { recursive: true });
+  });
+
+  beforeEach(() => {
+    for (const target of targets) {
+      target.requests.length = 0;
+      target.handler = (_request, response) => response.end("whole");
+    }
+  });
+
+  it("answers 404 where no route matches", async () => {
+    expect((await ask("/nothing/1")).status).toBe(404);
+  });
+
+  it("passes the target's answer and signature on", async () => {
+    const answer = await ask("/lookup/1");
+    expect(answer.body).toBe("whole");
+    expect(answer.headers["x-response-signature"]).toMatch(/near|far/);
+  });
+
+  it("takes a request with homes to no other region", async () => {
+    for (let count = 0; count < 10; count += 1) await ask("/home/1");
+    expect(near.requests).toHaveLength(10);
+    expect(far.requests).toHaveLength(0);
+  });
+
+  it("hands on less time than the caller has", async () => {
+    let handed = Infinity;
+    near.handler = far.handler = (request, response) => {
+      handed = Number(request.headers["x-deadline-ms"]);
+      response.end();
+    };
+    await ask("/lookup/1");
+    expect(handed).toBeLessThanOrEqual(900);
+  });
+
+  it("repeats an idempotent request whose target broke off", async () => {
+    near.handler = (request) => request.socket.destroy();
+    far.handler = near.handler;
+    const broken = await ask("/lookup/1");
+    expect(broken.status).toBe(502);
+    expect(near.requests.length + far.requests.length).toBe(2);
+  });
+
+  it("sends a request that may run once no second time", async () => {
+    near.handler = (request) => request.socket.destroy();
+    far.handler = near.handler;
+    const answer = await ask("/reserve/1", { method: "POST", body: "x" });
+    expect(answer.status).toBe(502);
+    expect(near.requests.length + far.requests.length).toBe(1);
+  });
+
+  it("sends it elsewhere when the target says that it did not run", async () => {
+    const refuse: Handler = (_request, response) => {
+      response.writeHead(503, { "x-not-executed": "1" }).end();
+    };
+    near.handler = refuse;
+    far.handler = refuse;
+    const refused = await ask("/reserve/1", { method: "POST", body: "x" });
+    expect(refused.status).toBe(503);
+    expect(Number(refused.headers["retry-after"])).toBeGreaterThan(0);
+    expect(near.requests.length + far.requests.length).toBe(2);
+  });
+
+  it("ends a request at its time with an answer", async () => {
+    near.handler = far.handler = () => {};
+    const startedAt = performance.now();
+    const answer = await ask("/lookup/1", {
+      headers: { "x-deadline-ms": "400" },
+    });
+    expect(answer.status).toBe(504);
+    expect(performance.now() - startedAt).toBeLessThan(600);
+  });
+
+  it("cancels the work of a caller that left", async () => {
+    let cancelled = false;
+    near.handler = far.handler = (_request, response) => {
+      response.on("close", () => (cancelled = true));
+    };
+    const request = send({
+      host: "127.30.0.2",
+      port: 7301,
+      path: "/lookup/1",
+      headers: { host: "jigs.example", "x-request-id": "left" },
+    });
+    request.on("error", () => {});
+    request.end();
+    await until(() => near.requests.length + far.requests.length > 0);
+    request.destroy();
+    await until(() => cancelled);
+  });
+
+  it("refuses a body above the limit", async () => {
+    const body = "x".repeat(2000);
+    const answer = await ask("/reserve/1", { method: "POST", body });
+    expect(answer.status).toBe(413);
+  });
+
+  it("refuses an invalid change whole, and reads back what stands", async () => {
+    const route = routeOf("lookup", "safe", "nobody");
+    const invalid = { upsert: { routes: [{ ...route, version: 2 }] } };
+    expect((await call("PATCH", "/v1/config", invalid)).status).toBe(400);
+    const read = await call("GET", "/v1/config");
+    expect(read.body).toEqual({
+      ...configuration.upsert,
+      routes: expect.arrayContaining(configuration.upsert.routes),
+    });
+  });
+
+  it("takes no heartbeat that it cannot read, and keeps the others", async () => {
+    const beat = { service: "catalogue", address: "127.30.0.3:7400" };
+    const answer = await call("PUT", "/v1/instances/forged", beat);
+    expect(answer.status).toBe(400);
+    expect((await ask("/lookup/1")).status).toBe(200);
+  });
+
+  it("sends nothing to a data centre that is out, and again when it is back", async () => {
+    await call("POST", "/v1/evacuations/a");
+    await pause(100);
+    for (let count = 0; count < 5; count += 1) await ask("/lookup/1");
+    expect(near.requests).toHaveLength(0);
+    await call("DELETE", "/v1/evacuations/a");
+    await until(async () => {
+      await ask("/lookup/1");
+      return near.requests.length > 0;
+    });
+  });
+
+  it("sends nothing to a target that leaves", async () => {
+    await far.beat("draining");
+    await pause(100);
+    far.requests.length = 0;
+    for (let count = 0; count < 10; count += 1) await ask("/lookup/1");
+    expect(far.requests).toHaveLength(0);
+  });
+});
+
+async function until(
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const startedAt = performance.now();
+  while (!await condition()) {
+    if (performance.now() - startedAt > 15_000) throw new Error("in vain");
+    await pause(50);
+  }
+}
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -6,7 +6,8 @@
   PlatformControlWire,
 } from "@kingcupglade/platform";
 import { MonotonicClock } from "@kingcupglade/tasks";
-import { createLogger } from "@kingcupglade/telemetry";
+import { createLogger, describeFailure } from "@kingcupglade/telemetry";
+import type { Logger } from "@kingcupglade/telemetry";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetRole } from "./settings/fleet_schema.ts";
@@ -22,20 +23,53 @@
 /** What VMs present to each other where no secret is set. */
 const unguarded = "unguarded";
 
-/** What a running VM of a fleet can be told. */
-export interface FleetVm {
-  /** Ends every request in progress and stops. */
+interface RunningRole {
+  useSeeds(seeds: readonly string[]): void;
   stop(): Promise<void>;
 }
 
+/** A running VM of a fleet. */
+export class FleetVm {
+  readonly #role: RunningRole;
+  readonly #logger: Logger;
+
+  constructor(
+    options: { readonly role: RunningRole; readonly logger: Logger },
+  ) {
+    this.#role = options.role;
+    this.#logger = options.logger;
+  }
+
+  /** Takes over what may change while the VM runs: the seeds. */
+  reload(settings: ResolvedFleetSettings): void {
+    const { seeds } = settings.control;
+    this.#role.useSeeds(seeds);
+    this.#logger.info("settings-reloaded", { seeds: seeds.join(",") });
+  }
+
+  /** Keeps the settings that it has. */
+  noteReloadFailure(failure: unknown): void {
+    this.#logger.error("settings-not-reloaded", {
+      reason: describeFailure(failure),
+    });
+  }
+
+  /** Ends every request in progress and stops. */
+  async stop(): Promise<void> {
+    await this.#role.stop();
+  }
+}
+
 /** Starts a VM of a fleet in the role that its settings name. */
 export async function startFleetVm(
   settings: ResolvedFleetSettings,
   onFailure: (failure: unknown) => void,
 ): Promise<FleetVm> {
-  return isGateway(settings)
-    ? await startGateway(settings)
-    : await startControl(settings, onFailure);
+  const common = await commonOptions(settings);
+  const role = isGateway(settings)
+    ? await startGateway(settings, common)
+    : await startControl(settings, { ...common, onFailure });
+  return new FleetVm({ role, logger: common.logger });
 }
 
 function isGateway(
@@ -46,10 +80,11 @@
 
 async function startGateway(
   settings: ResolvedGatewaySettings,
-): Promise<FleetVm> {
+  common: CommonOptions,
+): Promise<RunningRole> {
   const { listen, retries, stop } = settings;
   return await GatewayVm.start({
-    ...await commonOptions(settings),
+    ...common,
     callersAddress: listen.callers,
     readinessAddress: listen.readiness,
     graceMilliseconds: stop.graceSeconds * millisecondsPerSecond,
@@ -65,21 +100,22 @@
 
 async function startControl(
   settings: ResolvedControlSettings,
-  onFailure: (failure: unknown) => void,
-): Promise<FleetVm> {
+  common: CommonOptions & { readonly onFailure: (failure: unknown) => void },
+): Promise<RunningRole> {
   const { vm, listen, control } = settings;
   return await ControlVm.start({
-    ...await commonOptions(settings),
+    ...common,
     folder: vm.dataFolder,
     controlAddress: listen.control,
     mayFound: control.mayFound,
     toleratedLosses: control.toleratedLosses,
     heartbeatMilliseconds: control.heartbeatSeconds * millisecondsPerSecond,
     wire: new PlatformControlWire(),
-    onFailure,
   });
 }
 
+type CommonOptions = Awaited<ReturnType<typeof commonOptions>>;
+
 async function commonOptions(settings: ResolvedFleetSettings) {
   const { vm, listen, control, regions, security, log } = settings;
   return {
