Pass an answer without a length on without one

Change: such an answer reaches the caller as it came, ended by its connection. The test in fleet_path_test.ts failed before ('10' for content-length).

--- a/packages/fleet_gateway/answer.ts
+++ b/packages/fleet_gateway/answer.ts
@@ -14,6 +14,8 @@
   "upgrade",
 ]);
 
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 /** Why a request is answered by the gateway itself. */
 export interface OwnAnswer {
   readonly status: number;
@@ -39,7 +41,8 @@
   pass(head: AnswerHead, body: Buffer): void {
     if (this.isClosed) return;
     const headers = passedHeaders(head.headers);
-    headers.push("content-length", String(body.length));
+    if (isFramed(head)) headers.push("content-length", String(body.length));
+    else this.#endWithConnection(headers);
     this.#response.writeHead(head.status, headers);
     this.#response.end(body);
   }
@@ -68,10 +71,18 @@
     const headers = passedHeaders(head.headers);
     const length = head.headers["content-length"];
     if (length !== undefined) headers.push("content-length", length);
+    else if (!isFramed(head)) this.#endWithConnection(headers);
     this.#response.writeHead(head.status, headers);
     for (const chunk of first) this.#response.write(chunk);
   }
 
+  // Nobody but the target knows whether such an answer is whole, so it must
+  // look to the caller as it looked here.
+  #endWithConnection(headers: string[]): void {
+    this.#response.useChunkedEncodingByDefault = false;
+    headers.push("connection", "close");
+  }
+
   write(chunk: Buffer): boolean {
     return this.#response.write(chunk);
   }
@@ -90,6 +101,13 @@
   }
 }
 
+/** Whether the end of an answer can be told from a break. */
+function isFramed({ status, headers }: AnswerHead): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined ||
+    bodilessStatuses.has(status);
+}
+
 function passedHeaders(headers: IncomingHttpHeaders): string[] {
   const passed: string[] = [];
   for (const [name, value] of Object.entries(headers)) {
--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -274,6 +274,19 @@
     expect(far.requests).toHaveLength(0);
   });
 
+  it("passes an answer without a length on without one", async () => {
+    near.handler = far.handler = (_request, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.setHeader("connection", "close");
+      response.end("part of it");
+    };
+    const { headers, body } = await ask("/lookup/1");
+    expect(body).toBe("part of it");
+    expect(headers["content-length"]).toBeUndefined();
+    expect(headers["transfer-encoding"]).toBeUndefined();
+    expect(headers.connection).toBe("close");
+  });
+
   it("hands on less time than the caller has", async () => {
     let handed = Infinity;
     near.handler = far.handler = (request, response) => {
