Wait for an owner by its own line, and give faster owners more ranges

A request's expected wait counted the requests of every owner, so a hot key had others refused; ranges were dealt by slots alone, though targets of one service differ in speed. Change: the expected wait counts one lane; gateways tell how long owners take and the leader weighs ranges by it.

--- a/packages/dispatch/target_record.ts
+++ b/packages/dispatch/target_record.ts
@@ -98,6 +98,11 @@
     return own + (usualMilliseconds - own) * share;
   }
 
+  /** Whether it answered lately. */
+  isSeen(now: number): boolean {
+    return this.#duration !== undefined && this.#staleness(now) < 1;
+  }
+
   /** How much longer than usual work takes there now. */
   slowdown(now: number): number {
     return now - this.#reportAt < slowdownMilliseconds
--- a/packages/dispatch/waiting_line.ts
+++ b/packages/dispatch/waiting_line.ts
@@ -2,7 +2,7 @@
 export interface WaitingRequest {
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Requests of one lane can go to the same targets. */
+  /** Requests of one lane wait for the same targets. */
   readonly lane: string;
   /** When its caller first asked, as far as it is known. */
   readonly arrivedAt: number;
@@ -31,9 +31,11 @@
     return this.#waiting.length;
   }
 
-  /** Requests that would be started before one of this priority. */
-  ahead(priority: number): number {
-    return this.#waiting.filter((each) => each.priority <= priority).length;
+  /** Requests of a lane that would be started before one of this priority. */
+  ahead(priority: number, lane: string): number {
+    return this.#waiting.filter((each) =>
+      each.priority <= priority && each.lane === lane
+    ).length;
   }
 
   add(request: WaitingRequest): void {
--- a/packages/fleet/key_demand.ts
+++ b/packages/fleet/key_demand.ts
@@ -8,6 +8,13 @@
   readonly count: number;
 }
 
+/** How long a target of a keyed service takes, as one gateway sees it. */
+export interface DurationRow {
+  readonly target: string;
+  /** Mean, in milliseconds. */
+  readonly milliseconds: number;
+}
+
 /** Positions counted together: a hot key's neighbours are hot as well. */
 export const positionsPerBucket = 16;
 /** Old demand counts half after this long; hot keys change within seconds. */
--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -13,7 +13,8 @@
 } from "./announcement.ts";
 export { emptyFleet, FleetMachine } from "./fleet_machine.ts";
 export { bucketOf, KeyDemand } from "./key_demand.ts";
-export type { DemandRow } from "./key_demand.ts";
+export type { DemandRow, DurationRow } from "./key_demand.ts";
+export { TargetSpeeds } from "./target_speeds.ts";
 export { isSameLife, RangeKeeper } from "./range_keeper.ts";
 export type { RangeCandidate, RangeKeeperOptions } from "./range_keeper.ts";
 export { isCovered, Revisions, TargetRegistry } from "./target_registry.ts";
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -5,6 +5,7 @@
   RangeKeeper,
   Revisions,
   TargetRegistry,
+  TargetSpeeds,
 } from "@kingcupglade/fleet";
 import type {
   Announcement,
@@ -69,6 +70,7 @@
   readonly #gateways: GatewayBook;
   readonly #keepers = new Map<string, RangeKeeper>();
   readonly #demand = new Map<string, KeyDemand>();
+  readonly #speeds = new TargetSpeeds();
   /** What gateways were told of each range, and when it last changed. */
   readonly #rangeFlags = new Map<
     string,
@@ -168,6 +170,7 @@
     for (const { service, bucket, count } of watch.demand) {
       this.#demandOf(service).note(bucket, count, now);
     }
+    for (const row of watch.durations) this.#speeds.note(row);
     if (!this.#hasNews(watch.position)) await this.#news(holdMilliseconds);
     return this.#delta(watch.position);
   }
@@ -354,13 +357,15 @@
     const { heartbeatMilliseconds, replica } = this.#options;
     const silent = heartbeatMilliseconds * silentHeartbeats;
     const { evacuations } = replica.state;
-    return [...this.#registry.all()].filter((target) =>
+    const targets = [...this.#registry.all()].filter((target) =>
       target.service === service && !target.isLeaving &&
       now - target.heardAt < silent &&
       evacuations.get(target.dataCentre)?.isOut !== true
-    ).map(({ life, slots, isCold, isUnproven }) => ({
+    );
+    const names = targets.map(({ life }) => life.target);
+    return targets.map(({ life, slots, isCold, isUnproven }) => ({
       life,
-      weight: slots,
+      weight: slots * this.#speeds.weight(life.target, names),
       accepts: !isCold && !isUnproven,
     }));
   }
--- a/packages/fleet_control/watch.ts
+++ b/packages/fleet_control/watch.ts
@@ -1,4 +1,9 @@
-import type { DemandRow, ViewDelta, ViewPosition } from "@kingcupglade/fleet";
+import type {
+  DemandRow,
+  DurationRow,
+  ViewDelta,
+  ViewPosition,
+} from "@kingcupglade/fleet";
 
 /** A gateway's question for news. */
 export interface Watch {
@@ -9,6 +14,7 @@
   readonly position: ViewPosition;
   /** Keyed requests since the question before. */
   readonly demand: readonly DemandRow[];
+  readonly durations: readonly DurationRow[];
 }
 
 /** What a gateway is answered. */
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -81,6 +81,7 @@
         peerAddressOf(seed, options.peerAddress)
       ),
       takeDemand: () => this.#desk.takeDemand(),
+      durations: () => this.#desk.durations(),
       calls: this.#calls,
       clock,
       logger,
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { ExchangeEnd } from "@kingcupglade/dispatch";
 import type { TargetRecord, WaitingRequest } from "@kingcupglade/dispatch";
-import { bucketOf } from "@kingcupglade/fleet";
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
 import type { Route } from "@kingcupglade/items";
@@ -113,14 +112,18 @@
     if (this.#isOver) return;
     const { clock } = this.#tools;
     const { route, arrivedAt, deadlineAt } = this.#routed;
-    const wait = this.#service.expectedWait(route.priority);
+    const lane = this.#tools.desk.lane(this.#routed);
+    const wait = this.#service.expectedWait({
+      priority: route.priority,
+      ...lane,
+    });
     const least = this.#service.usualMilliseconds / 2;
     if (clock.now() + wait + least > deadlineAt) {
       return this.#refuse("no room in time", wait);
     }
     this.#waiting = {
       priority: route.priority,
-      lane: this.#lane,
+      lane: lane.lane,
       arrivedAt,
       objectiveAt: this.#objectiveAt,
       deadlineAt,
@@ -136,13 +139,6 @@
     return arrivedAt + route.objectiveMilliseconds;
   }
 
-  get #lane(): string {
-    const { head, route } = this.#routed;
-    return head.position === undefined
-      ? route.name
-      : String(bucketOf(head.position));
-  }
-
   #tryStart(): boolean {
     const { route, service, head } = this.#routed;
     const found = this.#tools.desk.find({
--- a/packages/fleet_gateway/service_desk.ts
+++ b/packages/fleet_gateway/service_desk.ts
@@ -28,6 +28,11 @@
     this.budget = new RetryBudget(options.budget);
   }
 
+  /** Requests in progress. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
   /** Usual duration of an answer, in milliseconds. */
   get usualMilliseconds(): number {
     return this.#usual;
@@ -51,10 +56,16 @@
     this.advance();
   }
 
-  /** Time until a request of this priority is thought to start. */
-  expectedWait(priority: number): number {
-    const side = Math.max(1, this.#inFlight);
-    return this.#line.ahead(priority) * this.#usual / side;
+  /** Time until a request is thought to start. */
+  expectedWait(request: {
+    readonly priority: number;
+    readonly lane: string;
+    /** Requests of this gateway in progress at what the lane waits for. */
+    readonly inFlight: number;
+  }): number {
+    const { priority, lane, inFlight } = request;
+    return this.#line.ahead(priority, lane) * this.#usual /
+      Math.max(1, inFlight);
   }
 
   wait(request: WaitingRequest): void {
--- a/packages/fleet_gateway/table_keeper.ts
+++ b/packages/fleet_gateway/table_keeper.ts
@@ -1,5 +1,5 @@
 import { setTimeout as pause } from "node:timers/promises";
-import type { DemandRow } from "@kingcupglade/fleet";
+import type { DemandRow, DurationRow } from "@kingcupglade/fleet";
 import type {
   PeerCalls,
   Watch,
@@ -18,9 +18,10 @@
 
 /** Options of a {@link TableKeeper}. */
 export interface TableKeeperOptions {
-  readonly gateway: Omit<Watch, "position" | "demand">;
+  readonly gateway: Omit<Watch, "position" | "demand" | "durations">;
   /** Takes the keyed requests that were counted since the last call. */
   readonly takeDemand: () => readonly DemandRow[];
+  readonly durations: () => readonly DurationRow[];
   /** Peer addresses at which control is looked for first. */
   readonly seeds: readonly string[];
   readonly calls: PeerCalls;
@@ -81,11 +82,12 @@
 
   /** Asks one control VM; whether it led and answered. */
   async #ask(address: string): Promise<boolean> {
-    const { calls, clock, gateway, takeDemand } = this.#options;
+    const { calls, clock, gateway, takeDemand, durations } = this.#options;
     const watch: Watch = {
       ...gateway,
       position: this.table.position,
       demand: takeDemand(),
+      durations: durations(),
     };
     const askedAt = clock.now();
     try {
--- a/packages/fleet_gateway/target_desk.ts
+++ b/packages/fleet_gateway/target_desk.ts
@@ -8,7 +8,7 @@
 } from "@kingcupglade/dispatch";
 import type { RetryBudgetOptions, TargetOption } from "@kingcupglade/dispatch";
 import { bucketOf } from "@kingcupglade/fleet";
-import type { DemandRow, TargetView } from "@kingcupglade/fleet";
+import type { DemandRow, DurationRow, TargetView } from "@kingcupglade/fleet";
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
 import { ServiceDesk } from "./service_desk.ts";
@@ -98,6 +98,36 @@
     return rows;
   }
 
+  /** What a request waits for, and what this gateway has in progress there. */
+  lane(request: {
+    readonly route: Route;
+    readonly service: string;
+    readonly head: { readonly position: number | undefined };
+  }): { readonly lane: string; readonly inFlight: number } {
+    const { route, service, head } = request;
+    const { table } = this.#options.keeper;
+    const isKeyed = table.service(service)?.isKeyed === true;
+    if (!isKeyed || head.position === undefined) {
+      return { lane: route.name, inFlight: this.service(service).inFlight };
+    }
+    const owner = table.range(service, head.position)?.owner ?? "";
+    const inFlight = this.#records.get(owner)?.inFlight ?? 0;
+    return { lane: owner, inFlight };
+  }
+
+  /** Durations at the targets of keyed services, for those that were seen. */
+  durations(): readonly DurationRow[] {
+    const { keeper, clock } = this.#options;
+    const now = clock.now();
+    return [...this.#records].flatMap(([target, record]) => {
+      const service = keeper.table.target(target)?.service ?? "";
+      if (!keeper.table.service(service)?.isKeyed) return [];
+      const usual = this.service(service).usualMilliseconds;
+      const milliseconds = Math.round(record.duration(usual, now));
+      return record.isSeen(now) ? [{ target, milliseconds }] : [];
+    });
+  }
+
   /** Starts what news has made possible, and forgets targets that are gone. */
   noteTable(): void {
     const { table } = this.#options.keeper;
