Confirm the lead in shared rounds, elect sooner, and hedge overdue answers

Change: one confirming round in 150 ms; elections after 600 ms; a call that finds no leader waits for one; an idempotent answer overdue by 1.5 usual durations is asked for at an idle target of the region, within the budget.

--- a/packages/fleet_control/control_replica.ts
+++ b/packages/fleet_control/control_replica.ts
@@ -15,8 +15,8 @@
  * silence of three heartbeats is a loss.
  */
 const consensusTimes: ConsensusOptions = {
-  heartbeatMilliseconds: 250,
-  electionMilliseconds: 900,
+  heartbeatMilliseconds: 200,
+  electionMilliseconds: 600,
   resendMilliseconds: 300,
 };
 
--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -39,8 +39,10 @@
 /** Longer syncs are answered by a call of their own, so that heartbeats pass. */
 const answerMilliseconds = 25;
 const greetTimeoutMilliseconds = 500;
-/** Targets and operators give up after a second. */
-const relayTimeoutMilliseconds = 900;
+/** Targets and operators give up after a second, the wait for a leader included. */
+const relayTimeoutMilliseconds = 450;
+const leaderWaitMilliseconds = 450;
+const leaderPollMilliseconds = 25;
 /** Longest time that a gateway's question is held without news. */
 const watchHoldMilliseconds = 900;
 /**
@@ -221,6 +223,7 @@
         path: request.url ?? "",
         body: await readBody(request, largestCallBytes),
       };
+      await this.#untilLeader();
       answer = this.#isLeading
         ? await this.#serve(call)
         : await this.#relay(call);
@@ -237,6 +240,19 @@
     response.end(answer.body);
   }
 
+  // A caller that is sent away comes back later than an election takes.
+  async #untilLeader(): Promise<void> {
+    const { clock, peerAddress } = this.#options;
+    const until = clock.now() + leaderWaitMilliseconds;
+    while (clock.now() < until) {
+      const leader = this.#leaderAddress;
+      if (this.#isLeading || (leader !== null && leader !== peerAddress)) {
+        return;
+      }
+      await pause(leaderPollMilliseconds);
+    }
+  }
+
   async #relay(call: OutsideRequest): Promise<OutsideAnswer> {
     const { wire, peerAddress } = this.#options;
     const leader = this.#leaderAddress;
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -10,7 +10,7 @@
 import type { CallerAnswer } from "./answer.ts";
 import type { CallerHead, CallerWire } from "./caller_wire.ts";
 import { Exchange } from "./exchange.ts";
-import type { AnswerHead, ExchangeResult } from "./exchange.ts";
+import type { AnswerHead, AnswerStream, ExchangeResult } from "./exchange.ts";
 import type { ServiceDesk } from "./service_desk.ts";
 import type { TargetConnections } from "./target_connections.ts";
 import type { TargetDesk } from "./target_desk.ts";
@@ -42,6 +42,10 @@
 /** A caller waits for a refusal no longer than this share of what it has left. */
 const retryAfterShare = 1 / 3;
 const leastRetryAfterMilliseconds = 100;
+/** An answer that takes this many usual durations is overdue. */
+const overdueDurations = 1.5;
+/** A hedge leaves time for its own answer, but none leaves later than this. */
+const latestHedgeDurations = 2.5;
 /** Targets that took no connection are passed over at most so often. */
 const mostUnsent = 4;
 /** An answer must be on its way this long before nobody wants it any more. */
@@ -73,7 +77,8 @@
   #mayHaveRun = false;
   /** A target's failure, passed on if nothing better comes. */
   #failure: { readonly head: AnswerHead; readonly body: Buffer } | undefined;
-  #exchange: Exchange | undefined;
+  readonly #exchanges = new Set<Exchange>();
+  #hedgeTimer: NodeJS.Timeout | undefined;
   #waiting: WaitingRequest | undefined;
   #isOver = false;
 
@@ -101,9 +106,7 @@
   /** Ends the run, as its caller has gone. */
   abandon(): void {
     if (this.#isOver) return;
-    this.#isOver = true;
-    if (this.#waiting) this.#service.leave(this.#waiting);
-    this.#exchange?.abandon();
+    this.#finish();
   }
 
   // Those that wait already go first, unless they wait for other targets.
@@ -170,10 +173,10 @@
     this.#tried.add(target.name);
     record.begin();
     this.#service.noteBegin();
-    this.#exchange = new Exchange({
+    const exchange: Exchange = new Exchange({
       connection,
       wire,
-      stream: this.#answer,
+      stream: this.#streamOf(() => exchange),
       request: {
         method: request.method ?? "GET",
         path: request.url ?? "/",
@@ -190,8 +193,10 @@
         timeoutMilliseconds: Math.max(1, left - answerMarginMilliseconds),
       },
     });
-    const result = await this.#exchange.result;
-    this.#exchange = undefined;
+    this.#exchanges.add(exchange);
+    this.#planHedge();
+    const result = await exchange.result;
+    this.#exchanges.delete(exchange);
     const now = clock.now();
     const end = this.#isOver ? ExchangeEnd.abandoned : endOf(result);
     const durationMilliseconds = now - beganAt;
@@ -206,7 +211,62 @@
     if (!this.#isOver) this.#take(result, target);
   }
 
+  /** Passes a large answer on; the first one to begin is the only one. */
+  #streamOf(self: () => Exchange): AnswerStream {
+    const answer = this.#answer;
+    return {
+      begin: (head, first) => {
+        for (const other of this.#exchanges) {
+          if (other !== self()) other.abandon();
+        }
+        answer.begin(head, first);
+      },
+      write: (chunk) => answer.write(chunk),
+      onDrain: (listener) => answer.onDrain(listener),
+      end: () => answer.end(),
+      fail: () => answer.fail(),
+    };
+  }
+
+  // An answer that is overdue may come sooner from a second target, where one
+  // in the region has nothing to do.
+  #planHedge(): void {
+    const { route, head } = this.#routed;
+    const { clock } = this.#tools;
+    if (
+      route.requests !== RequestKind.idempotent ||
+      head.position !== undefined || this.#hedgeTimer
+    ) return;
+    const usual = this.#service.usualMilliseconds;
+    const latest = this.#objectiveAt - clock.now() - usual;
+    const delay = Math.max(
+      usual * overdueDurations,
+      Math.min(latest, usual * latestHedgeDurations),
+    );
+    this.#hedgeTimer = setTimeout(() => this.#hedge(), delay);
+  }
+
+  #hedge(): void {
+    const { clock, desk } = this.#tools;
+    if (this.#isOver || this.#exchanges.size !== 1) return;
+    const now = clock.now();
+    if (now + this.#service.usualMilliseconds / 2 > this.#routed.deadlineAt) {
+      return;
+    }
+    const { route, service } = this.#routed;
+    const found = desk.findIdle({ route, service, tried: this.#tried });
+    if (!found || !this.#mayTryElsewhere) return;
+    this.#log("request-hedged", found.target, "the answer is overdue");
+    void this.#send(found.target, found.record);
+  }
+
   #take(result: ExchangeResult, target: TargetView): void {
+    if (this.#exchanges.size > 0 && !isGood(result)) {
+      // The other target may still answer.
+      if (result.kind !== "notSent") this.#arrivals += 1;
+      if (mayHaveRun(result)) this.#mayHaveRun = true;
+      return this.#log("hedge-failed", target, result.kind);
+    }
     switch (result.kind) {
       case "answered":
         return this.#takeAnswer(result, target);
@@ -260,7 +320,8 @@
     const { clock, gateways } = this.#tools;
     const { route, body, deadlineAt } = this.#routed;
     const now = clock.now();
-    return this.#arrivals < route.maximumTargets && body.canBeSent &&
+    return this.#arrivals + this.#exchanges.size < route.maximumTargets &&
+      body.canBeSent &&
       deadlineAt - now > this.#service.usualMilliseconds &&
       this.#service.budget.take(now, gateways());
   }
@@ -314,7 +375,9 @@
 
   #finish(): void {
     this.#isOver = true;
+    clearTimeout(this.#hedgeTimer);
     if (this.#waiting) this.#service.leave(this.#waiting);
+    for (const exchange of this.#exchanges) exchange.abandon();
   }
 
   #log(event: string, target: TargetView, reason: string): void {
@@ -328,6 +391,16 @@
   }
 }
 
+function isGood(result: ExchangeResult): boolean {
+  return result.kind === "answered" && !result.head.didNotRun &&
+    result.head.status < 500;
+}
+
+function mayHaveRun(result: ExchangeResult): boolean {
+  return result.kind === "unknown" ||
+    (result.kind === "answered" && !result.head.didNotRun);
+}
+
 function endOf(result: ExchangeResult): ExchangeEnd {
   if (result.kind !== "answered") return ExchangeEnd.broken;
   if (result.head.didNotRun) return ExchangeEnd.rejected;
--- a/packages/fleet_gateway/target_desk.ts
+++ b/packages/fleet_gateway/target_desk.ts
@@ -147,6 +147,35 @@
     return service.isKeyed ? this.#findOwner(wish) : this.#findAny(wish);
   }
 
+  /** A target of the region that has little to do, for a request's hedge. */
+  findIdle(
+    wish: Pick<TargetWish, "route" | "service" | "tried">,
+  ): Extract<TargetFound, { kind: "found" }> | undefined {
+    const { keeper, clock } = this.#options;
+    const now = clock.now();
+    const usual = this.service(wish.service).usualMilliseconds;
+    let best: TargetOption | undefined;
+    let bestDuration = usual * hedgeDurations;
+    for (const target of keeper.table.targetsOf(wish.service)) {
+      if (target.isCold || !this.#isHome(wish.route, target)) continue;
+      const option = this.#option(target);
+      const { record, distance } = option;
+      const isIdle = record.load(usual, now) < option.slots * idleShare;
+      if (
+        !isIdle || distance === Distance.far || wish.tried.has(target.name) ||
+        record.isAside(now)
+      ) continue;
+      const duration = record.duration(usual, now) * record.slowdown(now);
+      if (duration >= bestDuration) continue;
+      best = option;
+      bestDuration = duration;
+    }
+    const target = best && keeper.table.target(best.name);
+    return target && best
+      ? { kind: "found", target, record: best.record }
+      : undefined;
+  }
+
   #findOwner({ route, service, position }: TargetWish): TargetFound {
     const { table } = this.#options.keeper;
     if (position === undefined) {
@@ -250,5 +279,9 @@
   }
 }
 
+/** A hedge goes to a target with less than this share of its slots in use. */
+const idleShare = 0.5;
+/** And that is not slower than usual by more. */
+const hedgeDurations = 1.2;
 /** Work that an owner may have beside its slots; nobody else can do it. */
 const ownerWaitingRoom = 4;
--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -305,6 +305,24 @@
     expect(near.requests.length + far.requests.length).toBe(2);
   });
 
+  it("asks a second target when the answer is overdue", async () => {
+    const second = new AnnouncedTarget("second", "catalogue", "a");
+    await second.start("127.30.0.6");
+    await until(async () => {
+      await ask("/lookup/1");
+      return second.requests.length > 0;
+    });
+    near.handler = () => {};
+    far.handler = near.handler;
+    const answers = await Promise.all(
+      Array.from({ length: 4 }, () => ask("/lookup/1")),
+    );
+    await second.beat("draining");
+    second.stop();
+    expect(answers.map(({ status }) => status)).toContain(200);
+    expect(near.requests.length + far.requests.length).toBeGreaterThan(0);
+  });
+
   it("sends a request that may run once no second time", async () => {
     near.handler = (request) => request.socket.destroy();
     far.handler = near.handler;
--- a/packages/replica/replica.ts
+++ b/packages/replica/replica.ts
@@ -32,6 +32,8 @@
 
 const shortestPauseMilliseconds = 1;
 const handOverPollMilliseconds = 10;
+/** Rounds that confirm the lead are this far apart; targets wait a second. */
+const confirmIntervalMilliseconds = 150;
 const entriesPerCheckpoint = 500;
 const bytesPerCheckpoint = 8 * 1024 * 1024;
 
@@ -87,6 +89,8 @@
   #state: State;
   #index: number;
   #checkpoint: Checkpoint<State>;
+  #contactTimer: NodeJS.Timeout | undefined;
+  #contactAskedAt = -Infinity;
   readonly #contactWaiters = new Set<ContactWaiter>();
   #nextProposal = 1;
   #ended = false;
@@ -205,9 +209,20 @@
         resolve(isConfirmed);
       }
       waiters.add(waiter);
+      this.#askForContact(since);
+    });
+  }
+
+  // Those that wait within one interval share a round of messages.
+  #askForContact(now: number): void {
+    if (this.#contactTimer) return;
+    const pause = this.#contactAskedAt + confirmIntervalMilliseconds - now;
+    this.#contactTimer = setTimeout(() => {
+      this.#contactTimer = undefined;
+      this.#contactAskedAt = this.#options.clock.now();
       this.#post({ kind: "confirmLeadership" });
       this.#noteContact();
-    });
+    }, Math.max(0, pause));
   }
 
   /** Waits until nothing waits for the disk, or the time is up. */
@@ -248,6 +263,7 @@
   #end(): void {
     this.#ended = true;
     clearTimeout(this.#timer);
+    clearTimeout(this.#contactTimer);
     this.#consensus.stop();
     this.#rejectWaiting();
   }
