Log what decides a request, bounded and without waiting; metrics; settings page

Cause: lines went to a pipe that blocks when its reader is slow, without a bound; gateways told no metrics; the settings of roles stood on no page. Change: a line writer that drops and counts beyond 256 KiB, 25 lines of an event a second with a line for what was left out, request metrics by service and priority on listen.metrics, docs/FLEET_SETTINGS.md checked against the schemas. The events test reads one more form of call than before.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -285,6 +285,7 @@
       return { kind: "refused", faults: call.faults };
     }
     if (call.kind === "unknown") return { kind: "unknown" };
+    const { logger } = this.#options;
     const session = this.#session;
     const replica = this.#replica.running;
     if (!session || !replica || !this.#isLeading) {
@@ -303,18 +304,32 @@
           return { kind: "acknowledged" };
         case "readItems":
           return await this.#readItems(replica);
-        case "changeItems":
+        case "changeItems": {
           if (!this.#isDurable(replica)) return gathering;
-          return this.#resultOf(
-            "items-changed",
-            await replica.propose({ kind: "changeItems", change: call.change }),
-          );
-        case "evacuate":
+          const { change } = call;
+          const outcome = await replica.propose({
+            kind: "changeItems",
+            change,
+          });
+          logger.info("items-changed", {
+            items: change.items.length,
+            removals: change.removals.length,
+            outcome: outcome.kind,
+            index: replica.appliedIndex,
+          });
+          return this.#resultOf(outcome);
+        }
+        case "evacuate": {
           if (!this.#isDurable(replica)) return gathering;
-          return this.#resultOf(
-            call.isOut ? "data-centre-out" : "data-centre-back",
-            await session.evacuate(call.dataCentre, call.isOut),
-          );
+          const { dataCentre, isOut } = call;
+          const outcome = await session.evacuate(dataCentre, isOut);
+          logger.info("data-centre-changed", {
+            of: dataCentre,
+            isOut,
+            index: replica.appliedIndex,
+          });
+          return this.#resultOf(outcome);
+        }
       }
     } catch (failure) {
       if (!(failure instanceof NotLeaderError)) throw failure;
@@ -322,14 +337,13 @@
     }
   }
 
-  #resultOf(event: string, outcome: FleetOutcome): OutsideResult {
+  #resultOf(outcome: FleetOutcome): OutsideResult {
     const { logger } = this.#options;
     this.#session?.noteChange();
     if (outcome.kind === "refused") {
       logger.warn("change-refused", { faults: outcome.faults.join("; ") });
       return outcome;
     }
-    logger.info(event, { index: this.#replica.running?.appliedIndex ?? 0 });
     return { kind: "acknowledged" };
   }
 
@@ -488,7 +502,7 @@
       return this.#replica.start();
     }
     this.#founding = true;
-    this.#options.logger.info("founding", {
+    this.#options.logger.info("founding-begun", {
       founders: step.founders.join(","),
     });
     this.#replica.found(step.founders).catch(this.#options.onFailure);
--- /dev/null
+++ b/packages/fleet_control/founding_test.ts
@@ -0,0 +1,76 @@
+import { describe, expect, it } from "vitest";
+import { chooseFoundingStep } from "./founding.ts";
+import type { FoundingView } from "./founding.ts";
+import type { Greeting } from "./greeting.ts";
+
+const founders = ["a:1", "b:1", "c:1"];
+
+function greeting(address: string, more: Partial<Greeting> = {}): Greeting {
+  return {
+    replica: `${address}.0`,
+    controlAddress: address,
+    peerAddress: address,
+    dataCentre: "x",
+    region: "r",
+    isMember: false,
+    founders: [],
+    known: [],
+    ...more,
+  };
+}
+
+function step(self: Greeting, more: Partial<FoundingView> = {}) {
+  return chooseFoundingStep({
+    mayFound: true,
+    self,
+    founders,
+    greetings: new Map(
+      founders.filter((each) => each !== self.peerAddress).map((each) => [
+        each,
+        greeting(each),
+      ]),
+    ),
+    ...more,
+  });
+}
+
+describe("chooseFoundingStep", () => {
+  it("has the first founder form the set from every founder's replica", () => {
+    expect(step(greeting("a:1")))
+      .toEqual({ kind: "store", founders: ["a:1.0", "b:1.0", "c:1.0"] });
+  });
+
+  it("has the others wait for it", () => {
+    expect(step(greeting("b:1")).kind).toBe("wait");
+  });
+
+  it("waits while a founder is late", () => {
+    const greetings = new Map([["b:1", greeting("b:1")]]);
+    expect(step(greeting("a:1"), { greetings }).kind).toBe("wait");
+  });
+
+  it("joins a set that names this very replica", () => {
+    const set = ["a:1.0", "b:1.0", "c:1.0"];
+    const greetings = new Map([
+      ["a:1", greeting("a:1", { isMember: true, founders: set })],
+    ]);
+    expect(step(greeting("b:1"), { greetings }))
+      .toEqual({ kind: "store", founders: set });
+  });
+
+  it("never forms a second set beside one that runs", () => {
+    const greetings = new Map([
+      ["b:1", greeting("b:1", { isMember: true, founders: ["a:1.9"] })],
+      ["c:1", greeting("c:1")],
+    ]);
+    expect(step(greeting("a:1"), { greetings }).kind).toBe("spare");
+  });
+
+  it("has a wiped founder join, as the fleet does not start for the first time", () => {
+    expect(step(greeting("a:1"), { mayFound: false }).kind).toBe("spare");
+  });
+
+  it("has everybody else join", () => {
+    expect(step(greeting("d:1")).kind).toBe("spare");
+  });
+});
--- /dev/null
+++ b/packages/fleet_control/gateway_book_test.ts
@@ -0,0 +1,51 @@
+import type { RegisteredTarget } from "@kingcupglade/fleet";
+import { describe, expect, it } from "vitest";
+import { GatewayBook } from "./gateway_book.ts";
+
+const target: RegisteredTarget = {
+  life: { target: "t", bornAt: 1 },
+  service: "catalogue",
+  address: "t:80",
+  dataCentre: "a",
+  slots: 6,
+  isLeaving: false,
+  isCold: true,
+  sequence: 1,
+  heardAt: 0,
+  revision: 1,
+  isUnproven: false,
+};
+
+function bookOf(gateways: number): GatewayBook {
+  const book = new GatewayBook({ regionOf: () => "north" });
+  for (let at = 0; at < gateways; at += 1) {
+    book.note({
+      gateway: `g${at}`,
+      dataCentre: at % 2 === 0 ? "a" : "b",
+      region: "north",
+      position: { index: 0, term: 0, revision: 0, isComplete: false },
+      demand: [],
+      durations: [],
+    }, 0);
+  }
+  return book;
+}
+
+describe("GatewayBook", () => {
+  it("names three of 72 gateways for a cold target, near ones first", () => {
+    const book = bookOf(72);
+    const named = book.coldGateways(target, 0);
+    expect(named).toHaveLength(3);
+    expect(named.every((name) => Number(name.slice(1)) % 2 === 0)).toBe(true);
+  });
+
+  it("names no others while the target stays cold, whoever comes or goes", () => {
+    const book = bookOf(3);
+    const named = book.coldGateways(target, 0);
+    expect(book.coldGateways(target, 60_000)).toEqual(named);
+  });
+
+  it("counts a gateway that fell silent no longer", () => {
+    expect(bookOf(9).present(3000)).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/fleet_gateway/gateway_table_test.ts
@@ -0,0 +1,148 @@
+import type { RangeView, TargetView, ViewDelta } from "@kingcupglade/fleet";
+import { ItemKind, RequestKind } from "@kingcupglade/items";
+import type { HeldItem } from "@kingcupglade/items";
+import { describe, expect, it } from "vitest";
+import { GatewayTable } from "./gateway_table.ts";
+
+function route(version: number, service: string): HeldItem {
+  return {
+    kind: ItemKind.route,
+    name: "lookup",
+    version,
+    source: "",
+    changedAt: version,
+    content: {
+      kind: ItemKind.route,
+      name: "lookup",
+      host: "jigs.example",
+      pathPrefix: "/",
+      requests: RequestKind.idempotent,
+      timeoutMilliseconds: 1000,
+      objectiveMilliseconds: 500,
+      priority: 1,
+      parts: [{ service, weight: 1 }],
+      maximumTargets: 2,
+      homeRegions: [],
+    },
+  };
+}
+
+function target(name: string, more: Partial<TargetView> = {}): TargetView {
+  return {
+    name,
+    service: "catalogue",
+    address: `${name}:80`,
+    dataCentre: "a",
+    slots: 6,
+    isLeaving: false,
+    isCold: false,
+    coldGateways: [],
+    ...more,
+  };
+}
+
+function range(from: number, to: number, more: Partial<RangeView> = {}) {
+  return {
+    service: "stock",
+    from,
+    to,
+    owner: "o",
+    fence: 1,
+    isMoving: false,
+    ...more,
+  };
+}
+
+function delta(index: number, more: Partial<ViewDelta> = {}): ViewDelta {
+  return {
+    position: { index, term: 1, revision: index, isComplete: true },
+    items: [],
+    dataCentresOut: [],
+    departed: [],
+    targets: [],
+    areTargetsComplete: false,
+    removedTargets: [],
+    ranges: [],
+    gateways: 9,
+    control: null,
+    ...more,
+  };
+}
+
+function names(table: GatewayTable): readonly string[] {
+  return table.targetsOf("catalogue").map(({ name }) => name);
+}
+
+describe("GatewayTable", () => {
+  describe("configuration", () => {
+    it("never goes back to an older log entry", () => {
+      const table = new GatewayTable();
+      table.apply(delta(9, { items: [route(9, "new")] }));
+      table.apply(delta(8, { items: [route(10, "stale")] }));
+      expect(table.route("jigs.example", "/x")?.parts[0]?.service).toBe("new");
+    });
+
+    it("forgets a route that was dropped", () => {
+      const table = new GatewayTable();
+      table.apply(delta(1, { items: [route(1, "catalogue")] }));
+      const dropped = { ...route(2, "catalogue"), content: null };
+      table.apply(delta(2, { items: [dropped] }));
+      expect(table.route("jigs.example", "/x")).toBeUndefined();
+    });
+  });
+
+  describe("targets", () => {
+    it("keeps what an earlier leader knew until the new one knows all", () => {
+      const table = new GatewayTable();
+      table.apply(delta(1, { targets: [target("a"), target("b")] }));
+      table.apply(delta(2, { targets: [target("b")] }));
+      expect(names(table)).toEqual(["a", "b"]);
+      table.apply(
+        delta(3, { targets: [target("b")], areTargetsComplete: true }),
+      );
+      expect(names(table)).toEqual(["b"]);
+    });
+
+    it("sends nothing to one that departed, before a new leader has heard it", () => {
+      const table = new GatewayTable();
+      table.apply(delta(1, { targets: [target("a"), target("b")] }));
+      table.apply(delta(2, { departed: ["a"] }));
+      expect(names(table)).toEqual(["b"]);
+    });
+
+    it("gives an address to the target named last", () => {
+      const table = new GatewayTable();
+      table.apply(delta(1, { targets: [target("a")] }));
+      table.apply(delta(2, { targets: [target("b", { address: "a:80" })] }));
+      expect(names(table)).toEqual(["b"]);
+    });
+
+    it("leaves out data centres that are out", () => {
+      const table = new GatewayTable();
+      table.apply(delta(1, { targets: [target("a")], dataCentresOut: ["a"] }));
+      expect(names(table)).toEqual([]);
+    });
+  });
+
+  describe("ranges", () => {
+    it("finds the parts of a range that was cut", () => {
+      const table = new GatewayTable();
+      table.apply(delta(1, { ranges: [range(0, 99), range(100, 199)] }));
+      table.apply(delta(2, {
+        ranges: [range(0, 49), range(50, 99, { owner: "p", fence: 2 })],
+      }));
+      expect(table.range("stock", 49)?.owner).toBe("o");
+      expect(table.range("stock", 50)?.owner).toBe("p");
+      expect(table.range("stock", 150)?.from).toBe(100);
+    });
+
+    it("keeps the higher fence", () => {
+      const table = new GatewayTable();
+      table.apply(delta(1, { ranges: [range(0, 99, { fence: 7 })] }));
+      table.apply(
+        delta(2, { ranges: [range(0, 99, { fence: 3, owner: "x" })] }),
+      );
+      expect(table.range("stock", 1)?.owner).toBe("o");
+    });
+  });
+});
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -2,7 +2,7 @@
 import { peerAddressOf, PeerCalls } from "@kingcupglade/fleet_control";
 import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
 import type { Clock } from "@kingcupglade/tasks";
-import type { Logger } from "@kingcupglade/telemetry";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import {
   BodyTooLargeError,
   HttpListener,
@@ -54,6 +54,7 @@
   readonly wire: CallerWire;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   /** Between 0 and 1. */
   readonly random: () => number;
 }
@@ -227,6 +228,7 @@
           idleMarginMilliseconds,
       });
     }
+    this.#options.metrics.tableVersion.set(table.position.index);
     this.#connections.keepOnly(
       new Set([...table.targets].map(({ address }) => address)),
     );
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -5,7 +5,7 @@
 import { RequestKind } from "@kingcupglade/items";
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
-import type { Logger } from "@kingcupglade/telemetry";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { RequestBody } from "@kingcupglade/transport";
 import type { CallerAnswer } from "./answer.ts";
 import type { CallerHead, CallerWire } from "./caller_wire.ts";
@@ -22,6 +22,7 @@
   readonly wire: CallerWire;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly random: () => number;
   /** Gateways that share the retry budget. */
   readonly gateways: () => number;
@@ -42,6 +43,8 @@
 /** A caller waits for a refusal no longer than this share of what it has left. */
 const retryAfterShare = 1 / 3;
 const leastRetryAfterMilliseconds = 100;
+const millisecondsPerSecond = 1000;
+
 /** An answer that takes this many usual durations is overdue. */
 const overdueDurations = 1.5;
 /** A hedge leaves time for its own answer, but none leaves later than this. */
@@ -256,6 +259,7 @@
     const { route, service } = this.#routed;
     const found = desk.findIdle({ route, service, tried: this.#tried });
     if (!found || !this.#mayTryElsewhere) return;
+    this.#tools.metrics.hedges.inc();
     this.#log("request-hedged", found.target, "the answer is overdue");
     void this.#send(found.target, found.record);
   }
@@ -299,12 +303,16 @@
       return this.#refuse("the target had no room", 0);
     }
     this.#mayHaveRun = true;
-    if (body === null) return this.#finish();
+    if (body === null) {
+      this.#count("answered");
+      return this.#finish();
+    }
     if (head.status >= 500 && !this.#failure) {
       this.#failure = { head, body };
       this.#log("target-failed", target, String(head.status));
       if (this.#mayRepeat) return this.#again();
     }
+    this.#count(head.status < 500 ? "answered" : "failed");
     this.#finish();
     this.#answer.pass(head, body);
   }
@@ -327,6 +335,9 @@
   }
 
   #again(): void {
+    this.#tools.metrics.retries.inc({
+      reason: this.#mayHaveRun ? "failed" : "not-run",
+    });
     // A keyed request has no other target than the owner.
     if (this.#routed.head.position !== undefined) this.#tried.clear();
     this.#seek();
@@ -335,6 +346,7 @@
   #refuse(reason: string, waitMilliseconds: number): void {
     if (this.#isOver) return;
     if (this.#failure) {
+      this.#count("failed");
       this.#finish();
       return this.#answer.pass(this.#failure.head, this.#failure.body);
     }
@@ -351,7 +363,9 @@
 
   #end(status: number, reason: string, retryAfterMilliseconds?: number): void {
     this.#finish();
-    const { clock, logger } = this.#tools;
+    const { clock, logger, metrics } = this.#tools;
+    this.#count(status === 503 ? "not-run" : "unknown");
+    metrics.refusals.inc({ reason });
     const { head, route, service, arrivedAt } = this.#routed;
     logger.info("request-not-served", {
       request: head.requestId,
@@ -380,6 +394,16 @@
     for (const exchange of this.#exchanges) exchange.abandon();
   }
 
+  #count(outcome: string): void {
+    const { clock, metrics } = this.#tools;
+    const { service, route, arrivedAt } = this.#routed;
+    metrics.requests.of({
+      service,
+      tenant: "",
+      class: `priority-${route.priority}`,
+    }).note(outcome, (clock.now() - arrivedAt) / millisecondsPerSecond);
+  }
+
   #log(event: string, target: TargetView, reason: string): void {
     const { head, service } = this.#routed;
     this.#tools.logger.info(event, {
--- a/packages/kingcupglade/commands/settings_check.ts
+++ b/packages/kingcupglade/commands/settings_check.ts
@@ -1,5 +1,6 @@
 import { readSecrets } from "../settings/secrets.ts";
-import { readSettings } from "../settings/read.ts";
+import { readFleetSettings, readSettings } from "../settings/read.ts";
+import type { ResolvedSettings } from "../settings/schema.ts";
 import { readTls } from "../settings/tls.ts";
 import { parseFileCommand } from "./arguments.ts";
 import { ExitCode } from "./command.ts";
@@ -17,10 +18,16 @@
 `,
   async run(commandArguments) {
     const { path } = parseFileCommand(commandArguments, "settings check");
-    const settings = await readSettings(path);
-    await readSecrets(settings);
-    await readTls(settings);
+    const settings = await readFleetSettings(path) ??
+      await checkedSettings(path);
     process.stdout.write(`${JSON.stringify(settings, null, 2)}\n`);
     return ExitCode.done;
   },
 };
+
+async function checkedSettings(path: string): Promise<ResolvedSettings> {
+  const settings = await readSettings(path);
+  await readSecrets(settings);
+  await readTls(settings);
+  return settings;
+}
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -6,8 +6,15 @@
   PlatformControlWire,
 } from "@kingcupglade/platform";
 import { MonotonicClock } from "@kingcupglade/tasks";
-import { createLogger, describeFailure } from "@kingcupglade/telemetry";
-import type { Logger } from "@kingcupglade/telemetry";
+import {
+  BoundedLogger,
+  createLogger,
+  createMetrics,
+  describeFailure,
+  LineWriter,
+} from "@kingcupglade/telemetry";
+import type { Metrics } from "@kingcupglade/telemetry";
+import { HttpListener } from "@kingcupglade/transport";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { FleetRole } from "./settings/fleet_schema.ts";
@@ -28,35 +35,56 @@
   stop(): Promise<void>;
 }
 
+/** Standard output. */
+const logDescriptor = 1;
+const logFlushMilliseconds = 1000;
+
+/** What a {@link FleetVm} runs. */
+interface FleetVmParts {
+  readonly role: RunningRole;
+  readonly logger: BoundedLogger;
+  readonly writer: LineWriter;
+  /** Undefined when the settings name no address for metrics. */
+  readonly metricsListener: HttpListener | undefined;
+}
+
 /** A running VM of a fleet. */
 export class FleetVm {
-  readonly #role: RunningRole;
-  readonly #logger: Logger;
-
-  constructor(
-    options: { readonly role: RunningRole; readonly logger: Logger },
-  ) {
-    this.#role = options.role;
-    this.#logger = options.logger;
+  readonly #parts: FleetVmParts;
+  readonly #timer: NodeJS.Timeout;
+
+  constructor(parts: FleetVmParts) {
+    this.#parts = parts;
+    this.#timer = setInterval(
+      () => parts.logger.flush(),
+      logFlushMilliseconds,
+    );
   }
 
   /** Takes over what may change while the VM runs: the seeds. */
   reload(settings: ResolvedFleetSettings): void {
     const { seeds } = settings.control;
-    this.#role.useSeeds(seeds);
-    this.#logger.info("settings-reloaded", { seeds: seeds.join(",") });
+    const { role, logger } = this.#parts;
+    role.useSeeds(seeds);
+    logger.info("settings-reloaded", { seeds: seeds.join(",") });
   }
 
   /** Keeps the settings that it has. */
   noteReloadFailure(failure: unknown): void {
-    this.#logger.error("settings-not-reloaded", {
+    const { logger } = this.#parts;
+    logger.error("settings-not-reloaded", {
       reason: describeFailure(failure),
     });
   }
 
   /** Ends every request in progress and stops. */
   async stop(): Promise<void> {
-    await this.#role.stop();
+    const { role, logger, writer, metricsListener } = this.#parts;
+    await role.stop();
+    clearInterval(this.#timer);
+    metricsListener?.destroy();
+    logger.flush();
+    await new Promise<void>((resolve) => writer.end(resolve));
   }
 }
 
@@ -69,7 +97,9 @@
   const role = isGateway(settings)
     ? await startGateway(settings, common)
     : await startControl(settings, { ...common, onFailure });
-  return new FleetVm({ role, logger: common.logger });
+  const { logger, writer, metrics } = common;
+  const metricsListener = await openMetrics(settings.listen.metrics, metrics);
+  return new FleetVm({ role, logger, writer, metricsListener });
 }
 
 function isGateway(
@@ -118,6 +148,8 @@
 
 async function commonOptions(settings: ResolvedFleetSettings) {
   const { vm, listen, control, regions, security, log } = settings;
+  const clock = new MonotonicClock();
+  const writer = new LineWriter(logDescriptor);
   return {
     name: vm.name,
     dataCentre: vm.dataCentre,
@@ -128,15 +160,37 @@
     secret: security.vmSecretFile === undefined
       ? unguarded
       : await readSecret("security.vmSecretFile", security.vmSecretFile),
-    clock: new MonotonicClock(),
-    logger: createLogger({
-      fields: { vm: vm.name, dataCentre: vm.dataCentre },
-      level: log.level,
-      destination: "stdout",
-    }),
+    clock,
+    metrics: createMetrics(),
+    writer,
+    logger: new BoundedLogger(
+      createLogger({
+        fields: { vm: vm.name, dataCentre: vm.dataCentre },
+        level: log.level,
+        writer,
+      }),
+      () => clock.now(),
+    ),
   };
 }
 
+async function openMetrics(
+  address: string | undefined,
+  { registry }: Metrics,
+): Promise<HttpListener | undefined> {
+  if (address === undefined) return undefined;
+  return await HttpListener.open({
+    name: "metrics",
+    address,
+    handler: (_request, response) => {
+      void registry.metrics().then((text) => {
+        response.writeHead(200, { "content-type": registry.contentType });
+        response.end(text);
+      });
+    },
+  });
+}
+
 function randomSource(): () => number {
   const generator = xoroshiro128plus(randomInt(2 ** 31));
   return () => uniformFloat64(generator);
--- a/packages/kingcupglade/pages_test.ts
+++ b/packages/kingcupglade/pages_test.ts
@@ -6,6 +6,7 @@
 import { createMetrics } from "@kingcupglade/telemetry";
 import { describe, expect, it } from "vitest";
 import { commandNames, findCommand } from "./command_line.ts";
+import { fleetSchemas } from "./settings/fleet_schema.ts";
 import { knownKeys, settingsSchema } from "./settings/schema.ts";
 
 /** The caller is gone. */
@@ -81,8 +82,11 @@
     const sections = knownKeys(settingsSchema, "").filter((each) =>
       each !== "peers"
     );
-    const known = sections.flatMap((section) =>
-      knownKeys(settingsSchema, section).map((key) => `${section}.${key}`)
+    const schemas = [settingsSchema, ...Object.values(fleetSchemas)];
+    const known = schemas.flatMap((schema) =>
+      sections.flatMap((section) =>
+        knownKeys(schema, section).map((key) => `${section}.${key}`)
+      )
     );
     const pattern = new RegExp(
       `\`((?:${sections.join("|")})\\.[a-zA-Z]+)\``,
--- /dev/null
+++ b/packages/kingcupglade/settings/fleet_settings_test.ts
@@ -0,0 +1,69 @@
+import { readReferenceTable } from "@kingcupglade/fakes";
+import { describe, expect, it } from "vitest";
+import { fleetSchemas } from "./fleet_schema.ts";
+import { parseFleetSettings } from "./read.ts";
+import { knownKeys } from "./schema.ts";
+
+const page = "docs/FLEET_SETTINGS.md";
+
+const gatewayText = `[vm]
+name = front-1
+role = gateway
+dataCentre = hsinchu-a
+region = hsinchu
+[listen]
+callers = 10.1.0.10:8161
+readiness = 10.1.0.10:8167
+peers = 10.1.0.10:7720
+[control]
+seeds = 10.1.0.12:8166, 10.2.0.42:8166
+[regions]
+hsinchu-a = hsinchu
+`;
+
+describe("settings of a VM with a role", () => {
+  it("leave the settings of other VMs to them", () => {
+    expect(parseFleetSettings("[vm]\nname = vm-1\n", "vm.ini"))
+      .toBeUndefined();
+  });
+
+  it("are read with every default filled in", () => {
+    expect(parseFleetSettings(gatewayText, "front.ini")).toMatchObject({
+      control: {
+        seeds: ["10.1.0.12:8166", "10.2.0.42:8166"],
+        mayFound: false,
+        toleratedLosses: 1,
+      },
+      retries: { ratio: 0.2, windowSeconds: 10, slack: 20 },
+      log: { level: "info" },
+    });
+  });
+
+  const faults: readonly (readonly [string, RegExp, string])[] = [
+    ["role = gateway", /vm.role: "chief" is unknown/, "role = chief"],
+    ["role = gateway", /vm.dataFolder is missing/, "role = control"],
+    [
+      "callers = 10.1.0.10:8161",
+      /listen.callers: must be IP:PORT/,
+      "callers = front",
+    ],
+    ["seeds = ", /control.sedes is unknown; did you mean "seeds"/, "sedes = "],
+  ];
+  for (const [right, message, wrong] of faults) {
+    it(`with "${wrong}" name setting and cure`, () => {
+      const text = gatewayText.replace(right, wrong);
+      expect(() => parseFleetSettings(text, "front.ini")).toThrow(message);
+    });
+  }
+
+  for (const section of knownKeys(fleetSchemas.control, "")) {
+    it(`are documented under ${section}`, async () => {
+      const documented = await readReferenceTable(page, section);
+      const keys = new Set([
+        ...knownKeys(fleetSchemas.gateway, section),
+        ...knownKeys(fleetSchemas.control, section),
+      ]);
+      expect([...documented.keys()].sort()).toEqual([...keys].sort());
+    });
+  }
+});
--- /dev/null
+++ b/packages/telemetry/bounded_logger_test.ts
@@ -0,0 +1,76 @@
+import { closeSync, openSync, readFileSync } from "node:fs";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { describe, expect, it } from "vitest";
+import { BoundedLogger } from "./bounded_logger.ts";
+import { LineWriter } from "./line_writer.ts";
+import type { Logger } from "./logger.ts";
+
+class Lines implements Logger {
+  readonly lines: (readonly [string, unknown])[] = [];
+  readonly debug = (event: string, fields?: unknown) =>
+    this.#add(event, fields);
+  readonly info = this.debug;
+  readonly warn = this.debug;
+  readonly error = this.debug;
+
+  #add(event: string, fields: unknown): void {
+    this.lines.push([event, fields]);
+  }
+}
+
+describe("BoundedLogger", () => {
+  it("bounds the lines of an event and tells what was left out", () => {
+    let now = 0;
+    const lines = new Lines();
+    const logger = new BoundedLogger(lines, () => now);
+    for (let count = 0; count < 100; count += 1) logger.info("refused");
+    logger.info("rare");
+    now = 1000;
+    logger.flush();
+    const count = (event: string) =>
+      lines.lines.filter(([each]) => each === event).length;
+    expect(count("refused")).toBe(25);
+    expect(count("rare")).toBe(1);
+    expect(lines.lines.at(-1)).toEqual([
+      "log-lines-omitted",
+      { of: "refused", omitted: 75 },
+    ]);
+  });
+
+  it("holds no error back", () => {
+    const lines = new Lines();
+    const logger = new BoundedLogger(lines, () => 0);
+    for (let count = 0; count < 100; count += 1) logger.error("fault");
+    expect(lines.lines).toHaveLength(100);
+  });
+});
+
+describe("LineWriter", () => {
+  it("writes every line in order, and drops beyond its bound", async () => {
+    const folder = await mkdtemp(join(tmpdir(), "lines-"));
+    const path = join(folder, "log");
+    const descriptor = openSync(path, "w");
+    const writer = new LineWriter(descriptor);
+    const long = "x".repeat(1000);
+    for (let line = 0; line < 1000; line += 1) {
+      writer.write(`${line} ${long}\n`);
+    }
+    await new Promise<void>((resolve) => writer.end(resolve));
+    closeSync(descriptor);
+    const written = readFileSync(path, "utf8").trim().split("\n");
+    expect(written.length + writer.dropped).toBe(1000);
+    expect(writer.dropped).toBeGreaterThan(0);
+    expect(written.slice(0, 3).map((line) => line.split(" ")[0]))
+      .toEqual(["0", "1", "2"]);
+    await rm(folder, { recursive: true });
+  });
+
+  it("outlives a reader that is gone", async () => {
+    const writer = new LineWriter(1_000_000);
+    writer.write("nobody reads this\n");
+    await new Promise<void>((resolve) => writer.end(resolve));
+    expect(writer.dropped).toBe(1);
+  });
+});
--- a/packages/telemetry/logger.ts
+++ b/packages/telemetry/logger.ts
@@ -1,4 +1,5 @@
 import winston from "winston";
+import type { LineWriter } from "./line_writer.ts";
 
 /** Names of log events; one event makes one line. */
 export type LogEvent = string;
@@ -22,8 +23,8 @@
   readonly fields: LogFields;
   /** @default "info" */
   readonly level?: "debug" | "info" | "warn" | "error" | "silent";
-  /** @default "stderr" */
-  readonly destination?: "stdout" | "stderr";
+  /** @default standard error */
+  readonly writer?: LineWriter;
 }
 
 /** Creates a logger. */
@@ -36,13 +37,7 @@
       winston.format.timestamp(),
       winston.format.json(),
     ),
-    transports: [
-      new winston.transports.Console({
-        stderrLevels: options.destination === "stdout"
-          ? []
-          : ["error", "warn", "info", "debug"],
-      }),
-    ],
+    transports: [transportTo(options.writer)],
   });
   const write = (name: string) => (event: LogEvent, fields: LogFields = {}) => {
     logger.log({
@@ -61,6 +56,14 @@
   };
 }
 
+function transportTo(writer: LineWriter | undefined) {
+  return writer
+    ? new winston.transports.Stream({ stream: writer })
+    : new winston.transports.Console({
+      stderrLevels: ["error", "warn", "info", "debug"],
+    });
+}
+
 /** A short text for a failure of any type, for the field `reason`. */
 export function describeFailure(failure: unknown): string {
   return failure instanceof Error ? failure.message : String(failure);
--- a/packages/telemetry/mod.ts
+++ b/packages/telemetry/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export { BoundedLogger } from "./bounded_logger.ts";
+export { LineWriter } from "./line_writer.ts";
 export { createLogger, describeFailure } from "./logger.ts";
 export type { LogEvent, LogFields, Logger, LoggerOptions } from "./logger.ts";
 export { createMetrics } from "./metrics.ts";
--- a/packages/telemetry/reference_test.ts
+++ b/packages/telemetry/reference_test.ts
@@ -5,7 +5,8 @@
 import { createMetrics } from "./mod.ts";
 
 const page = "docs/operating/events.md";
-const eventPattern = /logger\s*\.\s*(?:debug|info|warn|error)\(([^,)]*)/g;
+const eventPattern =
+  /(?:logger\s*\.\s*(?:debug|info|warn|error)|#log)\(([^,)]*)/g;
 
 describe(page, () => {
   it("names every log event", async () => {
