--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -307,10 +307,15 @@
 
   it("asks a second target when the answer is overdue", async () => {
     const second = new AnnouncedTarget("second", "catalogue", "a");
+    // The second target is the fastest by far, whatever the machine is doing.
+    near.handler = (_request, response) =>
+      void setTimeout(() => response.end("whole"), 60);
+    far.handler = near.handler;
     await second.start("127.30.0.6");
     await until(async () => {
-      await ask("/lookup/1");
-      return second.requests.length > 0;
+      await Promise.all(Array.from({ length: 20 }, () => ask("/lookup/1")));
+      return near.requests.length + far.requests.length > 40 &&
+        second.requests.length > 10;
     });
     near.handler = () => {};
     far.handler = near.handler;
