Move ranges only when an owner is well above the mean, and tell it at once

Excluded: the hot keys (moves went on before and after them). Change: nothing moves below 1.4 times the mean load, one range at a time, and a range is marked only when its owner's heartbeat is there to be answered. Tests: range_keeper_test.ts (calm noise; marked when told).

--- a/packages/fleet/key_demand.ts
+++ b/packages/fleet/key_demand.ts
@@ -20,7 +20,7 @@
 /** Old demand counts half after this long; hot keys change within seconds. */
 const halfLifeMilliseconds = 4000;
 /** A range that gets a larger share of all demand than this is cut. */
-const splitShare = 0.04;
+const splitShare = 0.06;
 /** Demand below this says little. */
 const leastDemand = 20;
 
--- a/packages/fleet/key_demand_test.ts
+++ b/packages/fleet/key_demand_test.ts
@@ -52,6 +52,20 @@
             : [range]
         );
       }
+      for (const life of owners) {
+        keeper.note(ranges, {
+          life,
+          service: "stock",
+          address: "10.0.0.1:80",
+          dataCentre: "a",
+          slots: 6,
+          isDraining: false,
+          coldMilliseconds: 0,
+          sequence: round,
+          holds: [],
+          freed: [],
+        });
+      }
       const { grants } = keeper.plan(ranges, {
         candidates: owners.map((life) => ({ life, weight: 6, accepts: true })),
         now: round * 4000,
--- a/packages/fleet/range_keeper.ts
+++ b/packages/fleet/range_keeper.ts
@@ -25,6 +25,8 @@
   isMoving: boolean;
   /** It moves for balance; else because its owner cannot keep it. */
   isBalancing: boolean;
+  /** It is to move once its owner is heard, as the owner can only then be told. */
+  isWanted: boolean;
   /** What the owner handed over; undefined while it may still hold it. */
   handover: string | undefined;
 }
@@ -47,11 +49,16 @@
 
 /** What a range counts beside its demand, so that idle ones are spread too. */
 const idleDemand = 0.3;
+/**
+ * Nothing moves until an owner's load is this many times the mean: requests for
+ * a range wait while it moves, and demand of a few seconds is noisy.
+ */
+const unevenLoad = 1.4;
 /** A move must lower the heavier owner's load by this share of the mean load. */
-const leastGain = 0.25;
+const leastGain = 0.1;
 
-/** Ranges that move at one time from owners that could keep them. */
-const mostBalancingMoves = 2;
+/** Ranges that move at one time from an owner that could keep them. */
+const mostBalancingMoves = 1;
 
 /**
  * Decides who owns the ranges of one keyed service, and never lets a range go
@@ -82,6 +89,11 @@
         lease.heldUntil = -Infinity;
         continue;
       }
+      if (lease.isWanted) {
+        lease.isWanted = false;
+        lease.isMoving = true;
+        continue;
+      }
       if (!lease.isMoving || lease.handover !== undefined) continue;
       if (announcement.holds.some((row) => overlaps(row, range))) continue;
       lease.handover = announcement.freed.find((row) =>
@@ -135,7 +147,7 @@
       if (stays && !lease.isBalancing && lease.handover === undefined) {
         lease.isMoving = false;
       }
-      if (lease.isMoving) moving += 1;
+      if (lease.isMoving || lease.isWanted) moving += 1;
       if (!this.#isFree(range, lease, now)) continue;
       const owner = shares.takeLightest(range);
       grants.push({
@@ -157,7 +169,7 @@
     );
     if (!range) return;
     const lease = this.#lease(range);
-    lease.isMoving = true;
+    lease.isWanted = true;
     lease.isBalancing = true;
   }
 
@@ -177,6 +189,7 @@
       isTaken: !known,
       isMoving: false,
       isBalancing: false,
+      isWanted: false,
       handover: undefined,
     };
     this.#leases.set(range.from, lease);
@@ -246,6 +259,7 @@
     const heaviest = owners.reduce((most, each) =>
       loadOf(each) > loadOf(most) ? each : most
     );
+    if (loadOf(heaviest) < mean * unevenLoad) return undefined;
     const lightest = this.#lightest();
     let best: KeyRange | undefined;
     let bestPeak = loadOf(heaviest) - mean * leastGain;
--- a/packages/fleet/range_keeper_test.ts
+++ b/packages/fleet/range_keeper_test.ts
@@ -133,8 +133,32 @@
       fence: 5,
       handover: "",
     }));
+    keeper.grant(ranges, first, 50);
     plan(keeper, ranges, { lives: [first, second], now: 100 });
-    const moving = ranges.filter((each) => keeper.isMoving(each));
-    expect(moving).toHaveLength(1);
+    const moving = () => ranges.filter((each) => keeper.isMoving(each));
+    // Its requests wait only from when the owner can be told.
+    expect(moving()).toHaveLength(0);
+    const holds = ranges.map(({ from, to, fence }) => ({ from, to, fence }));
+    keeper.note(ranges, beat(first, { holds }));
+    expect(moving()).toHaveLength(1);
+    expect(keeper.grant(ranges, first, 200)).toHaveLength(3);
+  });
+
+  it("moves nothing for the noise of a calm day", () => {
+    const keeper = new RangeKeeper({ ...options, startedAt: -10_000 });
+    const ranges = [first, second].map((owner, at): KeyRange => ({
+      from: at * 10,
+      to: at * 10 + 9,
+      owner,
+      fence: 5,
+      handover: "",
+    }));
+    keeper.plan(ranges, {
+      candidates: candidates(first, second),
+      now: 0,
+      demand: ({ owner }) => owner === first ? 15 : 9,
+    });
+    keeper.note(ranges, beat(first, {}));
+    expect(ranges.some((range) => keeper.isMoving(range))).toBe(false);
   });
 });
