Send a refused request again to a target that it went to already

Excluded: full targets (their reports show free slots), lines at the gateway (192 requests). Change: a request that ran nowhere goes up to twice more to targets that it was sent to, never to more targets than the route allows; gateways use 0.85 of their part of the budget.

--- a/packages/dispatch/retry_budget.ts
+++ b/packages/dispatch/retry_budget.ts
@@ -9,7 +9,7 @@
 }
 
 /** Share of the budget that is used, as gateways count apart from each other. */
-const usedShare = 0.6;
+const usedShare = 0.85;
 
 /** This gateway's part of the repeats that a service bears. */
 export class RetryBudget {
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -45,6 +45,13 @@
 const leastRetryAfterMilliseconds = 100;
 const millisecondsPerSecond = 1000;
 
+/**
+ * A target that refuses some requests may take the next one: a request that ran
+ * nowhere goes so often again to targets that it was sent to already.
+ */
+const mostFurtherArrivals = 2;
+const noTargets: ReadonlySet<string> = new Set();
+
 /** An answer that takes this many usual durations is overdue. */
 const overdueDurations = 1.5;
 /** A hedge leaves time for its own answer, but none leaves later than this. */
@@ -147,11 +154,13 @@
 
   #tryStart(): boolean {
     const { route, service, head } = this.#routed;
+    const mayTryNew = this.#tried.size < route.maximumTargets;
     const found = this.#tools.desk.find({
       route,
       service,
       position: head.position,
-      tried: this.#tried,
+      tried: mayTryNew ? this.#tried : noTargets,
+      only: mayTryNew ? undefined : this.#tried,
       objectiveAt: this.#objectiveAt,
     });
     if (found.kind === "wait") return false;
@@ -328,7 +337,9 @@
     const { clock, gateways } = this.#tools;
     const { route, body, deadlineAt } = this.#routed;
     const now = clock.now();
-    return this.#arrivals + this.#exchanges.size < route.maximumTargets &&
+    const most = route.maximumTargets +
+      (this.#mayHaveRun ? 0 : mostFurtherArrivals);
+    return this.#arrivals + this.#exchanges.size < most &&
       body.canBeSent &&
       deadlineAt - now > this.#service.usualMilliseconds &&
       this.#service.budget.take(now, gateways());
--- a/packages/fleet_gateway/target_desk.ts
+++ b/packages/fleet_gateway/target_desk.ts
@@ -40,6 +40,8 @@
   readonly service: string;
   readonly position: number | undefined;
   readonly tried: ReadonlySet<string>;
+  /** The only targets that it may go to, if it went to as many as it may. */
+  readonly only?: ReadonlySet<string> | undefined;
   /** After this an answer is worth less. */
   readonly objectiveAt: number;
 }
@@ -203,9 +205,14 @@
     const { keeper, clock, random } = this.#options;
     const now = clock.now();
     const targets = keeper.table.targetsOf(wish.service).filter((target) =>
-      this.#isHome(wish.route, target)
+      this.#isHome(wish.route, target) &&
+      wish.only?.has(target.name) !== false
     );
-    if (targets.length === 0) return { kind: "wait" };
+    if (targets.length === 0) {
+      return wish.only
+        ? { kind: "none", reason: "the targets that it went to are gone" }
+        : { kind: "wait" };
+    }
     const options = targets.filter((target) => this.#bearsNow(target, now))
       .map((target) => this.#option(target));
     if (options.length === 0) return { kind: "wait" };
