Tell gateways of a move before its owner, and of the new owner after it knows

Excluded: lapsed holds (no target was silent), cut ranges (the refusals follow moves, not cuts). A control VM whose disk fails pauses a second.

--- a/packages/fleet/range_keeper.ts
+++ b/packages/fleet/range_keeper.ts
@@ -14,13 +14,16 @@
 /** Delay of timers on a target that counts its hold. */
 const timerMilliseconds = 100;
 
+/** An answer is with its target by then: two regions, and a resent packet. */
+const travelMilliseconds = 40;
+
 /** What a leader knows of a range beside what stands in the log. */
 interface RangeLease {
   readonly fence: number;
   /** No hold that was given lasts beyond this. */
   heldUntil: number;
-  /** The owner was told of the range under this fence. */
-  isTaken: boolean;
+  /** From when the owner has heard of the range under this fence. */
+  takenAt: number;
   /** The owner is to give it up. */
   isMoving: boolean;
   /** It moves for balance; else because its owner cannot keep it. */
@@ -73,14 +76,18 @@
   }
 
   /** Whether gateways should hold requests for a range back. */
-  isMoving(range: KeyRange): boolean {
+  isMoving(range: KeyRange, now: number): boolean {
     const lease = this.#lease(range);
-    return range.owner === null || lease.isMoving || !lease.isTaken;
+    return range.owner === null || lease.isMoving || now < lease.takenAt;
   }
 
-  /** Takes in what a target holds and gave up. */
-  note(ranges: KeyRanges, announcement: Announcement): void {
+  /**
+   * Takes in what a target holds and gave up. Answers with whether gateways
+   * must learn at once that a range moves.
+   */
+  note(ranges: KeyRanges, announcement: Announcement): boolean {
     const { life } = announcement;
+    let begins = false;
     for (const range of ranges) {
       if (range.owner?.target !== life.target) continue;
       const lease = this.#lease(range);
@@ -92,6 +99,7 @@
       if (lease.isWanted) {
         lease.isWanted = false;
         lease.isMoving = true;
+        begins = true;
         continue;
       }
       if (!lease.isMoving || lease.handover !== undefined) continue;
@@ -100,6 +108,7 @@
         row.from <= range.from && row.to >= range.to
       )?.handover ?? "";
     }
+    return begins;
   }
 
   /** Everything that a target is to hold; holds count from this call on. */
@@ -110,7 +119,7 @@
       const lease = this.#lease(range);
       if (lease.isMoving) continue;
       lease.heldUntil = this.#holdEnd(now);
-      lease.isTaken = true;
+      if (lease.takenAt === Infinity) lease.takenAt = now + travelMilliseconds;
       const { from, to, fence, handover } = range;
       rows.push({ from, to, fence, handover });
     }
@@ -186,7 +195,7 @@
       fence: range.fence,
       // A leader before this one may have told the owner already.
       heldUntil: known ? -Infinity : this.#holdEnd(this.#options.startedAt),
-      isTaken: !known,
+      takenAt: known ? Infinity : -Infinity,
       isMoving: false,
       isBalancing: false,
       isWanted: false,
--- a/packages/fleet/range_keeper_test.ts
+++ b/packages/fleet/range_keeper_test.ts
@@ -75,7 +75,7 @@
     const ranges = [range(first, 5)];
     keeper.grant(ranges, first, 100);
     plan(keeper, ranges, { lives: [second], now: 200 });
-    expect(keeper.isMoving(ranges[0]!)).toBe(true);
+    expect(keeper.isMoving(ranges[0]!, 250)).toBe(true);
     expect(keeper.grant(ranges, first, 300)).toEqual([]);
     keeper.note(
       ranges,
@@ -105,6 +105,17 @@
       .toEqual([{ from: 0, expectedFence: 5, owner: reborn, handover: "" }]);
   });
 
+  it("lets requests go to a new owner only when it has been told", () => {
+    const keeper = new RangeKeeper(options);
+    const before = [range(first, 5)];
+    keeper.grant(before, first, 100);
+    const after = [range(second, 8)];
+    expect(keeper.isMoving(after[0]!, 500)).toBe(true);
+    keeper.grant(after, second, 600);
+    expect(keeper.isMoving(after[0]!, 601)).toBe(true);
+    expect(keeper.isMoving(after[0]!, 700)).toBe(false);
+  });
+
   it("holds both parts of a cut range as it held the whole", () => {
     const keeper = new RangeKeeper(options);
     keeper.grant([range(first, 5)], first, 10_000);
@@ -121,7 +132,7 @@
     keeper.grant(ranges, first, 100);
     plan(keeper, ranges, { lives: [second], now: 200 });
     plan(keeper, ranges, { lives: [first, second], now: 300 });
-    expect(keeper.isMoving(ranges[0]!)).toBe(false);
+    expect(keeper.isMoving(ranges[0]!, 250)).toBe(false);
   });
 
   it("moves the range that evens two owners out, and not back again", () => {
@@ -135,7 +146,7 @@
     }));
     keeper.grant(ranges, first, 50);
     plan(keeper, ranges, { lives: [first, second], now: 100 });
-    const moving = () => ranges.filter((each) => keeper.isMoving(each));
+    const moving = () => ranges.filter((each) => keeper.isMoving(each, 300));
     // Its requests wait only from when the owner can be told.
     expect(moving()).toHaveLength(0);
     const holds = ranges.map(({ from, to, fence }) => ({ from, to, fence }));
@@ -159,6 +170,6 @@
       demand: ({ owner }) => owner === first ? 15 : 9,
     });
     keeper.note(ranges, beat(first, {}));
-    expect(ranges.some((range) => keeper.isMoving(range))).toBe(false);
+    expect(ranges.some((range) => keeper.isMoving(range, 100))).toBe(false);
   });
 });
--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -51,6 +51,8 @@
  */
 const gatherMilliseconds = 5000;
 const handOverMilliseconds = 1000;
+/** A disk that is full or stalled is not better at once. */
+const restartPauseMilliseconds = 1000;
 const largestCallBytes = 16 * 1024 * 1024;
 
 /** Options of {@link ControlVm.start}. */
@@ -119,7 +121,7 @@
       onChange: () => vm.#noteChange(),
       onFailure: (failure) => {
         logger.error("replica-stopped", { reason: describeFailure(failure) });
-        options.onFailure(failure);
+        setTimeout(() => options.onFailure(failure), restartPauseMilliseconds);
       },
     });
     vm.#links = new ReplicaLinks({
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -183,7 +183,7 @@
     for (const service of this.#keyedServices()) this.#planRanges(service, now);
     this.#noteColdTargets(now);
     this.#noteControl();
-    this.#noteRangeFlags();
+    this.#noteRangeFlags(now);
     this.noteChange();
   }
 
@@ -249,7 +249,10 @@
       });
     }
     const ranges = replica.state.ranges.get(service);
-    if (ranges) this.#keeper(service).note(ranges, announcement);
+    // Gateways hear of a move before its owner does.
+    if (ranges && this.#keeper(service).note(ranges, announcement)) {
+      this.#noteRangeFlags(clock.now());
+    }
     this.noteChange();
     return true;
   }
@@ -408,12 +411,12 @@
     this.#coldCount = count;
   }
 
-  #noteRangeFlags(): void {
+  #noteRangeFlags(now: number): void {
     for (const [service, ranges] of this.#options.replica.state.ranges) {
       const keeper = this.#keeper(service);
       for (const range of ranges) {
         const id = `${service}/${range.from}`;
-        const isMoving = keeper.isMoving(range);
+        const isMoving = keeper.isMoving(range, now);
         const known = this.#rangeFlags.get(id);
         if (known?.isMoving === isMoving && known.to === range.to) continue;
         const revision = this.#revisions.next();
@@ -474,7 +477,7 @@
         ranges.filter((range) =>
           range.fence > position.index ||
           this.#rangeRevision(service, range) > since
-        ).map((range) => this.#rangeView(service, range))
+        ).map((range) => this.#rangeView(service, range, now))
       ),
       gateways: this.#gateways.present(now).length,
       control: this.#controlRevision > since ? this.#control : null,
@@ -504,14 +507,14 @@
     return this.#rangeFlags.get(`${service}/${range.from}`)?.revision ?? 0;
   }
 
-  #rangeView(service: string, range: KeyRange): RangeView {
+  #rangeView(service: string, range: KeyRange, now: number): RangeView {
     return {
       service,
       from: range.from,
       to: range.to,
       owner: range.owner?.target ?? "",
       fence: range.fence,
-      isMoving: this.#keeper(service).isMoving(range),
+      isMoving: this.#keeper(service).isMoving(range, now),
     };
   }
 }
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -44,6 +44,8 @@
 const retryAfterShare = 1 / 3;
 const leastRetryAfterMilliseconds = 100;
 const millisecondsPerSecond = 1000;
+/** An owner that refuses has lost the range or not got it yet; news come by then. */
+const ownerPauseMilliseconds = 100;
 
 /**
  * A target that refuses some requests may take the next one: a request that ran
@@ -89,6 +91,8 @@
   #failure: { readonly head: AnswerHead; readonly body: Buffer } | undefined;
   readonly #exchanges = new Set<Exchange>();
   #hedgeTimer: NodeJS.Timeout | undefined;
+  /** Not sent before. */
+  #dueAt = -Infinity;
   #waiting: WaitingRequest | undefined;
   #isOver = false;
 
@@ -154,6 +158,7 @@
 
   #tryStart(): boolean {
     const { route, service, head } = this.#routed;
+    if (this.#tools.clock.now() < this.#dueAt) return false;
     const mayTryNew = this.#tried.size < route.maximumTargets;
     const found = this.#tools.desk.find({
       route,
@@ -308,6 +313,9 @@
     this.#arrivals += 1;
     if (head.didNotRun) {
       this.#log("target-refused", target, String(head.status));
+      if (this.#routed.head.position !== undefined) {
+        this.#dueAt = this.#tools.clock.now() + ownerPauseMilliseconds;
+      }
       if (this.#mayTryElsewhere) return this.#again();
       return this.#refuse("the target had no room", 0);
     }
