Split the largest modules by job

Change: calls from outside, greetings, ranges while leading, rounds that confirm the lead, headers sent to targets and ends of exchanges stand in modules of their own; nothing decides otherwise than before.

--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -1,11 +1,8 @@
 import {
   DepartureKind,
   isCovered,
-  KeyDemand,
-  RangeKeeper,
   Revisions,
   TargetRegistry,
-  TargetSpeeds,
 } from "@kingcupglade/fleet";
 import type {
   Announcement,
@@ -13,9 +10,6 @@
   FleetCommand,
   FleetOutcome,
   FleetState,
-  KeyRange,
-  RangeCandidate,
-  RangeView,
   RegisteredTarget,
   TargetView,
   ViewDelta,
@@ -26,6 +20,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
 import { GatewayBook } from "./gateway_book.ts";
+import { holdMilliseconds, RangeDesk } from "./range_desk.ts";
 import type { Watch } from "./watch.ts";
 
 /** A replica of the fleet's state. */
@@ -33,20 +28,10 @@
 
 /** Heartbeats after which every live target has been heard. */
 const completeHeartbeats = 2.5;
-/** A target that missed this many heartbeats gets no ranges and keeps none. */
-const silentHeartbeats = 3;
 /** Time to learn whether the quorum still follows; a target waits a second. */
 const confirmMilliseconds = 700;
 /** Gateways may act on what an earlier leader said of cold targets so long. */
 const coldLeaseMilliseconds = 2500;
-/** Ranges made for each target of a keyed service; more spread hot ones better. */
-const rangesPerTarget = 8;
-const mostRanges = 1024;
-/**
- * Hold that a grant gives: short, so that a lost owner's ranges are served
- * again within 4 s; long enough for a change of leader between two heartbeats.
- */
-const holdMilliseconds = 3000;
 
 /** Options of a {@link LeaderSession}. */
 export interface LeaderSessionOptions {
@@ -68,20 +53,8 @@
   readonly #revisions = new Revisions();
   readonly #registry = new TargetRegistry(this.#revisions);
   readonly #gateways: GatewayBook;
-  readonly #keepers = new Map<string, RangeKeeper>();
-  readonly #demand = new Map<string, KeyDemand>();
-  readonly #speeds = new TargetSpeeds();
-  /** What gateways were told of each range, and when it last changed. */
-  readonly #rangeFlags = new Map<
-    string,
-    {
-      readonly isMoving: boolean;
-      readonly to: number;
-      readonly revision: number;
-    }
-  >();
+  readonly #ranges: RangeDesk;
   readonly #startedAt: number;
-  readonly #proposing = new Set<string>();
   readonly #waiters = new Set<() => void>();
   #toldRevision = 0;
   #toldIndex = 0;
@@ -95,6 +68,14 @@
     this.#startedAt = options.clock.now();
     this.term = options.replica.consensus.term;
     this.#gateways = new GatewayBook(options);
+    this.#ranges = new RangeDesk({
+      ...options,
+      registry: this.#registry,
+      revisions: this.#revisions,
+      startedAt: this.#startedAt,
+      isComplete: () => this.isComplete,
+      onChange: () => this.noteChange(),
+    });
   }
 
   /** Whether every live target has had time to announce itself. */
@@ -131,11 +112,12 @@
         kind: DepartureKind.draining,
       });
     }
-    if (!this.#isKeyed(announcement.service)) {
+    if (!this.#ranges.isKeyed(announcement.service)) {
       return { address: controlAddress };
     }
     if (!await replica.confirmLeadership(confirmMilliseconds)) return null;
-    const grants = this.#grant(announcement);
+    const grants = this.#ranges.grant(announcement);
+    this.noteChange();
     return grants === null
       ? { address: controlAddress }
       : { address: controlAddress, grants, holdMilliseconds };
@@ -167,10 +149,7 @@
   async watch(watch: Watch, holdMilliseconds: number): Promise<ViewDelta> {
     const now = this.#options.clock.now();
     this.#gateways.note(watch, now);
-    for (const { service, bucket, count } of watch.demand) {
-      this.#demandOf(service).note(bucket, count, now);
-    }
-    for (const row of watch.durations) this.#speeds.note(row);
+    this.#ranges.noteWatch(watch, now);
     if (!this.#hasNews(watch.position)) await this.#news(holdMilliseconds);
     return this.#delta(watch.position);
   }
@@ -180,10 +159,9 @@
     const { clock } = this.#options;
     const now = clock.now();
     this.#registry.forgetSilent(now);
-    for (const service of this.#keyedServices()) this.#planRanges(service, now);
+    this.#ranges.tick(now);
     this.#noteColdTargets(now);
     this.#noteControl();
-    this.#noteRangeFlags(now);
     this.noteChange();
   }
 
@@ -248,26 +226,11 @@
         dataCentre: announcement.dataCentre,
       });
     }
-    const ranges = replica.state.ranges.get(service);
-    // Gateways hear of a move before its owner does.
-    if (ranges && this.#keeper(service).note(ranges, announcement)) {
-      this.#noteRangeFlags(clock.now());
-    }
+    this.#ranges.noteHolds(announcement);
     this.noteChange();
     return true;
   }
 
-  #grant(announcement: Announcement): AnnouncementAnswer["grants"] | null {
-    const { clock, replica } = this.#options;
-    const { life, service } = announcement;
-    const ranges = replica.state.ranges.get(service);
-    // A grant that is being committed for another owner must not be renewed.
-    if (!ranges || this.#proposing.has(service)) return null;
-    const rows = this.#keeper(service).grant(ranges, life, clock.now());
-    this.noteChange();
-    return rows;
-  }
-
   async #depart(
     target: string,
     departure: { readonly bornAt: number; readonly kind: DepartureKind },
@@ -291,107 +254,6 @@
     this.noteChange();
   }
 
-  #isKeyed(service: string): boolean {
-    const held = this.#options.replica.state.items.get(
-      `${ItemKind.service}/${service}`,
-    );
-    return held?.content?.kind === ItemKind.service && held.content.isKeyed;
-  }
-
-  #keyedServices(): readonly string[] {
-    return [...this.#options.replica.state.items.values()].flatMap((
-      { content },
-    ) =>
-      content?.kind === ItemKind.service && content.isKeyed
-        ? [content.name]
-        : []
-    );
-  }
-
-  #planRanges(service: string, now: number): void {
-    const { replica } = this.#options;
-    if (!this.isComplete || this.#proposing.has(service)) return;
-    const candidates = this.#candidates(service, now);
-    if (candidates.length === 0) return;
-    const ranges = replica.state.ranges.get(service);
-    if (!ranges) {
-      const count = Math.min(mostRanges, candidates.length * rangesPerTarget);
-      return this.#propose(service, {
-        kind: "createRanges",
-        service,
-        ranges: count,
-      });
-    }
-    const demand = this.#demandOf(service);
-    const plan = this.#keeper(service).plan(ranges, {
-      candidates,
-      now,
-      demand: (range) => demand.of(range, now),
-    });
-    if (plan.grants.length > 0) {
-      const { grants } = plan;
-      return this.#propose(service, { kind: "grantRanges", service, grants });
-    }
-    const split = demand.split(ranges, now);
-    if (split) {
-      this.#propose(service, { kind: "splitRange", service, ...split });
-    }
-  }
-
-  #propose(service: string, command: FleetCommand): void {
-    const { replica, logger } = this.#options;
-    this.#proposing.add(service);
-    replica.propose(command).then((outcome) => {
-      logger.info("ranges-changed", {
-        service,
-        command: command.kind,
-        ranges: command.kind === "grantRanges" ? command.grants.length : 0,
-        outcome: outcome.kind,
-      });
-    }, (failure: Error) => {
-      logger.warn("ranges-not-changed", { service, reason: failure.message });
-    }).finally(() => {
-      this.#proposing.delete(service);
-      this.noteChange();
-    });
-  }
-
-  #candidates(service: string, now: number): readonly RangeCandidate[] {
-    const { heartbeatMilliseconds, replica } = this.#options;
-    const silent = heartbeatMilliseconds * silentHeartbeats;
-    const { evacuations } = replica.state;
-    const targets = [...this.#registry.all()].filter((target) =>
-      target.service === service && !target.isLeaving &&
-      now - target.heardAt < silent &&
-      evacuations.get(target.dataCentre)?.isOut !== true
-    );
-    const names = targets.map(({ life }) => life.target);
-    return targets.map(({ life, slots, isCold, isUnproven }) => ({
-      life,
-      weight: slots * this.#speeds.weight(life.target, names),
-      accepts: !isCold && !isUnproven,
-    }));
-  }
-
-  #demandOf(service: string): KeyDemand {
-    const known = this.#demand.get(service);
-    if (known) return known;
-    const demand = new KeyDemand();
-    this.#demand.set(service, demand);
-    return demand;
-  }
-
-  #keeper(service: string): RangeKeeper {
-    const known = this.#keepers.get(service);
-    if (known) return known;
-    const keeper = new RangeKeeper({
-      holdMilliseconds,
-      startedAt: this.#startedAt,
-    });
-    this.#keepers.set(service, keeper);
-    return keeper;
-  }
-
   #noteControl(): void {
     const control = [...this.#options.controlAddresses()].sort();
     if (control.join() === this.#control.join()) return;
@@ -411,20 +273,6 @@
     this.#coldCount = count;
   }
 
-  #noteRangeFlags(now: number): void {
-    for (const [service, ranges] of this.#options.replica.state.ranges) {
-      const keeper = this.#keeper(service);
-      for (const range of ranges) {
-        const id = `${service}/${range.from}`;
-        const isMoving = keeper.isMoving(range, now);
-        const known = this.#rangeFlags.get(id);
-        if (known?.isMoving === isMoving && known.to === range.to) continue;
-        const revision = this.#revisions.next();
-        this.#rangeFlags.set(id, { isMoving, to: range.to, revision });
-      }
-    }
-  }
-
   #hasNews(position: ViewPosition): boolean {
     return position.term !== this.term ||
       position.index < this.#options.replica.appliedIndex ||
@@ -473,12 +321,7 @@
       ).map((target) => this.#targetView(target, now)),
       areTargetsComplete: sendsAll,
       removedTargets: isKnown ? this.#registry.removedSince(since) : [],
-      ranges: [...state.ranges].flatMap(([service, ranges]) =>
-        ranges.filter((range) =>
-          range.fence > position.index ||
-          this.#rangeRevision(service, range) > since
-        ).map((range) => this.#rangeView(service, range, now))
-      ),
+      ranges: this.#ranges.news(position, { since, now }),
       gateways: this.#gateways.present(now).length,
       control: this.#controlRevision > since ? this.#control : null,
     };
@@ -502,19 +345,4 @@
         : [],
     };
   }
-
-  #rangeRevision(service: string, range: KeyRange): number {
-    return this.#rangeFlags.get(`${service}/${range.from}`)?.revision ?? 0;
-  }
-
-  #rangeView(service: string, range: KeyRange, now: number): RangeView {
-    return {
-      service,
-      from: range.from,
-      to: range.to,
-      owner: range.owner?.target ?? "",
-      fence: range.fence,
-      isMoving: this.#keeper(service).isMoving(range, now),
-    };
-  }
 }
--- a/packages/fleet_control/mod.ts
+++ b/packages/fleet_control/mod.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-export { ControlVm, peerAddressOf } from "./control_vm.ts";
+export { ControlVm } from "./control_vm.ts";
 export type { ControlVmOptions } from "./control_vm.ts";
 export { ControlWire } from "./control_wire.ts";
 export type {
@@ -13,5 +13,6 @@
   OutsideRequest,
   OutsideResult,
 } from "./control_wire.ts";
+export { peerAddressOf } from "./greeter.ts";
 export { PeerCalls } from "./peer_calls.ts";
 export type { Watch, WatchAnswer } from "./watch.ts";
--- /dev/null
+++ b/packages/fleet_control/range_desk.ts
@@ -0,0 +1,246 @@
+import { KeyDemand, RangeKeeper, TargetSpeeds } from "@kingcupglade/fleet";
+import type {
+  Announcement,
+  FleetCommand,
+  GrantRow,
+  KeyRange,
+  RangeCandidate,
+  RangeView,
+  Revisions,
+  TargetRegistry,
+  ViewPosition,
+} from "@kingcupglade/fleet";
+import { ItemKind } from "@kingcupglade/items";
+import type { Clock } from "@kingcupglade/tasks";
+import type { Logger } from "@kingcupglade/telemetry";
+import type { FleetReplica } from "./leader_session.ts";
+import type { Watch } from "./watch.ts";
+
+/** A target that missed this many heartbeats gets no ranges and keeps none. */
+const silentHeartbeats = 3;
+/** Ranges made for each target of a keyed service; more spread hot ones better. */
+const rangesPerTarget = 8;
+const mostRanges = 1024;
+/**
+ * Hold that a grant gives: short, so that a lost owner's ranges are served
+ * again within 4 s; long enough for a change of leader between two heartbeats.
+ */
+export const holdMilliseconds = 3000;
+
+/** Options of a {@link RangeDesk}. */
+export interface RangeDeskOptions {
+  readonly replica: FleetReplica;
+  readonly registry: TargetRegistry;
+  readonly revisions: Revisions;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly heartbeatMilliseconds: number;
+  /** When this replica took the lead. */
+  readonly startedAt: number;
+  /** Whether every live target has had time to announce itself. */
+  readonly isComplete: () => boolean;
+  /** Called when gateways may have something to learn. */
+  readonly onChange: () => void;
+}
+
+/** Who owns the ranges of the keyed services, while a replica leads. */
+export class RangeDesk {
+  readonly #options: RangeDeskOptions;
+  readonly #keepers = new Map<string, RangeKeeper>();
+  readonly #demand = new Map<string, KeyDemand>();
+  readonly #speeds = new TargetSpeeds();
+  readonly #proposing = new Set<string>();
+  /** What gateways were told of each range, and when it last changed. */
+  readonly #rangeFlags = new Map<
+    string,
+    {
+      readonly isMoving: boolean;
+      readonly to: number;
+      readonly revision: number;
+    }
+  >();
+
+  constructor(options: RangeDeskOptions) {
+    this.#options = options;
+  }
+
+  /** Decides what is due for every keyed service. */
+  tick(now: number): void {
+    for (const service of this.#services()) this.#planRanges(service, now);
+    this.noteFlags(now);
+  }
+
+  /** Takes in what a gateway counted. */
+  noteWatch({ demand, durations }: Watch, now: number): void {
+    for (const { service, bucket, count } of demand) {
+      this.#demandOf(service).note(bucket, count, now);
+    }
+    for (const row of durations) this.#speeds.note(row);
+  }
+
+  /** Takes in what a target holds and gave up. */
+  noteHolds(announcement: Announcement): void {
+    const { replica, clock } = this.#options;
+    const { service } = announcement;
+    const ranges = replica.state.ranges.get(service);
+    // Gateways hear of a move before its owner does.
+    if (ranges && this.#keeper(service).note(ranges, announcement)) {
+      this.noteFlags(clock.now());
+    }
+  }
+
+  /** Everything that a target is to hold; null when nothing may be renewed. */
+  grant({ life, service }: Announcement): readonly GrantRow[] | null {
+    const { clock, replica } = this.#options;
+    const ranges = replica.state.ranges.get(service);
+    // A grant that is being committed for another owner must not be renewed.
+    if (!ranges || this.#proposing.has(service)) return null;
+    return this.#keeper(service).grant(ranges, life, clock.now());
+  }
+
+  /** The ranges of which a gateway has not heard. */
+  news(
+    position: ViewPosition,
+    view: { readonly since: number; readonly now: number },
+  ): readonly RangeView[] {
+    const { state } = this.#options.replica;
+    return [...state.ranges].flatMap(([service, ranges]) =>
+      ranges.filter((range) =>
+        range.fence > position.index ||
+        this.#rangeRevision(service, range) > view.since
+      ).map((range) => this.#rangeView(service, range, view.now))
+    );
+  }
+
+  /** Whether a service is divided by key. */
+  isKeyed(service: string): boolean {
+    const held = this.#options.replica.state.items.get(
+      `${ItemKind.service}/${service}`,
+    );
+    return held?.content?.kind === ItemKind.service && held.content.isKeyed;
+  }
+
+  #services(): readonly string[] {
+    return [...this.#options.replica.state.items.values()].flatMap((
+      { content },
+    ) =>
+      content?.kind === ItemKind.service && content.isKeyed
+        ? [content.name]
+        : []
+    );
+  }
+
+  #planRanges(service: string, now: number): void {
+    const { replica } = this.#options;
+    if (!this.#options.isComplete() || this.#proposing.has(service)) return;
+    const candidates = this.#candidates(service, now);
+    if (candidates.length === 0) return;
+    const ranges = replica.state.ranges.get(service);
+    if (!ranges) {
+      const count = Math.min(mostRanges, candidates.length * rangesPerTarget);
+      return this.#propose(service, {
+        kind: "createRanges",
+        service,
+        ranges: count,
+      });
+    }
+    const demand = this.#demandOf(service);
+    const plan = this.#keeper(service).plan(ranges, {
+      candidates,
+      now,
+      demand: (range) => demand.of(range, now),
+    });
+    if (plan.grants.length > 0) {
+      const { grants } = plan;
+      return this.#propose(service, { kind: "grantRanges", service, grants });
+    }
+    const split = demand.split(ranges, now);
+    if (split) {
+      this.#propose(service, { kind: "splitRange", service, ...split });
+    }
+  }
+
+  #propose(service: string, command: FleetCommand): void {
+    const { replica, logger } = this.#options;
+    this.#proposing.add(service);
+    replica.propose(command).then((outcome) => {
+      logger.info("ranges-changed", {
+        service,
+        command: command.kind,
+        ranges: command.kind === "grantRanges" ? command.grants.length : 0,
+        outcome: outcome.kind,
+      });
+    }, (failure: Error) => {
+      logger.warn("ranges-not-changed", { service, reason: failure.message });
+    }).finally(() => {
+      this.#proposing.delete(service);
+      this.#options.onChange();
+    });
+  }
+
+  #candidates(service: string, now: number): readonly RangeCandidate[] {
+    const { heartbeatMilliseconds, replica } = this.#options;
+    const silent = heartbeatMilliseconds * silentHeartbeats;
+    const { evacuations } = replica.state;
+    const targets = [...this.#options.registry.all()].filter((target) =>
+      target.service === service && !target.isLeaving &&
+      now - target.heardAt < silent &&
+      evacuations.get(target.dataCentre)?.isOut !== true
+    );
+    const names = targets.map(({ life }) => life.target);
+    return targets.map(({ life, slots, isCold, isUnproven }) => ({
+      life,
+      weight: slots * this.#speeds.weight(life.target, names),
+      accepts: !isCold && !isUnproven,
+    }));
+  }
+
+  #demandOf(service: string): KeyDemand {
+    const known = this.#demand.get(service);
+    if (known) return known;
+    const demand = new KeyDemand();
+    this.#demand.set(service, demand);
+    return demand;
+  }
+
+  #keeper(service: string): RangeKeeper {
+    const known = this.#keepers.get(service);
+    if (known) return known;
+    const keeper = new RangeKeeper({
+      holdMilliseconds,
+      startedAt: this.#options.startedAt,
+    });
+    this.#keepers.set(service, keeper);
+    return keeper;
+  }
+
+  /** Notes which ranges gateways must learn of anew. */
+  noteFlags(now: number): void {
+    for (const [service, ranges] of this.#options.replica.state.ranges) {
+      const keeper = this.#keeper(service);
+      for (const range of ranges) {
+        const id = `${service}/${range.from}`;
+        const isMoving = keeper.isMoving(range, now);
+        const known = this.#rangeFlags.get(id);
+        if (known?.isMoving === isMoving && known.to === range.to) continue;
+        const revision = this.#options.revisions.next();
+        this.#rangeFlags.set(id, { isMoving, to: range.to, revision });
+      }
+    }
+  }
+
+  #rangeRevision(service: string, range: KeyRange): number {
+    return this.#rangeFlags.get(`${service}/${range.from}`)?.revision ?? 0;
+  }
+
+  #rangeView(service: string, range: KeyRange, now: number): RangeView {
+    return {
+      service,
+      from: range.from,
+      to: range.to,
+      owner: range.owner?.target ?? "",
+      fence: range.fence,
+      isMoving: this.#keeper(service).isMoving(range, now),
+    };
+  }
+}
--- /dev/null
+++ b/packages/fleet_gateway/exchange_end.ts
@@ -0,0 +1,21 @@
+import { ExchangeEnd } from "@kingcupglade/dispatch";
+import type { ExchangeResult } from "./exchange.ts";
+
+/** Whether a caller is served by an exchange. */
+export function isGood(result: ExchangeResult): boolean {
+  return result.kind === "answered" && !result.head.didNotRun &&
+    result.head.status < 500;
+}
+
+/** Whether the target may have run the request. */
+export function mayHaveRun(result: ExchangeResult): boolean {
+  return result.kind === "unknown" ||
+    (result.kind === "answered" && !result.head.didNotRun);
+}
+
+/** How an exchange ended, as far as choices go. */
+export function endOf(result: ExchangeResult): ExchangeEnd {
+  if (result.kind !== "answered") return ExchangeEnd.broken;
+  if (result.head.didNotRun) return ExchangeEnd.rejected;
+  return result.head.status >= 500 ? ExchangeEnd.failed : ExchangeEnd.answered;
+}
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -1,44 +1,14 @@
-import type { IncomingMessage } from "node:http";
 import { ExchangeEnd } from "@kingcupglade/dispatch";
 import type { TargetRecord, WaitingRequest } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
-import type { Route } from "@kingcupglade/items";
-import type { Clock } from "@kingcupglade/tasks";
-import type { Logger, Metrics } from "@kingcupglade/telemetry";
-import type { RequestBody } from "@kingcupglade/transport";
 import type { CallerAnswer } from "./answer.ts";
-import type { CallerHead, CallerWire } from "./caller_wire.ts";
 import { Exchange } from "./exchange.ts";
 import type { AnswerHead, AnswerStream, ExchangeResult } from "./exchange.ts";
+import { endOf, isGood, mayHaveRun } from "./exchange_end.ts";
+import type { RoutedRequest, RunTools } from "./routed_request.ts";
+import { sentHeaders } from "./sent_headers.ts";
 import type { ServiceDesk } from "./service_desk.ts";
-import type { TargetConnections } from "./target_connections.ts";
-import type { TargetDesk } from "./target_desk.ts";
-
-/** What every run needs of its gateway. */
-export interface RunTools {
-  readonly desk: TargetDesk;
-  readonly connections: TargetConnections;
-  readonly wire: CallerWire;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly random: () => number;
-  /** Gateways that share the retry budget. */
-  readonly gateways: () => number;
-}
-
-/** A request whose route is known and whose body can be sent. */
-export interface RoutedRequest {
-  readonly request: IncomingMessage;
-  readonly head: CallerHead;
-  readonly route: Route;
-  readonly service: string;
-  readonly body: RequestBody;
-  readonly arrivedAt: number;
-  /** When the caller, or its route, wants no answer any more. */
-  readonly deadlineAt: number;
-}
 
 /** A caller waits for a refusal no longer than this share of what it has left. */
 const retryAfterShare = 1 / 3;
@@ -63,19 +33,6 @@
 /** An answer must be on its way this long before nobody wants it any more. */
 const answerMarginMilliseconds = 15;
 
-const hopByHopHeaders: ReadonlySet<string> = new Set([
-  "connection",
-  "content-length",
-  "expect",
-  "keep-alive",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
 /** Takes one request to a target that answers it, or ends it truthfully. */
 export class RequestRun {
   readonly #tools: RunTools;
@@ -433,45 +390,3 @@
     });
   }
 }
-
-function isGood(result: ExchangeResult): boolean {
-  return result.kind === "answered" && !result.head.didNotRun &&
-    result.head.status < 500;
-}
-
-function mayHaveRun(result: ExchangeResult): boolean {
-  return result.kind === "unknown" ||
-    (result.kind === "answered" && !result.head.didNotRun);
-}
-
-function endOf(result: ExchangeResult): ExchangeEnd {
-  if (result.kind !== "answered") return ExchangeEnd.broken;
-  if (result.head.didNotRun) return ExchangeEnd.rejected;
-  return result.head.status >= 500 ? ExchangeEnd.failed : ExchangeEnd.answered;
-}
-
-function sentHeaders(
-  headers: IncomingMessage["headers"],
-  added: Readonly<Record<string, string>>,
-  body: RequestBody,
-): string[] {
-  const named = connectionHeaders(headers.connection);
-  const sent: string[] = [];
-  for (const [name, value] of Object.entries(headers)) {
-    if (hopByHopHeaders.has(name) || named.has(name) || name in added) continue;
-    for (const each of [value ?? []].flat()) sent.push(name, each);
-  }
-  for (const [name, value] of Object.entries(added)) sent.push(name, value);
-  if (body.whole === undefined && body.streamedLength !== undefined) {
-    sent.push("content-length", String(body.streamedLength));
-  }
-  return sent;
-}
-
-function connectionHeaders(
-  connection: string | undefined,
-): ReadonlySet<string> {
-  return new Set(
-    (connection ?? "").toLowerCase().split(",").map((each) => each.trim()),
-  );
-}
--- /dev/null
+++ b/packages/fleet_gateway/routed_request.ts
@@ -0,0 +1,33 @@
+import type { IncomingMessage } from "node:http";
+import type { Route } from "@kingcupglade/items";
+import type { Clock } from "@kingcupglade/tasks";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import type { RequestBody } from "@kingcupglade/transport";
+import type { CallerHead, CallerWire } from "./caller_wire.ts";
+import type { TargetConnections } from "./target_connections.ts";
+import type { TargetDesk } from "./target_desk.ts";
+
+/** What every run needs of its gateway. */
+export interface RunTools {
+  readonly desk: TargetDesk;
+  readonly connections: TargetConnections;
+  readonly wire: CallerWire;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly random: () => number;
+  /** Gateways that share the retry budget. */
+  readonly gateways: () => number;
+}
+
+/** A request whose route is known and whose body can be sent. */
+export interface RoutedRequest {
+  readonly request: IncomingMessage;
+  readonly head: CallerHead;
+  readonly route: Route;
+  readonly service: string;
+  readonly body: RequestBody;
+  readonly arrivedAt: number;
+  /** When the caller, or its route, wants no answer any more. */
+  readonly deadlineAt: number;
+}
--- a/packages/replica/replica.ts
+++ b/packages/replica/replica.ts
@@ -6,7 +6,6 @@
   holdsQuorum,
   isVoter,
   nextTickAt,
-  quorumContactAt,
   Role,
   stepConsensus,
   termAt,
@@ -26,14 +25,13 @@
 import { MachineTask } from "@kingcupglade/tasks";
 import type { Clock } from "@kingcupglade/tasks";
 import { NotLeaderError, UnknownOutcomeError } from "./errors.ts";
+import { LeadershipRounds } from "./leadership_rounds.ts";
 import { PersistQueue } from "./persist_queue.ts";
 import { replicaIdOf } from "./replica_id.ts";
 import type { ReplicatedMachine } from "./replicated_machine.ts";
 
 const shortestPauseMilliseconds = 1;
 const handOverPollMilliseconds = 10;
-/** Rounds that confirm the lead are this far apart; targets wait a second. */
-const confirmIntervalMilliseconds = 150;
 const entriesPerCheckpoint = 500;
 const bytesPerCheckpoint = 8 * 1024 * 1024;
 
@@ -64,11 +62,6 @@
   readonly reject: (failure: Error) => void;
 }
 
-interface ContactWaiter {
-  readonly since: number;
-  readonly resolve: (isConfirmed: boolean) => void;
-}
-
 /** Runs one replica: its log, its data folder and its copy of the state. */
 export class Replica<State, Command, Outcome> {
   readonly id: string;
@@ -78,6 +71,7 @@
     ConsensusEvent,
     ConsensusEffect
   >;
+  readonly #rounds: LeadershipRounds;
   #timer: NodeJS.Timeout | undefined;
   #tickAt = Infinity;
   readonly #disk: PersistQueue;
@@ -89,9 +83,6 @@
   #state: State;
   #index: number;
   #checkpoint: Checkpoint<State>;
-  #contactTimer: NodeJS.Timeout | undefined;
-  #contactAskedAt = -Infinity;
-  readonly #contactWaiters = new Set<ContactWaiter>();
   #nextProposal = 1;
   #ended = false;
 
@@ -127,6 +118,11 @@
       perform: (effect) => this.#perform(effect),
       onFailure: (failure) => this.#fail(failure),
     });
+    this.#rounds = new LeadershipRounds({
+      clock,
+      state: () => this.#consensus.state,
+      begin: () => this.#post({ kind: "confirmLeadership" }),
+    });
     this.#scheduleTick();
   }
 
@@ -169,7 +165,7 @@
   receive(message: ConsensusMessage): void {
     if (message.to !== this.id) return;
     this.#post({ kind: "received", message });
-    if (this.#contactWaiters.size > 0) this.#noteContact();
+    this.#rounds.note();
   }
 
   /**
@@ -198,31 +194,7 @@
    * not seen within the time.
    */
   confirmLeadership(timeoutMilliseconds: number): Promise<boolean> {
-    const since = this.#options.clock.now();
-    return new Promise((resolve) => {
-      const waiter: ContactWaiter = { since, resolve: finish };
-      const timer = setTimeout(() => finish(false), timeoutMilliseconds);
-      const waiters = this.#contactWaiters;
-      function finish(isConfirmed: boolean): void {
-        clearTimeout(timer);
-        waiters.delete(waiter);
-        resolve(isConfirmed);
-      }
-      waiters.add(waiter);
-      this.#askForContact(since);
-    });
-  }
-
-  // Those that wait within one interval share a round of messages.
-  #askForContact(now: number): void {
-    if (this.#contactTimer) return;
-    const pause = this.#contactAskedAt + confirmIntervalMilliseconds - now;
-    this.#contactTimer = setTimeout(() => {
-      this.#contactTimer = undefined;
-      this.#contactAskedAt = this.#options.clock.now();
-      this.#post({ kind: "confirmLeadership" });
-      this.#noteContact();
-    }, Math.max(0, pause));
+    return this.#rounds.confirm(timeoutMilliseconds);
   }
 
   /** Waits until nothing waits for the disk, or the time is up. */
@@ -263,7 +235,7 @@
   #end(): void {
     this.#ended = true;
     clearTimeout(this.#timer);
-    clearTimeout(this.#contactTimer);
+    this.#rounds.stop();
     this.#consensus.stop();
     this.#rejectWaiting();
   }
@@ -403,14 +375,6 @@
     this.#disk.add({ kind: "persistSnapshot", snapshot: compacted });
   }
 
-  #noteContact(): void {
-    const state = this.#consensus.state;
-    const contactAt = quorumContactAt(state, this.#options.clock.now());
-    for (const { since, resolve } of this.#contactWaiters) {
-      if (contactAt >= since) resolve(true);
-    }
-  }
-
   // What was placed in the log may yet be committed under another leader.
   #rejectWaiting(): void {
     for (const each of this.#unplaced.values()) {
