--- a/packages/dispatch/waiting_line.ts
+++ b/packages/dispatch/admission_queue.ts
@@ -23,7 +23,7 @@
  * Requests that wait for room, the more urgent first. Among equals those that
  * can still be answered within their objective go before those that are late.
  */
-export class WaitingLine {
+export class AdmissionQueue {
   readonly #waiting: WaitingRequest[] = [];
   #starts = 0;
 
--- a/packages/dispatch/waiting_line_test.ts
+++ b/packages/dispatch/admission_queue_test.ts
@@ -1,10 +1,10 @@
 import { describe, expect, it } from "vitest";
-import { WaitingLine } from "./waiting_line.ts";
-import type { WaitingRequest } from "./waiting_line.ts";
+import { AdmissionQueue } from "./admission_queue.ts";
+import type { WaitingRequest } from "./admission_queue.ts";
 
 /** A service with a few slots, on which requests last equally long. */
 class FakeService {
-  readonly line = new WaitingLine();
+  readonly queue = new AdmissionQueue();
   readonly started: WaitingRequest[] = [];
   readonly refused: WaitingRequest[] = [];
   #free = 0;
@@ -25,16 +25,16 @@
       refuse: () => this.refused.push(request),
       ...more,
     };
-    this.line.add(request);
+    this.queue.add(request);
   }
 
   advance(free: number, now: number): void {
     this.#free = free;
-    this.line.advance(now, 200);
+    this.queue.advance(now, 200);
   }
 }
 
-describe("WaitingLine", () => {
+describe("AdmissionQueue", () => {
   describe("burst of two kinds", () => {
     it("starts the more urgent first, and lets the other not starve", () => {
       const service = new FakeService();
@@ -64,7 +64,7 @@
       expect(service.refused).toHaveLength(0);
       service.advance(0, 950);
       expect(service.refused).toHaveLength(1);
-      expect(service.line.length).toBe(0);
+      expect(service.queue.length).toBe(0);
     });
   });
 
--- a/packages/dispatch/choose_target.ts
+++ b/packages/dispatch/choose_target.ts
@@ -68,7 +68,7 @@
   const { now, tried } = options;
   const untried = targets.filter(({ name }) => !tried.has(name));
   if (untried.length === 0) return { kind: "none" };
-  const sound = untried.filter(({ record }) => !record.isAside(now));
+  const sound = untried.filter(({ record }) => !record.isEjected(now));
   // With most of them aside, the fault is more likely on this side.
   const usable = sound.length * 2 >= untried.length ? sound : untried;
   const near = cheapest(
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -18,5 +18,5 @@
 export type { RetryBudgetOptions } from "./retry_budget.ts";
 export { ExchangeEnd, TargetRecord } from "./target_record.ts";
 export type { LoadReport } from "./target_record.ts";
-export { WaitingLine } from "./waiting_line.ts";
-export type { WaitingRequest } from "./waiting_line.ts";
+export { AdmissionQueue } from "./admission_queue.ts";
+export type { WaitingRequest } from "./admission_queue.ts";
--- a/packages/dispatch/target_record.ts
+++ b/packages/dispatch/target_record.ts
@@ -31,8 +31,8 @@
 const slowdownMilliseconds = 400;
 /** After this long without news a target is taken as good as the others. */
 const forgiveMilliseconds = 4000;
-const firstAsideMilliseconds = 300;
-const mostAsideMilliseconds = 4000;
+const firstEjectionMilliseconds = 300;
+const mostEjectionMilliseconds = 4000;
 
 /** What a gateway has seen of one target. */
 export class TargetRecord {
@@ -45,7 +45,7 @@
   #failures = 0;
   #seenAt = -Infinity;
   #brokenInTurn = 0;
-  #asideUntil = -Infinity;
+  #ejectedUntil = -Infinity;
 
   /** Takes in that a request leaves for the target. */
   begin(): void {
@@ -63,9 +63,9 @@
     const isBad = end === ExchangeEnd.failed || end === ExchangeEnd.broken ||
       end === ExchangeEnd.rejected;
     this.#failures += ((isBad ? 1 : 0) - this.#failures) * failureWeight;
-    if (end === ExchangeEnd.broken) return this.#setAside(at.now);
+    if (end === ExchangeEnd.broken) return this.#eject(at.now);
     this.#brokenInTurn = 0;
-    this.#asideUntil = -Infinity;
+    this.#ejectedUntil = -Infinity;
     if (end !== ExchangeEnd.answered) return;
     this.#duration = this.#duration === undefined
       ? at.durationMilliseconds
@@ -116,19 +116,19 @@
   }
 
   /** Whether it broke off and is to be left alone for now. */
-  isAside(now: number): boolean {
+  isEjected(now: number): boolean {
     // One request at a time finds out whether it is back.
-    return now < this.#asideUntil ||
+    return now < this.#ejectedUntil ||
       (this.#brokenInTurn > 1 && this.inFlight > 0);
   }
 
-  #setAside(now: number): void {
+  #eject(now: number): void {
     this.#brokenInTurn += 1;
     const pause = Math.min(
-      mostAsideMilliseconds,
-      firstAsideMilliseconds * 2 ** (this.#brokenInTurn - 1),
+      mostEjectionMilliseconds,
+      firstEjectionMilliseconds * 2 ** (this.#brokenInTurn - 1),
     );
-    this.#asideUntil = now + pause;
+    this.#ejectedUntil = now + pause;
   }
 
   #staleness(now: number): number {
--- a/packages/fakes/mod.ts
+++ b/packages/fakes/mod.ts
@@ -14,3 +14,4 @@
 export { History } from "./history.ts";
 export type { HistoryEvent, TimedEvent } from "./history.ts";
 export { readReferenceTable } from "./reference_table.ts";
+export { loopbackPrefix } from "./loopback_prefix.ts";
--- a/packages/fleet/key_demand_test.ts
+++ b/packages/fleet/key_demand_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "vitest";
 import { bucketOf, KeyDemand } from "./key_demand.ts";
-import { RangeKeeper } from "./range_keeper.ts";
+import { RangeAssigner } from "./range_assigner.ts";
 import type { KeyRange, TargetLife } from "./types.ts";
 
 const owners: readonly TargetLife[] = ["a", "b", "c", "d"].map((target) => ({
@@ -41,7 +41,10 @@
     const { demand } = hotSpot();
     let { ranges } = hotSpot();
     const before = peakOf(ranges, demand);
-    const keeper = new RangeKeeper({ holdMilliseconds: 3000, startedAt: 0 });
+    const assigner = new RangeAssigner({
+      holdMilliseconds: 3000,
+      startedAt: 0,
+    });
     let moved = 0;
     for (let round = 0; round < 60; round += 1) {
       const split = demand.split(ranges, 0);
@@ -53,7 +56,7 @@
         );
       }
       for (const life of owners) {
-        keeper.note(ranges, {
+        assigner.note(ranges, {
           life,
           service: "stock",
           address: "10.0.0.1:80",
@@ -66,7 +69,7 @@
           freed: [],
         });
       }
-      const { grants } = keeper.plan(ranges, {
+      const { grants } = assigner.plan(ranges, {
         candidates: owners.map((life) => ({ life, weight: 6, accepts: true })),
         now: round * 4000,
         demand: (range) => demand.of(range, 0),
--- a/packages/fleet/range_keeper.ts
+++ b/packages/fleet/range_assigner.ts
@@ -1,8 +1,8 @@
 import type { Announcement, GrantRow } from "./announcement.ts";
 import type { KeyRange, KeyRanges, RangeGrant, TargetLife } from "./types.ts";
 
-/** Options of a {@link RangeKeeper}. */
-export interface RangeKeeperOptions {
+/** Options of a {@link RangeAssigner}. */
+export interface RangeAssignerOptions {
   /** Hold that a grant gives, counted by the target from its heartbeat. */
   readonly holdMilliseconds: number;
   /** When this replica took the lead; holds given before may last from then. */
@@ -67,11 +67,11 @@
  * Decides who owns the ranges of one keyed service, and never lets a range go
  * to another target while the one before may hold it.
  */
-export class RangeKeeper {
-  readonly #options: RangeKeeperOptions;
+export class RangeAssigner {
+  readonly #options: RangeAssignerOptions;
   readonly #leases = new Map<number, RangeLease>();
 
-  constructor(options: RangeKeeperOptions) {
+  constructor(options: RangeAssignerOptions) {
     this.#options = options;
   }
 
--- a/packages/fleet/range_keeper_test.ts
+++ b/packages/fleet/range_assigner_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "vitest";
 import type { Announcement } from "./announcement.ts";
-import { RangeKeeper } from "./range_keeper.ts";
+import { RangeAssigner } from "./range_assigner.ts";
 import type { KeyRange, TargetLife } from "./types.ts";
 
 const first: TargetLife = { target: "first", bornAt: 1 };
@@ -31,62 +31,64 @@
 }
 
 function plan(
-  keeper: RangeKeeper,
+  assigner: RangeAssigner,
   ranges: readonly KeyRange[],
   view: { readonly lives: readonly TargetLife[]; readonly now: number },
 ) {
-  return keeper.plan(ranges, {
+  return assigner.plan(ranges, {
     candidates: candidates(...view.lives),
     now: view.now,
     demand: () => 1,
   }).grants;
 }
 
-describe("RangeKeeper", () => {
+describe("RangeAssigner", () => {
   const options = { holdMilliseconds: 3000, startedAt: 0 };
 
   it("grants a range that nobody had at once", () => {
-    const keeper = new RangeKeeper(options);
-    expect(plan(keeper, [range(null, 0)], { lives: [first], now: 1 }))
+    const assigner = new RangeAssigner(options);
+    expect(plan(assigner, [range(null, 0)], { lives: [first], now: 1 }))
       .toEqual([{ from: 0, expectedFence: 0, owner: first, handover: "" }]);
   });
 
   it("waits out a hold that a leader before may have given", () => {
-    const keeper = new RangeKeeper(options);
+    const assigner = new RangeAssigner(options);
     const ranges = [range(first, 5)];
-    expect(plan(keeper, ranges, { lives: [second], now: 3000 })).toEqual([]);
-    expect(plan(keeper, ranges, { lives: [second], now: 3060 })).toEqual([]);
-    expect(plan(keeper, ranges, { lives: [second], now: 3200 })).toHaveLength(
+    expect(plan(assigner, ranges, { lives: [second], now: 3000 })).toEqual([]);
+    expect(plan(assigner, ranges, { lives: [second], now: 3060 })).toEqual([]);
+    expect(plan(assigner, ranges, { lives: [second], now: 3200 })).toHaveLength(
       1,
     );
   });
 
   it("waits out the latest renewal of a lost owner", () => {
-    const keeper = new RangeKeeper(options);
+    const assigner = new RangeAssigner(options);
     const ranges = [range(first, 5)];
-    expect(keeper.grant(ranges, first, 10_000)).toHaveLength(1);
-    expect(plan(keeper, ranges, { lives: [second], now: 13_000 })).toEqual([]);
-    expect(plan(keeper, ranges, { lives: [second], now: 13_200 }))
+    expect(assigner.grant(ranges, first, 10_000)).toHaveLength(1);
+    expect(plan(assigner, ranges, { lives: [second], now: 13_000 })).toEqual(
+      [],
+    );
+    expect(plan(assigner, ranges, { lives: [second], now: 13_200 }))
       .toHaveLength(1);
   });
 
   it("passes a freed range on with its handover, and not while it is held", () => {
-    const keeper = new RangeKeeper(options);
+    const assigner = new RangeAssigner(options);
     const ranges = [range(first, 5)];
-    keeper.grant(ranges, first, 100);
-    plan(keeper, ranges, { lives: [second], now: 200 });
-    expect(keeper.isMoving(ranges[0]!, 250)).toBe(true);
-    expect(keeper.grant(ranges, first, 300)).toEqual([]);
-    keeper.note(
+    assigner.grant(ranges, first, 100);
+    plan(assigner, ranges, { lives: [second], now: 200 });
+    expect(assigner.isMoving(ranges[0]!, 250)).toBe(true);
+    expect(assigner.grant(ranges, first, 300)).toEqual([]);
+    assigner.note(
       ranges,
       beat(first, { holds: [{ from: 0, to: 99, fence: 5 }] }),
     );
-    expect(plan(keeper, ranges, { lives: [second], now: 400 })).toEqual([]);
-    keeper.note(
+    expect(plan(assigner, ranges, { lives: [second], now: 400 })).toEqual([]);
+    assigner.note(
       ranges,
       beat(first, { freed: [{ from: 0, to: 99, handover: "abc" }] }),
     );
-    expect(plan(keeper, ranges, { lives: [second], now: 500 }))
+    expect(plan(assigner, ranges, { lives: [second], now: 500 }))
       .toEqual([{
         from: 0,
         expectedFence: 5,
@@ -96,47 +98,47 @@
   });
 
   it("takes a range back at once from a life that has ended", () => {
-    const keeper = new RangeKeeper(options);
+    const assigner = new RangeAssigner(options);
     const ranges = [range(first, 5)];
-    keeper.grant(ranges, first, 100);
+    assigner.grant(ranges, first, 100);
     const reborn: TargetLife = { target: "first", bornAt: 9 };
-    keeper.note(ranges, beat(reborn, {}));
-    expect(plan(keeper, ranges, { lives: [reborn], now: 200 }))
+    assigner.note(ranges, beat(reborn, {}));
+    expect(plan(assigner, ranges, { lives: [reborn], now: 200 }))
       .toEqual([{ from: 0, expectedFence: 5, owner: reborn, handover: "" }]);
   });
 
   it("lets requests go to a new owner only when it has been told", () => {
-    const keeper = new RangeKeeper(options);
+    const assigner = new RangeAssigner(options);
     const before = [range(first, 5)];
-    keeper.grant(before, first, 100);
+    assigner.grant(before, first, 100);
     const after = [range(second, 8)];
-    expect(keeper.isMoving(after[0]!, 500)).toBe(true);
-    keeper.grant(after, second, 600);
-    expect(keeper.isMoving(after[0]!, 601)).toBe(true);
-    expect(keeper.isMoving(after[0]!, 700)).toBe(false);
+    expect(assigner.isMoving(after[0]!, 500)).toBe(true);
+    assigner.grant(after, second, 600);
+    expect(assigner.isMoving(after[0]!, 601)).toBe(true);
+    expect(assigner.isMoving(after[0]!, 700)).toBe(false);
   });
 
   it("holds both parts of a cut range as it held the whole", () => {
-    const keeper = new RangeKeeper(options);
-    keeper.grant([range(first, 5)], first, 10_000);
+    const assigner = new RangeAssigner(options);
+    assigner.grant([range(first, 5)], first, 10_000);
     const parts: readonly KeyRange[] = [
       { ...range(first, 5), to: 49 },
       { ...range(first, 5), from: 50 },
     ];
-    expect(plan(keeper, parts, { lives: [second], now: 13_000 })).toEqual([]);
+    expect(plan(assigner, parts, { lives: [second], now: 13_000 })).toEqual([]);
   });
 
   it("keeps the range of an owner that comes back before it gave it up", () => {
-    const keeper = new RangeKeeper(options);
+    const assigner = new RangeAssigner(options);
     const ranges = [range(first, 5)];
-    keeper.grant(ranges, first, 100);
-    plan(keeper, ranges, { lives: [second], now: 200 });
-    plan(keeper, ranges, { lives: [first, second], now: 300 });
-    expect(keeper.isMoving(ranges[0]!, 250)).toBe(false);
+    assigner.grant(ranges, first, 100);
+    plan(assigner, ranges, { lives: [second], now: 200 });
+    plan(assigner, ranges, { lives: [first, second], now: 300 });
+    expect(assigner.isMoving(ranges[0]!, 250)).toBe(false);
   });
 
   it("moves the range that evens two owners out, and not back again", () => {
-    const keeper = new RangeKeeper({ ...options, startedAt: -10_000 });
+    const assigner = new RangeAssigner({ ...options, startedAt: -10_000 });
     const ranges = [0, 1, 2, 3].map((at): KeyRange => ({
       from: at * 10,
       to: at * 10 + 9,
@@ -144,19 +146,19 @@
       fence: 5,
       handover: "",
     }));
-    keeper.grant(ranges, first, 50);
-    plan(keeper, ranges, { lives: [first, second], now: 100 });
-    const moving = () => ranges.filter((each) => keeper.isMoving(each, 300));
+    assigner.grant(ranges, first, 50);
+    plan(assigner, ranges, { lives: [first, second], now: 100 });
+    const moving = () => ranges.filter((each) => assigner.isMoving(each, 300));
     // Its requests wait only from when the owner can be told.
     expect(moving()).toHaveLength(0);
     const holds = ranges.map(({ from, to, fence }) => ({ from, to, fence }));
-    keeper.note(ranges, beat(first, { holds }));
+    assigner.note(ranges, beat(first, { holds }));
     expect(moving()).toHaveLength(1);
-    expect(keeper.grant(ranges, first, 200)).toHaveLength(3);
+    expect(assigner.grant(ranges, first, 200)).toHaveLength(3);
   });
 
   it("moves nothing for the noise of a calm day", () => {
-    const keeper = new RangeKeeper({ ...options, startedAt: -10_000 });
+    const assigner = new RangeAssigner({ ...options, startedAt: -10_000 });
     const ranges = [first, second].map((owner, at): KeyRange => ({
       from: at * 10,
       to: at * 10 + 9,
@@ -164,12 +166,12 @@
       fence: 5,
       handover: "",
     }));
-    keeper.plan(ranges, {
+    assigner.plan(ranges, {
       candidates: candidates(first, second),
       now: 0,
       demand: ({ owner }) => owner === first ? 15 : 9,
     });
-    keeper.note(ranges, beat(first, {}));
-    expect(ranges.some((range) => keeper.isMoving(range, 100))).toBe(false);
+    assigner.note(ranges, beat(first, {}));
+    expect(ranges.some((range) => assigner.isMoving(range, 100))).toBe(false);
   });
 });
--- a/packages/fleet_control/gateway_book.ts
+++ b/packages/fleet_control/gateway_directory.ts
@@ -14,7 +14,7 @@
 }
 
 /** The gateways in touch with a leader, and who may send to cold targets. */
-export class GatewayBook {
+export class GatewayDirectory {
   readonly #gateways = new Map<string, HeardGateway>();
   /** Kept while the target is cold, so that no other gateway joins them. */
   readonly #coldGateways = new Map<string, readonly string[]>();
--- a/packages/fleet_control/gateway_book_test.ts
+++ b/packages/fleet_control/gateway_directory_test.ts
@@ -1,6 +1,6 @@
 import type { RegisteredTarget } from "@kingcupglade/fleet";
 import { describe, expect, it } from "vitest";
-import { GatewayBook } from "./gateway_book.ts";
+import { GatewayDirectory } from "./gateway_directory.ts";
 
 const target: RegisteredTarget = {
   life: { target: "t", bornAt: 1 },
@@ -16,8 +16,8 @@
   isUnproven: false,
 };
 
-function bookOf(gateways: number): GatewayBook {
-  const book = new GatewayBook({ regionOf: () => "north" });
+function bookOf(gateways: number): GatewayDirectory {
+  const book = new GatewayDirectory({ regionOf: () => "north" });
   for (let at = 0; at < gateways; at += 1) {
     book.note({
       gateway: `g${at}`,
@@ -32,7 +32,7 @@
   return book;
 }
 
-describe("GatewayBook", () => {
+describe("GatewayDirectory", () => {
   it("names three of 72 gateways for a cold target, near ones first", () => {
     const book = bookOf(72);
     const named = book.coldGateways(target, 0);
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -19,8 +19,8 @@
 import type { Replica } from "@kingcupglade/replica";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
-import { GatewayBook } from "./gateway_book.ts";
-import { holdMilliseconds, RangeDesk } from "./range_desk.ts";
+import { GatewayDirectory } from "./gateway_directory.ts";
+import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
 import type { Watch } from "./watch.ts";
 
 /** A replica of the fleet's state. */
@@ -52,8 +52,8 @@
   readonly #options: LeaderSessionOptions;
   readonly #revisions = new Revisions();
   readonly #registry = new TargetRegistry(this.#revisions);
-  readonly #gateways: GatewayBook;
-  readonly #ranges: RangeDesk;
+  readonly #gateways: GatewayDirectory;
+  readonly #ranges: RangeCoordinator;
   readonly #startedAt: number;
   readonly #waiters = new Set<() => void>();
   #toldRevision = 0;
@@ -67,8 +67,8 @@
     this.#options = options;
     this.#startedAt = options.clock.now();
     this.term = options.replica.consensus.term;
-    this.#gateways = new GatewayBook(options);
-    this.#ranges = new RangeDesk({
+    this.#gateways = new GatewayDirectory(options);
+    this.#ranges = new RangeCoordinator({
       ...options,
       registry: this.#registry,
       revisions: this.#revisions,
--- a/packages/fleet_control/range_desk.ts
+++ b/packages/fleet_control/range_coordinator.ts
@@ -1,4 +1,4 @@
-import { KeyDemand, RangeKeeper, TargetSpeeds } from "@kingcupglade/fleet";
+import { KeyDemand, RangeAssigner, TargetSpeeds } from "@kingcupglade/fleet";
 import type {
   Announcement,
   FleetCommand,
@@ -27,8 +27,8 @@
  */
 export const holdMilliseconds = 3000;
 
-/** Options of a {@link RangeDesk}. */
-export interface RangeDeskOptions {
+/** Options of a {@link RangeCoordinator}. */
+export interface RangeCoordinatorOptions {
   readonly replica: FleetReplica;
   readonly registry: TargetRegistry;
   readonly revisions: Revisions;
@@ -44,9 +44,9 @@
 }
 
 /** Who owns the ranges of the keyed services, while a replica leads. */
-export class RangeDesk {
-  readonly #options: RangeDeskOptions;
-  readonly #keepers = new Map<string, RangeKeeper>();
+export class RangeCoordinator {
+  readonly #options: RangeCoordinatorOptions;
+  readonly #assigners = new Map<string, RangeAssigner>();
   readonly #demand = new Map<string, KeyDemand>();
   readonly #speeds = new TargetSpeeds();
   readonly #proposing = new Set<string>();
@@ -60,7 +60,7 @@
     }
   >();
 
-  constructor(options: RangeDeskOptions) {
+  constructor(options: RangeCoordinatorOptions) {
     this.#options = options;
   }
 
@@ -84,7 +84,7 @@
     const { service } = announcement;
     const ranges = replica.state.ranges.get(service);
     // Gateways hear of a move before its owner does.
-    if (ranges && this.#keeper(service).note(ranges, announcement)) {
+    if (ranges && this.#assigner(service).note(ranges, announcement)) {
       this.noteFlags(clock.now());
     }
   }
@@ -95,7 +95,7 @@
     const ranges = replica.state.ranges.get(service);
     // A grant that is being committed for another owner must not be renewed.
     if (!ranges || this.#proposing.has(service)) return null;
-    return this.#keeper(service).grant(ranges, life, clock.now());
+    return this.#assigner(service).grant(ranges, life, clock.now());
   }
 
   /** The ranges of which a gateway has not heard. */
@@ -145,7 +145,7 @@
       });
     }
     const demand = this.#demandOf(service);
-    const plan = this.#keeper(service).plan(ranges, {
+    const plan = this.#assigner(service).plan(ranges, {
       candidates,
       now,
       demand: (range) => demand.of(range, now),
@@ -203,24 +203,24 @@
     return demand;
   }
 
-  #keeper(service: string): RangeKeeper {
-    const known = this.#keepers.get(service);
+  #assigner(service: string): RangeAssigner {
+    const known = this.#assigners.get(service);
     if (known) return known;
-    const keeper = new RangeKeeper({
+    const assigner = new RangeAssigner({
       holdMilliseconds,
       startedAt: this.#options.startedAt,
     });
-    this.#keepers.set(service, keeper);
-    return keeper;
+    this.#assigners.set(service, assigner);
+    return assigner;
   }
 
   /** Notes which ranges gateways must learn of anew. */
   noteFlags(now: number): void {
     for (const [service, ranges] of this.#options.replica.state.ranges) {
-      const keeper = this.#keeper(service);
+      const assigner = this.#assigner(service);
       for (const range of ranges) {
         const id = `${service}/${range.from}`;
-        const isMoving = keeper.isMoving(range, now);
+        const isMoving = assigner.isMoving(range, now);
         const known = this.#rangeFlags.get(id);
         if (known?.isMoving === isMoving && known.to === range.to) continue;
         const revision = this.#options.revisions.next();
@@ -240,7 +240,7 @@
       to: range.to,
       owner: range.owner?.target ?? "",
       fence: range.fence,
-      isMoving: this.#keeper(service).isMoving(range, now),
+      isMoving: this.#assigner(service).isMoving(range, now),
     };
   }
 }
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -11,9 +11,9 @@
 import { CallerAnswer } from "./answer.ts";
 import type { CallerWire } from "./caller_wire.ts";
 import { RequestRun } from "./request_run.ts";
-import { TableKeeper } from "./table_keeper.ts";
+import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
-import { TargetDesk } from "./target_desk.ts";
+import { TargetSelector } from "./target_selector.ts";
 
 /** Bodies up to this size can be sent again. */
 const bufferedBytes = 128 * 1024;
@@ -63,9 +63,9 @@
 export class GatewayVm {
   readonly #options: GatewayVmOptions;
   readonly #calls: PeerCalls;
-  readonly #keeper: TableKeeper;
+  readonly #synchronizer: TableSynchronizer;
   readonly #connections: TargetConnections;
-  readonly #desk: TargetDesk;
+  readonly #selector: TargetSelector;
   readonly #timer: NodeJS.Timeout;
   #callers!: HttpListener;
   #readiness!: HttpListener;
@@ -76,19 +76,22 @@
     this.#options = options;
     this.#calls = new PeerCalls({ secret });
     this.#connections = new TargetConnections(clock);
-    this.#keeper = new TableKeeper({
+    this.#synchronizer = new TableSynchronizer({
       gateway: { gateway: name, dataCentre, region },
       seeds: options.seeds.map((seed) =>
         peerAddressOf(seed, options.peerAddress)
       ),
-      takeDemand: () => this.#desk.takeDemand(),
-      durations: () => this.#desk.durations(),
+      takeDemand: () => this.#selector.takeDemand(),
+      durations: () => this.#selector.durations(),
       calls: this.#calls,
       clock,
       logger,
-      onChange: () => this.#desk.noteTable(),
+      onChange: () => this.#selector.noteTable(),
+    });
+    this.#selector = new TargetSelector({
+      ...options,
+      synchronizer: this.#synchronizer,
     });
-    this.#desk = new TargetDesk({ ...options, keeper: this.#keeper });
     this.#timer = setInterval(() => this.#tidy(), housekeepingMilliseconds);
   }
 
@@ -112,20 +115,20 @@
         response.end();
       },
     });
-    vm.#keeper.start();
+    vm.#synchronizer.start();
     options.logger.info("gateway-started", { address: options.callersAddress });
     return vm;
   }
 
   /** Whether the balancer should send callers here. */
   get isReady(): boolean {
-    return !this.#isStopping && this.#keeper.table.isKnown;
+    return !this.#isStopping && this.#synchronizer.table.isKnown;
   }
 
   /** Takes over other seeds. */
   useSeeds(seeds: readonly string[]): void {
     const { peerAddress } = this.#options;
-    this.#keeper.useSeeds(
+    this.#synchronizer.useSeeds(
       seeds.map((seed) => peerAddressOf(seed, peerAddress)),
     );
   }
@@ -140,7 +143,7 @@
       quietMilliseconds,
       mostMilliseconds: graceMilliseconds * drainShare,
     });
-    this.#keeper.stop();
+    this.#synchronizer.stop();
     clearInterval(this.#timer);
     this.#readiness.destroy();
     this.#connections.close();
@@ -155,7 +158,7 @@
     const { clock, wire, logger } = this.#options;
     const arrivedAt = clock.now();
     const answer = new CallerAnswer(response);
-    const { table } = this.#keeper;
+    const { table } = this.#synchronizer;
     if (!table.isKnown) {
       return answer.own({
         status: 503,
@@ -177,7 +180,7 @@
     const run = new RequestRun({
       tools: {
         ...this.#options,
-        desk: this.#desk,
+        selector: this.#selector,
         connections: this.#connections,
         gateways: () => table.gateways,
       },
@@ -185,7 +188,7 @@
         request,
         head,
         route,
-        service: this.#desk.parts.next(route.parts),
+        service: this.#selector.parts.next(route.parts),
         body,
         arrivedAt,
         deadlineAt: arrivedAt + Math.min(
@@ -205,7 +208,7 @@
   ): Promise<RequestBody | undefined> {
     try {
       return await RequestBody.receive(request, {
-        maximumBytes: this.#keeper.table.limits?.maximumBodyBytes ??
+        maximumBytes: this.#synchronizer.table.limits?.maximumBodyBytes ??
           defaultBodyBytes,
         bufferedBytes,
       });
@@ -219,7 +222,7 @@
   }
 
   #tidy(): void {
-    const { table } = this.#keeper;
+    const { table } = this.#synchronizer;
     const { limits } = table;
     if (limits) {
       this.#callers.limit({
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -8,7 +8,7 @@
 import { endOf, isGood, mayHaveRun } from "./exchange_end.ts";
 import type { RoutedRequest, RunTools } from "./routed_request.ts";
 import { sentHeaders } from "./sent_headers.ts";
-import type { ServiceDesk } from "./service_desk.ts";
+import type { ServiceQueue } from "./service_queue.ts";
 
 /** A caller waits for a refusal no longer than this share of what it has left. */
 const retryAfterShare = 1 / 3;
@@ -38,7 +38,7 @@
   readonly #tools: RunTools;
   readonly #routed: RoutedRequest;
   readonly #answer: CallerAnswer;
-  readonly #service: ServiceDesk;
+  readonly #service: ServiceQueue;
   readonly #tried = new Set<string>();
   #arrivals = 0;
   #unsent = 0;
@@ -61,7 +61,7 @@
     this.#tools = options.tools;
     this.#routed = options.routed;
     this.#answer = options.answer;
-    this.#service = options.tools.desk.service(options.routed.service);
+    this.#service = options.tools.selector.service(options.routed.service);
     this.#service.budget.noteRequest(options.tools.clock.now());
   }
 
@@ -69,7 +69,7 @@
   start(): void {
     const { service, head } = this.#routed;
     if (head.position !== undefined) {
-      this.#tools.desk.noteDemand(service, head.position);
+      this.#tools.selector.noteDemand(service, head.position);
     }
     this.#seek();
   }
@@ -86,7 +86,7 @@
     if (this.#isOver) return;
     const { clock } = this.#tools;
     const { route, arrivedAt, deadlineAt } = this.#routed;
-    const lane = this.#tools.desk.lane(this.#routed);
+    const lane = this.#tools.selector.lane(this.#routed);
     const wait = this.#service.expectedWait({
       priority: route.priority,
       ...lane,
@@ -117,7 +117,7 @@
     const { route, service, head } = this.#routed;
     if (this.#tools.clock.now() < this.#dueAt) return false;
     const mayTryNew = this.#tried.size < route.maximumTargets;
-    const found = this.#tools.desk.find({
+    const found = this.#tools.selector.find({
       route,
       service,
       position: head.position,
@@ -221,14 +221,14 @@
   }
 
   #hedge(): void {
-    const { clock, desk } = this.#tools;
+    const { clock, selector } = this.#tools;
     if (this.#isOver || this.#exchanges.size !== 1) return;
     const now = clock.now();
     if (now + this.#service.usualMilliseconds / 2 > this.#routed.deadlineAt) {
       return;
     }
     const { route, service } = this.#routed;
-    const found = desk.findIdle({ route, service, tried: this.#tried });
+    const found = selector.findIdle({ route, service, tried: this.#tried });
     if (!found || !this.#mayTryElsewhere) return;
     this.#tools.metrics.hedges.inc();
     this.#log("request-hedged", found.target, "the answer is overdue");
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -5,11 +5,11 @@
 import type { RequestBody } from "@kingcupglade/transport";
 import type { CallerHead, CallerWire } from "./caller_wire.ts";
 import type { TargetConnections } from "./target_connections.ts";
-import type { TargetDesk } from "./target_desk.ts";
+import type { TargetSelector } from "./target_selector.ts";
 
 /** What every run needs of its gateway. */
 export interface RunTools {
-  readonly desk: TargetDesk;
+  readonly selector: TargetSelector;
   readonly connections: TargetConnections;
   readonly wire: CallerWire;
   readonly clock: Clock;
--- a/packages/fleet_gateway/service_desk.ts
+++ b/packages/fleet_gateway/service_queue.ts
@@ -1,4 +1,4 @@
-import { RetryBudget, WaitingLine } from "@kingcupglade/dispatch";
+import { AdmissionQueue, RetryBudget } from "@kingcupglade/dispatch";
 import type {
   RetryBudgetOptions,
   WaitingRequest,
@@ -12,9 +12,9 @@
 const reviewMilliseconds = 20;
 
 /** Where requests of one service wait, and what its answers have shown. */
-export class ServiceDesk {
+export class ServiceQueue {
   readonly budget: RetryBudget;
-  readonly #line = new WaitingLine();
+  readonly #queue = new AdmissionQueue();
   readonly #now: () => number;
   #usual = firstDurationMilliseconds;
   #inFlight = 0;
@@ -40,7 +40,7 @@
 
   /** Requests that wait. */
   get waiting(): number {
-    return this.#line.length;
+    return this.#queue.length;
   }
 
   noteBegin(): void {
@@ -64,28 +64,28 @@
     readonly inFlight: number;
   }): number {
     const { priority, lane, inFlight } = request;
-    return this.#line.ahead(priority, lane) * this.#usual /
+    return this.#queue.ahead(priority, lane) * this.#usual /
       Math.max(1, inFlight);
   }
 
   wait(request: WaitingRequest): void {
-    this.#line.add(request);
+    this.#queue.add(request);
     this.#review();
   }
 
   leave(request: WaitingRequest): void {
-    this.#line.remove(request);
+    this.#queue.remove(request);
   }
 
   /** Starts and refuses what is due. */
   advance(): void {
-    if (this.#line.length === 0) return;
-    this.#line.advance(this.#now(), this.#usual);
+    if (this.#queue.length === 0) return;
+    this.#queue.advance(this.#now(), this.#usual);
     this.#review();
   }
 
   #review(): void {
-    if (this.#timer || this.#line.length === 0) return;
+    if (this.#timer || this.#queue.length === 0) return;
     this.#timer = setTimeout(() => {
       this.#timer = undefined;
       this.advance();
--- a/packages/fleet_gateway/table_keeper.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -18,8 +18,8 @@
 /** Pause before another control VM is asked; none hears more than 20 a second. */
 const retryMilliseconds = 50;
 
-/** Options of a {@link TableKeeper}. */
-export interface TableKeeperOptions {
+/** Options of a {@link TableSynchronizer}. */
+export interface TableSynchronizerOptions {
   readonly gateway: Pick<Watch, "gateway" | "dataCentre" | "region">;
   /** Takes the keyed requests that were counted since the last call. */
   readonly takeDemand: () => readonly DemandRow[];
@@ -34,16 +34,16 @@
 }
 
 /** Keeps a gateway's table as new as the control leader's. */
-export class TableKeeper {
+export class TableSynchronizer {
   readonly table = new GatewayTable();
-  readonly #options: TableKeeperOptions;
+  readonly #options: TableSynchronizerOptions;
   #seeds: readonly string[];
   #heardAt = -Infinity;
   #leader: string | null = null;
   #isStopped = false;
   #isConnected = false;
 
-  constructor(options: TableKeeperOptions) {
+  constructor(options: TableSynchronizerOptions) {
     this.#options = options;
     this.#seeds = options.seeds;
   }
--- a/packages/fleet_gateway/table_keeper_test.ts
+++ b/packages/fleet_gateway/table_synchronizer_test.ts
@@ -1,13 +1,14 @@
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
+import { loopbackPrefix } from "@kingcupglade/fakes";
 import { PeerCalls } from "@kingcupglade/fleet_control";
 import type { Watch, WatchAnswer } from "@kingcupglade/fleet_control";
 import { decodeValue, encodeValue, Fleet } from "@kingcupglade/protocol";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { LeanServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { TableKeeper } from "./table_keeper.ts";
+import { TableSynchronizer } from "./table_synchronizer.ts";
 
 const secret = "unguarded";
 const quiet = { debug() {}, info() {}, warn() {}, error() {} };
@@ -65,17 +66,17 @@
 
 const silence = (): Promise<WatchAnswer> => new Promise(() => {});
 
-describe("TableKeeper", () => {
+describe("TableSynchronizer", () => {
   const calls = new PeerCalls({ secret });
   let controls: FakeControl[];
-  let keeper: TableKeeper;
+  let synchronizer: TableSynchronizer;
 
   beforeEach(async () => {
     controls = [1, 2, 3, 4].map((at) =>
-      new FakeControl(`127.32.0.${at}:7390`, silence)
+      new FakeControl(`${loopbackPrefix()}.${at}:7390`, silence)
     );
     for (const control of controls) await control.start();
-    keeper = new TableKeeper({
+    synchronizer = new TableSynchronizer({
       gateway: { gateway: "g", dataCentre: "a", region: "r" },
       seeds: controls.map(({ address }) => address),
       takeDemand: () => [],
@@ -88,13 +89,13 @@
   });
 
   afterEach(() => {
-    keeper.stop();
+    synchronizer.stop();
     for (const control of controls) control.stop();
   });
 
   async function untilIndex(index: number): Promise<number> {
     const startedAt = performance.now();
-    while (keeper.table.position.index < index) {
+    while (synchronizer.table.position.index < index) {
       if (performance.now() - startedAt > 10_000) throw new Error("in vain");
       await pause(10);
     }
@@ -103,7 +104,7 @@
 
   it("finds the leader though the control VMs before it are silent", async () => {
     controls[3]!.answer = () => news(1);
-    keeper.start();
+    synchronizer.start();
     expect(await untilIndex(1)).toBeLessThan(400);
   });
 
@@ -112,7 +113,7 @@
       await pause(100);
       return news(1);
     };
-    keeper.start();
+    synchronizer.start();
     await untilIndex(1);
     controls[0]!.answer = silence;
     controls[1]!.answer = silence;
--- a/packages/fleet_gateway/target_desk.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -11,8 +11,8 @@
 import type { DemandRow, DurationRow, TargetView } from "@kingcupglade/fleet";
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
-import { ServiceDesk } from "./service_desk.ts";
-import type { TableKeeper } from "./table_keeper.ts";
+import { ServiceQueue } from "./service_queue.ts";
+import type { TableSynchronizer } from "./table_synchronizer.ts";
 
 /**
  * A gateway that has not heard the leader for this long leaves cold targets to
@@ -20,9 +20,9 @@
  */
 const coldLeaseMilliseconds = 2000;
 
-/** Options of a {@link TargetDesk}. */
-export interface TargetDeskOptions {
-  readonly keeper: TableKeeper;
+/** Options of a {@link TargetSelector}. */
+export interface TargetSelectorOptions {
+  readonly synchronizer: TableSynchronizer;
   readonly clock: Clock;
   readonly random: () => number;
   /** Name of the gateway's VM. */
@@ -58,29 +58,29 @@
   | { readonly kind: "none"; readonly reason: string };
 
 /** Finds targets for requests by the table and by what this gateway has seen. */
-export class TargetDesk {
+export class TargetSelector {
   readonly parts = new PartChoice();
-  readonly #options: TargetDeskOptions;
-  readonly #services = new Map<string, ServiceDesk>();
+  readonly #options: TargetSelectorOptions;
+  readonly #services = new Map<string, ServiceQueue>();
   readonly #records = new Map<string, TargetRecord>();
   readonly #coldRates = new Map<string, ColdRate>();
   /** Keyed requests that control was not told of, by service and bucket. */
   readonly #demand = new Map<string, Map<number, number>>();
 
-  constructor(options: TargetDeskOptions) {
+  constructor(options: TargetSelectorOptions) {
     this.#options = options;
   }
 
-  service(name: string): ServiceDesk {
+  service(name: string): ServiceQueue {
     const known = this.#services.get(name);
     if (known) return known;
     const { clock, retryBudget } = this.#options;
-    const desk = new ServiceDesk({
+    const selector = new ServiceQueue({
       now: () => clock.now(),
       budget: retryBudget,
     });
-    this.#services.set(name, desk);
-    return desk;
+    this.#services.set(name, selector);
+    return selector;
   }
 
   /** Counts a request for a position. */
@@ -107,7 +107,7 @@
     readonly head: { readonly position: number | undefined };
   }): { readonly lane: string; readonly inFlight: number } {
     const { route, service, head } = request;
-    const { table } = this.#options.keeper;
+    const { table } = this.#options.synchronizer;
     const isKeyed = table.service(service)?.isKeyed === true;
     if (!isKeyed || head.position === undefined) {
       return { lane: route.name, inFlight: this.service(service).inFlight };
@@ -119,11 +119,11 @@
 
   /** Durations at the targets of keyed services, for those that were seen. */
   durations(): readonly DurationRow[] {
-    const { keeper, clock } = this.#options;
+    const { synchronizer, clock } = this.#options;
     const now = clock.now();
     return [...this.#records].flatMap(([target, record]) => {
-      const service = keeper.table.target(target)?.service ?? "";
-      if (!keeper.table.service(service)?.isKeyed) return [];
+      const service = synchronizer.table.target(target)?.service ?? "";
+      if (!synchronizer.table.service(service)?.isKeyed) return [];
       const usual = this.service(service).usualMilliseconds;
       const milliseconds = Math.round(record.duration(usual, now));
       return record.isSeen(now) ? [{ target, milliseconds }] : [];
@@ -132,7 +132,7 @@
 
   /** Starts what news has made possible, and forgets targets that are gone. */
   noteTable(): void {
-    const { table } = this.#options.keeper;
+    const { table } = this.#options.synchronizer;
     for (const name of this.#records.keys()) {
       if (table.target(name)) continue;
       this.#records.delete(name);
@@ -143,7 +143,7 @@
 
   /** Finds a target that can take a request now. */
   find(wish: TargetWish): TargetFound {
-    const { table } = this.#options.keeper;
+    const { table } = this.#options.synchronizer;
     const service = table.service(wish.service);
     if (!service) return { kind: "none", reason: "the service is unknown" };
     return service.isKeyed ? this.#findOwner(wish) : this.#findAny(wish);
@@ -153,33 +153,33 @@
   findIdle(
     wish: Pick<TargetWish, "route" | "service" | "tried">,
   ): Extract<TargetFound, { kind: "found" }> | undefined {
-    const { keeper, clock } = this.#options;
+    const { synchronizer, clock } = this.#options;
     const now = clock.now();
     const usual = this.service(wish.service).usualMilliseconds;
     let best: TargetOption | undefined;
     let bestDuration = usual * hedgeDurations;
-    for (const target of keeper.table.targetsOf(wish.service)) {
+    for (const target of synchronizer.table.targetsOf(wish.service)) {
       if (target.isCold || !this.#isHome(wish.route, target)) continue;
       const option = this.#option(target);
       const { record, distance } = option;
       const isIdle = record.load(usual, now) < option.slots * idleShare;
       if (
         !isIdle || distance === Distance.far || wish.tried.has(target.name) ||
-        record.isAside(now)
+        record.isEjected(now)
       ) continue;
       const duration = record.duration(usual, now) * record.slowdown(now);
       if (duration >= bestDuration) continue;
       best = option;
       bestDuration = duration;
     }
-    const target = best && keeper.table.target(best.name);
+    const target = best && synchronizer.table.target(best.name);
     return target && best
       ? { kind: "found", target, record: best.record }
       : undefined;
   }
 
   #findOwner({ route, service, position }: TargetWish): TargetFound {
-    const { table } = this.#options.keeper;
+    const { table } = this.#options.synchronizer;
     if (position === undefined) {
       return { kind: "none", reason: "the request has no position" };
     }
@@ -202,9 +202,11 @@
   }
 
   #findAny(wish: TargetWish): TargetFound {
-    const { keeper, clock, random } = this.#options;
+    const { synchronizer, clock, random } = this.#options;
     const now = clock.now();
-    const targets = keeper.table.targetsOf(wish.service).filter((target) =>
+    const targets = synchronizer.table.targetsOf(wish.service).filter((
+      target,
+    ) =>
       this.#isHome(wish.route, target) &&
       wish.only?.has(target.name) !== false
     );
@@ -221,14 +223,14 @@
       random,
       usualMilliseconds: this.service(wish.service).usualMilliseconds,
       objectiveMilliseconds: wish.objectiveAt - now,
-      gateways: keeper.table.gateways,
+      gateways: synchronizer.table.gateways,
       tried: wish.tried,
     });
     if (choice.kind === "none") {
       return { kind: "none", reason: "every target was tried" };
     }
     if (choice.kind === "full") return { kind: "wait" };
-    const target = keeper.table.target(choice.target.name)!;
+    const target = synchronizer.table.target(choice.target.name)!;
     if (target.isCold) this.#takeCold(target, now);
     return { kind: "found", target, record: choice.target.record };
   }
@@ -244,14 +246,14 @@
 
   #bearsNow(target: TargetView, now: number): boolean {
     if (!target.isCold) return true;
-    const { keeper, name } = this.#options;
-    return keeper.age(now) < coldLeaseMilliseconds &&
+    const { synchronizer, name } = this.#options;
+    return synchronizer.age(now) < coldLeaseMilliseconds &&
       target.coldGateways.includes(name) &&
       this.#coldRate(target.name).isDue(now);
   }
 
   #takeCold(target: TargetView, now: number): void {
-    const service = this.#options.keeper.table.service(target.service)!;
+    const service = this.#options.synchronizer.table.service(target.service)!;
     this.#coldRate(target.name).take(now, {
       perSecond: service.coldPerSecond,
       gateways: target.coldGateways.length,
--- a/packages/kingcupglade/control_group_test.ts
+++ b/packages/kingcupglade/control_group_test.ts
@@ -3,16 +3,18 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
+import { loopbackPrefix } from "@kingcupglade/fakes";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { startFleetVm } from "./fleet_vm.ts";
 import type { FleetVm } from "./fleet_vm.ts";
 import { parseFleetSettings } from "./settings/read.ts";
 
+const prefix = loopbackPrefix();
 const vms = [1, 2, 3, 4, 5] as const;
 const seeds = [1, 2, 3].map((vm) => `${ipOf(vm)}:7300`).join(",");
 
 function ipOf(vm: number): string {
-  return `127.31.0.${vm}`;
+  return `${prefix}.${vm}`;
 }
 
 /** Five control VMs, of which two may be lost with their disks. */
--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -5,13 +5,15 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
+import { loopbackPrefix } from "@kingcupglade/fakes";
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
 import { startFleetVm } from "./fleet_vm.ts";
 import type { FleetVm } from "./fleet_vm.ts";
 import { parseFleetSettings } from "./settings/read.ts";
 
-const controlAddress = "127.30.0.1:7300";
-const gatewayAddress = "127.30.0.2:7301";
+const prefix = loopbackPrefix();
+const controlAddress = `${prefix}.1:7300`;
+const gatewayAddress = `${prefix}.2:7301`;
 
 const configuration = {
   upsert: {
@@ -228,15 +230,15 @@
     gateway = await startRole(
       "gateway",
       gatewayAddress,
-      `[listen]\ncallers = ${gatewayAddress}\nreadiness = 127.30.0.2:7302`,
+      `[listen]\ncallers = ${gatewayAddress}\nreadiness = ${prefix}.2:7302`,
     );
     expect((await ask("/lookup/1")).status).toBe(503);
     await until(async () =>
       (await call("PATCH", "/v1/config", configuration)).status === 200
     );
-    await near.start("127.30.0.3");
-    await far.start("127.30.0.4");
-    await stock.start("127.30.0.5");
+    await near.start(`${prefix}.3`);
+    await far.start(`${prefix}.4`);
+    await stock.start(`${prefix}.5`);
     await until(async () => (await ask("/lookup/1")).status === 200);
     await until(async () =>
       (await ask("/stock/1", { headers: { "x-shard-key": "7" } })).status ===
@@ -311,7 +313,7 @@
     near.handler = (_request, response) =>
       void setTimeout(() => response.end("whole"), 60);
     far.handler = near.handler;
-    await second.start("127.30.0.6");
+    await second.start(`${prefix}.6`);
     await until(async () => {
       await Promise.all(Array.from({ length: 20 }, () => ask("/lookup/1")));
       return near.requests.length + far.requests.length > 40 &&
@@ -378,7 +380,7 @@
       response.on("close", () => (cancelled = true));
     };
     const request = send({
-      host: "127.30.0.2",
+      host: `${prefix}.2`,
       port: 7301,
       path: "/lookup/1",
       headers: { host: "jigs.example", "x-request-id": "left" },
@@ -408,7 +410,7 @@
   });
 
   it("takes no heartbeat that it cannot read, and keeps the others", async () => {
-    const beat = { service: "catalogue", address: "127.30.0.3:7400" };
+    const beat = { service: "catalogue", address: `${prefix}.3:7400` };
     const answer = await call("PUT", "/v1/instances/forged", beat);
     expect(answer.status).toBe(400);
     expect((await ask("/lookup/1")).status).toBe(200);
