Close a VM's listener only when the balancer was told twice

Excluded: cut requests (no connection that was taken ended). Change: Readiness counts what the balancer was told; a stop waits for two refusals if a balancer asked lately, within its bound.

--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -6,6 +6,7 @@
 import {
   BodyTooLargeError,
   HttpListener,
+  Readiness,
   RequestBody,
 } from "@kingcupglade/transport";
 import { CallerAnswer } from "./answer.ts";
@@ -69,7 +70,9 @@
   readonly #timer: NodeJS.Timeout;
   #callers!: HttpListener;
   #readiness!: HttpListener;
-  #isStopping = false;
+  readonly #balancer = new Readiness({
+    isReady: () => this.#synchronizer.table.isKnown,
+  });
 
   protected constructor(options: GatewayVmOptions) {
     const { name, dataCentre, region, clock, logger, secret } = options;
@@ -111,7 +114,8 @@
       name: "readiness",
       address: options.readinessAddress,
       handler: (_request, response) => {
-        response.writeHead(vm.isReady ? 200 : 503, { "content-length": 0 });
+        const status = vm.#balancer.ask() ? 200 : 503;
+        response.writeHead(status, { "content-length": 0 });
         response.end();
       },
     });
@@ -120,11 +124,6 @@
     return vm;
   }
 
-  /** Whether the balancer should send callers here. */
-  get isReady(): boolean {
-    return !this.#isStopping && this.#synchronizer.table.isKnown;
-  }
-
   /** Takes over other seeds. */
   useSeeds(seeds: readonly string[]): void {
     const { peerAddress } = this.#options;
@@ -136,12 +135,13 @@
   /** Serves on until callers have gone elsewhere, and ends every request. */
   async stop(): Promise<void> {
     const { logger, graceMilliseconds } = this.#options;
-    this.#isStopping = true;
+    this.#balancer.leave();
     logger.info("gateway-stopping");
     await this.#callers.drain({
       leastMilliseconds: leaveMilliseconds,
       quietMilliseconds,
       mostMilliseconds: graceMilliseconds * drainShare,
+      isAnnounced: () => this.#balancer.isAnnounced,
     });
     this.#synchronizer.stop();
     clearInterval(this.#timer);
--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -1,5 +1,6 @@
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { HttpListener } from "@kingcupglade/transport";
+import { Readiness } from "@kingcupglade/transport";
 import { openOperatorsListener } from "./listeners/operators.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
 import { layFoundation } from "./vm/foundation.ts";
@@ -28,7 +29,7 @@
   readonly #foundation: VmFoundation;
   readonly #tasks: VmTasks;
   readonly #listeners: VmListeners & { readonly operators: HttpListener };
-  #stopping = false;
+  readonly #balancer = new Readiness({ isReady: () => this.#isReady });
 
   protected constructor(
     foundation: VmFoundation,
@@ -57,7 +58,7 @@
       address: foundation.settings.listen.operators,
       control: foundation.createControlClient(),
       bundle: () => vm ? vm.#tasks.routing.table.bundle : null,
-      isReady: () => vm !== undefined && vm.#isReady,
+      isReady: () => vm !== undefined && vm.#balancer.ask(),
     });
     try {
       const tasks = await startTasks(foundation, policy);
@@ -90,7 +91,7 @@
   async stop(): Promise<void> {
     const { logger, settings } = this.#foundation;
     const { routing, ledger, gateway } = this.#tasks;
-    this.#stopping = true;
+    this.#balancer.leave();
     logger.info("vm-stopping");
     await ledger.synchronised(handOverMilliseconds);
     await Promise.all([
@@ -99,6 +100,7 @@
         leastMilliseconds: settings.listen.leaveMilliseconds,
         quietMilliseconds,
         mostMilliseconds: mostLeaveMilliseconds,
+        isAnnounced: () => this.#balancer.isAnnounced,
       }),
     ]);
     await gateway.finished();
@@ -124,7 +126,7 @@
   get #isReady(): boolean {
     const { routing, credits } = this.#tasks;
     const { dataCentre } = this.#foundation.settings.vm;
-    return !this.#stopping && routing.hasLease && credits.isReady &&
+    return routing.hasLease && credits.isReady &&
       routing.table.isInService(dataCentre);
   }
 
--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -83,12 +83,17 @@
     readonly leastMilliseconds: number;
     readonly quietMilliseconds: number;
     readonly mostMilliseconds: number;
+    /** Whether the balancer was told to send no more. @default it was */
+    readonly isAnnounced?: () => boolean;
   }): Promise<void> {
+    const { isAnnounced = () => true } = times;
     this.#draining = true;
     const startedAt = performance.now();
     await pause(times.leastMilliseconds);
+    const isQuiet = () =>
+      performance.now() - this.#requestAt >= times.quietMilliseconds;
     while (
-      performance.now() - this.#requestAt < times.quietMilliseconds &&
+      !(isQuiet() && isAnnounced()) &&
       performance.now() - startedAt < times.mostMilliseconds
     ) await pause(sweepMilliseconds);
     await this.close();
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -17,4 +17,5 @@
 export type { LeanClientOptions } from "./lean_client.ts";
 export { LeanServices } from "./lean_services.ts";
 export type { ServiceRegistry } from "./lean_services.ts";
+export { Readiness } from "./readiness.ts";
 export { presentsSecret } from "./secret.ts";
