Follow the name of a leader that is no seed

Change: a search asks the VM that is named, too. Test: table_synchronizer_test.ts (a leader that is no seed), which fails on the code before.

--- a/packages/fleet_gateway/table_synchronizer.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -107,14 +107,9 @@
   async #search(): Promise<boolean> {
     const addresses = new Set([...this.table.control, ...this.#seeds]);
     try {
-      await Promise.any([...addresses].map(async (address) => {
-        const answer = await this.#ask(address, {
-          isSearch: true,
-          timeoutMilliseconds: searchTimeoutMilliseconds,
-        });
-        if (answer.kind !== "leads") throw new Error("another VM leads");
-        this.#leader ??= address;
-      }));
+      this.#leader ??= await Promise.any(
+        [...addresses].map((address) => this.#findLeader(address, addresses)),
+      );
       return true;
     } catch {
       // Nobody leads yet; the loss was logged when it was found.
@@ -122,6 +117,23 @@
     }
   }
 
+  /** The VM that leads: this one, or the one that it names if that agrees. */
+  async #findLeader(
+    address: string,
+    asked: ReadonlySet<string>,
+  ): Promise<string> {
+    const answer = await this.#ask(address, {
+      isSearch: true,
+      timeoutMilliseconds: searchTimeoutMilliseconds,
+    });
+    if (answer.kind === "leads") return address;
+    const named = answer.kind === "elsewhere" ? answer.leader : null;
+    if (named === null || asked.has(named)) {
+      throw new Error("another VM leads");
+    }
+    return await this.#findLeader(named, new Set([...asked, named]));
+  }
+
   async #ask(
     address: string,
     options: {
--- a/packages/fleet_gateway/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table_synchronizer_test.ts
@@ -120,6 +120,17 @@
     expect(await untilIndex(1)).toBeLessThan(3000);
   });
 
+  it("finds a leader that is no seed by the name that a seed tells", async () => {
+    synchronizer.useSeeds(controls.slice(0, 3).map(({ address }) => address));
+    controls[1]!.answer = () => ({
+      kind: "elsewhere",
+      leader: controls[3]!.address,
+    });
+    controls[3]!.answer = () => news(1);
+    synchronizer.start();
+    expect(await untilIndex(1)).toBeLessThan(1000);
+  });
+
   it("finds another leader within two seconds of the loss of one", async () => {
     controls[0]!.answer = async () => {
       await pause(100);
