Renew holds while a change of ranges is committed

The leader's log shows heartbeats answered without grants whenever a split or a grant of the service was being committed; with 1.5 s between heartbeats and a hold of 3 s one such answer ends the hold. Excluded: late heartbeats (they came every 1.45 s), refused rows (the next answer's rows were taken). Change: only ranges that move are left out; they are marked so before their grant is proposed and stay so until it is applied.

--- a/packages/fleet_control/range_coordinator.ts
+++ b/packages/fleet_control/range_coordinator.ts
@@ -93,9 +93,10 @@
   grant({ life, service }: Announcement): readonly GrantRow[] | null {
     const { clock, replica } = this.#options;
     const ranges = replica.state.ranges.get(service);
-    // A grant that is being committed for another owner must not be renewed.
-    if (!ranges || this.#proposing.has(service)) return null;
-    return this.#assigner(service).grant(ranges, life, clock.now());
+    // While a grant is committed, its range moves and is not renewed.
+    return ranges === undefined
+      ? null
+      : this.#assigner(service).grant(ranges, life, clock.now());
   }
 
   /** The ranges of which a gateway has not heard. */
--- /dev/null
+++ b/packages/fleet_control/range_coordinator_test.ts
@@ -0,0 +1,143 @@
+import { describe, expect, it } from "vitest";
+import {
+  emptyFleet,
+  FleetMachine,
+  Revisions,
+  TargetRegistry,
+} from "@kingcupglade/fleet";
+import type { Announcement, FleetCommand } from "@kingcupglade/fleet";
+import { ItemKind } from "@kingcupglade/items";
+import { ManualClock } from "@kingcupglade/tasks";
+import type { FleetReplica } from "./leader_session.ts";
+import { RangeCoordinator } from "./range_coordinator.ts";
+
+const heartbeatMilliseconds = 1500;
+const service = "stock";
+
+/** A replica that commits when the test says so. */
+class HeldReplica {
+  readonly #machine = new FleetMachine();
+  #index = 10;
+  #held: (() => void)[] = [];
+  state = {
+    ...emptyFleet,
+    items: new Map([[`${ItemKind.service}/${service}`, {
+      kind: ItemKind.service,
+      name: service,
+      version: 1,
+      changedAt: 1,
+      source: "",
+      content: {
+        kind: ItemKind.service,
+        name: service,
+        maximumConnections: 100,
+        coldMilliseconds: 0,
+        coldPerSecond: 0,
+        isKeyed: true,
+      },
+    }]]),
+  };
+
+  propose(command: FleetCommand): Promise<unknown> {
+    return new Promise((resolve) => {
+      this.#held.push(() => {
+        const applied = this.#machine.apply(
+          this.state as never,
+          command,
+          this.#index++,
+        );
+        this.state = applied.state as never;
+        resolve(applied.outcome);
+      });
+    });
+  }
+
+  async commit(): Promise<void> {
+    for (const commit of this.#held.splice(0)) commit();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+function setUp() {
+  const replica = new HeldReplica();
+  const clock = new ManualClock(1000);
+  const revisions = new Revisions();
+  const registry = new TargetRegistry(revisions);
+  const coordinator = new RangeCoordinator({
+    replica: replica as unknown as FleetReplica,
+    registry,
+    revisions,
+    clock,
+    logger: { debug() {}, info() {}, warn() {}, error() {} },
+    heartbeatMilliseconds,
+    startedAt: 0,
+    isComplete: () => true,
+    onChange: () => {},
+  });
+  let sequence = 0;
+  const beat = (target: string, more: Partial<Announcement> = {}) => {
+    const announcement: Announcement = {
+      life: { target, bornAt: 1 },
+      service,
+      address: `${target}:80`,
+      dataCentre: "hsinchu-a",
+      slots: 6,
+      isDraining: false,
+      coldMilliseconds: 0,
+      sequence: ++sequence,
+      holds: [],
+      freed: [],
+      ...more,
+    };
+    registry.note(announcement, { now: clock.now(), departure: undefined });
+    coordinator.noteHolds(announcement);
+    return coordinator.grant(announcement);
+  };
+  const tick = async () => {
+    coordinator.tick(clock.now());
+    await replica.commit();
+  };
+  return { replica, clock, coordinator, beat, tick };
+}
+
+describe("RangeCoordinator", () => {
+  describe("while a change of its ranges is committed", () => {
+    it("renews what the owners keep", async () => {
+      const { replica, clock, coordinator, beat, tick } = setUp();
+      beat("first");
+      await tick();
+      await tick();
+      expect(beat("first")).toHaveLength(8);
+      const demand = [{ service, bucket: 0, count: 500 }, {
+        service,
+        bucket: 1,
+        count: 500,
+      }];
+      coordinator.noteWatch(
+        { demand, durations: [] } as never,
+        clock.now(),
+      );
+      coordinator.tick(clock.now());
+      expect(beat("first")).toHaveLength(8);
+      await replica.commit();
+      expect(beat("first")!.length).toBeGreaterThan(8);
+    });
+
+    it("does not renew a range that another owner is to get", async () => {
+      const { replica, clock, coordinator, beat, tick } = setUp();
+      beat("first");
+      await tick();
+      await tick();
+      beat("first");
+      // The owner is silent until its hold has run out.
+      clock.advance(heartbeatMilliseconds * 3 + 200);
+      beat("second");
+      await tick();
+      coordinator.tick(clock.now());
+      expect(beat("first")).toEqual([]);
+      await replica.commit();
+      expect(beat("first")).toEqual([]);
+      expect(beat("second")!.length).toBeGreaterThan(0);
+    });
+  });
+});
