Wait out the moments in which a target's machine is slow

The choice took the newest mean duration times the newest slowdown, never below 1. Excluded: load near the slots (normalized durations are flat up to them). Change: a record learns the calm slowdown and the ratio of a slow moment; expected work follows from both and the age of the report; a request waits for the end of the moment where that is thought to be sooner.

--- a/packages/dispatch/choose_target.ts
+++ b/packages/dispatch/choose_target.ts
@@ -21,6 +21,8 @@
   readonly now: number;
   /** Mean duration of the service's answers. */
   readonly usualMilliseconds: number;
+  /** Duration of work at a target that is neither fast nor slow. */
+  readonly workMilliseconds: number;
   /** Time left in which an answer is worth most. */
   readonly objectiveMilliseconds: number;
   /** Gateways that send to the targets. */
@@ -38,7 +40,7 @@
 const crossingMilliseconds: Readonly<Record<Distance, number>> = {
   dataCentre: 0,
   region: 12,
-  far: 150,
+  far: 200,
 };
 /** Work that a target may have beside its slots, so that no slot waits for us. */
 const waitingRoom = 1;
@@ -46,13 +48,16 @@
 const noiseShare = 0.25;
 /** A request that fails has to be done again, and another caller waited. */
 const failureCost = 4;
-/** Most answers come within this many times the mean duration. */
-const tailShare = 1.7;
+/**
+ * An answer that is thought to need less than its objective by this ratio is
+ * not taken to another region: it would come in time hardly more often there.
+ */
+const tailShare = 1.25;
 
 /** What became of a choice. */
 export type Choice =
   | { readonly kind: "chosen"; readonly target: TargetOption }
-  /** Every target has as much as it can take. */
+  /** Every target has as much as it can take, or is better waited for. */
   | { readonly kind: "full" }
   /** No target can be used at all. */
   | { readonly kind: "none" };
@@ -75,11 +80,12 @@
     usable.filter(({ distance }) => distance !== Distance.far),
     options,
   );
-  if (near && near.duration * tailShare < options.objectiveMilliseconds) {
-    return { kind: "chosen", target: near.target };
-  }
-  const any = cheapest(usable, options);
-  return any ? { kind: "chosen", target: any.target } : { kind: "full" };
+  const isNearEnough = near !== undefined &&
+    near.duration * tailShare < options.objectiveMilliseconds;
+  const best = isNearEnough ? near : cheapest(usable, options);
+  return best && best.pause === 0
+    ? { kind: "chosen", target: best.target }
+    : { kind: "full" };
 }
 
 /** What decides whether a target can take one more request. */
@@ -106,19 +112,30 @@
     record.load(usualMilliseconds, now) + 1 <= slots;
 }
 
+interface Candidate {
+  readonly target: TargetOption;
+  /** Time until the answer, the pause included. */
+  readonly duration: number;
+  /** The target is slow; it is better waited for so long. */
+  readonly pause: number;
+}
+
 function cheapest(
   targets: readonly TargetOption[],
   options: ChoiceOptions,
-): { readonly target: TargetOption; readonly duration: number } | undefined {
-  let best: { target: TargetOption; duration: number } | undefined;
+): Candidate | undefined {
+  let best: Candidate | undefined;
   let bestCost = Infinity;
   for (const target of targets) {
     const slots = target.slots + waitingRoom;
     if (!hasRoomFor(target.record, { ...options, slots })) continue;
-    const duration = expectedDuration(target, options);
+    const pause = target.record.pause(options.workMilliseconds, options.now);
+    const duration = pause > 0
+      ? pause + target.record.duration(options.workMilliseconds, options.now)
+      : expectedDuration(target, options);
     const cost = costOf(target, duration, options);
     if (cost >= bestCost) continue;
-    best = { target, duration };
+    best = { target, duration, pause };
     bestCost = cost;
   }
   return best;
@@ -127,10 +144,9 @@
 /** Time until an answer is thought to be there, queue included. */
 function expectedDuration(
   { record, slots }: TargetOption,
-  { now, usualMilliseconds }: ChoiceOptions,
+  { now, usualMilliseconds, workMilliseconds }: ChoiceOptions,
 ): number {
-  const duration = record.duration(usualMilliseconds, now) *
-    record.slowdown(now);
+  const duration = record.expected(workMilliseconds, now);
   const load = record.load(usualMilliseconds, now);
   return duration * (1 + Math.max(0, load + 1 - slots) / slots);
 }
--- a/packages/dispatch/choose_target_test.ts
+++ b/packages/dispatch/choose_target_test.ts
@@ -13,6 +13,7 @@
   return chooseTarget(targets, {
     now,
     usualMilliseconds: 220,
+    workMilliseconds: 220,
     objectiveMilliseconds: 600,
     gateways: 9,
     random: () => 0.5,
@@ -26,7 +27,11 @@
   end: ExchangeEnd = ExchangeEnd.answered,
 ): void {
   record.begin();
-  record.end(end, { now: 1000, durationMilliseconds });
+  record.end(end, {
+    now: 1000,
+    durationMilliseconds,
+    expectedMilliseconds: 220,
+  });
 }
 
 describe("chooseTarget", () => {
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -16,6 +16,7 @@
 export type { WeightedPart } from "./part_choice.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export type { RetryBudgetOptions } from "./retry_budget.ts";
+export { Slowdown } from "./slowdown.ts";
 export { ExchangeEnd, TargetRecord } from "./target_record.ts";
 export type { LoadReport } from "./target_record.ts";
 export { AdmissionQueue } from "./admission_queue.ts";
--- /dev/null
+++ b/packages/dispatch/noisy_targets_test.ts
@@ -0,0 +1,135 @@
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { describe, expect, it } from "vitest";
+import { chooseTarget, Distance } from "./choose_target.ts";
+import { ExchangeEnd, TargetRecord } from "./target_record.ts";
+
+/** Targets share their machines: threefold work in one of five such times. */
+const episodeMilliseconds = 400;
+const episodeShare = 0.2;
+const episodeRatio = 3;
+const workMilliseconds = 220;
+const objectiveMilliseconds = 600;
+const slots = 4;
+
+type Policy = (
+  records: readonly TargetRecord[],
+  now: number,
+  random: () => number,
+) => number | null;
+
+/** The simplest policy: the target with the fewest requests of this gateway. */
+const fewestInFlight: Policy = (records, _now, random) => {
+  const least = Math.min(...records.map(({ inFlight }) => inFlight));
+  const best = records.flatMap((record, index) =>
+    record.inFlight === least ? [index] : []
+  );
+  return best[Math.floor(random() * best.length)]!;
+};
+
+const chosen: Policy = (records, now, random) => {
+  const choice = chooseTarget(
+    records.map((record, index) => ({
+      name: String(index),
+      slots,
+      distance: Distance.region,
+      record,
+    })),
+    {
+      now,
+      usualMilliseconds: workMilliseconds,
+      workMilliseconds,
+      objectiveMilliseconds,
+      gateways: 3,
+      random,
+      tried: new Set(),
+    },
+  );
+  return choice.kind === "chosen" ? Number(choice.target.name) : null;
+};
+
+/** Uniform numbers between 0 and 1. */
+function randomOf(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / 2 ** 32;
+}
+
+interface Work {
+  readonly endsAt: number;
+  readonly beganAt: number;
+  readonly gateway: number;
+  readonly target: number;
+  readonly expectedMilliseconds: number;
+}
+
+/** Three gateways of a region and six targets; the share that is late. */
+function lateShare(policy: Policy, seed: number): number {
+  const random = randomOf(seed);
+  const speeds = [0.5, 1, 1, 1, 1.5, 1];
+  const gateways = Array.from(
+    { length: 3 },
+    () => speeds.map(() => new TargetRecord()),
+  );
+  const running: Work[] = [];
+  const waiting: { gateway: number; at: number }[] = [];
+  let slow = speeds.map(() => false);
+  let [late, total] = [0, 0];
+  for (let now = 0; now < 60_000; now += 5) {
+    if (now % episodeMilliseconds === 0) {
+      slow = speeds.map(() => random() < episodeShare);
+    }
+    const slowdown = (target: number) =>
+      speeds[target]! * (slow[target] ? episodeRatio : 1);
+    for (const work of running.filter(({ endsAt }) => endsAt <= now)) {
+      running.splice(running.indexOf(work), 1);
+      const record = gateways[work.gateway]![work.target]!;
+      record.end(ExchangeEnd.answered, {
+        now,
+        durationMilliseconds: now - work.beganAt,
+        expectedMilliseconds: work.expectedMilliseconds,
+      });
+      record.report({
+        running: running.filter(({ target }) => target === work.target).length,
+        waiting: 0,
+        slots,
+        slowdown: slowdown(work.target),
+      }, now);
+    }
+    // 30 requests a second.
+    if (random() < 0.15) {
+      waiting.push({ gateway: Math.floor(random() * 3), at: now });
+    }
+    for (const request of [...waiting]) {
+      const records = gateways[request.gateway]!;
+      const target = policy(records, now, random);
+      if (target === null) continue;
+      waiting.splice(waiting.indexOf(request), 1);
+      const record = records[target]!;
+      const expectedMilliseconds = record.expected(workMilliseconds, now);
+      record.begin();
+      const duration = workMilliseconds * (0.5 + random()) * slowdown(target);
+      running.push({
+        endsAt: now + duration,
+        beganAt: now,
+        gateway: request.gateway,
+        target,
+        expectedMilliseconds,
+      });
+      total += 1;
+      if (now + duration - request.at > objectiveMilliseconds) late += 1;
+    }
+  }
+  return late / total;
+}
+
+describe("targets that are slow for moments", () => {
+  const seeds = [1, 2, 3, 4, 5];
+  const mean = (policy: Policy) =>
+    seeds.reduce((sum, seed) => sum + lateShare(policy, seed), 0) /
+    seeds.length;
+
+  it("answer late less than half as often as under the simplest policy", () => {
+    const [simplest, ours] = [mean(fewestInFlight), mean(chosen)];
+    expect(simplest).toBeGreaterThan(0.05);
+    expect(ours).toBeLessThan(simplest / 2);
+  });
+});
--- /dev/null
+++ b/packages/dispatch/slowdown_test.ts
@@ -0,0 +1,53 @@
+import { describe, expect, it } from "vitest";
+import { Slowdown } from "./slowdown.ts";
+
+describe("Slowdown", () => {
+  it("expects a slow target to be calm again after an episode", () => {
+    const slowdown = new Slowdown();
+    slowdown.note(0.5, 0);
+    slowdown.note(1.5, 500);
+    expect(slowdown.expected(500)).toBeCloseTo(1.5);
+    expect(slowdown.remaining(600)).toBe(300);
+    expect(slowdown.expected(1000)).toBeLessThan(0.75);
+    expect(slowdown.remaining(1000)).toBe(0);
+  });
+
+  it("counts an episode from its first report", () => {
+    const slowdown = new Slowdown();
+    slowdown.note(1, 0);
+    for (const now of [100, 200, 300]) slowdown.note(3, now);
+    expect(slowdown.remaining(400)).toBe(100);
+  });
+
+  it("trusts a calm report less the older it is", () => {
+    const slowdown = new Slowdown();
+    slowdown.note(1, 0);
+    expect(slowdown.expected(0)).toBeCloseTo(1);
+    expect(slowdown.expected(200)).toBeGreaterThan(1.1);
+    expect(slowdown.expected(400)).toBeCloseTo(slowdown.usual);
+  });
+
+  it("takes a first report of an episode back", () => {
+    const slowdown = new Slowdown();
+    slowdown.note(3, 0);
+    slowdown.note(1, 500);
+    expect(slowdown.calm).toBe(1);
+    slowdown.note(3, 600);
+    expect(slowdown.remaining(600)).toBe(400);
+  });
+
+  it("takes a target as slower that stays slow", () => {
+    const slowdown = new Slowdown();
+    slowdown.note(1, 0);
+    for (let now = 100; now < 2000; now += 100) slowdown.note(5, now);
+    expect(slowdown.calm).toBe(5);
+    expect(slowdown.remaining(2000)).toBe(0);
+  });
+
+  it("ignores figures that mean nothing", () => {
+    const slowdown = new Slowdown();
+    for (const value of [0, -1, NaN]) slowdown.note(value, 0);
+    expect(slowdown.isKnown).toBe(false);
+    expect(slowdown.expected(0)).toBeGreaterThan(0);
+  });
+});
--- a/packages/dispatch/target_record.ts
+++ b/packages/dispatch/target_record.ts
@@ -1,3 +1,5 @@
+import { Slowdown } from "./slowdown.ts";
+
 /** What an answer tells of its target's load. */
 export interface LoadReport {
   readonly running: number;
@@ -27,8 +29,13 @@
 const failureWeight = 0.25;
 /** A report says little of other gateways' work after so many usual durations. */
 const reportDurations = 3;
-/** The slowdown changes many times a second. */
-const slowdownMilliseconds = 400;
+/**
+ * Answers that take longer than expected by up to this ratio are usual: work
+ * varies, and a target may have turned slow since its last report.
+ */
+const usualStretch = 1.6;
+/** Weight of the newest ratio of a duration to the expected one. */
+const stretchWeight = 0.2;
 /** After this long without news a target is taken as good as the others. */
 const forgiveMilliseconds = 4000;
 const firstEjectionMilliseconds = 300;
@@ -38,10 +45,12 @@
 export class TargetRecord {
   /** Requests of this gateway that it has not answered. */
   inFlight = 0;
-  #report: LoadReport | undefined;
   #reportAt = -Infinity;
   #othersAtReport = 0;
+  readonly #slowdown = new Slowdown();
   #duration: number | undefined;
+  /** How much longer than expected its answers took. */
+  #stretch = 1;
   #failures = 0;
   #seenAt = -Infinity;
   #brokenInTurn = 0;
@@ -55,7 +64,12 @@
   /** Takes in how a request ended. */
   end(
     end: ExchangeEnd,
-    at: { now: number; durationMilliseconds: number },
+    at: {
+      readonly now: number;
+      readonly durationMilliseconds: number;
+      /** What was expected when the request left. */
+      readonly expectedMilliseconds: number;
+    },
   ): void {
     this.inFlight = Math.max(0, this.inFlight - 1);
     if (end === ExchangeEnd.abandoned) return;
@@ -67,6 +81,9 @@
     this.#brokenInTurn = 0;
     this.#ejectedUntil = -Infinity;
     if (end !== ExchangeEnd.answered) return;
+    const stretch = at.durationMilliseconds /
+      Math.max(1, at.expectedMilliseconds);
+    this.#stretch += (stretch - this.#stretch) * stretchWeight;
     this.#duration = this.#duration === undefined
       ? at.durationMilliseconds
       : this.#duration +
@@ -75,7 +92,7 @@
 
   /** Takes in what an answer says of the load; the answered request is done. */
   report(report: LoadReport, now: number): void {
-    this.#report = report;
+    this.#slowdown.note(report.slowdown, now);
     this.#reportAt = now;
     this.#othersAtReport = Math.max(
       0,
@@ -91,11 +108,33 @@
     return this.inFlight + others;
   }
 
-  /** Mean duration of its answers, or the given one when it is not known. */
+  /**
+   * How long work is thought to take that begins now, given how long it takes
+   * at a usual target.
+   */
+  expected(usualMilliseconds: number, now: number): number {
+    return this.#slowdown.isKnown
+      ? usualMilliseconds * this.#slowdown.expected(now) * this.#excess(now)
+      : this.#ownDuration(usualMilliseconds, now);
+  }
+
+  /** Mean duration of its answers over a long time. */
   duration(usualMilliseconds: number, now: number): number {
-    const share = this.#staleness(now);
-    const own = this.#duration ?? usualMilliseconds;
-    return own + (usualMilliseconds - own) * share;
+    return this.#slowdown.isKnown
+      ? usualMilliseconds * this.#slowdown.usual * this.#excess(now)
+      : this.#ownDuration(usualMilliseconds, now);
+  }
+
+  /**
+   * How much longer to wait for a target that is slow at the moment; 0 when
+   * work that begins at once is thought to end sooner.
+   */
+  pause(usualMilliseconds: number, now: number): number {
+    const remaining = this.#slowdown.remaining(now);
+    if (remaining === 0) return 0;
+    const saved = usualMilliseconds *
+      (this.#slowdown.expected(now) - this.#slowdown.calm);
+    return remaining < saved ? remaining : 0;
   }
 
   /** Whether it answered lately. */
@@ -103,13 +142,6 @@
     return this.#duration !== undefined && this.#staleness(now) < 1;
   }
 
-  /** How much longer than usual work takes there now. */
-  slowdown(now: number): number {
-    return now - this.#reportAt < slowdownMilliseconds
-      ? Math.max(1, this.#report?.slowdown ?? 1)
-      : 1;
-  }
-
   /** Share of its latest requests that it did not answer well. */
   failureShare(now: number): number {
     return this.#failures * (1 - this.#staleness(now));
@@ -122,6 +154,16 @@
       (this.#brokenInTurn > 1 && this.inFlight > 0);
   }
 
+  #ownDuration(usualMilliseconds: number, now: number): number {
+    const own = this.#duration ?? usualMilliseconds;
+    return own + (usualMilliseconds - own) * this.#staleness(now);
+  }
+
+  #excess(now: number): number {
+    const excess = Math.max(1, this.#stretch / usualStretch);
+    return excess + (1 - excess) * this.#staleness(now);
+  }
+
   #eject(now: number): void {
     this.#brokenInTurn += 1;
     const pause = Math.min(
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -145,6 +145,10 @@
       route.requests === RequestKind.once,
     );
     this.#tried.add(target.name);
+    const expectedMilliseconds = record.expected(
+      this.#service.workMilliseconds,
+      beganAt,
+    );
     record.begin();
     this.#service.noteBegin();
     const exchange: Exchange = new Exchange({
@@ -174,14 +178,13 @@
     const now = clock.now();
     const end = this.#isOver ? ExchangeEnd.abandoned : endOf(result);
     const durationMilliseconds = now - beganAt;
-    record.end(end, { now, durationMilliseconds });
+    const durations = { durationMilliseconds, expectedMilliseconds };
+    record.end(end, { now, ...durations });
     if (result.kind === "answered") {
       connections.giveBack(target.address, connection);
       if (result.head.load) record.report(result.head.load, now);
     } else connections.end(connection);
-    this.#service.noteEnd(
-      end === ExchangeEnd.answered ? durationMilliseconds : null,
-    );
+    this.#service.noteEnd(end === ExchangeEnd.answered ? durations : null);
     if (!this.#isOver) this.#take(result, target);
   }
 
--- a/packages/fleet_gateway/service_queue.ts
+++ b/packages/fleet_gateway/service_queue.ts
@@ -8,6 +8,8 @@
 const durationWeight = 0.05;
 /** Taken for usual until answers have come. */
 const firstDurationMilliseconds = 250;
+/** Bounds what one answer changes, as a few take many times as long. */
+const mostWorkRatio = 4;
 /** Waiting requests are looked at again after this long without news. */
 const reviewMilliseconds = 20;
 
@@ -17,6 +19,7 @@
   readonly #queue = new AdmissionQueue();
   readonly #now: () => number;
   #usual = firstDurationMilliseconds;
+  #work = firstDurationMilliseconds;
   #inFlight = 0;
   #timer: NodeJS.Timeout | undefined;
 
@@ -38,6 +41,11 @@
     return this.#usual;
   }
 
+  /** Duration of an answer at a target that is neither fast nor slow. */
+  get workMilliseconds(): number {
+    return this.#work;
+  }
+
   /** Requests that wait. */
   get waiting(): number {
     return this.#queue.length;
@@ -47,11 +55,20 @@
     this.#inFlight += 1;
   }
 
-  /** Takes in that a request has ended, with its duration if it was answered. */
-  noteEnd(durationMilliseconds: number | null): void {
+  /** Takes in that a request has ended, with its durations if it was answered. */
+  noteEnd(
+    answered: {
+      readonly durationMilliseconds: number;
+      /** What was expected when the request left. */
+      readonly expectedMilliseconds: number;
+    } | null,
+  ): void {
     this.#inFlight -= 1;
-    if (durationMilliseconds !== null) {
+    if (answered !== null) {
+      const { durationMilliseconds, expectedMilliseconds } = answered;
       this.#usual += (durationMilliseconds - this.#usual) * durationWeight;
+      const ratio = durationMilliseconds / Math.max(1, expectedMilliseconds);
+      this.#work *= 1 + (Math.min(mostWorkRatio, ratio) - 1) * durationWeight;
     }
     this.advance();
   }
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -124,7 +124,7 @@
     return [...this.#records].flatMap(([target, record]) => {
       const service = synchronizer.table.target(target)?.service ?? "";
       if (!synchronizer.table.service(service)?.isKeyed) return [];
-      const usual = this.service(service).usualMilliseconds;
+      const usual = this.service(service).workMilliseconds;
       const milliseconds = Math.round(record.duration(usual, now));
       return record.isSeen(now) ? [{ target, milliseconds }] : [];
     });
@@ -155,9 +155,11 @@
   ): Extract<TargetFound, { kind: "found" }> | undefined {
     const { synchronizer, clock } = this.#options;
     const now = clock.now();
-    const usual = this.service(wish.service).usualMilliseconds;
+    const { usualMilliseconds: usual, workMilliseconds } = this.service(
+      wish.service,
+    );
     let best: TargetOption | undefined;
-    let bestDuration = usual * hedgeDurations;
+    let bestDuration = workMilliseconds * hedgeDurations;
     for (const target of synchronizer.table.targetsOf(wish.service)) {
       if (target.isCold || !this.#isHome(wish.route, target)) continue;
       const option = this.#option(target);
@@ -167,7 +169,7 @@
         !isIdle || distance === Distance.far || wish.tried.has(target.name) ||
         record.isEjected(now)
       ) continue;
-      const duration = record.duration(usual, now) * record.slowdown(now);
+      const duration = record.expected(workMilliseconds, now);
       if (duration >= bestDuration) continue;
       best = option;
       bestDuration = duration;
@@ -198,7 +200,10 @@
       gateways: table.gateways,
       usualMilliseconds: this.service(service).usualMilliseconds,
     });
-    return hasRoom ? { kind: "found", target, record } : { kind: "wait" };
+    const pause = record.pause(this.service(service).workMilliseconds, now);
+    return hasRoom && pause === 0
+      ? { kind: "found", target, record }
+      : { kind: "wait" };
   }
 
   #findAny(wish: TargetWish): TargetFound {
@@ -222,6 +227,7 @@
       now,
       random,
       usualMilliseconds: this.service(wish.service).usualMilliseconds,
+      workMilliseconds: this.service(wish.service).workMilliseconds,
       objectiveMilliseconds: wish.objectiveAt - now,
       gateways: synchronizer.table.gateways,
       tried: wish.tried,
