--- a/packages/dispatch/budgets_test.ts
+++ b/packages/dispatch/budgets_test.ts
@@ -18,6 +18,29 @@
     expect(repeats).toBeLessThanOrEqual(900 * 0.2 + 58);
   });
 
+  it("gives no gateway more when others are not counted for a moment", () => {
+    const budget = new RetryBudget({
+      ratio: 0,
+      windowMilliseconds: 10_000,
+      slack: 90,
+    });
+    expect(budget.take(0, 9)).toBe(true);
+    // A new leader has heard of two gateways so far.
+    let repeats = 1;
+    while (budget.take(11_000, 2)) repeats += 1;
+    expect(repeats).toBeLessThanOrEqual(10);
+  });
+
+  it("leaves the slack to others while their count is not known", () => {
+    const budget = new RetryBudget({
+      ratio: 0,
+      windowMilliseconds: 10_000,
+      slack: 90,
+    });
+    expect(budget.take(0, 0)).toBe(false);
+    expect(budget.take(100, 9)).toBe(true);
+  });
+
   it("gives repeats back when the window has passed", () => {
     const budget = new RetryBudget({
       ratio: 0,
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -12,6 +12,7 @@
   TargetOption,
 } from "./choose_target.ts";
 export { ColdRate } from "./cold_rate.ts";
+export { OwnerDoubts } from "./owner_doubts.ts";
 export { PartChoice } from "./part_choice.ts";
 export type { WeightedPart } from "./part_choice.ts";
 export { RetryBudget } from "./retry_budget.ts";
--- a/packages/dispatch/retry_budget.ts
+++ b/packages/dispatch/retry_budget.ts
@@ -16,6 +16,10 @@
   readonly #options: RetryBudgetOptions;
   readonly #requests: number[] = [];
   readonly #repeats: number[] = [];
+  /** Most gateways that were counted, since the current span and the one before. */
+  #mostGateways = 0;
+  #mostBefore = 0;
+  #spanSince = -Infinity;
 
   constructor(options: RetryBudgetOptions) {
     this.#options = options;
@@ -27,18 +31,36 @@
     this.#forget(now);
   }
 
-  /** Takes one repeat, if there is one left for this gateway. */
+  /**
+   * Takes one repeat, if there is one left for this gateway.
+   *
+   * @param gateways that share the budget; 0 while that is not known, so that
+   * the slack stays with those that know it.
+   */
   take(now: number, gateways: number): boolean {
     this.#forget(now);
+    this.#noteGateways(now, gateways);
     const { ratio, slack } = this.#options;
-    const most =
-      (this.#requests.length * ratio + slack / Math.max(1, gateways)) *
-      usedShare;
+    // Others may still use the part that they had when more were counted.
+    const sharing = Math.max(this.#mostGateways, this.#mostBefore);
+    const part = sharing === 0 ? 0 : slack / sharing;
+    const most = (this.#requests.length * ratio + part) * usedShare;
     if (this.#repeats.length + 1 > most) return false;
     this.#repeats.push(now);
     return true;
   }
 
+  #noteGateways(now: number, gateways: number): void {
+    const age = now - this.#spanSince;
+    if (age >= this.#options.windowMilliseconds) {
+      const isNext = age < this.#options.windowMilliseconds * 2;
+      this.#mostBefore = isNext ? this.#mostGateways : 0;
+      this.#mostGateways = 0;
+      this.#spanSince = now;
+    }
+    this.#mostGateways = Math.max(this.#mostGateways, gateways);
+  }
+
   #forget(now: number): void {
     const since = now - this.#options.windowMilliseconds;
     while (this.#requests[0]! < since) this.#requests.shift();
--- a/packages/fleet/view.ts
+++ b/packages/fleet/view.ts
@@ -51,7 +51,10 @@
   readonly areTargetsComplete: boolean;
   readonly removedTargets: readonly string[];
   readonly ranges: readonly RangeView[];
-  /** Count of the gateways in touch with the leader. */
+  /**
+   * Count of the gateways in touch with the leader; 0 until it has led for long
+   * enough to know.
+   */
   readonly gateways: number;
   /** Peer addresses of the control VMs, or null when they are as before. */
   readonly control: readonly string[] | null;
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -347,7 +347,7 @@
       areTargetsComplete: sendsAll,
       removedTargets: isKnown ? this.#registry.removedSince(since) : [],
       ranges: this.#ranges.news(position, { since, now }),
-      gateways: this.#gateways.present(now).length,
+      gateways: isComplete ? this.#gateways.present(now).length : 0,
       control: this.#controlRevision > since ? this.#control : null,
     };
   }
--- a/packages/fleet_gateway/gateway_table.ts
+++ b/packages/fleet_gateway/gateway_table.ts
@@ -24,7 +24,7 @@
   #dataCentresOut: ReadonlySet<string> = new Set();
   #routes = new RouteIndex([]);
   #control: readonly string[] = [];
-  #gateways = 1;
+  #gateways = 0;
 
   get position(): ViewPosition {
     return this.#position;
@@ -40,7 +40,7 @@
     return this.#control;
   }
 
-  /** Count of the gateways that share what all may use. */
+  /** Count of the gateways that share what all may use; 0 while it is unknown. */
   get gateways(): number {
     return this.#gateways;
   }
@@ -105,7 +105,7 @@
     this.#takeTargets(delta);
     for (const range of delta.ranges) this.#takeRange(range);
     this.#control = delta.control ?? this.#control;
-    this.#gateways = Math.max(1, delta.gateways);
+    this.#gateways = delta.gateways || this.#gateways;
   }
 
   #takeItem(item: HeldItem): void {
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -14,6 +14,8 @@
 const retryAfterShare = 1 / 3;
 const leastRetryAfterMilliseconds = 100;
 const millisecondsPerSecond = 1000;
+/** Answer of a target that is not the one meant, or does not hold the key. */
+const misdirectedStatus = 421;
 /** An owner that refuses has lost the range or not got it yet; news come by then. */
 const ownerPauseMilliseconds = 100;
 
@@ -271,9 +273,17 @@
   ): void {
     const { head, body } = result;
     this.#arrivals += 1;
+    const { position } = this.#routed.head;
+    if (position !== undefined) {
+      this.#tools.selector.noteHolding({
+        service: this.#routed.service,
+        position,
+        target: target.name,
+      }, head.status !== misdirectedStatus);
+    }
     if (head.didNotRun) {
       this.#log("target-refused", target, String(head.status));
-      if (this.#routed.head.position !== undefined) {
+      if (position !== undefined) {
         this.#dueAt = this.#tools.clock.now() + ownerPauseMilliseconds;
       }
       if (this.#mayTryElsewhere) return this.#again();
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -3,12 +3,18 @@
   ColdRate,
   Distance,
   hasRoomFor,
+  OwnerDoubts,
   PartChoice,
   TargetRecord,
 } from "@kingcupglade/dispatch";
 import type { RetryBudgetOptions, TargetOption } from "@kingcupglade/dispatch";
 import { bucketOf } from "@kingcupglade/fleet";
-import type { DemandRow, DurationRow, TargetView } from "@kingcupglade/fleet";
+import type {
+  DemandRow,
+  DurationRow,
+  RangeView,
+  TargetView,
+} from "@kingcupglade/fleet";
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
 import { ServiceQueue } from "./service_queue.ts";
@@ -64,6 +70,7 @@
   readonly #services = new Map<string, ServiceQueue>();
   readonly #records = new Map<string, TargetRecord>();
   readonly #coldRates = new Map<string, ColdRate>();
+  readonly #doubts = new OwnerDoubts();
   /** Keyed requests that control was not told of, by service and bucket. */
   readonly #demand = new Map<string, Map<number, number>>();
 
@@ -130,6 +137,23 @@
     });
   }
 
+  /** Takes in whether a target holds the range of a request that it answered. */
+  noteHolding(
+    request: {
+      readonly service: string;
+      readonly position: number;
+      readonly target: string;
+    },
+    isHeld: boolean,
+  ): void {
+    const { synchronizer, clock } = this.#options;
+    const range = synchronizer.table.range(request.service, request.position);
+    // The table may name another owner by now.
+    if (range?.owner !== request.target) return;
+    if (isHeld) this.#doubts.clear(idOf(range));
+    else this.#doubts.note(idOf(range), range.fence, clock.now());
+  }
+
   /** Starts what news has made possible, and forgets targets that are gone. */
   noteTable(): void {
     const { table } = this.#options.synchronizer;
@@ -192,18 +216,22 @@
     if (!this.#isHome(route, target)) {
       return { kind: "none", reason: "the owner is outside the home regions" };
     }
-    const record = this.#record(target.name);
     const now = this.#options.clock.now();
+    const rangeId = idOf(range);
+    if (this.#doubts.isDoubted(rangeId, range.fence, now)) {
+      return { kind: "wait" };
+    }
+    const record = this.#record(target.name);
     const hasRoom = hasRoomFor(record, {
       now,
       slots: target.slots + ownerWaitingRoom,
-      gateways: table.gateways,
+      gateways: table.gateways || Infinity,
       usualMilliseconds: this.service(service).usualMilliseconds,
     });
     const pause = record.pause(this.service(service).workMilliseconds, now);
-    return hasRoom && pause === 0
-      ? { kind: "found", target, record }
-      : { kind: "wait" };
+    if (!hasRoom || pause > 0) return { kind: "wait" };
+    this.#doubts.noteSent(rangeId, range.fence, now);
+    return { kind: "found", target, record };
   }
 
   #findAny(wish: TargetWish): TargetFound {
@@ -229,7 +257,7 @@
       usualMilliseconds: this.service(wish.service).usualMilliseconds,
       workMilliseconds: this.service(wish.service).workMilliseconds,
       objectiveMilliseconds: wish.objectiveAt - now,
-      gateways: synchronizer.table.gateways,
+      gateways: synchronizer.table.gateways || Infinity,
       tried: wish.tried,
     });
     if (choice.kind === "none") {
@@ -294,6 +322,10 @@
   }
 }
 
+function idOf({ service, from }: RangeView): string {
+  return `${service}/${from}`;
+}
+
 /** A hedge goes to a target with less than this share of its slots in use. */
 const idleShare = 0.5;
 /** And that is not slower than usual by more. */
