Let control VMs that restart together elect at once

The roles' leaders prove each answer by a round. Excluded: the start of the processes (0.2 s) and the gateways' search (0.1 s). Change: restartQuietMilliseconds; the roles wait 150 to 300 ms, the strict mode as long as before.

--- a/packages/consensus/election.ts
+++ b/packages/consensus/election.ts
@@ -180,8 +180,8 @@
   return candidate.lastIndex >= lastIndex(state);
 }
 
-// Spreads elections over one timeout by a hash, so that runs can be repeated.
-function electionSpread(self: ReplicaId, term: number): number {
+/** Spreads elections over one timeout by a hash, so that runs can be repeated. */
+export function electionSpread(self: ReplicaId, term: number): number {
   let hash = 2166136261;
   for (const character of `${self}:${term}`) {
     hash = Math.imul(hash ^ character.charCodeAt(0), 16777619);
--- a/packages/consensus/machine.ts
+++ b/packages/consensus/machine.ts
@@ -1,6 +1,7 @@
 import { Draft } from "./draft.ts";
 import {
   becomeFollower,
+  electionSpread,
   receivePreVoteRequest,
   receivePreVoteResponse,
   receiveVoteRequest,
@@ -32,6 +33,7 @@
   HardState,
   LogEntry,
   ReplicaId,
+  ResolvedConsensusOptions,
   Snapshot,
 } from "./types.ts";
 
@@ -54,6 +56,7 @@
   start: { readonly now: number; readonly options?: ConsensusOptions },
 ): ConsensusState {
   const options = resolveConsensusOptions(start.options);
+  const { electionMilliseconds, restartQuietMilliseconds } = options;
   return {
     self: stored.self,
     options,
@@ -67,11 +70,13 @@
     syncedIndex: lastIndex(stored),
     votes: new Set(),
     progress: new Map(),
-    electionDueAt: start.now + options.electionMilliseconds,
+    electionDueAt: start.now + firstElectionDelay(stored, options),
     heartbeatDueAt: start.now,
     hasStoredTerm: stored.hardState.term > 0,
     // It may have answered a leader just before it stopped.
-    leaderHeardAt: stored.hardState.term > 0 ? start.now : -Infinity,
+    leaderHeardAt: stored.hardState.term > 0
+      ? start.now - (electionMilliseconds - restartQuietMilliseconds)
+      : -Infinity,
     leadingSince: -Infinity,
     transferTo: null,
     transferUntil: 0,
@@ -79,6 +84,18 @@
   };
 }
 
+// Replicas that restart at one moment do not all stand at once.
+function firstElectionDelay(
+  stored: StoredReplica,
+  options: ResolvedConsensusOptions,
+): number {
+  const { electionMilliseconds, restartQuietMilliseconds } = options;
+  return restartQuietMilliseconds === electionMilliseconds
+    ? electionMilliseconds
+    : restartQuietMilliseconds *
+      (1 + electionSpread(stored.self, stored.hardState.term));
+}
+
 /** Moves a replica on by one event. */
 export function stepConsensus(
   state: ConsensusState,
--- /dev/null
+++ b/packages/consensus/restart_test.ts
@@ -0,0 +1,70 @@
+import { describe, expect, it } from "vitest";
+import {
+  createConsensusState,
+  emptySnapshot,
+  nextTickAt,
+  stepConsensus,
+} from "./machine.ts";
+import type { ConsensusMessage, ConsensusState } from "./types.ts";
+
+const voters = ["a.1", "b.2", "c.3", "d.4", "e.5"];
+/** One way between two regions. */
+const linkMilliseconds = 8;
+
+/** Time until one of five replicas leads that all restart within 15 ms. */
+function timeToLead(seed: number, restartQuietMilliseconds?: number): number {
+  const names = voters.map((each) => `${each}${seed}`);
+  const configuration = { voters: names, learners: [] };
+  const states = new Map<string, ConsensusState>(
+    names.map((self, at) => [
+      self,
+      createConsensusState({
+        self,
+        hardState: { term: 3, votedFor: null },
+        snapshot: emptySnapshot(configuration),
+        entries: [],
+      }, {
+        now: (at * 7 * seed) % 15,
+        options: {
+          electionMilliseconds: 600,
+          ...(restartQuietMilliseconds && { restartQuietMilliseconds }),
+        },
+      }),
+    ]),
+  );
+  const links: { readonly message: ConsensusMessage; readonly at: number }[] =
+    [];
+  for (let now = 15; now < 5000; now += 1) {
+    for (const [name, state] of states) {
+      const due = links.filter(({ message, at }) =>
+        message.to === name && at === now
+      );
+      const events = [
+        ...due.map(({ message }) => ({ kind: "received" as const, message })),
+        ...(nextTickAt(state, now) <= now ? [{ kind: "tick" as const }] : []),
+      ];
+      for (const event of events) {
+        const next = stepConsensus(states.get(name)!, event, now);
+        states.set(name, next.state);
+        if (next.state.role === "leader") return now;
+        for (const effect of next.effects) {
+          if (effect.kind !== "send") continue;
+          links.push({ message: effect.message, at: now + linkMilliseconds });
+        }
+      }
+    }
+  }
+  return Infinity;
+}
+
+describe("replicas that restart at one moment", () => {
+  const seeds = Array.from({ length: 20 }, (_, at) => at + 1);
+
+  it("elect a leader soon where leaders prove what they say", () => {
+    for (const seed of seeds) expect(timeToLead(seed, 150)).toBeLessThan(500);
+  });
+
+  it("stay silent for as long as a leader may count on them", () => {
+    for (const seed of seeds) expect(timeToLead(seed)).toBeGreaterThan(600);
+  });
+});
--- a/packages/consensus/types.ts
+++ b/packages/consensus/types.ts
@@ -237,6 +237,14 @@
   readonly heartbeatMilliseconds?: number;
   /** Shortest silence after which a replica stands for election. @default 600 */
   readonly electionMilliseconds?: number;
+  /**
+   * Time after a restart in which a replica votes for nobody and does not stand
+   * for election, as it may have answered a leader just before. A shorter one
+   * suits only leaders that prove each answer by a round to their quorum.
+   *
+   * @default electionMilliseconds
+   */
+  readonly restartQuietMilliseconds?: number;
   /** Entries in one message at most. @default 256 */
   readonly maximumBatchEntries?: number;
   /** Bytes of entries or snapshot in one message. @default 262144 */
@@ -252,9 +260,12 @@
 export function resolveConsensusOptions(
   options: ConsensusOptions = {},
 ): ResolvedConsensusOptions {
+  const electionMilliseconds = options.electionMilliseconds ?? 600;
   return {
     heartbeatMilliseconds: options.heartbeatMilliseconds ?? 200,
-    electionMilliseconds: options.electionMilliseconds ?? 600,
+    electionMilliseconds,
+    restartQuietMilliseconds: options.restartQuietMilliseconds ??
+      electionMilliseconds,
     maximumBatchEntries: options.maximumBatchEntries ?? 256,
     maximumBatchBytes: options.maximumBatchBytes ?? 256 * 1024,
     resendMilliseconds: options.resendMilliseconds ?? 400,
--- a/packages/fleet_control/control_replica.ts
+++ b/packages/fleet_control/control_replica.ts
@@ -17,6 +17,10 @@
 const consensusTimes: ConsensusOptions = {
   heartbeatMilliseconds: 200,
   electionMilliseconds: 600,
+  // Grants and readings are proved by a round each, and cold targets are named
+  // anew only after every earlier leader's word has run out. A leader that is
+  // still there is heard within a heartbeat or refuses by its other followers.
+  restartQuietMilliseconds: 150,
   resendMilliseconds: 300,
 };
 
