Cut hot ranges at once and move several at a time

A range was cut only above 6 % of all demand, seven tenths of what one of 12 owners gets and five times what one of 84 gets; one cut and one move were made at a time, and the new owner was told with its next heartbeat, up to 1.5 s later. Change: cuts follow an owner's even share and are made in one log entry; one range for each six owners may move; of owners alike the one heard sooner gets the range; ranges that leave no longer count as load of their owner.

--- a/packages/fleet/fleet_machine.ts
+++ b/packages/fleet/fleet_machine.ts
@@ -80,8 +80,8 @@
         return createRanges(state, command);
       case "grantRanges":
         return grantRanges(state, command, index);
-      case "splitRange":
-        return splitRange(state, command);
+      case "splitRanges":
+        return splitRanges(state, command);
     }
   }
 }
@@ -166,16 +166,13 @@
   });
 }
 
-// Both parts keep owner and fence.
-function splitRange(
+function splitRanges(
   state: FleetState,
-  command: Extract<FleetCommand, { kind: "splitRange" }>,
+  command: Extract<FleetCommand, { kind: "splitRanges" }>,
 ): Applied {
-  const { service, from, at } = command;
+  const { service, cuts } = command;
   const ranges = (state.ranges.get(service) ?? []).flatMap((range) =>
-    range.from === from && at > from && at <= range.to
-      ? [{ ...range, to: at - 1 }, { ...range, from: at }]
-      : [range]
+    partsOf(range, cuts)
   );
   return applied({
     ...state,
@@ -183,6 +180,20 @@
   });
 }
 
+// The parts keep owner and fence.
+function partsOf(range: KeyRange, cuts: readonly number[]): KeyRange[] {
+  const starts = [
+    range.from,
+    ...cuts.filter((cut) => cut > range.from && cut <= range.to)
+      .sort((left, right) => left - right),
+  ];
+  return starts.map((from, at) => ({
+    ...range,
+    from,
+    to: (starts[at + 1] ?? range.to + 1) - 1,
+  }));
+}
+
 function grantedRange(
   range: KeyRange,
   grant: RangeGrant | undefined,
--- a/packages/fleet/key_demand.ts
+++ b/packages/fleet/key_demand.ts
@@ -19,8 +19,13 @@
 export const positionsPerBucket = 16;
 /** Old demand counts half after this long; hot keys change within seconds. */
 const halfLifeMilliseconds = 4000;
-/** A range that gets a larger share of all demand than this is cut. */
-const splitShare = 0.06;
+/**
+ * A range that gets more than this part of what an owner gets on average is
+ * cut, so that owners can be evened out by moving parts of it.
+ */
+const largestPart = 0.4;
+/** Cuts made at one time. */
+const mostCuts = 64;
 /** Demand below this says little. */
 const leastDemand = 20;
 
@@ -55,33 +60,42 @@
     return sum;
   }
 
-  /** A range that is asked for too often to stay whole, and where to cut it. */
-  split(
+  /**
+   * Where to cut the ranges that are asked for too often to stay whole: starts
+   * of new ranges, on edges of buckets.
+   */
+  cuts(
     ranges: KeyRanges,
-    now: number,
-  ): { readonly from: number; readonly at: number } | undefined {
+    view: { readonly now: number; readonly owners: number },
+  ): readonly number[] {
+    const { now, owners } = view;
     const demands = ranges.map((range) => this.of(range, now));
     const total = demands.reduce((sum, each) => sum + each, 0);
-    if (total < leastDemand) return undefined;
-    const hottest = demands.indexOf(Math.max(...demands));
-    const range = ranges[hottest]!;
-    if (demands[hottest]! < total * splitShare) return undefined;
-    const at = this.#middle(range, demands[hottest]!, now);
-    return at === undefined ? undefined : { from: range.from, at };
+    if (total < leastDemand) return [];
+    const largest = total / owners * largestPart;
+    return ranges.flatMap((range, at) =>
+      demands[at]! > largest ? this.#cutsOf(range, { largest, now }) : []
+    ).slice(0, mostCuts);
   }
 
-  /** Where half of a range's demand lies on either side, on a bucket's edge. */
-  #middle(range: KeyRange, demand: number, now: number): number | undefined {
-    const [first, last] = [bucketOf(range.from), bucketOf(range.to)];
-    if (first === last) return undefined;
-    let sum = 0;
-    let bucket = first;
-    while (bucket < last && sum < demand / 2) {
-      sum += this.#weight(bucket, now);
-      bucket += 1;
+  // Parts are filled bucket by bucket; a bucket alone may be too large.
+  #cutsOf(
+    range: KeyRange,
+    view: { readonly largest: number; readonly now: number },
+  ): readonly number[] {
+    const { largest, now } = view;
+    const cuts: number[] = [];
+    const last = bucketOf(range.to);
+    let sum = this.#weight(bucketOf(range.from), now);
+    for (let bucket = bucketOf(range.from) + 1; bucket <= last; bucket += 1) {
+      const weight = this.#weight(bucket, now);
+      if (sum + weight > largest && (sum > 0 || cuts.length === 0)) {
+        cuts.push(bucket * positionsPerBucket);
+        sum = 0;
+      }
+      sum += weight;
     }
-    const edge = Math.max(bucket, first + 1) * positionsPerBucket;
-    return edge > range.from && edge <= range.to ? edge : undefined;
+    return cuts;
   }
 
   #weight(bucket: number, now: number): number {
--- a/packages/fleet/key_demand_test.ts
+++ b/packages/fleet/key_demand_test.ts
@@ -47,11 +47,10 @@
     });
     let moved = 0;
     for (let round = 0; round < 60; round += 1) {
-      const split = demand.split(ranges, 0);
-      if (split) {
+      for (const cut of demand.cuts(ranges, { now: 0, owners: 4 })) {
         ranges = ranges.flatMap((range) =>
-          range.from === split.from
-            ? [{ ...range, to: split.at - 1 }, { ...range, from: split.at }]
+          cut > range.from && cut <= range.to
+            ? [{ ...range, to: cut - 1 }, { ...range, from: cut }]
             : [range]
         );
       }
@@ -70,7 +69,12 @@
         });
       }
       const { grants } = assigner.plan(ranges, {
-        candidates: owners.map((life) => ({ life, weight: 6, accepts: true })),
+        candidates: owners.map((life) => ({
+          life,
+          weight: 6,
+          accepts: true,
+          untilHeard: 0,
+        })),
         now: round * 4000,
         demand: (range) => demand.of(range, 0),
       });
@@ -87,6 +91,38 @@
     expect(moved).toBeLessThan(20);
   });
 
+  it("is cut at once into parts that many owners can share", () => {
+    const owners = 84;
+    const demand = new KeyDemand();
+    // A third of all requests are for 200 positions beside each other.
+    for (let bucket = 0; bucket < 4096; bucket += 1) demand.note(bucket, 1, 0);
+    for (let position = 2000; position < 2200; position += 1) {
+      demand.note(bucketOf(position), 10, 0);
+    }
+    const whole: KeyRange = {
+      from: 0,
+      to: 65_535,
+      owner: null,
+      fence: 1,
+      handover: "",
+    };
+    const cuts = demand.cuts([{ ...whole, from: 1500, to: 2499 }, whole], {
+      now: 0,
+      owners,
+    });
+    const starts = cuts.filter((cut) => cut > 1500 && cut < 2500);
+    const mean = (4096 + 2000) / owners;
+    const parts = starts.map((from, at) => ({
+      from,
+      to: (starts[at + 1] ?? 2500) - 1,
+    }));
+    // A bucket alone may be more than its part.
+    for (const part of parts) {
+      expect(demand.of(part, 0)).toBeLessThan(mean * 2.5);
+    }
+    expect(parts.length).toBeGreaterThan(10);
+  });
+
   it("is forgotten when it cools", () => {
     const { ranges, demand } = hotSpot();
     expect(demand.of(ranges[0]!, 40_000)).toBeLessThan(1);
--- a/packages/fleet/range_assigner.ts
+++ b/packages/fleet/range_assigner.ts
@@ -40,6 +40,8 @@
   readonly weight: number;
   /** Whether it may get ranges that it does not own. */
   readonly accepts: boolean;
+  /** Part of a heartbeat's time until it is heard next, and told of grants. */
+  readonly untilHeard: number;
 }
 
 /** What a plan is made by. */
@@ -60,8 +62,13 @@
 /** A move must lower the heavier owner's load by this share of the mean load. */
 const leastGain = 0.1;
 
-/** Ranges that move at one time from an owner that could keep them. */
-const mostBalancingMoves = 1;
+/** Owners for each range that moves at one time though its owner could keep it. */
+const ownersPerMove = 6;
+/**
+ * Load beside the mean that a new owner may have more than another one if it is
+ * heard a whole heartbeat sooner: requests for the range wait until then.
+ */
+const heardSoonerLoad = 0.25;
 
 /**
  * Decides who owns the ranges of one keyed service, and never lets a range go
@@ -145,7 +152,13 @@
   ): { readonly grants: readonly RangeGrant[] } {
     const { candidates, now } = view;
     if (candidates.length === 0) return { grants: [] };
-    const shares = new OwnerShares(ranges, view);
+    const shares = new OwnerShares(ranges, {
+      ...view,
+      leaves: (range) => {
+        const lease = this.#lease(range);
+        return lease.isMoving || lease.isWanted;
+      },
+    });
     const grants: RangeGrant[] = [];
     let moving = 0;
     for (const range of ranges) {
@@ -166,20 +179,27 @@
         handover: lease.handover ?? "",
       });
     }
-    if (moving < mostBalancingMoves && grants.length === 0) {
-      this.#startBalancing(ranges, shares);
+    const most = Math.ceil(candidates.length / ownersPerMove);
+    while (grants.length === 0 && moving < most) {
+      if (!this.#startBalancing(ranges, shares)) break;
+      moving += 1;
     }
     return { grants };
   }
 
-  #startBalancing(ranges: KeyRanges, shares: OwnerShares): void {
-    const range = shares.bestMove(
-      ranges.filter((each) => !this.#lease(each).isMoving),
+  /** Marks one range that is better moved; whether there is one. */
+  #startBalancing(ranges: KeyRanges, shares: OwnerShares): boolean {
+    const range = shares.takeBestMove(
+      ranges.filter((each) => {
+        const lease = this.#lease(each);
+        return !lease.isMoving && !lease.isWanted;
+      }),
     );
-    if (!range) return;
+    if (!range) return false;
     const lease = this.#lease(range);
     lease.isWanted = true;
     lease.isBalancing = true;
+    return true;
   }
 
   #isFree(range: KeyRange, lease: RangeLease, now: number): boolean {
@@ -234,44 +254,71 @@
   readonly #owners = new Map<string, OwnerShare>();
   readonly #receivers: readonly OwnerShare[];
   readonly #demand: (range: KeyRange) => number;
+  /** Load of each owner if all had the same. */
+  readonly #mean: number;
 
-  constructor(ranges: KeyRanges, view: RangePlanView) {
+  constructor(
+    ranges: KeyRanges,
+    view: RangePlanView & {
+      /** Whether a range is about to leave its owner. */
+      readonly leaves: (range: KeyRange) => boolean;
+    },
+  ) {
     this.#demand = (range) => view.demand(range) + idleDemand;
+    let weight = 0;
     for (const candidate of view.candidates) {
       this.#owners.set(candidate.life.target, { ...candidate, demand: 0 });
-    }
-    for (const range of ranges) {
-      const owner = this.#ownerOf(range);
-      if (owner) owner.demand += this.#demand(range);
+      weight += candidate.weight;
     }
     const owners = [...this.#owners.values()];
     const accepting = owners.filter(({ accepts }) => accepts);
     this.#receivers = accepting.length > 0 ? accepting : owners;
+    let total = 0;
+    const leaving: KeyRange[] = [];
+    for (const range of ranges) {
+      const demand = this.#demand(range);
+      total += demand;
+      const owner = this.#ownerOf(range);
+      if (owner && view.leaves(range)) leaving.push(range);
+      else if (owner) owner.demand += demand;
+    }
+    this.#mean = total / weight;
+    // They will go where there is least, so nothing else need go there.
+    for (const range of leaving) {
+      lightestOf(this.#receivers).demand += this.#demand(range);
+    }
   }
 
   isCandidate(life: TargetLife): boolean {
     return isSameLife(this.#owners.get(life.target)?.life ?? null, life);
   }
 
-  /** Gives a range to the candidate that has least for its weight. */
+  /** Gives a range to a candidate that has little for its weight. */
   takeLightest(range: KeyRange): TargetLife {
-    const owner = this.#lightest();
-    owner.demand += this.#demand(range);
+    const demand = this.#demand(range);
+    const wait = range.owner === null ? 0 : heardSoonerLoad * this.#mean;
+    const costOf = (owner: OwnerShare) =>
+      loadOf(owner) + demand / owner.weight + wait * owner.untilHeard;
+    const owner = this.#receivers.reduce((least, each) =>
+      costOf(each) < costOf(least) ? each : least
+    );
+    owner.demand += demand;
     return owner.life;
   }
 
-  /** The range whose move to the lightest owner helps the heaviest one most. */
-  bestMove(ranges: KeyRanges): KeyRange | undefined {
+  /**
+   * The range whose move to the lightest owner helps the heaviest one most, if
+   * one is to be moved; it counts as moved from then on.
+   */
+  takeBestMove(ranges: KeyRanges): KeyRange | undefined {
     const owners = [...this.#owners.values()];
-    const mean = owners.reduce((sum, each) => sum + loadOf(each), 0) /
-      owners.length;
     const heaviest = owners.reduce((most, each) =>
       loadOf(each) > loadOf(most) ? each : most
     );
-    if (loadOf(heaviest) < mean * unevenLoad) return undefined;
-    const lightest = this.#lightest();
+    if (loadOf(heaviest) < this.#mean * unevenLoad) return undefined;
+    const lightest = lightestOf(this.#receivers);
     let best: KeyRange | undefined;
-    let bestPeak = loadOf(heaviest) - mean * leastGain;
+    let bestPeak = loadOf(heaviest) - this.#mean * leastGain;
     for (const range of ranges) {
       if (this.#ownerOf(range) !== heaviest) continue;
       const demand = this.#demand(range);
@@ -283,6 +330,10 @@
       best = range;
       bestPeak = peak;
     }
+    if (best) {
+      heaviest.demand -= this.#demand(best);
+      lightest.demand += this.#demand(best);
+    }
     return best;
   }
 
@@ -291,12 +342,12 @@
       ? this.#owners.get(owner.target)
       : undefined;
   }
+}
 
-  #lightest(): OwnerShare {
-    return this.#receivers.reduce((least, each) =>
-      loadOf(each) < loadOf(least) ? each : least
-    );
-  }
+function lightestOf(owners: readonly OwnerShare[]): OwnerShare {
+  return owners.reduce((least, each) =>
+    loadOf(each) < loadOf(least) ? each : least
+  );
 }
 
 function loadOf({ demand, weight }: OwnerShare): number {
--- a/packages/fleet/range_assigner_test.ts
+++ b/packages/fleet/range_assigner_test.ts
@@ -27,7 +27,12 @@
 }
 
 function candidates(...lives: readonly TargetLife[]) {
-  return lives.map((life) => ({ life, weight: 6, accepts: true }));
+  return lives.map((life) => ({
+    life,
+    weight: 6,
+    accepts: true,
+    untilHeard: 0,
+  }));
 }
 
 function plan(
@@ -157,6 +162,53 @@
     expect(assigner.grant(ranges, first, 200)).toHaveLength(3);
   });
 
+  it("gives a freed range to the owner that is heard sooner of two alike", () => {
+    const assigner = new RangeAssigner(options);
+    const ranges = [range(first, 5)];
+    assigner.grant(ranges, first, 100);
+    const view = (now: number) => ({
+      candidates: [
+        { ...candidates(second)[0]!, untilHeard: 0.9 },
+        {
+          ...candidates({ target: "third", bornAt: 3 })[0]!,
+          untilHeard: 0.1,
+        },
+      ],
+      now,
+      demand: () => 1,
+    });
+    assigner.plan(ranges, view(200));
+    assigner.note(ranges, beat(first, { holds: [] }));
+    const [grant] = assigner.plan(ranges, view(300)).grants;
+    expect(grant?.owner.target).toBe("third");
+  });
+
+  it("moves several ranges at one time where there are many owners", () => {
+    const assigner = new RangeAssigner({ ...options, startedAt: -10_000 });
+    const lives = Array.from({ length: 24 }, (_, at): TargetLife => ({
+      target: `target-${at}`,
+      bornAt: 1,
+    }));
+    const ranges = lives.flatMap((owner, at) =>
+      [0, 1, 2, 3].map((part): KeyRange => ({
+        from: at * 40 + part * 10,
+        to: at * 40 + part * 10 + 9,
+        owner,
+        fence: 5,
+        handover: "",
+      }))
+    );
+    assigner.plan(ranges, {
+      candidates: candidates(...lives),
+      now: 0,
+      demand: ({ owner }) => owner === lives[0] ? 20 : 1,
+    });
+    assigner.note(ranges, beat(lives[0]!, { holds: [] }));
+    const moving = ranges.filter((each) => assigner.isMoving(each, 100));
+    expect(moving.length).toBeGreaterThan(1);
+    expect(moving.length).toBeLessThanOrEqual(4);
+  });
+
   it("moves nothing for the noise of a calm day", () => {
     const assigner = new RangeAssigner({ ...options, startedAt: -10_000 });
     const ranges = [first, second].map((owner, at): KeyRange => ({
--- a/packages/fleet/types.ts
+++ b/packages/fleet/types.ts
@@ -92,12 +92,10 @@
     readonly grants: readonly RangeGrant[];
   }
   | {
-    readonly kind: "splitRange";
+    readonly kind: "splitRanges";
     readonly service: string;
-    /** Start of the range that is cut. */
-    readonly from: number;
-    /** Start of its second part. */
-    readonly at: number;
+    /** Starts of new ranges. */
+    readonly cuts: readonly number[];
   };
 
 /** What the sender of a command is told. */
--- a/packages/fleet_control/range_coordinator.ts
+++ b/packages/fleet_control/range_coordinator.ts
@@ -20,7 +20,8 @@
 const silentHeartbeats = 3;
 /** Ranges made for each target of a keyed service; more spread hot ones better. */
 const rangesPerTarget = 8;
-const mostRanges = 1024;
+/** Parts of hot ranges included; rows of all of them fit into an answer. */
+const mostRanges = 2048;
 /**
  * Hold that a grant gives: short, so that a lost owner's ranges are served
  * again within 4 s; long enough for a change of leader between two heartbeats.
@@ -138,7 +139,10 @@
     if (candidates.length === 0) return;
     const ranges = replica.state.ranges.get(service);
     if (!ranges) {
-      const count = Math.min(mostRanges, candidates.length * rangesPerTarget);
+      const count = Math.min(
+        mostRanges / 2,
+        candidates.length * rangesPerTarget,
+      );
       return this.#propose(service, {
         kind: "createRanges",
         service,
@@ -155,9 +159,10 @@
       const { grants } = plan;
       return this.#propose(service, { kind: "grantRanges", service, grants });
     }
-    const split = demand.split(ranges, now);
-    if (split) {
-      this.#propose(service, { kind: "splitRange", service, ...split });
+    if (ranges.length >= mostRanges) return;
+    const cuts = demand.cuts(ranges, { now, owners: candidates.length });
+    if (cuts.length > 0) {
+      this.#propose(service, { kind: "splitRanges", service, cuts });
     }
   }
 
@@ -189,8 +194,11 @@
       evacuations.get(target.dataCentre)?.isOut !== true
     );
     const names = targets.map(({ life }) => life.target);
-    return targets.map(({ life, slots, isCold, isUnproven }) => ({
+    return targets.map(({ life, slots, isCold, isUnproven, heardAt }) => ({
       life,
+      // One that is late may come at any moment, or not at all.
+      untilHeard: Math.max(0, heardAt + heartbeatMilliseconds - now) /
+        heartbeatMilliseconds,
       weight: slots * this.#speeds.weight(life.target, names),
       accepts: !isCold && !isUnproven,
     }));
