Ask an owner for its load before a request where the last report is old

Excluded: requests that any target can serve; they choose among several whose reports are fresh, and questions are charged.

--- a/packages/dispatch/noisy_targets_test.ts
+++ b/packages/dispatch/noisy_targets_test.ts
@@ -133,3 +133,75 @@
     expect(ours).toBeLessThan(simplest / 2);
   });
 });
+
+/** Nine gateways and one owner of keys; the share of requests that is late. */
+function lateAtOwner(asks: boolean, seed: number): number {
+  const random = randomOf(seed);
+  const records = Array.from({ length: 9 }, () => new TargetRecord());
+  const answers: { at: number; gateway: number; slowdown: number }[] = [];
+  const waiting: { gateway: number; at: number }[] = [];
+  const work = 550;
+  const objective = 1500;
+  let isSlow = false;
+  let [late, total] = [0, 0];
+  const load = () => ({
+    running: 1,
+    waiting: 0,
+    slots,
+    slowdown: isSlow ? episodeRatio : 1,
+  });
+  for (let now = 0; now < 300_000; now += 5) {
+    if (now % episodeMilliseconds === 0) isSlow = random() < episodeShare;
+    for (const answer of answers.filter(({ at }) => at <= now)) {
+      answers.splice(answers.indexOf(answer), 1);
+      records[answer.gateway]!.report(load(), now);
+    }
+    // Four requests a second.
+    if (random() < 0.02) {
+      waiting.push({ gateway: Math.floor(random() * 9), at: now });
+    }
+    for (const request of [...waiting]) {
+      const record = records[request.gateway]!;
+      if (asks && record.pause(work, now) > 0) continue;
+      if (asks && record.freshness(now) === "stale") {
+        record.noteAnswered(load(), now);
+        continue;
+      }
+      waiting.splice(waiting.indexOf(request), 1);
+      const duration = work * (0.5 + random()) * load().slowdown;
+      answers.push({
+        at: now + duration,
+        gateway: request.gateway,
+        slowdown: load().slowdown,
+      });
+      total += 1;
+      if (now + duration - request.at > objective) late += 1;
+    }
+  }
+  return late / total;
+}
+
+describe("an owner that is slow for moments", () => {
+  it("answers late less than half as often when it is asked first", () => {
+    const [simplest, ours] = [false, true].map((asks) =>
+      [1, 2, 3].reduce((sum, seed) => sum + lateAtOwner(asks, seed), 0) / 3
+    );
+    expect(simplest).toBeGreaterThan(0.05);
+    expect(ours).toBeLessThan(simplest! / 2);
+  });
+});
+
+describe("TargetRecord", () => {
+  it("is asked again only after a while when it does not answer", () => {
+    const record = new TargetRecord();
+    expect(record.freshness(0)).toBe("fresh");
+    record.report({ running: 0, waiting: 0, slots, slowdown: 1 }, 0);
+    expect(record.freshness(100)).toBe("fresh");
+    expect(record.freshness(300)).toBe("stale");
+    record.noteAsked();
+    expect(record.freshness(310)).toBe("asked");
+    record.noteAnswered(undefined, 420);
+    expect(record.freshness(430)).toBe("fresh");
+    expect(record.freshness(700)).toBe("stale");
+  });
+});
--- a/packages/dispatch/target_record.ts
+++ b/packages/dispatch/target_record.ts
@@ -38,15 +38,30 @@
 const stretchWeight = 0.2;
 /** After this long without news a target is taken as good as the others. */
 const forgiveMilliseconds = 4000;
+/**
+ * An older report is worth a question, where the request has no other target to
+ * go to: half of a slow moment may have passed unseen.
+ */
+const staleMilliseconds = 200;
 const firstEjectionMilliseconds = 300;
 const mostEjectionMilliseconds = 4000;
 
+/** Whether a target's load is known well enough to send by. */
+export type LoadFreshness =
+  | "fresh"
+  /** It is worth asking for. */
+  | "stale"
+  /** It has been asked for. */
+  | "asked";
+
 /** What a gateway has seen of one target. */
 export class TargetRecord {
   /** Requests of this gateway that it has not answered. */
   inFlight = 0;
   #reportAt = -Infinity;
   #othersAtReport = 0;
+  #askedAt = -Infinity;
+  #isAsked = false;
   readonly #slowdown = new Slowdown();
   #duration: number | undefined;
   /** How much longer than expected its answers took. */
@@ -90,6 +105,28 @@
         (at.durationMilliseconds - this.#duration) * durationWeight;
   }
 
+  /** Whether its load is known, and recent enough to send by. */
+  freshness(now: number): LoadFreshness {
+    const isFresh = !this.#slowdown.isKnown ||
+      now - this.#reportAt < staleMilliseconds;
+    if (isFresh) return "fresh";
+    if (this.#isAsked) return "asked";
+    // One that did not answer is sent to as it is.
+    return now - this.#askedAt < staleMilliseconds ? "fresh" : "stale";
+  }
+
+  /** Takes in that it is asked for its load. */
+  noteAsked(): void {
+    this.#isAsked = true;
+  }
+
+  /** Takes in that the question has ended, with the load if it was told. */
+  noteAnswered(load: LoadReport | undefined, now: number): void {
+    this.#isAsked = false;
+    this.#askedAt = now;
+    if (load) this.report(load, now);
+  }
+
   /** Takes in what an answer says of the load; the answered request is done. */
   report(report: LoadReport, now: number): void {
     this.#slowdown.note(report.slowdown, now);
--- a/packages/fleet_control/range_coordinator_test.ts
+++ b/packages/fleet_control/range_coordinator_test.ts
@@ -33,6 +33,7 @@
         maximumConnections: 100,
         coldMilliseconds: 0,
         coldPerSecond: 0,
+        loadPath: "",
         isKeyed: true,
       },
     }]]),
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -11,6 +11,7 @@
 } from "@kingcupglade/transport";
 import { CallerAnswer } from "./answer.ts";
 import type { CallerWire } from "./caller_wire.ts";
+import { LoadQuestions } from "./load_questions.ts";
 import { RequestRun } from "./request_run.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
@@ -66,6 +67,7 @@
   readonly #calls: PeerCalls;
   readonly #synchronizer: TableSynchronizer;
   readonly #connections: TargetConnections;
+  readonly #questions: LoadQuestions;
   readonly #selector: TargetSelector;
   readonly #timer: NodeJS.Timeout;
   #callers!: HttpListener;
@@ -79,6 +81,10 @@
     this.#options = options;
     this.#calls = new PeerCalls({ secret });
     this.#connections = new TargetConnections(clock);
+    this.#questions = new LoadQuestions({
+      ...options,
+      connections: this.#connections,
+    });
     this.#synchronizer = new TableSynchronizer({
       gateway: { gateway: name, dataCentre, region },
       seeds: options.seeds.map((seed) =>
@@ -182,6 +188,7 @@
         ...this.#options,
         selector: this.#selector,
         connections: this.#connections,
+        questions: this.#questions,
         gateways: () => table.gateways,
       },
       routed: {
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -128,6 +128,11 @@
       objectiveAt: this.#objectiveAt,
     });
     if (found.kind === "wait") return false;
+    if (found.kind === "ask") {
+      void this.#tools.questions.ask(found.target, found)
+        .then(() => this.#service.advance());
+      return false;
+    }
     this.#waiting = undefined;
     if (found.kind === "none") {
       this.#refuse(found.reason, 0);
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -4,6 +4,7 @@
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { RequestBody } from "@kingcupglade/transport";
 import type { CallerHead, CallerWire } from "./caller_wire.ts";
+import type { LoadQuestions } from "./load_questions.ts";
 import type { TargetConnections } from "./target_connections.ts";
 import type { TargetSelector } from "./target_selector.ts";
 
@@ -11,6 +12,7 @@
 export interface RunTools {
   readonly selector: TargetSelector;
   readonly connections: TargetConnections;
+  readonly questions: LoadQuestions;
   readonly wire: CallerWire;
   readonly clock: Clock;
   readonly logger: Logger;
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -61,6 +61,13 @@
   }
   /** Room or an owner may come. */
   | { readonly kind: "wait" }
+  /** The target's load is to be asked for first. */
+  | {
+    readonly kind: "ask";
+    readonly target: TargetView;
+    readonly record: TargetRecord;
+    readonly path: string;
+  }
   | { readonly kind: "none"; readonly reason: string };
 
 /** Finds targets for requests by the table and by what this gateway has seen. */
@@ -230,6 +237,10 @@
     });
     const pause = record.pause(this.service(service).workMilliseconds, now);
     if (!hasRoom || pause > 0) return { kind: "wait" };
+    const path = table.service(service)?.loadPath ?? "";
+    const freshness = path === "" ? "fresh" : record.freshness(now);
+    if (freshness === "asked") return { kind: "wait" };
+    if (freshness === "stale") return { kind: "ask", target, record, path };
     this.#doubts.noteSent(rangeId, range.fence, now);
     return { kind: "found", target, record };
   }
--- a/packages/items/apply_change_test.ts
+++ b/packages/items/apply_change_test.ts
@@ -23,6 +23,7 @@
   maximumConnections: 110,
   coldMilliseconds: 3000,
   coldPerSecond: 5,
+  loadPath: "",
   isKeyed: false,
 };
 
--- a/packages/items/types.ts
+++ b/packages/items/types.ts
@@ -53,6 +53,8 @@
   readonly coldMilliseconds: number;
   /** Requests a second that a cold target bears; 0 when it bears any. */
   readonly coldPerSecond: number;
+  /** Path at which its targets tell their load at once; empty for none. */
+  readonly loadPath: string;
   /** Whether each position belongs to one target. */
   readonly isKeyed: boolean;
 }
