Tell control durations when they change; let no crowd of gateways fill a queue

Cause: each question of a gateway carried the duration of every keyed target it had seen: by the length of a row 4 KB, five times a second from each of 72 gateways on the grown site, two thirds of it between regions.

--- a/packages/dispatch/choose_target.ts
+++ b/packages/dispatch/choose_target.ts
@@ -98,16 +98,24 @@
   readonly usualMilliseconds: number;
 }
 
+/**
+ * Targets queue about four times their slots and reset what comes beyond; one
+ * request of each gateway must not be more than this part of it.
+ */
+const mostGatewaysPerSlot = 3;
+
 /**
  * Whether a target can take one more request of this gateway: its own share of
- * the slots always, more while the latest report leaves room.
+ * the slots always, more while the latest report leaves room. Where gateways
+ * are many, the report alone decides.
  */
 export function hasRoomFor(
   record: TargetRecord,
   options: RoomOptions,
 ): boolean {
   const { now, slots, gateways, usualMilliseconds } = options;
-  const share = Math.max(1, Math.floor(slots / gateways));
+  const isCrowded = gateways > slots * mostGatewaysPerSlot;
+  const share = isCrowded ? 0 : Math.max(1, Math.floor(slots / gateways));
   return record.inFlight < share ||
     record.load(usualMilliseconds, now) + 1 <= slots;
 }
--- a/packages/dispatch/choose_target_test.ts
+++ b/packages/dispatch/choose_target_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { chooseTarget, Distance } from "./choose_target.ts";
+import { chooseTarget, Distance, hasRoomFor } from "./choose_target.ts";
 import type { TargetOption } from "./choose_target.ts";
 import { ExchangeEnd, TargetRecord } from "./target_record.ts";
 
@@ -79,6 +79,23 @@
     expect(choose(targets).kind).toBe("chosen");
   });
 
+  it("fills no queue with one request of each of many gateways", () => {
+    const full = { running: 6, waiting: 4, slots, slowdown: 1 };
+    const taken = (gateways: number) => {
+      const record = new TargetRecord();
+      record.report(full, 1000);
+      return hasRoomFor(record, {
+        now: 1000,
+        slots: slots + 4,
+        gateways,
+        usualMilliseconds: 220,
+      });
+    };
+    // Nine may send one each, as not all do; of 72 too many would.
+    expect(taken(9)).toBe(true);
+    expect(taken(72)).toBe(false);
+  });
+
   it("lets requests wait when every slot is taken", () => {
     const target = option("only", Distance.region);
     target.record.report(
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -11,6 +11,7 @@
   RoomOptions,
   TargetOption,
 } from "./choose_target.ts";
+export { ChangedDurations } from "./changed_durations.ts";
 export { ColdRate } from "./cold_rate.ts";
 export { OwnerDoubts } from "./owner_doubts.ts";
 export { PartChoice } from "./part_choice.ts";
--- a/packages/fleet/target_speeds.ts
+++ b/packages/fleet/target_speeds.ts
@@ -1,7 +1,7 @@
 import type { DurationRow } from "./key_demand.ts";
 
-/** Weight of the newest report in a target's mean duration. */
-const reportWeight = 0.01;
+/** Weight of the newest report; gateways tell means, and only when they change. */
+const reportWeight = 0.3;
 /**
  * Ranges go to faster targets beyond their share of the work: an answer of a
  * slow one is late more often, whatever its load.
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -91,7 +91,7 @@
         peerAddressOf(seed, options.peerAddress)
       ),
       takeDemand: () => this.#selector.takeDemand(),
-      durations: () => this.#selector.durations(),
+      takeDurations: (isNewLeader) => this.#selector.takeDurations(isNewLeader),
       calls: this.#calls,
       clock,
       logger,
--- a/packages/fleet_gateway/table_synchronizer.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -25,7 +25,8 @@
   readonly gateway: Pick<Watch, "gateway" | "dataCentre" | "region">;
   /** Takes the keyed requests that were counted since the last call. */
   readonly takeDemand: () => readonly DemandRow[];
-  readonly durations: () => readonly DurationRow[];
+  /** Takes the durations that the leader has not been told. */
+  readonly takeDurations: (isNewLeader: boolean) => readonly DurationRow[];
   /** Peer addresses at which control is looked for first. */
   readonly seeds: readonly string[];
   readonly calls: PeerCalls;
@@ -141,14 +142,14 @@
       readonly timeoutMilliseconds: number;
     },
   ): Promise<WatchAnswer> {
-    const { calls, clock, gateway, takeDemand, durations } = this.#options;
+    const { calls, clock, gateway, takeDemand, takeDurations } = this.#options;
     const { isSearch, timeoutMilliseconds } = options;
     const watch: Watch = {
       ...gateway,
       position: this.table.position,
       isSearch,
       demand: isSearch ? [] : takeDemand(),
-      durations: isSearch ? [] : durations(),
+      durations: isSearch ? [] : takeDurations(this.#term === null),
     };
     const askedAt = clock.now();
     const { answer } = await calls.client(address, Fleet).watch(
--- a/packages/fleet_gateway/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table_synchronizer_test.ts
@@ -83,7 +83,7 @@
       gateway: { gateway: "g", dataCentre: "a", region: "r" },
       seeds: controls.map(({ address }) => address),
       takeDemand: () => [],
-      durations: () => [],
+      takeDurations: () => [],
       calls,
       clock: new MonotonicClock(),
       logger: quiet,
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -1,4 +1,5 @@
 import {
+  ChangedDurations,
   chooseTarget,
   ColdRate,
   Distance,
@@ -78,6 +79,7 @@
   readonly #records = new Map<string, TargetRecord>();
   readonly #coldRates = new Map<string, ColdRate>();
   readonly #doubts = new OwnerDoubts();
+  readonly #changedDurations = new ChangedDurations();
   /** Keyed requests that control was not told of, by service and bucket. */
   readonly #demand = new Map<string, Map<number, number>>();
 
@@ -131,17 +133,22 @@
     return { lane: owner, inFlight };
   }
 
-  /** Durations at the targets of keyed services, for those that were seen. */
-  durations(): readonly DurationRow[] {
+  /**
+   * Takes the durations at the targets of keyed services that control has not
+   * been told; all of them if another leader asks.
+   */
+  takeDurations(isNewLeader: boolean): readonly DurationRow[] {
     const { synchronizer, clock } = this.#options;
     const now = clock.now();
-    return [...this.#records].flatMap(([target, record]) => {
+    if (isNewLeader) this.#changedDurations.clear();
+    const rows = [...this.#records].flatMap(([target, record]) => {
       const service = synchronizer.table.target(target)?.service ?? "";
       if (!synchronizer.table.service(service)?.isKeyed) return [];
       const usual = this.service(service).workMilliseconds;
       const milliseconds = Math.round(record.duration(usual, now));
       return record.isSeen(now) ? [{ target, milliseconds }] : [];
     });
+    return this.#changedDurations.take(rows, now);
   }
 
   /** Takes in whether a target holds the range of a request that it answered. */
@@ -167,6 +174,7 @@
     for (const name of this.#records.keys()) {
       if (table.target(name)) continue;
       this.#records.delete(name);
+      this.#changedDurations.forget(name);
       this.#coldRates.delete(name);
     }
     for (const service of this.#services.values()) service.advance();
