Let only keyed services have positions

So no lookup was ever hedged, and one that failed might go to the same target again. Excluded: the budget and the choice of an idle target; neither was reached. Change: a routed request has a position only if its service is keyed; a hedge also keeps the bound on targets.

--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -183,6 +183,7 @@
     }
     const body = await this.#receive(request, answer);
     if (!body || answer.isClosed) return;
+    const service = this.#selector.parts.next(route.parts);
     const run = new RequestRun({
       tools: {
         ...this.#options,
@@ -195,7 +196,8 @@
         request,
         head,
         route,
-        service: this.#selector.parts.next(route.parts),
+        service,
+        position: table.service(service)?.isKeyed ? head.position : undefined,
         body,
         arrivedAt,
         deadlineAt: arrivedAt + Math.min(
--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -69,9 +69,9 @@
 
   /** Begins; the caller is answered when the run is over. */
   start(): void {
-    const { service, head } = this.#routed;
-    if (head.position !== undefined) {
-      this.#tools.selector.noteDemand(service, head.position);
+    const { service, position } = this.#routed;
+    if (position !== undefined) {
+      this.#tools.selector.noteDemand(service, position);
     }
     this.#seek();
   }
@@ -116,13 +116,13 @@
   }
 
   #tryStart(): boolean {
-    const { route, service, head } = this.#routed;
+    const { route, service, position } = this.#routed;
     if (this.#tools.clock.now() < this.#dueAt) return false;
     const mayTryNew = this.#tried.size < route.maximumTargets;
     const found = this.#tools.selector.find({
       route,
       service,
-      position: head.position,
+      position,
       tried: mayTryNew ? this.#tried : noTargets,
       only: mayTryNew ? undefined : this.#tried,
       objectiveAt: this.#objectiveAt,
@@ -215,11 +215,11 @@
   // An answer that is overdue may come sooner from a second target, where one
   // in the region has nothing to do.
   #planHedge(): void {
-    const { route, head } = this.#routed;
+    const { route, position } = this.#routed;
     const { clock } = this.#tools;
     if (
       route.requests !== RequestKind.idempotent ||
-      head.position !== undefined || this.#hedgeTimer
+      position !== undefined || this.#hedgeTimer
     ) return;
     const usual = this.#service.usualMilliseconds;
     const latest = this.#objectiveAt - clock.now() - usual;
@@ -238,6 +238,7 @@
       return;
     }
     const { route, service } = this.#routed;
+    if (this.#tried.size >= route.maximumTargets) return;
     const found = selector.findIdle({ route, service, tried: this.#tried });
     if (!found || !this.#mayTryElsewhere) return;
     this.#tools.metrics.hedges.inc();
@@ -278,7 +279,7 @@
   ): void {
     const { head, body } = result;
     this.#arrivals += 1;
-    const { position } = this.#routed.head;
+    const { position } = this.#routed;
     if (position !== undefined) {
       this.#tools.selector.noteHolding({
         service: this.#routed.service,
@@ -333,7 +334,7 @@
       reason: this.#mayHaveRun ? "failed" : "not-run",
     });
     // A keyed request has no other target than the owner.
-    if (this.#routed.head.position !== undefined) this.#tried.clear();
+    if (this.#routed.position !== undefined) this.#tried.clear();
     this.#seek();
   }
 
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -28,6 +28,11 @@
   readonly head: CallerHead;
   readonly route: Route;
   readonly service: string;
+  /**
+   * Position among the keys of a keyed service; undefined for the others, even
+   * if the caller named one.
+   */
+  readonly position: number | undefined;
   readonly body: RequestBody;
   readonly arrivedAt: number;
   /** When the caller, or its route, wants no answer any more. */
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -120,15 +120,14 @@
   lane(request: {
     readonly route: Route;
     readonly service: string;
-    readonly head: { readonly position: number | undefined };
+    readonly position: number | undefined;
   }): { readonly lane: string; readonly inFlight: number } {
-    const { route, service, head } = request;
+    const { route, service, position } = request;
     const { table } = this.#options.synchronizer;
-    const isKeyed = table.service(service)?.isKeyed === true;
-    if (!isKeyed || head.position === undefined) {
+    if (position === undefined) {
       return { lane: route.name, inFlight: this.service(service).inFlight };
     }
-    const owner = table.range(service, head.position)?.owner ?? "";
+    const owner = table.range(service, position)?.owner ?? "";
     const inFlight = this.#records.get(owner)?.inFlight ?? 0;
     return { lane: owner, inFlight };
   }
--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -312,6 +312,20 @@
     expect(near.requests.length + far.requests.length).toBe(2);
   });
 
+  it("repeats a failed request at another target, whatever key it names", async () => {
+    near.handler = (_request, response) => {
+      response.statusCode = 500;
+      response.end("failed");
+    };
+    // Callers name positions also to services that are not divided by key.
+    const headers = { "x-shard-key": "7" };
+    for (let count = 0; count < 5; count += 1) {
+      const answer = await ask("/lookup/1", { headers });
+      expect(answer.status).toBe(200);
+    }
+    expect(far.requests.length).toBeGreaterThanOrEqual(5);
+  });
+
   it("asks a second target when the answer is overdue", async () => {
     const second = new AnnouncedTarget("second", "catalogue", "a");
     // The second target is the fastest by far, whatever the machine is doing.
@@ -326,8 +340,9 @@
     });
     near.handler = () => {};
     far.handler = near.handler;
+    const headers = { "x-shard-key": "7" };
     const answers = await Promise.all(
-      Array.from({ length: 4 }, () => ask("/lookup/1")),
+      Array.from({ length: 4 }, () => ask("/lookup/1", { headers })),
     );
     await second.beat("draining");
     second.stop();
