Tell gateways many changes in one answer

Excluded: the durations of targets (157 bytes a question on average). Change: the leader paces its news: a change that comes alone is told at once, the next after a millisecond for each gateway.

--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -21,6 +21,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
 import { GatewayDirectory } from "./gateway_directory.ts";
+import { NewsPace } from "./news_pace.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
 import type { Watch, WatchAnswer } from "./watch.ts";
 
@@ -57,6 +58,7 @@
   readonly #ranges: RangeCoordinator;
   readonly #startedAt: number;
   readonly #waiters = new Set<() => void>();
+  readonly #pace = new NewsPace();
   /** Answers to gateways by their position, as long as there is no news. */
   readonly #encoded = new Map<string, Uint8Array<ArrayBuffer>>();
   #encodedAt = "";
@@ -160,7 +162,9 @@
     const now = this.#options.clock.now();
     this.#gateways.note(watch, now);
     this.#ranges.noteWatch(watch, now);
-    if (!this.#hasNews(watch.position)) await this.#news(holdMilliseconds);
+    const isNew = this.#hasNews(watch.position);
+    // A gateway that was told a moment ago gets what came since with the others.
+    if (!isNew || this.#isWakeDue) await this.#news(holdMilliseconds);
     return this.#encodedDelta(watch.position);
   }
 
@@ -182,13 +186,20 @@
       appliedIndex !== this.#toldIndex;
     if (!isNew || this.#isWakeDue) return;
     this.#isWakeDue = true;
+    const { clock } = this.#options;
+    const now = clock.now();
+    const pause = this.#pace.pause(now, this.#gateways.present(now).length);
     // What changes in the same moment leaves in one answer.
-    setImmediate(() => {
-      this.#isWakeDue = false;
-      this.#toldRevision = this.#revisions.current;
-      this.#toldIndex = this.#options.replica.appliedIndex;
-      for (const wake of this.#waiters) wake();
-    });
+    if (pause > 0) setTimeout(() => this.#tell(), pause);
+    else setImmediate(() => this.#tell());
+  }
+
+  #tell(): void {
+    this.#isWakeDue = false;
+    this.#pace.noteTold(this.#options.clock.now());
+    this.#toldRevision = this.#revisions.current;
+    this.#toldIndex = this.#options.replica.appliedIndex;
+    for (const wake of this.#waiters) wake();
   }
 
   /** Wakes every waiting gateway. */
