--- a/packages/fleet_gateway/request_run.ts
+++ b/packages/fleet_gateway/request_run.ts
@@ -4,8 +4,9 @@
 import { RequestKind } from "@kingcupglade/items";
 import type { CallerAnswer } from "./answer.ts";
 import { Exchange } from "./exchange.ts";
-import type { AnswerHead, AnswerStream, ExchangeResult } from "./exchange.ts";
+import type { AnswerHead, ExchangeResult } from "./exchange.ts";
 import { endOf, isGood, mayHaveRun } from "./exchange_end.ts";
+import { firstAnswer } from "./first_answer.ts";
 import type { RoutedRequest, RunTools } from "./routed_request.ts";
 import { sentHeaders } from "./sent_headers.ts";
 import type { ServiceQueue } from "./service_queue.ts";
@@ -161,7 +162,10 @@
     const exchange: Exchange = new Exchange({
       connection,
       wire,
-      stream: this.#streamOf(() => exchange),
+      stream: firstAnswer(this.#answer, {
+        exchanges: this.#exchanges,
+        self: () => exchange,
+      }),
       request: {
         method: request.method ?? "GET",
         path: request.url ?? "/",
@@ -195,23 +199,6 @@
     if (!this.#isOver) this.#take(result, target);
   }
 
-  /** Passes a large answer on; the first one to begin is the only one. */
-  #streamOf(self: () => Exchange): AnswerStream {
-    const answer = this.#answer;
-    return {
-      begin: (head, first) => {
-        for (const other of this.#exchanges) {
-          if (other !== self()) other.abandon();
-        }
-        answer.begin(head, first);
-      },
-      write: (chunk) => answer.write(chunk),
-      onDrain: (listener) => answer.onDrain(listener),
-      end: () => answer.end(),
-      fail: () => answer.fail(),
-    };
-  }
-
   // An answer that is overdue may come sooner from a second target, where one
   // in the region has nothing to do.
   #planHedge(): void {
