End the soak's programs when the soak is ended

Cause: a soak that was ended by a signal left its processes running. Change: a signal ends the soak by way of its exit, which ends what it started.

--- a/packages/soak/main.ts
+++ b/packages/soak/main.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { loopbackPrefix } from "@kingcupglade/fakes";
+import { endProgramsOnExit } from "./program.ts";
 import { runSoak } from "./soak_run.ts";
 
 const { values } = parseArgs({
@@ -44,6 +45,7 @@
   return failures;
 }
 
+endProgramsOnExit();
 playSeeds().then((failures) => {
   process.exitCode = failures === 0 ? 0 : 1;
 });
--- a/packages/soak/program.ts
+++ b/packages/soak/program.ts
@@ -12,6 +12,18 @@
   readonly logFile: string;
 }
 
+const running = new Set<ChildProcess>();
+
+/** Ends what runs when this process ends, whatever ends it but a kill. */
+export function endProgramsOnExit(): void {
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"] as const) {
+    process.once(signal, () => process.exit(1));
+  }
+  process.once("exit", () => {
+    for (const child of running) child.kill("SIGKILL");
+  });
+}
+
 /** One process of the product, which is only ever signalled by its own handle. */
 export class Program {
   readonly name: string;
@@ -35,7 +47,9 @@
     );
     closeSync(log);
     this.#child = child;
+    running.add(child);
     child.once("exit", () => {
+      running.delete(child);
       if (this.#child === child) this.#child = undefined;
     });
   }
