Log the limits that targets name and the requests sent to such targets

The gateway now reads the limit from the head of a response. It logs target-limit-changed with the request whose response named, changed or ended a limit, and limited-target-used for each request to such a target with the path that chose it and the age of the limit, and counts these by path. A response to a request that was sent before the limit was learned, a rejection and an unsigned response do not end a limit. No choice changes yet.

--- a/packages/fleet_gateway/caller_wire.ts
+++ b/packages/fleet_gateway/caller_wire.ts
@@ -20,6 +20,11 @@
   /** Whether the target signed the response. */
   readonly isSigned: boolean;
   readonly load: LoadReport | undefined;
+  /**
+   * Requests per second that the target accepts from all gateways together;
+   * undefined when it names no limit.
+   */
+  readonly maximumRequestsPerSecond: number | undefined;
 }
 
 /** Decodes and encodes the headers that callers and targets use. */
--- a/packages/fleet_gateway/endless_responses_test.ts
+++ b/packages/fleet_gateway/endless_responses_test.ts
@@ -8,6 +8,9 @@
 import type { ExchangeResult, ResponseStream } from "./exchange.ts";
 import { LoadProber } from "./load_prober.ts";
 import { TargetConnections } from "./target_connections.ts";
+import { TargetLimits } from "./target_limits.ts";
+
+const logger = { debug() {}, info() {}, warn() {}, error() {} };
 
 const timeoutMilliseconds = 1500;
 const megabyte = 1024 * 1024;
@@ -31,6 +34,7 @@
       didNotRun: false,
       isSigned: true,
       load: headers["load"] === undefined ? undefined : load,
+      maximumRequestsPerSecond: undefined,
     };
   }
 
@@ -187,7 +191,8 @@
       connections,
       wire: new PlainWire(),
       clock: new MonotonicClock(),
-      logger: { debug() {}, info() {}, warn() {}, error() {} },
+      limits: new TargetLimits({ clock: new MonotonicClock(), logger }),
+      logger,
     });
     let isAnswered = false;
     await prober.probe({ name: "t", address } as never, {
@@ -220,7 +225,8 @@
       connections,
       wire: new PlainWire(),
       clock: new MonotonicClock(),
-      logger: { debug() {}, info() {}, warn() {}, error() {} },
+      limits: new TargetLimits({ clock: new MonotonicClock(), logger }),
+      logger,
     });
     const loads: unknown[] = [];
     const address = `127.0.0.1:${port}`;
--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -62,6 +62,7 @@
   readonly #connection: TargetConnection;
   readonly #wire: CallerWire;
   readonly #stream: ResponseStream;
+  readonly #onHead: (head: ResponseHead) => void;
   readonly #timer: NodeJS.Timeout;
   #resolve!: (result: ExchangeResult) => void;
   #controller: Dispatcher.DispatchController | undefined;
@@ -78,11 +79,14 @@
     readonly connection: TargetConnection;
     readonly wire: CallerWire;
     readonly stream: ResponseStream;
+    /** Called when the head of the response to this request arrives. */
+    readonly onHead?: (head: ResponseHead) => void;
   }) {
     this.#request = options.request;
     this.#connection = options.connection;
     this.#wire = options.wire;
     this.#stream = options.stream;
+    this.#onHead = options.onHead ?? (() => {});
     this.result = new Promise((resolve) => (this.#resolve = resolve));
     this.#timer = setTimeout(
       () => this.#abort("the time is up", true),
@@ -125,6 +129,7 @@
       return this.#abort("the response has a content encoding", false);
     }
     this.#head = { ...head, status, headers };
+    this.#onHead(this.#head);
   }
 
   onResponseData(
--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -27,6 +27,7 @@
       didNotRun: headers["not-run"] !== undefined,
       isSigned: true,
       load: undefined,
+      maximumRequestsPerSecond: undefined,
     };
   }
 
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -20,6 +20,7 @@
 import { SlotSocket } from "./slot_socket.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
+import { TargetLimits } from "./target_limits.ts";
 import { TargetSelector } from "./target_selector.ts";
 
 /** Bodies up to this size are buffered, so that they can be sent again. */
@@ -73,6 +74,7 @@
   readonly #peerClients: PeerClients;
   readonly #synchronizer: TableSynchronizer;
   readonly #connections: TargetConnections;
+  readonly #limits: TargetLimits;
   readonly #loadProber: LoadProber;
   readonly #selector: TargetSelector;
   /** Chooses among the targets whose slots this VM grants. */
@@ -93,9 +95,11 @@
     this.#options = options;
     this.#peerClients = new PeerClients({ secret });
     this.#connections = new TargetConnections(clock);
+    this.#limits = new TargetLimits(options);
     this.#loadProber = new LoadProber({
       ...options,
       connections: this.#connections,
+      limits: this.#limits,
     });
     this.#synchronizer = new TableSynchronizer({
       gateway: {
@@ -115,6 +119,9 @@
       logger,
       random: options.random,
       onChange: () => {
+        this.#limits.retainOnly((name) =>
+          this.#synchronizer.table.target(name) !== undefined
+        );
         this.#slotPools.handleTableChange();
         this.#managedSelector.handleTableChange();
         this.#selector.handleTableChange();
@@ -254,6 +261,7 @@
         ...this.#options,
         selector: this.#selector,
         connections: this.#connections,
+        limits: this.#limits,
         loadProber: this.#loadProber,
         pools: this.#slotPools,
         slots: this.#slotClient,
--- a/packages/fleet_gateway/load_prober.ts
+++ b/packages/fleet_gateway/load_prober.ts
@@ -5,6 +5,7 @@
 import type { Logger } from "@kingcupglade/telemetry";
 import type { CallerWire } from "./caller_wire.ts";
 import type { TargetConnections } from "./target_connections.ts";
+import type { TargetLimits } from "./target_limits.ts";
 
 /**
  * A target reports its load at once, within 20 ms across two regions. After a
@@ -15,6 +16,7 @@
 /** Options of a {@link LoadProber}. */
 export interface LoadProberOptions {
   readonly connections: TargetConnections;
+  readonly limits: TargetLimits;
   readonly wire: CallerWire;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -42,8 +44,9 @@
     target: TargetView,
     options: { readonly path: string; readonly record: TargetRecord },
   ): Promise<void> {
-    const { connections, wire, clock, logger } = this.#options;
+    const { connections, limits, wire, clock, logger } = this.#options;
     const { path, record } = options;
+    const sentAt = clock.now();
     record.recordProbeStart();
     const connection = connections.acquire(target.address, false);
     try {
@@ -52,10 +55,12 @@
         path,
         signal: AbortSignal.timeout(responseTimeoutMilliseconds),
       });
-      const { load, requestId } = wire.readResponse(statusCode, headers);
+      const head = wire.readResponse(statusCode, headers);
+      const { load, requestId } = head;
       // If the connection were reused, the probe's own response would be
       // mistaken for the response to the next request.
       if (requestId !== "") throw new LateResponseError(requestId);
+      limits.record({ target: target.name, request: "", head, sentAt });
       await body.dump();
       connections.release(target.address, connection);
       record.recordProbeEnd(load, clock.now());
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -11,7 +11,7 @@
 import { SlotAcquisition } from "./slot_acquisition.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import { retryAfterMilliseconds } from "./retry_after.ts";
-import { RequestTelemetry } from "./request_telemetry.ts";
+import { RequestTelemetry, SendPath } from "./request_telemetry.ts";
 import { requestHeaders } from "./request_headers.ts";
 import type { ServiceQueue } from "./service_queue.ts";
 import type { SlotTicket } from "./slot_client.ts";
@@ -172,8 +172,9 @@
     record: TargetRecord,
     ticket?: SlotTicket,
   ): Promise<void> {
-    const { clock, connections, wire } = this.#context;
-    const { request, head, route, body, deadlineAt } = this.#routed;
+    const { clock, connections, limits, wire } = this.#context;
+    const { request, route, body, deadlineAt } = this.#routed;
+    const { requestId } = this.#routed.head;
     const startedAt = clock.now();
     const remainingMilliseconds = deadlineAt - startedAt;
     const connection = connections.acquire(
@@ -187,6 +188,10 @@
     );
     record.begin();
     this.#queue.recordStart();
+    this.#telemetry.recordSend(
+      target,
+      ticket ? SendPath.granted : SendPath.chosen,
+    );
     const exchange: Exchange = new Exchange({
       connection,
       wire,
@@ -194,6 +199,13 @@
         exchanges: this.#exchanges,
         self: () => exchange,
       }),
+      onHead: (head) =>
+        limits.record({
+          target: target.name,
+          request: requestId,
+          head,
+          sentAt: startedAt,
+        }),
       request: {
         method: request.method ?? "GET",
         path: request.url ?? "/",
@@ -209,7 +221,7 @@
           body,
         ),
         body: body.open(),
-        requestId: head.requestId,
+        requestId,
         timeoutMilliseconds: Math.max(
           1,
           remainingMilliseconds - responseMarginMilliseconds,
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -14,6 +14,15 @@
   readonly waiting: number;
 }
 
+/** How the target of a request was chosen. */
+export const SendPath = {
+  /** By the manager of its slots. */
+  granted: "granted",
+  /** By this gateway. */
+  chosen: "chosen",
+} as const;
+export type SendPath = typeof SendPath[keyof typeof SendPath];
+
 /** Writes the log lines and metrics of one request. */
 export class RequestTelemetry {
   readonly #context: ForwardingContext;
@@ -38,6 +47,24 @@
     }).observe(outcome, (clock.now() - arrivedAt) / millisecondsPerSecond);
   }
 
+  /**
+   * Logs that the request is sent to a target that names a limit, and how the
+   * target was chosen.
+   */
+  recordSend(target: TargetView, path: SendPath): void {
+    const { clock, limits, logger, metrics } = this.#context;
+    const limit = limits.of(target.name);
+    if (!limit) return;
+    metrics.limitedRequests.inc({ path });
+    logger.info("limited-target-used", {
+      request: this.#routed.head.requestId,
+      target: target.name,
+      path,
+      perSecond: limit.perSecond,
+      limitAgeMilliseconds: Math.round(clock.now() - limit.learnedAt),
+    });
+  }
+
   /** Logs an event that concerns one target. */
   logTargetEvent(event: string, target: TargetView, reason: string): void {
     const { head, service } = this.#routed;
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -9,12 +9,14 @@
 import type { SlotPools } from "./slot_pools.ts";
 import type { SlotClient } from "./slot_client.ts";
 import type { TargetConnections } from "./target_connections.ts";
+import type { TargetLimits } from "./target_limits.ts";
 import type { TargetSelector } from "./target_selector.ts";
 
 /** Services and state of the gateway that every forwarded request uses. */
 export interface ForwardingContext {
   readonly selector: TargetSelector;
   readonly connections: TargetConnections;
+  readonly limits: TargetLimits;
   readonly loadProber: LoadProber;
   readonly pools: SlotPools;
   readonly slots: SlotClient;
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -12,6 +12,8 @@
   readonly retries: Counter<"reason">;
   /** Late idempotent requests sent to a second target. */
   readonly hedges: Counter;
+  /** Requests sent to targets that name a limit, by how they were chosen. */
+  readonly limitedRequests: Counter<"path">;
   /** Credit messages sent by this VM, by kind. */
   readonly creditMessages: Counter<"kind">;
   /** Bytes of requests and responses over links between regions, by tenant. */
@@ -83,6 +85,12 @@
       help: "Late idempotent requests sent to a second target",
       registers,
     }),
+    limitedRequests: new Counter({
+      name: "kingcupglade_limited_requests_total",
+      help: "Requests sent to targets that name a limit",
+      labelNames: ["path"],
+      registers,
+    }),
     creditMessages: new Counter({
       name: "kingcupglade_credit_messages_total",
       help: "Messages about credits sent to other VMs",
