--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -1,5 +1,3 @@
-import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { request as send } from "node:http";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -7,9 +5,16 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { loopbackPrefix } from "@kingcupglade/fakes";
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
-import { startFleetVm } from "./fleet_vm.ts";
+import {
+  callControl as callControlAt,
+  createRoute,
+  HeartbeatTarget,
+  sendHttp,
+  startRole,
+  waitUntil,
+} from "./fleet_fixture.ts";
+import type { Handler, HttpResult } from "./fleet_fixture.ts";
 import type { FleetVm } from "./fleet_vm.ts";
-import { parseFleetSettings } from "./settings/read.ts";
 
 const prefix = loopbackPrefix();
 const controlAddress = `${prefix}.1:7300`;
@@ -44,158 +49,21 @@
   },
 };
 
-function createRoute(name: string, routeType: string, service: string) {
-  return {
-    name,
-    host: "jigs.example",
-    pathPrefix: `/${name}/`,
-    routeType,
-    timeoutS: 1,
-    targetLatencyS: 0.5,
-    priority: 1,
-    service,
-    maxAttempts: 2,
-    version: 1,
-  };
-}
-
-function createSettingsText(
-  role: string,
-  address: string,
-  extra: string,
-): string {
-  const [ip] = address.split(":");
-  return `[vm]
-name = ${role}-1
-role = ${role}
-dataCentre = a
-region = north
-${extra}
-peers = ${ip}:7390
-[control]
-seeds = ${controlAddress}
-mayFound = true
-toleratedLosses = 0
-heartbeatSeconds = 0.2
-[regions]
-a = north
-b = south
-[log]
-level = silent
-`;
-}
-
-async function startRole(
-  role: string,
-  address: string,
-  extra: string,
-): Promise<FleetVm> {
-  const text = createSettingsText(role, address, extra);
-  return await startFleetVm(parseFleetSettings(text, `${role}.ini`)!, () => {});
-}
-
-type Handler = (request: IncomingMessage, response: ServerResponse) => void;
-
-type HeldRange = readonly [number, number, number, string];
-
-/** A target that sends heartbeats and responds with a replaceable handler. */
-class HeartbeatTarget {
-  readonly requests: string[] = [];
-  handler: Handler = (_request, response) => response.end("whole");
-  readonly #name: string;
-  readonly #service: string;
-  readonly #dataCentre: string;
-  readonly #server: Server;
-  #address = "";
-  #sequence = 0;
-  #holds: readonly HeldRange[] = [];
-  #timer: NodeJS.Timeout | undefined;
-
-  constructor(name: string, service: string, dataCentre: string) {
-    this.#name = name;
-    this.#service = service;
-    this.#dataCentre = dataCentre;
-    this.#server = createServer((request, response) => {
-      const id = String(request.headers["x-request-id"]);
-      this.requests.push(id);
-      response.setHeader("x-request-id", id);
-      response.setHeader("x-response-signature", name);
-      this.handler(request, response);
-    });
-  }
-
-  async start(ip: string): Promise<void> {
-    this.#address = `${ip}:7400`;
-    await new Promise<void>((resolve) =>
-      this.#server.listen(7400, ip, resolve)
-    );
-    this.#timer = setInterval(() => void this.sendHeartbeat("ready"), 100);
-  }
-
-  async sendHeartbeat(state: string): Promise<void> {
-    const { body } = await callControl("PUT", `/v1/instances/${this.#name}`, {
-      service: this.#service,
-      address: this.#address,
-      zone: this.#dataCentre,
-      slots: 4,
-      state,
-      coldRemainingS: 0,
-      sequence: this.#sequence++,
-      born: 1000,
-      holds: this.#holds.map(([from, to, fence]) => [from, to, fence]),
-    });
-    this.#holds = (body as { holds?: readonly HeldRange[] }).holds ?? [];
-  }
-
-  stop(): void {
-    clearInterval(this.#timer);
-    this.#server.close();
-    this.#server.closeAllConnections();
-  }
-}
-
-interface HttpResult {
-  readonly status: number;
-  readonly headers: IncomingMessage["headers"];
-  readonly body: unknown;
-}
-
-function sendHttp(options: {
-  readonly address: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers?: Record<string, string>;
-  readonly body?: string;
-}): Promise<HttpResult> {
-  const [host, port] = options.address.split(":");
-  return new Promise((resolve, reject) => {
-    const request = send({ ...options, host, port }, (response) => {
-      const chunks: Buffer[] = [];
-      response.on("data", (chunk) => chunks.push(chunk));
-      response.on("error", reject);
-      response.on("end", () => {
-        const { statusCode = 0, headers } = response;
-        const body = Buffer.concat(chunks).toString();
-        resolve({ status: statusCode, headers, body });
-      });
-    });
-    request.on("error", reject);
-    request.end(options.body);
-  });
-}
-
-async function callControl(
+function callControl(
   method: string,
   path: string,
   body?: unknown,
 ): Promise<HttpResult> {
-  const result = await sendHttp({
-    address: controlAddress,
-    method,
-    path,
-    ...(body !== undefined && { body: JSON.stringify(body) }),
-  });
-  return { ...result, body: JSON.parse(String(result.body)) };
+  return callControlAt(controlAddress, method, path, body);
+}
+
+function createTarget(
+  name: string,
+  service: string,
+  dataCentre: string,
+): HeartbeatTarget {
+  const control = controlAddress;
+  return new HeartbeatTarget({ name, service, dataCentre, control });
 }
 
 let nextId = 1;
@@ -226,23 +94,26 @@
   let folder: string;
   let control: FleetVm;
   let gateway: FleetVm;
-  const near = new HeartbeatTarget("near", "catalogue", "a");
-  const far = new HeartbeatTarget("far", "catalogue", "b");
-  const stock = new HeartbeatTarget("stock", "stock", "a");
+  const near = createTarget("near", "catalogue", "a");
+  const far = createTarget("far", "catalogue", "b");
+  const stock = createTarget("stock", "stock", "a");
   const targets = [near, far, stock];
 
   beforeAll(async () => {
     folder = await mkdtemp(join(tmpdir(), "fleet-"));
-    control = await startRole(
-      "control",
-      controlAddress,
-      `dataFolder = ${folder}\n[listen]\ncontrol = ${controlAddress}`,
-    );
-    gateway = await startRole(
-      "gateway",
-      gatewayAddress,
-      `[listen]\ncallers = ${gatewayAddress}\nreadiness = ${prefix}.2:7302`,
-    );
+    control = await startRole({
+      role: "control",
+      ip: `${prefix}.1`,
+      seed: controlAddress,
+      lines: `dataFolder = ${folder}\n[listen]\ncontrol = ${controlAddress}`,
+    });
+    gateway = await startRole({
+      role: "gateway",
+      ip: `${prefix}.2`,
+      seed: controlAddress,
+      lines:
+        `[listen]\ncallers = ${gatewayAddress}\nreadiness = ${prefix}.2:7302`,
+    });
     expect((await sendRequest("/lookup/1")).status).toBe(503);
     await waitUntil(async () =>
       (await callControl("PATCH", "/v1/config", configuration)).status === 200
@@ -340,7 +211,7 @@
   });
 
   it("sends a hedged request to a second target if the response is late", async () => {
-    const second = new HeartbeatTarget("second", "catalogue", "a");
+    const second = createTarget("second", "catalogue", "a");
     // The second target is by far the fastest, whatever the machine's load.
     near.handler = (_request, response) =>
       void setTimeout(() => response.end("whole"), 60);
@@ -488,13 +359,3 @@
     expect(far.requests).toHaveLength(0);
   });
 });
-
-async function waitUntil(
-  condition: () => boolean | Promise<boolean>,
-): Promise<void> {
-  const startedAt = performance.now();
-  while (!await condition()) {
-    if (performance.now() - startedAt > 15_000) throw new Error("timed out");
-    await pause(50);
-  }
-}
