Make the load of the limit test reach all targets

In two further runs the first test failed for another reason than the fault: with 1.6 requests in progress over three targets, the one that names the limit received none, as gateways prefer targets with a recent load report (28 against 21 ms). The check was red, but it would not have shown a target that is overrun.

Requests now take 90 ms, so that 7 of 12 slots are in use, and targets report their load. Bound and checks are unchanged.

--- a/packages/kingcupglade/target_limits_path_test.ts
+++ b/packages/kingcupglade/target_limits_path_test.ts
@@ -16,7 +16,7 @@
 
 const prefix = loopbackPrefix();
 const controlAddress = `${prefix}.1:7300`;
-const workMilliseconds = 20;
+const workMilliseconds = 90;
 const requestsPerSecond = 80;
 /** Limit that a target names, in requests per second. */
 const limit = 2;
@@ -71,13 +71,20 @@
         dataCentre: "a",
         control: controlAddress,
       });
+      let running = 0;
       target.handler = (request, response) => {
         if (this.limited.has(name)) {
           const gateway = Number(request.headers["x-gateway"]);
           this.#arrivals.push({ at: performance.now(), gateway });
           response.setHeader("server-limit", String(limit));
         }
-        setTimeout(() => response.end("whole"), workMilliseconds);
+        running += 1;
+        setTimeout(() => {
+          running -= 1;
+          // Targets that report equal speed share the requests evenly.
+          response.setHeader("x-instance-load", `${running},0,4,100`);
+          response.end("whole");
+        }, workMilliseconds);
       };
       return target;
     });
