Keep requests within the limit that a target names

Cause: the decoder of responses dropped the limit, so no choice of a target knew it. Evidence: limited-target-used shows requests of both paths at every gateway long after target-limit-changed.

A rate that all gateways share must be kept in one place. The manager of a target keeps its limit alone; without managers the leader names the three nearest gateways, as for cold targets, and all others send nothing. A gateway acts on a limit from the response that names it; it tells the manager with the slot's end and the leader with its next watch, and the leader publishes limit and gateways with the target, so that a new manager knows them. Gateways keep what they know through a change of leader and report it again. Requests are spaced, with a random first one, so that neither a change of gateways nor many gateways at once make a burst. A limit ends with a response to a later request that names none; one request in 4 s at least is sent to see it. Hedges count, owners with a limit are not probed, waits and pools reckon with it.

Why it holds: at 0.85 of the limit with spaced requests, 4 s hold 3.4 times the limit and 1, where 6 times and 5 are allowed, so that two managers may even overlap while a table spreads.

--- a/packages/dispatch/budgets_test.ts
+++ b/packages/dispatch/budgets_test.ts
@@ -1,9 +1,9 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { describe, expect, it } from "vitest";
-import { ColdRateLimiter } from "./cold_rate_limiter.ts";
 import { PartSelector } from "./part_selector.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { SharedRateLimiter } from "./shared_rate_limiter.ts";
 
 function createSeededRandom(seed: number): { readonly random: () => number } {
   const generator = xoroshiro128plus(seed);
@@ -60,14 +60,14 @@
   });
 });
 
-describe("ColdRateLimiter", () => {
+describe("SharedRateLimiter", () => {
   it("keeps three gateways together below a cold target's rate limit", () => {
-    const limiters = Array.from({ length: 3 }, () => new ColdRateLimiter());
+    const limiters = Array.from({ length: 3 }, () => new SharedRateLimiter());
     const sent: number[] = [];
     for (let now = 0; now < 10_000; now += 10) {
       for (const limiter of limiters) {
-        if (!limiter.allows(now)) continue;
-        limiter.take(now, { perSecond: 5.8, gateways: 3 });
+        if (!limiter.allows(now, { perSecond: 5.8, gateways: 3 })) continue;
+        limiter.take(now);
         sent.push(now);
       }
     }
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -12,7 +12,6 @@
   TargetOption,
 } from "./choose_target.ts";
 export { ChangedDurations } from "./changed_durations.ts";
-export { ColdRateLimiter } from "./cold_rate_limiter.ts";
 export { OwnerBackoff } from "./owner_backoff.ts";
 export { PartSelector } from "./part_selector.ts";
 export type { WeightedPart } from "./part_selector.ts";
@@ -20,6 +19,11 @@
 export type { Pool } from "./pool_selector.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export type { RetryBudgetOptions } from "./retry_budget.ts";
+export {
+  intervalMilliseconds,
+  SharedRateLimiter,
+} from "./shared_rate_limiter.ts";
+export type { SharedRate } from "./shared_rate_limiter.ts";
 export { Slowdown } from "./slowdown.ts";
 export { ExchangeEnd, TargetRecord } from "./target_record.ts";
 export type { LoadFreshness, LoadReport } from "./target_record.ts";
--- a/packages/dispatch/pool_selector.ts
+++ b/packages/dispatch/pool_selector.ts
@@ -6,6 +6,7 @@
   readonly manager: string;
   readonly dataCentre: string;
   readonly distance: Distance;
+  /** Slots that may be in use; a fraction if targets limit their requests. */
   readonly slots: number;
 }
 
--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -37,4 +37,10 @@
   RangeGrant,
   TargetIncarnation,
 } from "./types.ts";
-export type { RangeView, TargetView, ViewDelta, ViewPosition } from "./view.ts";
+export type {
+  RangeView,
+  TargetLimitReport,
+  TargetView,
+  ViewDelta,
+  ViewPosition,
+} from "./view.ts";
--- a/packages/fleet/target_registry.ts
+++ b/packages/fleet/target_registry.ts
@@ -25,6 +25,11 @@
    * since.
    */
   readonly isUnconfirmed: boolean;
+  /**
+   * Requests per second that it accepts from all gateways together, as gateways
+   * reported; null if it names no limit.
+   */
+  readonly maximumPerSecond: number | null;
 }
 
 /** Counts the changes that gateways must learn. */
@@ -101,6 +106,9 @@
       lastSeenAt: context.now,
       revision: known?.revision ?? 0,
       isUnconfirmed: false,
+      maximumPerSecond: known?.incarnation.bornAt === incarnation.bornAt
+        ? known.maximumPerSecond
+        : null,
     };
     if (known && known.address !== address) this.#releaseAddress(known);
     this.#namesAt(address).add(incarnation.target);
@@ -127,6 +135,24 @@
     });
   }
 
+  /** Records the limit that a target names; null for none. */
+  recordLimit(target: string, perSecond: number | null): void {
+    const known = this.#targets.get(target);
+    if (!known || known.maximumPerSecond === perSecond) return;
+    this.#targets.set(target, {
+      ...known,
+      maximumPerSecond: perSecond,
+      revision: this.#nextRevision(),
+    });
+  }
+
+  /** Publishes a target to the gateways again. */
+  touch(target: string): void {
+    const known = this.#targets.get(target);
+    if (!known) return;
+    this.#targets.set(target, { ...known, revision: this.#nextRevision() });
+  }
+
   /**
    * Marks the targets of a data centre as unconfirmed, which counts as cold,
    * until their next heartbeats.
--- a/packages/fleet/view.ts
+++ b/packages/fleet/view.ts
@@ -13,6 +13,23 @@
   readonly isCold: boolean;
   /** Names of the gateways that may send it requests while it is cold. */
   readonly coldGateways: readonly string[];
+  /**
+   * Requests per second that it accepts from all gateways together; null if it
+   * names no limit.
+   */
+  readonly maximumPerSecond: number | null;
+  /**
+   * Names of the gateways that share this limit; empty if the target has a
+   * manager, or until the leader has chosen them.
+   */
+  readonly limitGateways: readonly string[];
+}
+
+/** Limit that a target named, or ended, in a response to a gateway. */
+export interface TargetLimitReport {
+  readonly target: string;
+  /** Requests per second from all gateways together; null for no limit. */
+  readonly perSecond: number | null;
 }
 
 /** Range as published to gateways. */
--- a/packages/fleet_control/gateway_directory.ts
+++ b/packages/fleet_control/gateway_directory.ts
@@ -3,8 +3,11 @@
 
 /** Gateways that have sent no watch request for this long are not counted. */
 const activeMilliseconds = 2000;
-/** Number of gateways that share the small capacity of a cold target. */
-const gatewaysPerColdTarget = 3;
+/**
+ * Number of gateways that share the small capacity of a target that is cold or
+ * names a limit.
+ */
+const gatewaysPerSlowTarget = 3;
 
 interface KnownGateway {
   readonly name: string;
@@ -66,15 +69,23 @@
     now: number,
     manager?: VmEndpoint,
   ): readonly string[] {
-    const id = `${target.incarnation.target}/${target.incarnation.bornAt}`;
+    const id = incarnationId(target);
     const known = this.#coldGateways.get(id);
     if (known) return known;
     if (manager) {
       this.#coldGateways.set(id, [manager.name]);
       return [manager.name];
     }
+    const chosen = this.nearestGateways(target, now);
+    if (chosen.length > 0) this.#coldGateways.set(id, chosen);
+    return chosen;
+  }
+
+  /** Returns the names of the few gateways nearest to a target. */
+  nearestGateways(target: RegisteredTarget, now: number): readonly string[] {
+    const id = incarnationId(target);
     const region = this.#regionOf(target.dataCentre);
-    const chosen = this.#activeGateways(now).map((gateway) => ({
+    return this.#activeGateways(now).map((gateway) => ({
       name: gateway.name,
       distance: gateway.dataCentre === target.dataCentre
         ? 0
@@ -84,9 +95,7 @@
       order: hashOf(`${gateway.name}/${id}`),
     })).sort((left, right) =>
       left.distance - right.distance || left.order - right.order
-    ).slice(0, gatewaysPerColdTarget).map(({ name }) => name);
-    if (chosen.length > 0) this.#coldGateways.set(id, chosen);
-    return chosen;
+    ).slice(0, gatewaysPerSlowTarget).map(({ name }) => name);
   }
 
   #activeGateways(now: number): readonly KnownGateway[] {
@@ -96,7 +105,11 @@
   }
 }
 
-// Spreads cold targets over the gateways; every leader computes the same hash.
+function incarnationId({ incarnation }: RegisteredTarget): string {
+  return `${incarnation.target}/${incarnation.bornAt}`;
+}
+
+// Spreads the targets over the gateways; every leader computes the same hash.
 function hashOf(text: string): number {
   let hash = 2166136261;
   for (let index = 0; index < text.length; index += 1) {
--- a/packages/fleet_control/gateway_directory_test.ts
+++ b/packages/fleet_control/gateway_directory_test.ts
@@ -14,6 +14,7 @@
   lastSeenAt: 0,
   revision: 1,
   isUnconfirmed: false,
+  maximumPerSecond: null,
 };
 
 function directoryOf(gateways: number): GatewayDirectory {
@@ -29,6 +30,7 @@
       isSearch: false,
       demand: [],
       durations: [],
+      limits: [],
     }, 0);
   }
   return directory;
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -22,6 +22,7 @@
 import type { Logger } from "@kingcupglade/telemetry";
 import { GatewayDirectory } from "./gateway_directory.ts";
 import { chooseHeartbeatListener } from "./heartbeat_listener.ts";
+import { LimitDirectory } from "./limit_directory.ts";
 import { ManagerDirectory } from "./manager_directory.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
 import { UpdateThrottle, watchHoldMilliseconds } from "./update_throttle.ts";
@@ -82,6 +83,7 @@
   #controlAddresses: readonly string[] = [];
   #controlRevision = 0;
   readonly #managers: ManagerDirectory;
+  readonly #limits: LimitDirectory;
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
@@ -95,6 +97,11 @@
       revisions: this.#revisions,
       term: this.term,
     });
+    this.#limits = new LimitDirectory({
+      ...options,
+      registry: this.#registry,
+      managers: this.#managers,
+    });
     this.#ranges = new RangeCoordinator({
       ...options,
       registry: this.#registry,
@@ -181,6 +188,8 @@
     const now = this.#options.clock.now();
     this.#gateways.record(watch, now);
     this.#ranges.recordWatch(watch, now);
+    this.#limits.recordWatch(watch, now);
+    if (watch.limits.length > 0) this.notifyChange();
     const hasUpdate = this.#hasUpdate(watch.position);
     // A gateway that has just been updated receives later changes together with
     // the other gateways.
@@ -201,6 +210,7 @@
     // A new leader keeps the present managers until every gateway has contacted
     // it.
     if (this.isComplete) this.#managers.choose(now);
+    this.#limits.choose(now);
     this.#updateColdTargets(now);
     this.#updateControlAddresses();
     this.notifyChange();
@@ -417,6 +427,8 @@
       coldGateways: target.isCold && mayNameGateways
         ? this.#managers.coldGateways(target, now)
         : [],
+      maximumPerSecond: target.maximumPerSecond,
+      limitGateways: this.#limits.gatewaysOf(incarnation.target),
     };
   }
 }
--- a/packages/fleet_control/manager_directory.ts
+++ b/packages/fleet_control/manager_directory.ts
@@ -64,12 +64,26 @@
    * Returns the gateways that may send requests to a target while it is cold.
    */
   coldGateways(target: RegisteredTarget, now: number): readonly string[] {
-    const { incarnation, dataCentre } = target;
-    const manager = this.#pools.managerOf({
-      name: incarnation.target,
-      dataCentre,
-    });
-    return this.#options.gateways.coldGateways(target, now, manager);
+    return this.#options.gateways.coldGateways(
+      target,
+      now,
+      this.#managerOf(target),
+    );
+  }
+
+  /**
+   * Returns the gateways that share the limit of a target without a manager,
+   * which would keep the limit.
+   */
+  limitGateways(target: RegisteredTarget, now: number): readonly string[] {
+    if (target.maximumPerSecond === null || this.#managerOf(target)) return [];
+    return this.#options.gateways.nearestGateways(target, now);
+  }
+
+  #managerOf(
+    { incarnation, dataCentre }: RegisteredTarget,
+  ): VmEndpoint | undefined {
+    return this.#pools.managerOf({ name: incarnation.target, dataCentre });
   }
 }
 
--- a/packages/fleet_control/watch.ts
+++ b/packages/fleet_control/watch.ts
@@ -1,6 +1,7 @@
 import type {
   PositionDemand,
   TargetDuration,
+  TargetLimitReport,
   ViewDelta,
   ViewPosition,
 } from "@kingcupglade/fleet";
@@ -21,6 +22,8 @@
   /** Keyed requests since the previous watch request. */
   readonly demand: readonly PositionDemand[];
   readonly durations: readonly TargetDuration[];
+  /** Limits of targets that changed since the previous watch request. */
+  readonly limits: readonly TargetLimitReport[];
 }
 
 /** Response to a watch request. */
--- a/packages/fleet_control/watch_codec.ts
+++ b/packages/fleet_control/watch_codec.ts
@@ -15,6 +15,8 @@
   slots: number,
   flags: number,
   coldGateways: readonly string[],
+  maximumPerSecond: number | null,
+  limitGateways: readonly string[],
 ];
 
 type RangeRow = readonly [
@@ -47,7 +49,9 @@
   const { demand, ...rest } = unpackValue<
     Omit<Watch, "demand"> & { readonly demand: readonly DemandGroup[] }
   >(bytes);
-  return { ...rest, demand: demand.flatMap(demandRows) };
+  // A gateway of an earlier version reports no limits.
+  const { limits = [] } = rest as Partial<Watch>;
+  return { ...rest, limits, demand: demand.flatMap(demandRows) };
 }
 
 /** Encodes the response to a watch request. */
@@ -111,14 +115,24 @@
 }
 
 function targetRow(target: TargetView): TargetRow {
-  const { name, service, address, dataCentre, slots, coldGateways } = target;
   const flags = (target.isLeaving ? TargetFlag.leaving : 0) |
     (target.isCold ? TargetFlag.cold : 0);
-  return [name, service, address, dataCentre, slots, flags, coldGateways];
+  return [
+    target.name,
+    target.service,
+    target.address,
+    target.dataCentre,
+    target.slots,
+    flags,
+    target.coldGateways,
+    target.maximumPerSecond,
+    target.limitGateways,
+  ];
 }
 
 function targetView(row: TargetRow): TargetView {
   const [name, service, address, dataCentre, slots, flags, coldGateways] = row;
+  const [, , , , , , , maximumPerSecond, limitGateways] = row;
   return {
     name,
     service,
@@ -128,6 +142,9 @@
     isLeaving: (flags & TargetFlag.leaving) !== 0,
     isCold: (flags & TargetFlag.cold) !== 0,
     coldGateways,
+    // A leader of an earlier version sends rows without limits.
+    maximumPerSecond: maximumPerSecond ?? null,
+    limitGateways: limitGateways ?? [],
   };
 }
 
--- a/packages/fleet_control/watch_codec_test.ts
+++ b/packages/fleet_control/watch_codec_test.ts
@@ -36,6 +36,8 @@
         isLeaving: at % 50 === 0,
         isCold: at % 40 === 0,
         coldGateways: at % 40 === 0 ? ["front-1", "front-2"] : [],
+        maximumPerSecond: at % 60 === 0 ? 2.2 : null,
+        limitGateways: at % 60 === 0 ? ["front-3"] : [],
       })),
       areTargetsComplete: true,
       removedTargets: [],
@@ -85,6 +87,10 @@
         { service: "b", position: 3, count: 7 },
       ],
       durations: [{ target: "i-1", milliseconds: 310 }],
+      limits: [
+        { target: "i-1", perSecond: 2.2 },
+        { target: "i-2", perSecond: null },
+      ],
     };
     expect(decodeWatch(encodeWatch(watch))).toEqual(watch);
   });
--- a/packages/fleet_gateway/gateway_table_test.ts
+++ b/packages/fleet_gateway/gateway_table_test.ts
@@ -37,6 +37,8 @@
     isLeaving: false,
     isCold: false,
     coldGateways: [],
+    maximumPerSecond: null,
+    limitGateways: [],
     ...more,
   };
 }
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { TargetView } from "@kingcupglade/fleet";
 import { peerAddressOf, PeerClients } from "@kingcupglade/fleet_control";
 import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
 import type { Clock } from "@kingcupglade/tasks";
@@ -20,7 +21,7 @@
 import { SlotSocket } from "./slot_socket.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
-import { TargetLimits } from "./target_limits.ts";
+import { limitSharers, TargetLimits } from "./target_limits.ts";
 import { TargetSelector } from "./target_selector.ts";
 
 /** Bodies up to this size are buffered, so that they can be sent again. */
@@ -114,14 +115,13 @@
       takeDemand: () => this.#selector.takeDemand(),
       takeDurations: (isNewLeader) =>
         this.#durationReporter.takeDurations(isNewLeader),
+      takeLimits: (isNewLeader) => this.#limits.takeReports(isNewLeader),
       clients: this.#peerClients,
       clock,
       logger,
       random: options.random,
       onChange: () => {
-        this.#limits.retainOnly((name) =>
-          this.#synchronizer.table.target(name) !== undefined
-        );
+        this.#limits.applyTable(this.#synchronizer.table);
         this.#slotPools.handleTableChange();
         this.#managedSelector.handleTableChange();
         this.#selector.handleTableChange();
@@ -130,19 +130,24 @@
     this.#selector = new TargetSelector({
       ...options,
       synchronizer: this.#synchronizer,
+      limits: this.#limits,
+      limitSharers: (target) =>
+        limitSharers(this.#synchronizer.table, { target, gateway: name }),
       gatewayCount: () => this.#synchronizer.table.gatewayCount || Infinity,
     });
     this.#managedSelector = new TargetSelector({
       ...options,
       synchronizer: this.#synchronizer,
-      isCandidate: (target) =>
-        this.#synchronizer.table.pools.managerOf(target)?.name === name,
+      isCandidate: (target) => this.#isManaged(target),
+      limits: this.#limits,
+      limitSharers: (target) => this.#isManaged(target) ? 1 : 0,
       gatewayCount: () => 1,
     });
     const send: SlotSocket["send"] = (message, to) =>
       this.#slotSocket.send(message, to);
     this.#slotManager = new SlotManager({
       selector: this.#managedSelector,
+      limits: this.#limits,
       table: () => this.#synchronizer.table,
       loadProber: this.#loadProber,
       send,
@@ -306,6 +311,12 @@
     }
   }
 
+  /** Whether this VM grants the slots of a target. */
+  #isManaged(target: TargetView): boolean {
+    const { pools } = this.#synchronizer.table;
+    return pools.managerOf(target)?.name === this.#options.name;
+  }
+
   // Durations are reported by the selector that chooses the targets.
   get #durationReporter(): TargetSelector {
     const isManaged = !this.#synchronizer.table.pools.isEmpty;
--- a/packages/fleet_gateway/load_prober.ts
+++ b/packages/fleet_gateway/load_prober.ts
@@ -60,7 +60,13 @@
       // If the connection were reused, the probe's own response would be
       // mistaken for the response to the next request.
       if (requestId !== "") throw new LateResponseError(requestId);
-      limits.record({ target: target.name, request: "", head, sentAt });
+      limits.record({
+        target: target.name,
+        request: "",
+        perSecond: head.maximumRequestsPerSecond ?? null,
+        isConclusive: false,
+        sentAt,
+      });
       await body.dump();
       connections.release(target.address, connection);
       record.recordProbeEnd(load, clock.now());
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -203,7 +203,8 @@
         limits.record({
           target: target.name,
           request: requestId,
-          head,
+          perSecond: head.maximumRequestsPerSecond ?? null,
+          isConclusive: head.isSigned && !head.didNotRun,
           sentAt: startedAt,
         }),
       request: {
@@ -248,6 +249,7 @@
       isHeld: result.kind === "answered"
         ? result.head.status !== misdirectedStatus
         : null,
+      maximumPerSecond: limits.of(target.name)?.perSecond ?? null,
     });
     this.#queue.recordEnd(end === ExchangeEnd.answered ? durations : null);
     if (!this.#isFinished) this.#handleResult(result, target);
--- a/packages/fleet_gateway/service_queue.ts
+++ b/packages/fleet_gateway/service_queue.ts
@@ -13,6 +13,17 @@
 /** Interval at which queued requests are reviewed without another trigger. */
 const reviewIntervalMilliseconds = 20;
 
+const millisecondsPerSecond = 1000;
+
+/** Targets for which requests wait in the same lane. */
+export interface Lane {
+  readonly lane: string;
+  /** Requests of this gateway in flight at the targets of the lane. */
+  readonly inFlight: number;
+  /** Requests per second that these targets accept. */
+  readonly maximumPerSecond: number;
+}
+
 /** Queue of one service's requests, with statistics of its responses. */
 export class ServiceQueue {
   readonly budget: RetryBudget;
@@ -76,15 +87,14 @@
   }
 
   /** Returns the expected milliseconds until a new request starts. */
-  expectedWait(request: {
-    readonly priority: number;
-    readonly lane: string;
-    /** Requests of this gateway in flight at the targets of the lane. */
-    readonly inFlight: number;
-  }): number {
-    const { priority, lane, inFlight } = request;
-    return this.#queue.countAhead(priority, lane) * this.#meanMilliseconds /
-      Math.max(1, inFlight);
+  expectedWait(request: Lane & { readonly priority: number }): number {
+    const { priority, lane, inFlight, maximumPerSecond } = request;
+    const ahead = this.#queue.countAhead(priority, lane);
+    if (ahead === 0) return 0;
+    return ahead * Math.max(
+      this.#meanMilliseconds / Math.max(1, inFlight),
+      millisecondsPerSecond / maximumPerSecond,
+    );
   }
 
   /** Queues a request, which {@link advance} starts or refuses. */
--- a/packages/fleet_gateway/slot_manager.ts
+++ b/packages/fleet_gateway/slot_manager.ts
@@ -12,6 +12,7 @@
   SlotRefusal,
   SlotRequest,
 } from "./slot_messages.ts";
+import type { TargetLimits } from "./target_limits.ts";
 import type { TargetSelector } from "./target_selector.ts";
 
 /** A request whose end message is lost expires this long after its deadline. */
@@ -30,6 +31,7 @@
 export interface SlotManagerOptions {
   /** Chooses among the targets that this VM manages. */
   readonly selector: TargetSelector;
+  readonly limits: Pick<TargetLimits, "record">;
   readonly table: () => GatewayTable;
   readonly loadProber: Pick<LoadProber, "probe">;
   readonly send: (message: SlotMessage, to: string) => void;
@@ -55,6 +57,7 @@
   readonly target: TargetView;
   readonly record: TargetRecord;
   readonly expectedMilliseconds: number;
+  readonly grantedAt: number;
 }
 
 /**
@@ -114,11 +117,20 @@
     const { grant } = pending;
     if (!grant) return;
     const now = clock.now();
-    const { expectedMilliseconds, record, target } = grant;
+    const { expectedMilliseconds, record, target, grantedAt } = grant;
     const end = use?.end ?? ExchangeEnd.abandoned;
     const durationMilliseconds = use?.durationMilliseconds ?? 0;
     record.end(end, { now, durationMilliseconds, expectedMilliseconds });
     if (use?.load) record.report(use.load, now);
+    if (use) {
+      this.#options.limits.record({
+        target: target.name,
+        request: "",
+        perSecond: use.maximumPerSecond,
+        isConclusive: use.end === ExchangeEnd.answered,
+        sentAt: grantedAt,
+      });
+    }
     const { position } = pending.request;
     if (position !== null && use && use.isHeld !== null) {
       selector.recordHolding(
@@ -231,17 +243,18 @@
   ): void {
     const { selector, clock } = this.#options;
     const queue = selector.service(pending.request.service);
+    const grantedAt = clock.now();
     const expectedMilliseconds = record.expectedDuration(
       queue.workMilliseconds,
-      clock.now(),
+      grantedAt,
     );
     record.begin();
     queue.recordStart();
     pending.waiting = undefined;
-    pending.grant = { target, record, expectedMilliseconds };
+    pending.grant = { target, record, expectedMilliseconds, grantedAt };
     pending.expiresAt = Math.min(
       pending.expiresAt,
-      clock.now() + Math.max(
+      grantedAt + Math.max(
         minimumLostEndMilliseconds,
         expectedMilliseconds * lostEndDurations,
       ),
--- a/packages/fleet_gateway/slot_messages.ts
+++ b/packages/fleet_gateway/slot_messages.ts
@@ -58,6 +58,8 @@
     readonly load: LoadReport | null;
     /** Whether the target holds the position's range; null when unknown. */
     readonly isHeld: boolean | null;
+    /** Limit that the response named, in requests per second; null for none. */
+    readonly maximumPerSecond: number | null;
   } | null;
 }
 
@@ -90,6 +92,8 @@
   durationMilliseconds: number,
   load: LoadRow | null,
   isHeld: boolean | null,
+  /** Absent if the response named none, as in messages of earlier versions. */
+  ...maximumPerSecond: readonly number[],
 ];
 
 type SlotRow =
@@ -131,12 +135,15 @@
   Array.isArray(value) && value.length === checks.length &&
   checks.every((check, at) => check(value[at]));
 
-const isUse = isRow(
+const useChecks = [
   isEnd,
   isNumber,
   orNull(isRow(isNumber, isNumber, isNumber, isNumber)),
   orNull(isBoolean),
-);
+];
+const isUnlimitedUse = isRow(...useChecks);
+const isLimitedUse = isRow(...useChecks, isNumber);
+const isUse: Check = (value) => isUnlimitedUse(value) || isLimitedUse(value);
 
 /**
  * Checks of each kind's row, written by hand because a schema library costs
@@ -251,16 +258,20 @@
 
 type Use = NonNullable<SlotEnd["use"]>;
 
-function useRow({ end, durationMilliseconds, load, isHeld }: Use): UseRow {
-  return [
+function useRow(use: Use): UseRow {
+  const { end, durationMilliseconds, load, isHeld, maximumPerSecond } = use;
+  const row: UseRow = [
     end,
     Math.round(durationMilliseconds),
     load && [load.running, load.waiting, load.slots, load.slowdown],
     isHeld,
   ];
+  return maximumPerSecond === null ? row : [...row, maximumPerSecond];
 }
 
-function useOf([end, durationMilliseconds, load, isHeld]: UseRow): Use {
+function useOf(row: UseRow): Use {
+  const [end, durationMilliseconds, load, isHeld, maximumPerSecond = null] =
+    row;
   return {
     end,
     durationMilliseconds,
@@ -271,5 +282,6 @@
       slowdown: load[3],
     },
     isHeld,
+    maximumPerSecond,
   };
 }
--- a/packages/fleet_gateway/slot_pools.ts
+++ b/packages/fleet_gateway/slot_pools.ts
@@ -9,7 +9,10 @@
 /** Options of {@link SlotPools}. */
 export interface SlotPoolsOptions {
   readonly table: () => GatewayTable;
-  readonly selector: Pick<TargetSelector, "isHomeRegion" | "distanceTo">;
+  readonly selector: Pick<
+    TargetSelector,
+    "isHomeRegion" | "distanceTo" | "usableSlots"
+  >;
   /** Whether a manager, at IP:PORT, is not suspected of being unreachable. */
   readonly isHealthy: (manager: string) => boolean;
   /** Returns a number between 0 and 1. */
@@ -93,7 +96,8 @@
         manager: address,
         dataCentre,
         distance: selector.distanceTo(dataCentre),
-        slots: (poolsByManager.get(address)?.slots ?? 0) + target.slots,
+        slots: (poolsByManager.get(address)?.slots ?? 0) +
+          selector.usableSlots(target),
       });
     }
     const servicePools = [...poolsByManager.values()];
--- a/packages/fleet_gateway/slots_test.ts
+++ b/packages/fleet_gateway/slots_test.ts
@@ -12,6 +12,7 @@
 import { SlotManager } from "./slot_manager.ts";
 import { SlotClient } from "./slot_client.ts";
 import type { SlotTicket } from "./slot_client.ts";
+import { TargetLimits } from "./target_limits.ts";
 import { TargetSelector } from "./target_selector.ts";
 
 const silentLogger = { debug() {}, info() {}, warn() {}, error() {} };
@@ -36,6 +37,8 @@
     isLeaving: false,
     isCold: false,
     coldGateways: [],
+    maximumPerSecond: null,
+    limitGateways: [],
   };
 }
 
@@ -94,12 +97,18 @@
 /** Gateways and a manager on a network that drops and duplicates datagrams. */
 class SlotSimulation {
   readonly clock = new ManualClock(1000);
+  readonly limits = new TargetLimits({
+    clock: this.clock,
+    logger: silentLogger,
+  });
   readonly table: GatewayTable;
   readonly manager: SlotManager;
   /** Requests in progress at each target. */
   readonly atTargets = new Map<string, number>();
   highestAtTarget = 0;
   isManagerSilent = false;
+  /** Limit that every response names, in requests per second; null for none. */
+  limit: number | null = null;
   /** Slots that the manager logged as not returned. */
   notReturned = 0;
   readonly #random: () => number;
@@ -125,7 +134,10 @@
         regions: { a: "north" },
         retryBudget: { ratio: 0.2, windowMilliseconds: 10_000, slack: 10 },
         gatewayCount: () => 1,
+        limits: this.limits,
+        limitSharers: () => 1,
       }),
+      limits: this.limits,
       table: () => table,
       loadProber: { probe: () => Promise.resolve() },
       send: (message, to) =>
@@ -192,6 +204,7 @@
             durationMilliseconds: workMilliseconds,
             load: null,
             isHeld: null,
+            maximumPerSecond: this.limit,
           });
         }, workMilliseconds);
       },
@@ -251,6 +264,33 @@
     expect(simulation.manager.size).toBe(0);
   });
 
+  it("are granted within the limit that the target names, and freely after it", async () => {
+    const simulation = new SlotSimulation({ loss: 0.02 });
+    simulation.limit = 1;
+    const requests: { readonly at: number; readonly events: RequestEvents }[] =
+      [];
+    const grantsBetween = (from: number, to: number) =>
+      requests.filter(({ at, events }) =>
+        at >= from && at < to && events.granted.length > 0
+      ).length;
+    const run = async (milliseconds: number) => {
+      for (let at = 0; at < milliseconds; at += 50) {
+        const address = `10.0.1.${requests.length % 20}:7720`;
+        const events = simulation.requestSlot(address, 100, 400);
+        requests.push({ at: simulation.clock.now(), events });
+        await simulation.run(50);
+      }
+    };
+    await run(9000);
+    const start = requests[0]!.at;
+    const limited = grantsBetween(start + 1000, start + 9000);
+    expect(limited).toBeGreaterThanOrEqual(4);
+    expect(limited).toBeLessThanOrEqual(8);
+    simulation.limit = null;
+    await run(4000);
+    expect(grantsBetween(start + 11_000, start + 13_000)).toBeGreaterThan(20);
+  });
+
   it("are not granted to a request that was cancelled", async () => {
     const simulation = new SlotSimulation({});
     const requests = Array.from(
@@ -402,6 +442,18 @@
           durationMilliseconds: 310,
           load: { running: 2, waiting: 0, slots: 6, slowdown: 1.5 },
           isHeld: true,
+          maximumPerSecond: null,
+        },
+      },
+      {
+        kind: "end",
+        id: 1,
+        use: {
+          end: ExchangeEnd.failed,
+          durationMilliseconds: 310,
+          load: null,
+          isHeld: null,
+          maximumPerSecond: 2.2,
         },
       },
       { kind: "end", id: 1, use: null },
--- a/packages/fleet_gateway/table_synchronizer.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -1,5 +1,9 @@
 import { setTimeout as pause } from "node:timers/promises";
-import type { PositionDemand, TargetDuration } from "@kingcupglade/fleet";
+import type {
+  PositionDemand,
+  TargetDuration,
+  TargetLimitReport,
+} from "@kingcupglade/fleet";
 import {
   decodeWatchAnswer,
   encodeWatch,
@@ -34,6 +38,8 @@
   readonly takeDemand: () => readonly PositionDemand[];
   /** Returns the durations that have not been reported to the leader. */
   readonly takeDurations: (isNewLeader: boolean) => readonly TargetDuration[];
+  /** Returns the limits of targets not reported to the leader; all for a new one. */
+  readonly takeLimits: (isNewLeader: boolean) => readonly TargetLimitReport[];
   /** Peer addresses of control VMs that are queried for the leader first. */
   readonly seeds: readonly string[];
   readonly clients: PeerClients;
@@ -169,16 +175,18 @@
       readonly timeoutMilliseconds: number;
     },
   ): Promise<WatchAnswer> {
-    const { clients, clock, gateway, takeDemand, takeDurations } =
-      this.#options;
+    const { clients, clock, gateway } = this.#options;
+    const { takeDemand, takeDurations, takeLimits } = this.#options;
     const { isSearch, timeoutMilliseconds } = options;
+    const isNewLeader = this.#term === null;
     const watch: Watch = {
       ...gateway,
       isLeaving: this.#isLeaving,
       position: this.table.position,
       isSearch,
       demand: isSearch ? [] : takeDemand(),
-      durations: isSearch ? [] : takeDurations(this.#term === null),
+      durations: isSearch ? [] : takeDurations(isNewLeader),
+      limits: isSearch ? [] : takeLimits(isNewLeader),
     };
     const sentAt = clock.now();
     const { answer } = await clients.client(address, Fleet).watch(
--- a/packages/fleet_gateway/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table_synchronizer_test.ts
@@ -91,6 +91,7 @@
       seeds: controls.map(({ address }) => address),
       takeDemand: () => [],
       takeDurations: () => [],
+      takeLimits: () => [],
       clients,
       clock: new MonotonicClock(),
       logger: silentLogger,
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -1,7 +1,6 @@
 import {
   ChangedDurations,
   chooseTarget,
-  ColdRateLimiter,
   Distance,
   hasCapacityFor,
   OwnerBackoff,
@@ -18,21 +17,18 @@
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
 import { ServiceQueue } from "./service_queue.ts";
+import type { Lane } from "./service_queue.ts";
 import type { TableSynchronizer } from "./table_synchronizer.ts";
-
-/**
- * A gateway without contact to the leader for this long stops using cold
- * targets: a new leader waits longer before it assigns gateways to them.
- */
-const coldLeaseMilliseconds = 2000;
+import { TargetRates } from "./target_rates.ts";
+import type { TargetRatesOptions } from "./target_rates.ts";
 
 /** Options of a {@link TargetSelector}. */
-export interface TargetSelectorOptions {
+export interface TargetSelectorOptions
+  extends Pick<TargetRatesOptions, "name" | "limits" | "limitSharers"> {
   readonly synchronizer: TableSynchronizer;
   readonly clock: Clock;
+  /** Returns a number between 0 and 1. */
   readonly random: () => number;
-  /** Name of the gateway's VM. */
-  readonly name: string;
   readonly dataCentre: string;
   readonly region: string;
   /** Region of each data centre. */
@@ -80,7 +76,7 @@
   readonly #options: TargetSelectorOptions;
   readonly #queues = new Map<string, ServiceQueue>();
   readonly #records = new Map<string, TargetRecord>();
-  readonly #coldLimiters = new Map<string, ColdRateLimiter>();
+  readonly #rates: TargetRates;
   readonly #ownerBackoff = new OwnerBackoff();
   readonly #changedDurations = new ChangedDurations();
   /** Targets to choose from, by service; cleared when the table changes. */
@@ -91,6 +87,7 @@
   constructor(options: TargetSelectorOptions) {
     this.#options = options;
     this.parts = new PartSelector(options);
+    this.#rates = new TargetRates(options);
   }
 
   /** Returns the queue of a service. */
@@ -122,20 +119,35 @@
     return rows;
   }
 
-  /** Returns a request's lane and the requests in flight at its targets. */
+  /**
+   * Returns a request's lane, and the requests in flight at its targets and
+   * their limit.
+   */
   laneOf(request: {
     readonly route: Route;
     readonly service: string;
     readonly position: number | undefined;
-  }): { readonly lane: string; readonly inFlight: number } {
+  }): Lane {
     const { route, service, position } = request;
-    const { table } = this.#options.synchronizer;
+    const { synchronizer, limits } = this.#options;
     if (position === undefined) {
-      return { lane: route.name, inFlight: this.service(service).inFlight };
+      const { inFlight } = this.service(service);
+      return { lane: route.name, inFlight, maximumPerSecond: Infinity };
     }
-    const owner = table.range(service, position)?.owner ?? "";
-    const inFlight = this.#records.get(owner)?.inFlight ?? 0;
-    return { lane: owner, inFlight };
+    const owner = synchronizer.table.range(service, position)?.owner ?? "";
+    return {
+      lane: owner,
+      inFlight: this.#records.get(owner)?.inFlight ?? 0,
+      maximumPerSecond: limits.of(owner)?.perSecond ?? Infinity,
+    };
+  }
+
+  /** Returns the slots of a target that its limit allows to be in use. */
+  usableSlots({ name, service, slots }: TargetView): number {
+    const limit = this.#options.limits.of(name);
+    if (!limit) return slots;
+    const { meanMilliseconds } = this.service(service);
+    return Math.min(slots, limit.perSecond * meanMilliseconds / 1000);
   }
 
   /**
@@ -181,7 +193,7 @@
       if (table.target(name)) continue;
       this.#records.delete(name);
       this.#changedDurations.forget(name);
-      this.#coldLimiters.delete(name);
+      this.#rates.forget(name);
     }
     for (const service of this.#queues.values()) service.advance();
   }
@@ -209,6 +221,7 @@
     let bestDuration = workMilliseconds * maximumHedgeDurationRatio;
     for (const target of this.#candidatesOf(criteria.service)) {
       if (target.isCold || !this.isHomeRegion(criteria.route, target)) continue;
+      if (!this.#rates.allows(target, now)) continue;
       const option = this.#optionFor(target);
       const { record, distance } = option;
       const isIdle = record.load(meanMilliseconds, now) <
@@ -224,9 +237,9 @@
       bestDuration = duration;
     }
     const target = best && synchronizer.table.target(best.name);
-    return target && best
-      ? { kind: "found", target, record: best.record }
-      : undefined;
+    if (!target || !best) return undefined;
+    this.#rates.record(target, now);
+    return { kind: "found", target, record: best.record };
   }
 
   #selectOwner({ route, service, position }: TargetCriteria): TargetSelection {
@@ -258,11 +271,18 @@
       now,
     );
     if (!hasCapacity || pause > 0) return { kind: "wait" };
+    const { limits } = this.#options;
+    const isLimited = limits.of(target.name) !== undefined;
+    if (isLimited && !this.#rates.allows(target, now)) return { kind: "wait" };
     const path = table.service(service)?.loadPath ?? "";
-    const freshness = path === "" ? "fresh" : record.freshness(now);
+    // A target that names a limit has no capacity for probes.
+    const freshness = path === "" || isLimited
+      ? "fresh"
+      : record.freshness(now);
     if (freshness === "probing") return { kind: "wait" };
     if (freshness === "stale") return { kind: "probe", target, record, path };
     this.#ownerBackoff.recordSent(rangeId, range.fence, now);
+    this.#rates.record(target, now);
     return { kind: "found", target, record };
   }
 
@@ -278,7 +298,7 @@
         ? { kind: "none", reason: "the targets that it went to are gone" }
         : { kind: "wait" };
     }
-    const options = targets.filter((target) => this.#acceptsNow(target, now))
+    const options = targets.filter((target) => this.#rates.allows(target, now))
       .map((target) => this.#optionFor(target));
     if (options.length === 0) return { kind: "wait" };
     const choice = chooseTarget(options, {
@@ -295,7 +315,7 @@
     }
     if (choice.kind === "wait") return { kind: "wait" };
     const target = synchronizer.table.target(choice.target.name)!;
-    if (target.isCold) this.#consumeColdRate(target, now);
+    this.#rates.record(target, now);
     return { kind: "found", target, record: choice.target.record };
   }
 
@@ -317,30 +337,6 @@
     };
   }
 
-  #acceptsNow(target: TargetView, now: number): boolean {
-    if (!target.isCold) return true;
-    const { synchronizer, name } = this.#options;
-    return synchronizer.millisecondsSinceContact(now) < coldLeaseMilliseconds &&
-      target.coldGateways.includes(name) &&
-      this.#coldLimiter(target.name).allows(now);
-  }
-
-  #consumeColdRate(target: TargetView, now: number): void {
-    const service = this.#options.synchronizer.table.service(target.service)!;
-    this.#coldLimiter(target.name).take(now, {
-      perSecond: service.coldPerSecond,
-      gateways: target.coldGateways.length,
-    });
-  }
-
-  #coldLimiter(target: string): ColdRateLimiter {
-    const existing = this.#coldLimiters.get(target);
-    if (existing) return existing;
-    const limiter = new ColdRateLimiter();
-    this.#coldLimiters.set(target, limiter);
-    return limiter;
-  }
-
   /** Returns this gateway's observations of a target. */
   record(target: string): TargetRecord {
     const existing = this.#records.get(target);
