Tell callers of a slot the wait that the targets' limits cause

What callers saw: where all targets of a data centre named a limit, a request that its manager queued first was told to wait 0 ms, so its gateway asked no other manager, and it came late or ended with 504.

Cause: the expected wait counted requests ahead and durations, not limits. Targets that all name limits now bound the rate of their lane, and half an interval is added, so that gateways ask the next manager at once.

Evidence: slots_test "announced with the wait" red before (0 ms), green now.

--- a/packages/dispatch/shared_rate_limiter.ts
+++ b/packages/dispatch/shared_rate_limiter.ts
@@ -5,7 +5,7 @@
 export interface SharedRate {
   /** Limit for all gateways together, in requests per second. */
   readonly perSecond: number;
-  /** Number of gateways that share the limit equally. */
+  /** Number of gateways that share the limit equally; Infinity if unknown. */
   readonly gateways: number;
 }
 
--- a/packages/fleet_gateway/service_queue.ts
+++ b/packages/fleet_gateway/service_queue.ts
@@ -13,6 +13,8 @@
 /** Interval at which queued requests are reviewed without another trigger. */
 const reviewIntervalMilliseconds = 20;
 
+/** Mean share of the interval between two requests that has not elapsed yet. */
+const meanRemainingShare = 0.5;
 const millisecondsPerSecond = 1000;
 
 /** Targets for which requests wait in the same lane. */
@@ -20,7 +22,7 @@
   readonly lane: string;
   /** Requests of this gateway in flight at the targets of the lane. */
   readonly inFlight: number;
-  /** Requests per second that these targets accept. */
+  /** Requests per second that these targets accept; Infinity for any number. */
   readonly maximumPerSecond: number;
 }
 
@@ -90,10 +92,9 @@
   expectedWait(request: Lane & { readonly priority: number }): number {
     const { priority, lane, inFlight, maximumPerSecond } = request;
     const ahead = this.#queue.countAhead(priority, lane);
-    if (ahead === 0) return 0;
-    return ahead * Math.max(
-      this.#meanMilliseconds / Math.max(1, inFlight),
-      millisecondsPerSecond / maximumPerSecond,
+    return Math.max(
+      ahead * this.#meanMilliseconds / Math.max(1, inFlight),
+      (ahead + meanRemainingShare) * millisecondsPerSecond / maximumPerSecond,
     );
   }
 
--- a/packages/fleet_gateway/slots_test.ts
+++ b/packages/fleet_gateway/slots_test.ts
@@ -88,6 +88,8 @@
 interface RequestEvents {
   granted: string[];
   waits: number;
+  /** Expected wait in milliseconds, as last told. */
+  expectedWait: number;
   refused: number;
   late: number;
   unavailable: number;
@@ -177,6 +179,7 @@
     const events: RequestEvents = {
       granted: [],
       waits: 0,
+      expectedWait: 0,
       refused: 0,
       late: 0,
       unavailable: 0,
@@ -208,7 +211,10 @@
           });
         }, workMilliseconds);
       },
-      waits: () => void (events.waits += 1),
+      waits: (milliseconds) => {
+        events.waits += 1;
+        events.expectedWait = milliseconds;
+      },
       refused: () => void (events.refused += 1),
       late: () => void (events.late += 1),
       unavailable: () => void (events.unavailable += 1),
@@ -291,6 +297,29 @@
     expect(grantsBetween(start + 11_000, start + 13_000)).toBeGreaterThan(20);
   });
 
+  it("are announced with the wait that the limits of all targets cause", async () => {
+    const simulation = new SlotSimulation({ targets: 2 });
+    const limit = (target: string, perSecond: number) =>
+      simulation.limits.record({
+        target,
+        request: "",
+        perSecond,
+        isConclusive: true,
+        sentAt: simulation.clock.now(),
+      });
+    limit("t0", 1);
+    limit("t1", 1);
+    const requests = Array.from(
+      { length: 3 },
+      (_, at) => simulation.requestSlot(`10.0.1.${at}:7720`, 100, 5000),
+    );
+    await simulation.run(100);
+    const waits = requests.filter(({ granted }) => granted.length === 0)
+      .map(({ expectedWait }) => expectedWait);
+    expect(waits.length).toBeGreaterThan(0);
+    for (const wait of waits) expect(wait).toBeGreaterThan(200);
+  });
+
   it("are not granted to a request that was cancelled", async () => {
     const simulation = new SlotSimulation({});
     const requests = Array.from(
--- a/packages/fleet_gateway/target_rates.ts
+++ b/packages/fleet_gateway/target_rates.ts
@@ -17,6 +17,7 @@
  * as only a response can show that the limit has ended.
  */
 const minimumPerSecond = 0.25;
+const millisecondsPerSecond = 1000;
 
 /** Options of {@link TargetRates}. */
 export interface TargetRatesOptions {
@@ -52,6 +53,18 @@
     return this.#allowsCold(target, now) && this.#allowsLimited(target, now);
   }
 
+  /**
+   * Returns the requests per second that the limit of a target leaves to this
+   * gateway; Infinity if it names none.
+   */
+  maximumPerSecond(target: TargetView): number {
+    const rate = this.#limitedRate(target);
+    if (!rate) return Infinity;
+    return rate.gateways === 0
+      ? 0
+      : millisecondsPerSecond / intervalMilliseconds(rate);
+  }
+
   /** Records that a request is sent to a target. */
   record(target: TargetView, now: number): void {
     if (target.isCold) this.#coldLimiter(target.name).take(now);
@@ -78,18 +91,25 @@
   }
 
   #allowsLimited(target: TargetView, now: number): boolean {
-    const { limits, limitSharers } = this.#options;
-    const limit = limits.of(target.name);
-    const gateways = limit ? limitSharers(target) : 0;
-    if (!limit || gateways === 0) {
+    const rate = this.#limitedRate(target);
+    if (!rate || rate.gateways === 0) {
       this.#limiters.delete(target.name);
-      return !limit;
+      return !rate;
     }
-    const perSecond = Math.max(minimumPerSecond, limit.perSecond);
-    const rate = { perSecond, gateways };
     return this.#limiter(target.name, rate, now).allows(now, rate);
   }
 
+  /** Returns the rate of a target that names a limit. */
+  #limitedRate(target: TargetView): SharedRate | undefined {
+    const { limits, limitSharers } = this.#options;
+    const limit = limits.of(target.name);
+    if (!limit) return undefined;
+    return {
+      perSecond: Math.max(minimumPerSecond, limit.perSecond),
+      gateways: limitSharers(target),
+    };
+  }
+
   // The first request is sent at a random time within the interval, as all
   // gateways may learn of the limit at the same time.
   #limiter(target: string, rate: SharedRate, now: number): SharedRateLimiter {
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -129,16 +129,26 @@
     readonly position: number | undefined;
   }): Lane {
     const { route, service, position } = request;
-    const { synchronizer, limits } = this.#options;
+    const { table } = this.#options.synchronizer;
     if (position === undefined) {
-      const { inFlight } = this.service(service);
-      return { lane: route.name, inFlight, maximumPerSecond: Infinity };
+      const targets = this.#candidatesOf(service);
+      return {
+        lane: route.name,
+        inFlight: this.service(service).inFlight,
+        maximumPerSecond: targets.length === 0 ? Infinity : targets.reduce(
+          (sum, each) => sum + this.#rates.maximumPerSecond(each),
+          0,
+        ),
+      };
     }
-    const owner = synchronizer.table.range(service, position)?.owner ?? "";
+    const owner = table.range(service, position)?.owner ?? "";
+    const target = table.target(owner);
     return {
       lane: owner,
       inFlight: this.#records.get(owner)?.inFlight ?? 0,
-      maximumPerSecond: limits.of(owner)?.perSecond ?? Infinity,
+      maximumPerSecond: target
+        ? this.#rates.maximumPerSecond(target)
+        : Infinity,
     };
   }
 
--- a/packages/kingcupglade/fleet_fixture.ts
+++ b/packages/kingcupglade/fleet_fixture.ts
@@ -29,6 +29,8 @@
   readonly role: "control" | "gateway";
   /** @default the role and "-1" */
   readonly name?: string;
+  /** @default "a" */
+  readonly dataCentre?: string;
   readonly ip: string;
   /** Control address of the only seed, as IP:PORT. */
   readonly seed: string;
@@ -45,10 +47,11 @@
 
 function createSettingsText(options: RoleOptions): string {
   const { role, name = `${role}-1`, ip, seed, lines } = options;
+  const { dataCentre = "a" } = options;
   return `[vm]
 name = ${name}
 role = ${role}
-dataCentre = a
+dataCentre = ${dataCentre}
 region = north
 ${lines}
 peers = ${ip}:${peerPort}
--- a/packages/kingcupglade/target_limits_path_test.ts
+++ b/packages/kingcupglade/target_limits_path_test.ts
@@ -48,6 +48,16 @@
   },
 };
 
+/** Targets of a fleet, and the data centre of each of its gateways. */
+interface FleetLayout {
+  readonly gateways: readonly string[];
+  readonly targets: readonly {
+    readonly name: string;
+    readonly service: string;
+    readonly dataCentre: string;
+  }[];
+}
+
 /** One control VM, several gateways, and targets that may name a limit. */
 class LimitedFleet {
   /** Names of the targets that name the limit. */
@@ -56,19 +66,19 @@
   readonly #vms: FleetVm[] = [];
   #folder = "";
   #nextId = 0;
-  readonly #gateways: number;
+  /** Data centre of each gateway. */
+  readonly #gateways: readonly string[];
   /** When each gateway first forwarded a response with a limit, by number. */
   readonly #toldAt = new Map<number, number>();
   /** Arrivals at limited targets: the time and the number of the gateway. */
   readonly #arrivals: { readonly at: number; readonly gateway: number }[] = [];
 
-  constructor(gateways: number, targets: readonly (readonly string[])[]) {
+  constructor({ gateways, targets }: FleetLayout) {
     this.#gateways = gateways;
-    this.targets = targets.map(([name = "", service = ""]) => {
+    this.targets = targets.map((options) => {
+      const { name } = options;
       const target = new HeartbeatTarget({
-        name,
-        service,
-        dataCentre: "a",
+        ...options,
         control: controlAddress,
       });
       let running = 0;
@@ -101,12 +111,13 @@
           `dataFolder = ${this.#folder}\n[listen]\ncontrol = ${controlAddress}`,
       }),
     );
-    for (let gateway = 0; gateway < this.#gateways; gateway += 1) {
+    for (const [gateway, dataCentre] of this.#gateways.entries()) {
       const ip = gatewayIp(gateway);
       this.#vms.push(
         await startRole({
           role: "gateway",
           name: `gateway-${gateway}`,
+          dataCentre,
           ip,
           seed: controlAddress,
           lines: `[listen]\ncallers = ${ip}:7301\nreadiness = ${ip}:7302`,
@@ -123,7 +134,7 @@
     await waitUntil(async () => {
       const statuses = await Promise.all(
         Array.from(
-          { length: this.#gateways * 2 },
+          { length: this.#gateways.length * 2 },
           (_, at) => this.#send(at % 2 === 0 ? "lookup" : "stock", at >> 1),
         ),
       );
@@ -146,7 +157,9 @@
     const responses: Promise<number>[] = [];
     const startedAt = performance.now();
     while (performance.now() - startedAt < milliseconds) {
-      responses.push(this.#send(route, responses.length % this.#gateways));
+      responses.push(
+        this.#send(route, responses.length % this.#gateways.length),
+      );
       await pause(
         startedAt + responses.length * 1000 / requestsPerSecond -
           performance.now(),
@@ -202,12 +215,13 @@
   return `${prefix}.${10 + gateway}`;
 }
 
-const targets = [
-  ["spare-1", "catalogue"],
-  ["spare-2", "catalogue"],
-  ["needy", "catalogue"],
-  ["owner", "stock"],
-];
+function targetsOf(
+  dataCentre: string,
+  service: string,
+  names: readonly string[],
+): FleetLayout["targets"] {
+  return names.map((name) => ({ name, service, dataCentre }));
+}
 
 // Guards against gateways that together send a target more requests than the
 // limit that it names (incident hpjw-library-limit).
@@ -218,7 +232,13 @@
       let fleet: LimitedFleet;
 
       beforeEach(async () => {
-        fleet = new LimitedFleet(gateways, targets);
+        fleet = new LimitedFleet({
+          gateways: Array.from({ length: gateways }, () => "a"),
+          targets: [
+            ...targetsOf("a", "catalogue", ["spare-1", "spare-2", "needy"]),
+            ...targetsOf("a", "stock", ["owner"]),
+          ],
+        });
         await fleet.start();
       });
 
@@ -251,4 +271,22 @@
       });
     });
   }
+
+  describe("which are all that a data centre has", () => {
+    it("leave the other requests to targets elsewhere", async () => {
+      const fleet = new LimitedFleet({
+        gateways: ["a", "a", "a", "b", "b", "b"],
+        targets: [
+          ...targetsOf("a", "catalogue", ["needy-1", "needy-2"]),
+          ...targetsOf("b", "catalogue", ["spare-1", "spare-2", "spare-3"]),
+          ...targetsOf("b", "stock", ["owner"]),
+        ],
+      });
+      await fleet.start();
+      fleet.limited.add("needy-1").add("needy-2");
+      const share = await fleet.sendLoad("lookup", 8000);
+      await fleet.stop();
+      expect(share).toBeGreaterThan(0.95);
+    });
+  });
 });
