--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -1,6 +1,5 @@
 import {
   DepartureKind,
-  hasDeparted,
   RevisionCounter,
   TargetRegistry,
 } from "@kingcupglade/fleet";
@@ -11,7 +10,6 @@
   FleetOutcome,
   FleetState,
   RegisteredTarget,
-  TargetView,
   ViewDelta,
   ViewPosition,
   VmEndpoint,
@@ -25,6 +23,7 @@
 import { LimitDirectory } from "./limit_directory.ts";
 import { ManagerDirectory } from "./manager_directory.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
+import { TargetViews } from "./target_views.ts";
 import { UpdateThrottle, watchHoldMilliseconds } from "./update_throttle.ts";
 import type { Watch, WatchAnswer } from "./watch.ts";
 import { encodeWatchAnswer } from "./watch_codec.ts";
@@ -42,8 +41,6 @@
  * the response.
  */
 const confirmMilliseconds = 700;
-/** Time for which a cold target assigned by an earlier leader may be used. */
-const coldLeaseMilliseconds = 2500;
 
 /** Options of a {@link LeaderSession}. */
 export interface LeaderSessionOptions {
@@ -79,11 +76,11 @@
   #notifiedRevision = 0;
   #notifiedIndex = 0;
   #isNotificationDue = false;
-  #coldGatewayCount = 0;
   #controlAddresses: readonly string[] = [];
   #controlRevision = 0;
   readonly #managers: ManagerDirectory;
   readonly #limits: LimitDirectory;
+  readonly #targetViews: TargetViews;
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
@@ -102,6 +99,14 @@
       registry: this.#registry,
       managers: this.#managers,
     });
+    this.#targetViews = new TargetViews({
+      ...options,
+      registry: this.#registry,
+      revisions: this.#revisions,
+      managers: this.#managers,
+      limits: this.#limits,
+      startedAt: this.#startedAt,
+    });
     this.#ranges = new RangeCoordinator({
       ...options,
       registry: this.#registry,
@@ -211,7 +216,7 @@
     // it.
     if (this.isComplete) this.#managers.choose(now);
     this.#limits.choose(now);
-    this.#updateColdTargets(now);
+    this.#targetViews.update(now);
     this.#updateControlAddresses();
     this.notifyChange();
   }
@@ -324,19 +329,6 @@
     this.#controlRevision = this.#revisions.next();
   }
 
-  // Publishes a new revision if gateways have been chosen for a cold target
-  // after it was published.
-  #updateColdTargets(now: number): void {
-    if (now - this.#startedAt < coldLeaseMilliseconds) return;
-    let count = 0;
-    for (const target of this.#registry.all()) {
-      if (!target.isCold) continue;
-      count += this.#managers.coldGateways(target, now).length;
-    }
-    if (count !== this.#coldGatewayCount) this.#revisions.next();
-    this.#coldGatewayCount = count;
-  }
-
   #hasUpdate(position: ViewPosition): boolean {
     return position.term !== this.term ||
       position.index < this.#options.replica.appliedIndex ||
@@ -394,10 +386,7 @@
       departed: [...state.departures].filter(([, { changedAt }]) =>
         changedAt > position.index
       ).map(([name]) => name),
-      targets: [...this.#registry.all()].filter((target) =>
-        isFullUpdate || target.revision > since ||
-        (target.isCold && now - this.#startedAt >= coldLeaseMilliseconds)
-      ).map((target) => this.#targetView(target, now)),
+      targets: this.#targetViews.changesSince(isFullUpdate ? -1 : since, now),
       areTargetsComplete: isFullUpdate,
       removedTargets: isSameTerm ? this.#registry.removedSince(since) : [],
       ranges: this.#ranges.changesSince(position, { since, now }),
@@ -408,27 +397,4 @@
       control: this.#controlRevision > since ? this.#controlAddresses : null,
     };
   }
-
-  #targetView(target: RegisteredTarget, now: number): TargetView {
-    const { incarnation, service, address, dataCentre, slots } = target;
-    const departure = this.#options.replica.state.departures.get(
-      incarnation.target,
-    );
-    const mayNameGateways = now - this.#startedAt >= coldLeaseMilliseconds;
-    const isCold = target.isCold || target.isUnconfirmed;
-    return {
-      name: incarnation.target,
-      service,
-      address,
-      dataCentre,
-      slots,
-      isLeaving: target.isLeaving || hasDeparted(incarnation, departure),
-      isCold,
-      coldGateways: target.isCold && mayNameGateways
-        ? this.#managers.coldGateways(target, now)
-        : [],
-      maximumPerSecond: target.maximumPerSecond,
-      limitGateways: this.#limits.gatewaysOf(incarnation.target),
-    };
-  }
 }
