Use a target's limit in full, and none while the number of gateways is unknown

A limit counts over seconds and requests to it are spaced, so the named rate itself holds: 4 s have 4 times the limit and 3 from three gateways, where 6 times and 5 are allowed. The margin stays with cold targets, which crash.

A gateway that does not know how many share a limit sends nothing to that target; its first request would otherwise have had no random time of its own once the number is known.

Measured: target_rates_test, slots_test and target_limits_path_test green.

--- a/packages/dispatch/shared_rate_limiter.ts
+++ b/packages/dispatch/shared_rate_limiter.ts
@@ -1,11 +1,10 @@
-/** Share of a rate limit that is used, as a safety margin. */
-const usedShare = 0.85;
+const millisecondsPerSecond = 1000;
 
 /** Limit of one target and the gateways that share it. */
 export interface SharedRate {
   /** Limit for all gateways together, in requests per second. */
   readonly perSecond: number;
-  /** Number of gateways that share the limit equally; Infinity if unknown. */
+  /** Number of gateways that share the limit equally. */
   readonly gateways: number;
 }
 
@@ -33,5 +32,5 @@
 export function intervalMilliseconds(
   { perSecond, gateways }: SharedRate,
 ): number {
-  return 1000 * gateways / (perSecond * usedShare);
+  return millisecondsPerSecond * gateways / perSecond;
 }
--- a/packages/fleet_gateway/target_limits.ts
+++ b/packages/fleet_gateway/target_limits.ts
@@ -134,8 +134,8 @@
 
 /**
  * Returns the number of gateways that share the limit of a target which they
- * choose themselves; 0 if the gateway may not send to it. The manager of a
- * target keeps its limit alone.
+ * choose themselves; 0 if the gateway may not send to it, or does not know how
+ * many share it. The manager of a target keeps its limit alone.
  */
 export function limitSharers(
   table: Pick<GatewayTable, "pools" | "gatewayCount">,
@@ -147,6 +147,6 @@
   if (table.pools.managerOf(target)) return 0;
   const { limitGateways } = target;
   // Until the leader has chosen some gateways, all share the limit.
-  if (limitGateways.length === 0) return table.gatewayCount || Infinity;
+  if (limitGateways.length === 0) return table.gatewayCount;
   return limitGateways.includes(gateway) ? limitGateways.length : 0;
 }
--- a/packages/fleet_gateway/target_rates.ts
+++ b/packages/fleet_gateway/target_rates.ts
@@ -12,6 +12,11 @@
  * targets: a new leader waits longer before it assigns gateways to them.
  */
 const coldLeaseMilliseconds = 2000;
+/**
+ * Share of a cold target's rate that is used, as requests that are sent evenly
+ * may arrive together.
+ */
+const usedColdShare = 0.85;
 /**
  * Requests per second that are sent to a target even if it names a lower limit,
  * as only a response can show that the limit has ended.
@@ -85,7 +90,7 @@
     return service !== undefined && coldGateways.includes(name) &&
       synchronizer.millisecondsSinceContact(now) < coldLeaseMilliseconds &&
       this.#coldLimiter(target.name).allows(now, {
-        perSecond: service.coldPerSecond,
+        perSecond: service.coldPerSecond * usedColdShare,
         gateways: coldGateways.length,
       });
   }
@@ -116,9 +121,7 @@
     const existing = this.#limiters.get(target);
     if (existing) return existing;
     const elapsed = this.#options.random() * intervalMilliseconds(rate);
-    const limiter = new SharedRateLimiter(
-      Number.isFinite(elapsed) ? now - elapsed : now,
-    );
+    const limiter = new SharedRateLimiter(now - elapsed);
     this.#limiters.set(target, limiter);
     return limiter;
   }
