--- a/packages/fleet_gateway/target_rates_test.ts
+++ b/packages/fleet_gateway/target_rates_test.ts
@@ -18,11 +18,13 @@
 };
 const stepMilliseconds = 20;
 
-/** Gateways that always have a request for one target. */
+/** Gateways that want to send to one target all the time. */
 class Fleet {
   perSecond: number | undefined;
   /** Number of gateways that share the limit, by gateway. */
   sharers = (_gateway: number) => 0;
+  /** Gateways with a lower number have requests for the target. */
+  busyGateways = Infinity;
   now = 0;
   readonly sent: number[] = [];
   readonly #gateways: readonly TargetRates[];
@@ -50,7 +52,8 @@
   run(milliseconds: number): void {
     const end = this.now + milliseconds;
     for (; this.now < end; this.now += stepMilliseconds) {
-      for (const gateway of this.#gateways) {
+      for (const [number, gateway] of this.#gateways.entries()) {
+        if (number >= this.busyGateways) break;
         if (!gateway.allows(target, this.now)) continue;
         gateway.record(target, this.now);
         this.sent.push(this.now);
@@ -110,6 +113,19 @@
     expect(fleet.sent).toEqual([]);
   });
 
+  it("uses the limit in its manager's hand, a third of it in equal shares, if three of nine are busy", () => {
+    const sentWith = (sharers: (gateway: number) => number) => {
+      const fleet = new Fleet(9);
+      fleet.perSecond = 3;
+      fleet.busyGateways = 3;
+      fleet.sharers = sharers;
+      fleet.run(60_000);
+      return fleet.sent.length / (60 * 3);
+    };
+    expect(sentWith((gateway) => gateway === 0 ? 1 : 0)).toBeGreaterThan(0.95);
+    expect(sentWith(() => 9)).toBeLessThan(0.36);
+  });
+
   it("sends now and then to a target whose limit is 0, to see it end", () => {
     const fleet = new Fleet(1);
     fleet.perSecond = 0;
--- a/packages/soak/fault_injector.ts
+++ b/packages/soak/fault_injector.ts
@@ -6,6 +6,8 @@
   readonly control: readonly ServerProcess[];
   readonly gateways: readonly ServerProcess[];
   readonly targets: readonly SoakTarget[];
+  /** Called when a process becomes faulty and when it is repaired. */
+  readonly onProcessFault: (name: string, isFaulty: boolean) => void;
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
 }
@@ -55,19 +57,26 @@
     if (selected === undefined) return;
     const { fault, isControl } = selected;
     this.log.push(fault.description);
+    this.#reportFault(selected.subject, true);
     const repaired = delay(
       minimumDurationMilliseconds + random() * durationSpreadMilliseconds,
     ).then(fault.repair).then(() => {
       this.#faultySubjects.delete(selected.subject);
+      this.#reportFault(selected.subject, false);
       if (isControl) this.#isControlFaulty = false;
       this.#pendingRepairs.delete(repaired);
     });
     this.#pendingRepairs.add(repaired);
   }
 
+  #reportFault(subject: ServerProcess | SoakTarget, isFaulty: boolean): void {
+    if ("crash" in subject) return;
+    this.#subjects.onProcessFault(subject.name, isFaulty);
+  }
+
   #selectFault():
     | {
-      readonly subject: unknown;
+      readonly subject: ServerProcess | SoakTarget;
       readonly fault: Fault;
       readonly isControl: boolean;
     }
--- a/packages/soak/invariant_monitor.ts
+++ b/packages/soak/invariant_monitor.ts
@@ -1,3 +1,6 @@
+import { LimitMonitor } from "./limit_monitor.ts";
+import type { NamedLimit } from "./limit_monitor.ts";
+
 /** Statuses that guarantee that a request has not run and never will. */
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -10,6 +13,8 @@
 
 interface ObservedRequest {
   readonly isIdempotent: boolean;
+  /** Address of the gateway that the caller sent it to. */
+  readonly gateway: string;
   executions: number;
   /** Status of the response that the caller received; 0 for none. */
   status: number;
@@ -24,6 +29,7 @@
   readonly violations: string[] = [];
   readonly #requests = new Map<string, ObservedRequest>();
   readonly #holders: PositionHolder[] = [];
+  readonly #limits = new Map<string, LimitMonitor>();
   /** Number of requests that received status 200. */
   servedCount = 0;
 
@@ -32,15 +38,36 @@
     return this.#requests.size;
   }
 
+  /** Adds a target that names a limit in its responses. */
+  addLimit(limit: NamedLimit): void {
+    this.#limits.set(
+      limit.target,
+      new LimitMonitor(limit, (violation) => this.#fail(violation)),
+    );
+  }
+
+  /** Records that a new incarnation of a target starts. */
+  recordStart(target: string): void {
+    this.#limits.get(target)?.restart();
+  }
+
+  /** Records that a gateway, named by its address, becomes faulty or is repaired. */
+  recordFault(gateway: string, isFaulty: boolean): void {
+    for (const limit of this.#limits.values()) {
+      limit.recordFault(gateway, isFaulty, performance.now());
+    }
+  }
+
   /** Adds a target of a keyed service. */
   watch(holder: PositionHolder): void {
     this.#holders.push(holder);
   }
 
   /** Records that a caller sends a request. */
-  recordRequest(id: string, isIdempotent: boolean): void {
+  recordRequest(id: string, isIdempotent: boolean, gateway = ""): void {
     this.#requests.set(id, {
       isIdempotent,
+      gateway,
       executions: 0,
       status: 0,
     });
@@ -50,6 +77,7 @@
   recordExecution(id: string, target: string): void {
     const seen = this.#requests.get(id);
     if (!seen) return this.#fail(`${target} runs ${id}, which no caller sent`);
+    this.#limits.get(target)?.recordArrival(seen.gateway, performance.now());
     seen.executions += 1;
     if (!seen.isIdempotent && seen.executions > 1) {
       this.#fail(
@@ -79,9 +107,19 @@
   /** Records the response that a caller received. */
   recordResponse(
     id: string,
-    response: { readonly status: number; readonly body: string },
+    response: {
+      readonly status: number;
+      readonly body: string;
+      /** Target that named a limit in the response; empty if none did. */
+      readonly limitedTarget?: string;
+    },
   ): void {
     const seen = this.#requests.get(id)!;
+    const { limitedTarget = "" } = response;
+    this.#limits.get(limitedTarget)?.recordResponse(
+      seen.gateway,
+      performance.now(),
+    );
     seen.status = response.status;
     if (response.status === 200) {
       this.servedCount += 1;
--- a/packages/soak/load_generator.ts
+++ b/packages/soak/load_generator.ts
@@ -1,5 +1,5 @@
 import { Agent, request as send } from "node:http";
-import { clientHeaders } from "@kingcupglade/platform";
+import { clientHeaders, namesLimit } from "@kingcupglade/platform";
 import { delay } from "./fault_injector.ts";
 import type { InvariantMonitor } from "./invariant_monitor.ts";
 
@@ -20,6 +20,8 @@
   /** IP:PORT of every gateway. */
   readonly gateways: readonly string[];
   readonly monitor: InvariantMonitor;
+  /** Name of the only target that names a limit. */
+  readonly limitedTarget: string;
   readonly random: () => number;
 }
 
@@ -85,10 +87,10 @@
     gateway: string,
     kind: (typeof requestKinds)[number],
   ): Promise<number> {
-    const { monitor, random } = this.#options;
+    const { monitor, random, limitedTarget } = this.#options;
     const [host, port] = gateway.split(":");
     const id = `r${this.#nextId++}`;
-    monitor.recordRequest(id, kind.isIdempotent);
+    monitor.recordRequest(id, kind.isIdempotent, gateway);
     return new Promise((resolve) => {
       const request = send({
         host,
@@ -111,6 +113,7 @@
           monitor.recordResponse(id, {
             status,
             body: Buffer.concat(chunks).toString(),
+            ...(namesLimit(response.headers) && { limitedTarget }),
           });
           resolve(status);
         });
--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -14,6 +14,9 @@
 const targetsPerService = 3;
 const toleratedLosses = 1;
 const startupTimeoutMilliseconds = 20_000;
+/** Names a limit of requests, far below what it would receive without one. */
+const limitedTarget = "catalogue-0";
+const maximumPerSecond = 3;
 /** Covers an election, the expiry of holds and a heartbeat after the faults. */
 const recoveryMilliseconds = 8000;
 const faultFreeMilliseconds = 2000;
@@ -67,8 +70,9 @@
     const generator = xoroshiro128plus(options.seed);
     this.#random = () => (generator.next() >>> 0) / 2 ** 32;
     this.#loadGenerator = new LoadGenerator({
-      gateways: this.#createAddresses(gatewayVmCount, 11, 8301),
+      gateways: this.#gatewayAddresses,
       monitor: this.#monitor,
+      limitedTarget,
       random: this.#random,
     });
     this.#operator = new Operator({ control: this.#controlAddresses });
@@ -93,6 +97,7 @@
       control: this.#control,
       gateways: this.#gateways,
       targets: this.#targets,
+      onProcessFault: (name, isFaulty) => this.#recordFault(name, isFaulty),
       random: this.#random,
     });
     await faultInjector.run(milliseconds);
@@ -120,6 +125,13 @@
     };
   }
 
+  #recordFault(name: string, isFaulty: boolean): void {
+    const index = this.#gateways.findIndex((each) => each.name === name);
+    if (index >= 0) {
+      this.#monitor.recordFault(this.#gatewayAddresses[index]!, isFaulty);
+    }
+  }
+
   /** Stops callers, operator and targets and kills all processes. */
   async end(): Promise<void> {
     await this.#loadGenerator.stop();
@@ -130,6 +142,10 @@
     );
   }
 
+  get #gatewayAddresses(): readonly string[] {
+    return this.#createAddresses(gatewayVmCount, 11, 8301);
+  }
+
   get #controlAddresses(): readonly string[] {
     return this.#createAddresses(controlVmCount, 1, 8300);
   }
@@ -170,9 +186,11 @@
     }
     for (const [serviceIndex, service] of ["catalogue", "stock"].entries()) {
       for (let index = 0; index < targetsPerService; index += 1) {
+        const name = `${service}-${index}`;
         this.#targets.push(
           new SoakTarget({
-            name: `${service}-${index}`,
+            name,
+            ...(name === limitedTarget && { maximumPerSecond }),
             service,
             isKeyed: service === "stock",
             address: `${this.#options.prefix}.${
--- a/packages/soak/soak_target.ts
+++ b/packages/soak/soak_target.ts
@@ -24,6 +24,8 @@
   /** IP:PORT of every control VM. */
   readonly control: readonly string[];
   readonly monitor: InvariantMonitor;
+  /** Requests per second that it accepts from all gateways; none by default. */
+  readonly maximumPerSecond?: number;
   readonly random: () => number;
 }
 
@@ -47,7 +49,11 @@
   constructor(options: SoakTargetOptions) {
     this.name = options.name;
     this.#options = options;
-    if (options.isKeyed) options.monitor.watch(this);
+    const { monitor, isKeyed, maximumPerSecond } = options;
+    if (isKeyed) monitor.watch(this);
+    if (maximumPerSecond !== undefined) {
+      monitor.addLimit({ target: this.name, perSecond: maximumPerSecond });
+    }
   }
 
   holds(position: number): boolean {
@@ -59,6 +65,7 @@
   async start(): Promise<void> {
     const [ip, port] = this.#options.address.split(":");
     this.#incarnation += 1;
+    this.#options.monitor.recordStart(this.name);
     this.#sequence = 0;
     this.#bornAt = Date.now();
     this.#grants = [];
@@ -85,7 +92,8 @@
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
-    const { isKeyed, monitor, random } = this.#options;
+    const { isKeyed, monitor, random, maximumPerSecond } = this.#options;
+    const limit = maximumPerSecond === undefined ? {} : { maximumPerSecond };
     const { id, target, position } = readWorkerRequest(request.headers);
     const isAccepted = target === this.name &&
       (!isKeyed || this.holds(position));
@@ -97,7 +105,8 @@
     if (isKeyed) monitor.checkOwner(id, { target: this.name, position });
     setTimeout(() => {
       if (random() < this.lostResponseShare) return request.socket.destroy();
-      response.writeHead(200, workerHeaders({ id, didNotRun: false }));
+      const head = { id, didNotRun: false, ...limit };
+      response.writeHead(200, workerHeaders(head));
       response.end(id);
     }, 5 + random() * 40);
   }
