Encode the heartbeats of the path tests with the platform's simulator

The set-up that moved out of fleet_path_test names the platform's fields, which only platform/ may outside of tests; the simulator encodes and decodes them already.

--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -14,11 +14,11 @@
   readonly waiting: number;
 }
 
-/** How the target of a request was chosen. */
+/** What selects the target of a request. */
 export const SendPath = {
-  /** By the manager of its slots. */
+  /** The manager of its slots. */
   granted: "granted",
-  /** By this gateway. */
+  /** This gateway. */
   chosen: "chosen",
 } as const;
 export type SendPath = typeof SendPath[keyof typeof SendPath];
@@ -48,8 +48,8 @@
   }
 
   /**
-   * Logs that the request is sent to a target that names a limit, and how the
-   * target was chosen.
+   * Logs that the request is sent to a target that names a limit, and what
+   * selected the target.
    */
   recordSend(target: TargetView, path: SendPath): void {
     const { clock, limits, logger, metrics } = this.#context;
--- a/packages/kingcupglade/fleet_fixture.ts
+++ b/packages/kingcupglade/fleet_fixture.ts
@@ -1,12 +1,22 @@
 import { createServer, request as send } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
+import type { GrantedRange } from "@kingcupglade/fleet";
+import {
+  decodeHeartbeatResponse,
+  encodeHeartbeat,
+  SimulatorPath,
+} from "@kingcupglade/platform";
 import { startFleetVm } from "./fleet_vm.ts";
 import type { FleetVm } from "./fleet_vm.ts";
 import { parseFleetSettings } from "./settings/read.ts";
 
 const peerPort = 7390;
 const targetPort = 7400;
+/** Slots of each target. */
+const slots = 4;
+/** Start of each target, in Unix milliseconds. */
+const bornAt = 1000;
 
 /** Returns a route of the host `jigs.example`. */
 export function createRoute(name: string, routeType: string, service: string) {
@@ -74,8 +84,6 @@
   response: ServerResponse,
 ) => void;
 
-type HeldRange = readonly [number, number, number, string];
-
 /** Options of a {@link HeartbeatTarget}. */
 export interface HeartbeatTargetOptions {
   readonly name: string;
@@ -94,7 +102,7 @@
   readonly #server: Server;
   #address = "";
   #sequence = 0;
-  #holds: readonly HeldRange[] = [];
+  #holds: readonly GrantedRange[] = [];
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: HeartbeatTargetOptions) {
@@ -117,21 +125,24 @@
     this.#timer = setInterval(() => void this.sendHeartbeat("ready"), 100);
   }
 
-  async sendHeartbeat(state: string): Promise<void> {
+  async sendHeartbeat(state: "ready" | "draining"): Promise<void> {
     const { name, service, dataCentre, control } = this.#options;
-    const path = `/v1/instances/${name}`;
-    const { body } = await callControl(control, "PUT", path, {
-      service,
-      address: this.#address,
-      zone: dataCentre,
-      slots: 4,
-      state,
-      coldRemainingS: 0,
-      sequence: this.#sequence++,
-      born: 1000,
-      holds: this.#holds.map(([from, to, fence]) => [from, to, fence]),
+    const { body } = await sendHttp({
+      address: control,
+      method: "PUT",
+      path: SimulatorPath.worker(name),
+      body: encodeHeartbeat({
+        service,
+        address: this.#address,
+        dataCentre,
+        slots,
+        isDraining: state === "draining",
+        sequence: this.#sequence++,
+        bornAt,
+        holds: this.#holds,
+      }),
     });
-    this.#holds = (body as { holds?: readonly HeldRange[] }).holds ?? [];
+    this.#holds = decodeHeartbeatResponse(String(body))?.grants ?? [];
   }
 
   stop(): void {
