Log which request lost its answer, and whether its target ended

The line now carries the digest of the request's content and what ended the exchange; target-examined tells whether the target refuses connections, which other connections to it remain, and how many other targets ended connections at the same moment. Views of targets carry the start of the incarnation. The digest is computed only when it is needed.

--- a/packages/fleet/view.ts
+++ b/packages/fleet/view.ts
@@ -4,6 +4,8 @@
 /** Target as published to gateways. */
 export interface TargetView {
   readonly name: string;
+  /** Start of its incarnation in Unix milliseconds; 0 if not reported. */
+  readonly bornAt: number;
   readonly service: string;
   /** IP:PORT. */
   readonly address: string;
--- a/packages/fleet_control/target_views.ts
+++ b/packages/fleet_control/target_views.ts
@@ -67,6 +67,7 @@
     const departure = replica.state.departures.get(name);
     return {
       name,
+      bornAt: incarnation.bornAt,
       service,
       address,
       dataCentre,
--- a/packages/fleet_control/watch_codec.ts
+++ b/packages/fleet_control/watch_codec.ts
@@ -17,6 +17,7 @@
   coldGateways: readonly string[],
   maximumPerSecond: number | null,
   limitGateways: readonly string[],
+  bornAt: number,
 ];
 
 type RangeRow = readonly [
@@ -127,14 +128,17 @@
     target.coldGateways,
     target.maximumPerSecond,
     target.limitGateways,
+    target.bornAt,
   ];
 }
 
 function targetView(row: TargetRow): TargetView {
   const [name, service, address, dataCentre, slots, flags, coldGateways] = row;
-  const [, , , , , , , maximumPerSecond, limitGateways] = row;
+  const [, , , , , , , maximumPerSecond, limitGateways, bornAt] = row;
   return {
     name,
+    // A leader of an earlier version sends rows without it.
+    bornAt: bornAt ?? 0,
     service,
     address,
     dataCentre,
--- a/packages/fleet_control/watch_codec_test.ts
+++ b/packages/fleet_control/watch_codec_test.ts
@@ -38,6 +38,7 @@
         coldGateways: at % 40 === 0 ? ["front-1", "front-2"] : [],
         maximumPerSecond: at % 60 === 0 ? 2.2 : null,
         limitGateways: at % 60 === 0 ? ["front-3"] : [],
+        bornAt: 1_790_000_000_000 + at * 137,
       })),
       areTargetsComplete: true,
       removedTargets: [],
--- a/packages/fleet_gateway/caller_wire.ts
+++ b/packages/fleet_gateway/caller_wire.ts
@@ -9,6 +9,8 @@
   readonly deadlineMilliseconds: number | undefined;
   /** Position of the request's key, for a keyed service. */
   readonly position: number | undefined;
+  /** Credentials that the caller presents; empty if it presents none. */
+  readonly caller: string;
 }
 
 /** Fields decoded from the headers of a target's response. */
--- a/packages/fleet_gateway/endless_responses_test.ts
+++ b/packages/fleet_gateway/endless_responses_test.ts
@@ -21,6 +21,7 @@
       requestId: "",
       deadlineMilliseconds: undefined,
       position: undefined,
+      caller: "",
     };
   }
 
@@ -151,7 +152,7 @@
   for (const [name, first, piece] of heads) {
     it(`of ${name} ends the exchange early`, async () => {
       const { result, milliseconds } = await exchange({ first, piece });
-      expect(result).toMatchObject({ kind: "unknown", isTimeout: false });
+      expect(result).toMatchObject({ kind: "unknown", cause: "invalid" });
       expect(milliseconds).toBeLessThan(timeoutMilliseconds / 2);
       expect(target.sentBytes).toBeLessThan(4 * megabyte);
       expect(target.isClosed).toBe(true);
@@ -167,7 +168,7 @@
   it("with an endless body is streamed until the timeout", async () => {
     const stream = new CountingStream(true);
     const { result } = await exchange({ ...body, stream });
-    expect(result).toMatchObject({ kind: "unknown", isTimeout: true });
+    expect(result).toMatchObject({ kind: "unknown", cause: "timeout" });
     expect(stream.bytes).toBeGreaterThan(megabyte);
     expect(stream.hasFailed).toBe(true);
     expect(target.isClosed).toBe(true);
--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import { errors } from "undici";
 import type { Dispatcher } from "undici";
 import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
 import type { TargetConnection } from "./target_connections.ts";
@@ -38,6 +39,19 @@
   fail(): void;
 }
 
+/** Why no valid response to a request was received. */
+export const LossCause = {
+  /** The time of the exchange was up. */
+  timeout: "timeout",
+  /** The target closed or reset the connection. */
+  closed: "closed",
+  /** The received bytes are not a response to the request. */
+  invalid: "invalid",
+  /** The response is no longer needed. */
+  abandoned: "abandoned",
+} as const;
+export type LossCause = typeof LossCause[keyof typeof LossCause];
+
 /** How an exchange ended. */
 export type ExchangeResult =
   | {
@@ -52,7 +66,7 @@
   | {
     readonly kind: "unknown";
     readonly reason: string;
-    readonly isTimeout: boolean;
+    readonly cause: LossCause;
   };
 
 /** Sends one request on one connection and receives the response. */
@@ -89,7 +103,7 @@
     this.#onHead = options.onHead ?? (() => {});
     this.result = new Promise((resolve) => (this.#resolve = resolve));
     this.#timer = setTimeout(
-      () => this.#abort("the time is up", true),
+      () => this.#abort("the time is up", LossCause.timeout),
       options.request.timeoutMilliseconds,
     );
     this.#dispatch();
@@ -102,7 +116,7 @@
 
   /** Aborts the exchange because the response is no longer needed. */
   abandon(): void {
-    this.#abort("the response is no longer needed", false);
+    this.#abort("the response is no longer needed", LossCause.abandoned);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -123,10 +137,16 @@
     if (status < 200) return this.#countInterimResponse();
     const head = this.#wire.readResponse(status, headers);
     if (head.requestId !== this.#request.requestId) {
-      return this.#abort("the response belongs to another request", false);
+      return this.#abort(
+        "the response belongs to another request",
+        LossCause.invalid,
+      );
     }
     if (headers["content-encoding"] !== undefined) {
-      return this.#abort("the response has a content encoding", false);
+      return this.#abort(
+        "the response has a content encoding",
+        LossCause.invalid,
+      );
     }
     this.#head = { ...head, status, headers };
     this.#onHead(this.#head);
@@ -149,11 +169,13 @@
   onResponseEnd(): void {
     if (this.#hasEnded) return;
     const head = this.#head;
-    if (!head) return this.#abort("the response has no head", false);
+    if (!head) {
+      return this.#abort("the response has no head", LossCause.invalid);
+    }
     // A response without a length is complete when its connection ends, unless
     // the connection was reset.
     if (this.#connection.wasReset) {
-      return this.#abort("the connection was reset", false);
+      return this.#abort("the connection was reset", LossCause.closed);
     }
     if (this.#isStreaming) this.#stream.end();
     this.#settle({
@@ -167,7 +189,7 @@
     _controller: Dispatcher.DispatchController,
     failure: Error,
   ): void {
-    this.#fail(failure.message, false);
+    this.#fail(failure.message, causeOf(failure));
   }
 
   #dispatch(): void {
@@ -180,14 +202,17 @@
         body: body as Buffer | null,
       }, this);
     } catch (failure) {
-      this.#fail((failure as Error).message, false);
+      this.#fail((failure as Error).message, LossCause.invalid);
     }
   }
 
   #countInterimResponse(): void {
     this.#interimResponses += 1;
     if (this.#interimResponses <= maximumInterimResponses) return;
-    this.#abort("the target sent too many interim responses", false);
+    this.#abort(
+      "the target sent too many interim responses",
+      LossCause.invalid,
+    );
   }
 
   #streamChunk(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -196,19 +221,19 @@
     this.#stream.onDrain(() => controller.resume());
   }
 
-  #abort(reason: string, isTimeout: boolean): void {
+  #abort(reason: string, cause: LossCause): void {
     if (this.#hasEnded) return;
-    this.#fail(reason, isTimeout);
+    this.#fail(reason, cause);
     this.#controller?.abort(new Error(reason));
     void this.#connection.client.destroy();
   }
 
-  #fail(reason: string, isTimeout: boolean): void {
+  #fail(reason: string, cause: LossCause): void {
     if (this.#hasEnded) return;
     if (this.#isStreaming) this.#stream.fail();
     this.#settle(
       this.#isSent
-        ? { kind: "unknown", reason, isTimeout }
+        ? { kind: "unknown", reason, cause }
         : { kind: "notSent", reason },
     );
   }
@@ -219,3 +244,15 @@
     this.#resolve(result);
   }
 }
+
+/** Codes of socket errors that a target's reset causes. */
+const resetCodes: ReadonlySet<string | undefined> = new Set([
+  "ECONNRESET",
+  "EPIPE",
+]);
+
+function causeOf(failure: Error): LossCause {
+  const isClosed = failure instanceof errors.SocketError ||
+    resetCodes.has((failure as NodeJS.ErrnoException).code);
+  return isClosed ? LossCause.closed : LossCause.invalid;
+}
--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -15,6 +15,7 @@
       requestId: "",
       deadlineMilliseconds: undefined,
       position: undefined,
+      caller: "",
     };
   }
 
@@ -131,6 +132,6 @@
 
   it("ends with an unknown outcome at the timeout", async () => {
     const result = await exchange(() => {}, 100);
-    expect(result).toMatchObject({ kind: "unknown", isTimeout: true });
+    expect(result).toMatchObject({ kind: "unknown", cause: "timeout" });
   });
 });
--- a/packages/fleet_gateway/gateway_table_test.ts
+++ b/packages/fleet_gateway/gateway_table_test.ts
@@ -39,6 +39,7 @@
     coldGateways: [],
     maximumPerSecond: null,
     limitGateways: [],
+    bornAt: 0,
     ...more,
   };
 }
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -11,8 +11,10 @@
   RequestBody,
 } from "@kingcupglade/transport";
 import { CallerResponse } from "./caller_response.ts";
-import type { CallerWire } from "./caller_wire.ts";
+import type { CallerRequestHead, CallerWire } from "./caller_wire.ts";
 import { LoadProber } from "./load_prober.ts";
+import { createRequestDigest } from "./request_digest.ts";
+import type { RequestDigest } from "./request_digest.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import type { SlotMessage } from "./slot_messages.ts";
 import { SlotManager } from "./slot_manager.ts";
@@ -21,6 +23,7 @@
 import { SlotSocket } from "./slot_socket.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
+import { TargetEndDetector } from "./target_end_detector.ts";
 import { limitSharers, TargetLimits } from "./target_limits.ts";
 import { TargetSelector } from "./target_selector.ts";
 
@@ -76,6 +79,7 @@
   readonly #synchronizer: TableSynchronizer;
   readonly #connections: TargetConnections;
   readonly #limits: TargetLimits;
+  readonly #endDetector: TargetEndDetector;
   readonly #loadProber: LoadProber;
   readonly #selector: TargetSelector;
   /** Chooses among the targets whose slots this VM grants. */
@@ -84,6 +88,7 @@
   readonly #slotClient: SlotClient;
   readonly #slotPools: SlotPools;
   #slotSocket!: SlotSocket;
+  #digest!: RequestDigest;
   readonly #housekeepingTimer: NodeJS.Timeout;
   #callersListener!: HttpListener;
   #readinessListener!: HttpListener;
@@ -97,6 +102,10 @@
     this.#peerClients = new PeerClients({ secret });
     this.#connections = new TargetConnections(clock);
     this.#limits = new TargetLimits(options);
+    this.#endDetector = new TargetEndDetector({
+      ...options,
+      connections: this.#connections,
+    });
     this.#loadProber = new LoadProber({
       ...options,
       connections: this.#connections,
@@ -174,6 +183,7 @@
    */
   static async start(options: GatewayVmOptions): Promise<GatewayVm> {
     const vm = new GatewayVm(options);
+    vm.#digest = await createRequestDigest(options.secret);
     vm.#callersListener = await HttpListener.open({
       name: "callers",
       address: options.callersAddress,
@@ -267,6 +277,7 @@
         selector: this.#selector,
         connections: this.#connections,
         limits: this.#limits,
+        endDetector: this.#endDetector,
         loadProber: this.#loadProber,
         pools: this.#slotPools,
         slots: this.#slotClient,
@@ -280,6 +291,7 @@
         service,
         position: table.service(service)?.isKeyed ? head.position : undefined,
         body,
+        digest: this.#digestOf(request, head, body),
         arrivedAt,
         deadlineAt: arrivedAt + Math.min(
           route.timeoutMilliseconds,
@@ -292,6 +304,17 @@
     forwarder.start();
   }
 
+  // Most requests need no digest.
+  #digestOf(
+    { method = "GET", headers, url: path = "/" }: IncomingMessage,
+    { caller }: CallerRequestHead,
+    body: RequestBody,
+  ): () => string {
+    const { host = "" } = headers;
+    let digest: string | undefined;
+    return () => digest ??= this.#digest({ method, host, path, caller, body });
+  }
+
   async #receiveBody(
     request: IncomingMessage,
     callerResponse: CallerResponse,
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -3,7 +3,7 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
 import type { CallerResponse } from "./caller_response.ts";
-import { Exchange } from "./exchange.ts";
+import { Exchange, LossCause } from "./exchange.ts";
 import type { ExchangeResult, ResponseHead } from "./exchange.ts";
 import { endOf, isSuccess, mayHaveRun } from "./exchange_end.ts";
 import { firstResponseStream } from "./first_response_stream.ts";
@@ -252,6 +252,9 @@
       maximumPerSecond: limits.of(target.name)?.perSecond ?? null,
     });
     this.#queue.recordEnd(end === ExchangeEnd.answered ? durations : null);
+    if (result.kind === "unknown" && result.cause === LossCause.closed) {
+      void this.#context.endDetector.examine(target);
+    }
     if (!this.#isFinished) this.#handleResult(result, target);
   }
 
@@ -329,8 +332,10 @@
       case "unknown":
         this.#arrivals += 1;
         this.#mayHaveRun = true;
-        this.#log("outcome-unknown", target, result.reason);
-        if (result.isTimeout) return this.#respond(504, "the time is up");
+        this.#telemetry.recordLoss(target, result);
+        if (result.cause === LossCause.timeout) {
+          return this.#respond(504, "the time is up");
+        }
         if (this.#mayRetry) return this.#retry();
         return this.#respond(502, "the target's answer was lost");
     }
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -1,4 +1,5 @@
 import type { TargetView } from "@kingcupglade/fleet";
+import type { ExchangeResult } from "./exchange.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 
 const millisecondsPerSecond = 1000;
@@ -65,6 +66,25 @@
     });
   }
 
+  /**
+   * Logs that a request was sent and no response was received. All attempts of
+   * callers with the same request have the same digest.
+   */
+  recordLoss(
+    target: TargetView,
+    { reason, cause }: Extract<ExchangeResult, { kind: "unknown" }>,
+  ): void {
+    const { head, service, digest } = this.#routed;
+    this.#context.logger.info("outcome-unknown", {
+      request: head.requestId,
+      digest: digest(),
+      service,
+      target: target.name,
+      cause,
+      reason,
+    });
+  }
+
   /** Logs an event that concerns one target. */
   logTargetEvent(event: string, target: TargetView, reason: string): void {
     const { head, service } = this.#routed;
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -9,6 +9,7 @@
 import type { SlotPools } from "./slot_pools.ts";
 import type { SlotClient } from "./slot_client.ts";
 import type { TargetConnections } from "./target_connections.ts";
+import type { TargetEndDetector } from "./target_end_detector.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetSelector } from "./target_selector.ts";
 
@@ -17,6 +18,7 @@
   readonly selector: TargetSelector;
   readonly connections: TargetConnections;
   readonly limits: TargetLimits;
+  readonly endDetector: TargetEndDetector;
   readonly loadProber: LoadProber;
   readonly pools: SlotPools;
   readonly slots: SlotClient;
@@ -42,6 +44,8 @@
    */
   readonly position: number | undefined;
   readonly body: RequestBody;
+  /** Returns the digest of the request's content. */
+  readonly digest: () => string;
   readonly arrivedAt: number;
   /** Earlier of the caller's deadline and the route's timeout. */
   readonly deadlineAt: number;
--- a/packages/fleet_gateway/slots_test.ts
+++ b/packages/fleet_gateway/slots_test.ts
@@ -39,6 +39,7 @@
     coldGateways: [],
     maximumPerSecond: null,
     limitGateways: [],
+    bornAt: 0,
   };
 }
 
--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -1,4 +1,4 @@
-import { buildConnector, Client } from "undici";
+import { buildConnector, Client, errors } from "undici";
 import type { Clock } from "@kingcupglade/tasks";
 
 /** Time limit for opening a connection to a target. */
@@ -14,11 +14,16 @@
  */
 const maximumFreshIdleMilliseconds = 2500;
 
+/** Time for which lost connections are remembered. */
+const lossRetentionMilliseconds = 1000;
+
 const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
 
 /** One connection to a target. */
 export interface TargetConnection {
   readonly client: Client;
+  /** Whether the connection is established. */
+  isOpen: boolean;
   /** Whether a response was received on this connection before. */
   wasUsed: boolean;
   /** Whether the target sent a reset, which undici reports as a normal end. */
@@ -29,11 +34,19 @@
 /** Connections to one address, each used for one request at a time. */
 class AddressPool {
   readonly #address: string;
+  readonly #onLoss: () => void;
   readonly #idle: TargetConnection[] = [];
-  count = 0;
+  readonly #connections = new Set<TargetConnection>();
 
-  constructor(address: string) {
+  /** @param onLoss is called when the target ends a connection. */
+  constructor(address: string, onLoss: () => void) {
     this.#address = address;
+    this.#onLoss = onLoss;
+  }
+
+  /** Number of established connections. */
+  get openCount(): number {
+    return [...this.#connections].filter(({ isOpen }) => isOpen).length;
   }
 
   /** Returns the connection that was used last, or a new one. */
@@ -59,7 +72,7 @@
   remove(connection: TargetConnection): void {
     const index = this.#idle.indexOf(connection);
     if (index >= 0) this.#idle.splice(index, 1);
-    this.count -= 1;
+    this.#connections.delete(connection);
   }
 
   close(): void {
@@ -83,13 +96,20 @@
     });
     const connection: TargetConnection = {
       client,
+      isOpen: false,
       wasUsed: false,
       wasReset: false,
       idleSince: -Infinity,
     };
-    this.count += 1;
+    this.#connections.add(connection);
+    client.on("connect", () => (connection.isOpen = true));
     // One connection per client: undici must not reopen a lost one by itself.
-    client.on("disconnect", () => {
+    client.on("disconnect", (_origin, _targets, failure) => {
+      // Connections that undici closes by itself end with this error.
+      const isClosedHere = client.destroyed ||
+        failure instanceof errors.InformationalError;
+      if (connection.isOpen && !isClosedHere) this.#onLoss();
+      connection.isOpen = false;
       this.remove(connection);
       void client.destroy();
     });
@@ -100,6 +120,8 @@
 /** Connections of a gateway to all targets. */
 export class TargetConnections {
   readonly #pools = new Map<string, AddressPool>();
+  /** Times at which targets last ended a connection, by address. */
+  readonly #losses = new Map<string, number>();
   readonly #clock: Clock;
 
   constructor(clock: Clock) {
@@ -135,10 +157,28 @@
     for (const pool of this.#pools.values()) pool.close();
   }
 
+  /** Returns the number of established connections to an address. */
+  openCount(address: string): number {
+    return this.#pools.get(address)?.openCount ?? 0;
+  }
+
+  /** Returns how many addresses have ended a connection since a time. */
+  addressesLostSince(since: number): number {
+    return [...this.#losses.values()].filter((at) => at >= since).length;
+  }
+
+  #recordLoss(address: string): void {
+    const now = this.#clock.now();
+    for (const [known, at] of this.#losses) {
+      if (at < now - lossRetentionMilliseconds) this.#losses.delete(known);
+    }
+    this.#losses.set(address, now);
+  }
+
   #poolOf(address: string): AddressPool {
     const existing = this.#pools.get(address);
     if (existing) return existing;
-    const pool = new AddressPool(address);
+    const pool = new AddressPool(address, () => this.#recordLoss(address));
     this.#pools.set(address, pool);
     return pool;
   }
--- a/packages/fleet_gateway/target_rates_test.ts
+++ b/packages/fleet_gateway/target_rates_test.ts
@@ -15,6 +15,7 @@
   coldGateways: [],
   maximumPerSecond: null,
   limitGateways: [],
+  bornAt: 0,
 };
 const stepMilliseconds = 20;
 
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -14,6 +14,8 @@
   readonly hedges: Counter;
   /** Requests sent to targets that name a limit, by how they were chosen. */
   readonly limitedRequests: Counter<"path">;
+  /** Targets that closed a connection, by what is known of them. */
+  readonly targetEnds: Counter<"result">;
   /** Credit messages sent by this VM, by kind. */
   readonly creditMessages: Counter<"kind">;
   /** Bytes of requests and responses over links between regions, by tenant. */
@@ -91,6 +93,12 @@
       labelNames: ["path"],
       registers,
     }),
+    targetEnds: new Counter({
+      name: "kingcupglade_target_ends_total",
+      help: "Targets that closed a connection without a response",
+      labelNames: ["result"],
+      registers,
+    }),
     creditMessages: new Counter({
       name: "kingcupglade_credit_messages_total",
       help: "Messages about credits sent to other VMs",
--- a/packages/transport/body.ts
+++ b/packages/transport/body.ts
@@ -41,17 +41,21 @@
   readonly streamedLength: number | undefined;
   readonly #buffer: Buffer | undefined;
   readonly #source: AsyncIterable<Buffer> | undefined;
+  readonly #firstBytes: Buffer;
   #isStreamOpened = false;
 
   protected constructor(
     content: {
       readonly buffer?: Buffer;
       readonly source?: AsyncIterable<Buffer>;
+      /** First bytes of the source. */
+      readonly firstBytes?: Buffer;
       readonly length?: number | undefined;
     },
   ) {
     this.#buffer = content.buffer;
     this.#source = content.source;
+    this.#firstBytes = content.buffer ?? content.firstBytes ?? emptyBuffer;
     this.streamedLength = content.length;
   }
 
@@ -80,8 +84,13 @@
       chunks,
       maximumBufferedBytes,
     );
-    if (ended) return new RequestBody({ buffer: Buffer.concat(first) });
-    return new RequestBody({ source: chainChunks(first, chunks), length });
+    const firstBytes = Buffer.concat(first);
+    if (ended) return new RequestBody({ buffer: firstBytes });
+    return new RequestBody({
+      source: chainChunks([firstBytes], chunks),
+      firstBytes,
+      length,
+    });
   }
 
   /** The complete body, if it is buffered. */
@@ -89,6 +98,11 @@
     return this.#buffer;
   }
 
+  /** The complete body if it is buffered, or else its first bytes. */
+  get firstBytes(): Buffer {
+    return this.#firstBytes;
+  }
+
   /** Length in bytes; 0 for a streamed body without a declared length. */
   get length(): number {
     return this.#buffer?.length ?? this.streamedLength ?? 0;
