Stop handing a request that ends its targets to one target after the other

Cause: nothing remembered a request beyond its attempt, so that repeats, hedges and the next caller's attempt took it to the next target. The class: a fault is booked to the target alone, although the request may be its cause.

A lost connection is now examined: a target ended if it refuses connections, has closed all others, and fewer than three targets ended at once. What ran there is a suspect, known to the leader at once and to all gateways with the next update. A suspect runs at one target at a time over all gateways, without hedge or second attempt; any run that ends clears it. After two ends it is attempted without other suspects of the service, and after a third such end it is refused with 503 for two minutes, twice as long each time. Without the leader each gateway does so by itself; a new leader learns what all gateways know.

--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -11,11 +11,15 @@
   GrantedRange,
   HeldRange,
 } from "./announcement.ts";
+export { CrashSuspects, Standing } from "./crash_suspects.ts";
+export type { CrashSuspect, ObservedEnd } from "./crash_suspects.ts";
 export { emptyFleetState, FleetMachine } from "./fleet_machine.ts";
 export { KeyDemand } from "./key_demand.ts";
 export type { PositionDemand, TargetDuration } from "./key_demand.ts";
 export { chooseManagers, PoolMap, rankByHash } from "./pools.ts";
 export type { VmEndpoint } from "./pools.ts";
+export { SuspectAttempts } from "./suspect_attempts.ts";
+export type { AttemptRequest } from "./suspect_attempts.ts";
 export { TargetSpeeds } from "./target_speeds.ts";
 export { isSameIncarnation, RangeAssigner } from "./range_assigner.ts";
 export type { RangeAssignerOptions, RangeCandidate } from "./range_assigner.ts";
--- a/packages/fleet/view.ts
+++ b/packages/fleet/view.ts
@@ -1,4 +1,5 @@
 import type { StoredItem } from "@kingcupglade/items";
+import type { CrashSuspect } from "./crash_suspects.ts";
 import type { VmEndpoint } from "./pools.ts";
 
 /** Target as published to gateways. */
@@ -79,6 +80,10 @@
    * enough to know.
    */
   readonly gateways: number;
+  /**
+   * All requests whose runs may have ended targets; null if unchanged.
+   */
+  readonly suspects: readonly CrashSuspect[] | null;
   /** Gateways that allocate the slots of targets; null if unchanged. */
   readonly managers: readonly VmEndpoint[] | null;
   /** Peer addresses of the control VMs; null if unchanged. */
--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -20,10 +20,12 @@
 import type { Greeting } from "./greeting.ts";
 import { LeaderSession } from "./leader_session.ts";
 import type { FleetReplica } from "./leader_session.ts";
+import { packValue, unpackValue } from "./packed_value.ts";
 import { PeerClients } from "./peer_clients.ts";
 import { greetIntervalMilliseconds, PeerDiscovery } from "./peer_discovery.ts";
 import { planMembers } from "./plan_members.ts";
 import { readMessages, ReplicaLinks } from "./replica_links.ts";
+import type { SuspectCall, SuspectReply } from "./suspect_call.ts";
 import type { Watch, WatchAnswer } from "./watch.ts";
 import { decodeWatch, encodeWatchAnswer } from "./watch_codec.ts";
 
@@ -189,6 +191,8 @@
       watch: async ({ watch }) => ({
         answer: await this.#watch(decodeWatch(watch)),
       }),
+      suspect: ({ call }) =>
+        Promise.resolve({ reply: packValue(this.#handleSuspectCall(call)) }),
       relay: async ({ call }) => ({
         result: await this.#externalCalls.serveRelayed(call),
       }),
@@ -225,6 +229,12 @@
       : encodeWatchAnswer(this.#redirect);
   }
 
+  #handleSuspectCall(call: Uint8Array): SuspectReply {
+    const session = this.#session;
+    if (!session || !this.isLeading) return { kind: "elsewhere" };
+    return session.handleSuspectCall(unpackValue<SuspectCall>(call));
+  }
+
   get #redirect(): WatchAnswer {
     const leader = this.leaderAddress;
     return {
--- a/packages/fleet_control/gateway_directory_test.ts
+++ b/packages/fleet_control/gateway_directory_test.ts
@@ -31,6 +31,7 @@
       demand: [],
       durations: [],
       limits: [],
+      suspects: [],
     }, 0);
   }
   return directory;
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -23,6 +23,8 @@
 import { LimitDirectory } from "./limit_directory.ts";
 import { ManagerDirectory } from "./manager_directory.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
+import type { SuspectCall, SuspectReply } from "./suspect_call.ts";
+import { SuspectDirectory } from "./suspect_directory.ts";
 import { TargetViews } from "./target_views.ts";
 import { UpdateThrottle, watchHoldMilliseconds } from "./update_throttle.ts";
 import type { Watch, WatchAnswer } from "./watch.ts";
@@ -80,6 +82,7 @@
   #controlRevision = 0;
   readonly #managers: ManagerDirectory;
   readonly #limits: LimitDirectory;
+  readonly #suspects: SuspectDirectory;
   readonly #targetViews: TargetViews;
 
   constructor(options: LeaderSessionOptions) {
@@ -99,6 +102,10 @@
       registry: this.#registry,
       managers: this.#managers,
     });
+    this.#suspects = new SuspectDirectory({
+      ...options,
+      revisions: this.#revisions,
+    });
     this.#targetViews = new TargetViews({
       ...options,
       registry: this.#registry,
@@ -194,7 +201,8 @@
     this.#gateways.record(watch, now);
     this.#ranges.recordWatch(watch, now);
     this.#limits.recordWatch(watch, now);
-    if (watch.limits.length > 0) this.notifyChange();
+    this.#suspects.recordWatch(watch);
+    if (watch.limits.length + watch.suspects.length > 0) this.notifyChange();
     const hasUpdate = this.#hasUpdate(watch.position);
     // A gateway that has just been updated receives later changes together with
     // the other gateways.
@@ -206,6 +214,13 @@
     return this.#encodedDelta(watch.position);
   }
 
+  /** Handles a gateway's call about a request whose runs may end targets. */
+  handleSuspectCall(call: SuspectCall): SuspectReply {
+    const reply = this.#suspects.handle(call);
+    this.notifyChange();
+    return reply;
+  }
+
   /** Makes the decisions that are due; called periodically. */
   tick(): void {
     const { clock } = this.#options;
@@ -216,6 +231,7 @@
     // it.
     if (this.isComplete) this.#managers.choose(now);
     this.#limits.choose(now);
+    this.#suspects.tick();
     this.#targetViews.update(now);
     this.#updateControlAddresses();
     this.notifyChange();
@@ -394,6 +410,7 @@
       managers: isComplete && (isFullUpdate || this.#managers.revision > since)
         ? this.#managers.managers
         : null,
+      suspects: this.#suspects.revision > since ? this.#suspects.all() : null,
       control: this.#controlRevision > since ? this.#controlAddresses : null,
     };
   }
--- a/packages/fleet_control/mod.ts
+++ b/packages/fleet_control/mod.ts
@@ -14,7 +14,9 @@
   ExternalResult,
 } from "./control_wire.ts";
 export { peerAddressOf } from "./peer_discovery.ts";
+export { packValue, unpackValue } from "./packed_value.ts";
 export { PeerClients } from "./peer_clients.ts";
+export type { SuspectCall, SuspectReply } from "./suspect_call.ts";
 export {
   decodeWatch,
   decodeWatchAnswer,
--- a/packages/fleet_control/watch.ts
+++ b/packages/fleet_control/watch.ts
@@ -1,4 +1,5 @@
 import type {
+  CrashSuspect,
   PositionDemand,
   TargetDuration,
   TargetLimitReport,
@@ -24,6 +25,8 @@
   readonly durations: readonly TargetDuration[];
   /** Limits of targets that changed since the previous watch request. */
   readonly limits: readonly TargetLimitReport[];
+  /** Requests whose runs may end targets, for a new leader. */
+  readonly suspects: readonly CrashSuspect[];
 }
 
 /** Response to a watch request. */
--- a/packages/fleet_control/watch_codec.ts
+++ b/packages/fleet_control/watch_codec.ts
@@ -50,9 +50,9 @@
   const { demand, ...rest } = unpackValue<
     Omit<Watch, "demand"> & { readonly demand: readonly DemandGroup[] }
   >(bytes);
-  // A gateway of an earlier version reports no limits.
-  const { limits = [] } = rest as Partial<Watch>;
-  return { ...rest, limits, demand: demand.flatMap(demandRows) };
+  // A gateway of an earlier version reports no limits and suspects.
+  const { limits = [], suspects = [] } = rest as Partial<Watch>;
+  return { ...rest, limits, suspects, demand: demand.flatMap(demandRows) };
 }
 
 /** Encodes the response to a watch request. */
@@ -89,6 +89,8 @@
     kind: answer.kind,
     delta: {
       ...answer.delta,
+      // A leader of an earlier version sends no suspects.
+      suspects: answer.delta.suspects ?? null,
       targets: answer.targets.map(targetView),
       ranges: answer.ranges.flatMap(([service, rows]) =>
         rows.map((row) => rangeView(service, row))
--- a/packages/fleet_control/watch_codec_test.ts
+++ b/packages/fleet_control/watch_codec_test.ts
@@ -56,6 +56,7 @@
         address: "10.1.0.9:7720",
         dataCentre: "hsinchu-a",
       }],
+      suspects: null,
       control: ["10.1.0.1:7720"],
     },
   };
@@ -88,6 +89,7 @@
         { service: "b", position: 3, count: 7 },
       ],
       durations: [{ target: "i-1", milliseconds: 310 }],
+      suspects: [],
       limits: [
         { target: "i-1", perSecond: 2.2 },
         { target: "i-2", perSecond: null },
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -1,6 +1,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { TargetView } from "@kingcupglade/fleet";
-import { peerAddressOf, PeerClients } from "@kingcupglade/fleet_control";
+import {
+  packValue,
+  peerAddressOf,
+  PeerClients,
+  unpackValue,
+} from "@kingcupglade/fleet_control";
+import type { SuspectCall, SuspectReply } from "@kingcupglade/fleet_control";
+import { Fleet } from "@kingcupglade/protocol";
 import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
@@ -17,6 +24,7 @@
 import type { RequestDigest } from "./request_digest.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import type { SlotMessage } from "./slot_messages.ts";
+import { SuspectGate } from "./suspect_gate.ts";
 import { SlotManager } from "./slot_manager.ts";
 import { SlotPools } from "./slot_pools.ts";
 import { SlotClient } from "./slot_client.ts";
@@ -45,6 +53,18 @@
 const idleMarginMilliseconds = 1500;
 const housekeepingIntervalMilliseconds = 1000;
 
+/** A leader in another region responds well within this time. */
+const leaderCallTimeoutMilliseconds = 300;
+
+/** No control leader is known. */
+class ControlUnavailableError extends Error {
+  override readonly name = "ControlUnavailableError";
+
+  constructor() {
+    super("no control leader is known");
+  }
+}
+
 /** Options of {@link GatewayVm.start}. */
 export interface GatewayVmOptions {
   readonly name: string;
@@ -79,7 +99,7 @@
   readonly #synchronizer: TableSynchronizer;
   readonly #connections: TargetConnections;
   readonly #limits: TargetLimits;
-  readonly #endDetector: TargetEndDetector;
+  readonly #suspects: SuspectGate;
   readonly #loadProber: LoadProber;
   readonly #selector: TargetSelector;
   /** Chooses among the targets whose slots this VM grants. */
@@ -102,9 +122,15 @@
     this.#peerClients = new PeerClients({ secret });
     this.#connections = new TargetConnections(clock);
     this.#limits = new TargetLimits(options);
-    this.#endDetector = new TargetEndDetector({
+    this.#suspects = new SuspectGate({
       ...options,
-      connections: this.#connections,
+      call: (call) => this.#callLeader(call),
+      endDetector: new TargetEndDetector({
+        ...options,
+        connections: this.#connections,
+      }),
+      attemptMilliseconds: (service) =>
+        this.#selector.service(service).meanMilliseconds,
     });
     this.#loadProber = new LoadProber({
       ...options,
@@ -125,6 +151,9 @@
       takeDurations: (isNewLeader) =>
         this.#durationReporter.takeDurations(isNewLeader),
       takeLimits: (isNewLeader) => this.#limits.takeReports(isNewLeader),
+      suspects: () => this.#suspects.all(),
+      onSuspects: (suspects, term) =>
+        this.#suspects.applyPublished(suspects, term),
       clients: this.#peerClients,
       clock,
       logger,
@@ -277,7 +306,7 @@
         selector: this.#selector,
         connections: this.#connections,
         limits: this.#limits,
-        endDetector: this.#endDetector,
+        suspects: this.#suspects,
         loadProber: this.#loadProber,
         pools: this.#slotPools,
         slots: this.#slotClient,
@@ -340,6 +369,17 @@
     return pools.managerOf(target)?.name === this.#options.name;
   }
 
+  /** @throws {ControlUnavailableError} while no leader is known. */
+  async #callLeader(call: SuspectCall): Promise<SuspectReply> {
+    const { leader } = this.#synchronizer;
+    if (leader === null) throw new ControlUnavailableError();
+    const { reply } = await this.#peerClients.client(leader, Fleet).suspect(
+      { call: packValue(call) },
+      { timeoutMs: leaderCallTimeoutMilliseconds },
+    );
+    return unpackValue(reply);
+  }
+
   // Durations are reported by the selector that chooses the targets.
   get #durationReporter(): TargetSelector {
     const isManaged = !this.#synchronizer.table.pools.isEmpty;
@@ -360,6 +400,7 @@
   #doHousekeeping(): void {
     const { table } = this.#synchronizer;
     this.#slotManager.releaseExpired();
+    this.#suspects.expire();
     const { limits } = table;
     if (limits) {
       this.#callersListener.setTimeouts({
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -15,6 +15,7 @@
 import { requestHeaders } from "./request_headers.ts";
 import type { ServiceQueue } from "./service_queue.ts";
 import type { SlotTicket } from "./slot_client.ts";
+import type { SuspectAttempt } from "./suspect_gate.ts";
 
 /** Status of a target that is not the expected one or does not hold the key. */
 const misdirectedStatus = 421;
@@ -58,6 +59,12 @@
   #waiting: WaitingRequest | undefined;
   readonly #slotAcquisition: SlotAcquisition;
   readonly #telemetry: RequestTelemetry;
+  /** Permission to send the request although it is a suspect. */
+  #attempt: SuspectAttempt | undefined;
+  /** Whether it was sent with such a permission. */
+  #wasAttempted = false;
+  /** Ends the wait for permission. */
+  #endWait: () => void = () => {};
   #isFinished = false;
 
   constructor(options: {
@@ -90,7 +97,7 @@
     if (position !== undefined) {
       this.#context.selector.recordDemand(service, position);
     }
-    this.#dispatch();
+    this.#begin();
   }
 
   /** Stops forwarding because the caller has disconnected. */
@@ -99,6 +106,24 @@
     this.#finish();
   }
 
+  // A request that may end its target waits until it may be attempted.
+  #begin(): void {
+    const { suspects } = this.#context;
+    if (this.#attempt || !suspects.isSuspect(this.#routed)) {
+      return this.#dispatch();
+    }
+    this.#endWait = suspects.requestAttempt(this.#routed, {
+      granted: (attempt) => {
+        this.#attempt = attempt;
+        this.#telemetry.recordAttempt();
+        this.#dispatch();
+      },
+      cleared: () => this.#dispatch(),
+      quarantined: (milliseconds) => this.#refuseQuarantined(milliseconds),
+      late: () => this.#refuse("an attempt of the same request is running", 0),
+    });
+  }
+
   // Requests that already wait go first, unless they wait for other targets.
   #dispatch(): void {
     if (this.#queue.waitingCount === 0 && this.#tryStart()) return;
@@ -172,7 +197,12 @@
     record: TargetRecord,
     ticket?: SlotTicket,
   ): Promise<void> {
-    const { clock, connections, limits, wire } = this.#context;
+    const { clock, connections, limits, suspects, wire } = this.#context;
+    // It may have become a suspect while it waited for a target.
+    if (!this.#attempt && suspects.isSuspect(this.#routed)) {
+      ticket?.end(null);
+      return this.#begin();
+    }
     const { request, route, body, deadlineAt } = this.#routed;
     const { requestId } = this.#routed.head;
     const startedAt = clock.now();
@@ -252,20 +282,39 @@
       maximumPerSecond: limits.of(target.name)?.perSecond ?? null,
     });
     this.#queue.recordEnd(end === ExchangeEnd.answered ? durations : null);
-    if (result.kind === "unknown" && result.cause === LossCause.closed) {
-      void this.#context.endDetector.examine(target);
+    const examination = this.#examine(result, target);
+    if (!this.#isFinished) this.#handleResult(result, target, examination);
+  }
+
+  /**
+   * Finds out whether a target that closed its connection has ended; undefined
+   * for every other result.
+   */
+  #examine(
+    result: ExchangeResult,
+    target: TargetView,
+  ): Promise<boolean> | undefined {
+    const { suspects } = this.#context;
+    if (result.kind === "answered" && !result.head.didNotRun) {
+      suspects.recordRun(this.#routed);
+      this.#attempt = undefined;
     }
-    if (!this.#isFinished) this.#handleResult(result, target);
+    if (result.kind !== "unknown" || result.cause !== LossCause.closed) {
+      return undefined;
+    }
+    const attempt = this.#attempt;
+    this.#attempt = undefined;
+    this.#wasAttempted ||= attempt !== undefined;
+    return suspects.examine(target, this.#routed, attempt);
   }
 
   // When a response is overdue, an idle target in the region may respond
   // sooner.
   #scheduleHedge(): void {
-    const { route, position } = this.#routed;
+    const { position } = this.#routed;
     const { clock } = this.#context;
     if (
-      route.requests !== RequestKind.idempotent ||
-      position !== undefined || this.#hedgeTimer
+      !this.#isIdempotent || position !== undefined || this.#hedgeTimer
     ) return;
     const delay = hedgeDelay({
       meanMilliseconds: this.#queue.meanMilliseconds,
@@ -277,6 +326,7 @@
   #hedge(): void {
     const { clock, selector } = this.#context;
     if (this.#isFinished || this.#exchanges.size !== 1) return;
+    if (this.#context.suspects.isSuspect(this.#routed)) return;
     const now = clock.now();
     if (now + this.#queue.meanMilliseconds / 2 > this.#routed.deadlineAt) {
       return;
@@ -286,7 +336,9 @@
     const isRequested = this.#slotAcquisition.requestHedgeSlot({
       tried: this.#tried,
       granted: (target, ticket) => {
-        if (this.#exchanges.size !== 1 || !this.#mayTryElsewhere) {
+        const mayHedge = this.#exchanges.size === 1 &&
+          !this.#context.suspects.isSuspect(this.#routed);
+        if (!mayHedge || !this.#mayTryElsewhere) {
           return ticket.end(null);
         }
         this.#sendHedge(target, selector.record(target.name), ticket);
@@ -312,7 +364,11 @@
     void this.#send(target, record, ticket);
   }
 
-  #handleResult(result: ExchangeResult, target: TargetView): void {
+  #handleResult(
+    result: ExchangeResult,
+    target: TargetView,
+    examination: Promise<boolean> | undefined,
+  ): void {
     if (this.#exchanges.size > 0 && !isSuccess(result)) {
       // The other target may still respond.
       if (result.kind !== "notSent") this.#arrivals += 1;
@@ -336,11 +392,29 @@
         if (result.cause === LossCause.timeout) {
           return this.#respond(504, "the time is up");
         }
-        if (this.#mayRetry) return this.#retry();
-        return this.#respond(502, "the target's answer was lost");
+        if (this.#isIdempotent && examination) {
+          return void examination.then((hasEnded) =>
+            this.#handleExamination(hasEnded)
+          );
+        }
+        return this.#retryLostResponse();
     }
   }
 
+  // A request that ended the target of its own attempt is not attempted again.
+  #handleExamination(hasEnded: boolean): void {
+    if (this.#isFinished) return;
+    if (hasEnded && this.#wasAttempted) {
+      return this.#respond(502, "the request ended its target");
+    }
+    this.#retryLostResponse();
+  }
+
+  #retryLostResponse(): void {
+    if (this.#mayRetry) return this.#retry();
+    this.#respond(502, "the target's answer was lost");
+  }
+
   #handleResponse(
     result: Extract<ExchangeResult, { kind: "answered" }>,
     target: TargetView,
@@ -381,8 +455,11 @@
 
   /** Whether the request may run a second time. */
   get #mayRetry(): boolean {
-    return this.#routed.route.requests === RequestKind.idempotent &&
-      this.#mayTryElsewhere;
+    return this.#isIdempotent && this.#mayTryElsewhere;
+  }
+
+  get #isIdempotent(): boolean {
+    return this.#routed.route.requests === RequestKind.idempotent;
   }
 
   // Whether the route and the shared retry budget allow one more arrival, which
@@ -405,7 +482,7 @@
     });
     // A keyed request can only be sent to the owner.
     if (this.#routed.position !== undefined) this.#tried.clear();
-    this.#dispatch();
+    this.#begin();
   }
 
   #refuse(reason: string, waitMilliseconds: number): void {
@@ -431,6 +508,17 @@
     );
   }
 
+  // The wait is not limited to the caller's deadline, as returning sooner is of
+  // no use.
+  #refuseQuarantined(milliseconds: number): void {
+    if (this.#isFinished) return;
+    const reason = "the request ends its targets";
+    if (this.#mayHaveRun || this.#exchanges.size > 0) {
+      return this.#respond(502, reason);
+    }
+    this.#respond(503, reason, milliseconds);
+  }
+
   #respond(
     status: number,
     reason: string,
@@ -454,6 +542,9 @@
   #finish(): void {
     this.#isFinished = true;
     clearTimeout(this.#hedgeTimer);
+    this.#endWait();
+    this.#attempt?.release();
+    this.#attempt = undefined;
     if (this.#waiting) this.#queue.remove(this.#waiting);
     this.#slotAcquisition.close();
     for (const exchange of this.#exchanges) exchange.abandon();
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -85,6 +85,16 @@
     });
   }
 
+  /** Logs that the request may be sent although its runs may end targets. */
+  recordAttempt(): void {
+    const { head, service, digest } = this.#routed;
+    this.#context.logger.info("suspect-sent", {
+      request: head.requestId,
+      digest: digest(),
+      service,
+    });
+  }
+
   /** Logs an event that concerns one target. */
   logTargetEvent(event: string, target: TargetView, reason: string): void {
     const { head, service } = this.#routed;
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -8,8 +8,8 @@
 import type { LoadProber } from "./load_prober.ts";
 import type { SlotPools } from "./slot_pools.ts";
 import type { SlotClient } from "./slot_client.ts";
+import type { SuspectGate } from "./suspect_gate.ts";
 import type { TargetConnections } from "./target_connections.ts";
-import type { TargetEndDetector } from "./target_end_detector.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetSelector } from "./target_selector.ts";
 
@@ -18,7 +18,7 @@
   readonly selector: TargetSelector;
   readonly connections: TargetConnections;
   readonly limits: TargetLimits;
-  readonly endDetector: TargetEndDetector;
+  readonly suspects: SuspectGate;
   readonly loadProber: LoadProber;
   readonly pools: SlotPools;
   readonly slots: SlotClient;
--- a/packages/fleet_gateway/slots_test.ts
+++ b/packages/fleet_gateway/slots_test.ts
@@ -79,6 +79,7 @@
     ranges: [],
     gateways: 100,
     managers: [],
+    suspects: null,
     control: null,
   };
   table.apply(delta);
--- a/packages/fleet_gateway/table_synchronizer.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -1,5 +1,6 @@
 import { setTimeout as pause } from "node:timers/promises";
 import type {
+  CrashSuspect,
   PositionDemand,
   TargetDuration,
   TargetLimitReport,
@@ -40,6 +41,13 @@
   readonly takeDurations: (isNewLeader: boolean) => readonly TargetDuration[];
   /** Returns the limits of targets not reported to the leader; all for a new one. */
   readonly takeLimits: (isNewLeader: boolean) => readonly TargetLimitReport[];
+  /** Returns the suspects known to this gateway. */
+  readonly suspects: () => readonly CrashSuspect[];
+  /** Called with all suspects that a leader of the term knows. */
+  readonly onSuspects: (
+    suspects: readonly CrashSuspect[],
+    term: number,
+  ) => void;
   /** Peer addresses of control VMs that are queried for the leader first. */
   readonly seeds: readonly string[];
   readonly clients: PeerClients;
@@ -76,6 +84,11 @@
     void this.#run();
   }
 
+  /** Peer address of the leader; null while it is unknown. */
+  get leader(): string | null {
+    return this.#leader;
+  }
+
   /** Returns the milliseconds since the last contact with the leader. */
   millisecondsSinceContact(now: number): number {
     return now - this.#lastContactAt;
@@ -187,6 +200,7 @@
       demand: isSearch ? [] : takeDemand(),
       durations: isSearch ? [] : takeDurations(isNewLeader),
       limits: isSearch ? [] : takeLimits(isNewLeader),
+      suspects: !isSearch && isNewLeader ? this.#options.suspects() : [],
     };
     const sentAt = clock.now();
     const { answer } = await clients.client(address, Fleet).watch(
@@ -219,6 +233,8 @@
         term: this.table.position.term,
       });
     }
+    const { suspects, position } = update.delta;
+    if (suspects) this.#options.onSuspects(suspects, position.term);
     this.#options.onChange();
   }
 
--- a/packages/fleet_gateway/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table_synchronizer_test.ts
@@ -69,6 +69,7 @@
       ranges: [],
       gateways: 1,
       managers: null,
+      suspects: null,
       control: null,
     },
   };
@@ -92,6 +93,8 @@
       takeDemand: () => [],
       takeDurations: () => [],
       takeLimits: () => [],
+      suspects: () => [],
+      onSuspects: () => {},
       clients,
       clock: new MonotonicClock(),
       logger: silentLogger,
--- a/packages/fleet_gateway/target_end_detector.ts
+++ b/packages/fleet_gateway/target_end_detector.ts
@@ -1,4 +1,5 @@
 import { connect } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
 import type { TargetView } from "@kingcupglade/fleet";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
@@ -14,6 +15,9 @@
  * or a rack or data centre was lost: no request is the cause.
  */
 const minimumCommonLosses = 3;
+/** Connections of a process that ended are closed within this time. */
+const closeMilliseconds = 60;
+const closePollMilliseconds = 5;
 /** Ended incarnations that are remembered. */
 const maximumRemembered = 1000;
 
@@ -79,7 +83,9 @@
     const { connections, clock, logger, metrics } = this.#options;
     const startedAt = clock.now();
     const connection = await tryConnect(target.address);
-    const open = connections.openCount(target.address);
+    const open = connection === Connection.refused
+      ? await this.#waitUntilClosed(target.address)
+      : connections.openCount(target.address);
     const lostTargets = connections.addressesLostSince(
       startedAt - commonCauseMilliseconds,
     );
@@ -98,6 +104,17 @@
     });
     return result;
   }
+
+  // The ends of the other connections may not have been read yet.
+  async #waitUntilClosed(address: string): Promise<number> {
+    const { connections, clock } = this.#options;
+    const until = clock.now() + closeMilliseconds;
+    for (;;) {
+      const open = connections.openCount(address);
+      if (open === 0 || clock.now() >= until) return open;
+      await pause(closePollMilliseconds);
+    }
+  }
 }
 
 /** Returns the ID of a target's incarnation. */
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -16,6 +16,8 @@
   readonly limitedRequests: Counter<"path">;
   /** Targets that closed a connection, by what is known of them. */
   readonly targetEnds: Counter<"result">;
+  /** Decisions on requests whose runs may end targets. */
+  readonly suspects: Counter<"decision">;
   /** Credit messages sent by this VM, by kind. */
   readonly creditMessages: Counter<"kind">;
   /** Bytes of requests and responses over links between regions, by tenant. */
@@ -99,6 +101,12 @@
       labelNames: ["result"],
       registers,
     }),
+    suspects: new Counter({
+      name: "kingcupglade_suspects_total",
+      help: "Decisions on requests whose runs may end targets",
+      labelNames: ["decision"],
+      registers,
+    }),
     creditMessages: new Counter({
       name: "kingcupglade_credit_messages_total",
       help: "Messages about credits sent to other VMs",
