Send a further attempt at the same target over a new connection

What callers could see: a reservation answered 503 'not run' that had run, even twice. Cause: a request that a target refused may be sent to it again with the same id over the same connection; a target that writes its refusal once more is then believed, as the id matches. The class: an id of the request where an id of the attempt is needed. A further attempt at an address uses a connection that carried no request, on which no earlier response can arrive.

--- a/packages/fleet_gateway/endless_responses_test.ts
+++ b/packages/fleet_gateway/endless_responses_test.ts
@@ -126,7 +126,7 @@
     const address = await target.start();
     const startedAt = performance.now();
     const result = await new Exchange({
-      connection: connections.acquire(address, false),
+      connection: connections.acquire(address, { mustBeFresh: false }),
       wire: new PlainWire(),
       stream: options.stream ?? new CountingStream(true),
       request: {
@@ -239,7 +239,9 @@
       } as never,
     });
     expect(loads).toEqual([undefined]);
-    expect(connections.acquire(address, false).wasUsed).toBe(false);
+    expect(connections.acquire(address, { mustBeFresh: false }).wasUsed).toBe(
+      false,
+    );
     connections.close();
     server.close();
   });
--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -67,7 +67,9 @@
     );
     const { port } = server.address() as AddressInfo;
     return await new Exchange({
-      connection: connections.acquire(`127.0.0.1:${port}`, false),
+      connection: connections.acquire(`127.0.0.1:${port}`, {
+        mustBeFresh: false,
+      }),
       wire: new PlainWire(),
       stream: discardStream,
       request: {
@@ -115,7 +117,7 @@
 
   it("reports a request as not sent when nothing listens", async () => {
     const result = await new Exchange({
-      connection: connections.acquire("127.0.0.1:9", false),
+      connection: connections.acquire("127.0.0.1:9", { mustBeFresh: false }),
       wire: new PlainWire(),
       stream: discardStream,
       request: {
--- a/packages/fleet_gateway/load_prober.ts
+++ b/packages/fleet_gateway/load_prober.ts
@@ -48,7 +48,9 @@
     const { path, record } = options;
     const sentAt = clock.now();
     record.recordProbeStart();
-    const connection = connections.acquire(target.address, false);
+    const connection = connections.acquire(target.address, {
+      mustBeFresh: false,
+    });
     try {
       const { statusCode, headers, body } = await connection.client.request({
         method: "GET",
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -47,6 +47,8 @@
   readonly #response: CallerResponse;
   readonly #queue: ServiceQueue;
   readonly #tried = new Set<string>();
+  /** Addresses to which the request was sent. */
+  readonly #addresses = new Set<string>();
   #arrivals = 0;
   #connectFailures = 0;
   /** Whether the request may have run at any target. */
@@ -203,14 +205,20 @@
       ticket?.end(null);
       return this.#begin();
     }
-    const { request, route, body, deadlineAt } = this.#routed;
+    const { request, body, deadlineAt } = this.#routed;
     const { requestId } = this.#routed.head;
     const startedAt = clock.now();
     const remainingMilliseconds = deadlineAt - startedAt;
     const connection = connections.acquire(
       target.address,
-      route.requests === RequestKind.once,
+      {
+        mustBeFresh: !this.#isIdempotent,
+        // A target that sends its response to the first attempt once more would
+        // respond to this one, as both have the same ID.
+        mustBeNew: this.#addresses.has(target.address),
+      },
     );
+    this.#addresses.add(target.address);
     this.#tried.add(target.name);
     const expectedMilliseconds = record.expectedDuration(
       this.#queue.workMilliseconds,
--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -31,6 +31,14 @@
   idleSince: number;
 }
 
+/** Which connections a request may use. */
+export interface ConnectionCriteria {
+  /** Whether the connection was in use a short time ago. */
+  readonly mustBeFresh: boolean;
+  /** Whether the connection has carried no request. @default false */
+  readonly mustBeNew?: boolean;
+}
+
 /** Connections to one address, each used for one request at a time. */
 class AddressPool {
   readonly #address: string;
@@ -50,7 +58,11 @@
   }
 
   /** Returns the connection that was used last, or a new one. */
-  acquire(now: number, mustBeFresh: boolean): TargetConnection {
+  acquire(
+    now: number,
+    { mustBeFresh, mustBeNew = false }: ConnectionCriteria,
+  ): TargetConnection {
+    if (mustBeNew) return this.#open();
     for (;;) {
       const idle = this.#idle.pop();
       if (!idle) return this.#open();
@@ -129,8 +141,8 @@
   }
 
   /** Returns a connection to IP:PORT that carries no request. */
-  acquire(address: string, mustBeFresh: boolean): TargetConnection {
-    return this.#poolOf(address).acquire(this.#clock.now(), mustBeFresh);
+  acquire(address: string, criteria: ConnectionCriteria): TargetConnection {
+    return this.#poolOf(address).acquire(this.#clock.now(), criteria);
   }
 
   /** Makes a connection available again after a complete response. */
--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -265,6 +265,30 @@
     expect(near.requests.length + far.requests.length).toBe(4);
   });
 
+  // Guards against a target that writes its refusal of an earlier attempt once
+  // more: the next attempt has the same ID, and would count as not run.
+  it("does not take a repeated refusal for the response to the next attempt", async () => {
+    const refusedOn = new Set<unknown>();
+    let runs = 0;
+    near.handler = (request, response) => {
+      const isRepeated = refusedOn.has(request.socket);
+      if (isRepeated || refusedOn.size >= 2) runs += 1;
+      if (isRepeated || refusedOn.size < 2) {
+        response.statusCode = 503;
+        response.setHeader("x-not-executed", "1");
+      }
+      refusedOn.add(request.socket);
+      response.end();
+    };
+    far.handler = near.handler;
+    const result = await sendRequest("/reserve/1", {
+      method: "POST",
+      body: "x",
+    });
+    expect(runs).toBe(result.status === 503 ? 0 : 1);
+    expect(result.status).toBe(200);
+  });
+
   it("retries a request that targets refuse at first", async () => {
     let refusals = 3;
     near.handler = (_request, response) => {
