Resume a paused response before its connection ends

Cause: while a response without a length is paused for a slow caller, the target closes; the HTTP client then asserts that its parser is not paused, and the process ends. Evidence: the new test of exchange_test.ts raised the same assertion (Parser.finish, onHttpSocketEnd) and is green now. The connection tells the exchange before the client handles the end, and the exchange resumes; everything was read by then, so at most what the parser holds is passed on unpaused.

--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -86,6 +86,8 @@
   #isStreaming = false;
   #interimResponses = 0;
   #isSent = false;
+  /** Whether the target has closed its side and everything was read. */
+  #isFullyRead = false;
   #hasEnded = false;
 
   constructor(options: {
@@ -216,9 +218,14 @@
   }
 
   #streamChunk(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.#stream.write(chunk)) return;
+    if (this.#stream.write(chunk) || this.#isFullyRead) return;
     controller.pause();
-    this.#stream.onDrain(() => controller.resume());
+    const resume = () => controller.resume();
+    this.#connection.beforeEnd = () => {
+      this.#isFullyRead = true;
+      resume();
+    };
+    this.#stream.onDrain(resume);
   }
 
   #abort(reason: string, cause: LossCause): void {
@@ -240,6 +247,7 @@
 
   #settle(result: ExchangeResult): void {
     this.#hasEnded = true;
+    this.#connection.beforeEnd = undefined;
     clearTimeout(this.#timer);
     this.#resolve(result);
   }
--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -54,24 +54,41 @@
     server?.close();
   });
 
-  async function exchange(
-    respond: (socket: Socket) => void,
-    timeoutMilliseconds = 1000,
-  ): Promise<ExchangeResult> {
+  /** Listens and calls back with each request; returns the address. */
+  async function listen(respond: (socket: Socket) => void): Promise<string> {
     server = createServer((socket) => {
       socket.on("error", () => {});
-      socket.once("data", () => respond(socket));
+      socket.on("data", () => respond(socket));
     });
     await new Promise<void>((resolve) =>
       server!.listen(0, "127.0.0.1", resolve)
     );
     const { port } = server.address() as AddressInfo;
-    return await new Exchange({
-      connection: connections.acquire(`127.0.0.1:${port}`, {
-        mustBeFresh: false,
-      }),
+    return `127.0.0.1:${port}`;
+  }
+
+  async function exchange(
+    respond: (socket: Socket) => void,
+    timeoutMilliseconds = 1000,
+  ): Promise<ExchangeResult> {
+    return await send(
+      await listen(respond),
+      discardStream,
+      timeoutMilliseconds,
+    );
+  }
+
+  /** Sends a request over a kept connection, if there is one. */
+  async function send(
+    address: string,
+    stream = discardStream,
+    timeoutMilliseconds = 1000,
+  ): Promise<ExchangeResult> {
+    const connection = connections.acquire(address, { mustBeFresh: false });
+    const result = await new Exchange({
+      connection,
       wire: new PlainWire(),
-      stream: discardStream,
+      stream,
       request: {
         method: "GET",
         path: "/",
@@ -81,6 +98,8 @@
         timeoutMilliseconds,
       },
     }).result;
+    if (result.kind === "answered") connections.release(address, connection);
+    return result;
   }
 
   it("accepts a response that is delimited by the end of the connection", async () => {
@@ -115,6 +134,64 @@
     expect(result.kind).toBe("unknown");
   });
 
+  // Guards against a response whose head ends early and would look complete.
+  for (
+    const head of [
+      "HTTP/1.1 200 OK",
+      "HTTP/1.1 200 OK\r\nrequest: r1",
+      "HTTP/1.1 200 OK\r\nrequest: r1\r\nconnection: close\r\n",
+      "HTTP/1.1 200 OK\r\nrequest: r1\r\ncontent-length: 5\r\nx: y",
+    ]
+  ) {
+    it(`rejects a head that ends early: ${JSON.stringify(head)}`, async () => {
+      const result = await exchange((socket) => socket.end(head));
+      expect(result).toMatchObject({ kind: "unknown", cause: "closed" });
+    });
+  }
+
+  it("rejects a head that ends early on a connection in use again", async () => {
+    let requests = 0;
+    const address = await listen((socket) => {
+      requests += 1;
+      socket.write("HTTP/1.1 200 OK\r\nrequest: r1\r\n");
+      if (requests === 1) socket.write("content-length: 0\r\n\r\n");
+      else socket.end();
+    });
+    expect((await send(address)).kind).toBe("answered");
+    expect((await send(address)).kind).toBe("unknown");
+    expect(requests).toBe(2);
+  });
+
+  // Guards against an assertion of the HTTP client that ended the process when a
+  // target closed the connection while its response was paused.
+  it("completes a response that is paused when the target closes", async () => {
+    const chunks: Buffer[] = [];
+    let hasEnded = false;
+    const address = await listen(async (socket) => {
+      socket.write(
+        "HTTP/1.1 200 OK\r\nrequest: r1\r\nconnection: close\r\n\r\n",
+      );
+      socket.write(Buffer.alloc(300_000));
+      await pause(150);
+      socket.write(Buffer.alloc(1000));
+      await pause(50);
+      socket.end();
+    });
+    const result = send(address, {
+      ...discardStream,
+      begin: (_head, first) => chunks.push(...first),
+      write: (chunk) => {
+        chunks.push(chunk);
+        return false;
+      },
+      onDrain: (listener) => setTimeout(listener, 100),
+      end: () => (hasEnded = true),
+    });
+    expect((await result).kind).toBe("answered");
+    expect(hasEnded).toBe(true);
+    expect(Buffer.concat(chunks).length).toBe(301_000);
+  });
+
   it("reports a request as not sent when nothing listens", async () => {
     const result = await new Exchange({
       connection: connections.acquire("127.0.0.1:9", { mustBeFresh: false }),
--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -26,6 +26,11 @@
   isOpen: boolean;
   /** Whether a response was received on this connection before. */
   wasUsed: boolean;
+  /**
+   * Called when the target has closed its side and everything was read: undici
+   * fails an assertion if a response is still paused then.
+   */
+  beforeEnd: (() => void) | undefined;
   /** Whether the target sent a reset, which undici reports as a normal end. */
   wasReset: boolean;
   idleSince: number;
@@ -98,6 +103,7 @@
         connect(options, (...result: Parameters<typeof callback>) => {
           const [, socket] = result;
           socket?.once("error", () => (connection.wasReset = true));
+          socket?.once("end", () => connection.beforeEnd?.());
           callback(...result);
         }),
       keepAliveTimeout: keepAliveMilliseconds,
@@ -109,6 +115,7 @@
     const connection: TargetConnection = {
       client,
       isOpen: false,
+      beforeEnd: undefined,
       wasUsed: false,
       wasReset: false,
       idleSince: -Infinity,
