Refuse late requests at a stop that could outlast the grace period

What callers could see: a request that came late in a planned stop was passed on and cut with the process, without an answer. Cause: the listener accepts for up to 75 % of the grace period, and nothing compared a request's deadline with the end of that period. From 2.5 s after the signal, when the balancer has left, only requests are accepted whose deadline ends before the kill; others get 503, which is true, and go elsewhere. Earlier ones end before the kill in any case.

--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -29,6 +29,7 @@
 import { SlotPools } from "./slot_pools.ts";
 import { SlotClient } from "./slot_client.ts";
 import { SlotSocket } from "./slot_socket.ts";
+import { StopSchedule } from "./stop_schedule.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
 import { TargetEndDetector } from "./target_end_detector.ts";
@@ -41,8 +42,8 @@
 const defaultMaximumBodyBytes = 64 * 1024 * 1024;
 /** Used when the caller sets no deadline. */
 const defaultDeadlineMilliseconds = 60_000;
-/** Retry-after of requests that arrive before a configuration is known. */
-const startupRetryAfterMilliseconds = 300;
+/** Retry-after of requests that only this VM cannot serve now. */
+const elsewhereRetryAfterMilliseconds = 300;
 /** The load balancer removes a VM after two failed checks, one second apart. */
 const leaveMilliseconds = 2200;
 /** The callers' listener closes after this long without a request. */
@@ -107,6 +108,7 @@
   readonly #slotManager: SlotManager;
   readonly #slotClient: SlotClient;
   readonly #slotPools: SlotPools;
+  readonly #stopSchedule: StopSchedule;
   #slotSocket!: SlotSocket;
   #digest!: RequestDigest;
   readonly #housekeepingTimer: NodeJS.Timeout;
@@ -119,6 +121,7 @@
   protected constructor(options: GatewayVmOptions) {
     const { name, dataCentre, region, clock, logger, secret } = options;
     this.#options = options;
+    this.#stopSchedule = new StopSchedule(options.graceMilliseconds);
     this.#peerClients = new PeerClients({ secret });
     this.#connections = new TargetConnections(clock);
     this.#limits = new TargetLimits(options);
@@ -252,6 +255,7 @@
   async stop(): Promise<void> {
     const { logger, graceMilliseconds } = this.#options;
     this.#readiness.startLeaving();
+    this.#stopSchedule.start(this.#options.clock.now());
     this.#synchronizer.leave();
     logger.info("gateway-stopping");
     await this.#callersListener.drain({
@@ -282,7 +286,7 @@
       return callerResponse.respond({
         status: 503,
         reason: "this VM knows no configuration yet",
-        retryAfterMilliseconds: startupRetryAfterMilliseconds,
+        retryAfterMilliseconds: elsewhereRetryAfterMilliseconds,
       });
     }
     const head = wire.readRequest(request.headers);
@@ -297,6 +301,24 @@
         reason: "no route matches",
       });
     }
+    const deadlineAt = this.#stopSchedule.deadlineFor(
+      arrivedAt + Math.min(
+        route.timeoutMilliseconds,
+        head.deadlineMilliseconds ?? defaultDeadlineMilliseconds,
+      ),
+      arrivedAt,
+    );
+    if (deadlineAt === undefined) {
+      logger.info("request-refused-at-stop", {
+        request: head.requestId,
+        route: route.name,
+      });
+      return callerResponse.respond({
+        status: 503,
+        reason: "this VM is stopping",
+        retryAfterMilliseconds: elsewhereRetryAfterMilliseconds,
+      });
+    }
     const body = await this.#receiveBody(request, callerResponse);
     if (!body || callerResponse.isClosed) return;
     const service = this.#selector.parts.next(route);
@@ -322,10 +344,7 @@
         body,
         digest: this.#digestOf(request, head, body),
         arrivedAt,
-        deadlineAt: arrivedAt + Math.min(
-          route.timeoutMilliseconds,
-          head.deadlineMilliseconds ?? defaultDeadlineMilliseconds,
-        ),
+        deadlineAt,
       },
       answer: callerResponse,
     });
--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -30,6 +30,7 @@
       createRoute("lookup", "safe", "catalogue"),
       createRoute("reserve", "unsafe", "catalogue"),
       createRoute("stock", "safe", "stock"),
+      { ...createRoute("slow", "unsafe", "catalogue"), timeoutS: 3 },
       {
         ...createRoute("home", "safe", "catalogue"),
         allowedRegions: ["north"],
@@ -382,4 +383,52 @@
     for (let count = 0; count < 10; count += 1) await sendRequest("/lookup/1");
     expect(far.requests).toHaveLength(0);
   });
+
+  // Guards against requests that a stopping gateway passes on late and that end
+  // with the process, without a response.
+  it("refuses requests that would outlast its stop, and finishes the others", async () => {
+    const address = `${prefix}.9:7301`;
+    const stopping = await startRole({
+      role: "gateway",
+      name: "gateway-stopping",
+      ip: `${prefix}.9`,
+      seed: controlAddress,
+      lines:
+        `[listen]\ncallers = ${address}\nreadiness = ${prefix}.9:7302\n[stop]\ngraceSeconds = 4\n[listen]`,
+    });
+    near.handler = far.handler = (_request, response) =>
+      void setTimeout(() => response.end("whole"), 1500);
+    const ask = (deadline: number) =>
+      sendHttp({
+        address,
+        method: "POST",
+        path: "/slow/1",
+        headers: {
+          host: "jigs.example",
+          "x-request-id": `stop${nextId++}`,
+          "x-deadline-ms": String(deadline),
+        },
+      });
+    await waitUntil(async () => (await ask(3000)).status === 200);
+    const startedAt = performance.now();
+    const stopped = stopping.stop();
+    const early = ask(3000);
+    await pause(2000);
+    // The listener stays open as long as requests arrive.
+    const others: Promise<HttpResult>[] = [];
+    for (let count = 0; count < 7; count += 1) {
+      others.push(ask(500));
+      await pause(100);
+    }
+    const arrivals = near.requests.length + far.requests.length;
+    const late = await ask(3000);
+    expect(late.status).toBe(503);
+    expect(near.requests.length + far.requests.length).toBe(arrivals);
+    expect((await early).status).toBe(200);
+    for (const { status } of await Promise.all(others)) {
+      expect([504, 503]).toContain(status);
+    }
+    await stopped;
+    expect(performance.now() - startedAt).toBeLessThan(4000);
+  });
 });
