--- a/packages/fleet_gateway/suspect_gate.ts
+++ b/packages/fleet_gateway/suspect_gate.ts
@@ -132,7 +132,7 @@
       { digest, incarnation, isExclusive },
       clock.now(),
     );
-    metrics.suspects.inc({ decision: "ended-target" });
+    metrics.suspects.inc({ decision: "ended" });
     this.#report({ kind: "ended", gateway: name, digest, incarnation });
     return true;
   }
--- a/packages/soak/fault_injector.ts
+++ b/packages/soak/fault_injector.ts
@@ -136,7 +136,26 @@
         repair: () => target.start(),
       };
     }
-    if (choice < 0.65) {
+    if (choice < 0.4) {
+      target.isPausing = true;
+      return {
+        description: `pause requests to ${target.name}`,
+        repair: () => {
+          target.isPausing = false;
+        },
+      };
+    }
+    if (choice < 0.5) {
+      target.isLeaving = true;
+      return {
+        description: `announce that ${target.name} leaves`,
+        repair: () => {
+          target.crash();
+          return target.start();
+        },
+      };
+    }
+    if (choice < 0.75) {
       target.isIsolated = true;
       return {
         description: `isolate ${target.name} from control`,
--- a/packages/soak/invariant_monitor.ts
+++ b/packages/soak/invariant_monitor.ts
@@ -1,5 +1,6 @@
 import { LimitMonitor } from "./limit_monitor.ts";
 import type { NamedLimit } from "./limit_monitor.ts";
+import { NoticeMonitor } from "./notice_monitor.ts";
 
 /** Statuses that guarantee that a request has not run and never will. */
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -27,9 +28,12 @@
  */
 export class InvariantMonitor {
   readonly violations: string[] = [];
+  /** Times at which requests ended the targets that ran them. */
+  readonly crashes: number[] = [];
   readonly #requests = new Map<string, ObservedRequest>();
   readonly #holders: PositionHolder[] = [];
   readonly #limits = new Map<string, LimitMonitor>();
+  readonly #notices = new Map<string, NoticeMonitor>();
   /** Number of requests that received status 200. */
   servedCount = 0;
 
@@ -48,16 +52,55 @@
 
   /** Records that a new incarnation of a target starts. */
   recordStart(target: string): void {
+    this.#noticesOf(target).restart();
     this.#limits.get(target)?.restart();
   }
 
   /** Records that a gateway, named by its address, becomes faulty or is repaired. */
   recordFault(gateway: string, isFaulty: boolean): void {
+    for (const notices of this.#notices.values()) {
+      notices.recordFault(gateway, isFaulty);
+    }
     for (const limit of this.#limits.values()) {
       limit.recordFault(gateway, isFaulty, performance.now());
     }
   }
 
+  /** Records that a request ended the target that ran it. */
+  recordCrash(): void {
+    this.crashes.push(performance.now());
+  }
+
+  /** Records that a request reaches a target, whether it runs or not. */
+  recordArrival(id: string, target: string): void {
+    const { gateway = "" } = this.#requests.get(id) ?? {};
+    this.#noticesOf(target).recordArrival(gateway, performance.now());
+  }
+
+  /** Records that a target turned a request away and asked for a pause. */
+  recordPause(id: string, target: string, milliseconds: number): void {
+    const { gateway = "" } = this.#requests.get(id) ?? {};
+    this.#noticesOf(target).recordPause(
+      gateway,
+      performance.now(),
+      milliseconds,
+    );
+  }
+
+  /** Records that a target said in a response that it leaves. */
+  recordLeaving(id: string, target: string): void {
+    const { gateway = "" } = this.#requests.get(id) ?? {};
+    this.#noticesOf(target).recordLeaving(gateway, performance.now());
+  }
+
+  #noticesOf(target: string): NoticeMonitor {
+    const known = this.#notices.get(target);
+    if (known) return known;
+    const notices = new NoticeMonitor(target, (each) => this.#fail(each));
+    this.#notices.set(target, notices);
+    return notices;
+  }
+
   /** Adds a target of a keyed service. */
   watch(holder: PositionHolder): void {
     this.#holders.push(holder);
--- a/packages/soak/load_generator.ts
+++ b/packages/soak/load_generator.ts
@@ -1,6 +1,7 @@
 import { Agent, request as send } from "node:http";
 import { clientHeaders, namesLimit } from "@kingcupglade/platform";
 import { delay } from "./fault_injector.ts";
+import { crashingPath } from "./soak_target.ts";
 import type { InvariantMonitor } from "./invariant_monitor.ts";
 
 const callerCount = 10;
@@ -15,6 +16,14 @@
   { path: "/stock/1", method: "GET", isIdempotent: true },
 ] as const;
 
+/** A request that ends each target that runs it. */
+const crashingKind = {
+  path: crashingPath,
+  method: "GET",
+  isIdempotent: true,
+} as const;
+const crashingIntervalMilliseconds = 600;
+
 /** Options of {@link LoadGenerator}. */
 export interface LoadGeneratorOptions {
   /** IP:PORT of every gateway. */
@@ -62,6 +71,7 @@
       { length: callerCount },
       () => this.#runCaller(),
     );
+    this.#callers.push(this.#runCrashingCaller());
   }
 
   async stop(): Promise<void> {
@@ -82,10 +92,19 @@
     }
   }
 
+  async #runCrashingCaller(): Promise<void> {
+    const { gateways, random } = this.#options;
+    while (!this.#isStopped) {
+      const gateway = gateways[Math.floor(random() * gateways.length)]!;
+      await this.#sendRequest(gateway, crashingKind);
+      await delay(crashingIntervalMilliseconds);
+    }
+  }
+
   /** Sends a request; resolves with the response status, or 0 on failure. */
   #sendRequest(
     gateway: string,
-    kind: (typeof requestKinds)[number],
+    kind: (typeof requestKinds)[number] | typeof crashingKind,
   ): Promise<number> {
     const { monitor, random, limitedTarget } = this.#options;
     const [host, port] = gateway.split(":");
--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -20,6 +20,10 @@
 /** Covers an election, the expiry of holds and a heartbeat after the faults. */
 const recoveryMilliseconds = 8000;
 const faultFreeMilliseconds = 2000;
+/** Time after the faults in which all VMs are in touch again. */
+const settleMilliseconds = 3000;
+/** Targets that a request which ends them may reach after that. */
+const maximumLateCrashes = 3;
 /** Minimum share of requests that is served in the fault-free period. */
 const minimumServedShare = 0.95;
 
@@ -101,6 +105,7 @@
       random: this.#random,
     });
     await faultInjector.run(milliseconds);
+    const settledAt = performance.now() + settleMilliseconds;
     await delay(recoveryMilliseconds);
     const before = [this.#monitor.requestCount, this.#monitor.servedCount];
     await delay(faultFreeMilliseconds);
@@ -114,6 +119,7 @@
           `only ${served} of ${sentCount} requests were served after the faults`,
         ]
         : []),
+      ...this.#findLateCrashes(settledAt),
       ...await this.#operator.findLostUpdates(),
     ];
     return {
@@ -125,6 +131,14 @@
     };
   }
 
+  // By then, three targets have ended and all gateways are in touch.
+  #findLateCrashes(settledAt: number): readonly string[] {
+    const late = this.#monitor.crashes.filter((at) => at > settledAt);
+    return late.length > maximumLateCrashes
+      ? [`a request ended ${late.length} targets after the faults`]
+      : [];
+  }
+
   #recordFault(name: string, isFaulty: boolean): void {
     const index = this.#gateways.findIndex((each) => each.name === name);
     if (index >= 0) {
@@ -136,7 +150,7 @@
   async end(): Promise<void> {
     await this.#loadGenerator.stop();
     this.#operator.stop();
-    for (const target of this.#targets) target.crash();
+    for (const target of this.#targets) target.end();
     await Promise.all(
       [...this.#control, ...this.#gateways].map((each) => each.end("SIGKILL")),
     );
--- a/packages/soak/soak_target.ts
+++ b/packages/soak/soak_target.ts
@@ -13,6 +13,13 @@
 const heartbeatMilliseconds = 250;
 const responseTimeoutMilliseconds = 900;
 const slots = 4;
+/** Pause that a target asks for. */
+const pauseSeconds = 1.2;
+/** Path of the request that ends each target that runs it. */
+export const crashingPath = "/lookup/crash";
+/** Time from the start of such a run to the end of the target. */
+const crashMilliseconds = 40;
+const restartMilliseconds = 1000;
 
 /** Options of a {@link SoakTarget}. */
 export interface SoakTargetOptions {
@@ -34,6 +41,10 @@
   readonly name: string;
   /** Share of the requests that run but whose response is lost. */
   lostResponseShare = 0;
+  /** Whether it says in its responses that it leaves. */
+  isLeaving = false;
+  /** Whether it turns requests away and asks for a pause. */
+  isPausing = false;
   /** Whether the target sends no heartbeats while it continues to serve. */
   isIsolated = false;
   readonly #options: SoakTargetOptions;
@@ -42,6 +53,7 @@
   #sequence = 0;
   #bornAt = 0;
   #incarnation = 0;
+  #isEnded = false;
   #controlIndex = 0;
   #grants: readonly GrantedRange[] = [];
   #heldUntil = -Infinity;
@@ -65,6 +77,7 @@
   async start(): Promise<void> {
     const [ip, port] = this.#options.address.split(":");
     this.#incarnation += 1;
+    this.isLeaving = false;
     this.#options.monitor.recordStart(this.name);
     this.#sequence = 0;
     this.#bornAt = Date.now();
@@ -95,22 +108,56 @@
     const { isKeyed, monitor, random, maximumPerSecond } = this.#options;
     const limit = maximumPerSecond === undefined ? {} : { maximumPerSecond };
     const { id, target, position } = readWorkerRequest(request.headers);
+    monitor.recordArrival(id, this.name);
     const isAccepted = target === this.name &&
       (!isKeyed || this.holds(position));
     if (!isAccepted) {
       response.writeHead(421, workerHeaders({ id, didNotRun: true })).end();
       return;
     }
+    const { isLeaving } = this;
+    if (this.isPausing) {
+      const head = { id, didNotRun: true, isLeaving, pauseSeconds };
+      response.writeHead(503, workerHeaders(head)).end();
+      monitor.recordPause(id, this.name, pauseSeconds * 1000);
+      return;
+    }
     monitor.recordExecution(id, this.name);
+    if (request.url === crashingPath) return this.#crashAndRestart();
     if (isKeyed) monitor.checkOwner(id, { target: this.name, position });
     setTimeout(() => {
       if (random() < this.lostResponseShare) return request.socket.destroy();
-      const head = { id, didNotRun: false, ...limit };
+      const head = { id, didNotRun: false, isLeaving, ...limit };
       response.writeHead(200, workerHeaders(head));
-      response.end(id);
+      response.end(id, () => {
+        // A response that the gateway does not wait for tells it nothing.
+        if (isLeaving && !request.socket.destroyed) {
+          monitor.recordLeaving(id, this.name);
+        }
+      });
     }, 5 + random() * 40);
   }
 
+  // Ends the incarnation that runs the request, and starts the next one later.
+  #crashAndRestart(): void {
+    const incarnation = this.#incarnation;
+    setTimeout(() => {
+      if (incarnation !== this.#incarnation || !this.#server) return;
+      this.#options.monitor.recordCrash();
+      this.crash();
+      setTimeout(() => {
+        const isRestarted = incarnation !== this.#incarnation;
+        if (!isRestarted && !this.#isEnded) void this.start();
+      }, restartMilliseconds);
+    }, crashMilliseconds);
+  }
+
+  /** Ends the target for good. */
+  end(): void {
+    this.#isEnded = true;
+    this.crash();
+  }
+
   #sendHeartbeat(): void {
     if (this.isIsolated) return;
     const { service, address, control } = this.#options;
