--- a/packages/soak/soak_target.ts
+++ b/packages/soak/soak_target.ts
@@ -73,8 +73,9 @@
       this.#grants.some(({ from, to }) => position >= from && position <= to);
   }
 
-  /** Starts a new incarnation without any holds. */
+  /** Starts a new incarnation without any holds, unless one is running. */
   async start(): Promise<void> {
+    if (this.#server) return;
     const [ip, port] = this.#options.address.split(":");
     this.#incarnation += 1;
     this.isLeaving = false;
@@ -85,10 +86,12 @@
     const server = createServer((request, response) =>
       this.#handleRequest(request, response)
     );
+    this.#server = server;
     await new Promise<void>((resolve) =>
       server.listen(Number(port), ip, resolve)
     );
-    this.#server = server;
+    // The target may have crashed meanwhile.
+    if (this.#server !== server) return;
     this.#timer = setInterval(
       () => this.#sendHeartbeat(),
       heartbeatMilliseconds,
