--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -1,13 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { TargetView } from "@kingcupglade/fleet";
-import {
-  packValue,
-  peerAddressOf,
-  PeerClients,
-  unpackValue,
-} from "@kingcupglade/fleet_control";
-import type { SuspectCall, SuspectReply } from "@kingcupglade/fleet_control";
-import { Fleet } from "@kingcupglade/protocol";
+import { peerAddressOf, PeerClients } from "@kingcupglade/fleet_control";
 import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
@@ -19,6 +12,7 @@
 } from "@kingcupglade/transport";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerRequestHead, CallerWire } from "./caller_wire.ts";
+import { callLeader } from "./leader_caller.ts";
 import { LoadProber } from "./load_prober.ts";
 import { createRequestDigest } from "./request_digest.ts";
 import type { RequestDigest } from "./request_digest.ts";
@@ -55,18 +49,6 @@
 const idleMarginMilliseconds = 1500;
 const housekeepingIntervalMilliseconds = 1000;
 
-/** A leader in another region responds well within this time. */
-const leaderCallTimeoutMilliseconds = 300;
-
-/** No control leader is known. */
-class ControlUnavailableError extends Error {
-  override readonly name = "ControlUnavailableError";
-
-  constructor() {
-    super("no control leader is known");
-  }
-}
-
 /** Options of {@link GatewayVm.start}. */
 export interface GatewayVmOptions {
   readonly name: string;
@@ -130,7 +112,11 @@
     this.#notices = new TargetNotices(options);
     this.#suspects = new SuspectGate({
       ...options,
-      call: (call) => this.#callLeader(call),
+      call: (call) =>
+        callLeader(call, {
+          clients: this.#peerClients,
+          leader: this.#synchronizer.leader,
+        }),
       endDetector: new TargetEndDetector({
         ...options,
         connections: this.#connections,
@@ -396,17 +382,6 @@
     return pools.managerOf(target)?.name === this.#options.name;
   }
 
-  /** @throws {ControlUnavailableError} while no leader is known. */
-  async #callLeader(call: SuspectCall): Promise<SuspectReply> {
-    const { leader } = this.#synchronizer;
-    if (leader === null) throw new ControlUnavailableError();
-    const { reply } = await this.#peerClients.client(leader, Fleet).suspect(
-      { call: packValue(call) },
-      { timeoutMs: leaderCallTimeoutMilliseconds },
-    );
-    return unpackValue(reply);
-  }
-
   // Durations are reported by the selector that chooses the targets.
   get #durationReporter(): TargetSelector {
     const isManaged = !this.#synchronizer.table.pools.isEmpty;
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -12,10 +12,10 @@
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import { retryAfterMilliseconds } from "./retry_after.ts";
 import { RequestTelemetry, SendPath } from "./request_telemetry.ts";
+import { RequestSuspicion } from "./request_suspicion.ts";
 import { requestHeaders } from "./request_headers.ts";
 import type { ServiceQueue } from "./service_queue.ts";
 import type { SlotTicket } from "./slot_client.ts";
-import type { SuspectAttempt } from "./suspect_gate.ts";
 
 /** Status of a target that is not the expected one or does not hold the key. */
 const misdirectedStatus = 421;
@@ -61,12 +61,7 @@
   #waiting: WaitingRequest | undefined;
   readonly #slotAcquisition: SlotAcquisition;
   readonly #telemetry: RequestTelemetry;
-  /** Permission to send the request although it is a suspect. */
-  #attempt: SuspectAttempt | undefined;
-  /** Whether it was sent with such a permission. */
-  #wasAttempted = false;
-  /** Ends the wait for permission. */
-  #endWait: () => void = () => {};
+  readonly #suspicion: RequestSuspicion;
   #isFinished = false;
 
   constructor(options: {
@@ -80,6 +75,10 @@
     this.#queue = options.context.selector.service(options.routed.service);
     this.#queue.budget.recordRequest(options.context.clock.now());
     this.#telemetry = new RequestTelemetry(options);
+    this.#suspicion = new RequestSuspicion({
+      gate: options.context.suspects,
+      routed: options.routed,
+    });
     this.#slotAcquisition = new SlotAcquisition({
       ...options,
       granted: (target, ticket) =>
@@ -108,19 +107,13 @@
     this.#finish();
   }
 
-  // A request that may end its target waits until it may be attempted.
+  // A request whose runs may end targets waits until it may be attempted.
   #begin(): void {
-    const { suspects } = this.#context;
-    if (this.#attempt || !suspects.isSuspect(this.#routed)) {
-      return this.#dispatch();
-    }
-    this.#endWait = suspects.requestAttempt(this.#routed, {
-      granted: (attempt) => {
-        this.#attempt = attempt;
-        this.#telemetry.recordAttempt();
+    this.#suspicion.awaitPermission({
+      permitted: (isAttempt) => {
+        if (isAttempt) this.#telemetry.recordAttempt();
         this.#dispatch();
       },
-      cleared: () => this.#dispatch(),
       quarantined: (milliseconds) =>
         this.#refuseFor("the request ends its targets", milliseconds),
       late: () => this.#refuse("an attempt of the same request is running", 0),
@@ -202,10 +195,9 @@
     record: TargetRecord,
     ticket?: SlotTicket,
   ): Promise<void> {
-    const { clock, connections, limits, notices, suspects, wire } =
-      this.#context;
+    const { clock, connections, limits, notices, wire } = this.#context;
     // It may have become a suspect while it waited for a target.
-    if (!this.#attempt && suspects.isSuspect(this.#routed)) {
+    if (!this.#suspicion.maySend) {
       ticket?.end(null);
       return this.#begin();
     }
@@ -296,32 +288,10 @@
       maximumPerSecond: limits.of(target.name)?.perSecond ?? null,
     });
     this.#queue.recordEnd(end === ExchangeEnd.answered ? durations : null);
-    const examination = this.#examine(result, target);
+    const examination = this.#suspicion.recordResult(result, target);
     if (!this.#isFinished) this.#handleResult(result, target, examination);
   }
 
-  /**
-   * Finds out whether a target that closed its connection has ended; undefined
-   * for every other result.
-   */
-  #examine(
-    result: ExchangeResult,
-    target: TargetView,
-  ): Promise<boolean> | undefined {
-    const { suspects } = this.#context;
-    if (result.kind === "answered" && !result.head.didNotRun) {
-      suspects.recordRun(this.#routed);
-      this.#attempt = undefined;
-    }
-    if (result.kind !== "unknown" || result.cause !== LossCause.closed) {
-      return undefined;
-    }
-    const attempt = this.#attempt;
-    this.#attempt = undefined;
-    this.#wasAttempted ||= attempt !== undefined;
-    return suspects.examine(target, this.#routed, attempt);
-  }
-
   // When a response is overdue, an idle target in the region may respond
   // sooner.
   #scheduleHedge(): void {
@@ -340,7 +310,7 @@
   #hedge(): void {
     const { clock, selector } = this.#context;
     if (this.#isFinished || this.#exchanges.size !== 1) return;
-    if (this.#context.suspects.isSuspect(this.#routed)) return;
+    if (!this.#suspicion.mayHedge) return;
     const now = clock.now();
     if (now + this.#queue.meanMilliseconds / 2 > this.#routed.deadlineAt) {
       return;
@@ -351,7 +321,7 @@
       tried: this.#tried,
       granted: (target, ticket) => {
         const mayHedge = this.#exchanges.size === 1 &&
-          !this.#context.suspects.isSuspect(this.#routed);
+          this.#suspicion.mayHedge;
         if (!mayHedge || !this.#mayTryElsewhere) {
           return ticket.end(null);
         }
@@ -418,7 +388,7 @@
   // A request that ended the target of its own attempt is not attempted again.
   #handleExamination(hasEnded: boolean): void {
     if (this.#isFinished) return;
-    if (hasEnded && this.#wasAttempted) {
+    if (hasEnded && this.#suspicion.wasAttempted) {
       return this.#respond(502, "the request ended its target");
     }
     this.#retryLostResponse();
@@ -555,9 +525,7 @@
   #finish(): void {
     this.#isFinished = true;
     clearTimeout(this.#hedgeTimer);
-    this.#endWait();
-    this.#attempt?.release();
-    this.#attempt = undefined;
+    this.#suspicion.release();
     if (this.#waiting) this.#queue.remove(this.#waiting);
     this.#slotAcquisition.close();
     for (const exchange of this.#exchanges) exchange.abandon();
