--- /dev/null
+++ b/packages/fleet_gateway/target_end_detector_test.ts
@@ -0,0 +1,52 @@
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { TargetView } from "@kingcupglade/fleet";
+import { MonotonicClock } from "@kingcupglade/tasks";
+import { createMetrics } from "@kingcupglade/telemetry";
+import { describe, expect, it } from "vitest";
+import { TargetEnd, TargetEndDetector } from "./target_end_detector.ts";
+
+const logger = { debug() {}, info() {}, warn() {}, error() {} };
+/** Nothing listens there. */
+const refusing = "127.0.0.1:9";
+
+describe("TargetEndDetector", () => {
+  function examine(
+    address: string,
+    { open = 0, lostTargets = 1 } = {},
+  ): Promise<TargetEnd> {
+    return new TargetEndDetector({
+      connections: {
+        openCount: () => open,
+        addressesLostSince: () => lostTargets,
+      },
+      clock: new MonotonicClock(),
+      logger,
+      metrics: createMetrics(),
+    }).examine({ name: "i-1", bornAt: 7, address } as TargetView);
+  }
+
+  it("detects a target that refuses connections and has closed all", async () => {
+    expect(await examine(refusing)).toBe(TargetEnd.ended);
+  });
+
+  it("takes a target that keeps another connection for alive", async () => {
+    expect(await examine(refusing, { open: 1 })).toBe(TargetEnd.unknown);
+  });
+
+  // Guards against requests that are suspected because this VM is cut off, or a
+  // rack loses power.
+  it("suspects no request if many targets end connections at once", async () => {
+    expect(await examine(refusing, { lostTargets: 3 })).toBe(TargetEnd.unknown);
+  });
+
+  it("takes a target that accepts connections for alive", async () => {
+    const server = createServer();
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    expect(await examine(`127.0.0.1:${port}`)).toBe(TargetEnd.unknown);
+    server.close();
+  });
+});
