--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,7 +1,7 @@
 // A control machine freezes with an order of the operator in its socket, and
 // carries it out when it wakes, after the operator has ordered the opposite.
 import { setTimeout as pause } from "node:timers/promises";
-import { Deployment, Record, runCase } from "../harness/deployment.mjs";
+import { Deployment, Record, runCase } from "../deployment.mjs";
 import {
   clientHeaders,
   createConfiguration,
@@ -9,7 +9,7 @@
   Operator,
   Port,
   Worker,
-} from "../harness/stand_ins.mjs";
+} from "../stand_ins.mjs";
 
 const zone = "north-a";
 const workersPerZone = 2;
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # can be read, and that the program was built by the deploy file's build line.
 set -eu
 cd "$(dirname "$0")"
-for file in harness/*.mjs */case.mjs; do node --check "$file"; done
+for file in *.mjs */case.mjs; do node --check "$file"; done
 test -x ../target/kingcupglade
--- a/review/harness/deployment.mjs
+++ b/review/deployment.mjs
@@ -12,7 +12,7 @@
 import { fileURLToPath } from "node:url";
 import { renderTemplate } from "./settings_template.mjs";
 
-const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
+const root = join(dirname(fileURLToPath(import.meta.url)), "..");
 
 export const Port = {
   front: 8161,
