Remove the scripts' files when they are interrupted

A script that is ended by a signal killed its processes and left its temporary folder. Ended by SIGTERM and by SIGINT, case 5 now leaves neither.

--- a/review/deployment.mjs
+++ b/review/deployment.mjs
@@ -48,9 +48,10 @@
 };
 
 const running = new Set();
+const folders = new Set();
 
-/** Kills every process that is still running when this process ends. */
-function killOnExit() {
+/** Kills what is still running and removes its files when this process ends. */
+function cleanUpOnExit() {
   for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) {
     process.once(signal, () => process.exit(2));
   }
@@ -64,6 +65,9 @@
       child.kill("SIGCONT");
       child.kill("SIGKILL");
     }
+    for (const folder of folders) {
+      rmSync(folder, { recursive: true, force: true, maxRetries: 5 });
+    }
   });
 }
 
@@ -121,8 +125,9 @@
 /** Machines of a small deployment, and the addresses of its workers. */
 export class Deployment {
   constructor({ zones, controls, gateways, heartbeatSeconds, tolerated }) {
-    killOnExit();
+    cleanUpOnExit();
     this.folder = mkdtempSync(join(tmpdir(), "review-"));
+    folders.add(this.folder);
     this.zones = zones;
     this.heartbeatSeconds = heartbeatSeconds ?? 1.5;
     this.tolerated = tolerated ?? 2;
