Create the processes of a test fleet in a module of their own

The soak wrote the settings of its processes itself; a test with other faults needs the same processes.

--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -1,10 +1,9 @@
-import { mkdir, writeFile } from "node:fs/promises";
-import { join } from "node:path";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { delay, FaultInjector } from "./fault_injector.ts";
 import { LoadGenerator } from "./load_generator.ts";
 import { Operator } from "./operator.ts";
-import { ServerProcess } from "./server_process.ts";
+import { createRoleProcess, RolePort } from "./role_process.ts";
+import type { ServerProcess } from "./server_process.ts";
 import { InvariantMonitor } from "./invariant_monitor.ts";
 import { SoakTarget } from "./soak_target.ts";
 
@@ -157,11 +156,11 @@
   }
 
   get #gatewayAddresses(): readonly string[] {
-    return this.#createAddresses(gatewayVmCount, 11, 8301);
+    return this.#createAddresses(gatewayVmCount, 11, RolePort.callers);
   }
 
   get #controlAddresses(): readonly string[] {
-    return this.#createAddresses(controlVmCount, 1, 8300);
+    return this.#createAddresses(controlVmCount, 1, RolePort.control);
   }
 
   #createAddresses(
@@ -176,27 +175,11 @@
   }
 
   async #createProcessesAndTargets(): Promise<void> {
-    await mkdir(this.#options.folder, { recursive: true });
-    for (let index = 0; index < controlVmCount; index += 1) {
-      const ip = `${this.#options.prefix}.${1 + index}`;
-      const folder = join(this.#options.folder, `data-${index}`);
-      await mkdir(folder, { recursive: true });
-      this.#control.push(
-        await this.#createProcess("control", index, {
-          vm: `dataFolder = ${folder}`,
-          listen: `control = ${ip}:8300\npeers = ${ip}:8390`,
-        }),
-      );
+    for (const [index, address] of this.#controlAddresses.entries()) {
+      this.#control.push(await this.#createProcess("control", index, address));
     }
-    for (let index = 0; index < gatewayVmCount; index += 1) {
-      const ip = `${this.#options.prefix}.${11 + index}`;
-      this.#gateways.push(
-        await this.#createProcess("gateway", index, {
-          vm: "",
-          listen:
-            `callers = ${ip}:8301\nreadiness = ${ip}:8302\npeers = ${ip}:8390`,
-        }),
-      );
+    for (const [index, address] of this.#gatewayAddresses.entries()) {
+      this.#gateways.push(await this.#createProcess("gateway", index, address));
     }
     for (const [serviceIndex, service] of ["catalogue", "stock"].entries()) {
       for (let index = 0; index < targetsPerService; index += 1) {
@@ -219,38 +202,20 @@
     }
   }
 
-  async #createProcess(
+  #createProcess(
     role: "control" | "gateway",
     index: number,
-    lines: { readonly vm: string; readonly listen: string },
+    address: string,
   ): Promise<ServerProcess> {
     const { folder, bundle } = this.#options;
-    const name = `${role}-${index}`;
-    const settingsFile = join(folder, `${name}.ini`);
-    await writeFile(
-      settingsFile,
-      `[vm]
-name = ${name}
-role = ${role}
-dataCentre = a
-region = north
-${lines.vm}
-[listen]
-${lines.listen}
-[control]
-seeds = ${this.#controlAddresses.join(",")}
-mayFound = true
-toleratedLosses = ${toleratedLosses}
-heartbeatSeconds = 0.25
-[regions]
-a = north
-`,
-    );
-    return new ServerProcess({
-      name,
+    return createRoleProcess({
+      role,
+      name: `${role}-${index}`,
+      ip: address.split(":")[0]!,
+      seeds: this.#controlAddresses,
+      toleratedLosses,
+      folder,
       bundle,
-      settingsFile,
-      logFile: join(folder, `${name}.log`),
     });
   }
 }
