Carry out no evacuation order that may have been sent long ago

Cause: a control VM took the arrival of an order for its sending. An order that lay in the socket of a frozen VM was relayed when it woke, and undid what had been acknowledged elsewhere since. A woken leader does the same, as it relays to its successor.

An order is now carried out only while its connection is open, and while the times for which it may have waited add up to a second at most: in a socket (StallDetector, by gaps of the event loop), in a VM, and on the way to the leader, whose clock the greetings tell. The leader also rejects an order that reverses a change which the VM that read it did not know. All checks precede the proposal, so that the log and FleetMachine.apply stay as they are and voters of earlier releases agree; calls that they relay carry no receipt and are accepted.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import { setTimeout as pause } from "node:timers/promises";
 import { configurationOf } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
@@ -8,6 +9,7 @@
   Replication,
 } from "@kingcupglade/protocol";
 import { vmOfReplica } from "@kingcupglade/replica";
+import { StallDetector } from "@kingcupglade/tasks";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
@@ -22,6 +24,7 @@
 import type { FleetReplica } from "./leader_session.ts";
 import { packValue, unpackValue } from "./packed_value.ts";
 import { PeerClients } from "./peer_clients.ts";
+import { PeerClocks } from "./peer_clocks.ts";
 import { greetIntervalMilliseconds, PeerDiscovery } from "./peer_discovery.ts";
 import { planMembers } from "./plan_members.ts";
 import { readMessages, ReplicaLinks } from "./replica_links.ts";
@@ -84,6 +87,7 @@
   readonly #clients: PeerClients;
   readonly #discovery: PeerDiscovery;
   readonly #externalCalls: ExternalCallHandler;
+  readonly #stalls: StallDetector;
   readonly #timers: NodeJS.Timeout[] = [];
   readonly #listeners: HttpListener[] = [];
   #replica!: ControlReplica;
@@ -95,7 +99,22 @@
   protected constructor(options: ControlVmOptions) {
     this.#options = options;
     this.#clients = new PeerClients({ secret: options.secret });
-    const shared = { ...options, clients: this.#clients };
+    const process = randomUUID();
+    const { clock, logger } = options;
+    this.#stalls = new StallDetector({
+      clock,
+      onStall: (milliseconds) =>
+        logger.info("event-loop-stalled", {
+          milliseconds: Math.round(milliseconds),
+        }),
+    });
+    const shared = {
+      ...options,
+      clients: this.#clients,
+      peerClocks: new PeerClocks(),
+      stalls: this.#stalls,
+      ownTime: () => ({ process, milliseconds: clock.now() }),
+    };
     this.#discovery = new PeerDiscovery(shared, {
       replica: () => this.#replica,
       leaderAddress: () => this.leaderAddress,
@@ -325,6 +344,7 @@
   }
 
   #decide(): void {
+    this.#stalls.observe();
     this.#updateSession();
     this.#tryBootstrap();
     const replica = this.#replica.running;
--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -1,16 +1,20 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { setTimeout as pause } from "node:timers/promises";
+import {
+  setImmediate as nextTurn,
+  setTimeout as pause,
+} from "node:timers/promises";
 import { configurationOf } from "@kingcupglade/consensus";
 import type { FleetOutcome } from "@kingcupglade/fleet";
 import { findNeverKnownServices } from "@kingcupglade/items";
 import { Fleet } from "@kingcupglade/protocol";
 import { NotLeaderError } from "@kingcupglade/replica";
-import type { Clock } from "@kingcupglade/tasks";
+import type { Clock, StallDetector } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
 import { readBody } from "@kingcupglade/transport";
 import type {
   ControlWire,
+  ExternalCall,
   ExternalRequest,
   ExternalResponse,
   ExternalResult,
@@ -18,6 +22,9 @@
 import type { FleetReplica, LeaderSession } from "./leader_session.ts";
 import { packValue, unpackValue } from "./packed_value.ts";
 import type { PeerClients } from "./peer_clients.ts";
+import type { PeerClocks } from "./peer_clocks.ts";
+import { ageOf } from "./received_call.ts";
+import type { PeerTime, ReceivedCall, RelayedCall } from "./received_call.ts";
 import { RelayBatch } from "./relay_batch.ts";
 
 /**
@@ -33,6 +40,11 @@
  */
 const voterGatherMilliseconds = 5000;
 const maximumCallBytes = 16 * 1024 * 1024;
+/**
+ * Age beyond which the sender of a call has turned to another VM. A call without
+ * a version is not carried out then, as its sender may have ordered otherwise.
+ */
+const maximumAgeMilliseconds = 1000;
 
 /** Leadership as known to a control VM. */
 export interface Leadership {
@@ -51,7 +63,12 @@
   readonly toleratedLosses: number;
   readonly wire: ControlWire;
   readonly clients: PeerClients;
+  /** Clocks of the other control VMs. */
+  readonly peerClocks: PeerClocks;
   readonly clock: Clock;
+  readonly stalls: StallDetector;
+  /** Returns the time on the clock of this process, as other VMs know it. */
+  readonly ownTime: () => PeerTime;
   readonly logger: Logger;
 }
 
@@ -74,7 +91,12 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { wire, logger } = this.#options;
+    const { wire, logger, stalls } = this.#options;
+    const received = {
+      readAt: stalls.observe(),
+      delayMilliseconds: stalls.readDelay(),
+      knownIndex: this.#leadership.replica?.appliedIndex ?? null,
+    };
     let encoded: ExternalResponse;
     try {
       const call: ExternalRequest = {
@@ -82,10 +104,16 @@
         path: request.url ?? "",
         body: await readBody(request, maximumCallBytes),
       };
+      await waitForClose();
       await this.#waitForLeader();
+      if (hasCallerLeft(request)) {
+        logger.info("call-abandoned", { path: call.path });
+        return;
+      }
+      const receivedCall = { ...received, request: call };
       encoded = this.#leadership.isLeading
-        ? await this.serve(call)
-        : await this.#relay(call);
+        ? await this.serve(receivedCall)
+        : await this.#relay(receivedCall);
     } catch (failure) {
       const reason = describeFailure(failure);
       logger.warn("call-failed", { path: request.url ?? "", reason });
@@ -116,25 +144,38 @@
     }
   }
 
-  #relay(call: ExternalRequest): Promise<ExternalResponse> {
+  #relay(call: ReceivedCall): Promise<ExternalResponse> {
     const { wire } = this.#options;
-    const { kind } = wire.decode(call);
-    return kind === "announce"
+    const decoded = wire.decode(call.request);
+    const rejection = this.#rejectOutdated(call, decoded);
+    if (rejection) return Promise.resolve(wire.encode(rejection));
+    return decoded.kind === "announce"
       ? this.#relays.enqueue(call)
       : this.#relays.sendNow(call);
   }
 
   async #send(
-    requests: readonly ExternalRequest[],
+    calls: readonly ReceivedCall[],
   ): Promise<readonly ExternalResponse[]> {
-    const { wire, peerAddress, clients } = this.#options;
+    const { wire, peerAddress, clients, peerClocks, clock, stalls } =
+      this.#options;
     const leader = this.#leadership.leaderAddress;
     if (leader === null || leader === peerAddress) {
       const reason = "no leader is known";
-      return requests.map(() => wire.encode({ kind: "unavailable", reason }));
+      return calls.map(() => wire.encode({ kind: "unavailable", reason }));
     }
+    const now = stalls.observe();
+    const sentAt = peerClocks.earliest(leader, clock.now());
+    const relayed = calls.map((call): RelayedCall => ({
+      ...call.request,
+      receipt: {
+        ageMilliseconds: ageOf(call, now),
+        knownIndex: call.knownIndex,
+        sentAt,
+      },
+    }));
     const { result } = await clients.client(leader, Fleet).relay(
-      { call: packValue(requests) },
+      { call: packValue(relayed) },
       { timeoutMs: relayTimeoutMilliseconds },
     );
     return unpackValue(result);
@@ -142,39 +183,82 @@
 
   /** Executes calls relayed by a follower. */
   async serveRelayed(packed: Uint8Array): Promise<Uint8Array<ArrayBuffer>> {
-    const calls = unpackValue<readonly ExternalRequest[]>(packed);
+    const calls = unpackValue<readonly RelayedCall[]>(packed);
     return packValue(
-      await Promise.all(calls.map((each) => this.#serveRelayedCall(each))),
+      await Promise.all(
+        calls.map((each) => this.#serveRelayedCall(this.#receiveRelayed(each))),
+      ),
     );
   }
 
+  #receiveRelayed({ receipt, ...request }: RelayedCall): ReceivedCall {
+    const { stalls } = this.#options;
+    const transitMilliseconds = Math.max(
+      stalls.readDelay(),
+      this.#timeSince(receipt?.sentAt ?? null),
+    );
+    return {
+      request,
+      readAt: stalls.observe(),
+      delayMilliseconds: transitMilliseconds + (receipt?.ageMilliseconds ?? 0),
+      knownIndex: receipt?.knownIndex ?? null,
+    };
+  }
+
+  // A time on the clock of an earlier process is of no use, and the connection
+  // on which it came is younger than this process.
+  #timeSince(sentAt: PeerTime | null): number {
+    const now = this.#options.ownTime();
+    return sentAt?.process === now.process
+      ? now.milliseconds - sentAt.milliseconds
+      : 0;
+  }
+
   // A call that fails must not fail the others of its batch.
-  async #serveRelayedCall(call: ExternalRequest): Promise<ExternalResponse> {
+  async #serveRelayedCall(call: ReceivedCall): Promise<ExternalResponse> {
     const { wire, logger } = this.#options;
     try {
       return await this.serve(call);
     } catch (failure) {
       const reason = describeFailure(failure);
-      logger.warn("call-failed", { path: call.path, reason });
+      logger.warn("call-failed", { path: call.request.path, reason });
       return wire.encode({ kind: "unavailable", reason });
     }
   }
 
   /** Executes a call that was relayed by a follower or received directly. */
-  async serve(request: ExternalRequest): Promise<ExternalResponse> {
+  async serve(call: ReceivedCall): Promise<ExternalResponse> {
     const { wire, logger } = this.#options;
-    const call = wire.decode(request);
-    if (call.kind === "unreadable") {
+    const { request } = call;
+    const decoded = wire.decode(request);
+    if (decoded.kind === "unreadable") {
       logger.warn("call-unreadable", {
         path: request.path,
-        faults: call.faults.join("; "),
+        faults: decoded.faults.join("; "),
       });
     }
-    return wire.encode(await this.#execute(call));
+    return wire.encode(
+      this.#rejectOutdated(call, decoded) ?? await this.#execute(call, decoded),
+    );
+  }
+
+  #rejectOutdated(
+    call: ReceivedCall,
+    decoded: ExternalCall,
+  ): ExternalResult | undefined {
+    const { logger, stalls } = this.#options;
+    const age = ageOf(call, stalls.observe());
+    if (isVersioned(decoded) || age <= maximumAgeMilliseconds) return undefined;
+    logger.warn("call-outdated", {
+      path: call.request.path,
+      ageMilliseconds: Math.round(age),
+    });
+    return { kind: "unavailable", reason: "the call was delivered late" };
   }
 
   async #execute(
-    call: ReturnType<ControlWire["decode"]>,
+    { knownIndex }: ReceivedCall,
+    call: ExternalCall,
   ): Promise<ExternalResult> {
     if (call.kind === "unreadable") {
       return { kind: "refused", faults: call.faults };
@@ -221,13 +305,21 @@
         case "evacuate": {
           if (!this.#isDurable(replica)) return insufficientReplicas;
           const { dataCentre, isOut } = call;
-          const outcome = await session.evacuate(dataCentre, isOut);
+          const outcome = await session.evacuate({
+            dataCentre,
+            isOut,
+            knownIndex,
+          });
           logger.info("data-centre-changed", {
             of: dataCentre,
             isOut,
+            outcome: outcome.kind,
+            knownIndex,
             index: replica.appliedIndex,
           });
-          return this.#completeChange(outcome);
+          return outcome.kind === "overtaken"
+            ? overtakenOrder
+            : this.#completeChange(outcome);
         }
       }
     } catch (failure) {
@@ -274,3 +366,28 @@
   kind: "unavailable",
   reason: "not enough replicas are there yet to keep a change",
 };
+
+const overtakenOrder: ExternalResult = {
+  kind: "unavailable",
+  reason: "another order for this data centre was acknowledged meanwhile",
+};
+
+// Versions and starts tell an older call from a newer one; reading is harmless.
+function isVersioned(call: ExternalCall): boolean {
+  switch (call.kind) {
+    case "evacuate":
+      return false;
+    default:
+      return true;
+  }
+}
+
+/** Waits until the end of a connection that arrived with the call is read. */
+async function waitForClose(): Promise<void> {
+  await nextTurn();
+  await nextTurn();
+}
+
+function hasCallerLeft({ socket }: IncomingMessage): boolean {
+  return socket.destroyed || socket.readableEnded;
+}
--- a/packages/fleet_control/greeting.ts
+++ b/packages/fleet_control/greeting.ts
@@ -1,3 +1,5 @@
+import type { PeerTime } from "./received_call.ts";
+
 /** Description of a control VM that it sends to the others. */
 export interface Greeting {
   /**
@@ -22,4 +24,9 @@
   readonly founders: readonly string[];
   /** Peer addresses of the control VMs that it knows. */
   readonly known: readonly string[];
+  /**
+   * Time on its clock when the greeting was created; absent in greetings of
+   * releases that do not send it.
+   */
+  readonly time?: PeerTime;
 }
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -19,6 +19,11 @@
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
+import { EvacuationOrders } from "./evacuation_orders.ts";
+import type {
+  EvacuationOrder,
+  EvacuationOutcome,
+} from "./evacuation_orders.ts";
 import { GatewayDirectory } from "./gateway_directory.ts";
 import { chooseHeartbeatListener } from "./heartbeat_listener.ts";
 import { LimitDirectory } from "./limit_directory.ts";
@@ -88,12 +93,14 @@
   readonly #relays: RelayDirectory;
   readonly #limits: LimitDirectory;
   readonly #suspects: SuspectDirectory;
+  readonly #evacuations: EvacuationOrders;
   readonly #targetViews: TargetViews;
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
     this.#startedAt = options.clock.now();
     this.term = options.replica.consensus.term;
+    this.#evacuations = new EvacuationOrders(options);
     this.#gateways = new GatewayDirectory(options);
     this.#managers = new ManagerDirectory({
       ...options,
@@ -188,14 +195,11 @@
   }
 
   /** Takes a data centre out of service, or returns it to service. */
-  async evacuate(dataCentre: string, isOut: boolean): Promise<FleetOutcome> {
-    const outcome = await this.#options.replica.propose({
-      kind: "evacuate",
-      dataCentre,
-      isOut,
-    });
+  async evacuate(order: EvacuationOrder): Promise<EvacuationOutcome> {
+    const outcome = await this.#evacuations.commit(order);
+    if (outcome.kind === "overtaken") return outcome;
     // Its targets may have become cold while they received no requests.
-    if (!isOut) this.#registry.markUnconfirmed(dataCentre);
+    if (!order.isOut) this.#registry.markUnconfirmed(order.dataCentre);
     this.notifyChange();
     return outcome;
   }
--- a/packages/fleet_control/peer_discovery.ts
+++ b/packages/fleet_control/peer_discovery.ts
@@ -4,6 +4,8 @@
 import type { Greeting } from "./greeting.ts";
 import { KnownPeers } from "./known_peers.ts";
 import type { PeerClients } from "./peer_clients.ts";
+import type { PeerClocks } from "./peer_clocks.ts";
+import type { PeerTime } from "./received_call.ts";
 
 /** Interval at which all known peers are greeted while no leader is known. */
 export const greetIntervalMilliseconds = 300;
@@ -20,7 +22,10 @@
   /** Control addresses used to discover the other control VMs. */
   readonly seeds: readonly string[];
   readonly clients: PeerClients;
+  readonly peerClocks: PeerClocks;
   readonly clock: Clock;
+  /** Returns the time on the clock of this process, as other VMs know it. */
+  readonly ownTime: () => PeerTime;
 }
 
 /** Exchanges greetings with the other control VMs to discover them. */
@@ -67,6 +72,7 @@
       known: this.peers.recentGreetings(clock.now()).map((each) =>
         each.peerAddress
       ),
+      time: this.#options.ownTime(),
     };
   }
 
@@ -99,14 +105,19 @@
   }
 
   async #greet(address: string): Promise<void> {
-    const { clock } = this.#options;
+    const { clock, peerClocks } = this.#options;
+    const askedAt = clock.now();
     try {
       const { greeting } = await this.#options.clients.client(address, Fleet)
         .greet(
           { greeting: encodeValue(this.greeting) },
           { timeoutMs: greetTimeoutMilliseconds },
         );
-      this.peers.record(decodeValue<Greeting>(greeting), clock.now());
+      const answer = decodeValue<Greeting>(greeting);
+      const receivedAt = clock.now();
+      this.peers.record(answer, receivedAt);
+      const { time } = answer;
+      if (time) peerClocks.record(address, { time, askedAt, receivedAt });
     } catch {
       // The peer is greeted again soon; the consequences of its silence are
       // logged where they take effect.
--- a/packages/fleet_control/relay_batch.ts
+++ b/packages/fleet_control/relay_batch.ts
@@ -1,4 +1,5 @@
-import type { ExternalRequest, ExternalResponse } from "./control_wire.ts";
+import type { ExternalResponse } from "./control_wire.ts";
+import type { ReceivedCall } from "./received_call.ts";
 
 /**
  * Time for which calls of targets are collected, so that many are relayed to
@@ -7,7 +8,7 @@
 const batchDelayMilliseconds = 50;
 
 interface PendingCall {
-  readonly call: ExternalRequest;
+  readonly call: ReceivedCall;
   readonly resolve: (answer: ExternalResponse) => void;
   readonly reject: (failure: unknown) => void;
 }
@@ -15,21 +16,21 @@
 /** Relays calls to the leader in batches. */
 export class RelayBatch {
   readonly #send: (
-    calls: readonly ExternalRequest[],
+    calls: readonly ReceivedCall[],
   ) => Promise<readonly ExternalResponse[]>;
   #pending: PendingCall[] = [];
 
   constructor(options: {
     /** Sends calls to the leader; responses are in the order of the calls. */
     readonly send: (
-      calls: readonly ExternalRequest[],
+      calls: readonly ReceivedCall[],
     ) => Promise<readonly ExternalResponse[]>;
   }) {
     this.#send = options.send;
   }
 
   /** Relays a call in one batch with the calls that follow it shortly. */
-  enqueue(call: ExternalRequest): Promise<ExternalResponse> {
+  enqueue(call: ReceivedCall): Promise<ExternalResponse> {
     return new Promise((resolve, reject) => {
       this.#pending.push({ call, resolve, reject });
       if (this.#pending.length > 1) return;
@@ -38,7 +39,7 @@
   }
 
   /** Relays a call immediately. */
-  async sendNow(call: ExternalRequest): Promise<ExternalResponse> {
+  async sendNow(call: ReceivedCall): Promise<ExternalResponse> {
     const [answer] = await this.#send([call]);
     return answer!;
   }
--- a/packages/fleet_control/relay_batch_test.ts
+++ b/packages/fleet_control/relay_batch_test.ts
@@ -1,9 +1,14 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { ExternalRequest } from "./control_wire.ts";
+import type { ReceivedCall } from "./received_call.ts";
 import { RelayBatch } from "./relay_batch.ts";
 
-function call(path: string): ExternalRequest {
-  return { method: "PUT", path, body: new Uint8Array() };
+function call(path: string): ReceivedCall {
+  return {
+    request: { method: "PUT", path, body: new Uint8Array() },
+    readAt: 0,
+    delayMilliseconds: 0,
+    knownIndex: null,
+  };
 }
 
 describe("RelayBatch", () => {
@@ -16,7 +21,7 @@
       send: (calls) => {
         messages += 1;
         return Promise.resolve(
-          calls.map(({ path }) => ({ status: 200, body: path })),
+          calls.map(({ request }) => ({ status: 200, body: request.path })),
         );
       },
     });
--- a/packages/tasks/mod.ts
+++ b/packages/tasks/mod.ts
@@ -6,6 +6,8 @@
  */
 export { Clock, ManualClock, MonotonicClock } from "./clock.ts";
 export { Mailbox } from "./mailbox.ts";
+export { StallDetector } from "./stall_detector.ts";
+export type { StallDetectorOptions } from "./stall_detector.ts";
 export { StateMachineTask } from "./state_machine_task.ts";
 export type {
   StateMachineTaskOptions,
