End no target for a departure that may have been sent long ago

A target that started again under its name received nothing, if a departure of its earlier life, which states no start, was delivered late: it counted for the life that is known then.

A departure without a start now keeps to the bound of age of evacuation orders, and is answered with 503 beyond it, so that its sender repeats it. One with a start says itself which life it ends, and is accepted at any age.

Evidence: five tests of external_call_handler_test.ts failed before: after a stall of the follower, after one of the leader (read itself and relayed), and held up on the way; they pass now.

--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -377,6 +377,8 @@
   switch (call.kind) {
     case "evacuate":
       return false;
+    case "leave":
+      return call.bornAt !== null;
     default:
       return true;
   }
--- a/packages/fleet_control/external_call_handler_test.ts
+++ b/packages/fleet_control/external_call_handler_test.ts
@@ -23,7 +23,7 @@
 const withdrawal = { method: "DELETE", path: "/v1/evacuations/a" };
 const departure = { method: "DELETE", path: "/v1/instances/t1" };
 /** Calls without a version or a start that orders them. */
-const unversionedCalls = [evacuation, withdrawal];
+const unversionedCalls = [evacuation, withdrawal, departure];
 /** Calls that tell by themselves whether they are outdated. */
 const versionedCalls = [
   { method: "PATCH", path: "/v1/config", body: `{"upsert":{},"remove":{}}` },
