Register no heartbeat that may have been sent long ago

To a new leader any heartbeat of a target is the newest.

A heartbeat now keeps to the same bound of age. Its target waits a second for the response, so it has turned to another VM by then, and nothing is lost.

That a heartbeat delivered late by the network alone still counts is as before: its sequence tells it from a newer one that the leader knows.

--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -376,6 +376,7 @@
 function isVersioned(call: ExternalCall): boolean {
   switch (call.kind) {
     case "evacuate":
+    case "announce":
       return false;
     case "leave":
       return call.bornAt !== null;
--- a/packages/fleet_control/external_call_handler_test.ts
+++ b/packages/fleet_control/external_call_handler_test.ts
@@ -22,8 +22,21 @@
 const evacuation = { method: "POST", path: "/v1/evacuations/a" };
 const withdrawal = { method: "DELETE", path: "/v1/evacuations/a" };
 const departure = { method: "DELETE", path: "/v1/instances/t1" };
+const heartbeat = {
+  method: "PUT",
+  path: "/v1/instances/t1",
+  body: JSON.stringify({
+    service: "stock",
+    address: "10.0.0.9:8080",
+    zone: "a",
+    slots: 4,
+    state: "ready",
+    coldRemainingS: 0,
+    sequence: 4,
+  }),
+};
 /** Calls without a version or a start that orders them. */
-const unversionedCalls = [evacuation, withdrawal, departure];
+const unversionedCalls = [evacuation, withdrawal, departure, heartbeat];
 /** Calls that tell by themselves whether they are outdated. */
 const versionedCalls = [
   { method: "PATCH", path: "/v1/config", body: `{"upsert":{},"remove":{}}` },
