Bound the bytes of a response that are parsed without progress

Callers of all targets waited for up to 5.4 s, or got 502, while two targets sent short header lines without end.

Cause: the bound on a response's head ended the exchange and not the parsing, so that each further line of the bytes received cost an error of its own (133 ms an exchange; 178 ms for trailers). A head without a line end and a chunk's extension were under no bound and took the event loop until the timeout.

A connection to a target now gives its parser 16 KiB at most between two signs of progress: a request, a final head, a part of a body. It is destroyed beyond that. This is done where the socket is read, for every kind of exchange.

--- a/packages/fleet_gateway/endless_responses_test.ts
+++ b/packages/fleet_gateway/endless_responses_test.ts
@@ -14,6 +14,10 @@
 
 const timeoutMilliseconds = 1500;
 const megabyte = 1024 * 1024;
+/** Sent at once in measurements, more than a connection buffers. */
+const burstBytes = 256 * 1024;
+const warmUpExchanges = 15;
+const exchanges = 11;
 
 class PlainWire extends CallerWire {
   override readRequest(): CallerRequestHead {
@@ -81,13 +85,14 @@
   isClosed = false;
   readonly #server: Server;
 
-  constructor(first: string, piece: string) {
+  /** @param pieces Number of pieces that it sends. */
+  constructor(first: string, piece: string, pieces = Infinity) {
     this.#server = createServer((socket) => {
       socket.on("error", () => {});
       socket.once("close", () => (this.isClosed = true));
       socket.once("data", () => {
         socket.write(first);
-        this.#send(socket, Buffer.from(piece));
+        this.#send(socket, { piece: Buffer.from(piece), pieces });
       });
     });
   }
@@ -103,11 +108,15 @@
     this.#server.close();
   }
 
-  #send(socket: Socket, piece: Buffer): void {
-    if (socket.destroyed) return;
+  #send(
+    socket: Socket,
+    { piece, pieces }: { readonly piece: Buffer; readonly pieces: number },
+  ): void {
+    if (socket.destroyed || pieces === 0) return;
     this.sentBytes += piece.length;
-    if (socket.write(piece)) setImmediate(() => this.#send(socket, piece));
-    else socket.once("drain", () => this.#send(socket, piece));
+    const sendNext = () => this.#send(socket, { piece, pieces: pieces - 1 });
+    if (socket.write(piece)) setImmediate(sendNext);
+    else socket.once("drain", sendNext);
   }
 }
 
@@ -130,10 +139,23 @@
     target = new EndlessTarget(options.first, options.piece);
     const address = await target.start();
     const startedAt = performance.now();
-    const result = await new Exchange({
+    const result = await exchangeWith(
+      address,
+      options.stream ?? new CountingStream(true),
+    );
+    const milliseconds = performance.now() - startedAt;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    return { result, milliseconds };
+  }
+
+  function exchangeWith(
+    address: string,
+    stream: CountingStream,
+  ): Promise<ExchangeResult> {
+    return new Exchange({
       connection: connections.acquire(address, { mustBeFresh: false }),
       wire: new PlainWire(),
-      stream: options.stream ?? new CountingStream(true),
+      stream,
       request: {
         method: "GET",
         path: "/",
@@ -143,13 +165,17 @@
         timeoutMilliseconds,
       },
     }).result;
-    const milliseconds = performance.now() - startedAt;
-    await new Promise((resolve) => setTimeout(resolve, 50));
-    return { result, milliseconds };
   }
 
+  const chunkedHead = "HTTP/1.1 200 OK\r\nrequest: r1\r\n" +
+    "transfer-encoding: chunked\r\n\r\n";
   const heads: readonly (readonly [string, string, string])[] = [
     ["header lines", "HTTP/1.1 200 OK\r\n", "name: value\r\n".repeat(50)],
+    ["short header lines", "HTTP/1.1 200 OK\r\n", "a: b\r\n".repeat(10_000)],
+    ["a line without an end", "HTTP/1.1 200 OK", "x".repeat(60_000)],
+    ["trailers", `${chunkedHead}0\r\n`, "a: b\r\n".repeat(10_000)],
+    ["a chunk's extension", `${chunkedHead}5;`, "x".repeat(60_000)],
+    ["trailers after data", `${chunkedHead}1\r\ny\r\n0\r\n`, "a: b\r\n"],
     ["one header line", "HTTP/1.1 200 OK\r\nname: ", "x".repeat(1000)],
     ["interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"],
     ["bytes that are not HTTP", "", "\u0000\u0001\u0002 nothing of the kind"],
@@ -164,6 +190,34 @@
     });
   }
 
+  // Guards against one target's endless head or trailers that take the event loop
+  // from all callers.
+  it.each(heads)(
+    "of %s costs at most 5 ms of processor time beyond that of garbage",
+    async (_name, first, piece) => {
+      const garbage = await measureCost("", "nothing of the kind");
+      const cost = await measureCost(first, piece);
+      expect(cost - garbage).toBeLessThan(5);
+    },
+    30_000,
+  );
+
+  /** Returns the median of the processor time of an exchange, in milliseconds. */
+  async function measureCost(first: string, piece: string): Promise<number> {
+    const repeats = Math.ceil(burstBytes / piece.length);
+    target = new EndlessTarget(first, piece.repeat(repeats), 1);
+    const address = await target.start();
+    const costs: number[] = [];
+    for (let count = 0; count < warmUpExchanges + exchanges; count += 1) {
+      const before = process.cpuUsage();
+      await exchangeWith(address, new CountingStream(true));
+      const { user, system } = process.cpuUsage(before);
+      if (count >= warmUpExchanges) costs.push((user + system) / 1000);
+    }
+    target.stop();
+    return costs.sort((left, right) => left - right)[exchanges >> 1]!;
+  }
+
   const body = {
     first: "HTTP/1.1 200 OK\r\nrequest: r1\r\ntransfer-encoding: chunked\r\n" +
       "\r\n",
--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -150,6 +150,7 @@
         LossCause.invalid,
       );
     }
+    this.#connection.allowance.renew();
     this.#head = { ...head, status, headers };
     this.#onHead(this.#head);
   }
@@ -159,6 +160,7 @@
     chunk: Buffer,
   ): void {
     if (this.#hasEnded) return;
+    this.#connection.allowance.renew();
     if (this.#isStreaming) return this.#streamChunk(controller, chunk);
     this.#chunks.push(chunk);
     this.#bytes += chunk.length;
--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "@kingcupglade/tasks";
 import { splitAddress } from "@kingcupglade/transport";
+import { ReadAllowance } from "./read_allowance.ts";
 
 /** Default time limit for opening a connection. */
 const defaultConnectTimeoutMilliseconds = 700;
@@ -16,6 +17,9 @@
  */
 const maximumFreshIdleMilliseconds = 2500;
 
+/** The allowance of a connection ends a longer head before this limit does. */
+const unreachedHeaderBytes = 64 * 1024;
+
 /** Time for which lost connections are remembered. */
 const lossRetentionMilliseconds = 1000;
 
@@ -48,6 +52,8 @@
 /** One connection to a target. */
 export interface TargetConnection {
   readonly client: Client;
+  /** Bounds the bytes that bring no progress in a response. */
+  readonly allowance: ReadAllowance;
   /** Whether the connection is established. */
   isOpen: boolean;
   /** Whether a response was received on this connection before. */
@@ -133,6 +139,7 @@
       connect: (options, callback) =>
         this.#connect(options, (...result: Parameters<typeof callback>) => {
           const [, socket] = result;
+          if (socket) connection.allowance.limit(socket);
           socket?.once("error", () => (connection.wasReset = true));
           socket?.once("end", () => connection.beforeEnd?.());
           callback(...result);
@@ -142,9 +149,11 @@
       keepAliveTimeoutThreshold: keepAliveMarginMilliseconds,
       headersTimeout: 0,
       bodyTimeout: 0,
+      maxHeaderSize: unreachedHeaderBytes,
     });
     const connection: TargetConnection = {
       client,
+      allowance: new ReadAllowance(),
       isOpen: false,
       beforeEnd: undefined,
       wasUsed: false,
@@ -244,7 +253,12 @@
 
   /** Returns a connection to IP:PORT that carries no request. */
   acquire(address: string, criteria: ConnectionCriteria): TargetConnection {
-    return this.#poolOf(address).acquire(this.#clock.now(), criteria);
+    const connection = this.#poolOf(address).acquire(
+      this.#clock.now(),
+      criteria,
+    );
+    connection.allowance.renew();
+    return connection;
   }
 
   /** Makes a connection available again after a complete response. */
