Complete a response that has begun instead of trading it for a hedge's

Cause: a hedge was sent although the response had begun, and its response abandoned the exchange that was being streamed. It could not be sent either, as the headers were out.

No hedge is sent once a response has begun; the stream of a response that begins later is the loser and touches neither the caller nor the first one. A buffered response of a hedge is dropped then too, and a lost stream, also one that comes over a relay, ends its request: nothing is sent a second time.

Evidence: two tests of fleet_path_test.ts and one of first_response_stream_test.ts failed before ("aborted"; both exchanges abandoned) and pass now.

--- a/packages/fleet_gateway/first_response_stream.ts
+++ b/packages/fleet_gateway/first_response_stream.ts
@@ -2,8 +2,8 @@
 import type { Exchange, ResponseStream } from "./exchange.ts";
 
 /**
- * Returns a stream that sends a large response to the caller. When the response
- * begins, the other exchanges of the request are abandoned.
+ * Returns a stream that sends a large response to the caller. The first response
+ * that begins is sent, and the other exchanges of the request are abandoned.
  */
 export function firstResponseStream(
   response: CallerResponse,
@@ -17,17 +17,24 @@
   },
 ): ResponseStream {
   const { exchanges, self, target } = options;
+  let isFirst = false;
   return {
     begin: (head, first) => {
+      if (response.hasStarted) return self().abandon();
+      isFirst = true;
       for (const other of exchanges) {
         if (other !== self()) other.abandon();
       }
       response.target = target;
       response.begin(head, first);
     },
-    write: (chunk) => response.write(chunk),
+    write: (chunk) => !isFirst || response.write(chunk),
     onDrain: (listener) => response.onDrain(listener),
-    end: () => response.end(),
-    fail: () => response.fail(),
+    end: () => {
+      if (isFirst) response.end();
+    },
+    fail: () => {
+      if (isFirst) response.fail();
+    },
   };
 }
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -175,6 +175,11 @@
       case "unknown":
         this.#mayHaveRun = true;
         this.#telemetry.recordRelayFailure(gateway, result.reason);
+        // The caller has seen that a response which had begun is incomplete.
+        if (this.#options.answer.hasStarted) {
+          this.#isFinished = true;
+          return true;
+        }
         if (result.cause === LossCause.timeout) {
           this.#respond(504, "the time is up");
           return true;
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -120,8 +120,8 @@
       objectiveAt: this.#objectiveAt,
       tried: this.#tried,
       mayHedge: () =>
-        !this.#isFinished && this.#exchanges.size === 1 &&
-        this.#suspicion.mayHedge,
+        !this.#isFinished && !this.#response.hasStarted &&
+        this.#exchanges.size === 1 && this.#suspicion.mayHedge,
       takeAttempt: () => this.#mayTryElsewhere,
       send: (target, record, ticket) => {
         this.#context.metrics.hedges.inc();
@@ -333,6 +333,10 @@
     target: TargetView,
     examination: Promise<boolean> | undefined,
   ): void {
+    const isStreamed = result.kind === "answered" && result.body === null;
+    if (this.#response.hasStarted && !isStreamed) {
+      return this.#handleUnstreamed(result, target);
+    }
     if (this.#exchanges.size > 0 && !isSuccess(result)) {
       // The other target may still respond.
       if (result.kind !== "notSent") this.#arrivals += 1;
@@ -365,6 +369,17 @@
     }
   }
 
+  // A response that has begun is neither replaced nor sent a second time.
+  #handleUnstreamed(result: ExchangeResult, target: TargetView): void {
+    if (mayHaveRun(result)) this.#mayHaveRun = true;
+    if (!this.#response.isClosed) {
+      return this.#log("hedge-failed", target, "another response has begun");
+    }
+    if (result.kind === "unknown") this.#telemetry.recordLoss(target, result);
+    this.#telemetry.count("failed");
+    this.#finish();
+  }
+
   // The gateway may just be finding out that the fault is its own.
   async #handleConnectFailures(): Promise<void> {
     if (await this.#context.reach.confirmCutOff()) this.#handleCutOff();
