Send a streamed response without a length in chunks

One cause: it was passed on in the same form, and any orderly end of a connection, also that of a killed process, ends it.

A response that is streamed is now sent in chunks, so that only its last chunk completes it, whoever ends the connection.

One that is buffered keeps its form, as fleet_path_test.ts asks.

--- a/packages/fleet_gateway/caller_response.ts
+++ b/packages/fleet_gateway/caller_response.ts
@@ -110,11 +110,14 @@
     this.#response.end(body);
   }
 
+  /**
+   * Begins a response that is streamed. Without a length it is sent in chunks, so
+   * that a gateway which is lost on the way does not end it.
+   */
   begin(head: ResponseHead, first: readonly Buffer[]): void {
     const headers = forwardedHeaders(head.headers);
     const length = head.headers["content-length"];
     if (length !== undefined) headers.push("content-length", length);
-    else if (!isDelimited(head)) this.#delimitByClose(headers);
     this.#setRelayReply(RelayDecision.taken);
     this.#response.writeHead(head.status, headers);
     for (const chunk of first) this.#response.write(chunk);
@@ -129,8 +132,8 @@
   }
 
   // Only the target knows whether a response without a length is complete, so
-  // it is sent to the caller in the same form: delimited by the end of the
-  // connection.
+  // one that is sent at once is sent in the same form: delimited by the end of
+  // the connection.
   #delimitByClose(headers: string[]): void {
     this.#response.useChunkedEncodingByDefault = false;
     headers.push("connection", "close");
--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -189,6 +189,42 @@
     expect(headers.connection).toBe("close");
   });
 
+  describe("with a streamed response without a length", () => {
+    const part = Buffer.alloc(300_000, "p");
+
+    // Guards against a part that looks whole when the gateway is lost.
+    it("sends it in chunks", async () => {
+      near.handler = far.handler = (_request, response) => {
+        response.useChunkedEncodingByDefault = false;
+        response.setHeader("connection", "close");
+        response.end(part);
+      };
+      const { headers, body } = await sendRequest("/lookup/1");
+      expect(headers["transfer-encoding"]).toBe("chunked");
+      expect(body).toBe(part.toString());
+    });
+
+    // Guards against a response that a target resets and that looks whole.
+    it("tells the caller that it is incomplete when the target resets it", async () => {
+      near.handler = far.handler = (request, response) => {
+        response.useChunkedEncodingByDefault = false;
+        response.setHeader("connection", "close");
+        response.write(part);
+        setTimeout(() => request.socket.resetAndDestroy(), 50);
+      };
+      await expect(sendRequest("/lookup/1")).rejects.toThrow("aborted");
+    });
+
+    it("tells the caller that it is incomplete at the timeout", async () => {
+      near.handler = far.handler = (_request, response) => {
+        response.useChunkedEncodingByDefault = false;
+        response.setHeader("connection", "close");
+        response.write(part);
+      };
+      await expect(sendRequest("/lookup/1")).rejects.toThrow("aborted");
+    });
+  });
+
   it("forwards a shorter deadline than the caller's", async () => {
     let forwardedMilliseconds = Infinity;
     near.handler = far.handler = (request, response) => {
