--- a/packages/fleet_gateway/caller_response.ts
+++ b/packages/fleet_gateway/caller_response.ts
@@ -38,6 +38,8 @@
   readonly #response: ServerResponse;
   readonly #relayId: string | undefined;
   #target = "";
+  /** Whether a streamed response states its length. */
+  #hasLength = false;
 
   /** @param relayId ID of a request that another gateway relays. */
   constructor(response: ServerResponse, relayId?: string) {
@@ -118,6 +120,7 @@
     const headers = forwardedHeaders(head.headers);
     const length = head.headers["content-length"];
     if (length !== undefined) headers.push("content-length", length);
+    this.#hasLength = length !== undefined;
     this.#setRelayReply(RelayDecision.taken);
     this.#response.writeHead(head.status, headers);
     for (const chunk of first) this.#response.write(chunk);
@@ -151,8 +154,12 @@
     this.#response.end();
   }
 
-  // Closing the connection is the only way to signal an incomplete body.
+  // Closing the connection is the only way to signal an incomplete body. Where
+  // neither a length nor chunks tell its end, as for callers of HTTP/1.0, only a
+  // reset is no end of it.
   fail(): void {
+    const { socket, chunkedEncoding } = this.#response;
+    if (!chunkedEncoding && !this.#hasLength) socket?.resetAndDestroy();
     this.#response.destroy();
   }
 }
--- a/packages/fleet_gateway/caller_response_test.ts
+++ b/packages/fleet_gateway/caller_response_test.ts
@@ -72,6 +72,16 @@
     expect(incomplete.text.endsWith(lastChunk)).toBe(false);
   });
 
+  // Guards against the same with a caller that knows no chunks.
+  it("without a length is reset for a caller of HTTP/1.0", async () => {
+    const whole = await receive("1.0", (response) => {
+      response.begin(head, [part]);
+      response.end();
+    });
+    expect(whole.wasReset).toBe(false);
+    expect((await receive("1.0", beginAndFail)).wasReset).toBe(true);
+  });
+
   // Its target may have broken it off, which only its own form tells.
   it("that is buffered stays without a length", async () => {
     const { text } = await receive(
