Keep out a leaving target over a change of leader

Callers' requests could reach a target again that had said in a response that it leaves, after control had changed its leader.

Cause: a new leader lists the targets that it has heard from. Gateways report leaving targets to it once, with their first watch request; the leader dropped reports of targets whose heartbeat had not come yet. A gateway forgot its own notice as soon as a table lacked the target. The next heartbeat listed it as usable, and nobody remembered.

The leader now commits the departure of a target that it has not heard from, unless it knows a later incarnation; a heartbeat of that incarnation then registers as leaving. Gateways keep a notice until the table lists a later incarnation, or has lacked the target for ten minutes. No message and no stored byte changes.

Evidence, before: "records that a target leaves before it has heard from it" got isLeaving false instead of true; "keeps a notice while a new leader does not list the target yet" got mayUse true instead of false. Both pass now, as do all tests of fleet_gateway.

--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -359,11 +359,13 @@
     this.notifyChange();
   }
 
-  // A target may tell gateways that it leaves before it can tell control.
+  // A target may tell gateways that it leaves before it can tell control, and
+  // before a new leader has heard from it.
   #recordLeaving({ gateway, leaving }: Watch): void {
     const { logger } = this.#options;
     for (const { target, bornAt } of leaving) {
-      if (this.#registry.get(target)?.incarnation.bornAt !== bornAt) continue;
+      const known = this.#registry.get(target)?.incarnation;
+      if (known && known.bornAt > bornAt) continue;
       const kind = DepartureKind.draining;
       this.#depart(target, { bornAt, kind }).catch((failure) =>
         logger.warn("departure-not-recorded", {
--- /dev/null
+++ b/packages/fleet_control/leader_session_test.ts
@@ -0,0 +1,121 @@
+import { emptyFleetState, FleetMachine } from "@kingcupglade/fleet";
+import type {
+  Announcement,
+  FleetCommand,
+  FleetState,
+  ViewPosition,
+} from "@kingcupglade/fleet";
+import { ManualClock } from "@kingcupglade/tasks";
+import { beforeEach, describe, expect, it } from "vitest";
+import { LeaderSession } from "./leader_session.ts";
+import type { FleetReplica } from "./leader_session.ts";
+import type { Watch } from "./watch.ts";
+import { decodeWatchAnswer } from "./watch_codec.ts";
+
+const term = 3;
+const start: ViewPosition = {
+  index: 0,
+  term: 0,
+  revision: 0,
+  isComplete: false,
+};
+
+/** Replica that commits each command at once, unless it is held. */
+class ImmediateReplica {
+  readonly consensus = { term };
+  readonly #machine = new FleetMachine();
+  state: FleetState = emptyFleetState;
+  appliedIndex = 10;
+  /** Whether commands are neither committed nor fail. */
+  isHeld = false;
+
+  propose(command: FleetCommand): Promise<unknown> {
+    if (this.isHeld) return new Promise(() => {});
+    this.appliedIndex += 1;
+    const applied = this.#machine.apply(
+      this.state,
+      command,
+      this.appliedIndex,
+    );
+    this.state = applied.state;
+    return Promise.resolve(applied.outcome);
+  }
+}
+
+function heartbeat(bornAt: number, sequence: number): Announcement {
+  return {
+    incarnation: { target: "i-1", bornAt },
+    service: "catalogue",
+    address: "127.0.0.1:8400",
+    dataCentre: "hsinchu-a",
+    slots: 4,
+    isDraining: false,
+    coldMilliseconds: 0,
+    sequence,
+    holds: [],
+    freed: [],
+  };
+}
+
+function watch(overrides: Partial<Watch> = {}): Watch {
+  return {
+    gateway: "gateway-1",
+    dataCentre: "hsinchu-a",
+    region: "north",
+    address: "127.0.0.2:8390",
+    isLeaving: false,
+    isCutOff: false,
+    position: start,
+    isSearch: false,
+    demand: [],
+    durations: [],
+    limits: [],
+    leaving: [],
+    suspects: [],
+    ...overrides,
+  };
+}
+
+describe("LeaderSession", () => {
+  let replica: ImmediateReplica;
+  let session: LeaderSession;
+
+  beforeEach(() => {
+    replica = new ImmediateReplica();
+    session = new LeaderSession({
+      replica: replica as unknown as FleetReplica,
+      clock: new ManualClock(1000),
+      logger: { debug() {}, info() {}, warn() {}, error() {} },
+      heartbeatMilliseconds: 1000,
+      controlAddress: "127.0.0.3:8300",
+      region: "north",
+      regionOf: () => "north",
+      controlAddresses: () => [],
+      listeners: () => [],
+    });
+  });
+
+  async function update(request: Watch) {
+    const answer = decodeWatchAnswer(await session.watch(request));
+    if (answer.kind !== "news") throw new Error("no update");
+    return answer.delta;
+  }
+
+  // Failure: a leaving target received requests again after a change of leader.
+  it("records that a target leaves before it has heard from it", async () => {
+    const leaving = [{ target: "i-1", bornAt: 7 }];
+    await update(watch({ leaving }));
+    await session.handleHeartbeat(heartbeat(7, 1));
+    const { targets } = await update(watch());
+    expect(targets).toMatchObject([{ name: "i-1", isLeaving: true }]);
+  });
+
+  it("ignores that an earlier incarnation leaves", async () => {
+    await session.handleHeartbeat(heartbeat(8, 1));
+    const leaving = [{ target: "i-1", bornAt: 7 }];
+    const { departed } = await update(watch({ leaving }));
+    expect(departed).toEqual([]);
+    const { targets } = await update(watch());
+    expect(targets).toMatchObject([{ name: "i-1", isLeaving: false }]);
+  });
+});
--- a/packages/fleet_gateway/target_notices.ts
+++ b/packages/fleet_gateway/target_notices.ts
@@ -14,8 +14,13 @@
 const maximumExtensionShare = 0.2;
 const maximumExtensionMilliseconds = 500;
 
+/** A target that the table does not list may be listed again within this time. */
+const absenceMilliseconds = 600_000;
+
 interface Notice {
   readonly incarnation: TargetIncarnation;
+  /** When the table ceased to list the target; Infinity while it does. */
+  absentSince: number;
   isLeaving: boolean;
   pausedUntil: number;
 }
@@ -102,12 +107,23 @@
     return rows;
   }
 
-  /** Forgets incarnations that the table does not list any more. */
+  /**
+   * Forgets incarnations that the table lists a successor of, or has not listed
+   * for long. A new leader lists a target only once it has heard from it.
+   */
   applyTable(table: Pick<GatewayTable, "target">): void {
-    for (const [id, { incarnation }] of this.#notices) {
-      if (table.target(incarnation.target)?.bornAt === incarnation.bornAt) {
-        continue;
-      }
+    const now = this.#clock.now();
+    for (const [id, notice] of this.#notices) {
+      const { target, bornAt } = notice.incarnation;
+      const listed = table.target(target);
+      const isListed = listed?.bornAt === bornAt;
+      notice.absentSince = isListed ? Infinity : Math.min(
+        notice.absentSince,
+        now,
+      );
+      const hasSuccessor = listed !== undefined && listed.bornAt > bornAt;
+      const isAbsentLong = now - notice.absentSince > absenceMilliseconds;
+      if (!hasSuccessor && !isAbsentLong) continue;
       this.#notices.delete(id);
       this.#unreported.delete(id);
     }
@@ -144,6 +160,7 @@
     const { name, bornAt } = target;
     const notice = {
       incarnation: { target: name, bornAt },
+      absentSince: Infinity,
       isLeaving: false,
       pausedUntil: -Infinity,
     };
--- a/packages/fleet_gateway/target_notices_test.ts
+++ b/packages/fleet_gateway/target_notices_test.ts
@@ -81,6 +81,26 @@
     expect(notices.takeLeaving(true)).toEqual([incarnation]);
   });
 
+  // Failure: a leaving target received requests again after a change of leader.
+  it("keeps a notice while a new leader does not list the target yet", () => {
+    const { clock, notices } = create();
+    notices.record(target, { ...plain, isLeaving: true }, "r1");
+    notices.applyTable({ target: () => undefined });
+    clock.advance(5000);
+    notices.applyTable({ target: () => target });
+    expect(notices.mayUse(target)).toBe(false);
+    expect(notices.takeLeaving(true)).toHaveLength(1);
+  });
+
+  it("forgets an incarnation that has not been listed for long", () => {
+    const { clock, notices } = create();
+    notices.record(target, { ...plain, isLeaving: true }, "r1");
+    notices.applyTable({ target: () => undefined });
+    clock.advance(600_001);
+    notices.applyTable({ target: () => undefined });
+    expect(notices.unusable()).toHaveLength(0);
+  });
+
   it("forgets an incarnation that is gone", () => {
     const { notices } = create();
     notices.record(target, { ...plain, isLeaving: true }, "r1");
