Acknowledge a repeated draining heartbeat once it is committed

A target that drained could be told that this was known although it wasn't yet: after a change of leader, a late heartbeat from before would have registered it as ready, and requests would have reached it later than drainPeriodS after the acknowledgement.

Cause: the first draining heartbeat waits until its departure is committed. A target that waits too long sends the same heartbeat to the next VM; the leader took that copy for an outdated one and acknowledged it at once.

A copy now waits for the same departure. Departures that are committed already cost nothing, and one of an earlier incarnation changes nothing.

Evidence, before: "acknowledges a repeated draining heartbeat only once it is committed" found the copy acknowledged while nothing was committed (isAcknowledged true instead of false). It passes now. Not seen in a run of real processes.

--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -166,13 +166,14 @@
     const address = chooseHeartbeatListener(announcement, this.#options);
     if (!this.#mayRegister(announcement)) return {};
     const isNewest = this.#registerHeartbeat(announcement);
-    if (!isNewest) return {};
+    // Also for a repeated heartbeat: its sender waits for this acknowledgement.
     if (announcement.isDraining) {
       await this.#depart(incarnation.target, {
         bornAt: incarnation.bornAt,
         kind: DepartureKind.draining,
       });
     }
+    if (!isNewest) return {};
     if (!this.#ranges.isKeyed(announcement.service)) {
       return { address };
     }
--- a/packages/fleet_control/leader_session_test.ts
+++ b/packages/fleet_control/leader_session_test.ts
@@ -118,4 +118,18 @@
     const { targets } = await update(watch());
     expect(targets).toMatchObject([{ name: "i-1", isLeaving: false }]);
   });
+
+  // Failure: "draining" was acknowledged and unknown to the next leader.
+  it("acknowledges a repeated draining heartbeat only once it is committed", async () => {
+    replica.isHeld = true;
+    const draining = { ...heartbeat(7, 2), isDraining: true };
+    void session.handleHeartbeat(draining);
+    let isAcknowledged = false;
+    void session.handleHeartbeat(draining).then(() => isAcknowledged = true);
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(isAcknowledged).toBe(false);
+    replica.isHeld = false;
+    await session.handleHeartbeat(draining);
+    expect(replica.state.departures.get("i-1")?.bornAt).toBe(7);
+  });
 });
