Publish no departure of an earlier incarnation

A target that had started again under its name got no requests from gateways when its earlier life's departure was committed late (a DELETE or a draining heartbeat that was delayed), until something else of the target changed.

Cause: the leader's registry takes a departure by incarnation, but its updates name departed targets without one, and a gateway takes out of use whatever incarnation of that name it knows. As the registry had not changed, the update didn't list the target either.

The leader now leaves out departures where it knows a later incarnation. One that it doesn't know yet is listed with its first heartbeat, which ends what the gateway took from the departure. The wire is unchanged.

Evidence, before: "publishes no departure of an earlier incarnation" got departed ["i-1"] for the life before the one that is registered, instead of [].

--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -6,6 +6,7 @@
 import type {
   Announcement,
   AnnouncementResponse,
+  Departure,
   FleetCommand,
   FleetOutcome,
   FleetState,
@@ -365,9 +366,8 @@
   #recordLeaving({ gateway, leaving }: Watch): void {
     const { logger } = this.#options;
     for (const { target, bornAt } of leaving) {
-      const known = this.#registry.get(target)?.incarnation;
-      if (known && known.bornAt > bornAt) continue;
       const kind = DepartureKind.draining;
+      if (this.#hasLaterIncarnation(target, { bornAt })) continue;
       this.#depart(target, { bornAt, kind }).catch((failure) =>
         logger.warn("departure-not-recorded", {
           target,
@@ -378,6 +378,15 @@
     }
   }
 
+  // Gateways apply a departure to whatever incarnation they know.
+  #hasLaterIncarnation(
+    target: string,
+    { bornAt }: Pick<Departure, "bornAt">,
+  ): boolean {
+    const known = this.#registry.get(target)?.incarnation;
+    return known !== undefined && known.bornAt > bornAt;
+  }
+
   #updateControlAddresses(): void {
     const control = [...this.#options.controlAddresses()].sort();
     if (control.join() === this.#controlAddresses.join()) return;
@@ -439,8 +448,9 @@
       ).map((item) => ({ ...item, source: "" })),
       dataCentresOut: [...state.evacuations].filter(([, { isOut }]) => isOut)
         .map(([name]) => name),
-      departed: [...state.departures].filter(([, { changedAt }]) =>
-        changedAt > position.index
+      departed: [...state.departures].filter(([name, departure]) =>
+        departure.changedAt > position.index &&
+        !this.#hasLaterIncarnation(name, departure)
       ).map(([name]) => name),
       targets: this.#targetViews.changesSince(isFullUpdate ? -1 : since, now),
       areTargetsComplete: isFullUpdate,
--- a/packages/fleet_control/leader_session_test.ts
+++ b/packages/fleet_control/leader_session_test.ts
@@ -132,4 +132,16 @@
     await session.handleHeartbeat(draining);
     expect(replica.state.departures.get("i-1")?.bornAt).toBe(7);
   });
+
+  // Failure: a late departure took the target's next incarnation out of use.
+  it("publishes no departure of an earlier incarnation", async () => {
+    await session.handleHeartbeat(heartbeat(8, 1));
+    const { position } = await update(watch());
+    await session.handleDeparture("i-1", 7);
+    const { departed } = await update(watch({ position }));
+    expect(departed).toEqual([]);
+    await session.handleDeparture("i-1", 8);
+    const delta = await update(watch({ position }));
+    expect(delta.departed).toEqual(["i-1"]);
+  });
 });
