--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -6,6 +6,7 @@
 import type {
   Announcement,
   AnnouncementResponse,
+  Departure,
   FleetCommand,
   FleetOutcome,
   FleetState,
@@ -166,13 +167,14 @@
     const address = chooseHeartbeatListener(announcement, this.#options);
     if (!this.#mayRegister(announcement)) return {};
     const isNewest = this.#registerHeartbeat(announcement);
-    if (!isNewest) return {};
+    // Also for a repeated heartbeat: its sender waits for this acknowledgement.
     if (announcement.isDraining) {
       await this.#depart(incarnation.target, {
         bornAt: incarnation.bornAt,
         kind: DepartureKind.draining,
       });
     }
+    if (!isNewest) return {};
     if (!this.#ranges.isKeyed(announcement.service)) {
       return { address };
     }
@@ -359,12 +361,13 @@
     this.notifyChange();
   }
 
-  // A target may tell gateways that it leaves before it can tell control.
+  // A target may tell gateways that it leaves before it can tell control, and
+  // before a new leader has heard from it.
   #recordLeaving({ gateway, leaving }: Watch): void {
     const { logger } = this.#options;
     for (const { target, bornAt } of leaving) {
-      if (this.#registry.get(target)?.incarnation.bornAt !== bornAt) continue;
       const kind = DepartureKind.draining;
+      if (this.#hasLaterIncarnation(target, { bornAt })) continue;
       this.#depart(target, { bornAt, kind }).catch((failure) =>
         logger.warn("departure-not-recorded", {
           target,
@@ -375,6 +378,15 @@
     }
   }
 
+  // Gateways apply a departure to whatever incarnation they know.
+  #hasLaterIncarnation(
+    target: string,
+    { bornAt }: Pick<Departure, "bornAt">,
+  ): boolean {
+    const known = this.#registry.get(target)?.incarnation;
+    return known !== undefined && known.bornAt > bornAt;
+  }
+
   #updateControlAddresses(): void {
     const control = [...this.#options.controlAddresses()].sort();
     if (control.join() === this.#controlAddresses.join()) return;
@@ -436,8 +448,9 @@
       ).map((item) => ({ ...item, source: "" })),
       dataCentresOut: [...state.evacuations].filter(([, { isOut }]) => isOut)
         .map(([name]) => name),
-      departed: [...state.departures].filter(([, { changedAt }]) =>
-        changedAt > position.index
+      departed: [...state.departures].filter(([name, departure]) =>
+        departure.changedAt > position.index &&
+        !this.#hasLaterIncarnation(name, departure)
       ).map(([name]) => name),
       targets: this.#targetViews.changesSince(isFullUpdate ? -1 : since, now),
       areTargetsComplete: isFullUpdate,
