Sync the folder between a new log and the identity

Operators saw a VM that did not start any more after a loss of power in its first start: "0.log is missing, and with it acknowledged votes and entries". The folder kept the rename of identity.json and lost the name of the log that was created before it, as nothing had synced the folder in between, and each unsynced name is kept or lost on its own.

Whether a new file's name becomes durable with the file's sync or the folder's is an option; tests run with both.

--- a/packages/storage/replica_storage.ts
+++ b/packages/storage/replica_storage.ts
@@ -149,12 +149,15 @@
   }
 }
 
-// A folder with an identity must have a log, so the log is created first.
+// A folder with an identity must have a log, so the log is created first and its
+// name is durable before that of the identity.
 async function createDataFolder(
   options: IdentityOptions,
 ): Promise<FolderIdentity> {
-  const log = await LogFile.create(logPath(options.folder, 0), options.files);
+  const { folder, files } = options;
+  const log = await LogFile.create(logPath(folder, 0), files);
   await log.close();
+  await files.syncFolder(folder);
   return await createIdentity(options);
 }
 
--- a/packages/storage/replica_storage_test.ts
+++ b/packages/storage/replica_storage_test.ts
@@ -6,7 +6,8 @@
   MissingLogError,
   StorageError,
 } from "./errors.ts";
-import { FakeFiles } from "./fake_files.ts";
+import { FakeFiles, NewFileDurability } from "./fake_files.ts";
+import { lossesOf } from "./fake_losses.ts";
 import { ReplicaStorage } from "./replica_storage.ts";
 
 const folder = "/data";
@@ -97,6 +98,26 @@
       }
     });
 
+    // Guards against: a folder that did not open any more, because its first
+    // start kept the name of its identity and lost that of its log.
+    it.each(Object.values(NewFileDurability))(
+      "opens a folder whose creation kept any of its names, with %s",
+      async (newFiles) => {
+        const failures: string[] = [];
+        for (let operations = 0; operations < 12; operations += 1) {
+          const files = new FakeFiles({ newFiles });
+          files.failAfter(operations);
+          await openStorage(files).catch(() => {});
+          for (const survivor of lossesOf(files)) {
+            await openStorage(survivor).catch((failure: Error) =>
+              failures.push(`${operations}: ${failure.message}`)
+            );
+          }
+        }
+        expect(failures).toEqual([]);
+      },
+    );
+
     it("keeps either all entries of a batch or none", async () => {
       const outcomes = await crashAfterEveryOperation(
         createFilledStorage,
