Make durable what a data folder holds before working from it

Cause: a start took what it could read for what is durable.

Opening a folder now syncs the log (until now only after a cut) and the folder, and removes stale files after that. These are two syncs an open, none of them a read's; formats and names do not change.

--- a/packages/storage/log_file.ts
+++ b/packages/storage/log_file.ts
@@ -8,6 +8,14 @@
   recordHeaderBytes,
 } from "./record.ts";
 
+/** A log that was opened, with the records that it contained. */
+export interface OpenedLog {
+  readonly log: LogFile;
+  readonly records: readonly Buffer[];
+  /** Bytes of an incomplete last record, which were removed. */
+  readonly cutBytes: number;
+}
+
 /** An append-only file of checksummed records, each synced before the next one. */
 export class LogFile {
   readonly #file: AppendOnlyFile;
@@ -26,22 +34,21 @@
   }
 
   /**
-   * Opens a log. An incomplete last record is truncated, as it was never
-   * acknowledged.
+   * Opens a log and makes what it contains durable: the process that wrote it
+   * may have been killed before its sync. An incomplete last record is
+   * truncated, as it was never acknowledged.
    *
    * @throws {MissingLogError} when the file does not exist.
    * @throws {CorruptLogError} when a record before the last one is damaged.
    */
-  static async open(
-    path: string,
-    files: Files,
-  ): Promise<{ readonly log: LogFile; readonly records: readonly Buffer[] }> {
+  static async open(path: string, files: Files): Promise<OpenedLog> {
     const bytes = await files.read(path);
     if (!bytes) throw new MissingLogError(basename(path));
     const { records, end } = readRecords(bytes, basename(path));
     const file = await files.openTruncated(path, end);
-    if (end < bytes.length) await file.sync();
-    return { log: new LogFile(file, end), records };
+    const log = new LogFile(file, end);
+    await closeOnFailure(log, () => file.sync());
+    return { log, records, cutBytes: bytes.length - end };
   }
 
   /** Size of the log in bytes. */
@@ -62,6 +69,20 @@
   }
 }
 
+/** Runs an action, and closes the log if the action fails. */
+export async function closeOnFailure<Result>(
+  log: LogFile,
+  action: () => Promise<Result>,
+): Promise<Result> {
+  try {
+    return await action();
+  } catch (failure) {
+    // The first failure tells more than one of closing the file.
+    await log.close().catch(() => {});
+    throw failure;
+  }
+}
+
 function readRecords(
   bytes: Buffer,
   file: string,
--- a/packages/storage/replica_storage.ts
+++ b/packages/storage/replica_storage.ts
@@ -6,7 +6,7 @@
 import type { Files } from "./files.ts";
 import { createIdentity, readIdentity } from "./identity.ts";
 import type { FolderIdentity, IdentityOptions } from "./identity.ts";
-import { LogFile } from "./log_file.ts";
+import { closeOnFailure, LogFile } from "./log_file.ts";
 import { encodeRecord, readRecord } from "./record.ts";
 
 /** The state that a data folder contained when it was opened. */
@@ -26,6 +26,8 @@
 export class ReplicaStorage {
   readonly identity: FolderIdentity;
   readonly stored: StoredState;
+  /** Bytes of an incomplete last record that were removed from the log. */
+  readonly cutBytes: number;
   readonly #folder: string;
   readonly #files: Files;
   #log: LogFile;
@@ -37,6 +39,7 @@
     readonly files: Files;
     readonly identity: FolderIdentity;
     readonly stored: StoredState;
+    readonly cutBytes: number;
     readonly log: LogFile;
     readonly generation: number;
   }) {
@@ -44,12 +47,14 @@
     this.#files = options.files;
     this.identity = options.identity;
     this.stored = options.stored;
+    this.cutBytes = options.cutBytes;
     this.#log = options.log;
     this.#generation = options.generation;
   }
 
   /**
-   * Opens the data folder of a VM, creating it if it is missing.
+   * Opens the data folder of a VM, creating it if it is missing, and makes
+   * durable what it contains.
    *
    * @throws {StorageError} when the folder cannot be used. Where possible, the
    * message says how to recover.
@@ -68,21 +73,29 @@
         ? decodeSnapshotFile(snapshotBytes, folder)
         : { snapshot: null, generation: 0 };
       const path = logPath(folder, generation);
-      const { log, records } = await LogFile.open(path, files);
-      // The first record of a log is synced before the snapshot that refers to
-      // the log.
-      if (snapshot && records.length === 0) {
-        throw new CorruptLogError(basename(path), 0);
-      }
-      await removeStaleFiles(folder, { log: path, files });
-      const stored = replayLog(snapshot, records.flatMap(decodeUpdates), path);
-      return new ReplicaStorage({
-        folder,
-        files,
-        identity,
-        stored,
-        log,
-        generation,
+      const { log, records, cutBytes } = await LogFile.open(path, files);
+      return await closeOnFailure(log, async () => {
+        // The first record of a log is synced before the snapshot that refers
+        // to the log.
+        if (snapshot && records.length === 0) {
+          throw new CorruptLogError(basename(path), 0);
+        }
+        // An earlier process may have been killed between a rename and the sync
+        // of the folder, so the names that were read may not be durable. The
+        // removals must not outlast them.
+        await files.syncFolder(folder);
+        await removeStaleFiles(folder, { log: path, files });
+        const updates = records.flatMap(decodeUpdates);
+        const stored = replayLog(snapshot, updates, path);
+        return new ReplicaStorage({
+          folder,
+          files,
+          identity,
+          stored,
+          cutBytes,
+          log,
+          generation,
+        });
       });
     } catch (cause) {
       if (cause instanceof StorageError) throw cause;
