Sync the parent of each folder that a start creates

A loss of power could take a whole data folder, and with it what was acknowledged, if a start had created several levels of its path: only the parent of the first new level was synced, so the entries of the levels below were not durable.

Evidence: "syncs the parent of each folder that it creates" fails on the code before, which for a/b/c synced the parent of a and neither a nor b.

A process that is killed between the creation of the last level and the sync of its parent leaves a folder that the next start does not know to be new; deployments that create the folder before the start, as ours do, do not meet this.

--- a/packages/storage/files.ts
+++ b/packages/storage/files.ts
@@ -1,6 +1,6 @@
 import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
-import { dirname } from "node:path";
+import { dirname, resolve } from "node:path";
 
 /** A file that can only be appended to. */
 export abstract class AppendOnlyFile {
@@ -58,8 +58,13 @@
   }
 
   override async createFolder(path: string): Promise<void> {
-    const created = await mkdir(path, { recursive: true });
-    if (created !== undefined) await this.syncFolder(dirname(created));
+    const folder = resolve(path);
+    const first = await mkdir(folder, { recursive: true });
+    if (first === undefined) return;
+    for (let created = folder;; created = dirname(created)) {
+      await this.syncFolder(dirname(created));
+      if (created === first || created === dirname(created)) return;
+    }
   }
 
   override async openTruncated(
