Write nothing to a data folder after a failed write

No operator has seen it: the queue that writes for a replica stops at the first failure, and the process ends. The data folder now holds to it itself: after a failed write it refuses all others.

--- a/packages/storage/replica_storage.ts
+++ b/packages/storage/replica_storage.ts
@@ -33,6 +33,7 @@
   #log: LogFile;
   /** Number in the log file's name; each snapshot starts the next generation. */
   #generation: number;
+  #hasFailed = false;
 
   protected constructor(options: {
     readonly folder: string;
@@ -113,16 +114,7 @@
 
   /** Appends hard states and entries with a single sync. */
   async append(updates: readonly LogUpdate[]): Promise<void> {
-    try {
-      await this.#log.append(encode(updates));
-    } catch (cause) {
-      throw new StorageError(
-        `the log cannot be written: ${
-          errorMessage(cause)
-        }; free the disk and restart the VM`,
-        { cause },
-      );
-    }
+    await this.#write("log", () => this.#log.append(encode(updates)));
   }
 
   /** Stores a snapshot and starts a log with the hard state and later entries. */
@@ -130,7 +122,7 @@
     snapshot: Snapshot,
     logTail: LogUpdate,
   ): Promise<void> {
-    try {
+    await this.#write("snapshot", async () => {
       const files = this.#files;
       const nextGeneration = this.#generation + 1;
       const log = await LogFile.create(
@@ -147,9 +139,19 @@
       await files.remove(logPath(this.#folder, this.#generation));
       this.#log = log;
       this.#generation = nextGeneration;
+    });
+  }
+
+  // What a failed write left is known only once the folder is opened again, so
+  // nothing is written after it.
+  async #write(subject: string, action: () => Promise<void>): Promise<void> {
+    try {
+      if (this.#hasFailed) throw new Error("an earlier write failed");
+      await action();
     } catch (cause) {
+      this.#hasFailed = true;
       throw new StorageError(
-        `the snapshot cannot be written: ${
+        `the ${subject} cannot be written: ${
           errorMessage(cause)
         }; free the disk and restart the VM`,
         { cause },
--- a/packages/storage/replica_storage_test.ts
+++ b/packages/storage/replica_storage_test.ts
@@ -160,6 +160,43 @@
     });
   });
 
+  describe("after a failed write", () => {
+    const writes = {
+      append: (storage: ReplicaStorage) => append(storage, entry(4)),
+      saveSnapshot: (storage: ReplicaStorage) =>
+        storage.saveSnapshot(snapshotAt(2), {
+          hardState: { term: 1, votedFor: "vm-1.a" },
+          entries: [entry(3)],
+        }),
+    };
+
+    // Guards against: an append that was acknowledged after a failed write, and
+    // was missing or made the log unreadable at the next start.
+    it.each(Object.keys(writes) as (keyof typeof writes)[])(
+      "refuses an append, or keeps it, after %s failed anywhere",
+      async (first) => {
+        for (let operations = 0;; operations += 1) {
+          const { files, storage } = await createFilledStorage();
+          files.failAfter(operations, 0.5);
+          const done = await writes[first](storage).then(
+            () => true,
+            () => false,
+          );
+          if (done) return;
+          files.repair();
+          const isAcknowledged = await append(storage, entry(4, 2)).then(
+            () => true,
+            () => false,
+          );
+          const { stored } = await openStorage(files.kill());
+          const isFound = stored.entries.at(-1)?.term === 2;
+          expect({ operations, isLost: isAcknowledged && !isFound })
+            .toEqual({ operations, isLost: false });
+        }
+      },
+    );
+  });
+
   describe("with damaged files", () => {
     const damageCases = [
       {
