--- a/packages/storage/replica_storage.ts
+++ b/packages/storage/replica_storage.ts
@@ -6,7 +6,7 @@
 import type { Files } from "./files.ts";
 import { createIdentity, readIdentity } from "./identity.ts";
 import type { FolderIdentity, IdentityOptions } from "./identity.ts";
-import { LogFile } from "./log_file.ts";
+import { closeOnFailure, LogFile } from "./log_file.ts";
 import { encodeRecord, readRecord } from "./record.ts";
 
 /** The state that a data folder contained when it was opened. */
@@ -26,17 +26,21 @@
 export class ReplicaStorage {
   readonly identity: FolderIdentity;
   readonly stored: StoredState;
+  /** Bytes of an incomplete last record that were removed from the log. */
+  readonly cutBytes: number;
   readonly #folder: string;
   readonly #files: Files;
   #log: LogFile;
   /** Number in the log file's name; each snapshot starts the next generation. */
   #generation: number;
+  #hasFailed = false;
 
   protected constructor(options: {
     readonly folder: string;
     readonly files: Files;
     readonly identity: FolderIdentity;
     readonly stored: StoredState;
+    readonly cutBytes: number;
     readonly log: LogFile;
     readonly generation: number;
   }) {
@@ -44,12 +48,14 @@
     this.#files = options.files;
     this.identity = options.identity;
     this.stored = options.stored;
+    this.cutBytes = options.cutBytes;
     this.#log = options.log;
     this.#generation = options.generation;
   }
 
   /**
-   * Opens the data folder of a VM, creating it if it is missing.
+   * Opens the data folder of a VM, creating it if it is missing, and makes
+   * durable what it contains.
    *
    * @throws {StorageError} when the folder cannot be used. Where possible, the
    * message says how to recover.
@@ -68,21 +74,29 @@
         ? decodeSnapshotFile(snapshotBytes, folder)
         : { snapshot: null, generation: 0 };
       const path = logPath(folder, generation);
-      const { log, records } = await LogFile.open(path, files);
-      // The first record of a log is synced before the snapshot that refers to
-      // the log.
-      if (snapshot && records.length === 0) {
-        throw new CorruptLogError(basename(path), 0);
-      }
-      await removeStaleFiles(folder, { log: path, files });
-      const stored = replayLog(snapshot, records.flatMap(decodeUpdates), path);
-      return new ReplicaStorage({
-        folder,
-        files,
-        identity,
-        stored,
-        log,
-        generation,
+      const { log, records, cutBytes } = await LogFile.open(path, files);
+      return await closeOnFailure(log, async () => {
+        // The first record of a log is synced before the snapshot that refers
+        // to the log.
+        if (snapshot && records.length === 0) {
+          throw new CorruptLogError(basename(path), 0);
+        }
+        // An earlier process may have been killed between a rename and the sync
+        // of the folder, so the names that were read may not be durable. The
+        // removals must not outlast them.
+        await files.syncFolder(folder);
+        await removeStaleFiles(folder, { log: path, files });
+        const updates = records.flatMap(decodeUpdates);
+        const stored = replayLog(snapshot, updates, path);
+        return new ReplicaStorage({
+          folder,
+          files,
+          identity,
+          stored,
+          cutBytes,
+          log,
+          generation,
+        });
       });
     } catch (cause) {
       if (cause instanceof StorageError) throw cause;
@@ -100,16 +114,7 @@
 
   /** Appends hard states and entries with a single sync. */
   async append(updates: readonly LogUpdate[]): Promise<void> {
-    try {
-      await this.#log.append(encode(updates));
-    } catch (cause) {
-      throw new StorageError(
-        `the log cannot be written: ${
-          errorMessage(cause)
-        }; free the disk and restart the VM`,
-        { cause },
-      );
-    }
+    await this.#write("log", () => this.#log.append(encode(updates)));
   }
 
   /** Stores a snapshot and starts a log with the hard state and later entries. */
@@ -117,7 +122,7 @@
     snapshot: Snapshot,
     logTail: LogUpdate,
   ): Promise<void> {
-    try {
+    await this.#write("snapshot", async () => {
       const files = this.#files;
       const nextGeneration = this.#generation + 1;
       const log = await LogFile.create(
@@ -134,9 +139,19 @@
       await files.remove(logPath(this.#folder, this.#generation));
       this.#log = log;
       this.#generation = nextGeneration;
+    });
+  }
+
+  // What a failed write left is known only once the folder is opened again, so
+  // nothing is written after it.
+  async #write(subject: string, action: () => Promise<void>): Promise<void> {
+    try {
+      if (this.#hasFailed) throw new Error("an earlier write failed");
+      await action();
     } catch (cause) {
+      this.#hasFailed = true;
       throw new StorageError(
-        `the snapshot cannot be written: ${
+        `the ${subject} cannot be written: ${
           errorMessage(cause)
         }; free the disk and restart the VM`,
         { cause },
@@ -149,12 +164,15 @@
   }
 }
 
-// A folder with an identity must have a log, so the log is created first.
+// A folder with an identity must have a log, so the log is created first and its
+// name is durable before that of the identity.
 async function createDataFolder(
   options: IdentityOptions,
 ): Promise<FolderIdentity> {
-  const log = await LogFile.create(logPath(options.folder, 0), options.files);
+  const { folder, files } = options;
+  const log = await LogFile.create(logPath(folder, 0), files);
   await log.close();
+  await files.syncFolder(folder);
   return await createIdentity(options);
 }
 
--- a/packages/storage/replica_storage_test.ts
+++ b/packages/storage/replica_storage_test.ts
@@ -6,7 +6,8 @@
   MissingLogError,
   StorageError,
 } from "./errors.ts";
-import { FakeFiles } from "./fake_files.ts";
+import { FakeFiles, NewFileDurability } from "./fake_files.ts";
+import { lossesOf } from "./fake_losses.ts";
 import { ReplicaStorage } from "./replica_storage.ts";
 
 const folder = "/data";
@@ -97,6 +98,26 @@
       }
     });
 
+    // Guards against: a folder that did not open any more, because its first
+    // start kept the name of its identity and lost that of its log.
+    it.each(Object.values(NewFileDurability))(
+      "opens a folder whose creation kept any of its names, with %s",
+      async (newFiles) => {
+        const failures: string[] = [];
+        for (let operations = 0; operations < 12; operations += 1) {
+          const files = new FakeFiles({ newFiles });
+          files.failAfter(operations);
+          await openStorage(files).catch(() => {});
+          for (const survivor of lossesOf(files)) {
+            await openStorage(survivor).catch((failure: Error) =>
+              failures.push(`${operations}: ${failure.message}`)
+            );
+          }
+        }
+        expect(failures).toEqual([]);
+      },
+    );
+
     it("keeps either all entries of a batch or none", async () => {
       const outcomes = await crashAfterEveryOperation(
         createFilledStorage,
@@ -139,6 +160,43 @@
     });
   });
 
+  describe("after a failed write", () => {
+    const writes = {
+      append: (storage: ReplicaStorage) => append(storage, entry(4)),
+      saveSnapshot: (storage: ReplicaStorage) =>
+        storage.saveSnapshot(snapshotAt(2), {
+          hardState: { term: 1, votedFor: "vm-1.a" },
+          entries: [entry(3)],
+        }),
+    };
+
+    // Guards against: an append that was acknowledged after a failed write, and
+    // was missing or made the log unreadable at the next start.
+    it.each(Object.keys(writes) as (keyof typeof writes)[])(
+      "refuses an append, or keeps it, after %s failed anywhere",
+      async (first) => {
+        for (let operations = 0;; operations += 1) {
+          const { files, storage } = await createFilledStorage();
+          files.failAfter(operations, 0.5);
+          const done = await writes[first](storage).then(
+            () => true,
+            () => false,
+          );
+          if (done) return;
+          files.repair();
+          const isAcknowledged = await append(storage, entry(4, 2)).then(
+            () => true,
+            () => false,
+          );
+          const { stored } = await openStorage(files.kill());
+          const isFound = stored.entries.at(-1)?.term === 2;
+          expect({ operations, isLost: isAcknowledged && !isFound })
+            .toEqual({ operations, isLost: false });
+        }
+      },
+    );
+  });
+
   describe("with damaged files", () => {
     const damageCases = [
       {
