Count only the targets that a request reached as its attempts

Callers were refused with 503 ("no target takes a connection") while other targets of the service were idle.

Cause: a target that took no connection counted towards the route's maximum of targets, so that after two such targets a request of a route with two attempts could only return to these two.

Evidence, before: "is served by a third" got 503 in place of 200 for the idempotent and the once-only request, with two of four targets refusing connections. Nothing of a request reached such a target, so the maximum counts those that were reached; the others are left out of the choice while there are further ones. Both are served by the third target now, and a request that none takes is refused as before. 360 tests of fleet_gateway, dispatch, storage, fleet_control and the paths pass.

--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -16,6 +16,7 @@
 import { RequestHedge } from "./request_hedge.ts";
 import type { ServiceQueue } from "./service_queue.ts";
 import type { SlotTicket } from "./slot_client.ts";
+import { TargetAttempts } from "./target_attempts.ts";
 import { startTargetExchange } from "./target_exchange.ts";
 
 /** Status of a target that is not the expected one or does not hold the key. */
@@ -31,7 +32,6 @@
  * not run, at targets that received it: one that refused it may accept it next.
  */
 const maximumExtraArrivals = 2;
-const noTargets: ReadonlySet<string> = new Set();
 
 /** Connection failures after which a request is refused. */
 const maximumConnectFailures = 4;
@@ -45,7 +45,7 @@
   readonly #routed: RoutedRequest;
   readonly #response: CallerResponse;
   readonly #queue: ServiceQueue;
-  readonly #tried: Set<string>;
+  readonly #attempts: TargetAttempts;
   /** Addresses to which the request was sent. */
   readonly #addresses = new Set<string>();
   #arrivals: number;
@@ -90,7 +90,10 @@
     this.#response = options.answer;
     this.#handOver = options.handOver;
     this.#arrived = new Set(options.arrived);
-    this.#tried = new Set(options.arrived);
+    this.#attempts = new TargetAttempts({
+      maximumTargets: options.routed.route.maximumTargets,
+      reached: options.arrived,
+    });
     this.#arrivals = this.#arrived.size;
     this.#queue = options.context.selector.service(options.routed.service);
     if (options.routed.relayedBy === undefined) {
@@ -118,7 +121,7 @@
       ...options,
       slotAcquisition: this.#slotAcquisition,
       objectiveAt: this.#objectiveAt,
-      tried: this.#tried,
+      attempts: this.#attempts,
       mayHedge: () =>
         !this.#isFinished && !this.#response.hasStarted &&
         this.#exchanges.size === 1 && this.#suspicion.mayHedge,
@@ -214,12 +217,8 @@
   #tryStart(): boolean {
     const { route, service, position } = this.#routed;
     if (this.#context.clock.now() < this.#earliestSendAt) return false;
-    const mayTryNew = this.#tried.size < route.maximumTargets;
-    const isRequested = this.#slotAcquisition.requestSlot({
-      tried: mayTryNew ? this.#tried : noTargets,
-      only: mayTryNew ? null : this.#tried,
-    });
-    if (isRequested) {
+    const limitation = this.#attempts.next;
+    if (this.#slotAcquisition.requestSlot(limitation)) {
       this.#waiting = undefined;
       return true;
     }
@@ -227,8 +226,7 @@
       route,
       service,
       position,
-      tried: mayTryNew ? this.#tried : noTargets,
-      only: mayTryNew ? undefined : this.#tried,
+      ...limitation,
       objectiveAt: this.#objectiveAt,
     });
     if (selection.kind === "wait") return false;
@@ -239,6 +237,7 @@
     }
     this.#waiting = undefined;
     if (selection.kind === "none") {
+      if (this.#attempts.retryUnreached()) return this.#tryStart();
       const { reason, waitMilliseconds } = selection;
       if (waitMilliseconds === undefined) this.#refuse(reason, 0);
       else this.#refuseFor(reason, waitMilliseconds);
@@ -270,7 +269,7 @@
       },
     );
     this.#addresses.add(target.address);
-    this.#tried.add(target.name);
+    this.#attempts.recordSend(target.name);
     const expectedMilliseconds = record.expectedDuration(
       this.#queue.workMilliseconds,
       startedAt,
@@ -299,6 +298,9 @@
     this.#exchanges.delete(exchange);
     this.#targets.delete(exchange);
     if (result.kind !== "notSent") this.#arrived.add(target.name);
+    else if (!this.#arrived.has(target.name)) {
+      this.#attempts.recordUnreached(target.name);
+    }
     const now = clock.now();
     const end = this.#isFinished ? ExchangeEnd.abandoned : endOf(result);
     const durationMilliseconds = now - startedAt;
@@ -467,7 +469,7 @@
       reason: this.#mayHaveRun ? "failed" : "not-run",
     });
     // A keyed request can only be sent to the owner.
-    if (this.#routed.position !== undefined) this.#tried.clear();
+    if (this.#routed.position !== undefined) this.#attempts.clear();
     this.#begin();
   }
 
--- a/packages/fleet_gateway/request_hedge.ts
+++ b/packages/fleet_gateway/request_hedge.ts
@@ -4,6 +4,7 @@
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import type { SlotAcquisition } from "./slot_acquisition.ts";
 import type { SlotTicket } from "./slot_client.ts";
+import type { TargetAttempts } from "./target_attempts.ts";
 
 /** Options of a {@link RequestHedge}. */
 export interface RequestHedgeOptions {
@@ -13,7 +14,7 @@
   /** Time of the route's latency objective. */
   readonly objectiveAt: number;
   /** Targets that the request was sent to. */
-  readonly tried: ReadonlySet<string>;
+  readonly attempts: Pick<TargetAttempts, "mayTryNew" | "tried">;
   /** Whether the request is in flight, and may be sent to a second target. */
   readonly mayHedge: () => boolean;
   /** Charges one more arrival to the retry budget, if that allows it. */
@@ -54,14 +55,15 @@
   }
 
   #hedge(): void {
-    const { context, routed, slotAcquisition, tried } = this.#options;
+    const { context, routed, slotAcquisition, attempts } = this.#options;
     const { mayHedge, takeAttempt, send } = this.#options;
     const { clock, selector } = context;
     const { route, service, deadlineAt } = routed;
     if (!mayHedge()) return;
     const { meanMilliseconds } = selector.service(service);
     if (clock.now() + meanMilliseconds / 2 > deadlineAt) return;
-    if (tried.size >= route.maximumTargets) return;
+    if (!attempts.mayTryNew) return;
+    const { tried } = attempts;
     const isRequested = slotAcquisition.requestHedgeSlot({
       tried,
       granted: (target, ticket) => {
--- a/packages/fleet_gateway/slot_acquisition.ts
+++ b/packages/fleet_gateway/slot_acquisition.ts
@@ -3,6 +3,7 @@
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import type { SlotRequest } from "./slot_messages.ts";
 import type { SlotTicket } from "./slot_client.ts";
+import type { TargetLimitation } from "./target_attempts.ts";
 
 /** Managers at which one attempt may be queued at the same time. */
 const maximumConcurrentManagers = 3;
@@ -34,14 +35,6 @@
   readonly unmanaged: () => void;
 }
 
-/** Targets that an attempt may go to. */
-export interface SlotCriteria {
-  /** Targets that the attempt must not go to. */
-  readonly tried: ReadonlySet<string>;
-  /** The only targets that the attempt may go to; null for all. */
-  readonly only: ReadonlySet<string> | null;
-}
-
 /**
  * Acquires a slot for one request from a nearby manager, and also from others
  * if the expected wait is long. Uses the first slot and releases the others.
@@ -66,7 +59,7 @@
    * Requests a slot for the next attempt; returns false when there is no
    * manager to request it from.
    */
-  requestSlot(criteria: SlotCriteria): boolean {
+  requestSlot(criteria: TargetLimitation): boolean {
     this.#dataCentres.clear();
     const pool = this.#nextPool();
     if (pool) this.#requestFrom(pool, criteria);
@@ -83,7 +76,7 @@
     );
   }
 
-  #requestFrom(pool: Pool, criteria: SlotCriteria): void {
+  #requestFrom(pool: Pool, criteria: TargetLimitation): void {
     const { routed, context } = this.#options;
     const { manager } = pool;
     const left = routed.deadlineAt - context.clock.now() -
@@ -154,7 +147,7 @@
   }
 
   #slotRequest(
-    { tried, only }: SlotCriteria,
+    { tried, only }: TargetLimitation,
     { isHedge }: { readonly isHedge: boolean },
   ): Omit<SlotRequest, "kind" | "id"> {
     const { routed, context } = this.#options;
@@ -186,7 +179,7 @@
   }
 
   /** Requests a slot from one more manager if the wait there may be shorter. */
-  #widen(criteria: SlotCriteria, waitMilliseconds: number): boolean {
+  #widen(criteria: TargetLimitation, waitMilliseconds: number): boolean {
     if (this.#waiting.size >= maximumConcurrentManagers) return false;
     const pool = this.#nextPool();
     if (!pool || waitMilliseconds < widenAfterMilliseconds[pool.distance]) {
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -50,7 +50,7 @@
   readonly position: number | undefined;
   readonly tried: ReadonlySet<string>;
   /** The only targets allowed, once the route's `maximumTargets` is reached. */
-  readonly only?: ReadonlySet<string> | undefined;
+  readonly only?: ReadonlySet<string> | null;
   /** Time of the route's latency objective; a later response is worth less. */
   readonly objectiveAt: number;
 }
