--- a/packages/fleet_control/control_replica.ts
+++ b/packages/fleet_control/control_replica.ts
@@ -6,7 +6,7 @@
 import { FleetMachine } from "@kingcupglade/fleet";
 import { Replica, replicaIdOf } from "@kingcupglade/replica";
 import { ReplicaStorage } from "@kingcupglade/storage";
-import type { Files } from "@kingcupglade/storage";
+import type { Files, FolderSummary } from "@kingcupglade/storage";
 import type { Clock } from "@kingcupglade/tasks";
 import type { FleetReplica } from "./leader_session.ts";
 
@@ -45,6 +45,8 @@
  */
 export class ControlReplica {
   readonly id: string;
+  /** What the data folder contained at the start, in figures. */
+  readonly opened: FolderSummary;
   readonly #options: ControlReplicaOptions;
   #storage: ReplicaStorage;
   #replica: FleetReplica | undefined;
@@ -57,6 +59,7 @@
     this.#options = options;
     this.#storage = storage;
     this.id = replicaIdOf(storage.identity);
+    this.opened = storage.summary;
     if (isUsed(storage)) this.start();
   }
 
--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -142,6 +142,10 @@
         setTimeout(() => options.onFailure(failure), failureDelayMilliseconds);
       },
     });
+    logger.info("data-folder-opened", {
+      replica: vm.#replica.id,
+      ...vm.#replica.opened,
+    });
     vm.#links = new ReplicaLinks({
       clients: vm.#clients,
       self: vm.#replica.id,
--- a/packages/kingcupglade/control/replica_host.ts
+++ b/packages/kingcupglade/control/replica_host.ts
@@ -85,6 +85,10 @@
         vm: settings.vm.name,
         ...(files && { files }),
       });
+      logger.info("data-folder-opened", {
+        replica: replicaIdOf(storage.identity),
+        ...storage.summary,
+      });
       return new ReplicaHost({ ...options, storage });
     } catch (cause) {
       if (cause instanceof IdentityError) throw cause;
--- a/packages/kingcupglade/control/replica_host_test.ts
+++ b/packages/kingcupglade/control/replica_host_test.ts
@@ -70,6 +70,29 @@
     });
   });
 
+  // Guards against: a log that does not tell what a replica worked from after
+  // a start.
+  it("logs what it read from the folder", async () => {
+    const files = new FakeFiles();
+    const { host, replica } = await startLeader(files);
+    await replica.propose(command);
+    const { term } = replica.consensus;
+    const log = files.names.find((each) => each.endsWith(".log"))!;
+    const bytes = (await files.read(log))!;
+    await host.stop();
+    const torn = files.kill();
+    torn.overwrite(log, Buffer.concat([bytes, bytes.subarray(0, 9)]));
+    const logger = createLogger();
+    const restarted = (await openHost(torn, logger))!;
+    expect(logger.info.mock.calls[0]).toEqual(["data-folder-opened", {
+      replica: restarted.id,
+      snapshotIndex: 0,
+      entries: 2,
+      term,
+      cutBytes: 9,
+    }]);
+  });
+
   describe("while it stores the initial replica set", () => {
     it("reports the founders in its hello", async () => {
       const host = (await openHost(new FakeFiles()))!;
--- a/packages/storage/mod.ts
+++ b/packages/storage/mod.ts
@@ -13,4 +13,4 @@
 export type { FolderIdentity } from "./identity.ts";
 export { LogFile } from "./log_file.ts";
 export { ReplicaStorage } from "./replica_storage.ts";
-export type { StoredState } from "./replica_storage.ts";
+export type { FolderSummary, StoredState } from "./replica_storage.ts";
--- a/packages/storage/replica_storage.ts
+++ b/packages/storage/replica_storage.ts
@@ -17,6 +17,17 @@
   readonly entries: readonly LogEntry[];
 }
 
+/** Figures of what a data folder contained when it was opened. */
+export interface FolderSummary {
+  /** Null if there is no snapshot. */
+  readonly snapshotIndex: number | null;
+  /** Number of log entries after the snapshot. */
+  readonly entries: number;
+  readonly term: number;
+  /** Bytes of an incomplete last record, which were removed from the log. */
+  readonly cutBytes: number;
+}
+
 interface LogUpdate {
   readonly hardState: HardState | null;
   readonly entries: readonly LogEntry[];
@@ -26,8 +37,8 @@
 export class ReplicaStorage {
   readonly identity: FolderIdentity;
   readonly stored: StoredState;
-  /** Bytes of an incomplete last record that were removed from the log. */
-  readonly cutBytes: number;
+  /** What the folder contained when it was opened, in figures. */
+  readonly summary: FolderSummary;
   readonly #folder: string;
   readonly #files: Files;
   #log: LogFile;
@@ -48,7 +59,13 @@
     this.#files = options.files;
     this.identity = options.identity;
     this.stored = options.stored;
-    this.cutBytes = options.cutBytes;
+    const { snapshot, entries, hardState } = options.stored;
+    this.summary = {
+      snapshotIndex: snapshot?.index ?? null,
+      entries: entries.length,
+      term: hardState.term,
+      cutBytes: options.cutBytes,
+    };
     this.#log = options.log;
     this.#generation = options.generation;
   }
