Signal the soak's processes early, twice and in series

The soak killed, paused and stopped processes at moments that it chose, and didn't ask how requests or processes ended.

Each run now sends SIGHUP to each process in its first half second, and injects at least once each: a plain stop, a restart with signals at random moments of the first half second, a stop with further SIGTERM and SIGHUP, SIGHUP in series with a changed settings file, and kills with an immediate start. At random it also kills all control VMs at the same moment, or restarts them in turn. While a gateway stops, eight callers ask it again at once until it refuses them; one caller for each gateway uses its connection throughout.

Each attempt of a caller and each exit is recorded. Violations: a process that ends without a stop or a kill; a stop that ends with a failure, by a signal, or later than its grace period; a request that was sent on an accepted connection and got no whole answer though nothing but a stop or a reload disturbed its gateway, but for one that crosses the close of a kept connection. Each names seed, process, moment, signals and the last log lines. A signal that comes before the program can run its first statement is allowed to end it; that moment is measured in processor time, so that it doesn't depend on the load of the machine.

The faults have random numbers of their own, so that their schedule no longer depends on the order of the callers' requests. A violation about a leaving target names request, gateway and times. The test keeps the logs of a failed seed and names their folder.

--- a/packages/soak/fault_injector.ts
+++ b/packages/soak/fault_injector.ts
@@ -1,5 +1,8 @@
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import * as faults from "./process_faults.ts";
 import type { ServerProcess } from "./server_process.ts";
 import type { SoakTarget } from "./soak_target.ts";
+import { injectTargetFault } from "./target_faults.ts";
 
 /** Processes and targets into which faults are injected. */
 export interface FaultSubjects {
@@ -8,16 +11,52 @@
   readonly targets: readonly SoakTarget[];
   /** Called when a process becomes faulty and when it is repaired. */
   readonly onProcessFault: (name: string, isFaulty: boolean) => void;
+  /** Called when a planned stop of a process begins. */
+  readonly onStop: (name: string) => void;
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
 }
 
-/** An active fault and the function that repairs it. */
-interface Fault {
+/** A fault that has been injected and the function that repairs it. */
+export interface Fault {
   readonly description: string;
   readonly repair: () => Promise<void> | void;
 }
 
+type Random = () => number;
+
+/** Faults of one process. */
+const ProcessFaultKind = {
+  kill: "kill",
+  pause: "pause",
+  stop: "stop",
+  signalEarly: "restart with early signals",
+  stopWithSignals: "stop with further signals",
+  reload: "reload repeatedly",
+  restart: "restart repeatedly",
+} as const;
+type ProcessFaultKind = typeof ProcessFaultKind[keyof typeof ProcessFaultKind];
+
+/** Faults of all control VMs. */
+const ControlFaultKind = {
+  killTogether: "kill together",
+  restartInTurn: "restart in turn",
+} as const;
+type ControlFaultKind = typeof ControlFaultKind[keyof typeof ControlFaultKind];
+
+/** Faults that each run injects, in random order and places. */
+const plannedKinds = [
+  ProcessFaultKind.stop,
+  ProcessFaultKind.signalEarly,
+  ProcessFaultKind.stopWithSignals,
+  ProcessFaultKind.reload,
+  ProcessFaultKind.restart,
+] as const;
+/** Share of these that control VMs get. */
+const plannedControlShare = 0.4;
+const controlShare = 0.3;
+const gatewayShare = 0.2;
+const allControlShare = 0.3;
 /** Gaps between faults are shorter than most faults, so that faults overlap. */
 const minimumGapMilliseconds = 300;
 const gapSpreadMilliseconds = 900;
@@ -25,19 +64,21 @@
 const durationSpreadMilliseconds = 2500;
 
 /**
- * Injects faults into a fleet by a seeded schedule, with at most one faulty
- * control VM at a time.
+ * Injects faults into a fleet by a seeded schedule, with at most one fault of
+ * control VMs at a time.
  */
 export class FaultInjector {
-  /** Descriptions of the injected faults in order. */
+  /** Descriptions of the injected faults in order, with their moments. */
   readonly log: string[] = [];
   readonly #subjects: FaultSubjects;
   readonly #pendingRepairs = new Set<Promise<void>>();
   readonly #faultySubjects = new Set<unknown>();
+  readonly #plannedKinds: ProcessFaultKind[];
   #isControlFaulty = false;
 
   constructor(subjects: FaultSubjects) {
     this.#subjects = subjects;
+    this.#plannedKinds = shuffle(plannedKinds, subjects.random);
   }
 
   /** Injects faults for the given time and waits until all are repaired. */
@@ -45,139 +86,165 @@
     const { random } = this.#subjects;
     const until = performance.now() + milliseconds;
     while (performance.now() < until) {
+      this.#injectPlannedFault();
       this.#injectFault();
       await delay(minimumGapMilliseconds + random() * gapSpreadMilliseconds);
     }
     await Promise.all(this.#pendingRepairs);
   }
 
+  #injectPlannedFault(): void {
+    const kind = this.#plannedKinds.pop();
+    if (kind === undefined) return;
+    const { control, gateways, random } = this.#subjects;
+    if (random() < plannedControlShare && !this.#isControlFaulty) {
+      return this.#injectControlFault(selectRandom(control, random), kind);
+    }
+    const gateway = selectRandom(gateways, random);
+    if (!this.#faultySubjects.has(gateway)) {
+      return this.#injectGatewayFault(gateway, kind);
+    }
+    this.#plannedKinds.push(kind);
+  }
+
   #injectFault(): void {
+    const { control, gateways, targets, random } = this.#subjects;
+    const choice = random();
+    if (choice < controlShare) {
+      if (this.#isControlFaulty) return;
+      if (random() < allControlShare) return this.#injectAllControlFault();
+      const subject = selectRandom(control, random);
+      return this.#injectControlFault(subject, selectKind(random));
+    }
+    if (choice < controlShare + gatewayShare) {
+      const subject = selectRandom(gateways, random);
+      if (this.#faultySubjects.has(subject)) return;
+      return this.#injectGatewayFault(subject, selectKind(random));
+    }
+    const target = selectRandom(targets, random);
+    if (this.#faultySubjects.has(target)) return;
+    this.#faultySubjects.add(target);
+    this.#repairLater(
+      injectTargetFault(target, random),
+      () => this.#faultySubjects.delete(target),
+    );
+  }
+
+  #injectAllControlFault(): void {
+    const { control, random } = this.#subjects;
+    this.#isControlFaulty = true;
+    const kind = selectRandom(Object.values(ControlFaultKind), random);
+    this.#repairLater(
+      createAllControlFault(control, kind),
+      () => this.#isControlFaulty = false,
+    );
+  }
+
+  #injectControlFault(subject: ServerProcess, kind: ProcessFaultKind): void {
+    this.#isControlFaulty = true;
+    this.#repairLater(
+      this.#createProcessFault(subject, kind),
+      () => this.#isControlFaulty = false,
+    );
+  }
+
+  #injectGatewayFault(subject: ServerProcess, kind: ProcessFaultKind): void {
+    const { onProcessFault } = this.#subjects;
+    this.#faultySubjects.add(subject);
+    onProcessFault(subject.name, true);
+    this.#repairLater(this.#createProcessFault(subject, kind), () => {
+      this.#faultySubjects.delete(subject);
+      onProcessFault(subject.name, false);
+    });
+  }
+
+  #repairLater(fault: Fault, onRepaired: () => void): void {
     const { random } = this.#subjects;
-    const selected = this.#selectFault();
-    if (selected === undefined) return;
-    const { fault, isControl } = selected;
-    this.log.push(fault.description);
-    this.#reportFault(selected.subject, true);
+    const seconds = (performance.now() / 1000).toFixed(3);
+    this.log.push(`at ${seconds} s: ${fault.description}`);
     const repaired = delay(
       minimumDurationMilliseconds + random() * durationSpreadMilliseconds,
     ).then(fault.repair).then(() => {
-      this.#faultySubjects.delete(selected.subject);
-      this.#reportFault(selected.subject, false);
-      if (isControl) this.#isControlFaulty = false;
+      onRepaired();
       this.#pendingRepairs.delete(repaired);
     });
     this.#pendingRepairs.add(repaired);
   }
 
-  #reportFault(subject: ServerProcess | SoakTarget, isFaulty: boolean): void {
-    if ("crash" in subject) return;
-    this.#subjects.onProcessFault(subject.name, isFaulty);
-  }
-
-  #selectFault():
-    | {
-      readonly subject: ServerProcess | SoakTarget;
-      readonly fault: Fault;
-      readonly isControl: boolean;
-    }
-    | undefined {
-    const { control, gateways, targets, random } = this.#subjects;
-    const choice = random();
-    if (choice < 0.3) {
-      if (this.#isControlFaulty) return undefined;
-      this.#isControlFaulty = true;
-      const serverProcess = selectRandom(control, random);
-      return {
-        subject: serverProcess,
-        fault: this.#createProcessFault(serverProcess),
-        isControl: true,
-      };
-    }
-    const subject = choice < 0.5
-      ? selectRandom(gateways, random)
-      : selectRandom(targets, random);
-    if (this.#faultySubjects.has(subject)) return undefined;
-    this.#faultySubjects.add(subject);
-    const fault = "crash" in subject
-      ? this.#createTargetFault(subject)
-      : this.#createProcessFault(subject);
-    return { subject, fault, isControl: false };
-  }
-
-  #createProcessFault(serverProcess: ServerProcess): Fault {
-    const choice = this.#subjects.random();
-    if (choice < 0.4) {
-      serverProcess.signal("SIGKILL");
-      return {
-        description: `kill ${serverProcess.name}`,
-        repair: () => serverProcess.start(),
-      };
-    }
-    if (choice < 0.75) {
-      serverProcess.signal("SIGSTOP");
-      return {
-        description: `pause ${serverProcess.name}`,
-        repair: () => serverProcess.signal("SIGCONT"),
-      };
-    }
-    const ended = serverProcess.end("SIGTERM");
+  #createProcessFault(subject: ServerProcess, kind: ProcessFaultKind): Fault {
+    const isStop = kind === ProcessFaultKind.stop ||
+      kind === ProcessFaultKind.stopWithSignals;
+    if (isStop) this.#subjects.onStop(subject.name);
+    const performed = performProcessFault(
+      subject,
+      kind,
+      createGenerator(this.#subjects.random),
+    );
     return {
-      description: `stop ${serverProcess.name}`,
-      repair: () => ended.then(() => serverProcess.start()),
+      description: `${kind} ${subject.name}`,
+      repair: async () => {
+        await performed;
+        if (subject.isPaused) subject.signal("SIGCONT");
+        if (subject.isStopping) await subject.waitUntilExited();
+        subject.start();
+      },
     };
   }
+}
 
-  #createTargetFault(target: SoakTarget): Fault {
-    const choice = this.#subjects.random();
-    if (choice < 0.3) {
-      target.crash();
-      return {
-        description: `crash ${target.name}`,
-        repair: () => target.start(),
-      };
-    }
-    if (choice < 0.4) {
-      target.isPausing = true;
-      return {
-        description: `pause requests to ${target.name}`,
-        repair: () => {
-          target.isPausing = false;
-        },
-      };
-    }
-    if (choice < 0.5) {
-      target.isLeaving = true;
-      return {
-        description: `announce that ${target.name} leaves`,
-        repair: () => {
-          target.crash();
-          return target.start();
-        },
-      };
-    }
-    if (choice < 0.75) {
-      target.isIsolated = true;
-      return {
-        description: `isolate ${target.name} from control`,
-        repair: () => {
-          target.isIsolated = false;
-        },
-      };
-    }
-    target.lostResponseShare = 0.3;
-    return {
-      description: `lose responses of ${target.name}`,
-      repair: () => {
-        target.lostResponseShare = 0;
-      },
-    };
+async function performProcessFault(
+  subject: ServerProcess,
+  kind: ProcessFaultKind,
+  random: Random,
+): Promise<void> {
+  switch (kind) {
+    case ProcessFaultKind.kill:
+      return subject.signal("SIGKILL");
+    case ProcessFaultKind.pause:
+      return subject.signal("SIGSTOP");
+    case ProcessFaultKind.stop:
+      return await subject.end("SIGTERM");
+    case ProcessFaultKind.signalEarly:
+      return await faults.restartWithEarlySignals(subject, random);
+    case ProcessFaultKind.stopWithSignals:
+      return await faults.stopWithFurtherSignals(subject, random);
+    case ProcessFaultKind.reload:
+      return await faults.reloadRepeatedly(subject, random);
+    case ProcessFaultKind.restart:
+      return await faults.restartRepeatedly(subject, random);
   }
 }
 
-function selectRandom<Item>(
-  items: readonly Item[],
-  random: () => number,
-): Item {
+function createAllControlFault(
+  control: readonly ServerProcess[],
+  kind: ControlFaultKind,
+): Fault {
+  const performed = kind === ControlFaultKind.killTogether
+    ? faults.killTogether(control)
+    : faults.restartInTurn(control);
+  return {
+    description: `${kind}: all control VMs`,
+    repair: () => performed,
+  };
+}
+
+function selectKind(random: Random): ProcessFaultKind {
+  return selectRandom(Object.values(ProcessFaultKind), random);
+}
+
+// Numbers of its own, so that waits don't change those of the schedule.
+function createGenerator(random: Random): Random {
+  const generator = xoroshiro128plus(Math.floor(random() * 2 ** 31));
+  return () => (generator.next() >>> 0) / 2 ** 32;
+}
+
+function shuffle<Item>(items: readonly Item[], random: Random): Item[] {
+  return items.map((item) => ({ item, order: random() }))
+    .sort((first, second) => first.order - second.order)
+    .map(({ item }) => item);
+}
+
+function selectRandom<Item>(items: readonly Item[], random: Random): Item {
   return items[Math.floor(random() * items.length)]!;
 }
 
--- a/packages/soak/invariant_monitor.ts
+++ b/packages/soak/invariant_monitor.ts
@@ -16,7 +16,9 @@
   readonly isIdempotent: boolean;
   /** Address of the gateway that the caller sent it to. */
   readonly gateway: string;
+  readonly sentAt: number;
   executions: number;
+  hasArrived: boolean;
   /** Status of the response that the caller received; 0 for none. */
   status: number;
 }
@@ -73,8 +75,21 @@
 
   /** Records that a request reaches a target, whether it runs or not. */
   recordArrival(id: string, target: string): void {
-    const { gateway = "" } = this.#requests.get(id) ?? {};
-    this.#noticesOf(target).recordArrival(gateway, performance.now());
+    const seen = this.#requests.get(id);
+    if (seen) seen.hasArrived = true;
+    const { gateway = "", sentAt = 0 } = seen ?? {};
+    const now = performance.now();
+    const age = Math.round(now - sentAt);
+    this.#noticesOf(target).recordArrival(
+      gateway,
+      now,
+      `${id}, sent ${age} ms before,`,
+    );
+  }
+
+  /** Returns whether a request has reached a target. */
+  hasArrived(id: string): boolean {
+    return this.#requests.get(id)?.hasArrived ?? false;
   }
 
   /** Records that a target turned a request away and asked for a pause. */
@@ -111,7 +126,9 @@
     this.#requests.set(id, {
       isIdempotent,
       gateway,
+      sentAt: performance.now(),
       executions: 0,
+      hasArrived: false,
       status: 0,
     });
   }
@@ -177,6 +194,7 @@
   }
 
   #fail(violation: string): void {
-    this.violations.push(violation);
+    const seconds = (performance.now() / 1000).toFixed(3);
+    this.violations.push(`at ${seconds} s: ${violation}`);
   }
 }
--- a/packages/soak/load_generator.ts
+++ b/packages/soak/load_generator.ts
@@ -1,34 +1,55 @@
-import { Agent, request as send } from "node:http";
-import { clientHeaders, namesLimit } from "@kingcupglade/platform";
+import { Agent } from "node:http";
+import { sendAttempt } from "./attempt_sender.ts";
+import type { RequestKind } from "./attempt_sender.ts";
+import { AttemptEnd } from "./attempt_monitor.ts";
+import type { AttemptMonitor } from "./attempt_monitor.ts";
 import { delay } from "./fault_injector.ts";
 import { crashingPath } from "./soak_target.ts";
 import type { InvariantMonitor } from "./invariant_monitor.ts";
 
 const callerCount = 10;
 const thinkTimeMilliseconds = 20;
-const deadlineMilliseconds = 1500;
+/** Callers that keep one connection to one gateway, for each gateway. */
+const connectedCallerCount = 1;
+const connectedThinkTimeMilliseconds = 60;
+/** Callers of a stopping gateway, which ask again at once, for each kind. */
+const persistentCallerCount = 4;
 const positionCount = 65_536;
 
-/** Kinds of request: path, method and whether the request is idempotent. */
-const requestKinds = [
+/** Kinds of request, in equal shares. */
+const requestKinds: readonly RequestKind[] = [
   { path: "/lookup/1", method: "GET", isIdempotent: true },
   { path: "/reserve/1", method: "POST", isIdempotent: false },
   { path: "/stock/1", method: "GET", isIdempotent: true },
-] as const;
+];
+
+/** A request that a gateway answers itself, at once. */
+const unknownKind: RequestKind = {
+  path: "/unknown/1",
+  method: "GET",
+  isIdempotent: true,
+};
 
 /** A request that ends each target that runs it. */
-const crashingKind = {
+const crashingKind: RequestKind = {
   path: crashingPath,
   method: "GET",
   isIdempotent: true,
-} as const;
+};
 const crashingIntervalMilliseconds = 600;
 
+/** A gateway that callers send requests to. */
+export interface CalledGateway {
+  readonly name: string;
+  /** IP:PORT. */
+  readonly address: string;
+}
+
 /** Options of {@link LoadGenerator}. */
 export interface LoadGeneratorOptions {
-  /** IP:PORT of every gateway. */
-  readonly gateways: readonly string[];
+  readonly gateways: readonly CalledGateway[];
   readonly monitor: InvariantMonitor;
+  readonly attempts: AttemptMonitor;
   /** Name of the only target that names a limit. */
   readonly limitedTarget: string;
   readonly random: () => number;
@@ -40,8 +61,9 @@
  */
 export class LoadGenerator {
   readonly #options: LoadGeneratorOptions;
-  readonly #agent = new Agent({ keepAlive: true });
-  #callers: Promise<void>[] = [];
+  readonly #agents = new Set<Agent>();
+  readonly #agent = this.#createAgent();
+  readonly #callers = new Set<Promise<void>>();
   #isStopped = false;
   #nextId = 1;
 
@@ -54,10 +76,10 @@
     const until = performance.now() + timeoutMilliseconds;
     for (const gateway of this.#options.gateways) {
       for (const kind of requestKinds) {
-        while (await this.#sendRequest(gateway, kind) !== 200) {
+        while (await this.#sendRequest({ gateway, kind }) !== 200) {
           if (performance.now() > until) {
             throw new Error(
-              `gateway ${gateway} did not serve ${kind.path} in time`,
+              `${gateway.name} did not serve ${kind.path} in time`,
             );
           }
           await delay(thinkTimeMilliseconds);
@@ -67,80 +89,131 @@
   }
 
   start(): void {
-    this.#callers = Array.from(
-      { length: callerCount },
-      () => this.#runCaller(),
-    );
-    this.#callers.push(this.#runCrashingCaller());
+    for (let index = 0; index < callerCount; index += 1) {
+      this.#addCaller(this.#runCaller());
+    }
+    for (const gateway of this.#options.gateways) {
+      for (let index = 0; index < connectedCallerCount; index += 1) {
+        this.#addCaller(this.#runConnectedCaller(gateway));
+      }
+    }
+    this.#addCaller(this.#runCrashingCaller());
+  }
+
+  /** Sends requests to a gateway without a pause until it refuses them. */
+  pressUntilGone(name: string): void {
+    const gateway = this.#options.gateways.find((each) => each.name === name);
+    if (!gateway) return;
+    for (let index = 0; index < persistentCallerCount; index += 1) {
+      for (const kinds of [requestKinds, [unknownKind]]) {
+        this.#addCaller(this.#runPersistentCaller(gateway, kinds));
+      }
+    }
   }
 
   async stop(): Promise<void> {
     this.#isStopped = true;
     await Promise.all(this.#callers);
-    this.#agent.destroy();
+    for (const agent of this.#agents) agent.destroy();
+  }
+
+  #addCaller(caller: Promise<void>): void {
+    this.#callers.add(caller);
+    void caller.then(() => this.#callers.delete(caller));
   }
 
   async #runCaller(): Promise<void> {
-    const { gateways, random } = this.#options;
+    const { gateways } = this.#options;
     while (!this.#isStopped) {
-      const gateway = gateways[Math.floor(random() * gateways.length)]!;
-      await this.#sendRequest(
-        gateway,
-        requestKinds[Math.floor(random() * requestKinds.length)]!,
-      );
+      await this.#sendRequest({
+        gateway: this.#select(gateways),
+        kind: this.#select(requestKinds),
+      });
       await delay(thinkTimeMilliseconds);
     }
   }
 
+  async #runConnectedCaller(gateway: CalledGateway): Promise<void> {
+    const agent = this.#createAgent();
+    while (!this.#isStopped) {
+      const kind = this.#select(requestKinds);
+      await this.#sendRequest({ gateway, kind, agent });
+      await delay(connectedThinkTimeMilliseconds);
+    }
+  }
+
+  async #runPersistentCaller(
+    gateway: CalledGateway,
+    kinds: readonly RequestKind[],
+  ): Promise<void> {
+    const agent = this.#createAgent();
+    let isRefused = false;
+    while (!this.#isStopped && !isRefused) {
+      await this.#sendRequest({
+        gateway,
+        kind: this.#select(kinds),
+        agent,
+        onEnd: (end) => isRefused = end === AttemptEnd.refused,
+      });
+    }
+    agent.destroy();
+    this.#agents.delete(agent);
+  }
+
   async #runCrashingCaller(): Promise<void> {
-    const { gateways, random } = this.#options;
     while (!this.#isStopped) {
-      const gateway = gateways[Math.floor(random() * gateways.length)]!;
-      await this.#sendRequest(gateway, crashingKind);
+      const gateway = this.#select(this.#options.gateways);
+      await this.#sendRequest({ gateway, kind: crashingKind });
       await delay(crashingIntervalMilliseconds);
     }
   }
 
+  #createAgent(): Agent {
+    const agent = new Agent({ keepAlive: true });
+    this.#agents.add(agent);
+    return agent;
+  }
+
+  #select<Item>(items: readonly Item[]): Item {
+    return items[Math.floor(this.#options.random() * items.length)]!;
+  }
+
   /** Sends a request; resolves with the response status, or 0 on failure. */
-  #sendRequest(
-    gateway: string,
-    kind: (typeof requestKinds)[number] | typeof crashingKind,
-  ): Promise<number> {
-    const { monitor, random, limitedTarget } = this.#options;
-    const [host, port] = gateway.split(":");
+  async #sendRequest({ gateway, kind, agent = this.#agent, onEnd }: {
+    readonly gateway: CalledGateway;
+    readonly kind: RequestKind;
+    readonly agent?: Agent;
+    readonly onEnd?: (end: AttemptEnd) => void;
+  }): Promise<number> {
+    const { monitor, attempts, random, limitedTarget } = this.#options;
     const id = `r${this.#nextId++}`;
-    monitor.recordRequest(id, kind.isIdempotent, gateway);
-    return new Promise((resolve) => {
-      const request = send({
-        host,
-        port,
-        agent: this.#agent,
-        method: kind.method,
-        path: kind.path,
-        headers: clientHeaders({
-          id,
-          host: "jigs.example",
-          deadlineMilliseconds,
-          position: Math.floor(random() * positionCount),
-        }),
-      }, (response) => {
-        const chunks: Buffer[] = [];
-        response.on("data", (chunk) => chunks.push(chunk));
-        response.on("error", () => resolve(0));
-        response.on("end", () => {
-          const status = response.statusCode ?? 0;
-          monitor.recordResponse(id, {
-            status,
-            body: Buffer.concat(chunks).toString(),
-            ...(namesLimit(response.headers) && { limitedTarget }),
-          });
-          resolve(status);
-        });
-      });
-      const timer = setTimeout(() => request.destroy(), deadlineMilliseconds);
-      request.once("close", () => clearTimeout(timer));
-      request.once("error", () => resolve(0));
-      request.end();
+    monitor.recordRequest(id, kind.isIdempotent, gateway.address);
+    const sentAt = performance.now();
+    const outcome = await sendAttempt({
+      id,
+      gateway: gateway.address,
+      kind,
+      position: Math.floor(random() * positionCount),
+      agent,
+    });
+    const { end, status, body, isReused } = outcome;
+    attempts.record({
+      id,
+      gateway: gateway.name,
+      sentAt,
+      endedAt: performance.now(),
+      end,
+      isReused,
+      hasArrived: monitor.hasArrived(id),
     });
+    onEnd?.(end);
+    if (end === AttemptEnd.answered) {
+      monitor.recordResponse(id, {
+        status,
+        body,
+        ...(outcome.namesLimit && { limitedTarget }),
+      });
+    }
+    return status;
   }
 }
--- a/packages/soak/notice_monitor.ts
+++ b/packages/soak/notice_monitor.ts
@@ -55,18 +55,25 @@
     this.#leaving.set(gateway, now);
   }
 
-  /** Records that a request from a gateway arrives at the target. */
-  recordArrival(gateway: string, now: number): void {
+  /**
+   * Records that a request from a gateway arrives at the target. The details are
+   * named in a violation.
+   */
+  recordArrival(gateway: string, now: number, details = "a request"): void {
     const toldAt = this.#leaving.get(gateway) ?? Infinity;
     if (now > toldAt + noticeMilliseconds) {
-      this.#fail(`${this.#target} leaves and received a request`);
+      this.#fail(
+        `${this.#target} leaves and received ${details} from ${gateway}, ${
+          Math.round(now - toldAt)
+        } ms after it had said so there`,
+      );
     }
     const pause = this.#pauses.get(gateway);
     if (!pause || now < pause.from || now >= pause.until) return;
     pause.requests += 1;
     if (pause.requests === toleratedRequests + 1) {
       this.#fail(
-        `${this.#target} pauses and received ${pause.requests} requests`,
+        `${this.#target} pauses and received ${pause.requests} requests from ${gateway}, the last ${details}`,
       );
     }
   }
--- a/packages/soak/role_process.ts
+++ b/packages/soak/role_process.ts
@@ -10,6 +10,8 @@
   peers: 8390,
 } as const;
 
+const graceSeconds = 3;
+
 /** Options of {@link createRoleProcess}. */
 export interface RoleProcessOptions {
   readonly role: "control" | "gateway";
@@ -38,6 +40,7 @@
     bundle,
     settingsFile,
     logFile: join(folder, `${name}.log`),
+    graceMilliseconds: graceSeconds * 1000,
   });
 }
 
@@ -61,6 +64,8 @@
 mayFound = true
 toleratedLosses = ${toleratedLosses}
 heartbeatSeconds = 0.25
+[stop]
+graceSeconds = ${graceSeconds}
 [regions]
 a = north
 `;
--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -1,8 +1,12 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { AttemptMonitor } from "./attempt_monitor.ts";
+import type { AttemptEnd } from "./attempt_monitor.ts";
 import { delay, FaultInjector } from "./fault_injector.ts";
 import { LoadGenerator } from "./load_generator.ts";
 import { Operator } from "./operator.ts";
+import { startWithEarlyReload } from "./process_faults.ts";
 import { createRoleProcess, RolePort } from "./role_process.ts";
+import type { ProcessLife } from "./process_life.ts";
 import type { ServerProcess } from "./server_process.ts";
 import { InvariantMonitor } from "./invariant_monitor.ts";
 import { SoakTarget } from "./soak_target.ts";
@@ -26,6 +30,10 @@
 /** Minimum share of requests that is served in the fault-free period. */
 const minimumServedShare = 0.95;
 
+/** Time after which a signal has ended a process that does not handle it. */
+const signalMilliseconds = 200;
+const faultSeedOffset = 1_000_000;
+
 /** Options of {@link runSoak}. */
 export interface SoakOptions {
   readonly seed: number;
@@ -44,6 +52,8 @@
   readonly seed: number;
   readonly asked: number;
   readonly served: number;
+  /** How the requests ended. */
+  readonly ends: Readonly<Record<AttemptEnd, number>>;
   readonly faults: readonly string[];
   readonly violations: readonly string[];
 }
@@ -64,17 +74,24 @@
   readonly #gateways: ServerProcess[] = [];
   readonly #targets: SoakTarget[] = [];
   readonly #monitor = new InvariantMonitor();
+  readonly #attempts = new AttemptMonitor();
   readonly #loadGenerator: LoadGenerator;
   readonly #operator: Operator;
+  /** Random numbers of the callers and targets, whose order is not seeded. */
   readonly #random: () => number;
+  readonly #faultRandom: () => number;
 
   protected constructor(options: SoakOptions) {
     this.#options = options;
-    const generator = xoroshiro128plus(options.seed);
-    this.#random = () => (generator.next() >>> 0) / 2 ** 32;
+    this.#random = createRandomSource(options.seed);
+    this.#faultRandom = createRandomSource(options.seed + faultSeedOffset);
     this.#loadGenerator = new LoadGenerator({
-      gateways: this.#gatewayAddresses,
+      gateways: this.#gatewayAddresses.map((address, index) => ({
+        name: createName("gateway", index),
+        address,
+      })),
       monitor: this.#monitor,
+      attempts: this.#attempts,
       limitedTarget,
       random: this.#random,
     });
@@ -88,9 +105,7 @@
   }
 
   async run(milliseconds: number): Promise<SoakResult> {
-    for (const serverProcess of [...this.#control, ...this.#gateways]) {
-      serverProcess.start();
-    }
+    await this.#startProcesses();
     await this.#operator.applyInitialConfiguration(startupTimeoutMilliseconds);
     for (const target of this.#targets) await target.start();
     await this.#loadGenerator.waitUntilServed(startupTimeoutMilliseconds);
@@ -101,7 +116,8 @@
       gateways: this.#gateways,
       targets: this.#targets,
       onProcessFault: (name, isFaulty) => this.#recordFault(name, isFaulty),
-      random: this.#random,
+      onStop: (name) => this.#loadGenerator.pressUntilGone(name),
+      random: this.#faultRandom,
     });
     await faultInjector.run(milliseconds);
     const settledAt = performance.now() + settleMilliseconds;
@@ -113,6 +129,8 @@
     const served = this.#monitor.servedCount - before[1]!;
     const violations = [
       ...this.#monitor.violations,
+      ...this.#lives.flatMap((life) => life.violations),
+      ...this.#attempts.findViolations(this.#lives),
       ...(served < sentCount * minimumServedShare
         ? [
           `only ${served} of ${sentCount} requests were served after the faults`,
@@ -125,11 +143,32 @@
       seed: this.#options.seed,
       asked: this.#monitor.requestCount,
       served: this.#monitor.servedCount,
+      ends: this.#attempts.counts,
       faults: faultInjector.log,
-      violations,
+      violations: violations.map((each) =>
+        `seed ${this.#options.seed}: ${each}`
+      ),
     };
   }
 
+  /** Starts all processes; one that a signal ended is started again. */
+  async #startProcesses(): Promise<void> {
+    const processes = this.#processes;
+    await Promise.all(
+      processes.map((each) => startWithEarlyReload(each, this.#faultRandom)),
+    );
+    await delay(signalMilliseconds);
+    for (const each of processes) each.start();
+  }
+
+  get #processes(): readonly ServerProcess[] {
+    return [...this.#control, ...this.#gateways];
+  }
+
+  get #lives(): readonly ProcessLife[] {
+    return this.#processes.flatMap(({ lives }) => lives);
+  }
+
   // By then, three targets have ended and all gateways are in touch.
   #findLateCrashes(settledAt: number): readonly string[] {
     const late = this.#monitor.crashes.filter((at) => at > settledAt);
@@ -151,7 +190,7 @@
     this.#operator.stop();
     for (const target of this.#targets) target.end();
     await Promise.all(
-      [...this.#control, ...this.#gateways].map((each) => each.end("SIGKILL")),
+      this.#processes.map((each) => each.end("SIGKILL")),
     );
   }
 
@@ -210,7 +249,7 @@
     const { folder, bundle } = this.#options;
     return createRoleProcess({
       role,
-      name: `${role}-${index}`,
+      name: createName(role, index),
       ip: address.split(":")[0]!,
       seeds: this.#controlAddresses,
       toleratedLosses,
@@ -219,3 +258,12 @@
     });
   }
 }
+
+function createName(role: "control" | "gateway", index: number): string {
+  return `${role}-${index}`;
+}
+
+function createRandomSource(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / 2 ** 32;
+}
--- a/packages/soak/soak_run_test.ts
+++ b/packages/soak/soak_run_test.ts
@@ -8,6 +8,7 @@
 
 describe("soak run with real processes", () => {
   let folder: string;
+  let isFailed = false;
 
   beforeAll(async () => {
     folder = await mkdtemp(join(tmpdir(), "soak-"));
@@ -22,18 +23,34 @@
     });
   });
 
-  afterAll(() => rm(folder, { recursive: true }));
+  // The logs of a run with violations are kept.
+  afterAll(async () => {
+    if (!isFailed) await rm(folder, { recursive: true });
+  });
 
   it.each([1, 2])("violates no invariant with seed %i", async (seed) => {
+    const seedFolder = join(folder, String(seed));
+    const hadFailed = isFailed;
+    isFailed = true;
     const result = await runSoak({
       seed,
       milliseconds: 6000,
       bundle: join(folder, "kingcupglade.cjs"),
-      folder: join(folder, String(seed)),
+      folder: seedFolder,
       prefix: loopbackPrefix(),
+    }).catch((failure: unknown) => {
+      throw new Error(`seed ${seed} failed, logs are kept in ${seedFolder}`, {
+        cause: failure,
+      });
     });
-    expect(result.violations).toEqual([]);
+    expect(
+      result.violations,
+      `settings, data and logs are kept in ${seedFolder}\n${
+        result.faults.join("\n")
+      }`,
+    ).toEqual([]);
     expect(result.faults.length).toBeGreaterThan(3);
     expect(result.served).toBeGreaterThan(100);
+    isFailed = hadFailed;
   });
 });
--- /dev/null
+++ b/packages/soak/target_faults.ts
@@ -0,0 +1,52 @@
+import type { Fault } from "./fault_injector.ts";
+import type { SoakTarget } from "./soak_target.ts";
+
+/** Injects a fault into a target. */
+export function injectTargetFault(
+  target: SoakTarget,
+  random: () => number,
+): Fault {
+  const choice = random();
+  if (choice < 0.3) {
+    target.crash();
+    return {
+      description: `crash ${target.name}`,
+      repair: () => target.start(),
+    };
+  }
+  if (choice < 0.4) {
+    target.isPausing = true;
+    return {
+      description: `pause requests to ${target.name}`,
+      repair: () => {
+        target.isPausing = false;
+      },
+    };
+  }
+  if (choice < 0.5) {
+    target.isLeaving = true;
+    return {
+      description: `announce that ${target.name} leaves`,
+      repair: () => {
+        target.crash();
+        return target.start();
+      },
+    };
+  }
+  if (choice < 0.75) {
+    target.isIsolated = true;
+    return {
+      description: `isolate ${target.name} from control`,
+      repair: () => {
+        target.isIsolated = false;
+      },
+    };
+  }
+  target.lostResponseShare = 0.3;
+  return {
+    description: `lose responses of ${target.name}`,
+    repair: () => {
+      target.lostResponseShare = 0;
+    },
+  };
+}
