Keep a control VM running while its disk refuses writes

Operators saw a control VM end by itself with exit code 1, one second after its disk refused a write or was full; every call at it was refused until it had been restarted, and a disk that stays full ends it again and again.

Cause: a failed write of the data folder was reported as a failure of the process.

Now the VM goes on without a replica, relays to the leader that it hears, and opens the folder again each second. The new replica starts from what the folder then holds, as after a restart of the process, and only once all of that is written to new files: after a failed sync, what can be read may be missing on the disk, and a later sync of the same file doesn't tell. It sends no greetings meanwhile, so that the leader replaces it as it replaced a VM that had ended.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -45,12 +45,6 @@
  * Followers greet the leader once a second; a silent follower may be lost.
  */
 const maximumSilenceMilliseconds = 1500;
-/**
- * Delay before `onFailure` is called for a failure of the data folder, as a full
- * or stalled disk does not recover immediately.
- */
-const failureDelayMilliseconds = 1000;
-
 /** Options of {@link ControlVm.start}. */
 export interface ControlVmOptions {
   readonly name: string;
@@ -74,7 +68,10 @@
   readonly wire: ControlWire;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Called after the data folder has failed and the replica has stopped. */
+  /**
+   * Called after a failure that a restart of the replica does not cure. A data
+   * folder that fails is none: the VM goes on without a replica meanwhile.
+   */
   readonly onFailure: (failure: unknown) => void;
 }
 
@@ -137,10 +134,10 @@
       clock,
       send: (message) => vm.#links?.send(message),
       onChange: () => vm.#handleReplicaChange(),
-      onFailure: (failure) => {
-        logger.error("replica-stopped", { reason: describeFailure(failure) });
-        setTimeout(() => options.onFailure(failure), failureDelayMilliseconds);
-      },
+      onFolderFailure: (failure) =>
+        logger.error("replica-stopped", { reason: describeFailure(failure) }),
+      onFolderReopened: () => logger.info("replica-restarted"),
+      onFailure: options.onFailure,
     });
     vm.#links = new ReplicaLinks({
       clients: vm.#clients,
@@ -151,11 +148,11 @@
     vm.#timers.push(
       setInterval(() => vm.#decide(), decisionIntervalMilliseconds),
       setInterval(
-        () => void vm.#discovery.greetPeers(),
+        () => vm.#greetPeers(),
         greetIntervalMilliseconds,
       ),
     );
-    void vm.#discovery.greetPeers();
+    vm.#greetPeers();
     logger.info("control-started", {
       replica: vm.#replica.id,
       isUsed: vm.#replica.running !== undefined,
@@ -234,8 +231,14 @@
     );
   }
 
+  // The others count a silent VM as lost, which is right for one that can store
+  // nothing.
+  #greetPeers(): void {
+    if (!this.#replica.hasFailedFolder) void this.#discovery.greetPeers();
+  }
+
   #receive(messages: readonly ConsensusMessage[]): void {
-    for (const message of messages) this.#replica.running?.receive(message);
+    for (const message of messages) this.#replica.receive(message);
   }
 
   async #watch(watch: Watch): Promise<Uint8Array<ArrayBuffer>> {
@@ -279,7 +282,7 @@
 
   /** Peer address of the leader; null if unknown. */
   get leaderAddress(): string | null {
-    const leader = this.#replica.running?.leader ?? null;
+    const { leader } = this.#replica;
     return leader === null ? null : vmOfReplica(leader);
   }
 
@@ -370,7 +373,7 @@
   }
 
   #tryBootstrap(): void {
-    if (this.#replica.running || this.#isBootstrapping) return;
+    if (this.#replica.hasStarted || this.#isBootstrapping) return;
     const step = chooseBootstrapStep({
       mayFound: this.#options.mayFound,
       self: this.#discovery.greeting,
@@ -388,6 +391,6 @@
     this.#options.logger.info("bootstrap-started", {
       founders: step.founders.join(","),
     });
-    this.#replica.bootstrap(step.founders).catch(this.#options.onFailure);
+    void this.#replica.bootstrap(step.founders);
   }
 }
--- a/packages/fleet_control/peer_discovery.ts
+++ b/packages/fleet_control/peer_discovery.ts
@@ -67,7 +67,7 @@
       peerAddress,
       dataCentre,
       region,
-      isMember: this.#replica().running !== undefined,
+      isMember: this.#replica().hasStarted,
       founders: this.#replica().founders,
       known: this.peers.recentGreetings(clock.now()).map((each) =>
         each.peerAddress
--- a/packages/storage/replica_storage.ts
+++ b/packages/storage/replica_storage.ts
@@ -124,14 +124,20 @@
         logPath(this.#folder, nextGeneration),
         files,
       );
-      await log.append(encode([logTail]));
-      await files.syncFolder(this.#folder);
-      await files.replace(
-        snapshotPath(this.#folder),
-        encodeRecord(encode({ snapshot, generation: nextGeneration })),
-      );
-      await this.#log.close();
-      await files.remove(logPath(this.#folder, this.#generation));
+      try {
+        await log.append(encode([logTail]));
+        await files.syncFolder(this.#folder);
+        await files.replace(
+          snapshotPath(this.#folder),
+          encodeRecord(encode({ snapshot, generation: nextGeneration })),
+        );
+        await this.#log.close();
+        await files.remove(logPath(this.#folder, this.#generation));
+      } catch (failure) {
+        // The first failure tells more than one of closing the file.
+        await log.close().catch(() => {});
+        throw failure;
+      }
       this.#log = log;
       this.#generation = nextGeneration;
     } catch (cause) {
