Let a fault in an examination or a hand-over end one request

Operators would have seen a gateway end by itself, with all of its requests, after a fault in the path of one request. No input is known that causes one; the class was searched in the code.

Cause: three places ran outside the guard of their request: the rest of a request whose target is examined, the examination itself when nobody waits for it, and the hand-over when the gateway finds that it is cut off, whose exception also kept the requests after it from being handed over.

Evidence: before, the new cases fail: "request-failed" is never logged, and Vitest reports two unhandled rejections ("Invalid URL", "a fault"), which end a process; the listener of the cut-off throws "Invalid URL".

Now these run under the guard, which answers that request and logs the fault; a rejected examination goes to those that wait for it and is forgotten.

--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -138,7 +138,7 @@
       this.#context.selector.recordDemand(service, position);
     }
     this.#endCutOffWatch = this.#context.reach.onCutOff(() =>
-      this.#handleCutOff()
+      this.#guard.run(() => this.#handleCutOff(), undefined)
     );
     this.#guard.run(() => this.#begin(), undefined);
   }
@@ -319,6 +319,8 @@
     });
     this.#queue.recordEnd(end === ExchangeEnd.answered ? durations : null);
     const examination = this.#suspicion.recordResult(result, target);
+    // Most results do not wait for it.
+    if (examination) this.#guard.watch(examination.then(() => {}));
     if (!this.#isFinished) this.#handleResult(result, target, examination);
   }
 
@@ -361,8 +363,8 @@
           return this.#respond(504, "the time is up");
         }
         if (this.#isIdempotent && examination) {
-          return void examination.then((hasEnded) =>
-            this.#handleExamination(hasEnded)
+          return this.#guard.watch(
+            examination.then((hasEnded) => this.#handleExamination(hasEnded)),
           );
         }
         return this.#retryLostResponse();
--- a/packages/fleet_gateway/request_guard_test.ts
+++ b/packages/fleet_gateway/request_guard_test.ts
@@ -179,6 +179,52 @@
     expect(handOver).toHaveBeenCalledTimes(1);
   });
 
+  it("ends that request if the end of its target cannot be examined", async () => {
+    const reset = {
+      client: {
+        dispatch: (_options: unknown, exchange: Exchange) => {
+          exchange.onRequestStart({} as never);
+          const failure = Object.assign(new Error(), { code: "ECONNRESET" });
+          exchange.onResponseError({} as never, failure);
+        },
+        destroy: () => {},
+      },
+    };
+    context["connections"] = { acquire: () => reset, end: () => {} };
+    context["suspects"] = {
+      isSuspect: () => false,
+      examine: () => Promise.resolve().then(odd),
+    };
+    forward();
+    await vi.advanceTimersByTimeAsync(50);
+    expect(error).toHaveBeenCalledWith(
+      "request-failed",
+      expect.objectContaining({ reason: "Invalid URL" }),
+    );
+    expect(respond).toHaveBeenCalledWith(
+      expect.objectContaining({ status: 502 }),
+    );
+  });
+
+  it("ends that request if it cannot be handed over when the gateway is cut off", () => {
+    let cutOff: (() => void) | undefined;
+    context["reach"] = {
+      ...context["reach"] as object,
+      onCutOff: (listener: () => void) => {
+        cutOff = listener;
+        return () => {};
+      },
+    };
+    selection = () => ({ kind: "wait" });
+    handOver.mockImplementationOnce(odd);
+    forward();
+    expect(cutOff).not.toThrow();
+    expect(error).toHaveBeenCalledWith(
+      "request-failed",
+      expect.objectContaining({ reason: "Invalid URL" }),
+    );
+  });
+
   it("ends a request that waits, without the others that wait", async () => {
     selection = () => ({ kind: "wait" });
     forward();
--- a/packages/fleet_gateway/target_end_detector.ts
+++ b/packages/fleet_gateway/target_end_detector.ts
@@ -74,10 +74,10 @@
     this.#results.set(id, result);
     const [oldest] = this.#results.keys();
     if (this.#results.size > maximumRemembered) this.#results.delete(oldest!);
-    void result.then((end) => {
+    result.then((end) => {
       // A target that is alive may end later.
       if (end !== TargetEnd.ended) this.#results.delete(id);
-    });
+    }, () => this.#results.delete(id));
     return result;
   }
 
--- a/packages/fleet_gateway/target_end_detector_test.ts
+++ b/packages/fleet_gateway/target_end_detector_test.ts
@@ -49,6 +49,21 @@
     );
   });
 
+  // Guards against a fault of one examination that ends the process. Vitest fails
+  // on a rejection that nobody handles.
+  it("fails to those that wait for it, and to nobody else", async () => {
+    const detector = new TargetEndDetector({
+      connections: { openCount: () => 0, addressesLostSince: () => 1 },
+      reach: { confirmCutOff: () => Promise.reject(new Error("a fault")) },
+      clock: new MonotonicClock(),
+      logger,
+      metrics: createMetrics(),
+    });
+    const target = { name: "i-1", bornAt: 7, address: refusing } as TargetView;
+    await expect(detector.examine(target)).rejects.toThrow("a fault");
+    await expect(detector.examine(target)).rejects.toThrow("a fault");
+  });
+
   it("takes a target that accepts connections for alive", async () => {
     const server = createServer();
     await new Promise<void>((resolve) =>
