Keep log lines for a reader that reads late

Operators missed the last lines of a VM's log though their reader was only late; those lines tell why a process ended.

Cause: a library looks at standard output, which makes a pipe non-blocking (seen with a built program: flags 0o4001), so a full pipe fails at once with EAGAIN. The writer counted that as a closed reader and dropped the lines, at most 64 KiB after the reader had stopped and not 256 KiB as documented.

Now a full pipe is written to again after 10 ms; beyond the bound lines are dropped as before, and closing waits 0.5 s at most: a VM whose log nobody reads still stops.

--- a/packages/telemetry/line_writer.ts
+++ b/packages/telemetry/line_writer.ts
@@ -3,6 +3,10 @@
 
 /** Lines are dropped while more than this is waiting for a slow reader. */
 const maximumPendingBytes = 256 * 1024;
+/** Pause before a pipe that was full is written to again. */
+const retryMilliseconds = 10;
+/** Time in which a reader is given the last lines. */
+const closeMilliseconds = 500;
 
 /**
  * Writes lines to a file descriptor without waiting for its reader. The buffer
@@ -30,6 +34,16 @@
     return true;
   }
 
+  /** Ends after the buffered lines, or soon if their reader does not read. */
+  async close(): Promise<void> {
+    let timer: NodeJS.Timeout | undefined;
+    await new Promise<void>((resolve) => {
+      timer = setTimeout(resolve, closeMilliseconds);
+      this.end(resolve);
+    });
+    clearTimeout(timer);
+  }
+
   override _write(
     chunk: Buffer,
     _encoding: BufferEncoding,
@@ -45,7 +59,14 @@
         if (!failure && written < chunk.length) {
           return this._write(chunk.subarray(written), _encoding, callback);
         }
-        // A reader that has closed, or a full pipe, must not terminate the process.
+        if (failure?.code === "EAGAIN") {
+          setTimeout(
+            () => this._write(chunk, _encoding, callback),
+            retryMilliseconds,
+          ).unref();
+          return;
+        }
+        // A reader that has closed must not terminate the process.
         if (failure) this.#droppedLines += 1;
         callback();
       },
