Log why a fault of the program ends a process

Operators found processes that had ended without a log line that tells why.

Cause: an exception or a rejection that nothing handles left the default of Node.js: a stack of several lines on standard error, exit code 1 as for a refused start, and no event in the log.

Nothing is swallowed: the process ends, as its state is unknown, and exit code 3 tells it from a refused start. Metrics that can't be collected no longer get there.

--- a/packages/kingcupglade/command_line.ts
+++ b/packages/kingcupglade/command_line.ts
@@ -38,7 +38,7 @@
 ${commandNames.map((name) => `  ${name}`).join("\n")}
 
 kingcupglade COMMAND --help explains a command.
-Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
+Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 fault of the program.
 `;
 
 /** Runs a command line and returns the exit code. */
--- a/packages/kingcupglade/commands/command.ts
+++ b/packages/kingcupglade/commands/command.ts
@@ -5,6 +5,8 @@
   failed: 1,
   /** The command line was invalid. */
   usage: 2,
+  /** A fault of the program ended the process; the last log line tells it. */
+  fault: 3,
 } as const;
 export type ExitCode = typeof ExitCode[keyof typeof ExitCode];
 
--- a/packages/kingcupglade/commands/serve.ts
+++ b/packages/kingcupglade/commands/serve.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from "node:util";
 import { startFleetVm } from "../fleet_vm.ts";
 import type { FleetVm } from "../fleet_vm.ts";
+import { endOnProcessFailure } from "../process_failures.ts";
 import { readFleetSettings, readSettings } from "../settings/read.ts";
 import { Vm } from "../vm.ts";
 import type { ResolvedFleetSettings } from "../settings/fleet_schema.ts";
@@ -53,6 +54,8 @@
     readonly onFailure: (failure: unknown) => void;
   },
 ): Promise<FleetVm> {
+  const { name: vm, dataCentre } = settings.vm;
+  endOnProcessFailure({ vm, dataCentre });
   const starting = startFleetVm(settings, options.onFailure);
   // Registered before the VM has started, as SIGHUP without a listener would
   // terminate the process.
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -14,7 +14,6 @@
   LineWriter,
   RateLimitedLogger,
 } from "@kingcupglade/telemetry";
-import type { Metrics } from "@kingcupglade/telemetry";
 import { HttpListener } from "@kingcupglade/transport";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -88,13 +87,14 @@
     clearInterval(this.#logFlushTimer);
     metricsListener?.destroy();
     logger.flush();
-    await new Promise<void>((resolve) => writer.end(resolve));
+    await writer.close();
   }
 }
 
 /**
  * Starts a VM of a fleet in the role that its settings specify. On a control VM,
- * `onFailure` is called after the data folder has failed.
+ * `onFailure` is called after a failure that a restart of its replica does not
+ * cure.
  *
  * @throws {SettingsError} when the secret file cannot be used.
  * @throws {StorageError} when the data folder cannot be used.
@@ -109,10 +109,10 @@
   const role = isGatewaySettings(settings)
     ? await startGateway(settings, { ...common, ...overrides })
     : await startControl(settings, { ...common, onFailure });
-  const { logger, writer, metrics } = common;
+  const { logger, writer } = common;
   const metricsListener = await openMetricsListener(
     settings.listen.metrics,
-    metrics,
+    common,
   );
   return new FleetVm({ role, logger, writer, metricsListener });
 }
@@ -191,16 +191,19 @@
 
 async function openMetricsListener(
   address: string | undefined,
-  { registry }: Metrics,
+  { metrics: { registry }, logger }: Pick<CommonOptions, "metrics" | "logger">,
 ): Promise<HttpListener | undefined> {
   if (address === undefined) return undefined;
   return await HttpListener.open({
     name: "metrics",
     address,
     handler: (_request, response) => {
-      void registry.metrics().then((text) => {
+      registry.metrics().then((text) => {
         response.writeHead(200, { "content-type": registry.contentType });
         response.end(text);
+      }).catch((failure) => {
+        logger.error("metrics-failed", { reason: describeFailure(failure) });
+        response.destroy();
       });
     },
   });
