--- a/packages/storage/replica_storage.ts
+++ b/packages/storage/replica_storage.ts
@@ -146,14 +146,16 @@
         logPath(this.#folder, nextGeneration),
         files,
       );
-      await log.append(encode([logTail]));
-      await files.syncFolder(this.#folder);
-      await files.replace(
-        snapshotPath(this.#folder),
-        encodeRecord(encode({ snapshot, generation: nextGeneration })),
-      );
-      await this.#log.close();
-      await files.remove(logPath(this.#folder, this.#generation));
+      await closeOnFailure(log, async () => {
+        await log.append(encode([logTail]));
+        await files.syncFolder(this.#folder);
+        await files.replace(
+          snapshotPath(this.#folder),
+          encodeRecord(encode({ snapshot, generation: nextGeneration })),
+        );
+        await this.#log.close();
+        await files.remove(logPath(this.#folder, this.#generation));
+      });
       this.#log = log;
       this.#generation = nextGeneration;
     });
