Answer what callers sent before a listener closes

Callers that press a stopping gateway until the end were reset at the very end of each stop, GET and PUT alike, and so were heartbeats and orders at a control VM: the request was on a connection that the process had not accepted, or not read, when the listener closed. The log told nothing.

Cause: HttpListener.close() closed the listening socket, whose queue the kernel resets, and destroyed each connection without a request in progress, which resets it where bytes are unread.

Now a closing listener first accepts what waits in the queue. It holds the requests that it reads meanwhile, so that callers that ask again at once don't refill the queue, closes the socket after a turn of the event loop that accepted nothing, and then serves the requests. A connection stays until the request that is due has come and is answered, 500 ms of silence at most. Idle connections get FIN; a request that crosses it is not run. No connection outlasts the grace period less 150 ms: before, a caller that didn't read its response kept the process until it was killed. The event listener-closed tells what was open and what went unanswered.

--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import { HttpListener, Readiness } from "@kingcupglade/transport";
+import type { ListenerCloseResult } from "@kingcupglade/transport";
 import type { CallerWire } from "./caller_wire.ts";
 import { callLeader } from "./leader_caller.ts";
 import { LoadProber } from "./load_prober.ts";
@@ -36,6 +37,8 @@
 const quietMilliseconds = 300;
 /** Share of the grace period in which the callers' listener stays open. */
 const drainShare = 0.75;
+/** Time for readiness probes to be answered at the end of a stop. */
+const maximumProbeMilliseconds = 100;
 /** Idle connections are closed this long after the configured idle timeout. */
 const idleMarginMilliseconds = 1500;
 const housekeepingIntervalMilliseconds = 1000;
@@ -282,26 +285,35 @@
    * progress and closes.
    */
   async stop(): Promise<void> {
-    const { logger, graceMilliseconds } = this.#options;
+    const { clock, logger, graceMilliseconds } = this.#options;
     this.#readiness.startLeaving();
-    this.#stopSchedule.start(this.#options.clock.now());
+    this.#stopSchedule.start(clock.now());
     this.#synchronizer.leave();
     logger.info("gateway-stopping");
     const limits = {
       minimumMilliseconds: leaveMilliseconds,
       quietMilliseconds,
       maximumMilliseconds: graceMilliseconds * drainShare,
+      graceMilliseconds: this.#stopSchedule.connectionsMilliseconds(
+        clock.now(),
+      ),
     };
     await Promise.all([
-      this.#callersListener.drain({
-        ...limits,
-        isBalancerNotified: () => this.#readiness.isBalancerNotified,
-      }),
-      this.#relayListener.drain(limits),
+      this.#closeListener("callers", () =>
+        this.#callersListener.drain({
+          ...limits,
+          isBalancerNotified: () => this.#readiness.isBalancerNotified,
+        })),
+      this.#closeListener("peers", () => this.#relayListener.drain(limits)),
     ]);
+    await this.#readinessListener.close({
+      maximumMilliseconds: Math.min(
+        maximumProbeMilliseconds,
+        this.#stopSchedule.connectionsMilliseconds(clock.now()),
+      ),
+    });
     this.#synchronizer.stop();
     clearInterval(this.#housekeepingTimer);
-    this.#readinessListener.destroy();
     this.#reach.close();
     this.#connections.close();
     this.#relayConnections.close();
@@ -311,6 +323,14 @@
     logger.info("gateway-stopped");
   }
 
+  async #closeListener(
+    listener: string,
+    close: () => Promise<ListenerCloseResult>,
+  ): Promise<void> {
+    const result = await close();
+    this.#options.logger.info("listener-closed", { listener, ...result });
+  }
+
   get #forwardingContext() {
     const table = () => this.#synchronizer.table;
     return {
--- a/packages/fleet_gateway/stop_schedule.ts
+++ b/packages/fleet_gateway/stop_schedule.ts
@@ -5,6 +5,8 @@
 const acceptMilliseconds = 2500;
 /** Time before the end of the grace period at which all responses are sent. */
 const responseMarginMilliseconds = 250;
+/** Time before the end of the grace period at which all connections are closed. */
+const connectionMarginMilliseconds = 150;
 
 /** Limits the requests that a stopping VM accepts to what it can finish. */
 export class StopSchedule {
@@ -21,6 +23,13 @@
     this.#startedAt ??= now;
   }
 
+  /** Returns the time left until the last connection is closed. */
+  connectionsMilliseconds(now: number): number {
+    const endAt = (this.#startedAt ?? now) + this.#graceMilliseconds -
+      connectionMarginMilliseconds;
+    return Math.max(endAt - now, 0);
+  }
+
   get isStopping(): boolean {
     return this.#startedAt !== undefined;
   }
--- a/packages/fleet_gateway/stop_schedule_test.ts
+++ b/packages/fleet_gateway/stop_schedule_test.ts
@@ -30,4 +30,12 @@
     schedule.start(5000);
     expect(schedule.deadlineFor(99_000, 5100)).toBeUndefined();
   });
+
+  it("closes all connections before the kill", () => {
+    const schedule = new StopSchedule(grace);
+    schedule.start(100);
+    expect(schedule.connectionsMilliseconds(100)).toBeLessThan(grace);
+    expect(schedule.connectionsMilliseconds(4100)).toBeLessThan(2000);
+    expect(schedule.connectionsMilliseconds(9000)).toBe(0);
+  });
 });
--- a/packages/soak/role_process.ts
+++ b/packages/soak/role_process.ts
@@ -19,6 +19,8 @@
   readonly seeds: readonly string[];
   /** Number of data folders that may be lost at the same time. */
   readonly toleratedLosses: number;
+  /** Time from a stop signal until the process is ended. @default 10 */
+  readonly graceSeconds?: number;
   /** Path of the bundled program. */
   readonly bundle: string;
   /** Folder for settings, data folders and logs. */
@@ -43,6 +45,7 @@
 
 function createSettingsText(options: RoleProcessOptions): string {
   const { role, name, ip, seeds, toleratedLosses, folder } = options;
+  const { graceSeconds = 10 } = options;
   const listen = role === "control"
     ? `control = ${ip}:${RolePort.control}`
     : `callers = ${ip}:${RolePort.callers}
@@ -61,6 +64,7 @@
 mayFound = true
 toleratedLosses = ${toleratedLosses}
 heartbeatSeconds = 0.25
+${role === "gateway" ? `[stop]\ngraceSeconds = ${graceSeconds}` : ""}
 [regions]
 a = north
 `;
--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -1,10 +1,23 @@
 import { createServer } from "node:http";
-import type { RequestListener, Server, ServerOptions } from "node:http";
+import type {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerOptions,
+  ServerResponse,
+} from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { Socket } from "node:net";
-import { setTimeout as pause } from "node:timers/promises";
+import {
+  setImmediate as nextTurn,
+  setTimeout as pause,
+} from "node:timers/promises";
+import { ListenerConnection } from "./listener_connection.ts";
 
 const pollIntervalMilliseconds = 50;
+const closeIntervalMilliseconds = 20;
+/** Time in which a closing listener accepts the connections that wait. */
+const acceptMilliseconds = 500;
 /** A longer time makes a timer fire at once, or throws. */
 const maximumTimerMilliseconds = 2 ** 31 - 1;
 
@@ -41,32 +54,43 @@
   readonly headersTimeoutMilliseconds?: number;
 }
 
+/** What a listener leaves behind. */
+export interface ListenerCloseResult {
+  /** Connections that were open when the listener stopped to accept any. */
+  readonly open: number;
+  /** Requests that were read, or arrived at the end, and were not answered. */
+  readonly unanswered: number;
+}
+
+type HeldRequest = readonly [IncomingMessage, ServerResponse];
+
 /** An HTTP server that shuts down without interrupting requests. */
 export class HttpListener {
   readonly #server: Server;
-  /** Number of responses that are not fully sent, by connection; 0 when idle. */
-  readonly #pendingResponses = new Map<Socket, number>();
+  readonly #handler: RequestListener;
+  readonly #connections = new Map<Socket, ListenerConnection>();
+  #acceptedCount = 0;
+  #unansweredCount = 0;
   #isDraining = false;
   #lastRequestAt = 0;
+  /** Requests that wait until no more connections are accepted. */
+  #heldRequests: HeldRequest[] | undefined;
 
-  protected constructor(server: Server) {
+  protected constructor(server: Server, handler: RequestListener) {
     this.#server = server;
-    // Node.js treats a connection as idle even if its response is not fully sent.
-    server.closeIdleConnections = () => this.#closeIdleConnections();
+    this.#handler = handler;
+    // `close` of Node.js would cut requests that have not been read.
+    server.closeIdleConnections = () => {};
     server.on("connection", (socket: Socket) => {
-      this.#pendingResponses.set(socket, 0);
-      socket.once("close", () => this.#pendingResponses.delete(socket));
-    });
-    server.prependListener("request", (request, response) => {
-      this.#countPendingResponse(request.socket, 1);
-      response.once(
-        "close",
-        () => this.#countPendingResponse(request.socket, -1),
-      );
-      this.#lastRequestAt = performance.now();
-      // Otherwise a client could send its next request while the connection closes.
-      if (this.#isDraining) response.setHeader("connection", "close");
+      this.#acceptedCount += 1;
+      const connection = new ListenerConnection(socket, performance.now());
+      this.#connections.set(socket, connection);
+      socket.once("close", () => this.#connections.delete(socket));
     });
+    server.on(
+      "request",
+      (request, response) => this.#receive(request, response),
+    );
   }
 
   /**
@@ -88,7 +112,7 @@
         ));
       server.listen({ host, port, backlog: 1024 }, resolve);
     });
-    return new HttpListener(server);
+    return new HttpListener(server, options.handler);
   }
 
   /**
@@ -101,20 +125,28 @@
     readonly minimumMilliseconds: number;
     readonly quietMilliseconds: number;
     readonly maximumMilliseconds: number;
+    /** Time after which every connection is closed. @default unlimited */
+    readonly graceMilliseconds?: number;
     /** Whether the load balancer knows that the VM is leaving; true by default. */
     readonly isBalancerNotified?: () => boolean;
-  }): Promise<void> {
-    const { isBalancerNotified = () => true } = options;
-    this.#isDraining = true;
+  }): Promise<ListenerCloseResult> {
+    const {
+      maximumMilliseconds,
+      graceMilliseconds = Infinity,
+      isBalancerNotified = () => true,
+    } = options;
+    this.refuseReuse();
     const startedAt = performance.now();
-    await pause(options.minimumMilliseconds);
+    const elapsed = () => performance.now() - startedAt;
+    await pause(Math.min(options.minimumMilliseconds, maximumMilliseconds));
     const isQuiet = () =>
       performance.now() - this.#lastRequestAt >= options.quietMilliseconds;
     while (
-      !(isQuiet() && isBalancerNotified()) &&
-      performance.now() - startedAt < options.maximumMilliseconds
+      !(isQuiet() && isBalancerNotified()) && elapsed() < maximumMilliseconds
     ) await pause(pollIntervalMilliseconds);
-    await this.close();
+    return await this.close({
+      maximumMilliseconds: Math.max(graceMilliseconds - elapsed(), 0),
+    });
   }
 
   /** Sets the timeouts for headers and for idle connections. */
@@ -133,40 +165,97 @@
     );
   }
 
-  /** Stops accepting connections and resolves when every connection has closed. */
-  async close(): Promise<void> {
-    const closed = new Promise<void>((resolve) =>
-      this.#server.close(() => resolve())
-    );
-    this.#server.closeIdleConnections();
-    const idleCheck = setInterval(
-      () => this.#server.closeIdleConnections(),
-      pollIntervalMilliseconds,
-    );
-    await closed;
-    clearInterval(idleCheck);
-  }
-
-  #countPendingResponse(socket: Socket, change: 1 | -1): void {
-    const count = this.#pendingResponses.get(socket);
-    if (count !== undefined) this.#pendingResponses.set(socket, count + change);
+  /** Makes every response whose headers are not sent close its connection. */
+  refuseReuse(): void {
+    this.#isDraining = true;
+    for (const each of this.#connections.values()) each.refuseReuse();
   }
 
-  #closeIdleConnections(): void {
-    for (const [socket, count] of this.#pendingResponses) {
-      if (count === 0 && socket.writableLength === 0) socket.destroy();
-    }
+  /**
+   * Stops accepting connections, answers the requests on those accepted, and
+   * resolves when every connection has closed, after `maximumMilliseconds` at the
+   * latest.
+   */
+  async close(options: {
+    /** @default unlimited */
+    readonly maximumMilliseconds?: number;
+  } = {}): Promise<ListenerCloseResult> {
+    const { maximumMilliseconds = Infinity } = options;
+    const startedAt = performance.now();
+    this.refuseReuse();
+    const closed = await this.#stopListening(maximumMilliseconds);
+    const open = this.#connections.size;
+    const closeAll = () => {
+      const now = performance.now();
+      if (now - startedAt >= maximumMilliseconds) return this.destroy();
+      for (const each of this.#connections.values()) each.close(now);
+    };
+    closeAll();
+    const timer = setInterval(closeAll, closeIntervalMilliseconds);
+    await closed.promise;
+    clearInterval(timer);
+    return { open, unanswered: this.#unansweredCount };
   }
 
   /** Closes every connection immediately. */
   destroy(): void {
     this.#server.close();
+    for (const connection of this.#connections.values()) {
+      if (connection.isResponding) this.#unansweredCount += 1;
+      connection.destroy();
+    }
     this.#server.closeAllConnections();
   }
+
+  #receive(request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.#connections.get(request.socket);
+    if (connection?.isEnded) {
+      this.#unansweredCount += 1;
+      request.resume();
+      return;
+    }
+    connection?.addResponse(response);
+    this.#lastRequestAt = performance.now();
+    // Otherwise a client could send its next request while the connection closes.
+    if (this.#isDraining) response.shouldKeepAlive = false;
+    if (this.#heldRequests) this.#heldRequests.push([request, response]);
+    else this.#handler(request, response);
+  }
+
+  /**
+   * Closes the listening socket once the connections that wait in its queue are
+   * accepted, as the kernel resets those. Callers that ask again at once would
+   * fill the queue anew, so no request is handled in the meantime.
+   */
+  async #stopListening(
+    maximumMilliseconds: number,
+  ): Promise<{ readonly promise: Promise<void> }> {
+    const held: HeldRequest[] = [];
+    this.#heldRequests = held;
+    const until = performance.now() +
+      Math.min(acceptMilliseconds, maximumMilliseconds);
+    await nextTurn();
+    let acceptedCount: number;
+    // A turn of the event loop accepts one connection at least, if any waits.
+    do {
+      acceptedCount = this.#acceptedCount;
+      await nextTurn();
+    } while (
+      this.#acceptedCount > acceptedCount && performance.now() < until
+    );
+    const promise = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    this.#heldRequests = undefined;
+    for (const [request, response] of held) {
+      if (!response.destroyed) this.#handler(request, response);
+    }
+    return { promise };
+  }
 }
 
 function createListenerServer(options: HttpListenerOptions): Server {
-  const { name, tls, handler } = options;
+  const { name, tls } = options;
   const serverOptions: ServerOptions = {
     maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
     headersTimeout: options.headersTimeoutMilliseconds ?? 10_000,
@@ -174,7 +263,7 @@
     keepAliveTimeout: 30_000,
   };
   const material = tls?.listeners.has(name) ? tls.material : undefined;
-  if (!material) return createServer(serverOptions, handler);
+  if (!material) return createServer(serverOptions);
   return createTlsServer({
     ...serverOptions,
     cert: material.certificate,
@@ -183,7 +272,7 @@
     // In addition to the shared secret, VMs must present a client certificate.
     requestCert: name === "peers",
     rejectUnauthorized: name === "peers",
-  }, handler);
+  });
 }
 
 /** Splits IP:PORT; removes the brackets of an IPv6 address. */
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -13,7 +13,11 @@
 export type { RequestBodyOptions } from "./body.ts";
 export { isAddress } from "./address.ts";
 export { HttpListener, ListenError, splitAddress } from "./http_listener.ts";
-export type { HttpListenerOptions, ListenerTls } from "./http_listener.ts";
+export type {
+  HttpListenerOptions,
+  ListenerCloseResult,
+  ListenerTls,
+} from "./http_listener.ts";
 export { createUnaryClient, PeerCallError } from "./unary_client.ts";
 export type { UnaryClientOptions } from "./unary_client.ts";
 export { UnaryServices } from "./unary_services.ts";
