Wait for responses over TLS when a listener closes

A stop cut the requests in progress on listeners with TLS: their callers got the end of the connection in place of a response.

Cause: the listener recorded the TCP connection, but a request names the TLS connection on it, so that its response was never counted and the connection was taken for idle.

Now the TLS connections are recorded. Those before their handshake are destroyed only at the end; a handshake has as long as the headers.

--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -6,7 +6,10 @@
   ServerOptions,
   ServerResponse,
 } from "node:http";
-import { createServer as createTlsServer } from "node:https";
+import {
+  createServer as createTlsServer,
+  Server as TlsServer,
+} from "node:https";
 import type { Socket } from "node:net";
 import {
   setImmediate as nextTurn,
@@ -68,6 +71,8 @@
 export class HttpListener {
   readonly #server: Server;
   readonly #handler: RequestListener;
+  /** Connections that are accepted; over TLS, also before the handshake. */
+  readonly #sockets = new Set<Socket>();
   readonly #connections = new Map<Socket, ListenerConnection>();
   #acceptedCount = 0;
   #unansweredCount = 0;
@@ -83,6 +88,11 @@
     server.closeIdleConnections = () => {};
     server.on("connection", (socket: Socket) => {
       this.#acceptedCount += 1;
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
+    const isTls = server instanceof TlsServer;
+    server.on(isTls ? "secureConnection" : "connection", (socket: Socket) => {
       const connection = new ListenerConnection(socket, performance.now());
       this.#connections.set(socket, connection);
       socket.once("close", () => this.#connections.delete(socket));
@@ -204,7 +214,7 @@
       if (connection.isResponding) this.#unansweredCount += 1;
       connection.destroy();
     }
-    this.#server.closeAllConnections();
+    for (const socket of this.#sockets) socket.destroy();
   }
 
   #receive(request: IncomingMessage, response: ServerResponse): void {
@@ -266,6 +276,8 @@
   if (!material) return createServer(serverOptions);
   return createTlsServer({
     ...serverOptions,
+    // A connection without a handshake delays the end of a stop.
+    handshakeTimeout: serverOptions.headersTimeout,
     cert: material.certificate,
     key: material.key,
     ca: material.authority,
--- a/packages/transport/http_listener_close_test.ts
+++ b/packages/transport/http_listener_close_test.ts
@@ -2,7 +2,9 @@
 import type { Socket } from "node:net";
 import type { RequestListener, ServerResponse } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
+import { connect as connectTls } from "node:tls";
 import { loopbackPrefix } from "@kingcupglade/fakes";
+import selfsigned from "selfsigned";
 import { afterEach, describe, expect, it } from "vitest";
 import { HttpListener } from "./http_listener.ts";
 import type { HttpListenerOptions } from "./http_listener.ts";
@@ -221,4 +223,32 @@
     expect(performance.now() - startedAt).toBeLessThan(1500);
     expect(result).toEqual({ open: 1, unanswered: 1 });
   });
+
+  // Guards against responses over TLS that are cut as if they were idle.
+  it("completes a response over TLS", async () => {
+    const pem = await selfsigned.generate([{ name: "commonName", value: "a" }]);
+    const closing = await open({
+      tls: {
+        listeners: new Set(["callers"]),
+        material: {
+          certificate: Buffer.from(pem.cert),
+          key: Buffer.from(pem.private),
+          authority: Buffer.from(pem.cert),
+        },
+      },
+      handler: (_request, response) => {
+        handled += 1;
+        setTimeout(() => response.end("whole"), 1000);
+      },
+    });
+    const caller = call(
+      connectTls({ port, host, rejectUnauthorized: false }),
+    );
+    caller.send();
+    while (handled === 0) await pause(5);
+    const closed = closing.close();
+    expect(await caller.ended).toBe("end");
+    await closed;
+    expect(caller.received).toContain("whole");
+  });
 });
