--- a/packages/soak/role_process.ts
+++ b/packages/soak/role_process.ts
@@ -10,7 +10,8 @@
   peers: 8390,
 } as const;
 
-const graceSeconds = 3;
+const defaultGraceSeconds = 3;
+const millisecondsPerSecond = 1000;
 
 /** Options of {@link createRoleProcess}. */
 export interface RoleProcessOptions {
@@ -21,6 +22,8 @@
   readonly seeds: readonly string[];
   /** Number of data folders that may be lost at the same time. */
   readonly toleratedLosses: number;
+  /** Time from a stop signal until the process is ended. @default 3 */
+  readonly graceSeconds?: number;
   /** Path of the bundled program. */
   readonly bundle: string;
   /** Folder for settings, data folders and logs. */
@@ -31,7 +34,7 @@
 export async function createRoleProcess(
   options: RoleProcessOptions,
 ): Promise<ServerProcess> {
-  const { name, folder, bundle } = options;
+  const { name, folder, bundle, graceSeconds = defaultGraceSeconds } = options;
   const settingsFile = join(folder, `${name}.ini`);
   await mkdir(join(folder, `data-${name}`), { recursive: true });
   await writeFile(settingsFile, createSettingsText(options));
@@ -40,12 +43,13 @@
     bundle,
     settingsFile,
     logFile: join(folder, `${name}.log`),
-    graceMilliseconds: graceSeconds * 1000,
+    graceMilliseconds: graceSeconds * millisecondsPerSecond,
   });
 }
 
 function createSettingsText(options: RoleProcessOptions): string {
   const { role, name, ip, seeds, toleratedLosses, folder } = options;
+  const { graceSeconds = defaultGraceSeconds } = options;
   const listen = role === "control"
     ? `control = ${ip}:${RolePort.control}`
     : `callers = ${ip}:${RolePort.callers}
