Tell other VMs when a draining VM closes their connection

A VM that stops closed the connections of other VMs after a response without having said so: a call that another VM sent on such a connection at that moment failed.

Cause: UnaryServices removes the connection header from each response, also the "close" of a listener that drains.

Before: the test received no connection header (undefined in place of "close"). Now the header stays on a connection that is not kept, and the client of other VMs (undici) opens another for its next call.

--- a/packages/transport/unary_services.ts
+++ b/packages/transport/unary_services.ts
@@ -103,10 +103,10 @@
   }
 }
 
-// Omits the Date and Connection headers, which neither end needs.
+// Omits the Date header, and the Connection header of a connection that is kept.
 function sendMessage(response: ServerResponse, body: Uint8Array): void {
   response.sendDate = false;
-  response.removeHeader("connection");
+  if (response.shouldKeepAlive) response.removeHeader("connection");
   response.writeHead(200, {
     "content-type": "application/proto",
     "content-length": body.length,
--- a/packages/transport/unary_services_test.ts
+++ b/packages/transport/unary_services_test.ts
@@ -3,9 +3,11 @@
 import type { AddressInfo } from "node:net";
 import { createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
+import { loopbackPrefix } from "@kingcupglade/fakes";
 import { Replication } from "@kingcupglade/protocol";
 import { Pool, request } from "undici";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { HttpListener } from "./http_listener.ts";
 import { createUnaryClient, PeerCallError } from "./unary_client.ts";
 import { UnaryServices } from "./unary_services.ts";
 
@@ -86,4 +88,30 @@
       code: "invalid_argument",
     });
   });
+
+  // Guards against calls that VMs send while a draining one closes the connection.
+  it("tells callers to leave a listener that drains", async () => {
+    const services = new UnaryServices({ secret });
+    services.service(Replication, { hello: () => ({ member: true }) });
+    const address = `${loopbackPrefix()}.1:7393`;
+    const listener = await HttpListener.open({
+      name: "peers",
+      address,
+      handler: (incoming, response) => void services.handle(incoming, response),
+    });
+    const drained = listener.drain({
+      minimumMilliseconds: 200,
+      quietMilliseconds: 0,
+      maximumMilliseconds: 1000,
+    });
+    const { headers } = await request(
+      `http://${address}/${Replication.typeName}/Hello`,
+      {
+        method: "POST",
+        headers: { authorization: `Bearer ${secret}` },
+      },
+    );
+    await drained;
+    expect(headers.connection).toBe("close");
+  });
 });
