Close kept connections from the start of a control VM's stop

A control VM that stops kept the connections of targets and operators for up to two seconds without a word, and then closed them; the log told nothing of calls that it left unanswered.

Now each response of the stop closes its connection, so that senders turn to another VM before the end. The listeners close within their own bound, which leaves time to answer the calls that the end of the replica rejects, and log listener-closed.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from "node:crypto";
+import type { RequestListener } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import { configurationOf } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
@@ -40,6 +41,10 @@
  */
 const syncWaitMilliseconds = 25;
 const transferTimeoutMilliseconds = 1000;
+/** Time for the calls in progress to end, once leadership is transferred. */
+const callsMilliseconds = 1000;
+/** Time to send the responses to calls that a stop ends. */
+const rejectionsMilliseconds = 200;
 /**
  * Maximum time since the last greeting of a follower that may take heartbeats.
  * Followers greet the leader once a second; a silent follower may be lost.
@@ -89,7 +94,7 @@
   readonly #externalCalls: ExternalCallHandler;
   readonly #stalls: StallDetector;
   readonly #timers: NodeJS.Timeout[] = [];
-  readonly #listeners: HttpListener[] = [];
+  readonly #listeners = new Map<string, HttpListener>();
   #replica!: ControlReplica;
   #links: ReplicaLinks | undefined;
   #session: LeaderSession | undefined;
@@ -170,20 +175,28 @@
 
   /** Transfers leadership, waits for the calls in progress and stops. */
   async stop(): Promise<void> {
-    this.#options.logger.info("control-stopping");
+    const { logger } = this.#options;
+    logger.info("control-stopping");
+    this.#listeners.get("control")?.refuseReuse();
     await this.#replica.running?.transferLeadership(
       transferTimeoutMilliseconds,
     );
     for (const timer of this.#timers) clearInterval(timer);
     this.#session?.end();
-    await Promise.race([
-      Promise.all(this.#listeners.map((each) => each.close())),
-      pause(transferTimeoutMilliseconds),
-    ]);
+    const closed = Promise.all(
+      [...this.#listeners].map(async ([listener, each]) => {
+        const result = await each.close({
+          maximumMilliseconds: callsMilliseconds + rejectionsMilliseconds,
+        });
+        logger.info("listener-closed", { listener, ...result });
+      }),
+    );
+    await Promise.race([closed, pause(callsMilliseconds)]);
+    // Rejects the calls that still wait for the quorum, so that they are answered.
     await this.#replica.stop();
-    for (const listener of this.#listeners) listener.destroy();
+    await closed;
     this.#clients.close();
-    this.#options.logger.info("control-stopped");
+    logger.info("control-stopped");
   }
 
   async #listen(): Promise<void> {
@@ -216,21 +229,25 @@
         result: await this.#externalCalls.serveRelayed(call),
       }),
     });
-    this.#listeners.push(
-      await HttpListener.open({
-        name: "peers",
-        address: peerAddress,
-        handler: (request, response) => {
-          if (services.handle(request, response)) return;
-          response.writeHead(404).end();
-        },
-      }),
-      await HttpListener.open({
-        name: "control",
-        address: controlAddress,
-        handler: (request, response) =>
-          void this.#externalCalls.handle(request, response),
-      }),
+    await this.#open("peers", peerAddress, (request, response) => {
+      if (services.handle(request, response)) return;
+      response.writeHead(404).end();
+    });
+    await this.#open(
+      "control",
+      controlAddress,
+      (request, response) => void this.#externalCalls.handle(request, response),
+    );
+  }
+
+  async #open(
+    name: string,
+    address: string,
+    handler: RequestListener,
+  ): Promise<void> {
+    this.#listeners.set(
+      name,
+      await HttpListener.open({ name, address, handler }),
     );
   }
 
