Bound the memory of the bodies that callers are sending

Operators saw processes that end by themselves; a VM that exceeds its memory is killed. With many callers that stall in a body, or whose bodies wait for a target, nothing bounded the sum of these bodies.

Cause: each body has a bound (128 KiB at a gateway, 16 MiB at a control VM), and nothing counts them together.

Now a listener counts what it keeps of all bodies. A body that doesn't fit into 48 MiB is answered with 503, as it was sent nowhere; the first 16 KiB of each body always fit, so that requests with small bodies are served beside callers that stall, and the number of connections bounds them.

--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -1,8 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import {
-  setImmediate as nextTurn,
-  setTimeout as pause,
-} from "node:timers/promises";
+import { setTimeout as pause } from "node:timers/promises";
 import { configurationOf } from "@kingcupglade/consensus";
 import type { FleetOutcome } from "@kingcupglade/fleet";
 import { findNeverKnownServices } from "@kingcupglade/items";
@@ -11,7 +8,7 @@
 import type { Clock, StallDetector } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
-import { readBody } from "@kingcupglade/transport";
+import { BodyMemory, readBody } from "@kingcupglade/transport";
 import type {
   ControlWire,
   ExternalCall,
@@ -23,7 +20,7 @@
 import { packValue, unpackValue } from "./packed_value.ts";
 import type { PeerClients } from "./peer_clients.ts";
 import type { PeerClocks } from "./peer_clocks.ts";
-import { ageOf } from "./received_call.ts";
+import { ageOf, hasCallerLeft, waitForClose } from "./received_call.ts";
 import type { PeerTime, ReceivedCall, RelayedCall } from "./received_call.ts";
 import { RelayBatch } from "./relay_batch.ts";
 
@@ -79,6 +76,7 @@
 export class ExternalCallHandler {
   readonly #options: ExternalCallHandlerOptions;
   readonly #leadership: Leadership;
+  readonly #bodyMemory = new BodyMemory();
   readonly #relays = new RelayBatch({ send: (calls) => this.#send(calls) });
 
   constructor(options: ExternalCallHandlerOptions, leadership: Leadership) {
@@ -97,12 +95,13 @@
       delayMilliseconds: stalls.readDelay(),
       knownIndex: this.#leadership.replica?.appliedIndex ?? null,
     };
+    const reservation = this.#bodyMemory.reserve();
     let encoded: ExternalResponse;
     try {
       const call: ExternalRequest = {
         method: request.method ?? "",
         path: request.url ?? "",
-        body: await readBody(request, maximumCallBytes),
+        body: await readBody(request, maximumCallBytes, reservation),
       };
       await waitForClose();
       await this.#waitForLeader();
@@ -118,8 +117,12 @@
       const reason = describeFailure(failure);
       logger.warn("call-failed", { path: request.url ?? "", reason });
       encoded = wire.encode({ kind: "unavailable", reason });
+    } finally {
+      reservation.release();
     }
     if (response.destroyed) return;
+    // The rest of an unread body must not be parsed as the next request.
+    if (!request.complete) response.setHeader("connection", "close");
     response.writeHead(encoded.status, {
       "content-type": "application/json",
       "content-length": Buffer.byteLength(encoded.body),
@@ -384,13 +387,3 @@
       return true;
   }
 }
-
-/** Waits until the end of a connection that arrived with the call is read. */
-async function waitForClose(): Promise<void> {
-  await nextTurn();
-  await nextTurn();
-}
-
-function hasCallerLeft({ socket }: IncomingMessage): boolean {
-  return socket.destroyed || socket.readableEnded;
-}
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -1,6 +1,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { describeFailure } from "@kingcupglade/telemetry";
-import { BodyTooLargeError, RequestBody } from "@kingcupglade/transport";
+import {
+  BodyMemory,
+  BodyMemoryError,
+  BodyTooLargeError,
+  RequestBody,
+} from "@kingcupglade/transport";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
@@ -58,6 +63,7 @@
 /** Finds the route of a request and starts forwarding it. */
 export class RequestHandler {
   readonly #options: RequestHandlerOptions;
+  readonly #bodyMemory = new BodyMemory();
   #relayedCount = 0;
 
   constructor(options: RequestHandlerOptions) {
@@ -135,7 +141,10 @@
         retryAfterMilliseconds: elsewhereRetryAfterMilliseconds,
       });
     }
-    const body = await this.#receiveBody(request, answer);
+    const body = await this.#receiveBody(request, {
+      response,
+      refuse: (status, reason) => answer.respond({ status, reason }),
+    });
     if (!body || answer.isClosed) return;
     const { selector } = this.#options.context;
     const routed = this.#routedRequest({
@@ -175,7 +184,13 @@
     metrics.relayedHere.inc({ decision: RelayDecision.taken });
     this.#relayedCount += 1;
     response.once("close", () => (this.#relayedCount -= 1));
-    const body = await this.#receiveBody(request, answer);
+    const body = await this.#receiveBody(request, {
+      response,
+      refuse: (status, reason) =>
+        status === 503
+          ? answer.rejectRelay(RelayDecision.unable, reason)
+          : answer.respond({ status, reason }),
+    });
     if (!body || answer.isClosed) return;
     this.#forwardRelayed(
       this.#routedRequest({
@@ -296,17 +311,30 @@
 
   async #receiveBody(
     request: IncomingMessage,
-    answer: CallerResponse,
+    { response, refuse }: {
+      readonly response: ServerResponse;
+      readonly refuse: (status: 413 | 503, reason: string) => void;
+    },
   ): Promise<RequestBody | undefined> {
+    const reservation = this.#bodyMemory.reserve();
+    response.once("close", () => reservation.release());
     try {
       return await RequestBody.receive(request, {
         maximumBytes: this.#table.limits?.maximumBodyBytes ??
           defaultMaximumBodyBytes,
         maximumBufferedBytes,
+        reservation,
       });
     } catch (failure) {
-      if (failure instanceof BodyTooLargeError) {
-        answer.respond({ status: 413, reason: failure.message });
+      if (failure instanceof BodyTooLargeError) refuse(413, failure.message);
+      if (failure instanceof BodyMemoryError) {
+        const { wire, logger } = this.#options.context;
+        const { requestId } = wire.readRequest(request.headers);
+        logger.warn("body-refused", {
+          request: requestId,
+          usedBytes: this.#bodyMemory.usedBytes,
+        });
+        refuse(503, failure.message);
       }
       // A caller that aborted its body needs no response.
       return undefined;
--- a/packages/transport/body.ts
+++ b/packages/transport/body.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Readable } from "node:stream";
+import type { BodyReservation } from "./body_memory.ts";
 
 /** Thrown when a body exceeds its size limit. */
 export class BodyTooLargeError extends Error {
@@ -10,14 +11,17 @@
  * Reads a complete body into memory.
  *
  * @throws {BodyTooLargeError} when the body is larger than `maximumBytes`.
+ * @throws {BodyMemoryError} when the reservation cannot be extended.
  */
 export async function readBody(
   request: IncomingMessage,
   maximumBytes: number,
+  reservation?: BodyReservation,
 ): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let length = 0;
   for await (const chunk of readBoundedChunks(request, maximumBytes)) {
+    reservation?.add(chunk.length);
     length += chunk.length;
     chunks.push(chunk);
   }
@@ -31,6 +35,8 @@
   readonly maximumBytes: number;
   /** Bodies up to this size are buffered, so that they can be sent again. */
   readonly maximumBufferedBytes: number;
+  /** Counts what is kept in memory; the caller releases it. @default no bound */
+  readonly reservation?: BodyReservation;
 }
 
 /** The body of a caller's request, either buffered or streamed. */
@@ -65,24 +71,27 @@
    *
    * @throws {BodyTooLargeError} when the declared or buffered length exceeds the
    * limit.
+   * @throws {BodyMemoryError} when the reservation cannot be extended.
    */
   static async receive(
     request: IncomingMessage,
     options: RequestBodyOptions,
   ): Promise<RequestBody> {
-    const { maximumBytes, maximumBufferedBytes } = options;
+    const { maximumBytes, maximumBufferedBytes, reservation } = options;
     const length = parseDeclaredLength(request);
     if (length !== undefined && length > maximumBytes) {
       throw createTooLargeError(maximumBytes);
     }
     if (length === 0) return RequestBody.empty;
     if (length !== undefined && length <= maximumBufferedBytes) {
-      return new RequestBody({ buffer: await readBody(request, maximumBytes) });
+      const buffer = await readBody(request, maximumBytes, reservation);
+      return new RequestBody({ buffer });
     }
     const chunks = readBoundedChunks(request, maximumBytes);
     const { first, ended } = await readFirstChunks(
       chunks,
       maximumBufferedBytes,
+      reservation,
     );
     const firstBytes = Buffer.concat(first);
     if (ended) return new RequestBody({ buffer: firstBytes });
@@ -169,12 +178,14 @@
 async function readFirstChunks(
   chunks: AsyncGenerator<Buffer>,
   minimumBytes: number,
+  reservation: BodyReservation | undefined,
 ): Promise<{ readonly first: readonly Buffer[]; readonly ended: boolean }> {
   const first: Buffer[] = [];
   let length = 0;
   while (length <= minimumBytes) {
     const next = await chunks.next();
     if (next.done) return { first, ended: true };
+    reservation?.add(next.value.length);
     first.push(next.value);
     length += next.value.length;
   }
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -11,6 +11,8 @@
   sendJson,
 } from "./body.ts";
 export type { RequestBodyOptions } from "./body.ts";
+export { BodyMemory, BodyMemoryError } from "./body_memory.ts";
+export type { BodyReservation } from "./body_memory.ts";
 export { isAddress } from "./address.ts";
 export { HttpListener, ListenError, splitAddress } from "./http_listener.ts";
 export type { HttpListenerOptions, ListenerTls } from "./http_listener.ts";
