--- a/packages/storage/fake_files.ts
+++ b/packages/storage/fake_files.ts
@@ -38,6 +38,7 @@
   #syncedFiles = new Map<string, FakeFile>();
   /** Changes of names since the last sync of the folder, in order. */
   #changes: NameChange[] = [];
+  #openFiles = 0;
   #operations = 0;
   #failAtOperation = Infinity;
   #writtenShare = 0;
@@ -52,6 +53,11 @@
     return this.#operations;
   }
 
+  /** Number of files that were opened and not closed. */
+  get openFiles(): number {
+    return this.#openFiles;
+  }
+
   /** Whether operations succeed. */
   get works(): boolean {
     return this.#failAtOperation === Infinity;
@@ -163,9 +169,11 @@
       const name = basename(path);
       const file = this.#files.get(name) ?? this.#create(name);
       file.truncate(bytes);
+      this.#openFiles += 1;
       return new FakeAppendOnlyFile({
         append: (written) => this.#append(file, written),
         sync: () => this.#mutate(() => this.#sync(file)),
+        close: () => Promise.resolve(void (this.#openFiles -= 1)),
       });
     });
   }
@@ -255,9 +263,12 @@
 }
 
 class FakeAppendOnlyFile extends AppendOnlyFile {
-  readonly #operations: Pick<AppendOnlyFile, "append" | "sync">;
+  readonly #operations: Pick<AppendOnlyFile, "append" | "sync" | "close">;
+  #isClosed = false;
 
-  constructor(operations: Pick<AppendOnlyFile, "append" | "sync">) {
+  constructor(
+    operations: Pick<AppendOnlyFile, "append" | "sync" | "close">,
+  ) {
     super();
     this.#operations = operations;
   }
@@ -270,7 +281,9 @@
     return this.#operations.sync();
   }
 
-  override close(): Promise<void> {
-    return Promise.resolve();
+  override async close(): Promise<void> {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    await this.#operations.close();
   }
 }
--- a/packages/storage/files.ts
+++ b/packages/storage/files.ts
@@ -72,9 +72,14 @@
     bytes: number,
   ): Promise<AppendOnlyFile> {
     const file = await open(path, "a");
-    const { size } = await file.stat();
-    if (size > bytes) await file.truncate(bytes);
-    return new SystemAppendOnlyFile(file);
+    try {
+      const { size } = await file.stat();
+      if (size > bytes) await file.truncate(bytes);
+      return new SystemAppendOnlyFile(file);
+    } catch (failure) {
+      await file.close();
+      throw failure;
+    }
   }
 
   override async rename(from: string, to: string): Promise<void> {
--- a/packages/storage/log_file.ts
+++ b/packages/storage/log_file.ts
@@ -29,8 +29,9 @@
   /** Creates an empty log, replacing any existing file. */
   static async create(path: string, files: Files): Promise<LogFile> {
     const file = await files.openTruncated(path, 0);
-    await file.sync();
-    return new LogFile(file, 0);
+    const log = new LogFile(file, 0);
+    await closeOnFailure(log, () => file.sync());
+    return log;
   }
 
   /**
--- a/packages/storage/replica_storage.ts
+++ b/packages/storage/replica_storage.ts
@@ -140,25 +140,33 @@
     logTail: LogUpdate,
   ): Promise<void> {
     await this.#write("snapshot", async () => {
-      const files = this.#files;
-      const nextGeneration = this.#generation + 1;
-      const log = await LogFile.create(
-        logPath(this.#folder, nextGeneration),
-        files,
-      );
-      await log.append(encode([logTail]));
-      await files.syncFolder(this.#folder);
-      await files.replace(
-        snapshotPath(this.#folder),
-        encodeRecord(encode({ snapshot, generation: nextGeneration })),
-      );
-      await this.#log.close();
-      await files.remove(logPath(this.#folder, this.#generation));
+      const generation = this.#generation + 1;
+      const path = logPath(this.#folder, generation);
+      const log = await LogFile.create(path, this.#files);
+      await closeOnFailure(log, async () => {
+        await log.append(encode([logTail]));
+        await this.#replaceSnapshot(snapshot, generation);
+      });
       this.#log = log;
-      this.#generation = nextGeneration;
+      this.#generation = generation;
     });
   }
 
+  // The new log is durable, and then the snapshot that names it, before the old
+  // log is removed.
+  async #replaceSnapshot(
+    snapshot: Snapshot,
+    generation: number,
+  ): Promise<void> {
+    await this.#files.syncFolder(this.#folder);
+    await this.#files.replace(
+      snapshotPath(this.#folder),
+      encodeRecord(encode({ snapshot, generation })),
+    );
+    await this.#log.close();
+    await this.#files.remove(logPath(this.#folder, this.#generation));
+  }
+
   // What a failed write left is known only once the folder is opened again, so
   // nothing is written after it.
   async #write(subject: string, action: () => Promise<void>): Promise<void> {
--- a/packages/storage/replica_storage_test.ts
+++ b/packages/storage/replica_storage_test.ts
@@ -197,6 +197,26 @@
     );
   });
 
+  describe("with a disk that refuses writes", () => {
+    // Guards against: a descriptor that stays open after a failure, until the
+    // runtime finds it and warns.
+    it("closes its files after a failure anywhere", async () => {
+      const left: string[] = [];
+      for (let operations = 0; operations < 40; operations += 1) {
+        const files = new FakeFiles();
+        files.failAfter(operations);
+        const opened = await openStorage(files).catch(() => null);
+        await opened?.saveSnapshot(snapshotAt(0), {
+          hardState: { term: 1, votedFor: null },
+          entries: [],
+        }).catch(() => {});
+        await opened?.close();
+        if (files.openFiles > 0) left.push(`${operations}: ${files.openFiles}`);
+      }
+      expect(left).toEqual([]);
+    });
+  });
+
   describe("with damaged files", () => {
     const damageCases = [
       {
