--- a/packages/storage/replica_storage_test.ts
+++ b/packages/storage/replica_storage_test.ts
@@ -160,6 +160,22 @@
     });
   });
 
+  // Guards against: a start that syncs once for each record that it reads.
+  it("opens with as many operations for a long log as for a short one", async () => {
+    const operations: number[] = [];
+    for (const entries of [1, 50]) {
+      const { files, storage } = await createFilledStorage();
+      for (let at = 0; at < entries; at += 1) {
+        await append(storage, entry(4 + at));
+      }
+      const next = files.kill();
+      await openStorage(next);
+      operations.push(next.operations);
+    }
+    // The log is opened and synced, and then the folder is.
+    expect(operations).toEqual([3, 3]);
+  });
+
   describe("after a failed write", () => {
     const writes = {
       append: (storage: ReplicaStorage) => append(storage, entry(4)),
