Tear unsynced writes at either end in the fake files

A loss of power may keep the end of an unsynced write and not its beginning, as its pages reach the disk in any order; the fake files tore writes at their end only. The random and the exhaustive histories of a data folder now play both.

--- a/packages/storage/durability_test.ts
+++ b/packages/storage/durability_test.ts
@@ -94,8 +94,8 @@
         await history.live(files, writes);
         const isKill = random() < 0.5;
         files = isKill ? files.kill() : files.losePower(() => {
-          const share = random() * 3;
-          return share < 1 ? 0 : share < 2 ? 1 : share - 2;
+          const share = random() * 4 - 1;
+          return share < 1 ? Math.min(0, share) : Math.min(1, share - 1);
         });
       }
       await history.check(files);
--- a/packages/storage/fake_file.ts
+++ b/packages/storage/fake_file.ts
@@ -1,7 +1,8 @@
 /**
  * Returns the share of an unsynced operation that a loss of power keeps, from 0
- * to 1. `bytes` is the size of a write, which may be torn, and null for a
- * truncation or a change of names, which is kept from one half on.
+ * to 1, or to -1 to keep the end of a write and not its beginning. `bytes` is
+ * the size of a write, which may be torn, and null for a truncation or a change
+ * of names, which is kept from one half on.
  */
 export type Keep = (bytes: number | null) => number;
 
@@ -58,12 +59,11 @@
     return this.#unsynced.reduce(
       (content, write) => {
         if ("size" in write) {
-          return keep(null) >= 0.5 ? applyWrite(content, write) : content;
+          return Math.abs(keep(null)) >= 0.5
+            ? applyWrite(content, write)
+            : content;
         }
-        const kept = Math.floor(write.bytes.length * keep(write.bytes.length));
-        if (kept === 0) return content;
-        const bytes = write.bytes.subarray(0, kept);
-        return applyWrite(content, { offset: write.offset, bytes });
+        return applyWrite(content, tear(write, keep(write.bytes.length)));
       },
       this.#synced,
     );
@@ -75,10 +75,24 @@
   }
 }
 
+// The beginning and the end of a write reach the disk in any order.
+function tear(
+  { offset, bytes }: Extract<Write, { readonly bytes: Buffer }>,
+  share: number,
+): Write {
+  const kept = Math.floor(bytes.length * Math.abs(share));
+  const start = share < 0 ? bytes.length - kept : 0;
+  return {
+    offset: offset + start,
+    bytes: bytes.subarray(start, start + kept),
+  };
+}
+
 // A write beyond the end leaves zeros in between.
 function applyWrite(content: Buffer, write: Write): Buffer {
   if ("size" in write) return content.subarray(0, write.size);
   const { offset, bytes } = write;
+  if (bytes.length === 0) return content;
   const size = Math.max(content.length, offset + bytes.length);
   const result = Buffer.alloc(size);
   result.set(content, 0);
--- a/packages/storage/fake_files.ts
+++ b/packages/storage/fake_files.ts
@@ -116,7 +116,9 @@
   losePower(keep: Keep): FakeFiles {
     const names = new Map(this.#syncedFiles);
     for (const change of this.#changes) {
-      if (change.isDurable || keep(null) >= 0.5) applyChange(names, change);
+      if (change.isDurable || Math.abs(keep(null)) >= 0.5) {
+        applyChange(names, change);
+      }
     }
     const contents = new Map<FakeFile, Buffer>();
     for (const file of names.values()) {
--- a/packages/storage/fake_losses.ts
+++ b/packages/storage/fake_losses.ts
@@ -21,7 +21,7 @@
   const losses: FakeFiles[] = [];
   for (let mix = 0; mix < mixes; mix += 1) {
     const random = createRandom(mix + 1);
-    for (const torn of [1, 0.5]) {
+    for (const torn of [1, 0.5, -0.5]) {
       let at = 0;
       losses.push(files.losePower(() => {
         const isKept = 2 ** count <= maximumMixes
