--- a/packages/storage/replica_storage_test.ts
+++ b/packages/storage/replica_storage_test.ts
@@ -160,6 +160,22 @@
     });
   });
 
+  // Guards against: a start that syncs once for each record that it reads.
+  it("opens with as many operations for a long log as for a short one", async () => {
+    const operations: number[] = [];
+    for (const entries of [1, 50]) {
+      const { files, storage } = await createFilledStorage();
+      for (let at = 0; at < entries; at += 1) {
+        await append(storage, entry(4 + at));
+      }
+      const next = files.kill();
+      await openStorage(next);
+      operations.push(next.operations);
+    }
+    // The log is opened and synced, and then the folder is.
+    expect(operations).toEqual([3, 3]);
+  });
+
   describe("after a failed write", () => {
     const writes = {
       append: (storage: ReplicaStorage) => append(storage, entry(4)),
@@ -197,6 +213,26 @@
     );
   });
 
+  describe("with a disk that refuses writes", () => {
+    // Guards against: a descriptor that stays open after a failure, until the
+    // runtime finds it and warns.
+    it("closes its files after a failure anywhere", async () => {
+      const left: string[] = [];
+      for (let operations = 0; operations < 40; operations += 1) {
+        const files = new FakeFiles();
+        files.failAfter(operations);
+        const opened = await openStorage(files).catch(() => null);
+        await opened?.saveSnapshot(snapshotAt(0), {
+          hardState: { term: 1, votedFor: null },
+          entries: [],
+        }).catch(() => {});
+        await opened?.close();
+        if (files.openFiles > 0) left.push(`${operations}: ${files.openFiles}`);
+      }
+      expect(left).toEqual([]);
+    });
+  });
+
   describe("with damaged files", () => {
     const damageCases = [
       {
