Let calls end when a VM closes its last listeners

At the end of the stop of a VM in one role, calls of operators, targets and other VMs that had just been sent were reset.

Cause: Vm.stop() waits for callers only; it destroyed all connections of the other three listeners at once.

--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -13,6 +13,8 @@
 /** The callers' listener closes after this time without a request. */
 const quietMilliseconds = 300;
 const maximumDrainMilliseconds = 15_000;
+/** Time for calls of operators, targets and other VMs to end. */
+const maximumCloseMilliseconds = 1000;
 const ledgerSyncTimeoutMilliseconds = 3000;
 
 /** Options of {@link Vm.start}. */
@@ -142,6 +144,11 @@
         reason: describeFailure(failure),
       })
     );
+    await Promise.all(
+      Object.values(this.#listeners).map((each) =>
+        each.close({ maximumMilliseconds: maximumCloseMilliseconds })
+      ),
+    );
     this.#closeConnections();
     await exchanges.close();
     await forwarder.close();
