Answer scrapes until a VM with a role stops

Scrapes of the metrics were reset in the last moment of a stop.

Cause: FleetVm.stop() destroyed the listener for metrics.

Before: 4 of 5 scrapers that ask again at once got ECONNRESET as their last result.

--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -39,6 +39,8 @@
 /** File descriptor of standard output. */
 const logFileDescriptor = 1;
 const logFlushIntervalMilliseconds = 1000;
+/** Time for a response with metrics to be sent at the end of a stop. */
+const maximumScrapeMilliseconds = 100;
 
 /** What a caller of {@link startFleetVm} may replace. */
 export type FleetVmOverrides = Pick<GatewayVmOptions, "connectToTarget">;
@@ -86,7 +88,9 @@
     const { role, logger, writer, metricsListener } = this.#components;
     await role.stop();
     clearInterval(this.#logFlushTimer);
-    metricsListener?.destroy();
+    await metricsListener?.close({
+      maximumMilliseconds: maximumScrapeMilliseconds,
+    });
     logger.flush();
     await new Promise<void>((resolve) => writer.end(resolve));
   }
