Keep a drain within its time where the grace period is short

A gateway with a grace period below about three seconds was killed in the middle of its stop: it kept its listener open for 2.2 s and more, whatever the time it had.

--- a/packages/transport/http_listener_close_test.ts
+++ b/packages/transport/http_listener_close_test.ts
@@ -224,6 +224,18 @@
     expect(result).toEqual({ open: 1, unanswered: 1 });
   });
 
+  // Guards against drains that outlast a grace period of a second or two.
+  it("drains no longer than its time, even if the minimum is longer", async () => {
+    const closing = await open();
+    const startedAt = performance.now();
+    await closing.drain({
+      minimumMilliseconds: 60_000,
+      quietMilliseconds: 300,
+      maximumMilliseconds: 100,
+    });
+    expect(performance.now() - startedAt).toBeLessThan(10_000);
+  });
+
   // Guards against responses over TLS that are cut as if they were idle.
   it("completes a response over TLS", async () => {
     const pem = await selfsigned.generate([{ name: "commonName", value: "a" }]);
