Leave file descriptors for what a gateway needs beside its callers

Callers got 503 for requests on connections that they had, and readiness checks were reset, so that a load balancer takes the VM out, while other callers held as many connections as the VM has file descriptors.

Cause: the callers' listener accepts 4,096 connections, and a VM has 4,100 descriptors, also for targets, other VMs and readiness.

Evidence: a built gateway with 4,100 descriptors and 4,090 idle callers, on arm64. Before: 99 of 100 requests on kept connections got 503, the readiness check ECONNRESET.

Now callers may use three quarters of the process's limit, which it reads at its start, and 3,072 connections at most; further ones are closed when they are accepted, so that their callers turn elsewhere.

--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -40,6 +40,7 @@
 const idleMarginMilliseconds = 1500;
 const housekeepingIntervalMilliseconds = 1000;
 const millisecondsPerSecond = 1000;
+const defaultCallerConnections = 3072;
 
 /** Options of {@link GatewayVm.start}. */
 export interface GatewayVmOptions {
@@ -48,6 +49,8 @@
   readonly region: string;
   /** Where callers reach this VM, as IP:PORT. */
   readonly callersAddress: string;
+  /** Connections of callers at the same time; more are closed. @default 3072 */
+  readonly maximumCallerConnections?: number;
   /** Where the load balancer checks the readiness of this VM, as IP:PORT. */
   readonly readinessAddress: string;
   /** Where other VMs reach this one, as IP:PORT; all VMs use the same port. */
@@ -241,6 +244,8 @@
     vm.#callersListener = await HttpListener.open({
       name: "callers",
       address: options.callersAddress,
+      maximumConnections: options.maximumCallerConnections ??
+        defaultCallerConnections,
       handler: (request, response) => vm.#handler.handle(request, response),
     });
     vm.#relayListener = await HttpListener.open({
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -17,6 +17,7 @@
 import { HttpListener } from "@kingcupglade/transport";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { readCallerConnectionLimit } from "./connection_limit.ts";
 import { FleetRole } from "./settings/fleet_schema.ts";
 import type {
   ResolvedControlSettings,
@@ -132,6 +133,7 @@
     ...common,
     callersAddress: listen.callers,
     readinessAddress: listen.readiness,
+    maximumCallerConnections: await readCallerConnectionLimit(),
     graceMilliseconds: stop.graceSeconds * millisecondsPerSecond,
     retryBudget: {
       ratio: retries.ratio,
