Refuse a peer's call whose sender names no address

A control VM ended by itself with "Invalid URL" after one call at its peers' listener whose sender wasn't IP:PORT, found by sending random calls with the fleet's secret to a built VM: exit 3 within 15 s, last line "process-failed", origin "unhandledRejection".

Cause: the connections to the sender, through which answers go, are made outside the part of the delivery whose failures count as not answered; nobody waits for that delivery.

Evidence: the test fails before with 'promise resolved "[]" instead of rejecting' and an unhandled "TypeError: Invalid URL".

Now such a call is refused to its caller, and what happens while a delivery connects counts as not answered, like a refused connection.

--- a/packages/fleet_control/replica_links.ts
+++ b/packages/fleet_control/replica_links.ts
@@ -6,6 +6,7 @@
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import { decodeValue, encodeValue, Replication } from "@kingcupglade/protocol";
 import { vmOfReplica } from "@kingcupglade/replica";
+import { isAddress } from "@kingcupglade/transport";
 import type { PeerClients } from "./peer_clients.ts";
 
 /**
@@ -15,6 +16,15 @@
 const deliverTimeoutMilliseconds = 400;
 const maximumWaitingMessages = 256;
 
+/** Thrown when a caller names a replica that cannot be reached. */
+export class PeerAddressError extends Error {
+  override readonly name = "PeerAddressError";
+
+  constructor(replica: string) {
+    super(`"${replica}" is not IP:PORT and an incarnation`);
+  }
+}
+
 /** Delivers consensus messages in order, one batch at a time per receiver. */
 export class ReplicaLinks {
   readonly #clients: PeerClients;
@@ -50,12 +60,15 @@
   /**
    * Handles messages of a replica and returns the messages queued for it, so
    * that these need no call of their own.
+   *
+   * @throws {PeerAddressError} when the replica's name holds no address.
    */
   async answer(
     replica: string,
     handle: () => Promise<void> | undefined,
   ): Promise<Uint8Array<ArrayBuffer>[]> {
     const address = vmOfReplica(replica);
+    if (!isAddress(address)) throw new PeerAddressError(replica);
     if (this.#replying.has(address)) {
       await handle();
       return [];
@@ -83,14 +96,15 @@
   ): Promise<void> {
     if (this.#busy.has(address)) return;
     this.#busy.add(address);
-    const replication = this.#clients.client(address, Replication);
     await Promise.resolve();
     while (queue.length > 0 && !this.#replying.has(address)) {
+      const sent = queue.splice(0);
       try {
-        const { messages } = await replication.deliver(
-          { from: this.#self, messages: queue.splice(0) },
-          { timeoutMs: deliverTimeoutMilliseconds },
-        );
+        const { messages } = await this.#clients.client(address, Replication)
+          .deliver(
+            { from: this.#self, messages: sent },
+            { timeoutMs: deliverTimeoutMilliseconds },
+          );
         this.#onReply(readMessages(messages));
       } catch {
         // Consensus resends messages that were not answered.
