Check the greeting of a control VM when it arrives

A control VM ended by itself, in a timer, after one greeting with an odd or missing field: "Cannot read properties of undefined (reading 'slice')" in the plan of the replica set. Found by sending random calls with the fleet's secret to a built VM: exit 3 after 39 requests.

Cause: a greeting was taken as sent, on the grounds that its sender runs the same release, and was kept for decisions that timers make later. During an upgrade the sender may run another release.

Now its shape is checked where it arrives, on both ends; an odd one is refused to its sender. Fields of later releases are kept, and those that earlier releases don't send may be missing.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -2,12 +2,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { configurationOf } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
-import {
-  decodeValue,
-  encodeValue,
-  Fleet,
-  Replication,
-} from "@kingcupglade/protocol";
+import { encodeValue, Fleet, Replication } from "@kingcupglade/protocol";
 import { vmOfReplica } from "@kingcupglade/replica";
 import { StallDetector } from "@kingcupglade/tasks";
 import type { Clock } from "@kingcupglade/tasks";
@@ -19,7 +14,7 @@
 import type { ControlWire } from "./control_wire.ts";
 import { ExternalCallHandler } from "./external_call_handler.ts";
 import type { Leadership } from "./external_call_handler.ts";
-import type { Greeting } from "./greeting.ts";
+import { decodeGreeting } from "./greeting.ts";
 import { LeaderSession } from "./leader_session.ts";
 import type { FleetReplica } from "./leader_session.ts";
 import { packValue, unpackValue } from "./packed_value.ts";
@@ -197,7 +192,7 @@
     services.service(Fleet, {
       greet: ({ greeting }) => {
         this.#discovery.peers.record(
-          decodeValue<Greeting>(greeting),
+          decodeGreeting(greeting),
           this.#options.clock.now(),
         );
         return Promise.resolve({
--- a/packages/fleet_control/greeting.ts
+++ b/packages/fleet_control/greeting.ts
@@ -1,3 +1,7 @@
+import { decodeValue, WireError } from "@kingcupglade/protocol";
+import { vmOfReplica } from "@kingcupglade/replica";
+import { isAddress } from "@kingcupglade/transport";
+import { z } from "zod";
 import type { PeerTime } from "./received_call.ts";
 
 /** Description of a control VM that it sends to the others. */
@@ -30,3 +34,34 @@
    */
   readonly time?: PeerTime;
 }
+
+const address = z.string().refine(isAddress);
+const replica = z.string().refine((id) => isAddress(vmOfReplica(id)));
+
+/** Other fields may come from a later release. */
+const greetingSchema = z.looseObject({
+  replica,
+  controlAddress: address,
+  peerAddress: address,
+  dataCentre: z.string(),
+  region: z.string(),
+  isMember: z.boolean(),
+  founders: z.array(replica),
+  known: z.array(address),
+  time: z.looseObject({ process: z.string(), milliseconds: z.number() })
+    .optional(),
+});
+
+/**
+ * Decodes a greeting. Its content is kept for later decisions, so it is checked
+ * when it arrives.
+ *
+ * @throws {WireError} when it is not a greeting.
+ */
+export function decodeGreeting(bytes: Uint8Array): Greeting {
+  const { success, data, error } = greetingSchema.safeParse(decodeValue(bytes));
+  if (success) return data as Greeting;
+  throw new WireError("a message of another VM is no greeting", {
+    cause: error,
+  });
+}
--- a/packages/fleet_control/peer_discovery.ts
+++ b/packages/fleet_control/peer_discovery.ts
@@ -1,6 +1,7 @@
-import { decodeValue, encodeValue, Fleet } from "@kingcupglade/protocol";
+import { encodeValue, Fleet } from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
 import type { ControlReplica } from "./control_replica.ts";
+import { decodeGreeting } from "./greeting.ts";
 import type { Greeting } from "./greeting.ts";
 import { KnownPeers } from "./known_peers.ts";
 import type { PeerClients } from "./peer_clients.ts";
@@ -113,7 +114,7 @@
           { greeting: encodeValue(this.greeting) },
           { timeoutMs: greetTimeoutMilliseconds },
         );
-      const answer = decodeValue<Greeting>(greeting);
+      const answer = decodeGreeting(greeting);
       const receivedAt = clock.now();
       this.peers.record(answer, receivedAt);
       const { time } = answer;
