--- a/packages/soak/process_faults.ts
+++ b/packages/soak/process_faults.ts
@@ -3,6 +3,8 @@
 
 /** First part of a process's life in which it gets signals. */
 const earlyMilliseconds = 500;
+/** All processes of a fleet start within this time. */
+const startSpreadMilliseconds = 300;
 const maximumEarlySignals = 3;
 const stopSignalGapMilliseconds = 250;
 const maximumStopSignals = 6;
@@ -27,13 +29,18 @@
   }));
 }
 
-/** Starts a process and reloads its settings in its first half second. */
+/**
+ * Starts a process within the time in which all processes of a fleet start, and
+ * reloads its settings in its first half second.
+ */
 export async function startWithEarlyReload(
   serverProcess: ServerProcess,
   random: () => number,
 ): Promise<void> {
+  const signalAfter = random() * earlyMilliseconds;
+  await delay(random() * startSpreadMilliseconds);
   serverProcess.start();
-  await delay(random() * earlyMilliseconds);
+  await delay(signalAfter);
   serverProcess.signal("SIGHUP");
 }
 
--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -5,6 +5,7 @@
 import { LoadGenerator } from "./load_generator.ts";
 import { Operator } from "./operator.ts";
 import { startWithEarlyReload } from "./process_faults.ts";
+import { measureStartupMilliseconds } from "./processor_time.ts";
 import { createRoleProcess, RolePort } from "./role_process.ts";
 import type { ProcessLife } from "./process_life.ts";
 import type { ServerProcess } from "./server_process.ts";
@@ -154,6 +155,8 @@
   /** Starts all processes; one that a signal ended is started again. */
   async #startProcesses(): Promise<void> {
     const processes = this.#processes;
+    // Measured now, as it blocks this process.
+    measureStartupMilliseconds();
     await Promise.all(
       processes.map((each) => startWithEarlyReload(each, this.#faultRandom)),
     );
