Keep signals that come before the VM runs

Operators saw gateway and control VMs that ended by SIGHUP up to 400 ms after their start, without a log line.

Cause: `serve` registered its handlers after all imports, its arguments and its settings; until then each signal has its default action. A reload also awaited the start outside of its error handling, and of two overlapping reloads the one that read last won, not the one that was asked for last. A VM without a role had no handler for SIGHUP at all.

The first module of the bundle now captures the signals and imports nothing. VmProcess carries them out when it can: a stop signal before the start ends the process with 0, SIGHUP reloads once after the start, reloads run one after the other, and none is applied during a stop. Each signal is logged with its phase.

What remains: Node.js itself starts before any JavaScript runs.

--- a/packages/kingcupglade/commands/serve.ts
+++ b/packages/kingcupglade/commands/serve.ts
@@ -1,10 +1,19 @@
 import { parseArgs } from "node:util";
+import { createLogger } from "@kingcupglade/telemetry";
+import { FleetLog } from "../fleet_log.ts";
 import { startFleetVm } from "../fleet_vm.ts";
-import type { FleetVm } from "../fleet_vm.ts";
-import { readFleetSettings, readSettings } from "../settings/read.ts";
-import { Vm } from "../vm.ts";
+import { processSignals } from "../process_signals.ts";
 import type { ResolvedFleetSettings } from "../settings/fleet_schema.ts";
-import { ExitCode, UsageError } from "./command.ts";
+import {
+  readFleetSettings,
+  readSettings,
+  SettingsError,
+} from "../settings/read.ts";
+import type { ResolvedSettings } from "../settings/schema.ts";
+import { VmProcess } from "../vm_process.ts";
+import type { VmLaunch } from "../vm_process.ts";
+import { Vm } from "../vm.ts";
+import { UsageError } from "./command.ts";
 import type { Command } from "./command.ts";
 
 /** `serve`: runs a VM until it receives a stop signal. */
@@ -27,59 +36,59 @@
     }
     const path = values.settings;
     const fleetSettings = await readFleetSettings(path);
-    const stopped = waitForStopSignal();
-    let fail: (failure: unknown) => void = () => {};
-    const failure = new Promise<never>((_, reject) => (fail = reject));
-    const vm = fleetSettings
-      ? await startFleet(fleetSettings, {
-        path,
-        onFailure: (cause) => fail(cause),
-      })
-      : await Vm.start({
-        settings: await readSettings(path),
-        onFailure: (cause) => fail(cause),
-      });
-    await Promise.race([failure, stopped]);
-    await vm.stop();
-    return ExitCode.done;
+    const launch = fleetSettings
+      ? createFleetLaunch(fleetSettings, path)
+      : createVmLaunch(await readSettings(path));
+    return await new VmProcess(launch, processSignals).run();
   },
 };
 
-/** Starts a VM of a fleet that reloads its settings on SIGHUP. */
-async function startFleet(
+function createFleetLaunch(
   settings: ResolvedFleetSettings,
-  options: {
-    readonly path: string;
-    readonly onFailure: (failure: unknown) => void;
-  },
-): Promise<FleetVm> {
-  const starting = startFleetVm(settings, options.onFailure);
-  // Registered before the VM has started, as SIGHUP without a listener would
-  // terminate the process.
-  process.on("SIGHUP", () => void reload(starting, options.path));
-  return await starting;
-}
-
-async function reload(starting: Promise<FleetVm>, path: string): Promise<void> {
-  const vm = await starting;
-  try {
-    const settings = await readFleetSettings(path);
-    if (settings) vm.reload(settings);
-  } catch (failure) {
-    vm.logReloadFailure(failure);
-  }
+  path: string,
+): VmLaunch {
+  const log = new FleetLog(settings);
+  const { logger } = log;
+  return {
+    logger,
+    prepare: () => Promise.resolve(),
+    async start(onFailure) {
+      const vm = await startFleetVm(settings, onFailure, { log });
+      return {
+        async readSettings() {
+          const changed = await readFleetSettings(path);
+          if (!changed) {
+            throw new SettingsError(`${path}: vm.role is missing; restore it`);
+          }
+          return () => vm.reload(changed);
+        },
+        stop: () => vm.stop(),
+      };
+    },
+    closeLog: () => log.close(),
+  };
 }
 
-/** Resolves on the first stop signal; the second one ends the process. */
-function waitForStopSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    let signals = 0;
-    const onSignal = () => {
-      signals += 1;
-      if (signals > 1) process.exit(ExitCode.failed);
-      resolve();
-    };
-    process.on("SIGTERM", onSignal);
-    process.on("SIGINT", onSignal);
-  });
+function createVmLaunch(settings: ResolvedSettings): VmLaunch {
+  const { vm, log } = settings;
+  return {
+    logger: createLogger({
+      fields: { vm: vm.name, dataCentre: vm.dataCentre },
+      level: log.level,
+    }),
+    prepare: () => Promise.resolve(),
+    async start(onFailure) {
+      const running = await Vm.start({ settings, onFailure });
+      return {
+        readSettings: () =>
+          Promise.reject(
+            new SettingsError(
+              "a VM without a role changes no settings while it runs; restart it",
+            ),
+          ),
+        stop: () => running.stop(),
+      };
+    },
+    closeLog: () => Promise.resolve(),
+  };
 }
--- /dev/null
+++ b/packages/kingcupglade/fleet_log.ts
@@ -0,0 +1,41 @@
+import { MonotonicClock } from "@kingcupglade/tasks";
+import {
+  createLogger,
+  LineWriter,
+  RateLimitedLogger,
+} from "@kingcupglade/telemetry";
+import type { ResolvedFleetSettings } from "./settings/fleet_schema.ts";
+
+/** File descriptor of standard output. */
+const logFileDescriptor = 1;
+const flushIntervalMilliseconds = 1000;
+
+/** The log of a VM of a fleet, on standard output. */
+export class FleetLog {
+  readonly logger: RateLimitedLogger;
+  readonly #writer = new LineWriter(logFileDescriptor);
+  readonly #flushTimer: NodeJS.Timeout;
+
+  constructor({ vm, log }: Pick<ResolvedFleetSettings, "vm" | "log">) {
+    const clock = new MonotonicClock();
+    this.logger = new RateLimitedLogger(
+      createLogger({
+        fields: { vm: vm.name, dataCentre: vm.dataCentre },
+        level: log.level,
+        writer: this.#writer,
+      }),
+      () => clock.now(),
+    );
+    this.#flushTimer = setInterval(
+      () => this.logger.flush(),
+      flushIntervalMilliseconds,
+    ).unref();
+  }
+
+  /** Resolves when all lines are written; nothing is logged afterwards. */
+  async close(): Promise<void> {
+    clearInterval(this.#flushTimer);
+    this.logger.flush();
+    await new Promise<void>((resolve) => this.#writer.end(() => resolve()));
+  }
+}
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -7,17 +7,12 @@
   PlatformControlWire,
 } from "@kingcupglade/platform";
 import { MonotonicClock } from "@kingcupglade/tasks";
-import {
-  createLogger,
-  createMetrics,
-  describeFailure,
-  LineWriter,
-  RateLimitedLogger,
-} from "@kingcupglade/telemetry";
+import { createMetrics } from "@kingcupglade/telemetry";
 import type { Metrics } from "@kingcupglade/telemetry";
 import { HttpListener } from "@kingcupglade/transport";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { FleetLog } from "./fleet_log.ts";
 import { FleetRole } from "./settings/fleet_schema.ts";
 import type {
   ResolvedControlSettings,
@@ -36,18 +31,16 @@
   stop(): Promise<void>;
 }
 
-/** File descriptor of standard output. */
-const logFileDescriptor = 1;
-const logFlushIntervalMilliseconds = 1000;
-
 /** What a caller of {@link startFleetVm} may replace. */
-export type FleetVmOverrides = Pick<GatewayVmOptions, "connectToTarget">;
+export type FleetVmOverrides = Pick<GatewayVmOptions, "connectToTarget"> & {
+  /** @default a log of its own on standard output */
+  readonly log?: FleetLog;
+};
 
 /** Components of a {@link FleetVm}. */
 interface FleetVmComponents {
   readonly role: RunningRole;
-  readonly logger: RateLimitedLogger;
-  readonly writer: LineWriter;
+  readonly log: FleetLog;
   /** Undefined if the settings contain no address for metrics. */
   readonly metricsListener: HttpListener | undefined;
 }
@@ -55,40 +48,25 @@
 /** A running VM of a fleet. */
 export class FleetVm {
   readonly #components: FleetVmComponents;
-  readonly #logFlushTimer: NodeJS.Timeout;
 
   constructor(parts: FleetVmComponents) {
     this.#components = parts;
-    this.#logFlushTimer = setInterval(
-      () => parts.logger.flush(),
-      logFlushIntervalMilliseconds,
-    );
   }
 
   /** Applies the settings that may change at run time: the seeds. */
   reload(settings: ResolvedFleetSettings): void {
     const { seeds } = settings.control;
-    const { role, logger } = this.#components;
+    const { role, log: { logger } } = this.#components;
     role.setSeeds(seeds);
     logger.info("settings-reloaded", { seeds: seeds.join(",") });
   }
 
-  /** Logs that the settings could not be reloaded; they stay unchanged. */
-  logReloadFailure(failure: unknown): void {
-    const { logger } = this.#components;
-    logger.error("settings-not-reloaded", {
-      reason: describeFailure(failure),
-    });
-  }
-
   /** Finishes all requests in progress and stops. */
   async stop(): Promise<void> {
-    const { role, logger, writer, metricsListener } = this.#components;
+    const { role, log, metricsListener } = this.#components;
     await role.stop();
-    clearInterval(this.#logFlushTimer);
     metricsListener?.destroy();
-    logger.flush();
-    await new Promise<void>((resolve) => writer.end(resolve));
+    await log.close();
   }
 }
 
@@ -103,18 +81,17 @@
 export async function startFleetVm(
   settings: ResolvedFleetSettings,
   onFailure: (failure: unknown) => void,
-  overrides: FleetVmOverrides = {},
+  { log = new FleetLog(settings), ...overrides }: FleetVmOverrides = {},
 ): Promise<FleetVm> {
-  const common = await createCommonOptions(settings);
+  const common = await createCommonOptions(settings, log);
   const role = isGatewaySettings(settings)
     ? await startGateway(settings, { ...common, ...overrides })
     : await startControl(settings, { ...common, onFailure });
-  const { logger, writer, metrics } = common;
   const metricsListener = await openMetricsListener(
     settings.listen.metrics,
-    metrics,
+    common.metrics,
   );
-  return new FleetVm({ role, logger, writer, metricsListener });
+  return new FleetVm({ role, log, metricsListener });
 }
 
 function isGatewaySettings(
@@ -161,10 +138,11 @@
 
 type CommonOptions = Awaited<ReturnType<typeof createCommonOptions>>;
 
-async function createCommonOptions(settings: ResolvedFleetSettings) {
-  const { vm, listen, control, regions, security, log } = settings;
-  const clock = new MonotonicClock();
-  const writer = new LineWriter(logFileDescriptor);
+async function createCommonOptions(
+  settings: ResolvedFleetSettings,
+  { logger }: FleetLog,
+) {
+  const { vm, listen, control, regions, security } = settings;
   return {
     name: vm.name,
     dataCentre: vm.dataCentre,
@@ -175,17 +153,9 @@
     secret: security.vmSecretFile === undefined
       ? defaultSecret
       : await readSecret("security.vmSecretFile", security.vmSecretFile),
-    clock,
+    clock: new MonotonicClock(),
     metrics: createMetrics(),
-    writer,
-    logger: new RateLimitedLogger(
-      createLogger({
-        fields: { vm: vm.name, dataCentre: vm.dataCentre },
-        level: log.level,
-        writer,
-      }),
-      () => clock.now(),
-    ),
+    logger,
   };
 }
 
