Let a stop run to its end when SIGTERM is repeated

Callers of a VM that got SIGTERM twice, 300 ms apart, had no answer, and the process exited with 1.

Cause: any second stop signal ended the process at once.

A further SIGTERM is now only logged. A stop that hangs is cut off, with 1 and `stop-cut-off`, 200 ms before `stop.graceSeconds` are over, and after 30 s in a VM without a role, so that no repeated signal is needed to end the process. The same holds for a start that hangs. A second SIGINT, from a terminal, still exits at once with 1.

--- a/packages/kingcupglade/commands/serve.ts
+++ b/packages/kingcupglade/commands/serve.ts
@@ -16,12 +16,19 @@
 import { UsageError } from "./command.ts";
 import type { Command } from "./command.ts";
 
+const millisecondsPerSecond = 1000;
+/** A process exits this long before the end of its grace period. */
+const exitMarginMilliseconds = 200;
+/** Longer than all that a VM without a role waits for when it stops. */
+const maximumVmStopMilliseconds = 30_000;
+
 /** `serve`: runs a VM until it receives a stop signal. */
 export const serveCommand: Command = {
   help: `Usage: kingcupglade serve --settings FILE
 
-Runs one VM until SIGTERM or SIGINT. The first signal lets every request end
-and hands over what this VM leads; a second one exits at once, with 1.
+Runs one VM until SIGTERM or SIGINT. Lets every request end, hands over what this
+VM leads and exits with 0. A further SIGTERM changes nothing; a second SIGINT
+exits at once, with 1.
 
 Example:
   kingcupglade serve --settings vm-1.ini
@@ -49,8 +56,13 @@
 ): VmLaunch {
   const log = new FleetLog(settings);
   const { logger } = log;
+  const graceMilliseconds = settings.stop.graceSeconds * millisecondsPerSecond;
   return {
     logger,
+    maximumStopMilliseconds: Math.max(
+      graceMilliseconds - exitMarginMilliseconds,
+      graceMilliseconds / 2,
+    ),
     prepare: () => Promise.resolve(),
     async start(onFailure) {
       const vm = await startFleetVm(settings, onFailure, { log });
@@ -76,6 +88,7 @@
       fields: { vm: vm.name, dataCentre: vm.dataCentre },
       level: log.level,
     }),
+    maximumStopMilliseconds: maximumVmStopMilliseconds,
     prepare: () => Promise.resolve(),
     async start(onFailure) {
       const running = await Vm.start({ settings, onFailure });
--- a/packages/kingcupglade/vm_process.ts
+++ b/packages/kingcupglade/vm_process.ts
@@ -6,7 +6,9 @@
 import type { ProcessSignals, ReceivedSignal } from "./process_signals.ts";
 
 /** Maximum time in which the last log lines are written before the exit. */
-const logCloseMilliseconds = 150;
+const logCloseMilliseconds = 1000;
+/** The same if the process must exit as the time to stop is up. */
+const lateLogCloseMilliseconds = 150;
 
 /** Phases of a process that runs a VM. */
 export const ProcessPhase = {
@@ -31,6 +33,8 @@
 /** How a process starts a VM. */
 export interface VmLaunch {
   readonly logger: Logger;
+  /** Time from a stop signal to the exit, whatever is in progress. */
+  readonly maximumStopMilliseconds: number;
   /** Resolves when the VM may start, or soon after `stopping` is aborted. */
   prepare(stopping: AbortSignal): Promise<void>;
   /** Starts the VM; `onFailure` is called when it cannot continue. */
@@ -47,7 +51,8 @@
   readonly #stopRequested: Promise<void>;
   readonly #stopCutOff: Promise<ExitCode>;
   #resolveCutOff!: (code: ExitCode) => void;
-  #stopSignals = 0;
+  #stopRequestedAt = 0;
+  #logCloseMilliseconds = logCloseMilliseconds;
   #vm: ServedVm | undefined;
   #isReloadRequested = false;
   #isReloading = false;
@@ -73,7 +78,7 @@
     } finally {
       await Promise.race([
         this.#launch.closeLog(),
-        pause(logCloseMilliseconds),
+        pause(this.#logCloseMilliseconds),
       ]);
     }
   }
@@ -99,7 +104,7 @@
     return this.#vm ? ProcessPhase.serving : ProcessPhase.starting;
   }
 
-  #handle({ signal, count }: ReceivedSignal): void {
+  #handle({ signal, count, firstAt }: ReceivedSignal): void {
     const { logger } = this.#launch;
     logger.info("signal-received", { signal, count, phase: this.#phase });
     switch (signal) {
@@ -107,13 +112,41 @@
         this.#isReloadRequested = true;
         return void this.#reloadWhileRequested();
       case ProcessSignal.stop:
+        return this.#requestStop(firstAt);
       case ProcessSignal.interrupt:
-        this.#stopSignals += count;
-        this.#stopping.abort();
-        if (this.#stopSignals > 1) this.#resolveCutOff(ExitCode.failed);
+        this.#requestStop(firstAt);
+        if (count > 1) this.#cutStopOff("interrupted again");
     }
   }
 
+  #requestStop(requestedAt: number): void {
+    if (this.#stopping.signal.aborted) return;
+    this.#stopRequestedAt = requestedAt;
+    this.#stopping.abort();
+    setTimeout(
+      () => {
+        this.#logCloseMilliseconds = lateLogCloseMilliseconds;
+        this.#cutStopOff("the time is up");
+      },
+      Math.max(
+        0,
+        this.#launch.maximumStopMilliseconds - this.#millisecondsOfStop,
+      ),
+    );
+  }
+
+  #cutStopOff(reason: string): void {
+    this.#launch.logger.error("stop-cut-off", {
+      reason,
+      milliseconds: Math.round(this.#millisecondsOfStop),
+    });
+    this.#resolveCutOff(ExitCode.failed);
+  }
+
+  get #millisecondsOfStop(): number {
+    return performance.now() - this.#stopRequestedAt;
+  }
+
   // One reload at a time: the last one reads the newest settings.
   async #reloadWhileRequested(): Promise<void> {
     if (this.#isReloading) return;
--- a/packages/kingcupglade/vm_process_test.ts
+++ b/packages/kingcupglade/vm_process_test.ts
@@ -35,6 +35,7 @@
     void lines.push({ ...fields, event });
   const running = new VmProcess({
     logger: { debug: log, info: log, warn: log, error: log },
+    maximumStopMilliseconds: 100,
     prepare: () => Promise.resolve(),
     start: () =>
       Promise.resolve({
@@ -50,6 +51,45 @@
 }
 
 describe("VmProcess", () => {
+  describe("that stops", () => {
+    it("is not cut off by a further SIGTERM", async () => {
+      const { signals, running, find } = runProcess({
+        maximumStopMilliseconds: 10_000,
+        vm: { stop: () => pause(50) },
+      });
+      await pause(5);
+      signals.send("SIGTERM", "SIGTERM");
+      await pause(5);
+      signals.send("SIGTERM");
+      expect(await running).toBe(ExitCode.done);
+      expect(find("stop-cut-off")).toBeUndefined();
+    });
+
+    it("ends in time although the stop hangs", async () => {
+      const { signals, running, find } = runProcess({
+        vm: { stop: () => never },
+        closeLog: () => never,
+      });
+      await pause(5);
+      signals.send("SIGTERM");
+      expect(await running).toBe(ExitCode.failed);
+      expect(find("stop-cut-off")).toMatchObject({ reason: "the time is up" });
+    });
+
+    it("ends at once at a second SIGINT", async () => {
+      const { signals, running, find } = runProcess({
+        maximumStopMilliseconds: 100_000,
+        vm: { stop: () => never },
+      });
+      await pause(5);
+      signals.send("SIGINT", "SIGINT");
+      expect(await running).toBe(ExitCode.failed);
+      expect(find("stop-cut-off")).toMatchObject({
+        reason: "interrupted again",
+      });
+    });
+  });
+
   describe("that starts", () => {
     it("does not start the VM after a stop signal", async () => {
       const { signals, running, find } = runProcess({
@@ -62,6 +102,14 @@
       expect(find("start-abandoned")).toBeDefined();
     });
 
+    it("ends in time although the start hangs", async () => {
+      const { signals, running, find } = runProcess({ start: () => never });
+      await pause(5);
+      signals.send("SIGTERM");
+      expect(await running).toBe(ExitCode.failed);
+      expect(find("stop-cut-off")).toBeDefined();
+    });
+
     it("reports a start that fails after SIGHUP", async () => {
       const { signals, running } = runProcess({
         start: async () => {
@@ -126,6 +174,7 @@
     it("does not apply settings while it stops", async () => {
       const applied: number[] = [];
       const { signals, running } = runProcess({
+        maximumStopMilliseconds: 10_000,
         vm: { readSettings: createReader(applied), stop: () => pause(60) },
       });
       await pause(5);
