--- a/packages/kingcupglade/vm.ts
+++ b/packages/kingcupglade/vm.ts
@@ -94,15 +94,19 @@
   async stop(): Promise<void> {
     const { logger, settings } = this.#context;
     const { routing, ledger, gateway } = this.#tasks;
+    const { leaveMilliseconds } = settings.listen;
     this.#readiness.startLeaving();
     logger.info("vm-stopping");
     await ledger.untilSynchronised(ledgerSyncTimeoutMilliseconds);
     await Promise.all([
       routing.leave(),
       this.#listeners.callers.drain({
-        minimumMilliseconds: settings.listen.leaveMilliseconds,
+        minimumMilliseconds: leaveMilliseconds,
         quietMilliseconds,
-        maximumMilliseconds: maximumDrainMilliseconds,
+        maximumMilliseconds: Math.max(
+          maximumDrainMilliseconds,
+          leaveMilliseconds,
+        ),
         isBalancerNotified: () => this.#readiness.isBalancerNotified,
       }),
     ]);
