Use targets that a new leader has not heard from as the last resort

Cause: a leader lists a silent target for 60 s, but a new one lists only those that it has heard from within two and a half heartbeats, and with its first whole table a gateway dropped all others.

A gateway now keeps such a target for the same 60 s, and sends to it while the service has no listed one that may serve. Departures, another target at the address, and the end of its data centre's service take it out as before. A cold one gets nothing until the new leader assigns gateways to it, and the examination of whether this VM reaches any target leaves them out. No message changes.

--- a/packages/fleet_gateway/gateway_table.ts
+++ b/packages/fleet_gateway/gateway_table.ts
@@ -9,6 +9,9 @@
 import { itemId, ItemKind, RouteIndex } from "@kingcupglade/items";
 import type { Limits, Route, Service, StoredItem } from "@kingcupglade/items";
 
+/** Time for which a leader lists a target that sends no heartbeats. */
+const silentTargetMilliseconds = 60_000;
+
 /** A gateway's routing table; it never reverts to an older log entry. */
 export class GatewayTable {
   #position: ViewPosition = {
@@ -19,6 +22,8 @@
   };
   readonly #items = new Map<string, StoredItem>();
   readonly #targets = new Map<string, TargetView>();
+  /** When a new leader first did not list a target that its predecessor did. */
+  readonly #unlisted = new Map<string, number>();
   #targetsByService = new Map<string, readonly TargetView[]>();
   /** Ranges of each keyed service, in ascending order. */
   readonly #ranges = new Map<string, RangeView[]>();
@@ -97,11 +102,22 @@
     return this.#targets.values();
   }
 
-  /** Returns the targets of a service that may receive new requests. */
+  /**
+   * Returns the targets of a service that may receive new requests: those that
+   * the leader lists or, if there are none, those that its predecessor listed.
+   */
   targetsOf(service: string): readonly TargetView[] {
-    return (this.#targetsByService.get(service) ?? []).filter((target) =>
-      this.mayServe(target)
+    const targets = (this.#targetsByService.get(service) ?? []).filter(
+      (target) => this.mayServe(target),
     );
+    if (this.#unlisted.size === 0) return targets;
+    const listed = targets.filter(({ name }) => this.isListed(name));
+    return listed.length > 0 ? listed : targets;
+  }
+
+  /** Whether the leader lists a target; a new one has to hear from it first. */
+  isListed(target: string): boolean {
+    return this.#targets.has(target) && !this.#unlisted.has(target);
   }
 
   /** Whether a target may receive new requests. */
@@ -123,8 +139,11 @@
     return undefined;
   }
 
-  /** Applies an update; one older than the table is ignored. */
-  apply(delta: ViewDelta): void {
+  /**
+   * Applies an update at a time, in milliseconds; one older than the table is
+   * ignored.
+   */
+  apply(delta: ViewDelta, now = 0): void {
     if (delta.position.index < this.#position.index) return;
     this.#position = delta.position;
     for (const item of delta.items) this.#applyItem(item);
@@ -132,7 +151,7 @@
       this.#routeIndex = new RouteIndex(this.#items.values());
     }
     this.#applyDataCentresOut(new Set(delta.dataCentresOut));
-    this.#applyTargets(delta);
+    this.#applyTargets(delta, now);
     for (const range of delta.ranges) this.#applyRange(range);
     if (delta.managers) this.#pools = new PoolMap(delta.managers);
     this.#relays = delta.relays ?? this.#relays;
@@ -161,14 +180,17 @@
     this.#dataCentresOut = out;
   }
 
-  #applyTargets(delta: ViewDelta): void {
-    if (delta.areTargetsComplete) this.#targets.clear();
+  #applyTargets(delta: ViewDelta, now: number): void {
+    if (delta.areTargetsComplete) this.#keepUnlisted(delta, now);
     for (const name of delta.departed) {
       const existing = this.#targets.get(name);
       if (existing) this.#targets.set(name, { ...existing, isLeaving: true });
     }
-    for (const name of delta.removedTargets) this.#targets.delete(name);
+    for (const name of delta.removedTargets) this.#removeTarget(name);
     for (const target of delta.targets) this.#applyTarget(target);
+    for (const [name, since] of this.#unlisted) {
+      if (now - since > silentTargetMilliseconds) this.#removeTarget(name);
+    }
     const services = new Map<string, TargetView[]>();
     for (const target of this.#targets.values()) {
       const targets = services.get(target.service) ?? [];
@@ -182,12 +204,29 @@
   #applyTarget(target: TargetView): void {
     for (const [name, { address }] of this.#targets) {
       if (address === target.address && name !== target.name) {
-        this.#targets.delete(name);
+        this.#removeTarget(name);
       }
     }
+    this.#unlisted.delete(target.name);
     this.#targets.set(target.name, target);
   }
 
+  // A target that serves may have been silent since before the leader changed.
+  // A cold one is used by the gateways that the present leader assigns only.
+  #keepUnlisted({ targets }: ViewDelta, now: number): void {
+    const listed = new Set(targets.map(({ name }) => name));
+    for (const [name, target] of this.#targets) {
+      if (listed.has(name)) continue;
+      this.#unlisted.set(name, this.#unlisted.get(name) ?? now);
+      this.#targets.set(name, { ...target, coldGateways: [] });
+    }
+  }
+
+  #removeTarget(name: string): void {
+    this.#targets.delete(name);
+    this.#unlisted.delete(name);
+  }
+
   #applyRange(range: RangeView): void {
     const ranges = this.#ranges.get(range.service) ?? [];
     this.#ranges.set(range.service, ranges);
--- a/packages/fleet_gateway/gateway_table_test.ts
+++ b/packages/fleet_gateway/gateway_table_test.ts
@@ -111,6 +111,28 @@
       expect(names(table)).toEqual(["b"]);
     });
 
+    // Failure: silent targets got no requests after a change of leader.
+    it("keeps targets that a new leader has not heard from as the last resort", () => {
+      const table = new GatewayTable();
+      table.apply(delta(1, { targets: [target("a"), target("b")] }));
+      table.apply(delta(2, { areTargetsComplete: true }), 1000);
+      expect(names(table)).toEqual(["a", "b"]);
+      table.apply(delta(3, { targets: [target("b")] }), 2000);
+      expect(names(table)).toEqual(["b"]);
+      table.apply(delta(4, { departed: ["b"] }), 60_000);
+      expect(names(table)).toEqual(["a"]);
+      table.apply(delta(5), 61_001);
+      expect(names(table)).toEqual([]);
+    });
+
+    it("keeps out a departed target that a new leader does not list", () => {
+      const table = new GatewayTable();
+      table.apply(delta(1, { targets: [target("a")] }));
+      table.apply(delta(2, { departed: ["a"] }));
+      table.apply(delta(3, { areTargetsComplete: true }));
+      expect(names(table)).toEqual([]);
+    });
+
     it("excludes a departed target even before a new leader reports targets", () => {
       const table = new GatewayTable();
       table.apply(delta(1, { targets: [target("a"), target("b")] }));
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -334,7 +334,9 @@
   /** Targets whose connections tell whether this VM reaches any. */
   get #reachableTargets(): readonly TargetView[] {
     const { table } = this.#synchronizer;
-    return [...table.targets].filter((target) => table.mayServe(target));
+    return [...table.targets].filter((target) =>
+      table.mayServe(target) && table.isListed(target.name)
+    );
   }
 
   /** Whether this VM grants the slots of a target. */
--- a/packages/fleet_gateway/table_synchronizer.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -309,7 +309,7 @@
     }
     this.#isConnected = true;
     const before = this.table.position.index;
-    this.table.apply(update.delta);
+    this.table.apply(update.delta, this.#options.clock.now());
     if (this.table.position.index !== before) {
       this.#options.logger.info("table-changed", {
         index: this.table.position.index,
--- a/packages/soak/leaving_target_test.ts
+++ b/packages/soak/unheard_targets_test.ts
@@ -22,11 +22,13 @@
 const startupMilliseconds = 20_000;
 /** Longer than an election and the first whole table of the next leader. */
 const electionMilliseconds = 4000;
+/** Time for some heartbeats and updates of the table. */
+const heartbeatsMilliseconds = 1000;
 const requestCount = 40;
 /** So short that one target is too busy for all requests. */
 const requestIntervalMilliseconds = 3;
 
-describe("a target that leaves while control changes its leader", () => {
+describe("a target that control does not hear while its leader changes", () => {
   const monitor = new InvariantMonitor();
   const agent = new Agent({ keepAlive: true });
   const processes: ServerProcess[] = [];
@@ -112,8 +114,18 @@
     return status;
   }
 
+  // Failure: nothing was served until the targets were heard again.
+  it("receives requests if no target is heard", async () => {
+    for (const target of targets) target.isIsolated = true;
+    await killTogether(processes.slice(0, control.length));
+    await delay(electionMilliseconds);
+    expect(await sendRequests()).toBe(requestCount);
+    for (const target of targets) target.isIsolated = false;
+    await delay(heartbeatsMilliseconds);
+  });
+
   // Failure: requests reached it once the next leader listed it again.
-  it("receives no more requests once its heartbeats arrive again", async () => {
+  it("receives no more requests if it leaves, once it is heard again", async () => {
     const [leaving] = targets;
     leaving!.isIsolated = true;
     const restarted = killTogether(processes.slice(0, control.length));
@@ -124,8 +136,7 @@
     await restarted;
     await delay(electionMilliseconds);
     leaving!.isIsolated = false;
-    // Some heartbeats and updates of the table.
-    await delay(1000);
+    await delay(heartbeatsMilliseconds);
     expect(await sendRequests()).toBe(requestCount);
     expect(monitor.violations).toEqual([]);
   });
