Keep responses of one ID apart on the connections to targets

A caller could get the answer to somebody else's request, and a request that had run could be refused as "not run".

Cause: the ID of a request tells its response from those before it on the connection. A request without an ID accepts every response without one, so a second copy of the response before it, or of a load probe's, was taken for its own. A caller that sends a request once more under its ID got a connection on which the first response had arrived; a second copy of that was taken for the new response. Attempts of one request were kept apart already, two requests with one ID were not.

Evidence, before: the second of two callers without an ID got "/first" in place of "/second"; a request that may run only once, refused and sent again under its ID, ran twice where one run was right, as the copy of the refusal was taken for a response and the request attempted again.

A request without an ID now uses a connection of its own, which is closed after the response. A request whose ID the connection carried last uses a new one.

--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -266,6 +266,7 @@
         // A target that sends its response to the first attempt once more would
         // respond to this one, as both have the same ID.
         mustBeNew: this.#addresses.has(target.address),
+        requestId: this.#routed.head.requestId,
       },
     );
     this.#addresses.add(target.address);
--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -65,6 +65,8 @@
   beforeEnd: (() => void) | undefined;
   /** Whether the target sent a reset, which undici reports as a normal end. */
   wasReset: boolean;
+  /** ID of the request that it carried last; empty for one without an ID. */
+  requestId: string | undefined;
   idleSince: number;
 }
 
@@ -74,6 +76,11 @@
   readonly mustBeFresh: boolean;
   /** Whether the connection has carried no request. @default false */
   readonly mustBeNew?: boolean;
+  /**
+   * ID that tells the response to the request from others on its connection;
+   * empty if there is none. @default not checked
+   */
+  readonly requestId?: string;
 }
 
 /** Connections to one address, each used for one request at a time. */
@@ -102,18 +109,31 @@
   /** Returns the connection that was used last, or a new one. */
   acquire(
     now: number,
-    { mustBeFresh, mustBeNew = false }: ConnectionCriteria,
+    { mustBeFresh, mustBeNew = false, requestId }: ConnectionCriteria,
   ): TargetConnection {
-    if (mustBeNew) return this.#open();
+    const connection = mustBeNew || requestId === ""
+      ? this.#open()
+      : this.#reuse(now, { mustBeFresh, requestId }) ?? this.#open();
+    connection.requestId = requestId ?? connection.requestId;
+    return connection;
+  }
+
+  // A response to an earlier request of the same ID may still arrive.
+  #reuse(
+    now: number,
+    { mustBeFresh, requestId }: ConnectionCriteria,
+  ): TargetConnection | undefined {
     for (;;) {
       const idle = this.#idle.pop();
-      if (!idle) return this.#open();
+      if (!idle) return undefined;
       if (idle.client.destroyed || idle.client.closed) continue;
-      if (mustBeFresh && now - idle.idleSince > maximumFreshIdleMilliseconds) {
-        this.#idle.push(idle);
-        return this.#open();
-      }
-      return idle;
+      const isStale = mustBeFresh &&
+        now - idle.idleSince > maximumFreshIdleMilliseconds;
+      const isAmbiguous = requestId !== undefined &&
+        idle.requestId === requestId;
+      if (!isStale && !isAmbiguous) return idle;
+      this.#idle.push(idle);
+      return undefined;
     }
   }
 
@@ -158,6 +178,7 @@
       beforeEnd: undefined,
       wasUsed: false,
       wasReset: false,
+      requestId: undefined,
       idleSince: -Infinity,
     };
     this.#connections.add(connection);
@@ -264,6 +285,8 @@
   /** Makes a connection available again after a complete response. */
   release(address: string, connection: TargetConnection): void {
     if (connection.client.destroyed || connection.client.closed) return;
+    // A second copy of a response without an ID would be taken for the next.
+    if (connection.requestId === "") return this.end(connection);
     this.#poolOf(address).release(connection, this.#clock.now());
   }
 
