Promise "not run" only where the target stated it

A caller of a request that may run only once could be told that it had not run although it had.

Cause: callers take 408, 421, 429 and 503 for the statement that nothing ran. A target's response is passed on with its status, also where the target did not state that: its 503 may come from work that had begun. The gateway itself counted such a request as run, and sent the 503 all the same.

Evidence, before: a target that received the request and answered 503 without the statement gave the caller 503 in place of 502.

For a request that may run only once the gateway now answers 502, which promises nothing, when the status seems to state what the target did not. What targets state is passed on as before, and so is every response to an idempotent request, which may be sent again in any case.

--- a/packages/fleet_gateway/caller_wire.ts
+++ b/packages/fleet_gateway/caller_wire.ts
@@ -19,6 +19,8 @@
   readonly requestId: string;
   /** Whether the target states that the request did not run and never will. */
   readonly didNotRun: boolean;
+  /** Whether callers take the status for such a statement. */
+  readonly seemsNotRun: boolean;
   /** Whether the target signed the response. */
   readonly isSigned: boolean;
   readonly load: LoadReport | undefined;
--- a/packages/fleet_gateway/endless_responses_test.ts
+++ b/packages/fleet_gateway/endless_responses_test.ts
@@ -37,6 +37,7 @@
     return {
       requestId: String(headers["request"] ?? ""),
       didNotRun: false,
+      seemsNotRun: false,
       isSigned: true,
       load: headers["load"] === undefined ? undefined : load,
       maximumRequestsPerSecond: undefined,
--- a/packages/fleet_gateway/exchange_end.ts
+++ b/packages/fleet_gateway/exchange_end.ts
@@ -1,5 +1,5 @@
 import { ExchangeEnd } from "@kingcupglade/dispatch";
-import type { ExchangeResult } from "./exchange.ts";
+import type { ExchangeResult, ResponseHead } from "./exchange.ts";
 
 /** Whether the result is a response that serves the caller. */
 export function isSuccess(result: ExchangeResult): boolean {
@@ -13,6 +13,14 @@
     (result.kind === "answered" && !result.head.didNotRun);
 }
 
+/**
+ * Whether callers would take the response for a statement that the request did
+ * not run, which the target did not make.
+ */
+export function isUnstatedRefusal(head: ResponseHead): boolean {
+  return head.seemsNotRun && !head.didNotRun;
+}
+
 /** Classifies the result of an exchange for the choice of targets. */
 export function endOf(result: ExchangeResult): ExchangeEnd {
   if (result.kind !== "answered") return ExchangeEnd.broken;
--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -26,6 +26,7 @@
     return {
       requestId: String(headers["request"] ?? ""),
       didNotRun: headers["not-run"] !== undefined,
+      seemsNotRun: false,
       isSigned: true,
       load: undefined,
       maximumRequestsPerSecond: undefined,
--- a/packages/fleet_gateway/relay_wire.ts
+++ b/packages/fleet_gateway/relay_wire.ts
@@ -26,6 +26,8 @@
     return {
       requestId: replyId(headers[relayHeader]),
       didNotRun: false,
+      // The other gateway has read the target's statement.
+      seemsNotRun: false,
       isSigned: false,
       load: undefined,
       maximumRequestsPerSecond: undefined,
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -5,7 +5,12 @@
 import type { CallerResponse } from "./caller_response.ts";
 import { LossCause } from "./exchange.ts";
 import type { Exchange, ExchangeResult, ResponseHead } from "./exchange.ts";
-import { endOf, isSuccess, mayHaveRun } from "./exchange_end.ts";
+import {
+  endOf,
+  isSuccess,
+  isUnstatedRefusal,
+  mayHaveRun,
+} from "./exchange_end.ts";
 import type { ForwardingProgress } from "./relay_forwarder.ts";
 import { SlotAcquisition } from "./slot_acquisition.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
@@ -433,6 +438,9 @@
       this.#telemetry.count("answered");
       return this.#finish();
     }
+    if (!this.#isIdempotent && isUnstatedRefusal(head)) {
+      return this.#respond(502, "the target did not state that nothing ran");
+    }
     if (head.status >= 500 && !this.#failure) {
       this.#failure = { head, body, target: target.name };
       this.#log("target-failed", target, String(head.status));
--- a/packages/fleet_gateway/target_notices_test.ts
+++ b/packages/fleet_gateway/target_notices_test.ts
@@ -8,6 +8,7 @@
 const plain = {
   requestId: "r1",
   didNotRun: true,
+  seemsNotRun: true,
   isSigned: false,
   load: undefined,
   maximumRequestsPerSecond: undefined,
--- a/packages/fleet_gateway/response_identity_test.ts
+++ b/packages/fleet_gateway/target_responses_test.ts
@@ -62,9 +62,10 @@
       connections,
       gatewayCount: () => 1,
       wire: {
-        readResponse: (_status: number, headers: ResponseHead["headers"]) => ({
+        readResponse: (status: number, headers: ResponseHead["headers"]) => ({
           requestId: String(headers["request"] ?? ""),
           didNotRun: headers["not-run"] !== undefined,
+          seemsNotRun: status === 503,
           isSigned: true,
         }),
         targetHeaders: () => ({}),
@@ -174,4 +175,14 @@
     const second = await forward("r1");
     expect(runs).toBe(second.status === 503 ? 0 : 1);
   });
+
+  // Guards against the promise "not run" for a request that may have run, as its
+  // target answered 503 without stating it.
+  it("with 503 is no promise unless it states that nothing ran", async () => {
+    let lines = "request: r1\r\n";
+    respond = (socket) => socket.write(response(503, lines, "failed"));
+    expect((await forward("r1")).status).toBe(502);
+    lines = "request: r2\r\nnot-run: 1\r\n";
+    expect((await forward("r2")).status).toBe(503);
+  });
 });
