Measure the soak's startup bound with the program itself

The soak allows a signal to end a process before the program's first statement. Its bound, twice the processor time of the bare runtime (92 to 102 ms in five runs), was below what reading and compiling the bundle takes: 203 to 223 ms until the first statement in five runs.

The bound is now 1.25 times the highest of three measurements with the bundle itself, to which a first statement that reports and exits is added.

--- a/packages/soak/attempt_monitor_test.ts
+++ b/packages/soak/attempt_monitor_test.ts
@@ -18,6 +18,7 @@
       startedAt: 1000,
       graceMilliseconds: 3000,
       logFile: "",
+      startupMilliseconds: () => 0,
     });
   });
 
--- a/packages/soak/process_life.ts
+++ b/packages/soak/process_life.ts
@@ -1,5 +1,4 @@
 import { readFileSync } from "node:fs";
-import { measureStartupMilliseconds } from "./processor_time.ts";
 
 /** A process that was disturbed is excused for this long. */
 const excuseMilliseconds = 3000;
@@ -34,6 +33,8 @@
   readonly startedAt: number;
   readonly graceMilliseconds: number;
   readonly logFile: string;
+  /** Returns the processor time after which it has to handle signals. */
+  readonly startupMilliseconds: () => number;
 }
 
 /** One process from its start to its exit, and the signals it was sent. */
@@ -135,7 +136,7 @@
   #isEndedInStartup({ signal }: ProcessExit): boolean {
     const last = this.#signals.findLast((each) => each.signal === signal);
     return last !== undefined &&
-      last.processorMilliseconds < measureStartupMilliseconds();
+      last.processorMilliseconds < this.#options.startupMilliseconds();
   }
 
   #has(signal: NodeJS.Signals): boolean {
--- a/packages/soak/process_life_test.ts
+++ b/packages/soak/process_life_test.ts
@@ -22,6 +22,7 @@
       startedAt: 1000,
       graceMilliseconds: 3000,
       logFile,
+      startupMilliseconds: () => 200,
     });
   });
 
--- a/packages/soak/processor_time.ts
+++ b/packages/soak/processor_time.ts
@@ -1,10 +1,15 @@
 import { spawnSync } from "node:child_process";
-import { readFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 
 const nanosecondsPerMillisecond = 1e6;
 const samples = 3;
-/** Startup of the program's own code, relative to that of the runtime. */
-const startupRatio = 2;
+const startupMargin = 1.25;
+const firstStatement =
+  `process.stdout.write(require("fs").readFileSync("/proc/self/schedstat"));
+process.exit();
+`;
 
 /**
  * Returns the processor time that the main thread of a process has used, which
@@ -26,24 +31,29 @@
   return Number(text.split(" ")[0]) / nanosecondsPerMillisecond;
 }
 
-let startupMilliseconds: number | undefined;
+const startupMilliseconds = new Map<string, number>();
 
 /**
- * Returns the processor time after which a process of the program has to handle
- * signals: a multiple of what the runtime uses before the first statement of
- * any program. Before that, a signal has its default action.
+ * Returns the processor time after which a process of the bundled program has to
+ * handle signals: a little more than the runtime uses until the first statement
+ * of the bundle. Before that, a signal has its default action.
  */
-export function measureStartupMilliseconds(): number {
-  startupMilliseconds ??= startupRatio * Math.max(
-    ...Array.from({ length: samples }, measureRuntimeMilliseconds),
+export function measureStartupMilliseconds(bundle: string): number {
+  const known = startupMilliseconds.get(bundle);
+  if (known !== undefined) return known;
+  const folder = mkdtempSync(join(tmpdir(), "startup-"));
+  const program = join(folder, "program.cjs");
+  writeFileSync(program, firstStatement + readFileSync(bundle, "utf8"));
+  const milliseconds = startupMargin * Math.max(
+    ...Array.from({ length: samples }, () => measureOnce(program)),
   );
-  return startupMilliseconds;
+  rmSync(folder, { recursive: true });
+  startupMilliseconds.set(bundle, milliseconds);
+  return milliseconds;
 }
 
-function measureRuntimeMilliseconds(): number {
-  const script =
-    "process.stdout.write(fs.readFileSync('/proc/self/schedstat', 'utf8'))";
-  const { stdout } = spawnSync(process.execPath, ["-e", script], {
+function measureOnce(program: string): number {
+  const { stdout } = spawnSync(process.execPath, [program], {
     encoding: "utf8",
   });
   const milliseconds = parseSchedulerStatistics(stdout);
--- a/packages/soak/server_process.ts
+++ b/packages/soak/server_process.ts
@@ -9,7 +9,10 @@
 } from "node:fs";
 import { once } from "node:events";
 import { ProcessLife } from "./process_life.ts";
-import { readProcessorMilliseconds } from "./processor_time.ts";
+import {
+  measureStartupMilliseconds,
+  readProcessorMilliseconds,
+} from "./processor_time.ts";
 
 /** Options of a {@link ServerProcess}. */
 export interface ServerProcessOptions {
@@ -69,6 +72,7 @@
       startedAt: performance.now(),
       graceMilliseconds,
       logFile,
+      startupMilliseconds: () => measureStartupMilliseconds(bundle),
     });
     this.lives.push(life);
     child.once("exit", (code, signal) => {
--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -156,7 +156,7 @@
   async #startProcesses(): Promise<void> {
     const processes = this.#processes;
     // Measured now, as it blocks this process.
-    measureStartupMilliseconds();
+    measureStartupMilliseconds(this.#options.bundle);
     await Promise.all(
       processes.map((each) => startWithEarlyReload(each, this.#faultRandom)),
     );
