Refuse an unreadable request only where no response is due

A caller whose request was at its target could be told 408, which says that nothing ran, or 400 or 431, none of which was the answer to it.

Cause: Node.js answers bytes that it cannot read by itself, and does so while the response to an earlier request of the connection is still due, as long as no byte of that was sent. A caller takes it for that response. The same happened to a request whose body is forwarded as it arrives: it got 408 from the gateway after 60 s, with a part of the body at the target.

Evidence, before: a complete POST that was being handled, followed by a late, a malformed or a too long head, was answered with 408, 400 and 431 at once; one whose body became malformed on the way got 400.

A listener now closes the connection without a status if a response is due on it; this promises nothing. Otherwise the statuses are the same as before. The time between the checks of the timeouts is an option with the value of Node.js as its default, so that a test need not wait for half a minute.

--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -1,4 +1,4 @@
-import { createServer } from "node:http";
+import { createServer, STATUS_CODES } from "node:http";
 import type {
   IncomingMessage,
   RequestListener,
@@ -55,8 +55,18 @@
   readonly maximumConnections?: number;
   /** Time in which a client must send its headers. @default 10000 */
   readonly headersTimeoutMilliseconds?: number;
+  /** Time between two checks of the timeouts. @default 30000 */
+  readonly checkIntervalMilliseconds?: number;
 }
 
+/** Statuses of requests that cannot be read, by the code of the failure. */
+const refusalStatuses: ReadonlyMap<string | undefined, number> = new Map([
+  ["ERR_HTTP_REQUEST_TIMEOUT", 408],
+  ["HPE_CHUNK_EXTENSIONS_OVERFLOW", 413],
+  ["HPE_HEADER_OVERFLOW", 431],
+]);
+const malformedStatus = 400;
+
 /** What a listener leaves behind. */
 export interface ListenerCloseResult {
   /** Connections that were open when the listener stopped to accept any. */
@@ -101,6 +111,11 @@
       "request",
       (request, response) => this.#receive(request, response),
     );
+    server.on(
+      "clientError",
+      (failure: NodeJS.ErrnoException, socket: Socket) =>
+        this.#refuse(failure, socket),
+    );
   }
 
   /**
@@ -232,6 +247,18 @@
     else this.#handler(request, response);
   }
 
+  // The caller would take the status for the response to a request before, or to
+  // one whose body is being forwarded.
+  #refuse(failure: NodeJS.ErrnoException, socket: Socket): void {
+    const isDue = this.#connections.get(socket)?.isResponseDue ?? false;
+    if (isDue || !socket.writable) return void socket.destroy();
+    const status = refusalStatuses.get(failure.code) ?? malformedStatus;
+    socket.end(
+      `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`,
+      () => socket.destroy(),
+    );
+  }
+
   /**
    * Closes the listening socket once the connections that wait in its queue are
    * accepted, as the kernel resets those. Callers that ask again at once would
@@ -270,6 +297,7 @@
     maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
     headersTimeout: options.headersTimeoutMilliseconds ?? 10_000,
     requestTimeout: 60_000,
+    connectionsCheckingInterval: options.checkIntervalMilliseconds ?? 30_000,
     keepAliveTimeout: 30_000,
   };
   const material = tls?.listeners.has(name) ? tls.material : undefined;
--- a/packages/transport/listener_connection.ts
+++ b/packages/transport/listener_connection.ts
@@ -67,6 +67,11 @@
     return this.#endedAt !== undefined;
   }
 
+  /** Whether a request was received whose response has not ended. */
+  get isResponseDue(): boolean {
+    return this.#responses.size > 0;
+  }
+
   /** Whether a response is not fully sent. */
   get isResponding(): boolean {
     // Node.js ends a response before its last bytes are sent.
