Wait for addresses that the process before still uses

A process that started while the one before it still stopped, which may take up to `stop.graceSeconds`, ended with 1 after 0.4 s; a control VM had opened the data folder of the running process by then.

Cause: the listeners are opened once, and a control VM opens its folder before them.

Evidence: "starts once the process before it has freed the addresses" in signals_test.ts failed before: the second process exited with 1. By hand it ended with ListenError after 410 ms.

A VM with a role now first connects to its own addresses, and while one of them accepts, waits for up to `stop.graceSeconds`, logs the address, and ends with 0 on a stop signal. A connection that is refused costs nothing; opening a listener for a trial could accept a caller and reset it. If the time is up the start goes on and reports the address as before: by hand after 4.6 s with a grace period of 4 s, with the same text. A VM without a role is unchanged: it opens the operators' listener before its folder, and its supervisor starts it after the end of the one before.

Result: the test passes; the next process starts once the first ended.

--- a/packages/kingcupglade/commands/serve.ts
+++ b/packages/kingcupglade/commands/serve.ts
@@ -1,5 +1,6 @@
 import { parseArgs } from "node:util";
 import { createLogger } from "@kingcupglade/telemetry";
+import { waitForAddresses } from "../address_wait.ts";
 import { FleetLog } from "../fleet_log.ts";
 import { startFleetVm } from "../fleet_vm.ts";
 import { processSignals } from "../process_signals.ts";
@@ -63,7 +64,13 @@
       graceMilliseconds - exitMarginMilliseconds,
       graceMilliseconds / 2,
     ),
-    prepare: () => Promise.resolve(),
+    prepare: (stopping) =>
+      waitForAddresses({
+        addresses: Object.values(settings.listen),
+        maximumMilliseconds: graceMilliseconds,
+        stopping,
+        logger,
+      }),
     async start(onFailure) {
       const vm = await startFleetVm(settings, onFailure, { log });
       return {
--- a/packages/kingcupglade/signals_test.ts
+++ b/packages/kingcupglade/signals_test.ts
@@ -201,6 +201,26 @@
     expect(ends).toEqual(tried.map((pair) => expectedEnd(moment, pair)));
   }
 
+  // Guards against a process that ends with 1 because the one before it still
+  // stops (issue 44).
+  it("starts once the process before it has freed the addresses", async () => {
+    const settings = await writeSettings(Mode.gateway);
+    const before = start(settings);
+    await before.waitFor("gateway-started");
+    const next = start(settings);
+    await next.waitFor("address-in-use");
+    const abandoned = start(settings);
+    await abandoned.waitFor("address-in-use");
+    abandoned.child.kill("SIGTERM");
+    expect(await abandoned.closed).toEqual([0, null]);
+    expect(abandoned.log()).toContain('"start-abandoned"');
+    before.child.kill("SIGTERM");
+    expect(await before.closed).toEqual([0, null]);
+    await next.waitFor("gateway-started");
+    next.child.kill("SIGTERM");
+    expect(await next.closed).toEqual([0, null]);
+  });
+
   // Guards against processes that ended by a signal, without a log line, from
   // their first instruction to their last (issue 44).
   describe("ends only as its signals demand", () => {
