Hold a control VM's addresses from before its folder opens until it is closed

Two processes could work on one data folder: a successor that starts while the process before it stops, or a second process by mistake. One of them may vote, or write an entry, that the other does not know.

Cause: a control VM opened its folder before its listeners, so that a second process had read it, cut its log and removed files before it failed for the port; and a stopping VM closed all its listeners up to a second before it closed the folder.

Evidence, before: "does not open its data folder" found the folder of the second process, with the address of either listener in use. Now both listeners open first and answer 503 until the replica is there, and the peers' listener closes after the folder. Gateways that watch a stopping VM are told at once to look elsewhere, as they could wait for an update that nobody sends (listener-closed showed one unanswered without that). 143 tests of fleet_control, the stops and the paths pass.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -1,6 +1,4 @@
 import { randomUUID } from "node:crypto";
-import type { RequestListener } from "node:http";
-import { setTimeout as pause } from "node:timers/promises";
 import { configurationOf } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import { encodeValue, Fleet, Replication } from "@kingcupglade/protocol";
@@ -9,8 +7,9 @@
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
-import { HttpListener, UnaryServices } from "@kingcupglade/transport";
+import { UnaryServices } from "@kingcupglade/transport";
 import { chooseBootstrapStep } from "./bootstrap_step.ts";
+import { ControlListeners } from "./control_listeners.ts";
 import { ControlReplica } from "./control_replica.ts";
 import type { ControlWire } from "./control_wire.ts";
 import { ExternalCallHandler } from "./external_call_handler.ts";
@@ -36,10 +35,6 @@
  */
 const syncWaitMilliseconds = 25;
 const transferTimeoutMilliseconds = 1000;
-/** Time for the calls in progress to end, once leadership is transferred. */
-const callsMilliseconds = 1000;
-/** Time to send the responses to calls that a stop ends. */
-const rejectionsMilliseconds = 200;
 /**
  * Maximum time since the last greeting of a follower that may take heartbeats.
  * Followers greet the leader once a second; a silent follower may be lost.
@@ -86,11 +81,12 @@
   readonly #externalCalls: ExternalCallHandler;
   readonly #stalls: StallDetector;
   readonly #timers: NodeJS.Timeout[] = [];
-  readonly #listeners = new Map<string, HttpListener>();
+  #listeners!: ControlListeners;
   #replica!: ControlReplica;
   #links: ReplicaLinks | undefined;
   #session: LeaderSession | undefined;
   #isBootstrapping = false;
+  #isStopping = false;
   #leader: string | null = null;
 
   protected constructor(options: ControlVmOptions) {
@@ -127,37 +123,26 @@
    */
   static async start(options: ControlVmOptions): Promise<ControlVm> {
     const vm = new ControlVm(options);
-    const { folder, peerAddress, clock, logger } = options;
-    vm.#replica = await ControlReplica.open({
-      folder,
-      peerAddress,
-      clock,
-      send: (message) => vm.#links?.send(message),
-      onChange: () => vm.#handleReplicaChange(),
-      onFolderFailure: (failure) =>
-        logger.error("replica-stopped", { reason: describeFailure(failure) }),
-      onFolderReopened: () => logger.info("replica-restarted"),
-      onFailure: options.onFailure,
-    });
-    logger.info("data-folder-opened", {
-      replica: vm.#replica.id,
-      ...vm.#replica.opened,
-    });
+    // Opened first, so that a second process with the same settings fails
+    // before it opens the data folder.
+    vm.#listeners = await vm.#listen();
+    try {
+      vm.#replica = await vm.#openReplica();
+    } catch (failure) {
+      vm.#listeners.destroy();
+      throw failure;
+    }
     vm.#links = new ReplicaLinks({
       clients: vm.#clients,
       self: vm.#replica.id,
       onReply: (messages) => vm.#receive(messages),
     });
-    await vm.#listen();
     vm.#timers.push(
       setInterval(() => vm.#decide(), decisionIntervalMilliseconds),
-      setInterval(
-        () => vm.#greetPeers(),
-        greetIntervalMilliseconds,
-      ),
+      setInterval(() => vm.#greetPeers(), greetIntervalMilliseconds),
     );
     vm.#greetPeers();
-    logger.info("control-started", {
+    options.logger.info("control-started", {
       replica: vm.#replica.id,
       isUsed: vm.#replica.running !== undefined,
     });
@@ -173,30 +158,40 @@
   async stop(): Promise<void> {
     const { logger } = this.#options;
     logger.info("control-stopping");
-    this.#listeners.get("control")?.refuseReuse();
+    this.#listeners.refuseReuse();
     await this.#replica.running?.transferLeadership(
       transferTimeoutMilliseconds,
     );
     for (const timer of this.#timers) clearInterval(timer);
+    this.#isStopping = true;
     this.#session?.end();
-    const closed = Promise.all(
-      [...this.#listeners].map(async ([listener, each]) => {
-        const result = await each.close({
-          maximumMilliseconds: callsMilliseconds + rejectionsMilliseconds,
-        });
-        logger.info("listener-closed", { listener, ...result });
-      }),
-    );
-    await Promise.race([closed, pause(callsMilliseconds)]);
-    // Rejects the calls that still wait for the quorum, so that they are answered.
-    await this.#replica.stop();
-    await closed;
+    await this.#listeners.close(() => this.#replica.stop());
     this.#clients.close();
     logger.info("control-stopped");
   }
 
-  async #listen(): Promise<void> {
-    const { controlAddress, peerAddress, secret } = this.#options;
+  async #openReplica(): Promise<ControlReplica> {
+    const { folder, peerAddress, clock, logger, onFailure } = this.#options;
+    const replica = await ControlReplica.open({
+      folder,
+      peerAddress,
+      clock,
+      send: (message) => this.#links?.send(message),
+      onChange: () => this.#handleReplicaChange(),
+      onFolderFailure: (failure) =>
+        logger.error("replica-stopped", { reason: describeFailure(failure) }),
+      onFolderReopened: () => logger.info("replica-restarted"),
+      onFailure,
+    });
+    logger.info("data-folder-opened", {
+      replica: replica.id,
+      ...replica.opened,
+    });
+    return replica;
+  }
+
+  #listen(): Promise<ControlListeners> {
+    const { secret } = this.#options;
     const services = new UnaryServices({ secret });
     services.service(Replication, {
       deliver: async ({ from, messages }) => ({
@@ -225,26 +220,16 @@
         result: await this.#externalCalls.serveRelayed(call),
       }),
     });
-    await this.#open("peers", peerAddress, (request, response) => {
-      if (services.handle(request, response)) return;
-      response.writeHead(404).end();
+    return ControlListeners.open({
+      ...this.#options,
+      isReady: () => this.#links !== undefined,
+      handlePeer: (request, response) => {
+        if (services.handle(request, response)) return;
+        response.writeHead(404).end();
+      },
+      handleExternal: (request, response) =>
+        void this.#externalCalls.handle(request, response),
     });
-    await this.#open(
-      "control",
-      controlAddress,
-      (request, response) => void this.#externalCalls.handle(request, response),
-    );
-  }
-
-  async #open(
-    name: string,
-    address: string,
-    handler: RequestListener,
-  ): Promise<void> {
-    this.#listeners.set(
-      name,
-      await HttpListener.open({ name, address, handler }),
-    );
   }
 
   // The others count a silent VM as lost, which is right for one that can store
@@ -259,7 +244,9 @@
 
   async #watch(watch: Watch): Promise<Uint8Array<ArrayBuffer>> {
     const session = this.#session;
-    if (!session || !this.isLeading) return encodeWatchAnswer(this.#redirect);
+    if (!session || !this.isLeading || this.#isStopping) {
+      return encodeWatchAnswer(this.#redirect);
+    }
     if (watch.isSearch) return encodeWatchAnswer({ kind: "leads" });
     const answer = await session.watch(watch);
     return this.#session === session && this.isLeading
