Serve on when the reader of the log has closed

A VM without a role exited with 1 at its next log line once the reader of its standard error had closed, and cut its requests.

Cause: the failed write became an error event without a listener.

Evidence: "serves on if the readers of its output have closed" in signals_test.ts failed for this mode with exit code 1; both roles ended with 0. By hand the same, at a SIGHUP after the reader had closed.

The error has a listener now; lines that nobody reads are lost, as in VMs with a role. Result: all three modes end with 0 after SIGTERM.

--- a/packages/kingcupglade/commands/serve.ts
+++ b/packages/kingcupglade/commands/serve.ts
@@ -89,6 +89,8 @@
 }
 
 function createVmLaunch(settings: ResolvedSettings): VmLaunch {
+  // When the reader of the log has closed, nobody is left to report it to.
+  process.stderr.on("error", () => {});
   const { vm, log } = settings;
   return {
     logger: createLogger({
--- a/packages/kingcupglade/signals_test.ts
+++ b/packages/kingcupglade/signals_test.ts
@@ -4,6 +4,7 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import { build } from "esbuild";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 
@@ -201,6 +202,24 @@
     expect(ends).toEqual(tried.map((pair) => expectedEnd(moment, pair)));
   }
 
+  // Guards against a VM that ends with 1 when the reader of its log closes
+  // (issue 44).
+  it("serves on if the readers of its output have closed", async () => {
+    const ends = await Promise.all(
+      Object.values(Mode).map(async (mode) => {
+        const { child, closed, waitFor } = start(await writeSettings(mode));
+        await waitFor(startedEvents[mode]);
+        child.stdout.destroy();
+        child.stderr.destroy();
+        child.kill("SIGHUP");
+        await pause(300);
+        child.kill("SIGTERM");
+        return await closed;
+      }),
+    );
+    expect(ends).toEqual(Object.values(Mode).map(() => [0, null]));
+  });
+
   // Guards against a process that ends with 1 because the one before it still
   // stops (issue 44).
   it("starts once the process before it has freed the addresses", async () => {
