Replace a hedge that fails while the first target is silent

An idempotent request waited for a silent target until its deadline, and ended with 504, although its route allowed a further target and one was idle.

Cause: a request was hedged once. If the hedge went to a faulty target and failed at once, nothing else was tried before the first target ended the wait. With two faulty targets of four this meets few requests.

Evidence, before: with one silent, one resetting and one sound target and a route that allows three, 504 after 4,032 ms.

When one of two exchanges fails, the request goes to a further target at once, within the maximum of its route and the retry budget, and not if it has ended the target. With a maximum of two targets, and for a request that may run only once, the arrivals are as before, which two more tests show.

--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -348,10 +348,11 @@
       return this.#handleUnstreamed(result, target);
     }
     if (this.#exchanges.size > 0 && !isSuccess(result)) {
-      // The other target may still respond.
+      // The other target may still respond, or may be silent.
       if (result.kind !== "notSent") this.#arrivals += 1;
       if (mayHaveRun(result)) this.#mayHaveRun = true;
-      return this.#log("hedge-failed", target, result.kind);
+      this.#log("hedge-failed", target, result.kind);
+      return this.#replaceHedge(examination);
     }
     switch (result.kind) {
       case "answered":
@@ -379,6 +380,16 @@
     }
   }
 
+  // A request that ended a target is not sent to one more.
+  #replaceHedge(examination: Promise<boolean> | undefined): void {
+    if (!examination) return this.#hedge.hedge();
+    this.#guard.watch(
+      examination.then((hasEnded) => {
+        if (!hasEnded) this.#hedge.hedge();
+      }),
+    );
+  }
+
   // A response that has begun is neither replaced nor sent a second time.
   #handleUnstreamed(result: ExchangeResult, target: TargetView): void {
     if (mayHaveRun(result)) this.#mayHaveRun = true;
--- a/packages/fleet_gateway/request_hedge.ts
+++ b/packages/fleet_gateway/request_hedge.ts
@@ -28,7 +28,7 @@
 
 /**
  * Sends a request whose response is overdue to a second target, which is idle
- * and in the region.
+ * and in the region, and to a further one if one of the two fails.
  */
 export class RequestHedge {
   readonly #options: RequestHedgeOptions;
@@ -47,14 +47,15 @@
       meanMilliseconds: selector.service(routed.service).meanMilliseconds,
       objectiveMilliseconds: objectiveAt - clock.now(),
     });
-    this.#timer = setTimeout(() => run(() => this.#hedge()), delay);
+    this.#timer = setTimeout(() => run(() => this.hedge()), delay);
   }
 
   cancel(): void {
     clearTimeout(this.#timer);
   }
 
-  #hedge(): void {
+  /** Sends the request to one more target, if that is allowed. */
+  hedge(): void {
     const { context, routed, slotAcquisition, attempts } = this.#options;
     const { mayHedge, takeAttempt, send } = this.#options;
     const { clock, selector } = context;
