--- a/packages/fleet_gateway/target_responses_test.ts
+++ b/packages/fleet_gateway/target_responses_test.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import {
   ForwardingFixture,
@@ -70,4 +71,53 @@
     lines = "request: r2\r\nnot-run: 1\r\n";
     expect((await gateway.forward({ requestId: "r2" })).status).toBe(503);
   });
+
+  // Guards against a second copy, or more bytes than announced, that arrive while
+  // the connection is idle, and reach the next caller.
+  const copy = responseText(200, "request: r1\r\n", "first");
+  const extras: readonly (readonly [string, readonly string[]])[] = [
+    ["a whole copy", [copy]],
+    ["a copy in two parts", [copy.slice(0, 30), copy.slice(30)]],
+    ["a part of a copy", [copy.slice(0, -3)]],
+    ["bytes of a body", ["more of the body"]],
+  ];
+  for (const [what, parts] of extras) {
+    for (const delayMilliseconds of [0, 30]) {
+      it(`is followed by ${what} after ${delayMilliseconds} ms, for nobody`, async () => {
+        const own = (id: string) => responseText(200, `request: ${id}\r\n`, id);
+        const write = async (socket: Socket) => {
+          for (const part of parts) {
+            if (delayMilliseconds > 0) await pause(delayMilliseconds);
+            socket.write(part);
+          }
+        };
+        target.respond = (socket, request) => {
+          const id = (request.split(" ")[1] ?? "").slice(1);
+          socket.write(own(id));
+          if (id === "r1") void write(socket);
+        };
+        await gateway.forward({ requestId: "r1", path: "/r1" });
+        await pause(100);
+        const second = await gateway.forward({ requestId: "r2", path: "/r2" });
+        expect(second).toEqual({ status: 200, body: "r2" });
+      });
+    }
+  }
+
+  // Guards against a body where none may be, which would be read as the response
+  // to the next request.
+  for (const head of ["204 No Content", "304 Not Modified"]) {
+    it(`with ${head} and a body ends its connection`, async () => {
+      const body = responseText(200, "request: r2\r\n", "false");
+      target.respond = (socket, request) =>
+        socket.write(
+          request.includes("/r1")
+            ? `HTTP/1.1 ${head}\r\nrequest: r1\r\ncontent-length: ${body.length}\r\n\r\n${body}`
+            : responseText(200, "request: r2\r\n", "own"),
+        );
+      await gateway.forward({ requestId: "r1", path: "/r1" });
+      const second = await gateway.forward({ requestId: "r2", path: "/r2" });
+      expect(second.body).not.toBe("false");
+    });
+  }
 });
