Forward a caller's header that is named like a property of every object

A header "constructor" of a caller's request did not reach the target, as a look-up in the headers that the gateway adds found the property of every object. Before: the test got ["deadline", "1"] without it. The look-up takes only the added headers themselves now; the test passes.

--- a/packages/fleet_gateway/request_headers.ts
+++ b/packages/fleet_gateway/request_headers.ts
@@ -27,7 +27,8 @@
   const result: string[] = [];
   for (const [name, value] of Object.entries(headers)) {
     if (
-      hopByHopHeaders.has(name) || connectionHeaders.has(name) || name in added
+      hopByHopHeaders.has(name) || connectionHeaders.has(name) ||
+      Object.hasOwn(added, name)
     ) continue;
     for (const each of [value ?? []].flat()) result.push(name, each);
   }
