--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -3,9 +3,8 @@
 import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
-import { HttpListener, Readiness } from "@kingcupglade/transport";
-import type { ListenerCloseResult } from "@kingcupglade/transport";
 import type { CallerWire } from "./caller_wire.ts";
+import { GatewayListeners } from "./gateway_listeners.ts";
 import { callLeader } from "./leader_caller.ts";
 import { LoadProber } from "./load_prober.ts";
 import { RelayChoice } from "./relay_choice.ts";
@@ -29,21 +28,10 @@
 
 /** Other gateways accept a connection within this time. */
 const relayConnectMilliseconds = 300;
-/** Headers of a relayed request: those of the caller and one of this fleet. */
-const maximumRelayHeaderBytes = 32_768;
-/** The load balancer removes a VM after two failed checks, one second apart. */
-const leaveMilliseconds = 2200;
-/** The callers' listener closes after this long without a request. */
-const quietMilliseconds = 300;
-/** Share of the grace period in which the callers' listener stays open. */
-const drainShare = 0.75;
-/** Time for readiness probes to be answered at the end of a stop. */
-const maximumProbeMilliseconds = 100;
 /** Idle connections are closed this long after the configured idle timeout. */
 const idleMarginMilliseconds = 1500;
 const housekeepingIntervalMilliseconds = 1000;
 const millisecondsPerSecond = 1000;
-const defaultCallerConnections = 3072;
 
 /** Options of {@link GatewayVm.start}. */
 export interface GatewayVmOptions {
@@ -99,14 +87,7 @@
   #slotSocket!: SlotSocket;
   #handler!: RequestHandler;
   readonly #housekeepingTimer: NodeJS.Timeout;
-  #callersListener!: HttpListener;
-  #readinessListener!: HttpListener;
-  #relayListener!: HttpListener;
-  readonly #readiness = new Readiness({
-    isReady: () =>
-      this.#synchronizer.table.hasConfiguration &&
-      (!this.#reach.isCutOff || this.#relays.hasCandidates),
-  });
+  #listeners!: GatewayListeners;
 
   protected constructor(options: GatewayVmOptions) {
     const { name, dataCentre, region, clock, logger, secret } = options;
@@ -244,28 +225,14 @@
       stopSchedule: vm.#stopSchedule,
       digest: await createRequestDigest(options.secret),
     });
-    vm.#callersListener = await HttpListener.open({
-      name: "callers",
-      address: options.callersAddress,
-      maximumConnections: options.maximumCallerConnections ??
-        defaultCallerConnections,
-      handler: (request, response) => vm.#handler.handle(request, response),
-    });
-    vm.#relayListener = await HttpListener.open({
-      name: "peers",
-      address: options.peerAddress,
-      maximumHeaderBytes: maximumRelayHeaderBytes,
-      handler: (request, response) =>
+    vm.#listeners = await GatewayListeners.open({
+      ...options,
+      stopSchedule: vm.#stopSchedule,
+      handleCaller: (request, response) =>
+        vm.#handler.handle(request, response),
+      handleRelayed: (request, response) =>
         vm.#handler.handleRelayed(request, response),
-    });
-    vm.#readinessListener = await HttpListener.open({
-      name: "readiness",
-      address: options.readinessAddress,
-      handler: (_request, response) => {
-        const status = vm.#readiness.answerProbe() ? 200 : 503;
-        response.writeHead(status, { "content-length": 0 });
-        response.end();
-      },
+      isReady: () => vm.#isReady,
     });
     vm.#slotSocket = await SlotSocket.open({
       ...options,
@@ -290,33 +257,12 @@
    * progress and closes.
    */
   async stop(): Promise<void> {
-    const { clock, logger, graceMilliseconds } = this.#options;
-    this.#readiness.startLeaving();
+    const { clock, logger } = this.#options;
+    this.#listeners.startLeaving();
     this.#stopSchedule.start(clock.now());
     this.#synchronizer.leave();
     logger.info("gateway-stopping");
-    const limits = {
-      minimumMilliseconds: leaveMilliseconds,
-      quietMilliseconds,
-      maximumMilliseconds: graceMilliseconds * drainShare,
-      graceMilliseconds: this.#stopSchedule.connectionsMilliseconds(
-        clock.now(),
-      ),
-    };
-    await Promise.all([
-      this.#closeListener("callers", () =>
-        this.#callersListener.drain({
-          ...limits,
-          isBalancerNotified: () => this.#readiness.isBalancerNotified,
-        })),
-      this.#closeListener("peers", () => this.#relayListener.drain(limits)),
-    ]);
-    await this.#readinessListener.close({
-      maximumMilliseconds: Math.min(
-        maximumProbeMilliseconds,
-        this.#stopSchedule.connectionsMilliseconds(clock.now()),
-      ),
-    });
+    await this.#listeners.drain();
     this.#synchronizer.stop();
     clearInterval(this.#housekeepingTimer);
     this.#reach.close();
@@ -328,12 +274,9 @@
     logger.info("gateway-stopped");
   }
 
-  async #closeListener(
-    listener: string,
-    close: () => Promise<ListenerCloseResult>,
-  ): Promise<void> {
-    const result = await close();
-    this.#options.logger.info("listener-closed", { listener, ...result });
+  get #isReady(): boolean {
+    return this.#synchronizer.table.hasConfiguration &&
+      (!this.#reach.isCutOff || this.#relays.hasCandidates);
   }
 
   get #forwardingContext() {
@@ -393,7 +336,7 @@
     this.#suspects.expire();
     const { limits } = table;
     if (limits) {
-      this.#callersListener.setTimeouts({
+      this.#listeners.setTimeouts({
         headersTimeoutMilliseconds: limits.headerTimeoutMilliseconds,
         idleTimeoutMilliseconds: limits.idleTimeoutMilliseconds +
           idleMarginMilliseconds,
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -119,7 +119,8 @@
             ticket,
           ),
         ),
-      refused: (reason, wait) => this.#refuse(reason, wait),
+      refused: (reason, wait) =>
+        this.#guard.run(() => this.#handleSlotRefusal(reason, wait), undefined),
       unmanaged: () => this.#guard.run(() => this.#dispatch(), undefined),
     });
     this.#hedge = new RequestHedge({
@@ -214,6 +215,11 @@
     this.#queue.advance();
   }
 
+  #handleSlotRefusal(reason: string, waitMilliseconds: number): void {
+    if (this.#attempts.retryUnreached()) return this.#dispatch();
+    this.#refuse(reason, waitMilliseconds);
+  }
+
   get #objectiveAt(): number {
     const { arrivedAt, route } = this.#routed;
     return arrivedAt + route.objectiveMilliseconds;
--- a/packages/kingcupglade/commands/serve_test.ts
+++ b/packages/kingcupglade/commands/serve_test.ts
@@ -208,6 +208,9 @@
       const lines = error.trim().split("\n");
       const messages = lines.filter((line) => !isLogLine(line));
       expect(messages).toEqual(lines.slice(-1));
+      for (const line of lines.slice(0, -1)) {
+        expect(JSON.parse(line).event).toBe("data-folder-opened");
+      }
       return error;
     };
 
