--- /dev/null
+++ b/packages/fleet_gateway/response_path_test.ts
@@ -0,0 +1,206 @@
+import type { Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { ResponseEnd, ResponsePath } from "./response_path_fixture.ts";
+import type { ReceivedResponse } from "./response_path_fixture.ts";
+
+/** What marks the end of a body that a target sends. */
+const Mark = {
+  length: "a length",
+  lengthAndClose: "a length and Connection: close",
+  chunks: "chunks",
+  chunksAndClose: "chunks and Connection: close",
+  connection: "the end of its connection",
+  connectionOf10: "the end of its connection, in HTTP/1.0",
+  identity: "the end of its connection, with Transfer-Encoding: identity",
+} as const;
+type Mark = typeof Mark[keyof typeof Mark];
+
+/** Marks by which a part and the whole cannot be told apart. */
+const openMarks: ReadonlySet<Mark> = new Set([
+  Mark.connection,
+  Mark.connectionOf10,
+  Mark.identity,
+]);
+
+/** How a target ends a response. */
+const TargetEnd = {
+  whole: "whole",
+  /** Ends its connection in order in the middle of the body. */
+  ended: "ended in order",
+  reset: "reset",
+  /** Sends no more in the middle of the body. */
+  stalled: "stalled",
+} as const;
+type TargetEnd = typeof TargetEnd[keyof typeof TargetEnd];
+
+const sizes = [1, 3000, 300_000, 1_500_000];
+const stalledDeadlineMilliseconds = 600;
+const pieceBytes = 64 * 1024;
+
+const headLines: Readonly<Record<Mark, string>> = {
+  [Mark.length]: "content-length: SIZE\r\n",
+  [Mark.lengthAndClose]: "content-length: SIZE\r\nconnection: close\r\n",
+  [Mark.chunks]: "transfer-encoding: chunked\r\n",
+  [Mark.chunksAndClose]: "transfer-encoding: chunked\r\nconnection: close\r\n",
+  [Mark.connection]: "connection: close\r\n",
+  [Mark.connectionOf10]: "",
+  [Mark.identity]: "transfer-encoding: identity\r\n",
+};
+
+interface Case {
+  readonly mark: Mark;
+  readonly size: number;
+  readonly targetEnd: TargetEnd;
+  readonly httpVersion: "1.0" | "1.1";
+}
+
+/** A body whose parts differ by their place. */
+function createBody(size: number): string {
+  return Array.from(
+    { length: Math.ceil(size / 8) },
+    (_, at) => String(at).padStart(8, "-"),
+  ).join("").slice(0, size);
+}
+
+/** Writes a response in pieces and ends it. */
+async function writeResponse(
+  socket: Socket,
+  id: string,
+  { mark, size, targetEnd }: Omit<Case, "httpVersion">,
+): Promise<void> {
+  const version = mark === Mark.connectionOf10 ? "1.0" : "1.1";
+  const lines = headLines[mark].replace("SIZE", String(size));
+  socket.write(`HTTP/${version} 200 OK\r\nrequest: ${id}\r\n${lines}\r\n`);
+  const isWhole = targetEnd === TargetEnd.whole;
+  const body = createBody(size).slice(0, isWhole ? size : size / 2);
+  const hasChunks = lines.includes("chunked");
+  for (let at = 0; at < body.length; at += pieceBytes) {
+    const piece = body.slice(at, at + pieceBytes);
+    socket.write(
+      hasChunks ? `${piece.length.toString(16)}\r\n${piece}\r\n` : piece,
+    );
+    await pause(1);
+  }
+  if (isWhole && hasChunks) socket.write("0\r\n\r\n");
+  switch (targetEnd) {
+    case TargetEnd.whole:
+      if (openMarks.has(mark)) socket.end();
+      return;
+    case TargetEnd.ended:
+      socket.end();
+      return;
+    case TargetEnd.reset:
+      // Otherwise the reset overtakes what was written.
+      await pause(50);
+      socket.resetAndDestroy();
+  }
+}
+
+/** Returns what is wrong with a response that a caller received. */
+function findFault(
+  { mark, size, targetEnd }: Case,
+  received: ReceivedResponse,
+): string | undefined {
+  const body = createBody(size);
+  const isOpen = openMarks.has(mark);
+  if (targetEnd === TargetEnd.whole) {
+    if (received.status !== 200) return `lost: status ${received.status}`;
+    if (received.end === ResponseEnd.incomplete) return "lost: incomplete";
+    if (received.body !== body) return "lost: not the body";
+    if (isOpen && received.end === ResponseEnd.complete) return "claimed";
+    return undefined;
+  }
+  if (received.status !== 200) return undefined;
+  if (received.end === ResponseEnd.complete) return "claimed";
+  const mayBeOpen = isOpen && targetEnd === TargetEnd.ended;
+  if (received.end === ResponseEnd.open && !mayBeOpen) return "looks whole";
+  return body.startsWith(received.body) ? undefined : "other bytes";
+}
+
+describe("a response on its way from a target to a caller", () => {
+  let path: ResponsePath;
+
+  beforeEach(async () => {
+    path = new ResponsePath();
+    await path.start();
+  });
+
+  afterEach(() => path.stop());
+
+  async function play(each: Case): Promise<ReceivedResponse> {
+    const { mark, size, targetEnd, httpVersion } = each;
+    const marks = Object.values(Mark).indexOf(mark);
+    const name = `${marks}.${size}.${targetEnd.replaceAll(" ", "")}` +
+      `.${httpVersion}`;
+    cases.set(name, each);
+    return await path.ask({
+      name,
+      httpVersion,
+      ...(targetEnd === TargetEnd.stalled &&
+        { deadlineMilliseconds: stalledDeadlineMilliseconds }),
+    });
+  }
+
+  const cases = new Map<string, Case>();
+
+  function respondToCases(): void {
+    path.target.respond = (socket, text) => {
+      const name = text.split(" ")[1]!.slice(1);
+      void writeResponse(socket, name, cases.get(name)!);
+    };
+  }
+
+  // Guards against a part of a response that its gateway passes on in a form which
+  // says that it is whole, and against whole responses that are lost.
+  for (const mark of Object.values(Mark)) {
+    it(`that has ${mark} claims no more than its target`, async () => {
+      respondToCases();
+      const faults: string[] = [];
+      for (const targetEnd of Object.values(TargetEnd)) {
+        const played = sizes.flatMap((size) =>
+          (["1.0", "1.1"] as const).map((httpVersion) => {
+            const each = { mark, size, targetEnd, httpVersion };
+            return play(each).then((received) => {
+              const fault = findFault(each, received);
+              if (!fault) return;
+              faults.push(
+                `${size} bytes, ${targetEnd}, HTTP/${httpVersion}: ${fault}`,
+              );
+            });
+          })
+        );
+        await Promise.all(played);
+      }
+      expect(faults).toEqual([]);
+    });
+  }
+
+  // Guards against the same part, where the gateway is lost while it passes the
+  // response on.
+  for (const mark of Object.values(Mark)) {
+    it(`that has ${mark} does not look whole when its gateway is killed`, async () => {
+      const size = 600_000;
+      const body = createBody(size);
+      const faults: string[] = [];
+      for (const sentBytes of [100, 200_000, 400_000, 599_000]) {
+        path.target.respond = (socket, text) => {
+          const name = text.split(" ")[1]!.slice(1);
+          const isWhole = { mark, size, targetEnd: TargetEnd.stalled };
+          void writeResponse(socket, name, {
+            ...isWhole,
+            size: sentBytes * 2,
+          });
+        };
+        const asked = path.ask({ name: `killed${sentBytes}` });
+        await pause(100);
+        path.kill();
+        const { status, end, body: part } = await asked;
+        const looksWhole = status === 200 && part !== body &&
+          end !== ResponseEnd.incomplete;
+        if (looksWhole) faults.push(`${sentBytes} bytes: ${end}`);
+      }
+      expect(faults).toEqual([]);
+    });
+  }
+});
