Log the framing of responses that are passed on

The gateway now counts responses by the framing received and sent, and logs those that it streams or whose end only their connection marks (others at level debug). What is sent is unchanged.

--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -2,6 +2,7 @@
 import { errors } from "undici";
 import type { Dispatcher } from "undici";
 import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
+import { BodyFraming, framingOf } from "./response_framing.ts";
 import type { TargetConnection } from "./target_connections.ts";
 
 /** Responses up to this size are buffered until they are complete. */
@@ -26,6 +27,8 @@
 export interface ResponseHead extends TargetResponseHead {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+  /** What marks the end of the body, as the target sends it. */
+  readonly framing: BodyFraming;
 }
 
 /** Receives a response that is too large to be buffered. */
@@ -150,8 +153,15 @@
         LossCause.invalid,
       );
     }
+    const { method } = this.#request;
+    const framing = framingOf({ method, status, headers });
     this.#connection.allowance.renew();
-    this.#head = { ...head, status, headers };
+    this.#head = {
+      ...head,
+      status,
+      headers,
+      framing: framing ?? BodyFraming.connection,
+    };
     this.#onHead(this.#head);
   }
 
--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -6,6 +6,7 @@
 import { RequestBody } from "@kingcupglade/transport";
 import type { ResponseHead } from "./exchange.ts";
 import type { ForwardingProgress } from "./relay_forwarder.ts";
+import { BodyFraming } from "./response_framing.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import { TargetConnections } from "./target_connections.ts";
@@ -206,6 +207,7 @@
   return {
     isClosed: false,
     hasStarted: false,
+    sent: { sent: BodyFraming.length, isStreamed: false, bytes: 0 },
     forward: ({ status }: ResponseHead, bytes: Buffer) =>
       received({ status, body: bytes.toString() }),
     respond: ({ status }: { readonly status: number }) =>
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -226,7 +226,14 @@
     this.#isFinished = true;
     this.#options.context.metrics.relayed.inc({ outcome: "answered" });
     this.#telemetry.count(head.status < 500 ? "answered" : "failed");
-    if (body !== null) this.#options.answer.forward(head, body);
+    const { answer } = this.#options;
+    if (body !== null) answer.forward(head, body);
+    this.#telemetry.recordResponse({
+      target: replyOf(head).target,
+      status: head.status,
+      received: head.framing,
+      ...answer.sent,
+    });
   }
 
   // What the target says holds for this gateway too, once it sends to it again.
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -453,6 +453,7 @@
     this.#mayHaveRun = true;
     if (body === null) {
       this.#telemetry.count("answered");
+      this.#recordResponse(head, target);
       return this.#finish();
     }
     if (!this.#isIdempotent && isUnstatedRefusal(head)) {
@@ -467,6 +468,15 @@
     this.#finish();
     this.#response.target = target.name;
     this.#response.forward(head, body);
+    this.#recordResponse(head, target);
+  }
+
+  #recordResponse(
+    { status, framing: received }: ResponseHead,
+    { name: target }: TargetView,
+  ): void {
+    const { sent } = this.#response;
+    this.#telemetry.recordResponse({ target, status, received, ...sent });
   }
 
   /** Whether the request may run a second time. */
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -1,6 +1,8 @@
 import type { TargetView, VmEndpoint } from "@kingcupglade/fleet";
 import { describeFailure } from "@kingcupglade/telemetry";
+import type { SentResponse } from "./caller_response.ts";
 import type { ExchangeResult } from "./exchange.ts";
+import { BodyFraming } from "./response_framing.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 
 const millisecondsPerSecond = 1000;
@@ -16,6 +18,14 @@
   readonly waiting: number;
 }
 
+/** A target's response that is passed on to the caller. */
+export interface ForwardedResponse extends SentResponse {
+  readonly target: string;
+  readonly status: number;
+  /** Framing that the target used. */
+  readonly received: BodyFraming;
+}
+
 /** What selects the target of a request. */
 export const SendPath = {
   /** The manager of its slots. */
@@ -88,6 +98,26 @@
     });
   }
 
+  /**
+   * Counts a response that is passed on, and logs it. One whose end is marked by
+   * nothing but its connection, or that was streamed, is logged always.
+   */
+  recordResponse(response: ForwardedResponse): void {
+    const { clock, logger, metrics } = this.#context;
+    const { head, service, arrivedAt } = this.#routed;
+    const { received, sent, isStreamed } = response;
+    metrics.responses.inc({ received, sent });
+    const fields = {
+      request: head.requestId,
+      service,
+      ...response,
+      ageMilliseconds: Math.round(clock.now() - arrivedAt),
+    };
+    if (isStreamed || received === BodyFraming.connection) {
+      logger.info("response-forwarded", fields);
+    } else logger.debug("response-forwarded", fields);
+  }
+
   /** Logs that the request may be sent although its runs may end targets. */
   recordAttempt(): void {
     const { head, service, digest } = this.#routed;
--- a/packages/fleet_gateway/response_path_fixture.ts
+++ b/packages/fleet_gateway/response_path_fixture.ts
@@ -46,6 +46,8 @@
 export class ResponsePath {
   readonly target = new RawServer();
   readonly gateway = new ForwardingFixture([this.target]);
+  /** Lines that the gateway has logged at level info. */
+  readonly lines: Record<string, unknown>[] = [];
   readonly #deadlines = new Map<string, number>();
   readonly #server: Server = createServer((request, response) => {
     const requestId = (request.url ?? "/").slice(1);
@@ -57,7 +59,7 @@
       deadlineMilliseconds: this.#deadlines.get(requestId) ?? 10_000,
     });
     const forwarder = new RequestForwarder({
-      context: this.gateway.context() as never,
+      context: { ...this.gateway.context(), logger: this.#logger } as never,
       routed: { ...routed, request } as never,
       answer: new CallerResponse(response),
       handOver: () => {},
@@ -66,6 +68,14 @@
     forwarder.start();
   });
 
+  readonly #logger = {
+    debug() {},
+    info: (event: string, fields: Record<string, unknown>) =>
+      void this.lines.push({ event, ...fields }),
+    warn() {},
+    error() {},
+  };
+
   async start(): Promise<void> {
     await this.target.start();
     await new Promise<void>((resolve) =>
--- a/packages/fleet_gateway/response_path_test.ts
+++ b/packages/fleet_gateway/response_path_test.ts
@@ -176,6 +176,23 @@
     });
   }
 
+  // Guards against a part of a body that no line of the log tells from the whole.
+  it("is logged with its framing if only its connection marks its end", async () => {
+    respondToCases();
+    const targetEnd = TargetEnd.ended;
+    const each = { mark: Mark.connection, size: 3000, targetEnd } as const;
+    const { body } = await play({ ...each, httpVersion: "1.1" });
+    expect(path.lines).toContainEqual(expect.objectContaining({
+      event: "response-forwarded",
+      target: "t0",
+      status: 200,
+      received: "connection",
+      sent: "connection",
+      isStreamed: false,
+      bytes: body.length,
+    }));
+  });
+
   // Guards against the same part, where the gateway is lost while it passes the
   // response on.
   for (const mark of Object.values(Mark)) {
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -12,6 +12,8 @@
   readonly retries: Counter<"reason">;
   /** Late idempotent requests sent to a second target. */
   readonly hedges: Counter;
+  /** Responses of targets passed on, by the framing received and sent. */
+  readonly responses: Counter<"received" | "sent">;
   /** Requests sent to targets that name a limit, by how they were chosen. */
   readonly limitedRequests: Counter<"path">;
   /** Targets that closed a connection, by what is known of them. */
@@ -99,6 +101,12 @@
       help: "Late idempotent requests sent to a second target",
       registers,
     }),
+    responses: new Counter({
+      name: "kingcupglade_responses_total",
+      help: "Responses of targets passed on, by framing",
+      labelNames: ["received", "sent"],
+      registers,
+    }),
     limitedRequests: new Counter({
       name: "kingcupglade_limited_requests_total",
       help: "Requests sent to targets that name a limit",
