Claim no end of a response that its target did not mark

Cause: since a streamed response without a length was sent in chunks, so that a gateway which is killed does not end it. But any orderly end of the target's connection became the last chunk, and a target that is killed, or whose connection is closed by a device on the way, ends it in order. Likewise a response with Transfer-Encoding: identity got a length at every size.

One table now says which framing follows from the one received. A response that only its connection delimits keeps that form and is held until the end is known, 8 MiB each and 32 MiB in all; above that it is streamed and reset if it fails. Other transfer codings than chunks are no valid response, since the coding was not passed on. HEAD and 304 keep the length that the target stated.

--- a/packages/fleet_gateway/endless_responses_test.ts
+++ b/packages/fleet_gateway/endless_responses_test.ts
@@ -62,6 +62,10 @@
     this.#acceptsAll = acceptsAll;
   }
 
+  wouldLookWhole(): boolean {
+    return false;
+  }
+
   begin(_head: unknown, first: readonly Buffer[]): void {
     this.bytes += first.reduce((sum, { length }) => sum + length, 0);
   }
--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -1,13 +1,25 @@
 import type { IncomingHttpHeaders } from "node:http";
+import { BodyMemory, BodyMemoryError } from "@kingcupglade/transport";
+import type { BodyReservation } from "@kingcupglade/transport";
 import { errors } from "undici";
 import type { Dispatcher } from "undici";
 import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
-import { BodyFraming, framingOf } from "./response_framing.ts";
+import { framingOf } from "./response_framing.ts";
+import type { BodyFraming } from "./response_framing.ts";
 import type { TargetConnection } from "./target_connections.ts";
 
 /** Responses up to this size are buffered until they are complete. */
 const maximumBufferedBytes = 256 * 1024;
 
+/**
+ * Responses of which a part would look whole are held up to this size, as far as
+ * there is memory for them.
+ */
+const maximumHeldBytes = 8 * 1024 * 1024;
+
+/** Memory that each part of a held response uses beside its bytes. */
+const partOverheadBytes = 256;
+
 /** More interim (1xx) responses indicate that no final response will follow. */
 const maximumInterimResponses = 16;
 
@@ -33,6 +45,8 @@
 
 /** Receives a response that is too large to be buffered. */
 export interface ResponseStream {
+  /** Whether a part of the response would look whole if this VM were lost. */
+  wouldLookWhole(head: ResponseHead): boolean;
   begin(head: ResponseHead, first: readonly Buffer[]): void;
   /** Returns false to pause the body until `onDrain` calls back. */
   write(chunk: Buffer): boolean;
@@ -80,6 +94,7 @@
   readonly #wire: CallerWire;
   readonly #stream: ResponseStream;
   readonly #onHead: (head: ResponseHead) => void;
+  readonly #reservation: BodyReservation;
   readonly #timer: NodeJS.Timeout;
   #resolve!: (result: ExchangeResult) => void;
   #controller: Dispatcher.DispatchController | undefined;
@@ -98,6 +113,11 @@
     readonly connection: TargetConnection;
     readonly wire: CallerWire;
     readonly stream: ResponseStream;
+    /**
+     * Memory for what is held of the response; released if there is none. The
+     * owner releases it once the response was passed on. @default no limit
+     */
+    readonly reservation?: BodyReservation;
     /** Called when the head of the response to this request arrives. */
     readonly onHead?: (head: ResponseHead) => void;
   }) {
@@ -105,6 +125,7 @@
     this.#connection = options.connection;
     this.#wire = options.wire;
     this.#stream = options.stream;
+    this.#reservation = options.reservation ?? new BodyMemory().reserve();
     this.#onHead = options.onHead ?? (() => {});
     this.result = new Promise((resolve) => (this.#resolve = resolve));
     this.#timer = setTimeout(
@@ -155,13 +176,14 @@
     }
     const { method } = this.#request;
     const framing = framingOf({ method, status, headers });
+    if (!framing) {
+      return this.#abort(
+        "the response has an unknown transfer coding",
+        LossCause.invalid,
+      );
+    }
     this.#connection.allowance.renew();
-    this.#head = {
-      ...head,
-      status,
-      headers,
-      framing: framing ?? BodyFraming.connection,
-    };
+    this.#head = { ...head, status, headers, framing };
     this.#onHead(this.#head);
   }
 
@@ -174,7 +196,7 @@
     if (this.#isStreaming) return this.#streamChunk(controller, chunk);
     this.#chunks.push(chunk);
     this.#bytes += chunk.length;
-    if (this.#bytes <= maximumBufferedBytes) return;
+    if (this.#mayBuffer(chunk.length)) return;
     this.#isStreaming = true;
     this.#stream.begin(this.#head!, this.#chunks);
     this.#chunks = [];
@@ -229,6 +251,20 @@
     );
   }
 
+  #mayBuffer(addedBytes: number): boolean {
+    if (this.#bytes <= maximumBufferedBytes) return true;
+    const mayHold = this.#bytes <= maximumHeldBytes &&
+      this.#stream.wouldLookWhole(this.#head!);
+    if (!mayHold) return false;
+    try {
+      this.#reservation.add(addedBytes + partOverheadBytes);
+      return true;
+    } catch (failure) {
+      if (failure instanceof BodyMemoryError) return false;
+      throw failure;
+    }
+  }
+
   #streamChunk(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#stream.write(chunk) || this.#isFullyRead) return;
     controller.pause();
@@ -261,6 +297,7 @@
     this.#hasEnded = true;
     this.#connection.beforeEnd = undefined;
     clearTimeout(this.#timer);
+    if (result.kind !== "answered") this.#reservation.release();
     this.#resolve(result);
   }
 }
--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -42,6 +42,7 @@
 }
 
 const discardStream: ResponseStream = {
+  wouldLookWhole: () => false,
   begin: () => {},
   write: () => true,
   onDrain: () => {},
--- a/packages/fleet_gateway/first_response_stream.ts
+++ b/packages/fleet_gateway/first_response_stream.ts
@@ -19,6 +19,7 @@
   const { exchanges, self, target } = options;
   let isFirst = false;
   return {
+    wouldLookWhole: (head) => response.wouldLookWhole(head),
     begin: (head, first) => {
       if (response.hasStarted) return self().abandon();
       isFirst = true;
--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -3,7 +3,7 @@
 import { RequestKind } from "@kingcupglade/items";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { createMetrics } from "@kingcupglade/telemetry";
-import { RequestBody } from "@kingcupglade/transport";
+import { BodyMemory, RequestBody } from "@kingcupglade/transport";
 import type { ResponseHead } from "./exchange.ts";
 import type { ForwardingProgress } from "./relay_forwarder.ts";
 import { BodyFraming } from "./response_framing.ts";
@@ -81,13 +81,18 @@
 export class ForwardingFixture {
   readonly clock = new MonotonicClock();
   readonly connections = new TargetConnections({ clock: this.clock });
+  readonly responseMemory: BodyMemory;
   /** What has happened to requests that were handed over. */
   readonly handedOver: ForwardingProgress[] = [];
   readonly #targets: readonly RawServer[];
   #cutOffListeners: (() => void)[] = [];
 
-  constructor(targets: readonly RawServer[]) {
+  constructor(
+    targets: readonly RawServer[],
+    options: { readonly responseMemoryBytes?: number } = {},
+  ) {
     this.#targets = targets;
+    this.responseMemory = new BodyMemory(options.responseMemoryBytes);
   }
 
   /** Tells the requests in progress that no target can be reached. */
@@ -129,6 +134,7 @@
       metrics: createMetrics(),
       random: Math.random,
       connections,
+      responseMemory: this.responseMemory,
       gatewayCount: () => 1,
       wire: {
         readRequest: () => ({ requestId: "" }),
@@ -207,6 +213,8 @@
   return {
     isClosed: false,
     hasStarted: false,
+    onClosed: () => {},
+    wouldLookWhole: () => false,
     sent: { sent: BodyFraming.length, isStreamed: false, bytes: 0 },
     forward: ({ status }: ResponseHead, bytes: Buffer) =>
       received({ status, body: bytes.toString() }),
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -3,6 +3,7 @@
 import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import { BodyMemory } from "@kingcupglade/transport";
 import type { CallerWire } from "./caller_wire.ts";
 import { GatewayListeners } from "./gateway_listeners.ts";
 import { callLeader } from "./leader_caller.ts";
@@ -32,6 +33,8 @@
 const idleMarginMilliseconds = 1500;
 const housekeepingIntervalMilliseconds = 1000;
 const millisecondsPerSecond = 1000;
+/** Memory for responses that are held until their ends are known. */
+const maximumHeldResponseBytes = 32 * 1024 * 1024;
 
 /** Options of {@link GatewayVm.start}. */
 export interface GatewayVmOptions {
@@ -72,6 +75,7 @@
   readonly #connections: TargetConnections;
   readonly #reach: TargetReach;
   readonly #relays: RelayChoice;
+  readonly #responseMemory = new BodyMemory(maximumHeldResponseBytes);
   readonly #relayConnections: TargetConnections;
   readonly #limits: TargetLimits;
   readonly #notices: TargetNotices;
@@ -286,6 +290,7 @@
       selector: this.#selector,
       reach: this.#reach,
       relays: this.#relays,
+      responseMemory: this.#responseMemory,
       relayConnections: this.#relayConnections,
       connections: this.#connections,
       limits: this.#limits,
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -130,7 +130,10 @@
     });
     this.#telemetry.recordRelay(gateway, this.#tried.size);
     relays.begin(gateway);
+    const reservation = context.responseMemory.reserve();
+    answer.onClosed(() => reservation.release());
     this.#exchange = new Exchange({
+      reservation,
       connection,
       wire: this.#wire,
       stream: answer,
--- a/packages/fleet_gateway/response_framing.ts
+++ b/packages/fleet_gateway/response_framing.ts
@@ -39,3 +39,21 @@
       return undefined;
   }
 }
+
+/**
+ * Returns the framing in which a response is passed on. It claims no more than
+ * the one received: an orderly end of a target's connection may be that of a
+ * part, which a length or a last chunk would call the whole.
+ */
+export function framingToSend(response: {
+  readonly received: BodyFraming;
+  /** HTTP version of the caller. */
+  readonly httpVersion: string;
+  /** Whether the end of the body was received. */
+  readonly isWhole: boolean;
+}): BodyFraming {
+  const { received, httpVersion, isWhole } = response;
+  if (received !== BodyFraming.chunks) return received;
+  if (isWhole) return BodyFraming.length;
+  return httpVersion === "1.0" ? BodyFraming.connection : BodyFraming.chunks;
+}
--- a/packages/fleet_gateway/response_path_fixture.ts
+++ b/packages/fleet_gateway/response_path_fixture.ts
@@ -45,7 +45,7 @@
 /** One target that writes bytes by hand, a gateway, and callers that read them. */
 export class ResponsePath {
   readonly target = new RawServer();
-  readonly gateway = new ForwardingFixture([this.target]);
+  readonly gateway: ForwardingFixture;
   /** Lines that the gateway has logged at level info. */
   readonly lines: Record<string, unknown>[] = [];
   readonly #deadlines = new Map<string, number>();
@@ -68,6 +68,11 @@
     forwarder.start();
   });
 
+  /** @param options Memory for held responses; 48 MiB by default. */
+  constructor(options: { readonly responseMemoryBytes?: number } = {}) {
+    this.gateway = new ForwardingFixture([this.target], options);
+  }
+
   readonly #logger = {
     debug() {},
     info: (event: string, fields: Record<string, unknown>) =>
--- a/packages/fleet_gateway/response_path_test.ts
+++ b/packages/fleet_gateway/response_path_test.ts
@@ -220,4 +220,68 @@
       expect(faults).toEqual([]);
     });
   }
+
+  describe("without a length, that is held until its end is known", () => {
+    const mebibyte = 1024 * 1024;
+    const size = 3 * mebibyte;
+    const held = () => path.gateway.responseMemory.usedBytes;
+
+    function sendParts(targetEnd: TargetEnd): void {
+      path.target.respond = (socket, text) => {
+        const name = text.split(" ")[1]!.slice(1);
+        void writeResponse(socket, name, {
+          mark: Mark.connection,
+          size: targetEnd === TargetEnd.whole ? size : size * 2,
+          targetEnd,
+        });
+      };
+    }
+
+    const ask = (name: string, httpVersion: "1.0" | "1.1" = "1.1") =>
+      path.ask({ name, httpVersion });
+
+    // Guards against memory that grows with the number of such responses, and
+    // against responses that are lost because there is none.
+    it("uses no more than its memory, and is streamed beyond that", async () => {
+      path.stop();
+      path = new ResponsePath({ responseMemoryBytes: 4 * mebibyte });
+      await path.start();
+      sendParts(TargetEnd.stalled);
+      const count = 6;
+      const asked = Array.from({ length: count }, (_, at) => ask(`a${at}`));
+      await expect.poll(held, { timeout: 10_000 }).toBeGreaterThan(
+        3 * mebibyte,
+      );
+      await pause(300);
+      expect(held()).toBeLessThanOrEqual(4 * mebibyte);
+      path.kill();
+      await Promise.all(asked);
+      await expect.poll(held).toBe(0);
+      sendParts(TargetEnd.whole);
+      const whole = await Promise.all(
+        Array.from({ length: count }, (_, at) => ask(`b${at}`)),
+      );
+      for (const { end, body } of whole) {
+        expect([end, body === createBody(size)]).toEqual(["open", true]);
+      }
+    });
+
+    // Guards against memory that is kept after the response, also for a caller
+    // that reads slowly.
+    it("returns its memory when it has been passed on, lost or left", async () => {
+      for (const targetEnd of Object.values(TargetEnd)) {
+        sendParts(targetEnd);
+        const asked = path.ask({
+          name: targetEnd.replaceAll(" ", ""),
+          deadlineMilliseconds: stalledDeadlineMilliseconds,
+          onData: (_bytes, socket) => {
+            socket.pause();
+            setTimeout(() => socket.resume(), 5);
+          },
+        });
+        await asked;
+        await expect.poll(held).toBe(0);
+      }
+    });
+  });
 });
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -2,7 +2,7 @@
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
-import type { RequestBody } from "@kingcupglade/transport";
+import type { BodyMemory, RequestBody } from "@kingcupglade/transport";
 import type { CallerRequestHead, CallerWire } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
 import type { LoadProber } from "./load_prober.ts";
@@ -20,6 +20,8 @@
   readonly selector: TargetSelector;
   readonly reach: TargetReach;
   readonly connections: TargetConnections;
+  /** Bounds what is held of all responses until their ends are known. */
+  readonly responseMemory: BodyMemory;
   readonly limits: TargetLimits;
   readonly notices: TargetNotices;
   readonly suspects: SuspectGate;
--- a/packages/fleet_gateway/target_exchange.ts
+++ b/packages/fleet_gateway/target_exchange.ts
@@ -28,7 +28,10 @@
   const { request, body, deadlineAt } = routed;
   const { requestId } = routed.head;
   const remainingMilliseconds = deadlineAt - startedAt;
+  const reservation = context.responseMemory.reserve();
+  answer.onClosed(() => reservation.release());
   const exchange: Exchange = new Exchange({
+    reservation,
     connection: options.connection,
     wire,
     stream: firstResponseStream(answer, {
