Mark the framing of a target's response between two gateways

Cause: the second gateway passed the response on in the target's form, and the kernel of a killed process ends that form in order.

Now it sends chunks and names the target's framing in a header, which the first gateway asks for with te. The first gateway sees a loss, and passes the target's form on. Gateways of earlier releases ignore te and do not forward it; they get and send what they did.

The table of response_path_test.ts is played through two gateways as well.

--- a/packages/fleet_gateway/caller_response.ts
+++ b/packages/fleet_gateway/caller_response.ts
@@ -2,7 +2,10 @@
 import type { ResponseHead, ResponseStream } from "./exchange.ts";
 import {
   encodeRelayReply,
+  openRelayFraming,
   RelayDecision,
+  relayFramingCoding,
+  relayFramingHeader,
   relayHeader,
 } from "./relay_message.ts";
 import { BodyFraming, framingToSend } from "./response_framing.ts";
@@ -16,6 +19,7 @@
   "connection",
   "content-length",
   "keep-alive",
+  relayFramingHeader,
   relayHeader,
   "proxy-authenticate",
   "proxy-connection",
@@ -177,12 +181,26 @@
 
   #framingOf({ framing: received }: ResponseHead, isWhole: boolean) {
     const { httpVersion } = this.#response.req;
-    return framingToSend({ received, httpVersion, isWhole });
+    const framing = framingToSend({ received, httpVersion, isWhole });
+    return framing === BodyFraming.connection && this.#canMarkFraming
+      ? BodyFraming.chunks
+      : framing;
+  }
+
+  // The other gateway tells the loss of this one from the end of the body, and
+  // passes on the form that the target used.
+  get #canMarkFraming(): boolean {
+    return this.#relayId !== undefined &&
+      this.#response.req.headers.te === relayFramingCoding;
   }
 
   #writeHead(head: ResponseHead, length: string | undefined): void {
     const headers = forwardedHeaders(head.headers);
     if (length !== undefined) headers.push("content-length", length);
+    if (
+      head.framing === BodyFraming.connection &&
+      this.#framing === BodyFraming.chunks
+    ) headers.push(relayFramingHeader, openRelayFraming);
     if (this.#framing === BodyFraming.connection) {
       this.#response.useChunkedEncodingByDefault = false;
       headers.push("connection", "close");
--- a/packages/fleet_gateway/caller_wire.ts
+++ b/packages/fleet_gateway/caller_wire.ts
@@ -38,6 +38,11 @@
   readonly pauseMilliseconds: number | undefined;
   /** Whether a header that says one of these has an unknown value. */
   readonly hasUnreadableNotice: boolean;
+  /**
+   * Whether the target marked the end of the body by that of its connection
+   * alone, although the gateway that relays the response marks it otherwise.
+   */
+  readonly isOpenAtTarget?: boolean;
 }
 
 /** Decodes and encodes the headers that callers and targets use. */
--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -4,8 +4,7 @@
 import { errors } from "undici";
 import type { Dispatcher } from "undici";
 import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
-import { framingOf } from "./response_framing.ts";
-import type { BodyFraming } from "./response_framing.ts";
+import { BodyFraming, framingOf } from "./response_framing.ts";
 import type { TargetConnection } from "./target_connections.ts";
 
 /** Responses up to this size are buffered until they are complete. */
@@ -39,7 +38,7 @@
 export interface ResponseHead extends TargetResponseHead {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
-  /** What marks the end of the body, as the target sends it. */
+  /** What marks the end of the body, as the target sent it. */
   readonly framing: BodyFraming;
 }
 
@@ -183,7 +182,12 @@
       );
     }
     this.#connection.allowance.renew();
-    this.#head = { ...head, status, headers, framing };
+    this.#head = {
+      ...head,
+      status,
+      headers,
+      framing: head.isOpenAtTarget ? BodyFraming.connection : framing,
+    };
     this.#onHead(this.#head);
   }
 
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -8,6 +8,7 @@
   decodeRelayReply,
   encodeRelayRequest,
   RelayDecision,
+  relayFramingCoding,
   relayHeader,
 } from "./relay_message.ts";
 import type { RelayReply } from "./relay_message.ts";
@@ -151,6 +152,7 @@
             leftMilliseconds: this.#leftMilliseconds,
             arrived: progress.arrived,
           }, context.secret),
+          te: relayFramingCoding,
         }, body),
         body: body.open(),
         requestId: id,
--- a/packages/fleet_gateway/relay_message.ts
+++ b/packages/fleet_gateway/relay_message.ts
@@ -4,6 +4,22 @@
 /** Header of a relayed request, and of the response to it. */
 export const relayHeader = "kingcupglade-relay";
 
+/**
+ * Header of the response to a relayed request, which is in chunks, if its target
+ * marked the end of the body by that of its connection alone.
+ */
+export const relayFramingHeader = "kingcupglade-relay-framing";
+
+/** Only value of {@link relayFramingHeader}. */
+export const openRelayFraming = "connection";
+
+/**
+ * Value of the header `te` of a relayed request whose gateway reads
+ * {@link relayFramingHeader}. Gateways of earlier releases ignore it, and do not
+ * forward that header.
+ */
+export const relayFramingCoding = "kingcupglade-open";
+
 /** What a gateway tells another one about a request that it relays. */
 export interface RelayRequest {
   /** Identifies the attempt; the response carries it as well. */
--- a/packages/fleet_gateway/relay_wire.ts
+++ b/packages/fleet_gateway/relay_wire.ts
@@ -1,7 +1,12 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { CallerWire } from "./caller_wire.ts";
 import type { CallerRequestHead, TargetResponseHead } from "./caller_wire.ts";
-import { decodeRelayReply, relayHeader } from "./relay_message.ts";
+import {
+  decodeRelayReply,
+  openRelayFraming,
+  relayFramingHeader,
+  relayHeader,
+} from "./relay_message.ts";
 
 /**
  * Reads the responses of other gateways to relayed requests. What the target
@@ -34,6 +39,7 @@
       isLeaving: false,
       pauseMilliseconds: undefined,
       hasUnreadableNotice: false,
+      isOpenAtTarget: headers[relayFramingHeader] === openRelayFraming,
     };
   }
 
--- a/packages/fleet_gateway/response_path_fixture.ts
+++ b/packages/fleet_gateway/response_path_fixture.ts
@@ -1,12 +1,17 @@
+import { once } from "node:events";
 import { createServer } from "node:http";
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { connect } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { RequestKind } from "@kingcupglade/items";
 import { CallerResponse } from "./caller_response.ts";
 import { ForwardingFixture, RawServer } from "./forwarding_fixture.ts";
+import { RelayForwarder } from "./relay_forwarder.ts";
+import { decodeRelayRequest, relayHeader } from "./relay_message.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 
+const secret = "unguarded";
+const defaultDeadlineMilliseconds = 10_000;
 const headEnd = "\r\n\r\n";
 
 /** How a response ended, by its framing and its connection alone. */
@@ -36,78 +41,155 @@
   readonly name: string;
   /** @default "1.1" */
   readonly httpVersion?: "1.0" | "1.1";
-  /** @default 10000 */
+  /** Time that the gateway has for the response. @default 10000 */
   readonly deadlineMilliseconds?: number;
   /** Called with the number of bytes received so far. */
   readonly onData?: (bytes: number, socket: Socket) => void;
 }
 
-/** One target that writes bytes by hand, a gateway, and callers that read them. */
+/** Options of a {@link ResponsePath}. */
+export interface ResponsePathOptions {
+  /** Memory of each gateway for held responses. @default 48 MiB */
+  readonly responseMemoryBytes?: number;
+  /** Whether the gateway reaches the target through a second one. @default false */
+  readonly isRelayed?: boolean;
+}
+
+/**
+ * One target that writes bytes by hand, callers that read them, and a gateway
+ * between them, or two.
+ */
 export class ResponsePath {
   readonly target = new RawServer();
+  /** The gateway that callers reach. */
   readonly gateway: ForwardingFixture;
-  /** Lines that the gateway has logged at level info. */
+  /** The gateway that reaches the target. */
+  readonly lastGateway: ForwardingFixture;
+  /** Lines that the gateways have logged at level info. */
   readonly lines: Record<string, unknown>[] = [];
+  /** Called with the event of each of these lines. */
+  onLine: (event: string) => void = () => {};
+  readonly #isRelayed: boolean;
   readonly #deadlines = new Map<string, number>();
-  readonly #server: Server = createServer((request, response) => {
-    const requestId = (request.url ?? "/").slice(1);
-    const routed = this.gateway.routed({
-      requestId,
-      path: request.url ?? "/",
-      requests: RequestKind.once,
-      maximumTargets: 1,
-      deadlineMilliseconds: this.#deadlines.get(requestId) ?? 10_000,
-    });
-    const forwarder = new RequestForwarder({
-      context: { ...this.gateway.context(), logger: this.#logger } as never,
-      routed: { ...routed, request } as never,
-      answer: new CallerResponse(response),
-      handOver: () => {},
-    });
-    response.once("close", () => forwarder.abandon());
-    forwarder.start();
-  });
-
-  /** @param options Memory for held responses; 48 MiB by default. */
-  constructor(options: { readonly responseMemoryBytes?: number } = {}) {
-    this.gateway = new ForwardingFixture([this.target], options);
-  }
-
   readonly #logger = {
     debug() {},
-    info: (event: string, fields: Record<string, unknown>) =>
-      void this.lines.push({ event, ...fields }),
+    info: (event: string, fields: Record<string, unknown>) => {
+      this.lines.push({ event, ...fields });
+      this.onLine(event);
+    },
     warn() {},
     error() {},
   };
+  readonly #server = createServer((request, response) =>
+    this.#isRelayed
+      ? this.#relay(request, response)
+      : this.#forward(request, new CallerResponse(response))
+  );
+  readonly #lastServer = createServer((request, response) => {
+    const { id } = decodeRelayRequest(request.headers[relayHeader], secret);
+    this.#forward(request, new CallerResponse(response, id));
+  });
+
+  constructor(options: ResponsePathOptions = {}) {
+    this.#isRelayed = options.isRelayed ?? false;
+    this.gateway = new ForwardingFixture([this.target], options);
+    this.lastGateway = this.#isRelayed
+      ? new ForwardingFixture([this.target], options)
+      : this.gateway;
+  }
 
   async start(): Promise<void> {
     await this.target.start();
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", resolve)
-    );
+    for (const server of [this.#server, this.#lastServer]) {
+      server.listen(0, "127.0.0.1");
+      await once(server, "listening");
+    }
   }
 
   stop(): void {
     this.gateway.connections.close();
-    this.#server.close();
-    this.#server.closeAllConnections();
+    this.lastGateway.connections.close();
+    for (const server of [this.#server, this.#lastServer]) {
+      server.close();
+      server.closeAllConnections();
+    }
     this.target.stop();
   }
 
+  #forward(request: IncomingMessage, answer: CallerResponse): void {
+    const forwarder = new RequestForwarder({
+      context: this.#contextOf(this.lastGateway) as never,
+      routed: this.#routedOf(request) as never,
+      answer,
+      handOver: () => {},
+    });
+    answer.onClosed(() => forwarder.abandon());
+    forwarder.start();
+  }
+
+  #relay(request: IncomingMessage, response: ServerResponse): void {
+    const answer = new CallerResponse(response);
+    const other = {
+      name: "gateway-2",
+      address: `127.0.0.1:${portOf(this.#lastServer)}`,
+    };
+    const forwarder = new RelayForwarder({
+      context: {
+        ...this.#contextOf(this.gateway),
+        name: "gateway-1",
+        secret,
+        table: () => ({ routeVersion: () => 1, target: () => undefined }),
+        relayConnections: this.gateway.connections,
+        relays: {
+          next: ({ excluded }: { readonly excluded: ReadonlySet<string> }) =>
+            excluded.size === 0 ? other : undefined,
+          begin: () => {},
+          end: () => {},
+        },
+      } as never,
+      routed: this.#routedOf(request) as never,
+      answer,
+      progress: { arrived: [], mayHaveRun: false },
+    });
+    answer.onClosed(() => forwarder.abandon());
+    forwarder.start();
+  }
+
+  #contextOf(gateway: ForwardingFixture): Record<string, unknown> {
+    return { ...gateway.context(), logger: this.#logger };
+  }
+
+  #routedOf(request: IncomingMessage): Record<string, unknown> {
+    const { url = "/" } = request;
+    const requestId = url.slice(1);
+    const routed = this.gateway.routed({
+      requestId,
+      path: url,
+      requests: RequestKind.once,
+      maximumTargets: 1,
+      deadlineMilliseconds: this.#deadlines.get(requestId) ??
+        defaultDeadlineMilliseconds,
+    });
+    return { ...routed, request };
+  }
+
   /** Ends all connections of callers, as the kernel does for a killed process. */
   kill(): void {
     this.#server.closeAllConnections();
   }
 
+  /** Does the same to the connections of the gateway that reaches the target. */
+  killLastGateway(): void {
+    (this.#isRelayed ? this.#lastServer : this.#server).closeAllConnections();
+  }
+
   /** Sends a request and reads until its connection ends. */
   ask(request: CallerRequest): Promise<ReceivedResponse> {
     const { name, httpVersion = "1.1", deadlineMilliseconds } = request;
     if (deadlineMilliseconds !== undefined) {
       this.#deadlines.set(name, deadlineMilliseconds);
     }
-    const { port } = this.#server.address() as AddressInfo;
-    const socket = connect(port, "127.0.0.1");
+    const socket = connect(portOf(this.#server), "127.0.0.1");
     const chunks: Buffer[] = [];
     let bytes = 0;
     let wasReset = false;
@@ -130,6 +212,10 @@
   }
 }
 
+function portOf(server: Server): number {
+  return (server.address() as AddressInfo).port;
+}
+
 function readResponse(text: string, wasReset: boolean): ReceivedResponse {
   const at = text.indexOf(headEnd);
   if (at < 0) {
--- a/packages/fleet_gateway/response_path_test.ts
+++ b/packages/fleet_gateway/response_path_test.ts
@@ -118,11 +118,14 @@
   return body.startsWith(received.body) ? undefined : "other bytes";
 }
 
-describe("a response on its way from a target to a caller", () => {
+describe.each([
+  ["one gateway", false],
+  ["two gateways", true],
+])("a response on its way through %s", (_name, isRelayed) => {
   let path: ResponsePath;
 
   beforeEach(async () => {
-    path = new ResponsePath();
+    path = new ResponsePath({ isRelayed });
     await path.start();
   });
 
@@ -196,26 +199,29 @@
   // Guards against the same part, where the gateway is lost while it passes the
   // response on.
   for (const mark of Object.values(Mark)) {
-    it(`that has ${mark} does not look whole when its gateway is killed`, async () => {
+    it(`that has ${mark} does not look whole when a gateway is killed`, async () => {
       const size = 600_000;
       const body = createBody(size);
       const faults: string[] = [];
       for (const sentBytes of [100, 200_000, 400_000, 599_000]) {
         path.target.respond = (socket, text) => {
           const name = text.split(" ")[1]!.slice(1);
-          const isWhole = { mark, size, targetEnd: TargetEnd.stalled };
+          const each = { mark, size: sentBytes * 2 };
           void writeResponse(socket, name, {
-            ...isWhole,
-            size: sentBytes * 2,
+            ...each,
+            targetEnd: TargetEnd.stalled,
           });
         };
-        const asked = path.ask({ name: `killed${sentBytes}` });
-        await pause(100);
-        path.kill();
-        const { status, end, body: part } = await asked;
-        const looksWhole = status === 200 && part !== body &&
-          end !== ResponseEnd.incomplete;
-        if (looksWhole) faults.push(`${sentBytes} bytes: ${end}`);
+        for (const isFirst of [true, false]) {
+          const asked = path.ask({ name: `killed${sentBytes}${isFirst}` });
+          await pause(60);
+          if (isFirst) path.kill();
+          else path.killLastGateway();
+          const { status, end, body: part } = await asked;
+          const looksWhole = status === 200 && part !== body &&
+            end !== ResponseEnd.incomplete;
+          if (looksWhole) faults.push(`${sentBytes} bytes: ${end}`);
+        }
       }
       expect(faults).toEqual([]);
     });
@@ -244,7 +250,10 @@
     // against responses that are lost because there is none.
     it("uses no more than its memory, and is streamed beyond that", async () => {
       path.stop();
-      path = new ResponsePath({ responseMemoryBytes: 4 * mebibyte });
+      path = new ResponsePath({
+        isRelayed,
+        responseMemoryBytes: 4 * mebibyte,
+      });
       await path.start();
       sendParts(TargetEnd.stalled);
       const count = 6;
@@ -285,3 +294,38 @@
     });
   });
 });
+
+describe("a response without a length on its way between two gateways", () => {
+  // Guards against a part of a body that the gateway before takes for the whole,
+  // as the end of the connection to a gateway that was killed marks its end.
+  it("is not passed on if the second gateway is killed while it sends", async () => {
+    const path = new ResponsePath({ isRelayed: true });
+    await path.start();
+    const size = 7_900_000;
+    path.target.respond = (socket, text) => {
+      const name = text.split(" ")[1]!.slice(1);
+      const targetEnd = TargetEnd.whole;
+      void writeResponse(socket, name, {
+        mark: Mark.connection,
+        size,
+        targetEnd,
+      });
+    };
+    const whole = await path.ask({ name: "whole" });
+    expect([whole.end, whole.body.length]).toEqual([ResponseEnd.open, size]);
+    path.onLine = (event) => {
+      if (event === "response-forwarded") path.killLastGateway();
+    };
+    const received = [await path.ask({ name: "killed-at-its-end" })];
+    path.onLine = () => {};
+    const asked = path.ask({ name: "killed-in-the-middle" });
+    await pause(40);
+    path.killLastGateway();
+    received.push(await asked);
+    path.stop();
+    const looksWhole = received.filter(({ status, end, body }) =>
+      status === 200 && end !== ResponseEnd.incomplete && body.length < size
+    );
+    expect(looksWhole).toEqual([]);
+  });
+});
