--- /dev/null
+++ b/packages/fleet_gateway/stuttering_targets_test.ts
@@ -0,0 +1,121 @@
+import type { Socket } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { ResponseEnd, ResponsePath } from "./response_path_fixture.ts";
+import type { ReceivedResponse } from "./response_path_fixture.ts";
+
+const requestCount = 600;
+const callerCount = 12;
+const copyShare = 0.3;
+
+/** Returns numbers between 0 and 1 that depend on the seed alone. */
+function seededRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
+/** The body of the response to a request, which names it throughout. */
+function bodyOf(name: string, size: number): string {
+  return `${name};`.repeat(Math.ceil(size / (name.length + 1))).slice(0, size);
+}
+
+function headOf(name: string, framing: string): string {
+  return `HTTP/1.1 200 OK\r\nrequest: ${name}\r\n${framing}\r\n`;
+}
+
+describe("a target that sends a copy of a response late", () => {
+  let path: ResponsePath;
+  let connectionCount: number;
+
+  beforeEach(async () => {
+    path = new ResponsePath();
+    await path.start();
+    connectionCount = 0;
+  });
+
+  afterEach(() => path.stop());
+
+  /** Answers in two parts, and writes copies whatever else it is sending. */
+  function stutter(
+    random: () => number,
+    isChunked: (name: string) => boolean,
+  ): void {
+    const known = new Set<Socket>();
+    path.target.respond = (socket, text) => {
+      if (!known.has(socket)) connectionCount += 1;
+      known.add(socket);
+      const name = text.split(" ")[1]!.slice(1);
+      const body = bodyOf(name, 1 + Math.floor(random() * 30_000));
+      bodies.set(name, body);
+      const size = body.length;
+      const middle = Math.floor(random() * size);
+      const parts = isChunked(name)
+        ? [
+          headOf(name, "transfer-encoding: chunked\r\n"),
+          `${size.toString(16)}\r\n${body.slice(0, middle)}`,
+          `${body.slice(middle)}\r\n0\r\n\r\n`,
+        ]
+        : [
+          headOf(name, `content-length: ${size}\r\n`) + body.slice(0, middle),
+          body.slice(middle),
+        ];
+      void send(socket, parts, random);
+    };
+  }
+
+  const bodies = new Map<string, string>();
+
+  async function send(
+    socket: Socket,
+    parts: readonly string[],
+    random: () => number,
+  ): Promise<void> {
+    for (const [at, part] of parts.entries()) {
+      if (at > 0) await pause(random() * 4);
+      socket.write(part);
+    }
+    if (random() >= copyShare) return;
+    await pause(random() * 8);
+    socket.write(parts.join(""));
+  }
+
+  function isForeign(name: string, received: ReceivedResponse): boolean {
+    return received.status === 200 && received.end !== ResponseEnd.incomplete &&
+      received.body !== bodies.get(name);
+  }
+
+  async function askMany(): Promise<{
+    readonly foreign: readonly string[];
+    readonly served: number;
+  }> {
+    const foreign: string[] = [];
+    let served = 0;
+    let next = 0;
+    const call = async () => {
+      while (next < requestCount) {
+        const name = `r${next++}`;
+        const received = await path.ask({ name });
+        if (isForeign(name, received)) foreign.push(name);
+        else if (received.status === 200) served += 1;
+      }
+    };
+    await Promise.all(Array.from({ length: callerCount }, call));
+    return { foreign, served };
+  }
+
+  // Guards against bytes of another request, written by another task of the target
+  // into the body of the next response on the connection.
+  it.each([1, 2, 3])(
+    "does not mix it with the next response (seed %i)",
+    async (seed) => {
+      const random = seededRandom(seed);
+      stutter(random, () => random() < 0.3);
+      const { foreign, served } = await askMany();
+      expect(foreign).toEqual([]);
+      expect(served).toBeGreaterThan(requestCount * 0.95);
+    },
+  );
+});
