Do not take copies of earlier responses for a part of a body

Cause: on a reused connection the stated length alone marked the end of a body, whatever followed it; and a target that had shown that it repeats responses was reused as any other.

On a used connection a response with a length is complete once all that has arrived was read and nothing but the start of a response follows. A target that sent bytes which belong to no request gets a connection for each request for ten minutes; the log says so (target-sends-surplus).

--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from "undici";
 import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
 import { BodyFraming, framingOf } from "./response_framing.ts";
+import { Surplus } from "./surplus_detector.ts";
 import type { TargetConnection } from "./target_connections.ts";
 
 /** Responses up to this size are buffered until they are complete. */
@@ -100,6 +101,9 @@
   #head: ResponseHead | undefined;
   #chunks: Buffer[] = [];
   #bytes = 0;
+  #lastPart: Buffer | undefined;
+  /** Last part of a streamed body, until it is known to be its own. */
+  #withheld: Buffer | undefined;
   #isStreaming = false;
   #interimResponses = 0;
   #isSent = false;
@@ -162,6 +166,7 @@
     if (status < 200) return this.#countInterimResponse();
     const head = this.#wire.readResponse(status, headers);
     if (head.requestId !== this.#request.requestId) {
+      this.#connection.recordSurplus();
       return this.#abort(
         "the response belongs to another request",
         LossCause.invalid,
@@ -197,9 +202,10 @@
   ): void {
     if (this.#hasEnded) return;
     this.#connection.allowance.renew();
+    this.#bytes += chunk.length;
+    this.#lastPart = chunk;
     if (this.#isStreaming) return this.#streamChunk(controller, chunk);
     this.#chunks.push(chunk);
-    this.#bytes += chunk.length;
     if (this.#mayBuffer(chunk.length)) return;
     this.#isStreaming = true;
     this.#stream.begin(this.#head!, this.#chunks);
@@ -208,19 +214,37 @@
 
   onResponseEnd(): void {
     if (this.#hasEnded) return;
-    const head = this.#head;
-    if (!head) {
+    const { surplus, wasUsed, wasReset } = this.#connection;
+    if (!this.#head) {
       return this.#abort("the response has no head", LossCause.invalid);
     }
     // A response without a length is complete when its connection ends, unless
     // the connection was reset.
-    if (this.#connection.wasReset) {
+    if (wasReset) {
       return this.#abort("the connection was reset", LossCause.closed);
     }
+    const hasLength = this.#head.framing === BodyFraming.length;
+    surplus.end(hasLength ? this.#lastPart : undefined);
+    // A copy of an earlier response may be a part of the body. The bytes that it
+    // displaced follow at once, if they are not yet read.
+    if (hasLength && wasUsed) setImmediate(() => this.#complete());
+    else this.#complete();
+  }
+
+  #complete(): void {
+    if (this.#hasEnded) return;
+    const { surplus, wasUsed } = this.#connection;
+    if (wasUsed && surplus.found === Surplus.body) {
+      return this.#abort(
+        "the target sent more bytes than the response has",
+        LossCause.invalid,
+      );
+    }
+    if (this.#withheld) this.#stream.write(this.#withheld);
     if (this.#isStreaming) this.#stream.end();
     this.#settle({
       kind: "answered",
-      head,
+      head: this.#head!,
       body: this.#isStreaming ? null : Buffer.concat(this.#chunks),
     });
   }
@@ -255,6 +279,12 @@
     );
   }
 
+  get #isLastPart(): boolean {
+    const { framing, headers } = this.#head!;
+    return this.#connection.wasUsed && framing === BodyFraming.length &&
+      this.#bytes === Number(headers["content-length"]);
+  }
+
   #mayBuffer(addedBytes: number): boolean {
     if (this.#bytes <= maximumBufferedBytes) return true;
     const mayHold = this.#bytes <= maximumHeldBytes &&
@@ -270,6 +300,11 @@
   }
 
   #streamChunk(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    // The end of the body is sent once it is known to be its own.
+    if (this.#isLastPart) {
+      this.#withheld = chunk;
+      return;
+    }
     if (this.#stream.write(chunk) || this.#isFullyRead) return;
     controller.pause();
     const resume = () => controller.resume();
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -105,6 +105,7 @@
         connected: () => this.#reach.recordConnected(),
         connectTrouble: (address) => this.#reach.recordConnectTrouble(address),
         lost: () => this.#reach.recordLoss(),
+        surplus: (address) => this.#logSurplus(address),
       },
     });
     this.#reach = new TargetReach({
@@ -247,6 +248,15 @@
     return vm;
   }
 
+  #logSurplus(address: string): void {
+    const { targets } = this.#synchronizer.table;
+    const target = [...targets].find((each) => each.address === address);
+    this.#options.logger.warn("target-sends-surplus", {
+      address,
+      target: target?.name ?? null,
+    });
+  }
+
   /** Replaces the control addresses that are queried for the leader. */
   setSeeds(seeds: readonly string[]): void {
     const { peerAddress } = this.#options;
--- a/packages/fleet_gateway/load_prober.ts
+++ b/packages/fleet_gateway/load_prober.ts
@@ -68,7 +68,10 @@
       const { load, requestId } = head;
       // If the connection were reused, the probe's own response would be
       // mistaken for the response to the next request.
-      if (requestId !== "") throw new LateResponseError(requestId);
+      if (requestId !== "") {
+        connection.recordSurplus();
+        throw new LateResponseError(requestId);
+      }
       notices.record(target, head, "");
       limits.record({
         target: target.name,
--- a/packages/fleet_gateway/read_allowance.ts
+++ b/packages/fleet_gateway/read_allowance.ts
@@ -27,8 +27,10 @@
   /**
    * Applies the allowance to a socket that is read by calls of `read`; a socket
    * that exceeds it is destroyed with an {@link EndlessResponseError}.
+   *
+   * @param onRead Called with what was read.
    */
-  limit(socket: Socket): void {
+  limit(socket: Socket, onRead: (bytes: Buffer) => void = () => {}): void {
     const read = socket.read.bind(socket);
     socket.read = (size?: number) => {
       // What was received before the socket was destroyed is of no use.
@@ -46,6 +48,7 @@
         socket.readableLength > this.#left;
       const chunk = isTooLong ? read(this.#left) : read(size);
       this.#left -= chunk?.length ?? 0;
+      if (chunk) onRead(chunk);
       return chunk;
     };
     // The parser puts back what it received and did not parse.
--- a/packages/fleet_gateway/stuttering_targets_test.ts
+++ b/packages/fleet_gateway/stuttering_targets_test.ts
@@ -118,4 +118,93 @@
       expect(served).toBeGreaterThan(requestCount * 0.95);
     },
   );
+
+  // Guards against requests behind a copy that end as unknown again and again,
+  // although a connection of their own would spare them that.
+  it("costs no more than the requests in progress at its first copy", async () => {
+    stutter(seededRandom(4), () => false);
+    const { served } = await askMany();
+    expect(served).toBeGreaterThanOrEqual(requestCount - callerCount);
+    expect(connectionCount).toBeGreaterThan(requestCount / 2);
+  });
+
+  // Guards against a new connection for each request to a sound target, also one
+  // that ends its responses with an empty line.
+  it.each(["", "\r\n"])(
+    "differs from a sound one, whose connections are reused (%j)",
+    async (lineEnd) => {
+      const connections = new Set<Socket>();
+      path.target.respond = (socket, text) => {
+        connections.add(socket);
+        const name = text.split(" ")[1]!.slice(1);
+        const body = bodyOf(name, 3000);
+        bodies.set(name, body);
+        socket.write(headOf(name, "content-length: 3000\r\n") + body + lineEnd);
+      };
+      const { foreign, served } = await askMany();
+      expect([foreign, served]).toEqual([[], requestCount]);
+      expect(connections.size).toBeLessThanOrEqual(2 * callerCount);
+    },
+  );
+
+  // Guards against whole responses that are lost because a copy follows them.
+  it("serves the response that the copy follows", async () => {
+    path.target.respond = (socket, text) => {
+      const name = text.split(" ")[1]!.slice(1);
+      const own = headOf(name, "content-length: 4\r\n") + "body";
+      bodies.set(name, "body");
+      socket.write(own + own);
+    };
+    const { foreign, served } = await askMany();
+    expect([foreign, served]).toEqual([[], requestCount]);
+  });
+
+  // Guards against a copy whose surplus is in the read after the one that ends the
+  // body.
+  it("is found if the bytes that it displaced are read later", async () => {
+    const readBytes = 64 * 1024;
+    let copy = "";
+    const respond = (socket: Socket, text: string) => {
+      const name = text.split(" ")[1]!.slice(1);
+      if (name === "first") {
+        copy = headOf(name, "content-length: 5\r\n") + "first";
+        return void socket.write(copy);
+      }
+      const lengthLine = "content-length: 196000\r\n";
+      const headBytes = headOf(name, lengthLine).length;
+      const size = 3 * readBytes - headBytes;
+      const head = headOf(name, lengthLine.replace("196000", String(size)));
+      const body = bodyOf(name, size);
+      socket.write(head + body.slice(0, 1000) + copy + body.slice(1000));
+    };
+    for (let count = 0; count < 20; count += 1) {
+      path.target.respond = respond;
+      await path.ask({ name: "first" });
+      const { status, body } = await path.ask({ name: "second" });
+      expect([status, body.includes("HTTP/1.1")]).toEqual([502, false]);
+      path.stop();
+      path = new ResponsePath();
+      await path.start();
+    }
+  });
+
+  // Guards against a large body that has begun on its way and is ended as whole
+  // with a copy in its middle.
+  it("does not complete a streamed response with it", async () => {
+    let copy = "";
+    path.target.respond = (socket, text) => {
+      const name = text.split(" ")[1]!.slice(1);
+      const size = name === "first" ? 1000 : 900_000;
+      const body = bodyOf(name, size);
+      const head = headOf(name, `content-length: ${size}\r\n`);
+      if (name === "first") {
+        copy = head + body;
+        return void socket.write(copy);
+      }
+      socket.write(head + body.slice(0, 500_000) + copy + body.slice(500_000));
+    };
+    expect((await path.ask({ name: "first" })).body.length).toBe(1000);
+    const { status, end } = await path.ask({ name: "second" });
+    expect([status, end]).toEqual([200, ResponseEnd.incomplete]);
+  });
 });
--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import { splitAddress } from "@kingcupglade/transport";
 import { ReadAllowance } from "./read_allowance.ts";
+import { SurplusDetector } from "./surplus_detector.ts";
 
 /** Default time limit for opening a connection. */
 const defaultConnectTimeoutMilliseconds = 700;
@@ -23,6 +24,12 @@
 /** Time for which lost connections are remembered. */
 const lossRetentionMilliseconds = 1000;
 
+/**
+ * Time after surplus bytes for which the connections of a target are not reused:
+ * one that repeats responses is likely to do so until it is replaced.
+ */
+const surplusRetentionMilliseconds = 600_000;
+
 /** A connection that is not open after this long is reported as trouble. */
 const slowConnectMilliseconds = 250;
 
@@ -36,6 +43,11 @@
   connectTrouble(address: string): void;
   /** A target has ended a connection. */
   lost(address: string): void;
+  /**
+   * A target has sent bytes that belong to no request. Its connections are not
+   * reused from now on.
+   */
+  surplus(address: string): void;
 }
 
 /** Options of {@link TargetConnections}. */
@@ -54,6 +66,12 @@
   readonly client: Client;
   /** Bounds the bytes that bring no progress in a response. */
   readonly allowance: ReadAllowance;
+  readonly surplus: SurplusDetector;
+  /**
+   * Records that the target sent bytes which belong to no request in progress,
+   * such as a second copy of a response.
+   */
+  readonly recordSurplus: () => void;
   /** Whether the connection is established. */
   isOpen: boolean;
   /** Whether a response was received on this connection before. */
@@ -88,15 +106,20 @@
   readonly #address: string;
   readonly #connector: Connector;
   readonly #observer: ConnectionObserver;
+  readonly #now: () => number;
   readonly #idle: TargetConnection[] = [];
   readonly #connections = new Set<TargetConnection>();
+  /** Until then, a connection carries one request. */
+  #surplusUntil = -Infinity;
 
   constructor(options: {
     readonly address: string;
+    readonly now: () => number;
     readonly connector: Connector;
     readonly observer: ConnectionObserver;
   }) {
     this.#address = options.address;
+    this.#now = options.now;
     this.#connector = options.connector;
     this.#observer = options.observer;
   }
@@ -115,6 +138,7 @@
       ? this.#open()
       : this.#reuse(now, { mustBeFresh, requestId }) ?? this.#open();
     connection.requestId = requestId ?? connection.requestId;
+    connection.surplus.begin();
     return connection;
   }
 
@@ -137,12 +161,23 @@
     }
   }
 
+  /** Keeps a connection, or closes one that may still carry surplus bytes. */
   release(connection: TargetConnection, now: number): void {
+    connection.surplus.end();
+    if (now < this.#surplusUntil) return void connection.client.destroy();
     connection.wasUsed = true;
     connection.idleSince = now;
     this.#idle.push(connection);
   }
 
+  // A copy of a response may be written into any later one on its connection.
+  #recordSurplus(): void {
+    const now = this.#now();
+    if (now >= this.#surplusUntil) this.#observer.surplus(this.#address);
+    this.#surplusUntil = now + surplusRetentionMilliseconds;
+    this.close();
+  }
+
   remove(connection: TargetConnection): void {
     const index = this.#idle.indexOf(connection);
     if (index >= 0) this.#idle.splice(index, 1);
@@ -159,7 +194,12 @@
       connect: (options, callback) =>
         this.#connect(options, (...result: Parameters<typeof callback>) => {
           const [, socket] = result;
-          if (socket) connection.allowance.limit(socket);
+          if (socket) {
+            connection.allowance.limit(
+              socket,
+              (bytes) => connection.surplus.recordRead(bytes),
+            );
+          }
           socket?.once("error", () => (connection.wasReset = true));
           socket?.once("end", () => connection.beforeEnd?.());
           callback(...result);
@@ -174,6 +214,8 @@
     const connection: TargetConnection = {
       client,
       allowance: new ReadAllowance(),
+      surplus: new SurplusDetector(() => this.#recordSurplus()),
+      recordSurplus: () => this.#recordSurplus(),
       isOpen: false,
       beforeEnd: undefined,
       wasUsed: false,
@@ -331,6 +373,7 @@
     if (existing) return existing;
     const pool = new AddressPool({
       address,
+      now: () => this.#clock.now(),
       connector: this.#connector,
       observer: this.#observer,
     });
@@ -343,4 +386,5 @@
   connected: () => {},
   connectTrouble: () => {},
   lost: () => {},
+  surplus: () => {},
 };
