Remember every request that a connection has carried

A request that may run only once ran twice: its target refused it as not run, others used the connection, the caller sent it again with its ID, and a late copy of the refusal was taken for the response to the run (TWICE, REFUSED).

Cause: a connection remembered the ID of its last request only, for less time than the copy can arrive. It now keeps the IDs of all that it carried, 1,000 at most, and is closed after that.

Evidence: the new row of target_responses_test.ts (other requests between both attempts) failed with two runs and passes.

--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -21,6 +21,9 @@
 /** The allowance of a connection ends a longer head before this limit does. */
 const unreachedHeaderBytes = 64 * 1024;
 
+/** Bounds the IDs that are kept for each connection. */
+const maximumRequestsPerConnection = 1000;
+
 /** Time for which lost connections are remembered. */
 const lossRetentionMilliseconds = 1000;
 
@@ -83,8 +86,8 @@
   beforeEnd: (() => void) | undefined;
   /** Whether the target sent a reset, which undici reports as a normal end. */
   wasReset: boolean;
-  /** ID of the request that it carried last; empty for one without an ID. */
-  requestId: string | undefined;
+  /** IDs of the requests that it carried; empty for one without an ID. */
+  readonly requestIds: Set<string>;
   idleSince: number;
 }
 
@@ -137,7 +140,7 @@
     const connection = mustBeNew || requestId === ""
       ? this.#open()
       : this.#reuse(now, { mustBeFresh, requestId }) ?? this.#open();
-    connection.requestId = requestId ?? connection.requestId;
+    if (requestId !== undefined) connection.requestIds.add(requestId);
     connection.surplus.begin();
     return connection;
   }
@@ -154,7 +157,7 @@
       const isStale = mustBeFresh &&
         now - idle.idleSince > maximumFreshIdleMilliseconds;
       const isAmbiguous = requestId !== undefined &&
-        idle.requestId === requestId;
+        idle.requestIds.has(requestId);
       if (!isStale && !isAmbiguous) return idle;
       this.#idle.push(idle);
       return undefined;
@@ -220,7 +223,7 @@
       beforeEnd: undefined,
       wasUsed: false,
       wasReset: false,
-      requestId: undefined,
+      requestIds: new Set(),
       idleSince: -Infinity,
     };
     this.#connections.add(connection);
@@ -328,7 +331,10 @@
   release(address: string, connection: TargetConnection): void {
     if (connection.client.destroyed || connection.client.closed) return;
     // A second copy of a response without an ID would be taken for the next.
-    if (connection.requestId === "") return this.end(connection);
+    const { requestIds } = connection;
+    if (requestIds.has("") || requestIds.size >= maximumRequestsPerConnection) {
+      return this.end(connection);
+    }
     this.#poolOf(address).release(connection, this.#clock.now());
   }
 
--- a/packages/fleet_gateway/target_responses_test.ts
+++ b/packages/fleet_gateway/target_responses_test.ts
@@ -40,26 +40,36 @@
 
   // Guards against a copy of a refusal that is taken for the response to a
   // request with the same ID, which a caller sent once more.
-  it("is not taken for the response to a later request with its ID", async () => {
-    let runs = 0;
-    const refusal = responseText(503, "request: r1\r\nnot-run: 1\r\n", "");
-    let isRefusing = true;
-    const refusedOn = new Set<Socket>();
-    target.respond = (socket) => {
-      if (isRefusing) {
-        refusedOn.add(socket);
-        socket.write(refusal);
-        return;
-      }
-      runs += 1;
-      const own = responseText(200, "request: r1\r\n", "done");
-      socket.write(refusedOn.has(socket) ? refusal + own : own);
-    };
-    expect((await gateway.forward({ requestId: "r1" })).status).toBe(503);
-    isRefusing = false;
-    const second = await gateway.forward({ requestId: "r1" });
-    expect(runs).toBe(second.status === 503 ? 0 : 1);
-  });
+  it.each([
+    ["at once", []],
+    ["after others", ["r2", "r3"]],
+  ])(
+    "is not taken for the response to a later request with its ID, sent %s",
+    async (_when, between) => {
+      let runs = 0;
+      const refusal = responseText(503, "request: r1\r\nnot-run: 1\r\n", "");
+      let isRefusing = true;
+      const refusedOn = new Set<Socket>();
+      target.respond = (socket, request) => {
+        const id = (request.split(" ")[1] ?? "").slice(1);
+        const own = responseText(200, `request: ${id}\r\n`, "done");
+        if (id !== "r1") return void socket.write(own);
+        if (isRefusing) {
+          refusedOn.add(socket);
+          return void socket.write(refusal);
+        }
+        runs += 1;
+        socket.write(refusedOn.has(socket) ? refusal + own : own);
+      };
+      const forward = (requestId: string) =>
+        gateway.forward({ requestId, path: `/${requestId}` });
+      expect((await forward("r1")).status).toBe(503);
+      for (const id of between) expect((await forward(id)).status).toBe(200);
+      isRefusing = false;
+      const second = await forward("r1");
+      expect(runs).toBe(second.status === 503 ? 0 : 1);
+    },
+  );
 
   // Guards against the promise "not run" for a request that may have run, as its
   // target answered 503 without stating it.
