--- a/packages/fleet_gateway/response_path_test.ts
+++ b/packages/fleet_gateway/response_path_test.ts
@@ -196,6 +196,69 @@
     }));
   });
 
+  describe("in an odd form", () => {
+    const head = "HTTP/1.1 200 OK\r\nrequest: odd\r\n";
+    const chunked = "transfer-encoding: chunked\r\n\r\n";
+    const whole: readonly (readonly [string, string])[] = [
+      [
+        "interim responses",
+        `HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n${head}content-length: 5\r\n\r\nwhole`,
+      ],
+      ["a chunk's extension", `${head}${chunked}5;a=b\r\nwhole\r\n0\r\n\r\n`],
+      ["trailers", `${head}${chunked}5\r\nwhole\r\n0\r\na: b\r\n\r\n`],
+      [
+        "chunks in HTTP/1.0",
+        `HTTP/1.0 200 OK\r\nrequest: odd\r\n${chunked}5\r\nwhole\r\n0\r\n\r\n`,
+      ],
+      [
+        "capitals in its coding",
+        `${head}Transfer-Encoding: Chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`,
+      ],
+    ];
+    const unreadable: readonly (readonly [string, string])[] = [
+      [
+        "a length and chunks",
+        `${head}content-length: 3\r\n${chunked}5\r\nwhole\r\n0\r\n\r\n`,
+      ],
+      [
+        "two lengths",
+        `${head}content-length: 5\r\ncontent-length: 3\r\n\r\nwhole`,
+      ],
+      ["a list of lengths", `${head}content-length: 5, 3\r\n\r\nwhole`],
+      ["no number as length", `${head}content-length: five\r\n\r\nwhole`],
+      ["a sign in its length", `${head}content-length: +5\r\n\r\nwhole`],
+      [
+        "another coding",
+        `${head}transfer-encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`,
+      ],
+      ["a coding alone", `${head}transfer-encoding: gzip\r\n\r\nwhole`],
+      [
+        "chunks before another coding",
+        `${head}transfer-encoding: chunked, identity\r\n\r\nwhole`,
+      ],
+      [
+        "no number as chunk size",
+        `${head}${chunked}five\r\nwhole\r\n0\r\n\r\n`,
+      ],
+      ["a sign in a chunk size", `${head}${chunked}-5\r\nwhole\r\n0\r\n\r\n`],
+    ];
+
+    async function askFor(text: string): Promise<ReceivedResponse> {
+      path.target.respond = (socket) => socket.end(text);
+      return await path.ask({ name: "odd" });
+    }
+
+    it.each(whole)("with %s is whole", async (_form, text) => {
+      const { status, body, end } = await askFor(text);
+      expect([status, body, end]).toEqual([200, "whole", ResponseEnd.complete]);
+    });
+
+    // Guards against a body whose end two hops see at different places.
+    it.each(unreadable)("with %s is no response", async (_form, text) => {
+      expect((await askFor(text)).status).toBe(502);
+    });
+  });
+
   // Guards against the same part, where the gateway is lost while it passes the
   // response on.
   for (const mark of Object.values(Mark)) {
