See hedges after a response has begun in the exploration

Two mechanisms could be taken out unseen: no hedge once a response has begun, and the end of the exchanges that lost. The exploration now checks after each event that nothing is sent after the beginning and that one exchange is left, and lets a response with another ID go on to its end.

--- a/packages/fleet_gateway/exchange_exploration_test.ts
+++ b/packages/fleet_gateway/exchange_exploration_test.ts
@@ -83,6 +83,7 @@
   didNotRun = false;
   isDestroyed = false;
   releaseCount = 0;
+  isOfOtherRequest = false;
   headers: Record<string, string> | undefined;
   readonly connection;
   #handler: Dispatcher.DispatchHandler | undefined;
@@ -139,7 +140,7 @@
         this.#begin(500, { "content-length": "1" });
         return this.#finish();
       case Event.otherId:
-        this.isOver = true;
+        this.isOfOtherRequest = true;
         return this.#begin(200, { request: "other" });
       case Event.part:
         return this.#send(1);
@@ -268,7 +269,7 @@
     if (!isWhole) this.#fault("a part that looks whole");
     const isForeign = source?.connection.wasUsed && source.hasSurplus &&
       !this.checked.has(source);
-    if (isForeign) this.#fault("foreign bytes");
+    if (isForeign || source?.isOfOtherRequest) this.#fault("foreign bytes");
   }
 
   /** Exchanges that were complete before surplus bytes arrived. */
@@ -338,7 +339,21 @@
     return [...ofSides, ...globalEvents.map((event): Step => [event, 0])];
   }
 
-  async play([event, exchange]: Step): Promise<void> {
+  async play(step: Step): Promise<void> {
+    const sideCount = this.sides.length;
+    const { hasStarted } = this.caller;
+    await this.#play(step);
+    const { faults } = this.caller;
+    if (hasStarted && this.sides.length > sideCount) {
+      faults.push("sent after the response has begun");
+    }
+    const isWaste = this.caller.hasStarted &&
+      this.sides.filter(({ isOver, isDestroyed }) => !isOver && !isDestroyed)
+          .length > 1;
+    if (isWaste) faults.push("two exchanges after the response has begun");
+  }
+
+  async #play([event, exchange]: Step): Promise<void> {
     switch (event) {
       case Event.check:
         this.#advance(0);
