Trust only chunks as a transfer coding in the mode with one role

A response with Transfer-Encoding: identity ends with its connection, so a part of it was passed on as the whole; one with gzip, chunked was passed on without its coding.

Only chunks do now; others are given up as badAnswer.

Evidence: the two new rows of exchange_test.ts failed and pass.

--- a/packages/kingcupglade/gateway/exchange_handler.ts
+++ b/packages/kingcupglade/gateway/exchange_handler.ts
@@ -119,10 +119,12 @@
   // Without framing, a truncated response looks complete. A response that
   // echoes another ID belongs to another exchange.
   #isTrustworthy(status: number, headers: IncomingHttpHeaders): boolean {
+    const coding = headers["transfer-encoding"]?.trim().toLowerCase();
+    // A body in any other coding ends with its connection.
     const isFramed = this.#request.method === "HEAD" ||
       bodilessStatuses.has(status) ||
-      headers["content-length"] !== undefined ||
-      headers["transfer-encoding"] !== undefined;
+      (coding === undefined && headers["content-length"] !== undefined) ||
+      coding === "chunked";
     const echo = headers[Header.exchange];
     this.#recordEcho(echo === this.#id);
     return isFramed &&
--- a/packages/kingcupglade/gateway/exchange_test.ts
+++ b/packages/kingcupglade/gateway/exchange_test.ts
@@ -136,6 +136,17 @@
   describe("with an invalid response", () => {
     it.each([
       ["without framing", "HTTP/1.1 200 OK\r\n\r\nall?", "badAnswer"],
+      // Guards against a body that its connection ends and that looks framed.
+      [
+        "with a coding that frames nothing",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nall?",
+        "badAnswer",
+      ],
+      [
+        "with a coding that is not passed on",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n4\r\nall?\r\n0\r\n\r\n",
+        "badAnswer",
+      ],
       [
         "to another exchange",
         "HTTP/1.1 200 OK\r\nkingcupglade-exchange: other\r\ncontent-length: 2\r\n\r\nhi",
