Check the end of a body that has just outgrown the buffer

A response with a length that outgrew the 256 KiB buffer with its last part was passed on before the surplus bytes behind it were looked for, so foreign bytes reached the caller as a complete response. Found by reading the fix again.

Once the last part is in, nothing is gained by streaming: such a response stays buffered until it is checked.

--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -206,7 +206,7 @@
     this.#lastPart = chunk;
     if (this.#isStreaming) return this.#streamChunk(controller, chunk);
     this.#chunks.push(chunk);
-    if (this.#mayBuffer(chunk.length)) return;
+    if (this.#isLastPart || this.#mayBuffer(chunk.length)) return;
     this.#isStreaming = true;
     this.#stream.begin(this.#head!, this.#chunks);
     this.#chunks = [];
