--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -64,6 +64,15 @@
   return `HTTP/1.1 ${status} Some\r\n${lines}content-length: ${body.length}\r\n\r\n${body}`;
 }
 
+/** Returns numbers between 0 and 1 that depend on the seed alone. */
+export function seededRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
 /** A request that is forwarded. */
 export interface ForwardedRequest {
   readonly requestId: string;
--- a/packages/fleet_gateway/run_once_test.ts
+++ b/packages/fleet_gateway/run_once_test.ts
@@ -5,6 +5,7 @@
   ForwardingFixture,
   RawServer,
   responseText,
+  seededRandom,
 } from "./forwarding_fixture.ts";
 import type { Received } from "./forwarding_fixture.ts";
 
@@ -12,15 +13,6 @@
 const concurrentCount = 6;
 const deadlineMilliseconds = 400;
 
-/** Returns numbers between 0 and 1 that depend on the seed alone. */
-function seededRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 describe("requests that may run only once, at faulty targets", () => {
   const targets: RawServer[] = [];
   /** Runs of each request, by its ID. */
--- a/packages/fleet_gateway/stuttering_targets_test.ts
+++ b/packages/fleet_gateway/stuttering_targets_test.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { seededRandom } from "./forwarding_fixture.ts";
 import { ResponseEnd, ResponsePath } from "./response_path_fixture.ts";
 import type { ReceivedResponse } from "./response_path_fixture.ts";
 
@@ -8,15 +9,6 @@
 const callerCount = 12;
 const copyShare = 0.3;
 
-/** Returns numbers between 0 and 1 that depend on the seed alone. */
-function seededRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 /** The body of the response to a request, which names it throughout. */
 function bodyOf(name: string, size: number): string {
   return `${name};`.repeat(Math.ceil(size / (name.length + 1))).slice(0, size);
