Play responses through a second gateway of an earlier release

Old and new gateways run side by side during an upgrade, and the framing of a relayed response is named only if the first gateway asks for it with te.

--- a/packages/fleet_gateway/response_path_fixture.ts
+++ b/packages/fleet_gateway/response_path_fixture.ts
@@ -53,6 +53,11 @@
   readonly responseMemoryBytes?: number;
   /** Whether the gateway reaches the target through a second one. @default false */
   readonly isRelayed?: boolean;
+  /**
+   * Whether the second gateway is of a release that does not name the framing of
+   * its target. @default false
+   */
+  readonly isSecondEarlier?: boolean;
 }
 
 /**
@@ -70,6 +75,7 @@
   /** Called with the event of each of these lines. */
   onLine: (event: string) => void = () => {};
   readonly #isRelayed: boolean;
+  readonly #isSecondEarlier: boolean;
   readonly #deadlines = new Map<string, number>();
   readonly #logger = {
     debug() {},
@@ -87,11 +93,13 @@
   );
   readonly #lastServer = createServer((request, response) => {
     const { id } = decodeRelayRequest(request.headers[relayHeader], secret);
+    if (this.#isSecondEarlier) delete request.headers.te;
     this.#forward(request, new CallerResponse(response, id));
   });
 
   constructor(options: ResponsePathOptions = {}) {
     this.#isRelayed = options.isRelayed ?? false;
+    this.#isSecondEarlier = options.isSecondEarlier ?? false;
     this.gateway = new ForwardingFixture([this.target], options);
     this.lastGateway = this.#isRelayed
       ? new ForwardingFixture([this.target], options)
--- a/packages/fleet_gateway/response_path_test.ts
+++ b/packages/fleet_gateway/response_path_test.ts
@@ -119,13 +119,17 @@
 }
 
 describe.each([
-  ["one gateway", false],
-  ["two gateways", true],
-])("a response on its way through %s", (_name, isRelayed) => {
+  ["one gateway", {}],
+  ["two gateways", { isRelayed: true }],
+  [
+    "two gateways, the second of an earlier release",
+    { isRelayed: true, isSecondEarlier: true },
+  ],
+])("a response on its way through %s", (_name, options) => {
   let path: ResponsePath;
 
   beforeEach(async () => {
-    path = new ResponsePath({ isRelayed });
+    path = new ResponsePath(options);
     await path.start();
   });
 
@@ -314,7 +318,7 @@
     it("uses no more than its memory, and is streamed beyond that", async () => {
       path.stop();
       path = new ResponsePath({
-        isRelayed,
+        ...options,
         responseMemoryBytes: 4 * mebibyte,
       });
       await path.start();
