--- a/packages/fleet_gateway/caller_response.ts
+++ b/packages/fleet_gateway/caller_response.ts
@@ -179,7 +179,10 @@
     for (const chunk of first) this.write(chunk);
   }
 
-  #framingOf({ framing: received }: ResponseHead, isWhole: boolean) {
+  #framingOf(
+    { framing: received }: ResponseHead,
+    isWhole: boolean,
+  ): BodyFraming {
     const { httpVersion } = this.#response.req;
     const framing = framingToSend({ received, httpVersion, isWhole });
     return framing === BodyFraming.connection && this.#canMarkFraming
