Keep the other faults of a soak's seed

The choice among faults of responses drew one more random number, so that the seeds listed in KNOWN-RED.txt would have had other faults of processes. It now follows from the number that is drawn already.

--- a/packages/soak/target_faults.ts
+++ b/packages/soak/target_faults.ts
@@ -42,9 +42,8 @@
       },
     };
   }
-  const [name, share] = responseFaults[
-    Math.floor(random() * responseFaults.length)
-  ]!;
+  // No further number is drawn, so that a seed keeps its other faults.
+  const [, name, share] = responseFaults.find(([below]) => choice < below)!;
   target[share] = faultyResponseShare;
   return {
     description: `${name} responses of ${target.name}`,
@@ -55,8 +54,9 @@
 }
 
 const faultyResponseShare = 0.3;
+/** Faults of responses, by the upper bound of the numbers that choose them. */
 const responseFaults = [
-  ["lose", "lostResponseShare"],
-  ["cut", "cutResponseShare"],
-  ["repeat", "repeatedResponseShare"],
+  [0.83, "lose", "lostResponseShare"],
+  [0.92, "cut", "cutResponseShare"],
+  [Infinity, "repeat", "repeatedResponseShare"],
 ] as const;
