--- a/packages/kingcupglade/fleet_path_test.ts
+++ b/packages/kingcupglade/fleet_path_test.ts
@@ -240,18 +240,20 @@
       const [host, port] = gatewayAddress.split(":");
       const headers = { host: "jigs.example", "x-request-id": `r${nextId++}` };
       const request = send({ host, port, path: "/lookup/1", headers }).end();
-      request.on("error", () => {});
+      let wasReset = false;
+      request.on("error", () => (wasReset = true));
       const [response] = await once(request, "response");
       expect(response.statusCode).toBe(200);
       const { socket } = response;
-      const end = new Promise<"reset" | "ended">((resolve) => {
-        response.once("error", () => resolve("reset"));
-        // Libuv may report a reset as an end, after which the address is unknown.
-        socket.once(
-          "end",
-          () => resolve(socket.remoteAddress === undefined ? "reset" : "ended"),
-        );
-      });
+      response.once("error", () => (wasReset = true));
+      // Libuv may report a reset as an end, after which the address is unknown.
+      socket.once(
+        "end",
+        () => (wasReset ||= socket.remoteAddress === undefined),
+      );
+      const end = new Promise<"reset" | "ended">((resolve) =>
+        socket.once("close", () => resolve(wasReset ? "reset" : "ended"))
+      );
       onBegin();
       response.resume();
       return await end;
