Log what tells apart why a confirmed route is refused

From the id of a request refused with 404 the logs could not tell a late change from a skipped one, one that was not matched, one that was overtaken and one that was never in force: request-without-route had the index alone, the VM that acknowledges a relayed change wrote nothing, and no line named items.

items-changed names the items and the versions that overtook them, call-relayed the change at the VM that was called, items-applied the items at each gateway, request-without-route the host, the form of the target, the routes of the host and the age of the contact. Refusals for a body (413) and by the parser of HTTP (400, 408, 431), which left no line, have request-refused and request-unreadable. The lines of changes are kept up to 200 a second. Paths stay out of the log but for their first segment of 40 characters. No decision changes.

--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -2,7 +2,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { configurationOf } from "@kingcupglade/consensus";
 import type { FleetOutcome } from "@kingcupglade/fleet";
-import { findNeverKnownServices } from "@kingcupglade/items";
+import { describeChange, findNeverKnownServices } from "@kingcupglade/items";
 import { Fleet } from "@kingcupglade/protocol";
 import { NotLeaderError } from "@kingcupglade/replica";
 import type { Clock, StallDetector } from "@kingcupglade/tasks";
@@ -154,7 +154,25 @@
     if (rejection) return Promise.resolve(wire.encode(rejection));
     return decoded.kind === "announce"
       ? this.#relays.enqueue(call)
-      : this.#relays.sendNow(call);
+      : this.#relayNow(call, decoded);
+  }
+
+  async #relayNow(
+    call: ReceivedCall,
+    decoded: ExternalCall,
+  ): Promise<ExternalResponse> {
+    const response = await this.#relays.sendNow(call);
+    const items = this.#leadership.replica?.state.items ?? new Map();
+    this.#options.logger.info("call-relayed", {
+      path: call.request.path,
+      leader: this.#leadership.leaderAddress,
+      status: response.status,
+      ageMilliseconds: Math.round(ageOf(call, this.#options.stalls.observe())),
+      names: decoded.kind === "changeItems"
+        ? describeChange(decoded.change, items)
+        : null,
+    });
+    return response;
   }
 
   async #send(
@@ -300,6 +318,7 @@
           logger.info("items-changed", {
             items: change.items.length,
             removals: change.removals.length,
+            names: describeChange(change, replica.state.items),
             outcome: outcome.kind,
             index: replica.appliedIndex,
           });
--- a/packages/fleet_gateway/gateway_listeners.ts
+++ b/packages/fleet_gateway/gateway_listeners.ts
@@ -2,7 +2,10 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
 import { HttpListener, Readiness } from "@kingcupglade/transport";
-import type { ListenerCloseResult } from "@kingcupglade/transport";
+import type {
+  ListenerCloseResult,
+  UnreadableRequest,
+} from "@kingcupglade/transport";
 import type { StopSchedule } from "./stop_schedule.ts";
 
 /** Headers of a relayed request: those of the caller and one of this fleet. */
@@ -68,18 +71,22 @@
     options: GatewayListenersOptions,
   ): Promise<GatewayListeners> {
     const readiness = new Readiness({ isReady: options.isReady });
+    const onUnreadable = (request: UnreadableRequest) =>
+      options.logger.info("request-unreadable", { ...request });
     const callers = await HttpListener.open({
       name: "callers",
       address: options.callersAddress,
       maximumConnections: options.maximumCallerConnections ??
         defaultCallerConnections,
       handler: options.handleCaller,
+      onUnreadable,
     });
     const relays = await HttpListener.open({
       name: "peers",
       address: options.peerAddress,
       maximumHeaderBytes: maximumRelayHeaderBytes,
       handler: options.handleRelayed,
+      onUnreadable,
     });
     const probes = await HttpListener.open({
       name: "readiness",
--- a/packages/fleet_gateway/gateway_table.ts
+++ b/packages/fleet_gateway/gateway_table.ts
@@ -43,6 +43,11 @@
     return this.#items.size > 0;
   }
 
+  /** Number of items, including removed ones. */
+  get itemCount(): number {
+    return this.#items.size;
+  }
+
   /** Peer addresses of the control VMs. */
   get control(): readonly string[] {
     return this.#control;
@@ -74,6 +79,11 @@
     return this.#routeIndex.match(host, path);
   }
 
+  /** Returns the number of routes of a host. */
+  countRoutes(host: string): number {
+    return this.#routeIndex.countRoutes(host);
+  }
+
   /** Version of the route with a name; 0 if there is none. */
   routeVersion(name: string): number {
     return this.#items.get(itemId({ kind: ItemKind.route, name }))?.version ??
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -310,6 +310,8 @@
       pools: this.#slotPools,
       slots: this.#slotClient,
       table,
+      contactAge: () =>
+        this.#synchronizer.millisecondsSinceContact(this.#options.clock.now()),
       gatewayCount: () => table().gatewayCount,
     };
   }
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -23,6 +23,8 @@
 import type { RequestDigest } from "./request_digest.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { RequestGuard } from "./request_guard.ts";
+import { describeTarget, readRequestTarget } from "./request_target.ts";
+import type { RequestTarget } from "./request_target.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
 
@@ -41,7 +43,13 @@
 
 /** Options of a {@link RequestHandler}. */
 export interface RequestHandlerOptions {
-  readonly context: RelayForwarderOptions["context"];
+  readonly context: RelayForwarderOptions["context"] & {
+    /**
+     * Returns the milliseconds since the last contact with the control leader;
+     * infinite before the first.
+     */
+    readonly contactAge: () => number;
+  };
   readonly stopSchedule: StopSchedule;
   readonly digest: RequestDigest;
 }
@@ -105,23 +113,11 @@
     const { wire, logger } = this.#options.context;
     const answer = new CallerResponse(response);
     const table = this.#table;
-    if (!table.hasConfiguration) {
-      return answer.respond({
-        status: 503,
-        reason: "this VM knows no configuration yet",
-        retryAfterMilliseconds: elsewhereRetryAfterMilliseconds,
-      });
-    }
     const arrivedAt = this.#now();
     const head = wire.readRequest(request.headers);
-    const route = table.matchRoute(hostName(request), request.url ?? "/");
-    if (!route) {
-      logger.info("request-without-route", {
-        request: head.requestId,
-        index: table.position.index,
-      });
-      return answer.respond({ status: 404, reason: "no route matches" });
-    }
+    const target = readRequestTarget(request);
+    const route = table.matchRoute(target.host, target.path);
+    if (!route) return this.#refuseWithoutRoute(head, { target, answer });
     const deadlineAt = this.#options.stopSchedule.deadlineFor(
       arrivedAt + Math.min(
         route.timeoutMilliseconds,
@@ -143,7 +139,10 @@
     }
     const body = await this.#receiveBody(request, {
       response,
-      refuse: (status, reason) => answer.respond({ status, reason }),
+      refuse: (status, reason) => {
+        if (status === 413) this.#recordRefusal(head, { status, reason });
+        answer.respond({ status, reason });
+      },
     });
     if (!body || answer.isClosed) return;
     const { selector } = this.#options.context;
@@ -159,6 +158,50 @@
     this.#forwardOwn(routed, { answer, response });
   }
 
+  #refuseWithoutRoute(
+    head: CallerRequestHead,
+    { target, answer }: {
+      readonly target: RequestTarget;
+      readonly answer: CallerResponse;
+    },
+  ): void {
+    const { logger, contactAge } = this.#options.context;
+    const table = this.#table;
+    const refusal = table.hasConfiguration
+      ? { status: 404, reason: "no route matches" }
+      : {
+        status: 503,
+        reason: "this VM knows no configuration yet",
+        retryAfterMilliseconds: elsewhereRetryAfterMilliseconds,
+      };
+    const age = contactAge();
+    logger.info("request-without-route", {
+      request: head.requestId,
+      status: refusal.status,
+      ...describeTarget(target),
+      routesOfHost: table.countRoutes(target.host),
+      index: table.position.index,
+      term: table.position.term,
+      items: table.itemCount,
+      contactAgeMilliseconds: Number.isFinite(age) ? Math.round(age) : null,
+    });
+    this.#options.context.metrics.refusals.inc({ reason: refusal.reason });
+    answer.respond(refusal);
+  }
+
+  #recordRefusal(
+    head: CallerRequestHead,
+    { status, reason }: { readonly status: number; readonly reason: string },
+  ): void {
+    const { logger, metrics } = this.#options.context;
+    metrics.refusals.inc({ reason });
+    logger.info("request-refused", {
+      request: head.requestId,
+      status,
+      reason,
+    });
+  }
+
   async #handleRelayed(
     request: IncomingMessage,
     response: ServerResponse,
@@ -349,7 +392,3 @@
     return this.#options.context.clock.now();
   }
 }
-
-function hostName(request: IncomingMessage): string {
-  return (request.headers.host ?? "").replace(/:\d+$/, "");
-}
--- /dev/null
+++ b/packages/fleet_gateway/route_lookup_test.ts
@@ -0,0 +1,162 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import { connect } from "node:net";
+import type { AddressInfo } from "node:net";
+import { text } from "node:stream/consumers";
+import { ItemKind, RequestKind } from "@kingcupglade/items";
+import type { StoredItem } from "@kingcupglade/items";
+import { createMetrics } from "@kingcupglade/telemetry";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { GatewayTable } from "./gateway_table.ts";
+import { RequestHandler } from "./request_handler.ts";
+import { ServiceQueue } from "./service_queue.ts";
+import { StopSchedule } from "./stop_schedule.ts";
+
+const route: StoredItem = {
+  kind: ItemKind.route,
+  name: "lookup",
+  version: 3,
+  source: "",
+  changedAt: 7,
+  content: {
+    kind: ItemKind.route,
+    name: "lookup",
+    host: "jigs.example",
+    pathPrefix: "/lookup/",
+    requests: RequestKind.idempotent,
+    timeoutMilliseconds: 1000,
+    objectiveMilliseconds: 500,
+    priority: 1,
+    parts: [{ service: "catalogue", weight: 1 }],
+    maximumTargets: 2,
+    homeRegions: [],
+  },
+};
+
+describe("a gateway that looks up the route of a request", () => {
+  let server: Server;
+  let table: GatewayTable;
+  let contactAge: number;
+  const info = vi.fn();
+
+  beforeEach(async () => {
+    info.mockClear();
+    contactAge = 350;
+    table = new GatewayTable();
+    const queue = new ServiceQueue({
+      now: () => 0,
+      budget: { ratio: 0.2, windowMilliseconds: 1000, slack: 5 },
+    });
+    const handler = new RequestHandler({
+      context: {
+        logger: { debug() {}, info, warn() {}, error() {} },
+        metrics: createMetrics(),
+        clock: { now: () => 0 },
+        random: Math.random,
+        table: () => table,
+        contactAge: () => contactAge,
+        wire: { readRequest: () => ({ requestId: "r1" }) },
+        selector: {
+          parts: { next: () => "catalogue" },
+          service: () => queue,
+          select: () => ({ kind: "none", reason: "no target" }),
+        },
+        pools: { poolFor: () => undefined },
+        suspects: { isSuspect: () => false },
+        reach: {
+          isCutOff: false,
+          shouldUseTargets: () => true,
+          onCutOff: () => () => {},
+        },
+      } as never,
+      stopSchedule: new StopSchedule(6000),
+      digest: () => "",
+    });
+    server = createServer((request, response) =>
+      handler.handle(request, response)
+    );
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+  });
+
+  afterEach(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+
+  function applyRoute(): void {
+    table.apply({
+      position: { index: 9, term: 2, revision: 1, isComplete: true },
+      items: [route],
+      dataCentresOut: [],
+      departed: [],
+      targets: [],
+      areTargetsComplete: false,
+      removedTargets: [],
+      ranges: [],
+      gateways: 1,
+      managers: null,
+      relays: null,
+      suspects: null,
+      control: null,
+    });
+  }
+
+  /** Sends a request head as it is written; returns status and reason. */
+  async function ask(target: string, host: string): Promise<string> {
+    const { port } = server.address() as AddressInfo;
+    const socket = connect(port, "127.0.0.1");
+    socket.write(
+      `GET ${target} HTTP/1.1\r\nHost: ${host}\r\nConnection: close\r\n\r\n`,
+    );
+    const response = await text(socket);
+    const [, status = ""] = response.split(" ");
+    return `${status} ${/"reason":"([^"]*)"/.exec(response)?.[1]}`;
+  }
+
+  describe("and finds none", () => {
+    // Hypotheses of issue 50: late, skipped and not matched looked alike.
+    it("logs what tells a late change from a skipped and an unmatched one", async () => {
+      applyRoute();
+      expect(await ask("/other/secret-key?q=1", "jigs.example:80")).toBe(
+        "404 no route matches",
+      );
+      expect(info).toHaveBeenCalledWith("request-without-route", {
+        request: "r1",
+        status: 404,
+        form: "origin",
+        host: "jigs.example",
+        segment: "other",
+        routesOfHost: 1,
+        index: 9,
+        term: 2,
+        items: 1,
+        contactAgeMilliseconds: 350,
+      });
+    });
+
+    it("logs a refusal before the first update", async () => {
+      contactAge = Infinity;
+      expect(await ask("/lookup/1", "jigs.example")).toBe(
+        "503 this VM knows no configuration yet",
+      );
+      expect(info).toHaveBeenCalledWith(
+        "request-without-route",
+        expect.objectContaining({ status: 503, contactAgeMilliseconds: null }),
+      );
+    });
+
+    it("logs no more of a host and a path than is bounded", async () => {
+      applyRoute();
+      await ask(`/${"a".repeat(3000)}`, "b".repeat(3000));
+      const [, fields] = info.mock.calls[0]!;
+      expect(JSON.stringify(fields).length).toBeLessThan(400);
+    });
+  });
+
+  it("finds the route by host and path", async () => {
+    applyRoute();
+    expect(await ask("/lookup/1", "Jigs.Example:80")).toBe("503 no target");
+  });
+});
--- a/packages/fleet_gateway/table_synchronizer.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -16,6 +16,7 @@
   Watch,
   WatchAnswer,
 } from "@kingcupglade/fleet_control";
+import { describeItems } from "@kingcupglade/items";
 import { Fleet } from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -317,7 +318,16 @@
         contactAgeMilliseconds,
       });
     }
-    const { suspects, position } = update.delta;
+    const { suspects, position, items } = update.delta;
+    if (items.length > 0) {
+      this.#options.logger.info("items-applied", {
+        names: describeItems(items),
+        index: position.index,
+        since: before,
+        held: this.table.itemCount,
+        contactAgeMilliseconds,
+      });
+    }
     if (suspects) this.#options.onSuspects(suspects, position.term);
     this.#options.onChange();
   }
--- a/packages/items/route_index.ts
+++ b/packages/items/route_index.ts
@@ -16,6 +16,11 @@
     }
   }
 
+  /** Returns the number of routes of a host. */
+  countRoutes(host: string): number {
+    return this.#routesByHost.get(host.toLowerCase())?.size ?? 0;
+  }
+
   /**
    * Returns the route with the longest prefix of the path, if any. The host is
    * matched without regard to case, and the path without its query.
--- a/packages/kingcupglade/fleet_log.ts
+++ b/packages/kingcupglade/fleet_log.ts
@@ -9,6 +9,12 @@
 /** File descriptor of standard output. */
 const logFileDescriptor = 1;
 const flushIntervalMilliseconds = 1000;
+/**
+ * Lines per second of events without which a change cannot be followed from the
+ * operator to the gateways.
+ */
+const changeLines = 200;
+const changeEvents = ["items-changed", "items-applied", "call-relayed"];
 
 /** The log of a VM of a fleet, on standard output. */
 export class FleetLog {
@@ -25,6 +31,9 @@
         writer: this.#writer,
       }),
       () => clock.now(),
+      {
+        maximumLines: new Map(changeEvents.map((each) => [each, changeLines])),
+      },
     );
     this.#flushTimer = setInterval(
       () => this.logger.flush(),
--- a/packages/telemetry/rate_limited_logger.ts
+++ b/packages/telemetry/rate_limited_logger.ts
@@ -1,9 +1,18 @@
 import type { LogEvent, LogFields, Logger } from "./logger.ts";
 
-/** Maximum number of lines of one event per second. */
-const maximumLinesPerWindow = 25;
+/** Default maximum number of lines of one event per second. */
+const defaultMaximumLines = 25;
 const windowMilliseconds = 1000;
 
+/** Options of a {@link RateLimitedLogger}. */
+export interface RateLimitedLoggerOptions {
+  /**
+   * Maximum numbers of lines per second of events that need another one.
+   * @default 25 for each event
+   */
+  readonly maximumLines?: ReadonlyMap<LogEvent, number>;
+}
+
 interface EventWindow {
   startedAt: number;
   /** Number of lines, including the omitted ones. */
@@ -18,12 +27,18 @@
 export class RateLimitedLogger implements Logger {
   readonly #logger: Logger;
   readonly #now: () => number;
+  readonly #maximumLines: ReadonlyMap<LogEvent, number>;
   readonly #windows = new Map<LogEvent, EventWindow>();
 
   /** `now` returns the milliseconds of a monotonic clock. */
-  constructor(logger: Logger, now: () => number) {
+  constructor(
+    logger: Logger,
+    now: () => number,
+    { maximumLines = new Map() }: RateLimitedLoggerOptions = {},
+  ) {
     this.#logger = logger;
     this.#now = now;
+    this.#maximumLines = maximumLines;
   }
 
   debug(event: LogEvent, fields?: LogFields): void {
@@ -60,7 +75,8 @@
       this.#windows.set(event, window);
     }
     window.lines += 1;
-    if (window.lines <= maximumLinesPerWindow) return true;
+    const maximum = this.#maximumLines.get(event) ?? defaultMaximumLines;
+    if (window.lines <= maximum) return true;
     window.omitted += 1;
     return false;
   }
--- a/packages/telemetry/rate_limited_logger_test.ts
+++ b/packages/telemetry/rate_limited_logger_test.ts
@@ -39,6 +39,20 @@
     ]);
   });
 
+  it("limits an event to a number of its own", () => {
+    const recorder = new RecordingLogger();
+    const maximumLines = new Map([["items-changed", 60]]);
+    const logger = new RateLimitedLogger(recorder, () => 0, { maximumLines });
+    for (let count = 0; count < 100; count += 1) {
+      logger.info("items-changed");
+      logger.info("refused");
+    }
+    const countLines = (event: string) =>
+      recorder.lines.filter(([each]) => each === event).length;
+    expect([countLines("items-changed"), countLines("refused")])
+      .toEqual([60, 25]);
+  });
+
   it("omits no errors", () => {
     const recorder = new RecordingLogger();
     const logger = new RateLimitedLogger(recorder, () => 0);
--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -57,6 +57,17 @@
   readonly headersTimeoutMilliseconds?: number;
   /** Time between two checks of the timeouts. @default 30000 */
   readonly checkIntervalMilliseconds?: number;
+  /** Called for each request that cannot be read. @default none */
+  readonly onUnreadable?: (request: UnreadableRequest) => void;
+}
+
+/** A request that cannot be read. */
+export interface UnreadableRequest {
+  readonly listener: string;
+  /** Status of the response; 0 if the connection was closed without one. */
+  readonly status: number;
+  /** Code or message of the failure. */
+  readonly reason: string;
 }
 
 /** Statuses of requests that cannot be read, by the code of the failure. */
@@ -80,6 +91,7 @@
 /** An HTTP server that shuts down without interrupting requests. */
 export class HttpListener {
   readonly #server: Server;
+  readonly #options: HttpListenerOptions;
   readonly #handler: RequestListener;
   /** Connections that are accepted; over TLS, also before the handshake. */
   readonly #sockets = new Set<Socket>();
@@ -91,9 +103,10 @@
   /** Requests that wait until no more connections are accepted. */
   #heldRequests: HeldRequest[] | undefined;
 
-  protected constructor(server: Server, handler: RequestListener) {
+  protected constructor(server: Server, options: HttpListenerOptions) {
     this.#server = server;
-    this.#handler = handler;
+    this.#options = options;
+    this.#handler = options.handler;
     // `close` of Node.js would cut requests that have not been read.
     server.closeIdleConnections = () => {};
     server.on("connection", (socket: Socket) => {
@@ -137,7 +150,7 @@
         ));
       server.listen({ host, port, backlog: 1024 }, resolve);
     });
-    return new HttpListener(server, options.handler);
+    return new HttpListener(server, options);
   }
 
   /**
@@ -251,8 +264,19 @@
   // one whose body is being forwarded.
   #refuse(failure: NodeJS.ErrnoException, socket: Socket): void {
     const isDue = this.#connections.get(socket)?.isResponseDue ?? false;
-    if (isDue || !socket.writable) return void socket.destroy();
-    const status = refusalStatuses.get(failure.code) ?? malformedStatus;
+    const mayRespond = !isDue && socket.writable;
+    const status = mayRespond
+      ? refusalStatuses.get(failure.code) ?? malformedStatus
+      : 0;
+    // Callers often reset connections that they no longer use.
+    if (failure.code !== "ECONNRESET") {
+      this.#options.onUnreadable?.({
+        listener: this.#options.name,
+        status,
+        reason: failure.code ?? failure.message,
+      });
+    }
+    if (!mayRespond) return void socket.destroy();
     socket.end(
       `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`,
       () => socket.destroy(),
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -19,6 +19,7 @@
   HttpListenerOptions,
   ListenerCloseResult,
   ListenerTls,
+  UnreadableRequest,
 } from "./http_listener.ts";
 export { createUnaryClient, PeerCallError } from "./unary_client.ts";
 export type { UnaryClientOptions } from "./unary_client.ts";
