Accept request targets in absolute form

Callers that write the target as a whole URI, as clients with a proxy do, got 404 for every route, and operators and targets 404 from control, which ends a call after three attempts. A server must accept this form (RFC 9112, 3.2.2).

The listener rewrites such targets to the origin form before any handler reads them, and the URI's host replaces the header, so that the lookup, the digest, the relay hop and the target see what an ordinary request shows. All listeners share it, those of the mode with one role too.

--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -16,6 +16,7 @@
   setTimeout as pause,
 } from "node:timers/promises";
 import { ListenerConnection } from "./listener_connection.ts";
+import { originTarget } from "./request_target.ts";
 
 const pollIntervalMilliseconds = 50;
 const closeIntervalMilliseconds = 20;
@@ -252,6 +253,7 @@
       request.resume();
       return;
     }
+    rewriteToOriginForm(request);
     connection?.addResponse(response);
     this.#lastRequestAt = performance.now();
     // Otherwise a client could send its next request while the connection closes.
@@ -315,6 +317,14 @@
   }
 }
 
+// The host of a target in absolute form replaces the header (RFC 9112, 3.2.2).
+function rewriteToOriginForm(request: IncomingMessage): void {
+  const target = originTarget(request.url ?? "/");
+  if (!target) return;
+  request.url = target.path;
+  request.headers.host = target.host;
+}
+
 function createListenerServer(options: HttpListenerOptions): Server {
   const { name, tls } = options;
   const serverOptions: ServerOptions = {
