Judge every change of routes at every gateway in the soak

Nothing asked the gateways, and no route was added, moved, replaced or removed.

Two operators now change eleven places (routes that are added, moved, removed and added again, one within the prefix of another, two names handing over a place; invalid calls, older calls repeated, versions used twice), each order to any control VM. Every gateway is asked for every place about once a second. The judge knows what operators and callers saw and which signals processes got: a change binds 2 s after its acknowledgement at gateways in contact, 7 s while one control VM is away; a version that a process has shown binds from then on; what control returns at the end has to be what was acknowledged.

--- a/packages/soak/invariant_monitor.ts
+++ b/packages/soak/invariant_monitor.ts
@@ -20,6 +20,10 @@
   readonly sentAt: number;
   executions: number;
   hasArrived: boolean;
+  /** Target that began to run it last; empty if none did. */
+  target: string;
+  /** Whether it only shows which configuration a gateway has. */
+  readonly isProbe: boolean;
   /** Status of the response that the caller received; 0 for none. */
   status: number;
 }
@@ -37,12 +41,13 @@
   readonly #holders: PositionHolder[] = [];
   readonly #limits = new Map<string, LimitMonitor>();
   readonly #notices = new Map<string, NoticeMonitor>();
-  /** Number of requests that received status 200. */
+  /** Number of requests that received status 200, without probes. */
   servedCount = 0;
+  #probeCount = 0;
 
-  /** Number of requests that callers have sent. */
+  /** Number of requests that callers have sent, without probes. */
   get requestCount(): number {
-    return this.#requests.size;
+    return this.#requests.size - this.#probeCount;
   }
 
   /** Adds a target that names a limit in its responses. */
@@ -124,12 +129,30 @@
 
   /** Records that a caller sends a request. */
   recordRequest(id: string, isIdempotent: boolean, gateway = ""): void {
+    this.#addRequest(id, { isIdempotent, gateway, isProbe: false });
+  }
+
+  /** Records a request that shows which configuration a gateway has. */
+  recordProbe(id: string, gateway: string): void {
+    this.#probeCount += 1;
+    this.#addRequest(id, { isIdempotent: true, gateway, isProbe: true });
+  }
+
+  /** Returns the target that began to run a request last; empty for none. */
+  targetOf(id: string): string {
+    return this.#requests.get(id)?.target ?? "";
+  }
+
+  #addRequest(
+    id: string,
+    request: Pick<ObservedRequest, "isIdempotent" | "gateway" | "isProbe">,
+  ): void {
     this.#requests.set(id, {
-      isIdempotent,
-      gateway,
+      ...request,
       sentAt: performance.now(),
       executions: 0,
       hasArrived: false,
+      target: "",
       status: 0,
     });
   }
@@ -140,6 +163,7 @@
     if (!seen) return this.#fail(`${target} runs ${id}, which no caller sent`);
     this.#limits.get(target)?.recordArrival(seen.gateway, performance.now());
     seen.executions += 1;
+    seen.target = target;
     if (!seen.isIdempotent && seen.executions > 1) {
       this.#fail(
         `${id} runs ${seen.executions} times, now at ${target}`,
@@ -185,7 +209,7 @@
     );
     seen.status = response.status;
     if (response.status === 200) {
-      this.servedCount += 1;
+      if (!seen.isProbe) this.servedCount += 1;
       const { body, isDelimited } = response;
       if (!isOwnBody(id, body, isDelimited)) {
         this.#fail(`${id} received ${describeBody(body)}`);
--- a/packages/soak/operator.ts
+++ b/packages/soak/operator.ts
@@ -1,5 +1,8 @@
 import { SimulatorPath } from "@kingcupglade/platform";
+import { ConfigurationHistory } from "./configuration_history.ts";
 import { delay } from "./fault_injector.ts";
+import { runRouteOperator } from "./route_operator.ts";
+import type { RoutePlace } from "./route_operator.ts";
 
 const updateIntervalMilliseconds = 400;
 const responseTimeoutMilliseconds = 1000;
@@ -10,16 +13,48 @@
   readonly body: string;
 }
 
-/** An operator that updates a route repeatedly and reads it back at the end. */
+/** Places whose routes the operators add, move, replace and remove. */
+const places: readonly RoutePlace[] = [
+  ...["added-1", "added-2", "added-3", "added-4", "added-5"].map((name) => ({
+    pathPrefix: `/${name}/`,
+    names: [name],
+  })),
+  ...["nested-1", "nested-2"].map((name) => ({
+    pathPrefix: `/lookup/${name}/`,
+    names: [name],
+    outerService: "catalogue",
+  })),
+  ...["replaced-1", "replaced-2", "replaced-3", "replaced-4"].map((name) => ({
+    pathPrefix: `/${name}/`,
+    names: [`${name}a`, `${name}b`],
+  })),
+];
+const placeServices = ["catalogue", "stock"];
+const placeOperatorCount = 2;
+
+/**
+ * An operator that updates a route repeatedly and reads it back at the end, and
+ * two that change the routes of the same places at the same time.
+ */
 export class Operator {
+  readonly places = places;
+  readonly history = new ConfigurationHistory();
   readonly #control: readonly string[];
+  readonly #random: () => number;
+  #routeChanges: Promise<readonly (readonly string[])[]> | undefined;
   #version = 1;
   #acknowledgedVersion = 0;
   #isStopped = false;
+  #areRouteChangesStopped = false;
   #updates: Promise<void> | undefined;
 
-  constructor(options: { readonly control: readonly string[] }) {
+  constructor(options: {
+    readonly control: readonly string[];
+    /** @default Math.random */
+    readonly random?: () => number;
+  }) {
     this.#control = options.control;
+    this.#random = options.random ?? Math.random;
   }
 
   /** Sends the initial configuration until it is acknowledged, or throws. */
@@ -38,6 +73,40 @@
 
   start(): void {
     this.#updates = this.#updateRoutes();
+    const versions = new Map<string, number>();
+    const changedAt = new Map<RoutePlace, number>();
+    this.#routeChanges = Promise.all(
+      Array.from({ length: placeOperatorCount }, () =>
+        runRouteOperator({
+          places,
+          services: placeServices,
+          history: this.history,
+          versions,
+          changedAt,
+          send: (body) => this.#sendToOne(body),
+          createRoute: ({ name, pathPrefix, service }, version) => ({
+            ...createRoute(name, service, version),
+            pathPrefix,
+          }),
+          random: this.#random,
+          isStopped: () => this.#isStopped || this.#areRouteChangesStopped,
+        })),
+    );
+  }
+
+  /**
+   * Ends the changes of places; returns what was wrong with the responses to
+   * them.
+   */
+  async stopRouteChanges(): Promise<readonly string[]> {
+    this.#areRouteChangesStopped = true;
+    return (await this.#routeChanges)?.flat() ?? [];
+  }
+
+  async #sendToOne(body: string): Promise<number> {
+    const { length } = this.#control;
+    const address = this.#control[Math.floor(this.#random() * length)]!;
+    return (await sendTo(address, "PATCH", body)).status;
   }
 
   stop(): void {
@@ -55,10 +124,15 @@
       const { routes } = JSON.parse(response.body) as {
         readonly routes: readonly { name: string; version: number }[];
       };
-      const version = routes.find(({ name }) => name === "lookup")?.version ??
-        0;
-      return version >= this.#acknowledgedVersion ? [] : [
-        `version ${this.#acknowledgedVersion} of the route was acknowledged, but version ${version} is current`,
+      const versions = new Map(
+        routes.map(({ name, version }) => [name, version]),
+      );
+      const version = versions.get("lookup") ?? 0;
+      return [
+        ...(version >= this.#acknowledgedVersion ? [] : [
+          `version ${this.#acknowledgedVersion} of the route was acknowledged, but version ${version} is current`,
+        ]),
+        ...this.history.findLostChanges(versions),
       ];
     }
     return ["no control VM returned the configuration in time"];
@@ -87,26 +161,34 @@
     body: string | undefined,
   ): Promise<ControlResponse> {
     for (const address of this.#control) {
-      try {
-        const response = await fetch(
-          `http://${address}${SimulatorPath.configuration}`,
-          {
-            method,
-            signal: AbortSignal.timeout(responseTimeoutMilliseconds),
-            ...(body !== undefined && { body }),
-          },
-        );
-        if (response.status === 200) {
-          return { status: 200, body: await response.text() };
-        }
-      } catch {
-        // This VM is unavailable; try the next one.
-      }
+      const response = await sendTo(address, method, body);
+      if (response.status === 200) return response;
     }
     return { status: 0, body: "" };
   }
 }
 
+/** Sends a request to a control VM; the status is 0 if it is unavailable. */
+async function sendTo(
+  address: string,
+  method: string,
+  body: string | undefined,
+): Promise<ControlResponse> {
+  try {
+    const response = await fetch(
+      `http://${address}${SimulatorPath.configuration}`,
+      {
+        method,
+        signal: AbortSignal.timeout(responseTimeoutMilliseconds),
+        ...(body !== undefined && { body }),
+      },
+    );
+    return { status: response.status, body: await response.text() };
+  } catch {
+    return { status: 0, body: "" };
+  }
+}
+
 function createRoute(name: string, service: string, version: number) {
   return {
     name,
--- a/packages/soak/process_life.ts
+++ b/packages/soak/process_life.ts
@@ -71,6 +71,10 @@
     return last?.signal === "SIGSTOP";
   }
 
+  get signals(): readonly SentSignal[] {
+    return this.#signals;
+  }
+
   get exit(): ProcessExit | undefined {
     return this.#exit;
   }
--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -1,13 +1,16 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { AttemptMonitor } from "./attempt_monitor.ts";
 import type { AttemptEnd } from "./attempt_monitor.ts";
+import { ContactRecord } from "./contact_record.ts";
 import { delay, FaultInjector } from "./fault_injector.ts";
 import { LoadGenerator } from "./load_generator.ts";
+import type { CalledGateway } from "./load_generator.ts";
 import { Operator } from "./operator.ts";
 import { startWithEarlyReload } from "./process_faults.ts";
 import { measureStartupMilliseconds } from "./processor_time.ts";
 import { createRoleProcess, RolePort } from "./role_process.ts";
 import type { ProcessLife } from "./process_life.ts";
+import { RouteProber } from "./route_prober.ts";
 import type { ServerProcess } from "./server_process.ts";
 import { InvariantMonitor } from "./invariant_monitor.ts";
 import { SoakTarget } from "./soak_target.ts";
@@ -24,6 +27,8 @@
 /** Covers an election, the expiry of holds and a heartbeat after the faults. */
 const recoveryMilliseconds = 8000;
 const faultFreeMilliseconds = 2000;
+/** End of the recovery, in which every change comes into force. */
+const changeFreeMilliseconds = 2500;
 /** Time after the faults in which all VMs are in touch again. */
 const settleMilliseconds = 3000;
 /** Targets that a request which ends them may reach after that. */
@@ -34,6 +39,7 @@
 /** Time after which a signal has ended a process that does not handle it. */
 const signalMilliseconds = 200;
 const faultSeedOffset = 1_000_000;
+const operatorSeedOffset = 2_000_000;
 
 /** Options of {@link runSoak}. */
 export interface SoakOptions {
@@ -53,6 +59,8 @@
   readonly seed: number;
   readonly asked: number;
   readonly served: number;
+  /** Probes of gateways that were in contact, which were judged. */
+  readonly probed: number;
   /** How the requests ended. */
   readonly ends: Readonly<Record<AttemptEnd, number>>;
   readonly faults: readonly string[];
@@ -78,6 +86,7 @@
   readonly #attempts = new AttemptMonitor();
   readonly #loadGenerator: LoadGenerator;
   readonly #operator: Operator;
+  readonly #prober: RouteProber;
   /** Random numbers of the callers and targets, whose order is not seeded. */
   readonly #random: () => number;
   readonly #faultRandom: () => number;
@@ -87,16 +96,23 @@
     this.#random = createRandomSource(options.seed);
     this.#faultRandom = createRandomSource(options.seed + faultSeedOffset);
     this.#loadGenerator = new LoadGenerator({
-      gateways: this.#gatewayAddresses.map((address, index) => ({
-        name: createName("gateway", index),
-        address,
-      })),
+      gateways: this.#calledGateways,
       monitor: this.#monitor,
       attempts: this.#attempts,
       limitedTarget,
       random: this.#random,
     });
-    this.#operator = new Operator({ control: this.#controlAddresses });
+    this.#operator = new Operator({
+      control: this.#controlAddresses,
+      random: createRandomSource(options.seed + operatorSeedOffset),
+    });
+    this.#prober = new RouteProber({
+      gateways: this.#calledGateways,
+      places: this.#operator.places,
+      history: this.#operator.history,
+      monitor: this.#monitor,
+      random: this.#random,
+    });
   }
 
   static async create(options: SoakOptions): Promise<SoakFleet> {
@@ -112,6 +128,7 @@
     await this.#loadGenerator.waitUntilServed(startupTimeoutMilliseconds);
     this.#loadGenerator.start();
     this.#operator.start();
+    this.#prober.start();
     const faultInjector = new FaultInjector({
       control: this.#control,
       gateways: this.#gateways,
@@ -122,14 +139,19 @@
     });
     await faultInjector.run(milliseconds);
     const settledAt = performance.now() + settleMilliseconds;
-    await delay(recoveryMilliseconds);
+    await delay(recoveryMilliseconds - changeFreeMilliseconds);
+    const wrongResponses = await this.#operator.stopRouteChanges();
+    await delay(changeFreeMilliseconds);
     const before = [this.#monitor.requestCount, this.#monitor.servedCount];
     await delay(faultFreeMilliseconds);
     await this.#loadGenerator.stop();
+    await this.#prober.stop();
     const sentCount = this.#monitor.requestCount - before[0]!;
     const served = this.#monitor.servedCount - before[1]!;
     const violations = [
       ...this.#monitor.violations,
+      ...wrongResponses,
+      ...this.#operator.history.findViolations(this.#contacts),
       ...this.#lives.flatMap((life) => life.violations),
       ...this.#attempts.findViolations(this.#lives),
       ...(served < sentCount * minimumServedShare
@@ -144,6 +166,7 @@
       seed: this.#options.seed,
       asked: this.#monitor.requestCount,
       served: this.#monitor.servedCount,
+      probed: this.#operator.history.judgedCount,
       ends: this.#attempts.counts,
       faults: faultInjector.log,
       violations: violations.map((each) =>
@@ -172,6 +195,13 @@
     return this.#processes.flatMap(({ lives }) => lives);
   }
 
+  get #contacts(): ContactRecord {
+    return new ContactRecord({
+      gateways: new Map(this.#gateways.map(({ name, lives }) => [name, lives])),
+      control: this.#control.map(({ lives }) => lives),
+    });
+  }
+
   // By then, three targets have ended and all gateways are in touch.
   #findLateCrashes(settledAt: number): readonly string[] {
     const late = this.#monitor.crashes.filter((at) => at > settledAt);
@@ -190,6 +220,7 @@
   /** Stops callers, operator and targets and kills all processes. */
   async end(): Promise<void> {
     await this.#loadGenerator.stop();
+    await this.#prober.stop();
     this.#operator.stop();
     for (const target of this.#targets) target.end();
     await Promise.all(
@@ -197,6 +228,13 @@
     );
   }
 
+  get #calledGateways(): readonly CalledGateway[] {
+    return this.#gatewayAddresses.map((address, index) => ({
+      name: createName("gateway", index),
+      address,
+    }));
+  }
+
   get #gatewayAddresses(): readonly string[] {
     return this.#createAddresses(gatewayVmCount, 11, RolePort.callers);
   }
