Ask for all items where a gateway's table differs from control's

A gateway that skipped an item would refuse the item's requests with 404 until it changes again: the index that it sends stands for all that came before, nobody can tell that something is missing, and one bad update shows at every gateway at the same position.

Each update carries a digest of all names and versions at its log entry, summed over the items, so that its order doesn't matter. A gateway whose items have another one logs table-differs, counts it and watches once from log entry 0, every 5 s at most. The position counts only once the update is applied as a whole: it was set first, so an update that threw on its way was never asked for again.

Red before: table_synchronizer_test.ts (one request from 0, then 5 for ever), gateway_table_test.ts (position 9 after a failed update). An earlier release's updates, without a digest, are read and trusted; an earlier gateway ignores the field.

--- a/packages/fleet/view.ts
+++ b/packages/fleet/view.ts
@@ -66,6 +66,11 @@
 export interface ViewDelta {
   readonly position: ViewPosition;
   readonly items: readonly StoredItem[];
+  /**
+   * Digest of all items of the leader, with which the table has to agree after
+   * the update; null if the leader sends none.
+   */
+  readonly itemsDigest: number | null;
   /** All data centres that are out of service. */
   readonly dataCentresOut: readonly string[];
   /** Names of targets that announced their departure. */
--- a/packages/fleet_control/leader_session_test.ts
+++ b/packages/fleet_control/leader_session_test.ts
@@ -5,6 +5,7 @@
   FleetState,
   ViewPosition,
 } from "@kingcupglade/fleet";
+import { ItemKind, ItemsDigest } from "@kingcupglade/items";
 import { ManualClock } from "@kingcupglade/tasks";
 import { beforeEach, describe, expect, it } from "vitest";
 import { LeaderSession } from "./leader_session.ts";
@@ -101,6 +102,26 @@
     return answer.delta;
   }
 
+  it("sends the digest of all items with an update that has some", async () => {
+    const remove = (name: string, version: number) =>
+      replica.propose({
+        kind: "changeItems",
+        change: {
+          items: [],
+          removals: [{ kind: ItemKind.route, name, version }],
+        },
+      });
+    await remove("a", 1);
+    const { position } = await update(watch());
+    await remove("b", 1);
+    const { items, itemsDigest } = await update(watch({ position }));
+    expect(items.map(({ name }) => name)).toEqual(["b"]);
+    expect(itemsDigest).toBe(ItemsDigest.of(replica.state.items.values()));
+    await remove("a", 2);
+    const next = await update(watch({ position }));
+    expect(next.itemsDigest).not.toBe(itemsDigest);
+  });
+
   // Failure: a leaving target received requests again after a change of leader.
   it("records that a target leaves before it has heard from it", async () => {
     const leaving = [{ target: "i-1", bornAt: 7 }];
--- a/packages/fleet_control/watch_codec.ts
+++ b/packages/fleet_control/watch_codec.ts
@@ -97,7 +97,8 @@
     kind: answer.kind,
     delta: {
       ...answer.delta,
-      // A leader of an earlier version sends neither.
+      // A leader of an earlier version sends none of these.
+      itemsDigest: answer.delta.itemsDigest ?? null,
       suspects: answer.delta.suspects ?? null,
       relays: answer.delta.relays ?? null,
       targets: answer.targets.map(targetView),
--- a/packages/fleet_control/watch_codec_test.ts
+++ b/packages/fleet_control/watch_codec_test.ts
@@ -14,6 +14,16 @@
 const rangesPerOwner = 8;
 const positions = 65_536;
 
+/** An update as a leader of 63080a9 writes it. */
+const earlierUpdate = [
+  "AISka2luZKRuZXdzpWRlbHRhi6hwb3NpdGlvboSlaW5kZXgFpHRlcm0CqHJl",
+  "dmlzaW9uA6ppc0NvbXBsZXRlw6VpdGVtc5GGpGtpbmSlcm91dGWkbmFtZaFy",
+  "p3ZlcnNpb24Hp2NvbnRlbnTApnNvdXJjZaCpY2hhbmdlZEF0Ba5kYXRhQ2Vu",
+  "dHJlc091dJCoZGVwYXJ0ZWSQsmFyZVRhcmdldHNDb21wbGV0ZcKucmVtb3Zl",
+  "ZFRhcmdldHOQqGdhdGV3YXlzAqhtYW5hZ2Vyc8CmcmVsYXlzwKhzdXNwZWN0",
+  "c8CnY29udHJvbMCndGFyZ2V0c5CmcmFuZ2VzkA==",
+].join("");
+
 /** Returns the complete table of a fleet of hundreds of VMs. */
 function wholeTable(): WatchAnswer {
   const nameOf = (at: number) =>
@@ -25,6 +35,7 @@
     delta: {
       position: { index: 31, term: 2, revision: 900, isComplete: true },
       items: [],
+      itemsDigest: 2 ** 47 + 1,
       dataCentresOut: ["hsinchu-a"],
       departed: ["i-gone"],
       targets: Array.from({ length: targets }, (_, at) => ({
@@ -75,6 +86,16 @@
     ) expect(decodeWatchAnswer(encodeWatchAnswer(other))).toEqual(other);
   });
 
+  it("reads the update of a leader that sends no digest", () => {
+    const answer = decodeWatchAnswer(
+      new Uint8Array(Buffer.from(earlierUpdate, "base64")),
+    );
+    if (answer.kind !== "news") throw new Error("no update");
+    const { items, itemsDigest, position } = answer.delta;
+    expect(itemsDigest).toBeNull();
+    expect([items[0]?.version, position.index]).toEqual([7, 5]);
+  });
+
   it("round-trips a request", () => {
     const watch: Watch = {
       gateway: "front-1",
--- a/packages/fleet_gateway/gateway_table.ts
+++ b/packages/fleet_gateway/gateway_table.ts
@@ -6,7 +6,7 @@
   ViewPosition,
   VmEndpoint,
 } from "@kingcupglade/fleet";
-import { itemId, ItemKind, RouteIndex } from "@kingcupglade/items";
+import { itemId, ItemKind, ItemsDigest, RouteIndex } from "@kingcupglade/items";
 import type { Limits, Route, Service, StoredItem } from "@kingcupglade/items";
 
 /** Time for which a leader lists a target that sends no heartbeats. */
@@ -21,6 +21,7 @@
     isComplete: false,
   };
   readonly #items = new Map<string, StoredItem>();
+  readonly #itemsDigest = new ItemsDigest();
   readonly #targets = new Map<string, TargetView>();
   /** When a new leader first did not list a target that its predecessor did. */
   readonly #unlisted = new Map<string, number>();
@@ -43,6 +44,11 @@
     return this.#items.size > 0;
   }
 
+  /** Digest of the items, for comparison with the leader's. */
+  get itemsDigest(): number {
+    return this.#itemsDigest.value;
+  }
+
   /** Number of items, including removed ones. */
   get itemCount(): number {
     return this.#items.size;
@@ -155,7 +161,6 @@
    */
   apply(delta: ViewDelta, now = 0): void {
     if (delta.position.index < this.#position.index) return;
-    this.#position = delta.position;
     for (const item of delta.items) this.#applyItem(item);
     if (delta.items.length > 0) {
       this.#routeIndex = new RouteIndex(this.#items.values());
@@ -167,12 +172,15 @@
     this.#relays = delta.relays ?? this.#relays;
     this.#control = delta.control ?? this.#control;
     this.#gatewayCount = delta.gateways || this.#gatewayCount;
+    // Last: an update that fails on its way is requested again.
+    this.#position = delta.position;
   }
 
   #applyItem(item: StoredItem): void {
     const existing = this.#items.get(itemId(item));
     if (!existing || existing.version < item.version) {
       this.#items.set(itemId(item), item);
+      this.#itemsDigest.replace(existing, item);
     }
   }
 
--- a/packages/fleet_gateway/gateway_table_test.ts
+++ b/packages/fleet_gateway/gateway_table_test.ts
@@ -60,6 +60,7 @@
   return {
     position: { index, term: 1, revision: index, isComplete: true },
     items: [],
+    itemsDigest: null,
     dataCentresOut: [],
     departed: [],
     targets: [],
@@ -90,6 +91,15 @@
       );
     });
 
+    // Failure: the position of an update that failed stood for its items.
+    it("requests an update again that could not be applied", () => {
+      const table = new GatewayTable();
+      const [odd] = [{ ...route(9, "new"), content: { kind: "route" } }];
+      expect(() => table.apply(delta(9, { items: [odd as StoredItem] })))
+        .toThrow();
+      expect(table.position.index).toBe(0);
+    });
+
     it("removes a route that was dropped", () => {
       const table = new GatewayTable();
       table.apply(delta(1, { items: [route(1, "catalogue")] }));
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -168,6 +168,7 @@
       clients: this.#peerClients,
       clock,
       logger,
+      metrics: options.metrics,
       random: options.random,
       onChange: () => {
         this.#limits.applyTable(this.#synchronizer.table);
--- a/packages/fleet_gateway/route_lookup_test.ts
+++ b/packages/fleet_gateway/route_lookup_test.ts
@@ -89,6 +89,7 @@
     table.apply({
       position: { index: 9, term: 2, revision: 1, isComplete: true },
       items: [route],
+      itemsDigest: null,
       dataCentresOut: [],
       departed: [],
       targets: [],
--- a/packages/fleet_gateway/slots_test.ts
+++ b/packages/fleet_gateway/slots_test.ts
@@ -71,6 +71,7 @@
         homeRegions: [],
       }),
     ],
+    itemsDigest: null,
     dataCentresOut: [],
     departed: [],
     targets,
--- a/packages/fleet_gateway/table_synchronizer.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -5,6 +5,8 @@
   TargetDuration,
   TargetIncarnation,
   TargetLimitReport,
+  ViewDelta,
+  ViewPosition,
 } from "@kingcupglade/fleet";
 import {
   decodeWatchAnswer,
@@ -20,7 +22,7 @@
 import { Fleet } from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
-import type { Logger } from "@kingcupglade/telemetry";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import { GatewayTable } from "./gateway_table.ts";
 import { LeaderSearchBackoff } from "./leader_search_backoff.ts";
 
@@ -36,6 +38,9 @@
  */
 const successorSearchIntervalMilliseconds = 200;
 
+/** All items are requested again at most this often. */
+const minimumRefetchIntervalMilliseconds = 5000;
+
 /** Options of a {@link TableSynchronizer}. */
 export interface TableSynchronizerOptions {
   readonly gateway: Pick<
@@ -64,6 +69,7 @@
   readonly clients: PeerClients;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Pick<Metrics, "tableMismatches">;
   /** Returns a number between 0 and 1. */
   readonly random: () => number;
   /** Called after each table update. */
@@ -83,6 +89,9 @@
   #isStopped = false;
   #isLeaving = false;
   #isConnected = false;
+  /** Whether the next update has to hold all items. */
+  #needsAllItems = false;
+  #refetchedAt = -Infinity;
 
   constructor(options: TableSynchronizerOptions) {
     this.#options = options;
@@ -194,10 +203,16 @@
 
   // A whole table is large, and all gateways may request it at the same time.
   get #mayReceiveWholeTable(): boolean {
-    const { index, term } = this.table.position;
+    const { index, term } = this.#position;
     return index === 0 || term !== this.#term;
   }
 
+  /** The position from which an update is requested. */
+  get #position(): ViewPosition {
+    const { position } = this.table;
+    return this.#needsAllItems ? { ...position, index: 0 } : position;
+  }
+
   get #timeoutMilliseconds(): number {
     return this.#mayReceiveWholeTable
       ? wholeTableTimeoutMilliseconds
@@ -274,7 +289,7 @@
       ...gateway,
       isLeaving: this.#isLeaving,
       isCutOff: this.#options.isCutOff(),
-      position: this.table.position,
+      position: this.#position,
       isSearch,
       demand: isSearch ? [] : takeDemand(),
       durations: isSearch ? [] : takeDurations(isNewLeader),
@@ -311,6 +326,7 @@
     this.#isConnected = true;
     const before = this.table.position.index;
     this.table.apply(update.delta, this.#options.clock.now());
+    this.#checkItems(update.delta);
     if (this.table.position.index !== before) {
       this.#options.logger.info("table-changed", {
         index: this.table.position.index,
@@ -332,6 +348,29 @@
     this.#options.onChange();
   }
 
+  // A table that lacks an item would refuse its requests for as long as the item
+  // does not change again.
+  #checkItems({ itemsDigest, position }: ViewDelta): void {
+    const { table } = this;
+    const isApplied = position.index === table.position.index;
+    if (!isApplied) return;
+    this.#needsAllItems = false;
+    if (itemsDigest === null || itemsDigest === table.itemsDigest) return;
+    const { clock, logger, metrics } = this.#options;
+    const now = clock.now();
+    if (now - this.#refetchedAt < minimumRefetchIntervalMilliseconds) return;
+    this.#refetchedAt = now;
+    this.#needsAllItems = true;
+    metrics.tableMismatches.inc();
+    logger.warn("table-differs", {
+      control: this.#leader,
+      index: position.index,
+      items: table.itemCount,
+      digest: table.itemsDigest,
+      expectedDigest: itemsDigest,
+    });
+  }
+
   #loseLeader(reason: string, address: string): void {
     const { logger } = this.#options;
     const contactAgeMilliseconds = this.#contactAge;
--- a/packages/fleet_gateway/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table_synchronizer_test.ts
@@ -9,7 +9,10 @@
 } from "@kingcupglade/fleet_control";
 import type { Watch, WatchAnswer } from "@kingcupglade/fleet_control";
 import { Fleet } from "@kingcupglade/protocol";
+import { ItemKind, ItemsDigest } from "@kingcupglade/items";
+import type { StoredItem } from "@kingcupglade/items";
 import { MonotonicClock } from "@kingcupglade/tasks";
+import { createMetrics } from "@kingcupglade/telemetry";
 import { UnaryServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { TableSynchronizer } from "./table_synchronizer.ts";
@@ -55,12 +58,16 @@
   }
 }
 
-function tableUpdate(index: number): WatchAnswer {
+function tableUpdate(
+  index: number,
+  more: { items?: readonly StoredItem[]; itemsDigest?: number | null } = {},
+): WatchAnswer {
   return {
     kind: "news",
     delta: {
       position: { index, term: 1, revision: 1, isComplete: true },
       items: [],
+      itemsDigest: null,
       dataCentresOut: [],
       departed: [],
       targets: [],
@@ -72,6 +79,7 @@
       relays: null,
       suspects: null,
       control: null,
+      ...more,
     },
   };
 }
@@ -101,6 +109,7 @@
       clients,
       clock: new MonotonicClock(),
       logger: silentLogger,
+      metrics: createMetrics(),
       random: Math.random,
       onChange: () => {},
     });
@@ -163,6 +172,65 @@
     expect(await waitForIndex(2)).toBeLessThan(2000);
   });
 
+  describe("of a leader whose update lacks an item", () => {
+    const items = ["a", "b"].map((name): StoredItem => ({
+      kind: ItemKind.route,
+      name,
+      version: 3,
+      content: null,
+      source: "",
+      changedAt: 5,
+    }));
+    const itemsDigest = ItemsDigest.of(items);
+    /** Positions from which updates were requested, in order. */
+    let requested: number[];
+
+    function answerWith(
+      updateFor: (index: number) => readonly StoredItem[],
+      digest: number | null,
+    ): void {
+      requested = [];
+      controls[0]!.answer = async ({ position, isSearch }) => {
+        if (!isSearch) {
+          requested.push(position.index);
+          await pause(position.index < 5 ? 0 : 50);
+        }
+        return tableUpdate(5, {
+          items: updateFor(position.index),
+          itemsDigest: digest,
+        });
+      };
+      synchronizer.start();
+    }
+
+    // Failure: a table that had skipped a route refused its requests with 404
+    // until the route changed again.
+    it("requests all items again", async () => {
+      answerWith(
+        (index) => requested.length > 1 && index === 0 ? items : [items[0]!],
+        itemsDigest,
+      );
+      await expect.poll(() => synchronizer.table.itemCount, { timeout: 2000 })
+        .toBe(2);
+      expect(requested.slice(0, 2)).toEqual([0, 0]);
+      await expect.poll(() => requested.length).toBeGreaterThan(4);
+      expect(requested.slice(2, 4)).toEqual([5, 5]);
+    });
+
+    it("requests no more than a whole table in five seconds", async () => {
+      answerWith(() => [items[0]!], itemsDigest);
+      await expect.poll(() => requested.length, { timeout: 3000 })
+        .toBeGreaterThan(10);
+      expect(requested.filter((index) => index === 0)).toHaveLength(2);
+    });
+
+    it("trusts a leader that sends no digest", async () => {
+      answerWith(() => [items[0]!], null);
+      await expect.poll(() => requested.length).toBeGreaterThan(4);
+      expect(requested.filter((index) => index === 0)).toHaveLength(1);
+    });
+  });
+
   it("finds another leader within two seconds after one is lost", async () => {
     controls[0]!.answer = async () => {
       await pause(100);
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -44,6 +44,8 @@
   readonly tableVersion: Gauge;
   /** Seconds since this VM's last contact with the control leader. */
   readonly controlContactAge: Gauge;
+  /** Number of times that a gateway's items differed from the leader's. */
+  readonly tableMismatches: Counter;
   /** Number of times that the routing lease lapsed. */
   readonly leaseLapses: Counter;
   /** Messages from this VM to the control leader, by kind. */
@@ -191,6 +193,12 @@
       help: "Time since the last contact with the control leader",
       registers,
     }),
+    tableMismatches: new Counter({
+      name: "kingcupglade_table_mismatches_total",
+      help:
+        "Updates after which the items of a gateway differed from control's",
+      registers,
+    }),
     leaseLapses: new Counter({
       name: "kingcupglade_lease_lapses_total",
       help: "Times that the routing lease lapsed",
