Refuse for good only what a gateway in contact with control lacks

A gateway that control doesn't reach serves by its last table, which is right, and answered 404 for a route that had been confirmed meanwhile, for as long as the cut lasted. 404 ends a caller's attempts, and nothing bounded the age of the knowledge behind it.

More than 2 s after its last contact, the time in which a confirmed change is in force everywhere, such a gateway answers 503 with a Retry-After of 0.3 s: the request hasn't run, and callers try another gateway. In contact, a path without a route stays a 404; routes of the table are served at any age.

route_lookup_test.ts: two ages red before.

--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -7,6 +7,7 @@
   RequestBody,
 } from "@kingcupglade/transport";
 import { CallerResponse } from "./caller_response.ts";
+import type { GatewayResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
 import { RelayForwarder } from "./relay_forwarder.ts";
@@ -38,6 +39,11 @@
 const maximumDeadlineMilliseconds = 86_400_000;
 /** Retry-after of requests that only this VM cannot serve now. */
 const elsewhereRetryAfterMilliseconds = 300;
+/**
+ * Age of the last contact with control above which a route that the table lacks
+ * may be in force: a confirmed change is, everywhere, after this time.
+ */
+const maximumContactAgeMilliseconds = 2000;
 /** Requests of other gateways that are in progress at the same time. */
 const maximumRelayed = 200;
 
@@ -167,14 +173,8 @@
   ): void {
     const { logger, contactAge } = this.#options.context;
     const table = this.#table;
-    const refusal = table.hasConfiguration
-      ? { status: 404, reason: "no route matches" }
-      : {
-        status: 503,
-        reason: "this VM knows no configuration yet",
-        retryAfterMilliseconds: elsewhereRetryAfterMilliseconds,
-      };
     const age = contactAge();
+    const refusal = this.#refusalWithoutRoute(age);
     logger.info("request-without-route", {
       request: head.requestId,
       status: refusal.status,
@@ -189,6 +189,19 @@
     answer.respond(refusal);
   }
 
+  #refusalWithoutRoute(contactAgeMilliseconds: number): GatewayResponse {
+    const retryAfterMilliseconds = elsewhereRetryAfterMilliseconds;
+    if (!this.#table.hasConfiguration) {
+      const reason = "this VM knows no configuration yet";
+      return { status: 503, reason, retryAfterMilliseconds };
+    }
+    if (contactAgeMilliseconds > maximumContactAgeMilliseconds) {
+      const reason = "this VM may not know the route yet";
+      return { status: 503, reason, retryAfterMilliseconds };
+    }
+    return { status: 404, reason: "no route matches" };
+  }
+
   #recordRefusal(
     head: CallerRequestHead,
     { status, reason }: { readonly status: number; readonly reason: string },
--- a/packages/fleet_gateway/route_lookup_test.ts
+++ b/packages/fleet_gateway/route_lookup_test.ts
@@ -136,6 +136,28 @@
       });
     });
 
+    // Failure: a gateway that control did not reach refused for good a route
+    // that had been confirmed meanwhile.
+    it.each([2001, 60_000])(
+      "sends callers to another gateway, %i ms after the last contact",
+      async (milliseconds) => {
+        applyRoute();
+        contactAge = milliseconds;
+        expect(await ask("/other/1", "jigs.example")).toBe(
+          "503 this VM may not know the route yet",
+        );
+        expect(await ask("/lookup/1", "jigs.example")).toBe("503 no target");
+      },
+    );
+
+    it("refuses for good what no route has while it is in contact", async () => {
+      applyRoute();
+      contactAge = 2000;
+      expect(await ask("/other/1", "jigs.example")).toBe(
+        "404 no route matches",
+      );
+    });
+
     it("logs a refusal before the first update", async () => {
       contactAge = Infinity;
       expect(await ask("/lookup/1", "jigs.example")).toBe(
