Ask for all items sooner, and less often while it doesn't help

The interval starts at 500 ms, doubles to 60 s while the table still differs, so that a lasting difference costs no stream of whole tables, and starts anew once it agrees.

--- a/packages/fleet_gateway/table_synchronizer.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -38,8 +38,9 @@
  */
 const successorSearchIntervalMilliseconds = 200;
 
-/** All items are requested again at most this often. */
-const minimumRefetchIntervalMilliseconds = 5000;
+/** Bounds of the time between two requests for all items. */
+const minimumRefetchMilliseconds = 500;
+const maximumRefetchMilliseconds = 60_000;
 
 /** Options of a {@link TableSynchronizer}. */
 export interface TableSynchronizerOptions {
@@ -92,6 +93,7 @@
   /** Whether the next update has to hold all items. */
   #needsAllItems = false;
   #refetchedAt = -Infinity;
+  #refetchMilliseconds = 0;
 
   constructor(options: TableSynchronizerOptions) {
     this.#options = options;
@@ -355,11 +357,18 @@
     const isApplied = position.index === table.position.index;
     if (!isApplied) return;
     this.#needsAllItems = false;
-    if (itemsDigest === null || itemsDigest === table.itemsDigest) return;
+    if (itemsDigest === null || itemsDigest === table.itemsDigest) {
+      this.#refetchMilliseconds = 0;
+      return;
+    }
     const { clock, logger, metrics } = this.#options;
     const now = clock.now();
-    if (now - this.#refetchedAt < minimumRefetchIntervalMilliseconds) return;
+    if (now - this.#refetchedAt < this.#refetchMilliseconds) return;
     this.#refetchedAt = now;
+    this.#refetchMilliseconds = Math.min(
+      Math.max(2 * this.#refetchMilliseconds, minimumRefetchMilliseconds),
+      maximumRefetchMilliseconds,
+    );
     this.#needsAllItems = true;
     metrics.tableMismatches.inc();
     logger.warn("table-differs", {
