Answer relayed heartbeats in time beside one that takes long

A follower relays the calls of targets in batches and waits 450 ms for all.

Single calls are not cut.

--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -9,6 +9,7 @@
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
 import { BodyMemory, readBody } from "@kingcupglade/transport";
+import { answerBatch } from "./answer_batch.ts";
 import type {
   ControlWire,
   ExternalCall,
@@ -20,7 +21,12 @@
 import { packValue, unpackValue } from "./packed_value.ts";
 import type { PeerClients } from "./peer_clients.ts";
 import type { PeerClocks } from "./peer_clocks.ts";
-import { ageOf, hasCallerLeft, waitForClose } from "./received_call.ts";
+import {
+  ageOf,
+  hasCallerLeft,
+  isVersioned,
+  waitForClose,
+} from "./received_call.ts";
 import type { PeerTime, ReceivedCall, RelayedCall } from "./received_call.ts";
 import { RelayBatch } from "./relay_batch.ts";
 
@@ -205,11 +211,12 @@
   /** Executes calls relayed by a follower. */
   async serveRelayed(packed: Uint8Array): Promise<Uint8Array<ArrayBuffer>> {
     const calls = unpackValue<readonly RelayedCall[]>(packed);
-    return packValue(
-      await Promise.all(
-        calls.map((each) => this.#serveRelayedCall(this.#receiveRelayed(each))),
-      ),
+    const served = calls.map((each) =>
+      this.#serveRelayedCall(this.#receiveRelayed(each))
     );
+    const reason = "the call takes longer than its sender waits";
+    const late = this.#options.wire.encode({ kind: "unavailable", reason });
+    return packValue(await answerBatch(served, late));
   }
 
   #receiveRelayed({ receipt, ...request }: RelayedCall): ReceivedCall {
@@ -393,16 +400,3 @@
   kind: "unavailable",
   reason: "another order for this data centre was acknowledged meanwhile",
 };
-
-// Versions and starts tell an older call from a newer one; reading is harmless.
-function isVersioned(call: ExternalCall): boolean {
-  switch (call.kind) {
-    case "evacuate":
-    case "announce":
-      return false;
-    case "leave":
-      return call.bornAt !== null;
-    default:
-      return true;
-  }
-}
--- a/packages/fleet_control/external_call_handler_test.ts
+++ b/packages/fleet_control/external_call_handler_test.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { emptyFleetState } from "@kingcupglade/fleet";
+import type { Announcement } from "@kingcupglade/fleet";
 import { PlatformControlWire } from "@kingcupglade/platform";
 import { ManualClock, StallDetector } from "@kingcupglade/tasks";
 import { createLogger } from "@kingcupglade/telemetry";
@@ -58,6 +59,8 @@
   /** Calls that this VM carried out as leader. */
   readonly executed: (EvacuationOrder | string)[] = [];
   isLeading = false;
+  /** Targets whose heartbeats are not answered. */
+  readonly silentTargets = new Set<string>();
   readonly handler: ExternalCallHandler;
   readonly #stalls: StallDetector;
   #timeOfDay = 0;
@@ -108,9 +111,11 @@
         this.executed.push("depart");
         return Promise.resolve();
       },
-      handleHeartbeat: () => {
+      handleHeartbeat: ({ incarnation }: Announcement) => {
         this.executed.push("announce");
-        return Promise.resolve({});
+        return this.silentTargets.has(incarnation.target)
+          ? new Promise(() => {})
+          : Promise.resolve({});
       },
     } as never;
   }
@@ -325,6 +330,18 @@
       },
     );
 
+    // Failure: one heartbeat that waited for a commit cost all targets of the
+    // follower their acknowledgements.
+    it("are answered in time beside one that takes long", async () => {
+      fixture.silentTargets.add("t1");
+      const other = { ...heartbeat, path: "/v1/instances/t2" };
+      const startedAt = performance.now();
+      const calls = [heartbeat, other].map(encodeCall);
+      expect(await fixture.executeRelayed(calls)).toEqual([503, 200]);
+      // The follower waits 450 ms.
+      expect(performance.now() - startedAt).toBeLessThan(430);
+    });
+
     it("are carried out with a time of an earlier process", async () => {
       const sentAt = { process: "earlier", milliseconds: 0 };
       fixture.runFor(1100);
--- a/packages/fleet_control/received_call.ts
+++ b/packages/fleet_control/received_call.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { setImmediate as nextTurn } from "node:timers/promises";
-import type { ExternalRequest } from "./control_wire.ts";
+import type { ExternalCall, ExternalRequest } from "./control_wire.ts";
 
 /** Time on the clock of one process of a VM. */
 export interface PeerTime {
@@ -58,3 +58,19 @@
 export function hasCallerLeft({ socket }: IncomingMessage): boolean {
   return socket.destroyed || socket.readableEnded;
 }
+
+/**
+ * Whether an older call can be told from a newer one, by versions or starts, or is
+ * harmless.
+ */
+export function isVersioned(call: ExternalCall): boolean {
+  switch (call.kind) {
+    case "evacuate":
+    case "announce":
+      return false;
+    case "leave":
+      return call.bornAt !== null;
+    default:
+      return true;
+  }
+}
