--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -7,7 +7,6 @@
   RequestBody,
 } from "@kingcupglade/transport";
 import { CallerResponse } from "./caller_response.ts";
-import type { GatewayResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
 import { RelayForwarder } from "./relay_forwarder.ts";
@@ -24,10 +23,10 @@
 import type { RequestDigest } from "./request_digest.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { RequestGuard } from "./request_guard.ts";
-import { describeTarget, readRequestTarget } from "./request_target.ts";
-import type { RequestTarget } from "./request_target.ts";
+import { readRequestTarget } from "./request_target.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
+import { refuseUnmatched } from "./unmatched_request.ts";
 
 /** Bodies up to this size are buffered, so that they can be sent again. */
 const maximumBufferedBytes = 128 * 1024;
@@ -39,11 +38,6 @@
 const maximumDeadlineMilliseconds = 86_400_000;
 /** Retry-after of requests that only this VM cannot serve now. */
 const elsewhereRetryAfterMilliseconds = 300;
-/**
- * Age of the last contact with control above which a route that the table lacks
- * may be in force: a confirmed change is, everywhere, after this time.
- */
-const maximumContactAgeMilliseconds = 2000;
 /** Requests of other gateways that are in progress at the same time. */
 const maximumRelayed = 200;
 
@@ -116,14 +110,21 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { wire, logger } = this.#options.context;
+    const { wire, logger, contactAge } = this.#options.context;
     const answer = new CallerResponse(response);
     const table = this.#table;
     const arrivedAt = this.#now();
     const head = wire.readRequest(request.headers);
     const target = readRequestTarget(request);
     const route = table.matchRoute(target.host, target.path);
-    if (!route) return this.#refuseWithoutRoute(head, { target, answer });
+    if (!route) {
+      return answer.respond(refuseUnmatched({
+        requestId: head.requestId,
+        target,
+        table,
+        contactAgeMilliseconds: contactAge(),
+      }, this.#options.context));
+    }
     const deadlineAt = this.#options.stopSchedule.deadlineFor(
       arrivedAt + Math.min(
         route.timeoutMilliseconds,
@@ -164,44 +165,6 @@
     this.#forwardOwn(routed, { answer, response });
   }
 
-  #refuseWithoutRoute(
-    head: CallerRequestHead,
-    { target, answer }: {
-      readonly target: RequestTarget;
-      readonly answer: CallerResponse;
-    },
-  ): void {
-    const { logger, contactAge } = this.#options.context;
-    const table = this.#table;
-    const age = contactAge();
-    const refusal = this.#refusalWithoutRoute(age);
-    logger.info("request-without-route", {
-      request: head.requestId,
-      status: refusal.status,
-      ...describeTarget(target),
-      routesOfHost: table.countRoutes(target.host),
-      index: table.position.index,
-      term: table.position.term,
-      items: table.itemCount,
-      contactAgeMilliseconds: Number.isFinite(age) ? Math.round(age) : null,
-    });
-    this.#options.context.metrics.refusals.inc({ reason: refusal.reason });
-    answer.respond(refusal);
-  }
-
-  #refusalWithoutRoute(contactAgeMilliseconds: number): GatewayResponse {
-    const retryAfterMilliseconds = elsewhereRetryAfterMilliseconds;
-    if (!this.#table.hasConfiguration) {
-      const reason = "this VM knows no configuration yet";
-      return { status: 503, reason, retryAfterMilliseconds };
-    }
-    if (contactAgeMilliseconds > maximumContactAgeMilliseconds) {
-      const reason = "this VM may not know the route yet";
-      return { status: 503, reason, retryAfterMilliseconds };
-    }
-    return { status: 404, reason: "no route matches" };
-  }
-
   #recordRefusal(
     head: CallerRequestHead,
     { status, reason }: { readonly status: number; readonly reason: string },
