--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
-import { configurationOf } from "@kingcupglade/consensus";
 import type { FleetOutcome } from "@kingcupglade/fleet";
 import { describeChange, findNeverKnownServices } from "@kingcupglade/items";
 import { Fleet } from "@kingcupglade/protocol";
@@ -17,6 +16,7 @@
   ExternalResponse,
   ExternalResult,
 } from "./control_wire.ts";
+import { hasEnoughVoters } from "./has_enough_voters.ts";
 import type { FleetReplica, LeaderSession } from "./leader_session.ts";
 import { packValue, unpackValue } from "./packed_value.ts";
 import type { PeerClients } from "./peer_clients.ts";
@@ -37,11 +37,6 @@
 const relayTimeoutMilliseconds = 450;
 const leaderWaitMilliseconds = 450;
 const leaderPollIntervalMilliseconds = 25;
-/**
- * Time to gather the voters that make an acknowledgement durable; after that, a
- * smaller replica set is taken as complete.
- */
-const voterGatherMilliseconds = 5000;
 const maximumCallBytes = 16 * 1024 * 1024;
 /**
  * Age beyond which the sender of a call has turned to another VM. A call without
@@ -312,7 +307,7 @@
         case "readItems":
           return await this.#readItems(replica);
         case "changeItems": {
-          if (!this.#isDurable(replica)) return insufficientReplicas;
+          if (!this.#mayAcknowledge(replica)) return insufficientReplicas;
           const { change } = call;
           const faults = findNeverKnownServices(replica.state.items, change);
           if (faults.length > 0) {
@@ -332,7 +327,7 @@
           return this.#completeChange(outcome);
         }
         case "evacuate": {
-          if (!this.#isDurable(replica)) return insufficientReplicas;
+          if (!this.#mayAcknowledge(replica)) return insufficientReplicas;
           const { dataCentre, isOut } = call;
           const outcome = await session.evacuate({
             dataCentre,
@@ -379,15 +374,9 @@
     };
   }
 
-  // An acknowledged change must be stored in one more data folder than may be
-  // lost; a majority of this many voters ensures it.
-  #isDurable(replica: FleetReplica): boolean {
+  #mayAcknowledge({ consensus }: FleetReplica): boolean {
     const { clock, toleratedLosses } = this.#options;
-    const { consensus } = replica;
-    return configurationOf(consensus).voters.length >=
-        toleratedLosses * 2 + 1 ||
-      toleratedLosses === 0 ||
-      clock.now() - consensus.leadingSince > voterGatherMilliseconds;
+    return hasEnoughVoters(consensus, { toleratedLosses, now: clock.now() });
   }
 }
 
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -15,7 +15,7 @@
   ViewPosition,
   VmEndpoint,
 } from "@kingcupglade/fleet";
-import { ItemKind, ItemsDigest } from "@kingcupglade/items";
+import { ItemKind, ItemsDigestCache } from "@kingcupglade/items";
 import type { Replica } from "@kingcupglade/replica";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -85,9 +85,7 @@
   /** Encoded updates by the gateway's position; valid until the next change. */
   readonly #encoded = new Map<string, Uint8Array<ArrayBuffer>>();
   #encodedKey = "";
-  /** Items of which {@link #digest} is the digest. */
-  #digestedItems: FleetState["items"] | undefined;
-  #digest = 0;
+  readonly #itemsDigest = new ItemsDigestCache();
   #notifiedRevision = 0;
   #notifiedIndex = 0;
   #isNotificationDue = false;
@@ -431,15 +429,6 @@
     return encoded;
   }
 
-  get #itemsDigest(): number {
-    const { items } = this.#options.replica.state;
-    if (items !== this.#digestedItems) {
-      this.#digestedItems = items;
-      this.#digest = ItemsDigest.of(items.values());
-    }
-    return this.#digest;
-  }
-
   #delta(position: ViewPosition): ViewDelta {
     const { replica, clock } = this.#options;
     const { state, appliedIndex } = replica;
@@ -458,7 +447,7 @@
       items: [...state.items.values()].filter(({ changedAt }) =>
         changedAt > position.index
       ).map((item) => ({ ...item, source: "" })),
-      itemsDigest: this.#itemsDigest,
+      itemsDigest: this.#itemsDigest.of(state.items),
       dataCentresOut: [...state.evacuations].filter(([, { isOut }]) => isOut)
         .map(([name]) => name),
       departed: [...state.departures].filter(([name, departure]) =>
--- a/packages/fleet_gateway/body_memory_test.ts
+++ b/packages/fleet_gateway/body_memory_test.ts
@@ -5,13 +5,9 @@
 import type { AddressInfo, Socket } from "node:net";
 import { text } from "node:stream/consumers";
 import { RequestKind } from "@kingcupglade/items";
-import { createMetrics } from "@kingcupglade/telemetry";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { RequestHandler } from "./request_handler.ts";
-import { ServiceQueue } from "./service_queue.ts";
-import { StopSchedule } from "./stop_schedule.ts";
+import { createIdleHandler } from "./request_handler_fixture.ts";
 
-const logger = { debug() {}, info() {}, warn() {}, error() {} };
 const callers = 700;
 /** Bytes that each caller sends of its body before it stalls. */
 const sentBytes = 100 * 1024;
@@ -32,38 +28,12 @@
 
   beforeEach(async () => {
     sockets = [];
-    const queue = new ServiceQueue({
-      now: () => 0,
-      budget: { ratio: 0.2, windowMilliseconds: 1000, slack: 5 },
-    });
-    const table = {
-      hasConfiguration: true,
-      matchRoute: () => route,
-      service: () => ({}),
-    };
-    const handler = new RequestHandler({
-      context: {
-        logger,
-        metrics: createMetrics(),
-        clock: { now: () => 0 },
-        random: Math.random,
-        table: () => table,
-        wire: { readRequest: () => ({ requestId: "r1" }) },
-        selector: {
-          parts: { next: () => "catalogue" },
-          service: () => queue,
-          select: () => ({ kind: "none", reason: "no target" }),
-        },
-        pools: { poolFor: () => undefined },
-        suspects: { isSuspect: () => false },
-        reach: {
-          isCutOff: false,
-          shouldUseTargets: () => true,
-          onCutOff: () => () => {},
-        },
-      } as never,
-      stopSchedule: new StopSchedule(6000),
-      digest: () => "",
+    const handler = createIdleHandler({
+      table: () => ({
+        hasConfiguration: true,
+        matchRoute: () => route,
+        service: () => ({}),
+      }),
     });
     server = createServer((request, response) =>
       handler.handle(request, response)
--- /dev/null
+++ b/packages/fleet_gateway/request_handler_fixture.ts
@@ -0,0 +1,67 @@
+import type { ViewDelta } from "@kingcupglade/fleet";
+import { createMetrics } from "@kingcupglade/telemetry";
+import { RequestHandler } from "./request_handler.ts";
+import { ServiceQueue } from "./service_queue.ts";
+import { StopSchedule } from "./stop_schedule.ts";
+
+/** Creates a handler that finds no target for any request. */
+export function createIdleHandler(
+  context:
+    & { readonly table: () => unknown }
+    & Readonly<
+      Record<string, unknown>
+    >,
+): RequestHandler {
+  const queue = new ServiceQueue({
+    now: () => 0,
+    budget: { ratio: 0.2, windowMilliseconds: 1000, slack: 5 },
+  });
+  return new RequestHandler({
+    context: {
+      logger: { debug() {}, info() {}, warn() {}, error() {} },
+      metrics: createMetrics(),
+      clock: { now: () => 0 },
+      random: Math.random,
+      wire: { readRequest: () => ({ requestId: "r1" }) },
+      selector: {
+        parts: { next: () => "catalogue" },
+        service: () => queue,
+        select: () => ({ kind: "none", reason: "no target" }),
+      },
+      pools: { poolFor: () => undefined },
+      suspects: { isSuspect: () => false },
+      reach: {
+        isCutOff: false,
+        shouldUseTargets: () => true,
+        onCutOff: () => () => {},
+      },
+      ...context,
+    } as never,
+    stopSchedule: new StopSchedule(6000),
+    digest: () => "",
+  });
+}
+
+/** Returns an update up to a log entry that changes nothing else. */
+export function createUpdate(
+  index: number,
+  more: Partial<ViewDelta> = {},
+): ViewDelta {
+  return {
+    position: { index, term: 1, revision: index, isComplete: true },
+    items: [],
+    itemsDigest: null,
+    dataCentresOut: [],
+    departed: [],
+    targets: [],
+    areTargetsComplete: false,
+    removedTargets: [],
+    ranges: [],
+    gateways: 9,
+    managers: null,
+    relays: null,
+    suspects: null,
+    control: null,
+    ...more,
+  };
+}
--- a/packages/fleet_gateway/route_lookup_test.ts
+++ b/packages/fleet_gateway/route_lookup_test.ts
@@ -6,12 +6,9 @@
 import { text } from "node:stream/consumers";
 import { ItemKind, RequestKind } from "@kingcupglade/items";
 import type { StoredItem } from "@kingcupglade/items";
-import { createMetrics } from "@kingcupglade/telemetry";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { GatewayTable } from "./gateway_table.ts";
-import { RequestHandler } from "./request_handler.ts";
-import { ServiceQueue } from "./service_queue.ts";
-import { StopSchedule } from "./stop_schedule.ts";
+import { createIdleHandler, createUpdate } from "./request_handler_fixture.ts";
 
 const route: StoredItem = {
   kind: ItemKind.route,
@@ -44,34 +41,10 @@
     info.mockClear();
     contactAge = 350;
     table = new GatewayTable();
-    const queue = new ServiceQueue({
-      now: () => 0,
-      budget: { ratio: 0.2, windowMilliseconds: 1000, slack: 5 },
-    });
-    const handler = new RequestHandler({
-      context: {
-        logger: { debug() {}, info, warn() {}, error() {} },
-        metrics: createMetrics(),
-        clock: { now: () => 0 },
-        random: Math.random,
-        table: () => table,
-        contactAge: () => contactAge,
-        wire: { readRequest: () => ({ requestId: "r1" }) },
-        selector: {
-          parts: { next: () => "catalogue" },
-          service: () => queue,
-          select: () => ({ kind: "none", reason: "no target" }),
-        },
-        pools: { poolFor: () => undefined },
-        suspects: { isSuspect: () => false },
-        reach: {
-          isCutOff: false,
-          shouldUseTargets: () => true,
-          onCutOff: () => () => {},
-        },
-      } as never,
-      stopSchedule: new StopSchedule(6000),
-      digest: () => "",
+    const handler = createIdleHandler({
+      logger: { debug() {}, info, warn() {}, error() {} },
+      table: () => table,
+      contactAge: () => contactAge,
     });
     server = createServer((request, response) =>
       handler.handle(request, response)
@@ -86,22 +59,7 @@
   });
 
   function applyRoute(): void {
-    table.apply({
-      position: { index: 9, term: 2, revision: 1, isComplete: true },
-      items: [route],
-      itemsDigest: null,
-      dataCentresOut: [],
-      departed: [],
-      targets: [],
-      areTargetsComplete: false,
-      removedTargets: [],
-      ranges: [],
-      gateways: 1,
-      managers: null,
-      relays: null,
-      suspects: null,
-      control: null,
-    });
+    table.apply(createUpdate(9, { items: [route] }));
   }
 
   /** Sends a request head as it is written; returns status and reason. */
@@ -130,7 +88,7 @@
         segment: "other",
         routesOfHost: 1,
         index: 9,
-        term: 2,
+        term: 1,
         items: 1,
         contactAgeMilliseconds: 350,
       });
--- a/packages/fleet_gateway/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table_synchronizer_test.ts
@@ -15,6 +15,7 @@
 import { createMetrics } from "@kingcupglade/telemetry";
 import { UnaryServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { createUpdate } from "./request_handler_fixture.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 
 const secret = "unguarded";
@@ -62,26 +63,7 @@
   index: number,
   more: { items?: readonly StoredItem[]; itemsDigest?: number | null } = {},
 ): WatchAnswer {
-  return {
-    kind: "news",
-    delta: {
-      position: { index, term: 1, revision: 1, isComplete: true },
-      items: [],
-      itemsDigest: null,
-      dataCentresOut: [],
-      departed: [],
-      targets: [],
-      areTargetsComplete: false,
-      removedTargets: [],
-      ranges: [],
-      gateways: 1,
-      managers: null,
-      relays: null,
-      suspects: null,
-      control: null,
-      ...more,
-    },
-  };
+  return { kind: "news", delta: createUpdate(index, more) };
 }
 
 const neverResponds = (): Promise<WatchAnswer> => new Promise(() => {});
--- a/packages/items/items_digest.ts
+++ b/packages/items/items_digest.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import { itemId } from "./types.ts";
-import type { StoredItem } from "./types.ts";
+import type { StoredItem, StoredItems } from "./types.ts";
 
 const hashBytes = 6;
 /** Sums of hashes stay exact in a number. */
@@ -34,6 +34,21 @@
   }
 }
 
+/** Keeps the digest of the set of items that was asked for last. */
+export class ItemsDigestCache {
+  #items: StoredItems | undefined;
+  #value = 0;
+
+  /** Returns the digest of a set, which must not change. */
+  of(items: StoredItems): number {
+    if (items !== this.#items) {
+      this.#items = items;
+      this.#value = ItemsDigest.of(items.values());
+    }
+    return this.#value;
+  }
+}
+
 function hashOf(item: StoredItem): number {
   const known = hashes.get(item);
   if (known !== undefined) return known;
