Bound the names of items in the log by their length

The lines of changes named 40 items of any length, so that long names could fill the log, while a first configuration of more routes wasn't named whole. The text has 4,000 characters at most now, about 150 items.

--- a/packages/items/describe_items.ts
+++ b/packages/items/describe_items.ts
@@ -1,8 +1,8 @@
 import { itemId } from "./types.ts";
 import type { ItemChange, StoredItem, StoredItems } from "./types.ts";
 
-/** Maximum number of items that a text names. */
-const maximumNames = 40;
+/** Maximum length of the names in a text. */
+const maximumCharacters = 4000;
 
 /** Names items with their versions; those that are removed carry a minus. */
 export function describeItems(items: readonly StoredItem[]): string {
@@ -44,7 +44,13 @@
   items: readonly Item[],
   describe: (item: Item) => string,
 ): string {
-  const named = items.slice(0, maximumNames).map(describe);
-  const omitted = items.length - named.length;
-  return [...named, ...(omitted > 0 ? [`and ${omitted} more`] : [])].join(" ");
+  let text = "";
+  for (const [at, item] of items.entries()) {
+    const next = `${at > 0 ? " " : ""}${describe(item)}`;
+    if (text.length + next.length > maximumCharacters) {
+      return `${text} and ${items.length - at} more`.trimStart();
+    }
+    text += next;
+  }
+  return text;
 }
--- a/packages/items/items_digest.ts
+++ b/packages/items/items_digest.ts
@@ -10,8 +10,8 @@
 const hashes = new WeakMap<StoredItem, number>();
 
 /**
- * Digest of the names and versions of a set of items, whatever their order. Two
- * sets with the same digest hold the same versions of the same items.
+ * Digest of the names and versions of a set of items, whatever their order. Sets
+ * that differ have the same digest by chance only, once in 2^48.
  */
 export class ItemsDigest {
   #value = 0;
