Name the modules of targets and updates after what they hold

Two modules were called request_target.ts: that of the listeners, which reads the absolute form, is origin_form.ts now. The empty update of three tests has a fixture of its own, and the listener keeps its handler once. No behaviour changes; the tests of these packages are green.

--- a/packages/fleet_gateway/gateway_table_test.ts
+++ b/packages/fleet_gateway/gateway_table_test.ts
@@ -3,7 +3,7 @@
 import type { StoredItem } from "@kingcupglade/items";
 import { describe, expect, it } from "vitest";
 import { GatewayTable } from "./gateway_table.ts";
-import { createUpdate } from "./request_handler_fixture.ts";
+import { createUpdate } from "./table_update_fixture.ts";
 
 function route(version: number, service: string): StoredItem {
   return {
--- a/packages/fleet_gateway/request_handler_fixture.ts
+++ b/packages/fleet_gateway/request_handler_fixture.ts
@@ -1,4 +1,3 @@
-import type { ViewDelta } from "@kingcupglade/fleet";
 import { createMetrics } from "@kingcupglade/telemetry";
 import { RequestHandler } from "./request_handler.ts";
 import { ServiceQueue } from "./service_queue.ts";
@@ -41,27 +40,3 @@
     digest: () => "",
   });
 }
-
-/** Returns an update up to a log entry that changes nothing else. */
-export function createUpdate(
-  index: number,
-  more: Partial<ViewDelta> = {},
-): ViewDelta {
-  return {
-    position: { index, term: 1, revision: index, isComplete: true },
-    items: [],
-    itemsDigest: null,
-    dataCentresOut: [],
-    departed: [],
-    targets: [],
-    areTargetsComplete: false,
-    removedTargets: [],
-    ranges: [],
-    gateways: 9,
-    managers: null,
-    relays: null,
-    suspects: null,
-    control: null,
-    ...more,
-  };
-}
--- a/packages/fleet_gateway/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table_synchronizer_test.ts
@@ -15,7 +15,7 @@
 import { createMetrics } from "@kingcupglade/telemetry";
 import { UnaryServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { createUpdate } from "./request_handler_fixture.ts";
+import { createUpdate } from "./table_update_fixture.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 
 const secret = "unguarded";
--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -16,7 +16,7 @@
   setTimeout as pause,
 } from "node:timers/promises";
 import { ListenerConnection } from "./listener_connection.ts";
-import { originTarget } from "./request_target.ts";
+import { readAbsoluteForm } from "./origin_form.ts";
 
 const pollIntervalMilliseconds = 50;
 const closeIntervalMilliseconds = 20;
@@ -93,7 +93,6 @@
 export class HttpListener {
   readonly #server: Server;
   readonly #options: HttpListenerOptions;
-  readonly #handler: RequestListener;
   /** Connections that are accepted; over TLS, also before the handshake. */
   readonly #sockets = new Set<Socket>();
   readonly #connections = new Map<Socket, ListenerConnection>();
@@ -107,7 +106,6 @@
   protected constructor(server: Server, options: HttpListenerOptions) {
     this.#server = server;
     this.#options = options;
-    this.#handler = options.handler;
     // `close` of Node.js would cut requests that have not been read.
     server.closeIdleConnections = () => {};
     server.on("connection", (socket: Socket) => {
@@ -259,7 +257,7 @@
     // Otherwise a client could send its next request while the connection closes.
     if (this.#isDraining) response.shouldKeepAlive = false;
     if (this.#heldRequests) this.#heldRequests.push([request, response]);
-    else this.#handler(request, response);
+    else this.#options.handler(request, response);
   }
 
   // The caller would take the status for the response to a request before, or to
@@ -311,7 +309,7 @@
     );
     this.#heldRequests = undefined;
     for (const [request, response] of held) {
-      if (!response.destroyed) this.#handler(request, response);
+      if (!response.destroyed) this.#options.handler(request, response);
     }
     return { promise };
   }
@@ -319,7 +317,7 @@
 
 // The host of a target in absolute form replaces the header (RFC 9112, 3.2.2).
 function rewriteToOriginForm(request: IncomingMessage): void {
-  const target = originTarget(request.url ?? "/");
+  const target = readAbsoluteForm(request.url ?? "/");
   if (!target) return;
   request.url = target.path;
   request.headers.host = target.host;
--- a/packages/transport/request_target.ts
+++ b/packages/transport/origin_form.ts
@@ -5,7 +5,7 @@
  * Returns the host, with its port, and the path, with its query, of a request
  * target in absolute form; undefined for another form. Nothing is normalized.
  */
-export function originTarget(
+export function readAbsoluteForm(
   url: string,
 ): { readonly host: string; readonly path: string } | undefined {
   const parts = absoluteForm.exec(url);
--- a/packages/transport/request_target_test.ts
+++ b/packages/transport/origin_form_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { originTarget } from "./request_target.ts";
+import { readAbsoluteForm } from "./origin_form.ts";
 
 describe("the target of a request", () => {
   it.each([
@@ -11,7 +11,7 @@
     ["http://[::1]:80/%2f", "[::1]:80", "/%2f"],
     ["http:///a", "", "/a"],
   ])("%s is of host '%s' and path %s", (url, host, path) => {
-    expect(originTarget(url)).toEqual({ host, path });
+    expect(readAbsoluteForm(url)).toEqual({ host, path });
   });
 
   it.each([
@@ -23,6 +23,6 @@
     "ftp://a/",
   ])(
     "'%s' is not in absolute form",
-    (url) => expect(originTarget(url)).toBeUndefined(),
+    (url) => expect(readAbsoluteForm(url)).toBeUndefined(),
   );
 });
