--- /dev/null
+++ b/packages/kingcupglade/left_callers_path_test.ts
@@ -0,0 +1,170 @@
+import type { IncomingMessage } from "node:http";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
+import { loopbackPrefix } from "@kingcupglade/fakes";
+import { afterAll, beforeAll, beforeEach, describe, expect, it } from "vitest";
+import {
+  callControl,
+  createRoute,
+  HeartbeatTarget,
+  sendHttp,
+  startRole,
+  waitUntil,
+} from "./fleet_fixture.ts";
+import type { FleetVm } from "./fleet_vm.ts";
+import {
+  CallerEnd,
+  encodeRequest,
+  openConnection,
+  sendAndLeave,
+} from "./left_callers_fixture.ts";
+
+const prefix = loopbackPrefix();
+const controlAddress = `${prefix}.1:7300`;
+const gatewayAddress = `${prefix}.2:7301`;
+const version = 1;
+const configuration = {
+  upsert: {
+    services: [{ name: "catalogue", maxConnections: 100, version }],
+    routes: [
+      { ...createRoute("lookup", "safe", "catalogue"), timeoutS: 5 },
+      { ...createRoute("reserve", "unsafe", "catalogue"), timeoutS: 5 },
+    ],
+  },
+};
+/** Time after a caller has left in which its work ends at the target. */
+const endMilliseconds = 500;
+
+describe("a gateway whose callers leave", () => {
+  let folder: string;
+  let vms: FleetVm[];
+  /** Requests that a target runs, by ID. */
+  const running = new Map<string, IncomingMessage>();
+  const target = new HeartbeatTarget({
+    name: "catalogue-1",
+    service: "catalogue",
+    dataCentre: "a",
+    control: controlAddress,
+  });
+
+  beforeAll(async () => {
+    folder = await mkdtemp(join(tmpdir(), "left-"));
+    vms = [
+      await startRole({
+        role: "control",
+        ip: `${prefix}.1`,
+        seed: controlAddress,
+        lines: `dataFolder = ${folder}\n[listen]\ncontrol = ${controlAddress}`,
+      }),
+      await startRole({
+        role: "gateway",
+        ip: `${prefix}.2`,
+        seed: controlAddress,
+        lines:
+          `[listen]\ncallers = ${gatewayAddress}\nreadiness = ${prefix}.2:7302`,
+      }),
+    ];
+    await waitUntil(async () => {
+      const { status } = await callControl(
+        controlAddress,
+        "PATCH",
+        "/v1/config",
+        configuration,
+      );
+      return status === 200;
+    });
+    await target.start(`${prefix}.3`);
+    await waitUntil(isServed);
+  });
+
+  afterAll(async () => {
+    target.stop();
+    for (const vm of vms.reverse()) await vm.stop();
+    await rm(folder, { recursive: true });
+  });
+
+  beforeEach(() => {
+    target.requests.length = 0;
+    target.handler = (_request, response) => response.end("whole");
+    running.clear();
+  });
+
+  async function isServed(): Promise<boolean> {
+    const { status } = await sendHttp({
+      address: gatewayAddress,
+      method: "GET",
+      path: "/lookup/1",
+      headers: { host: "jigs.example", "x-request-id": "served" },
+    });
+    return status === 200;
+  }
+
+  function runWithoutEnd(): void {
+    target.handler = (request, response) => {
+      const id = String(request.headers["x-request-id"]);
+      running.set(id, request);
+      response.once("close", () => running.delete(id));
+    };
+  }
+
+  // Guards against work for callers that left before their requests were read.
+  it.each([
+    [CallerEnd.order, "GET", "/lookup/1"],
+    [CallerEnd.reset, "GET", "/lookup/1"],
+    [CallerEnd.order, "POST", "/reserve/1"],
+    [CallerEnd.reset, "POST", "/reserve/1"],
+  ])(
+    "sends no request that it reads together with the end (%s) of its connection (%s)",
+    async (end, method, path) => {
+      const requests = Array.from(
+        { length: 20 },
+        (_, index) => ({ id: `left-${end}-${index}`, method, path }),
+      );
+      sendAndLeave({ address: gatewayAddress, requests, end });
+      await pause(endMilliseconds);
+      expect(target.requests).toEqual([]);
+      expect(await isServed()).toBe(true);
+    },
+  );
+
+  // Guards against targets that work on for a caller of several requests on one
+  // connection, after its connection has ended.
+  it.each([CallerEnd.order, CallerEnd.reset])(
+    "ends all requests of a connection that ends (%s)",
+    async (end) => {
+      runWithoutEnd();
+      const caller = openConnection(gatewayAddress);
+      const ids = ["behind-1", "behind-2", "behind-3"];
+      caller.write(
+        ids.map((id) => encodeRequest({ id, method: "GET", path: "/lookup/1" }))
+          .join(""),
+      );
+      await waitUntil(() => running.size === ids.length);
+      if (end === CallerEnd.order) caller.end();
+      else caller.resetAndDestroy();
+      await pause(endMilliseconds);
+      expect([...running.keys()]).toEqual([]);
+      caller.destroy();
+    },
+  );
+
+  // Guards against targets that work on while the rest of a body is not read.
+  it("ends a request whose caller resets its connection while its body waits for the target", async () => {
+    runWithoutEnd();
+    const caller = openConnection(gatewayAddress);
+    const length = 12_000_000;
+    caller.write(
+      encodeRequest({ id: "long", method: "POST", path: "/reserve/1" }, [
+        `content-length: ${length}`,
+      ]),
+    );
+    caller.write(Buffer.alloc(length));
+    await waitUntil(() => running.size === 1);
+    await pause(endMilliseconds);
+    caller.resetAndDestroy();
+    await pause(endMilliseconds);
+    expect([...running.keys()]).toEqual([]);
+  });
+});
