Log when a caller leaves, and when its target is cancelled

caller-left names the stage of the request, its targets, its age and for how long the end may have waited to be read; target-cancelled follows when the exchange has ended. kingcupglade_callers_left_total counts by stage. Gateways detect stalls of their event loop as control VMs do (event-loop-stalled).

--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -139,6 +139,7 @@
     };
     return {
       clock,
+      stalls: { readDelay: () => 0 },
       logger,
       metrics: createMetrics(),
       random: Math.random,
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -1,6 +1,7 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { peerAddressOf, PeerClients } from "@kingcupglade/fleet_control";
 import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
+import { StallDetector } from "@kingcupglade/tasks";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import { BodyMemory } from "@kingcupglade/transport";
@@ -32,6 +33,7 @@
 /** Idle connections are closed this long after the configured idle timeout. */
 const idleMarginMilliseconds = 1500;
 const housekeepingIntervalMilliseconds = 1000;
+const stallCheckIntervalMilliseconds = 50;
 const millisecondsPerSecond = 1000;
 /** Memory for responses that are held until their ends are known. */
 const maximumHeldResponseBytes = 32 * 1024 * 1024;
@@ -88,9 +90,11 @@
   readonly #slotClient: SlotClient;
   readonly #slotPools: SlotPools;
   readonly #stopSchedule: StopSchedule;
+  readonly #stalls: StallDetector;
   #slotSocket!: SlotSocket;
   #handler!: RequestHandler;
   readonly #housekeepingTimer: NodeJS.Timeout;
+  readonly #stallTimer: NodeJS.Timeout;
   #listeners!: GatewayListeners;
 
   protected constructor(options: GatewayVmOptions) {
@@ -98,6 +102,13 @@
     this.#options = options;
     this.#stopSchedule = new StopSchedule(options.graceMilliseconds);
     this.#peerClients = new PeerClients({ secret });
+    this.#stalls = new StallDetector({
+      clock,
+      onStall: (milliseconds) =>
+        logger.info("event-loop-stalled", {
+          milliseconds: Math.round(milliseconds),
+        }),
+    });
     this.#connections = new TargetConnections({
       clock,
       connector: options.connectToTarget,
@@ -217,6 +228,10 @@
       () => this.#doHousekeeping(),
       housekeepingIntervalMilliseconds,
     );
+    this.#stallTimer = setInterval(
+      () => this.#stalls.observe(),
+      stallCheckIntervalMilliseconds,
+    );
   }
 
   /**
@@ -280,6 +295,7 @@
     await this.#listeners.drain();
     this.#synchronizer.stop();
     clearInterval(this.#housekeepingTimer);
+    clearInterval(this.#stallTimer);
     this.#reach.close();
     this.#connections.close();
     this.#relayConnections.close();
@@ -307,6 +323,7 @@
       limits: this.#limits,
       notices: this.#notices,
       suspects: this.#suspects,
+      stalls: this.#stalls,
       loadProber: this.#loadProber,
       pools: this.#slotPools,
       slots: this.#slotClient,
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -15,7 +15,7 @@
 import { RelayWire } from "./relay_wire.ts";
 import { RequestGuard } from "./request_guard.ts";
 import { requestHeaders } from "./request_headers.ts";
-import { RequestTelemetry } from "./request_telemetry.ts";
+import { RequestTelemetry, stageOf } from "./request_telemetry.ts";
 import { retryAfterMilliseconds } from "./retry_after.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import type { TargetConnections } from "./target_connections.ts";
@@ -86,7 +86,13 @@
 
   /** Stops forwarding because the caller has disconnected. */
   abandon(): void {
+    if (this.#isFinished) return;
     this.#isFinished = true;
+    const exchanges = this.#exchange ? [this.#exchange] : [];
+    this.#telemetry.recordCallerLeft({
+      stage: stageOf(exchanges, this.#options.answer),
+      targets: [...this.#tried],
+    });
     this.#exchange?.abandon();
   }
 
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -16,7 +16,7 @@
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import { retryAfterMilliseconds } from "./retry_after.ts";
 import { RequestGuard } from "./request_guard.ts";
-import { RequestTelemetry, SendPath } from "./request_telemetry.ts";
+import { RequestTelemetry, SendPath, stageOf } from "./request_telemetry.ts";
 import { RequestSuspicion } from "./request_suspicion.ts";
 import { RequestHedge } from "./request_hedge.ts";
 import type { ServiceQueue } from "./service_queue.ts";
@@ -80,6 +80,8 @@
   readonly #suspicion: RequestSuspicion;
   readonly #guard = new RequestGuard((failure) => this.#handleFault(failure));
   #isFinished = false;
+  /** When the end of the caller's connection was read; Infinity before. */
+  #leftAt = Infinity;
 
   constructor(options: {
     readonly context: ForwardingContext;
@@ -155,6 +157,11 @@
   /** Stops forwarding because the caller has disconnected. */
   abandon(): void {
     if (this.#isFinished) return;
+    this.#leftAt = this.#context.clock.now();
+    this.#telemetry.recordCallerLeft({
+      stage: stageOf(this.#exchanges, this.#response),
+      targets: [...this.#targets.values()],
+    });
     this.#finish();
   }
 
@@ -315,6 +322,12 @@
     }
     const now = clock.now();
     const end = this.#isFinished ? ExchangeEnd.abandoned : endOf(result);
+    if (this.#leftAt <= now) {
+      this.#telemetry.recordCancellation(target, {
+        isSent: exchange.isSent,
+        sinceMilliseconds: now - this.#leftAt,
+      });
+    }
     const durationMilliseconds = now - startedAt;
     const durations = { durationMilliseconds, expectedMilliseconds };
     record.end(end, { now, ...durations });
--- a/packages/fleet_gateway/request_handler_fixture.ts
+++ b/packages/fleet_gateway/request_handler_fixture.ts
@@ -20,6 +20,7 @@
       logger: { debug() {}, info() {}, warn() {}, error() {} },
       metrics: createMetrics(),
       clock: { now: () => 0 },
+      stalls: { readDelay: () => 0 },
       random: Math.random,
       wire: { readRequest: () => ({ requestId: "r1" }) },
       selector: {
--- a/packages/fleet_gateway/request_handler_test.ts
+++ b/packages/fleet_gateway/request_handler_test.ts
@@ -70,6 +70,7 @@
         logger,
         metrics,
         clock: { now: () => 0 },
+        stalls: { readDelay: () => 0 },
         random: Math.random,
         table: () => table,
         wire: { readRequest: () => ({ requestId: "r1" }) },
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -35,6 +35,37 @@
 } as const;
 export type SendPath = typeof SendPath[keyof typeof SendPath];
 
+/** How far a request had got when its caller left. */
+export const CallerStage = {
+  /** No target was chosen: it waits for a slot, a target or a permission. */
+  waiting: "waiting",
+  /** The connection to its target is being opened. */
+  connecting: "connecting",
+  /** A target has it. */
+  sent: "sent",
+  /** A part of the response was passed on. */
+  responding: "responding",
+} as const;
+export type CallerStage = typeof CallerStage[keyof typeof CallerStage];
+
+/** A request whose caller has closed its connection. */
+export interface LeftCaller {
+  readonly stage: CallerStage;
+  /** Targets, or the gateway, that the request was sent to. */
+  readonly targets: readonly string[];
+}
+
+/** Returns the stage of a request with the given exchanges. */
+export function stageOf(
+  exchanges: Iterable<{ readonly isSent: boolean }>,
+  { hasStarted }: { readonly hasStarted: boolean },
+): CallerStage {
+  if (hasStarted) return CallerStage.responding;
+  const all = [...exchanges];
+  if (all.some(({ isSent }) => isSent)) return CallerStage.sent;
+  return all.length > 0 ? CallerStage.connecting : CallerStage.waiting;
+}
+
 /** Writes the log lines and metrics of one request. */
 export class RequestTelemetry {
   readonly #context: ForwardingContext;
@@ -152,6 +183,42 @@
     });
   }
 
+  /**
+   * Counts and logs that the caller has closed its connection. The end of the
+   * connection may have waited for `readDelayMilliseconds` until it was read.
+   */
+  recordCallerLeft({ stage, targets }: LeftCaller): void {
+    const { clock, logger, metrics, stalls } = this.#context;
+    const { head, service, arrivedAt } = this.#routed;
+    metrics.callersLeft.inc({ stage });
+    logger.info("caller-left", {
+      request: head.requestId,
+      service,
+      stage,
+      targets: targets.join(","),
+      ageMilliseconds: Math.round(clock.now() - arrivedAt),
+      readDelayMilliseconds: Math.round(stalls.readDelay()),
+    });
+  }
+
+  /** Logs that the exchange with a target has ended because the caller left. */
+  recordCancellation(
+    target: TargetView,
+    { isSent, sinceMilliseconds }: {
+      readonly isSent: boolean;
+      /** Time since the end of the caller's connection was read. */
+      readonly sinceMilliseconds: number;
+    },
+  ): void {
+    const { head } = this.#routed;
+    this.#context.logger.info("target-cancelled", {
+      request: head.requestId,
+      target: target.name,
+      isSent,
+      sinceMilliseconds: Math.round(sinceMilliseconds),
+    });
+  }
+
   /** Logs an event that concerns one target. */
   logTargetEvent(event: string, target: TargetView, reason: string): void {
     const { head, service } = this.#routed;
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { Route } from "@kingcupglade/items";
-import type { Clock } from "@kingcupglade/tasks";
+import type { Clock, StallDetector } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { BodyMemory, RequestBody } from "@kingcupglade/transport";
 import type { CallerRequestHead, CallerWire } from "./caller_wire.ts";
@@ -30,6 +30,8 @@
   readonly slots: SlotClient;
   readonly wire: CallerWire;
   readonly clock: Clock;
+  /** Tells how late what arrives is read. */
+  readonly stalls: Pick<StallDetector, "readDelay">;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly random: () => number;
--- a/packages/kingcupglade/left_callers_path_test.ts
+++ b/packages/kingcupglade/left_callers_path_test.ts
@@ -1,5 +1,8 @@
+import { execFileSync } from "node:child_process";
 import type { IncomingMessage } from "node:http";
 import { mkdtemp, rm } from "node:fs/promises";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
@@ -14,12 +17,6 @@
   waitUntil,
 } from "./fleet_fixture.ts";
 import type { FleetVm } from "./fleet_vm.ts";
-import {
-  CallerEnd,
-  encodeRequest,
-  openConnection,
-  sendAndLeave,
-} from "./left_callers_fixture.ts";
 
 const prefix = loopbackPrefix();
 const controlAddress = `${prefix}.1:7300`;
@@ -37,6 +34,80 @@
 /** Time after a caller has left in which its work ends at the target. */
 const endMilliseconds = 500;
 
+/** How a caller ends its connection. */
+const CallerEnd = {
+  /** It closes the connection in order. */
+  order: "order",
+  reset: "reset",
+} as const;
+type CallerEnd = typeof CallerEnd[keyof typeof CallerEnd];
+
+/** A request without a body, as its caller writes it. */
+interface RawRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+}
+
+/** Returns the bytes of a request. */
+function encodeRequest(
+  { id, method, path }: RawRequest,
+  headers: readonly string[] = [],
+): string {
+  return [
+    `${method} ${path} HTTP/1.1`,
+    "host: jigs.example",
+    `x-request-id: ${id}`,
+    "x-deadline-ms: 5000",
+    ...headers,
+    "",
+    "",
+  ].join("\r\n");
+}
+
+/**
+ * Sends requests, each on a connection of its own, and ends the connections,
+ * while the event loop of this process does not run: a VM of this process reads
+ * the requests and the ends of their connections together.
+ *
+ * @param options.address where the gateway listens, as IP:PORT.
+ */
+function sendAndLeave(options: {
+  readonly address: string;
+  readonly requests: readonly RawRequest[];
+  readonly end: CallerEnd;
+}): void {
+  const { address, requests, end } = options;
+  execFileSync(process.execPath, [
+    "--eval",
+    callerScript,
+    address,
+    end,
+    JSON.stringify(requests.map((each) => encodeRequest(each))),
+  ]);
+}
+
+// The process exits once all connections have ended.
+const callerScript = `
+const { connect } = require("node:net");
+const [, address, end, requests] = process.argv;
+const [host, port] = address.split(":");
+for (const bytes of JSON.parse(requests)) {
+  const socket = connect({ host, port }, () => {
+    if (end === "order") socket.end(bytes, () => socket.destroy());
+    else socket.write(bytes, () => socket.resetAndDestroy());
+  });
+}
+`;
+
+/** Opens a connection that is never read. */
+function openConnection(address: string): Socket {
+  const [host, port] = address.split(":");
+  const socket = connect(Number(port), host).pause();
+  socket.on("error", () => {});
+  return socket;
+}
+
 describe("a gateway whose callers leave", () => {
   let folder: string;
   let vms: FleetVm[];
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -4,6 +4,8 @@
 /** The metrics of one VM. */
 export interface Metrics {
   readonly registry: Registry;
+  /** Requests whose callers closed their connections, by stage. */
+  readonly callersLeft: Counter<"stage">;
   /** Finished requests and the time from arrival to the end of the response. */
   readonly requests: RequestMetrics;
   /** Refused requests, by reason. */
@@ -86,6 +88,12 @@
       registry,
       bucketBoundsSeconds: latencyBucketsSeconds,
     }),
+    callersLeft: new Counter({
+      name: "kingcupglade_callers_left_total",
+      help: "Requests whose callers left, by stage",
+      labelNames: ["stage"],
+      registers,
+    }),
     refusals: new Counter({
       name: "kingcupglade_refusals_total",
       help: "Requests refused",
