End all requests of a connection that has closed

Node.js gives a connection to one response at a time and emits close only on that one, so what waited for close of a response in the queue waited for ever: the forwarder, its place in the queue, reservations of memory, the count of relayed requests. These now wait for the end of the connection itself, or of their own response, whichever is first (onExchangeEnd). The end of the caller's sending side counts: Node.js sends nothing after it, and closes two turns later.

The fixture of request_guard_test.ts has a socket now, as each request has.

--- a/packages/fleet_gateway/caller_response.ts
+++ b/packages/fleet_gateway/caller_response.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import { hasCallerLeft, onExchangeEnd } from "@kingcupglade/transport";
 import type { ResponseHead, ResponseStream } from "./exchange.ts";
 import {
   encodeRelayReply,
@@ -91,13 +92,13 @@
 
   /** Whether the caller has disconnected or the response is complete. */
   get isClosed(): boolean {
-    return this.#response.destroyed || this.#response.writableEnded;
+    return this.#response.destroyed || this.#response.writableEnded ||
+      hasCallerLeft(this.#response.req);
   }
 
-  /** Calls back when nothing more is sent to the caller. */
+  /** Calls back once when nothing more is sent to the caller. */
   onClosed(listener: () => void): void {
-    if (this.#response.closed) listener();
-    else this.#response.once("close", listener);
+    onExchangeEnd(this.#response, listener);
   }
 
   /**
--- a/packages/fleet_gateway/request_guard_test.ts
+++ b/packages/fleet_gateway/request_guard_test.ts
@@ -250,9 +250,13 @@
   });
 
   it("ends that request if its route cannot be found", async () => {
+    const socket = Object.assign(new EventEmitter(), {
+      destroyed: false,
+      readableEnded: false,
+    });
     const response = Object.assign(new EventEmitter(), {
       destroyed: false,
-      req: { complete: true },
+      req: { complete: true, socket },
       setHeader: () => {},
       writeHead: (status: number) => respond({ status }),
       end: () => {},
@@ -261,7 +265,7 @@
       context: context as never,
       stopSchedule: {} as never,
       digest: () => "",
-    }).handle({ headers: {}, url: "/" } as never, response as never);
+    }).handle({ headers: {}, url: "/", socket } as never, response as never);
     await expectRefused();
   });
 });
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -145,7 +145,7 @@
       });
     }
     const body = await this.#receiveBody(request, {
-      response,
+      answer,
       refuse: (status, reason) => {
         if (status === 413) this.#recordRefusal(head, { status, reason });
         answer.respond({ status, reason });
@@ -162,7 +162,7 @@
       arrivedAt,
       deadlineAt,
     });
-    this.#forwardOwn(routed, { answer, response });
+    this.#forwardOwn(routed, answer);
   }
 
   #recordRefusal(
@@ -202,9 +202,9 @@
     }
     metrics.relayedHere.inc({ decision: RelayDecision.taken });
     this.#relayedCount += 1;
-    response.once("close", () => (this.#relayedCount -= 1));
+    answer.onClosed(() => (this.#relayedCount -= 1));
     const body = await this.#receiveBody(request, {
-      response,
+      answer,
       refuse: (status, reason) =>
         status === 503
           ? answer.rejectRelay(RelayDecision.unable, reason)
@@ -222,7 +222,7 @@
         deadlineAt: arrivedAt + relay.leftMilliseconds,
         relayedBy: relay.from,
       }),
-      { answer, response, relay },
+      { answer, relay },
     );
   }
 
@@ -242,13 +242,7 @@
     return isSameRoute ? undefined : otherTable;
   }
 
-  #forwardOwn(
-    routed: RoutedRequest,
-    { answer, response }: {
-      readonly answer: CallerResponse;
-      readonly response: ServerResponse;
-    },
-  ): void {
+  #forwardOwn(routed: RoutedRequest, answer: CallerResponse): void {
     const { context } = this.#options;
     let forwarder: Forwarder | undefined;
     const relay = (progress: ForwardingProgress) => {
@@ -261,7 +255,7 @@
       forwarder = relayForwarder;
       relayForwarder.start();
     };
-    response.once("close", () => forwarder?.abandon());
+    answer.onClosed(() => forwarder?.abandon());
     if (!context.reach.shouldUseTargets()) {
       return relay({ arrived: [], mayHaveRun: false });
     }
@@ -277,9 +271,8 @@
 
   #forwardRelayed(
     routed: RoutedRequest,
-    { answer, response, relay }: {
+    { answer, relay }: {
       readonly answer: CallerResponse;
-      readonly response: ServerResponse;
       readonly relay: RelayRequest;
     },
   ): void {
@@ -295,7 +288,7 @@
           "this VM reaches no target either",
         ),
     });
-    response.once("close", () => forwarder.abandon());
+    answer.onClosed(() => forwarder.abandon());
     context.logger.info("relayed-request-taken", {
       request: routed.head.requestId,
       service: routed.service,
@@ -330,13 +323,13 @@
 
   async #receiveBody(
     request: IncomingMessage,
-    { response, refuse }: {
-      readonly response: ServerResponse;
+    { answer, refuse }: {
+      readonly answer: CallerResponse;
       readonly refuse: (status: 413 | 503, reason: string) => void;
     },
   ): Promise<RequestBody | undefined> {
     const reservation = this.#bodyMemory.reserve();
-    response.once("close", () => reservation.release());
+    answer.onClosed(() => reservation.release());
     try {
       return await RequestBody.receive(request, {
         maximumBytes: this.#table.limits?.maximumBodyBytes ??
