Read the end of a caller's connection before its request is sent

The handler forwarded a request in the turn of the event loop that reads it; the end behind it is read in the next one. The same held wherever something else than the caller starts a send after a wait: a slot that is granted, room in the queue, a retry, a relay, a connection that opens.

A caller that was known to be there over 100 ms ago is confirmed by one more turn before a send; its place at the target counts meanwhile (TargetUse). A new connection is used one turn after it opens. Before that turn nothing was sent, so nothing may have run.

--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -7,7 +7,12 @@
 import type { Clock, StallDetector } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
-import { BodyMemory, readBody } from "@kingcupglade/transport";
+import {
+  BodyMemory,
+  hasCallerLeft,
+  readBody,
+  waitForClose,
+} from "@kingcupglade/transport";
 import { answerBatch } from "./answer_batch.ts";
 import type {
   ControlWire,
@@ -21,12 +26,7 @@
 import { packValue, unpackValue } from "./packed_value.ts";
 import type { PeerClients } from "./peer_clients.ts";
 import type { PeerClocks } from "./peer_clocks.ts";
-import {
-  ageOf,
-  hasCallerLeft,
-  isVersioned,
-  waitForClose,
-} from "./received_call.ts";
+import { ageOf, isVersioned } from "./received_call.ts";
 import type { PeerTime, ReceivedCall, RelayedCall } from "./received_call.ts";
 import { RelayBatch } from "./relay_batch.ts";
 
--- a/packages/fleet_control/received_call.ts
+++ b/packages/fleet_control/received_call.ts
@@ -1,5 +1,3 @@
-import type { IncomingMessage } from "node:http";
-import { setImmediate as nextTurn } from "node:timers/promises";
 import type { ExternalCall, ExternalRequest } from "./control_wire.ts";
 
 /** Time on the clock of one process of a VM. */
@@ -48,17 +46,6 @@
   return call.delayMilliseconds + now - call.readAt;
 }
 
-/** Waits until the end of a connection that arrived with the call is read. */
-export async function waitForClose(): Promise<void> {
-  await nextTurn();
-  await nextTurn();
-}
-
-/** Whether the caller has closed its connection. */
-export function hasCallerLeft({ socket }: IncomingMessage): boolean {
-  return socket.destroyed || socket.readableEnded;
-}
-
 /**
  * Whether an older call can be told from a newer one, by versions or starts, or is
  * harmless.
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -1,5 +1,6 @@
 import type { VmEndpoint } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
+import { CallerPresence } from "./caller_presence.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { Exchange, LossCause } from "./exchange.ts";
 import type { ExchangeResult, ResponseHead } from "./exchange.ts";
@@ -65,6 +66,7 @@
   readonly #wire: RelayWire;
   /** Names of gateways that the request was sent to. */
   readonly #tried = new Set<string>();
+  readonly #presence: CallerPresence;
   #mayHaveRun: boolean;
   #exchange: Exchange | undefined;
   /** Whether another gateway has received the request. */
@@ -76,6 +78,7 @@
     this.#options = options;
     this.#telemetry = new RequestTelemetry(options);
     this.#wire = new RelayWire(options.context.wire);
+    this.#presence = new CallerPresence(options.context.clock);
     this.#mayHaveRun = options.progress.mayHaveRun;
   }
 
@@ -106,6 +109,8 @@
       });
       if (!gateway) break;
       this.#tried.add(gateway.name);
+      await this.#presence.confirm();
+      if (this.#isFinished) return;
       const result = await this.#send(gateway);
       if (this.#isFinished || this.#handleResult(result, gateway)) return;
       if (!routed.body.canBeSent) break;
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -1,16 +1,12 @@
-import { ExchangeEnd, minimumRemainingShare } from "@kingcupglade/dispatch";
+import { minimumRemainingShare } from "@kingcupglade/dispatch";
 import type { TargetRecord, WaitingRequest } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
+import { CallerPresence } from "./caller_presence.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { LossCause } from "./exchange.ts";
 import type { Exchange, ExchangeResult, ResponseHead } from "./exchange.ts";
-import {
-  endOf,
-  isSuccess,
-  isUnstatedRefusal,
-  mayHaveRun,
-} from "./exchange_end.ts";
+import { isSuccess, isUnstatedRefusal, mayHaveRun } from "./exchange_end.ts";
 import type { ForwardingProgress } from "./relay_forwarder.ts";
 import { SlotAcquisition } from "./slot_acquisition.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
@@ -23,9 +19,8 @@
 import type { SlotTicket } from "./slot_client.ts";
 import { TargetAttempts } from "./target_attempts.ts";
 import { startTargetExchange } from "./target_exchange.ts";
+import { misdirectedStatus, TargetUse } from "./target_use.ts";
 
-/** Status of a target that is not the expected one or does not hold the key. */
-const misdirectedStatus = 421;
 /**
  * An owner that refuses has lost the range or has not received it yet; a table
  * update arrives within this time.
@@ -66,6 +61,9 @@
     }
     | undefined;
   readonly #exchanges = new Set<Exchange>();
+  /** Targets that were chosen, but not sent to yet. */
+  #pendingSends = 0;
+  readonly #presence: CallerPresence;
   /** Names of targets that the request has reached. */
   readonly #arrived: Set<string>;
   /** Names of the targets of the exchanges in progress. */
@@ -95,6 +93,7 @@
     this.#context = options.context;
     this.#routed = options.routed;
     this.#response = options.answer;
+    this.#presence = new CallerPresence(options.context.clock);
     this.#handOver = options.handOver;
     this.#arrived = new Set(options.arrived);
     this.#attempts = new TargetAttempts({
@@ -132,7 +131,7 @@
       attempts: this.#attempts,
       mayHedge: () =>
         !this.#isFinished && !this.#response.hasStarted &&
-        this.#exchanges.size === 1 && this.#suspicion.mayHedge,
+        this.#inProgress === 1 && this.#suspicion.mayHedge,
       takeAttempt: () => this.#mayTryElsewhere,
       send: (target, record, ticket) => {
         this.#context.metrics.hedges.inc();
@@ -270,13 +269,30 @@
     record: TargetRecord,
     ticket?: SlotTicket,
   ): Promise<void> {
-    const { clock, connections, limits, reach } = this.#context;
+    const use = new TargetUse({
+      context: this.#context,
+      queue: this.#queue,
+      target,
+      record,
+      ticket,
+    });
+    this.#attempts.recordSend(target.name);
+    const confirmation = this.#presence.confirm();
+    if (confirmation) {
+      this.#pendingSends += 1;
+      await confirmation;
+      this.#pendingSends -= 1;
+    }
+    if (this.#isFinished) return use.cancel();
     // It may have become a suspect while it waited for a target.
     if (!this.#suspicion.maySend) {
-      ticket?.end(null);
+      use.cancel();
+      if (!this.#arrived.has(target.name)) {
+        this.#attempts.recordNotSent(target.name);
+      }
       return this.#begin();
     }
-    const startedAt = clock.now();
+    const { clock, connections, reach } = this.#context;
     const connection = connections.acquire(
       target.address,
       {
@@ -288,13 +304,6 @@
       },
     );
     this.#addresses.add(target.address);
-    this.#attempts.recordSend(target.name);
-    const expectedMilliseconds = record.expectedDuration(
-      this.#queue.workMilliseconds,
-      startedAt,
-    );
-    record.begin();
-    this.#queue.recordStart();
     this.#telemetry.recordSend(
       target,
       ticket ? SendPath.granted : SendPath.chosen,
@@ -306,7 +315,7 @@
       target,
       connection,
       exchanges: this.#exchanges,
-      startedAt,
+      startedAt: clock.now(),
     });
     this.#exchanges.add(exchange);
     this.#targets.set(exchange, target.name);
@@ -320,37 +329,27 @@
     else if (!this.#arrived.has(target.name)) {
       this.#attempts.recordUnreached(target.name);
     }
-    const now = clock.now();
-    const end = this.#isFinished ? ExchangeEnd.abandoned : endOf(result);
-    if (this.#leftAt <= now) {
+    if (this.#leftAt <= clock.now()) {
       this.#telemetry.recordCancellation(target, {
         isSent: exchange.isSent,
-        sinceMilliseconds: now - this.#leftAt,
+        sinceMilliseconds: clock.now() - this.#leftAt,
       });
     }
-    const durationMilliseconds = now - startedAt;
-    const durations = { durationMilliseconds, expectedMilliseconds };
-    record.end(end, { now, ...durations });
     if (result.kind === "answered") {
       connections.release(target.address, connection);
-      if (result.head.load) record.report(result.head.load, now);
     } else connections.end(connection);
-    ticket?.end({
-      end,
-      durationMilliseconds,
-      load: (result.kind === "answered" && result.head.load) || null,
-      isHeld: result.kind === "answered"
-        ? result.head.status !== misdirectedStatus
-        : null,
-      maximumPerSecond: limits.of(target.name)?.perSecond ?? null,
-    });
-    this.#queue.recordEnd(end === ExchangeEnd.answered ? durations : null);
+    use.end(result, { isAbandoned: this.#isFinished });
     const examination = this.#suspicion.recordResult(result, target);
     // Most results do not wait for it.
     if (examination) this.#guard.watch(examination.then(() => {}));
     if (!this.#isFinished) this.#handleResult(result, target, examination);
   }
 
+  /** Number of targets that have the request or are about to get it. */
+  get #inProgress(): number {
+    return this.#exchanges.size + this.#pendingSends;
+  }
+
   #scheduleHedge(): void {
     const { position } = this.#routed;
     if (!this.#isIdempotent || position !== undefined) return;
@@ -366,7 +365,7 @@
     if (this.#response.hasStarted && !isStreamed) {
       return this.#handleUnstreamed(result, target);
     }
-    if (this.#exchanges.size > 0 && !isSuccess(result)) {
+    if (this.#inProgress > 0 && !isSuccess(result)) {
       // The other target may still respond, or may be silent.
       if (result.kind !== "notSent") this.#arrivals += 1;
       if (mayHaveRun(result)) this.#mayHaveRun = true;
@@ -509,7 +508,7 @@
     const now = clock.now();
     const maximumArrivals = route.maximumTargets +
       (this.#mayHaveRun ? 0 : maximumExtraArrivals);
-    return this.#arrivals + this.#exchanges.size < maximumArrivals &&
+    return this.#arrivals + this.#inProgress < maximumArrivals &&
       body.canBeSent &&
       deadlineAt - now > this.#queue.meanMilliseconds &&
       this.#queue.budget.take(now, gatewayCount());
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -4,7 +4,9 @@
   BodyMemory,
   BodyMemoryError,
   BodyTooLargeError,
+  hasCallerLeft,
   RequestBody,
+  waitForClose,
 } from "@kingcupglade/transport";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
@@ -24,6 +26,7 @@
 import { RequestForwarder } from "./request_forwarder.ts";
 import { RequestGuard } from "./request_guard.ts";
 import { readRequestTarget } from "./request_target.ts";
+import { CallerStage } from "./request_telemetry.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
 import { refuseUnmatched } from "./unmatched_request.ts";
@@ -112,9 +115,11 @@
   ): Promise<void> {
     const { wire, logger, contactAge } = this.#options.context;
     const answer = new CallerResponse(response);
-    const table = this.#table;
     const arrivedAt = this.#now();
     const head = wire.readRequest(request.headers);
+    await waitForClose();
+    if (hasCallerLeft(request)) return this.#recordUnread(head, arrivedAt);
+    const table = this.#table;
     const target = readRequestTarget(request);
     const route = table.matchRoute(target.host, target.path);
     if (!route) {
@@ -151,6 +156,7 @@
         answer.respond({ status, reason });
       },
     });
+    if (hasCallerLeft(request)) return this.#recordUnread(head, arrivedAt);
     if (!body || answer.isClosed) return;
     const { selector } = this.#options.context;
     const routed = this.#routedRequest({
@@ -165,6 +171,19 @@
     this.#forwardOwn(routed, answer);
   }
 
+  // Nothing of the request was sent anywhere.
+  #recordUnread({ requestId }: CallerRequestHead, arrivedAt: number): void {
+    const { logger, metrics, stalls } = this.#options.context;
+    const stage = CallerStage.read;
+    metrics.callersLeft.inc({ stage });
+    logger.info("caller-left", {
+      request: requestId,
+      stage,
+      ageMilliseconds: Math.round(this.#now() - arrivedAt),
+      readDelayMilliseconds: Math.round(stalls.readDelay()),
+    });
+  }
+
   #recordRefusal(
     head: CallerRequestHead,
     { status, reason }: { readonly status: number; readonly reason: string },
@@ -193,6 +212,9 @@
     }
     const arrivedAt = this.#now();
     const answer = new CallerResponse(response, relay.id);
+    const head = this.#options.context.wire.readRequest(request.headers);
+    await waitForClose();
+    if (hasCallerLeft(request)) return this.#recordUnread(head, arrivedAt);
     const route = this.#table.routeNamed(relay.route);
     const rejection = this.#rejectionOf(relay);
     if (!route || rejection) {
@@ -210,11 +232,12 @@
           ? answer.rejectRelay(RelayDecision.unable, reason)
           : answer.respond({ status, reason }),
     });
+    if (hasCallerLeft(request)) return this.#recordUnread(head, arrivedAt);
     if (!body || answer.isClosed) return;
     this.#forwardRelayed(
       this.#routedRequest({
         request,
-        head: this.#options.context.wire.readRequest(request.headers),
+        head,
         route,
         service: relay.service,
         body,
@@ -331,12 +354,14 @@
     const reservation = this.#bodyMemory.reserve();
     answer.onClosed(() => reservation.release());
     try {
-      return await RequestBody.receive(request, {
+      const body = await RequestBody.receive(request, {
         maximumBytes: this.#table.limits?.maximumBodyBytes ??
           defaultMaximumBodyBytes,
         maximumBufferedBytes,
         reservation,
       });
+      if (body.length > 0) await waitForClose();
+      return body;
     } catch (failure) {
       if (failure instanceof BodyTooLargeError) refuse(413, failure.message);
       if (failure instanceof BodyMemoryError) {
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -37,6 +37,8 @@
 
 /** How far a request had got when its caller left. */
 export const CallerStage = {
+  /** The end of its connection was read together with it. */
+  read: "read",
   /** No target was chosen: it waits for a slot, a target or a permission. */
   waiting: "waiting",
   /** The connection to its target is being opened. */
--- a/packages/fleet_gateway/target_attempts.ts
+++ b/packages/fleet_gateway/target_attempts.ts
@@ -57,6 +57,11 @@
     this.#unreached.add(target);
   }
 
+  /** Records that the request is not sent to a target that it never reached. */
+  recordNotSent(target: string): void {
+    this.#sent.delete(target);
+  }
+
   /** Allows the targets that were not reached again; false if there are none. */
   retryUnreached(): boolean {
     if (this.#unreached.size === 0) return false;
--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -258,9 +258,18 @@
     );
     this.#connector(options, (...result) => {
       clearTimeout(slowTimer);
-      if (result[0] === null) observer.connected(this.#address);
-      else observer.connectTrouble(this.#address);
-      callback(...result);
+      const [failure, socket] = result;
+      if (failure !== null) {
+        observer.connectTrouble(this.#address);
+        return callback(...result);
+      }
+      observer.connected(this.#address);
+      // What else has arrived is read before a request is sent: it may be the
+      // end of the caller's connection.
+      setImmediate(() => {
+        if (!socket.destroyed) return callback(...result);
+        callback(new Error("the target closed the connection at once"), null);
+      });
     });
   }
 }
--- a/packages/kingcupglade/left_callers_path_test.ts
+++ b/packages/kingcupglade/left_callers_path_test.ts
@@ -16,6 +16,7 @@
   startRole,
   waitUntil,
 } from "./fleet_fixture.ts";
+import type { Handler } from "./fleet_fixture.ts";
 import type { FleetVm } from "./fleet_vm.ts";
 
 const prefix = loopbackPrefix();
@@ -113,12 +114,14 @@
   let vms: FleetVm[];
   /** Requests that a target runs, by ID. */
   const running = new Map<string, IncomingMessage>();
-  const target = new HeartbeatTarget({
-    name: "catalogue-1",
-    service: "catalogue",
-    dataCentre: "a",
-    control: controlAddress,
-  });
+  const targets = ["catalogue-1", "catalogue-2"].map((name) =>
+    new HeartbeatTarget({
+      name,
+      service: "catalogue",
+      dataCentre: "a",
+      control: controlAddress,
+    })
+  );
 
   beforeAll(async () => {
     folder = await mkdtemp(join(tmpdir(), "left-"));
@@ -146,19 +149,21 @@
       );
       return status === 200;
     });
-    await target.start(`${prefix}.3`);
+    for (const [index, target] of targets.entries()) {
+      await target.start(`${prefix}.${3 + index}`);
+    }
     await waitUntil(isServed);
   });
 
   afterAll(async () => {
-    target.stop();
+    for (const target of targets) target.stop();
     for (const vm of vms.reverse()) await vm.stop();
     await rm(folder, { recursive: true });
   });
 
   beforeEach(() => {
-    target.requests.length = 0;
-    target.handler = (_request, response) => response.end("whole");
+    for (const target of targets) target.requests.length = 0;
+    respondWith((_request, response) => response.end("whole"));
     running.clear();
   });
 
@@ -172,12 +177,21 @@
     return status === 200;
   }
 
+  function respondWith(handler: Handler): void {
+    for (const target of targets) target.handler = handler;
+  }
+
+  /** IDs of the requests that have reached a target. */
+  function arrivals(): readonly string[] {
+    return targets.flatMap(({ requests }) => requests);
+  }
+
   function runWithoutEnd(): void {
-    target.handler = (request, response) => {
+    respondWith((request, response) => {
       const id = String(request.headers["x-request-id"]);
       running.set(id, request);
       response.once("close", () => running.delete(id));
-    };
+    });
   }
 
   // Guards against work for callers that left before their requests were read.
@@ -195,7 +209,7 @@
       );
       sendAndLeave({ address: gatewayAddress, requests, end });
       await pause(endMilliseconds);
-      expect(target.requests).toEqual([]);
+      expect(arrivals()).toEqual([]);
       expect(await isServed()).toBe(true);
     },
   );
--- a/packages/transport/caller_connection.ts
+++ b/packages/transport/caller_connection.ts
@@ -4,6 +4,20 @@
 /** Listeners of the requests that are in progress on each connection. */
 const listenersOfSockets = new WeakMap<Socket, Set<() => void>>();
 
+/** Resolves when the event loop has read what had arrived. */
+export function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+/**
+ * Waits until the end of a connection that arrived with a request is read. The
+ * event loop reads the request first, and the end in its next turn.
+ */
+export async function waitForClose(): Promise<void> {
+  await nextTurn();
+  await nextTurn();
+}
+
 /** Whether the caller has closed its connection, or its sending side. */
 export function hasCallerLeft({ socket }: IncomingMessage): boolean {
   return socket.destroyed || socket.readableEnded;
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -13,7 +13,12 @@
 export type { RequestBodyOptions } from "./body.ts";
 export { BodyMemory, BodyMemoryError } from "./body_memory.ts";
 export type { BodyReservation } from "./body_memory.ts";
-export { hasCallerLeft, onExchangeEnd } from "./caller_connection.ts";
+export {
+  hasCallerLeft,
+  nextTurn,
+  onExchangeEnd,
+  waitForClose,
+} from "./caller_connection.ts";
 export { isAddress } from "./address.ts";
 export { HttpListener, ListenError, splitAddress } from "./http_listener.ts";
 export type {
