Read ahead of a body that its target does not read

A caller that left while its streamed body waited for the target was not noticed: the exchange stayed open until the deadline, after resets too. Nobody reads a paused connection, and even a reset is behind all that has arrived before.

--- a/packages/transport/body.ts
+++ b/packages/transport/body.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Readable } from "node:stream";
+import { BodyMemory } from "./body_memory.ts";
 import type { BodyReservation } from "./body_memory.ts";
+import { ReadAhead } from "./read_ahead.ts";
 
 /** Thrown when a body exceeds its size limit. */
 export class BodyTooLargeError extends Error {
@@ -28,6 +30,11 @@
   return Buffer.concat(chunks, length);
 }
 
+/** Room for what is read ahead of all bodies that are streamed. */
+const maximumReadAheadBytes = 24 * 1024 * 1024;
+// Apart from other bodies, which must not be refused for it.
+const readAheadMemory = new BodyMemory(maximumReadAheadBytes);
+
 const emptyBuffer = Buffer.alloc(0);
 
 /** Options of {@link RequestBody.receive}. */
@@ -96,7 +103,10 @@
     const firstBytes = Buffer.concat(first);
     if (ended) return new RequestBody({ buffer: firstBytes });
     return new RequestBody({
-      source: chainChunks([firstBytes], chunks),
+      source: chainChunks(
+        [firstBytes],
+        new ReadAhead(chunks, readAheadMemory.reserve()),
+      ),
       firstBytes,
       length,
     });
--- a/packages/transport/body_memory.ts
+++ b/packages/transport/body_memory.ts
@@ -20,6 +20,8 @@
    * @throws {BodyMemoryError} when there is no room for them.
    */
   add(bytes: number): void;
+  /** Returns bytes that were added. */
+  remove(bytes: number): void;
   /** Returns all of it; later bytes count no more. */
   release(): void;
 }
@@ -47,17 +49,19 @@
     let bodyBytes = 0;
     let reserved = 0;
     let isReleased = false;
+    const resize = (bytes: number) => {
+      if (isReleased) return;
+      const wanted = Math.max(0, bodyBytes + bytes - freeBytes) - reserved;
+      if (wanted > 0 && this.#usedBytes + wanted > this.#maximumBytes) {
+        throw new BodyMemoryError();
+      }
+      bodyBytes += bytes;
+      reserved += wanted;
+      this.#usedBytes += wanted;
+    };
     return {
-      add: (bytes) => {
-        if (isReleased) return;
-        bodyBytes += bytes;
-        const wanted = Math.max(0, bodyBytes - freeBytes) - reserved;
-        if (this.#usedBytes + wanted > this.#maximumBytes) {
-          throw new BodyMemoryError();
-        }
-        reserved += wanted;
-        this.#usedBytes += wanted;
-      },
+      add: resize,
+      remove: (bytes) => resize(-bytes),
       release: () => {
         isReleased = true;
         this.#usedBytes -= reserved;
