Take a response whose status HTTP does not know for none

A status 000 reached no caller on any of these paths, before or after; gateways with one role ended it with the cause "connectionLost" in place of "badAnswer", and passed 600 and 999 on (four tests of exchange_test.ts red before).

The parser takes any number; only numbers below 200 were looked at, as interim responses. Statuses outside 100 to 599 now end the exchange as an answer that cannot be read: the request may have run, a repeatable one is tried elsewhere, others get 502. Both kinds of gateway use the same bound.

--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -1,5 +1,9 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { BodyMemory, BodyMemoryError } from "@kingcupglade/transport";
+import {
+  BodyMemory,
+  BodyMemoryError,
+  isValidStatus,
+} from "@kingcupglade/transport";
 import type { BodyReservation } from "@kingcupglade/transport";
 import { errors } from "undici";
 import type { Dispatcher } from "undici";
@@ -163,6 +167,12 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (this.#hasEnded) return;
+    if (!isValidStatus(status)) {
+      return this.#abort(
+        "the response has an invalid status",
+        LossCause.invalid,
+      );
+    }
     if (status < 200) return this.#countInterimResponse();
     const head = this.#wire.readResponse(status, headers);
     if (head.requestId !== this.#request.requestId) {
--- a/packages/kingcupglade/gateway/exchange_handler.ts
+++ b/packages/kingcupglade/gateway/exchange_handler.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Header, Outcome } from "@kingcupglade/routing";
+import { isValidStatus } from "@kingcupglade/transport";
 import type { Dispatcher } from "undici";
 import type { ResponseSink } from "./response_sink.ts";
 import { selectResponseHeaders, singleValue } from "./exchange_headers.ts";
@@ -74,6 +75,7 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
+    if (!isValidStatus(status)) return this.#abort(UnknownCause.badAnswer);
     if (status < 200) return;
     if (!this.#isTrustworthy(status, headers)) {
       return this.#abort(UnknownCause.badAnswer);
--- a/packages/kingcupglade/gateway/exchange_test.ts
+++ b/packages/kingcupglade/gateway/exchange_test.ts
@@ -157,6 +157,12 @@
         "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nhi",
         "connectionLost",
       ],
+      // Guards against an answer in trouble whose status is none.
+      ...["000", "099", "600", "999"].map((status) => [
+        `with the status ${status}`,
+        `HTTP/1.1 ${status} Odd\r\ncontent-length: 3\r\n\r\nodd`,
+        "badAnswer",
+      ]),
       [
         "with a truncated refusal",
         "HTTP/1.1 409 Conflict\r\nkingcupglade-outcome: not-run\r\n",
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -27,6 +27,7 @@
   ListenerTls,
   UnreadableRequest,
 } from "./http_listener.ts";
+export { isValidStatus } from "./response_status.ts";
 export { createUnaryClient, PeerCallError } from "./unary_client.ts";
 export type { UnaryClientOptions } from "./unary_client.ts";
 export { UnaryServices } from "./unary_services.ts";
