Judge in the soak what goes on for callers that have left

No test judged what targets do after a caller has left, but one in calm. Callers of the soak now send long requests, alone or two on one connection, and leave, in order or by a reset; twelve more do so at each gateway that is paused. DepartureMonitor knows when each left, and finds more than three arrivals over 0.5 s later, at any gateway, and work 0.5 s later on over a quarter of the longer runs, at gateways without a fault. What this process itself reads late is not judged.

--- a/packages/soak/fault_injector.ts
+++ b/packages/soak/fault_injector.ts
@@ -11,6 +11,8 @@
   readonly targets: readonly SoakTarget[];
   /** Called when a process becomes faulty and when it is repaired. */
   readonly onProcessFault: (name: string, isFaulty: boolean) => void;
+  /** Called when a process is paused. */
+  readonly onPause: (name: string) => void;
   /** Called when a planned stop of a process begins. */
   readonly onStop: (name: string) => void;
   /** Returns a random number from 0 to 1. */
@@ -175,6 +177,7 @@
     const isStop = kind === ProcessFaultKind.stop ||
       kind === ProcessFaultKind.stopWithSignals;
     if (isStop) this.#subjects.onStop(subject.name);
+    if (kind === ProcessFaultKind.pause) this.#subjects.onPause(subject.name);
     const performed = performProcessFault(
       subject,
       kind,
--- a/packages/soak/invariant_monitor.ts
+++ b/packages/soak/invariant_monitor.ts
@@ -1,3 +1,4 @@
+import { DepartureMonitor } from "./departure_monitor.ts";
 import { isOwnBody } from "./soak_response.ts";
 import { LimitMonitor } from "./limit_monitor.ts";
 import type { NamedLimit } from "./limit_monitor.ts";
@@ -37,6 +38,8 @@
   readonly violations: string[] = [];
   /** Times at which requests ended the targets that ran them. */
   readonly crashes: number[] = [];
+  /** Judges what goes on for callers that have left. */
+  readonly departures = new DepartureMonitor();
   readonly #requests = new Map<string, ObservedRequest>();
   readonly #holders: PositionHolder[] = [];
   readonly #limits = new Map<string, LimitMonitor>();
@@ -66,6 +69,7 @@
 
   /** Records that a gateway, named by its address, becomes faulty or is repaired. */
   recordFault(gateway: string, isFaulty: boolean): void {
+    this.departures.recordFault(gateway, isFaulty);
     for (const notices of this.#notices.values()) {
       notices.recordFault(gateway, isFaulty);
     }
@@ -83,6 +87,7 @@
   recordArrival(id: string, target: string): void {
     const seen = this.#requests.get(id);
     if (seen) seen.hasArrived = true;
+    this.departures.recordArrival(id);
     const { gateway = "", sentAt = 0 } = seen ?? {};
     const now = performance.now();
     const age = Math.round(now - sentAt);
--- a/packages/soak/load_generator.ts
+++ b/packages/soak/load_generator.ts
@@ -4,6 +4,7 @@
 import { AttemptEnd } from "./attempt_monitor.ts";
 import type { AttemptMonitor } from "./attempt_monitor.ts";
 import { delay } from "./fault_injector.ts";
+import { callAndLeave } from "./leaving_caller.ts";
 import { crashingPath } from "./soak_target.ts";
 import type { InvariantMonitor } from "./invariant_monitor.ts";
 
@@ -14,6 +15,10 @@
 const connectedThinkTimeMilliseconds = 60;
 /** Callers of a stopping gateway, which ask again at once, for each kind. */
 const persistentCallerCount = 4;
+/** Callers that leave before they get a response. */
+const leavingCallerCount = 6;
+/** Callers that send a request to a gateway as it is paused, and leave. */
+const pausedCallerCount = 12;
 const positionCount = 65_536;
 
 /** Kinds of request, in equal shares. */
@@ -97,6 +102,9 @@
         this.#addCaller(this.#runConnectedCaller(gateway));
       }
     }
+    for (let index = 0; index < leavingCallerCount; index += 1) {
+      this.#addCaller(this.#runLeavingCaller());
+    }
     this.#addCaller(this.#runCrashingCaller());
   }
 
@@ -111,6 +119,15 @@
     }
   }
 
+  /** Sends requests to a gateway, whose callers leave soon. */
+  callAndLeave(name: string): void {
+    const gateway = this.#options.gateways.find((each) => each.name === name);
+    if (!gateway) return;
+    for (let index = 0; index < pausedCallerCount; index += 1) {
+      this.#addCaller(this.#callAndLeave(gateway));
+    }
+  }
+
   async stop(): Promise<void> {
     this.#isStopped = true;
     await Promise.all(this.#callers);
@@ -160,6 +177,19 @@
     this.#agents.delete(agent);
   }
 
+  async #runLeavingCaller(): Promise<void> {
+    while (!this.#isStopped) {
+      await this.#callAndLeave(this.#select(this.#options.gateways));
+      await delay(thinkTimeMilliseconds);
+    }
+  }
+
+  #callAndLeave(gateway: CalledGateway): Promise<void> {
+    const { monitor, random } = this.#options;
+    const id = `r${this.#nextId++}`;
+    return callAndLeave({ id, gateway, monitor, random });
+  }
+
   async #runCrashingCaller(): Promise<void> {
     while (!this.#isStopped) {
       const gateway = this.#select(this.#options.gateways);
--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -61,6 +61,8 @@
   readonly served: number;
   /** Probes of gateways that were in contact, which were judged. */
   readonly probed: number;
+  /** Runs of callers that had left, which were judged. */
+  readonly left: number;
   /** How the requests ended. */
   readonly ends: Readonly<Record<AttemptEnd, number>>;
   readonly faults: readonly string[];
@@ -134,6 +136,7 @@
       gateways: this.#gateways,
       targets: this.#targets,
       onProcessFault: (name, isFaulty) => this.#recordFault(name, isFaulty),
+      onPause: (name) => this.#loadGenerator.callAndLeave(name),
       onStop: (name) => this.#loadGenerator.pressUntilGone(name),
       random: this.#faultRandom,
     });
@@ -150,6 +153,7 @@
     const served = this.#monitor.servedCount - before[1]!;
     const violations = [
       ...this.#monitor.violations,
+      ...this.#monitor.departures.findViolations(),
       ...wrongResponses,
       ...this.#operator.history.findViolations(this.#contacts),
       ...this.#lives.flatMap((life) => life.violations),
@@ -167,6 +171,7 @@
       asked: this.#monitor.requestCount,
       served: this.#monitor.servedCount,
       probed: this.#operator.history.judgedCount,
+      left: this.#monitor.departures.judgedCount,
       ends: this.#attempts.counts,
       faults: faultInjector.log,
       violations: violations.map((each) =>
--- a/packages/soak/soak_target.ts
+++ b/packages/soak/soak_target.ts
@@ -23,7 +23,10 @@
 const pauseSeconds = 1.2;
 /** Path of the request that ends each target that runs it. */
 export const crashingPath = "/lookup/crash";
-/** Time from the start of such a run to the end of the target. */
+/** Path of requests that run long, and longer than their callers stay. */
+export const longPath = "/lookup/long";
+const longRunMilliseconds = 2000;
+/** Time from the start of a run that ends its target to that end. */
 const crashMilliseconds = 40;
 const restartMilliseconds = 1000;
 /** Share of the responses without length or chunks that are cut at any time. */
@@ -139,6 +142,7 @@
     }
     monitor.recordExecution(id, this.name);
     if (request.url === crashingPath) return this.#crashAndRestart();
+    if (request.url === longPath) return this.#runLong(id, response);
     if (isKeyed) monitor.checkOwner(id, { target: this.name, position });
     setTimeout(() => {
       if (random() < this.lostResponseShare) return request.socket.destroy();
@@ -169,6 +173,20 @@
     }, 5 + random() * 40);
   }
 
+  // As most targets do, stops when the connection closes.
+  #runLong(id: string, response: ServerResponse): void {
+    const plannedEnd = performance.now() + longRunMilliseconds;
+    const timer = setTimeout(
+      () =>
+        response.writeHead(200, workerHeaders({ id, didNotRun: false })).end(),
+      longRunMilliseconds,
+    );
+    response.once("close", () => {
+      clearTimeout(timer);
+      this.#options.monitor.departures.recordRun(id, plannedEnd);
+    });
+  }
+
   // Ends the incarnation that runs the request, and starts the next one later.
   #crashAndRestart(): void {
     const incarnation = this.#incarnation;
