Give the connections to one address a module of their own

AddressPool and the types of its connections move to address_pool.ts; no behaviour changes. The tests of connections, responses and resets are green.

--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -10,7 +10,7 @@
 import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
 import { BodyFraming, framingOf } from "./response_framing.ts";
 import { Surplus } from "./surplus_detector.ts";
-import type { TargetConnection } from "./target_connections.ts";
+import type { TargetConnection } from "./address_pool.ts";
 
 /** Responses up to this size are buffered until they are complete. */
 const maximumBufferedBytes = 256 * 1024;
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -21,7 +21,7 @@
 import { StopSchedule } from "./stop_schedule.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
-import type { Connector } from "./target_connections.ts";
+import type { Connector } from "./address_pool.ts";
 import { TargetEndDetector } from "./target_end_detector.ts";
 import { limitSharers, TargetLimits } from "./target_limits.ts";
 import { TargetNotices } from "./target_notices.ts";
--- a/packages/fleet_gateway/new_connections_test.ts
+++ b/packages/fleet_gateway/new_connections_test.ts
@@ -4,7 +4,7 @@
 import { Exchange } from "./exchange.ts";
 import { RawServer } from "./forwarding_fixture.ts";
 import { TargetConnections } from "./target_connections.ts";
-import type { Connector } from "./target_connections.ts";
+import type { Connector } from "./address_pool.ts";
 
 /** Microtasks in which a request is sent on a connection that has opened. */
 const sendingTurns = 40;
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -39,7 +39,7 @@
 export const CallerStage = {
   /** The end of its connection was read together with it. */
   read: "read",
-  /** No target was chosen: it waits for a slot, a target or a permission. */
+  /** It waits for a slot, a target or a permission. */
   waiting: "waiting",
   /** The connection to its target is being opened. */
   connecting: "connecting",
--- a/packages/fleet_gateway/target_exchange.ts
+++ b/packages/fleet_gateway/target_exchange.ts
@@ -4,7 +4,7 @@
 import { firstResponseStream } from "./first_response_stream.ts";
 import { requestHeaders } from "./request_headers.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
-import type { TargetConnection } from "./target_connections.ts";
+import type { TargetConnection } from "./address_pool.ts";
 
 /** Time before the caller's deadline at which a response must be on its way. */
 const responseMarginMilliseconds = 15;
