See that callers have left at VMs without a role too

The same two causes acted in the gateway of VMs without a role: a request that was read together with the end of its connection was served (here: refused and counted), and of three requests on one connection only the first was ended when it closed.

--- a/packages/kingcupglade/gateway/response_sink.ts
+++ b/packages/kingcupglade/gateway/response_sink.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import { hasCallerLeft, onExchangeEnd } from "@kingcupglade/transport";
 import { headersByName } from "./exchange_headers.ts";
 import type { HeaderList, HeaderValues } from "./exchange_headers.ts";
 
@@ -55,7 +56,7 @@
   }
 
   override get isClosed(): boolean {
-    return this.#response.destroyed;
+    return this.#response.destroyed || hasCallerLeft(this.#response.req);
   }
 
   override get bytes(): number {
@@ -111,9 +112,9 @@
   }
 
   override onClose(listener: () => void): () => void {
-    if (!this.#isListening) this.#response.on("close", () => this.#notify());
-    this.#isListening = true;
     this.#closeListener = listener;
+    if (!this.#isListening) onExchangeEnd(this.#response, () => this.#notify());
+    this.#isListening = true;
     return () => {
       if (this.#closeListener === listener) this.#closeListener = undefined;
     };
