Give the place at a target back if its exchange cannot be started

Since a place counts from the choice of the target on, a fault in opening the connection (an address that names no host) left it counted for ever: the target's record showed one request in flight too many (request_guard_test.ts, red before: 1 in place of 0).

waiting_callers_test.ts used two clocks and failed once the process was 5 s old; its clock starts where that of the fixture is now.

--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -293,30 +293,13 @@
       return this.#begin();
     }
     const { clock, connections, reach } = this.#context;
-    const connection = connections.acquire(
-      target.address,
-      {
-        mustBeFresh: !this.#isIdempotent,
-        // A target that sends its response to the first attempt once more would
-        // respond to this one, as both have the same ID.
-        mustBeNew: this.#addresses.has(target.address),
-        requestId: this.#routed.head.requestId,
-      },
+    const { connection, exchange } = use.cancelOnFailure(() =>
+      this.#startExchange(target)
     );
-    this.#addresses.add(target.address);
     this.#telemetry.recordSend(
       target,
       ticket ? SendPath.granted : SendPath.chosen,
     );
-    const exchange = startTargetExchange({
-      context: this.#context,
-      routed: this.#routed,
-      answer: this.#response,
-      target,
-      connection,
-      exchanges: this.#exchanges,
-      startedAt: clock.now(),
-    });
     this.#exchanges.add(exchange);
     this.#targets.set(exchange, target.name);
     reach.begin();
@@ -345,6 +328,31 @@
     if (!this.#isFinished) this.#handleResult(result, target, examination);
   }
 
+  #startExchange(target: TargetView) {
+    const { clock, connections } = this.#context;
+    const connection = connections.acquire(
+      target.address,
+      {
+        mustBeFresh: !this.#isIdempotent,
+        // A target that sends its response to the first attempt once more would
+        // respond to this one, as both have the same ID.
+        mustBeNew: this.#addresses.has(target.address),
+        requestId: this.#routed.head.requestId,
+      },
+    );
+    this.#addresses.add(target.address);
+    const exchange = startTargetExchange({
+      context: this.#context,
+      routed: this.#routed,
+      answer: this.#response,
+      target,
+      connection,
+      exchanges: this.#exchanges,
+      startedAt: clock.now(),
+    });
+    return { connection, exchange };
+  }
+
   /** Number of targets that have the request or are about to get it. */
   get #inProgress(): number {
     return this.#exchanges.size + this.#pendingSends;
--- a/packages/fleet_gateway/request_guard_test.ts
+++ b/packages/fleet_gateway/request_guard_test.ts
@@ -32,6 +32,8 @@
   const clock = new ManualClock(0);
   let selection: () => unknown;
   let context: Record<string, unknown>;
+  /** Requests at the target, as its record counts them. */
+  let inFlight: number;
 
   const routed = {
     request: { headers: {}, method: "GET", url: "/" },
@@ -63,8 +65,13 @@
     selection = () => ({
       kind: "found",
       target: { name: "odd", address: "10.0.0.9:99999" },
-      record: { expectedDuration: () => 1, begin() {}, end() {} },
+      record: {
+        expectedDuration: () => 1,
+        begin: () => inFlight += 1,
+        end: () => inFlight -= 1,
+      },
     });
+    inFlight = 0;
     context = {
       name: "gateway-1",
       secret: "unguarded",
@@ -127,6 +134,7 @@
   it("ends that request if its target cannot be connected to", async () => {
     forward();
     await expectRefused();
+    expect(inFlight).toBe(0);
   });
 
   it("ends that request if no target can be selected", async () => {
--- a/packages/fleet_gateway/target_use.ts
+++ b/packages/fleet_gateway/target_use.ts
@@ -41,6 +41,16 @@
     queue.recordStart();
   }
 
+  /** Returns what `start` does; gives the place back if it throws. */
+  cancelOnFailure<Result>(start: () => Result): Result {
+    try {
+      return start();
+    } catch (failure) {
+      this.cancel();
+      throw failure;
+    }
+  }
+
   /** Gives the place back, as the request is not sent. */
   cancel(): void {
     const { record, queue, ticket } = this.#options;
--- a/packages/fleet_gateway/waiting_callers_test.ts
+++ b/packages/fleet_gateway/waiting_callers_test.ts
@@ -10,7 +10,7 @@
 const waitMilliseconds = 200;
 
 describe("a request that waits for a target", () => {
-  const clock = new ManualClock(0);
+  let clock: ManualClock;
   let hasRoom: boolean;
   let sentCount: number;
   /** Requests at the target, as its record counts them. */
@@ -19,6 +19,8 @@
   let forwarder: RequestForwarder;
 
   beforeEach(() => {
+    // The queue goes by the clock of the fixture.
+    clock = new ManualClock(performance.now());
     hasRoom = false;
     sentCount = 0;
     inFlight = 0;
