Answer at once what needs no target, also after the end of a request

The wait for the end of the connection stood before every decision, and Node.js sends nothing once it has read the end. Gateways with a role wait only before a request is forwarded now, as before for all else; the route is looked up on arrival again.

left_callers_path_test.ts asks for such an answer (red before: nothing received).

--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -115,11 +115,9 @@
   ): Promise<void> {
     const { wire, logger, contactAge } = this.#options.context;
     const answer = new CallerResponse(response);
+    const table = this.#table;
     const arrivedAt = this.#now();
     const head = wire.readRequest(request.headers);
-    await waitForClose();
-    if (hasCallerLeft(request)) return this.#recordUnread(head, arrivedAt);
-    const table = this.#table;
     const target = readRequestTarget(request);
     const route = table.matchRoute(target.host, target.path);
     if (!route) {
@@ -213,8 +211,6 @@
     const arrivedAt = this.#now();
     const answer = new CallerResponse(response, relay.id);
     const head = this.#options.context.wire.readRequest(request.headers);
-    await waitForClose();
-    if (hasCallerLeft(request)) return this.#recordUnread(head, arrivedAt);
     const route = this.#table.routeNamed(relay.route);
     const rejection = this.#rejectionOf(relay);
     if (!route || rejection) {
@@ -360,7 +356,7 @@
         maximumBufferedBytes,
         reservation,
       });
-      if (body.length > 0) await waitForClose();
+      await waitForClose();
       return body;
     } catch (failure) {
       if (failure instanceof BodyTooLargeError) refuse(413, failure.message);
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -27,9 +27,7 @@
 import {
   BodyTooLargeError,
   hasBody,
-  hasCallerLeft,
   RequestBody,
-  waitForClose,
 } from "@kingcupglade/transport";
 import type { RequestBodyOptions } from "@kingcupglade/transport";
 import { CallerResponseSink } from "./response_sink.ts";
@@ -163,14 +161,9 @@
   }
 
   async #handle(served: ServedRequest): Promise<Refusal | null> {
-    const { routing, clock, metrics } = this.#options;
+    const { routing, clock } = this.#options;
     const { request, response, path } = served;
     const startedAt = clock.now();
-    await waitForClose();
-    if (hasCallerLeft(request)) {
-      metrics.callersLeft.inc({ stage: "read" });
-      return null;
-    }
     const bundle = routing.table.bundle?.bundle;
     if (!bundle || !routing.hasLease) {
       return refusalWithoutTable(request);
--- a/packages/kingcupglade/left_callers_path_test.ts
+++ b/packages/kingcupglade/left_callers_path_test.ts
@@ -5,6 +5,7 @@
 import type { Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { text } from "node:stream/consumers";
 import { setTimeout as pause } from "node:timers/promises";
 import { loopbackPrefix } from "@kingcupglade/fakes";
 import { buildConnector } from "undici";
@@ -228,6 +229,14 @@
     },
   );
 
+  // Guards against refusals that a caller which ends its sending side would lose.
+  it("answers at once what it refuses, also after the end of the request", async () => {
+    const caller = openConnection(gatewayAddress);
+    caller.end(encodeRequest({ id: "odd", method: "GET", path: "/odd/1" }));
+    // 503 while the gateway has not heard from control again.
+    expect(await text(caller)).toMatch(/^HTTP\/1.1 (404|503) /);
+  });
+
   // Guards against targets that work on for a caller of several requests on one
   // connection, after its connection has ended.
   it.each([CallerEnd.order, CallerEnd.reset])(
