--- a/packages/items/check_content.ts
+++ b/packages/items/check_content.ts
@@ -1,5 +1,11 @@
 import { ItemKind } from "./types.ts";
-import type { ItemContent, Limits, Route, Service } from "./types.ts";
+import type {
+  ItemContent,
+  Limits,
+  Route,
+  Service,
+  Workspace,
+} from "./types.ts";
 
 /** An objective that exceeds the time-out by this much must be a mistake. */
 const maximumObjectiveExcessMilliseconds = 60_000;
@@ -13,6 +19,8 @@
       return checkService(content);
     case ItemKind.limits:
       return checkLimits(content);
+    case ItemKind.workspace:
+      return checkWorkspace(content);
   }
 }
 
@@ -66,6 +74,14 @@
   ]);
 }
 
+function checkWorkspace(workspace: Workspace): readonly string[] {
+  return faultsOf(`workspace "${workspace.name}"`, [
+    [workspace.name === "", "has no name"],
+    [!(workspace.ratePerSecond >= 0), "has a negative rate"],
+    [!(workspace.burst >= 0), "has a negative burst"],
+  ]);
+}
+
 function faultsOf(
   item: string,
   checks: readonly (readonly [boolean, string])[],
--- a/packages/items/mod.ts
+++ b/packages/items/mod.ts
@@ -1,5 +1,6 @@
 /**
- * Configuration as individually versioned items: routes, services and limits.
+ * Configuration as individually versioned items: routes, services, limits
+ * and workspaces.
  * The highest version of each item wins.
  *
  * @module
@@ -23,4 +24,5 @@
   StoredItem,
   StoredItems,
   SubmittedItem,
+  Workspace,
 } from "./types.ts";
--- a/packages/items/types.ts
+++ b/packages/items/types.ts
@@ -12,6 +12,7 @@
   route: "route",
   service: "service",
   limits: "limits",
+  workspace: "workspace",
 } as const;
 export type ItemKind = typeof ItemKind[keyof typeof ItemKind];
 
@@ -41,6 +42,11 @@
   readonly maximumTargets: number;
   /** Regions that may serve the route; empty for all. */
   readonly homeRegions: readonly string[];
+  /**
+   * Whether requests need no key of a workspace; absent in items of releases
+   * without workspaces, where it has no effect.
+   */
+  readonly isPublic?: boolean;
 }
 
 /** Properties of the targets of a service. */
@@ -69,7 +75,23 @@
   readonly idleTimeoutMilliseconds: number;
 }
 
-export type ItemContent = Route | Service | Limits;
+/** A workspace, whose callers present one of its keys. */
+export interface Workspace {
+  readonly kind: typeof ItemKind.workspace;
+  readonly name: string;
+  /** Digests of its keys, as 64 hexadecimal digits each; never the keys. */
+  readonly keyDigests: readonly string[];
+  /** Priority that replaces the route's; null to keep the route's. */
+  readonly priority: number | null;
+  /** Requests per second over all gateways; 0 for no limit. */
+  readonly ratePerSecond: number;
+  /** Requests beyond the rate that may come at once. */
+  readonly burst: number;
+  /** Regions that may serve the workspace; empty for all. */
+  readonly homeRegions: readonly string[];
+}
+
+export type ItemContent = Route | Service | Limits | Workspace;
 
 /** An item as submitted by an operator. */
 export interface SubmittedItem {
