Add the fields of the watch that workspaces and shared limits use

Both parts extend the watch: requests list features and reports, and the response carries a part for one gateway alone. Earlier releases leave all of them out, which is read as empty. The elapsed clock includes the time for which a VM was suspended, as leases of keys and of limits need.

--- a/packages/fleet_control/gateway_directory_test.ts
+++ b/packages/fleet_control/gateway_directory_test.ts
@@ -29,6 +29,8 @@
       isCutOff: false,
       position: { index: 0, term: 0, revision: 0, isComplete: false },
       isSearch: false,
+      features: [],
+      quotas: [],
       demand: [],
       durations: [],
       limits: [],
--- a/packages/fleet_control/leader_session_test.ts
+++ b/packages/fleet_control/leader_session_test.ts
@@ -68,6 +68,8 @@
     isCutOff: false,
     position: start,
     isSearch: false,
+    features: [],
+    quotas: [],
     demand: [],
     durations: [],
     limits: [],
--- a/packages/fleet_control/mod.ts
+++ b/packages/fleet_control/mod.ts
@@ -20,8 +20,11 @@
 export {
   decodeWatch,
   decodeWatchAnswer,
+  decodeWatchOwnPart,
   encodeWatch,
   encodeWatchAnswer,
+  encodeWatchOwnPart,
 } from "./watch_codec.ts";
 export { watchHoldMilliseconds } from "./update_throttle.ts";
-export type { Watch, WatchAnswer } from "./watch.ts";
+export { Feature, ownFeatures } from "./feature.ts";
+export type { Watch, WatchAnswer, WatchOwnPart } from "./watch.ts";
--- a/packages/fleet_control/watch.ts
+++ b/packages/fleet_control/watch.ts
@@ -32,6 +32,27 @@
   readonly leaving: readonly TargetIncarnation[];
   /** Requests whose runs may end targets, for a new leader. */
   readonly suspects: readonly CrashSuspect[];
+  /** Values of {@link Feature}; empty in requests of releases without them. */
+  readonly features: readonly string[];
+  /**
+   * Reports on limits that all gateways share, encoded by `quotas`; empty in
+   * requests of releases without them.
+   */
+  readonly quotas: readonly unknown[];
+}
+
+/**
+ * Part of the response to a watch request for one gateway alone. A leader of an
+ * earlier release sends none, which is read as an empty part.
+ */
+export interface WatchOwnPart {
+  /**
+   * How long before it received the watch request the leader was confirmed by a
+   * quorum, in milliseconds; at least 0, and absent if it was never confirmed.
+   */
+  readonly confirmedAgeMilliseconds?: number;
+  /** Loans of limits that all gateways share, encoded by `quotas`. */
+  readonly quotas?: unknown;
 }
 
 /** Response to a watch request. */
--- a/packages/fleet_control/watch_codec.ts
+++ b/packages/fleet_control/watch_codec.ts
@@ -5,7 +5,7 @@
   ViewDelta,
 } from "@kingcupglade/fleet";
 import { packValue, unpackValue } from "./packed_value.ts";
-import type { Watch, WatchAnswer } from "./watch.ts";
+import type { Watch, WatchAnswer, WatchOwnPart } from "./watch.ts";
 
 type TargetRow = readonly [
   name: string,
@@ -53,12 +53,15 @@
   // A gateway of an earlier version does not report these.
   const { limits = [], suspects = [], leaving = [], isCutOff = false } =
     rest as Partial<Watch>;
+  const { features = [], quotas = [] } = rest as Partial<Watch>;
   return {
     ...rest,
     isCutOff,
     limits,
     suspects,
     leaving,
+    features,
+    quotas,
     demand: demand.flatMap(demandRows),
   };
 }
@@ -109,6 +112,23 @@
   };
 }
 
+/** Encodes the part of a watch response for one gateway alone. */
+export function encodeWatchOwnPart(
+  part: WatchOwnPart,
+): Uint8Array<ArrayBuffer> {
+  return packValue(part);
+}
+
+/**
+ * Decodes the part of a watch response for one gateway alone; an earlier release
+ * sends no bytes, which is an empty part.
+ *
+ * @throws {WireError} when the bytes are no such part.
+ */
+export function decodeWatchOwnPart(bytes: Uint8Array): WatchOwnPart {
+  return bytes.length === 0 ? {} : unpackValue<WatchOwnPart>(bytes);
+}
+
 function demandGroups(rows: readonly PositionDemand[]): readonly DemandGroup[] {
   const groups = new Map<string, number[]>();
   for (const { service, position, count } of rows) {
--- a/packages/fleet_control/watch_codec_test.ts
+++ b/packages/fleet_control/watch_codec_test.ts
@@ -106,6 +106,8 @@
       isCutOff: true,
       position: { index: 31, term: 2, revision: 900, isComplete: true },
       isSearch: false,
+      features: [],
+      quotas: [],
       demand: [
         { service: "a", position: 3, count: 2 },
         { service: "a", position: 9, count: 1 },
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -40,11 +40,21 @@
   readonly gatewayCount: () => number;
 }
 
+/** The workspace that a request's key belongs to. */
+export interface RequestWorkspace {
+  readonly name: string;
+  /** Digest of the key, as 64 hexadecimal digits. */
+  readonly keyDigest: string;
+}
+
 /** A request whose route is known and whose body has been received. */
 export interface RoutedRequest {
   readonly request: IncomingMessage;
   readonly head: CallerRequestHead;
+  /** The route, with the priority and home regions of the workspace applied. */
   readonly route: Route;
+  /** Undefined for requests that need no key. */
+  readonly workspace?: RequestWorkspace;
   readonly service: string;
   /**
    * Position among the keys of a keyed service; undefined for other services,
--- a/packages/fleet_gateway/table_synchronizer.ts
+++ b/packages/fleet_gateway/table_synchronizer.ts
@@ -10,13 +10,16 @@
 } from "@kingcupglade/fleet";
 import {
   decodeWatchAnswer,
+  decodeWatchOwnPart,
   encodeWatch,
+  ownFeatures,
   watchHoldMilliseconds,
 } from "@kingcupglade/fleet_control";
 import type {
   PeerClients,
   Watch,
   WatchAnswer,
+  WatchOwnPart,
 } from "@kingcupglade/fleet_control";
 import { describeItems } from "@kingcupglade/items";
 import { Fleet } from "@kingcupglade/protocol";
@@ -75,6 +78,27 @@
   readonly random: () => number;
   /** Called after each table update. */
   readonly onChange: () => void;
+  /** Returns the reports on limits that all gateways share. @default none */
+  readonly takeQuotas?: (isNewLeader: boolean) => readonly unknown[];
+  /**
+   * Clock for {@link ReceivedOwnPart.sentAt}, which also advances while the VM
+   * is suspended. @default clock
+   */
+  readonly elapsedClock?: Clock;
+  /**
+   * Called with the part of each update for this gateway alone, after the table
+   * has been updated and before `onChange`. @default ignored
+   */
+  readonly onOwnPart?: (received: ReceivedOwnPart) => void;
+}
+
+/** Part of an update for this gateway alone. */
+export interface ReceivedOwnPart {
+  readonly part: WatchOwnPart;
+  /** When the watch request was sent, on the elapsed clock. */
+  readonly sentAt: number;
+  /** Whether the table agrees with the leader's digest of all items. */
+  readonly isTableCurrent: boolean;
 }
 
 /** Keeps a gateway's table up to date with the control leader's. */
@@ -111,6 +135,10 @@
     return this.#leader;
   }
 
+  get #elapsedClock(): Clock {
+    return this.#options.elapsedClock ?? this.#options.clock;
+  }
+
   /** Returns the milliseconds since the last contact with the leader. */
   millisecondsSinceContact(now: number): number {
     return now - this.#lastContactAt;
@@ -298,20 +326,31 @@
       limits: isSearch ? [] : takeLimits(isNewLeader),
       leaving: isSearch ? [] : this.#options.takeLeaving(isNewLeader),
       suspects: !isSearch && isNewLeader ? this.#options.suspects() : [],
+      features: ownFeatures,
+      quotas: isSearch ? [] : this.#options.takeQuotas?.(isNewLeader) ?? [],
     };
     const sentAt = clock.now();
-    const { answer } = await clients.client(address, Fleet).watch(
+    const elapsedSentAt = this.#elapsedClock.now();
+    const { answer, own } = await clients.client(address, Fleet).watch(
       { watch: encodeWatch(watch) },
       { timeoutMs: timeoutMilliseconds },
     );
     const decoded = decodeWatchAnswer(answer);
-    if (decoded.kind === "news") this.#apply(decoded, { address, sentAt });
+    if (decoded.kind === "news") {
+      const part = decodeWatchOwnPart(own);
+      this.#apply(decoded, { address, sentAt, elapsedSentAt, part });
+    }
     return decoded;
   }
 
   #apply(
     update: Extract<WatchAnswer, { readonly kind: "news" }>,
-    watch: { readonly address: string; readonly sentAt: number },
+    watch: {
+      readonly address: string;
+      readonly sentAt: number;
+      readonly elapsedSentAt: number;
+      readonly part: WatchOwnPart;
+    },
   ): void {
     // A search may have found another leader in the meantime.
     if (watch.sentAt < this.#lastContactAt) return;
@@ -347,6 +386,12 @@
       });
     }
     if (suspects) this.#options.onSuspects(suspects, position.term);
+    this.#options.onOwnPart?.({
+      part: watch.part,
+      sentAt: watch.elapsedSentAt,
+      isTableCurrent: update.delta.itemsDigest === this.table.itemsDigest ||
+        update.delta.itemsDigest === null,
+    });
     this.#options.onChange();
   }
 
--- a/packages/workspaces/mod.ts
+++ b/packages/workspaces/mod.ts
@@ -4,4 +4,4 @@
  *
  * @module
  */
-export {};
+export { ElapsedClock } from "./elapsed_clock.ts";
