Take workspaces as items, with digests of keys and sealed sources

Items of kind workspace are checked with the others; the leader turns keys into digests and seals the source before it proposes a change, so that no key is stored or logged. The leader tells gateways how recently it was confirmed, waits for them before it acknowledges a revocation, and rejects workspaces while a VM of an earlier release is in contact.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -14,6 +14,7 @@
 import type { ControlWire } from "./control_wire.ts";
 import { ExternalCallHandler } from "./external_call_handler.ts";
 import type { Leadership } from "./external_call_handler.ts";
+import { Feature } from "./feature.ts";
 import { decodeGreeting } from "./greeting.ts";
 import { LeaderSession } from "./leader_session.ts";
 import type { FleetReplica } from "./leader_session.ts";
@@ -24,8 +25,11 @@
 import { planMembers } from "./plan_members.ts";
 import { readMessages, ReplicaLinks } from "./replica_links.ts";
 import type { SuspectCall, SuspectReply } from "./suspect_call.ts";
-import type { Watch, WatchAnswer } from "./watch.ts";
-import { decodeWatch, encodeWatchAnswer } from "./watch_codec.ts";
+import { vmsWithout } from "./vms_without.ts";
+import type { WatchAnswer } from "./watch.ts";
+import { decodeWatch } from "./watch_codec.ts";
+import { answerWatch } from "./watch_call.ts";
+import { WorkspaceSeals } from "./workspace_seals.ts";
 
 const decisionIntervalMilliseconds = 50;
 /**
@@ -60,6 +64,11 @@
   /** Region of each data centre. */
   readonly regions: Readonly<Record<string, string>>;
   readonly secret: string;
+  /**
+   * Time after the acknowledgement of a revocation from which no request with
+   * the key reaches a target. @default no bound
+   */
+  readonly revokeMilliseconds?: number;
   readonly wire: ControlWire;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -80,6 +89,7 @@
   readonly #discovery: PeerDiscovery;
   readonly #externalCalls: ExternalCallHandler;
   readonly #stalls: StallDetector;
+  readonly #seals: WorkspaceSeals;
   readonly #timers: NodeJS.Timeout[] = [];
   #listeners!: ControlListeners;
   #replica!: ControlReplica;
@@ -101,8 +111,17 @@
           milliseconds: Math.round(milliseconds),
         }),
     });
+    this.#seals = new WorkspaceSeals(options);
     const shared = {
       ...options,
+      seals: this.#seals,
+      vmsWithout: (feature: Feature) => [
+        ...vmsWithout(feature, {
+          consensus: this.#replica.running?.consensus,
+          greetings: this.#discovery.peers.greetings,
+        }),
+        ...this.#session?.gatewaysWithout(feature) ?? [],
+      ],
       clients: this.#clients,
       peerClocks: new PeerClocks(),
       stalls: this.#stalls,
@@ -211,9 +230,7 @@
           greeting: encodeValue(this.#discovery.greeting),
         });
       },
-      watch: async ({ watch }) => ({
-        answer: await this.#watch(decodeWatch(watch)),
-      }),
+      watch: ({ watch }) => answerWatch(decodeWatch(watch), this),
       suspect: ({ call }) =>
         Promise.resolve({ reply: packValue(this.#handleSuspectCall(call)) }),
       relay: async ({ call }) => ({
@@ -242,25 +259,19 @@
     for (const message of messages) this.#replica.receive(message);
   }
 
-  async #watch(watch: Watch): Promise<Uint8Array<ArrayBuffer>> {
-    const session = this.#session;
-    if (!session || !this.isLeading || this.#isStopping) {
-      return encodeWatchAnswer(this.#redirect);
-    }
-    if (watch.isSearch) return encodeWatchAnswer({ kind: "leads" });
-    const answer = await session.watch(watch);
-    return this.#session === session && this.isLeading
-      ? answer
-      : encodeWatchAnswer(this.#redirect);
-  }
-
   #handleSuspectCall(call: Uint8Array): SuspectReply {
     const session = this.#session;
     if (!session || !this.isLeading) return { kind: "elsewhere" };
     return session.handleSuspectCall(unpackValue<SuspectCall>(call));
   }
 
-  get #redirect(): WatchAnswer {
+  /** The state from which watches are answered; undefined for none. */
+  get watchedSession(): LeaderSession | undefined {
+    return this.isLeading && !this.#isStopping ? this.#session : undefined;
+  }
+
+  /** Response to the watches that another VM has to answer. */
+  get redirect(): WatchAnswer {
     const leader = this.leaderAddress;
     return {
       kind: "elsewhere",
@@ -318,15 +329,11 @@
   }
 
   #startSession(replica: FleetReplica): void {
-    const { clock, logger, heartbeatMilliseconds, controlAddress, regions } =
-      this.#options;
+    const { clock, logger, regions } = this.#options;
+    this.#seals.checkSources(replica.state.items);
     this.#session = new LeaderSession({
+      ...this.#options,
       replica,
-      clock,
-      logger,
-      heartbeatMilliseconds,
-      controlAddress,
-      region: this.#options.region,
       regionOf: (dataCentre) => regions[dataCentre] ?? "",
       controlAddresses: () => [
         this.#options.peerAddress,
@@ -335,13 +342,10 @@
         ),
       ],
       listeners: () =>
-        this.#discovery.peers.received.filter(({ receivedAt }) =>
-          clock.now() - receivedAt < maximumSilenceMilliseconds
-        ).map(({ greeting }) => ({
-          name: greeting.controlAddress,
-          address: greeting.controlAddress,
-          dataCentre: greeting.dataCentre,
-        })),
+        this.#discovery.peers.listeners(
+          clock.now(),
+          maximumSilenceMilliseconds,
+        ),
     });
     logger.info("leadership-acquired", {
       term: this.#session.term,
@@ -360,7 +364,10 @@
       consensus: replica.consensus,
       greetings: [
         { greeting: this.#discovery.greeting, receivedAt: clock.now() },
-        ...this.#discovery.peers.received,
+        ...this.#discovery.peers.received.filter(({ greeting }) =>
+          this.#session?.hasWorkspaces !== true ||
+          greeting.features?.includes(Feature.workspaces)
+        ),
       ],
       voters: this.#options.toleratedLosses * 2 + 1,
       now: clock.now(),
--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -1,12 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
-import type { FleetOutcome } from "@kingcupglade/fleet";
-import { describeChange, findNeverKnownServices } from "@kingcupglade/items";
+import { describeChange } from "@kingcupglade/items";
 import { Fleet } from "@kingcupglade/protocol";
 import { NotLeaderError } from "@kingcupglade/replica";
-import type { Clock, StallDetector } from "@kingcupglade/tasks";
+import type { StallDetector } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
-import type { Logger } from "@kingcupglade/telemetry";
 import {
   BodyMemory,
   hasCallerLeft,
@@ -21,7 +19,8 @@
   ExternalResponse,
   ExternalResult,
 } from "./control_wire.ts";
-import { hasEnoughVoters } from "./has_enough_voters.ts";
+import { insufficientReplicas, ItemCalls } from "./item_calls.ts";
+import type { ItemCallsOptions } from "./item_calls.ts";
 import type { FleetReplica, LeaderSession } from "./leader_session.ts";
 import { packValue, unpackValue } from "./packed_value.ts";
 import type { PeerClients } from "./peer_clients.ts";
@@ -29,12 +28,18 @@
 import { ageOf, isVersioned } from "./received_call.ts";
 import type { PeerTime, ReceivedCall, RelayedCall } from "./received_call.ts";
 import { RelayBatch } from "./relay_batch.ts";
+import { nameWorkspaces } from "./workspace_seals.ts";
 
 /**
  * Targets and operators time out after a second, which must cover both the wait
  * for a leader and the relay.
  */
 const relayTimeoutMilliseconds = 450;
+/**
+ * The leader may wait a second for gateways before it acknowledges a change of
+ * items; operators give up after 4 s.
+ */
+const changeRelayTimeoutMilliseconds = 1600;
 const leaderWaitMilliseconds = 450;
 const leaderPollIntervalMilliseconds = 25;
 const maximumCallBytes = 16 * 1024 * 1024;
@@ -55,19 +60,16 @@
 }
 
 /** Options of an {@link ExternalCallHandler}. */
-export interface ExternalCallHandlerOptions {
+export interface ExternalCallHandlerOptions
+  extends Omit<ItemCallsOptions, "wire"> {
   readonly peerAddress: string;
-  /** Number of data folders that may be lost at the same time. */
-  readonly toleratedLosses: number;
   readonly wire: ControlWire;
   readonly clients: PeerClients;
   /** Clocks of the other control VMs. */
   readonly peerClocks: PeerClocks;
-  readonly clock: Clock;
   readonly stalls: StallDetector;
   /** Returns the time on the clock of this process, as other VMs know it. */
   readonly ownTime: () => PeerTime;
-  readonly logger: Logger;
 }
 
 /**
@@ -78,11 +80,15 @@
   readonly #options: ExternalCallHandlerOptions;
   readonly #leadership: Leadership;
   readonly #bodyMemory = new BodyMemory();
-  readonly #relays = new RelayBatch({ send: (calls) => this.#send(calls) });
+  readonly #items: ItemCalls;
+  readonly #relays = new RelayBatch({
+    send: (calls, timeout) => this.#send(calls, timeout),
+  });
 
   constructor(options: ExternalCallHandlerOptions, leadership: Leadership) {
     this.#options = options;
     this.#leadership = leadership;
+    this.#items = new ItemCalls(options);
   }
 
   /** Handles one call. */
@@ -162,15 +168,22 @@
     call: ReceivedCall,
     decoded: ExternalCall,
   ): Promise<ExternalResponse> {
-    const response = await this.#relays.sendNow(call);
+    const isChange = decoded.kind === "changeItems";
+    const response = await this.#relays.sendNow(
+      call,
+      isChange ? changeRelayTimeoutMilliseconds : undefined,
+    );
     const items = this.#leadership.replica?.state.items ?? new Map();
     this.#options.logger.info("call-relayed", {
       path: call.request.path,
       leader: this.#leadership.leaderAddress,
       status: response.status,
       ageMilliseconds: Math.round(ageOf(call, this.#options.stalls.observe())),
-      names: decoded.kind === "changeItems"
-        ? describeChange(decoded.change, items)
+      names: isChange
+        ? describeChange(
+          nameWorkspaces(decoded.change, decoded.workspaces ?? []),
+          items,
+        )
         : null,
     });
     return response;
@@ -178,6 +191,7 @@
 
   async #send(
     calls: readonly ReceivedCall[],
+    timeoutMilliseconds = relayTimeoutMilliseconds,
   ): Promise<readonly ExternalResponse[]> {
     const { wire, peerAddress, clients, peerClocks, clock, stalls } =
       this.#options;
@@ -198,7 +212,7 @@
     }));
     const { result } = await clients.client(leader, Fleet).relay(
       { call: packValue(relayed) },
-      { timeoutMs: relayTimeoutMilliseconds },
+      { timeoutMs: timeoutMilliseconds },
     );
     return unpackValue(result);
   }
@@ -305,29 +319,13 @@
           await session.handleDeparture(call.target, call.bornAt);
           return { kind: "acknowledged" };
         case "readItems":
-          return await this.#readItems(replica);
-        case "changeItems": {
-          if (!this.#mayAcknowledge(replica)) return insufficientReplicas;
-          const { change } = call;
-          const faults = findNeverKnownServices(replica.state.items, change);
-          if (faults.length > 0) {
-            return this.#completeChange({ kind: "refused", faults });
-          }
-          const outcome = await replica.propose({
-            kind: "changeItems",
-            change,
-          });
-          logger.info("items-changed", {
-            items: change.items.length,
-            removals: change.removals.length,
-            names: describeChange(change, replica.state.items),
-            outcome: outcome.kind,
-            index: replica.appliedIndex,
-          });
-          return this.#completeChange(outcome);
-        }
+          return await this.#items.read({ replica, session });
+        case "changeItems":
+          return await this.#items.change(call, { replica, session });
         case "evacuate": {
-          if (!this.#mayAcknowledge(replica)) return insufficientReplicas;
+          if (!this.#items.mayAcknowledge(replica)) {
+            return insufficientReplicas;
+          }
           const { dataCentre, isOut } = call;
           const outcome = await session.evacuate({
             dataCentre,
@@ -343,7 +341,7 @@
           });
           return outcome.kind === "overtaken"
             ? overtakenOrder
-            : this.#completeChange(outcome);
+            : this.#items.complete(outcome, session);
         }
       }
     } catch (failure) {
@@ -351,40 +349,8 @@
       return { kind: "unavailable", reason: failure.message };
     }
   }
-
-  #completeChange(outcome: FleetOutcome): ExternalResult {
-    const { logger } = this.#options;
-    this.#leadership.session?.notifyChange();
-    if (outcome.kind === "refused") {
-      logger.warn("change-refused", { faults: outcome.faults.join("; ") });
-      return outcome;
-    }
-    return { kind: "acknowledged" };
-  }
-
-  async #readItems(replica: FleetReplica): Promise<ExternalResult> {
-    if (!await replica.confirmLeadership(relayTimeoutMilliseconds)) {
-      return { kind: "unavailable", reason: "the quorum does not answer" };
-    }
-    return {
-      kind: "items",
-      items: [...replica.state.items.values()].filter(({ content }) =>
-        content !== null
-      ),
-    };
-  }
-
-  #mayAcknowledge({ consensus }: FleetReplica): boolean {
-    const { clock, toleratedLosses } = this.#options;
-    return hasEnoughVoters(consensus, { toleratedLosses, now: clock.now() });
-  }
 }
 
-const insufficientReplicas: ExternalResult = {
-  kind: "unavailable",
-  reason: "not enough replicas are there yet to keep a change",
-};
-
 const overtakenOrder: ExternalResult = {
   kind: "unavailable",
   reason: "another order for this data centre was acknowledged meanwhile",
--- a/packages/fleet_control/external_call_handler_test.ts
+++ b/packages/fleet_control/external_call_handler_test.ts
@@ -14,7 +14,9 @@
 import type { PeerClients } from "./peer_clients.ts";
 import { PeerClocks } from "./peer_clocks.ts";
 import type { RelayedCall } from "./received_call.ts";
+import { WorkspaceSeals } from "./workspace_seals.ts";
 
+const logger = createLogger({ fields: {}, level: "silent" });
 const self = "10.0.0.1:7390";
 const leader = "10.0.0.2:7390";
 const appliedIndex = 7;
@@ -73,13 +75,16 @@
     this.handler = new ExternalCallHandler({
       peerAddress: self,
       toleratedLosses: 0,
+      seals: new WorkspaceSeals({ secret: "s", logger }),
+      regions: { a: "north" },
+      vmsWithout: () => [],
       wire: new PlatformControlWire(),
       clients: this.#createClients(),
       peerClocks: this.clocks,
       clock: this.clock,
       stalls: this.#stalls,
       ownTime: () => ({ process: "own", milliseconds: this.clock.now() }),
-      logger: createLogger({ fields: {}, level: "silent" }),
+      logger,
     }, this);
   }
 
--- a/packages/fleet_control/gateway_directory.ts
+++ b/packages/fleet_control/gateway_directory.ts
@@ -16,6 +16,7 @@
   readonly address: string;
   readonly isLeaving: boolean;
   readonly isCutOff: boolean;
+  readonly features: readonly string[];
   readonly lastWatchAt: number;
 }
 
@@ -40,7 +41,7 @@
 
   record(watch: Watch, now: number): void {
     const { gateway: name, dataCentre, region, address } = watch;
-    const { isLeaving, isCutOff } = watch;
+    const { isLeaving, isCutOff, features } = watch;
     this.#gateways.set(name, {
       name,
       dataCentre,
@@ -48,6 +49,7 @@
       address,
       isLeaving,
       isCutOff,
+      features,
       lastWatchAt: now,
     });
   }
@@ -70,6 +72,13 @@
     return this.#activeGateways(now).map(({ name }) => name);
   }
 
+  /** Returns the names of the gateways in contact that lack a feature. */
+  namesWithout(feature: string, now: number): readonly string[] {
+    return this.#activeGateways(now).filter(({ features }) =>
+      !features.includes(feature)
+    ).map(({ name }) => name);
+  }
+
   /**
    * Returns the gateways that may send requests to a target while it is cold:
    * its manager, or a few nearby gateways if it has none.
--- a/packages/fleet_control/greeting.ts
+++ b/packages/fleet_control/greeting.ts
@@ -33,6 +33,8 @@
    * releases that do not send it.
    */
   readonly time?: PeerTime;
+  /** Values of `Feature`; absent in greetings of releases without them. */
+  readonly features?: readonly string[];
 }
 
 const address = z.string().refine(isAddress);
@@ -50,6 +52,7 @@
   known: z.array(address),
   time: z.looseObject({ process: z.string(), milliseconds: z.number() })
     .optional(),
+  features: z.array(z.string()).optional(),
 });
 
 /**
--- /dev/null
+++ b/packages/fleet_control/key_confirmations.ts
@@ -0,0 +1,127 @@
+import { setTimeout as pause } from "node:timers/promises";
+import { quorumContactAt } from "@kingcupglade/consensus";
+import type { Clock } from "@kingcupglade/tasks";
+import type { Logger } from "@kingcupglade/telemetry";
+import { confirmedAge, unconfirmedGateways } from "@kingcupglade/workspaces";
+import type { ElapsedClock, GatewayKeys } from "@kingcupglade/workspaces";
+import type { FleetReplica } from "./leader_session.ts";
+import type { Watch, WatchOwnPart } from "./watch.ts";
+
+/**
+ * Longest wait for gateways before a revocation is acknowledged; operators give
+ * up after 4 s, and a relay to the leader may come before it.
+ */
+const maximumWaitMilliseconds = 1000;
+/** Gateways confirm by watch requests, which take a round trip of some ms. */
+const checkIntervalMilliseconds = 10;
+
+/** Options of {@link KeyConfirmations}. */
+export interface KeyConfirmationsOptions {
+  readonly replica: Pick<FleetReplica, "consensus">;
+  readonly clock: Clock;
+  /** Counts `clock` plus the time for which this VM was suspended. */
+  readonly elapsedClock: ElapsedClock;
+  /** Returns the names of the gateways in contact. */
+  readonly activeGateways: () => readonly string[];
+  /**
+   * Time from the acknowledgement of a revocation until no request with the key
+   * reaches a target; undefined if there is no bound.
+   */
+  readonly revokeMilliseconds?: number;
+  readonly logger: Logger;
+}
+
+/**
+ * Tells gateways how recently this leader was confirmed, and knows which of them
+ * have confirmed a change that revokes keys.
+ */
+export class KeyConfirmations {
+  readonly #options: KeyConfirmationsOptions;
+  readonly #gateways = new Map<string, GatewayKeys>();
+
+  constructor(options: KeyConfirmationsOptions) {
+    this.#options = options;
+  }
+
+  /** Time at which a watch request is received, for {@link ownPart}. */
+  now(): number {
+    return this.#options.elapsedClock.now();
+  }
+
+  /** Records the table that a gateway says it has. */
+  recordWatch({ gateway: name, position }: Watch): void {
+    const known = this.#gateways.get(name);
+    this.#gateways.set(name, {
+      name,
+      index: position.index,
+      leaseEndsAt: known?.leaseEndsAt ?? -Infinity,
+    });
+  }
+
+  /**
+   * Returns the part of a response for one gateway. Called when the table of the
+   * response is read, as a confirmation after that would cover changes that the
+   * table lacks.
+   */
+  ownPart({ gateway }: Watch, receivedAt: number): WatchOwnPart {
+    const { clock, elapsedClock, replica, revokeMilliseconds } = this.#options;
+    const contactAt = quorumContactAt(replica.consensus, clock.now());
+    const age = confirmedAge({
+      confirmedAt: Number.isFinite(contactAt)
+        ? elapsedClock.fromMonotonic(contactAt)
+        : -Infinity,
+      receivedAt,
+    });
+    if (age === undefined) return {};
+    const known = this.#gateways.get(gateway);
+    // Counted from the receipt, which is not before the request was sent.
+    const endsAt = receivedAt + (revokeMilliseconds ?? 0);
+    if (known) {
+      this.#gateways.set(gateway, {
+        ...known,
+        leaseEndsAt: Math.max(known.leaseEndsAt, endsAt),
+      });
+    }
+    return { confirmedAgeMilliseconds: age };
+  }
+
+  /**
+   * Waits until no gateway in contact uses a table without a log entry that
+   * revokes keys, for a second at most. Without a bound on revocations it does
+   * not wait.
+   */
+  async waitForRevocation(
+    index: number,
+    revoked: { readonly keys: number },
+  ): Promise<void> {
+    const { clock, logger, revokeMilliseconds } = this.#options;
+    if (revokeMilliseconds === undefined) return;
+    const startedAt = clock.now();
+    let unconfirmed = this.#unconfirmed(index);
+    while (
+      unconfirmed.length > 0 &&
+      clock.now() - startedAt < maximumWaitMilliseconds
+    ) {
+      await pause(checkIntervalMilliseconds);
+      unconfirmed = this.#unconfirmed(index);
+    }
+    logger.info("keys-revoked", {
+      index,
+      keys: revoked.keys,
+      waitedMilliseconds: Math.round(clock.now() - startedAt),
+      unconfirmed: unconfirmed.join(","),
+    });
+  }
+
+  #unconfirmed(index: number): readonly string[] {
+    const { activeGateways, elapsedClock } = this.#options;
+    const active = new Set(activeGateways());
+    for (const name of this.#gateways.keys()) {
+      if (!active.has(name)) this.#gateways.delete(name);
+    }
+    return unconfirmedGateways([...this.#gateways.values()], {
+      index,
+      now: elapsedClock.now(),
+    });
+  }
+}
--- a/packages/fleet_control/known_peers.ts
+++ b/packages/fleet_control/known_peers.ts
@@ -1,3 +1,4 @@
+import type { VmEndpoint } from "@kingcupglade/fleet";
 import type { Greeting } from "./greeting.ts";
 
 /** Greeting with the time of its receipt. */
@@ -50,6 +51,20 @@
     ).map(({ greeting }) => greeting);
   }
 
+  /**
+   * Returns the control VMs that may take heartbeats, by their control addresses:
+   * those that sent a greeting in the given time.
+   */
+  listeners(now: number, maximumSilence: number): readonly VmEndpoint[] {
+    return this.received.filter(({ receivedAt }) =>
+      now - receivedAt < maximumSilence
+    ).map(({ greeting: { controlAddress, dataCentre } }) => ({
+      name: controlAddress,
+      address: controlAddress,
+      dataCentre,
+    }));
+  }
+
   /** Returns the peer addresses to greet in addition to the seeds. */
   addresses(now: number): readonly string[] {
     for (const [address, at] of this.#reported) {
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -16,10 +16,12 @@
   VmEndpoint,
 } from "@kingcupglade/fleet";
 import { ItemKind, ItemsDigestCache } from "@kingcupglade/items";
+import type { StoredItems } from "@kingcupglade/items";
 import type { Replica } from "@kingcupglade/replica";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
+import { ElapsedClock } from "@kingcupglade/workspaces";
 import { EvacuationOrders } from "./evacuation_orders.ts";
 import type {
   EvacuationOrder,
@@ -27,6 +29,7 @@
 } from "./evacuation_orders.ts";
 import { GatewayDirectory } from "./gateway_directory.ts";
 import { chooseHeartbeatListener } from "./heartbeat_listener.ts";
+import { KeyConfirmations } from "./key_confirmations.ts";
 import { LimitDirectory } from "./limit_directory.ts";
 import { ManagerDirectory } from "./manager_directory.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
@@ -35,7 +38,7 @@
 import { SuspectDirectory } from "./suspect_directory.ts";
 import { TargetViews } from "./target_views.ts";
 import { UpdateThrottle, watchHoldMilliseconds } from "./update_throttle.ts";
-import type { Watch, WatchAnswer } from "./watch.ts";
+import type { Watch, WatchAnswer, WatchOwnPart } from "./watch.ts";
 import { encodeWatchAnswer } from "./watch_codec.ts";
 
 /** Replica of the fleet's state. */
@@ -69,6 +72,20 @@
   readonly controlAddresses: () => readonly string[];
   /** Followers that may take heartbeats, with their control addresses. */
   readonly listeners: () => readonly VmEndpoint[];
+  /**
+   * Time after the acknowledgement of a revocation from which no request with
+   * the key reaches a target. @default no bound
+   */
+  readonly revokeMilliseconds?: number;
+  /** Counts `clock` and suspensions. @default one of its own */
+  readonly elapsedClock?: ElapsedClock;
+}
+
+/** Response to a watch request. */
+export interface WatchResponseParts {
+  /** An encoded {@link WatchAnswer}, which gateways at one position share. */
+  readonly answer: Uint8Array<ArrayBuffer>;
+  readonly own: WatchOwnPart;
 }
 
 /** State and decisions of a replica during one term as leader. */
@@ -97,6 +114,9 @@
   readonly #suspects: SuspectDirectory;
   readonly #evacuations: EvacuationOrders;
   readonly #targetViews: TargetViews;
+  readonly #keys: KeyConfirmations;
+  #countedItems: StoredItems | undefined;
+  #hasWorkspaces = false;
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
@@ -124,6 +144,12 @@
       ...options,
       revisions: this.#revisions,
     });
+    this.#keys = new KeyConfirmations({
+      ...options,
+      elapsedClock: options.elapsedClock ??
+        new ElapsedClock({ monotonic: options.clock }),
+      activeGateways: () => this.gateways,
+    });
     this.#targetViews = new TargetViews({
       ...options,
       registry: this.#registry,
@@ -159,6 +185,34 @@
     return this.#gateways.activeNames(this.#options.clock.now());
   }
 
+  /** Whether a workspace exists or has existed. */
+  get hasWorkspaces(): boolean {
+    const { items } = this.#options.replica.state;
+    if (items !== this.#countedItems) {
+      this.#countedItems = items;
+      this.#hasWorkspaces = [...items.values()].some(({ kind }) =>
+        kind === ItemKind.workspace
+      );
+    }
+    return this.#hasWorkspaces;
+  }
+
+  /** Returns the names of the gateways in contact that lack a feature. */
+  gatewaysWithout(feature: string): readonly string[] {
+    return this.#gateways.namesWithout(feature, this.#options.clock.now());
+  }
+
+  /**
+   * Waits until gateways in contact have confirmed a log entry that revokes keys,
+   * as far as revocations have a bound.
+   */
+  waitForRevocation(
+    index: number,
+    revoked: { readonly keys: number },
+  ): Promise<void> {
+    return this.#keys.waitForRevocation(index, revoked);
+  }
+
   /** Handles a heartbeat. Returns null if it cannot be acknowledged. */
   async handleHeartbeat(
     announcement: Announcement,
@@ -209,11 +263,12 @@
 
   /**
    * Handles the watch request of a gateway, and waits until there is an update
-   * for it. Returns an encoded {@link WatchAnswer}, which gateways at the same
-   * position share.
+   * for it.
    */
-  async watch(watch: Watch): Promise<Uint8Array<ArrayBuffer>> {
+  async watch(watch: Watch): Promise<WatchResponseParts> {
     const now = this.#options.clock.now();
+    const receivedAt = this.#keys.now();
+    this.#keys.recordWatch(watch);
     this.#gateways.record(watch, now);
     this.#ranges.recordWatch(watch, now);
     this.#limits.recordWatch(watch, now);
@@ -228,7 +283,10 @@
         watchHoldMilliseconds(this.#gateways.activeNames(now).length),
       );
     }
-    return this.#encodedDelta(watch.position);
+    return {
+      own: this.#keys.ownPart(watch, receivedAt),
+      answer: this.#encodedDelta(watch.position),
+    };
   }
 
   /** Handles a gateway's call about a request whose runs may end targets. */
--- a/packages/fleet_control/leader_session_test.ts
+++ b/packages/fleet_control/leader_session_test.ts
@@ -99,7 +99,7 @@
   });
 
   async function update(request: Watch) {
-    const answer = decodeWatchAnswer(await session.watch(request));
+    const answer = decodeWatchAnswer((await session.watch(request)).answer);
     if (answer.kind !== "news") throw new Error("no update");
     return answer.delta;
   }
--- a/packages/fleet_control/mod.ts
+++ b/packages/fleet_control/mod.ts
@@ -12,6 +12,8 @@
   ExternalRequest,
   ExternalResponse,
   ExternalResult,
+  SubmittedWorkspace,
+  WorkspaceFieldNames,
 } from "./control_wire.ts";
 export { peerAddressOf } from "./peer_discovery.ts";
 export { packValue, unpackValue } from "./packed_value.ts";
--- a/packages/fleet_control/peer_discovery.ts
+++ b/packages/fleet_control/peer_discovery.ts
@@ -1,6 +1,7 @@
 import { encodeValue, Fleet } from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
 import type { ControlReplica } from "./control_replica.ts";
+import { ownFeatures } from "./feature.ts";
 import { decodeGreeting } from "./greeting.ts";
 import type { Greeting } from "./greeting.ts";
 import { KnownPeers } from "./known_peers.ts";
@@ -74,6 +75,7 @@
         each.peerAddress
       ),
       time: this.#options.ownTime(),
+      features: ownFeatures,
     };
   }
 
--- a/packages/fleet_control/relay_batch.ts
+++ b/packages/fleet_control/relay_batch.ts
@@ -13,19 +13,24 @@
   readonly reject: (failure: unknown) => void;
 }
 
-/** Relays calls to the leader in batches. */
-export class RelayBatch {
-  readonly #send: (
+/** Options of a {@link RelayBatch}. */
+export interface RelayBatchOptions {
+  /**
+   * Sends calls to the leader; responses are in the order of the calls. The
+   * time-out is that of a call that is relayed immediately, if it has its own.
+   */
+  readonly send: (
     calls: readonly ReceivedCall[],
+    timeoutMilliseconds?: number,
   ) => Promise<readonly ExternalResponse[]>;
+}
+
+/** Relays calls to the leader in batches. */
+export class RelayBatch {
+  readonly #send: RelayBatchOptions["send"];
   #pending: PendingCall[] = [];
 
-  constructor(options: {
-    /** Sends calls to the leader; responses are in the order of the calls. */
-    readonly send: (
-      calls: readonly ReceivedCall[],
-    ) => Promise<readonly ExternalResponse[]>;
-  }) {
+  constructor(options: RelayBatchOptions) {
     this.#send = options.send;
   }
 
@@ -39,8 +44,11 @@
   }
 
   /** Relays a call immediately. */
-  async sendNow(call: ReceivedCall): Promise<ExternalResponse> {
-    const [answer] = await this.#send([call]);
+  async sendNow(
+    call: ReceivedCall,
+    timeoutMilliseconds?: number,
+  ): Promise<ExternalResponse> {
+    const [answer] = await this.#send([call], timeoutMilliseconds);
     return answer!;
   }
 
--- a/packages/items/apply_change.ts
+++ b/packages/items/apply_change.ts
@@ -1,5 +1,6 @@
 import { checkContent } from "./check_content.ts";
 import { itemId, ItemKind } from "./types.ts";
+import { findSharedKeys } from "./workspace_keys.ts";
 import type {
   ItemChange,
   Route,
@@ -52,6 +53,15 @@
     ...change.items.flatMap(({ content }) => checkContent(content)),
     ...checkServiceReferences(items, accepted),
     ...checkRemovals(items, change),
+    ...findSharedKeys(
+      items,
+      accepted.flatMap(({ content }) =>
+        content.kind === ItemKind.workspace &&
+          items.get(itemId(content))?.content === content
+          ? [content]
+          : []
+      ),
+    ),
   ];
   return faults.length > 0
     ? { kind: "refused", faults }
--- a/packages/items/check_content.ts
+++ b/packages/items/check_content.ts
@@ -1,4 +1,5 @@
 import { ItemKind } from "./types.ts";
+import { findKeyListFaults } from "./workspace_keys.ts";
 import type {
   ItemContent,
   Limits,
@@ -10,6 +11,10 @@
 /** An objective that exceeds the time-out by this much must be a mistake. */
 const maximumObjectiveExcessMilliseconds = 60_000;
 
+/** Targets receive the name of a workspace as the value of a header. */
+// deno-lint-ignore no-control-regex
+const unsendableName = /[\u0000-\u001f\u007f]|^\s|\s$/;
+
 /** Returns the faults of a single item; empty if there are none. */
 export function checkContent(content: ItemContent): readonly string[] {
   switch (content.kind) {
@@ -77,8 +82,20 @@
 function checkWorkspace(workspace: Workspace): readonly string[] {
   return faultsOf(`workspace "${workspace.name}"`, [
     [workspace.name === "", "has no name"],
-    [!(workspace.ratePerSecond >= 0), "has a negative rate"],
-    [!(workspace.burst >= 0), "has a negative burst"],
+    [
+      unsendableName.test(workspace.name),
+      "has a name with control characters, or white space around it, which targets cannot receive in a header",
+    ],
+    [
+      workspace.priority !== null && !Number.isFinite(workspace.priority),
+      "has a priority that is not a number",
+    ],
+    ...findKeyListFaults(workspace).map((fault) => [true, fault] as const),
+    [
+      !(workspace.ratePerSecond >= 0),
+      "has a rate that is negative or not a number",
+    ],
+    [!(workspace.burst >= 0), "has a burst that is negative or not a number"],
   ]);
 }
 
--- a/packages/workspaces/elapsed_clock.ts
+++ b/packages/workspaces/elapsed_clock.ts
@@ -7,6 +7,18 @@
  */
 const minimumSuspensionMilliseconds = 10;
 
+/**
+ * Suspensions that are kept to convert readings; more than that happen between
+ * two confirmations of a leader only if its wall clock is unusable.
+ */
+const maximumSuspensions = 64;
+
+interface Suspension {
+  /** Reading of the monotonic clock. */
+  readonly noticedAt: number;
+  readonly milliseconds: number;
+}
+
 /**
  * Clock for leases: the elapsed time between two readings is the larger of what
  * the monotonic clock and the wall clock show, as the monotonic clock stops while
@@ -21,6 +33,8 @@
   #offset: number;
   /** Sum of the suspensions so far. */
   #suspendedMilliseconds = 0;
+  /** Recent suspensions, the latest last. */
+  #suspensions: Suspension[] = [];
 
   constructor(
     options: {
@@ -42,9 +56,26 @@
     if (advance >= minimumSuspensionMilliseconds) {
       this.#suspendedMilliseconds += advance;
       this.#offset = offset;
+      this.#suspensions = [
+        ...this.#suspensions.slice(1 - maximumSuspensions),
+        { noticedAt: monotonic, milliseconds: advance },
+      ];
     } else if (advance < 0) {
       this.#offset = offset;
     }
     return monotonic + this.#suspendedMilliseconds;
   }
+
+  /**
+   * Converts a past reading of the monotonic clock. A suspension that was noticed
+   * after it counts as later, so that the result is never too late.
+   */
+  fromMonotonic(reading: number): number {
+    const now = this.now();
+    const later = this.#suspensions.filter(({ noticedAt }) =>
+      noticedAt > reading
+    ).reduce((sum, { milliseconds }) => sum + milliseconds, 0);
+    const age = this.#monotonic.now() - reading;
+    return now - age - later;
+  }
 }
