Authenticate callers at gateways, and check keys again before each send

Keys are decided on after the route match and before the body is read. A workspace's priority and home regions take the place of the route's for targets, slots and relays. The lease and the key are checked once more when the first byte of an attempt is about to be sent, here and at a gateway that takes a relayed request, which receives the digest of the key only.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -4,14 +4,13 @@
 import { encodeValue, Fleet, Replication } from "@kingcupglade/protocol";
 import { vmOfReplica } from "@kingcupglade/replica";
 import { StallDetector } from "@kingcupglade/tasks";
-import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
-import type { Logger } from "@kingcupglade/telemetry";
 import { UnaryServices } from "@kingcupglade/transport";
+import { ElapsedClock } from "@kingcupglade/workspaces";
 import { chooseBootstrapStep } from "./bootstrap_step.ts";
 import { ControlListeners } from "./control_listeners.ts";
 import { ControlReplica } from "./control_replica.ts";
-import type { ControlWire } from "./control_wire.ts";
+import type { ControlVmOptions } from "./control_vm_options.ts";
 import { ExternalCallHandler } from "./external_call_handler.ts";
 import type { Leadership } from "./external_call_handler.ts";
 import { Feature } from "./feature.ts";
@@ -44,41 +43,6 @@
  * Followers greet the leader once a second; a silent follower may be lost.
  */
 const maximumSilenceMilliseconds = 1500;
-/** Options of {@link ControlVm.start}. */
-export interface ControlVmOptions {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly region: string;
-  readonly folder: string;
-  /** Address at which targets and operators reach this VM, as IP:PORT. */
-  readonly controlAddress: string;
-  /** Address at which the other VMs reach this VM, as IP:PORT. */
-  readonly peerAddress: string;
-  /** Control addresses used to discover the other control VMs. */
-  readonly seeds: readonly string[];
-  /** Whether the whole fleet starts for the first time. */
-  readonly mayFound: boolean;
-  /** Number of data folders that may be lost at the same time. */
-  readonly toleratedLosses: number;
-  readonly heartbeatMilliseconds: number;
-  /** Region of each data centre. */
-  readonly regions: Readonly<Record<string, string>>;
-  readonly secret: string;
-  /**
-   * Time after the acknowledgement of a revocation from which no request with
-   * the key reaches a target. @default no bound
-   */
-  readonly revokeMilliseconds?: number;
-  readonly wire: ControlWire;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  /**
-   * Called after a failure that a restart of the replica does not cure. A data
-   * folder that fails is none: the VM goes on without a replica meanwhile.
-   */
-  readonly onFailure: (failure: unknown) => void;
-}
-
 /**
  * Control VM: replicates the state of the fleet, and makes its decisions while
  * it is the leader.
@@ -90,6 +54,7 @@
   readonly #externalCalls: ExternalCallHandler;
   readonly #stalls: StallDetector;
   readonly #seals: WorkspaceSeals;
+  readonly #elapsedClock: ElapsedClock;
   readonly #timers: NodeJS.Timeout[] = [];
   #listeners!: ControlListeners;
   #replica!: ControlReplica;
@@ -112,6 +77,7 @@
         }),
     });
     this.#seals = new WorkspaceSeals(options);
+    this.#elapsedClock = new ElapsedClock({ monotonic: options.clock });
     const shared = {
       ...options,
       seals: this.#seals,
@@ -333,6 +299,7 @@
     this.#seals.checkSources(replica.state.items);
     this.#session = new LeaderSession({
       ...this.#options,
+      elapsedClock: this.#elapsedClock,
       replica,
       regionOf: (dataCentre) => regions[dataCentre] ?? "",
       controlAddresses: () => [
@@ -355,6 +322,8 @@
 
   #decide(): void {
     this.#stalls.observe();
+    // Read regularly, see ElapsedClock.
+    this.#elapsedClock.now();
     this.#updateSession();
     this.#tryBootstrap();
     const replica = this.#replica.running;
--- a/packages/fleet_control/mod.ts
+++ b/packages/fleet_control/mod.ts
@@ -5,7 +5,7 @@
  * @module
  */
 export { ControlVm } from "./control_vm.ts";
-export type { ControlVmOptions } from "./control_vm.ts";
+export type { ControlVmOptions } from "./control_vm_options.ts";
 export { ControlWire } from "./control_wire.ts";
 export type {
   ExternalCall,
--- a/packages/fleet_gateway/caller_response.ts
+++ b/packages/fleet_gateway/caller_response.ts
@@ -36,6 +36,8 @@
   readonly reason: string;
   /** Delay after which the caller should retry. */
   readonly retryAfterMilliseconds?: number;
+  /** Scheme in which a caller that was not accepted presents its key. */
+  readonly challenge?: string;
 }
 
 /** How a target's response was passed on. */
@@ -140,6 +142,9 @@
         (response.retryAfterMilliseconds / 1000).toFixed(3),
       );
     }
+    if (response.challenge !== undefined) {
+      this.#response.setHeader("www-authenticate", response.challenge);
+    }
     this.#response.writeHead(response.status, {
       "content-type": "application/json",
       "content-length": body.length,
--- a/packages/fleet_gateway/caller_wire.ts
+++ b/packages/fleet_gateway/caller_wire.ts
@@ -47,7 +47,19 @@
 
 /** Decodes and encodes the headers that callers and targets use. */
 export abstract class CallerWire {
+  /**
+   * Names, in lower case, of headers that carry keys or the names of workspaces.
+   * Once keys are required, only a gateway sets them towards targets.
+   */
+  abstract readonly guardedHeaders: ReadonlySet<string>;
   abstract readRequest(headers: IncomingHttpHeaders): CallerRequestHead;
+  /**
+   * Returns the bytes of the key that a caller presents; undefined if there is
+   * none that can be read, or more than one.
+   *
+   * @param rawHeaders Names and values, alternating, as received.
+   */
+  abstract readKey(rawHeaders: readonly string[]): Uint8Array | undefined;
   abstract readResponse(
     status: number,
     headers: IncomingHttpHeaders,
@@ -56,5 +68,7 @@
   abstract targetHeaders(request: {
     readonly target: string;
     readonly deadlineMilliseconds: number;
+    /** Name of the workspace; undefined for requests that need no key. */
+    readonly workspace?: string;
   }): Readonly<Record<string, string>>;
 }
--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -82,7 +82,12 @@
     readonly body: Buffer | null;
   }
   /** Nothing of the request left this VM. */
-  | { readonly kind: "notSent"; readonly reason: string }
+  | {
+    readonly kind: "notSent";
+    readonly reason: string;
+    /** Whether this VM withheld it, so that the target is not at fault. */
+    readonly isWithheld?: boolean;
+  }
   /** The request may have run, and no valid response was received. */
   | {
     readonly kind: "unknown";
@@ -98,6 +103,7 @@
   readonly #wire: CallerWire;
   readonly #stream: ResponseStream;
   readonly #onHead: (head: ResponseHead) => void;
+  readonly #mayStart: () => boolean;
   readonly #reservation: BodyReservation;
   readonly #timer: NodeJS.Timeout;
   #resolve!: (result: ExchangeResult) => void;
@@ -127,6 +133,11 @@
     readonly reservation?: BodyReservation;
     /** Called when the head of the response to this request arrives. */
     readonly onHead?: (head: ResponseHead) => void;
+    /**
+     * Returns whether the request may still be sent, immediately before its
+     * first byte is. @default true
+     */
+    readonly mayStart?: () => boolean;
   }) {
     this.#request = options.request;
     this.#connection = options.connection;
@@ -134,6 +145,7 @@
     this.#stream = options.stream;
     this.#reservation = options.reservation ?? new BodyMemory().reserve();
     this.#onHead = options.onHead ?? (() => {});
+    this.#mayStart = options.mayStart ?? (() => true);
     this.result = new Promise((resolve) => (this.#resolve = resolve));
     this.#timer = setTimeout(
       () => this.#abort("the time is up", LossCause.timeout),
@@ -157,10 +169,17 @@
     if (this.#hasEnded || this.#isSent) {
       return controller.abort(new Error("the request must not be sent again"));
     }
+    if (!this.#mayStart()) return this.#withhold(controller);
     this.#controller = controller;
     this.#isSent = true;
   }
 
+  #withhold(controller: Dispatcher.DispatchController): void {
+    const reason = "the request may no longer be sent";
+    this.#settle({ kind: "notSent", reason, isWithheld: true });
+    controller.abort(new Error(reason));
+  }
+
   onResponseStart(
     _controller: Dispatcher.DispatchController,
     status: number,
--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -36,6 +36,12 @@
     };
   }
 
+  override readonly guardedHeaders = new Set<string>();
+
+  override readKey(): undefined {
+    return undefined;
+  }
+
   override targetHeaders(): Record<string, string> {
     return {};
   }
--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -15,6 +15,17 @@
 const retryBudget = { ratio: 0.2, windowMilliseconds: 1000, slack: 5 };
 const objectiveMilliseconds = 500;
 
+/** Decisions on keys where none are required. */
+export const noKeys = {
+  areKeysRequired: false,
+  authenticate: ({ route }: { readonly route: unknown }) => ({
+    kind: "accepted",
+    route,
+  }),
+  decideOnRelayed: (route: unknown) => ({ kind: "accepted", route }),
+  recheck: () => undefined,
+};
+
 /** What a caller received; status 0 if its request was handed over. */
 export interface Received {
   readonly status: number;
@@ -145,6 +156,7 @@
       random: Math.random,
       connections,
       responseMemory: this.responseMemory,
+      keys: noKeys,
       gatewayCount: () => 1,
       wire: {
         readRequest: () => ({ requestId: "" }),
--- a/packages/fleet_gateway/gateway_table.ts
+++ b/packages/fleet_gateway/gateway_table.ts
@@ -8,6 +8,7 @@
 } from "@kingcupglade/fleet";
 import { itemId, ItemKind, ItemsDigest, RouteIndex } from "@kingcupglade/items";
 import type { Limits, Route, Service, StoredItem } from "@kingcupglade/items";
+import { KeyIndex } from "@kingcupglade/workspaces";
 
 /** Time for which a leader lists a target that sends no heartbeats. */
 const silentTargetMilliseconds = 60_000;
@@ -30,6 +31,7 @@
   readonly #ranges = new Map<string, RangeView[]>();
   #dataCentresOut: ReadonlySet<string> = new Set();
   #routeIndex = new RouteIndex([]);
+  #keys = new KeyIndex([]);
   #control: readonly string[] = [];
   #relays: readonly VmEndpoint[] = [];
   #gatewayCount = 0;
@@ -81,6 +83,11 @@
       : undefined;
   }
 
+  /** Keys of callers, by their digests. */
+  get keys(): KeyIndex {
+    return this.#keys;
+  }
+
   matchRoute(host: string, path: string): Route | undefined {
     return this.#routeIndex.match(host, path);
   }
@@ -164,6 +171,7 @@
     for (const item of delta.items) this.#applyItem(item);
     if (delta.items.length > 0) {
       this.#routeIndex = new RouteIndex(this.#items.values());
+      this.#keys = new KeyIndex(this.#items.values());
     }
     this.#applyDataCentresOut(new Set(delta.dataCentresOut));
     this.#applyTargets(delta, now);
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -5,8 +5,10 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import { BodyMemory } from "@kingcupglade/transport";
+import { ElapsedClock, KeyDigest } from "@kingcupglade/workspaces";
 import type { CallerWire } from "./caller_wire.ts";
 import { GatewayListeners } from "./gateway_listeners.ts";
+import { KeyGate } from "./key_gate.ts";
 import { callLeader } from "./leader_caller.ts";
 import { LoadProber } from "./load_prober.ts";
 import { RelayChoice } from "./relay_choice.ts";
@@ -58,6 +60,11 @@
   /** Time from a stop signal until the process is killed. */
   readonly graceMilliseconds: number;
   readonly retryBudget: RetryBudgetOptions;
+  /**
+   * Time after the acknowledgement of a revocation from which no request with
+   * the key reaches a target. @default no bound
+   */
+  readonly revokeMilliseconds?: number;
   readonly secret: string;
   readonly wire: CallerWire;
   readonly clock: Clock;
@@ -74,6 +81,7 @@
   readonly #options: GatewayVmOptions;
   readonly #peerClients: PeerClients;
   readonly #synchronizer: TableSynchronizer;
+  readonly #keys: KeyGate;
   readonly #connections: TargetConnections;
   readonly #reach: TargetReach;
   readonly #relays: RelayChoice;
@@ -157,6 +165,13 @@
       limits: this.#limits,
       notices: this.#notices,
     });
+    const elapsedClock = new ElapsedClock({ monotonic: clock });
+    this.#keys = new KeyGate({
+      ...options,
+      table: () => this.#synchronizer.table,
+      digest: new KeyDigest(secret),
+      elapsedClock,
+    });
     this.#synchronizer = new TableSynchronizer({
       gateway: {
         gateway: name,
@@ -181,6 +196,8 @@
       logger,
       metrics: options.metrics,
       random: options.random,
+      elapsedClock,
+      onOwnPart: (received) => this.#keys.renew(received),
       onChange: () => {
         this.#limits.applyTable(this.#synchronizer.table);
         this.#notices.applyTable(this.#synchronizer.table);
@@ -229,7 +246,10 @@
       housekeepingIntervalMilliseconds,
     );
     this.#stallTimer = setInterval(
-      () => this.#stalls.observe(),
+      () => {
+        this.#stalls.observe();
+        this.#keys.observe();
+      },
       stallCheckIntervalMilliseconds,
     );
   }
@@ -306,7 +326,7 @@
   }
 
   get #isReady(): boolean {
-    return this.#synchronizer.table.hasConfiguration &&
+    return this.#synchronizer.table.hasConfiguration && this.#keys.isReady &&
       (!this.#reach.isCutOff || this.#relays.hasCandidates);
   }
 
@@ -323,6 +343,7 @@
       limits: this.#limits,
       notices: this.#notices,
       suspects: this.#suspects,
+      keys: this.#keys,
       stalls: this.#stalls,
       loadProber: this.#loadProber,
       pools: this.#slotPools,
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -1,5 +1,6 @@
 import type { VmEndpoint } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
+import type { KeyFault } from "@kingcupglade/workspaces";
 import { CallerPresence } from "./caller_presence.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { Exchange, LossCause } from "./exchange.ts";
@@ -14,6 +15,7 @@
 } from "./relay_message.ts";
 import type { RelayReply } from "./relay_message.ts";
 import { RelayWire } from "./relay_wire.ts";
+import { refuseKey } from "./key_refusal.ts";
 import { RequestGuard } from "./request_guard.ts";
 import { requestHeaders } from "./request_headers.ts";
 import { RequestTelemetry, stageOf } from "./request_telemetry.ts";
@@ -111,6 +113,8 @@
       this.#tried.add(gateway.name);
       await this.#presence.confirm();
       if (this.#isFinished) return;
+      const fault = context.keys.recheck(routed.workspace);
+      if (fault) return this.#refuseKey(fault);
       const result = await this.#send(gateway);
       if (this.#isFinished || this.#handleResult(result, gateway)) return;
       if (!routed.body.canBeSent) break;
@@ -118,6 +122,15 @@
     this.#refuse();
   }
 
+  // The key was revoked, or the lease ended, after the request was admitted.
+  #refuseKey(fault: KeyFault): void {
+    const { context, routed, answer } = this.#options;
+    if (this.#mayHaveRun) return this.#refuse();
+    this.#isFinished = true;
+    context.metrics.relayed.inc({ outcome: "not-served" });
+    answer.respond(refuseKey(fault, { context, routed }));
+  }
+
   #handleFault(failure: unknown): void {
     this.#telemetry.recordFault(failure);
     if (this.#isFinished) return;
@@ -131,6 +144,12 @@
     return routed.deadlineAt - context.clock.now() - responseMarginMilliseconds;
   }
 
+  // Another gateway gets the digest of the key in their place.
+  get #withheldHeaders(): ReadonlySet<string> | undefined {
+    const { keys, wire } = this.#options.context;
+    return keys.areKeysRequired ? wire.guardedHeaders : undefined;
+  }
+
   async #send(gateway: VmEndpoint): Promise<ExchangeResult> {
     const { context, routed, answer, progress } = this.#options;
     const { relays, relayConnections, table, clock, random } = context;
@@ -148,23 +167,30 @@
       reservation,
       connection,
       wire: this.#wire,
+      mayStart: () => context.keys.recheck(routed.workspace) === undefined,
       stream: answer,
       request: {
         method: request.method ?? "GET",
         path: request.url ?? "/",
-        headers: requestHeaders(request.headers, {
-          [relayHeader]: encodeRelayRequest({
-            id,
-            from: context.name,
-            route: route.name,
-            routeVersion: table().routeVersion(route.name),
-            service: routed.service,
-            ageMilliseconds: startedAt - arrivedAt,
-            leftMilliseconds: this.#leftMilliseconds,
-            arrived: progress.arrived,
-          }, context.secret),
-          te: relayFramingCoding,
-        }, body),
+        headers: requestHeaders(
+          request.headers,
+          {
+            [relayHeader]: encodeRelayRequest({
+              id,
+              from: context.name,
+              route: route.name,
+              routeVersion: table().routeVersion(route.name),
+              service: routed.service,
+              ageMilliseconds: startedAt - arrivedAt,
+              leftMilliseconds: this.#leftMilliseconds,
+              arrived: progress.arrived,
+              ...(routed.workspace && { workspace: routed.workspace }),
+            }, context.secret),
+            te: relayFramingCoding,
+          },
+          body,
+          this.#withheldHeaders,
+        ),
         body: body.open(),
         requestId: id,
         timeoutMilliseconds: this.#leftMilliseconds +
@@ -325,6 +351,6 @@
         (result.cause === LossCause.timeout &&
           milliseconds < silenceMilliseconds);
     case "notSent":
-      return false;
+      return result.isWithheld === true;
   }
 }
--- a/packages/fleet_gateway/relay_message.ts
+++ b/packages/fleet_gateway/relay_message.ts
@@ -36,6 +36,15 @@
   readonly leftMilliseconds: number;
   /** Names of targets that the request has reached. */
   readonly arrived: readonly string[];
+  /** Workspace of the request's key; undefined for requests that need none. */
+  readonly workspace?: RelayedWorkspace;
+}
+
+/** Workspace of a relayed request. */
+export interface RelayedWorkspace {
+  readonly name: string;
+  /** Digest of the key, as 64 hexadecimal digits; never the key. */
+  readonly keyDigest: string;
 }
 
 /** What a gateway decides on a relayed request. */
@@ -67,6 +76,8 @@
   ageMilliseconds: number,
   leftMilliseconds: number,
   arrived: readonly string[],
+  /** Name and digest; absent without them, as in earlier releases. */
+  ...workspace: readonly string[],
 ];
 
 type ReplyRow = readonly [
@@ -75,6 +86,9 @@
   target: string,
 ];
 
+/** Length of the row of a request without a workspace. */
+const rowLength = 9;
+
 /** Encodes the header of a relayed request. */
 export function encodeRelayRequest(
   relay: RelayRequest,
@@ -90,6 +104,9 @@
     Math.max(0, Math.round(relay.ageMilliseconds)),
     Math.max(1, Math.round(relay.leftMilliseconds)),
     relay.arrived,
+    ...(relay.workspace
+      ? [relay.workspace.name, relay.workspace.keyDigest]
+      : []),
   ];
   return encodeRow(row);
 }
@@ -106,6 +123,7 @@
   const row = decodeRow(header);
   if (!isRequestRow(row) || !isEqual(row[0], secret)) throw unreadable();
   const [, id, from, route, routeVersion, service, age, left, arrived] = row;
+  const [name, keyDigest] = row.slice(rowLength) as readonly string[];
   return {
     id,
     from,
@@ -115,6 +133,8 @@
     ageMilliseconds: age,
     leftMilliseconds: left,
     arrived,
+    ...(name !== undefined && keyDigest !== undefined &&
+      { workspace: { name, keyDigest } }),
   };
 }
 
@@ -146,7 +166,9 @@
 }
 
 function isRequestRow(row: unknown): row is RequestRow {
-  return Array.isArray(row) && row.length === 9 &&
+  return Array.isArray(row) &&
+    (row.length === rowLength || row.length === rowLength + 2) &&
+    row.slice(rowLength).every((each) => typeof each === "string") &&
     [0, 1, 2, 3, 5].every((at) => typeof row[at] === "string") &&
     [4, 6, 7].every((at) => Number.isFinite(row[at])) &&
     row[6] >= 0 && row[7] > 0 && Array.isArray(row[8]) &&
--- a/packages/fleet_gateway/relay_wire.ts
+++ b/packages/fleet_gateway/relay_wire.ts
@@ -20,6 +20,14 @@
     this.#targetWire = targetWire;
   }
 
+  override get guardedHeaders(): ReadonlySet<string> {
+    return this.#targetWire.guardedHeaders;
+  }
+
+  override readKey(rawHeaders: readonly string[]): Uint8Array | undefined {
+    return this.#targetWire.readKey(rawHeaders);
+  }
+
   override readRequest(headers: IncomingHttpHeaders): CallerRequestHead {
     return this.#targetWire.readRequest(headers);
   }
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -2,11 +2,13 @@
 import type { TargetRecord, WaitingRequest } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
+import type { KeyFault } from "@kingcupglade/workspaces";
 import { CallerPresence } from "./caller_presence.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { LossCause } from "./exchange.ts";
 import type { Exchange, ExchangeResult, ResponseHead } from "./exchange.ts";
 import { isSuccess, isUnstatedRefusal, mayHaveRun } from "./exchange_end.ts";
+import { refuseKey } from "./key_refusal.ts";
 import type { ForwardingProgress } from "./relay_forwarder.ts";
 import { SlotAcquisition } from "./slot_acquisition.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
@@ -292,6 +294,11 @@
       }
       return this.#begin();
     }
+    const fault = this.#context.keys.recheck(this.#routed.workspace);
+    if (fault) {
+      use.cancel();
+      return this.#withhold(target, fault);
+    }
     const { clock, connections, reach } = this.#context;
     const { connection, exchange } = use.cancelOnFailure(() =>
       this.#startExchange(target)
@@ -321,6 +328,13 @@
     if (result.kind === "answered") {
       connections.release(target.address, connection);
     } else connections.end(connection);
+    if (result.kind === "notSent" && result.isWithheld) {
+      use.cancel();
+      return this.#withhold(
+        target,
+        this.#context.keys.recheck(this.#routed.workspace),
+      );
+    }
     use.end(result, { isAbandoned: this.#isFinished });
     const examination = this.#suspicion.recordResult(result, target);
     // Most results do not wait for it.
@@ -328,6 +342,26 @@
     if (!this.#isFinished) this.#handleResult(result, target, examination);
   }
 
+  /**
+   * Handles that the request was not sent to a target because of its key. Without
+   * a fault, the lease was renewed in the meantime, and it is sent again.
+   */
+  #withhold(target: TargetView, fault: KeyFault | undefined): void {
+    if (this.#isFinished) return;
+    if (!this.#arrived.has(target.name)) {
+      this.#attempts.recordNotSent(target.name);
+    }
+    // Another target has the request, and may respond.
+    if (this.#inProgress > 0) return;
+    if (!fault) return this.#begin();
+    if (this.#mayHaveRun) return this.#refuse("the key is not accepted", 0);
+    this.#telemetry.count("not-run");
+    this.#finish();
+    this.#response.respond(
+      refuseKey(fault, { context: this.#context, routed: this.#routed }),
+    );
+  }
+
   #startExchange(target: TargetView) {
     const { clock, connections } = this.#context;
     const connection = connections.acquire(
--- a/packages/fleet_gateway/request_guard_test.ts
+++ b/packages/fleet_gateway/request_guard_test.ts
@@ -5,6 +5,7 @@
 import { BodyMemory } from "@kingcupglade/transport";
 import { RequestBody } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { noKeys } from "./forwarding_fixture.ts";
 import type { Exchange } from "./exchange.ts";
 import { RelayForwarder } from "./relay_forwarder.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
@@ -98,6 +99,7 @@
         end: () => {},
         recordResponse: () => {},
       },
+      keys: noKeys,
       suspects: { isSuspect: () => false },
       responseMemory: new BodyMemory(),
       pools: { poolFor: () => undefined },
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -8,10 +8,12 @@
   RequestBody,
   waitForClose,
 } from "@kingcupglade/transport";
+import { KeyFault } from "@kingcupglade/workspaces";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
 import { RelayForwarder } from "./relay_forwarder.ts";
+import { admitRequest } from "./request_admission.ts";
 import type {
   ForwardingProgress,
   RelayForwarderOptions,
@@ -27,7 +29,7 @@
 import { RequestGuard } from "./request_guard.ts";
 import { readRequestTarget } from "./request_target.ts";
 import { CallerStage } from "./request_telemetry.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import type { RequestWorkspace, RoutedRequest } from "./routed_request.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
 import { refuseUnmatched } from "./unmatched_request.ts";
 
@@ -68,6 +70,23 @@
   reason: "this VM has another version of the route",
 };
 
+const otherKeys: RelayRejection = {
+  decision: RelayDecision.otherTable,
+  reason: "this VM does not accept the key of the request",
+};
+
+/** Why relayed requests are not taken, by what speaks against their keys. */
+const keyRejections: Readonly<Record<KeyFault, RelayRejection>> = {
+  [KeyFault.noKey]: otherKeys,
+  [KeyFault.unknownKey]: otherKeys,
+  [KeyFault.oldTable]: otherKeys,
+  [KeyFault.noRegion]: otherKeys,
+  [KeyFault.noLease]: {
+    decision: RelayDecision.unable,
+    reason: "this VM has no lease on the table of keys",
+  },
+};
+
 /** Forwards a request until it is abandoned. */
 type Forwarder = Pick<RequestForwarder, "abandon">;
 
@@ -128,6 +147,13 @@
         contactAgeMilliseconds: contactAge(),
       }, this.#options.context));
     }
+    const admission = await admitRequest(
+      { request, requestId: head.requestId, route },
+      this.#options.context,
+    );
+    if (admission.kind === "refused") {
+      return answer.respond(admission.response);
+    }
     const deadlineAt = this.#options.stopSchedule.deadlineFor(
       arrivedAt + Math.min(
         route.timeoutMilliseconds,
@@ -160,7 +186,8 @@
     const routed = this.#routedRequest({
       request,
       head,
-      route,
+      route: admission.route,
+      workspace: admission.workspace,
       service: selector.parts.next(route),
       body,
       arrivedAt,
@@ -199,7 +226,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { secret, logger, metrics } = this.#options.context;
+    const { secret, logger, metrics, keys } = this.#options.context;
     let relay: RelayRequest;
     try {
       relay = decodeRelayRequest(request.headers[relayHeader], secret);
@@ -213,10 +240,16 @@
     const head = this.#options.context.wire.readRequest(request.headers);
     const route = this.#table.routeNamed(relay.route);
     const rejection = this.#rejectionOf(relay);
-    if (!route || rejection) {
-      const { decision, reason } = rejection ?? otherTable;
-      metrics.relayedHere.inc({ decision });
-      return answer.rejectRelay(decision, reason);
+    if (!route || rejection) return this.#rejectRelay(answer, rejection);
+    const admission = keys.decideOnRelayed(route, relay.workspace);
+    if (admission.kind === "refused") {
+      logger.info("relayed-key-refused", {
+        request: head.requestId,
+        from: relay.from,
+        fault: admission.fault,
+        workspace: relay.workspace?.name ?? null,
+      });
+      return this.#rejectRelay(answer, keyRejections[admission.fault]);
     }
     metrics.relayedHere.inc({ decision: RelayDecision.taken });
     this.#relayedCount += 1;
@@ -234,7 +267,10 @@
       this.#routedRequest({
         request,
         head,
-        route,
+        route: admission.route,
+        workspace: admission.workspace === undefined
+          ? undefined
+          : relay.workspace,
         service: relay.service,
         body,
         arrivedAt: arrivedAt - relay.ageMilliseconds,
@@ -245,6 +281,14 @@
     );
   }
 
+  #rejectRelay(
+    answer: CallerResponse,
+    { decision, reason }: RelayRejection = otherTable,
+  ): void {
+    this.#options.context.metrics.relayedHere.inc({ decision });
+    answer.rejectRelay(decision, reason);
+  }
+
   #rejectionOf(relay: RelayRequest): RelayRejection | undefined {
     const { stopSchedule, context } = this.#options;
     const table = this.#table;
@@ -319,19 +363,29 @@
   #routedRequest(
     options: Omit<RoutedRequest, "position" | "digest">,
   ): RoutedRequest {
-    const { head, service, request, body } = options;
+    const { head, service, request, body, workspace } = options;
     const isKeyed = this.#table.service(service)?.isKeyed === true;
     return {
       ...options,
       position: isKeyed ? head.position : undefined,
-      digest: this.#digestOf(request, head, body),
+      digest: this.#digestOf(request, this.#callerOf(head, workspace), body),
     };
   }
 
+  // Where keys are required, other gateways and targets do not receive the
+  // credentials, so that they cannot be a part of the digest.
+  #callerOf(
+    { caller }: CallerRequestHead,
+    workspace: RequestWorkspace | undefined,
+  ): string {
+    const { keys } = this.#options.context;
+    return keys.areKeysRequired ? workspace?.keyDigest ?? "" : caller;
+  }
+
   // Most requests need no digest.
   #digestOf(
     { method = "GET", headers, url: path = "/" }: IncomingMessage,
-    { caller }: CallerRequestHead,
+    caller: string,
     body: RequestBody,
   ): () => string {
     const { host = "" } = headers;
--- a/packages/fleet_gateway/request_handler_fixture.ts
+++ b/packages/fleet_gateway/request_handler_fixture.ts
@@ -1,4 +1,5 @@
 import { createMetrics } from "@kingcupglade/telemetry";
+import { noKeys } from "./forwarding_fixture.ts";
 import { RequestHandler } from "./request_handler.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import { StopSchedule } from "./stop_schedule.ts";
@@ -29,6 +30,7 @@
         select: () => ({ kind: "none", reason: "no target" }),
       },
       pools: { poolFor: () => undefined },
+      keys: noKeys,
       suspects: { isSuspect: () => false },
       reach: {
         isCutOff: false,
--- a/packages/fleet_gateway/request_handler_test.ts
+++ b/packages/fleet_gateway/request_handler_test.ts
@@ -6,6 +6,7 @@
 import { createMetrics } from "@kingcupglade/telemetry";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { MockInstance } from "vitest";
+import { noKeys } from "./forwarding_fixture.ts";
 import {
   decodeRelayReply,
   encodeRelayRequest,
@@ -83,6 +84,7 @@
             void forwardedVersions.push(route.version),
         },
         suspects: { isSuspect: () => false },
+        keys: noKeys,
         reach: {
           get isCutOff() {
             return isCutOff;
--- a/packages/fleet_gateway/request_headers.ts
+++ b/packages/fleet_gateway/request_headers.ts
@@ -17,17 +17,25 @@
   "upgrade",
 ]);
 
-/** Returns the headers sent to a target, names and values alternating. */
+const noHeaders: ReadonlySet<string> = new Set();
+
+/**
+ * Returns the headers sent to a target, names and values alternating.
+ *
+ * @param withheld Names of further headers that are not forwarded.
+ */
 export function requestHeaders(
   headers: IncomingMessage["headers"],
   added: Readonly<Record<string, string>>,
   body: RequestBody,
+  withheld: ReadonlySet<string> = noHeaders,
 ): string[] {
   const connectionHeaders = connectionHeaderNames(headers.connection);
   const result: string[] = [];
   for (const [name, value] of Object.entries(headers)) {
     if (
       hopByHopHeaders.has(name) || connectionHeaders.has(name) ||
+      withheld.has(name) ||
       Object.hasOwn(added, name)
     ) continue;
     for (const each of [value ?? []].flat()) result.push(name, each);
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -5,6 +5,7 @@
 import type { BodyMemory, RequestBody } from "@kingcupglade/transport";
 import type { CallerRequestHead, CallerWire } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
+import type { KeyGate } from "./key_gate.ts";
 import type { LoadProber } from "./load_prober.ts";
 import type { SlotPools } from "./slot_pools.ts";
 import type { SlotClient } from "./slot_client.ts";
@@ -25,6 +26,7 @@
   readonly limits: TargetLimits;
   readonly notices: TargetNotices;
   readonly suspects: SuspectGate;
+  readonly keys: KeyGate;
   readonly loadProber: LoadProber;
   readonly pools: SlotPools;
   readonly slots: SlotClient;
@@ -54,7 +56,7 @@
   /** The route, with the priority and home regions of the workspace applied. */
   readonly route: Route;
   /** Undefined for requests that need no key. */
-  readonly workspace?: RequestWorkspace;
+  readonly workspace?: RequestWorkspace | undefined;
   readonly service: string;
   /**
    * Position among the keys of a keyed service; undefined for other services,
--- a/packages/fleet_gateway/slot_acquisition.ts
+++ b/packages/fleet_gateway/slot_acquisition.ts
@@ -161,6 +161,7 @@
       isHedge,
       ageMilliseconds: Math.round(now - routed.arrivedAt),
       leftMilliseconds: Math.max(1, Math.round(routed.deadlineAt - now)),
+      ...(routed.workspace && { workspace: routed.workspace.name }),
     };
   }
 
--- a/packages/fleet_gateway/slot_manager.ts
+++ b/packages/fleet_gateway/slot_manager.ts
@@ -4,6 +4,7 @@
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
+import { routeForWorkspace } from "@kingcupglade/workspaces";
 import type { GatewayTable } from "./gateway_table.ts";
 import type { LoadProber } from "./load_prober.ts";
 import type {
@@ -83,7 +84,7 @@
     const existing = this.#pending.get(requestKey(request, from));
     if (existing) return send(existing.reply, from);
     const now = clock.now();
-    const route = table().routeNamed(request.route);
+    const route = this.#routeOf(request);
     if (!route || !table().service(request.service)) {
       const reply = refusal(request, "the route is unknown", 0);
       return send({ ...reply, isUnknown: true }, from);
@@ -103,6 +104,19 @@
     else this.#schedule(pending, now);
   }
 
+  /**
+   * Returns the route of a request, with what its workspace says applied;
+   * undefined if this VM's table lacks one of them or they allow no region.
+   */
+  #routeOf({ route: name, workspace: workspaceName }: SlotRequest) {
+    const table = this.#options.table();
+    const route = table.routeNamed(name);
+    if (!route || workspaceName === undefined) return route;
+    const workspace = table.keys.workspaceNamed(workspaceName);
+    const found = workspace && routeForWorkspace(route, workspace);
+    return found?.kind === "found" ? found.route : undefined;
+  }
+
   /** Handles the end of a request or of a slot's use. */
   end({ id, use }: SlotEnd, from: string): void {
     const pending = this.#pending.get(requestKey({ id }, from));
--- a/packages/fleet_gateway/slot_messages.ts
+++ b/packages/fleet_gateway/slot_messages.ts
@@ -19,6 +19,8 @@
   readonly ageMilliseconds: number;
   /** Milliseconds until the request's deadline. */
   readonly leftMilliseconds: number;
+  /** Name of the request's workspace; undefined for requests without one. */
+  readonly workspace?: string;
 }
 
 /** Grants a slot. */
@@ -108,6 +110,8 @@
     isHedge: boolean,
     ageMilliseconds: number,
     leftMilliseconds: number,
+    /** Absent if there is none, as in messages of earlier releases. */
+    ...workspace: readonly string[],
   ]
   | readonly [typeof Kind.grant, id: number, target: string]
   | readonly [typeof Kind.wait, id: number, waitMilliseconds: number]
@@ -145,23 +149,27 @@
 const isLimitedUse = isRow(...useChecks, isNumber);
 const isUse: Check = (value) => isUnlimitedUse(value) || isLimitedUse(value);
 
+const requestChecks = [
+  isNumber,
+  isNumber,
+  isString,
+  isString,
+  orNull(isNumber),
+  isStrings,
+  orNull(isStrings),
+  isBoolean,
+  isNumber,
+  isNumber,
+];
+const isPlainRequest = isRow(...requestChecks);
+const isWorkspaceRequest = isRow(...requestChecks, isString);
+
 /**
  * Checks of each kind's row, written by hand because a schema library costs
  * more than the rest of the decoding.
  */
 const rowChecks: Readonly<Record<number, Check>> = {
-  [Kind.request]: isRow(
-    isNumber,
-    isNumber,
-    isString,
-    isString,
-    orNull(isNumber),
-    isStrings,
-    orNull(isStrings),
-    isBoolean,
-    isNumber,
-    isNumber,
-  ),
+  [Kind.request]: (row) => isPlainRequest(row) || isWorkspaceRequest(row),
   [Kind.grant]: isRow(isNumber, isNumber, isString),
   [Kind.wait]: isRow(isNumber, isNumber, isNumber),
   [Kind.refuse]: isRow(isNumber, isNumber, isString, isNumber, isBoolean),
@@ -210,6 +218,7 @@
         message.isHedge,
         message.ageMilliseconds,
         message.leftMilliseconds,
+        ...(message.workspace === undefined ? [] : [message.workspace]),
       ];
     case "grant":
       return [Kind.grant, message.id, message.target];
@@ -230,6 +239,7 @@
     case Kind.request: {
       const [, , route, service, position, tried, only, isHedge, age, left] =
         row;
+      const [, , , , , , , , , , workspace] = row;
       return {
         kind: "request",
         id,
@@ -241,6 +251,7 @@
         isHedge,
         ageMilliseconds: age,
         leftMilliseconds: left,
+        ...(workspace !== undefined && { workspace }),
       };
     }
     case Kind.grant:
--- a/packages/fleet_gateway/target_exchange.ts
+++ b/packages/fleet_gateway/target_exchange.ts
@@ -24,8 +24,8 @@
   readonly startedAt: number;
 }): Exchange {
   const { context, routed, answer, target, startedAt } = options;
-  const { limits, notices, reach, wire } = context;
-  const { request, body, deadlineAt } = routed;
+  const { keys, limits, notices, reach, wire } = context;
+  const { request, body, deadlineAt, workspace } = routed;
   const { requestId } = routed.head;
   const remainingMilliseconds = deadlineAt - startedAt;
   const reservation = context.responseMemory.reserve();
@@ -34,6 +34,7 @@
     reservation,
     connection: options.connection,
     wire,
+    mayStart: () => keys.recheck(workspace) === undefined,
     stream: firstResponseStream(answer, {
       exchanges: options.exchanges,
       self: () => exchange,
@@ -58,8 +59,10 @@
         wire.targetHeaders({
           target: target.name,
           deadlineMilliseconds: Math.max(1, Math.floor(remainingMilliseconds)),
+          ...(workspace && { workspace: workspace.name }),
         }),
         body,
+        keys.areKeysRequired ? wire.guardedHeaders : undefined,
       ),
       body: body.open(),
       requestId,
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -46,6 +46,8 @@
   readonly tableVersion: Gauge;
   /** Seconds since this VM's last contact with the control leader. */
   readonly controlContactAge: Gauge;
+  /** Seconds for which this VM may still rely on its table of keys. */
+  readonly keyLease: Gauge;
   /** Number of times that a gateway's items differed from the leader's. */
   readonly tableMismatches: Counter;
   /** Number of times that the routing lease lapsed. */
@@ -196,6 +198,11 @@
       help: "Table version that this VM routes by",
       registers,
     }),
+    keyLease: new Gauge({
+      name: "kingcupglade_key_lease_seconds",
+      help: "Time for which the VM may rely on its table of keys",
+      registers,
+    }),
     controlContactAge: new Gauge({
       name: "kingcupglade_control_contact_age_seconds",
       help: "Time since the last contact with the control leader",
--- a/packages/workspaces/mod.ts
+++ b/packages/workspaces/mod.ts
@@ -6,6 +6,8 @@
  */
 export { ElapsedClock } from "./elapsed_clock.ts";
 export { SealError } from "./errors.ts";
+export { decideOnKey, KeyFault, recheckKey } from "./key_decision.ts";
+export type { KeyDecision, KeyKnowledge } from "./key_decision.ts";
 export { KeyDigest } from "./key_digest.ts";
 export { KeyIndex } from "./key_index.ts";
 export {
