Serve the last to arrive first in an overload, and refuse late requests at once

Where requests have waited in a lane for two mean durations without a break, the last to arrive goes first, and a late one is refused at once if it keeps its age when its caller comes back: CallerDeadlines tells that from the deadline that most callers of a route begin with. Without a known age a late request waits as before, since it would come back as a new one.

Not wired yet. The baseline of the test with 2.5 times the capacity of an owner is now a queue in order of arrival in the fixture: it used the product's own order with a mean duration of 0, which would be the new order.

--- a/packages/dispatch/admission_queue.ts
+++ b/packages/dispatch/admission_queue.ts
@@ -7,28 +7,62 @@
   readonly priority: number;
   /** Requests in the same lane wait for the same targets. */
   readonly lane: string;
-  /** When the caller first sent the request, as far as is known. */
+  /**
+   * When the caller first sent the request, attempts at other gateways included,
+   * as far as is known.
+   */
   readonly arrivedAt: number;
+  /**
+   * Whether that includes attempts at other gateways, so that the request keeps
+   * its age if it is refused and comes back. @default false
+   */
+  readonly isAgeKnown?: boolean;
   /** Time after which a response has reduced value. */
   readonly objectiveAt: number;
   /** Time after which a response is no longer useful. */
   readonly deadlineAt: number;
   /** Tries to start the request; returns false for lack of capacity. */
   readonly tryStart: () => boolean;
-  /** Ends the request without starting it. */
-  readonly refuse: () => void;
+  /**
+   * Ends the request without starting it.
+   *
+   * @param waitMilliseconds Time after which there may be room.
+   */
+  readonly refuse: (reason: string, waitMilliseconds: number) => void;
 }
 
+/** Why the queue refuses a request. */
+export const AdmissionRefusal = {
+  deadline: "no room in time",
+  objective: "no room within the objective",
+} as const;
+export type AdmissionRefusal =
+  typeof AdmissionRefusal[keyof typeof AdmissionRefusal];
+
+/**
+ * A lane is overloaded once requests have waited in it without a break for this
+ * many mean durations. Shorter queues are cleared by requests that end, and their
+ * late requests are still served.
+ */
+const overloadDurations = 2;
+
 /** One start in this many takes the least urgent request, against starvation. */
 const leastUrgentInterval = 6;
 
 /**
  * Orders waiting requests by priority, most urgent first. Among equal
  * priorities, requests that can still be answered within their objective
- * precede those that are late.
+ * precede those that are late, and the first to arrive goes first.
+ *
+ * In an overloaded lane there are more requests than can be served. In order of
+ * arrival, each would start when it is about to be late. So the last to arrive
+ * goes first there, and a request that is late is refused at once if it keeps its
+ * age, so that its caller need not wait for its deadline.
  */
 export class AdmissionQueue {
   readonly #waiting: WaitingRequest[] = [];
+  /** Time since which each lane has had waiting requests. */
+  readonly #busySince = new Map<string, number>();
   #startCount = 0;
 
   get length(): number {
@@ -62,6 +96,11 @@
    */
   advance(now: number, meanMilliseconds: number): void {
     this.#refuseInfeasible(now, meanMilliseconds);
+    this.#startAll(now, meanMilliseconds);
+    this.#trackLanes(now);
+  }
+
+  #startAll(now: number, meanMilliseconds: number): void {
     const blocked = new Set<string>();
     while (this.#waiting.length > 0) {
       const next = this.#selectNext(now, meanMilliseconds, blocked);
@@ -75,15 +114,46 @@
     }
   }
 
+  #trackLanes(now: number): void {
+    const lanes = new Set(this.#waiting.map(({ lane }) => lane));
+    for (const lane of this.#busySince.keys()) {
+      if (!lanes.has(lane)) this.#busySince.delete(lane);
+    }
+    for (const lane of lanes) {
+      if (!this.#busySince.has(lane)) this.#busySince.set(lane, now);
+    }
+  }
+
+  #isOverloaded(lane: string, now: number, meanMilliseconds: number): boolean {
+    const since = this.#busySince.get(lane) ?? now;
+    return now - since > overloadDurations * meanMilliseconds;
+  }
+
   #refuseInfeasible(now: number, meanMilliseconds: number): void {
     for (const request of [...this.#waiting]) {
-      const endAt = now + meanMilliseconds * minimumRemainingShare;
-      if (endAt <= request.deadlineAt) continue;
+      const reason = this.#refusalOf(request, now, meanMilliseconds);
+      if (!reason) continue;
       this.remove(request);
-      request.refuse();
+      request.refuse(reason, meanMilliseconds);
     }
   }
 
+  #refusalOf(
+    { lane, objectiveAt, deadlineAt, isAgeKnown = false }: WaitingRequest,
+    now: number,
+    meanMilliseconds: number,
+  ): AdmissionRefusal | undefined {
+    if (now + meanMilliseconds * minimumRemainingShare > deadlineAt) {
+      return AdmissionRefusal.deadline;
+    }
+    const isLate = now + meanMilliseconds > objectiveAt;
+    // One that would come back as a new request takes the place of a timely one.
+    return isLate && isAgeKnown &&
+        this.#isOverloaded(lane, now, meanMilliseconds)
+      ? AdmissionRefusal.objective
+      : undefined;
+  }
+
   #selectNext(
     now: number,
     meanMilliseconds: number,
@@ -91,14 +161,7 @@
   ): WaitingRequest | undefined {
     const isLeastUrgentTurn =
       (this.#startCount + 1) % leastUrgentInterval === 0;
-    let best: WaitingRequest | undefined;
-    for (const each of this.#waiting) {
-      if (blocked.has(blockKeyOf(each))) continue;
-      if (!best || precedes(each, best)) best = each;
-    }
-    return best;
-
-    function precedes(left: WaitingRequest, right: WaitingRequest): boolean {
+    const precedes = (left: WaitingRequest, right: WaitingRequest): boolean => {
       if (left.priority !== right.priority) {
         return isLeastUrgentTurn
           ? left.priority > right.priority
@@ -107,8 +170,18 @@
       const leftIsLate = now + meanMilliseconds > left.objectiveAt;
       const rightIsLate = now + meanMilliseconds > right.objectiveAt;
       if (leftIsLate !== rightIsLate) return rightIsLate;
-      return left.arrivedAt < right.arrivedAt;
+      const isNewestFirst = !leftIsLate &&
+        this.#isOverloaded(left.lane, now, meanMilliseconds);
+      return isNewestFirst
+        ? left.arrivedAt > right.arrivedAt
+        : left.arrivedAt < right.arrivedAt;
+    };
+    let best: WaitingRequest | undefined;
+    for (const each of this.#waiting) {
+      if (blocked.has(blockKeyOf(each))) continue;
+      if (!best || precedes(each, best)) best = each;
     }
+    return best;
   }
 }
 
--- a/packages/dispatch/admission_queue_test.ts
+++ b/packages/dispatch/admission_queue_test.ts
@@ -1,6 +1,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { describe, expect, it } from "vitest";
 import { AdmissionQueue } from "./admission_queue.ts";
+import { ArrivalOrderQueue } from "./admission_simulation_fixture.ts";
 import type { WaitingRequest } from "./admission_queue.ts";
 
 /** Simulates a service with a few slots and equally long requests. */
@@ -82,7 +83,9 @@
     function servedShare(policy: "refuse" | "all"): number {
       const generator = xoroshiro128plus(5);
       const random = () => (generator.next() >>> 0) / 2 ** 32;
-      const queue = new AdmissionQueue();
+      const queue = policy === "refuse"
+        ? new AdmissionQueue()
+        : new ArrivalOrderQueue();
       const ends: number[] = [];
       let [served, total, now] = [0, 0, 0];
       const tryStart = (arrivedAt: number) => {
@@ -112,7 +115,7 @@
             refuse: () => {},
           });
         }
-        queue.advance(now, policy === "refuse" ? meanMilliseconds : 0);
+        queue.advance(now, meanMilliseconds);
       }
       return served / total;
     }
--- /dev/null
+++ b/packages/dispatch/caller_deadlines.ts
@@ -0,0 +1,69 @@
+/** Weight of the newest request in the share of usual deadlines. */
+const shareWeight = 0.05;
+/**
+ * Share of a route's requests that must have about the same deadline, the
+ * longest, for shorter ones to count as what is left of it.
+ */
+const usualShare = 0.6;
+/**
+ * Share below which that ends. In an overload most requests are those of callers
+ * that come back: at 2.5 times the capacity with two retries, two in three.
+ */
+const unusualShare = 0.15;
+/** Deadlines that differ by less than this share are the same. */
+const sameDeadlineShare = 0.02;
+/** Routes that are remembered; the one unused for longest goes first. */
+const maximumRoutes = 1000;
+
+interface RouteDeadlines {
+  /** Longest deadline that was seen, in milliseconds. */
+  readonly longest: number;
+  /** Moving share of the requests that had it. */
+  readonly share: number;
+  /** Whether callers begin with it. */
+  readonly isUsual: boolean;
+}
+
+/** How long a caller has been waiting for a response. */
+export interface CallerAge {
+  /** Milliseconds since it first sent the request; 0 if that cannot be told. */
+  readonly milliseconds: number;
+  readonly isKnown: boolean;
+}
+
+const unknownAge: CallerAge = { milliseconds: 0, isKnown: false };
+
+/**
+ * Estimates how long callers have been waiting for a response. A caller that was
+ * refused and comes back, mostly at another gateway, states the time that it has
+ * left. Where most callers of a route begin with the same deadline, what a request
+ * lacks of it has passed.
+ */
+export class CallerDeadlines {
+  readonly #routes = new Map<string, RouteDeadlines>();
+
+  /**
+   * Records the deadline of a request, in milliseconds from now, and returns the
+   * age of its caller.
+   */
+  record(route: string, deadlineMilliseconds: number): CallerAge {
+    const known = this.#routes.get(route);
+    const longest = Math.max(known?.longest ?? 0, deadlineMilliseconds);
+    const isLongest = deadlineMilliseconds >= longest * (1 - sameDeadlineShare);
+    const isLonger = known !== undefined &&
+      longest > known.longest * (1 + sameDeadlineShare);
+    // Nothing is known yet of callers with a longer deadline.
+    const before = known && !isLonger ? known.share : 0;
+    const share = before + ((isLongest ? 1 : 0) - before) * shareWeight;
+    const wasUsual = !isLonger && known?.isUsual === true;
+    const isUsual = share > (wasUsual ? unusualShare : usualShare);
+    this.#routes.delete(route);
+    this.#routes.set(route, { longest, share, isUsual });
+    if (this.#routes.size > maximumRoutes) {
+      this.#routes.delete(this.#routes.keys().next().value!);
+    }
+    if (!isUsual) return unknownAge;
+    const milliseconds = isLongest ? 0 : longest - deadlineMilliseconds;
+    return { milliseconds, isKnown: true };
+  }
+}
