--- a/packages/fleet_control/key_confirmations.ts
+++ b/packages/fleet_control/key_confirmations.ts
@@ -48,13 +48,17 @@
     return this.#options.elapsedClock.now();
   }
 
-  /** Records the table that a gateway says it has. */
-  recordWatch({ gateway: name, position }: Watch): void {
-    const known = this.#gateways.get(name);
+  /**
+   * Records the table that a gateway says it has. Whatever lease it has, also
+   * from an earlier leader, began before it sent the request; so will the one of
+   * the response.
+   */
+  recordWatch({ gateway: name, position }: Watch, receivedAt: number): void {
+    const { revokeMilliseconds = 0 } = this.#options;
     this.#gateways.set(name, {
       name,
       index: position.index,
-      leaseEndsAt: known?.leaseEndsAt ?? -Infinity,
+      leaseEndsAt: receivedAt + revokeMilliseconds,
     });
   }
 
@@ -63,8 +67,8 @@
    * response is read, as a confirmation after that would cover changes that the
    * table lacks.
    */
-  ownPart({ gateway }: Watch, receivedAt: number): WatchOwnPart {
-    const { clock, elapsedClock, replica, revokeMilliseconds } = this.#options;
+  ownPart(receivedAt: number): WatchOwnPart {
+    const { clock, elapsedClock, replica } = this.#options;
     const contactAt = quorumContactAt(replica.consensus, clock.now());
     const age = confirmedAge({
       confirmedAt: Number.isFinite(contactAt)
@@ -72,17 +76,7 @@
         : -Infinity,
       receivedAt,
     });
-    if (age === undefined) return {};
-    const known = this.#gateways.get(gateway);
-    // Counted from the receipt, which is not before the request was sent.
-    const endsAt = receivedAt + (revokeMilliseconds ?? 0);
-    if (known) {
-      this.#gateways.set(gateway, {
-        ...known,
-        leaseEndsAt: Math.max(known.leaseEndsAt, endsAt),
-      });
-    }
-    return { confirmedAgeMilliseconds: age };
+    return age === undefined ? {} : { confirmedAgeMilliseconds: age };
   }
 
   /**
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -268,7 +268,7 @@
   async watch(watch: Watch): Promise<WatchResponseParts> {
     const now = this.#options.clock.now();
     const receivedAt = this.#keys.now();
-    this.#keys.recordWatch(watch);
+    this.#keys.recordWatch(watch, receivedAt);
     this.#gateways.record(watch, now);
     this.#ranges.recordWatch(watch, now);
     this.#limits.recordWatch(watch, now);
@@ -284,7 +284,7 @@
       );
     }
     return {
-      own: this.#keys.ownPart(watch, receivedAt),
+      own: this.#keys.ownPart(receivedAt),
       answer: this.#encodedDelta(watch.position),
     };
   }
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -156,7 +156,8 @@
   settings: ResolvedFleetSettings,
   { logger }: FleetLog,
 ) {
-  const { vm, listen, control, regions, security } = settings;
+  const { vm, listen, control, regions, security, workspaces } = settings;
+  const { revokeSeconds } = workspaces;
   return {
     name: vm.name,
     dataCentre: vm.dataCentre,
@@ -164,6 +165,8 @@
     peerAddress: listen.peers,
     seeds: control.seeds,
     regions,
+    ...(revokeSeconds !== undefined &&
+      { revokeMilliseconds: revokeSeconds * millisecondsPerSecond }),
     secret: security.vmSecretFile === undefined
       ? defaultSecret
       : await readSecret("security.vmSecretFile", security.vmSecretFile),
--- a/packages/kingcupglade/settings/fleet_schema.ts
+++ b/packages/kingcupglade/settings/fleet_schema.ts
@@ -16,6 +16,14 @@
 
 const seconds = z.coerce.number().positive();
 
+/**
+ * A leader holds a watch for 0.6 s at least, and with it the renewal of a lease; a
+ * shorter bound leaves gateways without one.
+ */
+const minimumRevokeSeconds = 1;
+/** An hour; a longer bound is a mistake in the unit. */
+const maximumRevokeSeconds = 3600;
+
 /** Settings common to both roles. */
 const common = {
   control: z.strictObject({
@@ -40,6 +48,15 @@
     /** Time from a stop signal until the process is killed. @default 10 */
     graceSeconds: seconds.default(10),
   }).prefault({}),
+  workspaces: z.strictObject({
+    /**
+     * Time after the acknowledgement of a change that revokes keys from which
+     * no request with such a key reaches a target. @default no bound
+     */
+    revokeSeconds: z.coerce.number().min(minimumRevokeSeconds).max(
+      maximumRevokeSeconds,
+    ).optional(),
+  }).prefault({}),
   /** Region of each data centre. */
   regions: z.record(name, name),
   security: z.strictObject({
--- a/packages/kingcupglade/settings/fleet_settings_test.ts
+++ b/packages/kingcupglade/settings/fleet_settings_test.ts
@@ -36,6 +36,7 @@
       },
       retries: { ratio: 0.2, windowSeconds: 10, slack: 20 },
       log: { level: "info" },
+      workspaces: {},
     });
   });
 
--- a/packages/kingcupglade/settings/template_test.ts
+++ b/packages/kingcupglade/settings/template_test.ts
@@ -86,4 +86,16 @@
       });
     });
   }
+
+  // Guards against gateways that keep serving revoked keys on a site that asks
+  // for a bound, and against a lease on one that does not.
+  it("bounds revocations only where the site asks for it", async () => {
+    const read = async (bounds: Fields) =>
+      (await readTemplateSettings({ ...vm.bounds, ...bounds }))?.workspaces;
+    expect(await read({ strictRevocation: true, revokeTimeoutS: 5 }))
+      .toEqual({ revokeSeconds: 5 });
+    expect(await read({ strictRevocation: false, revokeTimeoutS: 5 }))
+      .toEqual({});
+    expect(await read({})).toEqual({});
+  });
 });
--- a/packages/workspaces/revocation.ts
+++ b/packages/workspaces/revocation.ts
@@ -7,8 +7,8 @@
   /** Log entry up to which its table goes, as its last watch request said. */
   readonly index: number;
   /**
-   * Latest time at which a lease ends that the leader may have granted it, on the
-   * leader's elapsed clock.
+   * Latest time at which a lease of the gateway may end, on the leader's elapsed
+   * clock.
    */
   readonly leaseEndsAt: number;
 }
