--- a/packages/kingcupglade/fleet_fixture.ts
+++ b/packages/kingcupglade/fleet_fixture.ts
@@ -1,5 +1,10 @@
 import { createServer, request as send } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type {
+  IncomingMessage,
+  RequestOptions,
+  Server,
+  ServerResponse,
+} from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import type { GrantedRange } from "@kingcupglade/fleet";
 import {
@@ -46,6 +51,8 @@
   readonly seed: string;
   /** Lines that follow the section of the VM, up to the listener for peers. */
   readonly lines: string;
+  /** Further sections of the settings. @default none */
+  readonly sections?: string;
   readonly overrides?: FleetVmOverrides;
 }
 
@@ -58,7 +65,7 @@
 
 function createSettingsText(options: RoleOptions): string {
   const { role, name = `${role}-1`, ip, seed, lines } = options;
-  const { dataCentre = "a" } = options;
+  const { dataCentre = "a", sections = "" } = options;
   return `[vm]
 name = ${name}
 role = ${role}
@@ -74,6 +81,7 @@
 [regions]
 a = north
 b = south
+${sections}
 [log]
 level = silent
 `;
@@ -165,12 +173,13 @@
   readonly address: string;
   readonly method: string;
   readonly path: string;
-  readonly headers?: Record<string, string>;
+  readonly headers?: Record<string, string | readonly string[]>;
   readonly body?: string;
 }): Promise<HttpResult> {
   const [host, port] = options.address.split(":");
   return new Promise((resolve, reject) => {
-    const request = send({ ...options, host, port }, (response) => {
+    const sent = { ...options, host, port } as RequestOptions;
+    const request = send(sent, (response) => {
       const chunks: Buffer[] = [];
       response.on("data", (chunk) => chunks.push(chunk));
       response.on("error", reject);
