--- a/packages/fleet_control/watch_codec_test.ts
+++ b/packages/fleet_control/watch_codec_test.ts
@@ -4,8 +4,10 @@
 import {
   decodeWatch,
   decodeWatchAnswer,
+  decodeWatchOwnPart,
   encodeWatch,
   encodeWatchAnswer,
+  encodeWatchOwnPart,
 } from "./watch_codec.ts";
 
 const gatewayVms = 195;
@@ -74,6 +76,14 @@
   };
 }
 
+describe("the own part of a watch response", () => {
+  it("round-trips, and is empty in responses of earlier releases", () => {
+    const part = { confirmedAgeMilliseconds: 12.5, quotas: [["acme", 7]] };
+    expect(decodeWatchOwnPart(encodeWatchOwnPart(part))).toEqual(part);
+    expect(decodeWatchOwnPart(new Uint8Array())).toEqual({});
+  });
+});
+
 describe("watch codec", () => {
   it("round-trips a response", () => {
     const answer = wholeTable();
--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -115,6 +115,32 @@
     return result;
   }
 
+  // Guards against a request with a revoked key that was dispatched, and waited
+  // for its connection.
+  it("sends nothing if the request may no longer start", async () => {
+    let requests = 0;
+    const address = await listen(() => (requests += 1));
+    const connection = connections.acquire(address, { mustBeFresh: false });
+    const result = await new Exchange({
+      connection,
+      wire: new PlainWire(),
+      stream: discardStream,
+      mayStart: () => false,
+      request: {
+        method: "GET",
+        path: "/",
+        headers: [],
+        body: null,
+        requestId: "r1",
+        timeoutMilliseconds: 1000,
+      },
+    }).result;
+    connections.end(connection);
+    expect(result).toMatchObject({ kind: "notSent", isWithheld: true });
+    await pause(50);
+    expect(requests).toBe(0);
+  });
+
   it("accepts a response that is delimited by the end of the connection", async () => {
     const result = await exchange((socket) =>
       socket.end("HTTP/1.1 200 OK\r\nrequest: r1\r\n\r\nwhole")
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -1,13 +1,10 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { peerAddressOf, PeerClients } from "@kingcupglade/fleet_control";
-import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
 import { StallDetector } from "@kingcupglade/tasks";
-import type { Clock } from "@kingcupglade/tasks";
-import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import { BodyMemory } from "@kingcupglade/transport";
 import { ElapsedClock, KeyDigest } from "@kingcupglade/workspaces";
-import type { CallerWire } from "./caller_wire.ts";
 import { GatewayListeners } from "./gateway_listeners.ts";
+import type { GatewayVmOptions } from "./gateway_vm_options.ts";
 import { KeyGate } from "./key_gate.ts";
 import { callLeader } from "./leader_caller.ts";
 import { LoadProber } from "./load_prober.ts";
@@ -23,7 +20,6 @@
 import { StopSchedule } from "./stop_schedule.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
-import type { Connector } from "./address_pool.ts";
 import { TargetEndDetector } from "./target_end_detector.ts";
 import { limitSharers, TargetLimits } from "./target_limits.ts";
 import { TargetNotices } from "./target_notices.ts";
@@ -40,42 +36,6 @@
 /** Memory for responses that are held until their ends are known. */
 const maximumHeldResponseBytes = 32 * 1024 * 1024;
 
-/** Options of {@link GatewayVm.start}. */
-export interface GatewayVmOptions {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly region: string;
-  /** Where callers reach this VM, as IP:PORT. */
-  readonly callersAddress: string;
-  /** Connections of callers at the same time; more are closed. @default 3072 */
-  readonly maximumCallerConnections?: number;
-  /** Where the load balancer checks the readiness of this VM, as IP:PORT. */
-  readonly readinessAddress: string;
-  /** Where other VMs reach this one, as IP:PORT; all VMs use the same port. */
-  readonly peerAddress: string;
-  /** Addresses of control VMs that are queried for the leader first. */
-  readonly seeds: readonly string[];
-  /** Region of each data centre. */
-  readonly regions: Readonly<Record<string, string>>;
-  /** Time from a stop signal until the process is killed. */
-  readonly graceMilliseconds: number;
-  readonly retryBudget: RetryBudgetOptions;
-  /**
-   * Time after the acknowledgement of a revocation from which no request with
-   * the key reaches a target. @default no bound
-   */
-  readonly revokeMilliseconds?: number;
-  readonly secret: string;
-  readonly wire: CallerWire;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  /** Returns a number between 0 and 1. */
-  readonly random: () => number;
-  /** Opens connections to targets. @default TCP */
-  readonly connectToTarget?: Connector;
-}
-
 /** A VM that forwards callers' requests to the targets that may serve them. */
 export class GatewayVm {
   readonly #options: GatewayVmOptions;
--- a/packages/fleet_gateway/relay_message_test.ts
+++ b/packages/fleet_gateway/relay_message_test.ts
@@ -1,3 +1,4 @@
+import { encodeValue, WireError } from "@kingcupglade/protocol";
 import { describe, expect, it } from "vitest";
 import {
   decodeRelayReply,
@@ -39,3 +40,23 @@
     expect(decodeRelayReply(earlier.reply)).toEqual(reply);
   });
 });
+
+describe("the workspace of a relayed request", () => {
+  it("crosses with the digest of its key", () => {
+    const workspace = { name: "acme", keyDigest: "a".repeat(64) };
+    const header = encodeRelayRequest({ ...request, workspace }, secret);
+    expect(decodeRelayRequest(header, secret)).toEqual({
+      ...request,
+      workspace,
+    });
+  });
+
+  // Guards against a request that is taken for one that needs no key.
+  it("is not read from a row of another length", () => {
+    const row = ["secret", "a", "g", "r", 7, "s", 1, 9, ["t"], "acme"];
+    const header = Buffer.from(encodeValue(row)).toString("base64url");
+    expect(() => decodeRelayRequest(header, secret)).toThrow(WireError);
+    const odd = Buffer.from(encodeValue([...row, 7])).toString("base64url");
+    expect(() => decodeRelayRequest(odd, secret)).toThrow(WireError);
+  });
+});
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -353,7 +353,8 @@
     }
     // Another target has the request, and may respond.
     if (this.#inProgress > 0) return;
-    if (!fault) return this.#begin();
+    if (!fault && this.#routed.body.canBeSent) return this.#begin();
+    if (!fault) return this.#refuse("the body cannot be sent again", 0);
     if (this.#mayHaveRun) return this.#refuse("the key is not accepted", 0);
     this.#telemetry.count("not-run");
     this.#finish();
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -8,10 +8,10 @@
   RequestBody,
   waitForClose,
 } from "@kingcupglade/transport";
-import { KeyFault } from "@kingcupglade/workspaces";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
+import { admitRelayed } from "./relay_admission.ts";
 import { RelayForwarder } from "./relay_forwarder.ts";
 import { admitRequest } from "./request_admission.ts";
 import type {
@@ -43,9 +43,6 @@
 const maximumDeadlineMilliseconds = 86_400_000;
 /** Retry-after of requests that only this VM cannot serve now. */
 const elsewhereRetryAfterMilliseconds = 300;
-/** Requests of other gateways that are in progress at the same time. */
-const maximumRelayed = 200;
-
 /** Options of a {@link RequestHandler}. */
 export interface RequestHandlerOptions {
   readonly context: RelayForwarderOptions["context"] & {
@@ -59,34 +56,6 @@
   readonly digest: RequestDigest;
 }
 
-/** Why a relayed request is not taken. */
-interface RelayRejection {
-  readonly decision: Exclude<RelayDecision, typeof RelayDecision.taken>;
-  readonly reason: string;
-}
-
-const otherTable: RelayRejection = {
-  decision: RelayDecision.otherTable,
-  reason: "this VM has another version of the route",
-};
-
-const otherKeys: RelayRejection = {
-  decision: RelayDecision.otherTable,
-  reason: "this VM does not accept the key of the request",
-};
-
-/** Why relayed requests are not taken, by what speaks against their keys. */
-const keyRejections: Readonly<Record<KeyFault, RelayRejection>> = {
-  [KeyFault.noKey]: otherKeys,
-  [KeyFault.unknownKey]: otherKeys,
-  [KeyFault.oldTable]: otherKeys,
-  [KeyFault.noRegion]: otherKeys,
-  [KeyFault.noLease]: {
-    decision: RelayDecision.unable,
-    reason: "this VM has no lease on the table of keys",
-  },
-};
-
 /** Forwards a request until it is abandoned. */
 type Forwarder = Pick<RequestForwarder, "abandon">;
 
@@ -226,7 +195,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { secret, logger, metrics, keys } = this.#options.context;
+    const { secret, logger, metrics } = this.#options.context;
     let relay: RelayRequest;
     try {
       relay = decodeRelayRequest(request.headers[relayHeader], secret);
@@ -239,17 +208,16 @@
     const answer = new CallerResponse(response, relay.id);
     const head = this.#options.context.wire.readRequest(request.headers);
     const route = this.#table.routeNamed(relay.route);
-    const rejection = this.#rejectionOf(relay);
-    if (!route || rejection) return this.#rejectRelay(answer, rejection);
-    const admission = keys.decideOnRelayed(route, relay.workspace);
-    if (admission.kind === "refused") {
-      logger.info("relayed-key-refused", {
-        request: head.requestId,
-        from: relay.from,
-        fault: admission.fault,
-        workspace: relay.workspace?.name ?? null,
-      });
-      return this.#rejectRelay(answer, keyRejections[admission.fault]);
+    const admission = admitRelayed(relay, route, {
+      context: this.#options.context,
+      requestId: head.requestId,
+      isStopping: this.#options.stopSchedule.isStopping,
+      relayedCount: this.#relayedCount,
+    });
+    if (admission.kind === "rejected") {
+      const { decision, reason } = admission;
+      metrics.relayedHere.inc({ decision });
+      return answer.rejectRelay(decision, reason);
     }
     metrics.relayedHere.inc({ decision: RelayDecision.taken });
     this.#relayedCount += 1;
@@ -268,9 +236,7 @@
         request,
         head,
         route: admission.route,
-        workspace: admission.workspace === undefined
-          ? undefined
-          : relay.workspace,
+        workspace: admission.workspace,
         service: relay.service,
         body,
         arrivedAt: arrivedAt - relay.ageMilliseconds,
@@ -281,30 +247,6 @@
     );
   }
 
-  #rejectRelay(
-    answer: CallerResponse,
-    { decision, reason }: RelayRejection = otherTable,
-  ): void {
-    this.#options.context.metrics.relayedHere.inc({ decision });
-    answer.rejectRelay(decision, reason);
-  }
-
-  #rejectionOf(relay: RelayRequest): RelayRejection | undefined {
-    const { stopSchedule, context } = this.#options;
-    const table = this.#table;
-    const faults = [
-      [context.reach.isCutOff, "this VM reaches no target either"],
-      [stopSchedule.isStopping, "this VM is stopping"],
-      [this.#relayedCount >= maximumRelayed, "too many relayed requests"],
-    ] as const;
-    const fault = faults.find(([isFault]) => isFault);
-    if (fault) return { decision: RelayDecision.unable, reason: fault[1] };
-    const isSameRoute =
-      table.routeVersion(relay.route) === relay.routeVersion &&
-      table.service(relay.service) !== undefined;
-    return isSameRoute ? undefined : otherTable;
-  }
-
   #forwardOwn(routed: RoutedRequest, answer: CallerResponse): void {
     const { context } = this.#options;
     let forwarder: Forwarder | undefined;
--- a/packages/fleet_gateway/request_headers_test.ts
+++ b/packages/fleet_gateway/request_headers_test.ts
@@ -9,4 +9,20 @@
     expect(requestHeaders(headers, { deadline: "1" }, RequestBody.empty))
       .toEqual(["constructor", "a", "deadline", "1"]);
   });
+
+  // Guards against keys that targets receive, and names that callers forge.
+  it("have no withheld header, unless the gateway adds it", () => {
+    const headers = {
+      authorization: "Bearer key",
+      "x-tenant": "forged, again",
+      connection: "x-tenant",
+      other: "kept",
+    } as never;
+    const withheld = new Set(["authorization", "x-tenant"]);
+    const body = RequestBody.empty;
+    expect(requestHeaders(headers, {}, body, withheld))
+      .toEqual(["other", "kept"]);
+    expect(requestHeaders(headers, { "x-tenant": "acme" }, body, withheld))
+      .toEqual(["other", "kept", "x-tenant", "acme"]);
+  });
 });
