--- a/packages/fleet_gateway/slots_test.ts
+++ b/packages/fleet_gateway/slots_test.ts
@@ -10,8 +10,10 @@
 import { decodeSlotMessage, encodeSlotMessage } from "./slot_messages.ts";
 import type { SlotMessage } from "./slot_messages.ts";
 import { SlotManager } from "./slot_manager.ts";
+import type { SlotManagerOptions } from "./slot_manager.ts";
 import { SlotClient } from "./slot_client.ts";
 import type { SlotTicket } from "./slot_client.ts";
+import { createUpdate } from "./table_update_fixture.ts";
 import { TargetLimits } from "./target_limits.ts";
 import { TargetSelector } from "./target_selector.ts";
 
@@ -128,8 +130,18 @@
     this.table = tableOf(
       Array.from({ length: options.targets ?? 1 }, (_, at) => target(`t${at}`)),
     );
-    const table = this.table;
-    this.manager = new SlotManager({
+    this.manager = this.createManager((message, to) =>
+      this.#transmit(
+        message,
+        (received) => this.#clients.get(to)?.receive(received, managerAddress),
+      )
+    );
+  }
+
+  /** Creates a manager of all targets of the table. */
+  createManager(send: SlotManagerOptions["send"]): SlotManager {
+    const { table } = this;
+    return new SlotManager({
       selector: new TargetSelector({
         synchronizer: { table, millisecondsSinceContact: () => 0 } as never,
         clock: this.clock,
@@ -146,12 +158,7 @@
       limits: this.limits,
       table: () => table,
       loadProber: { probe: () => Promise.resolve() },
-      send: (message, to) =>
-        this.#transmit(
-          message,
-          (received) =>
-            this.#clients.get(to)?.receive(received, managerAddress),
-        ),
+      send,
       clock: this.clock,
       logger: { ...silentLogger, info: () => void (this.notReturned += 1) },
     });
@@ -427,6 +434,58 @@
   });
 });
 
+describe("a slot request of a workspace", () => {
+  beforeEach(() => void vi.useFakeTimers());
+  afterEach(() => void vi.useRealTimers());
+
+  // Guards against a manager that knows the route's name alone, and grants slots
+  // outside the regions of the workspace.
+  it.each(
+    [
+      [["north"], [], "grant"],
+      [["north"], ["north", "south"], "grant"],
+      [["south"], [], "wait"],
+      [["south"], ["north"], "refuse"],
+    ] as const,
+  )("is bound to %j and the route's %j: %s", (own, ofRoute, kind) => {
+    const simulation = new SlotSimulation({});
+    const { table } = simulation;
+    const lookup = table.routeNamed("lookup")!;
+    table.apply(createUpdate(9, {
+      items: [
+        { ...item({ ...lookup, homeRegions: ofRoute }), version: 2 },
+        item({
+          kind: ItemKind.workspace,
+          name: "acme",
+          keyDigests: ["a".repeat(64)],
+          priority: 0,
+          ratePerSecond: 0,
+          burst: 0,
+          homeRegions: own,
+        }),
+      ],
+    }));
+    const replies: SlotMessage[] = [];
+    const manager = simulation.createManager((reply) => replies.push(reply));
+    const request = {
+      kind: "request",
+      route: "lookup",
+      service: "catalogue",
+      position: null,
+      tried: [],
+      only: null,
+      isHedge: false,
+      ageMilliseconds: 0,
+      leftMilliseconds: 5000,
+    } as const;
+    manager.handleRequest({ ...request, id: 1, workspace: "acme" }, "g");
+    expect(replies[0]).toMatchObject({ kind });
+    // A manager whose table lacks the workspace cannot tell.
+    manager.handleRequest({ ...request, id: 2, workspace: "other" }, "g");
+    expect(replies.at(-1)).toMatchObject({ kind: "refuse", isUnknown: true });
+  });
+});
+
 describe("slot messages", () => {
   it("that are malformed or lack the secret are rejected", () => {
     const message: SlotMessage = { kind: "wait", id: 3, waitMilliseconds: 4 };
