--- a/packages/kingcupglade/pages_test.ts
+++ b/packages/kingcupglade/pages_test.ts
@@ -4,6 +4,7 @@
 import { readReferenceTable } from "@kingcupglade/fakes";
 import { Outcome, Reason } from "@kingcupglade/routing";
 import { createMetrics } from "@kingcupglade/telemetry";
+import { KeyFault } from "@kingcupglade/workspaces";
 import { describe, expect, it } from "vitest";
 import { commandNames, findCommand } from "./command_line.ts";
 import { fleetSchemas } from "./settings/fleet_schema.ts";
@@ -66,6 +67,7 @@
     const known: readonly string[] = [
       ...events.keys(),
       ...Object.values(Outcome),
+      ...Object.values(KeyFault),
       ...Object.values(Reason),
       ...["idempotency-key", "retry-after"],
     ];
