--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -127,6 +127,8 @@
       setInterval(() => vm.#greetPeers(), greetIntervalMilliseconds),
     );
     vm.#greetPeers();
+    const state = vm.#replica.running?.state;
+    if (state) vm.#seals.checkSources(state.items);
     options.logger.info("control-started", {
       replica: vm.#replica.id,
       isUsed: vm.#replica.running !== undefined,
@@ -295,12 +297,19 @@
   }
 
   #startSession(replica: FleetReplica): void {
-    const { clock, logger, regions } = this.#options;
+    const { clock, logger, regions, region, revokeMilliseconds } =
+      this.#options;
+    const { heartbeatMilliseconds, controlAddress } = this.#options;
     this.#seals.checkSources(replica.state.items);
     this.#session = new LeaderSession({
-      ...this.#options,
-      elapsedClock: this.#elapsedClock,
       replica,
+      clock,
+      elapsedClock: this.#elapsedClock,
+      logger,
+      heartbeatMilliseconds,
+      controlAddress,
+      region,
+      ...(revokeMilliseconds !== undefined && { revokeMilliseconds }),
       regionOf: (dataCentre) => regions[dataCentre] ?? "",
       controlAddresses: () => [
         this.#options.peerAddress,
