--- a/packages/fleet_control/watch_codec_test.ts
+++ b/packages/fleet_control/watch_codec_test.ts
@@ -5,8 +5,10 @@
 import {
   decodeWatch,
   decodeWatchAnswer,
+  decodeWatchOwnPart,
   encodeWatch,
   encodeWatchAnswer,
+  encodeWatchOwnPart,
   isCompactAnswer,
 } from "./watch_codec.ts";
 
@@ -120,6 +122,13 @@
     control: null,
   },
 };
+describe("the own part of a watch response", () => {
+  it("round-trips, and is empty in responses of earlier releases", () => {
+    const part = { confirmedAgeMilliseconds: 12.5, quotas: [["acme", 7]] };
+    expect(decodeWatchOwnPart(encodeWatchOwnPart(part))).toEqual(part);
+    expect(decodeWatchOwnPart(new Uint8Array())).toEqual({});
+  });
+});
 
 describe("watch codec", () => {
   it("round-trips a response", () => {
