Keep the age of callers that come back, at gateways and slot managers

A request's objective was counted from its arrival at the gateway that it reached last, so that a refused caller that came back was served before others although its answer was late already. Gateways learn the deadline with which most callers of a route begin, and count what a request lacks of it as its age, which slot requests and relayed requests carry on. Slot managers use what they know of their own callers on the route, so that no message changes.

--- a/packages/dispatch/caller_deadlines.ts
+++ b/packages/dispatch/caller_deadlines.ts
@@ -42,6 +42,11 @@
 export class CallerDeadlines {
   readonly #routes = new Map<string, RouteDeadlines>();
 
+  /** Whether the ages of a route's callers can be told. */
+  isKnown(route: string): boolean {
+    return this.#routes.get(route)?.isUsual === true;
+  }
+
   /**
    * Records the deadline of a request, in milliseconds from now, and returns the
    * age of its caller.
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -29,4 +29,5 @@
 export type { LoadFreshness, LoadReport } from "./target_record.ts";
 export { AdmissionQueue, minimumRemainingShare } from "./admission_queue.ts";
 export { CallerDeadlines } from "./caller_deadlines.ts";
+export type { CallerAge } from "./caller_deadlines.ts";
 export type { WaitingRequest } from "./admission_queue.ts";
--- a/packages/fleet_gateway/exchange_play.ts
+++ b/packages/fleet_gateway/exchange_play.ts
@@ -59,6 +59,7 @@
       routed: {
         ...this.#fixture.routed({ requestId, requests: this.#requests }),
         arrivedAt: 0,
+        firstSentAt: 0,
         deadlineAt: deadlineMilliseconds,
       } as never,
       answer: this.caller as never,
--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -223,6 +223,8 @@
       body: RequestBody.empty,
       digest: () => "",
       arrivedAt,
+      firstSentAt: arrivedAt,
+      isAgeKnown: false,
       deadlineAt: arrivedAt + deadlineMilliseconds,
     };
   }
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -1,3 +1,4 @@
+import { CallerDeadlines } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
 import { peerAddressOf, PeerClients } from "@kingcupglade/fleet_control";
 import { StallDetector } from "@kingcupglade/tasks";
@@ -50,6 +51,7 @@
   readonly #limits: TargetLimits;
   readonly #notices: TargetNotices;
   readonly #suspects: SuspectGate;
+  readonly #callerDeadlines = new CallerDeadlines();
   readonly #loadProber: LoadProber;
   readonly #selector: TargetSelector;
   /** Chooses among the targets whose slots this VM grants. */
@@ -190,6 +192,7 @@
       limits: this.#limits,
       table: () => this.#synchronizer.table,
       loadProber: this.#loadProber,
+      callerDeadlines: this.#callerDeadlines,
       send,
       clock,
       logger,
@@ -304,6 +307,7 @@
       notices: this.#notices,
       suspects: this.#suspects,
       keys: this.#keys,
+      callerDeadlines: this.#callerDeadlines,
       stalls: this.#stalls,
       loadProber: this.#loadProber,
       pools: this.#slotPools,
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -153,7 +153,7 @@
   async #send(gateway: VmEndpoint): Promise<ExchangeResult> {
     const { context, routed, answer, progress } = this.#options;
     const { relays, relayConnections, table, clock, random } = context;
-    const { request, route, body, arrivedAt } = routed;
+    const { request, route, body, firstSentAt } = routed;
     const startedAt = clock.now();
     const id = random().toString(36).slice(2);
     const connection = relayConnections.acquire(gateway.address, {
@@ -181,7 +181,7 @@
               route: route.name,
               routeVersion: table().routeVersion(route.name),
               service: routed.service,
-              ageMilliseconds: startedAt - arrivedAt,
+              ageMilliseconds: startedAt - firstSentAt,
               leftMilliseconds: this.#leftMilliseconds,
               arrived: progress.arrived,
               ...(routed.workspace && { workspace: routed.workspace }),
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -200,7 +200,7 @@
     if (this.#queue.waitingCount === 0 && this.#tryStart()) return;
     if (this.#isFinished) return;
     const { clock } = this.#context;
-    const { route, arrivedAt, deadlineAt } = this.#routed;
+    const { route, firstSentAt, isAgeKnown, deadlineAt } = this.#routed;
     const lane = this.#context.selector.laneOf(this.#routed);
     const wait = this.#queue.expectedWait({
       priority: route.priority,
@@ -213,11 +213,12 @@
     this.#waiting = {
       priority: route.priority,
       lane: lane.lane,
-      arrivedAt,
+      arrivedAt: firstSentAt,
+      isAgeKnown,
       objectiveAt: this.#objectiveAt,
       deadlineAt,
       tryStart: () => this.#guard.run(() => this.#tryStart(), true),
-      refuse: () => this.#refuse("no room in time", 0),
+      refuse: (reason, wait) => this.#refuse(reason, wait),
     };
     this.#queue.wait(this.#waiting);
     this.#queue.advance();
@@ -229,8 +230,8 @@
   }
 
   get #objectiveAt(): number {
-    const { arrivedAt, route } = this.#routed;
-    return arrivedAt + route.objectiveMilliseconds;
+    const { firstSentAt, route } = this.#routed;
+    return firstSentAt + route.objectiveMilliseconds;
   }
 
   #tryStart(): boolean {
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Route } from "@kingcupglade/items";
 import { describeFailure } from "@kingcupglade/telemetry";
 import {
   BodyMemory,
@@ -160,11 +161,28 @@
       service: selector.parts.next(route),
       body,
       arrivedAt,
+      ...this.#firstSending(admission.route, head, arrivedAt),
       deadlineAt,
     });
     this.#forwardOwn(routed, answer);
   }
 
+  #firstSending(
+    { name }: Route,
+    { deadlineMilliseconds }: CallerRequestHead,
+    arrivedAt: number,
+  ): Pick<RoutedRequest, "firstSentAt" | "isAgeKnown"> {
+    if (deadlineMilliseconds === undefined) {
+      return { firstSentAt: arrivedAt, isAgeKnown: false };
+    }
+    const { callerDeadlines } = this.#options.context;
+    const age = callerDeadlines.record(name, deadlineMilliseconds);
+    return {
+      firstSentAt: arrivedAt - age.milliseconds,
+      isAgeKnown: age.isKnown,
+    };
+  }
+
   // Nothing of the request was sent anywhere.
   #recordUnread({ requestId }: CallerRequestHead, arrivedAt: number): void {
     const { logger, metrics, stalls } = this.#options.context;
@@ -240,6 +258,8 @@
         service: relay.service,
         body,
         arrivedAt: arrivedAt - relay.ageMilliseconds,
+        firstSentAt: arrivedAt - relay.ageMilliseconds,
+        isAgeKnown: this.#options.context.callerDeadlines.isKnown(relay.route),
         deadlineAt: arrivedAt + relay.leftMilliseconds,
         relayedBy: relay.from,
       }),
--- a/packages/fleet_gateway/request_handler_fixture.ts
+++ b/packages/fleet_gateway/request_handler_fixture.ts
@@ -1,3 +1,4 @@
+import { CallerDeadlines } from "@kingcupglade/dispatch";
 import { createMetrics } from "@kingcupglade/telemetry";
 import { noKeys } from "./forwarding_fixture.ts";
 import { RequestHandler } from "./request_handler.ts";
@@ -31,6 +32,7 @@
       },
       pools: { poolFor: () => undefined },
       keys: noKeys,
+      callerDeadlines: new CallerDeadlines(),
       suspects: { isSuspect: () => false },
       reach: {
         isCutOff: false,
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { CallerDeadlines } from "@kingcupglade/dispatch";
 import type { Route } from "@kingcupglade/items";
 import type { Clock, StallDetector } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
@@ -27,6 +28,7 @@
   readonly notices: TargetNotices;
   readonly suspects: SuspectGate;
   readonly keys: KeyGate;
+  readonly callerDeadlines: CallerDeadlines;
   readonly loadProber: LoadProber;
   readonly pools: SlotPools;
   readonly slots: SlotClient;
@@ -67,6 +69,13 @@
   /** Returns the digest of the request's content. */
   readonly digest: () => string;
   readonly arrivedAt: number;
+  /**
+   * When its caller first sent it, as far as is known: earlier than it arrived if
+   * the caller was refused before.
+   */
+  readonly firstSentAt: number;
+  /** Whether that includes attempts at other gateways. */
+  readonly isAgeKnown: boolean;
   /** Earlier of the caller's deadline and the route's timeout. */
   readonly deadlineAt: number;
   /** Name of the gateway that relays the request; undefined for a caller's. */
--- a/packages/fleet_gateway/slot_acquisition.ts
+++ b/packages/fleet_gateway/slot_acquisition.ts
@@ -159,7 +159,7 @@
       tried: [...new Set([...tried, ...context.notices.unusable()])],
       only: only && [...only],
       isHedge,
-      ageMilliseconds: Math.round(now - routed.arrivedAt),
+      ageMilliseconds: Math.round(now - routed.firstSentAt),
       leftMilliseconds: Math.max(1, Math.round(routed.deadlineAt - now)),
       ...(routed.workspace && { workspace: routed.workspace.name }),
     };
--- a/packages/fleet_gateway/slot_manager.ts
+++ b/packages/fleet_gateway/slot_manager.ts
@@ -1,5 +1,9 @@
 import { ExchangeEnd, minimumRemainingShare } from "@kingcupglade/dispatch";
-import type { TargetRecord, WaitingRequest } from "@kingcupglade/dispatch";
+import type {
+  CallerDeadlines,
+  TargetRecord,
+  WaitingRequest,
+} from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
@@ -35,6 +39,8 @@
   readonly limits: Pick<TargetLimits, "record">;
   readonly table: () => GatewayTable;
   readonly loadProber: Pick<LoadProber, "probe">;
+  /** What this VM knows of the callers of each route. */
+  readonly callerDeadlines: Pick<CallerDeadlines, "isKnown">;
   readonly send: (message: SlotMessage, to: string) => void;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -208,10 +214,11 @@
       priority: route.priority,
       lane: lane.lane,
       arrivedAt,
+      isAgeKnown: this.#options.callerDeadlines.isKnown(route.name),
       objectiveAt: arrivedAt + route.objectiveMilliseconds,
       deadlineAt: now + request.leftMilliseconds,
       tryStart: () => this.#tryStart(pending),
-      refuse: () => this.#refuse(pending, "no room in time", 0),
+      refuse: (reason, wait) => this.#refuse(pending, reason, wait),
     };
     queue.wait(pending.waiting);
     queue.advance();
--- a/packages/fleet_gateway/slots_test.ts
+++ b/packages/fleet_gateway/slots_test.ts
@@ -158,6 +158,7 @@
       limits: this.limits,
       table: () => table,
       loadProber: { probe: () => Promise.resolve() },
+      callerDeadlines: { isKnown: () => false },
       send,
       clock: this.clock,
       logger: { ...silentLogger, info: () => void (this.notReturned += 1) },
