--- a/packages/fleet_gateway/request_handler_test.ts
+++ b/packages/fleet_gateway/request_handler_test.ts
@@ -1,3 +1,4 @@
+import { CallerDeadlines } from "@kingcupglade/dispatch";
 import { once } from "node:events";
 import { createServer, request as send } from "node:http";
 import type { Server } from "node:http";
@@ -85,6 +86,7 @@
         },
         suspects: { isSuspect: () => false },
         keys: noKeys,
+        callerDeadlines: new CallerDeadlines(),
         reach: {
           get isCutOff() {
             return isCutOff;
