--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -3,25 +3,23 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
 import type { KeyFault } from "@kingcupglade/workspaces";
+import { AttemptResults } from "./attempt_results.ts";
 import { CallerPresence } from "./caller_presence.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import { LossCause } from "./exchange.ts";
-import type { Exchange, ExchangeResult, ResponseHead } from "./exchange.ts";
-import { isSuccess, isUnstatedRefusal, mayHaveRun } from "./exchange_end.ts";
-import { refuseKey } from "./key_refusal.ts";
 import type { ForwardingProgress } from "./relay_forwarder.ts";
 import { SlotAcquisition } from "./slot_acquisition.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
-import { retryAfterMilliseconds } from "./retry_after.ts";
+import { RequestEnding } from "./request_ending.ts";
 import { RequestGuard } from "./request_guard.ts";
 import { RequestTelemetry, SendPath, stageOf } from "./request_telemetry.ts";
 import { RequestSuspicion } from "./request_suspicion.ts";
 import { RequestHedge } from "./request_hedge.ts";
+import { RequestProgress } from "./request_progress.ts";
 import type { ServiceQueue } from "./service_queue.ts";
 import type { SlotTicket } from "./slot_client.ts";
 import { TargetAttempts } from "./target_attempts.ts";
-import { startTargetExchange } from "./target_exchange.ts";
-import { misdirectedStatus, TargetUse } from "./target_use.ts";
+import { startAttempt } from "./target_exchange.ts";
+import { TargetUse } from "./target_use.ts";
 
 /**
  * An owner that refuses has lost the range or has not received it yet; a table
@@ -29,15 +27,6 @@
  */
 const ownerRetryDelayMilliseconds = 100;
 
-/**
- * Further attempts, beyond the route's `maximumTargets`, of a request that has
- * not run, at targets that received it: one that refused it may accept it next.
- */
-const maximumExtraArrivals = 2;
-
-/** Connection failures after which a request is refused. */
-const maximumConnectFailures = 4;
-
 /**
  * Forwards one request to targets until one responds. If none does, responds
  * with 503 if the request ran nowhere, and with 502 or 504 if it may have run.
@@ -48,28 +37,10 @@
   readonly #response: CallerResponse;
   readonly #queue: ServiceQueue;
   readonly #attempts: TargetAttempts;
-  /** Addresses to which the request was sent. */
-  readonly #addresses = new Set<string>();
-  #arrivals: number;
-  #connectFailures = 0;
-  /** Whether the request may have run at any target. */
-  #mayHaveRun = false;
-  /** A target's 5xx response, forwarded if no better one is received. */
-  #failure:
-    | {
-      readonly head: ResponseHead;
-      readonly body: Buffer;
-      readonly target: string;
-    }
-    | undefined;
-  readonly #exchanges = new Set<Exchange>();
-  /** Targets that were chosen, but not sent to yet. */
-  #pendingSends = 0;
+  readonly #progress: RequestProgress;
+  readonly #ending: RequestEnding;
+  readonly #results: AttemptResults;
   readonly #presence: CallerPresence;
-  /** Names of targets that the request has reached. */
-  readonly #arrived: Set<string>;
-  /** Names of the targets of the exchanges in progress. */
-  readonly #targets = new Map<Exchange, string>();
   readonly #handOver: (progress: ForwardingProgress) => void;
   #endCutOffWatch: () => void = () => {};
   readonly #hedge: RequestHedge;
@@ -79,7 +50,6 @@
   readonly #telemetry: RequestTelemetry;
   readonly #suspicion: RequestSuspicion;
   readonly #guard = new RequestGuard((failure) => this.#handleFault(failure));
-  #isFinished = false;
   /** When the end of the caller's connection was read; Infinity before. */
   #leftAt = Infinity;
 
@@ -97,17 +67,27 @@
     this.#response = options.answer;
     this.#presence = new CallerPresence(options.context.clock);
     this.#handOver = options.handOver;
-    this.#arrived = new Set(options.arrived);
     this.#attempts = new TargetAttempts({
       maximumTargets: options.routed.route.maximumTargets,
       reached: options.arrived,
     });
-    this.#arrivals = this.#arrived.size;
     this.#queue = options.context.selector.service(options.routed.service);
     if (options.routed.relayedBy === undefined) {
       this.#queue.budget.recordRequest(options.context.clock.now());
     }
+    this.#progress = new RequestProgress({
+      ...options,
+      queue: this.#queue,
+      arrived: options.arrived,
+    });
     this.#telemetry = new RequestTelemetry(options);
+    this.#ending = new RequestEnding({
+      ...options,
+      queue: this.#queue,
+      progress: this.#progress,
+      telemetry: this.#telemetry,
+      release: () => this.#release(),
+    });
     this.#suspicion = new RequestSuspicion({
       gate: options.context.suspects,
       routed: options.routed,
@@ -132,15 +112,34 @@
       objectiveAt: this.#objectiveAt,
       attempts: this.#attempts,
       mayHedge: () =>
-        !this.#isFinished && !this.#response.hasStarted &&
-        this.#inProgress === 1 && this.#suspicion.mayHedge,
-      takeAttempt: () => this.#mayTryElsewhere,
+        !this.#ending.isFinished && !this.#response.hasStarted &&
+        this.#progress.inProgress === 1 && this.#suspicion.mayHedge,
+      takeAttempt: () => this.#progress.takeArrival(),
       send: (target, record, ticket) => {
         this.#context.metrics.hedges.inc();
-        this.#log("request-hedged", target, "the response is overdue");
+        this.#telemetry.logTargetEvent(
+          "request-hedged",
+          target,
+          "the response is overdue",
+        );
         this.#guard.watch(this.#send(target, record, ticket));
       },
     });
+    this.#results = new AttemptResults({
+      ...options,
+      progress: this.#progress,
+      ending: this.#ending,
+      telemetry: this.#telemetry,
+      hedge: this.#hedge,
+      suspicion: this.#suspicion,
+      guard: this.#guard,
+      retry: () => this.#retry(),
+      onOwnerRefusal: () => {
+        this.#earliestSendAt = this.#context.clock.now() +
+          ownerRetryDelayMilliseconds;
+      },
+      onCutOff: () => this.#handleCutOff(),
+    });
   }
 
   /** Starts forwarding; the caller receives its response at the end. */
@@ -157,29 +156,29 @@
 
   /** Stops forwarding because the caller has disconnected. */
   abandon(): void {
-    if (this.#isFinished) return;
+    if (this.#ending.isFinished) return;
     this.#leftAt = this.#context.clock.now();
     this.#telemetry.recordCallerLeft({
-      stage: stageOf(this.#exchanges, this.#response),
-      targets: [...this.#targets.values()],
+      stage: stageOf(this.#progress.exchanges, this.#response),
+      targets: [...this.#progress.targets.values()],
     });
-    this.#finish();
+    this.#ending.finish();
   }
 
   // What may run only once is continued elsewhere only if it was sent nowhere.
   #handleCutOff(): void {
-    if (this.#isFinished || this.#response.hasStarted) return;
+    if (this.#ending.isFinished || this.#response.hasStarted) return;
     const { body, relayedBy } = this.#routed;
-    const wasSent = this.#mayHaveRun ||
-      [...this.#exchanges].some((each) => each.isSent);
+    const { wasSent, arrived, targets } = this.#progress;
     const mayContinue = body.canBeSent && (!wasSent ||
-      (this.#isIdempotent && relayedBy === undefined && this.#mayTryElsewhere));
+      (this.#isIdempotent && relayedBy === undefined &&
+        this.#progress.takeArrival()));
     if (!mayContinue) return;
-    for (const [exchange, target] of this.#targets) {
-      if (exchange.isSent) this.#arrived.add(target);
+    for (const [exchange, target] of targets) {
+      if (exchange.isSent) arrived.add(target);
     }
-    this.#finish();
-    this.#handOver({ arrived: [...this.#arrived], mayHaveRun: wasSent });
+    this.#ending.finish();
+    this.#handOver({ arrived: [...arrived], mayHaveRun: wasSent });
   }
 
   // A request whose runs may end targets waits until it may be attempted.
@@ -190,16 +189,16 @@
         this.#guard.run(() => this.#dispatch(), undefined);
       },
       quarantined: (milliseconds) =>
-        this.#refuseFor("the request ends its targets", milliseconds),
-      late: () => this.#refuse("an attempt of the same request is running", 0),
+        this.#ending.refuseFor("the request ends its targets", milliseconds),
+      late: () =>
+        this.#ending.refuse("an attempt of the same request is running", 0),
     });
   }
 
   // Requests that already wait go first, unless they wait for other targets.
   #dispatch(): void {
     if (this.#queue.waitingCount === 0 && this.#tryStart()) return;
-    if (this.#isFinished) return;
-    const { clock } = this.#context;
+    if (this.#ending.isFinished) return;
     const { route, arrivedAt, deadlineAt } = this.#routed;
     const lane = this.#context.selector.laneOf(this.#routed);
     const wait = this.#queue.expectedWait({
@@ -207,8 +206,8 @@
       ...lane,
     });
     const minimum = this.#queue.meanMilliseconds * minimumRemainingShare;
-    if (clock.now() + wait + minimum > deadlineAt) {
-      return this.#refuse("no room in time", wait);
+    if (this.#context.clock.now() + wait + minimum > deadlineAt) {
+      return this.#ending.refuse("no room in time", wait);
     }
     this.#waiting = {
       priority: route.priority,
@@ -217,7 +216,7 @@
       objectiveAt: this.#objectiveAt,
       deadlineAt,
       tryStart: () => this.#guard.run(() => this.#tryStart(), true),
-      refuse: () => this.#refuse("no room in time", 0),
+      refuse: () => this.#ending.refuse("no room in time", 0),
     };
     this.#queue.wait(this.#waiting);
     this.#queue.advance();
@@ -225,7 +224,7 @@
 
   #handleSlotRefusal(reason: string, waitMilliseconds: number): void {
     if (this.#attempts.retryUnreached()) return this.#dispatch();
-    this.#refuse(reason, waitMilliseconds);
+    this.#ending.refuse(reason, waitMilliseconds);
   }
 
   get #objectiveAt(): number {
@@ -258,8 +257,8 @@
     if (selection.kind === "none") {
       if (this.#attempts.retryUnreached()) return this.#tryStart();
       const { reason, waitMilliseconds } = selection;
-      if (waitMilliseconds === undefined) this.#refuse(reason, 0);
-      else this.#refuseFor(reason, waitMilliseconds);
+      if (waitMilliseconds === undefined) this.#ending.refuse(reason, 0);
+      else this.#ending.refuseFor(reason, waitMilliseconds);
       return true;
     }
     this.#guard.watch(this.#send(selection.target, selection.record));
@@ -281,15 +280,15 @@
     this.#attempts.recordSend(target.name);
     const confirmation = this.#presence.confirm();
     if (confirmation) {
-      this.#pendingSends += 1;
+      this.#progress.pendingSends += 1;
       await confirmation;
-      this.#pendingSends -= 1;
+      this.#progress.pendingSends -= 1;
     }
-    if (this.#isFinished) return use.cancel();
+    if (this.#ending.isFinished) return use.cancel();
     // It may have become a suspect while it waited for a target.
     if (!this.#suspicion.maySend) {
       use.cancel();
-      if (!this.#arrived.has(target.name)) {
+      if (!this.#progress.arrived.has(target.name)) {
         this.#attempts.recordNotSent(target.name);
       }
       return this.#begin();
@@ -301,22 +300,25 @@
     }
     const { clock, connections, reach } = this.#context;
     const { connection, exchange } = use.cancelOnFailure(() =>
-      this.#startExchange(target)
+      startAttempt({
+        context: this.#context,
+        routed: this.#routed,
+        answer: this.#response,
+        progress: this.#progress,
+        target,
+      })
     );
     this.#telemetry.recordSend(
       target,
       ticket ? SendPath.granted : SendPath.chosen,
     );
-    this.#exchanges.add(exchange);
-    this.#targets.set(exchange, target.name);
+    this.#progress.begin(exchange, target.name);
     reach.begin();
     this.#scheduleHedge();
     const result = await exchange.result;
     reach.end();
-    this.#exchanges.delete(exchange);
-    this.#targets.delete(exchange);
-    if (result.kind !== "notSent") this.#arrived.add(target.name);
-    else if (!this.#arrived.has(target.name)) {
+    this.#progress.end(exchange, target.name, result);
+    if (!this.#progress.arrived.has(target.name)) {
       this.#attempts.recordUnreached(target.name);
     }
     if (this.#leftAt <= clock.now()) {
@@ -335,11 +337,13 @@
         this.#context.keys.recheck(this.#routed.workspace),
       );
     }
-    use.end(result, { isAbandoned: this.#isFinished });
+    use.end(result, { isAbandoned: this.#ending.isFinished });
     const examination = this.#suspicion.recordResult(result, target);
     // Most results do not wait for it.
     if (examination) this.#guard.watch(examination.then(() => {}));
-    if (!this.#isFinished) this.#handleResult(result, target, examination);
+    if (!this.#ending.isFinished) {
+      this.#results.handle(result, target, examination);
+    }
   }
 
   /**
@@ -347,50 +351,15 @@
    * a fault, the lease was renewed in the meantime, and it is sent again.
    */
   #withhold(target: TargetView, fault: KeyFault | undefined): void {
-    if (this.#isFinished) return;
-    if (!this.#arrived.has(target.name)) {
+    if (this.#ending.isFinished) return;
+    if (!this.#progress.arrived.has(target.name)) {
       this.#attempts.recordNotSent(target.name);
     }
     // Another target has the request, and may respond.
-    if (this.#inProgress > 0) return;
+    if (this.#progress.inProgress > 0) return;
     if (!fault && this.#routed.body.canBeSent) return this.#begin();
-    if (!fault) return this.#refuse("the body cannot be sent again", 0);
-    if (this.#mayHaveRun) return this.#refuse("the key is not accepted", 0);
-    this.#telemetry.count("not-run");
-    this.#finish();
-    this.#response.respond(
-      refuseKey(fault, { context: this.#context, routed: this.#routed }),
-    );
-  }
-
-  #startExchange(target: TargetView) {
-    const { clock, connections } = this.#context;
-    const connection = connections.acquire(
-      target.address,
-      {
-        mustBeFresh: !this.#isIdempotent,
-        // A target that sends its response to the first attempt once more would
-        // respond to this one, as both have the same ID.
-        mustBeNew: this.#addresses.has(target.address),
-        requestId: this.#routed.head.requestId,
-      },
-    );
-    this.#addresses.add(target.address);
-    const exchange = startTargetExchange({
-      context: this.#context,
-      routed: this.#routed,
-      answer: this.#response,
-      target,
-      connection,
-      exchanges: this.#exchanges,
-      startedAt: clock.now(),
-    });
-    return { connection, exchange };
-  }
-
-  /** Number of targets that have the request or are about to get it. */
-  get #inProgress(): number {
-    return this.#exchanges.size + this.#pendingSends;
+    if (!fault) return this.#ending.refuse("the body cannot be sent again", 0);
+    this.#ending.refuseKey(fault);
   }
 
   #scheduleHedge(): void {
@@ -399,245 +368,33 @@
     this.#hedge.schedule((hedge) => this.#guard.run(hedge, undefined));
   }
 
-  #handleResult(
-    result: ExchangeResult,
-    target: TargetView,
-    examination: Promise<boolean> | undefined,
-  ): void {
-    const isStreamed = result.kind === "answered" && result.body === null;
-    if (this.#response.hasStarted && !isStreamed) {
-      return this.#handleUnstreamed(result, target);
-    }
-    if (this.#inProgress > 0 && !isSuccess(result)) {
-      // The other target may still respond, or may be silent.
-      if (result.kind !== "notSent") this.#arrivals += 1;
-      if (mayHaveRun(result)) this.#mayHaveRun = true;
-      this.#log("hedge-failed", target, result.kind);
-      return this.#replaceHedge(examination);
-    }
-    switch (result.kind) {
-      case "answered":
-        return this.#handleResponse(result, target);
-      case "notSent":
-        this.#log("target-unreachable", target, result.reason);
-        this.#connectFailures += 1;
-        if (this.#connectFailures >= maximumConnectFailures) {
-          return this.#guard.watch(this.#handleConnectFailures());
-        }
-        return this.#retry();
-      case "unknown":
-        this.#arrivals += 1;
-        this.#mayHaveRun = true;
-        this.#telemetry.recordLoss(target, result);
-        if (result.cause === LossCause.timeout) {
-          return this.#respond(504, "the time is up");
-        }
-        if (this.#isIdempotent && examination) {
-          return this.#guard.watch(
-            examination.then((hasEnded) => this.#handleExamination(hasEnded)),
-          );
-        }
-        return this.#retryLostResponse();
-    }
-  }
-
-  // A request that ended a target is not sent to one more.
-  #replaceHedge(examination: Promise<boolean> | undefined): void {
-    if (!examination) return this.#hedge.hedge();
-    this.#guard.watch(
-      examination.then((hasEnded) => {
-        if (!hasEnded) this.#hedge.hedge();
-      }),
-    );
-  }
-
-  // A response that has begun is neither replaced nor sent a second time.
-  #handleUnstreamed(result: ExchangeResult, target: TargetView): void {
-    if (mayHaveRun(result)) this.#mayHaveRun = true;
-    if (!this.#response.isClosed) {
-      return this.#log("hedge-failed", target, "another response has begun");
-    }
-    if (result.kind === "unknown") this.#telemetry.recordLoss(target, result);
-    this.#telemetry.count("failed");
-    this.#finish();
-  }
-
-  // The gateway may just be finding out that the fault is its own.
-  async #handleConnectFailures(): Promise<void> {
-    if (await this.#context.reach.confirmCutOff()) this.#handleCutOff();
-    this.#refuse("no target takes a connection", 0);
-  }
-
-  // A request that ended the target of its own attempt is not attempted again.
-  #handleExamination(hasEnded: boolean): void {
-    if (this.#isFinished) return;
-    if (hasEnded && this.#suspicion.wasAttempted) {
-      return this.#respond(502, "the request ended its target");
-    }
-    this.#retryLostResponse();
-  }
-
-  #retryLostResponse(): void {
-    if (this.#mayRetry) return this.#retry();
-    this.#respond(502, "the target's answer was lost");
-  }
-
-  #handleResponse(
-    result: Extract<ExchangeResult, { kind: "answered" }>,
-    target: TargetView,
-  ): void {
-    const { head, body } = result;
-    this.#arrivals += 1;
-    const { position } = this.#routed;
-    if (position !== undefined) {
-      this.#context.selector.recordHolding({
-        service: this.#routed.service,
-        position,
-        target: target.name,
-      }, head.status !== misdirectedStatus);
-    }
-    if (head.didNotRun) {
-      this.#log("target-refused", target, String(head.status));
-      if (position !== undefined) {
-        this.#earliestSendAt = this.#context.clock.now() +
-          ownerRetryDelayMilliseconds;
-      }
-      if (this.#mayTryElsewhere) return this.#retry();
-      return this.#refuse("the target had no room", 0);
-    }
-    this.#mayHaveRun = true;
-    if (body === null) {
-      this.#telemetry.count("answered");
-      this.#recordResponse(head, target);
-      return this.#finish();
-    }
-    if (!this.#isIdempotent && isUnstatedRefusal(head)) {
-      return this.#respond(502, "the target did not state that nothing ran");
-    }
-    if (head.status >= 500 && !this.#failure) {
-      this.#failure = { head, body, target: target.name };
-      this.#log("target-failed", target, String(head.status));
-      if (this.#mayRetry) return this.#retry();
-    }
-    this.#telemetry.count(head.status < 500 ? "answered" : "failed");
-    this.#finish();
-    this.#response.target = target.name;
-    this.#response.forward(head, body);
-    this.#recordResponse(head, target);
-  }
-
-  #recordResponse(
-    { status, framing: received }: ResponseHead,
-    { name: target }: TargetView,
-  ): void {
-    const { sent } = this.#response;
-    this.#telemetry.recordResponse({ target, status, received, ...sent });
-  }
-
-  /** Whether the request may run a second time. */
-  get #mayRetry(): boolean {
-    return this.#isIdempotent && this.#mayTryElsewhere;
-  }
-
   get #isIdempotent(): boolean {
     return this.#routed.route.requests === RequestKind.idempotent;
   }
 
-  // Whether the route and the shared retry budget allow one more arrival, which
-  // is then charged to the budget.
-  get #mayTryElsewhere(): boolean {
-    const { clock, gatewayCount } = this.#context;
-    const { route, body, deadlineAt } = this.#routed;
-    const now = clock.now();
-    const maximumArrivals = route.maximumTargets +
-      (this.#mayHaveRun ? 0 : maximumExtraArrivals);
-    return this.#arrivals + this.#inProgress < maximumArrivals &&
-      body.canBeSent &&
-      deadlineAt - now > this.#queue.meanMilliseconds &&
-      this.#queue.budget.take(now, gatewayCount());
-  }
-
   #retry(): void {
     this.#context.metrics.retries.inc({
-      reason: this.#mayHaveRun ? "failed" : "not-run",
+      reason: this.#progress.mayHaveRun ? "failed" : "not-run",
     });
     // A keyed request can only be sent to the owner.
     if (this.#routed.position !== undefined) this.#attempts.clear();
     this.#begin();
   }
 
-  #refuse(reason: string, waitMilliseconds: number): void {
-    if (this.#isFinished) return;
-    if (this.#failure) {
-      this.#telemetry.count("failed");
-      this.#finish();
-      this.#response.target = this.#failure.target;
-      return this.#response.forward(this.#failure.head, this.#failure.body);
-    }
-    // A request that is in flight may run.
-    if (this.#mayHaveRun || this.#exchanges.size > 0) {
-      return this.#respond(502, reason);
-    }
-    const { clock, random } = this.#context;
-    this.#respond(
-      503,
-      reason,
-      retryAfterMilliseconds({
-        waitMilliseconds,
-        leftMilliseconds: this.#routed.deadlineAt - clock.now(),
-        random,
-      }),
-    );
-  }
-
-  // The wait is not limited to the caller's deadline, as returning sooner is of
-  // no use.
-  #refuseFor(reason: string, milliseconds: number): void {
-    if (this.#isFinished) return;
-    if (this.#mayHaveRun || this.#exchanges.size > 0) {
-      return this.#respond(502, reason);
-    }
-    this.#respond(503, reason, milliseconds);
-  }
-
-  #respond(
-    status: number,
-    reason: string,
-    retryAfterMilliseconds?: number,
-  ): void {
-    this.#finish();
-    this.#telemetry.recordRefusal({
-      status,
-      reason,
-      retryAfterMilliseconds,
-      arrivals: this.#arrivals,
-      waiting: this.#queue.waitingCount,
-    });
-    this.#response.respond({
-      status,
-      reason,
-      ...(retryAfterMilliseconds !== undefined && { retryAfterMilliseconds }),
-    });
-  }
-
   #handleFault(failure: unknown): void {
     this.#telemetry.recordFault(failure);
-    if (this.#isFinished) return;
-    this.#mayHaveRun ||= this.#arrived.size > 0;
-    this.#refuse("a fault of the gateway", 0);
+    if (this.#ending.isFinished) return;
+    this.#progress.mayHaveRun ||= this.#progress.arrived.size > 0;
+    this.#ending.refuse("a fault of the gateway", 0);
   }
 
-  #finish(): void {
-    this.#isFinished = true;
+  // Called when the request has ended.
+  #release(): void {
     this.#endCutOffWatch();
     this.#hedge.cancel();
     this.#suspicion.release();
     if (this.#waiting) this.#queue.remove(this.#waiting);
     this.#slotAcquisition.close();
-    for (const exchange of this.#exchanges) exchange.abandon();
-  }
-
-  #log(event: string, target: TargetView, reason: string): void {
-    this.#telemetry.logTargetEvent(event, target, reason);
+    for (const exchange of this.#progress.exchanges) exchange.abandon();
   }
 }
--- a/packages/fleet_gateway/target_exchange.ts
+++ b/packages/fleet_gateway/target_exchange.ts
@@ -1,19 +1,50 @@
 import type { TargetView } from "@kingcupglade/fleet";
+import { RequestKind } from "@kingcupglade/items";
 import type { CallerResponse } from "./caller_response.ts";
 import { Exchange } from "./exchange.ts";
 import { firstResponseStream } from "./first_response_stream.ts";
 import { requestHeaders } from "./request_headers.ts";
+import type { RequestProgress } from "./request_progress.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import type { TargetConnection } from "./address_pool.ts";
 
 /** Time before the caller's deadline at which a response must be on its way. */
 const responseMarginMilliseconds = 15;
 
+/**
+ * Starts an attempt of a request at a target, on a connection that suits it.
+ * Idempotent requests may use one that was used before.
+ */
+export function startAttempt(options: {
+  readonly context: ForwardingContext;
+  readonly routed: RoutedRequest;
+  readonly answer: CallerResponse;
+  readonly progress: RequestProgress;
+  readonly target: TargetView;
+}): { readonly connection: TargetConnection; readonly exchange: Exchange } {
+  const { context, routed, progress, target } = options;
+  const connection = context.connections.acquire(target.address, {
+    mustBeFresh: routed.route.requests !== RequestKind.idempotent,
+    // A target that sends its response to the first attempt once more would
+    // respond to this one, as both have the same ID.
+    mustBeNew: progress.addresses.has(target.address),
+    requestId: routed.head.requestId,
+  });
+  progress.addresses.add(target.address);
+  const exchange = startTargetExchange({
+    ...options,
+    connection,
+    exchanges: progress.exchanges,
+    startedAt: context.clock.now(),
+  });
+  return { connection, exchange };
+}
+
 /**
  * Starts to send a request to a target. What the head of the response says of
  * the target takes effect when it arrives.
  */
-export function startTargetExchange(options: {
+function startTargetExchange(options: {
   readonly context: ForwardingContext;
   readonly routed: RoutedRequest;
   readonly answer: CallerResponse;
