--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -6,21 +6,11 @@
 import type {
   Announcement,
   AnnouncementResponse,
-  Departure,
-  FleetCommand,
-  FleetOutcome,
-  FleetState,
   RegisteredTarget,
-  ViewDelta,
   ViewPosition,
-  VmEndpoint,
 } from "@kingcupglade/fleet";
-import { ItemKind, ItemsDigestCache } from "@kingcupglade/items";
+import { ItemKind } from "@kingcupglade/items";
 import type { StoredItems } from "@kingcupglade/items";
-import type { Replica } from "@kingcupglade/replica";
-import type { Clock } from "@kingcupglade/tasks";
-import { describeFailure } from "@kingcupglade/telemetry";
-import type { Logger } from "@kingcupglade/telemetry";
 import { ElapsedClock } from "@kingcupglade/workspaces";
 import { EvacuationOrders } from "./evacuation_orders.ts";
 import type {
@@ -30,64 +20,40 @@
 import { GatewayDirectory } from "./gateway_directory.ts";
 import { chooseHeartbeatListener } from "./heartbeat_listener.ts";
 import { KeyConfirmations } from "./key_confirmations.ts";
+import type {
+  LeaderSessionOptions,
+  WatchResponseParts,
+} from "./leader_session_options.ts";
 import { LimitDirectory } from "./limit_directory.ts";
 import { ManagerDirectory } from "./manager_directory.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
+import { mayRegister } from "./may_register.ts";
 import { RelayDirectory } from "./relay_directory.ts";
 import type { SuspectCall, SuspectReply } from "./suspect_call.ts";
 import { SuspectDirectory } from "./suspect_directory.ts";
+import { TargetDepartures } from "./target_departures.ts";
 import { TargetViews } from "./target_views.ts";
+import { UpdateEncoder } from "./update_encoder.ts";
 import { UpdateThrottle, watchHoldMilliseconds } from "./update_throttle.ts";
-import type { Watch, WatchAnswer, WatchOwnPart } from "./watch.ts";
-import { encodeWatchAnswer } from "./watch_codec.ts";
+import type { Watch } from "./watch.ts";
 
-/** Replica of the fleet's state. */
-export type FleetReplica = Replica<FleetState, FleetCommand, FleetOutcome>;
+export type {
+  FleetReplica,
+  LeaderSessionOptions,
+  WatchResponseParts,
+} from "./leader_session_options.ts";
 
 /**
  * Number of heartbeat intervals after which every live target has sent a
  * heartbeat.
  */
 const heartbeatsUntilComplete = 2.5;
-/** Milliseconds by which the time of day of two VMs may differ. */
-const maximumClockLead = 3_600_000;
 /**
  * Time limit to confirm leadership with the quorum; a target waits a second for
  * the response.
  */
 const confirmMilliseconds = 700;
 
-/** Options of a {@link LeaderSession}. */
-export interface LeaderSessionOptions {
-  readonly replica: FleetReplica;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly heartbeatMilliseconds: number;
-  /** Address at which targets reach this VM, as IP:PORT. */
-  readonly controlAddress: string;
-  /** Region of this VM. */
-  readonly region: string;
-  readonly regionOf: (dataCentre: string) => string;
-  /** Peer addresses of the control VMs in contact. */
-  readonly controlAddresses: () => readonly string[];
-  /** Followers that may take heartbeats, with their control addresses. */
-  readonly listeners: () => readonly VmEndpoint[];
-  /**
-   * Time after the acknowledgement of a revocation from which no request with
-   * the key reaches a target. @default no bound
-   */
-  readonly revokeMilliseconds?: number;
-  /** Counts `clock` and suspensions. @default one of its own */
-  readonly elapsedClock?: ElapsedClock;
-}
-
-/** Response to a watch request. */
-export interface WatchResponseParts {
-  /** An encoded {@link WatchAnswer}, which gateways at one position share. */
-  readonly answer: Uint8Array<ArrayBuffer>;
-  readonly own: WatchOwnPart;
-}
-
 /** State and decisions of a replica during one term as leader. */
 export class LeaderSession {
   readonly term: number;
@@ -99,15 +65,16 @@
   readonly #startedAt: number;
   readonly #waiters = new Set<() => void>();
   readonly #throttle = new UpdateThrottle();
-  /** Encoded updates by the gateway's position; valid until the next change. */
-  readonly #encoded = new Map<string, Uint8Array<ArrayBuffer>>();
-  #encodedKey = "";
-  readonly #itemsDigest = new ItemsDigestCache();
   #notifiedRevision = 0;
   #notifiedIndex = 0;
   #isNotificationDue = false;
-  #controlAddresses: readonly string[] = [];
-  #controlRevision = 0;
+  /** Peer addresses of the control VMs, and the revision that changed them. */
+  readonly #control: { addresses: readonly string[]; revision: number } = {
+    addresses: [],
+    revision: 0,
+  };
+  readonly #departures: TargetDepartures;
+  readonly #updates: UpdateEncoder;
   readonly #managers: ManagerDirectory;
   readonly #relays: RelayDirectory;
   readonly #limits: LimitDirectory;
@@ -166,6 +133,26 @@
       isComplete: () => this.isComplete,
       onChange: () => this.notifyChange(),
     });
+    this.#departures = new TargetDepartures({
+      ...options,
+      registry: this.#registry,
+      notifyChange: () => this.notifyChange(),
+    });
+    this.#updates = new UpdateEncoder({
+      ...options,
+      term: this.term,
+      revisions: this.#revisions,
+      registry: this.#registry,
+      gateways: this.#gateways,
+      managers: this.#managers,
+      relays: this.#relays,
+      suspects: this.#suspects,
+      targetViews: this.#targetViews,
+      ranges: this.#ranges,
+      departures: this.#departures,
+      control: this.#control,
+      isComplete: () => this.isComplete,
+    });
   }
 
   /** Whether every live target has had time to send a heartbeat. */
@@ -220,11 +207,11 @@
     const { replica } = this.#options;
     const { incarnation } = announcement;
     const address = chooseHeartbeatListener(announcement, this.#options);
-    if (!this.#mayRegister(announcement)) return {};
+    if (!mayRegister(announcement, this.#options)) return {};
     const isNewest = this.#registerHeartbeat(announcement);
     // Also for a repeated heartbeat: its sender waits for this acknowledgement.
     if (announcement.isDraining) {
-      await this.#depart(incarnation.target, {
+      await this.#departures.depart(incarnation.target, {
         bornAt: incarnation.bornAt,
         kind: DepartureKind.draining,
       });
@@ -243,7 +230,7 @@
 
   /** Records that a target has ended or is about to end. */
   async handleDeparture(target: string, bornAt: number | null): Promise<void> {
-    await this.#depart(target, {
+    await this.#departures.depart(target, {
       // The departure does not apply to later incarnations.
       bornAt: bornAt ?? this.#registry.get(target)?.incarnation.bornAt ??
         Date.now(),
@@ -273,7 +260,7 @@
     this.#ranges.recordWatch(watch, now);
     this.#limits.recordWatch(watch, now);
     this.#suspects.recordWatch(watch);
-    this.#recordLeaving(watch);
+    this.#departures.recordLeaving(watch);
     if (watch.limits.length + watch.suspects.length > 0) this.notifyChange();
     const hasUpdate = this.#hasUpdate(watch.position);
     // A gateway that has just been updated receives later changes together with
@@ -285,7 +272,7 @@
     }
     return {
       own: this.#keys.ownPart(receivedAt),
-      answer: this.#encodedDelta(watch.position),
+      answer: this.#updates.encode(watch.position),
     };
   }
 
@@ -346,28 +333,6 @@
     for (const wake of this.#waiters) wake();
   }
 
-  // A heartbeat with an unknown service or data centre, or an impossible start,
-  // is not registered.
-  #mayRegister(
-    { incarnation, service, dataCentre }: Announcement,
-  ): boolean {
-    const { replica, regionOf, logger } = this.#options;
-    const { items } = replica.state;
-    const isKnown = regionOf(dataCentre) !== "" &&
-      (items.size === 0 || items.has(`${ItemKind.service}/${service}`));
-    // Its later heartbeats would count as those of an earlier incarnation.
-    const isFromFuture = incarnation.bornAt > Date.now() + maximumClockLead;
-    if (!isKnown || isFromFuture) {
-      logger.warn("heartbeat-rejected", {
-        target: incarnation.target,
-        service,
-        dataCentre,
-        bornAt: incarnation.bornAt,
-      });
-    }
-    return isKnown && !isFromFuture;
-  }
-
   #registerHeartbeat(announcement: Announcement): boolean {
     const { clock, replica, logger } = this.#options;
     const { incarnation, service } = announcement;
@@ -397,60 +362,11 @@
     return true;
   }
 
-  async #depart(
-    target: string,
-    departure: { readonly bornAt: number; readonly kind: DepartureKind },
-  ): Promise<void> {
-    const { replica, logger } = this.#options;
-    const { bornAt, kind } = departure;
-    const known = replica.state.departures.get(target);
-    const isKnown = known && known.bornAt >= bornAt &&
-      (known.kind === kind || known.kind === DepartureKind.gone);
-    if (!isKnown) {
-      await replica.propose({
-        kind: "depart",
-        target,
-        bornAt,
-        departure: kind,
-      });
-      logger.info("target-leaves", { target, kind });
-    }
-    const stored = replica.state.departures.get(target);
-    if (stored) this.#registry.recordDeparture(target, stored);
-    this.notifyChange();
-  }
-
-  // A target may tell gateways that it leaves before it can tell control, and
-  // before a new leader has heard from it.
-  #recordLeaving({ gateway, leaving }: Watch): void {
-    const { logger } = this.#options;
-    for (const { target, bornAt } of leaving) {
-      const kind = DepartureKind.draining;
-      if (this.#hasLaterIncarnation(target, { bornAt })) continue;
-      this.#depart(target, { bornAt, kind }).catch((failure) =>
-        logger.warn("departure-not-recorded", {
-          target,
-          gateway,
-          reason: describeFailure(failure),
-        })
-      );
-    }
-  }
-
-  // Gateways apply a departure to whatever incarnation they know.
-  #hasLaterIncarnation(
-    target: string,
-    { bornAt }: Pick<Departure, "bornAt">,
-  ): boolean {
-    const known = this.#registry.get(target)?.incarnation;
-    return known !== undefined && known.bornAt > bornAt;
-  }
-
   #updateControlAddresses(): void {
     const control = [...this.#options.controlAddresses()].sort();
-    if (control.join() === this.#controlAddresses.join()) return;
-    this.#controlAddresses = control;
-    this.#controlRevision = this.#revisions.next();
+    if (control.join() === this.#control.addresses.join()) return;
+    this.#control.addresses = control;
+    this.#control.revision = this.#revisions.next();
   }
 
   #hasUpdate(position: ViewPosition): boolean {
@@ -471,60 +387,4 @@
       this.#waiters.add(wake);
     });
   }
-
-  #encodedDelta(position: ViewPosition): Uint8Array<ArrayBuffer> {
-    const { appliedIndex } = this.#options.replica;
-    const { isComplete } = this;
-    const key = [appliedIndex, this.#revisions.current, isComplete].join("/");
-    if (key !== this.#encodedKey) this.#encoded.clear();
-    this.#encodedKey = key;
-    const positionId = Object.values(position).join("/");
-    const known = this.#encoded.get(positionId);
-    if (known) return known;
-    const answer: WatchAnswer = { kind: "news", delta: this.#delta(position) };
-    const encoded = encodeWatchAnswer(answer);
-    this.#encoded.set(positionId, encoded);
-    return encoded;
-  }
-
-  #delta(position: ViewPosition): ViewDelta {
-    const { replica, clock } = this.#options;
-    const { state, appliedIndex } = replica;
-    const now = clock.now();
-    const isSameTerm = position.term === this.term;
-    const since = isSameTerm ? position.revision : -1;
-    const isComplete = this.isComplete;
-    const isFullUpdate = isComplete && !(isSameTerm && position.isComplete);
-    return {
-      position: {
-        index: appliedIndex,
-        term: this.term,
-        revision: this.#revisions.current,
-        isComplete,
-      },
-      items: [...state.items.values()].filter(({ changedAt }) =>
-        changedAt > position.index
-      ).map((item) => ({ ...item, source: "" })),
-      itemsDigest: this.#itemsDigest.of(state.items),
-      dataCentresOut: [...state.evacuations].filter(([, { isOut }]) => isOut)
-        .map(([name]) => name),
-      departed: [...state.departures].filter(([name, departure]) =>
-        departure.changedAt > position.index &&
-        !this.#hasLaterIncarnation(name, departure)
-      ).map(([name]) => name),
-      targets: this.#targetViews.changesSince(isFullUpdate ? -1 : since, now),
-      areTargetsComplete: isFullUpdate,
-      removedTargets: isSameTerm ? this.#registry.removedSince(since) : [],
-      ranges: this.#ranges.changesSince(position, { since, now }),
-      gateways: isComplete ? this.#gateways.activeNames(now).length : 0,
-      managers: isComplete && (isFullUpdate || this.#managers.revision > since)
-        ? this.#managers.managers
-        : null,
-      relays: isComplete && (isFullUpdate || this.#relays.revision > since)
-        ? this.#relays.relays
-        : null,
-      suspects: this.#suspects.revision > since ? this.#suspects.all() : null,
-      control: this.#controlRevision > since ? this.#controlAddresses : null,
-    };
-  }
 }
