--- a/packages/checker/models/key_lease_model.ts
+++ b/packages/checker/models/key_lease_model.ts
@@ -6,111 +6,27 @@
   renewLease,
   unconfirmedGateways,
 } from "@kingcupglade/workspaces";
-import type { GatewayKeys, KeyLease } from "@kingcupglade/workspaces";
+import type { GatewayKeys } from "@kingcupglade/workspaces";
 import type { ExplorationModel } from "../explore.ts";
+import { gateways, leaders } from "./key_lease_state.ts";
+import type {
+  GatewayId,
+  KeyLeaseAction,
+  KeyLeaseBounds,
+  KeyLeaseMutation,
+  KeyLeaseState,
+  LeaderId,
+  ModelGateway,
+  ModelLeader,
+  ModelMessage,
+} from "./key_lease_state.ts";
+
+export type { KeyLeaseMutation } from "./key_lease_state.ts";
 
 const revokeMilliseconds = 5000;
 const duration = leaseMilliseconds(revokeMilliseconds);
 /** Log entry that revokes the key. */
 const revocation = 1;
-/** The first of the two leads until the second is elected, and may not know. */
-const leaders = [0, 1] as const;
-const gateways = [0, 1] as const;
-
-type LeaderId = typeof leaders[number];
-type GatewayId = typeof gateways[number];
-
-/** An injected fault that the exploration must detect. */
-export type KeyLeaseMutation =
-  /** The lease is counted from the response of the leader. */
-  | "countsFromResponse"
-  /** A gateway sends what another one relays to it without a check. */
-  | "sendsRelayedUnchecked"
-  /** The lease is measured by a clock that stops during a suspension. */
-  | "ignoresSuspension"
-  /** A leader reports no age of its confirmation. */
-  | "reportsNoAge"
-  /** A change is acknowledged without a wait for gateways. */
-  | "acknowledgesAtOnce";
-
-interface ModelLeader {
-  readonly index: number;
-  readonly confirmedAt: number;
-  readonly known: readonly GatewayKeys[];
-}
-
-interface ModelGateway {
-  /** Log entry of its table; null after a restart. */
-  readonly index: number | null;
-  readonly lease: KeyLease;
-  /** Time for which it was suspended. */
-  readonly suspended: number;
-  readonly hasRestarted: boolean;
-}
-
-type ModelMessage =
-  | {
-    readonly kind: "watch" | "held";
-    readonly gateway: GatewayId;
-    readonly leader: LeaderId;
-    readonly sentAt: number;
-    readonly receivedAt: number;
-    readonly index: number;
-  }
-  | {
-    readonly kind: "response";
-    readonly gateway: GatewayId;
-    readonly sentAt: number;
-    readonly age: number | undefined;
-    readonly index: number;
-  }
-  | { readonly kind: "relayed"; readonly gateway: GatewayId };
-
-/** State of two leaders, two gateways and the messages between them. */
-export interface KeyLeaseState {
-  readonly now: number;
-  /** The leader that a quorum follows. */
-  readonly elected: LeaderId;
-  readonly leaders: readonly ModelLeader[];
-  readonly gateways: readonly ModelGateway[];
-  readonly messages: readonly ModelMessage[];
-  readonly committedAt: number | null;
-  readonly committedBy: LeaderId;
-  /**
-   * Gateways in contact when the change was acknowledged, which all confirmed it;
-   * null before.
-   */
-  readonly confirmedBy: readonly string[] | null;
-  readonly remaining: { readonly watches: number; readonly relays: number };
-  readonly violation: string | null;
-}
-
-export type KeyLeaseAction =
-  | { readonly kind: "step" | "elect" | "commit" | "acknowledge" | "confirm" }
-  | {
-    readonly kind: "suspend" | "restart" | "relay";
-    readonly gateway: GatewayId;
-  }
-  | {
-    readonly kind: "watch";
-    readonly gateway: GatewayId;
-    readonly leader: LeaderId;
-  }
-  /** Messages are delivered in any order, or never. */
-  | { readonly kind: "deliver"; readonly message: number };
-
-/** Limits of one path. */
-export interface KeyLeaseBounds {
-  readonly gateways: 1 | 2;
-  /** Time advances in steps of this length. */
-  readonly stepMilliseconds: number;
-  readonly lastTime: number;
-  readonly watches: number;
-  readonly relays: number;
-  readonly mayRestart: boolean;
-  readonly maySuspend: boolean;
-}
-
 /**
  * Model of a key that is revoked, with the functions that control and gateways
  * use. A message that is delivered late, or not at all, stands for a partition.
