Forget a longer deadline that few callers have

One caller with a deadline of its own hid the ages of all others on its route for as long as the route was used. After 200 requests the longest deadline of these takes the place of one that few have. Tests of the deadlines and queues are green.

--- a/packages/dispatch/caller_deadlines.ts
+++ b/packages/dispatch/caller_deadlines.ts
@@ -12,6 +12,8 @@
 const unusualShare = 0.15;
 /** Deadlines that differ by less than this share are the same. */
 const sameDeadlineShare = 0.02;
+/** A longest deadline that is rare is forgotten after this many requests. */
+const recentRequests = 200;
 /** Routes that are remembered; the one unused for longest goes first. */
 const maximumRoutes = 1000;
 
@@ -22,6 +24,8 @@
   readonly share: number;
   /** Whether callers begin with it. */
   readonly isUsual: boolean;
+  /** Longest deadline of the last requests, and their number. */
+  readonly recent: { readonly longest: number; readonly count: number };
 }
 
 /** How long a caller has been waiting for a response. */
@@ -53,17 +57,22 @@
    */
   record(route: string, deadlineMilliseconds: number): CallerAge {
     const known = this.#routes.get(route);
-    const longest = Math.max(known?.longest ?? 0, deadlineMilliseconds);
+    const longest = Math.max(longestOf(known), deadlineMilliseconds);
     const isLongest = deadlineMilliseconds >= longest * (1 - sameDeadlineShare);
-    const isLonger = known !== undefined &&
-      longest > known.longest * (1 + sameDeadlineShare);
-    // Nothing is known yet of callers with a longer deadline.
-    const before = known && !isLonger ? known.share : 0;
+    // Nothing is known yet of callers with another longest deadline.
+    const isSame = known !== undefined &&
+      Math.abs(longest - known.longest) <= known.longest * sameDeadlineShare;
+    const before = isSame ? known.share : 0;
     const share = before + ((isLongest ? 1 : 0) - before) * shareWeight;
-    const wasUsual = !isLonger && known?.isUsual === true;
+    const wasUsual = isSame && known.isUsual;
     const isUsual = share > (wasUsual ? unusualShare : usualShare);
     this.#routes.delete(route);
-    this.#routes.set(route, { longest, share, isUsual });
+    this.#routes.set(route, {
+      longest,
+      share,
+      isUsual,
+      recent: recentOf(known, deadlineMilliseconds),
+    });
     if (this.#routes.size > maximumRoutes) {
       this.#routes.delete(this.#routes.keys().next().value!);
     }
@@ -72,3 +81,21 @@
     return { milliseconds, isKnown: true };
   }
 }
+
+/** Returns the longest deadline, or that of recent requests if few have it. */
+function longestOf(known: RouteDeadlines | undefined): number {
+  if (!known) return 0;
+  const { longest, share, recent } = known;
+  const isOutdated = recent.count >= recentRequests && share < unusualShare;
+  return isOutdated ? recent.longest : longest;
+}
+
+function recentOf(
+  known: RouteDeadlines | undefined,
+  deadlineMilliseconds: number,
+): RouteDeadlines["recent"] {
+  const { longest, count } = known?.recent ?? { longest: 0, count: 0 };
+  return count >= recentRequests
+    ? { longest: deadlineMilliseconds, count: 1 }
+    : { longest: Math.max(longest, deadlineMilliseconds), count: count + 1 };
+}
--- a/packages/dispatch/caller_deadlines_test.ts
+++ b/packages/dispatch/caller_deadlines_test.ts
@@ -54,6 +54,15 @@
     expect(deadlines.record("r", 3100)).toEqual(age(900));
   });
 
+  // Guards against ages that stay unknown for good after one odd request.
+  it("forgets a longer deadline that one caller had", () => {
+    const deadlines = new CallerDeadlines();
+    record(deadlines, 100, 4000);
+    deadlines.record("r", 60_000);
+    record(deadlines, 300, 4000);
+    expect(deadlines.record("r", 3100)).toEqual(age(900));
+  });
+
   it("keeps routes apart", () => {
     const deadlines = new CallerDeadlines();
     record(deadlines, 40, 4000);
