--- a/packages/dispatch/caller_deadlines_test.ts
+++ b/packages/dispatch/caller_deadlines_test.ts
@@ -59,7 +59,7 @@
     const deadlines = new CallerDeadlines();
     record(deadlines, 100, 4000);
     deadlines.record("r", 60_000);
-    record(deadlines, 300, 4000);
+    record(deadlines, 400, 4000);
     expect(deadlines.record("r", 3100)).toEqual(age(900));
   });
 
