Decide the pace of new and recovered targets by their responses

A target that appears idle to many gateways at once received a request from each of them. TargetPace bounds the requests in flight at such a target; the bound grows with responses in time and shrinks with rejections, breaks and slow responses. Choosers that do not know of each other also limit a target to its share of the requests that they receive, and choose it first when that share is due, so that it is not left idle.

--- a/packages/dispatch/choose_target.ts
+++ b/packages/dispatch/choose_target.ts
@@ -1,3 +1,4 @@
+import { PaceDecision } from "./target_pace.ts";
 import type { TargetRecord } from "./target_record.ts";
 
 /** Distance of a target from a gateway. */
@@ -17,6 +18,8 @@
   readonly slots: number;
   readonly distance: Distance;
   readonly record: TargetRecord;
+  /** What the pace of a new or recovered target says. @default open */
+  readonly pace?: PaceDecision;
 }
 
 /** Options of {@link chooseTarget}. */
@@ -79,7 +82,8 @@
 
 /**
  * Chooses the target with the lowest cost: its expected duration, raised for
- * load and recent failures, plus the cost of leaving the data centre. Considers
+ * load and recent failures, plus the cost of leaving the data centre. A paced
+ * target in the region whose share is due is chosen first. Considers
  * other regions only if the best target in this region is not expected to
  * respond well within the objective.
  */
@@ -94,10 +98,19 @@
   // If most targets are ejected, the fault is more likely on this gateway's
   // side.
   const usable = healthy.length * 2 >= untried.length ? healthy : untried;
-  const near = findCheapest(
-    usable.filter(({ distance }) => distance !== Distance.far),
+  const nearTargets = usable.filter(({ distance }) =>
+    distance !== Distance.far
+  );
+  const due = findCheapest(
+    nearTargets.filter(({ pace, record }) =>
+      pace === PaceDecision.due && !record.isEjected(now)
+    ),
     options,
   );
+  if (due?.pauseMilliseconds === 0) {
+    return { kind: "chosen", target: due.target };
+  }
+  const near = findCheapest(nearTargets, options);
   const isNearFastEnough = near !== undefined &&
     near.durationMilliseconds * objectiveMarginRatio <
       options.objectiveMilliseconds;
@@ -159,6 +172,7 @@
   let best: Candidate | undefined;
   let bestCost = Infinity;
   for (const target of targets) {
+    if (target.pace === PaceDecision.closed) continue;
     const slots = target.slots + queueAllowance;
     if (!hasCapacityFor(target.record, { ...options, slots })) continue;
     const pauseMilliseconds = target.record.recommendedPause(
--- a/packages/dispatch/choose_target_test.ts
+++ b/packages/dispatch/choose_target_test.ts
@@ -109,3 +109,33 @@
     expect(choose([target]).kind).toBe("wait");
   });
 });
+
+describe("chooseTarget with paced targets", () => {
+  it("chooses a target whose share is due before cheaper ones", () => {
+    const idle = option("idle", Distance.dataCentre);
+    const due = { ...option("due", Distance.region), pace: "due" as const };
+    expect(choose([idle, due])).toMatchObject({ target: { name: "due" } });
+  });
+
+  it("does not cross regions for a share that is due", () => {
+    const idle = option("idle", Distance.region);
+    const due = { ...option("due", Distance.far), pace: "due" as const };
+    expect(choose([idle, due])).toMatchObject({ target: { name: "idle" } });
+  });
+
+  it("does not choose an ejected target although its share is due", () => {
+    const idle = option("idle", Distance.region);
+    const due = { ...option("due", Distance.region), pace: "due" as const };
+    recordExchange(due, 0, ExchangeEnd.broken);
+    expect(choose([idle, due])).toMatchObject({ target: { name: "idle" } });
+  });
+
+  it("makes requests wait for a closed target instead of refusing them", () => {
+    // Without the closed target, every target would count as tried.
+    const closed = {
+      ...option("new", Distance.region),
+      pace: "closed" as const,
+    };
+    expect(choose([closed]).kind).toBe("wait");
+  });
+});
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -25,6 +25,13 @@
 } from "./shared_rate_limiter.ts";
 export type { SharedRate } from "./shared_rate_limiter.ts";
 export { Slowdown } from "./slowdown.ts";
+export { PaceDecision, PaceReason, TargetPace } from "./target_pace.ts";
+export type {
+  PaceChange,
+  PaceEnd,
+  PaceSituation,
+  TargetPaceOptions,
+} from "./target_pace.ts";
 export { ExchangeEnd, TargetRecord } from "./target_record.ts";
 export type { LoadFreshness, LoadReport } from "./target_record.ts";
 export { AdmissionQueue, minimumRemainingShare } from "./admission_queue.ts";
