Try a target again that was slow at first, and pace targets in their records

TargetRecord keeps the pace, so that every use of a target counts. A pace after a broken exchange bounds the requests in flight alone: only choosers that had a request there know of the break.

--- a/packages/dispatch/choose_target_test.ts
+++ b/packages/dispatch/choose_target_test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from "vitest";
 import { chooseTarget, Distance, hasCapacityFor } from "./choose_target.ts";
 import type { TargetOption } from "./choose_target.ts";
-import { ExchangeEnd, TargetRecord } from "./target_record.ts";
+import { ExchangeEnd } from "./exchange_end.ts";
+import { TargetRecord } from "./target_record.ts";
 
 const slots = 6;
 
--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -32,7 +32,8 @@
   PaceSituation,
   TargetPaceOptions,
 } from "./target_pace.ts";
-export { ExchangeEnd, TargetRecord } from "./target_record.ts";
+export { ExchangeEnd } from "./exchange_end.ts";
+export { TargetRecord } from "./target_record.ts";
 export type { LoadFreshness, LoadReport } from "./target_record.ts";
 export { AdmissionQueue, minimumRemainingShare } from "./admission_queue.ts";
 export type { WaitingRequest } from "./admission_queue.ts";
--- a/packages/dispatch/noisy_targets_test.ts
+++ b/packages/dispatch/noisy_targets_test.ts
@@ -1,7 +1,8 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { describe, expect, it } from "vitest";
 import { chooseTarget, Distance } from "./choose_target.ts";
-import { ExchangeEnd, TargetRecord } from "./target_record.ts";
+import { ExchangeEnd } from "./exchange_end.ts";
+import { TargetRecord } from "./target_record.ts";
 
 /**
  * Models shared machines: in a fifth of the intervals of this length, work takes
--- a/packages/dispatch/pace_policies_fixture.ts
+++ b/packages/dispatch/pace_policies_fixture.ts
@@ -1,9 +1,10 @@
 import { PaceDecision, PaceReason, TargetPace } from "./target_pace.ts";
 import type { PaceEnd, PaceSituation } from "./target_pace.ts";
-import { ExchangeEnd } from "./target_record.ts";
+import { ExchangeEnd } from "./exchange_end.ts";
 
 /** Circumstances of a decision in the comparison of policies. */
 export interface PolicySituation extends PaceSituation {
+  readonly slots: number;
   /** Milliseconds since the target appeared. */
   readonly ageMilliseconds: number;
 }
@@ -20,7 +21,7 @@
     return this.allows(situation) ? PaceDecision.open : PaceDecision.closed;
   }
 
-  recordReceived(_share: number, _slots: number): void {}
+  recordReceived(_share: number): void {}
 
   recordSend(): void {}
 
@@ -29,7 +30,11 @@
 
 /** Creates the policy of one chooser. */
 export type PolicyFactory = (
-  options: { readonly now: number; readonly random: () => number },
+  options: {
+    readonly now: number;
+    readonly slots: number;
+    readonly random: () => number;
+  },
 ) => PacePolicy;
 
 /** Baseline: no pacing. */
@@ -63,19 +68,22 @@
 class ResponseGrowth extends PacePolicy {
   override readonly probes: boolean;
   readonly #delayShare: number;
+  readonly #slots: number;
   #bound = 1;
   #isOver = false;
 
   constructor(
-    { probes = false, delayShare = 0 }: {
+    { slots, probes = false, delayShare = 0 }: {
+      readonly slots: number;
       readonly probes?: boolean;
       /** Delay relative to the time in which all choosers could send one. */
       readonly delayShare?: number;
-    } = {},
+    },
   ) {
     super();
     this.probes = probes;
     this.#delayShare = delayShare;
+    this.#slots = slots;
   }
 
   protected override allows(situation: PolicySituation): boolean {
@@ -87,10 +95,10 @@
     return ageMilliseconds >= delay && situation.inFlight < this.#bound;
   }
 
-  override recordEnd(end: ExchangeEnd, { slots }: PaceEnd): void {
+  override recordEnd(end: ExchangeEnd): void {
     if (end === ExchangeEnd.answered) {
       this.#bound += 1;
-      this.#isOver = this.#bound >= slots;
+      this.#isOver = this.#bound >= this.#slots;
     } else this.#bound = Math.max(1, Math.floor(this.#bound / 2));
   }
 }
@@ -108,8 +116,8 @@
     return this.pace.decide(situation) !== PaceDecision.closed;
   }
 
-  override recordReceived(share: number, slots: number): void {
-    this.pace.recordReceived(share, slots);
+  override recordReceived(share: number): void {
+    this.pace.recordReceived(share);
   }
 
   override recordSend(): void {
@@ -132,12 +140,13 @@
 export const policies = {
   none: () => new Unpaced(),
   "linear ramp": ({ random }) => new LinearRamp(random()),
-  responses: () => new ResponseGrowth(),
-  "responses, random delay": ({ random }) =>
-    new ResponseGrowth({ delayShare: random() }),
-  "responses, probe": () => new ResponseGrowth({ probes: true }),
-  "responses, delay and probe": ({ random }) =>
-    new ResponseGrowth({ delayShare: random(), probes: true }),
+  responses: ({ slots }) => new ResponseGrowth({ slots }),
+  "responses, random delay": ({ slots, random }) =>
+    new ResponseGrowth({ slots, delayShare: random() }),
+  "responses, probe": ({ slots }) =>
+    new ResponseGrowth({ slots, probes: true }),
+  "responses, delay and probe": ({ slots, random }) =>
+    new ResponseGrowth({ slots, delayShare: random(), probes: true }),
   "share as a bound": (options) => new ShareBound(options),
   share: (options) => new Share(options),
 } as const satisfies Record<string, PolicyFactory>;
--- a/packages/dispatch/pace_simulation_fixture.ts
+++ b/packages/dispatch/pace_simulation_fixture.ts
@@ -4,7 +4,8 @@
 import { NewTarget } from "./pace_scenario_fixture.ts";
 import type { PaceResult, PaceScenario } from "./pace_scenario_fixture.ts";
 import type { PaceDecision } from "./target_pace.ts";
-import { ExchangeEnd, TargetRecord } from "./target_record.ts";
+import { ExchangeEnd } from "./exchange_end.ts";
+import { TargetRecord } from "./target_record.ts";
 
 const tickMilliseconds = 10;
 const workMilliseconds = 250;
@@ -132,6 +133,7 @@
       chooser.hasProbed = false;
       chooser.policy = this.#scenario.policy({
         now: this.#now,
+        slots: this.#scenario.slots,
         random: this.#random,
       });
     }
@@ -148,7 +150,7 @@
         if (this.#random() >= expected) continue;
         const request = { arrivedAt: this.#now, tried: new Set<string>() };
         chooser.waiting.push({ ...request, chooser });
-        chooser.policy?.recordReceived(1 / this.#targets.length, slots);
+        chooser.policy?.recordReceived(1 / this.#targets.length);
         if (this.#now >= appearsAt) this.#received += 1;
       }
     });
@@ -278,10 +280,7 @@
       record.report(this.#load(target), this.#now);
     }
     if (!target.isNew) return;
-    request.chooser.policy!.recordEnd(end, {
-      ...at,
-      slots: this.#scenario.slots,
-    });
+    request.chooser.policy!.recordEnd(end, at);
   }
 
   #retry(request: Request): void {
--- a/packages/dispatch/pools_test.ts
+++ b/packages/dispatch/pools_test.ts
@@ -2,7 +2,8 @@
 import { describe, expect, it } from "vitest";
 import { chooseTarget, Distance } from "./choose_target.ts";
 import { PoolSelector } from "./pool_selector.ts";
-import { ExchangeEnd, TargetRecord } from "./target_record.ts";
+import { ExchangeEnd } from "./exchange_end.ts";
+import { TargetRecord } from "./target_record.ts";
 
 const gateways = 200;
 const targets = 216;
--- a/packages/dispatch/target_pace.ts
+++ b/packages/dispatch/target_pace.ts
@@ -1,4 +1,4 @@
-import { ExchangeEnd } from "./target_record.ts";
+import { ExchangeEnd } from "./exchange_end.ts";
 
 /** Why the bound of a paced target changed. */
 export const PaceReason = {
@@ -55,7 +55,6 @@
   readonly now: number;
   /** Requests of this chooser in flight at the target. */
   readonly inFlight: number;
-  readonly slots: number;
   /** Number of VMs that choose the target independently of each other. */
   readonly choosers: number;
   /** Mean duration of the service's responses. */
@@ -65,7 +64,6 @@
 /** How a request to a paced target ended. */
 export interface PaceEnd {
   readonly now: number;
-  readonly slots: number;
   readonly durationMilliseconds: number;
   /** Duration that was expected when the request was sent. */
   readonly expectedMilliseconds: number;
@@ -83,11 +81,19 @@
  */
 const expiryMilliseconds = 10_000;
 const initialBound = 1;
+/**
+ * A chooser that knows all requests at the target sends it one after this time
+ * without any. Otherwise a target that was slow at first would be left idle, as
+ * only a response can show that it has recovered.
+ */
+const trialIntervalMilliseconds = 1000;
 
 /** Options of {@link TargetPace}. */
 export interface TargetPaceOptions {
   readonly now: number;
   readonly reason: PaceReason;
+  /** Slots of the target. */
+  readonly slots: number;
   /** Returns a number between 0 and 1. */
   readonly random: () => number;
   /** Called with each change of the bound. @default nothing */
@@ -106,6 +112,12 @@
  */
 export class TargetPace {
   readonly #startedAt: number;
+  readonly #slots: number;
+  /**
+   * Whether other choosers may find the target idle at the same moment. Only
+   * those that had a request there know that it broke; these are few.
+   */
+  readonly #mayBeShared: boolean;
   readonly #onChange: (change: PaceChange) => void;
   /**
    * Part of a request to which this chooser is entitled at the start; random, so
@@ -123,10 +135,20 @@
   #badNewsAt: number;
   /** Whether the target responded in time since the start or the last break. */
   #hasResponded = false;
+  #isBroken: boolean;
+  /** Mean duration of the service's responses; undefined before a decision. */
+  #meanMilliseconds: number | undefined;
+  /** Requests sent up to the latest decision, and when one was last sent. */
+  #seenSent = 0;
+  #seenSentAt: number;
   #isOver = false;
 
   constructor(options: TargetPaceOptions) {
-    const { now, reason, random, onChange = () => {} } = options;
+    const { now, reason, slots, random, onChange = () => {} } = options;
+    this.#slots = Math.max(initialBound, slots);
+    this.#mayBeShared = reason !== PaceReason.broken;
+    this.#isBroken = reason === PaceReason.broken;
+    this.#seenSentAt = now;
     this.#startedAt = now;
     this.#changedAt = now;
     this.#badNewsAt = now;
@@ -149,21 +171,23 @@
    * Records a request that the chooser received for the target's service.
    *
    * @param share is the target's part of the service's slots, 0 to 1.
-   * @param slots are those of the target.
    */
-  recordReceived(share: number, slots: number): void {
-    this.#accrued += this.#latestShare * Math.min(1, this.#bound / slots);
+  recordReceived(share: number): void {
+    this.#accrued += this.#latestShare * this.#ratio;
     this.#latestShare = share;
   }
 
   /** Decides whether one more request may be sent to the target now. */
   decide(situation: PaceSituation): PaceDecision {
+    this.#meanMilliseconds = situation.meanMilliseconds;
     this.#grow(situation);
     if (this.#isOver) return PaceDecision.open;
     const maximumInFlight = this.#hasResponded ? this.#bound : initialBound;
     if (situation.inFlight >= maximumInFlight) return PaceDecision.closed;
-    if (situation.choosers === 1) return PaceDecision.open;
-    return this.#isDue(situation) ? PaceDecision.due : PaceDecision.closed;
+    if (this.#isShared(situation)) {
+      return this.#isDue(situation) ? PaceDecision.due : PaceDecision.closed;
+    }
+    return this.#isTrialDue(situation) ? PaceDecision.due : PaceDecision.open;
   }
 
   /** Records that a request is sent to the target. */
@@ -171,6 +195,16 @@
     this.#sent += 1;
   }
 
+  /**
+   * Ends the pacing if there was no bad news for ten seconds. For choosers that
+   * do not know of each other.
+   */
+  expire(now: number): void {
+    if (this.#isOver || now - this.#badNewsAt < expiryMilliseconds) return;
+    this.#isOver = true;
+    this.#report(this.#bound, PaceReason.expired, now);
+  }
+
   /** Records how a request to the target ended. */
   recordEnd(end: ExchangeEnd, at: PaceEnd): void {
     if (this.#isOver) return;
@@ -182,6 +216,7 @@
         return;
       case ExchangeEnd.broken:
         this.#hasResponded = false;
+        this.#isBroken = true;
         return this.#shrinkTo(initialBound, PaceReason.broken, at);
       case ExchangeEnd.rejected:
         return this.#shrinkTo(
@@ -194,7 +229,26 @@
     }
   }
 
+  #isShared({ choosers }: PaceSituation): boolean {
+    return this.#mayBeShared && choosers > 1;
+  }
+
+  #isTrialDue({ now, inFlight }: PaceSituation): boolean {
+    if (this.#seenSent !== this.#sent) {
+      this.#seenSent = this.#sent;
+      this.#seenSentAt = now;
+    }
+    return !this.#isBroken && inFlight === 0 &&
+      now - this.#seenSentAt >= trialIntervalMilliseconds;
+  }
+
+  /** Bound relative to the slots. */
+  get #ratio(): number {
+    return Math.min(1, this.#bound / this.#slots);
+  }
+
   #recordResponse(at: PaceEnd): void {
+    this.#isBroken = false;
     const limit = Math.max(1, at.expectedMilliseconds) * slowRatio;
     if (at.durationMilliseconds > limit) {
       return this.#shrinkTo(this.#bound - 1, PaceReason.slow, at);
@@ -202,11 +256,23 @@
     this.#hasResponded = true;
     this.#changedAt = at.now;
     const before = this.#bound;
-    this.#bound = Math.min(at.slots, before + 1);
-    this.#isOver = this.#bound >= at.slots;
+    this.#bound = Math.min(this.#slots, before + 1);
+    this.#isOver = this.#bound >= this.#slots && (
+      this.#isNormal(at) || at.now - this.#badNewsAt >= expiryMilliseconds
+    );
+    if (this.#bound === before && !this.#isOver) return;
     this.#report(before, PaceReason.inTime, at.now, at);
   }
 
+  /**
+   * Whether a response took no longer than usual in the service. The expected
+   * duration is that of this target, which may have been slow before.
+   */
+  #isNormal({ durationMilliseconds }: PaceEnd): boolean {
+    return this.#meanMilliseconds === undefined ||
+      durationMilliseconds <= this.#meanMilliseconds * slowRatio;
+  }
+
   #shrinkTo(bound: number, reason: PaceReason, at: PaceEnd): void {
     const before = this.#bound;
     this.#bound = Math.max(initialBound, bound);
@@ -220,17 +286,15 @@
    * choosers, each of which sees few of the responses, would leave the target
    * idle.
    */
-  #grow({ now, slots, choosers, meanMilliseconds }: PaceSituation): void {
-    if (this.#isOver || choosers === 1) return;
-    if (now - this.#badNewsAt >= expiryMilliseconds) {
-      this.#isOver = true;
-      return this.#report(this.#bound, PaceReason.expired, now);
-    }
+  #grow(situation: PaceSituation): void {
+    if (!this.#isShared(situation)) return;
+    const { now, meanMilliseconds } = situation;
+    this.expire(now);
     const isDue = now - this.#changedAt >= meanMilliseconds;
-    if (!isDue || this.#bound >= slots) return;
+    if (this.#isOver || !isDue || this.#bound >= this.#slots) return;
     this.#changedAt = now;
     const before = this.#bound;
-    this.#bound = Math.min(slots, before + 1);
+    this.#bound = Math.min(this.#slots, before + 1);
     this.#report(before, PaceReason.elapsed, now);
   }
 
@@ -239,14 +303,13 @@
    * share of what the slots can do, if that is more, allows one more request.
    */
   #isDue(
-    { now, slots, choosers, meanMilliseconds }: PaceSituation,
+    { now, choosers, meanMilliseconds }: PaceSituation,
   ): boolean {
-    const ratio = Math.min(1, this.#bound / slots);
-    const equalShare = (now - this.#startedAt) * slots /
+    const equalShare = (now - this.#startedAt) * this.#slots /
       (meanMilliseconds * choosers);
     const due = Math.max(
-      this.#accrued + this.#latestShare * ratio,
-      equalShare * ratio,
+      this.#accrued + this.#latestShare * this.#ratio,
+      equalShare * this.#ratio,
     );
     return this.#phase + due >= this.#sent + 1;
   }
--- a/packages/dispatch/target_pace_test.ts
+++ b/packages/dispatch/target_pace_test.ts
@@ -1,17 +1,18 @@
 import { describe, expect, it } from "vitest";
 import { PaceDecision, PaceReason, TargetPace } from "./target_pace.ts";
 import type { PaceChange } from "./target_pace.ts";
-import { ExchangeEnd } from "./target_record.ts";
+import { ExchangeEnd } from "./exchange_end.ts";
 
 const slots = 4;
 const meanMilliseconds = 250;
 
 /** A pace and the changes of its bound. */
-function start(phase = 0) {
+function start(phase = 0, reason: PaceReason = PaceReason.appeared) {
   const changes: PaceChange[] = [];
   const pace = new TargetPace({
     now: 0,
-    reason: PaceReason.appeared,
+    reason,
+    slots,
     random: () => phase,
     onChange: (change) => void changes.push(change),
   });
@@ -26,7 +27,6 @@
     now: 0,
     inFlight: 0,
     choosers: 1,
-    slots,
     meanMilliseconds,
     ...situation,
   });
@@ -39,7 +39,6 @@
 ) {
   pace.recordEnd(kind, {
     now,
-    slots,
     durationMilliseconds,
     expectedMilliseconds: 250,
   });
@@ -51,9 +50,8 @@
     expect(decide(pace, { inFlight: 0 })).toBe(PaceDecision.open);
     expect(decide(pace, { inFlight: 1 })).toBe(PaceDecision.closed);
     // Without a response, time alone must not raise the bound.
-    expect(decide(pace, { now: 60_000, inFlight: 1 })).toBe(
-      PaceDecision.closed,
-    );
+    expect(decide(pace, { now: 60_000, inFlight: 1 }))
+      .toBe(PaceDecision.closed);
   });
 
   it("grows with responses in time and ends at the slots", () => {
@@ -95,6 +93,54 @@
     ]);
   });
 
+  it("tries a target again that has had no request for a second", () => {
+    // One that was slow at first would otherwise not be chosen by its cost, and
+    // nothing would show that it has recovered.
+    const { pace } = start();
+    expect(decide(pace, { now: 999 })).toBe(PaceDecision.open);
+    expect(decide(pace, { now: 1000 })).toBe(PaceDecision.due);
+    expect(decide(pace, { now: 1000, inFlight: 1 })).toBe(PaceDecision.closed);
+    pace.recordSend();
+    expect(decide(pace, { now: 1001 })).toBe(PaceDecision.open);
+    expect(decide(pace, { now: 2001 })).toBe(PaceDecision.due);
+  });
+
+  it("does not try a target again whose newest exchange broke", () => {
+    const { pace } = start();
+    end(pace, ExchangeEnd.broken);
+    expect(decide(pace, { now: 5000 })).toBe(PaceDecision.open);
+  });
+
+  it("does not end while responses take longer than usual in the service", () => {
+    const { pace } = start();
+    decide(pace, {});
+    const endSlow = (now: number) =>
+      pace.recordEnd(ExchangeEnd.answered, {
+        now,
+        // As expected of this target, which is known to be slow.
+        durationMilliseconds: 1000,
+        expectedMilliseconds: 1000,
+      });
+    for (const now of [1, 2, 3, 4]) endSlow(now);
+    expect(pace.bound).toBe(slots);
+    expect(pace.isOver).toBe(false);
+    end(pace, ExchangeEnd.answered, { now: 5 });
+    expect(pace.isOver).toBe(true);
+  });
+
+  it("ends for a target that stays slow", () => {
+    const { pace } = start();
+    decide(pace, {});
+    for (const now of [1, 2, 3, 10_000]) {
+      pace.recordEnd(ExchangeEnd.answered, {
+        now,
+        durationMilliseconds: 1000,
+        expectedMilliseconds: 1000,
+      });
+    }
+    expect(pace.isOver).toBe(true);
+  });
+
   it("does not change with error responses and abandoned requests", () => {
     const { pace } = start();
     end(pace);
@@ -126,7 +172,7 @@
     let due = 0;
     for (let index = 0; index < choosers; index += 1) {
       const { pace } = start(index / choosers);
-      pace.recordReceived(1 / 6, slots);
+      pace.recordReceived(1 / 6);
       if (decide(pace, { choosers }) === PaceDecision.due) due += 1;
     }
     // 88 requests, a sixth of them, and a quarter of that at a bound of one.
@@ -142,7 +188,7 @@
     decide(pace, { now: 750, choosers });
     expect(pace.bound).toBe(slots);
     for (let count = 0; count < 60; count += 1) {
-      pace.recordReceived(1 / 6, slots);
+      pace.recordReceived(1 / 6);
       if (decide(pace, { now: 751, choosers }) !== PaceDecision.due) continue;
       pace.recordSend();
       sent += 1;
@@ -169,7 +215,7 @@
 
   it("allows one request at a time while the target does not respond", () => {
     const { pace } = start();
-    for (let count = 0; count < 100; count += 1) pace.recordReceived(1, slots);
+    for (let count = 0; count < 100; count += 1) pace.recordReceived(1);
     expect(decide(pace, { now: 5000, choosers })).toBe(PaceDecision.due);
     expect(decide(pace, { now: 5000, inFlight: 1, choosers }))
       .toBe(PaceDecision.closed);
@@ -187,8 +233,15 @@
     const { pace } = start(0.9);
     expect(decide(pace, { now: 10, choosers: Infinity }))
       .toBe(PaceDecision.closed);
-    pace.recordReceived(1, slots);
+    pace.recordReceived(1);
     expect(decide(pace, { now: 10, choosers: Infinity }))
       .toBe(PaceDecision.due);
   });
+
+  it("is not limited to a share after a break that few of them saw", () => {
+    // Otherwise a request for the only target would wait after each reset.
+    const { pace } = start(0, PaceReason.broken);
+    expect(decide(pace, { choosers })).toBe(PaceDecision.open);
+    expect(decide(pace, { choosers, inFlight: 1 })).toBe(PaceDecision.closed);
+  });
 });
--- a/packages/dispatch/target_record.ts
+++ b/packages/dispatch/target_record.ts
@@ -1,4 +1,6 @@
+import { ExchangeEnd } from "./exchange_end.ts";
 import { Slowdown } from "./slowdown.ts";
+import type { TargetPace } from "./target_pace.ts";
 
 /** Load of a target as reported in a response. */
 export interface LoadReport {
@@ -9,20 +11,6 @@
   readonly slowdown: number;
 }
 
-/** How a request to a target ended, as far as relevant for choosing targets. */
-export const ExchangeEnd = {
-  answered: "answered",
-  /** The target reported that it did not run the request. */
-  rejected: "rejected",
-  /** The target responded with a failure. */
-  failed: "failed",
-  /** No connection, no response, or a response that cannot be trusted. */
-  broken: "broken",
-  /** The response is no longer needed. */
-  abandoned: "abandoned",
-} as const;
-export type ExchangeEnd = typeof ExchangeEnd[keyof typeof ExchangeEnd];
-
 /** Weight of the newest duration in its moving average. */
 const durationWeight = 0.3;
 /** Weight of the newest outcome in the moving average of failures. */
@@ -78,10 +66,27 @@
   #lastExchangeAt = -Infinity;
   #consecutiveBroken = 0;
   #ejectedUntil = -Infinity;
+  #pace: TargetPace | undefined;
+
+  /** Slow start of the target; undefined if it is not paced. */
+  get pace(): TargetPace | undefined {
+    return this.#pace?.isOver ? undefined : this.#pace;
+  }
+
+  /** Starts to pace the target, or paces it anew. */
+  startPace(pace: TargetPace): void {
+    this.#pace = pace;
+  }
+
+  /** Whether the newest exchange broke. */
+  get isBroken(): boolean {
+    return this.#consecutiveBroken > 0;
+  }
 
   /** Records that a request is sent to the target. */
   begin(): void {
     this.inFlight += 1;
+    this.#pace?.recordSend();
   }
 
   /** Records how a request ended. */
@@ -95,6 +100,7 @@
     },
   ): void {
     this.inFlight = Math.max(0, this.inFlight - 1);
+    this.pace?.recordEnd(end, at);
     if (end === ExchangeEnd.abandoned) return;
     this.#lastExchangeAt = at.now;
     const isFailure = end === ExchangeEnd.failed ||
--- /dev/null
+++ b/packages/fleet_gateway/gateway_options.ts
@@ -0,0 +1,38 @@
+import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
+import type { Clock } from "@kingcupglade/tasks";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import type { Connector } from "./address_pool.ts";
+import type { CallerWire } from "./caller_wire.ts";
+
+/** Options of a gateway VM. */
+export interface GatewayVmOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly region: string;
+  /** Where callers reach this VM, as IP:PORT. */
+  readonly callersAddress: string;
+  /** Connections of callers at the same time; more are closed. @default 3072 */
+  readonly maximumCallerConnections?: number;
+  /** Where the load balancer checks the readiness of this VM, as IP:PORT. */
+  readonly readinessAddress: string;
+  /** Where other VMs reach this one, as IP:PORT; all VMs use the same port. */
+  readonly peerAddress: string;
+  /** Addresses of control VMs that are queried for the leader first. */
+  readonly seeds: readonly string[];
+  /** Region of each data centre. */
+  readonly regions: Readonly<Record<string, string>>;
+  /** Time from a stop signal until the process is killed. */
+  readonly graceMilliseconds: number;
+  readonly retryBudget: RetryBudgetOptions;
+  readonly secret: string;
+  readonly wire: CallerWire;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Returns a number between 0 and 1. */
+  readonly random: () => number;
+  /** Whether new and recovered targets are paced. @default true */
+  readonly pacesTargets?: boolean;
+  /** Opens connections to targets. @default TCP */
+  readonly connectToTarget?: Connector;
+}
