Pace new and recovered targets at gateways and managers

TargetPaces begins the pacing when the table shows that a target is new, has a new incarnation, has ended its cold period, or may serve again, and when an exchange broke. Targets of the first complete table are not paced. With a manager, the manager's bound applies; without one, each gateway has its own. Rates of cold targets, limits, pauses and departures are checked before it, and hedges do not use paced targets. Each change is logged as target-pace-changed; kingcupglade_paced_targets counts the targets. The setting dispatch.paceTargets turns pacing off.

--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -160,6 +160,7 @@
       limits: { record: () => {}, of: () => undefined },
       selector: {
         service: () => queue,
+        recordReceived: () => {},
         select: ({ tried }: { readonly tried: ReadonlySet<string> }) => ({
           kind: "found",
           ...next(tried),
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -1,11 +1,8 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { peerAddressOf, PeerClients } from "@kingcupglade/fleet_control";
-import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
 import { StallDetector } from "@kingcupglade/tasks";
-import type { Clock } from "@kingcupglade/tasks";
-import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import { BodyMemory } from "@kingcupglade/transport";
-import type { CallerWire } from "./caller_wire.ts";
+import type { GatewayVmOptions } from "./gateway_options.ts";
 import { GatewayListeners } from "./gateway_listeners.ts";
 import { callLeader } from "./leader_caller.ts";
 import { LoadProber } from "./load_prober.ts";
@@ -21,10 +18,10 @@
 import { StopSchedule } from "./stop_schedule.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
-import type { Connector } from "./address_pool.ts";
 import { TargetEndDetector } from "./target_end_detector.ts";
 import { limitSharers, TargetLimits } from "./target_limits.ts";
 import { TargetNotices } from "./target_notices.ts";
+import { Chooser } from "./target_paces.ts";
 import { TargetReach } from "./target_reach.ts";
 import { TargetSelector } from "./target_selector.ts";
 
@@ -38,37 +35,6 @@
 /** Memory for responses that are held until their ends are known. */
 const maximumHeldResponseBytes = 32 * 1024 * 1024;
 
-/** Options of {@link GatewayVm.start}. */
-export interface GatewayVmOptions {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly region: string;
-  /** Where callers reach this VM, as IP:PORT. */
-  readonly callersAddress: string;
-  /** Connections of callers at the same time; more are closed. @default 3072 */
-  readonly maximumCallerConnections?: number;
-  /** Where the load balancer checks the readiness of this VM, as IP:PORT. */
-  readonly readinessAddress: string;
-  /** Where other VMs reach this one, as IP:PORT; all VMs use the same port. */
-  readonly peerAddress: string;
-  /** Addresses of control VMs that are queried for the leader first. */
-  readonly seeds: readonly string[];
-  /** Region of each data centre. */
-  readonly regions: Readonly<Record<string, string>>;
-  /** Time from a stop signal until the process is killed. */
-  readonly graceMilliseconds: number;
-  readonly retryBudget: RetryBudgetOptions;
-  readonly secret: string;
-  readonly wire: CallerWire;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  /** Returns a number between 0 and 1. */
-  readonly random: () => number;
-  /** Opens connections to targets. @default TCP */
-  readonly connectToTarget?: Connector;
-}
-
 /** A VM that forwards callers' requests to the targets that may serve them. */
 export class GatewayVm {
   readonly #options: GatewayVmOptions;
@@ -197,6 +163,10 @@
       limitSharers: (target) =>
         limitSharers(this.#synchronizer.table, { target, gateway: name }),
       gatewayCount: () => this.#synchronizer.table.gatewayCount || Infinity,
+      ...this.#pacing(
+        Chooser.gateway,
+        (target) => !this.#synchronizer.table.pools.managerOf(target),
+      ),
     });
     this.#managedSelector = new TargetSelector({
       ...options,
@@ -205,6 +175,7 @@
       limits: this.#limits,
       limitSharers: (target) => this.#isManaged(target) ? 1 : 0,
       gatewayCount: () => 1,
+      ...this.#pacing(Chooser.manager, (target) => this.#isManaged(target)),
     });
     const send: SlotSocket["send"] = (message, to) =>
       this.#slotSocket.send(message, to);
@@ -264,6 +235,11 @@
     return vm;
   }
 
+  #pacing(chooser: Chooser, isPaced: (target: TargetView) => boolean) {
+    const { pacesTargets = true, logger, metrics } = this.#options;
+    return pacesTargets && { pacing: { chooser, isPaced, logger, metrics } };
+  }
+
   #logSurplus(address: string): void {
     const { targets } = this.#synchronizer.table;
     const target = [...targets].find((each) => each.address === address);
@@ -368,6 +344,8 @@
   #doHousekeeping(): void {
     const { table } = this.#synchronizer;
     this.#slotManager.releaseExpired();
+    this.#selector.expire();
+    this.#managedSelector.expire();
     this.#suspects.expire();
     const { limits } = table;
     if (limits) {
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -144,6 +144,7 @@
   /** Starts forwarding; the caller receives its response at the end. */
   start(): void {
     const { service, position } = this.#routed;
+    this.#context.selector.recordReceived(this.#routed);
     if (position !== undefined) {
       this.#context.selector.recordDemand(service, position);
     }
--- a/packages/fleet_gateway/request_guard_test.ts
+++ b/packages/fleet_gateway/request_guard_test.ts
@@ -88,6 +88,7 @@
       notices: { record: () => {} },
       limits: { record: () => {}, of: () => undefined },
       selector: {
+        recordReceived: () => {},
         service: () => queue,
         select: () => selection(),
         laneOf: () => ({ lane: "", inFlight: 0, maximumPerSecond: Infinity }),
--- a/packages/fleet_gateway/request_handler_fixture.ts
+++ b/packages/fleet_gateway/request_handler_fixture.ts
@@ -24,6 +24,7 @@
       random: Math.random,
       wire: { readRequest: () => ({ requestId: "r1" }) },
       selector: {
+        recordReceived: () => {},
         parts: { next: () => "catalogue" },
         service: () => queue,
         select: () => ({ kind: "none", reason: "no target" }),
--- a/packages/fleet_gateway/request_handler_test.ts
+++ b/packages/fleet_gateway/request_handler_test.ts
@@ -75,6 +75,7 @@
         table: () => table,
         wire: { readRequest: () => ({ requestId: "r1" }) },
         selector: {
+          recordReceived: () => {},
           service: () => queue,
           select: () => ({ kind: "none", reason: "no target" }),
         },
--- a/packages/fleet_gateway/slots_test.ts
+++ b/packages/fleet_gateway/slots_test.ts
@@ -6,6 +6,7 @@
 import { ManualClock } from "@kingcupglade/tasks";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createMetrics } from "@kingcupglade/telemetry";
 import { GatewayTable } from "./gateway_table.ts";
 import { decodeSlotMessage, encodeSlotMessage } from "./slot_messages.ts";
 import type { SlotMessage } from "./slot_messages.ts";
@@ -13,6 +14,7 @@
 import { SlotClient } from "./slot_client.ts";
 import type { SlotTicket } from "./slot_client.ts";
 import { TargetLimits } from "./target_limits.ts";
+import { Chooser } from "./target_paces.ts";
 import { TargetSelector } from "./target_selector.ts";
 
 const silentLogger = { debug() {}, info() {}, warn() {}, error() {} };
@@ -43,9 +45,8 @@
   };
 }
 
-function tableOf(targets: readonly TargetView[]): GatewayTable {
-  const table = new GatewayTable();
-  const delta: ViewDelta = {
+function deltaOf(targets: readonly TargetView[]): ViewDelta {
+  return {
     position: { index: 1, term: 1, revision: 1, isComplete: true },
     items: [
       item({
@@ -84,7 +85,11 @@
     suspects: null,
     control: null,
   };
-  table.apply(delta);
+}
+
+function tableOf(targets: readonly TargetView[]): GatewayTable {
+  const table = new GatewayTable();
+  table.apply(deltaOf(targets));
   return table;
 }
 
@@ -117,6 +122,7 @@
   limit: number | null = null;
   /** Slots that the manager logged as not returned. */
   notReturned = 0;
+  readonly #selector: TargetSelector;
   readonly #random: () => number;
   readonly #loss: number;
   readonly #clients = new Map<string, SlotClient>();
@@ -129,20 +135,28 @@
       Array.from({ length: options.targets ?? 1 }, (_, at) => target(`t${at}`)),
     );
     const table = this.table;
+    this.#selector = new TargetSelector({
+      synchronizer: { table, millisecondsSinceContact: () => 0 } as never,
+      clock: this.clock,
+      random: this.#random,
+      name: "front-1",
+      dataCentre: "a",
+      region: "north",
+      regions: { a: "north" },
+      retryBudget: { ratio: 0.2, windowMilliseconds: 10_000, slack: 10 },
+      gatewayCount: () => 1,
+      limits: this.limits,
+      limitSharers: () => 1,
+      pacing: {
+        chooser: Chooser.manager,
+        isPaced: () => true,
+        logger: silentLogger,
+        metrics: createMetrics(),
+      },
+    });
+    this.#selector.handleTableChange();
     this.manager = new SlotManager({
-      selector: new TargetSelector({
-        synchronizer: { table, millisecondsSinceContact: () => 0 } as never,
-        clock: this.clock,
-        random: this.#random,
-        name: "front-1",
-        dataCentre: "a",
-        region: "north",
-        regions: { a: "north" },
-        retryBudget: { ratio: 0.2, windowMilliseconds: 10_000, slack: 10 },
-        gatewayCount: () => 1,
-        limits: this.limits,
-        limitSharers: () => 1,
-      }),
+      selector: this.#selector,
       limits: this.limits,
       table: () => table,
       loadProber: { probe: () => Promise.resolve() },
@@ -157,6 +171,12 @@
     });
   }
 
+  /** Replaces the targets in the table. */
+  setTargets(targets: readonly TargetView[]): void {
+    this.table.apply(deltaOf(targets));
+    this.#selector.handleTableChange();
+  }
+
   gateway(peer: string): SlotClient {
     const existing = this.#clients.get(peer);
     if (existing) return existing;
@@ -257,6 +277,21 @@
   beforeEach(() => void vi.useFakeTimers());
   afterEach(() => void vi.useRealTimers());
 
+  it("are granted one after the other at first, if the target is new", async () => {
+    // Each of the gateways would otherwise get a slot at the same moment.
+    const simulation = new SlotSimulation({});
+    simulation.setTargets([{ ...target("t0"), bornAt: 1 }]);
+    simulation.setTargets([{ ...target("t0"), bornAt: 2 }]);
+    for (let at = 0; at < 6; at += 1) {
+      simulation.requestSlot(`10.0.1.${at}:7720`);
+    }
+    await simulation.run(150);
+    expect(simulation.highestAtTarget).toBe(1);
+    // After one response in time, the bound equals the slots.
+    await simulation.run(200);
+    expect(simulation.highestAtTarget).toBe(maximumAtTarget);
+  });
+
   it("are granted while available, and later requests wait", async () => {
     const simulation = new SlotSimulation({});
     const requests = Array.from(
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/target_selector.ts
@@ -4,10 +4,11 @@
   Distance,
   hasCapacityFor,
   OwnerBackoff,
+  PaceDecision,
   PartSelector,
   TargetRecord,
 } from "@kingcupglade/dispatch";
-import type { RetryBudgetOptions, TargetOption } from "@kingcupglade/dispatch";
+import type { TargetOption } from "@kingcupglade/dispatch";
 import type {
   PositionDemand,
   RangeView,
@@ -15,68 +16,18 @@
   TargetView,
 } from "@kingcupglade/fleet";
 import type { Route } from "@kingcupglade/items";
-import type { Clock } from "@kingcupglade/tasks";
+import { DemandCounter } from "./demand_counter.ts";
+import { findIdleTarget } from "./idle_target.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import type { Lane } from "./service_queue.ts";
-import type { TableSynchronizer } from "./table_synchronizer.ts";
+import { TargetPaces } from "./target_paces.ts";
+import type {
+  TargetCriteria,
+  TargetSelection,
+  TargetSelectorOptions,
+} from "./target_selection.ts";
 import type { TargetAvailability } from "./target_notices.ts";
 import { TargetRates } from "./target_rates.ts";
-import type { TargetRatesOptions } from "./target_rates.ts";
-
-/** Options of a {@link TargetSelector}. */
-export interface TargetSelectorOptions
-  extends Pick<TargetRatesOptions, "name" | "limits" | "limitSharers"> {
-  readonly synchronizer: TableSynchronizer;
-  readonly clock: Clock;
-  /** Returns a number between 0 and 1. */
-  readonly random: () => number;
-  readonly dataCentre: string;
-  readonly region: string;
-  /** Region of each data centre. */
-  readonly regions: Readonly<Record<string, string>>;
-  readonly retryBudget: RetryBudgetOptions;
-  /** What targets said of themselves. @default nothing */
-  readonly notices?: TargetAvailability;
-  /** Whether the selector may choose a target. @default every target */
-  readonly isCandidate?: (target: TargetView) => boolean;
-  /** Returns the number of gateways that choose among the same targets. */
-  readonly gatewayCount: () => number;
-}
-
-/** Criteria of a request for its target. */
-export interface TargetCriteria {
-  readonly route: Route;
-  readonly service: string;
-  readonly position: number | undefined;
-  readonly tried: ReadonlySet<string>;
-  /** The only targets allowed, once the route's `maximumTargets` is reached. */
-  readonly only?: ReadonlySet<string> | null;
-  /** Time of the route's latency objective; a later response is worth less. */
-  readonly objectiveAt: number;
-}
-
-/** Result of a selection. */
-export type TargetSelection =
-  | {
-    readonly kind: "found";
-    readonly target: TargetView;
-    readonly record: TargetRecord;
-  }
-  /** Capacity or an owner may become available. */
-  | { readonly kind: "wait" }
-  /** The target's load has to be probed first. */
-  | {
-    readonly kind: "probe";
-    readonly target: TargetView;
-    readonly record: TargetRecord;
-    readonly path: string;
-  }
-  | {
-    readonly kind: "none";
-    readonly reason: string;
-    /** Time after which a target may be available; undefined if unknown. */
-    readonly waitMilliseconds?: number;
-  };
 
 /** Selects targets by the routing table and this gateway's observations. */
 export class TargetSelector {
@@ -88,16 +39,22 @@
   readonly #notices: TargetAvailability;
   readonly #ownerBackoff = new OwnerBackoff();
   readonly #changedDurations = new ChangedDurations();
+  readonly #paces: TargetPaces | undefined;
   /** Targets to choose from, by service; cleared when the table changes. */
   readonly #candidates = new Map<string, readonly TargetView[]>();
-  /** Keyed requests not yet reported to the leader, by service and position. */
-  readonly #demand = new Map<string, Map<number, number>>();
+  readonly #demand = new DemandCounter();
 
   constructor(options: TargetSelectorOptions) {
     this.#options = options;
     this.parts = new PartSelector(options);
     this.#rates = new TargetRates(options);
     this.#notices = options.notices ?? noNotices;
+    this.#paces = options.pacing && new TargetPaces({
+      ...options,
+      ...options.pacing,
+      records: this.#records,
+      table: () => options.synchronizer.table,
+    });
   }
 
   /** Returns the queue of a service. */
@@ -115,18 +72,12 @@
 
   /** Counts a request for a position. */
   recordDemand(service: string, position: number): void {
-    const counts = this.#demand.get(service) ?? new Map<number, number>();
-    this.#demand.set(service, counts);
-    counts.set(position, (counts.get(position) ?? 0) + 1);
+    this.#demand.record(service, position);
   }
 
   /** Returns the demand counted since the last call, and resets it. */
   takeDemand(): readonly PositionDemand[] {
-    const rows = [...this.#demand].flatMap(([service, counts]) =>
-      [...counts].map(([position, count]) => ({ service, position, count }))
-    );
-    this.#demand.clear();
-    return rows;
+    return this.#demand.take();
   }
 
   /**
@@ -205,10 +156,32 @@
     else this.#ownerBackoff.record(keyOf(range), range.fence, clock.now());
   }
 
+  /** Counts a request for a service, of which paced targets get a share. */
+  recordReceived(
+    { route, service, position }: Pick<
+      TargetCriteria,
+      "route" | "service" | "position"
+    >,
+  ): void {
+    if (!this.#paces?.isPacing || position !== undefined) return;
+    this.#paces.recordReceived(
+      this.#candidatesOf(service).filter((target) =>
+        this.isHomeRegion(route, target) && this.#notices.mayUse(target)
+      ),
+      ({ dataCentre }) => this.distanceTo(dataCentre) !== Distance.far,
+    );
+  }
+
+  /** Ends what has expired; called regularly. */
+  expire(): void {
+    this.#paces?.expire();
+  }
+
   /** Drops targets that were removed and starts requests that can start now. */
   handleTableChange(): void {
     const { table } = this.#options.synchronizer;
     this.#candidates.clear();
+    this.#paces?.handleTableChange();
     for (const name of this.#records.keys()) {
       if (table.target(name)) continue;
       this.#records.delete(name);
@@ -237,26 +210,17 @@
     const { meanMilliseconds, workMilliseconds } = this.service(
       criteria.service,
     );
-    let best: TargetOption | undefined;
-    let bestDuration = workMilliseconds * maximumHedgeDurationRatio;
-    for (const target of this.#candidatesOf(criteria.service)) {
-      if (target.isCold || !this.isHomeRegion(criteria.route, target)) continue;
-      if (!this.#notices.mayUse(target)) continue;
-      if (!this.#rates.allows(target, now)) continue;
-      const option = this.#optionFor(target);
-      const { record, distance } = option;
-      const isIdle = record.load(meanMilliseconds, now) <
-        option.slots * maximumIdleLoadShare;
-      if (
-        !isIdle || distance === Distance.far ||
-        criteria.tried.has(target.name) ||
-        record.isEjected(now)
-      ) continue;
-      const duration = record.expectedDuration(workMilliseconds, now);
-      if (duration >= bestDuration) continue;
-      best = option;
-      bestDuration = duration;
-    }
+    const usable = this.#candidatesOf(criteria.service).filter((target) =>
+      !target.isCold && this.isHomeRegion(criteria.route, target) &&
+      !this.#records.get(target.name)?.pace &&
+      this.#notices.mayUse(target) && this.#rates.allows(target, now)
+    );
+    const best = findIdleTarget(usable.map((each) => this.#optionFor(each)), {
+      now,
+      meanMilliseconds,
+      workMilliseconds,
+      tried: criteria.tried,
+    });
     const target = best && synchronizer.table.target(best.name);
     if (!target || !best) return undefined;
     this.#rates.record(target, now);
@@ -298,6 +262,10 @@
       now,
     );
     if (!hasCapacity || pause > 0) return { kind: "wait" };
+    // Only the owner may run the request, so it has no share of others.
+    if (this.#paceOf(target, 1) === PaceDecision.closed) {
+      return { kind: "wait" };
+    }
     const { limits } = this.#options;
     const isLimited = limits.of(target.name) !== undefined;
     if (isLimited && !this.#rates.allows(target, now)) return { kind: "wait" };
@@ -328,7 +296,10 @@
     const usable = targets.filter((target) => this.#notices.mayUse(target));
     if (usable.length === 0) return this.#awaitPauses(targets, criteria);
     const options = usable.filter((target) => this.#rates.allows(target, now))
-      .map((target) => this.#optionFor(target));
+      .map((target) => ({
+        ...this.#optionFor(target),
+        pace: this.#paceOf(target, gatewayCount()),
+      }));
     if (options.length === 0) return { kind: "wait" };
     const choice = chooseTarget(options, {
       now,
@@ -381,6 +352,13 @@
     };
   }
 
+  #paceOf(target: TargetView, choosers: number): PaceDecision {
+    if (!this.#paces) return PaceDecision.open;
+    const { meanMilliseconds } = this.service(target.service);
+    const record = this.record(target.name);
+    return this.#paces.decide(target, record, { choosers, meanMilliseconds });
+  }
+
   /** Returns this gateway's observations of a target. */
   record(target: string): TargetRecord {
     const existing = this.#records.get(target);
@@ -416,9 +394,5 @@
   pauseMilliseconds: () => 0,
 };
 
-/** A hedge requires a target with less than this share of its slots in use. */
-const maximumIdleLoadShare = 0.5;
-/** Maximum expected duration of a hedge, relative to an average target. */
-const maximumHedgeDurationRatio = 1.2;
 /** Requests that an owner may have beyond its slots; no other can run them. */
 const ownerExtraSlots = 4;
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -117,7 +117,7 @@
   settings: ResolvedGatewaySettings,
   common: CommonOptions & FleetVmOverrides,
 ): Promise<RunningRole> {
-  const { listen, retries, stop } = settings;
+  const { listen, retries, stop, dispatch } = settings;
   return await GatewayVm.start({
     ...common,
     callersAddress: listen.callers,
@@ -129,6 +129,7 @@
       windowMilliseconds: retries.windowSeconds * millisecondsPerSecond,
       slack: retries.slack,
     },
+    pacesTargets: dispatch.paceTargets,
     wire: new PlatformCallerWire(),
     random: createRandomSource(),
   });
--- a/packages/kingcupglade/settings/fleet_schema.ts
+++ b/packages/kingcupglade/settings/fleet_schema.ts
@@ -36,6 +36,10 @@
     /** Retries allowed beyond the ratio in each window. @default 20 */
     slack: z.coerce.number().min(0).default(20),
   }).prefault({}),
+  dispatch: z.strictObject({
+    /** Whether new and recovered targets get requests slowly. @default true */
+    paceTargets: z.boolean().default(true),
+  }).prefault({}),
   stop: z.strictObject({
     /** Time from a stop signal until the process is killed. @default 10 */
     graceSeconds: seconds.default(10),
--- a/packages/kingcupglade/settings/fleet_settings_test.ts
+++ b/packages/kingcupglade/settings/fleet_settings_test.ts
@@ -35,10 +35,18 @@
         toleratedLosses: 1,
       },
       retries: { ratio: 0.2, windowSeconds: 10, slack: 20 },
+      dispatch: { paceTargets: true },
       log: { level: "info" },
     });
   });
 
+  it("can turn the pacing of targets off", () => {
+    expect(parseFleetSettings(
+      `${gatewayText}[dispatch]\npaceTargets = false\n`,
+      "front.ini",
+    )).toMatchObject({ dispatch: { paceTargets: false } });
+  });
+
   const faults: readonly (readonly [string, RegExp, string])[] = [
     ["role = gateway", /vm.role: "chief" is unknown/, "role = chief"],
     ["role = gateway", /vm.dataFolder is missing/, "role = control"],
@@ -47,6 +55,11 @@
       /listen.callers: must be IP:PORT/,
       "callers = front",
     ],
+    [
+      "[control]",
+      /dispatch.paceTargets: .*boolean/,
+      "[dispatch]\npaceTargets = slowly\n[control]",
+    ],
     ["seeds = ", /control.sedes is unknown; did you mean "seeds"/, "sedes = "],
   ];
   for (const [valid, message, invalid] of faults) {
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -24,6 +24,7 @@
   readonly suspects: Counter<"decision">;
   /** Responses in which targets say that they leave or pause. */
   readonly targetNotices: Counter<"notice">;
+  readonly pacedTargets: Gauge<"chooser">;
   /** 1 while no target accepts a connection from this VM. */
   readonly cutOff: Gauge;
   /** Requests handed to another gateway because of that, by outcome. */
@@ -141,6 +142,12 @@
       labelNames: ["notice"],
       registers,
     }),
+    pacedTargets: new Gauge({
+      name: "kingcupglade_paced_targets",
+      help: "New and recovered targets whose requests in flight are bounded",
+      labelNames: ["chooser"],
+      registers,
+    }),
     cutOff: new Gauge({
       name: "kingcupglade_cut_off",
       help: "1 while no target accepts a connection from this VM",
