--- a/packages/dispatch/choose_target_test.ts
+++ b/packages/dispatch/choose_target_test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from "vitest";
 import { chooseTarget, Distance, hasCapacityFor } from "./choose_target.ts";
 import type { TargetOption } from "./choose_target.ts";
-import { ExchangeEnd, TargetRecord } from "./target_record.ts";
+import { ExchangeEnd } from "./exchange_end.ts";
+import { TargetRecord } from "./target_record.ts";
 
 const slots = 6;
 
@@ -109,3 +110,33 @@
     expect(choose([target]).kind).toBe("wait");
   });
 });
+
+describe("chooseTarget with paced targets", () => {
+  it("chooses a target whose share is due before cheaper ones", () => {
+    const idle = option("idle", Distance.dataCentre);
+    const due = { ...option("due", Distance.region), pace: "due" as const };
+    expect(choose([idle, due])).toMatchObject({ target: { name: "due" } });
+  });
+
+  it("does not cross regions for a share that is due", () => {
+    const idle = option("idle", Distance.region);
+    const due = { ...option("due", Distance.far), pace: "due" as const };
+    expect(choose([idle, due])).toMatchObject({ target: { name: "idle" } });
+  });
+
+  it("does not choose an ejected target although its share is due", () => {
+    const idle = option("idle", Distance.region);
+    const due = { ...option("due", Distance.region), pace: "due" as const };
+    recordExchange(due, 0, ExchangeEnd.broken);
+    expect(choose([idle, due])).toMatchObject({ target: { name: "idle" } });
+  });
+
+  it("makes requests wait for a closed target instead of refusing them", () => {
+    // Without the closed target, every target would count as tried.
+    const closed = {
+      ...option("new", Distance.region),
+      pace: "closed" as const,
+    };
+    expect(choose([closed]).kind).toBe("wait");
+  });
+});
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -24,6 +24,7 @@
 import { TargetEndDetector } from "./target_end_detector.ts";
 import { limitSharers, TargetLimits } from "./target_limits.ts";
 import { TargetNotices } from "./target_notices.ts";
+import { Chooser } from "./target_paces.ts";
 import { TargetReach } from "./target_reach.ts";
 import { TargetSelector } from "./target_selector.ts";
 
@@ -176,6 +177,10 @@
       limitSharers: (target) =>
         limitSharers(this.#synchronizer.table, { target, gateway: name }),
       gatewayCount: () => this.#synchronizer.table.gatewayCount || Infinity,
+      ...this.#pacing(
+        Chooser.gateway,
+        (target) => !this.#synchronizer.table.pools.managerOf(target),
+      ),
     });
     this.#managedSelector = new TargetSelector({
       ...options,
@@ -184,6 +189,7 @@
       limits: this.#limits,
       limitSharers: (target) => this.#isManaged(target) ? 1 : 0,
       gatewayCount: () => 1,
+      ...this.#pacing(Chooser.manager, (target) => this.#isManaged(target)),
     });
     const send: SlotSocket["send"] = (message, to) =>
       this.#slotSocket.send(message, to);
@@ -247,6 +253,11 @@
     return vm;
   }
 
+  #pacing(chooser: Chooser, isPaced: (target: TargetView) => boolean) {
+    const { pacesTargets = true, logger, metrics } = this.#options;
+    return pacesTargets && { pacing: { chooser, isPaced, logger, metrics } };
+  }
+
   #logSurplus(address: string): void {
     const { targets } = this.#synchronizer.table;
     const target = [...targets].find((each) => each.address === address);
@@ -353,6 +364,8 @@
   #doHousekeeping(): void {
     const { table } = this.#synchronizer;
     this.#slotManager.releaseExpired();
+    this.#selector.expire();
+    this.#managedSelector.expire();
     this.#suspects.expire();
     const { limits } = table;
     if (limits) {
--- a/packages/fleet_gateway/gateway_vm_options.ts
+++ b/packages/fleet_gateway/gateway_vm_options.ts
@@ -36,6 +36,8 @@
   readonly metrics: Metrics;
   /** Returns a number between 0 and 1. */
   readonly random: () => number;
+  /** Whether new and recovered targets are paced. @default true */
+  readonly pacesTargets?: boolean;
   /** Opens connections to targets. @default TCP */
   readonly connectToTarget?: Connector;
 }
