Bound the pipelined requests of a connection that are in progress

Cause: Node.js parses all pipelined requests that have arrived and hands them to the handler at once, so one connection could have any number in progress. A planned stop made the first response close the connection, so that those behind it, which targets had run, were lost. Requests behind a response that closes were handed over.

Change: listeners with PipelineLimits give the parser one request at a time (CallerPipeline, HeadBoundary) and start it when nextPipelineStep allows it: at most the given number, requests with methods that are not safe alone, none while responses that wait for a slow one use up their memory, and none behind a response that closes. Bytes are read on up to 16 KiB, so that the end of a connection is noticed. PipelinedResponse counts what waits. Only the last response of a connection closes it at a stop. Listeners without the option read as before.

No throughput was measured yet.

--- /dev/null
+++ b/packages/transport/caller_pipeline.ts
@@ -0,0 +1,264 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { HeadBoundary } from "./head_boundary.ts";
+import type { ListenerConnection } from "./listener_connection.ts";
+import type { PipelineLimits, PipelineWait } from "./pipeline_limits.ts";
+import {
+  isSafeMethod,
+  nextPipelineStep,
+  PipelineStep,
+} from "./pipeline_policy.ts";
+import { PipelinedResponse } from "./pipelined_response.ts";
+
+/**
+ * Unread bytes of a connection above which it is not read on. Below, it is, as
+ * the end of a connection is behind all that has arrived before.
+ */
+const maximumHeldBytes = 16 * 1024;
+/**
+ * Bytes of a body of unknown length that the parser is given at least, as empty
+ * lines in a body would otherwise cost a call each.
+ */
+const minimumPieceBytes = 1024;
+
+/** A request that was read and not started. */
+interface PendingRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly start: () => void;
+}
+
+/**
+ * Bounds the requests of one connection that are in progress at the same time.
+ * It stands between the socket and its parser, and gives the parser no more than
+ * one request at a time; what may not be started yet stays unread.
+ */
+export class CallerPipeline {
+  readonly #socket: Socket;
+  readonly #connection: ListenerConnection;
+  readonly #limits: PipelineLimits;
+  readonly #parse: (chunk: Buffer) => void;
+  readonly #boundary = new HeadBoundary();
+  /** Bytes that the parser was not given. */
+  #held: Buffer[] = [];
+  #heldBytes = 0;
+  #pending: PendingRequest[] = [];
+  /** Bytes of the current body that the parser was not given. */
+  #bodyBytes = 0;
+  /** Request whose body has no declared length. */
+  #openRequest: IncomingMessage | undefined;
+  #waitReason: PipelineWait | undefined;
+  #isAdvancing = false;
+  #isPaused = false;
+  #isClosing = false;
+  #hasDiscarded = false;
+  #isStopped = false;
+
+  /** The server must have set up the socket before. */
+  constructor(options: {
+    readonly socket: Socket;
+    readonly connection: ListenerConnection;
+    readonly limits: PipelineLimits;
+  }) {
+    const { socket, connection, limits } = options;
+    this.#socket = socket;
+    this.#connection = connection;
+    this.#limits = limits;
+    const parsers = socket.listeners("data") as ((chunk: Buffer) => void)[];
+    socket.removeAllListeners("data");
+    this.#parse = (chunk) => {
+      for (const parse of parsers) parse.call(socket, chunk);
+    };
+    // A listener for data has Node.js hand the bytes over to JavaScript.
+    socket.on("data", (chunk: Buffer) => this.#receive(chunk));
+    socket.on("resume", () => {
+      // The event comes in a later turn, in which it may be paused again.
+      this.#isPaused &&= socket.isPaused();
+      this.advance();
+    });
+    socket.on("drain", () => this.advance());
+    socket.once("end", () => this.stop());
+    socket.once("close", () => this.#release());
+  }
+
+  /** Starts a request that was read, now or once those before it allow it. */
+  add(pending: PendingRequest): void {
+    this.#pending.push(pending);
+    this.#recordBody(pending.request);
+    this.advance();
+  }
+
+  /** Starts and reads what may be. */
+  advance(): void {
+    if (this.#isAdvancing) return;
+    this.#isAdvancing = true;
+    try {
+      while (this.#takeStep());
+    } finally {
+      this.#isAdvancing = false;
+    }
+    this.#pauseOrResume();
+  }
+
+  /** Drops what is unread, and all that arrives from now on. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#drop();
+  }
+
+  #receive(chunk: Buffer): void {
+    if (this.#isStopped) return;
+    this.#held.push(chunk);
+    this.#addHeldBytes(chunk.length);
+    this.advance();
+    if (this.#heldBytes < maximumHeldBytes || !this.#limits.isFull) return;
+    // The caller sends again what stands behind a response that closes.
+    this.#connection.refuseReuse();
+    this.advance();
+  }
+
+  #takeStep(): boolean {
+    if (this.#isStopped || this.#socket.destroyed) return false;
+    const next = this.#pending[0];
+    if (next) {
+      if (!this.#mayProceed(isSafeMethod(next.request.method))) return false;
+      this.#pending.shift();
+      this.#start(next);
+      return true;
+    }
+    // Node.js pauses a socket while the body of a request is not read.
+    const isPausedElsewhere = this.#socket.isPaused() && !this.#isPaused;
+    if (this.#heldBytes === 0 || isPausedElsewhere) return false;
+    if (!this.#isInBody && !this.#mayProceed(undefined)) return false;
+    this.#parseNext();
+    return true;
+  }
+
+  #mayProceed(isSafe: boolean | undefined): boolean {
+    const step = this.#nextStep(isSafe);
+    if (step === PipelineStep.proceed) {
+      this.#waitReason = undefined;
+      return true;
+    }
+    if (step === PipelineStep.discard) {
+      this.#discard();
+      return false;
+    }
+    // Each request is counted once, whatever it waits for next.
+    if (this.#waitReason === undefined) this.#limits.observer.onWait?.(step);
+    this.#waitReason = step;
+    return false;
+  }
+
+  #nextStep(isSafe: boolean | undefined): PipelineStep {
+    const responses = [...this.#connection.responses];
+    this.#isClosing ||= responses.some((each) =>
+      !each.shouldKeepAlive || each.destroyed
+    );
+    return nextPipelineStep({
+      inProgress: responses.length,
+      maximum: this.#limits.concurrentPerConnection,
+      isClosing: this.#isClosing,
+      hasUnsafe: responses.some(({ req }) => !isSafeMethod(req.method)),
+      isSafe,
+      waitingBytes: waitingBytesOf(responses),
+      // Beyond it, Node.js would stop to read and not notice that a caller leaves.
+      maximumWaitingBytes: this.#socket.writableHighWaterMark,
+      isMemoryFull: this.#limits.isFull,
+      isCallerSlow: this.#socket.writableNeedDrain,
+    });
+  }
+
+  #start({ response, start }: PendingRequest): void {
+    if (response instanceof PipelinedResponse) {
+      response.place = {
+        limits: this.#limits,
+        isFollowed: () => this.#connection.newestResponse !== response,
+      };
+    }
+    start();
+    response.once("close", () => {
+      // The connection itself closes a little later.
+      this.#isClosing ||= !response.shouldKeepAlive;
+      this.advance();
+    });
+  }
+
+  get #isInBody(): boolean {
+    return this.#bodyBytes > 0 || this.#openRequest?.complete === false;
+  }
+
+  #recordBody(request: IncomingMessage): void {
+    const { headers } = request;
+    const isOpen = headers["transfer-encoding"] !== undefined;
+    this.#openRequest = isOpen ? request : undefined;
+    this.#bodyBytes = isOpen ? 0 : Number(headers["content-length"] ?? 0);
+  }
+
+  #parseNext(): void {
+    const chunk = this.#held[0]!;
+    const length = this.#measure(chunk);
+    if (length === chunk.length) this.#held.shift();
+    else this.#held[0] = chunk.subarray(length);
+    this.#addHeldBytes(-length);
+    this.#parse(chunk.subarray(0, length));
+  }
+
+  #measure(chunk: Buffer): number {
+    if (this.#bodyBytes > 0) {
+      const length = Math.min(this.#bodyBytes, chunk.length);
+      this.#bodyBytes -= length;
+      return length;
+    }
+    return this.#boundary.measure(
+      chunk,
+      this.#isInBody ? minimumPieceBytes : undefined,
+    );
+  }
+
+  #pauseOrResume(): void {
+    const isFull = this.#heldBytes >= maximumHeldBytes;
+    if (isFull && !this.#socket.isPaused()) {
+      this.#isPaused = true;
+      this.#socket.pause();
+    } else if (!isFull && this.#isPaused) {
+      this.#isPaused = false;
+      this.#socket.resume();
+    }
+  }
+
+  #discard(): void {
+    const dropped = { requests: this.#pending.length, bytes: this.#heldBytes };
+    this.#drop();
+    if (dropped.requests + dropped.bytes === 0 || this.#hasDiscarded) return;
+    this.#hasDiscarded = true;
+    this.#limits.observer.onDiscard?.(dropped);
+  }
+
+  #drop(): void {
+    for (const { request } of this.#pending) request.resume();
+    this.#pending = [];
+    this.#held = [];
+    this.#addHeldBytes(-this.#heldBytes);
+  }
+
+  #addHeldBytes(bytes: number): void {
+    this.#heldBytes += bytes;
+    this.#limits.add(bytes);
+  }
+
+  #release(): void {
+    this.stop();
+    for (const each of this.#connection.responses) {
+      if (each instanceof PipelinedResponse) each.release();
+    }
+  }
+}
+
+function waitingBytesOf(responses: readonly ServerResponse[]): number {
+  return responses.reduce(
+    (sum, each) =>
+      sum + (each instanceof PipelinedResponse ? each.waitingBytes : 0),
+    0,
+  );
+}
--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -15,8 +15,12 @@
   setImmediate as nextTurn,
   setTimeout as pause,
 } from "node:timers/promises";
+import { CallerPipeline } from "./caller_pipeline.ts";
 import { ListenerConnection } from "./listener_connection.ts";
+import { lacksHost, refuseWithoutHost } from "./missing_host.ts";
 import { readAbsoluteForm } from "./origin_form.ts";
+import type { PipelineLimits } from "./pipeline_limits.ts";
+import { PipelinedResponse } from "./pipelined_response.ts";
 
 const pollIntervalMilliseconds = 50;
 const closeIntervalMilliseconds = 20;
@@ -60,6 +64,8 @@
   readonly checkIntervalMilliseconds?: number;
   /** Called for each request that cannot be read. @default none */
   readonly onUnreadable?: (request: UnreadableRequest) => void;
+  /** Limits of pipelined requests. @default unlimited */
+  readonly pipelineLimits?: PipelineLimits;
 }
 
 /** A request that cannot be read. */
@@ -96,6 +102,7 @@
   /** Connections that are accepted; over TLS, also before the handshake. */
   readonly #sockets = new Set<Socket>();
   readonly #connections = new Map<Socket, ListenerConnection>();
+  readonly #pipelines = new WeakMap<Socket, CallerPipeline>();
   #acceptedCount = 0;
   #unansweredCount = 0;
   #isDraining = false;
@@ -118,6 +125,10 @@
       const connection = new ListenerConnection(socket, performance.now());
       this.#connections.set(socket, connection);
       socket.once("close", () => this.#connections.delete(socket));
+      const { pipelineLimits: limits } = options;
+      if (!limits) return;
+      const pipeline = new CallerPipeline({ socket, connection, limits });
+      this.#pipelines.set(socket, pipeline);
     });
     server.on(
       "request",
@@ -251,11 +262,26 @@
       request.resume();
       return;
     }
+    const isRefused = lacksHost(request);
     rewriteToOriginForm(request);
-    connection?.addResponse(response);
     this.#lastRequestAt = performance.now();
+    const start = () => {
+      this.#start(request, response);
+      if (isRefused) refuseWithoutHost(response);
+      else this.#handle(request, response);
+    };
+    const pipeline = this.#pipelines.get(request.socket);
+    if (pipeline) pipeline.add({ request, response, start });
+    else start();
+  }
+
+  #start(request: IncomingMessage, response: ServerResponse): void {
+    this.#connections.get(request.socket)?.addResponse(response);
     // Otherwise a client could send its next request while the connection closes.
     if (this.#isDraining) response.shouldKeepAlive = false;
+  }
+
+  #handle(request: IncomingMessage, response: ServerResponse): void {
     if (this.#heldRequests) this.#heldRequests.push([request, response]);
     else this.#options.handler(request, response);
   }
@@ -263,6 +289,7 @@
   // The caller would take the status for the response to a request before, or to
   // one whose body is being forwarded.
   #refuse(failure: NodeJS.ErrnoException, socket: Socket): void {
+    this.#pipelines.get(socket)?.stop();
     const isDue = this.#connections.get(socket)?.isResponseDue ?? false;
     const mayRespond = !isDue && socket.writable;
     const status = mayRespond
@@ -331,6 +358,11 @@
     requestTimeout: 60_000,
     connectionsCheckingInterval: options.checkIntervalMilliseconds ?? 30_000,
     keepAliveTimeout: 30_000,
+    ...(options.pipelineLimits && {
+      ServerResponse: PipelinedResponse,
+      // Node.js would respond to such requests outside of the bound.
+      requireHostHeader: false,
+    }),
   };
   const material = tls?.listeners.has(name) ? tls.material : undefined;
   if (!material) return createServer(serverOptions);
--- a/packages/transport/listener_connection.ts
+++ b/packages/transport/listener_connection.ts
@@ -88,9 +88,23 @@
     });
   }
 
-  /** Makes the responses whose headers are not sent close the connection. */
+  /** Responses that are not fully sent, in the order of their requests. */
+  get responses(): ReadonlySet<ServerResponse> {
+    return this.#responses;
+  }
+
+  /** The response to the last request that was started, if it is not fully sent. */
+  get newestResponse(): ServerResponse | undefined {
+    return [...this.#responses].at(-1);
+  }
+
+  /**
+   * Makes the last response close the connection, if its headers are not sent.
+   * One before it would cut off those that follow.
+   */
   refuseReuse(): void {
-    for (const response of this.#responses) response.shouldKeepAlive = false;
+    const newest = this.newestResponse;
+    if (newest && !newest.headersSent) newest.shouldKeepAlive = false;
   }
 
   /** Carries out the next step of closing. */
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -28,6 +28,13 @@
   UnreadableRequest,
 } from "./http_listener.ts";
 export { isValidStatus } from "./response_status.ts";
+export { PipelineLimits } from "./pipeline_limits.ts";
+export type {
+  PipelineLimitsOptions,
+  PipelineObserver,
+  PipelineWait,
+} from "./pipeline_limits.ts";
+export { closeAfterBody } from "./pipelined_response.ts";
 export { createUnaryClient, PeerCallError } from "./unary_client.ts";
 export type { UnaryClientOptions } from "./unary_client.ts";
 export { UnaryServices } from "./unary_services.ts";
