Bound callers' pipelined requests at gateways

Change: the setting callers.concurrentPerConnection (4) and three metrics. CallerResponse marks a response that closes its connection, so that nothing behind it is started.

The whole suite and the soak were not run.

A replaced response still counts with the outcome of the target's response.

--- a/packages/fleet_gateway/caller_response.ts
+++ b/packages/fleet_gateway/caller_response.ts
@@ -1,5 +1,9 @@
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-import { hasCallerLeft, onExchangeEnd } from "@kingcupglade/transport";
+import {
+  closeAfterBody,
+  hasCallerLeft,
+  onExchangeEnd,
+} from "@kingcupglade/transport";
 import type { ResponseHead, ResponseStream } from "./exchange.ts";
 import {
   encodeRelayReply,
@@ -55,6 +59,8 @@
   #target = "";
   #framing: BodyFraming = BodyFraming.none;
   #isStreamed = false;
+  /** Whether a response of the gateway was sent in place of the target's. */
+  #isReplaced = false;
   #bytes = 0;
 
   /** @param relayId ID of a request that another gateway relays. */
@@ -113,6 +119,7 @@
   forward(head: ResponseHead, body: Buffer): void {
     if (this.isClosed) return;
     this.#framing = this.#framingOf(head, true);
+    if (this.#replaceIfClosing()) return;
     this.#bytes = body.length;
     this.#writeHead(head, lengthOf(head, { body, framing: this.#framing }));
     this.#end(body);
@@ -152,6 +159,21 @@
     const { req: request } = this.#response;
     if (request.complete || isBodyDiscardable(request)) return;
     this.#response.setHeader("connection", "close");
+    this.#response.shouldKeepAlive = false;
+  }
+
+  // The end of the connection would cut off responses that follow on it.
+  #replaceIfClosing(): boolean {
+    const mayBeSent = this.#framing !== BodyFraming.connection ||
+      closeAfterBody(this.#response);
+    if (mayBeSent) return false;
+    this.#isReplaced = true;
+    this.respond({
+      status: 502,
+      reason: "the end of the response is that of the connection, on which " +
+        "others follow",
+    });
+    return true;
   }
 
   // Ends the response once the request's body is read: Node.js may close the
@@ -175,6 +197,7 @@
   /** Begins a response that is streamed. */
   begin(head: ResponseHead, first: readonly Buffer[]): void {
     this.#framing = this.#framingOf(head, false);
+    if (this.#replaceIfClosing()) return;
     this.#isStreamed = true;
     this.#writeHead(head, head.headers["content-length"]);
     for (const chunk of first) this.write(chunk);
@@ -223,6 +246,7 @@
   }
 
   write(chunk: Buffer): boolean {
+    if (this.#isReplaced) return true;
     this.#bytes += chunk.length;
     return this.#response.write(chunk);
   }
@@ -232,12 +256,13 @@
   }
 
   end(): void {
-    this.#end();
+    if (!this.#isReplaced) this.#end();
   }
 
   // Closing the connection is the only way to signal an incomplete body. Where
   // its end marks the end of the body, only a reset is no end of it.
   fail(): void {
+    if (this.#isReplaced) return;
     if (this.#framing === BodyFraming.connection) {
       this.#response.socket?.resetAndDestroy();
     }
--- a/packages/fleet_gateway/gateway_listeners.ts
+++ b/packages/fleet_gateway/gateway_listeners.ts
@@ -1,11 +1,17 @@
 import type { RequestListener } from "node:http";
 import type { Clock } from "@kingcupglade/tasks";
-import type { Logger } from "@kingcupglade/telemetry";
-import { HttpListener, Readiness } from "@kingcupglade/transport";
+import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import {
+  HttpListener,
+  PipelineLimits,
+  Readiness,
+} from "@kingcupglade/transport";
 import type {
   ListenerCloseResult,
   UnreadableRequest,
 } from "@kingcupglade/transport";
+import type { CallerWire } from "./caller_wire.ts";
+import { createPipelineObserver } from "./pipeline_observer.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
 
 /** Headers of a relayed request: those of the caller and one of this fleet. */
@@ -26,6 +32,8 @@
   readonly callersAddress: string;
   /** Connections of callers at the same time; more are closed. @default 3072 */
   readonly maximumCallerConnections?: number;
+  /** Requests of a caller's connection in progress at a time. @default 4 */
+  readonly concurrentPerConnection?: number;
   /** Where the load balancer checks the readiness of this VM, as IP:PORT. */
   readonly readinessAddress: string;
   /** Where other VMs reach this one, as IP:PORT. */
@@ -38,6 +46,8 @@
   readonly stopSchedule: StopSchedule;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly wire: CallerWire;
 }
 
 interface OpenListeners {
@@ -80,6 +90,10 @@
         defaultCallerConnections,
       handler: options.handleCaller,
       onUnreadable,
+      pipelineLimits: new PipelineLimits({
+        concurrentPerConnection: options.concurrentPerConnection,
+        observer: createPipelineObserver(options),
+      }),
     });
     const relays = await HttpListener.open({
       name: "peers",
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -47,6 +47,8 @@
   readonly callersAddress: string;
   /** Connections of callers at the same time; more are closed. @default 3072 */
   readonly maximumCallerConnections?: number;
+  /** Requests of a caller's connection in progress at a time. @default 4 */
+  readonly concurrentPerConnection?: number;
   /** Where the load balancer checks the readiness of this VM, as IP:PORT. */
   readonly readinessAddress: string;
   /** Where other VMs reach this one, as IP:PORT; all VMs use the same port. */
--- a/packages/kingcupglade/settings/fleet_schema.ts
+++ b/packages/kingcupglade/settings/fleet_schema.ts
@@ -67,6 +67,10 @@
     /** Listener for metrics. @default none */
     metrics: socketAddress.optional(),
   }),
+  callers: z.strictObject({
+    /** Requests of one connection in progress at a time. @default 4 */
+    concurrentPerConnection: integer(1, 64).default(4),
+  }).prefault({}),
   ...common,
 });
 
--- a/packages/kingcupglade/settings/fleet_settings_test.ts
+++ b/packages/kingcupglade/settings/fleet_settings_test.ts
@@ -34,6 +34,7 @@
         mayFound: false,
         toleratedLosses: 1,
       },
+      callers: { concurrentPerConnection: 4 },
       retries: { ratio: 0.2, windowSeconds: 10, slack: 20 },
       log: { level: "info" },
     });
@@ -47,6 +48,11 @@
       /listen.callers: must be IP:PORT/,
       "callers = front",
     ],
+    [
+      "[control]",
+      /callers.concurrentPerConnection/,
+      "[callers]\nconcurrentPerConnection = 0\n[control]",
+    ],
     ["seeds = ", /control.sedes is unknown; did you mean "seeds"/, "sedes = "],
   ];
   for (const [valid, message, invalid] of faults) {
@@ -56,7 +62,11 @@
     });
   }
 
-  for (const section of listKnownKeys(fleetSchemas.control, "")) {
+  const sections = new Set([
+    ...listKnownKeys(fleetSchemas.gateway, ""),
+    ...listKnownKeys(fleetSchemas.control, ""),
+  ]);
+  for (const section of sections) {
     it(`are documented under ${section}`, async () => {
       const documented = await readReferenceTable(page, section);
       const keys = new Set([
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -10,6 +10,12 @@
   readonly requests: RequestMetrics;
   /** Refused requests, by reason. */
   readonly refusals: Counter<"reason">;
+  /** Pipelined requests that waited for others of their connection, by reason. */
+  readonly pipelineWaits: Counter<"reason">;
+  /** Connections whose pipelined requests were dropped behind their end. */
+  readonly pipelineDiscards: Counter;
+  /** Bytes of unread pipelined requests, and of responses that wait for others. */
+  readonly pipelineBytes: Gauge;
   /** Requests retried after an attempt that certainly did not run, by reason. */
   readonly retries: Counter<"reason">;
   /** Late idempotent requests sent to a second target. */
@@ -100,6 +106,22 @@
       labelNames: ["reason"],
       registers,
     }),
+    pipelineWaits: new Counter({
+      name: "kingcupglade_pipeline_waits_total",
+      help: "Pipelined requests that waited for others, by reason",
+      labelNames: ["reason"],
+      registers,
+    }),
+    pipelineDiscards: new Counter({
+      name: "kingcupglade_pipeline_discards_total",
+      help: "Connections whose pipelined requests were dropped at their end",
+      registers,
+    }),
+    pipelineBytes: new Gauge({
+      name: "kingcupglade_pipeline_bytes",
+      help: "Bytes of unread requests and of responses that wait for others",
+      registers,
+    }),
     retries: new Counter({
       name: "kingcupglade_retries_total",
       help: "Requests sent again because they did not run",
