--- a/packages/kingcupglade/pipelining_path_test.ts
+++ b/packages/kingcupglade/pipelining_path_test.ts
@@ -177,33 +177,39 @@
 
   // Guards against requests that run although a response before them ends the
   // connection.
-  it("loses no request behind a response that ends its connection", async () => {
-    caller.write(["a", "b", "c"].map((id) => encode(id)).join(""));
-    await waitUntil(() => running.size === 3);
-    const endWithConnection = (id: string) => {
-      const response = running.get(id)!;
-      response.useChunkedEncodingByDefault = false;
-      response.setHeader("connection", "close");
-      response.removeHeader("transfer-encoding");
-      response.end(`body of ${id};`);
-      return response;
-    };
-    endWithConnection("a");
-    respond("b");
-    respond("c");
-    await waitUntil(() => statuses().length === 3);
-    expect(statuses()).toEqual(["502", "200", "200"]);
-    expect(bodies()).toEqual(["b", "c"]);
-    // Requests run one by one now, so that such a response can be passed on.
-    caller.write(["d", "e"].map((id) => encode(id)).join(""));
-    await waitUntil(() => running.size === 1);
-    await pause(arrivalMilliseconds);
-    endWithConnection("d");
-    await waitUntil(() => isClosed);
-    expect(statuses()).toEqual(["502", "200", "200", "200"]);
-    expect(bodies()).toEqual(["b", "c", "d"]);
-    expect(arrivals()).toEqual(["a", "b", "c", "d"]);
-  });
+  it.each([
+    ["held until its end", 10],
+    ["streamed", 9_000_000],
+  ])(
+    "loses no request behind a response that ends its connection (%s)",
+    async (_how, bytes) => {
+      caller.write(["a", "b", "c"].map((id) => encode(id)).join(""));
+      await waitUntil(() => running.size === 3);
+      const endWithConnection = (id: string) => {
+        const response = running.get(id)!;
+        response.useChunkedEncodingByDefault = false;
+        response.setHeader("connection", "close");
+        response.removeHeader("transfer-encoding");
+        response.write(Buffer.alloc(bytes, " "));
+        response.end(`body of ${id};`);
+      };
+      endWithConnection("a");
+      respond("b");
+      respond("c");
+      await waitUntil(() => statuses().length === 3);
+      expect(statuses()).toEqual(["502", "200", "200"]);
+      expect(bodies()).toEqual(["b", "c"]);
+      // Requests run one by one now, so that such a response can be passed on.
+      caller.write(["d", "e"].map((id) => encode(id)).join(""));
+      await waitUntil(() => running.size === 1);
+      await pause(arrivalMilliseconds);
+      endWithConnection("d");
+      await waitUntil(() => isClosed);
+      expect(statuses()).toEqual(["502", "200", "200", "200"]);
+      expect(bodies()).toEqual(["b", "c", "d"]);
+      expect(arrivals()).toEqual(["a", "b", "c", "d"]);
+    },
+  );
 
   // Guards against a stop that cuts off what targets work on.
   it("receives the responses to all requests in progress at a stop", async () => {
--- a/packages/transport/caller_pipeline.ts
+++ b/packages/transport/caller_pipeline.ts
@@ -17,6 +17,7 @@
  * the end of a connection is behind all that has arrived before.
  */
 const maximumHeldBytes = 16 * 1024;
+
 /** A request that was read and not started. */
 interface PendingRequest {
   readonly request: IncomingMessage;
