--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -17,7 +17,6 @@
   EvacuationOrder,
   EvacuationOutcome,
 } from "./evacuation_orders.ts";
-import { Feature } from "./feature.ts";
 import { GatewayDirectory } from "./gateway_directory.ts";
 import { chooseHeartbeatListener } from "./heartbeat_listener.ts";
 import { KeyConfirmations } from "./key_confirmations.ts";
@@ -275,9 +274,7 @@
     }
     return {
       own: this.#keys.ownPart(receivedAt),
-      answer: this.#updates.encode(watch.position, {
-        isCompact: watch.features.includes(Feature.compactWatch),
-      }),
+      answer: this.#updates.encode(watch),
     };
   }
 
--- a/packages/fleet_control/update_encoder.ts
+++ b/packages/fleet_control/update_encoder.ts
@@ -6,6 +6,7 @@
 } from "@kingcupglade/fleet";
 import { ItemsDigestCache } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
+import { Feature } from "./feature.ts";
 import type { GatewayDirectory } from "./gateway_directory.ts";
 import type { FleetReplica } from "./leader_session.ts";
 import type { ManagerDirectory } from "./manager_directory.ts";
@@ -14,9 +15,8 @@
 import type { SuspectDirectory } from "./suspect_directory.ts";
 import type { TargetDepartures } from "./target_departures.ts";
 import type { TargetViews } from "./target_views.ts";
-import type { WatchAnswer } from "./watch.ts";
+import type { Watch, WatchAnswer } from "./watch.ts";
 import { encodeWatchAnswer } from "./watch_codec.ts";
-import type { WatchForm } from "./watch_codec.ts";
 
 /** Options of an {@link UpdateEncoder}. */
 export interface UpdateEncoderOptions {
@@ -54,10 +54,13 @@
   }
 
   /**
-   * Returns the encoded update since a position; gateways at the same position
-   * share it, if they use the same form.
+   * Returns the encoded update since the position of a watch request. Gateways at
+   * the same position share it, if they use the same form.
    */
-  encode(position: ViewPosition, form: WatchForm): Uint8Array<ArrayBuffer> {
+  encode(
+    { position, features }: Pick<Watch, "position" | "features">,
+  ): Uint8Array<ArrayBuffer> {
+    const form = { isCompact: features.includes(Feature.compactWatch) };
     const { replica, revisions, isComplete } = this.#options;
     const { appliedIndex } = replica;
     const key = [appliedIndex, revisions.current, isComplete()].join("/");
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -221,6 +221,18 @@
     });
   }
 
+  /** Logs and counts that an overdue request is sent to a second target. */
+  recordHedge(target: TargetView): void {
+    const { head, service } = this.#routed;
+    this.#context.metrics.hedges.inc();
+    this.#context.logger.info("request-hedged", {
+      request: head.requestId,
+      service,
+      target: target.name,
+      reason: "the response is overdue",
+    });
+  }
+
   /** Logs an event that concerns one target. */
   logTargetEvent(event: string, target: TargetView, reason: string): void {
     const { head, service } = this.#routed;
