Begin the pacing of a broken target only after repeated breaks

A gateway that is cut off reports breaks at every target to the managers. With pacing after a single one, it would have set the bound of healthy targets to one request for all gateways. Two breaks since the last response are needed now; the ejection after a single break stays as it was.

A further test holds that a target whose share is due gets no more than the limit that it names allows.

--- a/packages/dispatch/target_record.ts
+++ b/packages/dispatch/target_record.ts
@@ -78,9 +78,12 @@
     this.#pace = pace;
   }
 
-  /** Whether the newest exchange broke. */
-  get isBroken(): boolean {
-    return this.#consecutiveBroken > 0;
+  /**
+   * Whether at least two exchanges broke since the last response. One may break
+   * for a cause that lies with a gateway.
+   */
+  get hasBrokenRepeatedly(): boolean {
+    return this.#consecutiveBroken > 1;
   }
 
   /** Records that a request is sent to the target. */
@@ -207,7 +210,7 @@
     // After repeated breaks, one request at a time probes whether the target
     // has recovered.
     return now < this.#ejectedUntil ||
-      (this.#consecutiveBroken > 1 && this.inFlight > 0);
+      (this.hasBrokenRepeatedly && this.inFlight > 0);
   }
 
   #observedDuration(workMilliseconds: number, now: number): number {
--- a/packages/fleet_gateway/paced_targets_test.ts
+++ b/packages/fleet_gateway/paced_targets_test.ts
@@ -96,7 +96,11 @@
     clock = new ManualClock(1000);
   });
 
-  function createGateway(index: number, isPacing: boolean): TargetSelector {
+  function createGateway(
+    index: number,
+    isPacing: boolean,
+    limited: ReadonlySet<string> = new Set(),
+  ): TargetSelector {
     const selector = new TargetSelector({
       synchronizer: { table, millisecondsSinceContact: () => 0 } as never,
       clock,
@@ -107,7 +111,10 @@
       regions: { a: "north" },
       retryBudget: { ratio: 0.2, windowMilliseconds: 10_000, slack: 10 },
       gatewayCount: () => gatewayCount,
-      limits: { of: () => undefined },
+      limits: {
+        of: (name) =>
+          limited.has(name) ? { perSecond: 1, learnedAt: 0 } : undefined,
+      },
       limitSharers: () => 0,
       ...(isPacing && {
         pacing: {
@@ -172,6 +179,18 @@
     expect(select(gateway, tried).kind).toBe("wait");
   });
 
+  it("send a target whose share is due no more than its limit allows", () => {
+    // This gateway is not among those that share the limit.
+    const limited = createGateway(87, true, new Set(["new"]));
+    const unlimited = createGateway(87, true);
+    table.apply(deltaOf([...established, view("new")]));
+    for (const gateway of [limited, unlimited]) gateway.handleTableChange();
+    expect(select(unlimited)).toMatchObject({ target: { name: "new" } });
+    for (let count = 0; count < 5; count += 1) {
+      expect(select(limited).kind).toBe("wait");
+    }
+  });
+
   it("do not hedge at a paced target", () => {
     const gateway = createGateway(0, true);
     table.apply(deltaOf([...established, view("new")]));
--- a/packages/fleet_gateway/target_paces.ts
+++ b/packages/fleet_gateway/target_paces.ts
@@ -108,7 +108,7 @@
     const { clock, isPaced } = this.#options;
     // A cold target has its own rate.
     if (target.isCold) return PaceDecision.open;
-    if (record.isBroken && !record.pace && isPaced(target)) {
+    if (record.hasBrokenRepeatedly && !record.pace && isPaced(target)) {
       this.#start(target, record, PaceReason.broken);
     }
     const { pace, inFlight } = record;
--- a/packages/fleet_gateway/target_paces_test.ts
+++ b/packages/fleet_gateway/target_paces_test.ts
@@ -164,19 +164,23 @@
     expect(reasons()).toEqual([PaceReason.coldPeriodEnded]);
   });
 
-  it("begins after a broken exchange, with one request at a time", () => {
-    const target = view("t1");
-    list(target);
-    const record = new TargetRecord();
-    records.set("t1", record);
-    const situation = { choosers: 88, meanMilliseconds: 250 };
-    expect(paces.decide(target, record, situation)).toBe(PaceDecision.open);
+  function breakExchange(record: TargetRecord): void {
     record.begin();
     record.end(ExchangeEnd.broken, {
       now: 1000,
       durationMilliseconds: 10,
       expectedMilliseconds: 250,
     });
+  }
+
+  it("begins after broken exchanges, with one request at a time", () => {
+    const target = view("t1");
+    list(target);
+    const record = new TargetRecord();
+    records.set("t1", record);
+    const situation = { choosers: 88, meanMilliseconds: 250 };
+    breakExchange(record);
+    breakExchange(record);
     expect(paces.decide(target, record, situation)).toBe(PaceDecision.open);
     record.begin();
     expect(paces.decide(target, record, situation)).toBe(PaceDecision.closed);
@@ -189,6 +193,27 @@
     expect(reasons()).toEqual([PaceReason.broken, PaceReason.inTime]);
   });
 
+  it("does not begin for breaks between responses", () => {
+    // A gateway that is cut off reports breaks at every target to managers,
+    // while others get responses.
+    const target = view("t1");
+    list(target);
+    const record = new TargetRecord();
+    records.set("t1", record);
+    const situation = { choosers: 1, meanMilliseconds: 250 };
+    for (let count = 0; count < 5; count += 1) {
+      breakExchange(record);
+      record.begin();
+      expect(paces.decide(target, record, situation)).toBe(PaceDecision.open);
+      record.end(ExchangeEnd.answered, {
+        now: 1250,
+        durationMilliseconds: 250,
+        expectedMilliseconds: 250,
+      });
+    }
+    expect(reasons()).toEqual([]);
+  });
+
   it("leaves targets to the manager of their slots", () => {
     isPaced = () => false;
     list();
@@ -199,11 +224,8 @@
   it("leaves cold targets to their rate", () => {
     const target = view("t1", { isCold: true });
     const record = new TargetRecord();
-    record.end(ExchangeEnd.broken, {
-      now: 1000,
-      durationMilliseconds: 10,
-      expectedMilliseconds: 250,
-    });
+    breakExchange(record);
+    breakExchange(record);
     const decision = paces.decide(target, record, {
       choosers: 88,
       meanMilliseconds: 250,
