--- a/packages/fleet_control/external_call_handler_test.ts
+++ b/packages/fleet_control/external_call_handler_test.ts
@@ -58,6 +58,9 @@
   readonly clocks = new PeerClocks();
   /** Calls relayed to the leader. */
   readonly relayed: RelayedCall[] = [];
+  /** Time-outs of the relays. */
+  readonly timeouts: number[] = [];
+  readonly lines: string[] = [];
   /** Calls that this VM carried out as leader. */
   readonly executed: (EvacuationOrder | string)[] = [];
   isLeading = false;
@@ -84,7 +87,13 @@
       clock: this.clock,
       stalls: this.#stalls,
       ownTime: () => ({ process: "own", milliseconds: this.clock.now() }),
-      logger,
+      logger: {
+        ...logger,
+        info: (event: string, fields?: object) =>
+          this.lines.push(JSON.stringify({ event, ...fields })),
+        warn: (event: string, fields?: object) =>
+          this.lines.push(JSON.stringify({ event, ...fields })),
+      },
     }, this);
   }
 
@@ -126,7 +135,11 @@
   }
 
   #createClients(): PeerClients {
-    const relay = ({ call }: { readonly call: Uint8Array }) => {
+    const relay = (
+      { call }: { readonly call: Uint8Array },
+      { timeoutMs }: { readonly timeoutMs: number },
+    ) => {
+      this.timeouts.push(timeoutMs);
       const calls = unpackValue<readonly RelayedCall[]>(call);
       this.relayed.push(...calls);
       const result = packValue(calls.map(() => ({ status: 200, body: "{}" })));
@@ -236,6 +249,22 @@
       },
     );
 
+    // Guards against keys in the log of a follower, and against a call that is
+    // answered with 503 while the leader waits for gateways.
+    it("are relayed with time for a revocation, and logged by name", async () => {
+      const tenant = { name: "acme", apiKeys: ["key-of-acme"], version: 3 };
+      const body = JSON.stringify({ upsert: { tenants: [tenant] } });
+      expect(await call({ method: "PATCH", path: "/v1/config", body })).toBe(
+        200,
+      );
+      await call(evacuation);
+      const [change, order] = fixture.timeouts;
+      expect(change).toBeGreaterThan(1400);
+      expect(order).toBeLessThan(500);
+      expect(fixture.lines.join()).toContain("workspace/acme@3");
+      expect(fixture.lines.join()).not.toContain("key-of-acme");
+    });
+
     it("are relayed once the stall is over", async () => {
       fixture.pass(stallMilliseconds);
       fixture.runFor(600);
--- a/packages/fleet_gateway/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table_synchronizer_test.ts
@@ -5,9 +5,15 @@
 import {
   decodeWatch,
   encodeWatchAnswer,
+  encodeWatchOwnPart,
+  ownFeatures,
   PeerClients,
 } from "@kingcupglade/fleet_control";
-import type { Watch, WatchAnswer } from "@kingcupglade/fleet_control";
+import type {
+  Watch,
+  WatchAnswer,
+  WatchOwnPart,
+} from "@kingcupglade/fleet_control";
 import { Fleet } from "@kingcupglade/protocol";
 import { ItemKind, ItemsDigest } from "@kingcupglade/items";
 import type { StoredItem } from "@kingcupglade/items";
@@ -17,6 +23,7 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { createUpdate } from "./table_update_fixture.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
+import type { ReceivedOwnPart } from "./table_synchronizer.ts";
 
 const secret = "unguarded";
 const silentLogger = { debug() {}, info() {}, warn() {}, error() {} };
@@ -24,6 +31,8 @@
 /** A control VM whose responses the test controls. */
 class FakeControl {
   answer: (watch: Watch) => WatchAnswer | Promise<WatchAnswer>;
+  /** Part of the responses for the gateway alone; undefined for no bytes. */
+  own: WatchOwnPart | undefined;
   readonly #server: Server;
   readonly address: string;
 
@@ -38,6 +47,7 @@
         const leads = watch.isSearch && response.kind === "news";
         return {
           answer: encodeWatchAnswer(leads ? { kind: "leads" } : response),
+          ...(this.own && !leads && { own: encodeWatchOwnPart(this.own) }),
         };
       },
     });
@@ -72,8 +82,12 @@
   const clients = new PeerClients({ secret });
   let controls: FakeControl[];
   let synchronizer: TableSynchronizer;
+  let received: ReceivedOwnPart[];
 
   beforeEach(async () => {
+    // A synchronizer of the test before may still get a response.
+    const ownParts: ReceivedOwnPart[] = [];
+    received = ownParts;
     controls = [1, 2, 3, 4].map((at) =>
       new FakeControl(`${loopbackPrefix()}.${at}:7390`, neverResponds)
     );
@@ -94,6 +108,8 @@
       metrics: createMetrics(),
       random: Math.random,
       onChange: () => {},
+      takeQuotas: () => [["acme", 1]],
+      onOwnPart: (each) => ownParts.push(each),
     });
   });
 
@@ -154,6 +170,43 @@
     expect(await waitForIndex(2)).toBeLessThan(2000);
   });
 
+  describe("with a part of the response for this gateway alone", () => {
+    // Guards against a lease that is counted from the response.
+    it("passes it on with the time at which the request was sent", async () => {
+      const receivedAt: number[] = [];
+      let watch: Watch | undefined;
+      controls[0]!.own = { confirmedAgeMilliseconds: 7, quotas: [1] };
+      controls[0]!.answer = async (request) => {
+        if (!request.isSearch) {
+          watch ??= request;
+          receivedAt.push(performance.now());
+          await pause(100);
+        }
+        return tableUpdate(1);
+      };
+      synchronizer.start();
+      await expect.poll(() => received.length).toBeGreaterThan(0);
+      const [{ part, sentAt, isTableCurrent }] = received as [ReceivedOwnPart];
+      expect(part).toEqual({ confirmedAgeMilliseconds: 7, quotas: [1] });
+      expect(isTableCurrent).toBe(true);
+      expect(sentAt).toBeLessThanOrEqual(receivedAt[0]!);
+      expect(watch).toMatchObject({
+        features: ownFeatures,
+        quotas: [["acme", 1]],
+      });
+    });
+
+    it("tells if the table differs, and reads none as an empty part", async () => {
+      controls[0]!.answer = async ({ isSearch }) => {
+        if (!isSearch) await pause(50);
+        return tableUpdate(5, { itemsDigest: 1234 });
+      };
+      synchronizer.start();
+      await expect.poll(() => received.length).toBeGreaterThan(0);
+      expect(received[0]).toMatchObject({ part: {}, isTableCurrent: false });
+    });
+  });
+
   describe("of a leader whose update lacks an item", () => {
     const items = ["a", "b"].map((name): StoredItem => ({
       kind: ItemKind.route,
