Log hedges where the page of events looks for them

The split of the forwarder had hidden the event from the test that compares the page with the code, which failed.

--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -116,12 +116,7 @@
         this.#progress.inProgress === 1 && this.#suspicion.mayHedge,
       takeAttempt: () => this.#progress.takeArrival(),
       send: (target, record, ticket) => {
-        this.#context.metrics.hedges.inc();
-        this.#telemetry.logTargetEvent(
-          "request-hedged",
-          target,
-          "the response is overdue",
-        );
+        this.#telemetry.recordHedge(target);
         this.#guard.watch(this.#send(target, record, ticket));
       },
     });
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -221,6 +221,19 @@
     });
   }
 
+  /** Counts and logs that the request is sent to a second target. */
+  recordHedge(target: TargetView): void {
+    const { logger, metrics } = this.#context;
+    const { head, service } = this.#routed;
+    metrics.hedges.inc();
+    logger.info("request-hedged", {
+      request: head.requestId,
+      service,
+      target: target.name,
+      reason: "the response is overdue",
+    });
+  }
+
   /** Logs an event that concerns one target. */
   logTargetEvent(event: string, target: TargetView, reason: string): void {
     const { head, service } = this.#routed;
