--- a/packages/kingcupglade/fleet_fixture.ts
+++ b/packages/kingcupglade/fleet_fixture.ts
@@ -63,7 +63,8 @@
   return await startFleetVm(settings, () => {}, options.overrides);
 }
 
-function createSettingsText(options: RoleOptions): string {
+/** Returns the settings of a VM of a fleet. */
+export function createSettingsText(options: RoleOptions): string {
   const { role, name = `${role}-1`, ip, seed, lines } = options;
   const { dataCentre = "a", sections = "" } = options;
   return `[vm]
--- a/packages/kingcupglade/workspace_fixture.ts
+++ b/packages/kingcupglade/workspace_fixture.ts
@@ -18,7 +18,7 @@
 import type { FleetVm } from "./fleet_vm.ts";
 
 const prefix = loopbackPrefix();
-const controlAddress = `${prefix}.1:7300`;
+export const controlAddress = `${prefix}.1:7300`;
 const gatewayCount = 3;
 /** A gateway tells a cut of its own from lost targets by several of them. */
 const targetDataCentres = ["a", "a", "a", "a", "b", "b", "b"];
