Let a lost control VM not keep operators from revoking keys

A replica that the leader has never been greeted by counted as one of an earlier release. Once workspaces are in use it does not: it had the feature when the first one was added. Run: item_calls_test, watch_call_test, pages_test and workspace_keys_path_test, 47 passed.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -85,6 +85,7 @@
         ...vmsWithout(feature, {
           consensus: this.#replica.running?.consensus,
           greetings: this.#discovery.peers.greetings,
+          isInUse: this.#session?.hasWorkspaces === true,
         }),
         ...this.#session?.gatewaysWithout(feature) ?? [],
       ],
--- a/packages/fleet_control/item_calls_test.ts
+++ b/packages/fleet_control/item_calls_test.ts
@@ -191,12 +191,21 @@
   it("are those that have not said that they have it", () => {
     const greeting = (replica: string, features?: readonly string[]) =>
       [replica, { replica, ...(features && { features }) }] as never;
+    const findIn = (isInUse: boolean, ...greetings: readonly never[]) =>
+      vmsWithout("workspaces", {
+        consensus,
+        greetings: new Map(greetings),
+        isInUse,
+      });
     const find = (...greetings: readonly never[]) =>
-      vmsWithout("workspaces", { consensus, greetings: new Map(greetings) });
+      findIn(false, ...greetings);
     expect(find()).toEqual(["b", "c"]);
     expect(find(greeting("b"), greeting("c", ["workspaces"]))).toEqual(["b"]);
     expect(find(greeting("b", ["workspaces"]), greeting("c", ["workspaces"])))
       .toEqual([]);
+    // Guards against a lost control VM that keeps operators from revocations.
+    expect(findIn(true)).toEqual([]);
+    expect(findIn(true, greeting("b"))).toEqual(["b"]);
     // A recreated data folder has another ID.
     expect(find(greeting("b2", ["workspaces"]), greeting("c", ["workspaces"])))
       .toEqual(["b"]);
