--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/request_telemetry.ts
@@ -221,11 +221,12 @@
     });
   }
 
-  /** Logs and counts that an overdue request is sent to a second target. */
+  /** Counts and logs that the request is sent to a second target. */
   recordHedge(target: TargetView): void {
+    const { logger, metrics } = this.#context;
     const { head, service } = this.#routed;
-    this.#context.metrics.hedges.inc();
-    this.#context.logger.info("request-hedged", {
+    metrics.hedges.inc();
+    logger.info("request-hedged", {
       request: head.requestId,
       service,
       target: target.name,
