Add the allowances of rate limits over all gateways, without a network

Limits of workspaces hold over all gateways together, and most pairs of gateway and workspace see less than one request a second. The leader lends allowances out of the total of a workspace; a gateway counts what is pending or was sent in the last window against its own.

Equal shares and one manager for each workspace are simulated beside it in policies_test.ts and live in its fixtures alone. quota_exploration_test.ts plays random schedules with pauses, cuts, losses, restarts, new and replaced leaders and changed limits.

--- a/packages/quotas/mod.ts
+++ b/packages/quotas/mod.ts
@@ -4,4 +4,36 @@
  *
  * @module
  */
-export {};
+export { GatewayQuotas, QuotaRejection } from "./gateway_quotas.ts";
+export type {
+  GatewayQuotasOptions,
+  QuotaState,
+  QuotaUse,
+} from "./gateway_quotas.ts";
+export { QuotaAdmissions } from "./quota_admissions.ts";
+export type { QuotaDecision } from "./quota_admissions.ts";
+export {
+  packAnswer,
+  packReport,
+  unpackAnswer,
+  unpackReport,
+} from "./messages.ts";
+export type {
+  PackedAnswer,
+  PackedReport,
+  QuotaAnswer,
+  QuotaAnswerRow,
+  QuotaCall,
+  QuotaReply,
+  QuotaReport,
+  QuotaReportRow,
+} from "./messages.ts";
+export { QuotaLender } from "./quota_lender.ts";
+export type { QuotaLenderOptions } from "./quota_lender.ts";
+export {
+  defaultQuotaSettings,
+  leaseMilliseconds,
+  loanMilliseconds,
+  totalAllowance,
+} from "./quota_settings.ts";
+export type { QuotaLimit, QuotaSettings } from "./quota_settings.ts";
