--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -4,16 +4,16 @@
 import { encodeValue, Fleet, Replication } from "@kingcupglade/protocol";
 import { vmOfReplica } from "@kingcupglade/replica";
 import { StallDetector } from "@kingcupglade/tasks";
-import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
-import type { Logger } from "@kingcupglade/telemetry";
 import { UnaryServices } from "@kingcupglade/transport";
+import { ElapsedClock } from "@kingcupglade/workspaces";
 import { chooseBootstrapStep } from "./bootstrap_step.ts";
 import { ControlListeners } from "./control_listeners.ts";
 import { ControlReplica } from "./control_replica.ts";
-import type { ControlWire } from "./control_wire.ts";
+import type { ControlVmOptions } from "./control_vm_options.ts";
 import { ExternalCallHandler } from "./external_call_handler.ts";
 import type { Leadership } from "./external_call_handler.ts";
+import { Feature } from "./feature.ts";
 import { decodeGreeting } from "./greeting.ts";
 import { LeaderSession } from "./leader_session.ts";
 import type { FleetReplica } from "./leader_session.ts";
@@ -24,8 +24,11 @@
 import { planMembers } from "./plan_members.ts";
 import { readMessages, ReplicaLinks } from "./replica_links.ts";
 import type { SuspectCall, SuspectReply } from "./suspect_call.ts";
-import type { Watch, WatchAnswer } from "./watch.ts";
-import { decodeWatch, encodeWatchAnswer } from "./watch_codec.ts";
+import { vmsWithout } from "./vms_without.ts";
+import type { WatchAnswer } from "./watch.ts";
+import { decodeWatch } from "./watch_codec.ts";
+import { answerWatch } from "./watch_call.ts";
+import { WorkspaceSeals } from "./workspace_seals.ts";
 
 const decisionIntervalMilliseconds = 50;
 /**
@@ -40,36 +43,6 @@
  * Followers greet the leader once a second; a silent follower may be lost.
  */
 const maximumSilenceMilliseconds = 1500;
-/** Options of {@link ControlVm.start}. */
-export interface ControlVmOptions {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly region: string;
-  readonly folder: string;
-  /** Address at which targets and operators reach this VM, as IP:PORT. */
-  readonly controlAddress: string;
-  /** Address at which the other VMs reach this VM, as IP:PORT. */
-  readonly peerAddress: string;
-  /** Control addresses used to discover the other control VMs. */
-  readonly seeds: readonly string[];
-  /** Whether the whole fleet starts for the first time. */
-  readonly mayFound: boolean;
-  /** Number of data folders that may be lost at the same time. */
-  readonly toleratedLosses: number;
-  readonly heartbeatMilliseconds: number;
-  /** Region of each data centre. */
-  readonly regions: Readonly<Record<string, string>>;
-  readonly secret: string;
-  readonly wire: ControlWire;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  /**
-   * Called after a failure that a restart of the replica does not cure. A data
-   * folder that fails is none: the VM goes on without a replica meanwhile.
-   */
-  readonly onFailure: (failure: unknown) => void;
-}
-
 /**
  * Control VM: replicates the state of the fleet, and makes its decisions while
  * it is the leader.
@@ -80,6 +53,8 @@
   readonly #discovery: PeerDiscovery;
   readonly #externalCalls: ExternalCallHandler;
   readonly #stalls: StallDetector;
+  readonly #seals: WorkspaceSeals;
+  readonly #elapsedClock: ElapsedClock;
   readonly #timers: NodeJS.Timeout[] = [];
   #listeners!: ControlListeners;
   #replica!: ControlReplica;
@@ -101,8 +76,18 @@
           milliseconds: Math.round(milliseconds),
         }),
     });
+    this.#seals = new WorkspaceSeals(options);
+    this.#elapsedClock = new ElapsedClock({ monotonic: options.clock });
     const shared = {
       ...options,
+      seals: this.#seals,
+      vmsWithout: (feature: Feature) => [
+        ...vmsWithout(feature, {
+          consensus: this.#replica.running?.consensus,
+          greetings: this.#discovery.peers.greetings,
+        }),
+        ...this.#session?.gatewaysWithout(feature) ?? [],
+      ],
       clients: this.#clients,
       peerClocks: new PeerClocks(),
       stalls: this.#stalls,
@@ -211,9 +196,7 @@
           greeting: encodeValue(this.#discovery.greeting),
         });
       },
-      watch: async ({ watch }) => ({
-        answer: await this.#watch(decodeWatch(watch)),
-      }),
+      watch: ({ watch }) => answerWatch(decodeWatch(watch), this),
       suspect: ({ call }) =>
         Promise.resolve({ reply: packValue(this.#handleSuspectCall(call)) }),
       relay: async ({ call }) => ({
@@ -242,25 +225,19 @@
     for (const message of messages) this.#replica.receive(message);
   }
 
-  async #watch(watch: Watch): Promise<Uint8Array<ArrayBuffer>> {
-    const session = this.#session;
-    if (!session || !this.isLeading || this.#isStopping) {
-      return encodeWatchAnswer(this.#redirect);
-    }
-    if (watch.isSearch) return encodeWatchAnswer({ kind: "leads" });
-    const answer = await session.watch(watch);
-    return this.#session === session && this.isLeading
-      ? answer
-      : encodeWatchAnswer(this.#redirect);
-  }
-
   #handleSuspectCall(call: Uint8Array): SuspectReply {
     const session = this.#session;
     if (!session || !this.isLeading) return { kind: "elsewhere" };
     return session.handleSuspectCall(unpackValue<SuspectCall>(call));
   }
 
-  get #redirect(): WatchAnswer {
+  /** The state from which watches are answered; undefined for none. */
+  get watchedSession(): LeaderSession | undefined {
+    return this.isLeading && !this.#isStopping ? this.#session : undefined;
+  }
+
+  /** Response to the watches that another VM has to answer. */
+  get redirect(): WatchAnswer {
     const leader = this.leaderAddress;
     return {
       kind: "elsewhere",
@@ -318,15 +295,12 @@
   }
 
   #startSession(replica: FleetReplica): void {
-    const { clock, logger, heartbeatMilliseconds, controlAddress, regions } =
-      this.#options;
+    const { clock, logger, regions } = this.#options;
+    this.#seals.checkSources(replica.state.items);
     this.#session = new LeaderSession({
+      ...this.#options,
+      elapsedClock: this.#elapsedClock,
       replica,
-      clock,
-      logger,
-      heartbeatMilliseconds,
-      controlAddress,
-      region: this.#options.region,
       regionOf: (dataCentre) => regions[dataCentre] ?? "",
       controlAddresses: () => [
         this.#options.peerAddress,
@@ -335,13 +309,10 @@
         ),
       ],
       listeners: () =>
-        this.#discovery.peers.received.filter(({ receivedAt }) =>
-          clock.now() - receivedAt < maximumSilenceMilliseconds
-        ).map(({ greeting }) => ({
-          name: greeting.controlAddress,
-          address: greeting.controlAddress,
-          dataCentre: greeting.dataCentre,
-        })),
+        this.#discovery.peers.listeners(
+          clock.now(),
+          maximumSilenceMilliseconds,
+        ),
     });
     logger.info("leadership-acquired", {
       term: this.#session.term,
@@ -351,6 +322,8 @@
 
   #decide(): void {
     this.#stalls.observe();
+    // Read regularly, see ElapsedClock.
+    this.#elapsedClock.now();
     this.#updateSession();
     this.#tryBootstrap();
     const replica = this.#replica.running;
@@ -360,7 +333,10 @@
       consensus: replica.consensus,
       greetings: [
         { greeting: this.#discovery.greeting, receivedAt: clock.now() },
-        ...this.#discovery.peers.received,
+        ...this.#discovery.peers.received.filter(({ greeting }) =>
+          this.#session?.hasWorkspaces !== true ||
+          greeting.features?.includes(Feature.workspaces)
+        ),
       ],
       voters: this.#options.toleratedLosses * 2 + 1,
       now: clock.now(),
--- a/packages/fleet_control/mod.ts
+++ b/packages/fleet_control/mod.ts
@@ -5,13 +5,15 @@
  * @module
  */
 export { ControlVm } from "./control_vm.ts";
-export type { ControlVmOptions } from "./control_vm.ts";
+export type { ControlVmOptions } from "./control_vm_options.ts";
 export { ControlWire } from "./control_wire.ts";
 export type {
   ExternalCall,
   ExternalRequest,
   ExternalResponse,
   ExternalResult,
+  SubmittedWorkspace,
+  WorkspaceFieldNames,
 } from "./control_wire.ts";
 export { peerAddressOf } from "./peer_discovery.ts";
 export { packValue, unpackValue } from "./packed_value.ts";
@@ -20,8 +22,11 @@
 export {
   decodeWatch,
   decodeWatchAnswer,
+  decodeWatchOwnPart,
   encodeWatch,
   encodeWatchAnswer,
+  encodeWatchOwnPart,
 } from "./watch_codec.ts";
 export { watchHoldMilliseconds } from "./update_throttle.ts";
-export type { Watch, WatchAnswer } from "./watch.ts";
+export { Feature, ownFeatures } from "./feature.ts";
+export type { Watch, WatchAnswer, WatchOwnPart } from "./watch.ts";
