Keep the limits of workspaces over all gateways

Workspaces have a rate and a burst, which nothing kept. Gateways count a request after its key was accepted and before its body is read; over the allowance it is answered with 429 and a Retry-After. Reports and loans travel with the watch (Watch.quotas, WatchOwnPart.quotas), and a gateway that is short calls Fleet.Quota. An admitted request counts until a window after it was sent, and is not sent once its lease has ended; relayed requests count until their exchange ends, and then for a window.

[quotas] windowSeconds, overage and slack are rendered from the bounds of the platform as far as it states them.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -2,6 +2,7 @@
 import { configurationOf } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import { encodeValue, Fleet, Replication } from "@kingcupglade/protocol";
+import type { QuotaCall, QuotaReply } from "@kingcupglade/quotas";
 import { vmOfReplica } from "@kingcupglade/replica";
 import { StallDetector } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -199,6 +200,8 @@
       watch: ({ watch }) => answerWatch(decodeWatch(watch), this),
       suspect: ({ call }) =>
         Promise.resolve({ reply: packValue(this.#handleSuspectCall(call)) }),
+      quota: ({ call }) =>
+        Promise.resolve({ reply: packValue(this.#handleQuotaCall(call)) }),
       relay: async ({ call }) => ({
         result: await this.#externalCalls.serveRelayed(call),
       }),
@@ -231,6 +234,12 @@
     return session.handleSuspectCall(unpackValue<SuspectCall>(call));
   }
 
+  #handleQuotaCall(call: Uint8Array): QuotaReply {
+    const session = this.watchedSession;
+    if (!session) return { answer: null };
+    return session.handleQuotaCall(unpackValue<QuotaCall>(call));
+  }
+
   /** The state from which watches are answered; undefined for none. */
   get watchedSession(): LeaderSession | undefined {
     return this.isLeading && !this.#isStopping ? this.#session : undefined;
--- a/packages/fleet_control/control_vm_options.ts
+++ b/packages/fleet_control/control_vm_options.ts
@@ -1,3 +1,4 @@
+import type { QuotaSettings } from "@kingcupglade/quotas";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
 import type { ControlWire } from "./control_wire.ts";
@@ -27,6 +28,8 @@
    * the key reaches a target. @default no bound
    */
   readonly revokeMilliseconds?: number;
+  /** How closely limits are kept. @default `defaultQuotaSettings` */
+  readonly quotas?: QuotaSettings;
   readonly wire: ControlWire;
   readonly clock: Clock;
   readonly logger: Logger;
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -17,6 +17,12 @@
 } from "@kingcupglade/fleet";
 import { ItemKind, ItemsDigestCache } from "@kingcupglade/items";
 import type { StoredItems } from "@kingcupglade/items";
+import { defaultQuotaSettings } from "@kingcupglade/quotas";
+import type {
+  QuotaCall,
+  QuotaReply,
+  QuotaSettings,
+} from "@kingcupglade/quotas";
 import type { Replica } from "@kingcupglade/replica";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -33,6 +39,7 @@
 import { LimitDirectory } from "./limit_directory.ts";
 import { ManagerDirectory } from "./manager_directory.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
+import { QuotaDirectory } from "./quota_directory.ts";
 import { RelayDirectory } from "./relay_directory.ts";
 import type { SuspectCall, SuspectReply } from "./suspect_call.ts";
 import { SuspectDirectory } from "./suspect_directory.ts";
@@ -40,6 +47,7 @@
 import { UpdateThrottle, watchHoldMilliseconds } from "./update_throttle.ts";
 import type { Watch, WatchAnswer, WatchOwnPart } from "./watch.ts";
 import { encodeWatchAnswer } from "./watch_codec.ts";
+import { WatchWaiters } from "./watch_waiters.ts";
 
 /** Replica of the fleet's state. */
 export type FleetReplica = Replica<FleetState, FleetCommand, FleetOutcome>;
@@ -77,6 +85,8 @@
    * the key reaches a target. @default no bound
    */
   readonly revokeMilliseconds?: number;
+  /** How closely limits are kept. @default {@link defaultQuotaSettings} */
+  readonly quotas?: QuotaSettings;
   /** Counts `clock` and suspensions. @default one of its own */
   readonly elapsedClock?: ElapsedClock;
 }
@@ -97,7 +107,7 @@
   readonly #gateways: GatewayDirectory;
   readonly #ranges: RangeCoordinator;
   readonly #startedAt: number;
-  readonly #waiters = new Set<() => void>();
+  readonly #waiters = new WatchWaiters();
   readonly #throttle = new UpdateThrottle();
   /** Encoded updates by the gateway's position; valid until the next change. */
   readonly #encoded = new Map<string, Uint8Array<ArrayBuffer>>();
@@ -115,6 +125,7 @@
   readonly #evacuations: EvacuationOrders;
   readonly #targetViews: TargetViews;
   readonly #keys: KeyConfirmations;
+  readonly #quotas: QuotaDirectory;
   #countedItems: StoredItems | undefined;
   #hasWorkspaces = false;
 
@@ -150,6 +161,12 @@
         new ElapsedClock({ monotonic: options.clock }),
       activeGateways: () => this.gateways,
     });
+    this.#quotas = new QuotaDirectory({
+      ...options,
+      quotas: options.quotas ?? defaultQuotaSettings,
+      term: this.term,
+      wake: (gateway) => this.#waiters.wake(gateway),
+    });
     this.#targetViews = new TargetViews({
       ...options,
       registry: this.#registry,
@@ -273,18 +290,25 @@
     this.#ranges.recordWatch(watch, now);
     this.#limits.recordWatch(watch, now);
     this.#suspects.recordWatch(watch);
+    this.#quotas.recordWatch(watch);
     this.#recordLeaving(watch);
     if (watch.limits.length + watch.suspects.length > 0) this.notifyChange();
     const hasUpdate = this.#hasUpdate(watch.position);
     // A gateway that has just been updated receives later changes together with
     // the other gateways.
     if (!hasUpdate || this.#isNotificationDue) {
-      await this.#waitForUpdate(
+      await this.#waiters.wait(
+        watch.gateway,
         watchHoldMilliseconds(this.#gateways.activeNames(now).length),
       );
     }
+    const own = this.#keys.ownPart(receivedAt);
+    const quotas = this.#quotas.answerWatch(
+      watch,
+      own.confirmedAgeMilliseconds,
+    );
     return {
-      own: this.#keys.ownPart(receivedAt),
+      own: quotas ? { ...own, quotas } : own,
       answer: this.#encodedDelta(watch.position),
     };
   }
@@ -296,6 +320,12 @@
     return reply;
   }
 
+  /** Handles the call of a gateway that is short of allowance. */
+  handleQuotaCall(call: QuotaCall): QuotaReply {
+    const { confirmedAgeMilliseconds } = this.#keys.ownPart(this.#keys.now());
+    return this.#quotas.handleCall(call, confirmedAgeMilliseconds);
+  }
+
   /** Makes the decisions that are due; called periodically. */
   tick(): void {
     const { clock } = this.#options;
@@ -310,6 +340,7 @@
     }
     this.#limits.choose(now);
     this.#suspects.tick();
+    this.#quotas.tick();
     this.#targetViews.update(now);
     this.#updateControlAddresses();
     this.notifyChange();
@@ -338,12 +369,12 @@
     this.#throttle.recordUpdate(this.#options.clock.now());
     this.#notifiedRevision = this.#revisions.current;
     this.#notifiedIndex = this.#options.replica.appliedIndex;
-    for (const wake of this.#waiters) wake();
+    this.#waiters.wakeAll();
   }
 
   /** Ends the wait of every gateway. */
   end(): void {
-    for (const wake of this.#waiters) wake();
+    this.#waiters.wakeAll();
   }
 
   // A heartbeat with an unknown service or data centre, or an impossible start,
@@ -460,18 +491,6 @@
       (!position.isComplete && this.isComplete);
   }
 
-  #waitForUpdate(holdMilliseconds: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = () => {
-        clearTimeout(timer);
-        this.#waiters.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, holdMilliseconds);
-      this.#waiters.add(wake);
-    });
-  }
-
   #encodedDelta(position: ViewPosition): Uint8Array<ArrayBuffer> {
     const { appliedIndex } = this.#options.replica;
     const { isComplete } = this;
--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -26,6 +26,11 @@
   recheck: () => undefined,
 };
 
+/** Decisions on limits where no workspace has one. */
+export const noQuotas = {
+  admit: () => Promise.resolve({ kind: "accepted" }),
+};
+
 /** What a caller received; status 0 if its request was handed over. */
 export interface Received {
   readonly status: number;
@@ -157,6 +162,7 @@
       connections,
       responseMemory: this.responseMemory,
       keys: noKeys,
+      quotas: noQuotas,
       gatewayCount: () => 1,
       wire: {
         readRequest: () => ({ requestId: "" }),
--- a/packages/fleet_gateway/gateway_table.ts
+++ b/packages/fleet_gateway/gateway_table.ts
@@ -103,6 +103,12 @@
       0;
   }
 
+  /** Version of the workspace with a name; 0 if there is none. */
+  workspaceVersion(name: string): number {
+    const id = itemId({ kind: ItemKind.workspace, name });
+    return this.#items.get(id)?.version ?? 0;
+  }
+
   routeNamed(name: string): Route | undefined {
     const stored = this.#items.get(itemId({ kind: ItemKind.route, name }));
     return stored?.content?.kind === ItemKind.route
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -1,6 +1,7 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { peerAddressOf, PeerClients } from "@kingcupglade/fleet_control";
 import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
+import { defaultQuotaSettings } from "@kingcupglade/quotas";
 import { StallDetector } from "@kingcupglade/tasks";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
@@ -9,8 +10,9 @@
 import type { CallerWire } from "./caller_wire.ts";
 import { GatewayListeners } from "./gateway_listeners.ts";
 import { KeyGate } from "./key_gate.ts";
-import { callLeader } from "./leader_caller.ts";
+import { callLeader, callLeaderForQuota } from "./leader_caller.ts";
 import { LoadProber } from "./load_prober.ts";
+import { QuotaGate } from "./quota_gate.ts";
 import { RelayChoice } from "./relay_choice.ts";
 import { createRequestDigest } from "./request_digest.ts";
 import { RequestHandler } from "./request_handler.ts";
@@ -65,6 +67,11 @@
    * the key reaches a target. @default no bound
    */
   readonly revokeMilliseconds?: number;
+  /**
+   * Window over which limits of workspaces are kept.
+   * @default that of {@link defaultQuotaSettings}
+   */
+  readonly quotaWindowMilliseconds?: number;
   readonly secret: string;
   readonly wire: CallerWire;
   readonly clock: Clock;
@@ -82,6 +89,7 @@
   readonly #peerClients: PeerClients;
   readonly #synchronizer: TableSynchronizer;
   readonly #keys: KeyGate;
+  readonly #quotas: QuotaGate;
   readonly #connections: TargetConnections;
   readonly #reach: TargetReach;
   readonly #relays: RelayChoice;
@@ -172,6 +180,18 @@
       digest: new KeyDigest(secret),
       elapsedClock,
     });
+    this.#quotas = new QuotaGate({
+      ...options,
+      windowMilliseconds: options.quotaWindowMilliseconds ??
+        defaultQuotaSettings.windowMilliseconds,
+      table: () => this.#synchronizer.table,
+      call: (call) =>
+        callLeaderForQuota(call, {
+          clients: this.#peerClients,
+          leader: this.#synchronizer.leader,
+        }),
+      elapsedClock,
+    });
     this.#synchronizer = new TableSynchronizer({
       gateway: {
         gateway: name,
@@ -197,7 +217,11 @@
       metrics: options.metrics,
       random: options.random,
       elapsedClock,
-      onOwnPart: (received) => this.#keys.renew(received),
+      takeQuotas: (isNewLeader) => this.#quotas.takeReport(isNewLeader),
+      onOwnPart: (received) => {
+        this.#keys.renew(received);
+        this.#quotas.receive(received.part);
+      },
       onChange: () => {
         this.#limits.applyTable(this.#synchronizer.table);
         this.#notices.applyTable(this.#synchronizer.table);
@@ -316,6 +340,7 @@
     this.#synchronizer.stop();
     clearInterval(this.#housekeepingTimer);
     clearInterval(this.#stallTimer);
+    this.#quotas.close();
     this.#reach.close();
     this.#connections.close();
     this.#relayConnections.close();
@@ -344,6 +369,7 @@
       notices: this.#notices,
       suspects: this.#suspects,
       keys: this.#keys,
+      quotas: this.#quotas,
       stalls: this.#stalls,
       loadProber: this.#loadProber,
       pools: this.#slotPools,
--- a/packages/fleet_gateway/leader_caller.ts
+++ b/packages/fleet_gateway/leader_caller.ts
@@ -5,6 +5,7 @@
   SuspectReply,
 } from "@kingcupglade/fleet_control";
 import { Fleet } from "@kingcupglade/protocol";
+import type { QuotaCall, QuotaReply } from "@kingcupglade/quotas";
 
 /** A leader in another region responds well within this time. */
 const timeoutMilliseconds = 300;
@@ -18,6 +19,13 @@
   }
 }
 
+/** How the control leader is reached. */
+interface LeaderAccess {
+  readonly clients: PeerClients;
+  /** Peer address of the leader; null while it is unknown. */
+  readonly leader: string | null;
+}
+
 /**
  * Sends a call about a suspect to the control leader.
  *
@@ -25,11 +33,7 @@
  */
 export async function callLeader(
   call: SuspectCall,
-  { clients, leader }: {
-    readonly clients: PeerClients;
-    /** Peer address of the leader; null while it is unknown. */
-    readonly leader: string | null;
-  },
+  { clients, leader }: LeaderAccess,
 ): Promise<SuspectReply> {
   if (leader === null) throw new ControlUnavailableError();
   const { reply } = await clients.client(leader, Fleet).suspect(
@@ -38,3 +42,20 @@
   );
   return unpackValue(reply);
 }
+
+/**
+ * Asks the control leader for more of the limits that all gateways share.
+ *
+ * @throws {ControlUnavailableError} while no leader is known.
+ */
+export async function callLeaderForQuota(
+  call: QuotaCall,
+  { clients, leader }: LeaderAccess,
+): Promise<QuotaReply> {
+  if (leader === null) throw new ControlUnavailableError();
+  const { reply } = await clients.client(leader, Fleet).quota(
+    { call: packValue(call) },
+    { timeoutMs: timeoutMilliseconds },
+  );
+  return unpackValue(reply);
+}
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -1,6 +1,5 @@
 import type { VmEndpoint } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
-import type { KeyFault } from "@kingcupglade/workspaces";
 import { CallerPresence } from "./caller_presence.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { Exchange, LossCause } from "./exchange.ts";
@@ -15,8 +14,9 @@
 } from "./relay_message.ts";
 import type { RelayReply } from "./relay_message.ts";
 import { RelayWire } from "./relay_wire.ts";
-import { refuseKey } from "./key_refusal.ts";
 import { RequestGuard } from "./request_guard.ts";
+import { findSendFault, refuseSend } from "./send_fault.ts";
+import type { SendFault } from "./send_fault.ts";
 import { requestHeaders } from "./request_headers.ts";
 import { RequestTelemetry, stageOf } from "./request_telemetry.ts";
 import { retryAfterMilliseconds } from "./retry_after.ts";
@@ -113,8 +113,8 @@
       this.#tried.add(gateway.name);
       await this.#presence.confirm();
       if (this.#isFinished) return;
-      const fault = context.keys.recheck(routed.workspace);
-      if (fault) return this.#refuseKey(fault);
+      const fault = findSendFault(context, routed);
+      if (fault) return this.#refuseFault(fault);
       const result = await this.#send(gateway);
       if (this.#isFinished || this.#handleResult(result, gateway)) return;
       if (!routed.body.canBeSent) break;
@@ -123,12 +123,12 @@
   }
 
   // The key was revoked, or the lease ended, after the request was admitted.
-  #refuseKey(fault: KeyFault): void {
+  #refuseFault(fault: SendFault): void {
     const { context, routed, answer } = this.#options;
     if (this.#mayHaveRun) return this.#refuse();
     this.#isFinished = true;
     context.metrics.relayed.inc({ outcome: "not-served" });
-    answer.respond(refuseKey(fault, { context, routed }));
+    answer.respond(refuseSend(fault, { context, routed }));
   }
 
   #handleFault(failure: unknown): void {
@@ -167,7 +167,9 @@
       reservation,
       connection,
       wire: this.#wire,
-      mayStart: () => context.keys.recheck(routed.workspace) === undefined,
+      mayStart: () =>
+        context.keys.recheck(routed.workspace) === undefined &&
+        (routed.quota?.relay() ?? true),
       stream: answer,
       request: {
         method: request.method ?? "GET",
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -2,14 +2,14 @@
 import type { TargetRecord, WaitingRequest } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
-import type { KeyFault } from "@kingcupglade/workspaces";
 import { CallerPresence } from "./caller_presence.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import { LossCause } from "./exchange.ts";
 import type { Exchange, ExchangeResult, ResponseHead } from "./exchange.ts";
 import { isSuccess, isUnstatedRefusal, mayHaveRun } from "./exchange_end.ts";
-import { refuseKey } from "./key_refusal.ts";
 import type { ForwardingProgress } from "./relay_forwarder.ts";
+import { findSendFault, refuseSend } from "./send_fault.ts";
+import type { SendFault } from "./send_fault.ts";
 import { SlotAcquisition } from "./slot_acquisition.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import { retryAfterMilliseconds } from "./retry_after.ts";
@@ -294,7 +294,7 @@
       }
       return this.#begin();
     }
-    const fault = this.#context.keys.recheck(this.#routed.workspace);
+    const fault = findSendFault(this.#context, this.#routed);
     if (fault) {
       use.cancel();
       return this.#withhold(target, fault);
@@ -332,7 +332,7 @@
       use.cancel();
       return this.#withhold(
         target,
-        this.#context.keys.recheck(this.#routed.workspace),
+        findSendFault(this.#context, this.#routed),
       );
     }
     use.end(result, { isAbandoned: this.#isFinished });
@@ -343,10 +343,10 @@
   }
 
   /**
-   * Handles that the request was not sent to a target because of its key. Without
-   * a fault, the lease was renewed in the meantime, and it is sent again.
+   * Handles that the request was not sent to a target because of its key or limit.
+   * Without a fault, the lease was renewed in the meantime, and it is sent again.
    */
-  #withhold(target: TargetView, fault: KeyFault | undefined): void {
+  #withhold(target: TargetView, fault: SendFault | undefined): void {
     if (this.#isFinished) return;
     if (!this.#arrived.has(target.name)) {
       this.#attempts.recordNotSent(target.name);
@@ -354,11 +354,13 @@
     // Another target has the request, and may respond.
     if (this.#inProgress > 0) return;
     if (!fault) return this.#begin();
-    if (this.#mayHaveRun) return this.#refuse("the key is not accepted", 0);
+    if (this.#mayHaveRun) {
+      return this.#refuse("the request may not be sent again", 0);
+    }
     this.#telemetry.count("not-run");
     this.#finish();
     this.#response.respond(
-      refuseKey(fault, { context: this.#context, routed: this.#routed }),
+      refuseSend(fault, { context: this.#context, routed: this.#routed }),
     );
   }
 
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -154,6 +154,8 @@
     if (admission.kind === "refused") {
       return answer.respond(admission.response);
     }
+    const { quota } = admission;
+    if (quota) answer.onClosed(() => quota.release());
     const deadlineAt = this.#options.stopSchedule.deadlineFor(
       arrivedAt + Math.min(
         route.timeoutMilliseconds,
@@ -188,6 +190,7 @@
       head,
       route: admission.route,
       workspace: admission.workspace,
+      quota,
       service: selector.parts.next(route),
       body,
       arrivedAt,
--- a/packages/fleet_gateway/request_handler_fixture.ts
+++ b/packages/fleet_gateway/request_handler_fixture.ts
@@ -1,5 +1,5 @@
 import { createMetrics } from "@kingcupglade/telemetry";
-import { noKeys } from "./forwarding_fixture.ts";
+import { noKeys, noQuotas } from "./forwarding_fixture.ts";
 import { RequestHandler } from "./request_handler.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import { StopSchedule } from "./stop_schedule.ts";
@@ -31,6 +31,7 @@
       },
       pools: { poolFor: () => undefined },
       keys: noKeys,
+      quotas: noQuotas,
       suspects: { isSuspect: () => false },
       reach: {
         isCutOff: false,
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { Route } from "@kingcupglade/items";
+import type { QuotaUse } from "@kingcupglade/quotas";
 import type { Clock, StallDetector } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { BodyMemory, RequestBody } from "@kingcupglade/transport";
@@ -7,6 +8,7 @@
 import type { GatewayTable } from "./gateway_table.ts";
 import type { KeyGate } from "./key_gate.ts";
 import type { LoadProber } from "./load_prober.ts";
+import type { QuotaGate } from "./quota_gate.ts";
 import type { SlotPools } from "./slot_pools.ts";
 import type { SlotClient } from "./slot_client.ts";
 import type { SuspectGate } from "./suspect_gate.ts";
@@ -27,6 +29,7 @@
   readonly notices: TargetNotices;
   readonly suspects: SuspectGate;
   readonly keys: KeyGate;
+  readonly quotas: QuotaGate;
   readonly loadProber: LoadProber;
   readonly pools: SlotPools;
   readonly slots: SlotClient;
@@ -57,6 +60,11 @@
   readonly route: Route;
   /** Undefined for requests that need no key. */
   readonly workspace?: RequestWorkspace | undefined;
+  /**
+   * Counts the request against the limit of its workspace. Undefined without a
+   * limit, and for requests that another gateway relays and counts.
+   */
+  readonly quota?: QuotaUse | undefined;
   readonly service: string;
   /**
    * Position among the keys of a keyed service; undefined for other services,
--- a/packages/fleet_gateway/target_exchange.ts
+++ b/packages/fleet_gateway/target_exchange.ts
@@ -25,7 +25,7 @@
 }): Exchange {
   const { context, routed, answer, target, startedAt } = options;
   const { keys, limits, notices, reach, wire } = context;
-  const { request, body, deadlineAt, workspace } = routed;
+  const { request, body, deadlineAt, workspace, quota } = routed;
   const { requestId } = routed.head;
   const remainingMilliseconds = deadlineAt - startedAt;
   const reservation = context.responseMemory.reserve();
@@ -34,7 +34,8 @@
     reservation,
     connection: options.connection,
     wire,
-    mayStart: () => keys.recheck(workspace) === undefined,
+    mayStart: () =>
+      keys.recheck(workspace) === undefined && (quota?.send() ?? true),
     stream: firstResponseStream(answer, {
       exchanges: options.exchanges,
       self: () => exchange,
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -129,6 +129,8 @@
       windowMilliseconds: retries.windowSeconds * millisecondsPerSecond,
       slack: retries.slack,
     },
+    quotaWindowMilliseconds: settings.quotas.windowSeconds *
+      millisecondsPerSecond,
     wire: new PlatformCallerWire(),
     random: createRandomSource(),
   });
@@ -146,6 +148,12 @@
     mayFound: control.mayFound,
     toleratedLosses: control.toleratedLosses,
     heartbeatMilliseconds: control.heartbeatSeconds * millisecondsPerSecond,
+    quotas: {
+      windowMilliseconds: settings.quotas.windowSeconds *
+        millisecondsPerSecond,
+      overage: settings.quotas.overage,
+      slack: settings.quotas.slack,
+    },
     wire: new PlatformControlWire(),
   });
 }
--- a/packages/kingcupglade/settings/fleet_schema.ts
+++ b/packages/kingcupglade/settings/fleet_schema.ts
@@ -24,6 +24,14 @@
 /** An hour; a longer bound is a mistake in the unit. */
 const maximumRevokeSeconds = 3600;
 
+/**
+ * Gateways return unused allowances a window after they used them; below a second,
+ * the messages for that would outnumber the watches.
+ */
+const minimumQuotaWindowSeconds = 1;
+/** A new leader lends nothing for a window; more than a minute is a mistake. */
+const maximumQuotaWindowSeconds = 60;
+
 /** Settings common to both roles. */
 const common = {
   control: z.strictObject({
@@ -57,6 +65,16 @@
       maximumRevokeSeconds,
     ).optional(),
   }).prefault({}),
+  quotas: z.strictObject({
+    /** Sliding window over which limits of workspaces are kept. @default 5 */
+    windowSeconds: z.coerce.number().min(minimumQuotaWindowSeconds).max(
+      maximumQuotaWindowSeconds,
+    ).default(5),
+    /** Share by which a limit may be exceeded in a window. @default 0.1 */
+    overage: z.coerce.number().min(0).max(1).default(0.1),
+    /** Requests in a window beyond that. @default 20 */
+    slack: z.coerce.number().min(0).default(20),
+  }).prefault({}),
   /** Region of each data centre. */
   regions: z.record(name, name),
   security: z.strictObject({
--- a/packages/kingcupglade/settings/fleet_settings_test.ts
+++ b/packages/kingcupglade/settings/fleet_settings_test.ts
@@ -37,6 +37,7 @@
       retries: { ratio: 0.2, windowSeconds: 10, slack: 20 },
       log: { level: "info" },
       workspaces: {},
+      quotas: { windowSeconds: 5, overage: 0.1, slack: 20 },
     });
   });
 
@@ -48,6 +49,8 @@
       /listen.callers: must be IP:PORT/,
       "callers = front",
     ],
+    ["[regions]", /quotas.overage/, "[quotas]\noverage = 11\n[regions]"],
+    ["[regions]", /quotas.window/, "[quotas]\nwindowSeconds = 0\n[regions]"],
     ["seeds = ", /control.sedes is unknown; did you mean "seeds"/, "sedes = "],
   ];
   for (const [valid, message, invalid] of faults) {
--- a/packages/kingcupglade/settings/template_test.ts
+++ b/packages/kingcupglade/settings/template_test.ts
@@ -98,4 +98,16 @@
       .toEqual({});
     expect(await read({})).toEqual({});
   });
+
+  // Guards against limits that are looser or tighter than the site asks for.
+  it("takes over how closely limits are kept, as far as the site says", async () => {
+    const read = async (bounds: Fields) =>
+      (await readTemplateSettings({ ...vm.bounds, ...bounds }))?.quotas;
+    expect(await read({ quotaWindowS: 4, quotaOverage: 0, quotaSlack: 0 }))
+      .toEqual({ windowSeconds: 4, overage: 0, slack: 0 });
+    expect(await read({ quotaSlack: 34 }))
+      .toEqual({ windowSeconds: 5, overage: 0.1, slack: 34 });
+    expect(await read({}))
+      .toEqual({ windowSeconds: 5, overage: 0.1, slack: 20 });
+  });
 });
--- a/packages/quotas/gateway_quotas.ts
+++ b/packages/quotas/gateway_quotas.ts
@@ -14,12 +14,20 @@
 
 /** A request that was counted. */
 export interface QuotaUse {
+  /** Whether it may be sent: it was already, or its lease goes on. */
+  readonly isValid: boolean;
   /**
    * Records that the request is sent to a target, now. Returns false if it must
    * not be sent, as the lease has ended since it was admitted. Only the first
    * call counts.
    */
   send(): boolean;
+  /**
+   * Records that the request is handed to another gateway, which sends it at a
+   * time that is not known here: it counts until {@link release}, and from then
+   * on like one that is sent. Returns false if it must not be sent.
+   */
+  relay(): boolean;
   /** Gives the count back, unless the request was sent. */
   release(): void;
 }
@@ -128,6 +136,7 @@
     const now = this.#now();
     this.#checkLease();
     const number = this.#number += 1;
+    this.#forgetLapsedReports();
     this.#sentAt.set(number, this.#elapsed());
     const isWhole = this.#needsWhole || isNewLeader;
     if (isWhole) this.#firstOfSession = number;
@@ -173,33 +182,49 @@
     return true;
   }
 
-  /** Forgets a report that was not answered. */
-  drop(number: number): void {
-    this.#sentAt.delete(number);
-  }
-
   #createUse(allowance: WorkspaceAllowance): QuotaUse {
     const leaseNumber = this.#leaseNumber;
-    let state: "pending" | "sent" | "released" = "pending";
+    let state: "pending" | "relayed" | "sent" | "released" = "pending";
     const isCurrent = () => {
       this.#checkLease();
       return leaseNumber === this.#leaseNumber;
     };
+    const isValid = () =>
+      state === "sent" ||
+      (state !== "released" && isCurrent());
+    const send = () => {
+      if (!isValid()) return false;
+      if (state !== "sent") allowance.send(this.#now());
+      state = "sent";
+      return true;
+    };
     return {
-      send: () => {
-        if (state !== "pending") return state === "sent";
-        if (!isCurrent()) return false;
-        state = "sent";
-        allowance.send(this.#now());
+      get isValid() {
+        return isValid();
+      },
+      send,
+      relay: () => {
+        if (!isValid()) return false;
+        if (state === "pending") state = "relayed";
         return true;
       },
       release: () => {
-        if (state === "pending" && isCurrent()) allowance.release();
-        if (state === "pending") state = "released";
+        if (state === "relayed") send();
+        else if (state === "pending" && isCurrent()) allowance.release();
+        if (state !== "sent") state = "released";
       },
     };
   }
 
+  // Answers to them would give no lease.
+  #forgetLapsedReports(): void {
+    const earliest = this.#elapsed() - leaseMilliseconds;
+    for (const [number, sentAt] of this.#sentAt) {
+      if (sentAt > earliest) break;
+      this.#sentAt.delete(number);
+    }
+  }
+
   // Without a lease, the leader may lend the allowances to others.
   #checkLease(): void {
     const isCurrent = this.#leaseEndsAt > this.#elapsed();
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -48,6 +48,12 @@
   readonly controlContactAge: Gauge;
   /** Seconds for which this VM may still rely on its table of keys. */
   readonly keyLease: Gauge;
+  /** Requests of workspaces with a limit, by decision. */
+  readonly quotaDecisions: Counter<"decision">;
+  /** Calls for more of the limits that all gateways share, by outcome. */
+  readonly quotaCalls: Counter<"outcome">;
+  /** Workspaces that this gateway counts. */
+  readonly quotaWorkspaces: Gauge;
   /** Number of times that a gateway's items differed from the leader's. */
   readonly tableMismatches: Counter;
   /** Number of times that the routing lease lapsed. */
@@ -203,6 +209,23 @@
       help: "Time for which the VM may rely on its table of keys",
       registers,
     }),
+    quotaDecisions: new Counter({
+      name: "kingcupglade_quota_decisions_total",
+      help: "Requests of workspaces with a limit, by decision",
+      labelNames: ["decision"],
+      registers,
+    }),
+    quotaCalls: new Counter({
+      name: "kingcupglade_quota_calls_total",
+      help: "Calls for more of the limits that gateways share, by outcome",
+      labelNames: ["outcome"],
+      registers,
+    }),
+    quotaWorkspaces: new Gauge({
+      name: "kingcupglade_quota_workspaces",
+      help: "Workspaces with a limit that the VM counts",
+      registers,
+    }),
     controlContactAge: new Gauge({
       name: "kingcupglade_control_contact_age_seconds",
       help: "Time since the last contact with the control leader",
