--- a/packages/kingcupglade/workspace_fixture.ts
+++ b/packages/kingcupglade/workspace_fixture.ts
@@ -53,6 +53,8 @@
 export interface Arrival {
   readonly id: string;
   readonly headers: HttpResult["headers"];
+  /** Time of the arrival, as `performance.now()`. */
+  readonly at: number;
 }
 
 /** Log lines of all VMs, for the search for keys. */
@@ -118,7 +120,11 @@
     );
     for (const [at, target] of this.#targets.entries()) {
       target.handler = ({ headers }, response) => {
-        this.arrivals.push({ id: String(headers["x-request-id"]), headers });
+        this.arrivals.push({
+          id: String(headers["x-request-id"]),
+          headers,
+          at: performance.now(),
+        });
         response.end("whole");
       };
       await target.start(`${prefix}.${50 + at}`);
