--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -353,10 +353,9 @@
     }
     // Another target has the request, and may respond.
     if (this.#inProgress > 0) return;
-    if (!fault) return this.#begin();
-    if (this.#mayHaveRun) {
-      return this.#refuse("the request may not be sent again", 0);
-    }
+    if (!fault && this.#routed.body.canBeSent) return this.#begin();
+    if (!fault) return this.#refuse("the body cannot be sent again", 0);
+    if (this.#mayHaveRun) return this.#refuse("the key is not accepted", 0);
     this.#telemetry.count("not-run");
     this.#finish();
     this.#response.respond(
