Send relayed requests under the lease of the gateway that counted them

A gateway that reaches no target hands requests to another one, which could send them to a target after the lease of the first had ended, when the leader may have lent the allowance anew. The relay message now tells how long the lease lasts, in a further field of the row, only with a workspace that has a limit. A request that was sent before carries no such time, as a repeat counts no second time.

Measured: the tests of relay_message, relay_forwarder, withheld_requests, lapsed_quotas, quota_gate and gateway_quotas pass.

--- a/packages/fleet_gateway/quota_gate.ts
+++ b/packages/fleet_gateway/quota_gate.ts
@@ -109,6 +109,29 @@
     }, 0);
   }
 
+  /**
+   * Returns the use of a request that another gateway relays and counts, and
+   * that must be sent to a target within the given time.
+   */
+  relayedUse(milliseconds: number): QuotaUse {
+    const { elapsedClock } = this.#options;
+    const endsAt = elapsedClock.now() + milliseconds;
+    let isSent = false;
+    const isValid = () => isSent || elapsedClock.now() < endsAt;
+    return {
+      get isValid() {
+        return isValid();
+      },
+      get leftMilliseconds() {
+        return Math.max(0, endsAt - elapsedClock.now());
+      },
+      send: () => (isSent = isValid()),
+      // A relayed request is not relayed again.
+      relay: () => false,
+      release: () => {},
+    };
+  }
+
   /** Returns the report for a watch request. */
   takeReport(isNewLeader: boolean): readonly unknown[] {
     const { quotas } = this.#admissions;
--- a/packages/fleet_gateway/quota_gate_test.ts
+++ b/packages/fleet_gateway/quota_gate_test.ts
@@ -96,4 +96,9 @@
     expect(performance.now() - startedAt).toBeLessThan(450);
     expect(logged.map(([event]) => event)).toContain("quota-call-failed");
   });
+
+  it("lets a relayed request be sent until the lease of its gateway ends", () => {
+    expect(gate.relayedUse(1000).send()).toBe(true);
+    expect(gate.relayedUse(0).send()).toBe(false);
+  });
 });
--- a/packages/fleet_gateway/relay_admission.ts
+++ b/packages/fleet_gateway/relay_admission.ts
@@ -1,4 +1,5 @@
 import type { Route } from "@kingcupglade/items";
+import type { QuotaUse } from "@kingcupglade/quotas";
 import { KeyFault } from "@kingcupglade/workspaces";
 import { RelayDecision } from "./relay_message.ts";
 import type { RelayRequest } from "./relay_message.ts";
@@ -21,6 +22,8 @@
     readonly route: Route;
     /** Undefined for requests that need no key. */
     readonly workspace: RequestWorkspace | undefined;
+    /** Lets it be sent while the lease of its gateway lasts, if it has a limit. */
+    readonly quota: QuotaUse | undefined;
   }
   | ({ readonly kind: "rejected" } & RelayRejection);
 
@@ -58,7 +61,7 @@
   state: {
     readonly context: Pick<
       ForwardingContext,
-      "keys" | "logger" | "reach" | "table"
+      "keys" | "logger" | "quotas" | "reach" | "table"
     >;
     /** ID of the caller's attempt. */
     readonly requestId: string;
@@ -71,13 +74,17 @@
   if (!route || rejection) {
     return { kind: "rejected", ...rejection ?? otherTable };
   }
-  const { keys, logger } = state.context;
+  const { keys, logger, quotas } = state.context;
   const decision = keys.decideOnRelayed(route, relay.workspace);
   if (decision.kind === "accepted") {
     const workspace = decision.workspace === undefined
       ? undefined
       : relay.workspace;
-    return { kind: "taken", route: decision.route, workspace };
+    const { quotaLeftMilliseconds } = relay;
+    const quota = quotaLeftMilliseconds === undefined
+      ? undefined
+      : quotas.relayedUse(quotaLeftMilliseconds);
+    return { kind: "taken", route: decision.route, workspace, quota };
   }
   logger.info("relayed-key-refused", {
     request: state.requestId,
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -12,7 +12,7 @@
   relayFramingCoding,
   relayHeader,
 } from "./relay_message.ts";
-import type { RelayReply } from "./relay_message.ts";
+import type { RelayReply, RelayRequest } from "./relay_message.ts";
 import { RelayWire } from "./relay_wire.ts";
 import { RequestGuard } from "./request_guard.ts";
 import { findSendFault, refuseSend } from "./send_fault.ts";
@@ -150,6 +150,14 @@
     return keys.areKeysRequired ? wire.guardedHeaders : undefined;
   }
 
+  // A request that was sent before counts already, and may be sent again.
+  get #quotaLease(): Pick<RelayRequest, "quotaLeftMilliseconds"> {
+    const { leftMilliseconds = Infinity } = this.#options.routed.quota ?? {};
+    return Number.isFinite(leftMilliseconds)
+      ? { quotaLeftMilliseconds: leftMilliseconds }
+      : {};
+  }
+
   async #send(gateway: VmEndpoint): Promise<ExchangeResult> {
     const { context, routed, answer, progress } = this.#options;
     const { relays, relayConnections, table, clock, random } = context;
@@ -187,6 +195,7 @@
               leftMilliseconds: this.#leftMilliseconds,
               arrived: progress.arrived,
               ...(routed.workspace && { workspace: routed.workspace }),
+              ...this.#quotaLease,
             }, context.secret),
             te: relayFramingCoding,
           },
--- a/packages/fleet_gateway/relay_message.ts
+++ b/packages/fleet_gateway/relay_message.ts
@@ -38,6 +38,11 @@
   readonly arrived: readonly string[];
   /** Workspace of the request's key; undefined for requests that need none. */
   readonly workspace?: RelayedWorkspace;
+  /**
+   * Milliseconds in which it must be sent to a target, as the lease under which
+   * its gateway counted it ends then; only with a workspace that has a limit.
+   */
+  readonly quotaLeftMilliseconds?: number;
 }
 
 /** Workspace of a relayed request. */
@@ -76,7 +81,10 @@
   ageMilliseconds: number,
   leftMilliseconds: number,
   arrived: readonly string[],
-  /** Name and digest; absent without them, as in earlier releases. */
+  /**
+   * Name, digest, and milliseconds of the lease of the limit; each absent without
+   * it, as in earlier releases.
+   */
   ...workspace: readonly string[],
 ];
 
@@ -105,7 +113,13 @@
     Math.max(1, Math.round(relay.leftMilliseconds)),
     relay.arrived,
     ...(relay.workspace
-      ? [relay.workspace.name, relay.workspace.keyDigest]
+      ? [
+        relay.workspace.name,
+        relay.workspace.keyDigest,
+        ...(relay.quotaLeftMilliseconds === undefined
+          ? []
+          : [String(Math.floor(relay.quotaLeftMilliseconds))]),
+      ]
       : []),
   ];
   return encodeRow(row);
@@ -123,7 +137,9 @@
   const row = decodeRow(header);
   if (!isRequestRow(row) || !isEqual(row[0], secret)) throw unreadable();
   const [, id, from, route, routeVersion, service, age, left, arrived] = row;
-  const [name, keyDigest] = row.slice(rowLength) as readonly string[];
+  const [name, keyDigest, quotaLeft] = row.slice(
+    rowLength,
+  ) as readonly string[];
   return {
     id,
     from,
@@ -135,6 +151,8 @@
     arrived,
     ...(name !== undefined && keyDigest !== undefined &&
       { workspace: { name, keyDigest } }),
+    ...(quotaLeft !== undefined &&
+      { quotaLeftMilliseconds: Number(quotaLeft) }),
   };
 }
 
@@ -167,7 +185,8 @@
 
 function isRequestRow(row: unknown): row is RequestRow {
   return Array.isArray(row) &&
-    (row.length === rowLength || row.length === rowLength + 2) &&
+    [0, 2, 3].includes(row.length - rowLength) &&
+    !Number.isNaN(Number(row[rowLength + 2] ?? 0)) &&
     row.slice(rowLength).every((each) => typeof each === "string") &&
     [0, 1, 2, 3, 5].every((at) => typeof row[at] === "string") &&
     [4, 6, 7].every((at) => Number.isFinite(row[at])) &&
--- a/packages/fleet_gateway/relay_message_test.ts
+++ b/packages/fleet_gateway/relay_message_test.ts
@@ -51,6 +51,13 @@
     });
   });
 
+  it("crosses with the lease of its limit", () => {
+    const workspace = { name: "acme", keyDigest: "a".repeat(64) };
+    const limited = { ...request, workspace, quotaLeftMilliseconds: 1234 };
+    const header = encodeRelayRequest(limited, secret);
+    expect(decodeRelayRequest(header, secret)).toEqual(limited);
+  });
+
   // Guards against a request that is taken for one that needs no key.
   it("is not read from a row of another length", () => {
     const row = ["secret", "a", "g", "r", 7, "s", 1, 9, ["t"], "acme"];
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -240,6 +240,7 @@
         head,
         route: admission.route,
         workspace: admission.workspace,
+        quota: admission.quota,
         service: relay.service,
         body,
         arrivedAt: arrivedAt - relay.ageMilliseconds,
--- a/packages/quotas/gateway_quotas.ts
+++ b/packages/quotas/gateway_quotas.ts
@@ -16,6 +16,11 @@
 export interface QuotaUse {
   /** Whether it may be sent: it was already, or its lease goes on. */
   readonly isValid: boolean;
+  /**
+   * Time until its lease ends, after which it must not be sent; infinite once it
+   * was sent, as it may be sent again.
+   */
+  readonly leftMilliseconds: number;
   /**
    * Records that the request is sent to a target, now. Returns false if it must
    * not be sent, as the lease has ended since it was admitted. Only the first
@@ -198,6 +203,10 @@
     const isValid = () =>
       state === "sent" ||
       (state !== "released" && isCurrent());
+    const leftMilliseconds = () => {
+      if (state === "sent") return Infinity;
+      return isValid() ? this.#leaseEndsAt - this.#elapsed() : 0;
+    };
     const send = () => {
       if (!isValid()) return false;
       if (state !== "sent") allowance.send(this.#now());
@@ -208,6 +217,9 @@
       get isValid() {
         return isValid();
       },
+      get leftMilliseconds() {
+        return leftMilliseconds();
+      },
       send,
       relay: () => {
         if (!isValid()) return false;
--- a/packages/quotas/gateway_quotas_test.ts
+++ b/packages/quotas/gateway_quotas_test.ts
@@ -1,6 +1,7 @@
 import { ManualClock } from "@kingcupglade/tasks";
 import { beforeEach, describe, expect, it } from "vitest";
 import { GatewayQuotas } from "./gateway_quotas.ts";
+import { leaseMilliseconds } from "./quota_settings.ts";
 import type { QuotaAnswerRow, QuotaReport } from "./messages.ts";
 
 describe("GatewayQuotas", () => {
@@ -77,6 +78,33 @@
     }
   });
 
+  // The other gateway sends it at a time that is not known here.
+  it("counts a relayed request until a window after it has ended", () => {
+    lend(1);
+    const use = quotas.take("works")!;
+    expect(use.relay()).toBe(true);
+    expect(use.leftMilliseconds).toBe(leaseMilliseconds);
+    elapse(3000);
+    lend(1);
+    use.release();
+    elapse(3500);
+    lend(1);
+    expect(quotas.take("works")).toBeUndefined();
+    elapse(1700);
+    lend(1);
+    expect(quotas.take("works")).toBeDefined();
+  });
+
+  // A repeat at another gateway must not be rejected as one that never ran.
+  it("may be repeated after its lease once it was sent", () => {
+    lend(1);
+    const use = quotas.take("works")!;
+    use.send();
+    elapse(4000);
+    expect(use.isValid).toBe(true);
+    expect(use.leftMilliseconds).toBe(Infinity);
+  });
+
   it("admits another request for one that was not sent", () => {
     lend(1);
     quotas.take("works")!.release();
