Serve loads below small limits, and keep a margin for delivery

A gateway that was lent exactly what its waiting requests needed counted as denied, and rejected its next requests without asking. Requests after a denial now wait again once its time is over, gateways with small allowances return each request that they no longer need, and headroom below four requests is left to others.

In one run of the path test, 142 requests reached the targets in a window of 141: they were sent within the limit but arrived at differing times. Requests now count 50 ms longer, and a tenth of overage and slack is not lent.

--- a/packages/quotas/gateway_quotas.ts
+++ b/packages/quotas/gateway_quotas.ts
@@ -102,6 +102,11 @@
     this.#allowanceOf(workspace).recordDemand(this.#now());
   }
 
+  /** Sets the number of requests of a workspace that wait for more allowance. */
+  setWaiting(workspace: string, count: number): void {
+    this.#allowanceOf(workspace).waiting = count;
+  }
+
   /** Counts a request, or returns undefined if none is admitted now. */
   take(workspace: string): QuotaUse | undefined {
     if (!this.hasLease) return undefined;
--- a/packages/quotas/quota_admissions.ts
+++ b/packages/quotas/quota_admissions.ts
@@ -101,7 +101,6 @@
       return () => {};
     }
     if (!this.#mayWait(workspace)) {
-      this.#askAgain(workspace);
       decide(this.#rejection(workspace));
       return () => {};
     }
@@ -111,6 +110,7 @@
     };
     this.#waiters.set(workspace, [...waiters ?? [], waiter]);
     this.#waiting += 1;
+    this.quotas.setWaiting(workspace, (waiters?.length ?? 0) + 1);
     this.#short.add(workspace);
     return () => this.#remove(workspace, waiter);
   }
@@ -138,8 +138,11 @@
       for (const workspace of this.#waiters.keys()) this.#short.add(workspace);
       return;
     }
+    const waiting = new Set(this.#waiters.keys());
     if (answer) this.apply(answer);
-    for (const workspace of asked) this.#recordResult(workspace);
+    for (const workspace of asked) {
+      this.#recordResult(workspace, waiting.has(workspace));
+    }
   }
 
   /** Applies an answer, and decides on the requests that waited for it. */
@@ -185,10 +188,12 @@
   }
 
   // Settles the requests of a workspace that the leader was asked for.
-  #recordResult(workspace: string): void {
+  #recordResult(workspace: string, didWait: boolean): void {
     this.#settle(workspace);
     const waiters = this.#waiters.get(workspace) ?? [];
-    if (waiters.length === 0 && this.quotas.hasRoom(workspace)) {
+    const isServed = waiters.length === 0 &&
+      (didWait || this.quotas.hasRoom(workspace));
+    if (isServed) {
       this.#denials.delete(workspace);
       return;
     }
@@ -214,23 +219,14 @@
     }
   }
 
+  // Requests do not wait for what the leader has just denied.
   #mayWait(workspace: string): boolean {
     const denials = this.#denials.get(workspace);
     const isDenied = denials !== undefined &&
-      denials.count >= denialsUntilRejection;
+      this.#clock.now() < denials.until;
     return !isDenied && this.#waiting < maximumWaiting;
   }
 
-  // Requests do not wait for what the leader has just denied, but the leader is
-  // asked again from time to time.
-  #askAgain(workspace: string): void {
-    const denials = this.#denials.get(workspace);
-    if (denials && this.#clock.now() >= denials.until) {
-      this.#short.add(workspace);
-      denials.until = this.#clock.now() + maximumDenialMilliseconds;
-    }
-  }
-
   #askInAdvance(workspace: string): void {
     if (this.#denials.has(workspace)) return;
     if (!this.quotas.isNearlyUsed(workspace)) return;
@@ -257,6 +253,7 @@
     if (!waiters || index < 0) return false;
     this.#waiting -= 1;
     waiters.splice(index, 1);
+    this.quotas.setWaiting(workspace, waiters.length);
     if (waiters.length === 0) this.#waiters.delete(workspace);
     return true;
   }
--- a/packages/quotas/quota_admissions_test.ts
+++ b/packages/quotas/quota_admissions_test.ts
@@ -82,6 +82,28 @@
     expect(decisions.map(([id]) => id)).toEqual(["1", "2"]);
   });
 
+  // A gateway that has just been served must not be treated as denied.
+  it("asks again after an answer that sufficed for the waiting requests", () => {
+    for (const allowance of [1, 2, 3]) {
+      admit(`${allowance}`);
+      answerCall(allowance);
+      clock.advance(100);
+    }
+    expect(decisions.map(([, kind]) => kind))
+      .toEqual(["admitted", "admitted", "admitted"]);
+  });
+
+  it("lets requests wait again some time after a denial", () => {
+    admit("1");
+    answerCall(0);
+    clock.advance(100);
+    answerCall(0);
+    clock.advance(1000);
+    admit("2");
+    answerCall(1);
+    expect(decisions.at(-1)).toEqual(["2", "admitted"]);
+  });
+
   it("calls at most ten times a second", () => {
     let calls = 0;
     for (let at = 0; at < 1000; at += 5) {
--- a/packages/quotas/quota_settings.ts
+++ b/packages/quotas/quota_settings.ts
@@ -36,11 +36,18 @@
  */
 export const leaseMilliseconds = loanMilliseconds * 0.98;
 
+/**
+ * Share of overage and slack that is not lent: requests reach targets at times
+ * that differ more than those at which they were sent. With all of it lent, 142
+ * instead of 141 requests reached the targets of one run in a window.
+ */
+const keptShare = 0.1;
+
 const millisecondsPerSecond = 1000;
 
 /**
- * Returns the sum of the allowances that may be outstanding: the largest number
- * of requests that may be sent in any window. Infinite without a limit.
+ * Returns the sum of the allowances that may be outstanding, which is at most the
+ * number of requests that may be sent in any window. Infinite without a limit.
  */
 export function totalAllowance(
   { ratePerSecond, burst }: QuotaLimit,
@@ -49,6 +56,7 @@
   if (ratePerSecond <= 0) return Infinity;
   const base = ratePerSecond * windowMilliseconds / millisecondsPerSecond +
     burst;
+  const lent = base + (base * overage + slack) * (1 - keptShare);
   // Rounding errors of the product must not cost a request.
-  return Math.floor(base * (1 + overage) + slack + 1e-9);
+  return Math.floor(lent + 1e-9);
 }
--- a/packages/quotas/simulated_load_fixture.ts
+++ b/packages/quotas/simulated_load_fixture.ts
@@ -1,6 +1,6 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import type { SimulatedPolicy } from "./simulated_policies_fixture.ts";
+import type { SimulatedPolicy } from "./simulated_policy_fixture.ts";
 import type { SimulatedNetwork } from "./simulated_network_fixture.ts";
 
 /** Requests of the callers of one workspace. */
--- a/packages/quotas/sliding_count.ts
+++ b/packages/quotas/sliding_count.ts
@@ -10,6 +10,12 @@
  */
 const driftShare = 0.002;
 
+/**
+ * Time for which an event is counted longer, as a request that is sent later may
+ * be faster on its way to its target.
+ */
+const deliveryMilliseconds = 50;
+
 interface Bucket {
   /** Time after which its events are outside the window. */
   readonly expiresAt: number;
@@ -36,7 +42,8 @@
   add(now: number): void {
     const end = (Math.floor(now / this.#bucketMilliseconds) + 1) *
       this.#bucketMilliseconds;
-    const expiresAt = end + this.#windowMilliseconds * (1 + driftShare);
+    const expiresAt = end + this.#windowMilliseconds * (1 + driftShare) +
+      deliveryMilliseconds;
     const last = this.#buckets.at(-1);
     if (last && last.expiresAt >= expiresAt) last.count += 1;
     else this.#buckets.push({ expiresAt, count: 1 });
--- a/packages/quotas/workspace_allowance.ts
+++ b/packages/quotas/workspace_allowance.ts
@@ -13,6 +13,8 @@
 export class WorkspaceAllowance {
   readonly #sent: SlidingCount;
   readonly #demand: SlidingCount;
+  /** Requests that wait for more allowance. */
+  waiting = 0;
   /** Requests that were admitted and have not been sent to a target. */
   #pending = 0;
   #held = 0;
@@ -42,9 +44,12 @@
     return this.#pending + this.#sent.total(now);
   }
 
-  /** Returns the requests of callers in the last window. */
+  /**
+   * Returns the allowance that would have served the callers: their requests in
+   * the last window. Requests that were sent late are counted for longer.
+   */
   demand(now: number): number {
-    return this.#demand.total(now);
+    return Math.max(this.#demand.total(now), this.count(now) + this.waiting);
   }
 
   recordDemand(now: number): void {
@@ -116,6 +121,7 @@
           minimumReportedDifference,
           this.#reportedDemand * reportedShare,
         ) ||
+      (this.#held < minimumNear && demand < this.#reportedDemand) ||
       (demand === 0 && this.#reportedDemand > 0) ||
       (demand > this.#held && demand > this.#reportedDemand);
     return isOutdated || this.#changedSince > acknowledged;
--- a/packages/quotas/workspace_loans.ts
+++ b/packages/quotas/workspace_loans.ts
@@ -149,7 +149,7 @@
       Math.floor(this.#total * idleShare / Math.max(1, gateways)),
     );
     if (demand === 0) return Math.min(held, idle);
-    return Math.max(withHeadroom(demand), Math.min(held, idle), idle);
+    return Math.max(withHeadroom(demand), idle);
   }
 
   #share(gateway: string): number {
@@ -180,5 +180,5 @@
 }
 
 function withHeadroom(demand: number): number {
-  return demand + Math.max(1, Math.ceil(demand * headroomShare));
+  return demand + Math.floor(demand * headroomShare);
 }
