--- a/packages/fleet_control/quota_directory.ts
+++ b/packages/fleet_control/quota_directory.ts
@@ -16,7 +16,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
 import type { FleetReplica } from "./leader_session.ts";
-import type { Watch } from "./watch.ts";
+import type { Watch, WatchOwnPart } from "./watch.ts";
 
 /**
  * Shortest time between two answers to one gateway that only ask for returns; a
@@ -65,21 +65,25 @@
   }
 
   /**
-   * Answers the report in a watch request.
-   *
-   * @param confirmedAgeMilliseconds Time since this leader was confirmed;
-   * undefined if it never was, and may lend nothing.
+   * Adds the answer to the report in a watch request to the response. A leader
+   * that was never confirmed lends nothing.
    */
-  answerWatch(
-    watch: Watch,
-    confirmedAgeMilliseconds: number | undefined,
-  ): PackedAnswer | undefined {
+  answerWatch(watch: Watch, own: WatchOwnPart): WatchOwnPart {
+    const { confirmedAgeMilliseconds } = own;
     const report = unpackReport(watch.quotas);
-    if (!report || confirmedAgeMilliseconds === undefined) return undefined;
-    return this.#answer(watch.gateway, report, confirmedAgeMilliseconds);
+    if (!report || confirmedAgeMilliseconds === undefined) return own;
+    return {
+      ...own,
+      quotas: this.#answer(watch.gateway, report, confirmedAgeMilliseconds),
+    };
   }
 
-  /** Handles the call of a gateway that is short of allowance. */
+  /**
+   * Handles the call of a gateway that is short of allowance.
+   *
+   * @param confirmedAgeMilliseconds Time since this leader was confirmed;
+   * undefined if it never was.
+   */
   handleCall(
     { gateway, report: packed }: QuotaCall,
     confirmedAgeMilliseconds: number | undefined,
--- a/packages/fleet_control/quota_directory_test.ts
+++ b/packages/fleet_control/quota_directory_test.ts
@@ -58,7 +58,9 @@
 
   function exchange(directory: QuotaDirectory, sent: Watch) {
     directory.recordWatch(sent);
-    return unpackAnswer(directory.answerWatch(sent, 0))?.rows;
+    return unpackAnswer(
+      directory.answerWatch(sent, { confirmedAgeMilliseconds: 0 }).quotas,
+    )?.rows;
   }
 
   it("lends the limit of a workspace that was added in its term", () => {
@@ -79,14 +81,15 @@
     const directory = createDirectory();
     const sent = watch("a", 1, ["works", 0, 40]);
     directory.recordWatch(sent);
-    expect(directory.answerWatch(sent, undefined)).toBeUndefined();
+    expect(directory.answerWatch(sent, {})).toEqual({});
   });
 
   it("ignores gateways of earlier releases, which report nothing", () => {
     const directory = createDirectory();
     const sent = { gateway: "a", quotas: [] } as unknown as Watch;
     directory.recordWatch(sent);
-    expect(directory.answerWatch(sent, 0)).toBeUndefined();
+    const own = { confirmedAgeMilliseconds: 0 };
+    expect(directory.answerWatch(sent, own)).toEqual(own);
   });
 
   it("answers gateways at once that others are short of", async () => {
