--- a/packages/fleet_gateway/quota_gate.ts
+++ b/packages/fleet_gateway/quota_gate.ts
@@ -41,6 +41,7 @@
   readonly windowMilliseconds: number;
   readonly table: () => {
     readonly keys: {
+      readonly hasLimits: boolean;
       workspaceNamed(name: string): Workspace | undefined;
     };
     workspaceVersion(name: string): number;
@@ -95,7 +96,7 @@
       };
     }
     this.#options.metrics.quotaDecisions.inc({
-      decision: waitedMilliseconds > 0 ? "admitted-late" : "admitted",
+      decision: waitedMilliseconds > 0 ? "waited" : "admitted",
     });
     return { kind: "accepted", use: decision.use };
   }
@@ -132,11 +133,17 @@
     };
   }
 
-  /** Returns the report for a watch request. */
+  /** Returns the report for a watch request; empty without any limit. */
   takeReport(isNewLeader: boolean): readonly unknown[] {
+    const { metrics, table } = this.#options;
     const { quotas } = this.#admissions;
+    const isUnused = quotas.size === 0 && !table().keys.hasLimits;
+    if (isUnused) {
+      quotas.reportWholeNext();
+      return [];
+    }
     const report = quotas.report(isNewLeader);
-    this.#options.metrics.quotaWorkspaces.set(quotas.size);
+    metrics.quotaWorkspaces.set(quotas.size);
     return packReport(report);
   }
 
--- a/packages/fleet_gateway/quota_gate_test.ts
+++ b/packages/fleet_gateway/quota_gate_test.ts
@@ -26,6 +26,7 @@
       windowMilliseconds: 5000,
       table: () => ({
         keys: {
+          hasLimits: ratePerSecond > 0,
           workspaceNamed: () => ({ ratePerSecond }) as Workspace,
         },
         workspaceVersion: () => 7,
@@ -97,6 +98,16 @@
     expect(logged.map(([event]) => event)).toContain("quota-call-failed");
   });
 
+  // Sites without limits pay for no message about them.
+  it("reports nothing while no workspace has a limit", () => {
+    ratePerSecond = 0;
+    expect(gate.takeReport(true)).toEqual([]);
+    ratePerSecond = 10;
+    expect(unpackReport(gate.takeReport(false))).toMatchObject({
+      isWhole: true,
+    });
+  });
+
   it("lets a relayed request be sent until the lease of its gateway ends", () => {
     expect(gate.relayedUse(1000).send()).toBe(true);
     expect(gate.relayedUse(0).send()).toBe(false);
--- a/packages/kingcupglade/fleet_log.ts
+++ b/packages/kingcupglade/fleet_log.ts
@@ -15,6 +15,13 @@
  */
 const changeLines = 200;
 const changeEvents = ["items-changed", "items-applied", "call-relayed"];
+/**
+ * Lines per second of requests that are rejected for the limit of their
+ * workspace, each of which an operator may ask about. A gateway of the first site
+ * receives 14 requests a second, and more than a tenth of the site's if one
+ * workspace sends all of its requests to it.
+ */
+const rejectionLines = 200;
 
 /** The log of a VM of a fleet, on standard output. */
 export class FleetLog {
@@ -32,7 +39,10 @@
       }),
       () => clock.now(),
       {
-        maximumLines: new Map(changeEvents.map((each) => [each, changeLines])),
+        maximumLines: new Map([
+          ...changeEvents.map((each) => [each, changeLines] as const),
+          ["quota-rejected", rejectionLines],
+        ]),
       },
     );
     this.#flushTimer = setInterval(
--- a/packages/quotas/gateway_quotas.ts
+++ b/packages/quotas/gateway_quotas.ts
@@ -170,6 +170,11 @@
     return { number, incarnation, applied: this.#applied, isWhole, rows };
   }
 
+  /** Makes the next report a whole one, as the leader may be another then. */
+  reportWholeNext(): void {
+    this.#needsWhole = true;
+  }
+
   /** Applies an answer. Returns false if it is outdated. */
   apply(answer: QuotaAnswer): boolean {
     const now = this.#now();
--- a/packages/workspaces/key_index.ts
+++ b/packages/workspaces/key_index.ts
@@ -14,6 +14,8 @@
 export class KeyIndex {
   /** Whether a workspace exists or has existed, so that keys are required. */
   readonly areKeysRequired: boolean;
+  /** Whether a workspace has a rate limit. */
+  readonly hasLimits: boolean;
   readonly #keys = new Map<string, IndexedKey[]>();
   readonly #workspaces = new Map<string, Workspace>();
 
@@ -24,6 +26,9 @@
       if (content?.kind === ItemKind.workspace) this.#add(content);
     }
     this.areKeysRequired = areKeysRequired;
+    this.hasLimits = [...this.#workspaces.values()].some((each) =>
+      each.ratePerSecond > 0
+    );
   }
 
   /** Number of workspaces that are not removed. */
