Test the limit at a gateway that is cut off from control

The fixture of workspaces takes the sections of its settings, as the lease on keys would end before that on allowances. The log of the fixture is limited to 25 lines a second for all VMs, so the test looks for a line of the reason, not of one request.

--- a/packages/kingcupglade/quotas_path_test.ts
+++ b/packages/kingcupglade/quotas_path_test.ts
@@ -53,6 +53,46 @@
     responses.length;
 }
 
+// Without a bound on revocations, so that the lease on keys does not end first.
+describe("A workspace with a limit, at a gateway cut off from control", () => {
+  let fleet: WorkspaceFleet;
+
+  beforeEach(async () => {
+    fleet = new WorkspaceFleet("");
+    await fleet.start();
+    await fleet.addTenant(createTenant("acme", [keys.acme], 1, limit));
+  });
+
+  afterEach(() => fleet.stop());
+
+  // The leader lends the allowance to others once the lease has ended.
+  it("is rejected with 503 from the end of the lease on, and served again", async () => {
+    const load = sendLoad(fleet, {
+      perSecond: 2 * limit.ratePerS,
+      milliseconds: 18_000,
+      gateway: (at) => at % gateways,
+    });
+    await pause(3000);
+    fleet.cutOffFromControl(0);
+    // An update that was under way, the search for another leader, the lease.
+    await pause(7000);
+    const lapsed = await fleet.send("/lookup/1", { key: keys.acme });
+    expect(lapsed.status).toBe(503);
+    expect(Number(lapsed.headers["retry-after"])).toBeGreaterThan(0);
+    // The log of all VMs has 25 lines a second, so that one ID may be missing.
+    const line = fleet.log.lines.find((each) =>
+      each.includes("no lease of allowances")
+    );
+    expect(JSON.parse(line!)).toMatchObject({ status: 503, allowance: 0 });
+    fleet.healControl();
+    await load;
+    expect(highestInWindow(fleet)).toBeLessThanOrEqual(maximumInWindow(limit));
+    await pause(windowMilliseconds + 1000);
+    const again = await fleet.send("/lookup/1", { key: keys.acme });
+    expect(again.status).toBe(200);
+  });
+});
+
 describe("A workspace with a limit", () => {
   let fleet: WorkspaceFleet;
 
--- a/packages/kingcupglade/workspace_fixture.ts
+++ b/packages/kingcupglade/workspace_fixture.ts
@@ -96,9 +96,15 @@
     })
   );
   readonly #client = PeerClients.prototype.client;
+  readonly #sections: string;
   #folder = "";
   #nextId = 0;
 
+  /** @param sections Sections of the settings. @default a bound on revocations */
+  constructor(sections = `[workspaces]\nrevokeSeconds = ${revokeSeconds}`) {
+    this.#sections = sections;
+  }
+
   async start(): Promise<void> {
     this.#interceptWatches();
     this.#folder = await mkdtemp(join(tmpdir(), "workspaces-"));
@@ -242,7 +248,7 @@
         ip,
         seed: controlAddress,
         lines,
-        sections: `[workspaces]\nrevokeSeconds = ${revokeSeconds}`,
+        sections: this.#sections,
         overrides: {
           log: this.log as never,
           ...(network && { connectToTarget: network.connector }),
