Give up allowances that nobody used for a minute

Allowances stayed at idle gateways while there was room, so that the entries at gateways and at the leader grew with all pairs of gateway and workspace that had ever been active. They are given up after twelve windows without a request.

--- a/packages/quotas/gateway_quotas_test.ts
+++ b/packages/quotas/gateway_quotas_test.ts
@@ -169,6 +169,18 @@
     expect(quotas.report(false).rows).toEqual([]);
   });
 
+  it("gives up an allowance that nobody used for a minute", () => {
+    quotas.recordDemand("works");
+    lend(3);
+    for (let at = 0; at < 30; at += 1) {
+      elapse(2000);
+      answer(quotas.report(false), []);
+    }
+    expect(quotas.state("works").allowance).toBe(3);
+    elapse(1000);
+    expect(quotas.report(false).rows).toEqual([["works", 0, 0]]);
+  });
+
   // Memory must not grow with all workspaces that were ever active.
   it("forgets a workspace that is idle and has no allowance", () => {
     lend(3);
--- a/packages/quotas/workspace_allowance.ts
+++ b/packages/quotas/workspace_allowance.ts
@@ -4,6 +4,12 @@
 const reportedShare = 1 / 4;
 /** Share of the allowance at which the leader is asked in advance. */
 const nearShare = 1 / 8;
+/**
+ * Windows without a request after which an allowance is given up, also if there
+ * is room for it to stay: memory must not grow with all pairs of gateways and
+ * workspaces. On the first site a gateway sees most workspaces every 20 s.
+ */
+const idleWindows = 12;
 /** Smaller allowances are used up before an answer could arrive. */
 const minimumNear = 8;
 /** Smaller differences of the demand are not worth a message. */
@@ -13,6 +19,9 @@
 export class WorkspaceAllowance {
   readonly #sent: SlidingCount;
   readonly #demand: SlidingCount;
+  readonly #windowMilliseconds: number;
+  /** Time of the last request, or of the first report without one. */
+  #usedAt: number | undefined;
   /** Requests that wait for more allowance. */
   waiting = 0;
   /** Requests that were admitted and have not been sent to a target. */
@@ -26,6 +35,7 @@
   #rejected = 0;
 
   constructor(windowMilliseconds: number) {
+    this.#windowMilliseconds = windowMilliseconds;
     this.#sent = new SlidingCount(windowMilliseconds);
     this.#demand = new SlidingCount(windowMilliseconds);
   }
@@ -53,6 +63,7 @@
   }
 
   recordDemand(now: number): void {
+    this.#usedAt = now;
     this.#demand.add(now);
   }
 
@@ -92,8 +103,13 @@
     this.#hold(Math.max(allowance, this.count(now)), reportNumber);
   }
 
-  /** Gives up what is neither used nor set by the leader. */
+  /** Gives up what is not used, and not set by the leader or long idle. */
   lower(now: number, reportNumber: number): void {
+    this.#usedAt ??= now;
+    const idleMilliseconds = now - this.#usedAt;
+    if (idleMilliseconds > idleWindows * this.#windowMilliseconds) {
+      this.#ceiling = 0;
+    }
     const count = this.count(now);
     this.#hold(
       Math.min(this.#held, Math.max(this.#ceiling, count)),
