--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -11,6 +11,8 @@
 } from "@kingcupglade/fleet";
 import { ItemKind } from "@kingcupglade/items";
 import type { StoredItems } from "@kingcupglade/items";
+import { defaultQuotaSettings } from "@kingcupglade/quotas";
+import type { QuotaCall, QuotaReply } from "@kingcupglade/quotas";
 import { ElapsedClock } from "@kingcupglade/workspaces";
 import { EvacuationOrders } from "./evacuation_orders.ts";
 import type {
@@ -29,6 +31,7 @@
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
 import { mayRegister } from "./may_register.ts";
 import { PublishedState } from "./published_state.ts";
+import { QuotaDirectory } from "./quota_directory.ts";
 import { RelayDirectory } from "./relay_directory.ts";
 import type { SuspectCall, SuspectReply } from "./suspect_call.ts";
 import { SuspectDirectory } from "./suspect_directory.ts";
@@ -37,6 +40,7 @@
 import { UpdateEncoder } from "./update_encoder.ts";
 import { UpdateThrottle, watchHoldMilliseconds } from "./update_throttle.ts";
 import type { Watch } from "./watch.ts";
+import { WatchWaiters } from "./watch_waiters.ts";
 
 export type {
   FleetReplica,
@@ -64,7 +68,7 @@
   readonly #gateways: GatewayDirectory;
   readonly #ranges: RangeCoordinator;
   readonly #startedAt: number;
-  readonly #waiters = new Set<() => void>();
+  readonly #waiters = new WatchWaiters();
   readonly #throttle = new UpdateThrottle();
   readonly #published = new PublishedState();
   #notifiedRevision = 0;
@@ -84,6 +88,7 @@
   readonly #evacuations: EvacuationOrders;
   readonly #targetViews: TargetViews;
   readonly #keys: KeyConfirmations;
+  readonly #quotas: QuotaDirectory;
   #countedItems: StoredItems | undefined;
   #hasWorkspaces = false;
 
@@ -119,6 +124,12 @@
         new ElapsedClock({ monotonic: options.clock }),
       activeGateways: () => this.gateways,
     });
+    this.#quotas = new QuotaDirectory({
+      ...options,
+      quotas: options.quotas ?? defaultQuotaSettings,
+      term: this.term,
+      wake: (gateway) => this.#waiters.wake(gateway),
+    });
     this.#targetViews = new TargetViews({
       ...options,
       registry: this.#registry,
@@ -262,18 +273,20 @@
     this.#ranges.recordWatch(watch, now);
     this.#limits.recordWatch(watch, now);
     this.#suspects.recordWatch(watch);
+    this.#quotas.recordWatch(watch);
     this.#departures.recordLeaving(watch);
     if (watch.limits.length + watch.suspects.length > 0) this.notifyChange();
     const hasUpdate = this.#hasUpdate(watch.position);
     // A gateway that has just been updated receives later changes together with
     // the other gateways.
     if (!hasUpdate || this.#isNotificationDue) {
-      await this.#waitForUpdate(
+      await this.#waiters.wait(
+        watch.gateway,
         watchHoldMilliseconds(this.#gateways.activeNames(now).length),
       );
     }
     return {
-      own: this.#keys.ownPart(receivedAt),
+      own: this.#quotas.answerWatch(watch, this.#keys.ownPart(receivedAt)),
       answer: this.#updates.encode(watch),
     };
   }
@@ -285,6 +298,12 @@
     return reply;
   }
 
+  /** Handles the call of a gateway that is short of allowance. */
+  handleQuotaCall(call: QuotaCall): QuotaReply {
+    const { confirmedAgeMilliseconds } = this.#keys.ownPart(this.#keys.now());
+    return this.#quotas.handleCall(call, confirmedAgeMilliseconds);
+  }
+
   /** Makes the decisions that are due; called periodically. */
   tick(): void {
     const { clock } = this.#options;
@@ -299,6 +318,7 @@
     }
     this.#limits.choose(now);
     this.#suspects.tick();
+    this.#quotas.tick();
     this.#targetViews.update(now);
     this.#updateControlAddresses();
     this.notifyChange();
@@ -327,12 +347,12 @@
     this.#throttle.recordUpdate(this.#options.clock.now());
     this.#notifiedRevision = this.#revisions.current;
     this.#notifiedIndex = this.#publishedIndex;
-    for (const wake of this.#waiters) wake();
+    this.#waiters.wakeAll();
   }
 
   /** Ends the wait of every gateway. */
   end(): void {
-    for (const wake of this.#waiters) wake();
+    this.#waiters.wakeAll();
   }
 
   #registerHeartbeat(announcement: Announcement): boolean {
@@ -383,16 +403,4 @@
     const { state, appliedIndex } = this.#options.replica;
     return this.#published.indexOf(state, appliedIndex);
   }
-
-  #waitForUpdate(holdMilliseconds: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = () => {
-        clearTimeout(timer);
-        this.#waiters.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, holdMilliseconds);
-      this.#waiters.add(wake);
-    });
-  }
 }
--- a/packages/fleet_control/leader_session_options.ts
+++ b/packages/fleet_control/leader_session_options.ts
@@ -4,6 +4,7 @@
   FleetState,
   VmEndpoint,
 } from "@kingcupglade/fleet";
+import type { QuotaSettings } from "@kingcupglade/quotas";
 import type { Replica } from "@kingcupglade/replica";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
@@ -33,6 +34,8 @@
    * the key reaches a target. @default no bound
    */
   readonly revokeMilliseconds?: number;
+  /** How closely limits are kept. @default `defaultQuotaSettings` */
+  readonly quotas?: QuotaSettings;
   /** Counts `clock` and suspensions. @default one of its own */
   readonly elapsedClock?: ElapsedClock;
 }
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -1,14 +1,16 @@
 import { CallerDeadlines } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
 import { peerAddressOf, PeerClients } from "@kingcupglade/fleet_control";
+import { defaultQuotaSettings } from "@kingcupglade/quotas";
 import { StallDetector } from "@kingcupglade/tasks";
 import { BodyMemory } from "@kingcupglade/transport";
 import { ElapsedClock, KeyDigest } from "@kingcupglade/workspaces";
 import { GatewayListeners } from "./gateway_listeners.ts";
 import type { GatewayVmOptions } from "./gateway_vm_options.ts";
 import { KeyGate } from "./key_gate.ts";
-import { callLeader } from "./leader_caller.ts";
+import { callLeader, callLeaderForQuota } from "./leader_caller.ts";
 import { LoadProber } from "./load_prober.ts";
+import { QuotaGate } from "./quota_gate.ts";
 import { RelayChoice } from "./relay_choice.ts";
 import { createRequestDigest } from "./request_digest.ts";
 import { RequestHandler } from "./request_handler.ts";
@@ -44,6 +46,7 @@
   readonly #peerClients: PeerClients;
   readonly #synchronizer: TableSynchronizer;
   readonly #keys: KeyGate;
+  readonly #quotas: QuotaGate;
   readonly #connections: TargetConnections;
   readonly #reach: TargetReach;
   readonly #relays: RelayChoice;
@@ -135,6 +138,18 @@
       digest: new KeyDigest(secret),
       elapsedClock,
     });
+    this.#quotas = new QuotaGate({
+      ...options,
+      windowMilliseconds: options.quotaWindowMilliseconds ??
+        defaultQuotaSettings.windowMilliseconds,
+      table: () => this.#synchronizer.table,
+      call: (call) =>
+        callLeaderForQuota(call, {
+          clients: this.#peerClients,
+          leader: this.#synchronizer.leader,
+        }),
+      elapsedClock,
+    });
     this.#synchronizer = new TableSynchronizer({
       gateway: {
         gateway: name,
@@ -160,7 +175,11 @@
       metrics: options.metrics,
       random: options.random,
       elapsedClock,
-      onOwnPart: (received) => this.#keys.renew(received),
+      takeQuotas: (isNewLeader) => this.#quotas.takeReport(isNewLeader),
+      onOwnPart: (received) => {
+        this.#keys.renew(received);
+        this.#quotas.receive(received.part);
+      },
       onChange: () => {
         this.#limits.applyTable(this.#synchronizer.table);
         this.#notices.applyTable(this.#synchronizer.table);
@@ -290,6 +309,7 @@
     this.#synchronizer.stop();
     clearInterval(this.#housekeepingTimer);
     clearInterval(this.#stallTimer);
+    this.#quotas.close();
     this.#reach.close();
     this.#connections.close();
     this.#relayConnections.close();
@@ -319,6 +339,7 @@
       suspects: this.#suspects,
       keys: this.#keys,
       callerDeadlines: this.#callerDeadlines,
+      quotas: this.#quotas,
       stalls: this.#stalls,
       loadProber: this.#loadProber,
       pools: this.#slotPools,
--- a/packages/fleet_gateway/gateway_vm_options.ts
+++ b/packages/fleet_gateway/gateway_vm_options.ts
@@ -31,6 +31,11 @@
    * the key reaches a target. @default no bound
    */
   readonly revokeMilliseconds?: number;
+  /**
+   * Window over which limits of workspaces are kept.
+   * @default that of `defaultQuotaSettings`
+   */
+  readonly quotaWindowMilliseconds?: number;
   readonly secret: string;
   readonly wire: CallerWire;
   readonly clock: Clock;
--- a/packages/fleet_gateway/request_ending.ts
+++ b/packages/fleet_gateway/request_ending.ts
@@ -1,17 +1,20 @@
 import type { TargetView } from "@kingcupglade/fleet";
-import type { KeyFault } from "@kingcupglade/workspaces";
 import type { CallerResponse } from "./caller_response.ts";
 import type { ResponseHead } from "./exchange.ts";
-import { refuseKey } from "./key_refusal.ts";
 import type { RequestProgress } from "./request_progress.ts";
 import type { RequestTelemetry } from "./request_telemetry.ts";
 import { retryAfterMilliseconds } from "./retry_after.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
+import { refuseSend } from "./send_fault.ts";
+import type { SendFault } from "./send_fault.ts";
 import type { ServiceQueue } from "./service_queue.ts";
 
 /** Options of a {@link RequestEnding}. */
 export interface RequestEndingOptions {
-  readonly context: Pick<ForwardingContext, "clock" | "random" | "keys">;
+  readonly context: Pick<
+    ForwardingContext,
+    "clock" | "random" | "keys" | "quotas"
+  >;
   readonly routed: RoutedRequest;
   readonly answer: CallerResponse;
   readonly progress: RequestProgress;
@@ -100,13 +103,15 @@
     this.respond(503, reason, milliseconds);
   }
 
-  /** Refuses a request that is sent nowhere because of its key. */
-  refuseKey(fault: KeyFault): void {
+  /** Refuses a request that is sent nowhere because of its key or limit. */
+  refuseSend(fault: SendFault): void {
     const { progress, telemetry, answer } = this.#options;
-    if (progress.mayHaveRun) return this.refuse("the key is not accepted", 0);
+    if (progress.mayHaveRun) {
+      return this.refuse("the request may not be sent again", 0);
+    }
     telemetry.count("not-run");
     this.finish();
-    answer.respond(refuseKey(fault, this.#options));
+    answer.respond(refuseSend(fault, this.#options));
   }
 
   /** Responds in place of a target. */
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -2,11 +2,12 @@
 import type { TargetRecord, WaitingRequest } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
-import type { KeyFault } from "@kingcupglade/workspaces";
 import { AttemptResults } from "./attempt_results.ts";
 import { CallerPresence } from "./caller_presence.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { ForwardingProgress } from "./relay_forwarder.ts";
+import { findSendFault } from "./send_fault.ts";
+import type { SendFault } from "./send_fault.ts";
 import { SlotAcquisition } from "./slot_acquisition.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import { RequestEnding } from "./request_ending.ts";
@@ -290,7 +291,7 @@
       }
       return this.#begin();
     }
-    const fault = this.#context.keys.recheck(this.#routed.workspace);
+    const fault = findSendFault(this.#context, this.#routed);
     if (fault) {
       use.cancel();
       return this.#withhold(target, fault);
@@ -329,10 +330,7 @@
     } else connections.end(connection);
     if (result.kind === "notSent" && result.isWithheld) {
       use.cancel();
-      return this.#withhold(
-        target,
-        this.#context.keys.recheck(this.#routed.workspace),
-      );
+      return this.#withhold(target, findSendFault(this.#context, this.#routed));
     }
     use.end(result, { isAbandoned: this.#ending.isFinished });
     const examination = this.#suspicion.recordResult(result, target);
@@ -344,10 +342,10 @@
   }
 
   /**
-   * Handles that the request was not sent to a target because of its key. Without
-   * a fault, the lease was renewed in the meantime, and it is sent again.
+   * Handles that the request was not sent to a target because of its key or limit.
+   * Without a fault, the lease was renewed in the meantime, and it is sent again.
    */
-  #withhold(target: TargetView, fault: KeyFault | undefined): void {
+  #withhold(target: TargetView, fault: SendFault | undefined): void {
     if (this.#ending.isFinished) return;
     if (!this.#progress.arrived.has(target.name)) {
       this.#attempts.recordNotSent(target.name);
@@ -356,7 +354,7 @@
     if (this.#progress.inProgress > 0) return;
     if (!fault && this.#routed.body.canBeSent) return this.#begin();
     if (!fault) return this.#ending.refuse("the body cannot be sent again", 0);
-    this.#ending.refuseKey(fault);
+    this.#ending.refuseSend(fault);
   }
 
   #scheduleHedge(): void {
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -124,6 +124,8 @@
     if (admission.kind === "refused") {
       return answer.respond(admission.response);
     }
+    const { quota } = admission;
+    if (quota) answer.onClosed(() => quota.release());
     const deadlineAt = this.#options.stopSchedule.deadlineFor(
       arrivedAt + Math.min(
         route.timeoutMilliseconds,
@@ -158,6 +160,7 @@
       head,
       route: admission.route,
       workspace: admission.workspace,
+      quota,
       service: selector.parts.next(route),
       body,
       arrivedAt,
@@ -255,6 +258,7 @@
         head,
         route: admission.route,
         workspace: admission.workspace,
+        quota: admission.quota,
         service: relay.service,
         body,
         arrivedAt: arrivedAt - relay.ageMilliseconds,
--- a/packages/fleet_gateway/request_handler_fixture.ts
+++ b/packages/fleet_gateway/request_handler_fixture.ts
@@ -1,6 +1,6 @@
 import { CallerDeadlines } from "@kingcupglade/dispatch";
 import { createMetrics } from "@kingcupglade/telemetry";
-import { noKeys } from "./forwarding_fixture.ts";
+import { noKeys, noQuotas } from "./forwarding_fixture.ts";
 import { RequestHandler } from "./request_handler.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import { StopSchedule } from "./stop_schedule.ts";
@@ -34,6 +34,7 @@
       pools: { poolFor: () => undefined },
       keys: noKeys,
       callerDeadlines: new CallerDeadlines(),
+      quotas: noQuotas,
       suspects: { isSuspect: () => false },
       reach: {
         isCutOff: false,
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -131,6 +131,8 @@
       slack: retries.slack,
     },
     pacesTargets: dispatch.paceTargets,
+    quotaWindowMilliseconds: settings.quotas.windowSeconds *
+      millisecondsPerSecond,
     wire: new PlatformCallerWire(),
     random: createRandomSource(),
   });
@@ -148,6 +150,12 @@
     mayFound: control.mayFound,
     toleratedLosses: control.toleratedLosses,
     heartbeatMilliseconds: control.heartbeatSeconds * millisecondsPerSecond,
+    quotas: {
+      windowMilliseconds: settings.quotas.windowSeconds *
+        millisecondsPerSecond,
+      overage: settings.quotas.overage,
+      slack: settings.quotas.slack,
+    },
     wire: new PlatformControlWire(),
   });
 }
--- a/packages/kingcupglade/settings/fleet_settings_test.ts
+++ b/packages/kingcupglade/settings/fleet_settings_test.ts
@@ -39,6 +39,7 @@
       dispatch: { paceTargets: true },
       log: { level: "info" },
       workspaces: {},
+      quotas: { windowSeconds: 5, overage: 0.1, slack: 20 },
     });
   });
 
@@ -67,6 +68,8 @@
       /callers.concurrentPerConnection/,
       "[callers]\nconcurrentPerConnection = 0\n[control]",
     ],
+    ["[regions]", /quotas.overage/, "[quotas]\noverage = 11\n[regions]"],
+    ["[regions]", /quotas.window/, "[quotas]\nwindowSeconds = 0\n[regions]"],
     ["seeds = ", /control.sedes is unknown; did you mean "seeds"/, "sedes = "],
   ];
   for (const [valid, message, invalid] of faults) {
--- a/packages/kingcupglade/workspace_fixture.ts
+++ b/packages/kingcupglade/workspace_fixture.ts
@@ -54,6 +54,8 @@
 export interface Arrival {
   readonly id: string;
   readonly headers: HttpResult["headers"];
+  /** Time of the arrival, as `performance.now()`. */
+  readonly at: number;
 }
 
 /** Log lines of all VMs, for the search for keys; limited in rate as theirs. */
@@ -94,9 +96,15 @@
     })
   );
   readonly #client = PeerClients.prototype.client;
+  readonly #sections: string;
   #folder = "";
   #nextId = 0;
 
+  /** @param sections Sections of the settings. @default a bound on revocations */
+  constructor(sections = `[workspaces]\nrevokeSeconds = ${revokeSeconds}`) {
+    this.#sections = sections;
+  }
+
   async start(): Promise<void> {
     this.#interceptWatches();
     this.#folder = await mkdtemp(join(tmpdir(), "workspaces-"));
@@ -119,7 +127,11 @@
     );
     for (const [at, target] of this.#targets.entries()) {
       target.handler = ({ headers }, response) => {
-        this.arrivals.push({ id: String(headers["x-request-id"]), headers });
+        this.arrivals.push({
+          id: String(headers["x-request-id"]),
+          headers,
+          at: performance.now(),
+        });
         response.end("whole");
       };
       await target.start(`${prefix}.${50 + at}`);
@@ -236,7 +248,7 @@
         ip,
         seed: controlAddress,
         lines,
-        sections: `[workspaces]\nrevokeSeconds = ${revokeSeconds}`,
+        sections: this.#sections,
         overrides: {
           log: this.log as never,
           ...(network && { connectToTarget: network.connector }),
