Pace large responses of a gateway and admit what its link can carry

A gateway read targets and wrote to callers as fast as they let it, so that a link of 2.52 Mbit/s held large responses for seconds and everything else waited behind them; connects then exceeded their time limits and the gateway concluded that it was cut off.

With link.megabitsPerSecond, large responses are read and written in slices that the scheduler of packages/link grants, requests that the link cannot serve within their deadlines are refused before their bodies are read, and a full link is no cut: no check of reach, no relay, longer time limits for connections, no hedge, delayed repeats, no suspicion of managers, no blame on targets. Without the setting nothing is paced.

The pacing itself is not yet measured over sockets.

--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -8,6 +8,8 @@
 import { errors } from "undici";
 import type { Dispatcher } from "undici";
 import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
+import { BodyPause } from "./body_pause.ts";
+import type { ReadPace } from "./read_pace.ts";
 import { BodyFraming, framingOf } from "./response_framing.ts";
 import { Surplus } from "./surplus_detector.ts";
 import type { TargetConnection } from "./address_pool.ts";
@@ -98,6 +100,9 @@
   readonly #wire: CallerWire;
   readonly #stream: ResponseStream;
   readonly #onHead: (head: ResponseHead) => void;
+  readonly #onData: () => void;
+  readonly #pace: ReadPace | undefined;
+  readonly #pause: BodyPause;
   readonly #reservation: BodyReservation;
   readonly #timer: NodeJS.Timeout;
   #resolve!: (result: ExchangeResult) => void;
@@ -111,8 +116,6 @@
   #isStreaming = false;
   #interimResponses = 0;
   #isSent = false;
-  /** Whether the target has closed its side and everything was read. */
-  #isFullyRead = false;
   #hasEnded = false;
 
   constructor(options: {
@@ -127,6 +130,10 @@
     readonly reservation?: BodyReservation;
     /** Called when the head of the response to this request arrives. */
     readonly onHead?: (head: ResponseHead) => void;
+    /** Called when a part of the body arrives. */
+    readonly onData?: () => void;
+    /** Paces what is read. @default as fast as it arrives */
+    readonly pace?: ReadPace | undefined;
   }) {
     this.#request = options.request;
     this.#connection = options.connection;
@@ -134,6 +141,9 @@
     this.#stream = options.stream;
     this.#reservation = options.reservation ?? new BodyMemory().reserve();
     this.#onHead = options.onHead ?? (() => {});
+    this.#onData = options.onData ?? (() => {});
+    this.#pace = options.pace;
+    this.#pause = new BodyPause(options.connection);
     this.result = new Promise((resolve) => (this.#resolve = resolve));
     this.#timer = setTimeout(
       () => this.#abort("the time is up", LossCause.timeout),
@@ -147,6 +157,11 @@
     return this.#isSent;
   }
 
+  /** Time for which the response was not read because of the link. */
+  get heldMilliseconds(): number {
+    return this.#pace?.heldMilliseconds ?? 0;
+  }
+
   /** Aborts the exchange because the response is no longer needed. */
   abandon(): void {
     this.#abort("the response is no longer needed", LossCause.abandoned);
@@ -162,7 +177,7 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
@@ -204,6 +219,13 @@
       framing: head.isOpenAtTarget ? BodyFraming.connection : framing,
     };
     this.#onHead(this.#head);
+    if (this.#hasEnded || framing === BodyFraming.none) return;
+    const length = framing === BodyFraming.length
+      ? Number(headers["content-length"])
+      : NaN;
+    if (this.#pace?.begin({ status, length }) === false) {
+      this.#pace.hold(this.#pause.hold(controller));
+    }
   }
 
   onResponseData(
@@ -212,8 +234,16 @@
   ): void {
     if (this.#hasEnded) return;
     this.#connection.allowance.renew();
+    this.#onData();
     this.#bytes += chunk.length;
     this.#lastPart = chunk;
+    this.#take(controller, chunk);
+    if (!this.#hasEnded && this.#pace?.record(chunk.length) === false) {
+      this.#pace.hold(this.#pause.hold(controller));
+    }
+  }
+
+  #take(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#isStreaming) return this.#streamChunk(controller, chunk);
     this.#chunks.push(chunk);
     if (this.#isLastPart || this.#mayBuffer(chunk.length)) return;
@@ -315,14 +345,8 @@
       this.#withheld = chunk;
       return;
     }
-    if (this.#stream.write(chunk) || this.#isFullyRead) return;
-    controller.pause();
-    const resume = () => controller.resume();
-    this.#connection.beforeEnd = () => {
-      this.#isFullyRead = true;
-      resume();
-    };
-    this.#stream.onDrain(resume);
+    if (this.#stream.write(chunk)) return;
+    this.#stream.onDrain(this.#pause.hold(controller));
   }
 
   #abort(reason: string, cause: LossCause): void {
@@ -346,6 +370,7 @@
     this.#hasEnded = true;
     this.#connection.beforeEnd = undefined;
     clearTimeout(this.#timer);
+    this.#pace?.end(result.kind === "answered");
     if (result.kind !== "answered") this.#reservation.release();
     this.#resolve(result);
   }
--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -180,6 +180,7 @@
         },
         begin: () => {},
         end: () => {},
+        recordProgress: () => {},
         recordResponse: () => {},
       },
       suspects: {
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -6,8 +6,10 @@
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import { BodyMemory } from "@kingcupglade/transport";
 import type { CallerWire } from "./caller_wire.ts";
+import { GatewayLink } from "./gateway_link.ts";
 import { GatewayListeners } from "./gateway_listeners.ts";
 import { callLeader } from "./leader_caller.ts";
+import { LinkDirection } from "./link_direction.ts";
 import { LoadProber } from "./load_prober.ts";
 import { RelayChoice } from "./relay_choice.ts";
 import { createRequestDigest } from "./request_digest.ts";
@@ -35,6 +37,8 @@
 const housekeepingIntervalMilliseconds = 1000;
 const stallCheckIntervalMilliseconds = 50;
 const millisecondsPerSecond = 1000;
+/** Size of a datagram about slots, with its headers, about. */
+const datagramBytes = 200;
 /** Memory for responses that are held until their ends are known. */
 const maximumHeldResponseBytes = 32 * 1024 * 1024;
 
@@ -65,6 +69,8 @@
   readonly metrics: Metrics;
   /** Returns a number between 0 and 1. */
   readonly random: () => number;
+  /** Rate of the link in each direction. @default none, and no pacing */
+  readonly linkMegabitsPerSecond?: number | undefined;
   /** Opens connections to targets. @default TCP */
   readonly connectToTarget?: Connector;
 }
@@ -79,6 +85,7 @@
   readonly #relays: RelayChoice;
   readonly #responseMemory = new BodyMemory(maximumHeldResponseBytes);
   readonly #relayConnections: TargetConnections;
+  readonly #link: GatewayLink | undefined;
   readonly #limits: TargetLimits;
   readonly #notices: TargetNotices;
   readonly #suspects: SuspectGate;
@@ -109,8 +116,14 @@
           milliseconds: Math.round(milliseconds),
         }),
     });
+    const { linkMegabitsPerSecond: megabitsPerSecond } = options;
+    this.#link = megabitsPerSecond === undefined
+      ? undefined
+      : new GatewayLink({ ...options, megabitsPerSecond });
+    const isLinkFull = () => this.#link?.isFull === true;
     this.#connections = new TargetConnections({
       clock,
+      isLinkFull,
       connector: options.connectToTarget,
       observer: {
         connected: () => this.#reach.recordConnected(),
@@ -121,6 +134,7 @@
     });
     this.#reach = new TargetReach({
       ...options,
+      isLinkFull,
       targets: () => this.#reachableTargets,
       tryConnect: (address, milliseconds) =>
         this.#connections.tryConnect(address, milliseconds),
@@ -132,6 +146,7 @@
     this.#relayConnections = new TargetConnections({
       clock,
       connectTimeoutMilliseconds: relayConnectMilliseconds,
+      isLinkFull,
     });
     this.#limits = new TargetLimits(options);
     this.#notices = new TargetNotices(options);
@@ -206,8 +221,10 @@
       limitSharers: (target) => this.#isManaged(target) ? 1 : 0,
       gatewayCount: () => 1,
     });
-    const send: SlotSocket["send"] = (message, to) =>
+    const send: SlotSocket["send"] = (message, to) => {
+      this.#link?.count(LinkDirection.outbound, datagramBytes);
       this.#slotSocket.send(message, to);
+    };
     this.#slotManager = new SlotManager({
       selector: this.#managedSelector,
       limits: this.#limits,
@@ -217,7 +234,7 @@
       clock,
       logger,
     });
-    this.#slotClient = new SlotClient({ ...options, send });
+    this.#slotClient = new SlotClient({ ...options, send, isLinkFull });
     this.#slotPools = new SlotPools({
       ...options,
       table: () => this.#synchronizer.table,
@@ -297,6 +314,7 @@
     clearInterval(this.#housekeepingTimer);
     clearInterval(this.#stallTimer);
     this.#reach.close();
+    this.#link?.close();
     this.#connections.close();
     this.#relayConnections.close();
     this.#peerClients.close();
@@ -320,6 +338,7 @@
       responseMemory: this.#responseMemory,
       relayConnections: this.#relayConnections,
       connections: this.#connections,
+      link: this.#link,
       limits: this.#limits,
       notices: this.#notices,
       suspects: this.#suspects,
@@ -355,6 +374,7 @@
   }
 
   #handleSlotMessage(message: SlotMessage, from: string): void {
+    this.#link?.count(LinkDirection.inbound, datagramBytes);
     switch (message.kind) {
       case "request":
         return this.#slotManager.handleRequest(message, from);
@@ -369,6 +389,7 @@
     const { table } = this.#synchronizer;
     this.#slotManager.releaseExpired();
     this.#suspects.expire();
+    this.#link?.report();
     const { limits } = table;
     if (limits) {
       this.#listeners.setTimeouts({
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -13,6 +13,9 @@
   relayHeader,
 } from "./relay_message.ts";
 import type { RelayReply } from "./relay_message.ts";
+import { LinkDirection } from "./link_direction.ts";
+import { ReadPace } from "./read_pace.ts";
+import { requestBytes } from "./target_exchange.ts";
 import { RelayWire } from "./relay_wire.ts";
 import { RequestGuard } from "./request_guard.ts";
 import { requestHeaders } from "./request_headers.ts";
@@ -142,6 +145,7 @@
     });
     this.#telemetry.recordRelay(gateway, this.#tried.size);
     relays.begin(gateway);
+    context.link?.count(LinkDirection.outbound, requestBytes(request));
     const reservation = context.responseMemory.reserve();
     answer.onClosed(() => reservation.release());
     this.#exchange = new Exchange({
@@ -149,6 +153,7 @@
       connection,
       wire: this.#wire,
       stream: answer,
+      pace: answer.passage && new ReadPace(answer.passage, () => clock.now()),
       request: {
         method: request.method ?? "GET",
         path: request.url ?? "/",
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -33,6 +33,9 @@
  */
 const maximumExtraArrivals = 2;
 
+/** Mean delay of a repeat while the link is full, about a window at 2 Mbit/s. */
+const fullLinkRetryMilliseconds = 300;
+
 /** Connection failures after which a request is refused. */
 const maximumConnectFailures = 4;
 
@@ -131,7 +134,8 @@
       attempts: this.#attempts,
       mayHedge: () =>
         !this.#isFinished && !this.#response.hasStarted &&
-        this.#inProgress === 1 && this.#suspicion.mayHedge,
+        this.#inProgress === 1 && this.#suspicion.mayHedge &&
+        !this.#isDelayedByLink,
       takeAttempt: () => this.#mayTryElsewhere,
       send: (target, record, ticket) => {
         this.#context.metrics.hedges.inc();
@@ -321,7 +325,10 @@
     if (result.kind === "answered") {
       connections.release(target.address, connection);
     } else connections.end(connection);
-    use.end(result, { isAbandoned: this.#isFinished });
+    use.end(result, {
+      isAbandoned: this.#isFinished,
+      heldMilliseconds: exchange.heldMilliseconds,
+    });
     const examination = this.#suspicion.recordResult(result, target);
     // Most results do not wait for it.
     if (examination) this.#guard.watch(examination.then(() => {}));
@@ -522,7 +529,16 @@
       this.#queue.budget.take(now, gatewayCount());
   }
 
+  /** Whether one more run would wait for the link, as the first did. */
+  get #isDelayedByLink(): boolean {
+    return this.#context.link?.delaysRepeatsOf(this.#routed.route) === true;
+  }
+
   #retry(): void {
+    if (this.#isDelayedByLink) {
+      this.#earliestSendAt = this.#context.clock.now() +
+        fullLinkRetryMilliseconds * (0.5 + this.#context.random());
+    }
     this.#context.metrics.retries.inc({
       reason: this.#mayHaveRun ? "failed" : "not-run",
     });
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -11,6 +11,8 @@
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
+import { enterLink } from "./link_entry.ts";
+import type { EnteringRequest } from "./link_entry.ts";
 import { RelayForwarder } from "./relay_forwarder.ts";
 import type {
   ForwardingProgress,
@@ -147,6 +149,10 @@
         retryAfterMilliseconds: elsewhereRetryAfterMilliseconds,
       });
     }
+    const entering = { request, head, route, arrivedAt, deadlineAt, answer };
+    const refuse: EnteringRequest["refuse"] = (refusal) =>
+      answer.respond({ status: 503, ...refusal });
+    if (!enterLink(this.#options.context, { ...entering, refuse })) return;
     const body = await this.#receiveBody(request, {
       answer,
       refuse: (status, reason) => {
@@ -218,6 +224,13 @@
       metrics.relayedHere.inc({ decision });
       return answer.rejectRelay(decision, reason);
     }
+    const deadlineAt = arrivedAt + relay.leftMilliseconds;
+    const entering = { request, head, route, arrivedAt, deadlineAt, answer };
+    const refuse: EnteringRequest["refuse"] = ({ reason }) => {
+      metrics.relayedHere.inc({ decision: RelayDecision.unable });
+      answer.rejectRelay(RelayDecision.unable, reason);
+    };
+    if (!enterLink(this.#options.context, { ...entering, refuse })) return;
     metrics.relayedHere.inc({ decision: RelayDecision.taken });
     this.#relayedCount += 1;
     answer.onClosed(() => (this.#relayedCount -= 1));
@@ -238,7 +251,7 @@
         service: relay.service,
         body,
         arrivedAt: arrivedAt - relay.ageMilliseconds,
-        deadlineAt: arrivedAt + relay.leftMilliseconds,
+        deadlineAt,
         relayedBy: relay.from,
       }),
       { answer, relay },
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/routed_request.ts
@@ -4,6 +4,7 @@
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { BodyMemory, RequestBody } from "@kingcupglade/transport";
 import type { CallerRequestHead, CallerWire } from "./caller_wire.ts";
+import type { GatewayLink } from "./gateway_link.ts";
 import type { GatewayTable } from "./gateway_table.ts";
 import type { LoadProber } from "./load_prober.ts";
 import type { SlotPools } from "./slot_pools.ts";
@@ -20,6 +21,8 @@
   readonly selector: TargetSelector;
   readonly reach: TargetReach;
   readonly connections: TargetConnections;
+  /** Undefined if the rate of the link is not known. */
+  readonly link?: GatewayLink | undefined;
   /** Bounds what is held of all responses until their ends are known. */
   readonly responseMemory: BodyMemory;
   readonly limits: TargetLimits;
--- a/packages/fleet_gateway/slot_client.ts
+++ b/packages/fleet_gateway/slot_client.ts
@@ -46,6 +46,8 @@
   readonly logger: Logger;
   /** Returns a number between 0 and 1. */
   readonly random: () => number;
+  /** Whether replies wait for the link of this VM. @default never */
+  readonly isLinkFull?: () => boolean;
 }
 
 interface PendingRequest {
@@ -171,7 +173,8 @@
   }
 
   #suspect(manager: string): void {
-    const { clock, logger } = this.#options;
+    const { clock, logger, isLinkFull } = this.#options;
+    if (isLinkFull?.()) return;
     const now = clock.now();
     const lastContactAt = this.#lastContactAt.get(manager) ?? now;
     if (now - lastContactAt < silenceMilliseconds) return;
--- a/packages/fleet_gateway/target_connections.ts
+++ b/packages/fleet_gateway/target_connections.ts
@@ -12,6 +12,11 @@
 
 /** Default time limit for opening a connection. */
 const defaultConnectTimeoutMilliseconds = 700;
+/**
+ * Time limit while the link is full: with a window of 64 KiB before it, each
+ * packet of a handshake waits 0.35 s at 1.5 Mbit/s.
+ */
+const fullLinkConnectMilliseconds = 2000;
 /** Bounds the IDs that are kept for each connection. */
 const maximumRequestsPerConnection = 1000;
 
@@ -27,6 +32,11 @@
   readonly connectTimeoutMilliseconds?: number;
   /** @default none */
   readonly observer?: ConnectionObserver;
+  /**
+   * Whether the link of this VM is full, so that connections take longer.
+   * @default never
+   */
+  readonly isLinkFull?: () => boolean;
 }
 
 /** Connections of a gateway to all targets. */
@@ -41,8 +51,10 @@
   constructor(options: TargetConnectionsOptions) {
     const { connector, connectTimeoutMilliseconds } = options;
     this.#clock = options.clock;
-    this.#connector = connector ?? buildConnector({
-      timeout: connectTimeoutMilliseconds ?? defaultConnectTimeoutMilliseconds,
+    this.#connector = connector ?? connectorFor({
+      milliseconds: connectTimeoutMilliseconds ??
+        defaultConnectTimeoutMilliseconds,
+      isLinkFull: options.isLinkFull,
     });
     const observer = options.observer ?? noObserver;
     this.#observer = {
@@ -156,6 +168,21 @@
   }
 }
 
+/** Connects over TCP, within a longer time while the link is full. */
+function connectorFor(options: {
+  readonly milliseconds: number;
+  readonly isLinkFull: (() => boolean) | undefined;
+}): Connector {
+  const { milliseconds, isLinkFull } = options;
+  const usual = buildConnector({ timeout: milliseconds });
+  if (!isLinkFull) return usual;
+  const patient = buildConnector({
+    timeout: Math.max(milliseconds, fullLinkConnectMilliseconds),
+  });
+  return (connect, callback) =>
+    (isLinkFull() ? patient : usual)(connect, callback);
+}
+
 const noObserver: ConnectionObserver = {
   connected: () => {},
   connectTrouble: () => {},
--- a/packages/fleet_gateway/target_exchange.ts
+++ b/packages/fleet_gateway/target_exchange.ts
@@ -1,6 +1,9 @@
+import type { IncomingMessage } from "node:http";
 import type { TargetView } from "@kingcupglade/fleet";
 import type { CallerResponse } from "./caller_response.ts";
 import { Exchange } from "./exchange.ts";
+import { LinkDirection } from "./link_direction.ts";
+import { ReadPace } from "./read_pace.ts";
 import { firstResponseStream } from "./first_response_stream.ts";
 import { requestHeaders } from "./request_headers.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
@@ -9,6 +12,14 @@
 /** Time before the caller's deadline at which a response must be on its way. */
 const responseMarginMilliseconds = 15;
 
+/** Bytes of a typical head of a request and of its packets' headers. */
+const headBytes = 700;
+
+/** Returns the bytes that a request takes on the link, about. */
+export function requestBytes({ headers }: IncomingMessage): number {
+  return headBytes + (Number(headers["content-length"]) || 0);
+}
+
 /**
  * Starts to send a request to a target. What the head of the response says of
  * the target takes effect when it arrives.
@@ -30,6 +41,8 @@
   const remainingMilliseconds = deadlineAt - startedAt;
   const reservation = context.responseMemory.reserve();
   answer.onClosed(() => reservation.release());
+  const { passage } = answer;
+  context.link?.count(LinkDirection.outbound, requestBytes(request));
   const exchange: Exchange = new Exchange({
     reservation,
     connection: options.connection,
@@ -39,6 +52,8 @@
       self: () => exchange,
       target: target.name,
     }),
+    pace: passage && new ReadPace(passage, () => context.clock.now()),
+    onData: () => reach.recordProgress(),
     onHead: (head) => {
       reach.recordResponse();
       notices.record(target, head, requestId);
--- a/packages/fleet_gateway/target_reach.ts
+++ b/packages/fleet_gateway/target_reach.ts
@@ -34,6 +34,13 @@
 /** Time in which requests return to the gateway's own paths. */
 const returnMilliseconds = 1000;
 
+/**
+ * A full link delays connections beyond their time limits. While bytes of targets
+ * arrive at least this often, the path is not cut: at 1.5 Mbit/s a window of
+ * 64 KiB takes 0.35 s.
+ */
+const fullLinkSilenceMilliseconds = 1500;
+
 /** Whether a gateway has a path to any target. */
 export const ReachState = {
   reaching: "reaching",
@@ -61,6 +68,8 @@
   readonly metrics: Metrics;
   /** Returns a number between 0 and 1. */
   readonly random: () => number;
+  /** Whether the link of this gateway is full. @default never */
+  readonly isLinkFull?: () => boolean;
 }
 
 /**
@@ -78,6 +87,7 @@
   #stateSince: number;
   #signAt: number;
   #meanInterval = 0;
+  #progressAt = -Infinity;
   /** Requests at targets. */
   #inFlight = 0;
   /** Time since which requests have been in flight without a break. */
@@ -136,6 +146,11 @@
     this.#signAt = now;
   }
 
+  /** Records that a part of a response has arrived. */
+  recordProgress(): void {
+    this.#progressAt = this.#options.clock.now();
+  }
+
   /** Records that a target has accepted a connection. */
   recordConnected(): void {
     this.#signAt = this.#options.clock.now();
@@ -156,6 +171,7 @@
   /** Returns whether this gateway is cut off now, after a check if needed. */
   async confirmCutOff(): Promise<boolean> {
     if (this.#state === ReachState.cutOff) return true;
+    if (this.#isOnlySlow) return false;
     return await this.#runCheck();
   }
 
@@ -186,11 +202,19 @@
     const now = this.#options.clock.now();
     const mayBeCut = now - this.#signAt > recentMilliseconds ||
       this.#failedAddresses.size >= minimumFailedAddresses;
-    if (!mayBeCut) return;
+    if (!mayBeCut || this.#isOnlySlow) return;
     if (now - this.#checkedAt < minimumCheckGapMilliseconds) return;
     void this.#runCheck();
   }
 
+  /** Whether the link is full, and bytes of targets arrive over it. */
+  get #isOnlySlow(): boolean {
+    const { clock, isLinkFull } = this.#options;
+    const signAt = Math.max(this.#signAt, this.#progressAt);
+    return clock.now() - signAt <= fullLinkSilenceMilliseconds &&
+      isLinkFull?.() === true;
+  }
+
   #runCheck(): Promise<boolean> {
     this.#check ??= this.#checkTargets().finally(() => {
       this.#check = undefined;
@@ -204,6 +228,7 @@
     if (addresses.length < minimumTargets) return false;
     const [first, ...others] = addresses;
     if (!await this.#isAnyReached(first!, others)) {
+      if (this.#isOnlySlow) return false;
       this.#enter(ReachState.cutOff);
       return true;
     }
--- a/packages/fleet_gateway/target_use.ts
+++ b/packages/fleet_gateway/target_use.ts
@@ -1,6 +1,7 @@
 import { ExchangeEnd } from "@kingcupglade/dispatch";
 import type { TargetRecord } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
+import { LossCause } from "./exchange.ts";
 import type { ExchangeResult } from "./exchange.ts";
 import { endOf } from "./exchange_end.ts";
 import type { ForwardingContext } from "./routed_request.ts";
@@ -12,7 +13,7 @@
 
 /** Options of {@link TargetUse}. */
 export interface TargetUseOptions {
-  readonly context: Pick<ForwardingContext, "clock" | "limits">;
+  readonly context: Pick<ForwardingContext, "clock" | "limits" | "link">;
   readonly target: TargetView;
   readonly record: TargetRecord;
   readonly queue: ServiceQueue;
@@ -54,7 +55,7 @@
   /** Gives the place back, as the request is not sent. */
   cancel(): void {
     const { record, queue, ticket } = this.#options;
-    record.end(ExchangeEnd.abandoned, this.#durations);
+    record.end(ExchangeEnd.abandoned, this.#durationsWithout(0));
     ticket?.end(null);
     queue.recordEnd(null);
   }
@@ -62,11 +63,16 @@
   /** Records how the exchange with the target has ended. */
   end(
     result: ExchangeResult,
-    options: { readonly isAbandoned: boolean },
+    options: {
+      readonly isAbandoned: boolean;
+      /** Time for which the link kept the response from being read. */
+      readonly heldMilliseconds?: number;
+    },
   ): void {
     const { context, record, queue, target, ticket } = this.#options;
-    const end = options.isAbandoned ? ExchangeEnd.abandoned : endOf(result);
-    const durations = this.#durations;
+    const saysNothing = options.isAbandoned || this.#isOfFullLink(result);
+    const end = saysNothing ? ExchangeEnd.abandoned : endOf(result);
+    const durations = this.#durationsWithout(options.heldMilliseconds ?? 0);
     const head = result.kind === "answered" ? result.head : undefined;
     record.end(end, durations);
     if (head?.load) record.report(head.load, durations.now);
@@ -80,11 +86,18 @@
     queue.recordEnd(end === ExchangeEnd.answered ? durations : null);
   }
 
-  get #durations() {
+  // What is late while the link is full tells nothing of the target.
+  #isOfFullLink(result: ExchangeResult): boolean {
+    const isLate = result.kind === "notSent" ||
+      (result.kind === "unknown" && result.cause === LossCause.timeout);
+    return isLate && this.#options.context.link?.isFull === true;
+  }
+
+  #durationsWithout(heldMilliseconds: number) {
     const now = this.#options.context.clock.now();
     return {
       now,
-      durationMilliseconds: now - this.startedAt,
+      durationMilliseconds: now - this.startedAt - heldMilliseconds,
       expectedMilliseconds: this.#expectedMilliseconds,
     };
   }
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -117,12 +117,13 @@
   settings: ResolvedGatewaySettings,
   common: CommonOptions & FleetVmOverrides,
 ): Promise<RunningRole> {
-  const { listen, retries, stop } = settings;
+  const { listen, retries, stop, link } = settings;
   return await GatewayVm.start({
     ...common,
     callersAddress: listen.callers,
     readinessAddress: listen.readiness,
     maximumCallerConnections: await readCallerConnectionLimit(),
+    linkMegabitsPerSecond: link.megabitsPerSecond,
     graceMilliseconds: stop.graceSeconds * millisecondsPerSecond,
     retryBudget: {
       ratio: retries.ratio,
--- a/packages/kingcupglade/settings/fleet_schema.ts
+++ b/packages/kingcupglade/settings/fleet_schema.ts
@@ -36,6 +36,13 @@
     /** Retries allowed beyond the ratio in each window. @default 20 */
     slack: z.coerce.number().min(0).default(20),
   }).prefault({}),
+  link: z.strictObject({
+    /**
+     * Rate of the link of a gateway in each direction. Without it, nothing is
+     * paced. @default none
+     */
+    megabitsPerSecond: z.coerce.number().positive().optional(),
+  }).prefault({}),
   stop: z.strictObject({
     /** Time from a stop signal until the process is killed. @default 10 */
     graceSeconds: seconds.default(10),
--- a/packages/link/link_admission.ts
+++ b/packages/link/link_admission.ts
@@ -95,11 +95,15 @@
     return ticket;
   }
 
-  /** Records the size of a response, once it is known. */
-  resize(ticket: LinkTicket, bytes: number): void {
+  /** Records what is left of a response, once its size is known. */
+  resize(
+    ticket: LinkTicket,
+    left: { readonly bytesIn: number; readonly bytesOut: number },
+  ): void {
     this.end(ticket);
-    ticket.isLarge = bytes > largeBytes;
-    ticket.leftIn = ticket.leftOut = bytes;
+    ticket.isLarge = left.bytesOut > largeBytes;
+    ticket.leftIn = left.bytesIn;
+    ticket.leftOut = left.bytesOut;
     this.#add(ticket);
   }
 
--- a/packages/link/link_admission_test.ts
+++ b/packages/link/link_admission_test.ts
@@ -80,7 +80,9 @@
       (_, at) => admission.expect(requestOf(at % 2 ? 90_000 : 3000, 3000), 0),
     );
     for (const [at, ticket] of tickets.entries()) {
-      if (at % 3 === 0) admission.resize(ticket, 40_000);
+      if (at % 3 === 0) {
+        admission.resize(ticket, { bytesIn: 40_000, bytesOut: 40_000 });
+      }
       admission.recordIn(ticket, 2000);
       admission.recordOut(ticket, 1000);
     }
--- a/packages/link/link_policies.ts
+++ b/packages/link/link_policies.ts
@@ -106,7 +106,11 @@
       bytes: attempt.bytes,
       headMilliseconds: this.#now - this.#admittedAt.get(attempt)!,
     });
-    this.#admission.resize(this.#tickets.get(attempt)!, attempt.bytes);
+    const { bytes } = attempt;
+    this.#admission.resize(this.#tickets.get(attempt)!, {
+      bytesIn: bytes,
+      bytesOut: bytes,
+    });
   }
 
   override receive(attempt: Attempt, flow: Flow): (bytes: number) => void {
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -24,6 +24,12 @@
   readonly suspects: Counter<"decision">;
   /** Responses in which targets say that they leave or pause. */
   readonly targetNotices: Counter<"notice">;
+  /** Bytes that this VM has counted on its link, by direction and kind. */
+  readonly linkBytes: Counter<"direction" | "kind">;
+  /** Bytes that wait for the link of this VM. */
+  readonly linkQueuedBytes: Gauge;
+  /** 1 while the link of this VM is full. */
+  readonly linkFull: Gauge;
   /** 1 while no target accepts a connection from this VM. */
   readonly cutOff: Gauge;
   /** Requests handed to another gateway because of that, by outcome. */
@@ -141,6 +147,22 @@
       labelNames: ["notice"],
       registers,
     }),
+    linkBytes: new Counter({
+      name: "kingcupglade_link_bytes_total",
+      help: "Bytes counted on the link of this VM",
+      labelNames: ["direction", "kind"],
+      registers,
+    }),
+    linkQueuedBytes: new Gauge({
+      name: "kingcupglade_link_queued_bytes",
+      help: "Bytes that wait for the link of this VM",
+      registers,
+    }),
+    linkFull: new Gauge({
+      name: "kingcupglade_link_full",
+      help: "1 while the link of this VM is full",
+      registers,
+    }),
     cutOff: new Gauge({
       name: "kingcupglade_cut_off",
       help: "1 while no target accepts a connection from this VM",
