--- a/packages/link/link_admission.ts
+++ b/packages/link/link_admission.ts
@@ -140,8 +140,8 @@
   }
 
   #refusal(late: number, ticket: LinkTicket): LinkDecision {
-    const { inbound, outbound } = this.#options;
-    const queuedBytes = inbound.debt + outbound.debt + this.#smallOut +
+    const { outbound } = this.#options;
+    const queuedBytes = outbound.debt + this.#smallOut +
       [...this.#large].reduce((sum, { leftOut }) => sum + leftOut, 0);
     return {
       kind: "refused",
@@ -160,11 +160,12 @@
       : this.#latenessOfSmall(ticket, now);
   }
 
-  // Large responses give way to small ones.
+  // Large responses give way to small ones. What was counted inbound has arrived
+  // already; what is expected still waits.
   #latenessOfSmall(ticket: LinkTicket, now: number): number {
     const { inbound, outbound } = this.#options;
     const queued = Math.max(
-      (inbound.debt + this.#smallIn) / inbound.rate,
+      this.#smallIn / inbound.rate,
       (outbound.debt + this.#smallOut) / outbound.rate,
     );
     const ownMilliseconds = ticket.leftIn / inbound.rate +
@@ -185,7 +186,7 @@
       out: outbound.rateLeft(now),
     };
     let clock = {
-      in: now + inbound.debt / inbound.rate,
+      in: now,
       out: now + outbound.debt / outbound.rate,
     };
     for (const each of order.slice(0, position)) {
--- a/packages/link/link_fullness.ts
+++ b/packages/link/link_fullness.ts
@@ -10,6 +10,11 @@
 const minimumStalledTransfers = 2;
 /** Bytes flow as fast as the link allows, if the rate is this near its peak. */
 const peakShare = 0.5;
+/**
+ * A link that carries this share of its rate over half a second has a queue:
+ * senders fill their windows whether or not they are read.
+ */
+const busyShare = 0.8;
 /** The link is free after this long without a sign of being full. */
 const freeMilliseconds = 200;
 
@@ -79,7 +84,8 @@
   #isFullNow(now: number): boolean {
     return this.delaysSmall(now) ||
       this.#options.directions.some((each) =>
-        each.oldestWait(now) > maximumWaitMilliseconds
+        each.oldestWait(now) > maximumWaitMilliseconds ||
+        each.meter.rate(now) >= each.rate * busyShare
       );
   }
 }
