Hold a response by not reading its socket, without undici's pause

undici asserts that its parser is not paused when a socket fails or is closed; a target that reset its connection while its response waited for a slow caller, or for the link, ended the gateway's process. Reading is now withheld at the socket.

--- a/packages/fleet_gateway/address_pool.ts
+++ b/packages/fleet_gateway/address_pool.ts
@@ -1,6 +1,7 @@
 import { Client, errors } from "undici";
 import type { buildConnector } from "undici";
 import { ReadAllowance } from "./read_allowance.ts";
+import { ReadHold } from "./read_hold.ts";
 import { hasBeenReset } from "./socket_end.ts";
 import { SurplusDetector } from "./surplus_detector.ts";
 
@@ -59,11 +60,8 @@
   isOpen: boolean;
   /** Whether a response was received on this connection before. */
   wasUsed: boolean;
-  /**
-   * Called when the target has closed its side and everything was read: undici
-   * fails an assertion if a response is still paused then.
-   */
-  beforeEnd: (() => void) | undefined;
+  /** Stops the reading of what the target sends. */
+  readonly reads: ReadHold;
   /** Whether the target sent a reset, which undici reports as a normal end. */
   wasReset: boolean;
   /** IDs of the requests that it carried; empty for one without an ID. */
@@ -182,11 +180,11 @@
               socket,
               (bytes) => connection.surplus.recordRead(bytes),
             );
+            connection.reads.applyTo(socket);
           }
           socket?.once("error", () => (connection.wasReset = true));
           socket?.once("end", () => {
             connection.wasReset ||= hasBeenReset(socket);
-            connection.beforeEnd?.();
           });
           callback(...result);
         }),
@@ -200,10 +198,10 @@
     const connection: TargetConnection = {
       client,
       allowance: new ReadAllowance(),
+      reads: new ReadHold(),
       surplus: new SurplusDetector(() => this.#recordSurplus()),
       recordSurplus: () => this.#recordSurplus(),
       isOpen: false,
-      beforeEnd: undefined,
       wasUsed: false,
       wasReset: false,
       requestIds: new Set(),
--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -8,7 +8,6 @@
 import { errors } from "undici";
 import type { Dispatcher } from "undici";
 import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
-import { BodyPause } from "./body_pause.ts";
 import type { ReadPace } from "./read_pace.ts";
 import { BodyFraming, framingOf } from "./response_framing.ts";
 import { Surplus } from "./surplus_detector.ts";
@@ -102,7 +101,6 @@
   readonly #onHead: (head: ResponseHead) => void;
   readonly #onData: () => void;
   readonly #pace: ReadPace | undefined;
-  readonly #pause: BodyPause;
   readonly #reservation: BodyReservation;
   readonly #timer: NodeJS.Timeout;
   #resolve!: (result: ExchangeResult) => void;
@@ -143,7 +141,6 @@
     this.#onHead = options.onHead ?? (() => {});
     this.#onData = options.onData ?? (() => {});
     this.#pace = options.pace;
-    this.#pause = new BodyPause(options.connection);
     this.result = new Promise((resolve) => (this.#resolve = resolve));
     this.#timer = setTimeout(
       () => this.#abort("the time is up", LossCause.timeout),
@@ -177,7 +174,7 @@
   }
 
   onResponseStart(
-    controller: Dispatcher.DispatchController,
+    _controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
@@ -223,13 +220,11 @@
     const length = framing === BodyFraming.length
       ? Number(headers["content-length"])
       : NaN;
-    if (this.#pace?.begin({ status, length }) === false) {
-      this.#pace.hold(this.#pause.hold(controller));
-    }
+    if (this.#pace?.begin({ status, length }) === false) this.#holdForLink();
   }
 
   onResponseData(
-    controller: Dispatcher.DispatchController,
+    _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
     if (this.#hasEnded) return;
@@ -237,14 +232,19 @@
     this.#onData();
     this.#bytes += chunk.length;
     this.#lastPart = chunk;
-    this.#take(controller, chunk);
+    this.#take(chunk);
     if (!this.#hasEnded && this.#pace?.record(chunk.length) === false) {
-      this.#pace.hold(this.#pause.hold(controller));
+      this.#holdForLink();
     }
   }
 
-  #take(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.#isStreaming) return this.#streamChunk(controller, chunk);
+  // What was read already is still parsed after a hold.
+  #holdForLink(): void {
+    if (!this.#pace!.isHeld) this.#pace!.hold(this.#connection.reads.hold());
+  }
+
+  #take(chunk: Buffer): void {
+    if (this.#isStreaming) return this.#streamChunk(chunk);
     this.#chunks.push(chunk);
     if (this.#isLastPart || this.#mayBuffer(chunk.length)) return;
     this.#isStreaming = true;
@@ -339,14 +339,14 @@
     }
   }
 
-  #streamChunk(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  #streamChunk(chunk: Buffer): void {
     // The end of the body is sent once it is known to be its own.
     if (this.#isLastPart) {
       this.#withheld = chunk;
       return;
     }
     if (this.#stream.write(chunk)) return;
-    this.#stream.onDrain(this.#pause.hold(controller));
+    this.#stream.onDrain(this.#connection.reads.hold());
   }
 
   #abort(reason: string, cause: LossCause): void {
@@ -368,7 +368,7 @@
 
   #settle(result: ExchangeResult): void {
     this.#hasEnded = true;
-    this.#connection.beforeEnd = undefined;
+    this.#connection.reads.clear();
     clearTimeout(this.#timer);
     this.#pace?.end(result.kind === "answered");
     if (result.kind !== "answered") this.#reservation.release();
--- a/packages/fleet_gateway/exchange_sides.ts
+++ b/packages/fleet_gateway/exchange_sides.ts
@@ -2,6 +2,7 @@
 import { errors } from "undici";
 import type { ResponseHead } from "./exchange.ts";
 import { BodyFraming } from "./response_framing.ts";
+import { ReadHold } from "./read_hold.ts";
 import { SurplusDetector } from "./surplus_detector.ts";
 
 /** ID of the only request. */
@@ -88,7 +89,7 @@
       allowance: { renew() {} },
       surplus,
       recordSurplus() {},
-      beforeEnd: undefined,
+      reads: new ReadHold(),
       client: {
         dispatch: (_options: unknown, handler: Dispatcher.DispatchHandler) => {
           this.#handler = handler;
--- a/packages/fleet_gateway/read_pace.ts
+++ b/packages/fleet_gateway/read_pace.ts
@@ -30,6 +30,11 @@
     return this.#heldMilliseconds;
   }
 
+  /** Whether the next part may not be read yet. */
+  get isHeld(): boolean {
+    return this.#release !== undefined;
+  }
+
   /**
    * Records the head of the response.
    *
@@ -61,7 +66,7 @@
       this.#ask();
   }
 
-  /** Calls back when the next part may be read; replaces an earlier call. */
+  /** Calls back once, when the next part may be read. */
   hold(release: () => void): void {
     this.#heldSince = this.#now();
     this.#release = release;
--- a/packages/fleet_gateway/response_path_fixture.ts
+++ b/packages/fleet_gateway/response_path_fixture.ts
@@ -4,8 +4,10 @@
 import { connect } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { RequestKind } from "@kingcupglade/items";
+import { createMetrics } from "@kingcupglade/telemetry";
 import { CallerResponse } from "./caller_response.ts";
 import { ForwardingFixture, RawServer } from "./forwarding_fixture.ts";
+import { GatewayLink } from "./gateway_link.ts";
 import { RelayForwarder } from "./relay_forwarder.ts";
 import { decodeRelayRequest, relayHeader } from "./relay_message.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
@@ -59,6 +61,8 @@
    * its target. @default false
    */
   readonly isSecondEarlier?: boolean;
+  /** Rate of the link of each gateway. @default none, and no pacing */
+  readonly linkMegabitsPerSecond?: number;
 }
 
 /**
@@ -77,10 +81,11 @@
   onLine: (event: string) => void = () => {};
   readonly #isRelayed: boolean;
   readonly #isSecondEarlier: boolean;
+  readonly #links = new Map<ForwardingFixture, GatewayLink>();
   readonly #deadlines = new Map<string, number>();
   readonly #logger = {
     debug() {},
-    info: (event: string, fields: Record<string, unknown>) => {
+    info: (event: string, fields: Record<string, unknown> = {}) => {
       this.lines.push({ event, ...fields });
       this.onLine(event);
     },
@@ -105,6 +110,19 @@
     this.lastGateway = this.#isRelayed
       ? new ForwardingFixture([this.target], options)
       : this.gateway;
+    const { linkMegabitsPerSecond: megabitsPerSecond } = options;
+    if (megabitsPerSecond === undefined) return;
+    for (const gateway of new Set([this.gateway, this.lastGateway])) {
+      this.#links.set(
+        gateway,
+        new GatewayLink({
+          megabitsPerSecond,
+          clock: gateway.clock,
+          logger: this.#logger,
+          metrics: createMetrics(),
+        }),
+      );
+    }
   }
 
   async start(): Promise<void> {
@@ -116,6 +134,7 @@
   }
 
   stop(): void {
+    for (const link of this.#links.values()) link.close();
     this.gateway.connections.close();
     this.lastGateway.connections.close();
     for (const server of [this.#server, this.#lastServer]) {
@@ -125,10 +144,22 @@
     this.target.stop();
   }
 
+  /** Reserves the passage of a response over a gateway's link, if it has one. */
+  #enter(
+    gateway: ForwardingFixture,
+    answer: CallerResponse,
+    routed: Record<string, unknown>,
+  ): void {
+    const decision = this.#links.get(gateway)?.admit(routed as never);
+    if (decision?.kind === "admitted") answer.passage = decision.passage;
+  }
+
   #forward(request: IncomingMessage, answer: CallerResponse): void {
+    const routed = this.#routedOf(request);
+    this.#enter(this.lastGateway, answer, routed);
     const forwarder = new RequestForwarder({
       context: this.#contextOf(this.lastGateway) as never,
-      routed: this.#routedOf(request) as never,
+      routed: routed as never,
       answer,
       handOver: () => {},
     });
@@ -138,6 +169,8 @@
 
   #relay(request: IncomingMessage, response: ServerResponse): void {
     const answer = new CallerResponse(response);
+    const routed = this.#routedOf(request);
+    this.#enter(this.gateway, answer, routed);
     const other = {
       name: "gateway-2",
       address: `127.0.0.1:${portOf(this.#lastServer)}`,
@@ -156,7 +189,7 @@
           end: () => {},
         },
       } as never,
-      routed: this.#routedOf(request) as never,
+      routed: routed as never,
       answer,
       progress: { arrived: [], mayHaveRun: false },
     });
@@ -165,7 +198,11 @@
   }
 
   #contextOf(gateway: ForwardingFixture): Record<string, unknown> {
-    return { ...gateway.context(), logger: this.#logger };
+    return {
+      ...gateway.context(),
+      logger: this.#logger,
+      link: this.#links.get(gateway),
+    };
   }
 
   #routedOf(request: IncomingMessage): Record<string, unknown> {
--- a/packages/fleet_gateway/response_path_test.ts
+++ b/packages/fleet_gateway/response_path_test.ts
@@ -37,6 +37,8 @@
 const sizes = [1, 3000, 300_000, 1_500_000];
 const stalledDeadlineMilliseconds = 600;
 const pieceBytes = 64 * 1024;
+/** Slow enough that each large body waits, and whole within the deadline. */
+const linkMegabitsPerSecond = 80;
 
 const headLines: Readonly<Record<Mark, string>> = {
   [Mark.length]: "content-length: SIZE\r\n",
@@ -125,6 +127,9 @@
     "two gateways, the second of an earlier release",
     { isRelayed: true, isSecondEarlier: true },
   ],
+  // Guards against a part that looks whole, or bytes that are lost, in slices.
+  ["one gateway that paces", { linkMegabitsPerSecond }],
+  ["two gateways that pace", { isRelayed: true, linkMegabitsPerSecond }],
 ])("a response on its way through %s", (_name, options) => {
   let path: ResponsePath;
 
