Bound the bytes that a gateway holds for slow callers and targets

Paced responses stay in memory longer than those that were written in one call. All exchanges together now hold at most 32 MiB; beyond it the exchange is ended that has made no progress for the longest time, with a log line and a counter. While the link is full no hedge is sent, whatever the size of its response.

--- a/packages/fleet_gateway/caller_response.ts
+++ b/packages/fleet_gateway/caller_response.ts
@@ -82,6 +82,7 @@
 
   set passage(passage: LinkPassage | undefined) {
     this.#passage = passage;
+    if (passage) passage.onLetGo = () => this.fail();
     this.onClosed(() => {
       // A body of which only a part was written cannot be continued.
       if (this.#writer?.pendingBytes) this.#response.destroy();
--- a/packages/fleet_gateway/gateway_link.ts
+++ b/packages/fleet_gateway/gateway_link.ts
@@ -1,10 +1,12 @@
 import {
+  HeldBytes,
   LinkAdmission,
   LinkFullness,
   LinkScheduler,
   RouteProfiles,
 } from "@kingcupglade/link";
 import type {
+  LetGo,
   LinkDecision,
   LinkObservation,
   LinkRequest,
@@ -16,10 +18,21 @@
 import { LinkDirection } from "./link_direction.ts";
 import { LinkPassage } from "./link_passage.ts";
 
+/**
+ * Bytes that all exchanges hold for slow callers and targets: an eighth of a VM
+ * of 250 MB, and more than a link of 2.52 Mbit/s carries in a minute.
+ */
+const defaultHeldBytes = 32 * 1024 * 1024;
+
+/** Size of a datagram about slots, with its headers, about. */
+const datagramBytes = 200;
+
 /** Options of a {@link GatewayLink}. */
 export interface GatewayLinkOptions {
   /** Rate of the link in each direction. */
   readonly megabitsPerSecond: number;
+  /** Bytes held for slow callers and targets. @default 32 MiB */
+  readonly maximumHeldBytes?: number;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -44,6 +57,7 @@
   readonly outbound: LinkScheduler;
   readonly admission: LinkAdmission;
   readonly profiles = new RouteProfiles();
+  readonly held: HeldBytes;
   readonly #options: GatewayLinkOptions;
   readonly #fullness: LinkFullness;
   /** Bytes since the last report, by direction. */
@@ -57,6 +71,9 @@
   constructor(options: GatewayLinkOptions) {
     const { megabitsPerSecond, clock } = options;
     this.#options = options;
+    this.held = new HeldBytes({
+      maximumBytes: options.maximumHeldBytes ?? defaultHeldBytes,
+    });
     const now = clock.now();
     this.inbound = new LinkScheduler({ megabitsPerSecond, now });
     this.outbound = new LinkScheduler({ megabitsPerSecond, now });
@@ -68,6 +85,15 @@
     });
   }
 
+  /** Returns the link of a gateway, if its rate is known. */
+  static ofRate(
+    megabitsPerSecond: number | undefined,
+    options: Omit<GatewayLinkOptions, "megabitsPerSecond">,
+  ): GatewayLink | undefined {
+    if (megabitsPerSecond === undefined) return undefined;
+    return new GatewayLink({ ...options, megabitsPerSecond });
+  }
+
   get now(): number {
     return this.#options.clock.now();
   }
@@ -78,15 +104,6 @@
     return this.#fullness.isFull;
   }
 
-  /**
-   * Whether a second run of a route's request would only add to what waits.
-   * Small responses wait only if small messages do.
-   */
-  delaysRepeatsOf({ name }: Route): boolean {
-    const isLarge = this.profiles.of(name).upperBytes > this.inbound.sliceBytes;
-    return isLarge ? this.isFull : this.#fullness.delaysSmall(this.now);
-  }
-
   /** Admits a request, unless the link cannot serve it within its deadline. */
   admit(user: LinkUser): LinkAnswer {
     const request = this.#requestOf(user);
@@ -108,6 +125,11 @@
     (isInbound ? this.inbound : this.outbound).count(bytes, this.now);
   }
 
+  /** Counts a datagram about slots. */
+  countDatagram(direction: LinkDirection): void {
+    this.count(direction, datagramBytes);
+  }
+
   /** Counts bytes of a large response. */
   countLarge(direction: LinkDirection, bytes: number): void {
     this.#largeBytes[direction] += bytes;
@@ -127,6 +149,18 @@
     this.#scheduleWake(now + delay);
   }
 
+  /** Logs and counts an exchange that is ended to make room for others. */
+  recordLetGo(route: string, { heldBytes, idleMilliseconds }: LetGo): void {
+    const { logger, metrics } = this.#options;
+    metrics.exchangesLetGo.inc();
+    logger.warn("exchange-let-go", {
+      route,
+      heldBytes,
+      idleMilliseconds: Math.round(idleMilliseconds),
+      totalBytes: this.held.total,
+    });
+  }
+
   /** Reports the metrics, and finds out whether the link is full. */
   report(): void {
     const { metrics } = this.#options;
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -21,6 +21,7 @@
 import { SlotClient } from "./slot_client.ts";
 import { SlotSocket } from "./slot_socket.ts";
 import { StopSchedule } from "./stop_schedule.ts";
+import { logSurplus } from "./surplus_log.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
 import type { Connector } from "./address_pool.ts";
@@ -37,8 +38,6 @@
 const housekeepingIntervalMilliseconds = 1000;
 const stallCheckIntervalMilliseconds = 50;
 const millisecondsPerSecond = 1000;
-/** Size of a datagram about slots, with its headers, about. */
-const datagramBytes = 200;
 /** Memory for responses that are held until their ends are known. */
 const maximumHeldResponseBytes = 32 * 1024 * 1024;
 
@@ -116,10 +115,7 @@
           milliseconds: Math.round(milliseconds),
         }),
     });
-    const { linkMegabitsPerSecond: megabitsPerSecond } = options;
-    this.#link = megabitsPerSecond === undefined
-      ? undefined
-      : new GatewayLink({ ...options, megabitsPerSecond });
+    this.#link = GatewayLink.ofRate(options.linkMegabitsPerSecond, options);
     const isLinkFull = () => this.#link?.isFull === true;
     this.#connections = new TargetConnections({
       clock,
@@ -129,7 +125,8 @@
         connected: () => this.#reach.recordConnected(),
         connectTrouble: (address) => this.#reach.recordConnectTrouble(address),
         lost: () => this.#reach.recordLoss(),
-        surplus: (address) => this.#logSurplus(address),
+        surplus: (address) =>
+          logSurplus(address, { table: this.#synchronizer.table, logger }),
       },
     });
     this.#reach = new TargetReach({
@@ -222,7 +219,7 @@
       gatewayCount: () => 1,
     });
     const send: SlotSocket["send"] = (message, to) => {
-      this.#link?.count(LinkDirection.outbound, datagramBytes);
+      this.#link?.countDatagram(LinkDirection.outbound);
       this.#slotSocket.send(message, to);
     };
     this.#slotManager = new SlotManager({
@@ -281,15 +278,6 @@
     return vm;
   }
 
-  #logSurplus(address: string): void {
-    const { targets } = this.#synchronizer.table;
-    const target = [...targets].find((each) => each.address === address);
-    this.#options.logger.warn("target-sends-surplus", {
-      address,
-      target: target?.name ?? null,
-    });
-  }
-
   /** Replaces the control addresses that are queried for the leader. */
   setSeeds(seeds: readonly string[]): void {
     const { peerAddress } = this.#options;
@@ -374,7 +362,7 @@
   }
 
   #handleSlotMessage(message: SlotMessage, from: string): void {
-    this.#link?.count(LinkDirection.inbound, datagramBytes);
+    this.#link?.countDatagram(LinkDirection.inbound);
     switch (message.kind) {
       case "request":
         return this.#slotManager.handleRequest(message, from);
--- a/packages/fleet_gateway/link_entry.ts
+++ b/packages/fleet_gateway/link_entry.ts
@@ -8,6 +8,8 @@
 import type { ForwardingContext } from "./routed_request.ts";
 import { requestBytes } from "./target_exchange.ts";
 
+/** Longer bodies are streamed, as in request_handler.ts. */
+const maximumBufferedBytes = 128 * 1024;
 const reason = "the link has no room in time";
 
 /** A request whose route is known, before its body is read. */
@@ -45,12 +47,19 @@
   const decision = link.admit({ route, deadlineAt });
   if (decision.kind === "admitted") {
     answer.passage = decision.passage;
+    decision.passage.hold(heldBodyBytes(request));
     return true;
   }
   refuse(context, entering, decision);
   return false;
 }
 
+// A body is kept until its target has responded, or it is streamed.
+function heldBodyBytes({ headers }: IncomingMessage): number {
+  const length = Number(headers["content-length"]) || 0;
+  return Math.min(maximumBufferedBytes, length);
+}
+
 function refuse(
   { clock, random, logger, metrics }: Parameters<typeof enterLink>[0],
   { head, route, arrivedAt, deadlineAt, refuse }: EnteringRequest,
@@ -73,6 +82,7 @@
     priority: route.priority,
     queuedBytes,
     meanBytes: Math.round(profile.meanBytes),
+    upperBytes: Math.round(profile.upperBytes),
     lateMilliseconds: Math.round(waitMilliseconds),
     leftMilliseconds: Math.round(leftMilliseconds),
     ageMilliseconds: Math.round(now - arrivedAt),
--- a/packages/fleet_gateway/link_passage.ts
+++ b/packages/fleet_gateway/link_passage.ts
@@ -1,5 +1,10 @@
 import { largeBytes } from "@kingcupglade/link";
-import type { LinkScheduler, LinkTicket, Transfer } from "@kingcupglade/link";
+import type {
+  HeldShare,
+  LinkScheduler,
+  LinkTicket,
+  Transfer,
+} from "@kingcupglade/link";
 import { LinkDirection } from "./link_direction.ts";
 import type { GatewayLink } from "./gateway_link.ts";
 
@@ -26,10 +31,23 @@
 export class LinkPassage {
   readonly #options: LinkPassageOptions;
   readonly #transfers = new Set<PassageTransfer>();
+  readonly #share: HeldShare;
+  /** Ends the exchange, as others need the memory that it holds. */
+  onLetGo: () => void = () => {};
   #hasEnded = false;
 
   constructor(options: LinkPassageOptions) {
     this.#options = options;
+    const { link, route } = options;
+    this.#share = link.held.open((what) => {
+      link.recordLetGo(route, what);
+      this.onLetGo();
+    }, link.now);
+  }
+
+  /** Records bytes that are held from now on, or no more if negative. */
+  hold(bytes: number): void {
+    this.#share.add(bytes, this.#options.link.now);
   }
 
   /** Records the size of the response, which its head states. */
@@ -73,6 +91,7 @@
   end(): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
+    this.#share.end();
     const { link, ticket } = this.#options;
     for (const transfer of this.#transfers) transfer.end();
     link.admission.end(ticket);
--- a/packages/fleet_gateway/paced_writer.ts
+++ b/packages/fleet_gateway/paced_writer.ts
@@ -99,6 +99,7 @@
     }
     this.#pendingBytes -= bytes;
     this.#transfer.record(bytes);
+    this.#options.passage.hold(-bytes);
   }
 
   #ask(): void {
--- a/packages/fleet_gateway/read_pace.ts
+++ b/packages/fleet_gateway/read_pace.ts
@@ -57,6 +57,7 @@
    */
   record(bytes: number): boolean {
     this.#received += bytes;
+    this.#passage.hold(bytes);
     if (!this.#transfer && !isLargeResponse(this.#received)) {
       this.#passage.countSmall(LinkDirection.inbound, bytes);
       return true;
@@ -76,7 +77,7 @@
   end(isWhole: boolean): void {
     this.#grant();
     this.#transfer?.end();
-    if (!isWhole) return;
+    if (!isWhole) return this.#passage.hold(-this.#received);
     if (this.#length === undefined && this.#teaches) {
       this.#passage.learn(this.#received, this.#headMilliseconds);
     }
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -531,7 +531,7 @@
 
   /** Whether one more run would wait for the link, as the first did. */
   get #isDelayedByLink(): boolean {
-    return this.#context.link?.delaysRepeatsOf(this.#routed.route) === true;
+    return this.#context.link?.isFull === true;
   }
 
   #retry(): void {
--- a/packages/fleet_gateway/response_path_fixture.ts
+++ b/packages/fleet_gateway/response_path_fixture.ts
@@ -63,6 +63,8 @@
   readonly isSecondEarlier?: boolean;
   /** Rate of the link of each gateway. @default none, and no pacing */
   readonly linkMegabitsPerSecond?: number;
+  /** Bytes that a gateway with a link holds. @default 32 MiB */
+  readonly maximumHeldBytes?: number;
 }
 
 /**
@@ -116,6 +118,7 @@
       this.#links.set(
         gateway,
         new GatewayLink({
+          ...options,
           megabitsPerSecond,
           clock: gateway.clock,
           logger: this.#logger,
@@ -125,6 +128,11 @@
     }
   }
 
+  /** The link of the gateway that callers reach. */
+  get link(): GatewayLink {
+    return this.#links.get(this.gateway)!;
+  }
+
   async start(): Promise<void> {
     await this.target.start();
     for (const server of [this.#server, this.#lastServer]) {
--- a/packages/fleet_gateway/target_reach_test.ts
+++ b/packages/fleet_gateway/target_reach_test.ts
@@ -21,14 +21,17 @@
   /** Returns how one target responds. */
   let pathTo: (address: string) => Path;
   let listed: readonly TargetView[];
+  let isLinkFull: boolean;
 
   beforeEach(() => {
     vi.useFakeTimers();
     connects = 0;
+    isLinkFull = false;
     listed = targets;
     pathTo = () => Path.open;
     let seed = 1;
     reach = new TargetReach({
+      isLinkFull: () => isLinkFull,
       targets: () => listed,
       tryConnect: (address, milliseconds) => {
         connects += 1;
@@ -167,4 +170,30 @@
     expect(told).toHaveBeenCalledTimes(1);
     expect(ended).not.toHaveBeenCalled();
   });
+
+  // Guards against a full link that is taken for a cut, so that requests are
+  // relayed to gateways whose links are as full.
+  it("is not cut off while its link is full and bytes arrive", async () => {
+    await serve(1000, 20);
+    isLinkFull = true;
+    pathTo = () => Path.silent;
+    reach.begin();
+    for (let at = 0; at < 5000; at += 100) {
+      await vi.advanceTimersByTimeAsync(100);
+      reach.recordProgress();
+      reach.recordConnectTrouble("10.0.0.1:80");
+    }
+    expect(reach.isCutOff).toBe(false);
+    expect(await reach.confirmCutOff()).toBe(false);
+  });
+
+  it("is cut off although its link was full, once nothing arrives", async () => {
+    await serve(1000, 20);
+    isLinkFull = true;
+    pathTo = () => Path.silent;
+    reach.begin();
+    const milliseconds = await timeUntilCutOff();
+    expect(milliseconds).toBeGreaterThan(1000);
+    expect(milliseconds).toBeLessThan(2500);
+  });
 });
--- a/packages/kingcupglade/settings/fleet_settings_test.ts
+++ b/packages/kingcupglade/settings/fleet_settings_test.ts
@@ -47,6 +47,11 @@
       /listen.callers: must be IP:PORT/,
       "callers = front",
     ],
+    [
+      "[control]",
+      /link.megabitsPerSecond/,
+      "[link]\nmegabitsPerSecond = 0\n[control]",
+    ],
     ["seeds = ", /control.sedes is unknown; did you mean "seeds"/, "sedes = "],
   ];
   for (const [valid, message, invalid] of faults) {
--- a/packages/kingcupglade/settings/template_test.ts
+++ b/packages/kingcupglade/settings/template_test.ts
@@ -86,4 +86,15 @@
       });
     });
   }
+
+  // Guards against a gateway that does not know the rate of its link.
+  it("takes the rate of a VM's link, if there is one", async () => {
+    const text = await readFile(template, "utf8");
+    const read = (limits: Fields) =>
+      parseFleetSettings(fill(text, { ...vm, limits }), "node.ini");
+    expect(read({ linkMbps: 2.52 })).toMatchObject({
+      link: { megabitsPerSecond: 2.52 },
+    });
+    expect(read({})?.link.megabitsPerSecond).toBeUndefined();
+  });
 });
--- a/packages/link/mod.ts
+++ b/packages/link/mod.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+export { HeldBytes } from "./held_bytes.ts";
+export type { HeldShare, LetGo } from "./held_bytes.ts";
 export { LinkAdmission } from "./link_admission.ts";
 export type {
   LinkDecision,
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -28,6 +28,8 @@
   readonly linkBytes: Counter<"direction" | "kind">;
   /** Bytes that wait for the link of this VM. */
   readonly linkQueuedBytes: Gauge;
+  /** Exchanges that were ended because they held memory without progress. */
+  readonly exchangesLetGo: Counter;
   /** 1 while the link of this VM is full. */
   readonly linkFull: Gauge;
   /** 1 while no target accepts a connection from this VM. */
@@ -158,6 +160,11 @@
       help: "Bytes that wait for the link of this VM",
       registers,
     }),
+    exchangesLetGo: new Counter({
+      name: "kingcupglade_exchanges_let_go_total",
+      help: "Exchanges ended because they held memory without progress",
+      registers,
+    }),
     linkFull: new Gauge({
       name: "kingcupglade_link_full",
       help: "1 while the link of this VM is full",
