Leave room of the link for small requests that were refused

Refused small requests no longer counted as traffic, so that large responses, which cost twenty times as much, were admitted in their place. Their expected bytes now count as demand of small messages.

--- a/packages/link/link_admission.ts
+++ b/packages/link/link_admission.ts
@@ -85,7 +85,10 @@
   admit(request: LinkRequest, now: number): LinkDecision {
     const ticket = createTicket(request, now);
     const late = this.#lateness(ticket, now);
-    if (late > 0) return this.#refusal(late, ticket);
+    if (late > 0) {
+      if (!ticket.isLarge) this.#recordDemand(ticket, now);
+      return this.#refusal(late, ticket);
+    }
     this.#add(ticket);
     return { kind: "admitted", ticket };
   }
@@ -149,6 +152,12 @@
     this.#smallOut += ticket.leftOut;
   }
 
+  #recordDemand({ leftIn, leftOut }: LinkTicket, now: number): void {
+    const { inbound, outbound } = this.#options;
+    inbound.recordDemand(leftIn, now);
+    outbound.recordDemand(leftOut, now);
+  }
+
   #refusal(late: number, ticket: LinkTicket): LinkDecision {
     const { outbound } = this.#options;
     const queuedBytes = outbound.debt + this.#smallOut +
--- a/packages/link/link_scheduler.ts
+++ b/packages/link/link_scheduler.ts
@@ -96,6 +96,14 @@
     this.#refill(now);
     this.#take(bytes);
     this.meter.record(bytes, now);
+    this.recordDemand(bytes, now);
+  }
+
+  /**
+   * Counts bytes of a small message that was refused: large responses leave room
+   * for the next ones.
+   */
+  recordDemand(bytes: number, now: number): void {
     this.#decaySmallRate(now);
     this.#smallRate += bytes / smallRateMilliseconds;
   }
