--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchange.ts
@@ -8,6 +8,7 @@
 import { errors } from "undici";
 import type { Dispatcher } from "undici";
 import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
+import type { ReadPace } from "./read_pace.ts";
 import { BodyFraming, framingOf } from "./response_framing.ts";
 import { Surplus } from "./surplus_detector.ts";
 import type { TargetConnection } from "./address_pool.ts";
@@ -104,6 +105,8 @@
   readonly #stream: ResponseStream;
   readonly #onHead: (head: ResponseHead) => void;
   readonly #mayStart: () => boolean;
+  readonly #onData: () => void;
+  readonly #pace: ReadPace | undefined;
   readonly #reservation: BodyReservation;
   readonly #timer: NodeJS.Timeout;
   #resolve!: (result: ExchangeResult) => void;
@@ -117,8 +120,6 @@
   #isStreaming = false;
   #interimResponses = 0;
   #isSent = false;
-  /** Whether the target has closed its side and everything was read. */
-  #isFullyRead = false;
   #hasEnded = false;
 
   constructor(options: {
@@ -138,6 +139,10 @@
      * first byte is. @default true
      */
     readonly mayStart?: () => boolean;
+    /** Called when a part of the body arrives. */
+    readonly onData?: () => void;
+    /** Paces what is read. @default as fast as it arrives */
+    readonly pace?: ReadPace | undefined;
   }) {
     this.#request = options.request;
     this.#connection = options.connection;
@@ -146,6 +151,8 @@
     this.#reservation = options.reservation ?? new BodyMemory().reserve();
     this.#onHead = options.onHead ?? (() => {});
     this.#mayStart = options.mayStart ?? (() => true);
+    this.#onData = options.onData ?? (() => {});
+    this.#pace = options.pace;
     this.result = new Promise((resolve) => (this.#resolve = resolve));
     this.#timer = setTimeout(
       () => this.#abort("the time is up", LossCause.timeout),
@@ -159,6 +166,11 @@
     return this.#isSent;
   }
 
+  /** Time for which the response was not read because of the link. */
+  get heldMilliseconds(): number {
+    return this.#pace?.heldMilliseconds ?? 0;
+  }
+
   /** Aborts the exchange because the response is no longer needed. */
   abandon(): void {
     this.#abort("the response is no longer needed", LossCause.abandoned);
@@ -223,17 +235,35 @@
       framing: head.isOpenAtTarget ? BodyFraming.connection : framing,
     };
     this.#onHead(this.#head);
+    if (this.#hasEnded || framing === BodyFraming.none) return;
+    const length = framing === BodyFraming.length
+      ? Number(headers["content-length"])
+      : NaN;
+    if (this.#pace?.begin({ status, length }) === false) this.#holdForLink();
   }
 
   onResponseData(
-    controller: Dispatcher.DispatchController,
+    _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
     if (this.#hasEnded) return;
     this.#connection.allowance.renew();
+    this.#onData();
     this.#bytes += chunk.length;
     this.#lastPart = chunk;
-    if (this.#isStreaming) return this.#streamChunk(controller, chunk);
+    this.#take(chunk);
+    if (!this.#hasEnded && this.#pace?.record(chunk.length) === false) {
+      this.#holdForLink();
+    }
+  }
+
+  // What was read already is still parsed after a hold.
+  #holdForLink(): void {
+    if (!this.#pace!.isHeld) this.#pace!.hold(this.#connection.reads.hold());
+  }
+
+  #take(chunk: Buffer): void {
+    if (this.#isStreaming) return this.#streamChunk(chunk);
     this.#chunks.push(chunk);
     if (this.#isLastPart || this.#mayBuffer(chunk.length)) return;
     this.#isStreaming = true;
@@ -328,20 +358,14 @@
     }
   }
 
-  #streamChunk(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  #streamChunk(chunk: Buffer): void {
     // The end of the body is sent once it is known to be its own.
     if (this.#isLastPart) {
       this.#withheld = chunk;
       return;
     }
-    if (this.#stream.write(chunk) || this.#isFullyRead) return;
-    controller.pause();
-    const resume = () => controller.resume();
-    this.#connection.beforeEnd = () => {
-      this.#isFullyRead = true;
-      resume();
-    };
-    this.#stream.onDrain(resume);
+    if (this.#stream.write(chunk)) return;
+    this.#stream.onDrain(this.#connection.reads.hold());
   }
 
   #abort(reason: string, cause: LossCause): void {
@@ -363,8 +387,9 @@
 
   #settle(result: ExchangeResult): void {
     this.#hasEnded = true;
-    this.#connection.beforeEnd = undefined;
+    this.#connection.reads.clear();
     clearTimeout(this.#timer);
+    this.#pace?.end(result.kind === "answered");
     if (result.kind !== "answered") this.#reservation.release();
     this.#resolve(result);
   }
--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/forwarding_fixture.ts
@@ -199,6 +199,7 @@
         },
         begin: () => {},
         end: () => {},
+        recordProgress: () => {},
         recordResponse: () => {},
       },
       suspects: {
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -5,10 +5,12 @@
 import { StallDetector } from "@kingcupglade/tasks";
 import { BodyMemory } from "@kingcupglade/transport";
 import { ElapsedClock, KeyDigest } from "@kingcupglade/workspaces";
+import { GatewayLink } from "./gateway_link.ts";
 import { GatewayListeners } from "./gateway_listeners.ts";
 import type { GatewayVmOptions } from "./gateway_vm_options.ts";
 import { KeyGate } from "./key_gate.ts";
 import { callLeader, callLeaderForQuota } from "./leader_caller.ts";
+import { LinkDirection } from "./link_direction.ts";
 import { LoadProber } from "./load_prober.ts";
 import { QuotaGate } from "./quota_gate.ts";
 import { RelayChoice } from "./relay_choice.ts";
@@ -21,6 +23,7 @@
 import { SlotClient } from "./slot_client.ts";
 import { SlotSocket } from "./slot_socket.ts";
 import { StopSchedule } from "./stop_schedule.ts";
+import { logSurplus } from "./surplus_log.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import { TargetConnections } from "./target_connections.ts";
 import { TargetEndDetector } from "./target_end_detector.ts";
@@ -52,6 +55,7 @@
   readonly #relays: RelayChoice;
   readonly #responseMemory = new BodyMemory(maximumHeldResponseBytes);
   readonly #relayConnections: TargetConnections;
+  readonly #link: GatewayLink | undefined;
   readonly #limits: TargetLimits;
   readonly #notices: TargetNotices;
   readonly #suspects: SuspectGate;
@@ -83,18 +87,23 @@
           milliseconds: Math.round(milliseconds),
         }),
     });
+    this.#link = GatewayLink.ofRate(options.linkMegabitsPerSecond, options);
+    const isLinkFull = () => this.#link?.isFull === true;
     this.#connections = new TargetConnections({
       clock,
+      isLinkFull,
       connector: options.connectToTarget,
       observer: {
         connected: () => this.#reach.recordConnected(),
         connectTrouble: (address) => this.#reach.recordConnectTrouble(address),
         lost: () => this.#reach.recordLoss(),
-        surplus: (address) => this.#logSurplus(address),
+        surplus: (address) =>
+          logSurplus(address, { table: this.#synchronizer.table, logger }),
       },
     });
     this.#reach = new TargetReach({
       ...options,
+      isLinkFull,
       targets: () => this.#reachableTargets,
       tryConnect: (address, milliseconds) =>
         this.#connections.tryConnect(address, milliseconds),
@@ -106,6 +115,7 @@
     this.#relayConnections = new TargetConnections({
       clock,
       connectTimeoutMilliseconds: relayConnectMilliseconds,
+      isLinkFull,
     });
     this.#limits = new TargetLimits(options);
     this.#notices = new TargetNotices(options);
@@ -210,8 +220,10 @@
       gatewayCount: () => 1,
       ...this.#pacing(Chooser.manager, (target) => this.#isManaged(target)),
     });
-    const send: SlotSocket["send"] = (message, to) =>
+    const send: SlotSocket["send"] = (message, to) => {
+      this.#link?.countDatagram(LinkDirection.outbound);
       this.#slotSocket.send(message, to);
+    };
     this.#slotManager = new SlotManager({
       selector: this.#managedSelector,
       limits: this.#limits,
@@ -222,7 +234,7 @@
       clock,
       logger,
     });
-    this.#slotClient = new SlotClient({ ...options, send });
+    this.#slotClient = new SlotClient({ ...options, send, isLinkFull });
     this.#slotPools = new SlotPools({
       ...options,
       table: () => this.#synchronizer.table,
@@ -277,15 +289,6 @@
     return pacesTargets && { pacing: { chooser, isPaced, logger, metrics } };
   }
 
-  #logSurplus(address: string): void {
-    const { targets } = this.#synchronizer.table;
-    const target = [...targets].find((each) => each.address === address);
-    this.#options.logger.warn("target-sends-surplus", {
-      address,
-      target: target?.name ?? null,
-    });
-  }
-
   /** Replaces the control addresses that are queried for the leader. */
   setSeeds(seeds: readonly string[]): void {
     const { peerAddress } = this.#options;
@@ -311,6 +314,7 @@
     clearInterval(this.#stallTimer);
     this.#quotas.close();
     this.#reach.close();
+    this.#link?.close();
     this.#connections.close();
     this.#relayConnections.close();
     this.#peerClients.close();
@@ -334,6 +338,7 @@
       responseMemory: this.#responseMemory,
       relayConnections: this.#relayConnections,
       connections: this.#connections,
+      link: this.#link,
       limits: this.#limits,
       notices: this.#notices,
       suspects: this.#suspects,
@@ -372,6 +377,7 @@
   }
 
   #handleSlotMessage(message: SlotMessage, from: string): void {
+    this.#link?.countDatagram(LinkDirection.inbound);
     switch (message.kind) {
       case "request":
         return this.#slotManager.handleRequest(message, from);
@@ -388,6 +394,7 @@
     this.#selector.expire();
     this.#managedSelector.expire();
     this.#suspects.expire();
+    this.#link?.report();
     const { limits } = table;
     if (limits) {
       this.#listeners.setTimeouts({
--- a/packages/fleet_gateway/gateway_vm_options.ts
+++ b/packages/fleet_gateway/gateway_vm_options.ts
@@ -45,6 +45,8 @@
   readonly random: () => number;
   /** Whether new and recovered targets are paced. @default true */
   readonly pacesTargets?: boolean;
+  /** Rate of the link in each direction. @default none, and no pacing */
+  readonly linkMegabitsPerSecond?: number | undefined;
   /** Opens connections to targets. @default TCP */
   readonly connectToTarget?: Connector;
 }
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay_forwarder.ts
@@ -13,6 +13,9 @@
   relayHeader,
 } from "./relay_message.ts";
 import type { RelayReply, RelayRequest } from "./relay_message.ts";
+import { LinkDirection } from "./link_direction.ts";
+import { ReadPace } from "./read_pace.ts";
+import { requestBytes } from "./target_exchange.ts";
 import { RelayWire } from "./relay_wire.ts";
 import { RequestGuard } from "./request_guard.ts";
 import { findSendFault, refuseSend } from "./send_fault.ts";
@@ -169,6 +172,8 @@
     });
     this.#telemetry.recordRelay(gateway, this.#tried.size);
     relays.begin(gateway);
+    context.link?.count(LinkDirection.outbound, requestBytes(request));
+    answer.passage?.recordSent();
     const reservation = context.responseMemory.reserve();
     answer.onClosed(() => reservation.release());
     this.#exchange = new Exchange({
@@ -179,6 +184,7 @@
         context.keys.recheck(routed.workspace) === undefined &&
         (routed.quota?.relay() ?? true),
       stream: answer,
+      pace: answer.passage && new ReadPace(answer.passage, () => clock.now()),
       request: {
         method: request.method ?? "GET",
         path: request.url ?? "/",
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/request_forwarder.ts
@@ -28,6 +28,9 @@
  */
 const ownerRetryDelayMilliseconds = 100;
 
+/** Mean delay of a repeat while the link is full, about a window at 2 Mbit/s. */
+const fullLinkRetryMilliseconds = 300;
+
 /**
  * Forwards one request to targets until one responds. If none does, responds
  * with 503 if the request ran nowhere, and with 502 or 504 if it may have run.
@@ -114,7 +117,8 @@
       attempts: this.#attempts,
       mayHedge: () =>
         !this.#ending.isFinished && !this.#response.hasStarted &&
-        this.#progress.inProgress === 1 && this.#suspicion.mayHedge,
+        this.#progress.inProgress === 1 && this.#suspicion.mayHedge &&
+        !this.#isDelayedByLink,
       takeAttempt: () => this.#progress.takeArrival(),
       send: (target, record, ticket) => {
         this.#telemetry.recordHedge(target);
@@ -332,7 +336,10 @@
       use.cancel();
       return this.#withhold(target, findSendFault(this.#context, this.#routed));
     }
-    use.end(result, { isAbandoned: this.#ending.isFinished });
+    use.end(result, {
+      isAbandoned: this.#ending.isFinished,
+      heldMilliseconds: exchange.heldMilliseconds,
+    });
     const examination = this.#suspicion.recordResult(result, target);
     // Most results do not wait for it.
     if (examination) this.#guard.watch(examination.then(() => {}));
@@ -367,7 +374,16 @@
     return this.#routed.route.requests === RequestKind.idempotent;
   }
 
+  /** Whether one more run would wait for the link, as the first did. */
+  get #isDelayedByLink(): boolean {
+    return this.#context.link?.isFull === true;
+  }
+
   #retry(): void {
+    if (this.#isDelayedByLink) {
+      this.#earliestSendAt = this.#context.clock.now() +
+        fullLinkRetryMilliseconds * (0.5 + this.#context.random());
+    }
     this.#context.metrics.retries.inc({
       reason: this.#progress.mayHaveRun ? "failed" : "not-run",
     });
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -12,6 +12,8 @@
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
+import { enterLink } from "./link_entry.ts";
+import type { EnteringRequest } from "./link_entry.ts";
 import { admitRelayed } from "./relay_admission.ts";
 import { RelayForwarder } from "./relay_forwarder.ts";
 import { admitRequest } from "./request_admission.ts";
@@ -145,6 +147,17 @@
         retryAfterMilliseconds: elsewhereRetryAfterMilliseconds,
       });
     }
+    const entering = {
+      request,
+      head,
+      route: admission.route,
+      arrivedAt,
+      deadlineAt,
+      answer,
+    };
+    const refuse: EnteringRequest["refuse"] = (refusal) =>
+      answer.respond({ status: 503, ...refusal });
+    if (!enterLink(this.#options.context, { ...entering, refuse })) return;
     const body = await this.#receiveBody(request, {
       answer,
       refuse: (status, reason) => {
@@ -240,6 +253,20 @@
       metrics.relayedHere.inc({ decision });
       return answer.rejectRelay(decision, reason);
     }
+    const deadlineAt = arrivedAt + relay.leftMilliseconds;
+    const entering = {
+      request,
+      head,
+      route: admission.route,
+      arrivedAt,
+      deadlineAt,
+      answer,
+    };
+    const refuse: EnteringRequest["refuse"] = ({ reason }) => {
+      metrics.relayedHere.inc({ decision: RelayDecision.unable });
+      answer.rejectRelay(RelayDecision.unable, reason);
+    };
+    if (!enterLink(this.#options.context, { ...entering, refuse })) return;
     metrics.relayedHere.inc({ decision: RelayDecision.taken });
     this.#relayedCount += 1;
     answer.onClosed(() => (this.#relayedCount -= 1));
@@ -264,7 +291,7 @@
         arrivedAt: arrivedAt - relay.ageMilliseconds,
         firstSentAt: arrivedAt - relay.ageMilliseconds,
         isAgeKnown: this.#options.context.callerDeadlines.isKnown(relay.route),
-        deadlineAt: arrivedAt + relay.leftMilliseconds,
+        deadlineAt,
         relayedBy: relay.from,
       }),
       { answer, relay },
--- a/packages/fleet_gateway/target_exchange.ts
+++ b/packages/fleet_gateway/target_exchange.ts
@@ -1,7 +1,10 @@
+import type { IncomingMessage } from "node:http";
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
 import type { CallerResponse } from "./caller_response.ts";
 import { Exchange } from "./exchange.ts";
+import { LinkDirection } from "./link_direction.ts";
+import { ReadPace } from "./read_pace.ts";
 import { firstResponseStream } from "./first_response_stream.ts";
 import { requestHeaders } from "./request_headers.ts";
 import type { RequestProgress } from "./request_progress.ts";
@@ -11,6 +14,18 @@
 /** Time before the caller's deadline at which a response must be on its way. */
 const responseMarginMilliseconds = 15;
 
+/** Bytes of a typical head of a request and of its packets' headers. */
+const headBytes = 700;
+
+/** Longer bodies are streamed, and not on the link at once. */
+const maximumCountedBytes = 128 * 1024;
+
+/** Returns the bytes that a request takes on the link, about. */
+export function requestBytes({ headers }: IncomingMessage): number {
+  const length = Number(headers["content-length"]) || 0;
+  return headBytes + Math.min(maximumCountedBytes, length);
+}
+
 /**
  * Starts an attempt of a request at a target, on a connection that suits it.
  * Idempotent requests may use one that was used before.
@@ -61,6 +76,9 @@
   const remainingMilliseconds = deadlineAt - startedAt;
   const reservation = context.responseMemory.reserve();
   answer.onClosed(() => reservation.release());
+  const { passage } = answer;
+  passage?.recordSent();
+  context.link?.count(LinkDirection.outbound, requestBytes(request));
   const exchange: Exchange = new Exchange({
     reservation,
     connection: options.connection,
@@ -72,6 +90,8 @@
       self: () => exchange,
       target: target.name,
     }),
+    pace: passage && new ReadPace(passage, () => context.clock.now()),
+    onData: () => reach.recordProgress(),
     onHead: (head) => {
       reach.recordResponse();
       notices.record(target, head, requestId);
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -117,13 +117,14 @@
   settings: ResolvedGatewaySettings,
   common: CommonOptions & FleetVmOverrides,
 ): Promise<RunningRole> {
-  const { callers, listen, retries, stop, dispatch } = settings;
+  const { callers, listen, retries, stop, dispatch, link } = settings;
   return await GatewayVm.start({
     ...common,
     callersAddress: listen.callers,
     readinessAddress: listen.readiness,
     maximumCallerConnections: await readCallerConnectionLimit(),
     concurrentPerConnection: callers.concurrentPerConnection,
+    linkMegabitsPerSecond: link.megabitsPerSecond,
     graceMilliseconds: stop.graceSeconds * millisecondsPerSecond,
     retryBudget: {
       ratio: retries.ratio,
--- a/packages/kingcupglade/settings/fleet_schema.ts
+++ b/packages/kingcupglade/settings/fleet_schema.ts
@@ -56,6 +56,13 @@
     /** Whether new and recovered targets get requests slowly. @default true */
     paceTargets: z.boolean().default(true),
   }).prefault({}),
+  link: z.strictObject({
+    /**
+     * Rate of the link of a gateway in each direction. Without it, nothing is
+     * paced. @default none
+     */
+    megabitsPerSecond: z.coerce.number().positive().optional(),
+  }).prefault({}),
   stop: z.strictObject({
     /** Time from a stop signal until the process is killed. @default 10 */
     graceSeconds: seconds.default(10),
--- a/packages/kingcupglade/settings/fleet_settings_test.ts
+++ b/packages/kingcupglade/settings/fleet_settings_test.ts
@@ -70,6 +70,11 @@
     ],
     ["[regions]", /quotas.overage/, "[quotas]\noverage = 11\n[regions]"],
     ["[regions]", /quotas.window/, "[quotas]\nwindowSeconds = 0\n[regions]"],
+    [
+      "[control]",
+      /link.megabitsPerSecond/,
+      "[link]\nmegabitsPerSecond = 0\n[control]",
+    ],
     ["seeds = ", /control.sedes is unknown; did you mean "seeds"/, "sedes = "],
   ];
   for (const [valid, message, invalid] of faults) {
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -31,6 +31,14 @@
   /** Responses in which targets say that they leave or pause. */
   readonly targetNotices: Counter<"notice">;
   readonly pacedTargets: Gauge<"chooser">;
+  /** Bytes that this VM has counted on its link, by direction and kind. */
+  readonly linkBytes: Counter<"direction" | "kind">;
+  /** Bytes that wait for the link of this VM. */
+  readonly linkQueuedBytes: Gauge;
+  /** Exchanges that were ended because they held memory without progress. */
+  readonly exchangesLetGo: Counter;
+  /** 1 while the link of this VM is full. */
+  readonly linkFull: Gauge;
   /** 1 while no target accepts a connection from this VM. */
   readonly cutOff: Gauge;
   /** Requests handed to another gateway because of that, by outcome. */
@@ -178,6 +186,27 @@
       labelNames: ["chooser"],
       registers,
     }),
+    linkBytes: new Counter({
+      name: "kingcupglade_link_bytes_total",
+      help: "Bytes counted on the link of this VM",
+      labelNames: ["direction", "kind"],
+      registers,
+    }),
+    linkQueuedBytes: new Gauge({
+      name: "kingcupglade_link_queued_bytes",
+      help: "Bytes that wait for the link of this VM",
+      registers,
+    }),
+    exchangesLetGo: new Counter({
+      name: "kingcupglade_exchanges_let_go_total",
+      help: "Exchanges ended because they held memory without progress",
+      registers,
+    }),
+    linkFull: new Gauge({
+      name: "kingcupglade_link_full",
+      help: "1 while the link of this VM is full",
+      registers,
+    }),
     cutOff: new Gauge({
       name: "kingcupglade_cut_off",
       help: "1 while no target accepts a connection from this VM",
