--- a/packages/quotas/quota_settings.ts
+++ b/packages/quotas/quota_settings.ts
@@ -38,8 +38,7 @@
 
 /**
  * Share of overage and slack that is not lent: requests reach targets at times
- * that differ more than those at which they were sent. With all of it lent, 142
- * instead of 141 requests reached the targets of one run in a window.
+ * that differ more than those at which they were sent. Chosen, not measured.
  */
 const keptShare = 0.1;
 
