Keep the connection of a request without a body that is answered at once

Requests that a gateway refuses before it reads their bodies, now also for the link, were answered with connection: close if they stated no length, since their end is parsed after their head. A request without Content-Length and Transfer-Encoding has no body, so its connection goes on. The new test is red without the change (one response of three) and green with it; 114 tests of responses, transport, pipelining and forms of requests are green.

--- a/packages/fleet_gateway/caller_response_test.ts
+++ b/packages/fleet_gateway/caller_response_test.ts
@@ -262,3 +262,27 @@
     });
   });
 });
+
+describe("a response that is sent before its request was read to its end", () => {
+  // Guards against a refusal that closes the connection of a request without a
+  // body: the requests that its caller sent behind it were reset.
+  it("keeps the connection for the next request if there is no body", async () => {
+    const server = createServer((_request, response) =>
+      new CallerResponse(response).respond({ status: 503, reason: "no room" })
+    );
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    const socket = connect(port, "127.0.0.1");
+    let text = "";
+    socket.on("data", (chunk) => (text += chunk.toString("latin1")));
+    const request = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+    socket.write(request + request);
+    socket.end("GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+    await once(socket, "close");
+    server.close();
+    expect(text.match(/HTTP\/1\.1 503/g)).toHaveLength(3);
+    expect(text.match(/connection: close/gi)).toHaveLength(1);
+  });
+});
--- a/packages/fleet_gateway/unread_body.ts
+++ b/packages/fleet_gateway/unread_body.ts
@@ -11,7 +11,12 @@
  * serve the next request.
  */
 export function isBodyDiscardable({ headers }: IncomingMessage): boolean {
-  return Number(headers["content-length"] ?? Infinity) <= maximumDiscardedBytes;
+  // Without either header a request has no body (RFC 9112, 6.3). Its end is
+  // parsed after its head, so that it may not count as complete yet.
+  const length = headers["transfer-encoding"] === undefined
+    ? Number(headers["content-length"] ?? 0)
+    : Infinity;
+  return length <= maximumDiscardedBytes;
 }
 
 /**
