--- a/packages/dispatch/caller_deadlines.ts
+++ b/packages/dispatch/caller_deadlines.ts
@@ -10,8 +10,11 @@
  * that come back: at 2.5 times the capacity with two retries, two in three.
  */
 const unusualShare = 0.15;
-/** Deadlines that differ by less than this share are the same. */
-const sameDeadlineShare = 0.02;
+/**
+ * Deadlines that differ by less than this share count as the same: a first attempt
+ * has lost up to a fifth of it in connecting and waiting on its connection.
+ */
+const sameDeadlineShare = 0.2;
 /** A longest deadline that is rare is forgotten after this many requests. */
 const recentRequests = 200;
 /** Routes that are remembered; the one unused for longest goes first. */
