--- a/packages/dispatch/pace_simulation_fixture.ts
+++ b/packages/dispatch/pace_simulation_fixture.ts
@@ -14,7 +14,7 @@
 const maximumAttempts = 4;
 /** Requests that a target queues beyond its slots before it rejects. */
 const queueLength = 8;
-/** Slow episodes of targets, as measured on the sites. */
+/** Slow episodes of targets: three times as long, for 400 ms at a time. */
 const episodeMilliseconds = 400;
 const episodeShare = 0.2;
 const episodeRatio = 3;
--- a/packages/fleet_gateway/link_entry.ts
+++ b/packages/fleet_gateway/link_entry.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { Route } from "@kingcupglade/items";
+import { maximumBufferedBytes } from "./body_receiver.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
 import { LinkDirection } from "./link_direction.ts";
@@ -8,8 +9,6 @@
 import type { ForwardingContext } from "./routed_request.ts";
 import { requestBytes } from "./target_exchange.ts";
 
-/** Longer bodies are streamed, as in request_handler.ts. */
-const maximumBufferedBytes = 128 * 1024;
 const reason = "the link has no room in time";
 
 /** A request whose route is known, before its body is read. */
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/request_handler.ts
@@ -1,14 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Route } from "@kingcupglade/items";
 import { describeFailure } from "@kingcupglade/telemetry";
-import {
-  BodyMemory,
-  BodyMemoryError,
-  BodyTooLargeError,
-  hasCallerLeft,
-  RequestBody,
-  waitForClose,
-} from "@kingcupglade/transport";
+import { hasCallerLeft } from "@kingcupglade/transport";
+import type { RequestBody } from "@kingcupglade/transport";
+import { BodyReceiver } from "./body_receiver.ts";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerRequestHead } from "./caller_wire.ts";
 import type { GatewayTable } from "./gateway_table.ts";
@@ -36,16 +31,13 @@
 import type { StopSchedule } from "./stop_schedule.ts";
 import { refuseUnmatched } from "./unmatched_request.ts";
 
-/** Bodies up to this size are buffered, so that they can be sent again. */
-const maximumBufferedBytes = 128 * 1024;
-/** Used while the configuration sets no limits. */
-const defaultMaximumBodyBytes = 64 * 1024 * 1024;
 /** Used when the caller sets no deadline. */
 const defaultDeadlineMilliseconds = 60_000;
 /** A timer cannot run for much longer. */
 const maximumDeadlineMilliseconds = 86_400_000;
 /** Retry-after of requests that only this VM cannot serve now. */
 const elsewhereRetryAfterMilliseconds = 300;
+
 /** Options of a {@link RequestHandler}. */
 export interface RequestHandlerOptions {
   readonly context: RelayForwarderOptions["context"] & {
@@ -65,11 +57,12 @@
 /** Finds the route of a request and starts forwarding it. */
 export class RequestHandler {
   readonly #options: RequestHandlerOptions;
-  readonly #bodyMemory = new BodyMemory();
+  readonly #bodies: BodyReceiver;
   #relayedCount = 0;
 
   constructor(options: RequestHandlerOptions) {
     this.#options = options;
+    this.#bodies = new BodyReceiver(options.context);
   }
 
   /** Handles a request of a caller. */
@@ -158,7 +151,7 @@
     const refuse: EnteringRequest["refuse"] = (refusal) =>
       answer.respond({ status: 503, ...refusal });
     if (!enterLink(this.#options.context, { ...entering, refuse })) return;
-    const body = await this.#receiveBody(request, {
+    const body = await this.#bodies.receive(request, {
       answer,
       refuse: (status, reason) => {
         if (status === 413) this.#recordRefusal(head, { status, reason });
@@ -270,7 +263,7 @@
     metrics.relayedHere.inc({ decision: RelayDecision.taken });
     this.#relayedCount += 1;
     answer.onClosed(() => (this.#relayedCount -= 1));
-    const body = await this.#receiveBody(request, {
+    const body = await this.#bodies.receive(request, {
       answer,
       refuse: (status, reason) =>
         status === 503
@@ -387,40 +380,6 @@
       digest ??= this.#options.digest({ method, host, path, caller, body });
   }
 
-  async #receiveBody(
-    request: IncomingMessage,
-    { answer, refuse }: {
-      readonly answer: CallerResponse;
-      readonly refuse: (status: 413 | 503, reason: string) => void;
-    },
-  ): Promise<RequestBody | undefined> {
-    const reservation = this.#bodyMemory.reserve();
-    answer.onClosed(() => reservation.release());
-    try {
-      const body = await RequestBody.receive(request, {
-        maximumBytes: this.#table.limits?.maximumBodyBytes ??
-          defaultMaximumBodyBytes,
-        maximumBufferedBytes,
-        reservation,
-      });
-      await waitForClose();
-      return body;
-    } catch (failure) {
-      if (failure instanceof BodyTooLargeError) refuse(413, failure.message);
-      if (failure instanceof BodyMemoryError) {
-        const { wire, logger } = this.#options.context;
-        const { requestId } = wire.readRequest(request.headers);
-        logger.warn("body-refused", {
-          request: requestId,
-          usedBytes: this.#bodyMemory.usedBytes,
-        });
-        refuse(503, failure.message);
-      }
-      // A caller that aborted its body needs no response.
-      return undefined;
-    }
-  }
-
   get #table(): GatewayTable {
     return this.#options.context.table();
   }
