--- a/packages/kingcupglade/connection_limit.ts
+++ b/packages/kingcupglade/connection_limit.ts
@@ -8,9 +8,14 @@
 /**
  * Returns the number of callers' connections that leaves file descriptors for
  * targets, other VMs and readiness checks.
+ *
+ * @param fileDescriptors Descriptors of the VM; what the system allows the process
+ * if undefined, which on some platforms holds for files and not for sockets.
  */
-export async function readCallerConnectionLimit(): Promise<number> {
-  const descriptors = descriptorLimitOf(await readLimits());
+export async function readCallerConnectionLimit(
+  fileDescriptors?: number,
+): Promise<number> {
+  const descriptors = fileDescriptors ?? descriptorLimitOf(await readLimits());
   return Math.min(
     maximumCallerConnections,
     Math.floor(descriptors * callersShare),
--- a/packages/kingcupglade/connection_limit_test.ts
+++ b/packages/kingcupglade/connection_limit_test.ts
@@ -9,7 +9,10 @@
 import { loopbackPrefix } from "@kingcupglade/fakes";
 import { build } from "esbuild";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { descriptorLimitOf } from "./connection_limit.ts";
+import {
+  descriptorLimitOf,
+  readCallerConnectionLimit,
+} from "./connection_limit.ts";
 
 const address = `${loopbackPrefix()}.1`;
 const descriptors = 200;
@@ -107,3 +110,11 @@
 [regions]
 a = north
 `;
+
+describe("the limit of callers' connections", () => {
+  // Guards against callers that are turned away although descriptors are free.
+  it("is three quarters of the descriptors that the settings give", async () => {
+    expect(await readCallerConnectionLimit(2212)).toBe(1659);
+    expect(await readCallerConnectionLimit(4100)).toBe(3072);
+  });
+});
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -122,7 +122,9 @@
     ...common,
     callersAddress: listen.callers,
     readinessAddress: listen.readiness,
-    maximumCallerConnections: await readCallerConnectionLimit(),
+    maximumCallerConnections: await readCallerConnectionLimit(
+      callers.fileDescriptors,
+    ),
     concurrentPerConnection: callers.concurrentPerConnection,
     linkMegabitsPerSecond: link.megabitsPerSecond,
     graceMilliseconds: stop.graceSeconds * millisecondsPerSecond,
--- a/packages/kingcupglade/settings/fleet_schema.ts
+++ b/packages/kingcupglade/settings/fleet_schema.ts
@@ -116,6 +116,11 @@
   callers: z.strictObject({
     /** Requests of one connection in progress at a time. @default 4 */
     concurrentPerConnection: integer(1, 64).default(4),
+    /**
+     * File descriptors, sockets included, that the VM may use. Three quarters are
+     * for callers. @default what the system allows the process
+     */
+    fileDescriptors: integer(64, 1_048_576).optional(),
   }).prefault({}),
   ...common,
 });
--- a/packages/kingcupglade/settings/template_test.ts
+++ b/packages/kingcupglade/settings/template_test.ts
@@ -111,6 +111,18 @@
       .toEqual({ windowSeconds: 5, overage: 0.1, slack: 20 });
   });
 
+  // Guards against a gateway that closes callers' connections from 150 on, as the
+  // process may open 200 files only, where the VM has thousands of descriptors.
+  it("takes the descriptors of a VM, if they are given", async () => {
+    const text = await readFile(template, "utf8");
+    const read = (limits: Fields) =>
+      parseFleetSettings(fill(text, { ...vm, limits }), "node.ini");
+    expect(read({ fdLimit: 4100 })).toMatchObject({
+      callers: { fileDescriptors: 4100 },
+    });
+    expect(read({})).toMatchObject({ callers: { concurrentPerConnection: 4 } });
+  });
+
   // Guards against a gateway that does not know the rate of its link.
   it("takes the rate of a VM's link, if there is one", async () => {
     const text = await readFile(template, "utf8");
