--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchange_test.ts
@@ -184,7 +184,7 @@
   ) {
     it(`rejects a head that ends early: ${JSON.stringify(head)}`, async () => {
       const result = await exchange((socket) => socket.end(head));
-      expect(result.kind).toBe("unknown");
+      expect(result).toMatchObject({ kind: "unknown", cause: "closed" });
     });
   }
 
