Divide the gateway's folder by concern

fleet_gateway was one flat folder of 132 files in which a reader could not tell which belong to callers, targets, slots or relays. Moves each file to a folder for its concern; only paths of imports and documents change.

--- a/packages/fleet_gateway/key_gate.ts
+++ b/packages/fleet_gateway/admission/key_gate.ts
@@ -16,9 +16,9 @@
   KeyIndex,
   KeyKnowledge,
 } from "@kingcupglade/workspaces";
-import type { GatewayResponse } from "./caller_response.ts";
-import type { RequestWorkspace } from "./routed_request.ts";
-import type { ReceivedOwnPart } from "./table_synchronizer.ts";
+import type { GatewayResponse } from "../callers/caller_response.ts";
+import type { RequestWorkspace } from "../requests/routed_request.ts";
+import type { ReceivedOwnPart } from "../table/table_synchronizer.ts";
 
 /**
  * Age of the last contact with control above which a key that the table lacks
--- a/packages/fleet_gateway/key_refusal.ts
+++ b/packages/fleet_gateway/admission/key_refusal.ts
@@ -1,6 +1,9 @@
 import type { KeyFault } from "@kingcupglade/workspaces";
-import type { GatewayResponse } from "./caller_response.ts";
-import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
+import type { GatewayResponse } from "../callers/caller_response.ts";
+import type {
+  ForwardingContext,
+  RoutedRequest,
+} from "../requests/routed_request.ts";
 
 /**
  * Logs and counts that an admitted request is not sent because of its key;
--- a/packages/fleet_gateway/lapsed_quotas_test.ts
+++ b/packages/fleet_gateway/admission/lapsed_quotas_test.ts
@@ -8,9 +8,9 @@
   ForwardingFixture,
   RawServer,
   responseText,
-} from "./forwarding_fixture.ts";
-import type { Received } from "./forwarding_fixture.ts";
-import { RequestForwarder } from "./request_forwarder.ts";
+} from "../requests/forwarding_fixture.ts";
+import type { Received } from "../requests/forwarding_fixture.ts";
+import { RequestForwarder } from "../requests/request_forwarder.ts";
 
 const windowMilliseconds = 5000;
 
--- a/packages/fleet_gateway/quota_gate.ts
+++ b/packages/fleet_gateway/admission/quota_gate.ts
@@ -16,7 +16,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
-import type { GatewayResponse } from "./caller_response.ts";
+import type { GatewayResponse } from "../callers/caller_response.ts";
 
 /** Bytes that distinguish the lives of one gateway within some seconds. */
 const incarnationBytes = 4;
--- a/packages/fleet_gateway/request_admission.ts
+++ b/packages/fleet_gateway/admission/request_admission.ts
@@ -1,8 +1,11 @@
 import type { IncomingMessage } from "node:http";
 import type { Route } from "@kingcupglade/items";
 import type { QuotaUse } from "@kingcupglade/quotas";
-import type { GatewayResponse } from "./caller_response.ts";
-import type { ForwardingContext, RequestWorkspace } from "./routed_request.ts";
+import type { GatewayResponse } from "../callers/caller_response.ts";
+import type {
+  ForwardingContext,
+  RequestWorkspace,
+} from "../requests/routed_request.ts";
 
 /** Result of {@link admitRequest}. */
 export type Admission =
--- a/packages/fleet_gateway/body_memory_test.ts
+++ b/packages/fleet_gateway/callers/body_memory_test.ts
@@ -6,7 +6,7 @@
 import { text } from "node:stream/consumers";
 import { RequestKind } from "@kingcupglade/items";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { createIdleHandler } from "./request_handler_fixture.ts";
+import { createIdleHandler } from "../requests/request_handler_fixture.ts";
 
 const callers = 700;
 /** Bytes that each caller sends of its body before it stalls. */
--- a/packages/fleet_gateway/body_receiver.ts
+++ b/packages/fleet_gateway/callers/body_receiver.ts
@@ -7,7 +7,7 @@
   waitForClose,
 } from "@kingcupglade/transport";
 import type { CallerResponse } from "./caller_response.ts";
-import type { ForwardingContext } from "./routed_request.ts";
+import type { ForwardingContext } from "../requests/routed_request.ts";
 
 /** Bodies up to this size are buffered, so that they can be sent again. */
 export const maximumBufferedBytes = 128 * 1024;
--- a/packages/fleet_gateway/caller_response.ts
+++ b/packages/fleet_gateway/callers/caller_response.ts
@@ -4,11 +4,11 @@
   hasCallerLeft,
   onExchangeEnd,
 } from "@kingcupglade/transport";
-import type { ResponseHead, ResponseStream } from "./exchange.ts";
-import { LinkDirection } from "./link_direction.ts";
-import { isLargeResponse } from "./link_passage.ts";
-import type { LinkPassage } from "./link_passage.ts";
-import { PacedWriter } from "./paced_writer.ts";
+import type { ResponseHead, ResponseStream } from "../exchanges/exchange.ts";
+import { LinkDirection } from "../link/link_direction.ts";
+import { isLargeResponse } from "../link/link_passage.ts";
+import type { LinkPassage } from "../link/link_passage.ts";
+import { PacedWriter } from "../link/paced_writer.ts";
 import {
   encodeRelayReply,
   openRelayFraming,
@@ -16,7 +16,7 @@
   relayFramingCoding,
   relayFramingHeader,
   relayHeader,
-} from "./relay_message.ts";
+} from "../relay/relay_message.ts";
 import { BodyFraming, framingToSend } from "./response_framing.ts";
 import { discardBody, isBodyDiscardable } from "./unread_body.ts";
 
--- a/packages/fleet_gateway/caller_response_test.ts
+++ b/packages/fleet_gateway/callers/caller_response_test.ts
@@ -7,7 +7,7 @@
 import { RequestBody } from "@kingcupglade/transport";
 import { afterEach, describe, expect, it } from "vitest";
 import { CallerResponse } from "./caller_response.ts";
-import type { ResponseHead } from "./exchange.ts";
+import type { ResponseHead } from "../exchanges/exchange.ts";
 import { BodyFraming } from "./response_framing.ts";
 
 /** What a caller received before its connection ended. */
--- a/packages/fleet_gateway/invalid_statuses_test.ts
+++ b/packages/fleet_gateway/callers/invalid_statuses_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { responseText } from "./forwarding_fixture.ts";
-import { ResponsePath } from "./response_path_fixture.ts";
+import { responseText } from "../requests/forwarding_fixture.ts";
+import { ResponsePath } from "../exchanges/response_path_fixture.ts";
 
 /** Status codes that no final response may have. */
 const invalidStatuses = [
--- a/packages/fleet_gateway/unmatched_request.ts
+++ b/packages/fleet_gateway/callers/unmatched_request.ts
@@ -1,8 +1,8 @@
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { GatewayResponse } from "./caller_response.ts";
-import type { GatewayTable } from "./gateway_table.ts";
-import { describeTarget } from "./request_target.ts";
-import type { RequestTarget } from "./request_target.ts";
+import type { GatewayTable } from "../table/gateway_table.ts";
+import { describeTarget } from "../requests/request_target.ts";
+import type { RequestTarget } from "../requests/request_target.ts";
 
 /**
  * Age of the last contact with control above which a route that the table lacks
--- a/packages/fleet_gateway/endless_responses_test.ts
+++ b/packages/fleet_gateway/exchanges/endless_responses_test.ts
@@ -2,13 +2,16 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { afterEach, describe, expect, it } from "vitest";
-import { CallerWire } from "./caller_wire.ts";
-import type { CallerRequestHead, TargetResponseHead } from "./caller_wire.ts";
+import { CallerWire } from "../callers/caller_wire.ts";
+import type {
+  CallerRequestHead,
+  TargetResponseHead,
+} from "../callers/caller_wire.ts";
 import { Exchange } from "./exchange.ts";
 import type { ExchangeResult, ResponseStream } from "./exchange.ts";
-import { LoadProber } from "./load_prober.ts";
-import { TargetConnections } from "./target_connections.ts";
-import { TargetLimits } from "./target_limits.ts";
+import { LoadProber } from "../targets/load_prober.ts";
+import { TargetConnections } from "../targets/target_connections.ts";
+import { TargetLimits } from "../targets/target_limits.ts";
 
 const logger = { debug() {}, info() {}, warn() {}, error() {} };
 
--- a/packages/fleet_gateway/exchange.ts
+++ b/packages/fleet_gateway/exchanges/exchange.ts
@@ -7,11 +7,11 @@
 import type { BodyReservation } from "@kingcupglade/transport";
 import { errors } from "undici";
 import type { Dispatcher } from "undici";
-import type { CallerWire, TargetResponseHead } from "./caller_wire.ts";
-import type { ReadPace } from "./read_pace.ts";
-import { BodyFraming, framingOf } from "./response_framing.ts";
+import type { CallerWire, TargetResponseHead } from "../callers/caller_wire.ts";
+import type { ReadPace } from "../link/read_pace.ts";
+import { BodyFraming, framingOf } from "../callers/response_framing.ts";
 import { Surplus } from "./surplus_detector.ts";
-import type { TargetConnection } from "./address_pool.ts";
+import type { TargetConnection } from "../targets/address_pool.ts";
 
 /** Responses up to this size are buffered until they are complete. */
 const maximumBufferedBytes = 256 * 1024;
--- a/packages/fleet_gateway/exchange_exploration_test.ts
+++ b/packages/fleet_gateway/exchanges/exchange_exploration_test.ts
@@ -2,7 +2,7 @@
 import { afterAll, beforeAll, describe, expect, it, vi } from "vitest";
 import { ExchangePlay } from "./exchange_play.ts";
 import type { Step } from "./exchange_sides.ts";
-import { seededRandom } from "./forwarding_fixture.ts";
+import { seededRandom } from "../requests/forwarding_fixture.ts";
 
 const depth = 5;
 const randomSequenceCount = 4000;
--- a/packages/fleet_gateway/exchange_play.ts
+++ b/packages/fleet_gateway/exchanges/exchange_play.ts
@@ -9,8 +9,8 @@
   TargetSide,
 } from "./exchange_sides.ts";
 import type { Step } from "./exchange_sides.ts";
-import { ForwardingFixture } from "./forwarding_fixture.ts";
-import { RequestForwarder } from "./request_forwarder.ts";
+import { ForwardingFixture } from "../requests/forwarding_fixture.ts";
+import { RequestForwarder } from "../requests/request_forwarder.ts";
 
 /** Longer than the delay of a hedge, shorter than the deadline. */
 const hedgeMilliseconds = 3000;
--- a/packages/fleet_gateway/exchange_sides.ts
+++ b/packages/fleet_gateway/exchanges/exchange_sides.ts
@@ -1,7 +1,7 @@
 import type { Dispatcher } from "undici";
 import { errors } from "undici";
 import type { ResponseHead } from "./exchange.ts";
-import { BodyFraming } from "./response_framing.ts";
+import { BodyFraming } from "../callers/response_framing.ts";
 import { ReadHold } from "./read_hold.ts";
 import { SurplusDetector } from "./surplus_detector.ts";
 
--- a/packages/fleet_gateway/exchange_test.ts
+++ b/packages/fleet_gateway/exchanges/exchange_test.ts
@@ -3,11 +3,14 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { afterEach, describe, expect, it } from "vitest";
-import { CallerWire } from "./caller_wire.ts";
-import type { CallerRequestHead, TargetResponseHead } from "./caller_wire.ts";
+import { CallerWire } from "../callers/caller_wire.ts";
+import type {
+  CallerRequestHead,
+  TargetResponseHead,
+} from "../callers/caller_wire.ts";
 import { Exchange } from "./exchange.ts";
 import type { ExchangeResult, ResponseStream } from "./exchange.ts";
-import { TargetConnections } from "./target_connections.ts";
+import { TargetConnections } from "../targets/target_connections.ts";
 
 class PlainWire extends CallerWire {
   override readRequest(): CallerRequestHead {
--- a/packages/fleet_gateway/first_response_stream.ts
+++ b/packages/fleet_gateway/exchanges/first_response_stream.ts
@@ -1,4 +1,4 @@
-import type { CallerResponse } from "./caller_response.ts";
+import type { CallerResponse } from "../callers/caller_response.ts";
 import type { Exchange, ResponseStream } from "./exchange.ts";
 
 /**
--- a/packages/fleet_gateway/first_response_stream_test.ts
+++ b/packages/fleet_gateway/exchanges/first_response_stream_test.ts
@@ -1,5 +1,5 @@
 import { beforeEach, describe, expect, it } from "vitest";
-import type { CallerResponse } from "./caller_response.ts";
+import type { CallerResponse } from "../callers/caller_response.ts";
 import type { Exchange, ResponseHead, ResponseStream } from "./exchange.ts";
 import { firstResponseStream } from "./first_response_stream.ts";
 
--- a/packages/fleet_gateway/new_connections_test.ts
+++ b/packages/fleet_gateway/exchanges/new_connections_test.ts
@@ -2,9 +2,9 @@
 import { buildConnector } from "undici";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { Exchange } from "./exchange.ts";
-import { RawServer } from "./forwarding_fixture.ts";
-import { TargetConnections } from "./target_connections.ts";
-import type { Connector } from "./address_pool.ts";
+import { RawServer } from "../requests/forwarding_fixture.ts";
+import { TargetConnections } from "../targets/target_connections.ts";
+import type { Connector } from "../targets/address_pool.ts";
 
 /** Microtasks in which a request is sent on a connection that has opened. */
 const sendingTurns = 40;
--- a/packages/fleet_gateway/response_path_fixture.ts
+++ b/packages/fleet_gateway/exchanges/response_path_fixture.ts
@@ -5,12 +5,15 @@
 import type { AddressInfo, Socket } from "node:net";
 import { RequestKind } from "@kingcupglade/items";
 import { createMetrics } from "@kingcupglade/telemetry";
-import { CallerResponse } from "./caller_response.ts";
-import { ForwardingFixture, RawServer } from "./forwarding_fixture.ts";
-import { GatewayLink } from "./gateway_link.ts";
-import { RelayForwarder } from "./relay_forwarder.ts";
-import { decodeRelayRequest, relayHeader } from "./relay_message.ts";
-import { RequestForwarder } from "./request_forwarder.ts";
+import { CallerResponse } from "../callers/caller_response.ts";
+import {
+  ForwardingFixture,
+  RawServer,
+} from "../requests/forwarding_fixture.ts";
+import { GatewayLink } from "../link/gateway_link.ts";
+import { RelayForwarder } from "../relay/relay_forwarder.ts";
+import { decodeRelayRequest, relayHeader } from "../relay/relay_message.ts";
+import { RequestForwarder } from "../requests/request_forwarder.ts";
 import { hasBeenReset } from "./socket_end.ts";
 
 const secret = "unguarded";
--- a/packages/fleet_gateway/surplus_log.ts
+++ b/packages/fleet_gateway/exchanges/surplus_log.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "@kingcupglade/telemetry";
-import type { GatewayTable } from "./gateway_table.ts";
+import type { GatewayTable } from "../table/gateway_table.ts";
 
 /** Logs that a target, at IP:PORT, has sent bytes that belong to no request. */
 export function logSurplus(
--- a/packages/fleet_gateway/target_exchange.ts
+++ b/packages/fleet_gateway/exchanges/target_exchange.ts
@@ -1,15 +1,18 @@
 import type { IncomingMessage } from "node:http";
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
-import type { CallerResponse } from "./caller_response.ts";
+import type { CallerResponse } from "../callers/caller_response.ts";
 import { Exchange } from "./exchange.ts";
-import { LinkDirection } from "./link_direction.ts";
-import { ReadPace } from "./read_pace.ts";
+import { LinkDirection } from "../link/link_direction.ts";
+import { ReadPace } from "../link/read_pace.ts";
 import { firstResponseStream } from "./first_response_stream.ts";
-import { requestHeaders } from "./request_headers.ts";
-import type { RequestProgress } from "./request_progress.ts";
-import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
-import type { TargetConnection } from "./address_pool.ts";
+import { requestHeaders } from "../requests/request_headers.ts";
+import type { RequestProgress } from "../requests/request_progress.ts";
+import type {
+  ForwardingContext,
+  RoutedRequest,
+} from "../requests/routed_request.ts";
+import type { TargetConnection } from "../targets/address_pool.ts";
 
 /** Time before the caller's deadline at which a response must be on its way. */
 const responseMarginMilliseconds = 15;
--- a/packages/fleet_gateway/target_responses_test.ts
+++ b/packages/fleet_gateway/exchanges/target_responses_test.ts
@@ -5,7 +5,7 @@
   ForwardingFixture,
   RawServer,
   responseText,
-} from "./forwarding_fixture.ts";
+} from "../requests/forwarding_fixture.ts";
 
 describe("a response of a target", () => {
   let target: RawServer;
--- a/packages/fleet_gateway/gateway_vm_options.ts
+++ b/packages/fleet_gateway/gateway_vm_options.ts
@@ -1,8 +1,8 @@
 import type { RetryBudgetOptions } from "@kingcupglade/dispatch";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
-import type { Connector } from "./address_pool.ts";
-import type { CallerWire } from "./caller_wire.ts";
+import type { Connector } from "./targets/address_pool.ts";
+import type { CallerWire } from "./callers/caller_wire.ts";
 
 /** Options of {@link GatewayVm}. */
 export interface GatewayVmOptions {
--- a/packages/fleet_gateway/link_entry.ts
+++ b/packages/fleet_gateway/link/link_entry.ts
@@ -1,13 +1,13 @@
 import type { IncomingMessage } from "node:http";
 import type { Route } from "@kingcupglade/items";
-import { maximumBufferedBytes } from "./body_receiver.ts";
-import type { CallerResponse } from "./caller_response.ts";
-import type { CallerRequestHead } from "./caller_wire.ts";
+import { maximumBufferedBytes } from "../callers/body_receiver.ts";
+import type { CallerResponse } from "../callers/caller_response.ts";
+import type { CallerRequestHead } from "../callers/caller_wire.ts";
 import { LinkDirection } from "./link_direction.ts";
 import type { LinkAnswer } from "./gateway_link.ts";
-import { retryAfterMilliseconds } from "./retry_after.ts";
-import type { ForwardingContext } from "./routed_request.ts";
-import { requestBytes } from "./target_exchange.ts";
+import { retryAfterMilliseconds } from "../admission/retry_after.ts";
+import type { ForwardingContext } from "../requests/routed_request.ts";
+import { requestBytes } from "../exchanges/target_exchange.ts";
 
 const reason = "the link has no room in time";
 
--- a/packages/fleet_gateway/link_pacing_test.ts
+++ b/packages/fleet_gateway/link/link_pacing_test.ts
@@ -1,8 +1,11 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, describe, expect, it } from "vitest";
-import { responseText } from "./forwarding_fixture.ts";
-import { ResponseEnd, ResponsePath } from "./response_path_fixture.ts";
-import type { ResponsePathOptions } from "./response_path_fixture.ts";
+import { responseText } from "../requests/forwarding_fixture.ts";
+import {
+  ResponseEnd,
+  ResponsePath,
+} from "../exchanges/response_path_fixture.ts";
+import type { ResponsePathOptions } from "../exchanges/response_path_fixture.ts";
 
 const bytes = 200_000;
 /** 460 bytes a millisecond of payload. */
--- a/packages/fleet_gateway/mod.ts
+++ b/packages/fleet_gateway/mod.ts
@@ -4,8 +4,11 @@
  *
  * @module
  */
-export { CallerWire } from "./caller_wire.ts";
-export type { CallerRequestHead, TargetResponseHead } from "./caller_wire.ts";
-export { GatewayTable } from "./gateway_table.ts";
+export { CallerWire } from "./callers/caller_wire.ts";
+export type {
+  CallerRequestHead,
+  TargetResponseHead,
+} from "./callers/caller_wire.ts";
+export { GatewayTable } from "./table/gateway_table.ts";
 export { GatewayVm } from "./gateway_vm.ts";
 export type { GatewayVmOptions } from "./gateway_vm_options.ts";
--- a/packages/fleet_gateway/relay_admission.ts
+++ b/packages/fleet_gateway/relay/relay_admission.ts
@@ -3,7 +3,10 @@
 import { KeyFault } from "@kingcupglade/workspaces";
 import { RelayDecision } from "./relay_message.ts";
 import type { RelayRequest } from "./relay_message.ts";
-import type { ForwardingContext, RequestWorkspace } from "./routed_request.ts";
+import type {
+  ForwardingContext,
+  RequestWorkspace,
+} from "../requests/routed_request.ts";
 
 /** Requests of other gateways that are in progress at the same time. */
 const maximumRelayed = 200;
--- a/packages/fleet_gateway/relay_forwarder.ts
+++ b/packages/fleet_gateway/relay/relay_forwarder.ts
@@ -1,9 +1,9 @@
 import type { VmEndpoint } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
-import { CallerPresence } from "./caller_presence.ts";
-import type { CallerResponse } from "./caller_response.ts";
-import { Exchange, LossCause } from "./exchange.ts";
-import type { ExchangeResult, ResponseHead } from "./exchange.ts";
+import { CallerPresence } from "../callers/caller_presence.ts";
+import type { CallerResponse } from "../callers/caller_response.ts";
+import { Exchange, LossCause } from "../exchanges/exchange.ts";
+import type { ExchangeResult, ResponseHead } from "../exchanges/exchange.ts";
 import type { RelayChoice } from "./relay_choice.ts";
 import {
   decodeRelayReply,
@@ -13,18 +13,21 @@
   relayHeader,
 } from "./relay_message.ts";
 import type { RelayReply, RelayRequest } from "./relay_message.ts";
-import { LinkDirection } from "./link_direction.ts";
-import { ReadPace } from "./read_pace.ts";
-import { requestBytes } from "./target_exchange.ts";
+import { LinkDirection } from "../link/link_direction.ts";
+import { ReadPace } from "../link/read_pace.ts";
+import { requestBytes } from "../exchanges/target_exchange.ts";
 import { RelayWire } from "./relay_wire.ts";
-import { RequestGuard } from "./request_guard.ts";
-import { findSendFault, refuseSend } from "./send_fault.ts";
-import type { SendFault } from "./send_fault.ts";
-import { requestHeaders } from "./request_headers.ts";
-import { RequestTelemetry, stageOf } from "./request_telemetry.ts";
-import { retryAfterMilliseconds } from "./retry_after.ts";
-import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
-import type { TargetConnections } from "./target_connections.ts";
+import { RequestGuard } from "../requests/request_guard.ts";
+import { findSendFault, refuseSend } from "../requests/send_fault.ts";
+import type { SendFault } from "../requests/send_fault.ts";
+import { requestHeaders } from "../requests/request_headers.ts";
+import { RequestTelemetry, stageOf } from "../requests/request_telemetry.ts";
+import { retryAfterMilliseconds } from "../admission/retry_after.ts";
+import type {
+  ForwardingContext,
+  RoutedRequest,
+} from "../requests/routed_request.ts";
+import type { TargetConnections } from "../targets/target_connections.ts";
 
 /** Gateways that a request is sent to at most. */
 const maximumRelays = 4;
--- a/packages/fleet_gateway/relay_forwarder_test.ts
+++ b/packages/fleet_gateway/relay/relay_forwarder_test.ts
@@ -6,8 +6,11 @@
   ForwardingFixture,
   RawServer,
   responseText,
-} from "./forwarding_fixture.ts";
-import type { ForwardedRequest, Received } from "./forwarding_fixture.ts";
+} from "../requests/forwarding_fixture.ts";
+import type {
+  ForwardedRequest,
+  Received,
+} from "../requests/forwarding_fixture.ts";
 import { RelayForwarder } from "./relay_forwarder.ts";
 import type { ForwardingProgress } from "./relay_forwarder.ts";
 import {
--- a/packages/fleet_gateway/relay_wire.ts
+++ b/packages/fleet_gateway/relay/relay_wire.ts
@@ -1,6 +1,9 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { CallerWire } from "./caller_wire.ts";
-import type { CallerRequestHead, TargetResponseHead } from "./caller_wire.ts";
+import { CallerWire } from "../callers/caller_wire.ts";
+import type {
+  CallerRequestHead,
+  TargetResponseHead,
+} from "../callers/caller_wire.ts";
 import {
   decodeRelayReply,
   openRelayFraming,
--- a/packages/fleet_gateway/attempt_results.ts
+++ b/packages/fleet_gateway/requests/attempt_results.ts
@@ -1,9 +1,13 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
-import type { CallerResponse } from "./caller_response.ts";
-import { LossCause } from "./exchange.ts";
-import type { ExchangeResult } from "./exchange.ts";
-import { isSuccess, isUnstatedRefusal, mayHaveRun } from "./exchange_end.ts";
+import type { CallerResponse } from "../callers/caller_response.ts";
+import { LossCause } from "../exchanges/exchange.ts";
+import type { ExchangeResult } from "../exchanges/exchange.ts";
+import {
+  isSuccess,
+  isUnstatedRefusal,
+  mayHaveRun,
+} from "../exchanges/exchange_end.ts";
 import type { RequestEnding } from "./request_ending.ts";
 import type { RequestGuard } from "./request_guard.ts";
 import type { RequestHedge } from "./request_hedge.ts";
@@ -11,7 +15,7 @@
 import type { RequestSuspicion } from "./request_suspicion.ts";
 import type { RequestTelemetry } from "./request_telemetry.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
-import { misdirectedStatus } from "./target_use.ts";
+import { misdirectedStatus } from "../targets/target_use.ts";
 
 /** Connection failures after which a request is refused. */
 const maximumConnectFailures = 4;
--- a/packages/fleet_gateway/forwarding_fixture.ts
+++ b/packages/fleet_gateway/requests/forwarding_fixture.ts
@@ -4,12 +4,12 @@
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { createMetrics } from "@kingcupglade/telemetry";
 import { BodyMemory, RequestBody } from "@kingcupglade/transport";
-import type { ResponseHead } from "./exchange.ts";
-import type { ForwardingProgress } from "./relay_forwarder.ts";
-import { BodyFraming } from "./response_framing.ts";
+import type { ResponseHead } from "../exchanges/exchange.ts";
+import type { ForwardingProgress } from "../relay/relay_forwarder.ts";
+import { BodyFraming } from "../callers/response_framing.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
-import { ServiceQueue } from "./service_queue.ts";
-import { TargetConnections } from "./target_connections.ts";
+import { ServiceQueue } from "../slots/service_queue.ts";
+import { TargetConnections } from "../targets/target_connections.ts";
 
 const logger = { debug() {}, info() {}, warn() {}, error() {} };
 const retryBudget = { ratio: 0.2, windowMilliseconds: 1000, slack: 5 };
--- a/packages/fleet_gateway/request_ending.ts
+++ b/packages/fleet_gateway/requests/request_ending.ts
@@ -1,13 +1,13 @@
 import type { TargetView } from "@kingcupglade/fleet";
-import type { CallerResponse } from "./caller_response.ts";
-import type { ResponseHead } from "./exchange.ts";
+import type { CallerResponse } from "../callers/caller_response.ts";
+import type { ResponseHead } from "../exchanges/exchange.ts";
 import type { RequestProgress } from "./request_progress.ts";
 import type { RequestTelemetry } from "./request_telemetry.ts";
-import { retryAfterMilliseconds } from "./retry_after.ts";
+import { retryAfterMilliseconds } from "../admission/retry_after.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import { refuseSend } from "./send_fault.ts";
 import type { SendFault } from "./send_fault.ts";
-import type { ServiceQueue } from "./service_queue.ts";
+import type { ServiceQueue } from "../slots/service_queue.ts";
 
 /** Options of a {@link RequestEnding}. */
 export interface RequestEndingOptions {
--- a/packages/fleet_gateway/request_forwarder.ts
+++ b/packages/fleet_gateway/requests/request_forwarder.ts
@@ -3,12 +3,12 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
 import { AttemptResults } from "./attempt_results.ts";
-import { CallerPresence } from "./caller_presence.ts";
-import type { CallerResponse } from "./caller_response.ts";
-import type { ForwardingProgress } from "./relay_forwarder.ts";
+import { CallerPresence } from "../callers/caller_presence.ts";
+import type { CallerResponse } from "../callers/caller_response.ts";
+import type { ForwardingProgress } from "../relay/relay_forwarder.ts";
 import { findSendFault } from "./send_fault.ts";
 import type { SendFault } from "./send_fault.ts";
-import { SlotAcquisition } from "./slot_acquisition.ts";
+import { SlotAcquisition } from "../slots/slot_acquisition.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import { RequestEnding } from "./request_ending.ts";
 import { RequestGuard } from "./request_guard.ts";
@@ -16,11 +16,11 @@
 import { RequestSuspicion } from "./request_suspicion.ts";
 import { RequestHedge } from "./request_hedge.ts";
 import { RequestProgress } from "./request_progress.ts";
-import type { ServiceQueue } from "./service_queue.ts";
-import type { SlotTicket } from "./slot_client.ts";
-import { TargetAttempts } from "./target_attempts.ts";
-import { startAttempt } from "./target_exchange.ts";
-import { TargetUse } from "./target_use.ts";
+import type { ServiceQueue } from "../slots/service_queue.ts";
+import type { SlotTicket } from "../slots/slot_client.ts";
+import { TargetAttempts } from "../targets/target_attempts.ts";
+import { startAttempt } from "../exchanges/target_exchange.ts";
+import { TargetUse } from "../targets/target_use.ts";
 
 /**
  * An owner that refuses has lost the range or has not received it yet; a table
--- a/packages/fleet_gateway/request_guard_test.ts
+++ b/packages/fleet_gateway/requests/request_guard_test.ts
@@ -6,12 +6,12 @@
 import { RequestBody } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { noKeys } from "./forwarding_fixture.ts";
-import type { Exchange } from "./exchange.ts";
-import { RelayForwarder } from "./relay_forwarder.ts";
-import { ReadHold } from "./read_hold.ts";
+import type { Exchange } from "../exchanges/exchange.ts";
+import { RelayForwarder } from "../relay/relay_forwarder.ts";
+import { ReadHold } from "../exchanges/read_hold.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { RequestHandler } from "./request_handler.ts";
-import { ServiceQueue } from "./service_queue.ts";
+import { ServiceQueue } from "../slots/service_queue.ts";
 
 const odd = () => {
   throw new TypeError("Invalid URL");
--- a/packages/fleet_gateway/request_handler.ts
+++ b/packages/fleet_gateway/requests/request_handler.ts
@@ -3,33 +3,33 @@
 import { describeFailure } from "@kingcupglade/telemetry";
 import { hasCallerLeft } from "@kingcupglade/transport";
 import type { RequestBody } from "@kingcupglade/transport";
-import { BodyReceiver } from "./body_receiver.ts";
-import { CallerResponse } from "./caller_response.ts";
-import type { CallerRequestHead } from "./caller_wire.ts";
-import type { GatewayTable } from "./gateway_table.ts";
-import { enterLink } from "./link_entry.ts";
-import type { EnteringRequest } from "./link_entry.ts";
-import { admitRelayed } from "./relay_admission.ts";
-import { RelayForwarder } from "./relay_forwarder.ts";
-import { admitRequest } from "./request_admission.ts";
+import { BodyReceiver } from "../callers/body_receiver.ts";
+import { CallerResponse } from "../callers/caller_response.ts";
+import type { CallerRequestHead } from "../callers/caller_wire.ts";
+import type { GatewayTable } from "../table/gateway_table.ts";
+import { enterLink } from "../link/link_entry.ts";
+import type { EnteringRequest } from "../link/link_entry.ts";
+import { admitRelayed } from "../relay/relay_admission.ts";
+import { RelayForwarder } from "../relay/relay_forwarder.ts";
+import { admitRequest } from "../admission/request_admission.ts";
 import type {
   ForwardingProgress,
   RelayForwarderOptions,
-} from "./relay_forwarder.ts";
+} from "../relay/relay_forwarder.ts";
 import {
   decodeRelayRequest,
   RelayDecision,
   relayHeader,
-} from "./relay_message.ts";
-import type { RelayRequest } from "./relay_message.ts";
+} from "../relay/relay_message.ts";
+import type { RelayRequest } from "../relay/relay_message.ts";
 import type { RequestDigest } from "./request_digest.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { RequestGuard } from "./request_guard.ts";
 import { readRequestTarget } from "./request_target.ts";
 import { CallerStage } from "./request_telemetry.ts";
 import type { RequestWorkspace, RoutedRequest } from "./routed_request.ts";
-import type { StopSchedule } from "./stop_schedule.ts";
-import { refuseUnmatched } from "./unmatched_request.ts";
+import type { StopSchedule } from "../callers/stop_schedule.ts";
+import { refuseUnmatched } from "../callers/unmatched_request.ts";
 
 /** Used when the caller sets no deadline. */
 const defaultDeadlineMilliseconds = 60_000;
--- a/packages/fleet_gateway/request_handler_fixture.ts
+++ b/packages/fleet_gateway/requests/request_handler_fixture.ts
@@ -2,8 +2,8 @@
 import { createMetrics } from "@kingcupglade/telemetry";
 import { noKeys, noQuotas } from "./forwarding_fixture.ts";
 import { RequestHandler } from "./request_handler.ts";
-import { ServiceQueue } from "./service_queue.ts";
-import { StopSchedule } from "./stop_schedule.ts";
+import { ServiceQueue } from "../slots/service_queue.ts";
+import { StopSchedule } from "../callers/stop_schedule.ts";
 
 /** Creates a handler that finds no target for any request. */
 export function createIdleHandler(
--- a/packages/fleet_gateway/request_handler_test.ts
+++ b/packages/fleet_gateway/requests/request_handler_test.ts
@@ -13,11 +13,11 @@
   encodeRelayRequest,
   RelayDecision,
   relayHeader,
-} from "./relay_message.ts";
-import type { RelayRequest } from "./relay_message.ts";
+} from "../relay/relay_message.ts";
+import type { RelayRequest } from "../relay/relay_message.ts";
 import { RequestHandler } from "./request_handler.ts";
-import { ServiceQueue } from "./service_queue.ts";
-import { StopSchedule } from "./stop_schedule.ts";
+import { ServiceQueue } from "../slots/service_queue.ts";
+import { StopSchedule } from "../callers/stop_schedule.ts";
 
 const secret = "unguarded";
 const logger = { debug() {}, info() {}, warn() {}, error() {} };
--- a/packages/fleet_gateway/request_headers.ts
+++ b/packages/fleet_gateway/requests/request_headers.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { RequestBody } from "@kingcupglade/transport";
-import { relayHeader } from "./relay_message.ts";
+import { relayHeader } from "../relay/relay_message.ts";
 
 /** Not forwarded: they concern one connection, or the gateway that relays. */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
--- a/packages/fleet_gateway/request_hedge.ts
+++ b/packages/fleet_gateway/requests/request_hedge.ts
@@ -2,9 +2,9 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { hedgeDelay } from "./hedge_delay.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
-import type { SlotAcquisition } from "./slot_acquisition.ts";
-import type { SlotTicket } from "./slot_client.ts";
-import type { TargetAttempts } from "./target_attempts.ts";
+import type { SlotAcquisition } from "../slots/slot_acquisition.ts";
+import type { SlotTicket } from "../slots/slot_client.ts";
+import type { TargetAttempts } from "../targets/target_attempts.ts";
 
 /** Options of a {@link RequestHedge}. */
 export interface RequestHedgeOptions {
--- a/packages/fleet_gateway/request_progress.ts
+++ b/packages/fleet_gateway/requests/request_progress.ts
@@ -1,7 +1,11 @@
 import type { Clock } from "@kingcupglade/tasks";
-import type { Exchange, ExchangeResult, ResponseHead } from "./exchange.ts";
+import type {
+  Exchange,
+  ExchangeResult,
+  ResponseHead,
+} from "../exchanges/exchange.ts";
 import type { RoutedRequest } from "./routed_request.ts";
-import type { ServiceQueue } from "./service_queue.ts";
+import type { ServiceQueue } from "../slots/service_queue.ts";
 
 /**
  * Further attempts, beyond the route's `maximumTargets`, of a request that has
--- a/packages/fleet_gateway/request_suspicion.ts
+++ b/packages/fleet_gateway/requests/request_suspicion.ts
@@ -1,12 +1,12 @@
 import type { TargetView } from "@kingcupglade/fleet";
-import { LossCause } from "./exchange.ts";
-import type { ExchangeResult } from "./exchange.ts";
+import { LossCause } from "../exchanges/exchange.ts";
+import type { ExchangeResult } from "../exchanges/exchange.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import type {
   AttemptListener,
   SuspectAttempt,
   SuspectGate,
-} from "./suspect_gate.ts";
+} from "../targets/suspect_gate.ts";
 
 /** Receives the result of waiting for permission; one of them, once. */
 export interface PermissionListener
--- a/packages/fleet_gateway/request_telemetry.ts
+++ b/packages/fleet_gateway/requests/request_telemetry.ts
@@ -1,8 +1,8 @@
 import type { TargetView, VmEndpoint } from "@kingcupglade/fleet";
 import { describeFailure } from "@kingcupglade/telemetry";
-import type { SentResponse } from "./caller_response.ts";
-import type { ExchangeResult } from "./exchange.ts";
-import { BodyFraming } from "./response_framing.ts";
+import type { SentResponse } from "../callers/caller_response.ts";
+import type { ExchangeResult } from "../exchanges/exchange.ts";
+import { BodyFraming } from "../callers/response_framing.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 
 const millisecondsPerSecond = 1000;
--- a/packages/fleet_gateway/routed_request.ts
+++ b/packages/fleet_gateway/requests/routed_request.ts
@@ -5,20 +5,20 @@
 import type { Clock, StallDetector } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { BodyMemory, RequestBody } from "@kingcupglade/transport";
-import type { CallerRequestHead, CallerWire } from "./caller_wire.ts";
-import type { GatewayLink } from "./gateway_link.ts";
-import type { GatewayTable } from "./gateway_table.ts";
-import type { KeyGate } from "./key_gate.ts";
-import type { LoadProber } from "./load_prober.ts";
-import type { QuotaGate } from "./quota_gate.ts";
-import type { SlotPools } from "./slot_pools.ts";
-import type { SlotClient } from "./slot_client.ts";
-import type { SuspectGate } from "./suspect_gate.ts";
-import type { TargetConnections } from "./target_connections.ts";
-import type { TargetLimits } from "./target_limits.ts";
-import type { TargetNotices } from "./target_notices.ts";
-import type { TargetReach } from "./target_reach.ts";
-import type { TargetSelector } from "./target_selector.ts";
+import type { CallerRequestHead, CallerWire } from "../callers/caller_wire.ts";
+import type { GatewayLink } from "../link/gateway_link.ts";
+import type { GatewayTable } from "../table/gateway_table.ts";
+import type { KeyGate } from "../admission/key_gate.ts";
+import type { LoadProber } from "../targets/load_prober.ts";
+import type { QuotaGate } from "../admission/quota_gate.ts";
+import type { SlotPools } from "../slots/slot_pools.ts";
+import type { SlotClient } from "../slots/slot_client.ts";
+import type { SuspectGate } from "../targets/suspect_gate.ts";
+import type { TargetConnections } from "../targets/target_connections.ts";
+import type { TargetLimits } from "../targets/target_limits.ts";
+import type { TargetNotices } from "../targets/target_notices.ts";
+import type { TargetReach } from "../targets/target_reach.ts";
+import type { TargetSelector } from "../targets/target_selector.ts";
 
 /** Services and state of the gateway that every forwarded request uses. */
 export interface ForwardingContext {
--- a/packages/fleet_gateway/send_fault.ts
+++ b/packages/fleet_gateway/requests/send_fault.ts
@@ -1,7 +1,7 @@
 import { QuotaRejection } from "@kingcupglade/quotas";
 import type { KeyFault } from "@kingcupglade/workspaces";
-import type { GatewayResponse } from "./caller_response.ts";
-import { refuseKey } from "./key_refusal.ts";
+import type { GatewayResponse } from "../callers/caller_response.ts";
+import { refuseKey } from "../admission/key_refusal.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 
 /** Why an admitted request must not be sent any more. */
--- a/packages/fleet_gateway/withheld_requests_test.ts
+++ b/packages/fleet_gateway/requests/withheld_requests_test.ts
@@ -9,7 +9,7 @@
   responseText,
 } from "./forwarding_fixture.ts";
 import type { Received } from "./forwarding_fixture.ts";
-import { RelayForwarder } from "./relay_forwarder.ts";
+import { RelayForwarder } from "../relay/relay_forwarder.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 
 const workspace = { name: "acme", keyDigest: "a".repeat(64) };
--- a/packages/fleet_gateway/slot_acquisition.ts
+++ b/packages/fleet_gateway/slots/slot_acquisition.ts
@@ -1,9 +1,12 @@
 import type { Distance, Pool } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
-import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
+import type {
+  ForwardingContext,
+  RoutedRequest,
+} from "../requests/routed_request.ts";
 import type { SlotRequest } from "./slot_messages.ts";
 import type { SlotTicket } from "./slot_client.ts";
-import type { TargetLimitation } from "./target_attempts.ts";
+import type { TargetLimitation } from "../targets/target_attempts.ts";
 
 /** Managers at which one attempt may be queued at the same time. */
 const maximumConcurrentManagers = 3;
--- a/packages/fleet_gateway/slot_acquisition_test.ts
+++ b/packages/fleet_gateway/slots/slot_acquisition_test.ts
@@ -3,7 +3,7 @@
 import { ManualClock } from "@kingcupglade/tasks";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { SlotAcquisition } from "./slot_acquisition.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import type { RoutedRequest } from "../requests/routed_request.ts";
 import type { SlotListener } from "./slot_client.ts";
 
 const deadlineMilliseconds = 3000;
--- a/packages/fleet_gateway/slot_manager.ts
+++ b/packages/fleet_gateway/slots/slot_manager.ts
@@ -9,16 +9,16 @@
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
 import { routeForWorkspace } from "@kingcupglade/workspaces";
-import type { GatewayTable } from "./gateway_table.ts";
-import type { LoadProber } from "./load_prober.ts";
+import type { GatewayTable } from "../table/gateway_table.ts";
+import type { LoadProber } from "../targets/load_prober.ts";
 import type {
   SlotEnd,
   SlotMessage,
   SlotRefusal,
   SlotRequest,
 } from "./slot_messages.ts";
-import type { TargetLimits } from "./target_limits.ts";
-import type { TargetSelector } from "./target_selector.ts";
+import type { TargetLimits } from "../targets/target_limits.ts";
+import type { TargetSelector } from "../targets/target_selector.ts";
 
 /** A request whose end message is lost expires this long after its deadline. */
 const expiryMarginMilliseconds = 500;
--- a/packages/fleet_gateway/slot_pools.ts
+++ b/packages/fleet_gateway/slots/slot_pools.ts
@@ -1,8 +1,8 @@
 import { PoolSelector } from "@kingcupglade/dispatch";
 import type { Pool } from "@kingcupglade/dispatch";
-import type { GatewayTable } from "./gateway_table.ts";
-import type { RoutedRequest } from "./routed_request.ts";
-import type { TargetSelector } from "./target_selector.ts";
+import type { GatewayTable } from "../table/gateway_table.ts";
+import type { RoutedRequest } from "../requests/routed_request.ts";
+import type { TargetSelector } from "../targets/target_selector.ts";
 
 const noDataCentres: ReadonlySet<string> = new Set();
 
--- a/packages/fleet_gateway/waiting_callers_test.ts
+++ b/packages/fleet_gateway/slots/waiting_callers_test.ts
@@ -2,9 +2,12 @@
 import { ManualClock } from "@kingcupglade/tasks";
 import { nextTurn } from "@kingcupglade/transport";
 import { beforeEach, describe, expect, it } from "vitest";
-import { TargetSide } from "./exchange_sides.ts";
-import { answerFor, ForwardingFixture } from "./forwarding_fixture.ts";
-import { RequestForwarder } from "./request_forwarder.ts";
+import { TargetSide } from "../exchanges/exchange_sides.ts";
+import {
+  answerFor,
+  ForwardingFixture,
+} from "../requests/forwarding_fixture.ts";
+import { RequestForwarder } from "../requests/request_forwarder.ts";
 import type { ServiceQueue } from "./service_queue.ts";
 
 const waitMilliseconds = 200;
--- a/packages/fleet_gateway/route_lookup_test.ts
+++ b/packages/fleet_gateway/table/route_lookup_test.ts
@@ -8,7 +8,7 @@
 import type { StoredItem } from "@kingcupglade/items";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { GatewayTable } from "./gateway_table.ts";
-import { createIdleHandler } from "./request_handler_fixture.ts";
+import { createIdleHandler } from "../requests/request_handler_fixture.ts";
 import { createUpdate } from "./table_update_fixture.ts";
 
 const route: StoredItem = {
--- a/packages/fleet_gateway/address_pool.ts
+++ b/packages/fleet_gateway/targets/address_pool.ts
@@ -1,9 +1,9 @@
 import { Client, errors } from "undici";
 import type { buildConnector } from "undici";
-import { ReadAllowance } from "./read_allowance.ts";
-import { ReadHold } from "./read_hold.ts";
-import { hasBeenReset } from "./socket_end.ts";
-import { SurplusDetector } from "./surplus_detector.ts";
+import { ReadAllowance } from "../exchanges/read_allowance.ts";
+import { ReadHold } from "../exchanges/read_hold.ts";
+import { hasBeenReset } from "../exchanges/socket_end.ts";
+import { SurplusDetector } from "../exchanges/surplus_detector.ts";
 
 /** Used when the target does not announce its keep-alive timeout. */
 const keepAliveMilliseconds = 9000;
--- a/packages/fleet_gateway/load_prober.ts
+++ b/packages/fleet_gateway/targets/load_prober.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
-import type { CallerWire } from "./caller_wire.ts";
+import type { CallerWire } from "../callers/caller_wire.ts";
 import type { TargetConnections } from "./target_connections.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetNotices } from "./target_notices.ts";
--- a/packages/fleet_gateway/paced_targets_test.ts
+++ b/packages/fleet_gateway/targets/paced_targets_test.ts
@@ -5,7 +5,7 @@
 import { ManualClock } from "@kingcupglade/tasks";
 import { createMetrics } from "@kingcupglade/telemetry";
 import { beforeEach, describe, expect, it } from "vitest";
-import { GatewayTable } from "./gateway_table.ts";
+import { GatewayTable } from "../table/gateway_table.ts";
 import { Chooser } from "./target_paces.ts";
 import { TargetSelector } from "./target_selector.ts";
 
--- a/packages/fleet_gateway/stuttering_targets_test.ts
+++ b/packages/fleet_gateway/targets/stuttering_targets_test.ts
@@ -1,9 +1,12 @@
 import type { Socket } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { seededRandom } from "./forwarding_fixture.ts";
-import { ResponseEnd, ResponsePath } from "./response_path_fixture.ts";
-import type { ReceivedResponse } from "./response_path_fixture.ts";
+import { seededRandom } from "../requests/forwarding_fixture.ts";
+import {
+  ResponseEnd,
+  ResponsePath,
+} from "../exchanges/response_path_fixture.ts";
+import type { ReceivedResponse } from "../exchanges/response_path_fixture.ts";
 
 const requestCount = 600;
 const callerCount = 12;
--- a/packages/fleet_gateway/target_limits.ts
+++ b/packages/fleet_gateway/targets/target_limits.ts
@@ -1,7 +1,7 @@
 import type { TargetLimitReport, TargetView } from "@kingcupglade/fleet";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger } from "@kingcupglade/telemetry";
-import type { GatewayTable } from "./gateway_table.ts";
+import type { GatewayTable } from "../table/gateway_table.ts";
 
 /** Limit of the requests that a target accepts from all gateways together. */
 export interface TargetLimit {
--- a/packages/fleet_gateway/target_notices.ts
+++ b/packages/fleet_gateway/targets/target_notices.ts
@@ -1,8 +1,8 @@
 import type { TargetIncarnation, TargetView } from "@kingcupglade/fleet";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
-import type { TargetResponseHead } from "./caller_wire.ts";
-import type { GatewayTable } from "./gateway_table.ts";
+import type { TargetResponseHead } from "../callers/caller_wire.ts";
+import type { GatewayTable } from "../table/gateway_table.ts";
 import { incarnationId } from "./target_end_detector.ts";
 
 /** A target cannot ask for a longer pause. */
--- a/packages/fleet_gateway/target_paces.ts
+++ b/packages/fleet_gateway/targets/target_paces.ts
@@ -8,7 +8,7 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
-import type { GatewayTable } from "./gateway_table.ts";
+import type { GatewayTable } from "../table/gateway_table.ts";
 
 /** Who chooses targets. */
 export const Chooser = {
--- a/packages/fleet_gateway/target_rates.ts
+++ b/packages/fleet_gateway/targets/target_rates.ts
@@ -4,7 +4,7 @@
 } from "@kingcupglade/dispatch";
 import type { SharedRate } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
-import type { TableSynchronizer } from "./table_synchronizer.ts";
+import type { TableSynchronizer } from "../table/table_synchronizer.ts";
 import type { TargetLimits } from "./target_limits.ts";
 
 /**
--- a/packages/fleet_gateway/target_selection.ts
+++ b/packages/fleet_gateway/targets/target_selection.ts
@@ -2,7 +2,7 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import type { Route } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
-import type { TableSynchronizer } from "./table_synchronizer.ts";
+import type { TableSynchronizer } from "../table/table_synchronizer.ts";
 import type { TargetAvailability } from "./target_notices.ts";
 import type { TargetPacesOptions } from "./target_paces.ts";
 import type { TargetRatesOptions } from "./target_rates.ts";
--- a/packages/fleet_gateway/target_selector.ts
+++ b/packages/fleet_gateway/targets/target_selector.ts
@@ -18,8 +18,8 @@
 import type { Route } from "@kingcupglade/items";
 import { DemandCounter } from "./demand_counter.ts";
 import { findIdleTarget } from "./idle_target.ts";
-import { ServiceQueue } from "./service_queue.ts";
-import type { Lane } from "./service_queue.ts";
+import { ServiceQueue } from "../slots/service_queue.ts";
+import type { Lane } from "../slots/service_queue.ts";
 import { TargetPaces } from "./target_paces.ts";
 import type {
   TargetCriteria,
--- a/packages/fleet_gateway/target_use.ts
+++ b/packages/fleet_gateway/targets/target_use.ts
@@ -1,12 +1,12 @@
 import { ExchangeEnd } from "@kingcupglade/dispatch";
 import type { TargetRecord } from "@kingcupglade/dispatch";
 import type { TargetView } from "@kingcupglade/fleet";
-import { LossCause } from "./exchange.ts";
-import type { ExchangeResult } from "./exchange.ts";
-import { endOf } from "./exchange_end.ts";
-import type { ForwardingContext } from "./routed_request.ts";
-import type { ServiceQueue } from "./service_queue.ts";
-import type { SlotTicket } from "./slot_client.ts";
+import { LossCause } from "../exchanges/exchange.ts";
+import type { ExchangeResult } from "../exchanges/exchange.ts";
+import { endOf } from "../exchanges/exchange_end.ts";
+import type { ForwardingContext } from "../requests/routed_request.ts";
+import type { ServiceQueue } from "../slots/service_queue.ts";
+import type { SlotTicket } from "../slots/slot_client.ts";
 
 /** Status of a target that is not the expected one or does not hold the key. */
 export const misdirectedStatus = 421;
