Refuse requests at once while the processor is short

With callers.maximumWaitMilliseconds, a gateway whose event loop is busy and late refuses requests with 503 before anything that costs, and callers go to others.

--- a/packages/dispatch/mod.ts
+++ b/packages/dispatch/mod.ts
@@ -12,6 +12,12 @@
   TargetOption,
 } from "./choose_target.ts";
 export { ChangedDurations } from "./changed_durations.ts";
+export { LoadShedder } from "./load_shedder.ts";
+export type {
+  ArrivingRequest,
+  LoadShedderOptions,
+  ProcessorSample,
+} from "./load_shedder.ts";
 export { OwnerBackoff } from "./owner_backoff.ts";
 export { PartSelector } from "./part_selector.ts";
 export type { WeightedPart } from "./part_selector.ts";
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -7,6 +7,7 @@
 import { ElapsedClock, KeyDigest } from "@kingcupglade/workspaces";
 import { GatewayLink } from "./link/gateway_link.ts";
 import { GatewayListeners } from "./callers/gateway_listeners.ts";
+import { ProcessorWatch } from "./callers/processor_watch.ts";
 import type { GatewayVmOptions } from "./gateway_vm_options.ts";
 import { KeyGate } from "./admission/key_gate.ts";
 import { callLeader, callLeaderForQuota } from "./table/leader_caller.ts";
@@ -69,6 +70,7 @@
   readonly #slotPools: SlotPools;
   readonly #stopSchedule: StopSchedule;
   readonly #stalls: StallDetector;
+  readonly #processor: ProcessorWatch | undefined;
   #slotSocket!: SlotSocket;
   #handler!: RequestHandler;
   readonly #housekeepingTimer: NodeJS.Timeout;
@@ -87,6 +89,13 @@
           milliseconds: Math.round(milliseconds),
         }),
     });
+    const { maximumWaitMilliseconds } = options;
+    if (maximumWaitMilliseconds !== undefined) {
+      this.#processor = new ProcessorWatch({
+        ...options,
+        maximumWaitMilliseconds,
+      });
+    }
     this.#link = GatewayLink.ofRate(options.linkMegabitsPerSecond, options);
     const isLinkFull = () => this.#link?.isFull === true;
     this.#connections = new TargetConnections({
@@ -265,6 +274,7 @@
       context: vm.#forwardingContext,
       stopSchedule: vm.#stopSchedule,
       digest: await createRequestDigest(options.secret),
+      hasProcessorTime: (priority) => vm.#processor?.admits(priority) ?? true,
     });
     vm.#listeners = await GatewayListeners.open({
       ...options,
@@ -312,6 +322,7 @@
     this.#synchronizer.stop();
     clearInterval(this.#housekeepingTimer);
     clearInterval(this.#stallTimer);
+    this.#processor?.close();
     this.#quotas.close();
     this.#reach.close();
     this.#link?.close();
--- a/packages/fleet_gateway/gateway_vm_options.ts
+++ b/packages/fleet_gateway/gateway_vm_options.ts
@@ -15,6 +15,11 @@
   readonly maximumCallerConnections?: number;
   /** Requests of a caller's connection in progress at a time. @default 4 */
   readonly concurrentPerConnection?: number;
+  /**
+   * Wait for the processor from which requests of callers are refused.
+   * @default none, and all requests are taken
+   */
+  readonly maximumWaitMilliseconds?: number | undefined;
   /** Where the load balancer checks the readiness of this VM, as IP:PORT. */
   readonly readinessAddress: string;
   /** Where other VMs reach this one, as IP:PORT; all VMs use the same port. */
--- a/packages/fleet_gateway/requests/request_handler.ts
+++ b/packages/fleet_gateway/requests/request_handler.ts
@@ -12,6 +12,7 @@
 import { admitRelayed } from "../relay/relay_admission.ts";
 import { RelayForwarder } from "../relay/relay_forwarder.ts";
 import { admitRequest } from "../admission/request_admission.ts";
+import { recordRefusal, refuseForLoad } from "../admission/refusal_log.ts";
 import type {
   ForwardingProgress,
   RelayForwarderOptions,
@@ -37,7 +38,6 @@
 const maximumDeadlineMilliseconds = 86_400_000;
 /** Retry-after of requests that only this VM cannot serve now. */
 const elsewhereRetryAfterMilliseconds = 300;
-
 /** Options of a {@link RequestHandler}. */
 export interface RequestHandlerOptions {
   readonly context: RelayForwarderOptions["context"] & {
@@ -49,6 +49,11 @@
   };
   readonly stopSchedule: StopSchedule;
   readonly digest: RequestDigest;
+  /**
+   * Whether this VM has the processor time for a request of this priority.
+   * @default always
+   */
+  readonly hasProcessorTime?: (priority: number) => boolean;
 }
 
 /** Forwards a request until it is abandoned. */
@@ -112,6 +117,10 @@
         contactAgeMilliseconds: contactAge(),
       }, this.#options.context));
     }
+    const { hasProcessorTime = () => true } = this.#options;
+    if (!hasProcessorTime(route.priority)) {
+      return answer.respond(refuseForLoad(head, this.#options.context));
+    }
     const admission = await admitRequest(
       { request, requestId: head.requestId, route },
       this.#options.context,
@@ -154,7 +163,9 @@
     const body = await this.#bodies.receive(request, {
       answer,
       refuse: (status, reason) => {
-        if (status === 413) this.#recordRefusal(head, { status, reason });
+        if (status === 413) {
+          recordRefusal(head, { status, reason }, this.#options.context);
+        }
         answer.respond({ status, reason });
       },
     });
@@ -205,19 +216,6 @@
     });
   }
 
-  #recordRefusal(
-    head: CallerRequestHead,
-    { status, reason }: { readonly status: number; readonly reason: string },
-  ): void {
-    const { logger, metrics } = this.#options.context;
-    metrics.refusals.inc({ reason });
-    logger.info("request-refused", {
-      request: head.requestId,
-      status,
-      reason,
-    });
-  }
-
   async #handleRelayed(
     request: IncomingMessage,
     response: ServerResponse,
--- a/packages/fleet_gateway/requests/request_handler_fixture.ts
+++ b/packages/fleet_gateway/requests/request_handler_fixture.ts
@@ -2,6 +2,7 @@
 import { createMetrics } from "@kingcupglade/telemetry";
 import { noKeys, noQuotas } from "./forwarding_fixture.ts";
 import { RequestHandler } from "./request_handler.ts";
+import type { RequestHandlerOptions } from "./request_handler.ts";
 import { ServiceQueue } from "../slots/service_queue.ts";
 import { StopSchedule } from "../callers/stop_schedule.ts";
 
@@ -12,6 +13,7 @@
     & Readonly<
       Record<string, unknown>
     >,
+  options: Partial<RequestHandlerOptions> = {},
 ): RequestHandler {
   const queue = new ServiceQueue({
     now: () => 0,
@@ -45,5 +47,6 @@
     } as never,
     stopSchedule: new StopSchedule(6000),
     digest: () => "",
+    ...options,
   });
 }
--- a/packages/fleet_gateway/requests/request_handler_test.ts
+++ b/packages/fleet_gateway/requests/request_handler_test.ts
@@ -16,6 +16,7 @@
 } from "../relay/relay_message.ts";
 import type { RelayRequest } from "../relay/relay_message.ts";
 import { RequestHandler } from "./request_handler.ts";
+import { createIdleHandler } from "./request_handler_fixture.ts";
 import { ServiceQueue } from "../slots/service_queue.ts";
 import { StopSchedule } from "../callers/stop_schedule.ts";
 
@@ -189,3 +190,26 @@
     }
   });
 });
+
+describe("RequestHandler, while the processor is short", () => {
+  // Guards against work for a request that is refused: its key is not looked up,
+  // it counts for no limit, and no target is asked.
+  it("refuses before anything that costs, with a time to return", async () => {
+    const table = { matchRoute: () => ({ ...route, priority: 1 }) };
+    const keys = { ...noKeys, authenticate: vi.fn() };
+    const handler = createIdleHandler({ table: () => table, keys }, {
+      hasProcessorTime: (priority) => priority === 0,
+    });
+    const server = createServer((request, response) =>
+      handler.handle(request, response)
+    ).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const response = await fetch(`http://127.0.0.1:${port}/lookup/1`);
+    expect(response.status).toBe(503);
+    expect(Number(response.headers.get("retry-after"))).toBeGreaterThan(0);
+    expect(keys.authenticate).not.toHaveBeenCalled();
+    server.close();
+    server.closeAllConnections();
+  });
+});
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -126,6 +126,7 @@
       callers.fileDescriptors,
     ),
     concurrentPerConnection: callers.concurrentPerConnection,
+    maximumWaitMilliseconds: callers.maximumWaitMilliseconds,
     linkMegabitsPerSecond: link.megabitsPerSecond,
     graceMilliseconds: stop.graceSeconds * millisecondsPerSecond,
     retryBudget: {
--- a/packages/kingcupglade/settings/fleet_schema.ts
+++ b/packages/kingcupglade/settings/fleet_schema.ts
@@ -121,6 +121,11 @@
      * for callers. @default what the system allows the process
      */
     fileDescriptors: integer(64, 1_048_576).optional(),
+    /**
+     * Wait for the processor of the VM from which it refuses requests.
+     * @default none, and all requests are taken
+     */
+    maximumWaitMilliseconds: integer(10, 60_000).optional(),
   }).prefault({}),
   ...common,
 });
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -31,6 +31,10 @@
   /** Responses in which targets say that they leave or pause. */
   readonly targetNotices: Counter<"notice">;
   readonly pacedTargets: Gauge<"chooser">;
+  /** Share of the time in which the event loop was busy lately. */
+  readonly processorUse: Gauge;
+  /** Seconds by which the last timer of the event loop was late. */
+  readonly processorWait: Gauge;
   /** Bytes that this VM has counted on its link, by direction and kind. */
   readonly linkBytes: Counter<"direction" | "kind">;
   /** Bytes that wait for the link of this VM. */
@@ -180,6 +184,16 @@
       labelNames: ["notice"],
       registers,
     }),
+    processorUse: new Gauge({
+      name: "kingcupglade_processor_use",
+      help: "Share of the time in which the event loop was busy lately",
+      registers,
+    }),
+    processorWait: new Gauge({
+      name: "kingcupglade_processor_wait_seconds",
+      help: "Time by which the last timer of the event loop was late",
+      registers,
+    }),
     pacedTargets: new Gauge({
       name: "kingcupglade_paced_targets",
       help: "New and recovered targets whose requests in flight are bounded",
