--- a/packages/fleet_gateway/callers/gateway_listeners.ts
+++ b/packages/fleet_gateway/callers/gateway_listeners.ts
@@ -1,4 +1,5 @@
 import type { RequestListener } from "node:http";
+import type { Limits } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import {
@@ -25,6 +26,8 @@
 /** Time for readiness probes to be answered at the end of a stop. */
 const maximumProbeMilliseconds = 100;
 const defaultCallerConnections = 3072;
+/** Idle connections are closed this long after the configured idle timeout. */
+const idleMarginMilliseconds = 1500;
 
 /** Options of {@link GatewayListeners.open}. */
 export interface GatewayListenersOptions {
@@ -116,8 +119,16 @@
   }
 
   /** Sets the timeouts for the headers and the idle connections of callers. */
-  setTimeouts(timeouts: Parameters<HttpListener["setTimeouts"]>[0]): void {
-    this.#listeners.callers.setTimeouts(timeouts);
+  setTimeouts(
+    { headerTimeoutMilliseconds, idleTimeoutMilliseconds }: Pick<
+      Limits,
+      "headerTimeoutMilliseconds" | "idleTimeoutMilliseconds"
+    >,
+  ): void {
+    this.#listeners.callers.setTimeouts({
+      headersTimeoutMilliseconds: headerTimeoutMilliseconds,
+      idleTimeoutMilliseconds: idleTimeoutMilliseconds + idleMarginMilliseconds,
+    });
   }
 
   /** Makes readiness checks fail from now on. */
--- a/packages/fleet_gateway/callers/processor_watch.ts
+++ b/packages/fleet_gateway/callers/processor_watch.ts
@@ -38,6 +38,17 @@
     this.#timer = setInterval(() => this.#tick(), tickMilliseconds);
   }
 
+  /** Creates a watch, or none without a bound. */
+  static ofBound(
+    { maximumWaitMilliseconds, ...options }:
+      & Omit<ProcessorWatchOptions, "maximumWaitMilliseconds">
+      & { readonly maximumWaitMilliseconds?: number | undefined },
+  ): ProcessorWatch | undefined {
+    return maximumWaitMilliseconds === undefined
+      ? undefined
+      : new ProcessorWatch({ ...options, maximumWaitMilliseconds });
+  }
+
   /** Whether a request of a route with this priority is taken. */
   admits(priority: number): boolean {
     const { clock } = this.#options;
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -36,8 +36,6 @@
 
 /** Other gateways accept a connection within this time. */
 const relayConnectMilliseconds = 300;
-/** Idle connections are closed this long after the configured idle timeout. */
-const idleMarginMilliseconds = 1500;
 const housekeepingIntervalMilliseconds = 1000;
 const stallCheckIntervalMilliseconds = 50;
 const millisecondsPerSecond = 1000;
@@ -89,13 +87,7 @@
           milliseconds: Math.round(milliseconds),
         }),
     });
-    const { maximumWaitMilliseconds } = options;
-    if (maximumWaitMilliseconds !== undefined) {
-      this.#processor = new ProcessorWatch({
-        ...options,
-        maximumWaitMilliseconds,
-      });
-    }
+    this.#processor = ProcessorWatch.ofBound(options);
     this.#link = GatewayLink.ofRate(options.linkMegabitsPerSecond, options);
     const isLinkFull = () => this.#link?.isFull === true;
     this.#connections = new TargetConnections({
@@ -113,7 +105,7 @@
     this.#reach = new TargetReach({
       ...options,
       isLinkFull,
-      targets: () => this.#reachableTargets,
+      targets: () => this.#synchronizer.table.reachableTargets,
       tryConnect: (address, milliseconds) =>
         this.#connections.tryConnect(address, milliseconds),
     });
@@ -361,20 +353,11 @@
       pools: this.#slotPools,
       slots: this.#slotClient,
       table,
-      contactAge: () =>
-        this.#synchronizer.millisecondsSinceContact(this.#options.clock.now()),
+      contactAge: () => this.#synchronizer.contactAge,
       gatewayCount: () => table().gatewayCount,
     };
   }
 
-  /** Targets whose connections tell whether this VM reaches any. */
-  get #reachableTargets(): readonly TargetView[] {
-    const { table } = this.#synchronizer;
-    return [...table.targets].filter((target) =>
-      table.mayServe(target) && table.isListed(target.name)
-    );
-  }
-
   /** Whether this VM grants the slots of a target. */
   #isManaged(target: TargetView): boolean {
     const { pools } = this.#synchronizer.table;
@@ -383,8 +366,8 @@
 
   // Durations are reported by the selector that chooses the targets.
   get #durationReporter(): TargetSelector {
-    const isManaged = !this.#synchronizer.table.pools.isEmpty;
-    return isManaged ? this.#managedSelector : this.#selector;
+    const { isEmpty } = this.#synchronizer.table.pools;
+    return isEmpty ? this.#selector : this.#managedSelector;
   }
 
   #handleSlotMessage(message: SlotMessage, from: string): void {
@@ -406,22 +389,12 @@
     this.#managedSelector.expire();
     this.#suspects.expire();
     this.#link?.report();
-    const { limits } = table;
-    if (limits) {
-      this.#listeners.setTimeouts({
-        headersTimeoutMilliseconds: limits.headerTimeoutMilliseconds,
-        idleTimeoutMilliseconds: limits.idleTimeoutMilliseconds +
-          idleMarginMilliseconds,
-      });
-    }
-    const { clock, metrics } = this.#options;
+    if (table.limits) this.#listeners.setTimeouts(table.limits);
+    const { metrics } = this.#options;
     metrics.tableVersion.set(table.position.index);
     metrics.controlContactAge.set(
-      this.#synchronizer.millisecondsSinceContact(clock.now()) /
-        millisecondsPerSecond,
-    );
-    this.#connections.retainOnly(
-      new Set([...table.targets].map(({ address }) => address)),
+      this.#synchronizer.contactAge / millisecondsPerSecond,
     );
+    this.#connections.retainOnly(table.addresses);
   }
 }
--- a/packages/fleet_gateway/table/gateway_table.ts
+++ b/packages/fleet_gateway/table/gateway_table.ts
@@ -154,6 +154,18 @@
     return !isLeaving && !this.#dataCentresOut.has(dataCentre);
   }
 
+  /** Targets whose connections tell whether this VM reaches any. */
+  get reachableTargets(): readonly TargetView[] {
+    return [...this.targets].filter((target) =>
+      this.mayServe(target) && this.isListed(target.name)
+    );
+  }
+
+  /** Addresses of all targets. */
+  get addresses(): ReadonlySet<string> {
+    return new Set([...this.targets].map(({ address }) => address));
+  }
+
   /** Returns the range that contains a position. */
   range(service: string, position: number): RangeView | undefined {
     const ranges = this.#ranges.get(service) ?? [];
--- a/packages/fleet_gateway/table/table_synchronizer.ts
+++ b/packages/fleet_gateway/table/table_synchronizer.ts
@@ -87,9 +87,14 @@
     return now - this.#lastContactAt;
   }
 
+  /** Milliseconds since the last contact with the leader. */
+  get contactAge(): number {
+    return this.millisecondsSinceContact(this.#options.clock.now());
+  }
+
   /** Time since the last contact, for the log; null before the first. */
   get #contactAge(): number | null {
-    const age = this.millisecondsSinceContact(this.#options.clock.now());
+    const age = this.contactAge;
     return Number.isFinite(age) ? Math.round(age) : null;
   }
 
