Record in the log who may hold loans of limits, and lend only to them

A new leader took the whole total of a workspace, less what was reported, for lent until lease and window had passed: 9 s in which callers below their limit got 429, as it did not know which gateways could hold loans.

The command changeBorrowers adds and removes incarnations of gateways. A leader lends only to those whose entry is committed and whose removal it has not proposed. A new leader takes nothing for lent once every recorded borrower has applied one of its answers: a report alone is not enough, since the gateway could return to the former leader and accept its answers.

The simulated fleet has a log now: entries take time, stall, and may be committed by the next leader without the former one learning of it. Its gateways call the leader that they watch, as in the product.

Changed tests: quota_directory_test.ts and quota_lender_test.ts state the recorded borrowers; the directory's tests wait for the record before the first loan, with the same figures.

--- a/packages/fleet/fleet_machine.ts
+++ b/packages/fleet/fleet_machine.ts
@@ -1,5 +1,7 @@
 import { applyChange } from "@kingcupglade/items";
 import { decodeValue, encodeValue } from "@kingcupglade/protocol";
+import { changeBorrowers } from "@kingcupglade/quotas";
+import type { BorrowerBounds } from "@kingcupglade/quotas";
 import { ReplicatedStateMachine } from "@kingcupglade/replica";
 import { lastPosition } from "./types.ts";
 import type {
@@ -22,8 +24,28 @@
   evacuations: new Map(),
   ranges: new Map(),
   departures: new Map(),
+  borrowers: new Map(),
 };
 
+type Rows<Value> = Value extends ReadonlyMap<infer Key, infer Item>
+  ? readonly (readonly [Key, Item])[]
+  : never;
+
+/** A snapshot. */
+type StoredState =
+  & {
+    readonly [Key in Exclude<keyof FleetState, "borrowers">]: Rows<
+      FleetState[Key]
+    >;
+  }
+  & {
+    /** Absent if there are none, as in snapshots of earlier releases. */
+    readonly borrowers?: readonly (readonly [
+      string,
+      Rows<BorrowerBounds>,
+    ])[];
+  };
+
 interface ApplyResult {
   readonly state: FleetState;
   readonly outcome: FleetOutcome;
@@ -36,27 +58,30 @@
   extends ReplicatedStateMachine<FleetState, FleetCommand, FleetOutcome> {
   override restore(data: Uint8Array): FleetState {
     if (data.length === 0) return emptyFleetState;
-    const stored = decodeValue<
-      {
-        readonly [Key in keyof FleetState]:
-          readonly (readonly [never, never])[];
-      }
-    >(data);
+    const { borrowers = [], ...stored } = decodeValue<StoredState>(data);
     return {
       items: new Map(stored.items),
       evacuations: new Map(stored.evacuations),
       ranges: new Map(stored.ranges),
       departures: new Map(stored.departures),
+      borrowers: new Map(
+        borrowers.map(([id, bounds]) => [id, new Map(bounds)]),
+      ),
     };
   }
 
   override encode(state: FleetState): Uint8Array {
-    return encodeValue({
+    const borrowers = [...state.borrowers].map(([id, bounds]) =>
+      [id, [...bounds]] as const
+    );
+    const stored: StoredState = {
       items: [...state.items],
       evacuations: [...state.evacuations],
       ranges: [...state.ranges],
       departures: [...state.departures],
-    });
+      ...(borrowers.length > 0 && { borrowers }),
+    };
+    return encodeValue(stored);
   }
 
   override skip(state: FleetState): FleetState {
@@ -87,6 +112,11 @@
         return grantRanges(state, command, index);
       case "splitRanges":
         return splitRanges(state, command);
+      case "changeBorrowers":
+        return appliedResult({
+          ...state,
+          borrowers: changeBorrowers(state.borrowers, command),
+        });
     }
   }
 }
--- a/packages/fleet/types.ts
+++ b/packages/fleet/types.ts
@@ -1,4 +1,5 @@
 import type { ItemChange, StoredItems } from "@kingcupglade/items";
+import type { BorrowerChange, Borrowers } from "@kingcupglade/quotas";
 
 /** Last position of a keyed service; the first is 0. */
 export const lastPosition = 65_535;
@@ -63,6 +64,8 @@
   readonly ranges: ReadonlyMap<string, KeyRanges>;
   /** Departures by target name. */
   readonly departures: ReadonlyMap<string, Departure>;
+  /** Gateways that may hold allowances of workspaces. */
+  readonly borrowers: Borrowers;
 }
 
 /** Grant of a range to a new owner. */
@@ -104,7 +107,9 @@
     readonly service: string;
     /** Start positions of the new ranges. */
     readonly cuts: readonly number[];
-  };
+  }
+  /** Proposed only while there are workspaces, see docs/design/releases.md. */
+  | { readonly kind: "changeBorrowers" } & BorrowerChange;
 
 /** Outcome of a command, as returned to its proposer. */
 export type FleetOutcome =
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -9,8 +9,6 @@
   RegisteredTarget,
   ViewPosition,
 } from "@kingcupglade/fleet";
-import { ItemKind } from "@kingcupglade/items";
-import type { StoredItems } from "@kingcupglade/items";
 import { defaultQuotaSettings } from "@kingcupglade/quotas";
 import type { QuotaCall, QuotaReply } from "@kingcupglade/quotas";
 import { ElapsedClock } from "@kingcupglade/workspaces";
@@ -26,6 +24,7 @@
   LeaderSessionOptions,
   WatchResponseParts,
 } from "./leader_session_options.ts";
+import { hasWorkspaces, ItemsMemo } from "./items_memo.ts";
 import { LimitDirectory } from "./limit_directory.ts";
 import { ManagerDirectory } from "./manager_directory.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
@@ -89,8 +88,7 @@
   readonly #targetViews: TargetViews;
   readonly #keys: KeyConfirmations;
   readonly #quotas: QuotaDirectory;
-  #countedItems: StoredItems | undefined;
-  #hasWorkspaces = false;
+  readonly #hasWorkspaces = new ItemsMemo(hasWorkspaces);
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
@@ -187,14 +185,7 @@
 
   /** Whether a workspace exists or has existed. */
   get hasWorkspaces(): boolean {
-    const { items } = this.#options.replica.state;
-    if (items !== this.#countedItems) {
-      this.#countedItems = items;
-      this.#hasWorkspaces = [...items.values()].some(({ kind }) =>
-        kind === ItemKind.workspace
-      );
-    }
-    return this.#hasWorkspaces;
+    return this.#hasWorkspaces.of(this.#options.replica.state.items);
   }
 
   /** Returns the names of the gateways in contact that lack a feature. */
@@ -279,7 +270,9 @@
     const hasUpdate = this.#hasUpdate(watch.position);
     // A gateway that has just been updated receives later changes together with
     // the other gateways.
-    if (!hasUpdate || this.#isNotificationDue) {
+    const isAnswerDue = this.#quotas.isAnswerDue(watch.gateway) ||
+      (hasUpdate && !this.#isNotificationDue);
+    if (!isAnswerDue) {
       await this.#waiters.wait(
         watch.gateway,
         watchHoldMilliseconds(this.#gateways.activeNames(now).length),
--- a/packages/fleet_control/quota_directory.ts
+++ b/packages/fleet_control/quota_directory.ts
@@ -1,20 +1,26 @@
 import { itemId, ItemKind } from "@kingcupglade/items";
 import type { StoredItems } from "@kingcupglade/items";
 import {
+  BorrowerRecorder,
   packAnswer,
+  ProposalResult,
   QuotaLender,
   totalAllowance,
   unpackReport,
 } from "@kingcupglade/quotas";
 import type {
+  BorrowerChange,
   PackedAnswer,
   QuotaCall,
   QuotaReply,
   QuotaReport,
   QuotaSettings,
 } from "@kingcupglade/quotas";
+import { NotLeaderError, UnknownOutcomeError } from "@kingcupglade/replica";
 import type { Clock } from "@kingcupglade/tasks";
+import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
+import { hasLimits, ItemsMemo } from "./items_memo.ts";
 import type { FleetReplica } from "./leader_session.ts";
 import type { Watch, WatchOwnPart } from "./watch.ts";
 
@@ -26,7 +32,7 @@
 
 /** Options of a {@link QuotaDirectory}. */
 export interface QuotaDirectoryOptions {
-  readonly replica: Pick<FleetReplica, "state">;
+  readonly replica: Pick<FleetReplica, "state" | "propose">;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly term: number;
@@ -38,18 +44,32 @@
 /** Lends the limits of workspaces to gateways, during one term as leader. */
 export class QuotaDirectory {
   readonly #options: QuotaDirectoryOptions;
+  readonly #recorder: BorrowerRecorder;
   readonly #lender: QuotaLender;
+  readonly #startedAt: number;
   readonly #wokenAt = new Map<string, number>();
+  /** Gateways that may be lent more than in the last answer to their watch. */
+  readonly #extended = new Set<string>();
+  #isSettlementLogged = false;
+  readonly #hasLimits = new ItemsMemo(hasLimits);
 
   constructor(options: QuotaDirectoryOptions) {
     this.#options = options;
     const { replica, clock, quotas, term } = options;
     // The predecessor may have lent by this state, and by none after it.
     const { items: itemsBefore } = replica.state;
+    this.#startedAt = clock.now();
+    this.#recorder = new BorrowerRecorder({
+      committed: () => replica.state.borrowers,
+      isNeeded: () => this.#hasLimits.of(replica.state.items),
+      propose: (change, done) => void this.#propose(change, done),
+      onExtended: (gateways) => this.#extend(gateways),
+    });
     this.#lender = new QuotaLender({
       term,
       windowMilliseconds: quotas.windowMilliseconds,
-      startedAt: clock.now(),
+      startedAt: this.#startedAt,
+      recorder: this.#recorder,
       lentBefore: (workspace) => {
         const total = this.#total(itemsBefore, workspace);
         return Number.isFinite(total) ? total : 0;
@@ -69,6 +89,7 @@
    * that was never confirmed lends nothing.
    */
   answerWatch(watch: Watch, own: WatchOwnPart): WatchOwnPart {
+    this.#extended.delete(watch.gateway);
     const { confirmedAgeMilliseconds } = own;
     const report = unpackReport(watch.quotas);
     if (!report || confirmedAgeMilliseconds === undefined) return own;
@@ -96,10 +117,17 @@
     return { answer: this.#answer(gateway, report, confirmedAgeMilliseconds) };
   }
 
+  /** Whether the watch of a gateway should be answered at once. */
+  isAnswerDue(gateway: string): boolean {
+    return this.#extended.has(gateway);
+  }
+
   /** Drops what has lapsed, and asks for returns that are due. */
   tick(): void {
     const now = this.#options.clock.now();
-    this.#lender.expire(now);
+    this.#lender.tick(now);
+    this.#recorder.tick(now);
+    this.#logSettlement(now);
     this.#wakeDebtors(now);
     for (const [gateway, wokenAt] of this.#wokenAt) {
       if (now - wokenAt > wakeIntervalMilliseconds) {
@@ -109,7 +137,54 @@
   }
 
   #record(gateway: string, report: QuotaReport): void {
-    this.#lender.record(gateway, report, this.#options.clock.now());
+    const now = this.#options.clock.now();
+    this.#lender.record(gateway, report, now);
+    this.#recorder.tick(now);
+    this.#logSettlement(now);
+  }
+
+  async #propose(
+    change: BorrowerChange,
+    done: (result: ProposalResult) => void,
+  ): Promise<void> {
+    const { replica, logger } = this.#options;
+    const fields = {
+      added: change.add.join(","),
+      removed: change.remove.join(","),
+    };
+    try {
+      await replica.propose({ kind: "changeBorrowers", ...change });
+      const borrowers = replica.state.borrowers.size;
+      logger.info("quota-borrowers-changed", { ...fields, borrowers });
+      done(ProposalResult.committed);
+    } catch (failure) {
+      const isRejected = failure instanceof NotLeaderError &&
+        !(failure instanceof UnknownOutcomeError);
+      logger.warn("quota-borrowers-not-changed", {
+        ...fields,
+        reason: describeFailure(failure),
+      });
+      done(isRejected ? ProposalResult.rejected : ProposalResult.unknown);
+    }
+  }
+
+  #extend(gateways: ReadonlySet<string>): void {
+    for (const gateway of gateways) {
+      this.#extended.add(gateway);
+      this.#options.wake(gateway);
+    }
+  }
+
+  // Until then, gateways may be lent less than they need.
+  #logSettlement(now: number): void {
+    if (this.#isSettlementLogged || !this.#lender.isSettled) return;
+    this.#isSettlementLogged = true;
+    const { logger, term, replica } = this.#options;
+    logger.info("quotas-settled", {
+      term,
+      borrowers: replica.state.borrowers.size,
+      milliseconds: Math.round(now - this.#startedAt),
+    });
   }
 
   #answer(
--- a/packages/fleet_control/quota_directory_test.ts
+++ b/packages/fleet_control/quota_directory_test.ts
@@ -1,3 +1,9 @@
+import { emptyFleetState, FleetMachine } from "@kingcupglade/fleet";
+import type {
+  FleetCommand,
+  FleetOutcome,
+  FleetState,
+} from "@kingcupglade/fleet";
 import { ItemKind } from "@kingcupglade/items";
 import type { StoredItem, StoredItems } from "@kingcupglade/items";
 import { defaultQuotaSettings, unpackAnswer } from "@kingcupglade/quotas";
@@ -31,20 +37,55 @@
 
 describe("QuotaDirectory", () => {
   let clock: ManualClock;
-  let state: { items: StoredItems };
+  let state: FleetState;
   let woken: string[];
+  let commands: FleetCommand[];
+  let isHeld: boolean;
+  let lines: string[];
 
   beforeEach(() => {
     clock = new ManualClock();
-    state = { items: new Map() };
+    state = emptyFleetState;
     woken = [];
+    commands = [];
+    isHeld = false;
+    lines = [];
   });
 
+  async function propose(command: FleetCommand): Promise<FleetOutcome> {
+    commands.push(command);
+    if (isHeld) return new Promise(() => {});
+    const applied = new FleetMachine().apply(state, command, commands.length);
+    state = applied.state;
+    return await Promise.resolve(applied.outcome);
+  }
+
+  function setItems(items: StoredItems): void {
+    state = { ...state, items };
+  }
+
+  /** Records a gateway as a borrower. */
+  async function record(directory: QuotaDirectory, gateway: string) {
+    exchange(directory, watch(gateway, 1, ["works", 0, 0]));
+    clock.advance(100);
+    directory.tick();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
   function createDirectory(): QuotaDirectory {
     return new QuotaDirectory({
-      replica: { state } as never,
+      replica: {
+        get state() {
+          return state;
+        },
+        propose,
+      },
       clock,
-      logger: logger as never,
+      logger: {
+        ...logger,
+        info: (event: string) => lines.push(event),
+        warn: (event: string) => lines.push(event),
+      } as never,
       term: 2,
       quotas: defaultQuotaSettings,
       wake: (gateway) => woken.push(gateway),
@@ -63,16 +104,79 @@
     )?.rows;
   }
 
-  it("lends the limit of a workspace that was added in its term", () => {
+  it("lends the limit of a workspace that was added in its term", async () => {
     const directory = createDirectory();
-    state.items = itemsOf(100);
-    const rows = exchange(directory, watch("a", 1, ["works", 0, 40]));
+    setItems(itemsOf(100));
+    await record(directory, "a");
+    const rows = exchange(directory, watch("a", 2, ["works", 0, 40]));
     expect(rows).toEqual([["works", 281]]);
   });
 
+  // Failure: a leader that is lost before the commit leaves a loan that its
+  // successor does not know.
+  it("lends nothing while the record of a gateway is not committed", async () => {
+    isHeld = true;
+    const directory = createDirectory();
+    setItems(itemsOf(100));
+    await record(directory, "a");
+    expect(commands).toEqual([
+      { kind: "changeBorrowers", add: ["a/i1"], remove: [] },
+    ]);
+    expect(exchange(directory, watch("a", 2, ["works", 0, 40]))).toEqual([]);
+  });
+
+  it("answers a gateway at once that has been recorded", async () => {
+    const directory = createDirectory();
+    setItems(itemsOf(100));
+    exchange(directory, watch("a", 1, ["works", 0, 40]));
+    expect(directory.isAnswerDue("a")).toBe(false);
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(woken).toEqual(["a"]);
+    expect(directory.isAnswerDue("a")).toBe(true);
+    exchange(directory, watch("a", 2, ["works", 0, 40]));
+    expect(directory.isAnswerDue("a")).toBe(false);
+  });
+
+  // Failure: a voter of an earlier release ends at a command that it does not
+  // know; there is none only while there are limits.
+  it("proposes no record without a workspace with a limit", async () => {
+    const directory = createDirectory();
+    await record(directory, "a");
+    setItems(itemsOf(0));
+    await record(directory, "b");
+    expect(commands).toEqual([]);
+  });
+
+  it("lends at once what its borrowers do not hold, once all have reported", async () => {
+    setItems(itemsOf(100));
+    await propose({ kind: "changeBorrowers", add: ["a/i1"], remove: [] });
+    const directory = createDirectory();
+    exchange(directory, watch("a", 1, ["works", 10, 40]));
+    expect(lines).toEqual([]);
+    const next = watch("a", 2, ["works", 10, 40]);
+    // It has applied the answer to its first report.
+    Object.assign(next, { quotas: [2, "i1", 1, 0, ["works", 10, 40]] });
+    expect(exchange(directory, next)).toEqual([["works", 281]]);
+    expect(lines).toEqual(["quotas-settled"]);
+  });
+
+  it("keeps a record whose removal may be committed from being used", async () => {
+    setItems(itemsOf(100));
+    await propose({ kind: "changeBorrowers", add: ["a/i1"], remove: [] });
+    const directory = createDirectory();
+    isHeld = true;
+    clock.advance(9000);
+    directory.tick();
+    clock.advance(10_000);
+    directory.tick();
+    expect(commands.at(-1)).toMatchObject({ remove: ["a/i1"] });
+    expect(exchange(directory, watch("a", 1, ["works", 0, 40]))).toEqual([]);
+  });
+
   // The former leader may have lent all of it to gateways that are silent.
   it("lends nothing at first of a limit that a former leader may have lent", () => {
-    state.items = itemsOf(100);
+    setItems(itemsOf(100));
+    state = { ...state, borrowers: new Map([["silent/i1", new Map()]]) };
     const directory = createDirectory();
     expect(exchange(directory, watch("a", 1, ["works", 0, 40]))).toEqual([]);
   });
@@ -94,13 +198,16 @@
 
   it("answers gateways at once that others are short of", async () => {
     const directory = createDirectory();
-    state.items = itemsOf(100);
-    exchange(directory, watch("a", 1, ["works", 0, 560]));
+    setItems(itemsOf(100));
+    await record(directory, "a");
+    await record(directory, "b");
+    exchange(directory, watch("a", 2, ["works", 0, 560]));
+    woken = [];
     // Its watch is held, so that it has not been told to return anything.
-    directory.recordWatch(watch("a", 2, ["works", 570, 10]));
+    directory.recordWatch(watch("a", 3, ["works", 570, 10]));
     directory.handleCall({
       gateway: "b",
-      report: [1, "i1", 0, 1, ["works", 0, 50]],
+      report: [2, "i1", 0, 0, ["works", 0, 50]],
     }, 0);
     await new Promise((resolve) => setImmediate(resolve));
     expect(woken).toContain("a");
--- a/packages/quotas/lent_allowances_fixture.ts
+++ b/packages/quotas/lent_allowances_fixture.ts
@@ -1,9 +1,12 @@
+import { BorrowerRecorder } from "./borrower_recorder.ts";
+import type { BorrowerRecorderOptions } from "./borrower_recorder.ts";
 import { packAnswer, packReport } from "./messages.ts";
 import type { QuotaReport } from "./messages.ts";
 import { QuotaAdmissions } from "./quota_admissions.ts";
 import { QuotaLender } from "./quota_lender.ts";
 import { loanMilliseconds } from "./quota_settings.ts";
 import type { QuotaSettings } from "./quota_settings.ts";
+import { SimulatedLeader, SimulatedLog } from "./simulated_leader_fixture.ts";
 import { DriftingClock } from "./simulated_network_fixture.ts";
 import {
   callTimeoutMilliseconds,
@@ -21,27 +24,15 @@
 /** Shortest time between two updates that a debtor is sent. */
 const wakeIntervalMilliseconds = 100;
 
-/** Leader of one term, which may go on after it was replaced. */
-class SimulatedLeader {
-  readonly name: string;
-  readonly lender: QuotaLender;
-  /** Ends the wait of a gateway's watch. */
-  readonly waiters = new Map<string, () => void>();
-  readonly wokenAt = new Map<string, number>();
-  /** When a quorum last confirmed it; undefined while it is confirmed. */
-  confirmedAt: number | undefined;
-
-  constructor(term: number, lender: QuotaLender) {
-    this.name = `control-${term}`;
-    this.lender = lender;
-  }
-}
+/** Time between the decisions of a leader. */
+const tickMilliseconds = 100;
 
 class SimulatedGateway {
   readonly name: string;
   readonly admissions: QuotaAdmissions;
   readonly incarnation: string;
-  leader = "";
+  /** The leader that it watches. */
+  leader: SimulatedLeader | undefined;
   isStopped = false;
 
   constructor(name: string, admissions: QuotaAdmissions, incarnation: string) {
@@ -54,14 +45,27 @@
 /** The allowances that the product uses. */
 export class LentAllowances extends SimulatedPolicy {
   readonly #gateways: SimulatedGateway[] = [];
+  readonly #create: (options: BorrowerRecorderOptions) => BorrowerRecorder;
   #leader: SimulatedLeader;
   /** A leader that was replaced and does not know it. */
   #former: SimulatedLeader | undefined;
+  /** Whether gateways choose between the two anew with each watch. */
+  #isFlapping = false;
   #term = 1;
   #incarnations = 0;
+  readonly log: SimulatedLog;
+  /** When the present leader began to lead. */
+  leadingSince = 0;
 
-  constructor(options: SimulatedFleetOptions) {
+  constructor(
+    options: SimulatedFleetOptions,
+    /** Tests inject faults by recorders of their own. */
+    create = (options: BorrowerRecorderOptions) =>
+      new BorrowerRecorder(options),
+  ) {
     super(options);
+    this.#create = create;
+    this.log = new SimulatedLog(options.network, () => this.#leader);
     this.#leader = this.#startLeader(() => 0);
     for (let index = 0; index < options.gateways; index += 1) {
       this.#gateways.push(this.#startGateway(index));
@@ -106,24 +110,40 @@
    * Replaces the leader, which does not know it and goes on to answer half of the
    * gateways for a time.
    */
-  replaceUnnoticed(milliseconds: number): void {
+  replaceUnnoticed(milliseconds: number, isFlapping = false): void {
     const { schedule } = this.options.network;
     const former = this.#leader;
-    former.confirmedAt = schedule.now();
+    former.confirmedAt ??= schedule.now();
     this.#former = former;
+    this.#isFlapping = isFlapping;
     this.#elect();
     schedule.after(milliseconds, () => {
       if (this.#former === former) this.#former = undefined;
     });
   }
 
+  /** The leader goes on, but cannot commit entries. */
+  stallCommits(milliseconds: number): void {
+    this.log.stall(milliseconds);
+  }
+
+  /** The leader stands still, and is replaced meanwhile. */
+  freezeLeader(milliseconds: number): void {
+    const { schedule, pausedUntil } = this.options.network;
+    this.#leader.confirmedAt ??= schedule.now();
+    pausedUntil.set(this.#leader.name, schedule.now() + milliseconds);
+    this.#elect();
+  }
+
   override restart(gateway: number): void {
     this.#gateways[gateway]!.isStopped = true;
     this.#gateways[gateway] = this.#startGateway(gateway);
   }
 
   #leaderOf(gateway: SimulatedGateway): SimulatedLeader {
-    const followsFormer = gateway.name.endsWith("-");
+    const followsFormer = this.#isFlapping
+      ? this.options.network.random() < 0.5
+      : gateway.name.endsWith("-");
     return followsFormer && this.#former ? this.#former : this.#leader;
   }
 
@@ -139,16 +159,48 @@
 
   #startLeader(lentBefore: (workspace: string) => number): SimulatedLeader {
     const { network, settings } = this.options;
-    return new SimulatedLeader(
-      this.#term,
-      new QuotaLender({
-        term: this.#term++,
-        windowMilliseconds: settings.windowMilliseconds,
-        startedAt: network.schedule.now(),
-        lentBefore,
-        total: (workspace) => this.total(workspace),
-      }),
+    const startedAt = network.schedule.now();
+    this.log.endTerm();
+    const term = this.#term++;
+    const leader = new SimulatedLeader(
+      `control-${term}`,
+      this.log.borrowers,
+      (self) => {
+        const recorder = this.#createRecorder(self);
+        const lender = new QuotaLender({
+          term,
+          windowMilliseconds: settings.windowMilliseconds,
+          startedAt,
+          lentBefore,
+          total: (workspace) => this.total(workspace),
+          recorder,
+        });
+        return { recorder, lender };
+      },
     );
+    this.leadingSince = startedAt;
+    network.at(leader.name, tickMilliseconds, () => this.#tick(leader));
+    return leader;
+  }
+
+  #createRecorder(leader: SimulatedLeader): BorrowerRecorder {
+    return this.#create({
+      committed: () => leader.borrowers,
+      isNeeded: () => true,
+      propose: (change, done) => this.log.propose({ leader, change, done }),
+      onExtended: (gateways) => {
+        for (const gateway of gateways) leader.waiters.get(gateway)?.();
+      },
+    });
+  }
+
+  #tick(leader: SimulatedLeader): void {
+    const { network } = this.options;
+    if (network.isolated.has(leader.name)) return;
+    const now = network.schedule.now();
+    leader.lender.tick(now);
+    leader.recorder.tick(now);
+    network.at(leader.name, tickMilliseconds, () => this.#tick(leader));
   }
 
   #startGateway(index: number): SimulatedGateway {
@@ -179,8 +231,8 @@
     if (gateway.isStopped) return;
     const { network } = this.options;
     const leader = this.#leaderOf(gateway);
-    const isNewLeader = gateway.leader !== leader.name;
-    gateway.leader = leader.name;
+    const isNewLeader = gateway.leader !== leader;
+    gateway.leader = leader;
     const report = gateway.admissions.quotas.report(isNewLeader);
     let isDone = false;
     const end = () => {
@@ -208,7 +260,7 @@
       network.at(leader.name, isNewLeader ? 1 : watchHoldMilliseconds, wake);
     });
     network.at(gateway.name, watchHoldMilliseconds + 400, () => {
-      if (!isDone) gateway.leader = "";
+      if (!isDone) gateway.leader = undefined;
       end();
     });
   }
@@ -229,19 +281,22 @@
 
   #call(gateway: SimulatedGateway): void {
     const { network } = this.options;
-    const leader = this.#leaderOf(gateway);
     const report = gateway.admissions.startCall();
+    // As in the product, a gateway calls the leader that it watches.
+    const { leader } = gateway;
     let isDone = false;
-    network.send(gateway.name, leader.name, packReport(report), () => {
-      this.#record(leader, gateway, report);
-      const answer = this.#answer(leader, gateway, report);
-      network.send(leader.name, gateway.name, packAnswer(answer), () => {
-        if (isDone) return;
-        isDone = true;
-        gateway.admissions.endCall(answer);
-        this.#drive(gateway);
+    const sendCall = (leader: SimulatedLeader) =>
+      network.send(gateway.name, leader.name, packReport(report), () => {
+        this.#record(leader, gateway, report);
+        const answer = this.#answer(leader, gateway, report);
+        network.send(leader.name, gateway.name, packAnswer(answer), () => {
+          if (isDone) return;
+          isDone = true;
+          gateway.admissions.endCall(answer);
+          this.#drive(gateway);
+        });
       });
-    });
+    if (leader) sendCall(leader);
     network.at(gateway.name, callTimeoutMilliseconds, () => {
       if (isDone) return;
       isDone = true;
@@ -255,11 +310,9 @@
     gateway: SimulatedGateway,
     report: QuotaReport,
   ): void {
-    leader.lender.record(
-      gateway.name,
-      report,
-      this.options.network.schedule.now(),
-    );
+    const now = this.options.network.schedule.now();
+    leader.lender.record(gateway.name, report, now);
+    leader.recorder.tick(now);
   }
 
   #answer(
--- a/packages/quotas/mod.ts
+++ b/packages/quotas/mod.ts
@@ -4,6 +4,10 @@
  *
  * @module
  */
+export { BorrowerRecorder, ProposalResult } from "./borrower_recorder.ts";
+export type { BorrowerRecorderOptions } from "./borrower_recorder.ts";
+export { borrowerId, changeBorrowers } from "./borrowers.ts";
+export type { BorrowerBounds, BorrowerChange, Borrowers } from "./borrowers.ts";
 export { GatewayQuotas, QuotaRejection } from "./gateway_quotas.ts";
 export type {
   GatewayQuotasOptions,
--- a/packages/quotas/quota_exploration_test.ts
+++ b/packages/quotas/quota_exploration_test.ts
@@ -1,5 +1,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
+import { BorrowerRecorder } from "./borrower_recorder.ts";
+import type { BorrowerRecorderOptions } from "./borrower_recorder.ts";
 import { totalAllowance } from "./quota_settings.ts";
 import type { QuotaLimit, QuotaSettings } from "./quota_settings.ts";
 import { offerLoads, seededRandom } from "./simulated_load_fixture.ts";
@@ -27,7 +29,17 @@
     }
     | { readonly kind: "restart"; readonly gateway: number }
     | { readonly kind: "lose-leader" }
-    | { readonly kind: "replace-leader"; readonly milliseconds: number }
+    | {
+      readonly kind: "replace-leader";
+      readonly milliseconds: number;
+      readonly isFlapping: boolean;
+    }
+    | {
+      readonly kind: "freeze-leader" | "stall-commits";
+      readonly milliseconds: number;
+    }
+    /** The leader and a gateway end together; the gateway starts again. */
+    | { readonly kind: "lose-both"; readonly gateway: number }
     | { readonly kind: "limit"; readonly rate: number }
   );
 
@@ -41,6 +53,8 @@
   readonly faults: readonly Fault[];
 }
 
+type CreateRecorder = (options: BorrowerRecorderOptions) => BorrowerRecorder;
+
 const at = fc.integer({ min: 2000, max: until - 5000 });
 const gateway = fc.integer({ min: 0, max: gateways - 1 });
 const milliseconds = fc.integer({ min: 100, max: 12_000 });
@@ -58,7 +72,19 @@
 ];
 const leaderFaults: readonly fc.Arbitrary<Fault>[] = [
   fc.record({ at, kind: fc.constant("lose-leader" as const) }),
-  fc.record({ at, kind: fc.constant("replace-leader" as const), milliseconds }),
+  fc.record({
+    at,
+    kind: fc.constant("replace-leader" as const),
+    milliseconds,
+    isFlapping: fc.boolean(),
+  }),
+  fc.record({
+    at,
+    kind: fc.constant("freeze-leader" as const),
+    milliseconds: fc.integer({ min: 100, max: 4000 }),
+  }),
+  fc.record({ at, kind: fc.constant("lose-both" as const), gateway }),
+  fc.record({ at, kind: fc.constant("stall-commits" as const), milliseconds }),
 ];
 const limitFault: fc.Arbitrary<Fault> = fc.record({
   at,
@@ -93,6 +119,7 @@
 
 function play(
   plan: Plan,
+  create?: CreateRecorder,
 ): { readonly record: LoadRecord; readonly totals: Limits } {
   const { settings, faults, limit } = plan;
   const network = new SimulatedNetwork(seededRandom(plan.seed));
@@ -106,7 +133,7 @@
     limits,
     // Lease clocks may differ by 2 %, window clocks by 0.1 %.
     drift: 0.001,
-  });
+  }, create);
   const totals: [number, number][] = [[0, totalAllowance(limit, settings)]];
   for (const fault of faults) {
     network.schedule.after(fault.at, () => {
@@ -158,7 +185,17 @@
       policy.loseLeader();
       break;
     case "replace-leader":
-      policy.replaceUnnoticed(fault.milliseconds);
+      policy.replaceUnnoticed(fault.milliseconds, fault.isFlapping);
+      break;
+    case "freeze-leader":
+      policy.freezeLeader(fault.milliseconds);
+      break;
+    case "stall-commits":
+      policy.stallCommits(fault.milliseconds);
+      break;
+    case "lose-both":
+      policy.loseLeader();
+      policy.restart(fault.gateway);
       break;
     case "limit":
       limits.set(workspace, {
@@ -240,3 +277,112 @@
     );
   });
 });
+
+/** Lends to gateways that no committed entry names. */
+class LendsBeforeCommit extends BorrowerRecorder {
+  override mayLend(): boolean {
+    return true;
+  }
+}
+
+/** Removes borrowers that have been silent, though their loans have not lapsed. */
+class RemovesEarly extends BorrowerRecorder {
+  readonly #seenAt = new Map<string, number>();
+  #now = 0;
+
+  override add(id: string): void {
+    this.#seenAt.set(id, this.#now);
+    super.add(id);
+  }
+
+  override tick(now: number): void {
+    this.#now = now;
+    for (const id of this.committed.keys()) {
+      const silence = now - (this.#seenAt.get(id) ?? -Infinity);
+      if (silence > 1500) super.remove(id, -Infinity);
+    }
+    super.tick(now);
+  }
+}
+
+function plansWith(
+  faultsOf: (start: number, gateway: number) => readonly Fault[],
+): fc.Arbitrary<Plan> {
+  return fc.record({
+    // All callers have moved to the gateway, and stay until its lease ends.
+    start: fc.integer({ min: 1, max: 3 }).map((turn) => turn * 6000 + 2000),
+    seed: fc.integer({ min: 1, max: 1_000_000 }),
+    ratePerSecond: fc.integer({ min: 20, max: 60 }),
+  }).map(({ start, seed, ratePerSecond }) => ({
+    seed,
+    limit: { ratePerSecond, burst: 0 },
+    load: 5,
+    loss: 0,
+    jitterMilliseconds: 1,
+    settings: { windowMilliseconds: 5000, overage: 0.1, slack: 20 },
+    faults: faultsOf(start, Math.floor(start / 6000) % gateways),
+  }));
+}
+
+/**
+ * A gateway starts while no entry is committed, is lent to, and is cut off shortly
+ * before another VM leads.
+ */
+const unrecordedPlans = plansWith((start, gateway) => [
+  { at: start - 5000, kind: "stall-commits", milliseconds: 12_000 },
+  { at: start - 4900, kind: "restart", gateway },
+  { at: start, kind: "cut-off", gateway, milliseconds: 12_000 },
+  { at: start + 100, kind: "lose-leader" },
+]);
+
+/** A gateway is cut off, and its leader is replaced while it still sends. */
+const silentPlans = plansWith((start, gateway) => [
+  { at: start, kind: "cut-off", gateway, milliseconds: 12_000 },
+  { at: start + 1700, kind: "lose-leader" },
+]);
+
+/** Two leaders are lost within the time in which loans lapse. */
+const twoLeaderPlans = plansWith((start, gateway) => [
+  { at: start, kind: "cut-off", gateway, milliseconds: 12_000 },
+  { at: start + 100, kind: "lose-leader" },
+  { at: start + 1700, kind: "lose-leader" },
+]);
+
+describe("Schedules of a lost leader", () => {
+  /** Returns what was violated; undefined for nothing. */
+  function violationOf(
+    plans: fc.Arbitrary<Plan>,
+    create?: CreateRecorder,
+  ): string | undefined {
+    const { failed, errorInstance } = fc.check(
+      fc.property(plans, (plan) => {
+        const { record, totals } = play(plan, create);
+        expectWithinTotals(record, totals, {
+          ...plan.settings,
+          memoryMilliseconds: 0,
+        });
+      }),
+      { numRuns: 20, seed: 1, endOnFailure: true },
+    );
+    return failed ? String(errorInstance) : undefined;
+  }
+
+  // The faults below would show nothing if these failed without them.
+  it.each([
+    ["a gateway is not recorded", unrecordedPlans],
+    ["a gateway is silent", silentPlans],
+    ["two leaders are lost", twoLeaderPlans],
+  ])("stay within the total if %s", (_name, plans) => {
+    expect(violationOf(plans)).toBeUndefined();
+  });
+
+  it("exceed the total if loans do not wait for the commit", () => {
+    const create: CreateRecorder = (options) => new LendsBeforeCommit(options);
+    expect(violationOf(unrecordedPlans, create)).toContain("in the window");
+  });
+
+  it("exceed the total if a borrower is removed before its loans lapse", () => {
+    const create: CreateRecorder = (options) => new RemovesEarly(options);
+    expect(violationOf(silentPlans, create)).toContain("in the window");
+  });
+});
--- a/packages/quotas/quota_lender.ts
+++ b/packages/quotas/quota_lender.ts
@@ -1,8 +1,16 @@
+import type { BorrowerRecorder } from "./borrower_recorder.ts";
+import { borrowerId, gatewayOf } from "./borrowers.ts";
 import type { QuotaAnswer, QuotaAnswerRow, QuotaReport } from "./messages.ts";
 import { loanMilliseconds } from "./quota_settings.ts";
 import { outstandingOf, WorkspaceLoans } from "./workspace_loans.ts";
 import type { Loan } from "./workspace_loans.ts";
 
+/**
+ * Answers that are remembered of a borrower that has applied none; at one watch a
+ * second and ten calls, more than a lease of them.
+ */
+const maximumAnswered = 64;
+
 /** An incarnation of a gateway that holds or may hold allowances. */
 interface Borrower {
   readonly incarnation: string;
@@ -12,6 +20,8 @@
   applied: number;
   /** When its loans lapse. */
   expiresAt: number;
+  /** Reports that were answered, until one of the answers was applied. */
+  readonly answered: Set<number>;
   readonly workspaces: Set<string>;
 }
 
@@ -31,6 +41,11 @@
    * if it has no limit.
    */
   readonly total: (workspace: string) => number;
+  /** Records who may hold loans; nothing is lent to others. */
+  readonly recorder: Pick<
+    BorrowerRecorder,
+    "committed" | "mayLend" | "add" | "remove"
+  >;
 }
 
 /**
@@ -47,11 +62,28 @@
   readonly #newest = new Map<string, string>();
   /** Workspaces whose gateways may have to return something. */
   readonly #changed = new Set<string>();
+  /**
+   * Borrowers of earlier leaders that may still accept answers of these: they
+   * have applied no answer of this one. A report alone does not prevent it.
+   */
+  readonly #unconfirmed: Set<string>;
   /** Whether all that an earlier leader lent was reported or has lapsed. */
   #isSettled = false;
 
   constructor(options: QuotaLenderOptions) {
     this.#options = options;
+    this.#unconfirmed = new Set(options.recorder.committed.keys());
+    if (this.#unconfirmed.size === 0) this.#settle();
+  }
+
+  /** Whether all that an earlier leader lent was reported or has lapsed. */
+  get isSettled(): boolean {
+    return this.#isSettled;
+  }
+
+  /** Borrowers of earlier leaders that may hold what is not known here. */
+  get unconfirmed(): ReadonlySet<string> {
+    return this.#unconfirmed;
   }
 
   /** Number of workspaces with outstanding allowances. */
@@ -75,6 +107,7 @@
     const borrower = known ?? this.#addBorrower(gateway, report, now);
     borrower.number = report.number;
     borrower.applied = Math.max(borrower.applied, report.applied);
+    this.#options.recorder.add(id);
     this.#dropAppliedAnswers(id, borrower, report);
     for (const [workspace, held, demand] of report.rows) {
       this.#recordRow({ id, borrower, workspace, held, demand }, {
@@ -83,6 +116,7 @@
       });
     }
     if (report.isWhole) this.#clearMissing(id, borrower, report);
+    this.#confirm(id, borrower);
   }
 
   /**
@@ -110,6 +144,7 @@
       return { ...answer, needsWhole: !borrower, rows: [] };
     }
     borrower.expiresAt = now + loanMilliseconds + windowMilliseconds;
+    if (this.#unconfirmed.has(id)) rememberAnswered(borrower, number);
     const rows: QuotaAnswerRow[] = [];
     for (const workspace of borrower.workspaces) {
       const row = this.#answerRow(id, workspace, number);
@@ -134,7 +169,7 @@
     return debtors;
   }
 
-  /** Drops loans that have lapsed; called periodically. */
+  /** Drops loans that have lapsed. */
   expire(now: number): void {
     const { startedAt, windowMilliseconds } = this.#options;
     for (const [id, borrower] of this.#borrowers) {
@@ -147,8 +182,33 @@
       if (this.#newest.get(gateway) === id) this.#newest.delete(gateway);
     }
     const settlesAt = startedAt + loanMilliseconds + windowMilliseconds;
-    if (this.#isSettled || now < settlesAt) return;
+    if (!this.#isSettled && now >= settlesAt) this.#settle();
+  }
+
+  /** Drops what has lapsed, also from the record; called periodically. */
+  tick(now: number): void {
+    this.expire(now);
+    const { startedAt, windowMilliseconds, recorder } = this.#options;
+    // Borrowers of an earlier leader may not have reported yet.
+    const lapsesAt = startedAt + loanMilliseconds + windowMilliseconds;
+    if (now < lapsesAt) return;
+    for (const id of recorder.committed.keys()) {
+      if (!this.#borrowers.has(id)) recorder.remove(id, now);
+    }
+  }
+
+  // The borrower has applied an answer of this term, and applies none of an
+  // earlier one from then on.
+  #confirm(id: string, { applied, answered }: Borrower): void {
+    if (!answered.has(applied)) return;
+    answered.clear();
+    this.#unconfirmed.delete(id);
+    if (!this.#isSettled && this.#unconfirmed.size === 0) this.#settle();
+  }
+
+  #settle(): void {
     this.#isSettled = true;
+    this.#unconfirmed.clear();
     for (const [workspace, loans] of [...this.#loans]) {
       loans.unknown = 0;
       loans.changed();
@@ -167,6 +227,7 @@
       number: 0,
       applied: 0,
       expiresAt: now + loanMilliseconds + this.#options.windowMilliseconds,
+      answered: new Set(),
       workspaces: new Set(),
     };
     this.#borrowers.set(id, borrower);
@@ -256,7 +317,10 @@
   ): QuotaAnswerRow | undefined {
     const loans = this.#loansOf(workspace);
     const loan = loans.get(id)!;
-    const allowance = loans.allowanceFor(id, this.#newest.size);
+    // What a borrower without a record reports is not renewed either.
+    const allowance = this.#options.recorder.mayLend(id)
+      ? loans.allowanceFor(id, this.#newest.size)
+      : 0;
     const newest = loan.answers.at(-1)?.allowance ?? loan.held;
     if (allowance === loan.held && newest === loan.held) return undefined;
     loan.answers = recordAnswer(loan.answers, { number, allowance });
@@ -309,10 +373,10 @@
   ];
 }
 
-function borrowerId(gateway: string, incarnation: string): string {
-  return `${gateway}/${incarnation}`;
-}
-
-function gatewayOf(id: string): string {
-  return id.slice(0, id.lastIndexOf("/"));
+function rememberAnswered({ answered }: Borrower, number: number): void {
+  answered.add(number);
+  for (const oldest of answered) {
+    if (answered.size <= maximumAnswered) break;
+    answered.delete(oldest);
+  }
 }
--- a/packages/quotas/quota_lender_test.ts
+++ b/packages/quotas/quota_lender_test.ts
@@ -1,25 +1,44 @@
 import { beforeEach, describe, expect, it } from "vitest";
 import { QuotaLender } from "./quota_lender.ts";
+import type { QuotaLenderOptions } from "./quota_lender.ts";
 import type { QuotaReport, QuotaReportRow } from "./messages.ts";
 
 const now = 1000;
 
 describe("QuotaLender", () => {
   let total: number;
+  let added: string[];
+  let removed: string[];
+  let recorder: QuotaLenderOptions["recorder"];
   let lender: QuotaLender;
 
   beforeEach(() => {
     total = 100;
+    added = [];
+    removed = [];
+    recorder = {
+      committed: new Map(),
+      mayLend: () => true,
+      add: (id) => added.push(id),
+      remove: (id) => removed.push(id),
+    };
     lender = createLender(0);
   });
 
-  function createLender(lentBefore: number): QuotaLender {
+  function createLender(
+    lentBefore: number,
+    recorded: readonly string[] = [],
+  ): QuotaLender {
     return new QuotaLender({
       term: 3,
       windowMilliseconds: 5000,
       startedAt: now,
       lentBefore: () => lentBefore,
       total: () => total,
+      recorder: {
+        ...recorder,
+        committed: new Map([...recorded].map((id) => [id, new Map()])),
+      },
     });
   }
 
@@ -117,7 +136,8 @@
 
   describe("after another leader", () => {
     beforeEach(() => {
-      lender = createLender(100);
+      // Another borrower of the former leader is silent.
+      lender = createLender(100, ["a/i1", "b/i1", "silent/i1"]);
     });
 
     it("renews what is reported and lends nothing else", () => {
@@ -146,4 +166,87 @@
       expect(later.rows).toEqual([["works", 100]]);
     });
   });
+
+  describe("after another leader with recorded borrowers", () => {
+    beforeEach(() => {
+      lender = createLender(100, ["a/i1", "b/i1"]);
+    });
+
+    /** A gateway reports, applies the answer, and reports again. */
+    function settle(gateway: string, row: QuotaReportRow): void {
+      exchange(gateway, report(1, [row]));
+      exchange(gateway, report(2, [], { applied: 1 }));
+    }
+
+    it("lends the rest once all of them have applied an answer", () => {
+      settle("a", ["works", 40, 40]);
+      expect(lender.isSettled).toBe(false);
+      settle("b", ["works", 10, 10]);
+      expect(lender.isSettled).toBe(true);
+      expect(exchange("a", report(3, [["works", 40, 60]])).rows)
+        .toEqual([["works", 75]]);
+    });
+
+    // Failure: a gateway that reports here and returns to the former leader
+    // accepts what that one lends, until it has applied an answer of this one.
+    it("lends nothing else while one has reported without an answer", () => {
+      settle("a", ["works", 40, 60]);
+      exchange("b", report(1, [["works", 10, 10]]));
+      exchange("b", report(2, [], { applied: 0 }));
+      expect(exchange("a", report(3, [])).rows).toEqual([]);
+      expect(lender.outstanding("works")).toBe(100);
+    });
+
+    // Failure: an answer of the former leader would be taken for one of this.
+    it("does not count the answer to a report to another leader", () => {
+      settle("a", ["works", 40, 60]);
+      exchange(
+        "b",
+        report(3, [["works", 10, 10]], {
+          applied: 2,
+          isWhole: true,
+        }),
+      );
+      expect(lender.isSettled).toBe(false);
+    });
+
+    // Failure: what it lent before the restart is still in use.
+    it("does not count the next life of a gateway that restarted", () => {
+      settle("a", ["works", 40, 60]);
+      exchange("b", report(1, [], { incarnation: "i2" }));
+      exchange("b", report(2, [], { incarnation: "i2" }));
+      expect(exchange("a", report(3, [])).rows).toEqual([]);
+      lender.expire(now + 9000);
+      expect(lender.isSettled).toBe(true);
+    });
+
+    it("lends at once if no borrower is recorded", () => {
+      lender = createLender(100);
+      expect(exchange("a", report(1, [["works", 0, 20]])).rows)
+        .toEqual([["works", 50]]);
+    });
+  });
+
+  describe("with borrowers that are not recorded", () => {
+    beforeEach(() => {
+      recorder = { ...recorder, mayLend: (id) => id === "a/i1" };
+      lender = createLender(0, ["a/i1"]);
+    });
+
+    // Failure: the next leader would not know of the loan.
+    it("lends nothing to them, and renews nothing", () => {
+      expect(exchange("b", report(1, [["works", 0, 20]])).rows).toEqual([]);
+      expect(exchange("c", report(1, [["works", 7, 20]])).rows)
+        .toEqual([["works", 0]]);
+    });
+
+    it("asks for the record of those that report, and the removal of others", () => {
+      exchange("b", report(1, [["works", 0, 20]]));
+      expect(added).toEqual(["b/i1"]);
+      lender.tick(now + 8999);
+      expect(removed).toEqual([]);
+      lender.tick(now + 9000);
+      expect(removed).toEqual(["a/i1"]);
+    });
+  });
 });
