Bound what a silent borrower may hold of each workspace

A recorded gateway that was lost together with the leader would have kept the next one from lending until lease and window had passed. Each pair of borrower and workspace has a bound: an eighth of the total, at least 2, or a higher one in the log, the default doubled until it suffices. A leader lends no more than the committed bound; the response grants what it allows, and the watch is answered once more is committed. A new leader counts at most the bounds of the borrowers that have applied none of its answers. Bounds are lowered after 30 s in which less than a quarter was held, and hold from the request on.

A bound that is counted is not rounded: with a total that was lowered, the sum of rounded bounds would fall faster than the total.

--- a/packages/fleet/fleet_machine_test.ts
+++ b/packages/fleet/fleet_machine_test.ts
@@ -23,6 +23,23 @@
     expect([...state.borrowers.keys()]).toEqual(["b/1", "c/1"]);
   });
 
+  it("sets bounds of borrowers, and drops them with the borrower", () => {
+    const bounds = [["a/1", "works", 50], ["b/1", "works", 20]] as const;
+    state = machine.apply(state, {
+      kind: "changeBorrowers",
+      add: ["a/1"],
+      remove: [],
+      bounds,
+    }, 1).state;
+    expect(state.borrowers).toEqual(
+      new Map([["a/1", new Map([["works", 50]])]]),
+    );
+    expect(machine.restore(machine.encode(state))).toEqual(state);
+    change([], ["a/1"]);
+    change(["a/1"], []);
+    expect(state.borrowers).toEqual(new Map([["a/1", new Map()]]));
+  });
+
   // Failure: a leader that starts from a snapshot lends what others hold.
   it("keeps borrowers in snapshots", () => {
     change(["a/1", "b/1"], []);
--- a/packages/fleet_control/quota_directory.ts
+++ b/packages/fleet_control/quota_directory.ts
@@ -151,6 +151,7 @@
     const fields = {
       added: change.add.join(","),
       removed: change.remove.join(","),
+      bounds: (change.bounds ?? []).map((row) => row.join(" ")).join(","),
     };
     try {
       await replica.propose({ kind: "changeBorrowers", ...change });
--- a/packages/quotas/borrower_recorder_test.ts
+++ b/packages/quotas/borrower_recorder_test.ts
@@ -122,4 +122,62 @@
       expect(proposals).toHaveLength(1);
     });
   });
+
+  describe("with bounds", () => {
+    beforeEach(() => {
+      committed = new Map([["a/1", new Map([["works", 50]])]]);
+    });
+
+    // Failure: the next leader would count the lower bound.
+    it("lends by a higher bound only once it is committed", () => {
+      recorder.raise("a/1", "works", 100);
+      recorder.tick(0);
+      expect(recorder.bound("a/1", "works", 100)).toBe(50);
+      commitLast();
+      expect(recorder.bound("a/1", "works", 100)).toBe(100);
+      expect(extended).toEqual(["a"]);
+    });
+
+    it("has a default bound of an eighth, and at least 2", () => {
+      expect(recorder.bound("b/1", "works", 100)).toBe(12);
+      expect(recorder.bound("b/1", "works", 9)).toBe(2);
+      expect(recorder.bound("b/1", "works", 1)).toBe(1);
+    });
+
+    // Failure: a loan between the proposal and the commit of a lower bound would
+    // be counted too low by the next leader.
+    it("lends by a lower bound from the moment it is asked for", () => {
+      recorder.reduce(["a/1", "works", 0], 0);
+      expect(recorder.bound("a/1", "works", 100)).toBe(12);
+      recorder.tick(10_000);
+      expect(proposals.at(-1)!.change.bounds).toEqual([["a/1", "works", 0]]);
+      proposals.at(-1)!.done(ProposalResult.unknown);
+      recorder.raise("a/1", "works", 50);
+      expect(recorder.bound("a/1", "works", 100)).toBe(12);
+    });
+
+    it("keeps the bound if it is needed before the entry is proposed", () => {
+      recorder.reduce(["a/1", "works", 0], 0);
+      recorder.raise("a/1", "works", 25);
+      recorder.tick(20_000);
+      expect(proposals).toEqual([]);
+      expect(recorder.bound("a/1", "works", 100)).toBe(50);
+    });
+
+    it("raises a bound again that an entry in progress lowers", () => {
+      recorder.reduce(["a/1", "works", 0], 0);
+      recorder.tick(10_000);
+      recorder.raise("a/1", "works", 25);
+      commitLast();
+      recorder.tick(10_100);
+      expect(proposals.at(-1)!.change.bounds).toEqual([["a/1", "works", 25]]);
+    });
+
+    it("records no bound of a borrower that it removes", () => {
+      recorder.raise("a/1", "works", 100);
+      recorder.remove("a/1", 0);
+      recorder.tick(0);
+      expect(proposals.at(-1)!.change).toEqual({ add: [], remove: ["a/1"] });
+    });
+  });
 });
--- a/packages/quotas/quota_lender.ts
+++ b/packages/quotas/quota_lender.ts
@@ -1,9 +1,14 @@
 import type { BorrowerRecorder } from "./borrower_recorder.ts";
 import { borrowerId, gatewayOf } from "./borrowers.ts";
+import { LoanBounds } from "./loan_bounds.ts";
+import type { BoundRecorder } from "./loan_bounds.ts";
 import type { QuotaAnswer, QuotaAnswerRow, QuotaReport } from "./messages.ts";
 import { loanMilliseconds } from "./quota_settings.ts";
-import { outstandingOf, WorkspaceLoans } from "./workspace_loans.ts";
-import type { Loan } from "./workspace_loans.ts";
+import {
+  outstandingOf,
+  recordAnswer,
+  WorkspaceLoans,
+} from "./workspace_loans.ts";
 
 /**
  * Answers that are remembered of a borrower that has applied none; at one watch a
@@ -42,10 +47,7 @@
    */
   readonly total: (workspace: string) => number;
   /** Records who may hold loans; nothing is lent to others. */
-  readonly recorder: Pick<
-    BorrowerRecorder,
-    "committed" | "mayLend" | "add" | "remove"
-  >;
+  readonly recorder: BoundRecorder & Pick<BorrowerRecorder, "add" | "remove">;
 }
 
 /**
@@ -67,11 +69,13 @@
    * have applied no answer of this one. A report alone does not prevent it.
    */
   readonly #unconfirmed: Set<string>;
+  readonly #bounds: LoanBounds;
   /** Whether all that an earlier leader lent was reported or has lapsed. */
   #isSettled = false;
 
   constructor(options: QuotaLenderOptions) {
     this.#options = options;
+    this.#bounds = new LoanBounds(options.recorder);
     this.#unconfirmed = new Set(options.recorder.committed.keys());
     if (this.#unconfirmed.size === 0) this.#settle();
   }
@@ -195,6 +199,10 @@
     for (const id of recorder.committed.keys()) {
       if (!this.#borrowers.has(id)) recorder.remove(id, now);
     }
+    this.#bounds.review(now, {
+      total: (workspace) => this.#total(workspace),
+      outstanding: (id, workspace) => this.#outstandingOf(id, workspace),
+    });
   }
 
   // The borrower has applied an answer of this term, and applies none of an
@@ -317,10 +325,13 @@
   ): QuotaAnswerRow | undefined {
     const loans = this.#loansOf(workspace);
     const loan = loans.get(id)!;
-    // What a borrower without a record reports is not renewed either.
-    const allowance = this.#options.recorder.mayLend(id)
-      ? loans.allowanceFor(id, this.#newest.size)
-      : 0;
+    const allowance = this.#bounds.limit({
+      id,
+      workspace,
+      allowance: loans.allowanceFor(id, this.#newest.size),
+      demand: loan.demand,
+      total: loans.total,
+    });
     const newest = loan.answers.at(-1)?.allowance ?? loan.held;
     if (allowance === loan.held && newest === loan.held) return undefined;
     loan.answers = recordAnswer(loan.answers, { number, allowance });
@@ -349,9 +360,21 @@
       this.#loans.set(workspace, loans);
     }
     loans.total = total;
+    if (!this.#isSettled) {
+      loans.unknownLimit = this.#bounds.unknown(workspace, {
+        total: this.#options.lentBefore(workspace),
+        borrowers: this.#unconfirmed,
+        known: (id) => this.#outstandingOf(id, workspace),
+      });
+    }
     return loans;
   }
 
+  #outstandingOf(id: string, workspace: string): number {
+    const loan = this.#loans.get(workspace)?.get(id);
+    return loan ? outstandingOf(loan) : 0;
+  }
+
   // A gateway needs no allowance for a workspace without a limit.
   #total(workspace: string): number {
     const total = this.#options.total(workspace);
@@ -359,20 +382,6 @@
   }
 }
 
-// Answers with the same allowance are kept as one, so that a gateway that
-// receives no answers takes no memory for each of its reports.
-function recordAnswer(
-  answers: Loan["answers"],
-  { number, allowance }: Loan["answers"][number],
-): Loan["answers"] {
-  const same = answers.find((each) => each.allowance === allowance);
-  const others = answers.filter((each) => each !== same);
-  return [
-    ...others,
-    { number: Math.max(number, same?.number ?? 0), allowance },
-  ];
-}
-
 function rememberAnswered({ answered }: Borrower, number: number): void {
   answered.add(number);
   for (const oldest of answered) {
--- a/packages/quotas/workspace_loans.ts
+++ b/packages/quotas/workspace_loans.ts
@@ -34,6 +34,22 @@
   );
 }
 
+/**
+ * Returns the answers with one more. Those with the same allowance are kept as
+ * one, so that a gateway that receives none takes no memory for each report.
+ */
+export function recordAnswer(
+  answers: Loan["answers"],
+  { number, allowance }: Loan["answers"][number],
+): Loan["answers"] {
+  const same = answers.find((each) => each.allowance === allowance);
+  const others = answers.filter((each) => each !== same);
+  return [
+    ...others,
+    { number: Math.max(number, same?.number ?? 0), allowance },
+  ];
+}
+
 /** Returns the allowance that the gateway was last told to have. */
 function toldTo({ held, answers }: Loan): number {
   return answers.at(-1)?.allowance ?? held;
@@ -43,6 +59,7 @@
 export class WorkspaceLoans {
   readonly #loans = new Map<string, Loan>();
   #unknown: number;
+  #unknownLimit = Infinity;
   #total: number;
   /** Undefined after a change, as the two below. */
   #shares: Map<string, number> | undefined;
@@ -64,6 +81,12 @@
     this.#unknown = unknown;
   }
 
+  /** Largest amount that may be unknown by another rule. */
+  set unknownLimit(limit: number) {
+    if (limit !== this.#unknownLimit) this.changed();
+    this.#unknownLimit = limit;
+  }
+
   /** Number of gateways with an allowance or a demand. */
   get size(): number {
     return this.#loans.size;
@@ -138,7 +161,7 @@
   }
 
   #sum(amountOf: (loan: Loan) => number): number {
-    let sum = this.#unknown;
+    let sum = Math.min(this.#unknown, this.#unknownLimit);
     for (const loan of this.#loans.values()) sum += amountOf(loan);
     return sum;
   }
@@ -179,6 +202,7 @@
   }
 }
 
-function withHeadroom(demand: number): number {
+/** Returns the allowance that is lent for a demand while there is room. */
+export function withHeadroom(demand: number): number {
   return demand + Math.floor(demand * headroomShare);
 }
