Let the leader lend by the limits of the settings

A control VM did not pass its quota settings to the session of the leader, which lent by the defaults: other settings of window, overage and slack took effect at gateways only. With a longer window, loans lapsed too early. The settings of deploy/settings.ini have the default values as rendered for the first site.

The session gets the settings. Types, and the tests of packages/fleet_control; no test starts a control VM with other quota settings.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -307,7 +307,7 @@
   }
 
   #startSession(replica: FleetReplica): void {
-    const { clock, logger, regions, region, revokeMilliseconds } =
+    const { clock, logger, regions, region, revokeMilliseconds, quotas } =
       this.#options;
     const { heartbeatMilliseconds, controlAddress } = this.#options;
     this.#seals.checkSources(replica.state.items);
@@ -320,6 +320,7 @@
       controlAddress,
       region,
       ...(revokeMilliseconds !== undefined && { revokeMilliseconds }),
+      ...(quotas && { quotas }),
       regionOf: (dataCentre) => regions[dataCentre] ?? "",
       controlAddresses: () => [
         this.#options.peerAddress,
