--- a/packages/quotas/quota_lender.ts
+++ b/packages/quotas/quota_lender.ts
@@ -1,7 +1,20 @@
+import type { BorrowerRecorder } from "./borrower_recorder.ts";
+import { borrowerId, gatewayOf } from "./borrowers.ts";
+import { LoanBounds } from "./loan_bounds.ts";
+import type { BoundRecorder } from "./loan_bounds.ts";
 import type { QuotaAnswer, QuotaAnswerRow, QuotaReport } from "./messages.ts";
 import { loanMilliseconds } from "./quota_settings.ts";
-import { outstandingOf, WorkspaceLoans } from "./workspace_loans.ts";
-import type { Loan } from "./workspace_loans.ts";
+import {
+  outstandingOf,
+  recordAnswer,
+  WorkspaceLoans,
+} from "./workspace_loans.ts";
+
+/**
+ * Answers that are remembered of a borrower that has applied none; at one watch a
+ * second and ten calls, more than a lease of them.
+ */
+const maximumAnswered = 64;
 
 /** An incarnation of a gateway that holds or may hold allowances. */
 interface Borrower {
@@ -12,6 +25,8 @@
   applied: number;
   /** When its loans lapse. */
   expiresAt: number;
+  /** Reports that were answered, until one of the answers was applied. */
+  readonly answered: Set<number>;
   readonly workspaces: Set<string>;
 }
 
@@ -31,6 +46,8 @@
    * if it has no limit.
    */
   readonly total: (workspace: string) => number;
+  /** Records who may hold loans; nothing is lent to others. */
+  readonly recorder: BoundRecorder & Pick<BorrowerRecorder, "add" | "remove">;
 }
 
 /**
@@ -47,11 +64,30 @@
   readonly #newest = new Map<string, string>();
   /** Workspaces whose gateways may have to return something. */
   readonly #changed = new Set<string>();
+  /**
+   * Borrowers of earlier leaders that may still accept answers of these: they
+   * have applied no answer of this one. A report alone does not prevent it.
+   */
+  readonly #unconfirmed: Set<string>;
+  readonly #bounds: LoanBounds;
   /** Whether all that an earlier leader lent was reported or has lapsed. */
   #isSettled = false;
 
   constructor(options: QuotaLenderOptions) {
     this.#options = options;
+    this.#bounds = new LoanBounds(options.recorder);
+    this.#unconfirmed = new Set(options.recorder.committed.keys());
+    if (this.#unconfirmed.size === 0) this.#settle();
+  }
+
+  /** Whether all that an earlier leader lent was reported or has lapsed. */
+  get isSettled(): boolean {
+    return this.#isSettled;
+  }
+
+  /** Borrowers of earlier leaders that may hold what is not known here. */
+  get unconfirmed(): ReadonlySet<string> {
+    return this.#unconfirmed;
   }
 
   /** Number of workspaces with outstanding allowances. */
@@ -75,6 +111,7 @@
     const borrower = known ?? this.#addBorrower(gateway, report, now);
     borrower.number = report.number;
     borrower.applied = Math.max(borrower.applied, report.applied);
+    this.#options.recorder.add(id);
     this.#dropAppliedAnswers(id, borrower, report);
     for (const [workspace, held, demand] of report.rows) {
       this.#recordRow({ id, borrower, workspace, held, demand }, {
@@ -83,6 +120,7 @@
       });
     }
     if (report.isWhole) this.#clearMissing(id, borrower, report);
+    this.#confirm(id, borrower);
   }
 
   /**
@@ -110,6 +148,7 @@
       return { ...answer, needsWhole: !borrower, rows: [] };
     }
     borrower.expiresAt = now + loanMilliseconds + windowMilliseconds;
+    if (this.#unconfirmed.has(id)) rememberAnswered(borrower, number);
     const rows: QuotaAnswerRow[] = [];
     for (const workspace of borrower.workspaces) {
       const row = this.#answerRow(id, workspace, number);
@@ -134,7 +173,7 @@
     return debtors;
   }
 
-  /** Drops loans that have lapsed; called periodically. */
+  /** Drops loans that have lapsed. */
   expire(now: number): void {
     const { startedAt, windowMilliseconds } = this.#options;
     for (const [id, borrower] of this.#borrowers) {
@@ -147,8 +186,37 @@
       if (this.#newest.get(gateway) === id) this.#newest.delete(gateway);
     }
     const settlesAt = startedAt + loanMilliseconds + windowMilliseconds;
-    if (this.#isSettled || now < settlesAt) return;
+    if (!this.#isSettled && now >= settlesAt) this.#settle();
+  }
+
+  /** Drops what has lapsed, also from the record; called periodically. */
+  tick(now: number): void {
+    this.expire(now);
+    const { startedAt, windowMilliseconds, recorder } = this.#options;
+    // Borrowers of an earlier leader may not have reported yet.
+    const lapsesAt = startedAt + loanMilliseconds + windowMilliseconds;
+    if (now < lapsesAt) return;
+    for (const id of recorder.committed.keys()) {
+      if (!this.#borrowers.has(id)) recorder.remove(id, now);
+    }
+    this.#bounds.review(now, {
+      total: (workspace) => this.#total(workspace),
+      outstanding: (id, workspace) => this.#outstandingOf(id, workspace),
+    });
+  }
+
+  // The borrower has applied an answer of this term, and applies none of an
+  // earlier one from then on.
+  #confirm(id: string, { applied, answered }: Borrower): void {
+    if (!answered.has(applied)) return;
+    answered.clear();
+    this.#unconfirmed.delete(id);
+    if (!this.#isSettled && this.#unconfirmed.size === 0) this.#settle();
+  }
+
+  #settle(): void {
     this.#isSettled = true;
+    this.#unconfirmed.clear();
     for (const [workspace, loans] of [...this.#loans]) {
       loans.unknown = 0;
       loans.changed();
@@ -167,6 +235,7 @@
       number: 0,
       applied: 0,
       expiresAt: now + loanMilliseconds + this.#options.windowMilliseconds,
+      answered: new Set(),
       workspaces: new Set(),
     };
     this.#borrowers.set(id, borrower);
@@ -256,7 +325,13 @@
   ): QuotaAnswerRow | undefined {
     const loans = this.#loansOf(workspace);
     const loan = loans.get(id)!;
-    const allowance = loans.allowanceFor(id, this.#newest.size);
+    const allowance = this.#bounds.limit({
+      id,
+      workspace,
+      allowance: loans.allowanceFor(id, this.#newest.size),
+      demand: loan.demand,
+      total: loans.total,
+    });
     const newest = loan.answers.at(-1)?.allowance ?? loan.held;
     if (allowance === loan.held && newest === loan.held) return undefined;
     loan.answers = recordAnswer(loan.answers, { number, allowance });
@@ -285,9 +360,21 @@
       this.#loans.set(workspace, loans);
     }
     loans.total = total;
+    if (!this.#isSettled) {
+      loans.unknownLimit = this.#bounds.unknown(workspace, {
+        total: this.#options.lentBefore(workspace),
+        borrowers: this.#unconfirmed,
+        known: (id) => this.#outstandingOf(id, workspace),
+      });
+    }
     return loans;
   }
 
+  #outstandingOf(id: string, workspace: string): number {
+    const loan = this.#loans.get(workspace)?.get(id);
+    return loan ? outstandingOf(loan) : 0;
+  }
+
   // A gateway needs no allowance for a workspace without a limit.
   #total(workspace: string): number {
     const total = this.#options.total(workspace);
@@ -295,24 +382,10 @@
   }
 }
 
-// Answers with the same allowance are kept as one, so that a gateway that
-// receives no answers takes no memory for each of its reports.
-function recordAnswer(
-  answers: Loan["answers"],
-  { number, allowance }: Loan["answers"][number],
-): Loan["answers"] {
-  const same = answers.find((each) => each.allowance === allowance);
-  const others = answers.filter((each) => each !== same);
-  return [
-    ...others,
-    { number: Math.max(number, same?.number ?? 0), allowance },
-  ];
-}
-
-function borrowerId(gateway: string, incarnation: string): string {
-  return `${gateway}/${incarnation}`;
-}
-
-function gatewayOf(id: string): string {
-  return id.slice(0, id.lastIndexOf("/"));
+function rememberAnswered({ answered }: Borrower, number: number): void {
+  answered.add(number);
+  for (const oldest of answered) {
+    if (answered.size <= maximumAnswered) break;
+    answered.delete(oldest);
+  }
 }
