Read on after a response that closes a connection, on every listener

Cause: on listeners without PipelineLimits (peers, control, operators), Node.js destroyed the socket as soon as a response with `Connection: close` was sent. The system resets a connection that is closed with unread bytes, so a caller whose body came after its response got EPIPE or ECONNRESET. During a planned stop, every response closes its connection. Listeners with PipelineLimits already lingered.

Requests that arrive then count as unanswered during a stop only.

The new test fails without the change (3 of 3 runs) and passes with it; its case with PipelineLimits passed before.

--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -126,6 +126,8 @@
       this.#connections.set(socket, connection);
       socket.once("close", () => this.#connections.delete(socket));
       const { pipelineLimits: limits } = options;
+      // Node.js calls it after a response that closes the connection.
+      socket.destroySoon = () => connection.linger();
       if (!limits) return;
       const pipeline = new CallerPipeline({ socket, connection, limits });
       this.#pipelines.set(socket, pipeline);
@@ -258,7 +260,7 @@
   #receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.get(request.socket);
     if (connection?.isEnded) {
-      this.#unansweredCount += 1;
+      if (this.#isDraining) this.#unansweredCount += 1;
       request.resume();
       return;
     }
--- a/packages/transport/http_listener_close_test.ts
+++ b/packages/transport/http_listener_close_test.ts
@@ -8,6 +8,7 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { HttpListener } from "./http_listener.ts";
 import type { HttpListenerOptions } from "./http_listener.ts";
+import { PipelineLimits } from "./pipeline_limits.ts";
 
 const host = `${loopbackPrefix()}.1`;
 const port = 7392;
@@ -198,6 +199,33 @@
     expect(caller.received).toContain("whole");
   });
 
+  // Guards against resets of a caller whose body arrives after its response.
+  it.each([
+    ["with", new PipelineLimits()],
+    ["without", undefined],
+  ])(
+    "reads the rest of a body, %s limits of pipelined requests",
+    async (_, pipelineLimits) => {
+      const closing = await open({ pipelineLimits });
+      closing.refuseReuse();
+      const socket = connect({ port, host, allowHalfOpen: true });
+      const caller = call(socket);
+      caller.send(
+        "PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 200000\r\n\r\n",
+      );
+      expect(await caller.ended).toBe("end");
+      expect(caller.received).toContain("whole");
+      for (let part = 0; part < 4; part += 1) {
+        caller.send("x".repeat(50_000));
+        await pause(1);
+      }
+      expect(socket.errored).toBeNull();
+      socket.end();
+      expect(await closing.close()).toMatchObject({ open: 0, unanswered: 0 });
+      expect(socket.errored).toBeNull();
+    },
+  );
+
   // Guards against stops that wait for connections on which nothing comes.
   it("ends connections on which no request comes", async () => {
     const closing = await open();
--- a/packages/transport/listener_connection.ts
+++ b/packages/transport/listener_connection.ts
@@ -119,6 +119,19 @@
     }
   }
 
+  /**
+   * Ends the connection after its last response, and reads on until the caller
+   * ends it as well. The system resets a connection that is closed before all
+   * bytes were read, and the caller could lose the response.
+   */
+  linger(): void {
+    if (this.#endedAt !== undefined) return;
+    this.#endedAt = performance.now();
+    this.#socket.end();
+    const timer = setTimeout(() => this.#socket.destroy(), lingerMilliseconds);
+    this.#socket.once("close", () => clearTimeout(timer));
+  }
+
   destroy(): void {
     this.#socket.destroy();
   }
