Close a listener once callers have reconnected, in a short turn

Cause: the kernel resets connections that it has completed and the process has not accepted when the listening socket closes. libuv accepts one a turn, and the listener closed at the end of the first turn that accepted none. Callers whose response had ended some milliseconds before were still to reconnect, and work in that turn, or a busy machine, left up to 29 ms between the look at the queue and the close. In all trials of the listener alone, callers that were reset had connected, were never accepted, and had received no byte.

Change: AcceptQueue waits until no connection was accepted for 60 ms and closes in a turn of 0.25 ms at most; after 100 ms without connections, or a fifth of the time left (at most 500 ms), a longer turn suffices. While each turn accepts a connection it goes on for a third of the time left, at most 1 s. Connections above the maximum count, too. Deadlines of held requests run from their arrival. `listener-closed` has `uncheckedMilliseconds`. The creation of the server moved to listener_server.ts.

--- a/packages/fleet_gateway/requests/request_handler.ts
+++ b/packages/fleet_gateway/requests/request_handler.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Route } from "@kingcupglade/items";
 import { describeFailure } from "@kingcupglade/telemetry";
-import { hasCallerLeft } from "@kingcupglade/transport";
+import { hasCallerLeft, heldMilliseconds } from "@kingcupglade/transport";
 import type { RequestBody } from "@kingcupglade/transport";
 import { BodyReceiver } from "../callers/body_receiver.ts";
 import { CallerResponse } from "../callers/caller_response.ts";
@@ -100,7 +100,7 @@
     const { wire, logger, contactAge } = this.#options.context;
     const answer = new CallerResponse(response);
     const table = this.#table;
-    const arrivedAt = this.#now();
+    const arrivedAt = this.#now() - heldMilliseconds(request);
     const head = wire.readRequest(request.headers);
     const target = readRequestTarget(request);
     const route = table.matchRoute(target.host, target.path);
@@ -231,7 +231,7 @@
       response.writeHead(401, { "connection": "close" }).end();
       return;
     }
-    const arrivedAt = this.#now();
+    const arrivedAt = this.#now() - heldMilliseconds(request);
     const answer = new CallerResponse(response, relay.id);
     const head = this.#options.context.wire.readRequest(request.headers);
     const route = this.#table.routeNamed(relay.route);
--- a/packages/fleet_gateway/requests/request_handler_test.ts
+++ b/packages/fleet_gateway/requests/request_handler_test.ts
@@ -3,8 +3,10 @@
 import { createServer, request as send } from "node:http";
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
 import { RequestKind } from "@kingcupglade/items";
 import { createMetrics } from "@kingcupglade/telemetry";
+import { HeldRequests } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { MockInstance } from "vitest";
 import { noKeys } from "./forwarding_fixture.ts";
@@ -48,6 +50,8 @@
   let isTaken: MockInstance;
   /** Versions of the routes of the requests that were forwarded. */
   let forwardedVersions: number[];
+  let deadlines: number[];
+  let handler: RequestHandler;
 
   beforeEach(async () => {
     stopSchedule = new StopSchedule(6000);
@@ -62,11 +66,12 @@
     const metrics = createMetrics();
     isTaken = vi.spyOn(metrics.relayedHere, "inc");
     forwardedVersions = [];
+    deadlines = [];
     const queue = new ServiceQueue({
       now: () => 0,
       budget: { ratio: 0.2, windowMilliseconds: 1000, slack: 5 },
     });
-    const handler = new RequestHandler({
+    handler = new RequestHandler({
       context: {
         secret,
         logger,
@@ -82,8 +87,15 @@
           select: () => ({ kind: "none", reason: "no target" }),
         },
         pools: {
-          poolFor: ({ route }: { route: { version: number } }) =>
-            void forwardedVersions.push(route.version),
+          poolFor: (
+            { route, deadlineAt }: {
+              readonly route: { readonly version: number };
+              readonly deadlineAt: number;
+            },
+          ) => {
+            forwardedVersions.push(route.version);
+            deadlines.push(deadlineAt);
+          },
         },
         suspects: { isSuspect: () => false },
         keys: noKeys,
@@ -164,6 +176,23 @@
     expect(forwardedVersions).toEqual([4]);
   });
 
+  // Guards against deadlines that start anew after a listener has closed.
+  it("counts the time for which a closing listener held it", async () => {
+    const held = new HeldRequests();
+    server.removeAllListeners("request");
+    server.on("request", (request, response) => held.add(request, response));
+    const received = once(server, "request");
+    const responded = relayWith(encodeRelayRequest(relay, secret));
+    await received;
+    await pause(30);
+    held.release((request, response) =>
+      handler.handleRelayed(request, response)
+    );
+    await responded;
+    expect(deadlines).toHaveLength(1);
+    expect(deadlines[0]).toBeLessThan(relay.leftMilliseconds - 25);
+  });
+
   it("does not take it while it is cut off itself", async () => {
     isCutOff = true;
     expect(await decisionOn(relay)).toBe(RelayDecision.unable);
--- a/packages/kingcupglade/gateway/gateway.ts
+++ b/packages/kingcupglade/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import {
   BodyTooLargeError,
   hasBody,
+  heldMilliseconds,
   RequestBody,
 } from "@kingcupglade/transport";
 import type { RequestBodyOptions } from "@kingcupglade/transport";
@@ -163,7 +164,7 @@
   async #handle(served: ServedRequest): Promise<Refusal | null> {
     const { routing, clock } = this.#options;
     const { request, response, path } = served;
-    const startedAt = clock.now();
+    const startedAt = clock.now() - heldMilliseconds(request);
     const bundle = routing.table.bundle?.bundle;
     if (!bundle || !routing.hasLease) {
       return refusalWithoutTable(request);
--- a/packages/transport/address.ts
+++ b/packages/transport/address.ts
@@ -1,5 +1,5 @@
 import { isIP } from "node:net";
-import { splitAddress } from "./http_listener.ts";
+import { splitAddress } from "./listener_server.ts";
 
 const maximumPort = 65_535;
 
--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -1,31 +1,25 @@
-import { createServer, STATUS_CODES } from "node:http";
+import { STATUS_CODES } from "node:http";
 import type {
   IncomingMessage,
   RequestListener,
   Server,
-  ServerOptions,
   ServerResponse,
 } from "node:http";
-import {
-  createServer as createTlsServer,
-  Server as TlsServer,
-} from "node:https";
+import { Server as TlsServer } from "node:https";
 import type { Socket } from "node:net";
-import {
-  setImmediate as nextTurn,
-  setTimeout as pause,
-} from "node:timers/promises";
+import { setTimeout as pause } from "node:timers/promises";
+import { AcceptQueue } from "./accept_queue.ts";
 import { CallerPipeline } from "./caller_pipeline.ts";
+import { HeldRequests } from "./held_requests.ts";
 import { ListenerConnection } from "./listener_connection.ts";
+import { createListenerServer, splitAddress } from "./listener_server.ts";
+import type { ListenerTls } from "./listener_server.ts";
 import { lacksHost, refuseWithoutHost } from "./missing_host.ts";
 import { readAbsoluteForm } from "./origin_form.ts";
 import type { PipelineLimits } from "./pipeline_limits.ts";
-import { PipelinedResponse } from "./pipelined_response.ts";
 
 const pollIntervalMilliseconds = 50;
 const closeIntervalMilliseconds = 20;
-/** Time in which a closing listener accepts the connections that wait. */
-const acceptMilliseconds = 500;
 /** A longer time makes a timer fire at once, or throws. */
 const maximumTimerMilliseconds = 2 ** 31 - 1;
 
@@ -34,17 +28,6 @@
   override readonly name = "ListenError";
 }
 
-/** Names of the listeners that use TLS, and their certificates. */
-export interface ListenerTls {
-  readonly listeners: ReadonlySet<string>;
-  /** In PEM format; undefined if no listener uses TLS. */
-  readonly material: {
-    readonly certificate: Buffer;
-    readonly key: Buffer;
-    readonly authority: Buffer;
-  } | undefined;
-}
-
 /** Options of {@link HttpListener.open}. */
 export interface HttpListenerOptions {
   /** Name of the listener in the settings. */
@@ -91,10 +74,13 @@
   readonly open: number;
   /** Requests that were read, or arrived at the end, and were not answered. */
   readonly unanswered: number;
+  /**
+   * Time in milliseconds from the last look at the queue of connections to the
+   * close. The kernel reset connections that were completed in it.
+   */
+  readonly uncheckedMilliseconds: number;
 }
 
-type HeldRequest = readonly [IncomingMessage, ServerResponse];
-
 /** An HTTP server that shuts down without interrupting requests. */
 export class HttpListener {
   readonly #server: Server;
@@ -103,20 +89,20 @@
   readonly #sockets = new Set<Socket>();
   readonly #connections = new Map<Socket, ListenerConnection>();
   readonly #pipelines = new WeakMap<Socket, CallerPipeline>();
-  #acceptedCount = 0;
+  readonly #acceptQueue: AcceptQueue;
   #unansweredCount = 0;
   #isDraining = false;
   #lastRequestAt = 0;
   /** Requests that wait until no more connections are accepted. */
-  #heldRequests: HeldRequest[] | undefined;
+  #heldRequests: HeldRequests | undefined;
 
   protected constructor(server: Server, options: HttpListenerOptions) {
     this.#server = server;
     this.#options = options;
+    this.#acceptQueue = new AcceptQueue(server);
     // `close` of Node.js would cut requests that have not been read.
     server.closeIdleConnections = () => {};
     server.on("connection", (socket: Socket) => {
-      this.#acceptedCount += 1;
       this.#sockets.add(socket);
       socket.once("close", () => this.#sockets.delete(socket));
     });
@@ -233,7 +219,9 @@
     const { maximumMilliseconds = Infinity } = options;
     const startedAt = performance.now();
     this.refuseReuse();
-    const closed = await this.#stopListening(maximumMilliseconds);
+    const { closed, uncheckedMilliseconds } = await this.#stopListening(
+      maximumMilliseconds,
+    );
     const open = this.#connections.size;
     const closeAll = () => {
       const now = performance.now();
@@ -242,9 +230,9 @@
     };
     closeAll();
     const timer = setInterval(closeAll, closeIntervalMilliseconds);
-    await closed.promise;
+    await closed;
     clearInterval(timer);
-    return { open, unanswered: this.#unansweredCount };
+    return { open, unanswered: this.#unansweredCount, uncheckedMilliseconds };
   }
 
   /** Closes every connection immediately. */
@@ -284,7 +272,7 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
-    if (this.#heldRequests) this.#heldRequests.push([request, response]);
+    if (this.#heldRequests) this.#heldRequests.add(request, response);
     else this.#options.handler(request, response);
   }
 
@@ -313,34 +301,26 @@
   }
 
   /**
-   * Closes the listening socket once the connections that wait in its queue are
-   * accepted, as the kernel resets those. Callers that ask again at once would
-   * fill the queue anew, so no request is handled in the meantime.
+   * Closes the listening socket once no more connections are completed for it, as
+   * the kernel resets those that were not accepted. No request is handled in the
+   * meantime, as callers that get a response open further connections.
    */
-  async #stopListening(
-    maximumMilliseconds: number,
-  ): Promise<{ readonly promise: Promise<void> }> {
-    const held: HeldRequest[] = [];
+  async #stopListening(maximumMilliseconds: number): Promise<{
+    readonly closed: Promise<void>;
+    readonly uncheckedMilliseconds: number;
+  }> {
+    const held = new HeldRequests();
     this.#heldRequests = held;
-    const until = performance.now() +
-      Math.min(acceptMilliseconds, maximumMilliseconds);
-    await nextTurn();
-    let acceptedCount: number;
-    // A turn of the event loop accepts one connection at least, if any waits.
-    do {
-      acceptedCount = this.#acceptedCount;
-      await nextTurn();
-    } while (
-      this.#acceptedCount > acceptedCount && performance.now() < until
-    );
-    const promise = new Promise<void>((resolve) =>
+    const lookedAt = await this.#acceptQueue.untilEmpty({
+      maximumMilliseconds,
+    });
+    const closed = new Promise<void>((resolve) =>
       this.#server.close(() => resolve())
     );
+    const uncheckedMilliseconds = performance.now() - lookedAt;
     this.#heldRequests = undefined;
-    for (const [request, response] of held) {
-      if (!response.destroyed) this.#options.handler(request, response);
-    }
-    return { promise };
+    held.release(this.#options.handler);
+    return { closed, uncheckedMilliseconds };
   }
 }
 
@@ -351,43 +331,3 @@
   request.url = target.path;
   request.headers.host = target.host;
 }
-
-function createListenerServer(options: HttpListenerOptions): Server {
-  const { name, tls } = options;
-  const serverOptions: ServerOptions = {
-    maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
-    headersTimeout: options.headersTimeoutMilliseconds ?? 10_000,
-    requestTimeout: 60_000,
-    connectionsCheckingInterval: options.checkIntervalMilliseconds ?? 30_000,
-    keepAliveTimeout: 30_000,
-    ...(options.pipelineLimits && {
-      ServerResponse: PipelinedResponse,
-      // Node.js would respond to such requests outside of the bound.
-      requireHostHeader: false,
-    }),
-  };
-  const material = tls?.listeners.has(name) ? tls.material : undefined;
-  if (!material) return createServer(serverOptions);
-  return createTlsServer({
-    ...serverOptions,
-    // A connection without a handshake delays the end of a stop.
-    handshakeTimeout: serverOptions.headersTimeout,
-    cert: material.certificate,
-    key: material.key,
-    ca: material.authority,
-    // In addition to the shared secret, VMs must present a client certificate.
-    requestCert: name === "peers",
-    rejectUnauthorized: name === "peers",
-  });
-}
-
-/** Splits IP:PORT; removes the brackets of an IPv6 address. */
-export function splitAddress(
-  address: string,
-): { readonly host: string; readonly port: number } {
-  const colon = address.lastIndexOf(":");
-  return {
-    host: address.slice(0, colon).replace(/^\[|\]$/g, ""),
-    port: Number(address.slice(colon + 1)),
-  };
-}
--- a/packages/transport/http_listener_close_test.ts
+++ b/packages/transport/http_listener_close_test.ts
@@ -249,7 +249,11 @@
     const startedAt = performance.now();
     const result = await closing.close({ maximumMilliseconds: 200 });
     expect(performance.now() - startedAt).toBeLessThan(1500);
-    expect(result).toEqual({ open: 1, unanswered: 1 });
+    expect(result).toEqual({
+      open: 1,
+      unanswered: 1,
+      uncheckedMilliseconds: expect.any(Number),
+    });
   });
 
   // Guards against drains that outlast a grace period of a second or two.
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -20,13 +20,15 @@
   waitForClose,
 } from "./caller_connection.ts";
 export { isAddress } from "./address.ts";
-export { HttpListener, ListenError, splitAddress } from "./http_listener.ts";
+export { heldMilliseconds, HeldRequests } from "./held_requests.ts";
+export { HttpListener, ListenError } from "./http_listener.ts";
 export type {
   HttpListenerOptions,
   ListenerCloseResult,
-  ListenerTls,
   UnreadableRequest,
 } from "./http_listener.ts";
+export { splitAddress } from "./listener_server.ts";
+export type { ListenerTls } from "./listener_server.ts";
 export { isValidStatus } from "./response_status.ts";
 export { PipelineLimits } from "./pipeline_limits.ts";
 export type {
