Run the soak's fleet with workspaces

The soak had no workspaces, so keys and limits were never run with faults. Routes of the other callers are public.

--- a/packages/soak/attempt_sender.ts
+++ b/packages/soak/attempt_sender.ts
@@ -34,8 +34,14 @@
   readonly kind: RequestKind;
   readonly position: number;
   readonly agent: Agent;
+  /** Further headers. */
+  readonly headers?: Readonly<Record<string, readonly string[]>>;
+  /** Trailers, which make the body a chunked one. */
+  readonly trailers?: Readonly<Record<string, string>>;
 }): Promise<AttemptOutcome> {
   const { id, gateway, kind, position, agent } = options;
+  const { headers = {}, trailers = {} } = options;
+  const trailerNames = Object.keys(trailers);
   const [host, port] = gateway.split(":");
   return new Promise((resolve) => {
     const request = send({
@@ -44,12 +50,19 @@
       agent,
       method: kind.method,
       path: kind.path,
-      headers: clientHeaders({
-        id,
-        host: "jigs.example",
-        deadlineMilliseconds,
-        position,
-      }),
+      headers: {
+        ...clientHeaders({
+          id,
+          host: "jigs.example",
+          deadlineMilliseconds,
+          position,
+        }),
+        ...headers,
+        ...(trailerNames.length > 0 && {
+          "transfer-encoding": "chunked",
+          trailer: trailerNames.join(),
+        }),
+      },
     });
     let hasTimedOut = false;
     const fail = (end: AttemptEnd) => {
@@ -83,6 +96,7 @@
     });
     request.once("close", () => clearTimeout(timer));
     request.once("error", (failure) => fail(classifyFailure(request, failure)));
+    if (trailerNames.length > 0) request.addTrailers(trailers);
     request.end();
   });
 }
--- a/packages/soak/fault_injector.ts
+++ b/packages/soak/fault_injector.ts
@@ -15,6 +15,11 @@
   readonly onPause: (name: string) => void;
   /** Called when a planned stop of a process begins. */
   readonly onStop: (name: string) => void;
+  /** A gateway that is paused from the start until a promise resolves. */
+  readonly longPause?: {
+    readonly gateway: ServerProcess;
+    readonly waitUntilOver: () => Promise<void>;
+  };
   /** Returns a random number from 0 to 1. */
   readonly random: () => number;
 }
@@ -87,6 +92,7 @@
   async run(milliseconds: number): Promise<void> {
     const { random } = this.#subjects;
     const until = performance.now() + milliseconds;
+    this.#pauseLong();
     while (performance.now() < until) {
       this.#injectPlannedFault();
       this.#injectFault();
@@ -109,6 +115,17 @@
     this.#plannedKinds.push(kind);
   }
 
+  #pauseLong(): void {
+    const { longPause } = this.#subjects;
+    if (!longPause) return;
+    const { gateway, waitUntilOver } = longPause;
+    gateway.signal("SIGSTOP");
+    this.#injectOneGatewayFault(gateway, {
+      description: `pause ${gateway.name} for long`,
+      repair: () => gateway.signal("SIGCONT"),
+    }, waitUntilOver());
+  }
+
   #injectFault(): void {
     const { control, gateways, targets, random } = this.#subjects;
     const choice = random();
@@ -154,19 +171,46 @@
     const { onProcessFault } = this.#subjects;
     this.#faultySubjects.add(subject);
     onProcessFault(subject.name, true);
-    this.#repairLater(this.#createProcessFault(subject, kind), () => {
-      this.#faultySubjects.delete(subject);
-      onProcessFault(subject.name, false);
-    });
+    this.#repairLater(
+      this.#createProcessFault(subject, kind),
+      () => this.#endGatewayFault(subject),
+    );
+  }
+
+  #injectOneGatewayFault(
+    subject: ServerProcess,
+    fault: Fault,
+    until: Promise<void>,
+  ): void {
+    this.#faultySubjects.add(subject);
+    this.#subjects.onProcessFault(subject.name, true);
+    this.#repairAfter(until, fault, () => this.#endGatewayFault(subject));
+  }
+
+  #endGatewayFault(subject: ServerProcess): void {
+    this.#faultySubjects.delete(subject);
+    this.#subjects.onProcessFault(subject.name, false);
   }
 
   #repairLater(fault: Fault, onRepaired: () => void): void {
     const { random } = this.#subjects;
+    this.#repairAfter(
+      delay(
+        minimumDurationMilliseconds + random() * durationSpreadMilliseconds,
+      ),
+      fault,
+      onRepaired,
+    );
+  }
+
+  #repairAfter(
+    wait: Promise<void>,
+    fault: Fault,
+    onRepaired: () => void,
+  ): void {
     const seconds = (performance.now() / 1000).toFixed(3);
     this.log.push(`at ${seconds} s: ${fault.description}`);
-    const repaired = delay(
-      minimumDurationMilliseconds + random() * durationSpreadMilliseconds,
-    ).then(fault.repair).then(() => {
+    const repaired = wait.then(fault.repair).then(() => {
       onRepaired();
       this.#pendingRepairs.delete(repaired);
     });
--- a/packages/soak/operator.ts
+++ b/packages/soak/operator.ts
@@ -1,18 +1,13 @@
-import { SimulatorPath } from "@kingcupglade/platform";
 import { ConfigurationHistory } from "./configuration_history.ts";
+import { callControl } from "./control_call.ts";
+import type { ControlResponse } from "./control_call.ts";
 import { delay } from "./fault_injector.ts";
 import { runRouteOperator } from "./route_operator.ts";
 import type { RoutePlace } from "./route_operator.ts";
 
 const updateIntervalMilliseconds = 400;
-const responseTimeoutMilliseconds = 1000;
 const readTimeoutMilliseconds = 10_000;
 
-interface ControlResponse {
-  readonly status: number;
-  readonly body: string;
-}
-
 /** Places whose routes the operators add, move, replace and remove. */
 const places: readonly RoutePlace[] = [
   ...["added-1", "added-2", "added-3", "added-4", "added-5"].map((name) => ({
@@ -106,7 +101,7 @@
   async #sendToOne(body: string): Promise<number> {
     const { length } = this.#control;
     const address = this.#control[Math.floor(this.#random() * length)]!;
-    return (await sendTo(address, "PATCH", body)).status;
+    return (await callControl(address, { method: "PATCH", body })).status;
   }
 
   stop(): void {
@@ -161,40 +156,23 @@
     body: string | undefined,
   ): Promise<ControlResponse> {
     for (const address of this.#control) {
-      const response = await sendTo(address, method, body);
+      const response = await callControl(address, { method, body });
       if (response.status === 200) return response;
     }
     return { status: 0, body: "" };
   }
 }
 
-/** Sends a request to a control VM; the status is 0 if it is unavailable. */
-async function sendTo(
-  address: string,
-  method: string,
-  body: string | undefined,
-): Promise<ControlResponse> {
-  try {
-    const response = await fetch(
-      `http://${address}${SimulatorPath.configuration}`,
-      {
-        method,
-        signal: AbortSignal.timeout(responseTimeoutMilliseconds),
-        ...(body !== undefined && { body }),
-      },
-    );
-    return { status: response.status, body: await response.text() };
-  } catch {
-    return { status: 0, body: "" };
-  }
-}
+/** Routes of this prefix need a key once there are workspaces. */
+const guardedPrefix = "guarded-";
 
 function createRoute(name: string, service: string, version: number) {
   return {
     name,
+    public: !name.startsWith(guardedPrefix),
     host: "jigs.example",
     pathPrefix: `/${name}/`,
-    routeType: name === "reserve" ? "unsafe" : "safe",
+    routeType: name.endsWith("reserve") ? "unsafe" : "safe",
     timeoutS: 1.4,
     targetLatencyS: 0.5,
     priority: 1,
@@ -215,6 +193,9 @@
         createRoute("lookup", "catalogue", version),
         createRoute("reserve", "catalogue", version),
         createRoute("stock", "stock", version),
+        createRoute("guarded-lookup", "catalogue", version),
+        createRoute("guarded-reserve", "catalogue", version),
+        createRoute("guarded-stock", "stock", version),
       ],
       limits: {
         maxHeaderBytes: 16_384,
--- a/packages/soak/role_process.ts
+++ b/packages/soak/role_process.ts
@@ -24,6 +24,8 @@
   readonly toleratedLosses: number;
   /** Time from a stop signal until the process is ended. @default 3 */
   readonly graceSeconds?: number;
+  /** Further sections of the settings. @default none */
+  readonly sections?: string;
   /** Path of the bundled program. */
   readonly bundle: string;
   /** Folder for settings, data folders and logs. */
@@ -49,7 +51,7 @@
 
 function createSettingsText(options: RoleProcessOptions): string {
   const { role, name, ip, seeds, toleratedLosses, folder } = options;
-  const { graceSeconds = defaultGraceSeconds } = options;
+  const { graceSeconds = defaultGraceSeconds, sections = "" } = options;
   const listen = role === "control"
     ? `control = ${ip}:${RolePort.control}`
     : `callers = ${ip}:${RolePort.callers}
@@ -72,5 +74,5 @@
 graceSeconds = ${graceSeconds}
 [regions]
 a = north
-`;
+${sections}`;
 }
--- a/packages/soak/server_process.ts
+++ b/packages/soak/server_process.ts
@@ -82,6 +82,11 @@
     });
   }
 
+  /** Path of the log of all processes that ran under this name. */
+  get logFile(): string {
+    return this.#options.logFile;
+  }
+
   get isPaused(): boolean {
     return this.#child !== undefined && this.lives.at(-1)!.isPaused;
   }
--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -1,3 +1,4 @@
+import { mkdir } from "node:fs/promises";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { AttemptMonitor } from "./attempt_monitor.ts";
 import type { AttemptEnd } from "./attempt_monitor.ts";
@@ -14,6 +15,8 @@
 import type { ServerProcess } from "./server_process.ts";
 import { InvariantMonitor } from "./invariant_monitor.ts";
 import { SoakTarget } from "./soak_target.ts";
+import { WorkspaceSoak } from "./workspace_soak.ts";
+import type { WorkspaceCounts } from "./workspace_soak.ts";
 
 const controlVmCount = 3;
 /** Minimum number of gateways for which gateways manage the targets' slots. */
@@ -40,6 +43,7 @@
 const signalMilliseconds = 200;
 const faultSeedOffset = 1_000_000;
 const operatorSeedOffset = 2_000_000;
+const workspaceSeedOffset = 3_000_000;
 
 /** Options of {@link runSoak}. */
 export interface SoakOptions {
@@ -63,6 +67,7 @@
   readonly probed: number;
   /** Runs of callers that had left, which were judged. */
   readonly left: number;
+  readonly workspaces: WorkspaceCounts;
   /** How the requests ended. */
   readonly ends: Readonly<Record<AttemptEnd, number>>;
   readonly faults: readonly string[];
@@ -89,6 +94,7 @@
   readonly #loadGenerator: LoadGenerator;
   readonly #operator: Operator;
   readonly #prober: RouteProber;
+  readonly #workspaces: WorkspaceSoak;
   /** Random numbers of the callers and targets, whose order is not seeded. */
   readonly #random: () => number;
   readonly #faultRandom: () => number;
@@ -115,6 +121,16 @@
       monitor: this.#monitor,
       random: this.#random,
     });
+    this.#workspaces = new WorkspaceSoak({
+      control: this.#controlAddresses,
+      gateways: this.#calledGateways,
+      monitor: this.#monitor,
+      attempts: this.#attempts,
+      limitedTarget,
+      folder: options.folder,
+      random: this.#random,
+      operatorRandom: createRandomSource(options.seed + workspaceSeedOffset),
+    });
   }
 
   static async create(options: SoakOptions): Promise<SoakFleet> {
@@ -128,9 +144,12 @@
     await this.#operator.applyInitialConfiguration(startupTimeoutMilliseconds);
     for (const target of this.#targets) await target.start();
     await this.#loadGenerator.waitUntilServed(startupTimeoutMilliseconds);
+    await this.#workspaces.create(startupTimeoutMilliseconds);
+    this.#workspaces.start();
     this.#loadGenerator.start();
     this.#operator.start();
     this.#prober.start();
+    const pausedGateway = this.#gateways[this.#options.seed % gatewayVmCount]!;
     const faultInjector = new FaultInjector({
       control: this.#control,
       gateways: this.#gateways,
@@ -138,17 +157,26 @@
       onProcessFault: (name, isFaulty) => this.#recordFault(name, isFaulty),
       onPause: (name) => this.#loadGenerator.callAndLeave(name),
       onStop: (name) => this.#loadGenerator.pressUntilGone(name),
+      longPause: {
+        gateway: pausedGateway,
+        waitUntilOver: () =>
+          this.#workspaces.revokeWhilePaused(pausedGateway.name),
+      },
       random: this.#faultRandom,
     });
     await faultInjector.run(milliseconds);
     const settledAt = performance.now() + settleMilliseconds;
     await delay(recoveryMilliseconds - changeFreeMilliseconds);
-    const wrongResponses = await this.#operator.stopRouteChanges();
+    const [wrongResponses] = await Promise.all([
+      this.#operator.stopRouteChanges(),
+      this.#workspaces.stopChanges(),
+    ]);
     await delay(changeFreeMilliseconds);
     const before = [this.#monitor.requestCount, this.#monitor.servedCount];
     await delay(faultFreeMilliseconds);
     await this.#loadGenerator.stop();
     await this.#prober.stop();
+    await this.#workspaces.stop();
     const sentCount = this.#monitor.requestCount - before[0]!;
     const served = this.#monitor.servedCount - before[1]!;
     const violations = [
@@ -165,13 +193,21 @@
         : []),
       ...this.#findLateCrashes(settledAt),
       ...await this.#operator.findLostUpdates(),
+      ...await this.#workspaces.findViolations({
+        contacts: this.#contacts,
+        settledAt,
+        controlLogs: this.#control.map(({ logFile }) => logFile),
+      }),
     ];
+    await this.end();
+    violations.push(...await this.#workspaces.findSecrets());
     return {
       seed: this.#options.seed,
       asked: this.#monitor.requestCount,
       served: this.#monitor.servedCount,
       probed: this.#operator.history.judgedCount,
       left: this.#monitor.departures.judgedCount,
+      workspaces: this.#workspaces.counts,
       ends: this.#attempts.counts,
       faults: faultInjector.log,
       violations: violations.map((each) =>
@@ -226,6 +262,7 @@
   async end(): Promise<void> {
     await this.#loadGenerator.stop();
     await this.#prober.stop();
+    await this.#workspaces.stop();
     this.#operator.stop();
     for (const target of this.#targets) target.end();
     await Promise.all(
@@ -260,6 +297,8 @@
   }
 
   async #createProcessesAndTargets(): Promise<void> {
+    await mkdir(this.#options.folder, { recursive: true });
+    await this.#workspaces.writeSecret();
     for (const [index, address] of this.#controlAddresses.entries()) {
       this.#control.push(await this.#createProcess("control", index, address));
     }
@@ -280,6 +319,7 @@
             }:8400`,
             control: this.#controlAddresses,
             monitor: this.#monitor,
+            workspaces: this.#workspaces.monitors,
             random: this.#random,
           }),
         );
@@ -299,6 +339,7 @@
       ip: address.split(":")[0]!,
       seeds: this.#controlAddresses,
       toleratedLosses,
+      sections: this.#workspaces.sections,
       folder,
       bundle,
     });
--- a/packages/soak/soak_run_test.ts
+++ b/packages/soak/soak_run_test.ts
@@ -51,6 +51,9 @@
     ).toEqual([]);
     expect(result.faults.length).toBeGreaterThan(3);
     expect(result.served).toBeGreaterThan(100);
+    // Without these, the monitors of workspaces would have judged nothing.
+    expect(result.workspaces.revoked).toBeGreaterThan(20);
+    expect(result.workspaces.valid).toBeGreaterThan(100);
     isFailed = hadFailed;
   });
 });
--- a/packages/soak/soak_target.ts
+++ b/packages/soak/soak_target.ts
@@ -14,6 +14,7 @@
   Framing,
   sendResponse,
 } from "./soak_response.ts";
+import type { WorkspaceMonitors } from "./workspace_monitors.ts";
 import type { InvariantMonitor, PositionHolder } from "./invariant_monitor.ts";
 
 const heartbeatMilliseconds = 250;
@@ -42,6 +43,8 @@
   /** IP:PORT of every control VM. */
   readonly control: readonly string[];
   readonly monitor: InvariantMonitor;
+  /** Judges what it receives of keys and workspaces; nothing by default. */
+  readonly workspaces?: WorkspaceMonitors;
   /** Requests per second that it accepts from all gateways; none by default. */
   readonly maximumPerSecond?: number;
   readonly random: () => number;
@@ -127,6 +130,7 @@
     const limit = maximumPerSecond === undefined ? {} : { maximumPerSecond };
     const { id, target, position } = readWorkerRequest(request.headers);
     monitor.recordArrival(id, this.name);
+    this.#recordCredentials(id, request);
     const isAccepted = target === this.name &&
       (!isKeyed || this.holds(position));
     if (!isAccepted) {
@@ -173,6 +177,20 @@
     }, 5 + random() * 40);
   }
 
+  #recordCredentials(id: string, request: IncomingMessage): void {
+    const { workspaces } = this.#options;
+    if (!workspaces) return;
+    const { rawHeaders, url = "" } = request;
+    const arrival = { target: this.name, path: url, fields: rawHeaders };
+    workspaces.recordArrival(id, arrival);
+    request.resume().once("end", () => {
+      const { rawTrailers } = request;
+      if (rawTrailers.length === 0) return;
+      const fields = [...rawHeaders, ...rawTrailers];
+      workspaces.recordTrailers(id, { ...arrival, fields });
+    });
+  }
+
   // As most targets do, stops when the connection closes.
   #runLong(id: string, response: ServerResponse): void {
     const plannedEnd = performance.now() + longRunMilliseconds;
