--- a/packages/soak/configuration_history.ts
+++ b/packages/soak/configuration_history.ts
@@ -150,8 +150,8 @@
 
   #bindingVersion(route: string, at: number): number {
     const acknowledged = (this.#changes.get(route) ?? []).filter((
-      { acknowledgedAt = Infinity },
-    ) => acknowledgedAt <= at);
+      { acknowledgedAt },
+    ) => acknowledgedAt !== undefined && acknowledgedAt <= at);
     return Math.max(0, ...acknowledged.map(({ version }) => version));
   }
 
--- a/packages/soak/configuration_history_test.ts
+++ b/packages/soak/configuration_history_test.ts
@@ -175,6 +175,22 @@
     expect(find({ kept: 4, gone: 1 })).toBe(1);
   });
 
+  // A call that no control VM answers need not have taken effect.
+  it("does not take a change for lost that was never acknowledged", () => {
+    const history = new ConfigurationHistory();
+    history.recordChange(change({ route: "kept", version: 4 }));
+    const { acknowledgedAt: _, ...unacknowledged } = change({
+      route: "kept",
+      version: 5,
+    });
+    history.recordChange(unacknowledged);
+    const find = (version: number) =>
+      history.findLostChanges(new Map([["kept", version]])).length;
+    expect(find(5)).toBe(0);
+    expect(find(4)).toBe(0);
+    expect(find(3)).toBe(1);
+  });
+
   describe("of a fleet that is disturbed", () => {
     it("excuses a gateway for three seconds after a signal", () => {
       const refusal = [probe(unmatched)];
