--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -172,6 +172,7 @@
       this.#workspaces.stopChanges(),
     ]);
     await delay(changeFreeMilliseconds);
+    const faultFreeFrom = performance.now();
     const before = [this.#monitor.requestCount, this.#monitor.servedCount];
     await delay(faultFreeMilliseconds);
     await this.#loadGenerator.stop();
@@ -196,6 +197,7 @@
       ...await this.#workspaces.findViolations({
         contacts: this.#contacts,
         settledAt,
+        faultFreeFrom,
         controlLogs: this.#control.map(({ logFile }) => logFile),
       }),
     ];
--- a/packages/soak/workspace_monitors.ts
+++ b/packages/soak/workspace_monitors.ts
@@ -10,6 +10,7 @@
 import { RejectedKeyMonitor } from "./rejected_key_monitor.ts";
 import { RevocationMonitor } from "./revocation_monitor.ts";
 import { ServedShareMonitor } from "./served_share_monitor.ts";
+import type { JudgedTimes } from "./served_share_monitor.ts";
 import { UnknownKeyMonitor } from "./unknown_key_monitor.ts";
 import { WorkspaceLimitMonitor } from "./workspace_limit_monitor.ts";
 import type { WorkspaceLimit } from "./workspace_limit_monitor.ts";
@@ -99,16 +100,16 @@
   /**
    * Returns what is wrong, at the end of a run.
    *
-   * @param steadyFrom Time from which on the load below the limit is served.
+   * @param times Times in which the load below a limit is judged.
    */
   findViolations(
     contacts: ContactRecord,
-    steadyFrom: number,
+    times: JudgedTimes,
   ): readonly string[] {
     return [
       ...this.violations,
       ...this.rejectedKeys.findViolations(contacts),
-      ...this.served.findViolations(steadyFrom, performance.now()),
+      ...this.served.findViolations(times),
     ];
   }
 
--- a/packages/soak/workspace_soak.ts
+++ b/packages/soak/workspace_soak.ts
@@ -190,18 +190,21 @@
    * Returns what is wrong, at the end of a run.
    *
    * @param options.settledAt Time after the faults in which all VMs are in touch.
+   * @param options.faultFreeFrom Start of the period without faults.
    */
   async findViolations(options: {
     readonly contacts: ContactRecord;
     readonly settledAt: number;
+    readonly faultFreeFrom: number;
     readonly controlLogs: readonly string[];
   }): Promise<readonly string[]> {
-    const { contacts, settledAt, controlLogs } = options;
+    const { contacts, settledAt, faultFreeFrom, controlLogs } = options;
     const changedAt = await findLastLeaderChange(controlLogs);
-    return this.monitors.findViolations(
-      contacts,
-      Math.max(settledAt, changedAt + leaderChangeMilliseconds),
-    );
+    return this.monitors.findViolations(contacts, {
+      settledAt: Math.max(settledAt, changedAt + leaderChangeMilliseconds),
+      faultFreeFrom,
+      to: performance.now(),
+    });
   }
 
   /** Searches all files of the processes, which have ended, for secrets. */
