--- a/packages/soak/soak_run.ts
+++ b/packages/soak/soak_run.ts
@@ -150,6 +150,7 @@
     this.#operator.start();
     this.#prober.start();
     const pausedGateway = this.#gateways[this.#options.seed % gatewayVmCount]!;
+    await this.#workspaces.prepareLongPause(pausedGateway.name);
     const faultInjector = new FaultInjector({
       control: this.#control,
       gateways: this.#gateways,
--- a/packages/soak/workspace_callers.ts
+++ b/packages/soak/workspace_callers.ts
@@ -62,6 +62,8 @@
 export class WorkspaceCallers {
   readonly #options: WorkspaceCallersOptions;
   readonly #agent = new Agent({ keepAlive: true });
+  /** Connections to a gateway that is paused. */
+  readonly #burstAgent = new Agent({ keepAlive: true });
   readonly #pending = new Set<Promise<unknown>>();
   #isStopped = false;
   #nextId = 1;
@@ -122,7 +124,11 @@
     });
   }
 
-  /** Sends several requests with a key to a gateway at once. */
+  /**
+   * Sends several requests with a key to a gateway at once. Those of a later call
+   * use the same connections: a gateway that resumes reads them before it accepts
+   * new ones.
+   */
   async sendBurst(
     gatewayName: string,
     key: string,
@@ -132,7 +138,10 @@
       name === gatewayName
     )!;
     await Promise.all(
-      Array.from({ length: count }, () => this.#send(gateway, { keys: [key] })),
+      Array.from(
+        { length: count },
+        () => this.#send(gateway, { keys: [key] }, this.#burstAgent),
+      ),
     );
   }
 
@@ -140,6 +149,7 @@
     this.#isStopped = true;
     while (this.#pending.size > 0) await Promise.all(this.#pending);
     this.#agent.destroy();
+    this.#burstAgent.destroy();
   }
 
   #start(perSecond: number, choose: () => Credentials | undefined): void {
@@ -176,6 +186,7 @@
   async #send(
     gateway: CalledGateway,
     credentials: Credentials,
+    agent = this.#agent,
   ): Promise<number> {
     const { monitor, attempts, monitors, random, limitedTarget } =
       this.#options;
@@ -197,7 +208,7 @@
       gateway: gateway.address,
       kind,
       position: Math.floor(random() * positionCount),
-      agent: this.#agent,
+      agent,
       headers: credentialHeaders({
         keys,
         claimedWorkspaces,
--- a/packages/soak/workspace_soak.ts
+++ b/packages/soak/workspace_soak.ts
@@ -157,6 +157,12 @@
     this.#callers.startWrongKeys(below.name, loads.wrong);
   }
 
+  /** Opens connections to a gateway that is going to be paused for long. */
+  async prepareLongPause(gateway: string): Promise<void> {
+    const [key] = this.#history.keysOf(rotating.name);
+    await this.#callers.sendBurst(gateway, key!, burstCount);
+  }
+
   /**
    * Revokes a key while a gateway is paused, and sends requests with it to that
    * gateway after the bound; resolves when the gateway may be resumed.
