Acknowledge the first workspace once gateways in contact have it

Until a gateway has the first workspace, it needs no keys and passes the credentials of callers on to targets. The acknowledgement of the first workspace waits for gateways, as that of a revocation does.

--- a/packages/fleet_control/item_calls.ts
+++ b/packages/fleet_control/item_calls.ts
@@ -17,6 +17,7 @@
 } from "./control_wire.ts";
 import { Feature } from "./feature.ts";
 import { hasEnoughVoters } from "./has_enough_voters.ts";
+import { hasWorkspaces } from "./items_memo.ts";
 import type { FleetReplica, LeaderSession } from "./leader_session.ts";
 import { findUnknownRegions } from "./workspace_seals.ts";
 import type { WorkspaceSeals } from "./workspace_seals.ts";
@@ -90,7 +91,11 @@
       before.values(),
       replica.state.items.values(),
     );
-    if (revoked.length > 0) {
+    // Until gateways have the first workspace, they need no keys, and pass on the
+    // credentials of callers.
+    const areKeysNew = !hasWorkspaces(before) &&
+      hasWorkspaces(replica.state.items);
+    if (revoked.length > 0 || areKeysNew) {
       await session.waitForRevocation(appliedIndex, { keys: revoked.length });
     }
     return result;
--- a/packages/fleet_control/item_calls_test.ts
+++ b/packages/fleet_control/item_calls_test.ts
@@ -119,8 +119,16 @@
     expect(state.items.get("workspace/acme")).toBe(before);
   });
 
-  it("wait for gateways only if they revoke a key", async () => {
+  // Guards against targets that receive keys after the acknowledgement: gateways
+  // that lack the first workspace need none, and pass them on.
+  it("wait for gateways if they are the first", async () => {
     await patch({ upsert: { tenants: [tenant] } });
+    expect(waits).toEqual([1]);
+  });
+
+  it("wait for gateways after that only if they revoke a key", async () => {
+    await patch({ upsert: { tenants: [tenant] } });
+    waits.length = 0;
     await patch({
       upsert: {
         tenants: [{ ...tenant, apiKeys: [key, "second", "third"], version: 4 }],
