Let a closing listener wait for 500 ms at most, as specified

AcceptQueue went on for up to 1 s while each turn accepted a connection, so that stops came nearer to the end of their time: 5 of 25 runs of planned_stop_test.ts took more than 4 s at loads of 20 to 38. The specification allows 500 ms in all.

accept_queue_test.ts states 500 ms where it stated a second. 105 tests of transport and planned_stop_test.ts pass at a load of 11 of 7 cores.

--- a/packages/transport/accept_queue.ts
+++ b/packages/transport/accept_queue.ts
@@ -11,12 +11,10 @@
  */
 const quietMilliseconds = 60;
 /**
- * Longest wait for a time without new connections. Requests on the connections
- * accepted meanwhile wait as well.
+ * Longest wait for a time without new connections, or for the queue to be empty.
+ * Requests on the connections accepted meanwhile wait as well.
  */
-const maximumQuietWaitMilliseconds = 500;
-/** Longest wait while each turn of the event loop accepts a connection. */
-const maximumWaitMilliseconds = 1000;
+const maximumWaitMilliseconds = 500;
 /** Share of the limit for which a time without new connections is waited for. */
 const quietShare = 0.8;
 /**
@@ -67,7 +65,7 @@
 
 // Requests that wait meanwhile must still be answered in time.
 function maximumQuietWaitOf(maximumMilliseconds: number): number {
-  return Math.min(maximumQuietWaitMilliseconds, maximumMilliseconds / 5);
+  return Math.min(maximumWaitMilliseconds, maximumMilliseconds / 5);
 }
 
 function maximumWaitOf(maximumMilliseconds: number): number {
@@ -97,7 +95,7 @@
    * Waits until the server can be closed; the caller must close it at once.
    *
    * @param options.maximumMilliseconds is the time in which all requests must be
-   * answered; the wait takes a third of it at most, and 1000 ms at most.
+   * answered; the wait takes a third of it at most, and 500 ms at most.
    * @returns the time, by `performance.now()`, at which the last turn of the event
    * loop began. Connections that were completed later are reset.
    */
--- a/packages/transport/accept_queue_test.ts
+++ b/packages/transport/accept_queue_test.ts
@@ -55,11 +55,11 @@
   });
 
   // Guards against resets of a full queue, and against a stop that never ends.
-  it("accepts what is in the queue for up to a second", () => {
+  it("accepts what is in the queue for up to half a second", () => {
     const state = { ...quiet, hasAccepted: true, quietMilliseconds: 0 };
-    expect(nextQueueStep({ ...state, elapsedMilliseconds: 999 }))
+    expect(nextQueueStep({ ...state, elapsedMilliseconds: 499 }))
       .toBe(QueueStep.look);
-    expect(nextQueueStep({ ...state, elapsedMilliseconds: 1000 }))
+    expect(nextQueueStep({ ...state, elapsedMilliseconds: 500 }))
       .toBe(QueueStep.close);
   });
 
