Write a response of the gateway as one text with a list of headers

A body as bytes was written beside its head, and headers that were set one by one were kept in a map before the head was made. The bytes sent are the same.

--- a/packages/fleet_gateway/callers/caller_response.ts
+++ b/packages/fleet_gateway/callers/caller_response.ts
@@ -153,7 +153,9 @@
     this.#bytes = body.length;
     this.#writeHead(head, lengthOf(head, { body, framing: this.#framing }));
     this.#passage?.recordReceived(body.length);
-    if (!this.#passage || !isLargeResponse(body.length)) return this.#end(body);
+    if (!this.#passage || !isLargeResponse(body.length)) {
+      return this.#end(body, body.length);
+    }
     this.#openWriter(this.#passage).write(body);
     this.#end();
   }
@@ -179,25 +181,26 @@
   ): void {
     if (this.isClosed || this.#response.headersSent) return;
     this.#setRelayReply(decision);
-    const body = Buffer.from(
-      `${JSON.stringify({ reason: response.reason })}\n`,
-    );
+    // Node.js writes a head and a body that is text at once.
+    const body = `${JSON.stringify({ reason: response.reason })}\n`;
+    const length = Buffer.byteLength(body);
     this.#closeAfterLongBody();
+    // A list is written as it is; headers that are set one by one are first kept.
+    const headers: string[] = [];
     if (response.retryAfterMilliseconds !== undefined) {
-      this.#response.setHeader(
+      headers.push(
         "retry-after",
         (response.retryAfterMilliseconds / 1000).toFixed(3),
       );
     }
     if (response.challenge !== undefined) {
-      this.#response.setHeader("www-authenticate", response.challenge);
+      headers.push("www-authenticate", response.challenge);
     }
-    this.#response.writeHead(response.status, {
-      "content-type": "application/json",
-      "content-length": body.length,
-    });
+    headers.push("content-type", "application/json");
+    headers.push("content-length", String(length));
+    this.#response.writeHead(response.status, headers);
     this.#framing = BodyFraming.length;
-    this.#end(body);
+    this.#end(body, length);
   }
 
   #closeAfterLongBody(): void {
@@ -224,12 +227,9 @@
   // Ends the response once the request's body is read: Node.js may close the
   // connection then. The end of a response without a length cannot wait, as the
   // caller would wait for it.
-  #end(body?: Buffer): void {
+  #end(body?: Buffer | string, length = 0): void {
     const { req: request } = this.#response;
-    this.#passage?.countSmall(
-      LinkDirection.outbound,
-      headBytes + (body?.length ?? 0),
-    );
+    this.#passage?.countSmall(LinkDirection.outbound, headBytes + length);
     if (request.complete) {
       return this.#afterWriting(() => this.#response.end(body));
     }
