Create no arrays and views that a pipeline does not need

Each step of a pipeline copied the responses of its connection into arrays, made a view of bytes that it passed on as a whole, and encoded the ends of heads that it searches for.

--- a/packages/transport/caller_pipeline.ts
+++ b/packages/transport/caller_pipeline.ts
@@ -149,17 +149,21 @@
   }
 
   #nextStep(isSafe: boolean | undefined): PipelineStep {
-    const responses = [...this.#connection.responses];
-    this.#isClosing ||= responses.some((each) =>
-      !each.shouldKeepAlive || each.destroyed
-    );
+    const { responses } = this.#connection;
+    let hasUnsafe = false;
+    let waitingBytes = 0;
+    for (const each of responses) {
+      this.#isClosing ||= !each.shouldKeepAlive || each.destroyed;
+      hasUnsafe ||= !isSafeMethod(each.req.method);
+      if (each instanceof PipelinedResponse) waitingBytes += each.waitingBytes;
+    }
     return nextPipelineStep({
-      inProgress: responses.length,
+      inProgress: responses.size,
       maximum: this.#limits.concurrentPerConnection,
       isClosing: this.#isClosing,
-      hasUnsafe: responses.some(({ req }) => !isSafeMethod(req.method)),
+      hasUnsafe,
       isSafe,
-      waitingBytes: waitingBytesOf(responses),
+      waitingBytes,
       // Beyond it, Node.js would stop to read and not notice that a caller leaves.
       maximumWaitingBytes: this.#socket.writableHighWaterMark,
       isMemoryFull: this.#limits.isFull,
@@ -188,10 +192,11 @@
       ? this.#headBoundary
       : this.#bodyBoundary;
     const length = boundary.measure(chunk);
-    if (length === chunk.length) this.#held.shift();
+    const isWhole = length === chunk.length;
+    if (isWhole) this.#held.shift();
     else this.#held[0] = chunk.subarray(length);
     this.#addHeldBytes(-length);
-    this.#parse(chunk.subarray(0, length));
+    this.#parse(isWhole ? chunk : chunk.subarray(0, length));
   }
 
   // The system resets a connection that is closed before all bytes were read, and
@@ -242,11 +247,3 @@
     }
   }
 }
-
-function waitingBytesOf(responses: readonly ServerResponse[]): number {
-  return responses.reduce(
-    (sum, each) =>
-      sum + (each instanceof PipelinedResponse ? each.waitingBytes : 0),
-    0,
-  );
-}
--- a/packages/transport/head_boundary.ts
+++ b/packages/transport/head_boundary.ts
@@ -1,5 +1,7 @@
 const lineEnd = 0x0a;
 const carriageReturn = 0x0d;
+const longEnd = Buffer.from("\n\r\n");
+const shortEnd = Buffer.from("\n\n");
 
 /**
  * Finds the empty lines that end the heads of requests in the bytes of a
@@ -42,12 +44,12 @@
 
 // Parsers may accept lines that end without a carriage return.
 function endOfEmptyLine(chunk: Buffer): number | undefined {
-  const long = endOf("\n\r\n", chunk);
-  const short = endOf("\n\n", chunk.subarray(0, long));
+  const long = endOf(longEnd, chunk);
+  const short = endOf(shortEnd, chunk.subarray(0, long));
   return short ?? long;
 }
 
-function endOf(text: string, chunk: Buffer): number | undefined {
-  const at = chunk.indexOf(text, 0, "latin1");
-  return at < 0 ? undefined : at + text.length;
+function endOf(bytes: Buffer, chunk: Buffer): number | undefined {
+  const at = chunk.indexOf(bytes);
+  return at < 0 ? undefined : at + bytes.length;
 }
--- a/packages/transport/listener_connection.ts
+++ b/packages/transport/listener_connection.ts
@@ -95,7 +95,9 @@
 
   /** The response to the last request that was started, if it is not fully sent. */
   get newestResponse(): ServerResponse | undefined {
-    return [...this.#responses].at(-1);
+    let newest: ServerResponse | undefined;
+    for (const each of this.#responses) newest = each;
+    return newest;
   }
 
   /**
