Deliver what the slow link of a test carries in the order it was sent

"passes on 600000 bytes whole" received other bytes of the right length once in four runs at a load of 25 of 7 cores.

Change: each timer delivers the earliest chunk that is on its way. The times of the two tests with bounds of 400 and 1,000 ms are printed with LINK_FIGURES=1; no bound is changed.

--- a/packages/kingcupglade/full_link_path_test.ts
+++ b/packages/kingcupglade/full_link_path_test.ts
@@ -88,8 +88,10 @@
     await pause(300);
     const startedAt = performance.now();
     const { status } = await fleet.attempt("/lookup/4000", 1500);
+    const elapsed = performance.now() - startedAt;
+    if (printsFigures) console.log({ small: elapsed });
     expect(status).toBe(200);
-    expect(performance.now() - startedAt).toBeLessThan(400);
+    expect(elapsed).toBeLessThan(400);
     expect((await large).status).toBe(200);
   });
 
@@ -104,7 +106,9 @@
     await pause(300);
     const startedAt = performance.now();
     const { status } = await fleet.attempt("/bundle/100000", 3000);
+    const elapsed = performance.now() - startedAt;
+    if (printsFigures) console.log({ afterLeaving: elapsed });
     expect(status).toBe(200);
-    expect(performance.now() - startedAt).toBeLessThan(1000);
+    expect(elapsed).toBeLessThan(1000);
   });
 });
--- a/packages/kingcupglade/slow_link.ts
+++ b/packages/kingcupglade/slow_link.ts
@@ -15,6 +15,7 @@
 /** One direction of a link: a queue that is served first in, first out. */
 class Direction {
   readonly #bytesPerMillisecond: number;
+  readonly #onTheirWay: (() => void)[] = [];
   #busyUntil = 0;
 
   constructor(megabitsPerSecond: number) {
@@ -26,7 +27,9 @@
     const now = performance.now();
     this.#busyUntil = Math.max(now, this.#busyUntil) +
       (bytes * 1.04 + packetBytes) / this.#bytesPerMillisecond;
-    setTimeout(arrived, this.#busyUntil - now);
+    // Timers whose ends differ by less than a millisecond may end in any order.
+    this.#onTheirWay.push(arrived);
+    setTimeout(() => this.#onTheirWay.shift()!(), this.#busyUntil - now);
   }
 }
 
