--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -67,7 +67,7 @@
 
   protected constructor(options: ControlVmOptions) {
     this.#options = options;
-    this.#clients = new PeerClients({ secret: options.secret });
+    this.#clients = new PeerClients(options);
     const process = randomUUID();
     const { clock, logger } = options;
     this.#stalls = new StallDetector({
--- a/packages/fleet_control/peer_clients.ts
+++ b/packages/fleet_control/peer_clients.ts
@@ -1,5 +1,6 @@
 import type { DescService } from "@bufbuild/protobuf";
 import type { Client } from "@connectrpc/connect";
+import type { Logger } from "@kingcupglade/telemetry";
 import { createUnaryClient } from "@kingcupglade/transport";
 import { Pool } from "undici";
 
@@ -13,14 +14,21 @@
  */
 const keepAliveMilliseconds = 4000;
 
+/** Options of {@link PeerClients}. */
+export interface PeerClientsOptions {
+  readonly secret: string;
+  /** @default no log */
+  readonly logger?: Pick<Logger, "warn">;
+}
+
 /** Clients for the services of other VMs, by peer address. */
 export class PeerClients {
-  readonly #secret: string;
+  readonly #options: PeerClientsOptions;
   readonly #pools = new Map<string, Pool>();
   readonly #clients = new Map<string, Client<DescService>>();
 
-  constructor(options: { readonly secret: string }) {
-    this.#secret = options.secret;
+  constructor(options: PeerClientsOptions) {
+    this.#options = options;
   }
 
   /** Returns the client for a service of the VM at an address, as IP:PORT. */
@@ -33,7 +41,8 @@
     if (known) return known as Client<Service>;
     const client = createUnaryClient(service, {
       pool: this.#pool(address),
-      secret: this.#secret,
+      secret: this.#options.secret,
+      onSilence: () => this.#options.logger?.warn("peer-silent", { address }),
     });
     this.#clients.set(id, client as Client<DescService>);
     return client;
--- a/packages/fleet_gateway/callers/unmatched_request.ts
+++ b/packages/fleet_gateway/callers/unmatched_request.ts
@@ -1,14 +1,10 @@
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
 import type { GatewayResponse } from "./caller_response.ts";
 import type { GatewayTable } from "../table/gateway_table.ts";
+import { maximumContactAgeMilliseconds } from "../requests/old_table_log.ts";
 import { describeTarget } from "../requests/request_target.ts";
 import type { RequestTarget } from "../requests/request_target.ts";
 
-/**
- * Age of the last contact with control above which a route that the table lacks
- * may be in force: a confirmed change is, everywhere, after this time.
- */
-const maximumContactAgeMilliseconds = 2000;
 /** Time after which a caller may try another gateway. */
 const retryAfterMilliseconds = 300;
 
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -79,7 +79,7 @@
     const { name, dataCentre, region, clock, logger, secret } = options;
     this.#options = options;
     this.#stopSchedule = new StopSchedule(options.graceMilliseconds);
-    this.#peerClients = new PeerClients({ secret });
+    this.#peerClients = new PeerClients(options);
     this.#stalls = new StallDetector({
       clock,
       onStall: (milliseconds) =>
--- a/packages/fleet_gateway/requests/request_handler.ts
+++ b/packages/fleet_gateway/requests/request_handler.ts
@@ -28,6 +28,7 @@
 import { RequestGuard } from "./request_guard.ts";
 import { readRequestTarget } from "./request_target.ts";
 import { CallerStage } from "./request_telemetry.ts";
+import { logOldTable } from "./old_table_log.ts";
 import type { RequestWorkspace, RoutedRequest } from "./routed_request.ts";
 import type { StopSchedule } from "../callers/stop_schedule.ts";
 import { refuseUnmatched } from "../callers/unmatched_request.ts";
@@ -117,6 +118,12 @@
         contactAgeMilliseconds: contactAge(),
       }, this.#options.context));
     }
+    logOldTable({
+      requestId: head.requestId,
+      route,
+      table,
+      contactAgeMilliseconds: contactAge(),
+    }, logger);
     const { hasProcessorTime = () => true } = this.#options;
     if (!hasProcessorTime(route.priority)) {
       return answer.respond(refuseForLoad(head, this.#options.context));
--- a/packages/transport/unary_client.ts
+++ b/packages/transport/unary_client.ts
@@ -16,6 +16,11 @@
   readonly pool: Pool;
   /** Secret that all VMs share. */
   readonly secret: string;
+  /**
+   * Called when a call was sent on an open connection and timed out before its
+   * response began. @default ignored
+   */
+  readonly onSilence?: () => void;
 }
 
 /**
@@ -62,7 +67,12 @@
         },
         body,
       },
-      new UnaryCallHandler({ resolve, reject, timeoutMilliseconds }),
+      new UnaryCallHandler({
+        resolve,
+        reject,
+        timeoutMilliseconds,
+        ...(options.onSilence && { onSilence: options.onSilence }),
+      }),
     );
   });
   return fromBinary(method.output, responseBody);
@@ -86,12 +96,14 @@
     readonly resolve: (body: Buffer) => void;
     readonly reject: (failure: PeerCallError) => void;
     readonly timeoutMilliseconds: number;
+    readonly onSilence?: () => void;
   }) {
     this.#resolve = options.resolve;
     this.#reject = options.reject;
     this.#timer = setTimeout(() => {
       this.#timeoutError = new PeerCallError("the VM did not respond in time");
       this.#reject(this.#timeoutError);
+      if (this.#controller && this.#status === 0) options.onSilence?.();
       this.#controller?.abort(this.#timeoutError);
     }, options.timeoutMilliseconds);
   }
