Use new connections to a VM once one was silent

Callers got requests run on removed routes, and targets that had left got requests, for up to 6.1 s after the acknowledgement. Where all open connections between VMs fall silent at one moment while new ones work, each call met the next silent connection of its pool: the calls of a watch or a batch of messages that follow each other use two in turn. So a leader missed its followers for 0.8 s and was replaced, and a gateway that had found the leader again sent its first request for an update on the second one.

A call that was sent on an open connection and got no byte of a response in time now retires all connections to that VM: further calls open new ones, and the calls in progress end on theirs.

The new test fails before ("the VM did not respond in time" for the second call) and passes.

--- a/packages/fleet_control/peer_clients.ts
+++ b/packages/fleet_control/peer_clients.ts
@@ -21,51 +21,90 @@
   readonly logger?: Pick<Logger, "warn">;
 }
 
+/** Connections to one VM, and the clients that use them. */
+interface PeerConnections {
+  readonly pool: Pool;
+  /** By the name of the service. */
+  readonly clients: Map<string, Client<DescService>>;
+}
+
 /** Clients for the services of other VMs, by peer address. */
 export class PeerClients {
   readonly #options: PeerClientsOptions;
-  readonly #pools = new Map<string, Pool>();
-  readonly #clients = new Map<string, Client<DescService>>();
+  readonly #connections = new Map<string, PeerConnections>();
+  /** Pools that get no further calls, until their last one has ended. */
+  readonly #retired = new Set<Pool>();
 
   constructor(options: PeerClientsOptions) {
     this.#options = options;
   }
 
-  /** Returns the client for a service of the VM at an address, as IP:PORT. */
+  /**
+   * Returns the client for a service of the VM at an address, as IP:PORT, for
+   * the next call.
+   */
   client<Service extends DescService>(
     address: string,
     service: Service,
   ): Client<Service> {
-    const id = `${address}/${service.typeName}`;
-    const known = this.#clients.get(id);
+    const connections = this.#connectionsTo(address);
+    const { pool, clients } = connections;
+    const known = clients.get(service.typeName);
     if (known) return known as Client<Service>;
     const client = createUnaryClient(service, {
-      pool: this.#pool(address),
+      pool,
       secret: this.#options.secret,
-      onSilence: () => this.#options.logger?.warn("peer-silent", { address }),
+      onSilence: () => this.#handleSilence(address, connections),
     });
-    this.#clients.set(id, client as Client<DescService>);
+    clients.set(service.typeName, client as Client<DescService>);
     return client;
   }
 
+  /**
+   * Uses new connections for further calls to a VM; the calls in progress end on
+   * theirs.
+   */
+  renew(address: string): void {
+    const connections = this.#connections.get(address);
+    if (!connections) return;
+    const { pool } = connections;
+    this.#connections.delete(address);
+    this.#retired.add(pool);
+    const forget = () => this.#retired.delete(pool);
+    pool.close().then(forget, forget);
+  }
+
   /** Closes all connections. */
   close(): void {
-    for (const pool of this.#pools.values()) void pool.destroy();
+    for (const { pool } of this.#connections.values()) void pool.destroy();
+    for (const pool of this.#retired) void pool.destroy();
   }
 
-  #pool(address: string): Pool {
-    const known = this.#pools.get(address);
+  // What silences one connection mostly silences all that are open: a path that
+  // was lost, or a firewall that has forgotten them. Each would cost a timeout.
+  #handleSilence(address: string, connections: PeerConnections): void {
+    this.#options.logger?.warn("peer-silent", { address });
+    // Others of these connections may have been found silent before.
+    if (this.#connections.get(address) === connections) this.renew(address);
+  }
+
+  #connectionsTo(address: string): PeerConnections {
+    const known = this.#connections.get(address);
     if (known) return known;
-    const pool = new Pool(`http://${address}`, {
-      connections: connectionsPerVm,
-      pipelining: 1,
-      connect: { timeout: connectTimeoutMilliseconds },
-      keepAliveTimeout: keepAliveMilliseconds,
-      keepAliveMaxTimeout: keepAliveMilliseconds,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    this.#pools.set(address, pool);
-    return pool;
+    const connections = { pool: createPool(address), clients: new Map() };
+    this.#connections.set(address, connections);
+    return connections;
   }
 }
+
+function createPool(address: string): Pool {
+  return new Pool(`http://${address}`, {
+    connections: connectionsPerVm,
+    pipelining: 1,
+    connect: { timeout: connectTimeoutMilliseconds },
+    keepAliveTimeout: keepAliveMilliseconds,
+    keepAliveMaxTimeout: keepAliveMilliseconds,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
--- a/packages/fleet_control/peer_clients_test.ts
+++ b/packages/fleet_control/peer_clients_test.ts
@@ -1,10 +1,12 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
 import { Fleet } from "@kingcupglade/protocol";
 import { UnaryServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { PeerClients } from "./peer_clients.ts";
+import { SilenceableProxy } from "./silenceable_proxy_fixture.ts";
 
 const secret = "a-secret-of-the-peer-clients-test";
 
@@ -50,6 +52,58 @@
     expect(warn).not.toHaveBeenCalled();
   });
 
+  describe("of a VM to which several connections are open", () => {
+    let proxy: SilenceableProxy;
+    let direct: string;
+
+    beforeEach(async () => {
+      const services = new UnaryServices({ secret });
+      services.service(Fleet, { watch: () => ({}) });
+      await listen((request, response) =>
+        void services.handle(request, response)
+      );
+      proxy = new SilenceableProxy(address);
+      direct = address;
+      address = await proxy.listen("127.0.0.1");
+      await Promise.all([1, 2, 3].map(() => watch(1000)));
+      expect(proxy.openCount).toBe(3);
+    });
+
+    afterEach(() => {
+      proxy.close();
+      address = direct;
+    });
+
+    // Failure: each call met the next silent connection and timed out, so that
+    // a leader lost its followers, and gateways kept an old table.
+    it("uses new ones once one of them was silent", async () => {
+      proxy.silenceOpenConnections();
+      await expect(watch(100)).rejects.toThrow("did not respond in time");
+      await watch(1000);
+      await Promise.all([1, 2, 3, 4].map(() => watch(1000)));
+      expect(warn).toHaveBeenCalledOnce();
+    });
+  });
+
+  it("lets calls end that are in progress when another is not answered", async () => {
+    const services = new UnaryServices({ secret });
+    services.service(Fleet, {
+      watch: async () => {
+        await pause(300);
+        return {};
+      },
+      greet: () => new Promise(() => {}),
+    });
+    await listen((request, response) =>
+      void services.handle(request, response)
+    );
+    const inProgress = watch(1000);
+    await expect(
+      clients.client(address, Fleet).greet({}, { timeoutMs: 100 }),
+    ).rejects.toThrow("did not respond in time");
+    await inProgress;
+  });
+
   it("logs nothing about responses in time", async () => {
     const services = new UnaryServices({ secret });
     services.service(Fleet, { watch: () => ({}) });
