Request a first update again while no response to it has begun

Gateways kept an old table for 5 s: the time limit of a first update is that of a large table on a narrow link, and it also bounded the silence of a request that was lost with its connection, although the leader responded to other calls all the while. The only way out was another leader.

A first update is now requested again, on a new connection and beside the requests before it, when a leader that received the request would have begun its response; the waits double. Once a response has begun, nothing is requested again, so that a large table on a narrow link is sent once. The search for the leader moves to a module of its own.

--- a/packages/fleet_control/mod.ts
+++ b/packages/fleet_control/mod.ts
@@ -28,6 +28,9 @@
   encodeWatchOwnPart,
   isCompactAnswer,
 } from "./watch_codec.ts";
-export { watchHoldMilliseconds } from "./update_throttle.ts";
+export {
+  updateIntervalMilliseconds,
+  watchHoldMilliseconds,
+} from "./update_throttle.ts";
 export { Feature, ownFeatures } from "./feature.ts";
 export type { Watch, WatchAnswer, WatchOwnPart } from "./watch.ts";
--- a/packages/fleet_control/update_throttle.ts
+++ b/packages/fleet_control/update_throttle.ts
@@ -28,6 +28,24 @@
   );
 }
 
+/** Gateways must learn of changes well within two seconds. */
+const maximumIntervalMilliseconds = 1000;
+
+/**
+ * Returns the minimum time between two updates, in milliseconds.
+ *
+ * @param gateways Number of gateways that watch the leader.
+ */
+export function updateIntervalMilliseconds(gateways: number): number {
+  return Math.min(
+    maximumIntervalMilliseconds,
+    Math.max(
+      minimumIntervalMilliseconds,
+      gateways * millisecondsPerSecond / answersPerSecond,
+    ),
+  );
+}
+
 /** Limits the rate of updates, so that each carries many changes. */
 export class UpdateThrottle {
   #updatedAt = -Infinity;
@@ -39,16 +57,7 @@
 
   /** Returns the time until the next update may be sent, in milliseconds. */
   delayMilliseconds(now: number, gateways: number): number {
-    const interval = Math.min(
-      maximumIntervalMilliseconds,
-      Math.max(
-        minimumIntervalMilliseconds,
-        gateways * millisecondsPerSecond / answersPerSecond,
-      ),
-    );
+    const interval = updateIntervalMilliseconds(gateways);
     return Math.max(0, this.#updatedAt + interval - now);
   }
 }
-
-/** Gateways must learn of changes well within two seconds. */
-const maximumIntervalMilliseconds = 1000;
--- a/packages/fleet_gateway/table/table_synchronizer.ts
+++ b/packages/fleet_gateway/table/table_synchronizer.ts
@@ -6,6 +6,7 @@
   encodeWatch,
   isCompactAnswer,
   ownFeatures,
+  updateIntervalMilliseconds,
   watchHoldMilliseconds,
 } from "@kingcupglade/fleet_control";
 import type {
@@ -17,7 +18,9 @@
 import { Fleet } from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
+import { requestUntilBegun } from "./first_update.ts";
 import { GatewayTable } from "./gateway_table.ts";
+import { findLeaderAmong } from "./leader_search.ts";
 import { LeaderSearchBackoff } from "./leader_search_backoff.ts";
 import type { TableSynchronizerOptions } from "./table_synchronizer_options.ts";
 
@@ -135,23 +138,35 @@
   // A first update may take long to arrive, and a leader that was lost in the
   // meantime would hold this gateway at an old table for as long.
   async #awaitUpdate(address: string): Promise<boolean> {
-    const update = this.#requestUpdate(address);
-    if (!this.#mayReceiveWholeTable) return await update;
-    let hasEnded = false;
-    const successor = this.#awaitSuccessor(address, () => hasEnded);
+    if (!this.#mayReceiveWholeTable) return await this.#requestUpdate(address);
+    let isOver = false;
+    const hasEnded = () => isOver;
+    const update = requestUntilBegun({
+      request: (onHeader) => this.#requestUpdate(address, onHeader),
+      renewConnections: () => this.#options.clients.renew(address),
+      waitMilliseconds:
+        updateIntervalMilliseconds(this.table.gatewayCount || Infinity) +
+        watchMarginMilliseconds,
+      hasEnded,
+    });
+    const successor = this.#awaitSuccessor(address, hasEnded);
     try {
       return await Promise.race([update, successor]);
     } finally {
-      hasEnded = true;
+      isOver = true;
       // The response of a leader that was left may still arrive, or fail.
       update.catch(() => {});
     }
   }
 
-  async #requestUpdate(address: string): Promise<boolean> {
+  async #requestUpdate(
+    address: string,
+    onHeader = () => {},
+  ): Promise<boolean> {
     const response = await this.#sendWatch(address, {
       isSearch: false,
       timeoutMilliseconds: this.#timeoutMilliseconds,
+      onHeader,
     });
     if (response.kind === "news") return true;
     throw new Error("another VM is the leader");
@@ -170,7 +185,10 @@
     while (!hasEnded()) {
       await pause(successorSearchIntervalMilliseconds);
       if (hasEnded()) break;
-      const successor = await this.#findLeaderAmong(others, address);
+      const successor = await findLeaderAmong(others, {
+        ask: (other) => this.#askForLeader(other),
+        excluded: [address],
+      });
       if (successor === null || hasEnded()) continue;
       this.#loseLeader("another VM is the leader", address);
       this.#leader = successor;
@@ -199,7 +217,9 @@
   }
 
   async #searchLeader(): Promise<boolean> {
-    const leader = await this.#findLeaderAmong(this.#controlAddresses);
+    const leader = await findLeaderAmong(this.#controlAddresses, {
+      ask: (address) => this.#askForLeader(address),
+    });
     this.#leader ??= leader;
     return this.#leader !== null;
   }
@@ -209,47 +229,11 @@
     return new Set([...this.table.control, ...this.#seeds]);
   }
 
-  /**
-   * Returns the address of the leader, or null if none responds. Queries all
-   * VMs at once: one that is powered off does not respond, and in sequence each
-   * of them would cost a timeout.
-   */
-  async #findLeaderAmong(
-    addresses: ReadonlySet<string>,
-    ...excluded: readonly string[]
-  ): Promise<string | null> {
-    const visited = new Set([...addresses, ...excluded]);
-    try {
-      return await Promise.any(
-        [...addresses].map((address) => this.#findLeader(address, visited)),
-      );
-    } catch {
-      // There is no leader yet; its loss was logged when it was detected.
-      return null;
-    }
-  }
-
-  /**
-   * Returns the address of the leader: the queried VM, or the one that it names
-   * if that VM confirms it.
-   */
-  async #findLeader(
-    address: string,
-    visited: ReadonlySet<string>,
-  ): Promise<string> {
-    const response = await this.#sendWatch(address, {
+  #askForLeader(address: string): Promise<WatchAnswer> {
+    return this.#sendWatch(address, {
       isSearch: true,
       timeoutMilliseconds: leaderSearchTimeoutMilliseconds,
     });
-    if (response.kind === "leads") return address;
-    const namedLeader = response.kind === "elsewhere" ? response.leader : null;
-    if (namedLeader === null || visited.has(namedLeader)) {
-      throw new Error("another VM is the leader");
-    }
-    return await this.#findLeader(
-      namedLeader,
-      new Set([...visited, namedLeader]),
-    );
   }
 
   async #sendWatch(
@@ -257,11 +241,13 @@
     options: {
       readonly isSearch: boolean;
       readonly timeoutMilliseconds: number;
+      /** Called when the response begins. @default ignored */
+      readonly onHeader?: () => void;
     },
   ): Promise<WatchAnswer> {
     const { clients, clock, gateway } = this.#options;
     const { takeDemand, takeDurations, takeLimits } = this.#options;
-    const { isSearch, timeoutMilliseconds } = options;
+    const { isSearch, timeoutMilliseconds, onHeader = () => {} } = options;
     const isNewLeader = this.#term === null;
     const watch: Watch = {
       ...gateway,
@@ -285,7 +271,7 @@
           isCompact: !isSearch && this.#usesCompactForm,
         }),
       },
-      { timeoutMs: timeoutMilliseconds },
+      { timeoutMs: timeoutMilliseconds, onHeader },
     );
     const decoded = decodeWatchAnswer(answer);
     if (decoded.kind === "news") {
--- a/packages/fleet_gateway/table/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table/table_synchronizer_test.ts
@@ -1,5 +1,5 @@
 import { createServer } from "node:http";
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import { loopbackPrefix } from "@kingcupglade/fakes";
 import {
@@ -20,7 +20,7 @@
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { createMetrics } from "@kingcupglade/telemetry";
 import { UnaryServices } from "@kingcupglade/transport";
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { createUpdate } from "./table_update_fixture.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 import type { ReceivedOwnPart } from "./table_synchronizer.ts";
@@ -33,6 +33,8 @@
   answer: (watch: Watch) => WatchAnswer | Promise<WatchAnswer>;
   /** Part of the responses for the gateway alone; undefined for no bytes. */
   own: WatchOwnPart | undefined;
+  /** Time from the head of an update to its body. */
+  bodyMilliseconds = 0;
   readonly #server: Server;
   readonly address: string;
 
@@ -51,9 +53,10 @@
         };
       },
     });
-    this.#server = createServer((request, response) =>
-      void services.handle(request, response)
-    );
+    this.#server = createServer((request, response) => {
+      if (this.bodyMilliseconds > 0) this.#delayBody(response);
+      services.handle(request, response);
+    });
   }
 
   async start(): Promise<void> {
@@ -67,8 +70,21 @@
     this.#server.close();
     this.#server.closeAllConnections();
   }
+
+  #delayBody(response: ServerResponse): void {
+    const end = response.end.bind(response);
+    vi.spyOn(response, "end").mockImplementation((body: Uint8Array) => {
+      response.flushHeaders();
+      const isUpdate = body.length > maximumLeadsBytes;
+      setTimeout(() => end(body), isUpdate ? this.bodyMilliseconds : 0);
+      return response;
+    });
+  }
 }
 
+/** A response to a search is not longer. */
+const maximumLeadsBytes = 20;
+
 function tableUpdate(
   index: number,
   more: { items?: readonly StoredItem[]; itemsDigest?: number | null } = {},
@@ -170,6 +186,42 @@
     expect(await waitForIndex(2)).toBeLessThan(2000);
   });
 
+  describe("with a first update that does not arrive", () => {
+    let requested: number;
+
+    /** Answers searches, and the first updates that `isAnswered` selects. */
+    function answerWith(isAnswered: () => boolean): void {
+      requested = 0;
+      controls[0]!.answer = ({ isSearch, position }) => {
+        if (isSearch) return tableUpdate(1);
+        if (position.index === 0) requested += 1;
+        return isAnswered() ? tableUpdate(1) : neverResponds();
+      };
+      synchronizer.start();
+    }
+
+    // Failure: a gateway whose first request was lost with its connection kept an
+    // old table for 5 s, although the leader responded to other calls.
+    it("requests it again from the same leader", async () => {
+      answerWith(() => requested > 1);
+      expect(await waitForIndex(1)).toBeLessThan(2000);
+    });
+
+    it("requests it less and less often", async () => {
+      answerWith(() => false);
+      await pause(4800);
+      expect(requested).toBeGreaterThan(1);
+      expect(requested).toBeLessThanOrEqual(4);
+    });
+
+    it("does not request it again once its response has begun", async () => {
+      controls[0]!.bodyMilliseconds = 2500;
+      answerWith(() => true);
+      expect(await waitForIndex(1)).toBeLessThan(4000);
+      expect(requested).toBe(1);
+    });
+  });
+
   describe("with a part of the response for this gateway alone", () => {
     // Guards against a lease that is counted from the response.
     it("passes it on with the time at which the request was sent", async () => {
--- a/packages/transport/unary_client.ts
+++ b/packages/transport/unary_client.ts
@@ -1,6 +1,7 @@
+import type { IncomingHttpHeaders } from "node:http";
 import type { DescMethod, DescService } from "@bufbuild/protobuf";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import type { Client } from "@connectrpc/connect";
+import type { CallOptions, Client } from "@connectrpc/connect";
 import type { Dispatcher, Pool } from "undici";
 
 const defaultTimeoutMilliseconds = 5000;
@@ -28,7 +29,8 @@
  * protocol, directly through `undici`. A call through Connect's own client and
  * server takes more than four times the CPU time, which is too much for calls
  * that are made for each request. Calls time out after 5 s unless `timeoutMs` is
- * given; failed calls reject with {@link PeerCallError}.
+ * given, and call `onHeader` when a response begins; failed calls reject with
+ * {@link PeerCallError}.
  */
 export function createUnaryClient<Service extends DescService>(
   service: Service,
@@ -36,11 +38,12 @@
 ): Client<Service> {
   const methods = service.methods.map((method) => [
     method.localName,
-    (message: never, { timeoutMs }: { readonly timeoutMs?: number } = {}) =>
+    (message: never, { timeoutMs, onHeader }: CallOptions = {}) =>
       callMethod(options, {
         method,
         message,
         timeoutMilliseconds: timeoutMs ?? defaultTimeoutMilliseconds,
+        ...(onHeader && { onHeader }),
       }),
   ]);
   return Object.fromEntries(methods) as Client<Service>;
@@ -52,9 +55,10 @@
     readonly method: DescMethod;
     readonly message: never;
     readonly timeoutMilliseconds: number;
+    readonly onHeader?: (headers: Headers) => void;
   },
 ): Promise<unknown> {
-  const { method, message, timeoutMilliseconds } = call;
+  const { method, message, timeoutMilliseconds, onHeader } = call;
   const body = toBinary(method.input, create(method.input, message));
   const responseBody = await new Promise<Buffer>((resolve, reject) => {
     options.pool.dispatch(
@@ -71,6 +75,7 @@
         resolve,
         reject,
         timeoutMilliseconds,
+        ...(onHeader && { onHeader }),
         ...(options.onSilence && { onSilence: options.onSilence }),
       }),
     );
@@ -86,6 +91,7 @@
 class UnaryCallHandler implements Dispatcher.DispatchHandler {
   readonly #resolve: (body: Buffer) => void;
   readonly #reject: (failure: PeerCallError) => void;
+  readonly #onHeader: ((headers: Headers) => void) | undefined;
   readonly #timer: NodeJS.Timeout;
   readonly #chunks: Buffer[] = [];
   #controller: Dispatcher.DispatchController | undefined;
@@ -96,10 +102,12 @@
     readonly resolve: (body: Buffer) => void;
     readonly reject: (failure: PeerCallError) => void;
     readonly timeoutMilliseconds: number;
+    readonly onHeader?: (headers: Headers) => void;
     readonly onSilence?: () => void;
   }) {
     this.#resolve = options.resolve;
     this.#reject = options.reject;
+    this.#onHeader = options.onHeader;
     this.#timer = setTimeout(() => {
       this.#timeoutError = new PeerCallError("the VM did not respond in time");
       this.#reject(this.#timeoutError);
@@ -116,8 +124,10 @@
   onResponseStart(
     _controller: Dispatcher.DispatchController,
     status: number,
+    headers: IncomingHttpHeaders,
   ): void {
     this.#status = status;
+    this.#onHeader?.(new Headers(headers as Record<string, string>));
   }
 
   onResponseData(
