Replace silent connections between VMs without a role, too

The pool that is replaced moves to transport, and both kinds of VM use it; a client stays valid when its connections are replaced.

The new test fails without the replacement (the second call times out after 1 s) and passes with it; the tests of the unary services and the experiment that compares calls only name the pool in another way.

--- a/packages/experiments/suite/peer_calls.ts
+++ b/packages/experiments/suite/peer_calls.ts
@@ -9,7 +9,7 @@
   createConnectTransport,
 } from "@connectrpc/connect-node";
 import { Credit, ExchangeRequestSchema } from "@kingcupglade/protocol";
-import { createUnaryClient, UnaryServices } from "kingcupglade";
+import { createUnaryClient, PeerPool, UnaryServices } from "kingcupglade";
 import { Pool } from "undici";
 import type { Experiment } from "../experiment.ts";
 
@@ -56,11 +56,13 @@
   return await withServer(
     (request, response) => void services.handle(request, response),
     async (origin) => {
-      const pool = new Pool(origin, { connections: callConcurrency });
+      const connections = new PeerPool({
+        create: () => new Pool(origin, { connections: callConcurrency }),
+      });
       const time = await measureCalls(
-        createUnaryClient(Credit, { pool, secret }),
+        createUnaryClient(Credit, { connections, secret }),
       );
-      await pool.destroy();
+      connections.destroy();
       return time;
     },
   );
--- a/packages/fakes/mod.ts
+++ b/packages/fakes/mod.ts
@@ -15,3 +15,4 @@
 export type { HistoryEvent, TimedEvent } from "./history.ts";
 export { readReferenceTable } from "./reference_table.ts";
 export { loopbackPrefix } from "./loopback_prefix.ts";
+export { SilenceableProxy } from "./silenceable_proxy.ts";
--- a/packages/fleet_control/peer_clients.ts
+++ b/packages/fleet_control/peer_clients.ts
@@ -1,7 +1,7 @@
 import type { DescService } from "@bufbuild/protobuf";
 import type { Client } from "@connectrpc/connect";
 import type { Logger } from "@kingcupglade/telemetry";
-import { createUnaryClient } from "@kingcupglade/transport";
+import { createUnaryClient, PeerPool } from "@kingcupglade/transport";
 import { Pool } from "undici";
 
 /** Maximum number of concurrent calls to one VM. */
@@ -21,42 +21,29 @@
   readonly logger?: Pick<Logger, "warn">;
 }
 
-/** Connections to one VM, and the clients that use them. */
-interface PeerConnections {
-  readonly pool: Pool;
-  /** By the name of the service. */
-  readonly clients: Map<string, Client<DescService>>;
-}
-
 /** Clients for the services of other VMs, by peer address. */
 export class PeerClients {
   readonly #options: PeerClientsOptions;
-  readonly #connections = new Map<string, PeerConnections>();
-  /** Pools that get no further calls, until their last one has ended. */
-  readonly #retired = new Set<Pool>();
+  readonly #pools = new Map<string, PeerPool>();
+  readonly #clients = new Map<string, Client<DescService>>();
 
   constructor(options: PeerClientsOptions) {
     this.#options = options;
   }
 
-  /**
-   * Returns the client for a service of the VM at an address, as IP:PORT, for
-   * the next call.
-   */
+  /** Returns the client for a service of the VM at an address, as IP:PORT. */
   client<Service extends DescService>(
     address: string,
     service: Service,
   ): Client<Service> {
-    const connections = this.#connectionsTo(address);
-    const { pool, clients } = connections;
-    const known = clients.get(service.typeName);
+    const id = `${address}/${service.typeName}`;
+    const known = this.#clients.get(id);
     if (known) return known as Client<Service>;
     const client = createUnaryClient(service, {
-      pool,
+      connections: this.#pool(address),
       secret: this.#options.secret,
-      onSilence: () => this.#handleSilence(address, connections),
     });
-    clients.set(service.typeName, client as Client<DescService>);
+    this.#clients.set(id, client as Client<DescService>);
     return client;
   }
 
@@ -65,35 +52,23 @@
    * theirs.
    */
   renew(address: string): void {
-    const connections = this.#connections.get(address);
-    if (!connections) return;
-    const { pool } = connections;
-    this.#connections.delete(address);
-    this.#retired.add(pool);
-    const forget = () => this.#retired.delete(pool);
-    pool.close().then(forget, forget);
+    this.#pools.get(address)?.renew();
   }
 
   /** Closes all connections. */
   close(): void {
-    for (const { pool } of this.#connections.values()) void pool.destroy();
-    for (const pool of this.#retired) void pool.destroy();
+    for (const pool of this.#pools.values()) pool.destroy();
   }
 
-  // What silences one connection mostly silences all that are open: a path that
-  // was lost, or a firewall that has forgotten them. Each would cost a timeout.
-  #handleSilence(address: string, connections: PeerConnections): void {
-    this.#options.logger?.warn("peer-silent", { address });
-    // Others of these connections may have been found silent before.
-    if (this.#connections.get(address) === connections) this.renew(address);
-  }
-
-  #connectionsTo(address: string): PeerConnections {
-    const known = this.#connections.get(address);
+  #pool(address: string): PeerPool {
+    const known = this.#pools.get(address);
     if (known) return known;
-    const connections = { pool: createPool(address), clients: new Map() };
-    this.#connections.set(address, connections);
-    return connections;
+    const pool = new PeerPool({
+      create: () => createPool(address),
+      onSilence: () => this.#options.logger?.warn("peer-silent", { address }),
+    });
+    this.#pools.set(address, pool);
+    return pool;
   }
 }
 
--- a/packages/fleet_control/peer_clients_test.ts
+++ b/packages/fleet_control/peer_clients_test.ts
@@ -2,11 +2,11 @@
 import type { RequestListener, Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
+import { SilenceableProxy } from "@kingcupglade/fakes";
 import { Fleet } from "@kingcupglade/protocol";
 import { UnaryServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { PeerClients } from "./peer_clients.ts";
-import { SilenceableProxy } from "./silenceable_proxy_fixture.ts";
 
 const secret = "a-secret-of-the-peer-clients-test";
 
--- a/packages/kingcupglade/control/peers.ts
+++ b/packages/kingcupglade/control/peers.ts
@@ -7,7 +7,7 @@
 import { Control, Credit, Ledger, Replication } from "@kingcupglade/protocol";
 import { Pool } from "undici";
 import type { ResolvedTls } from "../settings/tls.ts";
-import { createUnaryClient } from "@kingcupglade/transport";
+import { createUnaryClient, PeerPool } from "@kingcupglade/transport";
 
 /** Connections to each VM for calls made per request or per heartbeat. */
 const unaryConnections = 16;
@@ -27,7 +27,7 @@
   readonly #scheme: "http" | "https";
   readonly #authorize: Interceptor;
   readonly #transports = new Map<string, Transport>();
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<string, PeerPool>();
   readonly #clients = new Map<string, Client<DescService>>();
   readonly #secret: string;
   readonly #tls: ResolvedTls | undefined;
@@ -69,7 +69,7 @@
     if (existing || this.#addresses[vm] === undefined) return existing;
     const client = unaryServices.has(service)
       ? createUnaryClient(service, {
-        pool: this.#pool(vm),
+        connections: this.#pool(vm),
         secret: this.#secret,
       })
       : createClient(service, this.#transport(vm));
@@ -80,16 +80,24 @@
   /** Closes all connections. */
   close(): void {
     this.#agent.destroy();
-    for (const pool of this.#pools.values()) void pool.destroy();
+    for (const pool of this.#pools.values()) pool.destroy();
   }
 
   #origin(vm: string): string {
     return `${this.#scheme}://${this.#addresses[vm]}`;
   }
 
-  #pool(vm: string): Pool {
+  #pool(vm: string): PeerPool {
+    const known = this.#pools.get(vm);
+    if (known) return known;
+    const pool = new PeerPool({ create: () => this.#createPool(vm) });
+    this.#pools.set(vm, pool);
+    return pool;
+  }
+
+  #createPool(vm: string): Pool {
     const material = this.#tls?.material;
-    const pool = this.#pools.get(vm) ?? new Pool(this.#origin(vm), {
+    return new Pool(this.#origin(vm), {
       connections: unaryConnections,
       pipelining: 1,
       connect: material && {
@@ -98,8 +106,6 @@
         ca: material.authority,
       },
     });
-    this.#pools.set(vm, pool);
-    return pool;
   }
 
   #transport(vm: string): Transport {
--- a/packages/kingcupglade/mod.ts
+++ b/packages/kingcupglade/mod.ts
@@ -16,7 +16,11 @@
 export type { ControlStatus } from "./control/status.ts";
 export { CallerResponseSink } from "./gateway/response_sink.ts";
 export { ExchangeClient } from "./gateway/exchange.ts";
-export { createUnaryClient, PeerCallError } from "@kingcupglade/transport";
+export {
+  createUnaryClient,
+  PeerCallError,
+  PeerPool,
+} from "@kingcupglade/transport";
 export type { UnaryClientOptions } from "@kingcupglade/transport";
 export { UnaryServices } from "@kingcupglade/transport";
 export type { ServiceRegistry } from "@kingcupglade/transport";
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -37,6 +37,7 @@
   PipelineWait,
 } from "./pipeline_limits.ts";
 export { closeAfterBody } from "./pipelined_response.ts";
+export { PeerPool } from "./peer_pool.ts";
 export { createUnaryClient, PeerCallError } from "./unary_client.ts";
 export type { UnaryClientOptions } from "./unary_client.ts";
 export { UnaryServices } from "./unary_services.ts";
--- a/packages/transport/unary_client.ts
+++ b/packages/transport/unary_client.ts
@@ -2,7 +2,8 @@
 import type { DescMethod, DescService } from "@bufbuild/protobuf";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { CallOptions, Client } from "@connectrpc/connect";
-import type { Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
+import type { PeerPool } from "./peer_pool.ts";
 
 const defaultTimeoutMilliseconds = 5000;
 
@@ -14,14 +15,9 @@
 /** Options of {@link createUnaryClient}. */
 export interface UnaryClientOptions {
   /** Connections to the VM that is called. */
-  readonly pool: Pool;
+  readonly connections: Pick<PeerPool, "current" | "recordSilence">;
   /** Secret that all VMs share. */
   readonly secret: string;
-  /**
-   * Called when a call was sent on an open connection and timed out before its
-   * response began. @default ignored
-   */
-  readonly onSilence?: () => void;
 }
 
 /**
@@ -60,8 +56,10 @@
 ): Promise<unknown> {
   const { method, message, timeoutMilliseconds, onHeader } = call;
   const body = toBinary(method.input, create(method.input, message));
+  const { connections } = options;
+  const pool = connections.current;
   const responseBody = await new Promise<Buffer>((resolve, reject) => {
-    options.pool.dispatch(
+    pool.dispatch(
       {
         method: "POST",
         path: methodPath(method),
@@ -76,7 +74,7 @@
         reject,
         timeoutMilliseconds,
         ...(onHeader && { onHeader }),
-        ...(options.onSilence && { onSilence: options.onSilence }),
+        onSilence: () => connections.recordSilence(pool),
       }),
     );
   });
@@ -103,7 +101,7 @@
     readonly reject: (failure: PeerCallError) => void;
     readonly timeoutMilliseconds: number;
     readonly onHeader?: (headers: Headers) => void;
-    readonly onSilence?: () => void;
+    readonly onSilence: () => void;
   }) {
     this.#resolve = options.resolve;
     this.#reject = options.reject;
@@ -111,7 +109,7 @@
     this.#timer = setTimeout(() => {
       this.#timeoutError = new PeerCallError("the VM did not respond in time");
       this.#reject(this.#timeoutError);
-      if (this.#controller && this.#status === 0) options.onSilence?.();
+      if (this.#controller && this.#status === 0) options.onSilence();
       this.#controller?.abort(this.#timeoutError);
     }, options.timeoutMilliseconds);
   }
--- a/packages/transport/unary_services_test.ts
+++ b/packages/transport/unary_services_test.ts
@@ -8,6 +8,7 @@
 import { Pool, request } from "undici";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { HttpListener } from "./http_listener.ts";
+import { PeerPool } from "./peer_pool.ts";
 import { createUnaryClient, PeerCallError } from "./unary_client.ts";
 import { UnaryServices } from "./unary_services.ts";
 
@@ -15,7 +16,7 @@
 
 describe("UnaryServices", () => {
   let server: Server;
-  let pool: Pool;
+  let connections: PeerPool;
   let origin: string;
 
   beforeAll(async () => {
@@ -34,17 +35,19 @@
       server.listen(0, "127.0.0.1", resolve)
     );
     origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
-    pool = new Pool(origin, { connections: 1 });
+    connections = new PeerPool({
+      create: () => new Pool(origin, { connections: 1 }),
+    });
   });
 
-  afterAll(async () => {
-    await pool.destroy();
+  afterAll(() => {
+    connections.destroy();
     server.closeAllConnections();
     server.close();
   });
 
   it("responds alike to the unary client and to Connect's own client", async () => {
-    const unaryClient = createUnaryClient(Replication, { pool, secret });
+    const unaryClient = createUnaryClient(Replication, { connections, secret });
     const connectClient = createClient(
       Replication,
       createConnectTransport({
@@ -62,12 +65,12 @@
   });
 
   it("reports failures, timeouts and a wrong secret", async () => {
-    const unaryClient = createUnaryClient(Replication, { pool, secret });
+    const unaryClient = createUnaryClient(Replication, { connections, secret });
     await expect(unaryClient.found({})).rejects.toThrow("the folder is in use");
     const timedOut = unaryClient.deliver({}, { timeoutMs: 50 });
     await expect(timedOut).rejects.toThrow(PeerCallError);
     const unauthorized = createUnaryClient(Replication, {
-      pool,
+      connections,
       secret: "other",
     });
     await expect(unauthorized.hello({})).rejects.toThrow("401");
