--- a/packages/transport/unary_client.ts
+++ b/packages/transport/unary_client.ts
@@ -1,7 +1,9 @@
+import type { IncomingHttpHeaders } from "node:http";
 import type { DescMethod, DescService } from "@bufbuild/protobuf";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import type { Client } from "@connectrpc/connect";
-import type { Dispatcher, Pool } from "undici";
+import type { CallOptions, Client } from "@connectrpc/connect";
+import type { Dispatcher } from "undici";
+import type { PeerPool } from "./peer_pool.ts";
 
 const defaultTimeoutMilliseconds = 5000;
 
@@ -13,7 +15,7 @@
 /** Options of {@link createUnaryClient}. */
 export interface UnaryClientOptions {
   /** Connections to the VM that is called. */
-  readonly pool: Pool;
+  readonly connections: Pick<PeerPool, "current" | "recordSilence">;
   /** Secret that all VMs share. */
   readonly secret: string;
 }
@@ -23,7 +25,8 @@
  * protocol, directly through `undici`. A call through Connect's own client and
  * server takes more than four times the CPU time, which is too much for calls
  * that are made for each request. Calls time out after 5 s unless `timeoutMs` is
- * given; failed calls reject with {@link PeerCallError}.
+ * given, and call `onHeader` when a response begins; failed calls reject with
+ * {@link PeerCallError}.
  */
 export function createUnaryClient<Service extends DescService>(
   service: Service,
@@ -31,11 +34,12 @@
 ): Client<Service> {
   const methods = service.methods.map((method) => [
     method.localName,
-    (message: never, { timeoutMs }: { readonly timeoutMs?: number } = {}) =>
+    (message: never, { timeoutMs, onHeader }: CallOptions = {}) =>
       callMethod(options, {
         method,
         message,
         timeoutMilliseconds: timeoutMs ?? defaultTimeoutMilliseconds,
+        ...(onHeader && { onHeader }),
       }),
   ]);
   return Object.fromEntries(methods) as Client<Service>;
@@ -47,12 +51,15 @@
     readonly method: DescMethod;
     readonly message: never;
     readonly timeoutMilliseconds: number;
+    readonly onHeader?: (headers: Headers) => void;
   },
 ): Promise<unknown> {
-  const { method, message, timeoutMilliseconds } = call;
+  const { method, message, timeoutMilliseconds, onHeader } = call;
   const body = toBinary(method.input, create(method.input, message));
+  const { connections } = options;
+  const pool = connections.current;
   const responseBody = await new Promise<Buffer>((resolve, reject) => {
-    options.pool.dispatch(
+    pool.dispatch(
       {
         method: "POST",
         path: methodPath(method),
@@ -62,7 +69,13 @@
         },
         body,
       },
-      new UnaryCallHandler({ resolve, reject, timeoutMilliseconds }),
+      new UnaryCallHandler({
+        resolve,
+        reject,
+        timeoutMilliseconds,
+        ...(onHeader && { onHeader }),
+        onSilence: () => connections.recordSilence(pool),
+      }),
     );
   });
   return fromBinary(method.output, responseBody);
@@ -76,6 +89,7 @@
 class UnaryCallHandler implements Dispatcher.DispatchHandler {
   readonly #resolve: (body: Buffer) => void;
   readonly #reject: (failure: PeerCallError) => void;
+  readonly #onHeader: ((headers: Headers) => void) | undefined;
   readonly #timer: NodeJS.Timeout;
   readonly #chunks: Buffer[] = [];
   #controller: Dispatcher.DispatchController | undefined;
@@ -86,12 +100,16 @@
     readonly resolve: (body: Buffer) => void;
     readonly reject: (failure: PeerCallError) => void;
     readonly timeoutMilliseconds: number;
+    readonly onHeader?: (headers: Headers) => void;
+    readonly onSilence: () => void;
   }) {
     this.#resolve = options.resolve;
     this.#reject = options.reject;
+    this.#onHeader = options.onHeader;
     this.#timer = setTimeout(() => {
       this.#timeoutError = new PeerCallError("the VM did not respond in time");
       this.#reject(this.#timeoutError);
+      if (this.#controller && this.#status === 0) options.onSilence();
       this.#controller?.abort(this.#timeoutError);
     }, options.timeoutMilliseconds);
   }
@@ -104,8 +122,10 @@
   onResponseStart(
     _controller: Dispatcher.DispatchController,
     status: number,
+    headers: IncomingHttpHeaders,
   ): void {
     this.#status = status;
+    this.#onHeader?.(new Headers(headers as Record<string, string>));
   }
 
   onResponseData(
