Deliver a lost heartbeat again before followers stand for election

Gateways kept an old table for longer where the loss of open connections cost the control leader its term as well: a heartbeat that went out on a silent connection was given up after 400 ms, 200 ms after the one before, when followers stood for election after 600 ms and the leader's lease ended.

A delivery now has 300 ms, so that the next one, on a new connection, arrives in time.

--- a/packages/fleet_control/replica_links.ts
+++ b/packages/fleet_control/replica_links.ts
@@ -11,9 +11,10 @@
 
 /**
  * Time limit for one delivery; consensus resends messages that were not
- * delivered.
+ * delivered. An interval of heartbeats, this time and a round trip end before
+ * followers stand for election, so that a lost heartbeat costs no leader.
  */
-const deliverTimeoutMilliseconds = 400;
+const deliverTimeoutMilliseconds = 300;
 const maximumWaitingMessages = 256;
 
 /** Thrown when a caller names a replica that cannot be reached. */
