Ask each control VM for the leader by itself

A gateway that had lost its leader asked all control VMs in rounds, and each round waited up to 0.5 s for those that do not respond.

Each VM is now asked again by itself, with the same growing delays, so that a silent one delays only the questions to itself. The rate of questions to a VM is that of before where all respond.

--- a/packages/fleet_gateway/table/leader_search.ts
+++ b/packages/fleet_gateway/table/leader_search.ts
@@ -1,30 +1,61 @@
+import { setTimeout as pause } from "node:timers/promises";
 import type { WatchAnswer } from "@kingcupglade/fleet_control";
 
 /** Asks the VM at a peer address whether it leads. */
 export type LeaderQuestion = (address: string) => Promise<WatchAnswer>;
 
+/** Options of {@link searchLeader}. */
+export interface LeaderSearchOptions {
+  readonly ask: LeaderQuestion;
+  /** Addresses that are not asked, also if a VM names them. @default none */
+  readonly excluded?: readonly string[];
+  /** Returns the delays between two questions to one VM, in milliseconds. */
+  readonly delays: () => { next(): number };
+  /** Whether the leader is no longer searched. */
+  readonly hasEnded: () => boolean;
+}
+
 /**
- * Returns the address of the leader, or null if none responds. Queries all VMs
- * at once: one that is powered off does not respond, and in sequence each of
- * them would cost a timeout.
+ * Returns the address of the leader, or null if the search ends before one
+ * responds. Each VM is asked by itself: one that is powered off or cut off does
+ * not respond, and must not delay the questions to the others.
  */
-export async function findLeaderAmong(
+export async function searchLeader(
   addresses: ReadonlySet<string>,
-  { ask, excluded = [] }: {
-    readonly ask: LeaderQuestion;
-    /** Addresses that are not asked, also if a VM names them. @default none */
-    readonly excluded?: readonly string[];
-  },
+  options: LeaderSearchOptions,
 ): Promise<string | null> {
-  const visited = new Set([...addresses, ...excluded]);
+  const visited = new Set([...addresses, ...options.excluded ?? []]);
+  let isFound = false;
+  const hasEnded = () => isFound || options.hasEnded();
   try {
     return await Promise.any(
-      [...addresses].map((address) => findLeader(address, { ask, visited })),
+      [...addresses].map((address) =>
+        askUntilFound(address, { ...options, visited, hasEnded })
+      ),
     );
   } catch {
-    // There is no leader yet; its loss was logged when it was detected.
+    // All questions have ended without an answer.
     return null;
+  } finally {
+    isFound = true;
+  }
+}
+
+async function askUntilFound(
+  address: string,
+  options: LeaderSearchOptions & { readonly visited: ReadonlySet<string> },
+): Promise<string> {
+  const { delays, hasEnded } = options;
+  const delay = delays();
+  while (!hasEnded()) {
+    try {
+      return await findLeader(address, options);
+    } catch {
+      // There is no leader yet; its loss was logged when it was detected.
+      await pause(delay.next());
+    }
   }
+  throw new Error("the leader is no longer searched");
 }
 
 /**
--- a/packages/fleet_gateway/table/table_synchronizer.ts
+++ b/packages/fleet_gateway/table/table_synchronizer.ts
@@ -20,7 +20,7 @@
 import { describeFailure } from "@kingcupglade/telemetry";
 import { requestUntilBegun } from "./first_update.ts";
 import { GatewayTable } from "./gateway_table.ts";
-import { findLeaderAmong } from "./leader_search.ts";
+import { searchLeader } from "./leader_search.ts";
 import { LeaderSearchBackoff } from "./leader_search_backoff.ts";
 import type { TableSynchronizerOptions } from "./table_synchronizer_options.ts";
 
@@ -151,7 +151,10 @@
     });
     const successor = this.#awaitSuccessor(address, hasEnded);
     try {
-      return await Promise.race([update, successor]);
+      return await Promise.race([
+        update,
+        successor.then((isFound) => isFound || update),
+      ]);
     } finally {
       isOver = true;
       // The response of a leader that was left may still arrive, or fail.
@@ -174,7 +177,7 @@
 
   /**
    * Waits until a control VM other than the one at `address` leads, or
-   * `hasEnded` returns true.
+   * `hasEnded` returns true; returns whether there is one.
    */
   async #awaitSuccessor(
     address: string,
@@ -182,18 +185,16 @@
   ): Promise<boolean> {
     const others = this.#controlAddresses;
     others.delete(address);
-    while (!hasEnded()) {
-      await pause(successorSearchIntervalMilliseconds);
-      if (hasEnded()) break;
-      const successor = await findLeaderAmong(others, {
-        ask: (other) => this.#askForLeader(other),
-        excluded: [address],
-      });
-      if (successor === null || hasEnded()) continue;
-      this.#loseLeader("another VM is the leader", address);
-      this.#leader = successor;
-      break;
-    }
+    await pause(successorSearchIntervalMilliseconds);
+    const successor = await searchLeader(others, {
+      ask: (other) => this.#askForLeader(other),
+      excluded: [address],
+      delays: () => ({ next: () => successorSearchIntervalMilliseconds }),
+      hasEnded,
+    });
+    if (successor === null || hasEnded()) return false;
+    this.#loseLeader("another VM is the leader", address);
+    this.#leader = successor;
     return true;
   }
 
@@ -217,8 +218,12 @@
   }
 
   async #searchLeader(): Promise<boolean> {
-    const leader = await findLeaderAmong(this.#controlAddresses, {
+    const seeds = this.#seeds;
+    const leader = await searchLeader(this.#controlAddresses, {
       ask: (address) => this.#askForLeader(address),
+      delays: () => new LeaderSearchBackoff(this.#options),
+      hasEnded: () =>
+        this.#isStopped || this.#leader !== null || this.#seeds !== seeds,
     });
     this.#leader ??= leader;
     return this.#leader !== null;
--- a/packages/fleet_gateway/table/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table/table_synchronizer_test.ts
@@ -149,6 +149,18 @@
     expect(await waitForIndex(1)).toBeLessThan(400);
   });
 
+  // Failure: each search waited for the VMs that do not respond, so that a gateway
+  // learned of a leader up to 0.5 s after its election.
+  it("finds a leader that is elected while other VMs do not respond", async () => {
+    for (const control of controls.slice(2)) {
+      control.answer = () => ({ kind: "elsewhere", leader: null });
+    }
+    synchronizer.start();
+    await pause(100);
+    controls[3]!.answer = () => tableUpdate(1);
+    expect(await waitForIndex(1)).toBeLessThan(400);
+  });
+
   it("accepts a whole table that the leader takes long to send", async () => {
     controls[3]!.answer = async (watch) => {
       if (!watch.isSearch) await pause(1800);
