Open no connections to a VM after they were closed

A call in the moment in which a VM stops opened new connections if its pool had just been replaced for silence, and they outlived the stop. Such a call is now rejected.

--- a/packages/transport/peer_pool.ts
+++ b/packages/transport/peer_pool.ts
@@ -1,5 +1,14 @@
 import type { Pool } from "undici";
 
+/** Thrown for a call after the connections were closed. */
+export class PeerPoolError extends Error {
+  override readonly name = "PeerPoolError";
+
+  constructor() {
+    super("the connections to the VM are closed");
+  }
+}
+
 /** Options of a {@link PeerPool}. */
 export interface PeerPoolOptions {
   /** Creates a pool without open connections. */
@@ -15,6 +24,7 @@
 export class PeerPool {
   readonly #options: PeerPoolOptions;
   #current: Pool | undefined;
+  #isDestroyed = false;
   /** Pools that get no further calls, until their last one has ended. */
   readonly #retired = new Set<Pool>();
 
@@ -22,8 +32,13 @@
     this.#options = options;
   }
 
-  /** Pool for the next call. */
+  /**
+   * Pool for the next call.
+   *
+   * @throws {PeerPoolError} after {@link destroy}.
+   */
   get current(): Pool {
+    if (this.#isDestroyed) throw new PeerPoolError();
     return this.#current ??= this.#options.create();
   }
 
@@ -51,8 +66,9 @@
     if (pool === this.#current) this.renew();
   }
 
-  /** Closes all connections. */
+  /** Closes all connections, and opens no further ones. */
   destroy(): void {
+    this.#isDestroyed = true;
     void this.#current?.destroy();
     for (const pool of this.#retired) void pool.destroy();
   }
