Give up a response of another VM that does not go on

Gateways kept an old table for 5 s where the connection fell silent after the head of an update had arrived: the call waited for all of its time limit, and the other connections were not replaced, as a response had begun.

A response that has begun is given up when it brings no byte for a second, and counts as silence. Calls take a signal that cancels them.

--- a/packages/fleet_control/peer_clients_test.ts
+++ b/packages/fleet_control/peer_clients_test.ts
@@ -52,6 +52,28 @@
     expect(warn).not.toHaveBeenCalled();
   });
 
+  // Failure: a connection that fell silent in the middle of a response counted as
+  // no silence, and the call waited for all of its time limit.
+  it("gives a response up that does not go on", async () => {
+    await listen((_request, response) => {
+      response.writeHead(200).write("a");
+    });
+    await expect(watch(5000)).rejects.toThrow("does not go on");
+    expect(warn).toHaveBeenCalledExactlyOnceWith("peer-silent", { address });
+  });
+
+  it("ends a call that is cancelled", async () => {
+    await listen(() => {});
+    const ending = new AbortController();
+    const call = clients.client(address, Fleet).watch({}, {
+      timeoutMs: 5000,
+      signal: ending.signal,
+    });
+    setTimeout(() => ending.abort(), 50);
+    await expect(call).rejects.toThrow("cancelled");
+    expect(warn).not.toHaveBeenCalled();
+  });
+
   describe("of a VM to which several connections are open", () => {
     let proxy: SilenceableProxy;
     let direct: string;
--- a/packages/transport/unary_client.ts
+++ b/packages/transport/unary_client.ts
@@ -6,6 +6,11 @@
 import type { PeerPool } from "./peer_pool.ts";
 
 const defaultTimeoutMilliseconds = 5000;
+/**
+ * Time without a byte after which a response that has begun is given up: two
+ * packets that are lost in a row are sent again within 0.6 s.
+ */
+const stallMilliseconds = 1000;
 
 /** Thrown when a call to another VM fails or times out. */
 export class PeerCallError extends Error {
@@ -25,7 +30,8 @@
  * protocol, directly through `undici`. A call through Connect's own client and
  * server takes more than four times the CPU time, which is too much for calls
  * that are made for each request. Calls time out after 5 s unless `timeoutMs` is
- * given, and call `onHeader` when a response begins; failed calls reject with
+ * given, or once a response that has begun brings no byte for a second. Of the
+ * other options, `onHeader` and `signal` are supported. Failed calls reject with
  * {@link PeerCallError}.
  */
 export function createUnaryClient<Service extends DescService>(
@@ -34,13 +40,8 @@
 ): Client<Service> {
   const methods = service.methods.map((method) => [
     method.localName,
-    (message: never, { timeoutMs, onHeader }: CallOptions = {}) =>
-      callMethod(options, {
-        method,
-        message,
-        timeoutMilliseconds: timeoutMs ?? defaultTimeoutMilliseconds,
-        ...(onHeader && { onHeader }),
-      }),
+    (message: never, callOptions: CallOptions = {}) =>
+      callMethod(options, { method, message, options: callOptions }),
   ]);
   return Object.fromEntries(methods) as Client<Service>;
 }
@@ -50,11 +51,10 @@
   call: {
     readonly method: DescMethod;
     readonly message: never;
-    readonly timeoutMilliseconds: number;
-    readonly onHeader?: (headers: Headers) => void;
+    readonly options: CallOptions;
   },
 ): Promise<unknown> {
-  const { method, message, timeoutMilliseconds, onHeader } = call;
+  const { method, message } = call;
   const body = toBinary(method.input, create(method.input, message));
   const { connections } = options;
   const pool = connections.current;
@@ -70,10 +70,9 @@
         body,
       },
       new UnaryCallHandler({
+        ...call.options,
         resolve,
         reject,
-        timeoutMilliseconds,
-        ...(onHeader && { onHeader }),
         onSilence: () => connections.recordSilence(pool),
       }),
     );
@@ -86,37 +85,33 @@
   return `/${method.parent.typeName}/${method.name}`;
 }
 
+interface UnaryCallHandlerOptions extends CallOptions {
+  readonly resolve: (body: Buffer) => void;
+  readonly reject: (failure: PeerCallError) => void;
+  /** Called when the VM was silent on an open connection. */
+  readonly onSilence: () => void;
+}
+
 class UnaryCallHandler implements Dispatcher.DispatchHandler {
-  readonly #resolve: (body: Buffer) => void;
-  readonly #reject: (failure: PeerCallError) => void;
-  readonly #onHeader: ((headers: Headers) => void) | undefined;
+  readonly #options: UnaryCallHandlerOptions;
   readonly #timer: NodeJS.Timeout;
   readonly #chunks: Buffer[] = [];
+  #stallTimer: NodeJS.Timeout | undefined;
   #controller: Dispatcher.DispatchController | undefined;
-  #timeoutError: PeerCallError | undefined;
+  /** Why the call has ended before its response. */
+  #failure: PeerCallError | undefined;
   #status = 0;
 
-  constructor(options: {
-    readonly resolve: (body: Buffer) => void;
-    readonly reject: (failure: PeerCallError) => void;
-    readonly timeoutMilliseconds: number;
-    readonly onHeader?: (headers: Headers) => void;
-    readonly onSilence: () => void;
-  }) {
-    this.#resolve = options.resolve;
-    this.#reject = options.reject;
-    this.#onHeader = options.onHeader;
-    this.#timer = setTimeout(() => {
-      this.#timeoutError = new PeerCallError("the VM did not respond in time");
-      this.#reject(this.#timeoutError);
-      if (this.#controller && this.#status === 0) options.onSilence();
-      this.#controller?.abort(this.#timeoutError);
-    }, options.timeoutMilliseconds);
+  constructor(options: UnaryCallHandlerOptions) {
+    this.#options = options;
+    const { timeoutMs = defaultTimeoutMilliseconds, signal } = options;
+    this.#timer = setTimeout(() => this.#handleTimeout(), timeoutMs);
+    signal?.addEventListener("abort", this.#cancel, { once: true });
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (this.#timeoutError) controller.abort(this.#timeoutError);
+    if (this.#failure) controller.abort(this.#failure);
   }
 
   onResponseStart(
@@ -125,21 +120,27 @@
     headers: IncomingHttpHeaders,
   ): void {
     this.#status = status;
-    this.#onHeader?.(new Headers(headers as Record<string, string>));
+    this.#stallTimer = setTimeout(
+      () => this.#handleStall(),
+      stallMilliseconds,
+    );
+    const { onHeader } = this.#options;
+    onHeader?.(new Headers(headers as Record<string, string>));
   }
 
   onResponseData(
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.#stallTimer?.refresh();
     this.#chunks.push(chunk);
   }
 
   onResponseEnd(): void {
-    clearTimeout(this.#timer);
+    this.#stopTimers();
     const body = Buffer.concat(this.#chunks);
-    if (this.#status === 200) return this.#resolve(body);
-    this.#reject(
+    if (this.#status === 200) return this.#options.resolve(body);
+    this.#options.reject(
       new PeerCallError(
         `the VM responded with status ${this.#status}: ${body.toString()}`,
       ),
@@ -150,11 +151,36 @@
     _controller: Dispatcher.DispatchController,
     cause: Error,
   ): void {
-    clearTimeout(this.#timer);
-    this.#reject(
+    this.#stopTimers();
+    this.#options.reject(
       new PeerCallError(`the VM is unreachable: ${cause.message}`, {
         cause,
       }),
     );
   }
+
+  #handleTimeout(): void {
+    const isSilent = this.#controller !== undefined && this.#status === 0;
+    this.#end("the VM did not respond in time", isSilent);
+  }
+
+  #handleStall(): void {
+    this.#end("the response of the VM does not go on", true);
+  }
+
+  readonly #cancel = () => this.#end("the call was cancelled", false);
+
+  #end(reason: string, isSilent: boolean): void {
+    this.#stopTimers();
+    this.#failure = new PeerCallError(reason);
+    this.#options.reject(this.#failure);
+    if (isSilent) this.#options.onSilence();
+    this.#controller?.abort(this.#failure);
+  }
+
+  #stopTimers(): void {
+    clearTimeout(this.#timer);
+    clearTimeout(this.#stallTimer);
+    this.#options.signal?.removeEventListener("abort", this.#cancel);
+  }
 }
