Report again what a lost request for an update held

What a gateway reports to control goes with its watch requests: targets that leave, limits, durations. Where a first update was requested again beside a lost request, the second one was answered, so that the leader was not lost and nothing was reported again: control could miss that a target leaves. Also the time limit of the first request ended the wait for a response to the second that had begun, and of two responses the older one could be applied last.

A repeated request reports all, as to a new leader. One response is applied: the first that arrives; when it begins, the other requests are aborted. What a watch request holds moves to a module of its own.

--- a/packages/fleet_gateway/table/table_synchronizer.ts
+++ b/packages/fleet_gateway/table/table_synchronizer.ts
@@ -5,20 +5,17 @@
   decodeWatchOwnPart,
   encodeWatch,
   isCompactAnswer,
-  ownFeatures,
   updateIntervalMilliseconds,
   watchHoldMilliseconds,
 } from "@kingcupglade/fleet_control";
-import type {
-  Watch,
-  WatchAnswer,
-  WatchOwnPart,
-} from "@kingcupglade/fleet_control";
+import type { WatchAnswer, WatchOwnPart } from "@kingcupglade/fleet_control";
 import { describeItems } from "@kingcupglade/items";
 import { Fleet } from "@kingcupglade/protocol";
 import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
+import { createWatch } from "./create_watch.ts";
 import { requestUntilBegun } from "./first_update.ts";
+import type { UpdateRequest } from "./first_update.ts";
 import { GatewayTable } from "./gateway_table.ts";
 import { searchLeader } from "./leader_search.ts";
 import { LeaderSearchBackoff } from "./leader_search_backoff.ts";
@@ -45,6 +42,20 @@
 const minimumRefetchMilliseconds = 500;
 const maximumRefetchMilliseconds = 60_000;
 
+/** A watch request that was sent. */
+interface SentWatch {
+  readonly address: string;
+  readonly sentAt: number;
+  /** The same on the elapsed clock. */
+  readonly elapsedSentAt: number;
+}
+
+interface WatchResponse {
+  readonly answer: Uint8Array;
+  readonly own: Uint8Array;
+  readonly sent: SentWatch;
+}
+
 /** Keeps a gateway's table up to date with the control leader's. */
 export class TableSynchronizer {
   readonly table = new GatewayTable();
@@ -138,41 +149,57 @@
   // A first update may take long to arrive, and a leader that was lost in the
   // meantime would hold this gateway at an old table for as long.
   async #awaitUpdate(address: string): Promise<boolean> {
-    if (!this.#mayReceiveWholeTable) return await this.#requestUpdate(address);
-    let isOver = false;
-    const hasEnded = () => isOver;
+    if (!this.#mayReceiveWholeTable) {
+      return this.#receive(await this.#requestUpdate(address));
+    }
+    const ending = new AbortController();
     const update = requestUntilBegun({
-      request: (onHeader) => this.#requestUpdate(address, onHeader),
+      request: (request) => this.#requestUpdate(address, request),
       renewConnections: () => this.#options.clients.renew(address),
       waitMilliseconds:
         updateIntervalMilliseconds(this.table.gatewayCount || Infinity) +
         watchMarginMilliseconds,
-      hasEnded,
+      limitMilliseconds: wholeTableTimeoutMilliseconds,
+      signal: ending.signal,
     });
-    const successor = this.#awaitSuccessor(address, hasEnded);
+    const successor = this.#awaitSuccessor(
+      address,
+      () => ending.signal.aborted,
+    );
     try {
-      return await Promise.race([
+      const received = await Promise.race([
         update,
-        successor.then((isFound) => isFound || update),
+        successor.then((isFound) => isFound ? null : update),
       ]);
+      return received === null || this.#receive(received);
     } finally {
-      isOver = true;
-      // The response of a leader that was left may still arrive, or fail.
+      ending.abort();
+      // The requests to a leader that was left end with this.
       update.catch(() => {});
     }
   }
 
-  async #requestUpdate(
+  #requestUpdate(
     address: string,
-    onHeader = () => {},
-  ): Promise<boolean> {
-    const response = await this.#sendWatch(address, {
+    request: Partial<UpdateRequest> = {},
+  ): Promise<WatchResponse> {
+    return this.#sendWatch(address, {
+      ...request,
       isSearch: false,
       timeoutMilliseconds: this.#timeoutMilliseconds,
-      onHeader,
     });
-    if (response.kind === "news") return true;
-    throw new Error("another VM is the leader");
+  }
+
+  /** Applies an update; returns true. */
+  #receive({ answer, own, sent }: WatchResponse): true {
+    const decoded = decodeWatchAnswer(answer);
+    if (decoded.kind !== "news") {
+      throw new Error("another VM is the leader");
+    }
+    // A leader that writes the compact form reads it too.
+    this.#usesCompactForm ||= isCompactAnswer(answer);
+    this.#apply(decoded, { ...sent, part: decodeWatchOwnPart(own) });
+    return true;
   }
 
   /**
@@ -234,40 +261,29 @@
     return new Set([...this.table.control, ...this.#seeds]);
   }
 
-  #askForLeader(address: string): Promise<WatchAnswer> {
-    return this.#sendWatch(address, {
+  async #askForLeader(address: string): Promise<WatchAnswer> {
+    const { answer } = await this.#sendWatch(address, {
       isSearch: true,
       timeoutMilliseconds: leaderSearchTimeoutMilliseconds,
     });
+    return decodeWatchAnswer(answer);
   }
 
   async #sendWatch(
     address: string,
-    options: {
+    options: Partial<UpdateRequest> & {
       readonly isSearch: boolean;
       readonly timeoutMilliseconds: number;
-      /** Called when the response begins. @default ignored */
-      readonly onHeader?: () => void;
     },
-  ): Promise<WatchAnswer> {
-    const { clients, clock, gateway } = this.#options;
-    const { takeDemand, takeDurations, takeLimits } = this.#options;
-    const { isSearch, timeoutMilliseconds, onHeader = () => {} } = options;
-    const isNewLeader = this.#term === null;
-    const watch: Watch = {
-      ...gateway,
-      isLeaving: this.#isLeaving,
-      isCutOff: this.#options.isCutOff(),
+  ): Promise<WatchResponse> {
+    const { clients, clock } = this.#options;
+    const { isSearch, timeoutMilliseconds, signal, onHeader } = options;
+    const watch = createWatch(this.#options, {
       position: this.#position,
+      isLeaving: this.#isLeaving,
       isSearch,
-      demand: isSearch ? [] : takeDemand(),
-      durations: isSearch ? [] : takeDurations(isNewLeader),
-      limits: isSearch ? [] : takeLimits(isNewLeader),
-      leaving: isSearch ? [] : this.#options.takeLeaving(isNewLeader),
-      suspects: !isSearch && isNewLeader ? this.#options.suspects() : [],
-      features: ownFeatures,
-      quotas: isSearch ? [] : this.#options.takeQuotas?.(isNewLeader) ?? [],
-    };
+      reportsAll: this.#term === null || options.isRepeated === true,
+    });
     const sentAt = clock.now();
     const elapsedSentAt = this.#elapsedClock.now();
     const { answer, own } = await clients.client(address, Fleet).watch(
@@ -276,26 +292,18 @@
           isCompact: !isSearch && this.#usesCompactForm,
         }),
       },
-      { timeoutMs: timeoutMilliseconds, onHeader },
+      {
+        timeoutMs: timeoutMilliseconds,
+        ...(signal && { signal }),
+        ...(onHeader && { onHeader }),
+      },
     );
-    const decoded = decodeWatchAnswer(answer);
-    if (decoded.kind === "news") {
-      // A leader that writes the compact form reads it too.
-      this.#usesCompactForm ||= isCompactAnswer(answer);
-      const part = decodeWatchOwnPart(own);
-      this.#apply(decoded, { address, sentAt, elapsedSentAt, part });
-    }
-    return decoded;
+    return { answer, own, sent: { address, sentAt, elapsedSentAt } };
   }
 
   #apply(
     update: Extract<WatchAnswer, { readonly kind: "news" }>,
-    watch: {
-      readonly address: string;
-      readonly sentAt: number;
-      readonly elapsedSentAt: number;
-      readonly part: WatchOwnPart;
-    },
+    watch: SentWatch & { readonly part: WatchOwnPart },
   ): void {
     // A search may have found another leader in the meantime.
     if (watch.sentAt < this.#lastContactAt) return;
--- a/packages/fleet_gateway/table/table_synchronizer_test.ts
+++ b/packages/fleet_gateway/table/table_synchronizer_test.ts
@@ -2,6 +2,7 @@
 import type { Server, ServerResponse } from "node:http";
 import { setTimeout as pause } from "node:timers/promises";
 import { loopbackPrefix } from "@kingcupglade/fakes";
+import type { TargetIncarnation, TargetView } from "@kingcupglade/fleet";
 import {
   decodeWatch,
   encodeWatchAnswer,
@@ -33,8 +34,10 @@
   answer: (watch: Watch) => WatchAnswer | Promise<WatchAnswer>;
   /** Part of the responses for the gateway alone; undefined for no bytes. */
   own: WatchOwnPart | undefined;
-  /** Time from the head of an update to its body. */
+  /** Time in which the body of an update is sent. */
   bodyMilliseconds = 0;
+  /** Whether nothing follows the head of an update. */
+  isBodySilent = false;
   readonly #server: Server;
   readonly address: string;
 
@@ -54,7 +57,9 @@
       },
     });
     this.#server = createServer((request, response) => {
-      if (this.bodyMilliseconds > 0) this.#delayBody(response);
+      if (this.bodyMilliseconds > 0 || this.isBodySilent) {
+        this.#delayBody(response);
+      }
       services.handle(request, response);
     });
   }
@@ -71,17 +76,31 @@
     this.#server.closeAllConnections();
   }
 
+  // Sends the body of an update in parts, as a narrow link does.
   #delayBody(response: ServerResponse): void {
     const end = response.end.bind(response);
     vi.spyOn(response, "end").mockImplementation((body: Uint8Array) => {
       response.flushHeaders();
       const isUpdate = body.length > maximumLeadsBytes;
-      setTimeout(() => end(body), isUpdate ? this.bodyMilliseconds : 0);
+      if (isUpdate && this.isBodySilent) return response;
+      const parts = isUpdate
+        ? Math.ceil(this.bodyMilliseconds / partIntervalMilliseconds)
+        : 0;
+      const partBytes = Math.floor(body.length / (parts + 1));
+      let sent = 0;
+      const timer = setInterval(() => {
+        if (sent >= parts) {
+          clearInterval(timer);
+          return end(body.subarray(sent * partBytes));
+        }
+        response.write(body.subarray(sent * partBytes, ++sent * partBytes));
+      }, isUpdate ? partIntervalMilliseconds : 0);
       return response;
     });
   }
 }
 
+const partIntervalMilliseconds = 100;
 /** A response to a search is not longer. */
 const maximumLeadsBytes = 20;
 
@@ -99,11 +118,13 @@
   let controls: FakeControl[];
   let synchronizer: TableSynchronizer;
   let received: ReceivedOwnPart[];
+  let takeLeaving: (isNewLeader: boolean) => readonly TargetIncarnation[];
 
   beforeEach(async () => {
     // A synchronizer of the test before may still get a response.
     const ownParts: ReceivedOwnPart[] = [];
     received = ownParts;
+    takeLeaving = () => [];
     controls = [1, 2, 3, 4].map((at) =>
       new FakeControl(`${loopbackPrefix()}.${at}:7390`, neverResponds)
     );
@@ -115,7 +136,7 @@
       takeDemand: () => [],
       takeDurations: () => [],
       takeLimits: () => [],
-      takeLeaving: () => [],
+      takeLeaving: (isNewLeader) => takeLeaving(isNewLeader),
       suspects: () => [],
       onSuspects: () => {},
       clients,
@@ -232,6 +253,106 @@
       expect(await waitForIndex(1)).toBeLessThan(4000);
       expect(requested).toBe(1);
     });
+
+    // Failure: the time limit of the first request ended the wait for a response
+    // to the second one that had begun.
+    it("awaits a response that has begun, for its own time limit", async () => {
+      controls[0]!.bodyMilliseconds = 4200;
+      answerWith(() => requested > 1);
+      await waitForIndex(1);
+      expect(requested).toBe(2);
+    });
+
+    // Failure: a connection that fell silent after a response had begun held the
+    // gateway at its old table for 5 s.
+    it("requests it again when its response does not go on", async () => {
+      controls[0]!.isBodySilent = true;
+      answerWith(() => {
+        controls[0]!.isBodySilent = requested === 1;
+        return true;
+      });
+      // A VM counts as in contact 3 s after its connections were lost.
+      expect(await waitForIndex(1)).toBeLessThan(3000);
+    });
+
+    // Failure: what a lost request reported was not reported again, as the next
+    // one was answered and the leader was not lost.
+    it("reports again what a lost request held", async () => {
+      const leaving = { target: "t", bornAt: 1 };
+      let unreported: readonly TargetIncarnation[] = [leaving];
+      takeLeaving = (isNewLeader) => {
+        const rows = isNewLeader ? [leaving] : unreported;
+        unreported = [];
+        return rows;
+      };
+      const reported: (readonly TargetIncarnation[])[] = [];
+      controls[0]!.answer = async (watch) => {
+        if (watch.isSearch) return tableUpdate(1);
+        reported.push(watch.leaving);
+        if (reported.length === 1) {
+          unreported = [leaving];
+          // Differs from the digest of the table, so that all items are requested.
+          return tableUpdate(1, { itemsDigest: 5 });
+        }
+        if (reported.length === 2) return await neverResponds();
+        if (reported.length > 3) await pause(100);
+        return tableUpdate(1);
+      };
+      synchronizer.start();
+      await expect.poll(() => reported.length, { timeout: 4000 })
+        .toBeGreaterThan(3);
+      expect(reported.slice(0, 4)).toEqual([
+        [leaving],
+        [leaving],
+        [leaving],
+        [],
+      ]);
+    });
+
+    // Failure: an update that the leader encoded before another one to the same
+    // gateway, and that arrived after it, took targets back to an older state.
+    it("does not go back to an older revision", async () => {
+      const view = (isCold: boolean): TargetView => ({
+        name: "t",
+        bornAt: 1,
+        service: "s",
+        address: "127.0.0.1:1",
+        dataCentre: "a",
+        slots: 6,
+        isLeaving: false,
+        isCold,
+        coldGateways: [],
+        maximumPerSecond: null,
+        limitGateways: [],
+      });
+      const update = (revision: number, isCold: boolean): WatchAnswer => ({
+        kind: "news",
+        delta: createUpdate(1, {
+          position: { index: 1, term: 1, revision, isComplete: true },
+          targets: [view(isCold)],
+        }),
+      });
+      let received = 0;
+      controls[0]!.answer = async ({ isSearch }) => {
+        if (isSearch) return tableUpdate(1);
+        received += 1;
+        if (received === 1) {
+          // Encoded after the second one, and answered first.
+          await pause(1700);
+          return update(12, false);
+        }
+        await pause(500);
+        return received === 2 ? update(11, true) : {
+          kind: "news",
+          delta: createUpdate(1, {
+            position: { index: 1, term: 1, revision: 12, isComplete: true },
+          }),
+        };
+      };
+      synchronizer.start();
+      await expect.poll(() => received, { timeout: 5000 }).toBeGreaterThan(3);
+      expect(synchronizer.table.target("t")?.isCold).toBe(false);
+    });
   });
 
   describe("with a part of the response for this gateway alone", () => {
