Name the log entry and the start in the line of a target that leaves

A target that was reached after its departure could not be told apart by the logs: whether the gateway's table knew of it, and since when. `target-leaves` now has the index of its log entry and the start of the target; the first `table-changed` of a gateway with that index or a higher one is the moment at which it knew. No decision changes.

--- a/packages/fleet_control/target_departures.ts
+++ b/packages/fleet_control/target_departures.ts
@@ -39,7 +39,8 @@
         bornAt,
         departure: kind,
       });
-      logger.info("target-leaves", { target, kind });
+      const index = replica.state.departures.get(target)?.changedAt ?? null;
+      logger.info("target-leaves", { target, kind, bornAt, index });
     }
     const stored = replica.state.departures.get(target);
     if (stored) registry.recordDeparture(target, stored);
