Check the target again immediately before a request is sent

Callers' requests reached targets after the gateway knew that these leave. A target is checked against the table when it is chosen or its slot is granted; the request is written once its connection is open, and only the key and the limit of its workspace were checked again then. A request that waited for a connection was sent to a target that had left the table's choice meanwhile.

Now `mayReceive` asks the table and the notices of targets when a slot is granted, when the attempt starts, and when the connection is open, as it is done for keys. A withheld request is sent to another target, and leaves `request-withheld` with the time that it waited.

A long body counted as sent once its stream was opened, so that its request was refused with 503 instead. A stream that was destroyed before more than the first bytes was read, which are kept, can be opened again.

--- a/packages/fleet_gateway/exchanges/target_exchange.ts
+++ b/packages/fleet_gateway/exchanges/target_exchange.ts
@@ -13,6 +13,7 @@
   RoutedRequest,
 } from "../requests/routed_request.ts";
 import type { TargetConnection } from "../targets/address_pool.ts";
+import { mayReceive } from "../targets/may_receive.ts";
 
 /** Time before the caller's deadline at which a response must be on its way. */
 const responseMarginMilliseconds = 15;
@@ -87,7 +88,8 @@
     connection: options.connection,
     wire,
     mayStart: () =>
-      keys.recheck(workspace) === undefined && (quota?.send() ?? true),
+      keys.recheck(workspace) === undefined && mayReceive(context, target) &&
+      (quota?.send() ?? true),
     stream: firstResponseStream(answer, {
       exchanges: options.exchanges,
       self: () => exchange,
--- a/packages/fleet_gateway/requests/forwarding_fixture.ts
+++ b/packages/fleet_gateway/requests/forwarding_fixture.ts
@@ -4,6 +4,7 @@
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { createMetrics } from "@kingcupglade/telemetry";
 import { BodyMemory, RequestBody } from "@kingcupglade/transport";
+import { buildConnector } from "undici";
 import type { ResponseHead } from "../exchanges/exchange.ts";
 import type { ForwardingProgress } from "../relay/relay_forwarder.ts";
 import { BodyFraming } from "../callers/response_framing.ts";
@@ -105,7 +106,9 @@
 /** A gateway whose targets are chosen in order. */
 export class ForwardingFixture {
   readonly clock = new MonotonicClock();
-  readonly connections = new TargetConnections({ clock: this.clock });
+  readonly connections: TargetConnections;
+  /** Names of targets that the table lists as leaving. */
+  readonly leaving = new Set<string>();
   readonly responseMemory: BodyMemory;
   /** What has happened to requests that were handed over. */
   readonly handedOver: ForwardingProgress[] = [];
@@ -114,8 +117,22 @@
 
   constructor(
     targets: readonly RawServer[],
-    options: { readonly responseMemoryBytes?: number } = {},
+    options: {
+      readonly responseMemoryBytes?: number;
+      /** Called with the address of each connection, once it is open. */
+      readonly onConnected?: (address: string) => void;
+    } = {},
   ) {
+    const { onConnected = () => {} } = options;
+    const connect = buildConnector({});
+    this.connections = new TargetConnections({
+      clock: this.clock,
+      connector: (connecting, callback) =>
+        connect(connecting, (...result) => {
+          onConnected(connecting.host ?? "");
+          callback(...result);
+        }),
+    });
     this.#targets = targets;
     this.responseMemory = new BodyMemory(options.responseMemoryBytes);
   }
@@ -149,7 +166,9 @@
     });
     const record = { expectedDuration: () => 1, begin() {}, end() {} };
     const next = (tried: ReadonlySet<string>) => {
-      const index = this.#targets.findIndex((_, at) => !tried.has(`t${at}`));
+      const index = this.#targets.findIndex((_, at) =>
+        !tried.has(`t${at}`) && !this.leaving.has(`t${at}`)
+      );
       const { address } = this.#targets[Math.max(0, index)]!;
       return { target: { name: `t${Math.max(0, index)}`, address }, record };
     };
@@ -174,7 +193,13 @@
         }),
         targetHeaders: () => ({}),
       },
-      notices: { record: () => {} },
+      notices: { record: () => {}, mayUse: () => true },
+      table: () => ({
+        position: { index: 1 },
+        target: (name: string) => ({ name }),
+        mayServe: ({ name }: { readonly name: string }) =>
+          !this.leaving.has(name),
+      }),
       limits: { record: () => {}, of: () => undefined },
       selector: {
         service: () => queue,
--- a/packages/fleet_gateway/requests/request_forwarder.ts
+++ b/packages/fleet_gateway/requests/request_forwarder.ts
@@ -7,7 +7,6 @@
 import type { CallerResponse } from "../callers/caller_response.ts";
 import type { ForwardingProgress } from "../relay/relay_forwarder.ts";
 import { findSendFault } from "./send_fault.ts";
-import type { SendFault } from "./send_fault.ts";
 import { SlotAcquisition } from "../slots/slot_acquisition.ts";
 import type { ForwardingContext, RoutedRequest } from "./routed_request.ts";
 import { RequestEnding } from "./request_ending.ts";
@@ -18,6 +17,7 @@
 import { RequestProgress } from "./request_progress.ts";
 import type { ServiceQueue } from "../slots/service_queue.ts";
 import type { SlotTicket } from "../slots/slot_client.ts";
+import { mayReceive } from "../targets/may_receive.ts";
 import { TargetAttempts } from "../targets/target_attempts.ts";
 import { startAttempt } from "../exchanges/target_exchange.ts";
 import { TargetUse } from "../targets/target_use.ts";
@@ -295,11 +295,10 @@
       }
       return this.#begin();
     }
-    const fault = findSendFault(this.#context, this.#routed);
-    if (fault) {
-      use.cancel();
-      return this.#withhold(target, fault);
-    }
+    if (
+      findSendFault(this.#context, this.#routed) ||
+      !mayReceive(this.#context, target)
+    ) return this.#withhold(target, use);
     const { clock, connections, reach } = this.#context;
     const { connection, exchange } = use.cancelOnFailure(() =>
       startAttempt({
@@ -333,8 +332,7 @@
       connections.release(target.address, connection);
     } else connections.end(connection);
     if (result.kind === "notSent" && result.isWithheld) {
-      use.cancel();
-      return this.#withhold(target, findSendFault(this.#context, this.#routed));
+      return this.#withhold(target, use);
     }
     use.end(result, {
       isAbandoned: this.#ending.isFinished,
@@ -349,10 +347,13 @@
   }
 
   /**
-   * Handles that the request was not sent to a target because of its key or limit.
-   * Without a fault, the lease was renewed in the meantime, and it is sent again.
+   * Handles that the request was not sent to a target because of its key or limit,
+   * or because the target leaves. Without a fault, it is sent again.
    */
-  #withhold(target: TargetView, fault: SendFault | undefined): void {
+  #withhold(target: TargetView, use: TargetUse): void {
+    use.cancel();
+    const fault = findSendFault(this.#context, this.#routed);
+    this.#telemetry.recordWithheld(target, { fault, chosenAt: use.startedAt });
     if (this.#ending.isFinished) return;
     if (!this.#progress.arrived.has(target.name)) {
       this.#attempts.recordNotSent(target.name);
--- a/packages/fleet_gateway/requests/request_guard_test.ts
+++ b/packages/fleet_gateway/requests/request_guard_test.ts
@@ -87,7 +87,7 @@
         readResponse: () => ({ requestId: "r1" }),
         targetHeaders: () => ({}),
       },
-      notices: { record: () => {} },
+      notices: { record: () => {}, mayUse: () => true },
       limits: { record: () => {}, of: () => undefined },
       selector: {
         recordReceived: () => {},
@@ -109,7 +109,12 @@
       connections: { acquire: odd },
       relayConnections: { acquire: odd },
       relays: { next: () => ({ name: "g", address: "a:1" }) },
-      table: () => ({ hasConfiguration: true, matchRoute: odd }),
+      table: () => ({
+        hasConfiguration: true,
+        matchRoute: odd,
+        target: (name: string) => ({ name }),
+        mayServe: () => true,
+      }),
     };
   });
 
--- a/packages/fleet_gateway/requests/request_telemetry.ts
+++ b/packages/fleet_gateway/requests/request_telemetry.ts
@@ -234,6 +234,26 @@
     });
   }
 
+  /** Logs that the request is not sent to the target that was chosen for it. */
+  recordWithheld(
+    target: TargetView,
+    { fault, chosenAt }: {
+      readonly fault: string | undefined;
+      readonly chosenAt: number;
+    },
+  ): void {
+    const { clock, logger, table } = this.#context;
+    const { head, service } = this.#routed;
+    logger.info("request-withheld", {
+      request: head.requestId,
+      service,
+      target: target.name,
+      reason: fault ?? "the target may no longer be used",
+      index: table().position.index,
+      waitedMilliseconds: Math.round(clock.now() - chosenAt),
+    });
+  }
+
   /** Logs an event that concerns one target. */
   logTargetEvent(event: string, target: TargetView, reason: string): void {
     const { head, service } = this.#routed;
--- a/packages/fleet_gateway/slots/slot_acquisition.ts
+++ b/packages/fleet_gateway/slots/slot_acquisition.ts
@@ -6,6 +6,7 @@
 } from "../requests/routed_request.ts";
 import type { SlotRequest } from "./slot_messages.ts";
 import type { SlotTicket } from "./slot_client.ts";
+import { mayReceive } from "../targets/may_receive.ts";
 import type { TargetLimitation } from "../targets/target_attempts.ts";
 
 /** Managers at which one attempt may be queued at the same time. */
@@ -195,10 +196,9 @@
 
   #usableTarget(name: string): TargetView | undefined {
     const { routed, context } = this.#options;
-    const table = context.table();
-    const target = table.target(name);
+    const target = context.table().target(name);
     const isUsable = target && target.service === routed.service &&
-      table.mayServe(target) && context.notices.mayUse(target) &&
+      mayReceive(context, target) &&
       context.selector.isHomeRegion(routed.route, target);
     return isUsable ? target : undefined;
   }
--- a/packages/transport/body.ts
+++ b/packages/transport/body.ts
@@ -55,14 +55,17 @@
   readonly #buffer: Buffer | undefined;
   readonly #source: AsyncIterable<Buffer> | undefined;
   readonly #firstBytes: Buffer;
-  #isStreamOpened = false;
+  /** The stream that was opened last. */
+  #stream: Readable | undefined;
+  /** Whether more than the first bytes was read. */
+  #isSourceRead = false;
 
   protected constructor(
     content: {
       readonly buffer?: Buffer;
-      readonly source?: AsyncIterable<Buffer>;
-      /** First bytes of the source. */
       readonly firstBytes?: Buffer;
+      /** What follows the first bytes. */
+      readonly source?: AsyncIterable<Buffer>;
       readonly length?: number | undefined;
     },
   ) {
@@ -103,11 +106,8 @@
     const firstBytes = Buffer.concat(first);
     if (ended) return new RequestBody({ buffer: firstBytes });
     return new RequestBody({
-      source: chainChunks(
-        [firstBytes],
-        new ReadAhead(chunks, readAheadMemory.reserve()),
-      ),
       firstBytes,
+      source: new ReadAhead(chunks, readAheadMemory.reserve()),
       length,
     });
   }
@@ -127,16 +127,26 @@
     return this.#buffer?.length ?? this.streamedLength ?? 0;
   }
 
-  /** Whether the body can be sent; a streamed body can be sent only once. */
+  /**
+   * Whether the body can be sent; a streamed body can be sent only once, unless
+   * its stream was destroyed before more than the first bytes was read.
+   */
   get canBeSent(): boolean {
-    return this.#buffer !== undefined || !this.#isStreamOpened;
+    if (this.#buffer) return true;
+    return !this.#isSourceRead && (this.#stream?.destroyed ?? true);
   }
 
   /** Returns the body for one attempt, or null if it is empty. */
   open(): Buffer | Readable | null {
     if (this.#buffer) return this.#buffer.length > 0 ? this.#buffer : null;
-    this.#isStreamOpened = true;
-    return Readable.from(this.#source!, { objectMode: false });
+    this.#stream = Readable.from(this.#readStream(), { objectMode: false });
+    return this.#stream;
+  }
+
+  async *#readStream(): AsyncGenerator<Buffer> {
+    yield this.#firstBytes;
+    this.#isSourceRead = true;
+    yield* this.#source!;
   }
 }
 
@@ -202,14 +212,6 @@
   return { first, ended: false };
 }
 
-async function* chainChunks(
-  first: readonly Buffer[],
-  rest: AsyncIterable<Buffer>,
-): AsyncGenerator<Buffer> {
-  yield* first;
-  yield* rest;
-}
-
 function createTooLargeError(maximumBytes: number): BodyTooLargeError {
   return new BodyTooLargeError(`the body is larger than ${maximumBytes} bytes`);
 }
