Record the departure of a heartbeat that is not registered

A leader acknowledges a draining heartbeat whose service or data centre it does not know, and recorded no departure: `handleHeartbeat` returned before that. Gateways that know the target from an earlier leader, whose settings name its data centre, went on to send it requests, without an end.

The departure is committed now before any heartbeat that says so is acknowledged. One that names an impossible start is excepted: it would hold for all later incarnations, and gateways never got to know that target. `heartbeat-rejected` tells whether it was draining.

leader_session_test.ts, with a data centre that the leader's settings lack: the departure was undefined before, and has the target's start now.

--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -28,7 +28,7 @@
 import { LimitDirectory } from "./limit_directory.ts";
 import { ManagerDirectory } from "./manager_directory.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
-import { mayRegister } from "./may_register.ts";
+import { isFromFuture, mayRegister } from "./may_register.ts";
 import { PublishedState } from "./published_state.ts";
 import { QuotaDirectory } from "./quota_directory.ts";
 import { RelayDirectory } from "./relay_directory.ts";
@@ -211,10 +211,10 @@
     const { replica } = this.#options;
     const { incarnation } = announcement;
     const address = chooseHeartbeatListener(announcement, this.#options);
-    if (!mayRegister(announcement, this.#options)) return {};
-    const isNewest = this.#registerHeartbeat(announcement);
-    // Also for a repeated heartbeat: its sender waits for this acknowledgement.
-    if (announcement.isDraining) {
+    const isNewest = mayRegister(announcement, this.#options) &&
+      this.#registerHeartbeat(announcement);
+    // Also for one that is repeated or not registered, as it is acknowledged too.
+    if (announcement.isDraining && !isFromFuture(incarnation)) {
       await this.#departures.depart(incarnation.target, {
         bornAt: incarnation.bornAt,
         kind: DepartureKind.draining,
--- a/packages/fleet_control/leader_session_test.ts
+++ b/packages/fleet_control/leader_session_test.ts
@@ -82,8 +82,11 @@
 describe("LeaderSession", () => {
   let replica: ImmediateReplica;
   let session: LeaderSession;
+  /** Data centres in the settings of the leader. */
+  let dataCentres: Set<string>;
 
   beforeEach(() => {
+    dataCentres = new Set(["hsinchu-a"]);
     replica = new ImmediateReplica();
     session = new LeaderSession({
       replica: replica as unknown as FleetReplica,
@@ -92,7 +95,7 @@
       heartbeatMilliseconds: 1000,
       controlAddress: "127.0.0.3:8300",
       region: "north",
-      regionOf: () => "north",
+      regionOf: (name) => dataCentres.has(name) ? "north" : "",
       controlAddresses: () => [],
       listeners: () => [],
     });
@@ -156,6 +159,25 @@
     expect(replica.state.departures.get("i-1")?.bornAt).toBe(7);
   });
 
+  // Failure: a target that had said that it drains received requests on, as the
+  // new leader's settings lacked its data centre.
+  it("records a departure also if the heartbeat is not registered", async () => {
+    await session.handleHeartbeat(heartbeat(7, 1));
+    dataCentres.clear();
+    const draining = { ...heartbeat(7, 2), isDraining: true };
+    expect(await session.handleHeartbeat(draining)).toEqual({});
+    expect(replica.state.departures.get("i-1")?.bornAt).toBe(7);
+    const { targets } = await update(watch());
+    expect(targets).toMatchObject([{ name: "i-1", isLeaving: true }]);
+  });
+
+  it("records no departure of a target from the future", async () => {
+    const bornAt = Date.now() + 7_200_000;
+    const draining = { ...heartbeat(bornAt, 1), isDraining: true };
+    expect(await session.handleHeartbeat(draining)).toEqual({});
+    expect(replica.state.departures.size).toBe(0);
+  });
+
   // Failure: a late departure took the target's next incarnation out of use.
   it("publishes no departure of an earlier incarnation", async () => {
     await session.handleHeartbeat(heartbeat(8, 1));
--- a/packages/fleet_control/may_register.ts
+++ b/packages/fleet_control/may_register.ts
@@ -1,4 +1,4 @@
-import type { Announcement } from "@kingcupglade/fleet";
+import type { Announcement, TargetIncarnation } from "@kingcupglade/fleet";
 import { ItemKind } from "@kingcupglade/items";
 import type { LeaderSessionOptions } from "./leader_session.ts";
 
@@ -10,22 +10,30 @@
  * or data centre, or an impossible start.
  */
 export function mayRegister(
-  { incarnation, service, dataCentre }: Announcement,
+  { incarnation, service, dataCentre, isDraining }: Announcement,
   options: Pick<LeaderSessionOptions, "replica" | "regionOf" | "logger">,
 ): boolean {
   const { replica, regionOf, logger } = options;
   const { items } = replica.state;
   const isKnown = regionOf(dataCentre) !== "" &&
     (items.size === 0 || items.has(`${ItemKind.service}/${service}`));
-  // Its later heartbeats would count as those of an earlier incarnation.
-  const isFromFuture = incarnation.bornAt > Date.now() + maximumClockLead;
-  if (!isKnown || isFromFuture) {
+  const isPossible = !isFromFuture(incarnation);
+  if (!isKnown || !isPossible) {
     logger.warn("heartbeat-rejected", {
       target: incarnation.target,
       service,
       dataCentre,
       bornAt: incarnation.bornAt,
+      isDraining,
     });
   }
-  return isKnown && !isFromFuture;
+  return isKnown && isPossible;
+}
+
+/**
+ * Whether a start is impossible: later incarnations would count as earlier than
+ * this one.
+ */
+export function isFromFuture({ bornAt }: TargetIncarnation): boolean {
+  return bornAt > Date.now() + maximumClockLead;
 }
