Find copies of earlier responses within a body by their heads

Callers got 200 with the bytes of an earlier response inside the body: of a response without a length, and of one with a length where the displaced bytes arrived after it had been passed on. The target had shown no copy before.

Cause: a body was its own unless surplus bytes were read in the same turn of the event loop. Without a length there are none; on a link on which packets arrive apart, or if the target pauses between its writes, they come later.

On a connection that was used before, bodies are now searched for a status line that is followed by the ID of an earlier request of that connection. Such a copy identifies itself, whatever the framing and the time of what follows. Sound targets keep their connections, and bodies that quote other heads are passed on. Both gateways of a relay use the same code.

--- a/packages/fleet_gateway/exchanges/exchange.ts
+++ b/packages/fleet_gateway/exchanges/exchange.ts
@@ -5,14 +5,17 @@
   isValidStatus,
 } from "@kingcupglade/transport";
 import type { BodyReservation } from "@kingcupglade/transport";
-import { errors } from "undici";
 import type { Dispatcher } from "undici";
 import type { CallerWire, TargetResponseHead } from "../callers/caller_wire.ts";
 import type { ReadPace } from "../link/read_pace.ts";
 import { BodyFraming, framingOf } from "../callers/response_framing.ts";
+import { CopyDetector } from "./copy_detector.ts";
+import { causeOf, LossCause } from "./loss_cause.ts";
 import { Surplus } from "./surplus_detector.ts";
 import type { TargetConnection } from "../targets/address_pool.ts";
 
+export { LossCause };
+
 /** Responses up to this size are buffered until they are complete. */
 const maximumBufferedBytes = 256 * 1024;
 
@@ -61,19 +64,6 @@
   fail(): void;
 }
 
-/** Why no valid response to a request was received. */
-export const LossCause = {
-  /** The time of the exchange was up. */
-  timeout: "timeout",
-  /** The target closed or reset the connection. */
-  closed: "closed",
-  /** The received bytes are not a response to the request. */
-  invalid: "invalid",
-  /** The response is no longer needed. */
-  abandoned: "abandoned",
-} as const;
-export type LossCause = typeof LossCause[keyof typeof LossCause];
-
 /** How an exchange ended. */
 export type ExchangeResult =
   | {
@@ -115,6 +105,9 @@
   #chunks: Buffer[] = [];
   #bytes = 0;
   #lastPart: Buffer | undefined;
+  readonly #copies = new CopyDetector((name, value) =>
+    this.#isOfEarlierRequest(name, value)
+  );
   /** Last part of a streamed body, until it is known to be its own. */
   #withheld: Buffer | undefined;
   #isStreaming = false;
@@ -251,12 +244,26 @@
     this.#onData();
     this.#bytes += chunk.length;
     this.#lastPart = chunk;
+    // A copy of an earlier response may be a part of the body.
+    if (this.#connection.wasUsed && this.#copies.add(chunk)) {
+      this.#connection.recordSurplus();
+      return this.#abort(
+        "the body holds the head of an earlier response",
+        LossCause.invalid,
+      );
+    }
     this.#take(chunk);
     if (!this.#hasEnded && this.#pace?.record(chunk.length) === false) {
       this.#holdForLink();
     }
   }
 
+  #isOfEarlierRequest(name: string, value: string): boolean {
+    const { requestId } = this.#wire.readResponse(200, { [name]: value });
+    return requestId !== this.#request.requestId &&
+      this.#connection.requestIds.has(requestId);
+  }
+
   // What was read already is still parsed after a hold.
   #holdForLink(): void {
     if (!this.#pace!.isHeld) this.#pace!.hold(this.#connection.reads.hold());
@@ -394,15 +401,3 @@
     this.#resolve(result);
   }
 }
-
-/** Codes of socket errors that a target's reset causes. */
-const resetCodes: ReadonlySet<string | undefined> = new Set([
-  "ECONNRESET",
-  "EPIPE",
-]);
-
-function causeOf(failure: Error): LossCause {
-  const isClosed = failure instanceof errors.SocketError ||
-    resetCodes.has((failure as NodeJS.ErrnoException).code);
-  return isClosed ? LossCause.closed : LossCause.invalid;
-}
