Ignore white space behind the values of a target's headers

Callers got 502 in place of a whole response whose ID was followed by white space, and each later request to that target opened a connection for ten minutes.

Cause: undici removes the white space before a value and leaves that behind it. The ID differed from the request's, so the response counted as a copy of another one.

The new test failed with 502 in place of 200.

Result: the 196 tests of target responses, exchanges and response paths and those of endless responses pass.

--- a/packages/fleet_gateway/exchanges/exchange.ts
+++ b/packages/fleet_gateway/exchanges/exchange.ts
@@ -12,6 +12,7 @@
 import { CopyDetector } from "./copy_detector.ts";
 import { causeOf, LossCause } from "./loss_cause.ts";
 import { Surplus } from "./surplus_detector.ts";
+import { trimmedHeaders } from "./trimmed_headers.ts";
 import type { TargetConnection } from "../targets/address_pool.ts";
 
 export { LossCause };
@@ -188,7 +189,7 @@
   onResponseStart(
     _controller: Dispatcher.DispatchController,
     status: number,
-    headers: IncomingHttpHeaders,
+    received: IncomingHttpHeaders,
   ): void {
     if (this.#hasEnded) return;
     if (!isValidStatus(status)) {
@@ -198,6 +199,7 @@
       );
     }
     if (status < 200) return this.#countInterimResponse();
+    const headers = trimmedHeaders(received);
     const head = this.#wire.readResponse(status, headers);
     if (head.requestId !== this.#request.requestId) {
       this.#connection.recordSurplus();
--- a/packages/fleet_gateway/exchanges/target_responses_test.ts
+++ b/packages/fleet_gateway/exchanges/target_responses_test.ts
@@ -38,6 +38,19 @@
     }
   });
 
+  // Guards against responses of sound targets that are taken for those to other
+  // requests because of white space around their IDs.
+  it("is its caller's with any white space around its ID", async () => {
+    const sockets = new Set<Socket>();
+    target.respond = (socket) => {
+      sockets.add(socket);
+      socket.write(responseText(200, "Request: \t r1 \t\r\n", "body"));
+    };
+    const received = await gateway.forward({ requestId: "r1" });
+    expect(received).toEqual({ status: 200, body: "body" });
+    expect(sockets.size).toBe(1);
+  });
+
   // Guards against a copy of a refusal that is taken for the response to a
   // request with the same ID, which a caller sent once more.
   it.each([
