Deliver lost heartbeats in time between VMs without a role, too

Where the connections between VMs without a role fall silent, their leader lost its term each time: a delivery had 1,000 ms, and followers stand for election after 600.

The test of VMs with a role uses the same fake.

--- a/packages/consensus/mod.ts
+++ b/packages/consensus/mod.ts
@@ -13,6 +13,7 @@
   stepConsensus,
 } from "./machine.ts";
 export type { StoredReplica } from "./machine.ts";
+export { deliveryTimeoutMilliseconds } from "./delivery_timeout.ts";
 export { packMessage, unpackMessage } from "./message_codec.ts";
 export { MessageError, parseConsensusMessage } from "./message_schema.ts";
 export { isVoter } from "./election.ts";
--- a/packages/fakes/mod.ts
+++ b/packages/fakes/mod.ts
@@ -16,3 +16,4 @@
 export { readReferenceTable } from "./reference_table.ts";
 export { loopbackPrefix } from "./loopback_prefix.ts";
 export { SilenceableProxy } from "./silenceable_proxy.ts";
+export { SilenceableReplica } from "./silenceable_replica.ts";
--- a/packages/fakes/silenceable_proxy.ts
+++ b/packages/fakes/silenceable_proxy.ts
@@ -4,6 +4,7 @@
 /** Passes on connections, and can drop the bytes of those that are open. */
 export class SilenceableProxy {
   readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
   readonly #open = new Set<Socket>();
   readonly #silent = new WeakSet<Socket>();
 
@@ -38,16 +39,18 @@
 
   close(): void {
     this.#server.close();
-    for (const socket of this.#open) socket.destroy();
+    for (const socket of this.#sockets) socket.destroy();
   }
 
   #pipe(from: Socket, to: Socket): void {
+    this.#sockets.add(from);
     this.#open.add(from);
     from.on("data", (chunk) => {
       if (!this.#silent.has(from)) to.write(chunk);
     });
     from.on("error", () => {});
     from.on("close", () => {
+      this.#sockets.delete(from);
       this.#open.delete(from);
       if (!this.#silent.has(from)) to.destroy();
     });
--- a/packages/fleet_control/control_replica.ts
+++ b/packages/fleet_control/control_replica.ts
@@ -15,7 +15,7 @@
  * Regions are 8 ms apart and a stopped process restarts within a second, so a
  * silence of three heartbeats counts as a loss.
  */
-const consensusTimings: ConsensusOptions = {
+export const consensusTimings: ConsensusOptions = {
   heartbeatMilliseconds: 200,
   electionMilliseconds: 600,
   // A short quiet period after a restart suffices: grants and reads are each
--- a/packages/fleet_control/replica_links.ts
+++ b/packages/fleet_control/replica_links.ts
@@ -1,20 +1,21 @@
 import {
+  deliveryTimeoutMilliseconds,
   packMessage,
   parseConsensusMessage,
+  resolveConsensusOptions,
   unpackMessage,
 } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import { decodeValue, encodeValue, Replication } from "@kingcupglade/protocol";
 import { vmOfReplica } from "@kingcupglade/replica";
 import { isAddress } from "@kingcupglade/transport";
+import { consensusTimings } from "./control_replica.ts";
 import type { PeerClients } from "./peer_clients.ts";
 
-/**
- * Time limit for one delivery; consensus resends messages that were not
- * delivered. An interval of heartbeats, this time and a round trip end before
- * followers stand for election, so that a lost heartbeat costs no leader.
- */
-const deliverTimeoutMilliseconds = 300;
+/** Consensus resends messages that were not delivered. */
+const deliverTimeoutMilliseconds = deliveryTimeoutMilliseconds(
+  resolveConsensusOptions(consensusTimings),
+);
 const maximumWaitingMessages = 256;
 
 /** Thrown when a caller names a replica that cannot be reached. */
--- a/packages/fleet_control/replica_links_test.ts
+++ b/packages/fleet_control/replica_links_test.ts
@@ -1,11 +1,6 @@
-import { createServer } from "node:http";
-import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
-import { SilenceableProxy } from "@kingcupglade/fakes";
-import { Replication } from "@kingcupglade/protocol";
-import { UnaryServices } from "@kingcupglade/transport";
+import { SilenceableReplica } from "@kingcupglade/fakes";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { PeerClients } from "./peer_clients.ts";
 import { ReplicaLinks } from "./replica_links.ts";
@@ -55,56 +50,33 @@
     const heartbeatMilliseconds = 200;
     /** Silence after which a follower stands for election, at the earliest. */
     const electionMilliseconds = 600;
-    let server: Server;
-    let proxy: SilenceableProxy;
-    let to: string;
-    /** Times at which messages arrived. */
-    let arrivals: number[];
+    let replica: SilenceableReplica;
 
     beforeEach(async () => {
-      arrivals = [];
-      const services = new UnaryServices({ secret: "unguarded" });
-      services.service(Replication, {
-        deliver: () => {
-          arrivals.push(performance.now());
-          return { messages: [] };
-        },
-      });
-      server = createServer((request, response) =>
-        void services.handle(request, response)
-      );
-      await new Promise<void>((resolve) =>
-        server.listen(0, "127.0.0.1", resolve)
-      );
-      const { port } = server.address() as AddressInfo;
-      proxy = new SilenceableProxy(`127.0.0.1:${port}`);
-      to = `${await proxy.listen("127.0.0.1")}.b`;
+      replica = new SilenceableReplica({ secret: "unguarded" });
+      await replica.start();
     });
 
-    afterEach(() => {
-      proxy.close();
-      server.closeAllConnections();
-      server.close();
-    });
+    afterEach(() => replica.stop());
 
     // Failure: a leader whose next heartbeat went out on a silent connection was
     // replaced, as the one after it came too late.
     it("delivers a heartbeat before followers stand for election", async () => {
-      const heartbeat = (): ConsensusMessage => ({
-        kind: "timeoutNow",
-        from: "127.0.0.1:9.a",
-        to,
-        term: 1,
-      });
+      const { arrivals } = replica;
       const timer = setInterval(
-        () => links.send(heartbeat()),
+        () =>
+          links.send({
+            kind: "timeoutNow",
+            from: "127.0.0.1:9.a",
+            to: `${replica.address}.b`,
+            term: 1,
+          }),
         heartbeatMilliseconds,
       );
       try {
         await expect.poll(() => arrivals.length).toBeGreaterThan(2);
-        const heardAt = arrivals.at(-1)!;
         const count = arrivals.length;
-        proxy.silenceOpenConnections();
+        const heardAt = replica.silence();
         await expect.poll(() => arrivals.length, { timeout: 3000 })
           .toBeGreaterThan(count);
         expect(arrivals[count]! - heardAt).toBeLessThan(electionMilliseconds);
--- a/packages/kingcupglade/control/replica_sender.ts
+++ b/packages/kingcupglade/control/replica_sender.ts
@@ -1,6 +1,8 @@
 import {
+  deliveryTimeoutMilliseconds,
   packMessage,
   parseConsensusMessage,
+  resolveConsensusOptions,
   unpackMessage,
 } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
@@ -8,7 +10,10 @@
 import type { PeerDirectory } from "./peers.ts";
 import { vmOfReplica } from "@kingcupglade/replica";
 
-const deliverTimeoutMilliseconds = 1000;
+/** Consensus resends messages that were not delivered. */
+const deliverTimeoutMilliseconds = deliveryTimeoutMilliseconds(
+  resolveConsensusOptions(),
+);
 const maximumQueuedMessages = 256;
 
 /** Options of a {@link ReplicaSender}. */
