--- a/packages/fleet_gateway/requests/request_telemetry.ts
+++ b/packages/fleet_gateway/requests/request_telemetry.ts
@@ -234,7 +234,7 @@
     });
   }
 
-  /** Logs that the request is not sent to the target that was chosen for it. */
+  /** Logs that the request is not sent to its target. */
   recordWithheld(
     target: TargetView,
     { fault, chosenAt }: {
--- a/packages/fleet_gateway/targets/may_receive.ts
+++ b/packages/fleet_gateway/targets/may_receive.ts
@@ -4,7 +4,7 @@
 
 /**
  * Whether a new request may be sent to a target, by what this gateway knows now.
- * A target that was chosen before may have left since.
+ * Since it was selected, it may have left.
  */
 export function mayReceive(
   context: {
