Let a VM advertise other addresses than it listens on

A VM that the others reach through a forwarder named the address it listens on in its greeting, in its replica's identity, as the leader and to targets, so that all later calls went past the forwarder. The section [advertise] names `peers` and `control` for them; the listeners stay as they are. Such a VM, and one with `bindConnections`, binds its connections to other VMs to its own IP, so that the other side sees which VM calls. Without the section, nothing that is sent or stored changes.

--- a/packages/fleet_control/control_listeners.ts
+++ b/packages/fleet_control/control_listeners.ts
@@ -10,9 +10,9 @@
 
 /** Options of {@link ControlListeners.open}. */
 export interface ControlListenersOptions {
-  /** Address at which the other VMs reach this VM, as IP:PORT. */
+  /** Address to listen on for the other VMs, as IP:PORT. */
   readonly peerAddress: string;
-  /** Address at which targets and operators reach this VM, as IP:PORT. */
+  /** Address to listen on for targets and operators, as IP:PORT. */
   readonly controlAddress: string;
   readonly handlePeer: RequestListener;
   readonly handleExternal: RequestListener;
--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -67,7 +67,7 @@
 
   protected constructor(options: ControlVmOptions) {
     this.#options = options;
-    this.#clients = new PeerClients({ secret: options.secret });
+    this.#clients = new PeerClients(options);
     const process = randomUUID();
     const { clock, logger } = options;
     this.#stalls = new StallDetector({
@@ -180,7 +180,7 @@
   }
 
   #listen(): Promise<ControlListeners> {
-    const { secret } = this.#options;
+    const { secret, peerAddress, controlAddress } = this.#options;
     const services = new UnaryServices({ secret });
     services.service(Replication, {
       deliver: async ({ from, messages }) => ({
@@ -210,7 +210,9 @@
       }),
     });
     return ControlListeners.open({
-      ...this.#options,
+      logger: this.#options.logger,
+      peerAddress: this.#options.peerListenAddress ?? peerAddress,
+      controlAddress: this.#options.controlListenAddress ?? controlAddress,
       isReady: () => this.#links !== undefined,
       handlePeer: (request, response) => {
         if (services.handle(request, response)) return;
--- a/packages/fleet_control/control_vm_options.ts
+++ b/packages/fleet_control/control_vm_options.ts
@@ -13,6 +13,14 @@
   readonly controlAddress: string;
   /** Address at which the other VMs reach this VM, as IP:PORT. */
   readonly peerAddress: string;
+  /** Address to listen on for targets and operators. @default `controlAddress` */
+  readonly controlListenAddress?: string | undefined;
+  /** Address to listen on for the other VMs. @default `peerAddress` */
+  readonly peerListenAddress?: string | undefined;
+  /**
+   * IP that connections to other VMs are bound to. @default chosen by the system
+   */
+  readonly localAddress?: string | undefined;
   /** Control addresses used to discover the other control VMs. */
   readonly seeds: readonly string[];
   /** Whether the whole fleet starts for the first time. */
--- a/packages/fleet_control/peer_clients.ts
+++ b/packages/fleet_control/peer_clients.ts
@@ -16,11 +16,17 @@
 /** Clients for the services of other VMs, by peer address. */
 export class PeerClients {
   readonly #secret: string;
+  readonly #localAddress: string | undefined;
   readonly #pools = new Map<string, Pool>();
   readonly #clients = new Map<string, Client<DescService>>();
 
-  constructor(options: { readonly secret: string }) {
+  constructor(options: {
+    readonly secret: string;
+    /** IP that connections are bound to. @default chosen by the system */
+    readonly localAddress?: string | undefined;
+  }) {
     this.#secret = options.secret;
+    this.#localAddress = options.localAddress;
   }
 
   /** Returns the client for a service of the VM at an address, as IP:PORT. */
@@ -51,6 +57,8 @@
       connections: connectionsPerVm,
       pipelining: 1,
       connect: { timeout: connectTimeoutMilliseconds },
+      ...(this.#localAddress !== undefined &&
+        { localAddress: this.#localAddress }),
       keepAliveTimeout: keepAliveMilliseconds,
       keepAliveMaxTimeout: keepAliveMilliseconds,
       headersTimeout: 0,
--- a/packages/fleet_gateway/callers/gateway_listeners.ts
+++ b/packages/fleet_gateway/callers/gateway_listeners.ts
@@ -39,7 +39,7 @@
   readonly concurrentPerConnection?: number;
   /** Where the load balancer checks the readiness of this VM, as IP:PORT. */
   readonly readinessAddress: string;
-  /** Where other VMs reach this one, as IP:PORT. */
+  /** Address to listen on for the other VMs, as IP:PORT. */
   readonly peerAddress: string;
   /** Time from a stop signal until the process is killed. */
   readonly graceMilliseconds: number;
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -76,10 +76,11 @@
   #listeners!: GatewayListeners;
 
   protected constructor(options: GatewayVmOptions) {
-    const { name, dataCentre, region, clock, logger, secret } = options;
+    const { name, dataCentre, region, clock, logger, secret, localAddress } =
+      options;
     this.#options = options;
     this.#stopSchedule = new StopSchedule(options.graceMilliseconds);
-    this.#peerClients = new PeerClients({ secret });
+    this.#peerClients = new PeerClients({ secret, localAddress });
     this.#stalls = new StallDetector({
       clock,
       onStall: (milliseconds) =>
@@ -115,6 +116,7 @@
     });
     this.#relayConnections = new TargetConnections({
       clock,
+      localAddress,
       connectTimeoutMilliseconds: relayConnectMilliseconds,
       isLinkFull,
     });
@@ -268,8 +270,10 @@
       digest: await createRequestDigest(options.secret),
       hasProcessorTime: (priority) => vm.#processor?.admits(priority) ?? true,
     });
+    const peerAddress = options.peerListenAddress ?? options.peerAddress;
     vm.#listeners = await GatewayListeners.open({
       ...options,
+      peerAddress,
       stopSchedule: vm.#stopSchedule,
       handleCaller: (request, response) =>
         vm.#handler.handle(request, response),
@@ -279,6 +283,7 @@
     });
     vm.#slotSocket = await SlotSocket.open({
       ...options,
+      peerAddress,
       onMessage: (message, from) => vm.#handleSlotMessage(message, from),
     });
     vm.#synchronizer.start();
--- a/packages/fleet_gateway/gateway_vm_options.ts
+++ b/packages/fleet_gateway/gateway_vm_options.ts
@@ -24,6 +24,12 @@
   readonly readinessAddress: string;
   /** Where other VMs reach this one, as IP:PORT; all VMs use the same port. */
   readonly peerAddress: string;
+  /** Address to listen on for the other VMs. @default `peerAddress` */
+  readonly peerListenAddress?: string | undefined;
+  /**
+   * IP that connections to other VMs are bound to. @default chosen by the system
+   */
+  readonly localAddress?: string | undefined;
   /** Addresses of control VMs that are queried for the leader first. */
   readonly seeds: readonly string[];
   /** Region of each data centre. */
--- a/packages/fleet_gateway/slots/slot_socket.ts
+++ b/packages/fleet_gateway/slots/slot_socket.ts
@@ -8,7 +8,7 @@
 
 /** Options of {@link SlotSocket.open}. */
 export interface SlotSocketOptions {
-  /** Where the other VMs reach this one, as IP:PORT. */
+  /** Address to receive the datagrams of other VMs on, as IP:PORT. */
   readonly peerAddress: string;
   readonly secret: string;
   readonly logger: Logger;
--- a/packages/fleet_gateway/targets/target_connections.ts
+++ b/packages/fleet_gateway/targets/target_connections.ts
@@ -30,6 +30,8 @@
   readonly connector?: Connector | undefined;
   /** Time limit for opening a connection. @default 700 */
   readonly connectTimeoutMilliseconds?: number;
+  /** IP that connections are bound to. @default chosen by the system */
+  readonly localAddress?: string | undefined;
   /** @default none */
   readonly observer?: ConnectionObserver;
   /**
@@ -55,6 +57,7 @@
       milliseconds: connectTimeoutMilliseconds ??
         defaultConnectTimeoutMilliseconds,
       isLinkFull: options.isLinkFull,
+      localAddress: options.localAddress,
     });
     const observer = options.observer ?? noObserver;
     this.#observer = {
@@ -172,15 +175,22 @@
 function connectorFor(options: {
   readonly milliseconds: number;
   readonly isLinkFull: (() => boolean) | undefined;
+  readonly localAddress: string | undefined;
 }): Connector {
-  const { milliseconds, isLinkFull } = options;
+  const { milliseconds, isLinkFull, localAddress } = options;
   const usual = buildConnector({ timeout: milliseconds });
-  if (!isLinkFull) return usual;
+  const bind = (connector: Connector): Connector =>
+    localAddress === undefined
+      ? connector
+      : (connect, callback) =>
+        connector({ ...connect, localAddress }, callback);
+  if (!isLinkFull) return bind(usual);
   const patient = buildConnector({
     timeout: Math.max(milliseconds, fullLinkConnectMilliseconds),
   });
-  return (connect, callback) =>
-    (isLinkFull() ? patient : usual)(connect, callback);
+  return bind((connect, callback) =>
+    (isLinkFull() ? patient : usual)(connect, callback)
+  );
 }
 
 const noObserver: ConnectionObserver = {
--- a/packages/kingcupglade/fleet_vm.ts
+++ b/packages/kingcupglade/fleet_vm.ts
@@ -8,7 +8,7 @@
 } from "@kingcupglade/platform";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { createMetrics, describeFailure } from "@kingcupglade/telemetry";
-import { HttpListener } from "@kingcupglade/transport";
+import { HttpListener, splitAddress } from "@kingcupglade/transport";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { readCallerConnectionLimit } from "./connection_limit.ts";
@@ -146,11 +146,12 @@
   settings: ResolvedControlSettings,
   common: CommonOptions & { readonly onFailure: (failure: unknown) => void },
 ): Promise<RunningRole> {
-  const { vm, listen, control } = settings;
+  const { vm, listen, advertise, control } = settings;
   return await ControlVm.start({
     ...common,
     folder: vm.dataFolder,
-    controlAddress: listen.control,
+    controlAddress: advertise.control ?? listen.control,
+    controlListenAddress: listen.control,
     mayFound: control.mayFound,
     toleratedLosses: control.toleratedLosses,
     heartbeatMilliseconds: control.heartbeatSeconds * millisecondsPerSecond,
@@ -170,13 +171,18 @@
   settings: ResolvedFleetSettings,
   { logger }: FleetLog,
 ) {
-  const { vm, listen, control, regions, security, workspaces } = settings;
+  const { vm, listen, advertise, control, regions, security, workspaces } =
+    settings;
   const { revokeSeconds } = workspaces;
   return {
     name: vm.name,
     dataCentre: vm.dataCentre,
     region: vm.region,
-    peerAddress: listen.peers,
+    peerAddress: advertise.peers ?? listen.peers,
+    peerListenAddress: listen.peers,
+    localAddress: bindsConnections(settings)
+      ? splitAddress(listen.peers).host
+      : undefined,
     seeds: control.seeds,
     regions,
     ...(revokeSeconds !== undefined &&
@@ -190,6 +196,13 @@
   };
 }
 
+// The other side then sees which VM calls, whatever the routes of the system.
+function bindsConnections({ advertise }: ResolvedFleetSettings): boolean {
+  const { bindConnections, ...addresses } = advertise;
+  return bindConnections ??
+    Object.values(addresses).some((address) => address !== undefined);
+}
+
 async function openMetricsListener(
   address: string | undefined,
   { metrics: { registry }, logger }: Pick<CommonOptions, "metrics" | "logger">,
--- a/packages/kingcupglade/settings/fleet_schema.ts
+++ b/packages/kingcupglade/settings/fleet_schema.ts
@@ -14,6 +14,17 @@
   region: name,
 };
 
+/** What the other VMs are told of this one, where it differs from [listen]. */
+const advertise = {
+  /** Address for the other VMs. @default `listen.peers` */
+  peers: socketAddress.optional(),
+  /**
+   * Whether connections to other VMs are bound to the IP of `listen.peers`.
+   * @default whether this section names an address
+   */
+  bindConnections: z.boolean().optional(),
+};
+
 const seconds = z.coerce.number().positive();
 
 /**
@@ -113,6 +124,7 @@
     /** Listener for metrics. @default none */
     metrics: socketAddress.optional(),
   }),
+  advertise: z.strictObject(advertise).prefault({}),
   callers: z.strictObject({
     /** Requests of one connection in progress at a time. @default 4 */
     concurrentPerConnection: integer(1, 64).default(4),
@@ -145,6 +157,11 @@
     /** Listener for metrics. @default none */
     metrics: socketAddress.optional(),
   }),
+  advertise: z.strictObject({
+    ...advertise,
+    /** Address for targets and operators. @default `listen.control` */
+    control: socketAddress.optional(),
+  }).prefault({}),
   ...common,
 });
 
--- a/packages/kingcupglade/settings/fleet_settings_test.ts
+++ b/packages/kingcupglade/settings/fleet_settings_test.ts
@@ -38,6 +38,7 @@
       retries: { ratio: 0.2, windowSeconds: 10, slack: 20 },
       dispatch: { paceTargets: true },
       log: { level: "info" },
+      advertise: {},
       workspaces: {},
       quotas: { windowSeconds: 5, overage: 0.1, slack: 20 },
     });
@@ -75,6 +76,16 @@
       /link.megabitsPerSecond/,
       "[link]\nmegabitsPerSecond = 0\n[control]",
     ],
+    [
+      "[control]",
+      /advertise.peers: must be IP:PORT/,
+      "[advertise]\npeers = 10.1.0.10\n[control]",
+    ],
+    [
+      "[control]",
+      /advertise.control is unknown/,
+      "[advertise]\ncontrol = 10.1.0.10:8166\n[control]",
+    ],
     ["seeds = ", /control.sedes is unknown; did you mean "seeds"/, "sedes = "],
   ];
   for (const [valid, message, invalid] of faults) {
