--- a/packages/fleet_gateway/callers/gateway_listeners.ts
+++ b/packages/fleet_gateway/callers/gateway_listeners.ts
@@ -39,8 +39,10 @@
   readonly concurrentPerConnection?: number;
   /** Where the load balancer checks the readiness of this VM, as IP:PORT. */
   readonly readinessAddress: string;
-  /** Address to listen on for the other VMs, as IP:PORT. */
+  /** Where other VMs reach this one, as IP:PORT. */
   readonly peerAddress: string;
+  /** Address to listen on for the other VMs. @default `peerAddress` */
+  readonly peerListenAddress?: string | undefined;
   /** Time from a stop signal until the process is killed. */
   readonly graceMilliseconds: number;
   readonly handleCaller: RequestListener;
@@ -100,7 +102,7 @@
     });
     const relays = await HttpListener.open({
       name: "peers",
-      address: options.peerAddress,
+      address: options.peerListenAddress ?? options.peerAddress,
       maximumHeaderBytes: maximumRelayHeaderBytes,
       handler: options.handleRelayed,
       onUnreadable,
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -76,11 +76,10 @@
   #listeners!: GatewayListeners;
 
   protected constructor(options: GatewayVmOptions) {
-    const { name, dataCentre, region, clock, logger, secret, localAddress } =
-      options;
+    const { name, dataCentre, region, clock, logger, secret } = options;
     this.#options = options;
     this.#stopSchedule = new StopSchedule(options.graceMilliseconds);
-    this.#peerClients = new PeerClients({ secret, localAddress });
+    this.#peerClients = new PeerClients(options);
     this.#stalls = new StallDetector({
       clock,
       onStall: (milliseconds) =>
@@ -115,8 +114,7 @@
       gateways: () => this.#synchronizer.table.relays,
     });
     this.#relayConnections = new TargetConnections({
-      clock,
-      localAddress,
+      ...options,
       connectTimeoutMilliseconds: relayConnectMilliseconds,
       isLinkFull,
     });
@@ -270,10 +268,8 @@
       digest: await createRequestDigest(options.secret),
       hasProcessorTime: (priority) => vm.#processor?.admits(priority) ?? true,
     });
-    const peerAddress = options.peerListenAddress ?? options.peerAddress;
     vm.#listeners = await GatewayListeners.open({
       ...options,
-      peerAddress,
       stopSchedule: vm.#stopSchedule,
       handleCaller: (request, response) =>
         vm.#handler.handle(request, response),
@@ -283,7 +279,6 @@
     });
     vm.#slotSocket = await SlotSocket.open({
       ...options,
-      peerAddress,
       onMessage: (message, from) => vm.#handleSlotMessage(message, from),
     });
     vm.#synchronizer.start();
--- a/packages/fleet_gateway/slots/slot_socket.ts
+++ b/packages/fleet_gateway/slots/slot_socket.ts
@@ -8,8 +8,10 @@
 
 /** Options of {@link SlotSocket.open}. */
 export interface SlotSocketOptions {
-  /** Address to receive the datagrams of other VMs on, as IP:PORT. */
+  /** Where the other VMs reach this one, as IP:PORT. */
   readonly peerAddress: string;
+  /** Address to receive datagrams on. @default `peerAddress` */
+  readonly peerListenAddress?: string | undefined;
   readonly secret: string;
   readonly logger: Logger;
   readonly onMessage: (message: SlotMessage, from: string) => void;
@@ -32,8 +34,8 @@
    * @throws {ListenError} when the address cannot be used.
    */
   static async open(options: SlotSocketOptions): Promise<SlotSocket> {
-    const { peerAddress } = options;
-    const { host, port } = splitAddress(peerAddress);
+    const address = options.peerListenAddress ?? options.peerAddress;
+    const { host, port } = splitAddress(address);
     const socket = createSocket({
       type: "udp4",
       // Addresses are numeric, so no name resolution is needed.
@@ -43,7 +45,7 @@
       socket.once("error", (cause) =>
         reject(
           new ListenError(
-            `listen.peers: cannot receive datagrams on ${peerAddress}: ${cause.message}; free the port or change the setting`,
+            `listen.peers: cannot receive datagrams on ${address}: ${cause.message}; free the port or change the setting`,
             { cause },
           ),
         ));
--- a/packages/soak/configuration_history.ts
+++ b/packages/soak/configuration_history.ts
@@ -1,5 +1,5 @@
 import { Contact } from "./contact_record.ts";
-import type { ContactRecord } from "./contact_record.ts";
+import type { GatewayContacts } from "./contact_record.ts";
 
 /** A confirmed change is in force everywhere after this time. */
 const applyMilliseconds = 2000;
@@ -38,6 +38,15 @@
   readonly service: string;
 }
 
+/** A request that was handled as a version says that another had replaced. */
+export interface LateHandling {
+  readonly gateway: string;
+  readonly route: string;
+  readonly sentAt: number;
+  /** Time from the acknowledgement of the other version to the request. */
+  readonly milliseconds: number;
+}
+
 /**
  * Judges what gateways did by the changes that operators sent, as callers and
  * operators see them.
@@ -84,14 +93,46 @@
   }
 
   /** Returns a text for each request that was handled by an outdated version. */
-  findViolations(contacts: ContactRecord): readonly string[] {
+  findViolations(contacts: GatewayContacts): readonly string[] {
     return [
       ...this.#probes.flatMap((probe) => this.#judge(probe, contacts)),
       ...this.#findRegressions(contacts),
     ];
   }
 
-  #judge(probe: Probe, contacts: ContactRecord): readonly string[] {
+  /** Returns the requests that were handled late, in or out of contact. */
+  findLateHandlings(): readonly LateHandling[] {
+    return this.#probes.filter(showsConfiguration).flatMap((probe) => {
+      const { gateway, routes, sentAt } = probe;
+      const acknowledged = this.#acknowledgementsOf(routes).find((at) =>
+        at < sentAt && !this.#isAllowed(probe, at)
+      );
+      if (acknowledged === undefined) return [];
+      const milliseconds = Math.round(sentAt - acknowledged);
+      return [{ gateway, route: routes.join(" or "), sentAt, milliseconds }];
+    });
+  }
+
+  #acknowledgementsOf(routes: readonly string[]): readonly number[] {
+    return routes.flatMap((route) => this.#changes.get(route) ?? [])
+      .flatMap(({ acknowledgedAt }) => acknowledgedAt ?? [])
+      .sort((left, right) => left - right);
+  }
+
+  /** Whether a probe fits the versions that were acknowledged by a moment. */
+  #isAllowed(probe: Probe, by: number): boolean {
+    return explains(
+      probe,
+      probe.routes.map((route) =>
+        this.#allowedServices(route, {
+          version: this.#bindingVersion(route, by),
+          until: probe.endedAt,
+        })
+      ),
+    );
+  }
+
+  #judge(probe: Probe, contacts: GatewayContacts): readonly string[] {
     const { gateway, routes, sentAt, endedAt } = probe;
     if (!showsConfiguration(probe)) return [];
     const contact = contacts.contactOf(gateway, sentAt, endedAt);
@@ -100,16 +141,7 @@
     const bound = contact === Contact.full
       ? applyMilliseconds
       : applyMilliseconds + stretchMilliseconds;
-    const isAllowed = explains(
-      probe,
-      routes.map((route) =>
-        this.#allowedServices(route, {
-          version: this.#bindingVersion(route, sentAt - bound),
-          until: endedAt,
-        })
-      ),
-    );
-    if (isAllowed) return [];
+    if (this.#isAllowed(probe, sentAt - bound)) return [];
     const binding = routes.map((route) => {
       const version = this.#bindingVersion(route, sentAt - bound);
       return `${route} version ${version}`;
@@ -118,7 +150,7 @@
   }
 
   // In one process, a version that was seen binds from then on.
-  #findRegressions(contacts: ContactRecord): readonly string[] {
+  #findRegressions(contacts: GatewayContacts): readonly string[] {
     const violations: string[] = [];
     const seen = new Map<string, { version: number; at: number }>();
     const probes = this.#probes.filter(showsConfiguration)
--- a/packages/soak/configuration_history_test.ts
+++ b/packages/soak/configuration_history_test.ts
@@ -222,4 +222,17 @@
       expect(violations([change({})], [late], inTurn)).toBe(0);
     });
   });
+
+  it("tells how late a version was, whoever is excused", () => {
+    const history = new ConfigurationHistory();
+    history.recordChange(change({}));
+    const moved = { version: 2, service: "stock", acknowledgedAt: 12_000 };
+    history.recordChange(change({ ...moved, sentAt: 11_900 }));
+    history.recordProbe(probe({ sentAt: 11_000 }));
+    history.recordProbe(probe({ sentAt: 12_400 }));
+    history.recordProbe(probe({ sentAt: 12_500, service: "stock" }));
+    expect(history.findLateHandlings()).toEqual([
+      { gateway: "g", route: "r", sentAt: 12_400, milliseconds: 400 },
+    ]);
+  });
 });
--- a/packages/soak/contact_record.ts
+++ b/packages/soak/contact_record.ts
@@ -24,8 +24,16 @@
   readonly to: number;
 }
 
+/** Tells what gateways may be held to. */
+export interface GatewayContacts {
+  /** Returns the contact of a gateway throughout a time. */
+  contactOf(gateway: string, from: number, to: number): Contact;
+  /** Returns the process of a gateway that ran at a moment, as its start. */
+  lifeAt(gateway: string, at: number): number | undefined;
+}
+
 /** Tells from the signals that processes received who was in contact when. */
-export class ContactRecord {
+export class ContactRecord implements GatewayContacts {
   readonly #gateways: ReadonlyMap<string, Lives>;
   readonly #control: readonly (readonly Disturbance[])[];
 
--- a/packages/soak/control_call.ts
+++ b/packages/soak/control_call.ts
@@ -8,11 +8,12 @@
   readonly body: string;
 }
 
-/** Sends a request for the configuration to a control VM. */
+/** Sends a request to a control VM, by default for the configuration. */
 export async function callControl(
   address: string,
   request: {
     readonly method: string;
+    readonly path?: string;
     readonly body?: string | undefined;
     /** @default 1000 */
     readonly timeoutMilliseconds?: number;
@@ -20,12 +21,13 @@
 ): Promise<ControlResponse> {
   const {
     method,
+    path = SimulatorPath.configuration,
     body,
     timeoutMilliseconds = responseTimeoutMilliseconds,
   } = request;
   try {
     const response = await fetch(
-      `http://${address}${SimulatorPath.configuration}`,
+      `http://${address}${path}`,
       {
         method,
         signal: AbortSignal.timeout(timeoutMilliseconds),
--- a/packages/soak/invariant_monitor.ts
+++ b/packages/soak/invariant_monitor.ts
@@ -157,6 +157,11 @@
     return this.#requests.get(id)?.target ?? "";
   }
 
+  /** Returns the address of the gateway that a request was sent to. */
+  gatewayOf(id: string): string {
+    return this.#requests.get(id)?.gateway ?? "";
+  }
+
   #addRequest(
     id: string,
     request: Pick<ObservedRequest, "isIdempotent" | "gateway" | "isProbe">,
--- a/packages/soak/leader_changes.ts
+++ b/packages/soak/leader_changes.ts
@@ -20,3 +20,28 @@
     .map(({ timestamp }) => Date.parse(timestamp) - performance.timeOrigin);
   return Math.max(-Infinity, ...moments);
 }
+
+/**
+ * Returns the name of the control VM that became the leader in the highest term;
+ * undefined if none did.
+ *
+ * @param logFiles Paths of the logs of all control VMs, by name.
+ */
+export async function findLeader(
+  logFiles: ReadonlyMap<string, string>,
+): Promise<string | undefined> {
+  const terms = await Promise.all(
+    [...logFiles].map(async ([name, path]) => {
+      const lines = (await readFile(path, "utf8")).split("\n");
+      const last = lines.findLast((line) =>
+        line.includes(`"${leadershipEvent}"`)
+      );
+      const { term } = JSON.parse(last ?? '{"term":0}') as {
+        readonly term: number;
+      };
+      return { name, term };
+    }),
+  );
+  const [leader] = terms.toSorted((left, right) => right.term - left.term);
+  return leader && leader.term > 0 ? leader.name : undefined;
+}
--- a/packages/soak/soak_target.ts
+++ b/packages/soak/soak_target.ts
@@ -8,6 +8,7 @@
   SimulatorPath,
   workerHeaders,
 } from "@kingcupglade/platform";
+import { callControl } from "./control_call.ts";
 import {
   chooseFraming,
   createBody,
@@ -15,6 +16,7 @@
   sendResponse,
 } from "./soak_response.ts";
 import type { WorkspaceMonitors } from "./workspace_monitors.ts";
+import type { LeaveRecord } from "./leave_record.ts";
 import type { InvariantMonitor, PositionHolder } from "./invariant_monitor.ts";
 
 const heartbeatMilliseconds = 250;
@@ -30,6 +32,9 @@
 /** Time from the start of a run that ends its target to that end. */
 const crashMilliseconds = 40;
 const restartMilliseconds = 1000;
+const okStatus = 200;
+/** A leaving target exits without an acknowledgement after so many calls. */
+const maximumLeaveAttempts = 8;
 /** Share of the responses without length or chunks that are cut at any time. */
 const openCutShare = 0.05;
 
@@ -45,6 +50,8 @@
   readonly monitor: InvariantMonitor;
   /** Judges what it receives of keys and workspaces; nothing by default. */
   readonly workspaces?: WorkspaceMonitors;
+  /** Judges what it receives after it has left; nothing by default. */
+  readonly leaves?: LeaveRecord;
   /** Requests per second that it accepts from all gateways; none by default. */
   readonly maximumPerSecond?: number;
   readonly random: () => number;
@@ -75,6 +82,7 @@
   #controlIndex = 0;
   #grants: readonly GrantedRange[] = [];
   #heldUntil = -Infinity;
+  #isDraining = false;
 
   constructor(options: SoakTargetOptions) {
     this.name = options.name;
@@ -145,6 +153,7 @@
       return;
     }
     monitor.recordExecution(id, this.name);
+    this.#options.leaves?.recordRun(id, this.name);
     if (request.url === crashingPath) return this.#crashAndRestart();
     if (request.url === longPath) return this.#runLong(id, response);
     if (isKeyed) monitor.checkOwner(id, { target: this.name, position });
@@ -219,6 +228,36 @@
     }, crashMilliseconds);
   }
 
+  /**
+   * Says that it leaves, by a heartbeat or by an order to remove it, and serves
+   * on. Its record gets the first acknowledgement.
+   */
+  async leave(isRemoved: boolean): Promise<void> {
+    const { control, leaves, random } = this.#options;
+    this.#isDraining = true;
+    if (isRemoved) clearInterval(this.#timer);
+    for (let attempt = 0; attempt < maximumLeaveAttempts; attempt += 1) {
+      const address = control[Math.floor(random() * control.length)]!;
+      const status = isRemoved
+        ? await this.#remove(address)
+        : await this.#announceLeave(address);
+      if (status !== okStatus) continue;
+      leaves?.recordLeave(this.name, performance.now());
+      return;
+    }
+  }
+
+  async #remove(address: string): Promise<number> {
+    const path = SimulatorPath.worker(this.name);
+    return (await callControl(address, { method: "DELETE", path })).status;
+  }
+
+  async #announceLeave(address: string): Promise<number> {
+    const path = SimulatorPath.worker(this.name);
+    const body = this.#createHeartbeat();
+    return (await callControl(address, { method: "PUT", path, body })).status;
+  }
+
   /** Ends the target for good. */
   end(): void {
     this.#isEnded = true;
@@ -227,7 +266,7 @@
 
   #sendHeartbeat(): void {
     if (this.isIsolated) return;
-    const { service, address, control } = this.#options;
+    const { control } = this.#options;
     const [host, port] = control[this.#controlIndex % control.length]!.split(
       ":",
     );
@@ -253,16 +292,21 @@
     });
     heartbeatRequest.on("timeout", () => heartbeatRequest.destroy());
     heartbeatRequest.on("error", () => this.#controlIndex += 1);
-    heartbeatRequest.end(encodeHeartbeat({
+    heartbeatRequest.end(this.#createHeartbeat());
+  }
+
+  #createHeartbeat(): string {
+    const { service, address } = this.#options;
+    return encodeHeartbeat({
       service,
       address,
       dataCentre: "a",
       slots,
-      isDraining: false,
+      isDraining: this.#isDraining,
       sequence: this.#sequence++,
       bornAt: this.#bornAt,
       holds: this.#grants,
-    }));
+    });
   }
 
   // The hold is valid from the time at which the heartbeat was sent.
