Reproduce gateways that stay old after their connections fell silent

The soak now silences connections in series: three times, far enough apart that gateways are in contact again, and so near that the connections of the search for the leader are still open. A gateway then finds the same leader at once, but its first watch goes out on an idle connection that is silent too, and waits 5 s.

--- a/packages/soak/link_faults.ts
+++ b/packages/soak/link_faults.ts
@@ -1,6 +1,6 @@
 import { delay } from "./fault_injector.ts";
 import { LinkFlow } from "./link_proxy.ts";
-import type { Link, LinkNetwork } from "./link_proxy.ts";
+import type { Link, LinkFilter, LinkNetwork } from "./link_proxy.ts";
 
 /** Faults of links; those of one VM mostly concern the leader. */
 export const LinkScenario = {
@@ -8,6 +8,8 @@
   silenceTwice: "silence all twice",
   silenceCore: "silence between control VMs",
   silenceGateways: "silence from gateways",
+  silenceSeries: "silence all in series",
+  silenceGatewaysSeries: "silence from gateways in series",
   isolate: "isolate a control VM",
   isolateInCore: "isolate a control VM from the others",
   cutGateway: "cut a gateway off a control VM",
@@ -24,6 +26,8 @@
   LinkScenario.silenceAll,
   LinkScenario.silenceCore,
   LinkScenario.silenceGateways,
+  LinkScenario.silenceSeries,
+  LinkScenario.silenceGatewaysSeries,
 ];
 
 const silenceShare = 0.4;
@@ -40,6 +44,12 @@
 const atOnceShare = 0.4;
 const maximumWaitMilliseconds = 1000;
 const maximumAgainMilliseconds = 2000;
+const seriesCount = 3;
+/**
+ * Longer than a VM is excused, and shorter than the connections of a search for
+ * the leader stay open.
+ */
+const seriesMilliseconds = 3050;
 const minimumDelayMilliseconds = 20;
 const delaySpreadMilliseconds = 150;
 const electionShare = 0.5;
@@ -136,6 +146,10 @@
       case LinkScenario.silenceGateways:
         this.#log(scenario);
         return network.silence((link) => !isCore(link));
+      case LinkScenario.silenceSeries:
+        return await this.#silenceInSeries(scenario, () => true);
+      case LinkScenario.silenceGatewaysSeries:
+        return await this.#silenceInSeries(scenario, (link) => !isCore(link));
       case LinkScenario.reset:
         this.#log(`${scenario}: ${vm}`);
         return network.reset(touchesVm);
@@ -174,6 +188,22 @@
     }
   }
 
+  async #silenceInSeries(
+    scenario: LinkScenario,
+    filter: LinkFilter,
+  ): Promise<void> {
+    const { network, nextAcknowledgement } = this.#options;
+    for (let count = 0; count < seriesCount; count += 1) {
+      if (count > 0) await delay(seriesMilliseconds);
+      await Promise.race([
+        nextAcknowledgement(),
+        delay(maximumWaitMilliseconds),
+      ]);
+      this.#log(scenario);
+      network.silence(filter);
+    }
+  }
+
   #hold(description: string, repair: () => void): void {
     const { random } = this.#options;
     const milliseconds = minimumDurationMilliseconds +
