--- a/packages/fleet_control/peer_clients.ts
+++ b/packages/fleet_control/peer_clients.ts
@@ -1,6 +1,7 @@
 import type { DescService } from "@bufbuild/protobuf";
 import type { Client } from "@connectrpc/connect";
-import { createUnaryClient } from "@kingcupglade/transport";
+import type { Logger } from "@kingcupglade/telemetry";
+import { createUnaryClient, PeerPool } from "@kingcupglade/transport";
 import { Pool } from "undici";
 
 /** Maximum number of concurrent calls to one VM. */
@@ -13,20 +14,23 @@
  */
 const keepAliveMilliseconds = 4000;
 
+/** Options of {@link PeerClients}. */
+export interface PeerClientsOptions {
+  readonly secret: string;
+  /** IP that connections are bound to. @default chosen by the system */
+  readonly localAddress?: string | undefined;
+  /** @default no log */
+  readonly logger?: Pick<Logger, "warn">;
+}
+
 /** Clients for the services of other VMs, by peer address. */
 export class PeerClients {
-  readonly #secret: string;
-  readonly #localAddress: string | undefined;
-  readonly #pools = new Map<string, Pool>();
+  readonly #options: PeerClientsOptions;
+  readonly #pools = new Map<string, PeerPool>();
   readonly #clients = new Map<string, Client<DescService>>();
 
-  constructor(options: {
-    readonly secret: string;
-    /** IP that connections are bound to. @default chosen by the system */
-    readonly localAddress?: string | undefined;
-  }) {
-    this.#secret = options.secret;
-    this.#localAddress = options.localAddress;
+  constructor(options: PeerClientsOptions) {
+    this.#options = options;
   }
 
   /** Returns the client for a service of the VM at an address, as IP:PORT. */
@@ -38,33 +42,50 @@
     const known = this.#clients.get(id);
     if (known) return known as Client<Service>;
     const client = createUnaryClient(service, {
-      pool: this.#pool(address),
-      secret: this.#secret,
+      connections: this.#pool(address),
+      secret: this.#options.secret,
     });
     this.#clients.set(id, client as Client<DescService>);
     return client;
   }
 
+  /**
+   * Uses new connections for further calls to a VM; the calls in progress end on
+   * theirs.
+   */
+  renew(address: string): void {
+    this.#pools.get(address)?.renew();
+  }
+
   /** Closes all connections. */
   close(): void {
-    for (const pool of this.#pools.values()) void pool.destroy();
+    for (const pool of this.#pools.values()) pool.destroy();
   }
 
-  #pool(address: string): Pool {
+  #pool(address: string): PeerPool {
     const known = this.#pools.get(address);
     if (known) return known;
-    const pool = new Pool(`http://${address}`, {
-      connections: connectionsPerVm,
-      pipelining: 1,
-      connect: { timeout: connectTimeoutMilliseconds },
-      ...(this.#localAddress !== undefined &&
-        { localAddress: this.#localAddress }),
-      keepAliveTimeout: keepAliveMilliseconds,
-      keepAliveMaxTimeout: keepAliveMilliseconds,
-      headersTimeout: 0,
-      bodyTimeout: 0,
+    const pool = new PeerPool({
+      create: () => createPool(address, this.#options),
+      onSilence: () => this.#options.logger?.warn("peer-silent", { address }),
     });
     this.#pools.set(address, pool);
     return pool;
   }
 }
+
+function createPool(
+  address: string,
+  { localAddress }: PeerClientsOptions,
+): Pool {
+  return new Pool(`http://${address}`, {
+    connections: connectionsPerVm,
+    pipelining: 1,
+    connect: { timeout: connectTimeoutMilliseconds },
+    ...(localAddress !== undefined && { localAddress }),
+    keepAliveTimeout: keepAliveMilliseconds,
+    keepAliveMaxTimeout: keepAliveMilliseconds,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
