--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -180,7 +180,7 @@
   }
 
   #listen(): Promise<ControlListeners> {
-    const { secret } = this.#options;
+    const { secret, peerAddress, controlAddress } = this.#options;
     const services = new UnaryServices({ secret });
     services.service(Replication, {
       deliver: async ({ from, messages }) => ({
@@ -210,7 +210,9 @@
       }),
     });
     return ControlListeners.open({
-      ...this.#options,
+      logger: this.#options.logger,
+      peerAddress: this.#options.peerListenAddress ?? peerAddress,
+      controlAddress: this.#options.controlListenAddress ?? controlAddress,
       isReady: () => this.#links !== undefined,
       handlePeer: (request, response) => {
         if (services.handle(request, response)) return;
--- a/packages/fleet_control/peer_clients.ts
+++ b/packages/fleet_control/peer_clients.ts
@@ -17,6 +17,8 @@
 /** Options of {@link PeerClients}. */
 export interface PeerClientsOptions {
   readonly secret: string;
+  /** IP that connections are bound to. @default chosen by the system */
+  readonly localAddress?: string | undefined;
   /** @default no log */
   readonly logger?: Pick<Logger, "warn">;
 }
@@ -64,7 +66,7 @@
     const known = this.#pools.get(address);
     if (known) return known;
     const pool = new PeerPool({
-      create: () => createPool(address),
+      create: () => createPool(address, this.#options),
       onSilence: () => this.#options.logger?.warn("peer-silent", { address }),
     });
     this.#pools.set(address, pool);
@@ -72,11 +74,15 @@
   }
 }
 
-function createPool(address: string): Pool {
+function createPool(
+  address: string,
+  { localAddress }: PeerClientsOptions,
+): Pool {
   return new Pool(`http://${address}`, {
     connections: connectionsPerVm,
     pipelining: 1,
     connect: { timeout: connectTimeoutMilliseconds },
+    ...(localAddress !== undefined && { localAddress }),
     keepAliveTimeout: keepAliveMilliseconds,
     keepAliveMaxTimeout: keepAliveMilliseconds,
     headersTimeout: 0,
--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -114,7 +114,7 @@
       gateways: () => this.#synchronizer.table.relays,
     });
     this.#relayConnections = new TargetConnections({
-      clock,
+      ...options,
       connectTimeoutMilliseconds: relayConnectMilliseconds,
       isLinkFull,
     });
