Keep the headers object when white space is removed from it

Responses were not affected.

The values are now changed in place, which also saves a copy for each response.

--- a/packages/fleet_gateway/exchanges/exchange.ts
+++ b/packages/fleet_gateway/exchanges/exchange.ts
@@ -12,7 +12,7 @@
 import { CopyDetector } from "./copy_detector.ts";
 import { causeOf, LossCause } from "./loss_cause.ts";
 import { Surplus } from "./surplus_detector.ts";
-import { trimmedHeaders } from "./trimmed_headers.ts";
+import { trimHeaders } from "./trim_headers.ts";
 import type { TargetConnection } from "../targets/address_pool.ts";
 
 export { LossCause };
@@ -199,7 +199,7 @@
       );
     }
     if (status < 200) return this.#countInterimResponse();
-    const headers = trimmedHeaders(received);
+    const headers = trimHeaders(received);
     const head = this.#wire.readResponse(status, headers);
     if (head.requestId !== this.#request.requestId) {
       this.#connection.recordSurplus();
--- a/packages/fleet_gateway/targets/load_prober.ts
+++ b/packages/fleet_gateway/targets/load_prober.ts
@@ -4,7 +4,7 @@
 import { describeFailure } from "@kingcupglade/telemetry";
 import type { Logger } from "@kingcupglade/telemetry";
 import type { CallerWire } from "../callers/caller_wire.ts";
-import { trimmedHeaders } from "../exchanges/trimmed_headers.ts";
+import { trimHeaders } from "../exchanges/trim_headers.ts";
 import type { TargetConnections } from "./target_connections.ts";
 import type { TargetLimits } from "./target_limits.ts";
 import type { TargetNotices } from "./target_notices.ts";
@@ -65,7 +65,7 @@
         path,
         signal: AbortSignal.timeout(responseTimeoutMilliseconds),
       });
-      const head = wire.readResponse(statusCode, trimmedHeaders(headers));
+      const head = wire.readResponse(statusCode, trimHeaders(headers));
       const { load, requestId } = head;
       // If the connection were reused, the probe's own response would be
       // mistaken for the response to the next request.
