--- a/packages/fleet_control/peer_clients.ts
+++ b/packages/fleet_control/peer_clients.ts
@@ -65,9 +65,12 @@
   #pool(address: string): PeerPool {
     const known = this.#pools.get(address);
     if (known) return known;
+    const { logger } = this.#options;
     const pool = new PeerPool({
       create: () => createPool(address, this.#options),
-      onSilence: () => this.#options.logger?.warn("peer-silent", { address }),
+      onSilence: () => {
+        if (logger) logger.warn("peer-silent", { address });
+      },
     });
     this.#pools.set(address, pool);
     return pool;
--- a/packages/fleet_gateway/requests/request_handler_fixture.ts
+++ b/packages/fleet_gateway/requests/request_handler_fixture.ts
@@ -35,6 +35,7 @@
       },
       pools: { poolFor: () => undefined },
       keys: noKeys,
+      contactAge: () => 0,
       callerDeadlines: new CallerDeadlines(),
       quotas: noQuotas,
       suspects: { isSuspect: () => false },
