Find a copy of a response within its own body

Callers got 200 with the response twice in its body, or with its own head in the middle of it: from a target that repeats a response without a length before it closes the connection, and from one that writes the copy within a response with a length, on a connection that had carried no other.

Cause: on a new connection nothing was looked for, as a sound response that is followed by other bytes would be lost; a body without a length takes all that follows.

The head of the own response in a body counts as a copy if the body has no length, and if surplus bytes follow one with a length. A body with a length that quotes it, with nothing behind, is still passed on.

Types of the exchange's result move to a module of their own, to keep modules short.

--- a/packages/fleet_gateway/exchanges/copied_responses_test.ts
+++ b/packages/fleet_gateway/exchanges/copied_responses_test.ts
@@ -89,10 +89,34 @@
       .toBe(false);
   });
 
+  // Guards against a response without a length that is sent twice before its
+  // connection ends, so that the second copy looks like a part of the body.
+  it("behind a response without a length is not a part of its body", async () => {
+    const own = headOf("only", "") + "own;";
+    path.target.respond = (socket) => void socket.end(own + own);
+    const { status, body } = await path.ask({ name: "only" });
+    expect([status, body.includes("own;")]).toEqual([502, false]);
+  });
+
+  // Guards against a copy within the response that it repeats, which is the first
+  // one on its connection.
+  it.each([1000, 400_000])(
+    "within its own response of %i bytes does not complete it",
+    async (bytes) => {
+      const head = headOf("only", `content-length: ${2 * bytes}\r\n`);
+      const [begin, rest] = ["b".repeat(bytes), "r".repeat(bytes)];
+      path.target.respond = (socket) =>
+        void socket.write(head + begin + head + begin + rest + rest);
+      const { status, end } = await path.ask({ name: "only" });
+      expect(status === 200 && end !== ResponseEnd.incomplete).toBe(false);
+    },
+  );
+
   // Guards against whole responses that are lost because their bodies quote heads
   // of other responses, as those to batches do.
   it("is told from a head that the body of a sound target holds", async () => {
-    const body = `--part\r\n${headOf("second", "")}\r\nHTTP/1.1 200 OK\r\n` +
+    const body =
+      `--part\r\n${headOf("second", "a: b\r\n")}\r\nHTTP/1.1 200 OK\r\n` +
       `request: other\r\n\r\n--part--\r\nHTTP/1.1`;
     const received = await askTwice([
       headOf("second", `content-length: ${body.length}\r\n`) + body,
--- a/packages/fleet_gateway/exchanges/exchange.ts
+++ b/packages/fleet_gateway/exchanges/exchange.ts
@@ -10,12 +10,14 @@
 import type { ReadPace } from "../link/read_pace.ts";
 import { BodyFraming, framingOf } from "../callers/response_framing.ts";
 import { CopyDetector } from "./copy_detector.ts";
+import type { ExchangeResult } from "./exchange_result.ts";
 import { causeOf, LossCause } from "./loss_cause.ts";
 import { Surplus } from "./surplus_detector.ts";
 import { trimHeaders } from "./trim_headers.ts";
 import type { TargetConnection } from "../targets/address_pool.ts";
 
 export { LossCause };
+export type { ExchangeResult };
 
 /** Responses up to this size are buffered until they are complete. */
 const maximumBufferedBytes = 256 * 1024;
@@ -65,28 +67,6 @@
   fail(): void;
 }
 
-/** How an exchange ended. */
-export type ExchangeResult =
-  | {
-    readonly kind: "answered";
-    readonly head: ResponseHead;
-    /** Null when the body was streamed. */
-    readonly body: Buffer | null;
-  }
-  /** Nothing of the request left this VM. */
-  | {
-    readonly kind: "notSent";
-    readonly reason: string;
-    /** Whether this VM withheld it, so that the target is not at fault. */
-    readonly isWithheld?: boolean;
-  }
-  /** The request may have run, and no valid response was received. */
-  | {
-    readonly kind: "unknown";
-    readonly reason: string;
-    readonly cause: LossCause;
-  };
-
 /** Sends one request on one connection and receives the response. */
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly result: Promise<ExchangeResult>;
@@ -107,8 +87,10 @@
   #bytes = 0;
   #lastPart: Buffer | undefined;
   readonly #copies = new CopyDetector((name, value) =>
-    this.#isOfEarlierRequest(name, value)
+    this.#isOfCopy(name, value)
   );
+  /** Whether the body may hold bytes that are not its own. */
+  #isSuspect: boolean;
   /** Last part of a streamed body, until it is known to be its own. */
   #withheld: Buffer | undefined;
   #isStreaming = false;
@@ -140,6 +122,7 @@
   }) {
     this.#request = options.request;
     this.#connection = options.connection;
+    this.#isSuspect = options.connection.wasUsed;
     this.#wire = options.wire;
     this.#stream = options.stream;
     this.#reservation = options.reservation ?? new BodyMemory().reserve();
@@ -246,11 +229,10 @@
     this.#onData();
     this.#bytes += chunk.length;
     this.#lastPart = chunk;
-    // A copy of an earlier response may be a part of the body.
-    if (this.#connection.wasUsed && this.#copies.add(chunk)) {
+    if (this.#copies.add(chunk)) {
       this.#connection.recordSurplus();
       return this.#abort(
-        "the body holds the head of an earlier response",
+        "the body holds the head of a copy of a response",
         LossCause.invalid,
       );
     }
@@ -260,10 +242,15 @@
     }
   }
 
-  #isOfEarlierRequest(name: string, value: string): boolean {
+  // A body with a length that holds the head of its own response may quote it, if
+  // no bytes follow that it displaced.
+  #isOfCopy(name: string, value: string): boolean {
     const { requestId } = this.#wire.readResponse(200, { [name]: value });
-    return requestId !== this.#request.requestId &&
-      this.#connection.requestIds.has(requestId);
+    if (requestId !== "" && requestId === this.#request.requestId) {
+      this.#isSuspect = true;
+      return this.#head!.framing === BodyFraming.connection;
+    }
+    return this.#connection.requestIds.has(requestId);
   }
 
   // What was read already is still parsed after a hold.
@@ -282,7 +269,7 @@
 
   onResponseEnd(): void {
     if (this.#hasEnded) return;
-    const { surplus, wasUsed, wasReset } = this.#connection;
+    const { surplus, wasReset } = this.#connection;
     if (!this.#head) {
       return this.#abort("the response has no head", LossCause.invalid);
     }
@@ -295,14 +282,14 @@
     surplus.end(hasLength ? this.#lastPart : undefined);
     // A copy of an earlier response may be a part of the body. The bytes that it
     // displaced follow at once, if they are not yet read.
-    if (hasLength && wasUsed) setImmediate(() => this.#complete());
+    if (hasLength && this.#isSuspect) setImmediate(() => this.#complete());
     else this.#complete();
   }
 
   #complete(): void {
     if (this.#hasEnded) return;
-    const { surplus, wasUsed } = this.#connection;
-    if (wasUsed && surplus.found === Surplus.body) {
+    const { surplus } = this.#connection;
+    if (this.#isSuspect && surplus.found === Surplus.body) {
       return this.#abort(
         "the target sent more bytes than the response has",
         LossCause.invalid,
@@ -349,7 +336,7 @@
 
   get #isLastPart(): boolean {
     const { framing, headers } = this.#head!;
-    return this.#connection.wasUsed && framing === BodyFraming.length &&
+    return this.#isSuspect && framing === BodyFraming.length &&
       this.#bytes === Number(headers["content-length"]);
   }
 
--- a/packages/fleet_gateway/exchanges/response_path_fixture.ts
+++ b/packages/fleet_gateway/exchanges/response_path_fixture.ts
@@ -5,6 +5,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { RequestKind } from "@kingcupglade/items";
 import { createMetrics } from "@kingcupglade/telemetry";
+import { RequestBody } from "@kingcupglade/transport";
 import { CallerResponse } from "../callers/caller_response.ts";
 import {
   ForwardingFixture,
@@ -18,6 +19,7 @@
 
 const secret = "unguarded";
 const defaultDeadlineMilliseconds = 10_000;
+const maximumRequestBytes = 1024 * 1024;
 const headEnd = "\r\n\r\n";
 
 /** How a response ended, by its framing and its connection alone. */
@@ -68,6 +70,13 @@
   readonly linkMegabitsPerSecond?: number;
   /** Bytes that a gateway with a link holds. @default 32 MiB */
   readonly maximumHeldBytes?: number;
+  /**
+   * Whether requests may run more than once, and are sent twice at most.
+   * @default false
+   */
+  readonly isIdempotent?: boolean;
+  /** Time that the gateway has for each response. @default 10000 */
+  readonly deadlineMilliseconds?: number;
 }
 
 /**
@@ -84,6 +93,8 @@
   readonly lines: Record<string, unknown>[] = [];
   /** Called with the event of each of these lines. */
   onLine: (event: string) => void = () => {};
+  readonly #isIdempotent: boolean;
+  readonly #deadlineMilliseconds: number;
   readonly #isRelayed: boolean;
   readonly #isSecondEarlier: boolean;
   readonly #links = new Map<ForwardingFixture, GatewayLink>();
@@ -98,17 +109,23 @@
     error() {},
   };
   readonly #server = createServer((request, response) =>
-    this.#isRelayed
+    (this.#isRelayed
       ? this.#relay(request, response)
-      : this.#forward(request, new CallerResponse(response))
+      : this.#forward(request, new CallerResponse(response)))
+      // Its caller left before all of it was received.
+      .catch(() => request.destroy())
   );
   readonly #lastServer = createServer((request, response) => {
     const { id } = decodeRelayRequest(request.headers[relayHeader], secret);
     if (this.#isSecondEarlier) delete request.headers.te;
-    this.#forward(request, new CallerResponse(response, id));
+    this.#forward(request, new CallerResponse(response, id))
+      .catch(() => request.destroy());
   });
 
   constructor(options: ResponsePathOptions = {}) {
+    this.#isIdempotent = options.isIdempotent ?? false;
+    this.#deadlineMilliseconds = options.deadlineMilliseconds ??
+      defaultDeadlineMilliseconds;
     this.#isRelayed = options.isRelayed ?? false;
     this.#isSecondEarlier = options.isSecondEarlier ?? false;
     this.gateway = new ForwardingFixture([this.target], options);
@@ -136,6 +153,11 @@
     return this.#links.get(this.gateway)!;
   }
 
+  /** Port of the gateway that callers reach. */
+  get callersPort(): number {
+    return portOf(this.#server);
+  }
+
   async start(): Promise<void> {
     await this.target.start();
     for (const server of [this.#server, this.#lastServer]) {
@@ -165,8 +187,11 @@
     if (decision?.kind === "admitted") answer.passage = decision.passage;
   }
 
-  #forward(request: IncomingMessage, answer: CallerResponse): void {
-    const routed = this.#routedOf(request);
+  async #forward(
+    request: IncomingMessage,
+    answer: CallerResponse,
+  ): Promise<void> {
+    const routed = await this.#routedOf(request);
     this.#enter(this.lastGateway, answer, routed);
     const forwarder = new RequestForwarder({
       context: this.#contextOf(this.lastGateway) as never,
@@ -178,9 +203,12 @@
     forwarder.start();
   }
 
-  #relay(request: IncomingMessage, response: ServerResponse): void {
+  async #relay(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     const answer = new CallerResponse(response);
-    const routed = this.#routedOf(request);
+    const routed = await this.#routedOf(request);
     this.#enter(this.gateway, answer, routed);
     const other = {
       name: "gateway-2",
@@ -216,18 +244,24 @@
     };
   }
 
-  #routedOf(request: IncomingMessage): Record<string, unknown> {
+  async #routedOf(
+    request: IncomingMessage,
+  ): Promise<Record<string, unknown>> {
+    const body = await RequestBody.receive(request, {
+      maximumBytes: maximumRequestBytes,
+      maximumBufferedBytes: 64 * 1024,
+    });
     const { url = "/" } = request;
     const requestId = url.slice(1);
     const routed = this.gateway.routed({
       requestId,
       path: url,
-      requests: RequestKind.once,
-      maximumTargets: 1,
+      requests: this.#isIdempotent ? RequestKind.idempotent : RequestKind.once,
+      maximumTargets: this.#isIdempotent ? 2 : 1,
       deadlineMilliseconds: this.#deadlines.get(requestId) ??
-        defaultDeadlineMilliseconds,
+        this.#deadlineMilliseconds,
     });
-    return { ...routed, request };
+    return { ...routed, request, body };
   }
 
   /** Ends all connections of callers, as the kernel does for a killed process. */
@@ -246,7 +280,7 @@
     if (deadlineMilliseconds !== undefined) {
       this.#deadlines.set(name, deadlineMilliseconds);
     }
-    const socket = connect(portOf(this.#server), "127.0.0.1");
+    const socket = connect(this.callersPort, "127.0.0.1");
     const chunks: Buffer[] = [];
     let bytes = 0;
     let wasReset = false;
