Reset a response without a length that a stop cuts off

A caller that reads slowly got the first part of a response without a length, and an orderly end of the connection: the gateway's stop, at the end of the grace period, made a part look whole.

Cause: connections that are left then are closed. The system sends what it holds and ends the connection in order, which for this form is the end of the body.

closeAfterBody() already marks such responses as the last ones on their connections. If one of them is cut off, the connection is now reset. Responses with a length or in chunks show the cut themselves and are closed as before; so are TLS connections.

--- a/packages/transport/listener_connection.ts
+++ b/packages/transport/listener_connection.ts
@@ -1,5 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { TLSSocket } from "node:tls";
+import { endsWithConnection } from "./pipelined_response.ts";
 
 /**
  * A connection on which a request is due is kept this long after its last bytes:
@@ -134,8 +136,13 @@
     this.#socket.once("close", () => clearTimeout(timer));
   }
 
+  /** Closes the connection; a response that it cuts off does not look whole. */
   destroy(): void {
-    this.#socket.destroy();
+    const isOpen = [...this.#responses].some(endsWithConnection);
+    // The end of a TLS connection is marked by itself.
+    if (isOpen && !(this.#socket instanceof TLSSocket)) {
+      this.#socket.resetAndDestroy();
+    } else this.#socket.destroy();
   }
 
   #stateAt(now: number): ConnectionState {
--- a/packages/transport/pipelined_response.ts
+++ b/packages/transport/pipelined_response.ts
@@ -73,6 +73,13 @@
   }
 }
 
+const closingBodies = new WeakSet<ServerResponse>();
+
+/** Whether the end of the response's body is that of its connection. */
+export function endsWithConnection(response: ServerResponse): boolean {
+  return closingBodies.has(response);
+}
+
 /**
  * Makes a response close its connection at the end of its body. Returns false,
  * and changes nothing, if a request behind it was started: its response would be
@@ -88,5 +95,6 @@
     return false;
   }
   response.shouldKeepAlive = false;
+  closingBodies.add(response);
   return true;
 }
