Close idle connections to a target once one was silent

Where all open connections to a target fall silent at one moment, each idle one cost one more request its time: requests use the connection that was idle for the shortest time, and only the one that was found silent was closed.

An exchange whose time is up without a byte on a connection that was used before now closes the connections that have been idle since its request was sent. If another of them brought a response meanwhile, the target is only slow, and they stay, as new connections are dear to targets.

--- a/packages/fleet_gateway/exchanges/exchange.ts
+++ b/packages/fleet_gateway/exchanges/exchange.ts
@@ -143,6 +143,11 @@
     return this.#isSent;
   }
 
+  /** Whether the target has sent no byte, although the request was sent to it. */
+  get isUnheard(): boolean {
+    return this.#isSent && !this.#head && this.#interimResponses === 0;
+  }
+
   /** Time for which the response was not read because of the link. */
   get heldMilliseconds(): number {
     return this.#pace?.heldMilliseconds ?? 0;
--- a/packages/fleet_gateway/exchanges/target_exchange.ts
+++ b/packages/fleet_gateway/exchanges/target_exchange.ts
@@ -2,7 +2,8 @@
 import type { TargetView } from "@kingcupglade/fleet";
 import { RequestKind } from "@kingcupglade/items";
 import type { CallerResponse } from "../callers/caller_response.ts";
-import { Exchange } from "./exchange.ts";
+import { Exchange, LossCause } from "./exchange.ts";
+import type { ExchangeResult } from "./exchange.ts";
 import { LinkDirection } from "../link/link_direction.ts";
 import { ReadPace } from "../link/read_pace.ts";
 import { firstResponseStream } from "./first_response_stream.ts";
@@ -30,6 +31,13 @@
   return headBytes + Math.min(maximumCountedBytes, length);
 }
 
+/** An attempt of a request at a target. */
+export interface Attempt {
+  readonly exchange: Exchange;
+  /** Keeps or closes the connection, by the result of the exchange. */
+  readonly end: (result: ExchangeResult) => void;
+}
+
 /**
  * Starts an attempt of a request at a target, on a connection that suits it.
  * Idempotent requests may use one that was used before.
@@ -40,9 +48,11 @@
   readonly answer: CallerResponse;
   readonly progress: RequestProgress;
   readonly target: TargetView;
-}): { readonly connection: TargetConnection; readonly exchange: Exchange } {
+}): Attempt {
   const { context, routed, progress, target } = options;
-  const connection = context.connections.acquire(target.address, {
+  const { connections } = context;
+  const startedAt = context.clock.now();
+  const connection = connections.acquire(target.address, {
     mustBeFresh: routed.route.requests !== RequestKind.idempotent,
     // A target that sends its response to the first attempt once more would
     // respond to this one, as both have the same ID.
@@ -54,15 +64,44 @@
     ...options,
     connection,
     exchanges: progress.exchanges,
-    startedAt: context.clock.now(),
+    startedAt,
   });
-  return { connection, exchange };
+  return {
+    exchange,
+    end: (result) =>
+      endAttempt(result, {
+        connections,
+        target,
+        connection,
+        exchange,
+        startedAt,
+      }),
+  };
 }
 
 /**
  * Starts to send a request to a target. What the head of the response says of
  * the target takes effect when it arrives.
  */
+/** Keeps or closes the connection of an exchange that has ended. */
+function endAttempt(
+  result: ExchangeResult,
+  { connections, target: { address }, connection, exchange, startedAt }: {
+    readonly connections: ForwardingContext["connections"];
+    readonly target: TargetView;
+    readonly connection: TargetConnection;
+    readonly exchange: Exchange;
+    readonly startedAt: number;
+  },
+): void {
+  const isSilent = result.kind === "unknown" &&
+    result.cause === LossCause.timeout && exchange.isUnheard;
+  if (result.kind === "answered") connections.release(address, connection);
+  else if (isSilent) {
+    connections.endSilent(address, { connection, sentAt: startedAt });
+  } else connections.end(connection);
+}
+
 function startTargetExchange(options: {
   readonly context: ForwardingContext;
   readonly routed: RoutedRequest;
--- a/packages/fleet_gateway/requests/request_forwarder.ts
+++ b/packages/fleet_gateway/requests/request_forwarder.ts
@@ -299,8 +299,8 @@
       findSendFault(this.#context, this.#routed) ||
       !mayReceive(this.#context, target)
     ) return this.#withhold(target, use);
-    const { clock, connections, reach } = this.#context;
-    const { connection, exchange } = use.cancelOnFailure(() =>
+    const { clock, reach } = this.#context;
+    const attempt = use.cancelOnFailure(() =>
       startAttempt({
         context: this.#context,
         routed: this.#routed,
@@ -313,6 +313,7 @@
       target,
       ticket ? SendPath.granted : SendPath.chosen,
     );
+    const { exchange } = attempt;
     this.#progress.begin(exchange, target.name);
     reach.begin();
     this.#scheduleHedge();
@@ -328,9 +329,7 @@
         sinceMilliseconds: clock.now() - this.#leftAt,
       });
     }
-    if (result.kind === "answered") {
-      connections.release(target.address, connection);
-    } else connections.end(connection);
+    attempt.end(result);
     if (result.kind === "notSent" && result.isWithheld) {
       return this.#withhold(target, use);
     }
--- a/packages/fleet_gateway/targets/address_pool.ts
+++ b/packages/fleet_gateway/targets/address_pool.ts
@@ -92,6 +92,8 @@
   readonly #connections = new Set<TargetConnection>();
   /** Until then, a connection carries one request. */
   #surplusUntil = -Infinity;
+  /** When a connection that was used before last brought a whole response. */
+  #heardAt = -Infinity;
 
   constructor(options: {
     readonly address: string;
@@ -145,12 +147,26 @@
   /** Keeps a connection, or closes one that may still carry surplus bytes. */
   release(connection: TargetConnection, now: number): void {
     connection.surplus.end();
+    if (connection.wasUsed) this.#heardAt = now;
     if (now < this.#surplusUntil) return void connection.client.destroy();
     connection.wasUsed = true;
     connection.idleSince = now;
     this.#idle.push(connection);
   }
 
+  /**
+   * Closes the connections that have been idle since a time at which a request was
+   * sent on another one, which then brought no byte. What silences one connection
+   * mostly silences all that are open, and each would cost one more request.
+   */
+  closeIdleSince(time: number): void {
+    // The target is only slow.
+    if (this.#heardAt >= time) return;
+    for (const connection of [...this.#idle]) {
+      if (connection.idleSince <= time) void connection.client.destroy();
+    }
+  }
+
   // A copy of a response may be written into any later one on its connection.
   #recordSurplus(): void {
     const now = this.#now();
--- a/packages/fleet_gateway/targets/target_connections.ts
+++ b/packages/fleet_gateway/targets/target_connections.ts
@@ -126,6 +126,21 @@
     void connection.client.destroy();
   }
 
+  /**
+   * Closes a connection that brought no byte of a response since a time at which a
+   * request was sent, and idle ones that may be silent as well.
+   */
+  endSilent(
+    address: string,
+    { connection, sentAt }: {
+      readonly connection: TargetConnection;
+      readonly sentAt: number;
+    },
+  ): void {
+    this.end(connection);
+    if (connection.wasUsed) this.#poolOf(address).closeIdleSince(sentAt);
+  }
+
   /** Closes connections to all other addresses, which no target uses now. */
   retainOnly(addresses: ReadonlySet<string>): void {
     for (const [address, pool] of this.#pools) {
