Count the stalls of the soak as faults of its links

While the process of the proxies does not run, no link carries anything, which the judge took for calm. Its stalls are recorded as delays of all links and printed.

--- a/packages/soak/link_contact.ts
+++ b/packages/soak/link_contact.ts
@@ -22,7 +22,7 @@
   readonly kind: LinkFaultKind;
   readonly source: string;
   readonly destination: string;
-  readonly from: number;
+  from: number;
   to: number;
 }
 
--- a/packages/soak/link_proxy.ts
+++ b/packages/soak/link_proxy.ts
@@ -1,8 +1,11 @@
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
+import { MonotonicClock, StallDetector } from "@kingcupglade/tasks";
 import { LinkFaultKind } from "./link_contact.ts";
 import type { LinkDisturbance } from "./link_contact.ts";
 
+const observationIntervalMilliseconds = 25;
+
 /** Direction of what a connection carries. */
 export const LinkFlow = {
   requests: "requests",
@@ -160,10 +163,13 @@
  */
 export class LinkNetwork {
   readonly disturbances: LinkDisturbance[] = [];
+  /** Lengths of the stalls of this process, in which no link carried anything. */
+  readonly stalls: number[] = [];
   readonly #links: readonly Link[];
   readonly #names: ReadonlyMap<string, string>;
   readonly #servers: Server[] = [];
   readonly #connections = new Set<LinkConnection>();
+  readonly #stallTimer: NodeJS.Timeout;
 
   constructor(vms: {
     readonly callers: readonly LinkedVm[];
@@ -175,6 +181,14 @@
       vms.called.filter((each) => each.name !== source.name)
         .map(({ name }) => new Link(source.name, name))
     );
+    const detector = new StallDetector({
+      clock: new MonotonicClock(),
+      onStall: (milliseconds) => this.#recordStall(milliseconds),
+    });
+    this.#stallTimer = setInterval(
+      () => detector.observe(),
+      observationIntervalMilliseconds,
+    );
   }
 
   /** Opens the proxy of a VM; its connections end at the same port of the VM. */
@@ -199,6 +213,7 @@
   }
 
   close(): void {
+    clearInterval(this.#stallTimer);
     for (const each of this.#servers) each.close();
     for (const each of this.#connections) each.destroy();
   }
@@ -261,6 +276,13 @@
     );
   }
 
+  // While this process does not run, its links are slow.
+  #recordStall(milliseconds: number): void {
+    this.stalls.push(Math.round(milliseconds));
+    const begun = this.#disturb(LinkFaultKind.delay, () => true, () => {});
+    for (const each of begun) each.from -= milliseconds;
+  }
+
   #disturb(
     kind: LinkFaultKind,
     filter: LinkFilter,
--- a/packages/soak/link_soak.ts
+++ b/packages/soak/link_soak.ts
@@ -67,6 +67,8 @@
   /** What was handled late, whether it is excused or not. */
   readonly lateHandlings: readonly LateHandling[];
   readonly lateRuns: readonly LateRun[];
+  /** Lengths of the stalls of this process, which excuse what is judged. */
+  readonly stalls: readonly number[];
   readonly violations: readonly string[];
 }
 
@@ -182,6 +184,7 @@
       left: this.#leaves.count,
       lateHandlings: history.findLateHandlings(),
       lateRuns: this.#leaves.lateRuns,
+      stalls: this.#network.stalls,
       violations: violations.map((each) => `seed ${seed}: ${each}`),
     };
   }
