Read only what is new of the logs when the soak looks for the leader

The faults of links asked for the leader every 50 ms after some of them, and read five whole logs each time in the process that carries all links.

--- a/packages/soak/leader_changes.ts
+++ b/packages/soak/leader_changes.ts
@@ -1,3 +1,4 @@
+import { closeSync, fstatSync, openSync, readSync } from "node:fs";
 import { readFile } from "node:fs/promises";
 
 const leadershipEvent = "leadership-acquired";
@@ -21,27 +22,55 @@
   return Math.max(-Infinity, ...moments);
 }
 
-/**
- * Returns the name of the control VM that became the leader in the highest term;
- * undefined if none did.
- *
- * @param logFiles Paths of the logs of all control VMs, by name.
- */
-export async function findLeader(
-  logFiles: ReadonlyMap<string, string>,
-): Promise<string | undefined> {
-  const terms = await Promise.all(
-    [...logFiles].map(async ([name, path]) => {
-      const lines = (await readFile(path, "utf8")).split("\n");
-      const last = lines.findLast((line) =>
-        line.includes(`"${leadershipEvent}"`)
-      );
-      const { term } = JSON.parse(last ?? '{"term":0}') as {
-        readonly term: number;
-      };
-      return { name, term };
-    }),
-  );
-  const [leader] = terms.toSorted((left, right) => right.term - left.term);
-  return leader && leader.term > 0 ? leader.name : undefined;
+/** Follows in the logs of control VMs which of them leads. */
+export class LeaderReader {
+  readonly #logs: readonly {
+    readonly name: string;
+    readonly path: string;
+    readBytes: number;
+    /** Start of a line that was not written as a whole yet. */
+    rest: string;
+  }[];
+  #leader: { readonly name: string; readonly term: number } | undefined;
+
+  /** @param logFiles Paths of the logs, by the names of the VMs. */
+  constructor(logFiles: ReadonlyMap<string, string>) {
+    this.#logs = [...logFiles].map(([name, path]) => ({
+      name,
+      path,
+      readBytes: 0,
+      rest: "",
+    }));
+  }
+
+  /**
+   * Reads what was written since the last call. Returns the name of the VM that
+   * became the leader in the highest term; undefined if none did.
+   */
+  read(): string | undefined {
+    for (const log of this.#logs) {
+      const bytes = readFrom(log.path, log.readBytes);
+      log.readBytes += bytes.length;
+      const lines = `${log.rest}${bytes.toString()}`.split("\n");
+      log.rest = lines.pop()!;
+      for (const line of lines) {
+        if (!line.includes(`"${leadershipEvent}"`)) continue;
+        const { term } = JSON.parse(line) as { readonly term: number };
+        if (term > (this.#leader?.term ?? 0)) {
+          this.#leader = { name: log.name, term };
+        }
+      }
+    }
+    return this.#leader?.name;
+  }
+}
+
+function readFrom(path: string, position: number): Buffer {
+  const file = openSync(path, "r");
+  try {
+    const bytes = Buffer.alloc(fstatSync(file).size - position);
+    return bytes.subarray(0, readSync(file, bytes, { position }));
+  } finally {
+    closeSync(file);
+  }
 }
--- a/packages/soak/leader_changes_test.ts
+++ b/packages/soak/leader_changes_test.ts
@@ -1,8 +1,8 @@
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { appendFile, mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { findLastLeaderChange } from "./leader_changes.ts";
+import { findLastLeaderChange, LeaderReader } from "./leader_changes.ts";
 
 describe("findLastLeaderChange", () => {
   let folder: string;
@@ -45,3 +45,31 @@
     expect(await findLastLeaderChange([path])).toBe(-Infinity);
   });
 });
+
+describe("LeaderReader", () => {
+  let folder: string;
+
+  beforeEach(async () => {
+    folder = await mkdtemp(join(tmpdir(), "leader-reader-"));
+  });
+
+  afterEach(() => rm(folder, { recursive: true }));
+
+  it("follows the leader of the highest term", async () => {
+    const [first, second] = [join(folder, "0"), join(folder, "1")];
+    const reader = new LeaderReader(new Map([["a", first], ["b", second]]));
+    const line = (term: number) =>
+      `${JSON.stringify({ event: "leadership-acquired", term })}\n`;
+    await writeFile(first, "");
+    await writeFile(second, "{}\n");
+    expect(reader.read()).toBeUndefined();
+    await appendFile(second, line(2));
+    await appendFile(first, line(1));
+    expect(reader.read()).toBe("b");
+    const [start, end] = [line(3).slice(0, 20), line(3).slice(20)];
+    await appendFile(first, start);
+    expect(reader.read()).toBe("b");
+    await appendFile(first, end);
+    expect(reader.read()).toBe("a");
+  });
+});
--- a/packages/soak/link_faults.ts
+++ b/packages/soak/link_faults.ts
@@ -62,7 +62,7 @@
   readonly gateways: readonly string[];
   readonly nextAcknowledgement: () => Promise<void>;
   /** Returns the name of the leader, as the VMs log it; undefined for none. */
-  readonly findLeader: () => Promise<string | undefined>;
+  readonly findLeader: () => string | undefined;
   /** The only scenarios. @default all */
   readonly scenarios?: readonly LinkScenario[] | undefined;
   /** Returns a random number from 0 to 1. */
@@ -117,7 +117,7 @@
 
   async #inject(scenario: LinkScenario): Promise<void> {
     const { network, control, gateways, random } = this.#options;
-    const leader = await this.#options.findLeader();
+    const leader = this.#options.findLeader();
     const vm = leader !== undefined && random() < leaderShare
       ? leader
       : select(control, random);
@@ -217,11 +217,11 @@
   #followElection(): void {
     const { findLeader, control, network } = this.#options;
     const follow = async () => {
-      const before = await findLeader();
+      const before = findLeader();
       const until = performance.now() + maximumAgainMilliseconds;
       while (performance.now() < until) {
         await delay(50);
-        if (await findLeader() === before) continue;
+        if (findLeader() === before) continue;
         this.#log("silence from gateways, after an election");
         return network.silence(({ source }) => !control.includes(source));
       }
--- a/packages/soak/link_soak.ts
+++ b/packages/soak/link_soak.ts
@@ -3,7 +3,7 @@
 import type { LateHandling } from "./configuration_history.ts";
 import { delay } from "./fault_injector.ts";
 import { InvariantMonitor } from "./invariant_monitor.ts";
-import { findLeader } from "./leader_changes.ts";
+import { LeaderReader } from "./leader_changes.ts";
 import { LeaveRecord } from "./leave_record.ts";
 import type { LateRun } from "./leave_record.ts";
 import { LinkChanges } from "./link_changes.ts";
@@ -145,18 +145,20 @@
     const replaced = this.#replaceTargets();
     await delay(warmUpMilliseconds);
     const { seed, milliseconds, scenarios } = this.#options;
-    const logFiles = new Map(
-      this.#processes.slice(0, controlVmCount).map((each) => [
-        each.name,
-        each.logFile,
-      ]),
+    const leaders = new LeaderReader(
+      new Map(
+        this.#processes.slice(0, controlVmCount).map((each) => [
+          each.name,
+          each.logFile,
+        ]),
+      ),
     );
     const faults = new LinkFaults({
       network: this.#network,
       control: this.#control.map(({ name }) => name),
       gateways: this.#gateways.map(({ name }) => name),
       nextAcknowledgement: () => this.#changes.nextAcknowledgement(),
-      findLeader: () => findLeader(logFiles),
+      findLeader: () => leaders.read(),
       scenarios,
       random: createRandomSource(seed + faultSeedOffset),
     });
