Keep the limit for opening a connection to a target

A request whose target took no connection waited for 1.0 s and more in place of the 700 ms after which it goes to another target, and for 2.5 s in place of 2 s while the link is full. undici counts this time in ticks of half a second, the first of which may be lost: with a full accept queue on loopback limits of 200 and 700 ms ended after 1,005 to 1,014 ms, of 2,000 ms after 2,513 to 2,524 ms. Within a second the system sends the first packet again, so that a request could reach its target 1,024 ms after it was chosen.

A timer of our own ends the wait. The socket is closed as before, when undici's limit ends, or as soon as it opens.

--- a/packages/fleet_gateway/targets/target_connections.ts
+++ b/packages/fleet_gateway/targets/target_connections.ts
@@ -174,15 +174,40 @@
   readonly isLinkFull: (() => boolean) | undefined;
 }): Connector {
   const { milliseconds, isLinkFull } = options;
-  const usual = buildConnector({ timeout: milliseconds });
+  const usual = connectWithin(milliseconds);
   if (!isLinkFull) return usual;
-  const patient = buildConnector({
-    timeout: Math.max(milliseconds, fullLinkConnectMilliseconds),
-  });
+  const patient = connectWithin(
+    Math.max(milliseconds, fullLinkConnectMilliseconds),
+  );
   return (connect, callback) =>
     (isLinkFull() ? patient : usual)(connect, callback);
 }
 
+/** Connects within a time; undici's limit ends up to a second later. */
+function connectWithin(milliseconds: number): Connector {
+  const connect = buildConnector({ timeout: milliseconds });
+  return (options, callback) => {
+    let hasEnded = false;
+    const end: typeof callback = (...result) => {
+      clearTimeout(timer);
+      const [, socket] = result;
+      if (!hasEnded) {
+        hasEnded = true;
+        return callback(...result);
+      }
+      socket?.on("error", () => {});
+      socket?.destroy();
+    };
+    // After a delay of the whole process, timers precede connections that were
+    // accepted in time.
+    const timer = setTimeout(
+      () => setImmediate(() => end(new Error("connect timeout"), null)),
+      milliseconds,
+    );
+    connect(options, end);
+  };
+}
+
 const noObserver: ConnectionObserver = {
   connected: () => {},
   connectTrouble: () => {},
