--- a/packages/fleet_gateway/targets/target_connections.ts
+++ b/packages/fleet_gateway/targets/target_connections.ts
@@ -193,19 +193,45 @@
   readonly localAddress: string | undefined;
 }): Connector {
   const { milliseconds, isLinkFull, localAddress } = options;
-  const usual = buildConnector({ timeout: milliseconds });
-  const bind = (connector: Connector): Connector =>
-    localAddress === undefined
-      ? connector
-      : (connect, callback) =>
-        connector({ ...connect, localAddress }, callback);
-  if (!isLinkFull) return bind(usual);
-  const patient = buildConnector({
-    timeout: Math.max(milliseconds, fullLinkConnectMilliseconds),
-  });
-  return bind((connect, callback) =>
-    (isLinkFull() ? patient : usual)(connect, callback)
+  const usual = connectWithin(milliseconds, localAddress);
+  if (!isLinkFull) return usual;
+  const patient = connectWithin(
+    Math.max(milliseconds, fullLinkConnectMilliseconds),
+    localAddress,
   );
+  return (connect, callback) =>
+    (isLinkFull() ? patient : usual)(connect, callback);
+}
+
+/** Connects within a time; undici's limit ends up to a second later. */
+function connectWithin(
+  milliseconds: number,
+  localAddress: string | undefined,
+): Connector {
+  const connect = buildConnector({ timeout: milliseconds });
+  return (options, callback) => {
+    let hasEnded = false;
+    const end: typeof callback = (...result) => {
+      clearTimeout(timer);
+      const [, socket] = result;
+      if (!hasEnded) {
+        hasEnded = true;
+        return callback(...result);
+      }
+      socket?.on("error", () => {});
+      socket?.destroy();
+    };
+    // After a delay of the whole process, timers precede connections that were
+    // accepted in time.
+    const timer = setTimeout(
+      () => setImmediate(() => end(new Error("connect timeout"), null)),
+      milliseconds,
+    );
+    connect(
+      localAddress === undefined ? options : { ...options, localAddress },
+      end,
+    );
+  };
 }
 
 const noObserver: ConnectionObserver = {
