Break off a response with a copy of another one, with one role too

In the mode with one role, callers got 200 with the bytes of an earlier response inside a body with a length, on a reused connection of a target that echoes exchange IDs.

Cause: the echo in the head proved whose response it was; nothing looked at the body. The same class as the copies of the fleet's gateways.

Evidence: the new test of exchange_test.ts failed: a complete response, though a copy of an earlier one had taken the place of its last bytes.

A body that holds the head of a response with the ID of another exchange is no longer completed. CopyDetector moves to transport, which both modes use.

--- a/packages/fleet_gateway/exchanges/exchange.ts
+++ b/packages/fleet_gateway/exchanges/exchange.ts
@@ -2,6 +2,7 @@
 import {
   BodyMemory,
   BodyMemoryError,
+  CopyDetector,
   isValidStatus,
 } from "@kingcupglade/transport";
 import type { BodyReservation } from "@kingcupglade/transport";
@@ -9,7 +10,6 @@
 import type { CallerWire, TargetResponseHead } from "../callers/caller_wire.ts";
 import type { ReadPace } from "../link/read_pace.ts";
 import { BodyFraming, framingOf } from "../callers/response_framing.ts";
-import { CopyDetector } from "./copy_detector.ts";
 import type { ExchangeResult } from "./exchange_result.ts";
 import { causeOf, LossCause } from "./loss_cause.ts";
 import { Surplus } from "./surplus_detector.ts";
--- a/packages/kingcupglade/gateway/exchange_handler.ts
+++ b/packages/kingcupglade/gateway/exchange_handler.ts
@@ -1,6 +1,6 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Header, Outcome } from "@kingcupglade/routing";
-import { isValidStatus } from "@kingcupglade/transport";
+import { CopyDetector, isValidStatus } from "@kingcupglade/transport";
 import type { Dispatcher } from "undici";
 import type { ResponseSink } from "./response_sink.ts";
 import { selectResponseHeaders, singleValue } from "./exchange_headers.ts";
@@ -32,6 +32,9 @@
   readonly #resolve: (result: ExchangeResult) => void;
   readonly #timer: NodeJS.Timeout;
   readonly #removeCloseListener: () => void;
+  readonly #copies = new CopyDetector((name, value) =>
+    name === Header.exchange && value !== this.#id
+  );
   #controller: Dispatcher.DispatchController | undefined;
   #mayHaveBeenSent = false;
   #status = 0;
@@ -94,6 +97,10 @@
     chunk: Buffer,
   ): void {
     if (this.#refusal) return;
+    // Only connections to targets that echo IDs carried another exchange before.
+    if (this.#requiresEcho && this.#copies.add(chunk)) {
+      return this.#abort(UnknownCause.badAnswer);
+    }
     this.#timer.refresh();
     if (this.#sink.write(chunk)) return;
     controller.pause();
--- a/packages/kingcupglade/gateway/exchange_test.ts
+++ b/packages/kingcupglade/gateway/exchange_test.ts
@@ -238,6 +238,38 @@
       },
     );
 
+    // Guards against a copy of an earlier response that takes the place of bytes
+    // which arrive after the length is reached.
+    it("never completes a response with a late copy of another in it", async () => {
+      const responseTo = (head: string, body: string) => {
+        const id = /kingcupglade-exchange: (.*)\r/.exec(head)![1];
+        return `HTTP/1.1 200 OK\r\nkingcupglade-exchange: ${id}\r\n` +
+          `content-length: ${body.length}\r\n\r\n${body}`;
+      };
+      const used = new Set<Socket>();
+      let copy = "";
+      behaviour = (socket, head) => {
+        used.add(socket);
+        if (!head.startsWith("POST /second")) {
+          copy = responseTo(head, "first");
+          return void socket.write(copy);
+        }
+        const own = responseTo(head, `own${"x".repeat(copy.length)}`);
+        socket.write(own.slice(0, -copy.length) + copy);
+        setTimeout(() => socket.write(own.slice(-copy.length)), 50);
+      };
+      await send("/warm-up");
+      await send("/first");
+      used.clear();
+      await send("/first");
+      // The caller sees that its connection ends early.
+      const second = await send("/second").catch(() => undefined);
+      expect(used.size).toBe(1);
+      expect(second?.isComplete ?? false).toBe(false);
+      await expect.poll(() => results.length, pollOptions).toBe(4);
+      expect(results[3]).toEqual({ kind: "truncated" });
+    });
+
     it("skips informational responses", async () => {
       behaviour = (socket) =>
         socket.write(`HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n${ok("one")}`);
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -43,3 +43,4 @@
 export type { ServiceRegistry } from "./unary_services.ts";
 export { Readiness } from "./readiness.ts";
 export { presentsSecret } from "./secret.ts";
+export { CopyDetector } from "./copy_detector.ts";
