Count elections in the soak's runs with faults of links

Whether control found no leader for long, or gateways did not find the one there was, could be told from kept logs only.

--- a/packages/soak/leader_changes.ts
+++ b/packages/soak/leader_changes.ts
@@ -31,6 +31,8 @@
     /** Start of a line that was not written as a whole yet. */
     rest: string;
   }[];
+  /** Number of times that a VM became the leader, as read so far. */
+  count = 0;
   #leader: { readonly name: string; readonly term: number } | undefined;
 
   /** @param logFiles Paths of the logs, by the names of the VMs. */
@@ -55,6 +57,7 @@
       log.rest = lines.pop()!;
       for (const line of lines) {
         if (!line.includes(`"${leadershipEvent}"`)) continue;
+        this.count += 1;
         const { term } = JSON.parse(line) as { readonly term: number };
         if (term > (this.#leader?.term ?? 0)) {
           this.#leader = { name: log.name, term };
--- a/packages/soak/leader_changes_test.ts
+++ b/packages/soak/leader_changes_test.ts
@@ -71,5 +71,6 @@
     expect(reader.read()).toBe("b");
     await appendFile(first, end);
     expect(reader.read()).toBe("a");
+    expect(reader.count).toBe(3);
   });
 });
--- a/packages/soak/link_soak.ts
+++ b/packages/soak/link_soak.ts
@@ -67,6 +67,8 @@
   /** What was handled late, whether it is excused or not. */
   readonly lateHandlings: readonly LateHandling[];
   readonly lateRuns: readonly LateRun[];
+  /** Number of times that a control VM became the leader. */
+  readonly elections: number;
   /** Lengths of the stalls of this process, which excuse what is judged. */
   readonly stalls: readonly number[];
   readonly violations: readonly string[];
@@ -166,6 +168,7 @@
     await delay(settleMilliseconds);
     this.#isStopped = true;
     await Promise.all([this.#changes.stop(), replaced]);
+    leaders.read();
     const contacts = new LinkContacts({
       control: this.#control.map(({ name }) => name),
       disturbances: this.#network.disturbances,
@@ -186,6 +189,7 @@
       left: this.#leaves.count,
       lateHandlings: history.findLateHandlings(),
       lateRuns: this.#leaves.lateRuns,
+      elections: leaders.count,
       stalls: this.#network.stalls,
       violations: violations.map((each) => `seed ${seed}: ${each}`),
     };
