Say that the soak excuses less than the operators for silent connections

They count a silence as a reset of all connections, which excuses a VM for 3 s; the soak's judge excuses nobody for a single one. No check is changed.

--- a/packages/soak/link_contact.ts
+++ b/packages/soak/link_contact.ts
@@ -33,7 +33,8 @@
 
 /**
  * Tells from the faults of links who was in contact when. A single silence of
- * connections excuses nobody, as new ones work: a VM has to detect it.
+ * connections excuses nobody, as new ones work, although the operators' rules
+ * count it as a reset: a VM has to detect it.
  */
 export class LinkContacts implements GatewayContacts {
   readonly #control: readonly string[];
