Answer the next watch at once if the one that was woken is outdated

The gateway had called since the watch was sent, so that it ignores the answer, and the leader had crossed the gateway off the list of those to be answered: the next watch was held for 600 ms, while the gateway rejects what comes and calls at growing intervals.

The gateway now stays on the list until its newest report is answered. quota_directory_test.ts, red before: isAnswerDue was false.

--- a/packages/fleet_control/quota_directory.ts
+++ b/packages/fleet_control/quota_directory.ts
@@ -89,9 +89,12 @@
    * that was never confirmed lends nothing.
    */
   answerWatch(watch: Watch, own: WatchOwnPart): WatchOwnPart {
-    this.#extended.delete(watch.gateway);
     const { confirmedAgeMilliseconds } = own;
     const report = unpackReport(watch.quotas);
+    // A gateway ignores an answer if that to a later call has reached it.
+    const isOutdated = report !== undefined &&
+      !this.#lender.isNewest(watch.gateway, report);
+    if (!isOutdated) this.#extended.delete(watch.gateway);
     if (!report || confirmedAgeMilliseconds === undefined) return own;
     return {
       ...own,
--- a/packages/fleet_control/quota_directory_test.ts
+++ b/packages/fleet_control/quota_directory_test.ts
@@ -99,6 +99,10 @@
 
   function exchange(directory: QuotaDirectory, sent: Watch) {
     directory.recordWatch(sent);
+    return answer(directory, sent);
+  }
+
+  function answer(directory: QuotaDirectory, sent: Watch) {
     return unpackAnswer(
       directory.answerWatch(sent, { confirmedAgeMilliseconds: 0 }).quotas,
     )?.rows;
@@ -176,6 +180,28 @@
       .toEqual([["works", 375]]);
   });
 
+  // Failure: callers are rejected until the hold of the next watch has passed.
+  it("answers the watch after one that a call has made outdated at once", async () => {
+    const directory = createDirectory();
+    setItems(itemsOf(100));
+    await record(directory, "a");
+    const held = watch("a", 2, ["works", 0, 300]);
+    directory.recordWatch(held);
+    const report = [3, "i1", 0, 0, ["works", 0, 300]] as const;
+    directory.handleCall({ gateway: "a", report }, 0);
+    const applied = [4, "i1", 3, 0, ["works", 70, 300]] as const;
+    directory.handleCall({ gateway: "a", report: applied }, 0);
+    clock.advance(100);
+    directory.tick();
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(woken).toContain("a");
+    expect(answer(directory, held)).toEqual([]);
+    expect(directory.isAnswerDue("a")).toBe(true);
+    const next = watch("a", 5, ["works", 70, 300]);
+    expect(exchange(directory, next)).toEqual([["works", 375]]);
+    expect(directory.isAnswerDue("a")).toBe(false);
+  });
+
   it("keeps a record whose removal may be committed from being used", async () => {
     setItems(itemsOf(100));
     await propose({ kind: "changeBorrowers", add: ["a/i1"], remove: [] });
--- a/packages/quotas/quota_lender.ts
+++ b/packages/quotas/quota_lender.ts
@@ -157,6 +157,15 @@
     return { ...answer, needsWhole: false, rows };
   }
 
+  /** Whether a report is the newest of its borrower. */
+  isNewest(
+    gateway: string,
+    { number, incarnation }: Pick<QuotaReport, "number" | "incarnation">,
+  ): boolean {
+    const id = borrowerId(gateway, incarnation);
+    return this.#borrowers.get(id)?.number === number;
+  }
+
   /**
    * Returns the gateways that should be answered now, as they hold allowances
    * that others are short of; each once for a change.
