Propose a higher bound with the answer that calls for it

It is now proposed at once.

quota_directory_test.ts, red before: the last command was the addition of the borrower.

--- a/packages/fleet_control/quota_directory.ts
+++ b/packages/fleet_control/quota_directory.ts
@@ -212,6 +212,8 @@
         total: this.#total(this.#options.replica.state.items, workspace),
       });
     }
+    // The answer may have called for a higher bound.
+    this.#recorder.tick(now);
     this.#wakeDebtors(now);
     return packAnswer(answer);
   }
--- a/packages/fleet_control/quota_directory_test.ts
+++ b/packages/fleet_control/quota_directory_test.ts
@@ -180,6 +180,16 @@
       .toEqual([["works", 375]]);
   });
 
+  // Failure: callers wait for the leader's next tick before more is lent.
+  it("proposes a higher bound together with the answer that falls short", async () => {
+    const directory = createDirectory();
+    setItems(itemsOf(100));
+    await record(directory, "a");
+    clock.advance(100);
+    exchange(directory, watch("a", 2, ["works", 0, 300]));
+    expect(commands.at(-1)).toMatchObject({ bounds: [["a/i1", "works", 563]] });
+  });
+
   // Failure: callers are rejected until the hold of the next watch has passed.
   it("answers the watch after one that a call has made outdated at once", async () => {
     const directory = createDirectory();
