Reset the connection of a request that a gateway gives up

Callers that had got a 504, or had left, and repeated their request elsewhere had it run twice: it still arrived at a target that was frozen, did not read, or whose link came back, as did a relayed request at another gateway.

Cause: the connection of a request without a response was closed in order, after which the system goes on to send what is left of the request.

Now the socket is destroyed as before, with its failure, and only the way in which it closes changes. It is reset where undici counts a request in progress; a connection that was answered or idle is closed in order, as is one with TLS or an ended sending side, which can't be reset.

--- a/packages/fleet_gateway/targets/address_pool.ts
+++ b/packages/fleet_gateway/targets/address_pool.ts
@@ -1,5 +1,6 @@
 import { Client, errors } from "undici";
 import type { buildConnector } from "undici";
+import { resetIfUnanswered } from "@kingcupglade/transport";
 import { ReadAllowance } from "../exchanges/read_allowance.ts";
 import { ReadHold } from "../exchanges/read_hold.ts";
 import { hasBeenReset } from "../exchanges/socket_end.ts";
@@ -197,6 +198,7 @@
               (bytes) => connection.surplus.recordRead(bytes),
             );
             connection.reads.applyTo(socket);
+            resetIfUnanswered(socket, client);
           }
           socket?.once("error", () => (connection.wasReset = true));
           socket?.once("end", () => {
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -45,3 +45,4 @@
 export { Readiness } from "./readiness.ts";
 export { presentsSecret } from "./secret.ts";
 export { CopyDetector } from "./copy_detector.ts";
+export { resetIfUnanswered } from "./unanswered_reset.ts";
--- /dev/null
+++ b/packages/transport/unanswered_reset.ts
@@ -0,0 +1,24 @@
+import type { Socket } from "node:net";
+import { TLSSocket } from "node:tls";
+import type { Client } from "undici";
+
+/**
+ * Makes a client's socket reset its connection if it is closed while a request that
+ * was sent on it has no whole response. After an orderly close, the system would go
+ * on to send what is left of the request. A connection with TLS closes in order.
+ */
+export function resetIfUnanswered(
+  socket: Socket,
+  client: Pick<Client, "stats">,
+): void {
+  if (socket instanceof TLSSocket) return;
+  const destroy = socket._destroy.bind(socket);
+  // Only the way of closing changes. Without its failure, `undici` would take the
+  // close for the end of a response without a length, also of an aborted request.
+  socket._destroy = (failure, callback) => {
+    const isUnanswered = client.stats.running > 0;
+    // Libuv refuses a reset while it ends the sending side.
+    if (isUnanswered && !socket.writableEnded) socket.resetAndDestroy();
+    destroy(failure, callback);
+  };
+}
