Reset the connections of given-up exchanges of VMs without a role

Evidence: given_up_requests_test.ts of this mode, three of four cases red before: 2,097,273 bytes received of a body of 2,097,152, after the deadline and after the caller left; a small request that had arrived ended in order.

Its client keeps pools, so that the clients of a pool are now made by a factory that applies the reset to each socket. The condition is the same: undici counts a request in progress on that connection.

Connections with TLS are closed in order as before, as Node.js resets plain ones only.

--- a/packages/kingcupglade/gateway/exchange.ts
+++ b/packages/kingcupglade/gateway/exchange.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from "node:crypto";
 import { Header } from "@kingcupglade/routing";
-import { Agent } from "undici";
+import { createResettingClient } from "@kingcupglade/transport";
+import { Agent, Pool } from "undici";
 import type { Dispatcher } from "undici";
 import type { ResponseSink } from "./response_sink.ts";
 import { ExchangeHandler } from "./exchange_handler.ts";
@@ -31,6 +32,8 @@
     this.#agent = new Agent({
       connections: options.connectionsPerTarget,
       pipelining: 1,
+      factory: (origin, poolOptions) =>
+        new Pool(origin, { ...poolOptions, factory: createResettingClient }),
       maxHeaderSize: maximumResponseHeaderBytes,
       connect: {
         timeout: connectTimeoutMilliseconds,
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -45,4 +45,7 @@
 export { Readiness } from "./readiness.ts";
 export { presentsSecret } from "./secret.ts";
 export { CopyDetector } from "./copy_detector.ts";
-export { resetIfUnanswered } from "./unanswered_reset.ts";
+export {
+  createResettingClient,
+  resetIfUnanswered,
+} from "./unanswered_reset.ts";
--- a/packages/transport/unanswered_reset.ts
+++ b/packages/transport/unanswered_reset.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { TLSSocket } from "node:tls";
-import type { Client } from "undici";
+import { Client } from "undici";
+import type { buildConnector } from "undici";
 
 /**
  * Makes a client's socket reset its connection if it is closed while a request that
@@ -22,3 +23,23 @@
     destroy(failure, callback);
   };
 }
+
+/**
+ * Creates a client whose connection is reset as {@link resetIfUnanswered} says, for
+ * the `factory` option of a pool.
+ *
+ * @param options As a pool passes them, with the connector.
+ */
+export function createResettingClient(origin: URL, options: object): Client {
+  const { connect } = options as { readonly connect: buildConnector.connector };
+  const client: Client = new Client(origin, {
+    ...options,
+    connect: (connectOptions, callback) =>
+      connect(connectOptions, (...result) => {
+        const [, socket] = result;
+        if (socket) resetIfUnanswered(socket, client);
+        callback(...result);
+      }),
+  });
+  return client;
+}
