Acknowledge a departure that names no start only once a start is certain

Callers: a target that had left by a DELETE without a start, and whose leaving was acknowledged, went on to receive requests.

Cause: the leader took the start that it knew, or its own time of day if it knew none. A clock behind that of the target's VM lies before its start, so the departure did not apply; a clock ahead kept the next incarnation out; and a new leader may know an earlier incarnation alone, by a late heartbeat.

Change: a leader that has led for 2.5 heartbeats, and knows the target, takes the start that it knows. Any other keeps every start of the name out for a minute, commits an entry in the form that exists, by which gateways stop to use the incarnation that they know, and answers 503 until it has heard a start, or nobody for 2.5 heartbeats.

Existing tests: the stand-in of external_call_handler_test.ts returns that a departure may be acknowledged, as the session now does.

--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -316,8 +316,9 @@
             : { kind: "announced", answer };
         }
         case "leave":
-          await session.handleDeparture(call.target, call.bornAt);
-          return { kind: "acknowledged" };
+          return await session.handleDeparture(call.target, call.bornAt)
+            ? { kind: "acknowledged" }
+            : unheardTarget;
         case "readItems":
           return await this.#items.read({ replica, session });
         case "changeItems":
@@ -351,6 +352,11 @@
   }
 }
 
+const unheardTarget: ExternalResult = {
+  kind: "unavailable",
+  reason: "the departure names no start, and none is known here yet",
+};
+
 const overtakenOrder: ExternalResult = {
   kind: "unavailable",
   reason: "another order for this data centre was acknowledged meanwhile",
--- a/packages/fleet_control/external_call_handler_test.ts
+++ b/packages/fleet_control/external_call_handler_test.ts
@@ -66,6 +66,8 @@
   isLeading = false;
   /** Targets whose heartbeats are not answered. */
   readonly silentTargets = new Set<string>();
+  /** Whether departures may be acknowledged. */
+  mayAcknowledgeDepartures = true;
   readonly handler: ExternalCallHandler;
   readonly #stalls: StallDetector;
   #timeOfDay = 0;
@@ -123,7 +125,7 @@
       },
       handleDeparture: () => {
         this.executed.push("depart");
-        return Promise.resolve();
+        return Promise.resolve(this.mayAcknowledgeDepartures);
       },
       handleHeartbeat: ({ incarnation }: Announcement) => {
         this.executed.push("announce");
@@ -297,6 +299,12 @@
       ]);
     });
 
+    // Failure: a departure was acknowledged that did not apply to its target.
+    it("are not acknowledged if no start is named or known", async () => {
+      fixture.mayAcknowledgeDepartures = false;
+      expect(await call(departure)).toBe(503);
+    });
+
     it.each(unversionedCalls)(
       "are not carried out after a stall: $method $path",
       async (each) => {
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -147,6 +147,8 @@
     this.#departures = new TargetDepartures({
       ...options,
       registry: this.#registry,
+      hearingMilliseconds: this.#hearingMilliseconds,
+      isComplete: () => this.isComplete,
       notifyChange: () => this.notifyChange(),
     });
     this.#updates = new UpdateEncoder({
@@ -168,9 +170,12 @@
 
   /** Whether every live target has had time to send a heartbeat. */
   get isComplete(): boolean {
-    const { clock, heartbeatMilliseconds } = this.#options;
-    return clock.now() - this.#startedAt >
-      heartbeatMilliseconds * heartbeatsUntilComplete;
+    return this.#options.clock.now() - this.#startedAt >
+      this.#hearingMilliseconds;
+  }
+
+  get #hearingMilliseconds(): number {
+    return this.#options.heartbeatMilliseconds * heartbeatsUntilComplete;
   }
 
   /** Known targets. */
@@ -204,7 +209,7 @@
     return this.#keys.waitForRevocation(index, revoked);
   }
 
-  /** Handles a heartbeat. Returns null if it cannot be acknowledged. */
+  /** Returns null if a heartbeat cannot be acknowledged. */
   async handleHeartbeat(
     announcement: Announcement,
   ): Promise<AnnouncementResponse | null> {
@@ -232,14 +237,9 @@
       : { address, grants, holdMilliseconds };
   }
 
-  /** Records that a target has ended or is about to end. */
-  async handleDeparture(target: string, bornAt: number | null): Promise<void> {
-    await this.#departures.depart(target, {
-      // The departure does not apply to later incarnations.
-      bornAt: bornAt ?? this.#registry.get(target)?.incarnation.bornAt ??
-        Date.now(),
-      kind: DepartureKind.gone,
-    });
+  /** Records that a target leaves; returns whether to acknowledge that. */
+  handleDeparture(target: string, bornAt: number | null): Promise<boolean> {
+    return this.#departures.remove(target, bornAt);
   }
 
   /** Takes a data centre out of service, or returns it to service. */
@@ -349,12 +349,12 @@
   }
 
   #registerHeartbeat(announcement: Announcement): boolean {
-    const { clock, replica, logger } = this.#options;
+    const { clock, logger } = this.#options;
     const { incarnation, service } = announcement;
     const known = this.#registry.get(incarnation.target);
     const isNewest = this.#registry.recordHeartbeat(announcement, {
       now: clock.now(),
-      departure: replica.state.departures.get(incarnation.target),
+      departure: this.#departures.departureOf(incarnation),
     });
     if (!isNewest) {
       logger.info("heartbeat-outdated", {
--- a/packages/fleet_control/leader_session_test.ts
+++ b/packages/fleet_control/leader_session_test.ts
@@ -82,15 +82,17 @@
 describe("LeaderSession", () => {
   let replica: ImmediateReplica;
   let session: LeaderSession;
+  let clock: ManualClock;
   /** Data centres in the settings of the leader. */
   let dataCentres: Set<string>;
 
   beforeEach(() => {
     dataCentres = new Set(["hsinchu-a"]);
     replica = new ImmediateReplica();
+    clock = new ManualClock(1000);
     session = new LeaderSession({
       replica: replica as unknown as FleetReplica,
-      clock: new ManualClock(1000),
+      clock,
       logger: { debug() {}, info() {}, warn() {}, error() {} },
       heartbeatMilliseconds: 1000,
       controlAddress: "127.0.0.3:8300",
@@ -189,4 +191,74 @@
     const delta = await update(watch({ position }));
     expect(delta.departed).toEqual(["i-1"]);
   });
+
+  describe("a departure that names no start", () => {
+    /** A start on a clock that is ahead of the leader's. */
+    const bornAt = Date.now() + 60_000;
+
+    // Failure: the departure of a target that a new leader had not heard from was
+    // acknowledged, and did not apply to it where the leader's clock was behind.
+    it("keeps an unheard target out, and is not acknowledged", async () => {
+      expect(await session.handleDeparture("i-1", null)).toBe(false);
+      await session.handleHeartbeat(heartbeat(bornAt, 1));
+      const { departed, targets } = await update(watch());
+      expect(departed).toEqual(["i-1"]);
+      expect(targets).toMatchObject([{ name: "i-1", isLeaving: true }]);
+    });
+
+    // Failure: an incomplete leader took the start of an earlier incarnation, of
+    // which it had heard by a late heartbeat, for that of the target.
+    it("applies to a later start than an incomplete leader knows", async () => {
+      await session.handleHeartbeat(heartbeat(7, 5));
+      expect(await session.handleDeparture("i-1", null)).toBe(false);
+      await session.handleHeartbeat(heartbeat(8, 1));
+      const { targets } = await update(watch());
+      expect(targets).toMatchObject([{ bornAt: 8, isLeaving: true }]);
+    });
+
+    it("is acknowledged with the start of a target that is heard", async () => {
+      await session.handleDeparture("i-1", null);
+      clock.advance(2600);
+      await session.handleHeartbeat(heartbeat(bornAt, 1));
+      expect(await session.handleDeparture("i-1", null)).toBe(true);
+      expect(replica.state.departures.get("i-1")?.bornAt).toBe(bornAt);
+      await session.handleHeartbeat(heartbeat(bornAt + 10, 1));
+      const { targets } = await update(watch());
+      expect(targets).toMatchObject([{ isLeaving: false }]);
+    });
+
+    // Guards against an acknowledgement of what is in no log.
+    it("is not acknowledged while its entry is not committed", async () => {
+      clock.advance(2600);
+      replica.isHeld = true;
+      void session.handleDeparture("i-1", null);
+      clock.advance(2600);
+      let isAcknowledged = false;
+      void session.handleDeparture("i-1", null).then((isDone) =>
+        isAcknowledged = isDone
+      );
+      await new Promise((resolve) => setImmediate(resolve));
+      expect(isAcknowledged).toBe(false);
+      replica.isHeld = false;
+      expect(await session.handleDeparture("i-1", null)).toBe(true);
+      expect(replica.state.departures.get("i-1")?.bornAt).toBe(0);
+    });
+
+    it("is acknowledged if nobody is heard under the name", async () => {
+      clock.advance(2600);
+      expect(await session.handleDeparture("i-1", null)).toBe(false);
+      clock.advance(2600);
+      expect(await session.handleDeparture("i-1", null)).toBe(true);
+    });
+
+    // Failure: where the leader's clock was ahead, the departure also applied to
+    // the target's next incarnation.
+    it("does not apply to an incarnation that is there a minute later", async () => {
+      await session.handleDeparture("i-1", null);
+      clock.advance(61_000);
+      await session.handleHeartbeat(heartbeat(Date.now() - 60_000, 1));
+      const { targets } = await update(watch());
+      expect(targets).toMatchObject([{ isLeaving: false }]);
+    });
+  });
 });
--- a/packages/fleet_gateway/table/departures_exploration_test.ts
+++ b/packages/fleet_gateway/table/departures_exploration_test.ts
@@ -88,9 +88,17 @@
   readonly index: number;
 }
 
+interface DeparturePlayOptions {
+  /** Returns a number between 0 and 1. */
+  readonly random: () => number;
+  /** Whether a target that ends names its start. */
+  readonly namesStart: boolean;
+}
+
 /** Plays one random sequence of what targets, leaders and gateways do. */
 class DeparturePlay {
   readonly #random: () => number;
+  readonly #namesStart: boolean;
   readonly #log = new SharedLog();
   readonly #clock = new ManualClock(1000);
   readonly #leaders: Leader[] = [];
@@ -106,8 +114,9 @@
   readonly violations: string[] = [];
   departureCount = 0;
 
-  constructor(random: () => number) {
+  constructor({ random, namesStart }: DeparturePlayOptions) {
     this.#random = random;
+    this.#namesStart = namesStart;
   }
 
   async run(): Promise<void> {
@@ -198,11 +207,21 @@
     if (!target) return;
     const { name, bornAt } = target;
     const leader = this.#calledLeader;
-    const isDone = await leader.session.handleDeparture(name, bornAt)
-      .then(() => true, () => false);
+    if (!this.#namesStart && !this.#mayOmitStart(target, leader)) return;
+    const isDone = await leader.session
+      .handleDeparture(name, this.#namesStart ? bornAt : null)
+      .catch(() => false);
     if (isDone) this.#acknowledge(name, bornAt, leader);
   }
 
+  // A leader hears of a start within some heartbeats, before the target leaves.
+  #mayOmitStart({ name, bornAt }: Target, { session }: Leader): boolean {
+    return !session.isComplete || [...session.targets].some(
+      ({ incarnation }) =>
+        incarnation.target === name && incarnation.bornAt === bornAt,
+    );
+  }
+
   #acknowledge(name: string, bornAt: number, { replica }: Leader): void {
     this.departureCount += 1;
     this.#acknowledged.push({ name, bornAt, index: replica.appliedIndex });
@@ -290,7 +309,23 @@
   it.each(Array.from({ length: 200 }, (_, at) => at + 1))(
     "hold at every gateway that has the log entry (seed %i)",
     async (seed) => {
-      const play = new DeparturePlay(seededRandom(seed));
+      const random = seededRandom(seed);
+      const play = new DeparturePlay({ random, namesStart: true });
+      await play.run();
+      expect(play.violations.slice(0, 3)).toEqual([]);
+      expect(play.departureCount).toBeGreaterThan(0);
+    },
+  );
+
+  // Failure: a departure that names no start was acknowledged by a leader that had
+  // not heard from the target yet, and did not apply to it.
+  it.each(Array.from({ length: 200 }, (_, at) => at + 1))(
+    "hold if they name no start (seed %i)",
+    async (seed) => {
+      // The clock of the leaders is set back behind those of the targets.
+      vi.setSystemTime(0);
+      const random = seededRandom(seed);
+      const play = new DeparturePlay({ random, namesStart: false });
       await play.run();
       expect(play.violations.slice(0, 3)).toEqual([]);
       expect(play.departureCount).toBeGreaterThan(0);
