Acknowledge no draining heartbeat whose departure is not recorded

Callers: a target that had said that it drains could receive requests after a 200, if the leader's time of day was set back by over an hour since the target had started.

Cause: such a start counts as impossible, so no departure was recorded; the heartbeat was acknowledged anyway.

Change: it is answered with 503, as a heartbeat that the quorum does not confirm. The reason in that response no longer names the quorum, as it has two causes now. The record stays as it was: a start that is set too late would keep later incarnations out.

Existing test: "records no departure of a target from the future" expected the acknowledgement that was the fault. It expects none now, and still that nothing is recorded; red before ({} in place of null).

--- a/packages/fleet_control/external_call_handler.ts
+++ b/packages/fleet_control/external_call_handler.ts
@@ -312,7 +312,7 @@
         case "announce": {
           const answer = await session.handleHeartbeat(call.announcement);
           return answer === null
-            ? { kind: "unavailable", reason: "the quorum does not answer" }
+            ? { kind: "unavailable", reason: "the heartbeat is not recorded" }
             : { kind: "announced", answer };
         }
         case "leave":
--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -1,8 +1,4 @@
-import {
-  DepartureKind,
-  RevisionCounter,
-  TargetRegistry,
-} from "@kingcupglade/fleet";
+import { RevisionCounter, TargetRegistry } from "@kingcupglade/fleet";
 import type {
   Announcement,
   AnnouncementResponse,
@@ -28,7 +24,7 @@
 import { LimitDirectory } from "./limit_directory.ts";
 import { ManagerDirectory } from "./manager_directory.ts";
 import { holdMilliseconds, RangeCoordinator } from "./range_coordinator.ts";
-import { isFromFuture, mayRegister } from "./may_register.ts";
+import { mayRegister } from "./may_register.ts";
 import { PublishedState } from "./published_state.ts";
 import { QuotaDirectory } from "./quota_directory.ts";
 import { RelayDirectory } from "./relay_directory.ts";
@@ -219,11 +215,8 @@
     const isNewest = mayRegister(announcement, this.#options) &&
       this.#registerHeartbeat(announcement);
     // Also for one that is repeated or not registered, as it is acknowledged too.
-    if (announcement.isDraining && !isFromFuture(incarnation)) {
-      await this.#departures.depart(incarnation.target, {
-        bornAt: incarnation.bornAt,
-        kind: DepartureKind.draining,
-      });
+    if (announcement.isDraining && !await this.#departures.drain(incarnation)) {
+      return null;
     }
     if (!isNewest) return {};
     if (!this.#ranges.isKeyed(announcement.service)) {
--- a/packages/fleet_control/leader_session_test.ts
+++ b/packages/fleet_control/leader_session_test.ts
@@ -173,10 +173,12 @@
     expect(targets).toMatchObject([{ name: "i-1", isLeaving: true }]);
   });
 
-  it("records no departure of a target from the future", async () => {
+  // Failure: a leader whose clock was set back acknowledged that a target drains,
+  // and did not record it.
+  it("neither records nor acknowledges a departure from the future", async () => {
     const bornAt = Date.now() + 7_200_000;
     const draining = { ...heartbeat(bornAt, 1), isDraining: true };
-    expect(await session.handleHeartbeat(draining)).toEqual({});
+    expect(await session.handleHeartbeat(draining)).toBeNull();
     expect(replica.state.departures.size).toBe(0);
   });
 
--- a/packages/fleet_control/target_departures.ts
+++ b/packages/fleet_control/target_departures.ts
@@ -9,6 +9,7 @@
 import type { Logger } from "@kingcupglade/telemetry";
 import { HeldTargets } from "./held_targets.ts";
 import type { FleetReplica } from "./leader_session.ts";
+import { isFromFuture } from "./may_register.ts";
 import type { Watch } from "./watch.ts";
 
 /** Options of {@link TargetDepartures}. */
@@ -52,6 +53,17 @@
     return true;
   }
 
+  /**
+   * Records that a target says that it drains. Returns whether that may be
+   * acknowledged: an impossible start is not recorded.
+   */
+  async drain(incarnation: TargetIncarnation): Promise<boolean> {
+    if (isFromFuture(incarnation)) return false;
+    const { target, bornAt } = incarnation;
+    await this.depart(target, { bornAt, kind: DepartureKind.draining });
+    return true;
+  }
+
   /** Departure that applies to an incarnation, if there may be one. */
   departureOf({ target, bornAt }: TargetIncarnation): Departure | undefined {
     const stored = this.#options.replica.state.departures.get(target);
