Take no update that is older than the table for contact

Callers: a gateway that hears a leader which was replaced, and has not noticed, holds its old table for a current one: 404 in place of 503 for paths that it lacks, no search for the present leader, and no line that tells.

Cause: GatewayTable.apply drops an update with a lower index without a line, and the synchronizer counted it as contact before.

Evidence: table_check_test.ts, on the code before: a second after the leader was replaced, the age of the last contact is 98 ms while the former one answers, the follower is not found within 3 s, and no line is written. A leader of a new term has applied all that gateways have, so this needs one that was replaced and still answers, or control VMs that were founded anew.

Change: such an update is no contact; the VM is left for another, and update-outdated is logged once for its term. A search that finds it does not reset the pause between attempts, without which 18 attempts in 2 s were made. The comparison of the table with updates is a module of its own (TableCheck), moved from the synchronizer without a change.

--- a/packages/fleet_gateway/table/table_synchronizer.ts
+++ b/packages/fleet_gateway/table/table_synchronizer.ts
@@ -1,5 +1,5 @@
 import { setTimeout as pause } from "node:timers/promises";
-import type { ViewDelta, ViewPosition } from "@kingcupglade/fleet";
+import type { ViewPosition } from "@kingcupglade/fleet";
 import {
   decodeWatchAnswer,
   decodeWatchOwnPart,
@@ -19,6 +19,7 @@
 import { GatewayTable } from "./gateway_table.ts";
 import { searchLeader } from "./leader_search.ts";
 import { LeaderSearchBackoff } from "./leader_search_backoff.ts";
+import { TableCheck } from "./table_check.ts";
 import type { TableSynchronizerOptions } from "./table_synchronizer_options.ts";
 
 export type {
@@ -38,10 +39,6 @@
  */
 const successorSearchIntervalMilliseconds = 200;
 
-/** Bounds of the time between two requests for all items. */
-const minimumRefetchMilliseconds = 500;
-const maximumRefetchMilliseconds = 60_000;
-
 /** A watch request that was sent. */
 interface SentWatch {
   readonly address: string;
@@ -71,13 +68,11 @@
   #isStopped = false;
   #isLeaving = false;
   #isConnected = false;
-  /** Whether the next update has to hold all items. */
-  #needsAllItems = false;
-  #refetchedAt = -Infinity;
-  #refetchMilliseconds = 0;
+  readonly #check: TableCheck;
 
   constructor(options: TableSynchronizerOptions) {
     this.#options = options;
+    this.#check = new TableCheck({ ...options, table: this.table });
     this.#seeds = options.seeds;
     this.#searchBackoff = new LeaderSearchBackoff(options);
   }
@@ -131,8 +126,12 @@
       const hasLeader = this.#leader === null
         ? await this.#searchLeader()
         : await this.#watchLeader(this.#leader);
-      if (hasLeader) this.#searchBackoff.reset();
-      else if (!this.#isStopped) await pause(this.#searchBackoff.next());
+      // One that was replaced may go on to say that it leads.
+      const mayReset = !this.#check.isLastOutdated;
+      if (hasLeader && mayReset) this.#searchBackoff.reset();
+      else if (!hasLeader && !this.#isStopped) {
+        await pause(this.#searchBackoff.next());
+      }
     }
   }
 
@@ -234,7 +233,7 @@
   /** The position from which an update is requested. */
   get #position(): ViewPosition {
     const { position } = this.table;
-    return this.#needsAllItems ? { ...position, index: 0 } : position;
+    return this.#check.needsAllItems ? { ...position, index: 0 } : position;
   }
 
   get #timeoutMilliseconds(): number {
@@ -307,6 +306,9 @@
   ): void {
     // A search may have found another leader in the meantime.
     if (watch.sentAt < this.#lastContactAt) return;
+    if (this.#check.isOutdated(update.delta, watch.address)) {
+      throw new Error("the update is older than the table");
+    }
     const contactAgeMilliseconds = this.#contactAge;
     this.#leader = watch.address;
     this.#term = update.delta.position.term;
@@ -320,7 +322,7 @@
     this.#isConnected = true;
     const before = this.table.position.index;
     this.table.apply(update.delta, this.#options.clock.now());
-    this.#checkItems(update.delta);
+    this.#check.checkItems(update.delta, watch.address);
     if (this.table.position.index !== before) {
       this.#options.logger.info("table-changed", {
         index: this.table.position.index,
@@ -348,36 +350,6 @@
     this.#options.onChange();
   }
 
-  // A table that lacks an item would refuse its requests for as long as the item
-  // does not change again.
-  #checkItems({ itemsDigest, position }: ViewDelta): void {
-    const { table } = this;
-    const isApplied = position.index === table.position.index;
-    if (!isApplied) return;
-    this.#needsAllItems = false;
-    if (itemsDigest === null || itemsDigest === table.itemsDigest) {
-      this.#refetchMilliseconds = 0;
-      return;
-    }
-    const { clock, logger, metrics } = this.#options;
-    const now = clock.now();
-    if (now - this.#refetchedAt < this.#refetchMilliseconds) return;
-    this.#refetchedAt = now;
-    this.#refetchMilliseconds = Math.min(
-      Math.max(2 * this.#refetchMilliseconds, minimumRefetchMilliseconds),
-      maximumRefetchMilliseconds,
-    );
-    this.#needsAllItems = true;
-    metrics.tableMismatches.inc();
-    logger.warn("table-differs", {
-      control: this.#leader,
-      index: position.index,
-      items: table.itemCount,
-      digest: table.itemsDigest,
-      expectedDigest: itemsDigest,
-    });
-  }
-
   #loseLeader(reason: string, address: string): void {
     const { logger } = this.#options;
     const contactAgeMilliseconds = this.#contactAge;
