Notice a departure, a target or a content that a gateway's table lacks

Callers: a gateway whose table had missed the departure of a target would send requests to it until it ends, and take its table for a current one.

Cause: the digest of an update covers names and versions of items alone, and a departure is sent once, by the log entry that the gateway says it has. That one was ever left out is not shown; a single one would not have been noticed.

Change: an update carries a second digest, of the contents of all items and of the targets that the leader lists. A gateway that differs asks for the whole table, at the intervals that exist; an item of the same version is replaced by the leader's. Evacuations need none, as each update names all. Ranges have none. Both ends keep it from change to change. An earlier leader sends none, an earlier gateway ignores it (watch_codec_test.ts).

Existing tests: departures_exploration_test.ts also compares the digests after each update; watch_codec_test.ts and three fixtures have the new field.

--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -30,6 +30,8 @@
   TargetRegistry,
 } from "./target_registry.ts";
 export type { RegisteredTarget } from "./target_registry.ts";
+export { TargetsDigest } from "./targets_digest.ts";
+export type { ListedTarget } from "./targets_digest.ts";
 export { DepartureKind, lastPosition } from "./types.ts";
 export type {
   Departure,
--- a/packages/fleet/view.ts
+++ b/packages/fleet/view.ts
@@ -71,6 +71,12 @@
    * the update; null if the leader sends none.
    */
   readonly itemsDigest: number | null;
+  /**
+   * Digest of the contents of all items and of all targets that the leader lists,
+   * with which the table has to agree after the update; null if the leader sends
+   * none, or does not know all targets yet.
+   */
+  readonly tableDigest: number | null;
   /** All data centres that are out of service. */
   readonly dataCentresOut: readonly string[];
   /** Names of targets that announced their departure. */
--- a/packages/fleet_control/compact_watch.ts
+++ b/packages/fleet_control/compact_watch.ts
@@ -79,6 +79,8 @@
   itemsDigest: number | null,
   gateways: number,
   changes: Changes,
+  /** Absent from leaders of earlier releases. */
+  tableDigest?: number | null,
 ];
 
 /**
@@ -144,6 +146,7 @@
         control: delta.control,
       }),
     },
+    delta.tableDigest,
   ];
 }
 
@@ -197,8 +200,9 @@
   value: readonly unknown[],
 ): Extract<WatchAnswer, { kind: "news" }> {
   if (value[0] !== CompactKind.update) throw unknownKind(value);
-  const [, flags, index, term, revision, itemsDigest, gateways, changes] =
+  const [, flags, index, term, revision, itemsDigest, gateways, ...rest] =
     value as unknown as UpdateRow;
+  const [changes, tableDigest = null] = rest;
   const { targets = [], ranges = [] } = changes;
   return {
     kind: "news",
@@ -210,6 +214,7 @@
         isComplete: (flags & UpdateFlag.complete) !== 0,
       },
       itemsDigest,
+      tableDigest,
       gateways,
       areTargetsComplete: (flags & UpdateFlag.allTargets) !== 0,
       dataCentresOut: changes.dataCentresOut ?? [],
--- a/packages/fleet_control/target_views.ts
+++ b/packages/fleet_control/target_views.ts
@@ -1,5 +1,6 @@
 import { hasDeparted } from "@kingcupglade/fleet";
 import type {
+  ListedTarget,
   RegisteredTarget,
   RevisionCounter,
   TargetRegistry,
@@ -60,11 +61,11 @@
     return now - this.#options.startedAt >= coldLeaseMilliseconds;
   }
 
-  #viewOf(target: RegisteredTarget, now: number): TargetView {
-    const { replica, managers, limits } = this.#options;
+  /** Returns what rarely changes of a target. */
+  listedOf(target: RegisteredTarget): ListedTarget {
     const { incarnation, service, address, dataCentre, slots } = target;
     const { target: name } = incarnation;
-    const departure = replica.state.departures.get(name);
+    const departure = this.#options.replica.state.departures.get(name);
     return {
       name,
       bornAt: incarnation.bornAt,
@@ -73,12 +74,19 @@
       dataCentre,
       slots,
       isLeaving: target.isLeaving || hasDeparted(incarnation, departure),
+      maximumPerSecond: target.maximumPerSecond,
+    };
+  }
+
+  #viewOf(target: RegisteredTarget, now: number): TargetView {
+    const { managers, limits } = this.#options;
+    return {
+      ...this.listedOf(target),
       isCold: target.isCold || target.isUnconfirmed,
       coldGateways: target.isCold && this.#mayChooseColdGateways(now)
         ? managers.coldGateways(target, now)
         : [],
-      maximumPerSecond: target.maximumPerSecond,
-      limitGateways: limits.gatewaysOf(name),
+      limitGateways: limits.gatewaysOf(target.incarnation.target),
     };
   }
 }
--- a/packages/fleet_control/update_encoder.ts
+++ b/packages/fleet_control/update_encoder.ts
@@ -4,11 +4,12 @@
   ViewDelta,
   ViewPosition,
 } from "@kingcupglade/fleet";
-import { ItemsDigestCache } from "@kingcupglade/items";
+import { combineDigests, ItemsDigestCache } from "@kingcupglade/items";
 import type { Clock } from "@kingcupglade/tasks";
 import { Feature } from "./feature.ts";
 import type { GatewayDirectory } from "./gateway_directory.ts";
 import type { FleetReplica } from "./leader_session.ts";
+import { ListedTargets } from "./listed_targets.ts";
 import type { ManagerDirectory } from "./manager_directory.ts";
 import type { RangeCoordinator } from "./range_coordinator.ts";
 import type { RelayDirectory } from "./relay_directory.ts";
@@ -48,9 +49,11 @@
   readonly #encoded = new Map<string, Uint8Array<ArrayBuffer>>();
   #encodedKey = "";
   readonly #itemsDigest = new ItemsDigestCache();
+  readonly #listed: ListedTargets;
 
   constructor(options: UpdateEncoderOptions) {
     this.#options = options;
+    this.#listed = new ListedTargets(options);
   }
 
   /**
@@ -84,6 +87,7 @@
     const isSameTerm = position.term === term;
     const since = isSameTerm ? position.revision : -1;
     const isComplete = this.#options.isComplete();
+    const itemsDigest = this.#itemsDigest.of(state.items);
     const isFullUpdate = isComplete && !(isSameTerm && position.isComplete);
     return {
       position: {
@@ -95,7 +99,10 @@
       items: [...state.items.values()].filter(({ changedAt }) =>
         changedAt > position.index
       ).map((item) => ({ ...item, source: "" })),
-      itemsDigest: this.#itemsDigest.of(state.items),
+      itemsDigest: itemsDigest.value,
+      tableDigest: isComplete
+        ? combineDigests(itemsDigest.contentValue, this.#listed.digest)
+        : null,
       dataCentresOut: [...state.evacuations].filter(([, { isOut }]) => isOut)
         .map(([name]) => name),
       departed: [...state.departures].filter(([name, departure]) =>
--- a/packages/fleet_control/watch_codec.ts
+++ b/packages/fleet_control/watch_codec.ts
@@ -105,6 +105,7 @@
       ...answer.delta,
       // A leader of an earlier version sends none of these.
       itemsDigest: answer.delta.itemsDigest ?? null,
+      tableDigest: answer.delta.tableDigest ?? null,
       suspects: answer.delta.suspects ?? null,
       relays: answer.delta.relays ?? null,
       targets: answer.targets.map(targetView),
--- a/packages/fleet_control/watch_codec_test.ts
+++ b/packages/fleet_control/watch_codec_test.ts
@@ -1,6 +1,7 @@
 import { encodeValue, WireError } from "@kingcupglade/protocol";
 import { describe, expect, it } from "vitest";
 import { Feature } from "./feature.ts";
+import { packValue, unpackValue } from "./packed_value.ts";
 import type { Watch, WatchAnswer } from "./watch.ts";
 import {
   decodeWatch,
@@ -40,6 +41,7 @@
       position: { index: 31, term: 2, revision: 900, isComplete: true },
       items: [],
       itemsDigest: 2 ** 47 + 1,
+      tableDigest: 2 ** 47 + 2,
       dataCentresOut: ["hsinchu-a"],
       departed: ["i-gone"],
       targets: Array.from({ length: targets }, (_, at) => ({
@@ -109,6 +111,7 @@
     position: { index: 31, term: 2, revision: 900, isComplete: true },
     items: [],
     itemsDigest: 2 ** 47 + 1,
+    tableDigest: 2 ** 47 + 2,
     dataCentresOut: [],
     departed: [],
     targets: [],
@@ -147,8 +150,8 @@
       new Uint8Array(Buffer.from(earlierUpdate, "base64")),
     );
     if (answer.kind !== "news") throw new Error("no update");
-    const { items, itemsDigest, position } = answer.delta;
-    expect(itemsDigest).toBeNull();
+    const { items, itemsDigest, tableDigest, position } = answer.delta;
+    expect([itemsDigest, tableDigest]).toEqual([null, null]);
     expect([items[0]?.version, position.index]).toEqual([7, 5]);
   });
 
@@ -167,6 +170,15 @@
       expect(isCompactAnswer(encodeWatchAnswer(answer))).toBe(false);
     });
 
+    // A leader of an earlier release sends rows without it.
+    it("reads an update without the digest of the table", () => {
+      const row = unpackValue<unknown[]>(encodeWatchAnswer(emptyUpdate, form));
+      const update = decodeWatchAnswer(packValue(row.slice(0, -1)));
+      expect(update).toMatchObject({
+        delta: { tableDigest: null, gateways: gatewayVms },
+      });
+    });
+
     // An empty list of suspects clears those of the gateway.
     it("tells an empty list from one that has not changed", () => {
       const update = decodeWatchAnswer(encodeWatchAnswer(emptyUpdate, form));
--- a/packages/fleet_gateway/slots/slots_test.ts
+++ b/packages/fleet_gateway/slots/slots_test.ts
@@ -75,6 +75,7 @@
       }),
     ],
     itemsDigest: null,
+    tableDigest: null,
     dataCentresOut: [],
     departed: [],
     targets,
--- a/packages/fleet_gateway/table/departures_exploration_test.ts
+++ b/packages/fleet_gateway/table/departures_exploration_test.ts
@@ -110,9 +110,14 @@
   }));
   readonly #acknowledged: Acknowledged[] = [];
   #bornAt = 10_000;
-  /** Departures that a gateway used although its table covers them. */
+  /**
+   * Departures that a gateway used although its table covers them, and tables
+   * that differ from the leader's.
+   */
   readonly violations: string[] = [];
   departureCount = 0;
+  /** Updates after which the digest of the table was compared. */
+  digestCount = 0;
 
   constructor({ random, namesStart }: DeparturePlayOptions) {
     this.#random = random;
@@ -281,7 +286,14 @@
     const answering = session.watch(watch);
     session.end();
     const answer = decodeWatchAnswer((await answering).answer);
-    if (answer.kind === "news") table.apply(answer.delta, this.#clock.now());
+    if (answer.kind !== "news") return;
+    const { delta } = answer;
+    table.apply(delta, this.#clock.now());
+    if (delta.tableDigest === null || table.position !== delta.position) return;
+    this.digestCount += 1;
+    if (delta.tableDigest !== table.digest) {
+      this.violations.push(`${name} differs at index ${delta.position.index}`);
+    }
   }
 
   #check(step: number): void {
@@ -331,4 +343,18 @@
       expect(play.departureCount).toBeGreaterThan(0);
     },
   );
+
+  // Guards against plays that compare no tables.
+  it("are compared with the leader's digest", async () => {
+    let count = 0;
+    for (let seed = 1; seed <= 20; seed += 1) {
+      const play = new DeparturePlay({
+        random: seededRandom(seed),
+        namesStart: true,
+      });
+      await play.run();
+      count += play.digestCount;
+    }
+    expect(count).toBeGreaterThan(400);
+  });
 });
--- a/packages/fleet_gateway/table/gateway_table.ts
+++ b/packages/fleet_gateway/table/gateway_table.ts
@@ -1,4 +1,4 @@
-import { PoolMap } from "@kingcupglade/fleet";
+import { PoolMap, TargetsDigest } from "@kingcupglade/fleet";
 import type {
   RangeView,
   TargetView,
@@ -6,24 +6,35 @@
   ViewPosition,
   VmEndpoint,
 } from "@kingcupglade/fleet";
-import { itemId, ItemKind, ItemsDigest, RouteIndex } from "@kingcupglade/items";
+import {
+  combineDigests,
+  itemId,
+  ItemKind,
+  ItemsDigest,
+  RouteIndex,
+} from "@kingcupglade/items";
 import type { Limits, Route, Service, StoredItem } from "@kingcupglade/items";
 import { KeyIndex } from "@kingcupglade/workspaces";
 
 /** Time for which a leader lists a target that sends no heartbeats. */
 const silentTargetMilliseconds = 60_000;
 
+/** Position of a table without content. */
+export const emptyPosition: ViewPosition = {
+  index: 0,
+  term: 0,
+  revision: 0,
+  isComplete: false,
+};
+
 /** A gateway's routing table; it never reverts to an older log entry. */
 export class GatewayTable {
-  #position: ViewPosition = {
-    index: 0,
-    term: 0,
-    revision: 0,
-    isComplete: false,
-  };
+  #position = emptyPosition;
   readonly #items = new Map<string, StoredItem>();
   readonly #itemsDigest = new ItemsDigest();
   readonly #targets = new Map<string, TargetView>();
+  /** Of the targets that the leader lists. */
+  readonly #targetsDigest = new TargetsDigest();
   /** When a new leader first did not list a target that its predecessor did. */
   readonly #unlisted = new Map<string, number>();
   #targetsByService = new Map<string, readonly TargetView[]>();
@@ -51,6 +62,14 @@
     return this.#itemsDigest.value;
   }
 
+  /** Digest of the contents and the listed targets, to compare likewise. */
+  get digest(): number {
+    return combineDigests(
+      this.#itemsDigest.contentValue,
+      this.#targetsDigest.value,
+    );
+  }
+
   /** Number of items, including removed ones. */
   get itemCount(): number {
     return this.#items.size;
@@ -204,7 +223,7 @@
 
   #applyItem(item: StoredItem): void {
     const existing = this.#items.get(itemId(item));
-    if (!existing || existing.version < item.version) {
+    if (!existing || existing.version <= item.version) {
       this.#items.set(itemId(item), item);
       this.#itemsDigest.replace(existing, item);
     }
@@ -228,7 +247,10 @@
     if (delta.areTargetsComplete) this.#keepUnlisted(delta, now);
     for (const name of delta.departed) {
       const existing = this.#targets.get(name);
-      if (existing) this.#targets.set(name, { ...existing, isLeaving: true });
+      if (!existing) continue;
+      const leaving = { ...existing, isLeaving: true };
+      this.#targets.set(name, leaving);
+      if (this.isListed(name)) this.#targetsDigest.set(leaving);
     }
     for (const name of delta.removedTargets) this.#removeTarget(name);
     for (const target of delta.targets) this.#applyTarget(target);
@@ -253,6 +275,7 @@
     }
     this.#unlisted.delete(target.name);
     this.#targets.set(target.name, target);
+    this.#targetsDigest.set(target);
   }
 
   // A target that serves may have been silent since before the leader changed.
@@ -263,11 +286,13 @@
       if (listed.has(name)) continue;
       this.#unlisted.set(name, this.#unlisted.get(name) ?? now);
       this.#targets.set(name, { ...target, coldGateways: [] });
+      this.#targetsDigest.delete(name);
     }
   }
 
   #removeTarget(name: string): void {
     this.#targets.delete(name);
+    this.#targetsDigest.delete(name);
     this.#unlisted.delete(name);
   }
 
--- a/packages/fleet_gateway/table/table_check.ts
+++ b/packages/fleet_gateway/table/table_check.ts
@@ -1,9 +1,10 @@
-import type { ViewDelta } from "@kingcupglade/fleet";
+import type { ViewDelta, ViewPosition } from "@kingcupglade/fleet";
 import type { Clock } from "@kingcupglade/tasks";
 import type { Logger, Metrics } from "@kingcupglade/telemetry";
+import { emptyPosition } from "./gateway_table.ts";
 import type { GatewayTable } from "./gateway_table.ts";
 
-/** Bounds of the time between two requests for all items. */
+/** Bounds of the time between two requests for a whole table. */
 const minimumRefetchMilliseconds = 500;
 const maximumRefetchMilliseconds = 60_000;
 
@@ -18,7 +19,7 @@
 /** Compares a gateway's table with the updates of leaders. */
 export class TableCheck {
   readonly #options: TableCheckOptions;
-  #needsAllItems = false;
+  #needsWholeTable = false;
   #refetchedAt = -Infinity;
   #refetchMilliseconds = 0;
   /** Leader and term of the last update that was older than the table. */
@@ -29,9 +30,9 @@
     this.#options = options;
   }
 
-  /** Whether the next update has to hold all items. */
-  get needsAllItems(): boolean {
-    return this.#needsAllItems;
+  /** The position from which the next update is requested. */
+  get position(): ViewPosition {
+    return this.#needsWholeTable ? emptyPosition : this.#options.table.position;
   }
 
   /** Whether the last update was older than the table. */
@@ -62,13 +63,20 @@
   }
 
   /**
-   * Compares the items with those of the leader, after an update. A table that
-   * lacks one would refuse its requests for as long as it does not change again.
+   * Compares the table with the leader's, after an update. A table that lacks a
+   * change would lack it for as long as the same item or target does not change
+   * again.
    */
-  checkItems({ itemsDigest, position }: ViewDelta, control: string): void {
+  compare(
+    { itemsDigest, tableDigest, position }: ViewDelta,
+    control: string,
+  ): void {
     const { table, clock, logger, metrics } = this.#options;
-    this.#needsAllItems = false;
-    if (itemsDigest === null || itemsDigest === table.itemsDigest) {
+    this.#needsWholeTable = false;
+    const isEqual =
+      (itemsDigest === null || itemsDigest === table.itemsDigest) &&
+      (tableDigest === null || tableDigest === table.digest);
+    if (isEqual) {
       this.#refetchMilliseconds = 0;
       return;
     }
@@ -79,7 +87,7 @@
       Math.max(2 * this.#refetchMilliseconds, minimumRefetchMilliseconds),
       maximumRefetchMilliseconds,
     );
-    this.#needsAllItems = true;
+    this.#needsWholeTable = true;
     metrics.tableMismatches.inc();
     logger.warn("table-differs", {
       control,
@@ -87,6 +95,9 @@
       items: table.itemCount,
       digest: table.itemsDigest,
       expectedDigest: itemsDigest,
+      targets: [...table.targets].length,
+      tableDigest: table.digest,
+      expectedTableDigest: tableDigest,
     });
   }
 }
--- a/packages/fleet_gateway/table/table_check_test.ts
+++ b/packages/fleet_gateway/table/table_check_test.ts
@@ -8,12 +8,13 @@
   PeerClients,
 } from "@kingcupglade/fleet_control";
 import type { Watch, WatchAnswer } from "@kingcupglade/fleet_control";
-import type { ViewDelta } from "@kingcupglade/fleet";
+import type { TargetView, ViewDelta, ViewPosition } from "@kingcupglade/fleet";
 import { Fleet } from "@kingcupglade/protocol";
 import { MonotonicClock } from "@kingcupglade/tasks";
 import { createMetrics } from "@kingcupglade/telemetry";
 import { UnaryServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { emptyPosition, GatewayTable } from "./gateway_table.ts";
 import { createUpdate } from "./table_update_fixture.ts";
 import { TableSynchronizer } from "./table_synchronizer.ts";
 
@@ -21,6 +22,20 @@
 /** Time for which the control VMs hold a watch request. */
 const heldMilliseconds = 50;
 
+const target: TargetView = {
+  name: "t",
+  bornAt: 1,
+  service: "s",
+  address: "127.0.0.1:1",
+  dataCentre: "a",
+  slots: 6,
+  isLeaving: false,
+  isCold: false,
+  coldGateways: [],
+  maximumPerSecond: null,
+  limitGateways: [],
+};
+
 type Answer = (watch: Watch) => ViewDelta | null;
 
 /** Starts a control VM that leads while `answer` returns an update. */
@@ -135,4 +150,44 @@
       }).toBe(10);
     });
   });
+
+  // Failure: a gateway that had missed a departure sent requests to the target
+  // until it ended, and took its table for a current one.
+  describe("of a leader whose update leaves out a departure", () => {
+    let hasLeft: boolean;
+    let requested: ViewPosition[];
+
+    beforeEach(async () => {
+      hasLeft = false;
+      requested = [];
+      answers[0] = ({ position, isSearch }) => {
+        if (!isSearch) requested.push(position);
+        const whole = createUpdate(hasLeft ? 10 : 9, {
+          targets: [{ ...target, isLeaving: hasLeft }],
+          areTargetsComplete: true,
+        });
+        const table = new GatewayTable();
+        table.apply(whole);
+        const isWhole = position.term === 0;
+        return {
+          ...whole,
+          ...(!isWhole && { targets: [], areTargetsComplete: false }),
+          tableDigest: table.digest,
+        };
+      };
+      synchronizer.start();
+      await expect.poll(() => requested.length).toBeGreaterThan(2);
+      hasLeft = true;
+    });
+
+    it("leads to a request for the whole table", async () => {
+      await expect.poll(
+        () => synchronizer.table.target("t")?.isLeaving,
+        { timeout: 2000 },
+      ).toBe(true);
+      expect(count("table-differs")).toBe(1);
+      const whole = requested.filter(({ term }) => term === 0);
+      expect(whole).toEqual([emptyPosition, emptyPosition]);
+    });
+  });
 });
--- a/packages/fleet_gateway/table/table_synchronizer.ts
+++ b/packages/fleet_gateway/table/table_synchronizer.ts
@@ -232,8 +232,7 @@
 
   /** The position from which an update is requested. */
   get #position(): ViewPosition {
-    const { position } = this.table;
-    return this.#check.needsAllItems ? { ...position, index: 0 } : position;
+    return this.#check.position;
   }
 
   get #timeoutMilliseconds(): number {
@@ -322,7 +321,7 @@
     this.#isConnected = true;
     const before = this.table.position.index;
     this.table.apply(update.delta, this.#options.clock.now());
-    this.#check.checkItems(update.delta, watch.address);
+    this.#check.compare(update.delta, watch.address);
     if (this.table.position.index !== before) {
       this.#options.logger.info("table-changed", {
         index: this.table.position.index,
--- a/packages/fleet_gateway/table/table_update_fixture.ts
+++ b/packages/fleet_gateway/table/table_update_fixture.ts
@@ -9,6 +9,7 @@
     position: { index, term: 1, revision: index, isComplete: true },
     items: [],
     itemsDigest: null,
+    tableDigest: null,
     dataCentresOut: [],
     departed: [],
     targets: [],
--- a/packages/fleet_gateway/targets/paced_targets_test.ts
+++ b/packages/fleet_gateway/targets/paced_targets_test.ts
@@ -66,6 +66,7 @@
       item(route),
     ],
     itemsDigest: null,
+    tableDigest: null,
     dataCentresOut: [],
     departed: [],
     targets,
--- a/packages/items/items_digest_test.ts
+++ b/packages/items/items_digest_test.ts
@@ -50,4 +50,30 @@
       }),
     );
   });
+
+  describe("of contents", () => {
+    const item = (content: object): StoredItem => ({
+      kind: ItemKind.service,
+      name: "a",
+      version: 1,
+      content: content as never,
+      source: "",
+      changedAt: 1,
+    });
+    const digestOf = (content: object) =>
+      ItemsDigest.from([item(content)]).contentValue;
+
+    it("differs where one version has two contents", () => {
+      expect(digestOf({ parts: [{ weight: 1 }] })).not.toBe(
+        digestOf({ parts: [{ weight: 2 }] }),
+      );
+    });
+
+    // Guards against items that count as different after they were sent.
+    it("depends neither on the order of fields nor on absent ones", () => {
+      expect(digestOf({ a: 1, parts: [{ b: 2, c: 3 }], d: undefined })).toBe(
+        digestOf({ parts: [{ c: 3, b: 2 }], a: 1 }),
+      );
+    });
+  });
 });
