Give the address of a silent target to one whose start counts as earlier

Callers: a target at an address of another that had crashed, with a clock ahead of its own, was not registered for up to a minute; its requests went to the former name, and were rejected.

Cause: the address belongs to the target with the later start, and starts of two targets may be times of two clocks.

Evidence: target_registry_test.ts, red before: rejected 10 s after the last heartbeat of the former target.

Change: the later start counts as long as its target was heard in the last 10 s; a late heartbeat of an earlier target, which the rule is for, arrives sooner.

--- a/packages/fleet/target_registry.ts
+++ b/packages/fleet/target_registry.ts
@@ -48,6 +48,12 @@
 /** Targets without a heartbeat for this long are removed. */
 const removeAfterMilliseconds = 60_000;
 
+/**
+ * Targets without a heartbeat for this long leave their address to others. A late
+ * heartbeat of an earlier target of the address arrives sooner.
+ */
+const silentHolderMilliseconds = 10_000;
+
 /** Targets known to the leader from their heartbeats. */
 export class TargetRegistry {
   readonly #targets = new Map<string, RegisteredTarget>();
@@ -90,7 +96,7 @@
     const { incarnation, address } = announcement;
     const known = this.#targets.get(incarnation.target);
     if (known && isOutdated(announcement, known)) return false;
-    if (this.#hasNewerAt(address, incarnation)) return false;
+    if (this.#hasNewerAt(announcement, context.now)) return false;
     this.#removeOthersAt(address, incarnation);
     const isLeaving = announcement.isDraining ||
       hasDeparted(incarnation, context.departure);
@@ -192,11 +198,15 @@
     }
   }
 
-  #hasNewerAt(address: string, incarnation: TargetIncarnation): boolean {
-    return [...this.#namesAt(address)].some((name) =>
-      name !== incarnation.target &&
-      this.#targets.get(name)!.incarnation.bornAt > incarnation.bornAt
-    );
+  // The clocks of two targets may differ, so the later start counts only as long
+  // as its target is heard.
+  #hasNewerAt({ address, incarnation }: Announcement, now: number): boolean {
+    return [...this.#namesAt(address)].some((name) => {
+      const other = this.#targets.get(name)!;
+      return name !== incarnation.target &&
+        other.incarnation.bornAt > incarnation.bornAt &&
+        now - other.lastSeenAt < silentHolderMilliseconds;
+    });
   }
 
   #namesAt(address: string): Set<string> {
--- a/packages/fleet/target_registry_test.ts
+++ b/packages/fleet/target_registry_test.ts
@@ -43,6 +43,18 @@
     expect(registry.get("a")).toBeUndefined();
   });
 
+  // Failure: a target at the address of one that had crashed, whose clock had been
+  // ahead, got no requests for a minute.
+  it("assigns an address whose target is silent to another with an earlier start", () => {
+    const registry = new TargetRegistry(new RevisionCounter());
+    registry.recordHeartbeat(heartbeat("a", 5), context);
+    const later = { now: 5000, departure: undefined };
+    expect(registry.recordHeartbeat(heartbeat("b", 4), later)).toBe(false);
+    const muchLater = { now: 10_000, departure: undefined };
+    expect(registry.recordHeartbeat(heartbeat("b", 4), muchLater)).toBe(true);
+    expect(registry.get("a")).toBeUndefined();
+  });
+
   it("accepts a restarted sequence from a new incarnation of the same name", () => {
     const registry = new TargetRegistry(new RevisionCounter());
     registry.recordHeartbeat(heartbeat("a", 5, { sequence: 50 }), context);
