Let control VMs forward the calls of gateways to the leader

A gateway learns only from the leader. If only the path between the two is cut, it stays at its table for as long as the cut lasts, although it reaches the other control VMs, which reach the leader.

A watch, suspect or quota request may ask a control VM that does not lead to forward it. The VM sends the same request without that wish to the leader it knows, so that requests cannot go round, and returns the response as it is. If the leader does not respond to a search in 300 ms, if it is replaced, or if the VM stops, it answers as before, so that the gateway searches. Forwarded calls have connections of their own, 128 at the most, as held watches would delay replication.

The calls of gateways move from ControlVm to a module of their own.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -2,7 +2,6 @@
 import { configurationOf } from "@kingcupglade/consensus";
 import type { ConsensusMessage } from "@kingcupglade/consensus";
 import { encodeValue, Fleet, Replication } from "@kingcupglade/protocol";
-import type { QuotaCall, QuotaReply } from "@kingcupglade/quotas";
 import { vmOfReplica } from "@kingcupglade/replica";
 import { StallDetector } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
@@ -15,20 +14,17 @@
 import { ExternalCallHandler } from "./external_call_handler.ts";
 import type { Leadership } from "./external_call_handler.ts";
 import { Feature } from "./feature.ts";
+import { GatewayCalls, maximumForwardedCalls } from "./gateway_calls.ts";
 import { decodeGreeting } from "./greeting.ts";
 import { LeaderSession } from "./leader_session.ts";
 import type { FleetReplica } from "./leader_session.ts";
-import { packValue, unpackValue } from "./packed_value.ts";
 import { PeerClients } from "./peer_clients.ts";
 import { PeerClocks } from "./peer_clocks.ts";
 import { greetIntervalMilliseconds, PeerDiscovery } from "./peer_discovery.ts";
 import { planMembers } from "./plan_members.ts";
 import { readMessages, ReplicaLinks } from "./replica_links.ts";
-import type { SuspectCall, SuspectReply } from "./suspect_call.ts";
 import { vmsWithout } from "./vms_without.ts";
 import type { WatchAnswer } from "./watch.ts";
-import { decodeWatch } from "./watch_codec.ts";
-import { answerWatch } from "./watch_call.ts";
 import { WorkspaceSeals } from "./workspace_seals.ts";
 
 const decisionIntervalMilliseconds = 50;
@@ -53,6 +49,8 @@
   readonly #clients: PeerClients;
   readonly #discovery: PeerDiscovery;
   readonly #externalCalls: ExternalCallHandler;
+  readonly #forwardClients: PeerClients;
+  readonly #gatewayCalls: GatewayCalls;
   readonly #stalls: StallDetector;
   readonly #seals: WorkspaceSeals;
   readonly #elapsedClock: ElapsedClock;
@@ -100,6 +98,14 @@
       leaderAddress: () => this.leaderAddress,
     });
     this.#externalCalls = new ExternalCallHandler(shared, this);
+    this.#forwardClients = new PeerClients({
+      ...options,
+      connections: maximumForwardedCalls,
+    });
+    this.#gatewayCalls = new GatewayCalls(
+      { ...options, clients: this.#forwardClients },
+      this,
+    );
   }
 
   /**
@@ -154,8 +160,10 @@
     for (const timer of this.#timers) clearInterval(timer);
     this.#isStopping = true;
     this.#session?.end();
+    this.#gatewayCalls.end();
     await this.#listeners.close(() => this.#replica.stop());
     this.#clients.close();
+    this.#forwardClients.close();
     logger.info("control-stopped");
   }
 
@@ -200,11 +208,10 @@
           greeting: encodeValue(this.#discovery.greeting),
         });
       },
-      watch: ({ watch }) => answerWatch(decodeWatch(watch), this),
-      suspect: ({ call }) =>
-        Promise.resolve({ reply: packValue(this.#handleSuspectCall(call)) }),
-      quota: ({ call }) =>
-        Promise.resolve({ reply: packValue(this.#handleQuotaCall(call)) }),
+      watch: ({ watch, forward }) =>
+        this.#gatewayCalls.watch({ call: watch, forward }),
+      suspect: (call) => this.#gatewayCalls.suspect(call),
+      quota: (call) => this.#gatewayCalls.quota(call),
       relay: async ({ call }) => ({
         result: await this.#externalCalls.serveRelayed(call),
       }),
@@ -233,18 +240,6 @@
     for (const message of messages) this.#replica.receive(message);
   }
 
-  #handleSuspectCall(call: Uint8Array): SuspectReply {
-    const session = this.#session;
-    if (!session || !this.isLeading) return { kind: "elsewhere" };
-    return session.handleSuspectCall(unpackValue<SuspectCall>(call));
-  }
-
-  #handleQuotaCall(call: Uint8Array): QuotaReply {
-    const session = this.watchedSession;
-    if (!session) return { answer: null };
-    return session.handleQuotaCall(unpackValue<QuotaCall>(call));
-  }
-
   /** The state from which watches are answered; undefined for none. */
   get watchedSession(): LeaderSession | undefined {
     return this.isLeading && !this.#isStopping ? this.#session : undefined;
@@ -289,6 +284,7 @@
         term: this.#replica.running?.consensus.term ?? 0,
       });
       this.#leader = leader;
+      this.#gatewayCalls.handleLeaderChange();
     }
     this.#updateSession();
     this.#session?.notifyChange();
--- /dev/null
+++ b/packages/fleet_control/gateway_calls.ts
@@ -0,0 +1,179 @@
+import { setMaxListeners } from "node:events";
+import type { Client } from "@connectrpc/connect";
+import { Fleet } from "@kingcupglade/protocol";
+import type { QuotaReply } from "@kingcupglade/quotas";
+import type { Logger } from "@kingcupglade/telemetry";
+import { describeFailure } from "@kingcupglade/telemetry";
+import type { Leadership } from "./external_call_handler.ts";
+import type { LeaderSession } from "./leader_session.ts";
+import { packValue, unpackValue } from "./packed_value.ts";
+import type { PeerClients } from "./peer_clients.ts";
+import type { SuspectReply } from "./suspect_call.ts";
+import type { WatchAnswer } from "./watch.ts";
+import { answerWatch } from "./watch_call.ts";
+import type { EncodedWatchResponse } from "./watch_call.ts";
+import { decodeWatch, encodeWatchAnswer } from "./watch_codec.ts";
+
+/**
+ * Calls that are forwarded at the same time: the watches of some hundred
+ * gateways, shared by the followers. Each takes a connection.
+ */
+export const maximumForwardedCalls = 128;
+/** A leader in another region responds well within this time. */
+const forwardTimeoutMilliseconds = 300;
+/** Sufficient for a table of several thousand items on a 2 Mbit/s link. */
+const watchTimeoutMilliseconds = 5000;
+
+/** A call as a gateway sends it. */
+interface GatewayCall {
+  readonly call: Uint8Array;
+  /** Whether a VM that does not lead forwards the call to the leader. */
+  readonly forward: boolean;
+}
+
+/** Leadership as {@link GatewayCalls} uses it. */
+export interface GatewayCallLeadership
+  extends Pick<Leadership, "session" | "isLeading" | "leaderAddress"> {
+  /** The state of the leader; undefined if this VM does not answer as such. */
+  readonly watchedSession: LeaderSession | undefined;
+  /** Response to the watches that another VM has to answer. */
+  readonly redirect: WatchAnswer;
+}
+
+/** Options of {@link GatewayCalls}. */
+export interface GatewayCallsOptions {
+  readonly peerAddress: string;
+  /**
+   * Clients for forwarded calls alone, with {@link maximumForwardedCalls}
+   * connections: watches that are held must not delay other calls.
+   */
+  readonly clients: PeerClients;
+  readonly logger: Logger;
+}
+
+/**
+ * Handles the calls of gateways to the leader. A gateway without a path to the
+ * leader sends them to another control VM, which forwards them.
+ */
+export class GatewayCalls {
+  readonly #options: GatewayCallsOptions;
+  readonly #leadership: GatewayCallLeadership;
+  /** Ends the calls that are forwarded to the present leader. */
+  #forwarding = createController();
+  #forwardedCount = 0;
+  #hasEnded = false;
+
+  constructor(
+    options: GatewayCallsOptions,
+    leadership: GatewayCallLeadership,
+  ) {
+    this.#options = options;
+    this.#leadership = leadership;
+  }
+
+  /** Answers a watch request. */
+  async watch({ call, forward }: GatewayCall): Promise<EncodedWatchResponse> {
+    const watch = decodeWatch(call);
+    const answer = () => answerWatch(watch, this.#leadership);
+    if (!forward || this.#leadership.watchedSession) return await answer();
+    const timeoutMs = watch.isSearch
+      ? forwardTimeoutMilliseconds
+      : watchTimeoutMilliseconds;
+    const forwarded = await this.#forward(
+      timeoutMs,
+      (leader, options) => leader.watch({ watch: call }, options),
+    );
+    return forwarded ?? {
+      answer: encodeWatchAnswer(this.#leadership.redirect),
+      own: new Uint8Array(),
+    };
+  }
+
+  /** Answers a call about a request whose runs may end targets. */
+  async suspect(
+    { call, forward }: GatewayCall,
+  ): Promise<{ readonly reply: Uint8Array }> {
+    const { isLeading, session } = this.#leadership;
+    if (session && isLeading) {
+      return { reply: packValue(session.handleSuspectCall(unpackValue(call))) };
+    }
+    const forwarded = forward &&
+      await this.#forward(
+        forwardTimeoutMilliseconds,
+        (leader, options) => leader.suspect({ call }, options),
+      );
+    const elsewhere: SuspectReply = { kind: "elsewhere" };
+    return forwarded || { reply: packValue(elsewhere) };
+  }
+
+  /** Answers the call of a gateway that is short of allowance. */
+  async quota(
+    { call, forward }: GatewayCall,
+  ): Promise<{ readonly reply: Uint8Array }> {
+    const session = this.#leadership.watchedSession;
+    if (session) {
+      return { reply: packValue(session.handleQuotaCall(unpackValue(call))) };
+    }
+    const forwarded = forward &&
+      await this.#forward(
+        forwardTimeoutMilliseconds,
+        (leader, options) => leader.quota({ call }, options),
+      );
+    const none: QuotaReply = { answer: null };
+    return forwarded || { reply: packValue(none) };
+  }
+
+  /** Ends the calls that wait for a former leader. */
+  handleLeaderChange(): void {
+    this.#forwarding.abort();
+    this.#forwarding = createController();
+  }
+
+  /** Ends the calls in progress and forwards no more. */
+  end(): void {
+    this.#hasEnded = true;
+    this.#forwarding.abort();
+  }
+
+  /** Returns the leader's response; undefined if there is none. */
+  async #forward<Response>(
+    timeoutMs: number,
+    call: (
+      leader: Client<typeof Fleet>,
+      options: { readonly timeoutMs: number; readonly signal: AbortSignal },
+    ) => Promise<Response>,
+  ): Promise<Response | undefined> {
+    const { clients, logger, peerAddress } = this.#options;
+    const address = this.#leadership.leaderAddress;
+    if (this.#hasEnded || address === null || address === peerAddress) {
+      return undefined;
+    }
+    if (this.#forwardedCount >= maximumForwardedCalls) {
+      logger.warn("call-not-forwarded", {
+        leader: address,
+        reason: "too many calls are forwarded",
+      });
+      return undefined;
+    }
+    const { signal } = this.#forwarding;
+    this.#forwardedCount += 1;
+    try {
+      return await call(clients.client(address, Fleet), { timeoutMs, signal });
+    } catch (failure) {
+      logger.warn("call-not-forwarded", {
+        leader: address,
+        reason: describeFailure(failure),
+      });
+      return undefined;
+    } finally {
+      this.#forwardedCount -= 1;
+    }
+  }
+}
+
+// Each forwarded call listens to its signal.
+function createController(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(maximumForwardedCalls, controller.signal);
+  return controller;
+}
--- a/packages/fleet_control/peer_clients.ts
+++ b/packages/fleet_control/peer_clients.ts
@@ -4,8 +4,7 @@
 import { createUnaryClient, PeerPool } from "@kingcupglade/transport";
 import { Pool } from "undici";
 
-/** Maximum number of concurrent calls to one VM. */
-const connectionsPerVm = 8;
+const defaultConnections = 8;
 /** Connection attempts to a VM without power receive no response. */
 const connectTimeoutMilliseconds = 1000;
 /**
@@ -19,6 +18,8 @@
   readonly secret: string;
   /** IP that connections are bound to. @default chosen by the system */
   readonly localAddress?: string | undefined;
+  /** Maximum number of concurrent calls to one VM. @default 8 */
+  readonly connections?: number;
   /** @default no log */
   readonly logger?: Pick<Logger, "warn">;
 }
@@ -79,10 +80,10 @@
 
 function createPool(
   address: string,
-  { localAddress }: PeerClientsOptions,
+  { localAddress, connections = defaultConnections }: PeerClientsOptions,
 ): Pool {
   return new Pool(`http://${address}`, {
-    connections: connectionsPerVm,
+    connections,
     pipelining: 1,
     connect: { timeout: connectTimeoutMilliseconds },
     ...(localAddress !== undefined && { localAddress }),
--- a/packages/fleet_control/watch_call.ts
+++ b/packages/fleet_control/watch_call.ts
@@ -5,9 +5,9 @@
 
 /** Encoded fields of the response to a watch call. */
 export interface EncodedWatchResponse {
-  readonly answer: Uint8Array<ArrayBuffer>;
+  readonly answer: Uint8Array;
   /** Empty if there is no part for this gateway alone. */
-  readonly own: Uint8Array<ArrayBuffer>;
+  readonly own: Uint8Array;
 }
 
 const nothing = new Uint8Array();
