Reach the leader through another control VM when only its path is cut

Callers saw routes run that had been removed, and targets reached that had left, at a gateway whose path to the leader alone was cut: until the cut ended. The gateway reached the other control VMs all the while; their answer "elsewhere" led it back to the leader that it did not reach.

A leader that is named and does not respond within 300 ms, or at once if it was lost just before, is asked through the VMs that name it. The first path on which it responds, itself or through another VM, carries watches, suspect and quota calls. While it leads through another VM, the gateway asks that VM for the present leader and the leader itself, each second or less often if its own path does not last, and goes back. Requests for a first update that are sent again take turns with another path, as a leader may respond to searches and not deliver. An update of another term makes the gateway report all again: the VM between may have found the next leader by itself.

--- a/packages/fleet_gateway/gateway_vm.ts
+++ b/packages/fleet_gateway/gateway_vm.ts
@@ -125,7 +125,7 @@
       call: (call) =>
         callLeader(call, {
           clients: this.#peerClients,
-          leader: this.#synchronizer.leader,
+          path: this.#synchronizer.path,
         }),
       endDetector: new TargetEndDetector({
         ...options,
@@ -157,7 +157,7 @@
       call: (call) =>
         callLeaderForQuota(call, {
           clients: this.#peerClients,
-          leader: this.#synchronizer.leader,
+          path: this.#synchronizer.path,
         }),
       elapsedClock,
     });
--- a/packages/fleet_gateway/table/leader_caller.ts
+++ b/packages/fleet_gateway/table/leader_caller.ts
@@ -6,6 +6,8 @@
 } from "@kingcupglade/fleet_control";
 import { Fleet } from "@kingcupglade/protocol";
 import type { QuotaCall, QuotaReply } from "@kingcupglade/quotas";
+import { firstVm } from "./leader_path.ts";
+import type { LeaderPath } from "./leader_path.ts";
 
 /** A leader in another region responds well within this time. */
 const timeoutMilliseconds = 300;
@@ -22,8 +24,8 @@
 /** How the control leader is reached. */
 interface LeaderAccess {
   readonly clients: PeerClients;
-  /** Peer address of the leader; null while it is unknown. */
-  readonly leader: string | null;
+  /** Path to the leader; null while it is unknown. */
+  readonly path: LeaderPath | null;
 }
 
 /**
@@ -33,11 +35,11 @@
  */
 export async function callLeader(
   call: SuspectCall,
-  { clients, leader }: LeaderAccess,
+  { clients, path }: LeaderAccess,
 ): Promise<SuspectReply> {
-  if (leader === null) throw new ControlUnavailableError();
-  const { reply } = await clients.client(leader, Fleet).suspect(
-    { call: packValue(call) },
+  if (path === null) throw new ControlUnavailableError();
+  const { reply } = await clients.client(firstVm(path), Fleet).suspect(
+    { call: packValue(call), forward: path.through !== null },
     { timeoutMs: timeoutMilliseconds },
   );
   return unpackValue(reply);
@@ -50,11 +52,11 @@
  */
 export async function callLeaderForQuota(
   call: QuotaCall,
-  { clients, leader }: LeaderAccess,
+  { clients, path }: LeaderAccess,
 ): Promise<QuotaReply> {
-  if (leader === null) throw new ControlUnavailableError();
-  const { reply } = await clients.client(leader, Fleet).quota(
-    { call: packValue(call) },
+  if (path === null) throw new ControlUnavailableError();
+  const { reply } = await clients.client(firstVm(path), Fleet).quota(
+    { call: packValue(call), forward: path.through !== null },
     { timeoutMs: timeoutMilliseconds },
   );
   return unpackValue(reply);
--- a/packages/fleet_gateway/table/table_synchronizer.ts
+++ b/packages/fleet_gateway/table/table_synchronizer.ts
@@ -9,17 +9,22 @@
   watchHoldMilliseconds,
 } from "@kingcupglade/fleet_control";
 import type { WatchAnswer, WatchOwnPart } from "@kingcupglade/fleet_control";
-import { describeItems } from "@kingcupglade/items";
 import { Fleet } from "@kingcupglade/protocol";
-import type { Clock } from "@kingcupglade/tasks";
 import { describeFailure } from "@kingcupglade/telemetry";
 import { createWatch } from "./create_watch.ts";
+import { CurrentPath } from "./current_path.ts";
 import { requestUntilBegun } from "./first_update.ts";
 import type { UpdateRequest } from "./first_update.ts";
 import { GatewayTable } from "./gateway_table.ts";
+import { ItemRefetch } from "./item_refetch.ts";
+import { directPath, firstVm } from "./leader_path.ts";
+import type { LeaderPath } from "./leader_path.ts";
 import { searchLeader } from "./leader_search.ts";
 import { LeaderSearchBackoff } from "./leader_search_backoff.ts";
+import { RequestPaths } from "./request_paths.ts";
+import { searchSuccessor } from "./successor_search.ts";
 import type { TableSynchronizerOptions } from "./table_synchronizer_options.ts";
+import { logUpdate } from "./update_log.ts";
 
 export type {
   ReceivedOwnPart,
@@ -33,18 +38,14 @@
 /** A running VM responds to a search at once, also from another region. */
 const leaderSearchTimeoutMilliseconds = 500;
 /**
- * While the first update of a leader is awaited, the other control VMs are asked
- * for another leader at this interval.
+ * Time that a leader has to respond by itself before it is asked through another
+ * control VM; one in another region responds well within it.
  */
-const successorSearchIntervalMilliseconds = 200;
-
-/** Bounds of the time between two requests for all items. */
-const minimumRefetchMilliseconds = 500;
-const maximumRefetchMilliseconds = 60_000;
+const detourDelayMilliseconds = 300;
 
 /** A watch request that was sent. */
 interface SentWatch {
-  readonly address: string;
+  readonly path: LeaderPath;
   readonly sentAt: number;
   /** The same on the elapsed clock. */
   readonly elapsedSentAt: number;
@@ -62,7 +63,7 @@
   readonly #options: TableSynchronizerOptions;
   #seeds: readonly string[];
   #lastContactAt = -Infinity;
-  #leader: string | null = null;
+  readonly #path: CurrentPath;
   /** Term of the current leader, once it has sent an update. */
   #term: number | null = null;
   readonly #searchBackoff: LeaderSearchBackoff;
@@ -71,15 +72,22 @@
   #isStopped = false;
   #isLeaving = false;
   #isConnected = false;
-  /** Whether the next update has to hold all items. */
-  #needsAllItems = false;
-  #refetchedAt = -Infinity;
-  #refetchMilliseconds = 0;
+  /**
+   * Whether the last update is of another term than the one before, so that its
+   * leader may lack earlier reports.
+   */
+  #hasNewTerm = false;
+  readonly #itemRefetch = new ItemRefetch();
 
   constructor(options: TableSynchronizerOptions) {
     this.#options = options;
     this.#seeds = options.seeds;
     this.#searchBackoff = new LeaderSearchBackoff(options);
+    this.#path = new CurrentPath({
+      ...options,
+      ask: (address) => this.#askForLeader(directPath(address)),
+      contactAge: () => this.#contactAge,
+    });
   }
 
   /** Starts watching the control leader, until {@link stop} is called. */
@@ -87,13 +95,9 @@
     void this.#run();
   }
 
-  /** Peer address of the leader; null while it is unknown. */
-  get leader(): string | null {
-    return this.#leader;
-  }
-
-  get #elapsedClock(): Clock {
-    return this.#options.elapsedClock ?? this.#options.clock;
+  /** Path to the leader; null while it is unknown. */
+  get path(): LeaderPath | null {
+    return this.#path.value;
   }
 
   /** Returns the milliseconds since the last contact with the leader. */
@@ -124,54 +128,59 @@
 
   stop(): void {
     this.#isStopped = true;
+    this.#path.end();
   }
 
   async #run(): Promise<void> {
     while (!this.#isStopped) {
-      const hasLeader = this.#leader === null
+      const { path } = this;
+      const hasLeader = path === null
         ? await this.#searchLeader()
-        : await this.#watchLeader(this.#leader);
+        : await this.#watchLeader(path);
       if (hasLeader) this.#searchBackoff.reset();
       else if (!this.#isStopped) await pause(this.#searchBackoff.next());
     }
   }
 
   /** Watches the leader for an update; returns whether there is a leader. */
-  async #watchLeader(address: string): Promise<boolean> {
+  async #watchLeader(path: LeaderPath): Promise<boolean> {
     try {
-      return await this.#awaitUpdate(address);
+      return await this.#awaitUpdate(path);
     } catch (failure) {
-      this.#loseLeader(describeFailure(failure), address);
+      this.#loseLeader(describeFailure(failure), path);
       return false;
     }
   }
 
   // A first update may take long to arrive, and a leader that was lost in the
   // meantime would hold this gateway at an old table for as long.
-  async #awaitUpdate(address: string): Promise<boolean> {
+  async #awaitUpdate(path: LeaderPath): Promise<boolean> {
     if (!this.#mayReceiveWholeTable) {
-      return this.#receive(await this.#requestUpdate(address));
+      return this.#receive(await this.#requestUpdate(path));
     }
     const ending = new AbortController();
+    const paths = new RequestPaths(path);
     const update = requestUntilBegun({
-      request: (request) => this.#requestUpdate(address, request),
-      renewConnections: () => this.#options.clients.renew(address),
+      request: (request) => this.#requestUpdate(paths.next(), request),
+      renewConnections: () => this.#options.clients.renew(firstVm(path)),
       waitMilliseconds:
         updateIntervalMilliseconds(this.table.gatewayCount || Infinity) +
         watchMarginMilliseconds,
       limitMilliseconds: wholeTableTimeoutMilliseconds,
       signal: ending.signal,
     });
-    const successor = this.#awaitSuccessor(
-      address,
-      () => ending.signal.aborted,
-    );
+    const successor = this.#awaitSuccessor(path, {
+      paths,
+      hasEnded: () => ending.signal.aborted,
+    });
     try {
       const received = await Promise.race([
         update,
         successor.then((isFound) => isFound ? null : update),
       ]);
-      return received === null || this.#receive(received);
+      if (received === null) return true;
+      if (this.path === path) this.#path.use(received.sent.path);
+      return this.#receive(received);
     } finally {
       ending.abort();
       // The requests to a leader that was left end with this.
@@ -180,10 +189,10 @@
   }
 
   #requestUpdate(
-    address: string,
+    path: LeaderPath,
     request: Partial<UpdateRequest> = {},
   ): Promise<WatchResponse> {
-    return this.#sendWatch(address, {
+    return this.#sendWatch(path, {
       ...request,
       isSearch: false,
       timeoutMilliseconds: this.#timeoutMilliseconds,
@@ -203,25 +212,25 @@
   }
 
   /**
-   * Waits until a control VM other than the one at `address` leads, or
-   * `hasEnded` returns true; returns whether there is one.
+   * Waits until a control VM other than the leader of a path leads, or `hasEnded`
+   * returns true; returns whether there is one.
    */
   async #awaitSuccessor(
-    address: string,
-    hasEnded: () => boolean,
+    path: LeaderPath,
+    { paths, hasEnded }: {
+      readonly paths: RequestPaths;
+      readonly hasEnded: () => boolean;
+    },
   ): Promise<boolean> {
-    const others = this.#controlAddresses;
-    others.delete(address);
-    await pause(successorSearchIntervalMilliseconds);
-    const successor = await searchLeader(others, {
-      ask: (other) => this.#askForLeader(other),
-      excluded: [address],
-      delays: () => ({ next: () => successorSearchIntervalMilliseconds }),
+    const successor = await searchSuccessor(path.leader, {
+      control: this.#controlAddresses,
+      ask: (each) => this.#askForLeader(each),
+      onNamed: (address) => paths.recordNamed(address),
       hasEnded,
     });
     if (successor === null || hasEnded()) return false;
-    this.#loseLeader("another VM is the leader", address);
-    this.#leader = successor;
+    this.#loseLeader("another VM is the leader", path);
+    this.#path.use(successor);
     return true;
   }
 
@@ -234,7 +243,7 @@
   /** The position from which an update is requested. */
   get #position(): ViewPosition {
     const { position } = this.table;
-    return this.#needsAllItems ? { ...position, index: 0 } : position;
+    return this.#itemRefetch.isDue ? { ...position, index: 0 } : position;
   }
 
   get #timeoutMilliseconds(): number {
@@ -246,14 +255,16 @@
 
   async #searchLeader(): Promise<boolean> {
     const seeds = this.#seeds;
-    const leader = await searchLeader(this.#controlAddresses, {
-      ask: (address) => this.#askForLeader(address),
+    const path = await searchLeader(this.#controlAddresses, {
+      ask: (each) => this.#askForLeader(each),
       delays: () => new LeaderSearchBackoff(this.#options),
+      detourDelayMilliseconds: (leader) =>
+        this.#path.isLost(leader) ? 0 : detourDelayMilliseconds,
       hasEnded: () =>
-        this.#isStopped || this.#leader !== null || this.#seeds !== seeds,
+        this.#isStopped || this.path !== null || this.#seeds !== seeds,
     });
-    this.#leader ??= leader;
-    return this.#leader !== null;
+    if (path && this.path === null) this.#path.use(path);
+    return this.path !== null;
   }
 
   /** Peer addresses of the control VMs that this gateway knows. */
@@ -261,8 +272,8 @@
     return new Set([...this.table.control, ...this.#seeds]);
   }
 
-  async #askForLeader(address: string): Promise<WatchAnswer> {
-    const { answer } = await this.#sendWatch(address, {
+  async #askForLeader(path: LeaderPath): Promise<WatchAnswer> {
+    const { answer } = await this.#sendWatch(path, {
       isSearch: true,
       timeoutMilliseconds: leaderSearchTimeoutMilliseconds,
     });
@@ -270,24 +281,26 @@
   }
 
   async #sendWatch(
-    address: string,
+    path: LeaderPath,
     options: Partial<UpdateRequest> & {
       readonly isSearch: boolean;
       readonly timeoutMilliseconds: number;
     },
   ): Promise<WatchResponse> {
-    const { clients, clock } = this.#options;
+    const { clients, clock, elapsedClock = clock } = this.#options;
     const { isSearch, timeoutMilliseconds, signal, onHeader } = options;
     const watch = createWatch(this.#options, {
       position: this.#position,
       isLeaving: this.#isLeaving,
       isSearch,
-      reportsAll: this.#term === null || options.isRepeated === true,
+      reportsAll: this.#term === null || this.#hasNewTerm ||
+        options.isRepeated === true,
     });
     const sentAt = clock.now();
-    const elapsedSentAt = this.#elapsedClock.now();
-    const { answer, own } = await clients.client(address, Fleet).watch(
+    const elapsedSentAt = elapsedClock.now();
+    const { answer, own } = await clients.client(firstVm(path), Fleet).watch(
       {
+        forward: path.through !== null,
         watch: encodeWatch(watch, {
           isCompact: !isSearch && this.#usesCompactForm,
         }),
@@ -298,7 +311,7 @@
         ...(onHeader && { onHeader }),
       },
     );
-    return { answer, own, sent: { address, sentAt, elapsedSentAt } };
+    return { answer, own, sent: { path, sentAt, elapsedSentAt } };
   }
 
   #apply(
@@ -308,12 +321,15 @@
     // A search may have found another leader in the meantime.
     if (watch.sentAt < this.#lastContactAt) return;
     const contactAgeMilliseconds = this.#contactAge;
-    this.#leader = watch.address;
-    this.#term = update.delta.position.term;
+    const { term } = update.delta.position;
+    this.#hasNewTerm = this.#term !== null && this.#term !== term;
+    this.#term = term;
+    this.#path.recordContact();
     this.#lastContactAt = watch.sentAt;
     if (!this.#isConnected) {
       this.#options.logger.info("control-found", {
-        control: watch.address,
+        control: watch.path.leader,
+        through: watch.path.through,
         contactAgeMilliseconds,
       });
     }
@@ -321,24 +337,14 @@
     const before = this.table.position.index;
     this.table.apply(update.delta, this.#options.clock.now());
     this.#checkItems(update.delta);
-    if (this.table.position.index !== before) {
-      this.#options.logger.info("table-changed", {
-        index: this.table.position.index,
-        term: this.table.position.term,
-        contactAgeMilliseconds,
-      });
-    }
-    const { suspects, position, items } = update.delta;
-    if (items.length > 0) {
-      this.#options.logger.info("items-applied", {
-        names: describeItems(items),
-        index: position.index,
-        since: before,
-        held: this.table.itemCount,
-        contactAgeMilliseconds,
-      });
-    }
-    if (suspects) this.#options.onSuspects(suspects, position.term);
+    logUpdate(update.delta, {
+      table: this.table,
+      before,
+      contactAgeMilliseconds,
+      logger: this.#options.logger,
+    });
+    const { suspects } = update.delta;
+    if (suspects) this.#options.onSuspects(suspects, term);
     this.#options.onOwnPart?.({
       part: watch.part,
       sentAt: watch.elapsedSentAt,
@@ -354,23 +360,14 @@
     const { table } = this;
     const isApplied = position.index === table.position.index;
     if (!isApplied) return;
-    this.#needsAllItems = false;
     if (itemsDigest === null || itemsDigest === table.itemsDigest) {
-      this.#refetchMilliseconds = 0;
-      return;
+      return this.#itemRefetch.recordMatch();
     }
     const { clock, logger, metrics } = this.#options;
-    const now = clock.now();
-    if (now - this.#refetchedAt < this.#refetchMilliseconds) return;
-    this.#refetchedAt = now;
-    this.#refetchMilliseconds = Math.min(
-      Math.max(2 * this.#refetchMilliseconds, minimumRefetchMilliseconds),
-      maximumRefetchMilliseconds,
-    );
-    this.#needsAllItems = true;
+    if (!this.#itemRefetch.recordMismatch(clock.now())) return;
     metrics.tableMismatches.inc();
     logger.warn("table-differs", {
-      control: this.#leader,
+      control: this.path?.leader ?? null,
       index: position.index,
       items: table.itemCount,
       digest: table.itemsDigest,
@@ -378,14 +375,19 @@
     });
   }
 
-  #loseLeader(reason: string, address: string): void {
+  #loseLeader(reason: string, path: LeaderPath): void {
     const { logger } = this.#options;
     const contactAgeMilliseconds = this.#contactAge;
-    const fields = { control: address, reason, contactAgeMilliseconds };
+    const fields = {
+      control: path.leader,
+      through: path.through,
+      reason,
+      contactAgeMilliseconds,
+    };
     if (this.#isConnected) logger.warn("control-lost", fields);
     else logger.warn("first-update-failed", fields);
     this.#isConnected = false;
-    this.#leader = null;
+    this.#path.lose(path);
     // The next leader may send a whole table, or be of an earlier release.
     this.#term = null;
     this.#usesCompactForm = false;
--- a/packages/kingcupglade/fleet_fixture.ts
+++ b/packages/kingcupglade/fleet_fixture.ts
@@ -39,7 +39,7 @@
   };
 }
 
-/** A VM of a fleet whose only seed is one control VM. */
+/** A VM of a fleet. */
 export interface RoleOptions {
   readonly role: "control" | "gateway";
   /** @default the role and "-1" */
@@ -47,8 +47,10 @@
   /** @default "a" */
   readonly dataCentre?: string;
   readonly ip: string;
-  /** Control address of the only seed, as IP:PORT. */
+  /** Control address of the seed, as IP:PORT, or several with commas. */
   readonly seed: string;
+  /** Number of control VMs that may be lost. @default 0 */
+  readonly toleratedLosses?: number;
   /** Lines that follow the section of the VM, up to the listener for peers. */
   readonly lines: string;
   /** Further sections of the settings. @default none */
@@ -66,7 +68,7 @@
 /** Returns the settings of a VM of a fleet. */
 export function createSettingsText(options: RoleOptions): string {
   const { role, name = `${role}-1`, ip, seed, lines } = options;
-  const { dataCentre = "a", sections = "" } = options;
+  const { dataCentre = "a", sections = "", toleratedLosses = 0 } = options;
   return `[vm]
 name = ${name}
 role = ${role}
@@ -77,7 +79,7 @@
 [control]
 seeds = ${seed}
 mayFound = true
-toleratedLosses = 0
+toleratedLosses = ${toleratedLosses}
 heartbeatSeconds = 0.2
 [regions]
 a = north
--- a/packages/soak/mod.ts
+++ b/packages/soak/mod.ts
@@ -7,5 +7,7 @@
  */
 export { InvariantMonitor } from "./invariant_monitor.ts";
 export type { PositionHolder } from "./invariant_monitor.ts";
+export { LinkFlow, LinkNetwork } from "./link_proxy.ts";
+export type { Link, ProxiedVm } from "./link_proxy.ts";
 export { runSoak } from "./soak_run.ts";
 export type { SoakOptions, SoakResult } from "./soak_run.ts";
