Keep the path to the leader when a watch on the former one fails late

A gateway that had gone back from another control VM to the leader itself could lose it again at once: the watch that the other VM still held failed, and its failure cleared the path that was in use.

The failure of a watch counts only for the path that is in use.

--- a/packages/fleet_gateway/table/leader_path_test.ts
+++ b/packages/fleet_gateway/table/leader_path_test.ts
@@ -50,6 +50,12 @@
   #fault: PathFault | null = null;
   /** Whether it is of a release that passes nothing on. */
   isOfEarlierRelease = false;
+  /** Whether it passes searches on, and answers watches with the leader's name. */
+  isFull = false;
+  /** Whether it passes searches on, and leaves watches without a response. */
+  isHanging = false;
+  /** Time until each of its updates begins. */
+  updateDelayMilliseconds = 0;
   /** Watches that were answered here as the leader, directly or passed on. */
   readonly watches: Watch[] = [];
   readonly #server: Server;
@@ -100,6 +106,7 @@
   /** Answers as the leader. */
   async lead(watch: Watch): Promise<WatchAnswer> {
     if (watch.isSearch) return { kind: "leads" };
+    await pause(this.updateDelayMilliseconds);
     this.watches.push(watch);
     const { index, term } = this.#state;
     const until = performance.now() + holdMilliseconds;
@@ -140,9 +147,12 @@
         ? await new Promise(() => {})
         : answer;
     }
-    return forward && !this.isOfEarlierRelease
+    const isForwarded = forward && !this.isOfEarlierRelease &&
+      (watch.isSearch || !this.isFull);
+    if (!isForwarded) return { kind: "elsewhere", leader: leader.address };
+    return watch.isSearch || !this.isHanging
       ? await leader.lead(watch)
-      : { kind: "elsewhere", leader: leader.address };
+      : await new Promise(() => {});
   }
 }
 
@@ -274,6 +284,21 @@
     expect(synchronizer.path?.through).toBeNull();
   });
 
+  // Failure: a watch that failed on a path that had been left ended the path that
+  // was in use.
+  it("keeps its own path when a watch through another VM fails late", async () => {
+    cutAtChange(PathFault.silent);
+    await waitForIndex(2);
+    await pause(500);
+    for (const control of controls) control.isHanging = true;
+    heal();
+    await expect.poll(() => synchronizer.path?.through, { timeout: 3000 })
+      .toBeNull();
+    await pause(1500);
+    const losses = events.filter(([event]) => event === "control-lost");
+    expect(losses).toHaveLength(1);
+  });
+
   // Guards against a new leader that lacks what the one before was told, as the
   // VM that forwards the calls has found it by itself.
   it("reports all again to the next leader behind the same VM", async () => {
--- a/packages/fleet_gateway/table/table_synchronizer.ts
+++ b/packages/fleet_gateway/table/table_synchronizer.ts
@@ -152,6 +152,8 @@
     try {
       return await this.#awaitUpdate(path);
     } catch (failure) {
+      // The leader may have responded on a better path in the meantime.
+      if (this.path !== null && this.path !== path) return true;
       this.#loseLeader(describeFailure(failure), path);
       return false;
     }
