Take the name of the leader for no response to a first request

A gateway got no table at all from a leader whose updates began 0.7 s late, if the other control VMs were of an earlier release, or forwarded as many calls as they may: every other first request goes through one of them, its response, the name of the leader, ended the request to the leader itself, and the gateway started to search again. Old and new control VMs run side by side during each upgrade.

A request on another path ends the others only with an update. Those paths now change among the VMs that name the leader, and each VM that was asked gets new connections before the next request.

--- a/packages/fleet_gateway/table/leader_path_test.ts
+++ b/packages/fleet_gateway/table/leader_path_test.ts
@@ -284,6 +284,23 @@
     expect(synchronizer.path?.through).toBeNull();
   });
 
+  // Failure: the name of the leader, from a VM that forwards nothing, ended the
+  // request to the leader itself, again and again.
+  it.each(["isOfEarlierRelease", "isFull"] as const)(
+    "gets the table of a leader whose updates begin late (others: %s)",
+    async (kind) => {
+      const [leader, ...others] = controls;
+      for (const each of others) each[kind] = true;
+      leader!.updateDelayMilliseconds = 700;
+      // The watch ends with its connection.
+      leader!.fault = PathFault.refused;
+      await pause(100);
+      heal();
+      state.index += 1;
+      expect(await waitForIndex(2)).toBeLessThan(targetMilliseconds);
+    },
+  );
+
   // Failure: a watch that failed on a path that had been left ended the path that
   // was in use.
   it("keeps its own path when a watch through another VM fails late", async () => {
--- a/packages/fleet_gateway/table/table_synchronizer.ts
+++ b/packages/fleet_gateway/table/table_synchronizer.ts
@@ -166,10 +166,16 @@
       return this.#receive(await this.#requestUpdate(path));
     }
     const ending = new AbortController();
-    const paths = new RequestPaths(path);
+    const paths = new RequestPaths<WatchResponse>({
+      path,
+      send: (each, request) => this.#requestUpdate(each, request),
+      isUpdate: ({ answer }) => decodeWatchAnswer(answer).kind === "news",
+    });
     const update = requestUntilBegun({
-      request: (request) => this.#requestUpdate(paths.next(), request),
-      renewConnections: () => this.#options.clients.renew(firstVm(path)),
+      request: (request) => paths.request(request),
+      renewConnections: () => {
+        for (const each of paths.asked) this.#options.clients.renew(each);
+      },
       waitMilliseconds:
         updateIntervalMilliseconds(this.table.gatewayCount || Infinity) +
         watchMarginMilliseconds,
@@ -225,7 +231,7 @@
   async #awaitSuccessor(
     path: LeaderPath,
     { paths, hasEnded }: {
-      readonly paths: RequestPaths;
+      readonly paths: Pick<RequestPaths<unknown>, "recordNamed">;
       readonly hasEnded: () => boolean;
     },
   ): Promise<boolean> {
