Forward quota, suspect and search calls beside watches that are held

While 128 gateways awaited updates of the leader through one control VM, the gateways that asked it next got no allowance, no answer on a request whose runs may end targets, and no leader.

gateway_calls_test.ts, red before: with 128 watches held and a leader that responds at once, the quota call got no answer, and the suspect call and the search "elsewhere". Watches now count by themselves, other calls have the same number of places and as many connections beside them; all three get the leader's answer. That other calls stay bounded has a test of its own.

The clients of the test have the connections that a control VM gives them.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -14,7 +14,7 @@
 import { ExternalCallHandler } from "./external_call_handler.ts";
 import type { Leadership } from "./external_call_handler.ts";
 import { Feature } from "./feature.ts";
-import { GatewayCalls, maximumForwardedCalls } from "./gateway_calls.ts";
+import { forwardingConnections, GatewayCalls } from "./gateway_calls.ts";
 import { decodeGreeting } from "./greeting.ts";
 import { LeaderSession } from "./leader_session.ts";
 import type { FleetReplica } from "./leader_session.ts";
@@ -100,7 +100,7 @@
     this.#externalCalls = new ExternalCallHandler(shared, this);
     this.#forwardClients = new PeerClients({
       ...options,
-      connections: maximumForwardedCalls,
+      connections: forwardingConnections,
     });
     this.#gatewayCalls = new GatewayCalls(
       { ...options, clients: this.#forwardClients },
--- a/packages/fleet_control/gateway_calls.ts
+++ b/packages/fleet_control/gateway_calls.ts
@@ -15,15 +15,22 @@
 import { decodeWatch, encodeWatchAnswer } from "./watch_codec.ts";
 
 /**
- * Calls that are forwarded at the same time: the watches of some hundred
- * gateways, shared by the followers. Each takes a connection.
+ * Watches that are forwarded at the same time, those of some hundred gateways,
+ * shared by the followers; the same number of other calls.
  */
 export const maximumForwardedCalls = 128;
+/** Each forwarded call takes a connection. */
+export const forwardingConnections = 2 * maximumForwardedCalls;
 /** A leader in another region responds well within this time. */
 const forwardTimeoutMilliseconds = 300;
 /** Sufficient for a table of several thousand items on a 2 Mbit/s link. */
 const watchTimeoutMilliseconds = 5000;
 
+/** Calls that are forwarded to the leader. */
+interface Forwarded {
+  count: number;
+}
+
 /** A call as a gateway sends it. */
 interface GatewayCall {
   readonly call: Uint8Array;
@@ -31,6 +38,12 @@
   readonly forward: boolean;
 }
 
+/** Sends a call to the leader. */
+type SendCall<Response> = (
+  leader: Client<typeof Fleet>,
+  options: { readonly timeoutMs: number; readonly signal: AbortSignal },
+) => Promise<Response>;
+
 /** Leadership as {@link GatewayCalls} uses it. */
 export interface GatewayCallLeadership
   extends Pick<Leadership, "session" | "isLeading" | "leaderAddress"> {
@@ -44,7 +57,7 @@
 export interface GatewayCallsOptions {
   readonly peerAddress: string;
   /**
-   * Clients for forwarded calls alone, with {@link maximumForwardedCalls}
+   * Clients for forwarded calls alone, with {@link forwardingConnections}
    * connections: watches that are held must not delay other calls.
    */
   readonly clients: PeerClients;
@@ -60,7 +73,9 @@
   readonly #leadership: GatewayCallLeadership;
   /** Ends the calls that are forwarded to the present leader. */
   #forwarding = createController();
-  #forwardedCount = 0;
+  readonly #forwardedWatches: Forwarded = { count: 0 };
+  /** Searches, suspect and quota calls, to which a leader responds at once. */
+  readonly #forwardedShortCalls: Forwarded = { count: 0 };
   #hasEnded = false;
 
   constructor(
@@ -76,13 +91,14 @@
     const watch = decodeWatch(call);
     const answer = () => answerWatch(watch, this.#leadership);
     if (!forward || this.#leadership.watchedSession) return await answer();
-    const timeoutMs = watch.isSearch
-      ? forwardTimeoutMilliseconds
-      : watchTimeoutMilliseconds;
-    const forwarded = await this.#forward(
-      timeoutMs,
-      (leader, options) => leader.watch({ watch: call }, options),
-    );
+    const send: SendCall<EncodedWatchResponse> = (leader, options) =>
+      leader.watch({ watch: call }, options);
+    const forwarded = watch.isSearch
+      ? await this.#forwardShortCall(send)
+      : await this.#forward(send, {
+        among: this.#forwardedWatches,
+        timeoutMs: watchTimeoutMilliseconds,
+      });
     return forwarded ?? {
       answer: encodeWatchAnswer(this.#leadership.redirect),
       own: new Uint8Array(),
@@ -98,8 +114,7 @@
       return { reply: packValue(session.handleSuspectCall(unpackValue(call))) };
     }
     const forwarded = forward &&
-      await this.#forward(
-        forwardTimeoutMilliseconds,
+      await this.#forwardShortCall(
         (leader, options) => leader.suspect({ call }, options),
       );
     const elsewhere: SuspectReply = { kind: "elsewhere" };
@@ -115,8 +130,7 @@
       return { reply: packValue(session.handleQuotaCall(unpackValue(call))) };
     }
     const forwarded = forward &&
-      await this.#forward(
-        forwardTimeoutMilliseconds,
+      await this.#forwardShortCall(
         (leader, options) => leader.quota({ call }, options),
       );
     const none: QuotaReply = { answer: null };
@@ -135,20 +149,27 @@
     this.#forwarding.abort();
   }
 
+  #forwardShortCall<Response>(
+    send: SendCall<Response>,
+  ): Promise<Response | undefined> {
+    return this.#forward(send, {
+      among: this.#forwardedShortCalls,
+      timeoutMs: forwardTimeoutMilliseconds,
+    });
+  }
+
   /** Returns the leader's response; undefined if there is none. */
   async #forward<Response>(
-    timeoutMs: number,
-    call: (
-      leader: Client<typeof Fleet>,
-      options: { readonly timeoutMs: number; readonly signal: AbortSignal },
-    ) => Promise<Response>,
+    send: SendCall<Response>,
+    options: { readonly among: Forwarded; readonly timeoutMs: number },
   ): Promise<Response | undefined> {
+    const { among, timeoutMs } = options;
     const { clients, logger, peerAddress } = this.#options;
     const address = this.#leadership.leaderAddress;
     if (this.#hasEnded || address === null || address === peerAddress) {
       return undefined;
     }
-    if (this.#forwardedCount >= maximumForwardedCalls) {
+    if (among.count >= maximumForwardedCalls) {
       logger.warn("call-not-forwarded", {
         leader: address,
         reason: "too many calls are forwarded",
@@ -156,9 +177,9 @@
       return undefined;
     }
     const { signal } = this.#forwarding;
-    this.#forwardedCount += 1;
+    among.count += 1;
     try {
-      return await call(clients.client(address, Fleet), { timeoutMs, signal });
+      return await send(clients.client(address, Fleet), { timeoutMs, signal });
     } catch (failure) {
       logger.warn("call-not-forwarded", {
         leader: address,
@@ -166,7 +187,7 @@
       });
       return undefined;
     } finally {
-      this.#forwardedCount -= 1;
+      among.count -= 1;
     }
   }
 }
@@ -174,6 +195,6 @@
 // Each forwarded call listens to its signal.
 function createController(): AbortController {
   const controller = new AbortController();
-  setMaxListeners(maximumForwardedCalls, controller.signal);
+  setMaxListeners(forwardingConnections, controller.signal);
   return controller;
 }
--- a/packages/fleet_control/gateway_calls_test.ts
+++ b/packages/fleet_control/gateway_calls_test.ts
@@ -4,7 +4,11 @@
 import { Fleet } from "@kingcupglade/protocol";
 import { UnaryServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { GatewayCalls, maximumForwardedCalls } from "./gateway_calls.ts";
+import {
+  forwardingConnections,
+  GatewayCalls,
+  maximumForwardedCalls,
+} from "./gateway_calls.ts";
 import { packValue, unpackValue } from "./packed_value.ts";
 import { PeerClients } from "./peer_clients.ts";
 import { decodeWatchAnswer } from "./watch_codec.ts";
@@ -62,7 +66,7 @@
     await new Promise<void>((resolve) =>
       server.listen(Number(port), host, resolve)
     );
-    clients = new PeerClients({ secret, connections: maximumForwardedCalls });
+    clients = new PeerClients({ secret, connections: forwardingConnections });
     leadership = {
       watchedSession: undefined,
       session: undefined,
@@ -87,6 +91,18 @@
     return { answer: decodeWatchAnswer(answer), own };
   }
 
+  /** Has watches take all their places, and the leader respond to others. */
+  async function holdWatches() {
+    isSilent = true;
+    const held = Array.from(
+      { length: maximumForwardedCalls },
+      () => watch(heldWatch),
+    );
+    await expect.poll(() => received.length).toBe(maximumForwardedCalls);
+    isSilent = false;
+    return held;
+  }
+
   describe("that ask for it", () => {
     it("are forwarded, and the response is returned as it is", async () => {
       for (const call of [searchWatch, heldWatch]) {
@@ -158,6 +174,33 @@
       expect((await watch(heldWatch)).answer).toEqual({ kind: "leads" });
     });
 
+    it("are bounded in number also if the leader responds at once", async () => {
+      const searches = Array.from(
+        { length: maximumForwardedCalls + 1 },
+        () => watch(searchWatch),
+      );
+      expect(logger.warn.mock.calls).toEqual([[
+        "call-not-forwarded",
+        { leader: leaderAddress, reason: "too many calls are forwarded" },
+      ]]);
+      expect((await searches.at(-1))?.answer).toEqual(redirect);
+      await Promise.all(searches);
+    });
+
+    // Guards against gateways without allowance, and searches without a leader,
+    // because many gateways await updates through the same VM.
+    it("are forwarded at once while watches take all their places", async () => {
+      const held = await holdWatches();
+      const call = packValue({});
+      const quota = await calls.quota({ call, forward: true });
+      const suspect = await calls.suspect({ call, forward: true });
+      const { answer } = await watch(searchWatch);
+      calls.handleLeaderChange();
+      await Promise.all(held);
+      expect([unpackValue(quota.reply), unpackValue(suspect.reply), answer])
+        .toEqual([{ kind: "granted" }, { kind: "granted" }, { kind: "leads" }]);
+    });
+
     it.each([null, ownAddress])(
       "are not forwarded while the leader is %s",
       async (address) => {
