Tell a method of a peer call when its caller closes the connection

A method that waits for another VM went on waiting after its caller had given up the call, as it learnt nothing of the connection. Methods now get the `signal` of Connect's HandlerContext, aborted when the connection closes before the response. It is created when a method reads it, so that calls made for each request do not pay for it.

unary_services_test.ts, red before: a method that reads the signal failed, as there was no context. Green after: the signal of a call that its caller gave up after 200 ms is aborted, that of an answered call is not.

--- a/packages/transport/unary_services.ts
+++ b/packages/transport/unary_services.ts
@@ -12,14 +12,17 @@
 
 /** Registers the services that a VM provides to the other VMs. */
 export interface ServiceRegistry {
-  /** Registers the implemented unary methods of a service. */
+  /**
+   * Registers the implemented unary methods of a service. Of the context, `signal`
+   * is provided.
+   */
   service<Service extends DescService>(
     service: Service,
     implementation: Partial<ServiceImpl<Service>>,
   ): unknown;
 }
 
-type MethodHandler = (message: unknown) => unknown;
+type MethodHandler = (message: unknown, context: CallContext) => unknown;
 
 interface RegisteredMethod {
   readonly method: DescMethod;
@@ -67,7 +70,7 @@
       });
       return true;
     }
-    this.#callMethod(registered, request).then(
+    this.#callMethod(registered, request, response).then(
       (responseBody) => sendMessage(response, responseBody),
       (failure) => sendFailure(response, failure),
     );
@@ -77,10 +80,14 @@
   async #callMethod(
     registered: RegisteredMethod,
     request: IncomingMessage,
+    response: ServerResponse,
   ): Promise<Uint8Array> {
     const { method, handle } = registered;
     const body = await readBody(request, maximumMessageBytes);
-    const output = await handle(decodeMessage(method, body));
+    const output = await handle(
+      decodeMessage(method, body),
+      new CallContext(response),
+    );
     return toBinary(
       method.output,
       create(method.output, output as never),
@@ -88,6 +95,34 @@
   }
 }
 
+/** What a method learns of its caller. */
+class CallContext {
+  readonly #response: ServerResponse;
+  #signal: AbortSignal | undefined;
+
+  constructor(response: ServerResponse) {
+    this.#response = response;
+  }
+
+  /**
+   * Aborted when the connection is closed before the response. Created when it is
+   * first read: most methods do without.
+   */
+  get signal(): AbortSignal {
+    return this.#signal ??= createClosingSignal(this.#response);
+  }
+}
+
+function createClosingSignal(response: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  const abort = () => {
+    if (!response.writableEnded) controller.abort();
+  };
+  if (response.destroyed) abort();
+  else response.once("close", abort);
+  return controller.signal;
+}
+
 /** Thrown when a body cannot be decoded as the input of its method. */
 class MessageError extends Error {
   override readonly name = "MessageError";
--- a/packages/transport/unary_services_test.ts
+++ b/packages/transport/unary_services_test.ts
@@ -4,7 +4,7 @@
 import { createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
 import { loopbackPrefix } from "@kingcupglade/fakes";
-import { Replication } from "@kingcupglade/protocol";
+import { Fleet, Replication } from "@kingcupglade/protocol";
 import { Pool, request } from "undici";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { HttpListener } from "./http_listener.ts";
@@ -18,6 +18,8 @@
   let server: Server;
   let connections: PeerPool;
   let origin: string;
+  /** Signals of the calls that were received. */
+  const signals: AbortSignal[] = [];
 
   beforeAll(async () => {
     const services = new UnaryServices({ secret });
@@ -28,6 +30,16 @@
         throw new Error("the folder is in use");
       },
     });
+    services.service(Fleet, {
+      suspect: (_, { signal }) => {
+        signals.push(signal);
+        return {};
+      },
+      quota: (_, { signal }) => {
+        signals.push(signal);
+        return new Promise(() => {});
+      },
+    });
     server = createServer((incoming, response) => {
       if (!services.handle(incoming, response)) response.writeHead(404).end();
     });
@@ -77,6 +89,16 @@
     expect((await unaryClient.hello({})).member).toBe(true);
   });
 
+  // Guards against work for callers that have given up their calls.
+  it("tells a method when its caller closes the connection", async () => {
+    const client = createUnaryClient(Fleet, { connections, secret });
+    await client.suspect({});
+    const givenUp = client.quota({}, { timeoutMs: 200 });
+    await expect(givenUp).rejects.toThrow(PeerCallError);
+    await expect.poll(() => signals.map(({ aborted }) => aborted))
+      .toEqual([false, true]);
+  });
+
   it("refuses a body that cannot be decoded", async () => {
     const response = await request(
       `${origin}/kingcupglade.v1.Replication/Found`,
