End forwarded watches that gateways have given up

A gateway gives a watch up after 1.0 to 1.7 s. The control VM that forwarded it to the leader went on waiting for up to 5 s and kept the place of the watch, so that 128 watches to a leader that is silent refused all that came after them, also when the leader responded again.

gateway_calls_test.ts, red before: 128 watches were given up by their gateway, which closed its connections, and another one was still answered "elsewhere" a second later, though the leader responded by then. A forwarded watch now ends with the connection on which it came. The test is green after, over the listener that control VMs use.

Short calls still end by their own time of 300 ms, which is how connections that fell silent are found. Where the end of the connection does not arrive at the VM between, as on a path that is cut in silence, a watch keeps its place for 5 s as before.

Each forwarded call has a controller of its own, which its caller, a change of the leader and the stop of the VM abort; the sets of them also count the calls. The tests pass the connection that `watch` asks for now.

--- a/packages/fleet_control/control_vm.ts
+++ b/packages/fleet_control/control_vm.ts
@@ -208,8 +208,8 @@
           greeting: encodeValue(this.#discovery.greeting),
         });
       },
-      watch: ({ watch, forward }) =>
-        this.#gatewayCalls.watch({ call: watch, forward }),
+      watch: ({ watch, forward }, context) =>
+        this.#gatewayCalls.watch({ call: watch, forward }, context),
       suspect: (call) => this.#gatewayCalls.suspect(call),
       quota: (call) => this.#gatewayCalls.quota(call),
       relay: async ({ call }) => ({
--- a/packages/fleet_control/gateway_calls.ts
+++ b/packages/fleet_control/gateway_calls.ts
@@ -1,4 +1,3 @@
-import { setMaxListeners } from "node:events";
 import type { Client } from "@connectrpc/connect";
 import { Fleet } from "@kingcupglade/protocol";
 import type { QuotaReply } from "@kingcupglade/quotas";
@@ -26,10 +25,8 @@
 /** Sufficient for a table of several thousand items on a 2 Mbit/s link. */
 const watchTimeoutMilliseconds = 5000;
 
-/** Calls that are forwarded to the leader. */
-interface Forwarded {
-  count: number;
-}
+/** Calls that are forwarded to the leader, by what ends them. */
+type Forwarded = Set<AbortController>;
 
 /** A call as a gateway sends it. */
 interface GatewayCall {
@@ -38,6 +35,12 @@
   readonly forward: boolean;
 }
 
+/** The connection on which a gateway sends a call. */
+interface GatewayConnection {
+  /** Aborted when the gateway closes the connection. */
+  readonly signal: AbortSignal;
+}
+
 /** Sends a call to the leader. */
 type SendCall<Response> = (
   leader: Client<typeof Fleet>,
@@ -71,11 +74,9 @@
 export class GatewayCalls {
   readonly #options: GatewayCallsOptions;
   readonly #leadership: GatewayCallLeadership;
-  /** Ends the calls that are forwarded to the present leader. */
-  #forwarding = createController();
-  readonly #forwardedWatches: Forwarded = { count: 0 };
+  readonly #forwardedWatches: Forwarded = new Set();
   /** Searches, suspect and quota calls, to which a leader responds at once. */
-  readonly #forwardedShortCalls: Forwarded = { count: 0 };
+  readonly #forwardedShortCalls: Forwarded = new Set();
   #hasEnded = false;
 
   constructor(
@@ -86,8 +87,11 @@
     this.#leadership = leadership;
   }
 
-  /** Answers a watch request. */
-  async watch({ call, forward }: GatewayCall): Promise<EncodedWatchResponse> {
+  /** Answers a watch request, or ends it when the gateway gives it up. */
+  async watch(
+    { call, forward }: GatewayCall,
+    connection: GatewayConnection,
+  ): Promise<EncodedWatchResponse> {
     const watch = decodeWatch(call);
     const answer = () => answerWatch(watch, this.#leadership);
     if (!forward || this.#leadership.watchedSession) return await answer();
@@ -98,6 +102,7 @@
       : await this.#forward(send, {
         among: this.#forwardedWatches,
         timeoutMs: watchTimeoutMilliseconds,
+        signal: connection.signal,
       });
     return forwarded ?? {
       answer: encodeWatchAnswer(this.#leadership.redirect),
@@ -139,14 +144,18 @@
 
   /** Ends the calls that wait for a former leader. */
   handleLeaderChange(): void {
-    this.#forwarding.abort();
-    this.#forwarding = createController();
+    this.#endForwarded();
   }
 
   /** Ends the calls in progress and forwards no more. */
   end(): void {
     this.#hasEnded = true;
-    this.#forwarding.abort();
+    this.#endForwarded();
+  }
+
+  #endForwarded(): void {
+    const forwarded = [...this.#forwardedWatches, ...this.#forwardedShortCalls];
+    for (const each of forwarded) each.abort();
   }
 
   #forwardShortCall<Response>(
@@ -161,25 +170,36 @@
   /** Returns the leader's response; undefined if there is none. */
   async #forward<Response>(
     send: SendCall<Response>,
-    options: { readonly among: Forwarded; readonly timeoutMs: number },
+    options: {
+      readonly among: Forwarded;
+      readonly timeoutMs: number;
+      /** Ends the call. @default none */
+      readonly signal?: AbortSignal;
+    },
   ): Promise<Response | undefined> {
-    const { among, timeoutMs } = options;
+    const { among, timeoutMs, signal } = options;
     const { clients, logger, peerAddress } = this.#options;
     const address = this.#leadership.leaderAddress;
     if (this.#hasEnded || address === null || address === peerAddress) {
       return undefined;
     }
-    if (among.count >= maximumForwardedCalls) {
+    if (signal?.aborted) return undefined;
+    if (among.size >= maximumForwardedCalls) {
       logger.warn("call-not-forwarded", {
         leader: address,
         reason: "too many calls are forwarded",
       });
       return undefined;
     }
-    const { signal } = this.#forwarding;
-    among.count += 1;
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    signal?.addEventListener("abort", abort, { once: true });
+    among.add(controller);
     try {
-      return await send(clients.client(address, Fleet), { timeoutMs, signal });
+      return await send(clients.client(address, Fleet), {
+        timeoutMs,
+        signal: controller.signal,
+      });
     } catch (failure) {
       logger.warn("call-not-forwarded", {
         leader: address,
@@ -187,14 +207,8 @@
       });
       return undefined;
     } finally {
-      among.count -= 1;
+      signal?.removeEventListener("abort", abort);
+      among.delete(controller);
     }
   }
 }
-
-// Each forwarded call listens to its signal.
-function createController(): AbortController {
-  const controller = new AbortController();
-  setMaxListeners(forwardingConnections, controller.signal);
-  return controller;
-}
--- a/packages/fleet_control/gateway_calls_test.ts
+++ b/packages/fleet_control/gateway_calls_test.ts
@@ -1,8 +1,9 @@
+import { setMaxListeners } from "node:events";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import { loopbackPrefix } from "@kingcupglade/fakes";
 import { Fleet } from "@kingcupglade/protocol";
-import { UnaryServices } from "@kingcupglade/transport";
+import { HttpListener, UnaryServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import {
   forwardingConnections,
@@ -87,7 +88,10 @@
   });
 
   async function watch(call: Uint8Array, forward = true) {
-    const { answer, own } = await calls.watch({ call, forward });
+    const { answer, own } = await calls.watch(
+      { call, forward },
+      keptConnection(),
+    );
     return { answer: decodeWatchAnswer(answer), own };
   }
 
@@ -121,7 +125,7 @@
     // the leader.
     it("are forwarded once", async () => {
       const call = packValue({});
-      await calls.watch({ call: searchWatch, forward: true });
+      await calls.watch({ call: searchWatch, forward: true }, keptConnection());
       await calls.suspect({ call, forward: true });
       await calls.quota({ call, forward: true });
       expect(received.map(({ forward }) => forward))
@@ -201,6 +205,43 @@
         .toEqual([{ kind: "granted" }, { kind: "granted" }, { kind: "leads" }]);
     });
 
+    // Guards against gateways that find no place because of watches that others
+    // have given up.
+    it("leave their places when the gateway closes its connection", async () => {
+      const services = new UnaryServices({ secret });
+      services.service(Fleet, {
+        watch: ({ watch, forward }, context) =>
+          calls.watch({ call: watch, forward }, context),
+      });
+      const follower = await HttpListener.open({
+        name: "peers",
+        address: ownAddress,
+        handler: (request, response) => void services.handle(request, response),
+      });
+      const connections = maximumForwardedCalls;
+      const gateway = new PeerClients({ secret, connections });
+      const client = gateway.client(ownAddress, Fleet);
+      const givingUp = new AbortController();
+      setMaxListeners(maximumForwardedCalls, givingUp.signal);
+      try {
+        isSilent = true;
+        const { signal } = givingUp;
+        const held = Array.from(
+          { length: maximumForwardedCalls },
+          () => client.watch({ watch: heldWatch, forward: true }, { signal }),
+        );
+        await expect.poll(() => received.length).toBe(maximumForwardedCalls);
+        isSilent = false;
+        givingUp.abort();
+        await Promise.allSettled(held);
+        await expect.poll(async () => (await watch(heldWatch)).answer)
+          .toEqual({ kind: "leads" });
+      } finally {
+        gateway.close();
+        follower.destroy();
+      }
+    });
+
     it.each([null, ownAddress])(
       "are not forwarded while the leader is %s",
       async (address) => {
@@ -223,3 +264,8 @@
     expect(received).toEqual([]);
   });
 });
+
+/** The connection of a gateway that keeps it. */
+function keptConnection(): { readonly signal: AbortSignal } {
+  return { signal: new AbortController().signal };
+}
