--- a/packages/fleet_control/gateway_calls.ts
+++ b/packages/fleet_control/gateway_calls.ts
@@ -1,4 +1,3 @@
-import { setMaxListeners } from "node:events";
 import type { Client } from "@connectrpc/connect";
 import { Fleet } from "@kingcupglade/protocol";
 import type { QuotaReply } from "@kingcupglade/quotas";
@@ -15,15 +14,20 @@
 import { decodeWatch, encodeWatchAnswer } from "./watch_codec.ts";
 
 /**
- * Calls that are forwarded at the same time: the watches of some hundred
- * gateways, shared by the followers. Each takes a connection.
+ * Watches that are forwarded at the same time, those of some hundred gateways,
+ * shared by the followers; the same number of other calls.
  */
 export const maximumForwardedCalls = 128;
+/** Each forwarded call takes a connection. */
+export const forwardingConnections = 2 * maximumForwardedCalls;
 /** A leader in another region responds well within this time. */
 const forwardTimeoutMilliseconds = 300;
 /** Sufficient for a table of several thousand items on a 2 Mbit/s link. */
 const watchTimeoutMilliseconds = 5000;
 
+/** Calls that are forwarded to the leader, by what ends them. */
+type Forwarded = Set<AbortController>;
+
 /** A call as a gateway sends it. */
 interface GatewayCall {
   readonly call: Uint8Array;
@@ -31,6 +35,18 @@
   readonly forward: boolean;
 }
 
+/** The connection on which a gateway sends a call. */
+interface GatewayConnection {
+  /** Aborted when the gateway closes the connection. */
+  readonly signal: AbortSignal;
+}
+
+/** Sends a call to the leader. */
+type SendCall<Response> = (
+  leader: Client<typeof Fleet>,
+  options: { readonly timeoutMs: number; readonly signal: AbortSignal },
+) => Promise<Response>;
+
 /** Leadership as {@link GatewayCalls} uses it. */
 export interface GatewayCallLeadership
   extends Pick<Leadership, "session" | "isLeading" | "leaderAddress"> {
@@ -44,7 +60,7 @@
 export interface GatewayCallsOptions {
   readonly peerAddress: string;
   /**
-   * Clients for forwarded calls alone, with {@link maximumForwardedCalls}
+   * Clients for forwarded calls alone, with {@link forwardingConnections}
    * connections: watches that are held must not delay other calls.
    */
   readonly clients: PeerClients;
@@ -58,9 +74,9 @@
 export class GatewayCalls {
   readonly #options: GatewayCallsOptions;
   readonly #leadership: GatewayCallLeadership;
-  /** Ends the calls that are forwarded to the present leader. */
-  #forwarding = createController();
-  #forwardedCount = 0;
+  readonly #forwardedWatches: Forwarded = new Set();
+  /** Searches, suspect and quota calls, to which a leader responds at once. */
+  readonly #forwardedShortCalls: Forwarded = new Set();
   #hasEnded = false;
 
   constructor(
@@ -71,18 +87,23 @@
     this.#leadership = leadership;
   }
 
-  /** Answers a watch request. */
-  async watch({ call, forward }: GatewayCall): Promise<EncodedWatchResponse> {
+  /** Answers a watch request, or ends it when the gateway gives it up. */
+  async watch(
+    { call, forward }: GatewayCall,
+    connection: GatewayConnection,
+  ): Promise<EncodedWatchResponse> {
     const watch = decodeWatch(call);
     const answer = () => answerWatch(watch, this.#leadership);
     if (!forward || this.#leadership.watchedSession) return await answer();
-    const timeoutMs = watch.isSearch
-      ? forwardTimeoutMilliseconds
-      : watchTimeoutMilliseconds;
-    const forwarded = await this.#forward(
-      timeoutMs,
-      (leader, options) => leader.watch({ watch: call }, options),
-    );
+    const send: SendCall<EncodedWatchResponse> = (leader, options) =>
+      leader.watch({ watch: call }, options);
+    const forwarded = watch.isSearch
+      ? await this.#forwardShortCall(send)
+      : await this.#forward(send, {
+        among: this.#forwardedWatches,
+        timeoutMs: watchTimeoutMilliseconds,
+        signal: connection.signal,
+      });
     return forwarded ?? {
       answer: encodeWatchAnswer(this.#leadership.redirect),
       own: new Uint8Array(),
@@ -98,8 +119,7 @@
       return { reply: packValue(session.handleSuspectCall(unpackValue(call))) };
     }
     const forwarded = forward &&
-      await this.#forward(
-        forwardTimeoutMilliseconds,
+      await this.#forwardShortCall(
         (leader, options) => leader.suspect({ call }, options),
       );
     const elsewhere: SuspectReply = { kind: "elsewhere" };
@@ -115,8 +135,7 @@
       return { reply: packValue(session.handleQuotaCall(unpackValue(call))) };
     }
     const forwarded = forward &&
-      await this.#forward(
-        forwardTimeoutMilliseconds,
+      await this.#forwardShortCall(
         (leader, options) => leader.quota({ call }, options),
       );
     const none: QuotaReply = { answer: null };
@@ -125,40 +144,62 @@
 
   /** Ends the calls that wait for a former leader. */
   handleLeaderChange(): void {
-    this.#forwarding.abort();
-    this.#forwarding = createController();
+    this.#endForwarded();
   }
 
   /** Ends the calls in progress and forwards no more. */
   end(): void {
     this.#hasEnded = true;
-    this.#forwarding.abort();
+    this.#endForwarded();
+  }
+
+  #endForwarded(): void {
+    const forwarded = [...this.#forwardedWatches, ...this.#forwardedShortCalls];
+    for (const each of forwarded) each.abort();
+  }
+
+  #forwardShortCall<Response>(
+    send: SendCall<Response>,
+  ): Promise<Response | undefined> {
+    return this.#forward(send, {
+      among: this.#forwardedShortCalls,
+      timeoutMs: forwardTimeoutMilliseconds,
+    });
   }
 
   /** Returns the leader's response; undefined if there is none. */
   async #forward<Response>(
-    timeoutMs: number,
-    call: (
-      leader: Client<typeof Fleet>,
-      options: { readonly timeoutMs: number; readonly signal: AbortSignal },
-    ) => Promise<Response>,
+    send: SendCall<Response>,
+    options: {
+      readonly among: Forwarded;
+      readonly timeoutMs: number;
+      /** Ends the call. @default none */
+      readonly signal?: AbortSignal;
+    },
   ): Promise<Response | undefined> {
+    const { among, timeoutMs, signal } = options;
     const { clients, logger, peerAddress } = this.#options;
     const address = this.#leadership.leaderAddress;
     if (this.#hasEnded || address === null || address === peerAddress) {
       return undefined;
     }
-    if (this.#forwardedCount >= maximumForwardedCalls) {
+    if (signal?.aborted) return undefined;
+    if (among.size >= maximumForwardedCalls) {
       logger.warn("call-not-forwarded", {
         leader: address,
         reason: "too many calls are forwarded",
       });
       return undefined;
     }
-    const { signal } = this.#forwarding;
-    this.#forwardedCount += 1;
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    signal?.addEventListener("abort", abort, { once: true });
+    among.add(controller);
     try {
-      return await call(clients.client(address, Fleet), { timeoutMs, signal });
+      return await send(clients.client(address, Fleet), {
+        timeoutMs,
+        signal: controller.signal,
+      });
     } catch (failure) {
       logger.warn("call-not-forwarded", {
         leader: address,
@@ -166,14 +207,8 @@
       });
       return undefined;
     } finally {
-      this.#forwardedCount -= 1;
+      signal?.removeEventListener("abort", abort);
+      among.delete(controller);
     }
   }
 }
-
-// Each forwarded call listens to its signal.
-function createController(): AbortController {
-  const controller = new AbortController();
-  setMaxListeners(maximumForwardedCalls, controller.signal);
-  return controller;
-}
--- a/packages/fleet_control/gateway_calls_test.ts
+++ b/packages/fleet_control/gateway_calls_test.ts
@@ -1,10 +1,15 @@
+import { setMaxListeners } from "node:events";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import { loopbackPrefix } from "@kingcupglade/fakes";
 import { Fleet } from "@kingcupglade/protocol";
-import { UnaryServices } from "@kingcupglade/transport";
+import { HttpListener, UnaryServices } from "@kingcupglade/transport";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { GatewayCalls, maximumForwardedCalls } from "./gateway_calls.ts";
+import {
+  forwardingConnections,
+  GatewayCalls,
+  maximumForwardedCalls,
+} from "./gateway_calls.ts";
 import { packValue, unpackValue } from "./packed_value.ts";
 import { PeerClients } from "./peer_clients.ts";
 import { decodeWatchAnswer } from "./watch_codec.ts";
@@ -62,7 +67,7 @@
     await new Promise<void>((resolve) =>
       server.listen(Number(port), host, resolve)
     );
-    clients = new PeerClients({ secret, connections: maximumForwardedCalls });
+    clients = new PeerClients({ secret, connections: forwardingConnections });
     leadership = {
       watchedSession: undefined,
       session: undefined,
@@ -83,10 +88,25 @@
   });
 
   async function watch(call: Uint8Array, forward = true) {
-    const { answer, own } = await calls.watch({ call, forward });
+    const { answer, own } = await calls.watch(
+      { call, forward },
+      keptConnection(),
+    );
     return { answer: decodeWatchAnswer(answer), own };
   }
 
+  /** Has watches take all their places, and the leader respond to others. */
+  async function holdWatches() {
+    isSilent = true;
+    const held = Array.from(
+      { length: maximumForwardedCalls },
+      () => watch(heldWatch),
+    );
+    await expect.poll(() => received.length).toBe(maximumForwardedCalls);
+    isSilent = false;
+    return held;
+  }
+
   describe("that ask for it", () => {
     it("are forwarded, and the response is returned as it is", async () => {
       for (const call of [searchWatch, heldWatch]) {
@@ -105,7 +125,7 @@
     // the leader.
     it("are forwarded once", async () => {
       const call = packValue({});
-      await calls.watch({ call: searchWatch, forward: true });
+      await calls.watch({ call: searchWatch, forward: true }, keptConnection());
       await calls.suspect({ call, forward: true });
       await calls.quota({ call, forward: true });
       expect(received.map(({ forward }) => forward))
@@ -158,6 +178,70 @@
       expect((await watch(heldWatch)).answer).toEqual({ kind: "leads" });
     });
 
+    it("are bounded in number also if the leader responds at once", async () => {
+      const searches = Array.from(
+        { length: maximumForwardedCalls + 1 },
+        () => watch(searchWatch),
+      );
+      expect(logger.warn.mock.calls).toEqual([[
+        "call-not-forwarded",
+        { leader: leaderAddress, reason: "too many calls are forwarded" },
+      ]]);
+      expect((await searches.at(-1))?.answer).toEqual(redirect);
+      await Promise.all(searches);
+    });
+
+    // Guards against gateways without allowance, and searches without a leader,
+    // because many gateways await updates through the same VM.
+    it("are forwarded at once while watches take all their places", async () => {
+      const held = await holdWatches();
+      const call = packValue({});
+      const quota = await calls.quota({ call, forward: true });
+      const suspect = await calls.suspect({ call, forward: true });
+      const { answer } = await watch(searchWatch);
+      calls.handleLeaderChange();
+      await Promise.all(held);
+      expect([unpackValue(quota.reply), unpackValue(suspect.reply), answer])
+        .toEqual([{ kind: "granted" }, { kind: "granted" }, { kind: "leads" }]);
+    });
+
+    // Guards against gateways that find no place because of watches that others
+    // have given up.
+    it("leave their places when the gateway closes its connection", async () => {
+      const services = new UnaryServices({ secret });
+      services.service(Fleet, {
+        watch: ({ watch, forward }, context) =>
+          calls.watch({ call: watch, forward }, context),
+      });
+      const follower = await HttpListener.open({
+        name: "peers",
+        address: ownAddress,
+        handler: (request, response) => void services.handle(request, response),
+      });
+      const connections = maximumForwardedCalls;
+      const gateway = new PeerClients({ secret, connections });
+      const client = gateway.client(ownAddress, Fleet);
+      const givingUp = new AbortController();
+      setMaxListeners(maximumForwardedCalls, givingUp.signal);
+      try {
+        isSilent = true;
+        const { signal } = givingUp;
+        const held = Array.from(
+          { length: maximumForwardedCalls },
+          () => client.watch({ watch: heldWatch, forward: true }, { signal }),
+        );
+        await expect.poll(() => received.length).toBe(maximumForwardedCalls);
+        isSilent = false;
+        givingUp.abort();
+        await Promise.allSettled(held);
+        await expect.poll(async () => (await watch(heldWatch)).answer)
+          .toEqual({ kind: "leads" });
+      } finally {
+        gateway.close();
+        follower.destroy();
+      }
+    });
+
     it.each([null, ownAddress])(
       "are not forwarded while the leader is %s",
       async (address) => {
@@ -180,3 +264,8 @@
     expect(received).toEqual([]);
   });
 });
+
+/** The connection of a gateway that keeps it. */
+function keptConnection(): { readonly signal: AbortSignal } {
+  return { signal: new AbortController().signal };
+}
