Bind later leaders to a departure of a target that nobody was heard under

Callers: a target that had left by a DELETE without a start, acknowledged with 200 after a 503, received requests again after the next change of leader.

Cause: a leader that heard nobody under the name committed an entry with the latest start of the log, or 0. Gateways dropped the incarnation that they knew, but the next leader took its late heartbeat for a later incarnation.

Change: the entry names the latest start that the request can be meant for: the leader's time of day, or a later start of the name that the log or the leader knows; again before the acknowledgement, as the target may have started anew between the requests. All starts of the name stay held for a minute, for clocks that differ. The leader keeps apart which start is certain (latest_starts.ts): after the minute, an incarnation on a clock that is behind is used, and its own departure gets an entry with a new index though the log names a later start. No entry has a new form.

Not covered: later leaders have no mark for a start that is not certain, so one keeps out an incarnation that started before the first leader's time of day, as before; a clock behind the target's start binds no later leader. The minute in which a new incarnation gets no requests stays: heartbeats can't tell it from the one that left. Both are in the postmortem.

--- a/packages/fleet_control/leader_session.ts
+++ b/packages/fleet_control/leader_session.ts
@@ -124,8 +124,16 @@
       term: this.term,
       wake: (gateway) => this.#waiters.wake(gateway),
     });
+    this.#departures = new TargetDepartures({
+      ...options,
+      registry: this.#registry,
+      hearingMilliseconds: this.#hearingMilliseconds,
+      isComplete: () => this.isComplete,
+      notifyChange: () => this.notifyChange(),
+    });
     this.#targetViews = new TargetViews({
       ...options,
+      departures: this.#departures,
       registry: this.#registry,
       revisions: this.#revisions,
       managers: this.#managers,
@@ -140,13 +148,6 @@
       isComplete: () => this.isComplete,
       onChange: () => this.notifyChange(),
     });
-    this.#departures = new TargetDepartures({
-      ...options,
-      registry: this.#registry,
-      hearingMilliseconds: this.#hearingMilliseconds,
-      isComplete: () => this.isComplete,
-      notifyChange: () => this.notifyChange(),
-    });
     this.#updates = new UpdateEncoder({
       ...options,
       term: this.term,
--- a/packages/fleet_control/target_departures.ts
+++ b/packages/fleet_control/target_departures.ts
@@ -9,6 +9,7 @@
 import type { Logger } from "@kingcupglade/telemetry";
 import { HeldTargets } from "./held_targets.ts";
 import type { FleetReplica } from "./leader_session.ts";
+import { LatestStarts } from "./latest_starts.ts";
 import { isFromFuture } from "./may_register.ts";
 import type { Watch } from "./watch.ts";
 
@@ -30,10 +31,12 @@
 export class TargetDepartures {
   readonly #options: TargetDeparturesOptions;
   readonly #held: HeldTargets;
+  readonly #latest: LatestStarts;
 
   constructor(options: TargetDeparturesOptions) {
     this.#options = options;
     this.#held = new HeldTargets(options);
+    this.#latest = new LatestStarts({ ...options, held: this.#held });
   }
 
   /**
@@ -66,10 +69,15 @@
 
   /** Departure that applies to an incarnation, if there may be one. */
   departureOf({ target, bornAt }: TargetIncarnation): Departure | undefined {
-    const stored = this.#options.replica.state.departures.get(target);
+    const certain = this.certainOf(target);
     return this.#held.has(target)
-      ? { kind: DepartureKind.gone, bornAt, changedAt: stored?.changedAt ?? 0 }
-      : stored;
+      ? { kind: DepartureKind.gone, bornAt, changedAt: certain?.changedAt ?? 0 }
+      : certain;
+  }
+
+  /** Departure of a target up to the start that is known to have left. */
+  certainOf(target: string): Departure | undefined {
+    return this.#latest.certainOf(target);
   }
 
   async #removeUnheard(target: string): Promise<boolean> {
@@ -81,21 +89,28 @@
       const departure = this.departureOf(known.incarnation);
       if (departure) registry.recordDeparture(target, departure);
     }
-    if (!held.isRecorded) {
+    const isHeardOut = clock.now() - held.since >= hearingMilliseconds;
+    // Again before an acknowledgement, which may be for a later incarnation than
+    // the first request was.
+    if (!held.isRecorded || isHeardOut) {
       const index = await this.#recordUnheard(target);
       held.isRecorded = true;
       logger.info("target-held", { target, isHeard: !!known, index });
     }
     notifyChange();
-    return !known && clock.now() - held.since >= hearingMilliseconds;
+    return isHeardOut && !registry.get(target);
   }
 
   // By the entry, gateways of all terms stop to use the incarnation that they
-  // know. It names the latest start that earlier entries name, as no other is
-  // certain.
+  // know, and later leaders use none up to the start that it names.
   async #recordUnheard(target: string): Promise<number | null> {
-    const { replica } = this.#options;
-    const { bornAt = 0 } = replica.state.departures.get(target) ?? {};
+    const { replica, registry } = this.#options;
+    const bornAt = Math.max(
+      Date.now(),
+      replica.state.departures.get(target)?.bornAt ?? 0,
+      registry.get(target)?.incarnation.bornAt ?? 0,
+    );
+    this.#latest.add(target, bornAt);
     const departure = DepartureKind.gone;
     await replica.propose({ kind: "depart", target, bornAt, departure });
     return replica.state.departures.get(target)?.changedAt ?? null;
@@ -108,20 +123,21 @@
   ): Promise<void> {
     const { replica, registry, logger, notifyChange } = this.#options;
     const { bornAt, kind } = departure;
-    const known = replica.state.departures.get(target);
+    const known = this.certainOf(target);
     const isKnown = known && known.bornAt >= bornAt &&
       (known.kind === kind || known.kind === DepartureKind.gone);
     if (!isKnown) {
       await replica.propose({
         kind: "depart",
         target,
-        bornAt,
+        bornAt: this.#latest.namedFor(target, bornAt),
         departure: kind,
       });
+      this.#latest.confirm(target, bornAt);
       const index = replica.state.departures.get(target)?.changedAt ?? null;
       logger.info("target-leaves", { target, kind, bornAt, index });
     }
-    const stored = replica.state.departures.get(target);
+    const stored = this.certainOf(target);
     if (stored) registry.recordDeparture(target, stored);
     notifyChange();
   }
--- a/packages/fleet_control/target_views.ts
+++ b/packages/fleet_control/target_views.ts
@@ -6,16 +6,16 @@
   TargetRegistry,
   TargetView,
 } from "@kingcupglade/fleet";
-import type { FleetReplica } from "./leader_session.ts";
 import type { LimitDirectory } from "./limit_directory.ts";
 import type { ManagerDirectory } from "./manager_directory.ts";
+import type { TargetDepartures } from "./target_departures.ts";
 
 /** Time for which a cold target assigned by an earlier leader may be used. */
 const coldLeaseMilliseconds = 2500;
 
 /** Options of {@link TargetViews}. */
 export interface TargetViewsOptions {
-  readonly replica: FleetReplica;
+  readonly departures: TargetDepartures;
   readonly registry: TargetRegistry;
   readonly revisions: RevisionCounter;
   readonly managers: ManagerDirectory;
@@ -65,7 +65,7 @@
   listedOf(target: RegisteredTarget): ListedTarget {
     const { incarnation, service, address, dataCentre, slots } = target;
     const { target: name } = incarnation;
-    const departure = this.#options.replica.state.departures.get(name);
+    const departure = this.#options.departures.certainOf(name);
     return {
       name,
       bornAt: incarnation.bornAt,
--- a/packages/fleet_control/update_encoder.ts
+++ b/packages/fleet_control/update_encoder.ts
@@ -107,7 +107,10 @@
         .map(([name]) => name),
       departed: [...state.departures].filter(([name, departure]) =>
         departure.changedAt > position.index &&
-        !departures.hasLaterIncarnation(name, departure)
+        !departures.hasLaterIncarnation(
+          name,
+          departures.certainOf(name) ?? departure,
+        )
       ).map(([name]) => name),
       targets: targetViews.changesSince(isFullUpdate ? -1 : since, now),
       areTargetsComplete: isFullUpdate,
