Forward one search for all gateways that search at the same time

The leader's answer to a search depends on nothing but the features of the gateway. Gateways with the same ones now share the answer to the search in progress.

gateway_calls_test.ts, red before: 9 searches at a time took 9 calls and 9 connections (now one), and 4 searches with three lists of features 4 calls (now 3). The test of the bound of short calls sends quota calls in place of searches, which no longer take a place each.

--- a/packages/fleet_control/gateway_calls.ts
+++ b/packages/fleet_control/gateway_calls.ts
@@ -8,7 +8,7 @@
 import { packValue, unpackValue } from "./packed_value.ts";
 import type { PeerClients } from "./peer_clients.ts";
 import type { SuspectReply } from "./suspect_call.ts";
-import type { WatchAnswer } from "./watch.ts";
+import type { Watch, WatchAnswer } from "./watch.ts";
 import { answerWatch } from "./watch_call.ts";
 import type { EncodedWatchResponse } from "./watch_call.ts";
 import { decodeWatch, encodeWatchAnswer } from "./watch_codec.ts";
@@ -77,6 +77,11 @@
   readonly #forwardedWatches: Forwarded = new Set();
   /** Searches, suspect and quota calls, to which a leader responds at once. */
   readonly #forwardedShortCalls: Forwarded = new Set();
+  /** Searches that wait for a leader's response. */
+  readonly #searches = new Map<
+    string,
+    Promise<EncodedWatchResponse | undefined>
+  >();
   #hasEnded = false;
 
   constructor(
@@ -98,7 +103,7 @@
     const send: SendCall<EncodedWatchResponse> = (leader, options) =>
       leader.watch({ watch: call }, options);
     const forwarded = watch.isSearch
-      ? await this.#forwardShortCall(send)
+      ? await this.#forwardSearch(watch, send)
       : await this.#forward(send, {
         among: this.#forwardedWatches,
         timeoutMs: watchTimeoutMilliseconds,
@@ -158,6 +163,26 @@
     for (const each of forwarded) each.abort();
   }
 
+  /**
+   * Returns the leader's response to a search in progress, if there is one: it
+   * depends on nothing but the features of the gateway.
+   */
+  async #forwardSearch(
+    { features }: Watch,
+    send: SendCall<EncodedWatchResponse>,
+  ): Promise<EncodedWatchResponse | undefined> {
+    const id = JSON.stringify([this.#leadership.leaderAddress, features]);
+    const known = this.#searches.get(id);
+    if (known) return await known;
+    const search = this.#forwardShortCall(send);
+    this.#searches.set(id, search);
+    try {
+      return await search;
+    } finally {
+      this.#searches.delete(id);
+    }
+  }
+
   #forwardShortCall<Response>(
     send: SendCall<Response>,
   ): Promise<Response | undefined> {
--- a/packages/fleet_control/gateway_calls_test.ts
+++ b/packages/fleet_control/gateway_calls_test.ts
@@ -179,16 +179,52 @@
     });
 
     it("are bounded in number also if the leader responds at once", async () => {
-      const searches = Array.from(
+      const call = packValue({});
+      const quotas = Array.from(
         { length: maximumForwardedCalls + 1 },
-        () => watch(searchWatch),
+        () => calls.quota({ call, forward: true }),
       );
       expect(logger.warn.mock.calls).toEqual([[
         "call-not-forwarded",
         { leader: leaderAddress, reason: "too many calls are forwarded" },
       ]]);
-      expect((await searches.at(-1))?.answer).toEqual(redirect);
-      await Promise.all(searches);
+      const { reply: last } = await quotas.at(-1)!;
+      expect(unpackValue(last)).toEqual({ answer: null });
+      await Promise.all(quotas);
+    });
+
+    // Guards against a connection to a silent leader for each gateway that
+    // searches, opened again at each repetition.
+    it("are one search for all gateways that search at the time", async () => {
+      isSilent = true;
+      let connectionCount = 0;
+      server.on("connection", () => (connectionCount += 1));
+      const search = (index: number) =>
+        packValue({ gateway: `g-${index}`, isSearch: true, demand: [] });
+      const searches = Array.from(
+        { length: 9 },
+        (_, index) => watch(search(index)),
+      );
+      const answers = await Promise.all(searches);
+      expect(answers.map(({ answer }) => answer))
+        .toEqual(Array(9).fill(redirect));
+      expect([received.length, connectionCount]).toEqual([1, 1]);
+      isSilent = false;
+      const { answer } = await watch(searchWatch);
+      expect(answer).toEqual({ kind: "leads" });
+    });
+
+    // Guards against a gateway that gets the leader's answer to a later release.
+    it("are a search of their own for gateways with other features", async () => {
+      const search = (features: readonly string[]) =>
+        packValue({ gateway: "g", isSearch: true, demand: [], features });
+      const searches = [["a"], ["a", "b"], [], ["a"]].map((features) =>
+        watch(search(features))
+      );
+      const answers = await Promise.all(searches);
+      expect(answers.map(({ answer }) => answer.kind))
+        .toEqual(Array(4).fill("leads"));
+      expect(received).toHaveLength(3);
     });
 
     // Guards against gateways without allowance, and searches without a leader,
