Judge each attempt of an exploration's request by its own response

stuttering_exploration_test.ts, "not relayed, idempotent", was red at high loads with texts such as "q6n23: 204 instead of 404" and "q30n15: 195442 of 292762 bytes, open". Both are faults of its judge; no caller got a response that was another's, or a part that looked whole.

An idempotent request whose response is overdue for 375 ms, as after a stall of the test's event loop, is sent a second time. The target kept what it meant by the request's name, so that the second response replaced the first, to which the caller's was then compared.

A caller leaves after 175 ms without bytes. If it left within a response without a length, the part was judged as if its connection had ended in order.

A response now names its attempt, in its head and throughout its body, and is compared with what was meant for that attempt, so that a head of one with bytes of the other is found. A part whose caller read no end must be the beginning of its own body. What the replaced comparison found beside that is checked by itself: no request comes twice on one connection, where a copy of the first response would pass for the second, and none has more attempts than its route allows. Not told apart: a whole 500 of the first attempt although the second was answered, which is the request's own response.

--- a/packages/fleet_gateway/exchanges/stuttering_exploration_test.ts
+++ b/packages/fleet_gateway/exchanges/stuttering_exploration_test.ts
@@ -30,12 +30,14 @@
   readonly requests: readonly SentRequest[];
   readonly text: string;
   readonly wasReset: boolean;
+  /** Whether the caller read the end of its connection, which it may leave before. */
+  readonly hasEnded: boolean;
 }
 
 /** Returns what is wrong with the responses on a caller's connection. */
 function judge(
-  { requests, text, wasReset }: CallerBytes,
-  meant: ReadonlyMap<string, MeantResponse>,
+  { requests, text, wasReset, hasEnded }: CallerBytes,
+  meant: ReadonlyMap<string, readonly MeantResponse[]>,
 ): string | undefined {
   let rest = text;
   for (const { name, isHead } of requests) {
@@ -55,8 +57,12 @@
       if (!isOwn) return `${name}: ${status} of no target`;
       continue;
     }
-    const own = meant.get(name);
     if (id !== name) return `${name}: the response to ${id}`;
+    // An idempotent request runs twice if its response is overdue.
+    const attempt = /\r\nattempt: (\d)(?:\r\n|$)/.exec(head)?.[1];
+    const own = attempt === undefined
+      ? undefined
+      : meant.get(name)?.[Number(attempt)];
     if (status !== own?.status) {
       return `${name}: ${status} instead of ${own?.status}`;
     }
@@ -65,8 +71,10 @@
     }
     const { body } = received;
     if (body === own.body) continue;
-    const isPart = received.end === "open" && own.isCutInOrder &&
-      own.framing === TargetFraming.connection && own.body.startsWith(body);
+    const mayBePart = !hasEnded ||
+      (own.isCutInOrder && own.framing === TargetFraming.connection);
+    const isPart = received.end === "open" && mayBePart &&
+      own.body.startsWith(body);
     if (!isPart) {
       return `${name}: ${body.length} of ${own.body.length} bytes, ${received.end}`;
     }
@@ -125,8 +133,12 @@
   const socket = connect(port, "127.0.0.1");
   const chunks: Buffer[] = [];
   let wasReset = false;
+  let hasEnded = false;
   socket.on("error", () => (wasReset = true));
-  socket.once("end", () => (wasReset ||= hasBeenReset(socket)));
+  socket.once("end", () => {
+    hasEnded = true;
+    wasReset ||= hasBeenReset(socket);
+  });
   socket.on("data", (chunk) => chunks.push(chunk));
   const text = requests.map((each) => each.text).join("");
   const cut = Math.floor(random() * text.length);
@@ -149,6 +161,7 @@
         requests,
         text: Buffer.concat(chunks).toString("latin1"),
         wasReset,
+        hasEnded,
       });
     });
   });
@@ -187,6 +200,14 @@
   await Promise.all(Array.from({ length: callerCount }, callOften));
   path.stop();
   const { meant, reusedCount, copies } = target;
+  const maximumAttempts = options.isIdempotent ? 2 : 1;
+  for (const [name, { length }] of meant) {
+    if (length <= maximumAttempts) continue;
+    violations.push(`seed ${seed}, ${name}: ${length} attempts`);
+  }
+  for (const name of target.repeated) {
+    violations.push(`seed ${seed}, ${name}: twice on one connection`);
+  }
   return { violations, responseCount: meant.size, reusedCount, copies };
 }
 
--- a/packages/fleet_gateway/exchanges/stuttering_target_fixture.ts
+++ b/packages/fleet_gateway/exchanges/stuttering_target_fixture.ts
@@ -35,6 +35,8 @@
   skippedBytes: number;
   /** All of the responses that were written, in order. */
   readonly sent: string[];
+  /** Names of the requests that it carried. */
+  readonly names: Set<string>;
   isSilent: boolean;
 }
 
@@ -46,10 +48,15 @@
  * orders in which they are read do not.
  */
 export class StutteringTarget {
-  /** What the target means to respond, by the names of requests. */
-  readonly meant = new Map<string, MeantResponse>();
+  /** What the target means to respond to each attempt, by the names of requests. */
+  readonly meant = new Map<string, MeantResponse[]>();
   /** Number of copies, by their place. */
   readonly copies = new Map<CopyPlace, number>();
+  /**
+   * Names of requests that came twice on one connection, where a copy of the first
+   * response would pass for the second.
+   */
+  readonly repeated: string[] = [];
   /** Number of responses on connections that had carried others. */
   reusedCount = 0;
   readonly #random: () => number;
@@ -71,7 +78,13 @@
   /** Receives bytes of requests, which may hold parts of one. */
   receive(socket: Socket, text: string): void {
     const connection = this.#connections.get(socket) ??
-      { received: "", skippedBytes: 0, sent: [], isSilent: false };
+      {
+        received: "",
+        skippedBytes: 0,
+        sent: [],
+        names: new Set(),
+        isSilent: false,
+      };
     this.#connections.set(socket, connection);
     connection.received += text.slice(connection.skippedBytes);
     connection.skippedBytes = Math.max(
@@ -89,6 +102,8 @@
       connection.skippedBytes = Math.max(0, end - connection.received.length);
       connection.received = connection.received.slice(end);
       const name = head.split(" ")[1]!.slice(1);
+      if (connection.names.has(name)) this.repeated.push(name);
+      connection.names.add(name);
       void this.#respond(socket, connection, name, head.startsWith("HEAD"));
     }
   }
@@ -100,8 +115,12 @@
     isHead: boolean,
   ): Promise<void> {
     if (connection.isSilent) return;
-    const { meant, text } = this.#createResponse(name, isHead);
-    this.meant.set(name, meant);
+    const attempts = this.meant.get(name) ?? [];
+    const { meant, text } = this.#createResponse(name, {
+      isHead,
+      attempt: attempts.length,
+    });
+    this.meant.set(name, [...attempts, meant]);
     if (connection.sent.length > 0) this.reusedCount += 1;
     const pieces = this.#divide(this.#addCopy(text, connection));
     connection.sent.push(text);
@@ -168,7 +187,7 @@
 
   #createResponse(
     name: string,
-    isHead: boolean,
+    { isHead, attempt }: { readonly isHead: boolean; readonly attempt: number },
   ): { readonly meant: MeantResponse; readonly text: string } {
     const status = this.#pick(statuses);
     const framing = this.#happens(this.#openShare)
@@ -177,7 +196,8 @@
       ? TargetFraming.chunks
       : TargetFraming.length;
     const size = Math.floor(this.#random() * (this.#pick(sizes) + 1));
-    const whole = `${name};`.repeat(size / name.length + 1).slice(0, size);
+    const whole = `${name}.${attempt};`.repeat(size / name.length + 1)
+      .slice(0, size);
     const hasBody = !isHead && status !== 204;
     const body = hasBody ? whole : "";
     const id = this.#pick([
@@ -188,7 +208,11 @@
       `REQUEST: \t ${name} \t`,
       ...(this.#happens(0.05) ? ["other: 1"] : []),
     ]);
-    const lines = [id, `extra: ${"x".repeat(this.#random() * 40)}`];
+    const lines = [
+      id,
+      `extra: ${"x".repeat(this.#random() * 40)}`,
+      `attempt: ${attempt}`,
+    ];
     if (this.#happens(0.5)) lines.reverse();
     if (framing === TargetFraming.connection) lines.push("connection: close");
     if (framing === TargetFraming.chunks && status !== 204) {
