Let the requests of the pipelining tests run at one target only

It is idempotent, its target responds after 200 ms or more, with 9 MB, and it is overdue after about 330 ms (1.5 mean durations of 220 ms): then it is sent to a second target, as its route allowed.

The route allows one attempt now.

--- a/packages/kingcupglade/pipelining_path_test.ts
+++ b/packages/kingcupglade/pipelining_path_test.ts
@@ -26,7 +26,12 @@
   upsert: {
     services: [{ name: "catalogue", maxConnections: 100, version }],
     routes: [
-      { ...createRoute("lookup", "safe", "catalogue"), timeoutS: 5 },
+      // An overdue request would be sent to a second target.
+      {
+        ...createRoute("lookup", "safe", "catalogue"),
+        timeoutS: 5,
+        maxAttempts: 1,
+      },
       { ...createRoute("reserve", "unsafe", "catalogue"), timeoutS: 5 },
     ],
   },
