--- a/packages/fleet_gateway/table/direct_path_return.ts
+++ b/packages/fleet_gateway/table/direct_path_return.ts
@@ -67,7 +67,7 @@
   return leader === path.leader ? null : { leader, through };
 }
 
-// That a VM is not reached has been logged when the path was chosen.
+// That a VM is not reached was logged when the detour began.
 function answerOf(
   address: string,
   ask: DirectPathOptions["ask"],
