Let the workers of the review's stand-ins back off between nodes

The users' pages ask callers of control to turn to the next node with an increasing backoff; the workers of review/harness_2.mjs turned at once. They now wait 50 ms to 0.8 s, doubled each time.

--- a/review/harness_2.mjs
+++ b/review/harness_2.mjs
@@ -310,17 +310,21 @@
   async #beatOn() {
     let node = 0;
     let next;
+    let failures = 0;
     while (this.isBeating) {
       const addresses = this.deployment.controlAddresses;
       const address = next ?? addresses[node % addresses.length];
       const answer = await this.beat(address);
-      if (answer) next = answer.heartbeatAddress ?? next;
-      else {
+      if (!answer) {
         next = undefined;
         node += 1;
-        await sleep(50);
+        // Callers move on to another node with increasing backoff.
+        await sleep(Math.min(800, 50 * 2 ** failures));
+        failures += 1;
         continue;
       }
+      failures = 0;
+      next = answer.heartbeatAddress ?? next;
       await sleep(this.deployment.heartbeatIntervalS * 1000);
     }
   }
