Collect the small parts of requests in blocks

Found on three more paths, where callers, not targets, choose the parts: a body that is buffered (up to 128 KiB, 48 MiB of all), one that is read ahead (8 and 24 MiB), and what waits on a connection for a request before it (16 KiB, 16 MiB of all). Each packet of one byte was kept as a buffer, so that slow callers could use up the memory of a VM well within these bounds.

All three use PartCollector now.

--- a/packages/fakes/mod.ts
+++ b/packages/fakes/mod.ts
@@ -14,6 +14,7 @@
 export { History } from "./history.ts";
 export type { HistoryEvent, TimedEvent } from "./history.ts";
 export { readReferenceTable } from "./reference_table.ts";
+export { measureMemory } from "./memory_use.ts";
 export { loopbackPrefix } from "./loopback_prefix.ts";
 export { SilenceableProxy } from "./silenceable_proxy.ts";
 export { SilenceableReplica } from "./silenceable_replica.ts";
--- a/packages/fleet_gateway/exchanges/small_parts_test.ts
+++ b/packages/fleet_gateway/exchanges/small_parts_test.ts
@@ -1,5 +1,4 @@
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
+import { measureMemory } from "@kingcupglade/fakes";
 import type { Dispatcher } from "undici";
 import { describe, expect, it } from "vitest";
 import { Exchange } from "./exchange.ts";
@@ -65,17 +64,6 @@
 
 const controller = { abort() {} } as unknown as Dispatcher.DispatchController;
 
-/** Returns the memory in use by objects and buffers, after a collection. */
-function measureMemory(): number {
-  setFlagsFromString("--expose-gc");
-  const collect = runInNewContext("gc") as () => void;
-  // What the first collection finds unused is released by the second.
-  collect();
-  collect();
-  const { heapUsed, arrayBuffers } = process.memoryUsage();
-  return heapUsed + arrayBuffers;
-}
-
 /** Hands a body to the parser's side, as it does for chunks of that size. */
 function sendParts(
   handler: Dispatcher.DispatchHandler,
--- a/packages/transport/body.ts
+++ b/packages/transport/body.ts
@@ -2,6 +2,7 @@
 import { Readable } from "node:stream";
 import { BodyMemory } from "./body_memory.ts";
 import type { BodyReservation } from "./body_memory.ts";
+import { PartCollector } from "./part_collector.ts";
 import { ReadAhead } from "./read_ahead.ts";
 
 /** Thrown when a body exceeds its size limit. */
@@ -20,14 +21,12 @@
   maximumBytes: number,
   reservation?: BodyReservation,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let length = 0;
+  const parts = new PartCollector();
   for await (const chunk of readBoundedChunks(request, maximumBytes)) {
     reservation?.add(chunk.length);
-    length += chunk.length;
-    chunks.push(chunk);
+    parts.add(chunk);
   }
-  return Buffer.concat(chunks, length);
+  return parts.takeJoined();
 }
 
 /** Room for what is read ahead of all bodies that are streamed. */
@@ -103,10 +102,9 @@
       maximumBufferedBytes,
       reservation,
     );
-    const firstBytes = Buffer.concat(first);
-    if (ended) return new RequestBody({ buffer: firstBytes });
+    if (ended) return new RequestBody({ buffer: first });
     return new RequestBody({
-      firstBytes,
+      firstBytes: first,
       source: new ReadAhead(chunks, readAheadMemory.reserve()),
       length,
     });
@@ -199,17 +197,15 @@
   chunks: AsyncGenerator<Buffer>,
   minimumBytes: number,
   reservation: BodyReservation | undefined,
-): Promise<{ readonly first: readonly Buffer[]; readonly ended: boolean }> {
-  const first: Buffer[] = [];
-  let length = 0;
-  while (length <= minimumBytes) {
+): Promise<{ readonly first: Buffer; readonly ended: boolean }> {
+  const parts = new PartCollector();
+  while (parts.bytes <= minimumBytes) {
     const next = await chunks.next();
-    if (next.done) return { first, ended: true };
+    if (next.done) return { first: parts.takeJoined(), ended: true };
     reservation?.add(next.value.length);
-    first.push(next.value);
-    length += next.value.length;
+    parts.add(next.value);
   }
-  return { first, ended: false };
+  return { first: parts.takeJoined(), ended: false };
 }
 
 function createTooLargeError(maximumBytes: number): BodyTooLargeError {
--- a/packages/transport/caller_pipeline.ts
+++ b/packages/transport/caller_pipeline.ts
@@ -4,6 +4,7 @@
 import { HeadBoundary } from "./head_boundary.ts";
 import { lingerMilliseconds } from "./listener_connection.ts";
 import type { ListenerConnection } from "./listener_connection.ts";
+import { PartCollector } from "./part_collector.ts";
 import type { PipelineLimits, PipelineWait } from "./pipeline_limits.ts";
 import {
   isSafeMethod,
@@ -39,7 +40,9 @@
   /** End of the body of the request that was read last. */
   #bodyBoundary = BodyBoundary.of({});
   /** Bytes that the parser was not given. */
-  #held: Buffer[] = [];
+  readonly #held = new PartCollector();
+  /** The first of them, of which the parser was given a part. */
+  #rest: Buffer | undefined;
   #heldBytes = 0;
   #pending: PendingRequest[] = [];
   #waitReason: PipelineWait | undefined;
@@ -105,7 +108,7 @@
 
   #receive(chunk: Buffer): void {
     if (this.#isStopped) return;
-    this.#held.push(chunk);
+    this.#held.add(chunk);
     this.#addHeldBytes(chunk.length);
     this.advance();
     if (this.#heldBytes < maximumHeldBytes || !this.#limits.isFull) return;
@@ -187,14 +190,13 @@
   }
 
   #parseNext(): void {
-    const chunk = this.#held[0]!;
+    const chunk = this.#rest ?? this.#held.shift()!;
     const boundary = this.#bodyBoundary.hasEnded
       ? this.#headBoundary
       : this.#bodyBoundary;
     const length = boundary.measure(chunk);
     const isWhole = length === chunk.length;
-    if (isWhole) this.#held.shift();
-    else this.#held[0] = chunk.subarray(length);
+    this.#rest = isWhole ? undefined : chunk.subarray(length);
     this.#addHeldBytes(-length);
     this.#parse(isWhole ? chunk : chunk.subarray(0, length));
   }
@@ -231,7 +233,8 @@
   #drop(): void {
     for (const { request } of this.#pending) request.resume();
     this.#pending = [];
-    this.#held = [];
+    this.#held.take();
+    this.#rest = undefined;
     this.#addHeldBytes(-this.#heldBytes);
   }
 
--- a/packages/transport/caller_pipeline_test.ts
+++ b/packages/transport/caller_pipeline_test.ts
@@ -2,9 +2,9 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
-import { loopbackPrefix } from "@kingcupglade/fakes";
+import { loopbackPrefix, measureMemory } from "@kingcupglade/fakes";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { hasCallerLeft, onExchangeEnd } from "./caller_connection.ts";
+import { hasCallerLeft, nextTurn, onExchangeEnd } from "./caller_connection.ts";
 import { HttpListener } from "./http_listener.ts";
 import type { UnreadableRequest } from "./http_listener.ts";
 import { closeAfterBody } from "./pipelined_response.ts";
@@ -122,6 +122,28 @@
     expect(receivedBodies()).toEqual(["/1", "/2", "/3"]);
   });
 
+  // Guards against callers that use up the memory of a VM with bytes that wait,
+  // each of which is an object.
+  it("take memory by their bytes while they are unread", async () => {
+    const bytesOfCaller = 4000;
+    await open({ concurrentPerConnection: 1 });
+    const others = Array.from({ length: 9 }, () => connect(port, host));
+    const callers = [caller, ...others];
+    for (const each of callers) {
+      each.setNoDelay(true).on("error", () => {}).write(get("/first"));
+    }
+    await waitFor(() => started.length === callers.length);
+    const before = measureMemory();
+    for (let sent = 0; sent < bytesOfCaller; sent += 1) {
+      for (const each of callers) each.write("G");
+      await nextTurn();
+    }
+    const expectedBytes = callers.length * bytesOfCaller;
+    await waitFor(() => limits.usedBytes === expectedBytes);
+    expect(measureMemory() - before).toBeLessThan(8 * expectedBytes);
+    for (const each of others) each.destroy();
+  });
+
   // Guards against a caller that has the VM work on any number of requests.
   it("are not read beyond the bound until one has ended", async () => {
     await open({ concurrentPerConnection: 2 });
--- a/packages/transport/part_collector.ts
+++ b/packages/transport/part_collector.ts
@@ -30,6 +30,14 @@
     else if (part.length > 0) this.#single = part;
   }
 
+  /** Returns the next bytes, and forgets them; undefined if there are none. */
+  shift(): Buffer | undefined {
+    if (this.#parts.length === 0) this.#close();
+    const part = this.#parts.shift();
+    this.#bytes -= part?.length ?? 0;
+    return part;
+  }
+
   /** Returns what was collected, and forgets it. */
   take(): Buffer[] {
     this.#close();
--- a/packages/transport/part_collector_test.ts
+++ b/packages/transport/part_collector_test.ts
@@ -31,6 +31,27 @@
     );
   });
 
+  it("returns the next bytes while others are added", () => {
+    const collector = new PartCollector();
+    const received: Buffer[] = [];
+    for (let count = 0; count < 2000; count += 1) {
+      collector.add(Buffer.from([count & 0xff]));
+      if (count % 7 === 0) received.push(collector.shift()!);
+      if (count % 500 === 0) collector.add(Buffer.alloc(5000));
+    }
+    for (;;) {
+      const part = collector.shift();
+      if (!part) break;
+      received.push(part);
+    }
+    expect(collector.bytes).toBe(0);
+    const bytes = Buffer.concat(received);
+    expect(bytes.length).toBe(2000 + 4 * 5000);
+    expect([...bytes.subarray(-499)]).toEqual(
+      Array.from({ length: 499 }, (_, at) => (1501 + at) & 0xff),
+    );
+  });
+
   it.each([
     ["a large part", 100_000],
     ["a single small part", 100],
--- a/packages/transport/read_ahead.ts
+++ b/packages/transport/read_ahead.ts
@@ -1,5 +1,6 @@
 import { BodyMemoryError } from "./body_memory.ts";
 import type { BodyReservation } from "./body_memory.ts";
+import { PartCollector } from "./part_collector.ts";
 
 /** Interval at which it is checked whether a body is read. */
 const intervalMilliseconds = 150;
@@ -13,7 +14,7 @@
 export class ReadAhead {
   readonly #source: AsyncIterator<Buffer>;
   readonly #reservation: BodyReservation | undefined;
-  readonly #chunks: Buffer[] = [];
+  readonly #unread = new PartCollector();
   /** Bytes that were read while nobody waited for them. */
   #aheadBytes = 0;
   #hasMemory = true;
@@ -52,12 +53,12 @@
   }
 
   async #next(): Promise<Buffer | undefined> {
-    while (this.#chunks.length === 0 && !this.#hasEnded) {
+    while (this.#unread.bytes === 0 && !this.#hasEnded) {
       this.#isReading = true;
       await this.#pull();
       this.#isReading = false;
     }
-    const chunk = this.#chunks.shift();
+    const chunk = this.#unread.shift();
     if (!chunk && this.#failure !== undefined) throw this.#failure;
     this.#release(chunk?.length ?? 0);
     return chunk;
@@ -94,7 +95,7 @@
   }
 
   #keep(chunk: Buffer): void {
-    this.#chunks.push(chunk);
+    this.#unread.add(chunk);
     if (this.#isReading) return;
     try {
       this.#reservation?.add(chunk.length);
