Let the deadline of a request bound its body

The listeners bounded a whole request to 60 s, checked every 30 s, whatever the operator sets: the record shows the end between these, without a status, while bytes came. The listeners of gateways for callers and other gateways have no such bound now. A body that is passed on ends with its exchange, at its deadline, as before; one that is held back until it is whole is refused with 408 at its deadline, truthfully as not run, where it had no answer before.

--- a/packages/fleet_gateway/callers/body_receiver.ts
+++ b/packages/fleet_gateway/callers/body_receiver.ts
@@ -29,14 +29,21 @@
    */
   async receive(
     request: IncomingMessage,
-    { answer, refuse }: {
+    { answer, leftMilliseconds, refuse }: {
       readonly answer: CallerResponse;
-      readonly refuse: (status: 413 | 503, reason: string) => void;
+      /** Time until the deadline of the request. */
+      readonly leftMilliseconds: number;
+      readonly refuse: (status: 408 | 413 | 503, reason: string) => void;
     },
   ): Promise<RequestBody | undefined> {
     const { table, wire, logger } = this.#context;
     const reservation = this.#memory.reserve();
     answer.onClosed(() => reservation.release());
+    const timer = setTimeout(
+      () => refuse(408, "the body did not arrive in time"),
+      leftMilliseconds,
+    );
+    answer.onClosed(() => clearTimeout(timer));
     try {
       const body = await RequestBody.receive(request, {
         maximumBytes: table().limits?.maximumBodyBytes ??
@@ -44,9 +51,11 @@
         maximumBufferedBytes,
         reservation,
       });
+      clearTimeout(timer);
       await waitForClose();
       return body;
     } catch (failure) {
+      clearTimeout(timer);
       if (failure instanceof BodyTooLargeError) refuse(413, failure.message);
       if (failure instanceof BodyMemoryError) {
         logger.warn("body-refused", {
--- a/packages/fleet_gateway/callers/gateway_listeners.ts
+++ b/packages/fleet_gateway/callers/gateway_listeners.ts
@@ -29,6 +29,9 @@
 /** Idle connections are closed this long after the configured idle timeout. */
 const idleMarginMilliseconds = 1500;
 
+/** The deadline of each request, from its route, bounds its body as well. */
+const requestTimeoutMilliseconds = 0;
+
 /** Options of {@link GatewayListeners.open}. */
 export interface GatewayListenersOptions {
   /** Where callers reach this VM, as IP:PORT. */
@@ -94,6 +97,7 @@
       maximumConnections: options.maximumCallerConnections ??
         defaultCallerConnections,
       handler: options.handleCaller,
+      requestTimeoutMilliseconds,
       onUnreadable,
       pipelineLimits: new PipelineLimits({
         concurrentPerConnection: options.concurrentPerConnection,
@@ -105,6 +109,7 @@
       address: options.peerListenAddress ?? options.peerAddress,
       maximumHeaderBytes: maximumRelayHeaderBytes,
       handler: options.handleRelayed,
+      requestTimeoutMilliseconds,
       onUnreadable,
     });
     const probes = await HttpListener.open({
--- a/packages/fleet_gateway/requests/request_handler.ts
+++ b/packages/fleet_gateway/requests/request_handler.ts
@@ -169,13 +169,15 @@
     if (!enterLink(this.#options.context, { ...entering, refuse })) return;
     const body = await this.#bodies.receive(request, {
       answer,
+      leftMilliseconds: deadlineAt - this.#now(),
       refuse: (status, reason) => {
-        if (status === 413) {
+        if (status !== 503) {
           recordRefusal(head, { status, reason }, this.#options.context);
         }
         answer.respond({ status, reason });
       },
     });
+    if (answer.hasStarted) return;
     if (hasCallerLeft(request)) return this.#recordUnread(head, arrivedAt);
     if (!body || answer.isClosed) return;
     const { selector } = this.#options.context;
@@ -270,11 +272,13 @@
     answer.onClosed(() => (this.#relayedCount -= 1));
     const body = await this.#bodies.receive(request, {
       answer,
+      leftMilliseconds: deadlineAt - this.#now(),
       refuse: (status, reason) =>
         status === 503
           ? answer.rejectRelay(RelayDecision.unable, reason)
           : answer.respond({ status, reason }),
     });
+    if (answer.hasStarted) return;
     if (hasCallerLeft(request)) return this.#recordUnread(head, arrivedAt);
     if (!body || answer.isClosed) return;
     this.#forwardRelayed(
--- a/packages/transport/http_listener.ts
+++ b/packages/transport/http_listener.ts
@@ -43,6 +43,11 @@
   readonly maximumConnections?: number;
   /** Time in which a client must send its headers. @default 10000 */
   readonly headersTimeoutMilliseconds?: number;
+  /**
+   * Time in which a client must send a whole request; 0 if whoever handles it
+   * bounds that. @default 60000
+   */
+  readonly requestTimeoutMilliseconds?: number;
   /** Time between two checks of the timeouts. @default 30000 */
   readonly checkIntervalMilliseconds?: number;
   /** Called for each request that cannot be read. @default none */
--- a/packages/transport/http_listener_test.ts
+++ b/packages/transport/http_listener_test.ts
@@ -56,3 +56,43 @@
     socket.destroy();
   });
 });
+
+describe("a request that takes long", () => {
+  async function send(requestTimeoutMilliseconds: number): Promise<string> {
+    const host = `${loopbackPrefix()}.1`;
+    const port = 7396;
+    const listener = await HttpListener.open({
+      name: "callers",
+      address: `${host}:${port}`,
+      handler: (request, response) => {
+        request.resume();
+        request.once("end", () => response.end("whole"));
+      },
+      requestTimeoutMilliseconds,
+      headersTimeoutMilliseconds: 100,
+      checkIntervalMilliseconds: 20,
+    });
+    const socket = connect(port, host);
+    let received = "";
+    socket.on("data", (chunk) => received += chunk);
+    socket.on("error", () => {});
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.write(
+      "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n" +
+        "content-length: 10\r\n\r\n",
+    );
+    await pause(600);
+    socket.write("1234567890");
+    await closed;
+    listener.destroy();
+    return received;
+  }
+
+  it("is ended after the time-out of its listener", async () => {
+    expect(await send(200)).not.toContain("whole");
+  });
+
+  it("goes on if its listener has none", async () => {
+    expect(await send(0)).toContain("whole");
+  });
+});
--- a/packages/transport/listener_server.ts
+++ b/packages/transport/listener_server.ts
@@ -21,7 +21,7 @@
   const serverOptions: ServerOptions = {
     maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
     headersTimeout: options.headersTimeoutMilliseconds ?? 10_000,
-    requestTimeout: 60_000,
+    requestTimeout: options.requestTimeoutMilliseconds ?? 60_000,
     connectionsCheckingInterval: options.checkIntervalMilliseconds ?? 30_000,
     keepAliveTimeout: 30_000,
     ...(options.pipelineLimits && {
