Give requests without a stated deadline the time of their route

Now the time-out of the route alone bounds such a request.

slow_bodies_test.ts failed before: 60 s left of the 110 s of a route.

--- a/packages/fleet_gateway/callers/slow_bodies_test.ts
+++ b/packages/fleet_gateway/callers/slow_bodies_test.ts
@@ -9,6 +9,7 @@
 import { HttpListener } from "@kingcupglade/transport";
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { createIdleHandler } from "../requests/request_handler_fixture.ts";
+import { BodyReceiver } from "./body_receiver.ts";
 import { GatewayListeners } from "./gateway_listeners.ts";
 import { StopSchedule } from "./stop_schedule.ts";
 
@@ -30,12 +31,17 @@
     for (const end of ends.splice(0)) end();
   });
 
-  async function startHandler(): Promise<number> {
+  async function startHandler(
+    routeMilliseconds = timeoutMilliseconds,
+  ): Promise<number> {
     const handler = createIdleHandler({
       clock: new MonotonicClock(),
       table: () => ({
         hasConfiguration: true,
-        matchRoute: () => route,
+        matchRoute: () => ({
+          ...route,
+          timeoutMilliseconds: routeMilliseconds,
+        }),
         service: () => ({}),
       }),
     });
@@ -78,6 +84,16 @@
     expect(caller.received).not.toContain("408");
   });
 
+  // Guards against a fixed deadline in place of the one that the operator sets.
+  it("has the time of its route if its caller states no deadline", async () => {
+    const receive = vi.spyOn(BodyReceiver.prototype, "receive");
+    const caller = startRequest(await startHandler(110_000));
+    await expect.poll(() => receive.mock.calls.length).toBe(1);
+    const [, { leftMilliseconds }] = receive.mock.calls[0]!;
+    expect(leftMilliseconds).toBeGreaterThan(109_000);
+    caller.socket.destroy();
+  });
+
   // Guards against long bodies that are broken off after a fixed time, whatever
   // the deadline of their route.
   it("is not bounded by a time-out of the listeners", async () => {
--- a/packages/fleet_gateway/requests/request_handler.ts
+++ b/packages/fleet_gateway/requests/request_handler.ts
@@ -33,8 +33,6 @@
 import type { StopSchedule } from "../callers/stop_schedule.ts";
 import { refuseUnmatched } from "../callers/unmatched_request.ts";
 
-/** Used when the caller sets no deadline. */
-const defaultDeadlineMilliseconds = 60_000;
 /** A timer cannot run for much longer. */
 const maximumDeadlineMilliseconds = 86_400_000;
 /** Retry-after of requests that only this VM cannot serve now. */
@@ -140,7 +138,7 @@
     const deadlineAt = this.#options.stopSchedule.deadlineFor(
       arrivedAt + Math.min(
         route.timeoutMilliseconds,
-        head.deadlineMilliseconds ?? defaultDeadlineMilliseconds,
+        head.deadlineMilliseconds ?? Infinity,
         maximumDeadlineMilliseconds,
       ),
       arrivedAt,
