--- a/packages/fleet_gateway/exchanges/body_joiner.ts
+++ b/packages/fleet_gateway/exchanges/body_joiner.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { PartCollector } from "@kingcupglade/transport";
-import type { FramingBudget } from "@kingcupglade/transport";
+import type { FramingBudget, ReadBody } from "@kingcupglade/transport";
 import type { Dispatcher } from "undici";
 import type { ReadHold } from "./read_hold.ts";
 
@@ -101,9 +101,7 @@
     }
   }
 
-  #takeFraming(
-    read: { readonly framingBytes: number; readonly bodyBytes: number },
-  ): void {
+  #takeFraming(read: ReadBody): void {
     const { budget, reads, onHeld } = this.#options;
     const waitMilliseconds = budget.take(read);
     if (waitMilliseconds === 0) return;
--- a/packages/transport/mod.ts
+++ b/packages/transport/mod.ts
@@ -46,6 +46,7 @@
 export { presentsSecret } from "./secret.ts";
 export { CopyDetector } from "./copy_detector.ts";
 export { FramingBudget } from "./framing_budget.ts";
+export type { ReadBody } from "./framing_budget.ts";
 export { PartCollector } from "./part_collector.ts";
 export {
   createResettingClient,
