--- a/packages/fleet_gateway/targets/target_connections.ts
+++ b/packages/fleet_gateway/targets/target_connections.ts
@@ -11,8 +11,8 @@
 } from "./address_pool.ts";
 
 /**
- * Bytes of framing of all responses. A chunk of one byte has five, and takes some
- * 0.1 microseconds of processor time.
+ * Bytes of framing of all responses. A chunk of one byte has five, and takes 0.1 to
+ * 0.2 microseconds of processor time.
  */
 const framingBytesPerMillisecond = 2048;
 /** Default time limit for opening a connection. */
