--- a/packages/transport/small_body_parts_test.ts
+++ b/packages/transport/small_body_parts_test.ts
@@ -10,7 +10,12 @@
 
 /** A request whose body arrives byte by byte, each in a read of its own. */
 class TricklingRequest extends PassThrough {
-  readonly headers = { "transfer-encoding": "chunked" };
+  readonly headers: Readonly<Record<string, string>>;
+
+  constructor(headers: Readonly<Record<string, string>> = {}) {
+    super();
+    this.headers = headers;
+  }
 
   async send(bytes: number): Promise<void> {
     for (let sent = 0; sent < bytes; sent += 1) {
@@ -30,21 +35,24 @@
 // each of which is an object.
 describe("a body that arrives in parts of one byte", () => {
   it.each([
-    ["is buffered", 2 * bodyBytes],
-    ["is about to be streamed", bodyBytes],
-  ])("takes memory by its bytes while it %s", async (_name, buffered) => {
-    const request = new TricklingRequest();
-    const receiving = RequestBody.receive(
-      request as unknown as IncomingMessage,
-      { maximumBytes: 10 * bodyBytes, maximumBufferedBytes: buffered },
-    );
-    await request.send(1000);
-    const before = measureMemory();
-    await request.send(bodyBytes);
-    expect(measureMemory() - before).toBeLessThan(4 * bodyBytes);
-    request.end();
-    await receiving;
-  });
+    ["without a length", { "transfer-encoding": "chunked" }],
+    ["with a length", { "content-length": String(2 * bodyBytes) }],
+  ])(
+    "takes memory by its bytes while it is buffered, %s",
+    async (_, headers) => {
+      const request = new TricklingRequest(headers);
+      const receiving = RequestBody.receive(
+        request as unknown as IncomingMessage,
+        { maximumBytes: 10 * bodyBytes, maximumBufferedBytes: 2 * bodyBytes },
+      );
+      await request.send(1000);
+      const before = measureMemory();
+      await request.send(bodyBytes);
+      expect(measureMemory() - before).toBeLessThan(4 * bodyBytes);
+      request.end();
+      await receiving;
+    },
+  );
 
   it("takes memory by its bytes while it is read ahead", async () => {
     const request = new TricklingRequest();
